Lay the ground: packages, shared headers, wire messages, checks

Cause: nothing stood yet. Weighed: protobuf structs in every header (ties the pure packages to the wire) against plain C structs (copies); plain structs won but for member, whose messages are its whole interface.

--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,78 @@
+#ifndef MP_HTTP_HTTP_H
+#define MP_HTTP_HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "mulberrypath/error.h"
+#include "mulberrypath/node.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- server: h2o on the loop ------------------------------------------- */
+
+struct http_server;
+
+struct http_server_options {
+	const char *listen; /* "ip:port"; port 0 asks the kernel for one */
+	size_t body_limit;
+	size_t header_limit;
+	size_t connection_limit;
+	uint32_t idle_timeout_ms; /* also for a half-sent request */
+	const char *tls_certificate, *tls_key; /* NULL: plain */
+};
+
+struct http_server_callbacks {
+	/* A whole request; its strings live during the call. */
+	void (*on_request)(void *ctx, const struct node_request *request);
+	/* The caller hung up before its answer was whole. */
+	void (*on_gone)(void *ctx, uint64_t request);
+};
+
+/* Errors: MP_ERR_IO (address), MP_ERR_INVALID (certificate or key). */
+int http_server_create(struct http_server **out, uv_loop_t *loop,
+    const struct http_server_options *options,
+    const struct http_server_callbacks *callbacks, void *ctx,
+    struct mp_error *err);
+
+/* The bound port. */
+int http_server_get_port(const struct http_server *s);
+
+/* Answer; unknown request ids (gone callers) are ignored. */
+void http_server_reply(struct http_server *s, const struct node_reply *reply);
+void http_server_send(
+    struct http_server *s, uint64_t request, struct node_bytes data);
+void http_server_end(struct http_server *s, uint64_t request, bool aborted);
+
+/* Stop listening, finish what runs, close; done is called on the loop. */
+void http_server_destroy(
+    struct http_server *s, void (*done)(void *ctx), void *ctx);
+
+/* ---- client: calls to endpoints ---------------------------------------- */
+
+struct http_client;
+
+typedef void (*http_call_cb)(void *ctx, const struct node_call_event *event);
+
+/*
+ * Connections are pooled by address. node_call.not_after_us is compared with
+ * uv_hrtime()/1000 just before the first byte is written, also after a slow
+ * connect; then NODE_CALL_NOT_SENT. Every call ends in exactly one of
+ * NOT_SENT, END, BROKEN unless cancelled. A call on a pooled connection that
+ * breaks is BROKEN, not repeated, once a byte was handed to the connection.
+ */
+int http_client_create(struct http_client **out, uv_loop_t *loop,
+    http_call_cb cb, void *ctx, struct mp_error *err);
+void http_client_start(struct http_client *c, const struct node_call *call);
+void http_client_cancel(struct http_client *c, uint64_t call);
+void http_client_destroy(
+    struct http_client *c, void (*done)(void *ctx), void *ctx);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/member/member.h
@@ -0,0 +1,213 @@
+#ifndef MP_MEMBER_MEMBER_H
+#define MP_MEMBER_MEMBER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mulberrypath/error.h"
+#include "util/buf.h"
+#include "wire/command.pb-c.h"
+#include "wire/peer.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- replicated: who is a member -------------------------------------- */
+
+struct member {
+	uint32_t id;
+	uint64_t incarnation;
+	char *name, *data_centre, *region, *http, *bus;
+	uint64_t voter; /* raft id of its data folder, 0 without one */
+	bool leaving; /* drains; owns nothing new */
+	uint64_t joined; /* log index */
+};
+
+/* All members and the epoch: the log index of the last change of them. */
+struct member_view;
+
+struct member_view *member_view_create(void);
+void member_view_destroy(struct member_view *v);
+
+/* Apply committed changes; true when the view (and so the epoch) changed. */
+bool member_view_up(
+    struct member_view *v, uint64_t index, const Wire__MemberInfo *info);
+bool member_view_down(
+    struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation);
+bool member_view_leave(
+    struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation);
+
+uint64_t member_view_epoch(const struct member_view *v);
+size_t member_view_count(const struct member_view *v);
+const struct member *member_view_at(const struct member_view *v, size_t i);
+const struct member *member_view_find(const struct member_view *v, uint32_t id);
+void member_view_save(const struct member_view *v, struct buf *out);
+int member_view_restore(
+    struct member_view *v, const char *data, size_t len, struct mp_error *err);
+
+/*
+ * The owner of an endpoint: rendezvous hashing over members of its region
+ * (of all members where the region has none) that are not leaving. 0 when
+ * there is no such member.
+ */
+uint32_t member_owner_of(
+    const struct member_view *v, const char *region, const char *endpoint);
+
+/*
+ * Owners in order of preference for a key: weighted rendezvous hashing.
+ *
+ * weight: capacity of a member, 0 leaves it out.
+ * out: at most max ids; the number written is returned.
+ */
+size_t member_order(const struct member_view *v, const char *key,
+    double (*weight)(void *ctx, const struct member *m), void *ctx,
+    uint32_t *out, size_t max);
+
+/* ---- timing of leases --------------------------------------------------- */
+
+#define MEMBER_LEASE_US	      (2000 * 1000ULL)
+#define MEMBER_RENEW_US	      (250 * 1000ULL)
+#define MEMBER_PING_US	      (300 * 1000ULL)
+#define MEMBER_FLIGHT_US      (300 * 1000ULL) /* longest way of an order */
+#define MEMBER_DRIFT_PERMILLE 50 /* clocks differ by at most */
+#define MEMBER_LAG_US	      (2000 * 1000ULL) /* no lease when staler */
+
+/* ---- on every instance: may I act? -------------------------------------- */
+
+/*
+ * The holder's side of leases. An instance may act (grant, order, accept
+ * new requests) while it holds the leader's lease and has applied what the
+ * lease requires, or, without a leader, while more than half of its epoch's
+ * members (itself counted) say in answer to its pings that they are in the
+ * same epoch and hold no leader's lease either. A member that said so
+ * promises not to acknowledge a newer epoch before that support has ended,
+ * and a new epoch's owners act only after a majority acknowledged it: so
+ * two owners never act at once. The lease counts from the sending of the
+ * renewal or ping.
+ */
+struct member_holder;
+
+struct member_holder *member_holder_create(uint32_t self, uint64_t incarnation);
+void member_holder_destroy(struct member_holder *h);
+
+/* Is a renewal or ping round due? Marks it sent. */
+bool member_holder_renew_due(struct member_holder *h, uint64_t now_us);
+bool member_holder_ping_due(struct member_holder *h, uint64_t now_us);
+uint64_t member_holder_next(const struct member_holder *h);
+
+/* Fill the lease part of a renewal: sent_us, applied, epoch, promise_over. */
+void member_holder_fill_renew(struct member_holder *h, uint64_t now_us,
+    uint64_t applied, uint64_t epoch, Wire__LeaseRenew *out);
+
+void member_holder_on_lease(
+    struct member_holder *h, uint64_t now_us, const Wire__LeaseReply *reply);
+
+/* Answer a ping; records the promise when it says leaderless. */
+void member_holder_on_ping(struct member_holder *h, uint64_t now_us,
+    uint64_t applied, const Wire__Ping *ping, Wire__Pong *out);
+
+/* from_epoch: Envelope.epoch of the pong. */
+void member_holder_on_pong(struct member_holder *h, uint64_t now_us,
+    uint32_t from, uint64_t from_epoch, const Wire__Pong *pong);
+
+enum member_standing {
+	MEMBER_LEASED, /* holds a leader's lease */
+	MEMBER_SUPPORTED, /* no leader; a majority of peers supports it */
+	MEMBER_ALONE, /* hears too few: refuse new work */
+	MEMBER_CATCHING_UP /* has not applied what its lease requires */
+};
+
+enum member_standing member_holder_standing(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied);
+
+/* LEASED or SUPPORTED. */
+bool member_holder_may_act(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied);
+
+/* Until when may_act can stay true without further messages; 0 if not. */
+uint64_t member_holder_act_until(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied);
+
+/* Largest epoch whose owners may act, and index in force, as told. */
+uint64_t member_holder_active_epoch(const struct member_holder *h);
+uint64_t member_holder_in_force(const struct member_holder *h);
+uint32_t member_holder_leader(const struct member_holder *h); /* 0 unknown */
+uint32_t member_holder_permit_in_flight(const struct member_holder *h);
+uint32_t member_holder_permit_rate_milli(const struct member_holder *h);
+
+/* ---- on the leader: who holds what -------------------------------------- */
+
+/*
+ * The leader's side. It asks for MemberDown only for members whose lease,
+ * also one given by an earlier leader, has surely ended, and only while it
+ * hears from a majority of the members.
+ */
+struct member_keeper;
+
+struct member_keeper *member_keeper_create(
+    uint32_t store_in_flight, uint32_t store_rate_milli);
+void member_keeper_destroy(struct member_keeper *k);
+
+/* Leadership began: leases of earlier leaders may still run. */
+void member_keeper_reset(
+    struct member_keeper *k, uint64_t now_us, uint64_t election_us);
+
+/*
+ * Take a renewal and fill the answer. A lease is granted to a member of the
+ * same incarnation that has kept up, while authority_until lies ahead.
+ *
+ * from: the instance; incarnation: of its process (Envelope).
+ * commit: the leader's commit index.
+ */
+void member_keeper_on_renew(struct member_keeper *k,
+    const struct member_view *v, uint64_t now_us, uint64_t authority_until,
+    uint32_t from, uint64_t incarnation, uint64_t commit,
+    const Wire__LeaseRenew *renew, Wire__LeaseReply *out);
+
+/* A new entry was committed: renewals that miss it are behind from now. */
+void member_keeper_on_commit(
+    struct member_keeper *k, uint64_t now_us, uint64_t commit);
+
+enum member_wish_type {
+	MEMBER_WISH_UP, /* propose MemberUp with info */
+	MEMBER_WISH_DOWN, /* propose MemberDown of id, incarnation */
+	MEMBER_WISH_LEAVE
+};
+
+struct member_wish {
+	enum member_wish_type type;
+	uint32_t id;
+	uint64_t incarnation;
+	const Wire__MemberInfo *info; /* UP; lives until the next call */
+};
+
+/*
+ * The next command the leader should propose; false when there is none.
+ * A wish is repeated after a second unless it was applied.
+ */
+bool member_keeper_take_wish(struct member_keeper *k,
+    const struct member_view *v, uint64_t now_us, struct member_wish *out);
+
+/*
+ * The newest epoch whose owners may act: every member of the epochs before
+ * has acknowledged it or its lease has ended, and a majority of the members
+ * has acknowledged it with its promises over.
+ */
+uint64_t member_keeper_active_epoch(const struct member_keeper *k,
+    const struct member_view *v, uint64_t now_us);
+
+/* Every holder of a lease has applied up to this index. */
+uint64_t member_keeper_in_force(const struct member_keeper *k,
+    const struct member_view *v, uint64_t now_us);
+
+/* JSON array: each member with applied index, age of its last renewal. */
+void member_keeper_report(const struct member_keeper *k,
+    const struct member_view *v, uint64_t now_us, struct buf *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/util/buf.c
@@ -0,0 +1,102 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/buf.h"
+#include "util/mem.h"
+
+#define BUF_FIRST_BYTES 64
+
+static void
+buf_reserve(struct buf *b, size_t extra)
+{
+	size_t need = b->len + extra + 1;
+	size_t cap = b->cap == 0 ? BUF_FIRST_BYTES : b->cap;
+
+	if (need <= b->cap)
+		return;
+	while (cap < need)
+		cap *= 2;
+	b->data = mem_resize(b->data, cap, 1);
+	b->cap = cap;
+}
+
+void
+buf_free(struct buf *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
+
+void
+buf_clear(struct buf *b)
+{
+	b->len = 0;
+	if (b->data != NULL)
+		b->data[0] = '\0';
+}
+
+void
+buf_append(struct buf *b, const void *p, size_t len)
+{
+	buf_reserve(b, len);
+	if (len > 0)
+		memcpy(b->data + b->len, p, len);
+	b->len += len;
+	b->data[b->len] = '\0';
+}
+
+void
+buf_puts(struct buf *b, const char *s)
+{
+	buf_append(b, s, strlen(s));
+}
+
+void
+buf_printf(struct buf *b, const char *format, ...)
+{
+	va_list args, again;
+	int n;
+
+	va_start(args, format);
+	va_copy(again, args);
+	n = vsnprintf(NULL, 0, format, args);
+	va_end(args);
+	if (n > 0) {
+		buf_reserve(b, (size_t)n);
+		(void)vsnprintf(b->data + b->len, (size_t)n + 1, format, again);
+		b->len += (size_t)n;
+	}
+	va_end(again);
+}
+
+void
+buf_json_string(struct buf *b, const char *s)
+{
+	const unsigned char *p;
+
+	buf_append(b, "\"", 1);
+	for (p = (const unsigned char *)s; *p != '\0'; p++) {
+		if (*p == '"' || *p == '\\')
+			buf_printf(b, "\\%c", *p);
+		else if (*p == '\n')
+			buf_puts(b, "\\n");
+		else if (*p < 0x20 || *p == 0x7f)
+			buf_printf(b, "\\u%04x", *p);
+		else
+			buf_append(b, p, 1);
+	}
+	buf_append(b, "\"", 1);
+}
+
+void
+buf_consume(struct buf *b, size_t len)
+{
+	if (len >= b->len) {
+		buf_clear(b);
+		return;
+	}
+	memmove(b->data, b->data + len, b->len - len + 1);
+	b->len -= len;
+}
