--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,300 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+static int
+node_create_raft(
+    struct node *n, const struct node_boot *boot, struct mp_error *err)
+{
+	struct raft_options options = {0};
+
+	if (boot->disk == NULL)
+		return 0;
+	n->voter = RAFT_ID(boot->disk->incarnation, n->id);
+	n->may_found = boot->disk->fresh && !boot->disk->damaged;
+	options.self = n->voter;
+	options.seed = boot->seed ^ n->voter;
+	options.heartbeat_us = NODE_HEARTBEAT_US;
+	options.election_min_us = NODE_ELECTION_MIN_US;
+	options.election_max_us = NODE_ELECTION_MAX_US;
+	options.batch_bytes = NODE_BATCH_BYTES;
+	return raft_create(&n->raft, &options, boot->disk, boot->now_us, err);
+}
+
+static int
+node_create_sched(
+    struct node *n, const struct node_boot *boot, struct mp_error *err)
+{
+	struct sched_options options = {0};
+
+	options.policy = n->settings->policy;
+	options.objective = n->settings->objective;
+	options.charge = n->settings->charge;
+	options.load_ms = n->settings->load_ms;
+	options.seed = boot->seed;
+	return sched_create(&n->sched, &options, err);
+}
+
+static void
+node_create_tables(struct node *n)
+{
+	struct route_options options = {n->id, n->incarnation};
+
+	n->view = member_view_create();
+	n->book = doc_book_create();
+	n->claims = claim_table_create();
+	n->recent = mem_alloc(NODE_RECENT_ENTRIES, sizeof(*n->recent));
+	n->recent_first = 1;
+	n->holder = member_holder_create(n->id, n->incarnation);
+	n->keeper = member_keeper_create(n->settings->store_in_flight,
+	    n->settings->store_loads_per_second_milli);
+	n->proposals = map_create();
+	n->endpoints = map_create();
+	n->grants = map_create();
+	n->grants_by_ask = map_create();
+	n->orders = map_create();
+	n->asks = map_create();
+	n->rates = map_create();
+	n->peers = map_create();
+	n->route = route_create(&options, &node_route_ops, n);
+}
+
+int
+node_create(
+    struct node **out, const struct node_boot *boot, struct mp_error *err)
+{
+	struct node *n = mem_alloc(1, sizeof(*n));
+	int rc;
+
+	n->settings = boot->settings;
+	n->id = boot->settings->id;
+	n->incarnation = boot->incarnation;
+	n->now = boot->now_us;
+	n->standing = MEMBER_ALONE;
+	rng_seed(&n->rng, boot->seed);
+	node_create_tables(n);
+	rc = node_create_raft(n, boot, err);
+	if (rc == 0)
+		rc = node_create_sched(n, boot, err);
+	if (rc != 0) {
+		node_destroy(n);
+		return mp_error_wrap(
+		    err, MP_LAYER_NODE, rc, "cannot start the node");
+	}
+	*out = n;
+	return 0;
+}
+
+static void
+peer_free(struct node_peer *peer)
+{
+	size_t i;
+
+	for (i = 0; i < peer->nservices; i++)
+		free(peer->services[i]);
+	free(peer->services);
+	free(peer);
+}
+
+/* Free all values of a map by a function, and the map. */
+static void
+map_free_all(struct map *m, void (*destroy)(void *))
+{
+	size_t i;
+
+	if (m == NULL)
+		return;
+	for (i = 0; i < map_count(m); i++)
+		destroy(map_at(m, i));
+	map_destroy(m);
+}
+
+#define DESTROY(name, type, call)                                              \
+	static void name(void *p)                                              \
+	{                                                                      \
+		call((struct type *)(p));                                      \
+	}
+DESTROY(destroy_peer, node_peer, peer_free)
+DESTROY(destroy_endpoint, node_endpoint, node_endpoint_free)
+DESTROY(destroy_grant, node_grant, node_grant_free)
+DESTROY(destroy_order, node_order, node_order_free)
+DESTROY(destroy_proposal, node_proposal, node_propose_free)
+
+void
+node_destroy(struct node *n)
+{
+	size_t i;
+
+	if (n == NULL)
+		return;
+	route_destroy(n->route);
+	sched_destroy(n->sched);
+	raft_destroy(n->raft);
+	member_keeper_destroy(n->keeper);
+	member_holder_destroy(n->holder);
+	claim_table_destroy(n->claims);
+	doc_book_destroy(n->book);
+	member_view_destroy(n->view);
+	map_free_all(n->peers, destroy_peer);
+	map_free_all(n->endpoints, destroy_endpoint);
+	map_free_all(n->grants, destroy_grant);
+	map_destroy(n->grants_by_ask);
+	map_free_all(n->orders, destroy_order);
+	map_free_all(n->proposals, destroy_proposal);
+	map_free_all(n->asks, free);
+	map_free_all(n->rates, free);
+	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
+		free(n->recent[i].bytes);
+	free(n->recent);
+	for (i = 0; i < n->nloop; i++)
+		free(n->loop[i].bytes);
+	free(n->loop);
+	free(n);
+}
+
+bool
+node_may_act(const struct node *n)
+{
+	return member_holder_may_act(n->holder, n->view, n->now, n->applied);
+}
+
+static void
+node_log_standing(struct node *n)
+{
+	static const char *const names[] = {
+	    "leased", "supported", "alone", "catching-up"};
+	enum member_standing standing =
+	    member_holder_standing(n->holder, n->view, n->now, n->applied);
+
+	if (standing == n->standing)
+		return;
+	n->standing = standing;
+	node_log(
+	    n, NODE_LOG_STANDING, "{\"standing\": \"%s\"}", names[standing]);
+}
+
+/* A stopping instance ends once nobody needs it any more. */
+static void
+node_stop_tick(struct node *n)
+{
+	uint64_t lapsed =
+	    n->stop_us + (uint64_t)n->settings->address_lifetime_ms * 1000;
+	bool idle = route_count(n->route) == 0 && map_count(n->grants) == 0 &&
+	    map_count(n->orders) == 0 && map_count(n->endpoints) == 0;
+
+	if (!n->stopping || n->exited)
+		return;
+	if (n->now < n->stop_us + NODE_DRAIN_MAX_US &&
+	    (n->now < lapsed || !idle))
+		return;
+	n->exited = true;
+	node_log(
+	    n, NODE_LOG_STOPPED, "{\"idle\": %s}", idle ? "true" : "false");
+	node_effects_add(n->fx, NODE_FX_EXIT);
+}
+
+static void
+node_tick(struct node *n)
+{
+	if (!n->ready_told) {
+		n->ready_told = true;
+		node_log(n, NODE_LOG_STARTED, "{\"voter\": %s}",
+		    n->raft == NULL ? "false" : "true");
+	}
+	if (n->raft != NULL)
+		raft_tick(n->raft, n->now, n->fx);
+	node_found_tick(n);
+	node_lease_tick(n);
+	node_follow_tick(n);
+	node_propose_tick(n);
+	node_owner_tick(n);
+	node_entry_tick(n);
+	route_tick(n->route, n->now, n->fx);
+	node_log_standing(n);
+	node_stop_tick(n);
+}
+
+static void
+node_call_event(struct node *n, const struct node_call_event *event)
+{
+	if (route_call(n->route, n->now, event, n->fx))
+		return;
+	(void)node_owner_call(n, event);
+}
+
+/* Begin a graceful shutdown. */
+void
+node_stop(struct node *n)
+{
+	if (n->stopping)
+		return;
+	n->stopping = true;
+	n->stop_us = n->now;
+	node_log(n, NODE_LOG_STOPPING, "{}");
+}
+
+static void
+node_saved(struct node *n, uint64_t ticket, bool ok, const char *reason)
+{
+	if (n->raft == NULL)
+		return;
+	if (!ok && !raft_is_halted(n->raft))
+		node_log(n, NODE_LOG_DISK_FAILED, "{\"reason\": \"%s\"}",
+		    reason == NULL ? "" : reason);
+	raft_saved(n->raft, n->now, ticket, ok, n->fx);
+}
+
+static void
+node_dispatch(struct node *n, const struct node_event *ev)
+{
+	switch (ev->type) {
+	case NODE_EV_TICK:
+		node_tick(n);
+		break;
+	case NODE_EV_MESSAGE:
+		node_peer_receive(n, ev->u.message.from, ev->u.message.bytes);
+		break;
+	case NODE_EV_REQUEST:
+		n->counters.requests++;
+		node_api_request(n, &ev->u.request);
+		break;
+	case NODE_EV_CALLER_GONE:
+		route_caller_gone(n->route, n->now, ev->u.gone, n->fx);
+		break;
+	case NODE_EV_CALL:
+		node_call_event(n, &ev->u.call);
+		break;
+	case NODE_EV_SAVED:
+		node_saved(
+		    n, ev->u.saved.ticket, ev->u.saved.ok, ev->u.saved.reason);
+		break;
+	case NODE_EV_STOP:
+		node_stop(n);
+		break;
+	}
+}
+
+void
+node_step(struct node *n, uint64_t now_us, const struct node_event *ev,
+    struct node_effects *fx)
+{
+	if (now_us > n->now)
+		n->now = now_us;
+	n->fx = fx;
+	node_dispatch(n, ev);
+	node_replica_pump(n);
+	node_peer_loop(n);
+	node_owner_run(n);
+	node_peer_loop(n);
+	node_replica_pump(n);
+	node_follow_push_all(n);
+	n->fx = NULL;
+}
+
+uint64_t
+node_next_tick(const struct node *n)
+{
+	return n->now + NODE_TICK_US;
+}
--- /dev/null
+++ b/src/node/node_apply.c
@@ -0,0 +1,148 @@
+#include "node/node_internal.h"
+
+/* Is the command one that this process proposed? */
+static bool
+is_own(const struct node *n, const Wire__Command *command)
+{
+	return command->instance == n->id &&
+	    command->incarnation == n->incarnation && command->proposal != 0;
+}
+
+static void
+apply_doc_put(struct node *n, uint64_t index, const Wire__Command *command)
+{
+	const Wire__DocPut *put = command->doc_put;
+	struct node_proposal *proposal;
+	struct doc_result result;
+
+	doc_book_put(n->book, index, put->team, put->base_revision,
+	    put->change_id, put->operator_, put->time_ms,
+	    (const char *)put->body.data, put->body.len, &result);
+	if (result.verdict == DOC_ACCEPTED && !result.repeated)
+		node_log(n, NODE_LOG_DOCUMENT,
+		    "{\"team\": \"%s\", \"revision\": %llu, \"index\": %llu}",
+		    put->team, (unsigned long long)result.revision,
+		    (unsigned long long)index);
+	proposal =
+	    is_own(n, command) ? node_propose_find(n, command->proposal) : NULL;
+	if (proposal != NULL)
+		node_api_document_applied(n, proposal, put->team, &result);
+}
+
+static void
+apply_up(struct node *n, uint64_t index, const Wire__MemberInfo *info)
+{
+	if (!member_view_up(n->view, index, info))
+		return;
+	node_log(n, NODE_LOG_MEMBER_UP, "{\"member\": %u, \"epoch\": %llu}",
+	    info->id, (unsigned long long)index);
+	node_owner_epoch(n);
+}
+
+static void
+apply_down(struct node *n, uint64_t index, const Wire__MemberDown *down)
+{
+	if (!member_view_down(n->view, index, down->id, down->incarnation))
+		return;
+	node_log(n, NODE_LOG_MEMBER_DOWN, "{\"member\": %u, \"epoch\": %llu}",
+	    down->id, (unsigned long long)index);
+	if (claim_apply_down(n->claims, down->id, down->incarnation) > 0)
+		route_claim_review(n->route, n->now, n->fx);
+	node_grant_entry_down(n, down->id, down->incarnation);
+	node_owner_epoch(n);
+}
+
+static void
+apply_leave(struct node *n, uint64_t index, const Wire__MemberLeave *leave)
+{
+	if (!member_view_leave(n->view, index, leave->id, leave->incarnation))
+		return;
+	node_log(n, NODE_LOG_MEMBER_LEAVING,
+	    "{\"member\": %u, \"epoch\": %llu}", leave->id,
+	    (unsigned long long)index);
+	node_owner_epoch(n);
+}
+
+static void
+apply_claim_start(struct node *n, uint64_t index, const Wire__Command *command)
+{
+	const Wire__ClaimStart *wire = command->claim_start;
+	struct claim_start start = {0};
+	const struct claim *claim = NULL;
+	enum claim_verdict verdict;
+
+	start.team = wire->team;
+	start.key = wire->key;
+	start.body_hash = wire->body_hash;
+	start.service = wire->service;
+	start.call = wire->call;
+	start.instance = command->instance;
+	start.incarnation = command->incarnation;
+	start.proposal = command->proposal;
+	start.time_ms = wire->time_ms;
+	verdict = claim_apply_start(n->claims, index, &start, &claim);
+	if (!is_own(n, command))
+		return;
+	node_propose_applied(n, command->proposal);
+	route_claim_decided(
+	    n->route, n->now, command->proposal, verdict, claim, n->fx);
+}
+
+static void
+apply_claim_end(struct node *n, const Wire__Command *command)
+{
+	const Wire__ClaimEnd *wire = command->claim_end;
+	static const enum claim_end_kind kinds[] = {
+	    CLAIM_END_ANSWERED, CLAIM_END_NOT_RUN, CLAIM_END_UNKNOWN};
+	struct claim_end end = {0};
+	bool effect;
+
+	if ((unsigned)wire->outcome >= sizeof(kinds) / sizeof(kinds[0]))
+		return;
+	end.team = wire->team;
+	end.key = wire->key;
+	end.instance = wire->instance;
+	end.incarnation = wire->incarnation;
+	end.proposal = wire->proposal;
+	end.kind = kinds[wire->outcome];
+	end.status = (int)wire->status;
+	end.content_type = wire->content_type;
+	end.answer = (const char *)wire->answer.data;
+	end.answer_len = wire->answer.len;
+	effect = claim_apply_end(n->claims, &end);
+	if (is_own(n, command)) {
+		node_propose_applied(n, command->proposal);
+		route_claim_recorded(
+		    n->route, n->now, wire->proposal, true, n->fx);
+	}
+	if (effect)
+		route_claim_review(n->route, n->now, n->fx);
+}
+
+void
+node_apply_command(struct node *n, uint64_t index, const Wire__Command *command)
+{
+	switch (command->body_case) {
+	case WIRE__COMMAND__BODY_DOC_PUT:
+		apply_doc_put(n, index, command);
+		break;
+	case WIRE__COMMAND__BODY_UP:
+		apply_up(n, index, command->up);
+		break;
+	case WIRE__COMMAND__BODY_DOWN:
+		apply_down(n, index, command->down);
+		break;
+	case WIRE__COMMAND__BODY_LEAVE:
+		apply_leave(n, index, command->leave);
+		break;
+	case WIRE__COMMAND__BODY_CLAIM_START:
+		apply_claim_start(n, index, command);
+		break;
+	case WIRE__COMMAND__BODY_CLAIM_END:
+		apply_claim_end(n, command);
+		break;
+	default:
+		n->counters.malformed++;
+		break;
+	}
+}
--- /dev/null
+++ b/src/node/node_entry.c
@@ -0,0 +1,425 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+#define TOUCH_PINS_MAX 512
+
+/* ---- which owner? ------------------------------------------------------ */
+
+struct order_context {
+	const struct node *n;
+	const char *service;
+};
+
+static bool
+peer_has_service(const struct node_peer *peer, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < peer->nservices; i++)
+		if (strcmp(peer->services[i], service) == 0)
+			return true;
+	return false;
+}
+
+/* The capacity of a member for model requests or for a service. */
+static double
+owner_weight(void *ctx, const struct member *m)
+{
+	const struct order_context *oc = ctx;
+	const struct node_peer *peer = map_get_u64(oc->n->peers, m->id);
+
+	if (m->leaving || peer == NULL || !node_peer_is_heard(oc->n, m->id))
+		return 0.0;
+	if (oc->service != NULL)
+		return peer_has_service(peer, oc->service) ? 1.0 : 0.0;
+	return peer->engines == 0 ? 0.0 : (double)peer->seats;
+}
+
+/*
+ * Owners for an adapter or a service, best first. The order for an adapter
+ * is the same on every instance; calls of a service are spread.
+ */
+size_t
+node_entry_order(struct node *n, const char *adapter, const char *service,
+    uint32_t *out, size_t max)
+{
+	struct order_context ctx = {n, service};
+	char spread[32];
+	const char *key = adapter;
+
+	if (service != NULL) {
+		(void)snprintf(spread, sizeof(spread), "%u",
+		    rng_below(&n->rng, UINT32_MAX));
+		key = spread;
+	}
+	return member_order(n->view, key, owner_weight, &ctx, out, max);
+}
+
+/* ---- what the route needs ---------------------------------------------- */
+
+static void
+ask_send(struct node *n, struct node_ask *ask, const Wire__GrantAsk *message)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantAsk copy = *message;
+
+	ask->sent_us = n->now;
+	envelope.body_case = WIRE__ENVELOPE__BODY_ASK;
+	envelope.ask = &copy;
+	node_peer_send(n, ask->owner, &envelope);
+}
+
+/* No owner is left to ask: answered through the loop like any refusal. */
+static void
+ask_refuse(struct node *n, uint64_t ask)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
+
+	reply.request = ask;
+	reply.status = WIRE__GRANT_STATUS__GRANT_REFUSED;
+	reply.reason = "no-capacity";
+	envelope.body_case = WIRE__ENVELOPE__BODY_GRANT;
+	envelope.grant = &reply;
+	node_peer_send(n, n->id, &envelope);
+}
+
+static void
+ops_ask(void *ctx, const Wire__GrantAsk *message, struct node_effects *fx)
+{
+	struct node *n = ctx;
+	uint32_t owners[NODE_OWNERS_MAX];
+	struct node_ask *ask;
+	const char *service =
+	    message->service[0] == '\0' ? NULL : message->service;
+	size_t count = node_entry_order(
+	    n, message->adapter, service, owners, NODE_OWNERS_MAX);
+
+	(void)fx;
+	if (count == 0 || message->attempt >= 2 * count) {
+		ask_refuse(n, message->request);
+		return;
+	}
+	ask = mem_alloc(1, sizeof(*ask));
+	ask->ask = message->request;
+	ask->owner = owners[message->attempt % count];
+	map_set_u64(n->asks, ask->ask, ask);
+	ask_send(n, ask, message);
+}
+
+static void
+send_done(struct node *n, uint32_t to, const Wire__GrantDone *message)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantDone copy = *message;
+
+	envelope.body_case = WIRE__ENVELOPE__BODY_DONE;
+	envelope.done = &copy;
+	node_peer_send(n, to, &envelope);
+}
+
+static void
+ops_done(void *ctx, const Wire__GrantDone *message, struct node_effects *fx)
+{
+	struct node *n = ctx;
+	struct node_ask *ask = map_remove_u64(n->asks, message->request);
+
+	(void)fx;
+	if (ask == NULL)
+		return; /* its owner forgets it by the touches it misses */
+	send_done(n, ask->owner, message);
+	free(ask);
+}
+
+static bool
+ops_claim_start(void *ctx, const struct claim_start *start, uint64_t expires_us,
+    uint64_t *proposal, struct node_effects *fx)
+{
+	struct node *n = ctx;
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__ClaimStart wire = WIRE__CLAIM_START__INIT;
+
+	(void)fx;
+	if (node_leader(n) == 0 ||
+	    member_holder_standing(n->holder, n->view, n->now, n->applied) !=
+		MEMBER_LEASED)
+		return false;
+	wire.team = (char *)start->team;
+	wire.key = (char *)start->key;
+	wire.body_hash = start->body_hash;
+	wire.service = (char *)start->service;
+	wire.call = (char *)start->call;
+	wire.time_ms = n->now / 1000;
+	command.body_case = WIRE__COMMAND__BODY_CLAIM_START;
+	command.claim_start = &wire;
+	*proposal =
+	    node_propose(n, NODE_PROPOSE_CLAIM_START, 0, expires_us, &command);
+	return true;
+}
+
+static void
+ops_claim_end(void *ctx, const struct claim_end *end, uint64_t expires_us,
+    struct node_effects *fx)
+{
+	static const Wire__ClaimOutcome outcomes[] = {
+	    WIRE__CLAIM_OUTCOME__CLAIM_DONE, WIRE__CLAIM_OUTCOME__CLAIM_NOT_RUN,
+	    WIRE__CLAIM_OUTCOME__CLAIM_UNKNOWN};
+	struct node *n = ctx;
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__ClaimEnd wire = WIRE__CLAIM_END__INIT;
+
+	(void)fx;
+	wire.team = (char *)end->team;
+	wire.key = (char *)end->key;
+	wire.instance = end->instance;
+	wire.incarnation = end->incarnation;
+	wire.proposal = end->proposal;
+	wire.outcome = outcomes[end->kind];
+	wire.status = (uint32_t)end->status;
+	if (end->content_type != NULL)
+		wire.content_type = (char *)end->content_type;
+	wire.answer.data = (uint8_t *)end->answer;
+	wire.answer.len = end->answer_len;
+	command.body_case = WIRE__COMMAND__BODY_CLAIM_END;
+	command.claim_end = &wire;
+	(void)node_propose(
+	    n, NODE_PROPOSE_CLAIM_END, end->proposal, expires_us, &command);
+}
+
+static const struct claim *
+ops_claim_find(void *ctx, const char *team, const char *key)
+{
+	const struct node *n = ctx;
+
+	return claim_find(n->claims, team, key);
+}
+
+static uint64_t
+ops_next_call(void *ctx)
+{
+	struct node *n = ctx;
+
+	return ++n->last_call;
+}
+
+static uint64_t
+ops_act_until(void *ctx)
+{
+	const struct node *n = ctx;
+
+	return member_holder_act_until(n->holder, n->view, n->now, n->applied);
+}
+
+const struct route_ops node_route_ops = {
+    .ask = ops_ask,
+    .done = ops_done,
+    .claim_start = ops_claim_start,
+    .claim_end = ops_claim_end,
+    .claim_find = ops_claim_find,
+    .next_call = ops_next_call,
+    .act_until = ops_act_until,
+};
+
+/* ---- touches ------------------------------------------------------------ */
+
+/* Asks whose owner is gone are asked again; silent ones are repeated. */
+static void
+asks_tick(struct node *n)
+{
+	Wire__GrantAsk message;
+	struct node_ask *ask;
+	size_t i = map_count(n->asks);
+
+	while (i-- > 0) {
+		ask = map_at(n->asks, i);
+		if (!route_fill_ask(n->route, n->now, ask->ask, &message))
+			continue; /* granted */
+		if (!node_peer_is_heard(n, ask->owner) ||
+		    member_view_find(n->view, ask->owner) == NULL)
+			route_owner_lost(n->route, n->now, ask->ask, n->fx);
+		else if (n->now >= ask->sent_us + NODE_ASK_RESEND_US)
+			ask_send(n, ask, &message);
+	}
+}
+
+/* The owner to which an open ask or grant belongs now. */
+static uint32_t
+open_owner(struct node *n, const struct route_open *open)
+{
+	struct node_ask *ask = map_get_u64(n->asks, open->ask);
+	uint32_t owner;
+
+	if (ask == NULL)
+		return 0;
+	if (open->endpoint != NULL) {
+		owner = node_owner_of(n, n->settings->region, open->endpoint);
+		if (owner != 0)
+			ask->owner = owner;
+	}
+	return ask->owner;
+}
+
+static void
+send_touch(struct node *n, uint32_t to, Wire__Pin **pins, size_t count)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
+
+	touch.n_pins = count;
+	touch.pins = pins;
+	touch.sent_us = n->now;
+	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
+	envelope.touch = &touch;
+	node_peer_send(n, to, &envelope);
+}
+
+static void
+touch_owner(struct node *n, uint32_t owner)
+{
+	Wire__Pin pins[TOUCH_PINS_MAX];
+	Wire__Pin *list[TOUCH_PINS_MAX];
+	struct route_open open;
+	size_t i, count = 0;
+
+	for (i = 0; i < route_open_count(n->route); i++) {
+		route_open_at(n->route, i, &open);
+		if (open_owner(n, &open) != owner)
+			continue;
+		wire__pin__init(&pins[count]);
+		pins[count].request = open.ask;
+		if (open.endpoint != NULL)
+			pins[count].endpoint = (char *)open.endpoint;
+		if (open.adapter != NULL)
+			pins[count].adapter = (char *)open.adapter;
+		pins[count].team = (char *)open.team;
+		list[count] = &pins[count];
+		if (++count == TOUCH_PINS_MAX) {
+			send_touch(n, owner, list, count);
+			count = 0;
+		}
+	}
+	if (count > 0)
+		send_touch(n, owner, list, count);
+}
+
+static void
+touch_owners(struct node *n)
+{
+	size_t i;
+
+	if (route_open_count(n->route) == 0)
+		return;
+	for (i = 0; i < member_view_count(n->view); i++)
+		touch_owner(n, member_view_at(n->view, i)->id);
+}
+
+/* ---- summaries ----------------------------------------------------------- */
+
+static void
+fill_usage(const struct node *n, Wire__TeamUsage *usage, Wire__TeamUsage **list,
+    size_t count)
+{
+	struct sched_team_usage team;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		sched_team_at(n->sched, i, &team);
+		wire__team_usage__init(&usage[i]);
+		usage[i].team = (char *)team.team;
+		usage[i].charge_milli = team.charge_milli;
+		list[i] = &usage[i];
+	}
+}
+
+static void
+send_summary(struct node *n)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__OwnerSummary summary = WIRE__OWNER_SUMMARY__INIT;
+	size_t nteams = sched_team_count(n->sched);
+	size_t nservices = sched_service_count(n->sched);
+	Wire__TeamUsage *usage = mem_alloc(nteams, sizeof(*usage));
+	Wire__TeamUsage **list = mem_alloc(nteams, sizeof(*list));
+	char **services = mem_alloc(nservices, sizeof(*services));
+	struct sched_totals totals;
+	const struct member *m;
+	size_t i;
+
+	sched_get_totals(n->sched, n->now, &totals);
+	fill_usage(n, usage, list, nteams);
+	for (i = 0; i < nservices; i++)
+		services[i] = (char *)sched_service_at(n->sched, i);
+	summary.seats = totals.seats;
+	summary.free = totals.free;
+	summary.queued = totals.queued;
+	summary.engines = totals.engines;
+	summary.wait_ms = totals.wait_p90_ms;
+	summary.n_services = nservices;
+	summary.services = services;
+	summary.n_usage = nteams;
+	summary.usage = list;
+	summary.leaving = n->stopping;
+	envelope.body_case = WIRE__ENVELOPE__BODY_SUMMARY;
+	envelope.summary = &summary;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (strcmp(m->region, n->settings->region) == 0)
+			node_peer_send(n, m->id, &envelope);
+	}
+	free(usage);
+	free(list);
+	free(services);
+}
+
+static void
+set_services(struct node_peer *peer, const Wire__OwnerSummary *summary)
+{
+	size_t i;
+
+	for (i = 0; i < peer->nservices; i++)
+		free(peer->services[i]);
+	free(peer->services);
+	peer->nservices = summary->n_services;
+	peer->services = mem_alloc(peer->nservices, sizeof(*peer->services));
+	for (i = 0; i < peer->nservices; i++)
+		peer->services[i] = mem_string(summary->services[i]);
+}
+
+void
+node_entry_on_summary(
+    struct node *n, uint32_t from, const Wire__OwnerSummary *summary)
+{
+	struct node_peer *peer = node_peer(n, from);
+	size_t i;
+
+	peer->seats = summary->seats;
+	peer->free = summary->free;
+	peer->queued = summary->queued;
+	peer->engines = summary->engines;
+	peer->wait_ms = summary->wait_ms;
+	peer->leaving = summary->leaving;
+	set_services(peer, summary);
+	if (from == n->id)
+		return;
+	for (i = 0; i < summary->n_usage; i++)
+		sched_set_remote_charge(n->sched, from, summary->usage[i]->team,
+		    summary->usage[i]->charge_milli);
+}
+
+void
+node_entry_tick(struct node *n)
+{
+	asks_tick(n);
+	if (n->now >= n->touch_us) {
+		n->touch_us = n->now + NODE_TOUCH_US;
+		touch_owners(n);
+	}
+	if (n->now >= n->summary_us) {
+		n->summary_us = n->now + NODE_SUMMARY_US;
+		send_summary(n);
+	}
+}
--- /dev/null
+++ b/src/node/node_follow.c
@@ -0,0 +1,185 @@
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/* A follower that has not pulled for so long gets no more pushes. */
+#define FOLLOWER_GONE_US (4 * NODE_PULL_US)
+
+/* Does this instance get the log as a voter or learner already? */
+static bool
+has_own_log(const struct node *n)
+{
+	return n->raft != NULL && !raft_is_empty(n->raft) &&
+	    !raft_is_halted(n->raft) && raft_get_commit(n->raft) >= n->applied;
+}
+
+/*
+ * Whom to follow: a voter that is heard, spread over them by instance id;
+ * before any is heard, each in turn.
+ */
+static uint32_t
+pick_source(struct node *n)
+{
+	const struct settings *s = n->settings;
+	uint32_t heard = 0, voters = 0, nth;
+	size_t i;
+
+	for (i = 0; i < s->npeers; i++) {
+		if (!s->peers[i].voter || s->peers[i].id == n->id)
+			continue;
+		voters++;
+		heard += node_peer_is_heard(n, s->peers[i].id) ? 1 : 0;
+	}
+	if (voters == 0)
+		return 0;
+	nth = heard > 0 ? n->id % heard : rng_below(&n->rng, voters);
+	for (i = 0; i < s->npeers; i++) {
+		if (!s->peers[i].voter || s->peers[i].id == n->id)
+			continue;
+		if (heard > 0 && !node_peer_is_heard(n, s->peers[i].id))
+			continue;
+		if (nth-- == 0)
+			return s->peers[i].id;
+	}
+	return 0;
+}
+
+static void
+send_pull(struct node *n)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__FollowPull pull = WIRE__FOLLOW_PULL__INIT;
+	uint32_t source = pick_source(n);
+
+	n->pull_us = n->now + NODE_PULL_US;
+	if (source == 0)
+		return;
+	pull.next = n->applied + 1;
+	envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
+	envelope.pull = &pull;
+	node_peer_send(n, source, &envelope);
+}
+
+void
+node_follow_tick(struct node *n)
+{
+	if (n->now >= n->pull_us && !has_own_log(n))
+		send_pull(n);
+}
+
+static void
+push_snapshot(struct node *n, struct node_peer *peer)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__FollowPush push = WIRE__FOLLOW_PUSH__INIT;
+	struct buf state = {0};
+
+	node_replica_state(n, &state);
+	push.commit = n->applied;
+	push.snapshot_index = n->applied;
+	push.snapshot.data = (uint8_t *)state.data;
+	push.snapshot.len = state.len;
+	envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
+	envelope.push = &push;
+	node_peer_send(n, peer->id, &envelope);
+	peer->next_push = n->applied + 1;
+	buf_free(&state);
+}
+
+static void
+push_entries(struct node *n, struct node_peer *peer)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__FollowPush push = WIRE__FOLLOW_PUSH__INIT;
+	Wire__LogEntry entries[NODE_PUSH_ENTRIES];
+	Wire__LogEntry *list[NODE_PUSH_ENTRIES];
+	const struct node_recent *recent;
+	size_t i;
+
+	for (i = 0; i < NODE_PUSH_ENTRIES; i++) {
+		if (peer->next_push + i > n->applied)
+			break;
+		recent =
+		    &n->recent[(peer->next_push + i) % NODE_RECENT_ENTRIES];
+		wire__log_entry__init(&entries[i]);
+		entries[i].index = recent->index;
+		entries[i].term = recent->term;
+		entries[i].command.data = (uint8_t *)recent->bytes;
+		entries[i].command.len = recent->len;
+		list[i] = &entries[i];
+	}
+	push.commit = n->applied;
+	push.n_entries = i;
+	push.entries = list;
+	envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
+	envelope.push = &push;
+	node_peer_send(n, peer->id, &envelope);
+	peer->next_push += i;
+}
+
+static void
+push_to(struct node *n, struct node_peer *peer)
+{
+	peer->pushed_us = n->now;
+	while (peer->next_push <= n->applied) {
+		if (peer->next_push < n->recent_first)
+			push_snapshot(n, peer);
+		else
+			push_entries(n, peer);
+	}
+}
+
+void
+node_follow_on_pull(struct node *n, uint32_t from, const Wire__FollowPull *pull)
+{
+	struct node_peer *peer = node_peer(n, from);
+	bool in_flight = peer->next_push > pull->next &&
+	    n->now < peer->pushed_us + NODE_PULL_US;
+
+	peer->pull_us = n->now;
+	if (pull->next > n->applied + 1 || in_flight)
+		return; /* it is ahead, or its entries are on the way */
+	peer->next_push = pull->next;
+	push_to(n, peer);
+}
+
+/* Pass on what was applied since, to all who follow. */
+void
+node_follow_push_all(struct node *n)
+{
+	struct node_peer *peer;
+	size_t i;
+
+	if (!n->push_due)
+		return;
+	n->push_due = false;
+	for (i = 0; i < map_count(n->peers); i++) {
+		peer = map_at(n->peers, i);
+		if (peer->pull_us != 0 && peer->next_push != 0 &&
+		    n->now < peer->pull_us + FOLLOWER_GONE_US)
+			push_to(n, peer);
+	}
+}
+
+void
+node_follow_on_push(struct node *n, uint32_t from, const Wire__FollowPush *push)
+{
+	struct node_bytes bytes;
+	uint64_t before = n->applied;
+	size_t i;
+
+	(void)from;
+	if (push->snapshot_index != 0) {
+		bytes.data = (const char *)push->snapshot.data;
+		bytes.len = push->snapshot.len;
+		if (node_replica_restore(n, push->snapshot_index, bytes) != 0)
+			n->counters.malformed++;
+	}
+	for (i = 0; i < push->n_entries; i++) {
+		bytes.data = (const char *)push->entries[i]->command.data;
+		bytes.len = push->entries[i]->command.len;
+		node_replica_apply(
+		    n, push->entries[i]->index, push->entries[i]->term, bytes);
+	}
+	if (n->applied > before || push->commit > n->applied)
+		n->pull_us = 0; /* tell the source how far it is */
+}
--- /dev/null
+++ b/src/node/node_found.c
@@ -0,0 +1,175 @@
+#include <stdlib.h>
+
+#include "node/node_internal.h"
+
+/*
+ * Founding: a cluster begins when every listed voter says in the same two
+ * seconds that its data folder is fresh, and no other instance that answers
+ * holds any state. A voter whose disk was lost finds others that are not
+ * fresh, so it can only come back as a learner.
+ */
+
+static void
+send_hello(struct node *n, uint32_t to, bool reply)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Hello hello = WIRE__HELLO__INIT;
+
+	hello.reply = reply;
+	hello.fresh = n->applied == 0 &&
+	    (n->raft == NULL || (raft_is_empty(n->raft) && n->may_found));
+	hello.voter = n->voter;
+	hello.commit = n->applied;
+	envelope.body_case = WIRE__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	node_peer_send(n, to, &envelope);
+}
+
+void
+node_found_on_hello(struct node *n, uint32_t from, const Wire__Hello *hello)
+{
+	struct node_peer *peer = node_peer(n, from);
+
+	if (!hello->reply) {
+		send_hello(n, from, true);
+		return;
+	}
+	peer->hello_us = n->now;
+	peer->hello_fresh = hello->fresh;
+	peer->hello_voter = hello->voter;
+	if (!hello->fresh)
+		n->may_found = false;
+}
+
+static int
+compare_ids(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* All listed voters, when each is known to be fresh; false otherwise. */
+static bool
+fresh_voters(struct node *n, struct raft_config *config)
+{
+	const struct settings_peer *listed;
+	const struct node_peer *peer;
+	size_t i;
+
+	for (i = 0; i < n->settings->npeers; i++) {
+		listed = &n->settings->peers[i];
+		if (!listed->voter)
+			continue;
+		if (config->nvoters == RAFT_VOTERS_MAX)
+			return false;
+		if (listed->id == n->id) {
+			config->voters[config->nvoters++] = n->voter;
+			continue;
+		}
+		peer = node_peer(n, listed->id);
+		if (peer->hello_us == 0 || !peer->hello_fresh ||
+		    n->now > peer->hello_us + NODE_HELLO_FRESH_US)
+			return false;
+		config->voters[config->nvoters++] = peer->hello_voter;
+	}
+	qsort(config->voters, config->nvoters, sizeof(config->voters[0]),
+	    compare_ids);
+	return config->nvoters > 0;
+}
+
+void
+node_found_tick(struct node *n)
+{
+	struct raft_config config = {0};
+	struct mp_error err;
+	size_t i;
+
+	if (n->raft == NULL || !n->may_found || !raft_is_empty(n->raft) ||
+	    n->applied != 0 || n->now < n->hello_us)
+		return;
+	if (n->hello_us != 0 && fresh_voters(n, &config)) {
+		if (raft_found(n->raft, n->now, &config, n->fx, &err) == 0)
+			node_log(n, NODE_LOG_FOUNDED, "{\"voters\": %zu}",
+			    config.nvoters);
+		return;
+	}
+	n->hello_us = n->now + NODE_HELLO_US;
+	for (i = 0; i < n->settings->npeers; i++)
+		if (n->settings->peers[i].id != n->id)
+			send_hello(n, n->settings->peers[i].id, false);
+}
+
+static bool
+config_has(const uint64_t *ids, size_t count, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (ids[i] == id)
+			return true;
+	return false;
+}
+
+/* A voter or learner of the same instance under an older data folder. */
+static uint64_t
+config_older(const struct raft_config *config, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < config->nvoters; i++)
+		if (config->voters[i] != id &&
+		    RAFT_ID_INSTANCE(config->voters[i]) == RAFT_ID_INSTANCE(id))
+			return config->voters[i];
+	for (i = 0; i < config->nlearners; i++)
+		if (config->learners[i] != id &&
+		    RAFT_ID_INSTANCE(config->learners[i]) ==
+			RAFT_ID_INSTANCE(id))
+			return config->learners[i];
+	return 0;
+}
+
+static bool
+change_voters(struct node *n, enum raft_change change, uint64_t id)
+{
+	static const char *const names[] = {"learner", "promoted", "removed"};
+
+	if (raft_change_config(n->raft, n->now, change, id, n->fx, NULL) != 0)
+		return false;
+	node_log(n, NODE_LOG_VOTERS, "{\"instance\": %u, \"change\": \"%s\"}",
+	    RAFT_ID_INSTANCE(id), names[change]);
+	return true;
+}
+
+/* One step towards making a member's data folder a voter; true when taken. */
+static bool
+admit_voter(struct node *n, const struct member *m)
+{
+	const struct raft_config *config = raft_get_config(n->raft);
+	uint64_t older = config_older(config, m->voter);
+
+	if (m->voter == 0 || m->leaving ||
+	    config_has(config->voters, config->nvoters, m->voter))
+		return false;
+	if (!config_has(config->learners, config->nlearners, m->voter))
+		return change_voters(n, RAFT_ADD_LEARNER, m->voter);
+	if (!raft_learner_caught_up(n->raft, m->voter))
+		return false;
+	if (older != 0)
+		return change_voters(n, RAFT_REMOVE, older);
+	return change_voters(n, RAFT_PROMOTE, m->voter);
+}
+
+/* The leader makes voters of members with a new data folder, one by one. */
+void
+node_found_voters(struct node *n)
+{
+	size_t i;
+
+	if (n->now < n->config_us)
+		return;
+	n->config_us = n->now + NODE_CONFIG_US;
+	for (i = 0; i < member_view_count(n->view); i++)
+		if (admit_voter(n, member_view_at(n->view, i)))
+			return;
+}
--- /dev/null
+++ b/src/node/node_grant.c
@@ -0,0 +1,338 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/* An orphaned pin waits until its grant can no longer be used. */
+#define ORPHAN_WAIT_US (ROUTE_GRANT_US + MEMBER_FLIGHT_US)
+
+struct grant_key {
+	uint64_t incarnation;
+	uint64_t ask;
+	uint64_t entry;
+};
+
+void
+node_grant_free(struct node_grant *g)
+{
+	free(g->endpoint);
+	free(g->adapter);
+	free(g);
+}
+
+static struct grant_key
+key_of(uint32_t entry, uint64_t incarnation, uint64_t ask)
+{
+	struct grant_key key = {incarnation, ask, entry};
+
+	return key;
+}
+
+static struct node_grant *
+grant_find(
+    const struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask)
+{
+	struct grant_key key = key_of(entry, incarnation, ask);
+
+	return map_get(n->grants_by_ask, &key, sizeof(key));
+}
+
+static struct node_grant *
+grant_add(struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask)
+{
+	struct grant_key key = key_of(entry, incarnation, ask);
+	struct node_grant *g = mem_alloc(1, sizeof(*g));
+
+	g->id = ++n->last_grant;
+	g->entry = entry;
+	g->entry_incarnation = incarnation;
+	g->ask = ask;
+	g->touched_us = n->now;
+	map_set_u64(n->grants, g->id, g);
+	map_set(n->grants_by_ask, &key, sizeof(key), g);
+	return g;
+}
+
+static void
+grant_remove(struct node *n, struct node_grant *g)
+{
+	struct grant_key key = key_of(g->entry, g->entry_incarnation, g->ask);
+
+	map_remove_u64(n->grants, g->id);
+	map_remove(n->grants_by_ask, &key, sizeof(key));
+	node_grant_free(g);
+}
+
+static void
+send_reply(struct node *n, uint32_t entry, Wire__GrantReply *reply)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+	envelope.body_case = WIRE__ENVELOPE__BODY_GRANT;
+	envelope.grant = reply;
+	node_peer_send(n, entry, &envelope);
+}
+
+static void
+send_refusal(struct node *n, uint32_t entry, uint64_t ask,
+    Wire__GrantStatus status, const char *reason, uint32_t retry_after_ms)
+{
+	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
+
+	reply.request = ask;
+	reply.status = status;
+	reply.reason = (char *)reason;
+	reply.retry_after_ms = retry_after_ms;
+	send_reply(n, entry, &reply);
+}
+
+static void
+send_grant(struct node *n, const struct node_grant *g)
+{
+	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
+	const struct node_endpoint *e = map_get_str(n->endpoints, g->endpoint);
+
+	if (e == NULL)
+		return;
+	reply.request = g->ask;
+	reply.status = WIRE__GRANT_STATUS__GRANT_GIVEN;
+	reply.endpoint = e->id;
+	reply.address = e->address;
+	reply.fence = member_view_epoch(n->view);
+	reply.basis_us = g->basis_us;
+	reply.wait_us = g->wait_us;
+	reply.stall_us = g->stall_us;
+	send_reply(n, g->entry, &reply);
+}
+
+/* Members that may own endpoints of the own region. */
+static uint32_t
+count_owners(const struct node *n)
+{
+	const struct member *m;
+	uint32_t count = 0;
+	size_t i;
+
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		count +=
+		    !m->leaving && strcmp(m->region, n->settings->region) == 0;
+	}
+	return count == 0 ? 1 : count;
+}
+
+static void
+fill_request(struct node *n, const struct node_grant *g,
+    const Wire__GrantAsk *ask, struct sched_request *out)
+{
+	const struct doc *doc = doc_book_current(n->book, ask->team);
+	const struct doc_kind *kind =
+	    doc == NULL ? NULL : doc_find_kind(doc, ask->kind);
+	uint32_t owners = count_owners(n);
+	size_t i;
+
+	out->id = g->id;
+	out->team = ask->team;
+	out->team_weight = doc == NULL ? 1.0 : doc->weight;
+	if (doc != NULL && doc->concurrent > 0)
+		out->team_concurrent = (doc->concurrent + owners - 1) / owners;
+	out->priority = kind == NULL ? 0 : kind->priority;
+	out->kind_weight = kind == NULL ? 1.0 : kind->weight;
+	out->adapter = ask->adapter[0] == '\0' ? NULL : ask->adapter;
+	out->service = ask->service[0] == '\0' ? NULL : ask->service;
+	out->base_model = ask->base_model;
+	out->pinned = ask->pinned_adapter;
+	out->deadline_us = n->now + (uint64_t)ask->deadline_ms * 1000;
+	out->queued_us = n->now > (uint64_t)ask->waited_ms * 1000
+	    ? n->now - (uint64_t)ask->waited_ms * 1000
+	    : 1;
+	out->prompt_tokens = ask->prompt_tokens;
+	out->max_tokens = ask->max_tokens;
+	out->prefix = ask->prefix;
+	for (i = 0; i < ask->n_avoid && i < SCHED_AVOID_MAX; i++)
+		out->avoid[out->navoid++] = ask->avoid[i];
+}
+
+static bool
+is_current_member(const struct node *n, uint32_t id, uint64_t incarnation)
+{
+	const struct member *m = member_view_find(n->view, id);
+
+	return m != NULL && m->incarnation == incarnation;
+}
+
+void
+node_grant_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantAsk *ask)
+{
+	struct node_grant *g = grant_find(n, from, incarnation, ask->request);
+	struct sched_request request = {0};
+
+	n->counters.asks++;
+	if (g != NULL) {
+		g->basis_us = ask->sent_us;
+		g->touched_us = n->now;
+		if (g->endpoint != NULL)
+			send_grant(n, g);
+		return;
+	}
+	if (!is_current_member(n, from, incarnation))
+		return; /* it asks again once its start is known here */
+	if (!node_may_act(n)) {
+		send_refusal(n, from, ask->request,
+		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "cut-off", 0);
+		return;
+	}
+	g = grant_add(n, from, incarnation, ask->request);
+	g->basis_us = ask->sent_us;
+	if (ask->adapter[0] != '\0')
+		g->adapter = mem_string(ask->adapter);
+	fill_request(n, g, ask, &request);
+	sched_enqueue(n->sched, n->now, &request);
+	n->owner_due = true;
+}
+
+void
+node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantDone *done)
+{
+	static const enum sched_outcome outcomes[] = {SCHED_DELIVERED,
+	    SCHED_FAILED, SCHED_CANCELLED, SCHED_NOT_SENT, SCHED_NOT_LOADED,
+	    SCHED_BUSY};
+	struct node_grant *g = grant_find(n, from, incarnation, done->request);
+	struct sched_usage usage = {0};
+
+	if (g == NULL)
+		return;
+	usage.outcome = SCHED_FAILED;
+	if ((unsigned)done->outcome < sizeof(outcomes) / sizeof(outcomes[0]))
+		usage.outcome = outcomes[done->outcome];
+	usage.tokens_in = done->tokens_in;
+	usage.tokens_out = done->tokens_out;
+	usage.first_us = done->first_us;
+	usage.total_us = done->total_us;
+	sched_done(n->sched, n->now, g->id, &usage);
+	grant_remove(n, g);
+	n->owner_due = true;
+}
+
+/* The scheduler decided on a queued ask. */
+void
+node_grant_decided(struct node *n, const struct sched_decision *d)
+{
+	struct node_grant *g = map_get_u64(n->grants, d->request);
+
+	if (g == NULL)
+		return;
+	if (d->type == SCHED_GRANT) {
+		g->endpoint = mem_string(d->endpoint);
+		g->granted_us = n->now;
+		g->wait_us = d->wait_us;
+		g->stall_us = d->stall_us;
+		n->counters.grants++;
+		send_grant(n, g);
+		return;
+	}
+	if (d->type == SCHED_REFUSE)
+		send_refusal(n, g->entry, g->ask,
+		    WIRE__GRANT_STATUS__GRANT_REFUSED, d->reason,
+		    d->retry_after_ms);
+	else
+		send_refusal(n, g->entry, g->ask,
+		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "no-endpoint", 0);
+	grant_remove(n, g);
+}
+
+/* A request that runs on an endpoint taken over from another owner. */
+static void
+adopt_pin(
+    struct node *n, uint32_t from, uint64_t incarnation, const Wire__Pin *pin)
+{
+	struct node_grant *g;
+
+	if (map_get_str(n->endpoints, pin->endpoint) == NULL ||
+	    !is_current_member(n, from, incarnation))
+		return;
+	g = grant_add(n, from, incarnation, pin->request);
+	g->endpoint = mem_string(pin->endpoint);
+	g->granted_us = n->now;
+	if (pin->adapter[0] != '\0')
+		g->adapter = mem_string(pin->adapter);
+	sched_adopt(
+	    n->sched, n->now, g->id, pin->team, pin->endpoint, g->adapter);
+}
+
+void
+node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantTouch *touch)
+{
+	struct node_grant *g;
+	const Wire__Pin *pin;
+	size_t i;
+
+	for (i = 0; i < touch->n_pins; i++) {
+		pin = touch->pins[i];
+		g = grant_find(n, from, incarnation, pin->request);
+		if (g != NULL) {
+			g->touched_us = n->now;
+			g->basis_us = touch->sent_us;
+		} else if (pin->endpoint[0] != '\0') {
+			adopt_pin(n, from, incarnation, pin);
+		}
+	}
+}
+
+/* An entry's process has ended: drop what it waits for, keep its pins. */
+void
+node_grant_entry_down(struct node *n, uint32_t entry, uint64_t incarnation)
+{
+	struct sched_usage cancelled = {.outcome = SCHED_CANCELLED};
+	struct node_grant *g;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->entry != entry || g->entry_incarnation != incarnation)
+			continue;
+		if (g->endpoint == NULL) {
+			sched_done(n->sched, n->now, g->id, &cancelled);
+			grant_remove(n, g);
+		} else {
+			g->orphaned_us = n->now;
+		}
+	}
+	n->owner_due = true;
+}
+
+static uint32_t
+running_on(const struct sched_report *report, const char *adapter)
+{
+	size_t i;
+
+	for (i = 0; adapter != NULL && i < report->slot_count; i++)
+		if (strcmp(report->slots[i].adapter, adapter) == 0)
+			return report->slots[i].running;
+	return 0;
+}
+
+/* Pins of dead entries go once the endpoint itself shows no such run. */
+void
+node_grant_report(
+    struct node *n, const char *endpoint, const struct sched_report *report)
+{
+	struct sched_usage failed = {.outcome = SCHED_FAILED};
+	struct node_grant *g;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->orphaned_us == 0 || g->endpoint == NULL ||
+		    strcmp(g->endpoint, endpoint) != 0 ||
+		    report->as_of_us < g->orphaned_us + ORPHAN_WAIT_US ||
+		    running_on(report, g->adapter) > 0)
+			continue;
+		sched_done(n->sched, n->now, g->id, &failed);
+		grant_remove(n, g);
+	}
+}
--- /dev/null
+++ b/src/node/node_internal.h
@@ -0,0 +1,329 @@
+#ifndef MP_NODE_NODE_INTERNAL_H
+#define MP_NODE_NODE_INTERNAL_H
+
+#include "claim/claim.h"
+#include "doc/doc.h"
+#include "member/member.h"
+#include "mulberrypath/node.h"
+#include "raft/raft.h"
+#include "route/route.h"
+#include "sched/sched.h"
+#include "util/buf.h"
+#include "util/map.h"
+#include "util/rng.h"
+#include "wire/command.pb-c.h"
+#include "wire/peer.pb-c.h"
+
+#define NODE_WIRE_VERSION     1
+
+#define NODE_TICK_US	      (10 * 1000ULL)
+#define NODE_HEARTBEAT_US     (100 * 1000ULL)
+#define NODE_ELECTION_MIN_US  (500 * 1000ULL)
+#define NODE_ELECTION_MAX_US  (1000 * 1000ULL)
+#define NODE_PEER_SILENT_US   (1000 * 1000ULL) /* no new asks to it */
+#define NODE_SUMMARY_US	      (500 * 1000ULL)
+#define NODE_TOUCH_US	      (500 * 1000ULL)
+#define NODE_ASK_RESEND_US    (1000 * 1000ULL)
+#define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
+#define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
+#define NODE_PULL_US	      (300 * 1000ULL)
+#define NODE_HELLO_US	      (300 * 1000ULL)
+#define NODE_HELLO_FRESH_US   (2000 * 1000ULL) /* an answer counts so long */
+#define NODE_PROPOSE_RETRY_US (300 * 1000ULL)
+#define NODE_CHANGE_US	      (5000 * 1000ULL) /* to accept a document */
+#define NODE_CONFIG_US	      (200 * 1000ULL) /* between voter changes */
+#define NODE_DRAIN_MAX_US     (60 * 1000 * 1000ULL)
+#define NODE_COMPACT_BYTES    (4 * 1024 * 1024)
+#define NODE_COMPACT_ENTRIES  4096
+#define NODE_RECENT_ENTRIES   1024
+#define NODE_PUSH_ENTRIES     256
+#define NODE_OWNERS_MAX	      8
+#define NODE_BATCH_BYTES      (256 * 1024)
+
+/* Another instance, as met through messages. */
+struct node_peer {
+	uint32_t id;
+	uint64_t heard_us; /* 0: never */
+	uint64_t incarnation;
+	/* its latest summary as an owner */
+	uint32_t seats, free, queued, engines, wait_ms;
+	bool leaving;
+	char **services;
+	size_t nservices;
+	/* as a follower of this instance's log */
+	uint64_t pull_us, next_push, pushed_us;
+	/* as a founding voter */
+	uint64_t hello_us, hello_voter;
+	bool hello_fresh;
+};
+
+/* An endpoint this instance owns. */
+struct node_endpoint {
+	char *id, *address, *region;
+	uint64_t incarnation;
+	uint64_t announced_us;
+	bool service, leaving;
+};
+
+/* An ask or grant of an entry, at the owner. */
+struct node_grant {
+	uint64_t id; /* handle in sched */
+	uint32_t entry;
+	uint64_t entry_incarnation;
+	uint64_t ask;
+	char *endpoint; /* NULL while queued */
+	char *adapter;
+	uint64_t basis_us; /* newest clock of the entry heard */
+	uint64_t touched_us;
+	uint64_t granted_us;
+	uint64_t wait_us, stall_us;
+	uint64_t orphaned_us; /* its entry is down since; 0: is not */
+};
+
+/* An ask of this instance's route. */
+struct node_ask {
+	uint64_t ask;
+	uint32_t owner;
+	uint64_t sent_us;
+};
+
+/* An order under way to an endpoint. */
+struct node_order {
+	enum sched_decision_type type;
+	char *endpoint, *adapter;
+};
+
+enum node_proposal_kind {
+	NODE_PROPOSE_DOC,
+	NODE_PROPOSE_CLAIM_START,
+	NODE_PROPOSE_CLAIM_END
+};
+
+struct node_proposal {
+	uint64_t id;
+	enum node_proposal_kind kind;
+	uint64_t request; /* DOC: who waits; CLAIM_END: the start's proposal */
+	char *bytes;
+	size_t len;
+	uint64_t expires_us, resend_us;
+	bool sent;
+};
+
+struct node_recent {
+	uint64_t index, term;
+	char *bytes;
+	size_t len;
+};
+
+struct node_loop_message {
+	char *bytes;
+	size_t len;
+};
+
+struct node_counters {
+	uint64_t requests, messages_in, messages_out, bytes_out, bytes_in;
+	uint64_t malformed, asks, grants, orders, applied, snapshots;
+	uint64_t control_bytes_out;
+};
+
+struct node {
+	const struct settings *settings;
+	uint32_t id;
+	uint64_t incarnation;
+	uint64_t now;
+	struct rng rng;
+	struct node_effects *fx; /* of the running step */
+
+	/* replicated state */
+	uint64_t applied, applied_term;
+	struct member_view *view;
+	struct doc_book *book;
+	struct claim_table *claims;
+
+	/* the log */
+	struct raft *raft; /* NULL without a data folder */
+	uint64_t voter; /* own raft id, 0 without a data folder */
+	bool may_found;
+	uint64_t led_since; /* as the keeper was last reset */
+	uint64_t commit_seen;
+	struct node_recent *recent; /* ring of NODE_RECENT_ENTRIES */
+	uint64_t recent_first; /* index; recent_first..applied are held */
+	bool push_due;
+
+	/* leases */
+	struct member_holder *holder;
+	struct member_keeper *keeper;
+	uint64_t leader_heard_us;
+
+	/* proposals */
+	struct map *proposals;
+	uint64_t last_proposal;
+
+	/* owner */
+	struct sched *sched;
+	struct map *endpoints;
+	struct map *grants; /* by handle */
+	struct map *grants_by_ask; /* by entry, incarnation, ask */
+	uint64_t last_grant;
+	struct map *orders; /* by call */
+	uint64_t owner_epoch; /* epoch the tables were last checked against */
+	bool owner_due;
+
+	/* entry */
+	struct route *route;
+	struct map *asks;
+	struct map *rates; /* request limiters by team */
+	uint64_t last_call;
+
+	struct map *peers;
+	struct node_loop_message *loop;
+	size_t nloop, loop_cap;
+
+	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
+	bool stopping;
+	uint64_t stop_us;
+	bool exited;
+	bool ready_told;
+	enum member_standing standing; /* as last logged */
+	struct node_counters counters;
+};
+
+/* node.c */
+bool node_may_act(const struct node *n);
+void node_stop(struct node *n);
+
+/* node_log.c: numbered events, see docs/LOGS.md */
+enum node_log_event {
+	NODE_LOG_STARTED = 100,
+	NODE_LOG_FOUNDED = 101,
+	NODE_LOG_LEADING = 102,
+	NODE_LOG_FOLLOWING = 103,
+	NODE_LOG_STANDING = 104,
+	NODE_LOG_MEMBER_UP = 105,
+	NODE_LOG_MEMBER_DOWN = 106,
+	NODE_LOG_MEMBER_LEAVING = 107,
+	NODE_LOG_DOCUMENT = 108,
+	NODE_LOG_ENDPOINT_UP = 109,
+	NODE_LOG_ENDPOINT_GONE = 110,
+	NODE_LOG_ENDPOINT_LEAVING = 111,
+	NODE_LOG_ORDER_FAILED = 112,
+	NODE_LOG_DISK_DAMAGED = 113,
+	NODE_LOG_DISK_FAILED = 114,
+	NODE_LOG_SNAPSHOT = 115,
+	NODE_LOG_STOPPING = 116,
+	NODE_LOG_STOPPED = 117,
+	NODE_LOG_MALFORMED = 118,
+	NODE_LOG_VOTERS = 119
+};
+void node_log(struct node *n, enum node_log_event event, const char *format,
+    ...) __attribute__((format(printf, 3, 4)));
+
+/* node_replica.c: the log, applying it, snapshots */
+void node_replica_pump(struct node *n);
+void node_replica_apply(
+    struct node *n, uint64_t index, uint64_t term, struct node_bytes command);
+void node_replica_state(struct node *n, struct buf *out);
+int node_replica_restore(
+    struct node *n, uint64_t index, struct node_bytes state);
+
+/* node_apply.c */
+void node_apply_command(
+    struct node *n, uint64_t index, const Wire__Command *command);
+
+/* node_propose.c */
+uint64_t node_propose(struct node *n, enum node_proposal_kind kind,
+    uint64_t request, uint64_t expires_us, Wire__Command *command);
+void node_propose_applied(struct node *n, uint64_t proposal);
+struct node_proposal *node_propose_find(struct node *n, uint64_t proposal);
+void node_propose_tick(struct node *n);
+void node_propose_receive(
+    struct node *n, uint32_t from, const Wire__Propose *message);
+uint32_t node_leader(const struct node *n);
+void node_propose_free(struct node_proposal *p);
+
+/* node_peer.c */
+struct node_peer *node_peer(struct node *n, uint32_t id);
+const char *node_peer_address(const struct node *n, uint32_t id);
+void node_peer_send(struct node *n, uint32_t to, Wire__Envelope *envelope);
+void node_peer_receive(struct node *n, uint32_t from, struct node_bytes bytes);
+void node_peer_loop(struct node *n);
+bool node_peer_is_heard(const struct node *n, uint32_t id);
+
+/* node_lease.c */
+void node_lease_tick(struct node *n);
+void node_lease_on_renew(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__LeaseRenew *renew);
+void node_lease_on_reply(
+    struct node *n, uint32_t from, const Wire__LeaseReply *reply);
+void node_lease_lead(struct node *n);
+
+/* node_follow.c */
+void node_follow_tick(struct node *n);
+void node_follow_on_pull(
+    struct node *n, uint32_t from, const Wire__FollowPull *pull);
+void node_follow_on_push(
+    struct node *n, uint32_t from, const Wire__FollowPush *push);
+void node_follow_push_all(struct node *n);
+
+/* node_found.c: founding and voters */
+void node_found_tick(struct node *n);
+void node_found_on_hello(
+    struct node *n, uint32_t from, const Wire__Hello *hello);
+void node_found_voters(struct node *n);
+
+/* node_owner.c: endpoints and orders */
+void node_owner_announce(struct node *n, struct node_bytes json);
+void node_owner_cache_events(struct node *n, struct node_bytes json);
+void node_owner_epoch(struct node *n);
+void node_owner_tick(struct node *n);
+void node_owner_run(struct node *n);
+bool node_owner_call(struct node *n, const struct node_call_event *event);
+uint32_t node_owner_of(
+    const struct node *n, const char *region, const char *endpoint);
+void node_endpoint_free(struct node_endpoint *e);
+void node_order_free(struct node_order *o);
+
+/* node_grant.c: asks and grants at the owner */
+void node_grant_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantAsk *ask);
+void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantDone *done);
+void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantTouch *touch);
+void node_grant_decided(struct node *n, const struct sched_decision *d);
+void node_grant_entry_down(
+    struct node *n, uint32_t entry, uint64_t incarnation);
+void node_grant_report(
+    struct node *n, const char *endpoint, const struct sched_report *report);
+void node_grant_free(struct node_grant *g);
+
+/* node_entry.c: the route's needs, touches, summaries */
+extern const struct route_ops node_route_ops;
+void node_entry_tick(struct node *n);
+void node_entry_on_summary(
+    struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
+size_t node_entry_order(struct node *n, const char *adapter,
+    const char *service, uint32_t *out, size_t max);
+
+/* node_api*.c */
+void node_api_request(struct node *n, const struct node_request *request);
+void node_api_model(struct node *n, const struct node_request *request,
+    struct doc *doc, bool chat);
+void node_api_service(struct node *n, const struct node_request *request,
+    struct doc *doc, const char *rest);
+void node_api_operator(struct node *n, const struct node_request *request,
+    const char *path, const char *query);
+void node_api_document_applied(struct node *n,
+    const struct node_proposal *proposal, const char *team,
+    const struct doc_result *result);
+char *node_api_param(const char *query, const char *name);
+void node_report_status(struct node *n, struct buf *out);
+void node_report_metrics(struct node *n, struct buf *out);
+void node_report_addresses(
+    struct node *n, const char *team, const char *adapter, struct buf *out);
+
+/* Answer with an error that did not run. */
+void node_api_refuse(struct node *n, uint64_t request, int status,
+    const char *code, const char *message, uint32_t retry_after_ms);
+
+#endif
--- /dev/null
+++ b/src/node/node_lease.c
@@ -0,0 +1,209 @@
+#include <stdlib.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+static void
+fill_self(const struct node *n, Wire__MemberInfo *info)
+{
+	const struct settings *s = n->settings;
+
+	wire__member_info__init(info);
+	info->id = n->id;
+	info->incarnation = n->incarnation;
+	info->name = s->name;
+	info->data_centre = s->data_centre;
+	info->region = s->region;
+	info->http = s->http_advertise;
+	info->bus = s->bus_advertise;
+	info->voter = n->voter;
+}
+
+static bool
+is_member(const struct node *n)
+{
+	const struct member *m = member_view_find(n->view, n->id);
+
+	return m != NULL && m->incarnation == n->incarnation;
+}
+
+/* To the leader while it answers, else to every voter listed. */
+static void
+send_renew(struct node *n, Wire__LeaseRenew *renew)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	uint32_t leader = node_leader(n);
+	bool lately = n->leader_heard_us != 0 &&
+	    n->now < n->leader_heard_us + 2 * MEMBER_RENEW_US;
+	size_t i;
+
+	envelope.body_case = WIRE__ENVELOPE__BODY_RENEW;
+	envelope.renew = renew;
+	if (leader != 0 && (lately || leader == n->id)) {
+		node_peer_send(n, leader, &envelope);
+		return;
+	}
+	for (i = 0; i < n->settings->npeers; i++)
+		if (n->settings->peers[i].voter)
+			node_peer_send(n, n->settings->peers[i].id, &envelope);
+}
+
+static void
+renew_lease(struct node *n)
+{
+	Wire__LeaseRenew renew = WIRE__LEASE_RENEW__INIT;
+	Wire__MemberInfo self;
+	struct sched_demand demand;
+
+	member_holder_fill_renew(
+	    n->holder, n->now, n->applied, member_view_epoch(n->view), &renew);
+	renew.leaving = n->stopping;
+	if (!is_member(n)) {
+		fill_self(n, &self);
+		renew.self = &self;
+	}
+	sched_get_demand(n->sched, n->now, &demand);
+	renew.waiting_loads = demand.waiting;
+	renew.waiting_stall_us = demand.stall_us;
+	renew.loads_in_flight = demand.in_flight;
+	if (n->raft != NULL && !raft_is_halted(n->raft))
+		renew.voter = n->voter;
+	send_renew(n, &renew);
+}
+
+static void
+ping_members(struct node *n)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Ping ping = WIRE__PING__INIT;
+	const struct member *m;
+	size_t i;
+
+	ping.sent_us = n->now;
+	envelope.body_case = WIRE__ENVELOPE__BODY_PING;
+	envelope.ping = &ping;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->id != n->id)
+			node_peer_send(n, m->id, &envelope);
+	}
+}
+
+void
+node_lease_on_reply(
+    struct node *n, uint32_t from, const Wire__LeaseReply *reply)
+{
+	if (reply->leader == from)
+		n->leader_heard_us = n->now;
+	member_holder_on_lease(n->holder, n->now, reply);
+	sched_set_permits(n->sched, n->now,
+	    member_holder_permit_in_flight(n->holder),
+	    member_holder_permit_rate_milli(n->holder));
+	n->owner_due = true;
+}
+
+void
+node_lease_on_renew(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__LeaseRenew *renew)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__LeaseReply reply = WIRE__LEASE_REPLY__INIT;
+
+	if (n->raft == NULL)
+		return;
+	if (raft_get_role(n->raft) == RAFT_LEADER) {
+		member_keeper_on_renew(n->keeper, n->view, n->now,
+		    raft_authority_until(n->raft), from, incarnation,
+		    raft_get_commit(n->raft), renew, &reply);
+		reply.term = raft_get_term(n->raft);
+		reply.leader = n->id;
+		reply.in_force =
+		    member_keeper_in_force(n->keeper, n->view, n->now);
+		reply.active_epoch =
+		    member_keeper_active_epoch(n->keeper, n->view, n->now);
+	} else {
+		reply.sent_us = renew->sent_us;
+		reply.term = raft_get_term(n->raft);
+		reply.leader = RAFT_ID_INSTANCE(raft_get_leader(n->raft));
+		reply.reason = "not-leader";
+	}
+	envelope.body_case = WIRE__ENVELOPE__BODY_LEASE;
+	envelope.lease = &reply;
+	node_peer_send(n, from, &envelope);
+}
+
+static void
+propose_wish(struct node *n, const struct member_wish *wish)
+{
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__MemberInfo up;
+	Wire__MemberDown down = WIRE__MEMBER_DOWN__INIT;
+	Wire__MemberLeave leave = WIRE__MEMBER_LEAVE__INIT;
+	struct node_bytes bytes;
+	char *packed;
+	uint64_t index;
+
+	command.instance = n->id;
+	command.incarnation = n->incarnation;
+	if (wish->type == MEMBER_WISH_UP) {
+		up = *wish->info;
+		command.body_case = WIRE__COMMAND__BODY_UP;
+		command.up = &up;
+	} else if (wish->type == MEMBER_WISH_DOWN) {
+		down.id = wish->id;
+		down.incarnation = wish->incarnation;
+		command.body_case = WIRE__COMMAND__BODY_DOWN;
+		command.down = &down;
+	} else {
+		leave.id = wish->id;
+		leave.incarnation = wish->incarnation;
+		command.body_case = WIRE__COMMAND__BODY_LEAVE;
+		command.leave = &leave;
+	}
+	packed = mem_alloc(wire__command__get_packed_size(&command) + 1, 1);
+	bytes.len = wire__command__pack(&command, (uint8_t *)packed);
+	bytes.data = packed;
+	(void)raft_propose(n->raft, n->now, bytes, &index, n->fx, NULL);
+	free(packed);
+}
+
+/* Begin or end acting as the leader, as the log says. */
+void
+node_lease_lead(struct node *n)
+{
+	uint64_t since = raft_leader_since(n->raft);
+
+	if (since == n->led_since)
+		return;
+	n->led_since = since;
+	if (since == 0) {
+		node_log(n, NODE_LOG_FOLLOWING, "{\"term\": %llu}",
+		    (unsigned long long)raft_get_term(n->raft));
+		return;
+	}
+	member_keeper_reset(n->keeper, n->now, NODE_ELECTION_MAX_US);
+	node_log(n, NODE_LOG_LEADING, "{\"term\": %llu}",
+	    (unsigned long long)raft_get_term(n->raft));
+}
+
+static void
+lead_tick(struct node *n)
+{
+	struct member_wish wish;
+
+	if (n->raft == NULL || raft_authority_until(n->raft) <= n->now)
+		return;
+	while (member_keeper_take_wish(n->keeper, n->view, n->now, &wish))
+		propose_wish(n, &wish);
+	node_found_voters(n);
+}
+
+void
+node_lease_tick(struct node *n)
+{
+	if (member_holder_renew_due(n->holder, n->now))
+		renew_lease(n);
+	if (member_holder_ping_due(n->holder, n->now))
+		ping_members(n);
+	lead_tick(n);
+}
--- /dev/null
+++ b/src/node/node_owner.c
@@ -0,0 +1,361 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_announce.h"
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/* Silence after which an order to an endpoint has failed. */
+#define ORDER_SILENCE_US (30 * 1000 * 1000ULL)
+
+/* After a change of owner nothing is evicted for so long. */
+#define TAKEOVER_WAIT_US (ROUTE_GRANT_US + MEMBER_FLIGHT_US)
+
+void
+node_endpoint_free(struct node_endpoint *e)
+{
+	free(e->id);
+	free(e->address);
+	free(e->region);
+	free(e);
+}
+
+void
+node_order_free(struct node_order *o)
+{
+	free(o->endpoint);
+	free(o->adapter);
+	free(o);
+}
+
+uint32_t
+node_owner_of(const struct node *n, const char *region, const char *endpoint)
+{
+	return member_owner_of(n->view, region, endpoint);
+}
+
+static void
+set_string(char **at, const char *value)
+{
+	if (*at != NULL && strcmp(*at, value) == 0)
+		return;
+	free(*at);
+	*at = mem_string(value);
+}
+
+static struct node_endpoint *
+endpoint_add(struct node *n, const struct announcement *a)
+{
+	struct node_endpoint *e = mem_alloc(1, sizeof(*e));
+
+	e->id = mem_string(a->report.id);
+	e->incarnation = a->report.incarnation;
+	e->service = a->report.service;
+	map_set_str(n->endpoints, e->id, e);
+	node_log(n, NODE_LOG_ENDPOINT_UP, "{\"endpoint\": \"%s\"}", e->id);
+	return e;
+}
+
+static void
+endpoint_remove(struct node *n, struct node_endpoint *e, const char *reason)
+{
+	node_log(n, NODE_LOG_ENDPOINT_GONE,
+	    "{\"endpoint\": \"%s\", \"reason\": \"%s\"}", e->id, reason);
+	sched_endpoint_remove(n->sched, n->now, e->id);
+	map_remove_str(n->endpoints, e->id);
+	node_endpoint_free(e);
+	n->owner_due = true;
+}
+
+static void
+forward_report(
+    struct node *n, uint32_t owner, struct node_bytes json, bool events)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__EndpointReport report = WIRE__ENDPOINT_REPORT__INIT;
+
+	report.json.data = (uint8_t *)json.data;
+	report.json.len = json.len;
+	report.events = events;
+	envelope.body_case = WIRE__ENVELOPE__BODY_REPORT;
+	envelope.report = &report;
+	node_peer_send(n, owner, &envelope);
+}
+
+static void
+endpoint_report(struct node *n, const struct announcement *a)
+{
+	struct node_endpoint *e = map_get_str(n->endpoints, a->report.id);
+	bool taken_over = e == NULL;
+
+	if (e == NULL)
+		e = endpoint_add(n, a);
+	if (a->report.leaving && !e->leaving)
+		node_log(n, NODE_LOG_ENDPOINT_LEAVING, "{\"endpoint\": \"%s\"}",
+		    e->id);
+	e->leaving = a->report.leaving;
+	e->incarnation = a->report.incarnation;
+	e->announced_us = n->now;
+	set_string(&e->address, a->address);
+	set_string(&e->region, a->region);
+	sched_report(n->sched, n->now, &a->report);
+	if (taken_over)
+		sched_endpoint_takeover(
+		    n->sched, n->now, e->id, n->now + TAKEOVER_WAIT_US);
+	node_grant_report(n, e->id, &a->report);
+	n->owner_due = true;
+}
+
+/* An announcement, from the endpoint or passed on by another instance. */
+void
+node_owner_announce(struct node *n, struct node_bytes json)
+{
+	struct announcement a;
+	uint32_t owner;
+
+	if (announce_parse(&a, n->now, json, NULL) != 0) {
+		n->counters.malformed++;
+		return;
+	}
+	owner = node_owner_of(n, a.region, a.report.id);
+	if (owner == n->id)
+		endpoint_report(n, &a);
+	else if (owner != 0)
+		forward_report(n, owner, json, false);
+	announce_free(&a);
+}
+
+/* Which of the endpoints' tables remain ours under the new members? */
+void
+node_owner_epoch(struct node *n)
+{
+	struct node_endpoint *e;
+	size_t i = map_count(n->endpoints);
+
+	while (i-- > 0) {
+		e = map_at(n->endpoints, i);
+		if (node_owner_of(n, e->region, e->id) != n->id)
+			endpoint_remove(n, e, "moved");
+	}
+	n->touch_us = 0; /* new owners learn of running requests at once */
+	n->summary_us = 0;
+	n->owner_due = true;
+}
+
+static void
+endpoints_tick(struct node *n)
+{
+	struct node_endpoint *e;
+	size_t i = map_count(n->endpoints);
+
+	while (i-- > 0) {
+		e = map_at(n->endpoints, i);
+		if (n->now > e->announced_us + NODE_ENDPOINT_GONE_US)
+			endpoint_remove(n, e, "silent");
+	}
+}
+
+static void
+grants_tick(struct node *n)
+{
+	const struct node_grant *g;
+	Wire__GrantDone done = WIRE__GRANT_DONE__INIT;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->orphaned_us != 0 ||
+		    n->now < g->touched_us + NODE_GRANT_FORGET_US)
+			continue;
+		if (g->endpoint != NULL && !node_peer_is_heard(n, g->entry))
+			continue; /* its lease may still run */
+		done.request = g->ask;
+		done.outcome = WIRE__DONE_OUTCOME__DONE_CANCELLED;
+		node_grant_on_done(n, g->entry, g->entry_incarnation, &done);
+	}
+}
+
+void
+node_owner_tick(struct node *n)
+{
+	endpoints_tick(n);
+	grants_tick(n);
+	if (sched_next(n->sched) <= n->now)
+		n->owner_due = true;
+}
+
+/* Orders are given by the owner of the active epoch, under its lease. */
+static bool
+may_order(const struct node *n)
+{
+	return node_may_act(n) &&
+	    member_holder_active_epoch(n->holder) >= member_view_epoch(n->view);
+}
+
+static void
+order_endpoint(struct node *n, const struct sched_decision *d)
+{
+	static const char *const roles[] = {"mixed", "prefill", "decode"};
+	const struct node_endpoint *e = map_get_str(n->endpoints, d->endpoint);
+	struct node_order *order;
+	struct node_call *call;
+	const char *path = "/v1/adapters/load";
+
+	if (e == NULL)
+		return;
+	order = mem_alloc(1, sizeof(*order));
+	order->type = d->type;
+	order->endpoint = mem_string(d->endpoint);
+	order->adapter = mem_string(d->adapter == NULL ? "" : d->adapter);
+	if (d->type == SCHED_EVICT)
+		path = "/v1/adapters/evict";
+	else if (d->type == SCHED_SET_ROLE)
+		path = "/v1/role";
+
+	call = &node_effects_add(n->fx, NODE_FX_CALL)->u.call;
+	call->call = ++n->last_call;
+	call->address = node_effects_printf(n->fx, "%s", e->address);
+	call->method = "POST";
+	call->path = path;
+	call->headers[0].name = "mulberrypath-fence";
+	call->headers[0].value = node_effects_printf(
+	    n->fx, "%llu", (unsigned long long)member_view_epoch(n->view));
+	call->headers[1].name = "content-type";
+	call->headers[1].value = "application/json";
+	call->nheaders = 2;
+	if (d->type == SCHED_SET_ROLE)
+		call->body.data = node_effects_printf(
+		    n->fx, "{\"role\": \"%s\"}", roles[d->role]);
+	else
+		call->body.data = node_effects_printf(
+		    n->fx, "{\"adapter\": \"%s\"}", d->adapter);
+	call->body.len = strlen(call->body.data);
+	call->not_after_us =
+	    member_holder_act_until(n->holder, n->view, n->now, n->applied);
+	call->silence_us = ORDER_SILENCE_US;
+	map_set_u64(n->orders, call->call, order);
+	n->counters.orders++;
+}
+
+static void
+order_ended(struct node *n, uint64_t call, bool ok, const char *reason)
+{
+	struct node_order *order = map_remove_u64(n->orders, call);
+
+	if (!ok)
+		node_log(n, NODE_LOG_ORDER_FAILED,
+		    "{\"endpoint\": \"%s\", \"adapter\": \"%s\", "
+		    "\"reason\": \"%s\"}",
+		    order->endpoint, order->adapter,
+		    reason == NULL ? "refused" : reason);
+	if (order->type == SCHED_LOAD)
+		sched_load_result(
+		    n->sched, n->now, order->endpoint, order->adapter, ok);
+	else if (order->type == SCHED_EVICT)
+		sched_evict_result(
+		    n->sched, n->now, order->endpoint, order->adapter, ok);
+	node_order_free(order);
+	n->owner_due = true;
+}
+
+/* Progress of an order; false when the call is not one. */
+bool
+node_owner_call(struct node *n, const struct node_call_event *event)
+{
+	if (map_get_u64(n->orders, event->call) == NULL)
+		return false;
+	if (event->phase == NODE_CALL_HEAD) {
+		order_ended(n, event->call, event->status == 200, NULL);
+		return true;
+	}
+	if (event->phase != NODE_CALL_DATA)
+		order_ended(n, event->call, false, event->reason);
+	return true;
+}
+
+/* Let the scheduler decide, and carry out what it decided. */
+void
+node_owner_run(struct node *n)
+{
+	struct sched_decision d;
+
+	if (!n->owner_due)
+		return;
+	n->owner_due = false;
+	sched_run(n->sched, n->now, may_order(n));
+	while (sched_take(n->sched, &d)) {
+		switch (d.type) {
+		case SCHED_GRANT:
+		case SCHED_REFUSE:
+		case SCHED_ELSEWHERE:
+			node_grant_decided(n, &d);
+			break;
+		case SCHED_LOAD:
+		case SCHED_EVICT:
+		case SCHED_SET_ROLE:
+			order_endpoint(n, &d);
+			break;
+		}
+	}
+}
+
+static size_t
+parse_prefixes(const json_t *list, uint64_t *out, size_t max)
+{
+	const char *text;
+	const json_t *item;
+	size_t i, count = 0;
+
+	json_array_foreach(list, i, item)
+	{
+		text = json_string_value(item);
+		if (text != NULL && count < max)
+			out[count++] = strtoull(text, NULL, 16);
+	}
+	return count;
+}
+
+#define CACHE_PREFIXES_MAX 1024
+
+static void
+cache_events_apply(struct node *n, const char *id, const json_t *root)
+{
+	uint64_t prefixes[CACHE_PREFIXES_MAX];
+	struct sched_cache_event event = {0};
+
+	event.sequence =
+	    (uint64_t)json_integer_value(json_object_get(root, "sequence"));
+	event.resync = json_is_true(json_object_get(root, "resync"));
+	event.prefixes = prefixes;
+	event.count = parse_prefixes(
+	    json_object_get(root, "added"), prefixes, CACHE_PREFIXES_MAX);
+	(void)sched_cache_events(n->sched, n->now, id, &event);
+	event.resync = false;
+	event.dropped = true;
+	event.count = parse_prefixes(
+	    json_object_get(root, "dropped"), prefixes, CACHE_PREFIXES_MAX);
+	if (event.count > 0)
+		(void)sched_cache_events(n->sched, n->now, id, &event);
+}
+
+void
+node_owner_cache_events(struct node *n, struct node_bytes json)
+{
+	json_t *root = json_loadb(json.data, json.len, 0, NULL);
+	const char *id = json_string_value(json_object_get(root, "id"));
+	const char *region = json_string_value(json_object_get(root, "region"));
+	uint32_t owner;
+
+	if (id == NULL) {
+		n->counters.malformed++;
+		goto cleanup;
+	}
+	owner =
+	    node_owner_of(n, region == NULL ? n->settings->region : region, id);
+	if (owner == n->id && map_get_str(n->endpoints, id) != NULL)
+		cache_events_apply(n, id, root);
+	else if (owner != 0 && owner != n->id)
+		forward_report(n, owner, json, true);
+cleanup:
+	json_decref(root);
+}
--- /dev/null
+++ b/src/node/node_peer.c
@@ -0,0 +1,227 @@
+#include <stdlib.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/* What is known of another instance, made at first use. */
+struct node_peer *
+node_peer(struct node *n, uint32_t id)
+{
+	struct node_peer *peer = map_get_u64(n->peers, id);
+
+	if (peer != NULL)
+		return peer;
+	peer = mem_alloc(1, sizeof(*peer));
+	peer->id = id;
+	map_set_u64(n->peers, id, peer);
+	return peer;
+}
+
+const char *
+node_peer_address(const struct node *n, uint32_t id)
+{
+	const struct member *m = member_view_find(n->view, id);
+	size_t i;
+
+	if (m != NULL)
+		return m->bus;
+	for (i = 0; i < n->settings->npeers; i++)
+		if (n->settings->peers[i].id == id)
+			return n->settings->peers[i].bus;
+	return NULL;
+}
+
+bool
+node_peer_is_heard(const struct node *n, uint32_t id)
+{
+	const struct node_peer *peer = map_get_u64(n->peers, id);
+
+	if (id == n->id)
+		return true;
+	return peer != NULL && peer->heard_us != 0 &&
+	    n->now < peer->heard_us + NODE_PEER_SILENT_US;
+}
+
+static void
+loop_add(struct node *n, char *bytes, size_t len)
+{
+	if (n->nloop == n->loop_cap) {
+		n->loop_cap = n->loop_cap == 0 ? 8 : n->loop_cap * 2;
+		n->loop = mem_resize(n->loop, n->loop_cap, sizeof(*n->loop));
+	}
+	n->loop[n->nloop].bytes = bytes;
+	n->loop[n->nloop].len = len;
+	n->nloop++;
+}
+
+void
+node_peer_send(struct node *n, uint32_t to, Wire__Envelope *envelope)
+{
+	const char *address = node_peer_address(n, to);
+	struct node_send *send;
+	size_t len;
+	char *bytes;
+
+	envelope->version = NODE_WIRE_VERSION;
+	envelope->incarnation = n->incarnation;
+	envelope->epoch = member_view_epoch(n->view);
+	len = wire__envelope__get_packed_size(envelope);
+	bytes = mem_alloc(len + 1, 1);
+	wire__envelope__pack(envelope, (uint8_t *)bytes);
+	if (to == n->id) {
+		loop_add(n, bytes, len);
+		return;
+	}
+	if (address != NULL) {
+		send = &node_effects_add(n->fx, NODE_FX_SEND)->u.send;
+		send->to = to;
+		send->address = node_effects_printf(n->fx, "%s", address);
+		send->bytes.data = node_effects_copy(n->fx, bytes, len);
+		send->bytes.len = len;
+		n->counters.messages_out++;
+		n->counters.bytes_out += len;
+	}
+	free(bytes);
+}
+
+static void
+receive_ping(struct node *n, uint32_t from, const Wire__Ping *ping)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Pong pong = WIRE__PONG__INIT;
+
+	member_holder_on_ping(n->holder, n->now, n->applied, ping, &pong);
+	envelope.body_case = WIRE__ENVELOPE__BODY_PONG;
+	envelope.pong = &pong;
+	node_peer_send(n, from, &envelope);
+}
+
+static void
+receive_raft(struct node *n, const Wire__RaftFrame *frame)
+{
+	struct node_bytes bytes = {
+	    (const char *)frame->data.data, frame->data.len};
+
+	if (n->raft == NULL || frame->to != n->voter)
+		return; /* meant for a data folder that is gone */
+	raft_receive(n->raft, n->now, frame->from, bytes, n->fx);
+	node_replica_pump(n);
+}
+
+/* Messages about requests and endpoints. */
+static void
+receive_work(struct node *n, uint32_t from, const Wire__Envelope *e)
+{
+	struct node_bytes json;
+
+	switch (e->body_case) {
+	case WIRE__ENVELOPE__BODY_ASK:
+		node_grant_on_ask(n, from, e->incarnation, e->ask);
+		break;
+	case WIRE__ENVELOPE__BODY_GRANT:
+		route_grant(n->route, n->now, e->grant, n->fx);
+		break;
+	case WIRE__ENVELOPE__BODY_DONE:
+		node_grant_on_done(n, from, e->incarnation, e->done);
+		break;
+	case WIRE__ENVELOPE__BODY_TOUCH:
+		node_grant_on_touch(n, from, e->incarnation, e->touch);
+		break;
+	case WIRE__ENVELOPE__BODY_REPORT:
+		json.data = (const char *)e->report->json.data;
+		json.len = e->report->json.len;
+		if (e->report->events)
+			node_owner_cache_events(n, json);
+		else
+			node_owner_announce(n, json);
+		break;
+	case WIRE__ENVELOPE__BODY_SUMMARY:
+		node_entry_on_summary(n, from, e->summary);
+		break;
+	default:
+		n->counters.malformed++;
+		break;
+	}
+}
+
+static void
+receive_envelope(struct node *n, uint32_t from, const Wire__Envelope *e)
+{
+	switch (e->body_case) {
+	case WIRE__ENVELOPE__BODY_RAFT:
+		if (RAFT_ID_INSTANCE(e->raft->from) == from)
+			receive_raft(n, e->raft);
+		break;
+	case WIRE__ENVELOPE__BODY_RENEW:
+		node_lease_on_renew(n, from, e->incarnation, e->renew);
+		break;
+	case WIRE__ENVELOPE__BODY_LEASE:
+		node_lease_on_reply(n, from, e->lease);
+		break;
+	case WIRE__ENVELOPE__BODY_PROPOSE:
+		node_propose_receive(n, from, e->propose);
+		break;
+	case WIRE__ENVELOPE__BODY_PULL:
+		node_follow_on_pull(n, from, e->pull);
+		break;
+	case WIRE__ENVELOPE__BODY_PUSH:
+		node_follow_on_push(n, from, e->push);
+		break;
+	case WIRE__ENVELOPE__BODY_PING:
+		receive_ping(n, from, e->ping);
+		break;
+	case WIRE__ENVELOPE__BODY_PONG:
+		member_holder_on_pong(
+		    n->holder, n->now, from, e->epoch, e->pong);
+		break;
+	case WIRE__ENVELOPE__BODY_HELLO:
+		node_found_on_hello(n, from, e->hello);
+		break;
+	default:
+		receive_work(n, from, e);
+		break;
+	}
+}
+
+void
+node_peer_receive(struct node *n, uint32_t from, struct node_bytes bytes)
+{
+	struct node_peer *peer;
+	Wire__Envelope *e = wire__envelope__unpack(
+	    NULL, bytes.len, (const uint8_t *)bytes.data);
+
+	n->counters.messages_in++;
+	n->counters.bytes_in += bytes.len;
+	if (e == NULL || e->version != NODE_WIRE_VERSION) {
+		n->counters.malformed++;
+		node_log(n, NODE_LOG_MALFORMED, "{\"from\": %u}", from);
+		goto cleanup;
+	}
+	peer = node_peer(n, from);
+	peer->heard_us = n->now;
+	peer->incarnation = e->incarnation;
+	receive_envelope(n, from, e);
+cleanup:
+	if (e != NULL)
+		wire__envelope__free_unpacked(e, NULL);
+}
+
+/* Deliver what this instance sent to itself. */
+void
+node_peer_loop(struct node *n)
+{
+	struct node_loop_message message;
+	Wire__Envelope *e;
+	size_t i;
+
+	for (i = 0; i < n->nloop; i++) {
+		message = n->loop[i];
+		n->loop[i].bytes = NULL;
+		e = wire__envelope__unpack(
+		    NULL, message.len, (const uint8_t *)message.bytes);
+		free(message.bytes);
+		receive_envelope(n, n->id, e);
+		wire__envelope__free_unpacked(e, NULL);
+	}
+	n->nloop = 0;
+}
--- /dev/null
+++ b/src/node/node_replica.c
@@ -0,0 +1,217 @@
+#include <stdlib.h>
+
+#include "node/node_internal.h"
+#include "node/snapshot.pb-c.h"
+#include "util/mem.h"
+
+/* Keep a committed entry for those who follow this instance. */
+static void
+recent_add(
+    struct node *n, uint64_t index, uint64_t term, struct node_bytes command)
+{
+	struct node_recent *slot = &n->recent[index % NODE_RECENT_ENTRIES];
+
+	free(slot->bytes);
+	slot->index = index;
+	slot->term = term;
+	slot->bytes = mem_copy(command.data, command.len);
+	slot->len = command.len;
+	if (index >= n->recent_first + NODE_RECENT_ENTRIES)
+		n->recent_first = index - NODE_RECENT_ENTRIES + 1;
+	n->push_due = true;
+}
+
+void
+node_replica_apply(
+    struct node *n, uint64_t index, uint64_t term, struct node_bytes command)
+{
+	Wire__Command *parsed;
+
+	if (index != n->applied + 1)
+		return; /* known already, or a gap that a pull will close */
+	n->applied = index;
+	n->applied_term = term;
+	n->counters.applied++;
+	recent_add(n, index, term, command);
+	if (command.len == 0)
+		return;
+	parsed = wire__command__unpack(
+	    NULL, command.len, (const uint8_t *)command.data);
+	if (parsed == NULL) {
+		n->counters.malformed++;
+		return; /* alike on every instance */
+	}
+	node_apply_command(n, index, parsed);
+	wire__command__free_unpacked(parsed, NULL);
+}
+
+void
+node_replica_state(struct node *n, struct buf *out)
+{
+	Node__Snapshot snapshot = NODE__SNAPSHOT__INIT;
+	struct buf view = {0}, book = {0}, claims = {0};
+	size_t len;
+
+	member_view_save(n->view, &view);
+	doc_book_save(n->book, &book);
+	claim_save(n->claims, &claims);
+	snapshot.index = n->applied;
+	snapshot.term = n->applied_term;
+	snapshot.view.data = (uint8_t *)view.data;
+	snapshot.view.len = view.len;
+	snapshot.book.data = (uint8_t *)book.data;
+	snapshot.book.len = book.len;
+	snapshot.claims.data = (uint8_t *)claims.data;
+	snapshot.claims.len = claims.len;
+	len = node__snapshot__get_packed_size(&snapshot);
+	buf_free(out);
+	out->data = mem_alloc(len + 1, 1);
+	out->cap = len + 1;
+	out->len = node__snapshot__pack(&snapshot, (uint8_t *)out->data);
+	buf_free(&view);
+	buf_free(&book);
+	buf_free(&claims);
+}
+
+static int
+restore_parts(struct node *n, const Node__Snapshot *snapshot)
+{
+	struct mp_error err;
+	int rc;
+
+	rc = member_view_restore(n->view, (const char *)snapshot->view.data,
+	    snapshot->view.len, &err);
+	if (rc == 0)
+		rc =
+		    doc_book_restore(n->book, (const char *)snapshot->book.data,
+			snapshot->book.len, &err);
+	if (rc == 0)
+		rc = claim_restore(n->claims,
+		    (const char *)snapshot->claims.data, snapshot->claims.len,
+		    &err);
+	return rc;
+}
+
+/* Requests that wait for what the snapshot skipped are told now. */
+static void
+tell_waiters(struct node *n)
+{
+	size_t i;
+	struct node_proposal *p;
+
+	for (i = map_count(n->proposals); i-- > 0;) {
+		p = map_at(n->proposals, i);
+		p->resend_us = 0; /* idempotent: its answer comes again */
+	}
+}
+
+int
+node_replica_restore(struct node *n, uint64_t index, struct node_bytes state)
+{
+	Node__Snapshot *snapshot;
+	int rc = MP_ERR_CORRUPT;
+
+	if (index <= n->applied)
+		return 0;
+	if (state.len == 0) { /* the founding of the log */
+		n->applied = index;
+		n->applied_term = 1;
+		n->recent_first = index + 1;
+		return 0;
+	}
+	snapshot = node__snapshot__unpack(
+	    NULL, state.len, (const uint8_t *)state.data);
+	if (snapshot == NULL || snapshot->index != index)
+		goto cleanup;
+	rc = restore_parts(n, snapshot);
+	if (rc != 0)
+		goto cleanup;
+	n->applied = index;
+	n->applied_term = snapshot->term;
+	n->recent_first = index + 1;
+	node_owner_epoch(n);
+	route_claim_review(n->route, n->now, n->fx);
+	tell_waiters(n);
+cleanup:
+	if (snapshot != NULL)
+		node__snapshot__free_unpacked(snapshot, NULL);
+	return rc;
+}
+
+static void
+pump_committed(struct node *n)
+{
+	static const struct node_bytes nothing = {"", 0};
+	struct raft_committed item;
+
+	while (raft_take_committed(n->raft, &item)) {
+		if (item.is_snapshot)
+			(void)node_replica_restore(
+			    n, item.index, item.snapshot);
+		else
+			node_replica_apply(n, item.entry.index, item.entry.term,
+			    item.entry.type == RAFT_ENTRY_COMMAND
+				? item.entry.data
+				: nothing);
+	}
+}
+
+static void
+pump_messages(struct node *n)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__RaftFrame frame = WIRE__RAFT_FRAME__INIT;
+	struct raft_message message;
+
+	while (raft_take_message(n->raft, &message)) {
+		frame.from = n->voter;
+		frame.to = message.to;
+		frame.data.data = (uint8_t *)message.bytes.data;
+		frame.data.len = message.bytes.len;
+		envelope.body_case = WIRE__ENVELOPE__BODY_RAFT;
+		envelope.raft = &frame;
+		node_peer_send(n, RAFT_ID_INSTANCE(message.to), &envelope);
+	}
+}
+
+static void
+pump_compaction(struct node *n)
+{
+	struct buf state = {0};
+	struct node_bytes bytes;
+	uint64_t kept = raft_get_snapshot_index(n->raft);
+
+	if (raft_get_log_bytes(n->raft) < NODE_COMPACT_BYTES &&
+	    n->applied < kept + NODE_COMPACT_ENTRIES)
+		return;
+	if (n->applied <= kept || n->applied > raft_get_commit(n->raft) ||
+	    raft_is_halted(n->raft))
+		return;
+	node_replica_state(n, &state);
+	bytes.data = state.data;
+	bytes.len = state.len;
+	raft_compact(n->raft, n->now, n->applied, bytes, n->fx);
+	n->counters.snapshots++;
+	node_log(n, NODE_LOG_SNAPSHOT, "{\"index\": %llu, \"bytes\": %zu}",
+	    (unsigned long long)n->applied, state.len);
+	buf_free(&state);
+}
+
+/* Move along what the log has ready. */
+void
+node_replica_pump(struct node *n)
+{
+	uint64_t commit;
+
+	if (n->raft == NULL)
+		return;
+	pump_committed(n);
+	node_lease_lead(n);
+	commit = raft_get_commit(n->raft);
+	if (commit > n->commit_seen) {
+		n->commit_seen = commit;
+		member_keeper_on_commit(n->keeper, n->now, commit);
+	}
+	pump_messages(n);
+	pump_compaction(n);
+}
--- /dev/null
+++ b/src/route/route_claim.c
@@ -0,0 +1,222 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "route/route_internal.h"
+
+static void
+claim_call_name(const struct route_entry *e, struct buf *out)
+{
+	buf_printf(out, "%s %s", e->method, e->call_rule->path);
+}
+
+/* Propose how the claimed call ended. */
+void
+route_claim_finish(struct route *r, uint64_t now_us, struct route_entry *e,
+    enum claim_end_kind kind, struct node_effects *fx)
+{
+	struct claim_end end = {0};
+
+	end.team = e->doc->team;
+	end.key = e->key;
+	end.instance = r->options.instance;
+	end.incarnation = r->options.incarnation;
+	end.proposal = e->proposal;
+	end.kind = kind;
+	if (kind == CLAIM_END_ANSWERED) {
+		end.status = e->status;
+		end.content_type = "application/json";
+		end.answer = e->answer.data == NULL ? "" : e->answer.data;
+		end.answer_len = e->answer.len;
+	}
+	r->ops->claim_end(r->ctx, &end, now_us + ROUTE_DETACHED_US, fx);
+}
+
+/* Answer a resend from the stored claim. */
+static void
+reply_stored(struct route *r, struct route_entry *e, const struct claim *claim,
+    struct node_effects *fx)
+{
+	static const struct route_error unknown = {409, "outcome-unknown",
+	    "an earlier call with this key may or may not have run; it is "
+	    "never run again",
+	    ROUTE_UNKNOWN, 0};
+	struct node_reply *reply;
+
+	if (claim->state == CLAIM_STATE_UNKNOWN) {
+		route_fail(r, e, &unknown, fx);
+		route_end_entry(r, e);
+		return;
+	}
+	reply = &node_effects_add(fx, NODE_FX_REPLY)->u.reply;
+	reply->request = e->request;
+	reply->status = claim->status;
+	reply->content_type = "application/json";
+	reply->headers[0].name = "mulberrypath-outcome";
+	reply->headers[0].value = "done";
+	reply->headers[1].name = "mulberrypath-replayed";
+	reply->headers[1].value = "yes";
+	reply->nheaders = 2;
+	reply->body.data =
+	    node_effects_copy(fx, claim->answer, claim->answer_len);
+	reply->body.len = claim->answer_len;
+	e->replied = true;
+	route_end_entry(r, e);
+}
+
+/* No leader decides on the key: tell what is known of it here. */
+void
+route_claim_late(
+    struct route *r, struct route_entry *e, struct node_effects *fx)
+{
+	static const struct route_error unavailable = {503, "no-quorum",
+	    "calls that may not be repeated are refused without a leader",
+	    ROUTE_NOT_RUN, ROUTE_DEFAULT_WAIT_MS};
+	static const struct route_error running = {503, "still-running",
+	    "an earlier call with this key is not known to have ended",
+	    ROUTE_UNKNOWN, ROUTE_DEFAULT_WAIT_MS};
+	const struct claim *claim =
+	    r->ops->claim_find(r->ctx, e->doc->team, e->key);
+
+	if (claim != NULL && claim->state != CLAIM_RUNNING) {
+		reply_stored(r, e, claim, fx);
+		return;
+	}
+	route_fail(r, e, claim == NULL ? &unavailable : &running, fx);
+	route_end_entry(r, e);
+}
+
+void
+route_claim_begin(struct route *r, uint64_t now_us, struct route_entry *e,
+    struct node_effects *fx)
+{
+	struct claim_start start = {0};
+	struct buf call = {0};
+
+	(void)now_us;
+	claim_call_name(e, &call);
+	start.team = e->doc->team;
+	start.key = e->key;
+	start.body_hash =
+	    XXH64(e->body.data == NULL ? "" : e->body.data, e->body.len, 0);
+	start.service = e->service->name;
+	start.call = call.data;
+	e->state = ROUTE_WAIT_CLAIM;
+	if (!r->ops->claim_start(
+		r->ctx, &start, e->deadline_us, &e->proposal, fx)) {
+		e->proposal = 0;
+		route_claim_late(r, e, fx);
+	} else {
+		map_set_u64(r->by_proposal, e->proposal, e);
+	}
+	buf_free(&call);
+}
+
+static void
+claim_repeated(struct route *r, struct route_entry *e,
+    const struct claim *claim, struct node_effects *fx)
+{
+	if (claim->state != CLAIM_RUNNING) {
+		reply_stored(r, e, claim, fx);
+		return;
+	}
+	e->state = ROUTE_WAIT_OTHER;
+	r->waiting_other++;
+}
+
+/* A start that no request waits for any more: the key is freed again. */
+static void
+claim_unwanted(struct route *r, uint64_t now_us, const struct claim *claim,
+    struct node_effects *fx)
+{
+	struct claim_end end = {0};
+
+	end.team = claim->team;
+	end.key = claim->key;
+	end.instance = claim->instance;
+	end.incarnation = claim->incarnation;
+	end.proposal = claim->proposal;
+	end.kind = CLAIM_END_NOT_RUN;
+	r->ops->claim_end(r->ctx, &end, now_us + ROUTE_DETACHED_US, fx);
+}
+
+void
+route_claim_decided(struct route *r, uint64_t now_us, uint64_t proposal,
+    enum claim_verdict verdict, const struct claim *claim,
+    struct node_effects *fx)
+{
+	static const struct route_error mismatch = {422, "key-reused",
+	    "this idempotency key was used with another call or body",
+	    ROUTE_NOT_RUN, 0};
+	struct route_entry *e = map_get_u64(r->by_proposal, proposal);
+
+	if (e == NULL) {
+		if (verdict == CLAIM_GIVEN)
+			claim_unwanted(r, now_us, claim, fx);
+		return;
+	}
+	if (e->state != ROUTE_WAIT_CLAIM)
+		return; /* the same proposal, applied again */
+	switch (verdict) {
+	case CLAIM_GIVEN:
+		e->claimed = true;
+		route_ask(r, now_us, e, fx);
+		break;
+	case CLAIM_REPEATED:
+		claim_repeated(r, e, claim, fx);
+		break;
+	case CLAIM_MISMATCH:
+		route_fail(r, e, &mismatch, fx);
+		route_end_entry(r, e);
+		break;
+	}
+}
+
+void
+route_claim_failed(struct route *r, uint64_t now_us, uint64_t proposal,
+    struct node_effects *fx)
+{
+	struct route_entry *e = map_get_u64(r->by_proposal, proposal);
+
+	(void)now_us;
+	if (e == NULL || e->state != ROUTE_WAIT_CLAIM)
+		return;
+	route_claim_late(r, e, fx);
+}
+
+void
+route_claim_review(struct route *r, uint64_t now_us, struct node_effects *fx)
+{
+	size_t i = map_count(r->by_request);
+	const struct claim *claim;
+	struct route_entry *e;
+
+	while (r->waiting_other > 0 && i-- > 0) {
+		e = map_at(r->by_request, i);
+		if (e->state != ROUTE_WAIT_OTHER)
+			continue;
+		claim = r->ops->claim_find(r->ctx, e->doc->team, e->key);
+		if (claim != NULL && claim->state == CLAIM_RUNNING)
+			continue;
+		if (claim != NULL) {
+			reply_stored(r, e, claim, fx);
+			continue;
+		}
+		r->waiting_other--;
+		map_remove_u64(r->by_proposal, e->proposal);
+		route_claim_begin(r, now_us, e, fx);
+	}
+}
+
+void
+route_claim_recorded(struct route *r, uint64_t now_us, uint64_t proposal,
+    bool recorded, struct node_effects *fx)
+{
+	struct route_entry *e = map_get_u64(r->by_proposal, proposal);
+
+	(void)now_us;
+	if (e == NULL || e->state != ROUTE_WAIT_RECORD)
+		return;
+	if (!e->replied)
+		route_reply_service(e, fx, recorded);
+	route_end_entry(r, e);
+}
--- /dev/null
+++ b/src/route/route_model.c
@@ -0,0 +1,335 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/route_internal.h"
+#include "util/mem.h"
+
+/* The body of the call to an engine. */
+static void
+model_body(const struct route_entry *e, struct buf *out)
+{
+	buf_puts(out, "{\"model\": ");
+	buf_json_string(out, e->engine_key);
+	buf_puts(out, ", \"prompt\": ");
+	buf_json_string(out, e->prompt);
+	buf_printf(out,
+	    ", \"max_tokens\": %u, \"stream\": true, \"priority\": %u, "
+	    "\"prefix\": \"%016llx\", \"offset\": %u",
+	    e->max_tokens, e->kind->priority, (unsigned long long)e->prefix,
+	    e->tokens);
+	if (e->tokens > 0) {
+		buf_puts(out, ", \"text\": ");
+		buf_json_string(out, e->answer.data);
+	}
+	buf_puts(out, "}");
+}
+
+/* Call the engine, from the first token the caller does not have yet. */
+void
+route_model_call(struct route *r, uint64_t now_us, struct route_entry *e,
+    bool fresh, struct node_effects *fx)
+{
+	struct node_call *call;
+	struct buf body = {0};
+
+	model_body(e, &body);
+	e->state = ROUTE_CALLING;
+	e->call = r->ops->next_call(r->ctx);
+	map_set_u64(r->by_call, e->call, e);
+	route_sse_free(&e->sse);
+	e->sent_us = now_us;
+
+	call = &node_effects_add(fx, NODE_FX_CALL)->u.call;
+	call->call = e->call;
+	call->address = node_effects_printf(fx, "%s", e->address);
+	call->method = "POST";
+	call->path = "/v1/completions";
+	call->headers[0].name = "mulberrypath-request";
+	call->headers[0].value = node_effects_printf(fx, "%s", e->run_id);
+	call->headers[1].name = "mulberrypath-fence";
+	call->headers[1].value =
+	    node_effects_printf(fx, "%llu", (unsigned long long)e->fence);
+	call->headers[2].name = "content-type";
+	call->headers[2].value = "application/json";
+	call->nheaders = 3;
+	call->body.data = node_effects_copy(fx, body.data, body.len);
+	call->body.len = body.len;
+	call->not_after_us = e->send_by_us;
+	call->silence_us = ROUTE_SILENCE_US;
+	call->fresh_connection = fresh;
+	buf_free(&body);
+}
+
+static void
+reply_bytes(struct route_entry *e, struct node_effects *fx, struct buf *text)
+{
+	struct node_effect *effect;
+	char *copy = node_effects_copy(fx, text->data, text->len);
+
+	if (!e->started) {
+		effect = node_effects_add(fx, NODE_FX_REPLY);
+		effect->u.reply.request = e->request;
+		effect->u.reply.status = 200;
+		effect->u.reply.content_type = "text/event-stream";
+		effect->u.reply.body.data = copy;
+		effect->u.reply.body.len = text->len;
+		effect->u.reply.more = true;
+		e->started = true;
+		return;
+	}
+	effect = node_effects_add(fx, NODE_FX_REPLY_DATA);
+	effect->u.reply_data.request = e->request;
+	effect->u.reply_data.data.data = copy;
+	effect->u.reply_data.data.len = text->len;
+}
+
+static void
+choice_text(const struct route_entry *e, struct buf *out, const char *text)
+{
+	if (!e->chat) {
+		buf_puts(out, "\"text\": ");
+		buf_json_string(out, text);
+		return;
+	}
+	buf_printf(out, "\"%s\": {", e->stream ? "delta" : "message");
+	buf_puts(out, "\"role\": \"assistant\", \"content\": ");
+	buf_json_string(out, text);
+	buf_puts(out, "}");
+}
+
+/* Pass new text on to a caller that wants a stream. */
+static void
+stream_text(struct route_entry *e, struct node_effects *fx, uint32_t offset,
+    const char *text, const char *finish_reason)
+{
+	struct buf out = {0};
+
+	buf_printf(&out,
+	    "data: {\"id\": \"%s\", \"object\": \"%s\", "
+	    "\"model\": \"%s\", \"offset\": %u, "
+	    "\"choices\": [{\"index\": 0, ",
+	    e->run_id, e->chat ? "chat.completion.chunk" : "text_completion",
+	    e->label, offset);
+	choice_text(e, &out, text);
+	if (finish_reason != NULL) {
+		buf_puts(&out, ", \"finish_reason\": ");
+		buf_json_string(&out, finish_reason);
+	}
+	buf_puts(&out, "}]}\n\n");
+	reply_bytes(e, fx, &out);
+	buf_free(&out);
+}
+
+static void
+reply_whole(struct route_entry *e, struct node_effects *fx)
+{
+	struct buf out = {0};
+
+	buf_printf(&out,
+	    "{\"id\": \"%s\", \"object\": \"%s\", \"model\": \"%s\", "
+	    "\"choices\": [{\"index\": 0, ",
+	    e->run_id, e->chat ? "chat.completion" : "text_completion",
+	    e->label);
+	choice_text(e, &out, e->answer.data == NULL ? "" : e->answer.data);
+	buf_puts(&out, ", \"finish_reason\": ");
+	buf_json_string(&out, e->finish_reason);
+	buf_printf(&out,
+	    "}], \"usage\": {\"prompt_tokens\": %u, "
+	    "\"completion_tokens\": %u, \"total_tokens\": %u}}\n",
+	    e->prompt_tokens, e->tokens, e->prompt_tokens + e->tokens);
+	route_reply_json(fx, e->request, 200, out.data);
+	buf_free(&out);
+}
+
+static void
+model_delivered(struct route *r, uint64_t now_us, struct route_entry *e,
+    struct node_effects *fx)
+{
+	struct buf end = {0};
+
+	if (e->stream) {
+		buf_puts(&end, "data: [DONE]\n\n");
+		reply_bytes(e, fx, &end);
+		node_effects_add(fx, NODE_FX_REPLY_END)->u.reply_end.request =
+		    e->request;
+		buf_free(&end);
+	} else {
+		reply_whole(e, fx);
+	}
+	e->replied = true;
+	e->stats->delivered++;
+	e->stats->delivered_weight += e->kind->weight;
+	e->stats->tokens_out += e->tokens;
+	hist_add(&e->stats->whole, now_us - e->began_us);
+	/* The endpoint may still send the end of its body; not needed. */
+	if (e->call != 0) {
+		map_remove_u64(r->by_call, e->call);
+		e->call = 0;
+	}
+	route_release(r, now_us, e, WIRE__DONE_OUTCOME__DONE_DELIVERED, fx);
+	route_end_entry(r, e);
+}
+
+/* Another answer, or none, came from the endpoint: try elsewhere. */
+static void
+model_failed(struct route *r, uint64_t now_us, struct route_entry *e,
+    Wire__DoneOutcome outcome, const char *code, const char *message,
+    struct node_effects *fx)
+{
+	struct route_error error = {502, code, message, ROUTE_UNKNOWN, 0};
+
+	if (!e->may_have_run) {
+		error.status = 503;
+		error.outcome = ROUTE_NOT_RUN;
+		error.retry_after_ms = ROUTE_DEFAULT_WAIT_MS;
+	}
+	if (e->call != 0) {
+		map_remove_u64(r->by_call, e->call);
+		e->call = 0;
+	}
+	route_avoid(e);
+	route_release(r, now_us, e, outcome, fx);
+	route_retry_elsewhere(r, now_us, e, &error, fx);
+}
+
+/* The stream broke: once more to the same engine, then elsewhere. */
+static void
+model_broken(struct route *r, uint64_t now_us, struct route_entry *e,
+    const char *message, struct node_effects *fx)
+{
+	map_remove_u64(r->by_call, e->call);
+	e->call = 0;
+	if (e->tokens > 0 && !e->resumed && !e->replied) {
+		e->resumed = true;
+		e->stats->retried++;
+		e->send_by_us = now_us + ROUTE_GRANT_US;
+		route_model_call(r, now_us, e, true, fx);
+		return;
+	}
+	model_failed(r, now_us, e, WIRE__DONE_OUTCOME__DONE_FAILED,
+	    "endpoint-broken", message, fx);
+}
+
+static void
+model_text(struct route *r, uint64_t now_us, struct route_entry *e,
+    const struct route_chunk *chunk, struct node_effects *fx)
+{
+	uint32_t offset = e->tokens;
+
+	(void)r;
+	if (e->first_us == 0) {
+		e->first_us = now_us;
+		hist_add(&e->stats->first, now_us - e->began_us);
+	} else if (chunk->tokens > 0) {
+		hist_add(&e->stats->between, now_us - e->last_us);
+	}
+	e->last_us = now_us;
+	buf_puts(&e->answer, chunk->text);
+	e->tokens += chunk->tokens;
+	if (e->stream && !e->replied)
+		stream_text(e, fx, offset, chunk->text, chunk->finish_reason);
+}
+
+/* Take one event; false when it is not the answer to this request. */
+static bool
+model_chunk(struct route *r, uint64_t now_us, struct route_entry *e,
+    const struct route_chunk *chunk, struct node_effects *fx)
+{
+	if (strcmp(chunk->id, e->run_id) != 0 ||
+	    strcmp(chunk->model, e->engine_key) != 0)
+		return false;
+	if (chunk->prompt_tokens > 0)
+		e->prompt_tokens = chunk->prompt_tokens;
+	if (chunk->tokens > 0 && chunk->text != NULL) {
+		if (chunk->offset > e->tokens)
+			return false; /* text is missing */
+		if (chunk->offset < e->tokens)
+			return chunk->offset + chunk->tokens <= e->tokens;
+		model_text(r, now_us, e, chunk, fx);
+	}
+	if (chunk->finish_reason != NULL && e->finish_reason == NULL)
+		e->finish_reason = mem_string(chunk->finish_reason);
+	return true;
+}
+
+static void
+model_data(struct route *r, uint64_t now_us, struct route_entry *e,
+    struct node_bytes data, struct node_effects *fx)
+{
+	struct route_chunk chunk;
+	struct buf event = {0};
+	bool fits, good = true, done = false;
+
+	fits = route_sse_feed(&e->sse, data.data, data.len);
+	while (good && !done && route_sse_take(&e->sse, &event)) {
+		good = route_chunk_parse(&chunk, &event);
+		if (!good)
+			break;
+		done = chunk.done;
+		if (!done)
+			good = model_chunk(r, now_us, e, &chunk, fx);
+		route_chunk_free(&chunk);
+	}
+	buf_free(&event);
+	if (good && done && e->finish_reason != NULL) {
+		model_delivered(r, now_us, e, fx);
+		return;
+	}
+	if (good && !done && fits)
+		return;
+	route_cancel_run(r, now_us, e, fx);
+	model_failed(r, now_us, e, WIRE__DONE_OUTCOME__DONE_FAILED,
+	    "endpoint-nonsense",
+	    "the endpoint sent what is not the answer to this request", fx);
+}
+
+/* The engine refused before running anything. */
+static void
+model_refused(struct route *r, uint64_t now_us, struct route_entry *e,
+    struct node_effects *fx)
+{
+	Wire__DoneOutcome outcome = WIRE__DONE_OUTCOME__DONE_FAILED;
+	const char *code = "endpoint-error";
+
+	if (e->status == 409) {
+		outcome = WIRE__DONE_OUTCOME__DONE_NOT_LOADED;
+		code = "not-loaded";
+	} else if (e->status == 503 || e->status == 412) {
+		outcome = WIRE__DONE_OUTCOME__DONE_BUSY;
+		code = "endpoint-busy";
+	} else {
+		e->may_have_run = true;
+	}
+	node_effects_add(fx, NODE_FX_CALL_CANCEL)->u.cancel = e->call;
+	model_failed(r, now_us, e, outcome, code,
+	    "the endpoint refused the request", fx);
+}
+
+void
+route_model_event(struct route *r, uint64_t now_us, struct route_entry *e,
+    const struct node_call_event *event, struct node_effects *fx)
+{
+	switch (event->phase) {
+	case NODE_CALL_NOT_SENT:
+		model_failed(r, now_us, e, WIRE__DONE_OUTCOME__DONE_NOT_SENT,
+		    "endpoint-unreachable", "the endpoint was not reached", fx);
+		break;
+	case NODE_CALL_HEAD:
+		e->status = event->status;
+		if (event->status != 200)
+			model_refused(r, now_us, e, fx);
+		else
+			e->may_have_run = true;
+		break;
+	case NODE_CALL_DATA:
+		model_data(r, now_us, e, event->data, fx);
+		break;
+	case NODE_CALL_END:
+	case NODE_CALL_BROKEN:
+		e->may_have_run = true;
+		model_broken(r, now_us, e,
+		    "the endpoint's stream ended before its answer was whole",
+		    fx);
+		break;
+	}
+}
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2214,7 +2214,7 @@
   (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[15] =
 {
   {
     "request",
@@ -2384,6 +2384,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -2397,6 +2409,7 @@
   9,   /* field[9] = prefix */
   7,   /* field[7] = prompt_tokens */
   0,   /* field[0] = request */
+  14,   /* field[14] = sent_us */
   4,   /* field[4] = service */
   1,   /* field[1] = team */
   12,   /* field[12] = waited_ms */
@@ -2404,7 +2417,7 @@
 static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
 {
@@ -2414,7 +2427,7 @@
   "Wire__GrantAsk",
   "wire",
   sizeof(Wire__GrantAsk),
-  14,
+  15,
   wire__grant_ask__field_descriptors,
   wire__grant_ask__field_indices_by_name,
   1,  wire__grant_ask__number_ranges,
@@ -2484,12 +2497,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "expires_ms",
+    "basis_us",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, expires_ms),
+    offsetof(Wire__GrantReply, basis_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -2546,8 +2559,8 @@
 };
 static const unsigned wire__grant_reply__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  5,   /* field[5] = basis_us */
   2,   /* field[2] = endpoint */
-  5,   /* field[5] = expires_ms */
   4,   /* field[4] = fence */
   7,   /* field[7] = reason */
   0,   /* field[0] = request */
@@ -2756,7 +2769,7 @@
   (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[2] =
 {
   {
     "pins",
@@ -2770,14 +2783,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantTouch, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_touch__field_indices_by_name[] = {
   0,   /* field[0] = pins */
+  1,   /* field[1] = sent_us */
 };
 static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
 {
@@ -2787,7 +2813,7 @@
   "Wire__GrantTouch",
   "wire",
   sizeof(Wire__GrantTouch),
-  1,
+  2,
   wire__grant_touch__field_descriptors,
   wire__grant_touch__field_indices_by_name,
   1,  wire__grant_touch__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -410,10 +410,14 @@
   uint32_t attempt;
   uint32_t waited_ms;
   protobuf_c_boolean pinned_adapter;
+  /*
+   * the entry's clock
+   */
+  uint64_t sent_us;
 };
 #define WIRE__GRANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Wire__GrantReply
@@ -425,9 +429,9 @@
   char *address;
   uint64_t fence;
   /*
-   * from the time the ask was sent
+   * newest sent_us heard of this entry before
    */
-  uint32_t expires_ms;
+  uint64_t basis_us;
   uint32_t retry_after_ms;
   /*
    * machine-readable code
@@ -483,10 +487,14 @@
   ProtobufCMessage base;
   size_t n_pins;
   Wire__Pin **pins;
+  /*
+   * the entry's clock
+   */
+  uint64_t sent_us;
 };
 #define WIRE__GRANT_TOUCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_touch__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 /*
