--- /dev/null
+++ b/src/doc/doc.c
@@ -0,0 +1,212 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "doc/doc.h"
+#include "util/mem.h"
+
+struct doc *
+doc_ref(struct doc *d)
+{
+	d->refs++;
+	return d;
+}
+
+static void
+doc_free_strings(char **strings, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		free(strings[i]);
+	free(strings);
+}
+
+static void
+doc_free_services(struct doc *d)
+{
+	struct doc_service *s;
+	size_t i, j;
+
+	for (i = 0; i < d->nservices; i++) {
+		s = &d->services[i];
+		for (j = 0; j < s->ncalls; j++) {
+			free(s->calls[j].method);
+			free(s->calls[j].path);
+			free(s->calls[j].kind);
+		}
+		free(s->calls);
+		free(s->name);
+	}
+	free(d->services);
+}
+
+void
+doc_unref(struct doc *d)
+{
+	size_t i;
+
+	if (d == NULL || --d->refs > 0)
+		return;
+	for (i = 0; i < d->nkinds; i++)
+		free(d->kinds[i].name);
+	free(d->kinds);
+	for (i = 0; i < d->nadapters; i++) {
+		free(d->adapters[i].name);
+		free(d->adapters[i].version);
+		doc_free_strings(
+		    d->adapters[i].versions, d->adapters[i].nversions);
+		free(d->adapters[i].base_model);
+		free(d->adapters[i].kind);
+	}
+	free(d->adapters);
+	doc_free_services(d);
+	doc_free_strings(d->token_hashes, d->ntokens);
+	free(d->team);
+	free(d->text);
+	free(d);
+}
+
+static const struct doc_adapter *
+doc_find_adapter_n(const struct doc *d, const char *name, size_t len)
+{
+	size_t low = 0, high = d->nadapters, middle;
+	const char *at;
+	int order;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		at = d->adapters[middle].name;
+		order = strncmp(name, at, len);
+		if (order == 0)
+			order = at[len] == '\0' ? 0 : -1;
+		if (order == 0)
+			return &d->adapters[middle];
+		if (order < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return NULL;
+}
+
+const struct doc_adapter *
+doc_find_adapter(const struct doc *d, const char *name)
+{
+	return doc_find_adapter_n(d, name, strlen(name));
+}
+
+const struct doc_kind *
+doc_find_kind(const struct doc *d, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < d->nkinds; i++)
+		if (strcmp(d->kinds[i].name, name) == 0)
+			return &d->kinds[i];
+	return NULL;
+}
+
+const struct doc_service *
+doc_find_service(const struct doc *d, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < d->nservices; i++)
+		if (strcmp(d->services[i].name, name) == 0)
+			return &d->services[i];
+	return NULL;
+}
+
+/*
+ * May a path match below a wildcard? Not one that the service could read as
+ * another path: dot segments, empty segments, encoded bytes, backslashes.
+ */
+static bool
+doc_path_plain(const char *path, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (path[i] == '%' || path[i] == '\\' || path[i] == ';')
+			return false;
+		if (path[i] == '/' && i + 1 < len &&
+		    (path[i + 1] == '.' || path[i + 1] == '/'))
+			return false;
+	}
+	return true;
+}
+
+/* Length of the declared path that matches, 0 for none. */
+static size_t
+doc_call_match(const struct doc_call *call, const char *path, size_t len)
+{
+	size_t own = strlen(call->path);
+
+	if (call->path[own - 1] != '*')
+		return own == len && memcmp(call->path, path, len) == 0
+		    ? own + 1
+		    : 0;
+	if (len < own || memcmp(call->path, path, own - 1) != 0 ||
+	    !doc_path_plain(path, len))
+		return 0;
+	return own;
+}
+
+const struct doc_call *
+doc_find_call(const struct doc_service *s, const char *method, const char *path)
+{
+	const struct doc_call *found = NULL;
+	size_t i, match, best = 0, len = strcspn(path, "?");
+
+	for (i = 0; i < s->ncalls; i++) {
+		if (strcmp(s->calls[i].method, method) != 0)
+			continue;
+		match = doc_call_match(&s->calls[i], path, len);
+		if (match > best) {
+			best = match;
+			found = &s->calls[i];
+		}
+	}
+	return found;
+}
+
+int
+doc_resolve(const struct doc *d, const char *model,
+    const struct doc_adapter **adapter, const char **version,
+    struct mp_error *err)
+{
+	size_t i, len = strcspn(model, "@");
+	const struct doc_adapter *a = doc_find_adapter_n(d, model, len);
+
+	*adapter = NULL;
+	*version = NULL;
+	if (a == NULL)
+		return mp_error_set(err, MP_LAYER_DOC, MP_ERR_NOT_FOUND,
+		    "team %s has no adapter \"%.*s\"", d->team, (int)len,
+		    model);
+	if (model[len] == '\0') {
+		*adapter = a;
+		*version = a->version;
+		return MP_OK;
+	}
+	for (i = 0; i < a->nversions; i++) {
+		if (strcmp(a->versions[i], model + len + 1) != 0)
+			continue;
+		*adapter = a;
+		*version = a->versions[i];
+		return MP_OK;
+	}
+	return mp_error_set(err, MP_LAYER_DOC, MP_ERR_INVALID,
+	    "adapter \"%s\" of team %s has no version \"%s\"", a->name, d->team,
+	    model + len + 1);
+}
+
+void
+doc_hash_token(char *out, const char *token)
+{
+	unsigned char hash[crypto_hash_sha256_BYTES];
+
+	crypto_hash_sha256(hash, (const unsigned char *)token, strlen(token));
+	(void)sodium_bin2hex(out, sizeof(hash) * 2 + 1, hash, sizeof(hash));
+}
--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -143,6 +143,15 @@
 /* The document whose callers' tokens include this one, or NULL. */
 struct doc *doc_book_by_token(const struct doc_book *b, const char *token);
 
+/*
+ * Could this document be accepted beside those of the other teams?
+ *
+ * Errors: MP_ERR_CONFLICT when another team lists one of its tokens; such a
+ * change is DOC_INVALID when it is applied.
+ */
+int doc_book_check(
+    const struct doc_book *b, const struct doc *d, struct mp_error *err);
+
 size_t doc_book_count(const struct doc_book *b);
 struct doc *doc_book_at(const struct doc_book *b, size_t i);
 
--- /dev/null
+++ b/tests/doc/book_test.cc
@@ -0,0 +1,232 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "doc/doc.h"
+#include "util/rng.h"
+
+static std::string
+text_of(const char *team, const std::string &hash, int n)
+{
+	return std::string("{\"team\":\"") + team + "\",\"tokens\":[" +
+	    (hash.empty() ? "" : "\"" + hash + "\"") +
+	    "],\"kinds\":{\"k\":{\"maxTokens\":" + std::to_string(n) + "}}}";
+}
+
+static struct doc_result
+put(struct doc_book *b, uint64_t index, const char *team, uint64_t base,
+    const char *change, const std::string &text)
+{
+	struct doc_result r;
+
+	doc_book_put(b, index, team, base, change, "op", index * 10,
+	    text.data(), text.size(), &r);
+	return r;
+}
+
+static std::string
+save(const struct doc_book *b)
+{
+	struct buf out = {};
+
+	doc_book_save(b, &out);
+	std::string s(out.data, out.len);
+	buf_free(&out);
+	return s;
+}
+
+/* Destroy a book and give one restored from what it saved. */
+static struct doc_book *
+reborn(struct doc_book *b)
+{
+	std::string bytes = save(b);
+	struct doc_book *again = doc_book_create();
+
+	EXPECT_EQ(doc_book_restore(again, bytes.data(), bytes.size(), nullptr),
+	    MP_OK);
+	EXPECT_EQ(save(again), bytes);
+	doc_book_destroy(b);
+	return again;
+}
+
+TEST(doc_book, one_winner_and_first_answers_again)
+{
+	struct doc_book *b = doc_book_create();
+	struct doc_result r;
+
+	for (int restored = 0; restored < 2; restored++) {
+		if (restored)
+			b = reborn(b);
+		r = put(b, 10, "t", 0, "first", text_of("t", "", 1));
+		EXPECT_EQ(r.verdict, DOC_ACCEPTED);
+		EXPECT_EQ(r.revision, 1u);
+		EXPECT_EQ(r.index, 10u);
+		EXPECT_EQ(r.repeated, restored != 0);
+		r = put(b, 11, "t", 0, "rival", text_of("t", "", 2));
+		EXPECT_EQ(r.verdict, DOC_CONFLICT);
+		EXPECT_EQ(r.revision, 1u);
+		r = put(b, 12, "t", 1, "second", text_of("t", "", 3));
+		EXPECT_EQ(r.verdict, DOC_ACCEPTED);
+		EXPECT_EQ(r.revision, 2u);
+		/* Resent after later changes, even if now it would fit. */
+		r = put(b, 13, "t", 2, "rival", text_of("t", "", 4));
+		EXPECT_EQ(r.verdict, DOC_CONFLICT);
+		EXPECT_EQ(r.revision, 1u);
+		EXPECT_TRUE(r.repeated);
+		EXPECT_TRUE(doc_book_seen(b, "t", "first", &r));
+		EXPECT_EQ(r.index, 10u);
+		EXPECT_FALSE(doc_book_seen(b, "t", "other", &r));
+		EXPECT_FALSE(doc_book_seen(b, "u", "first", &r));
+		EXPECT_EQ(doc_book_current(b, "t")->revision, 2u);
+		EXPECT_EQ(doc_book_current(b, "t")->index, 12u);
+	}
+	doc_book_destroy(b);
+}
+
+TEST(doc_book, refuses_what_no_proposer_should_send)
+{
+	struct doc_book *b = doc_book_create();
+	std::string a(64, 'a');
+	struct {
+		const char *team;
+		std::string text;
+	} cases[] = {
+	    {"t", "not json"},
+	    {"t", text_of("other", "", 1)},
+	    {"u", text_of("u", a, 1)},
+	};
+
+	EXPECT_EQ(
+	    put(b, 1, "t", 0, "c", text_of("t", a, 1)).verdict, DOC_ACCEPTED);
+	for (auto &c : cases)
+		EXPECT_EQ(
+		    put(b, 2, c.team, 0, "d", c.text).verdict, DOC_INVALID);
+	EXPECT_EQ(doc_book_count(b), 1u);
+	/* A refused change id stays free. */
+	EXPECT_EQ(
+	    put(b, 3, "t", 1, "d", text_of("t", a, 2)).verdict, DOC_ACCEPTED);
+	doc_book_destroy(b);
+}
+
+TEST(doc_book, tokens_follow_the_current_document)
+{
+	struct doc_book *b = doc_book_create();
+	char one[65], two[65];
+
+	doc_hash_token(one, "secret-1");
+	doc_hash_token(two, "secret-2");
+	put(b, 1, "t", 0, "a", text_of("t", one, 1));
+	EXPECT_EQ(doc_book_by_token(b, "secret-1"), doc_book_current(b, "t"));
+	put(b, 2, "t", 1, "b", text_of("t", two, 1));
+	EXPECT_EQ(doc_book_by_token(b, "secret-1"), nullptr);
+	b = reborn(b);
+	EXPECT_EQ(doc_book_by_token(b, "secret-2"), doc_book_current(b, "t"));
+	EXPECT_EQ(doc_book_by_token(b, "secret-1"), nullptr);
+	put(b, 3, "u", 0, "a", text_of("u", one, 1));
+	EXPECT_STREQ(doc_book_by_token(b, "secret-1")->team, "u");
+	doc_book_destroy(b);
+}
+
+/* A request that holds a reference keeps its document. */
+TEST(doc_book, referenced_documents_outlive_changes)
+{
+	struct doc_book *b = doc_book_create();
+	struct doc *held;
+
+	put(b, 1, "t", 0, "a", text_of("t", "", 1));
+	held = doc_ref(doc_book_current(b, "t"));
+	put(b, 2, "t", 1, "b", text_of("t", "", 2));
+	doc_book_destroy(b);
+	EXPECT_EQ(held->revision, 1u);
+	EXPECT_EQ(doc_find_kind(held, "k")->max_tokens, 1u);
+	doc_unref(held);
+}
+
+TEST(doc_book, bounds_on_history_and_changes)
+{
+	struct doc_book *b = doc_book_create();
+	struct buf out = {};
+	struct doc_result r;
+	int n = 8192 + 5;
+
+	for (int i = 0; i < n; i++)
+		put(b, i + 1, "t", i, ("c" + std::to_string(i)).c_str(),
+		    text_of("t", "", i + 1));
+	b = reborn(b);
+	EXPECT_FALSE(doc_book_seen(b, "t", "c4", &r));
+	EXPECT_TRUE(doc_book_seen(b, "t", "c5", &r));
+	EXPECT_EQ(r.revision, 6u);
+	doc_book_history(b, "t", &out);
+	std::string json(out.data, out.len);
+	size_t texts = 0, at = 0;
+	while ((at = json.find("\"document\":", at)) != std::string::npos) {
+		texts++;
+		at++;
+	}
+	EXPECT_EQ(texts, 32u);
+	EXPECT_EQ(json.find("[{\"revision\":" + std::to_string(n) + ","), 0u);
+	buf_free(&out);
+	doc_book_destroy(b);
+}
+
+/* Seeded changes against a plain model, with saves in between. */
+TEST(doc_book, seeded_against_a_model)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		std::map<std::string, struct doc_result> answered;
+		std::map<std::string, uint64_t> revision;
+		struct doc_book *b = doc_book_create();
+		struct rng rng;
+
+		rng_seed(&rng, seed);
+		for (uint64_t index = 1; index <= 300; index++) {
+			std::string team(1, (char)('a' + rng_below(&rng, 3)));
+			std::string id = std::to_string(rng_below(&rng, 150));
+			uint64_t base = revision[team] - rng_below(&rng, 2);
+			struct doc_result r = put(b, index, team.c_str(), base,
+			    id.c_str(), text_of(team.c_str(), "", index));
+			auto seen = answered.find(team + id);
+			if (seen != answered.end()) {
+				EXPECT_TRUE(r.repeated);
+				EXPECT_EQ(r.verdict, seen->second.verdict);
+				EXPECT_EQ(r.revision, seen->second.revision);
+				EXPECT_EQ(r.index, seen->second.index);
+			} else {
+				EXPECT_EQ(r.verdict,
+				    base == revision[team] ? DOC_ACCEPTED
+							   : DOC_CONFLICT);
+				if (r.verdict == DOC_ACCEPTED)
+					revision[team]++;
+				EXPECT_EQ(r.revision, revision[team]);
+				answered[team + id] = r;
+			}
+			if (rng_below(&rng, 40) == 0)
+				b = reborn(b);
+		}
+		doc_book_destroy(b);
+	}
+}
+
+TEST(doc_book, corrupt_saves_leave_the_book_empty)
+{
+	struct doc_book *b = doc_book_create();
+	struct mp_error err = {};
+
+	put(b, 1, "t", 0, "a", text_of("t", "", 1));
+	std::string bytes = save(b);
+	for (size_t i = 0; i < bytes.size(); i++) {
+		std::string bad = bytes;
+		bad[i] ^= 0x20;
+		EXPECT_EQ(doc_book_restore(b, bad.data(), bad.size(), &err),
+		    MP_ERR_CORRUPT);
+		EXPECT_EQ(err.layer, MP_LAYER_DOC);
+		EXPECT_EQ(doc_book_count(b), 0u);
+		EXPECT_EQ(doc_book_restore(b, bytes.data(), i, nullptr),
+		    MP_ERR_CORRUPT);
+	}
+	EXPECT_EQ(
+	    doc_book_restore(b, bytes.data(), bytes.size(), nullptr), MP_OK);
+	EXPECT_EQ(doc_book_count(b), 1u);
+	doc_book_destroy(b);
+}
