Read and check settings

Cause: an instance must refuse faulty settings whole, before it starts. Weighed: hand-written reading of each key against tables of fields walked by one reader; the tables keep key, range and allowed text in one place, so that the problem shown cannot drift from the check. Checks across fields stand apart and pass over what already failed, so a fault is shown once.

--- /dev/null
+++ b/src/conf/settings.c
@@ -0,0 +1,340 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf/consistency.h"
+#include "conf/fields.h"
+#include "conf/text_check.h"
+#include "util/buf.h"
+#include "util/mem.h"
+
+#define NAME_ALLOWED	"1 to 64 letters, digits, '-', '_' or '.'"
+#define ADDRESS_ALLOWED "\"ip:port\" with a port from 1 to 65535"
+#define KEY_ALLOWED	"a CURVE key: 40 characters of Z85"
+#define HASH_ALLOWED	"SHA-256 as 64 hexadecimal digits in lower case"
+#define FILE_ALLOWED	"a file name"
+#define ID_ALLOWED	"a whole number from 1 to 65535"
+#define ID_MAX		65535
+#define READ_CHUNK	65536
+
+static const char *const objectives[] = {"load-stall", "batch", NULL};
+static const char *const charges[] = {"tokens", "requests", NULL};
+static const char *const policies[] = {
+    "fair", "fifo", "least-loaded", "round-robin", NULL};
+static const char *const log_levels[] = {
+    "debug", "info", "warn", "error", NULL};
+static const char *const log_formats[] = {"text", "json", NULL};
+
+#define TEXT(k, m, need, fn, what)                                             \
+	{                                                                      \
+		.key = (k), .type = FIELD_TEXT, .required = (need),            \
+		.offset = offsetof(struct settings, m), .check = (fn),         \
+		.allowed = (what)                                              \
+	}
+#define NUMBER(k, m, lo, hi, otherwise)                                        \
+	{                                                                      \
+		.key = (k), .type = FIELD_NUMBER,                              \
+		.offset = offsetof(struct settings, m), .min = (lo),           \
+		.max = (hi), .fallback = (otherwise),                          \
+		.allowed = "a whole number from " #lo " to " #hi               \
+	}
+#define CHOICE(k, m, kind, list, otherwise, what)                              \
+	{                                                                      \
+		.key = (k), .type = (kind),                                    \
+		.offset = offsetof(struct settings, m), .choices = (list),     \
+		.fallback_text = (otherwise), .allowed = (what)                \
+	}
+#define OBJECT(k, need, table)                                                 \
+	{                                                                      \
+		.key = (k), .type = FIELD_OBJECT, .required = (need),          \
+		.fields = (table), .allowed = "an object"                      \
+	}
+
+static const struct field instance_fields[] = {
+    {.key = "id",
+	.type = FIELD_NUMBER,
+	.required = true,
+	.offset = offsetof(struct settings, id),
+	.min = 1,
+	.max = ID_MAX,
+	.allowed = ID_ALLOWED},
+    TEXT("name", name, true, text_check_name, NAME_ALLOWED),
+    TEXT("dataCentre", data_centre, true, text_check_name, NAME_ALLOWED),
+    TEXT("region", region, true, text_check_name, NAME_ALLOWED),
+    {.key = NULL},
+};
+
+static const struct field tls_fields[] = {
+    TEXT("certificate", tls_certificate, false, text_check_file, FILE_ALLOWED),
+    TEXT("key", tls_key, false, text_check_file, FILE_ALLOWED),
+    {.key = NULL},
+};
+
+static const struct field limits_fields[] = {
+    NUMBER("bodyBytes", body_limit_bytes, 1024, 67108864, 1048576),
+    NUMBER("headerBytes", header_limit_bytes, 1024, 1048576, 16384),
+    NUMBER("connections", connection_limit, 1, 100000, 2000),
+    NUMBER("idleMs", idle_timeout_ms, 100, 3600000, 30000),
+    {.key = NULL},
+};
+
+static const struct field http_fields[] = {
+    TEXT("listen", http_listen, true, text_check_address, ADDRESS_ALLOWED),
+    TEXT("advertise", http_advertise, false, text_check_address,
+	ADDRESS_ALLOWED),
+    OBJECT("tls", false, tls_fields),
+    OBJECT("limits", false, limits_fields),
+    {.key = NULL},
+};
+
+static const struct field bus_fields[] = {
+    TEXT("listen", bus_listen, true, text_check_address, ADDRESS_ALLOWED),
+    TEXT(
+	"advertise", bus_advertise, false, text_check_address, ADDRESS_ALLOWED),
+    TEXT("publicKey", public_key, false, text_check_z85, KEY_ALLOWED),
+    {.key = "secretKey",
+	.type = FIELD_TEXT,
+	.secret = true,
+	.offset = offsetof(struct settings, secret_key),
+	.check = text_check_z85,
+	.allowed = KEY_ALLOWED},
+    {.key = NULL},
+};
+
+static const struct field peer_fields[] = {
+    {.key = "id",
+	.type = FIELD_NUMBER,
+	.required = true,
+	.offset = offsetof(struct settings_peer, id),
+	.min = 1,
+	.max = ID_MAX,
+	.allowed = ID_ALLOWED},
+    {.key = "bus",
+	.type = FIELD_TEXT,
+	.required = true,
+	.offset = offsetof(struct settings_peer, bus),
+	.check = text_check_address,
+	.allowed = ADDRESS_ALLOWED},
+    {.key = "publicKey",
+	.type = FIELD_TEXT,
+	.offset = offsetof(struct settings_peer, public_key),
+	.check = text_check_z85,
+	.allowed = KEY_ALLOWED},
+    {.key = "voter",
+	.type = FIELD_BOOL,
+	.offset = offsetof(struct settings_peer, voter),
+	.allowed = "true or false"},
+    {.key = NULL},
+};
+
+static const struct field operator_fields[] = {
+    {.key = "name",
+	.type = FIELD_TEXT,
+	.required = true,
+	.offset = offsetof(struct settings_operator, name),
+	.check = text_check_name,
+	.allowed = NAME_ALLOWED},
+    {.key = "tokenHash",
+	.type = FIELD_TEXT,
+	.required = true,
+	.secret = true,
+	.offset = offsetof(struct settings_operator, token_hash),
+	.check = text_check_hash,
+	.allowed = HASH_ALLOWED},
+    {.key = "teams",
+	.type = FIELD_TEXTS,
+	.required = true,
+	.min = 1,
+	.offset = offsetof(struct settings_operator, teams),
+	.count_offset = offsetof(struct settings_operator, nteams),
+	.check = text_check_team,
+	.allowed = "team names, or \"*\" for all"},
+    {.key = NULL},
+};
+
+static const struct field endpoints_fields[] = {
+    {.key = "tokenHash",
+	.type = FIELD_TEXT,
+	.secret = true,
+	.offset = offsetof(struct settings, endpoint_token_hash),
+	.check = text_check_hash,
+	.allowed = HASH_ALLOWED},
+    {.key = NULL},
+};
+
+static const struct field scheduling_fields[] = {
+    CHOICE("objective", objective, FIELD_CHOICE, objectives, NULL,
+	"\"load-stall\" or \"batch\""),
+    CHOICE("charge", charge, FIELD_CHOICE, charges, NULL,
+	"\"tokens\" or \"requests\""),
+    CHOICE("policy", policy, FIELD_CHOICE_TEXT, policies, "fair",
+	"\"fair\", \"fifo\", \"least-loaded\" or \"round-robin\""),
+    NUMBER("loadMs", load_ms, 1, 600000, 250),
+    {.key = NULL},
+};
+
+static const struct field store_fields[] = {
+    {.key = "loadsPerSecond",
+	.type = FIELD_MILLI,
+	.offset = offsetof(struct settings, store_loads_per_second_milli),
+	.min = 0.001,
+	.max = 100000,
+	.fallback = 5,
+	.allowed = "a number from 0.001 to 100000"},
+    NUMBER("inFlight", store_in_flight, 1, 1000, 8),
+    {.key = NULL},
+};
+
+static const struct field log_fields[] = {
+    CHOICE("level", log_level, FIELD_CHOICE_TEXT, log_levels, "info",
+	"\"debug\", \"info\", \"warn\" or \"error\""),
+    CHOICE("format", log_format, FIELD_CHOICE_TEXT, log_formats, "text",
+	"\"text\" or \"json\""),
+    {.key = NULL},
+};
+
+static const struct field settings_fields[] = {
+    TEXT("cluster", cluster, true, text_check_name, NAME_ALLOWED),
+    OBJECT("instance", true, instance_fields),
+    OBJECT("http", true, http_fields),
+    OBJECT("bus", true, bus_fields),
+    TEXT("dataFolder", data_folder, false, text_check_file, FILE_ALLOWED),
+    {.key = "peers",
+	.type = FIELD_ARRAY,
+	.required = true,
+	.min = 1,
+	.offset = offsetof(struct settings, peers),
+	.count_offset = offsetof(struct settings, npeers),
+	.fields = peer_fields,
+	.item_size = sizeof(struct settings_peer),
+	.allowed = "at least one instance, this one included"},
+    {.key = "operators",
+	.type = FIELD_ARRAY,
+	.offset = offsetof(struct settings, operators),
+	.count_offset = offsetof(struct settings, noperators),
+	.fields = operator_fields,
+	.item_size = sizeof(struct settings_operator),
+	.allowed = "an array of operators"},
+    OBJECT("endpoints", false, endpoints_fields),
+    OBJECT("scheduling", false, scheduling_fields),
+    OBJECT("store", false, store_fields),
+    NUMBER("addressLifetimeMs", address_lifetime_ms, 1000, 3600000, 10000),
+    NUMBER("requestTimeoutMs", request_timeout_ms, 100, 3600000, 30000),
+    OBJECT("log", false, log_fields),
+    {.key = NULL},
+};
+
+static json_t *
+load_json(const char *text, size_t len, struct settings_problems *problems)
+{
+	struct buf found = {0};
+	json_error_t error;
+	json_t *root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+
+	if (root != NULL)
+		return root;
+	buf_printf(&found, "line %d, column %d: %s", error.line, error.column,
+	    error.text);
+	settings_problems_add(problems, "$", found.data, "well-formed JSON");
+	buf_free(&found);
+	return NULL;
+}
+
+static void
+fill_advertised(struct settings *s)
+{
+	if (s->http_advertise == NULL && s->http_listen != NULL)
+		s->http_advertise = mem_string(s->http_listen);
+	if (s->bus_advertise == NULL && s->bus_listen != NULL)
+		s->bus_advertise = mem_string(s->bus_listen);
+}
+
+int
+settings_parse(struct settings **out, const char *text, size_t len,
+    struct settings_problems *problems, struct mp_error *err)
+{
+	size_t before = problems->count;
+	struct settings *s = mem_alloc(1, sizeof(*s));
+	json_t *root = load_json(text, len, problems);
+
+	if (root != NULL) {
+		fields_read(s, settings_fields, root, "$", problems);
+		fill_advertised(s);
+		consistency_check(s, problems);
+		json_decref(root);
+	}
+	*out = s;
+	if (problems->count == before)
+		return MP_OK;
+	*out = NULL;
+	settings_destroy(s);
+	return mp_error_set(err, MP_LAYER_CONF, MP_ERR_INVALID,
+	    "%zu faults in the settings", problems->count - before);
+}
+
+static int
+read_file(struct buf *out, const char *file, struct mp_error *err)
+{
+	char chunk[READ_CHUNK];
+	FILE *stream = fopen(file, "re");
+	int code = MP_OK;
+	size_t n;
+
+	if (stream == NULL)
+		return mp_error_set(err, MP_LAYER_CONF, MP_ERR_IO,
+		    "cannot open %s: %s", file, strerror(errno));
+	while ((n = fread(chunk, 1, sizeof(chunk), stream)) > 0)
+		buf_append(out, chunk, n);
+	if (ferror(stream))
+		code = mp_error_set(err, MP_LAYER_CONF, MP_ERR_IO,
+		    "cannot read %s: %s", file, strerror(errno));
+	(void)fclose(stream);
+	return code;
+}
+
+/* Make a relative file name relative to the settings file's folder. */
+static void
+resolve_path(char **path, const char *settings_file)
+{
+	const char *slash = strrchr(settings_file, '/');
+	struct buf joined = {0};
+
+	if (*path == NULL || (*path)[0] == '/' || slash == NULL)
+		return;
+	buf_append(&joined, settings_file, (size_t)(slash - settings_file) + 1);
+	buf_puts(&joined, *path);
+	free(*path);
+	*path = joined.data;
+}
+
+int
+settings_load(struct settings **out, const char *file,
+    struct settings_problems *problems, struct mp_error *err)
+{
+	struct buf text = {0};
+	int code = read_file(&text, file, err);
+
+	*out = NULL;
+	if (code != MP_OK)
+		goto cleanup;
+	code = settings_parse(
+	    out, text.data == NULL ? "" : text.data, text.len, problems, err);
+	if (code != MP_OK)
+		goto cleanup;
+	resolve_path(&(*out)->data_folder, file);
+	resolve_path(&(*out)->tls_certificate, file);
+	resolve_path(&(*out)->tls_key, file);
+cleanup:
+	buf_free(&text);
+	return code;
+}
+
+void
+settings_destroy(struct settings *s)
+{
+	if (s == NULL)
+		return;
+	fields_free(s, settings_fields);
+	free(s);
+}
