Carry messages between instances over ZeroMQ

Cause: instances need each other's messages, or none, but never late ones; and the receiver must know who sent them. Weighed: the sender's id inside the message or as routing id (anyone may write it) against the id that belongs to the CURVE key. With keys the id comes from the ZAP handler alone; the routing id serves only without keys. Absent peers: queues of ZeroMQ against immediate mode; the latter drops and counts. A silent connection is noticed by heartbeats. Seen failing on a scratch copy: with heartbeats off the silent connection test fails; with immediate mode off the absent peer test fails.

--- /dev/null
+++ b/src/bus/bus.c
@@ -0,0 +1,444 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "bus/bus.h"
+#include "bus/watch.h"
+#include "bus/zap.h"
+#include "util/map.h"
+#include "util/mem.h"
+
+#define ENDPOINT_BYTES_MAX     128
+#define Z85_TEXT_BYTES	       41
+#define ROUTING_ID_BYTES       4
+#define ROUTING_ID_MARK	       0x80000000u /* ids must not begin with zero */
+#define INSTANCE_ID_MAX	       65535u
+#define MESSAGE_BYTES_MAX      (64 * 1024 * 1024)
+#define SEND_QUEUE_MESSAGES    256
+#define RECEIVE_QUEUE_MESSAGES 1024
+#define HEARTBEAT_MS	       500
+#define HEARTBEAT_TIMEOUT_MS   1500
+#define HANDSHAKE_MS	       2000
+#define CONNECT_TIMEOUT_MS     1000
+#define RECONNECT_MS	       100
+#define RECONNECT_MAX_MS       800
+#define TCP_USER_TIMEOUT_MS    3000
+#define IDLE_CHECK_MS	       10000
+#define IDLE_PEER_MS	       60000
+#define ZAP_DOMAIN	       "mulberrypath"
+
+/* The connection to one peer. */
+struct peer {
+	uint32_t id;
+	char *address;
+	void *socket;
+	uint64_t used_ms; /* loop time of the last send */
+};
+
+struct bus {
+	uv_loop_t *loop;
+	const struct settings *settings;
+	bus_message_cb cb;
+	void *ctx;
+	void *context;
+	void *router;
+	struct watch watch;
+	struct zap *zap; /* NULL without keys */
+	uv_timer_t idle_timer;
+	struct map *peers; /* instance id to struct peer */
+	struct bus_counters counters;
+	unsigned int closing; /* parts that are still open */
+	bool destroyed;
+	void (*done)(void *ctx);
+	void *done_ctx;
+};
+
+static int
+set_int(void *socket, int option, int value)
+{
+	return zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static int
+set_common_options(void *socket)
+{
+	int64_t max = MESSAGE_BYTES_MAX;
+	int bad = 0;
+
+	bad |= set_int(socket, ZMQ_LINGER, 0);
+	bad |= set_int(socket, ZMQ_IPV6, 1);
+	bad |= set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
+	bad |= set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
+	bad |= set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	bad |= set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	bad |= set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+	bad |= set_int(socket, ZMQ_TCP_MAXRT, TCP_USER_TIMEOUT_MS);
+	bad |= zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+	return bad;
+}
+
+static int
+set_own_keys(void *socket, const struct settings *settings)
+{
+	int bad = 0;
+
+	bad |= zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, settings->public_key,
+	    strlen(settings->public_key));
+	bad |= zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, settings->secret_key,
+	    strlen(settings->secret_key));
+	return bad;
+}
+
+/* ---- receiving --------------------------------------------------------- */
+
+/* The id that belongs to the sender's key, or that the sender named. */
+static uint32_t
+sender_id(const struct bus *b, zmq_msg_t *routing, zmq_msg_t *payload)
+{
+	const char *user;
+	uint32_t id = 0;
+
+	if (b->zap != NULL) {
+		user = zmq_msg_gets(payload, "User-Id");
+		return user == NULL ? 0 : (uint32_t)strtoul(user, NULL, 10);
+	}
+	if (zmq_msg_size(routing) != ROUTING_ID_BYTES)
+		return 0;
+	memcpy(&id, zmq_msg_data(routing), sizeof(id));
+	id = ntohl(id) & ~ROUTING_ID_MARK;
+	return id <= INSTANCE_ID_MAX ? id : 0;
+}
+
+static void
+skip_frames(void *socket)
+{
+	zmq_msg_t extra;
+	int more = 1;
+
+	while (more != 0) {
+		(void)zmq_msg_init(&extra);
+		more = zmq_msg_recv(&extra, socket, ZMQ_DONTWAIT) >= 0 &&
+		    zmq_msg_more(&extra);
+		(void)zmq_msg_close(&extra);
+	}
+}
+
+static void
+on_message(void *ctx)
+{
+	struct bus *b = ctx;
+	zmq_msg_t routing, payload;
+	struct node_bytes bytes;
+	uint32_t from;
+
+	(void)zmq_msg_init(&routing);
+	(void)zmq_msg_init(&payload);
+	if (zmq_msg_recv(&routing, b->router, ZMQ_DONTWAIT) < 0 ||
+	    !zmq_msg_more(&routing) ||
+	    zmq_msg_recv(&payload, b->router, ZMQ_DONTWAIT) < 0)
+		goto cleanup;
+	if (zmq_msg_more(&payload)) {
+		skip_frames(b->router);
+		goto cleanup;
+	}
+	from = sender_id(b, &routing, &payload);
+	if (from == 0)
+		goto cleanup;
+	bytes.data = zmq_msg_data(&payload);
+	bytes.len = zmq_msg_size(&payload);
+	b->counters.messages_in++;
+	b->counters.bytes_in += bytes.len;
+	b->cb(b->ctx, from, bytes);
+cleanup:
+	(void)zmq_msg_close(&payload);
+	(void)zmq_msg_close(&routing);
+}
+
+/* ---- sending ----------------------------------------------------------- */
+
+static const char *
+server_key(const struct settings *settings, uint32_t id)
+{
+	size_t i;
+
+	for (i = 0; i < settings->npeers; i++) {
+		if (settings->peers[i].id == id)
+			return settings->peers[i].public_key;
+	}
+	return NULL;
+}
+
+static int
+set_peer_identity(const struct bus *b, void *socket, uint32_t id)
+{
+	uint32_t own = htonl(b->settings->id | ROUTING_ID_MARK);
+	const char *key;
+
+	if (b->zap == NULL)
+		return zmq_setsockopt(
+		    socket, ZMQ_ROUTING_ID, &own, sizeof(own));
+	key = server_key(b->settings, id);
+	if (key == NULL)
+		return -1;
+	if (zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, key, strlen(key)) != 0)
+		return -1;
+	return set_own_keys(socket, b->settings);
+}
+
+/* A connecting socket, or NULL: no such key, malformed address, no memory. */
+static void *
+connect_peer(const struct bus *b, uint32_t id, const char *address)
+{
+	char endpoint[ENDPOINT_BYTES_MAX];
+	void *socket = zmq_socket(b->context, ZMQ_DEALER);
+	int bad = 0;
+
+	if (socket == NULL)
+		return NULL;
+	(void)snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	bad |= set_common_options(socket);
+	bad |= set_int(socket, ZMQ_IMMEDIATE, 1);
+	bad |= set_int(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+	bad |= set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	bad |= set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	bad |= set_peer_identity(b, socket, id);
+	if (bad == 0 && zmq_connect(socket, endpoint) == 0)
+		return socket;
+	(void)zmq_close(socket);
+	return NULL;
+}
+
+static void
+peer_destroy(struct peer *p)
+{
+	if (p->socket != NULL)
+		(void)zmq_close(p->socket);
+	free(p->address);
+	free(p);
+}
+
+/* The peer connected to an address, connecting as needed; NULL: cannot. */
+static struct peer *
+get_peer(struct bus *b, uint32_t id, const char *address)
+{
+	struct peer *p = map_get_u64(b->peers, id);
+
+	if (p != NULL && strcmp(p->address, address) == 0)
+		return p;
+	if (p != NULL) {
+		map_remove_u64(b->peers, id);
+		peer_destroy(p);
+	}
+	p = mem_alloc(1, sizeof(*p));
+	p->id = id;
+	p->address = mem_string(address);
+	p->socket = connect_peer(b, id, address);
+	p->used_ms = uv_now(b->loop);
+	if (p->socket == NULL) {
+		peer_destroy(p);
+		return NULL;
+	}
+	map_set_u64(b->peers, id, p);
+	return p;
+}
+
+void
+bus_send(struct bus *b, const struct node_send *send)
+{
+	struct peer *p = NULL;
+
+	if (!b->destroyed && send->bytes.len <= MESSAGE_BYTES_MAX &&
+	    send->address != NULL)
+		p = get_peer(b, send->to, send->address);
+	if (p == NULL) {
+		b->counters.dropped++;
+		return;
+	}
+	p->used_ms = uv_now(b->loop);
+	if (zmq_send(p->socket, send->bytes.data, send->bytes.len,
+		ZMQ_DONTWAIT) < 0) {
+		b->counters.dropped++;
+		return;
+	}
+	b->counters.messages_out++;
+	b->counters.bytes_out += send->bytes.len;
+}
+
+/* Connections to instances that have left are closed. */
+static void
+on_idle_check(uv_timer_t *timer)
+{
+	struct bus *b = timer->data;
+	size_t i = 0;
+
+	while (i < map_count(b->peers)) {
+		struct peer *p = map_at(b->peers, i);
+
+		if (uv_now(b->loop) - p->used_ms < IDLE_PEER_MS) {
+			i++;
+			continue;
+		}
+		map_remove_u64(b->peers, p->id);
+		peer_destroy(p);
+	}
+}
+
+/* ---- life -------------------------------------------------------------- */
+
+static int
+check_keys(const struct settings *settings, struct mp_error *err)
+{
+	char derived[Z85_TEXT_BYTES];
+
+	if (settings->secret_key == NULL ||
+	    zmq_curve_public(derived, settings->secret_key) != 0 ||
+	    strcmp(derived, settings->public_key) != 0)
+		return mp_error_set(err, MP_LAYER_BUS, MP_ERR_INVALID,
+		    "the secret key does not belong to the public key");
+	return MP_OK;
+}
+
+static int
+open_router(struct bus *b, struct mp_error *err)
+{
+	char endpoint[ENDPOINT_BYTES_MAX];
+	int bad = 0;
+
+	b->router = zmq_socket(b->context, ZMQ_ROUTER);
+	if (b->router == NULL)
+		return mp_error_set(err, MP_LAYER_BUS, MP_ERR_IO,
+		    "cannot make a socket: %s", zmq_strerror(zmq_errno()));
+	(void)snprintf(
+	    endpoint, sizeof(endpoint), "tcp://%s", b->settings->bus_listen);
+	bad |= set_common_options(b->router);
+	/* A restarted peer takes over from its old connection. */
+	bad |= set_int(b->router, ZMQ_ROUTER_HANDOVER, 1);
+	if (b->zap != NULL) {
+		bad |= set_int(b->router, ZMQ_CURVE_SERVER, 1);
+		bad |= zmq_setsockopt(
+		    b->router, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen(ZAP_DOMAIN));
+		bad |= set_own_keys(b->router, b->settings);
+	}
+	if (bad != 0 || zmq_bind(b->router, endpoint) != 0)
+		return mp_error_set(err, MP_LAYER_BUS, MP_ERR_IO,
+		    "cannot listen on %s: %s", b->settings->bus_listen,
+		    zmq_strerror(zmq_errno()));
+	return watch_start(&b->watch, b->loop, b->router, on_message, b, err);
+}
+
+/* Connect early: a first message would find no connection and be lost. */
+static void
+connect_listed_peers(struct bus *b)
+{
+	size_t i;
+
+	for (i = 0; i < b->settings->npeers; i++) {
+		const struct settings_peer *p = &b->settings->peers[i];
+
+		if (p->id != b->settings->id)
+			(void)get_peer(b, p->id, p->bus);
+	}
+}
+
+static void
+free_failed(void *ctx)
+{
+	(void)ctx;
+}
+
+int
+bus_create(struct bus **out, uv_loop_t *loop, const struct settings *settings,
+    bus_message_cb cb, void *ctx, struct mp_error *err)
+{
+	struct bus *b = mem_alloc(1, sizeof(*b));
+	int code = MP_OK;
+
+	*out = NULL;
+	b->loop = loop;
+	b->settings = settings;
+	b->cb = cb;
+	b->ctx = ctx;
+	b->peers = map_create();
+	b->context = zmq_ctx_new();
+	(void)uv_timer_init(loop, &b->idle_timer);
+	b->idle_timer.data = b;
+	(void)uv_timer_start(
+	    &b->idle_timer, on_idle_check, IDLE_CHECK_MS, IDLE_CHECK_MS);
+	if (settings->public_key != NULL) {
+		code = check_keys(settings, err);
+		if (code == MP_OK)
+			code = zap_create(
+			    &b->zap, loop, b->context, settings, err);
+	}
+	if (code == MP_OK)
+		code = open_router(b, err);
+	if (code != MP_OK) {
+		bus_destroy(b, free_failed, NULL);
+		return code;
+	}
+	connect_listed_peers(b);
+	*out = b;
+	return MP_OK;
+}
+
+static void
+on_part_closed(void *ctx)
+{
+	struct bus *b = ctx;
+
+	if (--b->closing > 0)
+		return;
+	if (b->router != NULL)
+		(void)zmq_close(b->router);
+	(void)zmq_ctx_term(b->context);
+	map_destroy(b->peers);
+	b->done(b->done_ctx);
+	free(b);
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	on_part_closed(handle->data);
+}
+
+void
+bus_destroy(struct bus *b, void (*done)(void *ctx), void *ctx)
+{
+	b->done = done;
+	b->done_ctx = ctx;
+	b->destroyed = true;
+	b->closing = 3;
+	while (map_count(b->peers) > 0) {
+		struct peer *p = map_at(b->peers, 0);
+
+		map_remove_u64(b->peers, p->id);
+		peer_destroy(p);
+	}
+	watch_close(&b->watch, on_part_closed, b);
+	zap_destroy(b->zap, on_part_closed, b);
+	uv_close((uv_handle_t *)&b->idle_timer, on_timer_closed);
+}
+
+int
+bus_get_port(const struct bus *b)
+{
+	char endpoint[ENDPOINT_BYTES_MAX];
+	size_t size = sizeof(endpoint);
+	const char *colon;
+
+	if (zmq_getsockopt(b->router, ZMQ_LAST_ENDPOINT, endpoint, &size) != 0)
+		return 0;
+	colon = strrchr(endpoint, ':');
+	return colon == NULL ? 0 : (int)strtol(colon + 1, NULL, 10);
+}
+
+void
+bus_get_counters(const struct bus *b, struct bus_counters *out)
+{
+	*out = b->counters;
+	if (b->zap != NULL)
+		out->refused = zap_get_refused(b->zap);
+}
--- a/src/bus/bus.h
+++ b/src/bus/bus.h
@@ -30,6 +30,9 @@
     const struct settings *settings, bus_message_cb cb, void *ctx,
     struct mp_error *err);
 
+/* The bound port, also when the settings ask the kernel for one. */
+int bus_get_port(const struct bus *b);
+
 /* Close the sockets; done is called on the loop when all handles are shut. */
 void bus_destroy(struct bus *b, void (*done)(void *ctx), void *ctx);
 
@@ -40,6 +43,7 @@
 	uint64_t messages_in, bytes_in;
 	uint64_t messages_out, bytes_out;
 	uint64_t dropped; /* not handed over: peer absent or queue full */
+	uint64_t refused; /* connections refused for an unknown key */
 };
 void bus_get_counters(const struct bus *b, struct bus_counters *out);
 
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -320,7 +320,7 @@
 		goto cleanup;
 	code = settings_parse(
 	    out, text.data == NULL ? "" : text.data, text.len, problems, err);
-	if (code != MP_OK)
+	if (*out == NULL)
 		goto cleanup;
 	resolve_path(&(*out)->data_folder, file);
 	resolve_path(&(*out)->tls_certificate, file);
--- /dev/null
+++ b/tests/bus/bus_test.cc
@@ -0,0 +1,424 @@
+#include <gtest/gtest.h>
+#include <zmq.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bus/bus.h"
+#include "bus/forwarder.h"
+#include "util/mem.h"
+
+static const uint64_t deadline_ms = 10000;
+
+struct Keys {
+	char open[41], secret[41];
+
+	Keys()
+	{
+		EXPECT_EQ(zmq_curve_keypair(open, secret), 0);
+	}
+};
+
+/* Runs a loop until something holds; false after the deadline. */
+static bool
+run_until(uv_loop_t *loop, const std::function<void()> &step,
+    const std::function<bool()> &holds, uint64_t limit_ms = deadline_ms)
+{
+	uint64_t end = uv_hrtime() / 1000000 + limit_ms;
+	uv_timer_t beat;
+	bool ok;
+
+	uv_timer_init(loop, &beat);
+	uv_timer_start(
+	    &beat, [](uv_timer_t *) {}, 5, 5);
+	while (!(ok = holds()) && uv_hrtime() / 1000000 < end) {
+		step();
+		uv_run(loop, UV_RUN_ONCE);
+	}
+	uv_close((uv_handle_t *)&beat, nullptr);
+	uv_run(loop, UV_RUN_NOWAIT);
+	return ok;
+}
+
+/* One instance: its settings, its bus and what has come in. */
+struct Instance {
+	struct Message {
+		uint32_t from;
+		std::string text;
+	};
+
+	uv_loop_t *loop;
+	struct settings s = {};
+	std::vector<struct settings_peer> peers;
+	std::string listen;
+	struct bus *bus = nullptr;
+	struct mp_error err = {};
+	std::vector<Message> in;
+	bool closed = false;
+
+	Instance(uv_loop_t *loop, uint32_t id, const Keys *keys = nullptr)
+	    : loop(loop)
+	{
+		s.id = id;
+		if (keys != nullptr) {
+			s.public_key = (char *)keys->open;
+			s.secret_key = (char *)keys->secret;
+		}
+	}
+
+	void
+	list_peer(uint32_t id, const Keys &keys)
+	{
+		peers.push_back(
+		    {id, (char *)"127.0.0.1:1", (char *)keys.open, false});
+	}
+
+	int
+	start(int port = 0)
+	{
+		listen = "127.0.0.1:" + std::to_string(port);
+		s.bus_listen = (char *)listen.c_str();
+		s.peers = peers.data();
+		s.npeers = peers.size();
+		closed = false;
+		return bus_create(
+		    &bus, loop, &s,
+		    [](void *ctx, uint32_t from, struct node_bytes b) {
+			    ((Instance *)ctx)
+				->in.push_back(
+				    {from, std::string(b.data, b.len)});
+		    },
+		    this, &err);
+	}
+
+	void
+	send(uint32_t to, int port, const std::string &text)
+	{
+		std::string address = "127.0.0.1:" + std::to_string(port);
+		struct node_send m = {
+		    to, address.c_str(), {text.data(), text.size()}};
+
+		bus_send(bus, &m);
+	}
+
+	void
+	stop()
+	{
+		if (bus == nullptr)
+			return;
+		bus_destroy(
+		    bus, [](void *ctx) { ((Instance *)ctx)->closed = true; },
+		    this);
+		bus = nullptr;
+		EXPECT_TRUE(run_until(
+		    loop, [] {}, [this] { return closed; }));
+	}
+
+	int
+	port()
+	{
+		return bus_get_port(bus);
+	}
+
+	struct bus_counters
+	counters()
+	{
+		struct bus_counters c;
+
+		bus_get_counters(bus, &c);
+		return c;
+	}
+};
+
+class BusTest : public ::testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		uv_loop_init(&loop);
+	}
+
+	void
+	TearDown() override
+	{
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+	}
+
+	/* Send again and again until one arrives. */
+	bool
+	arrives(Instance &a, Instance &b, int port, const std::string &text,
+	    uint64_t limit_ms = deadline_ms)
+	{
+		size_t before = b.in.size();
+
+		return run_until(
+		    &loop, [&] { a.send(b.s.id, port, text); },
+		    [&] { return b.in.size() > before; }, limit_ms);
+	}
+
+	uv_loop_t loop;
+};
+
+TEST_F(BusTest, messages_pass_both_ways_with_the_senders_id)
+{
+	/* 256 and 65535: ids whose bytes hold zeros and ones only */
+	Instance a(&loop, 256), b(&loop, 65535);
+
+	ASSERT_EQ(a.start(), MP_OK) << a.err.message;
+	ASSERT_EQ(b.start(), MP_OK) << b.err.message;
+	EXPECT_TRUE(arrives(a, b, b.port(), "hello"));
+	EXPECT_TRUE(arrives(b, a, a.port(), "world"));
+	EXPECT_EQ(b.in[0].from, 256u);
+	EXPECT_EQ(b.in[0].text, "hello");
+	EXPECT_EQ(a.in[0].from, 65535u);
+	EXPECT_GE(a.counters().messages_out, 1u);
+	EXPECT_GE(b.counters().bytes_in, 5u);
+	a.stop();
+	b.stop();
+}
+
+TEST_F(BusTest, an_address_in_use_is_an_error)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+
+	ASSERT_EQ(a.start(), MP_OK);
+	EXPECT_EQ(b.start(a.port()), MP_ERR_IO);
+	EXPECT_EQ(b.err.layer, MP_LAYER_BUS);
+	a.stop();
+}
+
+TEST_F(BusTest, an_absent_peer_gets_nothing_late)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	int port;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	port = b.port();
+	b.stop();
+	for (int i = 0; i < 1000; i++)
+		a.send(2, port, "stale");
+	EXPECT_EQ(a.counters().dropped, 1000u);
+	ASSERT_EQ(b.start(port), MP_OK) << b.err.message;
+	EXPECT_TRUE(arrives(a, b, port, "fresh"));
+	EXPECT_EQ(b.in[0].text, "fresh");
+	a.stop();
+	b.stop();
+}
+
+TEST_F(BusTest, a_restarted_peer_is_reached_again_soon)
+{
+	Keys ka, kb;
+
+	for (bool keyed : {false, true}) {
+		Instance a(&loop, 1, keyed ? &ka : nullptr);
+		Instance b(&loop, 2, keyed ? &kb : nullptr);
+		int port;
+
+		for (Instance *i : {&a, &b}) {
+			if (!keyed)
+				continue;
+			i->list_peer(1, ka);
+			i->list_peer(2, kb);
+		}
+		ASSERT_EQ(a.start(), MP_OK) << a.err.message;
+		ASSERT_EQ(b.start(), MP_OK) << b.err.message;
+		port = b.port();
+		EXPECT_TRUE(arrives(a, b, port, "1"));
+		EXPECT_TRUE(arrives(b, a, a.port(), "1"));
+		for (int round = 0; round < 3; round++) {
+			b.stop();
+			b.in.clear();
+			ASSERT_EQ(b.start(port), MP_OK) << b.err.message;
+			EXPECT_TRUE(arrives(a, b, port, "2", 3000));
+			EXPECT_TRUE(arrives(b, a, a.port(), "2", 3000));
+		}
+		a.stop();
+		b.stop();
+	}
+}
+
+TEST_F(BusTest, a_connection_gone_silent_is_replaced)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	Forwarder *f;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	f = new Forwarder(&loop, b.port());
+	EXPECT_TRUE(arrives(a, b, f->port, "before"));
+	f->silence();
+	/* "before" may still be on its way; "after" needs a new connection */
+	EXPECT_TRUE(run_until(
+	    &loop, [&] { a.send(2, f->port, "after"); },
+	    [&] { return b.in.back().text == "after"; }, 5000));
+	EXPECT_EQ(f->accepted, 2);
+	a.stop();
+	b.stop();
+	f->close();
+	uv_run(&loop, UV_RUN_DEFAULT);
+	delete f;
+}
+
+TEST_F(BusTest, a_peer_that_never_answers_holds_no_messages)
+{
+	Instance a(&loop, 1);
+	Forwarder *f;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	/* forwards to a port that nobody listens on: accepts, says nothing */
+	f = new Forwarder(&loop, 1);
+	EXPECT_TRUE(run_until(
+	    &loop, [&] { a.send(2, f->port, "x"); },
+	    [&] { return f->accepted >= 2; }));
+	EXPECT_EQ(a.counters().messages_out, 0u);
+	a.stop();
+	f->close();
+	uv_run(&loop, UV_RUN_DEFAULT);
+	delete f;
+}
+
+TEST_F(BusTest, the_key_says_who_sends)
+{
+	Keys ka, kb, stranger;
+	Instance a(&loop, 1, &ka), b(&loop, 2, &kb), c(&loop, 2, &stranger);
+	Instance liar(&loop, 2, &ka);
+
+	for (Instance *i : {&a, &b, &c, &liar}) {
+		i->list_peer(1, ka);
+		i->list_peer(2, kb);
+		ASSERT_EQ(i->start(), MP_OK) << i->err.message;
+	}
+	EXPECT_TRUE(arrives(a, b, b.port(), "hello"));
+	EXPECT_EQ(b.in[0].from, 1u);
+
+	/* Calls itself 2, but holds the key of 1. */
+	b.in.clear();
+	EXPECT_TRUE(run_until(
+	    &loop, [&] { liar.send(2, b.port(), "lie"); },
+	    [&] { return !b.in.empty() && b.in.back().text == "lie"; }));
+	for (auto &m : b.in)
+		EXPECT_EQ(m.from, 1u);
+
+	/* Lists itself as 2 with its own key, which b does not know. */
+	b.in.clear();
+	EXPECT_TRUE(run_until(
+	    &loop, [&] { c.send(2, b.port(), "x"); },
+	    [&] { return b.counters().refused > 0; }));
+	EXPECT_TRUE(b.in.empty());
+	EXPECT_EQ(c.counters().messages_out, 0u);
+	for (Instance *i : {&a, &b, &c, &liar})
+		i->stop();
+}
+
+TEST_F(BusTest, a_sender_without_keys_is_refused)
+{
+	Keys kb;
+	Instance a(&loop, 1), b(&loop, 2, &kb);
+
+	b.list_peer(2, kb);
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK) << b.err.message;
+	EXPECT_FALSE(arrives(a, b, b.port(), "x", 500));
+	EXPECT_EQ(a.counters().messages_out, 0u);
+	a.stop();
+	b.stop();
+}
+
+TEST_F(BusTest, a_server_with_a_wrong_key_gets_nothing)
+{
+	Keys ka, kb, other;
+	Instance a(&loop, 1, &ka), b(&loop, 2, &other);
+
+	for (Instance *i : {&a, &b})
+		i->list_peer(1, ka);
+	a.list_peer(2, kb);
+	b.list_peer(2, other);
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	EXPECT_FALSE(arrives(a, b, b.port(), "x", 500));
+	EXPECT_EQ(a.counters().messages_out, 0u);
+	a.stop();
+	b.stop();
+}
+
+TEST_F(BusTest, keys_that_do_not_belong_together_are_refused)
+{
+	Keys ka, kb, mixed;
+	Instance a(&loop, 1, &mixed);
+
+	memcpy(mixed.open, ka.open, sizeof(mixed.open));
+	a.list_peer(1, ka);
+	EXPECT_EQ(a.start(), MP_ERR_INVALID);
+}
+
+TEST_F(BusTest, a_changed_address_is_followed)
+{
+	Instance a(&loop, 1), b(&loop, 2), moved(&loop, 2);
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	ASSERT_EQ(moved.start(), MP_OK);
+	EXPECT_TRUE(arrives(a, b, b.port(), "1"));
+	EXPECT_TRUE(arrives(a, moved, moved.port(), "2"));
+	EXPECT_EQ(moved.in[0].text, "2");
+	for (Instance *i : {&a, &b, &moved})
+		i->stop();
+}
+
+TEST_F(BusTest, sizes_up_to_the_limit_pass_whole)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	std::string large(64 * 1024 * 1024, 'x');
+	uint64_t dropped;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	EXPECT_TRUE(arrives(a, b, b.port(), "first"));
+	b.in.clear();
+	a.send(2, b.port(), large);
+	EXPECT_TRUE(run_until(
+	    &loop, [] {},
+	    [&] {
+		    return !b.in.empty() &&
+			b.in.back().text.size() == large.size();
+	    }));
+	EXPECT_EQ(b.in.back().text, large);
+	dropped = a.counters().dropped;
+	large.push_back('y');
+	a.send(2, b.port(), large);
+	EXPECT_EQ(a.counters().dropped, dropped + 1);
+	a.stop();
+	b.stop();
+}
+
+TEST_F(BusTest, a_burst_arrives_whole_and_in_order)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	size_t accepted;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	EXPECT_TRUE(arrives(a, b, b.port(), "first"));
+	b.in.clear();
+	accepted = a.counters().messages_out;
+	for (int i = 0; i < 2000; i++)
+		a.send(2, b.port(), std::to_string(i));
+	accepted = a.counters().messages_out - accepted;
+	ASSERT_GT(accepted, 100u);
+	EXPECT_TRUE(run_until(
+	    &loop, [] {}, [&] { return b.in.size() >= accepted; }));
+	for (size_t i = 0, last = 0; i < b.in.size(); i++) {
+		size_t n = strtoul(b.in[i].text.c_str(), nullptr, 10);
+
+		if (b.in[i].text == "first")
+			continue;
+		EXPECT_TRUE(n > last || last == 0);
+		last = n;
+	}
+	a.stop();
+	b.stop();
+}
