http: serve with h2o and call with its HTTP/1 client, on one loop

Weighed for the client: an own HTTP/1.1 client on libuv against h2o's http1client. The latter tells when the connection is there, right before the first write, which is what not_after and NOT_SENT need; connect and silence timeouts are timers of ours. Additions to http.h: http_server_get_header. The head of an answer without bytes leaves with its first bytes: h2o sends no head for an empty piece.

--- /dev/null
+++ b/src/http/client.c
@@ -0,0 +1,164 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/client_internal.h"
+#include "util/mem.h"
+
+#define CLIENT_SWEEP_MS 30000
+
+/* ---- calls ------------------------------------------------------------- */
+
+static void
+call_format(struct call *call, const struct node_call *from)
+{
+	struct buf *b = &call->request;
+	size_t i;
+
+	buf_printf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", from->method,
+	    from->path, from->address);
+	for (i = 0; i < from->nheaders; i++)
+		buf_printf(b, "%s: %s\r\n", from->headers[i].name,
+		    from->headers[i].value);
+	if (from->body.len > 0 || strcmp(from->method, "GET") != 0)
+		buf_printf(b, "Content-Length: %zu\r\n", from->body.len);
+	if (call->fresh)
+		buf_puts(b, "Connection: close\r\n");
+	buf_puts(b, "\r\n");
+	buf_append(b, from->body.data, from->body.len);
+}
+
+static void
+on_start(uv_timer_t *timer)
+{
+	call_begin(timer->data);
+}
+
+void
+http_client_start(struct http_client *c, const struct node_call *from)
+{
+	struct call *call = mem_alloc(1, sizeof(*call));
+
+	call->client = c;
+	call->id = from->call;
+	call->address = mem_string(from->address);
+	call->not_after_us = from->not_after_us;
+	call->silence_us = from->silence_us;
+	call->fresh = from->fresh_connection;
+	call->head_method = strcmp(from->method, "HEAD") == 0;
+	call_format(call, from);
+	(void)uv_timer_init(c->loop, &call->timer);
+	call->timer.data = call;
+	c->open_handles++;
+	(void)map_set_u64(c->calls, call->id, call);
+	(void)uv_timer_start(&call->timer, on_start, 0, 0);
+}
+
+void
+http_client_cancel(struct http_client *c, uint64_t id)
+{
+	struct call *call = map_get_u64(c->calls, id);
+
+	if (call != NULL)
+		call_drop(call);
+}
+
+/* ---- life -------------------------------------------------------------- */
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+	struct http_client *c = timer->data;
+	uint64_t now = uv_now(c->loop);
+	struct pool *p;
+	size_t i = map_count(c->pools);
+
+	while (i-- > 0) {
+		p = map_at(c->pools, i);
+		if (p->calls == 0 && now - p->unused_since_ms > CLIENT_SWEEP_MS)
+			pool_destroy(p);
+	}
+}
+
+int
+http_client_create(struct http_client **out, uv_loop_t *loop, http_call_cb cb,
+    void *ctx, struct mp_error *err)
+{
+	struct http_client *c = mem_alloc(1, sizeof(*c));
+	int rc;
+
+	*out = NULL;
+	(void)signal(SIGPIPE, SIG_IGN);
+	rc = uv_timer_init(loop, &c->sweep);
+	if (rc != 0) {
+		free(c);
+		return mp_error_set(
+		    err, MP_LAYER_HTTP, MP_ERR_IO, "%s", uv_strerror(rc));
+	}
+	c->loop = loop;
+	c->cb = cb;
+	c->ctx = ctx;
+	c->calls = map_create();
+	c->pools = map_create();
+	h2o_timeout_init(loop, &c->no_timeout, UINT32_MAX);
+	c->h2o.loop = loop;
+	c->h2o.io_timeout = &c->no_timeout;
+	c->sweep.data = c;
+	(void)uv_timer_start(
+	    &c->sweep, on_sweep, CLIENT_SWEEP_MS, CLIENT_SWEEP_MS);
+	*out = c;
+	return MP_OK;
+}
+
+static void
+on_client_closed(uv_handle_t *handle)
+{
+	struct http_client *c = handle->data;
+	void (*done)(void *ctx) = c->done;
+	void *done_ctx = c->done_ctx;
+
+	map_destroy(c->calls);
+	map_destroy(c->pools);
+	free(c);
+	if (done != NULL)
+		done(done_ctx);
+}
+
+static void
+on_client_release(uv_timer_t *timer)
+{
+	uv_close((uv_handle_t *)timer, on_client_closed);
+}
+
+void
+client_release(struct http_client *c)
+{
+	if (--c->open_handles > 0 || !c->closing || c->disposed)
+		return;
+	c->disposed = true;
+	h2o_timeout_dispose(c->loop, &c->no_timeout);
+	(void)uv_timer_start(&c->sweep, on_client_release, 0, 0);
+}
+
+/* Runs from the loop, so that no h2o callback is under way. */
+static void
+on_client_shutdown(uv_timer_t *timer)
+{
+	struct http_client *c = timer->data;
+
+	c->closing = true;
+	c->open_handles++;
+	while (map_count(c->calls) > 0)
+		call_drop(map_at(c->calls, 0));
+	while (map_count(c->pools) > 0)
+		pool_destroy(map_at(c->pools, 0));
+	client_release(c);
+}
+
+void
+http_client_destroy(struct http_client *c, void (*done)(void *ctx), void *ctx)
+{
+	c->done = done;
+	c->done_ctx = ctx;
+	(void)uv_timer_start(&c->sweep, on_client_shutdown, 0, 0);
+}
--- /dev/null
+++ b/src/http/connection.c
@@ -0,0 +1,141 @@
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/server_internal.h"
+#include "util/mem.h"
+
+static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\n"
+			      "Connection: close\r\n"
+			      "Retry-After: 1\r\n"
+			      "Mulberrypath-Outcome: not-run\r\n"
+			      "Content-Length: 0\r\n\r\n";
+
+static void
+connection_release(struct connection *c)
+{
+	if (--c->open_handles == 0)
+		free(c);
+}
+
+static void
+on_hangup_closed(uv_handle_t *handle)
+{
+	struct connection *c = handle->data;
+
+	(void)close(c->hangup_fd);
+	connection_release(c);
+}
+
+/* h2o takes the handle's data for itself; the handle is the first member. */
+static void
+on_tcp_closed(uv_handle_t *handle)
+{
+	connection_release((struct connection *)handle);
+}
+
+/* h2o is about to close the socket. */
+static void
+on_socket_close(void *data)
+{
+	struct connection *c = data;
+	struct http_server *s = c->server;
+
+	c->socket = NULL;
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
+	if (c->hangup_fd != -1)
+		uv_close((uv_handle_t *)&c->hangup, on_hangup_closed);
+	s->nconnections--;
+	if (s->phase == SERVER_DRAINING)
+		server_defer(s);
+}
+
+static void
+on_hangup(uv_poll_t *poll, int status, int events)
+{
+	struct connection *c = poll->data;
+
+	if (status == 0 && (events & UV_DISCONNECT) == 0)
+		return;
+	(void)uv_poll_stop(poll);
+	if (c->active != NULL) {
+		server_report_gone(c->server, c->active);
+		exchange_abort(c->active);
+	}
+}
+
+/*
+ * h2o does not read from an HTTP/1 connection while a request runs on it, so
+ * a caller's hang-up would show only at the next write. A second descriptor
+ * of the socket, polled for the disconnect alone, tells it at once.
+ */
+static void
+connection_watch(struct connection *c)
+{
+	int fd;
+
+	c->hangup_fd = -1;
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0 || (fd = dup(fd)) == -1)
+		return;
+	if (uv_poll_init(c->server->loop, &c->hangup, fd) != 0) {
+		(void)close(fd);
+		return;
+	}
+	c->hangup.data = c;
+	c->hangup_fd = fd;
+	c->open_handles++;
+	(void)uv_poll_start(&c->hangup, UV_DISCONNECT, on_hangup);
+}
+
+static void
+connection_refuse(struct connection *c)
+{
+	struct http_server *s = c->server;
+	uv_buf_t b = uv_buf_init((char *)refusal, sizeof(refusal) - 1);
+
+	if (s->accept.ssl_ctx == NULL)
+		(void)uv_try_write((uv_stream_t *)&c->tcp, &b, 1);
+	uv_close((uv_handle_t *)&c->tcp, on_tcp_closed);
+}
+
+void
+connection_accept(struct http_server *s, uv_stream_t *listener)
+{
+	struct connection *c = mem_alloc(1, sizeof(*c));
+
+	c->server = s;
+	c->open_handles = 1;
+	if (uv_tcp_init(s->loop, &c->tcp) != 0) {
+		free(c);
+		return;
+	}
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
+	    s->nconnections >= s->connection_limit) {
+		connection_refuse(c);
+		return;
+	}
+	(void)uv_tcp_nodelay(&c->tcp, 1);
+	connection_watch(c);
+	c->socket = h2o_uv_socket_create((uv_stream_t *)&c->tcp, on_tcp_closed);
+	c->socket->on_close.cb = on_socket_close;
+	c->socket->on_close.data = c;
+	c->next = s->connections;
+	c->link = &s->connections;
+	if (c->next != NULL)
+		c->next->link = &c->next;
+	s->connections = c;
+	s->nconnections++;
+	h2o_accept(&s->accept, c->socket);
+}
+
+void
+connection_close_if_idle(struct connection *c)
+{
+	if (c->active != NULL || c->socket->input->size > 0)
+		return;
+	if (c->hangup_fd != -1)
+		(void)uv_poll_stop(&c->hangup);
+	(void)shutdown(h2o_socket_get_fd(c->socket), SHUT_RD);
+}
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -41,7 +41,17 @@
 /* The bound port. */
 int http_server_get_port(const struct http_server *s);
 
-/* Answer; unknown request ids (gone callers) are ignored. */
+/*
+ * A header of a request that is not yet answered, by its name in lower case;
+ * NULL when there is none. It lives as long as the request.
+ */
+const char *http_server_get_header(
+    const struct http_server *s, uint64_t request, const char *name);
+
+/*
+ * Answer; unknown request ids (gone callers) are ignored. The head of an
+ * answer with more to come leaves together with its first bytes.
+ */
 void http_server_reply(struct http_server *s, const struct node_reply *reply);
 void http_server_send(
     struct http_server *s, uint64_t request, struct node_bytes data);
