--- /dev/null
+++ b/tests/node/cluster.h
@@ -0,0 +1,234 @@
+#ifndef MP_TESTS_NODE_CLUSTER_H
+#define MP_TESTS_NODE_CLUSTER_H
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mulberrypath/node.h"
+#include "util/rng.h"
+
+extern "C" {
+#include "node/node_internal.h"
+}
+
+/*
+ * Several reducers on one virtual clock: messages, calls, disks and callers
+ * are events in one queue, so a seed gives the same run every time.
+ */
+
+class Cluster;
+
+/* What an instance has on disk; unsynced writes are lost by a kill. */
+struct Disk {
+	uint64_t incarnation = 0;
+	bool fresh = true, damaged = false, fails = false;
+	uint64_t term = 0, vote = 0;
+	uint64_t snapshot_index = 0, snapshot_term = 0;
+	std::string snapshot;
+	std::map<uint64_t, std::string> records; /* packed, by index */
+
+	void write(const struct node_save &save);
+};
+
+/* A stand-in for a model engine or a plain service. */
+struct Endpoint {
+	std::string id, address, data_centre;
+	bool service = false;
+	std::string service_name;
+	bool alive = true, silent = false, leaving = false;
+	bool blind = true; /* evicts adapters in use, ignores fences */
+	uint64_t incarnation = 1;
+	uint32_t nslots = 3, seats = 4;
+	uint64_t step_us = 20000, load_us = 250000, lag_us = 300000;
+	int fail_loads = 0; /* the next loads that fail */
+	bool wrong_model = false;
+	uint32_t break_after = 0; /* tokens, 0: never */
+	std::string owner_http;
+
+	struct Run {
+		int instance;
+		uint64_t call;
+		std::string id, key, prompt;
+		uint32_t next, max;
+	};
+	std::map<std::string, bool> slots; /* key -> loading */
+	std::map<uint64_t, Run> runs;	   /* by serial */
+
+	/* what the checkers look at */
+	std::map<std::string, int> ran;	     /* runs begun, by run id */
+	std::map<std::string, int> bookings; /* by idempotency key */
+	std::set<std::string> grantless;
+	uint64_t newest_fence = 0, stale_orders = 0;
+	uint64_t evicted_in_use = 0, loads = 0, evictions = 0;
+	uint64_t first_new_grant_us = 0;
+};
+
+/* A caller's, operator's or endpoint's request, and what came back. */
+struct Request {
+	uint64_t id = 0;
+	int instance = 0;
+	std::string method, path, token, key, body;
+	int status = 0;
+	std::map<std::string, std::string> headers;
+	std::string answer;
+	bool done = false, aborted = false, lost = false, more = false;
+	uint64_t sent_us = 0, done_us = 0;
+	std::string run_id;
+
+	std::string outcome() const
+	{
+		auto it = headers.find("mulberrypath-outcome");
+
+		return it == headers.end() ? "" : it->second;
+	}
+};
+
+struct Instance {
+	uint32_t id = 0;
+	std::string name, address;
+	struct settings settings = {};
+	std::vector<std::string> strings; /* owned by settings */
+	std::vector<struct settings_peer> peers;
+	std::vector<struct settings_operator> operators;
+	struct node *node = nullptr;
+	bool has_disk = false, alive = false, frozen = false, exited = false;
+	Disk disk;
+	uint64_t life = 0; /* counts restarts: old events are dropped */
+	int64_t clock_offset = 0;
+	double drift = 1.0;
+	std::deque<std::function<void()>> held; /* while frozen */
+	std::map<uint64_t, Request *> requests; /* open, by request id */
+};
+
+struct ClusterOptions {
+	int instances = 5, voters = 3, engines = 4, services = 1;
+	uint64_t seed = 1;
+	bool drift = false;
+};
+
+class Cluster {
+public:
+	explicit Cluster(const ClusterOptions &options);
+	~Cluster();
+
+	std::vector<std::unique_ptr<Instance>> instances;
+	std::vector<std::unique_ptr<Endpoint>> endpoints;
+	std::vector<std::unique_ptr<Request>> requests;
+
+	/* ---- time */
+	uint64_t now = 1000000;
+	void run_for(uint64_t us);
+	/* Run until true or the time is over; the condition's last value. */
+	bool run_until(uint64_t us, const std::function<bool()> &condition);
+
+	/* ---- faults */
+	void start(int i);
+	void kill(int i);
+	void lose_disk(int i);
+	void freeze(int i);
+	void wake(int i);
+	void cut(int from, int to, bool on);
+	void isolate(int i, bool on);
+	void heal();
+	double drop = 0, twice = 0;
+	uint64_t delay_max_us = 1000;
+	uint64_t order_delay_us = 0; /* more delay of calls to endpoints */
+	std::set<std::pair<int, std::string>> call_cuts;
+
+	/* ---- work */
+	Request *send(int instance, const std::string &method,
+	    const std::string &path, const std::string &token,
+	    const std::string &body, const std::string &key = "");
+	Request *complete(int instance, const std::string &adapter,
+	    bool stream = false, int max_tokens = 8);
+	Request *book(int instance, const std::string &key);
+	Request *put_document(int instance, const std::string &team,
+	    uint64_t revision, const std::string &change,
+	    const std::string &text);
+	void hang_up(Request *r);
+	bool wait(Request *r, uint64_t us = 15000000);
+	bool wait_ready(uint64_t us = 15000000);
+	/* Ready, the document of team "t1" in force, endpoints known. */
+	bool begin();
+	int leader() const;
+	int owner_of(const std::string &endpoint) const;
+	Endpoint *endpoint(const std::string &id);
+	std::string last_report;
+
+	static std::string document(const std::string &team, int variant = 0);
+	static std::string expected_text(const std::string &key,
+	    const std::string &prompt, uint32_t from, uint32_t to);
+
+	/* ---- checkers: empty, or what is wrong */
+	std::string check();
+	std::string check_answers() const;
+	std::string check_not_run() const;
+	std::string check_bookings() const;
+	std::string check_orders() const;
+	std::string check_evictions() const;
+	std::string check_in_force() const;
+	std::string check_documents() const;
+	std::vector<std::string> violations;
+
+	struct rng rng;
+
+private:
+	struct Timed {
+		uint64_t at, serial;
+		std::function<void()> run;
+		bool operator<(const Timed &other) const
+		{
+			return at != other.at ? at > other.at
+					      : serial > other.serial;
+		}
+	};
+	friend struct Endpoint;
+
+	void at(uint64_t when, std::function<void()> run);
+	void make_settings(Instance &in, const ClusterOptions &options);
+	void on_instance(int i, uint64_t life, std::function<void()> run);
+	void step(int i, const struct node_event &ev);
+	void execute(int i, const struct node_effects *fx);
+	void do_send(int i, const struct node_send &send);
+	void do_reply(int i, const struct node_effect &effect);
+	void do_call(int i, const struct node_call &call);
+	void do_save(int i, const struct node_save &save);
+	void tick(int i, uint64_t life);
+	void announce(Endpoint *e);
+	uint64_t clock_of(const Instance &in) const;
+	uint64_t world_time(const Instance &in, uint64_t local) const;
+
+	void call_event(int i, uint64_t life, uint64_t call,
+	    enum node_call_phase phase, int status = 0,
+	    const std::string &data = "", bool retry_after = false);
+	void answer(int i, uint64_t life, uint64_t call, int status,
+	    const std::string &body, bool retry_after = false);
+	struct Incoming {
+		int instance;
+		uint64_t life, call, fence;
+		std::string path, body, request, key;
+	};
+	void arrive(Endpoint *e, const Incoming &in);
+	void engine_order(Endpoint *e, const Incoming &in);
+	void engine_run(Endpoint *e, const Incoming &in);
+	void engine_step(Endpoint *e, uint64_t incarnation, uint64_t serial);
+	void service_call(Endpoint *e, const Incoming &in);
+	void note_order(Endpoint *e, const Incoming &in);
+
+	std::priority_queue<Timed> queue;
+	uint64_t serial = 0, next_request = 0;
+	std::set<std::pair<int, int>> cuts;
+	struct node_effects *fx;
+	std::set<uint64_t> cancelled; /* instance << 48 | call */
+	std::map<std::string, uint64_t> accepted; /* team -> revision */
+	std::map<std::string, std::map<uint64_t, std::string>> accepted_text;
+};
+
+#endif
--- /dev/null
+++ b/tests/node/cluster_endpoint.cc
@@ -0,0 +1,314 @@
+#include <jansson.h>
+
+#include "node/cluster.h"
+
+static const uint64_t kWireUs = 300;
+static const uint64_t kConnectTimeoutUs = 500000;
+static const uint64_t kAnnounceUs = 1000000;
+
+std::string
+Cluster::expected_text(const std::string &key, const std::string &prompt,
+    uint32_t from, uint32_t to)
+{
+	std::string text;
+
+	for (uint32_t i = from; i < to; i++)
+		text += key + ":" + prompt + ":" + std::to_string(i) + " ";
+	return text;
+}
+
+void
+Cluster::call_event(int i, uint64_t life, uint64_t call,
+    enum node_call_phase phase, int status, const std::string &data,
+    bool retry_after)
+{
+	at(now + kWireUs, [=] {
+		on_instance(i, life, [=] {
+			struct node_event ev = {};
+
+			if (cancelled.count((uint64_t)i << 48 | call))
+				return;
+			ev.type = NODE_EV_CALL;
+			ev.u.call.call = call;
+			ev.u.call.phase = phase;
+			ev.u.call.status = status;
+			ev.u.call.retry_after = retry_after ? "1" : nullptr;
+			ev.u.call.data = {data.data(), data.size()};
+			ev.u.call.reason = "test";
+			step(i, ev);
+		});
+	});
+}
+
+void
+Cluster::answer(int i, uint64_t life, uint64_t call, int status,
+    const std::string &body, bool retry_after)
+{
+	call_event(i, life, call, NODE_CALL_HEAD, status, "", retry_after);
+	call_event(i, life, call, NODE_CALL_DATA, 0, body);
+	call_event(i, life, call, NODE_CALL_END);
+}
+
+void
+Cluster::do_call(int i, const struct node_call &call)
+{
+	Instance &in = *instances[(size_t)i];
+	Incoming incoming = {i, in.life, call.call, 0, call.path,
+	    std::string(call.body.data == nullptr ? "" : call.body.data,
+		call.body.len),
+	    "", ""};
+	Endpoint *target = nullptr;
+	uint64_t silence = call.silence_us;
+
+	for (size_t k = 0; k < call.nheaders; k++) {
+		std::string name = call.headers[k].name;
+
+		if (name == "mulberrypath-fence")
+			incoming.fence =
+			    strtoull(call.headers[k].value, nullptr, 10);
+		else if (name == "mulberrypath-request")
+			incoming.request = call.headers[k].value;
+		else if (name == "idempotency-key")
+			incoming.key = call.headers[k].value;
+	}
+	for (auto &e : endpoints)
+		if (e->address == call.address)
+			target = e.get();
+	if (call.not_after_us < clock_of(in) || target == nullptr ||
+	    !target->alive) {
+		call_event(i, in.life, call.call, NODE_CALL_NOT_SENT);
+		return;
+	}
+	if (call_cuts.count({i, target->id})) {
+		uint64_t life = in.life, id = call.call;
+
+		at(now + kConnectTimeoutUs, [=] {
+			call_event(i, life, id, NODE_CALL_NOT_SENT);
+		});
+		return;
+	}
+	at(now + kWireUs + order_delay_us, [=] {
+		if (!target->alive) {
+			call_event(incoming.instance, incoming.life,
+			    incoming.call, NODE_CALL_BROKEN);
+			return;
+		}
+		if (target->silent) {
+			at(now + silence, [=] {
+				call_event(incoming.instance, incoming.life,
+				    incoming.call, NODE_CALL_BROKEN);
+			});
+			return;
+		}
+		arrive(target, incoming);
+	});
+}
+
+void
+Cluster::arrive(Endpoint *e, const Incoming &in)
+{
+	if (e->service)
+		service_call(e, in);
+	else if (in.path == "/v1/completions")
+		engine_run(e, in);
+	else if (in.path.find("/cancel") != std::string::npos)
+		answer(in.instance, in.life, in.call, 200, "{}");
+	else
+		engine_order(e, in);
+}
+
+void
+Cluster::service_call(Endpoint *e, const Incoming &in)
+{
+	int nth = ++e->bookings[in.key];
+
+	e->ran[in.request]++;
+	at(now + 20000, [=] {
+		answer(in.instance, in.life, in.call, 200,
+		    "{\"ran\": " + std::to_string(nth) + ", \"key\": \"" +
+			in.key + "\"}");
+	});
+}
+
+/* Orders must never come from an owner older than one already heard. */
+void
+Cluster::note_order(Endpoint *e, const Incoming &in)
+{
+	if (in.fence < e->newest_fence)
+		e->stale_orders++;
+	else
+		e->newest_fence = in.fence;
+}
+
+static std::string
+field(const std::string &body, const char *name)
+{
+	json_t *root = json_loadb(body.data(), body.size(), 0, nullptr);
+	const char *value = json_string_value(json_object_get(root, name));
+	std::string out = value == nullptr ? "" : value;
+
+	json_decref(root);
+	return out;
+}
+
+static uint32_t
+number(const std::string &body, const char *name)
+{
+	json_t *root = json_loadb(body.data(), body.size(), 0, nullptr);
+	uint32_t out =
+	    (uint32_t)json_integer_value(json_object_get(root, name));
+
+	json_decref(root);
+	return out;
+}
+
+void
+Cluster::engine_order(Endpoint *e, const Incoming &in)
+{
+	std::string key = field(in.body, "adapter");
+	uint64_t incarnation = e->incarnation;
+
+	note_order(e, in);
+	if (in.path == "/v1/adapters/evict") {
+		for (auto &run : e->runs)
+			if (run.second.key == key)
+				e->evicted_in_use++;
+		e->evictions++;
+		e->slots.erase(key);
+		answer(in.instance, in.life, in.call, 200, "{}");
+		return;
+	}
+	if (in.path != "/v1/adapters/load") {
+		answer(in.instance, in.life, in.call, 200, "{}");
+		return;
+	}
+	if (e->fail_loads > 0 || e->slots.size() >= e->nslots) {
+		e->fail_loads -= e->fail_loads > 0 ? 1 : 0;
+		answer(in.instance, in.life, in.call, 409, "{}");
+		return;
+	}
+	e->loads++;
+	e->slots[key] = true;
+	at(now + e->load_us, [=] {
+		if (!e->alive || e->incarnation != incarnation)
+			return;
+		e->slots[key] = false;
+		answer(in.instance, in.life, in.call, 200, "{}");
+	});
+}
+
+void
+Cluster::engine_run(Endpoint *e, const Incoming &in)
+{
+	std::string key = field(in.body, "model");
+	auto slot = e->slots.find(key);
+	uint64_t run = serial++, incarnation = e->incarnation;
+
+	if (slot == e->slots.end() || slot->second) {
+		answer(in.instance, in.life, in.call, 409, "{}");
+		return;
+	}
+	if (e->runs.size() >= e->seats) {
+		answer(in.instance, in.life, in.call, 503, "{}", true);
+		return;
+	}
+	e->ran[in.request]++;
+	if (e->first_new_grant_us == 0)
+		e->first_new_grant_us = now;
+	e->runs[run] = {in.instance, in.call, in.request, key,
+	    field(in.body, "prompt"), number(in.body, "offset"),
+	    number(in.body, "max_tokens")};
+	call_event(in.instance, in.life, in.call, NODE_CALL_HEAD, 200);
+	uint64_t life = in.life;
+	at(now + e->step_us, [=] {
+		(void)life;
+		engine_step(e, incarnation, run);
+	});
+}
+
+void
+Cluster::engine_step(Endpoint *e, uint64_t incarnation, uint64_t run)
+{
+	auto it = e->runs.find(run);
+
+	if (!e->alive || e->incarnation != incarnation || it == e->runs.end())
+		return;
+	Endpoint::Run &r = it->second;
+	uint64_t life = instances[(size_t)r.instance]->life;
+	bool last = r.next + 1 >= r.max;
+	std::string model = e->wrong_model ? "t1/other@1" : r.key;
+	std::string text =
+	    "data: {\"id\": \"" + r.id + "\", \"model\": \"" + model +
+	    "\", \"offset\": " + std::to_string(r.next) +
+	    ", \"tokens\": 1, \"choices\": [{\"index\": 0, \"text\": \"" +
+	    expected_text(r.key, r.prompt, r.next, r.next + 1) + "\"" +
+	    (last ? ", \"finish_reason\": \"length\"" : "") + "}]}\n\n";
+
+	r.next++;
+	if (e->break_after != 0 && r.next > e->break_after) {
+		call_event(r.instance, life, r.call, NODE_CALL_BROKEN);
+		e->runs.erase(it);
+		return;
+	}
+	if (!e->silent)
+		call_event(r.instance, life, r.call, NODE_CALL_DATA, 0, text);
+	if (last) {
+		if (!e->silent) {
+			call_event(r.instance, life, r.call, NODE_CALL_DATA,
+			    0, "data: [DONE]\n\n");
+			call_event(r.instance, life, r.call, NODE_CALL_END);
+		}
+		e->runs.erase(it);
+		return;
+	}
+	at(now + e->step_us, [=] { engine_step(e, incarnation, run); });
+}
+
+/* Announce to the owner last named, else to any live instance. */
+void
+Cluster::announce(Endpoint *e)
+{
+	std::map<std::string, int> running;
+	std::string body, adapters;
+	size_t i, count = instances.size(), first;
+
+	at(now + kAnnounceUs, [this, e] { announce(e); });
+	if (!e->alive || e->silent)
+		return;
+	for (auto &run : e->runs)
+		running[run.second.key]++;
+	for (auto &slot : e->slots)
+		adapters += (adapters.empty() ? "" : ", ") +
+		    std::string("{\"adapter\": \"") + slot.first +
+		    "\", \"loading\": " + (slot.second ? "true" : "false") +
+		    ", \"running\": " + std::to_string(running[slot.first]) +
+		    "}";
+	body = "{\"id\": \"" + e->id +
+	    "\", \"incarnation\": " + std::to_string(e->incarnation) +
+	    ", \"address\": \"" + e->address +
+	    "\", \"region\": \"r\", \"dataCentre\": \"" + e->data_centre +
+	    "\", \"type\": " +
+	    (e->service
+		    ? "\"service\", \"service\": \"orders\""
+		    : "\"engine\", \"baseModel\": \"base\", \"slots\": " +
+			std::to_string(e->nslots)) +
+	    ", \"seats\": " + std::to_string(e->seats) +
+	    ", \"leaving\": " + (e->leaving ? "true" : "false") +
+	    ", \"load\": {\"running\": " + std::to_string(e->runs.size()) +
+	    ", \"queued\": 0, \"asOfMs\": " + std::to_string(e->lag_us / 1000) +
+	    "}, \"adapters\": [" + adapters + "]}";
+	first = rng_below(&rng, (uint32_t)count);
+	for (i = 0; i < count; i++) {
+		size_t k = (first + i) % count;
+
+		if (!instances[k]->alive || instances[k]->frozen)
+			continue;
+		/* The figures are as old as they say they are. */
+		at(now + e->lag_us, [this, e, k, body] {
+			if (e->alive && !e->silent && instances[k]->alive)
+				(void)send((int)k, "POST",
+				    "/v1/endpoints/announce", "", body);
+		});
+		return;
+	}
+}
