--- /dev/null
+++ b/src/raft/raft.c
@@ -0,0 +1,339 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "raft/raft_internal.h"
+#include "util/mem.h"
+
+#ifdef MP_TEST_FAULTS
+struct raft_fault raft_fault;
+#endif
+
+/* Skip records before the snapshot's margin or of a log it replaced. */
+static int
+disk_load_record(struct raft *r, const struct raft_record *rec)
+{
+	uint64_t next = raft_log_last(&r->log) + 1;
+	struct raft_config config;
+
+	if (rec->index != next || rec->term < raft_log_last_term(&r->log) ||
+	    rec->type > RAFT_ENTRY_CONFIG)
+		return MP_ERR_CORRUPT;
+	raft_log_append(&r->log, rec);
+	if (rec->type != RAFT_ENTRY_CONFIG || rec->index <= r->snapshot_index)
+		return MP_OK;
+	if (raft_config_unpack(&config, rec->data) != MP_OK)
+		return MP_ERR_CORRUPT;
+	raft_config_push(r, rec->index, &config);
+	return MP_OK;
+}
+
+static int
+disk_load_records(struct raft *r, const struct node_disk *disk)
+{
+	struct node_bytes rest = disk->records;
+	struct raft_record rec;
+	size_t i, used;
+	int code;
+
+	if (disk->record_count > 0 &&
+	    (disk->first_index == 0 ||
+		disk->first_index > r->snapshot_index + 1))
+		return MP_ERR_CORRUPT;
+	for (i = 0; i < disk->record_count; i++) {
+		code = raft_record_read(&rec, &used, rest);
+		if (code != MP_OK || rec.index != disk->first_index + i)
+			return MP_ERR_CORRUPT;
+		rest.data += used;
+		rest.len -= used;
+		/* The first one only tells the term before the second. */
+		if (i == 0 && rec.index <= r->snapshot_index) {
+			raft_log_reset(&r->log, rec.index, rec.term);
+			continue;
+		}
+		/* Left over from a log that the snapshot replaced. */
+		if (rec.index > r->snapshot_index &&
+		    rec.term < r->snapshot_term)
+			break;
+		code = disk_load_record(r, &rec);
+		if (code != MP_OK)
+			return code;
+	}
+	return MP_OK;
+}
+
+static int
+disk_load(struct raft *r, const struct node_disk *disk, struct mp_error *err)
+{
+	struct raft_config config;
+	uint64_t term = 0;
+
+	r->term = disk->term;
+	r->vote = disk->vote;
+	if (disk->snapshot_index == 0) {
+		if (disk->record_count == 0)
+			return MP_OK;
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_CORRUPT,
+		    "log records without a snapshot");
+	}
+	if (raft_snapshot_load(r, disk->snapshot_index, disk->snapshot_term,
+		disk->snapshot, &config) != MP_OK)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_CORRUPT,
+		    "the snapshot cannot be read");
+	raft_config_push(r, r->snapshot_index, &config);
+	raft_log_reset(&r->log, r->snapshot_index, r->snapshot_term);
+	if (disk_load_records(r, disk) != MP_OK)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_CORRUPT,
+		    "the log records do not follow on each other");
+	if (!raft_log_term(&r->log, r->snapshot_index, &term) ||
+	    term != r->snapshot_term) {
+		raft_log_reset(&r->log, r->snapshot_index, r->snapshot_term);
+		raft_config_cut(r, r->snapshot_index + 1);
+	}
+	if (r->term < raft_log_last_term(&r->log)) {
+		/* A crash between the two saves of raft_found(). */
+		if (r->snapshot_index != 1 || r->log.count > 0)
+			return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_CORRUPT,
+			    "the log is newer than the saved term");
+		r->term = r->snapshot_term;
+		r->vote = 0;
+	}
+	r->commit = r->snapshot_index;
+	r->synced = raft_log_last(&r->log);
+	r->snapshot_pending = true;
+	return MP_OK;
+}
+
+int
+raft_create(struct raft **out, const struct raft_options *options,
+    const struct node_disk *disk, uint64_t now_us, struct mp_error *err)
+{
+	struct raft *r;
+	int code = MP_OK;
+
+	*out = NULL;
+	if (options->self == 0 || options->election_min_us == 0 ||
+	    options->heartbeat_us == 0 ||
+	    options->heartbeat_us >= options->election_min_us ||
+	    options->election_max_us < options->election_min_us)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_INVALID,
+		    "the options do not fit each other");
+	r = mem_alloc(1, sizeof(*r));
+	r->options = *options;
+	r->now_us = now_us;
+	rng_seed(&r->rng, options->seed);
+	if (disk != NULL && !disk->fresh && !disk->damaged)
+		code = disk_load(r, disk, err);
+	if (code != MP_OK) {
+		raft_destroy(r);
+		return code;
+	}
+	/* A leader may rely on what we promised before the restart. */
+	if (!raft_is_empty(r))
+		r->promise_until_us = now_us + options->election_min_us;
+	raft_election_reset(r);
+	*out = r;
+	return MP_OK;
+}
+
+void
+raft_destroy(struct raft *r)
+{
+	if (r == NULL)
+		return;
+	raft_message_drop_all(r);
+	raft_log_free(&r->log);
+	buf_free(&r->snapshot);
+	free(r->configs);
+	free(r->pending);
+	free(r->out);
+	free(r->taken_message);
+	free(r);
+}
+
+int
+raft_found(struct raft *r, uint64_t now_us, const struct raft_config *config,
+    struct node_effects *fx, struct mp_error *err)
+{
+	struct node_bytes none = {.data = "", .len = 0};
+	struct raft_config checked;
+	Raft__Config pb;
+
+	r->now_us = now_us;
+	if (!raft_is_empty(r))
+		return mp_error_set(
+		    err, MP_LAYER_RAFT, MP_ERR_EXISTS, "the log is not empty");
+	raft_config_to_pb(config, &pb);
+	if (raft_config_from_pb(&checked, &pb) != MP_OK)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_INVALID,
+		    "the voters are not a config");
+	if (r->term < 1)
+		r->term = 1;
+	raft_snapshot_pack(r, 1, 1, &checked, none);
+	raft_log_reset(&r->log, 1, 1);
+	raft_config_push(r, 1, &checked);
+	r->commit = 1;
+	r->snapshot_pending = true;
+	raft_save_snapshot(r, fx);
+	raft_save_state(r, fx);
+	raft_election_reset(r);
+	return MP_OK;
+}
+
+void
+raft_tick(struct raft *r, uint64_t now_us, struct node_effects *fx)
+{
+	r->now_us = now_us;
+	if (r->halted)
+		return;
+	if (r->role != RAFT_LEADER) {
+		if (now_us >= r->election_due_us)
+			raft_campaign(r, fx);
+		return;
+	}
+	if (now_us >= raft_quorum_heard(r) + r->options.election_min_us) {
+		raft_become_follower(r, r->term, 0, fx);
+		return;
+	}
+	if (now_us >= r->heartbeat_due_us)
+		raft_heartbeat(r);
+}
+
+uint64_t
+raft_next_tick(const struct raft *r)
+{
+	uint64_t due;
+
+	if (r->halted)
+		return r->now_us + r->options.election_max_us;
+	if (r->role != RAFT_LEADER)
+		return r->election_due_us;
+	due = raft_quorum_heard(r) + r->options.election_min_us;
+	return due < r->heartbeat_due_us ? due : r->heartbeat_due_us;
+}
+
+int
+raft_propose(struct raft *r, uint64_t now_us, struct node_bytes command,
+    uint64_t *index, struct node_effects *fx, struct mp_error *err)
+{
+	r->now_us = now_us;
+	if (r->role != RAFT_LEADER)
+		return mp_error_set(
+		    err, MP_LAYER_RAFT, MP_ERR_NOT_LEADER, "not the leader");
+	if (command.len + r->uncommitted_bytes > RAFT_UNCOMMITTED_BYTES_MAX)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_LIMIT,
+		    "too many bytes wait for commit");
+	*index = raft_log_last(&r->log) + 1;
+	return raft_leader_append(r, RAFT_ENTRY_COMMAND, command, fx);
+}
+
+static void
+entry_fill(struct raft_entry *out, uint64_t index, const struct raft_slot *slot)
+{
+	out->index = index;
+	out->term = slot->term;
+	out->type = (enum raft_entry_type)slot->type;
+	out->data = raft_slot_data(slot);
+}
+
+bool
+raft_take_committed(struct raft *r, struct raft_committed *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (r->snapshot_pending) {
+		r->snapshot_pending = false;
+		r->taken = r->snapshot_index;
+		out->is_snapshot = true;
+		out->index = r->snapshot_index;
+		out->snapshot.data = r->snapshot.data + r->state_offset;
+		out->snapshot.len = r->state_len;
+		return true;
+	}
+	if (r->taken >= r->commit)
+		return false;
+	out->index = ++r->taken;
+	entry_fill(&out->entry, out->index, raft_log_at(&r->log, out->index));
+	return true;
+}
+
+int
+raft_entry_at(const struct raft *r, uint64_t index, struct raft_entry *out)
+{
+	const struct raft_slot *slot = raft_log_at(&r->log, index);
+
+	if (slot == NULL || index > r->commit)
+		return MP_ERR_NOT_FOUND;
+	entry_fill(out, index, slot);
+	return MP_OK;
+}
+
+enum raft_role
+raft_get_role(const struct raft *r)
+{
+	return r->role;
+}
+
+uint64_t
+raft_get_leader(const struct raft *r)
+{
+	return r->leader;
+}
+
+uint64_t
+raft_get_term(const struct raft *r)
+{
+	return r->term;
+}
+
+uint64_t
+raft_get_commit(const struct raft *r)
+{
+	return r->commit;
+}
+
+uint64_t
+raft_get_last_index(const struct raft *r)
+{
+	return raft_log_last(&r->log);
+}
+
+uint64_t
+raft_get_snapshot_index(const struct raft *r)
+{
+	return r->snapshot_index;
+}
+
+size_t
+raft_get_log_bytes(const struct raft *r)
+{
+	return r->log.bytes;
+}
+
+bool
+raft_is_empty(const struct raft *r)
+{
+	return r->nconfigs == 0;
+}
+
+bool
+raft_is_halted(const struct raft *r)
+{
+	return r->halted;
+}
+
+uint64_t
+raft_authority_until(const struct raft *r)
+{
+	uint64_t term = 0, acked = raft_quorum_acked(r);
+
+	if (r->role != RAFT_LEADER ||
+	    !raft_log_term(&r->log, r->commit, &term) || term != r->term ||
+	    acked == 0)
+		return 0;
+	return acked + r->options.election_min_us / 100 * RAFT_LEASE_PERCENT;
+}
+
+uint64_t
+raft_leader_since(const struct raft *r)
+{
+	return r->leader_since_us;
+}
--- /dev/null
+++ b/src/raft/raft_append.c
@@ -0,0 +1,210 @@
+#include "raft/raft_internal.h"
+
+static uint64_t
+append_match(const struct raft *r)
+{
+	if (RAFT_FAULT(ack_before_sync))
+		return r->verified;
+	return r->verified < r->synced ? r->verified : r->synced;
+}
+
+/* Tell the leader what is synced here and equal to its log. */
+void
+raft_reply_append(struct raft *r, uint64_t to, uint64_t sent_us)
+{
+	Raft__AppendReply reply = RAFT__APPEND_REPLY__INIT;
+	Raft__Message m;
+
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_APPEND_REPLY);
+	m.append_reply = &reply;
+	reply.match = append_match(r);
+	reply.sent_us = sent_us;
+	raft_message_send(r, to, &m);
+}
+
+/* Answer an old leader so that it learns of the newer term. */
+void
+raft_reply_stale(struct raft *r, uint64_t to)
+{
+	raft_reply_append(r, to, 0);
+}
+
+static void
+append_reject(struct raft *r, uint64_t to, const Raft__Append *append)
+{
+	Raft__AppendReply reply = RAFT__APPEND_REPLY__INIT;
+	Raft__Message m;
+	uint64_t index = append->prev_index, term;
+
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_APPEND_REPLY);
+	m.append_reply = &reply;
+	reply.rejected = true;
+	reply.match = append_match(r);
+	reply.sent_us = append->sent_us;
+	reply.prev_index = append->prev_index;
+	if (raft_log_term(&r->log, index, &term)) {
+		reply.conflict_term = term;
+		while (index > r->commit + 1 &&
+		    raft_log_term(&r->log, index - 1, &term) &&
+		    term == reply.conflict_term)
+			index--;
+		reply.conflict_index = index;
+	} else {
+		reply.conflict_index = raft_log_last(&r->log) + 1;
+	}
+	raft_message_send(r, to, &m);
+}
+
+/* A leader of our term is alive: no vote for another for a while. */
+void
+raft_hear_leader(struct raft *r, uint64_t from)
+{
+	r->leader = from;
+	r->promise_until_us = r->now_us + r->options.election_min_us;
+	raft_election_reset(r);
+}
+
+static bool
+append_records_are_sound(const Raft__Append *m)
+{
+	struct node_bytes rest = {
+	    .data = (const char *)m->records.data,
+	    .len = m->records.len,
+	};
+	struct raft_record rec;
+	struct raft_config config;
+	uint64_t index = m->prev_index, term = m->prev_term;
+	size_t used, n;
+
+	for (n = 0; n < m->count; n++) {
+		if (raft_record_read(&rec, &used, rest) != MP_OK ||
+		    rec.index != index + 1 || rec.term < term ||
+		    rec.type > RAFT_ENTRY_CONFIG)
+			return false;
+		if (rec.type == RAFT_ENTRY_CONFIG &&
+		    raft_config_unpack(&config, rec.data) != MP_OK)
+			return false;
+		rest.data += used;
+		rest.len -= used;
+		index = rec.index;
+		term = rec.term;
+	}
+	return rest.len == 0;
+}
+
+/* Cut our entries from index on: the leader has others. */
+static void
+append_cut(struct raft *r, uint64_t index)
+{
+	if (RAFT_FAULT(keep_conflict))
+		return;
+	raft_log_cut(&r->log, index);
+	raft_config_cut(r, index);
+	raft_save_forget(r, index);
+}
+
+/* Take the records that we lack; the first new index or 0. */
+static uint64_t
+append_take(struct raft *r, const Raft__Append *m)
+{
+	struct node_bytes rest = {
+	    .data = (const char *)m->records.data,
+	    .len = m->records.len,
+	};
+	struct raft_record rec;
+	struct raft_config config;
+	uint64_t first = 0, term;
+	size_t used, n;
+
+	for (n = 0; n < m->count; n++) {
+		(void)raft_record_read(&rec, &used, rest);
+		rest.data += used;
+		rest.len -= used;
+		if (rec.index <= r->commit)
+			continue;
+		if (first == 0 && raft_log_term(&r->log, rec.index, &term)) {
+			if (term == rec.term)
+				continue;
+			append_cut(r, rec.index);
+		}
+		if (rec.index != raft_log_last(&r->log) + 1)
+			continue;
+		if (first == 0)
+			first = rec.index;
+		raft_log_append(&r->log, &rec);
+		if (rec.type == RAFT_ENTRY_CONFIG &&
+		    raft_config_unpack(&config, rec.data) == MP_OK)
+			raft_config_push(r, rec.index, &config);
+	}
+	return first;
+}
+
+static void
+append_accept(struct raft *r, uint64_t from, const Raft__Append *m,
+    struct node_effects *fx)
+{
+	uint64_t first = append_take(r, m);
+	uint64_t end = m->prev_index + m->count;
+	uint64_t commit = m->commit;
+
+	if (first != 0)
+		raft_save_append(
+		    r, first, (size_t)(raft_log_last(&r->log) - first + 1), fx);
+	if (end > r->verified)
+		r->verified = end;
+	if (commit > r->verified)
+		commit = r->verified;
+	if (commit > r->commit)
+		r->commit = commit;
+	if (m->count > 0 && append_match(r) < end) {
+		r->ack_owed = true;
+		if (m->sent_us > r->ack_sent_us)
+			r->ack_sent_us = m->sent_us;
+		return;
+	}
+	raft_reply_append(r, from, m->sent_us);
+}
+
+void
+raft_append_received(struct raft *r, uint64_t from, uint64_t term,
+    const Raft__Append *m, struct node_effects *fx)
+{
+	uint64_t own;
+
+	if (term < r->term) {
+		raft_reply_stale(r, from);
+		return;
+	}
+	if (r->role == RAFT_LEADER || !append_records_are_sound(m) ||
+	    (raft_is_empty(r) && m->prev_index == 0 && m->count > 0))
+		return;
+	if (r->role == RAFT_CANDIDATE)
+		raft_become_follower(r, term, from, fx);
+	if (r->leader != from || !r->ack_owed)
+		r->ack_sent_us = 0;
+	raft_hear_leader(r, from);
+	if (r->verified < r->commit)
+		r->verified = r->commit;
+	/* Committed entries are the same everywhere. */
+	if (m->prev_index < r->commit) {
+		append_accept(r, from, m, fx);
+		return;
+	}
+	if (!raft_log_term(&r->log, m->prev_index, &own) ||
+	    own != m->prev_term) {
+		append_reject(r, from, m);
+		return;
+	}
+	append_accept(r, from, m, fx);
+}
+
+/* A save was reported: send the answer that waited for it. */
+void
+raft_append_synced(struct raft *r)
+{
+	if (!r->ack_owed || r->leader == 0)
+		return;
+	raft_reply_append(r, r->leader, r->ack_sent_us);
+	if (r->synced >= r->verified)
+		r->ack_owed = false;
+}
--- /dev/null
+++ b/src/raft/raft_config.c
@@ -0,0 +1,290 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "raft/raft_internal.h"
+#include "util/mem.h"
+
+static const struct raft_config raft_no_config;
+
+static bool
+ids_have(const uint64_t *ids, size_t n, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (ids[i] == id)
+			return true;
+	}
+	return false;
+}
+
+static bool
+ids_drop(uint64_t *ids, size_t *n, uint64_t id)
+{
+	size_t i, kept = 0;
+	bool found;
+
+	for (i = 0; i < *n; i++) {
+		if (ids[i] != id)
+			ids[kept++] = ids[i];
+	}
+	found = kept < *n;
+	*n = kept;
+	return found;
+}
+
+bool
+raft_config_is_voter(const struct raft_config *c, uint64_t id)
+{
+	return ids_have(c->voters, c->nvoters, id);
+}
+
+bool
+raft_config_is_learner(const struct raft_config *c, uint64_t id)
+{
+	return ids_have(c->learners, c->nlearners, id);
+}
+
+int
+raft_config_from_pb(struct raft_config *out, const Raft__Config *pb)
+{
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	if (pb->n_voters == 0 || pb->n_voters > RAFT_VOTERS_MAX ||
+	    pb->n_learners > RAFT_VOTERS_MAX)
+		return MP_ERR_INVALID;
+	for (i = 0; i < pb->n_voters; i++) {
+		if (pb->voters[i] == 0 ||
+		    raft_config_is_voter(out, pb->voters[i]))
+			return MP_ERR_INVALID;
+		out->voters[out->nvoters++] = pb->voters[i];
+	}
+	for (i = 0; i < pb->n_learners; i++) {
+		if (pb->learners[i] == 0 ||
+		    raft_config_is_voter(out, pb->learners[i]) ||
+		    raft_config_is_learner(out, pb->learners[i]))
+			return MP_ERR_INVALID;
+		out->learners[out->nlearners++] = pb->learners[i];
+	}
+	return MP_OK;
+}
+
+/* A view of a config for packing; valid as long as the config. */
+void
+raft_config_to_pb(const struct raft_config *c, Raft__Config *pb)
+{
+	raft__config__init(pb);
+	pb->n_voters = c->nvoters;
+	pb->voters = (uint64_t *)c->voters;
+	pb->n_learners = c->nlearners;
+	pb->learners = (uint64_t *)c->learners;
+}
+
+void
+raft_config_pack(const struct raft_config *c, struct buf *out)
+{
+	Raft__Config pb;
+	char *bytes;
+	size_t len;
+
+	raft_config_to_pb(c, &pb);
+	len = raft__config__get_packed_size(&pb);
+	bytes = mem_alloc(len + 1, 1);
+	raft__config__pack(&pb, (uint8_t *)bytes);
+	buf_append(out, bytes, len);
+	free(bytes);
+}
+
+int
+raft_config_unpack(struct raft_config *out, struct node_bytes bytes)
+{
+	Raft__Config *pb =
+	    raft__config__unpack(NULL, bytes.len, (const uint8_t *)bytes.data);
+	int code;
+
+	if (pb == NULL)
+		return MP_ERR_INVALID;
+	code = raft_config_from_pb(out, pb);
+	raft__config__free_unpacked(pb, NULL);
+	return code;
+}
+
+const struct raft_config *
+raft_get_config(const struct raft *r)
+{
+	if (r->nconfigs == 0)
+		return &raft_no_config;
+	return &r->configs[r->nconfigs - 1].config;
+}
+
+uint64_t
+raft_config_index(const struct raft *r)
+{
+	return r->nconfigs == 0 ? 0 : r->configs[r->nconfigs - 1].index;
+}
+
+/* The config in force at an index; NULL when there was none. */
+const struct raft_config *
+raft_config_for(const struct raft *r, uint64_t index)
+{
+	size_t i;
+
+	for (i = r->nconfigs; i > 0; i--) {
+		if (r->configs[i - 1].index <= index)
+			return &r->configs[i - 1].config;
+	}
+	return NULL;
+}
+
+/* A config takes effect when its entry is appended. */
+void
+raft_config_push(struct raft *r, uint64_t index, const struct raft_config *c)
+{
+	if (r->nconfigs == r->configs_cap) {
+		r->configs_cap = r->configs_cap == 0 ? 4 : r->configs_cap * 2;
+		r->configs =
+		    mem_resize(r->configs, r->configs_cap, sizeof(*r->configs));
+	}
+	r->configs[r->nconfigs].index = index;
+	r->configs[r->nconfigs].config = *c;
+	r->nconfigs++;
+	if (r->role == RAFT_LEADER)
+		raft_config_sync_peers(r);
+}
+
+/* Entries from index on were cut: go back to the config before. */
+void
+raft_config_cut(struct raft *r, uint64_t index)
+{
+	while (r->nconfigs > 0 && r->configs[r->nconfigs - 1].index >= index)
+		r->nconfigs--;
+}
+
+/* Forget configs older than the one in force at index. */
+void
+raft_config_drop_front(struct raft *r, uint64_t index)
+{
+	size_t n = 0;
+
+	while (n + 1 < r->nconfigs && r->configs[n + 1].index <= index)
+		n++;
+	r->nconfigs -= n;
+	memmove(r->configs, r->configs + n, r->nconfigs * sizeof(*r->configs));
+}
+
+static void
+peer_add(struct raft *r, uint64_t id)
+{
+	struct raft_peer *p = raft_find_peer(r, id);
+
+	if (id == r->options.self)
+		return;
+	if (p == NULL) {
+		if (r->npeers == RAFT_PEERS_MAX)
+			return;
+		p = &r->peers[r->npeers++];
+		memset(p, 0, sizeof(*p));
+		p->id = id;
+		p->next = raft_log_last(&r->log) + 1;
+		p->probing = true;
+		p->heard_us = r->now_us;
+	}
+	p->leaving = false;
+}
+
+/* The leader's peers follow its config; a removed one stays for a while. */
+void
+raft_config_sync_peers(struct raft *r)
+{
+	const struct raft_config *c = raft_get_config(r);
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++)
+		r->peers[i].leaving = true;
+	for (i = 0; i < c->nvoters; i++)
+		peer_add(r, c->voters[i]);
+	for (i = 0; i < c->nlearners; i++)
+		peer_add(r, c->learners[i]);
+}
+
+/* Once the newest config is committed, let go of those it removed. */
+void
+raft_config_committed(struct raft *r, struct node_effects *fx)
+{
+	size_t i, kept = 0;
+
+	if (raft_config_index(r) > r->commit)
+		return;
+	for (i = 0; i < r->npeers && !r->peers[i].leaving; i++)
+		;
+	if (i < r->npeers || !raft_is_voter(r))
+		raft_heartbeat(r);
+	for (i = 0; i < r->npeers; i++) {
+		if (!r->peers[i].leaving)
+			r->peers[kept++] = r->peers[i];
+	}
+	r->npeers = kept;
+	if (!raft_is_voter(r))
+		raft_become_follower(r, r->term, 0, fx);
+}
+
+static int
+config_change(struct raft_config *c, enum raft_change change, uint64_t id)
+{
+	switch (change) {
+	case RAFT_ADD_LEARNER:
+		if (id == 0 || raft_config_is_voter(c, id) ||
+		    raft_config_is_learner(c, id) ||
+		    c->nlearners == RAFT_VOTERS_MAX)
+			return MP_ERR_INVALID;
+		c->learners[c->nlearners++] = id;
+		return MP_OK;
+	case RAFT_PROMOTE:
+		if (c->nvoters == RAFT_VOTERS_MAX ||
+		    !ids_drop(c->learners, &c->nlearners, id))
+			return MP_ERR_INVALID;
+		c->voters[c->nvoters++] = id;
+		return MP_OK;
+	case RAFT_REMOVE:
+		if (ids_drop(c->learners, &c->nlearners, id))
+			return MP_OK;
+		if (c->nvoters < 2 || !ids_drop(c->voters, &c->nvoters, id))
+			return MP_ERR_INVALID;
+		return MP_OK;
+	}
+	return MP_ERR_INVALID;
+}
+
+int
+raft_change_config(struct raft *r, uint64_t now_us, enum raft_change change,
+    uint64_t id, struct node_effects *fx, struct mp_error *err)
+{
+	struct raft_config config = *raft_get_config(r);
+	struct node_bytes data;
+	struct buf b = {0};
+	uint64_t term = 0;
+	int code;
+
+	r->now_us = now_us;
+	if (r->role != RAFT_LEADER)
+		return mp_error_set(
+		    err, MP_LAYER_RAFT, MP_ERR_NOT_LEADER, "not the leader");
+	(void)raft_log_term(&r->log, r->commit, &term);
+	if (!RAFT_FAULT(many_changes) &&
+	    (raft_config_index(r) > r->commit || term != r->term))
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
+		    "another change is not committed yet");
+	if (config_change(&config, change, id) != MP_OK)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_INVALID,
+		    "the change does not fit the membership");
+	if (change == RAFT_PROMOTE && !raft_learner_caught_up(r, id))
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
+		    "the learner has not caught up");
+	raft_config_pack(&config, &b);
+	data.data = b.data;
+	data.len = b.len;
+	code = raft_leader_append(r, RAFT_ENTRY_CONFIG, data, fx);
+	buf_free(&b);
+	return code;
+}
--- /dev/null
+++ b/src/raft/raft_replicate.c
@@ -0,0 +1,313 @@
+#include <string.h>
+
+#include "raft/raft_internal.h"
+
+struct raft_peer *
+raft_find_peer(struct raft *r, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++) {
+		if (r->peers[i].id == id)
+			return &r->peers[i];
+	}
+	return NULL;
+}
+
+/*
+ * The greatest value that a quorum of the voters has reached.
+ *
+ * self: our own value, counted when we are a voter.
+ * get: the value of another one.
+ */
+uint64_t
+raft_quorum_value(const struct raft *r, uint64_t self,
+    uint64_t (*get)(const struct raft_peer *))
+{
+	const struct raft_config *c = raft_get_config(r);
+	uint64_t values[RAFT_VOTERS_MAX], v;
+	size_t i, j, n = 0;
+
+	for (i = 0; i < c->nvoters; i++) {
+		const struct raft_peer *p =
+		    raft_find_peer((struct raft *)r, c->voters[i]);
+
+		v = 0;
+		if (c->voters[i] == r->options.self)
+			v = self;
+		else if (p != NULL)
+			v = get(p);
+		for (j = n++; j > 0 && values[j - 1] < v; j--)
+			values[j] = values[j - 1];
+		values[j] = v;
+	}
+	return n == 0 ? 0 : values[n / 2];
+}
+
+static uint64_t
+peer_match(const struct raft_peer *p)
+{
+	return p->match;
+}
+
+static uint64_t
+peer_heard(const struct raft_peer *p)
+{
+	return p->heard_us;
+}
+
+static uint64_t
+peer_acked(const struct raft_peer *p)
+{
+	return p->acked_us;
+}
+
+uint64_t
+raft_quorum_heard(const struct raft *r)
+{
+	return raft_quorum_value(r, r->now_us, peer_heard);
+}
+
+uint64_t
+raft_quorum_acked(const struct raft *r)
+{
+	return raft_quorum_value(r, r->now_us, peer_acked);
+}
+
+/* Send count entries from index on, packed in records; 0 is a heartbeat. */
+static void
+peer_send(struct raft *r, struct raft_peer *p, uint64_t prev, size_t count,
+    const struct buf *records)
+{
+	Raft__Append append = RAFT__APPEND__INIT;
+	Raft__Message m;
+	uint64_t term = 0;
+
+	(void)raft_log_term(&r->log, prev, &term);
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_APPEND);
+	m.append = &append;
+	append.prev_index = prev;
+	append.prev_term = term;
+	append.commit = r->commit;
+	append.sent_us = r->now_us;
+	append.count = (uint32_t)count;
+	if (records != NULL) {
+		append.records.data = (uint8_t *)records->data;
+		append.records.len = records->len;
+	}
+	p->told_commit = r->commit;
+	raft_message_send(r, p->id, &m);
+}
+
+static void
+peer_send_batch(struct raft *r, struct raft_peer *p)
+{
+	struct buf b = {0};
+	size_t n;
+
+	n = raft_log_pack(&r->log, p->next, r->options.batch_bytes, &b);
+	peer_send(r, p, p->next - 1, n, &b);
+	buf_free(&b);
+	p->next += n;
+	p->inflight[p->ninflight++] = p->next - 1;
+}
+
+static void
+peer_replicate(struct raft *r, struct raft_peer *p)
+{
+	uint64_t last = raft_log_last(&r->log);
+	bool sent = false;
+
+	while (p->next <= last && p->ninflight < RAFT_INFLIGHT_MAX) {
+		if (p->next <= r->log.base_index) {
+			raft_install_send(r, p);
+			return;
+		}
+		if (p->probing && p->probe_sent)
+			return;
+		p->probe_sent = p->probing;
+		if (p->probing) {
+			uint64_t next = p->next;
+
+			peer_send_batch(r, p);
+			p->next = next;
+			p->ninflight = 0;
+			return;
+		}
+		peer_send_batch(r, p);
+		sent = true;
+	}
+	if (!sent && p->ninflight == 0 && !p->probing &&
+	    p->told_commit < r->commit)
+		peer_send(r, p, p->next - 1, 0, NULL);
+}
+
+void
+raft_replicate_all(struct raft *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++)
+		peer_replicate(r, &r->peers[i]);
+}
+
+/* Show all peers that we lead, and find lost appends. */
+void
+raft_heartbeat(struct raft *r)
+{
+	struct raft_peer *p;
+	uint64_t prev;
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++) {
+		p = &r->peers[i];
+		prev = p->next > r->log.base_index ? p->next - 1 : 0;
+		p->probe_sent = false;
+		peer_send(r, p, prev, 0, NULL);
+		peer_replicate(r, p);
+	}
+	r->heartbeat_due_us = r->now_us + r->options.heartbeat_us;
+}
+
+/* Append an entry of our term, save it and send it on. */
+int
+raft_leader_append(struct raft *r, enum raft_entry_type type,
+    struct node_bytes data, struct node_effects *fx)
+{
+	struct raft_record rec = {
+	    .term = r->term,
+	    .type = type,
+	    .data = data,
+	};
+	struct raft_config config;
+	uint64_t index = raft_log_last(&r->log) + 1;
+
+	if (type == RAFT_ENTRY_CONFIG &&
+	    raft_config_unpack(&config, data) != MP_OK)
+		return MP_ERR_INVALID;
+	raft_log_append(&r->log, &rec);
+	r->uncommitted_bytes += raft_log_at(&r->log, index)->len;
+	if (type == RAFT_ENTRY_CONFIG)
+		raft_config_push(r, index, &config);
+	raft_save_append(r, index, 1, fx);
+	raft_replicate_all(r);
+	return MP_OK;
+}
+
+void
+raft_become_leader(struct raft *r, struct node_effects *fx)
+{
+	struct node_bytes none = {.data = "", .len = 0};
+	const struct raft_slot *slot;
+	uint64_t i;
+
+	r->role = RAFT_LEADER;
+	r->pre_vote = false;
+	r->ngranted = 0;
+	r->leader = r->options.self;
+	r->leader_since_us = r->now_us;
+	r->npeers = 0;
+	raft_config_sync_peers(r);
+	r->uncommitted_bytes = 0;
+	for (i = r->commit + 1; (slot = raft_log_at(&r->log, i)) != NULL; i++)
+		r->uncommitted_bytes += slot->len;
+	(void)raft_leader_append(r, RAFT_ENTRY_NOOP, none, fx);
+	r->heartbeat_due_us = r->now_us + r->options.heartbeat_us;
+}
+
+/* Commit what a quorum has synced, if the newest of it is of our term. */
+void
+raft_advance_commit(struct raft *r, struct node_effects *fx)
+{
+	uint64_t self =
+	    RAFT_FAULT(count_self_early) ? raft_log_last(&r->log) : r->synced;
+	uint64_t index = raft_quorum_value(r, self, peer_match);
+	uint64_t term;
+
+	if (index <= r->commit || !raft_log_term(&r->log, index, &term))
+		return;
+	if (term != r->term && !RAFT_FAULT(commit_old_term))
+		return;
+	while (r->commit < index) {
+		r->commit++;
+		r->uncommitted_bytes -= raft_log_at(&r->log, r->commit)->len;
+	}
+	raft_config_committed(r, fx);
+}
+
+static void
+peer_rejected(struct raft *r, struct raft_peer *p, const Raft__AppendReply *m)
+{
+	uint64_t next = m->conflict_index, term, i;
+
+	if (m->prev_index <= p->match ||
+	    (p->probing && m->prev_index != p->next - 1))
+		return;
+	if (m->conflict_term != 0) {
+		i = m->prev_index;
+		while (
+		    raft_log_term(&r->log, i, &term) && term > m->conflict_term)
+			i--;
+		if (raft_log_term(&r->log, i, &term) &&
+		    term == m->conflict_term && i + 1 > next)
+			next = i + 1;
+	}
+	if (next > m->prev_index)
+		next = m->prev_index;
+	if (next <= p->match)
+		next = p->match + 1;
+	p->next = next;
+	p->probing = true;
+	p->probe_sent = false;
+	p->ninflight = 0;
+}
+
+static void
+peer_matched(struct raft_peer *p, uint64_t match)
+{
+	size_t n = 0;
+
+	if (match <= p->match)
+		return;
+	p->match = match;
+	p->install_us = 0;
+	if (p->probing && match + 1 >= p->next) {
+		p->probing = false;
+		p->ninflight = 0;
+	}
+	if (p->next <= match)
+		p->next = match + 1;
+	while (n < p->ninflight && p->inflight[n] <= match)
+		n++;
+	p->ninflight -= n;
+	memmove(
+	    p->inflight, p->inflight + n, p->ninflight * sizeof(*p->inflight));
+}
+
+void
+raft_append_replied(struct raft *r, uint64_t from, const Raft__AppendReply *m,
+    struct node_effects *fx)
+{
+	struct raft_peer *p = raft_find_peer(r, from);
+
+	if (p == NULL || m->match > raft_log_last(&r->log) ||
+	    m->sent_us > r->now_us)
+		return;
+	p->heard_us = r->now_us;
+	if (m->sent_us > p->acked_us)
+		p->acked_us = m->sent_us;
+	peer_matched(p, m->match);
+	if (m->rejected)
+		peer_rejected(r, p, m);
+	raft_advance_commit(r, fx);
+	if (r->role == RAFT_LEADER)
+		raft_replicate_all(r);
+}
+
+bool
+raft_learner_caught_up(const struct raft *r, uint64_t id)
+{
+	const struct raft_peer *p = raft_find_peer((struct raft *)r, id);
+
+	return r->role == RAFT_LEADER && p != NULL && p->match >= r->commit;
+}
--- /dev/null
+++ b/src/raft/raft_save.c
@@ -0,0 +1,136 @@
+#include <string.h>
+
+#include "raft/raft_internal.h"
+#include "util/mem.h"
+
+static struct node_save *
+save_add(struct raft *r, enum node_save_kind kind, uint64_t last,
+    struct node_effects *fx)
+{
+	struct node_save *save = &node_effects_add(fx, NODE_FX_SAVE)->u.save;
+	struct raft_pending *p;
+
+	if (r->npending == r->pending_cap) {
+		r->pending_cap = r->pending_cap == 0 ? 16 : r->pending_cap * 2;
+		r->pending =
+		    mem_resize(r->pending, r->pending_cap, sizeof(*r->pending));
+	}
+	p = &r->pending[r->npending++];
+	p->ticket = ++r->next_ticket;
+	p->kind = kind;
+	p->last = last;
+	save->kind = kind;
+	save->ticket = p->ticket;
+	return save;
+}
+
+/* Save term and vote; messages sent from now on wait for it. */
+uint64_t
+raft_save_state(struct raft *r, struct node_effects *fx)
+{
+	struct node_save *save = save_add(r, NODE_SAVE_STATE, 0, fx);
+
+	save->term = r->term;
+	save->vote = r->vote;
+	r->state_ticket = save->ticket;
+	return save->ticket;
+}
+
+void
+raft_save_append(
+    struct raft *r, uint64_t first, size_t count, struct node_effects *fx)
+{
+	struct node_save *save =
+	    save_add(r, NODE_SAVE_APPEND, first + count - 1, fx);
+	struct buf b = {0};
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct raft_slot *slot = raft_log_at(&r->log, first + i);
+
+		buf_append(&b, slot->record, slot->len);
+	}
+	save->index = first;
+	save->count = count;
+	save->data.data = node_effects_copy(fx, b.data, b.len);
+	save->data.len = b.len;
+	buf_free(&b);
+}
+
+void
+raft_save_snapshot(struct raft *r, struct node_effects *fx)
+{
+	struct node_save *save =
+	    save_add(r, NODE_SAVE_SNAPSHOT, r->snapshot_index, fx);
+
+	save->index = r->snapshot_index;
+	save->term = r->snapshot_term;
+	save->data.data =
+	    node_effects_copy(fx, r->snapshot.data, r->snapshot.len);
+	save->data.len = r->snapshot.len;
+}
+
+/* Entries from index on were cut: saves of them no longer count. */
+void
+raft_save_forget(struct raft *r, uint64_t index)
+{
+	size_t i;
+
+	if (r->synced >= index)
+		r->synced = index - 1;
+	for (i = 0; i < r->npending; i++) {
+		if (r->pending[i].last >= index)
+			r->pending[i].last = index - 1;
+	}
+}
+
+/* Take the saves up to a ticket off the list; what they synced counts. */
+static void
+save_reported(struct raft *r, uint64_t ticket)
+{
+	size_t n = 0;
+
+	while (n < r->npending && r->pending[n].ticket <= ticket) {
+		if (r->pending[n].last > r->synced)
+			r->synced = r->pending[n].last;
+		n++;
+	}
+	r->npending -= n;
+	memmove(r->pending, r->pending + n, r->npending * sizeof(*r->pending));
+	r->reported_ticket = ticket;
+}
+
+static void
+save_halt(struct raft *r)
+{
+	r->halted = true;
+	r->role = RAFT_FOLLOWER;
+	r->leader = 0;
+	r->leader_since_us = 0;
+	r->npeers = 0;
+	raft_message_drop_all(r);
+}
+
+void
+raft_saved(struct raft *r, uint64_t now_us, uint64_t ticket, bool ok,
+    struct node_effects *fx)
+{
+	r->now_us = now_us;
+	if (r->halted || ticket <= r->reported_ticket ||
+	    ticket > r->next_ticket)
+		return;
+	if (!ok) {
+		save_halt(r);
+		return;
+	}
+	save_reported(r, ticket);
+	if (r->role == RAFT_CANDIDATE && !r->pre_vote &&
+	    r->reported_ticket >= r->state_ticket)
+		raft_vote_self(r, fx);
+	if (r->role == RAFT_LEADER) {
+		raft_advance_commit(r, fx);
+		raft_replicate_all(r);
+	} else {
+		raft_append_synced(r);
+	}
+}
--- /dev/null
+++ b/src/raft/raft_vote.c
@@ -0,0 +1,200 @@
+#include "raft/raft_internal.h"
+
+void
+raft_election_reset(struct raft *r)
+{
+	uint64_t span = r->options.election_max_us - r->options.election_min_us;
+
+	r->election_due_us = r->now_us + r->options.election_min_us +
+	    rng_below(&r->rng, (uint32_t)span + 1);
+}
+
+/* Follow a leader (0: none known) in a term that is not older than ours. */
+void
+raft_become_follower(
+    struct raft *r, uint64_t term, uint64_t leader, struct node_effects *fx)
+{
+	if (term > r->term) {
+		r->term = term;
+		r->vote = 0;
+		raft_save_state(r, fx);
+		r->verified = 0;
+		r->ack_owed = false;
+	}
+	if (r->role != RAFT_FOLLOWER)
+		raft_election_reset(r);
+	if (r->role == RAFT_LEADER) {
+		r->npeers = 0;
+		r->leader_since_us = 0;
+		r->verified = 0;
+	}
+	r->role = RAFT_FOLLOWER;
+	r->pre_vote = false;
+	r->ngranted = 0;
+	r->leader = leader;
+}
+
+static void
+vote_ask_all(struct raft *r, uint64_t term)
+{
+	const struct raft_config *c = raft_get_config(r);
+	Raft__VoteAsk ask = RAFT__VOTE_ASK__INIT;
+	Raft__Message m;
+	size_t i;
+
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_VOTE);
+	m.term = term;
+	m.vote = &ask;
+	ask.pre = r->pre_vote;
+	ask.last_index = raft_log_last(&r->log);
+	ask.last_term = raft_log_last_term(&r->log);
+	for (i = 0; i < c->nvoters; i++) {
+		if (c->voters[i] != r->options.self)
+			raft_message_send(r, c->voters[i], &m);
+	}
+}
+
+/* Stand in a new term; the vote for itself counts once it is saved. */
+static void
+vote_stand(struct raft *r, struct node_effects *fx)
+{
+	r->term++;
+	r->vote = r->options.self;
+	r->pre_vote = false;
+	r->ngranted = 0;
+	r->verified = 0;
+	r->ack_owed = false;
+	raft_save_state(r, fx);
+	raft_election_reset(r);
+	vote_ask_all(r, r->term);
+}
+
+static void
+vote_count(struct raft *r, uint64_t id, struct node_effects *fx)
+{
+	const struct raft_config *c = raft_get_config(r);
+	size_t i;
+
+	if (!raft_config_is_voter(c, id))
+		return;
+	for (i = 0; i < r->ngranted; i++) {
+		if (r->granted[i] == id)
+			return;
+	}
+	if (r->ngranted == RAFT_VOTERS_MAX)
+		return;
+	r->granted[r->ngranted++] = id;
+	if (r->ngranted < c->nvoters / 2 + 1)
+		return;
+	if (r->pre_vote)
+		vote_stand(r, fx);
+	else
+		raft_become_leader(r, fx);
+}
+
+/* The election timeout is over: ask whether standing makes sense. */
+void
+raft_campaign(struct raft *r, struct node_effects *fx)
+{
+	raft_election_reset(r);
+	if (!raft_is_voter(r))
+		return;
+	r->role = RAFT_CANDIDATE;
+	r->pre_vote = true;
+	r->leader = 0;
+	r->ngranted = 0;
+	vote_ask_all(r, r->term + 1);
+	vote_count(r, r->options.self, fx);
+}
+
+/* Our own vote is saved. */
+void
+raft_vote_self(struct raft *r, struct node_effects *fx)
+{
+	vote_count(r, r->options.self, fx);
+}
+
+static bool
+vote_log_is_current(const struct raft *r, const Raft__VoteAsk *ask)
+{
+	uint64_t term = raft_log_last_term(&r->log);
+
+	if (RAFT_FAULT(vote_any_log) || ask->last_term > term)
+		return true;
+	return ask->last_term == term &&
+	    ask->last_index >= raft_log_last(&r->log);
+}
+
+/* A live leader relies on our vote staying away from others. */
+static bool
+vote_is_promised(const struct raft *r)
+{
+	if (RAFT_FAULT(vote_despite_leader))
+		return false;
+	if (r->role == RAFT_LEADER)
+		return r->now_us <
+		    raft_quorum_heard(r) + r->options.election_min_us;
+	return r->now_us < r->promise_until_us;
+}
+
+static void
+vote_reply(struct raft *r, uint64_t to, uint64_t term, bool pre, bool granted)
+{
+	Raft__VoteReply reply = RAFT__VOTE_REPLY__INIT;
+	Raft__Message m;
+
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_VOTE_REPLY);
+	m.term = term;
+	m.vote_reply = &reply;
+	reply.pre = pre;
+	reply.granted = granted;
+	raft_message_send(r, to, &m);
+}
+
+void
+raft_vote_asked(struct raft *r, uint64_t from, uint64_t term,
+    const Raft__VoteAsk *ask, struct node_effects *fx)
+{
+	bool granted;
+
+	if (!raft_is_member(r) || vote_is_promised(r))
+		return;
+	if (ask->pre) {
+		granted = term > r->term && vote_log_is_current(r, ask);
+		vote_reply(r, from, granted ? term : r->term, true, granted);
+		return;
+	}
+	if (term < r->term) {
+		vote_reply(r, from, r->term, false, false);
+		return;
+	}
+	if (term > r->term)
+		raft_become_follower(r, term, 0, fx);
+	granted = vote_log_is_current(r, ask) &&
+	    (r->vote == 0 || r->vote == from || RAFT_FAULT(vote_twice));
+	if (granted) {
+		raft_become_follower(r, term, 0, fx);
+		if (r->vote != from) {
+			r->vote = from;
+			raft_save_state(r, fx);
+		}
+		raft_election_reset(r);
+	}
+	vote_reply(r, from, r->term, false, granted);
+}
+
+void
+raft_vote_replied(struct raft *r, uint64_t from, uint64_t term,
+    const Raft__VoteReply *reply, struct node_effects *fx)
+{
+	uint64_t asked = reply->pre ? r->term + 1 : r->term;
+
+	if (!reply->granted) {
+		if (term > r->term)
+			raft_become_follower(r, term, 0, fx);
+		return;
+	}
+	if (r->role == RAFT_CANDIDATE && r->pre_vote == reply->pre &&
+	    term == asked)
+		vote_count(r, from, fx);
+}
--- /dev/null
+++ b/src/store/store_internal.h
@@ -0,0 +1,20 @@
+#ifndef MP_STORE_STORE_INTERNAL_H
+#define MP_STORE_STORE_INTERNAL_H
+
+#include "store/store.h"
+#include "store/store_files.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* store_open() with other file calls, which must outlive the store. */
+int store_open_with(struct store **out, const struct store_files *files,
+    uv_loop_t *loop, const char *folder, store_saved_cb cb, void *ctx,
+    const struct node_disk **disk, struct mp_error *err);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/store/store_log.c
@@ -0,0 +1,431 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "raft/raft_record.h"
+#include "store/store_log.h"
+#include "util/mem.h"
+
+#define SEGMENT_BYTES_MAX     (16 << 20)
+#define SEGMENT_BYTES_COVERED (1 << 20)
+#define SEGMENT_NAME_BYTES    32
+
+static void
+segment_name(char *out, uint64_t number)
+{
+	(void)snprintf(out, SEGMENT_NAME_BYTES, "log-%016" PRIx64, number);
+}
+
+static char *
+segment_path(const struct store_log *log, uint64_t number)
+{
+	char name[SEGMENT_NAME_BYTES];
+
+	segment_name(name, number);
+	return store_path(log->folder, name);
+}
+
+static struct store_segment *
+segment_push(struct store_log *log, uint64_t number)
+{
+	struct store_segment *s;
+
+	if (log->nsegments == log->segments_cap) {
+		log->segments_cap =
+		    log->segments_cap == 0 ? 8 : log->segments_cap * 2;
+		log->segments = mem_resize(
+		    log->segments, log->segments_cap, sizeof(*log->segments));
+	}
+	s = &log->segments[log->nsegments++];
+	s->number = number;
+	s->first = 0;
+	return s;
+}
+
+static int
+segment_compare(const void *a, const void *b)
+{
+	const struct store_segment *x = a, *y = b;
+
+	return x->number < y->number ? -1 : x->number > y->number;
+}
+
+static int
+log_list(struct store_log *log)
+{
+	uint64_t number;
+	uv_dirent_t entry;
+	uv_fs_t req;
+	int code;
+
+	code = uv_fs_scandir(NULL, &req, log->folder, 0, NULL);
+	if (code >= 0) {
+		while (uv_fs_scandir_next(&req, &entry) != UV_EOF) {
+			char name[SEGMENT_NAME_BYTES];
+
+			if (sscanf(entry.name, "log-%" SCNx64, &number) != 1)
+				continue;
+			segment_name(name, number);
+			if (strcmp(name, entry.name) == 0)
+				segment_push(log, number);
+		}
+	}
+	uv_fs_req_cleanup(&req);
+	if (code >= 0 && log->nsegments > 0)
+		qsort(log->segments, log->nsegments, sizeof(*log->segments),
+		    segment_compare);
+	return code < 0 ? code : 0;
+}
+
+void
+store_replay_free(struct store_replay *replay)
+{
+	buf_free(&replay->records);
+	free(replay->offsets);
+	memset(replay, 0, sizeof(*replay));
+}
+
+static void
+replay_keep(struct store_replay *replay, size_t count)
+{
+	if (count < replay->count)
+		replay->records.len = replay->offsets[count];
+	replay->count = count;
+}
+
+/* Take one entry; false when it cannot follow what came before. */
+static bool
+replay_take(
+    struct store_replay *replay, uint64_t index, const char *record, size_t len)
+{
+	uint64_t next = replay->first + replay->count;
+
+	if (replay->count == 0 || index > next || index < replay->first) {
+		bool follows = replay->count > 0 && index < replay->first;
+
+		if (!follows && index > replay->snapshot_index + 1)
+			return false;
+		replay_keep(replay, 0);
+		replay->first = index;
+	} else {
+		replay_keep(replay, (size_t)(index - replay->first));
+	}
+	if (replay->count == replay->cap) {
+		replay->cap = replay->cap == 0 ? 256 : replay->cap * 2;
+		replay->offsets = mem_resize(
+		    replay->offsets, replay->cap, sizeof(*replay->offsets));
+	}
+	replay->offsets[replay->count++] = replay->records.len;
+	buf_append(&replay->records, record, len);
+	return true;
+}
+
+/* Is there a sound record anywhere in these bytes? */
+static bool
+bytes_hold_record(struct node_bytes bytes)
+{
+	struct raft_record rec;
+	size_t used;
+
+	for (; bytes.len >= RAFT_RECORD_HEADER; bytes.data++, bytes.len--) {
+		if (raft_record_read(&rec, &used, bytes) == MP_OK)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Replay one segment.
+ *
+ * good: where its sound records end.
+ * continued: set when the segment says that another follows.
+ * Errors: MP_ERR_CORRUPT.
+ */
+static int
+segment_replay(struct store_segment *segment, struct store_replay *replay,
+    struct node_bytes all, size_t *good, bool *continued)
+{
+	struct node_bytes rest = all;
+	struct raft_record rec;
+	size_t used;
+
+	*continued = false;
+	while (rest.len > 0) {
+		if (raft_record_read(&rec, &used, rest) != MP_OK)
+			break;
+		if (rec.type == RAFT_RECORD_SYNCED) {
+			*continued = rec.term != 0;
+		} else {
+			if (!replay_take(replay, rec.index, rest.data, used))
+				return MP_ERR_CORRUPT;
+			if (segment->first == 0)
+				segment->first = rec.index;
+		}
+		rest.data += used;
+		rest.len -= used;
+	}
+	*good = all.len - rest.len;
+	if (rest.len > 0) {
+		rest.data++;
+		rest.len--;
+		if (bytes_hold_record(rest))
+			return MP_ERR_CORRUPT;
+	}
+	return MP_OK;
+}
+
+static int
+log_damage(struct mp_error *err, const char *what, uint64_t number)
+{
+	return mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+	    "log segment %" PRIu64 ": %s", number, what);
+}
+
+/*
+ * A crash while the log rolled can tear the markers at the end of the last
+ * segment but one; then the last one is still empty.
+ */
+static int
+log_cut_torn_roll(struct store_log *log, size_t i, size_t good, size_t len)
+{
+	struct buf next = {0};
+	uv_file fd;
+	char *path;
+	int code;
+
+	if (i + 2 != log->nsegments || len - good > 2 * RAFT_RECORD_HEADER)
+		return MP_ERR_CORRUPT;
+	path = segment_path(log, log->segments[i + 1].number);
+	code = store_file_read(path, &next);
+	free(path);
+	if (code == 0 && next.len > 0)
+		code = MP_ERR_CORRUPT;
+	buf_free(&next);
+	if (code != 0)
+		return code;
+	path = segment_path(log, log->segments[i].number);
+	code = store_file_open(&fd, path, false);
+	free(path);
+	if (code != 0)
+		return code;
+	code = store_file_cut(fd, (int64_t)good);
+	if (code == 0)
+		code = log->files->sync(log->files, fd);
+	store_file_close(fd);
+	return code;
+}
+
+static int
+log_replay_at(struct store_log *log, size_t i, struct store_replay *replay,
+    struct mp_error *err)
+{
+	struct store_segment *s = &log->segments[i];
+	bool last = i + 1 == log->nsegments, continued;
+	struct buf content = {0};
+	struct node_bytes all;
+	size_t good = 0;
+	char *path;
+	int code;
+
+	path = segment_path(log, s->number);
+	code = store_file_read(path, &content);
+	free(path);
+	if (code < 0) {
+		code = mp_error_set(err, MP_LAYER_STORE, MP_ERR_IO,
+		    "read log segment: %s", uv_strerror(code));
+		goto cleanup;
+	}
+	all.data = content.data;
+	all.len = content.len;
+	code = segment_replay(s, replay, all, &good, &continued);
+	if (code == MP_OK && !last && good < content.len)
+		code = log_cut_torn_roll(log, i, good, content.len);
+	if (code != MP_OK)
+		code = log_damage(err, "a bad record", s->number);
+	else if (last && continued)
+		code = log_damage(err, "the next one is missing", s->number);
+	else if (!last && log->segments[i + 1].number != s->number + 1)
+		code = log_damage(err, "the next one is missing", s->number);
+	log->offset = (int64_t)good;
+cleanup:
+	buf_free(&content);
+	return code;
+}
+
+/* Make the segment after the last one and let the last one say so. */
+static int
+log_roll(struct store_log *log)
+{
+	struct raft_record rec = {.type = RAFT_RECORD_SYNCED};
+	struct buf b = {0};
+	uint64_t number = 1;
+	uv_file fd;
+	char *path;
+	int code;
+
+	if (log->nsegments > 0)
+		number = log->segments[log->nsegments - 1].number + 1;
+	path = segment_path(log, number);
+	code = store_file_open(&fd, path, true);
+	free(path);
+	if (code == 0)
+		code = store_folder_sync(log->files, log->folder);
+	if (code == 0 && log->fd >= 0) {
+		rec.index = log->last;
+		rec.term = number;
+		raft_record_pack(&b, &rec);
+		code = log->files->write(
+		    log->files, log->fd, b.data, b.len, log->offset);
+		if (code == 0)
+			code = log->files->sync(log->files, log->fd);
+		buf_free(&b);
+	}
+	if (code != 0) {
+		store_file_close(fd);
+		return code;
+	}
+	store_file_close(log->fd);
+	log->fd = fd;
+	log->offset = 0;
+	segment_push(log, number);
+	return 0;
+}
+
+/* Open the last segment for appending, without its torn tail. */
+static int
+log_open_last(struct store_log *log)
+{
+	char *path;
+	int code;
+
+	if (log->nsegments == 0)
+		return log_roll(log);
+	path = segment_path(log, log->segments[log->nsegments - 1].number);
+	code = store_file_open(&log->fd, path, false);
+	free(path);
+	if (code == 0)
+		code = store_file_cut(log->fd, log->offset);
+	if (code == 0)
+		code = log->files->sync(log->files, log->fd);
+	return code;
+}
+
+int
+store_log_open(struct store_log *log, const struct store_files *files,
+    const char *folder, struct store_replay *replay, struct mp_error *err)
+{
+	size_t i;
+	int code;
+
+	memset(log, 0, sizeof(*log));
+	log->files = files;
+	log->folder = folder;
+	log->fd = -1;
+	code = log_list(log);
+	if (code < 0)
+		goto io;
+	for (i = 0; i < log->nsegments; i++) {
+		code = log_replay_at(log, i, replay, err);
+		if (code != MP_OK)
+			return code;
+	}
+	if (replay->count > 0)
+		log->last = replay->first + replay->count - 1;
+	code = log_open_last(log);
+	if (code == 0)
+		return MP_OK;
+io:
+	return mp_error_set(
+	    err, MP_LAYER_STORE, MP_ERR_IO, "open log: %s", uv_strerror(code));
+}
+
+void
+store_log_close(struct store_log *log)
+{
+	store_file_close(log->fd);
+	log->fd = -1;
+	free(log->segments);
+	log->segments = NULL;
+	log->nsegments = 0;
+	log->segments_cap = 0;
+	buf_free(&log->batch);
+}
+
+void
+store_log_add(struct store_log *log, uint64_t first, size_t count,
+    struct node_bytes records)
+{
+	struct store_segment *s = &log->segments[log->nsegments - 1];
+
+	if (count == 0)
+		return;
+	if (s->first == 0)
+		s->first = first;
+	buf_append(&log->batch, records.data, records.len);
+	log->batch_last = first + count - 1;
+	log->batch_records += count;
+}
+
+/* The marker is not synced: where it is lost, only its help is. */
+static void
+log_mark(struct store_log *log)
+{
+	struct raft_record rec = {
+	    .type = RAFT_RECORD_SYNCED,
+	    .index = log->last,
+	};
+	struct buf b = {0};
+
+	raft_record_pack(&b, &rec);
+	if (log->files->write(
+		log->files, log->fd, b.data, b.len, log->offset) == 0)
+		log->offset += (int64_t)b.len;
+	buf_free(&b);
+}
+
+int
+store_log_flush(struct store_log *log)
+{
+	int code;
+
+	if (log->batch.len == 0)
+		return 0;
+	code = log->files->write(
+	    log->files, log->fd, log->batch.data, log->batch.len, log->offset);
+	if (code == 0)
+		code = log->files->sync(log->files, log->fd);
+	if (code != 0)
+		return code;
+	log->offset += (int64_t)log->batch.len;
+	log->last = log->batch_last;
+	buf_clear(&log->batch);
+	log->batch_records = 0;
+	log_mark(log);
+	if (log->offset >= SEGMENT_BYTES_MAX)
+		return log_roll(log);
+	return 0;
+}
+
+int
+store_log_covered(struct store_log *log, uint64_t snapshot_index)
+{
+	size_t n = 0, i;
+	char *path;
+	int code = 0;
+
+	if (log->offset >= SEGMENT_BYTES_COVERED)
+		code = log_roll(log);
+	while (n + 1 < log->nsegments && log->segments[n + 1].first != 0 &&
+	    log->segments[n + 1].first <= snapshot_index + 1)
+		n++;
+	for (i = 0; i < n && code == 0; i++) {
+		path = segment_path(log, log->segments[i].number);
+		code = store_file_remove(path);
+		free(path);
+	}
+	log->nsegments -= n;
+	memmove(log->segments, log->segments + n,
+	    log->nsegments * sizeof(*log->segments));
+	return code;
+}
--- /dev/null
+++ b/src/store/store_open.c
@@ -0,0 +1,301 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "raft/raft_record.h"
+#include "store/store_open.h"
+#include "util/mem.h"
+
+#define DAMAGED_PREFIX "damaged-"
+#define DAMAGED_MAX    10000
+#define NAME_BYTES     32
+
+int
+store_record_replace(const struct store_files *files, const char *folder,
+    const char *name, const struct raft_record *record)
+{
+	struct buf b = {0};
+	int code;
+
+	raft_record_pack(&b, record);
+	code = store_file_replace(files, folder, name, b.data, b.len);
+	buf_free(&b);
+	return code;
+}
+
+static int
+open_error(struct mp_error *err, const char *what, int code)
+{
+	return mp_error_set(
+	    err, MP_LAYER_STORE, MP_ERR_IO, "%s: %s", what, uv_strerror(code));
+}
+
+/*
+ * Read a file that holds one record.
+ *
+ * Errors: MP_ERR_NOT_FOUND (no such file), MP_ERR_CORRUPT, MP_ERR_IO.
+ */
+static int
+record_file_read(const char *folder, const char *name, uint32_t type,
+    struct raft_record *out, struct buf *content, struct mp_error *err)
+{
+	char *path = store_path(folder, name);
+	struct node_bytes bytes;
+	size_t used = 0;
+	int code;
+
+	code = store_file_read(path, content);
+	free(path);
+	if (code == UV_ENOENT)
+		return MP_ERR_NOT_FOUND;
+	if (code < 0)
+		return open_error(err, name, code);
+	bytes.data = content->data;
+	bytes.len = content->len;
+	if (raft_record_read(out, &used, bytes) != MP_OK || used != bytes.len ||
+	    out->type != type)
+		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+		    "the file %s is damaged", name);
+	return MP_OK;
+}
+
+/* Make state and identity; the identity comes last and completes it. */
+static int
+folder_found(struct store_content *c, const struct store_files *files,
+    const char *folder, struct mp_error *err)
+{
+	struct raft_record state = {.type = RAFT_RECORD_STATE};
+	struct raft_record identity = {.type = RAFT_RECORD_IDENTITY};
+	int code;
+
+	while (identity.index == 0)
+		randombytes_buf(&identity.index, sizeof(identity.index));
+	code = store_record_replace(files, folder, STORE_FILE_STATE, &state);
+	if (code == 0)
+		code = store_record_replace(
+		    files, folder, STORE_FILE_IDENTITY, &identity);
+	if (code != 0)
+		return open_error(err, "found the data folder", code);
+	c->disk.incarnation = identity.index;
+	return store_log_open(&c->log, files, folder, &c->replay, err);
+}
+
+static bool
+name_is_content(const char *name)
+{
+	return strcmp(name, STORE_FILE_LOCK) != 0 &&
+	    strncmp(name, DAMAGED_PREFIX, strlen(DAMAGED_PREFIX)) != 0;
+}
+
+static bool
+name_is_tmp(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len > 4 && strcmp(name + len - 4, ".tmp") == 0;
+}
+
+static int
+folder_move(
+    const struct store_files *files, const char *folder, const char *aside)
+{
+	char *to_folder = store_path(folder, aside);
+	uv_dirent_t entry;
+	uv_fs_t req;
+	int code;
+
+	code = store_folder_make(to_folder);
+	if (code == 0)
+		code = uv_fs_scandir(NULL, &req, folder, 0, NULL);
+	if (code < 0) {
+		free(to_folder);
+		return code;
+	}
+	code = 0;
+	while (code == 0 && uv_fs_scandir_next(&req, &entry) != UV_EOF) {
+		char *from, *to;
+
+		if (!name_is_content(entry.name))
+			continue;
+		from = store_path(folder, entry.name);
+		to = store_path(to_folder, entry.name);
+		code = files->rename(files, from, to);
+		free(from);
+		free(to);
+	}
+	uv_fs_req_cleanup(&req);
+	if (code == 0)
+		code = store_folder_sync(files, to_folder);
+	if (code == 0)
+		code = store_folder_sync(files, folder);
+	free(to_folder);
+	return code;
+}
+
+/* Move the content into the next free damaged-<n>. */
+static int
+folder_set_aside(
+    const struct store_files *files, const char *folder, struct mp_error *err)
+{
+	char name[NAME_BYTES];
+	uv_fs_t req;
+	char *path;
+	int n, code = 0;
+
+	for (n = 1; n < DAMAGED_MAX && code == 0; n++) {
+		(void)snprintf(name, sizeof(name), DAMAGED_PREFIX "%d", n);
+		path = store_path(folder, name);
+		code = uv_fs_stat(NULL, &req, path, NULL);
+		uv_fs_req_cleanup(&req);
+		free(path);
+	}
+	code = folder_move(files, folder, name);
+	if (code != 0)
+		return open_error(err, "set damaged content aside", code);
+	return MP_OK;
+}
+
+/* Is there any content, and is there more than a state file? */
+static int
+folder_look(const char *folder, bool *any, bool *more, struct mp_error *err)
+{
+	uv_dirent_t entry;
+	uv_fs_t req;
+	char *path;
+	int code;
+
+	*any = false;
+	*more = false;
+	code = uv_fs_scandir(NULL, &req, folder, 0, NULL);
+	while (code >= 0 && uv_fs_scandir_next(&req, &entry) != UV_EOF) {
+		if (!name_is_content(entry.name))
+			continue;
+		if (name_is_tmp(entry.name)) {
+			path = store_path(folder, entry.name);
+			(void)store_file_remove(path);
+			free(path);
+			continue;
+		}
+		*any = true;
+		if (strcmp(entry.name, STORE_FILE_STATE) != 0)
+			*more = true;
+	}
+	uv_fs_req_cleanup(&req);
+	return code < 0 ? open_error(err, "read the data folder", code) : MP_OK;
+}
+
+static int
+content_read_state(
+    struct store_content *c, const char *folder, struct mp_error *err)
+{
+	struct raft_record rec;
+	struct buf b = {0};
+	int code;
+
+	code = record_file_read(
+	    folder, STORE_FILE_STATE, RAFT_RECORD_STATE, &rec, &b, err);
+	if (code == MP_OK) {
+		c->disk.term = rec.term;
+		c->disk.vote = rec.index;
+	} else if (code == MP_ERR_NOT_FOUND) {
+		code = mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+		    "the state file is missing");
+	}
+	buf_free(&b);
+	return code;
+}
+
+static int
+content_read_snapshot(
+    struct store_content *c, const char *folder, struct mp_error *err)
+{
+	struct raft_record rec;
+	int code;
+
+	code = record_file_read(folder, STORE_FILE_SNAPSHOT,
+	    RAFT_RECORD_SNAPSHOT, &rec, &c->snapshot, err);
+	if (code == MP_ERR_NOT_FOUND)
+		return MP_OK;
+	if (code != MP_OK)
+		return code;
+	c->disk.snapshot_index = rec.index;
+	c->disk.snapshot_term = rec.term;
+	c->disk.snapshot = rec.data;
+	c->replay.snapshot_index = rec.index;
+	return MP_OK;
+}
+
+static int
+content_read(struct store_content *c, const struct store_files *files,
+    const char *folder, struct mp_error *err)
+{
+	struct raft_record rec;
+	struct buf b = {0};
+	int code;
+
+	code = record_file_read(
+	    folder, STORE_FILE_IDENTITY, RAFT_RECORD_IDENTITY, &rec, &b, err);
+	buf_free(&b);
+	if (code == MP_ERR_NOT_FOUND)
+		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+		    "the identity file is missing");
+	if (code != MP_OK)
+		return code;
+	c->disk.incarnation = rec.index;
+	code = content_read_state(c, folder, err);
+	if (code == MP_OK)
+		code = content_read_snapshot(c, folder, err);
+	if (code == MP_OK)
+		code = store_log_open(&c->log, files, folder, &c->replay, err);
+	if (code != MP_OK)
+		return code;
+	c->disk.first_index = c->replay.first;
+	c->disk.record_count = c->replay.count;
+	c->disk.records.data = c->replay.records.data;
+	c->disk.records.len = c->replay.records.len;
+	return MP_OK;
+}
+
+int
+store_content_open(struct store_content *c, const struct store_files *files,
+    const char *folder, struct mp_error *err)
+{
+	bool any, more, fresh = false, damaged = false;
+	int code;
+
+	memset(c, 0, sizeof(*c));
+	c->log.fd = -1;
+	code = folder_look(folder, &any, &more, err);
+	if (code != MP_OK)
+		return code;
+	if (any) {
+		code = content_read(c, files, folder, err);
+		if (code != MP_ERR_CORRUPT)
+			return code;
+		/* Only a state file of no term: founding was cut short. */
+		fresh = !more && content_read_state(c, folder, NULL) == MP_OK &&
+		    c->disk.term == 0;
+		damaged = !fresh;
+		store_log_close(&c->log);
+		store_content_free(c);
+		if (damaged)
+			code = folder_set_aside(files, folder, err);
+		else
+			code = MP_OK;
+		if (code != MP_OK)
+			return code;
+	}
+	code = folder_found(c, files, folder, err);
+	c->disk.fresh = !damaged;
+	c->disk.damaged = damaged;
+	return code;
+}
+
+void
+store_content_free(struct store_content *c)
+{
+	buf_free(&c->snapshot);
+	store_replay_free(&c->replay);
+	memset(&c->disk, 0, sizeof(c->disk));
+}
--- /dev/null
+++ b/tests/raft/net.h
@@ -0,0 +1,154 @@
+#ifndef MP_TESTS_RAFT_NET_H
+#define MP_TESTS_RAFT_NET_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "raft/raft_internal.h"
+}
+
+/* Times of the fixture's voters, in microseconds. */
+constexpr uint64_t kHeartbeat = 50000;
+constexpr uint64_t kElectionMin = 200000;
+constexpr uint64_t kElectionMax = 400000;
+constexpr uint64_t kSecond = 1000000;
+
+struct Save {
+	node_save s;
+	std::string data;
+	uint64_t due;
+};
+
+/* What a folder would hold after a crash. */
+struct Disk {
+	uint64_t term = 0, vote = 0;
+	uint64_t snapshot_index = 0, snapshot_term = 0;
+	std::string snapshot;
+	uint64_t first = 0;
+	std::vector<std::string> records;
+
+	/* records: how many of an append's records get there. */
+	void apply(const Save &save, size_t records_kept = SIZE_MAX);
+};
+
+struct Member {
+	uint64_t id = 0;
+	raft *r = nullptr;
+	Disk disk;
+	std::deque<Save> saves;
+	uint64_t disk_free = 0; /* when the disk is done with its queue */
+	uint64_t offset = 0;
+	double rate = 1; /* of its clock */
+	uint64_t applied = 0, hash = 0;
+	uint64_t applied_at_compact = 0;
+	uint64_t authority = 0; /* in the fixture's time */
+	uint64_t tick_at = 0;
+	uint64_t led_term = 0;
+	bool fail_saves = false;
+};
+
+struct NetOptions {
+	size_t members = 3;
+	double drop = 0, twice = 0, spike = 0;
+	uint64_t delay_max = 5000, spike_max = 300000;
+	uint64_t save_max = 3000;
+	bool drift = false;
+	size_t batch_bytes = 4096;
+	uint64_t compact_every = 0;
+};
+
+/* Voters on a seeded network, checked after every step. */
+class Net {
+      public:
+	Net(uint64_t seed, const NetOptions &options);
+	~Net();
+
+	/* Run until a time, or until a checker complains. */
+	void run_until(uint64_t t);
+	void
+	run_for(uint64_t us)
+	{
+		run_until(now + us);
+	}
+	/* Run until one leads with an own entry committed; its place or -1. */
+	int run_to_leader(uint64_t limit = 10 * kSecond);
+
+	void crash(size_t i); /* unsynced saves are lost, or torn */
+	void restart(size_t i);
+	void replace_disk(size_t i); /* under a new id, empty */
+	bool propose(size_t i, const std::string &command);
+	int change(size_t i, raft_change what, uint64_t id);
+	void
+	cut(size_t from, size_t to)
+	{
+		cuts.insert({from, to});
+	}
+	void isolate(size_t i);
+	void
+	heal()
+	{
+		cuts.clear();
+	}
+	int leader() const; /* the one of the newest term, or -1 */
+	int place(uint64_t id) const;
+	void receive(size_t i, uint64_t from, const std::string &bytes);
+	/* Bring the membership a step towards all current ids as voters. */
+	void mend_config();
+	bool config_is_whole() const;
+	void check_all_equal();
+
+	uint64_t now = kSecond;
+	std::vector<Member> m;
+	std::string violation; /* of the first checker that failed */
+	std::set<std::pair<size_t, size_t>> cuts;
+	std::map<uint64_t, std::string> committed; /* packed by index */
+	uint64_t delivered = 0;
+	NetOptions options;
+	rng random;
+
+      private:
+	struct Event {
+		uint64_t at, seq;
+		enum {
+			MESSAGE,
+			TICK,
+			SAVED
+		} type;
+		size_t to;
+		uint64_t to_id, from_id;
+		size_t from;
+		std::string bytes;
+		bool
+		operator<(const Event &o) const
+		{
+			return at != o.at ? at > o.at : seq > o.seq;
+		}
+	};
+	void push(Event e);
+	void handle(const Event &e);
+	void create(size_t i);
+	void after(size_t i, node_effects *fx);
+	void take_saves(size_t i, node_effects *fx);
+	void take_messages(size_t i);
+	void take_committed(size_t i);
+	void check(size_t i);
+	void check_complete(size_t i);
+	void send(size_t from, uint64_t to_id, std::string bytes);
+	void fail(const std::string &what);
+	uint64_t local(size_t i) const;
+	uint64_t global(size_t i, uint64_t local_us) const;
+
+	std::priority_queue<Event> events;
+	uint64_t seq = 0;
+	uint32_t next_incarnation = 1;
+	std::map<uint64_t, uint64_t> leader_of_term;
+	std::map<uint64_t, uint64_t> commit_term; /* index to newest term */
+};
+
+#endif
