--- /dev/null
+++ b/src/sched/policy_fair.c
@@ -0,0 +1,208 @@
+#include <stdlib.h>
+
+#include "sched/policy_fair.h"
+#include "util/mem.h"
+
+/*
+ * Grants in the fair order: of the teams whose next request could run now,
+ * the one with the least counter; within the deficit bound of it, affinity
+ * decides.
+ */
+
+#define FAIR_SCORE_PREFIX 4.0
+#define FAIR_SCORE_ROLE	  0.5
+#define FAIR_SCORE_BATCH  2.0
+#define FAIR_ITEMS_DEEP	  4 /* requests of one flow that are looked at */
+#define FAIR_POOL_WALK	  64 /* endpoints of a service that are looked at */
+
+/* A request that could run now. */
+struct fair_pick {
+	struct item *it;
+	struct endpoint *ep;
+	struct slot *slot;
+	double score;
+};
+
+static double
+fair_role_score(const struct endpoint *ep, const struct item *it)
+{
+	bool long_prompt = it->prompt_tokens > 4 * it->max_tokens;
+
+	switch (ep->role) {
+	case SCHED_PREFILL:
+		return long_prompt ? FAIR_SCORE_ROLE : -FAIR_SCORE_ROLE;
+	case SCHED_DECODE:
+		return long_prompt ? -FAIR_SCORE_ROLE : FAIR_SCORE_ROLE;
+	case SCHED_MIXED:
+		break;
+	}
+	return 0.0;
+}
+
+static double
+fair_score(const struct sched *s, const struct item *it,
+    const struct endpoint *ep, const struct slot *slot)
+{
+	double score = fair_role_score(ep, it);
+	double open = (double)endpoint_free_seats(ep) / ep->seats;
+
+	if (prefix_has(&ep->prefixes, it->prefix))
+		score += FAIR_SCORE_PREFIX;
+	if (s->options.objective == SETTINGS_BATCH && slot != NULL)
+		return score + FAIR_SCORE_BATCH * slot->pins / ep->seats;
+	return score + open;
+}
+
+static void
+fair_consider(struct sched *s, uint64_t now_us, struct item *it,
+    struct endpoint *ep, struct slot *slot, struct fair_pick *best)
+{
+	double score;
+
+	if (item_avoids(it, ep) || endpoint_free_seats(ep) == 0 ||
+	    !endpoint_usable(s, ep, now_us))
+		return;
+	score = fair_score(s, it, ep, slot);
+	if (best->it != NULL && score <= best->score)
+		return;
+	best->it = it;
+	best->ep = ep;
+	best->slot = slot;
+	best->score = score;
+}
+
+/* The best seat for a request, if there is one. */
+static void
+fair_seat(
+    struct sched *s, uint64_t now_us, struct item *it, struct fair_pick *best)
+{
+	struct adapter *a = it->adapter;
+	struct pool *p = a->pool;
+	struct slot *slot;
+	uint32_t i, n;
+
+	if (a->service) {
+		n = p->count < FAIR_POOL_WALK ? p->count : FAIR_POOL_WALK;
+		for (i = 0; i < n; i++)
+			fair_consider(s, now_us, it,
+			    p->endpoints[p->cursor++ % p->count], NULL, best);
+		return;
+	}
+	for (i = 0; i < a->nat; i++) {
+		slot = a->at[i].slot;
+		if (slot->state != SLOT_LOADED || slot->lost ||
+		    slot->draining != NULL || a->at[i].ep->pool != p)
+			continue;
+		fair_consider(s, now_us, it, a->at[i].ep, slot, best);
+	}
+}
+
+static bool
+fair_flow_pick(
+    struct sched *s, uint64_t now_us, struct flow *f, struct fair_pick *out)
+{
+	struct item *it = f->head;
+	int deep;
+
+	out->it = NULL;
+	if (f->no_seat == s->run)
+		return false;
+	for (deep = 0; it != NULL && deep < FAIR_ITEMS_DEEP; deep++) {
+		fair_seat(s, now_us, it, out);
+		if (out->it != NULL)
+			return true;
+		it = it->next;
+	}
+	f->no_seat = s->run;
+	return false;
+}
+
+/* Of one team: the runnable request that ranks first. */
+static bool
+fair_team_pick(
+    struct sched *s, uint64_t now_us, struct team *t, struct fair_pick *best)
+{
+	struct fair_pick pick;
+	struct flow *f;
+
+	best->it = NULL;
+	if (t->queued == 0 || !team_may_run(t))
+		return false;
+	for (f = t->flows; f != NULL; f = f->team_next) {
+		if (best->it != NULL && f->head->rank >= best->it->rank)
+			continue;
+		if (fair_flow_pick(s, now_us, f, &pick))
+			*best = pick;
+	}
+	return best->it != NULL;
+}
+
+/* A pick goes before another: by score within the bound, else by counter. */
+static bool
+fair_before(const struct sched *s, const struct fair_pick *a,
+    const struct fair_pick *b, double least)
+{
+	double bound = least + team_bound(s);
+	double ca = a->it->team->counter, cb = b->it->team->counter;
+
+	if (!sched_guards.bound)
+		return a->score > b->score;
+	if (ca > bound || cb > bound)
+		return ca < cb;
+	if (a->score != b->score)
+		return a->score > b->score;
+	return ca < cb;
+}
+
+static bool
+fair_pick(struct sched *s, uint64_t now_us, struct fair_pick *best)
+{
+	struct fair_pick pick = {0};
+	struct team *t;
+	double least = 0.0;
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (!fair_team_pick(s, now_us, t, &pick))
+			continue;
+		if (!found || t->counter < least)
+			least = t->counter;
+		if (!found || fair_before(s, &pick, best, least))
+			*best = pick;
+		found = true;
+	}
+	return found;
+}
+
+static void
+fair_decide(struct policy *policy, struct sched *s, uint64_t now_us)
+{
+	struct fair_pick pick = {0};
+
+	(void)policy;
+	while (fair_pick(s, now_us, &pick))
+		sched_grant(s, now_us, pick.it, pick.ep, pick.slot);
+	fair_load(s, now_us);
+}
+
+static void
+fair_destroy(struct policy *policy)
+{
+	free(policy);
+}
+
+struct policy *
+policy_fair_create(const struct sched_options *options)
+{
+	struct policy *p = mem_alloc(1, sizeof(*p));
+
+	(void)options;
+	p->parent.name = "fair";
+	p->parent.admits = true;
+	p->parent.destroy = fair_destroy;
+	p->parent.decide = fair_decide;
+	p->parent.evict_cost = fair_evict_cost;
+	return p;
+}
--- /dev/null
+++ b/src/sched/policy_fair_load.c
@@ -0,0 +1,305 @@
+#include "sched/policy_fair.h"
+
+/*
+ * Loads by the stall that waiting requests have suffered; places by what
+ * the eviction costs and how soon a seat is free there.
+ */
+
+#define FAIR_LOAD_TRIES	    8 /* of one run */
+#define FAIR_PLACE_WALK	    64 /* endpoints that are looked at */
+#define FAIR_KEEP_US	    30e6
+#define FAIR_PROTECT_STALL  1.5
+#define FAIR_REPLICA_STALL  1.0 /* loads' times that a queue may last */
+#define FAIR_REPLICA_BATCH  3.0
+#define FAIR_SPREAD_STALL   1.0
+#define FAIR_SPREAD_BATCH   0.25
+#define FAIR_RELOAD_MOST_US 2e6
+#define FAIR_WAKE_MIN_US    (10 * SCHED_MS_US)
+
+/* An adapter that wants to be loaded, and how much. */
+struct fair_want {
+	struct flow *flow;
+	double value; /* microseconds of stall */
+};
+
+struct fair_place {
+	struct endpoint *ep;
+	double cost, score;
+};
+
+static double
+fair_load_us(const struct sched *s)
+{
+	return (double)s->options.load_ms * SCHED_MS_US;
+}
+
+/* How long a reload takes, with the wait for its permit. */
+static double
+fair_reload_us(const struct sched *s)
+{
+	uint64_t spacing = load_spacing_us(s);
+	double us = fair_load_us(s);
+
+	if (spacing != SCHED_NEVER)
+		us += (double)spacing;
+	return us < FAIR_RELOAD_MOST_US ? us : FAIR_RELOAD_MOST_US;
+}
+
+double
+fair_evict_cost(struct policy *policy, struct sched *s, uint64_t now_us,
+    const struct endpoint *ep, const struct slot *slot)
+{
+	const struct adapter *a = slot->adapter;
+	double reload = fair_reload_us(s);
+	double copies = a->loaded > 0 ? a->loaded : 1;
+	double rate = rate_at(a->rate, a->rate_us, now_us) / copies;
+	double cost;
+
+	(void)policy;
+	(void)ep;
+	rate *= team_share(s, a->team, now_us);
+	cost = rate * reload * reload / (double)SCHED_SECOND_US;
+	if (s->options.objective == SETTINGS_LOAD_STALL)
+		cost *= FAIR_PROTECT_STALL;
+	cost += a->waiting * reload / copies;
+	if (a->keep && a->loaded <= 1)
+		cost += FAIR_KEEP_US;
+	return cost;
+}
+
+/* Seats of the endpoints that hold the adapter; free when any is open. */
+static uint32_t
+fair_seats(
+    struct sched *s, uint64_t now_us, const struct adapter *a, bool *open)
+{
+	const struct endpoint *ep;
+	uint32_t i, seats = 0;
+
+	*open = false;
+	for (i = 0; i < a->nat; i++) {
+		ep = a->at[i].ep;
+		if (a->at[i].slot->draining != NULL || ep->pool != a->pool ||
+		    !endpoint_usable(s, ep, now_us))
+			continue;
+		seats += ep->seats;
+		if (endpoint_free_seats(ep) > 0)
+			*open = true;
+	}
+	return seats;
+}
+
+/* The stall that loading a flow's adapter once more would end. */
+static double
+fair_value(struct sched *s, uint64_t now_us, const struct flow *f)
+{
+	const struct adapter *a = f->adapter;
+	double stall = (double)(a->waiting * now_us - a->waiting_sum);
+	double threshold, queue;
+	uint32_t seats;
+	bool open;
+
+	if (a->service || a->loading > 0)
+		return 0.0;
+	seats = fair_seats(s, now_us, a, &open);
+	if (seats == 0)
+		return stall + a->waiting * fair_load_us(s);
+	if (open)
+		return 0.0;
+	threshold = s->options.objective == SETTINGS_BATCH ? FAIR_REPLICA_BATCH
+							   : FAIR_REPLICA_STALL;
+	threshold *= fair_load_us(s);
+	queue = a->waiting * a->pool->service_us / seats;
+	if (queue < threshold || stall < threshold * a->waiting / 2.0)
+		return 0.0;
+	return stall / 2.0;
+}
+
+/* The team of least counter among those with something to load. */
+static bool
+fair_least(struct sched *s, uint64_t now_us, double *least)
+{
+	const struct team *t;
+	const struct flow *f;
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (t->queued == 0 || !team_may_run(t))
+			continue;
+		if (found && t->counter >= *least)
+			continue;
+		for (f = t->flows; f != NULL; f = f->team_next) {
+			if (f->no_load != s->run &&
+			    fair_value(s, now_us, f) > 0.0)
+				break;
+		}
+		if (f == NULL)
+			continue;
+		*least = t->counter;
+		found = true;
+	}
+	return found;
+}
+
+static bool
+fair_want(struct sched *s, uint64_t now_us, struct fair_want *best)
+{
+	struct team *t;
+	struct flow *f;
+	double value, least = 0.0, share;
+	uint32_t i;
+
+	best->flow = NULL;
+	if (!fair_least(s, now_us, &least))
+		return false;
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (t->queued == 0 || !team_may_run(t) ||
+		    t->counter > least + team_bound(s))
+			continue;
+		share = team_share(s, t, now_us);
+		for (f = t->flows; f != NULL; f = f->team_next) {
+			if (f->no_load == s->run)
+				continue;
+			value = share * fair_value(s, now_us, f);
+			if (value > 0.0 &&
+			    (best->flow == NULL || value > best->value)) {
+				best->flow = f;
+				best->value = value;
+			}
+		}
+	}
+	return best->flow != NULL;
+}
+
+/* How long a request would wait for a seat there. */
+static double
+fair_seat_us(const struct sched *s, const struct endpoint *ep)
+{
+	double spread = s->options.objective == SETTINGS_BATCH
+	    ? FAIR_SPREAD_BATCH
+	    : FAIR_SPREAD_STALL;
+
+	if (endpoint_free_seats(ep) == 0)
+		return ep->pool->service_us / ep->seats +
+		    spread * fair_load_us(s);
+	return spread * fair_load_us(s) * ep->used / ep->seats;
+}
+
+static void
+fair_place_on(struct sched *s, uint64_t now_us, const struct fair_want *want,
+    struct endpoint *ep, struct fair_place *best)
+{
+	struct adapter *a = want->flow->adapter;
+	struct fair_place p = {.ep = ep};
+	uint64_t retry = adapter_retry_at(a, ep);
+
+	if (!endpoint_usable(s, ep, now_us) ||
+	    item_avoids(want->flow->head, ep) || slot_find(ep, a) != NULL)
+		return;
+	if (retry > now_us) {
+		sched_wake(s, retry);
+		return;
+	}
+	if (slot_vacant(ep) == NULL &&
+	    load_victim(s, now_us, ep, a, &p.cost) == NULL)
+		return;
+	p.score = p.cost + fair_seat_us(s, ep);
+	if (best->ep == NULL || p.score < best->score)
+		*best = p;
+}
+
+static bool
+fair_place(struct sched *s, uint64_t now_us, const struct fair_want *want,
+    struct fair_place *best)
+{
+	struct pool *p = want->flow->adapter->pool;
+	uint32_t i, n;
+
+	best->ep = NULL;
+	n = p->count < FAIR_PLACE_WALK ? p->count : FAIR_PLACE_WALK;
+	for (i = 0; i < n; i++)
+		fair_place_on(s, now_us, want,
+		    p->endpoints[(p->cursor + i) % p->count], best);
+	if (p->count > FAIR_PLACE_WALK)
+		p->cursor += n;
+	return best->ep != NULL;
+}
+
+static bool
+fair_may_drain(const struct endpoint *ep, const struct slot *slot)
+{
+	return slot->state == SLOT_LOADED && slot->pins > 0 &&
+	    slot->draining == NULL && !slot->lost &&
+	    (ep->evict_after_us == 0 || !sched_guards.takeover);
+}
+
+/* All slots are in use: keep new grants off the one that is worth least. */
+static void
+fair_drain(struct sched *s, uint64_t now_us, const struct fair_want *want)
+{
+	struct adapter *a = want->flow->adapter;
+	struct pool *p = a->pool;
+	struct slot *slot, *best = NULL;
+	struct endpoint *ep;
+	double cost, least = want->value;
+	uint32_t i, j;
+
+	if (a->drain != NULL)
+		return;
+	for (i = 0; i < p->count && i < FAIR_PLACE_WALK; i++) {
+		ep = p->endpoints[(p->cursor + i) % p->count];
+		if (!endpoint_usable(s, ep, now_us) ||
+		    item_avoids(want->flow->head, ep) ||
+		    adapter_retry_at(a, ep) > now_us)
+			continue;
+		for (j = 0; j < ep->slot_count; j++) {
+			slot = ep->slots[j];
+			if (!fair_may_drain(ep, slot) || slot->adapter == a)
+				continue;
+			cost = fair_evict_cost(s->policy, s, now_us, ep, slot);
+			if (cost < least) {
+				least = cost;
+				best = slot;
+			}
+		}
+	}
+	if (best != NULL)
+		slot_drain(best, a);
+}
+
+/* Look again when the waiting requests' stall has reached the cost. */
+static void
+fair_wait(
+    struct sched *s, uint64_t now_us, const struct fair_want *want, double cost)
+{
+	double us = (cost - want->value) / want->flow->adapter->waiting;
+
+	if (us < (double)FAIR_WAKE_MIN_US)
+		us = (double)FAIR_WAKE_MIN_US;
+	sched_wake(s, now_us + (uint64_t)us);
+}
+
+void
+fair_load(struct sched *s, uint64_t now_us)
+{
+	struct fair_want want;
+	struct fair_place place = {0};
+	int tries;
+
+	for (tries = 0; tries < FAIR_LOAD_TRIES; tries++) {
+		if (!load_permitted(s, now_us) || !fair_want(s, now_us, &want))
+			return;
+		if (!fair_place(s, now_us, &want, &place)) {
+			want.flow->no_load = s->run;
+			fair_drain(s, now_us, &want);
+		} else if (place.cost > want.value) {
+			want.flow->no_load = s->run;
+			fair_wait(s, now_us, &want, place.cost);
+		} else if (!load_order(
+			       s, now_us, place.ep, want.flow->adapter)) {
+			want.flow->no_load = s->run;
+		}
+	}
+}
--- /dev/null
+++ b/src/sched/sched.c
@@ -0,0 +1,382 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/policy.h"
+#include "util/mem.h"
+
+/* The interface: requests in, decisions out. */
+
+#define SCHED_PRIORITY_US (2 * SCHED_SECOND_US) /* head start of a priority */
+#define SCHED_MEAN_WEIGHT 0.05
+
+static struct policy *
+policy_create(const struct sched_options *options)
+{
+	const char *name = options->policy;
+
+	if (name == NULL || strcmp(name, "fair") == 0)
+		return policy_fair_create(options);
+	if (strcmp(name, "fifo") == 0)
+		return policy_fifo_create();
+	if (strcmp(name, "least-loaded") == 0)
+		return policy_least_loaded_create();
+	if (strcmp(name, "round-robin") == 0)
+		return policy_round_robin_create();
+	return NULL;
+}
+
+int
+sched_create(struct sched **out, const struct sched_options *options,
+    struct mp_error *err)
+{
+	struct policy *policy = policy_create(options);
+	struct sched *s;
+
+	*out = NULL;
+	if (policy == NULL)
+		return mp_error_set(err, MP_LAYER_SCHED, MP_ERR_NOT_FOUND,
+		    "no policy named %s", options->policy);
+	s = mem_alloc(1, sizeof(*s));
+	s->policy = policy;
+	s->options = *options;
+	s->options.policy = policy->parent.name;
+	rng_seed(&s->rng, options->seed);
+	s->endpoints = map_create();
+	s->pools = map_create();
+	s->adapters = map_create();
+	s->teams = map_create();
+	s->items = map_create();
+	s->next_us = SCHED_NEVER;
+	*out = s;
+	return MP_OK;
+}
+
+static void
+sched_free_tables(struct sched *s)
+{
+	struct pool *p;
+	struct team *t;
+	struct flow *f;
+	size_t i;
+
+	for (i = 0; i < map_count(s->items); i++)
+		free(map_at(s->items, i));
+	for (i = 0; i < map_count(s->teams); i++) {
+		t = map_at(s->teams, i);
+		while ((f = t->flows) != NULL) {
+			t->flows = f->team_next;
+			free(f);
+		}
+		team_free(t);
+	}
+	for (i = 0; i < map_count(s->endpoints); i++)
+		endpoint_free(map_at(s->endpoints, i));
+	for (i = 0; i < map_count(s->adapters); i++)
+		adapter_free(map_at(s->adapters, i));
+	for (i = 0; i < map_count(s->pools); i++) {
+		p = map_at(s->pools, i);
+		free(p->endpoints);
+		free(p->name);
+		free(p);
+	}
+	for (i = 0; i < s->ngraves; i++)
+		endpoint_free(s->graveyard[i]);
+}
+
+void
+sched_destroy(struct sched *s)
+{
+	if (s == NULL)
+		return;
+	sched_free_tables(s);
+	map_destroy(s->items);
+	map_destroy(s->teams);
+	map_destroy(s->endpoints);
+	map_destroy(s->adapters);
+	map_destroy(s->pools);
+	free(s->active);
+	free(s->heap);
+	free(s->claims);
+	free(s->ghosts);
+	free(s->decisions);
+	free(s->graveyard);
+	s->policy->parent.destroy(s->policy);
+	free(s);
+}
+
+/* Append a decision, to be filled by the caller. */
+struct sched_decision *
+sched_decide(struct sched *s, enum sched_decision_type type)
+{
+	struct sched_decision *d;
+
+	SCHED_GROW(s->decisions, s->decision_count, s->decision_cap);
+	d = &s->decisions[s->decision_count++];
+	memset(d, 0, sizeof(*d));
+	d->type = type;
+	return d;
+}
+
+bool
+sched_take(struct sched *s, struct sched_decision *out)
+{
+	if (s->decision_head == s->decision_count)
+		return false;
+	*out = s->decisions[s->decision_head++];
+	if (s->decision_head == s->decision_count)
+		s->decision_head = s->decision_count = 0;
+	return true;
+}
+
+/* Ask for a run at a time. */
+void
+sched_wake(struct sched *s, uint64_t at_us)
+{
+	if (at_us < s->next_us)
+		s->next_us = at_us;
+}
+
+uint64_t
+sched_next(const struct sched *s)
+{
+	const struct item *it = item_next_check(s);
+
+	if (it != NULL && it->check_us < s->next_us)
+		return it->check_us;
+	return s->next_us;
+}
+
+static struct adapter *
+request_adapter(struct sched *s, const struct sched_request *request)
+{
+	bool service = request->adapter == NULL;
+	struct pool *p = pool_get(
+	    s, service, service ? request->service : request->base_model);
+	struct adapter *a =
+	    adapter_get(s, service, service ? p->name : request->adapter, p);
+
+	a->pool = p;
+	return a;
+}
+
+static void
+request_avoid(
+    struct sched *s, struct item *it, const struct sched_request *request)
+{
+	struct endpoint *ep;
+	size_t i;
+
+	for (i = 0; i < request->navoid && i < SCHED_AVOID_MAX; i++) {
+		ep = endpoint_find(s, request->avoid[i]);
+		if (ep != NULL)
+			it->avoid[it->navoid++] = ep->serial;
+	}
+}
+
+void
+sched_enqueue(
+    struct sched *s, uint64_t now_us, const struct sched_request *request)
+{
+	struct team *t = team_get(s, request->team);
+	struct item *it;
+
+	if (map_get_u64(s->items, request->id) != NULL)
+		return;
+	it = mem_alloc(1, sizeof(*it));
+	t->weight = request->team_weight > 0.0 ? request->team_weight : 1.0;
+	t->concurrent = request->team_concurrent;
+	team_activate(s, t, now_us);
+	it->id = request->id;
+	it->team = t;
+	it->adapter = request_adapter(s, request);
+	it->adapter->team = t;
+	it->adapter->keep = request->pinned;
+	adapter_note(s, it->adapter, now_us);
+	it->fresh = true;
+	it->enqueued_us = now_us;
+	it->queued_us = request->queued_us == 0 || request->queued_us > now_us
+	    ? now_us
+	    : request->queued_us;
+	it->deadline_us =
+	    request->deadline_us == 0 ? SCHED_NEVER : request->deadline_us;
+	it->rank = it->queued_us + request->priority * SCHED_PRIORITY_US;
+	it->prompt_tokens = request->prompt_tokens;
+	it->max_tokens = request->max_tokens;
+	it->prefix = request->prefix;
+	it->kind_weight =
+	    request->kind_weight > 0.0 ? request->kind_weight : 1.0;
+	request_avoid(s, it, request);
+	map_set_u64(s->items, it->id, it);
+	item_enqueue(s, it);
+	s->next_us = now_us;
+}
+
+static void
+item_run_on(struct sched *s, uint64_t now_us, struct item *it,
+    struct endpoint *ep, struct slot *slot)
+{
+	it->state = ITEM_GRANTED;
+	it->granted_us = now_us;
+	it->ep = ep;
+	it->slot = slot;
+	it->epoch = ep->epoch;
+	it->team->running++;
+	if (it->adapter != NULL)
+		it->adapter->running++;
+	s->running++;
+	ep->used++;
+	if (ep->pool != NULL)
+		ep->pool->running++;
+	if (slot != NULL) {
+		slot->pins++;
+		slot->used_us = now_us;
+	}
+}
+
+/* The part of a wait during which the adapter was not loaded. */
+static uint64_t
+item_stall(const struct item *it, const struct slot *slot, uint64_t now_us)
+{
+	uint64_t ready;
+
+	if (slot == NULL)
+		return 0;
+	ready = it->ep != NULL ? slot->ready_us : it->adapter->ready_us;
+	if (ready <= it->enqueued_us)
+		return 0;
+	return (ready < now_us ? ready : now_us) - it->enqueued_us;
+}
+
+void
+sched_grant(struct sched *s, uint64_t now_us, struct item *it,
+    struct endpoint *ep, struct slot *slot)
+{
+	struct sched_decision *d = sched_decide(s, SCHED_GRANT);
+
+	d->request = it->id;
+	d->endpoint = ep->id;
+	d->wait_us = now_us - it->enqueued_us;
+	d->stall_us = item_stall(it, slot, now_us);
+	s->stall_us += d->stall_us;
+	hist_add(&s->waits, d->wait_us / SCHED_MS_US);
+	team_note_gap(s);
+	it->provisional = team_estimate(s, it);
+	item_dequeue(s, it);
+	item_run_on(s, now_us, it, ep, slot);
+	team_charge(s, it->team, it->provisional);
+	if (it->prefix != 0)
+		prefix_add(&ep->prefixes, it->prefix);
+}
+
+void
+sched_adopt(struct sched *s, uint64_t now_us, uint64_t id, const char *team,
+    const char *endpoint, const char *adapter)
+{
+	struct endpoint *ep = endpoint_get(s, endpoint);
+	struct slot *slot = NULL;
+	struct item *it;
+
+	if (map_get_u64(s->items, id) != NULL)
+		return;
+	it = mem_alloc(1, sizeof(*it));
+	it->id = id;
+	it->team = team_get(s, team);
+	it->kind_weight = 1.0;
+	if (adapter != NULL) {
+		it->adapter = adapter_get(s, false, adapter, ep->pool);
+		slot = slot_find(ep, it->adapter);
+		if (slot == NULL)
+			slot = slot_adopt(ep, it->adapter, now_us);
+	}
+	team_activate(s, it->team, now_us);
+	map_set_u64(s->items, id, it);
+	item_run_on(s, now_us, it, ep, slot);
+	if (ep->foreign > 0 && ep->foreign != UINT32_MAX)
+		ep->foreign--;
+}
+
+static void
+mean_add(double *mean, uint64_t value)
+{
+	if (value == 0)
+		return;
+	*mean += *mean == 0.0 ? (double)value
+			      : SCHED_MEAN_WEIGHT * ((double)value - *mean);
+}
+
+static void
+item_finish(struct sched *s, uint64_t now_us, struct item *it,
+    const struct sched_usage *usage)
+{
+	struct endpoint *ep = it->ep;
+
+	s->running--;
+	it->team->running--;
+	if (it->adapter != NULL)
+		it->adapter->running--;
+	team_settle(s, it, usage);
+	if (usage->outcome == SCHED_DELIVERED && it->adapter != NULL) {
+		mean_add(&it->adapter->pool->service_us, usage->total_us);
+		mean_add(&it->adapter->pool->first_us, usage->first_us);
+		role_note(it->adapter->pool, now_us, usage->tokens_in,
+		    usage->tokens_out);
+	}
+	if (ep == NULL)
+		return;
+	ep->used--;
+	if (ep->pool != NULL)
+		ep->pool->running--;
+	endpoint_done(s, ep, now_us, usage);
+	if (it->slot != NULL && it->epoch == ep->epoch)
+		slot_unpin(s, ep, it->slot, now_us, usage->outcome);
+}
+
+void
+sched_done(struct sched *s, uint64_t now_us, uint64_t id,
+    const struct sched_usage *usage)
+{
+	struct item *it = map_get_u64(s->items, id);
+
+	if (it == NULL)
+		return;
+	if (it->state == ITEM_QUEUED)
+		item_dequeue(s, it);
+	else
+		item_finish(s, now_us, it, usage);
+	team_idle(s, it->team);
+	item_free(s, it);
+	s->next_us = now_us;
+}
+
+static void
+sched_bury(struct sched *s)
+{
+	if (s->decision_count > 0)
+		return;
+	while (s->ngraves > 0)
+		endpoint_free(s->graveyard[--s->ngraves]);
+}
+
+void
+sched_run(struct sched *s, uint64_t now_us, bool may_order)
+{
+	s->run++;
+	s->next_us = SCHED_NEVER;
+	sched_bury(s);
+	admit_run(s, now_us);
+	if (may_order) {
+		load_claims_run(s, now_us);
+		s->policy->parent.decide(s->policy, s, now_us);
+		role_run(s, now_us);
+	}
+	if (s->decision_count == 0) {
+		adapter_sweep(s, now_us);
+		team_prune(s, now_us);
+	}
+}
+
+bool
+sched_is_idle(const struct sched *s)
+{
+	return s->queued == 0 && s->running == 0;
+}
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -60,6 +60,7 @@
 	uint32_t seats; /* sequences of one batch, or concurrent calls */
 	uint32_t running, queued;
 	bool leaving;
+	uint64_t as_of_us; /* when the figures were taken; 0: now */
 	enum sched_role role;
 	const struct sched_slot *slots;
 	size_t slot_count;
--- /dev/null
+++ b/src/sched/sched_admit.c
@@ -0,0 +1,232 @@
+#include "sched/policy.h"
+
+/*
+ * Admission: what cannot be served by its deadline is refused at once, and
+ * what no endpoint here can run is sent elsewhere.
+ */
+
+#define ADMIT_TEAM_QUEUE     512
+#define ADMIT_QUEUE	     4096
+#define ADMIT_RECHECK_MIN_US (20 * SCHED_MS_US)
+
+struct admit_ahead {
+	double requests; /* served before it in the fair order */
+	double loads; /* adapters loaded before its own */
+};
+
+static uint32_t
+flow_before(const struct flow *f, uint64_t rank)
+{
+	const struct item *it;
+	uint32_t n = 0;
+
+	if (f->tail->rank < rank)
+		return f->count;
+	for (it = f->head; it != NULL && it->rank < rank; it = it->next)
+		n++;
+	return n;
+}
+
+static bool
+flow_wants_load(const struct flow *f)
+{
+	const struct adapter *a = f->adapter;
+
+	return !a->service && a->loaded == 0 && a->loading == 0;
+}
+
+static uint64_t
+flow_stall(const struct flow *f, uint64_t now_us)
+{
+	return f->adapter->waiting * now_us - f->adapter->waiting_sum;
+}
+
+/* Of its own team: requests and loads ahead of it. */
+static void
+admit_own(const struct item *it, uint64_t now_us, struct admit_ahead *ahead)
+{
+	const struct flow *f;
+
+	for (f = it->team->flows; f != NULL; f = f->team_next) {
+		if (f->adapter->pool != it->adapter->pool)
+			continue;
+		ahead->requests += flow_before(f, it->rank);
+		if (f != it->flow && flow_wants_load(f) &&
+		    flow_stall(f, now_us) > flow_stall(it->flow, now_us))
+			ahead->loads += 1.0;
+	}
+}
+
+/* Of another team: as much as its weight gives it in the same time. */
+static void
+admit_other(const struct item *it, const struct team *t,
+    const struct admit_ahead *own, struct admit_ahead *ahead)
+{
+	double part = t->weight / it->team->weight;
+	double requests = 0.0, loads = 0.0;
+	const struct flow *f;
+
+	for (f = t->flows; f != NULL; f = f->team_next) {
+		if (f->adapter->pool != it->adapter->pool)
+			continue;
+		requests += f->count;
+		if (flow_wants_load(f))
+			loads += 1.0;
+	}
+	if (requests > (own->requests + 1.0) * part)
+		requests = (own->requests + 1.0) * part;
+	if (loads > (own->loads + 1.0) * part)
+		loads = (own->loads + 1.0) * part;
+	ahead->requests += requests;
+	ahead->loads += loads;
+}
+
+static double
+admit_load_us(const struct sched *s, const struct item *it, double loads_ahead)
+{
+	const struct adapter *a = it->adapter;
+	double load_us = (double)s->options.load_ms * SCHED_MS_US;
+	uint64_t spacing = load_spacing_us(s);
+
+	if (a->service || a->loaded > 0)
+		return 0.0;
+	if (a->loading > 0)
+		return load_us / 2.0;
+	if (spacing == SCHED_NEVER)
+		return load_us;
+	return load_us + loads_ahead * (double)spacing;
+}
+
+static double
+admit_seat_us(const struct item *it, double requests_ahead)
+{
+	const struct pool *p = it->adapter->pool;
+	const struct team *t = it->team;
+	double wait = 0.0, own, excess;
+
+	if (p->seats == 0 || p->service_us <= 0.0)
+		return 0.0;
+	excess = requests_ahead + 1.0 + p->running - p->seats;
+	if (excess > 0.0)
+		wait = excess * p->service_us / p->seats;
+	if (t->concurrent == 0)
+		return wait;
+	own = (double)t->queued + t->running - t->concurrent;
+	own *= p->service_us / t->concurrent;
+	return own > wait ? own : wait;
+}
+
+/* The wait a request has before it from now on, by the fair order. */
+uint64_t
+admit_wait_us(struct sched *s, const struct item *it, uint64_t now_us)
+{
+	struct admit_ahead own = {0}, all;
+	double load, seat;
+	uint32_t i;
+
+	admit_own(it, now_us, &own);
+	all = own;
+	for (i = 0; i < s->nactive; i++) {
+		if (s->active[i] != it->team && s->active[i]->queued > 0)
+			admit_other(it, s->active[i], &own, &all);
+	}
+	load = admit_load_us(s, it, all.loads);
+	seat = admit_seat_us(it, all.requests);
+	return (uint64_t)(load > seat ? load : seat);
+}
+
+static void
+admit_give_up(struct sched *s, struct item *it, enum sched_decision_type type,
+    const char *reason, uint64_t after_us)
+{
+	struct sched_decision *d = sched_decide(s, type);
+	struct team *t = it->team;
+
+	d->request = it->id;
+	d->reason = reason;
+	if (type == SCHED_REFUSE)
+		d->retry_after_ms = after_us < SCHED_MS_US
+		    ? 1
+		    : (uint32_t)(after_us / SCHED_MS_US);
+	item_dequeue(s, it);
+	item_free(s, it);
+	team_idle(s, t);
+}
+
+/* Refuse what cannot make its deadline, else say when to look again. */
+static void
+admit_deadline(struct sched *s, struct item *it, uint64_t now_us)
+{
+	uint64_t first = (uint64_t)it->adapter->pool->first_us;
+	uint64_t last, wait, slack, again;
+
+	if (it->deadline_us == SCHED_NEVER) {
+		item_check_at(s, it, SCHED_NEVER);
+		return;
+	}
+	last = it->deadline_us > first ? it->deadline_us - first : 0;
+	if (!s->policy->parent.admits) {
+		last = it->deadline_us;
+		wait = 0;
+	} else {
+		wait = admit_wait_us(s, it, now_us);
+	}
+	slack = last > it->queued_us ? last - it->queued_us : 0;
+	if (now_us >= last || now_us + wait > last) {
+		admit_give_up(s, it, SCHED_REFUSE, "deadline",
+		    wait > slack ? wait - slack : wait);
+		return;
+	}
+	again = now_us + (last - now_us - wait) / 2;
+	if (again < now_us + ADMIT_RECHECK_MIN_US)
+		again = now_us + ADMIT_RECHECK_MIN_US;
+	if (!s->policy->parent.admits || again > last)
+		again = last;
+	item_check_at(s, it, again);
+}
+
+static void
+admit_fresh(struct sched *s, struct item *it, uint64_t now_us)
+{
+	uint64_t wait;
+
+	it->fresh = false;
+	if (it->team->queued > ADMIT_TEAM_QUEUE || s->queued > ADMIT_QUEUE) {
+		wait = admit_wait_us(s, it, now_us) / 4;
+		admit_give_up(s, it, SCHED_REFUSE, "overload", wait);
+		return;
+	}
+	admit_deadline(s, it, now_us);
+}
+
+/* Walk the newcomers, or all when endpoints have gone. */
+static void
+admit_fit(struct sched *s)
+{
+	struct item *it = s->all_tail, *prev;
+
+	for (; it != NULL && (s->refit || it->fresh); it = prev) {
+		prev = it->all_prev;
+		if (!pool_fits(it->adapter->pool, it))
+			admit_give_up(s, it, SCHED_ELSEWHERE, NULL, 0);
+	}
+	s->refit = false;
+}
+
+void
+admit_run(struct sched *s, uint64_t now_us)
+{
+	struct item *it, *next;
+
+	admit_fit(s);
+	it = s->all_tail;
+	while (it != NULL && it->fresh && it->all_prev != NULL &&
+	    it->all_prev->fresh)
+		it = it->all_prev;
+	for (; it != NULL && it->fresh; it = next) {
+		next = it->all_next;
+		admit_fresh(s, it, now_us);
+	}
+	while ((it = item_next_check(s)) != NULL && it->check_us <= now_us)
+		admit_deadline(s, it, now_us);
+}
--- /dev/null
+++ b/src/sched/sched_item.c
@@ -0,0 +1,221 @@
+#include <stdlib.h>
+
+#include "sched/sched_internal.h"
+#include "util/mem.h"
+
+/*
+ * Waiting requests: in their flow by rank, in one list by arrival, and in a
+ * heap by the time when their deadline must be looked at again.
+ */
+
+#define ITEM_NO_HEAP UINT32_MAX
+
+static void
+heap_place(struct sched *s, uint32_t at, struct item *it)
+{
+	s->heap[at] = it;
+	it->heap_index = at;
+}
+
+static void
+heap_up(struct sched *s, uint32_t at)
+{
+	struct item *it = s->heap[at];
+	uint32_t parent;
+
+	while (at > 0) {
+		parent = (at - 1) / 2;
+		if (s->heap[parent]->check_us <= it->check_us)
+			break;
+		heap_place(s, at, s->heap[parent]);
+		at = parent;
+	}
+	heap_place(s, at, it);
+}
+
+static void
+heap_down(struct sched *s, uint32_t at)
+{
+	struct item *it = s->heap[at];
+	uint32_t child;
+
+	for (;;) {
+		child = 2 * at + 1;
+		if (child >= s->heap_count)
+			break;
+		if (child + 1 < s->heap_count &&
+		    s->heap[child + 1]->check_us < s->heap[child]->check_us)
+			child++;
+		if (it->check_us <= s->heap[child]->check_us)
+			break;
+		heap_place(s, at, s->heap[child]);
+		at = child;
+	}
+	heap_place(s, at, it);
+}
+
+static void
+heap_remove(struct sched *s, struct item *it)
+{
+	uint32_t at = it->heap_index;
+	struct item *last;
+
+	if (at == ITEM_NO_HEAP)
+		return;
+	it->heap_index = ITEM_NO_HEAP;
+	last = s->heap[--s->heap_count];
+	if (last == it)
+		return;
+	heap_place(s, at, last);
+	heap_up(s, at);
+	heap_down(s, last->heap_index);
+}
+
+void
+item_check_at(struct sched *s, struct item *it, uint64_t at_us)
+{
+	if (it->heap_index != ITEM_NO_HEAP)
+		heap_remove(s, it);
+	if (at_us == SCHED_NEVER)
+		return;
+	it->check_us = at_us;
+	SCHED_GROW(s->heap, s->heap_count, s->heap_cap);
+	heap_place(s, s->heap_count++, it);
+	heap_up(s, it->heap_index);
+}
+
+struct item *
+item_next_check(const struct sched *s)
+{
+	return s->heap_count == 0 ? NULL : s->heap[0];
+}
+
+bool
+item_avoids(const struct item *it, const struct endpoint *ep)
+{
+	uint32_t i;
+
+	for (i = 0; i < it->navoid; i++) {
+		if (it->avoid[i] == ep->serial)
+			return true;
+	}
+	return false;
+}
+
+static struct flow *
+flow_get(struct team *t, struct adapter *a)
+{
+	struct flow *f;
+
+	for (f = a->flows; f != NULL; f = f->adapter_next) {
+		if (f->team == t)
+			return f;
+	}
+	f = mem_alloc(1, sizeof(*f));
+	f->team = t;
+	f->adapter = a;
+	f->adapter_next = a->flows;
+	a->flows = f;
+	f->team_next = t->flows;
+	if (t->flows != NULL)
+		t->flows->team_prev = f;
+	t->flows = f;
+	return f;
+}
+
+static void
+flow_free(struct flow *f)
+{
+	struct flow **at = &f->adapter->flows;
+
+	while (*at != f)
+		at = &(*at)->adapter_next;
+	*at = f->adapter_next;
+	if (f->team_prev != NULL)
+		f->team_prev->team_next = f->team_next;
+	else
+		f->team->flows = f->team_next;
+	if (f->team_next != NULL)
+		f->team_next->team_prev = f->team_prev;
+	free(f);
+}
+
+static void
+flow_insert(struct flow *f, struct item *it)
+{
+	struct item *after = f->tail;
+
+	while (after != NULL && after->rank > it->rank)
+		after = after->prev;
+	it->prev = after;
+	it->next = after == NULL ? f->head : after->next;
+	if (it->prev != NULL)
+		it->prev->next = it;
+	else
+		f->head = it;
+	if (it->next != NULL)
+		it->next->prev = it;
+	else
+		f->tail = it;
+	f->count++;
+}
+
+void
+item_enqueue(struct sched *s, struct item *it)
+{
+	it->state = ITEM_QUEUED;
+	it->heap_index = ITEM_NO_HEAP;
+	it->flow = flow_get(it->team, it->adapter);
+	flow_insert(it->flow, it);
+	it->all_prev = s->all_tail;
+	if (s->all_tail != NULL)
+		s->all_tail->all_next = it;
+	else
+		s->all_head = it;
+	s->all_tail = it;
+	it->team->queued++;
+	it->adapter->waiting++;
+	it->adapter->waiting_sum += it->queued_us;
+	s->queued++;
+}
+
+void
+item_dequeue(struct sched *s, struct item *it)
+{
+	struct flow *f = it->flow;
+
+	heap_remove(s, it);
+	if (it->prev != NULL)
+		it->prev->next = it->next;
+	else
+		f->head = it->next;
+	if (it->next != NULL)
+		it->next->prev = it->prev;
+	else
+		f->tail = it->prev;
+	it->prev = it->next = NULL;
+	if (--f->count == 0)
+		flow_free(f);
+	it->flow = NULL;
+	if (it->all_prev != NULL)
+		it->all_prev->all_next = it->all_next;
+	else
+		s->all_head = it->all_next;
+	if (it->all_next != NULL)
+		it->all_next->all_prev = it->all_prev;
+	else
+		s->all_tail = it->all_prev;
+	it->all_prev = it->all_next = NULL;
+	it->team->queued--;
+	if (--it->adapter->waiting == 0 && it->adapter->drain != NULL)
+		slot_drain_end(it->adapter->drain);
+	it->adapter->waiting_sum -= it->queued_us;
+	s->queued--;
+}
+
+void
+item_free(struct sched *s, struct item *it)
+{
+	map_remove_u64(s->items, it->id);
+	free(it);
+}
--- /dev/null
+++ b/src/sched/sched_slot.c
@@ -0,0 +1,297 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+#include "util/mem.h"
+
+/* The slots of an endpoint: what each holds, its pins, its reported runs. */
+
+struct sched_guards sched_guards = {
+    .pins = true,
+    .running = true,
+    .takeover = true,
+    .permits = true,
+    .bound = true,
+    .lift = true,
+    .remote = true,
+};
+
+struct slot *
+slot_find(const struct endpoint *ep, const struct adapter *a)
+{
+	uint32_t i;
+
+	for (i = 0; i < ep->slot_count; i++) {
+		if (ep->slots[i]->adapter == a)
+			return ep->slots[i];
+	}
+	return NULL;
+}
+
+static struct slot *
+slot_add(struct endpoint *ep)
+{
+	SCHED_GROW(ep->slots, ep->slot_count, ep->slot_cap);
+	ep->slots[ep->slot_count] = mem_alloc(1, sizeof(**ep->slots));
+	return ep->slots[ep->slot_count++];
+}
+
+/* A free slot that no adapter claims, or NULL. */
+struct slot *
+slot_vacant(struct endpoint *ep)
+{
+	struct slot *vacant = NULL;
+	uint32_t taken = 0, i;
+
+	for (i = 0; i < ep->slot_count; i++) {
+		if (ep->slots[i]->state != SLOT_FREE ||
+		    ep->slots[i]->next != NULL)
+			taken++;
+		else if (vacant == NULL)
+			vacant = ep->slots[i];
+	}
+	if (taken >= ep->nslots)
+		return NULL;
+	return vacant != NULL ? vacant : slot_add(ep);
+}
+
+void
+slot_attach(struct endpoint *ep, struct slot *slot, struct adapter *a,
+    enum slot_state state, uint64_t now_us)
+{
+	struct residence *r;
+
+	memset(slot, 0, sizeof(*slot));
+	slot->adapter = a;
+	slot->state = state;
+	slot->changed_us = slot->used_us = now_us;
+	SCHED_GROW(a->at, a->nat, a->at_cap);
+	r = &a->at[a->nat++];
+	r->ep = ep;
+	r->slot = slot;
+	if (state == SLOT_LOADED) {
+		slot->state = SLOT_LOADING;
+		slot_loaded(slot, now_us);
+	}
+}
+
+/* The slot of a grant taken over, which no report has shown yet. */
+struct slot *
+slot_adopt(struct endpoint *ep, struct adapter *a, uint64_t now_us)
+{
+	struct slot *slot = ep->known ? slot_vacant(ep) : slot_add(ep);
+
+	if (slot != NULL)
+		slot_attach(ep, slot, a, SLOT_LOADED, now_us);
+	return slot;
+}
+
+void
+slot_loaded(struct slot *slot, uint64_t now_us)
+{
+	slot->state = SLOT_LOADED;
+	slot->changed_us = slot->ready_us = slot->used_us = now_us;
+	if (slot->adapter->loaded++ == 0)
+		slot->adapter->ready_us = now_us;
+}
+
+/* Let an adapter wait until the grants of a slot are done. */
+void
+slot_drain(struct slot *slot, struct adapter *a)
+{
+	slot->draining = a;
+	a->drain = slot;
+}
+
+void
+slot_drain_end(struct slot *slot)
+{
+	if (slot->draining == NULL)
+		return;
+	slot->draining->drain = NULL;
+	slot->draining = NULL;
+}
+
+void
+slot_detach(struct endpoint *ep, struct slot *slot, uint64_t now_us)
+{
+	struct adapter *a = slot->adapter;
+	struct adapter *next = slot->next;
+	uint32_t i;
+
+	if (a == NULL)
+		return;
+	slot_drain_end(slot);
+	if (slot->state == SLOT_LOADED || slot->state == SLOT_EVICTING)
+		a->loaded--;
+	for (i = 0; i < a->nat; i++) {
+		if (a->at[i].ep == ep) {
+			a->at[i] = a->at[--a->nat];
+			break;
+		}
+	}
+	memset(slot, 0, sizeof(*slot));
+	slot->next = next;
+	slot->changed_us = now_us;
+}
+
+void
+slot_unpin(struct sched *s, struct endpoint *ep, struct slot *slot,
+    uint64_t now_us, enum sched_outcome outcome)
+{
+	if (slot->pins > 0)
+		slot->pins--;
+	switch (outcome) {
+	case SCHED_DELIVERED:
+		slot->ends[slot->nends++ % SCHED_SLOT_ENDS] = now_us;
+		break;
+	case SCHED_FAILED:
+	case SCHED_CANCELLED:
+		slot->unsure_us = now_us;
+		break;
+	case SCHED_NOT_LOADED:
+		slot->lost = true;
+		break;
+	case SCHED_NOT_SENT:
+	case SCHED_BUSY:
+		break;
+	}
+	if (!slot->lost || slot->pins > 0)
+		return;
+	load_forget(s, ep, slot, 0);
+	slot_detach(ep, slot, now_us);
+}
+
+/* Of the reported runs, those that no grant of ours explains. */
+static uint32_t
+slot_foreign_runs(const struct slot *slot)
+{
+	uint32_t ours = slot->pins, i, n;
+
+	n = slot->nends < SCHED_SLOT_ENDS ? slot->nends : SCHED_SLOT_ENDS;
+	for (i = 0; i < n; i++) {
+		if (slot->ends[i] >= slot->reported_us)
+			ours++;
+	}
+	return slot->reported > ours ? slot->reported - ours : 0;
+}
+
+bool
+slot_evictable(const struct endpoint *ep, const struct slot *slot)
+{
+	if (slot->state != SLOT_LOADED || slot->next != NULL)
+		return false;
+	if (sched_guards.pins && slot->pins > 0)
+		return false;
+	if (sched_guards.running && slot_foreign_runs(slot) > 0)
+		return false;
+	if (sched_guards.running && slot->unsure_us > 0 &&
+	    slot->reported_us <= slot->unsure_us)
+		return false;
+	return !sched_guards.takeover || ep->evict_after_us == 0;
+}
+
+static const struct sched_slot *
+report_find(const struct sched_report *report, const char *adapter)
+{
+	size_t i;
+
+	for (i = 0; i < report->slot_count; i++) {
+		if (strcmp(report->slots[i].adapter, adapter) == 0)
+			return &report->slots[i];
+	}
+	return NULL;
+}
+
+/* The report knows a slot; own changes after it was taken stand. */
+static void
+slot_confirm(struct slot *slot, const struct sched_slot *said, uint64_t now_us,
+    uint64_t as_of_us)
+{
+	slot->reported = said->running;
+	slot->reported_us = as_of_us;
+	if (slot->changed_us >= as_of_us)
+		return;
+	if (slot->state == SLOT_LOADING && !slot->ordered && !said->loading)
+		slot_loaded(slot, now_us);
+	if (slot->lost && !said->loading)
+		slot->lost = false;
+}
+
+static void
+slots_drop_missing(struct sched *s, struct endpoint *ep, uint64_t now_us,
+    const struct sched_report *report, uint64_t as_of_us)
+{
+	const struct sched_slot *said;
+	struct slot *slot;
+	uint32_t i;
+
+	for (i = 0; i < ep->slot_count; i++) {
+		slot = ep->slots[i];
+		if (slot->adapter == NULL)
+			continue;
+		said = report_find(report, slot->adapter->name);
+		if (said != NULL) {
+			slot_confirm(slot, said, now_us, as_of_us);
+			continue;
+		}
+		slot->reported = 0;
+		slot->reported_us = as_of_us;
+		if (slot->changed_us >= as_of_us || slot->pins > 0 ||
+		    slot->ordered || slot->state == SLOT_EVICTING)
+			continue;
+		load_forget(s, ep, slot, 0);
+		slot_detach(ep, slot, now_us);
+	}
+}
+
+void
+slot_merge(struct sched *s, struct endpoint *ep, uint64_t now_us,
+    const struct sched_report *report, uint64_t as_of_us)
+{
+	const struct sched_slot *said;
+	struct adapter *a;
+	struct slot *slot;
+	size_t i;
+
+	slots_drop_missing(s, ep, now_us, report, as_of_us);
+	for (i = 0; i < report->slot_count; i++) {
+		said = &report->slots[i];
+		a = adapter_get(s, false, said->adapter, ep->pool);
+		if (slot_find(ep, a) != NULL)
+			continue;
+		slot = slot_vacant(ep);
+		if (slot == NULL || slot->changed_us >= as_of_us)
+			continue;
+		slot_attach(ep, slot, a,
+		    said->loading ? SLOT_LOADING : SLOT_LOADED, now_us);
+		slot->reported = said->running;
+		slot->reported_us = as_of_us;
+	}
+}
+
+/* A cold start: nothing is held, loads in flight are gone with it. */
+void
+slot_reset_all(struct sched *s, struct endpoint *ep, uint64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < ep->slot_count; i++) {
+		load_forget(s, ep, ep->slots[i], 0);
+		slot_detach(ep, ep->slots[i], now_us);
+		ep->slots[i]->next = NULL;
+	}
+}
+
+/* Whether a slot is being evicted for the adapter. */
+bool
+slot_claimed(const struct endpoint *ep, const struct adapter *a)
+{
+	uint32_t i;
+
+	for (i = 0; i < ep->slot_count; i++) {
+		if (ep->slots[i]->next == a)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/sched/sched_team.c
@@ -0,0 +1,325 @@
+#include <math.h>
+#include <stdlib.h>
+
+#include "sched/sched_internal.h"
+#include "util/mem.h"
+
+/*
+ * Fairness between teams: a virtual counter each, charge over weight. The
+ * team with the least is served next; affinity may prefer another one only
+ * while its counter lies within the deficit bound.
+ */
+
+#define TEAM_OUTPUT_WEIGHT  2.0 /* an output token against a prompt token */
+#define TEAM_SERVICE_TOKENS 100.0 /* charge of a call without tokens */
+#define TEAM_MEAN_WEIGHT    0.05
+#define TEAM_OUTPUT_UNKNOWN 64.0
+#define TEAM_BOUND_STALL    4.0 /* requests of mean charge */
+#define TEAM_BOUND_BATCH    12.0
+#define TEAM_REMOTE_BOUNDS  8.0 /* deficit bounds a remote charge may add */
+#define TEAM_CREDIT_BOUNDS  8.0 /* deficit bounds a team may lag behind */
+#define TEAM_QUIET_RATE	    0.001
+#define TEAM_MILLI	    1000.0
+
+struct team *
+team_get(struct sched *s, const char *name)
+{
+	struct team *t = map_get_str(s->teams, name);
+
+	if (t != NULL)
+		return t;
+	t = mem_alloc(1, sizeof(*t));
+	t->name = mem_string(name);
+	t->weight = 1.0;
+	map_set_str(s->teams, name, t);
+	return t;
+}
+
+void
+team_free(struct team *t)
+{
+	free(t->remotes);
+	free(t->name);
+	free(t);
+}
+
+bool
+team_backlogged(const struct team *t)
+{
+	return t->queued > 0;
+}
+
+/* Its own limit leaves room for one more. */
+bool
+team_may_run(const struct team *t)
+{
+	return t->concurrent == 0 || t->running < t->concurrent;
+}
+
+double
+team_bound(const struct sched *s)
+{
+	double requests = s->options.objective == SETTINGS_BATCH
+	    ? TEAM_BOUND_BATCH
+	    : TEAM_BOUND_STALL;
+
+	return requests * s->charge_mean;
+}
+
+static bool
+team_least(const struct sched *s, double *least)
+{
+	const struct team *t;
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (t->queued == 0 && t->running == 0)
+			continue;
+		if (!found || t->counter < *least)
+			*least = t->counter;
+		found = true;
+	}
+	return found;
+}
+
+/* A request has come: a team back from idle keeps no credit. */
+void
+team_activate(struct sched *s, struct team *t, uint64_t now_us)
+{
+	double least = 0.0;
+
+	rate_add(&t->rate, &t->rate_us, now_us);
+	if (t->queued == 0 && t->running == 0 && sched_guards.lift) {
+		if (team_least(s, &least) && least > s->floor)
+			s->floor = least;
+		if (t->counter < s->floor)
+			t->counter = s->floor;
+	}
+	if (t->active)
+		return;
+	t->active = true;
+	t->active_index = s->nactive;
+	SCHED_GROW(s->active, s->nactive, s->active_cap);
+	s->active[s->nactive++] = t;
+}
+
+/* The last team to fall idle leaves its counter as the floor. */
+void
+team_idle(struct sched *s, const struct team *t)
+{
+	double least = 0.0;
+
+	if (t->queued > 0 || t->running > 0 || team_least(s, &least))
+		return;
+	if (t->counter > s->floor)
+		s->floor = t->counter;
+}
+
+/* Drop teams without work and recent requests from the active ones. */
+void
+team_prune(struct sched *s, uint64_t now_us)
+{
+	struct team *t;
+	uint32_t i = 0;
+
+	while (i < s->nactive) {
+		t = s->active[i];
+		if (t->queued > 0 || t->running > 0 ||
+		    rate_at(t->rate, t->rate_us, now_us) > TEAM_QUIET_RATE) {
+			i++;
+			continue;
+		}
+		t->active = false;
+		s->active[i] = s->active[--s->nactive];
+		s->active[i]->active_index = i;
+	}
+}
+
+/* A team's part of its fair share that its recent requests take, 0 to 1. */
+double
+team_share(const struct sched *s, const struct team *t, uint64_t now_us)
+{
+	double weights = 0.0, rate, share;
+	uint32_t i;
+
+	if (t == NULL)
+		return 1.0;
+	rate = rate_at(t->rate, t->rate_us, now_us);
+	for (i = 0; i < s->nactive; i++)
+		weights += s->active[i]->weight;
+	if (rate <= 0.0 || weights <= 0.0)
+		return 1.0;
+	share = rate_at(s->rate, s->rate_us, now_us) * t->weight / weights;
+	return share < rate ? share / rate : 1.0;
+}
+
+/* The charge of a request before it has run. */
+double
+team_estimate(const struct sched *s, const struct item *it)
+{
+	double output = it->team->output_mean;
+
+	if (s->options.charge == SETTINGS_CHARGE_REQUESTS)
+		return it->kind_weight;
+	if (it->adapter == NULL || it->adapter->service)
+		return TEAM_SERVICE_TOKENS * it->kind_weight;
+	if (output <= 0.0)
+		output = TEAM_OUTPUT_UNKNOWN;
+	if (it->max_tokens > 0 && output > it->max_tokens)
+		output = it->max_tokens;
+	return it->prompt_tokens + TEAM_OUTPUT_WEIGHT * output;
+}
+
+/* Teams that could not be served keep a bounded credit only. */
+static void
+team_limit_credit(struct sched *s, double counter)
+{
+	double least = counter - TEAM_CREDIT_BOUNDS * team_bound(s);
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		if (s->active[i]->counter < least)
+			s->active[i]->counter = least;
+	}
+}
+
+void
+team_charge(struct sched *s, struct team *t, double charge)
+{
+	double part = charge / t->weight;
+
+	t->counter += part;
+	if (charge <= 0.0)
+		return;
+	s->charge_mean += s->charge_mean == 0.0
+	    ? part
+	    : TEAM_MEAN_WEIGHT * (part - s->charge_mean);
+	if (sched_guards.bound)
+		team_limit_credit(s, t->counter);
+}
+
+static double
+team_final_charge(const struct sched *s, const struct item *it,
+    const struct sched_usage *usage)
+{
+	double tokens =
+	    usage->tokens_in + TEAM_OUTPUT_WEIGHT * usage->tokens_out;
+
+	if (s->options.charge == SETTINGS_CHARGE_REQUESTS)
+		return usage->outcome == SCHED_DELIVERED ? it->kind_weight
+							 : 0.0;
+	switch (usage->outcome) {
+	case SCHED_DELIVERED:
+		return tokens > 0.0 ? tokens : team_estimate(s, it);
+	case SCHED_FAILED:
+	case SCHED_CANCELLED:
+		return tokens;
+	case SCHED_NOT_SENT:
+	case SCHED_NOT_LOADED:
+	case SCHED_BUSY:
+		break;
+	}
+	return 0.0;
+}
+
+/* Replace the provisional charge of a request by what it used. */
+void
+team_settle(struct sched *s, struct item *it, const struct sched_usage *usage)
+{
+	struct team *t = it->team;
+	double charge = team_final_charge(s, it, usage);
+
+	t->counter += (charge - it->provisional) / t->weight;
+	it->provisional = 0.0;
+	t->charge_milli += (uint64_t)(charge * TEAM_MILLI + 0.5);
+	if (usage->outcome != SCHED_DELIVERED || usage->tokens_out == 0)
+		return;
+	t->output_mean += t->output_mean == 0.0
+	    ? usage->tokens_out
+	    : TEAM_MEAN_WEIGHT * (usage->tokens_out - t->output_mean);
+}
+
+/* The spread of the counters of teams whose requests wait for a seat. */
+void
+team_note_gap(struct sched *s)
+{
+	double least = 0.0, most = 0.0;
+	const struct team *t;
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (!team_backlogged(t) || !team_may_run(t))
+			continue;
+		if (!found || t->counter < least)
+			least = t->counter;
+		if (!found || t->counter > most)
+			most = t->counter;
+		found = true;
+	}
+	if ((most - least) * TEAM_MILLI > (double)s->largest_gap_milli)
+		s->largest_gap_milli = (uint64_t)((most - least) * TEAM_MILLI);
+}
+
+static struct remote *
+team_remote(struct team *t, uint32_t owner)
+{
+	size_t i;
+
+	for (i = 0; i < t->nremotes; i++) {
+		if (t->remotes[i].owner == owner)
+			return &t->remotes[i];
+	}
+	return NULL;
+}
+
+void
+sched_set_remote_charge(
+    struct sched *s, uint32_t owner, const char *team, uint64_t charge_milli)
+{
+	struct team *t = team_get(s, team);
+	struct remote *r = team_remote(t, owner);
+	double least = 0.0, top, delta;
+
+	if (r == NULL) {
+		t->remotes = mem_resize(
+		    t->remotes, t->nremotes + 1, sizeof(*t->remotes));
+		r = &t->remotes[t->nremotes++];
+		r->owner = owner;
+		r->total_milli = charge_milli;
+		return;
+	}
+	delta = charge_milli > r->total_milli
+	    ? (double)(charge_milli - r->total_milli) / TEAM_MILLI
+	    : 0.0;
+	r->total_milli = charge_milli;
+	if (delta == 0.0)
+		return;
+	if (!team_least(s, &least) || least < s->floor)
+		least = s->floor;
+	top = least + TEAM_REMOTE_BOUNDS * team_bound(s);
+	delta /= t->weight;
+	if (sched_guards.remote && t->counter + delta > top)
+		delta = t->counter < top ? top - t->counter : 0.0;
+	t->counter += delta;
+}
+
+size_t
+sched_team_count(const struct sched *s)
+{
+	return map_count(s->teams);
+}
+
+void
+sched_team_at(const struct sched *s, size_t i, struct sched_team_usage *out)
+{
+	const struct team *t = map_at(s->teams, i);
+
+	out->team = t->name;
+	out->charge_milli = t->charge_milli;
+	out->queued = t->queued;
+	out->running = t->running;
+}
