--- /dev/null
+++ b/tests/node/node_test.cc
@@ -0,0 +1,138 @@
+#include <gtest/gtest.h>
+
+#include "node/cluster.h"
+
+static ClusterOptions
+with_seed(uint64_t seed)
+{
+	ClusterOptions options;
+
+	options.seed = seed;
+	return options;
+}
+
+TEST(path, a_request_goes_to_an_engine_and_back)
+{
+	Cluster c(with_seed(1));
+	ASSERT_TRUE(c.begin());
+	Request *plain = c.complete(0, "a1");
+	Request *stream = c.complete(3, "a2@1", true);
+
+	ASSERT_TRUE(c.wait(plain));
+	ASSERT_TRUE(c.wait(stream));
+	EXPECT_EQ(plain->status, 200) << plain->answer;
+	EXPECT_EQ(stream->status, 200) << stream->answer;
+	EXPECT_NE(stream->answer.find("[DONE]"), std::string::npos);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(path, a_booking_runs_once_and_its_resend_gets_the_stored_answer)
+{
+	Cluster c(with_seed(2));
+	ASSERT_TRUE(c.begin());
+	Request *first = c.book(1, "k1"), *again;
+
+	ASSERT_TRUE(c.wait(first));
+	EXPECT_EQ(first->status, 200) << first->answer;
+	c.run_for(500000);
+	again = c.book(4, "k1");
+	ASSERT_TRUE(c.wait(again));
+	EXPECT_EQ(again->status, 200);
+	EXPECT_EQ(again->answer, first->answer);
+	EXPECT_EQ(again->headers["mulberrypath-replayed"], "yes");
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(path, bad_requests_get_a_code_and_change_nothing)
+{
+	struct {
+		const char *method, *path, *token, *body;
+		int status;
+		const char *code;
+	} cases[] = {
+	    {"POST", "/v1/completions", "caller", "{", 400, "bad-request"},
+	    {"POST", "/v1/completions", "wrong", "{}", 401, "unauthorized"},
+	    {"POST", "/v1/completions", "caller",
+		"{\"model\": \"nobody\", \"prompt\": \"x\"}", 404,
+		"unknown-adapter"},
+	    {"POST", "/v1/completions", "caller",
+		"{\"model\": \"a1@9\", \"prompt\": \"x\"}", 404,
+		"unknown-version"},
+	    {"POST", "/v1/completions", "caller",
+		"{\"model\": \"a1\", \"prompt\": \"x\", \"kind\": \"k\"}", 400,
+		"unknown-kind"},
+	    {"POST", "/v1/services/none/book", "caller", "{}", 404,
+		"unknown-service"},
+	    {"POST", "/v1/services/orders/none", "caller", "{}", 404,
+		"unknown-call"},
+	    {"GET", "/v1/status", "caller", "", 401, "unauthorized"},
+	    {"PUT", "/v1/documents/t1?revision=1&change=x", "op",
+		"{\"team\": 7}", 422, "bad-document"},
+	    {"PUT", "/v1/documents/t1", "op", nullptr, 400, "bad-request"},
+	    {"GET", "/v1/nothing", "op", "", 404, "unknown-path"},
+	    {"POST", "/v1/endpoints/announce", "", "{\"id\": 3}", 400,
+		"bad-announcement"},
+	};
+	Cluster c(with_seed(3));
+	ASSERT_TRUE(c.begin());
+
+	for (auto &t : cases) {
+		std::string body =
+		    t.body == nullptr ? Cluster::document("t1") : t.body;
+		Request *r = c.send(0, t.method, t.path, t.token, body);
+
+		ASSERT_TRUE(c.wait(r)) << t.path;
+		EXPECT_EQ(r->status, t.status) << t.path << r->answer;
+		EXPECT_NE(r->answer.find(t.code), std::string::npos)
+		    << t.path << r->answer;
+		if (t.code != std::string("bad-document"))
+			EXPECT_EQ(r->outcome(), "not-run") << t.path;
+	}
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(documents, equal_revisions_have_one_winner_and_resends_one_answer)
+{
+	Cluster c(with_seed(4));
+	ASSERT_TRUE(c.begin());
+	std::string a = Cluster::document("t1", 1), b = Cluster::document("t1", 2);
+	Request *x = c.put_document(0, "t1", 1, "x", a);
+	Request *y = c.put_document(4, "t1", 1, "y", b);
+
+	ASSERT_TRUE(c.wait(x) && c.wait(y));
+	EXPECT_EQ(x->status + y->status, 200 + 409) << x->answer << y->answer;
+	Request *won = x->status == 200 ? x : y;
+	Request *later = c.put_document(2, "t1", 2, "z", a);
+	ASSERT_TRUE(c.wait(later));
+	EXPECT_EQ(later->status, 200) << later->answer;
+	Request *again = c.send(1, "PUT", won->path, "op", won->body);
+	ASSERT_TRUE(c.wait(again));
+	EXPECT_EQ(again->status, 200);
+	EXPECT_NE(again->answer.find("\"revision\": 2"), std::string::npos);
+	EXPECT_NE(again->answer.find("\"repeated\": true"), std::string::npos);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(documents, status_says_in_force_within_three_seconds)
+{
+	Cluster c(with_seed(5));
+	ASSERT_TRUE(c.begin());
+	Request *put = c.put_document(3, "t1", 1, "x", Cluster::document("t1", 1));
+
+	ASSERT_TRUE(c.wait(put));
+	uint64_t accepted = c.now;
+	Request *status = nullptr;
+	bool in_force = c.run_until(3000000, [&] {
+		if (status != nullptr && status->done &&
+		    status->answer.find("\"inForce\": true") !=
+			std::string::npos)
+			return true;
+		if (status == nullptr || status->done)
+			status = c.send(
+			    1, "GET", "/v1/documents/t1/status", "op", "");
+		return false;
+	});
+	EXPECT_TRUE(in_force) << status->answer;
+	EXPECT_LE(c.now - accepted, 3000000u);
+	EXPECT_EQ(c.check(), "");
+}
