--- /dev/null
+++ b/tests/prove/faults.cc
@@ -0,0 +1,289 @@
+#include "prove/faults.h"
+
+/* ---- faults ------------------------------------------------------------- */
+
+static void
+strike_kill(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	if (c.instances[(size_t)target]->alive)
+		c.kill(target);
+}
+
+static void
+strike_kill_disk(Cluster &c, Workload &w, int target)
+{
+	strike_kill(c, w, target);
+	c.lose_disk(target);
+}
+
+static void
+strike_restart(Cluster &c, Workload &w, int target)
+{
+	strike_kill(c, w, target);
+	c.start(target);
+}
+
+static void
+strike_cut_both(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.isolate(target, true);
+}
+
+static void
+strike_cut_in(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	for (int i = 0; i < (int)c.instances.size(); i++)
+		c.cut(i, target, i != target);
+}
+
+static void
+strike_cut_out(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	for (int i = 0; i < (int)c.instances.size(); i++)
+		c.cut(target, i, i != target);
+}
+
+static void
+strike_split(Cluster &c, Workload &w, int target)
+{
+	int other = (target + 1) % (int)c.instances.size();
+
+	(void)w;
+	for (int i = 0; i < (int)c.instances.size(); i++) {
+		if (i == target || i == other)
+			continue;
+		for (int side : {target, other}) {
+			c.cut(i, side, true);
+			c.cut(side, i, true);
+		}
+	}
+}
+
+static void
+strike_freeze(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	if (c.instances[(size_t)target]->alive)
+		c.freeze(target);
+}
+
+static void
+strike_late(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	c.delay_max_us = 150000;
+	c.order_delay_us = 200000;
+}
+
+static void
+strike_messy(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	c.delay_max_us = 40000;
+	c.twice = 0.2;
+	c.drop = 0.05;
+}
+
+static void
+strike_silent_engine(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.endpoints[(size_t)target % 4]->silent = true;
+}
+
+static void
+strike_unreachable(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	for (auto &e : c.endpoints)
+		if (rng_below(&c.rng, 2) == 0)
+			c.call_cuts.insert({target, e->id});
+}
+
+static void
+strike_failed_loads(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	for (auto &e : c.endpoints)
+		e->fail_loads = 5;
+}
+
+static void
+strike_cold_engine(Cluster &c, Workload &w, int target)
+{
+	Endpoint &e = *c.endpoints[(size_t)target % 4];
+
+	(void)w;
+	e.incarnation++;
+	e.slots.clear();
+	e.runs.clear();
+}
+
+static void
+strike_lagging(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	for (auto &e : c.endpoints)
+		e->lag_us = 2500000;
+}
+
+static void
+strike_broken_streams(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.endpoints[(size_t)target % 4]->break_after = 2;
+}
+
+static void
+strike_wrong_model(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.endpoints[(size_t)target % 4]->wrong_model = true;
+}
+
+static void
+strike_full_disk(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.instances[(size_t)target]->disk.fails = true;
+}
+
+static void
+strike_drain(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)c.send(target, "POST", "/v1/drain", "op", "");
+}
+
+static void
+strike_endpoint_leaves(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	c.endpoints[(size_t)target % 4]->leaving = true;
+}
+
+const std::vector<Fault> all_faults = {
+    {"kill", strike_kill, 6000000, true},
+    {"kill, disk lost", strike_kill_disk, 6000000, true},
+    {"restart at once", strike_restart, 4000000, true},
+    {"cut both ways", strike_cut_both, 6000000, true},
+    {"cut, hears nobody", strike_cut_in, 6000000, true},
+    {"cut, nobody hears it", strike_cut_out, 6000000, true},
+    {"long isolation", strike_cut_both, 20000000, true},
+    {"split in two", strike_split, 6000000, true},
+    {"freeze and wake", strike_freeze, 5000000, true},
+    {"late messages", strike_late, 5000000, false},
+    {"lost, doubled, reordered", strike_messy, 5000000, false},
+    {"silent engine", strike_silent_engine, 5000000, false},
+    {"endpoints unreachable", strike_unreachable, 5000000, false},
+    {"failed loads", strike_failed_loads, 5000000, false},
+    {"cold engine", strike_cold_engine, 3000000, false},
+    {"lagging reports", strike_lagging, 5000000, false},
+    {"broken streams", strike_broken_streams, 4000000, false},
+    {"wrong model", strike_wrong_model, 4000000, false},
+    {"full disk", strike_full_disk, 5000000, false},
+    {"drain", strike_drain, 6000000, true},
+    {"endpoint leaves", strike_endpoint_leaves, 5000000, false},
+};
+
+/* ---- steps -------------------------------------------------------------- */
+
+static int
+any_leader(Cluster &c)
+{
+	int leader = c.leader();
+
+	return leader < 0 ? 0 : leader;
+}
+
+static int
+reach_idle(Cluster &c, Workload &w)
+{
+	w.run(1000000);
+	return any_leader(c);
+}
+
+static int
+reach_change(Cluster &c, Workload &w)
+{
+	Request *before = w.last_change;
+
+	w.run(5000000, [&] { return w.last_change != before; });
+	c.run_for(700); /* the proposal is on its way */
+	return any_leader(c);
+}
+
+static int
+reach_booking(Cluster &c, Workload &w)
+{
+	size_t ran = 0;
+	Endpoint *service = c.endpoints.back().get();
+
+	w.run(500000);
+	ran = service->ran.size();
+	w.run(5000000, [&] { return service->ran.size() > ran; });
+	return w.last_booking == nullptr ? 0 : w.last_booking->instance;
+}
+
+static int
+reach_stream(Cluster &c, Workload &w)
+{
+	int entry = 0;
+
+	w.run(5000000, [&] {
+		for (auto &e : c.endpoints)
+			for (auto &run : e->runs)
+				if (run.second.next == 2) {
+					entry = run.second.instance;
+					return true;
+				}
+		return false;
+	});
+	return entry;
+}
+
+static int
+reach_load(Cluster &c, Workload &w)
+{
+	int owner = 0;
+
+	w.run(5000000, [&] {
+		for (auto &e : c.endpoints)
+			for (auto &slot : e->slots)
+				if (slot.second) {
+					owner = c.owner_of(e->id);
+					return owner >= 0;
+				}
+		return false;
+	});
+	return owner < 0 ? 0 : owner;
+}
+
+static int
+reach_grant(Cluster &c, Workload &w)
+{
+	Request *before = w.last_completion;
+
+	w.run(5000000, [&] { return w.last_completion != before; });
+	c.run_for(500); /* the ask is at its owner */
+	return c.owner_of(c.endpoints[0]->id) < 0
+	    ? 0
+	    : c.owner_of(c.endpoints[0]->id);
+}
+
+const std::vector<Step> all_steps = {
+    {"steady work", reach_idle},
+    {"document under way", reach_change},
+    {"booking runs", reach_booking},
+    {"stream runs", reach_stream},
+    {"adapter loads", reach_load},
+    {"grant asked", reach_grant},
+};
--- /dev/null
+++ b/tests/prove/faults.h
@@ -0,0 +1,28 @@
+#ifndef MP_TESTS_PROVE_FAULTS_H
+#define MP_TESTS_PROVE_FAULTS_H
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "prove/workload.h"
+
+/* Something that goes wrong; it lasts until the cluster is healed. */
+struct Fault {
+	const char *name;
+	void (*strike)(Cluster &c, Workload &w, int target);
+	uint64_t lasts_us;
+	bool takes_instance; /* the target stops taking part */
+};
+
+/* A moment at which a fault strikes. */
+struct Step {
+	const char *name;
+	/* Wait for the moment; the instance most concerned is returned. */
+	int (*reach)(Cluster &c, Workload &w);
+};
+
+extern const std::vector<Fault> all_faults;
+extern const std::vector<Step> all_steps;
+
+#endif
--- /dev/null
+++ b/tests/prove/prove.cc
@@ -0,0 +1,216 @@
+#include <getopt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+#include "prove/faults.h"
+
+struct Options {
+	uint64_t seed = 1;
+	int seeds = 1;
+	bool pairs = false, list = false;
+	int shard = 0, shards = 1;
+	std::string only;
+};
+
+struct Tally {
+	int passed = 0, failed = 0;
+};
+
+static ClusterOptions
+cluster_options(uint64_t seed)
+{
+	ClusterOptions options;
+
+	options.seed = seed;
+	options.drift = true;
+	return options;
+}
+
+static void
+heal(Cluster &c)
+{
+	for (auto &in : c.instances) {
+		in->disk.fails = false;
+		if (in->exited && in->alive)
+			c.kill((int)in->id - 1);
+	}
+	for (auto &e : c.endpoints) {
+		e->fail_loads = 0;
+		e->break_after = 0;
+		e->wrong_model = e->leaving = false;
+		e->lag_us = 300000;
+	}
+	c.heal();
+}
+
+/* Instances whose disk failed must be restarted to vote again. */
+static void
+restart_halted(Cluster &c)
+{
+	for (auto &in : c.instances) {
+		if (!in->alive || in->node->raft == nullptr ||
+		    !raft_is_halted(in->node->raft))
+			continue;
+		c.kill((int)in->id - 1);
+		c.start((int)in->id - 1);
+	}
+	for (auto &in : c.instances)
+		if (in->alive && in->node->stopping) {
+			c.kill((int)in->id - 1);
+			c.start((int)in->id - 1);
+		}
+}
+
+static std::string
+run_case(
+    uint64_t seed, const Step &step, const Fault &first, const Fault *second)
+{
+	Cluster c(cluster_options(seed));
+	Workload w(c);
+	uint64_t lasts = first.lasts_us;
+	int target;
+
+	if (!c.begin())
+		return "the cluster did not start";
+	target = step.reach(c, w);
+	first.strike(c, w, target);
+	if (second != nullptr) {
+		/* Two lost instances of three voters stop the log, no more. */
+		int other = first.takes_instance
+		    ? (target + 1 + (int)rng_below(&c.rng, 4)) % 5
+		    : target;
+
+		w.run(400000 + rng_below(&c.rng, 1500000));
+		second->strike(c, w, other);
+		if (second->lasts_us > lasts)
+			lasts = second->lasts_us;
+	}
+	w.run(lasts);
+	heal(c);
+	restart_halted(c);
+	w.run(6000000);
+	return w.settle();
+}
+
+static bool
+is_selected(const Options &o, const std::string &name, int number)
+{
+	if (!o.only.empty() && name.find(o.only) == std::string::npos)
+		return false;
+	return number % o.shards == o.shard;
+}
+
+static void
+prove_one(const Options &o, Tally &tally, const Step &step, const Fault &first,
+    const Fault *second)
+{
+	std::string name = std::string(first.name) +
+	    (second == nullptr ? "" : std::string(" + ") + second->name) +
+	    " @ " + step.name,
+		    wrong;
+
+	for (int k = 0; k < o.seeds; k++) {
+		uint64_t seed = o.seed + (uint64_t)k;
+
+		wrong = run_case(seed, step, first, second);
+		if (wrong.empty()) {
+			tally.passed++;
+			continue;
+		}
+		tally.failed++;
+		printf("FAILED  %-60s seed %llu: %s\n", name.c_str(),
+		    (unsigned long long)seed, wrong.c_str());
+		fflush(stdout);
+	}
+	if (wrong.empty())
+		printf("ok      %s\n", name.c_str());
+}
+
+static void
+prove_all(const Options &o, Tally &tally)
+{
+	int number = 0;
+
+	for (auto &step : all_steps)
+		for (auto &first : all_faults) {
+			std::string name =
+			    std::string(first.name) + " @ " + step.name;
+
+			if (!o.pairs && is_selected(o, name, number))
+				prove_one(o, tally, step, first, nullptr);
+			number++;
+		}
+	for (size_t a = 0; o.pairs && a < all_faults.size(); a++)
+		for (size_t b = a; b < all_faults.size(); b++) {
+			const Step &step =
+			    all_steps[(a + b) % all_steps.size()];
+			std::string name = std::string(all_faults[a].name) +
+			    " + " + all_faults[b].name + " @ " + step.name;
+
+			if (is_selected(o, name, number))
+				prove_one(o, tally, step, all_faults[a],
+				    &all_faults[b]);
+			number++;
+		}
+}
+
+static void
+usage(FILE *out)
+{
+	fprintf(out,
+	    "usage: prove [--singles | --pairs] [--seed N] [--seeds N] [--only TEXT]\n"
+	    "             [--shard K/N]\n"
+	    "Run each fault at each step (or pairs of faults) on reducers\n"
+	    "over a virtual clock and check what must always hold.\n");
+}
+
+static bool
+parse(Options &o, int argc, char **argv)
+{
+	static const struct option longs[] = {
+	    {"singles", no_argument, nullptr, '1'},
+	    {"pairs", no_argument, nullptr, 'p'},
+	    {"seed", required_argument, nullptr, 's'},
+	    {"seeds", required_argument, nullptr, 'n'},
+	    {"only", required_argument, nullptr, 'o'},
+	    {"shard", required_argument, nullptr, 'k'},
+	    {"help", no_argument, nullptr, 'h'},
+	    {nullptr, 0, nullptr, 0},
+	};
+	int c;
+
+	while ((c = getopt_long(argc, argv, "h", longs, nullptr)) != -1) {
+		if (c == 'p' || c == '1')
+			o.pairs = c == 'p';
+		else if (c == 's')
+			o.seed = strtoull(optarg, nullptr, 10);
+		else if (c == 'n')
+			o.seeds = atoi(optarg);
+		else if (c == 'o')
+			o.only = optarg;
+		else if (c == 'k' &&
+		    sscanf(optarg, "%d/%d", &o.shard, &o.shards) == 2 &&
+		    o.shards > 0)
+			continue;
+		else
+			return false;
+	}
+	return optind == argc;
+}
+
+int
+main(int argc, char **argv)
+{
+	Options options;
+	Tally tally;
+
+	if (!parse(options, argc, argv)) {
+		usage(stderr);
+		return 2;
+	}
+	prove_all(options, tally);
+	printf("%d passed, %d failed\n", tally.passed, tally.failed);
+	return tally.failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/prove/workload.cc
@@ -0,0 +1,134 @@
+#include "prove/workload.h"
+
+#include <cstring>
+
+static const uint64_t kCompletionUs = 60000;
+static const uint64_t kBookingUs = 250000;
+static const uint64_t kChangeUs = 700000;
+static const uint64_t kCheckUs = 50000;
+static const uint64_t kSliceUs = 1000;
+
+int
+Workload::pick_instance()
+{
+	return (int)rng_below(&c.rng, (uint32_t)c.instances.size());
+}
+
+/* Bookings without a confirmed answer are sent again, elsewhere. */
+void
+Workload::rebook()
+{
+	std::vector<Request *> open;
+
+	for (Request *r : open_bookings) {
+		if (!r->done && c.now < r->sent_us + 12000000) {
+			open.push_back(r);
+			continue;
+		}
+		if (r->status == 200 ||
+		    r->answer.find("outcome-unknown") != std::string::npos)
+			continue;
+		open.push_back(c.book(pick_instance(), r->key));
+	}
+	open_bookings = open;
+}
+
+static uint64_t
+revision_of(const Request *r)
+{
+	size_t at = r->answer.find("\"revision\": ");
+
+	return at == std::string::npos
+	    ? 0
+	    : strtoull(r->answer.c_str() + at + 12, nullptr, 10);
+}
+
+/* Two operators replace the same revision at once. */
+void
+Workload::change()
+{
+	for (Request *r : changing) {
+		if (r == nullptr)
+			continue;
+		if (!r->done && c.now < r->sent_us + 8000000)
+			return;
+		uint64_t told = revision_of(r);
+		if (told > revision)
+			revision = told;
+		/* An answer was lost: resend the same change. */
+		if (r->status != 200 && r->status != 409 &&
+		    rng_below(&c.rng, 2) == 0)
+			(void)c.send(
+			    pick_instance(), "PUT", r->path, "op", r->body);
+	}
+	serial++;
+	for (int k = 0; k < 2; k++)
+		changing[k] = c.put_document(pick_instance(), "t1", revision,
+		    "c" + std::to_string(serial) + "-" + std::to_string(k),
+		    Cluster::document("t1", serial * 2 + k));
+	last_change = changing[0];
+}
+
+void
+Workload::work()
+{
+	if (c.now >= next_completion) {
+		next_completion = c.now + kCompletionUs;
+		last_completion = c.complete(pick_instance(),
+		    "a" +
+			std::to_string(rng_below(
+			    &c.rng, rng_below(&c.rng, 3) == 0 ? 12 : 4)),
+		    rng_below(&c.rng, 2) == 0, 4 + (int)rng_below(&c.rng, 8));
+	}
+	if (bookings && c.now >= next_booking) {
+		next_booking = c.now + kBookingUs;
+		last_booking =
+		    c.book(pick_instance(), "b" + std::to_string(++serial));
+		open_bookings.push_back(last_booking);
+		rebook();
+	}
+	if (changes && c.now >= next_change) {
+		next_change = c.now + kChangeUs;
+		change();
+	}
+}
+
+void
+Workload::run(uint64_t us, const std::function<bool()> &until)
+{
+	uint64_t end = c.now + us;
+
+	while (c.now < end && violation.empty() && !until()) {
+		work();
+		c.run_for(kSliceUs);
+		if (c.now >= next_check) {
+			next_check = c.now + kCheckUs;
+			violation = c.check();
+		}
+	}
+}
+
+std::string
+Workload::settle()
+{
+	Request *r;
+
+	if (!violation.empty())
+		return violation;
+	if (!c.wait_ready(12000000))
+		return "not every instance became ready again";
+	for (size_t i = 0; i < c.instances.size(); i++) {
+		if (!c.instances[i]->alive || c.instances[i]->exited ||
+		    c.instances[i]->node->stopping)
+			continue;
+		r = c.complete((int)i, "a1");
+		if (!c.wait(r) || r->status != 200)
+			return "no completion at instance " +
+			    std::to_string(i + 1) + ": " + r->answer;
+		r = c.book((int)i, "settle" + std::to_string(i));
+		if (!c.wait(r) || r->status != 200)
+			return "no booking at instance " +
+			    std::to_string(i + 1) + ": " + r->answer;
+	}
+	return c.check();
+}
