Add membership: the view, leases, peer support, epochs, permits

Ownership may move only when the former owner cannot act any more, also with engines that ignore fencing numbers.

So changes are proposed one at a time, and an epoch is active only when a blocking number of the supporters of the epoch before acknowledged it; the view keeps these ids. A silent member's share of the store's permits stays reserved until its removal is sealed, as its peers may support it. In force also waits for supporters, and a support names the index it needs, so that a group without a leader cannot go back behind a document that was in force.

LeaseRenew carries the newest reply taken and the share held, Pong the index required.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -40,6 +40,17 @@
     struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation);
 
 uint64_t member_view_epoch(const struct member_view *v);
+
+/*
+ * Supporters are the members whose support counts where there is no leader:
+ * all of them, or in a large cluster those with a data folder.
+ */
+#define MEMBER_SUPPORTERS_ALL 16 /* members up to which all support */
+
+bool member_view_supports(const struct member_view *v, const struct member *m);
+
+/* Ids of the supporters of the epoch before this one. */
+const uint32_t *member_view_earlier(const struct member_view *v, size_t *n);
 size_t member_view_count(const struct member_view *v);
 const struct member *member_view_at(const struct member_view *v, size_t i);
 const struct member *member_view_find(const struct member_view *v, uint32_t id);
@@ -92,12 +103,25 @@
 struct member_holder *member_holder_create(uint32_t self, uint64_t incarnation);
 void member_holder_destroy(struct member_holder *h);
 
-/* Is a renewal or ping round due? Marks it sent. */
+/*
+ * Tell of the view whenever it changed: what the holder may promise to its
+ * peers depends on it, and a new epoch is acknowledged at once.
+ */
+void member_holder_on_view(
+    struct member_holder *h, const struct member_view *v);
+
+/*
+ * Is a renewal or ping round due? Marks it sent. Pings go to all members
+ * that member_view_supports() names.
+ */
 bool member_holder_renew_due(struct member_holder *h, uint64_t now_us);
 bool member_holder_ping_due(struct member_holder *h, uint64_t now_us);
 uint64_t member_holder_next(const struct member_holder *h);
 
-/* Fill the lease part of a renewal: sent_us, applied, epoch, promise_over. */
+/*
+ * Fill the lease part of a renewal: sent_us, applied, epoch, promise_over,
+ * got_us and the permits held. The rest stays as it is.
+ */
 void member_holder_fill_renew(struct member_holder *h, uint64_t now_us,
     uint64_t applied, uint64_t epoch, Wire__LeaseRenew *out);
 
@@ -134,6 +158,11 @@
 uint64_t member_holder_active_epoch(const struct member_holder *h);
 uint64_t member_holder_in_force(const struct member_holder *h);
 uint32_t member_holder_leader(const struct member_holder *h); /* 0 unknown */
+
+/*
+ * The share of the weight store's permits. Without a lease it stays the last
+ * one told; like every order, a load needs member_holder_may_act() as well.
+ */
 uint32_t member_holder_permit_in_flight(const struct member_holder *h);
 uint32_t member_holder_permit_rate_milli(const struct member_holder *h);
 
@@ -158,8 +187,11 @@
  * Take a renewal and fill the answer. A lease is granted to a member of the
  * same incarnation that has kept up, while authority_until lies ahead.
  *
+ * authority_until: 0 as long as the leader has not applied an entry of its
+ * own term; then the end of its lease over the voters.
  * from: the instance; incarnation: of its process (Envelope).
  * commit: the leader's commit index.
+ * out: initialised and filled, but for leader and term.
  */
 void member_keeper_on_renew(struct member_keeper *k,
     const struct member_view *v, uint64_t now_us, uint64_t authority_until,
--- /dev/null
+++ b/src/member/member_guard.c
@@ -0,0 +1,15 @@
+#include "member/member_guard.h"
+
+struct member_guards member_guards = {.lease_from_send = true,
+    .lease_margin = true,
+    .lease_required = true,
+    .lease_wait = true,
+    .earlier_leases = true,
+    .flight = true,
+    .promise = true,
+    .seal = true,
+    .same_epoch = true,
+    .support_required = true,
+    .in_force_leases = true,
+    .in_force_support = true,
+    .permit_hold = true};
--- /dev/null
+++ b/src/member/member_holder.c
@@ -0,0 +1,349 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member.h"
+#include "member/member_guard.h"
+#include "member/member_time.h"
+#include "util/mem.h"
+
+/*
+ * A holder counts every lease from the moment it sent what the lease
+ * answers, by its own clock, and only for a message that it did send: an
+ * answer meant for an earlier process of the instance counts for nothing.
+ */
+
+#define MEMBER_SENT_KEPT 32 /* times of messages that may be answered */
+
+struct member_sent {
+	uint64_t times[MEMBER_SENT_KEPT];
+	size_t count;
+};
+
+/* What a supporter said last. */
+struct member_support {
+	uint32_t id;
+	uint64_t epoch;
+	uint64_t until; /* by our clock */
+	uint64_t required;
+};
+
+struct member_holder {
+	uint32_t self;
+	uint64_t incarnation;
+	bool started; /* the first call with a time was seen */
+	uint64_t next_renew, next_ping;
+	struct member_sent renews, pings;
+
+	/* From the newest reply taken. */
+	uint64_t reply_sent;
+	uint32_t leader;
+	uint32_t permit_in_flight, permit_rate_milli;
+	/* From the newest grant. */
+	uint64_t lease_sent, lease_until, lease_required;
+	/* Largest ever told. */
+	uint64_t active_epoch, in_force;
+
+	uint64_t epoch; /* of the view told last */
+	bool is_member; /* in it, by this incarnation */
+	uint64_t promise_until;
+	struct member_support *supports;
+	size_t nsupports;
+};
+
+struct member_holder *
+member_holder_create(uint32_t self, uint64_t incarnation)
+{
+	struct member_holder *h = mem_alloc(1, sizeof(*h));
+
+	h->self = self;
+	h->incarnation = incarnation;
+	return h;
+}
+
+void
+member_holder_destroy(struct member_holder *h)
+{
+	if (h == NULL)
+		return;
+	free(h->supports);
+	free(h);
+}
+
+static void
+member_sent_note(struct member_sent *s, uint64_t now_us)
+{
+	s->times[s->count++ % MEMBER_SENT_KEPT] = now_us;
+}
+
+static bool
+member_sent_known(const struct member_sent *s, uint64_t sent_us)
+{
+	size_t i, n = s->count < MEMBER_SENT_KEPT ? s->count : MEMBER_SENT_KEPT;
+
+	for (i = 0; i < n; i++)
+		if (s->times[i] == sent_us)
+			return true;
+	return false;
+}
+
+/* An earlier process of this instance may have promised just before it
+ * ended. */
+static void
+member_holder_start(struct member_holder *h, uint64_t now_us)
+{
+	if (h->started)
+		return;
+	h->started = true;
+	if (member_guards.promise)
+		h->promise_until = now_us + member_promise_us();
+}
+
+void
+member_holder_on_view(struct member_holder *h, const struct member_view *v)
+{
+	const struct member *m = member_view_find(v, h->self);
+
+	if (member_view_epoch(v) != h->epoch)
+		h->next_renew = 0;
+	h->epoch = member_view_epoch(v);
+	h->is_member = m != NULL && m->incarnation == h->incarnation;
+}
+
+bool
+member_holder_renew_due(struct member_holder *h, uint64_t now_us)
+{
+	member_holder_start(h, now_us);
+	if (now_us < h->next_renew)
+		return false;
+	h->next_renew = now_us + MEMBER_RENEW_US;
+	return true;
+}
+
+/* Peers are asked when the lease has not been renewed for a while. */
+static uint64_t
+member_holder_ping_at(const struct member_holder *h)
+{
+	uint64_t worry = h->lease_until < MEMBER_LEASE_US / 2
+	    ? 0
+	    : h->lease_until - MEMBER_LEASE_US / 2;
+
+	return h->next_ping > worry ? h->next_ping : worry;
+}
+
+bool
+member_holder_ping_due(struct member_holder *h, uint64_t now_us)
+{
+	member_holder_start(h, now_us);
+	if (now_us < member_holder_ping_at(h))
+		return false;
+	h->next_ping = now_us + MEMBER_PING_US;
+	member_sent_note(&h->pings, now_us);
+	return true;
+}
+
+uint64_t
+member_holder_next(const struct member_holder *h)
+{
+	uint64_t ping = member_holder_ping_at(h);
+
+	return h->next_renew < ping ? h->next_renew : ping;
+}
+
+void
+member_holder_fill_renew(struct member_holder *h, uint64_t now_us,
+    uint64_t applied, uint64_t epoch, Wire__LeaseRenew *out)
+{
+	member_holder_start(h, now_us);
+	member_sent_note(&h->renews, now_us);
+	out->sent_us = now_us;
+	out->applied = applied;
+	out->epoch = epoch;
+	out->promise_over = now_us >= h->promise_until;
+	out->got_us = h->reply_sent;
+	out->permit_in_flight = h->permit_in_flight;
+	out->permit_rate_milli = h->permit_rate_milli;
+}
+
+void
+member_holder_on_lease(
+    struct member_holder *h, uint64_t now_us, const Wire__LeaseReply *reply)
+{
+	uint64_t from;
+
+	if (!member_sent_known(&h->renews, reply->sent_us))
+		return;
+	if (reply->active_epoch > h->active_epoch)
+		h->active_epoch = reply->active_epoch;
+	if (reply->in_force > h->in_force)
+		h->in_force = reply->in_force;
+	if (reply->sent_us > h->reply_sent) {
+		h->reply_sent = reply->sent_us;
+		h->leader = reply->leader;
+		h->permit_in_flight = reply->permit_in_flight;
+		h->permit_rate_milli = reply->permit_rate_milli;
+	}
+	if (!reply->granted || reply->sent_us <= h->lease_sent)
+		return;
+	from = member_guards.lease_from_send ? reply->sent_us : now_us;
+	h->lease_sent = reply->sent_us;
+	h->lease_until = from + member_shorter(MEMBER_LEASE_US);
+	h->lease_required = member_guards.lease_required ? reply->required : 0;
+}
+
+void
+member_holder_on_ping(struct member_holder *h, uint64_t now_us,
+    uint64_t applied, const Wire__Ping *ping, Wire__Pong *out)
+{
+	member_holder_start(h, now_us);
+	wire__pong__init(out);
+	out->sent_us = ping->sent_us;
+	out->leaderless = h->is_member && now_us >= h->lease_until;
+	out->required = applied;
+	if (out->leaderless && member_guards.promise)
+		h->promise_until = now_us + member_promise_us();
+}
+
+static struct member_support *
+member_holder_support(struct member_holder *h, uint32_t id)
+{
+	struct member_support *s;
+	size_t i;
+
+	for (i = 0; i < h->nsupports; i++)
+		if (h->supports[i].id == id)
+			return &h->supports[i];
+	h->supports =
+	    mem_resize(h->supports, h->nsupports + 1, sizeof(*h->supports));
+	s = &h->supports[h->nsupports++];
+	memset(s, 0, sizeof(*s));
+	s->id = id;
+	return s;
+}
+
+void
+member_holder_on_pong(struct member_holder *h, uint64_t now_us, uint32_t from,
+    uint64_t from_epoch, const Wire__Pong *pong)
+{
+	struct member_support *s;
+	uint64_t until = member_guards.lease_from_send ? pong->sent_us : now_us;
+
+	if (!pong->leaderless || from == h->self ||
+	    !member_sent_known(&h->pings, pong->sent_us))
+		return;
+	until += member_shorter(MEMBER_LEASE_US);
+	s = member_holder_support(h, from);
+	if (from_epoch < s->epoch || until <= s->until)
+		return;
+	s->epoch = from_epoch;
+	s->until = until;
+	s->required = member_guards.support_required ? pong->required : 0;
+}
+
+static bool
+member_support_counts(const struct member_support *s,
+    const struct member_view *v, uint64_t now_us, uint64_t applied)
+{
+	const struct member *m = member_view_find(v, s->id);
+
+	if (m == NULL || !member_view_supports(v, m))
+		return false;
+	if (member_guards.same_epoch && s->epoch != member_view_epoch(v))
+		return false;
+	return now_us < s->until && applied >= s->required;
+}
+
+/*
+ * Until when a majority of the supporters stands behind this instance, or 0.
+ * Supporters that have applied more than we have do not count: a majority
+ * that knows of a newer document must not be passed by.
+ */
+static uint64_t
+member_holder_supported_until(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied)
+{
+	const struct member *self = member_view_find(v, h->self);
+	uint64_t *ends, end = 0, swap;
+	size_t i, j, n = 0, all = 0, need;
+
+	if (self == NULL || self->incarnation != h->incarnation)
+		return 0;
+	for (i = 0; i < member_view_count(v); i++)
+		all += member_view_supports(v, member_view_at(v, i));
+	need = all / 2 + 1 - member_view_supports(v, self);
+	if (need == 0)
+		return now_us + MEMBER_PING_US;
+	ends = mem_alloc(h->nsupports, sizeof(*ends));
+	for (i = 0; i < h->nsupports; i++)
+		if (member_support_counts(&h->supports[i], v, now_us, applied))
+			ends[n++] = h->supports[i].until;
+	/* The latest ends to the front, as many as are needed. */
+	for (i = 0; i < need && i < n; i++)
+		for (j = i + 1; j < n; j++)
+			if (ends[j] > ends[i]) {
+				swap = ends[i];
+				ends[i] = ends[j];
+				ends[j] = swap;
+			}
+	if (n >= need)
+		end = ends[need - 1];
+	free(ends);
+	return end;
+}
+
+enum member_standing
+member_holder_standing(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied)
+{
+	if (now_us < h->lease_until)
+		return applied >= h->lease_required ? MEMBER_LEASED
+						    : MEMBER_CATCHING_UP;
+	return member_holder_supported_until(h, v, now_us, applied) != 0
+	    ? MEMBER_SUPPORTED
+	    : MEMBER_ALONE;
+}
+
+uint64_t
+member_holder_act_until(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied)
+{
+	if (now_us < h->lease_until)
+		return applied >= h->lease_required ? h->lease_until : 0;
+	return member_holder_supported_until(h, v, now_us, applied);
+}
+
+bool
+member_holder_may_act(const struct member_holder *h,
+    const struct member_view *v, uint64_t now_us, uint64_t applied)
+{
+	return member_holder_act_until(h, v, now_us, applied) != 0;
+}
+
+uint64_t
+member_holder_active_epoch(const struct member_holder *h)
+{
+	return h->active_epoch;
+}
+
+uint64_t
+member_holder_in_force(const struct member_holder *h)
+{
+	return h->in_force;
+}
+
+uint32_t
+member_holder_leader(const struct member_holder *h)
+{
+	return h->leader;
+}
+
+uint32_t
+member_holder_permit_in_flight(const struct member_holder *h)
+{
+	return h->permit_in_flight;
+}
+
+uint32_t
+member_holder_permit_rate_milli(const struct member_holder *h)
+{
+	return h->permit_rate_milli;
+}
--- /dev/null
+++ b/src/member/member_view.c
@@ -0,0 +1,323 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member.h"
+#include "member/view.pb-c.h"
+#include "util/mem.h"
+#include "wire/seal.h"
+
+#define MEMBER_VIEW_FIRST 8
+
+struct member_view {
+	uint64_t epoch;
+	struct member **members; /* by id */
+	size_t count, cap;
+	uint32_t *earlier; /* supporters of the epoch before */
+	size_t nearlier;
+};
+
+struct member_view *
+member_view_create(void)
+{
+	return mem_alloc(1, sizeof(struct member_view));
+}
+
+static void
+member_destroy(struct member *m)
+{
+	free(m->name);
+	free(m->data_centre);
+	free(m->region);
+	free(m->http);
+	free(m->bus);
+	free(m);
+}
+
+static void
+member_view_clear(struct member_view *v)
+{
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		member_destroy(v->members[i]);
+	free(v->members);
+	free(v->earlier);
+	memset(v, 0, sizeof(*v));
+}
+
+void
+member_view_destroy(struct member_view *v)
+{
+	if (v == NULL)
+		return;
+	member_view_clear(v);
+	free(v);
+}
+
+/* The place of a member, or where it would go. */
+static size_t
+member_view_place(const struct member_view *v, uint32_t id)
+{
+	size_t low = 0, high = v->count, middle;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (v->members[middle]->id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static struct member *
+member_view_get(const struct member_view *v, uint32_t id)
+{
+	size_t at = member_view_place(v, id);
+
+	return at < v->count && v->members[at]->id == id ? v->members[at]
+							 : NULL;
+}
+
+const struct member *
+member_view_find(const struct member_view *v, uint32_t id)
+{
+	return member_view_get(v, id);
+}
+
+uint64_t
+member_view_epoch(const struct member_view *v)
+{
+	return v->epoch;
+}
+
+size_t
+member_view_count(const struct member_view *v)
+{
+	return v->count;
+}
+
+const struct member *
+member_view_at(const struct member_view *v, size_t i)
+{
+	return v->members[i];
+}
+
+bool
+member_view_supports(const struct member_view *v, const struct member *m)
+{
+	return v->count <= MEMBER_SUPPORTERS_ALL || m->voter != 0;
+}
+
+const uint32_t *
+member_view_earlier(const struct member_view *v, size_t *n)
+{
+	*n = v->nearlier;
+	return v->earlier;
+}
+
+/* A change is about to be made: keep the supporters as they are. */
+static void
+member_view_advance(struct member_view *v, uint64_t index)
+{
+	size_t i;
+
+	v->epoch = index;
+	v->earlier = mem_resize(v->earlier, v->count, sizeof(*v->earlier));
+	v->nearlier = 0;
+	for (i = 0; i < v->count; i++)
+		if (member_view_supports(v, v->members[i]))
+			v->earlier[v->nearlier++] = v->members[i]->id;
+}
+
+static void
+member_view_insert(struct member_view *v, struct member *m)
+{
+	size_t at = member_view_place(v, m->id);
+
+	if (v->count == v->cap) {
+		v->cap = v->cap == 0 ? MEMBER_VIEW_FIRST : v->cap * 2;
+		v->members =
+		    mem_resize(v->members, v->cap, sizeof(struct member *));
+	}
+	memmove(&v->members[at + 1], &v->members[at],
+	    (v->count - at) * sizeof(struct member *));
+	v->members[at] = m;
+	v->count++;
+}
+
+static void
+member_view_remove(struct member_view *v, uint32_t id)
+{
+	size_t at = member_view_place(v, id);
+
+	member_destroy(v->members[at]);
+	v->count--;
+	memmove(&v->members[at], &v->members[at + 1],
+	    (v->count - at) * sizeof(struct member *));
+}
+
+static struct member *
+member_from_info(const Wire__MemberInfo *info)
+{
+	struct member *m = mem_alloc(1, sizeof(*m));
+
+	m->id = info->id;
+	m->incarnation = info->incarnation;
+	m->name = mem_string(info->name);
+	m->data_centre = mem_string(info->data_centre);
+	m->region = mem_string(info->region);
+	m->http = mem_string(info->http);
+	m->bus = mem_string(info->bus);
+	m->voter = info->voter;
+	m->leaving = info->leaving;
+	return m;
+}
+
+static bool
+member_matches(const struct member *m, const Wire__MemberInfo *info)
+{
+	return strcmp(m->name, info->name) == 0 &&
+	    strcmp(m->data_centre, info->data_centre) == 0 &&
+	    strcmp(m->region, info->region) == 0 &&
+	    strcmp(m->http, info->http) == 0 &&
+	    strcmp(m->bus, info->bus) == 0 && m->voter == info->voter &&
+	    m->leaving == info->leaving;
+}
+
+/*
+ * A member of another incarnation is not replaced: its MemberDown comes
+ * first, so that what it ran is settled.
+ */
+bool
+member_view_up(
+    struct member_view *v, uint64_t index, const Wire__MemberInfo *info)
+{
+	const struct member *old = member_view_get(v, info->id);
+	struct member *m;
+	uint64_t joined = index;
+
+	if (info->id == 0)
+		return false;
+	if (old != NULL) {
+		if (old->incarnation != info->incarnation ||
+		    member_matches(old, info))
+			return false;
+		joined = old->joined;
+	}
+	member_view_advance(v, index);
+	m = member_from_info(info);
+	m->joined = joined;
+	if (old != NULL)
+		member_view_remove(v, info->id);
+	member_view_insert(v, m);
+	return true;
+}
+
+bool
+member_view_down(
+    struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation)
+{
+	const struct member *m = member_view_get(v, id);
+
+	if (m == NULL || m->incarnation != incarnation)
+		return false;
+	member_view_advance(v, index);
+	member_view_remove(v, id);
+	return true;
+}
+
+bool
+member_view_leave(
+    struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation)
+{
+	struct member *m = member_view_get(v, id);
+
+	if (m == NULL || m->incarnation != incarnation || m->leaving)
+		return false;
+	member_view_advance(v, index);
+	m->leaving = true;
+	return true;
+}
+
+static void
+member_pack(View__Member *to, const struct member *m)
+{
+	view__member__init(to);
+	to->id = m->id;
+	to->incarnation = m->incarnation;
+	to->name = m->name;
+	to->data_centre = m->data_centre;
+	to->region = m->region;
+	to->http = m->http;
+	to->bus = m->bus;
+	to->voter = m->voter;
+	to->leaving = m->leaving;
+	to->joined = m->joined;
+}
+
+void
+member_view_save(const struct member_view *v, struct buf *out)
+{
+	View__View view = VIEW__VIEW__INIT;
+	View__Member *items = mem_alloc(v->count, sizeof(*items));
+	View__Member **refs = mem_alloc(v->count, sizeof(View__Member *));
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		member_pack(&items[i], v->members[i]);
+		refs[i] = &items[i];
+	}
+	view.epoch = v->epoch;
+	view.members = refs;
+	view.n_members = v->count;
+	view.earlier_supporters = v->earlier;
+	view.n_earlier_supporters = v->nearlier;
+	seal_pack(out, &view.base);
+	free(refs);
+	free(items);
+}
+
+static struct member *
+member_unpack(const View__Member *from)
+{
+	struct member *m = mem_alloc(1, sizeof(*m));
+
+	m->id = from->id;
+	m->incarnation = from->incarnation;
+	m->name = mem_string(from->name);
+	m->data_centre = mem_string(from->data_centre);
+	m->region = mem_string(from->region);
+	m->http = mem_string(from->http);
+	m->bus = mem_string(from->bus);
+	m->voter = from->voter;
+	m->leaving = from->leaving;
+	m->joined = from->joined;
+	return m;
+}
+
+int
+member_view_restore(
+    struct member_view *v, const char *data, size_t len, struct mp_error *err)
+{
+	ProtobufCMessage *message;
+	const View__View *view;
+	size_t i;
+
+	member_view_clear(v);
+	message = seal_unpack(&view__view__descriptor, data, len,
+	    MP_LAYER_MEMBER, "membership", err);
+	if (message == NULL)
+		return MP_ERR_CORRUPT;
+	view = (const View__View *)message;
+	v->epoch = view->epoch;
+	for (i = 0; i < view->n_members; i++)
+		if (member_view_get(v, view->members[i]->id) == NULL)
+			member_view_insert(v, member_unpack(view->members[i]));
+	v->nearlier = view->n_earlier_supporters;
+	v->earlier = mem_resize(NULL, v->nearlier, sizeof(*v->earlier));
+	for (i = 0; i < v->nearlier; i++)
+		v->earlier[i] = view->earlier_supporters[i];
+	protobuf_c_message_free_unpacked(message, NULL);
+	return MP_OK;
+}
--- a/src/member/view.pb-c.c
+++ b/src/member/view.pb-c.c
@@ -252,7 +252,7 @@
   (ProtobufCMessageInit) view__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor view__view__field_descriptors[2] =
+static const ProtobufCFieldDescriptor view__view__field_descriptors[3] =
 {
   {
     "epoch",
@@ -278,15 +278,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_supporters",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(View__View, n_earlier_supporters),
+    offsetof(View__View, earlier_supporters),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned view__view__field_indices_by_name[] = {
+  2,   /* field[2] = earlier_supporters */
   0,   /* field[0] = epoch */
   1,   /* field[1] = members */
 };
 static const ProtobufCIntRange view__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor view__view__descriptor =
 {
@@ -296,7 +309,7 @@
   "View__View",
   "view",
   sizeof(View__View),
-  2,
+  3,
   view__view__field_descriptors,
   view__view__field_indices_by_name,
   1,  view__view__number_ranges,
--- a/src/member/view.pb-c.h
+++ b/src/member/view.pb-c.h
@@ -52,10 +52,15 @@
    */
   size_t n_members;
   View__Member **members;
+  /*
+   * of the epoch before
+   */
+  size_t n_earlier_supporters;
+  uint32_t *earlier_supporters;
 };
 #define VIEW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&view__view__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL }
 
 
 /* View__Member methods */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1457,7 +1457,7 @@
   (ProtobufCMessageInit) wire__member_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[13] =
 {
   {
     "sent_us",
@@ -1579,12 +1579,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "got_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, got_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_in_flight",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, permit_in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_rate_milli",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, permit_rate_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_renew__field_indices_by_name[] = {
   1,   /* field[1] = applied */
   2,   /* field[2] = epoch */
+  10,   /* field[10] = got_us */
   4,   /* field[4] = leaving */
   8,   /* field[8] = loads_in_flight */
+  11,   /* field[11] = permit_in_flight */
+  12,   /* field[12] = permit_rate_milli */
   3,   /* field[3] = promise_over */
   5,   /* field[5] = self */
   0,   /* field[0] = sent_us */
@@ -1595,7 +1634,7 @@
 static const ProtobufCIntRange wire__lease_renew__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__lease_renew__descriptor =
 {
@@ -1605,7 +1644,7 @@
   "Wire__LeaseRenew",
   "wire",
   sizeof(Wire__LeaseRenew),
-  10,
+  13,
   wire__lease_renew__field_descriptors,
   wire__lease_renew__field_indices_by_name,
   1,  wire__lease_renew__number_ranges,
@@ -2086,7 +2125,7 @@
   (ProtobufCMessageInit) wire__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__pong__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__pong__field_descriptors[3] =
 {
   {
     "sent_us",
@@ -2112,15 +2151,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "required",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Pong, required),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__pong__field_indices_by_name[] = {
   1,   /* field[1] = leaderless */
+  2,   /* field[2] = required */
   0,   /* field[0] = sent_us */
 };
 static const ProtobufCIntRange wire__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__pong__descriptor =
 {
@@ -2130,7 +2182,7 @@
   "Wire__Pong",
   "wire",
   sizeof(Wire__Pong),
-  2,
+  3,
   wire__pong__field_descriptors,
   wire__pong__field_indices_by_name,
   1,  wire__pong__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -200,7 +200,7 @@
    */
   uint64_t epoch;
   /*
-   * no peer-support promise of an older epoch runs
+   * no promise to support a peer runs
    */
   protobuf_c_boolean promise_over;
   protobuf_c_boolean leaving;
@@ -218,10 +218,19 @@
    * raft id of the data folder, when healthy
    */
   uint64_t voter;
+  /*
+   * sent_us of the newest LeaseReply taken
+   */
+  uint64_t got_us;
+  /*
+   * share of store permits held now
+   */
+  uint32_t permit_in_flight;
+  uint32_t permit_rate_milli;
 };
 #define WIRE__LEASE_RENEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_renew__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__LeaseReply
@@ -352,10 +361,14 @@
    * the sender holds no lease of a leader
    */
   protobuf_c_boolean leaderless;
+  /*
+   * the support holds once this index is applied
+   */
+  uint64_t required;
 };
 #define WIRE__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__pong__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/tests/member/view_test.cc
@@ -0,0 +1,155 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <vector>
+
+#include "member_fixture.h"
+
+TEST(member_view, changes_and_epochs)
+{
+	struct member_view *v = member_view_create();
+	Wire__MemberInfo one = info_of(1, 10), other = info_of(1, 11);
+	Wire__MemberInfo moved = info_of(1, 10, "elsewhere"),
+			 none = info_of(0, 1);
+	struct {
+		int what; /* 0 up, 1 down, 2 leave */
+		Wire__MemberInfo *info;
+		bool changes;
+		size_t count;
+	} steps[] = {
+	    {0, &none, false, 0},
+	    {0, &one, true, 1},
+	    {0, &one, false, 1},
+	    {0, &other, false, 1}, /* its MemberDown comes first */
+	    {1, &other, false, 1},
+	    {0, &moved, true, 1},
+	    {2, &other, false, 1},
+	    {2, &one, true, 1},
+	    {2, &one, false, 1},
+	    {1, &one, true, 0},
+	    {1, &one, false, 0},
+	    {2, &one, false, 0},
+	    {0, &other, true, 1},
+	};
+	uint64_t index = 100, epoch = 0;
+
+	for (auto &s : steps) {
+		bool changed;
+		index++;
+		if (s.what == 0)
+			changed = member_view_up(v, index, s.info);
+		else if (s.what == 1)
+			changed = member_view_down(
+			    v, index, s.info->id, s.info->incarnation);
+		else
+			changed = member_view_leave(
+			    v, index, s.info->id, s.info->incarnation);
+		EXPECT_EQ(changed, s.changes) << index;
+		epoch = changed ? index : epoch;
+		EXPECT_EQ(member_view_epoch(v), epoch) << index;
+		EXPECT_EQ(member_view_count(v), s.count) << index;
+	}
+	member_view_destroy(v);
+}
+
+TEST(member_view, save_and_restore)
+{
+	struct member_view *v = view_of(20), *again = member_view_create();
+	struct mp_error err = {};
+	size_t n;
+
+	member_view_leave(v, 30, 4, 40);
+	member_view_down(v, 31, 7, 70);
+	(void)member_view_earlier(v, &n);
+	EXPECT_EQ(n, 20u);
+	std::string bytes = view_save(v);
+	for (size_t i = 0; i < bytes.size(); i++) {
+		std::string bad = bytes;
+		bad[i] ^= 4;
+		EXPECT_EQ(
+		    member_view_restore(again, bad.data(), bad.size(), &err),
+		    MP_ERR_CORRUPT);
+		EXPECT_EQ(member_view_count(again), 0u);
+	}
+	EXPECT_EQ(member_view_restore(again, bytes.data(), bytes.size(), &err),
+	    MP_OK);
+	EXPECT_EQ(view_save(again), bytes);
+	EXPECT_EQ(member_view_epoch(again), 31u);
+	EXPECT_TRUE(member_view_find(again, 4)->leaving);
+	EXPECT_EQ(member_view_find(again, 7), nullptr);
+	EXPECT_EQ(member_view_find(again, 8)->joined, 8u);
+	member_view_destroy(v);
+	member_view_destroy(again);
+}
+
+TEST(member_view, owners_spread_and_move_little)
+{
+	struct member_view *v = view_of(5);
+	std::map<uint32_t, int> share;
+	std::vector<uint32_t> before;
+	int moved = 0;
+
+	for (int i = 0; i < 5000; i++) {
+		std::string key = "endpoint-" + std::to_string(i);
+		before.push_back(member_owner_of(v, "r", key.c_str()));
+		share[before.back()]++;
+	}
+	for (uint32_t id = 1; id <= 5; id++)
+		EXPECT_NEAR(share[id], 1000, 120) << id;
+	member_view_leave(v, 9, 3, 30);
+	for (int i = 0; i < 5000; i++) {
+		std::string key = "endpoint-" + std::to_string(i);
+		uint32_t owner = member_owner_of(v, "r", key.c_str());
+		EXPECT_NE(owner, 3u);
+		moved += owner != before[i];
+	}
+	EXPECT_EQ(moved, share[3]);
+	EXPECT_NE(member_owner_of(v, "no such region", "e"), 0u);
+	member_view_destroy(v);
+}
+
+TEST(member_view, owners_come_from_the_region)
+{
+	struct member_view *v = view_of(3);
+	Wire__MemberInfo far = info_of(9, 90, "far");
+
+	member_view_up(v, 10, &far);
+	for (int i = 0; i < 100; i++)
+		EXPECT_EQ(
+		    member_owner_of(v, "far", std::to_string(i).c_str()), 9u);
+	member_view_leave(v, 11, 9, 90);
+	EXPECT_NE(member_owner_of(v, "far", "x"), 9u);
+	EXPECT_NE(member_owner_of(v, "far", "x"), 0u);
+	member_view_destroy(v);
+	v = member_view_create();
+	EXPECT_EQ(member_owner_of(v, "r", "x"), 0u);
+	member_view_destroy(v);
+}
+
+static double
+weight_of(void *ctx, const struct member *m)
+{
+	return ((const double *)ctx)[m->id];
+}
+
+TEST(member_view, order_follows_weights)
+{
+	struct member_view *v = view_of(4);
+	double weights[] = {0, 1, 3, 0, 4};
+	std::map<uint32_t, int> first;
+	uint32_t out[4];
+
+	for (int i = 0; i < 8000; i++) {
+		std::string key = "adapter-" + std::to_string(i);
+		size_t n =
+		    member_order(v, key.c_str(), weight_of, weights, out, 4);
+		ASSERT_EQ(n, 3u);
+		EXPECT_NE(out[0], out[1]);
+		first[out[0]]++;
+	}
+	EXPECT_NEAR(first[1], 1000, 150);
+	EXPECT_NEAR(first[2], 3000, 250);
+	EXPECT_NEAR(first[4], 4000, 250);
+	EXPECT_EQ(member_order(v, "k", weight_of, weights, out, 1), 1u);
+	member_view_destroy(v);
+}
