--- a/src/member/member.h
+++ b/src/member/member.h
@@ -47,8 +47,7 @@
  */
 #define MEMBER_SUPPORTERS_ALL 16 /* members up to which all support */
 
-bool member_view_supports(
-    const struct member_view *v, const struct member *m);
+bool member_view_supports(const struct member_view *v, const struct member *m);
 
 /* Ids of the supporters of the epoch before this one. */
 const uint32_t *member_view_earlier(const struct member_view *v, size_t *n);
--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -19,9 +19,9 @@
 {
 	if (peer == NULL)
 		return 0;
-	return peer->procs[0].acked_over > peer->procs[1].acked_over ?
-	    peer->procs[0].acked_over :
-	    peer->procs[1].acked_over;
+	return peer->procs[0].acked_over > peer->procs[1].acked_over
+	    ? peer->procs[0].acked_over
+	    : peer->procs[1].acked_over;
 }
 
 static uint64_t
@@ -29,9 +29,9 @@
 {
 	if (peer == NULL)
 		return 0;
-	return peer->procs[0].applied_over > peer->procs[1].applied_over ?
-	    peer->procs[0].applied_over :
-	    peer->procs[1].applied_over;
+	return peer->procs[0].applied_over > peer->procs[1].applied_over
+	    ? peer->procs[0].applied_over
+	    : peer->procs[1].applied_over;
 }
 
 bool
@@ -94,8 +94,8 @@
 
 /* The index that whoever acts by a lease must have applied. */
 static uint64_t
-keeper_lease_index(const struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us)
+keeper_lease_index(
+    const struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	const struct keeper_proc *proc;
 	uint64_t index, least = UINT64_MAX;
@@ -117,8 +117,8 @@
 }
 
 uint64_t
-member_keeper_in_force(const struct member_keeper *k,
-    const struct member_view *v, uint64_t now_us)
+member_keeper_in_force(
+    const struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	uint64_t index = k->commit, other;
 
@@ -134,8 +134,8 @@
 }
 
 uint64_t
-member_keeper_active_epoch(const struct member_keeper *k,
-    const struct member_view *v, uint64_t now_us)
+member_keeper_active_epoch(
+    const struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	uint64_t epoch = member_view_epoch(v);
 	const struct keeper_proc *proc;
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -123,9 +123,9 @@
 static uint64_t
 member_holder_ping_at(const struct member_holder *h)
 {
-	uint64_t worry = h->lease_until < MEMBER_LEASE_US / 2 ?
-	    0 :
-	    h->lease_until - MEMBER_LEASE_US / 2;
+	uint64_t worry = h->lease_until < MEMBER_LEASE_US / 2
+	    ? 0
+	    : h->lease_until - MEMBER_LEASE_US / 2;
 
 	return h->next_ping > worry ? h->next_ping : worry;
 }
@@ -295,11 +295,11 @@
     const struct member_view *v, uint64_t now_us, uint64_t applied)
 {
 	if (now_us < h->lease_until)
-		return applied >= h->lease_required ? MEMBER_LEASED :
-						      MEMBER_CATCHING_UP;
-	return member_holder_supported_until(h, v, now_us, applied) != 0 ?
-	    MEMBER_SUPPORTED :
-	    MEMBER_ALONE;
+		return applied >= h->lease_required ? MEMBER_LEASED
+						    : MEMBER_CATCHING_UP;
+	return member_holder_supported_until(h, v, now_us, applied) != 0
+	    ? MEMBER_SUPPORTED
+	    : MEMBER_ALONE;
 }
 
 uint64_t
--- a/src/member/member_keeper.c
+++ b/src/member/member_keeper.c
@@ -69,14 +69,14 @@
 	return k;
 }
 
-static void
+void
 keeper_info_free(Wire__MemberInfo *info)
 {
 	if (info != NULL)
 		wire__member_info__free_unpacked(info, NULL);
 }
 
-static Wire__MemberInfo *
+Wire__MemberInfo *
 keeper_info_copy(const Wire__MemberInfo *info)
 {
 	size_t len = wire__member_info__get_packed_size(info);
@@ -103,7 +103,8 @@
 	}
 	map_destroy(k->peers);
 	k->peers = NULL;
-	k->wishing = false;
+	keeper_info_free(k->wish_info);
+	k->wish_info = NULL;
 }
 
 void
@@ -207,9 +208,12 @@
 		k->commit = commit;
 	if (k->ncommits > 0) {
 		last = &k->commits[(k->ncommits - 1) % KEEPER_COMMITS];
-		if (last->commit == k->commit ||
-		    now_us < last->at + KEEPER_COMMIT_STEP)
+		if (last->commit == k->commit)
+			return;
+		if (now_us < last->at + KEEPER_COMMIT_STEP) {
+			last->commit = k->commit;
 			return;
+		}
 	}
 	last = &k->commits[k->ncommits++ % KEEPER_COMMITS];
 	last->at = now_us;
@@ -222,7 +226,8 @@
 {
 	const struct keeper_commit *c;
 	uint64_t due = 0;
-	size_t i, n = k->ncommits < KEEPER_COMMITS ? k->ncommits : KEEPER_COMMITS;
+	size_t i,
+	    n = k->ncommits < KEEPER_COMMITS ? k->ncommits : KEEPER_COMMITS;
 
 	for (i = 0; i < n; i++) {
 		c = &k->commits[i];
@@ -233,8 +238,8 @@
 }
 
 static void
-keeper_note_renew(struct keeper_proc *proc, uint64_t now_us,
-    const Wire__LeaseRenew *renew)
+keeper_note_renew(
+    struct keeper_proc *proc, uint64_t now_us, const Wire__LeaseRenew *renew)
 {
 	proc->heard_at = now_us;
 	proc->sent_us = renew->sent_us;
@@ -269,7 +274,8 @@
 		return "not-a-member";
 	if (m->incarnation != proc->incarnation)
 		return "other-incarnation";
-	if (proc->doomed)
+	if (k->wishing && k->wish.type == MEMBER_WISH_DOWN &&
+	    k->wish.id == m->id && k->wish.incarnation == m->incarnation)
 		return "being-removed";
 	if (proc->applied < keeper_commit_due(k, now_us))
 		return "behind";
@@ -330,8 +336,8 @@
 }
 
 void
-member_keeper_report(const struct member_keeper *k,
-    const struct member_view *v, uint64_t now_us, struct buf *out)
+member_keeper_report(const struct member_keeper *k, const struct member_view *v,
+    uint64_t now_us, struct buf *out)
 {
 	const struct keeper_proc *proc;
 	const struct member *m;
@@ -349,7 +355,8 @@
 		buf_printf(out,
 		    ",\"state\":\"%s\",\"leaving\":%s,\"applied\":%llu,"
 		    "\"epoch\":%llu,\"silentMs\":",
-		    keeper_state(k, proc, now_us), m->leaving ? "true" : "false",
+		    keeper_state(k, proc, now_us),
+		    m->leaving ? "true" : "false",
 		    proc == NULL ? 0ULL : (unsigned long long)proc->applied,
 		    proc == NULL ? 0ULL : (unsigned long long)proc->acked);
 		if (proc == NULL)
--- a/src/member/member_keeper.h
+++ b/src/member/member_keeper.h
@@ -31,7 +31,6 @@
 	uint64_t lease_end; /* when its lease has surely ended */
 	uint64_t required; /* sent with its lease */
 	bool leaving;
-	bool doomed; /* its MemberDown was asked for: no lease any more */
 	Wire__MemberInfo *info; /* while it is not a member */
 	uint32_t waiting_loads, loads_in_flight;
 	uint64_t waiting_stall_us;
@@ -66,9 +65,12 @@
 	bool wishing; /* a wish is out and not yet applied */
 	struct member_wish wish;
 	uint64_t wish_at;
-	Wire__MemberInfo *wish_info;
+	Wire__MemberInfo *wish_info; /* own copy */
 };
 
+Wire__MemberInfo *keeper_info_copy(const Wire__MemberInfo *info);
+void keeper_info_free(Wire__MemberInfo *info);
+
 struct keeper_peer *keeper_peer_find(
     const struct member_keeper *k, uint32_t id);
 
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -75,8 +75,8 @@
 {
 	size_t at = member_view_place(v, id);
 
-	return at < v->count && v->members[at]->id == id ? v->members[at] :
-							   NULL;
+	return at < v->count && v->members[at]->id == id ? v->members[at]
+							 : NULL;
 }
 
 const struct member *
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -1,5 +1,4 @@
 #include "member/member.h"
-#include "member/member_guard.h"
 #include "member/member_keeper.h"
 #include "member/member_time.h"
 
@@ -17,8 +16,8 @@
 }
 
 static bool
-keeper_hears_majority(const struct member_keeper *k,
-    const struct member_view *v, uint64_t now_us)
+keeper_hears_majority(
+    const struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	size_t i, heard = 0;
 
@@ -37,12 +36,12 @@
 		return false;
 	return proc == NULL ||
 	    now_us >= proc->heard_at + member_longer(MEMBER_LEASE_US) +
-		    member_flight_us();
+		member_flight_us();
 }
 
 static bool
-keeper_wish_down(struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us)
+keeper_wish_down(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	const struct member *m;
 	struct keeper_proc *proc;
@@ -84,8 +83,8 @@
 }
 
 static bool
-keeper_wish_up(struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us)
+keeper_wish_up(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
 	const struct keeper_proc *proc;
 	const struct keeper_peer *peer;
@@ -103,7 +102,8 @@
 			k->wish.type = MEMBER_WISH_UP;
 			k->wish.id = peer->id;
 			k->wish.incarnation = proc->incarnation;
-			k->wish_info = proc->info;
+			keeper_info_free(k->wish_info);
+			k->wish_info = keeper_info_copy(proc->info);
 			return true;
 		}
 	}
@@ -128,21 +128,26 @@
 	return true;
 }
 
-static bool
-keeper_wish_next(struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us)
+bool
+member_keeper_take_wish(struct member_keeper *k, const struct member_view *v,
+    uint64_t now_us, struct member_wish *out)
 {
-	const struct member *m;
-	struct keeper_proc *proc;
-
-	if (!keeper_sealed(k, v))
+	keeper_refresh(k, v, now_us);
+	if (k->wishing && keeper_wish_done(k, v))
+		k->wishing = false;
+	if (now_us >= k->authority_until ||
+	    (k->wishing && now_us < k->wish_at + KEEPER_WISH_US))
 		return false;
-	if (!keeper_wish_down(k, v, now_us) && !keeper_wish_leave(k, v) &&
-	    !keeper_wish_up(k, v, now_us))
-		return false;
-	m = member_view_find(v, k->wish.id);
-	proc = m == NULL ? NULL : keeper_member_proc(k, m);
-	if (proc != NULL && k->wish.type == MEMBER_WISH_DOWN)
-		proc->doomed = true;
+	if (!k->wishing) {
+		if (!keeper_sealed(k, v) ||
+		    (!keeper_wish_down(k, v, now_us) &&
+			!keeper_wish_leave(k, v) &&
+			!keeper_wish_up(k, v, now_us)))
+			return false;
+		k->wishing = true;
+	}
+	k->wish_at = now_us;
+	*out = k->wish;
+	out->info = out->type == MEMBER_WISH_UP ? k->wish_info : NULL;
 	return true;
 }
