--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -144,6 +144,14 @@
 	return x == NULL ? NULL : find_header(x->req, name);
 }
 
+uint64_t
+http_server_get_connection(const struct http_server *s, uint64_t request)
+{
+	struct exchange *x = map_get_u64(s->exchanges, request);
+
+	return x == NULL ? 0 : x->req->conn->id;
+}
+
 /* ---- the answer -------------------------------------------------------- */
 
 static const char *
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -48,6 +48,10 @@
 const char *http_server_get_header(
     const struct http_server *s, uint64_t request, const char *name);
 
+/* The serial number of a request's connection; 0 for unknown requests. */
+uint64_t http_server_get_connection(
+    const struct http_server *s, uint64_t request);
+
 /*
  * Answer; unknown request ids (gone callers) are ignored. The head of an
  * answer with more to come leaves together with its first bytes.
--- /dev/null
+++ b/tests/fakes/announce.c
@@ -0,0 +1,229 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/endpoint.h"
+#include "util/mem.h"
+
+#define ANNOUNCE_MS	    1000
+#define ANNOUNCE_TIMEOUT_US 1000000
+#define PUBLISH_MS	    200
+#define AUTHORIZATION_MAX   256
+
+static const char *
+announce_target(const struct endpoint *e)
+{
+	if (e->owner != NULL)
+		return e->owner;
+	return e->ntargets == 0 ? NULL : e->targets[e->target];
+}
+
+uint64_t
+announce_post(struct endpoint *e, const char *path, json_t *body)
+{
+	char authorization[AUTHORIZATION_MAX];
+	struct node_call call;
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	memset(&call, 0, sizeof(call));
+	call.address = announce_target(e);
+	if (call.address == NULL || e->faults.drop_announce) {
+		free(text);
+		return 0;
+	}
+	(void)snprintf(
+	    authorization, sizeof(authorization), "Bearer %s", e->token);
+	call.call = ++e->last_call;
+	call.method = "POST";
+	call.path = path;
+	call.headers[call.nheaders++] =
+	    (struct node_header){"authorization", authorization};
+	call.headers[call.nheaders++] =
+	    (struct node_header){"content-type", "application/json"};
+	call.body.data = text;
+	call.body.len = strlen(text);
+	call.not_after_us = uv_hrtime() / 1000 + ANNOUNCE_TIMEOUT_US;
+	call.silence_us = ANNOUNCE_TIMEOUT_US;
+	http_client_start(e->client, &call);
+	free(text);
+	return call.call;
+}
+
+static json_t *
+announce_adapters(const struct endpoint *e)
+{
+	json_t *list = json_array();
+	const struct slot *slot;
+	size_t i;
+
+	for (i = 0; i < (size_t)e->slots_wanted; i++) {
+		slot = &e->slots[i];
+		if (slot->key != NULL)
+			(void)json_array_append_new(list,
+			    json_pack("{s:s, s:b, s:i}", "adapter", slot->key,
+				"loading", slot->loading, "running",
+				(int)slot->running));
+	}
+	return list;
+}
+
+/* The youngest load figures that are as old as the lag asks. */
+static json_t *
+announce_load(const struct endpoint *e)
+{
+	uint64_t now = uv_now(&e->loop);
+	size_t i, at = e->nsnapshots - 1;
+
+	for (i = 1; i < ENDPOINT_SNAPSHOTS && i < e->nsnapshots; i++) {
+		if ((double)(now -
+			e->snapshots[at % ENDPOINT_SNAPSHOTS].at_ms) >=
+		    e->report_lag_ms)
+			break;
+		at--;
+	}
+	at %= ENDPOINT_SNAPSHOTS;
+	return json_pack("{s:I, s:I, s:I}", "running",
+	    (json_int_t)e->snapshots[at].running, "queued",
+	    (json_int_t)e->snapshots[at].queued, "asOfMs",
+	    (json_int_t)(now - e->snapshots[at].at_ms));
+}
+
+static json_t *
+announce_body(const struct endpoint *e)
+{
+	bool service = strcmp(e->type, "service") == 0;
+	json_t *body =
+	    json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:i, s:b, s:o}", "id",
+		e->id, "incarnation", (json_int_t)e->incarnation, "address",
+		e->address, "region", e->region, "dataCentre", e->data_centre,
+		"type", e->type, "seats", (int)e->seats, "leaving", e->leaving,
+		"load", announce_load(e));
+
+	if (service) {
+		(void)json_object_set_new(
+		    body, "service", json_string(e->service));
+		return body;
+	}
+	(void)json_object_set_new(
+	    body, "baseModel", json_string(e->base_model));
+	(void)json_object_set_new(
+	    body, "slots", json_integer((json_int_t)e->slots_wanted));
+	(void)json_object_set_new(body, "role", json_string(e->role));
+	(void)json_object_set_new(body, "fencing", json_string(e->fencing));
+	(void)json_object_set_new(body, "adapters", announce_adapters(e));
+	return body;
+}
+
+void
+announce_now(struct endpoint *e)
+{
+	if (e->announce_call != 0)
+		return;
+	buf_clear(&e->announce_answer);
+	e->announce_call =
+	    announce_post(e, "/v1/endpoints/announce", announce_body(e));
+}
+
+static void
+announce_failed(struct endpoint *e)
+{
+	free(e->owner);
+	e->owner = NULL;
+	if (e->ntargets > 0)
+		e->target = (e->target + 1) % e->ntargets;
+	if (++e->announce_failures < e->ntargets)
+		announce_now(e); /* the next one, at once */
+}
+
+static void
+announce_answered(struct endpoint *e)
+{
+	json_t *answer = json_loadb(
+	    e->announce_answer.data, e->announce_answer.len, 0, NULL);
+	const char *owner = json_string_value(json_object_get(answer, "owner"));
+
+	if (owner != NULL && owner[0] != '\0') {
+		free(e->owner);
+		e->owner = mem_string(owner);
+	}
+	json_decref(answer);
+}
+
+void
+announce_on_call(struct endpoint *e, const struct node_call_event *ev)
+{
+	if (ev->phase == NODE_CALL_HEAD) {
+		e->announce_status = ev->status;
+		return;
+	}
+	if (ev->phase == NODE_CALL_DATA) {
+		buf_append(&e->announce_answer, ev->data.data, ev->data.len);
+		return;
+	}
+	e->announce_call = 0;
+	if (ev->phase == NODE_CALL_END && e->announce_status == 200)
+		announce_answered(e);
+	else
+		announce_failed(e);
+}
+
+/* ---- timers ------------------------------------------------------------ */
+
+static void
+on_announce(uv_timer_t *timer)
+{
+	struct endpoint *e = timer->data;
+
+	e->announce_failures = 0;
+	announce_now(e);
+}
+
+static void
+on_snapshot(uv_timer_t *timer)
+{
+	struct endpoint *e = timer->data;
+	size_t at = e->nsnapshots++ % ENDPOINT_SNAPSHOTS;
+
+	e->snapshots[at].at_ms = uv_now(&e->loop);
+	e->snapshots[at].running = e->nrunning;
+	e->snapshots[at].queued = e->nqueued;
+}
+
+static void
+on_publish(uv_timer_t *timer)
+{
+	prefix_publish(timer->data);
+}
+
+static void
+timer_every(struct endpoint *e, uv_timer_t *timer, uv_timer_cb cb, uint64_t ms)
+{
+	(void)uv_timer_init(&e->loop, timer);
+	timer->data = e;
+	(void)uv_timer_start(timer, cb, 0, ms);
+}
+
+void
+announce_start(struct endpoint *e)
+{
+	char *list = mem_string(e->announce), *save = NULL, *word;
+	size_t max = sizeof(e->targets) / sizeof(e->targets[0]);
+
+	for (word = strtok_r(list, ",", &save);
+	     word != NULL && e->ntargets < max;
+	     word = strtok_r(NULL, ",", &save))
+		e->targets[e->ntargets++] = mem_string(word);
+	free(list);
+	timer_every(e, &e->snapshot_timer, on_snapshot, ENDPOINT_SNAPSHOT_MS);
+	timer_every(e, &e->announce_timer, on_announce, ANNOUNCE_MS);
+	timer_every(e, &e->publish_timer, on_publish, PUBLISH_MS);
+}
+
+void
+announce_stop(struct endpoint *e)
+{
+	(void)uv_timer_stop(&e->snapshot_timer);
+	(void)uv_timer_stop(&e->announce_timer);
+	(void)uv_timer_stop(&e->publish_timer);
+}
--- /dev/null
+++ b/tests/fakes/control.c
@@ -0,0 +1,115 @@
+#include "fakes/endpoint.h"
+
+bool
+control_is_silent(const struct endpoint *e, uint64_t request)
+{
+	uint64_t connection;
+
+	if (e->faults.silent_all)
+		return true;
+	connection = http_server_get_connection(e->server, request);
+	return connection != 0 &&
+	    connection <= e->faults.silent_until_connection;
+}
+
+/*
+ * {"silent": true|false, "silentAll": .., "breakStreamsAfter": N,
+ *  "failLoads": p, "wrongModel": .., "dropAnnounce": ..}; what is not named
+ * stays as it is.
+ */
+void
+control_set(struct endpoint *e, const struct node_request *r)
+{
+	json_t *body = json_loadb(r->body.data, r->body.len, 0, NULL);
+	int silent = -1, all = -1, broken = -1, wrong = -1, drop = -1;
+	double fail = -1;
+
+	if (json_unpack(body, "{s?b, s?b, s?i, s?F, s?b, s?b !}", "silent",
+		&silent, "silentAll", &all, "breakStreamsAfter", &broken,
+		"failLoads", &fail, "wrongModel", &wrong, "dropAnnounce",
+		&drop) != 0) {
+		json_decref(body);
+		fake_refuse(e->server, r->request, 400, "bad-body");
+		return;
+	}
+	json_decref(body);
+	if (silent >= 0)
+		e->faults.silent_until_connection =
+		    silent ? e->newest_connection : 0;
+	if (all >= 0)
+		e->faults.silent_all = all;
+	if (broken >= 0)
+		e->faults.break_after = (unsigned)broken;
+	if (fail >= 0)
+		e->faults.fail_loads = fail;
+	if (wrong >= 0)
+		e->faults.wrong_model = wrong;
+	if (drop >= 0)
+		e->faults.drop_announce = drop;
+	fake_reply(e->server, r->request, 200, json_pack("{}"));
+}
+
+static json_t *
+counters_json(const struct map *m)
+{
+	json_t *out = json_object();
+	size_t i;
+
+	for (i = 0; i < map_count(m); i++)
+		(void)json_object_set_new(out, map_key_at(m, i, NULL),
+		    json_integer(*(unsigned *)map_at(m, i)));
+	return out;
+}
+
+static json_t *
+adapters_json(const struct endpoint *e)
+{
+	json_t *out = json_array();
+	size_t i;
+
+	for (i = 0; i < (size_t)e->slots_wanted; i++)
+		if (e->slots[i].key != NULL)
+			(void)json_array_append_new(
+			    out, json_string(e->slots[i].key));
+	return out;
+}
+
+static double
+per_step(uint64_t sum, uint64_t steps)
+{
+	return steps == 0 ? 0 : (double)sum / (double)steps;
+}
+
+void
+control_state(struct endpoint *e, const struct node_request *r)
+{
+	const struct counts *c = &e->counts;
+	json_t *state = json_pack("{s:s, s:I, s:s, s:b, s:I, s:I, s:o}", "id",
+	    e->id, "incarnation", (json_int_t)e->incarnation, "role", e->role,
+	    "leaving", e->leaving, "running", (json_int_t)e->nrunning, "queued",
+	    (json_int_t)e->nqueued, "adapters", adapters_json(e));
+	const struct {
+		const char *name;
+		uint64_t value;
+	} numbers[] = {{"loads", c->loads}, {"failedLoads", c->failed_loads},
+	    {"evictions", c->evictions},
+	    {"evictionsInUse", c->evictions_in_use}, {"steps", c->steps},
+	    {"tokens", c->tokens}, {"cancelled", c->cancelled},
+	    {"gone", c->gone}, {"refused", c->refused},
+	    {"staleOrders", c->stale_orders}, {"staleRuns", c->stale_runs},
+	    {"newestFence", e->newest_fence}};
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++)
+		(void)json_object_set_new(state, numbers[i].name,
+		    json_integer((json_int_t)numbers[i].value));
+	(void)json_object_set_new(
+	    state, "meanBatch", json_real(per_step(c->sequences, c->steps)));
+	(void)json_object_set_new(
+	    state, "meanAdapters", json_real(per_step(c->adapters, c->steps)));
+	(void)json_object_set_new(
+	    state, "runsById", counters_json(e->runs_by_id));
+	(void)json_object_set_new(
+	    state, "callsByKey", counters_json(e->calls_by_key));
+	fake_reply(e->server, r->request, 200, state);
+}
--- /dev/null
+++ b/tests/fakes/fake.c
@@ -0,0 +1,113 @@
+#include <getopt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "fakes/fake.h"
+
+#define FAKE_OPTIONS_MAX      40
+#define FAKE_BODY_BYTES	      (8u << 20)
+#define FAKE_HEADER_BYTES     (32u << 10)
+#define FAKE_CONNECTIONS      4096
+#define FAKE_IDLE_MS	      60000
+#define FAKE_PROMPT_HASH_MASK 0xffffu
+
+void
+fake_parse_options(
+    int argc, char **argv, const struct fake_option *options, size_t n)
+{
+	struct option table[FAKE_OPTIONS_MAX + 1];
+	int index, found;
+	size_t i;
+
+	memset(table, 0, sizeof(table));
+	for (i = 0; i < n && i < FAKE_OPTIONS_MAX; i++) {
+		table[i].name = options[i].name;
+		table[i].has_arg = options[i].flag == NULL;
+	}
+	while ((found = getopt_long(argc, argv, "", table, &index)) != -1) {
+		if (found != 0)
+			exit(2);
+		if (options[index].flag != NULL)
+			*options[index].flag = true;
+		else if (options[index].text != NULL)
+			*options[index].text = optarg;
+		else
+			*options[index].number = strtod(optarg, NULL);
+	}
+}
+
+struct http_server *
+fake_serve(uv_loop_t *loop, const char *listen,
+    const struct http_server_callbacks *callbacks, void *ctx, char *address,
+    size_t size)
+{
+	struct http_server_options options = {
+	    .listen = listen,
+	    .body_limit = FAKE_BODY_BYTES,
+	    .header_limit = FAKE_HEADER_BYTES,
+	    .connection_limit = FAKE_CONNECTIONS,
+	    .idle_timeout_ms = FAKE_IDLE_MS,
+	};
+	struct http_server *s;
+	struct mp_error err;
+
+	if (http_server_create(&s, loop, &options, callbacks, ctx, &err) !=
+	    MP_OK) {
+		fprintf(stderr, "%s\n", err.message);
+		exit(1);
+	}
+	(void)snprintf(address, size, "%.*s:%d",
+	    (int)(strrchr(listen, ':') - listen), listen,
+	    http_server_get_port(s));
+	printf("{\"listen\":\"%s\"}\n", address);
+	(void)fflush(stdout);
+	return s;
+}
+
+void
+fake_reply(struct http_server *s, uint64_t request, int status, json_t *value)
+{
+	struct node_reply reply;
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	memset(&reply, 0, sizeof(reply));
+	reply.request = request;
+	reply.status = status;
+	reply.content_type = "application/json";
+	reply.body.data = text;
+	reply.body.len = strlen(text);
+	if (status == 429 || status == 503)
+		reply.headers[reply.nheaders++] =
+		    (struct node_header){"retry-after", "1"};
+	http_server_reply(s, &reply);
+	free(text);
+	json_decref(value);
+}
+
+void
+fake_refuse(
+    struct http_server *s, uint64_t request, int status, const char *code)
+{
+	fake_reply(s, request, status,
+	    json_pack("{s:{s:s, s:s, s:s}}", "error", "code", code, "message",
+		code, "outcome", "not-run"));
+}
+
+bool
+fake_path_is(const char *path, const char *expected)
+{
+	size_t len = strlen(expected);
+
+	return strncmp(path, expected, len) == 0 &&
+	    (path[len] == '\0' || path[len] == '?');
+}
+
+void
+fake_token(struct buf *out, const char *key, const char *prompt, unsigned index)
+{
+	buf_printf(out, "%08x.%04x-%u ", (unsigned)XXH32(key, strlen(key), 0),
+	    (unsigned)XXH32(prompt, strlen(prompt), 0) & FAKE_PROMPT_HASH_MASK,
+	    index);
+}
--- /dev/null
+++ b/tests/fakes/prefix.c
@@ -0,0 +1,131 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/endpoint.h"
+#include "util/mem.h"
+
+#define KV_KEPT 256
+
+static json_t *
+prefix_json(uint64_t prefix)
+{
+	char text[17];
+
+	(void)snprintf(text, sizeof(text), "%016" PRIx64, prefix);
+	return json_string(text);
+}
+
+bool
+prefix_touch(struct endpoint *e, uint64_t prefix)
+{
+	size_t i, n = e->nprefixes;
+
+	if (prefix == 0 || e->cache_wanted < 1)
+		return false;
+	if (e->prefixes == NULL) {
+		e->prefixes =
+		    mem_alloc((size_t)e->cache_wanted, sizeof(*e->prefixes));
+		e->added = json_array();
+		e->dropped = json_array();
+	}
+	for (i = 0; i < n && e->prefixes[i] != prefix; i++)
+		;
+	if (i < n) {
+		memmove(&e->prefixes[i], &e->prefixes[i + 1],
+		    (n - i - 1) * sizeof(*e->prefixes));
+		e->prefixes[n - 1] = prefix;
+		return true;
+	}
+	if (n == (size_t)e->cache_wanted) {
+		(void)json_array_append_new(
+		    e->dropped, prefix_json(e->prefixes[0]));
+		memmove(&e->prefixes[0], &e->prefixes[1],
+		    (n - 1) * sizeof(*e->prefixes));
+		e->nprefixes--;
+	}
+	e->prefixes[e->nprefixes++] = prefix;
+	(void)json_array_append_new(e->added, prefix_json(prefix));
+	return false;
+}
+
+void
+prefix_list(struct endpoint *e, const struct node_request *r)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < e->nprefixes; i++)
+		(void)json_array_append_new(list, prefix_json(e->prefixes[i]));
+	fake_reply(e->server, r->request, 200,
+	    json_pack("{s:I, s:o}", "sequence", (json_int_t)e->cache_sequence,
+		"prefixes", list));
+}
+
+void
+prefix_publish(struct endpoint *e)
+{
+	json_t *event;
+
+	if (json_array_size(e->added) + json_array_size(e->dropped) == 0)
+		return;
+	e->cache_sequence++;
+	event = json_pack("{s:s, s:I, s:I, s:b, s:O, s:O}", "id", e->id,
+	    "incarnation", (json_int_t)e->incarnation, "sequence",
+	    (json_int_t)e->cache_sequence, "resync", 0, "added", e->added,
+	    "dropped", e->dropped);
+	if (e->gap_every < 1 || e->cache_sequence % (uint64_t)e->gap_every != 0)
+		(void)announce_post(e, "/v1/endpoints/cache-events", event);
+	else
+		json_decref(event);
+	(void)json_array_clear(e->added);
+	(void)json_array_clear(e->dropped);
+}
+
+/* ---- KV cache of requests ---------------------------------------------- */
+
+static void
+kv_set(struct endpoint *e, const char *id, const char *prompt)
+{
+	size_t last = map_count(e->kv);
+	const char *oldest;
+
+	if (last == KV_KEPT && map_get_str(e->kv, id) == NULL) {
+		oldest = map_key_at(e->kv, 0, NULL);
+		free(map_remove_str(e->kv, oldest));
+	}
+	free(map_set_str(e->kv, id, mem_string(prompt)));
+}
+
+void
+kv_keep(struct endpoint *e, const struct run *run)
+{
+	if (run->id[0] != '\0')
+		kv_set(e, run->id, run->prompt);
+}
+
+void
+kv_serve(struct endpoint *e, const struct node_request *r)
+{
+	const char *id = r->path + strlen("/v1/kv/"), *prompt;
+	struct run *run;
+	char *text;
+
+	if (strcmp(r->method, "PUT") == 0) {
+		text = mem_copy(r->body.data, r->body.len);
+		kv_set(e, id, text);
+		free(text);
+		fake_reply(e->server, r->request, 200, json_pack("{}"));
+		return;
+	}
+	prompt = map_get_str(e->kv, id);
+	for (run = e->runs; run != NULL; run = run->link)
+		if (strcmp(run->id, id) == 0)
+			prompt = run->prompt;
+	if (prompt == NULL)
+		fake_refuse(e->server, r->request, 404, "no-such-request");
+	else
+		fake_reply(e->server, r->request, 200,
+		    json_pack("{s:s}", "prompt", prompt));
+}
--- /dev/null
+++ b/tests/fakes/runs.c
@@ -0,0 +1,332 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/endpoint.h"
+#include "util/mem.h"
+
+#define RUN_CACHED_SHARE 8 /* a cached prompt costs this part of prefill */
+
+static void on_step(uv_timer_t *timer);
+
+/* ---- the list ---------------------------------------------------------- */
+
+static void
+run_remove(struct endpoint *e, struct run *run)
+{
+	struct run **link = &e->runs;
+
+	while (*link != run)
+		link = &(*link)->link;
+	*link = run->link;
+	run->slot->running--;
+	if (run->seated)
+		e->nrunning--;
+	else
+		e->nqueued--;
+	kv_keep(e, run);
+	free(run->id);
+	free(run->key);
+	free(run->prompt);
+	free(run);
+}
+
+static void
+run_cut(struct endpoint *e, struct run *run)
+{
+	http_server_end(e->server, run->request, true);
+	run_remove(e, run);
+}
+
+void
+runs_cut(struct endpoint *e, const struct slot *slot)
+{
+	struct run *run, *next;
+
+	for (run = e->runs; run != NULL; run = next) {
+		next = run->link;
+		if (run->slot == slot)
+			run_cut(e, run);
+	}
+}
+
+void
+runs_gone(struct endpoint *e, uint64_t request)
+{
+	struct run *run;
+
+	for (run = e->runs; run != NULL; run = run->link)
+		if (run->request == request) {
+			run_remove(e, run);
+			return;
+		}
+}
+
+static struct run *
+runs_find(struct endpoint *e, const char *id)
+{
+	struct run *run;
+
+	for (run = e->runs; run != NULL; run = run->link)
+		if (strcmp(run->id, id) == 0)
+			return run;
+	return NULL;
+}
+
+/* ---- start ------------------------------------------------------------- */
+
+static void
+run_begin(struct endpoint *e, struct run *run)
+{
+	struct run **link = &e->runs;
+	bool cached =
+	    prefix_touch(e, run->prefix) || map_get_str(e->kv, run->id) != NULL;
+	double prefill_ms =
+	    (double)(strlen(run->prompt) / 4 + 1) * e->prefill_us / 1000;
+
+	run->ready_ms = uv_now(&e->loop) +
+	    (uint64_t)(cached ? prefill_ms / RUN_CACHED_SHARE : prefill_ms);
+	run->arrival = ++e->arrivals;
+	run->slot->running++;
+	e->nqueued++;
+	while (*link != NULL)
+		link = &(*link)->link;
+	*link = run;
+	(void)counter_add(e->runs_by_id, run->id);
+	if (!e->stepping) {
+		e->stepping = true;
+		if (e->step.data == NULL)
+			(void)uv_timer_init(&e->loop, &e->step);
+		e->step.data = e;
+		(void)uv_timer_start(&e->step, on_step, 0, 0);
+	}
+}
+
+static char *
+prompt_of(json_t *body)
+{
+	const char *prompt = json_string_value(json_object_get(body, "prompt"));
+	json_t *messages = json_object_get(body, "messages");
+
+	if (prompt != NULL)
+		return mem_string(prompt);
+	return messages == NULL ? NULL : json_dumps(messages, JSON_COMPACT);
+}
+
+static struct run *
+run_parse(struct endpoint *e, const struct node_request *r, json_t *body)
+{
+	const char *key = json_string_value(json_object_get(body, "model"));
+	const char *id = http_server_get_header(
+	    e->server, r->request, "mulberrypath-request");
+	json_t *max = json_object_get(body, "max_tokens");
+	const char *prefix = json_string_value(json_object_get(body, "prefix"));
+	char *prompt = prompt_of(body);
+	struct run *run;
+
+	if (key == NULL || prompt == NULL) {
+		free(prompt);
+		return NULL;
+	}
+	run = mem_alloc(1, sizeof(*run));
+	run->request = r->request;
+	run->id = mem_string(id == NULL ? "" : id);
+	run->key = mem_string(key);
+	run->prompt = prompt;
+	run->end = max == NULL ? 64 : (unsigned)json_integer_value(max);
+	run->next =
+	    (unsigned)json_integer_value(json_object_get(body, "offset"));
+	run->priority =
+	    (unsigned)json_integer_value(json_object_get(body, "priority"));
+	run->prefix = prefix == NULL ? 0 : strtoull(prefix, NULL, 16);
+	return run;
+}
+
+void
+runs_start(struct endpoint *e, const struct node_request *r)
+{
+	json_t *body = json_loadb(r->body.data, r->body.len, 0, NULL);
+	struct run *run = NULL, *old;
+	const char *refusal = NULL;
+	int status = 0;
+
+	if (!fence_check(e, r->request, &e->counts.stale_runs)) {
+		json_decref(body);
+		return;
+	}
+	run = run_parse(e, r, body);
+	json_decref(body);
+	if (run == NULL) {
+		fake_refuse(e->server, r->request, 400, "bad-body");
+		return;
+	}
+	old = run->id[0] == '\0' ? NULL : runs_find(e, run->id);
+	run->slot = slots_find(e, run->key);
+	if (run->slot == NULL) {
+		refusal = "not-loaded";
+		status = 409;
+	} else if (old == NULL &&
+	    (double)(e->nrunning + e->nqueued) >= 2 * e->seats) {
+		refusal = "busy";
+		status = 503;
+	}
+	if (refusal != NULL) {
+		e->counts.refused++;
+		fake_refuse(e->server, r->request, status, refusal);
+		free(run->id);
+		free(run->key);
+		free(run->prompt);
+		free(run);
+		return;
+	}
+	if (old != NULL)
+		run_cut(e, old);
+	run_begin(e, run);
+}
+
+void
+runs_cancel(struct endpoint *e, const struct node_request *r)
+{
+	const char *id = r->path + strlen("/v1/requests/");
+	const char *end = strchr(id, '/');
+	char *copy;
+	struct run *run;
+
+	if (end == NULL || strcmp(end, "/cancel") != 0) {
+		fake_refuse(e->server, r->request, 404, "no-such-path");
+		return;
+	}
+	copy = mem_copy(id, (size_t)(end - id));
+	run = runs_find(e, copy);
+	if (run != NULL) {
+		e->counts.cancelled++;
+		run_cut(e, run);
+	}
+	fake_reply(e->server, r->request, 200,
+	    json_pack("{s:b}", "cancelled", run != NULL));
+	free(copy);
+}
+
+/* ---- the batch step ---------------------------------------------------- */
+
+/* Take the most urgent of the queue into the free seats. */
+static void
+runs_seat(struct endpoint *e)
+{
+	struct run *run, *best;
+
+	while ((double)e->nrunning < e->seats && e->nqueued > 0) {
+		best = NULL;
+		for (run = e->runs; run != NULL; run = run->link)
+			if (!run->seated &&
+			    (best == NULL || run->priority < best->priority))
+				best = run;
+		best->seated = true;
+		e->nqueued--;
+		e->nrunning++;
+	}
+}
+
+static void
+run_write(struct endpoint *e, struct run *run, const struct buf *event)
+{
+	struct node_reply reply;
+
+	if (control_is_silent(e, run->request))
+		return;
+	if (run->sent > 0) {
+		http_server_send(e->server, run->request,
+		    (struct node_bytes){event->data, event->len});
+		return;
+	}
+	memset(&reply, 0, sizeof(reply));
+	reply.request = run->request;
+	reply.status = 200;
+	reply.content_type = "text/event-stream";
+	reply.body.data = event->data;
+	reply.body.len = event->len;
+	reply.more = true;
+	http_server_reply(e->server, &reply);
+}
+
+/* Send the next token; true when the run has ended. */
+static bool
+run_advance(struct endpoint *e, struct run *run)
+{
+	const char *key = e->faults.wrong_model ? "wrong/adapter@1" : run->key;
+	bool token = run->next < run->end, last = run->next + 1 >= run->end;
+	struct buf text = {0}, event = {0};
+
+	if (token)
+		fake_token(&text, key, run->prompt, run->next);
+	buf_puts(&event, "data: {\"id\": ");
+	buf_json_string(&event, run->id);
+	buf_puts(&event, ", \"model\": ");
+	buf_json_string(&event, key);
+	buf_printf(&event,
+	    ", \"offset\": %u, \"tokens\": %d, \"choices\": "
+	    "[{\"index\": 0, \"text\": \"%s\", \"finish_reason\": %s}]",
+	    run->next, token, token ? text.data : "",
+	    last ? "\"stop\"" : "null");
+	if (last)
+		buf_printf(&event,
+		    ", \"usage\": {\"prompt_tokens\": %zu, "
+		    "\"completion_tokens\": %u}",
+		    strlen(run->prompt) / 4 + 1, run->end);
+	buf_printf(&event, "}\n\n%s", last ? "data: [DONE]\n\n" : "");
+	run_write(e, run, &event);
+	buf_free(&event);
+	buf_free(&text);
+	run->next += token;
+	run->sent++;
+	e->counts.tokens += token;
+	if (e->faults.break_after > 0 && run->sent >= e->faults.break_after &&
+	    !last) {
+		http_server_end(e->server, run->request, true);
+		return true;
+	}
+	if (last && !control_is_silent(e, run->request))
+		http_server_end(e->server, run->request, false);
+	return last;
+}
+
+static unsigned
+count_adapters(const struct endpoint *e)
+{
+	unsigned n = 0;
+	size_t i;
+	const struct run *run;
+
+	for (i = 0; i < (size_t)e->slots_wanted; i++)
+		for (run = e->runs; run != NULL; run = run->link)
+			if (run->seated && run->slot == &e->slots[i]) {
+				n++;
+				break;
+			}
+	return n;
+}
+
+static void
+on_step(uv_timer_t *timer)
+{
+	struct endpoint *e = timer->data;
+	struct run *run, *next;
+	unsigned adapters;
+
+	runs_seat(e);
+	if (e->runs == NULL) {
+		e->stepping = false;
+		return;
+	}
+	adapters = count_adapters(e);
+	e->counts.steps++;
+	e->counts.sequences += e->nrunning;
+	e->counts.adapters += adapters;
+	for (run = e->runs; run != NULL; run = next) {
+		next = run->link;
+		if (run->seated && uv_now(&e->loop) >= run->ready_ms &&
+		    run_advance(e, run))
+			run_remove(e, run);
+	}
+	(void)uv_timer_start(&e->step, on_step,
+	    (uint64_t)(e->step_ms + adapters * e->adapter_ms), 0);
+}
--- /dev/null
+++ b/tests/fakes/service.c
@@ -0,0 +1,70 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/endpoint.h"
+#include "util/mem.h"
+
+/* One call of the plain service. */
+struct service_call {
+	uv_timer_t timer;
+	struct endpoint *endpoint;
+	uint64_t request;
+	char *path, *key;
+	unsigned ran;
+};
+
+static void
+on_service_closed(uv_handle_t *handle)
+{
+	struct service_call *call = handle->data;
+
+	free(call->path);
+	free(call->key);
+	free(call);
+}
+
+static void
+on_service_done(uv_timer_t *timer)
+{
+	struct service_call *call = timer->data;
+	struct endpoint *e = call->endpoint;
+
+	e->nrunning--;
+	if (e->faults.break_after > 0)
+		http_server_end(e->server, call->request, true);
+	else if (!control_is_silent(e, call->request))
+		fake_reply(e->server, call->request, 200,
+		    json_pack("{s:s, s:s, s:i, s:s?}", "service", e->service,
+			"path", call->path, "ran", (int)call->ran, "key",
+			call->key));
+	uv_close((uv_handle_t *)timer, on_service_closed);
+}
+
+void
+service_call(struct endpoint *e, const struct node_request *r)
+{
+	const char *id = http_server_get_header(
+	    e->server, r->request, "mulberrypath-request");
+	struct service_call *call;
+
+	if ((double)e->nrunning >= e->seats) {
+		e->counts.refused++;
+		fake_refuse(e->server, r->request, 503, "busy");
+		return;
+	}
+	call = mem_alloc(1, sizeof(*call));
+	call->endpoint = e;
+	call->request = r->request;
+	call->path = mem_string(r->path);
+	if (r->idempotency_key != NULL)
+		call->key = mem_string(r->idempotency_key);
+	call->ran =
+	    counter_add(e->calls_by_key, call->key == NULL ? "" : call->key);
+	if (id != NULL)
+		(void)counter_add(e->runs_by_id, id);
+	e->nrunning++;
+	(void)uv_timer_init(&e->loop, &call->timer);
+	call->timer.data = call;
+	(void)uv_timer_start(
+	    &call->timer, on_service_done, (uint64_t)e->service_ms, 0);
+}
