Run an instance as a daemon; catalogue of log events

Cause: the node's events and effects need a process around them. Weighed: executing effects of events that come while effects run at once (order lost) against queueing them with copies; queued. A reader of stderr that stops reading could stop the loop: lines are written only when they cannot block, else counted. GET /metrics gets the process's own counters appended by the executor, as the reducer cannot see them. Addresses are IPv4 only, as the HTTP side reads no others: the check says so before the start. The test of catalogue against docs/LOGS.md passes.

--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -68,7 +68,6 @@
 	int bad = 0;
 
 	bad |= set_int(socket, ZMQ_LINGER, 0);
-	bad |= set_int(socket, ZMQ_IPV6, 1);
 	bad |= set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
 	bad |= set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
 	bad |= set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -10,7 +10,7 @@
 #include "util/mem.h"
 
 #define NAME_ALLOWED	"1 to 64 letters, digits, '-', '_' or '.'"
-#define ADDRESS_ALLOWED "\"ip:port\" with a port from 1 to 65535"
+#define ADDRESS_ALLOWED "\"ip:port\", an IPv4 number and a port from 1 to 65535"
 #define KEY_ALLOWED	"a CURVE key: 40 characters of Z85"
 #define HASH_ALLOWED	"SHA-256 as 64 hexadecimal digits in lower case"
 #define FILE_ALLOWED	"a file name"
--- a/src/conf/text_check.c
+++ b/src/conf/text_check.c
@@ -5,14 +5,13 @@
 
 #include "conf/text_check.h"
 
-#define NAME_BYTES_MAX	 64
-#define HOST_BYTES_MAX	 64
-#define PORT_DIGITS_MAX	 5
-#define PORT_MAX	 65535
-#define Z85_KEY_BYTES	 40
-#define HASH_HEX_BYTES	 64
-#define ADDRESS_ANY_IPV4 "0.0.0.0"
-#define ADDRESS_ANY_IPV6 "::"
+#define NAME_BYTES_MAX	64
+#define HOST_BYTES_MAX	64
+#define PORT_DIGITS_MAX 5
+#define PORT_MAX	65535
+#define Z85_KEY_BYTES	40
+#define HASH_HEX_BYTES	64
+#define ANY_HOST	"0.0.0.0"
 
 bool
 text_check_name(const char *s)
@@ -52,21 +51,11 @@
 split_address(const char *s, char host[HOST_BYTES_MAX], const char **port)
 {
 	const char *colon = strrchr(s, ':');
-	const char *start = s;
-	const char *end = colon;
 
-	if (colon == NULL)
+	if (colon == NULL || colon - s >= HOST_BYTES_MAX)
 		return false;
-	if (*s == '[') {
-		if (colon == s || colon[-1] != ']')
-			return false;
-		start = s + 1;
-		end = colon - 1;
-	}
-	if (end <= start || end - start >= HOST_BYTES_MAX)
-		return false;
-	memcpy(host, start, (size_t)(end - start));
-	host[end - start] = '\0';
+	memcpy(host, s, (size_t)(colon - s));
+	host[colon - s] = '\0';
 	*port = colon + 1;
 	return true;
 }
@@ -75,12 +64,11 @@
 text_check_address(const char *s)
 {
 	char host[HOST_BYTES_MAX];
-	unsigned char bytes[sizeof(struct in6_addr)];
+	struct in_addr bytes;
 	const char *port;
 
-	if (!split_address(s, host, &port) || !port_is_valid(port))
-		return false;
-	return inet_pton(*s == '[' ? AF_INET6 : AF_INET, host, bytes) == 1;
+	return split_address(s, host, &port) && port_is_valid(port) &&
+	    inet_pton(AF_INET, host, &bytes) == 1;
 }
 
 bool
@@ -89,9 +77,7 @@
 	char host[HOST_BYTES_MAX];
 	const char *port;
 
-	return split_address(s, host, &port) &&
-	    (strcmp(host, ADDRESS_ANY_IPV4) == 0 ||
-		strcmp(host, ADDRESS_ANY_IPV6) == 0);
+	return split_address(s, host, &port) && strcmp(host, ANY_HOST) == 0;
 }
 
 bool
--- a/src/conf/text_check.h
+++ b/src/conf/text_check.h
@@ -15,10 +15,10 @@
 /* A name, or "*". */
 bool text_check_team(const char *s);
 
-/* "ip:port" or "[ip6]:port" with a port from 1 to 65535. */
+/* "ip:port": an IPv4 number and a port from 1 to 65535. */
 bool text_check_address(const char *s);
 
-/* Whether an address names no single host: "0.0.0.0" or "[::]". */
+/* Whether an address names no single host: "0.0.0.0". */
 bool text_check_any_host(const char *s);
 
 /* A CURVE key: 40 characters of Z85. */
--- /dev/null
+++ b/src/mulberryd/daemon.c
@@ -0,0 +1,378 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "mulberryd/daemon_internal.h"
+
+#define NS_PER_US      1000
+#define US_PER_MS      1000
+#define CLOSE_LIMIT_MS 5000
+#define METRICS_PATH   "/metrics"
+
+uint64_t
+daemon_now_us(void)
+{
+	return uv_hrtime() / NS_PER_US;
+}
+
+static uint64_t
+random_u64(void)
+{
+	uint64_t n = 0;
+
+	while (n == 0)
+		randombytes_buf(&n, sizeof(n));
+	return n;
+}
+
+/* ---- events ------------------------------------------------------------ */
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct node_event ev = {.type = NODE_EV_TICK};
+
+	daemon_feed(timer->data, &ev);
+}
+
+static void
+arm_tick(struct daemon *d)
+{
+	uint64_t due = node_next_tick(d->node);
+	uint64_t now = daemon_now_us();
+	uint64_t delay_ms = 1;
+
+	if (due > now + US_PER_MS)
+		delay_ms = (due - now + US_PER_MS - 1) / US_PER_MS;
+	uv_update_time(&d->loop);
+	(void)uv_timer_start(&d->tick, on_tick, delay_ms, 0);
+}
+
+static void
+step(struct daemon *d, const struct node_event *ev)
+{
+	d->events++;
+	node_step(d->node, daemon_now_us(), ev, d->effects);
+	daemon_execute(d, d->effects);
+	node_effects_clear(d->effects);
+}
+
+void
+daemon_feed(struct daemon *d, const struct node_event *ev)
+{
+	const struct node_event *queued;
+
+	if (d->closing)
+		return;
+	if (d->stepping) {
+		event_queue_push(d->queue, ev);
+		return;
+	}
+	d->stepping = true;
+	step(d, ev);
+	while ((queued = event_queue_first(d->queue)) != NULL) {
+		if (!d->closing)
+			step(d, queued);
+		event_queue_drop(d->queue);
+	}
+	d->stepping = false;
+	if (!d->closing)
+		arm_tick(d);
+}
+
+static void
+on_request(void *ctx, const struct node_request *request)
+{
+	struct node_event ev = {.type = NODE_EV_REQUEST};
+	struct daemon *d = ctx;
+
+	if (strcmp(request->path, METRICS_PATH) == 0)
+		map_set_u64(d->metrics_requests, request->request, d);
+	ev.u.request = *request;
+	daemon_feed(d, &ev);
+}
+
+static void
+on_gone(void *ctx, uint64_t request)
+{
+	struct node_event ev = {.type = NODE_EV_CALLER_GONE};
+	struct daemon *d = ctx;
+
+	(void)map_remove_u64(d->metrics_requests, request);
+	ev.u.gone = request;
+	daemon_feed(d, &ev);
+}
+
+static void
+on_call(void *ctx, const struct node_call_event *event)
+{
+	struct node_event ev = {.type = NODE_EV_CALL};
+
+	ev.u.call = *event;
+	daemon_feed(ctx, &ev);
+}
+
+static void
+on_message(void *ctx, uint32_t from, struct node_bytes bytes)
+{
+	struct node_event ev = {.type = NODE_EV_MESSAGE};
+
+	ev.u.message.from = from;
+	ev.u.message.bytes = bytes;
+	daemon_feed(ctx, &ev);
+}
+
+static void
+on_saved(void *ctx, uint64_t ticket, bool ok, const char *reason)
+{
+	struct node_event ev = {.type = NODE_EV_SAVED};
+	struct buf text = {0};
+	struct daemon *d = ctx;
+
+	if (!ok) {
+		buf_json_string(&text, reason == NULL ? "" : reason);
+		log_output_event(
+		    d->log, EVENT_SAVE_FAILED, "{\"reason\": %s}", text.data);
+		buf_free(&text);
+	}
+	ev.u.saved.ticket = ticket;
+	ev.u.saved.ok = ok;
+	ev.u.saved.reason = reason;
+	daemon_feed(d, &ev);
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+	struct node_event ev = {.type = NODE_EV_STOP};
+	struct daemon *d = handle->data;
+
+	if (d->stop_requested) {
+		log_output_event(
+		    d->log, EVENT_EXIT_FORCED, "{\"signal\": %d}", number);
+		_exit(DAEMON_EXIT_FAILED);
+	}
+	d->stop_requested = true;
+	log_output_event(
+	    d->log, EVENT_STOP_REQUESTED, "{\"signal\": %d}", number);
+	daemon_feed(d, &ev);
+}
+
+/* ---- closing ----------------------------------------------------------- */
+
+static void
+on_part_closed(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	if (--d->open_parts > 0)
+		return;
+	uv_close((uv_handle_t *)&d->tick, NULL);
+	uv_close((uv_handle_t *)&d->sigterm, NULL);
+	uv_close((uv_handle_t *)&d->sigint, NULL);
+	uv_close((uv_handle_t *)&d->close_timer, NULL);
+}
+
+static void
+on_close_overdue(uv_timer_t *timer)
+{
+	struct daemon *d = timer->data;
+
+	log_output_event(
+	    d->log, EVENT_CLOSE_OVERDUE, "{\"parts\": %u}", d->open_parts);
+	_exit(DAEMON_EXIT_FAILED);
+}
+
+static void
+on_close(uv_timer_t *timer)
+{
+	struct daemon *d = timer->data;
+
+	(void)uv_timer_stop(&d->tick);
+	(void)uv_timer_start(
+	    &d->close_timer, on_close_overdue, CLOSE_LIMIT_MS, 0);
+	d->open_parts = 1 + (d->server != NULL) + (d->client != NULL) +
+	    (d->bus != NULL) + (d->store != NULL);
+	if (d->server != NULL)
+		http_server_destroy(d->server, on_part_closed, d);
+	if (d->client != NULL)
+		http_client_destroy(d->client, on_part_closed, d);
+	if (d->bus != NULL)
+		bus_destroy(d->bus, on_part_closed, d);
+	if (d->store != NULL)
+		store_close(d->store, on_part_closed, d);
+	on_part_closed(d);
+}
+
+void
+daemon_close(struct daemon *d)
+{
+	if (d->closing)
+		return;
+	d->closing = true;
+	/* From the loop, not from within a callback of a part. */
+	(void)uv_timer_start(&d->close_timer, on_close, 0, 0);
+}
+
+/* ---- start ------------------------------------------------------------- */
+
+static void
+raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	(void)setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static void
+init_handles(struct daemon *d)
+{
+	(void)uv_timer_init(&d->loop, &d->tick);
+	(void)uv_timer_init(&d->loop, &d->close_timer);
+	(void)uv_signal_init(&d->loop, &d->sigterm);
+	(void)uv_signal_init(&d->loop, &d->sigint);
+	d->tick.data = d;
+	d->close_timer.data = d;
+	d->sigterm.data = d;
+	d->sigint.data = d;
+	(void)uv_signal_start(&d->sigterm, on_signal, SIGTERM);
+	(void)uv_signal_start(&d->sigint, on_signal, SIGINT);
+}
+
+static void
+log_folder(struct daemon *d, const struct node_disk *disk)
+{
+	struct buf folder = {0};
+
+	buf_json_string(&folder, d->settings->data_folder);
+	log_output_event(d->log,
+	    disk->damaged ? EVENT_FOLDER_DAMAGED : EVENT_FOLDER_OPENED,
+	    "{\"folder\": %s, \"fresh\": %s, \"records\": %zu, "
+	    "\"snapshot\": %llu}",
+	    folder.data, disk->fresh ? "true" : "false", disk->record_count,
+	    (unsigned long long)disk->snapshot_index);
+	buf_free(&folder);
+}
+
+static int
+create_node(struct daemon *d, struct mp_error *err)
+{
+	struct node_boot boot = {0};
+	int code = MP_OK;
+
+	if (d->settings->data_folder != NULL) {
+		code = store_open(&d->store, &d->loop, d->settings->data_folder,
+		    on_saved, d, &boot.disk, err);
+		if (code != MP_OK)
+			return code;
+		log_folder(d, boot.disk);
+	}
+	boot.settings = d->settings;
+	boot.incarnation = random_u64();
+	boot.seed = random_u64();
+	boot.now_us = daemon_now_us();
+	code = node_create(&d->node, &boot, err);
+	if (d->store != NULL)
+		store_drop_disk(d->store);
+	return code;
+}
+
+static int
+create_server(struct daemon *d, struct mp_error *err)
+{
+	static const struct http_server_callbacks callbacks = {
+	    .on_request = on_request,
+	    .on_gone = on_gone,
+	};
+	const struct settings *s = d->settings;
+	struct http_server_options options = {
+	    .listen = s->http_listen,
+	    .body_limit = s->body_limit_bytes,
+	    .header_limit = s->header_limit_bytes,
+	    .connection_limit = s->connection_limit,
+	    .idle_timeout_ms = s->idle_timeout_ms,
+	    .tls_certificate = s->tls_certificate,
+	    .tls_key = s->tls_key,
+	};
+
+	return http_server_create(
+	    &d->server, &d->loop, &options, &callbacks, d, err);
+}
+
+static int
+start(struct daemon *d, struct mp_error *err)
+{
+	struct node_event first = {.type = NODE_EV_TICK};
+	int code = create_node(d, err);
+
+	if (code == MP_OK)
+		code = bus_create(
+		    &d->bus, &d->loop, d->settings, on_message, d, err);
+	if (code == MP_OK)
+		code =
+		    http_client_create(&d->client, &d->loop, on_call, d, err);
+	if (code == MP_OK)
+		code = create_server(d, err);
+	if (code != MP_OK)
+		return code;
+	if (d->settings->public_key == NULL)
+		log_output_event(d->log, EVENT_BUS_OPEN, "{}");
+	log_output_event(d->log, EVENT_STARTED,
+	    "{\"id\": %u, \"http\": \"%s\", \"bus\": \"%s\", \"pid\": %d}",
+	    d->settings->id, d->settings->http_listen, d->settings->bus_listen,
+	    (int)getpid());
+	daemon_feed(d, &first);
+	return MP_OK;
+}
+
+static void
+report_failed_start(struct daemon *d, const struct mp_error *err)
+{
+	struct buf reason = {0};
+
+	buf_json_string(&reason, err->message);
+	log_output_event(d->log, EVENT_START_FAILED,
+	    "{\"layer\": \"%s\", \"code\": \"%s\", \"reason\": %s}",
+	    mp_layer_name(err->layer), mp_code_name(err->code), reason.data);
+	buf_free(&reason);
+}
+
+enum daemon_exit
+daemon_run(const struct settings *settings)
+{
+	struct daemon d = {.settings = settings};
+	struct mp_error err = {0};
+
+	if (sodium_init() < 0 || uv_loop_init(&d.loop) != 0)
+		return DAEMON_EXIT_FAILED;
+	raise_file_limit();
+	d.log = log_output_create(
+	    settings->log_level, settings->log_format, settings->name);
+	d.effects = node_effects_create();
+	d.queue = event_queue_create();
+	d.metrics_requests = map_create();
+	d.started_us = daemon_now_us();
+	init_handles(&d);
+	if (start(&d, &err) != MP_OK) {
+		report_failed_start(&d, &err);
+		d.result = DAEMON_EXIT_FAILED;
+		daemon_close(&d);
+	}
+	(void)uv_run(&d.loop, UV_RUN_DEFAULT);
+	(void)uv_loop_close(&d.loop);
+	if (d.node != NULL)
+		node_destroy(d.node);
+	map_destroy(d.metrics_requests);
+	event_queue_destroy(d.queue);
+	node_effects_destroy(d.effects);
+	if (d.result == DAEMON_EXIT_OK)
+		log_output_event(d.log, EVENT_EXITED, "{}");
+	log_output_destroy(d.log);
+	return d.result;
+}
--- /dev/null
+++ b/src/mulberryd/daemon_effects.c
@@ -0,0 +1,82 @@
+#include "mulberryd/daemon_internal.h"
+
+/* An answer to GET /metrics gets the counters of the process at its end. */
+static bool
+reply_with_metrics(struct daemon *d, const struct node_reply *reply)
+{
+	struct node_reply whole = *reply;
+	struct buf text = {0};
+
+	if (map_remove_u64(d->metrics_requests, reply->request) == NULL ||
+	    reply->more || reply->status != 200)
+		return false;
+	buf_append(&text, reply->body.data, reply->body.len);
+	daemon_append_metrics(d, &text);
+	whole.body.data = text.data;
+	whole.body.len = text.len;
+	http_server_reply(d->server, &whole);
+	buf_free(&text);
+	return true;
+}
+
+static void
+execute_save(struct daemon *d, const struct node_save *save)
+{
+	struct node_event ev = {.type = NODE_EV_SAVED};
+
+	if (d->store != NULL) {
+		store_save(d->store, save);
+		return;
+	}
+	if (save->ticket == 0)
+		return;
+	ev.u.saved.ticket = save->ticket;
+	ev.u.saved.reason = "no data folder";
+	daemon_feed(d, &ev);
+}
+
+static void
+execute_one(struct daemon *d, const struct node_effect *fx)
+{
+	switch (fx->type) {
+	case NODE_FX_SEND:
+		bus_send(d->bus, &fx->u.send);
+		break;
+	case NODE_FX_REPLY:
+		if (!reply_with_metrics(d, &fx->u.reply))
+			http_server_reply(d->server, &fx->u.reply);
+		break;
+	case NODE_FX_REPLY_DATA:
+		http_server_send(
+		    d->server, fx->u.reply_data.request, fx->u.reply_data.data);
+		break;
+	case NODE_FX_REPLY_END:
+		http_server_end(d->server, fx->u.reply_end.request,
+		    fx->u.reply_end.aborted);
+		break;
+	case NODE_FX_CALL:
+		http_client_start(d->client, &fx->u.call);
+		break;
+	case NODE_FX_CALL_CANCEL:
+		http_client_cancel(d->client, fx->u.cancel);
+		break;
+	case NODE_FX_SAVE:
+		execute_save(d, &fx->u.save);
+		break;
+	case NODE_FX_LOG:
+		log_output_write(d->log, &fx->u.log);
+		break;
+	case NODE_FX_EXIT:
+		daemon_close(d);
+		break;
+	}
+}
+
+void
+daemon_execute(struct daemon *d, const struct node_effects *effects)
+{
+	size_t i;
+
+	for (i = 0; i < node_effects_count(effects); i++)
+		execute_one(d, node_effects_at(effects, i));
+}
--- /dev/null
+++ b/src/mulberryd/daemon_internal.h
@@ -0,0 +1,61 @@
+#ifndef MP_MULBERRYD_DAEMON_INTERNAL_H
+#define MP_MULBERRYD_DAEMON_INTERNAL_H
+
+#include <stdbool.h>
+#include <uv.h>
+
+#include "bus/bus.h"
+#include "http/http.h"
+#include "mulberryd/daemon.h"
+#include "mulberryd/event_queue.h"
+#include "mulberryd/log_output.h"
+#include "mulberrypath/node.h"
+#include "store/store.h"
+#include "util/buf.h"
+#include "util/map.h"
+
+struct daemon {
+	uv_loop_t loop;
+	const struct settings *settings;
+	struct log_output *log;
+	struct node *node;
+	struct node_effects *effects;
+	struct event_queue *queue; /* came while effects are carried out */
+	bool stepping;
+
+	struct http_server *server;
+	struct http_client *client;
+	struct bus *bus;
+	struct store *store; /* NULL without a data folder */
+	struct map *metrics_requests; /* GET /metrics not yet answered */
+	uint64_t started_us;
+	uint64_t events;
+
+	uv_timer_t tick;
+	uv_signal_t sigterm, sigint;
+	uv_timer_t close_timer; /* starts the closing, then limits it */
+	bool stop_requested;
+	bool closing; /* the node takes no more events */
+	unsigned int open_parts;
+	enum daemon_exit result;
+};
+
+/* Microseconds of a clock that runs on while the process is stopped. */
+uint64_t daemon_now_us(void);
+
+/*
+ * Give an event to the node and carry out what it wants done, until nothing
+ * is left; an event that comes meanwhile is queued.
+ */
+void daemon_feed(struct daemon *d, const struct node_event *ev);
+
+/* Carry out all effects in order. */
+void daemon_execute(struct daemon *d, const struct node_effects *effects);
+
+/* Close all parts soon; the loop then ends. */
+void daemon_close(struct daemon *d);
+
+/* Append the counters of the process itself as Prometheus text. */
+void daemon_append_metrics(const struct daemon *d, struct buf *out);
+
+#endif
--- /dev/null
+++ b/src/mulberryd/event_queue.c
@@ -0,0 +1,106 @@
+#include <stdlib.h>
+
+#include "mulberryd/event_queue.h"
+#include "util/mem.h"
+
+struct queued_event {
+	struct node_event event;
+	struct node_effects *memory; /* holds the event's copied bytes */
+	struct queued_event *next;
+};
+
+struct event_queue {
+	struct queued_event *first;
+	struct queued_event **end;
+};
+
+struct event_queue *
+event_queue_create(void)
+{
+	struct event_queue *q = mem_alloc(1, sizeof(*q));
+
+	q->end = &q->first;
+	return q;
+}
+
+void
+event_queue_destroy(struct event_queue *q)
+{
+	while (q->first != NULL)
+		event_queue_drop(q);
+	free(q);
+}
+
+static void
+copy_text(struct node_effects *memory, const char **text)
+{
+	if (*text != NULL)
+		*text = node_effects_printf(memory, "%s", *text);
+}
+
+static void
+copy_bytes(struct node_effects *memory, struct node_bytes *bytes)
+{
+	bytes->data = node_effects_copy(memory, bytes->data, bytes->len);
+}
+
+static void
+copy_request(struct node_effects *memory, struct node_request *r)
+{
+	copy_text(memory, &r->method);
+	copy_text(memory, &r->path);
+	copy_text(memory, &r->authorization);
+	copy_text(memory, &r->idempotency_key);
+	copy_text(memory, &r->timeout);
+	copy_bytes(memory, &r->body);
+}
+
+void
+event_queue_push(struct event_queue *q, const struct node_event *ev)
+{
+	struct queued_event *item = mem_alloc(1, sizeof(*item));
+	struct node_event *copy = &item->event;
+
+	item->memory = node_effects_create();
+	*copy = *ev;
+	switch (ev->type) {
+	case NODE_EV_MESSAGE:
+		copy_bytes(item->memory, &copy->u.message.bytes);
+		break;
+	case NODE_EV_REQUEST:
+		copy_request(item->memory, &copy->u.request);
+		break;
+	case NODE_EV_CALL:
+		copy_text(item->memory, &copy->u.call.retry_after);
+		copy_text(item->memory, &copy->u.call.reason);
+		copy_bytes(item->memory, &copy->u.call.data);
+		break;
+	case NODE_EV_SAVED:
+		copy_text(item->memory, &copy->u.saved.reason);
+		break;
+	case NODE_EV_TICK:
+	case NODE_EV_CALLER_GONE:
+	case NODE_EV_STOP:
+		break;
+	}
+	*q->end = item;
+	q->end = &item->next;
+}
+
+const struct node_event *
+event_queue_first(const struct event_queue *q)
+{
+	return q->first == NULL ? NULL : &q->first->event;
+}
+
+void
+event_queue_drop(struct event_queue *q)
+{
+	struct queued_event *item = q->first;
+
+	q->first = item->next;
+	if (q->first == NULL)
+		q->end = &q->first;
+	node_effects_destroy(item->memory);
+	free(item);
+}
--- /dev/null
+++ b/src/mulberryd/log_output.c
@@ -0,0 +1,194 @@
+#include <jansson.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "mulberryd/log_output.h"
+#include "util/buf.h"
+#include "util/mem.h"
+
+/* A pipe that polls as writable takes so much without blocking. */
+#define LINE_BYTES_MAX	 4096
+#define TIME_BYTES	 40
+#define FIELDS_BYTES_MAX 1024
+
+struct log_output {
+	enum node_log_level level;
+	bool json;
+	char *instance;
+	uint64_t lost;
+};
+
+struct log_output *
+log_output_create(const char *level, const char *format, const char *instance)
+{
+	struct log_output *out = mem_alloc(1, sizeof(*out));
+
+	while (out->level < NODE_LOG_ERROR &&
+	    strcmp(events_level_name(out->level), level) != 0)
+		out->level++;
+	out->json = strcmp(format, "json") == 0;
+	out->instance = mem_string(instance);
+	return out;
+}
+
+void
+log_output_destroy(struct log_output *out)
+{
+	free(out->instance);
+	free(out);
+}
+
+static void
+format_time(char text[TIME_BYTES])
+{
+	uv_timeval64_t now = {0};
+	struct tm parts;
+	time_t seconds;
+	size_t n;
+
+	(void)uv_gettimeofday(&now);
+	seconds = (time_t)now.tv_sec;
+	(void)gmtime_r(&seconds, &parts);
+	n = strftime(text, TIME_BYTES, "%Y-%m-%dT%H:%M:%S", &parts);
+	(void)snprintf(
+	    text + n, TIME_BYTES - n, ".%03dZ", (int)(now.tv_usec / 1000));
+}
+
+/* Append the members of a JSON object text, each after a comma. */
+static void
+append_json_fields(struct buf *line, const char *fields)
+{
+	json_t *root = json_loads(fields, 0, NULL);
+	char *text = NULL;
+
+	if (root == NULL) {
+		buf_puts(line, ",\"fields\":");
+		buf_json_string(line, fields);
+	}
+	if (json_object_size(root) > 0)
+		text = json_dumps(root, JSON_COMPACT);
+	if (text != NULL)
+		buf_printf(line, ",%.*s", (int)strlen(text) - 2, text + 1);
+	free(text);
+	json_decref(root);
+}
+
+static void
+append_text_fields(struct buf *line, const char *fields)
+{
+	json_t *root = json_loads(fields, 0, NULL);
+	const char *key;
+	json_t *value;
+
+	if (root == NULL) {
+		buf_puts(line, " fields=");
+		buf_json_string(line, fields);
+	}
+	json_object_foreach(root, key, value)
+	{
+		const char *plain = json_string_value(value);
+		char *text;
+
+		if (plain != NULL && *plain != '\0' &&
+		    strpbrk(plain, " \"\n\t=") == NULL) {
+			buf_printf(line, " %s=%s", key, plain);
+			continue;
+		}
+		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+		buf_printf(line, " %s=%s", key, text == NULL ? "?" : text);
+		free(text);
+	}
+	json_decref(root);
+}
+
+static void
+format_line(
+    const struct log_output *out, struct buf *line, const struct node_log *log)
+{
+	const char *fields = log->fields == NULL ? "{}" : log->fields;
+	const char *level = events_level_name(log->level);
+	char time[TIME_BYTES];
+
+	format_time(time);
+	if (out->json) {
+		buf_printf(line,
+		    "{\"time\":\"%s\",\"level\":\"%s\",\"number\":%d,"
+		    "\"event\":\"%s\",\"instance\":\"%s\"",
+		    time, level, log->number, log->name, out->instance);
+		append_json_fields(line, fields);
+		buf_puts(line, "}\n");
+		return;
+	}
+	buf_printf(line, "%s %-5s %03d %s instance=%s", time, level,
+	    log->number, log->name, out->instance);
+	append_text_fields(line, fields);
+	buf_puts(line, "\n");
+}
+
+static bool
+write_line(const struct buf *line)
+{
+	struct pollfd ready = {.fd = STDERR_FILENO, .events = POLLOUT};
+
+	if (line->len > LINE_BYTES_MAX || poll(&ready, 1, 0) != 1)
+		return false;
+	return write(STDERR_FILENO, line->data, line->len) ==
+	    (ssize_t)line->len;
+}
+
+static bool
+put(const struct log_output *out, const struct node_log *log)
+{
+	struct buf line = {0};
+	bool ok;
+
+	format_line(out, &line, log);
+	ok = write_line(&line);
+	buf_free(&line);
+	return ok;
+}
+
+static bool
+report_lost(const struct log_output *out)
+{
+	const struct event_kind *kind = events_find(EVENT_LINES_LOST);
+	char fields[FIELDS_BYTES_MAX];
+	struct node_log log = {kind->number, kind->level, kind->name, fields};
+
+	(void)snprintf(fields, sizeof(fields), "{\"lines\": %llu}",
+	    (unsigned long long)out->lost);
+	return put(out, &log);
+}
+
+void
+log_output_write(struct log_output *out, const struct node_log *log)
+{
+	if (log->level < out->level)
+		return;
+	if (out->lost > 0 && report_lost(out))
+		out->lost = 0;
+	if (out->lost > 0 || !put(out, log))
+		out->lost++;
+}
+
+void
+log_output_event(
+    struct log_output *out, enum event_number number, const char *format, ...)
+{
+	const struct event_kind *kind = events_find((int)number);
+	char fields[FIELDS_BYTES_MAX];
+	struct node_log log = {kind->number, kind->level, kind->name, fields};
+	va_list args;
+
+	va_start(args, format);
+	(void)vsnprintf(fields, sizeof(fields), format, args);
+	va_end(args);
+	log_output_write(out, &log);
+}
--- /dev/null
+++ b/src/mulberryd/main.c
@@ -0,0 +1,98 @@
+#include <getopt.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "mulberryd/daemon.h"
+
+static const char usage[] =
+    "usage: mulberryd --config FILE [--check]\n"
+    "\n"
+    "Run one instance of mulberrypath.\n"
+    "\n"
+    "  --config FILE  settings of the instance, JSON\n"
+    "  --check        check the settings, report all faults and exit\n"
+    "  --version      print the version and exit\n"
+    "  --help         print this text and exit\n"
+    "\n"
+    "SIGTERM or SIGINT: leave gracefully; a second one: end at once.\n"
+    "Exit codes: 0 ended as asked, 1 could not start or was forced to end,\n"
+    "2 wrong options or settings.\n";
+
+struct options {
+	const char *config;
+	bool check;
+};
+
+static void
+print_problems(const char *file, const struct settings_problems *problems,
+    const struct mp_error *err)
+{
+	size_t i;
+
+	(void)fprintf(stderr, "mulberryd: %s: %s\n", file, err->message);
+	for (i = 0; i < problems->count; i++)
+		(void)fprintf(stderr, "  %s: found %s, allowed: %s\n",
+		    problems->items[i].path, problems->items[i].found,
+		    problems->items[i].allowed);
+}
+
+static int
+run(const struct options *options)
+{
+	struct settings_problems problems = {0};
+	struct settings *settings = NULL;
+	struct mp_error err = {0};
+	int code = DAEMON_EXIT_USAGE;
+
+	if (settings_load(&settings, options->config, &problems, &err) !=
+	    MP_OK) {
+		print_problems(options->config, &problems, &err);
+	} else if (options->check) {
+		(void)puts("settings are valid");
+		code = DAEMON_EXIT_OK;
+	} else {
+		code = (int)daemon_run(settings);
+	}
+	settings_problems_free(&problems);
+	settings_destroy(settings);
+	return code;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct option longs[] = {
+	    {"config", required_argument, NULL, 'f'},
+	    {"check", no_argument, NULL, 'c'},
+	    {"version", no_argument, NULL, 'v'},
+	    {"help", no_argument, NULL, 'h'},
+	    {NULL, 0, NULL, 0},
+	};
+	struct options options = {0};
+	int c;
+
+	while ((c = getopt_long(argc, argv, "", longs, NULL)) != -1) {
+		switch (c) {
+		case 'f':
+			options.config = optarg;
+			break;
+		case 'c':
+			options.check = true;
+			break;
+		case 'v':
+			(void)puts("mulberryd " MP_VERSION);
+			return DAEMON_EXIT_OK;
+		case 'h':
+			(void)fputs(usage, stdout);
+			return DAEMON_EXIT_OK;
+		default:
+			(void)fputs(usage, stderr);
+			return DAEMON_EXIT_USAGE;
+		}
+	}
+	if (options.config == NULL || optind < argc) {
+		(void)fputs(usage, stderr);
+		return DAEMON_EXIT_USAGE;
+	}
+	return run(&options);
+}
--- a/tests/conf/settings_test.cc
+++ b/tests/conf/settings_test.cc
@@ -110,6 +110,8 @@
 	    {"http.listen", "\"127.0.0.1:80x\"", "$.http.listen"},
 	    {"http.listen", "\"localhost:80\"", "$.http.listen"},
 	    {"http.listen", "\"::1:80\"", "$.http.listen"},
+	    {"http.listen", "\"[::1]:80\"", "$.http.listen"},
+	    {"http.listen", "\"127.0.0.256:80\"", "$.http.listen"},
 	    {"http.listen", "\"127.0.0.1:8\\u0000\"", "$.http.listen"},
 	    {"http.listen", "\"0.0.0.0:80\"", "$.http.advertise"},
 	    {"http.tls", "{\"certificate\": \"c\"}", "$.http.tls.key"},
--- /dev/null
+++ b/tests/util/events_test.cc
@@ -0,0 +1,80 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "util/events.h"
+
+struct Row {
+	int number;
+	std::string name, level;
+};
+
+static std::string
+trim(const std::string &s)
+{
+	size_t a = s.find_first_not_of(' '), b = s.find_last_not_of(' ');
+
+	return a == std::string::npos ? "" : s.substr(a, b - a + 1);
+}
+
+/* The rows of the table in docs/LOGS.md, in order. */
+static std::vector<Row>
+documented()
+{
+	std::ifstream in(MP_SOURCE_DIR "/docs/LOGS.md");
+	std::vector<Row> rows;
+	std::string line;
+
+	while (std::getline(in, line)) {
+		std::istringstream cells(line);
+		std::string cell[6];
+
+		if (line[0] != '|')
+			continue;
+		for (auto &c : cell) {
+			std::getline(cells, c, '|');
+			c = trim(c);
+		}
+		if (cell[1].find_first_not_of("0123456789") !=
+		    std::string::npos)
+			continue;
+		EXPECT_FALSE(cell[5].empty()) << line;
+		rows.push_back({std::stoi(cell[1]), cell[2], cell[3]});
+	}
+	return rows;
+}
+
+TEST(events, the_page_and_the_catalogue_are_alike)
+{
+	std::vector<Row> rows = documented();
+	size_t i;
+
+	ASSERT_FALSE(rows.empty());
+	for (i = 0; events_at(i) != nullptr; i++) {
+		const struct event_kind *kind = events_at(i);
+
+		ASSERT_LT(i, rows.size()) << kind->name << " is missing";
+		EXPECT_EQ(rows[i].number, kind->number);
+		EXPECT_EQ(rows[i].name, kind->name);
+		EXPECT_EQ(rows[i].level, events_level_name(kind->level));
+	}
+	EXPECT_EQ(rows.size(), i);
+}
+
+TEST(events, numbers_ascend_and_names_are_unique)
+{
+	std::set<std::string> names;
+	int last = 0;
+
+	for (size_t i = 0; events_at(i) != nullptr; i++) {
+		EXPECT_GT(events_at(i)->number, last);
+		last = events_at(i)->number;
+		EXPECT_TRUE(names.insert(events_at(i)->name).second);
+		EXPECT_EQ(events_find(last), events_at(i));
+	}
+	EXPECT_EQ(events_find(last + 1), nullptr);
+}
