--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -11,7 +11,6 @@
 #include "util/mem.h"
 
 #define ENDPOINT_BYTES_MAX     128
-#define Z85_TEXT_BYTES	       41
 #define ROUTING_ID_BYTES       4
 #define ROUTING_ID_MARK	       0x80000000u /* ids must not begin with zero */
 #define INSTANCE_ID_MAX	       65535u
@@ -289,7 +288,7 @@
 static int
 check_keys(const struct settings *settings, struct mp_error *err)
 {
-	char derived[Z85_TEXT_BYTES];
+	char derived[BUS_KEY_TEXT_BYTES];
 
 	if (settings->secret_key == NULL ||
 	    zmq_curve_public(derived, settings->secret_key) != 0 ||
@@ -299,6 +298,16 @@
 	return MP_OK;
 }
 
+int
+bus_generate_keys(char public_key[BUS_KEY_TEXT_BYTES],
+    char secret_key[BUS_KEY_TEXT_BYTES], struct mp_error *err)
+{
+	if (zmq_curve_keypair(public_key, secret_key) != 0)
+		return mp_error_set(err, MP_LAYER_BUS, MP_ERR_UNAVAILABLE,
+		    "no CURVE keys: %s", zmq_strerror(zmq_errno()));
+	return MP_OK;
+}
+
 static int
 open_router(struct bus *b, struct mp_error *err)
 {
--- a/src/bus/bus.h
+++ b/src/bus/bus.h
@@ -39,6 +39,12 @@
 /* Send or drop. A changed address replaces the peer's connection. */
 void bus_send(struct bus *b, const struct node_send *send);
 
+#define BUS_KEY_TEXT_BYTES 41 /* Z85 and the closing zero */
+
+/* Make a random CURVE key pair. Errors: MP_ERR_UNAVAILABLE. */
+int bus_generate_keys(char public_key[BUS_KEY_TEXT_BYTES],
+    char secret_key[BUS_KEY_TEXT_BYTES], struct mp_error *err);
+
 struct bus_counters {
 	uint64_t messages_in, bytes_in;
 	uint64_t messages_out, bytes_out;
--- a/src/conf/fields.c
+++ b/src/conf/fields.c
@@ -4,12 +4,13 @@
 #include <string.h>
 
 #include "conf/fields.h"
-#include "conf/text_check.h"
 #include "util/buf.h"
 #include "util/mem.h"
 
 #define FOUND_BYTES_MAX 80
-#define MILLI_PER_UNIT	1000.0
+#define KEY_CHARACTERS                                                         \
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_"
+#define MILLI_PER_UNIT 1000.0
 
 static void *
 field_at(void *base, size_t offset)
@@ -207,7 +208,7 @@
 {
 	buf_clear(out);
 	buf_puts(out, path);
-	if (text_check_name(key) && strchr(key, '.') == NULL) {
+	if (*key != '\0' && strspn(key, KEY_CHARACTERS) == strlen(key)) {
 		buf_printf(out, ".%s", key);
 		return;
 	}
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -270,7 +270,8 @@
 	*out = NULL;
 	settings_destroy(s);
 	return mp_error_set(err, MP_LAYER_CONF, MP_ERR_INVALID,
-	    "%zu faults in the settings", problems->count - before);
+	    "%zu fault%s in the settings", problems->count - before,
+	    problems->count - before == 1 ? "" : "s");
 }
 
 static int
--- a/src/mulberryd/main.c
+++ b/src/mulberryd/main.c
@@ -2,15 +2,19 @@
 #include <stdbool.h>
 #include <stdio.h>
 
+#include "bus/bus.h"
 #include "mulberryd/daemon.h"
 
 static const char usage[] =
     "usage: mulberryd --config FILE [--check]\n"
+    "       mulberryd --generate-keys\n"
     "\n"
     "Run one instance of mulberrypath.\n"
     "\n"
     "  --config FILE  settings of the instance, JSON\n"
     "  --check        check the settings, report all faults and exit\n"
+    "  --generate-keys\n"
+    "                 print a new key pair for the settings' \"bus\" and exit\n"
     "  --version      print the version and exit\n"
     "  --help         print this text and exit\n"
     "\n"
@@ -58,12 +62,28 @@
 	return code;
 }
 
+static int
+generate_keys(void)
+{
+	char public_key[BUS_KEY_TEXT_BYTES], secret_key[BUS_KEY_TEXT_BYTES];
+	struct mp_error err;
+
+	if (bus_generate_keys(public_key, secret_key, &err) != MP_OK) {
+		(void)fprintf(stderr, "mulberryd: %s\n", err.message);
+		return DAEMON_EXIT_FAILED;
+	}
+	(void)printf("{\"publicKey\": \"%s\", \"secretKey\": \"%s\"}\n",
+	    public_key, secret_key);
+	return DAEMON_EXIT_OK;
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct option longs[] = {
 	    {"config", required_argument, NULL, 'f'},
 	    {"check", no_argument, NULL, 'c'},
+	    {"generate-keys", no_argument, NULL, 'g'},
 	    {"version", no_argument, NULL, 'v'},
 	    {"help", no_argument, NULL, 'h'},
 	    {NULL, 0, NULL, 0},
@@ -79,6 +99,8 @@
 		case 'c':
 			options.check = true;
 			break;
+		case 'g':
+			return generate_keys();
 		case 'v':
 			(void)puts("mulberryd " MP_VERSION);
 			return DAEMON_EXIT_OK;
