--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -9,6 +9,7 @@
 #include "route/route.h"
 #include "sched/sched.h"
 #include "util/buf.h"
+#include "util/events.h"
 #include "util/map.h"
 #include "util/rng.h"
 #include "wire/command.pb-c.h"
@@ -193,28 +194,6 @@
 void node_stop(struct node *n);
 
 /* node_log.c: numbered events, see docs/LOGS.md */
-enum node_log_event {
-	NODE_LOG_STARTED = 100,
-	NODE_LOG_FOUNDED = 101,
-	NODE_LOG_LEADING = 102,
-	NODE_LOG_FOLLOWING = 103,
-	NODE_LOG_STANDING = 104,
-	NODE_LOG_MEMBER_UP = 105,
-	NODE_LOG_MEMBER_DOWN = 106,
-	NODE_LOG_MEMBER_LEAVING = 107,
-	NODE_LOG_DOCUMENT = 108,
-	NODE_LOG_ENDPOINT_UP = 109,
-	NODE_LOG_ENDPOINT_GONE = 110,
-	NODE_LOG_ENDPOINT_LEAVING = 111,
-	NODE_LOG_ORDER_FAILED = 112,
-	NODE_LOG_DISK_DAMAGED = 113,
-	NODE_LOG_DISK_FAILED = 114,
-	NODE_LOG_SNAPSHOT = 115,
-	NODE_LOG_STOPPING = 116,
-	NODE_LOG_STOPPED = 117,
-	NODE_LOG_MALFORMED = 118,
-	NODE_LOG_VOTERS = 119
-};
 void node_log(struct node *n, enum node_log_event event, const char *format,
     ...) __attribute__((format(printf, 3, 4)));
 
