--- /dev/null
+++ b/tests/mulberryd/process.h
@@ -0,0 +1,201 @@
+#ifndef MP_TESTS_MULBERRYD_PROCESS_H
+#define MP_TESTS_MULBERRYD_PROCESS_H
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <poll.h>
+#include <spawn.h>
+#include <string>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+extern char **environ;
+
+/* Until when a wait may last. */
+class Deadline {
+      public:
+	explicit Deadline(int ms = 20000)
+	    : end(std::chrono::steady_clock::now() +
+		  std::chrono::milliseconds(ms))
+	{
+	}
+
+	int
+	left_ms() const
+	{
+		auto left =
+		    std::chrono::duration_cast<std::chrono::milliseconds>(
+			end - std::chrono::steady_clock::now());
+
+		return left.count() > 0 ? (int)left.count() : 0;
+	}
+
+      private:
+	std::chrono::steady_clock::time_point end;
+};
+
+/* A mulberryd whose stdout and stderr come in over one pipe. */
+class Process {
+      public:
+	/* full: the pipe is small and full from the start. */
+	explicit Process(std::vector<std::string> args, bool full = false)
+	{
+		posix_spawn_file_actions_t actions;
+		std::vector<char *> argv = {(char *)MP_MULBERRYD};
+		int ends[2];
+
+		EXPECT_EQ(pipe2(ends, O_CLOEXEC), 0);
+		if (full)
+			fill(ends[1]);
+		for (auto &a : args)
+			argv.push_back((char *)a.c_str());
+		argv.push_back(nullptr);
+		posix_spawn_file_actions_init(&actions);
+		posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
+		posix_spawn_file_actions_adddup2(&actions, ends[1], 2);
+		EXPECT_EQ(posix_spawn(&pid, MP_MULBERRYD, &actions, nullptr,
+			      argv.data(), environ),
+		    0);
+		posix_spawn_file_actions_destroy(&actions);
+		close(ends[1]);
+		out = ends[0];
+	}
+
+	~Process()
+	{
+		if (pid > 0) {
+			kill(pid, SIGKILL);
+			waitpid(pid, nullptr, 0);
+		}
+		close(out);
+	}
+
+	/* Read until a text has come; false at the end or the deadline. */
+	bool
+	read_until(const std::string &wanted, Deadline d = Deadline())
+	{
+		while (text.find(wanted) == std::string::npos) {
+			if (!read_some(d))
+				return false;
+		}
+		return true;
+	}
+
+	/* Read all up to the end, then the exit code; -1: by a signal. */
+	int
+	wait_exit(Deadline d = Deadline())
+	{
+		int status = 0;
+
+		while (read_some(d))
+			;
+		if (d.left_ms() == 0)
+			return -2;
+		waitpid(pid, &status, 0);
+		pid = -1;
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
+
+	pid_t pid = -1;
+	std::string text;
+
+      private:
+	bool
+	read_some(const Deadline &d)
+	{
+		struct pollfd ready = {out, POLLIN, 0};
+		char chunk[4096];
+		ssize_t n;
+
+		if (poll(&ready, 1, d.left_ms()) != 1)
+			return false;
+		n = read(out, chunk, sizeof(chunk));
+		if (n > 0)
+			text.append(chunk, (size_t)n);
+		return n > 0;
+	}
+
+	static void
+	fill(int end)
+	{
+		std::string line(4095, 'x');
+
+		line += '\n';
+		EXPECT_EQ(fcntl(end, F_SETPIPE_SZ, 4096), 4096);
+		EXPECT_EQ(write(end, line.data(), line.size()), 4096);
+	}
+
+	int out;
+};
+
+/* Ports that the kernel has found free. */
+static inline std::vector<int>
+free_ports(size_t count)
+{
+	std::vector<int> sockets, ports;
+
+	for (size_t i = 0; i < count; i++) {
+		struct sockaddr_in name = {};
+		socklen_t len = sizeof(name);
+		int s = socket(AF_INET, SOCK_STREAM, 0);
+
+		name.sin_family = AF_INET;
+		name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(s, (struct sockaddr *)&name, len), 0);
+		getsockname(s, (struct sockaddr *)&name, &len);
+		ports.push_back(ntohs(name.sin_port));
+		sockets.push_back(s);
+	}
+	for (int s : sockets)
+		close(s);
+	return ports;
+}
+
+/* One GET; the whole answer, empty when there is no connection. */
+static inline std::string
+http_get(int port, const std::string &path)
+{
+	std::string request =
+	    "GET " + path + " HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+	struct timeval limit = {2, 0};
+	struct sockaddr_in to = {};
+	std::string answer;
+	char chunk[4096];
+	ssize_t n;
+	int s = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	to.sin_family = AF_INET;
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_port = htons((uint16_t)port);
+	setsockopt(s, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (connect(s, (struct sockaddr *)&to, sizeof(to)) == 0 &&
+	    write(s, request.data(), request.size()) > 0)
+		while ((n = read(s, chunk, sizeof(chunk))) > 0)
+			answer.append(chunk, (size_t)n);
+	close(s);
+	return answer;
+}
+
+/* Ask until the answer has a status; false after the deadline. */
+static inline bool
+wait_status(int port, const std::string &path, const std::string &status,
+    Deadline d = Deadline())
+{
+	while (d.left_ms() > 0) {
+		if (http_get(port, path).find("HTTP/1.1 " + status) == 0)
+			return true;
+		poll(nullptr, 0, 10);
+	}
+	return false;
+}
+
+#endif
