--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -10,7 +10,7 @@
 #include "util/mem.h"
 
 #define NAME_ALLOWED	"1 to 64 letters, digits, '-', '_' or '.'"
-#define ADDRESS_ALLOWED "\"ip:port\" with a port from 1 to 65535"
+#define ADDRESS_ALLOWED "\"ip:port\", an IPv4 number and a port from 1 to 65535"
 #define KEY_ALLOWED	"a CURVE key: 40 characters of Z85"
 #define HASH_ALLOWED	"SHA-256 as 64 hexadecimal digits in lower case"
 #define FILE_ALLOWED	"a file name"
@@ -270,7 +270,8 @@
 	*out = NULL;
 	settings_destroy(s);
 	return mp_error_set(err, MP_LAYER_CONF, MP_ERR_INVALID,
-	    "%zu faults in the settings", problems->count - before);
+	    "%zu fault%s in the settings", problems->count - before,
+	    problems->count - before == 1 ? "" : "s");
 }
 
 static int
--- /dev/null
+++ b/src/util/events.c
@@ -0,0 +1,63 @@
+#include "util/events.h"
+
+static const struct event_kind kinds[] = {
+    {EVENT_STARTED, NODE_LOG_INFO, "started"},
+    {EVENT_STOP_REQUESTED, NODE_LOG_INFO, "stop-requested"},
+    {EVENT_EXITED, NODE_LOG_INFO, "exited"},
+    {EVENT_EXIT_FORCED, NODE_LOG_WARN, "exit-forced"},
+    {EVENT_START_FAILED, NODE_LOG_ERROR, "start-failed"},
+    {EVENT_BUS_OPEN, NODE_LOG_WARN, "bus-without-keys"},
+    {EVENT_FOLDER_OPENED, NODE_LOG_INFO, "data-folder-opened"},
+    {EVENT_FOLDER_DAMAGED, NODE_LOG_ERROR, "data-folder-damaged"},
+    {EVENT_SAVE_FAILED, NODE_LOG_ERROR, "save-failed"},
+    {EVENT_CLOSE_OVERDUE, NODE_LOG_WARN, "close-overdue"},
+    {EVENT_LINES_LOST, NODE_LOG_WARN, "log-lines-lost"},
+    {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
+    {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
+    {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
+    {NODE_LOG_FOLLOWING, NODE_LOG_INFO, "not-leading"},
+    {NODE_LOG_STANDING, NODE_LOG_WARN, "standing-changed"},
+    {NODE_LOG_MEMBER_UP, NODE_LOG_INFO, "member-up"},
+    {NODE_LOG_MEMBER_DOWN, NODE_LOG_WARN, "member-down"},
+    {NODE_LOG_MEMBER_LEAVING, NODE_LOG_INFO, "member-leaving"},
+    {NODE_LOG_DOCUMENT, NODE_LOG_INFO, "document-accepted"},
+    {NODE_LOG_ENDPOINT_UP, NODE_LOG_INFO, "endpoint-up"},
+    {NODE_LOG_ENDPOINT_GONE, NODE_LOG_WARN, "endpoint-gone"},
+    {NODE_LOG_ENDPOINT_LEAVING, NODE_LOG_INFO, "endpoint-leaving"},
+    {NODE_LOG_ORDER_FAILED, NODE_LOG_WARN, "order-failed"},
+    {NODE_LOG_DISK_DAMAGED, NODE_LOG_ERROR, "disk-damaged"},
+    {NODE_LOG_DISK_FAILED, NODE_LOG_ERROR, "disk-failed"},
+    {NODE_LOG_SNAPSHOT, NODE_LOG_DEBUG, "snapshot-taken"},
+    {NODE_LOG_STOPPING, NODE_LOG_INFO, "stopping"},
+    {NODE_LOG_STOPPED, NODE_LOG_INFO, "stopped"},
+    {NODE_LOG_MALFORMED, NODE_LOG_WARN, "message-malformed"},
+    {NODE_LOG_VOTERS, NODE_LOG_INFO, "voters-changed"},
+};
+
+#define KINDS (sizeof(kinds) / sizeof(kinds[0]))
+
+const struct event_kind *
+events_find(int number)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS; i++) {
+		if (kinds[i].number == number)
+			return &kinds[i];
+	}
+	return NULL;
+}
+
+const struct event_kind *
+events_at(size_t i)
+{
+	return i < KINDS ? &kinds[i] : NULL;
+}
+
+const char *
+events_level_name(enum node_log_level level)
+{
+	static const char *const names[] = {"debug", "info", "warn", "error"};
+
+	return names[level];
+}
