--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -9,11 +9,11 @@
 #define FAIR_PLACE_WALK	    64 /* endpoints that are looked at */
 #define FAIR_KEEP_US	    30e6
 #define FAIR_PROTECT_STALL  1.5
-#define FAIR_REPLICA_STALL  1.0 /* loads' times that a queue may last */
+#define FAIR_REPLICA_STALL  2.0
 #define FAIR_REPLICA_BATCH  3.0
 #define FAIR_SPREAD_STALL   1.0
 #define FAIR_SPREAD_BATCH   0.25
-#define FAIR_RELOAD_MOST_US 2e6
+#define FAIR_RELOAD_MOST_US 6e6
 #define FAIR_WAKE_MIN_US    (10 * SCHED_MS_US)
 
 /* An adapter that wants to be loaded, and how much. */
@@ -33,7 +33,7 @@
 	return (double)s->options.load_ms * SCHED_MS_US;
 }
 
-/* How long a reload takes, with the wait for its permit. */
+/* How long a reload takes, with the wait for its permit, as seen lately. */
 static double
 fair_reload_us(const struct sched *s)
 {
@@ -42,6 +42,8 @@
 
 	if (spacing != SCHED_NEVER)
 		us += (double)spacing;
+	if (s->reload_us > us)
+		us = s->reload_us;
 	return us < FAIR_RELOAD_MOST_US ? us : FAIR_RELOAD_MOST_US;
 }
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -110,7 +110,8 @@
 {
 	struct sched_decision *d;
 
-	SCHED_GROW(s->decisions, s->decision_count, s->decision_cap);
+	SCHED_GROW(s->decisions, s->decision_count, s->decision_cap,
+	    struct sched_decision);
 	d = &s->decisions[s->decision_count++];
 	memset(d, 0, sizeof(*d));
 	d->type = type;
@@ -186,6 +187,7 @@
 	t->weight = request->team_weight > 0.0 ? request->team_weight : 1.0;
 	t->concurrent = request->team_concurrent;
 	team_activate(s, t, now_us);
+	team_backlog(s, t);
 	it->id = request->id;
 	it->team = t;
 	it->adapter = request_adapter(s, request);
@@ -363,6 +365,7 @@
 	s->run++;
 	s->next_us = SCHED_NEVER;
 	sched_bury(s);
+	team_weigh(s);
 	admit_run(s, now_us);
 	if (may_order) {
 		load_claims_run(s, now_us);
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -114,6 +114,8 @@
 	uint32_t i, oldest = 0;
 
 	s->load_failures++;
+	if (a->drain != NULL)
+		slot_drain_end(a->drain);
 	if (++a->failures > 1)
 		a->retry_us = now_us +
 		    backoff_time(ADAPTER_RETRY_US, ADAPTER_RETRY_TOP_US,
--- a/src/sched/sched_cache.c
+++ b/src/sched/sched_cache.c
@@ -8,24 +8,39 @@
 
 #define PREFIX_FIRST 64U
 #define PREFIX_MOST  4096U
+#define PREFIX_HASH  0x9e3779b97f4a7c15ULL
 
 static uint32_t
-prefix_slot(const struct prefix_set *set, uint64_t prefix)
+prefix_home(const struct prefix_set *set, uint64_t prefix)
 {
-	uint32_t at =
-	    (uint32_t)((prefix * 0x9e3779b97f4a7c15ULL) >> 32) & set->mask;
+	uint32_t hash = (uint32_t)((prefix * PREFIX_HASH) >> 32);
+
+	return hash & (2 * set->room - 1);
+}
+
+static uint32_t
+prefix_after(const struct prefix_set *set, uint32_t at)
+{
+	return (at + 1) & (2 * set->room - 1);
+}
+
+/* Where a prefix is, or the empty place where it would go. */
+static uint32_t
+prefix_place(const struct prefix_set *set, uint64_t prefix)
+{
+	uint32_t at = prefix_home(set, prefix);
 
 	while (set->table[at] != 0 && set->table[at] != prefix)
-		at = (at + 1) & set->mask;
+		at = prefix_after(set, at);
 	return at;
 }
 
 bool
 prefix_has(const struct prefix_set *set, uint64_t prefix)
 {
-	if (prefix == 0 || set->count == 0)
+	if (prefix == 0 || set->table == NULL)
 		return false;
-	return set->table[prefix_slot(set, prefix)] == prefix;
+	return set->table[prefix_place(set, prefix)] == prefix;
 }
 
 void
@@ -41,72 +56,61 @@
 prefix_grow(struct prefix_set *set)
 {
 	struct prefix_set old = *set;
-	uint32_t room = old.table == NULL ? PREFIX_FIRST : old.mask + 1;
 	uint64_t prefix;
 	uint32_t i;
 
-	set->mask = 2 * room - 1;
-	set->table = mem_alloc(2 * (size_t)room, sizeof(*set->table));
-	set->ring = mem_alloc(room, sizeof(*set->ring));
-	set->count = set->used = set->head = 0;
+	set->room = old.room == 0 ? PREFIX_FIRST : 2 * old.room;
+	set->table = mem_alloc(2 * (size_t)set->room, sizeof(*set->table));
+	set->ring = mem_alloc(set->room, sizeof(*set->ring));
+	set->used = set->head = 0;
 	for (i = 0; i < old.used; i++) {
-		prefix = old.ring[(old.head + i) % (room / 2)];
-		if (prefix_has(&old, prefix))
-			prefix_add(set, prefix);
+		prefix = old.ring[(old.head + i) % old.room];
+		if (!prefix_has(&old, prefix) || prefix_has(set, prefix))
+			continue;
+		set->ring[set->used++] = prefix;
+		set->table[prefix_place(set, prefix)] = prefix;
 	}
 	free(old.table);
 	free(old.ring);
 }
 
-static void
-prefix_drop(struct prefix_set *set, uint64_t prefix)
-{
-	uint32_t hole = prefix_slot(set, prefix), at = hole, home;
-
-	if (set->table[hole] != prefix)
-		return;
-	set->count--;
-	for (;;) {
-		at = (at + 1) & set->mask;
-		if (set->table[at] == 0)
-			break;
-		home =
-		    (uint32_t)((set->table[at] * 0x9e3779b97f4a7c15ULL) >> 32) &
-		    set->mask;
-		if (((at - home) & set->mask) < ((at - hole) & set->mask))
-			continue;
-		set->table[hole] = set->table[at];
-		hole = at;
-	}
-	set->table[hole] = 0;
-}
-
 void
 prefix_add(struct prefix_set *set, uint64_t prefix)
 {
-	uint32_t room = set->table == NULL ? 0 : (set->mask + 1) / 2;
-
 	if (prefix == 0 || prefix_has(set, prefix))
 		return;
-	if (set->used == room && room < PREFIX_MOST) {
+	if (set->used == set->room && set->room < PREFIX_MOST)
 		prefix_grow(set);
-		room = (set->mask + 1) / 2;
-	}
-	if (set->used == room) {
-		prefix_drop(set, set->ring[set->head]);
-		set->head = (set->head + 1) % room;
+	if (set->used == set->room) {
+		prefix_remove(set, set->ring[set->head]);
+		set->head = (set->head + 1) % set->room;
 		set->used--;
 	}
-	set->ring[(set->head + set->used++) % room] = prefix;
-	set->table[prefix_slot(set, prefix)] = prefix;
-	set->count++;
+	set->ring[(set->head + set->used) % set->room] = prefix;
+	set->used++;
+	set->table[prefix_place(set, prefix)] = prefix;
 }
 
+/* Empty a place and move later prefixes of its run back to their home. */
 void
 prefix_remove(struct prefix_set *set, uint64_t prefix)
 {
-	if (prefix_has(set, prefix))
-		prefix_drop(set, prefix);
+	uint32_t mask = 2 * set->room - 1, hole, at, home;
+
+	if (!prefix_has(set, prefix))
+		return;
+	hole = at = prefix_place(set, prefix);
+	for (;;) {
+		at = prefix_after(set, at);
+		if (set->table[at] == 0)
+			break;
+		home = prefix_home(set, set->table[at]);
+		if (((at - home) & mask) < ((at - hole) & mask))
+			continue;
+		set->table[hole] = set->table[at];
+		hole = at;
+	}
+	set->table[hole] = 0;
 }
 
 bool
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -44,18 +44,20 @@
 	last->pool_index = ep->pool_index;
 	if (!ep->leaving)
 		p->seats -= ep->seats;
+	p->running -= ep->used;
 	ep->pool = NULL;
 }
 
 static void
 pool_add(struct pool *p, struct endpoint *ep)
 {
-	SCHED_GROW(p->endpoints, p->count, p->cap);
+	SCHED_GROW(p->endpoints, p->count, p->cap, struct endpoint *);
 	ep->pool = p;
 	ep->pool_index = p->count;
 	p->endpoints[p->count++] = ep;
 	if (!ep->leaving)
 		p->seats += ep->seats;
+	p->running += ep->used;
 }
 
 bool
@@ -164,6 +166,8 @@
 		pool_remove(ep->pool, ep);
 	if (report->leaving && !ep->leaving)
 		s->refit = true;
+	if (ep->limit < ENDPOINT_LEAST_LIMIT)
+		ep->limit = ENDPOINT_LEAST_LIMIT;
 	ep->service = report->service;
 	ep->leaving = report->leaving;
 	ep->seats = report->seats;
@@ -181,6 +185,7 @@
 {
 	uint32_t others;
 
+	ep->running = report->running;
 	if (ep->foreign == 0)
 		return;
 	others = report->running > ep->used ? report->running - ep->used : 0;
@@ -232,6 +237,9 @@
 	ep->evict_after_us = evict_after_us;
 	ep->foreign = UINT32_MAX;
 	ep->foreign_until_us = now_us + ENDPOINT_FOREIGN_US;
+	if (ep->known)
+		ep->foreign =
+		    ep->running > ep->used ? ep->running - ep->used : 0;
 	s->next_us = now_us;
 }
 
@@ -269,7 +277,7 @@
 		pool_remove(ep->pool, ep);
 	map_remove_str(s->endpoints, id);
 	ep->removed = true;
-	SCHED_GROW(s->graveyard, s->ngraves, s->grave_cap);
+	SCHED_GROW(s->graveyard, s->ngraves, s->grave_cap, struct endpoint *);
 	s->graveyard[s->ngraves++] = ep;
 	s->refit = true;
 	s->next_us = now_us;
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -64,10 +64,9 @@
 };
 
 struct prefix_set {
-	uint64_t *table; /* open addressing, 0 is empty */
-	uint32_t mask, count;
+	uint64_t *table; /* open addressing, 0 is empty; twice the room */
 	uint64_t *ring; /* order of insertion */
-	uint32_t head, used;
+	uint32_t room, head, used;
 };
 
 struct endpoint {
@@ -84,6 +83,7 @@
 	struct slot **slots;
 	uint32_t slot_count, slot_cap;
 	uint32_t used; /* grants outstanding */
+	uint32_t running; /* by the last report */
 	uint32_t foreign; /* runs of an earlier owner */
 	uint64_t foreign_until_us;
 	double limit; /* adaptive, at most seats */
@@ -155,6 +155,7 @@
 	double weight;
 	uint32_t concurrent;
 	double counter; /* charge over weight */
+	double served; /* the same without bounds, to report the gap */
 	uint64_t charge_milli; /* settled */
 	uint32_t queued, running;
 	struct flow *flows;
@@ -214,6 +215,7 @@
 	uint32_t serial;
 	struct team **active;
 	uint32_t nactive, active_cap;
+	double active_weight; /* sum, as of the last run */
 	struct item *all_head, *all_tail;
 	uint32_t queued, running;
 	struct item **heap;
@@ -226,6 +228,7 @@
 	uint32_t permit_in_flight, permit_rate_milli;
 	uint64_t last_load_us; /* 0: none yet */
 	uint32_t in_flight; /* loads */
+	double reload_us; /* mean wait for a load, with the load */
 	struct claim *claims;
 	uint32_t nclaims, claim_cap;
 	uint64_t *ghosts; /* ends of loads on endpoints that are gone */
@@ -243,13 +246,12 @@
 	struct hist waits; /* ms */
 };
 
-/* Grow an array of pointers or structs to hold one more. */
-#define SCHED_GROW(array, count, cap)                                          \
+/* Grow an array of a type to hold one more. */
+#define SCHED_GROW(array, count, cap, type)                                    \
 	do {                                                                   \
 		if ((count) == (cap)) {                                        \
 			(cap) = (cap) == 0 ? 8 : (cap)*2;                      \
-			(array) =                                              \
-			    mem_resize((array), (cap), sizeof(*(array)));      \
+			(array) = mem_resize((array), (cap), sizeof(type));    \
 		}                                                              \
 	} while (0)
 
@@ -272,16 +274,17 @@
 struct team *team_get(struct sched *s, const char *name);
 void team_activate(struct sched *s, struct team *t, uint64_t now_us);
 void team_idle(struct sched *s, const struct team *t);
+void team_weigh(struct sched *s);
 void team_prune(struct sched *s, uint64_t now_us);
 void team_free(struct team *t);
 double team_estimate(const struct sched *s, const struct item *it);
 void team_charge(struct sched *s, struct team *t, double charge);
 void team_settle(
     struct sched *s, struct item *it, const struct sched_usage *usage);
-bool team_backlogged(const struct team *t);
 bool team_may_run(const struct team *t);
 double team_bound(const struct sched *s);
 double team_share(const struct sched *s, const struct team *t, uint64_t now);
+void team_backlog(struct sched *s, struct team *t);
 void team_note_gap(struct sched *s);
 
 /* sched_endpoint.c */
--- a/src/sched/sched_item.c
+++ b/src/sched/sched_item.c
@@ -79,7 +79,7 @@
 	if (at_us == SCHED_NEVER)
 		return;
 	it->check_us = at_us;
-	SCHED_GROW(s->heap, s->heap_count, s->heap_cap);
+	SCHED_GROW(s->heap, s->heap_count, s->heap_cap, struct item *);
 	heap_place(s, s->heap_count++, it);
 	heap_up(s, it->heap_index);
 }
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -9,6 +9,7 @@
  */
 
 #define LOAD_CLAIM_AHEAD_US (50 * SCHED_MS_US)
+#define LOAD_WAIT_WEIGHT    0.05
 #define LOAD_RATE_UNIT_US   1000000000ULL /* of thousandths a second */
 
 /* Time between two loads; the bucket holds one. */
@@ -109,7 +110,7 @@
 {
 	slot->next = a;
 	a->loading++;
-	SCHED_GROW(s->claims, s->nclaims, s->claim_cap);
+	SCHED_GROW(s->claims, s->nclaims, s->claim_cap, struct claim);
 	s->claims[s->nclaims].ep = ep;
 	s->claims[s->nclaims++].slot = slot;
 }
@@ -174,8 +175,6 @@
 			*cost = 0.0;
 			return slot;
 		}
-		if (slot->draining != NULL)
-			continue;
 		c = s->policy->parent.evict_cost(
 		    s->policy, s, now_us, ep, slot);
 		if (best == NULL || c < *cost) {
@@ -235,7 +234,7 @@
 	s->in_flight--;
 	if (ghost_until_us == 0)
 		return;
-	SCHED_GROW(s->ghosts, s->nghosts, s->ghost_cap);
+	SCHED_GROW(s->ghosts, s->nghosts, s->ghost_cap, uint64_t);
 	s->ghosts[s->nghosts++] = ghost_until_us;
 }
 
@@ -253,6 +252,18 @@
 	return slot != NULL && slot->state == state ? slot : NULL;
 }
 
+/* The longest wait that a load has ended, decayed. */
+static void
+load_note_wait(struct sched *s, const struct adapter *a, uint64_t now_us)
+{
+	double us;
+
+	if (a->flows == NULL)
+		return;
+	us = (double)(now_us - a->flows->head->enqueued_us);
+	s->reload_us += LOAD_WAIT_WEIGHT * (us - s->reload_us);
+}
+
 void
 sched_load_result(struct sched *s, uint64_t now_us, const char *endpoint,
     const char *adapter, bool ok)
@@ -271,6 +282,7 @@
 		slot_detach(ep, slot, now_us);
 		return;
 	}
+	load_note_wait(s, a, now_us);
 	a->failures = 0;
 	a->nbackoffs = 0;
 	slot_loaded(slot, now_us);
--- a/src/sched/sched_slot.c
+++ b/src/sched/sched_slot.c
@@ -31,7 +31,7 @@
 static struct slot *
 slot_add(struct endpoint *ep)
 {
-	SCHED_GROW(ep->slots, ep->slot_count, ep->slot_cap);
+	SCHED_GROW(ep->slots, ep->slot_count, ep->slot_cap, struct slot *);
 	ep->slots[ep->slot_count] = mem_alloc(1, sizeof(**ep->slots));
 	return ep->slots[ep->slot_count++];
 }
@@ -65,7 +65,7 @@
 	slot->adapter = a;
 	slot->state = state;
 	slot->changed_us = slot->used_us = now_us;
-	SCHED_GROW(a->at, a->nat, a->at_cap);
+	SCHED_GROW(a->at, a->nat, a->at_cap, struct residence);
 	r = &a->at[a->nat++];
 	r->ep = ep;
 	r->slot = slot;
--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -43,12 +43,6 @@
 	free(t);
 }
 
-bool
-team_backlogged(const struct team *t)
-{
-	return t->queued > 0;
-}
-
 /* Its own limit leaves room for one more. */
 bool
 team_may_run(const struct team *t)
@@ -101,7 +95,7 @@
 		return;
 	t->active = true;
 	t->active_index = s->nactive;
-	SCHED_GROW(s->active, s->nactive, s->active_cap);
+	SCHED_GROW(s->active, s->nactive, s->active_cap, struct team *);
 	s->active[s->nactive++] = t;
 }
 
@@ -137,18 +131,26 @@
 	}
 }
 
+/* Sum the weights of the active teams. */
+void
+team_weigh(struct sched *s)
+{
+	uint32_t i;
+
+	s->active_weight = 0.0;
+	for (i = 0; i < s->nactive; i++)
+		s->active_weight += s->active[i]->weight;
+}
+
 /* A team's part of its fair share that its recent requests take, 0 to 1. */
 double
 team_share(const struct sched *s, const struct team *t, uint64_t now_us)
 {
-	double weights = 0.0, rate, share;
-	uint32_t i;
+	double weights = s->active_weight, rate, share;
 
 	if (t == NULL)
 		return 1.0;
 	rate = rate_at(t->rate, t->rate_us, now_us);
-	for (i = 0; i < s->nactive; i++)
-		weights += s->active[i]->weight;
 	if (rate <= 0.0 || weights <= 0.0)
 		return 1.0;
 	share = rate_at(s->rate, s->rate_us, now_us) * t->weight / weights;
@@ -191,6 +193,7 @@
 	double part = charge / t->weight;
 
 	t->counter += part;
+	t->served += part;
 	if (charge <= 0.0)
 		return;
 	s->charge_mean += s->charge_mean == 0.0
@@ -232,6 +235,7 @@
 	double charge = team_final_charge(s, it, usage);
 
 	t->counter += (charge - it->provisional) / t->weight;
+	t->served += (charge - it->provisional) / t->weight;
 	it->provisional = 0.0;
 	t->charge_milli += (uint64_t)(charge * TEAM_MILLI + 0.5);
 	if (usage->outcome != SCHED_DELIVERED || usage->tokens_out == 0)
@@ -241,27 +245,50 @@
 	    : TEAM_MEAN_WEIGHT * (usage->tokens_out - t->output_mean);
 }
 
-/* The spread of the counters of teams whose requests wait for a seat. */
-void
-team_note_gap(struct sched *s)
+/* The spread of what backlogged teams were served. */
+static bool
+team_spread(const struct sched *s, double *least, double *most)
 {
-	double least = 0.0, most = 0.0;
 	const struct team *t;
 	bool found = false;
 	uint32_t i;
 
 	for (i = 0; i < s->nactive; i++) {
 		t = s->active[i];
-		if (!team_backlogged(t) || !team_may_run(t))
+		if (t->queued == 0 || !team_may_run(t))
 			continue;
-		if (!found || t->counter < least)
-			least = t->counter;
-		if (!found || t->counter > most)
-			most = t->counter;
+		if (!found || t->served < *least)
+			*least = t->served;
+		if (!found || t->served > *most)
+			*most = t->served;
 		found = true;
 	}
-	if ((most - least) * TEAM_MILLI > (double)s->largest_gap_milli)
-		s->largest_gap_milli = (uint64_t)((most - least) * TEAM_MILLI);
+	return found;
+}
+
+/* A team begins to wait: the gap counts from what the others have. */
+void
+team_backlog(struct sched *s, struct team *t)
+{
+	double least = 0.0, most = 0.0;
+
+	if (t->queued > 0 || !team_spread(s, &least, &most))
+		return;
+	if (t->served < least)
+		t->served = least;
+	if (t->served > most)
+		t->served = most;
+}
+
+void
+team_note_gap(struct sched *s)
+{
+	double least = 0.0, most = 0.0, milli;
+
+	team_spread(s, &least, &most);
+	milli = (most - least) * TEAM_MILLI;
+	if (milli > (double)s->largest_gap_milli)
+		s->largest_gap_milli = (uint64_t)milli;
 }
 
 static struct remote *
