node: close gaps of followers under steady commits

Cause: a pull that missed entries was taken as in flight whenever anything had been pushed within the last 300 ms; under steady commits that is always, so a follower that lost one push never caught up. Conclusion: resend unless the pulls advance.

--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -4,6 +4,9 @@
 /* A follower that has not pulled for so long gets no more pushes. */
 #define FOLLOWER_GONE_US (4 * NODE_PULL_US)
 
+/* Entries that a pull still misses are not sent again sooner. */
+#define FOLLOW_RESEND_US (100 * 1000ULL)
+
 /* Does this instance get the log as a voter or learner already? */
 static bool
 has_own_log(const struct node *n)
@@ -119,7 +122,6 @@
 static void
 push_to(struct node *n, struct node_peer *peer)
 {
-	peer->pushed_us = n->now;
 	while (peer->next_push <= n->applied) {
 		if (peer->next_push < n->recent_first)
 			push_snapshot(n, peer);
@@ -132,13 +134,17 @@
 node_follow_on_pull(struct node *n, uint32_t from, const Wire__FollowPull *pull)
 {
 	struct node_peer *peer = node_peer(n, from);
-	bool in_flight = peer->next_push > pull->next &&
-	    n->now < peer->pushed_us + NODE_PULL_US;
+	bool advances = pull->next > peer->pull_next;
+	bool early = n->now < peer->resent_us + FOLLOW_RESEND_US;
 
 	peer->pull_us = n->now;
-	if (pull->next > n->applied + 1 || in_flight)
-		return; /* it is ahead, or its entries are on the way */
+	peer->pull_next = pull->next;
+	if (pull->next > n->applied + 1)
+		return; /* it is ahead of this instance */
+	if (peer->next_push > pull->next && (advances || early))
+		return; /* its entries are on the way */
 	peer->next_push = pull->next;
+	peer->resent_us = n->now;
 	push_to(n, peer);
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -52,7 +52,7 @@
 	char **services;
 	size_t nservices;
 	/* as a follower of this instance's log */
-	uint64_t pull_us, next_push, pushed_us;
+	uint64_t pull_us, pull_next, next_push, resent_us;
 	/* as a founding voter */
 	uint64_t hello_us, hello_voter;
 	bool hello_fresh;
