node: reports are JSON objects

Cause: script/demo read {"endpoints": [...]} as docs/PROTOCOL.md lets expect, the node sent a bare list.

--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -243,7 +243,9 @@
 	struct buf out = {0};
 
 	if (may_change(op, team == NULL ? "*" : team)) {
+		buf_puts(&out, "{\"bookings\": ");
 		claim_list(n->claims, team, unknown != NULL, &out);
+		buf_puts(&out, "}\n");
 		route_reply_json(n->fx, request->request, 200, out.data);
 	} else {
 		node_api_refuse(n, request->request, 403, "forbidden",
@@ -262,6 +264,14 @@
 	node_stop(n);
 }
 
+static void
+report_endpoints(const struct node *n, struct buf *out)
+{
+	buf_puts(out, "{\"endpoints\": ");
+	sched_report_json(n->sched, out);
+	buf_puts(out, "}\n");
+}
+
 static void
 api_reports(
     struct node *n, const struct node_request *request, const char *path)
@@ -271,7 +281,7 @@
 	if (strcmp(path, "/v1/status") == 0)
 		node_report_status(n, &out);
 	else
-		sched_report_json(n->sched, &out);
+		report_endpoints(n, &out);
 	route_reply_json(n->fx, request->request, 200, out.data);
 	buf_free(&out);
 }
