--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -151,7 +151,7 @@
 request_adapter(struct sched *s, const struct sched_request *request)
 {
 	bool service = request->adapter == NULL;
-	struct pool *p = pool_get(
+	struct pool *p = sched_pool_get(
 	    s, service, service ? request->service : request->base_model);
 	struct adapter *a =
 	    adapter_get(s, service, service ? p->name : request->adapter, p);
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -17,7 +17,7 @@
 #define ENDPOINT_PENALTY_POWERS 5
 
 struct pool *
-pool_get(struct sched *s, bool service, const char *name)
+sched_pool_get(struct sched *s, bool service, const char *name)
 {
 	char key[300];
 	struct pool *p;
@@ -159,7 +159,7 @@
 endpoint_shape(
     struct sched *s, struct endpoint *ep, const struct sched_report *report)
 {
-	struct pool *p = pool_get(s, report->service,
+	struct pool *p = sched_pool_get(s, report->service,
 	    report->service ? report->service_name : report->base_model);
 
 	if (ep->pool != NULL)
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -288,7 +288,7 @@
 void team_note_gap(struct sched *s);
 
 /* sched_endpoint.c */
-struct pool *pool_get(struct sched *s, bool service, const char *name);
+struct pool *sched_pool_get(struct sched *s, bool service, const char *name);
 struct endpoint *endpoint_get(struct sched *s, const char *id);
 struct endpoint *endpoint_find(const struct sched *s, const char *id);
 void endpoint_free(struct endpoint *ep);
--- a/src/util/effects.c
+++ b/src/util/effects.c
@@ -6,12 +6,20 @@
 #include "mulberrypath/node.h"
 #include "util/mem.h"
 
-/* The list of effects and the memory that they point to. */
+#define ARENA_BLOCK_BYTES 16384
+#define ARENA_ALIGN	  16
+
+/* One block of memory; blocks are kept for reuse while small. */
+struct arena_block {
+	struct arena_block *next;
+	size_t used, size;
+	_Alignas(ARENA_ALIGN) char data[];
+};
+
 struct node_effects {
-	struct node_effect *items;
+	struct arena_block *block; /* newest first */
+	struct node_effect **items;
 	size_t count, cap;
-	char **blocks;
-	size_t nblocks, blocks_cap;
 };
 
 struct node_effects *
@@ -20,15 +28,15 @@
 	return mem_alloc(1, sizeof(struct node_effects));
 }
 
-void
-node_effects_clear(struct node_effects *fx)
+static void
+arena_free(struct arena_block *block)
 {
-	size_t i;
+	struct arena_block *next;
 
-	for (i = 0; i < fx->nblocks; i++)
-		free(fx->blocks[i]);
-	fx->nblocks = 0;
-	fx->count = 0;
+	for (; block != NULL; block = next) {
+		next = block->next;
+		free(block);
+	}
 }
 
 void
@@ -36,12 +44,49 @@
 {
 	if (fx == NULL)
 		return;
-	node_effects_clear(fx);
+	arena_free(fx->block);
 	free(fx->items);
-	free(fx->blocks);
 	free(fx);
 }
 
+void
+node_effects_clear(struct node_effects *fx)
+{
+	struct arena_block *keep = fx->block;
+
+	fx->count = 0;
+	if (keep == NULL)
+		return;
+	arena_free(keep->next);
+	keep->next = NULL;
+	keep->used = 0;
+	if (keep->size <= ARENA_BLOCK_BYTES)
+		return;
+	free(keep);
+	fx->block = NULL;
+}
+
+static void *
+arena_take(struct node_effects *fx, size_t len)
+{
+	struct arena_block *block = fx->block;
+	size_t size = ARENA_BLOCK_BYTES;
+	void *p;
+
+	len = (len + ARENA_ALIGN - 1) / ARENA_ALIGN * ARENA_ALIGN;
+	if (block == NULL || block->size - block->used < len) {
+		if (size < len)
+			size = len;
+		block = mem_alloc(1, sizeof(*block) + size);
+		block->size = size;
+		block->next = fx->block;
+		fx->block = block;
+	}
+	p = block->data + block->used;
+	block->used += len;
+	return p;
+}
+
 size_t
 node_effects_count(const struct node_effects *fx)
 {
@@ -51,40 +96,33 @@
 const struct node_effect *
 node_effects_at(const struct node_effects *fx, size_t i)
 {
-	return &fx->items[i];
+	return fx->items[i];
 }
 
 struct node_effect *
 node_effects_add(struct node_effects *fx, enum node_effect_type type)
 {
-	struct node_effect *e;
+	struct node_effect *effect = arena_take(fx, sizeof(*effect));
 
+	memset(effect, 0, sizeof(*effect));
+	effect->type = type;
 	if (fx->count == fx->cap) {
 		fx->cap = fx->cap == 0 ? 16 : fx->cap * 2;
 		fx->items = mem_resize(fx->items, fx->cap, sizeof(*fx->items));
 	}
-	e = &fx->items[fx->count++];
-	memset(e, 0, sizeof(*e));
-	e->type = type;
-	return e;
-}
-
-static char *
-effects_keep(struct node_effects *fx, char *block)
-{
-	if (fx->nblocks == fx->blocks_cap) {
-		fx->blocks_cap = fx->blocks_cap == 0 ? 16 : fx->blocks_cap * 2;
-		fx->blocks =
-		    mem_resize(fx->blocks, fx->blocks_cap, sizeof(*fx->blocks));
-	}
-	fx->blocks[fx->nblocks++] = block;
-	return block;
+	fx->items[fx->count++] = effect;
+	return effect;
 }
 
 char *
 node_effects_copy(struct node_effects *fx, const void *p, size_t len)
 {
-	return effects_keep(fx, mem_copy(p, len));
+	char *copy = arena_take(fx, len + 1);
+
+	if (len > 0)
+		memcpy(copy, p, len);
+	copy[len] = '\0';
+	return copy;
 }
 
 char *
@@ -98,9 +136,11 @@
 	va_copy(again, args);
 	n = vsnprintf(NULL, 0, format, args);
 	va_end(args);
-	text = mem_alloc((size_t)(n < 0 ? 0 : n) + 1, 1);
-	if (n > 0)
-		(void)vsnprintf(text, (size_t)n + 1, format, again);
+	if (n < 0)
+		n = 0;
+	text = arena_take(fx, (size_t)n + 1);
+	text[0] = '\0';
+	(void)vsnprintf(text, (size_t)n + 1, format, again);
 	va_end(again);
-	return effects_keep(fx, text);
+	return text;
 }
