--- a/src/sched/policy_fair.c
+++ b/src/sched/policy_fair.c
@@ -129,7 +129,7 @@
 	if (t->queued == 0 || !team_may_run(t))
 		return false;
 	for (f = t->flows; f != NULL; f = f->team_next) {
-		if (best->it != NULL && f->head->rank >= best->it->rank)
+		if (best->it != NULL && item_before(best->it, f->head))
 			continue;
 		if (fair_flow_pick(s, now_us, f, &pick))
 			*best = pick;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -201,6 +201,7 @@
 	    : request->queued_us;
 	it->deadline_us =
 	    request->deadline_us == 0 ? SCHED_NEVER : request->deadline_us;
+	it->order = ++s->arrivals;
 	it->rank = it->queued_us + request->priority * SCHED_PRIORITY_US;
 	it->prompt_tokens = request->prompt_tokens;
 	it->max_tokens = request->max_tokens;
--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -15,14 +15,14 @@
 };
 
 static uint32_t
-flow_before(const struct flow *f, uint64_t rank)
+flow_before(const struct flow *f, const struct item *than)
 {
 	const struct item *it;
 	uint32_t n = 0;
 
-	if (f->tail->rank < rank)
+	if (item_before(f->tail, than))
 		return f->count;
-	for (it = f->head; it != NULL && it->rank < rank; it = it->next)
+	for (it = f->head; it != NULL && item_before(it, than); it = it->next)
 		n++;
 	return n;
 }
@@ -50,7 +50,7 @@
 	for (f = it->team->flows; f != NULL; f = f->team_next) {
 		if (f->adapter->pool != it->adapter->pool)
 			continue;
-		ahead->requests += flow_before(f, it->rank);
+		ahead->requests += flow_before(f, it);
 		if (f != it->flow && flow_wants_load(f) &&
 		    flow_stall(f, now_us) > flow_stall(it->flow, now_us))
 			ahead->loads += 1.0;
--- a/src/sched/sched_cache.c
+++ b/src/sched/sched_cache.c
@@ -64,7 +64,7 @@
 	set->ring = mem_alloc(set->room, sizeof(*set->ring));
 	set->used = set->head = 0;
 	for (i = 0; i < old.used; i++) {
-		prefix = old.ring[(old.head + i) % old.room];
+		prefix = old.ring[(old.head + i) & (old.room - 1)];
 		if (!prefix_has(&old, prefix) || prefix_has(set, prefix))
 			continue;
 		set->ring[set->used++] = prefix;
@@ -83,10 +83,10 @@
 		prefix_grow(set);
 	if (set->used == set->room) {
 		prefix_remove(set, set->ring[set->head]);
-		set->head = (set->head + 1) % set->room;
+		set->head = (set->head + 1) & (set->room - 1);
 		set->used--;
 	}
-	set->ring[(set->head + set->used) % set->room] = prefix;
+	set->ring[(set->head + set->used) & (set->room - 1)] = prefix;
 	set->used++;
 	set->table[prefix_place(set, prefix)] = prefix;
 }
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -152,6 +152,7 @@
 	ep->limit = ENDPOINT_START_LIMIT;
 	ep->foreign = 0;
 	ep->as_of_us = 0;
+	ep->detached_us = 0;
 	ep->evict_after_us = 0;
 }
 
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -92,6 +92,7 @@
 	uint64_t penalty_until_us;
 	uint32_t penalties;
 	uint64_t as_of_us; /* of the newest report */
+	uint64_t detached_us; /* when a slot was last emptied */
 	uint64_t evict_after_us; /* 0: evictions are allowed */
 	enum sched_role role, role_wanted;
 	struct prefix_set prefixes;
@@ -185,6 +186,7 @@
 	uint32_t heap_index;
 	uint64_t check_us; /* key of the heap */
 	uint64_t rank; /* aged priority */
+	uint64_t order; /* of arrival */
 	uint64_t enqueued_us, queued_us, deadline_us;
 	uint32_t prompt_tokens, max_tokens;
 	uint64_t prefix;
@@ -240,6 +242,7 @@
 	bool refit; /* endpoints went: look at all waiting requests */
 	uint64_t next_us;
 	uint64_t run; /* counts runs */
+	uint64_t arrivals;
 	uint64_t role_check_us;
 	size_t sweep;
 	uint64_t loads, load_failures, evictions, stall_us;
@@ -268,6 +271,7 @@
 void item_free(struct sched *s, struct item *it);
 void item_check_at(struct sched *s, struct item *it, uint64_t at_us);
 struct item *item_next_check(const struct sched *s);
+bool item_before(const struct item *a, const struct item *b);
 bool item_avoids(const struct item *it, const struct endpoint *ep);
 
 /* sched_team.c */
--- a/src/sched/sched_item.c
+++ b/src/sched/sched_item.c
@@ -90,6 +90,13 @@
 	return s->heap_count == 0 ? NULL : s->heap[0];
 }
 
+/* Order within a team: by aged priority, then by arrival. */
+bool
+item_before(const struct item *a, const struct item *b)
+{
+	return a->rank != b->rank ? a->rank < b->rank : a->order < b->order;
+}
+
 bool
 item_avoids(const struct item *it, const struct endpoint *ep)
 {
@@ -145,7 +152,7 @@
 {
 	struct item *after = f->tail;
 
-	while (after != NULL && after->rank > it->rank)
+	while (after != NULL && item_before(it, after))
 		after = after->prev;
 	it->prev = after;
 	it->next = after == NULL ? f->head : after->next;
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -57,14 +57,16 @@
 
 /* Whether one more load, or the claim of one, may be ordered. */
 static bool
-load_room(struct sched *s, uint64_t now_us, uint64_t ahead_us)
+load_room(struct sched *s, uint64_t now_us, uint64_t ahead_us, uint32_t claims)
 {
 	uint64_t at = load_rate_at(s);
-	uint32_t i, taken = s->in_flight + load_ghosts(s, now_us);
+	uint32_t i, taken = s->in_flight + load_ghosts(s, now_us) + claims;
 
 	if (!sched_guards.permits)
 		return true;
-	if (at == SCHED_NEVER || taken >= s->permit_in_flight) {
+	if (at == SCHED_NEVER)
+		return false;
+	if (taken >= s->permit_in_flight) {
 		for (i = 0; i < s->nghosts; i++)
 			sched_wake(s, s->ghosts[i]);
 		return false;
@@ -78,11 +80,9 @@
 bool
 load_permitted(struct sched *s, uint64_t now_us)
 {
-	if (sched_guards.permits &&
-	    s->in_flight + s->nclaims + load_ghosts(s, now_us) >=
-		s->permit_in_flight)
-		return false;
-	return load_room(s, now_us, s->nclaims == 0 ? LOAD_CLAIM_AHEAD_US : 0);
+	uint64_t ahead = s->nclaims == 0 ? LOAD_CLAIM_AHEAD_US : 0;
+
+	return load_room(s, now_us, ahead, s->nclaims);
 }
 
 static void
@@ -151,7 +151,7 @@
 			claim_remove(s, c.slot);
 			continue;
 		}
-		if (!load_room(s, now_us, 0))
+		if (!load_room(s, now_us, 0, 0))
 			return;
 		claim_remove(s, c.slot);
 		load_start(s, now_us, c.ep, c.slot, a);
@@ -200,7 +200,7 @@
 	if (!load_permitted(s, now_us))
 		return false;
 	if (slot != NULL) {
-		if (!load_room(s, now_us, 0))
+		if (!load_room(s, now_us, 0, 0))
 			return false;
 		load_start(s, now_us, ep, slot, a);
 		return true;
--- a/src/sched/sched_slot.c
+++ b/src/sched/sched_slot.c
@@ -132,7 +132,7 @@
 	}
 	memset(slot, 0, sizeof(*slot));
 	slot->next = next;
-	slot->changed_us = now_us;
+	slot->changed_us = ep->detached_us = now_us;
 }
 
 void
@@ -255,14 +255,16 @@
 	size_t i;
 
 	slots_drop_missing(s, ep, now_us, report, as_of_us);
+	if (ep->detached_us >= as_of_us)
+		return;
 	for (i = 0; i < report->slot_count; i++) {
 		said = &report->slots[i];
 		a = adapter_get(s, false, said->adapter, ep->pool);
 		if (slot_find(ep, a) != NULL)
 			continue;
 		slot = slot_vacant(ep);
-		if (slot == NULL || slot->changed_us >= as_of_us)
-			continue;
+		if (slot == NULL)
+			break;
 		slot_attach(ep, slot, a,
 		    said->loading ? SLOT_LOADING : SLOT_LOADED, now_us);
 		slot->reported = said->running;
