--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -35,6 +35,13 @@
 	return !a->service && a->loaded == 0 && a->loading == 0;
 }
 
+/* Requests that wait for a load do not stand in the way of a seat. */
+static bool
+flow_wants_seat(const struct flow *f)
+{
+	return f->adapter->service || f->adapter->loaded > 0;
+}
+
 static uint64_t
 flow_stall(const struct flow *f, uint64_t now_us)
 {
@@ -50,7 +57,8 @@
 	for (f = it->team->flows; f != NULL; f = f->team_next) {
 		if (f->adapter->pool != it->adapter->pool)
 			continue;
-		ahead->requests += flow_before(f, it);
+		if (f == it->flow || flow_wants_seat(f))
+			ahead->requests += flow_before(f, it);
 		if (f != it->flow && flow_wants_load(f) &&
 		    flow_stall(f, now_us) > flow_stall(it->flow, now_us))
 			ahead->loads += 1.0;
@@ -69,7 +77,8 @@
 	for (f = t->flows; f != NULL; f = f->team_next) {
 		if (f->adapter->pool != it->adapter->pool)
 			continue;
-		requests += f->count;
+		if (flow_wants_seat(f))
+			requests += f->count;
 		if (flow_wants_load(f))
 			loads += 1.0;
 	}
