--- a/tests/sched/sched_target_test.cc
+++ b/tests/sched/sched_target_test.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "sched/sched_guard.h"
 #include "sched_sim.h"
 
 /*
@@ -67,33 +68,170 @@
 	EXPECT_EQ(0u, r.no_retry_after);
 }
 
-TEST(SchedTarget, PoliciesSideBySide)
+/* Total stall at 60% of the seats, Zipf over 3,000 adapters. */
+TEST(SchedTarget, StallIsAtMostHalfOfLeastLoaded)
 {
-	for (double zipf : {1.1, 1.2, 1.4})
-		for (double load : {0.6, 0.9})
-			for (settings_objective objective :
-			    {SETTINGS_LOAD_STALL, SETTINGS_BATCH})
-				for (const char *policy :
-				    {"fair", "least-loaded", "round-robin"}) {
-					SimOptions o = Steinlicht(load, zipf);
-					o.policy = policy;
-					o.objective = objective;
-					if (objective == SETTINGS_BATCH &&
-					    policy[0] == 'l')
-						continue;
-					if (objective == SETTINGS_LOAD_STALL &&
-					    policy[0] == 'r')
-						continue;
-					o.end_s = 660;
-					SimResult r = SimRun(o);
-					std::string name = policy;
-					name += " z" +
-					    std::to_string(zipf).substr(0, 3);
-					name += load < 0.7 ? " 60%" : " 90%";
-					name += objective == SETTINGS_BATCH
-					    ? " batch"
-					    : " stall";
-					Print(name.c_str(), r);
-					ExpectSound(r);
-				}
+	for (double zipf : {1.1, 1.2, 1.4}) {
+		SimOptions o = Steinlicht(0.6, zipf);
+		SimResult fair = SimRun(o);
+
+		o.policy = "least-loaded";
+		SimResult least = SimRun(o);
+		Print("fair", fair);
+		Print("least-loaded", least);
+		ExpectSound(fair);
+		ExpectSound(least);
+		EXPECT_LE(fair.stall_all_s, least.stall_all_s / 2.0);
+		EXPECT_LE(fair.stall_s / (double)fair.delivered,
+		    least.stall_s / (double)least.delivered / 2.0);
+		EXPECT_GE(fair.delivered, least.delivered);
+	}
+}
+
+TEST(SchedTarget, BatchIsAtLeastThreeTenthsAboveRoundRobin)
+{
+	for (double zipf : {1.1, 1.2, 1.4}) {
+		SimOptions o = Steinlicht(0.9, zipf);
+
+		o.objective = SETTINGS_BATCH;
+		SimResult fair = SimRun(o);
+		o.policy = "round-robin";
+		SimResult turn = SimRun(o);
+		Print("fair", fair);
+		Print("round-robin", turn);
+		ExpectSound(fair);
+		ExpectSound(turn);
+		EXPECT_GE(fair.batch, 1.3 * turn.batch);
+	}
+}
+
+/* One team at ten times its share. */
+TEST(SchedTarget, FloodCostsQuietTeamsNothing)
+{
+	for (settings_charge charge :
+	    {SETTINGS_CHARGE_REQUESTS, SETTINGS_CHARGE_TOKENS})
+		for (const char *policy : {"fair", "fifo"}) {
+			SimOptions o = Steinlicht(0.5, 1.4);
+			o.policy = policy;
+			o.charge = charge;
+			SimResult calm = SimRun(o);
+			/* The fifth of ten by its rate: about a 20th. */
+			o.teams[4].rate *= 10.0;
+			SimResult flood = SimRun(o);
+			Print((std::string(policy) + " calm").c_str(), calm);
+			Print((std::string(policy) + " flood").c_str(), flood);
+			ExpectSound(flood);
+			if (o.policy != "fair")
+				continue;
+			for (auto &t : o.teams) {
+				SimTeamResult &a = calm.teams[t.name];
+				SimTeamResult &b = flood.teams[t.name];
+
+				printf("  %s delivered %zu -> %zu, wait p95 "
+				       "%.3f -> %.3f s\n",
+				    t.name.c_str(), (size_t)a.delivered,
+				    (size_t)b.delivered, a.Wait(0.95),
+				    b.Wait(0.95));
+				if (t.name == "t4")
+					continue;
+				EXPECT_GE(b.delivered, 0.95 * a.delivered);
+				EXPECT_LE(
+				    b.Wait(0.95), 2.0 * a.Wait(0.95) + 0.05);
+			}
+		}
+}
+
+TEST(SchedTarget, GoodputHoldsUnderOverload)
+{
+	for (double zipf : {1.2, 1.4}) {
+		SimOptions o = Steinlicht(1.0, zipf);
+		SimResult full = SimRun(o);
+
+		o = Steinlicht(1.5, zipf);
+		SimResult over = SimRun(o);
+		Print("100%", full);
+		Print("150%", over);
+		ExpectSound(over);
+		EXPECT_GE(over.Goodput(), 0.95 * full.Goodput());
+	}
+}
+
+TEST(SchedTarget, PopularityFlipRecovers)
+{
+	SimOptions o = Steinlicht(0.6, 1.4);
+
+	o.flip_s = 120.0;
+	o.end_s = 420.0;
+	SimResult r = SimRun(o);
+	Print("flip", r);
+	for (double stall : r.stall_after_flip_s)
+		printf(" %.3f", stall);
+	printf(" s mean stall of each 30 s after the flip\n");
+	ExpectSound(r);
+	EXPECT_LE(r.stall_after_flip_s[4], 0.5);
+}
+
+/* Cold engine, lying reports, failing loads: nothing is broken by them. */
+TEST(SchedTarget, FaultsBreakNoInvariant)
+{
+	SimOptions o = Steinlicht(0.6, 1.4);
+	SimResult calm = SimRun(o);
+
+	Print("calm", calm);
+	o.cold_s = 150.0;
+	SimResult cold = SimRun(o);
+	Print("cold engine", cold);
+	ExpectSound(cold);
+	EXPECT_GE(cold.delivered + 10, calm.delivered);
+	o.cold_s = 0.0;
+	o.lying = true;
+	SimResult lying = SimRun(o);
+	Print("lying reports", lying);
+	ExpectSound(lying);
+	EXPECT_GE(lying.delivered, 0.95 * calm.delivered);
+	o.lying = false;
+	o.load_failures = 0.2;
+	SimResult failing = SimRun(o);
+	Print("a fifth of loads fail", failing);
+	ExpectSound(failing);
+	EXPECT_GE(failing.delivered, 0.95 * calm.delivered);
+}
+
+TEST(SchedTarget, PrioritiesStarveNobody)
+{
+	SimOptions o = Steinlicht(0.9, 1.4);
+
+	for (SimTeam &t : o.teams)
+		t.priority_high_percent = 80;
+	SimResult r = SimRun(o);
+	Print("priorities", r);
+	ExpectSound(r);
+	EXPECT_GE(r.delivered, 0.9 * r.offered);
+}
+
+/* The checkers of the simulation see what they are there for. */
+TEST(SchedTarget, CheckersFailWithoutTheirGuards)
+{
+	struct sched_guards all = sched_guards;
+	SimOptions o = Steinlicht(0.9, 1.1);
+
+	o.end_s = 120.0;
+	sched_guards.pins = sched_guards.running = false;
+	EXPECT_GT(SimRun(o).evicted_in_use, 0u);
+	sched_guards = all;
+	sched_guards.permits = false;
+	EXPECT_GT(SimRun(o).beyond_permits, 0u);
+	sched_guards = all;
+	ExpectSound(SimRun(o));
+}
+
+TEST(SchedTarget, SameSeedSameDecisions)
+{
+	SimOptions o = Steinlicht(0.9, 1.1);
+
+	o.end_s = 120.0;
+	SimResult a = SimRun(o), b = SimRun(o);
+	EXPECT_EQ(a.delivered, b.delivered);
+	EXPECT_EQ(a.loads, b.loads);
+	EXPECT_EQ(a.stall_s, b.stall_s);
 }
