raft: seeded faults, checkers, and a table of guards switched off

Found on the way, each by a seed that failed first: - seed 797: a leader that removed itself and lost its role before the entry got round could not stand, though the others needed its log: no leader ever. One removed by an uncommitted change may now stand and vote. - seed 68: a live voter could be removed while another was dead, leaving no quorum. A change whose voters are not heard by a quorum is now MP_ERR_UNAVAILABLE (raft.h says so).

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -128,7 +128,7 @@
 		return code;
 	}
 	/* A leader may rely on what we promised before the restart. */
-	if (!raft_is_empty(r))
+	if (!raft_is_empty(r) && !RAFT_FAULT(forget_promise))
 		r->promise_until_us = now_us + options->election_min_us;
 	raft_election_reset(r);
 	*out = r;
@@ -325,9 +325,10 @@
 {
 	uint64_t term = 0, acked = raft_quorum_acked(r);
 
-	if (r->role != RAFT_LEADER ||
-	    !raft_log_term(&r->log, r->commit, &term) || term != r->term ||
-	    acked == 0)
+	if (r->role != RAFT_LEADER || acked == 0)
+		return 0;
+	if ((!raft_log_term(&r->log, r->commit, &term) || term != r->term) &&
+	    !RAFT_FAULT(authority_early))
 		return 0;
 	return acked + r->options.election_min_us / 100 * RAFT_LEASE_PERCENT;
 }
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -122,8 +122,9 @@
 
 /*
  * Change the membership by one; one change at a time.
- * Errors: MP_ERR_NOT_LEADER, MP_ERR_UNAVAILABLE (another change or, for
- * RAFT_PROMOTE, the learner has not caught up), MP_ERR_INVALID.
+ * Errors: MP_ERR_NOT_LEADER, MP_ERR_UNAVAILABLE (another change; for
+ * RAFT_PROMOTE, the learner has not caught up; too few of the voters left
+ * have been heard lately), MP_ERR_INVALID.
  */
 int raft_change_config(struct raft *r, uint64_t now_us, enum raft_change change,
     uint64_t id, struct node_effects *fx, struct mp_error *err);
--- a/src/raft/raft_config.c
+++ b/src/raft/raft_config.c
@@ -124,6 +124,42 @@
 	return r->nconfigs == 0 ? 0 : r->configs[r->nconfigs - 1].index;
 }
 
+bool
+raft_is_voter(const struct raft *r)
+{
+	return raft_config_is_voter(raft_get_config(r), r->options.self);
+}
+
+/* The config that returns if the newest one gets lost, or NULL. */
+static const struct raft_config *
+config_fallback(const struct raft *r)
+{
+	if (r->nconfigs < 2 || raft_config_index(r) <= r->commit)
+		return NULL;
+	return &r->configs[r->nconfigs - 2].config;
+}
+
+/*
+ * May this one stand for election? One that an uncommitted change removes
+ * may too: others can be in need of its log to commit that change.
+ */
+bool
+raft_may_stand(const struct raft *r)
+{
+	const struct raft_config *c = config_fallback(r);
+
+	return raft_is_voter(r) ||
+	    (c != NULL && raft_config_is_voter(c, r->options.self));
+}
+
+/* A learner votes too: it may be a voter that does not know it yet. */
+bool
+raft_may_vote(const struct raft *r)
+{
+	return raft_may_stand(r) ||
+	    raft_config_is_learner(raft_get_config(r), r->options.self);
+}
+
 /* The config in force at an index; NULL when there was none. */
 const struct raft_config *
 raft_config_for(const struct raft *r, uint64_t index)
@@ -256,6 +292,24 @@
 	return MP_ERR_INVALID;
 }
 
+/* Would the voters that we hear be a quorum of this config? */
+static bool
+config_is_live(const struct raft *r, const struct raft_config *c)
+{
+	size_t i, live = 0;
+
+	for (i = 0; i < c->nvoters; i++) {
+		const struct raft_peer *p =
+		    raft_find_peer((struct raft *)r, c->voters[i]);
+
+		if (c->voters[i] == r->options.self ||
+		    (p != NULL &&
+			p->heard_us + r->options.election_min_us > r->now_us))
+			live++;
+	}
+	return live >= c->nvoters / 2 + 1;
+}
+
 int
 raft_change_config(struct raft *r, uint64_t now_us, enum raft_change change,
     uint64_t id, struct node_effects *fx, struct mp_error *err)
@@ -281,6 +335,9 @@
 	if (change == RAFT_PROMOTE && !raft_learner_caught_up(r, id))
 		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
 		    "the learner has not caught up");
+	if (change != RAFT_ADD_LEARNER && !config_is_live(r, &config))
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
+		    "too few of the voters left are alive");
 	raft_config_pack(&config, &b);
 	data.data = b.data;
 	data.len = b.len;
--- a/src/raft/raft_fault.h
+++ b/src/raft/raft_fault.h
@@ -22,6 +22,9 @@
 	bool commit_old_term; /* entries of older terms counted directly */
 	bool keep_conflict; /* conflicting entries are not cut */
 	bool many_changes; /* changes do not wait for each other */
+	bool forget_promise; /* a restart frees from the promise */
+	bool lease_from_receipt; /* not from when a heartbeat was sent */
+	bool authority_early; /* before an entry of the term is committed */
 };
 
 #ifdef MP_TEST_FAULTS
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -148,6 +148,9 @@
 /* raft_config.c: the membership */
 bool raft_config_is_voter(const struct raft_config *c, uint64_t id);
 bool raft_config_is_learner(const struct raft_config *c, uint64_t id);
+bool raft_is_voter(const struct raft *r);
+bool raft_may_stand(const struct raft *r);
+bool raft_may_vote(const struct raft *r);
 void raft_config_pack(const struct raft_config *c, struct buf *out);
 int raft_config_unpack(struct raft_config *out, struct node_bytes bytes);
 int raft_config_from_pb(struct raft_config *out, const Raft__Config *pb);
@@ -170,19 +173,4 @@
 void raft_install_received(struct raft *r, uint64_t from, uint64_t term,
     const Raft__Install *m, struct node_effects *fx);
 
-static inline bool
-raft_is_member(const struct raft *r)
-{
-	const struct raft_config *c = raft_get_config(r);
-
-	return raft_config_is_voter(c, r->options.self) ||
-	    raft_config_is_learner(c, r->options.self);
-}
-
-static inline bool
-raft_is_voter(const struct raft *r)
-{
-	return raft_config_is_voter(raft_get_config(r), r->options.self);
-}
-
 #endif
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -296,6 +296,8 @@
 	p->heard_us = r->now_us;
 	if (m->sent_us > p->acked_us)
 		p->acked_us = m->sent_us;
+	if (RAFT_FAULT(lease_from_receipt))
+		p->acked_us = r->now_us;
 	peer_matched(p, m->match);
 	if (m->rejected)
 		peer_rejected(r, p, m);
--- a/src/raft/raft_vote.c
+++ b/src/raft/raft_vote.c
@@ -97,7 +97,7 @@
 raft_campaign(struct raft *r, struct node_effects *fx)
 {
 	raft_election_reset(r);
-	if (!raft_is_voter(r))
+	if (!raft_may_stand(r))
 		return;
 	r->role = RAFT_CANDIDATE;
 	r->pre_vote = true;
@@ -157,7 +157,7 @@
 {
 	bool granted;
 
-	if (!raft_is_member(r) || vote_is_promised(r))
+	if (!raft_may_vote(r) || vote_is_promised(r))
 		return;
 	if (ask->pre) {
 		granted = term > r->term && vote_log_is_current(r, ask);
--- a/src/store/store_log.c
+++ b/src/store/store_log.c
@@ -243,9 +243,8 @@
 		code = log_cut_torn_roll(log, i, good, content.len);
 	if (code != MP_OK)
 		code = log_damage(err, "a bad record", s->number);
-	else if (last && continued)
-		code = log_damage(err, "the next one is missing", s->number);
-	else if (!last && log->segments[i + 1].number != s->number + 1)
+	else if (last ? continued
+		      : log->segments[i + 1].number != s->number + 1)
 		code = log_damage(err, "the next one is missing", s->number);
 	log->offset = (int64_t)good;
 cleanup:
--- a/src/store/store_open.c
+++ b/src/store/store_open.c
@@ -189,7 +189,7 @@
 content_read_state(
     struct store_content *c, const char *folder, struct mp_error *err)
 {
-	struct raft_record rec;
+	struct raft_record rec = {0};
 	struct buf b = {0};
 	int code;
 
@@ -210,7 +210,7 @@
 content_read_snapshot(
     struct store_content *c, const char *folder, struct mp_error *err)
 {
-	struct raft_record rec;
+	struct raft_record rec = {0};
 	int code;
 
 	code = record_file_read(folder, STORE_FILE_SNAPSHOT,
@@ -230,7 +230,7 @@
 content_read(struct store_content *c, const struct store_files *files,
     const char *folder, struct mp_error *err)
 {
-	struct raft_record rec;
+	struct raft_record rec = {0};
 	struct buf b = {0};
 	int code;
 
--- /dev/null
+++ b/tests/raft/chaos_test.cc
@@ -0,0 +1,132 @@
+#include <gtest/gtest.h>
+
+#include "chaos.h"
+
+constexpr uint64_t kChaos = 12 * kSecond;
+constexpr uint64_t kCalm = 8 * kSecond;
+
+/* A fifth of a second of some trouble, drawn from the seed. */
+static void
+chaos_step(Net &net, int n)
+{
+	size_t i = rng_below(&net.random, (uint32_t)net.m.size());
+	size_t j = rng_below(&net.random, (uint32_t)net.m.size());
+	int l = net.leader();
+
+	switch (rng_below(&net.random, 16)) {
+	case 0:
+		net.crash(i);
+		break;
+	case 1:
+		if (l >= 0)
+			net.crash((size_t)l);
+		break;
+	case 2:
+	case 3:
+		net.restart(i);
+		break;
+	case 4:
+		net.isolate(l >= 0 ? (size_t)l : i);
+		break;
+	case 5:
+		if (i != j)
+			net.cut(i, j);
+		break;
+	case 6:
+	case 7:
+		net.heal();
+		break;
+	case 8:
+		/* Only one disk at a time: two would lose a quorum. */
+		if (net.config_is_whole())
+			net.replace_disk(i);
+		break;
+	case 9:
+		/* One way, so that only one stops hearing the leader. */
+		if (l >= 0 && (size_t)l != i)
+			net.cut((size_t)l, i);
+		break;
+	case 10:
+		for (size_t k = 0; k < net.m.size(); k++)
+			net.crash(k);
+		for (size_t k = 0; k < net.m.size(); k++) {
+			if (k != i)
+				net.restart(k);
+		}
+		break;
+	case 11:
+		/* By whoever believes to lead, while no disk is missing. */
+		if (net.m[i].r != nullptr &&
+		    raft_get_role(net.m[i].r) == RAFT_LEADER &&
+		    net.config_is_current(i)) {
+			net.change(i, RAFT_REMOVE, net.m[j].id);
+			net.change(
+			    i, RAFT_REMOVE, net.m[(j + 1) % net.m.size()].id);
+		}
+		break;
+	default:
+		net.mend_config();
+		break;
+	}
+	for (int k = 0; k < 4; k++) {
+		l = net.leader();
+		i = rng_below(&net.random, (uint32_t)net.m.size());
+		if (l >= 0)
+			net.propose((size_t)l,
+			    std::to_string(n) + "." + std::to_string(k));
+		/* Whoever believes to lead may be wrong. */
+		if (net.m[i].r != nullptr &&
+		    raft_get_role(net.m[i].r) == RAFT_LEADER)
+			net.propose(i, "old " + std::to_string(n));
+		net.run_for(rng_below(&net.random, 100000));
+	}
+}
+
+std::string
+run_chaos(uint64_t seed)
+{
+	NetOptions o;
+
+	o.members = seed % 3 == 0 ? 5 : 3;
+	o.drop = seed % 2 == 0 ? 0.05 : 0;
+	o.twice = 0.05;
+	o.spike = 0.03;
+	o.save_max = seed % 5 == 0 ? 60000 : 5000;
+	o.drift = true;
+	o.batch_bytes = seed % 4 == 0 ? 200 : 4096;
+	o.compact_every = seed % 7 == 0 ? 0 : 15;
+	Net net(seed, o);
+
+	net.run_for(kSecond / 5); /* the founding is saved everywhere */
+	for (int n = 0; net.now < kChaos && net.violation.empty(); n++)
+		chaos_step(net, n);
+	net.heal();
+	net.options.drop = net.options.spike = 0;
+	for (size_t i = 0; i < net.m.size(); i++)
+		net.restart(i);
+	for (int n = 0; n < 40 && net.violation.empty(); n++) {
+		net.run_for(kCalm / 40);
+		net.mend_config();
+	}
+	int l = net.leader();
+
+	if (net.violation.empty() && l < 0)
+		return "no leader after all faults ended";
+	if (net.violation.empty()) {
+		net.propose((size_t)l, "last");
+		net.run_for(kSecond);
+		if (!net.config_is_whole())
+			return "the membership was not mended";
+		net.check_all_equal();
+	}
+	return net.violation;
+}
+
+TEST(RaftChaos, Seeds)
+{
+	for (uint64_t seed = 1; seed <= 300; seed++) {
+		std::string found = run_chaos(seed);
+
+		ASSERT_EQ(found, "") << "seed " << seed;
+	}
+}
--- a/tests/raft/net.cc
+++ b/tests/raft/net.cc
@@ -5,7 +5,14 @@
 #include <algorithm>
 #include <cstring>
 
-static const uint32_t kGroup = 7;
+std::string
+pack(const Raft__Message &msg)
+{
+	std::string out(raft__message__get_packed_size(&msg), 0);
+
+	raft__message__pack(&msg, (uint8_t *)&out[0]);
+	return out;
+}
 
 void
 Disk::apply(const Save &save, size_t records_kept)
@@ -259,15 +266,20 @@
 }
 
 void
-Net::run_until(uint64_t t)
+Net::step()
 {
-	while (violation.empty() && !events.empty() && events.top().at <= t) {
-		Event e = events.top();
+	Event e = events.top();
 
-		events.pop();
-		now = std::max(now, e.at);
-		handle(e);
-	}
+	events.pop();
+	now = std::max(now, e.at);
+	handle(e);
+}
+
+void
+Net::run_until(uint64_t t)
+{
+	while (violation.empty() && !events.empty() && events.top().at <= t)
+		step();
 	now = std::max(now, t);
 }
 
@@ -282,7 +294,6 @@
 	fx = node_effects_create();
 	if (e.type == Event::MESSAGE) {
 		if (cuts.count({e.from, e.to}) == 0) {
-			delivered++;
 			raft_receive(x.r, local(e.to), e.from_id,
 			    {e.bytes.data(), e.bytes.size()}, fx);
 		}
@@ -363,8 +374,28 @@
 {
 	raft_message msg;
 
-	while (raft_take_message(m[i].r, &msg))
+	while (raft_take_message(m[i].r, &msg)) {
+		check_vote(i, msg);
 		send(i, msg.to, std::string(msg.bytes.data, msg.bytes.len));
+	}
+}
+
+/* A voter grants one candidate a term, crashes or not. */
+void
+Net::check_vote(size_t i, const raft_message &msg)
+{
+	Raft__Message *pb = raft__message__unpack(
+	    nullptr, msg.bytes.len, (const uint8_t *)msg.bytes.data);
+
+	if (pb->body_case == RAFT__MESSAGE__BODY_VOTE_REPLY &&
+	    pb->vote_reply->granted && !pb->vote_reply->pre) {
+		auto it =
+		    vote_of.emplace(std::make_pair(m[i].id, pb->term), msg.to);
+
+		if (it.first->second != msg.to)
+			fail("two votes in a term");
+	}
+	raft__message__free_unpacked(pb, nullptr);
 }
 
 void
@@ -378,8 +409,9 @@
 	     copies--) {
 		if (rng_unit(&random) < options.drop)
 			continue;
-		uint64_t delay =
-		    100 + rng_below(&random, (uint32_t)options.delay_max);
+		uint64_t delay = 100 +
+		    rng_below(&random, (uint32_t)options.delay_max) +
+		    extra_delay[{from, (size_t)to}];
 
 		if (rng_unit(&random) < options.spike)
 			delay +=
@@ -459,6 +491,13 @@
 		if (j != i && m[j].authority > now)
 			fail("two authorities");
 	}
+	for (auto c = commit_term.rbegin(); c != commit_term.rend(); c++) {
+		if (c->second >= term)
+			continue;
+		if (x.applied < c->first)
+			fail("an authority has not applied all");
+		break;
+	}
 }
 
 /* A new leader holds all that was committed in earlier terms. */
@@ -489,11 +528,24 @@
 	if (l < 0)
 		return false;
 	c = raft_get_config(m[l].r);
-	if (raft_config_index(m[l].r) > raft_get_commit(m[l].r) ||
-	    c->nvoters != m.size() || c->nlearners != 0)
+	if (m[l].authority <= now || c->nvoters != m.size() ||
+	    c->nlearners != 0)
 		return false;
 	for (const auto &x : m) {
-		if (!raft_config_is_voter(c, x.id) || x.r == nullptr)
+		if (!raft_config_is_voter(c, x.id) || x.r == nullptr ||
+		    raft_config_index(x.r) > raft_get_commit(x.r))
+			return false;
+	}
+	return true;
+}
+
+bool
+Net::config_is_current(size_t i) const
+{
+	const raft_config *c = raft_get_config(m[i].r);
+
+	for (size_t n = 0; n < c->nvoters; n++) {
+		if (place(c->voters[n]) < 0)
 			return false;
 	}
 	return true;
--- a/tests/raft/net.h
+++ b/tests/raft/net.h
@@ -19,6 +19,10 @@
 constexpr uint64_t kElectionMax = 400000;
 constexpr uint64_t kSecond = 1000000;
 
+constexpr uint32_t kGroup = 7;
+
+std::string pack(const Raft__Message &msg);
+
 struct Save {
 	node_save s;
 	std::string data;
@@ -76,6 +80,7 @@
 	{
 		run_until(now + us);
 	}
+	void step(); /* one event */
 	/* Run until one leads with an own entry committed; its place or -1. */
 	int run_to_leader(uint64_t limit = 10 * kSecond);
 
@@ -101,6 +106,8 @@
 	/* Bring the membership a step towards all current ids as voters. */
 	void mend_config();
 	bool config_is_whole() const;
+	/* Does the config of this one name no lost disk? */
+	bool config_is_current(size_t i) const;
 	void check_all_equal();
 
 	uint64_t now = kSecond;
@@ -108,7 +115,7 @@
 	std::string violation; /* of the first checker that failed */
 	std::set<std::pair<size_t, size_t>> cuts;
 	std::map<uint64_t, std::string> committed; /* packed by index */
-	uint64_t delivered = 0;
+	std::map<std::pair<size_t, size_t>, uint64_t> extra_delay;
 	NetOptions options;
 	rng random;
 
@@ -137,6 +144,7 @@
 	void take_saves(size_t i, node_effects *fx);
 	void take_messages(size_t i);
 	void take_committed(size_t i);
+	void check_vote(size_t i, const raft_message &msg);
 	void check(size_t i);
 	void check_complete(size_t i);
 	void send(size_t from, uint64_t to_id, std::string bytes);
@@ -147,6 +155,7 @@
 	std::priority_queue<Event> events;
 	uint64_t seq = 0;
 	uint32_t next_incarnation = 1;
+	std::map<std::pair<uint64_t, uint64_t>, uint64_t> vote_of;
 	std::map<uint64_t, uint64_t> leader_of_term;
 	std::map<uint64_t, uint64_t> commit_term; /* index to newest term */
 };
