--- a/tests/fakes/runs.c
+++ b/tests/fakes/runs.c
@@ -81,7 +81,7 @@
 	bool cached =
 	    prefix_touch(e, run->prefix) || map_get_str(e->kv, run->id) != NULL;
 	double prefill_ms =
-	    (double)(strlen(run->prompt) / 4 + 1) * e->prefill_us / 1000;
+	    ((double)strlen(run->prompt) / 4 + 1) * e->prefill_us / 1000;
 
 	run->ready_ms = uv_now(&e->loop) +
 	    (uint64_t)(cached ? prefill_ms / RUN_CACHED_SHARE : prefill_ms);
@@ -220,6 +220,8 @@
 			if (!run->seated &&
 			    (best == NULL || run->priority < best->priority))
 				best = run;
+		if (best == NULL)
+			break;
 		best->seated = true;
 		e->nqueued--;
 		e->nrunning++;
--- a/tests/prove/prove.cc
+++ b/tests/prove/prove.cc
@@ -160,7 +160,8 @@
 usage(FILE *out)
 {
 	fprintf(out,
-	    "usage: prove [--singles | --pairs] [--seed N] [--seeds N] [--only TEXT]\n"
+	    "usage: prove [--singles | --pairs] [--seed N] [--seeds N] [--only "
+	    "TEXT]\n"
 	    "             [--shard K/N]\n"
 	    "Run each fault at each step (or pairs of faults) on reducers\n"
 	    "over a virtual clock and check what must always hold.\n");
