sched: a flooding team leaves a seat and store rate to the others

Cause: with one of ten teams at ten times its share, quiet teams completed everything but their wait rose: their loads queued behind the flood's, and every seat of an engine was taken by it.

Weighed: a slot held free on each engine (cost the flood another fifth of its answers and gave little), strict counter order for loads (no gain), stall weighted by the cube of the team's share of its fair rate (kept), a seat left free on each engine and a longer load spacing while a team runs more than its fair share at over six times the mean rate of the others (kept).

The flood test now uses equal teams: with Zipf shares one team alone had 36% of the traffic and was not quiet.

--- a/src/sched/policy_fair.c
+++ b/src/sched/policy_fair.c
@@ -9,11 +9,13 @@
  * decides.
  */
 
-#define FAIR_SCORE_PREFIX 4.0
-#define FAIR_SCORE_ROLE	  0.5
-#define FAIR_SCORE_BATCH  2.0
-#define FAIR_ITEMS_DEEP	  4 /* requests of one flow that are looked at */
-#define FAIR_POOL_WALK	  64 /* endpoints of a service that are looked at */
+#define FAIR_SCORE_PREFIX    4.0
+#define FAIR_SCORE_ROLE	     0.5
+#define FAIR_SCORE_BATCH     2.0
+#define FAIR_ITEMS_DEEP	     4 /* requests of one flow that are looked at */
+#define FAIR_FLOOD_SEATS     1 /* left to others on each endpoint */
+#define FAIR_FLOOD_SEATS_MIN 4
+#define FAIR_POOL_WALK	     64 /* endpoints of a service that are looked at */
 
 /* A request that could run now. */
 struct fair_pick {
@@ -53,13 +55,28 @@
 	return score + open;
 }
 
+/*
+ * A seat for the team: one that floods leaves the last of an endpoint to the
+ * others, whose requests would else wait for one to end.
+ */
+static bool
+fair_may_sit(
+    const struct sched *s, const struct team *t, const struct endpoint *ep)
+{
+	if (endpoint_free_seats(ep) == 0)
+		return false;
+	if (ep->seats < FAIR_FLOOD_SEATS_MIN || !team_floods(s, t, ep->pool))
+		return true;
+	return ep->used + ep->foreign + FAIR_FLOOD_SEATS < ep->seats;
+}
+
 static void
 fair_consider(struct sched *s, uint64_t now_us, struct item *it,
     struct endpoint *ep, struct slot *slot, struct fair_pick *best)
 {
 	double score;
 
-	if (item_avoids(it, ep) || endpoint_free_seats(ep) == 0 ||
+	if (item_avoids(it, ep) || !fair_may_sit(s, it->team, ep) ||
 	    !endpoint_usable(s, ep, now_us))
 		return;
 	score = fair_score(s, it, ep, slot);
@@ -182,6 +199,7 @@
 	struct fair_pick pick = {0};
 
 	(void)policy;
+	team_note_floods(s, now_us);
 	while (fair_pick(s, now_us, &pick))
 		sched_grant(s, now_us, pick.it, pick.ep, pick.slot);
 	fair_load(s, now_us);
--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -14,6 +14,7 @@
 #define FAIR_SPREAD_STALL   1.0
 #define FAIR_SPREAD_BATCH   0.25
 #define FAIR_RELOAD_MOST_US 6e6
+#define FAIR_FLOOD_SPACINGS 3 /* of loads, before one of a flood */
 #define FAIR_WAKE_MIN_US    (10 * SCHED_MS_US)
 
 /* An adapter that wants to be loaded, and how much. */
@@ -69,7 +70,7 @@
 	return cost;
 }
 
-/* Seats of the endpoints that hold the adapter; free when any is open. */
+/* Seats of the endpoints that hold the adapter; open when one is free. */
 static uint32_t
 fair_seats(
     struct sched *s, uint64_t now_us, const struct adapter *a, bool *open)
@@ -144,6 +145,22 @@
 	return found;
 }
 
+/* A team that floods leaves part of the store's rate to the others. */
+static bool
+fair_holds_back(struct sched *s, uint64_t now_us, const struct team *t,
+    const struct pool *p)
+{
+	uint64_t at;
+
+	if (!team_floods(s, t, p) || s->last_load_us == 0)
+		return false;
+	at = s->last_load_us + FAIR_FLOOD_SPACINGS * load_spacing_us(s);
+	if (at <= now_us)
+		return false;
+	sched_wake(s, at);
+	return true;
+}
+
 static bool
 fair_want(struct sched *s, uint64_t now_us, struct fair_want *best)
 {
@@ -160,10 +177,14 @@
 		if (t->queued == 0 || !team_may_run(t) ||
 		    t->counter > least + team_bound(s))
 			continue;
+
 		share = team_share(s, t, now_us);
+		share = share * share * share;
 		for (f = t->flows; f != NULL; f = f->team_next) {
-			if (f->no_load == s->run)
+			if (f->no_load == s->run ||
+			    fair_holds_back(s, now_us, t, f->adapter->pool))
 				continue;
+
 			value = share * fair_value(s, now_us, f);
 			if (value > 0.0 &&
 			    (best->flow == NULL || value > best->value)) {
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -160,6 +160,7 @@
 	uint64_t charge_milli; /* settled */
 	uint32_t queued, running;
 	struct flow *flows;
+	bool flooding; /* far above the others, as of this run */
 	bool active; /* in the list of active teams */
 	uint32_t active_index;
 	double rate;
@@ -287,6 +288,10 @@
     struct sched *s, struct item *it, const struct sched_usage *usage);
 bool team_may_run(const struct team *t);
 double team_bound(const struct sched *s);
+void team_note_floods(struct sched *s, uint64_t now_us);
+bool team_floods(
+    const struct sched *s, const struct team *t, const struct pool *p);
+
 double team_share(const struct sched *s, const struct team *t, uint64_t now);
 void team_backlog(struct sched *s, struct team *t);
 void team_note_gap(struct sched *s);
--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -19,6 +19,7 @@
 #define TEAM_REMOTE_BOUNDS  8.0 /* deficit bounds a remote charge may add */
 #define TEAM_CREDIT_BOUNDS  8.0 /* deficit bounds a team may lag behind */
 #define TEAM_QUIET_RATE	    0.001
+#define TEAM_FLOOD	    6.0 /* times the mean of the others */
 #define TEAM_MILLI	    1000.0
 
 struct team *
@@ -203,6 +204,34 @@
 		team_limit_credit(s, t->counter);
 }
 
+/* Mark the teams whose rate is far above the mean of the others. */
+void
+team_note_floods(struct sched *s, uint64_t now_us)
+{
+	double rates = 0.0, rate, others;
+	struct team *t;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++)
+		rates +=
+		    rate_at(s->active[i]->rate, s->active[i]->rate_us, now_us);
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		rate = rate_at(t->rate, t->rate_us, now_us);
+		others = s->active_weight - t->weight;
+		t->flooding = others > 0.0 &&
+		    rate * others > TEAM_FLOOD * (rates - rate) * t->weight;
+	}
+}
+
+/* Whether a flooding team runs its fair share of a pool already. */
+bool
+team_floods(const struct sched *s, const struct team *t, const struct pool *p)
+{
+	return t->flooding &&
+	    t->running * s->active_weight >= t->weight * p->seats;
+}
+
 static double
 team_final_charge(const struct sched *s, const struct item *it,
     const struct sched_usage *usage)
--- a/tests/sched/sched_target_test.cc
+++ b/tests/sched/sched_target_test.cc
@@ -105,24 +105,24 @@
 	}
 }
 
-/* One team at ten times its share. */
+/* Ten teams of equal rates; one of them at ten times its share. */
 TEST(SchedTarget, FloodCostsQuietTeamsNothing)
 {
 	for (settings_charge charge :
 	    {SETTINGS_CHARGE_REQUESTS, SETTINGS_CHARGE_TOKENS})
 		for (const char *policy : {"fair", "fifo"}) {
 			SimOptions o = Steinlicht(0.5, 1.4);
+			for (SimTeam &t : o.teams)
+				t.rate = 0.5;
+			o.end_s = 1560.0;
 			o.policy = policy;
 			o.charge = charge;
 			SimResult calm = SimRun(o);
-			/* The fifth of ten by its rate: about a 20th. */
 			o.teams[4].rate *= 10.0;
 			SimResult flood = SimRun(o);
 			Print((std::string(policy) + " calm").c_str(), calm);
 			Print((std::string(policy) + " flood").c_str(), flood);
 			ExpectSound(flood);
-			if (o.policy != "fair")
-				continue;
 			for (auto &t : o.teams) {
 				SimTeamResult &a = calm.teams[t.name];
 				SimTeamResult &b = flood.teams[t.name];
@@ -132,11 +132,10 @@
 				    t.name.c_str(), (size_t)a.delivered,
 				    (size_t)b.delivered, a.Wait(0.95),
 				    b.Wait(0.95));
-				if (t.name == "t4")
+				if (t.name == "t4" || o.policy != "fair")
 					continue;
 				EXPECT_GE(b.delivered, 0.95 * a.delivered);
-				EXPECT_LE(
-				    b.Wait(0.95), 2.0 * a.Wait(0.95) + 0.05);
+				EXPECT_LE(b.Wait(0.95), 2.0 * a.Wait(0.95));
 			}
 		}
 }
