--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -143,6 +143,7 @@
 	raft_message_drop_all(r);
 	raft_log_free(&r->log);
 	buf_free(&r->snapshot);
+	buf_free(&r->incoming);
 	free(r->configs);
 	free(r->pending);
 	free(r->out);
--- a/src/raft/raft.pb-c.c
+++ b/src/raft/raft.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &raft__install__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   raft__install_reply__init
+                     (Raft__InstallReply         *message)
+{
+  static const Raft__InstallReply init_value = RAFT__INSTALL_REPLY__INIT;
+  *message = init_value;
+}
+size_t raft__install_reply__get_packed_size
+                     (const Raft__InstallReply *message)
+{
+  assert(message->base.descriptor == &raft__install_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t raft__install_reply__pack
+                     (const Raft__InstallReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &raft__install_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t raft__install_reply__pack_to_buffer
+                     (const Raft__InstallReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &raft__install_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Raft__InstallReply *
+       raft__install_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Raft__InstallReply *)
+     protobuf_c_message_unpack (&raft__install_reply__descriptor,
+                                allocator, len, data);
+}
+void   raft__install_reply__free_unpacked
+                     (Raft__InstallReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &raft__install_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   raft__message__init
                      (Raft__Message         *message)
 {
@@ -790,7 +835,7 @@
   (ProtobufCMessageInit) raft__append_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor raft__install__field_descriptors[5] =
+static const ProtobufCFieldDescriptor raft__install__field_descriptors[7] =
 {
   {
     "index",
@@ -829,12 +874,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot",
+    "part",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Raft__Install, snapshot),
+    offsetof(Raft__Install, part),
     NULL,
     NULL,
     0,             /* flags */
@@ -852,18 +897,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Raft__Install, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Raft__Install, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned raft__install__field_indices_by_name[] = {
   4,   /* field[4] = hash */
   0,   /* field[0] = index */
+  5,   /* field[5] = offset */
+  3,   /* field[3] = part */
   2,   /* field[2] = sent_us */
-  3,   /* field[3] = snapshot */
   1,   /* field[1] = term */
+  6,   /* field[6] = total */
 };
 static const ProtobufCIntRange raft__install__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor raft__install__descriptor =
 {
@@ -873,14 +944,78 @@
   "Raft__Install",
   "raft",
   sizeof(Raft__Install),
-  5,
+  7,
   raft__install__field_descriptors,
   raft__install__field_indices_by_name,
   1,  raft__install__number_ranges,
   (ProtobufCMessageInit) raft__install__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor raft__message__field_descriptors[8] =
+static const ProtobufCFieldDescriptor raft__install_reply__field_descriptors[3] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Raft__InstallReply, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Raft__InstallReply, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Raft__InstallReply, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned raft__install_reply__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  2,   /* field[2] = offset */
+  1,   /* field[1] = sent_us */
+};
+static const ProtobufCIntRange raft__install_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor raft__install_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "raft.InstallReply",
+  "InstallReply",
+  "Raft__InstallReply",
+  "raft",
+  sizeof(Raft__InstallReply),
+  3,
+  raft__install_reply__field_descriptors,
+  raft__install_reply__field_indices_by_name,
+  1,  raft__install_reply__number_ranges,
+  (ProtobufCMessageInit) raft__install_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor raft__message__field_descriptors[9] =
 {
   {
     "group",
@@ -978,12 +1113,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "install_reply",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Raft__Message, body_case),
+    offsetof(Raft__Message, install_reply),
+    &raft__install_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned raft__message__field_indices_by_name[] = {
   5,   /* field[5] = append */
   6,   /* field[6] = append_reply */
   0,   /* field[0] = group */
   7,   /* field[7] = install */
+  8,   /* field[8] = install_reply */
   2,   /* field[2] = term */
   1,   /* field[1] = to */
   3,   /* field[3] = vote */
@@ -993,7 +1141,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor raft__message__descriptor =
 {
@@ -1003,7 +1151,7 @@
   "Raft__Message",
   "raft",
   sizeof(Raft__Message),
-  8,
+  9,
   raft__message__field_descriptors,
   raft__message__field_indices_by_name,
   2,  raft__message__number_ranges,
--- a/src/raft/raft.pb-c.h
+++ b/src/raft/raft.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Raft__Append Raft__Append;
 typedef struct Raft__AppendReply Raft__AppendReply;
 typedef struct Raft__Install Raft__Install;
+typedef struct Raft__InstallReply Raft__InstallReply;
 typedef struct Raft__Message Raft__Message;
 
 
@@ -131,24 +132,41 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A part of a packed Snapshot; the next one is sent when it is answered.
+ */
 struct  Raft__Install
 {
   ProtobufCMessage base;
   uint64_t index;
   uint64_t term;
   uint64_t sent_us;
+  ProtobufCBinaryData part;
   /*
-   * a packed Snapshot
-   */
-  ProtobufCBinaryData snapshot;
-  /*
-   * XXH64 of snapshot
+   * XXH64 of the whole
    */
   uint64_t hash;
+  uint64_t offset;
+  uint64_t total;
 };
 #define RAFT__INSTALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&raft__install__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0 }
+
+
+struct  Raft__InstallReply
+{
+  ProtobufCMessage base;
+  uint64_t index;
+  uint64_t sent_us;
+  /*
+   * wanted next
+   */
+  uint64_t offset;
+};
+#define RAFT__INSTALL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&raft__install_reply__descriptor) \
+    , 0, 0, 0 }
 
 
 typedef enum {
@@ -157,7 +175,8 @@
   RAFT__MESSAGE__BODY_VOTE_REPLY = 11,
   RAFT__MESSAGE__BODY_APPEND = 12,
   RAFT__MESSAGE__BODY_APPEND_REPLY = 13,
-  RAFT__MESSAGE__BODY_INSTALL = 14
+  RAFT__MESSAGE__BODY_INSTALL = 14,
+  RAFT__MESSAGE__BODY_INSTALL_REPLY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RAFT__MESSAGE__BODY__CASE)
 } Raft__Message__BodyCase;
 
@@ -174,6 +193,7 @@
     Raft__Append *append;
     Raft__AppendReply *append_reply;
     Raft__Install *install;
+    Raft__InstallReply *install_reply;
   };
 };
 #define RAFT__MESSAGE__INIT \
@@ -314,6 +334,25 @@
 void   raft__install__free_unpacked
                      (Raft__Install *message,
                       ProtobufCAllocator *allocator);
+/* Raft__InstallReply methods */
+void   raft__install_reply__init
+                     (Raft__InstallReply         *message);
+size_t raft__install_reply__get_packed_size
+                     (const Raft__InstallReply   *message);
+size_t raft__install_reply__pack
+                     (const Raft__InstallReply   *message,
+                      uint8_t             *out);
+size_t raft__install_reply__pack_to_buffer
+                     (const Raft__InstallReply   *message,
+                      ProtobufCBuffer     *buffer);
+Raft__InstallReply *
+       raft__install_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   raft__install_reply__free_unpacked
+                     (Raft__InstallReply *message,
+                      ProtobufCAllocator *allocator);
 /* Raft__Message methods */
 void   raft__message__init
                      (Raft__Message         *message);
@@ -356,6 +395,9 @@
 typedef void (*Raft__Install_Closure)
                  (const Raft__Install *message,
                   void *closure_data);
+typedef void (*Raft__InstallReply_Closure)
+                 (const Raft__InstallReply *message,
+                  void *closure_data);
 typedef void (*Raft__Message_Closure)
                  (const Raft__Message *message,
                   void *closure_data);
@@ -372,6 +414,7 @@
 extern const ProtobufCMessageDescriptor raft__append__descriptor;
 extern const ProtobufCMessageDescriptor raft__append_reply__descriptor;
 extern const ProtobufCMessageDescriptor raft__install__descriptor;
+extern const ProtobufCMessageDescriptor raft__install_reply__descriptor;
 extern const ProtobufCMessageDescriptor raft__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -14,6 +14,7 @@
 #define RAFT_UNCOMMITTED_BYTES_MAX (16U << 20)
 #define RAFT_MARGIN_ENTRIES	   512
 #define RAFT_MARGIN_BYTES	   (1U << 20)
+#define RAFT_INSTALL_BYTES_MAX	   (512U << 20)
 /* Clocks of two machines drift apart by less than this share. */
 #define RAFT_LEASE_PERCENT 95
 
@@ -25,7 +26,9 @@
 	uint64_t told_commit;
 	uint64_t acked_us; /* send time of the newest message answered */
 	uint64_t heard_us;
-	uint64_t install_us; /* when a snapshot was last sent, 0: never */
+	uint64_t install_index; /* of the snapshot being sent, 0: none */
+	uint64_t install_offset; /* of the part to send */
+	uint64_t install_us; /* when it was sent, 0: not yet */
 	uint64_t inflight[RAFT_INFLIGHT_MAX]; /* last index of each append */
 	size_t ninflight;
 	bool probing; /* next is a guess: one append at a time */
@@ -74,6 +77,7 @@
 
 	uint64_t snapshot_index, snapshot_term;
 	struct buf snapshot; /* packed */
+	uint64_t snapshot_hash;
 	size_t state_offset, state_len; /* of the caller's state in it */
 	bool snapshot_pending; /* to be taken by the caller */
 
@@ -94,6 +98,9 @@
 	size_t ngranted;
 	size_t uncommitted_bytes;
 
+	struct buf incoming; /* parts of a snapshot that is on its way */
+	uint64_t incoming_index, incoming_hash;
+
 	uint64_t ack_sent_us; /* of the newest append not yet answered */
 	bool ack_owed;
 };
@@ -143,6 +150,8 @@
     uint64_t (*get)(const struct raft_peer *));
 uint64_t raft_quorum_acked(const struct raft *r);
 uint64_t raft_quorum_heard(const struct raft *r);
+struct raft_peer *raft_hear_peer(
+    struct raft *r, uint64_t from, uint64_t sent_us);
 struct raft_peer *raft_find_peer(struct raft *r, uint64_t id);
 
 /* raft_config.c: the membership */
@@ -170,6 +179,8 @@
 void raft_snapshot_pack(struct raft *r, uint64_t index, uint64_t term,
     const struct raft_config *config, struct node_bytes state);
 void raft_install_send(struct raft *r, struct raft_peer *peer);
+void raft_install_replied(
+    struct raft *r, uint64_t from, const Raft__InstallReply *m);
 void raft_install_received(struct raft *r, uint64_t from, uint64_t term,
     const Raft__Install *m, struct node_effects *fx);
 
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -270,7 +270,7 @@
 	if (match <= p->match)
 		return;
 	p->match = match;
-	p->install_us = 0;
+	p->install_index = 0;
 	if (p->probing && match + 1 >= p->next) {
 		p->probing = false;
 		p->ninflight = 0;
@@ -284,20 +284,37 @@
 	    p->inflight, p->inflight + n, p->ninflight * sizeof(*p->inflight));
 }
 
-void
-raft_append_replied(struct raft *r, uint64_t from, const Raft__AppendReply *m,
-    struct node_effects *fx)
+/*
+ * A peer has answered what we sent at a time of our clock.
+ *
+ * Returns the peer, or NULL when the answer cannot be true.
+ */
+struct raft_peer *
+raft_hear_peer(struct raft *r, uint64_t from, uint64_t sent_us)
 {
 	struct raft_peer *p = raft_find_peer(r, from);
 
-	if (p == NULL || m->match > raft_log_last(&r->log) ||
-	    m->sent_us > r->now_us)
-		return;
+	if (p == NULL || sent_us > r->now_us)
+		return NULL;
 	p->heard_us = r->now_us;
-	if (m->sent_us > p->acked_us)
-		p->acked_us = m->sent_us;
+	if (sent_us > p->acked_us)
+		p->acked_us = sent_us;
 	if (RAFT_FAULT(lease_from_receipt))
 		p->acked_us = r->now_us;
+	return p;
+}
+
+void
+raft_append_replied(struct raft *r, uint64_t from, const Raft__AppendReply *m,
+    struct node_effects *fx)
+{
+	struct raft_peer *p;
+
+	if (m->match > raft_log_last(&r->log))
+		return;
+	p = raft_hear_peer(r, from, m->sent_us);
+	if (p == NULL)
+		return;
 	peer_matched(p, m->match);
 	if (m->rejected)
 		peer_rejected(r, p, m);
--- a/src/raft/raft_snapshot.c
+++ b/src/raft/raft_snapshot.c
@@ -56,6 +56,7 @@
 	r->snapshot.data = bytes;
 	r->snapshot.len = len;
 	r->snapshot.cap = len + 1;
+	r->snapshot_hash = XXH64(bytes, len, 0);
 	r->snapshot_index = index;
 	r->snapshot_term = term;
 	r->state_len = state.len;
@@ -97,15 +98,21 @@
 	raft_log_drop_front(&r->log, base);
 }
 
-/* Send our snapshot, not more often than the other can answer. */
+/* Send the next part of our snapshot, or the last one anew if it is late. */
 void
 raft_install_send(struct raft *r, struct raft_peer *p)
 {
 	Raft__Install install = RAFT__INSTALL__INIT;
 	Raft__Message m;
+	size_t left;
 
+	if (p->install_index != r->snapshot_index) {
+		p->install_index = r->snapshot_index;
+		p->install_offset = 0;
+		p->install_us = 0;
+	}
 	if (p->install_us != 0 &&
-	    r->now_us < p->install_us + r->options.election_max_us)
+	    r->now_us < p->install_us + r->options.election_min_us)
 		return;
 	p->install_us = r->now_us;
 	raft_message_init(r, &m, RAFT__MESSAGE__BODY_INSTALL);
@@ -113,22 +120,73 @@
 	install.index = r->snapshot_index;
 	install.term = r->snapshot_term;
 	install.sent_us = r->now_us;
-	install.snapshot.data = (uint8_t *)r->snapshot.data;
-	install.snapshot.len = r->snapshot.len;
-	install.hash = XXH64(r->snapshot.data, r->snapshot.len, 0);
+	install.hash = r->snapshot_hash;
+	install.total = r->snapshot.len;
+	install.offset = p->install_offset;
+	left = r->snapshot.len - (size_t)p->install_offset;
+	install.part.data = (uint8_t *)r->snapshot.data + p->install_offset;
+	install.part.len =
+	    left < r->options.batch_bytes ? left : r->options.batch_bytes;
 	raft_message_send(r, p->id, &m);
 }
 
+void
+raft_install_replied(struct raft *r, uint64_t from, const Raft__InstallReply *m)
+{
+	struct raft_peer *p = raft_hear_peer(r, from, m->sent_us);
+
+	if (p == NULL || m->index != p->install_index ||
+	    m->index != r->snapshot_index || m->offset >= r->snapshot.len ||
+	    m->offset == p->install_offset)
+		return;
+	p->install_offset = m->offset;
+	p->install_us = 0;
+	raft_install_send(r, p);
+}
+
+/* Keep a part; false when it does not follow on those before. */
+static bool
+install_keep(struct raft *r, const Raft__Install *m)
+{
+	if (m->total > RAFT_INSTALL_BYTES_MAX || m->part.len == 0 ||
+	    m->part.len > m->total || m->offset > m->total - m->part.len)
+		return false;
+	if (r->incoming_index != m->index || r->incoming_hash != m->hash) {
+		buf_clear(&r->incoming);
+		r->incoming_index = m->index;
+		r->incoming_hash = m->hash;
+	}
+	if (m->offset == r->incoming.len)
+		buf_append(&r->incoming, m->part.data, m->part.len);
+	return true;
+}
+
+static void
+install_reply(struct raft *r, uint64_t to, const Raft__Install *m)
+{
+	Raft__InstallReply reply = RAFT__INSTALL_REPLY__INIT;
+	Raft__Message out;
+
+	raft_message_init(r, &out, RAFT__MESSAGE__BODY_INSTALL_REPLY);
+	out.install_reply = &reply;
+	reply.index = m->index;
+	reply.sent_us = m->sent_us;
+	reply.offset = r->incoming.len;
+	raft_message_send(r, to, &out);
+}
+
+/* All parts are here: put the snapshot in place of the log. */
 static void
 install_apply(struct raft *r, const Raft__Install *m, struct node_effects *fx)
 {
 	struct node_bytes packed = {
-	    .data = (const char *)m->snapshot.data,
-	    .len = m->snapshot.len,
+	    .data = r->incoming.data,
+	    .len = r->incoming.len,
 	};
 	struct raft_config config;
 
-	if (raft_snapshot_load(r, m->index, m->term, packed, &config) != MP_OK)
+	if (XXH64(packed.data, packed.len, 0) != m->hash ||
+	    raft_snapshot_load(r, m->index, m->term, packed, &config) != MP_OK)
 		return;
 	raft_log_reset(&r->log, m->index, m->term);
 	r->nconfigs = 0;
@@ -142,6 +200,21 @@
 	r->ack_sent_us = m->sent_us;
 }
 
+static void
+install_part(struct raft *r, uint64_t from, const Raft__Install *m,
+    struct node_effects *fx)
+{
+	if (!install_keep(r, m))
+		return;
+	if (r->incoming.len < m->total) {
+		install_reply(r, from, m);
+		return;
+	}
+	install_apply(r, m, fx);
+	buf_free(&r->incoming);
+	r->incoming_index = 0;
+}
+
 void
 raft_install_received(struct raft *r, uint64_t from, uint64_t term,
     const Raft__Install *m, struct node_effects *fx)
@@ -152,8 +225,7 @@
 		raft_reply_stale(r, from);
 		return;
 	}
-	if (r->role == RAFT_LEADER || m->index == 0 || m->term > term ||
-	    m->hash != XXH64(m->snapshot.data, m->snapshot.len, 0))
+	if (r->role == RAFT_LEADER || m->index == 0 || m->term > term)
 		return;
 	if (r->role == RAFT_CANDIDATE)
 		raft_become_follower(r, term, from, fx);
@@ -162,7 +234,7 @@
 	    own == m->term) {
 		r->commit = m->index;
 	} else if (m->index > r->commit) {
-		install_apply(r, m, fx);
+		install_part(r, from, m, fx);
 		return;
 	}
 	if (r->verified < r->commit)
--- a/tests/raft/chaos_test.cc
+++ b/tests/raft/chaos_test.cc
@@ -107,7 +107,7 @@
 	o.spike = 0.03;
 	o.save_max = seed % 5 == 0 ? 60000 : 5000;
 	o.drift = true;
-	o.batch_bytes = seed % 4 == 0 ? 200 : 4096;
+	o.batch_bytes = seed % 4 == 0 ? 40 : 4096;
 	o.compact_every = seed % 7 == 0 ? 0 : 15;
 	Net net(seed, o);
 
--- a/tests/raft/net.h
+++ b/tests/raft/net.h
@@ -120,7 +120,7 @@
 	std::map<uint64_t, uint64_t> leader_of_term;
 	std::map<size_t, uint64_t> snapshots_taken;
 	std::vector<std::string> kept;
-	uint64_t sent = 0;
+	uint64_t sent = 0, install_parts = 0;
 	NetOptions options;
 	rng random;
 
--- a/tests/raft/net_check.cc
+++ b/tests/raft/net_check.cc
@@ -11,6 +11,7 @@
 	Raft__Message *pb = raft__message__unpack(
 	    nullptr, msg.bytes.len, (const uint8_t *)msg.bytes.data);
 
+	install_parts += pb->body_case == RAFT__MESSAGE__BODY_INSTALL;
 	if (pb->body_case == RAFT__MESSAGE__BODY_VOTE_REPLY &&
 	    pb->vote_reply->granted && !pb->vote_reply->pre) {
 		auto it =
--- a/tests/raft/raft_test.cc
+++ b/tests/raft/raft_test.cc
@@ -98,7 +98,7 @@
 	NetOptions o;
 
 	o.compact_every = 10;
-	o.batch_bytes = 64;
+	o.batch_bytes = 16;
 	Net net(7, o);
 	int l = net.run_to_leader();
 	size_t lost = first_other(l);
@@ -122,6 +122,7 @@
 	net.heal();
 	net.run_for(kSecond);
 	EXPECT_GT(raft_get_snapshot_index(net.m[lost].r), 30U);
+	EXPECT_GE(net.install_parts, 3U);
 	EXPECT_TRUE(raft_learner_caught_up(net.m[l].r, id));
 	EXPECT_EQ(net.change(l, RAFT_PROMOTE, id), MP_OK);
 	net.run_for(kSecond);
