raft: scripts for the two guards that took many seeds

ack_before_sync and count_self_early were noticed by the fault mix at seeds 40 and 160 only, which any change to the mix could move out of reach. No check was eased: their finding is now the lost entry, where any finding would do before.

--- a/tests/raft/guard_test.cc
+++ b/tests/raft/guard_test.cc
@@ -167,7 +167,47 @@
 	return settle(net);
 }
 
-/* Step until one of these leads; its messages after that are not sent. */
+/*
+ * An entry is on two of three voters, but on one of them not synced. That one
+ * crashes; without the other, the entry is gone.
+ */
+static std::string
+run_unsynced(uint64_t seed, bool leader_is_slow)
+{
+	Net net(seed, NetOptions());
+	int l = net.run_to_leader();
+	std::vector<size_t> rest = others(net, (size_t)l);
+	size_t slow = leader_is_slow ? (size_t)l : rest[0];
+	size_t fast = leader_is_slow ? rest[0] : (size_t)l;
+
+	net.run_for(kSecond / 5);
+	cut_both(net, (size_t)l, rest[1]);
+	cut_both(net, rest[0], rest[1]);
+	net.m[slow].disk_free = net.now + 10 * kSecond;
+	net.propose((size_t)l, "unsynced");
+	net.run_for(30000);
+	net.m[slow].saves.clear();
+	net.crash(slow);
+	net.heal();
+	net.isolate(fast);
+	net.restart(slow);
+	net.run_for(3 * kSecond);
+	return settle(net);
+}
+
+static std::string
+run_slow_follower(uint64_t seed)
+{
+	return run_unsynced(seed, false);
+}
+
+static std::string
+run_slow_leader(uint64_t seed)
+{
+	return run_unsynced(seed, true);
+}
+
+/* Step until one leads. */
 static int
 step_to_lone_leader(Net &net)
 {
@@ -281,9 +321,9 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, RaftGuard,
     ::testing::Values(GuardCase{"AckBeforeSync", &raft_fault::ack_before_sync,
-			  run_chaos, 100, kLacks},
-	GuardCase{"CountSelfEarly", &raft_fault::count_self_early, run_chaos,
-	    300, ""},
+			  run_slow_follower, 20, kLacks},
+	GuardCase{"CountSelfEarly", &raft_fault::count_self_early,
+	    run_slow_leader, 20, kLacks},
 	GuardCase{
 	    "VoteAnyLog", &raft_fault::vote_any_log, run_chaos, 100, kLacks},
 	GuardCase{"VoteTwice", &raft_fault::vote_twice, run_two_candidates, 100,
