--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -604,7 +604,7 @@
 	std::string adapters;
 
 	doc_hash_token(hash, team == "t1" ? "caller" : team.c_str());
-	for (int i = 0; i < 12; i++)
+	for (int i = 0; i < 24; i++)
 		adapters += (i == 0 ? "\"a" : ", \"a") + std::to_string(i) +
 		    "\": {\"version\": \"1\", \"baseModel\": \"base\", "
 		    "\"kind\": \"draft\"}";
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -111,7 +111,7 @@
 };
 
 struct ClusterOptions {
-	int instances = 5, voters = 3, engines = 4, services = 1;
+	int instances = 5, voters = 3, engines = 4, services = 2;
 	uint64_t seed = 1;
 	bool drift = false;
 };
@@ -174,6 +174,7 @@
 	std::string check_answers() const;
 	std::string check_not_run() const;
 	std::string check_bookings() const;
+	std::string check_confirmed() const;
 	std::string check_orders() const;
 	std::string check_evictions() const;
 	std::string check_in_force();
--- a/tests/cluster/cluster_check.cc
+++ b/tests/cluster/cluster_check.cc
@@ -131,17 +131,31 @@
 			return "booking " + r->key +
 			    " was confirmed but never ran";
 	}
-	/* Once confirmed, a later resend never hears anything less. */
+	return check_confirmed();
+}
+
+/* Once confirmed, a later resend never hears anything less. */
+std::string
+Cluster::check_confirmed() const
+{
+	std::map<std::string, uint64_t> confirmed; /* key -> when */
+
 	for (auto &r : requests)
-		for (auto &later : requests)
-			if (!r->key.empty() && r->key == later->key &&
-			    r->status == 200 && later->sent_us > r->done_us &&
-			    later->done && later->outcome() == "not-run" &&
-			    later->answer.find("no-quorum") ==
-				std::string::npos &&
-			    later->answer.find("cut-off") == std::string::npos)
-				return "booking " + r->key +
-				    " was confirmed, then refused";
+		if (!r->key.empty() && r->status == 200 &&
+		    !r->headers.count("mulberrypath-recorded") &&
+		    !confirmed.count(r->key))
+			confirmed[r->key] = r->done_us;
+	for (auto &r : requests) {
+		auto it = confirmed.find(r->key);
+
+		if (it == confirmed.end() || !r->done ||
+		    r->sent_us <= it->second)
+			continue;
+		if (r->answer.find("outcome-unknown") != std::string::npos ||
+		    r->answer.find("key-reused") != std::string::npos)
+			return "booking " + r->key +
+			    " was confirmed, then lost: " + r->answer;
+	}
 	return "";
 }
 
@@ -193,6 +207,7 @@
 Cluster::check_documents() const
 {
 	std::map<std::string, std::string> winners; /* team/revision -> text */
+	std::map<std::string, std::string> replaced; /* base -> change */
 
 	for (auto &r : requests) {
 		std::string team, revision;
@@ -201,6 +216,13 @@
 			continue;
 		team = r->path.substr(14, r->path.find('?') - 14);
 		revision = json_field(r->answer, "revision");
+		auto &change = replaced[r->path.substr(0, r->path.find('&'))];
+		if (change.empty())
+			change = r->path;
+		else if (change != r->path)
+			return "a revision of " + team +
+			    " was replaced twice: " + change + " and " +
+			    r->path;
 		auto &winner = winners[team + "/" + revision];
 		if (winner.empty())
 			winner = r->body;
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -246,7 +246,7 @@
 	std::string text = "data: {\"id\": \"" + r.id + "\", \"model\": \"" +
 	    model + "\", \"offset\": " + std::to_string(r.next) +
 	    ", \"tokens\": 1, \"choices\": [{\"index\": 0, \"text\": \"" +
-	    expected_text(r.key, r.prompt, r.next, r.next + 1) + "\"" +
+	    expected_text(model, r.prompt, r.next, r.next + 1) + "\"" +
 	    (last ? ", \"finish_reason\": \"length\"" : "") + "}]}\n\n";
 
 	r.next++;
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -149,6 +149,15 @@
 	c.endpoints[(size_t)target % 4]->wrong_model = true;
 }
 
+static void
+strike_all_broken(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	for (auto &e : c.endpoints)
+		e->break_after = 1;
+}
+
 static void
 strike_rewind(Cluster &c, Workload &w, int target)
 {
@@ -190,6 +199,62 @@
 	strike_kill_disk(c, w, other);
 }
 
+/* Nobody hears it any more, and soon it is killed. */
+static void
+strike_cut_kill(Cluster &c, Workload &w, int target)
+{
+	strike_cut_out(c, w, target);
+	w.run(300000);
+	strike_kill(c, w, target);
+}
+
+static void
+strike_restart_messy(Cluster &c, Workload &w, int target)
+{
+	c.delay_max_us = 150000;
+	c.drop = 0.3;
+	strike_restart(c, w, target);
+}
+
+static void
+strike_restart_follower(Cluster &c, Workload &w, int target)
+{
+	c.drop = 0.6;
+	strike_restart(c, w, 3 + target % 2);
+}
+
+/*
+ * An instance that owned an endpoint comes back after long, and just then
+ * the one that owns it meanwhile is cut off.
+ */
+static void
+strike_rejoin_cut(Cluster &c, Workload &w, int target)
+{
+	std::string moved;
+	int other;
+
+	for (auto &e : c.endpoints) {
+		int owner = c.owner_of(e->id);
+
+		if (e->service || owner < 0)
+			continue;
+		moved = e->id;
+		target = owner;
+	}
+	strike_kill(c, w, target);
+	w.run(5000000);
+	other = c.owner_of(moved);
+	c.start(target);
+	w.run(150000);
+	if (other < 0 || other == target)
+		return;
+	c.isolate(other, true);
+	for (int i = 0; i < 24; i++) {
+		(void)c.complete(other, "a" + std::to_string(i));
+		(void)c.complete(target, "a" + std::to_string(i));
+	}
+}
+
 static void
 strike_full_disk(Cluster &c, Workload &w, int target)
 {
@@ -229,10 +294,15 @@
     {"cold engine", strike_cold_engine, 3000000, false},
     {"lagging reports", strike_lagging, 5000000, false},
     {"broken streams", strike_broken_streams, 4000000, false},
+    {"all streams break", strike_all_broken, 3000000, false},
     {"wrong model", strike_wrong_model, 4000000, false},
     {"rewinding engine", strike_rewind, 4000000, false},
     {"cut answers", strike_cut_answers, 3000000, false},
     {"second loss after repair", strike_second_loss, 6000000, true},
+    {"cut, then killed", strike_cut_kill, 6000000, true},
+    {"restart among losses", strike_restart_messy, 5000000, true},
+    {"follower restarts, losses", strike_restart_follower, 5000000, true},
+    {"rejoin, other cut", strike_rejoin_cut, 4000000, true},
     {"full disk", strike_full_disk, 5000000, false},
     {"drain", strike_drain, 6000000, true},
     {"endpoint leaves", strike_endpoint_leaves, 5000000, false},
@@ -268,12 +338,18 @@
 static int
 reach_booking(Cluster &c, Workload &w)
 {
-	size_t ran = 0;
-	Endpoint *service = c.endpoints.back().get();
+	auto count = [&c] {
+		size_t ran = 0;
+
+		for (auto &e : c.endpoints)
+			ran += e->service ? e->ran.size() : 0;
+		return ran;
+	};
+	size_t ran;
 
 	w.run(500000);
-	ran = service->ran.size();
-	w.run(5000000, [&] { return service->ran.size() > ran; });
+	ran = count();
+	w.run(5000000, [&] { return count() > ran; });
 	return w.last_booking == nullptr ? 0 : w.last_booking->instance;
 }
 
--- a/tests/prove/prove.cc
+++ b/tests/prove/prove.cc
@@ -5,15 +5,19 @@
 #include <cstring>
 
 #include "prove/faults.h"
+#include "prove/guards.h"
 
 struct Options {
 	uint64_t seed = 1;
 	int seeds = 1;
-	bool pairs = false, list = false;
+	bool pairs = false, guards = false;
 	int shard = 0, shards = 1;
 	std::string only;
 };
 
+/* Seeds tried before a guard counts as not noticed. */
+static const uint64_t kGuardSeeds = 30;
+
 struct Tally {
 	int passed = 0, failed = 0;
 };
@@ -157,15 +161,77 @@
 		}
 }
 
+static const Fault *
+fault_named(const char *name)
+{
+	for (auto &fault : all_faults)
+		if (strcmp(fault.name, name) == 0)
+			return &fault;
+	abort();
+}
+
+static const Step *
+step_named(const char *name)
+{
+	for (auto &step : all_steps)
+		if (strcmp(step.name, name) == 0)
+			return &step;
+	abort();
+}
+
+/* With the guard off, does its checker notice within some seeds? */
+static void
+prove_guard(const Options &o, Tally &tally, const Guard &guard)
+{
+	const Step &step = *step_named(guard.step);
+	std::string wrong, other;
+	bool noticed = false;
+
+	*guard.on = false;
+	for (uint64_t k = 0; !noticed && k < kGuardSeeds; k++)
+		for (const char *name : guard.faults) {
+			wrong = run_case(
+			    o.seed + k, step, *fault_named(name), nullptr);
+			if (!wrong.empty())
+				other = wrong;
+			noticed =
+			    wrong.find(guard.notices) != std::string::npos;
+			if (!noticed)
+				continue;
+			printf("noticed %-24s %s @ %s seed %llu: %s\n",
+			    guard.name, name, guard.step,
+			    (unsigned long long)(o.seed + k), wrong.c_str());
+			break;
+		}
+	*guard.on = true;
+	tally.passed += noticed ? 1 : 0;
+	tally.failed += noticed ? 0 : 1;
+	if (!noticed)
+		printf("MISSED  %-24s @ %s: %s\n", guard.name, guard.step,
+		    other.c_str());
+}
+
+static void
+prove_guards(const Options &o, Tally &tally)
+{
+	int number = 0;
+
+	for (auto &guard : all_guards)
+		if (is_selected(o, guard.name, number++))
+			prove_guard(o, tally, guard);
+}
+
 static void
 usage(FILE *out)
 {
 	fprintf(out,
-	    "usage: prove [--singles | --pairs] [--seed N] [--seeds N] [--only "
+	    "usage: prove [--singles | --pairs | --guards] [--seed N] [--seeds "
+	    "N] [--only "
 	    "TEXT]\n"
 	    "             [--shard K/N]\n"
 	    "Run each fault at each step (or pairs of faults) on reducers\n"
-	    "over a virtual clock and check what must always hold.\n");
+	    "over a virtual clock and check what must always hold;\n"
+	    "or switch each guard off and see its checker fail.\n");
 }
 
 static bool
@@ -173,6 +239,7 @@
 {
 	static const struct option longs[] = {
 	    {"singles", no_argument, nullptr, '1'},
+	    {"guards", no_argument, nullptr, 'g'},
 	    {"pairs", no_argument, nullptr, 'p'},
 	    {"seed", required_argument, nullptr, 's'},
 	    {"seeds", required_argument, nullptr, 'n'},
@@ -186,6 +253,8 @@
 	while ((c = getopt_long(argc, argv, "h", longs, nullptr)) != -1) {
 		if (c == 'p' || c == '1')
 			o.pairs = c == 'p';
+		else if (c == 'g')
+			o.guards = true;
 		else if (c == 's')
 			o.seed = strtoull(optarg, nullptr, 10);
 		else if (c == 'n')
@@ -212,7 +281,10 @@
 		usage(stderr);
 		return 2;
 	}
-	prove_all(options, tally);
+	if (options.guards)
+		prove_guards(options, tally);
+	else
+		prove_all(options, tally);
 	printf("%d passed, %d failed\n", tally.passed, tally.failed);
 	return tally.failed == 0 ? 0 : 1;
 }
--- a/tests/prove/workload.cc
+++ b/tests/prove/workload.cc
@@ -31,6 +31,11 @@
 		open.push_back(c.book(pick_instance(), r->key));
 	}
 	open_bookings = open;
+	if (serial > 0) /* confirmed or not: heard again, it is the same */
+		(void)c.book(pick_instance(),
+		    "b" +
+			std::to_string(
+			    1 + rng_below(&c.rng, (uint32_t)serial)));
 }
 
 static uint64_t
@@ -83,6 +88,9 @@
 		    "c" + std::to_string(serial) + "-" + std::to_string(k),
 		    Cluster::document("t1", serial * 2 + k));
 	last_change = changing[0];
+	if (rng_below(&c.rng, 2) == 0) /* sent twice at once */
+		(void)c.send(pick_instance(), "PUT", last_change->path, "op",
+		    last_change->body);
 }
 
 void
@@ -93,7 +101,7 @@
 		last_completion = c.complete(pick_instance(),
 		    "a" +
 			std::to_string(rng_below(
-			    &c.rng, rng_below(&c.rng, 3) == 0 ? 12 : 4)),
+			    &c.rng, rng_below(&c.rng, 3) == 0 ? 24 : 4)),
 		    rng_below(&c.rng, 2) == 0, 4 + (int)rng_below(&c.rng, 8));
 	}
 	if (bookings && c.now >= next_booking) {
