--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -1,3 +1,6 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -5,11 +8,12 @@
 #include "http/server_internal.h"
 #include "util/mem.h"
 
-static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\n"
-			      "Connection: close\r\n"
-			      "Retry-After: 1\r\n"
-			      "Mulberrypath-Outcome: not-run\r\n"
-			      "Content-Length: 0\r\n\r\n";
+#define CONNECTION_PROBE_S 15
+#define REFUSAL_MAX_BYTES  512
+
+#define REFUSAL_BODY                                                           \
+	"{\"error\": {\"code\": \"too-many-connections\", "                    \
+	"\"message\": \"Service Unavailable\", \"outcome\": \"not-run\"}}"
 
 static void
 connection_release(struct connection *c)
@@ -89,14 +93,45 @@
 	(void)uv_poll_start(&c->hangup, UV_DISCONNECT, on_hangup);
 }
 
+/* A caller whose network has forgotten the connection must not keep it. */
+static void
+connection_set_timeouts(struct connection *c)
+{
+	static const int interval_s = 5, count = 3;
+	static const unsigned user_timeout_ms = 30000;
+	int fd;
+
+	(void)uv_tcp_nodelay(&c->tcp, 1);
+	(void)uv_tcp_keepalive(&c->tcp, 1, CONNECTION_PROBE_S);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0)
+		return;
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+	    sizeof(user_timeout_ms));
+}
+
 static void
 connection_refuse(struct connection *c)
 {
 	struct http_server *s = c->server;
-	uv_buf_t b = uv_buf_init((char *)refusal, sizeof(refusal) - 1);
-
-	if (s->accept.ssl_ctx == NULL)
+	char text[REFUSAL_MAX_BYTES];
+	uv_buf_t b;
+	int len;
+
+	if (s->accept.ssl_ctx == NULL) {
+		len = snprintf(text, sizeof(text),
+		    "HTTP/1.1 503 Service Unavailable\r\n"
+		    "Connection: close\r\n"
+		    "Retry-After: 1\r\n"
+		    "Mulberrypath-Outcome: not-run\r\n"
+		    "Content-Type: application/json\r\n"
+		    "Content-Length: %zu\r\n\r\n%s",
+		    sizeof(REFUSAL_BODY) - 1, REFUSAL_BODY);
+		b = uv_buf_init(text, (unsigned)len);
 		(void)uv_try_write((uv_stream_t *)&c->tcp, &b, 1);
+	}
 	uv_close((uv_handle_t *)&c->tcp, on_tcp_closed);
 }
 
@@ -116,7 +151,7 @@
 		connection_refuse(c);
 		return;
 	}
-	(void)uv_tcp_nodelay(&c->tcp, 1);
+	connection_set_timeouts(c);
 	connection_watch(c);
 	c->socket = h2o_uv_socket_create((uv_stream_t *)&c->tcp, on_tcp_closed);
 	c->socket->on_close.cb = on_socket_close;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -122,6 +122,13 @@
 	x->server->callbacks.on_request(x->server->ctx, &r);
 }
 
+bool
+exchange_is_ours(const h2o_req_t *req)
+{
+	return req->_generator != NULL &&
+	    req->_generator->proceed == on_proceed;
+}
+
 int
 exchange_on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
@@ -129,7 +136,7 @@
 
 	if (header_bytes(req) > s->header_limit) {
 		h2o_send_error_generic(req, 431,
-		    "Request Header Fields Too Large", "headers too large\n",
+		    "Request Header Fields Too Large", "",
 		    H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
 		return 0;
 	}
--- /dev/null
+++ b/src/http/refusal.c
@@ -0,0 +1,80 @@
+#include <string.h>
+
+#include "http/server_internal.h"
+#include "util/buf.h"
+
+/* A filter over the answers that h2o gives before a request reaches us. */
+
+struct refusal_stream {
+	h2o_ostream_t base;
+	h2o_iovec_t body;
+	bool sent;
+};
+
+static const char *
+refusal_code(int status)
+{
+	switch (status) {
+	case 413:
+		return "body-too-large";
+	case 431:
+		return "headers-too-large";
+	default:
+		return status < 500 ? "bad-request" : "internal";
+	}
+}
+
+/* Send our body with the first piece in place of h2o's text. */
+static void
+on_send(h2o_ostream_t *base, h2o_req_t *req, h2o_iovec_t *bufs, size_t count,
+    h2o_send_state_t state)
+{
+	struct refusal_stream *r = (struct refusal_stream *)base;
+
+	(void)bufs;
+	(void)count;
+	h2o_ostream_send_next(base, req, &r->body, r->sent ? 0 : 1, state);
+	r->sent = true;
+}
+
+static void
+on_setup(h2o_filter_t *filter, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	struct refusal_stream *r;
+	struct buf text = {0};
+	const char *code = refusal_code(req->res.status);
+
+	(void)filter;
+	if (req->res.status >= 400 && !exchange_is_ours(req)) {
+		buf_printf(&text,
+		    "{\"error\": {\"code\": \"%s\", \"message\": \"%s\", "
+		    "\"outcome\": \"not-run\"}}",
+		    code, req->res.reason);
+		r = (struct refusal_stream *)h2o_add_ostream(
+		    req, sizeof(*r), slot);
+		r->base.do_send = on_send;
+		r->body = h2o_strdup(&req->pool, text.data, text.len);
+		r->sent = false;
+		slot = &r->base.next;
+		req->res.content_length = text.len;
+		buf_free(&text);
+		h2o_set_header(&req->pool, &req->res.headers,
+		    H2O_TOKEN_CONTENT_TYPE, H2O_STRLIT("application/json"), 1);
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+		    H2O_STRLIT("mulberrypath-outcome"), 0, NULL,
+		    H2O_STRLIT("not-run"));
+	}
+	h2o_setup_next_ostream(req, slot);
+}
+
+void
+refusal_register(h2o_hostconf_t *host)
+{
+	size_t i;
+
+	h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))
+	    ->on_setup_ostream = on_setup;
+	for (i = 0; i < host->paths.size; i++)
+		h2o_create_filter(&host->paths.entries[i], sizeof(h2o_filter_t))
+		    ->on_setup_ostream = on_setup;
+}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -172,6 +172,7 @@
 	    (struct http_handler *)h2o_create_handler(path, sizeof(*handler));
 	handler->base.on_req = exchange_on_request;
 	handler->server = s;
+	refusal_register(host);
 	h2o_context_init(&s->context, s->loop, &s->config);
 	s->accept.ctx = &s->context;
 	s->accept.hosts = s->config.hosts;
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -70,6 +70,12 @@
 /* The handler that h2o calls with each whole request. */
 int exchange_on_request(h2o_handler_t *handler, h2o_req_t *req);
 
+/* Make h2o's own error answers say what docs/PROTOCOL.md asks. */
+void refusal_register(h2o_hostconf_t *host);
+
+/* Whether the answer comes from http_server_reply(). */
+bool exchange_is_ours(const h2o_req_t *req);
+
 /* Drop the answer: the caller sees a closed connection or a reset stream. */
 void exchange_abort(struct exchange *x);
 
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -36,6 +36,22 @@
 	EXPECT_EQ(http_server_get_header(server, requests[0], "host"), nullptr);
 }
 
+TEST_F(HttpTest, ResetBeforeTheAnswerIsNoticed)
+{
+	RawSocket caller;
+	linger at_once = {1, 0};
+
+	Serve();
+	handler = [](const node_request *) {};
+	caller.Connect(http_server_get_port(server));
+	caller.Write(GET);
+	ASSERT_TRUE(Until([&] { return requests.size() == 1; }));
+	setsockopt(caller.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	caller.Close();
+	ASSERT_TRUE(Until([&] { return gone.size() == 1; }));
+	EXPECT_EQ(gone, requests);
+}
+
 TEST_F(HttpTest, HangUpInMidStreamIsNoticedOnce)
 {
 	RawSocket caller;
@@ -207,6 +223,11 @@
 	}));
 	EXPECT_EQ(Count(received, "HTTP/1.1 503"), 1u);
 	EXPECT_EQ(Count(received, "Mulberrypath-Outcome: not-run"), 1u);
+	EXPECT_EQ(Count(received,
+		      "Content-Length: " +
+			  std::to_string(
+			      received.size() - received.find("\r\n\r\n") - 4)),
+	    1u);
 	second.Close(); /* makes room */
 	ASSERT_TRUE(Until([&] {
 		RawSocket again;
