http: drain keeps HTTP/2 streams, answers parse alike in any pieces

Cause: a drain shut the reading side of connections without an HTTP/1 answer under way, HTTP/2 ones with running streams too; their callers were reported gone (the new test failed so).

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -168,7 +168,7 @@
 void
 connection_close_if_idle(struct connection *c)
 {
-	if (c->active != NULL || c->socket->input->size > 0)
+	if (c->nexchanges > 0 || c->socket->input->size > 0)
 		return;
 	if (c->hangup_fd != -1)
 		(void)uv_poll_stop(&c->hangup);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -19,7 +19,8 @@
 
 	if (!x->finished)
 		server_report_gone(x->server, x);
-	if (x->connection != NULL && x->connection->active == x)
+	x->connection->nexchanges--;
+	if (x->connection->active == x)
 		x->connection->active = NULL;
 	if (x->server->phase == SERVER_DRAINING)
 		server_defer(x->server); /* to close the connection */
@@ -93,10 +94,11 @@
 	x->req = req;
 	x->server = s;
 	x->id = ++s->last_request;
-	if (req->version < HTTP_VERSION_2) {
-		x->connection = socket->on_close.data;
+	x->connection = socket->on_close.data;
+	x->connection->nexchanges++;
+	x->alone = req->version < HTTP_VERSION_2;
+	if (x->alone)
 		x->connection->active = x;
-	}
 	(void)map_set_u64(s->exchanges, x->id, x);
 	return x;
 }
@@ -295,7 +297,7 @@
 		return;
 	x->aborted = true;
 	buf_clear(&x->queued);
-	if (x->connection != NULL)
+	if (x->alone)
 		(void)shutdown(
 		    h2o_socket_get_fd(x->connection->socket), SHUT_RDWR);
 	if (!x->started)
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -51,6 +51,7 @@
 	struct http_server *server;
 	h2o_socket_t *socket;
 	struct exchange *active; /* HTTP/1 answers one request at a time */
+	size_t nexchanges; /* HTTP/2 several */
 	int open_handles;
 	struct connection *next, **link;
 };
@@ -60,10 +61,11 @@
 	h2o_generator_t generator;
 	h2o_req_t *req;
 	struct http_server *server;
-	struct connection *connection; /* NULL over HTTP/2 */
+	struct connection *connection;
 	uint64_t id;
 	struct buf queued; /* not yet given to h2o */
 	struct buf sending; /* h2o is writing these */
+	bool alone; /* on its connection, as with HTTP/1 */
 	bool started, writing, ended, aborted, finished;
 };
 
--- a/tests/fakes/endpoint.h
+++ b/tests/fakes/endpoint.h
@@ -33,7 +33,7 @@
 	uint64_t prefix, ready_ms; /* prefill ends then */
 	uint64_t arrival;
 	struct slot *slot;
-	bool seated;
+	bool seated, muted; /* muted: tokens were not sent */
 	struct run *link;
 };
 
--- a/tests/fakes/runs.c
+++ b/tests/fakes/runs.c
@@ -244,8 +244,10 @@
 {
 	struct node_reply reply;
 
-	if (control_is_silent(e, run->request))
+	if (control_is_silent(e, run->request)) {
+		run->muted = true;
 		return;
+	}
 	if (run->sent > 0) {
 		http_server_send(e->server, run->request,
 		    (struct node_bytes){event->data, event->len});
@@ -269,6 +271,10 @@
 	bool token = run->next < run->end, last = run->next + 1 >= run->end;
 	struct buf text = {0}, event = {0};
 
+	if (run->muted && !control_is_silent(e, run->request)) {
+		http_server_end(e->server, run->request, true);
+		return true; /* tokens are missing: never go on */
+	}
 	if (token)
 		fake_token(&text, key, run->prompt, run->next);
 	buf_puts(&event, "data: {\"id\": ");
--- /dev/null
+++ b/tests/http/answer_test.cc
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "util/rng.h"
+extern "C" {
+#include "http/client_internal.h"
+}
+
+struct Outcome {
+	bool fault, whole;
+	std::string body;
+};
+
+/* Feed an answer in pieces of at most the given size. */
+static Outcome
+Feed(const std::string &bytes, size_t piece)
+{
+	answer a = {};
+	Outcome out = {};
+
+	for (size_t at = 0; at < bytes.size() && !out.fault; at += piece) {
+		std::string part = bytes.substr(at, piece);
+		size_t rest = part.size();
+
+		if (a.phase == ANSWER_HEAD)
+			out.fault = answer_parse_head(&a, part.data(),
+					part.size(), &rest) != nullptr;
+		if (out.fault || a.phase == ANSWER_HEAD ||
+		    a.phase == ANSWER_WHOLE)
+			continue;
+		size_t len = rest;
+		char *data = &part[0] + part.size() - rest;
+		out.fault = len > 0 && answer_decode(&a, data, &len) != nullptr;
+		if (!out.fault)
+			out.body.append(data, len);
+	}
+	out.whole = !out.fault && a.phase == ANSWER_WHOLE;
+	buf_free(&a.head);
+	return out;
+}
+
+/* However an answer is cut into pieces, it is read as the same. */
+TEST(Answer, DoesNotDependOnThePieces)
+{
+	const char *bases[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nhello, world",
+	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
+	    "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "5\r\nhello\r\n7;x=y\r\n, world\r\n0\r\nTrailer: t\r\n\r\n",
+	    "HTTP/1.0 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n",
+	    "HTTP/1.1 204 No Content\r\n\r\n"};
+	const unsigned seeds = 5000;
+
+	for (unsigned seed = 1; seed <= seeds; seed++) {
+		std::string bytes = bases[seed % 4];
+		rng r;
+
+		rng_seed(&r, seed);
+		for (unsigned n = rng_below(&r, 4); n > 0; n--)
+			bytes[rng_below(&r, (uint32_t)bytes.size())] =
+			    (char)rng_below(&r, 256);
+		Outcome at_once = Feed(bytes, bytes.size());
+		for (size_t piece : {1, 2, 7, 30}) {
+			Outcome cut = Feed(bytes, piece);
+
+			ASSERT_EQ(at_once.whole, cut.whole)
+			    << seed << " " << piece << "\n"
+			    << bytes;
+			if (at_once.whole) {
+				ASSERT_EQ(at_once.body, cut.body) << seed;
+			}
+		}
+	}
+}
+
+TEST(Answer, RefusesWhatIsAmbiguous)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string cases[] = {
+	    ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	    ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    ok + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+	    ok + "Transfer-Encoding: gzip\r\n\r\n",
+	    ok + "Content-Length: 99999999999999999999\r\n\r\n",
+	    ok + "Content-Length: +1\r\n\r\na",
+	    ok + "X: " + std::string(70000, 'x'),
+	    "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	    "HTTP/1.1 099 Low\r\n\r\n"};
+
+	for (auto &c : cases)
+		EXPECT_TRUE(Feed(c, c.size()).fault) << c.substr(0, 100);
+}
--- a/tests/http/protocol_test.cc
+++ b/tests/http/protocol_test.cc
@@ -77,6 +77,38 @@
 	EXPECT_TRUE(gone.empty());
 }
 
+TEST_F(HttpTest, Http2DrainFinishesItsStreams)
+{
+	RawSocket caller;
+	std::string received;
+	bool closed = false;
+
+	Serve();
+	handler = [](const node_request *) {};
+	caller.Connect(http_server_get_port(server));
+	caller.Write(http2_hello + Http2Get(1) + Http2Get(3));
+	ASSERT_TRUE(Until([&] { return requests.size() == 2; }));
+	Reply(requests[0], 200, "first");
+	http_server *draining = server;
+	http_server_destroy(server, set_true, &server_done);
+	server = nullptr;
+	uint64_t later = uv_hrtime() + 50000000;
+	ASSERT_TRUE(Until([&] { return uv_hrtime() > later; }));
+	ASSERT_TRUE(gone.empty());
+	node_reply r = {};
+	r.request = requests[1];
+	r.status = 200;
+	r.body = {"second", 6};
+	http_server_reply(draining, &r);
+	ASSERT_TRUE(Until([&] {
+		received += caller.Poll(&closed);
+		return closed;
+	}));
+	EXPECT_NE(received.find(Frame(0, 1, 3, "second")), std::string::npos);
+	ASSERT_TRUE(Until([&] { return server_done; }));
+	server_done = false; /* nothing is left to tear down */
+}
+
 /* ---- TLS --------------------------------------------------------------- */
 
 class TlsTest : public HttpTest {
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -313,6 +313,52 @@
 	server_done = false; /* nothing is left to tear down */
 }
 
+/* A request that is half here when the drain begins is answered. */
+TEST_F(HttpTest, DestroyAwaitsHalfARequest)
+{
+	const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+	const struct {
+		std::string first, second;
+	} cases[] = {{"POST / HT", "TP/1.1\r\nHost: h\r\n\r\n"},
+	    {head + "Content-Length: 4\r\n\r\nab", "cd"},
+	    {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		"0\r\n\r\n"}};
+
+	for (auto &c : cases) {
+		RawSocket caller;
+		std::string received;
+		bool closed = false;
+		uint64_t later;
+
+		Serve();
+		caller.Connect(http_server_get_port(server));
+		caller.Write(c.first);
+		later = uv_hrtime() + 20000000;
+		ASSERT_TRUE(Until([&] { return uv_hrtime() > later; }));
+		handler = [s = server](const node_request *r) {
+			node_reply reply = {};
+
+			reply.request = r->request;
+			reply.status = 200;
+			reply.body = {"ok", 2};
+			http_server_reply(s, &reply);
+		};
+		http_server_destroy(server, set_true, &server_done);
+		server = nullptr;
+		later = uv_hrtime() + 20000000;
+		ASSERT_TRUE(Until([&] { return uv_hrtime() > later; }));
+		ASSERT_FALSE(server_done) << c.first;
+		caller.Write(c.second);
+		ASSERT_TRUE(Until([&] {
+			received += caller.Poll(&closed);
+			return closed;
+		}));
+		EXPECT_EQ(Count(received, "\r\n\r\nok"), 1u) << c.first;
+		ASSERT_TRUE(Until([&] { return server_done; }));
+		server_done = false;
+	}
+}
+
 TEST_F(HttpTest, CreateReportsBadSettings)
 {
 	struct {
