Owners keep acting on endpoints that stay theirs; one-owner checker

Cause: while a new epoch was not active yet, every owner stopped ordering, also for endpoints that had been its own all along: seen in a log of the matrix as 5 s without any load after a cut. Orders now wait only for the epoch in which the endpoint became this instance's. Checker: no two instances that may act hold one endpoint.

--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -36,7 +36,7 @@
 		return;
 	node_log(n, NODE_LOG_MEMBER_UP, "{\"member\": %u, \"epoch\": %llu}",
 	    info->id, (unsigned long long)index);
-	node_owner_epoch(n);
+	node_owner_epoch(n, false);
 }
 
 static void
@@ -49,7 +49,7 @@
 	if (claim_apply_down(n->claims, down->id, down->incarnation) > 0)
 		route_claim_review(n->route, n->now, n->fx);
 	node_grant_entry_down(n, down->id, down->incarnation);
-	node_owner_epoch(n);
+	node_owner_epoch(n, false);
 }
 
 static void
@@ -60,7 +60,7 @@
 	node_log(n, NODE_LOG_MEMBER_LEAVING,
 	    "{\"member\": %u, \"epoch\": %llu}", leave->id,
 	    (unsigned long long)index);
-	node_owner_epoch(n);
+	node_owner_epoch(n, false);
 }
 
 static void
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -61,9 +61,12 @@
 /* An endpoint this instance owns. */
 struct node_endpoint {
 	char *id, *address, *region;
-	uint64_t incarnation;
 	uint64_t announced_us;
-	bool service, leaving;
+	uint64_t since_epoch; /* owned without a break since this epoch */
+	bool leaving;
+	bool scheduled; /* known to the scheduler */
+	char *report;	/* latest announcement, JSON */
+	size_t report_len;
 };
 
 /* An ask or grant of an entry, at the owner. */
@@ -254,7 +257,7 @@
 /* node_owner.c: endpoints and orders */
 void node_owner_announce(struct node *n, struct node_bytes json);
 void node_owner_cache_events(struct node *n, struct node_bytes json);
-void node_owner_epoch(struct node *n);
+void node_owner_epoch(struct node *n, bool skipped);
 void node_owner_tick(struct node *n);
 void node_owner_run(struct node *n);
 bool node_owner_call(struct node *n, const struct node_call_event *event);
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -18,6 +18,7 @@
 	free(e->id);
 	free(e->address);
 	free(e->region);
+	free(e->report);
 	free(e);
 }
 
@@ -45,18 +46,28 @@
 }
 
 static struct node_endpoint *
-endpoint_add(struct node *n, const struct announcement *a)
+endpoint_add(struct node *n, const char *id)
 {
 	struct node_endpoint *e = mem_alloc(1, sizeof(*e));
 
-	e->id = mem_string(a->report.id);
-	e->incarnation = a->report.incarnation;
-	e->service = a->report.service;
+	e->id = mem_string(id);
+	e->since_epoch = member_view_epoch(n->view);
 	map_set_str(n->endpoints, e->id, e);
 	node_log(n, NODE_LOG_ENDPOINT_UP, "{\"endpoint\": \"%s\"}", e->id);
 	return e;
 }
 
+/*
+ * Orders to an endpoint are this instance's once the epoch in which it
+ * became the owner is active: then no earlier owner can act any more.
+ */
+static bool
+is_active(const struct node *n, const struct node_endpoint *e)
+{
+	return !node_guards.active_epoch ||
+	    member_holder_active_epoch(n->holder) >= e->since_epoch;
+}
+
 static void
 endpoint_remove(struct node *n, struct node_endpoint *e, const char *reason)
 {
@@ -83,28 +94,56 @@
 	node_peer_send(n, owner, &envelope);
 }
 
+/* Give the latest announcement to the scheduler. */
+static void
+endpoint_schedule(struct node *n, struct node_endpoint *e,
+    const struct announcement *a)
+{
+	sched_report(n->sched, n->now, &a->report);
+	if (!e->scheduled && node_guards.takeover_wait)
+		sched_endpoint_takeover(
+		    n->sched, n->now, e->id, n->now + TAKEOVER_WAIT_US);
+	e->scheduled = true;
+	node_grant_report(n, e->id, &a->report);
+	n->owner_due = true;
+}
+
+/* An endpoint that waited for its epoch: its latest announcement counts. */
 static void
-endpoint_report(struct node *n, const struct announcement *a)
+endpoint_begin(struct node *n, struct node_endpoint *e)
+{
+	struct node_bytes json = {e->report, e->report_len};
+	struct announcement a;
+
+	if (e->scheduled || !is_active(n, e) ||
+	    announce_parse(&a, e->announced_us, json, NULL) != 0)
+		return;
+	endpoint_schedule(n, e, &a);
+	announce_free(&a);
+}
+
+static void
+endpoint_report(struct node *n, const struct announcement *a,
+    struct node_bytes json)
 {
 	struct node_endpoint *e = map_get_str(n->endpoints, a->report.id);
-	bool taken_over = e == NULL;
 
 	if (e == NULL)
-		e = endpoint_add(n, a);
+		e = endpoint_add(n, a->report.id);
 	if (a->report.leaving && !e->leaving)
-		node_log(n, NODE_LOG_ENDPOINT_LEAVING, "{\"endpoint\": \"%s\"}",
-		    e->id);
+		node_log(n, NODE_LOG_ENDPOINT_LEAVING,
+		    "{\"endpoint\": \"%s\"}", e->id);
 	e->leaving = a->report.leaving;
-	e->incarnation = a->report.incarnation;
 	e->announced_us = n->now;
 	set_string(&e->address, a->address);
 	set_string(&e->region, a->region);
-	sched_report(n->sched, n->now, &a->report);
-	if (taken_over && node_guards.takeover_wait)
-		sched_endpoint_takeover(
-		    n->sched, n->now, e->id, n->now + TAKEOVER_WAIT_US);
-	node_grant_report(n, e->id, &a->report);
-	n->owner_due = true;
+	if (is_active(n, e)) {
+		endpoint_schedule(n, e, a);
+		return;
+	}
+	free(e->report);
+	e->report = mem_copy(json.data, json.len);
+	e->report_len = json.len;
 }
 
 /* An announcement, from the endpoint or passed on by another instance. */
@@ -120,22 +159,26 @@
 	}
 	owner = node_owner_of(n, a.region, a.report.id);
 	if (owner == n->id)
-		endpoint_report(n, &a);
+		endpoint_report(n, &a, json);
 	else if (owner != 0)
 		forward_report(n, owner, json, false);
 	announce_free(&a);
 }
 
-/* Which of the endpoints' tables remain ours under the new members? */
+/*
+ * The members changed: which endpoints remain this instance's?
+ *
+ * skipped: epochs in between were not seen, so others may have owned them.
+ */
 void
-node_owner_epoch(struct node *n)
+node_owner_epoch(struct node *n, bool skipped)
 {
 	struct node_endpoint *e;
 	size_t i = map_count(n->endpoints);
 
 	while (i-- > 0) {
 		e = map_at(n->endpoints, i);
-		if (node_owner_of(n, e->region, e->id) != n->id)
+		if (skipped || node_owner_of(n, e->region, e->id) != n->id)
 			endpoint_remove(n, e, "moved");
 	}
 	n->touch_us = 0; /* new owners learn of running requests at once */
@@ -153,6 +196,8 @@
 		e = map_at(n->endpoints, i);
 		if (n->now > e->announced_us + NODE_ENDPOINT_GONE_US)
 			endpoint_remove(n, e, "silent");
+		else
+			endpoint_begin(n, e);
 	}
 }
 
@@ -185,16 +230,6 @@
 		n->owner_due = true;
 }
 
-/* Orders are given by the owner of the active epoch, under its lease. */
-static bool
-may_order(const struct node *n)
-{
-	if (!node_may_act(n))
-		return false;
-	return !node_guards.active_epoch ||
-	    member_holder_active_epoch(n->holder) >= member_view_epoch(n->view);
-}
-
 static void
 order_endpoint(struct node *n, const struct sched_decision *d)
 {
@@ -284,7 +319,7 @@
 	if (!n->owner_due)
 		return;
 	n->owner_due = false;
-	sched_run(n->sched, n->now, may_order(n));
+	sched_run(n->sched, n->now, node_may_act(n));
 	while (sched_take(n->sched, &d)) {
 		switch (d.type) {
 		case SCHED_GRANT:
--- a/src/node/node_replica.c
+++ b/src/node/node_replica.c
@@ -129,7 +129,7 @@
 	n->applied = index;
 	n->applied_term = snapshot->term;
 	n->recent_first = index + 1;
-	node_owner_epoch(n);
+	node_owner_epoch(n, true);
 	route_claim_review(n->route, n->now, n->fx);
 	tell_waiters(n);
 cleanup:
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -176,6 +176,7 @@
 	std::string check_bookings() const;
 	std::string check_confirmed() const;
 	std::string check_orders() const;
+	std::string check_owners() const;
 	std::string check_evictions() const;
 	std::string check_in_force();
 	std::string check_documents() const;
--- a/tests/cluster/cluster_check.cc
+++ b/tests/cluster/cluster_check.cc
@@ -171,6 +171,34 @@
 	return "";
 }
 
+/* No two instances may give orders to one endpoint at the same time. */
+std::string
+Cluster::check_owners() const
+{
+	for (auto &e : endpoints) {
+		std::string owner;
+
+		for (auto &in : instances) {
+			const struct node_endpoint *held = !in->alive
+			    ? nullptr
+			    : (const struct node_endpoint *)map_get_str(
+				  in->node->endpoints, e->id.c_str());
+
+			if (held == nullptr || !held->scheduled ||
+			    !member_holder_may_act(in->node->holder,
+				in->node->view, clock_of(*in),
+				in->node->applied))
+				continue;
+			if (!owner.empty())
+				return "endpoint " + e->id +
+				    " has two owners, " + owner + " and " +
+				    in->name;
+			owner = in->name;
+		}
+	}
+	return "";
+}
+
 std::string
 Cluster::check_evictions() const
 {
@@ -274,9 +302,10 @@
 std::string
 Cluster::check()
 {
-	for (auto &violation : {check_answers(), check_not_run(),
-		 check_bookings(), check_orders(), check_evictions(),
-		 check_in_force(), check_documents(), check_changes()})
+	for (auto &violation :
+	    {check_answers(), check_not_run(), check_bookings(), check_orders(),
+		check_owners(), check_evictions(), check_in_force(),
+		check_documents(), check_changes()})
 		if (!violation.empty())
 			return violation;
 	return violations.empty() ? "" : violations[0];
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -138,6 +138,10 @@
 void
 Cluster::note_order(Endpoint *e, const Incoming &in)
 {
+	if (getenv("CLUSTER_LOG") != nullptr)
+		fprintf(stderr, "%9.3f order %s i%d fence %llu %s\n",
+		    (double)now / 1e6, e->id.c_str(), in.instance + 1,
+		    (unsigned long long)in.fence, in.path.c_str());
 	if (in.fence < e->newest_fence)
 		e->stale_orders++;
 	else
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -223,6 +223,13 @@
 	strike_restart(c, w, 3 + target % 2);
 }
 
+static void
+ask_for_all(Cluster &c, int instance)
+{
+	for (int i = 0; i < 24; i++)
+		(void)c.complete(instance, "a" + std::to_string(i));
+}
+
 /*
  * An instance that owned an endpoint comes back after long, and just then
  * the one that owns it meanwhile is cut off.
@@ -244,15 +251,16 @@
 	strike_kill(c, w, target);
 	w.run(5000000);
 	other = c.owner_of(moved);
-	c.start(target);
-	w.run(150000);
-	if (other < 0 || other == target)
+	if (other < 0 || other == target) {
+		c.start(target);
 		return;
-	c.isolate(other, true);
-	for (int i = 0; i < 24; i++) {
-		(void)c.complete(other, "a" + std::to_string(i));
-		(void)c.complete(target, "a" + std::to_string(i));
 	}
+	ask_for_all(c, other); /* so that it holds store permits */
+	w.run(400000);
+	c.isolate(other, true);
+	c.start(target);
+	w.run(1150000); /* by now it asks nobody but itself */
+	ask_for_all(c, other);
 }
 
 static void
