--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -123,19 +123,26 @@
 report_work(const struct node *n, struct buf *out)
 {
 	struct sched_totals totals;
+	struct sched_demand demand;
 
+	sched_get_demand(n->sched, n->now, &demand);
 	sched_get_totals(n->sched, n->now, &totals);
 	buf_printf(out,
 	    "{\"engines\": %u, \"services\": %u, \"seats\": %u, "
 	    "\"free\": %u, \"queued\": %u, \"running\": %u, "
 	    "\"loads\": %llu, \"loadFailures\": %llu, \"evictions\": %llu, "
-	    "\"stallMs\": %llu, \"waitP90Ms\": %u, \"largestGap\": %.3f}",
+	    "\"stallMs\": %llu, \"waitP90Ms\": %u, \"largestGap\": %.3f, "
+	    "\"permits\": %u, \"loadsPerSecond\": %.3f, "
+	    "\"loadsWaiting\": %u, \"loadsInFlight\": %u}",
 	    totals.engines, totals.services, totals.seats, totals.free,
 	    totals.queued, totals.running, (unsigned long long)totals.loads,
 	    (unsigned long long)totals.load_failures,
 	    (unsigned long long)totals.evictions,
 	    (unsigned long long)(totals.stall_us / 1000), totals.wait_p90_ms,
-	    (double)totals.largest_gap_milli / 1000.0);
+	    (double)totals.largest_gap_milli / 1000.0,
+	    member_holder_permit_in_flight(n->holder),
+	    member_holder_permit_rate_milli(n->holder) / 1000.0,
+	    demand.waiting, demand.in_flight);
 }
 
 static void
--- a/tests/prove/workload.cc
+++ b/tests/prove/workload.cc
@@ -132,6 +132,25 @@
 	}
 }
 
+/* For a person who looks into a failure. */
+void
+Workload::dump()
+{
+	struct buf out = {};
+
+	if (getenv("CLUSTER_LOG") == nullptr)
+		return;
+	for (auto &in : c.instances) {
+		if (!in->alive)
+			continue;
+		node_report_status(in->node, &out);
+		sched_report_json(in->node->sched, &out);
+		fprintf(stderr, "%s\n", out.data);
+		buf_clear(&out);
+	}
+	buf_free(&out);
+}
+
 std::string
 Workload::settle()
 {
@@ -146,7 +165,10 @@
 		    c.instances[i]->node->stopping)
 			continue;
 		r = c.complete((int)i, "a1");
-		if (!c.wait(r) || r->status != 200)
+		bool done = c.wait(r);
+		if (!done || r->status != 200)
+			dump();
+		if (!done || r->status != 200)
 			return "no completion at instance " +
 			    std::to_string(i + 1) + ": " + r->answer;
 		r = c.book((int)i, "settle" + std::to_string(i));
--- a/tests/prove/workload.h
+++ b/tests/prove/workload.h
@@ -35,6 +35,7 @@
 	void work();
 	void rebook();
 	void change();
+	void dump();
 	void resend_change();
 
 	Cluster &c;
