--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -318,7 +318,8 @@
 	if (it->adapter != NULL)
 		it->adapter->running--;
 	team_settle(s, it, usage);
-	if (usage->outcome == SCHED_DELIVERED && it->adapter != NULL) {
+	if (usage->outcome == SCHED_DELIVERED && it->adapter != NULL &&
+	    it->adapter->pool != NULL) {
 		mean_add(&it->adapter->pool->service_us, usage->total_us);
 		mean_add(&it->adapter->pool->first_us, usage->first_us);
 		role_note(it->adapter->pool, now_us, usage->tokens_in,
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -62,8 +62,11 @@
 	struct adapter *a = adapter_lookup(s, service, name);
 	struct buf key = {0};
 
-	if (a != NULL)
+	if (a != NULL) {
+		if (a->pool == NULL)
+			a->pool = pool;
 		return a;
+	}
 	a = mem_alloc(1, sizeof(*a));
 	a->name = mem_string(name);
 	a->service = service;
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -147,7 +147,8 @@
 			continue;
 		}
 		a = c.slot->next;
-		if (a->waiting == 0 || slot_find(c.ep, a) != NULL) {
+		if (a->waiting == 0 || c.ep->leaving ||
+		    slot_find(c.ep, a) != NULL) {
 			claim_remove(s, c.slot);
 			continue;
 		}
--- a/tests/sched/sched_evict_test.cc
+++ b/tests/sched/sched_evict_test.cc
@@ -222,3 +222,30 @@
 	Done(3);
 	EXPECT_EQ("G5@e1 G6@e1", Short());
 }
+
+TEST_F(SchedEvict, AdoptedBeforeTheFirstReport)
+{
+	sched_adopt(s, now, 7, "t", "e1", "t/a@1");
+	sched_adopt(s, now, 8, "t", "e1", "t/a@1");
+	sched_endpoint_takeover(s, now, "e1", now);
+	Done(7);
+	EXPECT_EQ(1u, Totals().running);
+	now += 1000;
+	Engine("e1", {"t/a@1"}, 1, 2, 1, 0, {1});
+	Ask(1, "t", "t/a@1");
+	Ask(2, "t", "t/a@1");
+	EXPECT_EQ("G1@e1", Short()) << "the adopted one holds a seat";
+	Done(8);
+	EXPECT_EQ("G2@e1", Short());
+}
+
+TEST_F(SchedEvict, SlotClaimedOnALeavingEngineIsNotLoaded)
+{
+	Engine("e1", {"t/a@1"}, 1);
+	Ask(1, "u", "u/b@1");
+	EXPECT_EQ("E:t/a@1@e1", Short());
+	Engine("e2", {}, 1);
+	Engine("e1", {"t/a@1"}, 1, 8, 1, 0, {}, true);
+	sched_evict_result(s, now, "e1", "t/a@1", true);
+	EXPECT_EQ("L:u/b@1@e2", Short());
+}
