sched: bound the slots emptied at a time, tell recent waits

wait_p90_ms covered the whole life of the process; it now covers the last one to two windows of 30 s.

--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -5,6 +5,7 @@
  * the eviction costs and how soon a seat is free there.
  */
 
+#define FAIR_DRAINS_MOST    4 /* slots emptied at a time */
 #define FAIR_LOAD_TRIES	    8 /* of one run */
 #define FAIR_PLACE_WALK	    64 /* endpoints that are looked at */
 #define FAIR_KEEP_US	    30e6
@@ -269,8 +270,9 @@
 	double cost, least = want->value;
 	uint32_t i, j;
 
-	if (a->drain != NULL)
+	if (a->drain != NULL || s->drains >= FAIR_DRAINS_MOST)
 		return;
+
 	for (i = 0; i < p->count && i < FAIR_PLACE_WALK; i++) {
 		ep = p->endpoints[(p->cursor + i) % p->count];
 		if (!endpoint_usable(s, ep, now_us) ||
@@ -289,7 +291,7 @@
 		}
 	}
 	if (best != NULL)
-		slot_drain(best, a);
+		slot_drain(s, best, a);
 }
 
 /* Look again when the waiting requests' stall has reached the cost. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -261,7 +261,8 @@
 	d->wait_us = now_us - it->enqueued_us;
 	d->stall_us = item_stall(it, slot, now_us);
 	s->stall_us += d->stall_us;
-	hist_add(&s->waits, d->wait_us / SCHED_MS_US);
+	stat_wait(s, now_us, d->wait_us);
+
 	team_note_gap(s);
 	it->provisional = team_estimate(s, it);
 	item_dequeue(s, it);
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -118,7 +118,7 @@
 
 	s->load_failures++;
 	if (a->drain != NULL)
-		slot_drain_end(a->drain);
+		slot_drain_end(s, a->drain);
 	if (++a->failures > 1)
 		a->retry_us = now_us +
 		    backoff_time(ADAPTER_RETRY_US, ADAPTER_RETRY_TOP_US,
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -271,7 +271,7 @@
 	for (i = 0; i < ep->slot_count; i++) {
 		load_forget(s, ep, ep->slots[i],
 		    now_us + 4 * s->options.load_ms * SCHED_MS_US);
-		slot_detach(ep, ep->slots[i], now_us);
+		slot_detach(s, ep, ep->slots[i], now_us);
 	}
 	endpoint_drop_items(s, ep);
 	if (ep->pool != NULL)
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -234,6 +234,8 @@
 	double reload_us; /* mean wait for a load, with the load */
 	struct claim *claims;
 	uint32_t nclaims, claim_cap;
+	uint32_t drains; /* slots being emptied */
+
 	uint64_t *ghosts; /* ends of loads on endpoints that are gone */
 	uint32_t nghosts, ghost_cap;
 	struct sched_decision *decisions;
@@ -247,7 +249,8 @@
 	uint64_t role_check_us;
 	size_t sweep;
 	uint64_t loads, load_failures, evictions, stall_us;
-	struct hist waits; /* ms */
+	struct hist waits, waits_before; /* ms; two windows */
+	uint64_t waits_us; /* when the newer window began */
 };
 
 /* Grow an array of a type to hold one more. */
@@ -315,11 +318,12 @@
 void slot_attach(struct endpoint *ep, struct slot *slot, struct adapter *a,
     enum slot_state state, uint64_t now_us);
 void slot_loaded(struct slot *slot, uint64_t now_us);
-void slot_detach(struct endpoint *ep, struct slot *slot, uint64_t now_us);
+void slot_detach(
+    struct sched *s, struct endpoint *ep, struct slot *slot, uint64_t now_us);
 struct slot *slot_adopt(
     struct endpoint *ep, struct adapter *a, uint64_t now_us);
-void slot_drain(struct slot *slot, struct adapter *a);
-void slot_drain_end(struct slot *slot);
+void slot_drain(struct sched *s, struct slot *slot, struct adapter *a);
+void slot_drain_end(struct sched *s, struct slot *slot);
 void slot_unpin(struct sched *s, struct endpoint *ep, struct slot *slot,
     uint64_t now_us, enum sched_outcome outcome);
 void slot_merge(struct sched *s, struct endpoint *ep, uint64_t now_us,
@@ -363,6 +367,9 @@
 void prefix_remove(struct prefix_set *set, uint64_t prefix);
 void prefix_clear(struct prefix_set *set);
 
+/* sched_stat.c */
+void stat_wait(struct sched *s, uint64_t now_us, uint64_t wait_us);
+
 /* sched_role.c */
 void role_note(struct pool *p, uint64_t now_us, uint32_t in, uint32_t out);
 void role_run(struct sched *s, uint64_t now_us);
--- a/src/sched/sched_item.c
+++ b/src/sched/sched_item.c
@@ -215,7 +215,7 @@
 	it->all_prev = it->all_next = NULL;
 	it->team->queued--;
 	if (--it->adapter->waiting == 0 && it->adapter->drain != NULL)
-		slot_drain_end(it->adapter->drain);
+		slot_drain_end(s, it->adapter->drain);
 	it->adapter->waiting_sum -= it->queued_us;
 	s->queued--;
 }
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -92,7 +92,7 @@
 	struct sched_decision *d;
 
 	if (a->drain != NULL)
-		slot_drain_end(a->drain);
+		slot_drain_end(s, a->drain);
 	slot_attach(ep, slot, a, SLOT_LOADING, now_us);
 	slot->ordered = true;
 	a->loading++;
@@ -209,7 +209,7 @@
 	slot = load_victim(s, now_us, ep, a, &cost);
 	if (slot == NULL)
 		return false;
-	slot_drain_end(slot);
+	slot_drain_end(s, slot);
 	slot->state = SLOT_EVICTING;
 	slot->changed_us = now_us;
 	claim_add(s, ep, slot, a);
@@ -280,7 +280,7 @@
 	load_forget(s, ep, slot, 0);
 	if (!ok) {
 		adapter_failed(s, a, ep, now_us);
-		slot_detach(ep, slot, now_us);
+		slot_detach(s, ep, slot, now_us);
 		return;
 	}
 	load_note_wait(s, a, now_us);
@@ -300,7 +300,7 @@
 	if (slot == NULL)
 		return;
 	if (ok) {
-		slot_detach(ep, slot, now_us);
+		slot_detach(s, ep, slot, now_us);
 		return;
 	}
 	load_forget(s, ep, slot, 0);
--- a/src/sched/sched_slot.c
+++ b/src/sched/sched_slot.c
@@ -97,23 +97,26 @@
 
 /* Let an adapter wait until the grants of a slot are done. */
 void
-slot_drain(struct slot *slot, struct adapter *a)
+slot_drain(struct sched *s, struct slot *slot, struct adapter *a)
 {
+	s->drains++;
 	slot->draining = a;
 	a->drain = slot;
 }
 
 void
-slot_drain_end(struct slot *slot)
+slot_drain_end(struct sched *s, struct slot *slot)
 {
 	if (slot->draining == NULL)
 		return;
+	s->drains--;
 	slot->draining->drain = NULL;
 	slot->draining = NULL;
 }
 
 void
-slot_detach(struct endpoint *ep, struct slot *slot, uint64_t now_us)
+slot_detach(
+    struct sched *s, struct endpoint *ep, struct slot *slot, uint64_t now_us)
 {
 	struct adapter *a = slot->adapter;
 	struct adapter *next = slot->next;
@@ -121,7 +124,7 @@
 
 	if (a == NULL)
 		return;
-	slot_drain_end(slot);
+	slot_drain_end(s, slot);
 	if (slot->state == SLOT_LOADED || slot->state == SLOT_EVICTING)
 		a->loaded--;
 	for (i = 0; i < a->nat; i++) {
@@ -159,7 +162,7 @@
 	if (!slot->lost || slot->pins > 0)
 		return;
 	load_forget(s, ep, slot, 0);
-	slot_detach(ep, slot, now_us);
+	slot_detach(s, ep, slot, now_us);
 }
 
 /* Of the reported runs, those that no grant of ours explains. */
@@ -241,7 +244,7 @@
 		    slot->ordered || slot->state == SLOT_EVICTING)
 			continue;
 		load_forget(s, ep, slot, 0);
-		slot_detach(ep, slot, now_us);
+		slot_detach(s, ep, slot, now_us);
 	}
 }
 
@@ -280,7 +283,7 @@
 
 	for (i = 0; i < ep->slot_count; i++) {
 		load_forget(s, ep, ep->slots[i], 0);
-		slot_detach(ep, ep->slots[i], now_us);
+		slot_detach(s, ep, ep->slots[i], now_us);
 		ep->slots[i]->next = NULL;
 	}
 }
--- a/src/sched/sched_stat.c
+++ b/src/sched/sched_stat.c
@@ -4,11 +4,29 @@
 
 /* Reports. */
 
+#define STAT_WINDOW_US (30 * SCHED_SECOND_US)
+
+/* Waits are told of this window and the one before it. */
+void
+stat_wait(struct sched *s, uint64_t now_us, uint64_t wait_us)
+{
+	if (now_us >= s->waits_us + STAT_WINDOW_US) {
+		if (now_us < s->waits_us + 2 * STAT_WINDOW_US)
+			s->waits_before = s->waits;
+		else
+			memset(&s->waits_before, 0, sizeof(s->waits_before));
+		memset(&s->waits, 0, sizeof(s->waits));
+		s->waits_us = now_us;
+	}
+	hist_add(&s->waits, wait_us / SCHED_MS_US);
+}
+
 void
 sched_get_totals(
     const struct sched *s, uint64_t now_us, struct sched_totals *out)
 {
 	const struct endpoint *ep;
+	struct hist waits;
 	size_t i;
 
 	(void)now_us;
@@ -30,7 +48,10 @@
 	out->load_failures = s->load_failures;
 	out->evictions = s->evictions;
 	out->stall_us = s->stall_us;
-	out->wait_p90_ms = (uint32_t)hist_quantile(&s->waits, 0.9);
+	waits = s->waits;
+	hist_merge(&waits, &s->waits_before);
+	out->wait_p90_ms = (uint32_t)hist_quantile(&waits, 0.9);
+
 	out->largest_gap_milli = s->largest_gap_milli;
 }
 
--- a/tests/sched/sched_load_test.cc
+++ b/tests/sched/sched_load_test.cc
@@ -202,6 +202,47 @@
 	EXPECT_EQ(8u, granted());
 }
 
+TEST_F(SchedLoad, ServiceLimitIsCutWhenCallsBecomeSlow)
+{
+	uint64_t id = 1;
+	size_t granted = 0;
+
+	Service("s1", 8);
+	for (; id <= 20; id++) {
+		now += 1000000;
+		Ask(id, "t", nullptr);
+		Short();
+		Done(id, SCHED_DELIVERED, 100000);
+	}
+	Ask(id, "t", nullptr);
+	Short();
+	Done(id++, SCHED_DELIVERED, 900000);
+	for (; id < 40; id++) {
+		Ask(id, "t", nullptr);
+		granted += !Short().empty();
+	}
+	EXPECT_EQ(4u, granted);
+}
+
+TEST_F(SchedLoad, TotalsTellRecentWaits)
+{
+	Engine("e1", {"t/a@1"}, 4, 1);
+	for (uint64_t id = 1; id <= 10; id++) {
+		Ask(id, "t", "t/a@1");
+		Ask(100 + id, "t", "t/a@1");
+		Short();
+		now += 2000000;
+		Done(id);
+		Short();
+		Done(100 + id);
+	}
+	EXPECT_GE(Totals().wait_p90_ms, 1900u);
+	now += 100000000;
+	Ask(500, "t", "t/a@1");
+	Short();
+	EXPECT_EQ(0u, Totals().wait_p90_ms);
+}
+
 TEST_F(SchedLoad, PrefixAffinityFromCacheEventsWithResync)
 {
 	uint64_t prefixes[] = {11, 12};
