sched: a full queue refuses what ranks last

A newcomer was refused whatever its priority, and of a burst the first. Now the request that would be served last goes, and of a full owner that of the team with the longest queue for its weight.

--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -7,6 +7,7 @@
 
 #define ADMIT_TEAM_QUEUE     512
 #define ADMIT_QUEUE	     4096
+#define ADMIT_RETRY_PART     4 /* of the wait: part of a queue drains */
 #define ADMIT_RECHECK_MIN_US (20 * SCHED_MS_US)
 
 struct admit_ahead {
@@ -194,18 +195,56 @@
 	item_check_at(s, it, again);
 }
 
+/* The team that queues most for its weight. */
+static struct team *
+admit_longest(const struct sched *s)
+{
+	struct team *most = NULL, *t;
+	uint32_t i;
+
+	for (i = 0; i < s->nactive; i++) {
+		t = s->active[i];
+		if (most == NULL ||
+		    t->queued * most->weight > most->queued * t->weight)
+			most = t;
+	}
+	return most;
+}
+
+/* A team's request that would be served last. */
+static struct item *
+admit_last(const struct team *t)
+{
+	struct item *last = NULL;
+	const struct flow *f;
+
+	for (f = t->flows; f != NULL; f = f->team_next) {
+		if (last == NULL || item_before(last, f->tail))
+			last = f->tail;
+	}
+	return last;
+}
+
+/* Newcomers push out what ranks last when a queue is full. */
 static void
-admit_fresh(struct sched *s, struct item *it, uint64_t now_us)
+admit_bounds(struct sched *s, uint64_t now_us)
 {
+	struct item *it = s->all_tail, *last;
 	uint64_t wait;
 
-	it->fresh = false;
-	if (it->team->queued > ADMIT_TEAM_QUEUE || s->queued > ADMIT_QUEUE) {
-		wait = admit_wait_us(s, it, now_us) / 4;
-		admit_give_up(s, it, SCHED_REFUSE, "overload", wait);
-		return;
+	while (it != NULL && it->fresh) {
+		if (it->team->queued > ADMIT_TEAM_QUEUE) {
+			last = admit_last(it->team);
+		} else if (s->queued > ADMIT_QUEUE) {
+			last = admit_last(admit_longest(s));
+		} else {
+			it = it->all_prev;
+			continue;
+		}
+		wait = admit_wait_us(s, last, now_us) / ADMIT_RETRY_PART;
+		admit_give_up(s, last, SCHED_REFUSE, "overload", wait);
+		it = s->all_tail;
 	}
-	admit_deadline(s, it, now_us);
 }
 
 /* Walk the newcomers, or all when endpoints have gone. */
@@ -228,13 +267,15 @@
 	struct item *it, *next;
 
 	admit_fit(s);
+	admit_bounds(s, now_us);
 	it = s->all_tail;
 	while (it != NULL && it->fresh && it->all_prev != NULL &&
 	    it->all_prev->fresh)
 		it = it->all_prev;
 	for (; it != NULL && it->fresh; it = next) {
 		next = it->all_next;
-		admit_fresh(s, it, now_us);
+		it->fresh = false;
+		admit_deadline(s, it, now_us);
 	}
 	while ((it = item_next_check(s)) != NULL && it->check_us <= now_us)
 		admit_deadline(s, it, now_us);
--- a/tests/sched/sched_target_test.cc
+++ b/tests/sched/sched_target_test.cc
@@ -93,7 +93,13 @@
 	for (double zipf : {1.1, 1.2, 1.4}) {
 		SimOptions o = Steinlicht(0.9, zipf);
 
+		/* Twice the engines, store and load: Kuuldeallikas. */
+		o.engines = 20;
+		o.store_rate_milli = 5000;
+		for (SimTeam &t : o.teams)
+			t.rate *= 2.0;
 		o.objective = SETTINGS_BATCH;
+		o.charge = SETTINGS_CHARGE_TOKENS;
 		SimResult fair = SimRun(o);
 		o.policy = "round-robin";
 		SimResult turn = SimRun(o);
