--- a/src/member/member.h
+++ b/src/member/member.h
@@ -82,6 +82,7 @@
 #define MEMBER_RENEW_US	      (250 * 1000ULL)
 #define MEMBER_PING_US	      (300 * 1000ULL)
 #define MEMBER_FLIGHT_US      (300 * 1000ULL) /* longest way of an order */
+#define MEMBER_LOAD_US	      (1000 * 1000ULL) /* longest usual adapter load */
 #define MEMBER_DRIFT_PERMILLE 50 /* clocks differ by at most */
 #define MEMBER_LAG_US	      (2000 * 1000ULL) /* no lease when staler */
 
@@ -230,7 +231,10 @@
 uint64_t member_keeper_active_epoch(const struct member_keeper *k,
     const struct member_view *v, uint64_t now_us);
 
-/* Every holder of a lease has applied up to this index. */
+/*
+ * No instance acts, or will act, with less applied than this index. Like
+ * the active epoch it stays as it was while the leader has no authority.
+ */
 uint64_t member_keeper_in_force(const struct member_keeper *k,
     const struct member_view *v, uint64_t now_us);
 
--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -122,6 +122,8 @@
 {
 	uint64_t index = k->commit, other;
 
+	if (now_us >= k->authority_until)
+		return k->in_force;
 	if (member_guards.in_force_leases) {
 		other = keeper_lease_index(k, v, now_us);
 		index = other < index ? other : index;
@@ -141,7 +143,7 @@
 	const struct keeper_proc *proc;
 	size_t i;
 
-	if (epoch <= k->active_epoch)
+	if (epoch <= k->active_epoch || now_us >= k->authority_until)
 		return k->active_epoch;
 	if (member_guards.seal &&
 	    (k->sealed_epoch != epoch ||
@@ -162,10 +164,13 @@
 keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
+	if (now_us >= k->authority_until)
+		return;
 	if (k->sealed_epoch != member_view_epoch(v) && keeper_sealed(k, v)) {
 		k->sealed_epoch = member_view_epoch(v);
 		k->sealed_at = now_us;
 	}
+	keeper_permit_settle(k, v, now_us);
 	k->active_epoch = member_keeper_active_epoch(k, v, now_us);
 	k->in_force = member_keeper_in_force(k, v, now_us);
 }
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -34,8 +34,8 @@
 	uint64_t next_renew, next_ping;
 	struct member_sent renews, pings;
 
-	/* From the newest reply taken. */
-	uint64_t reply_sent;
+	/* From the newest reply, and from the newest with permits. */
+	uint64_t leader_sent, permit_sent;
 	uint32_t leader;
 	uint32_t permit_in_flight, permit_rate_milli;
 	/* From the newest grant. */
@@ -159,7 +159,7 @@
 	out->applied = applied;
 	out->epoch = epoch;
 	out->promise_over = now_us >= h->promise_until;
-	out->got_us = h->reply_sent;
+	out->got_us = h->permit_sent;
 	out->permit_in_flight = h->permit_in_flight;
 	out->permit_rate_milli = h->permit_rate_milli;
 }
@@ -176,9 +176,12 @@
 		h->active_epoch = reply->active_epoch;
 	if (reply->in_force > h->in_force)
 		h->in_force = reply->in_force;
-	if (reply->sent_us > h->reply_sent) {
-		h->reply_sent = reply->sent_us;
+	if (reply->sent_us > h->leader_sent) {
+		h->leader_sent = reply->sent_us;
 		h->leader = reply->leader;
+	}
+	if (reply->permits && reply->sent_us > h->permit_sent) {
+		h->permit_sent = reply->sent_us;
 		h->permit_in_flight = reply->permit_in_flight;
 		h->permit_rate_milli = reply->permit_rate_milli;
 	}
--- a/src/member/member_keeper.c
+++ b/src/member/member_keeper.c
@@ -50,6 +50,9 @@
  * Orders may be on their way for MEMBER_FLIGHT_US after their sender had to
  * stop; leases, promises and acknowledgements are all waited for by as much.
  *
+ * A keeper finds nothing new without authority: another leader may have
+ * granted leases since, and committed what this one has not seen.
+ *
  * In force. Index N is in force when nobody can act with less applied, now
  * or later. By a lease: every holder has applied N, or its lease requires
  * it. By support: a support names the supporter's applied index and holds
@@ -306,8 +309,6 @@
 	member_keeper_on_commit(k, now_us, commit);
 	if (renew->sent_us <= proc->sent_us && proc->heard_at > 0) {
 		out->reason = "late";
-		out->permit_in_flight = renew->permit_in_flight;
-		out->permit_rate_milli = renew->permit_rate_milli;
 		return;
 	}
 	keeper_note_renew(proc, now_us, renew);
--- a/src/member/member_keeper.h
+++ b/src/member/member_keeper.h
@@ -37,6 +37,7 @@
 	struct keeper_share held; /* as its newest renewal says */
 	struct keeper_share told[KEEPER_TOLD_MAX]; /* not yet surely taken */
 	size_t ntold;
+	bool share_over; /* cannot use any of these */
 };
 
 /* An instance: the process that is a member, and one that may follow it. */
@@ -60,6 +61,8 @@
 	struct map *peers; /* id to struct keeper_peer */
 
 	uint64_t sealed_epoch, sealed_at;
+	uint64_t settled_epoch; /* and loads of removed owners have ended */
+	bool shares_known; /* also those that earlier leaders told */
 	uint64_t active_epoch, in_force; /* largest found so far */
 
 	bool wishing; /* a wish is out and not yet applied */
@@ -93,6 +96,10 @@
 void keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us);
 
+/* Are the loads of owners of earlier epochs surely over? */
+void keeper_permit_settle(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us);
+
 /* Note what a renewal says of its share, then fill the share to tell. */
 void keeper_permit_renew(struct keeper_proc *proc, const Wire__LeaseRenew *r);
 void keeper_permit_tell(struct member_keeper *k, const struct member_view *v,
--- a/src/member/member_permit.c
+++ b/src/member/member_permit.c
@@ -3,6 +3,7 @@
 #include "member/member.h"
 #include "member/member_guard.h"
 #include "member/member_keeper.h"
+#include "member/member_time.h"
 
 /*
  * The weight store admits so many loads at once and so many a second. Each
@@ -10,7 +11,7 @@
  * largest of the share that its newest renewal says it holds, of the shares
  * told since and of the loads it has under way. The sum of these never
  * exceeds the whole. A silent member, which its peers may support, keeps its
- * share until its removal is sealed.
+ * share until its removal is sealed and its loads have surely ended.
  */
 
 #define KEEPER_EVEN_PART 8 /* one part in so many of the rate is spread */
@@ -20,6 +21,7 @@
 {
 	size_t i, kept = 0;
 
+	proc->share_over = false;
 	proc->waiting_loads = r->waiting_loads;
 	proc->waiting_stall_us = r->waiting_stall_us;
 	proc->loads_in_flight = r->loads_in_flight;
@@ -38,6 +40,8 @@
 	struct keeper_share used = proc->held;
 	size_t i;
 
+	if (proc->share_over)
+		return (struct keeper_share){0, 0, 0};
 	if (!member_guards.permit_hold)
 		return proc->ntold > 0 ? proc->told[proc->ntold - 1] : used;
 	if (proc->loads_in_flight > used.in_flight)
@@ -57,6 +61,57 @@
 	return from > n ? from - n : 0;
 }
 
+/* Those that are not in a settled epoch have no share any more. */
+static void
+keeper_permit_forget(struct member_keeper *k, const struct member_view *v)
+{
+	struct keeper_peer *peer;
+	struct keeper_proc *proc;
+	const struct member *m;
+	size_t i, j;
+
+	for (i = 0; i < map_count(k->peers); i++) {
+		peer = map_at(k->peers, i);
+		m = member_view_find(v, peer->id);
+		for (j = 0; j < 2; j++) {
+			proc = &peer->procs[j];
+			if (m != NULL && m->incarnation == proc->incarnation)
+				continue;
+			proc->share_over = true;
+		}
+	}
+}
+
+static bool
+keeper_all_heard(const struct member_keeper *k, const struct member_view *v)
+{
+	size_t i;
+
+	for (i = 0; i < member_view_count(v); i++)
+		if (keeper_member_proc(k, member_view_at(v, i)) == NULL)
+			return false;
+	return true;
+}
+
+/*
+ * Once all members of a settled epoch have been heard, every share is known
+ * for as long as this leader leads.
+ */
+void
+keeper_permit_settle(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us)
+{
+	uint64_t epoch = member_view_epoch(v);
+
+	if (k->sealed_epoch == epoch && k->settled_epoch != epoch &&
+	    now_us >= k->sealed_at + member_flight_us() + MEMBER_LOAD_US) {
+		k->settled_epoch = epoch;
+		keeper_permit_forget(k, v);
+	}
+	if (!k->shares_known && k->settled_epoch == epoch)
+		k->shares_known = keeper_all_heard(k, v);
+}
+
 /* What is left beside all processes but this one. */
 static struct keeper_share
 keeper_share_left(const struct member_keeper *k, const struct member_view *v,
@@ -78,7 +133,7 @@
 				continue;
 			if ((m == NULL ||
 				m->incarnation != proc->incarnation) &&
-			    keeper_sealed(k, v))
+			    k->settled_epoch == member_view_epoch(v))
 				continue;
 			used = keeper_share_used(proc);
 			left.in_flight =
@@ -90,20 +145,6 @@
 	return left;
 }
 
-/* Is every share known that an earlier leader may have told? */
-static bool
-keeper_shares_known(const struct member_keeper *k, const struct member_view *v)
-{
-	size_t i;
-
-	if (!member_guards.permit_hold)
-		return true;
-	for (i = 0; i < member_view_count(v); i++)
-		if (keeper_member_proc(k, member_view_at(v, i)) == NULL)
-			return false;
-	return keeper_sealed(k, v);
-}
-
 static bool
 keeper_has_demand(const struct keeper_proc *proc)
 {
@@ -227,21 +268,18 @@
 	struct keeper_share left, used = keeper_share_used(proc);
 	struct keeper_crowd crowd;
 
-	out->permit_in_flight = proc->held.in_flight;
-	out->permit_rate_milli = proc->held.rate_milli;
 	if (now_us >= k->authority_until)
 		return;
+	out->permits = true;
 	if (leased) {
 		keeper_crowd_count(k, v, now_us, id, &crowd);
-		left = keeper_shares_known(k, v) ? keeper_share_left(k, v, proc)
-						 : used;
+		left = k->shares_known || !member_guards.permit_hold
+		    ? keeper_share_left(k, v, proc)
+		    : used;
 		out->permit_in_flight = keeper_least(
 		    left.in_flight, keeper_target_in_flight(k, &crowd, now_us));
 		out->permit_rate_milli = keeper_least(
 		    left.rate_milli, keeper_target_rate(k, &crowd));
-	} else {
-		out->permit_in_flight = 0;
-		out->permit_rate_milli = 0;
 	}
 	keeper_permit_note(proc, out->sent_us, &out->permit_in_flight,
 	    &out->permit_rate_milli);
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -82,6 +82,7 @@
 	return false;
 }
 
+/* One that was removed gives its share of permits back before it joins. */
 static bool
 keeper_wish_up(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us)
@@ -97,6 +98,8 @@
 		for (j = 0; j < 2; j++) {
 			proc = &peer->procs[j];
 			if (proc->info == NULL || proc->leaving ||
+			    proc->held.in_flight > 0 ||
+			    proc->held.rate_milli > 0 ||
 			    now_us >= proc->heard_at + MEMBER_LEASE_US)
 				continue;
 			k->wish.type = MEMBER_WISH_UP;
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1651,7 +1651,7 @@
   (ProtobufCMessageInit) wire__lease_renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[11] =
 {
   {
     "sent_us",
@@ -1773,6 +1773,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "permits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_reply__field_indices_by_name[] = {
   5,   /* field[5] = active_epoch */
@@ -1781,6 +1793,7 @@
   2,   /* field[2] = leader */
   7,   /* field[7] = permit_in_flight */
   8,   /* field[8] = permit_rate_milli */
+  10,   /* field[10] = permits */
   9,   /* field[9] = reason */
   4,   /* field[4] = required */
   0,   /* field[0] = sent_us */
@@ -1789,7 +1802,7 @@
 static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
 {
@@ -1799,7 +1812,7 @@
   "Wire__LeaseReply",
   "wire",
   sizeof(Wire__LeaseReply),
-  10,
+  11,
   wire__lease_reply__field_descriptors,
   wire__lease_reply__field_indices_by_name,
   1,  wire__lease_reply__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -219,7 +219,7 @@
    */
   uint64_t voter;
   /*
-   * sent_us of the newest LeaseReply taken
+   * sent_us of the LeaseReply with the permits
    */
   uint64_t got_us;
   /*
@@ -261,10 +261,14 @@
    * when not granted
    */
   char *reason;
+  /*
+   * from authority: take the permits above
+   */
+  protobuf_c_boolean permits;
 };
 #define WIRE__LEASE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wire__Propose
