Tell the lease holder of each new view: model traffic without voters

Cause: the node never called member_holder_on_view(), so no instance took itself for a member, none gave support to a peer, and with two of three voters killed the three instances left refused all model traffic as cut-off. Test: standing.model_traffic_goes_on_when_the_voters_are_gone failed first (503 cut-off), passes now; the other five of tests/node pass.

--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -125,13 +125,14 @@
 	announce_free(&a);
 }
 
-/* Which of the endpoints' tables remain ours under the new members? */
+/* The members have changed: which endpoints' tables remain ours? */
 void
 node_owner_epoch(struct node *n)
 {
 	struct node_endpoint *e;
 	size_t i = map_count(n->endpoints);
 
+	member_holder_on_view(n->holder, n->view);
 	while (i-- > 0) {
 		e = map_at(n->endpoints, i);
 		if (node_owner_of(n, e->region, e->id) != n->id)
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -137,3 +137,31 @@
 	EXPECT_LE(c.now - accepted, 3000000u);
 	EXPECT_EQ(c.check(), "");
 }
+
+TEST(standing, model_traffic_goes_on_when_the_voters_are_gone)
+{
+	Cluster c(with_seed(6));
+	ASSERT_TRUE(c.begin());
+	int gone = c.leader(), also = (gone + 1) % 3;
+	Request *model, *booking;
+	Endpoint *owned = nullptr;
+
+	c.kill(gone);
+	c.kill(also);
+	for (auto &e : c.endpoints) {
+		int owner = c.owner_of(e->id);
+
+		if (!e->service && owner != gone && owner != also)
+			owned = e.get();
+	}
+	ASSERT_NE(owned, nullptr) << "the seed leaves no engine: take another";
+	c.run_for(10000000);
+	model = c.complete(3, "a1");
+	booking = c.book(4, "k1");
+	ASSERT_TRUE(c.wait(model));
+	ASSERT_TRUE(c.wait(booking));
+	EXPECT_EQ(model->status, 200) << model->answer;
+	EXPECT_EQ(booking->status, 503);
+	EXPECT_EQ(booking->outcome(), "not-run") << booking->answer;
+	EXPECT_EQ(c.check(), "");
+}
