A stopping instance serves until its address has lapsed at every caller

Cause: the drain counted the address lifetime from the signal, but peers listed the instance until its next summary: callers were refused the connection (seen with real processes: exit 1.06 s after SIGTERM at a lifetime of 1 s, three refused connections). The summary now leaves at once, and the drain adds the time in which a peer that lost it stops hearing the instance. addressLifetimeMs is at most 30 s, as the drain is limited to 60 s. Test: drain.an_instance_serves_as_long_as_its_address_may_be_kept failed first (245 ms short), passes now, as do the other six of tests/node.

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -219,7 +219,7 @@
     OBJECT("endpoints", false, endpoints_fields),
     OBJECT("scheduling", false, scheduling_fields),
     OBJECT("store", false, store_fields),
-    NUMBER("addressLifetimeMs", address_lifetime_ms, 1000, 3600000, 10000),
+    NUMBER("addressLifetimeMs", address_lifetime_ms, 1000, 30000, 10000),
     NUMBER("requestTimeoutMs", request_timeout_ms, 100, 3600000, 30000),
     OBJECT("log", false, log_fields),
     {.key = NULL},
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -175,12 +175,15 @@
 	    n, NODE_LOG_STANDING, "{\"standing\": \"%s\"}", names[standing]);
 }
 
-/* A stopping instance ends once nobody needs it any more. */
+/*
+ * A stopping instance ends once nobody needs it any more. Its peers list it
+ * until they hear its summary or, when that is lost, no longer hear it.
+ */
 static void
 node_stop_tick(struct node *n)
 {
-	uint64_t lapsed =
-	    n->stop_us + (uint64_t)n->settings->address_lifetime_ms * 1000;
+	uint64_t lapsed = n->stop_us + NODE_PEER_SILENT_US + NODE_SUMMARY_US +
+	    (uint64_t)n->settings->address_lifetime_ms * 1000;
 	bool idle = route_count(n->route) == 0 && map_count(n->grants) == 0 &&
 	    map_count(n->orders) == 0 && map_count(n->endpoints) == 0;
 
@@ -232,6 +235,7 @@
 		return;
 	n->stopping = true;
 	n->stop_us = n->now;
+	n->summary_us = 0; /* peers stop listing it at once */
 	node_log(n, NODE_LOG_STOPPING, "{}");
 }
 
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -165,3 +165,28 @@
 	EXPECT_EQ(booking->outcome(), "not-run") << booking->answer;
 	EXPECT_EQ(c.check(), "");
 }
+
+TEST(drain, an_instance_serves_as_long_as_its_address_may_be_kept)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	int leaver = c.leader(), asked = (leaver + 1) % 5;
+	Instance &in = *c.instances[leaver];
+	uint64_t lifetime = in.settings.address_lifetime_ms * 1000ULL;
+	uint64_t listed = c.now, ended;
+
+	c.send(leaver, "POST", "/v1/drain", "op", "");
+	while (!in.exited && c.now < listed + 60000000) {
+		Request *r = c.send(asked, "GET", "/v1/addresses", "", "");
+
+		c.wait(r, 1000000);
+		if (r->answer.find("\"" + in.address + ":80\"") !=
+		    std::string::npos)
+			listed = c.now;
+		c.run_for(5000);
+	}
+	ended = c.now;
+	EXPECT_TRUE(in.exited);
+	EXPECT_GE(ended, listed + lifetime);
+	EXPECT_EQ(c.check(), "");
+}
