--- a/tests/prove/workload.cc
+++ b/tests/prove/workload.cc
@@ -31,6 +31,11 @@
 		open.push_back(c.book(pick_instance(), r->key));
 	}
 	open_bookings = open;
+	if (serial > 0) /* confirmed or not: heard again, it is the same */
+		(void)c.book(pick_instance(),
+		    "b" +
+			std::to_string(
+			    1 + rng_below(&c.rng, (uint32_t)serial)));
 }
 
 static uint64_t
@@ -43,6 +48,21 @@
 	    : strtoull(r->answer.c_str() + at + 12, nullptr, 10);
 }
 
+/* Any earlier change may be sent again, by an operator who lost its answer. */
+void
+Workload::resend_change()
+{
+	std::vector<Request *> sent;
+
+	for (auto &r : c.requests)
+		if (r->method == "PUT")
+			sent.push_back(r.get());
+	if (sent.empty())
+		return;
+	Request *old = sent[rng_below(&c.rng, (uint32_t)sent.size())];
+	(void)c.send(pick_instance(), "PUT", old->path, "op", old->body);
+}
+
 /* Two operators replace the same revision at once. */
 void
 Workload::change()
@@ -61,12 +81,16 @@
 			(void)c.send(
 			    pick_instance(), "PUT", r->path, "op", r->body);
 	}
+	resend_change();
 	serial++;
 	for (int k = 0; k < 2; k++)
 		changing[k] = c.put_document(pick_instance(), "t1", revision,
 		    "c" + std::to_string(serial) + "-" + std::to_string(k),
 		    Cluster::document("t1", serial * 2 + k));
 	last_change = changing[0];
+	if (rng_below(&c.rng, 2) == 0) /* sent twice at once */
+		(void)c.send(pick_instance(), "PUT", last_change->path, "op",
+		    last_change->body);
 }
 
 void
@@ -77,7 +101,7 @@
 		last_completion = c.complete(pick_instance(),
 		    "a" +
 			std::to_string(rng_below(
-			    &c.rng, rng_below(&c.rng, 3) == 0 ? 12 : 4)),
+			    &c.rng, rng_below(&c.rng, 3) == 0 ? 24 : 4)),
 		    rng_below(&c.rng, 2) == 0, 4 + (int)rng_below(&c.rng, 8));
 	}
 	if (bookings && c.now >= next_booking) {
