--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -160,11 +160,22 @@
 	return epoch;
 }
 
+bool
+keeper_sweep_due(const struct member_view *v, uint64_t now_us, uint64_t *last)
+{
+	if (member_view_count(v) > MEMBER_SUPPORTERS_ALL &&
+	    now_us < *last + KEEPER_SWEEP_US)
+		return false;
+	*last = now_us;
+	return true;
+}
+
 void
 keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
-	if (now_us >= k->authority_until)
+	if (now_us >= k->authority_until ||
+	    !keeper_sweep_due(v, now_us, &k->refreshed_at))
 		return;
 	if (k->sealed_epoch != member_view_epoch(v) && keeper_sealed(k, v)) {
 		k->sealed_epoch = member_view_epoch(v);
--- a/src/member/member_keeper.c
+++ b/src/member/member_keeper.c
@@ -198,6 +198,7 @@
 	keeper_info_free(proc->info);
 	memset(proc, 0, sizeof(*proc));
 	proc->incarnation = incarnation;
+	k->plan_stale = true;
 	return proc;
 }
 
@@ -241,8 +242,8 @@
 }
 
 static void
-keeper_note_renew(
-    struct keeper_proc *proc, uint64_t now_us, const Wire__LeaseRenew *renew)
+keeper_note_renew(struct member_keeper *k, struct keeper_proc *proc,
+    uint64_t now_us, const Wire__LeaseRenew *renew)
 {
 	proc->heard_at = now_us;
 	proc->sent_us = renew->sent_us;
@@ -263,7 +264,7 @@
 		keeper_info_free(proc->info);
 		proc->info = keeper_info_copy(renew->self);
 	}
-	keeper_permit_renew(proc, renew);
+	keeper_permit_renew(k, proc, renew);
 }
 
 /* Why this process gets no lease; NULL when it gets one. */
@@ -311,7 +312,7 @@
 		out->reason = "late";
 		return;
 	}
-	keeper_note_renew(proc, now_us, renew);
+	keeper_note_renew(k, proc, now_us, renew);
 	refusal = keeper_refusal(k, m, proc, now_us);
 	if (refusal == NULL)
 		keeper_grant(k, proc, now_us);
@@ -320,7 +321,7 @@
 	out->granted = refusal == NULL;
 	out->required = proc->required;
 	keeper_refresh(k, v, now_us);
-	keeper_permit_tell(k, v, now_us, from, proc, out->granted, out);
+	keeper_permit_tell(k, v, now_us, proc, out->granted, out);
 	out->active_epoch = k->active_epoch;
 	out->in_force = k->in_force;
 }
--- a/src/member/member_keeper.h
+++ b/src/member/member_keeper.h
@@ -10,6 +10,7 @@
 #define KEEPER_COMMITS	   32 /* samples of the commit index */
 #define KEEPER_WISH_US	   (1000 * 1000ULL) /* between repeats of a wish */
 #define KEEPER_ROTATE_US   (1000 * 1000ULL) /* of permits too few for all */
+#define KEEPER_SWEEP_US	   (20 * 1000ULL) /* between sweeps over many members */
 #define KEEPER_COMMIT_STEP (MEMBER_LAG_US / (KEEPER_COMMITS / 2))
 
 /* A share of the store's permits that was told in one or more replies. */
@@ -38,6 +39,8 @@
 	struct keeper_share told[KEEPER_TOLD_MAX]; /* not yet surely taken */
 	size_t ntold;
 	bool share_over; /* cannot use any of these */
+	bool counted; /* its share is in the sum of the last sweep */
+	struct keeper_share target; /* of the last sweep */
 };
 
 /* An instance: the process that is a member, and one that may follow it. */
@@ -64,6 +67,9 @@
 	uint64_t settled_epoch; /* and loads of removed owners have ended */
 	bool shares_known; /* also those that earlier leaders told */
 	uint64_t active_epoch, in_force; /* largest found so far */
+	uint64_t refreshed_at, planned_at, searched_at; /* last sweeps */
+	bool plan_stale;
+	uint64_t used_in_flight, used_rate_milli; /* sum of counted shares */
 
 	bool wishing; /* a wish is out and not yet applied */
 	struct member_wish wish;
@@ -92,6 +98,10 @@
  */
 bool keeper_sealed(const struct member_keeper *k, const struct member_view *v);
 
+/* Is a sweep due? In a small cluster always, else by time; notes it. */
+bool keeper_sweep_due(
+    const struct member_view *v, uint64_t now_us, uint64_t *last);
+
 /* Bring sealed, active and in force up to date. */
 void keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us);
@@ -101,9 +111,10 @@
     struct member_keeper *k, const struct member_view *v, uint64_t now_us);
 
 /* Note what a renewal says of its share, then fill the share to tell. */
-void keeper_permit_renew(struct keeper_proc *proc, const Wire__LeaseRenew *r);
+void keeper_permit_renew(struct member_keeper *k, struct keeper_proc *proc,
+    const Wire__LeaseRenew *r);
 void keeper_permit_tell(struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us, uint32_t id, struct keeper_proc *proc, bool leased,
+    uint64_t now_us, struct keeper_proc *proc, bool leased,
     Wire__LeaseReply *out);
 
 #endif
--- a/src/member/member_permit.c
+++ b/src/member/member_permit.c
@@ -16,24 +16,6 @@
 
 #define KEEPER_EVEN_PART 8 /* one part in so many of the rate is spread */
 
-void
-keeper_permit_renew(struct keeper_proc *proc, const Wire__LeaseRenew *r)
-{
-	size_t i, kept = 0;
-
-	proc->share_over = false;
-	proc->waiting_loads = r->waiting_loads;
-	proc->waiting_stall_us = r->waiting_stall_us;
-	proc->loads_in_flight = r->loads_in_flight;
-	proc->held.sent_us = r->got_us;
-	proc->held.in_flight = r->permit_in_flight;
-	proc->held.rate_milli = r->permit_rate_milli;
-	for (i = 0; i < proc->ntold; i++)
-		if (proc->told[i].sent_us > r->got_us)
-			proc->told[kept++] = proc->told[i];
-	proc->ntold = kept;
-}
-
 static struct keeper_share
 keeper_share_used(const struct keeper_proc *proc)
 {
@@ -55,10 +37,38 @@
 	return used;
 }
 
-static uint32_t
-keeper_minus(uint32_t from, uint32_t n)
+/* A counted process may use something else than before. */
+static void
+keeper_share_changed(struct member_keeper *k, const struct keeper_proc *proc,
+    struct keeper_share before)
 {
-	return from > n ? from - n : 0;
+	struct keeper_share after = keeper_share_used(proc);
+
+	if (!proc->counted)
+		return;
+	k->used_in_flight += after.in_flight - (uint64_t)before.in_flight;
+	k->used_rate_milli += after.rate_milli - (uint64_t)before.rate_milli;
+}
+
+void
+keeper_permit_renew(struct member_keeper *k, struct keeper_proc *proc,
+    const Wire__LeaseRenew *r)
+{
+	struct keeper_share before = keeper_share_used(proc);
+	size_t i, kept = 0;
+
+	proc->share_over = false;
+	proc->waiting_loads = r->waiting_loads;
+	proc->waiting_stall_us = r->waiting_stall_us;
+	proc->loads_in_flight = r->loads_in_flight;
+	proc->held.sent_us = r->got_us;
+	proc->held.in_flight = r->permit_in_flight;
+	proc->held.rate_milli = r->permit_rate_milli;
+	for (i = 0; i < proc->ntold; i++)
+		if (proc->told[i].sent_us > r->got_us)
+			proc->told[kept++] = proc->told[i];
+	proc->ntold = kept;
+	keeper_share_changed(k, proc, before);
 }
 
 /* Those that are not in a settled epoch have no share any more. */
@@ -106,43 +116,40 @@
 	if (k->sealed_epoch == epoch && k->settled_epoch != epoch &&
 	    now_us >= k->sealed_at + member_flight_us() + MEMBER_LOAD_US) {
 		k->settled_epoch = epoch;
+		k->plan_stale = true;
 		keeper_permit_forget(k, v);
 	}
 	if (!k->shares_known && k->settled_epoch == epoch)
 		k->shares_known = keeper_all_heard(k, v);
 }
 
-/* What is left beside all processes but this one. */
-static struct keeper_share
-keeper_share_left(const struct member_keeper *k, const struct member_view *v,
-    const struct keeper_proc *self)
+/* Sum what all processes may be using. */
+static void
+keeper_plan_used(struct member_keeper *k, const struct member_view *v)
 {
-	struct keeper_share left = {0, k->store_in_flight, k->store_rate_milli};
+	bool settled = k->settled_epoch == member_view_epoch(v);
 	struct keeper_share used;
-	const struct keeper_peer *peer;
-	const struct keeper_proc *proc;
+	struct keeper_peer *peer;
+	struct keeper_proc *proc;
 	const struct member *m;
 	size_t i, j;
 
+	k->used_in_flight = 0;
+	k->used_rate_milli = 0;
 	for (i = 0; i < map_count(k->peers); i++) {
 		peer = map_at(k->peers, i);
 		m = member_view_find(v, peer->id);
 		for (j = 0; j < 2; j++) {
 			proc = &peer->procs[j];
-			if (proc->incarnation == 0 || proc == self)
-				continue;
-			if ((m == NULL ||
-				m->incarnation != proc->incarnation) &&
-			    k->settled_epoch == member_view_epoch(v))
+			proc->counted = !settled ||
+			    (m != NULL && m->incarnation == proc->incarnation);
+			if (!proc->counted)
 				continue;
 			used = keeper_share_used(proc);
-			left.in_flight =
-			    keeper_minus(left.in_flight, used.in_flight);
-			left.rate_milli =
-			    keeper_minus(left.rate_milli, used.rate_milli);
+			k->used_in_flight += used.in_flight;
+			k->used_rate_milli += used.rate_milli;
 		}
 	}
-	return left;
 }
 
 static bool
@@ -158,44 +165,20 @@
 	uint64_t weight, weight_before, weight_own; /* of their stall */
 };
 
-static void
-keeper_crowd_count(const struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us, uint32_t id, struct keeper_crowd *c)
+static uint64_t
+keeper_weight(const struct keeper_proc *proc)
 {
-	const struct keeper_proc *proc;
-	const struct member *m;
-	uint64_t weight;
-	size_t i;
-
-	memset(c, 0, sizeof(*c));
-	for (i = 0; i < member_view_count(v); i++) {
-		m = member_view_at(v, i);
-		proc = keeper_member_proc(k, m);
-		if (proc == NULL || now_us >= proc->lease_end)
-			continue;
-		weight = keeper_has_demand(proc)
-		    ? proc->waiting_stall_us / 1000 + 1
-		    : 0;
-		if (m->id < id) {
-			c->rank++;
-			c->hungry_rank += weight > 0;
-			c->weight_before += weight;
-		} else if (m->id == id) {
-			c->weight_own = weight;
-		}
-		c->members++;
-		c->hungry += weight > 0;
-		c->weight += weight;
-	}
+	return keeper_has_demand(proc) ? proc->waiting_stall_us / 1000 + 1 : 0;
 }
 
-/* Share n by weight so that all shares add up to n. */
+/* Share n by weight, rounded so that all shares add up to n. */
 static uint64_t
 keeper_portion(uint64_t n, uint64_t before, uint64_t own, uint64_t all)
 {
 	if (all == 0)
 		return 0;
-	return n * (before + own) / all - n * before / all;
+	return (n * (before + own) + all / 2) / all -
+	    (n * before + all / 2) / all;
 }
 
 static uint32_t
@@ -234,10 +217,54 @@
 		c->weight_own, c->weight));
 }
 
+/* The process of the i-th member if it holds a lease, else NULL. */
+static struct keeper_proc *
+keeper_plan_proc(const struct member_keeper *k, const struct member_view *v,
+    uint64_t now_us, size_t i)
+{
+	struct keeper_proc *proc = keeper_member_proc(k, member_view_at(v, i));
+
+	return proc != NULL && now_us < proc->lease_end ? proc : NULL;
+}
+
+/* Set the share that each member should come to. */
+static void
+keeper_plan(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us)
+{
+	struct keeper_crowd c = {0};
+	struct keeper_proc *proc;
+	size_t i;
+
+	for (i = 0; i < member_view_count(v); i++) {
+		proc = keeper_plan_proc(k, v, now_us, i);
+		if (proc == NULL)
+			continue;
+		c.members++;
+		c.hungry += keeper_has_demand(proc);
+		c.weight += keeper_weight(proc);
+	}
+	for (i = 0; i < member_view_count(v); i++) {
+		proc = keeper_plan_proc(k, v, now_us, i);
+		if (proc == NULL)
+			continue;
+		c.weight_own = keeper_weight(proc);
+		proc->target.in_flight = keeper_target_in_flight(k, &c, now_us);
+		proc->target.rate_milli = keeper_target_rate(k, &c);
+		c.rank++;
+		c.hungry_rank += keeper_has_demand(proc);
+		c.weight_before += c.weight_own;
+	}
+	keeper_plan_used(k, v);
+}
+
+/* What one may have of a whole of which others use a part. */
 static uint32_t
-keeper_least(uint32_t a, uint32_t b)
+keeper_at_most(uint32_t wanted, uint64_t whole, uint64_t others)
 {
-	return a < b ? a : b;
+	uint64_t left = whole > others ? whole - others : 0;
+
+	return wanted < left ? wanted : (uint32_t)left;
 }
 
 /* Remember what is told, joined with the last when it is the same. */
@@ -262,25 +289,39 @@
 
 void
 keeper_permit_tell(struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us, uint32_t id, struct keeper_proc *proc, bool leased,
+    uint64_t now_us, struct keeper_proc *proc, bool leased,
     Wire__LeaseReply *out)
 {
-	struct keeper_share left, used = keeper_share_used(proc);
-	struct keeper_crowd crowd;
+	struct keeper_share used, whole;
+	uint64_t others = 0, others_rate = 0;
 
 	if (now_us >= k->authority_until)
 		return;
-	out->permits = true;
+	if (keeper_sweep_due(v, now_us, &k->planned_at) || k->plan_stale) {
+		k->plan_stale = false;
+		keeper_plan(k, v, now_us);
+	}
+	used = keeper_share_used(proc);
+	/* Until all shares are known, none grows. */
+	whole = used;
+	if (k->shares_known || !member_guards.permit_hold) {
+		whole.in_flight = k->store_in_flight;
+		whole.rate_milli = k->store_rate_milli;
+		others = k->used_in_flight;
+		others_rate = k->used_rate_milli;
+		if (proc->counted) {
+			others -= used.in_flight;
+			others_rate -= used.rate_milli;
+		}
+	}
 	if (leased) {
-		keeper_crowd_count(k, v, now_us, id, &crowd);
-		left = k->shares_known || !member_guards.permit_hold
-		    ? keeper_share_left(k, v, proc)
-		    : used;
-		out->permit_in_flight = keeper_least(
-		    left.in_flight, keeper_target_in_flight(k, &crowd, now_us));
-		out->permit_rate_milli = keeper_least(
-		    left.rate_milli, keeper_target_rate(k, &crowd));
+		out->permit_in_flight = keeper_at_most(
+		    proc->target.in_flight, whole.in_flight, others);
+		out->permit_rate_milli = keeper_at_most(
+		    proc->target.rate_milli, whole.rate_milli, others_rate);
 	}
+	out->permits = true;
 	keeper_permit_note(proc, out->sent_us, &out->permit_in_flight,
 	    &out->permit_rate_milli);
+	keeper_share_changed(k, proc, used);
 }
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -142,7 +142,8 @@
 	    (k->wishing && now_us < k->wish_at + KEEPER_WISH_US))
 		return false;
 	if (!k->wishing) {
-		if (!keeper_sealed(k, v) ||
+		if (!keeper_sweep_due(v, now_us, &k->searched_at) ||
+		    !keeper_sealed(k, v) ||
 		    (!keeper_wish_down(k, v, now_us) &&
 			!keeper_wish_leave(k, v) &&
 			!keeper_wish_up(k, v, now_us)))
--- a/tests/member/lease_test.cc
+++ b/tests/member/lease_test.cc
@@ -228,6 +228,45 @@
 	EXPECT_EQ(member_keeper_active_epoch(p.k, p.v, t + 301 * kMs), 4u);
 }
 
+/*
+ * The slowest holder against the fastest keeper: by how much the holder, and
+ * its orders under way, are done before the next epoch is active.
+ */
+static int64_t
+drift_margin_us()
+{
+	const double slow = 0.977, fast = 1.0233;
+	pair_of p(3);
+	uint64_t t = 10000 * kMs, now;
+	double end;
+	Wire__LeaseReply reply =
+	    p.renew((uint64_t)(t * slow), (uint64_t)(t * fast), 3, 3);
+
+	EXPECT_TRUE(reply.granted);
+	member_holder_on_lease(p.h, (uint64_t)(t * slow), &reply);
+	end = member_holder_act_until(p.h, p.v, (uint64_t)(t * slow), 3) / slow;
+	Wire__MemberInfo four = info_of(4, 40);
+	member_view_up(p.v, 4, &four);
+	for (now = t + kMs; now < t + 5000 * kMs; now += kMs) {
+		p.other((uint64_t)(now * fast), 2, 20, 4, 4);
+		p.other((uint64_t)(now * fast), 3, 30, 4, 4);
+		if (member_keeper_active_epoch(
+			p.k, p.v, (uint64_t)(now * fast)) == 4)
+			break;
+	}
+	/* Flight is counted by the fast clock, so it may be that shorter. */
+	return (int64_t)now - (int64_t)end -
+	    (int64_t)((double)MEMBER_FLIGHT_US / fast);
+}
+
+TEST(member_lease, clocks_that_drift)
+{
+	EXPECT_GE(drift_margin_us(), 0);
+	member_guards.lease_margin = false;
+	EXPECT_LT(drift_margin_us(), 0);
+	member_guards.lease_margin = true;
+}
+
 /* A pong from id at an epoch that has applied so much. */
 static void
 pong(pair_of &p, uint64_t now, uint32_t id, uint64_t epoch, uint64_t applied)
--- a/tests/member/world.h
+++ b/tests/member/world.h
@@ -26,6 +26,7 @@
 	~world();
 	void run(uint64_t until_us);
 
+	std::string watch; /* first word of the property; empty: all */
 	std::string broken;
 	uint64_t events = 0, epochs = 0, supported = 0, moves = 0;
 	uint64_t in_force = 0; /* largest ever claimed */
