--- /dev/null
+++ b/src/sched/sched_cache.c
@@ -0,0 +1,142 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched_internal.h"
+#include "util/mem.h"
+
+/* Which prompt prefixes an engine holds, by its cache events; bounded. */
+
+#define PREFIX_FIRST 64U
+#define PREFIX_MOST  4096U
+#define PREFIX_HASH  0x9e3779b97f4a7c15ULL
+
+static uint32_t
+prefix_home(const struct prefix_set *set, uint64_t prefix)
+{
+	uint32_t hash = (uint32_t)((prefix * PREFIX_HASH) >> 32);
+
+	return hash & (2 * set->room - 1);
+}
+
+static uint32_t
+prefix_after(const struct prefix_set *set, uint32_t at)
+{
+	return (at + 1) & (2 * set->room - 1);
+}
+
+/* Where a prefix is, or the empty place where it would go. */
+static uint32_t
+prefix_place(const struct prefix_set *set, uint64_t prefix)
+{
+	uint32_t at = prefix_home(set, prefix);
+
+	while (set->table[at] != 0 && set->table[at] != prefix)
+		at = prefix_after(set, at);
+	return at;
+}
+
+bool
+prefix_has(const struct prefix_set *set, uint64_t prefix)
+{
+	if (prefix == 0 || set->table == NULL)
+		return false;
+	return set->table[prefix_place(set, prefix)] == prefix;
+}
+
+void
+prefix_clear(struct prefix_set *set)
+{
+	free(set->table);
+	free(set->ring);
+	memset(set, 0, sizeof(*set));
+}
+
+/* Double the room; the ring is unrolled on the way. */
+static void
+prefix_grow(struct prefix_set *set)
+{
+	struct prefix_set old = *set;
+	uint64_t prefix;
+	uint32_t i;
+
+	set->room = old.room == 0 ? PREFIX_FIRST : 2 * old.room;
+	set->table = mem_alloc(2 * (size_t)set->room, sizeof(*set->table));
+	set->ring = mem_alloc(set->room, sizeof(*set->ring));
+	set->used = set->head = 0;
+	for (i = 0; i < old.used; i++) {
+		prefix = old.ring[(old.head + i) & (old.room - 1)];
+		if (!prefix_has(&old, prefix) || prefix_has(set, prefix))
+			continue;
+		set->ring[set->used++] = prefix;
+		set->table[prefix_place(set, prefix)] = prefix;
+	}
+	free(old.table);
+	free(old.ring);
+}
+
+void
+prefix_add(struct prefix_set *set, uint64_t prefix)
+{
+	if (prefix == 0 || prefix_has(set, prefix))
+		return;
+	if (set->used == set->room && set->room < PREFIX_MOST)
+		prefix_grow(set);
+	if (set->used == set->room) {
+		prefix_remove(set, set->ring[set->head]);
+		set->head = (set->head + 1) & (set->room - 1);
+		set->used--;
+	}
+	set->ring[(set->head + set->used) & (set->room - 1)] = prefix;
+	set->used++;
+	set->table[prefix_place(set, prefix)] = prefix;
+}
+
+/* Empty a place and move later prefixes of its run back to their home. */
+void
+prefix_remove(struct prefix_set *set, uint64_t prefix)
+{
+	uint32_t mask = 2 * set->room - 1, hole, at, home;
+
+	if (!prefix_has(set, prefix))
+		return;
+	hole = at = prefix_place(set, prefix);
+	for (;;) {
+		at = prefix_after(set, at);
+		if (set->table[at] == 0)
+			break;
+		home = prefix_home(set, set->table[at]);
+		if (((at - home) & mask) < ((at - hole) & mask))
+			continue;
+		set->table[hole] = set->table[at];
+		hole = at;
+	}
+	set->table[hole] = 0;
+}
+
+bool
+sched_cache_events(struct sched *s, uint64_t now_us, const char *id,
+    const struct sched_cache_event *event)
+{
+	struct endpoint *ep = endpoint_find(s, id);
+	size_t i;
+
+	(void)now_us;
+	if (ep == NULL)
+		return false;
+	if (event->resync) {
+		prefix_clear(&ep->prefixes);
+		ep->cache_gap = false;
+	} else if (event->sequence <= ep->cache_sequence) {
+		return ep->cache_gap;
+	} else if (event->sequence != ep->cache_sequence + 1) {
+		ep->cache_gap = true;
+	}
+	ep->cache_sequence = event->sequence;
+	for (i = 0; i < event->count; i++) {
+		if (event->dropped && !event->resync)
+			prefix_remove(&ep->prefixes, event->prefixes[i]);
+		else
+			prefix_add(&ep->prefixes, event->prefixes[i]);
+	}
+	return ep->cache_gap;
+}
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2279,7 +2279,7 @@
   (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[15] =
 {
   {
     "request",
@@ -2449,6 +2449,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -2462,6 +2474,7 @@
   9,   /* field[9] = prefix */
   7,   /* field[7] = prompt_tokens */
   0,   /* field[0] = request */
+  14,   /* field[14] = sent_us */
   4,   /* field[4] = service */
   1,   /* field[1] = team */
   12,   /* field[12] = waited_ms */
@@ -2469,7 +2482,7 @@
 static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
 {
@@ -2479,7 +2492,7 @@
   "Wire__GrantAsk",
   "wire",
   sizeof(Wire__GrantAsk),
-  14,
+  15,
   wire__grant_ask__field_descriptors,
   wire__grant_ask__field_indices_by_name,
   1,  wire__grant_ask__number_ranges,
@@ -2549,12 +2562,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "expires_ms",
+    "basis_us",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, expires_ms),
+    offsetof(Wire__GrantReply, basis_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -2611,8 +2624,8 @@
 };
 static const unsigned wire__grant_reply__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  5,   /* field[5] = basis_us */
   2,   /* field[2] = endpoint */
-  5,   /* field[5] = expires_ms */
   4,   /* field[4] = fence */
   7,   /* field[7] = reason */
   0,   /* field[0] = request */
@@ -2821,7 +2834,7 @@
   (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[2] =
 {
   {
     "pins",
@@ -2835,14 +2848,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantTouch, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_touch__field_indices_by_name[] = {
   0,   /* field[0] = pins */
+  1,   /* field[1] = sent_us */
 };
 static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
 {
@@ -2852,7 +2878,7 @@
   "Wire__GrantTouch",
   "wire",
   sizeof(Wire__GrantTouch),
-  1,
+  2,
   wire__grant_touch__field_descriptors,
   wire__grant_touch__field_indices_by_name,
   1,  wire__grant_touch__number_ranges,
