--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -137,3 +137,79 @@
 	EXPECT_LE(c.now - accepted, 3000000u);
 	EXPECT_EQ(c.check(), "");
 }
+
+TEST(standing, model_traffic_goes_on_when_the_voters_are_gone)
+{
+	Cluster c(with_seed(6));
+	ASSERT_TRUE(c.begin());
+	int gone = c.leader(), also = (gone + 1) % 3;
+	Request *model, *booking;
+	Endpoint *owned = nullptr;
+
+	c.kill(gone);
+	c.kill(also);
+	for (auto &e : c.endpoints) {
+		int owner = c.owner_of(e->id);
+
+		if (!e->service && owner != gone && owner != also)
+			owned = e.get();
+	}
+	ASSERT_NE(owned, nullptr) << "the seed leaves no engine: take another";
+	c.run_for(10000000);
+	model = c.complete(3, "a1");
+	booking = c.book(4, "k1");
+	ASSERT_TRUE(c.wait(model));
+	ASSERT_TRUE(c.wait(booking));
+	EXPECT_EQ(model->status, 200) << model->answer;
+	EXPECT_EQ(booking->status, 503);
+	EXPECT_EQ(booking->outcome(), "not-run") << booking->answer;
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(drain, an_instance_serves_as_long_as_its_address_may_be_kept)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	int leaver = c.leader(), asked = (leaver + 1) % 5;
+	Instance &in = *c.instances[leaver];
+	uint64_t lifetime = in.settings.address_lifetime_ms * 1000ULL;
+	uint64_t listed = c.now, ended;
+
+	c.send(leaver, "POST", "/v1/drain", "op", "");
+	while (!in.exited && c.now < listed + 60000000) {
+		Request *r = c.send(asked, "GET", "/v1/addresses", "", "");
+
+		c.wait(r, 1000000);
+		if (r->answer.find("\"" + in.address + ":80\"") !=
+		    std::string::npos)
+			listed = c.now;
+		c.run_for(5000);
+	}
+	ended = c.now;
+	EXPECT_TRUE(in.exited);
+	EXPECT_GE(ended, listed + lifetime);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(drain, a_dead_entrys_grant_of_a_moved_endpoint_does_not_hold_it)
+{
+	Cluster c(with_seed(8));
+	ASSERT_TRUE(c.begin());
+	int entry = 3, owner = -1;
+
+	c.complete(entry, "a1", true, 400);
+	ASSERT_TRUE(c.run_until(5000000, [&] {
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owner = c.owner_of(e->id);
+		return owner >= 0;
+	}));
+	ASSERT_NE(owner, entry) << "take another seed";
+	c.kill(entry);
+	c.run_for(500000);
+	/* its endpoints move before the entry is known to be down */
+	c.send(owner, "POST", "/v1/drain", "op", "");
+	EXPECT_TRUE(
+	    c.run_until(15000000, [&] { return c.instances[owner]->exited; }));
+	EXPECT_EQ(c.check(), "");
+}
