sched: a held back flood does not hold back the others' loads

The team of least counter bounds who may load; a flooding team whose loads wait for their spacing could be that team and shut out the rest. It no longer counts while it is held back.

--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -119,6 +119,37 @@
 	return stall / 2.0;
 }
 
+/* A team that floods leaves part of the store's rate to the others. */
+static bool
+fair_holds_back(struct sched *s, uint64_t now_us, const struct team *t,
+    const struct pool *p)
+{
+	uint64_t at;
+
+	if (!team_floods(s, t, p) || s->last_load_us == 0)
+		return false;
+	at = s->last_load_us + FAIR_FLOOD_SPACINGS * load_spacing_us(s);
+	if (at <= now_us)
+		return false;
+	sched_wake(s, at);
+	return true;
+}
+
+/* The value of a load that may be ordered in this run. */
+static double
+fair_demand(struct sched *s, uint64_t now_us, const struct flow *f)
+{
+	double value;
+
+	if (f->no_load == s->run)
+		return 0.0;
+	value = fair_value(s, now_us, f);
+	if (value > 0.0 &&
+	    fair_holds_back(s, now_us, f->team, f->adapter->pool))
+		return 0.0;
+	return value;
+}
+
 /* The team of least counter among those with something to load. */
 static bool
 fair_least(struct sched *s, uint64_t now_us, double *least)
@@ -135,8 +166,7 @@
 		if (found && t->counter >= *least)
 			continue;
 		for (f = t->flows; f != NULL; f = f->team_next) {
-			if (f->no_load != s->run &&
-			    fair_value(s, now_us, f) > 0.0)
+			if (fair_demand(s, now_us, f) > 0.0)
 				break;
 		}
 		if (f == NULL)
@@ -147,22 +177,6 @@
 	return found;
 }
 
-/* A team that floods leaves part of the store's rate to the others. */
-static bool
-fair_holds_back(struct sched *s, uint64_t now_us, const struct team *t,
-    const struct pool *p)
-{
-	uint64_t at;
-
-	if (!team_floods(s, t, p) || s->last_load_us == 0)
-		return false;
-	at = s->last_load_us + FAIR_FLOOD_SPACINGS * load_spacing_us(s);
-	if (at <= now_us)
-		return false;
-	sched_wake(s, at);
-	return true;
-}
-
 static bool
 fair_want(struct sched *s, uint64_t now_us, struct fair_want *best)
 {
@@ -179,15 +193,10 @@
 		if (t->queued == 0 || !team_may_run(t) ||
 		    t->counter > least + team_bound(s))
 			continue;
-
 		share = team_share(s, t, now_us);
 		share = share * share * share;
 		for (f = t->flows; f != NULL; f = f->team_next) {
-			if (f->no_load == s->run ||
-			    fair_holds_back(s, now_us, t, f->adapter->pool))
-				continue;
-
-			value = share * fair_value(s, now_us, f);
+			value = share * fair_demand(s, now_us, f);
 			if (value > 0.0 &&
 			    (best->flow == NULL || value > best->value)) {
 				best->flow = f;
