--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -65,7 +65,7 @@
 	uint64_t since_epoch; /* owned without a break since this epoch */
 	bool leaving;
 	bool scheduled; /* known to the scheduler */
-	char *report;	/* latest announcement, JSON */
+	char *report; /* latest announcement, JSON */
 	size_t report_len;
 };
 
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -141,8 +141,8 @@
 	    (unsigned long long)(totals.stall_us / 1000), totals.wait_p90_ms,
 	    (double)totals.largest_gap_milli / 1000.0,
 	    member_holder_permit_in_flight(n->holder),
-	    member_holder_permit_rate_milli(n->holder) / 1000.0,
-	    demand.waiting, demand.in_flight);
+	    member_holder_permit_rate_milli(n->holder) / 1000.0, demand.waiting,
+	    demand.in_flight);
 }
 
 static void
