--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -181,8 +181,8 @@
 		    (unsigned long long)raft_get_term(n->raft));
 		return;
 	}
-	member_keeper_reset(n->keeper, n->now, NODE_ELECTION_MAX_US,
-	    raft_get_term(n->raft));
+	member_keeper_reset(
+	    n->keeper, n->now, NODE_ELECTION_MAX_US, raft_get_term(n->raft));
 	node_log(n, NODE_LOG_LEADING, "{\"term\": %llu}",
 	    (unsigned long long)raft_get_term(n->raft));
 }
