--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -117,10 +117,6 @@
 		    raft_get_commit(n->raft), renew, &reply);
 		reply.term = raft_get_term(n->raft);
 		reply.leader = n->id;
-		reply.in_force =
-		    member_keeper_in_force(n->keeper, n->view, n->now);
-		reply.active_epoch =
-		    member_keeper_active_epoch(n->keeper, n->view, n->now);
 	} else {
 		reply.sent_us = renew->sent_us;
 		reply.term = raft_get_term(n->raft);
@@ -182,7 +178,7 @@
 		return;
 	}
 	/* The authority of earlier leaders ended before this one's began. */
-	member_keeper_reset(n->keeper, n->now, 0);
+	member_keeper_reset(n->keeper, n->now, 0, raft_get_term(n->raft));
 	node_log(n, NODE_LOG_LEADING, "{\"term\": %llu}",
 	    (unsigned long long)raft_get_term(n->raft));
 }
