--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -19,8 +19,11 @@
 
 	if (!x->finished)
 		server_report_gone(x->server, x);
-	if (x->connection != NULL && x->connection->active == x)
+	x->connection->nexchanges--;
+	if (x->connection->active == x)
 		x->connection->active = NULL;
+	if (x->server->phase == SERVER_DRAINING)
+		server_defer(x->server); /* to close the connection */
 	buf_free(&x->queued);
 	buf_free(&x->sending);
 }
@@ -91,10 +94,11 @@
 	x->req = req;
 	x->server = s;
 	x->id = ++s->last_request;
-	if (req->version < HTTP_VERSION_2) {
-		x->connection = socket->on_close.data;
+	x->connection = socket->on_close.data;
+	x->connection->nexchanges++;
+	x->alone = req->version < HTTP_VERSION_2;
+	if (x->alone)
 		x->connection->active = x;
-	}
 	(void)map_set_u64(s->exchanges, x->id, x);
 	return x;
 }
@@ -120,6 +124,13 @@
 	x->server->callbacks.on_request(x->server->ctx, &r);
 }
 
+bool
+exchange_is_ours(const h2o_req_t *req)
+{
+	return req->_generator != NULL &&
+	    req->_generator->proceed == on_proceed;
+}
+
 int
 exchange_on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
@@ -127,7 +138,7 @@
 
 	if (header_bytes(req) > s->header_limit) {
 		h2o_send_error_generic(req, 431,
-		    "Request Header Fields Too Large", "headers too large\n",
+		    "Request Header Fields Too Large", "",
 		    H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
 		return 0;
 	}
@@ -286,7 +297,7 @@
 		return;
 	x->aborted = true;
 	buf_clear(&x->queued);
-	if (x->connection != NULL)
+	if (x->alone)
 		(void)shutdown(
 		    h2o_socket_get_fd(x->connection->socket), SHUT_RDWR);
 	if (!x->started)
