load: a lookup that fails asks every server once

Lookups of several adapters took the next server from one shared counter, so one of them could be given the same dead server twice and end as no-server. Seen by LoadSeesWholeCutWrongRefusedAndLost in the sanitizer build (2 of 3 delivered, 1 failed).

--- a/src/mulberryctl/load_address.c
+++ b/src/mulberryctl/load_address.c
@@ -54,7 +54,11 @@
 	memset(&call, 0, sizeof(call));
 	buf_clear(&a->body);
 	a->lookup = call.call = ++l->last_call;
-	call.address = l->options->servers[l->server++ % l->options->nservers];
+	if (a->failures == 0)
+		a->server = l->server++;
+	call.address =
+	    l->options
+		->servers[(a->server + a->failures) % l->options->nservers];
 	call.method = "GET";
 	call.path = a->path;
 	call.not_after_us = uv_hrtime() / 1000 + LOOKUP_SEND_US;
--- a/src/mulberryctl/load_internal.h
+++ b/src/mulberryctl/load_internal.h
@@ -36,6 +36,7 @@
 	size_t count;
 	uint64_t until_us;
 	uint64_t lookup; /* HTTP call under way, 0: none */
+	size_t server; /* asked first; each failure asks the next */
 	unsigned failures;
 	int status;
 	struct buf body;
