--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -261,7 +261,8 @@
 	d->wait_us = now_us - it->enqueued_us;
 	d->stall_us = item_stall(it, slot, now_us);
 	s->stall_us += d->stall_us;
-	hist_add(&s->waits, d->wait_us / SCHED_MS_US);
+	stat_wait(s, now_us, d->wait_us);
+
 	team_note_gap(s);
 	it->provisional = team_estimate(s, it);
 	item_dequeue(s, it);
@@ -318,7 +319,8 @@
 	if (it->adapter != NULL)
 		it->adapter->running--;
 	team_settle(s, it, usage);
-	if (usage->outcome == SCHED_DELIVERED && it->adapter != NULL) {
+	if (usage->outcome == SCHED_DELIVERED && it->adapter != NULL &&
+	    it->adapter->pool != NULL) {
 		mean_add(&it->adapter->pool->service_us, usage->total_us);
 		mean_add(&it->adapter->pool->first_us, usage->first_us);
 		role_note(it->adapter->pool, now_us, usage->tokens_in,
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -62,8 +62,11 @@
 	struct adapter *a = adapter_lookup(s, service, name);
 	struct buf key = {0};
 
-	if (a != NULL)
+	if (a != NULL) {
+		if (a->pool == NULL)
+			a->pool = pool;
 		return a;
+	}
 	a = mem_alloc(1, sizeof(*a));
 	a->name = mem_string(name);
 	a->service = service;
@@ -115,7 +118,7 @@
 
 	s->load_failures++;
 	if (a->drain != NULL)
-		slot_drain_end(a->drain);
+		slot_drain_end(s, a->drain);
 	if (++a->failures > 1)
 		a->retry_us = now_us +
 		    backoff_time(ADAPTER_RETRY_US, ADAPTER_RETRY_TOP_US,
