--- a/bench/bench.py
+++ b/bench/bench.py
@@ -94,10 +94,23 @@
 
 # ---- cases -------------------------------------------------------------------
 
+def seats_rate(cases, name):
+    """Requests a second that would fill every seat."""
+    seconds = limits.STEP_S * cases["answerTokens"] + \
+        limits.PREFILL_S_PER_TOKEN * (cases["promptBytes"] / 4 + 1)
+    shares = cases["shares"]
+    return DEMO.DEPLOYMENTS[name]["engines"] * SEATS / seconds / \
+        (1 - shares["bookings"] - shares["lookups"])
+
+
 def trace_options(cases, name, case):
+    if "seats" in case:
+        rate = case["seats"] * seats_rate(cases, name)
+    else:
+        rate = case["load"] * cases["capacity"][name]
     options = {"seed": cases["seed"], "seconds": case["seconds"],
-               "rate": cases["capacity"][name] * case["load"],
-               "adapters": cases["adapters"], "zipf": cases["zipf"],
+               "rate": rate, "adapters": cases["adapters"],
+               "zipf": case.get("zipf", cases["zipf"]),
                "teams": cases["shareOf"][name], "burst": cases["burst"],
                "answer-tokens": cases["answerTokens"],
                "prompt-bytes": cases["promptBytes"], **cases["shares"]}
@@ -196,7 +209,7 @@
                 both, shape["engines"] * SLOTS, store, 0,
                 cases["deadlineMs"] / 1000),
             "packedBatch": limits.packed_batch(
-                models, shape["engines"], SEATS)}
+                models, shape["engines"], SEATS, SLOTS)}
     return out
 
 
--- a/src/mulberryctl/load_call.c
+++ b/src/mulberryctl/load_call.c
@@ -189,11 +189,51 @@
 	return true;
 }
 
+/* No byte was sent, or an instance takes no work: another may do. */
+static void
+send_elsewhere(struct load_call *call, const char *code)
+{
+	struct load *l = call->load;
+
+	load_address_expire(l, call);
+	if (++call->attempts >= ATTEMPTS_MAX) {
+		call_finish(call,
+		    call->outcome == NULL ? LOAD_FAILED : LOAD_REFUSED, code);
+		return;
+	}
+	free(call->code);
+	free(call->outcome);
+	call->code = call->outcome = NULL;
+	buf_clear(&call->body);
+	l->resent++;
+	load_address_request(l, call);
+}
+
+/* Refusals by the instance alone, which tell to use another one. */
+static bool
+is_for_another(const struct load_call *call)
+{
+	static const char *const codes[] = {"cut-off", "not-ready", "stopping"};
+	size_t i;
+
+	if (call->text.len > 0 || strcmp(call->outcome, "not-run") != 0)
+		return false;
+	for (i = 0; i < sizeof(codes) / sizeof(codes[0]); i++)
+		if (strcmp(call->code, codes[i]) == 0)
+			return true;
+	return false;
+}
+
 static void
 finish_error(struct load_call *call)
 {
 	enum load_outcome outcome = LOAD_FAILED;
 
+	if (is_for_another(call)) {
+		call->load->followed++;
+		send_elsewhere(call, call->code);
+		return;
+	}
 	if (strcmp(call->outcome, "not-run") == 0)
 		outcome = LOAD_REFUSED;
 	else if (strcmp(call->outcome, "unknown") == 0)
@@ -328,21 +368,6 @@
 	buf_free(&event);
 }
 
-/* No byte was sent: the next address may do. */
-static void
-send_elsewhere(struct load_call *call)
-{
-	struct load *l = call->load;
-
-	load_address_expire(l, call);
-	if (++call->attempts >= ATTEMPTS_MAX) {
-		call_finish(call, LOAD_FAILED, "not-sent");
-		return;
-	}
-	l->resent++;
-	load_address_request(l, call);
-}
-
 void
 load_call_event(struct load_call *call, const struct node_call_event *ev)
 {
@@ -358,7 +383,7 @@
 		return;
 	case NODE_CALL_NOT_SENT:
 		(void)map_remove_u64(call->load->calls, call->id);
-		send_elsewhere(call);
+		send_elsewhere(call, "not-sent");
 		return;
 	case NODE_CALL_END:
 		(void)map_remove_u64(call->load->calls, call->id);
--- a/src/mulberryctl/load_internal.h
+++ b/src/mulberryctl/load_internal.h
@@ -52,7 +52,7 @@
 	struct map *lookups; /* load_addresses by HTTP call */
 	struct map *addresses; /* load_addresses by their path */
 	uint64_t start_us, last_call;
-	uint64_t nlookups, nlookup_failures, resent;
+	uint64_t nlookups, nlookup_failures, resent, followed;
 	size_t next, active, server;
 	bool closed;
 };
--- a/src/mulberryctl/load_run.c
+++ b/src/mulberryctl/load_run.c
@@ -125,6 +125,8 @@
 	    json_integer((json_int_t)l->nlookup_failures));
 	(void)json_object_set_new(
 	    report, "resent", json_integer((json_int_t)l->resent));
+	(void)json_object_set_new(
+	    report, "followed", json_integer((json_int_t)l->followed));
 	return report;
 }
 
