--- a/src/mulberryd/main.c
+++ b/src/mulberryd/main.c
@@ -1,5 +1,5 @@
-#include <jansson.h>
 #include <getopt.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
 
