--- /dev/null
+++ b/bench/cluster_bench.cc
@@ -0,0 +1,317 @@
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+#include "cluster_world.h"
+
+/*
+ * What each role of a cluster costs, and how long changes and failures
+ * take, by reducers alone on a virtual clock.
+ */
+
+static const char usage[] =
+    "usage: bench_cluster [--instances N] [--voters N] [--regions N]\n"
+    "    [--endpoints PER_INSTANCE] [--requests PER_SECOND_AND_INSTANCE]\n"
+    "    [--changes PER_SECOND] [--teams N] [--adapters PER_TEAM]\n"
+    "    [--tokens N] [--seconds N] [--warm N] [--fail] [--kinds]\n";
+
+static const char *const kind_names[KINDS] = {"tick", "http", "call", "save",
+    "", "", "", "", "", "", "raft", "renew", "lease", "propose", "", "pull",
+    "push", "ping", "pong", "ask", "grant", "done", "touch", "report",
+    "summary", "hello"};
+
+static bool
+parse(Options *o, int argc, char **argv)
+{
+	for (int i = 1; i < argc; i++) {
+		std::string name = argv[i];
+		const char *value = i + 1 < argc ? argv[i + 1] : "0";
+
+		if (name == "--fail") {
+			o->fail = true;
+			continue;
+		}
+		if (name == "--kinds") {
+			o->per_kind = true;
+			continue;
+		}
+		if (name == "--instances")
+			o->instances = atoi(value);
+		else if (name == "--voters")
+			o->voters = atoi(value);
+		else if (name == "--regions")
+			o->regions = atoi(value);
+		else if (name == "--endpoints")
+			o->endpoints = atoi(value);
+		else if (name == "--requests")
+			o->requests = atof(value);
+		else if (name == "--changes")
+			o->changes = atof(value);
+		else if (name == "--teams")
+			o->teams = atoi(value);
+		else if (name == "--adapters")
+			o->adapters = atoi(value);
+		else if (name == "--tokens")
+			o->tokens = (uint32_t)atoi(value);
+		else if (name == "--seconds")
+			o->seconds = atoi(value);
+		else if (name == "--warm")
+			o->warm = atoi(value);
+		else
+			return false;
+		i++;
+	}
+	return o->instances > o->voters && o->voters > 0 && o->regions > 0;
+}
+
+struct Sum {
+	double messages_in = 0, messages_out = 0, bytes_in = 0, bytes_out = 0;
+	double cpu = 0, state = 0, http = 0;
+};
+
+static Sum
+sum_of(const Inst &n, double seconds)
+{
+	Sum s;
+
+	for (int k = 0; k < KINDS; k++) {
+		s.messages_in += (double)n.c.in[k] / seconds;
+		s.messages_out += (double)n.c.out[k] / seconds;
+		s.bytes_in += (double)n.c.in_bytes[k] / seconds;
+		s.bytes_out += (double)n.c.out_bytes[k] / seconds;
+	}
+	s.cpu = (double)n.c.ns / 1e3 / seconds;
+	s.state = (double)n.c.state;
+	s.http = (double)n.c.http_bytes / seconds;
+	return s;
+}
+
+static void
+print_sum(const char *role, size_t count, const Sum &s)
+{
+	printf("%-14s %4zu %9.0f %9.0f %10.2f %10.2f %9.2f %9.0f\n", role,
+	    count, s.messages_in, s.messages_out, s.bytes_in / 1e3,
+	    s.bytes_out / 1e3, s.cpu / 1e4, s.state / 1e3);
+}
+
+static void
+print_role(
+    const char *role, const std::vector<const Inst *> &list, double seconds)
+{
+	Sum mean, most;
+	double n = (double)list.size();
+
+	if (list.empty())
+		return;
+	for (const Inst *i : list) {
+		Sum s = sum_of(*i, seconds);
+
+		mean.messages_in += s.messages_in / n;
+		mean.messages_out += s.messages_out / n;
+		mean.bytes_in += s.bytes_in / n;
+		mean.bytes_out += s.bytes_out / n;
+		mean.cpu += s.cpu / n;
+		mean.state += s.state / n;
+		most.messages_in = std::max(most.messages_in, s.messages_in);
+		most.messages_out = std::max(most.messages_out, s.messages_out);
+		most.bytes_in = std::max(most.bytes_in, s.bytes_in);
+		most.bytes_out = std::max(most.bytes_out, s.bytes_out);
+		most.cpu = std::max(most.cpu, s.cpu);
+		most.state = std::max(most.state, s.state);
+	}
+	print_sum(role, list.size(), mean);
+	if (list.size() > 1)
+		print_sum("  largest", 1, most);
+}
+
+static void
+print_kinds(const char *role, const Inst &n, double seconds)
+{
+	for (int k = 0; k < KINDS; k++)
+		if (n.c.in[k] + n.c.out[k] + n.c.step_ns[k] > 0)
+			printf("  %-9s %-8s in %8.1f/s %9.2f KB/s  out "
+			       "%8.1f/s %9.2f KB/s  cpu %7.3f %%\n",
+			    role, kind_names[k], (double)n.c.in[k] / seconds,
+			    (double)n.c.in_bytes[k] / seconds / 1e3,
+			    (double)n.c.out[k] / seconds,
+			    (double)n.c.out_bytes[k] / seconds / 1e3,
+			    (double)n.c.step_ns[k] / 1e7 / seconds);
+}
+
+static void
+print_roles(const World &w, double seconds)
+{
+	std::vector<const Inst *> leaders, voters, others;
+	int leader = w.leader();
+
+	for (size_t i = 0; i < w.in.size(); i++) {
+		const Inst *n = w.in[i].get();
+
+		if (!n->alive)
+			continue;
+		if ((int)i == leader)
+			leaders.push_back(n);
+		else if ((int)i < w.o.voters)
+			voters.push_back(n);
+		else
+			others.push_back(n);
+	}
+	printf("role          count  msgs in/s msgs out/s   KB in/s  KB out/s"
+	       "  cpu %%   state KB\n");
+	print_role("leader", leaders, seconds);
+	print_role("voter", voters, seconds);
+	print_role("other", others, seconds);
+	if (!w.o.per_kind)
+		return;
+	if (!leaders.empty())
+		print_kinds("leader", *leaders[0], seconds);
+	if (!voters.empty())
+		print_kinds("voter", *voters[0], seconds);
+	print_kinds("other", *others[others.size() / 2], seconds);
+}
+
+static double
+since(const World &w, uint64_t from)
+{
+	return (double)(w.now - from) / 1e6;
+}
+
+/* One change, to its acceptance, to everyone, and told to be in force. */
+static void
+time_change(World &w)
+{
+	uint64_t from = w.now, before = w.accepted[0], index;
+	double accepted, applied, told;
+
+	w.put_document(0);
+	w.run_until(20000000, [&] { return w.accepted[0] > before; });
+	accepted = since(w, from);
+	index = w.accepted[0];
+	w.run_until(30000000, [&] {
+		for (auto &n : w.in)
+			if (n->alive && n->node->applied < index)
+				return false;
+		return true;
+	});
+	applied = since(w, from);
+	w.run_until(30000000, [&] {
+		for (auto &n : w.in)
+			if (n->alive &&
+			    member_holder_in_force(n->node->holder) < index)
+				return false;
+		return true;
+	});
+	told = since(w, from);
+	printf("change: accepted %.3f s, applied everywhere %.3f s, every "
+	       "instance told in force %.3f s\n",
+	    accepted, applied, told);
+}
+
+static void
+time_leader(World &w)
+{
+	uint64_t from = w.now;
+	int dead = w.leader();
+	double elected;
+
+	if (dead < 0)
+		return;
+	w.kill(dead);
+	w.run_until(30000000, [&] { return w.leader() >= 0; });
+	elected = since(w, from);
+	w.run_until(60000000, [&] {
+		return member_view_find(w.in[(size_t)w.leader() < w.in.size()
+						 ? (size_t)w.leader()
+						 : 0]
+					    ->node->view,
+			   (uint32_t)dead + 1) == nullptr;
+	});
+	printf("leader killed: new one with authority after %.3f s, the dead "
+	       "one removed after %.3f s, then all act: %s\n",
+	    elected, since(w, from), w.all_act() ? "yes" : "no");
+}
+
+/* Kill an owner; time until any engine it owned gets a new run. */
+static void
+time_owner(World &w)
+{
+	int dead = w.o.instances - 1;
+	std::string region =
+	    "region-" + std::to_string(w.in[(size_t)dead]->region);
+	std::vector<std::string> owned;
+	uint64_t from = w.now, first = 0;
+
+	for (auto &e : w.engines)
+		if (member_owner_of(w.in[0]->node->view, region.c_str(),
+			e->id.c_str()) == (uint32_t)dead + 1 &&
+		    e->region == w.in[(size_t)dead]->region)
+			owned.push_back(e->address);
+	if (owned.empty() || w.o.requests == 0)
+		return;
+	w.kill(dead);
+	w.on_run = [&](int, const struct node_call &c) {
+		if (first == 0 && w.now > from + 1000000 &&
+		    std::find(owned.begin(), owned.end(), c.address) !=
+			owned.end())
+			first = w.now;
+	};
+	w.run_until(60000000, [&] { return first != 0; });
+	w.on_run = nullptr;
+	printf("owner of %zu endpoints killed: first new run on one of them "
+	       "after %.3f s\n",
+	    owned.size(), first == 0 ? -1.0 : since(w, from));
+}
+
+int
+main(int argc, char **argv)
+{
+	Options o;
+	uint64_t runs;
+
+	if (!parse(&o, argc, argv)) {
+		fputs(usage, stderr);
+		return 2;
+	}
+	World w(o);
+	uint64_t from = w.now;
+	bool ready = w.run_until(900000000, [&] {
+		return w.leader() >= 0 &&
+		    member_view_count(w.in[(size_t)w.leader()]->node->view) ==
+		    (size_t)o.instances &&
+		    w.all_act();
+	});
+	printf("instances %d, voters %d, regions %d, endpoints %d, requests "
+	       "%g/s each, changes %g/s, %d teams of %d adapters\n",
+	    o.instances, o.voters, o.regions, o.endpoints, o.requests,
+	    o.changes, o.teams, o.adapters);
+	printf("all %zu are members after %.1f s%s\n", w.in.size(),
+	    since(w, from), ready ? "" : " (NOT READY)");
+	for (int t = 0; t < o.teams; t++) {
+		w.put_document(t);
+		w.run_until(
+		    10000000, [&] { return w.accepted[(size_t)t] != 0; });
+	}
+	w.begin_load();
+	w.run_for((uint64_t)o.warm * 1000000);
+	w.reset_counts();
+	runs = w.runs;
+	w.run_for((uint64_t)o.seconds * 1000000);
+	print_roles(w, o.seconds);
+	if (o.requests > 0)
+		printf("runs %.1f/s an instance, open on one %zu, refused "
+		       "%llu, loads %llu\n",
+		    (double)(w.runs - runs) / o.seconds / o.instances,
+		    route_open_count(w.in.back()->node->route),
+		    (unsigned long long)w.refused, (unsigned long long)w.loads);
+	if (o.changes == 0)
+		for (int k = 0; k < 3; k++)
+			time_change(w);
+	if (o.fail) {
+		time_owner(w);
+		w.run_for(5000000);
+		time_leader(w);
+	}
+	return 0;
+}
