node: tell the lease holder of the view

No instance ever supported another: the reducer never called member_holder_on_view(), so each said of itself that it is no member.

--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -176,6 +176,7 @@
 	struct node_endpoint *e;
 	size_t i = map_count(n->endpoints);
 
+	member_holder_on_view(n->holder, n->view);
 	while (i-- > 0) {
 		e = map_at(n->endpoints, i);
 		if (skipped || node_owner_of(n, e->region, e->id) != n->id)
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -137,3 +137,19 @@
 	EXPECT_LE(c.now - accepted, 3000000u);
 	EXPECT_EQ(c.check(), "");
 }
+
+/* Two of three voters are gone: the others stand behind one another. */
+TEST(standing, a_majority_without_a_leader_goes_on_serving)
+{
+	Cluster c(with_seed(31));
+	ASSERT_TRUE(c.begin());
+	c.kill(0);
+	c.kill(1);
+	c.run_for(6000000);
+	ASSERT_EQ(c.leader(), -1);
+	for (int i = 2; i < 5; i++)
+		EXPECT_EQ(c.instances[(size_t)i]->node->standing,
+		    MEMBER_SUPPORTED)
+		    << i;
+	EXPECT_EQ(c.check(), "");
+}
