node, member: look at all members less often; relays carry the log

The keeper walked all members about six times a renewal: the sum of the permits is now kept as shares change, the rest is looked up every 20 ms in clusters over 16, and at once when the epoch changes; stale is safe, as in force and active epochs only grow. touch_owners() walked members times open asks: now one pass and a sort. Pings go to supporters alone. Over 24 members, instances without the log form a tree a region, fan-out 4, whose head follows a voter; who is found behind follows the leader.

--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -158,10 +158,22 @@
 	return epoch;
 }
 
+bool
+keeper_too_soon(
+    const struct member_view *v, uint64_t now_us, uint64_t epoch, uint64_t at)
+{
+	return member_view_count(v) > MEMBER_SUPPORTERS_ALL &&
+	    epoch == member_view_epoch(v) && now_us < at + KEEPER_LOOK_US;
+}
+
 void
 keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
+	if (keeper_too_soon(v, now_us, k->refresh_epoch, k->refresh_at))
+		return;
+	k->refresh_epoch = member_view_epoch(v);
+	k->refresh_at = now_us;
 	if (k->sealed_epoch != member_view_epoch(v) && keeper_sealed(k, v)) {
 		k->sealed_epoch = member_view_epoch(v);
 		k->sealed_at = now_us;
--- a/src/member/member_keeper.c
+++ b/src/member/member_keeper.c
@@ -195,6 +195,7 @@
 	keeper_info_free(proc->info);
 	memset(proc, 0, sizeof(*proc));
 	proc->incarnation = incarnation;
+	k->spent_valid = false;
 	return proc;
 }
 
--- a/src/member/member_keeper.h
+++ b/src/member/member_keeper.h
@@ -10,6 +10,7 @@
 #define KEEPER_COMMITS	   32 /* samples of the commit index */
 #define KEEPER_WISH_US	   (1000 * 1000ULL) /* between repeats of a wish */
 #define KEEPER_ROTATE_US   (1000 * 1000ULL) /* of permits too few for all */
+#define KEEPER_LOOK_US	   (20 * 1000ULL) /* between looks at all of many */
 #define KEEPER_COMMIT_STEP (MEMBER_LAG_US / (KEEPER_COMMITS / 2))
 
 /* A share of the store's permits that was told in one or more replies. */
@@ -37,12 +38,23 @@
 	struct keeper_share held; /* as its newest renewal says */
 	struct keeper_share told[KEEPER_TOLD_MAX]; /* not yet surely taken */
 	size_t ntold;
+	bool spent; /* its share is part of the keeper's sum, as it was */
+	uint32_t spent_in_flight, spent_rate_milli;
+};
+
+/* The members that hold a lease, and where one of them stands among them. */
+struct keeper_crowd {
+	uint64_t members, rank; /* rank: members before it */
+	uint64_t hungry, hungry_rank; /* the same of those with demand */
+	uint64_t weight, weight_before, weight_own; /* of their stall */
 };
 
 /* An instance: the process that is a member, and one that may follow it. */
 struct keeper_peer {
 	uint32_t id;
 	struct keeper_proc procs[2];
+	struct keeper_crowd crowd; /* its place as last counted */
+	uint64_t crowd_at;
 };
 
 struct keeper_commit {
@@ -61,10 +73,19 @@
 
 	uint64_t sealed_epoch, sealed_at;
 	uint64_t active_epoch, in_force; /* largest found so far */
+	uint64_t refresh_epoch, refresh_at; /* when they were looked for */
+
+	/* Sum of all shares in use, kept while nothing but shares changes. */
+	bool spent_valid, spent_sealed;
+	uint64_t spent_epoch, spent_in_flight, spent_rate_milli;
+	uint64_t known_epoch; /* the shares of all its members are known */
+	struct keeper_crowd crowd; /* totals, as last counted */
+	uint64_t crowd_epoch, crowd_at;
 
 	bool wishing; /* a wish is out and not yet applied */
 	struct member_wish wish;
 	uint64_t wish_at;
+	uint64_t look_epoch, look_at; /* no wish was found then */
 	Wire__MemberInfo *wish_info; /* own copy */
 };
 
@@ -89,6 +110,13 @@
  */
 bool keeper_sealed(const struct member_keeper *k, const struct member_view *v);
 
+/*
+ * Is it too soon to look at all members again? In a large cluster what is
+ * found by that is kept for a while; late is safe, it only takes longer.
+ */
+bool keeper_too_soon(
+    const struct member_view *v, uint64_t now_us, uint64_t epoch, uint64_t at);
+
 /* Bring sealed, active and in force up to date. */
 void keeper_refresh(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us);
--- a/src/member/member_permit.c
+++ b/src/member/member_permit.c
@@ -51,56 +51,98 @@
 	return used;
 }
 
-static uint32_t
-keeper_minus(uint32_t from, uint32_t n)
+/* Can this process still use the share that it was told? */
+static bool
+keeper_may_spend(
+    const struct member *m, const struct keeper_proc *proc, bool sealed)
 {
-	return from > n ? from - n : 0;
+	if (proc->incarnation == 0)
+		return false;
+	return !sealed || (m != NULL && m->incarnation == proc->incarnation);
 }
 
-/* What is left beside all processes but this one. */
-static struct keeper_share
-keeper_share_left(const struct member_keeper *k, const struct member_view *v,
-    const struct keeper_proc *self)
+/* Bring one process's part of the sum up to date. */
+static void
+keeper_spent_update(struct member_keeper *k, struct keeper_proc *proc)
 {
-	struct keeper_share left = {0, k->store_in_flight, k->store_rate_milli};
 	struct keeper_share used;
-	const struct keeper_peer *peer;
-	const struct keeper_proc *proc;
+
+	if (!k->spent_valid || !proc->spent)
+		return;
+	used = keeper_share_used(proc);
+	k->spent_in_flight += used.in_flight;
+	k->spent_in_flight -= proc->spent_in_flight;
+	k->spent_rate_milli += used.rate_milli;
+	k->spent_rate_milli -= proc->spent_rate_milli;
+	proc->spent_in_flight = used.in_flight;
+	proc->spent_rate_milli = used.rate_milli;
+}
+
+/* Sum up anew when the members, or the processes that count, changed. */
+static void
+keeper_spent_sum(struct member_keeper *k, const struct member_view *v)
+{
+	bool sealed = keeper_sealed(k, v);
 	const struct member *m;
+	struct keeper_peer *peer;
+	struct keeper_proc *proc;
 	size_t i, j;
 
+	if (k->spent_valid && k->spent_epoch == member_view_epoch(v) &&
+	    k->spent_sealed == sealed)
+		return;
+	k->spent_valid = true;
+	k->spent_epoch = member_view_epoch(v);
+	k->spent_sealed = sealed;
+	k->spent_in_flight = k->spent_rate_milli = 0;
 	for (i = 0; i < map_count(k->peers); i++) {
 		peer = map_at(k->peers, i);
 		m = member_view_find(v, peer->id);
 		for (j = 0; j < 2; j++) {
 			proc = &peer->procs[j];
-			if (proc->incarnation == 0 || proc == self)
-				continue;
-			if ((m == NULL ||
-				m->incarnation != proc->incarnation) &&
-			    keeper_sealed(k, v))
-				continue;
-			used = keeper_share_used(proc);
-			left.in_flight =
-			    keeper_minus(left.in_flight, used.in_flight);
-			left.rate_milli =
-			    keeper_minus(left.rate_milli, used.rate_milli);
+			proc->spent = keeper_may_spend(m, proc, sealed);
+			proc->spent_in_flight = proc->spent_rate_milli = 0;
+			keeper_spent_update(k, proc);
 		}
 	}
+}
+
+static uint32_t
+keeper_minus(uint32_t from, uint64_t n)
+{
+	return from > n ? from - (uint32_t)n : 0;
+}
+
+/* What is left beside all processes but this one. */
+static struct keeper_share
+keeper_share_left(const struct member_keeper *k, const struct keeper_proc *self)
+{
+	struct keeper_share left = {0, k->store_in_flight, k->store_rate_milli};
+	uint64_t in_flight = k->spent_in_flight, rate = k->spent_rate_milli;
+
+	if (self->spent) {
+		in_flight -= self->spent_in_flight;
+		rate -= self->spent_rate_milli;
+	}
+	left.in_flight = keeper_minus(left.in_flight, in_flight);
+	left.rate_milli = keeper_minus(left.rate_milli, rate);
 	return left;
 }
 
 /* Is every share known that an earlier leader may have told? */
 static bool
-keeper_shares_known(const struct member_keeper *k, const struct member_view *v)
+keeper_shares_known(struct member_keeper *k, const struct member_view *v)
 {
 	size_t i;
 
 	if (!member_guards.permit_hold)
 		return true;
-	for (i = 0; i < member_view_count(v); i++)
-		if (keeper_member_proc(k, member_view_at(v, i)) == NULL)
-			return false;
+	if (k->known_epoch != member_view_epoch(v)) {
+		for (i = 0; i < member_view_count(v); i++)
+			if (keeper_member_proc(k, member_view_at(v, i)) == NULL)
+				return false;
+		k->known_epoch = member_view_epoch(v);
+	}
 	return keeper_sealed(k, v);
 }
 
@@ -110,42 +152,56 @@
 	return proc->waiting_loads > 0 || proc->loads_in_flight > 0;
 }
 
-/* The members that hold a lease, and where one of them stands among them. */
-struct keeper_crowd {
-	uint64_t members, rank; /* rank: members before it */
-	uint64_t hungry, hungry_rank; /* the same of those with demand */
-	uint64_t weight, weight_before, weight_own; /* of their stall */
-};
-
+/* Count the members that hold a lease, and note each one's place. */
 static void
-keeper_crowd_count(const struct member_keeper *k, const struct member_view *v,
-    uint64_t now_us, uint32_t id, struct keeper_crowd *c)
+keeper_crowd_count(
+    struct member_keeper *k, const struct member_view *v, uint64_t now_us)
 {
+	struct keeper_crowd c = {0};
 	const struct keeper_proc *proc;
 	const struct member *m;
-	uint64_t weight;
+	struct keeper_peer *peer;
 	size_t i;
 
-	memset(c, 0, sizeof(*c));
 	for (i = 0; i < member_view_count(v); i++) {
 		m = member_view_at(v, i);
 		proc = keeper_member_proc(k, m);
 		if (proc == NULL || now_us >= proc->lease_end)
 			continue;
-		weight = keeper_has_demand(proc)
+		c.weight_own = keeper_has_demand(proc)
 		    ? proc->waiting_stall_us / 1000 + 1
 		    : 0;
-		if (m->id < id) {
-			c->rank++;
-			c->hungry_rank += weight > 0;
-			c->weight_before += weight;
-		} else if (m->id == id) {
-			c->weight_own = weight;
-		}
-		c->members++;
-		c->hungry += weight > 0;
-		c->weight += weight;
+		peer = keeper_peer_find(k, m->id);
+		peer->crowd = c;
+		peer->crowd_at = now_us;
+		c.rank++;
+		c.hungry_rank += c.weight_own > 0;
+		c.weight_before += c.weight_own;
 	}
+	c.members = c.rank;
+	c.hungry = c.hungry_rank;
+	c.weight = c.weight_before;
+	k->crowd = c;
+	k->crowd_epoch = member_view_epoch(v);
+	k->crowd_at = now_us;
+}
+
+/* The place of a member that holds a lease among all who do. */
+static struct keeper_crowd
+keeper_crowd_of(struct member_keeper *k, const struct member_view *v,
+    uint64_t now_us, uint32_t id)
+{
+	const struct keeper_peer *peer = keeper_peer_find(k, id);
+	struct keeper_crowd c;
+
+	if (!keeper_too_soon(v, now_us, k->crowd_epoch, k->crowd_at) ||
+	    peer->crowd_at != k->crowd_at)
+		keeper_crowd_count(k, v, now_us);
+	c = peer->crowd;
+	c.members = k->crowd.members;
+	c.hungry = k->crowd.hungry;
+	c.weight = k->crowd.weight;
+	return c;
 }
 
 /* Share n by weight so that all shares add up to n. */
@@ -227,13 +283,15 @@
 	struct keeper_share left, used = keeper_share_used(proc);
 	struct keeper_crowd crowd;
 
+	keeper_spent_sum(k, v);
+	keeper_spent_update(k, proc);
 	out->permit_in_flight = proc->held.in_flight;
 	out->permit_rate_milli = proc->held.rate_milli;
 	if (now_us >= k->authority_until)
 		return;
 	if (leased) {
-		keeper_crowd_count(k, v, now_us, id, &crowd);
-		left = keeper_shares_known(k, v) ? keeper_share_left(k, v, proc)
+		crowd = keeper_crowd_of(k, v, now_us, id);
+		left = keeper_shares_known(k, v) ? keeper_share_left(k, proc)
 						 : used;
 		out->permit_in_flight = keeper_least(
 		    left.in_flight, keeper_target_in_flight(k, &crowd, now_us));
@@ -245,4 +303,5 @@
 	}
 	keeper_permit_note(proc, out->sent_us, &out->permit_in_flight,
 	    &out->permit_rate_milli);
+	keeper_spent_update(k, proc);
 }
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -139,11 +139,15 @@
 	    (k->wishing && now_us < k->wish_at + KEEPER_WISH_US))
 		return false;
 	if (!k->wishing) {
-		if (!keeper_sealed(k, v) ||
-		    (!keeper_wish_down(k, v, now_us) &&
-			!keeper_wish_leave(k, v) &&
-			!keeper_wish_up(k, v, now_us)))
+		if (keeper_too_soon(v, now_us, k->look_epoch, k->look_at) ||
+		    !keeper_sealed(k, v))
 			return false;
+		if (!keeper_wish_down(k, v, now_us) &&
+		    !keeper_wish_leave(k, v) && !keeper_wish_up(k, v, now_us)) {
+			k->look_epoch = member_view_epoch(v);
+			k->look_at = now_us;
+			return false;
+		}
 		k->wishing = true;
 	}
 	k->wish_at = now_us;
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -277,44 +277,79 @@
 	node_peer_send(n, to, &envelope);
 }
 
+/* An open ask or grant and the owner to be told of it. */
+struct touch {
+	uint32_t owner;
+	size_t open;
+};
+
+static int
+compare_touches(const void *a, const void *b)
+{
+	const struct touch *x = a, *y = b;
+
+	if (x->owner != y->owner)
+		return x->owner < y->owner ? -1 : 1;
+	return x->open < y->open ? -1 : x->open > y->open;
+}
+
+static void
+fill_pin(struct node *n, size_t i, Wire__Pin *pin)
+{
+	struct route_open open;
+
+	route_open_at(n->route, i, &open);
+	wire__pin__init(pin);
+	pin->request = open.ask;
+	if (open.endpoint != NULL)
+		pin->endpoint = (char *)open.endpoint;
+	if (open.adapter != NULL)
+		pin->adapter = (char *)open.adapter;
+	pin->team = (char *)open.team;
+}
+
+/* Touch one owner: of what is open, the first count belong to it. */
 static void
-touch_owner(struct node *n, uint32_t owner)
+touch_owner(struct node *n, const struct touch *touches, size_t count)
 {
 	Wire__Pin pins[TOUCH_PINS_MAX];
 	Wire__Pin *list[TOUCH_PINS_MAX];
-	struct route_open open;
-	size_t i, count = 0;
+	size_t i, filled = 0;
 
-	for (i = 0; i < route_open_count(n->route); i++) {
-		route_open_at(n->route, i, &open);
-		if (open_owner(n, &open) != owner)
-			continue;
-		wire__pin__init(&pins[count]);
-		pins[count].request = open.ask;
-		if (open.endpoint != NULL)
-			pins[count].endpoint = (char *)open.endpoint;
-		if (open.adapter != NULL)
-			pins[count].adapter = (char *)open.adapter;
-		pins[count].team = (char *)open.team;
-		list[count] = &pins[count];
-		if (++count == TOUCH_PINS_MAX) {
-			send_touch(n, owner, list, count);
-			count = 0;
+	for (i = 0; i < count; i++) {
+		fill_pin(n, touches[i].open, &pins[filled]);
+		list[filled] = &pins[filled];
+		filled++;
+		if (filled == TOUCH_PINS_MAX || i + 1 == count) {
+			send_touch(n, touches[0].owner, list, filled);
+			filled = 0;
 		}
 	}
-	if (count > 0)
-		send_touch(n, owner, list, count);
 }
 
 static void
 touch_owners(struct node *n)
 {
-	size_t i;
+	size_t i, same, count = route_open_count(n->route);
+	struct touch *touches = mem_alloc(count, sizeof(*touches));
+	struct route_open open;
 
-	if (route_open_count(n->route) == 0)
-		return;
-	for (i = 0; i < member_view_count(n->view); i++)
-		touch_owner(n, member_view_at(n->view, i)->id);
+	for (i = 0; i < count; i++) {
+		route_open_at(n->route, i, &open);
+		touches[i].owner = open_owner(n, &open);
+		touches[i].open = i;
+	}
+	if (count > 0)
+		qsort(touches, count, sizeof(*touches), compare_touches);
+	for (i = 0; i < count; i += same) {
+		same = 1;
+		while (i + same < count &&
+		    touches[i + same].owner == touches[i].owner)
+			same++;
+		if (member_view_find(n->view, touches[i].owner) != NULL)
+			touch_owner(n, &touches[i], same);
+	}
+	free(touches);
 }
 
 /* ---- summaries ----------------------------------------------------------- */
--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -1,6 +1,15 @@
+#include <string.h>
+
 #include "node/node_internal.h"
 #include "util/mem.h"
 
+/*
+ * In a large cluster each region has a tree of relays over its instances
+ * without the log, in the order of their ids: the first follows a voter, any
+ * other its parent in the tree. An instance whose parent is silent, or whom
+ * the leader finds behind, follows a voter until that has passed.
+ */
+
 /* A follower that has not pulled for so long gets no more pushes. */
 #define FOLLOWER_GONE_US (4 * NODE_PULL_US)
 
@@ -15,12 +24,48 @@
 	    !raft_is_halted(n->raft) && raft_get_commit(n->raft) >= n->applied;
 }
 
+static bool
+is_large(const struct node *n)
+{
+	return member_view_count(n->view) > NODE_RELAY_MEMBERS;
+}
+
+/* The relay that this instance belongs to; 0: a voter. */
+uint32_t
+node_follow_parent(const struct node *n)
+{
+	const struct member *m;
+	uint32_t before = 0, parent = 0;
+	size_t i, j;
+
+	if (!is_large(n) || n->raft != NULL)
+		return 0; /* those with the log never follow one without */
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->id >= n->id)
+			break;
+		before += m->voter == 0 &&
+		    strcmp(m->region, n->settings->region) == 0;
+	}
+	if (before == 0)
+		return 0;
+	parent = (before - 1) / NODE_RELAY_FANOUT;
+	for (j = 0; j < i; j++) {
+		m = member_view_at(n->view, j);
+		if (m->voter == 0 &&
+		    strcmp(m->region, n->settings->region) == 0 &&
+		    parent-- == 0)
+			return m->id;
+	}
+	return 0;
+}
+
 /*
- * Whom to follow: a voter that is heard, spread over them by instance id;
+ * A voter to follow: one that is heard, spread over them by instance id;
  * before any is heard, each in turn.
  */
 static uint32_t
-pick_source(struct node *n)
+pick_voter(struct node *n)
 {
 	const struct settings *s = n->settings;
 	uint32_t heard = 0, voters = 0, nth;
@@ -46,6 +91,22 @@
 	return 0;
 }
 
+/* Few voters are heard from other regions: the one followed is kept. */
+static uint32_t
+pick_source(struct node *n)
+{
+	uint32_t parent = node_follow_parent(n), leader = node_leader(n);
+
+	if (is_large(n) && n->now < n->direct_until && leader != n->id &&
+	    leader != 0)
+		return leader;
+	if (parent != 0 && node_may_act(n) && node_peer_is_heard(n, parent))
+		return parent;
+	if (n->source == 0 || !is_large(n) || !node_peer_is_heard(n, n->source))
+		n->source = pick_voter(n);
+	return n->source;
+}
+
 static void
 send_pull(struct node *n)
 {
@@ -145,7 +206,10 @@
 		return; /* its entries are on the way */
 	peer->next_push = pull->next;
 	peer->resent_us = n->now;
-	push_to(n, peer);
+	if (pull->next > n->applied && is_large(n))
+		push_entries(n, peer); /* none, but it hears from us */
+	else
+		push_to(n, peer);
 }
 
 /* Pass on what was applied since, to all who follow. */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -39,6 +39,9 @@
 #define NODE_RECENT_ENTRIES   1024
 #define NODE_PUSH_ENTRIES     256
 #define NODE_OWNERS_MAX	      8
+#define NODE_RELAY_MEMBERS    24 /* up to so many all follow voters */
+#define NODE_RELAY_FANOUT     4
+#define NODE_DIRECT_US	      (5000 * 1000ULL) /* not behind a late relay */
 #define NODE_BATCH_BYTES      (256 * 1024)
 
 /* Another instance, as met through messages. */
@@ -153,6 +156,8 @@
 	struct node_recent *recent; /* ring of NODE_RECENT_ENTRIES */
 	uint64_t recent_first; /* index; recent_first..applied are held */
 	bool push_due;
+	uint32_t source; /* the voter followed last */
+	uint64_t direct_until; /* follow a voter, not a relay */
 
 	/* leases */
 	struct member_holder *holder;
@@ -247,6 +252,7 @@
 void node_follow_on_push(
     struct node *n, uint32_t from, const Wire__FollowPush *push);
 void node_follow_push_all(struct node *n);
+uint32_t node_follow_parent(const struct node *n);
 
 /* node_found.c: founding and voters */
 void node_found_tick(struct node *n);
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "node/node_internal.h"
 #include "util/mem.h"
@@ -71,8 +72,9 @@
 	send_renew(n, &renew);
 }
 
+/* Ask those whose support would count. */
 static void
-ping_members(struct node *n)
+ping_supporters(struct node *n)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Ping ping = WIRE__PING__INIT;
@@ -84,7 +86,7 @@
 	envelope.ping = &ping;
 	for (i = 0; i < member_view_count(n->view); i++) {
 		m = member_view_at(n->view, i);
-		if (m->id != n->id)
+		if (m->id != n->id && member_view_supports(n->view, m))
 			node_peer_send(n, m->id, &envelope);
 	}
 }
@@ -95,6 +97,8 @@
 {
 	if (reply->leader == from)
 		n->leader_heard_us = n->now;
+	if (reply->reason[0] != '\0' && strcmp(reply->reason, "behind") == 0)
+		n->direct_until = n->now + NODE_DIRECT_US;
 	member_holder_on_lease(n->holder, n->now, reply);
 	sched_set_permits(n->sched, n->now,
 	    member_holder_permit_in_flight(n->holder),
@@ -117,10 +121,6 @@
 		    raft_get_commit(n->raft), renew, &reply);
 		reply.term = raft_get_term(n->raft);
 		reply.leader = n->id;
-		reply.in_force =
-		    member_keeper_in_force(n->keeper, n->view, n->now);
-		reply.active_epoch =
-		    member_keeper_active_epoch(n->keeper, n->view, n->now);
 	} else {
 		reply.sent_us = renew->sent_us;
 		reply.term = raft_get_term(n->raft);
@@ -205,6 +205,6 @@
 	if (member_holder_renew_due(n->holder, n->now))
 		renew_lease(n);
 	if (member_holder_ping_due(n->holder, n->now))
-		ping_members(n);
+		ping_supporters(n);
 	lead_tick(n);
 }
