node: name known grants by their request alone, scan large tables less

Now an owner that should know a grant hears its number; for 2 s after each change of members all are named in full, and an owner that misses one says so. Asks and grants are scanned every 50 us times their number, at once in small clusters.

--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -264,6 +264,87 @@
 	    owned.size(), first == 0 ? -1.0 : since(w, from));
 }
 
+/* A rack: so many instances without a voter die at once. */
+static void
+time_rack(World &w, int count)
+{
+	uint64_t from = w.now;
+	int lead = w.leader();
+	size_t before;
+
+	if (lead < 0 || w.o.instances < 3 * count)
+		return;
+	before = member_view_count(w.in[(size_t)lead]->node->view);
+	for (int k = 0; k < count; k++)
+		w.kill(w.o.instances - 2 - k);
+	w.run_until(120000000, [&] {
+		return member_view_count(w.in[(size_t)lead]->node->view) +
+		    (size_t)count ==
+		    before;
+	});
+	printf("%d instances killed at once: all removed after %.3f s\n", count,
+	    since(w, from));
+}
+
+static int
+acting(const World &w, int region, bool inside)
+{
+	int count = 0;
+
+	for (auto &n : w.in)
+		count += n->alive && (n->region == region) == inside &&
+		    node_may_act(n->node);
+	return count;
+}
+
+/* The last region, without a voter, is cut off and comes back. */
+static void
+time_cut(World &w)
+{
+	int region = w.o.regions - 1, lead = w.leader();
+	uint64_t from, applied;
+
+	if (w.o.regions < 2 || lead < 0 || region < w.o.voters)
+		return;
+	printf("region of %d cut off: ", acting(w, region, true));
+	w.cut_region = region;
+	from = w.now;
+	w.run_until(60000000, [&] { return acting(w, region, true) == 0; });
+	printf("none in it takes new work after %.3f s, ", since(w, from));
+	w.run_for(60000000);
+	w.put_document(0);
+	w.run_for(20000000);
+	printf("%d outside go on, %zu members are left after 80 s\n",
+	    acting(w, region, false),
+	    member_view_count(w.in[(size_t)w.leader()]->node->view));
+	w.cut_region = -1;
+	from = w.now;
+	applied = w.in[(size_t)w.leader()]->node->applied;
+	w.run_until(120000000, [&] {
+		for (auto &n : w.in)
+			if (n->alive && n->node->applied < applied)
+				return false;
+		return true;
+	});
+	printf("healed: all have applied what was missed after %.3f s, ",
+	    since(w, from));
+	w.run_until(120000000, [&] { return w.all_act(); });
+	printf("all act after %.3f s\n", since(w, from));
+}
+
+static void
+print_snapshot(const World &w)
+{
+	struct buf state = {};
+	int lead = w.leader();
+
+	if (lead < 0)
+		return;
+	node_replica_state(w.in[(size_t)lead]->node, &state);
+	printf("a snapshot is %.1f KB\n", (double)state.len / 1e3);
+	buf_free(&state);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -299,6 +380,7 @@
 	runs = w.runs;
 	w.run_for((uint64_t)o.seconds * 1000000);
 	print_roles(w, o.seconds);
+	print_snapshot(w);
 	if (o.requests > 0)
 		printf("runs %.1f/s an instance, open on one %zu, refused "
 		       "%llu, loads %llu\n",
@@ -312,6 +394,10 @@
 		time_owner(w);
 		w.run_for(5000000);
 		time_leader(w);
+		w.run_for(5000000);
+		time_rack(w, 20);
+		w.run_for(5000000);
+		time_cut(w);
 	}
 	return 0;
 }
--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -337,6 +337,8 @@
 	auto bytes = std::make_shared<std::string>(s.bytes.data, s.bytes.len);
 	uint64_t delay = in[(size_t)to]->region == n.region ? 300 : 20000;
 
+	if ((n.region == cut_region) != (in[(size_t)to]->region == cut_region))
+		return;
 	n.c.out[kind]++;
 	n.c.out_bytes[kind] += s.bytes.len;
 	at(now + delay + rng_below(&rng, 200), [this, i, to, kind, bytes] {
--- a/bench/cluster_world.h
+++ b/bench/cluster_world.h
@@ -75,6 +75,7 @@
 
 	Options o;
 	uint64_t now = 1000000;
+	int cut_region = -1; /* no message leaves or enters it */
 	std::vector<std::unique_ptr<Inst>> in;
 	std::vector<std::unique_ptr<Engine>> engines;
 	std::vector<uint64_t> revisions;
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -234,6 +234,9 @@
 	struct node_ask *ask;
 	size_t i = map_count(n->asks);
 
+	if (n->now < n->asks_us)
+		return;
+	n->asks_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		ask = map_at(n->asks, i);
 		if (!route_fill_ask(n->route, n->now, ask->ask, &message))
@@ -263,20 +266,6 @@
 	return ask->owner;
 }
 
-static void
-send_touch(struct node *n, uint32_t to, Wire__Pin **pins, size_t count)
-{
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
-
-	touch.n_pins = count;
-	touch.pins = pins;
-	touch.sent_us = n->now;
-	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
-	envelope.touch = &touch;
-	node_peer_send(n, to, &envelope);
-}
-
 /* An open ask or grant and the owner to be told of it. */
 struct touch {
 	uint32_t owner;
@@ -293,12 +282,25 @@
 	return x->open < y->open ? -1 : x->open > y->open;
 }
 
+/* What one touch tells, as it is filled. */
+struct touch_list {
+	Wire__Pin pins[TOUCH_PINS_MAX];
+	Wire__Pin *refs[TOUCH_PINS_MAX];
+	uint64_t known[TOUCH_PINS_MAX];
+	size_t npins, nknown;
+};
+
 static void
-fill_pin(struct node *n, size_t i, Wire__Pin *pin)
+touch_add(struct node *n, struct touch_list *list, size_t i, bool all)
 {
 	struct route_open open;
+	Wire__Pin *pin = &list->pins[list->npins];
 
 	route_open_at(n->route, i, &open);
+	if (!all && open.endpoint != NULL) {
+		list->known[list->nknown++] = open.ask;
+		return;
+	}
 	wire__pin__init(pin);
 	pin->request = open.ask;
 	if (open.endpoint != NULL)
@@ -306,25 +308,52 @@
 	if (open.adapter != NULL)
 		pin->adapter = (char *)open.adapter;
 	pin->team = (char *)open.team;
+	list->refs[list->npins++] = pin;
+}
+
+static void
+touch_send(struct node *n, uint32_t to, struct touch_list *list)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
+
+	touch.n_pins = list->npins;
+	touch.pins = list->refs;
+	touch.n_known = list->nknown;
+	touch.known = list->known;
+	touch.sent_us = n->now;
+	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
+	envelope.touch = &touch;
+	node_peer_send(n, to, &envelope);
+	list->npins = list->nknown = 0;
 }
 
 /* Touch one owner: of what is open, the first count belong to it. */
 static void
 touch_owner(struct node *n, const struct touch *touches, size_t count)
 {
-	Wire__Pin pins[TOUCH_PINS_MAX];
-	Wire__Pin *list[TOUCH_PINS_MAX];
-	size_t i, filled = 0;
+	const struct node_peer *peer = node_peer(n, touches[0].owner);
+	bool all =
+	    n->now < n->touch_all_until || n->now < peer->touch_all_until;
+	struct touch_list list;
+	size_t i;
 
+	list.npins = list.nknown = 0;
 	for (i = 0; i < count; i++) {
-		fill_pin(n, touches[i].open, &pins[filled]);
-		list[filled] = &pins[filled];
-		filled++;
-		if (filled == TOUCH_PINS_MAX || i + 1 == count) {
-			send_touch(n, touches[0].owner, list, filled);
-			filled = 0;
-		}
+		touch_add(n, &list, touches[i].open, all);
+		if (list.npins + list.nknown == TOUCH_PINS_MAX)
+			touch_send(n, touches[0].owner, &list);
 	}
+	if (list.npins + list.nknown > 0)
+		touch_send(n, touches[0].owner, &list);
+}
+
+/* An owner misses a grant that was named by its request alone. */
+void
+node_entry_on_touch_all(struct node *n, uint32_t from)
+{
+	node_peer(n, from)->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+	n->touch_us = 0;
 }
 
 static void
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -264,6 +264,39 @@
 	    n->sched, n->now, g->id, pin->team, pin->endpoint, g->adapter);
 }
 
+/* Grants that the entry takes to be known here; false when one is not. */
+static bool
+touch_known(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantTouch *touch)
+{
+	struct node_grant *g;
+	bool known = true;
+	size_t i;
+
+	for (i = 0; i < touch->n_known; i++) {
+		g = grant_find(n, from, incarnation, touch->known[i]);
+		if (g == NULL) {
+			known = false;
+			continue;
+		}
+		g->touched_us = n->now;
+		g->basis_us = touch->sent_us;
+	}
+	return known;
+}
+
+static void
+send_touch_all(struct node *n, uint32_t to)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
+
+	touch.all = true;
+	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
+	envelope.touch = &touch;
+	node_peer_send(n, to, &envelope);
+}
+
 void
 node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch)
@@ -272,6 +305,10 @@
 	const Wire__Pin *pin;
 	size_t i;
 
+	if (touch->all)
+		node_entry_on_touch_all(n, from);
+	if (!touch_known(n, from, incarnation, touch))
+		send_touch_all(n, from);
 	for (i = 0; i < touch->n_pins; i++) {
 		pin = touch->pins[i];
 		g = grant_find(n, from, incarnation, pin->request);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -24,6 +24,8 @@
 #define NODE_PEER_SILENT_US   (1000 * 1000ULL) /* no new asks to it */
 #define NODE_SUMMARY_US	      (500 * 1000ULL)
 #define NODE_TOUCH_US	      (500 * 1000ULL)
+#define NODE_TOUCH_ALL_US     (2000 * 1000ULL) /* pins in full so long */
+#define NODE_SCAN_STEP_US     50ULL /* between scans, for each ask or grant */
 #define NODE_ASK_RESEND_US    (1000 * 1000ULL)
 #define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
 #define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
@@ -59,6 +61,8 @@
 	/* as a founding voter */
 	uint64_t hello_us, hello_voter;
 	bool hello_fresh;
+	/* as an owner: its pins are sent in full until then */
+	uint64_t touch_all_until;
 };
 
 /* An endpoint this instance owns. */
@@ -68,7 +72,7 @@
 	uint64_t since_epoch; /* owned without a break since this epoch */
 	bool leaving;
 	bool scheduled; /* known to the scheduler */
-	char *report;	/* latest announcement, JSON */
+	char *report; /* latest announcement, JSON */
 	size_t report_len;
 };
 
@@ -188,6 +192,8 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
+	uint64_t touch_all_until; /* for all owners */
+	uint64_t asks_us, grants_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
 	uint64_t stop_us;
@@ -277,6 +283,7 @@
     const Wire__GrantAsk *ask);
 void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantDone *done);
+void node_entry_on_touch_all(struct node *n, uint32_t from);
 void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch);
 void node_grant_decided(struct node *n, const struct sched_decision *d);
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -96,8 +96,8 @@
 
 /* Give the latest announcement to the scheduler. */
 static void
-endpoint_schedule(struct node *n, struct node_endpoint *e,
-    const struct announcement *a)
+endpoint_schedule(
+    struct node *n, struct node_endpoint *e, const struct announcement *a)
 {
 	sched_report(n->sched, n->now, &a->report);
 	if (!e->scheduled && node_guards.takeover_wait)
@@ -123,16 +123,16 @@
 }
 
 static void
-endpoint_report(struct node *n, const struct announcement *a,
-    struct node_bytes json)
+endpoint_report(
+    struct node *n, const struct announcement *a, struct node_bytes json)
 {
 	struct node_endpoint *e = map_get_str(n->endpoints, a->report.id);
 
 	if (e == NULL)
 		e = endpoint_add(n, a->report.id);
 	if (a->report.leaving && !e->leaving)
-		node_log(n, NODE_LOG_ENDPOINT_LEAVING,
-		    "{\"endpoint\": \"%s\"}", e->id);
+		node_log(n, NODE_LOG_ENDPOINT_LEAVING, "{\"endpoint\": \"%s\"}",
+		    e->id);
 	e->leaving = a->report.leaving;
 	e->announced_us = n->now;
 	set_string(&e->address, a->address);
@@ -183,6 +183,7 @@
 			endpoint_remove(n, e, "moved");
 	}
 	n->touch_us = 0; /* new owners learn of running requests at once */
+	n->touch_all_until = n->now + NODE_TOUCH_ALL_US;
 	n->summary_us = 0;
 	n->owner_due = true;
 }
@@ -209,6 +210,9 @@
 	Wire__GrantDone done = WIRE__GRANT_DONE__INIT;
 	size_t i = map_count(n->grants);
 
+	if (n->now < n->grants_us)
+		return;
+	n->grants_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		g = map_at(n->grants, i);
 		if (g->orphaned_us != 0 ||
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2821,7 +2821,7 @@
   (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[4] =
 {
   {
     "pins",
@@ -2847,15 +2847,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__GrantTouch, n_known),
+    offsetof(Wire__GrantTouch, known),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "all",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantTouch, all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_touch__field_indices_by_name[] = {
+  3,   /* field[3] = all */
+  2,   /* field[2] = known */
   0,   /* field[0] = pins */
   1,   /* field[1] = sent_us */
 };
 static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
 {
@@ -2865,7 +2891,7 @@
   "Wire__GrantTouch",
   "wire",
   sizeof(Wire__GrantTouch),
-  2,
+  4,
   wire__grant_touch__field_descriptors,
   wire__grant_touch__field_indices_by_name,
   1,  wire__grant_touch__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -493,7 +493,9 @@
 
 
 /*
- * Entry to owner: every grant of that owner's endpoints still in use.
+ * Entry to owner: every grant of that owner's endpoints still in use. One
+ * that the owner should know already is named by its request alone. An owner
+ * that misses one answers with "all": the entry names them in full again.
  */
 struct  Wire__GrantTouch
 {
@@ -504,10 +506,16 @@
    * the entry's clock
    */
   uint64_t sent_us;
+  size_t n_known;
+  uint64_t *known;
+  /*
+   * owner to entry
+   */
+  protobuf_c_boolean all;
 };
 #define WIRE__GRANT_TOUCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_touch__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -148,8 +148,71 @@
 	c.run_for(6000000);
 	ASSERT_EQ(c.leader(), -1);
 	for (int i = 2; i < 5; i++)
-		EXPECT_EQ(c.instances[(size_t)i]->node->standing,
-		    MEMBER_SUPPORTED)
+		EXPECT_EQ(
+		    c.instances[(size_t)i]->node->standing, MEMBER_SUPPORTED)
 		    << i;
 	EXPECT_EQ(c.check(), "");
 }
+
+/* 27 instances without the log: a tree of fan-out 4 below a voter. */
+TEST(relay, a_change_comes_through_the_tree_and_past_a_dead_head)
+{
+	ClusterOptions options = with_seed(32);
+	options.instances = 30;
+	Cluster c(options);
+	ASSERT_TRUE(c.begin());
+	ASSERT_TRUE(c.run_until(60000000, [&] {
+		return member_view_count(c.instances[0]->node->view) == 30;
+	}));
+	struct {
+		int instance;
+		uint32_t parent;
+	} cases[] = {{0, 0}, {2, 0}, {3, 0}, {4, 4}, {7, 4}, {8, 5}, {29, 10}};
+
+	for (auto &t : cases)
+		EXPECT_EQ(
+		    node_follow_parent(c.instances[(size_t)t.instance]->node),
+		    t.parent)
+		    << t.instance;
+	c.run_for(2000000);
+	c.kill(3);
+	Request *put =
+	    c.put_document(9, "t1", 1, "x", Cluster::document("t1", 1));
+	ASSERT_TRUE(c.wait(put));
+	EXPECT_EQ(put->status, 200);
+	uint64_t index =
+	    doc_book_current(c.instances[0]->node->book, "t1")->index;
+	EXPECT_TRUE(c.run_until(3000000, [&] {
+		for (auto &in : c.instances)
+			if (in->alive && in->node->applied < index)
+				return false;
+		return true;
+	}));
+	EXPECT_EQ(c.check(), "");
+}
+
+/* A grant that its owner has lost is named in full again. */
+TEST(touch, an_owner_that_misses_a_grant_learns_of_it)
+{
+	Cluster c(with_seed(33));
+	ASSERT_TRUE(c.begin());
+	for (auto &e : c.endpoints)
+		e->step_us = 400000;
+	Request *r = c.complete(0, "a1", true, 40);
+	struct node *owner = nullptr;
+
+	ASSERT_TRUE(c.run_until(5000000, [&] { return r->status == 200; }));
+	c.run_for(3000000); /* now named by its request alone */
+	for (auto &in : c.instances)
+		if (map_count(in->node->grants) == 1)
+			owner = in->node;
+	ASSERT_NE(owner, nullptr);
+	auto *g = (struct node_grant *)map_at(owner->grants, 0);
+	g->touched_us = 0;
+	EXPECT_TRUE(c.run_until(
+	    1000000, [&] { return map_count(owner->grants) == 0; }));
+	EXPECT_TRUE(c.run_until(
+	    1000000, [&] { return map_count(owner->grants) == 1; }));
+	ASSERT_TRUE(c.wait(r, 30000000));
+	EXPECT_EQ(c.check(), "");
+}
