--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -351,6 +351,7 @@
 	Options o;
 	uint64_t runs;
 
+	(void)setvbuf(stdout, nullptr, _IOLBF, 0);
 	if (!parse(&o, argc, argv)) {
 		fputs(usage, stderr);
 		return 2;
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -82,6 +82,7 @@
 	return false;
 }
 
+/* One that was removed gives its share of permits back before it joins. */
 static bool
 keeper_wish_up(
     struct member_keeper *k, const struct member_view *v, uint64_t now_us)
@@ -97,6 +98,8 @@
 		for (j = 0; j < 2; j++) {
 			proc = &peer->procs[j];
 			if (proc->info == NULL || proc->leaving ||
+			    proc->held.in_flight > 0 ||
+			    proc->held.rate_milli > 0 ||
 			    now_us >= proc->heard_at + MEMBER_LEASE_US)
 				continue;
 			k->wish.type = MEMBER_WISH_UP;
@@ -139,15 +142,12 @@
 	    (k->wishing && now_us < k->wish_at + KEEPER_WISH_US))
 		return false;
 	if (!k->wishing) {
-		if (keeper_too_soon(v, now_us, k->look_epoch, k->look_at) ||
-		    !keeper_sealed(k, v))
+		if (!keeper_sweep_due(v, now_us, &k->searched_at) ||
+		    !keeper_sealed(k, v) ||
+		    (!keeper_wish_down(k, v, now_us) &&
+			!keeper_wish_leave(k, v) &&
+			!keeper_wish_up(k, v, now_us)))
 			return false;
-		if (!keeper_wish_down(k, v, now_us) &&
-		    !keeper_wish_leave(k, v) && !keeper_wish_up(k, v, now_us)) {
-			k->look_epoch = member_view_epoch(v);
-			k->look_at = now_us;
-			return false;
-		}
 		k->wishing = true;
 	}
 	k->wish_at = now_us;
