--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -183,6 +183,7 @@
 			endpoint_remove(n, e, "moved");
 	}
 	n->touch_us = 0; /* new owners learn of running requests at once */
+	n->touch_all_until = n->now + NODE_TOUCH_ALL_US;
 	n->summary_us = 0;
 	n->owner_due = true;
 }
@@ -215,6 +216,9 @@
 	Wire__GrantDone done = WIRE__GRANT_DONE__INIT;
 	size_t i = map_count(n->grants);
 
+	if (n->now < n->grants_us)
+		return;
+	n->grants_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		g = map_at(n->grants, i);
 		if (n->now < g->touched_us + NODE_GRANT_FORGET_US)
