--- a/bench/path.py
+++ b/bench/path.py
@@ -12,7 +12,7 @@
 SECONDS = 10
 HZ = os.sysconf("SC_CLK_TCK")
 ENGINE = ["--step-ms", "1", "--adapter-ms", "0", "--prefill-us", "0",
-          "--seats", "64"]
+          "--seats", "64", "--fencing", "ignored"]
 
 
 def usage(process):
