tests/system: kills, freezes, stops, wiped folders and piled up changes on processes

Cause: the faults ran so far in the virtual cluster and, with processes, only on three instances. Now five mulberryd, fake engines, a service and a weight store run on loopback; every wait polls a state until a deadline.

--- /dev/null
+++ b/tests/system/failure_test.cc
@@ -0,0 +1,213 @@
+#include <filesystem>
+
+#include "system/system.h"
+
+namespace fs = std::filesystem;
+
+static const char booking[] = "POST /v1/services/orders/book";
+
+static std::string
+body_of(const std::string &answer)
+{
+	size_t at = answer.find("\r\n\r\n");
+
+	return at == std::string::npos ? "" : answer.substr(at + 4);
+}
+
+TEST_F(System, a_booking_whose_instance_or_leader_is_killed_runs_once)
+{
+	const std::vector<std::string> keys = {"k1", "k2", "k3"};
+	std::vector<int> entries, sockets;
+	std::vector<std::string> first;
+	int killed;
+
+	serve(2, {}, {"--service-ms", "1500"});
+	killed = leader();
+	ASSERT_GE(killed, 0);
+	entries = {killed, (killed + 1) % instance_count,
+	    (killed + 2) % instance_count};
+	for (size_t i = 0; i < keys.size(); i++)
+		sockets.push_back(http_begin(http_port(entries[i]), booking,
+		    caller + ("idempotency-key: " + keys[i] + "\r\n"), "{}"));
+	for (auto &key : keys)
+		ASSERT_TRUE(eventually([&] {
+			return number_in(fake("s1", "GET /fake/state"), key) ==
+			    1;
+		})) << key;
+	crash(killed);
+	for (int s : sockets) {
+		first.push_back(read_answer(s));
+		close(s);
+	}
+	for (int i = 0; i < instance_count; i++) {
+		if (i == killed)
+			continue;
+		for (size_t k = 0; k < keys.size(); k++) {
+			std::string again = resend(i, booking, "{}", keys[k]);
+
+			if (has(again, "outcome: unknown"))
+				continue;
+			EXPECT_EQ(again.find("HTTP/1.1 200"), 0u) << again;
+			EXPECT_TRUE(has(again, "\"ran\":1")) << again;
+			if (first[k].find("HTTP/1.1 200") == 0) {
+				EXPECT_EQ(body_of(again), body_of(first[k]));
+			}
+		}
+	}
+	/* a confirmed one is never told as unknown later */
+	for (size_t k = 0; k < keys.size(); k++) {
+		std::string again = resend(entries[1], booking, "{}", keys[k]);
+
+		if (first[k].find("HTTP/1.1 200") == 0) {
+			EXPECT_TRUE(has(again, "outcome: done")) << again;
+		}
+	}
+	for (auto &key : keys)
+		EXPECT_EQ(number_in(fake("s1", "GET /fake/state"), key), 1);
+}
+
+TEST_F(System, a_frozen_owner_wakes_and_gives_no_stale_order)
+{
+	const std::string path = stream;
+	std::vector<int> sockets;
+	std::string state;
+	int frozen, next;
+	long loads;
+
+	serve(1, {"--fencing", "ignored", "--slots", "2", "--load-ms", "200"});
+	frozen = owner_of("e1");
+	ASSERT_GE(frozen, 0);
+	/* work that waits for loads and evictions when it freezes */
+	for (int i = 2; i <= 9; i++)
+		sockets.push_back(http_begin(http_port(frozen), path, caller,
+		    R"({"model":"a)" + std::to_string(i) +
+			R"(","prompt":"x","max_tokens":50})"));
+	ASSERT_TRUE(eventually([&] {
+		return number_in(fake("e1", "GET /fake/state"), "loads") >= 2;
+	}));
+	kill(instances[frozen]->pid, SIGSTOP);
+	next = owner_of("e1", frozen);
+	ASSERT_GE(next, 0);
+	loads = number_in(fake("e1", "GET /fake/state"), "loads");
+	/* orders of the new owner */
+	for (int i = 2; i <= 5; i++)
+		ASSERT_TRUE(eventually([&] {
+			return call(next, path,
+				   R"({"model":"a)" + std::to_string(i) +
+				       R"(","prompt":"x","max_tokens":2})")
+				   .find("HTTP/1.1 200") == 0;
+		}));
+	EXPECT_GT(number_in(fake("e1", "GET /fake/state"), "loads"), loads);
+	kill(instances[frozen]->pid, SIGCONT);
+	ASSERT_TRUE(wait_status(http_port(frozen), "/readyz", "200"));
+	for (int s : sockets) {
+		read_answer(s);
+		close(s);
+	}
+	for (int i = 6; i <= 9; i++)
+		EXPECT_TRUE(eventually([&] {
+			return call(frozen, path,
+				   R"({"model":"a)" + std::to_string(i) +
+				       R"(","prompt":"x","max_tokens":2})")
+				   .find("HTTP/1.1 200") == 0;
+		}));
+	state = fake("e1", "GET /fake/state");
+	EXPECT_EQ(number_in(state, "staleOrders"), 0) << state;
+	EXPECT_EQ(number_in(state, "evictionsInUse"), 0) << state;
+}
+
+TEST_F(System, a_stopped_instance_cuts_no_stream_that_it_owns_or_carries)
+{
+	const int tokens = 60;
+	std::string at_owner, elsewhere;
+	int owner, other, s, t;
+
+	serve(2, {"--step-ms", "30"});
+	owner = owner_of("e1");
+	ASSERT_GE(owner, 0);
+	other = (owner + 1) % instance_count;
+	s = begin_stream(owner, tokens, "a1", &at_owner);
+	t = begin_stream(other, tokens, "a1", &elsewhere);
+	kill(instances[owner]->pid, SIGTERM);
+	at_owner += read_answer(s);
+	elsewhere += read_answer(t);
+	close(s);
+	close(t);
+	EXPECT_TRUE(is_whole(at_owner, tokens));
+	EXPECT_TRUE(is_whole(elsewhere, tokens));
+	EXPECT_EQ(instances[owner]->wait_exit(), 0) << instances[owner]->text;
+	EXPECT_EQ(
+	    call(other, stream, R"({"model":"a1","prompt":"x","max_tokens":1})")
+		.find("HTTP/1.1 200"),
+	    0u);
+}
+
+TEST_F(System, a_wiped_folder_comes_back_as_a_voter_and_then_another)
+{
+	int lost = leader();
+
+	serve(1, {});
+	ASSERT_GE(lost, 0);
+	for (int round = 0; round < 2; round++) {
+		int other = (lost + 1) % voter_count;
+
+		crash(lost);
+		fs::remove_all(data_folder(lost));
+		start(lost);
+		ASSERT_TRUE(eventually([&] {
+			long commit = number_in(status(other), "commit");
+			std::string own = status(lost);
+
+			return commit > 0 &&
+			    number_in(own, "applied") >= commit &&
+			    number_in(own, "voters") == 3 &&
+			    number_in(own, "learners") == 0;
+		})) << status(lost);
+		EXPECT_TRUE(wait_status(http_port(lost), "/readyz", "200"));
+		for (int i = 0; i < instance_count; i++)
+			EXPECT_EQ(number_in(http_call(http_port(i),
+						"GET /v1/documents/t1", op),
+				      "revision"),
+			    round + 1)
+			    << i;
+		EXPECT_TRUE(has(put_document(lost, (unsigned)round + 1),
+		    "\"accepted\": true"));
+		ASSERT_TRUE(eventually([&] {
+			for (int i = 0; i < instance_count; i++)
+				if (number_in(http_call(http_port(i),
+						  "GET /v1/documents/t1", op),
+					"revision") != round + 2)
+					return false;
+			return true;
+		}));
+		lost = other;
+	}
+}
+
+TEST_F(System, an_instance_is_in_force_3_s_after_it_missed_600_changes)
+{
+	const unsigned changes = 600;
+	int down = (leader() + 1) % voter_count, entry;
+	Deadline limit(0);
+
+	ASSERT_TRUE(has(put_document(0, 0), "\"accepted\": true"));
+	crash(down);
+	entry = (down + 1) % voter_count;
+	for (unsigned i = 1; i <= changes; i++)
+		ASSERT_TRUE(eventually([&] {
+			return has(
+			    put_document(entry, i), "\"accepted\": true");
+		})) << i;
+	start(down);
+	limit = Deadline(3000);
+	EXPECT_TRUE(wait_status(http_port(down), "/readyz", "200", limit));
+	EXPECT_TRUE(eventually(
+	    [&] {
+		    return number_in(http_call(http_port(down),
+					 "GET /v1/documents/t1", op),
+			       "revision") == (long)changes + 1;
+	    },
+	    limit));
+	RecordProperty("left_ms", limit.left_ms());
+	printf("in force %d ms after the start\n", 3000 - limit.left_ms());
+}
