Runs of dead entries are cancelled, so that their pins go

Cause: a pin of an entry that is down waited for a report without any run of its adapter; a hot adapter is never without one, so its seat was lost for good. Ruled out: counting the runs that are accounted for (a grant on its way would count and free the pin too early). Now the owner cancels the run by its own name once the grant can't be used any more, and frees the pin when the engine has said so.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -234,7 +234,7 @@
 {
 	if (route_call(n->route, n->now, event, n->fx))
 		return;
-	(void)node_owner_call(n, event);
+	(void)node_order_call(n, event);
 }
 
 /* Begin a graceful shutdown. */
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -308,6 +308,7 @@
 	if (open.adapter != NULL)
 		pin->adapter = (char *)open.adapter;
 	pin->team = (char *)open.team;
+	pin->run = (char *)open.run;
 	list->refs[list->npins++] = pin;
 }
 
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -6,7 +6,8 @@
 #include "util/mem.h"
 
 /* An orphaned pin waits until its grant can no longer be used. */
-#define ORPHAN_WAIT_US (ROUTE_GRANT_US + MEMBER_FLIGHT_US)
+#define ORPHAN_WAIT_US	(ROUTE_GRANT_US + MEMBER_FLIGHT_US)
+#define CANCEL_RETRY_US (1000 * 1000ULL)
 
 struct grant_key {
 	uint64_t incarnation;
@@ -19,6 +20,7 @@
 {
 	free(g->endpoint);
 	free(g->adapter);
+	free(g->run);
 	free(g);
 }
 
@@ -189,6 +191,7 @@
 	g->basis_us = ask->sent_us;
 	if (ask->adapter[0] != '\0')
 		g->adapter = mem_string(ask->adapter);
+	g->run = mem_string(ask->run);
 	fill_request(n, g, ask, &request);
 	sched_enqueue(n->sched, n->now, &request);
 	n->owner_due = true;
@@ -260,6 +263,7 @@
 	g->granted_us = n->now;
 	if (pin->adapter[0] != '\0')
 		g->adapter = mem_string(pin->adapter);
+	g->run = mem_string(pin->run);
 	sched_adopt(
 	    n->sched, n->now, g->id, pin->team, pin->endpoint, g->adapter);
 }
@@ -343,6 +347,31 @@
 	n->owner_due = true;
 }
 
+/* A dead entry's run can't begin any more; is it to be cancelled now? */
+bool
+node_grant_cancel_due(const struct node *n, const struct node_grant *g)
+{
+	return g->orphaned_us != 0 && g->adapter != NULL &&
+	    n->now >= g->orphaned_us + ORPHAN_WAIT_US && n->now >= g->cancel_us;
+}
+
+/* The cancellation of a dead entry's run ended; surely: it runs no more. */
+void
+node_grant_cancelled(struct node *n, uint64_t grant, bool surely)
+{
+	struct sched_usage failed = {.outcome = SCHED_FAILED};
+	struct node_grant *g = map_get_u64(n->grants, grant);
+
+	if (g == NULL)
+		return;
+	if (!surely) {
+		g->cancel_us = n->now + CANCEL_RETRY_US;
+		return;
+	}
+	sched_done(n->sched, n->now, g->id, &failed);
+	grant_remove(n, g);
+}
+
 static uint32_t
 running_on(const struct sched_report *report, const char *adapter)
 {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -84,11 +84,13 @@
 	uint64_t ask;
 	char *endpoint; /* NULL while queued */
 	char *adapter;
+	char *run; /* names it towards the endpoint */
 	uint64_t basis_us; /* newest clock of the entry heard */
 	uint64_t touched_us;
 	uint64_t granted_us;
 	uint64_t wait_us, stall_us;
 	uint64_t orphaned_us; /* its entry is down since; 0: is not */
+	uint64_t cancel_us; /* when its run is cancelled (again) */
 };
 
 /* An ask of this instance's route. */
@@ -102,6 +104,7 @@
 struct node_order {
 	enum sched_decision_type type;
 	char *endpoint, *adapter;
+	uint64_t cancels; /* instead: cancels the run of this grant */
 };
 
 enum node_proposal_kind {
@@ -272,10 +275,13 @@
 void node_owner_epoch(struct node *n, bool skipped);
 void node_owner_tick(struct node *n);
 void node_owner_run(struct node *n);
-bool node_owner_call(struct node *n, const struct node_call_event *event);
 uint32_t node_owner_of(
     const struct node *n, const char *region, const char *endpoint);
 void node_endpoint_free(struct node_endpoint *e);
+/* node_order.c: orders to endpoints */
+void node_order_give(struct node *n, const struct sched_decision *d);
+void node_order_cancel(struct node *n, struct node_grant *g);
+bool node_order_call(struct node *n, const struct node_call_event *event);
 void node_order_free(struct node_order *o);
 
 /* node_grant.c: asks and grants at the owner */
@@ -292,6 +298,8 @@
 void node_grant_report(
     struct node *n, const char *endpoint, const struct sched_report *report);
 void node_grant_free(struct node_grant *g);
+void node_grant_cancelled(struct node *n, uint64_t grant, bool surely);
+bool node_grant_cancel_due(const struct node *n, const struct node_grant *g);
 
 /* node_entry.c: the route's needs, touches, summaries */
 extern const struct route_ops node_route_ops;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -6,9 +6,6 @@
 #include "node/node_internal.h"
 #include "util/mem.h"
 
-/* Silence after which an order to an endpoint has failed. */
-#define ORDER_SILENCE_US (30 * 1000 * 1000ULL)
-
 /* After a change of owner nothing is evicted for so long. */
 #define TAKEOVER_WAIT_US (ROUTE_GRANT_US + MEMBER_FLIGHT_US)
 
@@ -22,14 +19,6 @@
 	free(e);
 }
 
-void
-node_order_free(struct node_order *o)
-{
-	free(o->endpoint);
-	free(o->adapter);
-	free(o);
-}
-
 uint32_t
 node_owner_of(const struct node *n, const char *region, const char *endpoint)
 {
@@ -212,7 +201,7 @@
 static void
 grants_tick(struct node *n)
 {
-	const struct node_grant *g;
+	struct node_grant *g;
 	Wire__GrantDone done = WIRE__GRANT_DONE__INIT;
 	size_t i = map_count(n->grants);
 
@@ -221,10 +210,14 @@
 	n->grants_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		g = map_at(n->grants, i);
+		if (node_grant_cancel_due(n, g) && is_ours(n, g->endpoint)) {
+			node_order_cancel(n, g);
+			continue;
+		}
 		if (n->now < g->touched_us + NODE_GRANT_FORGET_US)
 			continue;
 		if (g->orphaned_us != 0 && is_ours(n, g->endpoint))
-			continue; /* the endpoint's own report decides */
+			continue; /* its endpoint decides */
 		if (g->orphaned_us == 0 && g->endpoint != NULL &&
 		    !node_peer_is_heard(n, g->entry))
 			continue; /* its lease may still run */
@@ -243,86 +236,6 @@
 		n->owner_due = true;
 }
 
-static void
-order_endpoint(struct node *n, const struct sched_decision *d)
-{
-	static const char *const roles[] = {"mixed", "prefill", "decode"};
-	const struct node_endpoint *e = map_get_str(n->endpoints, d->endpoint);
-	struct node_order *order;
-	struct node_call *call;
-	const char *path = "/v1/adapters/load";
-
-	if (e == NULL)
-		return;
-	order = mem_alloc(1, sizeof(*order));
-	order->type = d->type;
-	order->endpoint = mem_string(d->endpoint);
-	order->adapter = mem_string(d->adapter == NULL ? "" : d->adapter);
-	if (d->type == SCHED_EVICT)
-		path = "/v1/adapters/evict";
-	else if (d->type == SCHED_SET_ROLE)
-		path = "/v1/role";
-
-	call = &node_effects_add(n->fx, NODE_FX_CALL)->u.call;
-	call->call = ++n->last_call;
-	call->address = node_effects_printf(n->fx, "%s", e->address);
-	call->method = "POST";
-	call->path = path;
-	call->headers[0].name = "mulberrypath-fence";
-	call->headers[0].value = node_effects_printf(
-	    n->fx, "%llu", (unsigned long long)member_view_epoch(n->view));
-	call->headers[1].name = "content-type";
-	call->headers[1].value = "application/json";
-	call->nheaders = 2;
-	if (d->type == SCHED_SET_ROLE)
-		call->body.data = node_effects_printf(
-		    n->fx, "{\"role\": \"%s\"}", roles[d->role]);
-	else
-		call->body.data = node_effects_printf(
-		    n->fx, "{\"adapter\": \"%s\"}", d->adapter);
-	call->body.len = strlen(call->body.data);
-	call->not_after_us = node_act_until(n);
-	call->silence_us = ORDER_SILENCE_US;
-	map_set_u64(n->orders, call->call, order);
-	n->counters.orders++;
-}
-
-static void
-order_ended(struct node *n, uint64_t call, bool ok, const char *reason)
-{
-	struct node_order *order = map_remove_u64(n->orders, call);
-
-	if (!ok)
-		node_log(n, NODE_LOG_ORDER_FAILED,
-		    "{\"endpoint\": \"%s\", \"adapter\": \"%s\", "
-		    "\"reason\": \"%s\"}",
-		    order->endpoint, order->adapter,
-		    reason == NULL ? "refused" : reason);
-	if (order->type == SCHED_LOAD)
-		sched_load_result(
-		    n->sched, n->now, order->endpoint, order->adapter, ok);
-	else if (order->type == SCHED_EVICT)
-		sched_evict_result(
-		    n->sched, n->now, order->endpoint, order->adapter, ok);
-	node_order_free(order);
-	n->owner_due = true;
-}
-
-/* Progress of an order; false when the call is not one. */
-bool
-node_owner_call(struct node *n, const struct node_call_event *event)
-{
-	if (map_get_u64(n->orders, event->call) == NULL)
-		return false;
-	if (event->phase == NODE_CALL_HEAD) {
-		order_ended(n, event->call, event->status == 200, NULL);
-		return true;
-	}
-	if (event->phase != NODE_CALL_DATA)
-		order_ended(n, event->call, false, event->reason);
-	return true;
-}
-
 /* Let the scheduler decide, and carry out what it decided. */
 void
 node_owner_run(struct node *n)
@@ -343,7 +256,7 @@
 		case SCHED_LOAD:
 		case SCHED_EVICT:
 		case SCHED_SET_ROLE:
-			order_endpoint(n, &d);
+			node_order_give(n, &d);
 			break;
 		}
 	}
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -375,6 +375,7 @@
 	out->endpoint = e->endpoint;
 	out->adapter = e->engine_key;
 	out->team = e->doc->team;
+	out->run = e->run_id;
 	out->asked_us = e->asked_us;
 }
 
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -124,6 +124,7 @@
 	const char *endpoint; /* NULL while not granted */
 	const char *adapter;
 	const char *team;
+	const char *run; /* its name towards the endpoint */
 	uint64_t asked_us;
 };
 size_t route_open_count(const struct route *r);
--- a/src/route/route_attempt.c
+++ b/src/route/route_attempt.c
@@ -27,6 +27,7 @@
 	out->avoid = (char **)e->avoid;
 	out->attempt = e->attempt;
 	out->sent_us = now_us;
+	out->run = e->run_id;
 	out->waited_ms = (uint32_t)((now_us - e->began_us) / 1000);
 }
 
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2305,7 +2305,7 @@
   (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[16] =
 {
   {
     "request",
@@ -2487,6 +2487,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -2500,6 +2512,7 @@
   9,   /* field[9] = prefix */
   7,   /* field[7] = prompt_tokens */
   0,   /* field[0] = request */
+  15,   /* field[15] = run */
   14,   /* field[14] = sent_us */
   4,   /* field[4] = service */
   1,   /* field[1] = team */
@@ -2508,7 +2521,7 @@
 static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
 {
@@ -2518,7 +2531,7 @@
   "Wire__GrantAsk",
   "wire",
   sizeof(Wire__GrantAsk),
-  15,
+  16,
   wire__grant_ask__field_descriptors,
   wire__grant_ask__field_indices_by_name,
   1,  wire__grant_ask__number_ranges,
@@ -2783,7 +2796,7 @@
   (ProtobufCMessageInit) wire__grant_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__pin__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__pin__field_descriptors[5] =
 {
   {
     "request",
@@ -2833,17 +2846,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Pin, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__pin__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
   1,   /* field[1] = endpoint */
   0,   /* field[0] = request */
+  4,   /* field[4] = run */
   3,   /* field[3] = team */
 };
-static const ProtobufCIntRange wire__pin__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__pin__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 15, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__pin__descriptor =
 {
@@ -2853,10 +2880,10 @@
   "Wire__Pin",
   "wire",
   sizeof(Wire__Pin),
-  4,
+  5,
   wire__pin__field_descriptors,
   wire__pin__field_indices_by_name,
-  1,  wire__pin__number_ranges,
+  2,  wire__pin__number_ranges,
   (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -439,10 +439,14 @@
    * the entry's clock
    */
   uint64_t sent_us;
+  /*
+   * names the run towards the endpoint
+   */
+  char *run;
 };
 #define WIRE__GRANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Wire__GrantReply
@@ -494,6 +498,7 @@
 struct  Wire__Pin
 {
   ProtobufCMessage base;
+  char *run;
   uint64_t request;
   char *endpoint;
   char *adapter;
@@ -501,7 +506,7 @@
 };
 #define WIRE__PIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__pin__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -226,6 +226,7 @@
 	void engine_order(Endpoint *e, const Incoming &in);
 	void engine_run(Endpoint *e, const Incoming &in);
 	void engine_step(Endpoint *e, uint64_t incarnation, uint64_t serial);
+	void engine_cancel(Endpoint *e, const Incoming &in);
 	void service_call(Endpoint *e, const Incoming &in);
 	void note_order(Endpoint *e, const Incoming &in);
 
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -111,11 +111,23 @@
 	else if (in.path == "/v1/completions")
 		engine_run(e, in);
 	else if (in.path.find("/cancel") != std::string::npos)
-		answer(in.instance, in.life, in.call, 200, "{}");
+		engine_cancel(e, in);
 	else
 		engine_order(e, in);
 }
 
+/* A cancelled run ends, whoever began it. */
+void
+Cluster::engine_cancel(Endpoint *e, const Incoming &in)
+{
+	for (auto it = e->runs.begin(); it != e->runs.end();)
+		it =
+		    in.path.find("/" + it->second.id + "/") != std::string::npos
+		    ? e->runs.erase(it)
+		    : std::next(it);
+	answer(in.instance, in.life, in.call, 200, "{}");
+}
+
 void
 Cluster::service_call(Endpoint *e, const Incoming &in)
 {
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -292,3 +292,46 @@
 	    c.run_until(15000000, [&] { return c.instances[owner]->exited; }));
 	EXPECT_EQ(c.check(), "");
 }
+
+/* The adapter is never idle, so no report can show that it has no run. */
+TEST(owner, pins_of_a_dead_entry_go_while_its_adapter_stays_hot)
+{
+	Cluster c(with_seed(6));
+	ASSERT_TRUE(c.begin());
+	Request *doomed = nullptr;
+	int owner = -1, entry;
+	auto keep_hot = [&](uint64_t us) {
+		for (uint64_t end = c.now + us; c.now < end;) {
+			(void)c.complete(owner, "a1", false, 20);
+			c.run_for(100000);
+		}
+	};
+	auto orphans = [&] {
+		struct node *n = c.instances[(size_t)owner]->node;
+		size_t count = 0;
+
+		for (size_t i = 0; i < map_count(n->grants); i++)
+			count += ((struct node_grant *)map_at(n->grants, i))
+				     ->orphaned_us != 0;
+		return count;
+	};
+
+	/* Find the owner of the adapter's engine, then another entry. */
+	doomed = c.complete(0, "a1", true, 400);
+	ASSERT_TRUE(c.run_until(5000000, [&] {
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owner = c.owner_of(e->id);
+		return owner >= 0;
+	}));
+	c.hang_up(doomed);
+	entry = owner == 4 ? 3 : 4;
+	(void)c.complete(entry, "a1", true, 400);
+	keep_hot(500000);
+	c.kill(entry);
+	keep_hot(4000000);
+	EXPECT_GT(orphans(), 0u);
+	keep_hot(4000000);
+	EXPECT_EQ(orphans(), 0u);
+	EXPECT_EQ(c.check(), "");
+}
