--- a/bench/report.py
+++ b/bench/report.py
@@ -125,6 +125,12 @@
     bad = sum(r["total"]["wrong"] + r["total"]["cut"]
               for results in policies.values() for r in results.values())
     rows.append(["all: wrong or cut answers", "none", str(bad), bad == 0])
+    deadline = settings["deadlineMs"]
+    late = max(r["refusalAnswer"]["maxMs"] - deadline
+               for results in policies.values() for r in results.values())
+    rows.append(["all: refusals for a passed deadline, after it",
+                 "within 50 ms", f"at most {late:.0f} ms, seen by the caller",
+                 late <= 50])
     refused = sum(r["counters"]["storeRefused"] for r in fair.values())
     rows.append(["fair: loads refused by the store", "none", str(refused),
                  refused == 0])
@@ -228,6 +234,10 @@
     if "load" in data:
         plots.draw(os.path.join(folder, "plots"), data["load"])
         parts.append(load_text(data["load"]))
+    notes = os.path.join(folder, "notes.md")
+    if "load" in data and os.path.exists(notes):
+        with open(notes) as f:
+            parts.append(f.read())
     if "path" in data:
         parts.append(path_text(data["path"]))
     with open(os.path.join(folder, "REPORT.md"), "w") as f:
