--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -234,6 +234,9 @@
 	struct node_ask *ask;
 	size_t i = map_count(n->asks);
 
+	if (n->now < n->asks_us)
+		return;
+	n->asks_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		ask = map_at(n->asks, i);
 		if (!route_fill_ask(n->route, n->now, ask->ask, &message))
@@ -263,58 +266,119 @@
 	return ask->owner;
 }
 
+/* An open ask or grant and the owner to be told of it. */
+struct touch {
+	uint32_t owner;
+	size_t open;
+};
+
+static int
+compare_touches(const void *a, const void *b)
+{
+	const struct touch *x = a, *y = b;
+
+	if (x->owner != y->owner)
+		return x->owner < y->owner ? -1 : 1;
+	return x->open < y->open ? -1 : x->open > y->open;
+}
+
+/* What one touch tells, as it is filled. */
+struct touch_list {
+	Wire__Pin pins[TOUCH_PINS_MAX];
+	Wire__Pin *refs[TOUCH_PINS_MAX];
+	uint64_t known[TOUCH_PINS_MAX];
+	size_t npins, nknown;
+};
+
+static void
+touch_add(struct node *n, struct touch_list *list, size_t i, bool all)
+{
+	struct route_open open;
+	Wire__Pin *pin = &list->pins[list->npins];
+
+	route_open_at(n->route, i, &open);
+	if (!all && open.endpoint != NULL) {
+		list->known[list->nknown++] = open.ask;
+		return;
+	}
+	wire__pin__init(pin);
+	pin->request = open.ask;
+	if (open.endpoint != NULL)
+		pin->endpoint = (char *)open.endpoint;
+	if (open.adapter != NULL)
+		pin->adapter = (char *)open.adapter;
+	pin->team = (char *)open.team;
+	list->refs[list->npins++] = pin;
+}
+
 static void
-send_touch(struct node *n, uint32_t to, Wire__Pin **pins, size_t count)
+touch_send(struct node *n, uint32_t to, struct touch_list *list)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
 
-	touch.n_pins = count;
-	touch.pins = pins;
+	touch.n_pins = list->npins;
+	touch.pins = list->refs;
+	touch.n_known = list->nknown;
+	touch.known = list->known;
 	touch.sent_us = n->now;
 	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
 	envelope.touch = &touch;
 	node_peer_send(n, to, &envelope);
+	list->npins = list->nknown = 0;
 }
 
+/* Touch one owner: of what is open, the first count belong to it. */
 static void
-touch_owner(struct node *n, uint32_t owner)
+touch_owner(struct node *n, const struct touch *touches, size_t count)
 {
-	Wire__Pin pins[TOUCH_PINS_MAX];
-	Wire__Pin *list[TOUCH_PINS_MAX];
-	struct route_open open;
-	size_t i, count = 0;
+	const struct node_peer *peer = node_peer(n, touches[0].owner);
+	bool all =
+	    n->now < n->touch_all_until || n->now < peer->touch_all_until;
+	struct touch_list list;
+	size_t i;
 
-	for (i = 0; i < route_open_count(n->route); i++) {
-		route_open_at(n->route, i, &open);
-		if (open_owner(n, &open) != owner)
-			continue;
-		wire__pin__init(&pins[count]);
-		pins[count].request = open.ask;
-		if (open.endpoint != NULL)
-			pins[count].endpoint = (char *)open.endpoint;
-		if (open.adapter != NULL)
-			pins[count].adapter = (char *)open.adapter;
-		pins[count].team = (char *)open.team;
-		list[count] = &pins[count];
-		if (++count == TOUCH_PINS_MAX) {
-			send_touch(n, owner, list, count);
-			count = 0;
-		}
+	list.npins = list.nknown = 0;
+	for (i = 0; i < count; i++) {
+		touch_add(n, &list, touches[i].open, all);
+		if (list.npins + list.nknown == TOUCH_PINS_MAX)
+			touch_send(n, touches[0].owner, &list);
 	}
-	if (count > 0)
-		send_touch(n, owner, list, count);
+	if (list.npins + list.nknown > 0)
+		touch_send(n, touches[0].owner, &list);
+}
+
+/* An owner misses a grant that was named by its request alone. */
+void
+node_entry_on_touch_all(struct node *n, uint32_t from)
+{
+	node_peer(n, from)->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+	n->touch_us = 0;
 }
 
 static void
 touch_owners(struct node *n)
 {
-	size_t i;
+	size_t i, same, count = route_open_count(n->route);
+	struct touch *touches = mem_alloc(count, sizeof(*touches));
+	struct route_open open;
 
-	if (route_open_count(n->route) == 0)
-		return;
-	for (i = 0; i < member_view_count(n->view); i++)
-		touch_owner(n, member_view_at(n->view, i)->id);
+	for (i = 0; i < count; i++) {
+		route_open_at(n->route, i, &open);
+		touches[i].owner = open_owner(n, &open);
+		touches[i].open = i;
+	}
+	if (count > 0)
+		qsort(touches, count, sizeof(*touches), compare_touches);
+	for (i = 0; i < count; i += same) {
+		same = 1;
+		while (i + same < count &&
+		    touches[i + same].owner == touches[i].owner)
+			same++;
+		if (member_view_find(n->view, touches[i].owner) != NULL)
+			touch_owner(n, &touches[i], same);
+	}
+	free(touches);
 }
 
 /* ---- summaries ----------------------------------------------------------- */
