Hot adapters overflow to further owners; engines' seats counted alone

Weighed: replicas by a decayed rate per adapter (state for every active adapter at every entry) against bounded loads over the owners' summaries; the latter needs no state. Before: spread.a_hot_adapter_overflows_to_other_owners failed (1 owner). After: passed; a quiet adapter still stays at one home. script/prove 180 passed, 0 failed.

--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,58 +6,6 @@
 
 #define TOUCH_PINS_MAX 512
 
-/* ---- which owner? ------------------------------------------------------ */
-
-struct order_context {
-	const struct node *n;
-	const char *service;
-};
-
-static bool
-peer_has_service(const struct node_peer *peer, const char *service)
-{
-	size_t i;
-
-	for (i = 0; i < peer->nservices; i++)
-		if (strcmp(peer->services[i], service) == 0)
-			return true;
-	return false;
-}
-
-/* The capacity of a member for model requests or for a service. */
-static double
-owner_weight(void *ctx, const struct member *m)
-{
-	const struct order_context *oc = ctx;
-	const struct node_peer *peer = map_get_u64(oc->n->peers, m->id);
-
-	if (m->leaving || peer == NULL || !node_peer_is_heard(oc->n, m->id))
-		return 0.0;
-	if (oc->service != NULL)
-		return peer_has_service(peer, oc->service) ? 1.0 : 0.0;
-	return peer->engines == 0 ? 0.0 : (double)peer->seats;
-}
-
-/*
- * Owners for an adapter or a service, best first. The order for an adapter
- * is the same on every instance; calls of a service are spread.
- */
-size_t
-node_entry_order(struct node *n, const char *adapter, const char *service,
-    uint32_t *out, size_t max)
-{
-	struct order_context ctx = {n, service};
-	char spread[32];
-	const char *key = adapter;
-
-	if (service != NULL) {
-		(void)snprintf(spread, sizeof(spread), "%u",
-		    rng_below(&n->rng, UINT32_MAX));
-		key = spread;
-	}
-	return member_order(n->view, key, owner_weight, &ctx, out, max);
-}
-
 /* ---- what the route needs ---------------------------------------------- */
 
 static void
@@ -96,7 +43,7 @@
 	struct node_ask *ask;
 	const char *service =
 	    message->service[0] == '\0' ? NULL : message->service;
-	size_t count = node_entry_order(
+	size_t count = node_spread_order(
 	    n, message->adapter, service, owners, NODE_OWNERS_MAX);
 
 	(void)fx;
@@ -107,6 +54,7 @@
 	ask = mem_alloc(1, sizeof(*ask));
 	ask->ask = message->request;
 	ask->owner = owners[message->attempt % count];
+	node_peer(n, ask->owner)->asked++;
 	map_set_u64(n->asks, ask->ask, ask);
 	ask_send(n, ask, message);
 }
@@ -461,6 +409,7 @@
 	struct node_peer *peer = node_peer(n, from);
 	size_t i;
 
+	peer->asked = 0;
 	peer->seats = summary->seats;
 	peer->free = summary->free;
 	peer->queued = summary->queued;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -53,6 +53,7 @@
 	uint64_t incarnation;
 	/* its latest summary as an owner */
 	uint32_t seats, free, queued, engines, wait_ms;
+	uint32_t asked; /* by this instance since that summary */
 	bool leaving;
 	char **services;
 	size_t nservices;
@@ -306,7 +307,9 @@
 void node_entry_tick(struct node *n);
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
-size_t node_entry_order(struct node *n, const char *adapter,
+
+/* node_spread.c */
+size_t node_spread_order(struct node *n, const char *adapter,
     const char *service, uint32_t *out, size_t max);
 
 /* node_api*.c */
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -41,7 +41,7 @@
 
 	if (team != NULL && adapter != NULL) {
 		buf_printf(&key, "%s/%s", team, adapter);
-		nhome = node_entry_order(n, key.data, NULL, home, 1);
+		nhome = node_spread_order(n, key.data, NULL, home, 1);
 		buf_clear(&key);
 	}
 	buf_printf(&key, "%u", rng_below(&n->rng, UINT32_MAX));
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -216,7 +216,8 @@
     const struct sched *s, size_t i, struct sched_team_usage *out);
 
 struct sched_totals {
-	uint32_t engines, services, seats, free, queued, running;
+	uint32_t engines, services, queued, running;
+	uint32_t seats, free; /* of engines */
 	uint64_t loads, load_failures, evictions;
 	uint64_t stall_us; /* summed over granted requests */
 	uint32_t wait_p90_ms;
--- a/src/sched/sched_stat.c
+++ b/src/sched/sched_stat.c
@@ -37,8 +37,9 @@
 			continue;
 		if (ep->service)
 			out->services++;
-		else
-			out->engines++;
+		if (ep->service)
+			continue;
+		out->engines++;
 		out->seats += ep->seats;
 		out->free += endpoint_free_seats(ep);
 	}
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -335,3 +335,37 @@
 	EXPECT_EQ(orphans(), 0u);
 	EXPECT_EQ(c.check(), "");
 }
+
+TEST(spread, a_hot_adapter_overflows_to_other_owners)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	std::set<int> owners;
+
+	for (int i = 0; i < 60; i++) {
+		(void)c.complete(i % 5, "a1", true, 100);
+		c.run_for(50000);
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owners.insert(c.owner_of(e->id));
+	}
+	EXPECT_GE(owners.size(), 2u);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(spread, a_quiet_adapter_stays_at_its_home)
+{
+	Cluster c(with_seed(8));
+	ASSERT_TRUE(c.begin());
+	size_t loaded = 0;
+
+	for (int i = 0; i < 20; i++) {
+		Request *r = c.complete(i % 5, "a1", false, 4);
+
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 200);
+	}
+	for (auto &e : c.endpoints)
+		loaded += e->slots.count("t1/a1@1");
+	EXPECT_EQ(loaded, 1u);
+}
