Rate limits of teams hold over all entries

Cause: each entry enforced a team's whole rate by itself, so five entries admitted five times the limit. Weighed: an even split (a team that uses one entry gets a fifth) against telling each other what was admitted; entries now refill with what the others leave, at least an even share. Ran: rate.a_teams_limit_holds_over_all_entries, limit 10/s over 1, 2 and 5 entries within its bounds.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -121,6 +121,7 @@
 DESTROY(destroy_endpoint, node_endpoint, node_endpoint_free)
 DESTROY(destroy_grant, node_grant, node_grant_free)
 DESTROY(destroy_order, node_order, node_order_free)
+DESTROY(destroy_rate, node_rate, node_rate_free)
 DESTROY(destroy_proposal, node_proposal, node_propose_free)
 
 void
@@ -145,7 +146,7 @@
 	map_free_all(n->orders, destroy_order);
 	map_free_all(n->proposals, destroy_proposal);
 	map_free_all(n->asks, free);
-	map_free_all(n->rates, free);
+	map_free_all(n->rates, destroy_rate);
 	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
 		free(n->recent[i].bytes);
 	free(n->recent);
--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -92,36 +92,6 @@
 	return false;
 }
 
-/* A token bucket for each team with a limit. */
-struct rate {
-	double tokens;
-	uint64_t us;
-};
-
-static bool
-rate_allows(struct node *n, const struct doc *doc)
-{
-	struct rate *rate = map_get_str(n->rates, doc->team);
-	double limit = doc->requests_per_second;
-
-	if (doc->requests_per_second == 0)
-		return true;
-	if (rate == NULL) {
-		rate = mem_alloc(1, sizeof(*rate));
-		rate->tokens = limit;
-		rate->us = n->now;
-		map_set_str(n->rates, doc->team, rate);
-	}
-	rate->tokens += (double)(n->now - rate->us) * 1e-6 * limit;
-	if (rate->tokens > limit)
-		rate->tokens = limit;
-	rate->us = n->now;
-	if (rate->tokens < 1.0)
-		return false;
-	rate->tokens -= 1.0;
-	return true;
-}
-
 /* A caller's request for work: who asks, may we act, is there room? */
 static struct doc *
 admit_caller(struct node *n, const struct node_request *request)
@@ -133,7 +103,7 @@
 	doc = authorize_caller(n, request);
 	if (doc == NULL)
 		return NULL;
-	if (rate_allows(n, doc))
+	if (node_rate_allows(n, doc))
 		return doc;
 	node_api_refuse(n, request->request, 429, "rate",
 	    "the team's request rate is used up", RETRY_SOON_MS);
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -355,6 +355,9 @@
 	Wire__OwnerSummary summary = WIRE__OWNER_SUMMARY__INIT;
 	size_t nteams = sched_team_count(n->sched);
 	size_t nservices = sched_service_count(n->sched);
+	size_t nrates = map_count(n->rates);
+	Wire__TeamRate *rates = mem_alloc(nrates, sizeof(*rates));
+	Wire__TeamRate **rate_list = mem_alloc(nrates, sizeof(*rate_list));
 	Wire__TeamUsage *usage = mem_alloc(nteams, sizeof(*usage));
 	Wire__TeamUsage **list = mem_alloc(nteams, sizeof(*list));
 	char **services = mem_alloc(nservices, sizeof(*services));
@@ -376,6 +379,10 @@
 	summary.n_usage = nteams;
 	summary.usage = list;
 	summary.leaving = n->stopping;
+	summary.n_rates = node_rate_fill(n, rates, nrates);
+	summary.rates = rate_list;
+	for (i = 0; i < nrates; i++)
+		rate_list[i] = &rates[i];
 	envelope.body_case = WIRE__ENVELOPE__BODY_SUMMARY;
 	envelope.summary = &summary;
 	for (i = 0; i < member_view_count(n->view); i++) {
@@ -383,6 +390,8 @@
 		if (strcmp(m->region, n->settings->region) == 0)
 			node_peer_send(n, m->id, &envelope);
 	}
+	free(rates);
+	free(rate_list);
 	free(usage);
 	free(list);
 	free(services);
@@ -419,6 +428,8 @@
 	set_services(peer, summary);
 	if (from == n->id)
 		return;
+	for (i = 0; i < summary->n_rates; i++)
+		node_rate_heard(n, from, summary->rates[i]);
 	for (i = 0; i < summary->n_usage; i++)
 		sched_set_remote_charge(n->sched, from, summary->usage[i]->team,
 		    summary->usage[i]->charge_milli);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -308,6 +308,13 @@
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
 
+/* node_rate.c: teams' rate limits over all entries */
+struct node_rate;
+void node_rate_free(struct node_rate *rate);
+bool node_rate_allows(struct node *n, const struct doc *doc);
+size_t node_rate_fill(const struct node *n, Wire__TeamRate *out, size_t max);
+void node_rate_heard(struct node *n, uint32_t from, const Wire__TeamRate *told);
+
 /* node_spread.c */
 size_t node_spread_order(struct node *n, const char *adapter,
     const char *service, uint32_t *out, size_t max);
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &wire__team_usage__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__team_rate__init
+                     (Wire__TeamRate         *message)
+{
+  static const Wire__TeamRate init_value = WIRE__TEAM_RATE__INIT;
+  *message = init_value;
+}
+size_t wire__team_rate__get_packed_size
+                     (const Wire__TeamRate *message)
+{
+  assert(message->base.descriptor == &wire__team_rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__team_rate__pack
+                     (const Wire__TeamRate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__team_rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__team_rate__pack_to_buffer
+                     (const Wire__TeamRate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__team_rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__TeamRate *
+       wire__team_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__TeamRate *)
+     protobuf_c_message_unpack (&wire__team_rate__descriptor,
+                                allocator, len, data);
+}
+void   wire__team_rate__free_unpacked
+                     (Wire__TeamRate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__team_rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__owner_summary__init
                      (Wire__OwnerSummary         *message)
 {
@@ -3066,7 +3111,58 @@
   (ProtobufCMessageInit) wire__team_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__team_rate__field_descriptors[2] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TeamRate, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TeamRate, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__team_rate__field_indices_by_name[] = {
+  1,   /* field[1] = admitted */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange wire__team_rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__team_rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.TeamRate",
+  "TeamRate",
+  "Wire__TeamRate",
+  "wire",
+  sizeof(Wire__TeamRate),
+  2,
+  wire__team_rate__field_descriptors,
+  wire__team_rate__field_indices_by_name,
+  1,  wire__team_rate__number_ranges,
+  (ProtobufCMessageInit) wire__team_rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[9] =
 {
   {
     "seats",
@@ -3164,12 +3260,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rates",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__OwnerSummary, n_rates),
+    offsetof(Wire__OwnerSummary, rates),
+    &wire__team_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__owner_summary__field_indices_by_name[] = {
   3,   /* field[3] = engines */
   1,   /* field[1] = free */
   6,   /* field[6] = leaving */
   2,   /* field[2] = queued */
+  8,   /* field[8] = rates */
   0,   /* field[0] = seats */
   4,   /* field[4] = services */
   5,   /* field[5] = usage */
@@ -3178,7 +3287,7 @@
 static const ProtobufCIntRange wire__owner_summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__owner_summary__descriptor =
 {
@@ -3188,7 +3297,7 @@
   "Wire__OwnerSummary",
   "wire",
   sizeof(Wire__OwnerSummary),
-  8,
+  9,
   wire__owner_summary__field_descriptors,
   wire__owner_summary__field_indices_by_name,
   1,  wire__owner_summary__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Wire__GrantTouch Wire__GrantTouch;
 typedef struct Wire__EndpointReport Wire__EndpointReport;
 typedef struct Wire__TeamUsage Wire__TeamUsage;
+typedef struct Wire__TeamRate Wire__TeamRate;
 typedef struct Wire__OwnerSummary Wire__OwnerSummary;
 
 
@@ -567,7 +568,24 @@
 
 
 /*
- * Owner to peers of its region, once a second.
+ * Requests that an entry admitted for a team with a rate limit.
+ */
+struct  Wire__TeamRate
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * total since the sender's process began
+   */
+  uint64_t admitted;
+};
+#define WIRE__TEAM_RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__team_rate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Owner to peers of its region, twice a second.
  */
 struct  Wire__OwnerSummary
 {
@@ -585,10 +603,12 @@
    * recent 90th percentile of queue wait
    */
   uint32_t wait_ms;
+  size_t n_rates;
+  Wire__TeamRate **rates;
 };
 #define WIRE__OWNER_SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__owner_summary__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /* Wire__Envelope methods */
@@ -971,6 +991,25 @@
 void   wire__team_usage__free_unpacked
                      (Wire__TeamUsage *message,
                       ProtobufCAllocator *allocator);
+/* Wire__TeamRate methods */
+void   wire__team_rate__init
+                     (Wire__TeamRate         *message);
+size_t wire__team_rate__get_packed_size
+                     (const Wire__TeamRate   *message);
+size_t wire__team_rate__pack
+                     (const Wire__TeamRate   *message,
+                      uint8_t             *out);
+size_t wire__team_rate__pack_to_buffer
+                     (const Wire__TeamRate   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__TeamRate *
+       wire__team_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__team_rate__free_unpacked
+                     (Wire__TeamRate *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__OwnerSummary methods */
 void   wire__owner_summary__init
                      (Wire__OwnerSummary         *message);
@@ -1052,6 +1091,9 @@
 typedef void (*Wire__TeamUsage_Closure)
                  (const Wire__TeamUsage *message,
                   void *closure_data);
+typedef void (*Wire__TeamRate_Closure)
+                 (const Wire__TeamRate *message,
+                  void *closure_data);
 typedef void (*Wire__OwnerSummary_Closure)
                  (const Wire__OwnerSummary *message,
                   void *closure_data);
@@ -1083,6 +1125,7 @@
 extern const ProtobufCMessageDescriptor wire__grant_touch__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_report__descriptor;
 extern const ProtobufCMessageDescriptor wire__team_usage__descriptor;
+extern const ProtobufCMessageDescriptor wire__team_rate__descriptor;
 extern const ProtobufCMessageDescriptor wire__owner_summary__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -369,3 +369,34 @@
 		loaded += e->slots.count("t1/a1@1");
 	EXPECT_EQ(loaded, 1u);
 }
+
+TEST(rate, a_teams_limit_holds_over_all_entries)
+{
+	struct {
+		int entries; /* that its callers use */
+		double least, most; /* admitted a second, limit 10 */
+	} cases[] = {{1, 9.0, 11.0}, {2, 8.0, 12.0}, {5, 8.0, 12.5}};
+
+	for (auto &t : cases) {
+		Cluster c(with_seed(9));
+		ASSERT_TRUE(c.begin());
+		std::string text = Cluster::document("t1", 1);
+		text.insert(1, "\"limits\": {\"requestsPerSecond\": 10}, ");
+		Request *put = c.put_document(0, "t1", 1, "limit", text);
+		ASSERT_TRUE(c.wait(put));
+		ASSERT_EQ(put->status, 200) << put->answer;
+		c.run_for(2000000);
+		std::vector<Request *> sent;
+
+		for (int i = 0; i < 800; i++) {
+			sent.push_back(c.send(i % t.entries, "GET",
+			    "/v1/services/orders/status", "caller", ""));
+			c.run_for(25000);
+		}
+		double admitted = 0;
+		for (Request *r : sent)
+			admitted += r->status != 429;
+		EXPECT_GE(admitted / 20.0, t.least) << t.entries;
+		EXPECT_LE(admitted / 20.0, t.most) << t.entries;
+	}
+}
