A stopping leader hands over; asks wait while endpoints move

Cause: a leader that stopped left the log without a leader for an election (about 1 s of refused bookings), and while the endpoints of a leaving instance moved to new owners, calls were refused as no-capacity at once. The leader now steps down first and then tells a voter that has its whole log to stand; it never leads again in that term, so its authority can't overlap with the next one's (the chaos test hands over at random, also by leaders that are deposed without knowing). Asks without any owner wait up to 3 s after a change of the members. Ruled out: a handing state that resumes leading after a timeout (a delayed hand message could then elect another beside it).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -209,6 +209,16 @@
 	node_effects_add(n->fx, NODE_FX_EXIT);
 }
 
+/* A leader that stops lets another voter lead first. */
+static void
+node_hand_over(struct node *n)
+{
+	if (!n->stopping || n->raft == NULL ||
+	    raft_authority_until(n->raft) <= n->now)
+		return;
+	(void)raft_hand_over(n->raft, n->now, n->fx, NULL);
+}
+
 static void
 node_tick(struct node *n)
 {
@@ -227,6 +237,7 @@
 	node_entry_tick(n);
 	route_tick(n->route, n->now, n->fx);
 	node_log_standing(n);
+	node_hand_over(n);
 	node_stop_tick(n);
 }
 
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -41,21 +41,26 @@
 	struct node *n = ctx;
 	uint32_t owners[NODE_OWNERS_MAX];
 	struct node_ask *ask;
+	bool settling;
 	const char *service =
 	    message->service[0] == '\0' ? NULL : message->service;
 	size_t count = node_spread_order(
 	    n, message->adapter, service, owners, NODE_OWNERS_MAX);
 
 	(void)fx;
-	if (count == 0 || message->attempt >= 2 * count) {
+	settling = count == 0 && n->now < n->epoch_us + NODE_SETTLE_US;
+	if (!settling && (count == 0 || message->attempt >= 2 * count)) {
 		ask_refuse(n, message->request);
 		return;
 	}
 	ask = mem_alloc(1, sizeof(*ask));
 	ask->ask = message->request;
+	ask->sent_us = n->now;
+	map_set_u64(n->asks, ask->ask, ask);
+	if (settling)
+		return; /* its endpoints are moving to their new owners */
 	ask->owner = owners[message->attempt % count];
 	node_peer(n, ask->owner)->asked++;
-	map_set_u64(n->asks, ask->ask, ask);
 	ask_send(n, ask, message);
 }
 
@@ -189,6 +194,8 @@
 		ask = map_at(n->asks, i);
 		if (!route_fill_ask(n->route, n->now, ask->ask, &message))
 			continue; /* granted */
+		if (ask->owner == 0 && n->now < ask->sent_us + NODE_TICK_US * 5)
+			continue;
 		if (!node_peer_is_heard(n, ask->owner) ||
 		    member_view_find(n->view, ask->owner) == NULL)
 			route_owner_lost(n->route, n->now, ask->ask, n->fx);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -26,6 +26,7 @@
 #define NODE_TOUCH_US	      (500 * 1000ULL)
 #define NODE_TOUCH_ALL_US     (2000 * 1000ULL) /* pins in full so long */
 #define NODE_SCAN_STEP_US     50ULL /* between scans, for each ask or grant */
+#define NODE_SETTLE_US	      (3000 * 1000ULL) /* to move endpoints */
 #define NODE_ASK_RESEND_US    (1000 * 1000ULL)
 #define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
 #define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
@@ -97,7 +98,7 @@
 /* An ask of this instance's route. */
 struct node_ask {
 	uint64_t ask;
-	uint32_t owner;
+	uint32_t owner; /* 0 while none is known */
 	uint64_t sent_us;
 };
 
@@ -181,6 +182,7 @@
 	struct map *endpoints;
 	struct map *grants; /* by handle */
 	struct map *grants_by_ask; /* by entry, incarnation, ask */
+	uint64_t epoch_us; /* when the members last changed */
 	uint64_t last_grant;
 	struct map *orders; /* by call */
 	uint64_t owner_epoch; /* epoch the tables were last checked against */
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -171,6 +171,7 @@
 		if (skipped || node_owner_of(n, e->region, e->id) != n->id)
 			endpoint_remove(n, e, "moved");
 	}
+	n->epoch_us = n->now;
 	n->touch_us = 0; /* new owners learn of running requests at once */
 	n->touch_all_until = n->now + NODE_TOUCH_ALL_US;
 	n->summary_us = 0;
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -129,6 +129,16 @@
 int raft_change_config(struct raft *r, uint64_t now_us, enum raft_change change,
     uint64_t id, struct node_effects *fx, struct mp_error *err);
 
+/*
+ * Step down in favour of a voter that has the whole log; the others may vote
+ * for it at once.
+ *
+ * Errors: MP_ERR_NOT_LEADER, MP_ERR_UNAVAILABLE (no such voter was heard
+ * lately; the leader goes on).
+ */
+int raft_hand_over(struct raft *r, uint64_t now_us, struct node_effects *fx,
+    struct mp_error *err);
+
 /* Take the next message to send; false when there is none. */
 bool raft_take_message(struct raft *r, struct raft_message *out);
 
--- a/src/raft/raft.pb-c.c
+++ b/src/raft/raft.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &raft__install_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   raft__hand__init
+                     (Raft__Hand         *message)
+{
+  static const Raft__Hand init_value = RAFT__HAND__INIT;
+  *message = init_value;
+}
+size_t raft__hand__get_packed_size
+                     (const Raft__Hand *message)
+{
+  assert(message->base.descriptor == &raft__hand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t raft__hand__pack
+                     (const Raft__Hand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &raft__hand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t raft__hand__pack_to_buffer
+                     (const Raft__Hand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &raft__hand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Raft__Hand *
+       raft__hand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Raft__Hand *)
+     protobuf_c_message_unpack (&raft__hand__descriptor,
+                                allocator, len, data);
+}
+void   raft__hand__free_unpacked
+                     (Raft__Hand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &raft__hand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   raft__message__init
                      (Raft__Message         *message)
 {
@@ -514,7 +559,7 @@
   (ProtobufCMessageInit) raft__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor raft__vote_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor raft__vote_ask__field_descriptors[4] =
 {
   {
     "pre",
@@ -552,8 +597,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Raft__VoteAsk, handed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned raft__vote_ask__field_indices_by_name[] = {
+  3,   /* field[3] = handed */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   0,   /* field[0] = pre */
@@ -561,7 +619,7 @@
 static const ProtobufCIntRange raft__vote_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor raft__vote_ask__descriptor =
 {
@@ -571,7 +629,7 @@
   "Raft__VoteAsk",
   "raft",
   sizeof(Raft__VoteAsk),
-  3,
+  4,
   raft__vote_ask__field_descriptors,
   raft__vote_ask__field_indices_by_name,
   1,  raft__vote_ask__number_ranges,
@@ -1015,7 +1073,25 @@
   (ProtobufCMessageInit) raft__install_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor raft__message__field_descriptors[9] =
+#define raft__hand__field_descriptors NULL
+#define raft__hand__field_indices_by_name NULL
+#define raft__hand__number_ranges NULL
+const ProtobufCMessageDescriptor raft__hand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "raft.Hand",
+  "Hand",
+  "Raft__Hand",
+  "raft",
+  sizeof(Raft__Hand),
+  0,
+  raft__hand__field_descriptors,
+  raft__hand__field_indices_by_name,
+  0,  raft__hand__number_ranges,
+  (ProtobufCMessageInit) raft__hand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor raft__message__field_descriptors[10] =
 {
   {
     "group",
@@ -1125,11 +1201,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hand",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Raft__Message, body_case),
+    offsetof(Raft__Message, hand),
+    &raft__hand__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned raft__message__field_indices_by_name[] = {
   5,   /* field[5] = append */
   6,   /* field[6] = append_reply */
   0,   /* field[0] = group */
+  9,   /* field[9] = hand */
   7,   /* field[7] = install */
   8,   /* field[8] = install_reply */
   2,   /* field[2] = term */
@@ -1141,7 +1230,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor raft__message__descriptor =
 {
@@ -1151,7 +1240,7 @@
   "Raft__Message",
   "raft",
   sizeof(Raft__Message),
-  9,
+  10,
   raft__message__field_descriptors,
   raft__message__field_indices_by_name,
   2,  raft__message__number_ranges,
--- a/src/raft/raft.pb-c.h
+++ b/src/raft/raft.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Raft__AppendReply Raft__AppendReply;
 typedef struct Raft__Install Raft__Install;
 typedef struct Raft__InstallReply Raft__InstallReply;
+typedef struct Raft__Hand Raft__Hand;
 typedef struct Raft__Message Raft__Message;
 
 
@@ -65,12 +66,16 @@
    * only a question: term is the one wanted
    */
   protobuf_c_boolean pre;
+  /*
+   * the leader has stepped down for this one
+   */
+  protobuf_c_boolean handed;
   uint64_t last_index;
   uint64_t last_term;
 };
 #define RAFT__VOTE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&raft__vote_ask__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Raft__VoteReply
@@ -169,6 +174,18 @@
     , 0, 0, 0 }
 
 
+/*
+ * The leader has stepped down: the receiver shall stand at once.
+ */
+struct  Raft__Hand
+{
+  ProtobufCMessage base;
+};
+#define RAFT__HAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&raft__hand__descriptor) \
+     }
+
+
 typedef enum {
   RAFT__MESSAGE__BODY__NOT_SET = 0,
   RAFT__MESSAGE__BODY_VOTE = 10,
@@ -176,7 +193,8 @@
   RAFT__MESSAGE__BODY_APPEND = 12,
   RAFT__MESSAGE__BODY_APPEND_REPLY = 13,
   RAFT__MESSAGE__BODY_INSTALL = 14,
-  RAFT__MESSAGE__BODY_INSTALL_REPLY = 15
+  RAFT__MESSAGE__BODY_INSTALL_REPLY = 15,
+  RAFT__MESSAGE__BODY_HAND = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RAFT__MESSAGE__BODY__CASE)
 } Raft__Message__BodyCase;
 
@@ -194,6 +212,7 @@
     Raft__AppendReply *append_reply;
     Raft__Install *install;
     Raft__InstallReply *install_reply;
+    Raft__Hand *hand;
   };
 };
 #define RAFT__MESSAGE__INIT \
@@ -353,6 +372,25 @@
 void   raft__install_reply__free_unpacked
                      (Raft__InstallReply *message,
                       ProtobufCAllocator *allocator);
+/* Raft__Hand methods */
+void   raft__hand__init
+                     (Raft__Hand         *message);
+size_t raft__hand__get_packed_size
+                     (const Raft__Hand   *message);
+size_t raft__hand__pack
+                     (const Raft__Hand   *message,
+                      uint8_t             *out);
+size_t raft__hand__pack_to_buffer
+                     (const Raft__Hand   *message,
+                      ProtobufCBuffer     *buffer);
+Raft__Hand *
+       raft__hand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   raft__hand__free_unpacked
+                     (Raft__Hand *message,
+                      ProtobufCAllocator *allocator);
 /* Raft__Message methods */
 void   raft__message__init
                      (Raft__Message         *message);
@@ -398,6 +436,9 @@
 typedef void (*Raft__InstallReply_Closure)
                  (const Raft__InstallReply *message,
                   void *closure_data);
+typedef void (*Raft__Hand_Closure)
+                 (const Raft__Hand *message,
+                  void *closure_data);
 typedef void (*Raft__Message_Closure)
                  (const Raft__Message *message,
                   void *closure_data);
@@ -415,6 +456,7 @@
 extern const ProtobufCMessageDescriptor raft__append_reply__descriptor;
 extern const ProtobufCMessageDescriptor raft__install__descriptor;
 extern const ProtobufCMessageDescriptor raft__install_reply__descriptor;
+extern const ProtobufCMessageDescriptor raft__hand__descriptor;
 extern const ProtobufCMessageDescriptor raft__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -123,6 +123,7 @@
     struct raft *r, uint64_t term, uint64_t leader, struct node_effects *fx);
 void raft_election_reset(struct raft *r);
 void raft_campaign(struct raft *r, struct node_effects *fx);
+void raft_hand_received(struct raft *r, uint64_t term, struct node_effects *fx);
 void raft_vote_asked(struct raft *r, uint64_t from, uint64_t term,
     const Raft__VoteAsk *ask, struct node_effects *fx);
 void raft_vote_replied(struct raft *r, uint64_t from, uint64_t term,
--- a/src/raft/raft_message.c
+++ b/src/raft/raft_message.c
@@ -86,6 +86,9 @@
 		if (m->term == r->term && r->role == RAFT_LEADER)
 			raft_append_replied(r, from, m->append_reply, fx);
 		break;
+	case RAFT__MESSAGE__BODY_HAND:
+		raft_hand_received(r, m->term, fx);
+		break;
 	case RAFT__MESSAGE__BODY_INSTALL_REPLY:
 		if (m->term == r->term && r->role == RAFT_LEADER)
 			raft_install_replied(r, from, m->install_reply);
--- a/src/raft/raft_vote.c
+++ b/src/raft/raft_vote.c
@@ -35,7 +35,7 @@
 }
 
 static void
-vote_ask_all(struct raft *r, uint64_t term)
+vote_ask_all(struct raft *r, uint64_t term, bool handed)
 {
 	const struct raft_config *c = raft_get_config(r);
 	Raft__VoteAsk ask = RAFT__VOTE_ASK__INIT;
@@ -46,6 +46,7 @@
 	m.term = term;
 	m.vote = &ask;
 	ask.pre = r->pre_vote;
+	ask.handed = handed;
 	ask.last_index = raft_log_last(&r->log);
 	ask.last_term = raft_log_last_term(&r->log);
 	for (i = 0; i < c->nvoters; i++) {
@@ -56,7 +57,7 @@
 
 /* Stand in a new term; the vote for itself counts once it is saved. */
 static void
-vote_stand(struct raft *r, struct node_effects *fx)
+vote_stand(struct raft *r, bool handed, struct node_effects *fx)
 {
 	r->term++;
 	r->vote = r->options.self;
@@ -66,7 +67,7 @@
 	r->ack_owed = false;
 	raft_save_state(r, fx);
 	raft_election_reset(r);
-	vote_ask_all(r, r->term);
+	vote_ask_all(r, r->term, handed);
 }
 
 static void
@@ -87,7 +88,7 @@
 	if (r->ngranted < c->nvoters / 2 + 1)
 		return;
 	if (r->pre_vote)
-		vote_stand(r, fx);
+		vote_stand(r, false, fx);
 	else
 		raft_become_leader(r, fx);
 }
@@ -103,7 +104,7 @@
 	r->role = RAFT_CANDIDATE;
 	r->pre_vote = true;
 	r->ngranted = 0;
-	vote_ask_all(r, r->term + 1);
+	vote_ask_all(r, r->term + 1, false);
 	vote_count(r, r->options.self, fx);
 }
 
@@ -157,7 +158,7 @@
 {
 	bool granted;
 
-	if (!raft_may_vote(r) || vote_is_promised(r))
+	if (!raft_may_vote(r) || (vote_is_promised(r) && !ask->handed))
 		return;
 	if (ask->pre) {
 		granted = term > r->term && vote_log_is_current(r, ask);
@@ -198,3 +199,60 @@
 	    term == asked)
 		vote_count(r, from, fx);
 }
+
+/* A peer with our whole log that was heard lately; NULL when none is. */
+static const struct raft_peer *
+hand_target(const struct raft *r)
+{
+	const struct raft_config *c = raft_get_config(r);
+	const struct raft_peer *peer;
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++) {
+		peer = &r->peers[i];
+		if (raft_config_is_voter(c, peer->id) && !peer->leaving &&
+		    peer->match == raft_log_last(&r->log) &&
+		    r->now_us < peer->heard_us + r->options.heartbeat_us * 2)
+			return peer;
+	}
+	return NULL;
+}
+
+/*
+ * The leader steps down before it says so, and never leads again in this
+ * term: whoever the others vote for then, its authority has ended.
+ */
+int
+raft_hand_over(struct raft *r, uint64_t now_us, struct node_effects *fx,
+    struct mp_error *err)
+{
+	const struct raft_peer *target;
+	Raft__Hand hand = RAFT__HAND__INIT;
+	Raft__Message m;
+	uint64_t to;
+
+	r->now_us = now_us;
+	if (r->role != RAFT_LEADER)
+		return mp_error_set(
+		    err, MP_LAYER_RAFT, MP_ERR_NOT_LEADER, "not the leader");
+	target = hand_target(r);
+	if (target == NULL)
+		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
+		    "no other voter has the whole log");
+	to = target->id;
+	raft_become_follower(r, r->term, 0, fx);
+	raft_message_init(r, &m, RAFT__MESSAGE__BODY_HAND);
+	m.hand = &hand;
+	raft_message_send(r, to, &m);
+	return MP_OK;
+}
+
+void
+raft_hand_received(struct raft *r, uint64_t term, struct node_effects *fx)
+{
+	if (term != r->term || r->role == RAFT_LEADER || !raft_may_stand(r))
+		return;
+	r->role = RAFT_CANDIDATE;
+	r->leader = 0;
+	vote_stand(r, true, fx);
+}
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -400,3 +400,24 @@
 		EXPECT_LE(admitted / 20.0, t.most) << t.entries;
 	}
 }
+
+TEST(stop, a_leader_that_stops_refuses_no_booking_meanwhile)
+{
+	Cluster c(with_seed(10));
+	ASSERT_TRUE(c.begin());
+	int leader = c.leader();
+	std::vector<Request *> booked;
+
+	ASSERT_GE(leader, 0);
+	(void)c.send(leader, "POST", "/v1/drain", "op", "");
+	for (int i = 0; i < 60; i++) {
+		booked.push_back(
+		    c.book((leader + 1 + i % 4) % 5, "k" + std::to_string(i)));
+		c.run_for(50000);
+	}
+	c.run_for(3000000);
+	for (Request *r : booked)
+		EXPECT_EQ(r->status, 200) << r->answer;
+	EXPECT_NE(c.leader(), leader);
+	EXPECT_EQ(c.check(), "");
+}
--- a/tests/raft/chaos_test.cc
+++ b/tests/raft/chaos_test.cc
@@ -15,7 +15,7 @@
 	size_t j = rng_below(&net.random, (uint32_t)net.m.size());
 	int l = net.leader();
 
-	switch (rng_below(&net.random, 16)) {
+	switch (rng_below(&net.random, 18)) {
 	case 0:
 		net.crash(i);
 		break;
@@ -66,6 +66,16 @@
 			    i, RAFT_REMOVE, net.m[(j + 1) % net.m.size()].id);
 		}
 		break;
+	case 16:
+		if (l >= 0)
+			(void)net.hand_over((size_t)l);
+		break;
+	case 17:
+		/* By one that may not know that it is deposed. */
+		if (net.m[i].r != nullptr &&
+		    raft_get_role(net.m[i].r) == RAFT_LEADER)
+			(void)net.hand_over(i);
+		break;
 	default:
 		net.mend_config();
 		break;
--- a/tests/raft/net.cc
+++ b/tests/raft/net.cc
@@ -203,6 +203,17 @@
 	return code == MP_OK;
 }
 
+int
+Net::hand_over(size_t i)
+{
+	node_effects *fx = node_effects_create();
+	mp_error err;
+	int code = raft_hand_over(m[i].r, local(i), fx, &err);
+
+	after(i, fx);
+	return code;
+}
+
 int
 Net::change(size_t i, raft_change what, uint64_t id)
 {
--- a/tests/raft/net.h
+++ b/tests/raft/net.h
@@ -90,6 +90,7 @@
 	void replace_disk(size_t i); /* under a new id, empty */
 	bool propose(size_t i, const std::string &command);
 	int change(size_t i, raft_change what, uint64_t id);
+	int hand_over(size_t i);
 	void
 	cut(size_t from, size_t to)
 	{
