--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,58 +6,6 @@
 
 #define TOUCH_PINS_MAX 512
 
-/* ---- which owner? ------------------------------------------------------ */
-
-struct order_context {
-	const struct node *n;
-	const char *service;
-};
-
-static bool
-peer_has_service(const struct node_peer *peer, const char *service)
-{
-	size_t i;
-
-	for (i = 0; i < peer->nservices; i++)
-		if (strcmp(peer->services[i], service) == 0)
-			return true;
-	return false;
-}
-
-/* The capacity of a member for model requests or for a service. */
-static double
-owner_weight(void *ctx, const struct member *m)
-{
-	const struct order_context *oc = ctx;
-	const struct node_peer *peer = map_get_u64(oc->n->peers, m->id);
-
-	if (m->leaving || peer == NULL || !node_peer_is_heard(oc->n, m->id))
-		return 0.0;
-	if (oc->service != NULL)
-		return peer_has_service(peer, oc->service) ? 1.0 : 0.0;
-	return peer->engines == 0 ? 0.0 : (double)peer->seats;
-}
-
-/*
- * Owners for an adapter or a service, best first. The order for an adapter
- * is the same on every instance; calls of a service are spread.
- */
-size_t
-node_entry_order(struct node *n, const char *adapter, const char *service,
-    uint32_t *out, size_t max)
-{
-	struct order_context ctx = {n, service};
-	char spread[32];
-	const char *key = adapter;
-
-	if (service != NULL) {
-		(void)snprintf(spread, sizeof(spread), "%u",
-		    rng_below(&n->rng, UINT32_MAX));
-		key = spread;
-	}
-	return member_order(n->view, key, owner_weight, &ctx, out, max);
-}
-
 /* ---- what the route needs ---------------------------------------------- */
 
 static void
@@ -96,7 +43,7 @@
 	struct node_ask *ask;
 	const char *service =
 	    message->service[0] == '\0' ? NULL : message->service;
-	size_t count = node_entry_order(
+	size_t count = node_spread_order(
 	    n, message->adapter, service, owners, NODE_OWNERS_MAX);
 
 	(void)fx;
@@ -107,6 +54,7 @@
 	ask = mem_alloc(1, sizeof(*ask));
 	ask->ask = message->request;
 	ask->owner = owners[message->attempt % count];
+	node_peer(n, ask->owner)->asked++;
 	map_set_u64(n->asks, ask->ask, ask);
 	ask_send(n, ask, message);
 }
@@ -308,6 +256,7 @@
 	if (open.adapter != NULL)
 		pin->adapter = (char *)open.adapter;
 	pin->team = (char *)open.team;
+	pin->run = (char *)open.run;
 	list->refs[list->npins++] = pin;
 }
 
@@ -406,6 +355,9 @@
 	Wire__OwnerSummary summary = WIRE__OWNER_SUMMARY__INIT;
 	size_t nteams = sched_team_count(n->sched);
 	size_t nservices = sched_service_count(n->sched);
+	size_t nrates = map_count(n->rates);
+	Wire__TeamRate *rates = mem_alloc(nrates, sizeof(*rates));
+	Wire__TeamRate **rate_list = mem_alloc(nrates, sizeof(*rate_list));
 	Wire__TeamUsage *usage = mem_alloc(nteams, sizeof(*usage));
 	Wire__TeamUsage **list = mem_alloc(nteams, sizeof(*list));
 	char **services = mem_alloc(nservices, sizeof(*services));
@@ -427,6 +379,10 @@
 	summary.n_usage = nteams;
 	summary.usage = list;
 	summary.leaving = n->stopping;
+	summary.n_rates = node_rate_fill(n, rates, nrates);
+	summary.rates = rate_list;
+	for (i = 0; i < nrates; i++)
+		rate_list[i] = &rates[i];
 	envelope.body_case = WIRE__ENVELOPE__BODY_SUMMARY;
 	envelope.summary = &summary;
 	for (i = 0; i < member_view_count(n->view); i++) {
@@ -434,6 +390,8 @@
 		if (strcmp(m->region, n->settings->region) == 0)
 			node_peer_send(n, m->id, &envelope);
 	}
+	free(rates);
+	free(rate_list);
 	free(usage);
 	free(list);
 	free(services);
@@ -460,6 +418,7 @@
 	struct node_peer *peer = node_peer(n, from);
 	size_t i;
 
+	peer->asked = 0;
 	peer->seats = summary->seats;
 	peer->free = summary->free;
 	peer->queued = summary->queued;
@@ -469,6 +428,8 @@
 	set_services(peer, summary);
 	if (from == n->id)
 		return;
+	for (i = 0; i < summary->n_rates; i++)
+		node_rate_heard(n, from, summary->rates[i]);
 	for (i = 0; i < summary->n_usage; i++)
 		sched_set_remote_charge(n->sched, from, summary->usage[i]->team,
 		    summary->usage[i]->charge_milli);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -53,6 +53,7 @@
 	uint64_t incarnation;
 	/* its latest summary as an owner */
 	uint32_t seats, free, queued, engines, wait_ms;
+	uint32_t asked; /* by this instance since that summary */
 	bool leaving;
 	char **services;
 	size_t nservices;
@@ -84,11 +85,13 @@
 	uint64_t ask;
 	char *endpoint; /* NULL while queued */
 	char *adapter;
+	char *run; /* names it towards the endpoint */
 	uint64_t basis_us; /* newest clock of the entry heard */
 	uint64_t touched_us;
 	uint64_t granted_us;
 	uint64_t wait_us, stall_us;
 	uint64_t orphaned_us; /* its entry is down since; 0: is not */
+	uint64_t cancel_us; /* when its run is cancelled (again) */
 };
 
 /* An ask of this instance's route. */
@@ -102,6 +105,7 @@
 struct node_order {
 	enum sched_decision_type type;
 	char *endpoint, *adapter;
+	uint64_t cancels; /* instead: cancels the run of this grant */
 };
 
 enum node_proposal_kind {
@@ -272,10 +276,13 @@
 void node_owner_epoch(struct node *n, bool skipped);
 void node_owner_tick(struct node *n);
 void node_owner_run(struct node *n);
-bool node_owner_call(struct node *n, const struct node_call_event *event);
 uint32_t node_owner_of(
     const struct node *n, const char *region, const char *endpoint);
 void node_endpoint_free(struct node_endpoint *e);
+/* node_order.c: orders to endpoints */
+void node_order_give(struct node *n, const struct sched_decision *d);
+void node_order_cancel(struct node *n, struct node_grant *g);
+bool node_order_call(struct node *n, const struct node_call_event *event);
 void node_order_free(struct node_order *o);
 
 /* node_grant.c: asks and grants at the owner */
@@ -292,13 +299,24 @@
 void node_grant_report(
     struct node *n, const char *endpoint, const struct sched_report *report);
 void node_grant_free(struct node_grant *g);
+void node_grant_cancelled(struct node *n, uint64_t grant, bool surely);
+bool node_grant_cancel_due(const struct node *n, const struct node_grant *g);
 
 /* node_entry.c: the route's needs, touches, summaries */
 extern const struct route_ops node_route_ops;
 void node_entry_tick(struct node *n);
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
-size_t node_entry_order(struct node *n, const char *adapter,
+
+/* node_rate.c: teams' rate limits over all entries */
+struct node_rate;
+void node_rate_free(struct node_rate *rate);
+bool node_rate_allows(struct node *n, const struct doc *doc);
+size_t node_rate_fill(const struct node *n, Wire__TeamRate *out, size_t max);
+void node_rate_heard(struct node *n, uint32_t from, const Wire__TeamRate *told);
+
+/* node_spread.c */
+size_t node_spread_order(struct node *n, const char *adapter,
     const char *service, uint32_t *out, size_t max);
 
 /* node_api*.c */
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -292,3 +292,111 @@
 	    c.run_until(15000000, [&] { return c.instances[owner]->exited; }));
 	EXPECT_EQ(c.check(), "");
 }
+
+/* The adapter is never idle, so no report can show that it has no run. */
+TEST(owner, pins_of_a_dead_entry_go_while_its_adapter_stays_hot)
+{
+	Cluster c(with_seed(6));
+	ASSERT_TRUE(c.begin());
+	Request *doomed = nullptr;
+	int owner = -1, entry;
+	auto keep_hot = [&](uint64_t us) {
+		for (uint64_t end = c.now + us; c.now < end;) {
+			(void)c.complete(owner, "a1", false, 20);
+			c.run_for(100000);
+		}
+	};
+	auto orphans = [&] {
+		struct node *n = c.instances[(size_t)owner]->node;
+		size_t count = 0;
+
+		for (size_t i = 0; i < map_count(n->grants); i++)
+			count += ((struct node_grant *)map_at(n->grants, i))
+				     ->orphaned_us != 0;
+		return count;
+	};
+
+	/* Find the owner of the adapter's engine, then another entry. */
+	doomed = c.complete(0, "a1", true, 400);
+	ASSERT_TRUE(c.run_until(5000000, [&] {
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owner = c.owner_of(e->id);
+		return owner >= 0;
+	}));
+	c.hang_up(doomed);
+	entry = owner == 4 ? 3 : 4;
+	(void)c.complete(entry, "a1", true, 400);
+	keep_hot(500000);
+	c.kill(entry);
+	keep_hot(4000000);
+	EXPECT_GT(orphans(), 0u);
+	keep_hot(4000000);
+	EXPECT_EQ(orphans(), 0u);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(spread, a_hot_adapter_overflows_to_other_owners)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	std::set<int> owners;
+
+	for (int i = 0; i < 60; i++) {
+		(void)c.complete(i % 5, "a1", true, 100);
+		c.run_for(50000);
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owners.insert(c.owner_of(e->id));
+	}
+	EXPECT_GE(owners.size(), 2u);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(spread, a_quiet_adapter_stays_at_its_home)
+{
+	Cluster c(with_seed(8));
+	ASSERT_TRUE(c.begin());
+	size_t loaded = 0;
+
+	for (int i = 0; i < 20; i++) {
+		Request *r = c.complete(i % 5, "a1", false, 4);
+
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 200);
+	}
+	for (auto &e : c.endpoints)
+		loaded += e->slots.count("t1/a1@1");
+	EXPECT_EQ(loaded, 1u);
+}
+
+TEST(rate, a_teams_limit_holds_over_all_entries)
+{
+	struct {
+		int entries; /* that its callers use */
+		double least, most; /* admitted a second, limit 10 */
+	} cases[] = {{1, 9.0, 11.0}, {2, 8.0, 12.0}, {5, 8.0, 12.5}};
+
+	for (auto &t : cases) {
+		Cluster c(with_seed(9));
+		ASSERT_TRUE(c.begin());
+		std::string text = Cluster::document("t1", 1);
+		text.insert(1, "\"limits\": {\"requestsPerSecond\": 10}, ");
+		Request *put = c.put_document(0, "t1", 1, "limit", text);
+		ASSERT_TRUE(c.wait(put));
+		ASSERT_EQ(put->status, 200) << put->answer;
+		c.run_for(2000000);
+		std::vector<Request *> sent;
+
+		for (int i = 0; i < 800; i++) {
+			sent.push_back(c.send(i % t.entries, "GET",
+			    "/v1/services/orders/status", "caller", ""));
+			c.run_for(25000);
+		}
+		double admitted = 0;
+		for (Request *r : sent)
+			admitted += r->status != 429;
+		EXPECT_GE(admitted / 20.0, t.least) << t.entries;
+		EXPECT_LE(admitted / 20.0, t.most) << t.entries;
+	}
+}
