--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -382,6 +382,11 @@
 	w.run_for((uint64_t)o.seconds * 1000000);
 	print_roles(w, o.seconds);
 	print_snapshot(w);
+	printf("HTTP bodies in %.2f KB/s an instance; an answer with addresses "
+	       "costs %.1f us\n",
+	    sum_of(*w.in.back(), o.seconds).http / 1e3,
+	    w.time_get(o.instances - 1,
+		"/v1/addresses?team=team-0&adapter=adapter-0"));
 	if (o.requests > 0)
 		printf("runs %.1f/s an instance, open on one %zu, refused "
 		       "%llu, loads %llu\n",
--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -537,6 +537,19 @@
 	return id;
 }
 
+double
+World::time_get(int i, const std::string &path)
+{
+	static const int count = 1000;
+	uint64_t before = in[(size_t)i]->c.ns;
+
+	for (int k = 0; k < count; k++) {
+		(void)request(i, "GET", path, "op", "");
+		run_for(10);
+	}
+	return (double)(in[(size_t)i]->c.ns - before) / 1e3 / count;
+}
+
 void
 World::request_loop(int i)
 {
--- a/bench/cluster_world.h
+++ b/bench/cluster_world.h
@@ -69,6 +69,8 @@
 	void put_document(int team);
 	void begin_load();
 	void kill(int i);
+	/* CPU microseconds of one GET at an instance, mean of many. */
+	double time_get(int i, const std::string &path);
 	int leader() const;
 	bool all_act() const;
 	void reset_counts();
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -80,6 +80,8 @@
 
 #define MEMBER_LEASE_US	      (2000 * 1000ULL)
 #define MEMBER_RENEW_US	      (250 * 1000ULL)
+#define MEMBER_RENEW_MANY_US  (600 * 1000ULL) /* in a cluster over */
+#define MEMBER_RENEW_MANY     100 /* so many members */
 #define MEMBER_PING_US	      (300 * 1000ULL)
 #define MEMBER_FLIGHT_US      (300 * 1000ULL) /* longest way of an order */
 #define MEMBER_LOAD_US	      (1000 * 1000ULL) /* longest usual adapter load */
@@ -119,6 +121,9 @@
 bool member_holder_ping_due(struct member_holder *h, uint64_t now_us);
 uint64_t member_holder_next(const struct member_holder *h);
 
+/* Time between renewals, for the size of the cluster. */
+uint64_t member_holder_renew_every(const struct member_holder *h);
+
 /*
  * Fill the lease part of a renewal: sent_us, applied, epoch, promise_over,
  * got_us and the permits held. The rest stays as it is.
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -69,16 +69,23 @@
 	if (member_view_epoch(v) != h->epoch)
 		h->next_renew = 0;
 	h->epoch = member_view_epoch(v);
+	h->many = member_view_count(v) > MEMBER_RENEW_MANY;
 	h->is_member = m != NULL && m->incarnation == h->incarnation;
 }
 
+uint64_t
+member_holder_renew_every(const struct member_holder *h)
+{
+	return h->many ? MEMBER_RENEW_MANY_US : MEMBER_RENEW_US;
+}
+
 bool
 member_holder_renew_due(struct member_holder *h, uint64_t now_us)
 {
 	member_holder_start(h, now_us);
 	if (now_us < h->next_renew)
 		return false;
-	h->next_renew = now_us + MEMBER_RENEW_US;
+	h->next_renew = now_us + member_holder_renew_every(h);
 	return true;
 }
 
--- a/src/member/member_holder.h
+++ b/src/member/member_holder.h
@@ -37,6 +37,7 @@
 	uint64_t active_epoch, in_force;
 
 	uint64_t epoch; /* of the view told last */
+	bool many; /* it has many members */
 	bool is_member; /* in it, by this incarnation */
 	uint64_t promise_until;
 	struct member_support *supports;
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -249,29 +249,33 @@
 	}
 }
 
+/* An open ask or grant and the owner to be told of it. */
+struct touch {
+	uint32_t owner;
+	bool all; /* in full: the owner is new to it */
+	size_t open;
+};
+
 /* The owner to which an open ask or grant belongs now. */
-static uint32_t
-open_owner(struct node *n, const struct route_open *open)
+static void
+open_owner(struct node *n, const struct route_open *open, struct touch *touch)
 {
 	struct node_ask *ask = map_get_u64(n->asks, open->ask);
 	uint32_t owner;
 
 	if (ask == NULL)
-		return 0;
+		return;
 	if (open->endpoint != NULL) {
 		owner = node_owner_of(n, n->settings->region, open->endpoint);
-		if (owner != 0)
+		if (owner != 0 && owner != ask->owner) {
 			ask->owner = owner;
+			ask->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+		}
 	}
-	return ask->owner;
+	touch->owner = ask->owner;
+	touch->all = n->now < ask->touch_all_until;
 }
 
-/* An open ask or grant and the owner to be told of it. */
-struct touch {
-	uint32_t owner;
-	size_t open;
-};
-
 static int
 compare_touches(const void *a, const void *b)
 {
@@ -297,7 +301,7 @@
 	Wire__Pin *pin = &list->pins[list->npins];
 
 	route_open_at(n->route, i, &open);
-	if (!all && open.endpoint != NULL) {
+	if (!all) {
 		list->known[list->nknown++] = open.ask;
 		return;
 	}
@@ -333,14 +337,13 @@
 touch_owner(struct node *n, const struct touch *touches, size_t count)
 {
 	const struct node_peer *peer = node_peer(n, touches[0].owner);
-	bool all =
-	    n->now < n->touch_all_until || n->now < peer->touch_all_until;
+	bool all = n->now < peer->touch_all_until;
 	struct touch_list list;
 	size_t i;
 
 	list.npins = list.nknown = 0;
 	for (i = 0; i < count; i++) {
-		touch_add(n, &list, touches[i].open, all);
+		touch_add(n, &list, touches[i].open, all || touches[i].all);
 		if (list.npins + list.nknown == TOUCH_PINS_MAX)
 			touch_send(n, touches[0].owner, &list);
 	}
@@ -365,8 +368,8 @@
 
 	for (i = 0; i < count; i++) {
 		route_open_at(n->route, i, &open);
-		touches[i].owner = open_owner(n, &open);
 		touches[i].open = i;
+		open_owner(n, &open, &touches[i]);
 	}
 	if (count > 0)
 		qsort(touches, count, sizeof(*touches), compare_touches);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -96,6 +96,7 @@
 	uint64_t ask;
 	uint32_t owner;
 	uint64_t sent_us;
+	uint64_t touch_all_until; /* its owner changed shortly before */
 };
 
 /* An order under way to an endpoint. */
@@ -192,7 +193,6 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
-	uint64_t touch_all_until; /* for all owners */
 	uint64_t asks_us, grants_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -35,7 +35,8 @@
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	uint32_t leader = node_leader(n);
 	bool lately = n->leader_heard_us != 0 &&
-	    n->now < n->leader_heard_us + 2 * MEMBER_RENEW_US;
+	    n->now <
+		n->leader_heard_us + 2 * member_holder_renew_every(n->holder);
 	size_t i;
 
 	envelope.body_case = WIRE__ENVELOPE__BODY_RENEW;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -183,7 +183,6 @@
 			endpoint_remove(n, e, "moved");
 	}
 	n->touch_us = 0; /* new owners learn of running requests at once */
-	n->touch_all_until = n->now + NODE_TOUCH_ALL_US;
 	n->summary_us = 0;
 	n->owner_due = true;
 }
