--- a/src/mulberryd/main.c
+++ b/src/mulberryd/main.c
@@ -1,4 +1,5 @@
 #include <getopt.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
 
@@ -112,6 +113,7 @@
 			return DAEMON_EXIT_USAGE;
 		}
 	}
+	json_object_seed(0); /* random: callers choose the keys of bodies */
 	if (options.config == NULL || optind < argc) {
 		(void)fputs(usage, stderr);
 		return DAEMON_EXIT_USAGE;
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -183,7 +183,7 @@
 		return;
 	}
 	/* The authority of earlier leaders ended before this one's began. */
-	member_keeper_reset(n->keeper, n->now, 0);
+	member_keeper_reset(n->keeper, n->now, 0, raft_get_term(n->raft));
 	node_log(n, NODE_LOG_LEADING, "{\"term\": %llu}",
 	    (unsigned long long)raft_get_term(n->raft));
 }
