--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -1,5 +1,5 @@
+#include <ctype.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,13 +19,29 @@
 	route_reply_error(n->fx, request, &error);
 }
 
-/* The value of a query parameter, percent-decoded; NULL when absent. */
+/* The byte of a percent-escape; -1 when there is none, or it is zero. */
+static int
+unescape(const char *s)
+{
+	char digits[3] = {0};
+
+	if (s[0] != '%' || !isxdigit((unsigned char)s[1]) ||
+	    !isxdigit((unsigned char)s[2]))
+		return -1;
+	memcpy(digits, s + 1, 2);
+	return strcmp(digits, "00") == 0 ? -1 : (int)strtol(digits, NULL, 16);
+}
+
+/*
+ * The value of a query parameter, percent-decoded; NULL when absent. What is
+ * no escape stands for itself.
+ */
 char *
 node_api_param(const char *query, const char *name)
 {
 	size_t len = strlen(name);
 	struct buf out = {0};
-	unsigned byte;
+	int byte;
 
 	while (query != NULL && *query != '\0') {
 		if (strncmp(query, name, len) == 0 && query[len] == '=')
@@ -38,14 +54,14 @@
 		return NULL;
 	buf_append(&out, "", 0);
 	for (query += len + 1; *query != '\0' && *query != '&'; query++) {
-		if (*query == '%' && sscanf(query + 1, "%2x", &byte) == 1) {
-			char c = (char)byte;
+		char c = *query;
 
-			buf_append(&out, &c, 1);
+		byte = unescape(query);
+		if (byte > 0) {
+			c = (char)byte;
 			query += 2;
-		} else {
-			buf_append(&out, query, 1);
 		}
+		buf_append(&out, &c, 1);
 	}
 	return out.data;
 }
