--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -107,6 +107,11 @@
 		settings_problems_add(&problems, "$.team", doc->team, team);
 		good = false;
 	}
+	if (good && doc_book_check(n->book, doc, &err) != 0) {
+		settings_problems_add(&problems, "$.tokens", err.message,
+		    "tokens of this team alone");
+		good = false;
+	}
 	if (!good)
 		reply_problems(n, request->request, &problems);
 	if (doc != NULL)
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -63,6 +63,15 @@
 	node_owner_epoch(n, false);
 }
 
+/* Is the proposer still the member that it was when it proposed? */
+static bool
+is_from_member(const struct node *n, const Wire__Command *command)
+{
+	const struct member *m = member_view_find(n->view, command->instance);
+
+	return m != NULL && m->incarnation == command->incarnation;
+}
+
 static void
 apply_claim_start(struct node *n, uint64_t index, const Wire__Command *command)
 {
@@ -80,6 +89,9 @@
 	start.incarnation = command->incarnation;
 	start.proposal = command->proposal;
 	start.time_ms = wire->time_ms;
+	/* One that is down would leave the claim running for ever. */
+	if (!is_from_member(n, command))
+		return;
 	verdict = claim_apply_start(n->claims, index, &start, &claim);
 	if (!is_own(n, command))
 		return;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -24,6 +24,8 @@
 #define NODE_PEER_SILENT_US   (1000 * 1000ULL) /* no new asks to it */
 #define NODE_SUMMARY_US	      (500 * 1000ULL)
 #define NODE_TOUCH_US	      (500 * 1000ULL)
+#define NODE_TOUCH_ALL_US     (2000 * 1000ULL) /* pins in full so long */
+#define NODE_SCAN_STEP_US     50ULL /* between scans, for each ask or grant */
 #define NODE_ASK_RESEND_US    (1000 * 1000ULL)
 #define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
 #define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
@@ -39,6 +41,9 @@
 #define NODE_RECENT_ENTRIES   1024
 #define NODE_PUSH_ENTRIES     256
 #define NODE_OWNERS_MAX	      8
+#define NODE_RELAY_MEMBERS    24 /* up to so many all follow voters */
+#define NODE_RELAY_FANOUT     4
+#define NODE_DIRECT_US	      (5000 * 1000ULL) /* not behind a late relay */
 #define NODE_BATCH_BYTES      (256 * 1024)
 
 /* Another instance, as met through messages. */
@@ -56,6 +61,8 @@
 	/* as a founding voter */
 	uint64_t hello_us, hello_voter;
 	bool hello_fresh;
+	/* as an owner: its pins are sent in full until then */
+	uint64_t touch_all_until;
 };
 
 /* An endpoint this instance owns. */
@@ -153,6 +160,8 @@
 	struct node_recent *recent; /* ring of NODE_RECENT_ENTRIES */
 	uint64_t recent_first; /* index; recent_first..applied are held */
 	bool push_due;
+	uint32_t source; /* the voter followed last */
+	uint64_t direct_until; /* follow a voter, not a relay */
 
 	/* leases */
 	struct member_holder *holder;
@@ -183,6 +192,8 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
+	uint64_t touch_all_until; /* for all owners */
+	uint64_t asks_us, grants_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
 	uint64_t stop_us;
@@ -247,6 +258,7 @@
 void node_follow_on_push(
     struct node *n, uint32_t from, const Wire__FollowPush *push);
 void node_follow_push_all(struct node *n);
+uint32_t node_follow_parent(const struct node *n);
 
 /* node_found.c: founding and voters */
 void node_found_tick(struct node *n);
@@ -271,6 +283,7 @@
     const Wire__GrantAsk *ask);
 void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantDone *done);
+void node_entry_on_touch_all(struct node *n, uint32_t from);
 void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch);
 void node_grant_decided(struct node *n, const struct sched_decision *d);
