tests: a signal never goes to a process that is not the test's own

Guarding each call was ruled out: Process now keeps its pid to itself and send() refuses one that is not positive.

--- a/tests/mulberryd/cluster_test.cc
+++ b/tests/mulberryd/cluster_test.cc
@@ -181,7 +181,7 @@
 	    R"({"model":"a1","prompt":"x","max_tokens":100,"stream":true})");
 	ASSERT_GE(s, 0);
 	answer = read_answer(s, "\"offset\": 2");
-	kill(instances[entry]->pid, SIGTERM);
+	instances[entry]->send(SIGTERM);
 	answer += read_answer(s);
 	close(s);
 	EXPECT_NE(answer.find("[DONE]"), std::string::npos) << answer;
@@ -203,7 +203,7 @@
 	ASSERT_GE(entry, 0);
 	first = http_call(ports[entry], line, headers, "{}");
 	ASSERT_EQ(first.find("HTTP/1.1 200"), 0u) << first;
-	kill(instances[entry]->pid, SIGKILL);
+	instances[entry]->send(SIGKILL);
 	do {
 		again = http_call(
 		    ports[(entry + 1) % members], line, headers, "{}");
@@ -224,7 +224,7 @@
 	int lost = (leader() + 1) % members, other = leader();
 
 	ASSERT_GE(other, 0);
-	kill(instances[lost]->pid, SIGKILL);
+	instances[lost]->send(SIGKILL);
 	instances[lost].reset();
 	fs::remove_all(folder + "/data" + std::to_string(lost));
 	start(lost);
@@ -232,7 +232,7 @@
 	EXPECT_TRUE(instances[other]->read_until("change=promoted"))
 	    << instances[other]->text;
 	/* a second loss right after the repair */
-	kill(instances[other]->pid, SIGKILL);
+	instances[other]->send(SIGKILL);
 	EXPECT_TRUE(wait_status(ports[lost], "/readyz", "200"));
 	EXPECT_NE(http_call(ports[lost], "GET /v1/documents/t1", operator_token)
 		      .find("\"revision\": 1"),
--- a/tests/mulberryd/daemon_test.cc
+++ b/tests/mulberryd/daemon_test.cc
@@ -73,6 +73,7 @@
 		Process p(c.args);
 
 		EXPECT_EQ(p.wait_exit(), c.code) << p.text;
+		EXPECT_FALSE(p.send(0)) << "nothing is left to signal";
 		EXPECT_NE(p.text.find(c.says), std::string::npos) << p.text;
 	}
 }
@@ -142,7 +143,7 @@
 		EXPECT_NE(http_get(ports[0], "/metrics")
 			      .find("mulberrypath_process_resident_bytes"),
 		    std::string::npos);
-		kill(p.pid, SIGTERM);
+		p.send(SIGTERM);
 		EXPECT_EQ(p.wait_exit(), 0) << p.text;
 		for (const char *event :
 		    {"\"event\":\"started\"", "\"event\":\"stop-requested\"",
@@ -157,10 +158,10 @@
 	Process p({"--config", file()});
 
 	ASSERT_TRUE(p.read_until(" started ")) << p.text;
-	kill(p.pid, SIGSTOP);
-	kill(p.pid, SIGTERM);
-	kill(p.pid, SIGINT);
-	kill(p.pid, SIGCONT);
+	p.send(SIGSTOP);
+	p.send(SIGTERM);
+	p.send(SIGINT);
+	p.send(SIGCONT);
 	EXPECT_EQ(p.wait_exit(Deadline(5000)), 1) << p.text;
 	EXPECT_NE(p.text.find("exit-forced"), std::string::npos) << p.text;
 }
@@ -170,12 +171,12 @@
 	Process p({"--config", file()});
 
 	ASSERT_TRUE(wait_status(ports[0], "/readyz", "200"));
-	kill(p.pid, SIGSTOP);
+	p.send(SIGSTOP);
 	/* nothing answers while it is frozen */
 	EXPECT_EQ(http_get(ports[0], "/healthz"), "");
-	kill(p.pid, SIGCONT);
+	p.send(SIGCONT);
 	EXPECT_TRUE(wait_status(ports[0], "/readyz", "200"));
-	kill(p.pid, SIGTERM);
+	p.send(SIGTERM);
 	EXPECT_EQ(p.wait_exit(), 0) << p.text;
 }
 
@@ -185,7 +186,7 @@
 
 	EXPECT_TRUE(wait_status(ports[0], "/readyz", "200"));
 	EXPECT_TRUE(p.read_until("x\n"));
-	kill(p.pid, SIGTERM);
+	p.send(SIGTERM);
 	EXPECT_EQ(p.wait_exit(), 0);
 	EXPECT_NE(p.text.find("log-lines-lost"), std::string::npos) << p.text;
 }
--- a/tests/mulberryd/process.h
+++ b/tests/mulberryd/process.h
@@ -63,9 +63,11 @@
 		posix_spawn_file_actions_init(&actions);
 		posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
 		posix_spawn_file_actions_adddup2(&actions, ends[1], 2);
-		EXPECT_EQ(posix_spawn(&pid, program, &actions, nullptr,
-			      argv.data(), environ),
-		    0);
+		if (posix_spawn(&pid, program, &actions, nullptr, argv.data(),
+			environ) != 0) {
+			pid = -1;
+			ADD_FAILURE() << "cannot start " << program;
+		}
 		posix_spawn_file_actions_destroy(&actions);
 		close(ends[1]);
 		out = ends[0];
@@ -73,10 +75,8 @@
 
 	~Process()
 	{
-		if (pid > 0) {
-			kill(pid, SIGKILL);
+		if (send(SIGKILL))
 			waitpid(pid, nullptr, 0);
-		}
 		close(out);
 	}
 
@@ -106,7 +106,16 @@
 		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 	}
 
-	pid_t pid = -1;
+	/*
+	 * Send a signal to this process, and never to another: kill() takes a
+	 * pid of -1, as after wait_exit(), for all processes of the machine.
+	 */
+	bool
+	send(int signal_number)
+	{
+		return pid > 0 && kill(pid, signal_number) == 0;
+	}
+
 	std::string text;
 
       private:
@@ -135,6 +144,7 @@
 		EXPECT_EQ(write(end, line.data(), line.size()), 4096);
 	}
 
+	pid_t pid = -1;
 	int out;
 };
 
--- a/tests/system/failure_test.cc
+++ b/tests/system/failure_test.cc
@@ -85,7 +85,7 @@
 	ASSERT_TRUE(eventually([&] {
 		return number_in(fake("e1", "GET /fake/state"), "loads") >= 2;
 	}));
-	kill(instances[frozen]->pid, SIGSTOP);
+	instances[frozen]->send(SIGSTOP);
 	next = owner_of("e1", frozen);
 	ASSERT_GE(next, 0);
 	loads = number_in(fake("e1", "GET /fake/state"), "loads");
@@ -98,7 +98,7 @@
 				   .find("HTTP/1.1 200") == 0;
 		}));
 	EXPECT_GT(number_in(fake("e1", "GET /fake/state"), "loads"), loads);
-	kill(instances[frozen]->pid, SIGCONT);
+	instances[frozen]->send(SIGCONT);
 	ASSERT_TRUE(wait_status(http_port(frozen), "/readyz", "200"));
 	for (int s : sockets) {
 		read_answer(s);
@@ -128,7 +128,7 @@
 	other = (owner + 1) % instance_count;
 	s = begin_stream(owner, tokens, "a1", &at_owner);
 	t = begin_stream(other, tokens, "a1", &elsewhere);
-	kill(instances[owner]->pid, SIGTERM);
+	instances[owner]->send(SIGTERM);
 	at_owner += read_answer(s);
 	elsewhere += read_answer(t);
 	close(s);
--- a/tests/system/system.cc
+++ b/tests/system/system.cc
@@ -130,6 +130,12 @@
 	return folder + "/data" + std::to_string(i);
 }
 
+std::string
+System::journal(int i) const
+{
+	return folder + "/journal" + std::to_string(i);
+}
+
 void
 System::write_settings(int i)
 {
@@ -155,13 +161,19 @@
 void
 System::start(int i)
 {
-	instances[i].reset(new Process({"--config", settings_file(i)}));
+	std::vector<std::string> args = {"--config", settings_file(i)};
+
+	if (record) {
+		args.push_back("--journal");
+		args.push_back(journal(i));
+	}
+	instances[i].reset(new Process(args));
 }
 
 void
 System::crash(int i)
 {
-	kill(instances[i]->pid, SIGKILL);
+	instances[i]->send(SIGKILL);
 	instances[i].reset();
 }
 
