--- /dev/null
+++ b/src/journal/journal_read.c
@@ -0,0 +1,278 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "journal/journal.h"
+#include "journal/journal.pb-c.h"
+#include "journal/journal_frame.h"
+#include "util/mem.h"
+
+struct journal_reader {
+	FILE *file;
+	uint64_t read, whole; /* bytes */
+	uint8_t *bytes; /* of the last frame */
+	uint64_t now_us;
+	Journal__Boot *boot_message;
+	Journal__Step *step;
+	struct settings *settings;
+	struct node_boot boot;
+	struct node_disk disk;
+	struct node_effects *texts; /* of the last step */
+};
+
+static int
+damaged(const struct journal_reader *r, struct mp_error *err)
+{
+	return mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+	    "the journal is damaged at byte %llu", (unsigned long long)r->read);
+}
+
+static uint32_t
+get_u32(const unsigned char *in)
+{
+	return in[0] | (uint32_t)in[1] << 8 | (uint32_t)in[2] << 16 |
+	    (uint32_t)in[3] << 24;
+}
+
+/* The next frame's message in r->bytes. */
+static int
+read_frame(struct journal_reader *r, uint32_t *len, struct mp_error *err)
+{
+	unsigned char head[JOURNAL_HEAD_BYTES];
+	size_t got = fread(head, 1, sizeof(head), r->file);
+
+	free(r->bytes);
+	r->bytes = NULL;
+	if (got == 0)
+		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_NOT_FOUND,
+		    "the journal has ended");
+	*len = got < sizeof(head) ? 0 : get_u32(head);
+	if (*len > JOURNAL_FRAME_BYTES)
+		return damaged(r, err);
+	if (got < sizeof(head) || r->read + sizeof(head) + *len > r->whole)
+		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_UNAVAILABLE,
+		    "the journal ends within a step, at byte %llu",
+		    (unsigned long long)r->read);
+	r->bytes = mem_alloc(*len + 1, 1);
+	if (fread(r->bytes, 1, *len, r->file) != *len ||
+	    journal_frame_hash(r->bytes, *len) != get_u32(head + 4))
+		return damaged(r, err);
+	r->read += sizeof(head) + *len;
+	return MP_OK;
+}
+
+/* ---- boot -------------------------------------------------------------- */
+
+static void
+take_disk(struct node_disk *out, const Journal__Disk *disk)
+{
+	out->incarnation = disk->incarnation;
+	out->fresh = disk->fresh;
+	out->damaged = disk->damaged;
+	out->term = disk->term;
+	out->vote = disk->vote;
+	out->snapshot_index = disk->snapshot_index;
+	out->snapshot_term = disk->snapshot_term;
+	out->snapshot.data = (const char *)disk->snapshot.data;
+	out->snapshot.len = disk->snapshot.len;
+	out->first_index = disk->first_index;
+	out->record_count = disk->record_count;
+	out->records.data = (const char *)disk->records.data;
+	out->records.len = disk->records.len;
+}
+
+static int
+read_boot(struct journal_reader *r, struct mp_error *err)
+{
+	struct settings_problems problems = {0};
+	const Journal__Boot *m;
+	uint32_t len = 0;
+	int code = read_frame(r, &len, err);
+
+	if (code != MP_OK)
+		return code == MP_ERR_NOT_FOUND ? damaged(r, err) : code;
+	m = r->boot_message = journal__boot__unpack(NULL, len, r->bytes);
+	if (m == NULL)
+		return damaged(r, err);
+	if (m->version != JOURNAL_VERSION)
+		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_INVALID,
+		    "the journal has version %u, this program reads %u",
+		    m->version, JOURNAL_VERSION);
+	code = settings_parse(&r->settings, (const char *)m->settings.data,
+	    m->settings.len, &problems, err);
+	settings_problems_free(&problems);
+	if (code != MP_OK)
+		return mp_error_wrap(
+		    err, MP_LAYER_STORE, MP_ERR_INVALID, "the settings");
+	r->boot.settings = r->settings;
+	r->boot.incarnation = m->incarnation;
+	r->boot.seed = m->seed;
+	r->boot.now_us = r->now_us = m->now_us;
+	if (m->disk != NULL) {
+		take_disk(&r->disk, m->disk);
+		r->boot.disk = &r->disk;
+	}
+	return MP_OK;
+}
+
+int
+journal_open(
+    struct journal_reader **out, const char *file, struct mp_error *err)
+{
+	struct journal_reader *r = mem_alloc(1, sizeof(*r));
+	char magic[sizeof(JOURNAL_MAGIC)] = {0};
+	struct stat info;
+	int code;
+
+	r->texts = node_effects_create();
+	r->file = fopen(file, "re");
+	if (r->file == NULL || fstat(fileno(r->file), &info) != 0) {
+		code = mp_error_set(err, MP_LAYER_STORE, MP_ERR_IO, "%s: %s",
+		    file, strerror(errno));
+		goto cleanup;
+	}
+	r->whole = (uint64_t)info.st_size;
+	r->read = fread(magic, 1, sizeof(magic) - 1, r->file);
+	code = strcmp(magic, JOURNAL_MAGIC) == 0
+	    ? read_boot(r, err)
+	    : mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
+		  "%s is no journal", file);
+cleanup:
+	if (code == MP_OK)
+		*out = r;
+	else
+		journal_reader_destroy(r);
+	return code;
+}
+
+void
+journal_reader_destroy(struct journal_reader *r)
+{
+	if (r->step != NULL)
+		journal__step__free_unpacked(r->step, NULL);
+	if (r->boot_message != NULL)
+		journal__boot__free_unpacked(r->boot_message, NULL);
+	settings_destroy(r->settings);
+	node_effects_destroy(r->texts);
+	free(r->bytes);
+	if (r->file != NULL)
+		(void)fclose(r->file);
+	free(r);
+}
+
+const struct node_boot *
+journal_boot(const struct journal_reader *r)
+{
+	return &r->boot;
+}
+
+void
+journal_progress(
+    const struct journal_reader *r, uint64_t *read, uint64_t *whole)
+{
+	*read = r->read;
+	*whole = r->whole;
+}
+
+/* ---- steps ------------------------------------------------------------- */
+
+static const char *
+take_text(struct journal_reader *r, bool present, ProtobufCBinaryData bytes)
+{
+	if (!present)
+		return NULL;
+	return node_effects_copy(r->texts, bytes.data, bytes.len);
+}
+
+static struct node_bytes
+take_bytes(ProtobufCBinaryData bytes)
+{
+	return (struct node_bytes){(const char *)bytes.data, bytes.len};
+}
+
+static void
+take_request(struct journal_reader *r, struct node_request *out,
+    const Journal__Request *m)
+{
+	out->request = m->request;
+	out->method = m->method;
+	out->path = m->path;
+	out->authorization = take_text(r, m->authorized, m->authorization);
+	out->idempotency_key = take_text(r, m->keyed, m->key);
+	out->timeout = take_text(r, m->timed, m->timeout);
+	out->body = take_bytes(m->body);
+}
+
+static void
+take_call(struct journal_reader *r, struct node_call_event *out,
+    const Journal__Call *m)
+{
+	out->call = m->call;
+	out->phase = (enum node_call_phase)m->phase;
+	out->status = m->status;
+	out->retry_after = take_text(r, m->retry, m->retry_after);
+	out->data = take_bytes(m->data);
+	out->reason = take_text(r, true, m->reason);
+}
+
+static void
+take_event(
+    struct journal_reader *r, struct node_event *out, const Journal__Step *m)
+{
+	switch (m->event_case) {
+	case JOURNAL__STEP__EVENT_MESSAGE:
+		out->type = NODE_EV_MESSAGE;
+		out->u.message.from = m->message->from;
+		out->u.message.bytes = take_bytes(m->message->data);
+		break;
+	case JOURNAL__STEP__EVENT_REQUEST:
+		out->type = NODE_EV_REQUEST;
+		take_request(r, &out->u.request, m->request);
+		break;
+	case JOURNAL__STEP__EVENT_GONE:
+		out->type = NODE_EV_CALLER_GONE;
+		out->u.gone = m->gone;
+		break;
+	case JOURNAL__STEP__EVENT_CALL:
+		out->type = NODE_EV_CALL;
+		take_call(r, &out->u.call, m->call);
+		break;
+	case JOURNAL__STEP__EVENT_SAVED:
+		out->type = NODE_EV_SAVED;
+		out->u.saved.ticket = m->saved->ticket;
+		out->u.saved.ok = !m->saved->failed;
+		out->u.saved.reason = take_text(r, true, m->saved->reason);
+		break;
+	case JOURNAL__STEP__EVENT_STOP:
+		out->type = NODE_EV_STOP;
+		break;
+	default:
+		out->type = NODE_EV_TICK;
+		break;
+	}
+}
+
+int
+journal_next(
+    struct journal_reader *r, struct journal_step *out, struct mp_error *err)
+{
+	uint32_t len = 0;
+	int code = read_frame(r, &len, err);
+
+	if (code != MP_OK)
+		return code;
+	if (r->step != NULL)
+		journal__step__free_unpacked(r->step, NULL);
+	r->step = journal__step__unpack(NULL, len, r->bytes);
+	if (r->step == NULL)
+		return damaged(r, err);
+	node_effects_clear(r->texts);
+	memset(out, 0, sizeof(*out));
+	r->now_us += r->step->after_us;
+	out->now_us = r->now_us;
+	out->effects = r->step->effects;
+	take_event(r, &out->event, r->step);
+	return MP_OK;
+}
--- a/src/mulberryctl/cmd_report.c
+++ b/src/mulberryctl/cmd_report.c
@@ -221,12 +221,3 @@
 	ctl_answer_free(&answer);
 	return code;
 }
-
-int
-ctl_replay(struct ctl *c, int argc, char **argv)
-{
-	(void)argc;
-	(void)argv;
-	ctl_complain(c, "not part of this build yet");
-	return CTL_EXIT_USAGE;
-}
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -60,8 +60,11 @@
 static void
 step(struct daemon *d, const struct node_event *ev)
 {
+	uint64_t now_us = daemon_now_us();
+
 	d->events++;
-	node_step(d->node, daemon_now_us(), ev, d->effects);
+	node_step(d->node, now_us, ev, d->effects);
+	daemon_journal_step(d, now_us, ev);
 	daemon_execute(d, d->effects);
 	node_effects_clear(d->effects);
 }
@@ -284,6 +287,8 @@
 	boot.seed = random_u64();
 	boot.now_us = daemon_now_us();
 	code = node_create(&d->node, &boot, err);
+	if (code == MP_OK)
+		code = daemon_journal_open(d, &boot, err);
 	if (d->store != NULL)
 		store_drop_disk(d->store);
 	return code;
@@ -350,9 +355,12 @@
 }
 
 enum daemon_exit
-daemon_run(const struct settings *settings)
+daemon_run(
+    const struct settings *settings, const char *config, const char *journal)
 {
-	struct daemon d = {.settings = settings};
+	struct daemon d = {.settings = settings,
+	    .config_file = config,
+	    .journal_file = journal};
 	struct mp_error err = {0};
 
 	if (sodium_init() < 0 || uv_loop_init(&d.loop) != 0)
@@ -372,6 +380,7 @@
 	}
 	(void)uv_run(&d.loop, UV_RUN_DEFAULT);
 	(void)uv_loop_close(&d.loop);
+	daemon_journal_close(&d);
 	if (d.node != NULL)
 		node_destroy(d.node);
 	map_destroy(d.metrics_requests);
--- a/src/mulberryd/daemon.h
+++ b/src/mulberryd/daemon.h
@@ -14,7 +14,13 @@
 	DAEMON_EXIT_USAGE = 2 /* wrong options or settings */
 };
 
-/* Run until stopped; the result is the process's exit code. */
-enum daemon_exit daemon_run(const struct settings *settings);
+/*
+ * Run until stopped; the result is the process's exit code.
+ *
+ * config: the file that the settings are from.
+ * journal: a file to record all events in, or NULL.
+ */
+enum daemon_exit daemon_run(
+    const struct settings *settings, const char *config, const char *journal);
 
 #endif
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -6,6 +6,7 @@
 
 #include "bus/bus.h"
 #include "http/http.h"
+#include "journal/journal.h"
 #include "mulberryd/daemon.h"
 #include "mulberryd/event_queue.h"
 #include "mulberryd/log_output.h"
@@ -17,6 +18,8 @@
 struct daemon {
 	uv_loop_t loop;
 	const struct settings *settings;
+	const char *config_file, *journal_file; /* the latter may be NULL */
+	struct journal_writer *journal; /* NULL: nothing is recorded */
 	struct log_output *log;
 	struct node *node;
 	struct node_effects *effects;
@@ -56,6 +59,15 @@
 /* Close all parts soon; the loop then ends. */
 void daemon_close(struct daemon *d);
 
+/* Begin the journal if one is wanted. Errors: MP_ERR_IO, MP_ERR_INVALID. */
+int daemon_journal_open(
+    struct daemon *d, const struct node_boot *boot, struct mp_error *err);
+
+/* Record a step; a journal that cannot be written is given up. */
+void daemon_journal_step(
+    struct daemon *d, uint64_t now_us, const struct node_event *ev);
+void daemon_journal_close(struct daemon *d);
+
 /* Append the counters of the process itself as Prometheus text. */
 void daemon_append_metrics(const struct daemon *d, struct buf *out);
 
--- a/src/mulberryd/main.c
+++ b/src/mulberryd/main.c
@@ -7,13 +7,16 @@
 #include "mulberryd/daemon.h"
 
 static const char usage[] =
-    "usage: mulberryd --config FILE [--check]\n"
+    "usage: mulberryd --config FILE [--check] [--journal FILE]\n"
     "       mulberryd --generate-keys\n"
     "\n"
     "Run one instance of mulberrypath.\n"
     "\n"
     "  --config FILE  settings of the instance, JSON\n"
     "  --check        check the settings, report all faults and exit\n"
+    "  --journal FILE\n"
+    "                 record all events for \"mulberryctl replay\"; holds\n"
+    "                 bodies and tokens\n"
     "  --generate-keys\n"
     "                 print a new key pair for the settings' \"bus\" and exit\n"
     "  --version      print the version and exit\n"
@@ -24,7 +27,7 @@
     "2 wrong options or settings.\n";
 
 struct options {
-	const char *config;
+	const char *config, *journal;
 	bool check;
 };
 
@@ -56,7 +59,8 @@
 		(void)puts("settings are valid");
 		code = DAEMON_EXIT_OK;
 	} else {
-		code = (int)daemon_run(settings);
+		code = (int)daemon_run(
+		    settings, options->config, options->journal);
 	}
 	settings_problems_free(&problems);
 	settings_destroy(settings);
@@ -84,6 +88,7 @@
 	static const struct option longs[] = {
 	    {"config", required_argument, NULL, 'f'},
 	    {"check", no_argument, NULL, 'c'},
+	    {"journal", required_argument, NULL, 'j'},
 	    {"generate-keys", no_argument, NULL, 'g'},
 	    {"version", no_argument, NULL, 'v'},
 	    {"help", no_argument, NULL, 'h'},
@@ -100,6 +105,9 @@
 		case 'c':
 			options.check = true;
 			break;
+		case 'j':
+			options.journal = optarg;
+			break;
 		case 'g':
 			return generate_keys();
 		case 'v':
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -12,6 +12,7 @@
     {EVENT_SAVE_FAILED, NODE_LOG_ERROR, "save-failed"},
     {EVENT_CLOSE_OVERDUE, NODE_LOG_WARN, "close-overdue"},
     {EVENT_LINES_LOST, NODE_LOG_WARN, "log-lines-lost"},
+    {EVENT_JOURNAL_FAILED, NODE_LOG_WARN, "journal-failed"},
     {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
     {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
     {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -23,7 +23,8 @@
 	EVENT_FOLDER_DAMAGED = 8,
 	EVENT_SAVE_FAILED = 9,
 	EVENT_CLOSE_OVERDUE = 10,
-	EVENT_LINES_LOST = 11
+	EVENT_LINES_LOST = 11,
+	EVENT_JOURNAL_FAILED = 12
 };
 
 /* Those of the reducer. */
--- a/tests/system/system.h
+++ b/tests/system/system.h
@@ -28,6 +28,7 @@
 	void start(int i);
 	void crash(int i); /* SIGKILL */
 	std::string data_folder(int i) const;
+	std::string journal(int i) const;
 	void start_endpoint(const std::string &id, const std::string &type,
 	    const std::vector<std::string> &options);
 	/* Document of a revision: adapters a1 to a9, service orders. */
@@ -51,6 +52,7 @@
 	int http_port(int i) const;
 	int bus_port(int i) const;
 
+	bool record = false; /* run instances with a journal */
 	std::unique_ptr<Process> instances[instance_count];
 	std::map<std::string, std::unique_ptr<Process>> endpoints;
 	std::map<std::string, int> endpoint_ports;
