--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -18,7 +18,8 @@
 {
 	if (s->permit_rate_milli == 0)
 		return SCHED_NEVER;
-	return LOAD_RATE_UNIT_US / s->permit_rate_milli;
+	return (LOAD_RATE_UNIT_US + s->permit_rate_milli - 1) /
+	    s->permit_rate_milli;
 }
 
 void
