tests/sched: refusals at once, work done in time, callers that come back

The simulation counts refusals within 50 ms of arrival, deliveries between warm-up and end (a long queue at the end no longer looks like work), and, as an option, lets a refused caller come back once after its retry_after with the same patience. It runs on until the last deadline has passed.

--- a/tests/sched/sched_sim.cc
+++ b/tests/sched/sched_sim.cc
@@ -16,6 +16,7 @@
 
 constexpr uint64_t kSecond = 1000000;
 constexpr uint64_t kReportUs = kSecond, kLagUs = 250000;
+constexpr uint64_t kAtOnceUs = 50000;
 constexpr uint64_t kEvictUs = 5000, kFirstTokenUs = 50000;
 
 struct Running {
@@ -38,6 +39,8 @@
 	std::string adapter;
 	bool counted;
 	double service_s;
+	uint32_t priority = 0;
+	bool back = false; /* comes for the second time */
 };
 
 class Sim {
@@ -71,6 +74,8 @@
 	}
 
 	void Arrive(size_t team);
+	void Ask(Asked a);
+	void Return(Asked a, uint32_t after_ms);
 	void Report(size_t e);
 	void Decide();
 	void Take(const sched_decision &d);
@@ -131,7 +136,6 @@
 	const SimTeam &t = o_.teams[team];
 	struct rng *rng = &arrivals_[team];
 	double gap = -std::log(1.0 - rng_unit(rng)) / t.rate;
-	sched_request r = {};
 	Asked a;
 
 	/* Own numbers, so that all policies see the same requests. */
@@ -144,26 +148,53 @@
 	a.adapter = Pick(t);
 	a.counted = now_ >= o_.warm_s * kSecond;
 	a.service_s = o_.service_s * (0.5 + rng_unit(rng));
+	a.priority = rng_below(rng, 100) < t.priority_high_percent ? 0 : 2;
+	if (t.priority_high_percent == 0)
+		a.priority = 0;
+	if (a.counted) {
+		r_.offered++;
+		r_.teams[t.name].offered++;
+	}
+	Ask(a);
+}
+
+void
+Sim::Ask(Asked a)
+{
+	const SimTeam &t = o_.teams[a.team];
+	sched_request r = {};
+
 	r.id = next_id_++;
 	r.team = t.name.c_str();
 	r.team_weight = t.weight;
-	r.priority = rng_below(rng, 100) < t.priority_high_percent ? 0 : 2;
-	if (t.priority_high_percent == 0)
-		r.priority = 0;
+	r.priority = a.priority;
 	r.kind_weight = 1.0;
 	r.adapter = a.adapter.c_str();
 	r.base_model = "base";
 	r.deadline_us = a.deadline;
 	r.prompt_tokens = 100;
 	r.max_tokens = 400;
-	if (a.counted) {
-		r_.offered++;
-		r_.teams[t.name].offered++;
-	}
 	asked_[r.id] = a;
 	sched_enqueue(s_, now_, &r);
 }
 
+/* A refused caller, with the patience that it had. */
+void
+Sim::Return(Asked a, uint32_t after_ms)
+{
+	if (!o_.retry || a.back)
+		return;
+	At(now_ + after_ms * (kSecond / 1000), [=] {
+		Asked again = a;
+
+		again.deadline += now_ - a.at;
+		again.at = now_;
+		again.back = true;
+		r_.back += a.counted;
+		Ask(again);
+	});
+}
+
 /* The state of now is told a lag later. */
 void
 Sim::Report(size_t i)
@@ -231,7 +262,11 @@
 		u.tokens_out = (uint32_t)(a.service_s * 25.0);
 		u.first_us = kFirstTokenUs;
 		u.total_us = now_ - e.running[id].started;
-		if (a.counted) {
+		r_.worked +=
+		    now_ >= o_.warm_s * kSecond && now_ < o_.end_s * kSecond;
+		if (a.counted && a.back) {
+			r_.back_delivered++;
+		} else if (a.counted) {
 			r_.delivered++;
 			r_.teams[o_.teams[a.team].name].delivered++;
 		}
@@ -265,7 +300,7 @@
 	e.running[id] = {id, a.adapter, now_};
 	if (e.running.size() > o_.seats)
 		r_.beyond_seats++;
-	if (a.counted) {
+	if (a.counted && !a.back) {
 		t.waits_s.push_back((double)d.wait_us / kSecond);
 		t.late += now_ > a.deadline;
 		r_.stall_s += (double)d.stall_us / kSecond;
@@ -286,11 +321,13 @@
 
 	r_.refused_late += now_ > a.deadline;
 	r_.no_retry_after += d.retry_after_ms == 0;
-	if (a.counted) {
+	if (a.counted && !a.back) {
 		r_.refused++;
+		r_.refused_at_once += now_ - a.at <= kAtOnceUs;
 		r_.teams[o_.teams[a.team].name].refused++;
 		r_.stall_all_s += (double)(now_ - a.at) / kSecond;
 	}
+	Return(a, d.retry_after_ms);
 	asked_.erase(d.request);
 }
 
@@ -378,7 +415,8 @@
 SimResult
 Sim::Run()
 {
-	uint64_t end = (uint64_t)((o_.end_s + 3 * o_.service_s) * kSecond);
+	uint64_t end =
+	    (uint64_t)((o_.end_s + o_.deadline_s + 3 * o_.service_s) * kSecond);
 	sched_decision d;
 	size_t i;
 
--- a/tests/sched/sched_sim.h
+++ b/tests/sched/sched_sim.h
@@ -39,6 +39,7 @@
 	double flip_s = 0.0; /* popularity is reversed then */
 	double cold_s = 0.0; /* engine 0 restarts then */
 	bool lying = false; /* reports always say: nothing runs */
+	bool retry = false; /* a refused caller comes back once, as told */
 };
 
 /* What one team saw, of requests that came after the warm-up. */
@@ -58,6 +59,9 @@
 	/* Broken invariants. */
 	uint64_t evicted_in_use = 0, beyond_seats = 0, beyond_permits = 0;
 	uint64_t refused_late = 0, no_retry_after = 0;
+	uint64_t refused_at_once = 0; /* within 50 ms of their arrival */
+	uint64_t worked = 0; /* delivered between warm-up and end */
+	uint64_t back = 0, back_delivered = 0; /* came again when told to */
 	double stall_after_flip_s[10] = {}; /* mean of each 30 s from it on */
 	sched_totals totals = {};
 	double
