sched: age goes before affinity

Cause: in the batch objective a pick's score is its adapter's share of the batch. On a full engine the freed seat always went to the other team's adapter that filled it, as long as the counters were within the bound, and grants on other engines kept them there: the oldest request of all, of an adapter loaded on that engine, waited until its deadline. Ruled out: drained slots (none of the starved was on one), priorities (all equal), estimates (right for the queue, wrong for a request that never gets a seat). A pick's score grows by 1 for each mean service time that it has waited; not for a team that floods.

--- a/src/sched/policy_fair.c
+++ b/src/sched/policy_fair.c
@@ -12,6 +12,7 @@
 #define FAIR_SCORE_PREFIX    4.0
 #define FAIR_SCORE_ROLE	     0.5
 #define FAIR_SCORE_BATCH     2.0
+#define FAIR_SCORE_AGE	     1.0 /* for each mean service time waited */
 #define FAIR_ITEMS_DEEP	     4 /* requests of one flow that are looked at */
 #define FAIR_FLOOD_SEATS     1 /* left to others on each endpoint */
 #define FAIR_FLOOD_SEATS_MIN 4
@@ -42,6 +43,20 @@
 	return 0.0;
 }
 
+/*
+ * What has waited long goes before affinity, else a request whose engine is
+ * kept full by another adapter's would never have a seat.
+ */
+static double
+fair_age_score(const struct item *it, uint64_t now_us)
+{
+	double service_us = it->adapter->pool->service_us;
+
+	if (it->team->flooding || service_us <= 0.0)
+		return 0.0;
+	return FAIR_SCORE_AGE * (double)(now_us - it->queued_us) / service_us;
+}
+
 static double
 fair_score(const struct sched *s, const struct item *it,
     const struct endpoint *ep, const struct slot *slot)
@@ -179,7 +194,10 @@
 		if (fair_flow_pick(s, now_us, f, &pick))
 			*best = pick;
 	}
-	return best->it != NULL;
+	if (best->it == NULL)
+		return false;
+	best->score += fair_age_score(best->it, now_us);
+	return true;
 }
 
 /* A pick goes before another: by score within the bound, else by counter. */
