sched: refusals at once, by price of a load and corrected estimates

Cause: estimates left out what decides a wait: newer requests overtake one for a cold adapter as long as theirs have more stall; seats were counted over the whole pool, not on the engines that hold the adapter; nothing learnt from estimates that were short. - A newcomer for an adapter held nowhere waits until its adapter's stall reaches the value at which loads are ordered now. - A second estimate of seats counts the requests that want the engines which hold its adapter. - Estimates are corrected by a quantile: one in fifty may be too short; a fifth is kept as spare. The correction is bounded (3.2 times). - The patience of those refused counts as stall for the adapter's load (half of it, decayed, gone once it is loaded), else refusing early takes away what used to order replicas and cold adapters. - Evicting a slot costs the stall of its own waiting requests too, or it would be loaded again at once; not for a team that floods. - retry_after leaves a quarter of the patience as room.

--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -66,6 +66,8 @@
 	if (s->options.objective == SETTINGS_LOAD_STALL)
 		cost *= FAIR_PROTECT_STALL;
 	cost += waiting * reload / copies;
+	if (a->team == NULL || !a->team->flooding)
+		cost += (double)(a->waiting * now_us - a->waiting_sum) / copies;
 	cost *= team_share(s, a->team, now_us);
 	if (a->keep && a->loaded <= 1)
 		cost += FAIR_KEEP_US;
@@ -98,7 +100,8 @@
 fair_value(struct sched *s, uint64_t now_us, const struct flow *f)
 {
 	const struct adapter *a = f->adapter;
-	double stall = (double)(a->waiting * now_us - a->waiting_sum);
+	double stall = (double)(a->waiting * now_us - a->waiting_sum) +
+	    adapter_lost_us(a, now_us);
 	double threshold, queue;
 	uint32_t seats;
 	bool open;
@@ -352,7 +355,7 @@
 void
 fair_load(struct sched *s, uint64_t now_us)
 {
-	struct fair_want want;
+	struct fair_want want = {0};
 	struct fair_place place = {0};
 	int tries;
 
@@ -368,6 +371,8 @@
 		} else if (!load_order(
 			       s, now_us, place.ep, want.flow->adapter)) {
 			want.flow->no_load = s->run;
+		} else if (want.flow->adapter->loaded == 0) {
+			admit_note_price(s, want.value);
 		}
 	}
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -262,6 +262,7 @@
 	d->stall_us = item_stall(it, slot, now_us);
 	s->stall_us += d->stall_us;
 	stat_wait(s, now_us, d->wait_us);
+	admit_note_wait(s, it, now_us, true);
 
 	team_note_gap(s);
 	it->provisional = team_estimate(s, it);
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -8,6 +8,7 @@
 /* Adapters and services: demand, decayed rates, back-off of failed loads. */
 
 #define ADAPTER_RATE_MEMORY_US (30 * SCHED_SECOND_US)
+#define ADAPTER_LOST_PART      0.5 /* of the patience, waited on average */
 #define ADAPTER_IDLE_US	       (600 * SCHED_SECOND_US)
 #define ADAPTER_BACKOFF_MAX    8
 #define ADAPTER_BACKOFF_US     (1 * SCHED_SECOND_US)
@@ -34,6 +35,21 @@
 	*rate_us = now_us;
 }
 
+/* Those refused at once would have waited: their stall counts for a load. */
+void
+adapter_note_lost(struct adapter *a, uint64_t now_us, uint64_t patience_us)
+{
+	a->lost = adapter_lost_us(a, now_us) +
+	    ADAPTER_LOST_PART * (double)patience_us;
+	a->lost_us = now_us;
+}
+
+double
+adapter_lost_us(const struct adapter *a, uint64_t now_us)
+{
+	return rate_at(a->lost, a->lost_us, now_us);
+}
+
 /* Services and adapters may bear the same name. */
 static struct adapter *
 adapter_lookup(const struct sched *s, bool service, const char *name)
--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "sched/policy.h"
 
 /*
@@ -9,10 +11,19 @@
 #define ADMIT_QUEUE	     4096
 #define ADMIT_RETRY_PART     4 /* of the wait: part of a queue drains */
 #define ADMIT_RECHECK_MIN_US (20 * SCHED_MS_US)
+#define ADMIT_PRICE_SPACINGS 3 /* of loads, that a price is good for */
+#define ADMIT_PRICE_WEIGHT   0.1
+#define ADMIT_FIT_SPARE	     0.2 /* of an estimate, on top */
+#define ADMIT_FIT_STEP	     0.05
+#define ADMIT_FIT_MISSES     0.02 /* share of estimates that may be short */
+#define ADMIT_FIT_MOST	     3.0
+#define ADMIT_FIT_PART	     4 /* of the patience: less is no test */
 
 struct admit_ahead {
 	double requests; /* served before it in the fair order */
 	double loads; /* adapters loaded before its own */
+	double near; /* requests that want the same engines */
+	double seats, used; /* of these */
 };
 
 static uint32_t
@@ -49,17 +60,54 @@
 	return f->adapter->waiting * now_us - f->adapter->waiting_sum;
 }
 
+/* Mark the engines that hold the adapter, and count their seats. */
+static void
+admit_mark(struct sched *s, const struct item *it, struct admit_ahead *ahead)
+{
+	const struct adapter *a = it->adapter;
+	struct endpoint *ep;
+	uint32_t i;
+
+	s->marks++;
+	for (i = 0; i < a->nat; i++) {
+		ep = a->at[i].ep;
+		if (a->at[i].slot->state != SLOT_LOADED ||
+		    a->at[i].slot->draining != NULL || ep->leaving)
+			continue;
+		ep->mark = s->marks;
+		ahead->seats += ep->seats;
+		ahead->used += ep->used;
+	}
+}
+
+/* The part of a flow that wants a seat of a marked engine. */
+static double
+flow_near(const struct sched *s, const struct flow *f)
+{
+	const struct adapter *a = f->adapter;
+	uint32_t i, near = 0;
+
+	for (i = 0; i < a->nat; i++)
+		near += a->at[i].ep->mark == s->marks;
+	return near == 0 ? 0.0 : (double)near / a->nat;
+}
+
 /* Of its own team: requests and loads ahead of it. */
 static void
-admit_own(const struct item *it, uint64_t now_us, struct admit_ahead *ahead)
+admit_own(const struct sched *s, const struct item *it, uint64_t now_us,
+    struct admit_ahead *ahead)
 {
 	const struct flow *f;
+	uint32_t before;
 
 	for (f = it->team->flows; f != NULL; f = f->team_next) {
 		if (f->adapter->pool != it->adapter->pool)
 			continue;
-		if (f == it->flow || flow_wants_seat(f))
-			ahead->requests += flow_before(f, it);
+		if (f == it->flow || flow_wants_seat(f)) {
+			before = flow_before(f, it);
+			ahead->requests += before;
+			ahead->near += before * flow_near(s, f);
+		}
 		if (f != it->flow && flow_wants_load(f) &&
 		    flow_stall(f, now_us) > flow_stall(it->flow, now_us))
 			ahead->loads += 1.0;
@@ -68,18 +116,20 @@
 
 /* Of another team: as much as its weight gives it in the same time. */
 static void
-admit_other(const struct item *it, const struct team *t,
+admit_other(const struct sched *s, const struct item *it, const struct team *t,
     const struct admit_ahead *own, struct admit_ahead *ahead)
 {
 	double part = t->weight / it->team->weight;
-	double requests = 0.0, loads = 0.0;
+	double requests = 0.0, loads = 0.0, near = 0.0;
 	const struct flow *f;
 
 	for (f = t->flows; f != NULL; f = f->team_next) {
 		if (f->adapter->pool != it->adapter->pool)
 			continue;
-		if (flow_wants_seat(f))
+		if (flow_wants_seat(f)) {
 			requests += f->count;
+			near += f->count * flow_near(s, f);
+		}
 		if (flow_wants_load(f))
 			loads += 1.0;
 	}
@@ -87,10 +137,72 @@
 		requests = (own->requests + 1.0) * part;
 	if (loads > (own->loads + 1.0) * part)
 		loads = (own->loads + 1.0) * part;
+	if (near > (own->near + 1.0) * part)
+		near = (own->near + 1.0) * part;
 	ahead->requests += requests;
+	ahead->near += near;
 	ahead->loads += loads;
 }
 
+/* Keep the value at which loads of adapters held nowhere are ordered. */
+void
+admit_note_price(struct sched *s, double value)
+{
+	s->load_price += s->load_price == 0.0
+	    ? value
+	    : ADMIT_PRICE_WEIGHT * (value - s->load_price);
+}
+
+/*
+ * How long until the stall of a newcomer's adapter reaches the value at
+ * which loads are ordered now; requests that join it add to the stall.
+ */
+static double
+admit_price_us(const struct sched *s, const struct item *it, uint64_t now_us)
+{
+	const struct adapter *a = it->adapter;
+	double share = team_share(s, it->team, now_us);
+	double rate = rate_at(a->rate, a->rate_us, now_us) / SCHED_SECOND_US;
+	double waiting = a->waiting, lacks;
+	uint64_t spacing = load_spacing_us(s);
+
+	if (a->service || a->loaded > 0 || a->loading > 0 ||
+	    spacing == SCHED_NEVER ||
+	    now_us > s->last_load_us + ADMIT_PRICE_SPACINGS * spacing)
+		return 0.0;
+	lacks = s->load_price / (share * share * share) -
+	    flow_stall(it->flow, now_us) - adapter_lost_us(a, now_us) -
+	    waiting * (double)s->options.load_ms * SCHED_MS_US;
+	if (lacks <= 0.0)
+		return 0.0;
+	if (rate * lacks < waiting * 1e-6)
+		return lacks / waiting;
+	return (sqrt(waiting * waiting + 2.0 * rate * lacks) - waiting) / rate;
+}
+
+/* How an estimate turned out; few may be too short. */
+void
+admit_note_wait(
+    struct sched *s, const struct item *it, uint64_t now_us, bool served)
+{
+	double *fit = &s->admit_fit[it->admit_load];
+	uint64_t patience = it->deadline_us - it->queued_us;
+	bool missed;
+
+	if (it->deadline_us == SCHED_NEVER ||
+	    it->admit_us * ADMIT_FIT_PART < patience)
+		return;
+	missed = !served ||
+	    (double)(now_us - it->enqueued_us) >
+		(1.0 + *fit) * (double)it->admit_us;
+	*fit += missed ? ADMIT_FIT_STEP * (1.0 - ADMIT_FIT_MISSES)
+		       : -ADMIT_FIT_STEP * ADMIT_FIT_MISSES;
+	if (*fit < 0.0)
+		*fit = 0.0;
+	if (*fit > ADMIT_FIT_MOST - 1.0)
+		*fit = ADMIT_FIT_MOST - 1.0;
+}
+
 static double
 admit_load_us(const struct sched *s, const struct item *it, double loads_ahead)
 {
@@ -108,17 +220,23 @@
 }
 
 static double
-admit_seat_us(const struct item *it, double requests_ahead)
+admit_seat_us(const struct item *it, const struct admit_ahead *ahead)
 {
 	const struct pool *p = it->adapter->pool;
 	const struct team *t = it->team;
-	double wait = 0.0, own, excess;
+	double wait = 0.0, near, own, excess;
 
 	if (p->seats == 0 || p->service_us <= 0.0)
 		return 0.0;
-	excess = requests_ahead + 1.0 + p->running - p->seats;
+	excess = ahead->requests + 1.0 + p->running - p->seats;
 	if (excess > 0.0)
 		wait = excess * p->service_us / p->seats;
+	excess = ahead->near + 1.0 + ahead->used - ahead->seats;
+	near = ahead->seats > 0.0 && excess > 0.0
+	    ? excess * p->service_us / ahead->seats
+	    : 0.0;
+	if (near > wait)
+		wait = near;
 	if (t->concurrent == 0)
 		return wait;
 	own = (double)t->queued + t->running - t->concurrent;
@@ -134,17 +252,34 @@
 	double load, seat;
 	uint32_t i;
 
-	admit_own(it, now_us, &own);
+	admit_mark(s, it, &own);
+	admit_own(s, it, now_us, &own);
 	all = own;
 	for (i = 0; i < s->nactive; i++) {
 		if (s->active[i] != it->team && s->active[i]->queued > 0)
-			admit_other(it, s->active[i], &own, &all);
+			admit_other(s, it, s->active[i], &own, &all);
 	}
 	load = admit_load_us(s, it, all.loads);
-	seat = admit_seat_us(it, all.requests);
+	seat = admit_seat_us(it, &all);
 	return (uint64_t)(load > seat ? load : seat);
 }
 
+/* The estimate for a newcomer, corrected by how those before it were. */
+static uint64_t
+admit_first_us(struct sched *s, struct item *it, uint64_t now_us)
+{
+	uint64_t wait = admit_wait_us(s, it, now_us);
+	double price = admit_price_us(s, it, now_us);
+	const struct adapter *a = it->adapter;
+
+	if (price > (double)wait)
+		wait = (uint64_t)price;
+	it->admit_us = wait;
+	it->admit_load = !a->service && a->loaded == 0;
+	return (uint64_t)((double)wait *
+	    (1.0 + ADMIT_FIT_SPARE + s->admit_fit[it->admit_load]));
+}
+
 static void
 admit_give_up(struct sched *s, struct item *it, enum sched_decision_type type,
     const char *reason, uint64_t after_us)
@@ -163,12 +298,40 @@
 	team_idle(s, t);
 }
 
+/* When a newcomer with the same patience would be taken, and some more. */
+static uint64_t
+admit_return_us(const struct sched *s, const struct item *it, uint64_t slack)
+{
+	double enough = (double)(slack - slack / ADMIT_RETRY_PART) /
+	    (1.0 + s->admit_fit[it->admit_load]);
+	double wait = (double)it->admit_us - enough;
+
+	return wait > 0.0 ? (uint64_t)wait : it->admit_us;
+}
+
+/* A refusal says that an estimate was short, or what a load was worth. */
+static void
+admit_note_refusal(
+    struct sched *s, const struct item *it, uint64_t now_us, bool fresh)
+{
+	const struct pool *p = it->adapter->pool;
+
+	if (!fresh)
+		admit_note_wait(s, it, now_us, false);
+	else if (it->admit_load || p->running < p->seats)
+		adapter_note_lost(
+		    it->adapter, now_us, it->deadline_us - it->queued_us);
+}
+
 /* Refuse what cannot make its deadline, else say when to look again. */
 static void
 admit_deadline(struct sched *s, struct item *it, uint64_t now_us)
 {
 	uint64_t first = (uint64_t)it->adapter->pool->first_us;
 	uint64_t last, wait, slack, again;
+	bool fresh = it->fresh;
+
+	it->fresh = false;
 
 	if (it->deadline_us == SCHED_NEVER) {
 		item_check_at(s, it, SCHED_NEVER);
@@ -179,12 +342,18 @@
 		last = it->deadline_us;
 		wait = 0;
 	} else {
-		wait = admit_wait_us(s, it, now_us);
+		wait = fresh ? admit_first_us(s, it, now_us)
+			     : admit_wait_us(s, it, now_us);
 	}
 	slack = last > it->queued_us ? last - it->queued_us : 0;
 	if (now_us >= last || now_us + wait > last) {
-		admit_give_up(s, it, SCHED_REFUSE, "deadline",
-		    wait > slack ? wait - slack : wait);
+		if (s->policy->parent.admits)
+			admit_note_refusal(s, it, now_us, fresh);
+		if (fresh && s->policy->parent.admits)
+			wait = admit_return_us(s, it, slack);
+		else if (wait > slack)
+			wait -= slack;
+		admit_give_up(s, it, SCHED_REFUSE, "deadline", wait);
 		return;
 	}
 	again = now_us + (last - now_us - wait) / 2;
@@ -274,7 +443,6 @@
 		it = it->all_prev;
 	for (; it != NULL && it->fresh; it = next) {
 		next = it->all_next;
-		it->fresh = false;
 		admit_deadline(s, it, now_us);
 	}
 	while ((it = item_next_check(s)) != NULL && it->check_us <= now_us)
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -84,6 +84,7 @@
 	uint32_t slot_count, slot_cap;
 	uint32_t used; /* grants outstanding */
 	uint32_t running; /* by the last report */
+	uint64_t mark; /* of the estimate that looked at it last */
 	uint32_t foreign; /* runs of an earlier owner */
 	uint64_t foreign_until_us;
 	double limit; /* adaptive, at most seats */
@@ -127,6 +128,8 @@
 	uint64_t waiting_sum; /* of queued_us of the waiting */
 	double rate; /* requests a second, decayed */
 	uint64_t rate_us;
+	double lost; /* patience of those refused, decayed, microseconds */
+	uint64_t lost_us;
 	uint64_t ready_us; /* when it was last loaded after not being so */
 	uint32_t failures;
 	uint64_t retry_us;
@@ -189,6 +192,8 @@
 	uint64_t rank; /* aged priority */
 	uint64_t order; /* of arrival */
 	uint64_t enqueued_us, queued_us, deadline_us;
+	uint64_t admit_us; /* the wait that was expected at first */
+	bool admit_load; /* of it, the wait for a load */
 	uint32_t prompt_tokens, max_tokens;
 	uint64_t prefix;
 	double kind_weight;
@@ -231,6 +236,8 @@
 	uint32_t permit_in_flight, permit_rate_milli;
 	uint64_t last_load_us; /* 0: none yet */
 	uint32_t in_flight; /* loads */
+	double load_price; /* mean value of a load when it is ordered */
+	double admit_fit[2]; /* what estimates lack: of seats, of loads */
 	double reload_us; /* mean wait for a load, with the load */
 	struct claim *claims;
 	uint32_t nclaims, claim_cap;
@@ -245,6 +252,7 @@
 	bool refit; /* endpoints went: look at all waiting requests */
 	uint64_t next_us;
 	uint64_t run; /* counts runs */
+	uint64_t marks; /* counts estimates */
 	uint64_t arrivals;
 	uint64_t role_check_us;
 	size_t sweep;
@@ -344,6 +352,9 @@
 void adapter_failed(struct sched *s, struct adapter *a,
     const struct endpoint *ep, uint64_t now_us);
 uint64_t adapter_retry_at(const struct adapter *a, const struct endpoint *ep);
+void adapter_note_lost(
+    struct adapter *a, uint64_t now_us, uint64_t patience_us);
+double adapter_lost_us(const struct adapter *a, uint64_t now_us);
 void adapter_sweep(struct sched *s, uint64_t now_us);
 
 /* sched_load.c */
@@ -360,6 +371,9 @@
 /* sched_admit.c */
 void admit_run(struct sched *s, uint64_t now_us);
 uint64_t admit_wait_us(struct sched *s, const struct item *it, uint64_t now_us);
+void admit_note_price(struct sched *s, double value);
+void admit_note_wait(
+    struct sched *s, const struct item *it, uint64_t now_us, bool served);
 
 /* sched_cache.c */
 bool prefix_has(const struct prefix_set *set, uint64_t prefix);
--- a/src/sched/sched_slot.c
+++ b/src/sched/sched_slot.c
@@ -91,6 +91,7 @@
 {
 	slot->state = SLOT_LOADED;
 	slot->changed_us = slot->ready_us = slot->used_us = now_us;
+	slot->adapter->lost = 0.0;
 	if (slot->adapter->loaded++ == 0)
 		slot->adapter->ready_us = now_us;
 }
--- a/tests/sched/sched_target_test.cc
+++ b/tests/sched/sched_target_test.cc
@@ -194,6 +194,85 @@
 	}
 }
 
+/* Two teams of short calls, 80 a second on all seats. */
+static SimOptions
+ShortCalls(double load, double zipf)
+{
+	SimOptions o;
+
+	o.engines = 12;
+	o.service_s = 1.2;
+	o.deadline_s = 8.0;
+	o.store_rate_milli = 6000;
+	o.warm_s = 20.0;
+	o.end_s = 80.0;
+	o.objective = SETTINGS_BATCH;
+	o.charge = SETTINGS_CHARGE_TOKENS;
+	for (uint32_t i = 0; i < 2; i++) {
+		SimTeam t = {"t" + std::to_string(i), 40.0 * load, 1500};
+
+		t.zipf = zipf;
+		t.first = i + 1;
+		t.stride = 2;
+		o.teams.push_back(t);
+	}
+	return o;
+}
+
+static void
+ExpectRefusedAtOnce(const char *name, const SimOptions &o, double share)
+{
+	SimResult r = SimRun(o);
+	std::vector<double> all;
+
+	Print(name, r);
+	printf("  at once %zu of %zu, done in time %zu\n",
+	    (size_t)r.refused_at_once, (size_t)r.refused, (size_t)r.worked);
+	ExpectSound(r);
+	EXPECT_GE(r.refused_at_once, share * r.refused);
+	for (auto &t : r.teams)
+		EXPECT_LE(t.second.Wait(0.95), 0.9 * o.deadline_s);
+}
+
+TEST(SchedTarget, RefusalsComeAtOnce)
+{
+	for (double load : {1.0, 1.1, 1.5}) {
+		for (double zipf : {1.2, 1.4})
+			ExpectRefusedAtOnce(
+			    "steinlicht", Steinlicht(load, zipf), 0.93);
+		ExpectRefusedAtOnce("short calls", ShortCalls(load, 2.2), 0.95);
+	}
+}
+
+/* A caller who comes back when told to is served more often than not. */
+TEST(SchedTarget, RetryAfterIsHonest)
+{
+	SimOptions o = ShortCalls(0.75, 1.5);
+
+	o.retry = true;
+	SimResult r = SimRun(o);
+	Print("callers come back", r);
+	printf("  served of those back %zu of %zu\n", (size_t)r.back_delivered,
+	    (size_t)r.back);
+	ExpectSound(r);
+	EXPECT_GT(r.back, 0u);
+	EXPECT_GE(r.back_delivered, 0.5 * r.back);
+}
+
+/* All seats taken: batches of other adapters leave nobody without a seat. */
+TEST(SchedTarget, BatchesStarveNobody)
+{
+	SimOptions o = ShortCalls(1.0, 2.2);
+
+	for (o.seed = 3; o.seed < 6; o.seed++) {
+		SimResult r = SimRun(o);
+
+		Print("short calls", r);
+		ExpectSound(r);
+		EXPECT_EQ(0u, r.refused);
+	}
+}
+
 TEST(SchedTarget, PopularityFlipRecovers)
 {
 	SimOptions o = Steinlicht(0.6, 1.4);
