--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -12,6 +12,7 @@
 
 int64_t held_bytes;
 
+#ifndef __SANITIZE_ADDRESS__ /* which has its own */
 extern "C" {
 void *__libc_malloc(size_t n);
 void *__libc_calloc(size_t n, size_t m);
@@ -53,6 +54,7 @@
 	__libc_free(p);
 }
 }
+#endif
 
 static uint64_t
 cpu_ns(void)
