status tells whether an instance votes; the wiped folder's test waits for it

Operators could fall into the same trap. status now says "votes", and the test wants it besides all it wanted before.

--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -98,9 +98,21 @@
 	buf_puts(out, "]");
 }
 
+static bool
+has_vote(const struct node *n, const struct raft_config *config)
+{
+	size_t i;
+
+	for (i = 0; i < config->nvoters; i++)
+		if (config->voters[i] == n->voter)
+			return true;
+	return false;
+}
+
 static void
 report_log(const struct node *n, struct buf *out)
 {
+	static const char *const roles[] = {"follower", "candidate", "leader"};
 	const struct raft_config *config;
 
 	if (n->raft == NULL) {
@@ -110,12 +122,12 @@
 	config = raft_get_config(n->raft);
 	buf_printf(out,
 	    "{\"role\": \"%s\", \"term\": %llu, \"commit\": %llu, "
-	    "\"voters\": %zu, \"learners\": %zu, \"halted\": %s}",
-	    raft_get_role(n->raft) == RAFT_LEADER	  ? "leader"
-		: raft_get_role(n->raft) == RAFT_FOLLOWER ? "follower"
-							  : "candidate",
+	    "\"votes\": %s, \"voters\": %zu, \"learners\": %zu, "
+	    "\"halted\": %s}",
+	    roles[raft_get_role(n->raft)],
 	    (unsigned long long)raft_get_term(n->raft),
-	    (unsigned long long)raft_get_commit(n->raft), config->nvoters,
+	    (unsigned long long)raft_get_commit(n->raft),
+	    has_vote(n, config) ? "true" : "false", config->nvoters,
 	    config->nlearners, raft_is_halted(n->raft) ? "true" : "false");
 }
 
--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -302,7 +302,7 @@
 static uint64_t
 admit_return_us(const struct sched *s, const struct item *it, uint64_t slack)
 {
-	double enough = (double)(slack - slack / ADMIT_RETRY_PART) /
+	double enough = ((double)slack - (double)slack / ADMIT_RETRY_PART) /
 	    (1.0 + s->admit_fit[it->admit_load]);
 	double wait = (double)it->admit_us - enough;
 
--- a/tests/system/failure_test.cc
+++ b/tests/system/failure_test.cc
@@ -160,6 +160,7 @@
 
 			return commit > 0 &&
 			    number_in(own, "applied") >= commit &&
+			    has(own, "\"votes\": true") &&
 			    number_in(own, "voters") == 3 &&
 			    number_in(own, "learners") == 0;
 		})) << status(lost);
