--- a/src/node/node.c
+++ b/src/node/node.c
@@ -121,6 +121,7 @@
 DESTROY(destroy_endpoint, node_endpoint, node_endpoint_free)
 DESTROY(destroy_grant, node_grant, node_grant_free)
 DESTROY(destroy_order, node_order, node_order_free)
+DESTROY(destroy_rate, node_rate, node_rate_free)
 DESTROY(destroy_proposal, node_proposal, node_propose_free)
 
 void
@@ -145,7 +146,7 @@
 	map_free_all(n->orders, destroy_order);
 	map_free_all(n->proposals, destroy_proposal);
 	map_free_all(n->asks, free);
-	map_free_all(n->rates, free);
+	map_free_all(n->rates, destroy_rate);
 	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
 		free(n->recent[i].bytes);
 	free(n->recent);
@@ -208,6 +209,16 @@
 	node_effects_add(n->fx, NODE_FX_EXIT);
 }
 
+/* A leader that stops lets another voter lead first. */
+static void
+node_hand_over(struct node *n)
+{
+	if (!n->stopping || n->raft == NULL ||
+	    raft_authority_until(n->raft) <= n->now)
+		return;
+	(void)raft_hand_over(n->raft, n->now, n->fx, NULL);
+}
+
 static void
 node_tick(struct node *n)
 {
@@ -226,6 +237,7 @@
 	node_entry_tick(n);
 	route_tick(n->route, n->now, n->fx);
 	node_log_standing(n);
+	node_hand_over(n);
 	node_stop_tick(n);
 }
 
@@ -234,7 +246,7 @@
 {
 	if (route_call(n->route, n->now, event, n->fx))
 		return;
-	(void)node_owner_call(n, event);
+	(void)node_order_call(n, event);
 }
 
 /* Begin a graceful shutdown. */
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,58 +6,6 @@
 
 #define TOUCH_PINS_MAX 512
 
-/* ---- which owner? ------------------------------------------------------ */
-
-struct order_context {
-	const struct node *n;
-	const char *service;
-};
-
-static bool
-peer_has_service(const struct node_peer *peer, const char *service)
-{
-	size_t i;
-
-	for (i = 0; i < peer->nservices; i++)
-		if (strcmp(peer->services[i], service) == 0)
-			return true;
-	return false;
-}
-
-/* The capacity of a member for model requests or for a service. */
-static double
-owner_weight(void *ctx, const struct member *m)
-{
-	const struct order_context *oc = ctx;
-	const struct node_peer *peer = map_get_u64(oc->n->peers, m->id);
-
-	if (m->leaving || peer == NULL || !node_peer_is_heard(oc->n, m->id))
-		return 0.0;
-	if (oc->service != NULL)
-		return peer_has_service(peer, oc->service) ? 1.0 : 0.0;
-	return peer->engines == 0 ? 0.0 : (double)peer->seats;
-}
-
-/*
- * Owners for an adapter or a service, best first. The order for an adapter
- * is the same on every instance; calls of a service are spread.
- */
-size_t
-node_entry_order(struct node *n, const char *adapter, const char *service,
-    uint32_t *out, size_t max)
-{
-	struct order_context ctx = {n, service};
-	char spread[32];
-	const char *key = adapter;
-
-	if (service != NULL) {
-		(void)snprintf(spread, sizeof(spread), "%u",
-		    rng_below(&n->rng, UINT32_MAX));
-		key = spread;
-	}
-	return member_order(n->view, key, owner_weight, &ctx, out, max);
-}
-
 /* ---- what the route needs ---------------------------------------------- */
 
 static void
@@ -94,20 +41,26 @@
 	struct node *n = ctx;
 	uint32_t owners[NODE_OWNERS_MAX];
 	struct node_ask *ask;
+	bool settling;
 	const char *service =
 	    message->service[0] == '\0' ? NULL : message->service;
-	size_t count = node_entry_order(
+	size_t count = node_spread_order(
 	    n, message->adapter, service, owners, NODE_OWNERS_MAX);
 
 	(void)fx;
-	if (count == 0 || message->attempt >= 2 * count) {
+	settling = count == 0 && n->now < n->epoch_us + NODE_SETTLE_US;
+	if (!settling && (count == 0 || message->attempt >= 2 * count)) {
 		ask_refuse(n, message->request);
 		return;
 	}
 	ask = mem_alloc(1, sizeof(*ask));
 	ask->ask = message->request;
-	ask->owner = owners[message->attempt % count];
+	ask->sent_us = n->now;
 	map_set_u64(n->asks, ask->ask, ask);
+	if (settling)
+		return; /* its endpoints are moving to their new owners */
+	ask->owner = owners[message->attempt % count];
+	node_peer(n, ask->owner)->asked++;
 	ask_send(n, ask, message);
 }
 
@@ -241,6 +194,8 @@
 		ask = map_at(n->asks, i);
 		if (!route_fill_ask(n->route, n->now, ask->ask, &message))
 			continue; /* granted */
+		if (ask->owner == 0 && n->now < ask->sent_us + NODE_TICK_US * 5)
+			continue;
 		if (!node_peer_is_heard(n, ask->owner) ||
 		    member_view_find(n->view, ask->owner) == NULL)
 			route_owner_lost(n->route, n->now, ask->ask, n->fx);
@@ -249,29 +204,33 @@
 	}
 }
 
+/* An open ask or grant and the owner to be told of it. */
+struct touch {
+	uint32_t owner;
+	bool all; /* in full: the owner is new to it */
+	size_t open;
+};
+
 /* The owner to which an open ask or grant belongs now. */
-static uint32_t
-open_owner(struct node *n, const struct route_open *open)
+static void
+open_owner(struct node *n, const struct route_open *open, struct touch *touch)
 {
 	struct node_ask *ask = map_get_u64(n->asks, open->ask);
 	uint32_t owner;
 
 	if (ask == NULL)
-		return 0;
+		return;
 	if (open->endpoint != NULL) {
 		owner = node_owner_of(n, n->settings->region, open->endpoint);
-		if (owner != 0)
+		if (owner != 0 && owner != ask->owner) {
 			ask->owner = owner;
+			ask->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+		}
 	}
-	return ask->owner;
+	touch->owner = ask->owner;
+	touch->all = n->now < ask->touch_all_until;
 }
 
-/* An open ask or grant and the owner to be told of it. */
-struct touch {
-	uint32_t owner;
-	size_t open;
-};
-
 static int
 compare_touches(const void *a, const void *b)
 {
@@ -297,7 +256,7 @@
 	Wire__Pin *pin = &list->pins[list->npins];
 
 	route_open_at(n->route, i, &open);
-	if (!all && open.endpoint != NULL) {
+	if (!all) {
 		list->known[list->nknown++] = open.ask;
 		return;
 	}
@@ -308,6 +267,7 @@
 	if (open.adapter != NULL)
 		pin->adapter = (char *)open.adapter;
 	pin->team = (char *)open.team;
+	pin->run = (char *)open.run;
 	list->refs[list->npins++] = pin;
 }
 
@@ -333,14 +293,13 @@
 touch_owner(struct node *n, const struct touch *touches, size_t count)
 {
 	const struct node_peer *peer = node_peer(n, touches[0].owner);
-	bool all =
-	    n->now < n->touch_all_until || n->now < peer->touch_all_until;
+	bool all = n->now < peer->touch_all_until;
 	struct touch_list list;
 	size_t i;
 
 	list.npins = list.nknown = 0;
 	for (i = 0; i < count; i++) {
-		touch_add(n, &list, touches[i].open, all);
+		touch_add(n, &list, touches[i].open, all || touches[i].all);
 		if (list.npins + list.nknown == TOUCH_PINS_MAX)
 			touch_send(n, touches[0].owner, &list);
 	}
@@ -365,8 +324,8 @@
 
 	for (i = 0; i < count; i++) {
 		route_open_at(n->route, i, &open);
-		touches[i].owner = open_owner(n, &open);
 		touches[i].open = i;
+		open_owner(n, &open, &touches[i]);
 	}
 	if (count > 0)
 		qsort(touches, count, sizeof(*touches), compare_touches);
@@ -406,6 +365,9 @@
 	Wire__OwnerSummary summary = WIRE__OWNER_SUMMARY__INIT;
 	size_t nteams = sched_team_count(n->sched);
 	size_t nservices = sched_service_count(n->sched);
+	size_t nrates = map_count(n->rates);
+	Wire__TeamRate *rates = mem_alloc(nrates, sizeof(*rates));
+	Wire__TeamRate **rate_list = mem_alloc(nrates, sizeof(*rate_list));
 	Wire__TeamUsage *usage = mem_alloc(nteams, sizeof(*usage));
 	Wire__TeamUsage **list = mem_alloc(nteams, sizeof(*list));
 	char **services = mem_alloc(nservices, sizeof(*services));
@@ -427,6 +389,10 @@
 	summary.n_usage = nteams;
 	summary.usage = list;
 	summary.leaving = n->stopping;
+	summary.n_rates = node_rate_fill(n, rates, nrates);
+	summary.rates = rate_list;
+	for (i = 0; i < nrates; i++)
+		rate_list[i] = &rates[i];
 	envelope.body_case = WIRE__ENVELOPE__BODY_SUMMARY;
 	envelope.summary = &summary;
 	for (i = 0; i < member_view_count(n->view); i++) {
@@ -434,6 +400,8 @@
 		if (strcmp(m->region, n->settings->region) == 0)
 			node_peer_send(n, m->id, &envelope);
 	}
+	free(rates);
+	free(rate_list);
 	free(usage);
 	free(list);
 	free(services);
@@ -460,6 +428,7 @@
 	struct node_peer *peer = node_peer(n, from);
 	size_t i;
 
+	peer->asked = 0;
 	peer->seats = summary->seats;
 	peer->free = summary->free;
 	peer->queued = summary->queued;
@@ -469,6 +438,8 @@
 	set_services(peer, summary);
 	if (from == n->id)
 		return;
+	for (i = 0; i < summary->n_rates; i++)
+		node_rate_heard(n, from, summary->rates[i]);
 	for (i = 0; i < summary->n_usage; i++)
 		sched_set_remote_charge(n->sched, from, summary->usage[i]->team,
 		    summary->usage[i]->charge_milli);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -26,6 +26,7 @@
 #define NODE_TOUCH_US	      (500 * 1000ULL)
 #define NODE_TOUCH_ALL_US     (2000 * 1000ULL) /* pins in full so long */
 #define NODE_SCAN_STEP_US     50ULL /* between scans, for each ask or grant */
+#define NODE_SETTLE_US	      (3000 * 1000ULL) /* to move endpoints */
 #define NODE_ASK_RESEND_US    (1000 * 1000ULL)
 #define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
 #define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
@@ -53,6 +54,7 @@
 	uint64_t incarnation;
 	/* its latest summary as an owner */
 	uint32_t seats, free, queued, engines, wait_ms;
+	uint32_t asked; /* by this instance since that summary */
 	bool leaving;
 	char **services;
 	size_t nservices;
@@ -84,24 +86,28 @@
 	uint64_t ask;
 	char *endpoint; /* NULL while queued */
 	char *adapter;
+	char *run; /* names it towards the endpoint */
 	uint64_t basis_us; /* newest clock of the entry heard */
 	uint64_t touched_us;
 	uint64_t granted_us;
 	uint64_t wait_us, stall_us;
 	uint64_t orphaned_us; /* its entry is down since; 0: is not */
+	uint64_t cancel_us; /* when its run is cancelled (again) */
 };
 
 /* An ask of this instance's route. */
 struct node_ask {
 	uint64_t ask;
-	uint32_t owner;
+	uint32_t owner; /* 0 while none is known */
 	uint64_t sent_us;
+	uint64_t touch_all_until; /* its owner changed shortly before */
 };
 
 /* An order under way to an endpoint. */
 struct node_order {
 	enum sched_decision_type type;
 	char *endpoint, *adapter;
+	uint64_t cancels; /* instead: cancels the run of this grant */
 };
 
 enum node_proposal_kind {
@@ -177,6 +183,7 @@
 	struct map *endpoints;
 	struct map *grants; /* by handle */
 	struct map *grants_by_ask; /* by entry, incarnation, ask */
+	uint64_t epoch_us; /* when the members last changed */
 	uint64_t last_grant;
 	struct map *orders; /* by call */
 	uint64_t owner_epoch; /* epoch the tables were last checked against */
@@ -192,7 +199,6 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
-	uint64_t touch_all_until; /* for all owners */
 	uint64_t asks_us, grants_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
@@ -272,10 +278,13 @@
 void node_owner_epoch(struct node *n, bool skipped);
 void node_owner_tick(struct node *n);
 void node_owner_run(struct node *n);
-bool node_owner_call(struct node *n, const struct node_call_event *event);
 uint32_t node_owner_of(
     const struct node *n, const char *region, const char *endpoint);
 void node_endpoint_free(struct node_endpoint *e);
+/* node_order.c: orders to endpoints */
+void node_order_give(struct node *n, const struct sched_decision *d);
+void node_order_cancel(struct node *n, struct node_grant *g);
+bool node_order_call(struct node *n, const struct node_call_event *event);
 void node_order_free(struct node_order *o);
 
 /* node_grant.c: asks and grants at the owner */
@@ -292,13 +301,24 @@
 void node_grant_report(
     struct node *n, const char *endpoint, const struct sched_report *report);
 void node_grant_free(struct node_grant *g);
+void node_grant_cancelled(struct node *n, uint64_t grant, bool surely);
+bool node_grant_cancel_due(const struct node *n, const struct node_grant *g);
 
 /* node_entry.c: the route's needs, touches, summaries */
 extern const struct route_ops node_route_ops;
 void node_entry_tick(struct node *n);
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
-size_t node_entry_order(struct node *n, const char *adapter,
+
+/* node_rate.c: teams' rate limits over all entries */
+struct node_rate;
+void node_rate_free(struct node_rate *rate);
+bool node_rate_allows(struct node *n, const struct doc *doc);
+size_t node_rate_fill(const struct node *n, Wire__TeamRate *out, size_t max);
+void node_rate_heard(struct node *n, uint32_t from, const Wire__TeamRate *told);
+
+/* node_spread.c */
+size_t node_spread_order(struct node *n, const char *adapter,
     const char *service, uint32_t *out, size_t max);
 
 /* node_api*.c */
