--- a/src/journal/journal_frame.h
+++ b/src/journal/journal_frame.h
@@ -6,11 +6,12 @@
 
 /*
  * The file: a magic text, then frames: length and hash of the packed
- * message, four bytes each and little-endian, then the message.
+ * message and a hash of these two, four bytes each and little-endian, then
+ * the message. So a damaged length is told from a file that was cut.
  */
 #define JOURNAL_MAGIC	    "mulberrypath journal\n"
-#define JOURNAL_VERSION	    1
-#define JOURNAL_HEAD_BYTES  8
+#define JOURNAL_VERSION	    2
+#define JOURNAL_HEAD_BYTES  12
 #define JOURNAL_FRAME_BYTES (1U << 30) /* at most */
 
 /* The hash in a frame's head covers the length, too. */
--- a/src/journal/journal_read.c
+++ b/src/journal/journal_read.c
@@ -49,7 +49,10 @@
 		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_NOT_FOUND,
 		    "the journal has ended");
 	*len = got < sizeof(head) ? 0 : get_u32(head);
-	if (*len > JOURNAL_FRAME_BYTES)
+	if (*len > JOURNAL_FRAME_BYTES ||
+	    (got == sizeof(head) &&
+		journal_frame_hash(head, JOURNAL_HEAD_BYTES - 4) !=
+		    get_u32(head + JOURNAL_HEAD_BYTES - 4)))
 		return damaged(r, err);
 	if (got < sizeof(head) || r->read + sizeof(head) + *len > r->whole)
 		return mp_error_set(err, MP_LAYER_STORE, MP_ERR_UNAVAILABLE,
--- a/src/journal/journal_write.c
+++ b/src/journal/journal_write.c
@@ -48,6 +48,7 @@
 	(void)protobuf_c_message_pack(m, bytes);
 	put_u32(head, len);
 	put_u32(head + 4, journal_frame_hash(bytes, len));
+	put_u32(head + 8, journal_frame_hash(head, 8));
 	done = fwrite(head, 1, sizeof(head), w->file);
 	done += fwrite(bytes, 1, len, w->file);
 	free(bytes);
--- a/tests/mulberryd/process.h
+++ b/tests/mulberryd/process.h
@@ -148,26 +148,41 @@
 	int out;
 };
 
+/*
+ * A port of the kernel's choice that no other process is given for a while:
+ * a connection that was closed from its side leaves it waiting, and a server
+ * may still bind it, as servers reuse addresses.
+ */
+static inline int
+reserve_port()
+{
+	struct sockaddr_in name = {};
+	socklen_t len = sizeof(name);
+	int server = socket(AF_INET, SOCK_STREAM, 0);
+	int client = socket(AF_INET, SOCK_STREAM, 0), accepted, on = 1;
+
+	name.sin_family = AF_INET;
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	(void)setsockopt(server, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	EXPECT_EQ(bind(server, (struct sockaddr *)&name, len), 0);
+	EXPECT_EQ(listen(server, 1), 0);
+	EXPECT_EQ(getsockname(server, (struct sockaddr *)&name, &len), 0);
+	EXPECT_EQ(connect(client, (struct sockaddr *)&name, len), 0);
+	accepted = accept(server, nullptr, nullptr);
+	close(accepted); /* first, so that the waiting end is the port's */
+	close(client);
+	close(server);
+	return ntohs(name.sin_port);
+}
+
 /* Ports that the kernel has found free. */
 static inline std::vector<int>
 free_ports(size_t count)
 {
-	std::vector<int> sockets, ports;
-
-	for (size_t i = 0; i < count; i++) {
-		struct sockaddr_in name = {};
-		socklen_t len = sizeof(name);
-		int s = socket(AF_INET, SOCK_STREAM, 0);
-
-		name.sin_family = AF_INET;
-		name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(s, (struct sockaddr *)&name, len), 0);
-		getsockname(s, (struct sockaddr *)&name, &len);
-		ports.push_back(ntohs(name.sin_port));
-		sockets.push_back(s);
-	}
-	for (int s : sockets)
-		close(s);
+	std::vector<int> ports;
+
+	while (ports.size() < count)
+		ports.push_back(reserve_port());
 	return ports;
 }
 
