tests/sched: stall by an eviction that knows the future

Same trace, permits and number of slots, all slots as one cache that nothing pins (Belady's eviction); a limit that no placement on engines can reach.

--- a/tests/sched/sched_sim.h
+++ b/tests/sched/sched_sim.h
@@ -54,6 +54,10 @@
 	uint64_t delivered = 0, offered = 0, refused = 0, loads = 0;
 	double stall_s = 0.0; /* of granted requests */
 	double stall_all_s = 0.0; /* and of the refused, their whole wait */
+	/* The same by eviction that knows the future, all slots as one cache.
+	 */
+	double limit_stall_s = 0.0;
+	uint64_t limit_loads = 0; /* of these requests */
 	double batch = 0.0; /* mean sequences over seats of busy engines */
 	double packed = 0.0; /* the same, all running on as few as can be */
 	double adapters_a_batch = 0.0;
