sched, tests/sched: lint; the limit in its own file

clang-tidy: one spread for both objectives (both were 1), an integer division that feeds a floating point one.

--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -12,8 +12,7 @@
 #define FAIR_PROTECT_STALL  1.5
 #define FAIR_REPLICA_STALL  1.0 /* loads' times that a queue may last */
 #define FAIR_REPLICA_BATCH  6.0
-#define FAIR_SPREAD_STALL   1.0
-#define FAIR_SPREAD_BATCH   1.0
+#define FAIR_SPREAD	    1.0 /* loads' times, from no seat taken to all */
 #define FAIR_RELOAD_MOST_US 6e6
 #define FAIR_FLOOD_SPACINGS 5 /* of loads, before one of a flood */
 #define FAIR_FLOOD_SPARE    2 /* part of the seats that is free */
@@ -216,17 +215,13 @@
 static double
 fair_seat_us(const struct sched *s, const struct endpoint *ep)
 {
-	double spread = s->options.objective == SETTINGS_BATCH
-	    ? FAIR_SPREAD_BATCH
-	    : FAIR_SPREAD_STALL;
+	double spread = FAIR_SPREAD * fair_load_us(s);
 
 	if (endpoint_free_seats(ep) == 0)
-		return ep->pool->service_us / ep->seats +
-		    spread * fair_load_us(s);
+		return ep->pool->service_us / ep->seats + spread;
 	if (s->options.objective == SETTINGS_BATCH)
-		return spread * fair_load_us(s) * endpoint_free_seats(ep) /
-		    ep->seats;
-	return spread * fair_load_us(s) * ep->used / ep->seats;
+		return spread * endpoint_free_seats(ep) / ep->seats;
+	return spread * ep->used / ep->seats;
 }
 
 /* Only the seats that a flooding team must leave are free. */
--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -302,9 +302,9 @@
 static uint64_t
 admit_return_us(const struct sched *s, const struct item *it, uint64_t slack)
 {
-	double enough = (double)(slack - slack / ADMIT_RETRY_PART) /
-	    (1.0 + s->admit_fit[it->admit_load]);
-	double wait = (double)it->admit_us - enough;
+	uint64_t enough = slack - slack / ADMIT_RETRY_PART;
+	double wait = (double)it->admit_us -
+	    (double)enough / (1.0 + s->admit_fit[it->admit_load]);
 
 	return wait > 0.0 ? (uint64_t)wait : it->admit_us;
 }
--- a/tests/sched/sched_sim.cc
+++ b/tests/sched/sched_sim.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr uint64_t kSecond = 1000000;
+constexpr uint64_t kSecond = kSimSecond;
 constexpr uint64_t kReportUs = kSecond, kLagUs = 250000;
 constexpr uint64_t kAtOnceUs = 50000;
 constexpr uint64_t kEvictUs = 5000, kFirstTokenUs = 50000;
@@ -87,8 +87,6 @@
 	void Restart(size_t e);
 	void Count(Engine *e);
 	void CountPacked();
-	uint64_t StoreReady(uint64_t now);
-	void Limit();
 	std::string Pick(const SimTeam &t);
 	Engine &
 	Find(const std::string &id)
@@ -108,11 +106,7 @@
 	uint32_t in_flight_ = 0;
 	double tokens_ = 1.0;
 	uint64_t tokens_at_ = 0;
-	std::vector<Asked> trace_;
-	uint64_t store_at_ = 0; /* when the limit's next load may start */
-	std::priority_queue<uint64_t, std::vector<uint64_t>,
-	    std::greater<uint64_t>>
-	    store_ends_;
+	std::vector<SimCall> trace_;
 	uint64_t packed_since_ = 0;
 	double packed_busy_ = 0.0;
 	double busy_ = 0.0, sequences_ = 0.0, distinct_ = 0.0;
@@ -165,7 +159,7 @@
 		r_.offered++;
 		r_.teams[t.name].offered++;
 	}
-	trace_.push_back(a);
+	trace_.push_back({a.at, a.deadline, a.adapter, a.counted});
 	Ask(a);
 }
 
@@ -445,57 +439,6 @@
 		Finish(i, 0, e.running.begin()->first);
 }
 
-/* When a load is done that is asked for now, within the permits. */
-uint64_t
-Sim::StoreReady(uint64_t now)
-{
-	uint64_t start = std::max(now, store_at_);
-
-	if (store_ends_.size() >= o_.store_in_flight) {
-		start = std::max(start, store_ends_.top());
-		store_ends_.pop();
-	}
-	store_at_ = start + 1000 * kSecond / o_.store_rate_milli;
-	store_ends_.push(start + o_.load_ms * 1000);
-	return start + o_.load_ms * 1000;
-}
-
-/* What is needed again latest is evicted. */
-void
-Sim::Limit()
-{
-	std::map<std::string, std::vector<uint64_t>> uses;
-	std::map<std::string, uint64_t> ready;
-
-	for (const Asked &a : trace_)
-		uses[a.adapter].push_back(a.at);
-	for (const Asked &a : trace_) {
-		auto next = [&](const std::string &key) {
-			std::vector<uint64_t> &u = uses[key];
-			auto at = std::lower_bound(u.begin(), u.end(), a.at);
-
-			return at == u.end() ? UINT64_MAX : *at;
-		};
-
-		if (ready.count(a.adapter) == 0) {
-			if (ready.size() >= o_.engines * o_.slots)
-				ready.erase(
-				    std::max_element(ready.begin(), ready.end(),
-					[&](const auto &x, const auto &y) {
-						return next(x.first) <
-						    next(y.first);
-					}));
-			ready[a.adapter] = StoreReady(a.at);
-			r_.limit_loads += a.counted;
-		}
-		if (a.counted && ready[a.adapter] > a.at)
-			r_.limit_stall_s +=
-			    (double)(std::min(ready[a.adapter], a.deadline) -
-				a.at) /
-			    kSecond;
-	}
-}
-
 SimResult
 Sim::Run()
 {
@@ -543,7 +486,7 @@
 		    ? 0.0
 		    : flip_stall_[i] / (double)flip_count_[i];
 	sched_get_totals(s_, now_, &r_.totals);
-	Limit();
+	SimLimit(o_, trace_, &r_);
 	return r_;
 }
 
--- a/tests/sched/sched_sim.h
+++ b/tests/sched/sched_sim.h
@@ -76,6 +76,19 @@
 	}
 };
 
+constexpr uint64_t kSimSecond = 1000000;
+
+/* A request as it came. */
+struct SimCall {
+	uint64_t at, deadline;
+	std::string adapter;
+	bool counted; /* came after the warm-up */
+};
+
+/* The stall of the same requests when what is needed last is evicted. */
+void SimLimit(
+    const SimOptions &o, const std::vector<SimCall> &trace, SimResult *r);
+
 /* Engines, store and callers in one event queue, all from one seed. */
 SimResult SimRun(const SimOptions &options);
 
