--- a/tests/sched/sched_sim.h
+++ b/tests/sched/sched_sim.h
@@ -54,7 +54,12 @@
 	uint64_t delivered = 0, offered = 0, refused = 0, loads = 0;
 	double stall_s = 0.0; /* of granted requests */
 	double stall_all_s = 0.0; /* and of the refused, their whole wait */
+	/* The same by eviction that knows the future, all slots as one cache.
+	 */
+	double limit_stall_s = 0.0;
+	uint64_t limit_loads = 0; /* of these requests */
 	double batch = 0.0; /* mean sequences over seats of busy engines */
+	double packed = 0.0; /* the same, all running on as few as can be */
 	double adapters_a_batch = 0.0;
 	/* Broken invariants. */
 	uint64_t evicted_in_use = 0, beyond_seats = 0, beyond_permits = 0;
@@ -71,6 +76,19 @@
 	}
 };
 
+constexpr uint64_t kSimSecond = 1000000;
+
+/* A request as it came. */
+struct SimCall {
+	uint64_t at, deadline;
+	std::string adapter;
+	bool counted; /* came after the warm-up */
+};
+
+/* The stall of the same requests when what is needed last is evicted. */
+void SimLimit(
+    const SimOptions &o, const std::vector<SimCall> &trace, SimResult *r);
+
 /* Engines, store and callers in one event queue, all from one seed. */
 SimResult SimRun(const SimOptions &options);
 
