A follower asks another voter when its source does not answer

Cause: a follower kept pulling from one voter as long as it heard it; with a cut in one direction alone the pulls never arrived, it fell behind, lost its lease and never came back. Before: follow.a_source_that_does_not_answer_is_replaced failed for the voter followed. After: passed for all three.

--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -13,6 +13,9 @@
 /* A follower that has not pulled for so long gets no more pushes. */
 #define FOLLOWER_GONE_US (4 * NODE_PULL_US)
 
+/* Pulls without an answer, while behind, before another voter is asked. */
+#define FOLLOW_TRIES 3U
+
 /* Entries that a pull still misses are not sent again sooner. */
 #define FOLLOW_RESEND_US (100 * 1000ULL)
 
@@ -79,7 +82,8 @@
 	}
 	if (voters == 0)
 		return 0;
-	nth = heard > 0 ? n->id % heard : rng_below(&n->rng, voters);
+	nth = heard > 0 ? (n->id + n->unanswered / FOLLOW_TRIES) % heard
+			: rng_below(&n->rng, voters);
 	for (i = 0; i < s->npeers; i++) {
 		if (!s->peers[i].voter || s->peers[i].id == n->id)
 			continue;
@@ -102,18 +106,30 @@
 		return leader;
 	if (parent != 0 && node_may_act(n) && node_peer_is_heard(n, parent))
 		return parent;
-	if (n->source == 0 || !is_large(n) || !node_peer_is_heard(n, n->source))
+	if (n->source == 0 || !is_large(n) || n->unanswered > 0 ||
+	    !node_peer_is_heard(n, n->source))
 		n->source = pick_voter(n);
 	return n->source;
 }
 
+/* Is it known that this instance has not applied all that is committed? */
+static bool
+is_behind(const struct node *n)
+{
+	return member_holder_in_force(n->holder) > n->applied ||
+	    member_holder_standing(n->holder, n->view, n->now, n->applied) !=
+	    MEMBER_LEASED;
+}
+
 static void
 send_pull(struct node *n)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__FollowPull pull = WIRE__FOLLOW_PULL__INIT;
-	uint32_t source = pick_source(n);
+	uint32_t source;
 
+	n->unanswered += is_behind(n) ? 1 : 0;
+	source = pick_source(n);
 	n->pull_us = n->now + NODE_PULL_US;
 	if (source == 0)
 		return;
@@ -238,6 +254,7 @@
 	size_t i;
 
 	(void)from;
+	n->unanswered = 0;
 	if (push->snapshot_index != 0) {
 		bytes.data = (const char *)push->snapshot.data;
 		bytes.len = push->snapshot.len;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -163,6 +163,7 @@
 	bool may_found;
 	uint64_t led_since; /* as the keeper was last reset */
 	uint64_t commit_seen;
+	uint32_t unanswered; /* pulls since the last push, while behind */
 	struct node_recent *recent; /* ring of NODE_RECENT_ENTRIES */
 	uint64_t recent_first; /* index; recent_first..applied are held */
 	bool push_due;
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -421,3 +421,23 @@
 	EXPECT_NE(c.leader(), leader);
 	EXPECT_EQ(c.check(), "");
 }
+
+/* It hears each voter, but one of them does not hear it. */
+TEST(follow, a_source_that_does_not_answer_is_replaced)
+{
+	for (int deaf = 0; deaf < 3; deaf++) {
+		Cluster c(with_seed(11));
+		ASSERT_TRUE(c.begin());
+		struct node *follower = c.instances[4]->node;
+
+		c.cut(4, deaf, true);
+		c.run_for(3000000);
+		Request *put =
+		    c.put_document(0, "t1", 1, "x", Cluster::document("t1", 1));
+		ASSERT_TRUE(c.wait(put));
+		EXPECT_TRUE(c.run_until(5000000, [&] {
+			return doc_book_current(follower->book, "t1")
+				   ->revision == 2;
+		})) << deaf;
+	}
+}
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -230,6 +230,14 @@
 		(void)c.complete(instance, "a" + std::to_string(i));
 }
 
+/* It restarts and hears all, but the voter that it follows is deaf to it. */
+static void
+strike_deaf_source(Cluster &c, Workload &w, int target)
+{
+	c.cut(4, target % 3, true);
+	strike_restart(c, w, 4);
+}
+
 /*
  * An instance that owned an endpoint comes back after long, and just then
  * the one that owns it meanwhile is cut off.
@@ -334,6 +342,7 @@
     {"cut, then killed", strike_cut_kill, 6000000, true},
     {"restart among losses", strike_restart_messy, 5000000, true},
     {"follower restarts, losses", strike_restart_follower, 5000000, true},
+    {"restart, deaf source", strike_deaf_source, 5000000, true},
     {"rejoin, other cut", strike_rejoin_cut, 4000000, true},
     {"long streams, old reports", strike_long_streams, 6000000, true},
     {"full disk", strike_full_disk, 5000000, false},
