An instance that founds the log first no longer keeps the others from it

Cause: a voter founded as soon as it had heard every listed voter say it was fresh. When it was the only one to have heard all, its next answer said "not fresh" (its log held the founding), the others gave up founding for good, an empty log does not vote, and the cluster stayed without a leader for ever. The founding record, pulled by the others, also made them "not fresh". Change: a log with nothing but its founding counts as fresh, and Hello tells the voters it was founded with; others found with these very voters or not at all, so a replaced data folder cannot join as the old one.

--- a/src/node/node_found.c
+++ b/src/node/node_found.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "node/node_internal.h"
 
@@ -7,24 +8,56 @@
  * seconds that its data folder is fresh, and no other instance that answers
  * holds any state. A voter whose disk was lost finds others that are not
  * fresh, so it can only come back as a learner.
+ *
+ * A log that holds nothing but its founding is as good as fresh: one that
+ * founds first would otherwise keep the others from it, and have no quorum.
+ * They found with the same voters or not at all.
  */
 
+/* Has this instance nothing that a founding would lose? */
+static bool
+is_fresh(const struct node *n)
+{
+	if (n->applied > RAFT_FOUNDING_INDEX)
+		return false;
+	return n->raft == NULL || raft_get_founding(n->raft) != NULL ||
+	    (raft_is_empty(n->raft) && n->may_found);
+}
+
 static void
 send_hello(struct node *n, uint32_t to, bool reply)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Hello hello = WIRE__HELLO__INIT;
+	const struct raft_config *founding = NULL;
 
 	hello.reply = reply;
-	hello.fresh = n->applied == 0 &&
-	    (n->raft == NULL || (raft_is_empty(n->raft) && n->may_found));
+	hello.fresh = is_fresh(n);
 	hello.voter = n->voter;
 	hello.commit = n->applied;
+	if (n->raft != NULL)
+		founding = raft_get_founding(n->raft);
+	if (founding != NULL) {
+		hello.founded = (uint64_t *)founding->voters;
+		hello.n_founded = founding->nvoters;
+	}
 	envelope.body_case = WIRE__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
 	node_peer_send(n, to, &envelope);
 }
 
+static void
+note_founding(struct raft_config *founding, const Wire__Hello *hello)
+{
+	founding->nvoters = 0;
+	while (founding->nvoters < hello->n_founded &&
+	    founding->nvoters < RAFT_VOTERS_MAX) {
+		founding->voters[founding->nvoters] =
+		    hello->founded[founding->nvoters];
+		founding->nvoters++;
+	}
+}
+
 void
 node_found_on_hello(struct node *n, uint32_t from, const Wire__Hello *hello)
 {
@@ -37,6 +70,7 @@
 	peer->hello_us = n->now;
 	peer->hello_fresh = hello->fresh;
 	peer->hello_voter = hello->voter;
+	note_founding(&peer->founding, hello);
 	if (!hello->fresh)
 		n->may_found = false;
 }
@@ -78,6 +112,25 @@
 	return config->nvoters > 0;
 }
 
+/* Has any listed voter founded already, and with others than these? */
+static bool
+founded_otherwise(struct node *n, const struct raft_config *config)
+{
+	const struct raft_config *founding;
+	size_t i, bytes = config->nvoters * sizeof(config->voters[0]);
+
+	for (i = 0; i < n->settings->npeers; i++) {
+		if (!n->settings->peers[i].voter)
+			continue;
+		founding = &node_peer(n, n->settings->peers[i].id)->founding;
+		if (founding->nvoters > 0 &&
+		    (founding->nvoters != config->nvoters ||
+			memcmp(founding->voters, config->voters, bytes) != 0))
+			return true;
+	}
+	return false;
+}
+
 void
 node_found_tick(struct node *n)
 {
@@ -86,9 +139,10 @@
 	size_t i;
 
 	if (n->raft == NULL || !n->may_found || !raft_is_empty(n->raft) ||
-	    n->applied != 0 || n->now < n->hello_us)
+	    n->applied > RAFT_FOUNDING_INDEX || n->now < n->hello_us)
 		return;
-	if (n->hello_us != 0 && fresh_voters(n, &config)) {
+	if (n->hello_us != 0 && fresh_voters(n, &config) &&
+	    !founded_otherwise(n, &config)) {
 		if (raft_found(n->raft, n->now, &config, n->fx, &err) == 0)
 			node_log(n, NODE_LOG_FOUNDED, "{\"voters\": %zu}",
 			    config.nvoters);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -62,6 +62,7 @@
 	uint64_t pull_us, pull_next, next_push, resent_us;
 	/* as a founding voter */
 	uint64_t hello_us, hello_voter;
+	struct raft_config founding; /* its voters, when it has founded */
 	bool hello_fresh;
 	/* as an owner: its pins are sent in full until then */
 	uint64_t touch_all_until;
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -91,7 +91,8 @@
 	}
 	if (r->term < raft_log_last_term(&r->log)) {
 		/* A crash between the two saves of raft_found(). */
-		if (r->snapshot_index != 1 || r->log.count > 0)
+		if (r->snapshot_index != RAFT_FOUNDING_INDEX ||
+		    r->log.count > 0)
 			return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_CORRUPT,
 			    "the log is newer than the saved term");
 		r->term = r->snapshot_term;
@@ -169,10 +170,10 @@
 		    "the voters are not a config");
 	if (r->term < 1)
 		r->term = 1;
-	raft_snapshot_pack(r, 1, 1, &checked, none);
-	raft_log_reset(&r->log, 1, 1);
-	raft_config_push(r, 1, &checked);
-	r->commit = 1;
+	raft_snapshot_pack(r, RAFT_FOUNDING_INDEX, 1, &checked, none);
+	raft_log_reset(&r->log, RAFT_FOUNDING_INDEX, 1);
+	raft_config_push(r, RAFT_FOUNDING_INDEX, &checked);
+	r->commit = RAFT_FOUNDING_INDEX;
 	r->snapshot_pending = true;
 	raft_save_snapshot(r, fx);
 	raft_save_state(r, fx);
@@ -315,6 +316,15 @@
 	return r->nconfigs == 0;
 }
 
+const struct raft_config *
+raft_get_founding(const struct raft *r)
+{
+	if (r->nconfigs != 1 || r->snapshot_index != RAFT_FOUNDING_INDEX ||
+	    raft_get_last_index(r) != RAFT_FOUNDING_INDEX)
+		return NULL;
+	return &r->configs[0].config;
+}
+
 bool
 raft_is_halted(const struct raft *r)
 {
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -30,6 +30,7 @@
 #define RAFT_ID_INSTANCE(id) ((uint32_t)(id))
 
 #define RAFT_VOTERS_MAX	     9
+#define RAFT_FOUNDING_INDEX  1ULL /* a founded log begins after it */
 
 struct raft_options {
 	uint64_t self;
@@ -160,6 +161,8 @@
 uint64_t raft_get_snapshot_index(const struct raft *r);
 size_t raft_get_log_bytes(const struct raft *r);
 bool raft_is_empty(const struct raft *r); /* no log, no config */
+/* The voters that the log was founded with, when it holds no more; NULL. */
+const struct raft_config *raft_get_founding(const struct raft *r);
 bool raft_is_halted(const struct raft *r); /* a save failed */
 const struct raft_config *raft_get_config(const struct raft *r);
 
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2273,7 +2273,7 @@
   (ProtobufCMessageInit) wire__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__hello__field_descriptors[5] =
 {
   {
     "reply",
@@ -2323,9 +2323,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "founded",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Hello, n_founded),
+    offsetof(Wire__Hello, founded),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__hello__field_indices_by_name[] = {
   3,   /* field[3] = commit */
+  4,   /* field[4] = founded */
   1,   /* field[1] = fresh */
   0,   /* field[0] = reply */
   2,   /* field[2] = voter */
@@ -2333,7 +2346,7 @@
 static const ProtobufCIntRange wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__hello__descriptor =
 {
@@ -2343,7 +2356,7 @@
   "Wire__Hello",
   "wire",
   sizeof(Wire__Hello),
-  4,
+  5,
   wire__hello__field_descriptors,
   wire__hello__field_indices_by_name,
   1,  wire__hello__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -397,10 +397,15 @@
   protobuf_c_boolean fresh;
   uint64_t voter;
   uint64_t commit;
+  /*
+   * voters founded with; none: not founded
+   */
+  size_t n_founded;
+  uint64_t *founded;
 };
 #define WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__hello__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL }
 
 
 /*
