Log fields are escaped in one place, and JSON strings stay UTF-8

Cause: node_log() printed strings raw into JSON text, so a quote or control character in a reason or a path broke the line's fields (they came out as one opaque string) and a text of 1 KB cut the object short. buf_json_string() let invalid UTF-8 through, against its own comment; an idempotency key can hold it. Ruled out: escaping at each call, which the next call would forget.

--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -138,15 +138,11 @@
 on_saved(void *ctx, uint64_t ticket, bool ok, const char *reason)
 {
 	struct node_event ev = {.type = NODE_EV_SAVED};
-	struct buf text = {0};
 	struct daemon *d = ctx;
 
-	if (!ok) {
-		buf_json_string(&text, reason == NULL ? "" : reason);
+	if (!ok)
 		log_output_event(
-		    d->log, EVENT_SAVE_FAILED, "{\"reason\": %s}", text.data);
-		buf_free(&text);
-	}
+		    d->log, EVENT_SAVE_FAILED, "{\"reason\": \"%s\"}", reason);
 	ev.u.saved.ticket = ticket;
 	ev.u.saved.ok = ok;
 	ev.u.saved.reason = reason;
@@ -257,16 +253,12 @@
 static void
 log_folder(struct daemon *d, const struct node_disk *disk)
 {
-	struct buf folder = {0};
-
-	buf_json_string(&folder, d->settings->data_folder);
 	log_output_event(d->log,
 	    disk->damaged ? EVENT_FOLDER_DAMAGED : EVENT_FOLDER_OPENED,
-	    "{\"folder\": %s, \"fresh\": %s, \"records\": %zu, "
+	    "{\"folder\": \"%s\", \"fresh\": %s, \"records\": %zu, "
 	    "\"snapshot\": %llu}",
-	    folder.data, disk->fresh ? "true" : "false", disk->record_count,
-	    (unsigned long long)disk->snapshot_index);
-	buf_free(&folder);
+	    d->settings->data_folder, disk->fresh ? "true" : "false",
+	    disk->record_count, (unsigned long long)disk->snapshot_index);
 }
 
 static int
@@ -345,13 +337,9 @@
 static void
 report_failed_start(struct daemon *d, const struct mp_error *err)
 {
-	struct buf reason = {0};
-
-	buf_json_string(&reason, err->message);
 	log_output_event(d->log, EVENT_START_FAILED,
-	    "{\"layer\": \"%s\", \"code\": \"%s\", \"reason\": %s}",
-	    mp_layer_name(err->layer), mp_code_name(err->code), reason.data);
-	buf_free(&reason);
+	    "{\"layer\": \"%s\", \"code\": \"%s\", \"reason\": \"%s\"}",
+	    mp_layer_name(err->layer), mp_code_name(err->code), err->message);
 }
 
 enum daemon_exit
--- a/src/mulberryd/daemon_journal.c
+++ b/src/mulberryd/daemon_journal.c
@@ -40,12 +40,8 @@
 static void
 report_failure(struct daemon *d, const struct mp_error *err)
 {
-	struct buf reason = {0};
-
-	buf_json_string(&reason, err->message);
 	log_output_event(
-	    d->log, EVENT_JOURNAL_FAILED, "{\"reason\": %s}", reason.data);
-	buf_free(&reason);
+	    d->log, EVENT_JOURNAL_FAILED, "{\"reason\": \"%s\"}", err->message);
 }
 
 void
--- a/src/mulberryd/log_output.c
+++ b/src/mulberryd/log_output.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <jansson.h>
 #include <poll.h>
 #include <stdarg.h>
@@ -80,6 +81,20 @@
 	json_decref(root);
 }
 
+/* Whether a value of the text format needs no quotes. */
+static bool
+is_plain(const char *s)
+{
+	size_t i;
+
+	if (s == NULL || *s == '\0')
+		return false;
+	for (i = 0; s[i] != '\0'; i++)
+		if (!isgraph((unsigned char)s[i]) || strchr("\"=", s[i]))
+			return false;
+	return true;
+}
+
 static void
 append_text_fields(struct buf *line, const char *fields)
 {
@@ -96,8 +111,7 @@
 		const char *plain = json_string_value(value);
 		char *text;
 
-		if (plain != NULL && *plain != '\0' &&
-		    strpbrk(plain, " \"\n\t=") == NULL) {
+		if (is_plain(plain)) {
 			buf_printf(line, " %s=%s", key, plain);
 			continue;
 		}
@@ -183,12 +197,14 @@
     struct log_output *out, enum event_number number, const char *format, ...)
 {
 	const struct event_kind *kind = events_find((int)number);
-	char fields[FIELDS_BYTES_MAX];
-	struct node_log log = {kind->number, kind->level, kind->name, fields};
+	struct node_log log = {kind->number, kind->level, kind->name, NULL};
+	struct buf fields = {0};
 	va_list args;
 
 	va_start(args, format);
-	(void)vsnprintf(fields, sizeof(fields), format, args);
+	events_format(&fields, format, args);
 	va_end(args);
+	log.fields = fields.data;
 	log_output_write(out, &log);
+	buf_free(&fields);
 }
--- a/src/mulberryd/log_output.h
+++ b/src/mulberryd/log_output.h
@@ -22,7 +22,7 @@
 /* Write an event that a node has emitted. */
 void log_output_write(struct log_output *out, const struct node_log *log);
 
-/* Write an event of the catalogue; format gives the fields as JSON text. */
+/* Write an event of the catalogue; format is that of events_format(). */
 void log_output_event(struct log_output *out, enum event_number number,
     const char *format, ...) __attribute__((format(printf, 3, 4)));
 
--- a/src/util/buf.c
+++ b/src/util/buf.c
@@ -71,21 +71,49 @@
 	va_end(again);
 }
 
+/* The length of the UTF-8 sequence at p, 0 when it is none. */
+static size_t
+utf8_length(const unsigned char *p)
+{
+	size_t i, len = 4;
+
+	if (*p < 0x80)
+		return 1;
+	if (*p < 0xc2 || *p > 0xf4)
+		return 0;
+	if (*p < 0xf0)
+		len = *p < 0xe0 ? 2 : 3;
+	for (i = 1; i < len; i++)
+		if ((p[i] & 0xc0) != 0x80)
+			return 0;
+	/* too long a form, a surrogate, or past the last code point */
+	if ((p[0] == 0xe0 && p[1] < 0xa0) || (p[0] == 0xed && p[1] > 0x9f) ||
+	    (p[0] == 0xf0 && p[1] < 0x90) || (p[0] == 0xf4 && p[1] > 0x8f))
+		return 0;
+	return len;
+}
+
 void
 buf_json_string(struct buf *b, const char *s)
 {
 	const unsigned char *p;
+	size_t len;
 
 	buf_append(b, "\"", 1);
-	for (p = (const unsigned char *)s; *p != '\0'; p++) {
+	for (p = (const unsigned char *)s; *p != '\0'; p += len) {
+		len = utf8_length(p);
 		if (*p == '"' || *p == '\\')
 			buf_printf(b, "\\%c", *p);
 		else if (*p == '\n')
 			buf_puts(b, "\\n");
 		else if (*p < 0x20 || *p == 0x7f)
 			buf_printf(b, "\\u%04x", *p);
+		else if (len == 0)
+			buf_puts(b, "?");
 		else
-			buf_append(b, p, 1);
+			buf_append(b, p, len);
+		if (len == 0)
+			len = 1;
 	}
 	buf_append(b, "\"", 1);
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -1,4 +1,10 @@
+#include <stdlib.h>
+#include <string.h>
+
 #include "util/events.h"
+#include "util/mem.h"
+
+#define EVENT_STRING_BYTES_MAX 400
 
 static const struct event_kind kinds[] = {
     {EVENT_STARTED, NODE_LOG_INFO, "started"},
@@ -62,3 +68,45 @@
 
 	return names[level];
 }
+
+/* Append a string as it stands between the quotes of a JSON string. */
+static void
+append_escaped(struct buf *out, const char *s)
+{
+	struct buf quoted = {0};
+	char *cut;
+
+	if (s == NULL)
+		return;
+	cut = mem_copy(s, strnlen(s, EVENT_STRING_BYTES_MAX));
+	buf_json_string(&quoted, cut);
+	buf_append(out, quoted.data + 1, quoted.len - 2);
+	buf_free(&quoted);
+	free(cut);
+}
+
+void
+events_format(struct buf *out, const char *format, va_list args)
+{
+	const char *percent;
+
+	while ((percent = strchr(format, '%')) != NULL) {
+		buf_append(out, format, (size_t)(percent - format));
+		format = percent + 1;
+		if (*format == 's')
+			append_escaped(out, va_arg(args, const char *));
+		else if (*format == 'd')
+			buf_printf(out, "%d", va_arg(args, int));
+		else if (*format == 'u')
+			buf_printf(out, "%u", va_arg(args, unsigned));
+		else if (*format == 'z')
+			buf_printf(out, "%zu", va_arg(args, size_t));
+		else if (*format == 'l')
+			buf_printf(
+			    out, "%llu", va_arg(args, unsigned long long));
+		else
+			buf_puts(out, "%");
+		format += strspn(format, "lz") + 1;
+	}
+	buf_puts(out, format);
+}
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -1,9 +1,11 @@
 #ifndef MP_UTIL_EVENTS_H
 #define MP_UTIL_EVENTS_H
 
+#include <stdarg.h>
 #include <stddef.h>
 
 #include "mulberrypath/node.h"
+#include "util/buf.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -66,6 +68,15 @@
 /* The name of a level, as in settings. */
 const char *events_level_name(enum node_log_level level);
 
+/*
+ * Append the fields of an event.
+ *
+ * out: gets a JSON object as text.
+ * format: the object, with conversions %s (within quotes: the string is
+ *     escaped and cut to a length a line can take), %d, %u, %zu, %llu and %%.
+ */
+void events_format(struct buf *out, const char *format, va_list args);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/util/events_test.cc
+++ b/tests/util/events_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "util/buf.h"
 #include "util/events.h"
 
 struct Row {
@@ -78,3 +79,37 @@
 	}
 	EXPECT_EQ(events_find(last + 1), nullptr);
 }
+
+static std::string
+format(const char *text, ...)
+{
+	struct buf out = {};
+	std::string whole;
+	va_list args;
+
+	va_start(args, text);
+	events_format(&out, text, args);
+	va_end(args);
+	whole = out.data;
+	buf_free(&out);
+	return whole;
+}
+
+TEST(events, fields_stay_json_whatever_a_string_holds)
+{
+	const struct {
+		std::string value, in_json;
+	} cases[] = {{"tallinn", "tallinn"}, {"", ""},
+	    {"a\",\"level\":\"x", "a\\\",\\\"level\\\":\\\"x"},
+	    {"back\\slash", "back\\\\slash"},
+	    {"line\nfeed\x1b[31m", "line\\nfeed\\u001b[31m"},
+	    {"\xc3\xb5hk \xff\xe2\x82", "\xc3\xb5hk ???"},
+	    {std::string(5000, 'x'), std::string(400, 'x')}};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(format("{\"s\": \"%s\"}", c.value.c_str()),
+		    "{\"s\": \"" + c.in_json + "\"}");
+	EXPECT_EQ(format("%d %u %zu %llu%% %s", -1, 2U, (size_t)3, 4ULL,
+		      (const char *)nullptr),
+	    "-1 2 3 4% ");
+}
