First callers find a full bucket; no empty address lists; Prometheus histograms

Cause: found by running the demo's deployment by hand. (1) A team's bucket began with one token at each entry: the second of two calls within 50 ms got 429 rate at a limit of 100 a second. (2) A restarted instance that knows no other yet answered /v1/addresses with 200 and [], which callers keep for the lifetime, and named [] in cut-off. The settings hold no HTTP addresses of peers, so there is nothing to fall back on. (3) /metrics had quantiles instead of histograms, no types, and lines of one metric apart from each other, which the text format forbids. Ruled out: peers' HTTP addresses in the settings, one more list to keep equal everywhere. A class without a value has no buckets: less text. Before: rate.a_teams_limit_holds_over_all_entries, standing.an_instance_that_knows_no_other_names_none and path.metrics_are_grouped_and_count_by_class failed (429; 200 with []; no bucket line).

--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -96,12 +96,14 @@
 static bool
 admit(struct node *n, const struct node_request *request)
 {
-	struct buf message = {0};
+	struct buf message = {0}, addresses = {0};
 
 	if (node_may_act(n))
 		return true;
-	buf_puts(&message, "this instance is cut off; use another: ");
-	node_report_addresses(n, NULL, NULL, &message);
+	buf_puts(&message, "this instance is cut off; use another");
+	if (node_report_addresses(n, NULL, NULL, &addresses) > 0)
+		buf_printf(&message, ": %s", addresses.data);
+	buf_free(&addresses);
 	node_api_refuse(
 	    n, request->request, 503, "cut-off", message.data, RETRY_SOON_MS);
 	buf_free(&message);
@@ -194,10 +196,15 @@
 	struct buf out = {0};
 
 	buf_puts(&out, "{\"addresses\": ");
-	node_report_addresses(n, team, adapter, &out);
-	buf_printf(
-	    &out, ", \"lifetimeMs\": %u}\n", n->settings->address_lifetime_ms);
-	route_reply_json(n->fx, request->request, 200, out.data);
+	if (node_report_addresses(n, team, adapter, &out) > 0) {
+		buf_printf(&out, ", \"lifetimeMs\": %u}\n",
+		    n->settings->address_lifetime_ms);
+		route_reply_json(n->fx, request->request, 200, out.data);
+	} else {
+		node_api_refuse(n, request->request, 503, "not-ready",
+		    "this instance knows of no instance to use now",
+		    RETRY_SOON_MS);
+	}
 	buf_free(&out);
 	free(team);
 	free(adapter);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -336,7 +336,7 @@
 char *node_api_param(const char *query, const char *name);
 void node_report_status(struct node *n, struct buf *out);
 void node_report_metrics(struct node *n, struct buf *out);
-void node_report_addresses(
+size_t node_report_addresses(
     struct node *n, const char *team, const char *adapter, struct buf *out);
 
 /* Answer with an error that did not run. */
--- a/src/node/node_rate.c
+++ b/src/node/node_rate.c
@@ -15,10 +15,10 @@
 	double per_second;
 };
 
-/* The token bucket of a team with a limit. */
+/* The token bucket of a team with a limit; full at its first request. */
 struct node_rate {
 	double tokens;
-	uint64_t us;
+	uint64_t us; /* of the last request, 0: none yet */
 	uint64_t admitted;
 	struct map *remotes; /* by instance */
 };
@@ -42,8 +42,6 @@
 	if (rate != NULL)
 		return rate;
 	rate = mem_alloc(1, sizeof(*rate));
-	rate->us = n->now;
-	rate->tokens = 1.0;
 	rate->remotes = map_create();
 	map_set_str(n->rates, team, rate);
 	return rate;
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -1,3 +1,4 @@
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,8 +30,11 @@
 	return 1.0 / (1.0 + (peer == NULL ? 0.0 : (double)peer->queued));
 }
 
-/* JSON list of entry addresses; the adapter's home comes first. */
-void
+/*
+ * Append a JSON list of entry addresses, the adapter's home first; how many
+ * it names.
+ */
+size_t
 node_report_addresses(
     struct node *n, const char *team, const char *adapter, struct buf *out)
 {
@@ -60,6 +64,7 @@
 	}
 	buf_puts(out, "]");
 	buf_free(&key);
+	return written;
 }
 
 /* ---- status ---------------------------------------------------------------
@@ -244,83 +249,160 @@
 /* ---- metrics ---------------------------------------------------------------
  */
 
+#define BUCKET_FIRST_POWER 10 /* 1.023 ms */
+#define BUCKET_LAST_POWER  26 /* 67 s */
+
+enum metric_type {
+	METRIC_COUNTER,
+	METRIC_GAUGE,
+	METRIC_HISTOGRAM
+};
+
+static void
+metric_type(struct buf *out, const char *name, enum metric_type type)
+{
+	static const char *const names[] = {"counter", "gauge", "histogram"};
+
+	buf_printf(out, "# TYPE mulberrypath_%s %s\n", name, names[type]);
+}
+
 static void
-metric_summary(struct buf *out, const char *name,
+metric_value(
+    struct buf *out, const char *name, enum metric_type type, double value)
+{
+	metric_type(out, name, type);
+	buf_printf(out, "mulberrypath_%s %.17g\n", name, value);
+}
+
+/* One class's buckets, at the upper ends of powers of two microseconds. */
+static void
+metric_buckets(struct buf *out, const char *name,
     const struct route_class_stats *s, const struct hist *h)
 {
-	static const double quantiles[] = {0.5, 0.95, 0.99};
-	size_t i;
+	uint64_t top;
+	unsigned power;
 
-	for (i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+	for (power = BUCKET_FIRST_POWER; power <= BUCKET_LAST_POWER; power++) {
+		top = (1ULL << power) - 1;
 		buf_printf(out,
-		    "mulberrypath_%s_seconds{team=\"%s\",kind=\"%s\","
-		    "quantile=\"%g\"} %.6f\n",
-		    name, s->team, s->kind, quantiles[i],
-		    (double)hist_quantile(h, quantiles[i]) * 1e-6);
-	buf_printf(out,
-	    "mulberrypath_%s_seconds_sum{team=\"%s\",kind=\"%s\"} %.6f\n", name,
-	    s->team, s->kind, (double)h->sum * 1e-6);
+		    "mulberrypath_%s_bucket{team=\"%s\",kind=\"%s\","
+		    "le=\"%.6f\"} %llu\n",
+		    name, s->team, s->kind, (double)top * 1e-6,
+		    (unsigned long long)hist_count_to(h, top));
+	}
 	buf_printf(out,
-	    "mulberrypath_%s_seconds_count{team=\"%s\",kind=\"%s\"} %llu\n",
+	    "mulberrypath_%s_bucket{team=\"%s\",kind=\"%s\",le=\"+Inf\"} "
+	    "%llu\n",
+	    name, s->team, s->kind, (unsigned long long)h->count);
+	buf_printf(out, "mulberrypath_%s_sum{team=\"%s\",kind=\"%s\"} %.6f\n",
+	    name, s->team, s->kind, (double)h->sum * 1e-6);
+	buf_printf(out, "mulberrypath_%s_count{team=\"%s\",kind=\"%s\"} %llu\n",
 	    name, s->team, s->kind, (unsigned long long)h->count);
 }
 
+/* A histogram of all classes that have something in it. */
 static void
-metric_count(struct buf *out, const char *outcome,
-    const struct route_class_stats *s, uint64_t value)
+metric_histogram(
+    const struct node *n, struct buf *out, const char *name, size_t offset)
 {
-	buf_printf(out,
-	    "mulberrypath_requests_total{team=\"%s\",kind=\"%s\","
-	    "outcome=\"%s\"} %llu\n",
-	    s->team, s->kind, outcome, (unsigned long long)value);
+	const struct route_class_stats *s;
+	const struct hist *h;
+	size_t i;
+
+	metric_type(out, name, METRIC_HISTOGRAM);
+	for (i = 0; i < route_stats_count(n->route); i++) {
+		s = route_stats_at(n->route, i);
+		h = (const void *)((const char *)s + offset);
+		if (h->count > 0)
+			metric_buckets(out, name, s, h);
+	}
 }
 
 static void
-metric_class(struct buf *out, const struct route_class_stats *s)
+metric_histograms(const struct node *n, struct buf *out)
 {
-	metric_count(out, "delivered", s, s->delivered);
-	metric_count(out, "refused", s, s->refused);
-	metric_count(out, "failed", s, s->failed);
-	metric_count(out, "unknown", s, s->unknown);
-	metric_count(out, "gone", s, s->gone);
-	metric_summary(out, "queue_wait", s, &s->wait);
-	metric_summary(out, "load_stall", s, &s->stall);
-	metric_summary(out, "first_token", s, &s->first);
-	metric_summary(out, "between_tokens", s, &s->between);
-	metric_summary(out, "whole", s, &s->whole);
+	static const struct {
+		const char *name;
+		size_t offset;
+	} histograms[] = {
+	    {"queue_wait_seconds", offsetof(struct route_class_stats, wait)},
+	    {"load_stall_seconds", offsetof(struct route_class_stats, stall)},
+	    {"first_token_seconds", offsetof(struct route_class_stats, first)},
+	    {"between_tokens_seconds",
+		offsetof(struct route_class_stats, between)},
+	    {"whole_seconds", offsetof(struct route_class_stats, whole)}};
+	size_t i;
+
+	for (i = 0; i < sizeof(histograms) / sizeof(histograms[0]); i++)
+		metric_histogram(
+		    n, out, histograms[i].name, histograms[i].offset);
 }
 
 static void
-metric_gauge(struct buf *out, const char *name, double value)
+metric_requests(const struct node *n, struct buf *out)
 {
-	buf_printf(out, "mulberrypath_%s %.17g\n", name, value);
+	static const struct {
+		const char *name;
+		size_t offset;
+	} outcomes[] = {
+	    {"delivered", offsetof(struct route_class_stats, delivered)},
+	    {"refused", offsetof(struct route_class_stats, refused)},
+	    {"failed", offsetof(struct route_class_stats, failed)},
+	    {"unknown", offsetof(struct route_class_stats, unknown)},
+	    {"gone", offsetof(struct route_class_stats, gone)}};
+	const struct route_class_stats *s;
+	const uint64_t *value;
+	size_t i, k;
+
+	metric_type(out, "requests_total", METRIC_COUNTER);
+	for (i = 0; i < route_stats_count(n->route); i++) {
+		s = route_stats_at(n->route, i);
+		for (k = 0; k < sizeof(outcomes) / sizeof(outcomes[0]); k++) {
+			value = (const void *)((const char *)s +
+			    outcomes[k].offset);
+			buf_printf(out,
+			    "mulberrypath_requests_total{team=\"%s\","
+			    "kind=\"%s\",outcome=\"%s\"} %llu\n",
+			    s->team, s->kind, outcomes[k].name,
+			    (unsigned long long)*value);
+		}
+	}
 }
 
 void
 node_report_metrics(struct node *n, struct buf *out)
 {
 	struct sched_totals totals;
-	size_t i;
 
-	for (i = 0; i < route_stats_count(n->route); i++)
-		metric_class(out, route_stats_at(n->route, i));
 	sched_get_totals(n->sched, n->now, &totals);
-	metric_gauge(out, "engines", totals.engines);
-	metric_gauge(out, "seats", totals.seats);
-	metric_gauge(out, "seats_free", totals.free);
-	metric_gauge(out, "queued", totals.queued);
-	metric_gauge(out, "running", totals.running);
-	metric_gauge(out, "loads_total", (double)totals.loads);
-	metric_gauge(out, "load_failures_total", (double)totals.load_failures);
-	metric_gauge(out, "evictions_total", (double)totals.evictions);
-	metric_gauge(out, "log_applied", (double)n->applied);
-	metric_gauge(
-	    out, "messages_out_total", (double)n->counters.messages_out);
-	metric_gauge(
-	    out, "message_bytes_out_total", (double)n->counters.bytes_out);
-	metric_gauge(
-	    out, "message_bytes_in_total", (double)n->counters.bytes_in);
-	metric_gauge(
-	    out, "messages_malformed_total", (double)n->counters.malformed);
-	metric_gauge(out, "may_act", node_may_act(n) ? 1.0 : 0.0);
+	const struct {
+		const char *name;
+		enum metric_type type;
+		double value;
+	} values[] = {{"engines", METRIC_GAUGE, totals.engines},
+	    {"seats", METRIC_GAUGE, totals.seats},
+	    {"seats_free", METRIC_GAUGE, totals.free},
+	    {"queued", METRIC_GAUGE, totals.queued},
+	    {"running", METRIC_GAUGE, totals.running},
+	    {"loads_total", METRIC_COUNTER, (double)totals.loads},
+	    {"load_failures_total", METRIC_COUNTER,
+		(double)totals.load_failures},
+	    {"evictions_total", METRIC_COUNTER, (double)totals.evictions},
+	    {"log_applied", METRIC_GAUGE, (double)n->applied},
+	    {"messages_out_total", METRIC_COUNTER,
+		(double)n->counters.messages_out},
+	    {"message_bytes_out_total", METRIC_COUNTER,
+		(double)n->counters.bytes_out},
+	    {"message_bytes_in_total", METRIC_COUNTER,
+		(double)n->counters.bytes_in},
+	    {"messages_malformed_total", METRIC_COUNTER,
+		(double)n->counters.malformed},
+	    {"may_act", METRIC_GAUGE, node_may_act(n) ? 1.0 : 0.0}};
+	size_t i;
+
+	metric_requests(n, out);
+	metric_histograms(n, out);
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		metric_value(
+		    out, values[i].name, values[i].type, values[i].value);
 }
--- a/src/util/hist.c
+++ b/src/util/hist.c
@@ -56,6 +56,17 @@
 	return h->max;
 }
 
+uint64_t
+hist_count_to(const struct hist *h, uint64_t top)
+{
+	uint64_t count = 0;
+	unsigned i, last = hist_bucket(top);
+
+	for (i = 0; i <= last; i++)
+		count += h->buckets[i];
+	return count;
+}
+
 double
 hist_mean(const struct hist *h)
 {
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 #include "cluster/cluster.h"
 
 static ClusterOptions
@@ -26,6 +28,33 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+/* Each metric is one group of lines under its type, as the format asks. */
+TEST(path, metrics_are_grouped_and_count_by_class)
+{
+	Cluster c(with_seed(1));
+	ASSERT_TRUE(c.begin());
+	ASSERT_TRUE(c.wait(c.complete(0, "a1")));
+	Request *r = c.send(0, "GET", "/metrics", "", "");
+	ASSERT_TRUE(c.wait(r));
+	std::istringstream lines(r->answer);
+	std::set<std::string> types;
+	std::string line, type;
+
+	while (std::getline(lines, line)) {
+		if (line.rfind("# TYPE ", 0) == 0) {
+			type = line.substr(7, line.find(' ', 7) - 7);
+			EXPECT_TRUE(types.insert(type).second) << line;
+		} else {
+			EXPECT_FALSE(type.empty());
+			EXPECT_EQ(line.rfind(type, 0), 0u) << line;
+		}
+	}
+	EXPECT_NE(
+	    r->answer.find("mulberrypath_whole_seconds_bucket{team=\"t1\""),
+	    std::string::npos);
+	EXPECT_NE(r->answer.find("le=\"+Inf\"} 1\n"), std::string::npos);
+}
+
 TEST(path, a_booking_runs_once_and_its_resend_gets_the_stored_answer)
 {
 	Cluster c(with_seed(2));
@@ -154,6 +183,29 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+TEST(standing, an_instance_that_knows_no_other_names_none)
+{
+	Cluster c(with_seed(32));
+	ASSERT_TRUE(c.begin());
+	c.isolate(4, true);
+	c.kill(4);
+	c.start(4);
+	c.run_for(100000);
+	const struct {
+		const char *method, *path, *code;
+	} cases[] = {{"GET", "/v1/addresses", "not-ready"},
+	    {"POST", "/v1/completions", "cut-off"}};
+	for (auto &t : cases) {
+		Request *r = c.send(4, t.method, t.path, "caller", "{}");
+
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 503) << r->answer;
+		EXPECT_NE(r->answer.find(t.code), std::string::npos);
+		EXPECT_EQ(r->answer.find("[]"), std::string::npos) << r->answer;
+		EXPECT_EQ(r->headers.count("retry-after"), 1u);
+	}
+}
+
 /* 27 instances without the log: a tree of fan-out 4 below a voter. */
 TEST(relay, a_change_comes_through_the_tree_and_past_a_dead_head)
 {
@@ -388,6 +440,13 @@
 		c.run_for(2000000);
 		std::vector<Request *> sent;
 
+		/* the first callers find a full bucket: two at once pass */
+		for (int i = 0; i < 2; i++)
+			sent.push_back(c.send(0, "GET",
+			    "/v1/services/orders/status", "caller", ""));
+		c.run_for(200000);
+		for (Request *r : sent)
+			EXPECT_EQ(r->status, 200) << r->answer;
 		for (int i = 0; i < 800; i++) {
 			sent.push_back(c.send(i % t.entries, "GET",
 			    "/v1/services/orders/status", "caller", ""));
