--- a/bench/bench.py
+++ b/bench/bench.py
@@ -284,7 +284,9 @@
         sweep(cases, names)
         return
     if options.path:
-        section = {"path": {**path.measure(say), "machine": machine()}}
+        before = machine()
+        section = {"path": {**path.measure(say), "machineBefore": before,
+                            "machine": machine()}}
     else:
         kind = "quick" if options.quick else "full"
         section = {"load": run_all(cases, cases[kind], names,
--- a/bench/report.py
+++ b/bench/report.py
@@ -183,36 +183,58 @@
     return "\n".join(out)
 
 
-def path_text(path):
+def path_times(path):
     rows = []
     for rate, r in path["rates"].items():
         a, b = r["path"], r["direct"]
-        for what in ("first", "whole"):
+        for what, title in (("first", "first token"), ("whole", "whole")):
             rows.append([
-                rate, what, f"{a['perSecond']:.0f} / {b['perSecond']:.0f}",
+                rate, f"{a['perSecond']:.0f} / {b['perSecond']:.0f}", title,
                 *(f"{a[what][p]:.2f} / {b[what][p]:.2f} / "
                   f"{a[what][p] - b[what][p]:+.2f}"
-                  for p in ("meanMs", "p50Ms", "p99Ms")),
-                f"{max(r['instances']['cpuOfACore']):.1%}",
-                f"{max(r['instances']['peakKb']) / 1024:.1f}"])
-    idle = path["idle"]
+                  for p in ("meanMs", "p50Ms", "p99Ms"))])
+    return table(["offered/s", "delivered/s path / direct", "time",
+                  "mean ms path / direct / added",
+                  "median ms path / direct / added",
+                  "99th ms path / direct / added"], rows)
+
+
+def path_costs(path):
+    costs = {"idle": (path["idle"], 0)}
+    costs.update((f"{rate}/s", (r["instances"], r["path"]["delivered"]))
+                 for rate, r in path["rates"].items())
+    rows = []
+    for name, (cost, delivered) in costs.items():
+        shares = [s / cost["seconds"] for s in cost["cpuS"]]
+        rows.append([
+            name, f"{cost['seconds']:.1f}",
+            f"{min(cost['cpuS']):.2f} to {max(cost['cpuS']):.2f}",
+            f"{min(shares):.2%} to {max(shares):.2%}",
+            f"{sum(cost['cpuS']) * 1e6 / delivered:.0f}" if delivered else "",
+            f"{max(cost['rssKb']) / 1024:.1f}",
+            f"{max(cost['peakKb']) / 1024:.1f}"])
+    return table(["load", "seconds", "CPU s of an instance", "of a core",
+                  "CPU us a request, all instances", "largest resident MB",
+                  "largest peak resident MB"], rows)
+
+
+def path_text(path):
     return "\n".join([
         "## The path's own cost\n",
-        "Five instances, four engines with a step of 1 ms, one loaded "
-        "adapter, answers of 4 streamed tokens; the same requests through "
-        "the path and straight to the engine, one after the other in one "
-        f"run; load average {' '.join(path['machine']['loadAverage'])}, "
+        "`script/bench --path`: five instances with 3,000 adapters, four "
+        "engines with a step of 1 ms, one loaded adapter, answers of 4 "
+        "streamed tokens. Each rate runs for "
+        f"{path['rateSeconds']} s through the path and then straight to the "
+        "engine, in one run; load average "
+        f"{' '.join(path['machineBefore']['loadAverage'])} before and "
+        f"{' '.join(path['machine']['loadAverage'])} after, "
         f"{path['machine']['time']}. Path times include asking for "
-        "addresses.\n",
-        table(["requests/s", "time", "delivered/s path / direct",
-               "mean ms path / direct / added", "median ms path / direct / added",
-               "99th ms path / direct / added", "busiest instance, of a core",
-               "largest peak MB"], rows),
-        f"Idle for {idle['seconds']:.0f} s with 3,000 adapters: an instance "
-        f"used {min(idle['cpuOfACore']):.2%} to "
-        f"{max(idle['cpuOfACore']):.2%} of a core; peak memory "
-        f"{min(idle['peakKb']) / 1024:.1f} to "
-        f"{max(idle['peakKb']) / 1024:.1f} MB.\n"])
+        "addresses. Percentiles are exact; \"added\" is the difference of "
+        "the percentiles.\n",
+        path_times(path),
+        "CPU time and memory of the instances, from /proc; the peak is that "
+        "since their start.\n",
+        path_costs(path)])
 
 
 def update(folder, section):
--- a/src/mulberryctl/cmd_load.c
+++ b/src/mulberryctl/cmd_load.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,7 +16,7 @@
 /* The command line of one load. */
 struct load_command {
 	const char *make, *trace, *docs, *tokens, *teams, *flood, *window;
-	const char *run, *report;
+	const char *run, *report, *samples;
 	const char *seed, *seconds, *rate, *adapters, *zipf, *flip, *burst;
 	const char *chats, *bookings, *lookups, *streams, *answer, *prompt;
 	bool any_text, quiet, direct;
@@ -313,7 +314,19 @@
 	options.check = !o->any_text;
 	options.direct = o->direct;
 	options.progress = o->quiet ? NULL : c->err;
+	if (o->samples != NULL) {
+		options.samples = fopen(o->samples, "w");
+		if (options.samples == NULL) {
+			ctl_complain(c, "%s: %s", o->samples, strerror(errno));
+			return CTL_EXIT_USAGE;
+		}
+	}
 	report = load_run(&options);
+	if (options.samples != NULL && fclose(options.samples) != 0) {
+		ctl_complain(c, "%s: cannot be written", o->samples);
+		json_decref(report);
+		return CTL_EXIT_USAGE;
+	}
 	if (report == NULL)
 		return CTL_EXIT_NO_SERVER;
 	code = print_report(c, o, report);
@@ -352,6 +365,8 @@
 		"FILE,...  the teams' documents: adapters, weights"},
 	    {"tokens", &o.tokens, NULL, "TEAM=TOKEN,...  callers' tokens"},
 	    {"report", &o.report, NULL, "FILE  write the JSON report there"},
+	    {"samples", &o.samples, NULL,
+		"FILE  write both times of each delivered request there, us"},
 	    {"window", &o.window, NULL,
 		"FROM:TO  report only arrivals of these seconds"},
 	    {"run", &o.run, NULL,
--- a/src/mulberryctl/ctl.c
+++ b/src/mulberryctl/ctl.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "http/address.h"
 #include "mulberryctl/ctl_http.h"
 #include "util/mem.h"
 
@@ -103,18 +104,28 @@
 	    c->out);
 }
 
-static void
+static bool
 set_servers(struct ctl *c, const char *list)
 {
 	char *copy = mem_string(list), *save = NULL, *word;
+	struct sockaddr_in address;
 
 	while (c->nservers > 0)
 		free(c->servers[--c->nservers]);
-	for (word = strtok_r(copy, ",", &save);
-	     word != NULL && c->nservers < CTL_SERVERS_MAX;
-	     word = strtok_r(NULL, ",", &save))
+	for (word = strtok_r(copy, ",", &save); word != NULL;
+	     word = strtok_r(NULL, ",", &save)) {
+		if (c->nservers == CTL_SERVERS_MAX ||
+		    address_parse(&address, word) != MP_OK) {
+			ctl_complain(c,
+			    "--server: found \"%s\", allowed: up to %d times "
+			    "IP:PORT",
+			    word, CTL_SERVERS_MAX);
+			break;
+		}
 		c->servers[c->nservers++] = mem_string(word);
+	}
 	free(copy);
+	return word == NULL;
 }
 
 static bool
@@ -183,9 +194,11 @@
 			*code = CTL_EXIT_USAGE;
 			return false;
 		}
-		if (found == OPTION_SERVER)
-			set_servers(c, optarg);
-		else if (found == OPTION_TOKEN)
+		if (found == OPTION_SERVER && !set_servers(c, optarg)) {
+			*code = CTL_EXIT_USAGE;
+			return false;
+		}
+		if (found == OPTION_TOKEN)
 			c->token = optarg;
 		else if (found == OPTION_JSON)
 			c->json = true;
--- a/src/mulberryctl/load_call.c
+++ b/src/mulberryctl/load_call.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -155,6 +156,11 @@
 	if (end.end_us < end.at_us)
 		end.end_us = end.at_us;
 	load_stats_end(l->stats, call->class, &end, call->counted);
+	if (l->options->samples != NULL && call->counted &&
+	    outcome == LOAD_DELIVERED)
+		(void)fprintf(l->options->samples, "%llu %llu\n",
+		    (unsigned long long)end.first_us,
+		    (unsigned long long)(end.end_us - end.at_us));
 	l->active--;
 	buf_free(&call->body);
 	buf_free(&call->text);
--- a/src/mulberryctl/load_run.h
+++ b/src/mulberryctl/load_run.h
@@ -32,6 +32,7 @@
 	bool check; /* compare the texts with the stand-ins' */
 	bool direct; /* servers are engines: no addresses, engine's keys */
 	FILE *progress; /* NULL: none */
+	FILE *samples; /* a line each: microseconds to first token and end */
 };
 
 /*
