A drain needs an operator of all teams

Cause: POST /v1/drain took the token of any operator, so that one of one team could take an instance from all the others. Found by running mulberryctl with a team's own operator.

--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -261,9 +261,16 @@
 	free(unknown);
 }
 
+/* Every team loses the instance, so only an operator of all may ask. */
 static void
-api_drain(struct node *n, const struct node_request *request)
+api_drain(struct node *n, const struct node_request *request,
+    const struct settings_operator *op)
 {
+	if (!may_change(op, "*")) {
+		node_api_refuse(n, request->request, 403, "forbidden",
+		    "only an operator of all teams may drain an instance", 0);
+		return;
+	}
 	route_reply_json(
 	    n->fx, request->request, 200, "{\"draining\": true}\n");
 	node_stop(n);
@@ -318,7 +325,7 @@
 		api_bookings(n, request, op, query);
 	else if (strcmp(path, "/v1/drain") == 0 &&
 	    strcmp(request->method, "POST") == 0)
-		api_drain(n, request);
+		api_drain(n, request, op);
 	else
 		node_api_refuse(n, request->request, 404, "unknown-path",
 		    "no such call", 0);
--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -88,8 +88,8 @@
 void
 Cluster::make_settings(Instance &in, const ClusterOptions &options)
 {
-	static char any[] = "*";
-	static char *teams[] = {any};
+	static char any[] = "*", t2[] = "t2";
+	static char *teams[] = {any}, *own_team[] = {t2};
 	struct settings &s = in.settings;
 	auto keep = [&in](const std::string &text) {
 		in.strings.push_back(text);
@@ -117,8 +117,10 @@
 	s.npeers = in.peers.size();
 	doc_hash_token(hash, "op");
 	in.operators.push_back({keep("op"), keep(hash), teams, 1});
+	doc_hash_token(hash, "t2-op");
+	in.operators.push_back({keep("t2-op"), keep(hash), own_team, 1});
 	s.operators = in.operators.data();
-	s.noperators = 1;
+	s.noperators = in.operators.size();
 	s.objective = SETTINGS_LOAD_STALL;
 	s.charge = SETTINGS_CHARGE_TOKENS;
 	s.policy = keep("fair");
