A claim start applied again never frees a key whose call has run

Cause: a start is resent to a new leader until it is applied, so the log may hold it twice. When its call had run, its answer had gone out as not recorded (no quorum for 2 s) and its entry had ended, the second copy found no entry, and the instance proposed "not run" for its own call; that end could be committed before the answer's, freed the key, and another instance ran it.

Before: the case above fails; RouteTest.a_call_that_ran_is_never_said_not_to_ have_run fails (ends answered, not-run). After: both pass. A copy is told by the index of the claim in the table, which is that of the first.

--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -96,8 +96,8 @@
 	if (!is_own(n, command))
 		return;
 	node_propose_applied(n, command->proposal);
-	route_claim_decided(
-	    n->route, n->now, command->proposal, verdict, claim, n->fx);
+	route_claim_decided(n->route, n->now, command->proposal, verdict, claim,
+	    claim->index != index, n->fx);
 }
 
 static void
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -100,9 +100,13 @@
 void route_caller_gone(struct route *r, uint64_t now_us, uint64_t request,
     struct node_effects *fx);
 
-/* A claim start of this instance was applied, or could not be proposed. */
+/*
+ * A claim start of this instance was applied, or could not be proposed.
+ *
+ * again: a copy that was sent again; the claim is older than it.
+ */
 void route_claim_decided(struct route *r, uint64_t now_us, uint64_t proposal,
-    enum claim_verdict verdict, const struct claim *claim,
+    enum claim_verdict verdict, const struct claim *claim, bool again,
     struct node_effects *fx);
 void route_claim_failed(struct route *r, uint64_t now_us, uint64_t proposal,
     struct node_effects *fx);
--- a/src/route/route_claim.c
+++ b/src/route/route_claim.c
@@ -141,7 +141,7 @@
 
 void
 route_claim_decided(struct route *r, uint64_t now_us, uint64_t proposal,
-    enum claim_verdict verdict, const struct claim *claim,
+    enum claim_verdict verdict, const struct claim *claim, bool again,
     struct node_effects *fx)
 {
 	static const struct route_error mismatch = {422, "key-reused",
@@ -150,7 +150,8 @@
 	struct route_entry *e = map_get_u64(r->by_proposal, proposal);
 
 	if (e == NULL) {
-		if (verdict == CLAIM_GIVEN)
+		/* decided before, it may have run: its own end counts */
+		if (verdict == CLAIM_GIVEN && !again)
 			claim_unwanted(r, now_us, claim, fx);
 		return;
 	}
--- a/tests/route/route_test.cc
+++ b/tests/route/route_test.cc
@@ -34,6 +34,16 @@
 		ops.next_call = [](void *ctx) {
 			return ++((RouteTest *)ctx)->calls;
 		};
+		ops.claim_start = [](void *, const struct claim_start *,
+				      uint64_t, uint64_t *proposal,
+				      struct node_effects *) {
+			*proposal = 7;
+			return true;
+		};
+		ops.claim_end = [](void *ctx, const struct claim_end *end,
+				    uint64_t, struct node_effects *) {
+			((RouteTest *)ctx)->claim_ends.push_back(end->kind);
+		};
 		ops.act_until = [](void *) { return (uint64_t)UINT64_MAX; };
 		route = route_create(&options, &ops, this);
 		fx = node_effects_create();
@@ -52,7 +62,8 @@
 	}
 
 	void
-	begin(const char *method = nullptr, const char *path = nullptr)
+	begin(const char *method = nullptr, const char *path = nullptr,
+	    const char *key = nullptr)
 	{
 		struct route_request r = {};
 
@@ -70,6 +81,7 @@
 			r.call = doc_find_call(r.service, method, path);
 			r.method = method;
 			r.path = path;
+			r.idempotency_key = key;
 		}
 		route_begin(route, 0, &r, fx);
 	}
@@ -125,7 +137,7 @@
 	struct node_effects *fx = nullptr;
 	struct doc *doc = nullptr;
 	std::vector<uint64_t> asks;
-	std::vector<int> ends;
+	std::vector<int> ends, claim_ends;
 	uint64_t calls = 0;
 };
 
@@ -224,3 +236,20 @@
 	/* each request once, the first burst, and a tenth of the requests */
 	EXPECT_LE(tries, 100u + 10u + 11u);
 }
+
+/* A start that was sent again and is applied again decides nothing new. */
+TEST_F(RouteTest, a_call_that_ran_is_never_said_not_to_have_run)
+{
+	struct claim claim = {};
+
+	claim.team = claim.key = (char *)"t";
+	begin("POST", "/book", "key");
+	route_claim_decided(route, 500, 7, CLAIM_GIVEN, &claim, false, fx);
+	grant();
+	call(NODE_CALL_HEAD, 200);
+	call(NODE_CALL_END);
+	route_tick(route, 5000000, fx); /* not recorded in time */
+	EXPECT_EQ(answer(), "200 done");
+	route_claim_decided(route, 6000000, 7, CLAIM_GIVEN, &claim, true, fx);
+	EXPECT_EQ(claim_ends, std::vector<int>{CLAIM_END_ANSWERED});
+}
