sched: a run granted after a report was taken does not explain it

Cause: the owner takes reported runs that no grant of its own explains for runs of the owner before. Grants that ended after the report's time counted as explained by it, also those that began after it. With reports 2.5 s old, a short run of the new owner hid the old owner's long one, and its adapter was evicted while it ran.

Ruled out: the wait after a take-over (evicted 5.2 s after it, by a report taken 2.5 s after it, which shows the run); orders that were late.

A run now counts when it was granted before the report was taken; on an endpoint taken over, 300 ms before, because a report's age leaves out its way here. Weighed: the 300 ms everywhere; an endpoint that never had another owner has no foreign runs, and there it would only put evictions off (SchedEvict.OurOwnEndedRunsExplainALaggingReport fails).

--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -154,6 +154,7 @@
 	ep->as_of_us = 0;
 	ep->detached_us = 0;
 	ep->evict_after_us = 0;
+	ep->taken = false;
 }
 
 static void
@@ -236,6 +237,7 @@
 	struct endpoint *ep = endpoint_get(s, id);
 
 	ep->evict_after_us = evict_after_us;
+	ep->taken = true;
 	ep->foreign = UINT32_MAX;
 	ep->foreign_until_us = now_us + ENDPOINT_FOREIGN_US;
 	if (ep->known)
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -11,8 +11,14 @@
 #define SCHED_MS_US	1000ULL
 #define SCHED_SECOND_US 1000000ULL
 
-/* Slots whose run ended lately are remembered by this many end times. */
+/* Slots whose run ended lately remember so many of the runs. */
 #define SCHED_SLOT_ENDS 16
+/* A report may be so much older than its age says: it was on its way. */
+#define SCHED_REPORT_LATE_US 300000ULL
+
+struct slot_run {
+	uint64_t granted_us, ended_us;
+};
 
 struct adapter;
 struct endpoint;
@@ -59,7 +65,7 @@
 	uint64_t used_us; /* last grant or load */
 	uint64_t unsure_us; /* a run ended undelivered: wait for a report */
 	uint64_t ready_us; /* when it was loaded */
-	uint64_t ends[SCHED_SLOT_ENDS]; /* ring of delivered runs' ends */
+	struct slot_run ends[SCHED_SLOT_ENDS]; /* ring of delivered runs */
 	uint32_t nends;
 };
 
@@ -95,6 +101,7 @@
 	uint64_t as_of_us; /* of the newest report */
 	uint64_t detached_us; /* when a slot was last emptied */
 	uint64_t evict_after_us; /* 0: evictions are allowed */
+	bool taken; /* another owner may have runs on it */
 	enum sched_role role, role_wanted;
 	struct prefix_set prefixes;
 	uint64_t cache_sequence;
@@ -333,7 +340,7 @@
 void slot_drain(struct sched *s, struct slot *slot, struct adapter *a);
 void slot_drain_end(struct sched *s, struct slot *slot);
 void slot_unpin(struct sched *s, struct endpoint *ep, struct slot *slot,
-    uint64_t now_us, enum sched_outcome outcome);
+    uint64_t now_us, uint64_t granted_us, enum sched_outcome outcome);
 void slot_merge(struct sched *s, struct endpoint *ep, uint64_t now_us,
     const struct sched_report *report, uint64_t as_of_us);
 bool slot_claimed(const struct endpoint *ep, const struct adapter *a);
--- a/src/sched/sched_slot.c
+++ b/src/sched/sched_slot.c
@@ -141,13 +141,15 @@
 
 void
 slot_unpin(struct sched *s, struct endpoint *ep, struct slot *slot,
-    uint64_t now_us, enum sched_outcome outcome)
+    uint64_t now_us, uint64_t granted_us, enum sched_outcome outcome)
 {
+	struct slot_run run = {granted_us, now_us};
+
 	if (slot->pins > 0)
 		slot->pins--;
 	switch (outcome) {
 	case SCHED_DELIVERED:
-		slot->ends[slot->nends++ % SCHED_SLOT_ENDS] = now_us;
+		slot->ends[slot->nends++ % SCHED_SLOT_ENDS] = run;
 		break;
 	case SCHED_FAILED:
 	case SCHED_CANCELLED:
@@ -166,15 +168,26 @@
 	slot_detach(s, ep, slot, now_us);
 }
 
+/* Did a run that has ended go on when the report was taken? */
+static bool
+slot_run_reported(const struct endpoint *ep, const struct slot *slot,
+    const struct slot_run *run)
+{
+	uint64_t late_us = ep->taken ? SCHED_REPORT_LATE_US : 0;
+
+	return run->ended_us >= slot->reported_us &&
+	    run->granted_us + late_us <= slot->reported_us;
+}
+
 /* Of the reported runs, those that no grant of ours explains. */
 static uint32_t
-slot_foreign_runs(const struct slot *slot)
+slot_foreign_runs(const struct endpoint *ep, const struct slot *slot)
 {
 	uint32_t ours = slot->pins, i, n;
 
 	n = slot->nends < SCHED_SLOT_ENDS ? slot->nends : SCHED_SLOT_ENDS;
 	for (i = 0; i < n; i++) {
-		if (slot->ends[i] >= slot->reported_us)
+		if (slot_run_reported(ep, slot, &slot->ends[i]))
 			ours++;
 	}
 	return slot->reported > ours ? slot->reported - ours : 0;
@@ -187,7 +200,7 @@
 		return false;
 	if (sched_guards.pins && slot->pins > 0)
 		return false;
-	if (sched_guards.running && slot_foreign_runs(slot) > 0)
+	if (sched_guards.running && slot_foreign_runs(ep, slot) > 0)
 		return false;
 	if (sched_guards.running && slot->unsure_us > 0 &&
 	    slot->reported_us <= slot->unsure_us)
--- a/tests/sched/sched_evict_test.cc
+++ b/tests/sched/sched_evict_test.cc
@@ -110,6 +110,21 @@
 	}
 }
 
+/* A run of ours that began after the report was taken is not in it. */
+TEST_F(SchedEvict, LaterRunsDoNotExplainAnOldReport)
+{
+	sched_endpoint_takeover(s, now, "e1", now);
+	now += 1000;
+	Engine("e1", {"t/a@1"}, 1, 8, 1, 0, {1});
+	now += 400000;
+	Ask(1, "t", "t/a@1");
+	EXPECT_EQ("G1@e1", Short());
+	now += 100000;
+	Done(1);
+	Ask(2, "u", "u/b@1");
+	EXPECT_FALSE(Evicts(Later()));
+}
+
 TEST_F(SchedEvict, AdoptedGrantsPinAndHoldTheirSeat)
 {
 	Engine("e1", {"t/a@1"}, 1, 2, 1, 0, {2});
