--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -59,6 +59,8 @@
 		uint64_t call;
 		std::string id, key, prompt;
 		uint32_t next, max;
+		uint64_t silence_us;
+		bool muted = false; /* its caller missed a token */
 	};
 	std::map<std::string, bool> slots; /* key -> loading */
 	std::map<uint64_t, Run> runs; /* by serial */
@@ -67,7 +69,8 @@
 	std::map<std::string, int> ran; /* runs begun, by run id */
 	std::map<std::string, int> bookings; /* by idempotency key */
 	std::set<std::string> grantless;
-	uint64_t newest_fence = 0, stale_orders = 0;
+	std::map<std::string, uint64_t> fences; /* newest, by owner's life */
+	uint64_t stale_orders = 0;
 	uint64_t evicted_in_use = 0, loads = 0, evictions = 0;
 	uint64_t first_new_grant_us = 0;
 };
@@ -221,6 +224,7 @@
 		int instance;
 		uint64_t life, call, fence;
 		std::string path, body, request, key;
+		uint64_t silence_us;
 	};
 	void arrive(Endpoint *e, const Incoming &in);
 	void engine_order(Endpoint *e, const Incoming &in);
