bus: only the connecting side sends heartbeats

Cause: perf of a voter and of an instance without the log, among 50 idle processes in 4 regions with 5 voters: four fifths of the CPU is ZeroMQ's I/O thread. Each of the 2(n - 1) connections that a process has in its first minute was pinged twice a second from both ends, encrypted, and each timer that an answer cancels is searched for in a list of the timers of all connections (std::_Rb_tree_increment leads the user part): O(n^2).

Ruled out: no heartbeats but TCP keepalive on both sides, as bus.a_connection_gone_silent_is_replaced (a middlebox that acknowledges and drops) rightly needs them; longer intervals, which lengthen the time to a new connection.

The accepting side cannot connect anew, so it sends none; the kernel's keepalive closes what it accepted.

--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -24,6 +24,8 @@
 #define RECONNECT_MS	       100
 #define RECONNECT_MAX_MS       800
 #define TCP_USER_TIMEOUT_MS    3000
+#define KEEPALIVE_S	       1 /* of accepted connections */
+#define KEEPALIVE_PROBES       3
 #define IDLE_CHECK_MS	       10000
 #define IDLE_PEER_MS	       60000
 #define ZAP_DOMAIN	       "mulberrypath"
@@ -69,8 +71,6 @@
 	bad |= set_int(socket, ZMQ_LINGER, 0);
 	bad |= set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
 	bad |= set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
-	bad |= set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-	bad |= set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
 	bad |= set_int(socket, ZMQ_TCP_MAXRT, TCP_USER_TIMEOUT_MS);
 	bad |= zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
@@ -197,6 +197,8 @@
 		return NULL;
 	(void)snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
 	bad |= set_common_options(socket);
+	bad |= set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	bad |= set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_IMMEDIATE, 1);
 	bad |= set_int(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
@@ -308,6 +310,24 @@
 	return MP_OK;
 }
 
+/*
+ * The connecting side alone sends heartbeats, as it alone can connect anew.
+ * Of an accepted connection whose other end is gone the kernel learns: a
+ * heartbeat would cost a timer, and each cancelled timer costs the library
+ * a search over the timers of all connections.
+ */
+static int
+set_keepalive(void *socket)
+{
+	int bad = 0;
+
+	bad |= set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
+	bad |= set_int(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_S);
+	bad |= set_int(socket, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_S);
+	bad |= set_int(socket, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES);
+	return bad;
+}
+
 static int
 open_router(struct bus *b, struct mp_error *err)
 {
@@ -321,6 +341,7 @@
 	(void)snprintf(
 	    endpoint, sizeof(endpoint), "tcp://%s", b->settings->bus_listen);
 	bad |= set_common_options(b->router);
+	bad |= set_keepalive(b->router);
 	/* A restarted peer takes over from its old connection. */
 	bad |= set_int(b->router, ZMQ_ROUTER_HANDOVER, 1);
 	if (b->zap != NULL) {
--- a/src/bus/bus.h
+++ b/src/bus/bus.h
@@ -16,9 +16,9 @@
 /*
  * Messages between instances: ZeroMQ on the loop. One bound ROUTER receives,
  * one DEALER a peer sends. Small high-water mark, immediate mode, no linger,
- * heartbeats: a peer that is absent or silent loses messages rather than
- * getting them late. With keys in the settings: CURVE, unknown keys refused,
- * and the sender's id is the one that belongs to its key.
+ * heartbeats by the connecting side: a peer that is absent or silent loses
+ * messages rather than getting them late. With keys in the settings: CURVE,
+ * unknown keys refused, and the sender's id is the one that belongs to its key.
  */
 struct bus;
 
