documents: the log carries what differs, not the whole text

Cause: a change of one line cost its whole document for each voter, relay and follower, and in the ring of the last 1,024 entries.

The change names the revision that it replaces, and all instances hold the text of it: the proposer's DocPut now has pieces of that text and what is new, with a hash; the text is made anew where it is applied. It stays whole where that saves less than half, where the proposer does not hold the revision, and for a first document. One whose base has left the history is a conflict, as its revision is not the current one.

Not proved: documents longer than 512 KB are told by one piece between their ends.

--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -128,6 +128,9 @@
 /*
  * Apply a committed change. A change id already answered gets its first
  * result again, whatever came since.
+ *
+ * text: NULL when it was told as a difference to a revision that the book
+ * does not hold any more; then another one is current.
  */
 void doc_book_put(struct doc_book *b, uint64_t index, const char *team,
     uint64_t base_revision, const char *change_id, const char *operator_name,
--- a/src/doc/doc_book.c
+++ b/src/doc/doc_book.c
@@ -293,12 +293,13 @@
 	memset(out, 0, sizeof(*out));
 	out->verdict = DOC_INVALID;
 	out->revision = current;
-	d = doc_book_read(b, team, text, len);
-	if (d == NULL)
+	d = text == NULL ? NULL : doc_book_read(b, team, text, len);
+	if (d == NULL && (text != NULL || base_revision == current))
 		return;
 	if (t == NULL)
 		t = doc_book_add_team(b, team);
-	if (base_revision == current || !doc_guards.base_revision) {
+	if (d != NULL &&
+	    (base_revision == current || !doc_guards.base_revision)) {
 		doc_book_accept(b, t, d, &past, out);
 	} else {
 		out->verdict = DOC_CONFLICT;
--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "doc/doc_delta.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -137,8 +138,10 @@
 	put.body.len = request->body.len;
 	command.body_case = WIRE__COMMAND__BODY_DOC_PUT;
 	command.doc_put = &put;
+	doc_delta_make(n->book, &put);
 	(void)node_propose(n, NODE_PROPOSE_DOC, request->request,
 	    n->now + NODE_CHANGE_US, &command);
+	doc_delta_free(&put);
 }
 
 static void
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -1,3 +1,4 @@
+#include "doc/doc_delta.h"
 #include "node/node_internal.h"
 
 /* Is the command one that this process proposed? */
@@ -14,10 +15,13 @@
 	const Wire__DocPut *put = command->doc_put;
 	struct node_proposal *proposal;
 	struct doc_result result;
+	struct buf made = {0};
+	struct doc_text text = doc_delta_text(n->book, put, &made);
 
 	doc_book_put(n->book, index, put->team, put->base_revision,
-	    put->change_id, put->operator_, put->time_ms,
-	    (const char *)put->body.data, put->body.len, &result);
+	    put->change_id, put->operator_, put->time_ms, text.data, text.len,
+	    &result);
+	buf_free(&made);
 	if (result.verdict == DOC_ACCEPTED && !result.repeated)
 		node_log(n, NODE_LOG_DOCUMENT,
 		    "{\"team\": \"%s\", \"revision\": %llu, \"index\": %llu}",
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &wire__doc_put__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__doc_piece__init
+                     (Wire__DocPiece         *message)
+{
+  static const Wire__DocPiece init_value = WIRE__DOC_PIECE__INIT;
+  *message = init_value;
+}
+size_t wire__doc_piece__get_packed_size
+                     (const Wire__DocPiece *message)
+{
+  assert(message->base.descriptor == &wire__doc_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__doc_piece__pack
+                     (const Wire__DocPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__doc_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__doc_piece__pack_to_buffer
+                     (const Wire__DocPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__doc_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__DocPiece *
+       wire__doc_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__DocPiece *)
+     protobuf_c_message_unpack (&wire__doc_piece__descriptor,
+                                allocator, len, data);
+}
+void   wire__doc_piece__free_unpacked
+                     (Wire__DocPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__doc_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__member_down__init
                      (Wire__MemberDown         *message)
 {
@@ -420,7 +465,7 @@
   (ProtobufCMessageInit) wire__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__doc_put__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__doc_put__field_descriptors[8] =
 {
   {
     "team",
@@ -494,19 +539,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pieces",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__DocPut, n_pieces),
+    offsetof(Wire__DocPut, pieces),
+    &wire__doc_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_hash",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__DocPut, body_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__doc_put__field_indices_by_name[] = {
   1,   /* field[1] = base_revision */
   5,   /* field[5] = body */
+  7,   /* field[7] = body_hash */
   2,   /* field[2] = change_id */
   3,   /* field[3] = operator */
+  6,   /* field[6] = pieces */
   0,   /* field[0] = team */
   4,   /* field[4] = time_ms */
 };
 static const ProtobufCIntRange wire__doc_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__doc_put__descriptor =
 {
@@ -516,13 +587,77 @@
   "Wire__DocPut",
   "wire",
   sizeof(Wire__DocPut),
-  6,
+  8,
   wire__doc_put__field_descriptors,
   wire__doc_put__field_indices_by_name,
   1,  wire__doc_put__number_ranges,
   (ProtobufCMessageInit) wire__doc_put__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__doc_piece__field_descriptors[3] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__DocPiece, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__DocPiece, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__DocPiece, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__doc_piece__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  1,   /* field[1] = length */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange wire__doc_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__doc_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.DocPiece",
+  "DocPiece",
+  "Wire__DocPiece",
+  "wire",
+  sizeof(Wire__DocPiece),
+  3,
+  wire__doc_piece__field_descriptors,
+  wire__doc_piece__field_indices_by_name,
+  1,  wire__doc_piece__number_ranges,
+  (ProtobufCMessageInit) wire__doc_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__member_down__field_descriptors[2] =
 {
   {
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -18,6 +18,7 @@
 
 typedef struct Wire__Command Wire__Command;
 typedef struct Wire__DocPut Wire__DocPut;
+typedef struct Wire__DocPiece Wire__DocPiece;
 typedef struct Wire__MemberDown Wire__MemberDown;
 typedef struct Wire__MemberLeave Wire__MemberLeave;
 typedef struct Wire__ClaimStart Wire__ClaimStart;
@@ -90,11 +91,38 @@
    * of the proposer, for history only
    */
   uint64_t time_ms;
+  /*
+   * empty when there are pieces
+   */
   ProtobufCBinaryData body;
+  /*
+   * the body by the text of base_revision
+   */
+  size_t n_pieces;
+  Wire__DocPiece **pieces;
+  /*
+   * of the body that the pieces make
+   */
+  uint64_t body_hash;
 };
 #define WIRE__DOC_PUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__doc_put__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0,NULL, 0 }
+
+
+/*
+ * A stretch of the earlier text, then text of its own.
+ */
+struct  Wire__DocPiece
+{
+  ProtobufCMessage base;
+  uint32_t from;
+  uint32_t length;
+  ProtobufCBinaryData text;
+};
+#define WIRE__DOC_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__doc_piece__descriptor) \
+    , 0, 0, {0,NULL} }
 
 
 struct  Wire__MemberDown
@@ -199,6 +227,25 @@
 void   wire__doc_put__free_unpacked
                      (Wire__DocPut *message,
                       ProtobufCAllocator *allocator);
+/* Wire__DocPiece methods */
+void   wire__doc_piece__init
+                     (Wire__DocPiece         *message);
+size_t wire__doc_piece__get_packed_size
+                     (const Wire__DocPiece   *message);
+size_t wire__doc_piece__pack
+                     (const Wire__DocPiece   *message,
+                      uint8_t             *out);
+size_t wire__doc_piece__pack_to_buffer
+                     (const Wire__DocPiece   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__DocPiece *
+       wire__doc_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__doc_piece__free_unpacked
+                     (Wire__DocPiece *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__MemberDown methods */
 void   wire__member_down__init
                      (Wire__MemberDown         *message);
@@ -283,6 +330,9 @@
 typedef void (*Wire__DocPut_Closure)
                  (const Wire__DocPut *message,
                   void *closure_data);
+typedef void (*Wire__DocPiece_Closure)
+                 (const Wire__DocPiece *message,
+                  void *closure_data);
 typedef void (*Wire__MemberDown_Closure)
                  (const Wire__MemberDown *message,
                   void *closure_data);
@@ -304,6 +354,7 @@
 extern const ProtobufCEnumDescriptor    wire__claim_outcome__descriptor;
 extern const ProtobufCMessageDescriptor wire__command__descriptor;
 extern const ProtobufCMessageDescriptor wire__doc_put__descriptor;
+extern const ProtobufCMessageDescriptor wire__doc_piece__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_down__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_leave__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_start__descriptor;
--- a/tests/doc/book_test.cc
+++ b/tests/doc/book_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "doc/doc.h"
+#include "doc/doc_delta.h"
 #include "util/rng.h"
 
 static std::string
@@ -14,14 +15,28 @@
 	    "],\"kinds\":{\"k\":{\"maxTokens\":" + std::to_string(n) + "}}}";
 }
 
+/* A change as it stands in the log; its size is noted. */
+static size_t put_bytes;
+
 static struct doc_result
 put(struct doc_book *b, uint64_t index, const char *team, uint64_t base,
     const char *change, const std::string &text)
 {
+	Wire__DocPut wire = WIRE__DOC_PUT__INIT;
+	struct buf made = {};
 	struct doc_result r;
 
-	doc_book_put(b, index, team, base, change, "op", index * 10,
-	    text.data(), text.size(), &r);
+	wire.team = (char *)team;
+	wire.base_revision = base;
+	wire.body = {text.size(), (uint8_t *)text.data()};
+	doc_delta_make(b, &wire);
+	put_bytes = wire__doc_put__get_packed_size(&wire);
+	struct doc_text out = doc_delta_text(b, &wire, &made);
+	EXPECT_EQ(std::string(out.data, out.len), text);
+	doc_book_put(b, index, team, base, change, "op", index * 10, out.data,
+	    out.len, &r);
+	doc_delta_free(&wire);
+	buf_free(&made);
 	return r;
 }
 
@@ -208,6 +223,74 @@
 	}
 }
 
+/* One adapter more or less, or of another version: not the whole text. */
+TEST(doc_book, a_change_is_told_by_what_differs)
+{
+	struct doc_book *b = doc_book_create();
+	std::map<int, int> versions;
+	struct rng rng;
+
+	rng_seed(&rng, 1);
+	for (int i = 0; i < 300; i++)
+		versions[i] = 1;
+	for (uint64_t index = 1; index <= 200; index++) {
+		std::string text = text_of("t", "", (int)index), lines;
+		for (uint32_t n = rng_below(&rng, 3); n > 0; n--) {
+			int i = (int)rng_below(&rng, 320);
+			if (rng_below(&rng, 3) == 0)
+				versions.erase(i);
+			else
+				versions[i]++;
+		}
+		for (auto &[i, version] : versions)
+			lines += (lines.empty() ? "\"a" : ",\"a") +
+			    std::to_string(i) + "\":{\"version\":\"" +
+			    std::to_string(version) +
+			    "\",\"baseModel\":\"base\",\"kind\":\"k\"}";
+		text.insert(text.size() - 1, ",\"adapters\":{" + lines + "}");
+		struct doc_result r = put(b, index, "t", index - 1,
+		    std::to_string(index).c_str(), text);
+		ASSERT_EQ(r.verdict, DOC_ACCEPTED);
+		EXPECT_LT(put_bytes, index == 1 ? 20000u : 400u) << index;
+		if (index % 50 == 0)
+			b = reborn(b);
+	}
+	doc_book_destroy(b);
+}
+
+/* What cannot be made anew is a conflict, or else nothing. */
+TEST(doc_book, a_difference_to_another_text_changes_nothing)
+{
+	struct doc_book *b = doc_book_create();
+	Wire__DocPiece piece = WIRE__DOC_PIECE__INIT, *pieces[] = {&piece};
+	Wire__DocPut wire = WIRE__DOC_PUT__INIT;
+	struct doc_result r;
+	struct buf made = {};
+
+	(void)put(b, 1, "t", 0, "1", text_of("t", "", 1));
+	wire.team = (char *)"t";
+	wire.n_pieces = 1;
+	wire.pieces = pieces;
+	for (uint64_t base : {0, 1})
+		for (uint32_t from : {0U, 5U, UINT32_MAX}) {
+			wire.base_revision = base;
+			piece.from = from;
+			piece.length = 10;
+			EXPECT_EQ(
+			    doc_delta_text(b, &wire, &made).data, nullptr);
+			buf_clear(&made);
+		}
+	doc_book_put(b, 2, "t", 1, "2", "op", 0, nullptr, 0, &r);
+	EXPECT_EQ(r.verdict, DOC_INVALID);
+	doc_book_put(b, 3, "t", 7, "3", "op", 0, nullptr, 0, &r);
+	EXPECT_EQ(r.verdict, DOC_CONFLICT);
+	EXPECT_EQ(r.revision, 1u);
+	EXPECT_TRUE(doc_book_seen(b, "t", "3", &r));
+	EXPECT_FALSE(doc_book_seen(b, "t", "2", &r));
+	buf_free(&made);
+	doc_book_destroy(b);
+}
+
 TEST(doc_book, corrupt_saves_leave_the_book_empty)
 {
 	struct doc_book *b = doc_book_create();
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -113,6 +113,28 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+TEST(documents, a_change_carries_what_differs)
+{
+	Cluster c(with_seed(5));
+	ASSERT_TRUE(c.begin());
+	std::string text = Cluster::document("t1", 1);
+	uint64_t before = 0, after = 0;
+
+	for (auto &in : c.instances)
+		before += in->node->counters.bytes_out;
+	Request *put = c.put_document(4, "t1", 1, "x", text);
+	ASSERT_TRUE(c.wait(put));
+	EXPECT_EQ(put->status, 200) << put->answer;
+	for (auto &in : c.instances)
+		after += in->node->counters.bytes_out;
+	EXPECT_LT(after - before, text.size());
+	c.run_for(1000000);
+	for (auto &in : c.instances) {
+		struct doc *d = doc_book_current(in->node->book, "t1");
+		EXPECT_EQ(std::string(d->text, d->text_len), text);
+	}
+}
+
 TEST(documents, status_says_in_force_within_three_seconds)
 {
 	Cluster c(with_seed(5));
