touch: an ask that waits is named by its number alone

Cause: each ask that waited for a load was sent anew in full each second, as it might have been lost, or its answer. Entries touch every open ask twice a second by number anyway; the owner took such a number only as a sign of life.

Waiting asks now stand apart in the touch: one that was granted gets its grant again, one that the owner misses comes back by number and is asked anew at once, also sooner than before. In full each 5 s rather than 1 s, as a fall-back.

CPU was too noisy at that load to say anything.

--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -245,17 +245,28 @@
 struct touch_list {
 	Wire__Pin pins[TOUCH_PINS_MAX];
 	Wire__Pin *refs[TOUCH_PINS_MAX];
-	uint64_t known[TOUCH_PINS_MAX];
-	size_t npins, nknown;
+	uint64_t known[TOUCH_PINS_MAX], waiting[TOUCH_PINS_MAX];
+	size_t npins, nknown, nwaiting;
 };
 
+static size_t
+touch_count(const struct touch_list *list)
+{
+	return list->npins + list->nknown + list->nwaiting;
+}
+
 static void
 touch_add(struct node *n, struct touch_list *list, size_t i, bool all)
 {
 	struct route_open open;
+	Wire__GrantAsk ask;
 	Wire__Pin *pin = &list->pins[list->npins];
 
 	route_open_at(n->route, i, &open);
+	if (route_fill_ask(n->route, n->now, open.ask, &ask)) {
+		list->waiting[list->nwaiting++] = open.ask;
+		return;
+	}
 	if (!all) {
 		list->known[list->nknown++] = open.ask;
 		return;
@@ -281,11 +292,13 @@
 	touch.pins = list->refs;
 	touch.n_known = list->nknown;
 	touch.known = list->known;
+	touch.n_waiting = list->nwaiting;
+	touch.waiting = list->waiting;
 	touch.sent_us = n->now;
 	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
 	envelope.touch = &touch;
 	node_peer_send(n, to, &envelope);
-	list->npins = list->nknown = 0;
+	list->npins = list->nknown = list->nwaiting = 0;
 }
 
 /* Touch one owner: of what is open, the first count belong to it. */
@@ -297,13 +310,13 @@
 	struct touch_list list;
 	size_t i;
 
-	list.npins = list.nknown = 0;
+	list.npins = list.nknown = list.nwaiting = 0;
 	for (i = 0; i < count; i++) {
 		touch_add(n, &list, touches[i].open, all || touches[i].all);
-		if (list.npins + list.nknown == TOUCH_PINS_MAX)
+		if (touch_count(&list) == TOUCH_PINS_MAX)
 			touch_send(n, touches[0].owner, &list);
 	}
-	if (list.npins + list.nknown > 0)
+	if (touch_count(&list) > 0)
 		touch_send(n, touches[0].owner, &list);
 }
 
@@ -315,6 +328,18 @@
 	n->touch_us = 0;
 }
 
+/* An owner misses an ask that was named by its number. */
+void
+node_entry_on_ask_again(struct node *n, uint32_t from, uint64_t id)
+{
+	struct node_ask *ask = map_get_u64(n->asks, id);
+	Wire__GrantAsk message;
+
+	if (ask != NULL && ask->owner == from &&
+	    route_fill_ask(n->route, n->now, id, &message))
+		ask_send(n, ask, &message);
+}
+
 static void
 touch_owners(struct node *n)
 {
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -289,16 +289,45 @@
 	return known;
 }
 
+/* Asks that the entry takes to wait here; those that do not are gathered. */
+static size_t
+touch_waiting(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantTouch *touch, uint64_t *missing)
+{
+	struct node_grant *g;
+	size_t i, count = 0;
+
+	for (i = 0; i < touch->n_waiting; i++) {
+		g = grant_find(n, from, incarnation, touch->waiting[i]);
+		if (g == NULL) {
+			missing[count++] = touch->waiting[i];
+			continue;
+		}
+		g->touched_us = n->now;
+		g->basis_us = touch->sent_us;
+		if (g->endpoint != NULL)
+			send_grant(n, g);
+	}
+	return count;
+}
+
+/* Tell an entry what of a touch is not known here, if anything. */
 static void
-send_touch_all(struct node *n, uint32_t to)
+answer_touch(struct node *n, uint32_t to, uint64_t incarnation,
+    const Wire__GrantTouch *heard)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
 
-	touch.all = true;
+	touch.ask_again = mem_alloc(heard->n_waiting, sizeof(uint64_t));
+	touch.n_ask_again =
+	    touch_waiting(n, to, incarnation, heard, touch.ask_again);
+	touch.all = !touch_known(n, to, incarnation, heard);
 	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
 	envelope.touch = &touch;
-	node_peer_send(n, to, &envelope);
+	if (touch.all || touch.n_ask_again > 0)
+		node_peer_send(n, to, &envelope);
+	free(touch.ask_again);
 }
 
 void
@@ -311,8 +340,9 @@
 
 	if (touch->all)
 		node_entry_on_touch_all(n, from);
-	if (!touch_known(n, from, incarnation, touch))
-		send_touch_all(n, from);
+	for (i = 0; i < touch->n_ask_again; i++)
+		node_entry_on_ask_again(n, from, touch->ask_again[i]);
+	answer_touch(n, from, incarnation, touch);
 	for (i = 0; i < touch->n_pins; i++) {
 		pin = touch->pins[i];
 		g = grant_find(n, from, incarnation, pin->request);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -27,7 +27,7 @@
 #define NODE_TOUCH_ALL_US     (2000 * 1000ULL) /* pins in full so long */
 #define NODE_SCAN_STEP_US     50ULL /* between scans, for each ask or grant */
 #define NODE_SETTLE_US	      (3000 * 1000ULL) /* to move endpoints */
-#define NODE_ASK_RESEND_US    (1000 * 1000ULL)
+#define NODE_ASK_RESEND_US    (5000 * 1000ULL) /* in full, beside touches */
 #define NODE_GRANT_FORGET_US  (3000 * 1000ULL) /* not touched: given up */
 #define NODE_ENDPOINT_GONE_US (5000 * 1000ULL) /* without announcement */
 #define NODE_PULL_US	      (300 * 1000ULL)
@@ -294,6 +294,7 @@
 void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantDone *done);
 void node_entry_on_touch_all(struct node *n, uint32_t from);
+void node_entry_on_ask_again(struct node *n, uint32_t from, uint64_t id);
 void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch);
 void node_grant_decided(struct node *n, const struct sched_decision *d);
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2932,7 +2932,7 @@
   (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[6] =
 {
   {
     "pins",
@@ -2982,17 +2982,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__GrantTouch, n_waiting),
+    offsetof(Wire__GrantTouch, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_again",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__GrantTouch, n_ask_again),
+    offsetof(Wire__GrantTouch, ask_again),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_touch__field_indices_by_name[] = {
   3,   /* field[3] = all */
+  5,   /* field[5] = ask_again */
   2,   /* field[2] = known */
   0,   /* field[0] = pins */
   1,   /* field[1] = sent_us */
+  4,   /* field[4] = waiting */
 };
 static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
 {
@@ -3002,7 +3028,7 @@
   "Wire__GrantTouch",
   "wire",
   sizeof(Wire__GrantTouch),
-  4,
+  6,
   wire__grant_touch__field_descriptors,
   wire__grant_touch__field_indices_by_name,
   1,  wire__grant_touch__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -514,6 +514,8 @@
  * Entry to owner: every grant of that owner's endpoints still in use. One
  * that the owner should know already is named by its request alone. An owner
  * that misses one answers with "all": the entry names them in full again.
+ * An ask that waits is named by its request too; one that was granted gets
+ * its grant again, one that the owner misses comes back in "ask_again".
  */
 struct  Wire__GrantTouch
 {
@@ -530,10 +532,17 @@
    * owner to entry
    */
   protobuf_c_boolean all;
+  size_t n_waiting;
+  uint64_t *waiting;
+  /*
+   * owner to entry
+   */
+  size_t n_ask_again;
+  uint64_t *ask_again;
 };
 #define WIRE__GRANT_TOUCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_touch__descriptor) \
-    , 0,NULL, 0, 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -239,6 +239,45 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+/* It is named by its number; its owner says when it misses it. */
+TEST(touch, an_ask_that_waits_is_asked_once_and_again_when_it_is_lost)
+{
+	Cluster c(with_seed(34));
+	ASSERT_TRUE(c.begin());
+	auto asks = [&] {
+		uint64_t sum = 0;
+		for (auto &in : c.instances)
+			sum += in->node->counters.asks;
+		return sum;
+	};
+	for (auto &e : c.endpoints)
+		e->step_us = 60000000; /* runs that hold every seat */
+	std::vector<Request *> running;
+	for (int i = 0; i < 200; i++)
+		running.push_back(c.complete(0, "a1", true, 40));
+	c.run_for(1000000);
+	uint64_t before = asks();
+	c.run_for(3000000);
+	EXPECT_EQ(asks(), before);
+
+	struct node_grant *lost = nullptr;
+	struct node *owner = nullptr;
+	for (auto &in : c.instances)
+		for (size_t i = 0; i < map_count(in->node->grants); i++) {
+			auto *g =
+			    (struct node_grant *)map_at(in->node->grants, i);
+			if (g->endpoint == nullptr) {
+				lost = g;
+				owner = in->node;
+			}
+		}
+	ASSERT_NE(lost, nullptr);
+	lost->touched_us = 0; /* the owner forgets it at its next look */
+	before = asks();
+	EXPECT_TRUE(c.run_until(1000000, [&] { return asks() > before; }));
+	EXPECT_GT(map_count(owner->grants), 0u);
+}
+
 TEST(standing, model_traffic_goes_on_when_the_voters_are_gone)
 {
 	Cluster c(with_seed(6));
