--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -147,6 +147,28 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+TEST(documents, a_change_carries_what_differs)
+{
+	Cluster c(with_seed(5));
+	ASSERT_TRUE(c.begin());
+	std::string text = Cluster::document("t1", 1);
+	uint64_t before = 0, after = 0;
+
+	for (auto &in : c.instances)
+		before += in->node->counters.bytes_out;
+	Request *put = c.put_document(4, "t1", 1, "x", text);
+	ASSERT_TRUE(c.wait(put));
+	EXPECT_EQ(put->status, 200) << put->answer;
+	for (auto &in : c.instances)
+		after += in->node->counters.bytes_out;
+	EXPECT_LT(after - before, text.size());
+	c.run_for(1000000);
+	for (auto &in : c.instances) {
+		struct doc *d = doc_book_current(in->node->book, "t1");
+		EXPECT_EQ(std::string(d->text, d->text_len), text);
+	}
+}
+
 TEST(documents, status_says_in_force_within_three_seconds)
 {
 	Cluster c(with_seed(5));
@@ -274,6 +296,45 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+/* It is named by its number; its owner says when it misses it. */
+TEST(touch, an_ask_that_waits_is_asked_once_and_again_when_it_is_lost)
+{
+	Cluster c(with_seed(34));
+	ASSERT_TRUE(c.begin());
+	auto asks = [&] {
+		uint64_t sum = 0;
+		for (auto &in : c.instances)
+			sum += in->node->counters.asks;
+		return sum;
+	};
+	for (auto &e : c.endpoints)
+		e->step_us = 60000000; /* runs that hold every seat */
+	std::vector<Request *> running;
+	for (int i = 0; i < 200; i++)
+		running.push_back(c.complete(0, "a1", true, 40));
+	c.run_for(1000000);
+	uint64_t before = asks();
+	c.run_for(3000000);
+	EXPECT_EQ(asks(), before);
+
+	struct node_grant *lost = nullptr;
+	struct node *owner = nullptr;
+	for (auto &in : c.instances)
+		for (size_t i = 0; i < map_count(in->node->grants); i++) {
+			auto *g =
+			    (struct node_grant *)map_at(in->node->grants, i);
+			if (g->endpoint == nullptr) {
+				lost = g;
+				owner = in->node;
+			}
+		}
+	ASSERT_NE(lost, nullptr);
+	lost->touched_us = 0; /* the owner forgets it at its next look */
+	before = asks();
+	EXPECT_TRUE(c.run_until(1000000, [&] { return asks() > before; }));
+	EXPECT_GT(map_count(owner->grants), 0u);
+}
+
 TEST(standing, model_traffic_goes_on_when_the_voters_are_gone)
 {
 	Cluster c(with_seed(6));
