--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -238,7 +238,8 @@
 {
 	Instance &in = *instances[(size_t)i];
 
-	in.alive = false;
+	in.alive = in.frozen = false;
+	in.held.clear();
 	in.life++;
 	node_destroy(in.node);
 	in.node = nullptr;
