A flood moves only its own team to other owners

Change: an owner tells each team's requests over its share of the seats; for a request its home is too full only if its own team is above the bound, too.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -96,6 +96,7 @@
 	for (i = 0; i < peer->nservices; i++)
 		free(peer->services[i]);
 	free(peer->services);
+	map_destroy(peer->team_loads);
 	free(peer);
 }
 
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -60,7 +60,7 @@
 	if (settling)
 		return; /* its endpoints are moving to their new owners */
 	ask->owner = owners[message->attempt % count];
-	node_peer(n, ask->owner)->asked++;
+	node_spread_asked(node_peer(n, ask->owner), message->adapter);
 	ask_send(n, ask, message);
 }
 
@@ -354,6 +354,7 @@
 		wire__team_usage__init(&usage[i]);
 		usage[i].team = (char *)team.team;
 		usage[i].charge_milli = team.charge_milli;
+		usage[i].load_milli = team.load_milli;
 		list[i] = &usage[i];
 	}
 }
@@ -421,6 +422,22 @@
 		peer->services[i] = mem_string(summary->services[i]);
 }
 
+static void
+set_team_loads(struct node_peer *peer, const Wire__OwnerSummary *summary)
+{
+	const Wire__TeamUsage *usage;
+	size_t i;
+
+	map_destroy(peer->team_loads);
+	peer->team_loads = map_create();
+	for (i = 0; i < summary->n_usage; i++) {
+		usage = summary->usage[i];
+		if (usage->load_milli > 0)
+			map_set_str(peer->team_loads, usage->team,
+			    (void *)(uintptr_t)usage->load_milli);
+	}
+}
+
 void
 node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary)
@@ -436,6 +453,7 @@
 	peer->wait_ms = summary->wait_ms;
 	peer->leaving = summary->leaving;
 	set_services(peer, summary);
+	set_team_loads(peer, summary);
 	if (from == n->id)
 		return;
 	for (i = 0; i < summary->n_rates; i++)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -54,6 +54,7 @@
 	uint64_t incarnation;
 	/* its latest summary as an owner */
 	uint32_t seats, free, queued, engines, wait_ms;
+	struct map *team_loads; /* thousandths of shares; NULL: not heard */
 	uint32_t asked; /* by this instance since that summary */
 	bool leaving;
 	char **services;
@@ -321,6 +322,7 @@
 /* node_spread.c */
 size_t node_spread_order(struct node *n, const char *adapter,
     const char *service, uint32_t *out, size_t max);
+void node_spread_asked(struct node_peer *peer, const char *adapter);
 
 /* node_api*.c */
 void node_api_request(struct node *n, const struct node_request *request);
--- a/src/node/node_spread.c
+++ b/src/node/node_spread.c
@@ -11,6 +11,7 @@
 
 /* A home is passed over when its load is above both of these. */
 #define SPREAD_LOAD_FULL 0.9 /* of its engines' seats */
+#define SPREAD_MILLI	 1000
 #define SPREAD_OVER_MEAN 1.25 /* times the mean load of all owners */
 
 struct order_context {
@@ -55,6 +56,50 @@
 	    : (double)(taken + peer->queued + peer->asked) / peer->seats;
 }
 
+/* The team is the first part of an adapter's key. */
+static size_t
+team_length(const char *adapter)
+{
+	return strcspn(adapter, "/");
+}
+
+/* What a team asks of an owner, thousandths of its share of the seats. */
+static uintptr_t
+team_milli(const struct node_peer *peer, const char *adapter)
+{
+	return (uintptr_t)map_get(
+	    peer->team_loads, adapter, team_length(adapter));
+}
+
+/*
+ * What stands before a request there: of the load, no more than its team's
+ * own, since what other teams ask for beyond their shares waits behind it.
+ */
+static double
+team_load(const struct node_peer *peer, const char *adapter)
+{
+	double load = owner_load(peer), own;
+
+	if (peer->seats == 0 || peer->team_loads == NULL)
+		return load;
+	own = (double)team_milli(peer, adapter) / SPREAD_MILLI;
+	return own < load ? own : load;
+}
+
+/* Count a request that was just sent to an owner. */
+void
+node_spread_asked(struct node_peer *peer, const char *adapter)
+{
+	uintptr_t milli = SPREAD_MILLI;
+
+	peer->asked++;
+	if (peer->seats == 0 || peer->team_loads == NULL)
+		return;
+	milli = milli / peer->seats + team_milli(peer, adapter);
+	(void)map_set(
+	    peer->team_loads, adapter, team_length(adapter), (void *)milli);
+}
+
 static double
 load_bound(const struct node *n, const uint32_t *owners, size_t count)
 {
@@ -73,14 +118,17 @@
 
 /* Move owners above the bound behind the others; each part keeps its order. */
 static void
-pass_over_full(struct node *n, uint32_t *owners, size_t count)
+pass_over_full(
+    struct node *n, const char *adapter, uint32_t *owners, size_t count)
 {
 	double bound = load_bound(n, owners, count);
 	uint32_t full[NODE_OWNERS_MAX];
+	const struct node_peer *peer;
 	size_t i, kept = 0, nfull = 0;
 
 	for (i = 0; i < count; i++) {
-		if (owner_load(map_get_u64(n->peers, owners[i])) > bound)
+		peer = map_get_u64(n->peers, owners[i]);
+		if (team_load(peer, adapter) > bound)
 			full[nfull++] = owners[i];
 		else
 			owners[kept++] = owners[i];
@@ -111,6 +159,6 @@
 	count = member_order(n->view, key, owner_weight, &ctx, out,
 	    max < NODE_OWNERS_MAX ? max : NODE_OWNERS_MAX);
 	if (service == NULL)
-		pass_over_full(n, out, count);
+		pass_over_full(n, adapter, out, count);
 	return count;
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -210,6 +210,7 @@
 	const char *team;
 	uint64_t charge_milli;
 	uint32_t queued, running;
+	uint32_t load_milli; /* both over its fair share of engines' seats */
 };
 size_t sched_team_count(const struct sched *s);
 void sched_team_at(
--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -363,6 +363,27 @@
 	t->counter += delta;
 }
 
+/* Thousandths of the seats that its weight gives it that a team asks for. */
+static uint32_t
+team_load_milli(const struct sched *s, const struct team *t)
+{
+	double wanted = (double)t->queued + t->running, seats = 0.0, load;
+	const struct pool *p;
+	size_t i;
+
+	if (wanted == 0.0)
+		return 0;
+	for (i = 0; i < map_count(s->pools); i++) {
+		p = map_at(s->pools, i);
+		seats += p->service ? 0 : p->seats;
+	}
+	if (seats == 0.0)
+		return UINT32_MAX;
+	load = s->active_weight > t->weight ? s->active_weight : t->weight;
+	load *= TEAM_MILLI * wanted / (t->weight * seats);
+	return load < UINT32_MAX ? (uint32_t)load : UINT32_MAX;
+}
+
 size_t
 sched_team_count(const struct sched *s)
 {
@@ -378,4 +399,5 @@
 	out->charge_milli = t->charge_milli;
 	out->queued = t->queued;
 	out->running = t->running;
+	out->load_milli = team_load_milli(s, t);
 }
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -3060,7 +3060,7 @@
   (ProtobufCMessageInit) wire__endpoint_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__team_usage__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__team_usage__field_descriptors[3] =
 {
   {
     "team",
@@ -3086,15 +3086,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TeamUsage, load_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__team_usage__field_indices_by_name[] = {
   1,   /* field[1] = charge_milli */
+  2,   /* field[2] = load_milli */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange wire__team_usage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__team_usage__descriptor =
 {
@@ -3104,7 +3117,7 @@
   "Wire__TeamUsage",
   "wire",
   sizeof(Wire__TeamUsage),
-  2,
+  3,
   wire__team_usage__field_descriptors,
   wire__team_usage__field_indices_by_name,
   1,  wire__team_usage__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -561,10 +561,14 @@
    * total since the sender's process began
    */
   uint64_t charge_milli;
+  /*
+   * its requests over its share of the seats
+   */
+  uint32_t load_milli;
 };
 #define WIRE__TEAM_USAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__team_usage__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -353,6 +353,33 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+/* What one team asks for beyond its share moves no other team's requests. */
+TEST(spread, a_flood_moves_only_its_own_team)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	auto first = [&](const std::string &key) {
+		uint32_t order[NODE_OWNERS_MAX] = {0};
+
+		(void)node_spread_order(c.instances[0]->node, key.c_str(),
+		    nullptr, order, NODE_OWNERS_MAX);
+		return order[0];
+	};
+	uint32_t home = first("t1/a1@1");
+	std::string quiet = "t2/a0@1";
+
+	for (int i = 1; i < 50 && first(quiet) != home; i++)
+		quiet = "t2/a" + std::to_string(i) + "@1";
+	ASSERT_EQ(first(quiet), home);
+	for (int i = 0; i < 100 && first("t1/a1@1") == home; i++) {
+		(void)c.complete(0, "a1", true, 400);
+		c.run_for(20000);
+	}
+	EXPECT_NE(first("t1/a1@1"), home);
+	EXPECT_EQ(first(quiet), home);
+	EXPECT_EQ(c.check(), "");
+}
+
 TEST(spread, a_quiet_adapter_stays_at_its_home)
 {
 	Cluster c(with_seed(8));
