sched: a flood is noticed at once

Change: a team also floods that asks for more than 1.5 times all seats of the owner and 6 times what the others ask for. SchedTest.SuddenFloodLeavesASeat fails without the change.

--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -20,6 +20,7 @@
 #define TEAM_CREDIT_BOUNDS  8.0 /* deficit bounds a team may lag behind */
 #define TEAM_QUIET_RATE	    0.001
 #define TEAM_FLOOD	    6.0 /* times the mean of the others */
+#define TEAM_FLOOD_WANTS    6.0 /* the same of requests at a time */
 #define TEAM_MILLI	    1000.0
 
 struct team *
@@ -204,14 +205,44 @@
 		team_limit_credit(s, t->counter);
 }
 
-/* Mark the teams whose rate is far above the mean of the others. */
+static double
+team_engine_seats(const struct sched *s)
+{
+	const struct pool *p;
+	double seats = 0.0;
+	size_t i;
+
+	for (i = 0; i < map_count(s->pools); i++) {
+		p = map_at(s->pools, i);
+		seats += p->service ? 0 : p->seats;
+	}
+	return seats;
+}
+
+/*
+ * Whether a team asks for more than all seats and for far more than the
+ * others: its rate, which is slow to follow, does not tell yet.
+ */
+static bool
+team_overruns(const struct team *t, double seats, double all, double others)
+{
+	double wanted = (double)t->queued + t->running;
+
+	return wanted > 1.5 * seats &&
+	    wanted * others > TEAM_FLOOD_WANTS * (all - wanted) * t->weight;
+}
+
+/* Mark the teams that ask for far more than the mean of the others. */
 void
 team_note_floods(struct sched *s, uint64_t now_us)
 {
-	double rates = 0.0, rate, others;
+	double rates = 0.0, rate, others, all = 0.0;
+	double seats = team_engine_seats(s);
 	struct team *t;
 	uint32_t i;
 
+	for (i = 0; i < s->nactive; i++)
+		all += (double)s->active[i]->queued + s->active[i]->running;
 	for (i = 0; i < s->nactive; i++)
 		rates +=
 		    rate_at(s->active[i]->rate, s->active[i]->rate_us, now_us);
@@ -220,7 +251,8 @@
 		rate = rate_at(t->rate, t->rate_us, now_us);
 		others = s->active_weight - t->weight;
 		t->flooding = others > 0.0 &&
-		    rate * others > TEAM_FLOOD * (rates - rate) * t->weight;
+		    (rate * others > TEAM_FLOOD * (rates - rate) * t->weight ||
+			team_overruns(t, seats, all, others));
 	}
 }
 
@@ -367,16 +399,11 @@
 static uint32_t
 team_load_milli(const struct sched *s, const struct team *t)
 {
-	double wanted = (double)t->queued + t->running, seats = 0.0, load;
-	const struct pool *p;
-	size_t i;
+	double wanted = (double)t->queued + t->running;
+	double seats = team_engine_seats(s), load;
 
 	if (wanted == 0.0)
 		return 0;
-	for (i = 0; i < map_count(s->pools); i++) {
-		p = map_at(s->pools, i);
-		seats += p->service ? 0 : p->seats;
-	}
 	if (seats == 0.0)
 		return UINT32_MAX;
 	load = s->active_weight > t->weight ? s->active_weight : t->weight;
--- a/tests/sched/sched_fair_test.cc
+++ b/tests/sched/sched_fair_test.cc
@@ -144,6 +144,25 @@
 	}
 }
 
+/* Long equal in rate, one asks for all at once: a seat stays for the other. */
+TEST_F(SchedTest, SuddenFloodLeavesASeat)
+{
+	uint64_t id = 1;
+
+	Engine("e", {"a/x", "b/x"});
+	for (int i = 0; i < 120; i++, now += 500000) {
+		for (const char *team : {"a", "b"}) {
+			Ask(id, team, std::string(team) == "a" ? "a/x" : "b/x");
+			(void)Run();
+			Done(id++);
+		}
+	}
+	for (int i = 0; i < 32; i++)
+		Ask(id++, "a", "a/x");
+	(void)Run();
+	EXPECT_EQ(1u, Totals().free);
+}
+
 TEST_F(SchedFair, RemoteChargesCountWithinBounds)
 {
 	for (bool guard : {true, false}) {
