--- a/bench/bench.py
+++ b/bench/bench.py
@@ -132,7 +132,13 @@
     def kill_instance():
         system.kill(system.processes("instance")[3])
 
-    action = {"restart": restart_engine, "kill": kill_instance}
+    def lose_centre():
+        centre = system.processes("instance")[3]["dataCentre"]
+        for p in system.of_centre(centre):
+            system.kill(p)
+
+    action = {"restart": restart_engine, "kill": kill_instance,
+              "lose": lose_centre}
     for name, act in action.items():
         if name in case:
             timer = threading.Timer(case[name], act)
@@ -149,9 +155,14 @@
     if timer:
         timer.join()
     result["counters"] = difference(before, system.counters())
-    if "kill" in case:
-        result["recoveryS"] = recovery_seconds(result, case["kill"])
-        system.restart(system.processes("instance")[3])
+    for word, lost in (
+            ("kill", system.processes("instance")[3:4]),
+            ("lose", system.of_centre(
+                system.processes("instance")[3]["dataCentre"]))):
+        if word in case:
+            result["recoveryS"] = recovery_seconds(result, case[word])
+            for p in lost:
+                system.restart(p)
     return result
 
 
@@ -240,6 +251,24 @@
     return out
 
 
+def print_case(cases, plan, names, options):
+    """Run one case of a plan and print what the report says of it."""
+    plan["cases"] = [plan["cases"][0]] + [
+        c for c in plan["cases"] if c["name"] == options.case]
+    out = run_all(cases, plan, names, options.parallel or 1)
+    print("load average", out["machineBefore"]["loadAverage"],
+          out["machineAfter"]["loadAverage"])
+    for name, data in out["deployments"].items():
+        print(name)
+        print(report.case_table(data["policies"],
+                                data["limits"][options.case], options.case))
+        for policy, results in data["policies"].items():
+            result = results[options.case]
+            print(policy, "recovery s", result.get("recoveryS"), [
+                (t["team"], t["delivered"], t["offered"],
+                 t["firstToken"]["p95Ms"]) for t in result["teams"]])
+
+
 # ---- modes -------------------------------------------------------------------
 
 def sweep(cases, names):
@@ -275,6 +304,9 @@
     parser.add_argument("--sweep", action="store_true")
     parser.add_argument("--deployment", choices=sorted(DEMO.DEPLOYMENTS))
     parser.add_argument("--parallel", type=int)
+    parser.add_argument("--case", help="after the warming case, this one; "
+                        "printed, not written")
+    parser.add_argument("--policy", action="append")
     options = parser.parse_args()
     with open(os.path.join(BENCH, "cases.json")) as f:
         cases = json.load(f)
@@ -287,6 +319,10 @@
         section = {"path": {**path.measure(say), "machine": machine()}}
     else:
         kind = "quick" if options.quick else "full"
+        cases["policies"] = options.policy or cases["policies"]
+        if options.case:
+            print_case(cases, cases[kind], names, options)
+            return
         section = {"load": run_all(cases, cases[kind], names,
                                    options.parallel or
                                    (8 if options.quick else 2))}
--- a/bench/system.py
+++ b/bench/system.py
@@ -80,6 +80,11 @@
     def processes(self, kind):
         return [p for p in self.deployment["processes"] if p["kind"] == kind]
 
+    def of_centre(self, centre):
+        """The instances and endpoints of a data centre."""
+        return [p for p in self.deployment["processes"]
+                if p.get("dataCentre") == centre]
+
     def kill(self, process):
         os.kill(process["pid"], signal.SIGKILL)
         DEMO.wait_for(f"{process['name']} to end",
