Fixture: a cancelled call is one of one life of an instance

Ruled out: the engine (it ran the request at once), a cut, the order of a restarted owner. Conclusion: a fault of the fixture, which could only fail good code.

--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -365,7 +365,8 @@
 			do_call(i, e->u.call);
 			break;
 		case NODE_FX_CALL_CANCEL:
-			cancelled.insert((uint64_t)i << 48 | e->u.cancel);
+			cancelled.insert(
+			    {i, instances[(size_t)i]->life, e->u.cancel});
 			for (auto &ep : endpoints)
 				for (auto it = ep->runs.begin();
 				     it != ep->runs.end();)
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -9,6 +9,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "mulberrypath/node.h"
@@ -238,7 +239,8 @@
 	uint64_t serial = 0, next_request = 0;
 	std::set<std::pair<int, int>> cuts;
 	struct node_effects *fx;
-	std::set<uint64_t> cancelled; /* instance << 48 | call */
+	/* calls by instance and its life: their numbers begin anew with it */
+	std::set<std::tuple<int, uint64_t, uint64_t>> cancelled;
 	uint64_t told = 0; /* largest index ever told to be in force */
 };
 
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -26,7 +26,7 @@
 		on_instance(i, life, [=] {
 			struct node_event ev = {};
 
-			if (cancelled.count((uint64_t)i << 48 | call))
+			if (cancelled.count({i, life, call}))
 				return;
 			ev.type = NODE_EV_CALL;
 			ev.u.call.call = call;
