mulberryctl drain: exit code 0 when the drain was taken

Cause: ctl_parse sets the code to "wrong usage" on its way, and drain, alone of the commands, did not set it anew; every drain that was taken exited with 2. Found by running the command; no test looked. Ruled out: the other commands (each sets its code from the answer; read). Before: the new test got 2. After: 0, and 1 for a refused one. Conclusion: exit codes are now tested for drain too.

--- a/src/mulberryctl/cmd_report.c
+++ b/src/mulberryctl/cmd_report.c
@@ -205,7 +205,7 @@
 	    "Let the one instance that --server names leave gracefully.", NULL,
 	    0};
 	struct ctl_answer answer;
-	int code = CTL_EXIT_DONE;
+	int code;
 
 	if (!ctl_parse(c, argc, argv, &usage, &code))
 		return code;
@@ -214,10 +214,12 @@
 		return CTL_EXIT_USAGE;
 	}
 	ctl_call(c, &answer, "POST", "/v1/drain", NULL, true);
-	if (answer.result == CTL_ANSWERED && answer.status == 200)
+	if (answer.result == CTL_ANSWERED && answer.status == 200) {
 		(void)fputs(c->json ? answer.body.data : "draining\n", c->out);
-	else
+		code = CTL_EXIT_DONE;
+	} else {
 		code = ctl_refused(c, &answer);
+	}
 	ctl_answer_free(&answer);
 	return code;
 }
--- a/tests/mulberryctl/command_test.cc
+++ b/tests/mulberryctl/command_test.cc
@@ -261,6 +261,19 @@
 	EXPECT_EQ(Run({"status", "--server", "127.0.0.1:1"}), 3);
 }
 
+TEST_F(Command, DrainSaysWhetherItWasTaken)
+{
+	answer = [this](const node_request *r, size_t) {
+		Reply(r, 200, R"({"draining": true})");
+	};
+	EXPECT_EQ(Run({"drain", "--server", Address()}), 0) << err;
+	EXPECT_EQ(out, "draining\n");
+	answer = [this](const node_request *r, size_t) {
+		Refuse(r, 403, "forbidden", "not-run");
+	};
+	EXPECT_EQ(Run({"drain", "--server", Address()}), 1) << out;
+}
+
 TEST_F(Command, RollbackAppliesTheOldText)
 {
 	answer = [this](const node_request *r, size_t n) {
