prove: an instance that freezes with calls unwritten; the order checker fails

Cause: the order checker had not been seen to fail since its change, and node.act_until had no test that failed without it: the fixture took a call from the reducer and wrote it in one step, so no freeze fell between. Change: calls of an instance can wait to be written; a row "freeze, calls unwritten" in the matrix; node.act_until among the guards.

--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -309,6 +309,7 @@
 	drop = twice = 0;
 	delay_max_us = 1000;
 	order_delay_us = 0;
+	unsent_us.clear();
 	for (auto &e : endpoints)
 		e->silent = false;
 	for (size_t i = 0; i < instances.size(); i++) {
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -147,6 +147,8 @@
 	double drop = 0, twice = 0;
 	uint64_t delay_max_us = 1000;
 	uint64_t order_delay_us = 0; /* more delay of calls to endpoints */
+	/* so long an instance's calls wait in its process to be written */
+	std::map<int, uint64_t> unsent_us;
 	std::set<std::pair<int, std::string>> call_cuts;
 
 	/* ---- work */
@@ -200,6 +202,12 @@
 					      : serial > other.serial;
 		}
 	};
+	struct Incoming {
+		int instance;
+		uint64_t life, call, fence;
+		std::string path, body, request, key;
+		uint64_t silence_us, not_after_us;
+	};
 	friend struct Endpoint;
 
 	void at(uint64_t when, std::function<void()> run);
@@ -210,6 +218,7 @@
 	void do_send(int i, const struct node_send &send);
 	void do_reply(int i, const struct node_effect &effect);
 	void do_call(int i, const struct node_call &call);
+	void send_call(Endpoint *e, const Incoming &in, uint64_t silence);
 	void do_save(int i, const struct node_save &save);
 	void tick(int i, uint64_t life);
 	void announce(Endpoint *e);
@@ -221,12 +230,6 @@
 	    const std::string &data = "", bool retry_after = false);
 	void answer(int i, uint64_t life, uint64_t call, int status,
 	    const std::string &body, bool retry_after = false);
-	struct Incoming {
-		int instance;
-		uint64_t life, call, fence;
-		std::string path, body, request, key;
-		uint64_t silence_us;
-	};
 	void arrive(Endpoint *e, const Incoming &in);
 	void engine_order(Endpoint *e, const Incoming &in);
 	void engine_run(Endpoint *e, const Incoming &in);
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -56,7 +56,7 @@
 	Incoming incoming = {i, in.life, call.call, 0, call.path,
 	    std::string(
 		call.body.data == nullptr ? "" : call.body.data, call.body.len),
-	    "", "", call.silence_us};
+	    "", "", call.silence_us, call.not_after_us};
 	Endpoint *target = nullptr;
 	uint64_t silence = call.first_us != 0 ? call.first_us : call.silence_us;
 
@@ -74,16 +74,33 @@
 	for (auto &e : endpoints)
 		if (e->address == call.address)
 			target = e.get();
-	if (call.not_after_us < clock_of(in) || target == nullptr ||
-	    !target->alive) {
-		call_event(i, in.life, call.call, NODE_CALL_NOT_SENT);
-		return;
-	}
-	if (call_cuts.count({i, target->id})) {
-		uint64_t life = in.life, id = call.call;
+	uint64_t unsent = unsent_us.count(i) != 0 ? unsent_us[i] : 0;
+
+	if (unsent == 0)
+		send_call(target, incoming, silence);
+	else
+		at(now + unsent, [=] {
+			on_instance(i, incoming.life,
+			    [=] { send_call(target, incoming, silence); });
+		});
+}
 
-		at(now + kConnectTimeoutUs,
-		    [=] { call_event(i, life, id, NODE_CALL_NOT_SENT); });
+/* A call is written, unless it is too late or the endpoint out of reach. */
+void
+Cluster::send_call(Endpoint *target, const Incoming &incoming, uint64_t silence)
+{
+	Instance &in = *instances[(size_t)incoming.instance];
+	uint64_t refused_us = 0;
+
+	if (target != nullptr &&
+	    call_cuts.count({incoming.instance, target->id}))
+		refused_us = kConnectTimeoutUs;
+	if (incoming.not_after_us < clock_of(in) || target == nullptr ||
+	    !target->alive || refused_us != 0) {
+		at(now + refused_us, [=] {
+			call_event(incoming.instance, incoming.life,
+			    incoming.call, NODE_CALL_NOT_SENT);
+		});
 		return;
 	}
 	at(now + kWireUs + order_delay_us, [=] {
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -80,6 +80,15 @@
 	c.order_delay_us = 200000;
 }
 
+/* It freezes between deciding on its last calls and writing them. */
+static void
+strike_freeze_unsent(Cluster &c, Workload &w, int target)
+{
+	c.unsent_us[target] = 300000;
+	w.run(300000);
+	strike_freeze(c, w, target);
+}
+
 static void
 strike_messy(Cluster &c, Workload &w, int target)
 {
@@ -341,6 +350,7 @@
     {"long isolation", strike_cut_both, 20000000, true},
     {"split in two", strike_split, 6000000, true},
     {"freeze and wake", strike_freeze, 5000000, true},
+    {"freeze, calls unwritten", strike_freeze_unsent, 6000000, true},
     {"late messages", strike_late, 5000000, false},
     {"lost, doubled, reordered", strike_messy, 5000000, false},
     {"silent engine", strike_silent_engine, 5000000, false},
--- a/tests/prove/guards.cc
+++ b/tests/prove/guards.cc
@@ -39,6 +39,8 @@
 	{"freeze and wake", "cut both ways"}, "adapter loads", "may act"},
     {"node.active_epoch", &node_guards.active_epoch, {"rejoin, other cut"},
 	"adapter loads", "two owners"},
+    {"node.act_until", &node_guards.act_until, {"freeze, calls unwritten"},
+	"adapter loads", "orders of an old owner"},
     {"node.takeover_wait", &node_guards.takeover_wait,
 	{"long streams, old reports"}, "stream runs", "evicted"},
     {"sched.pins", &sched_guards.pins, {"late messages"}, "stream runs",
