Read as a newcomer: guards without a test, addresses of full owners, names

One test of them failed on the code itself: /v1/addresses put the home of an adapter first even when requests are sent past it, because it is full. Also: node_metrics.c apart from node_report.c, a constant for a bare 1.5.

--- a/src/doc/doc_delta.c
+++ b/src/doc/doc_delta.c
@@ -16,7 +16,6 @@
 #define DELTA_STEP	 8 /* between anchors of the earlier text */
 #define DELTA_PIECE_COST 12 /* bytes of a piece beside its text, about */
 #define DELTA_SEARCH_MAX (512 * 1024) /* longer texts: their ends alone */
-#define DELTA_TEXT_MAX	 (64 * 1024 * 1024) /* made of pieces */
 
 struct delta {
 	const char *old, *text;
@@ -207,8 +206,7 @@
 	for (i = 0; base != NULL && i < put->n_pieces; i++) {
 		piece = put->pieces[i];
 		if (piece->from > base->text_len ||
-		    piece->length > base->text_len - piece->from ||
-		    out->len > DELTA_TEXT_MAX)
+		    piece->length > base->text_len - piece->from)
 			return text;
 		buf_append(out, base->text + piece->from, piece->length);
 		buf_append(out, piece->text.data, piece->text.len);
--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -216,7 +216,7 @@
 	struct node_reply *reply;
 	struct buf out = {0};
 
-	node_report_metrics(n, &out);
+	node_metrics_report(n, &out);
 	reply = &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
 	reply->request = request->request;
 	reply->status = 200;
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -330,13 +330,12 @@
 
 /* An owner misses an ask that was named by its number. */
 void
-node_entry_on_ask_again(struct node *n, uint32_t from, uint64_t id)
+node_entry_on_ask_again(struct node *n, uint64_t id)
 {
 	struct node_ask *ask = map_get_u64(n->asks, id);
 	Wire__GrantAsk message;
 
-	if (ask != NULL && ask->owner == from &&
-	    route_fill_ask(n->route, n->now, id, &message))
+	if (ask != NULL && route_fill_ask(n->route, n->now, id, &message))
 		ask_send(n, ask, &message);
 }
 
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -341,7 +341,7 @@
 	if (touch->all)
 		node_entry_on_touch_all(n, from);
 	for (i = 0; i < touch->n_ask_again; i++)
-		node_entry_on_ask_again(n, from, touch->ask_again[i]);
+		node_entry_on_ask_again(n, touch->ask_again[i]);
 	answer_touch(n, from, incarnation, touch);
 	for (i = 0; i < touch->n_pins; i++) {
 		pin = touch->pins[i];
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -296,7 +296,7 @@
 void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantDone *done);
 void node_entry_on_touch_all(struct node *n, uint32_t from);
-void node_entry_on_ask_again(struct node *n, uint32_t from, uint64_t id);
+void node_entry_on_ask_again(struct node *n, uint64_t id);
 void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch);
 void node_grant_decided(struct node *n, const struct sched_decision *d);
@@ -339,10 +339,12 @@
     const struct doc_result *result);
 char *node_api_param(const char *query, const char *name);
 void node_report_status(struct node *n, struct buf *out);
-void node_report_metrics(struct node *n, struct buf *out);
 size_t node_report_addresses(
     struct node *n, const char *team, const char *adapter, struct buf *out);
 
+/* node_metrics.c */
+void node_metrics_report(struct node *n, struct buf *out);
+
 /* Answer with an error that did not run. */
 void node_api_refuse(struct node *n, uint64_t request, int status,
     const char *code, const char *message, uint32_t retry_after_ms);
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -1,4 +1,3 @@
-#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -31,13 +30,13 @@
 }
 
 /* The owner that a request for an adapter would be sent to first; 0: none. */
-static size_t
-adapter_home(
-    struct node *n, const char *team, const char *model, uint32_t *home)
+static uint32_t
+adapter_home(struct node *n, const char *team, const char *model)
 {
 	const struct doc *doc = doc_book_current(n->book, team);
 	const struct doc_adapter *adapter;
 	const char *version;
+	uint32_t order[NODE_OWNERS_MAX];
 	struct buf key = {0};
 	size_t count;
 
@@ -45,9 +44,9 @@
 	    doc_resolve(doc, model, &adapter, &version, NULL) != MP_OK)
 		return 0;
 	buf_printf(&key, "%s/%s@%s", team, adapter->name, version);
-	count = node_spread_order(n, key.data, NULL, home, 1);
+	count = node_spread_order(n, key.data, NULL, order, NODE_OWNERS_MAX);
 	buf_free(&key);
-	return count;
+	return count == 0 ? 0 : order[0];
 }
 
 /*
@@ -58,23 +57,21 @@
 node_report_addresses(
     struct node *n, const char *team, const char *adapter, struct buf *out)
 {
-	uint32_t order[NODE_OWNERS_MAX], home[1];
+	uint32_t order[1 + NODE_OWNERS_MAX] = {0};
 	struct buf key = {0};
 	const struct member *m;
-	size_t i, count, written = 0, nhome = 0;
+	size_t i, count, written = 0;
 
 	if (team != NULL && adapter != NULL)
-		nhome = adapter_home(n, team, adapter, home);
+		order[0] = adapter_home(n, team, adapter);
 	buf_printf(&key, "%u", rng_below(&n->rng, UINT32_MAX));
 	count = member_order(
-	    n->view, key.data, address_weight, n, order, NODE_OWNERS_MAX);
+	    n->view, key.data, address_weight, n, &order[1], NODE_OWNERS_MAX);
 	buf_puts(out, "[");
-	for (i = 0; i < nhome + count; i++) {
-		uint32_t id = i < nhome ? home[0] : order[i - nhome];
-
-		m = member_view_find(n->view, id);
+	for (i = 0; i <= count; i++) {
+		m = member_view_find(n->view, order[i]);
 		if (m == NULL || !is_listed(n, m) ||
-		    (i >= nhome && nhome > 0 && id == home[0]))
+		    (i > 0 && order[i] == order[0]))
 			continue;
 		buf_puts(out, written++ == 0 ? "" : ", ");
 		buf_json_string(out, m->http);
@@ -262,164 +259,3 @@
 	    (unsigned long long)n->counters.bytes_in,
 	    (unsigned long long)n->counters.bytes_out);
 }
-
-/* ---- metrics ---------------------------------------------------------------
- */
-
-#define BUCKET_FIRST_POWER 10 /* 1.023 ms */
-#define BUCKET_LAST_POWER  26 /* 67 s */
-
-enum metric_type {
-	METRIC_COUNTER,
-	METRIC_GAUGE,
-	METRIC_HISTOGRAM
-};
-
-static void
-metric_type(struct buf *out, const char *name, enum metric_type type)
-{
-	static const char *const names[] = {"counter", "gauge", "histogram"};
-
-	buf_printf(out, "# TYPE mulberrypath_%s %s\n", name, names[type]);
-}
-
-static void
-metric_value(
-    struct buf *out, const char *name, enum metric_type type, double value)
-{
-	metric_type(out, name, type);
-	buf_printf(out, "mulberrypath_%s %.17g\n", name, value);
-}
-
-/* One class's buckets, at the upper ends of powers of two microseconds. */
-static void
-metric_buckets(struct buf *out, const char *name,
-    const struct route_class_stats *s, const struct hist *h)
-{
-	uint64_t top;
-	unsigned power;
-
-	for (power = BUCKET_FIRST_POWER; power <= BUCKET_LAST_POWER; power++) {
-		top = (1ULL << power) - 1;
-		buf_printf(out,
-		    "mulberrypath_%s_bucket{team=\"%s\",kind=\"%s\","
-		    "le=\"%.6f\"} %llu\n",
-		    name, s->team, s->kind, (double)top * 1e-6,
-		    (unsigned long long)hist_count_to(h, top));
-	}
-	buf_printf(out,
-	    "mulberrypath_%s_bucket{team=\"%s\",kind=\"%s\",le=\"+Inf\"} "
-	    "%llu\n",
-	    name, s->team, s->kind, (unsigned long long)h->count);
-	buf_printf(out, "mulberrypath_%s_sum{team=\"%s\",kind=\"%s\"} %.6f\n",
-	    name, s->team, s->kind, (double)h->sum * 1e-6);
-	buf_printf(out, "mulberrypath_%s_count{team=\"%s\",kind=\"%s\"} %llu\n",
-	    name, s->team, s->kind, (unsigned long long)h->count);
-}
-
-/* A histogram of all classes that have something in it. */
-static void
-metric_histogram(
-    const struct node *n, struct buf *out, const char *name, size_t offset)
-{
-	const struct route_class_stats *s;
-	const struct hist *h;
-	size_t i;
-
-	metric_type(out, name, METRIC_HISTOGRAM);
-	for (i = 0; i < route_stats_count(n->route); i++) {
-		s = route_stats_at(n->route, i);
-		h = (const void *)((const char *)s + offset);
-		if (h->count > 0)
-			metric_buckets(out, name, s, h);
-	}
-}
-
-static void
-metric_histograms(const struct node *n, struct buf *out)
-{
-	static const struct {
-		const char *name;
-		size_t offset;
-	} histograms[] = {
-	    {"queue_wait_seconds", offsetof(struct route_class_stats, wait)},
-	    {"load_stall_seconds", offsetof(struct route_class_stats, stall)},
-	    {"first_token_seconds", offsetof(struct route_class_stats, first)},
-	    {"between_tokens_seconds",
-		offsetof(struct route_class_stats, between)},
-	    {"whole_seconds", offsetof(struct route_class_stats, whole)}};
-	size_t i;
-
-	for (i = 0; i < sizeof(histograms) / sizeof(histograms[0]); i++)
-		metric_histogram(
-		    n, out, histograms[i].name, histograms[i].offset);
-}
-
-static void
-metric_requests(const struct node *n, struct buf *out)
-{
-	static const struct {
-		const char *name;
-		size_t offset;
-	} outcomes[] = {
-	    {"delivered", offsetof(struct route_class_stats, delivered)},
-	    {"refused", offsetof(struct route_class_stats, refused)},
-	    {"failed", offsetof(struct route_class_stats, failed)},
-	    {"unknown", offsetof(struct route_class_stats, unknown)},
-	    {"gone", offsetof(struct route_class_stats, gone)}};
-	const struct route_class_stats *s;
-	const uint64_t *value;
-	size_t i, k;
-
-	metric_type(out, "requests_total", METRIC_COUNTER);
-	for (i = 0; i < route_stats_count(n->route); i++) {
-		s = route_stats_at(n->route, i);
-		for (k = 0; k < sizeof(outcomes) / sizeof(outcomes[0]); k++) {
-			value = (const void *)((const char *)s +
-			    outcomes[k].offset);
-			buf_printf(out,
-			    "mulberrypath_requests_total{team=\"%s\","
-			    "kind=\"%s\",outcome=\"%s\"} %llu\n",
-			    s->team, s->kind, outcomes[k].name,
-			    (unsigned long long)*value);
-		}
-	}
-}
-
-void
-node_report_metrics(struct node *n, struct buf *out)
-{
-	struct sched_totals totals;
-
-	sched_get_totals(n->sched, n->now, &totals);
-	const struct {
-		const char *name;
-		enum metric_type type;
-		double value;
-	} values[] = {{"engines", METRIC_GAUGE, totals.engines},
-	    {"seats", METRIC_GAUGE, totals.seats},
-	    {"seats_free", METRIC_GAUGE, totals.free},
-	    {"queued", METRIC_GAUGE, totals.queued},
-	    {"running", METRIC_GAUGE, totals.running},
-	    {"loads_total", METRIC_COUNTER, (double)totals.loads},
-	    {"load_failures_total", METRIC_COUNTER,
-		(double)totals.load_failures},
-	    {"evictions_total", METRIC_COUNTER, (double)totals.evictions},
-	    {"log_applied", METRIC_GAUGE, (double)n->applied},
-	    {"messages_out_total", METRIC_COUNTER,
-		(double)n->counters.messages_out},
-	    {"message_bytes_out_total", METRIC_COUNTER,
-		(double)n->counters.bytes_out},
-	    {"message_bytes_in_total", METRIC_COUNTER,
-		(double)n->counters.bytes_in},
-	    {"messages_malformed_total", METRIC_COUNTER,
-		(double)n->counters.malformed},
-	    {"may_act", METRIC_GAUGE, node_may_act(n) ? 1.0 : 0.0}};
-	size_t i;
-
-	metric_requests(n, out);
-	metric_histograms(n, out);
-	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
-		metric_value(
-		    out, values[i].name, values[i].type, values[i].value);
-}
--- a/src/node/node_spread.c
+++ b/src/node/node_spread.c
@@ -11,8 +11,9 @@
 
 /* A home is passed over when its load is above both of these. */
 #define SPREAD_LOAD_FULL 0.9 /* of its engines' seats */
-#define SPREAD_MILLI	 1000
 #define SPREAD_OVER_MEAN 1.25 /* times the mean load of all owners */
+/* Teams' loads are told in thousandths. */
+#define SPREAD_MILLI 1000
 
 struct order_context {
 	const struct node *n;
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -154,7 +154,6 @@
 	ep->as_of_us = 0;
 	ep->detached_us = 0;
 	ep->evict_after_us = 0;
-	ep->taken = false;
 }
 
 static void
--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -21,6 +21,7 @@
 #define TEAM_QUIET_RATE	    0.001
 #define TEAM_FLOOD	    6.0 /* times the mean of the others */
 #define TEAM_FLOOD_WANTS    6.0 /* the same of requests at a time */
+#define TEAM_FLOOD_SEATS    1.5 /* and times all engines' seats */
 #define TEAM_MILLI	    1000.0
 
 struct team *
@@ -228,7 +229,7 @@
 {
 	double wanted = (double)t->queued + t->running;
 
-	return wanted > 1.5 * seats &&
+	return wanted > TEAM_FLOOD_SEATS * seats &&
 	    wanted * others > TEAM_FLOOD_WANTS * (all - wanted) * t->weight;
 }
 
--- a/tests/mulberryctl/command_test.cc
+++ b/tests/mulberryctl/command_test.cc
@@ -145,6 +145,10 @@
 
 TEST_F(Command, UsageErrorsAndHelp)
 {
+	std::string many = "127.0.0.1:1";
+
+	for (int i = 0; i < 16; i++)
+		many += ",127.0.0.1:1";
 	const struct {
 		std::vector<std::string> words;
 		int code;
@@ -161,6 +165,7 @@
 	    {{"status", "--server"}, 2, "needs a value"},
 	    {{"status"}, 2, "--server is needed"},
 	    {{"status", "--server", "127.0.0.1:1,there"}, 2, "found \"there\""},
+	    {{"status", "--server", many}, 2, "up to 16 times"},
 	    {{"load", "--trace", "/dev/null", "--server", "127.0.0.1:1",
 		 "--samples", "/nonexistent/x"},
 		2, "/nonexistent/x"},
--- a/tests/node/found_test.cc
+++ b/tests/node/found_test.cc
@@ -48,6 +48,23 @@
 	EXPECT_EQ(c.check(), "");
 }
 
+/* Those without a log still hold what was accepted. */
+TEST(founding, no_second_cluster_begins_when_all_disks_are_lost)
+{
+	Cluster c(with_seed(7));
+
+	ASSERT_TRUE(c.begin());
+	for (int i = 0; i < 3; i++) {
+		c.kill(i);
+		c.lose_disk(i);
+	}
+	for (int i = 0; i < 3; i++)
+		c.start(i);
+	c.run_for(5000000);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(raft_is_empty(c.instances[i]->node->raft)) << i;
+}
+
 TEST(founding, another_data_folder_does_not_join_as_the_one_founded_with)
 {
 	Cluster c(with_seed(6));
--- a/tests/route/route_test.cc
+++ b/tests/route/route_test.cc
@@ -237,6 +237,37 @@
 	EXPECT_LE(tries, 100u + 10u + 11u);
 }
 
+/* One that fell silent has less time to answer than one that broke. */
+TEST_F(RouteTest, a_resumed_call_waits_as_its_engine_left)
+{
+	const struct {
+		uint64_t broken_us, first_us;
+	} cases[] = {{20000, 0}, {2000000, 1000000}};
+
+	const char token[] = "data: {\"id\": \"1-7-1\", \"model\": "
+			     "\"t/a@1\", \"offset\": 0, \"tokens\": 1, "
+			     "\"choices\": [{\"text\": \"x\"}]}\n\n";
+
+	for (auto &c : cases) {
+		struct node_call_event event = {};
+		uint64_t first_us = UINT64_MAX;
+
+		begin();
+		grant();
+		call(NODE_CALL_HEAD, 200);
+		call(NODE_CALL_DATA, 0, token);
+		event.call = calls;
+		event.phase = NODE_CALL_BROKEN;
+		node_effects_clear(fx);
+		(void)route_call(route, c.broken_us, &event, fx);
+		for (size_t i = 0; i < node_effects_count(fx); i++)
+			if (node_effects_at(fx, i)->type == NODE_FX_CALL)
+				first_us =
+				    node_effects_at(fx, i)->u.call.first_us;
+		EXPECT_EQ(first_us, c.first_us);
+	}
+}
+
 /* A start that was sent again and is applied again decides nothing new. */
 TEST_F(RouteTest, a_call_that_ran_is_never_said_not_to_have_run)
 {
--- a/tests/sched/sched_evict_test.cc
+++ b/tests/sched/sched_evict_test.cc
@@ -18,6 +18,22 @@
 	{
 		return decisions.find("E:") != std::string::npos;
 	}
+
+	/* One run, begun 100 ms before a report that tells of it. */
+	bool
+	EvictsAfterAShortRun()
+	{
+		now += 1000;
+		Engine("e1", {"t/a@1"}, 1, 8, 1, now);
+		Ask(1, "t", "t/a@1");
+		EXPECT_EQ("G1@e1", Short());
+		now += 100000;
+		Engine("e1", {"t/a@1"}, 1, 8, 1, now, {1});
+		now += 1000;
+		Done(1);
+		Ask(2, "u", "u/b@1");
+		return Evicts(Later());
+	}
 };
 
 TEST_F(SchedEvict, PinnedIsDrainedThenEvicted)
@@ -125,6 +141,18 @@
 	EXPECT_FALSE(Evicts(Later()));
 }
 
+/* Of an endpoint taken over the report may be older than it says. */
+TEST_F(SchedEvict, ARunJustBeforeAReportExplainsIt)
+{
+	EXPECT_TRUE(EvictsAfterAShortRun());
+}
+
+TEST_F(SchedEvict, ARunJustBeforeAReportOfATakenOneDoesNotExplainIt)
+{
+	sched_endpoint_takeover(s, now, "e1", now);
+	EXPECT_FALSE(EvictsAfterAShortRun());
+}
+
 TEST_F(SchedEvict, AdoptedGrantsPinAndHoldTheirSeat)
 {
 	Engine("e1", {"t/a@1"}, 1, 2, 1, 0, {2});
