Test: requests of one fixture have their own numbers; matrix row at the end

Leak checkers stop at it; the plain run does not. Ruled out: an entry lost by route (no two requests of a node have one number); a change of what the test asks (both rows are as they were).

--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -350,7 +350,6 @@
     {"long isolation", strike_cut_both, 20000000, true},
     {"split in two", strike_split, 6000000, true},
     {"freeze and wake", strike_freeze, 5000000, true},
-    {"freeze, calls unwritten", strike_freeze_unsent, 6000000, true},
     {"late messages", strike_late, 5000000, false},
     {"lost, doubled, reordered", strike_messy, 5000000, false},
     {"silent engine", strike_silent_engine, 5000000, false},
@@ -373,6 +372,7 @@
     {"full disk", strike_full_disk, 5000000, false},
     {"drain", strike_drain, 6000000, true},
     {"endpoint leaves", strike_endpoint_leaves, 5000000, false},
+    {"freeze, calls unwritten", strike_freeze_unsent, 6000000, true},
 };
 
 /* ---- steps -------------------------------------------------------------- */
--- a/tests/route/route_test.cc
+++ b/tests/route/route_test.cc
@@ -67,7 +67,7 @@
 	{
 		struct route_request r = {};
 
-		r.request = 1;
+		r.request = ++requests;
 		r.doc = doc;
 		r.kind = doc_find_kind(doc, "k");
 		r.deadline_us = 1000000;
@@ -138,7 +138,7 @@
 	struct doc *doc = nullptr;
 	std::vector<uint64_t> asks;
 	std::vector<int> ends, claim_ends;
-	uint64_t calls = 0;
+	uint64_t calls = 0, requests = 0;
 };
 
 TEST_F(RouteTest, a_call_is_tried_again_only_where_that_is_safe)
@@ -244,10 +244,6 @@
 		uint64_t broken_us, first_us;
 	} cases[] = {{20000, 0}, {2000000, 1000000}};
 
-	const char token[] = "data: {\"id\": \"1-7-1\", \"model\": "
-			     "\"t/a@1\", \"offset\": 0, \"tokens\": 1, "
-			     "\"choices\": [{\"text\": \"x\"}]}\n\n";
-
 	for (auto &c : cases) {
 		struct node_call_event event = {};
 		uint64_t first_us = UINT64_MAX;
@@ -255,7 +251,11 @@
 		begin();
 		grant();
 		call(NODE_CALL_HEAD, 200);
-		call(NODE_CALL_DATA, 0, token);
+		call(NODE_CALL_DATA, 0,
+		    "data: {\"id\": \"1-7-" + std::to_string(requests) +
+			"\", \"model\": \"t/a@1\", \"offset\": 0, "
+			"\"tokens\": 1, "
+			"\"choices\": [{\"text\": \"x\"}]}\n\n");
 		event.call = calls;
 		event.phase = NODE_CALL_BROKEN;
 		node_effects_clear(fx);
