Content types of a plain service's calls and answers pass through

Cause: found by reading: the call to a plain service, its answer and the stored answer of a booking all said "application/json", whatever the caller or the service had said. Also: a resend that was answered from the record counted as asked and in no outcome. Ruled out: passing all headers (what a record keeps grows with each; nobody has asked for it; docs/PROTOCOL.md says which pass). Before: mulberryd ClusterTest.a_confirmed_booking_survives_its_entry_and_the_ leader with the answer's type set as it was: fails, "text/csv" is not there. The fake service answers in the content type that it was called with.

--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -54,6 +54,7 @@
 	const char *idempotency_key; /* header value or NULL */
 	const char *timeout; /* "mulberrypath-timeout-ms" or NULL */
 	struct node_bytes body;
+	const char *content_type; /* header value or NULL */
 };
 
 enum node_call_phase {
@@ -71,6 +72,7 @@
 	const char *retry_after; /* HEAD only, header value or NULL */
 	struct node_bytes data; /* DATA only */
 	const char *reason; /* NOT_SENT, BROKEN: short text */
+	const char *content_type; /* HEAD only, header value or NULL */
 };
 
 struct node_event {
--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -43,11 +43,19 @@
 	return NULL;
 }
 
+/* Keep a header's value, cut to size. */
+static void
+take_value(char *to, size_t size, const struct phr_header *h)
+{
+	size_t len = h->value_len < size ? h->value_len : size - 1;
+
+	memcpy(to, h->value, len);
+	to[len] = '\0';
+}
+
 static const char *
 parse_header(struct answer *a, const struct phr_header *h)
 {
-	size_t len = h->value_len;
-
 	if (header_is(h, "content-length"))
 		return parse_length(a, h);
 	if (header_is(h, "transfer-encoding")) {
@@ -60,11 +68,9 @@
 	} else if (header_is(h, "connection")) {
 		a->reusable = value_is(h, "keep-alive");
 	} else if (header_is(h, "retry-after")) {
-		if (len >= sizeof(a->retry_after))
-			len = sizeof(a->retry_after) - 1;
-		memcpy(a->retry_after, h->value, len);
-		a->retry_after[len] = '\0';
-		a->has_retry_after = true;
+		take_value(a->retry_after, sizeof(a->retry_after), h);
+	} else if (header_is(h, "content-type")) {
+		take_value(a->content_type, sizeof(a->content_type), h);
 	}
 	return NULL;
 }
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -96,8 +96,10 @@
 	ev.call = call->id;
 	ev.phase = NODE_CALL_HEAD;
 	ev.status = call->answer.status;
-	if (call->answer.has_retry_after)
+	if (call->answer.retry_after[0] != '\0')
 		ev.retry_after = call->answer.retry_after;
+	if (call->answer.content_type[0] != '\0')
+		ev.content_type = call->answer.content_type;
 	c->cb(c->ctx, &ev);
 }
 
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -53,8 +53,8 @@
 	struct phr_chunked_decoder chunks;
 	bool reusable; /* the connection, when the answer is whole */
 	int status;
-	char retry_after[64];
-	bool has_retry_after;
+	char retry_after[64]; /* these two: "" without */
+	char content_type[128];
 	bool no_body; /* the answer of a HEAD request */
 };
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -118,6 +118,7 @@
 		.base;
 	r.authorization = find_header(req, "authorization");
 	r.idempotency_key = find_header(req, "idempotency-key");
+	r.content_type = find_header(req, "content-type");
 	r.timeout = find_header(req, "mulberrypath-timeout-ms");
 	r.body.data = req->entity.base;
 	r.body.len = req->entity.len;
--- a/src/journal/journal.pb-c.c
+++ b/src/journal/journal.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) journal__peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor journal__request__field_descriptors[10] =
+static const ProtobufCFieldDescriptor journal__request__field_descriptors[11] =
 {
   {
     "request",
@@ -779,11 +779,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "content_type",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Journal__Request, content_type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned journal__request__field_indices_by_name[] = {
   3,   /* field[3] = authorization */
   4,   /* field[4] = authorized */
   9,   /* field[9] = body */
+  10,   /* field[10] = content_type */
   5,   /* field[5] = key */
   6,   /* field[6] = keyed */
   1,   /* field[1] = method */
@@ -795,7 +808,7 @@
 static const ProtobufCIntRange journal__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor journal__request__descriptor =
 {
@@ -805,14 +818,14 @@
   "Journal__Request",
   "journal",
   sizeof(Journal__Request),
-  10,
+  11,
   journal__request__field_descriptors,
   journal__request__field_indices_by_name,
   1,  journal__request__number_ranges,
   (ProtobufCMessageInit) journal__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor journal__call__field_descriptors[7] =
+static const ProtobufCFieldDescriptor journal__call__field_descriptors[8] =
 {
   {
     "call",
@@ -898,9 +911,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "content_type",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Journal__Call, content_type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned journal__call__field_indices_by_name[] = {
   0,   /* field[0] = call */
+  7,   /* field[7] = content_type */
   5,   /* field[5] = data */
   1,   /* field[1] = phase */
   6,   /* field[6] = reason */
@@ -911,7 +937,7 @@
 static const ProtobufCIntRange journal__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor journal__call__descriptor =
 {
@@ -921,7 +947,7 @@
   "Journal__Call",
   "journal",
   sizeof(Journal__Call),
-  7,
+  8,
   journal__call__field_descriptors,
   journal__call__field_indices_by_name,
   1,  journal__call__number_ranges,
--- a/src/journal/journal.pb-c.h
+++ b/src/journal/journal.pb-c.h
@@ -98,10 +98,14 @@
   ProtobufCBinaryData timeout;
   protobuf_c_boolean timed;
   ProtobufCBinaryData body;
+  /*
+   * empty: the header was not there
+   */
+  ProtobufCBinaryData content_type;
 };
 #define JOURNAL__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&journal__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0, {0,NULL}, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0, {0,NULL}, 0, {0,NULL}, {0,NULL} }
 
 
 struct  Journal__Call
@@ -117,10 +121,14 @@
   protobuf_c_boolean retry;
   ProtobufCBinaryData data;
   ProtobufCBinaryData reason;
+  /*
+   * empty: the header was not there
+   */
+  ProtobufCBinaryData content_type;
 };
 #define JOURNAL__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&journal__call__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL} }
 
 
 struct  Journal__Saved
--- a/src/journal/journal_read.c
+++ b/src/journal/journal_read.c
@@ -207,6 +207,8 @@
 	out->idempotency_key = take_text(r, m->keyed, m->key);
 	out->timeout = take_text(r, m->timed, m->timeout);
 	out->body = take_bytes(m->body);
+	out->content_type =
+	    take_text(r, m->content_type.len > 0, m->content_type);
 }
 
 static void
@@ -219,6 +221,8 @@
 	out->retry_after = take_text(r, m->retry, m->retry_after);
 	out->data = take_bytes(m->data);
 	out->reason = take_text(r, true, m->reason);
+	out->content_type =
+	    take_text(r, m->content_type.len > 0, m->content_type);
 }
 
 static void
--- a/src/journal/journal_write.c
+++ b/src/journal/journal_write.c
@@ -172,6 +172,7 @@
 	out->keyed = fill_text(&out->key, r->idempotency_key);
 	out->timed = fill_text(&out->timeout, r->timeout);
 	fill_bytes(&out->body, r->body);
+	(void)fill_text(&out->content_type, r->content_type);
 }
 
 static void
@@ -183,6 +184,7 @@
 	out->retry = fill_text(&out->retry_after, ev->retry_after);
 	fill_bytes(&out->data, ev->data);
 	(void)fill_text(&out->reason, ev->reason);
+	(void)fill_text(&out->content_type, ev->content_type);
 }
 
 /* One of each message, for the step to point to. */
--- a/src/mulberryd/event_queue.c
+++ b/src/mulberryd/event_queue.c
@@ -51,6 +51,7 @@
 	copy_text(memory, &r->path);
 	copy_text(memory, &r->authorization);
 	copy_text(memory, &r->idempotency_key);
+	copy_text(memory, &r->content_type);
 	copy_text(memory, &r->timeout);
 	copy_bytes(memory, &r->body);
 }
@@ -73,6 +74,7 @@
 	case NODE_EV_CALL:
 		copy_text(item->memory, &copy->u.call.retry_after);
 		copy_text(item->memory, &copy->u.call.reason);
+		copy_text(item->memory, &copy->u.call.content_type);
 		copy_bytes(item->memory, &copy->u.call.data);
 		break;
 	case NODE_EV_SAVED:
--- a/src/node/node_api_work.c
+++ b/src/node/node_api_work.c
@@ -181,6 +181,7 @@
 	r.method = request->method;
 	r.path = full.data;
 	r.idempotency_key = request->idempotency_key;
+	r.content_type = request->content_type;
 	r.body = request->body;
 	r.deadline_us = deadline_of(n, request, r.kind);
 	route_begin(n->route, n->now, &r, n->fx);
--- a/src/node/node_metrics.c
+++ b/src/node/node_metrics.c
@@ -104,7 +104,8 @@
 	    {"refused", offsetof(struct route_class_stats, refused)},
 	    {"failed", offsetof(struct route_class_stats, failed)},
 	    {"unknown", offsetof(struct route_class_stats, unknown)},
-	    {"gone", offsetof(struct route_class_stats, gone)}};
+	    {"gone", offsetof(struct route_class_stats, gone)},
+	    {"replayed", offsetof(struct route_class_stats, replayed)}};
 	const struct route_class_stats *s;
 	const uint64_t *value;
 	size_t i, k;
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -204,13 +204,15 @@
 		buf_printf(out,
 		    ", \"asked\": %llu, \"delivered\": %llu, "
 		    "\"refused\": %llu, \"failed\": %llu, \"unknown\": %llu, "
-		    "\"gone\": %llu, \"retried\": %llu, \"tokensOut\": %llu, "
+		    "\"gone\": %llu, \"replayed\": %llu, "
+		    "\"retried\": %llu, \"tokensOut\": %llu, "
 		    "\"deliveredWeight\": %.3f",
 		    (unsigned long long)s->asked,
 		    (unsigned long long)s->delivered,
 		    (unsigned long long)s->refused,
 		    (unsigned long long)s->failed,
 		    (unsigned long long)s->unknown, (unsigned long long)s->gone,
+		    (unsigned long long)s->replayed,
 		    (unsigned long long)s->retried,
 		    (unsigned long long)s->tokens_out, s->delivered_weight);
 		report_histogram(out, "wait", &s->wait);
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -40,6 +40,8 @@
 	free(e->endpoint);
 	free(e->address);
 	free(e->finish_reason);
+	free(e->content_type);
+	free(e->answer_type);
 	for (i = 0; i < e->navoid; i++)
 		free(e->avoid[i]);
 	buf_free(&e->body);
@@ -158,6 +160,8 @@
 	if (request->prompt != NULL)
 		e->prompt = mem_string(request->prompt);
 	buf_append(&e->body, request->body.data, request->body.len);
+	e->content_type = mem_string(
+	    request->content_type == NULL ? ROUTE_JSON : request->content_type);
 	e->chat = request->chat;
 	e->stream = request->stream;
 	e->max_tokens = request->max_tokens;
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -72,6 +72,7 @@
 	const char *method;
 	const char *path; /* below the service */
 	const char *idempotency_key; /* NULL without */
+	const char *content_type; /* of the body, NULL without */
 	struct node_bytes body;
 	/* model requests: */
 	const char *prompt;
@@ -144,6 +145,7 @@
 struct route_class_stats {
 	char *team, *kind;
 	uint64_t asked, delivered, refused, failed, unknown, gone, retried;
+	uint64_t replayed; /* answered from the record of an earlier call */
 	uint64_t tokens_out;
 	double delivered_weight;
 	struct hist wait, stall, first, between, whole;
@@ -167,6 +169,8 @@
 	uint32_t retry_after_ms; /* 0: no header */
 };
 
+#define ROUTE_JSON "application/json"
+
 /* Answer a request with an error body and its headers. */
 void route_reply_error(
     struct node_effects *fx, uint64_t request, const struct route_error *error);
--- a/src/route/route_claim.c
+++ b/src/route/route_claim.c
@@ -24,7 +24,7 @@
 	end.kind = kind;
 	if (kind == CLAIM_END_ANSWERED) {
 		end.status = e->status;
-		end.content_type = "application/json";
+		end.content_type = e->answer_type;
 		end.answer = e->answer.data == NULL ? "" : e->answer.data;
 		end.answer_len = e->answer.len;
 	}
@@ -50,7 +50,8 @@
 	reply = &node_effects_add(fx, NODE_FX_REPLY)->u.reply;
 	reply->request = e->request;
 	reply->status = claim->status;
-	reply->content_type = "application/json";
+	reply->content_type = node_effects_printf(fx, "%s",
+	    claim->content_type == NULL ? ROUTE_JSON : claim->content_type);
 	reply->headers[0].name = "mulberrypath-outcome";
 	reply->headers[0].value = "done";
 	reply->headers[1].name = "mulberrypath-replayed";
@@ -60,6 +61,7 @@
 	    node_effects_copy(fx, claim->answer, claim->answer_len);
 	reply->body.len = claim->answer_len;
 	e->replied = true;
+	e->stats->replayed++;
 	route_end_entry(r, e);
 }
 
--- a/src/route/route_internal.h
+++ b/src/route/route_internal.h
@@ -41,6 +41,8 @@
 	char *run_id; /* names the run towards the endpoint */
 	char *method, *path, *key;
 	struct buf body;
+	char *content_type; /* of the body */
+	char *answer_type; /* content type of a service's answer */
 	char *prompt;
 	bool chat, stream;
 	uint32_t max_tokens;
--- a/src/route/route_model.c
+++ b/src/route/route_model.c
@@ -51,7 +51,7 @@
 	call->headers[1].value =
 	    node_effects_printf(fx, "%llu", (unsigned long long)e->fence);
 	call->headers[2].name = "content-type";
-	call->headers[2].value = "application/json";
+	call->headers[2].value = ROUTE_JSON;
 	call->nheaders = 3;
 	call->body.data = node_effects_copy(fx, body.data, body.len);
 	call->body.len = body.len;
--- a/src/route/route_service.c
+++ b/src/route/route_service.c
@@ -34,7 +34,7 @@
 	call->headers[0].name = "mulberrypath-request";
 	call->headers[0].value = node_effects_printf(fx, "%s", e->run_id);
 	call->headers[1].name = "content-type";
-	call->headers[1].value = "application/json";
+	call->headers[1].value = node_effects_printf(fx, "%s", e->content_type);
 	call->nheaders = 2;
 	if (e->key != NULL) {
 		call->headers[2].name = "idempotency-key";
@@ -143,6 +143,10 @@
 		if (!e->refused_for_load)
 			route_note_sent(e);
 		e->first_us = now_us;
+		free(e->answer_type);
+		e->answer_type = mem_string(event->content_type == NULL
+			? ROUTE_JSON
+			: event->content_type);
 		break;
 	case NODE_CALL_DATA:
 		if (e->answer.len + event->data.len <= SERVICE_ANSWER_MAX) {
@@ -174,7 +178,7 @@
 
 	reply->request = e->request;
 	reply->status = e->status;
-	reply->content_type = "application/json";
+	reply->content_type = node_effects_printf(fx, "%s", e->answer_type);
 	reply->headers[0].name = "mulberrypath-outcome";
 	reply->headers[0].value = "done";
 	reply->nheaders = 1;
--- a/tests/fakes/fake.c
+++ b/tests/fakes/fake.c
@@ -68,6 +68,13 @@
 
 void
 fake_reply(struct http_server *s, uint64_t request, int status, json_t *value)
+{
+	fake_reply_typed(s, request, status, "application/json", value);
+}
+
+void
+fake_reply_typed(struct http_server *s, uint64_t request, int status,
+    const char *type, json_t *value)
 {
 	struct node_reply reply;
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -75,7 +82,7 @@
 	memset(&reply, 0, sizeof(reply));
 	reply.request = request;
 	reply.status = status;
-	reply.content_type = "application/json";
+	reply.content_type = type;
 	reply.body.data = text;
 	reply.body.len = strlen(text);
 	if (status == 429 || status == 503)
--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -35,6 +35,9 @@
 /* Answer with JSON; the value is released. */
 void fake_reply(
     struct http_server *s, uint64_t request, int status, json_t *value);
+/* The same, of another content type. */
+void fake_reply_typed(struct http_server *s, uint64_t request, int status,
+    const char *type, json_t *value);
 
 /* Answer with the error body of docs/PROTOCOL.md. */
 void fake_refuse(
--- a/tests/fakes/service.c
+++ b/tests/fakes/service.c
@@ -9,7 +9,7 @@
 	uv_timer_t timer;
 	struct endpoint *endpoint;
 	uint64_t request;
-	char *path, *key;
+	char *path, *key, *type; /* type: of the body, and of the answer */
 	unsigned ran;
 };
 
@@ -20,6 +20,7 @@
 
 	free(call->path);
 	free(call->key);
+	free(call->type);
 	free(call);
 }
 
@@ -33,7 +34,7 @@
 	if (e->faults.break_after > 0)
 		http_server_end(e->server, call->request, true);
 	else if (!control_is_silent(e, call->request))
-		fake_reply(e->server, call->request, 200,
+		fake_reply_typed(e->server, call->request, 200, call->type,
 		    json_pack("{s:s, s:s, s:i, s:s?}", "service", e->service,
 			"path", call->path, "ran", (int)call->ran, "key",
 			call->key));
@@ -56,6 +57,8 @@
 	call->endpoint = e;
 	call->request = r->request;
 	call->path = mem_string(r->path);
+	call->type = mem_string(
+	    r->content_type == NULL ? "text/plain" : r->content_type);
 	if (r->idempotency_key != NULL)
 		call->key = mem_string(r->idempotency_key);
 	call->ran =
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -107,7 +107,7 @@
 		ticks(300);
 		ev.type = NODE_EV_REQUEST;
 		ev.u.request = {1, "GET", "/v1/status", "Bearer op", nullptr,
-		    "500", {"", 0}};
+		    "500", {"", 0}, "text/plain"};
 		step(ev);
 		EXPECT_EQ(node_effects_at(fx, 0)->u.reply.status, 200);
 		ev.type = NODE_EV_MESSAGE;
@@ -117,7 +117,8 @@
 		ev.u.gone = 1;
 		step(ev);
 		ev.type = NODE_EV_CALL;
-		ev.u.call = {9, NODE_CALL_HEAD, 503, "1", {"", 0}, nullptr};
+		ev.u.call = {9, NODE_CALL_HEAD, 503, "1", {"", 0}, nullptr,
+		    "text/plain"};
 		step(ev);
 		ev.type = NODE_EV_STOP;
 		step(ev);
--- a/tests/mulberryd/cluster_test.cc
+++ b/tests/mulberryd/cluster_test.cc
@@ -193,8 +193,8 @@
 
 TEST_F(ClusterTest, a_confirmed_booking_survives_its_entry_and_the_leader)
 {
-	const std::string headers =
-	    std::string(caller) + "idempotency-key: k1\r\n";
+	const std::string headers = std::string(caller) +
+	    "idempotency-key: k1\r\ncontent-type: text/csv\r\n";
 	const std::string line = "POST /v1/services/orders/book";
 	int entry = leader();
 	std::string first, again;
@@ -210,6 +210,10 @@
 	} while (again.find("HTTP/1.1 503") == 0 && d.left_ms() > 0);
 	EXPECT_EQ(again.find("HTTP/1.1 200"), 0u) << again;
 	EXPECT_NE(again.find("mulberrypath-replayed"), std::string::npos);
+	for (auto &answer : {first, again})
+		EXPECT_NE(
+		    answer.find("content-type: text/csv"), std::string::npos)
+		    << answer;
 	EXPECT_EQ(again.substr(again.find("\r\n\r\n")),
 	    first.substr(first.find("\r\n\r\n")));
 
