Clock: time in which the machine was suspended counts

Cause: found by reading: the programs took uv_hrtime, which stands still while a machine is suspended, but node.h asks of the clock that it goes on: a holder that wakes would have believed in a lease that others saw end long ago. Ruled out: wall time (goes back). A guest paused by its host without being told is not covered, which docs/PROOFS.md says; neither is tried. Change: clock_now_us (CLOCK_BOOTTIME) for the reducer's time and for the last moment of a call, which are compared with each other.

--- a/src/http/call.c
+++ b/src/http/call.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "http/client_internal.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define CALL_CONNECT_MS 500
@@ -168,7 +169,7 @@
 void
 call_connected(struct call *call)
 {
-	if (uv_hrtime() / 1000 > call->not_after_us) {
+	if (clock_now_us() > call->not_after_us) {
 		call_broken(call, "too late");
 		return;
 	}
@@ -181,7 +182,7 @@
 void
 call_begin(struct call *call)
 {
-	uint64_t now = uv_hrtime() / 1000, limit = CALL_CONNECT_MS;
+	uint64_t now = clock_now_us(), limit = CALL_CONNECT_MS;
 	const char *reason = NULL;
 
 	if (now > call->not_after_us) {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -85,7 +85,7 @@
 
 /*
  * Connections are pooled by address. node_call.not_after_us is compared with
- * uv_hrtime()/1000 just before the first byte is written, also after a slow
+ * clock_now_us() just before the first byte is written, also after a slow
  * connect; then NODE_CALL_NOT_SENT. Every call ends in exactly one of
  * NOT_SENT, END, BROKEN unless cancelled. A call on a pooled connection that
  * breaks is BROKEN, not repeated, once a byte was handed to the connection.
--- a/src/mulberryctl/cmd_apply.c
+++ b/src/mulberryctl/cmd_apply.c
@@ -4,6 +4,7 @@
 
 #include "mulberryctl/cmd_doc.h"
 #include "mulberryctl/ctl_http.h"
+#include "util/clock.h"
 
 #define NITEMS(list)	  (sizeof(list) / sizeof((list)[0]))
 #define REVISION_MAX	  1e15
@@ -26,12 +27,6 @@
 	const char *team;
 };
 
-static uint64_t
-now_us(void)
-{
-	return uv_hrtime() / 1000;
-}
-
 static bool
 apply_prepare(struct ctl *c, struct apply *a)
 {
@@ -52,7 +47,7 @@
 		    random, sizeof(random));
 		a->change = a->made_change;
 	}
-	a->end_us = now_us() + (uint64_t)(a->timeout_s * US_PER_S);
+	a->end_us = clock_now_us() + (uint64_t)(a->timeout_s * US_PER_S);
 	return true;
 }
 
@@ -116,7 +111,7 @@
 		ctl_call(c, answer, "PUT", path.data, text, true);
 		unknown = unknown || may_have_run(answer);
 		if (c->nservers == 0 || !is_open(answer) ||
-		    now_us() >= a->end_us)
+		    clock_now_us() >= a->end_us)
 			break;
 		ctl_answer_free(answer);
 		ctl_pause(c, RETRY_MS);
@@ -135,7 +130,7 @@
 	bool in_force = false;
 
 	doc_path(&path, a->team, "/status");
-	while (!in_force && now_us() < a->end_us) {
+	while (!in_force && clock_now_us() < a->end_us) {
 		ctl_call(c, &answer, "GET", path.data, NULL, true);
 		in_force = answer.status == 200 &&
 		    json_integer_value(
@@ -155,7 +150,7 @@
 	    json_integer_value(json_object_get(answer->json, "revision"));
 	json_int_t index =
 	    json_integer_value(json_object_get(answer->json, "index"));
-	uint64_t started = now_us();
+	uint64_t started = clock_now_us();
 	bool in_force = a->wait && apply_wait(c, a, index);
 
 	if (c->json)
@@ -170,7 +165,7 @@
 		(void)fprintf(c->out,
 		    "%s: revision %lld, in force after %.2f s (change %s)\n",
 		    a->team, (long long)revision,
-		    (double)(now_us() - started) / US_PER_S, a->change);
+		    (double)(clock_now_us() - started) / US_PER_S, a->change);
 	else
 		(void)fprintf(c->out,
 		    "%s: revision %lld accepted (change %s)\n", a->team,
--- a/src/mulberryctl/ctl_http.c
+++ b/src/mulberryctl/ctl_http.c
@@ -1,4 +1,5 @@
 #include "mulberryctl/ctl_http.h"
+#include "util/clock.h"
 
 #include <ctype.h>
 #include <string.h>
@@ -98,7 +99,7 @@
 		    (struct node_header){"content-type", "application/json"};
 		call.body = (struct node_bytes){body->data, body->len};
 	}
-	call.not_after_us = uv_hrtime() / 1000 + CALL_SEND_US;
+	call.not_after_us = clock_now_us() + CALL_SEND_US;
 	call.silence_us = CALL_SILENCE_US;
 	call.fresh_connection = true;
 	c->wait = &wait;
--- a/src/mulberryctl/load_address.c
+++ b/src/mulberryctl/load_address.c
@@ -3,6 +3,7 @@
 
 #include "mulberryctl/ctl_http.h"
 #include "mulberryctl/load_internal.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define LOOKUP_SEND_US	  1000000
@@ -61,7 +62,7 @@
 		->servers[(a->server + a->failures) % l->options->nservers];
 	call.method = "GET";
 	call.path = a->path;
-	call.not_after_us = uv_hrtime() / 1000 + LOOKUP_SEND_US;
+	call.not_after_us = clock_now_us() + LOOKUP_SEND_US;
 	call.silence_us = LOOKUP_SILENCE_US;
 	(void)map_set_u64(l->lookups, a->lookup, a);
 	l->nlookups++;
--- a/src/mulberryctl/load_call.c
+++ b/src/mulberryctl/load_call.c
@@ -4,6 +4,7 @@
 
 #include "mulberryctl/load_check.h"
 #include "mulberryctl/load_internal.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define CALL_SEND_US	   2000000
@@ -110,7 +111,7 @@
 		out.headers[out.nheaders++] =
 		    (struct node_header){"content-type", "application/json"};
 	out.body = (struct node_bytes){body->data, body->len};
-	out.not_after_us = uv_hrtime() / 1000 + CALL_SEND_US;
+	out.not_after_us = clock_now_us() + CALL_SEND_US;
 	out.silence_us = CALL_SILENCE_US;
 	(void)map_set_u64(call->load->calls, call->id, call);
 	http_client_start(call->load->client, &out);
--- a/src/mulberryctl/load_run.c
+++ b/src/mulberryctl/load_run.c
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "mulberryctl/load_internal.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define PROGRESS_MS	  1000
@@ -12,7 +13,7 @@
 uint64_t
 load_now(const struct load *l)
 {
-	uint64_t now = uv_hrtime() / 1000;
+	uint64_t now = clock_now_us();
 
 	return now > l->start_us ? now - l->start_us : 0;
 }
@@ -142,7 +143,7 @@
 	if (http_client_create(&l.client, options->loop, on_call, &l, NULL) !=
 	    MP_OK)
 		return NULL;
-	l.start_us = uv_hrtime() / 1000;
+	l.start_us = clock_now_us();
 	(void)uv_timer_start(&l.due, on_due, 0, 0);
 	if (options->progress != NULL) {
 		every = isatty(fileno(options->progress)) ? PROGRESS_MS
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -6,18 +6,12 @@
 #include <unistd.h>
 
 #include "mulberryd/daemon_internal.h"
+#include "util/clock.h"
 
-#define NS_PER_US      1000
 #define US_PER_MS      1000
 #define CLOSE_LIMIT_MS 5000
 #define METRICS_PATH   "/metrics"
 
-uint64_t
-daemon_now_us(void)
-{
-	return uv_hrtime() / NS_PER_US;
-}
-
 static uint64_t
 wall_now_ms(void)
 {
@@ -55,7 +49,7 @@
 arm_tick(struct daemon *d)
 {
 	uint64_t due = node_next_tick(d->node);
-	uint64_t now = daemon_now_us();
+	uint64_t now = clock_now_us();
 	uint64_t delay_ms = 1;
 
 	if (d->tick_due_us != 0 && d->tick_due_us <= due)
@@ -70,7 +64,7 @@
 static void
 step(struct daemon *d, const struct node_event *ev)
 {
-	uint64_t now_us = daemon_now_us();
+	uint64_t now_us = clock_now_us();
 
 	d->events++;
 	node_step(d->node, now_us, ev, d->effects);
@@ -287,7 +281,7 @@
 	boot.settings = d->settings;
 	boot.incarnation = random_u64();
 	boot.seed = random_u64();
-	boot.now_us = daemon_now_us();
+	boot.now_us = clock_now_us();
 	boot.wall_ms = wall_now_ms();
 	code = node_create(&d->node, &boot, err);
 	if (code == MP_OK)
@@ -370,7 +364,7 @@
 	d.effects = node_effects_create();
 	d.queue = event_queue_create();
 	d.metrics_requests = map_create();
-	d.started_us = daemon_now_us();
+	d.started_us = clock_now_us();
 	init_handles(&d);
 	if (start(&d, &err) != MP_OK) {
 		report_failed_start(&d, &err);
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -44,9 +44,6 @@
 	enum daemon_exit result;
 };
 
-/* Microseconds of a clock that runs on while the process is stopped. */
-uint64_t daemon_now_us(void);
-
 /*
  * Give an event to the node and carry out what it wants done, until nothing
  * is left; an event that comes meanwhile is queued.
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -1,6 +1,7 @@
 #include <sys/resource.h>
 
 #include "mulberryd/daemon_internal.h"
+#include "util/clock.h"
 
 #define US_PER_SECOND 1e6
 
@@ -52,6 +53,6 @@
 	(void)uv_resident_set_memory(&resident);
 	append_gauge(out, "process_resident_bytes", (double)resident);
 	append_gauge(out, "process_uptime_seconds",
-	    (double)(daemon_now_us() - d->started_us) / US_PER_SECOND);
+	    (double)(clock_now_us() - d->started_us) / US_PER_SECOND);
 	append_counter(out, "node_events_total", (double)d->events);
 }
--- a/tests/fakes/announce.c
+++ b/tests/fakes/announce.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fakes/endpoint.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define ANNOUNCE_MS	    1000
@@ -43,7 +44,7 @@
 	    (struct node_header){"content-type", "application/json"};
 	call.body.data = text;
 	call.body.len = strlen(text);
-	call.not_after_us = uv_hrtime() / 1000 + ANNOUNCE_TIMEOUT_US;
+	call.not_after_us = clock_now_us() + ANNOUNCE_TIMEOUT_US;
 	call.silence_us = ANNOUNCE_TIMEOUT_US;
 	http_client_start(e->client, &call);
 	free(text);
--- a/tests/fakes/slots.c
+++ b/tests/fakes/slots.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fakes/endpoint.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define SLOT_LOAD_TIMEOUT_US 20000000
@@ -129,7 +130,7 @@
 	call.address = e->store;
 	call.method = "GET";
 	call.path = path.data;
-	call.not_after_us = uv_hrtime() / 1000 + SLOT_LOAD_TIMEOUT_US;
+	call.not_after_us = clock_now_us() + SLOT_LOAD_TIMEOUT_US;
 	call.silence_us = SLOT_LOAD_TIMEOUT_US;
 	http_client_start(e->client, &call);
 	buf_free(&path);
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,6 +1,7 @@
 #include <set>
 
 #include "loop_fixture.h"
+#include "util/clock.h"
 
 TEST_F(HttpTest, AnswerComesBackWhole)
 {
@@ -135,7 +136,7 @@
 	Start(1, address);
 	ASSERT_TRUE(UntilEnded(1)); /* a connection is in the pool now */
 	node_call c = Call(2, address);
-	c.not_after_us = uv_hrtime() / 1000 - 1;
+	c.not_after_us = clock_now_us() - 1;
 	http_client_start(client, &c);
 	ASSERT_TRUE(UntilEnded(2));
 	EXPECT_TRUE(calls[2].not_sent) << calls[2].reason;
@@ -153,14 +154,13 @@
 	second.Connect(port);
 	for (uint64_t id : {1, 2}) {
 		node_call c = Call(id, address);
-		uint64_t begin = uv_hrtime() / 1000;
+		uint64_t begin = clock_now_us();
 
 		c.not_after_us = begin + (id == 1 ? 50000 : 60000000);
 		http_client_start(client, &c);
 		ASSERT_TRUE(UntilEnded(id));
 		EXPECT_TRUE(calls[id].not_sent) << calls[id].reason;
-		EXPECT_LT(
-		    uv_hrtime() / 1000 - begin, id == 1 ? 450000u : 2000000u);
+		EXPECT_LT(clock_now_us() - begin, id == 1 ? 450000u : 2000000u);
 	}
 }
 
--- a/tests/http/loop_fixture.h
+++ b/tests/http/loop_fixture.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "http/http.h"
+#include "util/clock.h"
 
 struct CallResult {
 	int status = 0;
@@ -157,7 +158,7 @@
 		c.address = address.c_str();
 		c.method = "GET";
 		c.path = path;
-		c.not_after_us = uv_hrtime() / 1000 + 5000000;
+		c.not_after_us = clock_now_us() + 5000000;
 		c.silence_us = 5000000;
 		return c;
 	}
