--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -15,7 +15,8 @@
     "usage: bench_cluster [--instances N] [--voters N] [--regions N]\n"
     "    [--endpoints PER_INSTANCE] [--requests PER_SECOND_AND_INSTANCE]\n"
     "    [--changes PER_SECOND] [--teams N] [--adapters PER_TEAM]\n"
-    "    [--tokens N] [--seconds N] [--warm N] [--fail] [--kinds]\n";
+    "    [--tokens N] [--seconds N] [--warm N] [--fail] [--kinds]\n"
+    "    [--full]: announcements say all each time\n";
 
 static const char *const kind_names[KINDS] = {"tick", "http", "call", "save",
     "", "", "", "", "", "", "raft", "renew", "lease", "propose", "", "pull",
@@ -33,6 +34,10 @@
 			o->fail = true;
 			continue;
 		}
+		if (name == "--full") {
+			o->full = true;
+			continue;
+		}
 		if (name == "--kinds") {
 			o->per_kind = true;
 			continue;
@@ -332,6 +337,23 @@
 	printf("all act after %.3f s\n", since(w, from));
 }
 
+static void
+print_announcements(const World &w, double seconds)
+{
+	double count = 0, bytes = 0;
+
+	for (auto &n : w.in) {
+		count += (double)n->c.announced;
+		bytes += (double)n->c.announced_bytes;
+	}
+	if (count == 0)
+		return;
+	printf("announcements in: %.1f/s and %.2f KB/s an instance, mean; "
+	       "%.0f bytes each\n",
+	    count / seconds / (double)w.in.size(),
+	    bytes / 1e3 / seconds / (double)w.in.size(), bytes / count);
+}
+
 static void
 print_snapshot(const World &w)
 {
@@ -382,6 +404,7 @@
 	w.run_for((uint64_t)o.seconds * 1000000);
 	print_roles(w, o.seconds);
 	print_snapshot(w);
+	print_announcements(w, o.seconds);
 	printf("HTTP bodies in %.2f KB/s an instance; an answer with addresses "
 	       "costs %.1f us\n",
 	    sum_of(*w.in.back(), o.seconds).http / 1e3,
--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -120,6 +120,7 @@
 
 		e->id = "e" + std::to_string(i);
 		e->region = i % o.regions;
+		e->announcer.short_form = !o.full;
 		e->address = "10.9." + std::to_string(i / 250) + "." +
 		    std::to_string(i % 250 + 1) + ":80";
 		by_address[e->address] = e.get();
@@ -476,40 +477,61 @@
 	    });
 }
 
-void
-World::announce(Engine *e)
+/* The owner of an engine, as its region sees it; -1: none. */
+int
+World::owner_of(const Engine &e, const std::string &region) const
 {
 	const struct node *any = nullptr;
-	std::string adapters, region = "region-" + std::to_string(e->region);
 	uint32_t owner;
 
-	at(now + 1000000, [this, e] { announce(e); });
 	for (auto &n : in)
-		if (n->alive && (any == nullptr || n->region == e->region)) {
+		if (n->alive && (any == nullptr || n->region == e.region)) {
 			any = n->node;
-			if (n->region == e->region)
+			if (n->region == e.region)
 				break;
 		}
-	owner = member_owner_of(any->view, region.c_str(), e->id.c_str());
-	if (owner == 0 || !in[owner - 1]->alive)
+	owner = member_owner_of(any->view, region.c_str(), e.id.c_str());
+	return owner == 0 || !in[owner - 1]->alive ? -1 : (int)owner - 1;
+}
+
+void
+World::announce_once(Engine *e)
+{
+	std::string region = "region-" + std::to_string(e->region), body;
+	std::vector<Announcer::Adapter> adapters;
+	int owner = owner_of(*e, region);
+	uint64_t id;
+
+	if (owner < 0)
 		return;
 	for (auto &slot : e->running)
-		adapters += (adapters.empty() ? "" : ", ") +
-		    std::string("{\"adapter\": \"") + slot.first +
-		    "\", \"loading\": false, \"running\": " +
-		    std::to_string(slot.second) + "}";
-	(void)request((int)owner - 1, "POST", "/v1/endpoints/announce", "",
-	    "{\"id\": \"" + e->id + "\", \"incarnation\": 1, \"address\": \"" +
-		e->address + "\", \"region\": \"" + region +
+		adapters.push_back({slot.first, false, slot.second});
+	body = e->announcer.next(e->id, 1,
+	    "\"address\": \"" + e->address + "\", \"region\": \"" + region +
 		"\", \"dataCentre\": \"dc\", \"type\": \"engine\", "
 		"\"baseModel\": \"base\", \"slots\": " +
 		std::to_string(e->slots) +
 		", \"seats\": " + std::to_string(e->seats) +
-		", \"fencing\": \"checked\", \"leaving\": false, \"load\": "
-		"{\"running\": " +
-		std::to_string(e->busy) +
-		", \"queued\": 0, \"asOfMs\": 10}, \"adapters\": [" + adapters +
-		"]}");
+		", \"fencing\": \"checked\", \"leaving\": false",
+	    "\"load\": {\"running\": " + std::to_string(e->busy) +
+		", \"queued\": 0, \"asOfMs\": 10}",
+	    adapters);
+	in[(size_t)owner]->c.announced++;
+	in[(size_t)owner]->c.announced_bytes += body.size();
+	id = request(owner, "POST", "/v1/endpoints/announce", "", body);
+	waiting[(uint64_t)owner << 40 | id] = [this, e](int status,
+						  std::string answer) {
+		e->announcer.answered(status, answer);
+		if (!o.full && e->announcer.wants_all())
+			at(now + 300, [this, e] { announce_once(e); });
+	};
+}
+
+void
+World::announce(Engine *e)
+{
+	at(now + 1000000, [this, e] { announce(e); });
+	announce_once(e);
 }
 
 /* ---- callers
--- a/bench/cluster_world.h
+++ b/bench/cluster_world.h
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cluster/announcer.h"
+
 extern "C" {
 #include "node/node_internal.h"
 }
@@ -31,6 +33,7 @@
 	uint32_t tokens = 257, token_us = 77000, events = 8;
 	bool fail = false;
 	bool per_kind = false;
+	bool full = false; /* endpoints know full announcements only */
 };
 
 struct Counts {
@@ -38,6 +41,7 @@
 	uint64_t in_bytes[KINDS] = {}, out_bytes[KINDS] = {};
 	uint64_t step_ns[KINDS] = {}; /* time in steps by what they took */
 	uint64_t steps = 0, ns = 0, http = 0, http_bytes = 0;
+	uint64_t announced = 0, announced_bytes = 0;
 	int64_t state = 0; /* bytes held, not reset */
 };
 
@@ -46,6 +50,7 @@
 	int region = 0;
 	std::unordered_map<std::string, int> running; /* loaded: key, runs */
 	uint32_t seats = 40, slots = 4, busy = 0;
+	Announcer announcer;
 };
 
 struct Inst {
@@ -109,7 +114,9 @@
 	    std::string key, uint32_t max);
 	void token_event(Engine *e, int i, uint64_t call, std::string id,
 	    std::string key, uint32_t next, uint32_t max);
+	int owner_of(const Engine &e, const std::string &region) const;
 	void announce(Engine *e);
+	void announce_once(Engine *e);
 	void request_loop(int i);
 	void change_loop(int nth);
 	uint64_t request(int i, const std::string &method,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -149,6 +149,7 @@
 	member_view_destroy(n->view);
 	map_free_all(n->peers, destroy_peer);
 	map_free_all(n->endpoints, destroy_endpoint);
+	node_cache_free(&n->resync);
 	map_free_all(n->grants, destroy_grant);
 	map_destroy(n->grants_by_ask);
 	map_free_all(n->orders, destroy_order);
@@ -254,7 +255,8 @@
 {
 	if (route_call(n->route, n->now, event, n->fx))
 		return;
-	(void)node_order_call(n, event);
+	if (!node_order_call(n, event))
+		(void)node_cache_call(n, event);
 }
 
 /* Begin a graceful shutdown. */
--- a/src/node/node_announce.c
+++ b/src/node/node_announce.c
@@ -33,6 +33,15 @@
 	return true;
 }
 
+static bool
+take_number(const json_t *object, const char *key, uint64_t *out)
+{
+	const json_t *value = json_object_get(object, key);
+
+	*out = (uint64_t)json_integer_value(value);
+	return json_is_integer(value);
+}
+
 static int
 parse_adapters(struct announcement *a, struct mp_error *err)
 {
@@ -114,13 +123,12 @@
 static int
 parse_fields(struct announcement *a, struct mp_error *err)
 {
-	const json_t *incarnation = json_object_get(a->root, "incarnation");
-
 	if (!take_string(a->root, "id", &a->report.id))
 		return bad_field(err, "id");
-	if (!json_is_integer(incarnation))
+	if (!take_number(a->root, "incarnation", &a->report.incarnation))
 		return bad_field(err, "incarnation");
-	a->report.incarnation = (uint64_t)json_integer_value(incarnation);
+	(void)take_number(a->root, "sequence", &a->sequence);
+	(void)take_number(a->root, "cacheSequence", &a->report.cache_sequence);
 	if (!take_string(a->root, "address", &a->address))
 		return bad_field(err, "address");
 	if (!take_string(a->root, "region", &a->region))
@@ -137,18 +145,15 @@
 }
 
 int
-announce_parse(struct announcement *out, uint64_t now_us,
-    struct node_bytes json, struct mp_error *err)
+announce_read(struct announcement *out, uint64_t now_us, json_t *root,
+    struct mp_error *err)
 {
 	int rc;
 
 	memset(out, 0, sizeof(*out));
-	out->root = json_loadb(json.data, json.len, 0, NULL);
-	if (!json_is_object(out->root)) {
-		json_decref(out->root);
-		out->root = NULL;
+	if (!json_is_object(root))
 		return bad_field(err, "the JSON object");
-	}
+	out->root = json_incref(root);
 	rc = parse_fields(out, err);
 	if (rc == 0)
 		rc = parse_load(out, now_us, err);
@@ -167,3 +172,129 @@
 	json_decref(a->root);
 	a->root = NULL;
 }
+
+/* ---- short announcements ------------------------------------------------- */
+
+bool
+announce_is_change(const json_t *root)
+{
+	return json_object_get(root, "since") != NULL;
+}
+
+int
+announce_read_change(
+    struct announce_change *out, const json_t *root, struct mp_error *err)
+{
+	if (!take_string(root, "id", &out->id))
+		return bad_field(err, "id");
+	if (!take_number(root, "incarnation", &out->incarnation))
+		return bad_field(err, "incarnation");
+	if (!take_number(root, "sequence", &out->sequence))
+		return bad_field(err, "sequence");
+	if (!take_number(root, "since", &out->since) || out->since == 0 ||
+	    out->since >= out->sequence)
+		return bad_field(err, "since");
+	return 0;
+}
+
+static size_t
+find_adapter(const json_t *list, const char *name)
+{
+	const char *other;
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++)
+		if (take_string(json_array_get(list, i), "adapter", &other) &&
+		    strcmp(other, name) == 0)
+			break;
+	return i;
+}
+
+static int
+merge_dropped(json_t *list, const json_t *dropped, struct mp_error *err)
+{
+	const json_t *item;
+	const char *name;
+	size_t i;
+
+	json_array_foreach(dropped, i, item)
+	{
+		name = json_string_value(item);
+		if (name == NULL)
+			return bad_field(err, "dropped[]");
+		(void)json_array_remove(list, find_adapter(list, name));
+	}
+	return 0;
+}
+
+/* A changed adapter keeps its place, a new one comes last. */
+static int
+merge_adapters(json_t *list, const json_t *changed, struct mp_error *err)
+{
+	json_t *item;
+	const char *name;
+	size_t i, at;
+
+	json_array_foreach(changed, i, item)
+	{
+		if (!take_string(item, "adapter", &name))
+			return bad_field(err, "adapters[]");
+		item = json_deep_copy(item);
+		at = find_adapter(list, name);
+		if (at < json_array_size(list))
+			(void)json_array_set_new(list, at, item);
+		else
+			(void)json_array_append_new(list, item);
+	}
+	return 0;
+}
+
+/* Numbers of runs, in the order of the adapters. */
+static int
+merge_running(json_t *list, const json_t *running, struct mp_error *err)
+{
+	json_t *item;
+	size_t i;
+
+	if (running == NULL)
+		return 0;
+	if (json_array_size(running) != json_array_size(list))
+		return bad_field(err, "running");
+	json_array_foreach(running, i, item)(void)
+	    json_object_set(json_array_get(list, i), "running", item);
+	return 0;
+}
+
+int
+announce_merge(json_t **out, const json_t *earlier, const json_t *change,
+    struct mp_error *err)
+{
+	static const char *const kept[] = {
+	    "sequence", "load", "leaving", "role", "seats", "cacheSequence"};
+	json_t *list = json_deep_copy(json_object_get(earlier, "adapters"));
+	json_t *value;
+	size_t i;
+	int rc;
+
+	if (list == NULL)
+		list = json_array();
+	*out = json_copy((json_t *)earlier);
+	(void)json_object_set_new(*out, "adapters", list);
+	for (i = 0; i < sizeof(kept) / sizeof(kept[0]); i++) {
+		value = json_object_get(change, kept[i]);
+		if (value != NULL)
+			(void)json_object_set(*out, kept[i], value);
+	}
+	rc = merge_dropped(list, json_object_get(change, "dropped"), err);
+	if (rc == 0)
+		rc = merge_adapters(
+		    list, json_object_get(change, "adapters"), err);
+	if (rc == 0)
+		rc = merge_running(
+		    list, json_object_get(change, "running"), err);
+	if (rc == 0)
+		return 0;
+	json_decref(*out);
+	*out = NULL;
+	return rc;
+}
--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -3,11 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node/node_announce.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
-#define RETRY_SOON_MS 1000U
+#define RETRY_SOON_MS	     1000U
+#define ANNOUNCE_INTERVAL_MS 1000U
 
 void
 node_api_refuse(struct node *n, uint64_t request, int status, const char *code,
@@ -152,30 +152,33 @@
 api_announce(struct node *n, const struct node_request *request)
 {
 	const struct member *m;
-	struct announcement a;
+	struct node_announced told;
 	struct mp_error err;
 	struct buf out = {0};
 
 	if (!authorize_endpoint(n, request))
 		return;
-	if (announce_parse(&a, n->now, request->body, &err) != 0) {
+	if (node_owner_announce(n, request->body, &told, &err) != 0) {
 		node_api_refuse(n, request->request, 400, "bad-announcement",
 		    err.message, 0);
 		return;
 	}
-	m = member_view_find(n->view, node_owner_of(n, a.region, a.report.id));
-	announce_free(&a);
-	if (m == NULL) {
+	m = member_view_find(n->view, told.owner);
+	if (m == NULL && !told.send_all) {
 		node_api_refuse(n, request->request, 503, "no-owner",
 		    "no instance can own the endpoint yet", RETRY_SOON_MS);
 		return;
 	}
-	buf_puts(&out, "{\"owner\": ");
-	buf_json_string(&out, m->http);
-	buf_puts(&out, ", \"intervalMs\": 1000}\n");
+	buf_puts(&out, "{");
+	if (m != NULL) {
+		buf_puts(&out, "\"owner\": ");
+		buf_json_string(&out, m->http);
+		buf_puts(&out, ", ");
+	}
+	buf_printf(&out, "%s\"intervalMs\": %u}\n",
+	    told.send_all ? "\"sendAll\": true, " : "", ANNOUNCE_INTERVAL_MS);
 	route_reply_json(n->fx, request->request, 200, out.data);
 	buf_free(&out);
-	node_owner_announce(n, request->body);
 }
 
 static void
@@ -184,7 +187,7 @@
 	if (!authorize_endpoint(n, request))
 		return;
 	route_reply_json(n->fx, request->request, 200, "{}\n");
-	node_owner_cache_events(n, request->body);
+	node_cache_events(n, request->body);
 }
 
 static void
--- /dev/null
+++ b/src/node/node_cache.c
@@ -0,0 +1,252 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_guard.h"
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/*
+ * What engines hold in their prefix caches: events that may be late, doubled
+ * or lost, and a resync, which asks the engine for all when some are lost.
+ */
+
+#define CACHE_PART	   1024 /* prefixes at once */
+#define CACHE_HELD_MAX	   256 /* events kept during a resync */
+#define CACHE_ANSWER_MAX   (1024 * 1024) /* bytes */
+#define CACHE_SILENCE_US   (2 * 1000 * 1000ULL)
+#define CACHE_LOOK_US	   (100 * 1000ULL) /* between looks for gaps */
+#define CACHE_BACKOFF_US   (1000 * 1000ULL)
+#define CACHE_BACKOFF_MAX  6 /* doublings */
+#define CACHE_BYTES_SECOND 4096 /* of answers, on average */
+
+static size_t
+parse_prefixes(const json_t *list, size_t from, uint64_t *out)
+{
+	const char *text;
+	size_t i, count = 0;
+
+	for (i = from; i < json_array_size(list) && i < from + CACHE_PART;
+	     i++) {
+		text = json_string_value(json_array_get(list, i));
+		if (text != NULL)
+			out[count++] = strtoull(text, NULL, 16);
+	}
+	return count;
+}
+
+/* Give the scheduler a list of prefixes, in parts. */
+static void
+apply_list(struct node *n, const char *id,
+    const struct sched_cache_event *event, const json_t *list)
+{
+	uint64_t prefixes[CACHE_PART];
+	struct sched_cache_event part = *event;
+	size_t from = 0;
+
+	part.prefixes = prefixes;
+	do {
+		part.count = parse_prefixes(list, from, prefixes);
+		(void)sched_cache_events(n->sched, n->now, id, &part);
+		part.resync = false;
+		part.more = true;
+		from += CACHE_PART;
+	} while (from < json_array_size(list));
+}
+
+static uint64_t
+number_of(const json_t *root, const char *key)
+{
+	return (uint64_t)json_integer_value(json_object_get(root, key));
+}
+
+static void
+apply_event(struct node *n, const char *id, const json_t *root)
+{
+	struct sched_cache_event event = {0};
+
+	event.incarnation = number_of(root, "incarnation");
+	event.sequence = number_of(root, "sequence");
+	event.resync = json_is_true(json_object_get(root, "resync"));
+	apply_list(n, id, &event, json_object_get(root, "added"));
+	event.resync = false;
+	event.dropped = event.more = true;
+	apply_list(n, id, &event, json_object_get(root, "dropped"));
+}
+
+/* Events that come during a resync count after it. */
+static bool
+hold_event(struct node *n, const char *id, json_t *root)
+{
+	struct node_resync *r = &n->resync;
+
+	if (r->call == 0 || strcmp(r->endpoint, id) != 0)
+		return false;
+	if (json_array_size(r->held) < CACHE_HELD_MAX)
+		(void)json_array_append(r->held, root);
+	return true;
+}
+
+void
+node_cache_events(struct node *n, struct node_bytes json)
+{
+	json_t *root = json_loadb(json.data, json.len, 0, NULL);
+	const char *id = json_string_value(json_object_get(root, "id"));
+	const char *region = json_string_value(json_object_get(root, "region"));
+	uint32_t owner;
+
+	if (id == NULL) {
+		n->counters.malformed++;
+		goto cleanup;
+	}
+	owner =
+	    node_owner_of(n, region == NULL ? n->settings->region : region, id);
+	if (owner != n->id) {
+		if (owner != 0)
+			node_owner_forward(n, owner, json, true);
+	} else if (map_get_str(n->endpoints, id) != NULL &&
+	    !hold_event(n, id, root)) {
+		apply_event(n, id, root);
+	}
+cleanup:
+	json_decref(root);
+}
+
+/* ---- resync -------------------------------------------------------------- */
+
+static void
+resync_begin(struct node *n, const struct node_endpoint *e)
+{
+	struct node_resync *r = &n->resync;
+	struct node_call *call = &node_effects_add(n->fx, NODE_FX_CALL)->u.call;
+
+	call->call = ++n->last_call;
+	call->address = node_effects_printf(n->fx, "%s", e->address);
+	call->method = "GET";
+	call->path = "/v1/cache";
+	call->not_after_us = n->now + CACHE_SILENCE_US;
+	call->silence_us = CACHE_SILENCE_US;
+	r->call = call->call;
+	r->endpoint = mem_string(e->id);
+	r->incarnation = e->incarnation;
+	r->status = 0;
+	r->held = json_array();
+	n->counters.resyncs++;
+}
+
+void
+node_cache_free(struct node_resync *r)
+{
+	free(r->endpoint);
+	buf_free(&r->answer);
+	json_decref(r->held);
+	memset(r, 0, sizeof(*r));
+}
+
+/* All that the engine holds replaces what was known. */
+static bool
+resync_apply(struct node *n, const struct node_endpoint *e)
+{
+	struct node_resync *r = &n->resync;
+	struct sched_cache_event event = {0};
+	json_t *root = json_loadb(r->answer.data, r->answer.len, 0, NULL);
+	const json_t *list = json_object_get(root, "prefixes");
+	bool ok = r->status == 200 && r->incarnation == e->incarnation &&
+	    json_is_array(list) &&
+	    json_is_integer(json_object_get(root, "sequence"));
+
+	if (ok) {
+		event.incarnation = r->incarnation;
+		event.sequence = number_of(root, "sequence");
+		event.resync = true;
+		apply_list(n, e->id, &event, list);
+	}
+	json_decref(root);
+	return ok;
+}
+
+static void
+resync_back_off(struct node *n, struct node_endpoint *e)
+{
+	uint32_t power = e->resync_failures++;
+
+	if (power > CACHE_BACKOFF_MAX)
+		power = CACHE_BACKOFF_MAX;
+	e->resync_us = n->now + (CACHE_BACKOFF_US << power);
+}
+
+static void
+resync_end(struct node *n, bool ok)
+{
+	struct node_resync *r = &n->resync;
+	struct node_endpoint *e = map_get_str(n->endpoints, r->endpoint);
+	uint64_t next_us = n->now + CACHE_LOOK_US +
+	    r->answer.len * 1000000ULL / CACHE_BYTES_SECOND;
+	const json_t *event;
+	size_t i;
+
+	if (e != NULL) {
+		if (ok && resync_apply(n, e))
+			e->resync_failures = 0;
+		else
+			resync_back_off(n, e);
+		json_array_foreach(r->held, i, event)
+		    apply_event(n, e->id, event);
+	}
+	node_cache_free(r);
+	r->next_us = next_us;
+}
+
+/* Progress of a resync; false when the call is not one. */
+bool
+node_cache_call(struct node *n, const struct node_call_event *event)
+{
+	struct node_resync *r = &n->resync;
+
+	if (r->call == 0 || event->call != r->call)
+		return false;
+	switch (event->phase) {
+	case NODE_CALL_HEAD:
+		r->status = event->status;
+		break;
+	case NODE_CALL_DATA:
+		buf_append(&r->answer, event->data.data, event->data.len);
+		if (r->answer.len <= CACHE_ANSWER_MAX)
+			break;
+		node_effects_add(n->fx, NODE_FX_CALL_CANCEL)->u.cancel =
+		    r->call;
+		resync_end(n, false);
+		break;
+	case NODE_CALL_END:
+		resync_end(n, true);
+		break;
+	case NODE_CALL_NOT_SENT:
+	case NODE_CALL_BROKEN:
+		resync_end(n, false);
+		break;
+	}
+	return true;
+}
+
+/* One resync at a time: of the endpoint with a gap that is due longest. */
+void
+node_cache_tick(struct node *n)
+{
+	struct node_endpoint *e, *due = NULL;
+	size_t i;
+
+	if (!node_guards.cache_resync || n->resync.call != 0 ||
+	    n->now < n->resync.next_us)
+		return;
+	n->resync.next_us = n->now + CACHE_LOOK_US;
+	for (i = 0; i < map_count(n->endpoints); i++) {
+		e = map_at(n->endpoints, i);
+		if (e->resync_us <= n->now &&
+		    (due == NULL || e->resync_us < due->resync_us) &&
+		    sched_cache_has_gap(n->sched, e->id))
+			due = e;
+	}
+	if (due == NULL)
+		return;
+	due->resync_us = n->now;
+	resync_begin(n, due);
+}
--- a/src/node/node_guard.c
+++ b/src/node/node_guard.c
@@ -1,3 +1,3 @@
 #include "node/node_guard.h"
 
-struct node_guards node_guards = {true, true, true, true};
+struct node_guards node_guards = {true, true, true, true, true};
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -16,6 +16,7 @@
 	bool active_epoch; /* orders wait until the epoch is active */
 	bool act_until; /* calls carry the end of the lease */
 	bool orphan_pins; /* pins of a dead entry wait for a report */
+	bool cache_resync; /* lost cache events: the engine is asked */
 };
 
 extern struct node_guards node_guards;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -1,6 +1,8 @@
 #ifndef MP_NODE_NODE_INTERNAL_H
 #define MP_NODE_NODE_INTERNAL_H
 
+#include <jansson.h>
+
 #include "claim/claim.h"
 #include "doc/doc.h"
 #include "member/member.h"
@@ -77,8 +79,21 @@
 	uint64_t since_epoch; /* owned without a break since this epoch */
 	bool leaving;
 	bool scheduled; /* known to the scheduler */
-	char *report; /* latest announcement, JSON */
-	size_t report_len;
+	json_t *report; /* latest announcement in full; NULL: none */
+	uint64_t incarnation, sequence; /* of that one */
+	uint64_t resync_us; /* its cache is not asked for before */
+	uint32_t resync_failures; /* in a row */
+};
+
+/* The one call under way that asks an engine for all its prefixes. */
+struct node_resync {
+	uint64_t call; /* 0: none */
+	char *endpoint;
+	uint64_t incarnation;
+	int status;
+	struct buf answer;
+	json_t *held; /* events that came meanwhile */
+	uint64_t next_us; /* no other before */
 };
 
 /* An ask or grant of an entry, at the owner. */
@@ -143,6 +158,7 @@
 struct node_counters {
 	uint64_t requests, messages_in, messages_out, bytes_out, bytes_in;
 	uint64_t malformed, asks, grants, orders, applied, snapshots;
+	uint64_t resyncs;
 	uint64_t control_bytes_out;
 };
 
@@ -192,6 +208,7 @@
 	uint64_t epoch_us; /* when the members last changed */
 	uint64_t last_grant;
 	struct map *orders; /* by call */
+	struct node_resync resync;
 	uint64_t owner_epoch; /* epoch the tables were last checked against */
 	bool owner_due;
 
@@ -283,14 +300,28 @@
 void node_found_voters(struct node *n);
 
 /* node_owner.c: endpoints and orders */
-void node_owner_announce(struct node *n, struct node_bytes json);
-void node_owner_cache_events(struct node *n, struct node_bytes json);
+/* What an announcement is answered with. */
+struct node_announced {
+	uint32_t owner; /* of the endpoint; 0: not known here */
+	bool send_all; /* the next one must be a full one */
+};
+
+int node_owner_announce(struct node *n, struct node_bytes json,
+    struct node_announced *out, struct mp_error *err);
+void node_owner_forward(
+    struct node *n, uint32_t owner, struct node_bytes json, bool events);
 void node_owner_epoch(struct node *n, bool skipped);
 void node_owner_tick(struct node *n);
 void node_owner_run(struct node *n);
 uint32_t node_owner_of(
     const struct node *n, const char *region, const char *endpoint);
 void node_endpoint_free(struct node_endpoint *e);
+/* node_cache.c: what engines hold in their prefix caches */
+void node_cache_events(struct node *n, struct node_bytes json);
+void node_cache_tick(struct node *n);
+bool node_cache_call(struct node *n, const struct node_call_event *event);
+void node_cache_free(struct node_resync *r);
+
 /* node_order.c: orders to endpoints */
 void node_order_give(struct node *n, const struct sched_decision *d);
 void node_order_cancel(struct node *n, struct node_grant *g);
--- a/src/node/node_metrics.c
+++ b/src/node/node_metrics.c
@@ -153,6 +153,8 @@
 		(double)n->counters.bytes_in},
 	    {"messages_malformed_total", METRIC_COUNTER,
 		(double)n->counters.malformed},
+	    {"cache_resyncs_total", METRIC_COUNTER,
+		(double)n->counters.resyncs},
 	    {"may_act", METRIC_GAUGE, node_may_act(n) ? 1.0 : 0.0}};
 	size_t i;
 
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -15,7 +15,7 @@
 	free(e->id);
 	free(e->address);
 	free(e->region);
-	free(e->report);
+	json_decref(e->report);
 	free(e);
 }
 
@@ -68,8 +68,9 @@
 	n->owner_due = true;
 }
 
-static void
-forward_report(
+/* Pass on to the owner what an endpoint has sent to this instance. */
+void
+node_owner_forward(
     struct node *n, uint32_t owner, struct node_bytes json, bool events)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -101,57 +102,118 @@
 static void
 endpoint_begin(struct node *n, struct node_endpoint *e)
 {
-	struct node_bytes json = {e->report, e->report_len};
 	struct announcement a;
 
 	if (e->scheduled || !is_active(n, e) ||
-	    announce_parse(&a, e->announced_us, json, NULL) != 0)
+	    announce_read(&a, e->announced_us, e->report, NULL) != 0)
 		return;
 	endpoint_schedule(n, e, &a);
 	announce_free(&a);
 }
 
+/* Whether the owner has heard this announcement, or a later one. */
+static bool
+is_heard(const struct node_endpoint *e, uint64_t incarnation, uint64_t sequence)
+{
+	return sequence != 0 && incarnation == e->incarnation &&
+	    sequence <= e->sequence;
+}
+
 static void
-endpoint_report(
-    struct node *n, const struct announcement *a, struct node_bytes json)
+endpoint_report(struct node *n, const struct announcement *a)
 {
 	struct node_endpoint *e = map_get_str(n->endpoints, a->report.id);
 
 	if (e == NULL)
 		e = endpoint_add(n, a->report.id);
+	if (is_heard(e, a->report.incarnation, a->sequence))
+		return;
 	if (a->report.leaving && !e->leaving)
 		node_log(n, NODE_LOG_ENDPOINT_LEAVING, "{\"endpoint\": \"%s\"}",
 		    e->id);
 	e->leaving = a->report.leaving;
 	e->announced_us = n->now;
+	e->incarnation = a->report.incarnation;
+	e->sequence = a->sequence;
 	set_string(&e->address, a->address);
 	set_string(&e->region, a->region);
-	if (is_active(n, e)) {
+	json_decref(e->report);
+	e->report = json_incref(a->root);
+	if (is_active(n, e))
 		endpoint_schedule(n, e, a);
-		return;
-	}
-	free(e->report);
-	e->report = mem_copy(json.data, json.len);
-	e->report_len = json.len;
 }
 
-/* An announcement, from the endpoint or passed on by another instance. */
-void
-node_owner_announce(struct node *n, struct node_bytes json)
+static int
+take_full(struct node *n, json_t *root, struct node_bytes json,
+    struct node_announced *out, struct mp_error *err)
 {
 	struct announcement a;
-	uint32_t owner;
+	int rc = announce_read(&a, n->now, root, err);
+
+	if (rc != 0)
+		return rc;
+	out->owner = node_owner_of(n, a.region, a.report.id);
+	if (out->owner == n->id)
+		endpoint_report(n, &a);
+	else if (out->owner != 0)
+		node_owner_forward(n, out->owner, json, false);
+	announce_free(&a);
+	return 0;
+}
 
-	if (announce_parse(&a, n->now, json, NULL) != 0) {
-		n->counters.malformed++;
-		return;
-	}
-	owner = node_owner_of(n, a.region, a.report.id);
-	if (owner == n->id)
-		endpoint_report(n, &a, json);
-	else if (owner != 0)
-		forward_report(n, owner, json, false);
+/* Taken only by the owner, and only when it has heard the one before. */
+static int
+take_change(struct node *n, const json_t *root, struct node_announced *out,
+    struct mp_error *err)
+{
+	struct announce_change change;
+	struct announcement a;
+	struct node_endpoint *e;
+	json_t *merged;
+	int rc = announce_read_change(&change, root, err);
+
+	if (rc != 0)
+		return rc;
+	e = map_get_str(n->endpoints, change.id);
+	out->owner = e == NULL ? 0 : n->id;
+	if (e != NULL && is_heard(e, change.incarnation, change.sequence))
+		return 0;
+	out->send_all = e == NULL || change.incarnation != e->incarnation ||
+	    change.since != e->sequence;
+	if (out->send_all)
+		return 0;
+	rc = announce_merge(&merged, e->report, root, err);
+	if (rc != 0)
+		return rc;
+	rc = announce_read(&a, n->now, merged, err);
+	json_decref(merged);
+	if (rc != 0)
+		return rc;
+	endpoint_report(n, &a);
 	announce_free(&a);
+	return 0;
+}
+
+/*
+ * An announcement, from the endpoint or passed on by another instance.
+ *
+ * out: what the endpoint is told.
+ * Errors: MP_ERR_INVALID naming the faulty field.
+ */
+int
+node_owner_announce(struct node *n, struct node_bytes json,
+    struct node_announced *out, struct mp_error *err)
+{
+	json_t *root = json_loadb(json.data, json.len, 0, NULL);
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	if (announce_is_change(root))
+		rc = take_change(n, root, out, err);
+	else
+		rc = take_full(n, root, json, out, err);
+	json_decref(root);
+	return rc;
 }
 
 /*
@@ -232,6 +294,7 @@
 {
 	endpoints_tick(n);
 	grants_tick(n);
+	node_cache_tick(n);
 	if (sched_next(n->sched) <= n->now)
 		n->owner_due = true;
 }
@@ -261,64 +324,3 @@
 		}
 	}
 }
-
-static size_t
-parse_prefixes(const json_t *list, uint64_t *out, size_t max)
-{
-	const char *text;
-	const json_t *item;
-	size_t i, count = 0;
-
-	json_array_foreach(list, i, item)
-	{
-		text = json_string_value(item);
-		if (text != NULL && count < max)
-			out[count++] = strtoull(text, NULL, 16);
-	}
-	return count;
-}
-
-#define CACHE_PREFIXES_MAX 1024
-
-static void
-cache_events_apply(struct node *n, const char *id, const json_t *root)
-{
-	uint64_t prefixes[CACHE_PREFIXES_MAX];
-	struct sched_cache_event event = {0};
-
-	event.sequence =
-	    (uint64_t)json_integer_value(json_object_get(root, "sequence"));
-	event.resync = json_is_true(json_object_get(root, "resync"));
-	event.prefixes = prefixes;
-	event.count = parse_prefixes(
-	    json_object_get(root, "added"), prefixes, CACHE_PREFIXES_MAX);
-	(void)sched_cache_events(n->sched, n->now, id, &event);
-	event.resync = false;
-	event.dropped = event.more = true;
-	event.count = parse_prefixes(
-	    json_object_get(root, "dropped"), prefixes, CACHE_PREFIXES_MAX);
-	if (event.count > 0)
-		(void)sched_cache_events(n->sched, n->now, id, &event);
-}
-
-void
-node_owner_cache_events(struct node *n, struct node_bytes json)
-{
-	json_t *root = json_loadb(json.data, json.len, 0, NULL);
-	const char *id = json_string_value(json_object_get(root, "id"));
-	const char *region = json_string_value(json_object_get(root, "region"));
-	uint32_t owner;
-
-	if (id == NULL) {
-		n->counters.malformed++;
-		goto cleanup;
-	}
-	owner =
-	    node_owner_of(n, region == NULL ? n->settings->region : region, id);
-	if (owner == n->id && map_get_str(n->endpoints, id) != NULL)
-		cache_events_apply(n, id, root);
-	else if (owner != 0 && owner != n->id)
-		forward_report(n, owner, json, true);
-cleanup:
-	json_decref(root);
-}
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -108,12 +108,24 @@
 	node_replica_pump(n);
 }
 
+/* What an endpoint sent to another instance. */
+static void
+receive_report(struct node *n, const Wire__EndpointReport *report)
+{
+	struct node_bytes json = {
+	    (const char *)report->json.data, report->json.len};
+	struct node_announced told;
+
+	if (report->events)
+		node_cache_events(n, json);
+	else if (node_owner_announce(n, json, &told, NULL) != 0)
+		n->counters.malformed++;
+}
+
 /* Messages about requests and endpoints. */
 static void
 receive_work(struct node *n, uint32_t from, const Wire__Envelope *e)
 {
-	struct node_bytes json;
-
 	switch (e->body_case) {
 	case WIRE__ENVELOPE__BODY_ASK:
 		node_grant_on_ask(n, from, e->incarnation, e->ask);
@@ -128,12 +140,7 @@
 		node_grant_on_touch(n, from, e->incarnation, e->touch);
 		break;
 	case WIRE__ENVELOPE__BODY_REPORT:
-		json.data = (const char *)e->report->json.data;
-		json.len = e->report->json.len;
-		if (e->report->events)
-			node_owner_cache_events(n, json);
-		else
-			node_owner_announce(n, json);
+		receive_report(n, e->report);
 		break;
 	case WIRE__ENVELOPE__BODY_SUMMARY:
 		node_entry_on_summary(n, from, e->summary);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -62,6 +62,7 @@
 	bool leaving;
 	uint64_t as_of_us; /* when the figures were taken; 0: now */
 	enum sched_role role;
+	uint64_t cache_sequence; /* of its newest cache event; 0: not said */
 	const struct sched_slot *slots;
 	size_t slot_count;
 };
@@ -82,6 +83,7 @@
 
 /* Cache events of an engine: prefixes now held or dropped. */
 struct sched_cache_event {
+	uint64_t incarnation; /* of the endpoint's process; 0: not said */
 	uint64_t sequence; /* counts from 1; a gap asks for a resync */
 	bool resync; /* the prefixes that follow are all there are */
 	bool dropped;
@@ -92,6 +94,17 @@
 /* True when the engine must be asked for a resync. */
 bool sched_cache_events(struct sched *s, uint64_t now_us, const char *id,
     const struct sched_cache_event *event);
+/* The same, without an event: a report can tell of events that are lost. */
+bool sched_cache_has_gap(const struct sched *s, const char *id);
+
+/*
+ * The prefixes that an engine is known to hold, in no order.
+ *
+ * out: at most max of them.
+ * Returns how many there are.
+ */
+size_t sched_cache_prefixes(
+    const struct sched *s, const char *id, uint64_t *out, size_t max);
 
 /* ---- requests ----------------------------------------------------------- */
 
--- a/src/sched/sched_cache.c
+++ b/src/sched/sched_cache.c
@@ -51,15 +51,15 @@
 	memset(set, 0, sizeof(*set));
 }
 
-/* Double the room; the ring is unrolled on the way. */
+/* Another room, or the same; the ring forgets what was removed. */
 static void
-prefix_grow(struct prefix_set *set)
+prefix_rebuild(struct prefix_set *set, uint32_t room)
 {
 	struct prefix_set old = *set;
 	uint64_t prefix;
 	uint32_t i;
 
-	set->room = old.room == 0 ? PREFIX_FIRST : 2 * old.room;
+	set->room = room;
 	set->table = mem_alloc(2 * (size_t)set->room, sizeof(*set->table));
 	set->ring = mem_alloc(set->room, sizeof(*set->ring));
 	set->used = set->head = 0;
@@ -70,6 +70,7 @@
 		set->ring[set->used++] = prefix;
 		set->table[prefix_place(set, prefix)] = prefix;
 	}
+	set->count = set->used;
 	free(old.table);
 	free(old.ring);
 }
@@ -79,8 +80,12 @@
 {
 	if (prefix == 0 || prefix_has(set, prefix))
 		return;
-	if (set->used == set->room && set->room < PREFIX_MOST)
-		prefix_grow(set);
+	if (set->room == 0)
+		prefix_rebuild(set, PREFIX_FIRST);
+	else if (set->used == set->room && set->count <= set->room / 2)
+		prefix_rebuild(set, set->room);
+	else if (set->used == set->room && set->room < PREFIX_MOST)
+		prefix_rebuild(set, 2 * set->room);
 	if (set->used == set->room) {
 		prefix_remove(set, set->ring[set->head]);
 		set->head = (set->head + 1) & (set->room - 1);
@@ -88,6 +93,7 @@
 	}
 	set->ring[(set->head + set->used) & (set->room - 1)] = prefix;
 	set->used++;
+	set->count++;
 	set->table[prefix_place(set, prefix)] = prefix;
 }
 
@@ -111,6 +117,37 @@
 		hole = at;
 	}
 	set->table[hole] = 0;
+	set->count--;
+}
+
+/*
+ * An event told of by one report is here by the next, or it is lost; those
+ * before the first report were not listened to.
+ */
+void
+cache_reported(struct endpoint *ep, uint64_t sequence, bool first)
+{
+	if (first)
+		ep->cache_told = sequence;
+	if (ep->cache_sequence < ep->cache_told)
+		ep->cache_gap = true;
+	ep->cache_told = sequence;
+}
+
+/* Events of another life of the engine say nothing about this one. */
+static bool
+is_of_life(const struct endpoint *ep, const struct sched_cache_event *event)
+{
+	return event->incarnation == 0 || event->incarnation == ep->incarnation;
+}
+
+/* Whether an event, late or doubled, has nothing new. */
+static bool
+is_old(const struct endpoint *ep, const struct sched_cache_event *event)
+{
+	if (event->resync || event->more)
+		return event->sequence < ep->cache_sequence;
+	return event->sequence <= ep->cache_sequence;
 }
 
 bool
@@ -121,14 +158,13 @@
 	size_t i;
 
 	(void)now_us;
-	if (ep == NULL)
+	if (ep == NULL || !is_of_life(ep, event))
 		return false;
+	if (is_old(ep, event))
+		return ep->cache_gap;
 	if (event->resync) {
 		prefix_clear(&ep->prefixes);
 		ep->cache_gap = false;
-	} else if (event->sequence <= ep->cache_sequence &&
-	    !(event->more && event->sequence == ep->cache_sequence)) {
-		return ep->cache_gap;
 	} else if (!event->more && event->sequence != ep->cache_sequence + 1) {
 		ep->cache_gap = true;
 	}
@@ -141,3 +177,27 @@
 	}
 	return ep->cache_gap;
 }
+
+bool
+sched_cache_has_gap(const struct sched *s, const char *id)
+{
+	const struct endpoint *ep = endpoint_find(s, id);
+
+	return ep != NULL && ep->cache_gap;
+}
+
+size_t
+sched_cache_prefixes(
+    const struct sched *s, const char *id, uint64_t *out, size_t max)
+{
+	const struct endpoint *ep = endpoint_find(s, id);
+	size_t count = 0;
+	uint32_t i;
+
+	if (ep == NULL)
+		return 0;
+	for (i = 0; i < 2 * ep->prefixes.room && count < max; i++)
+		if (ep->prefixes.table[i] != 0)
+			out[count++] = ep->prefixes.table[i];
+	return ep->prefixes.count;
+}
--- a/src/sched/sched_endpoint.c
+++ b/src/sched/sched_endpoint.c
@@ -147,7 +147,7 @@
 	ep->epoch++;
 	slot_reset_all(s, ep, now_us);
 	prefix_clear(&ep->prefixes);
-	ep->cache_sequence = 0;
+	ep->cache_sequence = ep->cache_told = 0;
 	ep->cache_gap = false;
 	ep->limit = ENDPOINT_START_LIMIT;
 	ep->foreign = 0;
@@ -204,6 +204,7 @@
 	uint64_t as_of = report->as_of_us == 0 || report->as_of_us > now_us
 	    ? now_us
 	    : report->as_of_us;
+	bool first = !ep->known || report->incarnation != ep->incarnation;
 
 	if (ep->known && report->incarnation != ep->incarnation) {
 		if (report->incarnation == ep->old_incarnation)
@@ -222,8 +223,10 @@
 	ep->as_of_us = as_of;
 	endpoint_shape(s, ep, report);
 	endpoint_count_foreign(ep, now_us, report);
-	if (!ep->service)
+	if (!ep->service) {
 		slot_merge(s, ep, now_us, report, as_of);
+		cache_reported(ep, report->cache_sequence, first);
+	}
 	if (ep->evict_after_us > 0 && as_of > ep->evict_after_us)
 		ep->evict_after_us = 0;
 	s->next_us = now_us;
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -72,7 +72,8 @@
 struct prefix_set {
 	uint64_t *table; /* open addressing, 0 is empty; twice the room */
 	uint64_t *ring; /* order of insertion */
-	uint32_t room, head, used;
+	uint32_t room, head, used; /* of the ring */
+	uint32_t count; /* of prefixes held */
 };
 
 struct endpoint {
@@ -104,7 +105,8 @@
 	bool taken; /* another owner may have runs on it */
 	enum sched_role role, role_wanted;
 	struct prefix_set prefixes;
-	uint64_t cache_sequence;
+	uint64_t cache_sequence; /* of the newest event heard */
+	uint64_t cache_told; /* the same, by the last report */
 	bool cache_gap;
 };
 
@@ -387,6 +389,7 @@
 void prefix_add(struct prefix_set *set, uint64_t prefix);
 void prefix_remove(struct prefix_set *set, uint64_t prefix);
 void prefix_clear(struct prefix_set *set);
+void cache_reported(struct endpoint *ep, uint64_t sequence, bool first);
 
 /* sched_stat.c */
 void stat_wait(struct sched *s, uint64_t now_us, uint64_t wait_us);
--- /dev/null
+++ b/tests/cluster/announcer.cc
@@ -0,0 +1,108 @@
+#include "cluster/announcer.h"
+
+#include <algorithm>
+
+static std::string
+full_text(const Announcer::Adapter &a)
+{
+	return "{\"adapter\": \"" + a.key +
+	    "\", \"loading\": " + (a.loading ? "true" : "false") +
+	    ", \"running\": " + std::to_string(a.running) + "}";
+}
+
+static std::string
+join(const std::vector<std::string> &items)
+{
+	std::string out;
+
+	for (auto &item : items)
+		out += (out.empty() ? "" : ", ") + item;
+	return "[" + out + "]";
+}
+
+static std::vector<Announcer::Adapter>::iterator
+find(std::vector<Announcer::Adapter> &list, const std::string &key)
+{
+	return std::find_if(list.begin(), list.end(),
+	    [&key](const Announcer::Adapter &a) { return a.key == key; });
+}
+
+/* What differs from the adapters told last; they are told now. */
+std::string
+Announcer::changes(const std::vector<Adapter> &adapters)
+{
+	std::vector<Adapter> now = adapters;
+	std::vector<std::string> dropped, changed, running;
+	std::string out;
+	bool counts = false;
+
+	for (auto it = told.begin(); it != told.end();) {
+		if (find(now, it->key) != now.end()) {
+			++it;
+			continue;
+		}
+		dropped.push_back("\"" + it->key + "\"");
+		it = told.erase(it);
+	}
+	for (auto &a : now) {
+		auto known = find(told, a.key);
+
+		if (known == told.end() || known->loading != a.loading)
+			changed.push_back(full_text(a));
+		if (known == told.end()) {
+			told.push_back(a);
+			continue;
+		}
+		counts |= known->running != a.running;
+		*known = a;
+	}
+	for (auto &a : told)
+		running.push_back(std::to_string(a.running));
+	if (!dropped.empty())
+		out += ", \"dropped\": " + join(dropped);
+	if (!changed.empty())
+		out += ", \"adapters\": " + join(changed);
+	if (counts)
+		out += ", \"running\": " + join(running);
+	return out;
+}
+
+std::string
+Announcer::next(const std::string &id, uint64_t incarnation,
+    const std::string &fields, const std::string &load,
+    const std::vector<Adapter> &adapters)
+{
+	std::string out = "{\"id\": \"" + id +
+	    "\", \"incarnation\": " + std::to_string(incarnation);
+	std::vector<std::string> texts;
+
+	all |= !short_form || incarnation != told_incarnation ||
+	    fields != told_fields;
+	sequence++;
+	if (short_form)
+		out += ", \"sequence\": " + std::to_string(sequence);
+	if (!all)
+		return out + ", \"since\": " + std::to_string(sequence - 1) +
+		    ", " + load + changes(adapters) + "}";
+	all = false;
+	told = adapters;
+	told_incarnation = incarnation;
+	told_fields = fields;
+	for (auto &a : adapters)
+		texts.push_back(full_text(a));
+	return out + ", " + fields + ", " + load +
+	    ", \"adapters\": " + join(texts) + "}";
+}
+
+void
+Announcer::answered(int status, const std::string &answer)
+{
+	if (status != 200 || answer.find("\"sendAll\": true") != answer.npos)
+		all = true;
+}
+
+void
+Announcer::lost()
+{
+	all = true;
+}
--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -12,6 +12,7 @@
 /* Longest time without progress of the clock between two ticks. */
 static const uint64_t kTickUs = 10000;
 static const uint64_t kSyncUs = 800;
+static const uint64_t kPostFirst = 1ULL << 40; /* numbers of requests */
 static const uint64_t kConnectTimeoutUs = 500000;
 
 void
@@ -70,6 +71,7 @@
 		e->address = "10.0.1." + std::to_string(i + 1) + ":80";
 		e->data_centre = "dc-" + std::to_string(i % 2);
 		e->service_name = "orders";
+		e->announcer.short_form = i % 2 == 0; /* the others know none */
 		endpoints.push_back(std::move(e));
 	}
 	for (int i = 0; i < options.instances; i++)
@@ -309,6 +311,8 @@
 	drop = twice = 0;
 	delay_max_us = 1000;
 	order_delay_us = 0;
+	event_drop = event_twice = 0;
+	event_delay_max_us = 0;
 	unsent_us.clear();
 	for (auto &e : endpoints)
 		e->silent = false;
@@ -501,6 +505,26 @@
 	return r;
 }
 
+/* A request whose answer nobody looks at. */
+void
+Cluster::post(int i, const std::string &path, const std::string &body)
+{
+	uint64_t life = instances[(size_t)i]->life;
+
+	at(now + 100, [this, i, life, path, body] {
+		on_instance(i, life, [this, i, path, body] {
+			struct node_event ev = {};
+
+			ev.type = NODE_EV_REQUEST;
+			ev.u.request.request = kPostFirst + serial;
+			ev.u.request.method = "POST";
+			ev.u.request.path = path.c_str();
+			ev.u.request.body = {body.data(), body.size()};
+			step(i, ev);
+		});
+	});
+}
+
 void
 Cluster::do_reply(int i, const struct node_effect &effect)
 {
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cluster/announcer.h"
 #include "mulberrypath/node.h"
 #include "util/rng.h"
 
@@ -25,6 +26,7 @@
  */
 
 class Cluster;
+struct Request;
 
 /* What an instance has on disk; unsynced writes are lost by a kill. */
 struct Disk {
@@ -53,7 +55,9 @@
 	bool rewinds = false; /* resumes earlier than asked */
 	bool cuts_answers = false; /* a service breaks after running */
 	uint32_t break_after = 0; /* tokens, 0: never */
-	std::string owner_http;
+	std::string owner_http; /* named by the last answer */
+	Announcer announcer;
+	Request *announced = nullptr; /* not yet looked at */
 
 	struct Run {
 		int instance;
@@ -64,6 +68,8 @@
 		bool muted = false; /* its caller missed a token */
 	};
 	std::map<std::string, bool> slots; /* key -> loading */
+	std::deque<uint64_t> prefixes; /* cached, oldest first */
+	uint64_t cache_sequence = 0, prefix_serial = 0;
 	std::map<uint64_t, Run> runs; /* by serial */
 
 	/* what the checkers look at */
@@ -147,6 +153,9 @@
 	double drop = 0, twice = 0;
 	uint64_t delay_max_us = 1000;
 	uint64_t order_delay_us = 0; /* more delay of calls to endpoints */
+	/* cache events: parts lost and doubled, and how late they may be */
+	double event_drop = 0, event_twice = 0;
+	uint64_t event_delay_max_us = 0;
 	/* so long an instance's calls wait in its process to be written */
 	std::map<int, uint64_t> unsent_us;
 	std::set<std::pair<int, std::string>> call_cuts;
@@ -187,6 +196,8 @@
 	std::string check_in_force();
 	std::string check_documents() const;
 	std::string check_changes() const;
+	/* Do owners know what engines hold? Holds once work has stopped. */
+	std::string check_caches() const;
 	std::vector<std::string> violations;
 
 	struct rng rng;
@@ -222,6 +233,13 @@
 	void do_save(int i, const struct node_save &save);
 	void tick(int i, uint64_t life);
 	void announce(Endpoint *e);
+	void announce_once(Endpoint *e);
+	void announce_answered(Endpoint *e);
+	void cache_prefix(Endpoint *e);
+	void send_event(Endpoint *e, const std::string &body);
+	void post(int i, const std::string &path, const std::string &body);
+	int announce_target(const Endpoint *e);
+	std::string announcement(Endpoint *e);
 	uint64_t clock_of(const Instance &in) const;
 	uint64_t world_time(const Instance &in, uint64_t local) const;
 
--- a/tests/cluster/cluster_check.cc
+++ b/tests/cluster/cluster_check.cc
@@ -299,6 +299,31 @@
 	return "";
 }
 
+std::string
+Cluster::check_caches() const
+{
+	for (auto &e : endpoints) {
+		int owner = owner_of(e->id);
+		uint64_t known[64];
+		size_t count;
+
+		if (e->service)
+			continue;
+		if (owner < 0)
+			return e->id + " has no owner";
+		count =
+		    sched_cache_prefixes(instances[(size_t)owner]->node->sched,
+			e->id.c_str(), known, sizeof(known) / sizeof(known[0]));
+		if (std::set<uint64_t>(known, known + count) !=
+		    std::set<uint64_t>(e->prefixes.begin(), e->prefixes.end()))
+			return "the owner of " + e->id + " knows " +
+			    std::to_string(count) +
+			    " cached prefixes, not the " +
+			    std::to_string(e->prefixes.size()) + " there are";
+	}
+	return "";
+}
+
 std::string
 Cluster::check()
 {
--- a/tests/cluster/cluster_endpoint.cc
+++ b/tests/cluster/cluster_endpoint.cc
@@ -5,6 +5,8 @@
 static const uint64_t kWireUs = 300;
 static const uint64_t kConnectTimeoutUs = 500000;
 static const uint64_t kAnnounceUs = 1000000;
+static const size_t kCached = 8; /* prefixes of an engine */
+static const uint64_t kAnswerUs = 1000; /* until an answer is looked at */
 
 std::string
 Cluster::expected_text(const std::string &key, const std::string &prompt,
@@ -120,6 +122,20 @@
 	});
 }
 
+static std::string
+hex_list(const std::deque<uint64_t> &prefixes)
+{
+	std::string out;
+	char text[20];
+
+	for (uint64_t prefix : prefixes) {
+		(void)snprintf(text, sizeof(text), "\"%016llx\"",
+		    (unsigned long long)prefix);
+		out += (out.empty() ? "" : ", ") + std::string(text);
+	}
+	return "[" + out + "]";
+}
+
 void
 Cluster::arrive(Endpoint *e, const Incoming &in)
 {
@@ -127,6 +143,10 @@
 		service_call(e, in);
 	else if (in.path == "/v1/completions")
 		engine_run(e, in);
+	else if (in.path == "/v1/cache")
+		answer(in.instance, in.life, in.call, 200,
+		    "{\"sequence\": " + std::to_string(e->cache_sequence) +
+			", \"prefixes\": " + hex_list(e->prefixes) + "}");
 	else if (in.path.find("/cancel") != std::string::npos)
 		engine_cancel(e, in);
 	else
@@ -263,6 +283,7 @@
 	e->runs[run] = {in.instance, in.call, in.request, key,
 	    field(in.body, "prompt"), first, number(in.body, "max_tokens"),
 	    in.silence_us};
+	cache_prefix(e);
 	call_event(in.instance, in.life, in.call, NODE_CALL_HEAD, 200);
 	uint64_t life = in.life;
 	at(now + e->step_us, [=] {
@@ -316,50 +337,148 @@
 	at(now + e->step_us, [=] { engine_step(e, incarnation, run); });
 }
 
-/* Announce to the owner last named, else to any live instance. */
-void
-Cluster::announce(Endpoint *e)
+/* The owner last named while it is alive, else any instance that is. */
+int
+Cluster::announce_target(const Endpoint *e)
 {
-	std::map<std::string, int> running;
-	std::string body, adapters;
 	size_t i, count = instances.size(), first;
 
-	at(now + kAnnounceUs, [this, e] { announce(e); });
-	if (!e->alive || e->silent)
-		return;
+	first = rng_below(&rng, (uint32_t)count);
+	for (i = 0; i < count && e->announcer.short_form; i++)
+		if (e->owner_http == instances[i]->settings.http_advertise &&
+		    instances[i]->alive && !instances[i]->frozen)
+			return (int)i;
+	for (i = 0; i < count; i++) {
+		size_t k = (first + i) % count;
+
+		if (instances[k]->alive && !instances[k]->frozen)
+			return (int)k;
+	}
+	return -1;
+}
+
+std::string
+Cluster::announcement(Endpoint *e)
+{
+	std::map<std::string, int> running;
+	std::vector<Announcer::Adapter> adapters;
+	std::string fields, load;
+
 	for (auto &run : e->runs)
 		running[run.second.key]++;
 	for (auto &slot : e->slots)
-		adapters += (adapters.empty() ? "" : ", ") +
-		    std::string("{\"adapter\": \"") + slot.first +
-		    "\", \"loading\": " + (slot.second ? "true" : "false") +
-		    ", \"running\": " + std::to_string(running[slot.first]) +
-		    "}";
-	body = "{\"id\": \"" + e->id +
-	    "\", \"incarnation\": " + std::to_string(e->incarnation) +
-	    ", \"address\": \"" + e->address +
+		adapters.push_back(
+		    {slot.first, slot.second, running[slot.first]});
+	fields = "\"address\": \"" + e->address +
 	    "\", \"region\": \"r\", \"dataCentre\": \"" + e->data_centre +
 	    "\", \"type\": " +
 	    (e->service ? "\"service\", \"service\": \"orders\""
 			: "\"engine\", \"baseModel\": \"base\", \"slots\": " +
 			std::to_string(e->nslots)) +
-	    ", \"seats\": " + std::to_string(e->seats) +
+	    ", \"seats\": " + std::to_string(e->seats);
+	load = "\"cacheSequence\": " + std::to_string(e->cache_sequence) +
 	    ", \"leaving\": " + (e->leaving ? "true" : "false") +
 	    ", \"load\": {\"running\": " + std::to_string(e->runs.size()) +
 	    ", \"queued\": 0, \"asOfMs\": " + std::to_string(e->lag_us / 1000) +
-	    "}, \"adapters\": [" + adapters + "]}";
-	first = rng_below(&rng, (uint32_t)count);
-	for (i = 0; i < count; i++) {
-		size_t k = (first + i) % count;
+	    "}";
+	return e->announcer.next(e->id, e->incarnation, fields, load, adapters);
+}
 
-		if (!instances[k]->alive || instances[k]->frozen)
-			continue;
-		/* The figures are as old as they say they are. */
-		at(now + e->lag_us, [this, e, k, body] {
-			if (e->alive && !e->silent && instances[k]->alive)
-				(void)send((int)k, "POST",
-				    "/v1/endpoints/announce", "", body);
+/* A prefix is cached anew, and the oldest dropped when it is too many. */
+void
+Cluster::cache_prefix(Endpoint *e)
+{
+	std::deque<uint64_t> added = {++e->prefix_serial}, dropped;
+
+	e->prefixes.push_back(added[0]);
+	if (e->prefixes.size() > kCached) {
+		dropped.push_back(e->prefixes.front());
+		e->prefixes.pop_front();
+	}
+	send_event(e,
+	    "{\"id\": \"" + e->id +
+		"\", \"incarnation\": " + std::to_string(e->incarnation) +
+		", \"sequence\": " + std::to_string(++e->cache_sequence) +
+		", \"resync\": false, \"added\": " + hex_list(added) +
+		", \"dropped\": " + hex_list(dropped) + "}");
+}
+
+/* To the owner, as far as it is known and alive. */
+void
+Cluster::send_event(Endpoint *e, const std::string &body)
+{
+	int copies = event_twice > 0 && rng_unit(&rng) < event_twice ? 2 : 1;
+	int to = owner_of(e->id);
+
+	if (to < 0 || (event_drop > 0 && rng_unit(&rng) < event_drop))
+		return;
+	while (copies-- > 0) {
+		uint64_t late = event_delay_max_us == 0
+		    ? 0
+		    : rng_below(&rng, (uint32_t)event_delay_max_us);
+
+		at(now + late, [this, to, body] {
+			if (instances[(size_t)to]->alive)
+				post(to, "/v1/endpoints/cache-events", body);
 		});
+	}
+}
+
+/* The answer to the last announcement; none: it may be lost. */
+void
+Cluster::announce_answered(Endpoint *e)
+{
+	const Request *r = e->announced;
+
+	if (r == nullptr)
 		return;
+	if (!r->done || r->lost) {
+		e->announcer.lost();
+		e->owner_http.clear();
+	} else {
+		e->announcer.answered(r->status, r->answer);
+		e->owner_http = field(r->answer, "owner");
 	}
+	e->announced = nullptr;
+}
+
+/* Announce to the owner last named, else to any live instance. */
+void
+Cluster::announce_once(Endpoint *e)
+{
+	std::string body;
+	int to = announce_target(e);
+
+	if (to < 0 ||
+	    e->owner_http != instances[(size_t)to]->settings.http_advertise)
+		e->announcer.lost();
+	if (to < 0)
+		return;
+	body = announcement(e);
+	/* The figures are as old as they say they are. */
+	at(now + e->lag_us, [this, e, to, body] {
+		if (!e->alive || e->silent || !instances[(size_t)to]->alive) {
+			e->announcer.lost();
+			return;
+		}
+		e->announced =
+		    send(to, "POST", "/v1/endpoints/announce", "", body);
+		at(now + kAnswerUs, [this, e] {
+			if (e->announced == nullptr || !e->announced->done)
+				return;
+			announce_answered(e);
+			if (e->announcer.short_form && e->announcer.wants_all())
+				announce_once(e);
+		});
+	});
+}
+
+void
+Cluster::announce(Endpoint *e)
+{
+	at(now + kAnnounceUs, [this, e] { announce(e); });
+	if (!e->alive || e->silent)
+		return;
+	announce_answered(e);
+	announce_once(e);
 }
--- a/tests/fakes/announce.c
+++ b/tests/fakes/announce.c
@@ -91,7 +91,7 @@
 }
 
 static json_t *
-announce_body(const struct endpoint *e)
+announce_full(const struct endpoint *e)
 {
 	bool service = strcmp(e->type, "service") == 0;
 	json_t *body =
@@ -112,10 +112,42 @@
 	    body, "slots", json_integer((json_int_t)e->slots_wanted));
 	(void)json_object_set_new(body, "role", json_string(e->role));
 	(void)json_object_set_new(body, "fencing", json_string(e->fencing));
+	(void)json_object_set_new(
+	    body, "cacheSequence", json_integer((json_int_t)e->cache_sequence));
 	(void)json_object_set_new(body, "adapters", announce_adapters(e));
 	return body;
 }
 
+/* All, or what has changed when the owner knows the rest. */
+static json_t *
+announce_body(struct endpoint *e)
+{
+	json_t *full = announce_full(e), *body = full;
+
+	if (e->full_announcements)
+		return full;
+	e->announce_sequence++;
+	if (e->announced != NULL && e->owner != NULL) {
+		body = announce_change(e, full);
+		json_decref(full);
+		(void)json_object_set_new(body, "since",
+		    json_integer((json_int_t)e->announce_sequence - 1));
+	} else {
+		json_decref(e->announced);
+		e->announced = json_deep_copy(full);
+	}
+	(void)json_object_set_new(
+	    body, "sequence", json_integer((json_int_t)e->announce_sequence));
+	return body;
+}
+
+static void
+announce_forget(struct endpoint *e)
+{
+	json_decref(e->announced);
+	e->announced = NULL;
+}
+
 void
 announce_now(struct endpoint *e)
 {
@@ -124,11 +156,14 @@
 	buf_clear(&e->announce_answer);
 	e->announce_call =
 	    announce_post(e, "/v1/endpoints/announce", announce_body(e));
+	if (e->announce_call == 0)
+		announce_forget(e); /* it was not sent */
 }
 
 static void
 announce_failed(struct endpoint *e)
 {
+	announce_forget(e);
 	free(e->owner);
 	e->owner = NULL;
 	if (e->ntargets > 0)
@@ -148,6 +183,10 @@
 		free(e->owner);
 		e->owner = mem_string(owner);
 	}
+	if (json_is_true(json_object_get(answer, "sendAll"))) {
+		announce_forget(e);
+		announce_now(e);
+	}
 	json_decref(answer);
 }
 
--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -157,7 +157,8 @@
 	    {.name = "cache", .number = &e->cache_wanted},
 	    {.name = "seed", .number = &e->seed},
 	    {.name = "service-ms", .number = &e->service_ms},
-	    {.name = "evict-blindly", .flag = &e->evict_blindly}};
+	    {.name = "evict-blindly", .flag = &e->evict_blindly},
+	    {.name = "full-announcements", .flag = &e->full_announcements}};
 
 	fake_parse_options(
 	    argc, argv, options, sizeof(options) / sizeof(options[0]));
--- a/tests/fakes/endpoint.h
+++ b/tests/fakes/endpoint.h
@@ -94,6 +94,9 @@
 	char *targets[16], *owner; /* of announcements */
 	size_t ntargets, target;
 	uint64_t announce_call;
+	bool full_announcements; /* it knows no short ones */
+	json_t *announced; /* as the owner knows it; NULL: tell all */
+	uint64_t announce_sequence;
 	struct buf announce_answer;
 	int announce_status;
 	size_t announce_failures; /* since the last tick */
@@ -142,6 +145,8 @@
 void announce_now(struct endpoint *e);
 void announce_stop(struct endpoint *e);
 void announce_on_call(struct endpoint *e, const struct node_call_event *ev);
+/* What differs from e->announced, which then says the same. */
+json_t *announce_change(struct endpoint *e, const json_t *full);
 /* Post JSON to an instance of the system. */
 uint64_t announce_post(struct endpoint *e, const char *path, json_t *body);
 
--- a/tests/fakes/prefix.c
+++ b/tests/fakes/prefix.c
@@ -17,6 +17,19 @@
 	return json_string(text);
 }
 
+static bool
+is_listed(const json_t *list, uint64_t prefix)
+{
+	json_t *wanted = prefix_json(prefix);
+	size_t i = 0;
+
+	while (i < json_array_size(list) &&
+	    !json_equal(json_array_get(list, i), wanted))
+		i++;
+	json_decref(wanted);
+	return i < json_array_size(list);
+}
+
 bool
 prefix_touch(struct endpoint *e, uint64_t prefix)
 {
@@ -46,6 +59,8 @@
 		e->nprefixes--;
 	}
 	e->prefixes[e->nprefixes++] = prefix;
+	if (is_listed(e->dropped, prefix))
+		prefix_publish(e); /* an event lists no prefix twice */
 	(void)json_array_append_new(e->added, prefix_json(prefix));
 	return false;
 }
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -133,6 +133,8 @@
 	e.incarnation++;
 	e.slots.clear();
 	e.runs.clear();
+	e.prefixes.clear();
+	e.cache_sequence = 0;
 }
 
 static void
@@ -326,6 +328,23 @@
 	c.instances[(size_t)target]->disk.fails = true;
 }
 
+static void
+strike_lost_events(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	c.event_drop = 0.3;
+}
+
+static void
+strike_late_events(Cluster &c, Workload &w, int target)
+{
+	(void)w;
+	(void)target;
+	c.event_twice = 0.3;
+	c.event_delay_max_us = 1500000;
+}
+
 static void
 strike_drain(Cluster &c, Workload &w, int target)
 {
@@ -373,6 +392,8 @@
     {"drain", strike_drain, 6000000, true},
     {"endpoint leaves", strike_endpoint_leaves, 5000000, false},
     {"freeze, calls unwritten", strike_freeze_unsent, 6000000, true},
+    {"lost cache events", strike_lost_events, 5000000, false},
+    {"late, doubled events", strike_late_events, 5000000, false},
 };
 
 /* ---- steps -------------------------------------------------------------- */
--- a/tests/prove/guards.cc
+++ b/tests/prove/guards.cc
@@ -43,6 +43,9 @@
 	"adapter loads", "orders of an old owner"},
     {"node.takeover_wait", &node_guards.takeover_wait,
 	{"long streams, old reports"}, "stream runs", "evicted"},
+    {"node.cache_resync", &node_guards.cache_resync,
+	{"lost cache events", "late, doubled events"}, "steady work",
+	"cached prefixes"},
     {"sched.pins", &sched_guards.pins, {"late messages"}, "stream runs",
 	"evicted"},
 };
--- a/tests/prove/workload.cc
+++ b/tests/prove/workload.cc
@@ -7,6 +7,7 @@
 static const uint64_t kChangeUs = 700000;
 static const uint64_t kCheckUs = 50000;
 static const uint64_t kSliceUs = 1000;
+static const uint64_t kCacheSettleUs = 10000000;
 
 int
 Workload::pick_instance()
@@ -176,5 +177,8 @@
 			return "no booking at instance " +
 			    std::to_string(i + 1) + ": " + r->answer;
 	}
+	if (!c.run_until(
+		kCacheSettleUs, [this] { return c.check_caches().empty(); }))
+		return c.check_caches();
 	return c.check();
 }
--- a/tests/sched/sched_load_test.cc
+++ b/tests/sched/sched_load_test.cc
@@ -289,6 +289,53 @@
 	EXPECT_EQ("G4@e1", Short()) << "11 was dropped";
 }
 
+/* Late, doubled and old events; a report that tells of a lost one. */
+TEST_F(SchedLoad, CacheEventsLateDoubledOrOfAnotherLifeChangeNothing)
+{
+	const struct {
+		const char *what;
+		uint64_t told; /* by a report before the event, 0: no report */
+		uint64_t incarnation, sequence, prefix;
+		bool resync, gap;
+		size_t count; /* known prefixes after it */
+	} cases[] = {
+	    {"first", 0, 1, 1, 11, false, false, 1},
+	    {"doubled", 0, 1, 1, 12, false, false, 1},
+	    {"another life", 0, 2, 2, 13, false, false, 1},
+	    {"told once", 2, 1, 1, 14, false, false, 1},
+	    {"still lost when told again", 2, 1, 1, 15, false, true, 1},
+	    {"all", 0, 1, 5, 16, true, false, 1},
+	    {"late", 0, 1, 2, 17, false, false, 1},
+	    {"older than all", 0, 1, 4, 18, true, false, 1},
+	    {"next", 0, 1, 6, 19, false, false, 2},
+	    {"a gap", 0, 1, 8, 20, false, true, 3},
+	};
+	struct sched_report r = {};
+
+	r.id = "e1";
+	r.incarnation = 1;
+	r.base_model = "base";
+	r.nslots = r.seats = 4;
+	sched_report(s, now, &r);
+	for (auto &t : cases) {
+		sched_cache_event ev = {};
+		uint64_t known[8];
+
+		r.cache_sequence = t.told;
+		if (t.told != 0)
+			sched_report(s, ++now, &r);
+		ev.incarnation = t.incarnation;
+		ev.sequence = t.sequence;
+		ev.resync = t.resync;
+		ev.prefixes = &t.prefix;
+		ev.count = 1;
+		(void)sched_cache_events(s, now, "e1", &ev);
+		EXPECT_EQ(t.gap, sched_cache_has_gap(s, "e1")) << t.what;
+		EXPECT_EQ(t.count, sched_cache_prefixes(s, "e1", known, 8))
+		    << t.what;
+	}
+}
+
 TEST_F(SchedLoad, PrefixSetsAreBounded)
 {
 	std::vector<uint64_t> many(20000);
