Usage in summaries: a few teams, the most untold first, all in turn

Cause: each owner told each neighbour what every team used, twice a second: 18 bytes a team and 82 messages/s at 42 instances, so 29.8 KB/s in at 20 teams.

Ruled out: a lower rate for all teams (a flood is seen later); sums made by one instance of the region (its loss stops the exchange); leaving out teams below a bound of change (with work at every owner all change each half second).

--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -16,6 +16,7 @@
     "    [--endpoints PER_INSTANCE] [--requests PER_SECOND_AND_INSTANCE]\n"
     "    [--changes PER_SECOND] [--teams N] [--adapters PER_TEAM]\n"
     "    [--tokens N] [--seconds N] [--warm N] [--fail] [--kinds]\n"
+    "    [--hot PART]: of the requests, to the first team\n"
     "    [--full]: announcements say all each time\n";
 
 static const char *const kind_names[KINDS] = {"tick", "http", "call", "save",
@@ -42,7 +43,9 @@
 			o->per_kind = true;
 			continue;
 		}
-		if (name == "--instances")
+		if (name == "--hot")
+			o->hot = atof(value);
+		else if (name == "--instances")
 			o->instances = atoi(value);
 		else if (name == "--voters")
 			o->voters = atoi(value);
@@ -354,6 +357,25 @@
 	    bytes / 1e3 / seconds / (double)w.in.size(), bytes / count);
 }
 
+/* How even the service of the teams is, but for the first one. */
+static void
+print_teams(const World &w, const std::vector<uint64_t> &before, double seconds)
+{
+	double least = 1e9, most = 0;
+
+	for (size_t t = 1; t < before.size(); t++) {
+		double rate = (double)(w.team_runs[t] - before[t]) / seconds;
+
+		least = std::min(least, rate);
+		most = std::max(most, rate);
+	}
+	if (before.size() > 1)
+		printf("runs/s of the first team %.1f, of another %.1f to "
+		       "%.1f\n",
+		    (double)(w.team_runs[0] - before[0]) / seconds, least,
+		    most);
+}
+
 static void
 print_snapshot(const World &w)
 {
@@ -372,6 +394,7 @@
 {
 	Options o;
 	uint64_t runs;
+	std::vector<uint64_t> team_runs;
 
 	(void)setvbuf(stdout, nullptr, _IOLBF, 0);
 	if (!parse(&o, argc, argv)) {
@@ -401,10 +424,12 @@
 	w.run_for((uint64_t)o.warm * 1000000);
 	w.reset_counts();
 	runs = w.runs;
+	team_runs = w.team_runs;
 	w.run_for((uint64_t)o.seconds * 1000000);
 	print_roles(w, o.seconds);
 	print_snapshot(w);
 	print_announcements(w, o.seconds);
+	print_teams(w, team_runs, o.seconds);
 	printf("HTTP bodies in %.2f KB/s an instance; an answer with addresses "
 	       "costs %.1f us\n",
 	    sum_of(*w.in.back(), o.seconds).http / 1e3,
--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -98,6 +98,7 @@
 	operators.push_back({name, hash, teams, 1});
 	revisions.assign((size_t)o.teams, 0);
 	accepted.assign((size_t)o.teams, 0);
+	team_runs.assign((size_t)o.teams, 0);
 	for (int i = 0; i < o.instances; i++) {
 		struct settings_peer peer = {};
 
@@ -440,6 +441,7 @@
 		return;
 	}
 	runs++;
+	team_runs[(size_t)atoi(key.c_str() + strlen("team-"))]++;
 	e->busy++;
 	e->running[key]++;
 	at(now + 80000, [this, e, i, call, id, key, max] {
@@ -585,6 +587,8 @@
 	at(now + (uint64_t)(gap * 1e6) + 1, [this, i] { request_loop(i); });
 	u = rng_unit(&rng);
 	team = "team-" + std::to_string(rng_below(&rng, (uint32_t)o.teams));
+	if (o.hot > 0 && rng_unit(&rng) < o.hot)
+		team = "team-0";
 	adapter = "adapter-" + std::to_string((int)(u * u * o.adapters));
 	(void)request(i, "POST", "/v1/completions", team,
 	    "{\"model\": \"" + adapter +
--- a/bench/cluster_world.h
+++ b/bench/cluster_world.h
@@ -33,6 +33,7 @@
 	uint32_t tokens = 257, token_us = 77000, events = 8;
 	bool fail = false;
 	bool per_kind = false;
+	double hot = 0; /* part of the requests that is the first team's */
 	bool full = false; /* endpoints know full announcements only */
 };
 
@@ -90,6 +91,7 @@
 	std::unordered_map<uint64_t, std::function<void(int, std::string)>>
 	    waiting; /* requests whose answer is wanted */
 	std::function<void(int, const struct node_call &)> on_run;
+	std::vector<uint64_t> team_runs;
 	uint64_t answered = 0, refused = 0, runs = 0, loads = 0;
 
       private:
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -56,6 +56,7 @@
 	n->grants = map_create();
 	n->grants_by_ask = map_create();
 	n->orders = map_create();
+	n->usage_told = map_create();
 	n->asks = map_create();
 	n->rates = map_create();
 	n->peers = map_create();
@@ -150,6 +151,7 @@
 	map_free_all(n->peers, destroy_peer);
 	map_free_all(n->endpoints, destroy_endpoint);
 	node_cache_free(&n->resync);
+	node_usage_free(n);
 	map_free_all(n->grants, destroy_grant);
 	map_destroy(n->grants_by_ask);
 	map_free_all(n->orders, destroy_order);
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -366,42 +366,24 @@
 
 /* ---- summaries ----------------------------------------------------------- */
 
-static void
-fill_usage(const struct node *n, Wire__TeamUsage *usage, Wire__TeamUsage **list,
-    size_t count)
-{
-	struct sched_team_usage team;
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		sched_team_at(n->sched, i, &team);
-		wire__team_usage__init(&usage[i]);
-		usage[i].team = (char *)team.team;
-		usage[i].charge_milli = team.charge_milli;
-		usage[i].load_milli = team.load_milli;
-		list[i] = &usage[i];
-	}
-}
-
 static void
 send_summary(struct node *n)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__OwnerSummary summary = WIRE__OWNER_SUMMARY__INIT;
-	size_t nteams = sched_team_count(n->sched);
 	size_t nservices = sched_service_count(n->sched);
 	size_t nrates = map_count(n->rates);
 	Wire__TeamRate *rates = mem_alloc(nrates, sizeof(*rates));
 	Wire__TeamRate **rate_list = mem_alloc(nrates, sizeof(*rate_list));
-	Wire__TeamUsage *usage = mem_alloc(nteams, sizeof(*usage));
-	Wire__TeamUsage **list = mem_alloc(nteams, sizeof(*list));
 	char **services = mem_alloc(nservices, sizeof(*services));
+	Wire__TeamUsage *usage, **list;
 	struct sched_totals totals;
 	const struct member *m;
 	size_t i;
 
 	sched_get_totals(n->sched, n->now, &totals);
-	fill_usage(n, usage, list, nteams);
+	summary.n_usage = node_usage_fill(n, &usage, &list);
+	summary.usage = list;
 	for (i = 0; i < nservices; i++)
 		services[i] = (char *)sched_service_at(n->sched, i);
 	summary.seats = totals.seats;
@@ -411,8 +393,6 @@
 	summary.wait_ms = totals.wait_p90_ms;
 	summary.n_services = nservices;
 	summary.services = services;
-	summary.n_usage = nteams;
-	summary.usage = list;
 	summary.leaving = n->stopping;
 	summary.n_rates = node_rate_fill(n, rates, nrates);
 	summary.rates = rate_list;
@@ -446,22 +426,6 @@
 		peer->services[i] = mem_string(summary->services[i]);
 }
 
-static void
-set_team_loads(struct node_peer *peer, const Wire__OwnerSummary *summary)
-{
-	const Wire__TeamUsage *usage;
-	size_t i;
-
-	map_destroy(peer->team_loads);
-	peer->team_loads = map_create();
-	for (i = 0; i < summary->n_usage; i++) {
-		usage = summary->usage[i];
-		if (usage->load_milli > 0)
-			map_set_str(peer->team_loads, usage->team,
-			    (void *)(uintptr_t)usage->load_milli);
-	}
-}
-
 void
 node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary)
@@ -477,14 +441,11 @@
 	peer->wait_ms = summary->wait_ms;
 	peer->leaving = summary->leaving;
 	set_services(peer, summary);
-	set_team_loads(peer, summary);
+	node_usage_heard(n, peer, summary);
 	if (from == n->id)
 		return;
 	for (i = 0; i < summary->n_rates; i++)
 		node_rate_heard(n, from, summary->rates[i]);
-	for (i = 0; i < summary->n_usage; i++)
-		sched_set_remote_charge(n->sched, from, summary->usage[i]->team,
-		    summary->usage[i]->charge_milli);
 }
 
 void
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -58,6 +58,7 @@
 	/* its latest summary as an owner */
 	uint32_t seats, free, queued, engines, wait_ms;
 	struct map *team_loads; /* thousandths of shares; NULL: not heard */
+	uint64_t loads_incarnation; /* whose they are */
 	uint32_t asked; /* by this instance since that summary */
 	bool leaving;
 	char **services;
@@ -209,6 +210,8 @@
 	uint64_t last_grant;
 	struct map *orders; /* by call */
 	struct node_resync resync;
+	struct map *usage_told; /* by team */
+	size_t usage_turn; /* counts summaries that left teams out */
 	uint64_t owner_epoch; /* epoch the tables were last checked against */
 	bool owner_due;
 
@@ -352,6 +355,13 @@
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
 
+/* node_usage.c: what teams used, told among owners */
+size_t node_usage_fill(
+    struct node *n, Wire__TeamUsage **usage, Wire__TeamUsage ***list);
+void node_usage_heard(
+    struct node *n, struct node_peer *peer, const Wire__OwnerSummary *summary);
+void node_usage_free(struct node *n);
+
 /* node_rate.c: teams' rate limits over all entries */
 struct node_rate;
 void node_rate_free(struct node_rate *rate);
