A claim that nothing will end becomes unknown within seconds

Cause: a claim is ended by the request that runs it. Both stayed "running" until the instance ended; an operator and a resend waited for it in vain.

Ruled out: ending it as not run in the first case. It would be true there, but nothing tells the two cases apart once the request is gone.

Now each instance looks once a second through its own running claims; one without a request and without an end on its way is ended as unknown. An answer that comes later still replaces that, and an unknown call never runs again.

--- a/src/claim/claim.c
+++ b/src/claim/claim.c
@@ -286,6 +286,20 @@
 	return n;
 }
 
+const struct claim *
+claim_running_next(const struct claim_table *t, uint32_t instance,
+    uint64_t incarnation, const struct claim *after)
+{
+	struct claim_owner_key key = {incarnation, instance};
+	const struct claim_owner *owner = map_get(t->owners, &key, sizeof(key));
+	const struct claim_entry *e = (const struct claim_entry *)after;
+
+	if (owner == NULL)
+		return NULL;
+	e = e == NULL ? TAILQ_FIRST(&owner->running) : TAILQ_NEXT(e, link);
+	return e == NULL ? NULL : &e->claim;
+}
+
 const struct claim *
 claim_find(const struct claim_table *t, const char *team, const char *key)
 {
--- a/src/claim/claim.h
+++ b/src/claim/claim.h
@@ -109,6 +109,14 @@
  */
 #define CLAIM_KEEP_MS (24ULL * 3600 * 1000)
 
+/*
+ * The running claims of a process in the order of their starts.
+ *
+ * after: the one before, NULL for the first; NULL comes after the last.
+ */
+const struct claim *claim_running_next(const struct claim_table *t,
+    uint32_t instance, uint64_t incarnation, const struct claim *after);
+
 const struct claim *claim_find(
     const struct claim_table *t, const char *team, const char *key);
 
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -16,7 +16,7 @@
 };
 
 struct claim_entry {
-	struct claim claim;
+	struct claim claim; /* first: a claim of the table is an entry's */
 	struct claim_owner *owner; /* while running */
 	uint64_t ended_ms; /* the table's time then */
 	TAILQ_ENTRY(claim_entry) link; /* of the owner, then of the ended */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -244,6 +244,7 @@
 	node_lease_tick(n);
 	node_follow_tick(n);
 	node_propose_tick(n);
+	node_claim_tick(n);
 	node_owner_tick(n);
 	node_entry_tick(n);
 	route_tick(n->route, n->now, n->fx);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -37,6 +37,7 @@
 #define NODE_HELLO_FRESH_US   (2000 * 1000ULL) /* an answer counts so long */
 #define NODE_PROPOSE_RETRY_US (300 * 1000ULL)
 #define NODE_CLAIM_CLOCK_US   (60 * 1000 * 1000ULL)
+#define NODE_CLAIM_SWEEP_US   (1000 * 1000ULL) /* for claims without end */
 #define NODE_CHANGE_US	      (5000 * 1000ULL) /* to accept a document */
 #define NODE_CONFIG_US	      (200 * 1000ULL) /* between voter changes */
 #define NODE_DRAIN_MAX_US     (60 * 1000 * 1000ULL)
@@ -225,7 +226,7 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
-	uint64_t asks_us, grants_us; /* next scan */
+	uint64_t asks_us, grants_us, claims_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
 	uint64_t stop_us;
@@ -271,6 +272,9 @@
 uint32_t node_leader(const struct node *n);
 void node_propose_free(struct node_proposal *p);
 
+/* node_claim.c: own claims that nothing will end */
+void node_claim_tick(struct node *n);
+
 /* node_peer.c */
 struct node_peer *node_peer(struct node *n, uint32_t id);
 const char *node_peer_address(const struct node *n, uint32_t id);
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -112,6 +112,9 @@
 void route_claim_failed(struct route *r, uint64_t now_us, uint64_t proposal,
     struct node_effects *fx);
 
+/* Is there still a request whose claim was proposed so? */
+bool route_claim_is_open(const struct route *r, uint64_t proposal);
+
 /* Claims have ended: resends that wait for one are answered or claim anew. */
 void route_claim_review(
     struct route *r, uint64_t now_us, struct node_effects *fx);
--- a/src/route/route_claim.c
+++ b/src/route/route_claim.c
@@ -186,6 +186,12 @@
 	route_claim_late(r, e, fx);
 }
 
+bool
+route_claim_is_open(const struct route *r, uint64_t proposal)
+{
+	return map_get_u64(r->by_proposal, proposal) != NULL;
+}
+
 void
 route_claim_review(struct route *r, uint64_t now_us, struct node_effects *fx)
 {
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -659,6 +659,65 @@
 	}
 }
 
+/*
+ * A claim whose request has ended here is told as unknown soon, and not as
+ * still running until this process ends.
+ */
+TEST(claims, one_that_nothing_here_will_end_becomes_unknown)
+{
+	enum {
+		BY_SNAPSHOT,
+		WITHOUT_LEADER
+	};
+
+	for (int how : {BY_SNAPSHOT, WITHOUT_LEADER}) {
+		Cluster c(with_seed(12));
+		ASSERT_TRUE(c.begin());
+		struct node *n = c.instances[4]->node;
+		int leader = c.leader(), other = (leader + 1) % 3;
+		uint64_t known = claim_count(n->claims);
+		Request *first = c.book(4, "k1"), *again;
+
+		if (how == BY_SNAPSHOT) { /* its start comes in one */
+			struct buf state = {};
+			struct node *from = c.instances[(size_t)leader]->node;
+
+			for (int voter = 0; voter < 3; voter++)
+				c.cut(voter, 4, true);
+			ASSERT_TRUE(c.run_until(1000000,
+			    [&] { return claim_count(from->claims) > known; }));
+			c.hang_up(first);
+			c.run_for(10000);
+			node_replica_state(from, &state);
+			n->fx = node_effects_create();
+			ASSERT_EQ(node_replica_restore(n, from->applied,
+				      {state.data, state.len}),
+			    0);
+			node_effects_destroy(n->fx);
+			n->fx = nullptr;
+			buf_free(&state);
+			c.heal();
+		} else { /* its end finds no leader until given up */
+			ASSERT_TRUE(c.run_until(1000000,
+			    [&] { return claim_count(n->claims) > known; }));
+			c.kill(leader);
+			c.kill(other);
+			c.run_for(50000000);
+			c.start(leader);
+			c.start(other);
+			ASSERT_TRUE(c.wait_ready());
+		}
+		c.run_for(5000000);
+		again = c.book(3, "k1");
+		ASSERT_TRUE(c.wait(again));
+		EXPECT_EQ(again->outcome(), "unknown") << again->answer;
+		EXPECT_NE(
+		    again->answer.find("outcome-unknown"), std::string::npos)
+		    << how << again->answer;
+		EXPECT_EQ(c.check(), "");
+	}
+}
+
 TEST(stop, a_leader_that_stops_refuses_no_booking_meanwhile)
 {
 	Cluster c(with_seed(10));
