Several instances that stop end within seconds: no leader among them

Cause, two: (1) a leader that stops gave the lead to any voter, also to one that stops; two such voters gave it to each other every 10 ms for as long as they ran (the log of the fixture: terms 2 to 25 within 0.2 s), so the leave of neither was committed, their endpoints were never handed over, and both waited for the 60 s. Meanwhile bookings and documents had no leader that stayed. (2) With all instances stopping, or no leader left, nobody can take the endpoints, and "no endpoints left" was waited for all the same.

Now a leader gives the lead only to voters that do not stop, once its own stop is in the log and the renewals which follow that are answered, so that it knows who else stops; with none it leads to its end. Endpoints are waited for 3 s beyond the addresses' lifetime: by then nobody asks it for them any more.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -206,8 +206,11 @@
 {
 	uint64_t lapsed = n->stop_us + NODE_PEER_SILENT_US + NODE_SUMMARY_US +
 	    (uint64_t)n->settings->address_lifetime_ms * 1000;
+	/* Nobody may be there to take the endpoints: all stop, or no leader. */
+	bool over =
+	    map_count(n->endpoints) == 0 || n->now >= lapsed + NODE_SETTLE_US;
 	bool idle = route_count(n->route) == 0 && map_count(n->grants) == 0 &&
-	    map_count(n->orders) == 0 && map_count(n->endpoints) == 0;
+	    map_count(n->orders) == 0 && over;
 
 	if (!n->stopping || n->exited)
 		return;
@@ -220,14 +223,28 @@
 	node_effects_add(n->fx, NODE_FX_EXIT);
 }
 
-/* A leader that stops lets another voter lead first. */
+/*
+ * A leader that stops lets another voter lead first, of those that stay: two
+ * that stop would give the lead to each other for ever. All know who stops
+ * once that is in the log; the renewals that follow are answered first.
+ */
 static void
 node_hand_over(struct node *n)
 {
-	if (!n->stopping || n->raft == NULL ||
+	const struct member *m = member_view_find(n->view, n->id);
+	uint64_t stopping[RAFT_VOTERS_MAX];
+	size_t i, count = 0;
+
+	if (!n->stopping || n->raft == NULL || (m != NULL && !m->leaving) ||
+	    n->now < n->epoch_us + NODE_HEARTBEAT_US ||
 	    raft_authority_until(n->raft) <= n->now)
 		return;
-	(void)raft_hand_over(n->raft, n->now, n->fx, NULL);
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->leaving && m->voter != 0 && count < RAFT_VOTERS_MAX)
+			stopping[count++] = m->voter;
+	}
+	(void)raft_hand_over(n->raft, n->now, stopping, count, n->fx, NULL);
 }
 
 static void
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -134,11 +134,12 @@
  * Step down in favour of a voter that has the whole log; the others may vote
  * for it at once.
  *
+ * avoid: voters that would not keep the lead.
  * Errors: MP_ERR_NOT_LEADER, MP_ERR_UNAVAILABLE (no such voter was heard
  * lately; the leader goes on).
  */
-int raft_hand_over(struct raft *r, uint64_t now_us, struct node_effects *fx,
-    struct mp_error *err);
+int raft_hand_over(struct raft *r, uint64_t now_us, const uint64_t *avoid,
+    size_t navoid, struct node_effects *fx, struct mp_error *err);
 
 /* Take the next message to send; false when there is none. */
 bool raft_take_message(struct raft *r, struct raft_message *out);
--- a/src/raft/raft_vote.c
+++ b/src/raft/raft_vote.c
@@ -200,9 +200,20 @@
 		vote_count(r, from, fx);
 }
 
+static bool
+hand_is_avoided(uint64_t id, const uint64_t *avoid, size_t navoid)
+{
+	size_t i;
+
+	for (i = 0; i < navoid; i++)
+		if (avoid[i] == id)
+			return true;
+	return false;
+}
+
 /* A peer with our whole log that was heard lately; NULL when none is. */
 static const struct raft_peer *
-hand_target(const struct raft *r)
+hand_target(const struct raft *r, const uint64_t *avoid, size_t navoid)
 {
 	const struct raft_config *c = raft_get_config(r);
 	const struct raft_peer *peer;
@@ -211,6 +222,7 @@
 	for (i = 0; i < r->npeers; i++) {
 		peer = &r->peers[i];
 		if (raft_config_is_voter(c, peer->id) && !peer->leaving &&
+		    !hand_is_avoided(peer->id, avoid, navoid) &&
 		    peer->match == raft_log_last(&r->log) &&
 		    r->now_us < peer->heard_us + r->options.heartbeat_us * 2)
 			return peer;
@@ -223,8 +235,8 @@
  * term: whoever the others vote for then, its authority has ended.
  */
 int
-raft_hand_over(struct raft *r, uint64_t now_us, struct node_effects *fx,
-    struct mp_error *err)
+raft_hand_over(struct raft *r, uint64_t now_us, const uint64_t *avoid,
+    size_t navoid, struct node_effects *fx, struct mp_error *err)
 {
 	const struct raft_peer *target;
 	Raft__Hand hand = RAFT__HAND__INIT;
@@ -235,7 +247,7 @@
 	if (r->role != RAFT_LEADER)
 		return mp_error_set(
 		    err, MP_LAYER_RAFT, MP_ERR_NOT_LEADER, "not the leader");
-	target = hand_target(r);
+	target = hand_target(r, avoid, navoid);
 	if (target == NULL)
 		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
 		    "no other voter has the whole log");
--- a/tests/raft/net.cc
+++ b/tests/raft/net.cc
@@ -208,7 +208,7 @@
 {
 	node_effects *fx = node_effects_create();
 	mp_error err;
-	int code = raft_hand_over(m[i].r, local(i), fx, &err);
+	int code = raft_hand_over(m[i].r, local(i), nullptr, 0, fx, &err);
 
 	after(i, fx);
 	return code;
