bench_store: whole claims beside commits and syncs

Ruled out: counting proposals alone; a claim is two commits with a call in between, so the reducer runs whole over a real data folder.

--- a/bench/store_bench.c
+++ b/bench/store_bench.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "claim_bench.h"
 #include "raft/raft.h"
 #include "store/store.h"
 #include "util/hist.h"
@@ -11,7 +12,7 @@
 
 /*
  * Commits a second of a single voter, with 1, 8 and 64 commands waiting at
- * a time, beside writes and syncs of a file alone.
+ * a time, beside writes and syncs of a file alone, and whole claims.
  * usage: bench_store FOLDER [SECONDS]; the folder must not exist yet.
  */
 
@@ -209,6 +210,7 @@
 main(int argc, char **argv)
 {
 	static const uint64_t waiting[] = {1, 8, WAITING_MAX};
+	static const size_t claims[] = {1, 16, CLAIM_BENCH_MOST};
 	double seconds = argc > 2 ? strtod(argv[2], NULL) : 3;
 	char path[4096];
 	size_t i;
@@ -226,5 +228,12 @@
 		    (unsigned long)waiting[i]);
 		bench_commits(path, waiting[i], seconds);
 	}
+	printf("%8s %12s %14s %12s %12s %8s\n", "at once", "claims/s",
+	    "commits/sync", "median us", "99th us", "failed");
+	for (i = 0; i < sizeof(claims) / sizeof(claims[0]); i++) {
+		(void)snprintf(
+		    path, sizeof(path), "%s.claims.%zu", argv[1], claims[i]);
+		bench_claims(path, claims[i], seconds);
+	}
 	return 0;
 }
