--- a/bench/cluster_world.cc
+++ b/bench/cluster_world.cc
@@ -401,12 +401,12 @@
 
 	if (e == nullptr)
 		return;
+	if (on_call)
+		on_call(i, c);
 	for (size_t k = 0; k < c.nheaders; k++)
 		if (strcmp(c.headers[k].name, "mulberrypath-request") == 0)
 			id = c.headers[k].value;
 	if (path == "/v1/completions") {
-		if (on_run)
-			on_run(i, c);
 		run_engine(e, i, c.call, id, json_field(c.body, "model"),
 		    (uint32_t)atoi(json_field(c.body, "max_tokens").c_str()));
 		return;
--- a/bench/cluster_world.h
+++ b/bench/cluster_world.h
@@ -90,7 +90,7 @@
 	std::vector<uint64_t> accepted; /* log index of the newest change */
 	std::unordered_map<uint64_t, std::function<void(int, std::string)>>
 	    waiting; /* requests whose answer is wanted */
-	std::function<void(int, const struct node_call &)> on_run;
+	std::function<void(int, const struct node_call &)> on_call;
 	std::vector<uint64_t> team_runs;
 	uint64_t answered = 0, refused = 0, runs = 0, loads = 0;
 
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -240,6 +240,16 @@
 uint64_t member_keeper_active_epoch(const struct member_keeper *k,
     const struct member_view *v, uint64_t now_us);
 
+/*
+ * Fill what tells a member, beside the answers to its renewals, that an epoch
+ * is active: the newest renewal is answered once more, without a lease.
+ *
+ * epoch: as member_keeper_active_epoch() gave it.
+ * out: initialised and filled, but for leader; false: it was never heard.
+ */
+bool member_keeper_tell_active(const struct member_keeper *k,
+    const struct member *m, uint64_t epoch, Wire__LeaseReply *out);
+
 /*
  * No instance acts, or will act, with less applied than this index. Like
  * the active epoch it stays as it was while the leader has no authority.
--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -124,6 +124,8 @@
 
 	if (now_us >= k->authority_until)
 		return k->in_force;
+	if (member_guards.in_force_leases && now_us < k->flying_until)
+		return k->in_force;
 	if (member_guards.in_force_leases) {
 		other = keeper_lease_index(k, v, now_us);
 		index = other < index ? other : index;
--- a/src/member/member_keeper.c
+++ b/src/member/member_keeper.c
@@ -49,6 +49,8 @@
  *
  * Orders may be on their way for MEMBER_FLIGHT_US after their sender had to
  * stop; leases, promises and acknowledgements are all waited for by as much.
+ * A member is removed as soon as its lease has ended: the epoch without it is
+ * sealed later, and active only after the seal and that time.
  *
  * A keeper finds nothing new without authority: another leader may have
  * granted leases since, and committed what this one has not seen.
@@ -131,6 +133,8 @@
 	k->store_rate_milli = rate;
 	k->term = term;
 	k->peers = map_create();
+	/* An earlier leader may just have removed a member. */
+	k->flying_until = now_us + member_flight_us();
 	if (member_guards.earlier_leases)
 		k->earlier_until = now_us + member_longer(MEMBER_LEASE_US) +
 		    election_us + member_flight_us();
@@ -328,6 +332,21 @@
 	out->in_force = k->in_force;
 }
 
+bool
+member_keeper_tell_active(const struct member_keeper *k, const struct member *m,
+    uint64_t epoch, Wire__LeaseReply *out)
+{
+	const struct keeper_proc *proc = keeper_member_proc(k, m);
+
+	wire__lease_reply__init(out);
+	if (proc == NULL || proc->heard_at == 0)
+		return false;
+	out->sent_us = proc->sent_us;
+	out->term = k->term;
+	out->active_epoch = epoch;
+	return true;
+}
+
 static const char *
 keeper_state(const struct member_keeper *k, const struct keeper_proc *proc,
     uint64_t now_us)
--- a/src/member/member_keeper.h
+++ b/src/member/member_keeper.h
@@ -59,6 +59,7 @@
 	uint64_t term;
 	uint32_t store_in_flight, store_rate_milli;
 	uint64_t earlier_until; /* leases of earlier leaders may run */
+	uint64_t flying_until; /* orders of members being removed may arrive */
 	uint64_t authority_until;
 	uint64_t commit;
 	struct keeper_commit commits[KEEPER_COMMITS]; /* ring */
--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -27,16 +27,19 @@
 	return heard > member_view_count(v) / 2;
 }
 
-/* Has this member's lease surely ended, after a long silence? */
+/*
+ * Has this member's lease surely ended, after a long silence? Its last orders
+ * may still be on their way: member_keeper.c says what waits for them.
+ */
 static bool
 keeper_is_gone(const struct member_keeper *k, const struct keeper_proc *proc,
     uint64_t now_us)
 {
-	if (keeper_may_hold(k, proc, now_us))
+	if (now_us < k->earlier_until)
 		return false;
 	return proc == NULL ||
-	    now_us >= proc->heard_at + member_longer(MEMBER_LEASE_US) +
-		member_flight_us();
+	    (now_us >= proc->lease_end &&
+		now_us >= proc->heard_at + member_longer(MEMBER_LEASE_US));
 }
 
 static bool
@@ -54,6 +57,7 @@
 		proc = keeper_member_proc(k, m);
 		if (!keeper_is_gone(k, proc, now_us))
 			continue;
+		k->flying_until = now_us + member_flight_us();
 		k->wish.type = MEMBER_WISH_DOWN;
 		k->wish.id = m->id;
 		k->wish.incarnation = m->incarnation;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -197,6 +197,7 @@
 	struct member_holder *holder;
 	struct member_keeper *keeper;
 	uint64_t leader_heard_us;
+	uint64_t active_told; /* as the leader: the epoch told to all */
 
 	/* proposals */
 	struct map *proposals;
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -196,6 +196,29 @@
 	    (unsigned long long)raft_get_term(n->raft));
 }
 
+/* New owners act as soon as they hear that their epoch is active. */
+static void
+tell_active(struct node *n)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__LeaseReply reply;
+	uint64_t epoch = member_keeper_active_epoch(n->keeper, n->view, n->now);
+	size_t i;
+
+	if (epoch == n->active_told)
+		return;
+	n->active_told = epoch;
+	envelope.body_case = WIRE__ENVELOPE__BODY_LEASE;
+	envelope.lease = &reply;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		if (!member_keeper_tell_active(
+			n->keeper, member_view_at(n->view, i), epoch, &reply))
+			continue;
+		reply.leader = n->id;
+		node_peer_send(n, member_view_at(n->view, i)->id, &envelope);
+	}
+}
+
 static void
 lead_tick(struct node *n)
 {
@@ -206,6 +229,7 @@
 	while (member_keeper_take_wish(n->keeper, n->view, n->now, &wish))
 		propose_wish(n, &wish);
 	propose_claim_clock(n);
+	tell_active(n);
 	node_found_voters(n);
 }
 
