Requests go to owners that have their adapter loaded

Cause: owners did not know what others have loaded. Conclusion: summaries tell short hashes of what is loaded with a seat free; an entry asks such an owner first, an owner hands an ask on that would wait for a load or be refused for its deadline. The ask record of a request that went elsewhere is freed; it stayed for ever.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -60,6 +60,7 @@
 	n->asks = map_create();
 	n->rates = map_create();
 	n->peers = map_create();
+	n->holders = map_create();
 	n->route = route_create(&options, &node_route_ops, n);
 }
 
@@ -157,6 +158,7 @@
 	map_free_all(n->orders, destroy_order);
 	map_free_all(n->proposals, destroy_proposal);
 	map_free_all(n->asks, free);
+	map_free_all(n->holders, free);
 	map_free_all(n->rates, destroy_rate);
 	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
 		free(n->recent[i].bytes);
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -60,10 +60,27 @@
 	if (settling)
 		return; /* its endpoints are moving to their new owners */
 	ask->owner = owners[message->attempt % count];
+	if (message->handed_to != 0 &&
+	    node_peer_is_heard(n, message->handed_to) &&
+	    member_view_find(n->view, message->handed_to) != NULL)
+		ask->owner = message->handed_to;
 	node_spread_asked(node_peer(n, ask->owner), message->adapter);
 	ask_send(n, ask, message);
 }
 
+/* An answer to an ask; one that goes elsewhere has a new number there. */
+void
+node_entry_on_grant(struct node *n, const Wire__GrantReply *reply)
+{
+	Wire__GrantAsk open;
+	bool leaves = reply->status == WIRE__GRANT_STATUS__GRANT_ELSEWHERE &&
+	    route_fill_ask(n->route, n->now, reply->request, &open);
+
+	route_grant(n->route, n->now, reply, n->fx);
+	if (leaves)
+		free(map_remove_u64(n->asks, reply->request));
+}
+
 static void
 send_done(struct node *n, uint32_t to, const Wire__GrantDone *message)
 {
@@ -379,6 +396,7 @@
 	Wire__TeamUsage *usage, **list;
 	struct sched_totals totals;
 	const struct member *m;
+	uint32_t held[NODE_HELD_MOST];
 	size_t i;
 
 	sched_get_totals(n->sched, n->now, &totals);
@@ -398,6 +416,7 @@
 	summary.rates = rate_list;
 	for (i = 0; i < nrates; i++)
 		rate_list[i] = &rates[i];
+	node_held_fill(n, &summary, held, node_grant_owners(n));
 	envelope.body_case = WIRE__ENVELOPE__BODY_SUMMARY;
 	envelope.summary = &summary;
 	for (i = 0; i < member_view_count(n->view); i++) {
@@ -405,6 +424,7 @@
 		if (strcmp(m->region, n->settings->region) == 0)
 			node_peer_send(n, m->id, &envelope);
 	}
+	n->loaded.count = n->dropped.count = 0;
 	free(rates);
 	free(rate_list);
 	free(usage);
@@ -442,6 +462,7 @@
 	peer->leaving = summary->leaving;
 	set_services(peer, summary);
 	node_usage_heard(n, peer, summary);
+	node_held_heard(n, from, summary);
 	if (from == n->id)
 		return;
 	for (i = 0; i < summary->n_rates; i++)
@@ -459,5 +480,7 @@
 	if (n->now >= n->summary_us) {
 		n->summary_us = n->now + NODE_SUMMARY_US;
 		send_summary(n);
+		node_grant_hand_on(n);
+		node_held_tick(n);
 	}
 }
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -110,8 +110,8 @@
 }
 
 /* Members that may own endpoints of the own region. */
-static uint32_t
-count_owners(const struct node *n)
+uint32_t
+node_grant_owners(const struct node *n)
 {
 	const struct member *m;
 	uint32_t count = 0;
@@ -132,7 +132,7 @@
 	const struct doc *doc = doc_book_current(n->book, ask->team);
 	const struct doc_kind *kind =
 	    doc == NULL ? NULL : doc_find_kind(doc, ask->kind);
-	uint32_t owners = count_owners(n);
+	uint32_t owners = node_grant_owners(n);
 	size_t i;
 
 	out->id = g->id;
@@ -157,6 +157,32 @@
 		out->avoid[out->navoid++] = ask->avoid[i];
 }
 
+/* Let an ask go to an owner that has the adapter loaded and seats free. */
+static bool
+hand_on(struct node *n, uint32_t entry, uint64_t ask, const char *adapter)
+{
+	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
+	uint32_t holder = node_held_elsewhere(n, adapter);
+
+	if (holder == 0)
+		return false;
+	node_spread_asked(node_peer(n, holder), adapter);
+	reply.request = ask;
+	reply.status = WIRE__GRANT_STATUS__GRANT_ELSEWHERE;
+	reply.reason = "loaded-elsewhere";
+	reply.holder = holder;
+	send_reply(n, entry, &reply);
+	return true;
+}
+
+/* One that was handed on stays, and so does one that failed elsewhere. */
+static bool
+ask_stays(const Wire__GrantAsk *ask)
+{
+	return ask->adapter[0] == '\0' || ask->handed_to != 0 ||
+	    ask->n_avoid > 0;
+}
+
 static bool
 is_current_member(const struct node *n, uint32_t id, uint64_t incarnation)
 {
@@ -187,8 +213,12 @@
 		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "cut-off", 0);
 		return;
 	}
+	if (!ask_stays(ask) && sched_lacks(n->sched, ask->adapter) &&
+	    hand_on(n, from, ask->request, ask->adapter))
+		return;
 	g = grant_add(n, from, incarnation, ask->request);
 	g->basis_us = ask->sent_us;
+	g->stays = ask_stays(ask);
 	if (ask->adapter[0] != '\0')
 		g->adapter = mem_string(ask->adapter);
 	g->run = mem_string(ask->run);
@@ -238,6 +268,12 @@
 		send_grant(n, g);
 		return;
 	}
+	if (d->type == SCHED_REFUSE && !g->stays &&
+	    strcmp(d->reason, "deadline") == 0 &&
+	    hand_on(n, g->entry, g->ask, g->adapter)) {
+		grant_remove(n, g);
+		return;
+	}
 	if (d->type == SCHED_REFUSE)
 		send_refusal(n, g->entry, g->ask,
 		    WIRE__GRANT_STATUS__GRANT_REFUSED, d->reason,
@@ -248,6 +284,26 @@
 	grant_remove(n, g);
 }
 
+/* Hand on what waits for a load here and need not elsewhere. */
+void
+node_grant_hand_on(struct node *n)
+{
+	struct sched_usage cancelled = {.outcome = SCHED_CANCELLED};
+	struct node_grant *g;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->endpoint != NULL || g->stays ||
+		    !sched_lacks(n->sched, g->adapter) ||
+		    !hand_on(n, g->entry, g->ask, g->adapter))
+			continue;
+		sched_done(n->sched, n->now, g->id, &cancelled);
+		grant_remove(n, g);
+		n->owner_due = true;
+	}
+}
+
 /* A request that runs on an endpoint taken over from another owner. */
 static void
 adopt_pin(
--- /dev/null
+++ b/src/node/node_held.c
@@ -0,0 +1,201 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "node/node_internal.h"
+#include "util/mem.h"
+
+/*
+ * Which owners have which adapters loaded, by what they tell in their
+ * summaries: a hint, by a short hash. A wrong one costs a hop or a load,
+ * never more: the owner that is asked decides.
+ */
+
+/* Rounds after which an adapter that is told no more counts as gone. */
+#define HELD_ROUNDS	 2
+#define HELD_LATE_US	 (500 * 1000ULL)
+#define HELD_SWEEP_STEPS 16
+
+static uint32_t
+held_hash(const char *adapter)
+{
+	return (uint32_t)XXH64(adapter, strlen(adapter), 0);
+}
+
+/* An adapter was loaded, or is about to be evicted. */
+void
+node_held_note(struct node *n, const char *adapter, bool loaded)
+{
+	struct node_held_news *news = loaded ? &n->loaded : &n->dropped;
+
+	if (news->count < NODE_HELD_NEWS)
+		news->hashes[news->count++] = held_hash(adapter);
+}
+
+/*
+ * Fill in what is loaded here and has not been told for longest.
+ *
+ * held: room for NODE_HELD_MOST hashes; owners: of the region, at least 1.
+ */
+void
+node_held_fill(
+    struct node *n, Wire__OwnerSummary *summary, uint32_t *held, size_t owners)
+{
+	const char *names[NODE_HELD_REGION];
+	size_t i, total, count = 0;
+	size_t most = NODE_HELD_REGION / owners;
+
+	most = most == 0 ? 1 : most;
+	for (i = 0; i < n->loaded.count; i++)
+		held[count++] = n->loaded.hashes[i];
+	total = sched_held(n->sched, names, n->held_told, most);
+	for (i = 0; i < most && n->held_told < total; i++, n->held_told++)
+		held[count++] = held_hash(names[i]);
+	if (n->held_told >= total)
+		n->held_told = 0;
+	summary->n_held = count;
+	summary->held = held;
+	summary->held_round = (uint32_t)((total + most - 1) / most);
+	summary->n_dropped = n->dropped.count;
+	summary->dropped = n->dropped.hashes;
+}
+
+/* The place of an owner among the holders, or the one that goes first. */
+static size_t
+holder_place(const struct node_holder *h, uint32_t owner)
+{
+	size_t i, first = 0;
+
+	for (i = 0; i < NODE_HOLDERS_MAX; i++) {
+		if (h->owners[i] == owner)
+			return i;
+		if (h->until_us[i] < h->until_us[first])
+			first = i;
+	}
+	return first;
+}
+
+static void
+holder_add(struct node *n, uint32_t hash, uint32_t owner, uint64_t until_us)
+{
+	struct node_holder *h = map_get(n->holders, &hash, sizeof(hash));
+	size_t at;
+
+	if (h == NULL) {
+		h = mem_alloc(1, sizeof(*h));
+		h->hash = hash;
+		map_set(n->holders, &hash, sizeof(hash), h);
+	}
+	at = holder_place(h, owner);
+	h->owners[at] = owner;
+	h->until_us[at] = until_us;
+}
+
+static void
+holder_drop(struct node *n, uint32_t hash, uint32_t owner)
+{
+	struct node_holder *h = map_get(n->holders, &hash, sizeof(hash));
+	size_t at;
+
+	if (h == NULL)
+		return;
+	at = holder_place(h, owner);
+	if (h->owners[at] == owner)
+		h->until_us[at] = 0;
+}
+
+void
+node_held_heard(
+    struct node *n, uint32_t from, const Wire__OwnerSummary *summary)
+{
+	uint64_t until = n->now + HELD_LATE_US +
+	    HELD_ROUNDS * (uint64_t)summary->held_round * NODE_SUMMARY_US;
+	size_t i;
+
+	for (i = 0; i < summary->n_dropped; i++)
+		holder_drop(n, summary->dropped[i], from);
+	for (i = 0; i < summary->n_held; i++)
+		holder_add(n, summary->held[i], from, until);
+}
+
+static const struct node_holder *
+holder_find(const struct node *n, const char *adapter)
+{
+	uint32_t hash = held_hash(adapter);
+
+	return map_get(n->holders, &hash, sizeof(hash));
+}
+
+/* Whether an owner is known to have the adapter loaded. */
+bool
+node_held_at(const struct node *n, const char *adapter, uint32_t owner)
+{
+	const struct node_holder *h = holder_find(n, adapter);
+	size_t at;
+
+	if (h == NULL)
+		return false;
+	at = holder_place(h, owner);
+	return h->owners[at] == owner && h->until_us[at] > n->now;
+}
+
+/*
+ * Seats there that nobody has asked for since it told. What waits there while
+ * seats are free waits for loads, and stands in nobody's way.
+ */
+static uint32_t
+peer_free(const struct node *n, uint32_t id)
+{
+	const struct member *m = member_view_find(n->view, id);
+	const struct node_peer *peer = map_get_u64(n->peers, id);
+
+	if (m == NULL || m->leaving || peer == NULL || peer->leaving ||
+	    !node_peer_is_heard(n, id))
+		return 0;
+	return peer->free > peer->asked ? peer->free - peer->asked : 0;
+}
+
+/* Another owner with the adapter loaded and most seats free, or 0. */
+uint32_t
+node_held_elsewhere(const struct node *n, const char *adapter)
+{
+	const struct node_holder *h = holder_find(n, adapter);
+	uint32_t owner = 0, seats, most = 0;
+	size_t i;
+
+	for (i = 0; h != NULL && i < NODE_HOLDERS_MAX; i++) {
+		if (h->until_us[i] <= n->now || h->owners[i] == n->id)
+			continue;
+		seats = peer_free(n, h->owners[i]);
+		if (seats > most) {
+			most = seats;
+			owner = h->owners[i];
+		}
+	}
+	return owner;
+}
+
+/* Forget a few that are held nowhere any more, a step a tick. */
+void
+node_held_tick(struct node *n)
+{
+	struct node_holder *h;
+	size_t i, step;
+
+	for (step = 0; step < HELD_SWEEP_STEPS; step++) {
+		if (n->holders_swept >= map_count(n->holders)) {
+			n->holders_swept = 0;
+			return;
+		}
+		h = map_at(n->holders, n->holders_swept);
+		for (i = 0; i < NODE_HOLDERS_MAX; i++)
+			if (h->until_us[i] > n->now)
+				break;
+		if (i < NODE_HOLDERS_MAX) {
+			n->holders_swept++;
+			continue;
+		}
+		map_remove(n->holders, &h->hash, sizeof(h->hash));
+		free(h);
+	}
+}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -74,6 +74,24 @@
 	uint64_t touch_all_until;
 };
 
+#define NODE_HOLDERS_MAX 4
+#define NODE_HELD_NEWS	 16
+#define NODE_HELD_REGION 128 /* told by all members of a region at a time */
+#define NODE_HELD_MOST	 (NODE_HELD_REGION + NODE_HELD_NEWS)
+
+/* Owners that told that they have an adapter loaded, and until when. */
+struct node_holder {
+	uint32_t hash; /* of the adapter's key */
+	uint32_t owners[NODE_HOLDERS_MAX];
+	uint64_t until_us[NODE_HOLDERS_MAX];
+};
+
+/* Changes of what is loaded here, for the next summary. */
+struct node_held_news {
+	uint32_t hashes[NODE_HELD_NEWS];
+	size_t count;
+};
+
 /* An endpoint this instance owns. */
 struct node_endpoint {
 	char *id, *address, *region;
@@ -111,6 +129,7 @@
 	uint64_t touched_us;
 	uint64_t granted_us;
 	uint64_t wait_us, stall_us;
+	bool stays; /* is not handed on */
 	uint64_t orphaned_us; /* its entry is down since; 0: is not */
 	uint64_t cancel_us; /* when its run is cancelled (again) */
 };
@@ -224,6 +243,9 @@
 	uint64_t last_call;
 
 	struct map *peers;
+	struct map *holders; /* by hash of the adapter's key */
+	size_t holders_swept, held_told;
+	struct node_held_news loaded, dropped;
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
@@ -353,9 +375,12 @@
 void node_grant_free(struct node_grant *g);
 void node_grant_cancelled(struct node *n, uint64_t grant, bool surely);
 bool node_grant_cancel_due(const struct node *n, const struct node_grant *g);
+void node_grant_hand_on(struct node *n);
+uint32_t node_grant_owners(const struct node *n);
 
 /* node_entry.c: the route's needs, touches, summaries */
 extern const struct route_ops node_route_ops;
+void node_entry_on_grant(struct node *n, const Wire__GrantReply *reply);
 void node_entry_tick(struct node *n);
 void node_entry_on_summary(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
@@ -379,6 +404,16 @@
     const char *service, uint32_t *out, size_t max);
 void node_spread_asked(struct node_peer *peer, const char *adapter);
 
+/* node_held.c: which owners have which adapters loaded */
+void node_held_note(struct node *n, const char *adapter, bool loaded);
+void node_held_fill(
+    struct node *n, Wire__OwnerSummary *summary, uint32_t *held, size_t owners);
+void node_held_heard(
+    struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
+bool node_held_at(const struct node *n, const char *adapter, uint32_t owner);
+uint32_t node_held_elsewhere(const struct node *n, const char *adapter);
+void node_held_tick(struct node *n);
+
 /* node_api*.c */
 void node_api_request(struct node *n, const struct node_request *request);
 void node_api_model(struct node *n, const struct node_request *request,
--- a/src/node/node_order.c
+++ b/src/node/node_order.c
@@ -31,9 +31,11 @@
 	order->type = d->type;
 	order->endpoint = mem_string(d->endpoint);
 	order->adapter = mem_string(d->adapter == NULL ? "" : d->adapter);
-	if (d->type == SCHED_EVICT)
+	if (d->type == SCHED_EVICT) {
 		path = "/v1/adapters/evict";
-	else if (d->type == SCHED_SET_ROLE)
+		node_held_note(n, d->adapter, false);
+	}
+	if (d->type == SCHED_SET_ROLE)
 		path = "/v1/role";
 
 	call = &node_effects_add(n->fx, NODE_FX_CALL)->u.call;
@@ -99,6 +101,8 @@
 		    "\"reason\": \"%s\"}",
 		    order->endpoint, order->adapter,
 		    reason == NULL ? "refused" : reason);
+	if (order->type == SCHED_LOAD && ok)
+		node_held_note(n, order->adapter, true);
 	if (order->type == SCHED_LOAD)
 		sched_load_result(
 		    n->sched, n->now, order->endpoint, order->adapter, ok);
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -131,7 +131,7 @@
 		node_grant_on_ask(n, from, e->incarnation, e->ask);
 		break;
 	case WIRE__ENVELOPE__BODY_GRANT:
-		route_grant(n->route, n->now, e->grant, n->fx);
+		node_entry_on_grant(n, e->grant);
 		break;
 	case WIRE__ENVELOPE__BODY_DONE:
 		node_grant_on_done(n, from, e->incarnation, e->done);
--- a/src/node/node_spread.c
+++ b/src/node/node_spread.c
@@ -117,24 +117,30 @@
 	return bound > SPREAD_LOAD_FULL ? bound : SPREAD_LOAD_FULL;
 }
 
-/* Move owners above the bound behind the others; each part keeps its order. */
+/*
+ * First owners that have the adapter loaded, last those above the bound; each
+ * part keeps its order.
+ */
 static void
 pass_over_full(
     struct node *n, const char *adapter, uint32_t *owners, size_t count)
 {
 	double bound = load_bound(n, owners, count);
-	uint32_t full[NODE_OWNERS_MAX];
+	uint32_t parts[3][NODE_OWNERS_MAX];
+	size_t i, part, counts[3] = {0}, filled = 0;
 	const struct node_peer *peer;
-	size_t i, kept = 0, nfull = 0;
 
 	for (i = 0; i < count; i++) {
 		peer = map_get_u64(n->peers, owners[i]);
 		if (team_load(peer, adapter) > bound)
-			full[nfull++] = owners[i];
+			part = 2;
 		else
-			owners[kept++] = owners[i];
+			part = !node_held_at(n, adapter, owners[i]);
+		parts[part][counts[part]++] = owners[i];
 	}
-	memcpy(owners + kept, full, nfull * sizeof(full[0]));
+	for (part = 0; part < 3; part++)
+		for (i = 0; i < counts[part]; i++)
+			owners[filled++] = parts[part][i];
 }
 
 /*
--- a/src/route/route_attempt.c
+++ b/src/route/route_attempt.c
@@ -26,6 +26,7 @@
 	out->n_avoid = e->navoid;
 	out->avoid = (char **)e->avoid;
 	out->attempt = e->attempt;
+	out->handed_to = e->handed_to;
 	out->sent_us = now_us;
 	out->run = e->run_id;
 	out->waited_ms = (uint32_t)((now_us - e->began_us) / 1000);
@@ -136,6 +137,7 @@
 	}
 	e->stats->retried++;
 	e->resumed = false;
+	e->handed_to = 0;
 	if (e->first_us != 0) /* a begun stream must go on soon or fail */
 		e->deadline_us = now_us + ROUTE_SILENCE_US;
 	route_wake_by(r, e->deadline_us);
@@ -221,7 +223,8 @@
 		break;
 	case WIRE__GRANT_STATUS__GRANT_ELSEWHERE:
 		map_remove_u64(r->by_ask, e->ask);
-		e->attempt++;
+		e->attempt += reply->holder == 0;
+		e->handed_to = reply->holder;
 		route_ask(r, now_us, e, fx);
 		break;
 	default:
@@ -239,6 +242,7 @@
 	if (e == NULL || e->state != ROUTE_WAIT_GRANT)
 		return;
 	route_release(r, now_us, e, WIRE__DONE_OUTCOME__DONE_CANCELLED, fx);
+	e->handed_to = 0;
 	route_ask(r, now_us, e, fx);
 }
 
--- a/src/route/route_internal.h
+++ b/src/route/route_internal.h
@@ -52,6 +52,7 @@
 	uint64_t ask; /* 0 while none is open */
 	uint64_t asked_us;
 	unsigned attempt;
+	uint32_t handed_to; /* the owner to which an owner handed it */
 	char *endpoint, *address;
 	uint64_t fence;
 	uint64_t send_by_us; /* no byte of the call leaves later */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -169,6 +169,19 @@
 void sched_evict_result(struct sched *s, uint64_t now_us, const char *endpoint,
     const char *adapter, bool ok);
 
+/*
+ * Adapters loaded on an engine with a seat free and not being emptied, in a
+ * steady order; names live until the next call that changes the state.
+ *
+ * out: at most max names; skip: so many of them are passed over first.
+ * Returns how many there are in all.
+ */
+size_t sched_held(
+    const struct sched *s, const char **out, size_t skip, size_t max);
+
+/* Whether a request for it would wait for a load that is not under way. */
+bool sched_lacks(const struct sched *s, const char *adapter);
+
 /* Demand for permits, told to the leader. */
 struct sched_demand {
 	uint32_t waiting;
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2363,7 +2363,7 @@
   (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[17] =
 {
   {
     "request",
@@ -2557,6 +2557,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handed_to",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, handed_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_ask__field_indices_by_name[] = {
   3,   /* field[3] = adapter */
@@ -2564,6 +2576,7 @@
   10,   /* field[10] = avoid */
   5,   /* field[5] = base_model */
   6,   /* field[6] = deadline_ms */
+  16,   /* field[16] = handed_to */
   2,   /* field[2] = kind */
   8,   /* field[8] = max_tokens */
   13,   /* field[13] = pinned_adapter */
@@ -2579,7 +2592,7 @@
 static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
 {
@@ -2589,14 +2602,14 @@
   "Wire__GrantAsk",
   "wire",
   sizeof(Wire__GrantAsk),
-  16,
+  17,
   wire__grant_ask__field_descriptors,
   wire__grant_ask__field_indices_by_name,
   1,  wire__grant_ask__number_ranges,
   (ProtobufCMessageInit) wire__grant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__grant_reply__field_descriptors[11] =
 {
   {
     "request",
@@ -2718,12 +2731,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holder",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantReply, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__grant_reply__field_indices_by_name[] = {
   3,   /* field[3] = address */
   5,   /* field[5] = basis_us */
   2,   /* field[2] = endpoint */
   4,   /* field[4] = fence */
+  10,   /* field[10] = holder */
   7,   /* field[7] = reason */
   0,   /* field[0] = request */
   6,   /* field[6] = retry_after_ms */
@@ -2734,7 +2760,7 @@
 static const ProtobufCIntRange wire__grant_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__grant_reply__descriptor =
 {
@@ -2744,7 +2770,7 @@
   "Wire__GrantReply",
   "wire",
   sizeof(Wire__GrantReply),
-  10,
+  11,
   wire__grant_reply__field_descriptors,
   wire__grant_reply__field_indices_by_name,
   1,  wire__grant_reply__number_ranges,
@@ -3214,7 +3240,7 @@
   (ProtobufCMessageInit) wire__team_rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[12] =
 {
   {
     "seats",
@@ -3324,10 +3350,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__OwnerSummary, n_held),
+    offsetof(Wire__OwnerSummary, held),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dropped",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__OwnerSummary, n_dropped),
+    offsetof(Wire__OwnerSummary, dropped),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_round",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__OwnerSummary, held_round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__owner_summary__field_indices_by_name[] = {
+  10,   /* field[10] = dropped */
   3,   /* field[3] = engines */
   1,   /* field[1] = free */
+  9,   /* field[9] = held */
+  11,   /* field[11] = held_round */
   6,   /* field[6] = leaving */
   2,   /* field[2] = queued */
   8,   /* field[8] = rates */
@@ -3339,7 +3404,7 @@
 static const ProtobufCIntRange wire__owner_summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__owner_summary__descriptor =
 {
@@ -3349,7 +3414,7 @@
   "Wire__OwnerSummary",
   "wire",
   sizeof(Wire__OwnerSummary),
-  9,
+  12,
   wire__owner_summary__field_descriptors,
   wire__owner_summary__field_indices_by_name,
   1,  wire__owner_summary__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -449,10 +449,14 @@
    * names the run towards the endpoint
    */
   char *run;
+  /*
+   * by an owner, to this one; it hands on no more
+   */
+  uint32_t handed_to;
 };
 #define WIRE__GRANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wire__GrantReply
@@ -477,10 +481,14 @@
    * part of the wait due to loading
    */
   uint64_t stall_us;
+  /*
+   * elsewhere: this owner has the adapter loaded
+   */
+  uint32_t holder;
 };
 #define WIRE__GRANT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__grant_reply__descriptor) \
-    , 0, WIRE__GRANT_STATUS__GRANT_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, WIRE__GRANT_STATUS__GRANT_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__GrantDone
@@ -623,10 +631,22 @@
   uint32_t wait_ms;
   size_t n_rates;
   Wire__TeamRate **rates;
+  /*
+   * Hashes of adapters' keys: of those loaded with a seat free, the next few
+   * in turn; before them those just loaded. Dropped ones are told once.
+   */
+  size_t n_held;
+  uint32_t *held;
+  size_t n_dropped;
+  uint32_t *dropped;
+  /*
+   * summaries until all have been told
+   */
+  uint32_t held_round;
 };
 #define WIRE__OWNER_SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__owner_summary__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Wire__Envelope methods */
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -621,6 +621,40 @@
 	EXPECT_EQ(loaded, 1u);
 }
 
+/* Loaded away from its home: asked there, or handed on by who was asked. */
+TEST(spread, a_request_goes_to_the_owner_that_has_the_adapter_loaded)
+{
+	for (bool entry_knows : {true, false}) {
+		Cluster c(with_seed(8));
+		ASSERT_TRUE(c.begin());
+		struct node *n = c.instances[0]->node;
+		struct node_peer *home =
+		    node_peer(n, first_owner(c, 0, "t1/a1@1"));
+		uint64_t loads = 0;
+
+		for (uint32_t i = 0; i < 4 * home->seats; i++)
+			node_spread_asked(home, "t1/a1@1");
+		ASSERT_TRUE(c.wait(c.complete(0, "a1")));
+		c.run_for(2000000);
+		if (!entry_knows)
+			for (size_t i = 0; i < map_count(n->holders); i++)
+				memset(((struct node_holder *)map_at(
+					    n->holders, i))
+					   ->until_us,
+				    0, sizeof(uint64_t[NODE_HOLDERS_MAX]));
+		EXPECT_EQ(
+		    first_owner(c, 0, "t1/a1@1") == home->id, !entry_knows);
+		Request *r = c.complete(0, "a1");
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 200) << r->answer;
+		for (auto &e : c.endpoints)
+			loads += e->loads;
+		EXPECT_EQ(loads, 1u) << entry_knows;
+		EXPECT_EQ(map_count(n->asks), 0u);
+		EXPECT_EQ(c.check(), "");
+	}
+}
+
 TEST(rate, a_teams_limit_holds_over_all_entries)
 {
 	struct {
