A request is handed on once: one that came back stays

Cause: with one engine leaving and another owner still believing that its adapter is loaded there, the ask came back, was handed on again and refused for want of owners. Conclusion: an ask with an earlier attempt is not handed on.

--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -175,12 +175,15 @@
 	return true;
 }
 
-/* One that was handed on stays, and so does one that failed elsewhere. */
+/*
+ * One that was handed on stays, and so does one that came back or failed
+ * elsewhere: so each request is handed on at most once.
+ */
 static bool
 ask_stays(const Wire__GrantAsk *ask)
 {
 	return ask->adapter[0] == '\0' || ask->handed_to != 0 ||
-	    ask->n_avoid > 0;
+	    ask->attempt > 0 || ask->n_avoid > 0;
 }
 
 static bool
