bench: 95th and 99th of the load stall of each case

Cause: the report had the mean and the total of the stall only; instances report quantiles since their start, which can't be told apart by case. Ruled out: exact samples (the caller does not know its stall). Buckets of /metrics before and after a case are subtracted; an end is a power of two.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -1,6 +1,7 @@
 """Runs the cases of bench/cases.json; see script/bench."""
 
 import argparse
+import collections
 import concurrent.futures
 import json
 import os
@@ -33,6 +34,23 @@
             sum(h["count"] for h in hists))
 
 
+def stall_quantile(before, after, q):
+    """Upper end in ms of the bucket with the q-quantile of a case's stalls.
+
+    Before and after: counts by instance; a restarted one counts from 0.
+    """
+    counts = collections.Counter()
+    for name, now in after.items():
+        old = before.get(name, {})
+        if any(old.get(end, 0) > n for end, n in now.items()):
+            old = {}
+        for end, n in now.items():
+            counts[end] += n - old.get(end, 0)
+    whole = max(counts.values(), default=0)
+    return 1000 * min((end for end, n in counts.items()
+                       if n >= q * whole > 0), default=0.0)
+
+
 def difference(before, after):
     """Counters of one case; a restarted process counts from 0."""
     out = dict.fromkeys(("loads", "loadFailures", "evictions", "stallMs",
@@ -73,6 +91,9 @@
     out["adaptersPerBatch"] = adapters / steps if steps else 0
     out["engineRefused"] = refused
     out["stallMeanMs"] = out["stallMs"] / max(1, out["stalled"])
+    for percent in (95, 99):
+        out[f"stallP{percent}Ms"] = stall_quantile(
+            before["stallBuckets"], after["stallBuckets"], percent / 100)
     for field in ("served", "refused"):
         out[f"store{field.capitalize()}"] = \
             after["store"][field] - before["store"][field]
--- a/bench/report.py
+++ b/bench/report.py
@@ -21,6 +21,9 @@
     ("between p95 ms", lambda r: r["total"]["betweenTokens"]["p95Ms"],
      "{:.1f}"),
     ("stall mean ms", lambda r: r["counters"]["stallMeanMs"], "{:.0f}"),
+    ("stall p95 / p99 at most ms", lambda r: " / ".join(
+        f"{r['counters'][p]:.0f}" for p in ("stallP95Ms", "stallP99Ms")
+        if p in r["counters"]), "{}"),
     ("stall total s", lambda r: r["counters"]["stallMs"] / 1000, "{:.1f}"),
     ("loads", lambda r: r["counters"]["loads"], "{}"),
     ("evictions", lambda r: r["counters"]["evictions"], "{}"),
@@ -158,7 +161,8 @@
         "arrivals after the case's first seconds; counters are of the whole "
         "case. Jain's index and the gap are of teams of equal weight; the "
         "gap is the largest since the start. Percentiles come from buckets "
-        "that are up to 19% wide.\n",
+        "that are up to 19% wide, those of the stall from buckets whose end "
+        "is twice their start (the end is told; 1 ms: none).\n",
         "Limits: for stall, all slots as one cache with Belady's eviction "
         "and the store's rate over the same trace; for the batch, all that "
         "runs on as few engines as have the seats and slots for it. "
--- a/bench/system.py
+++ b/bench/system.py
@@ -1,5 +1,6 @@
 """A deployment of script/demo, started for a measurement."""
 
+import collections
 import importlib.machinery
 import importlib.util
 import json
@@ -25,6 +26,7 @@
 
 DEMO = load_demo()
 START = threading.Lock()
+STALL_BUCKET = "mulberrypath_load_stall_seconds_bucket{"
 
 
 def bench_examples(name, policy, folder, deadline_ms):
@@ -111,7 +113,21 @@
         store = self.get(self.processes("store")[0]["address"], "/fake/state")
         return {"instances": {s["instance"]: s for s in instances if s},
                 "engines": {n: e for n, e in engines.items() if e},
-                "store": store}
+                "store": store, "stallBuckets": self.stall_buckets()}
+
+    def stall_buckets(self):
+        """Cumulative counts of load stalls by instance and bucket end, s."""
+        out = {}
+        for p in self.processes("instance"):
+            counts = collections.Counter()
+            for line in DEMO.call("GET", p["address"], "/metrics",
+                                  seconds=5)[2].splitlines():
+                name, _, value = line.rpartition(" ")
+                if name.startswith(STALL_BUCKET):
+                    end = name.rpartition('le="')[2].rstrip('"}')
+                    counts[float(end.replace("+Inf", "inf"))] += float(value)
+            out[p["name"]] = counts
+        return out
 
     def load(self, trace, report, *more):
         """Send a trace; the report as JSON."""
