sched: a flooding team's stall weighs by its share when permits are leased

The leader splits the rate by the stall that waits at each owner, and the flood's stall counted whole: it drew the rate to its owners. Ruled out: seats (the queue for them adds 35 ms of 93), the engine's batch (27 ms), no place or a dear eviction (0.1 s), the rate left with owners that don't wait (0.3 to 0.5 of 2.5/s; loads went at 2.2 to 2.5/s all the time).

--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -186,6 +186,7 @@
 struct sched_demand {
 	uint32_t waiting;
 	uint64_t stall_us; /* already suffered by the waiting requests */
+	uint64_t weighted_us; /* of it, by the cube of each team's share */
 	uint32_t in_flight;
 };
 void sched_get_demand(
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -315,6 +315,8 @@
 {
 	const struct adapter *a;
 	const struct flow *f;
+	uint64_t stall;
+	double share;
 	uint32_t i;
 
 	memset(out, 0, sizeof(*out));
@@ -328,11 +330,15 @@
 		}
 	}
 	for (i = 0; i < s->nactive; i++) {
+		share = team_share(s, s->active[i], now_us);
 		for (f = s->active[i]->flows; f != NULL; f = f->team_next) {
 			a = f->adapter;
 			if (a->service || a->loaded > 0 || f != a->flows)
 				continue;
-			out->stall_us += a->waiting * now_us - a->waiting_sum;
+			stall = a->waiting * now_us - a->waiting_sum;
+			out->stall_us += stall;
+			out->weighted_us +=
+			    (uint64_t)(share * share * share * (double)stall);
 		}
 	}
 }
--- a/tests/sched/sched_load_test.cc
+++ b/tests/sched/sched_load_test.cc
@@ -77,6 +77,22 @@
 	EXPECT_EQ("L:t/a@1@e1", Short());
 }
 
+TEST_F(SchedLoad, StallOfATeamAboveItsShareWeighsLessForPermits)
+{
+	sched_demand d;
+
+	sched_set_permits(s, now, 0, 0);
+	Engine("e1");
+	for (uint64_t id = 1; id <= 10; id++)
+		Ask(id, "busy", "busy/a@1");
+	Ask(11, "quiet", "quiet/b@1");
+	EXPECT_EQ("", Short());
+	sched_get_demand(s, now + 1000, &d);
+	EXPECT_EQ(11000u, d.stall_us);
+	EXPECT_LT(d.weighted_us, 3000u); /* 0.55 cubed of 10000, and 1000 */
+	EXPECT_GE(d.weighted_us, 2000u);
+}
+
 TEST_F(SchedLoad, LoadOnALostEndpointStillCountsForAWhile)
 {
 	sched_set_permits(s, now, 1, 1000000);
