--- a/bench/bench.py
+++ b/bench/bench.py
@@ -234,12 +234,15 @@
         models = limits.read_models(traces.file(name, case))
         both = limits.read_models(traces.file(name, warm),
                                   -warm["seconds"]) + models
-        store = limits.Store(float(shape["storeRate"]), IN_FLIGHT, LOAD_S)
-        store.at = -warm["seconds"]
+
+        def stall(limit):
+            store = limits.Store(float(shape["storeRate"]), IN_FLIGHT, LOAD_S)
+            store.at = -warm["seconds"]
+            return limit(both, shape["engines"] * SLOTS, store, 0,
+                         cases["deadlineMs"] / 1000)
         out[case["name"]] = {
-            "stall": limits.belady_stall(
-                both, shape["engines"] * SLOTS, store, 0,
-                cases["deadlineMs"] / 1000),
+            "stall": stall(limits.belady_stall),
+            "popularStall": stall(limits.popular_stall),
             "packedBatch": limits.packed_batch(
                 models, shape["engines"], SEATS, SLOTS)}
     return out
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -1,6 +1,7 @@
 """Limits worked out from a trace alone, which no real policy can pass."""
 
 import bisect
+import collections
 import heapq
 import json
 import math
@@ -49,21 +50,39 @@
 
 
 def belady_stall(requests, slots, store, count_from, deadline_s):
-    """Stall in seconds of requests from a time on, and the loads made.
-
-    All slots form one cache; what is needed again latest goes first.
-    """
+    """The stall when what is needed again latest is evicted first."""
     uses = {}
     for t, key, _, _ in requests:
         uses.setdefault(key, []).append(t)
+
+    def next_use(key, now):
+        at = bisect.bisect_left(uses[key], now)
+        return uses[key][at] if at < len(uses[key]) else math.inf
+    return cache_stall(requests, slots, store, count_from, deadline_s,
+                       next_use)
+
+
+def popular_stall(requests, slots, store, count_from, deadline_s):
+    """The stall when what the trace asks for least often is evicted first.
+
+    Its misses are the least of a policy that knows how popular each adapter
+    is, but not when it is asked for, if requests are independent.
+    """
+    count = collections.Counter(key for _, key, _, _ in requests)
+    return cache_stall(requests, slots, store, count_from, deadline_s,
+                       lambda key, now: -count[key])
+
+
+def cache_stall(requests, slots, store, count_from, deadline_s, rank):
+    """Stall in seconds of requests from a time on, and the loads made.
+
+    All slots form one cache; what ranks highest is evicted first.
+    """
     ready, stall, counted, loads = {}, 0.0, 0, 0
     for t, key, _, _ in requests:
         if key not in ready:
             if len(ready) >= slots:
-                def next_use(k):
-                    at = bisect.bisect_left(uses[k], t)
-                    return uses[k][at] if at < len(uses[k]) else math.inf
-                del ready[max(ready, key=next_use)]
+                del ready[max(ready, key=lambda k: rank(k, t))]
             ready[key] = store.load(t)
             loads += t >= count_from
         if t >= count_from:
--- a/bench/report.py
+++ b/bench/report.py
@@ -48,19 +48,20 @@
 
 
 def case_table(policies, limit, case):
+    stalls = [limit[k] for k in ("stall", "popularStall") if k in limit]
+    limits = {
+        "stall total s": [f"{s['totalS']:.1f}" for s in stalls],
+        "stall mean ms": [f"{s['meanMs']:.0f}" for s in stalls],
+        "loads": [f"{s['loads']}" for s in stalls],
+        "mean batch": [f"{limit['packedBatch']:.2f}"]}
     rows = []
     for title, value, form in COLUMNS:
+        cells = limits.get(title, [])
         rows.append([title] + [form.format(value(results[case]))
-                               for results in policies.values()] + [""])
-        if title == "stall total s":
-            rows[-1][-1] = f"{limit['stall']['totalS']:.1f}"
-        if title == "stall mean ms":
-            rows[-1][-1] = f"{limit['stall']['meanMs']:.0f}"
-        if title == "mean batch":
-            rows[-1][-1] = f"{limit['packedBatch']:.2f}"
-        if title == "loads":
-            rows[-1][-1] = f"{limit['stall']['loads']}"
-    return table([case, *policies, "limit"], rows)
+                               for results in policies.values()] +
+                    cells + [""] * (len(stalls) - len(cells)))
+    heads = ["limit", "known popularity"][:len(stalls)]
+    return table([case, *policies, *heads], rows)
 
 
 def team_row(result, team):
@@ -166,6 +167,8 @@
         "Limits: for stall, all slots as one cache with Belady's eviction "
         "and the store's rate over the same trace; for the batch, all that "
         "runs on as few engines as have the seats and slots for it. "
+        "Known popularity: the same cache and store, but what the trace asks "
+        "for least often is evicted first; no target is set by it. "
         "100% is the store's capacity for this popularity: most seats are "
         "empty there. Case seats-90 asks for 90% of all seats, with a "
         "popularity (Zipf 2.2) that the store can follow.\n"]
