--- /dev/null
+++ b/tests/node/spread_test.cc
@@ -0,0 +1,149 @@
+#include <gtest/gtest.h>
+
+#include "node/node_fixture.h"
+
+TEST(spread, a_hot_adapter_overflows_to_other_owners)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	std::set<int> owners;
+
+	for (int i = 0; i < 60; i++) {
+		(void)c.complete(i % 5, "a1", true, 100);
+		c.run_for(50000);
+		for (auto &e : c.endpoints)
+			if (!e->runs.empty())
+				owners.insert(c.owner_of(e->id));
+	}
+	EXPECT_GE(owners.size(), 2u);
+	EXPECT_EQ(c.check(), "");
+}
+
+/* What one team asks for beyond its share moves no other team's requests. */
+TEST(spread, a_flood_moves_only_its_own_team)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	auto first = [&](const std::string &key) {
+		return first_owner(c, 0, key);
+	};
+	uint32_t home = first("t1/a1@1");
+	std::string quiet = "t2/a0@1";
+
+	for (int i = 1; i < 50 && first(quiet) != home; i++)
+		quiet = "t2/a" + std::to_string(i) + "@1";
+	ASSERT_EQ(first(quiet), home);
+	for (int i = 0; i < 100 && first("t1/a1@1") == home; i++) {
+		(void)c.complete(0, "a1", true, 400);
+		c.run_for(20000);
+	}
+	EXPECT_NE(first("t1/a1@1"), home);
+	EXPECT_EQ(first(quiet), home);
+	EXPECT_EQ(c.check(), "");
+}
+
+TEST(spread, a_team_counts_by_the_less_of_its_share_and_the_owners_load)
+{
+	Cluster c(with_seed(7));
+	ASSERT_TRUE(c.begin());
+	struct node *n = c.instances[0]->node;
+	uint32_t home = first_owner(c, 0, "t1/a1@1");
+	struct node_peer *peer = node_peer(n, home);
+	/* far beyond its share, of an owner that has room */
+	(void)map_set(peer->team_loads, "t1", 2, (void *)(uintptr_t)5000);
+	EXPECT_EQ(first_owner(c, 0, "t1/a1@1"), home);
+	/* what was asked since the owner told counts too */
+	(void)map_set(peer->team_loads, "t1", 2, (void *)(uintptr_t)1);
+	for (uint32_t i = 0; i < 2 * peer->seats; i++)
+		node_spread_asked(peer, "t1/a1@1");
+	EXPECT_NE(first_owner(c, 0, "t1/a1@1"), home);
+}
+
+TEST(spread, a_quiet_adapter_stays_at_its_home)
+{
+	Cluster c(with_seed(8));
+	ASSERT_TRUE(c.begin());
+	size_t loaded = 0;
+
+	for (int i = 0; i < 20; i++) {
+		Request *r = c.complete(i % 5, "a1", false, 4);
+
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 200);
+	}
+	for (auto &e : c.endpoints)
+		loaded += e->slots.count("t1/a1@1");
+	EXPECT_EQ(loaded, 1u);
+}
+
+/* Loaded away from its home: asked there, or handed on by who was asked. */
+TEST(spread, a_request_goes_to_the_owner_that_has_the_adapter_loaded)
+{
+	for (bool entry_knows : {true, false}) {
+		Cluster c(with_seed(8));
+		ASSERT_TRUE(c.begin());
+		struct node *n = c.instances[0]->node;
+		struct node_peer *home =
+		    node_peer(n, first_owner(c, 0, "t1/a1@1"));
+		uint64_t loads = 0;
+
+		for (uint32_t i = 0; i < 4 * home->seats; i++)
+			node_spread_asked(home, "t1/a1@1");
+		ASSERT_TRUE(c.wait(c.complete(0, "a1")));
+		c.run_for(2000000);
+		if (!entry_knows)
+			for (size_t i = 0; i < map_count(n->holders); i++)
+				memset(((struct node_holder *)map_at(
+					    n->holders, i))
+					   ->until_us,
+				    0, sizeof(uint64_t[NODE_HOLDERS_MAX]));
+		EXPECT_EQ(
+		    first_owner(c, 0, "t1/a1@1") == home->id, !entry_knows);
+		Request *r = c.complete(0, "a1");
+		ASSERT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, 200) << r->answer;
+		for (auto &e : c.endpoints)
+			loads += e->loads;
+		EXPECT_EQ(loads, 1u) << entry_knows;
+		EXPECT_EQ(map_count(n->asks), 0u);
+		EXPECT_EQ(c.check(), "");
+	}
+}
+
+TEST(rate, a_teams_limit_holds_over_all_entries)
+{
+	struct {
+		int entries; /* that its callers use */
+		double least, most; /* admitted a second, limit 10 */
+	} cases[] = {{1, 9.0, 11.0}, {2, 8.0, 12.0}, {5, 8.0, 12.5}};
+
+	for (auto &t : cases) {
+		Cluster c(with_seed(9));
+		ASSERT_TRUE(c.begin());
+		std::string text = Cluster::document("t1", 1);
+		text.insert(1, "\"limits\": {\"requestsPerSecond\": 10}, ");
+		Request *put = c.put_document(0, "t1", 1, "limit", text);
+		ASSERT_TRUE(c.wait(put));
+		ASSERT_EQ(put->status, 200) << put->answer;
+		c.run_for(2000000);
+		std::vector<Request *> sent;
+
+		/* the first callers find a full bucket: two at once pass */
+		for (int i = 0; i < 2; i++)
+			sent.push_back(c.send(0, "GET",
+			    "/v1/services/orders/status", "caller", ""));
+		c.run_for(200000);
+		for (Request *r : sent)
+			EXPECT_EQ(r->status, 200) << r->answer;
+		for (int i = 0; i < 800; i++) {
+			sent.push_back(c.send(i % t.entries, "GET",
+			    "/v1/services/orders/status", "caller", ""));
+			c.run_for(25000);
+		}
+		double admitted = 0;
+		for (Request *r : sent)
+			admitted += r->status != 429;
+		EXPECT_GE(admitted / 20.0, t.least) << t.entries;
+		EXPECT_LE(admitted / 20.0, t.most) << t.entries;
+	}
+}
