--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -52,7 +52,7 @@
 	    down->id, (unsigned long long)index);
 	if (claim_apply_down(n->claims, down->id, down->incarnation) > 0)
 		route_claim_review(n->route, n->now, n->fx);
-	node_grant_entry_down(n, down->id, down->incarnation);
+	node_orphan_entry_down(n, down->id, down->incarnation);
 	node_owner_epoch(n, false);
 }
 
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -1,14 +1,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node/node_guard.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
-/* An orphaned pin waits until its grant can no longer be used. */
-#define ORPHAN_WAIT_US	(ROUTE_GRANT_US + MEMBER_FLIGHT_US)
-#define CANCEL_RETRY_US (1000 * 1000ULL)
-
 struct grant_key {
 	uint64_t incarnation;
 	uint64_t ask;
@@ -32,8 +27,8 @@
 	return key;
 }
 
-static struct node_grant *
-grant_find(
+struct node_grant *
+node_grant_find(
     const struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask)
 {
 	struct grant_key key = key_of(entry, incarnation, ask);
@@ -41,8 +36,9 @@
 	return map_get(n->grants_by_ask, &key, sizeof(key));
 }
 
-static struct node_grant *
-grant_add(struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask)
+struct node_grant *
+node_grant_add(
+    struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask)
 {
 	struct grant_key key = key_of(entry, incarnation, ask);
 	struct node_grant *g = mem_alloc(1, sizeof(*g));
@@ -57,8 +53,8 @@
 	return g;
 }
 
-static void
-grant_remove(struct node *n, struct node_grant *g)
+void
+node_grant_remove(struct node *n, struct node_grant *g)
 {
 	struct grant_key key = key_of(g->entry, g->entry_incarnation, g->ask);
 
@@ -90,8 +86,8 @@
 	send_reply(n, entry, &reply);
 }
 
-static void
-send_grant(struct node *n, const struct node_grant *g)
+void
+node_grant_send(struct node *n, const struct node_grant *g)
 {
 	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
 	const struct node_endpoint *e = map_get_str(n->endpoints, g->endpoint);
@@ -186,8 +182,8 @@
 	    ask->attempt > 0 || ask->n_avoid > 0;
 }
 
-static bool
-is_current_member(const struct node *n, uint32_t id, uint64_t incarnation)
+bool
+node_grant_is_member(const struct node *n, uint32_t id, uint64_t incarnation)
 {
 	const struct member *m = member_view_find(n->view, id);
 
@@ -198,7 +194,8 @@
 node_grant_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantAsk *ask)
 {
-	struct node_grant *g = grant_find(n, from, incarnation, ask->request);
+	struct node_grant *g =
+	    node_grant_find(n, from, incarnation, ask->request);
 	struct sched_request request = {0};
 
 	n->counters.asks++;
@@ -206,10 +203,10 @@
 		g->basis_us = ask->sent_us;
 		g->touched_us = n->now;
 		if (g->endpoint != NULL)
-			send_grant(n, g);
+			node_grant_send(n, g);
 		return;
 	}
-	if (!is_current_member(n, from, incarnation))
+	if (!node_grant_is_member(n, from, incarnation))
 		return; /* it asks again once its start is known here */
 	if (!node_may_act(n)) {
 		send_refusal(n, from, ask->request,
@@ -219,7 +216,7 @@
 	if (!ask_stays(ask) && sched_lacks(n->sched, ask->adapter) &&
 	    hand_on(n, from, ask->request, ask->adapter))
 		return;
-	g = grant_add(n, from, incarnation, ask->request);
+	g = node_grant_add(n, from, incarnation, ask->request);
 	g->basis_us = ask->sent_us;
 	g->stays = ask_stays(ask);
 	if (ask->adapter[0] != '\0')
@@ -237,7 +234,8 @@
 	static const enum sched_outcome outcomes[] = {SCHED_DELIVERED,
 	    SCHED_FAILED, SCHED_CANCELLED, SCHED_NOT_SENT, SCHED_NOT_LOADED,
 	    SCHED_BUSY};
-	struct node_grant *g = grant_find(n, from, incarnation, done->request);
+	struct node_grant *g =
+	    node_grant_find(n, from, incarnation, done->request);
 	struct sched_usage usage = {0};
 
 	if (g == NULL)
@@ -250,7 +248,7 @@
 	usage.first_us = done->first_us;
 	usage.total_us = done->total_us;
 	sched_done(n->sched, n->now, g->id, &usage);
-	grant_remove(n, g);
+	node_grant_remove(n, g);
 	n->owner_due = true;
 }
 
@@ -268,13 +266,13 @@
 		g->wait_us = d->wait_us;
 		g->stall_us = d->stall_us;
 		n->counters.grants++;
-		send_grant(n, g);
+		node_grant_send(n, g);
 		return;
 	}
 	if (d->type == SCHED_REFUSE && !g->stays &&
 	    strcmp(d->reason, "deadline") == 0 &&
 	    hand_on(n, g->entry, g->ask, g->adapter)) {
-		grant_remove(n, g);
+		node_grant_remove(n, g);
 		return;
 	}
 	if (d->type == SCHED_REFUSE)
@@ -284,7 +282,7 @@
 	else
 		send_refusal(n, g->entry, g->ask,
 		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "no-endpoint", 0);
-	grant_remove(n, g);
+	node_grant_remove(n, g);
 }
 
 /* Hand on what waits for a load here and need not elsewhere. */
@@ -302,193 +300,7 @@
 		    !hand_on(n, g->entry, g->ask, g->adapter))
 			continue;
 		sched_done(n->sched, n->now, g->id, &cancelled);
-		grant_remove(n, g);
+		node_grant_remove(n, g);
 		n->owner_due = true;
 	}
 }
-
-/* A request that runs on an endpoint taken over from another owner. */
-static void
-adopt_pin(
-    struct node *n, uint32_t from, uint64_t incarnation, const Wire__Pin *pin)
-{
-	struct node_grant *g;
-
-	if (map_get_str(n->endpoints, pin->endpoint) == NULL ||
-	    !is_current_member(n, from, incarnation))
-		return;
-	g = grant_add(n, from, incarnation, pin->request);
-	g->endpoint = mem_string(pin->endpoint);
-	g->granted_us = n->now;
-	if (pin->adapter[0] != '\0')
-		g->adapter = mem_string(pin->adapter);
-	g->run = mem_string(pin->run);
-	sched_adopt(
-	    n->sched, n->now, g->id, pin->team, pin->endpoint, g->adapter);
-}
-
-/* Grants that the entry takes to be known here; false when one is not. */
-static bool
-touch_known(struct node *n, uint32_t from, uint64_t incarnation,
-    const Wire__GrantTouch *touch)
-{
-	struct node_grant *g;
-	bool known = true;
-	size_t i;
-
-	for (i = 0; i < touch->n_known; i++) {
-		g = grant_find(n, from, incarnation, touch->known[i]);
-		if (g == NULL) {
-			known = false;
-			continue;
-		}
-		g->touched_us = n->now;
-		g->basis_us = touch->sent_us;
-	}
-	return known;
-}
-
-/* Asks that the entry takes to wait here; those that do not are gathered. */
-static size_t
-touch_waiting(struct node *n, uint32_t from, uint64_t incarnation,
-    const Wire__GrantTouch *touch, uint64_t *missing)
-{
-	struct node_grant *g;
-	size_t i, count = 0;
-
-	for (i = 0; i < touch->n_waiting; i++) {
-		g = grant_find(n, from, incarnation, touch->waiting[i]);
-		if (g == NULL) {
-			missing[count++] = touch->waiting[i];
-			continue;
-		}
-		g->touched_us = n->now;
-		g->basis_us = touch->sent_us;
-		if (g->endpoint != NULL)
-			send_grant(n, g);
-	}
-	return count;
-}
-
-/* Tell an entry what of a touch is not known here, if anything. */
-static void
-answer_touch(struct node *n, uint32_t to, uint64_t incarnation,
-    const Wire__GrantTouch *heard)
-{
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
-
-	touch.ask_again = mem_alloc(heard->n_waiting, sizeof(uint64_t));
-	touch.n_ask_again =
-	    touch_waiting(n, to, incarnation, heard, touch.ask_again);
-	touch.all = !touch_known(n, to, incarnation, heard);
-	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
-	envelope.touch = &touch;
-	if (touch.all || touch.n_ask_again > 0)
-		node_peer_send(n, to, &envelope);
-	free(touch.ask_again);
-}
-
-void
-node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
-    const Wire__GrantTouch *touch)
-{
-	struct node_grant *g;
-	const Wire__Pin *pin;
-	size_t i;
-
-	if (touch->all)
-		node_entry_on_touch_all(n, from);
-	for (i = 0; i < touch->n_ask_again; i++)
-		node_entry_on_ask_again(n, touch->ask_again[i]);
-	answer_touch(n, from, incarnation, touch);
-	for (i = 0; i < touch->n_pins; i++) {
-		pin = touch->pins[i];
-		g = grant_find(n, from, incarnation, pin->request);
-		if (g != NULL) {
-			g->touched_us = n->now;
-			g->basis_us = touch->sent_us;
-		} else if (pin->endpoint[0] != '\0') {
-			adopt_pin(n, from, incarnation, pin);
-		}
-	}
-}
-
-/* An entry's process has ended: drop what it waits for, keep its pins. */
-void
-node_grant_entry_down(struct node *n, uint32_t entry, uint64_t incarnation)
-{
-	struct sched_usage cancelled = {.outcome = SCHED_CANCELLED};
-	struct node_grant *g;
-	size_t i = map_count(n->grants);
-
-	while (i-- > 0) {
-		g = map_at(n->grants, i);
-		if (g->entry != entry || g->entry_incarnation != incarnation)
-			continue;
-		if (g->endpoint == NULL || !node_guards.orphan_pins) {
-			sched_done(n->sched, n->now, g->id, &cancelled);
-			grant_remove(n, g);
-		} else {
-			g->orphaned_us = n->now;
-		}
-	}
-	n->owner_due = true;
-}
-
-/* A dead entry's run can't begin any more; is it to be cancelled now? */
-bool
-node_grant_cancel_due(const struct node *n, const struct node_grant *g)
-{
-	return g->orphaned_us != 0 && g->adapter != NULL &&
-	    n->now >= g->orphaned_us + ORPHAN_WAIT_US && n->now >= g->cancel_us;
-}
-
-/* The cancellation of a dead entry's run ended; surely: it runs no more. */
-void
-node_grant_cancelled(struct node *n, uint64_t grant, bool surely)
-{
-	struct sched_usage failed = {.outcome = SCHED_FAILED};
-	struct node_grant *g = map_get_u64(n->grants, grant);
-
-	if (g == NULL)
-		return;
-	if (!surely) {
-		g->cancel_us = n->now + CANCEL_RETRY_US;
-		return;
-	}
-	sched_done(n->sched, n->now, g->id, &failed);
-	grant_remove(n, g);
-}
-
-static uint32_t
-running_on(const struct sched_report *report, const char *adapter)
-{
-	size_t i;
-
-	for (i = 0; adapter != NULL && i < report->slot_count; i++)
-		if (strcmp(report->slots[i].adapter, adapter) == 0)
-			return report->slots[i].running;
-	return 0;
-}
-
-/* Pins of dead entries go once the endpoint itself shows no such run. */
-void
-node_grant_report(
-    struct node *n, const char *endpoint, const struct sched_report *report)
-{
-	struct sched_usage failed = {.outcome = SCHED_FAILED};
-	struct node_grant *g;
-	size_t i = map_count(n->grants);
-
-	while (i-- > 0) {
-		g = map_at(n->grants, i);
-		if (g->orphaned_us == 0 || g->endpoint == NULL ||
-		    strcmp(g->endpoint, endpoint) != 0 ||
-		    report->as_of_us < g->orphaned_us + ORPHAN_WAIT_US ||
-		    running_on(report, g->adapter) > 0)
-			continue;
-		sched_done(n->sched, n->now, g->id, &failed);
-		grant_remove(n, g);
-	}
-}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -415,20 +415,32 @@
     const Wire__GrantAsk *ask);
 void node_grant_on_done(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantDone *done);
+void node_grant_decided(struct node *n, const struct sched_decision *d);
+void node_grant_hand_on(struct node *n);
+uint32_t node_grant_owners(const struct node *n);
+bool node_grant_is_member(
+    const struct node *n, uint32_t id, uint64_t incarnation);
+struct node_grant *node_grant_find(
+    const struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask);
+struct node_grant *node_grant_add(
+    struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask);
+void node_grant_remove(struct node *n, struct node_grant *g);
+void node_grant_send(struct node *n, const struct node_grant *g);
+void node_grant_free(struct node_grant *g);
+
+/* node_touch.c */
+void node_touch_receive(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__GrantTouch *touch);
 void node_entry_on_touch_all(struct node *n, uint32_t from);
 void node_entry_on_ask_again(struct node *n, uint64_t id);
-void node_grant_on_touch(struct node *n, uint32_t from, uint64_t incarnation,
-    const Wire__GrantTouch *touch);
-void node_grant_decided(struct node *n, const struct sched_decision *d);
-void node_grant_entry_down(
+
+/* node_orphan.c: pins of entries whose process has ended */
+void node_orphan_entry_down(
     struct node *n, uint32_t entry, uint64_t incarnation);
-void node_grant_report(
+bool node_orphan_cancel_due(const struct node *n, const struct node_grant *g);
+void node_orphan_cancelled(struct node *n, uint64_t grant, bool surely);
+void node_orphan_report(
     struct node *n, const char *endpoint, const struct sched_report *report);
-void node_grant_free(struct node_grant *g);
-void node_grant_cancelled(struct node *n, uint64_t grant, bool surely);
-bool node_grant_cancel_due(const struct node *n, const struct node_grant *g);
-void node_grant_hand_on(struct node *n);
-uint32_t node_grant_owners(const struct node *n);
 
 /* node_entry.c: the route's needs, touches, summaries */
 extern const struct route_ops node_route_ops;
--- a/src/node/node_order.c
+++ b/src/node/node_order.c
@@ -90,7 +90,7 @@
 	struct node_order *order = map_remove_u64(n->orders, call);
 
 	if (order->cancels != 0) {
-		node_grant_cancelled(n, order->cancels, ok);
+		node_orphan_cancelled(n, order->cancels, ok);
 		node_order_free(order);
 		n->owner_due = true;
 		return;
--- /dev/null
+++ b/src/node/node_orphan.c
@@ -0,0 +1,89 @@
+#include <string.h>
+
+#include "node/node_guard.h"
+#include "node/node_internal.h"
+
+/* Pins of entries whose process has ended. */
+
+/* An orphaned pin waits until its grant can no longer be used. */
+#define ORPHAN_WAIT_US	(ROUTE_GRANT_US + MEMBER_FLIGHT_US)
+#define CANCEL_RETRY_US (1000 * 1000ULL)
+
+/* An entry's process has ended: drop what it waits for, keep its pins. */
+void
+node_orphan_entry_down(struct node *n, uint32_t entry, uint64_t incarnation)
+{
+	struct sched_usage cancelled = {.outcome = SCHED_CANCELLED};
+	struct node_grant *g;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->entry != entry || g->entry_incarnation != incarnation)
+			continue;
+		if (g->endpoint == NULL || !node_guards.orphan_pins) {
+			sched_done(n->sched, n->now, g->id, &cancelled);
+			node_grant_remove(n, g);
+		} else {
+			g->orphaned_us = n->now;
+		}
+	}
+	n->owner_due = true;
+}
+
+/* A dead entry's run can't begin any more; is it to be cancelled now? */
+bool
+node_orphan_cancel_due(const struct node *n, const struct node_grant *g)
+{
+	return g->orphaned_us != 0 && g->adapter != NULL &&
+	    n->now >= g->orphaned_us + ORPHAN_WAIT_US && n->now >= g->cancel_us;
+}
+
+/* The cancellation of a dead entry's run ended; surely: it runs no more. */
+void
+node_orphan_cancelled(struct node *n, uint64_t grant, bool surely)
+{
+	struct sched_usage failed = {.outcome = SCHED_FAILED};
+	struct node_grant *g = map_get_u64(n->grants, grant);
+
+	if (g == NULL)
+		return;
+	if (!surely) {
+		g->cancel_us = n->now + CANCEL_RETRY_US;
+		return;
+	}
+	sched_done(n->sched, n->now, g->id, &failed);
+	node_grant_remove(n, g);
+}
+
+static uint32_t
+running_on(const struct sched_report *report, const char *adapter)
+{
+	size_t i;
+
+	for (i = 0; adapter != NULL && i < report->slot_count; i++)
+		if (strcmp(report->slots[i].adapter, adapter) == 0)
+			return report->slots[i].running;
+	return 0;
+}
+
+/* Pins of dead entries go once the endpoint itself shows no such run. */
+void
+node_orphan_report(
+    struct node *n, const char *endpoint, const struct sched_report *report)
+{
+	struct sched_usage failed = {.outcome = SCHED_FAILED};
+	struct node_grant *g;
+	size_t i = map_count(n->grants);
+
+	while (i-- > 0) {
+		g = map_at(n->grants, i);
+		if (g->orphaned_us == 0 || g->endpoint == NULL ||
+		    strcmp(g->endpoint, endpoint) != 0 ||
+		    report->as_of_us < g->orphaned_us + ORPHAN_WAIT_US ||
+		    running_on(report, g->adapter) > 0)
+			continue;
+		sched_done(n->sched, n->now, g->id, &failed);
+		node_grant_remove(n, g);
+	}
+}
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -94,7 +94,7 @@
 		sched_endpoint_takeover(
 		    n->sched, n->now, e->id, n->now + TAKEOVER_WAIT_US);
 	e->scheduled = true;
-	node_grant_report(n, e->id, &a->report);
+	node_orphan_report(n, e->id, &a->report);
 	n->owner_due = true;
 }
 
@@ -272,7 +272,7 @@
 	n->grants_us = n->now + i * NODE_SCAN_STEP_US;
 	while (i-- > 0) {
 		g = map_at(n->grants, i);
-		if (node_grant_cancel_due(n, g) && is_ours(n, g->endpoint)) {
+		if (node_orphan_cancel_due(n, g) && is_ours(n, g->endpoint)) {
 			node_order_cancel(n, g);
 			continue;
 		}
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -137,7 +137,7 @@
 		node_grant_on_done(n, from, e->incarnation, e->done);
 		break;
 	case WIRE__ENVELOPE__BODY_TOUCH:
-		node_grant_on_touch(n, from, e->incarnation, e->touch);
+		node_touch_receive(n, from, e->incarnation, e->touch);
 		break;
 	case WIRE__ENVELOPE__BODY_REPORT:
 		receive_report(n, e->report);
