node: touches of both sides in one file, summaries in another

Change: moved, not changed: node_touch.c has both halves, node_summary.c what owners tell each other. Two functions became static.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -431,8 +431,7 @@
 /* node_touch.c */
 void node_touch_receive(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__GrantTouch *touch);
-void node_entry_on_touch_all(struct node *n, uint32_t from);
-void node_entry_on_ask_again(struct node *n, uint64_t id);
+void node_touch_owners(struct node *n);
 
 /* node_orphan.c: pins of entries whose process has ended */
 void node_orphan_entry_down(
@@ -442,11 +441,15 @@
 void node_orphan_report(
     struct node *n, const char *endpoint, const struct sched_report *report);
 
-/* node_entry.c: the route's needs, touches, summaries */
+/* node_entry.c: what the route needs of others */
+void node_entry_on_ask_again(struct node *n, uint64_t id);
 extern const struct route_ops node_route_ops;
 void node_entry_on_grant(struct node *n, const Wire__GrantReply *reply);
 void node_entry_tick(struct node *n);
-void node_entry_on_summary(
+
+/* node_summary.c: what owners tell each other of themselves */
+void node_summary_send(struct node *n);
+void node_summary_receive(
     struct node *n, uint32_t from, const Wire__OwnerSummary *summary);
 
 /* node_usage.c: what teams used, told among owners */
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -143,7 +143,7 @@
 		receive_report(n, e->report);
 		break;
 	case WIRE__ENVELOPE__BODY_SUMMARY:
-		node_entry_on_summary(n, from, e->summary);
+		node_summary_receive(n, from, e->summary);
 		break;
 	default:
 		n->counters.malformed++;
--- a/src/node/node_touch.c
+++ b/src/node/node_touch.c
@@ -3,11 +3,166 @@
 #include "node/node_internal.h"
 #include "util/mem.h"
 
+#define TOUCH_PINS_MAX 512
+
 /*
  * Touches: an entry tells owners what it takes to wait and to run there, and
  * an owner tells it what of that is not known.
  */
 
+/* ---- at the entry -------------------------------------------------------- */
+
+/* An open ask or grant and the owner to be told of it. */
+struct touch {
+	uint32_t owner;
+	bool all; /* in full: the owner is new to it */
+	size_t open;
+};
+
+/* The owner to which an open ask or grant belongs now. */
+static void
+open_owner(struct node *n, const struct route_open *open, struct touch *touch)
+{
+	struct node_ask *ask = map_get_u64(n->asks, open->ask);
+	uint32_t owner;
+
+	if (ask == NULL)
+		return;
+	if (open->endpoint != NULL) {
+		owner = node_owner_of(n, n->settings->region, open->endpoint);
+		if (owner != 0 && owner != ask->owner) {
+			ask->owner = owner;
+			ask->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+		}
+	}
+	touch->owner = ask->owner;
+	touch->all = n->now < ask->touch_all_until;
+}
+
+static int
+compare_touches(const void *a, const void *b)
+{
+	const struct touch *x = a, *y = b;
+
+	if (x->owner != y->owner)
+		return x->owner < y->owner ? -1 : 1;
+	return x->open < y->open ? -1 : x->open > y->open;
+}
+
+/* What one touch tells, as it is filled. */
+struct touch_list {
+	Wire__Pin pins[TOUCH_PINS_MAX];
+	Wire__Pin *refs[TOUCH_PINS_MAX];
+	uint64_t known[TOUCH_PINS_MAX], waiting[TOUCH_PINS_MAX];
+	size_t npins, nknown, nwaiting;
+};
+
+static size_t
+touch_count(const struct touch_list *list)
+{
+	return list->npins + list->nknown + list->nwaiting;
+}
+
+static void
+touch_add(struct node *n, struct touch_list *list, size_t i, bool all)
+{
+	struct route_open open;
+	Wire__GrantAsk ask;
+	Wire__Pin *pin = &list->pins[list->npins];
+
+	route_open_at(n->route, i, &open);
+	if (route_fill_ask(n->route, n->now, open.ask, &ask)) {
+		list->waiting[list->nwaiting++] = open.ask;
+		return;
+	}
+	if (!all) {
+		list->known[list->nknown++] = open.ask;
+		return;
+	}
+	wire__pin__init(pin);
+	pin->request = open.ask;
+	if (open.endpoint != NULL)
+		pin->endpoint = (char *)open.endpoint;
+	if (open.adapter != NULL)
+		pin->adapter = (char *)open.adapter;
+	pin->team = (char *)open.team;
+	pin->run = (char *)open.run;
+	list->refs[list->npins++] = pin;
+}
+
+static void
+touch_send(struct node *n, uint32_t to, struct touch_list *list)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__GrantTouch touch = WIRE__GRANT_TOUCH__INIT;
+
+	touch.n_pins = list->npins;
+	touch.pins = list->refs;
+	touch.n_known = list->nknown;
+	touch.known = list->known;
+	touch.n_waiting = list->nwaiting;
+	touch.waiting = list->waiting;
+	touch.sent_us = n->now;
+	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
+	envelope.touch = &touch;
+	node_peer_send(n, to, &envelope);
+	list->npins = list->nknown = list->nwaiting = 0;
+}
+
+/* Touch one owner: of what is open, the first count belong to it. */
+static void
+touch_owner(struct node *n, const struct touch *touches, size_t count)
+{
+	const struct node_peer *peer = node_peer(n, touches[0].owner);
+	bool all = n->now < peer->touch_all_until;
+	struct touch_list list;
+	size_t i;
+
+	list.npins = list.nknown = list.nwaiting = 0;
+	for (i = 0; i < count; i++) {
+		touch_add(n, &list, touches[i].open, all || touches[i].all);
+		if (touch_count(&list) == TOUCH_PINS_MAX)
+			touch_send(n, touches[0].owner, &list);
+	}
+	if (touch_count(&list) > 0)
+		touch_send(n, touches[0].owner, &list);
+}
+
+/* An owner misses a grant that was named by its request alone. */
+static void
+want_all(struct node *n, uint32_t from)
+{
+	node_peer(n, from)->touch_all_until = n->now + NODE_TOUCH_ALL_US;
+	n->touch_us = 0;
+}
+
+void
+node_touch_owners(struct node *n)
+{
+	size_t i, same, count = route_open_count(n->route);
+	struct touch *touches = mem_alloc(count, sizeof(*touches));
+	struct route_open open;
+
+	for (i = 0; i < count; i++) {
+		route_open_at(n->route, i, &open);
+		touches[i].open = i;
+		open_owner(n, &open, &touches[i]);
+	}
+	if (count > 0)
+		qsort(touches, count, sizeof(*touches), compare_touches);
+	for (i = 0; i < count; i += same) {
+		same = 1;
+		while (i + same < count &&
+		    touches[i + same].owner == touches[i].owner)
+			same++;
+		if (member_view_find(n->view, touches[i].owner) != NULL)
+			touch_owner(n, &touches[i], same);
+	}
+	free(touches);
+}
+
+/* ---- at the owner -------------------------------------------------------- */
+
 /* A request that runs on an endpoint taken over from another owner. */
 static void
 adopt_pin(
@@ -99,7 +254,7 @@
 	size_t i;
 
 	if (touch->all)
-		node_entry_on_touch_all(n, from);
+		want_all(n, from);
 	for (i = 0; i < touch->n_ask_again; i++)
 		node_entry_on_ask_again(n, touch->ask_again[i]);
 	answer_touch(n, from, incarnation, touch);
