--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -45,6 +45,16 @@
 	NODE_EV_STOP /* a graceful shutdown is wanted */
 };
 
+/* Where a request came in: the product's own interface or the gateway's. */
+enum node_listener {
+	NODE_LISTEN_OWN,
+	NODE_LISTEN_FRONT, /* callers whose requests are passed through */
+	NODE_LISTEN_READINESS,
+	NODE_LISTEN_CONTROL, /* endpoints and operators */
+	NODE_LISTEN_REGISTRY, /* callers that ask which address to use */
+	NODE_LISTENERS
+};
+
 /* An HTTP request from a caller, an operator or an endpoint. */
 struct node_request {
 	uint64_t request; /* chosen by the executor, unique in its life */
@@ -55,6 +65,9 @@
 	const char *timeout; /* "mulberrypath-timeout-ms" or NULL */
 	struct node_bytes body;
 	const char *content_type; /* header value or NULL */
+	enum node_listener listener;
+	const struct node_header *headers; /* gateway's: all, as they came */
+	size_t nheaders;
 };
 
 enum node_call_phase {
@@ -73,6 +86,10 @@
 	struct node_bytes data; /* DATA only */
 	const char *reason; /* NOT_SENT, BROKEN: short text */
 	const char *content_type; /* HEAD only, header value or NULL */
+	const struct node_header *headers; /* HEAD only: all, as they came */
+	size_t nheaders;
+	bool sized; /* HEAD only: the body is of a stated length */
+	uint64_t length;
 };
 
 struct node_event {
@@ -104,6 +121,9 @@
 	NODE_FX_CALL_CANCEL, /* drop a call; no further event comes from it */
 	NODE_FX_SAVE, /* write to the data folder, sync, report back */
 	NODE_FX_LOG, /* a numbered log event */
+	NODE_FX_LIMITS, /* the front's bounds on callers have changed */
+	NODE_FX_FRONT_CLOSING, /* the front asks callers to leave */
+	NODE_FX_FRONT_CLOSED, /* the front takes no further connection */
 	NODE_FX_EXIT /* the instance has drained and may end */
 };
 
@@ -119,8 +139,12 @@
 	const char *content_type;
 	struct node_header headers[NODE_HEADERS_MAX];
 	size_t nheaders;
+	const struct node_header *passed; /* further ones, unchanged */
+	size_t npassed;
 	struct node_bytes body;
 	bool more; /* REPLY_DATA and REPLY_END follow */
+	bool sized; /* with more: the whole body has this length */
+	uint64_t length;
 };
 
 struct node_call {
@@ -130,11 +154,15 @@
 	const char *path;
 	struct node_header headers[NODE_HEADERS_MAX];
 	size_t nheaders;
+	const struct node_header *passed; /* further ones, unchanged */
+	size_t npassed;
 	struct node_bytes body;
 	uint64_t not_after_us; /* send no byte later than this */
 	uint64_t silence_us; /* BROKEN after so long without a byte */
 	uint64_t first_us; /* the same, before the first byte; 0: silence_us */
 	bool fresh_connection; /* do not reuse an idle connection */
+	bool close_ends; /* an answer without a length ends with its close */
+	uint32_t idle_limit_ms; /* reuse none that was idle longer; 0: any */
 };
 
 enum node_save_kind {
@@ -168,6 +196,12 @@
 	const char *fields; /* JSON object text */
 };
 
+/* LIMITS: 0 keeps what the settings say. */
+struct node_limits {
+	uint32_t header_bytes, body_bytes;
+	uint32_t header_timeout_ms, idle_timeout_ms;
+};
+
 struct node_effect {
 	enum node_effect_type type;
 	union {
@@ -185,6 +219,7 @@
 		uint64_t cancel;
 		struct node_save save;
 		struct node_log log;
+		struct node_limits limits;
 	} u;
 };
 
@@ -210,6 +245,13 @@
 char *node_effects_printf(struct node_effects *fx, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* A copy of headers with their texts. */
+struct node_header *node_effects_headers(
+    struct node_effects *fx, const struct node_header *headers, size_t count);
+
+/* Zeroed memory that lives as long as the effects. */
+void *node_effects_alloc(struct node_effects *fx, size_t len);
+
 /* ---- the reducer ------------------------------------------------------- */
 
 /* What the data folder held; NULL for an instance without one. */
@@ -225,6 +267,8 @@
 	struct node_bytes records; /* as raft.h packs them */
 };
 
+struct gw_codec;
+
 struct node_boot {
 	const struct settings *settings; /* outlives the node */
 	uint64_t incarnation; /* random and not 0; of the process */
@@ -232,6 +276,7 @@
 	uint64_t now_us;
 	uint64_t wall_ms; /* since 1970, at now_us; for reports only */
 	const struct node_disk *disk;
+	const struct gw_codec *codec; /* of the gateway; NULL without one */
 };
 
 /*
--- a/include/mulberrypath/settings.h
+++ b/include/mulberrypath/settings.h
@@ -14,7 +14,7 @@
 /* The settings of one instance, read from its JSON file. */
 
 struct settings_peer {
-	uint32_t id; /* 1 to 65535, unique in the cluster */
+	uint32_t id; /* unique in the cluster */
 	char *bus; /* "ip:port" */
 	char *public_key; /* CURVE key, Z85; NULL without keys */
 	bool voter; /* has a data folder */
@@ -36,6 +36,30 @@
 	SETTINGS_CHARGE_REQUESTS
 };
 
+/*
+ * The gateway: callers' requests passed through by route. A listener that is
+ * NULL is not served by this instance.
+ */
+struct settings_gateway {
+	char *front; /* callers */
+	char *readiness; /* checks of the front */
+	char *control; /* endpoints and operators */
+	char *registry; /* callers that ask which address to use */
+	bool founding; /* this is the cluster's first start */
+	bool fenced; /* endpoints refuse orders with an old fence */
+	uint32_t address_lifetime_ms; /* told to callers */
+	uint32_t heartbeat_ms; /* between announcements of an endpoint */
+	uint32_t drain_ms; /* new work reaches a leaving endpoint so long */
+	uint32_t stop_ms; /* from a stop signal to the end of the process */
+	uint32_t order_lease_ms; /* between orders of different holders */
+	uint32_t retry_ratio_milli; /* repeats allowed for each request */
+	uint32_t retry_extra; /* and besides, in one window */
+	uint32_t retry_window_ms;
+	uint32_t store_window_ms; /* loads from the weight store are counted */
+	uint32_t
+	    store_over_milli; /* in such windows, against rate times this */
+};
+
 struct settings {
 	char *cluster;
 	uint32_t id;
@@ -51,6 +75,14 @@
 	char *tls_certificate, *tls_key; /* file names; NULL: plain HTTP */
 	struct settings_peer *peers; /* all founding instances, self too */
 	size_t npeers;
+	/*
+	 * Instead of peers: addresses of some instances that serve control. The
+	 * port is ignored, as the bus has the same port on every instance. Ids
+	 * are then those instances' IPv4 numbers.
+	 */
+	char **seeds;
+	size_t nseeds;
+	struct settings_gateway gateway;
 	struct settings_operator *operators;
 	size_t noperators;
 	char *endpoint_token_hash; /* hex SHA-256; NULL: none asked */
@@ -102,6 +134,9 @@
 
 void settings_destroy(struct settings *s);
 
+/* Does this instance serve any listener of the gateway? */
+bool settings_has_gateway(const struct settings *s);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -11,9 +11,8 @@
 #include "util/mem.h"
 
 #define ENDPOINT_BYTES_MAX     128
-#define ROUTING_ID_BYTES       4
-#define ROUTING_ID_MARK	       0x80000000u /* ids must not begin with zero */
-#define INSTANCE_ID_MAX	       65535u
+#define ROUTING_ID_BYTES       5
+#define ROUTING_ID_MARK	       'i' /* routing ids must not begin with zero */
 #define MESSAGE_BYTES_MAX      (64 * 1024 * 1024)
 #define SEND_QUEUE_MESSAGES    256
 #define RECEIVE_QUEUE_MESSAGES 1024
@@ -104,9 +103,10 @@
 	}
 	if (zmq_msg_size(routing) != ROUTING_ID_BYTES)
 		return 0;
-	memcpy(&id, zmq_msg_data(routing), sizeof(id));
-	id = ntohl(id) & ~ROUTING_ID_MARK;
-	return id <= INSTANCE_ID_MAX ? id : 0;
+	if (*(const char *)zmq_msg_data(routing) != ROUTING_ID_MARK)
+		return 0;
+	memcpy(&id, (const char *)zmq_msg_data(routing) + 1, sizeof(id));
+	return ntohl(id);
 }
 
 static void
@@ -171,12 +171,14 @@
 static int
 set_peer_identity(const struct bus *b, void *socket, uint32_t id)
 {
-	uint32_t own = htonl(b->settings->id | ROUTING_ID_MARK);
+	char own[ROUTING_ID_BYTES] = {ROUTING_ID_MARK};
+	uint32_t number = htonl(b->settings->id);
 	const char *key;
 
+	memcpy(own + 1, &number, sizeof(number));
 	if (b->zap == NULL)
 		return zmq_setsockopt(
-		    socket, ZMQ_ROUTING_ID, &own, sizeof(own));
+		    socket, ZMQ_ROUTING_ID, own, sizeof(own));
 	key = server_key(b->settings, id);
 	if (key == NULL)
 		return -1;
--- a/src/conf/consistency.c
+++ b/src/conf/consistency.c
@@ -108,6 +108,38 @@
 	}
 }
 
+/* Has a fault been found at a path or below it? */
+static bool
+has_problem(const struct settings_problems *problems, const char *path)
+{
+	size_t i;
+
+	for (i = 0; i < problems->count; i++)
+		if (strncmp(problems->items[i].path, path, strlen(path)) == 0)
+			return true;
+	return false;
+}
+
+/* Instances are listed with their ids, or found by seeds. */
+static void
+check_found(const struct settings *s, struct settings_problems *problems)
+{
+	if (problems->count > 0 && strcmp(problems->items[0].path, "$") == 0)
+		return; /* nothing could be read at all */
+	if (s->nseeds > 0 && s->npeers == 0 && s->bus_advertise != NULL &&
+	    !has_problem(problems, "$.seeds"))
+		settings_problems_add(problems, "$.seeds", "no usable address",
+		    "at least one address");
+	if (s->nseeds > 0)
+		return;
+	if (s->npeers == 0 && !has_problem(problems, "$.peers"))
+		settings_problems_add(
+		    problems, "$.peers", "nothing", SETTINGS_PEERS_ALLOWED);
+	if (s->id == 0 && !has_problem(problems, "$.instance"))
+		settings_problems_add(
+		    problems, "$.instance.id", "nothing", SETTINGS_ID_ALLOWED);
+}
+
 static void
 check_peers(const struct settings *s, struct settings_problems *problems)
 {
@@ -115,6 +147,9 @@
 	bool found_voter = false;
 	size_t i;
 
+	if (s->nseeds > 0)
+		return;
+
 	for (i = 0; i < s->npeers; i++) {
 		check_peer_unique(s, i, problems);
 		check_peer_key(s, i, problems);
@@ -168,6 +203,7 @@
 	    strcmp(s->http_listen, s->bus_listen) == 0)
 		settings_problems_add(problems, "$.bus.listen", s->bus_listen,
 		    "another address than $.http.listen");
+	check_found(s, problems);
 	check_peers(s, problems);
 	check_operators(s, problems);
 }
--- a/src/conf/consistency.h
+++ b/src/conf/consistency.h
@@ -3,6 +3,9 @@
 
 #include "mulberrypath/settings.h"
 
+#define SETTINGS_ID_ALLOWED    "a whole number from 1 to 65535"
+#define SETTINGS_PEERS_ALLOWED "at least one instance, this one included"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,7 +15,6 @@
 #define KEY_ALLOWED	"a CURVE key: 40 characters of Z85"
 #define HASH_ALLOWED	"SHA-256 as 64 hexadecimal digits in lower case"
 #define FILE_ALLOWED	"a file name"
-#define ID_ALLOWED	"a whole number from 1 to 65535"
 #define ID_MAX		65535
 #define READ_CHUNK	65536
 
@@ -39,6 +39,19 @@
 		.max = (hi), .fallback = (otherwise),                          \
 		.allowed = "a whole number from " #lo " to " #hi               \
 	}
+#define MILLI(k, m, lo, hi, otherwise)                                         \
+	{                                                                      \
+		.key = (k), .type = FIELD_MILLI,                               \
+		.offset = offsetof(struct settings, m), .min = (lo),           \
+		.max = (hi), .fallback = (otherwise),                          \
+		.allowed = "a number from " #lo " to " #hi                     \
+	}
+#define FLAG(k, m)                                                             \
+	{                                                                      \
+		.key = (k), .type = FIELD_BOOL,                                \
+		.offset = offsetof(struct settings, m),                        \
+		.allowed = "true or false"                                     \
+	}
 #define CHOICE(k, m, kind, list, otherwise, what)                              \
 	{                                                                      \
 		.key = (k), .type = (kind),                                    \
@@ -54,11 +67,10 @@
 static const struct field instance_fields[] = {
     {.key = "id",
 	.type = FIELD_NUMBER,
-	.required = true,
 	.offset = offsetof(struct settings, id),
 	.min = 1,
 	.max = ID_MAX,
-	.allowed = ID_ALLOWED},
+	.allowed = SETTINGS_ID_ALLOWED},
     TEXT("name", name, true, text_check_name, NAME_ALLOWED),
     TEXT("dataCentre", data_centre, true, text_check_name, NAME_ALLOWED),
     TEXT("region", region, true, text_check_name, NAME_ALLOWED),
@@ -109,7 +121,7 @@
 	.offset = offsetof(struct settings_peer, id),
 	.min = 1,
 	.max = ID_MAX,
-	.allowed = ID_ALLOWED},
+	.allowed = SETTINGS_ID_ALLOWED},
     {.key = "bus",
 	.type = FIELD_TEXT,
 	.required = true,
@@ -186,6 +198,29 @@
     {.key = NULL},
 };
 
+static const struct field gateway_fields[] = {
+    TEXT("front", gateway.front, false, text_check_address, ADDRESS_ALLOWED),
+    TEXT("readiness", gateway.readiness, false, text_check_address,
+	ADDRESS_ALLOWED),
+    TEXT(
+	"control", gateway.control, false, text_check_address, ADDRESS_ALLOWED),
+    TEXT("registry", gateway.registry, false, text_check_address,
+	ADDRESS_ALLOWED),
+    FLAG("founding", gateway.founding),
+    FLAG("fenced", gateway.fenced),
+    NUMBER("addressLifetimeMs", gateway.address_lifetime_ms, 100, 60000, 1000),
+    NUMBER("heartbeatMs", gateway.heartbeat_ms, 50, 60000, 1000),
+    NUMBER("drainMs", gateway.drain_ms, 100, 600000, 2000),
+    NUMBER("stopMs", gateway.stop_ms, 500, 600000, 8000),
+    NUMBER("orderLeaseMs", gateway.order_lease_ms, 0, 600000, 3000),
+    MILLI("retryRatio", gateway.retry_ratio_milli, 0, 10, 0.1),
+    NUMBER("retryExtra", gateway.retry_extra, 0, 1000000, 10),
+    NUMBER("retryWindowMs", gateway.retry_window_ms, 100, 600000, 10000),
+    NUMBER("storeWindowMs", gateway.store_window_ms, 100, 600000, 5000),
+    MILLI("storeOver", gateway.store_over_milli, 0.001, 1000, 1),
+    {.key = NULL},
+};
+
 static const struct field log_fields[] = {
     CHOICE("level", log_level, FIELD_CHOICE_TEXT, log_levels, "info",
 	"\"debug\", \"info\", \"warn\" or \"error\""),
@@ -202,13 +237,19 @@
     TEXT("dataFolder", data_folder, false, text_check_file, FILE_ALLOWED),
     {.key = "peers",
 	.type = FIELD_ARRAY,
-	.required = true,
 	.min = 1,
 	.offset = offsetof(struct settings, peers),
 	.count_offset = offsetof(struct settings, npeers),
 	.fields = peer_fields,
 	.item_size = sizeof(struct settings_peer),
-	.allowed = "at least one instance, this one included"},
+	.allowed = SETTINGS_PEERS_ALLOWED},
+    {.key = "seeds",
+	.type = FIELD_TEXTS,
+	.offset = offsetof(struct settings, seeds),
+	.count_offset = offsetof(struct settings, nseeds),
+	.check = text_check_address,
+	.allowed = "an array of addresses, each " ADDRESS_ALLOWED},
+    OBJECT("gateway", false, gateway_fields),
     {.key = "operators",
 	.type = FIELD_ARRAY,
 	.offset = offsetof(struct settings, operators),
@@ -241,6 +282,68 @@
 	return NULL;
 }
 
+/* The IPv4 number of an address; 0 for what is none. */
+static uint32_t
+address_number(const char *address)
+{
+	char host[INET_ADDRSTRLEN];
+	const char *colon = strrchr(address, ':');
+	struct in_addr number;
+
+	if (colon == NULL || (size_t)(colon - address) >= sizeof(host))
+		return 0;
+	memcpy(host, address, (size_t)(colon - address));
+	host[colon - address] = '\0';
+	return inet_pton(AF_INET, host, &number) == 1 ? ntohl(number.s_addr)
+						      : 0;
+}
+
+/* The bus of the instance that a seed names: its host, this one's port. */
+static char *
+seed_bus(const char *seed, const char *own_bus)
+{
+	struct buf bus = {0};
+
+	buf_append(&bus, seed, (size_t)(strrchr(seed, ':') - seed));
+	buf_puts(&bus, strrchr(own_bus, ':'));
+	return bus.data;
+}
+
+static bool
+has_peer(const struct settings *s, uint32_t id)
+{
+	size_t i;
+
+	for (i = 0; i < s->npeers; i++)
+		if (s->peers[i].id == id)
+			return true;
+	return false;
+}
+
+/* Instances found by seeds: ids are IPv4 numbers, seeds are voters. */
+static void
+fill_from_seeds(struct settings *s)
+{
+	uint32_t id;
+	size_t i;
+
+	if (s->nseeds == 0 || s->npeers > 0 || s->bus_advertise == NULL)
+		return;
+	if (s->id == 0)
+		s->id = address_number(s->bus_advertise);
+	s->peers = mem_alloc(s->nseeds, sizeof(*s->peers));
+	for (i = 0; i < s->nseeds; i++) {
+		id = s->seeds[i] == NULL ? 0 : address_number(s->seeds[i]);
+		if (id == 0 || has_peer(s, id))
+			continue;
+		s->peers[s->npeers].id = id;
+		s->peers[s->npeers].bus =
+		    seed_bus(s->seeds[i], s->bus_advertise);
+		s->peers[s->npeers].voter = true;
+		s->npeers++;
+	}
+}
+
 static void
 fill_advertised(struct settings *s)
 {
@@ -261,6 +364,7 @@
 	if (root != NULL) {
 		fields_read(s, settings_fields, root, "$", problems);
 		fill_advertised(s);
+		fill_from_seeds(s);
 		consistency_check(s, problems);
 		json_decref(root);
 	}
@@ -331,6 +435,13 @@
 	return code;
 }
 
+bool
+settings_has_gateway(const struct settings *s)
+{
+	return s->gateway.front != NULL || s->gateway.control != NULL ||
+	    s->gateway.registry != NULL || s->gateway.readiness != NULL;
+}
+
 void
 settings_destroy(struct settings *s)
 {
--- /dev/null
+++ b/src/forward/forward.c
@@ -0,0 +1,548 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/forward_internal.h"
+#include "util/mem.h"
+
+/* Sendings of one request beyond the first, whatever became of them. */
+#define TRIES_MAX 4u
+/* A request with less time left is not worth another attempt. */
+#define LEAST_LEFT_US (30 * US_PER_MS)
+/* After a refusal that is nobody's fault a caller may come back soon. */
+#define RETRY_AFTER_MS 250u
+/* A placed request leaves at once or not at all. */
+#define SEND_WITHIN_US (1000 * US_PER_MS)
+/* A connection that was idle for long may be dead; what may run once only
+ * must not find out. */
+#define ONCE_IDLE_MS 1500u
+/* A stream that may go on elsewhere is silent after so long. */
+#define STREAM_SILENT_US (1500 * US_PER_MS)
+/* Calls that may be repeated are, after so many objectives in silence. */
+#define SILENT_TARGETS 2u
+
+struct forward *
+forward_create(const struct gw_codec *codec, const struct forward_ops *ops,
+    void *ctx, uint64_t entry, const char *data_centre)
+{
+	struct forward *f = mem_alloc(1, sizeof(*f));
+
+	f->codec = codec;
+	f->ops = ops;
+	f->ctx = ctx;
+	f->entry = entry;
+	f->data_centre = mem_string(data_centre);
+	f->by_request = map_create();
+	f->by_ask = map_create();
+	f->by_call = map_create();
+	return f;
+}
+
+static void
+fwd_free(struct fwd *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->navoid; i++)
+		free(r->avoid[i]);
+	free(r->route);
+	free(r->service);
+	free(r->endpoint);
+	free(r->last_event);
+	buf_free(&r->held);
+	node_effects_destroy(r->answer_memory);
+	node_effects_destroy(r->memory);
+	free(r);
+}
+
+void
+forward_destroy(struct forward *f)
+{
+	size_t i;
+
+	if (f == NULL)
+		return;
+	for (i = 0; i < map_count(f->by_request); i++)
+		fwd_free(map_at(f->by_request, i));
+	map_destroy(f->by_request);
+	map_destroy(f->by_ask);
+	map_destroy(f->by_call);
+	free(f->data_centre);
+	free(f);
+}
+
+size_t
+forward_count(const struct forward *f)
+{
+	return map_count(f->by_request);
+}
+
+const struct forward_stats *
+forward_get_stats(const struct forward *f)
+{
+	return &f->stats;
+}
+
+/* ---- ends --------------------------------------------------------------- */
+
+void
+fwd_cancel_call(struct forward *f, struct fwd *r, struct node_effects *fx)
+{
+	if (r->call == 0)
+		return;
+	node_effects_add(fx, NODE_FX_CALL_CANCEL)->u.cancel = r->call;
+	(void)map_remove_u64(f->by_call, r->call);
+	r->call = 0;
+}
+
+/* Tell of the running attempt; one that has ended is known no more. */
+void
+fwd_tell_placer(struct forward *f, struct fwd *r, enum place_outcome outcome,
+    struct node_effects *fx)
+{
+	struct place_end end = {.outcome = outcome};
+
+	if (r->ask == 0)
+		return;
+	if (r->first_us != 0 && r->first_us > r->sent_us)
+		end.first_ms =
+		    (uint32_t)((r->first_us - r->sent_us) / US_PER_MS) + 1;
+	end.load_told = r->answer.load_told;
+	end.running = r->answer.running;
+	end.waiting = r->answer.waiting;
+	end.slots = r->answer.slots;
+	f->ops->done(f->ctx, r->ask, &end, fx);
+	if (outcome == PLACE_FIRST_BYTE)
+		return;
+	(void)map_remove_u64(f->by_ask, r->ask);
+	r->ask = 0;
+}
+
+static uint64_t
+ms_since(uint64_t from_us, uint64_t to_us)
+{
+	return from_us == 0 || to_us < from_us ? 0
+					       : (to_us - from_us) / US_PER_MS;
+}
+
+void
+fwd_end(struct forward *f, struct fwd *r, uint64_t now_us, const char *outcome,
+    struct node_effects *fx)
+{
+	f->ops->log(f->ctx,
+	    node_effects_printf(fx,
+		"{\"attempt\": \"%.40s\", \"route\": \"%.60s\", "
+		"\"config\": %llu, \"outcome\": \"%s\", \"status\": %d, "
+		"\"endpoint\": \"%.60s\", \"tries\": %u, \"reached\": %u, "
+		"\"fault\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
+		"\"wholeMs\": %llu, \"deadlineMs\": %llu}",
+		r->wire.attempt == NULL ? "" : r->wire.attempt, r->route,
+		(unsigned long long)r->config_version, outcome, r->status,
+		r->endpoint == NULL ? "" : r->endpoint, r->tries, r->reached,
+		r->last_fault == NULL ? "" : r->last_fault,
+		(unsigned long long)ms_since(r->begun_us, r->placed_us),
+		(unsigned long long)ms_since(r->begun_us, r->first_us),
+		(unsigned long long)ms_since(r->begun_us, now_us),
+		(unsigned long long)ms_since(r->begun_us, r->deadline_us)),
+	    fx);
+	hist_add(&f->stats.whole, now_us - r->begun_us);
+	fwd_cancel_call(f, r, fx);
+	if (r->ask != 0)
+		fwd_tell_placer(f, r, PLACE_ABANDONED, fx);
+	(void)map_remove_u64(f->by_request, r->request);
+	fwd_free(r);
+}
+
+void
+fwd_refuse(struct forward *f, struct fwd *r, uint64_t now_us,
+    enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms,
+    struct node_effects *fx)
+{
+	struct node_reply *reply;
+	bool timeout = refusal == GW_REFUSE_TIMEOUT;
+
+	if (r->head_told) {
+		struct node_effect *end =
+		    node_effects_add(fx, NODE_FX_REPLY_END);
+
+		end->u.reply_end.request = r->request;
+		end->u.reply_end.aborted = true;
+		f->stats.cut++;
+		fwd_end(f, r, now_us, "cut", fx);
+		return;
+	}
+	reply = &node_effects_add(fx, NODE_FX_REPLY)->u.reply;
+	reply->request = r->request;
+	f->codec->write_refusal(reply, refusal, reason, retry_after_ms, fx);
+	r->status = reply->status;
+	if (timeout)
+		f->stats.timed_out++;
+	else if (refusal == GW_REFUSE_FAILED)
+		f->stats.failed++;
+	else
+		f->stats.refused++;
+	fwd_end(f, r, now_us,
+	    timeout			      ? "timeout"
+		: refusal == GW_REFUSE_FAILED ? "failed"
+					      : "refused",
+	    fx);
+}
+
+/* ---- attempts ----------------------------------------------------------- */
+
+bool
+fwd_may_repeat(const struct fwd *r)
+{
+	return r->kind == GW_IDEMPOTENT ||
+	    (r->kind == GW_STREAM && r->resumable);
+}
+
+void
+fwd_ask(
+    struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
+{
+	struct place_request ask = {0};
+	size_t i;
+
+	(void)now_us;
+	if (r->ask == 0) {
+		r->ask = ++f->last_ask;
+		(void)map_set_u64(f->by_ask, r->ask, r);
+	}
+	r->state = FWD_ASKED;
+	ask.id.entry = f->entry;
+	ask.id.ask = r->ask;
+	ask.kind = r->kind;
+	ask.service = r->service;
+	ask.model = r->wire.model;
+	ask.adapter = r->wire.adapter;
+	ask.prompt_tokens = r->wire.prompt_tokens;
+	ask.max_tokens = r->wire.max_tokens;
+	ask.parts = r->wire.parts;
+	ask.nparts = r->wire.nparts;
+	ask.deadline_us = r->deadline_us;
+	ask.target_us = r->target_us;
+	ask.priority = r->priority;
+	ask.attempt = r->tries;
+	ask.data_centre = f->data_centre;
+	for (i = 0; i < r->navoid; i++)
+		ask.avoid[i] = r->avoid[i];
+	ask.navoid = r->navoid;
+	f->ops->ask(f->ctx, &ask, fx);
+}
+
+bool
+forward_ask_again(
+    struct forward *f, uint64_t now_us, uint64_t ask, struct node_effects *fx)
+{
+	struct fwd *r = map_get_u64(f->by_ask, ask);
+
+	if (r == NULL || r->state != FWD_ASKED)
+		return false;
+	fwd_ask(f, r, now_us, fx);
+	return true;
+}
+
+/* The request can't be served: say whether it may have run. */
+static void
+give_up(struct forward *f, struct fwd *r, uint64_t now_us, const char *reason,
+    struct node_effects *fx)
+{
+	if (r->may_have_run)
+		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, reason, 0, fx);
+	else
+		fwd_refuse(f, r, now_us, GW_REFUSE_OVERLOAD, reason,
+		    RETRY_AFTER_MS, fx);
+}
+
+static void
+avoid_endpoint(struct fwd *r)
+{
+	if (r->endpoint != NULL && r->navoid < PLACE_AVOID_MAX)
+		r->avoid[r->navoid++] = mem_string(r->endpoint);
+}
+
+void
+fwd_next_attempt(struct forward *f, struct fwd *r, uint64_t now_us,
+    bool not_run, const char *fault, struct node_effects *fx)
+{
+	bool may = not_run || fwd_may_repeat(r);
+
+	r->last_fault = fault;
+	if (!not_run) {
+		r->may_have_run = true;
+		r->reached++;
+		may = may && r->reached < r->max_attempts;
+	}
+	avoid_endpoint(r);
+	if (!may || r->tries >= TRIES_MAX ||
+	    now_us + LEAST_LEFT_US >= r->deadline_us) {
+		give_up(f, r, now_us, fault, fx);
+		return;
+	}
+	r->tries++;
+	f->stats.retried++;
+	r->begun_there = false;
+	buf_clear(&r->held);
+	fwd_ask(f, r, now_us, fx);
+}
+
+/* ---- the beginning ------------------------------------------------------ */
+
+static const char *
+copy_text(struct node_effects *memory, const char *text)
+{
+	return text == NULL ? NULL : node_effects_printf(memory, "%s", text);
+}
+
+static void
+copy_request(
+    struct fwd *r, const struct node_request *in, const struct gw_request *wire)
+{
+	struct node_effects *m = r->memory;
+
+	memset(&r->in, 0, sizeof(r->in));
+	r->in.method = copy_text(m, in->method);
+	r->in.path = copy_text(m, in->path);
+	r->in.body.data = node_effects_copy(m, in->body.data, in->body.len);
+	r->in.body.len = in->body.len;
+	r->wire = *wire;
+	r->wire.host = copy_text(m, wire->host);
+	r->wire.attempt = copy_text(m, wire->attempt);
+	r->wire.model = copy_text(m, wire->model);
+	r->wire.adapter = copy_text(m, wire->adapter);
+	r->wire.resume_after = copy_text(m, wire->resume_after);
+	r->wire.headers =
+	    node_effects_headers(m, wire->headers, wire->nheaders);
+}
+
+/* A number that is uniform over requests and alike for one sent again. */
+static uint64_t
+request_number(const struct gw_request *wire, uint64_t request)
+{
+	uint64_t hash = 14695981039346656037ULL; /* FNV-1a */
+	const char *s;
+
+	if (wire->attempt == NULL)
+		return request;
+	for (s = wire->attempt; *s != '\0'; s++)
+		hash = (hash ^ (unsigned char)*s) * 1099511628211ULL;
+	return hash >> 16;
+}
+
+static void
+set_times(struct fwd *r, uint64_t now_us, const struct gw_request *wire,
+    const struct gw_route *route)
+{
+	uint64_t timeout_us = now_us + route->timeout_ms * US_PER_MS;
+
+	r->begun_us = now_us;
+	r->caller_deadline_us = wire->deadline_ms == 0
+	    ? timeout_us
+	    : now_us + wire->deadline_ms * US_PER_MS;
+	r->deadline_us = r->caller_deadline_us < timeout_us
+	    ? r->caller_deadline_us
+	    : timeout_us;
+	r->target_us = now_us +
+	    (route->target_ms == 0 ? route->timeout_ms : route->target_ms) *
+		US_PER_MS;
+}
+
+void
+forward_begin(struct forward *f, uint64_t now_us, const struct node_request *in,
+    const struct gw_request *wire, const struct gw_route *route,
+    uint64_t config_version, struct node_effects *fx)
+{
+	struct fwd *r = mem_alloc(1, sizeof(*r));
+
+	r->memory = node_effects_create();
+	r->answer_memory = node_effects_create();
+	r->request = in->request;
+	copy_request(r, in, wire);
+	r->kind = route->kind;
+	r->resumable = route->resumable;
+	r->route = mem_string(route->name == NULL ? "" : route->name);
+	r->service =
+	    mem_string(gw_route_pick(route, request_number(wire, in->request)));
+	r->priority = route->priority;
+	r->max_attempts = route->max_attempts == 0 ? 1 : route->max_attempts;
+	r->config_version = config_version;
+	set_times(r, now_us, wire, route);
+	(void)map_set_u64(f->by_request, r->request, r);
+	f->stats.asked++;
+	fwd_ask(f, r, now_us, fx);
+}
+
+/* ---- the placer's answers ----------------------------------------------- */
+
+/* Silence after which the attempt is given up for another; 0: never. */
+static uint64_t
+silence_us(const struct fwd *r)
+{
+	if (!fwd_may_repeat(r) || r->reached + 1 >= r->max_attempts)
+		return 0;
+	if (r->kind == GW_STREAM)
+		return STREAM_SILENT_US;
+	return (r->target_us - r->begun_us) * SILENT_TARGETS;
+}
+
+static void
+fwd_send(struct forward *f, struct fwd *r, uint64_t now_us,
+    const struct forward_grant *grant, struct node_effects *fx)
+{
+	struct node_call *call = &node_effects_add(fx, NODE_FX_CALL)->u.call;
+	struct gw_send send = {0};
+
+	r->call = f->ops->next_call(f->ctx);
+	(void)map_set_u64(f->by_call, r->call, r);
+	r->state = FWD_SENT;
+	r->sent_us = now_us;
+	r->first_us = 0;
+	send.request = &r->wire;
+	send.endpoint = r->endpoint;
+	send.adapter_version = grant->adapter_version;
+	send.urgency = grant->urgency;
+	send.deadline_ms = (uint32_t)((r->deadline_us - now_us) / US_PER_MS);
+	send.resume_after = r->last_event;
+	call->call = r->call;
+	call->address = node_effects_printf(fx, "%s", grant->address);
+	call->method = r->in.method;
+	call->path = r->in.path;
+	call->body = r->in.body;
+	call->not_after_us = now_us + SEND_WITHIN_US < r->deadline_us
+	    ? now_us + SEND_WITHIN_US
+	    : r->deadline_us;
+	call->silence_us = silence_us(r);
+	call->close_ends = true;
+	if (!fwd_may_repeat(r))
+		call->idle_limit_ms = ONCE_IDLE_MS;
+	f->codec->write_send(call, &send, fx);
+}
+
+bool
+forward_granted(struct forward *f, uint64_t now_us,
+    const struct forward_grant *grant, struct node_effects *fx)
+{
+	struct fwd *r = map_get_u64(f->by_ask, grant->ask);
+
+	if (r == NULL || r->state != FWD_ASKED)
+		return false;
+	if (now_us + US_PER_MS >= r->deadline_us) {
+		fwd_tell_placer(f, r, PLACE_ABANDONED, fx);
+		give_up(f, r, now_us, "deadline", fx);
+		return true;
+	}
+	if (r->placed_us == 0) {
+		r->placed_us = now_us;
+		hist_add(&f->stats.place, now_us - r->begun_us);
+	}
+	free(r->endpoint);
+	r->endpoint = mem_string(grant->endpoint);
+	fwd_send(f, r, now_us, grant, fx);
+	return true;
+}
+
+void
+forward_refused(struct forward *f, uint64_t now_us, uint64_t ask,
+    const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
+{
+	struct fwd *r = map_get_u64(f->by_ask, ask);
+	bool failed;
+
+	if (r == NULL || r->state != FWD_ASKED)
+		return;
+	(void)map_remove_u64(f->by_ask, r->ask);
+	r->ask = 0;
+	failed = r->may_have_run;
+	fwd_refuse(f, r, now_us, failed ? GW_REFUSE_FAILED : GW_REFUSE_OVERLOAD,
+	    reason, failed ? 0 : retry_after_ms, fx);
+}
+
+/* ---- progress ----------------------------------------------------------- */
+
+bool
+forward_call(struct forward *f, uint64_t now_us,
+    const struct node_call_event *event, struct node_effects *fx)
+{
+	struct fwd *r = map_get_u64(f->by_call, event->call);
+
+	if (r == NULL)
+		return false;
+	if (event->phase != NODE_CALL_HEAD && event->phase != NODE_CALL_DATA) {
+		(void)map_remove_u64(f->by_call, r->call);
+		r->call = 0;
+	}
+	switch (event->phase) {
+	case NODE_CALL_NOT_SENT:
+		fwd_tell_placer(f, r, PLACE_NOT_REACHED, fx);
+		fwd_next_attempt(f, r, now_us, true, "not-reached", fx);
+		break;
+	case NODE_CALL_HEAD:
+		fwd_on_head(f, r, now_us, event, fx);
+		break;
+	case NODE_CALL_DATA:
+		fwd_on_data(f, r, now_us, event->data, fx);
+		break;
+	case NODE_CALL_END:
+		fwd_on_end(f, r, now_us, fx);
+		break;
+	case NODE_CALL_BROKEN:
+		fwd_on_broken(f, r, now_us, fx);
+		break;
+	}
+	return true;
+}
+
+bool
+forward_gone(struct forward *f, uint64_t now_us, uint64_t request,
+    struct node_effects *fx)
+{
+	struct fwd *r = map_get_u64(f->by_request, request);
+
+	if (r == NULL)
+		return false;
+	f->stats.gone++;
+	fwd_end(f, r, now_us, "caller-gone", fx);
+	return true;
+}
+
+static void
+time_out(
+    struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
+{
+	bool sent = r->state != FWD_ASKED || r->may_have_run;
+
+	r->last_fault = "deadline";
+	if (sent)
+		fwd_refuse(f, r, now_us, GW_REFUSE_TIMEOUT, "timeout", 0, fx);
+	else
+		fwd_refuse(f, r, now_us, GW_REFUSE_OVERLOAD, "deadline",
+		    RETRY_AFTER_MS, fx);
+}
+
+void
+forward_tick(struct forward *f, uint64_t now_us, struct node_effects *fx)
+{
+	struct fwd *r;
+	size_t i = map_count(f->by_request);
+
+	while (i-- > 0) {
+		r = map_at(f->by_request, i);
+		if (now_us >= r->deadline_us)
+			time_out(f, r, now_us, fx);
+	}
+}
+
+uint64_t
+forward_next(const struct forward *f)
+{
+	uint64_t next = UINT64_MAX;
+	const struct fwd *r;
+	size_t i;
+
+	for (i = 0; i < map_count(f->by_request); i++) {
+		r = map_at(f->by_request, i);
+		if (r->deadline_us < next)
+			next = r->deadline_us;
+	}
+	return next;
+}
--- /dev/null
+++ b/src/forward/forward_answer.c
@@ -0,0 +1,231 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/forward_internal.h"
+#include "util/mem.h"
+
+/*
+ * Answers of endpoints. A plain answer is held until it is whole, so that one
+ * that breaks off can still be asked for again or told as failed; a stream is
+ * passed on as it comes, in whole events where it may go on elsewhere.
+ */
+
+/* A longer plain answer is passed on as it comes. */
+#define HELD_MAX_BYTES (256u * 1024u)
+#define STATUS_TIMEOUT 504
+
+static bool
+is_success(int status)
+{
+	return status >= 200 && status < 300;
+}
+
+static void
+tell_head(
+    struct fwd *r, struct node_bytes body, bool more, struct node_effects *fx)
+{
+	struct node_reply *reply =
+	    &node_effects_add(fx, NODE_FX_REPLY)->u.reply;
+
+	reply->request = r->request;
+	reply->status = r->status;
+	reply->passed =
+	    node_effects_headers(fx, r->answer.headers, r->answer.nheaders);
+	reply->npassed = r->answer.nheaders;
+	reply->body.data = node_effects_copy(fx, body.data, body.len);
+	reply->body.len = body.len;
+	reply->more = more;
+	reply->sized = more && r->sized && r->last_event == NULL;
+	reply->length = r->length;
+	r->head_told = true;
+}
+
+/* Give the caller bytes of the body, with the head before the first. */
+static void
+tell_data(struct fwd *r, const char *data, size_t len, struct node_effects *fx)
+{
+	struct node_bytes bytes = {data, len};
+	struct node_effect *effect;
+
+	if (len == 0)
+		return;
+	if (!r->head_told) {
+		tell_head(r, bytes, true, fx);
+		return;
+	}
+	effect = node_effects_add(fx, NODE_FX_REPLY_DATA);
+	effect->u.reply_data.request = r->request;
+	effect->u.reply_data.data.data = node_effects_copy(fx, data, len);
+	effect->u.reply_data.data.len = len;
+}
+
+/* The answer is not this request's, or not the endpoint's whole word. */
+static const char *
+find_fault(const struct fwd *r)
+{
+	if (r->wire.attempt != NULL && r->answer.attempt != NULL &&
+	    strcmp(r->wire.attempt, r->answer.attempt) != 0)
+		return "answer-of-another";
+	if (is_success(r->status) && !r->answer.proved)
+		return "answer-not-signed";
+	if (is_success(r->status) && r->answer.encoded)
+		return "answer-encoded";
+	return NULL;
+}
+
+static void
+give_up_call(struct forward *f, struct fwd *r, uint64_t now_us,
+    enum place_outcome outcome, bool not_run, const char *fault,
+    struct node_effects *fx)
+{
+	fwd_cancel_call(f, r, fx);
+	fwd_tell_placer(f, r, outcome, fx);
+	fwd_next_attempt(f, r, now_us, not_run, fault, fx);
+}
+
+/* May a failure that the endpoint told be tried elsewhere? */
+static bool
+is_worth_repeating(const struct fwd *r)
+{
+	return r->status >= 500 && r->status != STATUS_TIMEOUT &&
+	    fwd_may_repeat(r) && !r->head_told &&
+	    r->reached + 1 < r->max_attempts;
+}
+
+void
+fwd_on_head(struct forward *f, struct fwd *r, uint64_t now_us,
+    const struct node_call_event *event, struct node_effects *fx)
+{
+	const char *fault;
+
+	r->state = FWD_ANSWERED;
+	if (r->first_us == 0)
+		r->first_us = now_us;
+	if (r->head_told) { /* a stream that goes on: its head is told */
+		struct gw_answer again;
+
+		f->codec->read_answer(&again, event, fx);
+		if (again.not_run)
+			give_up_call(f, r, now_us, PLACE_LACKING, true,
+			    "resume-refused", fx);
+		else if (!is_success(event->status) || !again.proved)
+			give_up_call(f, r, now_us, PLACE_FAILED_THERE, false,
+			    "resume-failed", fx);
+		return;
+	}
+	node_effects_clear(r->answer_memory);
+	f->codec->read_answer(&r->answer, event, r->answer_memory);
+	r->answer.headers = node_effects_headers(
+	    r->answer_memory, r->answer.headers, r->answer.nheaders);
+	if (r->answer.attempt != NULL)
+		r->answer.attempt = node_effects_printf(
+		    r->answer_memory, "%s", r->answer.attempt);
+	r->status = event->status;
+	r->sized = event->sized;
+	r->length = event->length;
+	fault = find_fault(r);
+	if (fault != NULL)
+		give_up_call(
+		    f, r, now_us, PLACE_FAILED_THERE, false, fault, fx);
+	else if (r->answer.not_run)
+		give_up_call(f, r, now_us,
+		    r->answer.other_endpoint ? PLACE_LACKING : PLACE_FULL_THERE,
+		    true,
+		    r->answer.other_endpoint ? "endpoint-lacks"
+					     : "endpoint-full",
+		    fx);
+	else if (is_worth_repeating(r))
+		give_up_call(f, r, now_us, PLACE_FAILED_THERE, false,
+		    "endpoint-failed", fx);
+}
+
+static void
+note_first(
+    struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
+{
+	if (r->begun_there)
+		return;
+	r->begun_there = true;
+	r->first_us = now_us;
+	hist_add(&f->stats.first, now_us - r->begun_us);
+	if (r->wire.model != NULL)
+		fwd_tell_placer(f, r, PLACE_FIRST_BYTE, fx);
+}
+
+/* Pass on whole events and remember the last one's id. */
+static void
+pass_events(struct fwd *r, struct node_effects *fx)
+{
+	size_t whole = fwd_events_whole(r->held.data, r->held.len);
+	char *id;
+
+	if (whole == 0)
+		return;
+	tell_data(r, r->held.data, whole, fx);
+	id = fwd_events_last_id(r->held.data, whole);
+	if (id != NULL) {
+		free(r->last_event);
+		r->last_event = id;
+	}
+	buf_consume(&r->held, whole);
+}
+
+void
+fwd_on_data(struct forward *f, struct fwd *r, uint64_t now_us,
+    struct node_bytes data, struct node_effects *fx)
+{
+	note_first(f, r, now_us, fx);
+	if (r->kind == GW_STREAM && is_success(r->status) && !r->resumable) {
+		tell_data(r, data.data, data.len, fx);
+		return;
+	}
+	buf_append(&r->held, data.data, data.len);
+	if (r->kind == GW_STREAM && is_success(r->status)) {
+		pass_events(r, fx);
+	} else if (r->head_told || r->held.len > HELD_MAX_BYTES) {
+		tell_data(r, r->held.data, r->held.len, fx);
+		buf_clear(&r->held);
+	}
+}
+
+void
+fwd_on_end(
+    struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
+{
+	struct node_bytes rest = {r->held.data, r->held.len};
+	struct node_effect *end;
+	bool failed = r->status >= 500 && r->status != STATUS_TIMEOUT;
+
+	r->reached++;
+	fwd_tell_placer(f, r,
+	    failed			      ? PLACE_FAILED_THERE
+		: r->status == STATUS_TIMEOUT ? PLACE_ABANDONED
+					      : PLACE_SERVED,
+	    fx);
+	if (!r->head_told) {
+		tell_head(r, rest, false, fx);
+	} else {
+		tell_data(r, rest.data, rest.len, fx);
+		end = node_effects_add(fx, NODE_FX_REPLY_END);
+		end->u.reply_end.request = r->request;
+	}
+	if (is_success(r->status))
+		f->stats.served++;
+	else
+		f->stats.failed++;
+	fwd_end(f, r, now_us, is_success(r->status) ? "served" : "passed", fx);
+}
+
+void
+fwd_on_broken(
+    struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
+{
+	fwd_tell_placer(f, r, PLACE_FAILED_THERE, fx);
+	if (r->head_told && (!fwd_may_repeat(r) || r->last_event == NULL)) {
+		r->last_fault = "answer-broke-off";
+		r->may_have_run = true;
+		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, "cut", 0, fx);
+		return;
+	}
+	fwd_next_attempt(f, r, now_us, false, "answer-broke-off", fx);
+}
--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -1,10 +1,10 @@
 #include <limits.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "http/client_internal.h"
 
-#define ANSWER_HEADERS_MAX    100
 #define ANSWER_HEAD_MAX_BYTES 65536
 #define ANSWER_LENGTH_DIGITS  18
 
@@ -39,7 +39,8 @@
 	    (a->phase == ANSWER_LENGTH && a->left != length))
 		return "contradicting lengths";
 	a->phase = ANSWER_LENGTH;
-	a->left = length;
+	a->left = a->length = length;
+	a->sized = true;
 	return NULL;
 }
 
@@ -53,6 +54,21 @@
 	to[len] = '\0';
 }
 
+/* "timeout=5, max=100": the seconds that the peer keeps the connection. */
+static void
+parse_keep_alive(struct answer *a, const struct phr_header *h)
+{
+	static const char key[] = "timeout=";
+	char text[64];
+	const char *at;
+
+	take_value(text, sizeof(text), h);
+	at = strstr(text, key);
+	if (at != NULL)
+		a->keep_ms =
+		    (uint32_t)strtoul(at + sizeof(key) - 1, NULL, 10) * 1000;
+}
+
 static const char *
 parse_header(struct answer *a, const struct phr_header *h)
 {
@@ -67,6 +83,8 @@
 		a->chunks.consume_trailer = 1;
 	} else if (header_is(h, "connection")) {
 		a->reusable = value_is(h, "keep-alive");
+	} else if (header_is(h, "keep-alive")) {
+		parse_keep_alive(a, h);
 	} else if (header_is(h, "retry-after")) {
 		take_value(a->retry_after, sizeof(a->retry_after), h);
 	} else if (header_is(h, "content-type")) {
@@ -75,6 +93,17 @@
 	return NULL;
 }
 
+/* The head's bytes are kept, so names and values can end in place. */
+static void
+keep_header(struct answer *a, const struct phr_header *h)
+{
+	((char *)h->name)[h->name_len] = '\0';
+	((char *)h->value)[h->value_len] = '\0';
+	a->headers[a->nheaders].name = h->name;
+	a->headers[a->nheaders].value = h->value;
+	a->nheaders++;
+}
+
 static const char *
 parse_headers(struct answer *a, const struct phr_header *headers, size_t n)
 {
@@ -88,6 +117,7 @@
 		fault = parse_header(a, &headers[i]);
 		if (fault != NULL)
 			return fault;
+		keep_header(a, &headers[i]);
 	}
 	if (a->no_body || a->status == 204 || a->status == 304 ||
 	    (a->phase == ANSWER_LENGTH && a->left == 0))
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -31,8 +31,10 @@
 	call->ended = true;
 	call->conn = NULL;
 	(void)map_remove_u64(call->client->calls, call->id);
-	if (conn != NULL)
+	if (conn != NULL) {
+		conn->keep_ms = call->answer.keep_ms;
 		conn_release(conn, reusable && !call->fresh);
+	}
 	uv_close((uv_handle_t *)&call->timer, on_call_closed);
 }
 
@@ -57,6 +59,15 @@
 	    call, call->sent ? NODE_CALL_BROKEN : NODE_CALL_NOT_SENT, reason);
 }
 
+void
+call_closed(struct call *call)
+{
+	if (call->close_ends && call->answer.phase == ANSWER_UNTIL_CLOSE)
+		call_end(call, NODE_CALL_END, NULL);
+	else
+		call_broken(call, "closed before the end");
+}
+
 void
 call_drop(struct call *call)
 {
@@ -101,6 +112,10 @@
 		ev.retry_after = call->answer.retry_after;
 	if (call->answer.content_type[0] != '\0')
 		ev.content_type = call->answer.content_type;
+	ev.headers = call->answer.headers;
+	ev.nheaders = call->answer.nheaders;
+	ev.sized = call->answer.sized;
+	ev.length = call->answer.length;
 	c->cb(c->ctx, &ev);
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "http/client_internal.h"
 #include "util/mem.h"
@@ -10,14 +11,29 @@
 
 /* ---- calls ------------------------------------------------------------- */
 
+static bool
+has_host(const struct node_call *call)
+{
+	size_t i;
+
+	for (i = 0; i < call->npassed; i++)
+		if (strcasecmp(call->passed[i].name, "host") == 0)
+			return true;
+	return false;
+}
+
 static void
 call_format(struct call *call, const struct node_call *from)
 {
 	struct buf *b = &call->request;
 	size_t i;
 
-	buf_printf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", from->method,
-	    from->path, from->address);
+	buf_printf(b, "%s %s HTTP/1.1\r\n", from->method, from->path);
+	if (!has_host(from))
+		buf_printf(b, "Host: %s\r\n", from->address);
+	for (i = 0; i < from->npassed; i++)
+		buf_printf(b, "%s: %s\r\n", from->passed[i].name,
+		    from->passed[i].value);
 	for (i = 0; i < from->nheaders; i++)
 		buf_printf(b, "%s: %s\r\n", from->headers[i].name,
 		    from->headers[i].value);
@@ -48,6 +64,8 @@
 	call->first_us =
 	    from->first_us != 0 ? from->first_us : from->silence_us;
 	call->fresh = from->fresh_connection;
+	call->close_ends = from->close_ends;
+	call->idle_limit_ms = from->idle_limit_ms;
 	call->answer.no_body = strcmp(from->method, "HEAD") == 0;
 	call_format(call, from);
 	(void)uv_timer_init(c->loop, &call->timer);
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -8,7 +8,8 @@
 #include "util/buf.h"
 #include "util/map.h"
 
-#define CLIENT_READ_BYTES 65536
+#define CLIENT_READ_BYTES  65536
+#define ANSWER_HEADERS_MAX 100
 
 struct http_client {
 	uv_loop_t *loop;
@@ -34,6 +35,7 @@
 	struct buf output; /* the request being written */
 	bool connected, writing, idle;
 	uint64_t idle_since_ms;
+	uint32_t keep_ms; /* the peer closes it when idle so long; 0: ? */
 	struct client_conn *next; /* in the pool */
 };
 
@@ -56,6 +58,11 @@
 	char retry_after[64]; /* these two: "" without */
 	char content_type[128];
 	bool no_body; /* the answer of a HEAD request */
+	bool sized; /* the body has this length */
+	uint64_t length;
+	uint32_t keep_ms; /* the peer keeps an idle connection so long; 0: ? */
+	struct node_header headers[ANSWER_HEADERS_MAX]; /* point into head */
+	size_t nheaders;
 };
 
 /* One call; freed when its timer is closed. */
@@ -67,6 +74,8 @@
 	uint64_t not_after_us, silence_us;
 	uint64_t first_us; /* silence before the first byte */
 	bool fresh;
+	bool close_ends; /* an answer without a length ends with its close */
+	uint32_t idle_limit_ms; /* of a connection to be used again; 0: any */
 	bool sent; /* a byte was handed to the connection */
 	bool ended; /* no further event may come */
 	struct client_conn *conn;
@@ -88,6 +97,9 @@
 /* The connection failed or was closed by the peer. */
 void call_broken(struct call *call, const char *reason);
 
+/* The peer closed its side in order: the end of some answers. */
+void call_closed(struct call *call);
+
 /* Drop a call without a further event. */
 void call_drop(struct call *call);
 
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -7,6 +7,8 @@
 #include "util/mem.h"
 
 #define POOL_CONNECTIONS 64
+/* A connection that its peer is about to close is not used again. */
+#define KEEP_MARGIN_MS 500u
 
 static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf);
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
@@ -91,14 +93,26 @@
 	    (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Has it been idle for less than what the call and the peer allow? */
+static bool
+conn_is_recent(const struct client_conn *conn, uint32_t limit_ms)
+{
+	uint64_t idle_ms = uv_now(conn->client->loop) - conn->idle_since_ms;
+
+	if (limit_ms != 0 && idle_ms >= limit_ms)
+		return false;
+	return conn->keep_ms == 0 ||
+	    idle_ms + KEEP_MARGIN_MS < (uint64_t)conn->keep_ms;
+}
+
 static struct client_conn *
-pool_take(struct http_client *c, const char *address)
+pool_take(struct http_client *c, const char *address, uint32_t limit_ms)
 {
 	struct client_conn *conn;
 
 	while ((conn = map_get_str(c->pools, address)) != NULL) {
 		pool_remove(conn);
-		if (conn_is_quiet(conn))
+		if (conn_is_recent(conn, limit_ms) && conn_is_quiet(conn))
 			return conn;
 		conn_close(conn);
 	}
@@ -176,7 +190,8 @@
 		return NULL;
 	}
 	if (!call->fresh)
-		conn = pool_take(call->client, call->address);
+		conn =
+		    pool_take(call->client, call->address, call->idle_limit_ms);
 	if (conn == NULL)
 		return conn_open(call, &sin, reason);
 	conn->call = call;
@@ -203,10 +218,10 @@
 		return;
 	if (conn->call != NULL && n > 0)
 		call_input(conn->call, buf->base, (size_t)n);
+	else if (conn->call != NULL && n == UV_EOF)
+		call_closed(conn->call);
 	else if (conn->call != NULL)
-		call_broken(conn->call,
-		    n == UV_EOF ? "closed before the end"
-				: uv_strerror((int)n));
+		call_broken(conn->call, uv_strerror((int)n));
 	else if (conn->idle) { /* closed by the peer, or spoke unasked */
 		pool_remove(conn);
 		conn_close(conn);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include "http/server_internal.h"
+#include "http/status.h"
 #include "util/mem.h"
 
 #define HTTP_VERSION_2 0x200
@@ -166,28 +167,6 @@
 
 /* ---- the answer -------------------------------------------------------- */
 
-static const char *
-reason_of(int status)
-{
-	static const struct {
-		int status;
-		const char *reason;
-	} reasons[] = {{200, "OK"}, {201, "Created"}, {202, "Accepted"},
-	    {204, "No Content"}, {400, "Bad Request"}, {401, "Unauthorized"},
-	    {403, "Forbidden"}, {404, "Not Found"}, {405, "Method Not Allowed"},
-	    {409, "Conflict"}, {412, "Precondition Failed"},
-	    {413, "Payload Too Large"}, {422, "Unprocessable Entity"},
-	    {429, "Too Many Requests"}, {500, "Internal Server Error"},
-	    {502, "Bad Gateway"}, {503, "Service Unavailable"},
-	    {504, "Gateway Timeout"}};
-	size_t i;
-
-	for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
-		if (reasons[i].status == status)
-			return reasons[i].reason;
-	return "Unknown";
-}
-
 static void
 exchange_send_head(struct exchange *x, const struct node_reply *reply)
 {
@@ -196,7 +175,7 @@
 	size_t i;
 
 	req->res.status = reply->status;
-	req->res.reason = reason_of(reply->status);
+	req->res.reason = http_status_reason(reply->status);
 	if (!reply->more)
 		req->res.content_length = reply->body.len;
 	if (reply->content_type != NULL) {
--- /dev/null
+++ b/src/http/front.c
@@ -0,0 +1,190 @@
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "http/address.h"
+#include "http/front_internal.h"
+#include "util/mem.h"
+
+#define FRONT_BACKLOG 1024
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		front_conn_accept(listener->data);
+}
+
+static int
+front_listen(struct front_server *s, const char *address, struct mp_error *err)
+{
+	struct sockaddr_in sin;
+	int rc, len = sizeof(sin);
+
+	if (address_parse(&sin, address) != MP_OK)
+		return mp_error_set(err, MP_LAYER_HTTP, MP_ERR_IO,
+		    "not an address: %s", address);
+	rc = uv_tcp_bind(&s->listener, (struct sockaddr *)&sin, 0);
+	if (rc == 0)
+		rc = uv_listen(
+		    (uv_stream_t *)&s->listener, FRONT_BACKLOG, on_connection);
+	if (rc == 0)
+		rc = uv_tcp_getsockname(
+		    &s->listener, (struct sockaddr *)&sin, &len);
+	if (rc != 0)
+		return mp_error_set(err, MP_LAYER_HTTP, MP_ERR_IO,
+		    "cannot listen on %s: %s", address, uv_strerror(rc));
+	s->port = ntohs(sin.sin_port);
+	return MP_OK;
+}
+
+int
+front_server_create(struct front_server **out, uv_loop_t *loop,
+    const struct front_options *options,
+    const struct http_server_callbacks *callbacks, void *ctx,
+    struct mp_error *err)
+{
+	struct front_server *s = mem_alloc(1, sizeof(*s));
+	int rc;
+
+	*out = NULL;
+	(void)signal(SIGPIPE, SIG_IGN);
+	s->loop = loop;
+	s->callbacks = *callbacks;
+	s->ctx = ctx;
+	s->listener_kind = options->listener;
+	s->connection_limit = options->connection_limit;
+	s->created = s->limits = options->limits;
+	s->last_request = options->first_request;
+	s->requests = map_create();
+	s->open_handles = 1;
+	(void)uv_tcp_init(loop, &s->listener);
+	s->listener.data = s;
+	rc = front_listen(s, options->listen, err);
+	if (rc != MP_OK) {
+		front_server_destroy(s, NULL, NULL);
+		return rc;
+	}
+	*out = s;
+	return MP_OK;
+}
+
+int
+front_server_get_port(const struct front_server *s)
+{
+	return s->port;
+}
+
+static uint32_t
+either(uint32_t wanted, uint32_t otherwise)
+{
+	return wanted != 0 ? wanted : otherwise;
+}
+
+void
+front_server_set_limits(
+    struct front_server *s, const struct node_limits *limits)
+{
+	const struct node_limits *d = &s->created;
+
+	s->limits.header_bytes = either(limits->header_bytes, d->header_bytes);
+	s->limits.body_bytes = either(limits->body_bytes, d->body_bytes);
+	s->limits.header_timeout_ms =
+	    either(limits->header_timeout_ms, d->header_timeout_ms);
+	s->limits.idle_timeout_ms =
+	    either(limits->idle_timeout_ms, d->idle_timeout_ms);
+}
+
+void
+front_server_reply(struct front_server *s, const struct node_reply *reply)
+{
+	struct front_conn *c = map_get_u64(s->requests, reply->request);
+
+	if (c != NULL)
+		front_conn_reply(c, reply);
+}
+
+void
+front_server_send(
+    struct front_server *s, uint64_t request, struct node_bytes data)
+{
+	struct front_conn *c = map_get_u64(s->requests, request);
+
+	if (c != NULL)
+		front_conn_send(c, data);
+}
+
+void
+front_server_end(struct front_server *s, uint64_t request, bool aborted)
+{
+	struct front_conn *c = map_get_u64(s->requests, request);
+
+	if (c != NULL)
+		front_conn_end(c, aborted);
+}
+
+/*
+ * Connections that are idle now stay open until their caller's next request,
+ * whose answer tells him to leave: closing them could cross a request.
+ */
+void
+front_server_leave(struct front_server *s)
+{
+	s->leaving = true;
+}
+
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+	front_server_release(handle->data);
+}
+
+void
+front_server_close_listener(struct front_server *s)
+{
+	if (s->closed_listener)
+		return;
+	s->closed_listener = true;
+	uv_close((uv_handle_t *)&s->listener, on_listener_closed);
+}
+
+void
+front_server_release(struct front_server *s)
+{
+	void (*done)(void *ctx) = s->done;
+	void *done_ctx = s->done_ctx;
+
+	if (--s->open_handles > 0 || !s->destroyed)
+		return;
+	map_destroy(s->requests);
+	free(s);
+	if (done != NULL)
+		done(done_ctx);
+}
+
+static void
+on_destroy_closed(uv_handle_t *handle)
+{
+	struct front_server *s = handle->data;
+
+	free(handle);
+	front_server_release(s);
+}
+
+void
+front_server_destroy(struct front_server *s, void (*done)(void *ctx), void *ctx)
+{
+	uv_timer_t *last = mem_alloc(1, sizeof(*last));
+
+	/* A handle of its own, so that done always comes from the loop. */
+	(void)uv_timer_init(s->loop, last);
+	last->data = s;
+	s->open_handles++;
+	s->destroyed = true;
+	s->done = done;
+	s->done_ctx = ctx;
+	front_server_close_listener(s);
+	while (s->conns != NULL)
+		front_conn_close(s->conns);
+	uv_close((uv_handle_t *)last, on_destroy_closed);
+}
--- /dev/null
+++ b/src/http/front_conn.c
@@ -0,0 +1,533 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/front_internal.h"
+#include "http/status.h"
+#include "util/mem.h"
+
+/* Bytes queued for a caller who does not read; beyond it he is cut. */
+#define QUEUE_LIMIT_BYTES (4u << 20)
+/* Bytes of further requests that wait behind one that is answered. */
+#define AHEAD_LIMIT_BYTES 65536
+/* A caller who was answered for the last time has so long to close. */
+#define LINGER_MS 1000u
+/* A caller whose network forgot the connection must not keep it. */
+#define PEER_SILENT_MS 15000u
+
+static void conn_take(struct front_conn *c);
+static void on_timer(uv_timer_t *timer);
+
+/* ---- closing ----------------------------------------------------------- */
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+	struct front_conn *c = handle->data;
+	struct front_server *s = c->server;
+
+	if (--c->open_handles == 0) {
+		buf_free(&c->input);
+		buf_free(&c->body);
+		buf_free(&c->head_bytes);
+		free(c);
+	}
+	front_server_release(s);
+}
+
+void
+front_conn_close(struct front_conn *c)
+{
+	if (c->phase == FRONT_CLOSING)
+		return;
+	c->phase = FRONT_CLOSING;
+	if (c->request != 0)
+		(void)map_remove_u64(c->server->requests, c->request);
+	c->request = 0;
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
+	uv_close((uv_handle_t *)&c->timer, on_handle_closed);
+	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
+}
+
+/* Close, and tell whoever works on the request that nobody waits for it. */
+static void
+conn_gone(struct front_conn *c)
+{
+	struct front_server *s = c->server;
+	uint64_t request = c->request;
+
+	front_conn_close(c);
+	if (request != 0)
+		s->callbacks.on_gone(s->ctx, request);
+}
+
+static void
+on_shutdown(uv_shutdown_t *req, int status)
+{
+	struct front_conn *c = req->handle->data;
+
+	if (c->phase == FRONT_CLOSING)
+		return;
+	if (status != 0)
+		front_conn_close(c);
+	else
+		(void)uv_timer_start(&c->timer, on_timer, LINGER_MS, 0);
+}
+
+/*
+ * Close once all bytes have left and the caller has closed too: closing over
+ * bytes that were not read would reset the connection and lose the answer.
+ */
+static void
+conn_finish(struct front_conn *c)
+{
+	c->phase = FRONT_LINGERING;
+	(void)uv_timer_stop(&c->timer);
+	if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
+		front_conn_close(c);
+}
+
+/* ---- writing ----------------------------------------------------------- */
+
+struct front_write {
+	uv_write_t req;
+	struct front_conn *conn;
+	size_t len;
+	char data[];
+};
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	struct front_write *w = (struct front_write *)(void *)req;
+	struct front_conn *c = w->conn;
+
+	c->queued -= w->len;
+	free(w);
+	if (status != 0 && c->phase != FRONT_CLOSING)
+		conn_gone(c);
+}
+
+static void
+conn_write(struct front_conn *c, const char *data, size_t len)
+{
+	uv_buf_t b = uv_buf_init((char *)data, (unsigned)len);
+	struct front_write *w;
+	int n = 0;
+
+	if (len == 0 || c->phase == FRONT_CLOSING)
+		return;
+	if (c->queued == 0)
+		n = uv_try_write((uv_stream_t *)&c->tcp, &b, 1);
+	if (n < 0)
+		n = 0; /* the queued write will show the error */
+	if ((size_t)n == len)
+		return;
+	len -= (size_t)n;
+	w = mem_alloc(1, sizeof(*w) + len);
+	w->conn = c;
+	w->len = len;
+	memcpy(w->data, data + n, len);
+	c->queued += len;
+	b = uv_buf_init(w->data, (unsigned)len);
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &b, 1, on_written) != 0) {
+		c->queued -= len;
+		free(w);
+	}
+}
+
+/* ---- answers ----------------------------------------------------------- */
+
+bool
+front_conn_is_idle(const struct front_conn *c)
+{
+	return c->phase == FRONT_HEAD && c->input.len == 0;
+}
+
+/* The time that the caller has for what is due from him. */
+static void
+conn_arm(struct front_conn *c)
+{
+	const struct node_limits *limits = &c->server->limits;
+
+	if (c->phase == FRONT_CLOSING || c->phase == FRONT_ANSWERING ||
+	    c->phase == FRONT_LINGERING)
+		return;
+	(void)uv_timer_start(&c->timer, on_timer,
+	    front_conn_is_idle(c) ? limits->idle_timeout_ms
+				  : limits->header_timeout_ms,
+	    0);
+}
+
+/* The answer is whole: the next request, or the end. */
+static void
+conn_next(struct front_conn *c)
+{
+	(void)map_remove_u64(c->server->requests, c->request);
+	c->request = 0;
+	c->answered = false;
+	buf_clear(&c->body);
+	buf_clear(&c->head_bytes);
+	if (!c->keep) {
+		conn_finish(c);
+		return;
+	}
+	c->phase = FRONT_HEAD;
+	conn_take(c);
+}
+
+static void
+append_headers(struct buf *out, const struct node_header *headers, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		buf_puts(out, headers[i].name);
+		buf_puts(out, ": ");
+		buf_puts(out, headers[i].value);
+		buf_puts(out, "\r\n");
+	}
+}
+
+static bool
+status_has_body(int status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+void
+front_conn_reply(struct front_conn *c, const struct node_reply *reply)
+{
+	struct buf out = {0};
+	bool sized = !reply->more || reply->sized;
+	uint64_t length = reply->more ? reply->length : reply->body.len;
+
+	if (c->answered || c->phase != FRONT_ANSWERING)
+		return;
+	c->answered = true;
+	c->keep = c->keep && !c->server->leaving;
+	if (!sized && c->head.minor_version == 0)
+		c->keep = false;
+	c->chunked_answer = !sized && c->head.minor_version >= 1;
+	c->no_body = c->no_body || !status_has_body(reply->status);
+	buf_printf(&out, "HTTP/1.1 %d %s\r\n", reply->status,
+	    http_status_reason(reply->status));
+	if (reply->content_type != NULL)
+		buf_printf(&out, "Content-Type: %s\r\n", reply->content_type);
+	append_headers(&out, reply->headers, reply->nheaders);
+	append_headers(&out, reply->passed, reply->npassed);
+	if (sized && status_has_body(reply->status))
+		buf_printf(&out, "Content-Length: %llu\r\n",
+		    (unsigned long long)length);
+	else if (c->chunked_answer && !c->no_body)
+		buf_puts(&out, "Transfer-Encoding: chunked\r\n");
+	if (!c->keep)
+		buf_puts(&out, "Connection: close\r\n");
+	buf_puts(&out, "\r\n");
+	if (!reply->more && !c->no_body)
+		buf_append(&out, reply->body.data, reply->body.len);
+	conn_write(c, out.data, out.len);
+	buf_free(&out);
+	if (c->phase == FRONT_CLOSING)
+		return;
+	if (reply->more)
+		front_conn_send(c, reply->body);
+	else
+		conn_next(c);
+}
+
+void
+front_conn_send(struct front_conn *c, struct node_bytes data)
+{
+	struct buf out = {0};
+
+	if (!c->answered || c->no_body || data.len == 0)
+		return;
+	if (c->queued + data.len > QUEUE_LIMIT_BYTES) {
+		conn_gone(c);
+		return;
+	}
+	if (!c->chunked_answer) {
+		conn_write(c, data.data, data.len);
+		return;
+	}
+	buf_printf(&out, "%zx\r\n", data.len);
+	buf_append(&out, data.data, data.len);
+	buf_puts(&out, "\r\n");
+	conn_write(c, out.data, out.len);
+	buf_free(&out);
+}
+
+void
+front_conn_end(struct front_conn *c, bool aborted)
+{
+	if (aborted || !c->answered) {
+		/* A reset shows even where a close would look like an end. */
+		(void)map_remove_u64(c->server->requests, c->request);
+		c->request = 0;
+		if (c->phase != FRONT_CLOSING) {
+			*c->link = c->next;
+			if (c->next != NULL)
+				c->next->link = c->link;
+			c->phase = FRONT_CLOSING;
+			uv_close((uv_handle_t *)&c->timer, on_handle_closed);
+			if (uv_tcp_close_reset(&c->tcp, on_handle_closed) != 0)
+				uv_close(
+				    (uv_handle_t *)&c->tcp, on_handle_closed);
+		}
+		return;
+	}
+	if (c->chunked_answer && !c->no_body)
+		conn_write(c, "0\r\n\r\n", 5);
+	if (c->phase != FRONT_CLOSING)
+		conn_next(c);
+}
+
+/* Refuse what could not be taken as a request; the connection ends. */
+static void
+conn_refuse(struct front_conn *c, enum front_fault fault)
+{
+	char text[160];
+	int n = snprintf(text, sizeof(text),
+	    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+	    (int)fault, http_status_reason((int)fault));
+
+	conn_write(c, text, (size_t)n);
+	if (c->phase == FRONT_CLOSING)
+		return;
+	conn_finish(c);
+}
+
+/* ---- requests ---------------------------------------------------------- */
+
+/* Zero-terminate the parts of the head and present the request. */
+static void
+conn_present(struct front_conn *c)
+{
+	struct front_server *s = c->server;
+	struct front_head *h = &c->head;
+	struct node_header headers[FRONT_HEADERS_MAX];
+	struct node_request r;
+	size_t i;
+
+	memset(&r, 0, sizeof(r));
+	for (i = 0; i < h->nheaders; i++) {
+		((char *)h->headers[i].name)[h->headers[i].name_len] = '\0';
+		((char *)h->headers[i].value)[h->headers[i].value_len] = '\0';
+		headers[i].name = h->headers[i].name;
+		headers[i].value = h->headers[i].value;
+	}
+	((char *)h->method)[h->method_len] = '\0';
+	((char *)h->path)[h->path_len] = '\0';
+	r.request = c->request = ++s->last_request;
+	r.listener = s->listener_kind;
+	r.method = h->method;
+	r.path = h->path;
+	r.headers = headers;
+	r.nheaders = h->nheaders;
+	r.body.data = c->body.data;
+	r.body.len = c->body.len;
+	c->no_body = strcmp(h->method, "HEAD") == 0;
+	c->keep = h->keep;
+	c->phase = FRONT_ANSWERING;
+	(void)uv_timer_stop(&c->timer);
+	(void)map_set_u64(s->requests, c->request, c);
+	s->callbacks.on_request(s->ctx, &r);
+}
+
+/* Take a head from the input; true when a request has begun. */
+static bool
+take_head(struct front_conn *c)
+{
+	enum front_fault fault;
+
+	while (c->input.len > 0 &&
+	    (c->input.data[0] == '\r' || c->input.data[0] == '\n'))
+		buf_consume(&c->input, 1);
+	if (c->input.len == 0)
+		return false;
+	fault = front_parse_head(
+	    &c->head, c->input.data, c->input.len, &c->server->limits);
+	if (fault == FRONT_INCOMPLETE)
+		return false;
+	if (fault != FRONT_OK) {
+		conn_refuse(c, fault);
+		return false;
+	}
+	/* The head keeps its bytes; the input goes on behind it. */
+	buf_clear(&c->head_bytes);
+	buf_append(&c->head_bytes, c->input.data, c->head.size);
+	(void)front_parse_head(&c->head, c->head_bytes.data, c->head_bytes.len,
+	    &c->server->limits);
+	buf_consume(&c->input, c->head.size);
+	c->left = c->head.length;
+	memset(&c->chunks, 0, sizeof(c->chunks));
+	c->chunks.consume_trailer = 1;
+	c->phase = FRONT_BODY;
+	if (c->head.expects && c->input.len == 0)
+		conn_write(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	return c->phase == FRONT_BODY;
+}
+
+/* Take bytes of a chunked body; true when it is whole. */
+static bool
+take_chunks(struct front_conn *c)
+{
+	size_t len = c->input.len;
+	ssize_t rest;
+
+	if (len == 0)
+		return false;
+	rest = phr_decode_chunked(&c->chunks, c->input.data, &len);
+	if (rest == -1) {
+		conn_refuse(c, FRONT_BAD);
+		return false;
+	}
+	buf_append(&c->body, c->input.data, len);
+	if (c->body.len > c->server->limits.body_bytes) {
+		conn_refuse(c, FRONT_BODY_TOO_LARGE);
+		return false;
+	}
+	if (rest == -2) {
+		buf_clear(&c->input);
+		return false;
+	}
+	/* What follows the body was moved behind the decoded bytes. */
+	buf_consume(&c->input, len);
+	c->input.len = (size_t)rest;
+	return true;
+}
+
+/* Take bytes of the body; true when it is whole. */
+static bool
+take_body(struct front_conn *c)
+{
+	size_t n;
+
+	if (c->head.chunked)
+		return take_chunks(c);
+	n = c->input.len < c->left ? c->input.len : (size_t)c->left;
+	buf_append(&c->body, c->input.data, n);
+	buf_consume(&c->input, n);
+	c->left -= n;
+	return c->left == 0;
+}
+
+static void
+conn_take(struct front_conn *c)
+{
+	if (c->phase == FRONT_HEAD && !take_head(c)) {
+		conn_arm(c);
+		if (c->phase == FRONT_HEAD && c->server->leaving &&
+		    c->input.len == 0)
+			conn_finish(c);
+		return;
+	}
+	if (c->phase == FRONT_BODY) {
+		if (take_body(c))
+			conn_present(c);
+		else
+			conn_arm(c);
+	}
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct front_conn *c = timer->data;
+
+	if (front_conn_is_idle(c) || c->phase == FRONT_LINGERING)
+		front_conn_close(c);
+	else
+		conn_refuse(c, FRONT_TIMEOUT);
+}
+
+/* ---- reading ----------------------------------------------------------- */
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct front_conn *c = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(c->server->input, FRONT_READ_BYTES);
+}
+
+/*
+ * A caller that closes only its sending side counts as gone: HTTP/1.1 has no
+ * other sign of one who has left.
+ */
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct front_conn *c = stream->data;
+
+	if (n == 0 || c->phase == FRONT_CLOSING)
+		return;
+	if (n < 0) {
+		conn_gone(c);
+		return;
+	}
+	if (c->phase == FRONT_LINGERING)
+		return;
+	buf_append(&c->input, buf->base, (size_t)n);
+	if (c->phase == FRONT_ANSWERING) {
+		if (c->input.len > AHEAD_LIMIT_BYTES)
+			conn_gone(c);
+		return;
+	}
+	conn_take(c);
+}
+
+static void
+set_socket_options(struct front_conn *c)
+{
+	static const unsigned silent_ms = PEER_SILENT_MS;
+	int fd;
+
+	(void)uv_tcp_nodelay(&c->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+		    sizeof(silent_ms));
+}
+
+static size_t
+conn_count(const struct front_server *s)
+{
+	return s->open_handles / 2;
+}
+
+void
+front_conn_accept(struct front_server *s)
+{
+	struct front_conn *c = mem_alloc(1, sizeof(*c));
+
+	c->server = s;
+	c->open_handles = 2;
+	s->open_handles += 2;
+	(void)uv_tcp_init(s->loop, &c->tcp);
+	(void)uv_timer_init(s->loop, &c->timer);
+	c->tcp.data = c;
+	c->timer.data = c;
+	c->next = s->conns;
+	c->link = &s->conns;
+	if (c->next != NULL)
+		c->next->link = &c->next;
+	s->conns = c;
+	if (uv_accept((uv_stream_t *)&s->listener, (uv_stream_t *)&c->tcp) !=
+		0 ||
+	    conn_count(s) > s->connection_limit) {
+		front_conn_close(c);
+		return;
+	}
+	set_socket_options(c);
+	if (uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0) {
+		front_conn_close(c);
+		return;
+	}
+	conn_arm(c);
+}
--- /dev/null
+++ b/src/http/front_parse.c
@@ -0,0 +1,161 @@
+#include <string.h>
+#include <strings.h>
+
+#include "http/front_internal.h"
+
+#define LENGTH_DIGITS_MAX 18
+
+static bool
+name_is(const struct phr_header *h, const char *name)
+{
+	return h->name_len == strlen(name) &&
+	    strncasecmp(h->name, name, h->name_len) == 0;
+}
+
+static bool
+value_is(const struct phr_header *h, const char *value)
+{
+	return h->value_len == strlen(value) &&
+	    strncasecmp(h->value, value, h->value_len) == 0;
+}
+
+/* Does a list of tokens, separated by commas, hold one? */
+static bool
+value_has(const struct phr_header *h, const char *token)
+{
+	size_t len = strlen(token), from = 0, to;
+
+	while (from < h->value_len) {
+		while (from < h->value_len &&
+		    strchr(" \t,", h->value[from]) != NULL)
+			from++;
+		to = from;
+		while (
+		    to < h->value_len && strchr(" \t,", h->value[to]) == NULL)
+			to++;
+		if (to - from == len &&
+		    strncasecmp(h->value + from, token, len) == 0)
+			return true;
+		from = to;
+	}
+	return false;
+}
+
+static enum front_fault
+take_length(struct front_head *head, const struct phr_header *h, bool again)
+{
+	uint64_t length = 0;
+	size_t i;
+
+	if (again || h->value_len == 0 || h->value_len > LENGTH_DIGITS_MAX)
+		return FRONT_BAD;
+	for (i = 0; i < h->value_len; i++) {
+		if (h->value[i] < '0' || h->value[i] > '9')
+			return FRONT_BAD;
+		length = length * 10 + (uint64_t)(h->value[i] - '0');
+	}
+	head->length = length;
+	return FRONT_OK;
+}
+
+/* What the headers say of the message as such. */
+struct framing {
+	bool length, coding, host;
+};
+
+static enum front_fault
+take_header(
+    struct front_head *head, struct framing *f, const struct phr_header *h)
+{
+	enum front_fault fault;
+
+	if (h->name == NULL)
+		return FRONT_BAD; /* continues the line before */
+	if (name_is(h, "content-length")) {
+		fault = take_length(head, h, f->length);
+		f->length = true;
+		return fault;
+	}
+	if (name_is(h, "transfer-encoding")) {
+		if (f->coding)
+			return FRONT_BAD;
+		f->coding = true;
+		head->chunked = value_is(h, "chunked");
+		return head->chunked ? FRONT_OK : FRONT_UNKNOWN_CODING;
+	}
+	if (name_is(h, "host")) {
+		if (f->host || h->value_len == 0)
+			return FRONT_BAD;
+		f->host = true;
+	} else if (name_is(h, "connection")) {
+		if (value_has(h, "close"))
+			head->keep = false;
+		else if (head->minor_version == 0 && value_has(h, "keep-alive"))
+			head->keep = true;
+	} else if (name_is(h, "expect")) {
+		head->expects = value_is(h, "100-continue");
+	}
+	return FRONT_OK;
+}
+
+static enum front_fault
+check_headers(struct front_head *head, const struct node_limits *limits)
+{
+	struct framing f = {0};
+	enum front_fault fault;
+	size_t i;
+
+	head->keep = head->minor_version >= 1;
+	for (i = 0; i < head->nheaders; i++) {
+		fault = take_header(head, &f, &head->headers[i]);
+		if (fault != FRONT_OK)
+			return fault;
+	}
+	if (f.length && f.coding)
+		return FRONT_BAD;
+	if (head->minor_version == 0 && f.coding)
+		return FRONT_BAD;
+	if (!f.host && head->minor_version >= 1)
+		return FRONT_BAD;
+	if (head->path_len == 0 || head->path[0] != '/')
+		return FRONT_BAD;
+	if (head->length > limits->body_bytes)
+		return FRONT_BODY_TOO_LARGE;
+	return FRONT_OK;
+}
+
+/* A carriage return ends a line only together with a line feed. */
+static bool
+has_lone_return(const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < len; i++)
+		if (data[i] == '\r' && data[i + 1] != '\n')
+			return true;
+	return false;
+}
+
+enum front_fault
+front_parse_head(struct front_head *head, const char *data, size_t len,
+    const struct node_limits *limits)
+{
+	int size;
+
+	memset(head, 0, sizeof(*head));
+	head->nheaders = FRONT_HEADERS_MAX;
+	size = phr_parse_request(data, len, &head->method, &head->method_len,
+	    &head->path, &head->path_len, &head->minor_version, head->headers,
+	    &head->nheaders, 0);
+	if (size == -2)
+		return len > limits->header_bytes ? FRONT_HEAD_TOO_LARGE
+						  : FRONT_INCOMPLETE;
+	if (size == -1)
+		return FRONT_BAD;
+	if ((size_t)size > limits->header_bytes)
+		return FRONT_HEAD_TOO_LARGE;
+	if (has_lone_return(data, (size_t)size))
+		return FRONT_BAD;
+	head->size = (size_t)size;
+	return check_headers(head, limits);
+}
--- a/src/http/phr.h
+++ b/src/http/phr.h
@@ -5,7 +5,7 @@
 #include <sys/types.h>
 
 /*
- * The response parser that libh2o exports without a header: picohttpparser.
+ * The parser that libh2o exports without a header: picohttpparser.
  * tests/http/client_test.cc shows that these declarations fit it.
  */
 
@@ -24,6 +24,9 @@
 };
 
 /* The length of the head, -1 when malformed, -2 when incomplete. */
+int phr_parse_request(const char *buf, size_t len, const char **method,
+    size_t *method_len, const char **path, size_t *path_len, int *minor_version,
+    struct phr_header *headers, size_t *num_headers, size_t last_len);
 int phr_parse_response(const char *buf, size_t len, int *minor_version,
     int *status, const char **msg, size_t *msg_len, struct phr_header *headers,
     size_t *num_headers, size_t last_len);
--- a/src/journal/journal_hash.c
+++ b/src/journal/journal_hash.c
@@ -53,8 +53,10 @@
 	hash_number(state, (uint64_t)reply->status);
 	hash_text(state, reply->content_type);
 	hash_headers(state, reply->headers, reply->nheaders);
+	hash_headers(state, reply->passed, reply->npassed);
 	hash_bytes(state, reply->body);
 	hash_number(state, reply->more);
+	hash_number(state, reply->sized ? reply->length + 1 : 0);
 }
 
 static void
@@ -65,11 +67,14 @@
 	hash_text(state, call->method);
 	hash_text(state, call->path);
 	hash_headers(state, call->headers, call->nheaders);
+	hash_headers(state, call->passed, call->npassed);
 	hash_bytes(state, call->body);
 	hash_number(state, call->not_after_us);
 	hash_number(state, call->silence_us);
 	hash_number(state, call->first_us);
 	hash_number(state, call->fresh_connection);
+	hash_number(state, call->close_ends);
+	hash_number(state, call->idle_limit_ms);
 }
 
 static void
@@ -118,6 +123,14 @@
 		hash_number(state, (uint64_t)fx->u.log.number);
 		hash_text(state, fx->u.log.fields);
 		break;
+	case NODE_FX_LIMITS:
+		hash_number(state, fx->u.limits.header_bytes);
+		hash_number(state, fx->u.limits.body_bytes);
+		hash_number(state, fx->u.limits.header_timeout_ms);
+		hash_number(state, fx->u.limits.idle_timeout_ms);
+		break;
+	case NODE_FX_FRONT_CLOSING:
+	case NODE_FX_FRONT_CLOSED:
 	case NODE_FX_EXIT:
 		break;
 	}
--- a/src/journal/journal_read.c
+++ b/src/journal/journal_read.c
@@ -196,6 +196,21 @@
 	return (struct node_bytes){(const char *)bytes.data, bytes.len};
 }
 
+static const struct node_header *
+take_headers(
+    struct journal_reader *r, Journal__Header *const *list, size_t count)
+{
+	struct node_header *headers =
+	    node_effects_alloc(r->texts, count * sizeof(*headers));
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		headers[i].name = take_text(r, true, list[i]->name);
+		headers[i].value = take_text(r, true, list[i]->value);
+	}
+	return headers;
+}
+
 static void
 take_request(struct journal_reader *r, struct node_request *out,
     const Journal__Request *m)
@@ -209,6 +224,9 @@
 	out->body = take_bytes(m->body);
 	out->content_type =
 	    take_text(r, m->content_type.len > 0, m->content_type);
+	out->listener = (enum node_listener)m->listener;
+	out->headers = take_headers(r, m->headers, m->n_headers);
+	out->nheaders = m->n_headers;
 }
 
 static void
@@ -223,6 +241,10 @@
 	out->reason = take_text(r, true, m->reason);
 	out->content_type =
 	    take_text(r, m->content_type.len > 0, m->content_type);
+	out->headers = take_headers(r, m->headers, m->n_headers);
+	out->nheaders = m->n_headers;
+	out->sized = m->length_and_one != 0;
+	out->length = out->sized ? m->length_and_one - 1 : 0;
 }
 
 static void
--- a/src/journal/journal_write.c
+++ b/src/journal/journal_write.c
@@ -15,6 +15,7 @@
 #define NO_KEY	 "0000000000000000000000000000000000000000"
 
 struct journal_writer {
+	struct node_effects *memory; /* of the step that is written */
 	FILE *file;
 	uint64_t last_us, flushed_us;
 	bool failed;
@@ -122,6 +123,7 @@
 	char *settings = redact(settings_text);
 	int fd, code = MP_OK;
 
+	w->memory = node_effects_create();
 	w->last_us = w->flushed_us = boot->now_us;
 	if (settings == NULL) {
 		code = mp_error_set(err, MP_LAYER_STORE, MP_ERR_INVALID,
@@ -162,8 +164,27 @@
 	out->len = bytes.len;
 }
 
+/* The headers' messages live as long as the memory. */
+static Journal__Header **
+fill_headers(struct node_effects *memory, const struct node_header *headers,
+    size_t count)
+{
+	Journal__Header **list =
+	    node_effects_alloc(memory, count * sizeof(struct node_header *));
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		list[i] = node_effects_alloc(memory, sizeof(**list));
+		journal__header__init(list[i]);
+		(void)fill_text(&list[i]->name, headers[i].name);
+		(void)fill_text(&list[i]->value, headers[i].value);
+	}
+	return list;
+}
+
 static void
-fill_request(Journal__Request *out, const struct node_request *r)
+fill_request(struct node_effects *memory, Journal__Request *out,
+    const struct node_request *r)
 {
 	out->request = r->request;
 	out->method = (char *)r->method;
@@ -173,10 +194,14 @@
 	out->timed = fill_text(&out->timeout, r->timeout);
 	fill_bytes(&out->body, r->body);
 	(void)fill_text(&out->content_type, r->content_type);
+	out->listener = r->listener;
+	out->n_headers = r->nheaders;
+	out->headers = fill_headers(memory, r->headers, r->nheaders);
 }
 
 static void
-fill_call(Journal__Call *out, const struct node_call_event *ev)
+fill_call(struct node_effects *memory, Journal__Call *out,
+    const struct node_call_event *ev)
 {
 	out->call = ev->call;
 	out->phase = ev->phase;
@@ -185,6 +210,9 @@
 	fill_bytes(&out->data, ev->data);
 	(void)fill_text(&out->reason, ev->reason);
 	(void)fill_text(&out->content_type, ev->content_type);
+	out->n_headers = ev->nheaders;
+	out->headers = fill_headers(memory, ev->headers, ev->nheaders);
+	out->length_and_one = ev->sized ? ev->length + 1 : 0;
 }
 
 /* One of each message, for the step to point to. */
@@ -193,6 +221,7 @@
 	Journal__Request request;
 	Journal__Call call;
 	Journal__Saved saved;
+	struct node_effects *memory; /* of lists */
 };
 
 static void
@@ -210,7 +239,7 @@
 	case NODE_EV_REQUEST:
 		out->event_case = JOURNAL__STEP__EVENT_REQUEST;
 		out->request = &parts->request;
-		fill_request(&parts->request, &ev->u.request);
+		fill_request(parts->memory, &parts->request, &ev->u.request);
 		break;
 	case NODE_EV_CALLER_GONE:
 		out->event_case = JOURNAL__STEP__EVENT_GONE;
@@ -219,7 +248,7 @@
 	case NODE_EV_CALL:
 		out->event_case = JOURNAL__STEP__EVENT_CALL;
 		out->call = &parts->call;
-		fill_call(&parts->call, &ev->u.call);
+		fill_call(parts->memory, &parts->call, &ev->u.call);
 		break;
 	case NODE_EV_SAVED:
 		out->event_case = JOURNAL__STEP__EVENT_SAVED;
@@ -241,7 +270,7 @@
     struct mp_error *err)
 {
 	struct parts parts = {JOURNAL__PEER__INIT, JOURNAL__REQUEST__INIT,
-	    JOURNAL__CALL__INIT, JOURNAL__SAVED__INIT};
+	    JOURNAL__CALL__INIT, JOURNAL__SAVED__INIT, w->memory};
 	Journal__Step out = JOURNAL__STEP__INIT;
 	int code;
 
@@ -250,6 +279,7 @@
 		    "journal: an earlier write failed");
 	out.after_us = now_us - w->last_us;
 	out.effects = journal_hash(fx);
+	node_effects_clear(w->memory);
 	fill_event(&out, &parts, ev);
 	w->last_us = now_us;
 	code = write_frame(w, &out.base, err);
@@ -269,6 +299,7 @@
 
 	if (w->file != NULL && fclose(w->file) != 0)
 		code = io_error(err, "close");
+	node_effects_destroy(w->memory);
 	free(w);
 	return code;
 }
--- a/src/mulberryctl/replay_outcome.c
+++ b/src/mulberryctl/replay_outcome.c
@@ -134,7 +134,8 @@
 replay_effects_text(const struct node_effects *fx, struct buf *out)
 {
 	static const char *const names[] = {"send", "reply", "reply-data",
-	    "reply-end", "call", "call-cancel", "save", "log", "exit"};
+	    "reply-end", "call", "call-cancel", "save", "log", "limits",
+	    "front-closing", "front-closed", "exit"};
 	size_t i;
 
 	if (node_effects_count(fx) == 0)
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "mulberryd/daemon_internal.h"
+#include "platform/platform.h"
 #include "util/clock.h"
 
 #define US_PER_MS      1000
@@ -170,6 +171,27 @@
 	daemon_feed(d, &ev);
 }
 
+/* The settings file has changed: what it says counts at the next start. */
+static void
+on_reload(uv_signal_t *handle, int number)
+{
+	struct daemon *d = handle->data;
+	struct settings_problems problems = {0};
+	struct settings *settings = NULL;
+	struct mp_error err = {0};
+	bool valid;
+
+	(void)number;
+	valid =
+	    settings_load(&settings, d->config_file, &problems, &err) == MP_OK;
+	log_output_event(d->log, EVENT_RELOADED,
+	    "{\"valid\": %s, \"seeds\": %zu, \"fault\": \"%s\"}",
+	    valid ? "true" : "false", valid ? settings->nseeds : 0,
+	    problems.count > 0 ? problems.items[0].path : "");
+	settings_problems_free(&problems);
+	settings_destroy(settings);
+}
+
 /* ---- closing ----------------------------------------------------------- */
 
 static void
@@ -182,6 +204,7 @@
 	uv_close((uv_handle_t *)&d->tick, NULL);
 	uv_close((uv_handle_t *)&d->sigterm, NULL);
 	uv_close((uv_handle_t *)&d->sigint, NULL);
+	uv_close((uv_handle_t *)&d->sighup, NULL);
 	uv_close((uv_handle_t *)&d->close_timer, NULL);
 }
 
@@ -199,12 +222,18 @@
 on_close(uv_timer_t *timer)
 {
 	struct daemon *d = timer->data;
+	size_t i;
 
 	(void)uv_timer_stop(&d->tick);
 	(void)uv_timer_start(
 	    &d->close_timer, on_close_overdue, CLOSE_LIMIT_MS, 0);
 	d->open_parts = 1 + (d->server != NULL) + (d->client != NULL) +
 	    (d->bus != NULL) + (d->store != NULL);
+	for (i = 0; i < NODE_LISTENERS; i++)
+		d->open_parts += d->gateway[i] != NULL;
+	for (i = 0; i < NODE_LISTENERS; i++)
+		if (d->gateway[i] != NULL)
+			front_server_destroy(d->gateway[i], on_part_closed, d);
 	if (d->server != NULL)
 		http_server_destroy(d->server, on_part_closed, d);
 	if (d->client != NULL)
@@ -246,12 +275,15 @@
 	(void)uv_timer_init(&d->loop, &d->close_timer);
 	(void)uv_signal_init(&d->loop, &d->sigterm);
 	(void)uv_signal_init(&d->loop, &d->sigint);
+	(void)uv_signal_init(&d->loop, &d->sighup);
 	d->tick.data = d;
 	d->close_timer.data = d;
 	d->sigterm.data = d;
 	d->sigint.data = d;
+	d->sighup.data = d;
 	(void)uv_signal_start(&d->sigterm, on_signal, SIGTERM);
 	(void)uv_signal_start(&d->sigint, on_signal, SIGINT);
+	(void)uv_signal_start(&d->sighup, on_reload, SIGHUP);
 }
 
 static void
@@ -279,6 +311,7 @@
 		log_folder(d, boot.disk);
 	}
 	boot.settings = d->settings;
+	boot.codec = &platform_codec;
 	boot.incarnation = random_u64();
 	boot.seed = random_u64();
 	boot.now_us = clock_now_us();
@@ -313,6 +346,49 @@
 	    &d->server, &d->loop, &options, &callbacks, d, err);
 }
 
+static int
+create_gateway(struct daemon *d, enum node_listener listener,
+    const char *address, struct mp_error *err)
+{
+	static const struct http_server_callbacks callbacks = {
+	    .on_request = on_request,
+	    .on_gone = on_gone,
+	};
+	const struct settings *s = d->settings;
+	struct front_options options = {
+	    .listen = address,
+	    .first_request = (uint64_t)listener << DAEMON_LISTENER_SHIFT,
+	    .listener = listener,
+	    .connection_limit = s->connection_limit,
+	    .limits = {.header_bytes = s->header_limit_bytes,
+		.body_bytes = s->body_limit_bytes,
+		.header_timeout_ms = s->idle_timeout_ms,
+		.idle_timeout_ms = s->idle_timeout_ms},
+	};
+
+	if (address == NULL)
+		return MP_OK;
+	return front_server_create(
+	    &d->gateway[listener], &d->loop, &options, &callbacks, d, err);
+}
+
+static int
+create_listeners(struct daemon *d, struct mp_error *err)
+{
+	const struct settings_gateway *s = &d->settings->gateway;
+	int code = create_gateway(d, NODE_LISTEN_FRONT, s->front, err);
+
+	if (code == MP_OK)
+		code =
+		    create_gateway(d, NODE_LISTEN_READINESS, s->readiness, err);
+	if (code == MP_OK)
+		code = create_gateway(d, NODE_LISTEN_CONTROL, s->control, err);
+	if (code == MP_OK)
+		code =
+		    create_gateway(d, NODE_LISTEN_REGISTRY, s->registry, err);
+	return code;
+}
+
 static int
 start(struct daemon *d, struct mp_error *err)
 {
@@ -325,6 +401,8 @@
 	if (code == MP_OK)
 		code =
 		    http_client_create(&d->client, &d->loop, on_call, d, err);
+	if (code == MP_OK)
+		code = create_listeners(d, err);
 	if (code == MP_OK)
 		code = create_server(d, err);
 	if (code != MP_OK)
--- a/src/mulberryd/daemon_effects.c
+++ b/src/mulberryd/daemon_effects.c
@@ -1,5 +1,50 @@
 #include "mulberryd/daemon_internal.h"
 
+/*
+ * The gateway's listener that a request came by, as its number says; NULL for
+ * the product's own interface.
+ */
+static struct front_server *
+front_of(const struct daemon *d, uint64_t request)
+{
+	uint64_t listener = request >> DAEMON_LISTENER_SHIFT;
+
+	return listener < NODE_LISTENERS ? d->gateway[listener] : NULL;
+}
+
+static void
+execute_reply(struct daemon *d, const struct node_reply *reply)
+{
+	struct front_server *front = front_of(d, reply->request);
+
+	if (front != NULL)
+		front_server_reply(front, reply);
+	else if (d->server != NULL)
+		http_server_reply(d->server, reply);
+}
+
+static void
+execute_data(struct daemon *d, uint64_t request, struct node_bytes data)
+{
+	struct front_server *front = front_of(d, request);
+
+	if (front != NULL)
+		front_server_send(front, request, data);
+	else if (d->server != NULL)
+		http_server_send(d->server, request, data);
+}
+
+static void
+execute_end(struct daemon *d, uint64_t request, bool aborted)
+{
+	struct front_server *front = front_of(d, request);
+
+	if (front != NULL)
+		front_server_end(front, request, aborted);
+	else if (d->server != NULL)
+		http_server_end(d->server, request, aborted);
+}
+
 /* An answer to GET /metrics gets the counters of the process at its end. */
 static bool
 reply_with_metrics(struct daemon *d, const struct node_reply *reply)
@@ -44,15 +89,15 @@
 		break;
 	case NODE_FX_REPLY:
 		if (!reply_with_metrics(d, &fx->u.reply))
-			http_server_reply(d->server, &fx->u.reply);
+			execute_reply(d, &fx->u.reply);
 		break;
 	case NODE_FX_REPLY_DATA:
-		http_server_send(
-		    d->server, fx->u.reply_data.request, fx->u.reply_data.data);
+		execute_data(
+		    d, fx->u.reply_data.request, fx->u.reply_data.data);
 		break;
 	case NODE_FX_REPLY_END:
-		http_server_end(d->server, fx->u.reply_end.request,
-		    fx->u.reply_end.aborted);
+		execute_end(
+		    d, fx->u.reply_end.request, fx->u.reply_end.aborted);
 		break;
 	case NODE_FX_CALL:
 		http_client_start(d->client, &fx->u.call);
@@ -66,6 +111,20 @@
 	case NODE_FX_LOG:
 		log_output_write(d->log, &fx->u.log);
 		break;
+	case NODE_FX_LIMITS:
+		if (d->gateway[NODE_LISTEN_FRONT] != NULL)
+			front_server_set_limits(
+			    d->gateway[NODE_LISTEN_FRONT], &fx->u.limits);
+		break;
+	case NODE_FX_FRONT_CLOSING:
+		if (d->gateway[NODE_LISTEN_FRONT] != NULL)
+			front_server_leave(d->gateway[NODE_LISTEN_FRONT]);
+		break;
+	case NODE_FX_FRONT_CLOSED:
+		if (d->gateway[NODE_LISTEN_FRONT] != NULL)
+			front_server_close_listener(
+			    d->gateway[NODE_LISTEN_FRONT]);
+		break;
 	case NODE_FX_EXIT:
 		daemon_close(d);
 		break;
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -5,6 +5,7 @@
 #include <uv.h>
 
 #include "bus/bus.h"
+#include "http/front.h"
 #include "http/http.h"
 #include "journal/journal.h"
 #include "mulberryd/daemon.h"
@@ -15,6 +16,9 @@
 #include "util/buf.h"
 #include "util/map.h"
 
+/* Requests of the gateway's listeners: the listener above these bits. */
+#define DAEMON_LISTENER_SHIFT 56
+
 struct daemon {
 	uv_loop_t loop;
 	const struct settings *settings;
@@ -27,6 +31,7 @@
 	bool stepping;
 
 	struct http_server *server;
+	struct front_server *gateway[NODE_LISTENERS]; /* NULL: not served */
 	struct http_client *client;
 	struct bus *bus;
 	struct store *store; /* NULL without a data folder */
@@ -36,7 +41,7 @@
 
 	uv_timer_t tick;
 	uint64_t tick_due_us; /* of the timer; 0: not armed */
-	uv_signal_t sigterm, sigint;
+	uv_signal_t sigterm, sigint, sighup;
 	uv_timer_t close_timer; /* starts the closing, then limits it */
 	bool stop_requested;
 	bool closing; /* the node takes no more events */
--- a/src/mulberryd/event_queue.c
+++ b/src/mulberryd/event_queue.c
@@ -54,6 +54,7 @@
 	copy_text(memory, &r->content_type);
 	copy_text(memory, &r->timeout);
 	copy_bytes(memory, &r->body);
+	r->headers = node_effects_headers(memory, r->headers, r->nheaders);
 }
 
 void
@@ -76,6 +77,8 @@
 		copy_text(item->memory, &copy->u.call.reason);
 		copy_text(item->memory, &copy->u.call.content_type);
 		copy_bytes(item->memory, &copy->u.call.data);
+		copy->u.call.headers = node_effects_headers(
+		    item->memory, ev->u.call.headers, ev->u.call.nheaders);
 		break;
 	case NODE_EV_SAVED:
 		copy_text(item->memory, &copy->u.saved.reason);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/node_gate.h"
 #include "node/node_guard.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
@@ -14,7 +15,8 @@
 	if (boot->disk == NULL)
 		return 0;
 	n->voter = RAFT_ID(boot->disk->incarnation, n->id);
-	n->may_found = boot->disk->fresh && !boot->disk->damaged;
+	n->may_found = boot->disk->fresh && !boot->disk->damaged &&
+	    (n->settings->nseeds == 0 || n->settings->gateway.founding);
 	options.self = n->voter;
 	options.seed = boot->seed ^ n->voter;
 	options.heartbeat_us = NODE_HEARTBEAT_US;
@@ -88,6 +90,8 @@
 	rc = node_create_raft(n, boot, err);
 	if (rc == 0)
 		rc = node_create_sched(n, boot, err);
+	if (rc == 0 && boot->codec != NULL && settings_has_gateway(n->settings))
+		node_gate_create(n, boot->codec);
 	if (rc != 0) {
 		node_destroy(n);
 		return mp_error_wrap(
@@ -141,6 +145,7 @@
 
 	if (n == NULL)
 		return;
+	node_gate_destroy(n);
 	route_destroy(n->route);
 	sched_destroy(n->sched);
 	raft_destroy(n->raft);
@@ -217,8 +222,9 @@
 
 	if (!n->stopping || n->exited)
 		return;
-	if (n->now < n->stop_us + NODE_DRAIN_MAX_US &&
-	    (n->now < lapsed || !idle))
+	if (n->gate != NULL ? !node_gate_may_exit(n)
+			    : n->now < n->stop_us + NODE_DRAIN_MAX_US &&
+		    (n->now < lapsed || !idle))
 		return;
 	n->exited = true;
 	node_log(
@@ -268,6 +274,7 @@
 	node_owner_tick(n);
 	node_entry_tick(n);
 	route_tick(n->route, n->now, n->fx);
+	node_gate_tick(n);
 	node_log_standing(n);
 	node_hand_over(n);
 	node_stop_tick(n);
@@ -276,6 +283,8 @@
 static void
 node_call_event(struct node *n, const struct node_call_event *event)
 {
+	if (node_gate_call(n, event))
+		return;
 	if (route_call(n->route, n->now, event, n->fx))
 		return;
 	if (!node_order_call(n, event))
@@ -317,10 +326,14 @@
 		break;
 	case NODE_EV_REQUEST:
 		n->counters.requests++;
-		node_api_request(n, &ev->u.request);
+		if (ev->u.request.listener == NODE_LISTEN_OWN)
+			node_api_request(n, &ev->u.request);
+		else
+			node_gate_request(n, &ev->u.request);
 		break;
 	case NODE_EV_CALLER_GONE:
-		route_caller_gone(n->route, n->now, ev->u.gone, n->fx);
+		if (!node_gate_gone(n, ev->u.gone))
+			route_caller_gone(n->route, n->now, ev->u.gone, n->fx);
 		break;
 	case NODE_EV_CALL:
 		node_call_event(n, &ev->u.call);
@@ -346,6 +359,7 @@
 	node_replica_pump(n);
 	node_peer_loop(n);
 	node_owner_run(n);
+	node_gate_run(n);
 	node_peer_loop(n);
 	node_replica_pump(n);
 	node_follow_push_all(n);
@@ -355,5 +369,7 @@
 uint64_t
 node_next_tick(const struct node *n)
 {
-	return n->now + NODE_TICK_US;
+	uint64_t next = n->now + NODE_TICK_US;
+
+	return n->gate == NULL ? next : node_gate_next(n, next);
 }
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -1,4 +1,5 @@
 #include "doc/doc_delta.h"
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 
 /* Is the command one that this process proposed? */
@@ -53,6 +54,7 @@
 	if (claim_apply_down(n->claims, down->id, down->incarnation) > 0)
 		route_claim_review(n->route, n->now, n->fx);
 	node_orphan_entry_down(n, down->id, down->incarnation);
+	node_gate_entry_down(n, down->incarnation);
 	node_owner_epoch(n, false);
 }
 
@@ -135,6 +137,16 @@
 		route_claim_review(n->route, n->now, n->fx);
 }
 
+/* The caller of a change to the gateway is answered. */
+static void
+apply_gate_proposal(struct node *n, const Wire__Command *command)
+{
+	if (!is_own(n, command))
+		return;
+	node_gate_decided(n, command->proposal);
+	node_propose_applied(n, command->proposal);
+}
+
 void
 node_apply_command(struct node *n, uint64_t index, const Wire__Command *command)
 {
@@ -157,6 +169,14 @@
 	case WIRE__COMMAND__BODY_CLAIM_END:
 		apply_claim_end(n, command);
 		break;
+	case WIRE__COMMAND__BODY_GATEWAY_CONFIG:
+		node_gate_apply_config(n, index, command->gateway_config);
+		apply_gate_proposal(n, command);
+		break;
+	case WIRE__COMMAND__BODY_ADAPTER_VERSION:
+		node_gate_apply_version(n, command->adapter_version);
+		apply_gate_proposal(n, command);
+		break;
 	case WIRE__COMMAND__BODY_CLAIM_CLOCK:
 		claim_apply_clock(n->claims, command->claim_clock->elapsed_ms);
 		break;
--- a/src/node/node_entry.c
+++ b/src/node/node_entry.c
@@ -236,7 +236,8 @@
 		n->touch_us = n->now + NODE_TOUCH_US;
 		node_touch_owners(n);
 	}
-	if (n->now >= n->summary_us) {
+	/* The gateway's placer keeps its own account of all entries. */
+	if (n->now >= n->summary_us && n->gate == NULL) {
 		n->summary_us = n->now + NODE_SUMMARY_US;
 		node_summary_send(n);
 		node_grant_hand_on(n);
--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -71,27 +71,21 @@
 static uint32_t
 pick_voter(struct node *n)
 {
-	const struct settings *s = n->settings;
-	uint32_t heard = 0, voters = 0, nth;
-	size_t i;
+	uint32_t voters[NODE_VOTERS_MAX];
+	uint32_t heard = 0, nth;
+	size_t i, count = node_peer_voters(n, voters, NODE_VOTERS_MAX);
 
-	for (i = 0; i < s->npeers; i++) {
-		if (!s->peers[i].voter || s->peers[i].id == n->id)
-			continue;
-		voters++;
-		heard += node_peer_is_heard(n, s->peers[i].id) ? 1 : 0;
-	}
-	if (voters == 0)
+	for (i = 0; i < count; i++)
+		heard += node_peer_is_heard(n, voters[i]) ? 1 : 0;
+	if (count == 0)
 		return 0;
 	nth = heard > 0 ? (n->id + n->unanswered / FOLLOW_TRIES) % heard
-			: rng_below(&n->rng, voters);
-	for (i = 0; i < s->npeers; i++) {
-		if (!s->peers[i].voter || s->peers[i].id == n->id)
-			continue;
-		if (heard > 0 && !node_peer_is_heard(n, s->peers[i].id))
+			: rng_below(&n->rng, (uint32_t)count);
+	for (i = 0; i < count; i++) {
+		if (heard > 0 && !node_peer_is_heard(n, voters[i]))
 			continue;
 		if (nth-- == 0)
-			return s->peers[i].id;
+			return voters[i];
 	}
 	return 0;
 }
--- a/src/node/node_found.c
+++ b/src/node/node_found.c
@@ -195,7 +195,27 @@
 	return true;
 }
 
-/* One step towards making a member's data folder a voter; true when taken. */
+/* A voter whose instance is no member with that data folder; 0: none. */
+static uint64_t
+config_dead(const struct node *n, const struct raft_config *config)
+{
+	const struct member *m;
+	size_t i;
+
+	for (i = 0; i < config->nvoters; i++) {
+		m = member_view_find(
+		    n->view, RAFT_ID_INSTANCE(config->voters[i]));
+		if (m == NULL || m->voter != config->voters[i])
+			return config->voters[i];
+	}
+	return 0;
+}
+
+/*
+ * One step towards making a member's data folder a voter; true when taken.
+ * Where instances are replaced at other addresses, one that is no member any
+ * more makes room for the next.
+ */
 static bool
 admit_voter(struct node *n, const struct member *m)
 {
@@ -209,8 +229,12 @@
 		return change_voters(n, RAFT_ADD_LEARNER, m->voter);
 	if (!raft_learner_caught_up(n->raft, m->voter))
 		return false;
+	if (older == 0 && n->settings->nseeds > 0)
+		older = config_dead(n, config);
 	if (older != 0)
 		return change_voters(n, RAFT_REMOVE, older);
+	if (config->nvoters == RAFT_VOTERS_MAX)
+		return false;
 	return change_voters(n, RAFT_PROMOTE, m->voter);
 }
 
--- /dev/null
+++ b/src/node/node_gate.c
@@ -0,0 +1,354 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_gate.h"
+#include "util/mem.h"
+
+/* The end of the process may take so long once nothing is left to do. */
+#define EXIT_MARGIN_MS 700u
+/* Callers may keep a list of addresses for so many lifetimes. */
+#define LIFETIMES 3u
+/* A core that has handed over the lead is not needed for long. */
+#define CORE_EXIT_US (600 * 1000ULL)
+
+static struct place *
+create_place(const struct node *n)
+{
+	const struct settings_gateway *s = &n->settings->gateway;
+	struct place_options options = {0};
+
+	options.retry_ratio_milli = s->retry_ratio_milli;
+	options.retry_extra = s->retry_extra;
+	options.retry_window_ms = s->retry_window_ms;
+	options.store_window_ms = s->store_window_ms;
+	options.store_over_milli = s->store_over_milli;
+	options.adapter_loads = n->settings->store_in_flight;
+	options.adapter_load_ms = n->settings->load_ms;
+	options.heartbeat_ms = 0; /* until this instance places */
+	return place_create(&options);
+}
+
+void
+node_gate_create(struct node *n, const struct gw_codec *codec)
+{
+	struct node_gate *g = mem_alloc(1, sizeof(*g));
+
+	n->gate = g;
+	g->codec = codec;
+	g->versions = map_create();
+	g->entries = map_create();
+	g->orders = map_create();
+	g->callers = map_create();
+	g->asks = map_create();
+	g->relays = map_create();
+	g->place = create_place(n);
+	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
+	    n->settings->data_centre);
+}
+
+static void
+free_values(struct map *m)
+{
+	size_t i;
+
+	for (i = 0; i < map_count(m); i++)
+		free(map_at(m, i));
+	map_destroy(m);
+}
+
+static void
+free_orders(struct map *orders)
+{
+	struct gate_order *o;
+	size_t i;
+
+	for (i = 0; i < map_count(orders); i++) {
+		o = map_at(orders, i);
+		free(o->endpoint);
+		free(o->what);
+		buf_free(&o->answer);
+		free(o);
+	}
+	map_destroy(orders);
+}
+
+void
+node_gate_destroy(struct node *n)
+{
+	struct node_gate *g = n->gate;
+
+	if (g == NULL)
+		return;
+	forward_destroy(g->forward);
+	place_destroy(g->place);
+	gate_config_free(g);
+	free_values(g->entries);
+	free_values(g->callers);
+	free_values(g->asks);
+	free_values(g->relays);
+	free_orders(g->orders);
+	free(g);
+	n->gate = NULL;
+}
+
+char *
+node_gate_address(const struct node *n)
+{
+	const struct settings *s = n->settings;
+
+	if (s->gateway.front != NULL)
+		return s->gateway.front;
+	if (s->gateway.control != NULL)
+		return s->gateway.control;
+	return s->http_advertise;
+}
+
+uint32_t
+node_gate_placer(const struct node *n)
+{
+	const struct node_peer *peer;
+	uint32_t leader = node_leader(n);
+
+	if (leader == 0 || leader == n->id)
+		return n->gate->placing ? n->id : 0;
+	peer = map_get_u64(n->peers, leader);
+	if (peer == NULL || n->now > peer->heard_us + GATE_PLACER_SILENT_US)
+		return 0;
+	return leader;
+}
+
+/* ---- requests ----------------------------------------------------------- */
+
+static struct node_reply *
+add_reply(struct node *n, uint64_t request)
+{
+	struct node_reply *reply =
+	    &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
+
+	reply->request = request;
+	return reply;
+}
+
+static void
+refuse(struct node *n, uint64_t request, enum gw_refusal refusal,
+    const char *reason, uint32_t retry_after_ms)
+{
+	n->gate->codec->write_refusal(
+	    add_reply(n, request), refusal, reason, retry_after_ms, n->fx);
+	node_log(n, NODE_LOG_GATE_CALL_REFUSED,
+	    "{\"request\": %llu, \"reason\": \"%s\"}",
+	    (unsigned long long)request, reason);
+}
+
+/* A caller's request that is to be passed through. */
+static void
+front_request(struct node *n, const struct node_request *in)
+{
+	struct node_gate *g = n->gate;
+	const struct gw_route *route;
+	struct gw_request wire;
+	struct mp_error err;
+
+	if (g->codec->read_request(&wire, in, n->fx, &err) != MP_OK) {
+		refuse(n, in->request, GW_REFUSE_MALFORMED, err.message, 0);
+		return;
+	}
+	if (g->config == NULL) {
+		refuse(n, in->request, GW_REFUSE_NOT_READY,
+		    "no configuration is known yet", GATE_RETRY_MS);
+		return;
+	}
+	route = gw_config_route(g->config, wire.host, in->path);
+	if (route == NULL) {
+		refuse(n, in->request, GW_REFUSE_NO_ROUTE,
+		    "no route for this host and path", 0);
+		return;
+	}
+	forward_begin(
+	    g->forward, n->now, in, &wire, route, g->config->version, n->fx);
+}
+
+static bool
+is_ready(const struct node *n)
+{
+	return n->gate->config != NULL && n->gate->was_leased && !n->stopping;
+}
+
+static void
+readiness(struct node *n, uint64_t request)
+{
+	n->gate->codec->write_result(add_reply(n, request),
+	    is_ready(n) ? 200 : 503, is_ready(n) ? NULL : "not ready", n->fx);
+}
+
+/* Calls that any instance answers by itself. */
+static void
+other_request(struct node *n, const struct node_request *in)
+{
+	struct gw_call call;
+	struct mp_error err;
+
+	if (n->gate->codec->read_call(&call, in, n->fx, &err) != MP_OK)
+		call.type = GW_CALL_UNKNOWN;
+	if (call.type == GW_CALL_READY)
+		readiness(n, in->request);
+	else if (call.type == GW_CALL_LOOKUP)
+		gate_lookup(n, in->request, &call);
+	else
+		n->gate->codec->write_result(
+		    add_reply(n, in->request), 404, "no such call", n->fx);
+}
+
+void
+node_gate_request(struct node *n, const struct node_request *in)
+{
+	struct gate_caller caller = {n->id, in->request};
+
+	if (n->gate == NULL)
+		return;
+	if (in->listener == NODE_LISTEN_FRONT)
+		front_request(n, in);
+	else if (in->listener == NODE_LISTEN_CONTROL)
+		gate_control(n, in, &caller);
+	else
+		other_request(n, in);
+}
+
+bool
+node_gate_gone(struct node *n, uint64_t request)
+{
+	return n->gate != NULL &&
+	    forward_gone(n->gate->forward, n->now, request, n->fx);
+}
+
+bool
+node_gate_call(struct node *n, const struct node_call_event *event)
+{
+	if (n->gate == NULL)
+		return false;
+	return forward_call(n->gate->forward, n->now, event, n->fx) ||
+	    gate_order_call(n, event);
+}
+
+void
+node_gate_entry_down(struct node *n, uint64_t incarnation)
+{
+	if (n->gate == NULL)
+		return;
+	place_entry_gone(n->gate->place, n->now, incarnation);
+	free(map_remove_u64(n->gate->entries, incarnation));
+}
+
+bool
+node_gate_receive(struct node *n, uint32_t from, const Wire__Envelope *e)
+{
+	if (n->gate == NULL)
+		return false;
+	switch (e->body_case) {
+	case WIRE__ENVELOPE__BODY_PLACE_ASK:
+		gate_place_on_ask(n, from, e->incarnation, e->place_ask);
+		return true;
+	case WIRE__ENVELOPE__BODY_PLACE_REPLY:
+		gate_place_on_reply(n, from, e->place_reply);
+		return true;
+	case WIRE__ENVELOPE__BODY_PLACE_DONE:
+		gate_place_on_done(n, e->incarnation, e->place_done);
+		return true;
+	case WIRE__ENVELOPE__BODY_CALL_RELAY:
+		gate_relay_receive(n, from, e->call_relay);
+		return true;
+	case WIRE__ENVELOPE__BODY_CALL_ANSWER:
+		gate_relay_answer(n, e->call_answer);
+		return true;
+	case WIRE__ENVELOPE__BODY_ENDPOINT_TABLE:
+		gate_table_on_table(n, from, e->endpoint_table);
+		return true;
+	case WIRE__ENVELOPE__BODY_TABLE_ASK:
+		gate_table_on_ask(n, from);
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* ---- stopping ----------------------------------------------------------- */
+
+/*
+ * A stopping entry tells callers of kept connections to leave, takes new ones
+ * until the lists that name it have lapsed, and ends when the last answer is
+ * whole, or when its time is over.
+ */
+static void
+stop_tick(struct node *n)
+{
+	struct node_gate *g = n->gate;
+	uint64_t lapsed = n->stop_us +
+	    (uint64_t)n->settings->gateway.address_lifetime_ms * 1000 *
+		(LIFETIMES + 1);
+
+	if (!n->stopping)
+		return;
+	if (!g->closing_told) {
+		g->closing_told = true;
+		node_effects_add(n->fx, NODE_FX_FRONT_CLOSING);
+	}
+	if (!g->closed_told && n->now >= lapsed) {
+		g->closed_told = true;
+		node_effects_add(n->fx, NODE_FX_FRONT_CLOSED);
+	}
+}
+
+bool
+node_gate_may_exit(const struct node *n)
+{
+	const struct settings_gateway *s = &n->settings->gateway;
+	uint64_t last_us =
+	    n->stop_us + (uint64_t)(s->stop_ms - EXIT_MARGIN_MS) * 1000;
+
+	if (n->now >= last_us)
+		return true;
+	if (s->front != NULL)
+		return n->gate->closed_told &&
+		    forward_count(n->gate->forward) == 0;
+	return n->now >= n->stop_us + CORE_EXIT_US &&
+	    (n->raft == NULL || raft_get_role(n->raft) != RAFT_LEADER) &&
+	    map_count(n->gate->relays) == 0;
+}
+
+/* ---- time --------------------------------------------------------------- */
+
+void
+node_gate_tick(struct node *n)
+{
+	struct node_gate *g = n->gate;
+
+	if (g == NULL)
+		return;
+	if (n->standing == MEMBER_LEASED)
+		g->was_leased = true;
+	gate_relay_tick(n);
+	gate_place_tick(n);
+	if (forward_next(g->forward) <= n->now)
+		forward_tick(g->forward, n->now, n->fx);
+	gate_table_tick(n);
+	stop_tick(n);
+}
+
+void
+node_gate_run(struct node *n)
+{
+	if (n->gate != NULL)
+		gate_place_run(n);
+}
+
+uint64_t
+node_gate_next(const struct node *n, uint64_t latest)
+{
+	uint64_t next = place_next(n->gate->place);
+
+	if (forward_next(n->gate->forward) < next)
+		next = forward_next(n->gate->forward);
+	if (next < n->now + 1000)
+		next = n->now + 1000;
+	return next < latest ? next : latest;
+}
--- /dev/null
+++ b/src/node/node_gate.h
@@ -0,0 +1,158 @@
+#ifndef MP_NODE_GATE_H
+#define MP_NODE_GATE_H
+
+#include "forward/forward.h"
+#include "node/node_internal.h"
+#include "node/snapshot.pb-c.h"
+#include "place/place.h"
+
+/*
+ * The gateway's part of the reducer.
+ *
+ * The leader of the log is the placer: it alone takes announcements, places
+ * requests with an account of all entries, and gives orders to endpoints, with
+ * its term as the fence. Every other instance has the placer's table of
+ * endpoints; an entry that hears no placer places by that table itself, without
+ * orders and without repeats. A request needs no lease for that: an endpoint
+ * refuses what is not meant for it.
+ */
+
+/* A placer that did not answer an ask, nor say that it waits. */
+#define GATE_ASK_SILENT_US (250 * 1000ULL)
+/* A placer that was not heard at all is taken for lost. */
+#define GATE_PLACER_SILENT_US (900 * 1000ULL)
+/* A call that was passed on to the leader is answered within. */
+#define GATE_RELAY_US (900 * 1000ULL)
+/* A change that is not decided by then gets no clear answer. */
+#define GATE_CHANGE_US (3000 * 1000ULL)
+/* Changes of the table are told together, and that there were none. */
+#define GATE_TABLE_US	   (20 * 1000ULL)
+#define GATE_TABLE_IDLE_US (500 * 1000ULL)
+#define GATE_TABLE_ASK_US  (200 * 1000ULL)
+/* An order or report is answered within. */
+#define GATE_ORDER_US (500 * 1000ULL)
+#define GATE_RETRY_MS 300u
+
+/* Who waits for the answer of a call: of this instance or another one. */
+struct gate_caller {
+	uint32_t instance;
+	uint64_t call; /* request here, or number of the relayed call there */
+};
+
+/* A request of this entry that was asked for. */
+struct gate_ask {
+	uint64_t ask;
+	uint32_t placer; /* instance; 0: this entry places it itself */
+	uint64_t sent_us;
+	bool waits; /* the placer said so */
+	bool granted;
+};
+
+/* A call passed on to the leader. */
+struct gate_relay {
+	uint64_t call, request, expires_us;
+};
+
+/* An order or report call to an endpoint. */
+struct gate_order {
+	char *endpoint, *what;
+	bool is_report;
+	int status;
+	struct buf answer;
+	uint64_t given_us;
+};
+
+struct gate_version {
+	char *model, *adapter;
+	uint32_t version;
+};
+
+struct node_gate {
+	const struct gw_codec *codec;
+	struct gw_config *config; /* NULL: none is known */
+	struct buf text; /* of the configuration, as it was sent */
+	uint64_t config_index;
+	struct map *versions; /* struct gate_version by key */
+	struct place *place;
+	struct forward *forward;
+	/* the placer */
+	bool placing;
+	uint64_t term; /* that this instance places in */
+	uint64_t order_after_us;
+	struct map *entries; /* uint32_t instance by its incarnation */
+	struct map *orders; /* struct gate_order by call */
+	struct map *callers; /* struct gate_caller by proposal */
+	/* entries */
+	struct map *asks; /* struct gate_ask by number */
+	bool alone; /* no placer is heard, as last logged */
+	struct map *relays; /* struct gate_relay by number */
+	uint64_t last_relay;
+	/* the table of endpoints */
+	uint64_t table_term, table_number; /* as last told or taken */
+	bool table_whole;
+	uint64_t table_us; /* next telling, or asking */
+	bool was_leased;
+	bool closing_told, closed_told;
+};
+
+/* ---- node_gate.c ---- */
+void node_gate_create(struct node *n, const struct gw_codec *codec);
+void node_gate_destroy(struct node *n);
+void node_gate_request(struct node *n, const struct node_request *request);
+bool node_gate_gone(struct node *n, uint64_t request);
+bool node_gate_call(struct node *n, const struct node_call_event *event);
+void node_gate_tick(struct node *n);
+void node_gate_run(struct node *n);
+uint64_t node_gate_next(const struct node *n, uint64_t latest);
+bool node_gate_may_exit(const struct node *n);
+/* What others are told to be this instance's address. */
+char *node_gate_address(const struct node *n);
+void node_gate_entry_down(struct node *n, uint64_t incarnation);
+bool node_gate_receive(
+    struct node *n, uint32_t from, const Wire__Envelope *envelope);
+/* The instance that places, when it was heard lately; 0: none. */
+uint32_t node_gate_placer(const struct node *n);
+
+/* ---- node_gate_config.c: replicated state ---- */
+void node_gate_apply_config(
+    struct node *n, uint64_t index, const Wire__GatewayConfig *put);
+void node_gate_apply_version(struct node *n, const Wire__AdapterVersion *put);
+void node_gate_save(const struct node *n, Node__Snapshot *out);
+void node_gate_save_free(Node__Snapshot *out);
+void node_gate_restore(struct node *n, const Node__Snapshot *snapshot);
+uint32_t node_gate_version(
+    const struct node *n, const char *model, const char *adapter);
+void gate_config_free(struct node_gate *g);
+
+/* ---- node_gate_control.c: calls to the system ---- */
+void gate_control(struct node *n, const struct node_request *request,
+    const struct gate_caller *caller);
+void gate_relay_receive(
+    struct node *n, uint32_t from, const Wire__CallRelay *relay);
+void gate_relay_answer(struct node *n, const Wire__CallAnswer *answer);
+void gate_relay_tick(struct node *n);
+void node_gate_decided(struct node *n, uint64_t proposal);
+void node_gate_undecided(struct node *n, uint64_t proposal);
+void gate_lookup(struct node *n, uint64_t request, const struct gw_call *call);
+/* Authority over the log now: no other leader can have been elected. */
+bool gate_has_authority(const struct node *n);
+
+/* ---- node_gate_place.c: asks, grants, orders ---- */
+extern const struct forward_ops gate_forward_ops;
+void gate_place_tick(struct node *n);
+void gate_place_run(struct node *n);
+void gate_place_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__PlaceAsk *ask);
+void gate_place_on_reply(
+    struct node *n, uint32_t from, const Wire__PlaceReply *reply);
+void gate_place_on_done(
+    struct node *n, uint64_t incarnation, const Wire__PlaceDone *done);
+bool gate_order_call(struct node *n, const struct node_call_event *event);
+
+/* ---- node_gate_table.c: the table of endpoints ---- */
+void gate_table_tick(struct node *n);
+void gate_table_on_ask(struct node *n, uint32_t from);
+void gate_table_on_table(
+    struct node *n, uint32_t from, const Wire__EndpointTable *table);
+
+#endif
--- /dev/null
+++ b/src/node/node_gate_config.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_gate.h"
+#include "util/mem.h"
+
+/* The gateway's part of the replicated state: configuration and versions. */
+
+static char *
+version_key(const char *model, const char *adapter)
+{
+	struct buf key = {0};
+
+	buf_printf(&key, "%s/%s", model, adapter);
+	return key.data;
+}
+
+void
+gate_config_free(struct node_gate *g)
+{
+	struct gate_version *v;
+	size_t i;
+
+	for (i = 0; i < map_count(g->versions); i++) {
+		v = map_at(g->versions, i);
+		free(v->model);
+		free(v->adapter);
+		free(v);
+	}
+	map_destroy(g->versions);
+	gw_config_destroy(g->config);
+	buf_free(&g->text);
+}
+
+static void
+tell_limits(struct node *n, const struct gw_limits *limits)
+{
+	struct node_limits *out;
+
+	if (n->settings->gateway.front == NULL)
+		return;
+	out = &node_effects_add(n->fx, NODE_FX_LIMITS)->u.limits;
+	out->header_bytes = limits->header_bytes;
+	out->body_bytes = limits->body_bytes;
+	out->header_timeout_ms = limits->header_timeout_ms;
+	out->idle_timeout_ms = limits->idle_timeout_ms;
+}
+
+/* Put a configuration in force; false: it can't be read. */
+static bool
+set_config(struct node *n, uint64_t index, struct node_bytes text)
+{
+	struct node_gate *g = n->gate;
+	struct gw_config *config, *before = g->config;
+	struct mp_error err;
+
+	if (g->codec->read_config(&config, text, &err) != MP_OK)
+		return false;
+	if (gw_config_check(config, &err) != MP_OK) {
+		gw_config_destroy(config);
+		return false;
+	}
+	g->config = config;
+	g->config_index = index;
+	buf_clear(&g->text);
+	buf_append(&g->text, text.data, text.len);
+	place_configure(g->place, config);
+	gw_config_destroy(before);
+	tell_limits(n, &config->limits);
+	node_log(n, NODE_LOG_GATE_CONFIG,
+	    "{\"version\": %llu, \"index\": %llu, \"routes\": %zu}",
+	    (unsigned long long)config->version, (unsigned long long)index,
+	    config->nroutes);
+	return true;
+}
+
+/* The highest version is in force, whatever the order in the log. */
+void
+node_gate_apply_config(
+    struct node *n, uint64_t index, const Wire__GatewayConfig *put)
+{
+	struct node_bytes text = {(const char *)put->text.data, put->text.len};
+
+	if (n->gate == NULL ||
+	    (n->gate->config != NULL &&
+		put->version <= n->gate->config->version))
+		return;
+	if (!set_config(n, index, text))
+		n->counters.malformed++;
+}
+
+static void
+set_version(
+    struct node *n, const char *model, const char *adapter, uint32_t version)
+{
+	char *key = version_key(model, adapter);
+	struct gate_version *v = map_get_str(n->gate->versions, key);
+
+	if (v == NULL) {
+		v = mem_alloc(1, sizeof(*v));
+		v->model = mem_string(model);
+		v->adapter = mem_string(adapter);
+		(void)map_set_str(n->gate->versions, key, v);
+	}
+	if (version > v->version)
+		v->version = version;
+	place_set_version(n->gate->place, model, adapter, v->version);
+	free(key);
+}
+
+void
+node_gate_apply_version(struct node *n, const Wire__AdapterVersion *put)
+{
+	if (n->gate == NULL)
+		return;
+	set_version(n, put->model, put->adapter, put->version);
+	node_log(n, NODE_LOG_GATE_VERSION,
+	    "{\"model\": \"%s\", \"adapter\": \"%s\", \"version\": %u}",
+	    put->model, put->adapter, put->version);
+}
+
+uint32_t
+node_gate_version(const struct node *n, const char *model, const char *adapter)
+{
+	char *key = version_key(model, adapter);
+	const struct gate_version *v = map_get_str(n->gate->versions, key);
+
+	free(key);
+	return v == NULL ? 0 : v->version;
+}
+
+void
+node_gate_save(const struct node *n, Node__Snapshot *out)
+{
+	const struct node_gate *g = n->gate;
+	const struct gate_version *v;
+	size_t i;
+
+	if (g == NULL)
+		return;
+	if (g->config != NULL) {
+		out->config_version = g->config->version;
+		out->config.data = (uint8_t *)g->text.data;
+		out->config.len = g->text.len;
+	}
+	out->n_versions = map_count(g->versions);
+	out->versions = mem_alloc(out->n_versions + 1, sizeof(*out->versions));
+	for (i = 0; i < out->n_versions; i++) {
+		v = map_at(g->versions, i);
+		out->versions[i] = mem_alloc(1, sizeof(**out->versions));
+		node__version__init(out->versions[i]);
+		out->versions[i]->model = v->model;
+		out->versions[i]->adapter = v->adapter;
+		out->versions[i]->version = v->version;
+	}
+}
+
+void
+node_gate_save_free(Node__Snapshot *out)
+{
+	size_t i;
+
+	for (i = 0; i < out->n_versions; i++)
+		free(out->versions[i]);
+	free(out->versions);
+	out->versions = NULL;
+	out->n_versions = 0;
+}
+
+void
+node_gate_restore(struct node *n, const Node__Snapshot *snapshot)
+{
+	struct node_bytes text = {
+	    (const char *)snapshot->config.data, snapshot->config.len};
+	size_t i;
+
+	if (n->gate == NULL)
+		return;
+	for (i = 0; i < snapshot->n_versions; i++)
+		set_version(n, snapshot->versions[i]->model,
+		    snapshot->versions[i]->adapter,
+		    snapshot->versions[i]->version);
+	if (snapshot->config_version == 0 ||
+	    (n->gate->config != NULL &&
+		snapshot->config_version <= n->gate->config->version))
+		return;
+	if (!set_config(n, snapshot->index, text))
+		n->counters.malformed++;
+}
--- /dev/null
+++ b/src/node/node_gate_control.c
@@ -0,0 +1,375 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_gate.h"
+#include "util/mem.h"
+
+/*
+ * Calls of endpoints and operators. The leader answers them; any other
+ * instance passes them on to it and hands the answer back, so that an answer
+ * never depends on which instance was asked. What was not answered in time
+ * gets a 503, which leaves open whether it was done.
+ */
+
+bool
+gate_has_authority(const struct node *n)
+{
+	return n->raft != NULL && raft_authority_until(n->raft) > n->now &&
+	    n->applied >= raft_get_commit(n->raft);
+}
+
+/* ---- answers ------------------------------------------------------------ */
+
+static void
+answer(struct node *n, const struct gate_caller *caller,
+    const struct node_reply *reply)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__CallAnswer message = WIRE__CALL_ANSWER__INIT;
+	struct node_reply *out;
+
+	if (caller->instance == n->id) {
+		out = &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
+		*out = *reply;
+		out->request = caller->call;
+		return;
+	}
+	message.call = caller->call;
+	message.status = (uint32_t)reply->status;
+	if (reply->content_type != NULL)
+		message.content_type = (char *)reply->content_type;
+	message.body.data = (uint8_t *)reply->body.data;
+	message.body.len = reply->body.len;
+	envelope.body_case = WIRE__ENVELOPE__BODY_CALL_ANSWER;
+	envelope.call_answer = &message;
+	node_peer_send(n, caller->instance, &envelope);
+}
+
+static void
+answer_result(struct node *n, const struct gate_caller *caller, int status,
+    const char *reason)
+{
+	struct node_reply reply = {0};
+
+	n->gate->codec->write_result(&reply, status, reason, n->fx);
+	answer(n, caller, &reply);
+	if (status >= 400)
+		node_log(n, NODE_LOG_GATE_CALL_REFUSED,
+		    "{\"call\": %llu, \"from\": %u, \"status\": %d, "
+		    "\"reason\": \"%s\"}",
+		    (unsigned long long)caller->call, caller->instance, status,
+		    reason == NULL ? "" : reason);
+}
+
+/* ---- changes ------------------------------------------------------------ */
+
+static void
+propose(
+    struct node *n, const struct gate_caller *caller, Wire__Command *command)
+{
+	struct gate_caller *kept = mem_alloc(1, sizeof(*kept));
+	uint64_t proposal;
+
+	*kept = *caller;
+	proposal = node_propose(
+	    n, NODE_PROPOSE_GATE, 0, n->now + GATE_CHANGE_US, command);
+	(void)map_set_u64(n->gate->callers, proposal, kept);
+}
+
+void
+node_gate_decided(struct node *n, uint64_t proposal)
+{
+	struct gate_caller *caller;
+
+	if (n->gate == NULL)
+		return;
+	caller = map_remove_u64(n->gate->callers, proposal);
+	if (caller != NULL)
+		answer_result(n, caller, 200, NULL);
+	free(caller);
+}
+
+void
+node_gate_undecided(struct node *n, uint64_t proposal)
+{
+	struct gate_caller *caller;
+
+	if (n->gate == NULL)
+		return;
+	caller = map_remove_u64(n->gate->callers, proposal);
+	if (caller != NULL)
+		answer_result(n, caller, 503, "undecided; send it again");
+	free(caller);
+}
+
+static bool
+is_held(const struct node_gate *g, struct node_bytes text)
+{
+	return text.len == g->text.len &&
+	    memcmp(text.data, g->text.data, text.len) == 0;
+}
+
+/*
+ * An older version is acknowledged and changes nothing: it was overtaken. The
+ * version that is held is acknowledged again, but not with other content.
+ */
+static void
+put_config(struct node *n, const struct node_request *in,
+    const struct gate_caller *caller)
+{
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__GatewayConfig put = WIRE__GATEWAY_CONFIG__INIT;
+	struct node_gate *g = n->gate;
+	struct gw_config *config;
+	struct mp_error err;
+
+	if (g->codec->read_config(&config, in->body, &err) != MP_OK) {
+		answer_result(n, caller, 400, err.message);
+		return;
+	}
+	if (gw_config_check(config, &err) != MP_OK)
+		answer_result(n, caller, 400, err.message);
+	else if (g->config != NULL && config->version < g->config->version)
+		answer_result(n, caller, 200, NULL);
+	else if (g->config != NULL && config->version == g->config->version)
+		answer_result(n, caller, is_held(g, in->body) ? 200 : 409,
+		    is_held(g, in->body)
+			? NULL
+			: "$.version: held with other content");
+	else {
+		put.version = config->version;
+		put.text.data = (uint8_t *)in->body.data;
+		put.text.len = in->body.len;
+		command.body_case = WIRE__COMMAND__BODY_GATEWAY_CONFIG;
+		command.gateway_config = &put;
+		propose(n, caller, &command);
+	}
+	gw_config_destroy(config);
+}
+
+static void
+put_version(struct node *n, const struct gw_call *call,
+    const struct gate_caller *caller)
+{
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__AdapterVersion put = WIRE__ADAPTER_VERSION__INIT;
+
+	if (call->version <= node_gate_version(n, call->model, call->adapter)) {
+		answer_result(n, caller, 200, NULL);
+		return;
+	}
+	put.model = (char *)call->model;
+	put.adapter = (char *)call->adapter;
+	put.version = call->version;
+	command.body_case = WIRE__COMMAND__BODY_ADAPTER_VERSION;
+	command.adapter_version = &put;
+	propose(n, caller, &command);
+}
+
+static void
+get_config(struct node *n, const struct gate_caller *caller)
+{
+	const struct node_gate *g = n->gate;
+	struct node_reply reply = {0};
+
+	if (g->config == NULL) {
+		answer_result(n, caller, 503, "no configuration is known");
+		return;
+	}
+	reply.status = 200;
+	reply.content_type = "application/json";
+	reply.body.data = node_effects_copy(n->fx, g->text.data, g->text.len);
+	reply.body.len = g->text.len;
+	answer(n, caller, &reply);
+}
+
+/* ---- endpoints ---------------------------------------------------------- */
+
+static void
+announce(struct node *n, const struct gw_call *call,
+    const struct gate_caller *caller)
+{
+	const struct gw_announcement *a = &call->announcement;
+	struct node_reply reply = {0};
+	enum place_news news = place_announce(n->gate->place, n->now, a, true);
+
+	if (news == PLACE_NEWS_CHANGED)
+		node_log(n, NODE_LOG_GATE_ENDPOINT,
+		    "{\"endpoint\": \"%s\", \"service\": \"%s\", "
+		    "\"address\": \"%s\", \"leaving\": %s, "
+		    "\"sequence\": %llu, \"loaded\": %zu}",
+		    a->id, a->service, a->address,
+		    a->leaving ? "true" : "false",
+		    (unsigned long long)a->sequence, a->nloaded);
+	n->gate->codec->write_announced(
+	    &reply, n->settings->gateway.control, n->fx);
+	answer(n, caller, &reply);
+}
+
+static void
+leave(struct node *n, const struct gw_call *call,
+    const struct gate_caller *caller)
+{
+	if (place_leave(n->gate->place, n->now, call->endpoint))
+		node_log(n, NODE_LOG_GATE_ENDPOINT,
+		    "{\"endpoint\": \"%s\", \"gone\": true}", call->endpoint);
+	answer_result(n, caller, 200, NULL);
+}
+
+/* ---- the leader's part -------------------------------------------------- */
+
+static void
+handle(struct node *n, const struct node_request *in,
+    const struct gate_caller *caller)
+{
+	struct gw_call call;
+	struct mp_error err;
+
+	if (n->gate->codec->read_call(&call, in, n->fx, &err) != MP_OK) {
+		answer_result(n, caller, 400, err.message);
+		return;
+	}
+	switch (call.type) {
+	case GW_CALL_ANNOUNCE:
+		announce(n, &call, caller);
+		break;
+	case GW_CALL_LEAVE:
+		leave(n, &call, caller);
+		break;
+	case GW_CALL_CONFIG_PUT:
+		put_config(n, in, caller);
+		break;
+	case GW_CALL_CONFIG_GET:
+		get_config(n, caller);
+		break;
+	case GW_CALL_VERSION_PUT:
+		put_version(n, &call, caller);
+		break;
+	default:
+		answer_result(n, caller, 404, "no such call");
+		break;
+	}
+}
+
+/* ---- passing on --------------------------------------------------------- */
+
+static void
+relay(struct node *n, uint32_t leader, const struct node_request *in)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__CallRelay message = WIRE__CALL_RELAY__INIT;
+	struct gate_relay *kept = mem_alloc(1, sizeof(*kept));
+
+	kept->call = ++n->gate->last_relay;
+	kept->request = in->request;
+	kept->expires_us = n->now + GATE_RELAY_US;
+	(void)map_set_u64(n->gate->relays, kept->call, kept);
+	message.call = kept->call;
+	message.listener = in->listener;
+	message.method = (char *)in->method;
+	message.path = (char *)in->path;
+	message.body.data = (uint8_t *)in->body.data;
+	message.body.len = in->body.len;
+	envelope.body_case = WIRE__ENVELOPE__BODY_CALL_RELAY;
+	envelope.call_relay = &message;
+	node_peer_send(n, leader, &envelope);
+}
+
+void
+gate_control(struct node *n, const struct node_request *in,
+    const struct gate_caller *caller)
+{
+	uint32_t leader = node_leader(n);
+
+	if (gate_has_authority(n) && n->gate->placing)
+		handle(n, in, caller);
+	else if (leader != 0 && leader != n->id &&
+	    node_gate_placer(n) == leader)
+		relay(n, leader, in);
+	else
+		answer_result(n, caller, 503, "no leader is known");
+}
+
+void
+gate_relay_receive(
+    struct node *n, uint32_t from, const Wire__CallRelay *message)
+{
+	struct gate_caller caller = {from, message->call};
+	struct node_request in = {0};
+
+	in.listener = (enum node_listener)message->listener;
+	in.method = message->method;
+	in.path = message->path;
+	in.body.data = (const char *)message->body.data;
+	in.body.len = message->body.len;
+	if (gate_has_authority(n) && n->gate->placing)
+		handle(n, &in, &caller);
+	else
+		answer_result(n, &caller, 503, "this instance does not lead");
+}
+
+void
+gate_relay_answer(struct node *n, const Wire__CallAnswer *message)
+{
+	struct gate_relay *kept =
+	    map_remove_u64(n->gate->relays, message->call);
+	struct node_reply *reply;
+
+	if (kept == NULL)
+		return; /* answered for its time */
+	reply = &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
+	reply->request = kept->request;
+	reply->status = (int)message->status;
+	reply->content_type =
+	    node_effects_printf(n->fx, "%s", message->content_type);
+	reply->body.data =
+	    node_effects_copy(n->fx, message->body.data, message->body.len);
+	reply->body.len = message->body.len;
+	free(kept);
+}
+
+void
+gate_relay_tick(struct node *n)
+{
+	struct gate_caller caller = {n->id, 0};
+	struct gate_relay *kept;
+	size_t i = map_count(n->gate->relays);
+
+	while (i-- > 0) {
+		kept = map_at(n->gate->relays, i);
+		if (n->now < kept->expires_us)
+			continue;
+		caller.call = kept->request;
+		answer_result(n, &caller, 503, "the leader did not answer");
+		free(map_remove_u64(n->gate->relays, kept->call));
+	}
+}
+
+/* ---- the registry ------------------------------------------------------- */
+
+#define LOOKUP_MAX 64
+
+/* Entries, those of the caller's data centre first. */
+void
+gate_lookup(struct node *n, uint64_t request, const struct gw_call *call)
+{
+	struct node_reply *reply =
+	    &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
+	const char *addresses[LOOKUP_MAX];
+	const struct member *m;
+	size_t i, count = 0;
+
+	(void)call;
+	reply->request = request;
+	for (i = 0; i < member_view_count(n->view) && count < LOOKUP_MAX; i++) {
+		m = member_view_at(n->view, i);
+		if (m->voter == 0 && !m->leaving)
+			addresses[count++] = m->http;
+	}
+	if (count == 0)
+		n->gate->codec->write_result(
+		    reply, 503, "no entry is known", n->fx);
+	else
+		n->gate->codec->write_addresses(reply, addresses, count,
+		    n->settings->gateway.address_lifetime_ms, n->fx);
+}
--- /dev/null
+++ b/src/node/node_gate_table.c
@@ -0,0 +1,238 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_gate.h"
+#include "util/mem.h"
+
+/*
+ * The placer tells all instances its table of endpoints: changes as they come,
+ * numbered, and twice a second that there was none. Whoever misses a number,
+ * or hears of a new placer, asks for the whole table. So a new placer begins
+ * with what the last one knew, and an entry can place by itself.
+ */
+
+/* Entries of a message that live as long as the effects. */
+static Wire__EndpointInfo *
+fill_info(struct node *n, size_t index)
+{
+	Wire__EndpointInfo *out = node_effects_alloc(n->fx, sizeof(*out));
+	struct gw_announcement a;
+	Wire__LoadedModel *loaded;
+	size_t i;
+
+	place_at(n->gate->place, index, &a, n->fx);
+	wire__endpoint_info__init(out);
+	out->id = (char *)a.id;
+	out->born_ms = a.born_ms;
+	out->sequence = a.sequence;
+	out->service = (char *)a.service;
+	out->address = (char *)a.address;
+	out->data_centre = (char *)a.data_centre;
+	out->slots = a.slots;
+	out->leaving = a.leaving;
+	out->n_loaded = a.nloaded;
+	out->loaded = node_effects_alloc(
+	    n->fx, (a.nloaded + 1) * sizeof(Wire__LoadedModel *));
+	for (i = 0; i < a.nloaded; i++) {
+		loaded = node_effects_alloc(n->fx, sizeof(*loaded));
+		wire__loaded_model__init(loaded);
+		loaded->model = (char *)a.loaded[i].model;
+		loaded->adapter = a.loaded[i].adapter == NULL
+		    ? ""
+		    : (char *)a.loaded[i].adapter;
+		loaded->version = a.loaded[i].version;
+		out->loaded[i] = loaded;
+	}
+	return out;
+}
+
+static Wire__EndpointInfo *
+fill_gone(struct node *n, const char *id)
+{
+	Wire__EndpointInfo *out = node_effects_alloc(n->fx, sizeof(*out));
+
+	wire__endpoint_info__init(out);
+	out->id = node_effects_printf(n->fx, "%s", id);
+	out->gone = true;
+	return out;
+}
+
+static void
+send_table(struct node *n, uint32_t to, Wire__EndpointTable *table)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+	table->term = n->gate->table_term;
+	table->number = n->gate->table_number;
+	envelope.body_case = WIRE__ENVELOPE__BODY_ENDPOINT_TABLE;
+	envelope.endpoint_table = table;
+	node_peer_send(n, to, &envelope);
+}
+
+static void
+send_whole(struct node *n, uint32_t to)
+{
+	Wire__EndpointTable table = WIRE__ENDPOINT_TABLE__INIT;
+	size_t i;
+
+	table.whole = true;
+	table.n_endpoints = place_count(n->gate->place);
+	table.endpoints = node_effects_alloc(
+	    n->fx, (table.n_endpoints + 1) * sizeof(Wire__EndpointInfo *));
+	for (i = 0; i < table.n_endpoints; i++)
+		table.endpoints[i] = fill_info(n, i);
+	send_table(n, to, &table);
+}
+
+/* All changes since the last telling, in one message. */
+static size_t
+fill_changes(struct node *n, Wire__EndpointTable *table, size_t max)
+{
+	const char *id;
+	bool gone;
+	size_t index;
+
+	table->endpoints =
+	    node_effects_alloc(n->fx, max * sizeof(Wire__EndpointInfo *));
+	while (table->n_endpoints < max &&
+	    place_take_change(n->gate->place, &id, &gone)) {
+		if (place_find(n->gate->place, id, &index))
+			table->endpoints[table->n_endpoints++] =
+			    fill_info(n, index);
+		else
+			table->endpoints[table->n_endpoints++] =
+			    fill_gone(n, id);
+	}
+	return table->n_endpoints;
+}
+
+#define CHANGES_MAX 256
+
+static void
+tell_changes(struct node *n)
+{
+	Wire__EndpointTable table = WIRE__ENDPOINT_TABLE__INIT;
+	struct node_gate *g = n->gate;
+	const struct member *m;
+	size_t i;
+
+	if (fill_changes(n, &table, CHANGES_MAX) == 0 &&
+	    n->now < g->table_us + GATE_TABLE_IDLE_US)
+		return;
+	g->table_number++;
+	g->table_us = n->now;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->id != n->id)
+			send_table(n, m->id, &table);
+	}
+}
+
+/* Nobody is told of changes that the placer told itself. */
+static void
+drop_changes(struct node *n)
+{
+	const char *id;
+	bool gone;
+
+	while (place_take_change(n->gate->place, &id, &gone))
+		;
+}
+
+void
+gate_table_tick(struct node *n)
+{
+	if (n->gate->placing)
+		tell_changes(n);
+	else
+		drop_changes(n);
+}
+
+void
+gate_table_on_ask(struct node *n, uint32_t from)
+{
+	if (n->gate->placing)
+		send_whole(n, from);
+}
+
+static void
+ask_whole(struct node *n, uint32_t from, uint64_t term)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__TableAsk ask = WIRE__TABLE_ASK__INIT;
+
+	n->gate->table_whole = false;
+	if (n->now < n->gate->table_us)
+		return;
+	n->gate->table_us = n->now + GATE_TABLE_ASK_US;
+	ask.term = term;
+	envelope.body_case = WIRE__ENVELOPE__BODY_TABLE_ASK;
+	envelope.table_ask = &ask;
+	node_peer_send(n, from, &envelope);
+}
+
+static void
+take_info(struct node *n, const Wire__EndpointInfo *info)
+{
+	struct gw_announcement a = {0};
+	struct gw_loaded *loaded =
+	    node_effects_alloc(n->fx, (info->n_loaded + 1) * sizeof(*loaded));
+	size_t i;
+
+	if (info->gone) {
+		(void)place_leave(n->gate->place, n->now, info->id);
+		return;
+	}
+	for (i = 0; i < info->n_loaded; i++) {
+		loaded[i].model = info->loaded[i]->model;
+		loaded[i].adapter = info->loaded[i]->adapter[0] == '\0'
+		    ? NULL
+		    : info->loaded[i]->adapter;
+		loaded[i].version = info->loaded[i]->version;
+	}
+	a.id = info->id;
+	a.service = info->service;
+	a.address = info->address;
+	a.data_centre = info->data_centre;
+	a.born_ms = info->born_ms;
+	a.sequence = info->sequence;
+	a.slots = info->slots;
+	a.leaving = info->leaving;
+	a.models_told = true;
+	a.loaded = loaded;
+	a.nloaded = info->n_loaded;
+	place_take_entry(n->gate->place, n->now, &a);
+}
+
+void
+gate_table_on_table(
+    struct node *n, uint32_t from, const Wire__EndpointTable *table)
+{
+	struct node_gate *g = n->gate;
+	size_t i;
+
+	if (g->placing || table->term < g->table_term)
+		return; /* of a placer that is none any more */
+	if (!table->whole &&
+	    (table->term != g->table_term || !g->table_whole ||
+		table->number != g->table_number + 1)) {
+		if (table->term == g->table_term && g->table_whole &&
+		    table->number <= g->table_number)
+			return;
+		ask_whole(n, from, table->term);
+		return;
+	}
+	if (table->whole) {
+		place_forget_all(g->place, n->now);
+		node_log(n, NODE_LOG_GATE_TABLE,
+		    "{\"placer\": %u, \"term\": %llu, \"number\": %llu, "
+		    "\"endpoints\": %zu}",
+		    from, (unsigned long long)table->term,
+		    (unsigned long long)table->number, table->n_endpoints);
+	}
+	for (i = 0; i < table->n_endpoints; i++)
+		take_info(n, table->endpoints[i]);
+	g->table_term = table->term;
+	g->table_number = table->number;
+	g->table_whole = true;
+}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -46,6 +46,7 @@
 #define NODE_RECENT_ENTRIES   1024
 #define NODE_PUSH_ENTRIES     256
 #define NODE_OWNERS_MAX	      8
+#define NODE_VOTERS_MAX	      32 /* instances with a data folder, as asked */
 #define NODE_RELAY_MEMBERS    24 /* up to so many all follow voters */
 #define NODE_RELAY_FANOUT     4
 #define NODE_DIRECT_US	      (5000 * 1000ULL) /* not behind a late relay */
@@ -158,7 +159,8 @@
 enum node_proposal_kind {
 	NODE_PROPOSE_DOC,
 	NODE_PROPOSE_CLAIM_START,
-	NODE_PROPOSE_CLAIM_END
+	NODE_PROPOSE_CLAIM_END,
+	NODE_PROPOSE_GATE /* a configuration or version; request: its caller */
 };
 
 struct node_proposal {
@@ -282,6 +284,9 @@
 	struct node_loop_message *loop;
 	size_t nloop, loop_cap;
 
+	struct node_gate *gate; /* NULL: this instance has no gateway */
+	char peer_address[32]; /* as node_peer_address() made it last */
+
 	uint64_t asks_us, grants_us, claims_us; /* next scan */
 	uint64_t summary_us, touch_us, pull_us, hello_us, config_us, propose_us;
 	bool stopping;
@@ -331,9 +336,15 @@
 /* node_claim.c: own claims that nothing will end */
 void node_claim_tick(struct node *n);
 
+/*
+ * Instances known to have a data folder: members, and those of the settings.
+ * Returns how many of at most max were written; this one is left out.
+ */
+size_t node_peer_voters(const struct node *n, uint32_t *out, size_t max);
+
 /* node_peer.c */
 struct node_peer *node_peer(struct node *n, uint32_t id);
-const char *node_peer_address(const struct node *n, uint32_t id);
+const char *node_peer_address(struct node *n, uint32_t id);
 void node_peer_send(struct node *n, uint32_t to, Wire__Envelope *envelope);
 void node_peer_receive(struct node *n, uint32_t from, struct node_bytes bytes);
 void node_peer_loop(struct node *n);
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -15,7 +16,7 @@
 	info->name = s->name;
 	info->data_centre = s->data_centre;
 	info->region = s->region;
-	info->http = s->http_advertise;
+	info->http = node_gate_address(n);
 	info->bus = s->bus_advertise;
 	info->voter = n->voter;
 }
@@ -40,7 +41,8 @@
 	bool lately = n->leader_heard_us != 0 &&
 	    n->now <
 		n->leader_heard_us + 2 * member_holder_renew_every(n->holder);
-	size_t i;
+	uint32_t voters[NODE_VOTERS_MAX];
+	size_t i, count;
 
 	envelope.body_case = WIRE__ENVELOPE__BODY_RENEW;
 	envelope.renew = renew;
@@ -52,9 +54,11 @@
 		node_peer_send(n, leader, &envelope);
 		return;
 	}
-	for (i = 0; i < n->settings->npeers; i++)
-		if (n->settings->peers[i].voter)
-			node_peer_send(n, n->settings->peers[i].id, &envelope);
+	count = node_peer_voters(n, voters, NODE_VOTERS_MAX);
+	for (i = 0; i < count; i++)
+		node_peer_send(n, voters[i], &envelope);
+	if (n->raft != NULL)
+		node_peer_send(n, n->id, &envelope);
 }
 
 static void
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -1,5 +1,8 @@
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -17,8 +20,20 @@
 	return peer;
 }
 
+/* Where instances are found by seeds, the id says the address. */
+static const char *
+address_by_id(struct node *n, uint32_t id)
+{
+	const char *port = strrchr(n->settings->bus_advertise, ':');
+
+	(void)snprintf(n->peer_address, sizeof(n->peer_address),
+	    "%u.%u.%u.%u%s", id >> 24, id >> 16 & 255, id >> 8 & 255, id & 255,
+	    port);
+	return n->peer_address;
+}
+
 const char *
-node_peer_address(const struct node *n, uint32_t id)
+node_peer_address(struct node *n, uint32_t id)
 {
 	const struct member *m = member_view_find(n->view, id);
 	size_t i;
@@ -28,7 +43,42 @@
 	for (i = 0; i < n->settings->npeers; i++)
 		if (n->settings->peers[i].id == id)
 			return n->settings->peers[i].bus;
-	return NULL;
+	return n->settings->nseeds > 0 ? address_by_id(n, id) : NULL;
+}
+
+static bool
+add_id(uint32_t *ids, size_t *count, size_t max, uint32_t id)
+{
+	size_t i;
+
+	for (i = 0; i < *count; i++)
+		if (ids[i] == id)
+			return true;
+	if (*count == max)
+		return false;
+	ids[(*count)++] = id;
+	return true;
+}
+
+size_t
+node_peer_voters(const struct node *n, uint32_t *out, size_t max)
+{
+	const struct member *m;
+	size_t i, count = 0;
+
+	for (i = 0; i < n->settings->npeers; i++)
+		if (n->settings->peers[i].voter &&
+		    n->settings->peers[i].id != n->id)
+			(void)add_id(
+			    out, &count, max, n->settings->peers[i].id);
+	if (n->settings->nseeds == 0)
+		return count;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->voter != 0 && m->id != n->id)
+			(void)add_id(out, &count, max, m->id);
+	}
+	return count;
 }
 
 bool
@@ -146,7 +196,8 @@
 		node_summary_receive(n, from, e->summary);
 		break;
 	default:
-		n->counters.malformed++;
+		if (!node_gate_receive(n, from, e))
+			n->counters.malformed++;
 		break;
 	}
 }
--- a/src/node/node_propose.c
+++ b/src/node/node_propose.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -123,6 +124,8 @@
 			error.outcome = ROUTE_NOT_RUN;
 		}
 		route_reply_error(n->fx, p->request, &error);
+	} else if (p->kind == NODE_PROPOSE_GATE) {
+		node_gate_undecided(n, p->id);
 	} else if (p->kind == NODE_PROPOSE_CLAIM_START) {
 		route_claim_failed(n->route, n->now, p->id, n->fx);
 	} else {
--- a/src/node/node_replica.c
+++ b/src/node/node_replica.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
 #include "util/mem.h"
@@ -63,6 +64,7 @@
 	snapshot.book.len = book.len;
 	snapshot.claims.data = (uint8_t *)claims.data;
 	snapshot.claims.len = claims.len;
+	node_gate_save(n, &snapshot);
 	len = node__snapshot__get_packed_size(&snapshot);
 	buf_free(out);
 	out->data = mem_alloc(len + 1, 1);
@@ -71,6 +73,7 @@
 	buf_free(&view);
 	buf_free(&book);
 	buf_free(&claims);
+	node_gate_save_free(&snapshot);
 }
 
 static int
@@ -126,6 +129,7 @@
 	rc = restore_parts(n, snapshot);
 	if (rc != 0)
 		goto cleanup;
+	node_gate_restore(n, snapshot);
 	n->applied = index;
 	n->applied_term = snapshot->term;
 	n->recent_first = index + 1;
--- /dev/null
+++ b/src/place/place.h
@@ -0,0 +1,202 @@
+#ifndef MP_PLACE_PLACE_H
+#define MP_PLACE_PLACE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mulberrypath/gateway.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Where a request runs. The placer sees every request of the gateway, so its
+ * account of what each endpoint has to do is exact where load reports are
+ * late. It places by the estimated time to the first answer, holds requests
+ * for an adapter that is on its way, orders adapters and weights to be loaded
+ * and unloaded, and refuses at once what cannot be served in time. Pure: time
+ * and news come in, decisions go out.
+ *
+ * The same module stands at every entry, fed with the placer's table of
+ * endpoints but without leave to order: it places what cannot wait for a new
+ * placer.
+ */
+struct place;
+
+struct place_options {
+	uint32_t retry_ratio_milli, retry_extra, retry_window_ms;
+	uint32_t store_window_ms, store_over_milli;
+	uint32_t adapter_loads; /* at once and at full speed, over all */
+	uint32_t
+	    adapter_load_ms; /* of one, when not too many are under way */
+	uint32_t heartbeat_ms; /* between announcements of an endpoint */
+};
+
+struct place *place_create(const struct place_options *options);
+void place_destroy(struct place *p);
+
+/* The configuration in force; it outlives its use here. */
+void place_configure(struct place *p, const struct gw_config *config);
+
+/* Requests for the adapter run on this version or a newer one from now on. */
+void place_set_version(
+    struct place *p, const char *model, const char *adapter, uint32_t version);
+
+/* ---- endpoints ---------------------------------------------------------- */
+
+enum place_news {
+	PLACE_NEWS_OLD, /* a newer announcement, or a successor, is known */
+	PLACE_NEWS_SAME, /* nothing but its time has changed */
+	PLACE_NEWS_CHANGED
+};
+
+/*
+ * An endpoint's announcement. Of announcements under one id the one with the
+ * latest start of the process counts, then the highest sequence; of endpoints
+ * at one address the one that started last.
+ *
+ * live: from the endpoint itself, not from the placer's table.
+ */
+enum place_news place_announce(struct place *p, uint64_t now_us,
+    const struct gw_announcement *a, bool live);
+
+/*
+ * An entry of the placer's table, which replaces whatever is known of that id.
+ */
+void place_take_entry(
+    struct place *p, uint64_t now_us, const struct gw_announcement *a);
+
+/* Between announcements; 0: endpoints are not removed for silence. */
+void place_set_heartbeat(struct place *p, uint32_t heartbeat_ms);
+
+/* An endpoint leaves for good; false: it was not known. */
+bool place_leave(struct place *p, uint64_t now_us, const char *id);
+
+/* All endpoints of the table that is about to be replaced. */
+void place_forget_all(struct place *p, uint64_t now_us);
+
+size_t place_count(const struct place *p);
+
+/*
+ * What is known of the i-th endpoint, as an announcement.
+ *
+ * memory: holds the list of what it has loaded.
+ */
+void place_at(const struct place *p, size_t i, struct gw_announcement *out,
+    struct node_effects *memory);
+
+/* Take the next endpoint whose entry has changed or that is gone. */
+bool place_take_change(struct place *p, const char **id, bool *gone);
+bool place_find(const struct place *p, const char *id, size_t *index);
+
+/* ---- requests ----------------------------------------------------------- */
+
+#define PLACE_AVOID_MAX 8
+
+/* Names a request of an entry; unique while it is known. */
+struct place_id {
+	uint64_t entry; /* the entry's process */
+	uint64_t ask;
+};
+
+struct place_request {
+	struct place_id id;
+	enum gw_kind kind;
+	const char *service, *model, *adapter; /* NULL where there is none */
+	uint32_t prompt_tokens, max_tokens;
+	const struct gw_part *parts;
+	size_t nparts;
+	uint64_t deadline_us; /* given up then */
+	uint64_t target_us; /* its latency objective */
+	uint32_t priority; /* 0 first */
+	uint32_t attempt; /* endpoints reached before */
+	const char *data_centre; /* of the entry */
+	const char *avoid[PLACE_AVOID_MAX];
+	size_t navoid;
+};
+
+void place_ask(
+    struct place *p, uint64_t now_us, const struct place_request *request);
+
+enum place_outcome {
+	PLACE_FIRST_BYTE, /* the answer has begun; more follows */
+	PLACE_SERVED,
+	PLACE_FAILED_THERE, /* the endpoint failed it */
+	PLACE_NOT_REACHED, /* no byte left */
+	PLACE_FULL_THERE, /* the endpoint refused for load */
+	PLACE_LACKING, /* it is another process, or lacks the adapter */
+	PLACE_ABANDONED /* the caller left, or it was given up */
+};
+
+struct place_end {
+	enum place_outcome outcome;
+	uint32_t first_ms; /* from sending to the first byte, 0 unknown */
+	bool load_told;
+	uint32_t running, waiting, slots;
+};
+
+/* What became of a request; unknown ones are ignored. */
+void place_done(struct place *p, uint64_t now_us, struct place_id id,
+    const struct place_end *end);
+
+/* An entry's process is gone, with all its requests. */
+void place_entry_gone(struct place *p, uint64_t now_us, uint64_t entry);
+
+/* ---- orders ------------------------------------------------------------- */
+
+/* An order's outcome; broken: no answer came, it may yet be carried out. */
+void place_ordered(struct place *p, uint64_t now_us, const char *endpoint,
+    enum gw_order_result result, bool broken);
+
+/* The report that was asked for; NULL: none came. */
+void place_reported(struct place *p, uint64_t now_us, const char *endpoint,
+    const struct gw_report *report);
+
+/* ---- decisions ---------------------------------------------------------- */
+
+enum place_decision_type {
+	PLACE_GRANT,
+	PLACE_WAIT, /* the decision on a request follows */
+	PLACE_REFUSE,
+	PLACE_ORDER, /* give an endpoint an order */
+	PLACE_REPORT /* ask an endpoint for a report */
+};
+
+struct place_decision {
+	enum place_decision_type type;
+	struct place_id id; /* GRANT, WAIT, REFUSE */
+	const char *endpoint, *address; /* GRANT, ORDER, REPORT */
+	uint32_t adapter_version, urgency; /* GRANT */
+	const char *reason; /* REFUSE */
+	uint32_t retry_after_ms; /* REFUSE */
+	struct gw_order order; /* ORDER, without holder and fence */
+	uint32_t estimate_ms; /* GRANT: to the first byte */
+};
+
+/*
+ * Decide all that can be decided now; may_order: this is the placer, and no
+ * other one can still act. Texts live until the next call that changes state.
+ */
+void place_run(struct place *p, uint64_t now_us, bool may_order);
+bool place_take(struct place *p, struct place_decision *out);
+
+/* When place_run() is wanted next without news. */
+uint64_t place_next(const struct place *p);
+
+/* Forget requests and doubts about orders: another placer acted meanwhile. */
+void place_reset(struct place *p, uint64_t now_us);
+
+struct place_totals {
+	uint32_t endpoints, asked, granted, refused, waiting, running;
+	uint32_t loads, cold_loads, unloads, weight_loads, reports, repeats;
+	uint32_t repeats_denied, ejections;
+};
+void place_get_totals(const struct place *p, struct place_totals *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/place/place_budget.c
@@ -0,0 +1,68 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_internal.h"
+#include "util/mem.h"
+
+/*
+ * Repeats of a service's requests in a sliding window stay below a share of
+ * its requests and a fixed number. The placer sees all requests of all
+ * entries, so the budget is one; an entry that places by itself repeats
+ * nothing. Half of what is allowed is used: a repeat counts where it arrives,
+ * which may be in the next window.
+ */
+#define BUDGET_USED 2
+
+static struct place_budget *
+budget_of(struct place *p, const char *service)
+{
+	struct place_budget *b = map_get_str(p->budgets, service);
+
+	if (b == NULL) {
+		b = mem_alloc(1, sizeof(*b));
+		(void)map_set_str(p->budgets, service, b);
+	}
+	return b;
+}
+
+/* Empty the buckets that have passed. */
+static void
+budget_turn(struct place_budget *b, uint64_t bucket)
+{
+	uint64_t steps = bucket - b->bucket;
+
+	if (steps > PLACE_BUCKETS)
+		steps = PLACE_BUCKETS;
+	while (steps-- > 0) {
+		b->requests[(bucket - steps) % PLACE_BUCKETS] = 0;
+		b->repeats[(bucket - steps) % PLACE_BUCKETS] = 0;
+	}
+	b->bucket = bucket;
+}
+
+bool
+place_budget_take(struct place *p, const char *service, bool repeat)
+{
+	struct place_budget *b = budget_of(p, service);
+	uint64_t width =
+	    p->options.retry_window_ms * US_PER_MS / PLACE_BUCKETS + 1;
+	uint64_t requests = 0, repeats = 0, allowed;
+	size_t i;
+
+	budget_turn(b, p->now_us / width);
+	if (!repeat) {
+		b->requests[b->bucket % PLACE_BUCKETS]++;
+		return true;
+	}
+	for (i = 0; i < PLACE_BUCKETS; i++) {
+		requests += b->requests[i];
+		repeats += b->repeats[i];
+	}
+	allowed = requests * p->options.retry_ratio_milli / 1000 +
+	    p->options.retry_extra;
+	if ((repeats + 1) * BUDGET_USED > allowed)
+		return false;
+	b->repeats[b->bucket % PLACE_BUCKETS]++;
+	p->totals.repeats++;
+	return true;
+}
--- /dev/null
+++ b/src/place/place_engine.c
@@ -0,0 +1,326 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "place/place_internal.h"
+#include "util/mem.h"
+
+/*
+ * Model requests: the engine with the least estimated time to the first event.
+ *
+ * The pattern it answers: prompts with a heavy tail, so that the number of
+ * requests at an engine says little about how long the next one waits, and an
+ * adapter for most requests of which a few are hot and most are cold. The
+ * estimate counts the prompt tokens that are not read yet, by the engine's
+ * measured speed, what the prompt's own parts are cached there, and the load
+ * of the adapter where it is missing. The head spreads by itself, as its
+ * engines' backlogs grow beyond the cost of a load; the tail gathers where a
+ * load is cheap.
+ */
+
+/* A load takes a place in the store and drops what is used by others. */
+#define COLD_COST_MS 120.0
+#define WARM_COST_MS 15.0
+/* Another data centre costs a little latency and traffic. */
+#define APART_COST_MS 2.0
+/* Each sequence of a batch slows its steps. */
+#define BATCH_COST_MS 1.0
+/* An engine that has not begun an answer for this and thrice its estimate. */
+#define STUCK_US      (400 * US_PER_MS)
+#define STUCK_FACTOR  3.0
+#define STUCK_COST_MS 1000.0
+/* A request leaves this early to meet its adapter. */
+#define LEAD_US (1 * US_PER_MS)
+/* Requests between 0, the most urgent, and 9 for the engine. */
+#define URGENCY_BASE 3u
+#define URGENCY_MAX  9u
+
+/* ---- cached prompts ----------------------------------------------------- */
+
+/* A name of the first parts of a prompt, for a model or adapter. */
+uint64_t
+place_engine_chain(const struct place_ask *a, size_t upto)
+{
+	uint64_t hash = XXH64(a->key, strlen(a->key), 0);
+	size_t i;
+
+	for (i = 0; i <= upto; i++)
+		hash = XXH64(&a->parts[i].hash, sizeof(a->parts[i].hash), hash);
+	return hash;
+}
+
+struct part_use {
+	uint64_t used_us;
+};
+
+static void
+forget_oldest(struct place_endpoint *e)
+{
+	struct part_use *use;
+	uint64_t hash = 0, oldest = UINT64_MAX;
+	size_t i;
+
+	for (i = 0; i < map_count(e->parts); i++) {
+		use = map_at(e->parts, i);
+		if (use->used_us < oldest) {
+			oldest = use->used_us;
+			memcpy(
+			    &hash, map_key_at(e->parts, i, NULL), sizeof(hash));
+		}
+	}
+	free(map_remove_u64(e->parts, hash));
+}
+
+void
+place_engine_cache(
+    struct place *p, struct place_endpoint *e, const struct place_ask *a)
+{
+	struct part_use *use;
+	uint64_t hash;
+	size_t i;
+
+	for (i = 0; i < a->nparts; i++) {
+		hash = place_engine_chain(a, i);
+		use = map_get_u64(e->parts, hash);
+		if (use == NULL) {
+			if (map_count(e->parts) >= PLACE_PARTS_MAX)
+				forget_oldest(e);
+			use = mem_alloc(1, sizeof(*use));
+			(void)map_set_u64(e->parts, hash, use);
+		}
+		use->used_us = p->now_us;
+	}
+}
+
+/* Tokens of the prompt that the engine has read before. */
+static uint32_t
+cached_tokens(const struct place_endpoint *e, const struct place_ask *a)
+{
+	uint32_t tokens = 0;
+	size_t i;
+
+	for (i = 0; i < a->nparts; i++) {
+		if (map_get_u64(e->parts, place_engine_chain(a, i)) == NULL)
+			break;
+		tokens += a->parts[i].tokens;
+	}
+	return tokens < a->prompt_tokens ? tokens : a->prompt_tokens;
+}
+
+/* ---- the estimate ------------------------------------------------------- */
+
+struct estimate {
+	double first_ms; /* to the first event */
+	double cost; /* that and what it costs others */
+	uint32_t own_tokens; /* to be read */
+	bool needs_load, stuck;
+};
+
+/* What is not read yet, less what has been read since the last news. */
+static double
+backlog_ms(const struct place *p, const struct place_endpoint *e)
+{
+	double all = (double)e->unread_tokens / e->speed;
+	double since = (double)(p->now_us - e->progress_us) / (double)US_PER_MS;
+	double mean = e->unread == 0 ? 0 : all / e->unread;
+
+	return all - (since < mean ? since : mean);
+}
+
+static bool
+is_stuck(const struct place *p, const struct place_endpoint *e)
+{
+	double mean_us = e->unread == 0 ? 0
+					: (double)e->unread_tokens / e->speed /
+		e->unread * (double)US_PER_MS;
+
+	return e->unread > 0 &&
+	    (double)(p->now_us - e->progress_us) >
+	    mean_us * STUCK_FACTOR + (double)STUCK_US;
+}
+
+/* Time until the adapter is there; false: it can't be. */
+static bool
+adapter_ms(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a, bool may_order, double *ms, struct estimate *out)
+{
+	const struct place_adapter *adapter = place_adapter_find(e, a->key);
+
+	*ms = 0;
+	if (adapter != NULL && place_adapter_is_current(p, adapter))
+		return true;
+	if (adapter != NULL && adapter->state != ADAPTER_LOADED &&
+	    adapter->state != ADAPTER_EVICTING &&
+	    adapter->wanted_version >= place_version_of(p, a->key)) {
+		if (adapter->ready_us > p->now_us)
+			*ms = (double)(adapter->ready_us - p->now_us) /
+			    (double)US_PER_MS;
+		return may_order || adapter->state == ADAPTER_LOADING;
+	}
+	if (!may_order || a->adapter == NULL ||
+	    (adapter != NULL && adapter->state != ADAPTER_LOADED) ||
+	    (adapter == NULL && !place_adapter_has_room(p, e)))
+		return false;
+	*ms = place_adapter_load_ms(p, e, a->key);
+	out->needs_load = true;
+	out->cost +=
+	    place_adapter_was_lately(e, a->key) ? WARM_COST_MS : COLD_COST_MS;
+	return true;
+}
+
+/* Is there memory and a seat for the request? */
+static bool
+has_seat(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
+{
+	const struct gw_engine *engine = place_engine_of(p, e);
+	uint64_t tokens = (uint64_t)a->prompt_tokens + a->max_tokens;
+
+	if (engine == NULL || e->running >= e->slots)
+		return false;
+	return e->running == 0 || engine->kv_tokens == 0 ||
+	    e->kv_tokens + tokens <= engine->kv_tokens;
+}
+
+static bool
+engine_estimate(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a, bool may_order, struct estimate *out)
+{
+	const struct place_adapter *weights;
+	double load, backlog;
+
+	memset(out, 0, sizeof(*out));
+	if (!place_endpoint_usable(p, e, a->service) || place_avoids(a, e) ||
+	    !has_seat(p, e, a))
+		return false;
+	weights = place_adapter_find(e, a->model);
+	if (weights == NULL || weights->state != ADAPTER_LOADED ||
+	    !adapter_ms(p, e, a, may_order, &load, out))
+		return false;
+	backlog = backlog_ms(p, e);
+	out->own_tokens = a->prompt_tokens - cached_tokens(e, a);
+	out->first_ms = (backlog > load ? backlog : load) +
+	    out->own_tokens / e->speed + e->running * BATCH_COST_MS;
+	out->stuck = is_stuck(p, e);
+	out->cost += out->first_ms + (out->stuck ? STUCK_COST_MS : 0);
+	if (a->data_centre != NULL &&
+	    strcmp(a->data_centre, e->data_centre) != 0)
+		out->cost += APART_COST_MS;
+	return true;
+}
+
+/* ---- placing ------------------------------------------------------------ */
+
+static uint32_t
+urgency_of(const struct place_ask *a)
+{
+	uint32_t urgency = URGENCY_BASE + a->priority;
+
+	return urgency > URGENCY_MAX ? URGENCY_MAX : urgency;
+}
+
+static void
+place_engine_grant(struct place *p, struct place_endpoint *e,
+    struct place_ask *a, const struct estimate *est)
+{
+	struct place_adapter *adapter = place_adapter_find(e, a->key);
+	struct place_decision *d = place_decide(p, PLACE_GRANT);
+
+	a->unread_tokens = est->own_tokens;
+	place_endpoint_grant(p, e, a);
+	place_engine_cache(p, e, a);
+	adapter->running++;
+	adapter->used_us = p->now_us;
+	d->id = a->id;
+	d->endpoint = e->id;
+	d->address = e->address;
+	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
+	d->urgency = urgency_of(a);
+	d->estimate_ms = (uint32_t)est->first_ms;
+}
+
+/* Leave the engine whose adapter the request has waited for. */
+static void
+leave_engine(struct place_ask *a)
+{
+	struct place_adapter *adapter;
+
+	if (a->endpoint == NULL)
+		return;
+	adapter = place_adapter_find(a->endpoint, a->key);
+	if (adapter != NULL && adapter->waiting > 0)
+		adapter->waiting--;
+	a->endpoint = NULL;
+}
+
+static void
+wait_there(struct place *p, struct place_endpoint *e, struct place_ask *a)
+{
+	struct place_adapter *adapter;
+
+	place_adapter_want(p, e, a);
+	adapter = place_adapter_find(e, a->key);
+	if (a->endpoint != e) {
+		leave_engine(a);
+		a->endpoint = e;
+		adapter->waiting++;
+	}
+	place_wake(p,
+	    adapter->ready_us > p->now_us + LEAD_US
+		? adapter->ready_us - LEAD_US
+		: p->now_us + LEAD_US);
+}
+
+/* Is the adapter there, or will be when the request arrives? */
+static bool
+adapter_is_near(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
+{
+	const struct place_adapter *adapter = place_adapter_find(e, a->key);
+
+	if (adapter == NULL)
+		return false;
+	return place_adapter_is_current(p, adapter) ||
+	    (adapter->state == ADAPTER_LOADING &&
+		adapter->version >= place_version_of(p, a->key) &&
+		adapter->ready_us <= p->now_us + LEAD_US);
+}
+
+static struct place_endpoint *
+best_engine(const struct place *p, const struct place_ask *a, bool may_order,
+    struct estimate *best)
+{
+	struct place_endpoint *e, *found = NULL;
+	struct estimate est;
+	size_t i;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		if (!engine_estimate(p, e, a, may_order, &est) ||
+		    (found != NULL && est.cost >= best->cost))
+			continue;
+		found = e;
+		*best = est;
+	}
+	return found;
+}
+
+void
+place_engine_place(struct place *p, struct place_ask *a, bool may_order)
+{
+	struct place_endpoint *e = a->endpoint;
+	struct estimate est;
+
+	if (e == NULL || !engine_estimate(p, e, a, may_order, &est)) {
+		leave_engine(a);
+		e = best_engine(p, a, may_order, &est);
+	}
+	if (e == NULL)
+		return;
+	if (!adapter_is_near(p, e, a)) {
+		wait_there(p, e, a);
+		return;
+	}
+	leave_engine(a);
+	place_engine_grant(p, e, a, &est);
+}
--- /dev/null
+++ b/src/place/place_internal.h
@@ -0,0 +1,207 @@
+#ifndef MP_PLACE_INTERNAL_H
+#define MP_PLACE_INTERNAL_H
+
+#include "place/place.h"
+#include "util/map.h"
+
+#define US_PER_MS 1000ULL
+
+/* An endpoint that was not heard for so many announcements is gone. */
+#define PLACE_SILENT_BEATS 5u
+/* Prompt tokens that an engine reads in a ms, before any is measured. */
+#define PLACE_SPEED 18.0
+/* Adapters that an engine unloaded lately and loads fast again. */
+#define PLACE_LATELY_MAX    24u
+#define PLACE_LATELY_FACTOR 10u
+/* Cached prompt parts that are remembered of an engine. */
+#define PLACE_PARTS_MAX 512u
+#define PLACE_BUCKETS	10u
+
+enum adapter_state {
+	ADAPTER_WANTED, /* an order is to be given */
+	ADAPTER_ORDERED, /* the order is on its way */
+	ADAPTER_LOADING, /* accepted; ready at ready_us */
+	ADAPTER_LOADED,
+	ADAPTER_EVICTING /* an order to unload is on its way */
+};
+
+/* Weights or an adapter at an endpoint. */
+struct place_adapter {
+	char *key; /* "model" or "model/adapter" */
+	char *model, *adapter; /* adapter NULL: the weights */
+	enum adapter_state state;
+	uint32_t version;
+	uint32_t wanted_version;
+	uint32_t running; /* granted and not ended */
+	uint32_t waiting; /* requests that wait for it */
+	bool cold; /* comes from the weight store */
+	bool replacing; /* WANTED to LOADING: an older version is there */
+	uint64_t ready_us; /* WANTED: estimated */
+	uint64_t used_us;
+	uint64_t since_us; /* of the state */
+};
+
+struct place_endpoint {
+	char *id, *service, *address, *data_centre;
+	uint64_t born_ms, sequence;
+	uint32_t slots;
+	bool leaving;
+	uint64_t heard_us;
+	bool changed; /* to be told to the others */
+	/* the account */
+	uint32_t running; /* granted and not ended */
+	uint32_t unread; /* granted, no first byte yet */
+	uint64_t unread_tokens; /* of their prompts, as far as not cached */
+	uint64_t kv_tokens; /* of all that run */
+	uint64_t progress_us; /* last first byte, or when it was idle */
+	double speed; /* prompt tokens per ms */
+	double service_ms; /* plain: mean time of a call */
+	/* trust */
+	double failures; /* share of late calls that failed */
+	uint64_t eject_until_us;
+	uint32_t ejections; /* in a row */
+	/* what it holds */
+	struct map *adapters; /* by key, struct place_adapter */
+	char *lately[PLACE_LATELY_MAX]; /* ring of keys */
+	size_t lately_at;
+	struct map *parts; /* by hash of the chain, to its last use */
+	/* orders */
+	uint64_t orders; /* accepted so far */
+	bool orders_known;
+	bool ordering; /* a call is under way */
+	char *order_key; /* what it is about; NULL: a report */
+	bool order_unloads;
+	uint64_t quiet_until_us; /* no order and no report before */
+	bool fenced; /* a newer holder has been seen */
+};
+
+struct place_ask {
+	struct place_id id;
+	enum gw_kind kind;
+	char *service, *model, *adapter, *key, *data_centre;
+	uint32_t prompt_tokens, max_tokens;
+	struct gw_part parts[GW_PARTS_MAX];
+	size_t nparts;
+	uint64_t asked_us, deadline_us, target_us;
+	uint32_t priority, attempt;
+	char *avoid[PLACE_AVOID_MAX];
+	size_t navoid;
+	bool told_waits;
+	/* waiting for an adapter there, or granted */
+	struct place_endpoint *endpoint; /* NULL: none */
+	bool granted, begun;
+	uint64_t granted_us;
+	uint32_t unread_tokens; /* charged */
+	uint32_t
+	    ahead_tokens; /* at the endpoint when it was granted, own too */
+	struct place_ask *next; /* of those that are not granted */
+};
+
+struct place_version {
+	uint32_t version;
+};
+
+/* Requests and repeats of one service in a window that slides by buckets. */
+struct place_budget {
+	uint64_t bucket; /* number of the newest */
+	uint32_t requests[PLACE_BUCKETS], repeats[PLACE_BUCKETS];
+};
+
+struct place_change {
+	char *id;
+	bool gone;
+};
+
+struct place {
+	struct place_options options;
+	const struct gw_config *config;
+	struct map *endpoints; /* by id */
+	struct map *gone; /* ids that left, to the start of their process */
+	struct map *asks; /* by struct place_id */
+	struct place_ask *waiting; /* list by deadline of the objective */
+	size_t nwaiting;
+	struct map *versions; /* by key */
+	struct map *budgets; /* by service */
+	struct map *demand; /* by model: its weight of late requests */
+	uint32_t loading; /* adapters on their way from the store */
+	double weight_permits; /* loads of weights that may begin */
+	uint64_t permits_us; /* as of */
+	uint32_t weights_loading;
+	struct place_decision *decisions;
+	size_t ndecisions, taken, cap;
+	struct place_change *changes;
+	size_t nchanges, changes_cap;
+	char *last_change; /* id handed out by place_take_change() */
+	uint64_t next_us;
+	uint64_t now_us;
+	struct place_totals totals;
+};
+
+/* ---- place.c ---- */
+struct place_decision *place_decide(
+    struct place *p, enum place_decision_type type);
+void place_wake(struct place *p, uint64_t at_us);
+void place_note_change(struct place *p, const char *id, bool gone);
+bool place_avoids(const struct place_ask *a, const struct place_endpoint *e);
+
+/* ---- place_endpoint.c ---- */
+void place_endpoint_free(struct place_endpoint *e);
+void place_endpoint_remove(struct place *p, struct place_endpoint *e);
+void place_endpoint_sweep(struct place *p);
+bool place_endpoint_usable(
+    const struct place *p, const struct place_endpoint *e, const char *service);
+void place_endpoint_grant(
+    struct place *p, struct place_endpoint *e, struct place_ask *a);
+void place_endpoint_end(
+    struct place *p, struct place_ask *a, const struct place_end *end);
+
+/* ---- place_adapter.c ---- */
+struct place_adapter *place_adapter_find(
+    const struct place_endpoint *e, const char *key);
+struct place_adapter *place_adapter_add(struct place_endpoint *e,
+    const char *model, const char *adapter, enum adapter_state state,
+    uint64_t now_us);
+void place_adapter_remove(struct place *p, struct place_endpoint *e,
+    struct place_adapter *a, bool lately);
+char *place_adapter_key(const char *model, const char *adapter);
+uint32_t place_version_of(const struct place *p, const char *key);
+/* Does a copy serve requests, and of the version that they need? */
+bool place_adapter_is_current(
+    const struct place *p, const struct place_adapter *a);
+bool place_adapter_was_lately(const struct place_endpoint *e, const char *key);
+/* Could one more be loaded there, after others are unloaded? */
+bool place_adapter_has_room(
+    const struct place *p, const struct place_endpoint *e);
+/* Estimated time of a load that is ordered now, in ms. */
+uint32_t place_adapter_load_ms(
+    const struct place *p, const struct place_endpoint *e, const char *key);
+/* At once and at full speed, over all endpoints. */
+uint32_t place_adapter_loads_at_once(const struct place *p);
+/* A load is over: its share of the store is free again. */
+void place_adapter_load_over(struct place *p, struct place_adapter *a);
+void place_adapter_want(
+    struct place *p, struct place_endpoint *e, const struct place_ask *ask);
+void place_adapter_run(struct place *p, bool may_order);
+/* Exactly what an entry of the placer's table lists is loaded. */
+void place_adapter_replace(
+    struct place *p, struct place_endpoint *e, const struct gw_announcement *a);
+void place_adapter_merge(
+    struct place *p, struct place_endpoint *e, const struct gw_announcement *a);
+const struct gw_engine *place_engine_of(
+    const struct place *p, const struct place_endpoint *e);
+
+/* ---- place_engine.c ---- */
+/* Place a model request: a grant, a wait for an adapter, or nothing. */
+void place_engine_place(struct place *p, struct place_ask *a, bool may_order);
+uint64_t place_engine_chain(const struct place_ask *a, size_t upto);
+void place_engine_cache(
+    struct place *p, struct place_endpoint *e, const struct place_ask *a);
+
+/* ---- place_service.c ---- */
+void place_service_place(struct place *p, struct place_ask *a);
+
+/* ---- place_budget.c ---- */
+/* Count a request; false: a repeat that the budget does not allow. */
+bool place_budget_take(struct place *p, const char *service, bool repeat);
+
+#endif
--- /dev/null
+++ b/src/place/place_order.c
@@ -0,0 +1,391 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_internal.h"
+#include "util/mem.h"
+
+/*
+ * Orders to engines: one call at a time to each, every one conditional on the
+ * number of orders that the engine has accepted. So an order whose answer was
+ * lost and which is carried out seconds later, after another, is refused by
+ * the engine, and never fills a place twice. Where that number is in doubt
+ * the engine is asked for a report first.
+ */
+
+/* The state that a report tells is so old at most. */
+#define REPORT_LAG_US (400 * US_PER_MS)
+/* An order that was refused as another is under way is given again after. */
+#define CONFLICT_US (150 * US_PER_MS)
+/* Loads of weights at once: one for so many thousandths of loads a second. */
+#define WEIGHTS_RATE_MILLI 5000u
+#define WEIGHTS_BURST	   2.0
+
+/* ---- results ------------------------------------------------------------ */
+
+static void
+set_state(struct place *p, struct place_endpoint *e, struct place_adapter *a,
+    enum adapter_state state)
+{
+	a->state = state;
+	a->since_us = p->now_us;
+	if (state == ADAPTER_LOADED) {
+		a->replacing = false;
+		place_note_change(p, e->id, false);
+	}
+}
+
+static uint32_t
+weights_load_ms(const struct place *p, const struct place_endpoint *e,
+    const struct place_adapter *a)
+{
+	const struct gw_engine *engine = place_engine_of(p, e);
+	size_t i;
+
+	for (i = 0; engine != NULL && i < engine->nmodels; i++)
+		if (strcmp(engine->models[i].name, a->model) == 0)
+			return engine->models[i].load_ms;
+	return 0;
+}
+
+static void
+load_accepted(
+    struct place *p, struct place_endpoint *e, struct place_adapter *a)
+{
+	uint32_t ms = a->adapter == NULL ? weights_load_ms(p, e, a)
+					 : place_adapter_load_ms(p, e, a->key);
+
+	a->version = a->wanted_version;
+	a->ready_us = p->now_us + ms * US_PER_MS;
+	set_state(p, e, a, ADAPTER_LOADING);
+	if (a->adapter == NULL) { /* no order beside it */
+		e->quiet_until_us = a->ready_us;
+		e->orders_known = false;
+	}
+	place_wake(p, a->ready_us);
+}
+
+static void
+load_result(struct place *p, struct place_endpoint *e, struct place_adapter *a,
+    enum gw_order_result result)
+{
+	if (result == GW_ORDER_STARTED) {
+		load_accepted(p, e, a);
+	} else if (result == GW_ORDER_DONE) {
+		place_adapter_load_over(p, a);
+		a->version = a->wanted_version;
+		set_state(p, e, a, ADAPTER_LOADED);
+	} else {
+		place_adapter_load_over(p, a);
+		set_state(p, e, a, ADAPTER_WANTED);
+	}
+}
+
+static void
+unload_result(struct place *p, struct place_endpoint *e,
+    struct place_adapter *a, enum gw_order_result result)
+{
+	if (result == GW_ORDER_DONE || result == GW_ORDER_STARTED) {
+		place_adapter_remove(p, e, a, true);
+		place_note_change(p, e->id, false);
+	} else {
+		set_state(p, e, a, ADAPTER_LOADED);
+	}
+}
+
+/* What an answer says of the number of orders accepted. */
+static void
+note_count(struct place *p, struct place_endpoint *e,
+    enum gw_order_result result, bool broken)
+{
+	switch (result) {
+	case GW_ORDER_STARTED:
+		e->orders++;
+		break;
+	case GW_ORDER_DONE:
+		if (e->order_unloads)
+			e->orders++;
+		else
+			e->orders_known = false; /* was it counted? */
+		break;
+	case GW_ORDER_FENCED:
+		e->fenced = true;
+		break;
+	default:
+		e->orders_known = false;
+		e->quiet_until_us =
+		    p->now_us + (broken ? REPORT_LAG_US : CONFLICT_US);
+		place_wake(p, e->quiet_until_us);
+		break;
+	}
+}
+
+void
+place_ordered(struct place *p, uint64_t now_us, const char *endpoint,
+    enum gw_order_result result, bool broken)
+{
+	struct place_endpoint *e = map_get_str(p->endpoints, endpoint);
+	struct place_adapter *a;
+
+	if (e == NULL || !e->ordering || e->order_key == NULL)
+		return;
+	p->now_us = now_us;
+	place_wake(p, 0);
+	a = place_adapter_find(e, e->order_key);
+	e->ordering = false;
+	note_count(p, e, result, broken);
+	free(e->order_key);
+	e->order_key = NULL;
+	if (a == NULL)
+		return;
+	if (e->order_unloads)
+		unload_result(p, e, a, result);
+	else
+		load_result(p, e, a, result);
+}
+
+/* ---- giving ------------------------------------------------------------- */
+
+static void
+give(struct place *p, struct place_endpoint *e, struct place_adapter *a,
+    bool unload)
+{
+	struct place_decision *d = place_decide(p, PLACE_ORDER);
+
+	d->endpoint = e->id;
+	d->address = e->address;
+	d->order.type = unload ? GW_ORDER_UNLOAD : GW_ORDER_LOAD;
+	d->order.endpoint = e->id;
+	d->order.model = a->model;
+	d->order.adapter = a->adapter;
+	d->order.version = unload ? 0 : a->wanted_version;
+	d->order.expected = e->orders;
+	d->order.expect = true;
+	e->ordering = true;
+	e->order_unloads = unload;
+	free(e->order_key);
+	e->order_key = mem_string(a->key);
+	set_state(p, e, a, unload ? ADAPTER_EVICTING : ADAPTER_ORDERED);
+	if (unload)
+		p->totals.unloads++;
+	else if (a->adapter == NULL)
+		p->totals.weight_loads++;
+	else
+		p->totals.loads++;
+}
+
+static void
+ask_report(struct place *p, struct place_endpoint *e)
+{
+	struct place_decision *d = place_decide(p, PLACE_REPORT);
+
+	d->endpoint = e->id;
+	d->address = e->address;
+	e->ordering = true;
+	free(e->order_key);
+	e->order_key = NULL;
+	p->totals.reports++;
+}
+
+/* The adapter that waits longest for its load, or the weights. */
+static struct place_adapter *
+first_wanted(const struct place_endpoint *e)
+{
+	struct place_adapter *a, *best = NULL;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->state == ADAPTER_WANTED &&
+		    (best == NULL || a->since_us < best->since_us))
+			best = a;
+	}
+	return best;
+}
+
+/* The one that was used longest ago, of those that nobody needs. */
+static struct place_adapter *
+victim(const struct place_endpoint *e)
+{
+	struct place_adapter *a, *best = NULL;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->adapter == NULL || a->state != ADAPTER_LOADED ||
+		    a->running > 0 || a->waiting > 0)
+			continue;
+		if (best == NULL || a->used_us < best->used_us)
+			best = a;
+	}
+	return best;
+}
+
+/* Places that are taken, by what is there or on its way. */
+static size_t
+taken(const struct place_endpoint *e)
+{
+	const struct place_adapter *a;
+	size_t i, n = 0;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		n += a->adapter != NULL &&
+		    (a->state != ADAPTER_WANTED || a->replacing);
+	}
+	return n;
+}
+
+static void
+order_adapter(struct place *p, struct place_endpoint *e,
+    struct place_adapter *a, const struct gw_engine *engine)
+{
+	struct place_adapter *out;
+
+	if (!a->replacing && taken(e) >= engine->adapter_slots) {
+		out = victim(e);
+		if (out != NULL)
+			give(p, e, out, true);
+		return;
+	}
+	if (!place_adapter_was_lately(e, a->key)) {
+		if (p->loading >= place_adapter_loads_at_once(p))
+			return;
+		p->loading++;
+		a->cold = true;
+		p->totals.cold_loads++;
+	}
+	give(p, e, a, false);
+}
+
+/* ---- weights ------------------------------------------------------------ */
+
+static void
+refill_permits(struct place *p, const struct gw_engine *engine)
+{
+	double seconds = (double)(p->now_us - p->permits_us) / 1e6;
+
+	p->permits_us = p->now_us;
+	p->weight_permits += seconds * engine->loads_per_s_milli / 1000.0;
+	if (p->weight_permits > WEIGHTS_BURST)
+		p->weight_permits = WEIGHTS_BURST;
+}
+
+static void
+order_weights(struct place *p, struct place_endpoint *e,
+    struct place_adapter *a, const struct gw_engine *engine)
+{
+	refill_permits(p, engine);
+	place_wake(p, p->now_us + REPORT_LAG_US);
+	if (p->weight_permits < 1 ||
+	    p->weights_loading > engine->loads_per_s_milli / WEIGHTS_RATE_MILLI)
+		return;
+	p->weight_permits -= 1;
+	p->weights_loading++;
+	a->cold = true;
+	give(p, e, a, false);
+}
+
+static size_t
+holders(const struct place *p, const char *service, const char *model)
+{
+	const struct place_endpoint *e;
+	size_t i, n = 0;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		n += strcmp(e->service, service) == 0 &&
+		    place_adapter_find(e, model) != NULL;
+	}
+	return n;
+}
+
+/* An engine that holds no weights gets those that are held least often. */
+static void
+want_weights(
+    struct place *p, struct place_endpoint *e, const struct gw_engine *engine)
+{
+	const struct gw_model *best = NULL;
+	struct place_adapter *a;
+	size_t i, n, fewest = 0;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->adapter == NULL)
+			return;
+	}
+	for (i = 0; i < engine->nmodels; i++) {
+		n = holders(p, e->service, engine->models[i].name);
+		if (engine->models[i].weights_mb > engine->weights_mb ||
+		    (best != NULL && n >= fewest))
+			continue;
+		best = &engine->models[i];
+		fewest = n;
+	}
+	if (best != NULL)
+		(void)place_adapter_add(
+		    e, best->name, NULL, ADAPTER_WANTED, p->now_us);
+}
+
+/* ---- the round ---------------------------------------------------------- */
+
+/* Loads whose time is over; wants that nobody waits for any more. */
+static void
+settle(struct place *p, struct place_endpoint *e)
+{
+	struct place_adapter *a;
+	size_t i = map_count(e->adapters);
+
+	while (i-- > 0) {
+		a = map_at(e->adapters, i);
+		if (a->state == ADAPTER_LOADING && p->now_us >= a->ready_us) {
+			place_adapter_load_over(p, a);
+			set_state(p, e, a, ADAPTER_LOADED);
+		} else if (a->state == ADAPTER_LOADING) {
+			place_wake(p, a->ready_us);
+		} else if (a->state == ADAPTER_WANTED && a->waiting == 0 &&
+		    a->adapter != NULL) {
+			if (a->replacing)
+				set_state(p, e, a, ADAPTER_LOADED);
+			else
+				place_adapter_remove(p, e, a, false);
+		}
+	}
+}
+
+static void
+order_next(struct place *p, struct place_endpoint *e)
+{
+	const struct gw_engine *engine = place_engine_of(p, e);
+	struct place_adapter *a;
+
+	if (engine == NULL || e->leaving || e->fenced || e->ordering)
+		return;
+	want_weights(p, e, engine);
+	a = first_wanted(e);
+	if (a == NULL)
+		return;
+	if (p->now_us < e->quiet_until_us) {
+		place_wake(p, e->quiet_until_us);
+		return;
+	}
+	if (!e->orders_known)
+		ask_report(p, e);
+	else if (a->adapter == NULL)
+		order_weights(p, e, a, engine);
+	else
+		order_adapter(p, e, a, engine);
+}
+
+void
+place_adapter_run(struct place *p, bool may_order)
+{
+	struct place_endpoint *e;
+	size_t i;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		settle(p, e);
+		if (may_order)
+			order_next(p, e);
+	}
+}
--- /dev/null
+++ b/src/place/place_service.c
@@ -0,0 +1,49 @@
+#include <string.h>
+
+#include "place/place_internal.h"
+
+/*
+ * Calls of plain services: the endpoint that is likely to be done first, of
+ * those with a slot free; without one the call waits here, where it can still
+ * go to whichever endpoint is free first.
+ *
+ * The pattern it answers: few endpoints with few slots, calls that may run
+ * once only, and endpoints that turn slow or fail part of their calls.
+ */
+
+static double
+cost_of(const struct place_endpoint *e, const struct place_ask *a)
+{
+	double cost = e->service_ms *
+	    (1.0 + (double)e->running / (double)(e->slots == 0 ? 1 : e->slots));
+
+	if (a->data_centre != NULL &&
+	    strcmp(a->data_centre, e->data_centre) != 0)
+		cost += 2.0;
+	return cost * (1.0 + e->failures * 4.0);
+}
+
+void
+place_service_place(struct place *p, struct place_ask *a)
+{
+	struct place_endpoint *e, *best = NULL;
+	struct place_decision *d;
+	size_t i;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		if (!place_endpoint_usable(p, e, a->service) ||
+		    place_avoids(a, e) || e->running >= e->slots)
+			continue;
+		if (best == NULL || cost_of(e, a) < cost_of(best, a))
+			best = e;
+	}
+	if (best == NULL)
+		return;
+	place_endpoint_grant(p, best, a);
+	d = place_decide(p, PLACE_GRANT);
+	d->id = a->id;
+	d->endpoint = best->id;
+	d->address = best->address;
+	d->estimate_ms = (uint32_t)best->service_ms;
+}
--- a/src/util/effects.c
+++ b/src/util/effects.c
@@ -144,3 +144,29 @@
 	va_end(again);
 	return text;
 }
+
+void *
+node_effects_alloc(struct node_effects *fx, size_t len)
+{
+	void *p = arena_take(fx, len);
+
+	memset(p, 0, len);
+	return p;
+}
+
+struct node_header *
+node_effects_headers(
+    struct node_effects *fx, const struct node_header *headers, size_t count)
+{
+	struct node_header *copy =
+	    node_effects_alloc(fx, count * sizeof(*copy));
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		copy[i].name = node_effects_copy(
+		    fx, headers[i].name, strlen(headers[i].name));
+		copy[i].value = node_effects_copy(
+		    fx, headers[i].value, strlen(headers[i].value));
+	}
+	return copy;
+}
--- a/src/util/error.c
+++ b/src/util/error.c
@@ -38,7 +38,7 @@
 {
 	static const char *const names[] = {"none", "util", "wire", "raft",
 	    "store", "member", "doc", "claim", "sched", "route", "node", "http",
-	    "bus", "conf", "cli"};
+	    "bus", "conf", "cli", "gate", "platform"};
 
 	if ((size_t)layer >= sizeof(names) / sizeof(names[0]))
 		return "unknown";
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -19,6 +19,7 @@
     {EVENT_CLOSE_OVERDUE, NODE_LOG_WARN, "close-overdue"},
     {EVENT_LINES_LOST, NODE_LOG_WARN, "log-lines-lost"},
     {EVENT_JOURNAL_FAILED, NODE_LOG_WARN, "journal-failed"},
+    {EVENT_RELOADED, NODE_LOG_INFO, "reloaded"},
     {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
     {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
     {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
@@ -39,6 +40,16 @@
     {NODE_LOG_STOPPED, NODE_LOG_INFO, "stopped"},
     {NODE_LOG_MALFORMED, NODE_LOG_WARN, "message-malformed"},
     {NODE_LOG_VOTERS, NODE_LOG_INFO, "voters-changed"},
+    {NODE_LOG_GATE_REQUEST, NODE_LOG_INFO, "request-ended"},
+    {NODE_LOG_GATE_PLACED, NODE_LOG_DEBUG, "request-placed"},
+    {NODE_LOG_GATE_CONFIG, NODE_LOG_INFO, "config-in-force"},
+    {NODE_LOG_GATE_VERSION, NODE_LOG_INFO, "adapter-version"},
+    {NODE_LOG_GATE_CALL_REFUSED, NODE_LOG_WARN, "call-refused"},
+    {NODE_LOG_GATE_PLACER, NODE_LOG_INFO, "placer"},
+    {NODE_LOG_GATE_ENDPOINT, NODE_LOG_INFO, "endpoint-changed"},
+    {NODE_LOG_GATE_ORDER, NODE_LOG_INFO, "order-ended"},
+    {NODE_LOG_GATE_TABLE, NODE_LOG_INFO, "table-taken"},
+    {NODE_LOG_GATE_ALONE, NODE_LOG_WARN, "placer-silent"},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -367,7 +367,97 @@
   assert(message->base.descriptor == &wire__claim_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__command__field_descriptors[10] =
+void   wire__gateway_config__init
+                     (Wire__GatewayConfig         *message)
+{
+  static const Wire__GatewayConfig init_value = WIRE__GATEWAY_CONFIG__INIT;
+  *message = init_value;
+}
+size_t wire__gateway_config__get_packed_size
+                     (const Wire__GatewayConfig *message)
+{
+  assert(message->base.descriptor == &wire__gateway_config__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__gateway_config__pack
+                     (const Wire__GatewayConfig *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__gateway_config__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__gateway_config__pack_to_buffer
+                     (const Wire__GatewayConfig *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__gateway_config__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__GatewayConfig *
+       wire__gateway_config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__GatewayConfig *)
+     protobuf_c_message_unpack (&wire__gateway_config__descriptor,
+                                allocator, len, data);
+}
+void   wire__gateway_config__free_unpacked
+                     (Wire__GatewayConfig *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__gateway_config__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__adapter_version__init
+                     (Wire__AdapterVersion         *message)
+{
+  static const Wire__AdapterVersion init_value = WIRE__ADAPTER_VERSION__INIT;
+  *message = init_value;
+}
+size_t wire__adapter_version__get_packed_size
+                     (const Wire__AdapterVersion *message)
+{
+  assert(message->base.descriptor == &wire__adapter_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__adapter_version__pack
+                     (const Wire__AdapterVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__adapter_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__adapter_version__pack_to_buffer
+                     (const Wire__AdapterVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__adapter_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__AdapterVersion *
+       wire__adapter_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__AdapterVersion *)
+     protobuf_c_message_unpack (&wire__adapter_version__descriptor,
+                                allocator, len, data);
+}
+void   wire__adapter_version__free_unpacked
+                     (Wire__AdapterVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__adapter_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__command__field_descriptors[12] =
 {
   {
     "instance",
@@ -489,13 +579,39 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gateway_config",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Command, body_case),
+    offsetof(Wire__Command, gateway_config),
+    &wire__gateway_config__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter_version",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Command, body_case),
+    offsetof(Wire__Command, adapter_version),
+    &wire__adapter_version__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__command__field_indices_by_name[] = {
+  11,   /* field[11] = adapter_version */
   9,   /* field[9] = claim_clock */
   8,   /* field[8] = claim_end */
   7,   /* field[7] = claim_start */
   3,   /* field[3] = doc_put */
   5,   /* field[5] = down */
+  10,   /* field[10] = gateway_config */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   6,   /* field[6] = leave */
@@ -506,7 +622,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__command__descriptor =
 {
@@ -516,7 +632,7 @@
   "Wire__Command",
   "wire",
   sizeof(Wire__Command),
-  10,
+  12,
   wire__command__field_descriptors,
   wire__command__field_indices_by_name,
   2,  wire__command__number_ranges,
@@ -1101,6 +1217,121 @@
   (ProtobufCMessageInit) wire__claim_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__gateway_config__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GatewayConfig, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GatewayConfig, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__gateway_config__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange wire__gateway_config__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__gateway_config__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.GatewayConfig",
+  "GatewayConfig",
+  "Wire__GatewayConfig",
+  "wire",
+  sizeof(Wire__GatewayConfig),
+  2,
+  wire__gateway_config__field_descriptors,
+  wire__gateway_config__field_indices_by_name,
+  1,  wire__gateway_config__number_ranges,
+  (ProtobufCMessageInit) wire__gateway_config__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__adapter_version__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AdapterVersion, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AdapterVersion, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AdapterVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__adapter_version__field_indices_by_name[] = {
+  1,   /* field[1] = adapter */
+  0,   /* field[0] = model */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wire__adapter_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__adapter_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.AdapterVersion",
+  "AdapterVersion",
+  "Wire__AdapterVersion",
+  "wire",
+  sizeof(Wire__AdapterVersion),
+  3,
+  wire__adapter_version__field_descriptors,
+  wire__adapter_version__field_indices_by_name,
+  1,  wire__adapter_version__number_ranges,
+  (ProtobufCMessageInit) wire__adapter_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__claim_outcome__enum_values_by_number[3] =
 {
   { "CLAIM_DONE", "WIRE__CLAIM_OUTCOME__CLAIM_DONE", 0 },
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct Wire__ClaimStart Wire__ClaimStart;
 typedef struct Wire__ClaimClock Wire__ClaimClock;
 typedef struct Wire__ClaimEnd Wire__ClaimEnd;
+typedef struct Wire__GatewayConfig Wire__GatewayConfig;
+typedef struct Wire__AdapterVersion Wire__AdapterVersion;
 
 
 /* --- enums --- */
@@ -48,7 +50,9 @@
   WIRE__COMMAND__BODY_LEAVE = 13,
   WIRE__COMMAND__BODY_CLAIM_START = 14,
   WIRE__COMMAND__BODY_CLAIM_END = 15,
-  WIRE__COMMAND__BODY_CLAIM_CLOCK = 16
+  WIRE__COMMAND__BODY_CLAIM_CLOCK = 16,
+  WIRE__COMMAND__BODY_GATEWAY_CONFIG = 17,
+  WIRE__COMMAND__BODY_ADAPTER_VERSION = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__COMMAND__BODY__CASE)
 } Wire__Command__BodyCase;
 
@@ -73,6 +77,8 @@
     Wire__ClaimStart *claim_start;
     Wire__ClaimEnd *claim_end;
     Wire__ClaimClock *claim_clock;
+    Wire__GatewayConfig *gateway_config;
+    Wire__AdapterVersion *adapter_version;
   };
 };
 #define WIRE__COMMAND__INIT \
@@ -208,6 +214,36 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, WIRE__CLAIM_OUTCOME__CLAIM_DONE, 0, (char *)protobuf_c_empty_string, {0,NULL} }
 
 
+/*
+ * The gateway's configuration as the operator sent it. The highest version
+ * is in force.
+ */
+struct  Wire__GatewayConfig
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData text;
+};
+#define WIRE__GATEWAY_CONFIG__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__gateway_config__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * From now on requests for the adapter run on this version or a newer one.
+ */
+struct  Wire__AdapterVersion
+{
+  ProtobufCMessage base;
+  char *model;
+  char *adapter;
+  uint32_t version;
+};
+#define WIRE__ADAPTER_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__adapter_version__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /* Wire__Command methods */
 void   wire__command__init
                      (Wire__Command         *message);
@@ -360,6 +396,44 @@
 void   wire__claim_end__free_unpacked
                      (Wire__ClaimEnd *message,
                       ProtobufCAllocator *allocator);
+/* Wire__GatewayConfig methods */
+void   wire__gateway_config__init
+                     (Wire__GatewayConfig         *message);
+size_t wire__gateway_config__get_packed_size
+                     (const Wire__GatewayConfig   *message);
+size_t wire__gateway_config__pack
+                     (const Wire__GatewayConfig   *message,
+                      uint8_t             *out);
+size_t wire__gateway_config__pack_to_buffer
+                     (const Wire__GatewayConfig   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__GatewayConfig *
+       wire__gateway_config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__gateway_config__free_unpacked
+                     (Wire__GatewayConfig *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__AdapterVersion methods */
+void   wire__adapter_version__init
+                     (Wire__AdapterVersion         *message);
+size_t wire__adapter_version__get_packed_size
+                     (const Wire__AdapterVersion   *message);
+size_t wire__adapter_version__pack
+                     (const Wire__AdapterVersion   *message,
+                      uint8_t             *out);
+size_t wire__adapter_version__pack_to_buffer
+                     (const Wire__AdapterVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__AdapterVersion *
+       wire__adapter_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__adapter_version__free_unpacked
+                     (Wire__AdapterVersion *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Command_Closure)
@@ -386,6 +460,12 @@
 typedef void (*Wire__ClaimEnd_Closure)
                  (const Wire__ClaimEnd *message,
                   void *closure_data);
+typedef void (*Wire__GatewayConfig_Closure)
+                 (const Wire__GatewayConfig *message,
+                  void *closure_data);
+typedef void (*Wire__AdapterVersion_Closure)
+                 (const Wire__AdapterVersion *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -401,6 +481,8 @@
 extern const ProtobufCMessageDescriptor wire__claim_start__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_clock__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_end__descriptor;
+extern const ProtobufCMessageDescriptor wire__gateway_config__descriptor;
+extern const ProtobufCMessageDescriptor wire__adapter_version__descriptor;
 
 PROTOBUF_C__END_DECLS
 
