--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1087,15 +1087,932 @@
   assert(message->base.descriptor == &wire__owner_summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[21] =
+void   wire__prompt_part__init
+                     (Wire__PromptPart         *message)
+{
+  static const Wire__PromptPart init_value = WIRE__PROMPT_PART__INIT;
+  *message = init_value;
+}
+size_t wire__prompt_part__get_packed_size
+                     (const Wire__PromptPart *message)
+{
+  assert(message->base.descriptor == &wire__prompt_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__prompt_part__pack
+                     (const Wire__PromptPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__prompt_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__prompt_part__pack_to_buffer
+                     (const Wire__PromptPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__prompt_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PromptPart *
+       wire__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PromptPart *)
+     protobuf_c_message_unpack (&wire__prompt_part__descriptor,
+                                allocator, len, data);
+}
+void   wire__prompt_part__free_unpacked
+                     (Wire__PromptPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__prompt_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__place_ask__init
+                     (Wire__PlaceAsk         *message)
+{
+  static const Wire__PlaceAsk init_value = WIRE__PLACE_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__place_ask__get_packed_size
+                     (const Wire__PlaceAsk *message)
+{
+  assert(message->base.descriptor == &wire__place_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__place_ask__pack
+                     (const Wire__PlaceAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__place_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__place_ask__pack_to_buffer
+                     (const Wire__PlaceAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__place_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PlaceAsk *
+       wire__place_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PlaceAsk *)
+     protobuf_c_message_unpack (&wire__place_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__place_ask__free_unpacked
+                     (Wire__PlaceAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__place_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__place_reply__init
+                     (Wire__PlaceReply         *message)
+{
+  static const Wire__PlaceReply init_value = WIRE__PLACE_REPLY__INIT;
+  *message = init_value;
+}
+size_t wire__place_reply__get_packed_size
+                     (const Wire__PlaceReply *message)
+{
+  assert(message->base.descriptor == &wire__place_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__place_reply__pack
+                     (const Wire__PlaceReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__place_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__place_reply__pack_to_buffer
+                     (const Wire__PlaceReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__place_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PlaceReply *
+       wire__place_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PlaceReply *)
+     protobuf_c_message_unpack (&wire__place_reply__descriptor,
+                                allocator, len, data);
+}
+void   wire__place_reply__free_unpacked
+                     (Wire__PlaceReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__place_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__place_done__init
+                     (Wire__PlaceDone         *message)
+{
+  static const Wire__PlaceDone init_value = WIRE__PLACE_DONE__INIT;
+  *message = init_value;
+}
+size_t wire__place_done__get_packed_size
+                     (const Wire__PlaceDone *message)
+{
+  assert(message->base.descriptor == &wire__place_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__place_done__pack
+                     (const Wire__PlaceDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__place_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__place_done__pack_to_buffer
+                     (const Wire__PlaceDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__place_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PlaceDone *
+       wire__place_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PlaceDone *)
+     protobuf_c_message_unpack (&wire__place_done__descriptor,
+                                allocator, len, data);
+}
+void   wire__place_done__free_unpacked
+                     (Wire__PlaceDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__place_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__call_relay__init
+                     (Wire__CallRelay         *message)
+{
+  static const Wire__CallRelay init_value = WIRE__CALL_RELAY__INIT;
+  *message = init_value;
+}
+size_t wire__call_relay__get_packed_size
+                     (const Wire__CallRelay *message)
+{
+  assert(message->base.descriptor == &wire__call_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__call_relay__pack
+                     (const Wire__CallRelay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__call_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__call_relay__pack_to_buffer
+                     (const Wire__CallRelay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__call_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__CallRelay *
+       wire__call_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__CallRelay *)
+     protobuf_c_message_unpack (&wire__call_relay__descriptor,
+                                allocator, len, data);
+}
+void   wire__call_relay__free_unpacked
+                     (Wire__CallRelay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__call_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__call_answer__init
+                     (Wire__CallAnswer         *message)
+{
+  static const Wire__CallAnswer init_value = WIRE__CALL_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wire__call_answer__get_packed_size
+                     (const Wire__CallAnswer *message)
+{
+  assert(message->base.descriptor == &wire__call_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__call_answer__pack
+                     (const Wire__CallAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__call_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__call_answer__pack_to_buffer
+                     (const Wire__CallAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__call_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__CallAnswer *
+       wire__call_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__CallAnswer *)
+     protobuf_c_message_unpack (&wire__call_answer__descriptor,
+                                allocator, len, data);
+}
+void   wire__call_answer__free_unpacked
+                     (Wire__CallAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__call_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__loaded_model__init
+                     (Wire__LoadedModel         *message)
+{
+  static const Wire__LoadedModel init_value = WIRE__LOADED_MODEL__INIT;
+  *message = init_value;
+}
+size_t wire__loaded_model__get_packed_size
+                     (const Wire__LoadedModel *message)
+{
+  assert(message->base.descriptor == &wire__loaded_model__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__loaded_model__pack
+                     (const Wire__LoadedModel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__loaded_model__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__loaded_model__pack_to_buffer
+                     (const Wire__LoadedModel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__loaded_model__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LoadedModel *
+       wire__loaded_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LoadedModel *)
+     protobuf_c_message_unpack (&wire__loaded_model__descriptor,
+                                allocator, len, data);
+}
+void   wire__loaded_model__free_unpacked
+                     (Wire__LoadedModel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__loaded_model__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__endpoint_info__init
+                     (Wire__EndpointInfo         *message)
+{
+  static const Wire__EndpointInfo init_value = WIRE__ENDPOINT_INFO__INIT;
+  *message = init_value;
+}
+size_t wire__endpoint_info__get_packed_size
+                     (const Wire__EndpointInfo *message)
+{
+  assert(message->base.descriptor == &wire__endpoint_info__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__endpoint_info__pack
+                     (const Wire__EndpointInfo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__endpoint_info__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__endpoint_info__pack_to_buffer
+                     (const Wire__EndpointInfo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__endpoint_info__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndpointInfo *
+       wire__endpoint_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndpointInfo *)
+     protobuf_c_message_unpack (&wire__endpoint_info__descriptor,
+                                allocator, len, data);
+}
+void   wire__endpoint_info__free_unpacked
+                     (Wire__EndpointInfo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__endpoint_info__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__endpoint_table__init
+                     (Wire__EndpointTable         *message)
+{
+  static const Wire__EndpointTable init_value = WIRE__ENDPOINT_TABLE__INIT;
+  *message = init_value;
+}
+size_t wire__endpoint_table__get_packed_size
+                     (const Wire__EndpointTable *message)
+{
+  assert(message->base.descriptor == &wire__endpoint_table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__endpoint_table__pack
+                     (const Wire__EndpointTable *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__endpoint_table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__endpoint_table__pack_to_buffer
+                     (const Wire__EndpointTable *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__endpoint_table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndpointTable *
+       wire__endpoint_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndpointTable *)
+     protobuf_c_message_unpack (&wire__endpoint_table__descriptor,
+                                allocator, len, data);
+}
+void   wire__endpoint_table__free_unpacked
+                     (Wire__EndpointTable *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__endpoint_table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__table_ask__init
+                     (Wire__TableAsk         *message)
+{
+  static const Wire__TableAsk init_value = WIRE__TABLE_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__table_ask__get_packed_size
+                     (const Wire__TableAsk *message)
+{
+  assert(message->base.descriptor == &wire__table_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__table_ask__pack
+                     (const Wire__TableAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__table_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__table_ask__pack_to_buffer
+                     (const Wire__TableAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__table_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__TableAsk *
+       wire__table_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__TableAsk *)
+     protobuf_c_message_unpack (&wire__table_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__table_ask__free_unpacked
+                     (Wire__TableAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__table_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[28] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "raft",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, raft),
+    &wire__raft_frame__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renew",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, renew),
+    &wire__lease_renew__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, lease),
+    &wire__lease_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "propose",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, propose),
+    &wire__propose__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "propose_reply",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, propose_reply),
+    &wire__propose_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pull",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, pull),
+    &wire__follow_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "push",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, push),
+    &wire__follow_push__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ping",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, ping),
+    &wire__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, pong),
+    &wire__pong__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, ask),
+    &wire__grant_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, grant),
+    &wire__grant_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, done),
+    &wire__grant_done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "touch",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, touch),
+    &wire__grant_touch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, report),
+    &wire__endpoint_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "summary",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, summary),
+    &wire__owner_summary__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, hello),
+    &wire__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renews",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, renews),
+    &wire__renew_batch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, leases),
+    &wire__lease_batch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_ask",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, place_ask),
+    &wire__place_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_reply",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, place_reply),
+    &wire__place_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_done",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, place_done),
+    &wire__place_done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_relay",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, call_relay),
+    &wire__call_relay__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_answer",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, call_answer),
+    &wire__call_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_table",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, endpoint_table),
+    &wire__endpoint_table__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_ask",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, table_ask),
+    &wire__table_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__envelope__field_indices_by_name[] = {
+  12,   /* field[12] = ask */
+  25,   /* field[25] = call_answer */
+  24,   /* field[24] = call_relay */
+  14,   /* field[14] = done */
+  26,   /* field[26] = endpoint_table */
+  2,   /* field[2] = epoch */
+  13,   /* field[13] = grant */
+  18,   /* field[18] = hello */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = lease */
+  20,   /* field[20] = leases */
+  10,   /* field[10] = ping */
+  21,   /* field[21] = place_ask */
+  23,   /* field[23] = place_done */
+  22,   /* field[22] = place_reply */
+  11,   /* field[11] = pong */
+  6,   /* field[6] = propose */
+  7,   /* field[7] = propose_reply */
+  8,   /* field[8] = pull */
+  9,   /* field[9] = push */
+  3,   /* field[3] = raft */
+  4,   /* field[4] = renew */
+  19,   /* field[19] = renews */
+  16,   /* field[16] = report */
+  17,   /* field[17] = summary */
+  27,   /* field[27] = table_ask */
+  15,   /* field[15] = touch */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange wire__envelope__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 10, 3 },
+  { 0, 28 }
+};
+const ProtobufCMessageDescriptor wire__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Envelope",
+  "Envelope",
+  "Wire__Envelope",
+  "wire",
+  sizeof(Wire__Envelope),
+  28,
+  wire__envelope__field_descriptors,
+  wire__envelope__field_indices_by_name,
+  2,  wire__envelope__number_ranges,
+  (ProtobufCMessageInit) wire__envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__raft_frame__field_descriptors[4] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RaftFrame, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RaftFrame, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RaftFrame, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RaftFrame, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__raft_frame__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  1,   /* field[1] = from */
+  0,   /* field[0] = group */
+  2,   /* field[2] = to */
+};
+static const ProtobufCIntRange wire__raft_frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__raft_frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RaftFrame",
+  "RaftFrame",
+  "Wire__RaftFrame",
+  "wire",
+  sizeof(Wire__RaftFrame),
+  4,
+  wire__raft_frame__field_descriptors,
+  wire__raft_frame__field_indices_by_name,
+  1,  wire__raft_frame__number_ranges,
+  (ProtobufCMessageInit) wire__raft_frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__member_info__field_descriptors[10] =
 {
   {
-    "version",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__Envelope, version),
+    offsetof(Wire__MemberInfo, id),
     NULL,
     NULL,
     0,             /* flags */
@@ -1107,2770 +2024,3424 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Envelope, incarnation),
+    offsetof(Wire__MemberInfo, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "name",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Envelope, epoch),
+    offsetof(Wire__MemberInfo, name),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "raft",
+    "region",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, http),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bus",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, bus),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "joined",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, raft),
-    &wire__raft_frame__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, joined),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__member_info__field_indices_by_name[] = {
+  6,   /* field[6] = bus */
+  3,   /* field[3] = data_centre */
+  5,   /* field[5] = http */
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+  9,   /* field[9] = joined */
+  8,   /* field[8] = leaving */
+  2,   /* field[2] = name */
+  4,   /* field[4] = region */
+  7,   /* field[7] = voter */
+};
+static const ProtobufCIntRange wire__member_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor wire__member_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.MemberInfo",
+  "MemberInfo",
+  "Wire__MemberInfo",
+  "wire",
+  sizeof(Wire__MemberInfo),
+  10,
+  wire__member_info__field_descriptors,
+  wire__member_info__field_indices_by_name,
+  1,  wire__member_info__number_ranges,
+  (ProtobufCMessageInit) wire__member_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[14] =
+{
   {
-    "renew",
-    11,
+    "sent_us",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, renew),
-    &wire__lease_renew__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, sent_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease",
-    12,
+    "applied",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, lease),
-    &wire__lease_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, applied),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "propose",
-    13,
+    "epoch",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, propose),
-    &wire__propose__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, epoch),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "propose_reply",
-    14,
+    "promise_over",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, propose_reply),
-    &wire__propose_reply__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, promise_over),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pull",
-    15,
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "self",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, pull),
-    &wire__follow_pull__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, self),
+    &wire__member_info__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_loads",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, waiting_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "push",
-    16,
+    "waiting_stall_us",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, push),
-    &wire__follow_push__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, waiting_stall_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ping",
-    17,
+    "loads_in_flight",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, ping),
-    &wire__ping__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, loads_in_flight),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pong",
-    18,
+    "voter",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, pong),
-    &wire__pong__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, voter),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ask",
-    19,
+    "got_us",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, ask),
-    &wire__grant_ask__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, got_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "grant",
-    20,
+    "permit_in_flight",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, grant),
-    &wire__grant_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, permit_in_flight),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "done",
-    21,
+    "permit_rate_milli",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, done),
-    &wire__grant_done__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, permit_rate_milli),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "touch",
-    22,
+    "permit_term",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, touch),
-    &wire__grant_touch__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, permit_term),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__lease_renew__field_indices_by_name[] = {
+  1,   /* field[1] = applied */
+  2,   /* field[2] = epoch */
+  10,   /* field[10] = got_us */
+  4,   /* field[4] = leaving */
+  8,   /* field[8] = loads_in_flight */
+  11,   /* field[11] = permit_in_flight */
+  12,   /* field[12] = permit_rate_milli */
+  13,   /* field[13] = permit_term */
+  3,   /* field[3] = promise_over */
+  5,   /* field[5] = self */
+  0,   /* field[0] = sent_us */
+  9,   /* field[9] = voter */
+  6,   /* field[6] = waiting_loads */
+  7,   /* field[7] = waiting_stall_us */
+};
+static const ProtobufCIntRange wire__lease_renew__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor wire__lease_renew__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseRenew",
+  "LeaseRenew",
+  "Wire__LeaseRenew",
+  "wire",
+  sizeof(Wire__LeaseRenew),
+  14,
+  wire__lease_renew__field_descriptors,
+  wire__lease_renew__field_indices_by_name,
+  1,  wire__lease_renew__number_ranges,
+  (ProtobufCMessageInit) wire__lease_renew__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[12] =
+{
   {
-    "report",
-    23,
+    "sent_us",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, report),
-    &wire__endpoint_report__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, sent_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "summary",
-    24,
+    "granted",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, summary),
-    &wire__owner_summary__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, granted),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
-    25,
+    "leader",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, hello),
-    &wire__hello__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, leader),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "renews",
-    26,
+    "term",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, renews),
-    &wire__renew_batch__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, term),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leases",
-    27,
+    "required",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, leases),
-    &wire__lease_batch__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, required),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active_epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, active_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wire__envelope__field_indices_by_name[] = {
-  12,   /* field[12] = ask */
-  14,   /* field[14] = done */
-  2,   /* field[2] = epoch */
-  13,   /* field[13] = grant */
-  18,   /* field[18] = hello */
-  1,   /* field[1] = incarnation */
-  5,   /* field[5] = lease */
-  20,   /* field[20] = leases */
-  10,   /* field[10] = ping */
-  11,   /* field[11] = pong */
-  6,   /* field[6] = propose */
-  7,   /* field[7] = propose_reply */
-  8,   /* field[8] = pull */
-  9,   /* field[9] = push */
-  3,   /* field[3] = raft */
-  4,   /* field[4] = renew */
-  19,   /* field[19] = renews */
-  16,   /* field[16] = report */
-  17,   /* field[17] = summary */
-  15,   /* field[15] = touch */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange wire__envelope__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 10, 3 },
-  { 0, 21 }
-};
-const ProtobufCMessageDescriptor wire__envelope__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Envelope",
-  "Envelope",
-  "Wire__Envelope",
-  "wire",
-  sizeof(Wire__Envelope),
-  21,
-  wire__envelope__field_descriptors,
-  wire__envelope__field_indices_by_name,
-  2,  wire__envelope__number_ranges,
-  (ProtobufCMessageInit) wire__envelope__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__raft_frame__field_descriptors[4] =
-{
   {
-    "group",
-    1,
+    "in_force",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, in_force),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_in_flight",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__RaftFrame, group),
+    offsetof(Wire__LeaseReply, permit_in_flight),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
-    2,
+    "permit_rate_milli",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__RaftFrame, from),
+    offsetof(Wire__LeaseReply, permit_rate_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
-    3,
+    "reason",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__RaftFrame, to),
+    offsetof(Wire__LeaseReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, permits),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
-    4,
+    "permits_at_most",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__RaftFrame, data),
+    offsetof(Wire__LeaseReply, permits_at_most),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__raft_frame__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  1,   /* field[1] = from */
-  0,   /* field[0] = group */
-  2,   /* field[2] = to */
+static const unsigned wire__lease_reply__field_indices_by_name[] = {
+  5,   /* field[5] = active_epoch */
+  1,   /* field[1] = granted */
+  6,   /* field[6] = in_force */
+  2,   /* field[2] = leader */
+  7,   /* field[7] = permit_in_flight */
+  8,   /* field[8] = permit_rate_milli */
+  10,   /* field[10] = permits */
+  11,   /* field[11] = permits_at_most */
+  9,   /* field[9] = reason */
+  4,   /* field[4] = required */
+  0,   /* field[0] = sent_us */
+  3,   /* field[3] = term */
 };
-static const ProtobufCIntRange wire__raft_frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 12 }
 };
-const ProtobufCMessageDescriptor wire__raft_frame__descriptor =
+const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.RaftFrame",
-  "RaftFrame",
-  "Wire__RaftFrame",
+  "wire.LeaseReply",
+  "LeaseReply",
+  "Wire__LeaseReply",
   "wire",
-  sizeof(Wire__RaftFrame),
-  4,
-  wire__raft_frame__field_descriptors,
-  wire__raft_frame__field_indices_by_name,
-  1,  wire__raft_frame__number_ranges,
-  (ProtobufCMessageInit) wire__raft_frame__init,
+  sizeof(Wire__LeaseReply),
+  12,
+  wire__lease_reply__field_descriptors,
+  wire__lease_reply__field_indices_by_name,
+  1,  wire__lease_reply__number_ranges,
+  (ProtobufCMessageInit) wire__lease_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__member_info__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__renew_batch__field_descriptors[13] =
 {
   {
-    "id",
+    "number",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, id),
+    offsetof(Wire__RenewBatch, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "applied",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, incarnation),
+    offsetof(Wire__RenewBatch, applied),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, name),
+    offsetof(Wire__RenewBatch, epoch),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "permit_term",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, data_centre),
+    offsetof(Wire__RenewBatch, permit_term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region",
+    "incarnations",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, region),
+    offsetof(Wire__RenewBatch, incarnations),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http",
+    "ids",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, http),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RenewBatch, n_ids),
+    offsetof(Wire__RenewBatch, ids),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bus",
+    "sent_us",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, bus),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__RenewBatch, n_sent_us),
+    offsetof(Wire__RenewBatch, sent_us),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
+    "got_ago_us",
     8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, voter),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__RenewBatch, n_got_ago_us),
+    offsetof(Wire__RenewBatch, got_ago_us),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "permit_in_flight",
     9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, leaving),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RenewBatch, n_permit_in_flight),
+    offsetof(Wire__RenewBatch, permit_in_flight),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "joined",
+    "permit_rate_milli",
     10,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RenewBatch, n_permit_rate_milli),
+    offsetof(Wire__RenewBatch, permit_rate_milli),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_loads",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RenewBatch, n_waiting_loads),
+    offsetof(Wire__RenewBatch, waiting_loads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_stall_us",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__MemberInfo, joined),
+    offsetof(Wire__RenewBatch, n_waiting_stall_us),
+    offsetof(Wire__RenewBatch, waiting_stall_us),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads_in_flight",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RenewBatch, n_loads_in_flight),
+    offsetof(Wire__RenewBatch, loads_in_flight),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__member_info__field_indices_by_name[] = {
-  6,   /* field[6] = bus */
-  3,   /* field[3] = data_centre */
-  5,   /* field[5] = http */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  9,   /* field[9] = joined */
-  8,   /* field[8] = leaving */
-  2,   /* field[2] = name */
-  4,   /* field[4] = region */
-  7,   /* field[7] = voter */
+static const unsigned wire__renew_batch__field_indices_by_name[] = {
+  1,   /* field[1] = applied */
+  2,   /* field[2] = epoch */
+  7,   /* field[7] = got_ago_us */
+  5,   /* field[5] = ids */
+  4,   /* field[4] = incarnations */
+  12,   /* field[12] = loads_in_flight */
+  0,   /* field[0] = number */
+  8,   /* field[8] = permit_in_flight */
+  9,   /* field[9] = permit_rate_milli */
+  3,   /* field[3] = permit_term */
+  6,   /* field[6] = sent_us */
+  10,   /* field[10] = waiting_loads */
+  11,   /* field[11] = waiting_stall_us */
 };
-static const ProtobufCIntRange wire__member_info__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__renew_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor wire__member_info__descriptor =
+const ProtobufCMessageDescriptor wire__renew_batch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.MemberInfo",
-  "MemberInfo",
-  "Wire__MemberInfo",
+  "wire.RenewBatch",
+  "RenewBatch",
+  "Wire__RenewBatch",
   "wire",
-  sizeof(Wire__MemberInfo),
-  10,
-  wire__member_info__field_descriptors,
-  wire__member_info__field_indices_by_name,
-  1,  wire__member_info__number_ranges,
-  (ProtobufCMessageInit) wire__member_info__init,
+  sizeof(Wire__RenewBatch),
+  13,
+  wire__renew_batch__field_descriptors,
+  wire__renew_batch__field_indices_by_name,
+  1,  wire__renew_batch__number_ranges,
+  (ProtobufCMessageInit) wire__renew_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__lease_batch__field_descriptors[9] =
 {
   {
-    "sent_us",
+    "number",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, sent_us),
+    offsetof(Wire__LeaseBatch, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "applied",
+    "term",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, applied),
+    offsetof(Wire__LeaseBatch, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "active_epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, epoch),
+    offsetof(Wire__LeaseBatch, active_epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "promise_over",
+    "in_force",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, promise_over),
+    offsetof(Wire__LeaseBatch, in_force),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "permits",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, leaving),
+    offsetof(Wire__LeaseBatch, permits),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "self",
+    "permits_at_most",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, self),
-    &wire__member_info__descriptor,
+    offsetof(Wire__LeaseBatch, permits_at_most),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting_loads",
+    "straight",
     7,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__LeaseBatch, n_straight),
+    offsetof(Wire__LeaseBatch, straight),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_in_flight",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__LeaseBatch, n_permit_in_flight),
+    offsetof(Wire__LeaseBatch, permit_in_flight),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_rate_milli",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__LeaseBatch, n_permit_rate_milli),
+    offsetof(Wire__LeaseBatch, permit_rate_milli),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_batch__field_indices_by_name[] = {
+  2,   /* field[2] = active_epoch */
+  3,   /* field[3] = in_force */
+  0,   /* field[0] = number */
+  7,   /* field[7] = permit_in_flight */
+  8,   /* field[8] = permit_rate_milli */
+  4,   /* field[4] = permits */
+  5,   /* field[5] = permits_at_most */
+  6,   /* field[6] = straight */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wire__lease_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wire__lease_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseBatch",
+  "LeaseBatch",
+  "Wire__LeaseBatch",
+  "wire",
+  sizeof(Wire__LeaseBatch),
+  9,
+  wire__lease_batch__field_descriptors,
+  wire__lease_batch__field_indices_by_name,
+  1,  wire__lease_batch__number_ranges,
+  (ProtobufCMessageInit) wire__lease_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__propose__field_descriptors[1] =
+{
+  {
+    "command",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, waiting_loads),
+    offsetof(Wire__Propose, command),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__propose__field_indices_by_name[] = {
+  0,   /* field[0] = command */
+};
+static const ProtobufCIntRange wire__propose__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__propose__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Propose",
+  "Propose",
+  "Wire__Propose",
+  "wire",
+  sizeof(Wire__Propose),
+  1,
+  wire__propose__field_descriptors,
+  wire__propose__field_indices_by_name,
+  1,  wire__propose__number_ranges,
+  (ProtobufCMessageInit) wire__propose__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__propose_reply__field_descriptors[3] =
+{
   {
-    "waiting_stall_us",
-    8,
+    "proposal",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, waiting_stall_us),
+    offsetof(Wire__ProposeReply, proposal),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loads_in_flight",
-    9,
+    "code",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, loads_in_flight),
+    offsetof(Wire__ProposeReply, code),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
-    10,
+    "leader",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, voter),
+    offsetof(Wire__ProposeReply, leader),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__propose_reply__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  2,   /* field[2] = leader */
+  0,   /* field[0] = proposal */
+};
+static const ProtobufCIntRange wire__propose_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__propose_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.ProposeReply",
+  "ProposeReply",
+  "Wire__ProposeReply",
+  "wire",
+  sizeof(Wire__ProposeReply),
+  3,
+  wire__propose_reply__field_descriptors,
+  wire__propose_reply__field_indices_by_name,
+  1,  wire__propose_reply__number_ranges,
+  (ProtobufCMessageInit) wire__propose_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__log_entry__field_descriptors[3] =
+{
   {
-    "got_us",
-    11,
+    "index",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, got_us),
+    offsetof(Wire__LogEntry, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_in_flight",
-    12,
+    "term",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, permit_in_flight),
+    offsetof(Wire__LogEntry, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_rate_milli",
-    13,
+    "command",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, permit_rate_milli),
+    offsetof(Wire__LogEntry, command),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__log_entry__field_indices_by_name[] = {
+  2,   /* field[2] = command */
+  0,   /* field[0] = index */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wire__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LogEntry",
+  "LogEntry",
+  "Wire__LogEntry",
+  "wire",
+  sizeof(Wire__LogEntry),
+  3,
+  wire__log_entry__field_descriptors,
+  wire__log_entry__field_indices_by_name,
+  1,  wire__log_entry__number_ranges,
+  (ProtobufCMessageInit) wire__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[1] =
+{
   {
-    "permit_term",
-    14,
+    "next",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseRenew, permit_term),
+    offsetof(Wire__FollowPull, next),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__lease_renew__field_indices_by_name[] = {
-  1,   /* field[1] = applied */
-  2,   /* field[2] = epoch */
-  10,   /* field[10] = got_us */
-  4,   /* field[4] = leaving */
-  8,   /* field[8] = loads_in_flight */
-  11,   /* field[11] = permit_in_flight */
-  12,   /* field[12] = permit_rate_milli */
-  13,   /* field[13] = permit_term */
-  3,   /* field[3] = promise_over */
-  5,   /* field[5] = self */
-  0,   /* field[0] = sent_us */
-  9,   /* field[9] = voter */
-  6,   /* field[6] = waiting_loads */
-  7,   /* field[7] = waiting_stall_us */
+static const unsigned wire__follow_pull__field_indices_by_name[] = {
+  0,   /* field[0] = next */
 };
-static const ProtobufCIntRange wire__lease_renew__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__follow_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor wire__lease_renew__descriptor =
+const ProtobufCMessageDescriptor wire__follow_pull__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.LeaseRenew",
-  "LeaseRenew",
-  "Wire__LeaseRenew",
+  "wire.FollowPull",
+  "FollowPull",
+  "Wire__FollowPull",
   "wire",
-  sizeof(Wire__LeaseRenew),
-  14,
-  wire__lease_renew__field_descriptors,
-  wire__lease_renew__field_indices_by_name,
-  1,  wire__lease_renew__number_ranges,
-  (ProtobufCMessageInit) wire__lease_renew__init,
+  sizeof(Wire__FollowPull),
+  1,
+  wire__follow_pull__field_descriptors,
+  wire__follow_pull__field_indices_by_name,
+  1,  wire__follow_pull__number_ranges,
+  (ProtobufCMessageInit) wire__follow_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__follow_push__field_descriptors[4] =
 {
   {
-    "sent_us",
+    "commit",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, sent_us),
+    offsetof(Wire__FollowPush, commit),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted",
+    "entries",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, granted),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__FollowPush, n_entries),
+    offsetof(Wire__FollowPush, entries),
+    &wire__log_entry__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader",
+    "snapshot_index",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, leader),
+    offsetof(Wire__FollowPush, snapshot_index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "snapshot",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, term),
+    offsetof(Wire__FollowPush, snapshot),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__follow_push__field_indices_by_name[] = {
+  0,   /* field[0] = commit */
+  1,   /* field[1] = entries */
+  3,   /* field[3] = snapshot */
+  2,   /* field[2] = snapshot_index */
+};
+static const ProtobufCIntRange wire__follow_push__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__follow_push__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.FollowPush",
+  "FollowPush",
+  "Wire__FollowPush",
+  "wire",
+  sizeof(Wire__FollowPush),
+  4,
+  wire__follow_push__field_descriptors,
+  wire__follow_push__field_indices_by_name,
+  1,  wire__follow_push__number_ranges,
+  (ProtobufCMessageInit) wire__follow_push__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__ping__field_descriptors[1] =
+{
   {
-    "required",
-    5,
+    "sent_us",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, required),
+    offsetof(Wire__Ping, sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__ping__field_indices_by_name[] = {
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange wire__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Ping",
+  "Ping",
+  "Wire__Ping",
+  "wire",
+  sizeof(Wire__Ping),
+  1,
+  wire__ping__field_descriptors,
+  wire__ping__field_indices_by_name,
+  1,  wire__ping__number_ranges,
+  (ProtobufCMessageInit) wire__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__pong__field_descriptors[3] =
+{
   {
-    "active_epoch",
-    6,
+    "sent_us",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, active_epoch),
+    offsetof(Wire__Pong, sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_force",
-    7,
+    "leaderless",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, in_force),
+    offsetof(Wire__Pong, leaderless),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_in_flight",
-    8,
+    "required",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, permit_in_flight),
+    offsetof(Wire__Pong, required),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__pong__field_indices_by_name[] = {
+  1,   /* field[1] = leaderless */
+  2,   /* field[2] = required */
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange wire__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Pong",
+  "Pong",
+  "Wire__Pong",
+  "wire",
+  sizeof(Wire__Pong),
+  3,
+  wire__pong__field_descriptors,
+  wire__pong__field_indices_by_name,
+  1,  wire__pong__number_ranges,
+  (ProtobufCMessageInit) wire__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__hello__field_descriptors[5] =
+{
   {
-    "permit_rate_milli",
-    9,
+    "reply",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, permit_rate_milli),
+    offsetof(Wire__Hello, reply),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    10,
+    "fresh",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, reason),
+    offsetof(Wire__Hello, fresh),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permits",
-    11,
+    "voter",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, permits),
+    offsetof(Wire__Hello, voter),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permits_at_most",
-    12,
+    "commit",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseReply, permits_at_most),
+    offsetof(Wire__Hello, commit),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "founded",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Hello, n_founded),
+    offsetof(Wire__Hello, founded),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wire__lease_reply__field_indices_by_name[] = {
-  5,   /* field[5] = active_epoch */
-  1,   /* field[1] = granted */
-  6,   /* field[6] = in_force */
-  2,   /* field[2] = leader */
-  7,   /* field[7] = permit_in_flight */
-  8,   /* field[8] = permit_rate_milli */
-  10,   /* field[10] = permits */
-  11,   /* field[11] = permits_at_most */
-  9,   /* field[9] = reason */
-  4,   /* field[4] = required */
-  0,   /* field[0] = sent_us */
-  3,   /* field[3] = term */
+static const unsigned wire__hello__field_indices_by_name[] = {
+  3,   /* field[3] = commit */
+  4,   /* field[4] = founded */
+  1,   /* field[1] = fresh */
+  0,   /* field[0] = reply */
+  2,   /* field[2] = voter */
 };
-static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
+const ProtobufCMessageDescriptor wire__hello__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.LeaseReply",
-  "LeaseReply",
-  "Wire__LeaseReply",
+  "wire.Hello",
+  "Hello",
+  "Wire__Hello",
   "wire",
-  sizeof(Wire__LeaseReply),
-  12,
-  wire__lease_reply__field_descriptors,
-  wire__lease_reply__field_indices_by_name,
-  1,  wire__lease_reply__number_ranges,
-  (ProtobufCMessageInit) wire__lease_reply__init,
+  sizeof(Wire__Hello),
+  5,
+  wire__hello__field_descriptors,
+  wire__hello__field_indices_by_name,
+  1,  wire__hello__number_ranges,
+  (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__renew_batch__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[17] =
 {
   {
-    "number",
+    "request",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__RenewBatch, number),
+    offsetof(Wire__GrantAsk, request),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "applied",
+    "team",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__RenewBatch, applied),
-    NULL,
+    offsetof(Wire__GrantAsk, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "kind",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__RenewBatch, epoch),
-    NULL,
+    offsetof(Wire__GrantAsk, kind),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_term",
+    "adapter",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__RenewBatch, permit_term),
-    NULL,
+    offsetof(Wire__GrantAsk, adapter),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnations",
+    "service",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__RenewBatch, incarnations),
-    NULL,
+    offsetof(Wire__GrantAsk, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ids",
+    "base_model",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__RenewBatch, n_ids),
-    offsetof(Wire__RenewBatch, ids),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, base_model),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "deadline_ms",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__RenewBatch, n_sent_us),
-    offsetof(Wire__RenewBatch, sent_us),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, deadline_ms),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "got_ago_us",
+    "prompt_tokens",
     8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__RenewBatch, n_got_ago_us),
-    offsetof(Wire__RenewBatch, got_ago_us),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, prompt_tokens),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_in_flight",
+    "max_tokens",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__RenewBatch, n_permit_in_flight),
-    offsetof(Wire__RenewBatch, permit_in_flight),
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, max_tokens),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_rate_milli",
+    "prefix",
     10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__RenewBatch, n_permit_rate_milli),
-    offsetof(Wire__RenewBatch, permit_rate_milli),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, prefix),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting_loads",
+    "avoid",
     11,
     PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__GrantAsk, n_avoid),
+    offsetof(Wire__GrantAsk, avoid),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    12,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__RenewBatch, n_waiting_loads),
-    offsetof(Wire__RenewBatch, waiting_loads),
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, attempt),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting_stall_us",
-    12,
-    PROTOBUF_C_LABEL_REPEATED,
+    "waited_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, waited_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pinned_adapter",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, pinned_adapter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__RenewBatch, n_waiting_stall_us),
-    offsetof(Wire__RenewBatch, waiting_stall_us),
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, sent_us),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loads_in_flight",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
+    "run",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handed_to",
+    17,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__RenewBatch, n_loads_in_flight),
-    offsetof(Wire__RenewBatch, loads_in_flight),
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantAsk, handed_to),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__renew_batch__field_indices_by_name[] = {
-  1,   /* field[1] = applied */
-  2,   /* field[2] = epoch */
-  7,   /* field[7] = got_ago_us */
-  5,   /* field[5] = ids */
-  4,   /* field[4] = incarnations */
-  12,   /* field[12] = loads_in_flight */
-  0,   /* field[0] = number */
-  8,   /* field[8] = permit_in_flight */
-  9,   /* field[9] = permit_rate_milli */
-  3,   /* field[3] = permit_term */
-  6,   /* field[6] = sent_us */
-  10,   /* field[10] = waiting_loads */
-  11,   /* field[11] = waiting_stall_us */
+static const unsigned wire__grant_ask__field_indices_by_name[] = {
+  3,   /* field[3] = adapter */
+  11,   /* field[11] = attempt */
+  10,   /* field[10] = avoid */
+  5,   /* field[5] = base_model */
+  6,   /* field[6] = deadline_ms */
+  16,   /* field[16] = handed_to */
+  2,   /* field[2] = kind */
+  8,   /* field[8] = max_tokens */
+  13,   /* field[13] = pinned_adapter */
+  9,   /* field[9] = prefix */
+  7,   /* field[7] = prompt_tokens */
+  0,   /* field[0] = request */
+  15,   /* field[15] = run */
+  14,   /* field[14] = sent_us */
+  4,   /* field[4] = service */
+  1,   /* field[1] = team */
+  12,   /* field[12] = waited_ms */
 };
-static const ProtobufCIntRange wire__renew_batch__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 17 }
 };
-const ProtobufCMessageDescriptor wire__renew_batch__descriptor =
+const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.RenewBatch",
-  "RenewBatch",
-  "Wire__RenewBatch",
+  "wire.GrantAsk",
+  "GrantAsk",
+  "Wire__GrantAsk",
   "wire",
-  sizeof(Wire__RenewBatch),
-  13,
-  wire__renew_batch__field_descriptors,
-  wire__renew_batch__field_indices_by_name,
-  1,  wire__renew_batch__number_ranges,
-  (ProtobufCMessageInit) wire__renew_batch__init,
+  sizeof(Wire__GrantAsk),
+  17,
+  wire__grant_ask__field_descriptors,
+  wire__grant_ask__field_indices_by_name,
+  1,  wire__grant_ask__number_ranges,
+  (ProtobufCMessageInit) wire__grant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_batch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__grant_reply__field_descriptors[11] =
 {
   {
-    "number",
+    "request",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, number),
+    offsetof(Wire__GrantReply, request),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "status",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, term),
-    NULL,
+    offsetof(Wire__GrantReply, status),
+    &wire__grant_status__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "active_epoch",
+    "endpoint",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, active_epoch),
-    NULL,
+    offsetof(Wire__GrantReply, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_force",
+    "address",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, in_force),
-    NULL,
+    offsetof(Wire__GrantReply, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permits",
+    "fence",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, permits),
+    offsetof(Wire__GrantReply, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permits_at_most",
+    "basis_us",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LeaseBatch, permits_at_most),
+    offsetof(Wire__GrantReply, basis_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "straight",
+    "retry_after_ms",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__LeaseBatch, n_straight),
-    offsetof(Wire__LeaseBatch, straight),
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantReply, retry_after_ms),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_in_flight",
+    "reason",
     8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__LeaseBatch, n_permit_in_flight),
-    offsetof(Wire__LeaseBatch, permit_in_flight),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantReply, reason),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "permit_rate_milli",
+    "wait_us",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wire__LeaseBatch, n_permit_rate_milli),
-    offsetof(Wire__LeaseBatch, permit_rate_milli),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantReply, wait_us),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wire__lease_batch__field_indices_by_name[] = {
-  2,   /* field[2] = active_epoch */
-  3,   /* field[3] = in_force */
-  0,   /* field[0] = number */
-  7,   /* field[7] = permit_in_flight */
-  8,   /* field[8] = permit_rate_milli */
-  4,   /* field[4] = permits */
-  5,   /* field[5] = permits_at_most */
-  6,   /* field[6] = straight */
-  1,   /* field[1] = term */
-};
-static const ProtobufCIntRange wire__lease_batch__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor wire__lease_batch__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.LeaseBatch",
-  "LeaseBatch",
-  "Wire__LeaseBatch",
-  "wire",
-  sizeof(Wire__LeaseBatch),
-  9,
-  wire__lease_batch__field_descriptors,
-  wire__lease_batch__field_indices_by_name,
-  1,  wire__lease_batch__number_ranges,
-  (ProtobufCMessageInit) wire__lease_batch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__propose__field_descriptors[1] =
-{
   {
-    "command",
-    1,
+    "stall_us",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Propose, command),
+    offsetof(Wire__GrantReply, stall_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantReply, holder),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__propose__field_indices_by_name[] = {
-  0,   /* field[0] = command */
+static const unsigned wire__grant_reply__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  5,   /* field[5] = basis_us */
+  2,   /* field[2] = endpoint */
+  4,   /* field[4] = fence */
+  10,   /* field[10] = holder */
+  7,   /* field[7] = reason */
+  0,   /* field[0] = request */
+  6,   /* field[6] = retry_after_ms */
+  9,   /* field[9] = stall_us */
+  1,   /* field[1] = status */
+  8,   /* field[8] = wait_us */
 };
-static const ProtobufCIntRange wire__propose__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__grant_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor wire__propose__descriptor =
+const ProtobufCMessageDescriptor wire__grant_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Propose",
-  "Propose",
-  "Wire__Propose",
+  "wire.GrantReply",
+  "GrantReply",
+  "Wire__GrantReply",
   "wire",
-  sizeof(Wire__Propose),
-  1,
-  wire__propose__field_descriptors,
-  wire__propose__field_indices_by_name,
-  1,  wire__propose__number_ranges,
-  (ProtobufCMessageInit) wire__propose__init,
+  sizeof(Wire__GrantReply),
+  11,
+  wire__grant_reply__field_descriptors,
+  wire__grant_reply__field_indices_by_name,
+  1,  wire__grant_reply__number_ranges,
+  (ProtobufCMessageInit) wire__grant_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__propose_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__grant_done__field_descriptors[6] =
 {
   {
-    "proposal",
+    "request",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__ProposeReply, proposal),
+    offsetof(Wire__GrantDone, request),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "code",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantDone, outcome),
+    &wire__done_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_in",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__ProposeReply, code),
+    offsetof(Wire__GrantDone, tokens_in),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader",
-    3,
+    "tokens_out",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__ProposeReply, leader),
+    offsetof(Wire__GrantDone, tokens_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantDone, first_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantDone, total_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__propose_reply__field_indices_by_name[] = {
-  1,   /* field[1] = code */
-  2,   /* field[2] = leader */
-  0,   /* field[0] = proposal */
+static const unsigned wire__grant_done__field_indices_by_name[] = {
+  4,   /* field[4] = first_us */
+  1,   /* field[1] = outcome */
+  0,   /* field[0] = request */
+  2,   /* field[2] = tokens_in */
+  3,   /* field[3] = tokens_out */
+  5,   /* field[5] = total_us */
 };
-static const ProtobufCIntRange wire__propose_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__grant_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor wire__propose_reply__descriptor =
+const ProtobufCMessageDescriptor wire__grant_done__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ProposeReply",
-  "ProposeReply",
-  "Wire__ProposeReply",
-  "wire",
-  sizeof(Wire__ProposeReply),
-  3,
-  wire__propose_reply__field_descriptors,
-  wire__propose_reply__field_indices_by_name,
-  1,  wire__propose_reply__number_ranges,
-  (ProtobufCMessageInit) wire__propose_reply__init,
+  "wire.GrantDone",
+  "GrantDone",
+  "Wire__GrantDone",
+  "wire",
+  sizeof(Wire__GrantDone),
+  6,
+  wire__grant_done__field_descriptors,
+  wire__grant_done__field_indices_by_name,
+  1,  wire__grant_done__number_ranges,
+  (ProtobufCMessageInit) wire__grant_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__log_entry__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__pin__field_descriptors[5] =
 {
   {
-    "index",
+    "request",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__LogEntry, index),
+    offsetof(Wire__Pin, request),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "endpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__LogEntry, term),
-    NULL,
+    offsetof(Wire__Pin, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "command",
+    "adapter",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__LogEntry, command),
-    NULL,
+    offsetof(Wire__Pin, adapter),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wire__log_entry__field_indices_by_name[] = {
-  2,   /* field[2] = command */
-  0,   /* field[0] = index */
-  1,   /* field[1] = term */
-};
-static const ProtobufCIntRange wire__log_entry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wire__log_entry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.LogEntry",
-  "LogEntry",
-  "Wire__LogEntry",
-  "wire",
-  sizeof(Wire__LogEntry),
-  3,
-  wire__log_entry__field_descriptors,
-  wire__log_entry__field_indices_by_name,
-  1,  wire__log_entry__number_ranges,
-  (ProtobufCMessageInit) wire__log_entry__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[1] =
-{
   {
-    "next",
-    1,
+    "team",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__FollowPull, next),
+    offsetof(Wire__Pin, team),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Pin, run),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__follow_pull__field_indices_by_name[] = {
-  0,   /* field[0] = next */
+static const unsigned wire__pin__field_indices_by_name[] = {
+  2,   /* field[2] = adapter */
+  1,   /* field[1] = endpoint */
+  0,   /* field[0] = request */
+  4,   /* field[4] = run */
+  3,   /* field[3] = team */
 };
-static const ProtobufCIntRange wire__follow_pull__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__pin__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 15, 4 },
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wire__follow_pull__descriptor =
+const ProtobufCMessageDescriptor wire__pin__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.FollowPull",
-  "FollowPull",
-  "Wire__FollowPull",
+  "wire.Pin",
+  "Pin",
+  "Wire__Pin",
   "wire",
-  sizeof(Wire__FollowPull),
-  1,
-  wire__follow_pull__field_descriptors,
-  wire__follow_pull__field_indices_by_name,
-  1,  wire__follow_pull__number_ranges,
-  (ProtobufCMessageInit) wire__follow_pull__init,
+  sizeof(Wire__Pin),
+  5,
+  wire__pin__field_descriptors,
+  wire__pin__field_indices_by_name,
+  2,  wire__pin__number_ranges,
+  (ProtobufCMessageInit) wire__pin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__follow_push__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[6] =
 {
   {
-    "commit",
+    "pins",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__FollowPush, commit),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__GrantTouch, n_pins),
+    offsetof(Wire__GrantTouch, pins),
+    &wire__pin__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
+    "sent_us",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__FollowPush, n_entries),
-    offsetof(Wire__FollowPush, entries),
-    &wire__log_entry__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GrantTouch, sent_us),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_index",
+    "known",
     3,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__FollowPush, snapshot_index),
+    offsetof(Wire__GrantTouch, n_known),
+    offsetof(Wire__GrantTouch, known),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot",
+    "all",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__FollowPush, snapshot),
+    offsetof(Wire__GrantTouch, all),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wire__follow_push__field_indices_by_name[] = {
-  0,   /* field[0] = commit */
-  1,   /* field[1] = entries */
-  3,   /* field[3] = snapshot */
-  2,   /* field[2] = snapshot_index */
-};
-static const ProtobufCIntRange wire__follow_push__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wire__follow_push__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.FollowPush",
-  "FollowPush",
-  "Wire__FollowPush",
-  "wire",
-  sizeof(Wire__FollowPush),
-  4,
-  wire__follow_push__field_descriptors,
-  wire__follow_push__field_indices_by_name,
-  1,  wire__follow_push__number_ranges,
-  (ProtobufCMessageInit) wire__follow_push__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__ping__field_descriptors[1] =
-{
   {
-    "sent_us",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "waiting",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Ping, sent_us),
+    offsetof(Wire__GrantTouch, n_waiting),
+    offsetof(Wire__GrantTouch, waiting),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_again",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__GrantTouch, n_ask_again),
+    offsetof(Wire__GrantTouch, ask_again),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__ping__field_indices_by_name[] = {
-  0,   /* field[0] = sent_us */
+static const unsigned wire__grant_touch__field_indices_by_name[] = {
+  3,   /* field[3] = all */
+  5,   /* field[5] = ask_again */
+  2,   /* field[2] = known */
+  0,   /* field[0] = pins */
+  1,   /* field[1] = sent_us */
+  4,   /* field[4] = waiting */
 };
-static const ProtobufCIntRange wire__ping__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor wire__ping__descriptor =
+const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Ping",
-  "Ping",
-  "Wire__Ping",
+  "wire.GrantTouch",
+  "GrantTouch",
+  "Wire__GrantTouch",
   "wire",
-  sizeof(Wire__Ping),
-  1,
-  wire__ping__field_descriptors,
-  wire__ping__field_indices_by_name,
-  1,  wire__ping__number_ranges,
-  (ProtobufCMessageInit) wire__ping__init,
+  sizeof(Wire__GrantTouch),
+  6,
+  wire__grant_touch__field_descriptors,
+  wire__grant_touch__field_indices_by_name,
+  1,  wire__grant_touch__number_ranges,
+  (ProtobufCMessageInit) wire__grant_touch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__pong__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__endpoint_report__field_descriptors[2] =
 {
   {
-    "sent_us",
+    "json",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Pong, sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaderless",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pong, leaderless),
+    offsetof(Wire__EndpointReport, json),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "required",
-    3,
+    "events",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pong, required),
+    offsetof(Wire__EndpointReport, events),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__pong__field_indices_by_name[] = {
-  1,   /* field[1] = leaderless */
-  2,   /* field[2] = required */
-  0,   /* field[0] = sent_us */
+static const unsigned wire__endpoint_report__field_indices_by_name[] = {
+  1,   /* field[1] = events */
+  0,   /* field[0] = json */
 };
-static const ProtobufCIntRange wire__pong__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__endpoint_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wire__pong__descriptor =
+const ProtobufCMessageDescriptor wire__endpoint_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Pong",
-  "Pong",
-  "Wire__Pong",
+  "wire.EndpointReport",
+  "EndpointReport",
+  "Wire__EndpointReport",
   "wire",
-  sizeof(Wire__Pong),
-  3,
-  wire__pong__field_descriptors,
-  wire__pong__field_indices_by_name,
-  1,  wire__pong__number_ranges,
-  (ProtobufCMessageInit) wire__pong__init,
+  sizeof(Wire__EndpointReport),
+  2,
+  wire__endpoint_report__field_descriptors,
+  wire__endpoint_report__field_indices_by_name,
+  1,  wire__endpoint_report__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__team_usage__field_descriptors[3] =
 {
   {
-    "reply",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Hello, reply),
-    NULL,
+    offsetof(Wire__TeamUsage, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fresh",
+    "charge_milli",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Hello, fresh),
+    offsetof(Wire__TeamUsage, charge_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
+    "load_milli",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__Hello, voter),
+    offsetof(Wire__TeamUsage, load_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__team_usage__field_indices_by_name[] = {
+  1,   /* field[1] = charge_milli */
+  2,   /* field[2] = load_milli */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange wire__team_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__team_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.TeamUsage",
+  "TeamUsage",
+  "Wire__TeamUsage",
+  "wire",
+  sizeof(Wire__TeamUsage),
+  3,
+  wire__team_usage__field_descriptors,
+  wire__team_usage__field_indices_by_name,
+  1,  wire__team_usage__number_ranges,
+  (ProtobufCMessageInit) wire__team_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__team_rate__field_descriptors[2] =
+{
   {
-    "commit",
-    4,
+    "team",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Hello, commit),
-    NULL,
+    offsetof(Wire__TeamRate, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "founded",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Wire__Hello, n_founded),
-    offsetof(Wire__Hello, founded),
+    "admitted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TeamRate, admitted),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__hello__field_indices_by_name[] = {
-  3,   /* field[3] = commit */
-  4,   /* field[4] = founded */
-  1,   /* field[1] = fresh */
-  0,   /* field[0] = reply */
-  2,   /* field[2] = voter */
+static const unsigned wire__team_rate__field_indices_by_name[] = {
+  1,   /* field[1] = admitted */
+  0,   /* field[0] = team */
 };
-static const ProtobufCIntRange wire__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__team_rate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wire__hello__descriptor =
+const ProtobufCMessageDescriptor wire__team_rate__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Hello",
-  "Hello",
-  "Wire__Hello",
+  "wire.TeamRate",
+  "TeamRate",
+  "Wire__TeamRate",
   "wire",
-  sizeof(Wire__Hello),
-  5,
-  wire__hello__field_descriptors,
-  wire__hello__field_indices_by_name,
-  1,  wire__hello__number_ranges,
-  (ProtobufCMessageInit) wire__hello__init,
+  sizeof(Wire__TeamRate),
+  2,
+  wire__team_rate__field_descriptors,
+  wire__team_rate__field_indices_by_name,
+  1,  wire__team_rate__number_ranges,
+  (ProtobufCMessageInit) wire__team_rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_ask__field_descriptors[17] =
+static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[12] =
 {
   {
-    "request",
+    "seats",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, request),
+    offsetof(Wire__OwnerSummary, seats),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "free",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, team),
+    offsetof(Wire__OwnerSummary, free),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "queued",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, kind),
+    offsetof(Wire__OwnerSummary, queued),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
+    "engines",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, adapter),
+    offsetof(Wire__OwnerSummary, engines),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "services",
     5,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, service),
+    offsetof(Wire__OwnerSummary, n_services),
+    offsetof(Wire__OwnerSummary, services),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_model",
+    "usage",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, base_model),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__OwnerSummary, n_usage),
+    offsetof(Wire__OwnerSummary, usage),
+    &wire__team_usage__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
+    "leaving",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, deadline_ms),
+    offsetof(Wire__OwnerSummary, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "prompt_tokens",
+    "wait_ms",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, prompt_tokens),
+    offsetof(Wire__OwnerSummary, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_tokens",
+    "rates",
     9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, max_tokens),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__OwnerSummary, n_rates),
+    offsetof(Wire__OwnerSummary, rates),
+    &wire__team_rate__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "prefix",
+    "held",
     10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, prefix),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "avoid",
-    11,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Wire__GrantAsk, n_avoid),
-    offsetof(Wire__GrantAsk, avoid),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, attempt),
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__OwnerSummary, n_held),
+    offsetof(Wire__OwnerSummary, held),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waited_ms",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, waited_ms),
+    "dropped",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__OwnerSummary, n_dropped),
+    offsetof(Wire__OwnerSummary, dropped),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pinned_adapter",
-    14,
+    "held_round",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, pinned_adapter),
+    offsetof(Wire__OwnerSummary, held_round),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wire__owner_summary__field_indices_by_name[] = {
+  10,   /* field[10] = dropped */
+  3,   /* field[3] = engines */
+  1,   /* field[1] = free */
+  9,   /* field[9] = held */
+  11,   /* field[11] = held_round */
+  6,   /* field[6] = leaving */
+  2,   /* field[2] = queued */
+  8,   /* field[8] = rates */
+  0,   /* field[0] = seats */
+  4,   /* field[4] = services */
+  5,   /* field[5] = usage */
+  7,   /* field[7] = wait_ms */
+};
+static const ProtobufCIntRange wire__owner_summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor wire__owner_summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.OwnerSummary",
+  "OwnerSummary",
+  "Wire__OwnerSummary",
+  "wire",
+  sizeof(Wire__OwnerSummary),
+  12,
+  wire__owner_summary__field_descriptors,
+  wire__owner_summary__field_indices_by_name,
+  1,  wire__owner_summary__number_ranges,
+  (ProtobufCMessageInit) wire__owner_summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__prompt_part__field_descriptors[2] =
+{
   {
-    "sent_us",
-    15,
+    "hash",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, sent_us),
+    offsetof(Wire__PromptPart, hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, run),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "handed_to",
-    17,
+    "tokens",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantAsk, handed_to),
+    offsetof(Wire__PromptPart, tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__grant_ask__field_indices_by_name[] = {
-  3,   /* field[3] = adapter */
-  11,   /* field[11] = attempt */
-  10,   /* field[10] = avoid */
-  5,   /* field[5] = base_model */
-  6,   /* field[6] = deadline_ms */
-  16,   /* field[16] = handed_to */
-  2,   /* field[2] = kind */
-  8,   /* field[8] = max_tokens */
-  13,   /* field[13] = pinned_adapter */
-  9,   /* field[9] = prefix */
-  7,   /* field[7] = prompt_tokens */
-  0,   /* field[0] = request */
-  15,   /* field[15] = run */
-  14,   /* field[14] = sent_us */
-  4,   /* field[4] = service */
-  1,   /* field[1] = team */
-  12,   /* field[12] = waited_ms */
+static const unsigned wire__prompt_part__field_indices_by_name[] = {
+  0,   /* field[0] = hash */
+  1,   /* field[1] = tokens */
 };
-static const ProtobufCIntRange wire__grant_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__prompt_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wire__grant_ask__descriptor =
+const ProtobufCMessageDescriptor wire__prompt_part__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.GrantAsk",
-  "GrantAsk",
-  "Wire__GrantAsk",
+  "wire.PromptPart",
+  "PromptPart",
+  "Wire__PromptPart",
   "wire",
-  sizeof(Wire__GrantAsk),
-  17,
-  wire__grant_ask__field_descriptors,
-  wire__grant_ask__field_indices_by_name,
-  1,  wire__grant_ask__number_ranges,
-  (ProtobufCMessageInit) wire__grant_ask__init,
+  sizeof(Wire__PromptPart),
+  2,
+  wire__prompt_part__field_descriptors,
+  wire__prompt_part__field_indices_by_name,
+  1,  wire__prompt_part__number_ranges,
+  (ProtobufCMessageInit) wire__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__place_ask__field_descriptors[15] =
 {
   {
-    "request",
+    "ask",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, request),
+    offsetof(Wire__PlaceAsk, ask),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, status),
-    &wire__grant_status__descriptor,
+    offsetof(Wire__PlaceAsk, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "model",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, endpoint),
+    offsetof(Wire__PlaceAsk, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "adapter",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, address),
+    offsetof(Wire__PlaceAsk, adapter),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fence",
+    "prompt_tokens",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, fence),
+    offsetof(Wire__PlaceAsk, prompt_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "basis_us",
+    "max_tokens",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, basis_us),
+    offsetof(Wire__PlaceAsk, max_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
+    "parts",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, retry_after_ms),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PlaceAsk, n_parts),
+    offsetof(Wire__PlaceAsk, parts),
+    &wire__prompt_part__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "left_ms",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, reason),
+    offsetof(Wire__PlaceAsk, left_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_us",
+    "target_left_ms",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, wait_us),
+    offsetof(Wire__PlaceAsk, target_left_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stall_us",
+    "priority",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, stall_us),
+    offsetof(Wire__PlaceAsk, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holder",
+    "kind",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantReply, holder),
+    offsetof(Wire__PlaceAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "avoid",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__PlaceAsk, n_avoid),
+    offsetof(Wire__PlaceAsk, avoid),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, resent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__grant_reply__field_indices_by_name[] = {
-  3,   /* field[3] = address */
-  5,   /* field[5] = basis_us */
-  2,   /* field[2] = endpoint */
-  4,   /* field[4] = fence */
-  10,   /* field[10] = holder */
-  7,   /* field[7] = reason */
-  0,   /* field[0] = request */
-  6,   /* field[6] = retry_after_ms */
-  9,   /* field[9] = stall_us */
-  1,   /* field[1] = status */
-  8,   /* field[8] = wait_us */
+static const unsigned wire__place_ask__field_indices_by_name[] = {
+  3,   /* field[3] = adapter */
+  0,   /* field[0] = ask */
+  11,   /* field[11] = attempt */
+  12,   /* field[12] = avoid */
+  13,   /* field[13] = data_centre */
+  10,   /* field[10] = kind */
+  7,   /* field[7] = left_ms */
+  5,   /* field[5] = max_tokens */
+  2,   /* field[2] = model */
+  6,   /* field[6] = parts */
+  9,   /* field[9] = priority */
+  4,   /* field[4] = prompt_tokens */
+  14,   /* field[14] = resent */
+  1,   /* field[1] = service */
+  8,   /* field[8] = target_left_ms */
 };
-static const ProtobufCIntRange wire__grant_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 15 }
 };
-const ProtobufCMessageDescriptor wire__grant_reply__descriptor =
+const ProtobufCMessageDescriptor wire__place_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.GrantReply",
-  "GrantReply",
-  "Wire__GrantReply",
+  "wire.PlaceAsk",
+  "PlaceAsk",
+  "Wire__PlaceAsk",
   "wire",
-  sizeof(Wire__GrantReply),
-  11,
-  wire__grant_reply__field_descriptors,
-  wire__grant_reply__field_indices_by_name,
-  1,  wire__grant_reply__number_ranges,
-  (ProtobufCMessageInit) wire__grant_reply__init,
+  sizeof(Wire__PlaceAsk),
+  15,
+  wire__place_ask__field_descriptors,
+  wire__place_ask__field_indices_by_name,
+  1,  wire__place_ask__number_ranges,
+  (ProtobufCMessageInit) wire__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_done__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[8] =
 {
   {
-    "request",
+    "ask",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, status),
+    &wire__place_status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, request),
-    NULL,
+    offsetof(Wire__PlaceReply, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    2,
+    "address",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, outcome),
-    &wire__done_outcome__descriptor,
+    offsetof(Wire__PlaceReply, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens_in",
-    3,
+    "adapter_version",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, tokens_in),
+    offsetof(Wire__PlaceReply, adapter_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens_out",
-    4,
+    "urgency",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, tokens_out),
+    offsetof(Wire__PlaceReply, urgency),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "first_us",
-    5,
+    "retry_after_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, first_us),
+    offsetof(Wire__PlaceReply, retry_after_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "total_us",
-    6,
+    "reason",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantDone, total_us),
-    NULL,
+    offsetof(Wire__PlaceReply, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__grant_done__field_indices_by_name[] = {
-  4,   /* field[4] = first_us */
-  1,   /* field[1] = outcome */
-  0,   /* field[0] = request */
-  2,   /* field[2] = tokens_in */
-  3,   /* field[3] = tokens_out */
-  5,   /* field[5] = total_us */
+static const unsigned wire__place_reply__field_indices_by_name[] = {
+  4,   /* field[4] = adapter_version */
+  3,   /* field[3] = address */
+  0,   /* field[0] = ask */
+  2,   /* field[2] = endpoint */
+  7,   /* field[7] = reason */
+  6,   /* field[6] = retry_after_ms */
+  1,   /* field[1] = status */
+  5,   /* field[5] = urgency */
 };
-static const ProtobufCIntRange wire__grant_done__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__place_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor wire__grant_done__descriptor =
+const ProtobufCMessageDescriptor wire__place_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.GrantDone",
-  "GrantDone",
-  "Wire__GrantDone",
+  "wire.PlaceReply",
+  "PlaceReply",
+  "Wire__PlaceReply",
   "wire",
-  sizeof(Wire__GrantDone),
-  6,
-  wire__grant_done__field_descriptors,
-  wire__grant_done__field_indices_by_name,
-  1,  wire__grant_done__number_ranges,
-  (ProtobufCMessageInit) wire__grant_done__init,
+  sizeof(Wire__PlaceReply),
+  8,
+  wire__place_reply__field_descriptors,
+  wire__place_reply__field_indices_by_name,
+  1,  wire__place_reply__number_ranges,
+  (ProtobufCMessageInit) wire__place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__pin__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[7] =
 {
   {
-    "request",
+    "ask",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pin, request),
+    offsetof(Wire__PlaceDone, ask),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pin, endpoint),
+    offsetof(Wire__PlaceDone, outcome),
+    &wire__place_outcome__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
+    "first_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pin, adapter),
+    offsetof(Wire__PlaceDone, first_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "load_told",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pin, team),
+    offsetof(Wire__PlaceDone, load_told),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run",
-    15,
+    "running",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__Pin, run),
+    offsetof(Wire__PlaceDone, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceDone, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceDone, slots),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__pin__field_indices_by_name[] = {
-  2,   /* field[2] = adapter */
-  1,   /* field[1] = endpoint */
-  0,   /* field[0] = request */
-  4,   /* field[4] = run */
-  3,   /* field[3] = team */
+static const unsigned wire__place_done__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  2,   /* field[2] = first_ms */
+  3,   /* field[3] = load_told */
+  1,   /* field[1] = outcome */
+  4,   /* field[4] = running */
+  6,   /* field[6] = slots */
+  5,   /* field[5] = waiting */
 };
-static const ProtobufCIntRange wire__pin__number_ranges[2 + 1] =
+static const ProtobufCIntRange wire__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 15, 4 },
-  { 0, 5 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor wire__pin__descriptor =
+const ProtobufCMessageDescriptor wire__place_done__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Pin",
-  "Pin",
-  "Wire__Pin",
+  "wire.PlaceDone",
+  "PlaceDone",
+  "Wire__PlaceDone",
   "wire",
-  sizeof(Wire__Pin),
-  5,
-  wire__pin__field_descriptors,
-  wire__pin__field_indices_by_name,
-  2,  wire__pin__number_ranges,
-  (ProtobufCMessageInit) wire__pin__init,
+  sizeof(Wire__PlaceDone),
+  7,
+  wire__place_done__field_descriptors,
+  wire__place_done__field_indices_by_name,
+  1,  wire__place_done__number_ranges,
+  (ProtobufCMessageInit) wire__place_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__grant_touch__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__call_relay__field_descriptors[5] =
 {
   {
-    "pins",
+    "call",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__GrantTouch, n_pins),
-    offsetof(Wire__GrantTouch, pins),
-    &wire__pin__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__CallRelay, call),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "listener",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantTouch, sent_us),
+    offsetof(Wire__CallRelay, listener),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "known",
+    "method",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__GrantTouch, n_known),
-    offsetof(Wire__GrantTouch, known),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__CallRelay, method),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "all",
+    "path",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__GrantTouch, all),
-    NULL,
+    offsetof(Wire__CallRelay, path),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "body",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__GrantTouch, n_waiting),
-    offsetof(Wire__GrantTouch, waiting),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ask_again",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__GrantTouch, n_ask_again),
-    offsetof(Wire__GrantTouch, ask_again),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__CallRelay, body),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__grant_touch__field_indices_by_name[] = {
-  3,   /* field[3] = all */
-  5,   /* field[5] = ask_again */
-  2,   /* field[2] = known */
-  0,   /* field[0] = pins */
-  1,   /* field[1] = sent_us */
-  4,   /* field[4] = waiting */
+static const unsigned wire__call_relay__field_indices_by_name[] = {
+  4,   /* field[4] = body */
+  0,   /* field[0] = call */
+  1,   /* field[1] = listener */
+  2,   /* field[2] = method */
+  3,   /* field[3] = path */
 };
-static const ProtobufCIntRange wire__grant_touch__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__call_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wire__grant_touch__descriptor =
+const ProtobufCMessageDescriptor wire__call_relay__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.GrantTouch",
-  "GrantTouch",
-  "Wire__GrantTouch",
+  "wire.CallRelay",
+  "CallRelay",
+  "Wire__CallRelay",
   "wire",
-  sizeof(Wire__GrantTouch),
-  6,
-  wire__grant_touch__field_descriptors,
-  wire__grant_touch__field_indices_by_name,
-  1,  wire__grant_touch__number_ranges,
-  (ProtobufCMessageInit) wire__grant_touch__init,
+  sizeof(Wire__CallRelay),
+  5,
+  wire__call_relay__field_descriptors,
+  wire__call_relay__field_indices_by_name,
+  1,  wire__call_relay__number_ranges,
+  (ProtobufCMessageInit) wire__call_relay__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__call_answer__field_descriptors[5] =
 {
   {
-    "json",
+    "call",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EndpointReport, json),
+    offsetof(Wire__CallAnswer, call),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "events",
+    "status",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__EndpointReport, events),
+    offsetof(Wire__CallAnswer, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wire__endpoint_report__field_indices_by_name[] = {
-  1,   /* field[1] = events */
-  0,   /* field[0] = json */
-};
-static const ProtobufCIntRange wire__endpoint_report__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__endpoint_report__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.EndpointReport",
-  "EndpointReport",
-  "Wire__EndpointReport",
-  "wire",
-  sizeof(Wire__EndpointReport),
-  2,
-  wire__endpoint_report__field_descriptors,
-  wire__endpoint_report__field_indices_by_name,
-  1,  wire__endpoint_report__number_ranges,
-  (ProtobufCMessageInit) wire__endpoint_report__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__team_usage__field_descriptors[3] =
-{
   {
-    "team",
-    1,
+    "content_type",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__TeamUsage, team),
+    offsetof(Wire__CallAnswer, content_type),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "charge_milli",
-    2,
+    "location",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__TeamUsage, charge_milli),
-    NULL,
+    offsetof(Wire__CallAnswer, location),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load_milli",
-    3,
+    "body",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__TeamUsage, load_milli),
+    offsetof(Wire__CallAnswer, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__team_usage__field_indices_by_name[] = {
-  1,   /* field[1] = charge_milli */
-  2,   /* field[2] = load_milli */
-  0,   /* field[0] = team */
+static const unsigned wire__call_answer__field_indices_by_name[] = {
+  4,   /* field[4] = body */
+  0,   /* field[0] = call */
+  2,   /* field[2] = content_type */
+  3,   /* field[3] = location */
+  1,   /* field[1] = status */
 };
-static const ProtobufCIntRange wire__team_usage__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__call_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wire__team_usage__descriptor =
+const ProtobufCMessageDescriptor wire__call_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.TeamUsage",
-  "TeamUsage",
-  "Wire__TeamUsage",
+  "wire.CallAnswer",
+  "CallAnswer",
+  "Wire__CallAnswer",
   "wire",
-  sizeof(Wire__TeamUsage),
-  3,
-  wire__team_usage__field_descriptors,
-  wire__team_usage__field_indices_by_name,
-  1,  wire__team_usage__number_ranges,
-  (ProtobufCMessageInit) wire__team_usage__init,
+  sizeof(Wire__CallAnswer),
+  5,
+  wire__call_answer__field_descriptors,
+  wire__call_answer__field_indices_by_name,
+  1,  wire__call_answer__number_ranges,
+  (ProtobufCMessageInit) wire__call_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__team_rate__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__loaded_model__field_descriptors[3] =
 {
   {
-    "team",
+    "model",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__TeamRate, team),
+    offsetof(Wire__LoadedModel, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "admitted",
+    "adapter",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__TeamRate, admitted),
+    offsetof(Wire__LoadedModel, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LoadedModel, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__team_rate__field_indices_by_name[] = {
-  1,   /* field[1] = admitted */
-  0,   /* field[0] = team */
+static const unsigned wire__loaded_model__field_indices_by_name[] = {
+  1,   /* field[1] = adapter */
+  0,   /* field[0] = model */
+  2,   /* field[2] = version */
 };
-static const ProtobufCIntRange wire__team_rate__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__loaded_model__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wire__team_rate__descriptor =
+const ProtobufCMessageDescriptor wire__loaded_model__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.TeamRate",
-  "TeamRate",
-  "Wire__TeamRate",
+  "wire.LoadedModel",
+  "LoadedModel",
+  "Wire__LoadedModel",
   "wire",
-  sizeof(Wire__TeamRate),
-  2,
-  wire__team_rate__field_descriptors,
-  wire__team_rate__field_indices_by_name,
-  1,  wire__team_rate__number_ranges,
-  (ProtobufCMessageInit) wire__team_rate__init,
+  sizeof(Wire__LoadedModel),
+  3,
+  wire__loaded_model__field_descriptors,
+  wire__loaded_model__field_indices_by_name,
+  1,  wire__loaded_model__number_ranges,
+  (ProtobufCMessageInit) wire__loaded_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__owner_summary__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__endpoint_info__field_descriptors[10] =
 {
   {
-    "seats",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, seats),
-    NULL,
+    offsetof(Wire__EndpointInfo, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free",
+    "born_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, free),
+    offsetof(Wire__EndpointInfo, born_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "sequence",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, queued),
+    offsetof(Wire__EndpointInfo, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "engines",
+    "service",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, engines),
-    NULL,
+    offsetof(Wire__EndpointInfo, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "services",
+    "address",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Wire__OwnerSummary, n_services),
-    offsetof(Wire__OwnerSummary, services),
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointInfo, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "usage",
+    "data_centre",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__OwnerSummary, n_usage),
-    offsetof(Wire__OwnerSummary, usage),
-    &wire__team_usage__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointInfo, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "slots",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, leaving),
+    offsetof(Wire__EndpointInfo, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
+    "leaving",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, wait_ms),
+    offsetof(Wire__EndpointInfo, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rates",
+    "gone",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__OwnerSummary, n_rates),
-    offsetof(Wire__OwnerSummary, rates),
-    &wire__team_rate__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointInfo, gone),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held",
+    "loaded",
     10,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Wire__OwnerSummary, n_held),
-    offsetof(Wire__OwnerSummary, held),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__EndpointInfo, n_loaded),
+    offsetof(Wire__EndpointInfo, loaded),
+    &wire__loaded_model__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__endpoint_info__field_indices_by_name[] = {
+  4,   /* field[4] = address */
+  1,   /* field[1] = born_ms */
+  5,   /* field[5] = data_centre */
+  8,   /* field[8] = gone */
+  0,   /* field[0] = id */
+  7,   /* field[7] = leaving */
+  9,   /* field[9] = loaded */
+  2,   /* field[2] = sequence */
+  3,   /* field[3] = service */
+  6,   /* field[6] = slots */
+};
+static const ProtobufCIntRange wire__endpoint_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor wire__endpoint_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.EndpointInfo",
+  "EndpointInfo",
+  "Wire__EndpointInfo",
+  "wire",
+  sizeof(Wire__EndpointInfo),
+  10,
+  wire__endpoint_info__field_descriptors,
+  wire__endpoint_info__field_indices_by_name,
+  1,  wire__endpoint_info__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__endpoint_table__field_descriptors[4] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointTable, term),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "dropped",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Wire__OwnerSummary, n_dropped),
-    offsetof(Wire__OwnerSummary, dropped),
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointTable, number),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held_round",
-    12,
+    "whole",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__OwnerSummary, held_round),
+    offsetof(Wire__EndpointTable, whole),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoints",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__EndpointTable, n_endpoints),
+    offsetof(Wire__EndpointTable, endpoints),
+    &wire__endpoint_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wire__owner_summary__field_indices_by_name[] = {
-  10,   /* field[10] = dropped */
-  3,   /* field[3] = engines */
-  1,   /* field[1] = free */
-  9,   /* field[9] = held */
-  11,   /* field[11] = held_round */
-  6,   /* field[6] = leaving */
-  2,   /* field[2] = queued */
-  8,   /* field[8] = rates */
-  0,   /* field[0] = seats */
-  4,   /* field[4] = services */
-  5,   /* field[5] = usage */
-  7,   /* field[7] = wait_ms */
+static const unsigned wire__endpoint_table__field_indices_by_name[] = {
+  3,   /* field[3] = endpoints */
+  1,   /* field[1] = number */
+  0,   /* field[0] = term */
+  2,   /* field[2] = whole */
 };
-static const ProtobufCIntRange wire__owner_summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__endpoint_table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor wire__owner_summary__descriptor =
+const ProtobufCMessageDescriptor wire__endpoint_table__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.OwnerSummary",
-  "OwnerSummary",
-  "Wire__OwnerSummary",
+  "wire.EndpointTable",
+  "EndpointTable",
+  "Wire__EndpointTable",
   "wire",
-  sizeof(Wire__OwnerSummary),
-  12,
-  wire__owner_summary__field_descriptors,
-  wire__owner_summary__field_indices_by_name,
-  1,  wire__owner_summary__number_ranges,
-  (ProtobufCMessageInit) wire__owner_summary__init,
+  sizeof(Wire__EndpointTable),
+  4,
+  wire__endpoint_table__field_descriptors,
+  wire__endpoint_table__field_indices_by_name,
+  1,  wire__endpoint_table__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_table__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__table_ask__field_descriptors[1] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__TableAsk, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__table_ask__field_indices_by_name[] = {
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange wire__table_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__table_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.TableAsk",
+  "TableAsk",
+  "Wire__TableAsk",
+  "wire",
+  sizeof(Wire__TableAsk),
+  1,
+  wire__table_ask__field_descriptors,
+  wire__table_ask__field_indices_by_name,
+  1,  wire__table_ask__number_ranges,
+  (ProtobufCMessageInit) wire__table_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCEnumValue wire__grant_status__enum_values_by_number[3] =
@@ -3939,3 +5510,71 @@
   wire__done_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue wire__place_status__enum_values_by_number[3] =
+{
+  { "PLACE_GIVEN", "WIRE__PLACE_STATUS__PLACE_GIVEN", 0 },
+  { "PLACE_REFUSED", "WIRE__PLACE_STATUS__PLACE_REFUSED", 1 },
+  { "PLACE_WAITS", "WIRE__PLACE_STATUS__PLACE_WAITS", 2 },
+};
+static const ProtobufCIntRange wire__place_status__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex wire__place_status__enum_values_by_name[3] =
+{
+  { "PLACE_GIVEN", 0 },
+  { "PLACE_REFUSED", 1 },
+  { "PLACE_WAITS", 2 },
+};
+const ProtobufCEnumDescriptor wire__place_status__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wire.PlaceStatus",
+  "PlaceStatus",
+  "Wire__PlaceStatus",
+  "wire",
+  3,
+  wire__place_status__enum_values_by_number,
+  3,
+  wire__place_status__enum_values_by_name,
+  1,
+  wire__place_status__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue wire__place_outcome__enum_values_by_number[7] =
+{
+  { "PLACE_FIRST", "WIRE__PLACE_OUTCOME__PLACE_FIRST", 0 },
+  { "PLACE_ENDED", "WIRE__PLACE_OUTCOME__PLACE_ENDED", 1 },
+  { "PLACE_FAILED", "WIRE__PLACE_OUTCOME__PLACE_FAILED", 2 },
+  { "PLACE_NOT_SENT", "WIRE__PLACE_OUTCOME__PLACE_NOT_SENT", 3 },
+  { "PLACE_FULL", "WIRE__PLACE_OUTCOME__PLACE_FULL", 4 },
+  { "PLACE_LACKS", "WIRE__PLACE_OUTCOME__PLACE_LACKS", 5 },
+  { "PLACE_LEFT", "WIRE__PLACE_OUTCOME__PLACE_LEFT", 6 },
+};
+static const ProtobufCIntRange wire__place_outcome__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex wire__place_outcome__enum_values_by_name[7] =
+{
+  { "PLACE_ENDED", 1 },
+  { "PLACE_FAILED", 2 },
+  { "PLACE_FIRST", 0 },
+  { "PLACE_FULL", 4 },
+  { "PLACE_LACKS", 5 },
+  { "PLACE_LEFT", 6 },
+  { "PLACE_NOT_SENT", 3 },
+};
+const ProtobufCEnumDescriptor wire__place_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wire.PlaceOutcome",
+  "PlaceOutcome",
+  "Wire__PlaceOutcome",
+  "wire",
+  7,
+  wire__place_outcome__enum_values_by_number,
+  7,
+  wire__place_outcome__enum_values_by_name,
+  1,
+  wire__place_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -39,6 +39,16 @@
 typedef struct Wire__TeamUsage Wire__TeamUsage;
 typedef struct Wire__TeamRate Wire__TeamRate;
 typedef struct Wire__OwnerSummary Wire__OwnerSummary;
+typedef struct Wire__PromptPart Wire__PromptPart;
+typedef struct Wire__PlaceAsk Wire__PlaceAsk;
+typedef struct Wire__PlaceReply Wire__PlaceReply;
+typedef struct Wire__PlaceDone Wire__PlaceDone;
+typedef struct Wire__CallRelay Wire__CallRelay;
+typedef struct Wire__CallAnswer Wire__CallAnswer;
+typedef struct Wire__LoadedModel Wire__LoadedModel;
+typedef struct Wire__EndpointInfo Wire__EndpointInfo;
+typedef struct Wire__EndpointTable Wire__EndpointTable;
+typedef struct Wire__TableAsk Wire__TableAsk;
 
 
 /* --- enums --- */
@@ -79,6 +89,46 @@
   WIRE__DONE_OUTCOME__DONE_BUSY = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__DONE_OUTCOME)
 } Wire__DoneOutcome;
+typedef enum _Wire__PlaceStatus {
+  WIRE__PLACE_STATUS__PLACE_GIVEN = 0,
+  /*
+   * final
+   */
+  WIRE__PLACE_STATUS__PLACE_REFUSED = 1,
+  /*
+   * the decision follows
+   */
+  WIRE__PLACE_STATUS__PLACE_WAITS = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PLACE_STATUS)
+} Wire__PlaceStatus;
+typedef enum _Wire__PlaceOutcome {
+  /*
+   * the answer has begun; more follows
+   */
+  WIRE__PLACE_OUTCOME__PLACE_FIRST = 0,
+  WIRE__PLACE_OUTCOME__PLACE_ENDED = 1,
+  /*
+   * the endpoint failed it
+   */
+  WIRE__PLACE_OUTCOME__PLACE_FAILED = 2,
+  /*
+   * no byte left: the endpoint was not reached
+   */
+  WIRE__PLACE_OUTCOME__PLACE_NOT_SENT = 3,
+  /*
+   * the endpoint refused for load
+   */
+  WIRE__PLACE_OUTCOME__PLACE_FULL = 4,
+  /*
+   * it is another process, or lacks the adapter
+   */
+  WIRE__PLACE_OUTCOME__PLACE_LACKS = 5,
+  /*
+   * the caller has left
+   */
+  WIRE__PLACE_OUTCOME__PLACE_LEFT = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PLACE_OUTCOME)
+} Wire__PlaceOutcome;
 
 /* --- messages --- */
 
@@ -101,7 +151,14 @@
   WIRE__ENVELOPE__BODY_SUMMARY = 24,
   WIRE__ENVELOPE__BODY_HELLO = 25,
   WIRE__ENVELOPE__BODY_RENEWS = 26,
-  WIRE__ENVELOPE__BODY_LEASES = 27
+  WIRE__ENVELOPE__BODY_LEASES = 27,
+  WIRE__ENVELOPE__BODY_PLACE_ASK = 28,
+  WIRE__ENVELOPE__BODY_PLACE_REPLY = 29,
+  WIRE__ENVELOPE__BODY_PLACE_DONE = 30,
+  WIRE__ENVELOPE__BODY_CALL_RELAY = 31,
+  WIRE__ENVELOPE__BODY_CALL_ANSWER = 32,
+  WIRE__ENVELOPE__BODY_ENDPOINT_TABLE = 33,
+  WIRE__ENVELOPE__BODY_TABLE_ASK = 34
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -137,6 +194,13 @@
     Wire__Hello *hello;
     Wire__RenewBatch *renews;
     Wire__LeaseBatch *leases;
+    Wire__PlaceAsk *place_ask;
+    Wire__PlaceReply *place_reply;
+    Wire__PlaceDone *place_done;
+    Wire__CallRelay *call_relay;
+    Wire__CallAnswer *call_answer;
+    Wire__EndpointTable *endpoint_table;
+    Wire__TableAsk *table_ask;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -732,6 +796,220 @@
     , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+struct  Wire__PromptPart
+{
+  ProtobufCMessage base;
+  uint64_t hash;
+  uint32_t tokens;
+};
+#define WIRE__PROMPT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__prompt_part__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Entry to placer: where shall this request run?
+ */
+struct  Wire__PlaceAsk
+{
+  ProtobufCMessage base;
+  /*
+   * the entry's number of it
+   */
+  uint64_t ask;
+  char *service;
+  /*
+   * empty: a call of a plain service
+   */
+  char *model;
+  char *adapter;
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  size_t n_parts;
+  Wire__PromptPart **parts;
+  /*
+   * until it is given up
+   */
+  uint32_t left_ms;
+  /*
+   * until its latency objective; 0: missed
+   */
+  uint32_t target_left_ms;
+  uint32_t priority;
+  /*
+   * enum gw_kind
+   */
+  uint32_t kind;
+  /*
+   * endpoints reached before; over 0: a repeat
+   */
+  uint32_t attempt;
+  /*
+   * endpoints that failed it
+   */
+  size_t n_avoid;
+  char **avoid;
+  /*
+   * of the entry
+   */
+  char *data_centre;
+  /*
+   * an earlier sending was not answered
+   */
+  uint32_t resent;
+};
+#define WIRE__PLACE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__place_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wire__PlaceReply
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  Wire__PlaceStatus status;
+  char *endpoint;
+  char *address;
+  uint32_t adapter_version;
+  uint32_t urgency;
+  uint32_t retry_after_ms;
+  char *reason;
+};
+#define WIRE__PLACE_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__place_reply__descriptor) \
+    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Entry to placer: what became of a request that was given a place.
+ */
+struct  Wire__PlaceDone
+{
+  ProtobufCMessage base;
+  uint64_t ask;
+  Wire__PlaceOutcome outcome;
+  /*
+   * from sending to the first byte
+   */
+  uint32_t first_ms;
+  protobuf_c_boolean load_told;
+  /*
+   * as the endpoint told with its answer
+   */
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+};
+#define WIRE__PLACE_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__place_done__descriptor) \
+    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A call to the system, passed on to the leader.
+ */
+struct  Wire__CallRelay
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint32_t listener;
+  char *method;
+  char *path;
+  ProtobufCBinaryData body;
+};
+#define WIRE__CALL_RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__call_relay__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+struct  Wire__CallAnswer
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint32_t status;
+  char *content_type;
+  char *location;
+  ProtobufCBinaryData body;
+};
+#define WIRE__CALL_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__call_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+struct  Wire__LoadedModel
+{
+  ProtobufCMessage base;
+  char *model;
+  /*
+   * empty: the weights
+   */
+  char *adapter;
+  uint32_t version;
+};
+#define WIRE__LOADED_MODEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__loaded_model__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wire__EndpointInfo
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t born_ms;
+  uint64_t sequence;
+  char *service;
+  char *address;
+  char *data_centre;
+  uint32_t slots;
+  protobuf_c_boolean leaving;
+  /*
+   * forget it
+   */
+  protobuf_c_boolean gone;
+  size_t n_loaded;
+  Wire__LoadedModel **loaded;
+};
+#define WIRE__ENDPOINT_INFO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_info__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Placer to all: what changed of the endpoints, or all of them.
+ */
+struct  Wire__EndpointTable
+{
+  ProtobufCMessage base;
+  /*
+   * of the placer
+   */
+  uint64_t term;
+  /*
+   * of this message, in the term
+   */
+  uint64_t number;
+  /*
+   * there are no others
+   */
+  protobuf_c_boolean whole;
+  size_t n_endpoints;
+  Wire__EndpointInfo **endpoints;
+};
+#define WIRE__ENDPOINT_TABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_table__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Wire__TableAsk
+{
+  ProtobufCMessage base;
+  uint64_t term;
+};
+#define WIRE__TABLE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__table_ask__descriptor) \
+    , 0 }
+
+
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -1188,6 +1466,196 @@
 void   wire__owner_summary__free_unpacked
                      (Wire__OwnerSummary *message,
                       ProtobufCAllocator *allocator);
+/* Wire__PromptPart methods */
+void   wire__prompt_part__init
+                     (Wire__PromptPart         *message);
+size_t wire__prompt_part__get_packed_size
+                     (const Wire__PromptPart   *message);
+size_t wire__prompt_part__pack
+                     (const Wire__PromptPart   *message,
+                      uint8_t             *out);
+size_t wire__prompt_part__pack_to_buffer
+                     (const Wire__PromptPart   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PromptPart *
+       wire__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__prompt_part__free_unpacked
+                     (Wire__PromptPart *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PlaceAsk methods */
+void   wire__place_ask__init
+                     (Wire__PlaceAsk         *message);
+size_t wire__place_ask__get_packed_size
+                     (const Wire__PlaceAsk   *message);
+size_t wire__place_ask__pack
+                     (const Wire__PlaceAsk   *message,
+                      uint8_t             *out);
+size_t wire__place_ask__pack_to_buffer
+                     (const Wire__PlaceAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PlaceAsk *
+       wire__place_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__place_ask__free_unpacked
+                     (Wire__PlaceAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PlaceReply methods */
+void   wire__place_reply__init
+                     (Wire__PlaceReply         *message);
+size_t wire__place_reply__get_packed_size
+                     (const Wire__PlaceReply   *message);
+size_t wire__place_reply__pack
+                     (const Wire__PlaceReply   *message,
+                      uint8_t             *out);
+size_t wire__place_reply__pack_to_buffer
+                     (const Wire__PlaceReply   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PlaceReply *
+       wire__place_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__place_reply__free_unpacked
+                     (Wire__PlaceReply *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PlaceDone methods */
+void   wire__place_done__init
+                     (Wire__PlaceDone         *message);
+size_t wire__place_done__get_packed_size
+                     (const Wire__PlaceDone   *message);
+size_t wire__place_done__pack
+                     (const Wire__PlaceDone   *message,
+                      uint8_t             *out);
+size_t wire__place_done__pack_to_buffer
+                     (const Wire__PlaceDone   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PlaceDone *
+       wire__place_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__place_done__free_unpacked
+                     (Wire__PlaceDone *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__CallRelay methods */
+void   wire__call_relay__init
+                     (Wire__CallRelay         *message);
+size_t wire__call_relay__get_packed_size
+                     (const Wire__CallRelay   *message);
+size_t wire__call_relay__pack
+                     (const Wire__CallRelay   *message,
+                      uint8_t             *out);
+size_t wire__call_relay__pack_to_buffer
+                     (const Wire__CallRelay   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__CallRelay *
+       wire__call_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__call_relay__free_unpacked
+                     (Wire__CallRelay *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__CallAnswer methods */
+void   wire__call_answer__init
+                     (Wire__CallAnswer         *message);
+size_t wire__call_answer__get_packed_size
+                     (const Wire__CallAnswer   *message);
+size_t wire__call_answer__pack
+                     (const Wire__CallAnswer   *message,
+                      uint8_t             *out);
+size_t wire__call_answer__pack_to_buffer
+                     (const Wire__CallAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__CallAnswer *
+       wire__call_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__call_answer__free_unpacked
+                     (Wire__CallAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LoadedModel methods */
+void   wire__loaded_model__init
+                     (Wire__LoadedModel         *message);
+size_t wire__loaded_model__get_packed_size
+                     (const Wire__LoadedModel   *message);
+size_t wire__loaded_model__pack
+                     (const Wire__LoadedModel   *message,
+                      uint8_t             *out);
+size_t wire__loaded_model__pack_to_buffer
+                     (const Wire__LoadedModel   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LoadedModel *
+       wire__loaded_model__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__loaded_model__free_unpacked
+                     (Wire__LoadedModel *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__EndpointInfo methods */
+void   wire__endpoint_info__init
+                     (Wire__EndpointInfo         *message);
+size_t wire__endpoint_info__get_packed_size
+                     (const Wire__EndpointInfo   *message);
+size_t wire__endpoint_info__pack
+                     (const Wire__EndpointInfo   *message,
+                      uint8_t             *out);
+size_t wire__endpoint_info__pack_to_buffer
+                     (const Wire__EndpointInfo   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndpointInfo *
+       wire__endpoint_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__endpoint_info__free_unpacked
+                     (Wire__EndpointInfo *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__EndpointTable methods */
+void   wire__endpoint_table__init
+                     (Wire__EndpointTable         *message);
+size_t wire__endpoint_table__get_packed_size
+                     (const Wire__EndpointTable   *message);
+size_t wire__endpoint_table__pack
+                     (const Wire__EndpointTable   *message,
+                      uint8_t             *out);
+size_t wire__endpoint_table__pack_to_buffer
+                     (const Wire__EndpointTable   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndpointTable *
+       wire__endpoint_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__endpoint_table__free_unpacked
+                     (Wire__EndpointTable *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__TableAsk methods */
+void   wire__table_ask__init
+                     (Wire__TableAsk         *message);
+size_t wire__table_ask__get_packed_size
+                     (const Wire__TableAsk   *message);
+size_t wire__table_ask__pack
+                     (const Wire__TableAsk   *message,
+                      uint8_t             *out);
+size_t wire__table_ask__pack_to_buffer
+                     (const Wire__TableAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__TableAsk *
+       wire__table_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__table_ask__free_unpacked
+                     (Wire__TableAsk *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Envelope_Closure)
@@ -1262,6 +1730,36 @@
 typedef void (*Wire__OwnerSummary_Closure)
                  (const Wire__OwnerSummary *message,
                   void *closure_data);
+typedef void (*Wire__PromptPart_Closure)
+                 (const Wire__PromptPart *message,
+                  void *closure_data);
+typedef void (*Wire__PlaceAsk_Closure)
+                 (const Wire__PlaceAsk *message,
+                  void *closure_data);
+typedef void (*Wire__PlaceReply_Closure)
+                 (const Wire__PlaceReply *message,
+                  void *closure_data);
+typedef void (*Wire__PlaceDone_Closure)
+                 (const Wire__PlaceDone *message,
+                  void *closure_data);
+typedef void (*Wire__CallRelay_Closure)
+                 (const Wire__CallRelay *message,
+                  void *closure_data);
+typedef void (*Wire__CallAnswer_Closure)
+                 (const Wire__CallAnswer *message,
+                  void *closure_data);
+typedef void (*Wire__LoadedModel_Closure)
+                 (const Wire__LoadedModel *message,
+                  void *closure_data);
+typedef void (*Wire__EndpointInfo_Closure)
+                 (const Wire__EndpointInfo *message,
+                  void *closure_data);
+typedef void (*Wire__EndpointTable_Closure)
+                 (const Wire__EndpointTable *message,
+                  void *closure_data);
+typedef void (*Wire__TableAsk_Closure)
+                 (const Wire__TableAsk *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1270,6 +1768,8 @@
 
 extern const ProtobufCEnumDescriptor    wire__grant_status__descriptor;
 extern const ProtobufCEnumDescriptor    wire__done_outcome__descriptor;
+extern const ProtobufCEnumDescriptor    wire__place_status__descriptor;
+extern const ProtobufCEnumDescriptor    wire__place_outcome__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 extern const ProtobufCMessageDescriptor wire__raft_frame__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_info__descriptor;
@@ -1294,6 +1794,16 @@
 extern const ProtobufCMessageDescriptor wire__team_usage__descriptor;
 extern const ProtobufCMessageDescriptor wire__team_rate__descriptor;
 extern const ProtobufCMessageDescriptor wire__owner_summary__descriptor;
+extern const ProtobufCMessageDescriptor wire__prompt_part__descriptor;
+extern const ProtobufCMessageDescriptor wire__place_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__place_reply__descriptor;
+extern const ProtobufCMessageDescriptor wire__place_done__descriptor;
+extern const ProtobufCMessageDescriptor wire__call_relay__descriptor;
+extern const ProtobufCMessageDescriptor wire__call_answer__descriptor;
+extern const ProtobufCMessageDescriptor wire__loaded_model__descriptor;
+extern const ProtobufCMessageDescriptor wire__endpoint_info__descriptor;
+extern const ProtobufCMessageDescriptor wire__endpoint_table__descriptor;
+extern const ProtobufCMessageDescriptor wire__table_ask__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -394,6 +394,10 @@
 				    instances[(size_t)i]->name.c_str(),
 				    e->u.log.name, e->u.log.fields);
 			break;
+		case NODE_FX_LIMITS:
+		case NODE_FX_FRONT_CLOSING:
+		case NODE_FX_FRONT_CLOSED:
+			break; /* no gateway here */
 		case NODE_FX_EXIT:
 			instances[(size_t)i]->exited = true;
 			break;
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -91,6 +91,8 @@
 		struct node_disk disk = {};
 		struct node_boot boot = {};
 		struct node_event ev = {};
+		const struct node_header headers[] = {
+		    {"Host", "a.example"}, {"X-Empty", ""}};
 
 		ASSERT_EQ(settings_parse(&settings, text.data(), text.size(),
 			      &problems, &err),
@@ -98,7 +100,7 @@
 		    << problems.items[0].path;
 		disk.incarnation = 5;
 		disk.fresh = true;
-		boot = {settings, 7, 11, now_us, 1700000000000, &disk};
+		boot = {settings, 7, 11, now_us, 1700000000000, &disk, nullptr};
 		ASSERT_EQ(node_create(&node, &boot, &err), MP_OK);
 		ASSERT_EQ(journal_create(&writer, file().c_str(), &boot,
 			      {text.data(), text.size()}, &err),
@@ -107,7 +109,7 @@
 		ticks(300);
 		ev.type = NODE_EV_REQUEST;
 		ev.u.request = {1, "GET", "/v1/status", "Bearer op", nullptr,
-		    "500", {"", 0}, "text/plain"};
+		    "500", {"", 0}, "text/plain", NODE_LISTEN_OWN, headers, 2};
 		step(ev);
 		EXPECT_EQ(node_effects_at(fx, 0)->u.reply.status, 200);
 		ev.type = NODE_EV_MESSAGE;
@@ -118,7 +120,7 @@
 		step(ev);
 		ev.type = NODE_EV_CALL;
 		ev.u.call = {9, NODE_CALL_HEAD, 503, "1", {"", 0}, nullptr,
-		    "text/plain"};
+		    "text/plain", headers, 2, true, 12};
 		step(ev);
 		ev.type = NODE_EV_STOP;
 		step(ev);
