--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -131,11 +131,13 @@
 	f->ops->log(f->ctx,
 	    node_effects_printf(fx,
 		"{\"attempt\": \"%.40s\", \"route\": \"%.60s\", "
+		"\"adapter\": \"%.40s\", "
 		"\"config\": %llu, \"outcome\": \"%s\", \"status\": %d, "
 		"\"endpoint\": \"%.60s\", \"tries\": %u, \"reached\": %u, "
 		"\"fault\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
 		"\"wholeMs\": %llu, \"deadlineMs\": %llu}",
 		r->wire.attempt == NULL ? "" : r->wire.attempt, r->route,
+		r->wire.adapter == NULL ? "" : r->wire.adapter,
 		(unsigned long long)r->config_version, outcome, r->status,
 		r->endpoint == NULL ? "" : r->endpoint, r->tries, r->reached,
 		r->last_fault == NULL ? "" : r->last_fault,
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -56,7 +56,7 @@
 /* An order or report call to an endpoint. */
 struct gate_order {
 	char *endpoint, *what;
-	bool is_report;
+	bool is_report, unloads;
 	int status;
 	struct buf answer;
 	uint64_t given_us;
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -391,9 +391,11 @@
 		return;
 	}
 	node_log(n, NODE_LOG_GATE_ORDER,
-	    "{\"endpoint\": \"%s\", \"what\": \"%s\", \"status\": %d, "
+	    "{\"endpoint\": \"%s\", \"order\": \"%s\", "
+	    "\"what\": \"%s\", \"status\": %d, "
 	    "\"fence\": %llu, \"tookMs\": %llu}",
-	    kept->endpoint, kept->what, kept->status,
+	    kept->endpoint, kept->unloads ? "unload" : "load", kept->what,
+	    kept->status,
 	    (unsigned long long)n->gate->term,
 	    (unsigned long long)((n->now - kept->given_us) / 1000));
 	place_ordered(n->gate->place, n->now, kept->endpoint, result,
@@ -511,6 +513,13 @@
 	place_run(g->place, n->now,
 	    g->placing && gate_has_authority(n) && n->now >= g->order_after_us);
 	while (place_take(g->place, &d)) {
+		if (d.type == PLACE_GRANT)
+			node_log(n, NODE_LOG_GATE_PLACED,
+			    "{\"ask\": %llu, \"entry\": %llu, "
+			    "\"endpoint\": \"%s\", \"estimateMs\": %u}",
+			    (unsigned long long)d.id.ask,
+			    (unsigned long long)d.id.entry, d.endpoint,
+			    d.estimate_ms);
 		if (d.type == PLACE_ORDER || d.type == PLACE_REPORT)
 			give_order(n, &d);
 		else if (d.id.entry == n->incarnation)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -357,6 +357,8 @@
 		e->orders_known = false;
 		e->ordering = false;
 		e->fenced = false;
+		e->ordered = false;
+		e->doubted = false;
 		free(e->order_key);
 		e->order_key = NULL;
 		e->heard_us = now_us;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -29,8 +29,7 @@
 	uint32_t retry_ratio_milli, retry_extra, retry_window_ms;
 	uint32_t store_window_ms, store_over_milli;
 	uint32_t adapter_loads; /* at once and at full speed, over all */
-	uint32_t
-	    adapter_load_ms; /* of one, when not too many are under way */
+	uint32_t adapter_load_ms; /* of one, when not too many are under way */
 	uint32_t heartbeat_ms; /* between announcements of an endpoint */
 };
 
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -7,13 +7,15 @@
 /*
  * What engines hold, and the table of it.
  *
- * An announcement lags behind orders, so it corrects only what has been as it
- * is for a while. What is on its way counts against the places like what is
- * there.
+ * An engine that is ordered to load more than it has places for crashes. So
+ * what is on its way, or may still be there, counts against the places like
+ * what is there, until an answer or a report says otherwise.
  */
-#define SETTLED_US (1000 * US_PER_MS)
-/* One engine more is worth half a load at once beside the least number. */
-#define ENGINES_PER_LOAD 2u
+/* What a report tells to be on its way is there after so long, or asked again.
+ */
+#define PENDING_US (100 * US_PER_MS)
+/* Loads at once for each nine engines, where that is more than the setting. */
+#define LOADS_PER_NINE 4u
 
 char *
 place_adapter_key(const char *model, const char *adapter)
@@ -145,11 +147,16 @@
 	return taken < engine->adapter_slots;
 }
 
+/* Grows with the engines, so that a large fleet isn't held to a small one's. */
 uint32_t
 place_adapter_loads_at_once(const struct place *p)
 {
-	uint32_t scaled = (uint32_t)map_count(p->endpoints) / ENGINES_PER_LOAD;
+	size_t i, engines = 0;
+	uint32_t scaled;
 
+	for (i = 0; i < map_count(p->endpoints); i++)
+		engines += place_engine_of(p, map_at(p->endpoints, i)) != NULL;
+	scaled = (uint32_t)engines * LOADS_PER_NINE / 9;
 	return scaled > p->options.adapter_loads ? scaled
 						 : p->options.adapter_loads;
 }
@@ -206,120 +213,81 @@
 	return false;
 }
 
-/* Take one entry of a list of what is loaded. */
+/* Take one entry of a list of what is loaded, or on its way. */
 static void
-merge_loaded(
-    struct place *p, struct place_endpoint *e, const struct gw_loaded *loaded)
+merge_loaded(struct place *p, struct place_endpoint *e,
+    const struct gw_loaded *loaded, enum adapter_state state)
 {
 	char *key = place_adapter_key(loaded->model, loaded->adapter);
 	struct place_adapter *a = place_adapter_find(e, key);
 
 	if (a == NULL) {
-		a = place_adapter_add(e, loaded->model, loaded->adapter,
-		    ADAPTER_LOADED, p->now_us);
-		a->version = loaded->version;
-		e->changed = true;
-	} else if (a->state == ADAPTER_LOADED &&
-	    a->version != loaded->version &&
-	    p->now_us > a->since_us + SETTLED_US) {
-		a->version = loaded->version;
+		a = place_adapter_add(
+		    e, loaded->model, loaded->adapter, state, p->now_us);
 		e->changed = true;
-	} else if (a->state == ADAPTER_WANTED && !a->replacing &&
-	    loaded->version >= a->wanted_version) {
-		a->state = ADAPTER_LOADED;
-		a->version = loaded->version;
+	} else if (a->state != state) {
+		place_adapter_load_over(p, a);
+		a->state = state;
+		a->replacing = false;
 		a->since_us = p->now_us;
 		e->changed = true;
 	}
+	if (a->version != loaded->version)
+		e->changed = true;
+	a->version = loaded->version;
+	if (state == ADAPTER_LOADING)
+		a->ready_us = p->now_us + PENDING_US;
 	free(key);
 }
 
-/* What has long been loaded and is not listed is gone. */
+/* What is not listed is not there; what is only wanted stays so. */
 static void
-merge_missing(struct place *p, struct place_endpoint *e,
-    const struct gw_loaded *list, size_t n)
+drop_unlisted(struct place *p, struct place_endpoint *e,
+    const struct gw_loaded *loaded, size_t nloaded,
+    const struct gw_loaded *pending, size_t npending)
 {
 	struct place_adapter *a;
 	size_t i = map_count(e->adapters);
 
 	while (i-- > 0) {
 		a = map_at(e->adapters, i);
-		if (a->state != ADAPTER_LOADED || a->running > 0 ||
-		    p->now_us < a->since_us + SETTLED_US || lists(list, n, a))
+		if (lists(loaded, nloaded, a) || lists(pending, npending, a) ||
+		    (a->state == ADAPTER_WANTED && !a->replacing))
 			continue;
-		place_adapter_remove(p, e, a, false);
+		if (a->waiting > 0 && a->adapter != NULL) {
+			place_adapter_load_over(p, a);
+			a->replacing = false;
+			a->state = ADAPTER_WANTED;
+		} else {
+			place_adapter_remove(p, e, a, false);
+		}
 		e->changed = true;
 	}
 }
 
+/*
+ * An announcement may be seconds late and lags anyway, so its list counts only
+ * until this placer gives the endpoint its first order; from then on the
+ * account follows the orders, and reports where these are in doubt.
+ */
 void
 place_adapter_merge(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a)
 {
-	size_t i;
-
-	for (i = 0; i < a->nloaded; i++)
-		merge_loaded(p, e, &a->loaded[i]);
-	merge_missing(p, e, a->loaded, a->nloaded);
+	if (e->ordered)
+		return;
+	place_adapter_replace(p, e, a);
 }
 
 void
 place_adapter_replace(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a)
 {
-	struct place_adapter *known;
-	size_t i = map_count(e->adapters);
+	size_t i;
 
-	while (i-- > 0) {
-		known = map_at(e->adapters, i);
-		if (!lists(a->loaded, a->nloaded, known))
-			place_adapter_remove(p, e, known, false);
-	}
+	drop_unlisted(p, e, a->loaded, a->nloaded, NULL, 0);
 	for (i = 0; i < a->nloaded; i++)
-		merge_loaded(p, e, &a->loaded[i]);
-	for (i = 0; i < map_count(e->adapters); i++) {
-		known = map_at(e->adapters, i);
-		known->state = ADAPTER_LOADED;
-	}
-}
-
-/* Is it on its way though this placer has not ordered it? */
-static void
-merge_pending(
-    struct place *p, struct place_endpoint *e, const struct gw_loaded *pending)
-{
-	char *key = place_adapter_key(pending->model, pending->adapter);
-	struct place_adapter *a = place_adapter_find(e, key);
-
-	if (a == NULL || a->state == ADAPTER_WANTED) {
-		if (a == NULL)
-			a = place_adapter_add(e, pending->model,
-			    pending->adapter, ADAPTER_LOADING, p->now_us);
-		a->state = ADAPTER_LOADING;
-		a->version = pending->version;
-		a->ready_us =
-		    p->now_us + p->options.adapter_load_ms * US_PER_MS;
-	}
-	free(key);
-}
-
-/* A list that says that some order was not carried out after all. */
-static void
-forget_orders(
-    struct place *p, struct place_endpoint *e, const struct gw_report *report)
-{
-	struct place_adapter *a;
-	size_t i = map_count(e->adapters);
-
-	while (i-- > 0) {
-		a = map_at(e->adapters, i);
-		if (!is_on_its_way(a) ||
-		    lists(report->loaded, report->nloaded, a) ||
-		    lists(report->pending, report->npending, a) || report->busy)
-			continue;
-		place_adapter_load_over(p, a);
-		a->state = ADAPTER_WANTED;
-	}
+		merge_loaded(p, e, &a->loaded[i], ADAPTER_LOADED);
 }
 
 #define REPORT_AGAIN_US (500 * US_PER_MS)
@@ -341,12 +309,12 @@
 		e->quiet_until_us = now_us + REPORT_AGAIN_US;
 		return;
 	}
+	drop_unlisted(p, e, report->loaded, report->nloaded, report->pending,
+	    report->npending);
 	for (i = 0; i < report->nloaded; i++)
-		merge_loaded(p, e, &report->loaded[i]);
+		merge_loaded(p, e, &report->loaded[i], ADAPTER_LOADED);
 	for (i = 0; i < report->npending; i++)
-		merge_pending(p, e, &report->pending[i]);
-	merge_missing(p, e, report->loaded, report->nloaded);
-	forget_orders(p, e, report);
+		merge_loaded(p, e, &report->pending[i], ADAPTER_LOADING);
 	e->orders = report->orders;
 	e->orders_known = true;
 	if (report->busy)
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -424,8 +424,11 @@
 	adapter->used_us = p->now_us;
 }
 
-/* The endpoint lacks what the placer thought it had. */
-#define LACKING_AGAIN_US (40 * US_PER_MS)
+/*
+ * The endpoint lacks what the placer thought it had: it may still be on its
+ * way, or gone. Nothing more is sent for it there until a report has told.
+ */
+#define LACKING_US (600 * US_PER_MS)
 
 static void
 note_lacking(struct place *p, struct place_ask *a)
@@ -434,17 +437,12 @@
 	struct place_adapter *adapter =
 	    a->key == NULL ? NULL : place_adapter_find(e, a->key);
 
-	if (adapter == NULL)
+	e->orders_known = false;
+	e->doubted = true;
+	if (adapter == NULL || adapter->state != ADAPTER_LOADED)
 		return;
-	if (adapter->state == ADAPTER_LOADED &&
-	    p->now_us < adapter->since_us + 20 * LACKING_AGAIN_US) {
-		/* Not there yet, most likely: it was loading just now. */
-		adapter->state = ADAPTER_LOADING;
-		adapter->ready_us = p->now_us + LACKING_AGAIN_US;
-		return;
-	}
-	e->orders_known = false; /* a report will tell what it holds */
-	place_adapter_remove(p, e, adapter, false);
+	adapter->state = ADAPTER_LOADING;
+	adapter->ready_us = p->now_us + LACKING_US;
 }
 
 void
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -13,6 +13,8 @@
 /* Adapters that an engine unloaded lately and loads fast again. */
 #define PLACE_LATELY_MAX    24u
 #define PLACE_LATELY_FACTOR 10u
+/* Adapters on their way to one engine at a time; it refuses more. */
+#define PLACE_TRANSIT_MAX 4u
 /* Cached prompt parts that are remembered of an engine. */
 #define PLACE_PARTS_MAX 512u
 #define PLACE_BUCKETS	10u
@@ -72,6 +74,9 @@
 	char *order_key; /* what it is about; NULL: a report */
 	bool order_unloads;
 	uint64_t quiet_until_us; /* no order and no report before */
+	uint64_t accepted_us; /* the last order that it took */
+	bool ordered; /* this placer has given it an order */
+	bool doubted; /* a report is wanted also without an order to give */
 	bool fenced; /* a newer holder has been seen */
 };
 
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -84,9 +84,12 @@
 unload_result(struct place *p, struct place_endpoint *e,
     struct place_adapter *a, enum gw_order_result result)
 {
-	if (result == GW_ORDER_DONE || result == GW_ORDER_STARTED) {
+	if (result == GW_ORDER_DONE) {
 		place_adapter_remove(p, e, a, true);
 		place_note_change(p, e->id, false);
+	} else if (result == GW_ORDER_STARTED) {
+		e->orders_known = false; /* it ends with its last run */
+		e->doubted = true;
 	} else {
 		set_state(p, e, a, ADAPTER_LOADED);
 	}
@@ -100,8 +103,10 @@
 	switch (result) {
 	case GW_ORDER_STARTED:
 		e->orders++;
+		e->accepted_us = p->now_us;
 		break;
 	case GW_ORDER_DONE:
+		e->accepted_us = p->now_us;
 		if (e->order_unloads)
 			e->orders++;
 		else
@@ -160,7 +165,7 @@
 	d->order.version = unload ? 0 : a->wanted_version;
 	d->order.expected = e->orders;
 	d->order.expect = true;
-	e->ordering = true;
+	e->ordering = e->ordered = true;
 	e->order_unloads = unload;
 	free(e->order_key);
 	e->order_key = mem_string(a->key);
@@ -181,6 +186,7 @@
 	d->endpoint = e->id;
 	d->address = e->address;
 	e->ordering = true;
+	e->doubted = false;
 	free(e->order_key);
 	e->order_key = NULL;
 	p->totals.reports++;
@@ -235,12 +241,29 @@
 	return n;
 }
 
+static size_t
+in_transit(const struct place_endpoint *e)
+{
+	const struct place_adapter *a;
+	size_t i, n = 0;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		n += a->adapter != NULL &&
+		    (a->state == ADAPTER_ORDERED ||
+			a->state == ADAPTER_LOADING);
+	}
+	return n;
+}
+
 static void
 order_adapter(struct place *p, struct place_endpoint *e,
     struct place_adapter *a, const struct gw_engine *engine)
 {
 	struct place_adapter *out;
 
+	if (in_transit(e) >= PLACE_TRANSIT_MAX)
+		return;
 	if (!a->replacing && taken(e) >= engine->adapter_slots) {
 		out = victim(e);
 		if (out != NULL)
@@ -362,14 +385,18 @@
 		return;
 	want_weights(p, e, engine);
 	a = first_wanted(e);
-	if (a == NULL)
+	if (a == NULL && !e->doubted)
 		return;
 	if (p->now_us < e->quiet_until_us) {
 		place_wake(p, e->quiet_until_us);
 		return;
 	}
-	if (!e->orders_known)
+	if (!e->orders_known && p->now_us < e->accepted_us + REPORT_LAG_US)
+		place_wake(p, e->accepted_us + REPORT_LAG_US);
+	else if (!e->orders_known)
 		ask_report(p, e);
+	else if (a == NULL)
+		e->doubted = false;
 	else if (a->adapter == NULL)
 		order_weights(p, e, a, engine);
 	else
