place: eviction by demand, loads by how many wait, estimates with the queue of loads

Change: demand that halves in 6 s decides what is unloaded and what an eviction costs; the most waited-for load is first; waiting loads count in the estimate only.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -307,6 +307,8 @@
 		return;
 	}
 	waiting_add(p, a);
+	if (a->key != NULL)
+		place_demand_note(p, a->key);
 	place_wake(p, 0);
 }
 
@@ -415,7 +417,8 @@
 	}
 }
 
-#define SWEEP_US (200 * US_PER_MS)
+#define SWEEP_US	(200 * US_PER_MS)
+#define DEMAND_SWEEP_US (5000 * US_PER_MS)
 
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
@@ -426,6 +429,10 @@
 	p->next_us = now_us + SWEEP_US;
 	place_endpoint_sweep(p);
 	sweep_asks(p);
+	if (now_us >= p->demand_us) {
+		p->demand_us = now_us + DEMAND_SWEEP_US;
+		place_demand_sweep(p);
+	}
 	for (a = p->waiting; a != NULL; a = next) {
 		next = a->next;
 		ask_place(p, a, may_order);
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -161,18 +161,61 @@
 						 : p->options.adapter_loads;
 }
 
+/* How much would be lost with it? A hot one with several copies less. */
+static double
+worth_of(const struct place *p, const struct place_adapter *a)
+{
+	const struct place_endpoint *e;
+	size_t i, copies = 0;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		copies += place_adapter_find(e, a->key) != NULL;
+	}
+	return place_demand_of(p, a->key) / (double)(copies == 0 ? 1 : copies);
+}
+
+struct place_adapter *
+place_adapter_victim(const struct place *p, const struct place_endpoint *e)
+{
+	struct place_adapter *a, *best = NULL;
+	double worth, least = 0;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (!is_evictable(a))
+			continue;
+		worth = worth_of(p, a);
+		if (best == NULL || worth < least ||
+		    (worth == least && a->used_us < best->used_us)) {
+			best = a;
+			least = worth;
+		}
+	}
+	return best;
+}
+
 uint32_t
 place_adapter_load_ms(
     const struct place *p, const struct place_endpoint *e, const char *key)
 {
 	uint32_t ms = p->options.adapter_load_ms;
+
+	return place_adapter_was_lately(e, key) ? ms / PLACE_LATELY_FACTOR : ms;
+}
+
+uint32_t
+place_adapter_wait_ms(
+    const struct place *p, const struct place_endpoint *e, const char *key)
+{
+	uint32_t ms = p->options.adapter_load_ms;
 	uint32_t most = place_adapter_loads_at_once(p);
+	uint32_t queue = p->loading + p->queued_loads;
 
-	if (place_adapter_was_lately(e, key))
-		return ms / PLACE_LATELY_FACTOR;
-	/* Further ones wait for their turn. */
-	return p->loading < most ? ms
-				 : ms + ms * (p->loading - most + 1) / most;
+	if (place_adapter_was_lately(e, key) || queue < most)
+		return place_adapter_load_ms(p, e, key);
+	return ms + ms * (queue - most + 1) / most;
 }
 
 void
@@ -194,7 +237,7 @@
 	}
 	a->wanted_version = version;
 	a->ready_us = p->now_us +
-	    (uint64_t)place_adapter_load_ms(p, e, ask->key) * US_PER_MS;
+	    (uint64_t)place_adapter_wait_ms(p, e, ask->key) * US_PER_MS;
 }
 
 /* ---- announcements and reports ------------------------------------------ */
--- /dev/null
+++ b/src/place/place_demand.c
@@ -0,0 +1,56 @@
+#include <math.h>
+#include <stdlib.h>
+
+#include "place/place_internal.h"
+#include "util/mem.h"
+
+/*
+ * What is asked for lately, over all engines. A count that halves with time
+ * tells a hot adapter, which is worth its place though nobody runs on it at
+ * the moment, from one of the long tail that was asked for once.
+ */
+#define HALF_LIFE_US 6e6
+#define FORGET_BELOW 0.02
+
+static double
+decayed(const struct place *p, const struct place_demand *d)
+{
+	return d->count * exp2(-(double)(p->now_us - d->at_us) / HALF_LIFE_US);
+}
+
+void
+place_demand_note(struct place *p, const char *key)
+{
+	struct place_demand *d = map_get_str(p->demand, key);
+
+	if (d == NULL) {
+		d = mem_alloc(1, sizeof(*d));
+		(void)map_set_str(p->demand, key, d);
+	} else {
+		d->count = decayed(p, d);
+	}
+	d->count += 1;
+	d->at_us = p->now_us;
+}
+
+double
+place_demand_of(const struct place *p, const char *key)
+{
+	const struct place_demand *d = map_get_str(p->demand, key);
+
+	return d == NULL ? 0 : decayed(p, d);
+}
+
+void
+place_demand_sweep(struct place *p)
+{
+	struct place_demand *d;
+	size_t i = map_count(p->demand);
+
+	while (i-- > 0) {
+		d = map_at(p->demand, i);
+		if (decayed(p, d) < FORGET_BELOW)
+			free(map_remove_str(
+			    p->demand, map_key_at(p->demand, i, NULL)));
+	}
+}
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -21,6 +21,9 @@
 /* A load takes a place in the store and drops what is used by others. */
 #define COLD_COST_MS 120.0
 #define WARM_COST_MS 15.0
+/* Each late request for an adapter that is unloaded, and at most. */
+#define VICTIM_COST_MS 20.0
+#define VICTIM_MOST_MS 200.0
 /* Another data centre costs a little latency and traffic. */
 #define APART_COST_MS 2.0
 /* Each sequence of a batch slows its steps. */
@@ -139,6 +142,23 @@
 	    mean_us * STUCK_FACTOR + (double)STUCK_US;
 }
 
+/* What the adapter that makes room is worth to others. */
+static double
+victim_cost(const struct place *p, const struct place_endpoint *e)
+{
+	const struct gw_engine *engine = place_engine_of(p, e);
+	const struct place_adapter *victim;
+	double demand;
+
+	if (place_adapter_count(e) < engine->adapter_slots)
+		return 0;
+	victim = place_adapter_victim(p, e);
+	if (victim == NULL)
+		return 0;
+	demand = place_demand_of(p, victim->key) * VICTIM_COST_MS;
+	return demand < VICTIM_MOST_MS ? demand : VICTIM_MOST_MS;
+}
+
 /* Time until the adapter is there; false: it can't be. */
 static bool
 adapter_ms(const struct place *p, const struct place_endpoint *e,
@@ -161,10 +181,11 @@
 	    (adapter != NULL && adapter->state != ADAPTER_LOADED) ||
 	    (adapter == NULL && !place_adapter_has_room(p, e)))
 		return false;
-	*ms = place_adapter_load_ms(p, e, a->key);
+	*ms = place_adapter_wait_ms(p, e, a->key);
 	out->needs_load = true;
 	out->cost +=
 	    place_adapter_was_lately(e, a->key) ? WARM_COST_MS : COLD_COST_MS;
+	out->cost += victim_cost(p, e);
 	return true;
 }
 
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -112,6 +112,12 @@
 	uint32_t requests[PLACE_BUCKETS], repeats[PLACE_BUCKETS];
 };
 
+/* How often an adapter was asked for lately; halves with time. */
+struct place_demand {
+	double count;
+	uint64_t at_us;
+};
+
 struct place_change {
 	char *id;
 	bool gone;
@@ -127,8 +133,9 @@
 	size_t nwaiting;
 	struct map *versions; /* by key */
 	struct map *budgets; /* by service */
-	struct map *demand; /* by model: its weight of late requests */
+	struct map *demand; /* struct place_demand by key */
 	uint32_t loading; /* adapters on their way from the store */
+	uint32_t queued_loads; /* adapters that wait for the store */
 	double weight_permits; /* loads of weights that may begin */
 	uint64_t permits_us; /* as of */
 	uint32_t weights_loading;
@@ -137,6 +144,7 @@
 	struct place_change *changes;
 	size_t nchanges, changes_cap;
 	char *last_change; /* id handed out by place_take_change() */
+	uint64_t demand_us; /* next sweep */
 	uint64_t next_us;
 	uint64_t now_us;
 	struct place_totals totals;
@@ -177,13 +185,20 @@
 /* Could one more be loaded there, after others are unloaded? */
 bool place_adapter_has_room(
     const struct place *p, const struct place_endpoint *e);
-/* Estimated time of a load that is ordered now, in ms. */
+/* Time of a load that begins now, and with those before it, in ms. */
 uint32_t place_adapter_load_ms(
     const struct place *p, const struct place_endpoint *e, const char *key);
+uint32_t place_adapter_wait_ms(
+    const struct place *p, const struct place_endpoint *e, const char *key);
 /* At once and at full speed, over all endpoints. */
 uint32_t place_adapter_loads_at_once(const struct place *p);
+/* Places that are taken, by what is there or on its way. */
+size_t place_adapter_count(const struct place_endpoint *e);
 /* A load is over: its share of the store is free again. */
 void place_adapter_load_over(struct place *p, struct place_adapter *a);
+/* The one to unload for another; NULL: all are needed now. */
+struct place_adapter *place_adapter_victim(
+    const struct place *p, const struct place_endpoint *e);
 void place_adapter_want(
     struct place *p, struct place_endpoint *e, const struct place_ask *ask);
 void place_adapter_run(struct place *p, bool may_order);
@@ -195,6 +210,11 @@
 const struct gw_engine *place_engine_of(
     const struct place *p, const struct place_endpoint *e);
 
+/* ---- place_demand.c ---- */
+void place_demand_note(struct place *p, const char *key);
+double place_demand_of(const struct place *p, const char *key);
+void place_demand_sweep(struct place *p);
+
 /* ---- place_engine.c ---- */
 /* Place a model request: a grant, a wait for an adapter, or nothing. */
 void place_engine_place(struct place *p, struct place_ask *a, bool may_order);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -192,43 +192,36 @@
 	p->totals.reports++;
 }
 
-/* The adapter that waits longest for its load, or the weights. */
-static struct place_adapter *
-first_wanted(const struct place_endpoint *e)
+/*
+ * Weights first; then what most requests wait for, then what is oldest.
+ */
+static bool
+is_before(const struct place_adapter *a, const struct place_adapter *b)
 {
-	struct place_adapter *a, *best = NULL;
-	size_t i;
-
-	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		if (a->state == ADAPTER_WANTED &&
-		    (best == NULL || a->since_us < best->since_us))
-			best = a;
-	}
-	return best;
+	if ((a->adapter == NULL) != (b->adapter == NULL))
+		return a->adapter == NULL;
+	if (a->waiting != b->waiting)
+		return a->waiting > b->waiting;
+	return a->since_us < b->since_us;
 }
 
-/* The one that was used longest ago, of those that nobody needs. */
 static struct place_adapter *
-victim(const struct place_endpoint *e)
+first_wanted(const struct place_endpoint *e)
 {
 	struct place_adapter *a, *best = NULL;
 	size_t i;
 
 	for (i = 0; i < map_count(e->adapters); i++) {
 		a = map_at(e->adapters, i);
-		if (a->adapter == NULL || a->state != ADAPTER_LOADED ||
-		    a->running > 0 || a->waiting > 0)
-			continue;
-		if (best == NULL || a->used_us < best->used_us)
+		if (a->state == ADAPTER_WANTED &&
+		    (best == NULL || is_before(a, best)))
 			best = a;
 	}
 	return best;
 }
 
-/* Places that are taken, by what is there or on its way. */
-static size_t
-taken(const struct place_endpoint *e)
+size_t
+place_adapter_count(const struct place_endpoint *e)
 {
 	const struct place_adapter *a;
 	size_t i, n = 0;
@@ -264,8 +257,8 @@
 
 	if (in_transit(e) >= PLACE_TRANSIT_MAX)
 		return;
-	if (!a->replacing && taken(e) >= engine->adapter_slots) {
-		out = victim(e);
+	if (!a->replacing && place_adapter_count(e) >= engine->adapter_slots) {
+		out = place_adapter_victim(p, e);
 		if (out != NULL)
 			give(p, e, out, true);
 		return;
@@ -403,16 +396,64 @@
 		order_adapter(p, e, a, engine);
 }
 
-void
-place_adapter_run(struct place *p, bool may_order)
+/* An endpoint and what it would be ordered next. */
+struct turn {
+	struct place_endpoint *endpoint;
+	const struct place_adapter *wanted; /* NULL: nothing */
+};
+
+static int
+compare_turns(const void *a, const void *b)
 {
-	struct place_endpoint *e;
-	size_t i;
+	const struct turn *x = a, *y = b;
+
+	if (x->wanted == NULL || y->wanted == NULL)
+		return (x->wanted == NULL) - (y->wanted == NULL);
+	if (is_before(x->wanted, y->wanted))
+		return -1;
+	return is_before(y->wanted, x->wanted) ? 1 : 0;
+}
+
+/* Loads from the store that have not begun. */
+static uint32_t
+count_queued(const struct place *p)
+{
+	const struct place_endpoint *e;
+	const struct place_adapter *a;
+	uint32_t n = 0;
+	size_t i, k;
 
 	for (i = 0; i < map_count(p->endpoints); i++) {
 		e = map_at(p->endpoints, i);
-		settle(p, e);
-		if (may_order)
-			order_next(p, e);
+		for (k = 0; k < map_count(e->adapters); k++) {
+			a = map_at(e->adapters, k);
+			n += a->state == ADAPTER_WANTED && a->adapter != NULL &&
+			    !place_adapter_was_lately(e, a->key);
+		}
+	}
+	return n;
+}
+
+/*
+ * The store bears few loads at once, so that it matters whose comes first: the
+ * one that most requests wait for, over all endpoints.
+ */
+void
+place_adapter_run(struct place *p, bool may_order)
+{
+	size_t i, n = map_count(p->endpoints);
+	struct turn *turns = mem_alloc(n + 1, sizeof(*turns));
+
+	for (i = 0; i < n; i++) {
+		turns[i].endpoint = map_at(p->endpoints, i);
+		settle(p, turns[i].endpoint);
+		turns[i].wanted = first_wanted(turns[i].endpoint);
+	}
+	if (may_order) {
+		qsort(turns, n, sizeof(*turns), compare_turns);
+		for (i = 0; i < n; i++)
+			order_next(p, turns[i].endpoint);
 	}
+	free(turns);
+	p->queued_loads = count_queued(p);
 }
