--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -209,6 +209,20 @@
 	*buf = uv_buf_init(conn->client->input, CLIENT_READ_BYTES);
 }
 
+/*
+ * Did the peer close in order? libuv tells an end of file also where a
+ * connection was reset while bytes were still to be read.
+ */
+static bool
+conn_is_closed_in_order(const struct client_conn *conn)
+{
+	char byte;
+	int fd;
+
+	return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -218,7 +232,8 @@
 		return;
 	if (conn->call != NULL && n > 0)
 		call_input(conn->call, buf->base, (size_t)n);
-	else if (conn->call != NULL && n == UV_EOF)
+	else if (conn->call != NULL && n == UV_EOF &&
+	    conn_is_closed_in_order(conn))
 		call_closed(conn->call);
 	else if (conn->call != NULL)
 		call_broken(conn->call, uv_strerror((int)n));
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -177,6 +177,10 @@
 		node_gate_apply_version(n, command->adapter_version);
 		apply_gate_proposal(n, command);
 		break;
+	case WIRE__COMMAND__BODY_ENDPOINT_LEAVING:
+		node_gate_apply_leaving(n, command->endpoint_leaving);
+		apply_gate_proposal(n, command);
+		break;
 	case WIRE__COMMAND__BODY_CLAIM_CLOCK:
 		claim_apply_clock(n->claims, command->claim_clock->elapsed_ms);
 		break;
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -202,7 +202,7 @@
 void
 node_gate_request(struct node *n, const struct node_request *in)
 {
-	struct gate_caller caller = {n->id, in->request};
+	struct gate_caller caller = {n->id, in->request, false};
 
 	if (n->gate == NULL)
 		return;
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -37,6 +37,7 @@
 struct gate_caller {
 	uint32_t instance;
 	uint64_t call; /* request here, or number of the relayed call there */
+	bool announced; /* an announcement is to be acknowledged */
 };
 
 /* A request of this entry that was asked for. */
@@ -89,6 +90,7 @@
 	uint64_t last_relay;
 	/* the table of endpoints */
 	uint64_t table_term, table_number; /* as last told or taken */
+	uint32_t table_from; /* who told it last */
 	bool table_whole;
 	uint64_t table_us; /* next telling, or asking */
 	bool was_leased;
@@ -117,6 +119,8 @@
 void node_gate_apply_config(
     struct node *n, uint64_t index, const Wire__GatewayConfig *put);
 void node_gate_apply_version(struct node *n, const Wire__AdapterVersion *put);
+void node_gate_apply_leaving(
+    struct node *n, const Wire__EndpointLeaving *leaving);
 void node_gate_save(const struct node *n, Node__Snapshot *out);
 void node_gate_save_free(Node__Snapshot *out);
 void node_gate_restore(struct node *n, const Node__Snapshot *snapshot);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -119,6 +119,18 @@
 	    put->model, put->adapter, put->version);
 }
 
+void
+node_gate_apply_leaving(struct node *n, const Wire__EndpointLeaving *leaving)
+{
+	if (n->gate == NULL)
+		return;
+	place_set_leaving(
+	    n->gate->place, n->now, leaving->id, leaving->born_ms);
+	node_log(n, NODE_LOG_GATE_ENDPOINT,
+	    "{\"endpoint\": \"%s\", \"leaving\": true, \"born\": %llu}",
+	    leaving->id, (unsigned long long)leaving->born_ms);
+}
+
 uint32_t
 node_gate_version(const struct node *n, const char *model, const char *adapter)
 {
@@ -129,6 +141,26 @@
 	return v == NULL ? 0 : v->version;
 }
 
+static void
+save_leaving(const struct node *n, Node__Snapshot *out)
+{
+	const char *id;
+	uint64_t born;
+	size_t i, count = 0;
+
+	while (place_leaving_at(n->gate->place, count, &id, &born))
+		count++;
+	out->n_leaving = count;
+	out->leaving = mem_alloc(count + 1, sizeof(*out->leaving));
+	for (i = 0; i < count; i++) {
+		(void)place_leaving_at(n->gate->place, i, &id, &born);
+		out->leaving[i] = mem_alloc(1, sizeof(**out->leaving));
+		node__leaving__init(out->leaving[i]);
+		out->leaving[i]->id = (char *)id;
+		out->leaving[i]->born_ms = born;
+	}
+}
+
 void
 node_gate_save(const struct node *n, Node__Snapshot *out)
 {
@@ -138,6 +170,7 @@
 
 	if (g == NULL)
 		return;
+	save_leaving(n, out);
 	if (g->config != NULL) {
 		out->config_version = g->config->version;
 		out->config.data = (uint8_t *)g->text.data;
@@ -165,6 +198,11 @@
 	free(out->versions);
 	out->versions = NULL;
 	out->n_versions = 0;
+	for (i = 0; i < out->n_leaving; i++)
+		free(out->leaving[i]);
+	free(out->leaving);
+	out->leaving = NULL;
+	out->n_leaving = 0;
 }
 
 void
@@ -180,6 +218,9 @@
 		set_version(n, snapshot->versions[i]->model,
 		    snapshot->versions[i]->adapter,
 		    snapshot->versions[i]->version);
+	for (i = 0; i < snapshot->n_leaving; i++)
+		place_set_leaving(n->gate->place, n->now,
+		    snapshot->leaving[i]->id, snapshot->leaving[i]->born_ms);
 	if (snapshot->config_version == 0 ||
 	    (n->gate->config != NULL &&
 		snapshot->config_version <= n->gate->config->version))
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -61,6 +61,17 @@
 		    reason == NULL ? "" : reason);
 }
 
+/* An announcement was taken; later ones may come here at once. */
+static void
+acknowledge(struct node *n, const struct gate_caller *caller)
+{
+	struct node_reply reply = {0};
+
+	n->gate->codec->write_announced(
+	    &reply, n->settings->gateway.control, n->fx);
+	answer(n, caller, &reply);
+}
+
 /* ---- changes ------------------------------------------------------------ */
 
 static void
@@ -84,7 +95,9 @@
 	if (n->gate == NULL)
 		return;
 	caller = map_remove_u64(n->gate->callers, proposal);
-	if (caller != NULL)
+	if (caller != NULL && caller->announced)
+		acknowledge(n, caller);
+	else if (caller != NULL)
 		answer_result(n, caller, 200, NULL);
 	free(caller);
 }
@@ -185,12 +198,30 @@
 
 /* ---- endpoints ---------------------------------------------------------- */
 
+/*
+ * That a process leaves is in the log before it is acknowledged: no placer
+ * after this one gives it work, though it hears nothing of it any more.
+ */
+static void
+propose_leaving(struct node *n, const char *id, uint64_t born_ms,
+    const struct gate_caller *caller)
+{
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__EndpointLeaving leaving = WIRE__ENDPOINT_LEAVING__INIT;
+
+	leaving.id = (char *)id;
+	leaving.born_ms = born_ms;
+	command.body_case = WIRE__COMMAND__BODY_ENDPOINT_LEAVING;
+	command.endpoint_leaving = &leaving;
+	propose(n, caller, &command);
+}
+
 static void
 announce(struct node *n, const struct gw_call *call,
     const struct gate_caller *caller)
 {
 	const struct gw_announcement *a = &call->announcement;
-	struct node_reply reply = {0};
+	struct gate_caller waits = *caller;
 	enum place_news news = place_announce(n->gate->place, n->now, a, true);
 
 	if (news == PLACE_NEWS_CHANGED)
@@ -201,19 +232,27 @@
 		    a->id, a->service, a->address,
 		    a->leaving ? "true" : "false",
 		    (unsigned long long)a->sequence, a->nloaded);
-	n->gate->codec->write_announced(
-	    &reply, n->settings->gateway.control, n->fx);
-	answer(n, caller, &reply);
+	waits.announced = true;
+	if (a->leaving && !place_is_leaving(n->gate->place, a->id, a->born_ms))
+		propose_leaving(n, a->id, a->born_ms, &waits);
+	else
+		acknowledge(n, caller);
 }
 
+/* One that leaves without a word goes on for a while, but gets no new work. */
 static void
 leave(struct node *n, const struct gw_call *call,
     const struct gate_caller *caller)
 {
-	if (place_leave(n->gate->place, n->now, call->endpoint))
-		node_log(n, NODE_LOG_GATE_ENDPOINT,
-		    "{\"endpoint\": \"%s\", \"gone\": true}", call->endpoint);
-	answer_result(n, caller, 200, NULL);
+	uint64_t born = 0;
+	bool known = place_born(n->gate->place, call->endpoint, &born);
+	bool told = place_is_leaving(n->gate->place, call->endpoint, born);
+
+	(void)place_leave(n->gate->place, n->now, call->endpoint);
+	if (known && !told)
+		propose_leaving(n, call->endpoint, born, caller);
+	else
+		answer_result(n, caller, 200, NULL);
 }
 
 /* ---- the leader's part -------------------------------------------------- */
@@ -294,7 +333,7 @@
 gate_relay_receive(
     struct node *n, uint32_t from, const Wire__CallRelay *message)
 {
-	struct gate_caller caller = {from, message->call};
+	struct gate_caller caller = {from, message->call, false};
 	struct node_request in = {0};
 
 	in.listener = (enum node_listener)message->listener;
@@ -331,7 +370,7 @@
 void
 gate_relay_tick(struct node *n)
 {
-	struct gate_caller caller = {n->id, 0};
+	struct gate_caller caller = {n->id, 0, false};
 	struct gate_relay *kept;
 	size_t i = map_count(n->gate->relays);
 
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -395,8 +395,7 @@
 	    "\"what\": \"%s\", \"status\": %d, "
 	    "\"fence\": %llu, \"tookMs\": %llu}",
 	    kept->endpoint, kept->unloads ? "unload" : "load", kept->what,
-	    kept->status,
-	    (unsigned long long)n->gate->term,
+	    kept->status, (unsigned long long)n->gate->term,
 	    (unsigned long long)((n->now - kept->given_us) / 1000));
 	place_ordered(n->gate->place, n->now, kept->endpoint, result,
 	    phase == NODE_CALL_BROKEN);
@@ -428,6 +427,32 @@
 
 /* ---- who places --------------------------------------------------------- */
 
+/* Clocks differ, and the last word of the placer before may be this old. */
+#define ORDER_MARGIN_US (200 * 1000ULL)
+
+/*
+ * When this placer may give its first order: its predecessor's last one must
+ * be older than the endpoints' lease. A predecessor gives orders under its
+ * authority alone, which has ended by now. Where endpoints refuse its fence by
+ * themselves, it is enough that it has been silent for so long: it told its
+ * table up to its end to all that it reached.
+ */
+static uint64_t
+order_after(const struct node *n)
+{
+	uint64_t lease_us =
+	    (uint64_t)n->settings->gateway.order_lease_ms * 1000 +
+	    ORDER_MARGIN_US;
+	const struct node_peer *before;
+
+	if (n->gate->table_from == 0)
+		return n->now; /* there was none */
+	before = map_get_u64(n->peers, n->gate->table_from);
+	if (!n->settings->gateway.fenced || before == NULL)
+		return n->now + lease_us;
+	return before->heard_us + lease_us;
+}
+
 /* Begin to place, as the leader of a term. */
 static void
 begin_placing(struct node *n)
@@ -439,12 +464,7 @@
 	g->term = g->table_term = raft_get_term(n->raft);
 	g->table_number = 0;
 	g->table_us = 0;
-	/*
-	 * Endpoints that check fences refuse the leader before by themselves;
-	 * for the others its last order is older than this once it is over.
-	 */
-	g->order_after_us =
-	    n->now + (s->fenced ? 0 : (uint64_t)s->order_lease_ms * 1000);
+	g->order_after_us = order_after(n);
 	place_set_heartbeat(g->place, s->heartbeat_ms);
 	place_reset(g->place, n->now);
 	node_log(n, NODE_LOG_GATE_PLACER,
--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -232,6 +232,7 @@
 	}
 	for (i = 0; i < table->n_endpoints; i++)
 		take_info(n, table->endpoints[i]);
+	g->table_from = from;
 	g->table_term = table->term;
 	g->table_number = table->number;
 	g->table_whole = true;
--- a/src/node/snapshot.pb-c.c
+++ b/src/node/snapshot.pb-c.c
@@ -97,7 +97,52 @@
   assert(message->base.descriptor == &node__version__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[8] =
+void   node__leaving__init
+                     (Node__Leaving         *message)
+{
+  static const Node__Leaving init_value = NODE__LEAVING__INIT;
+  *message = init_value;
+}
+size_t node__leaving__get_packed_size
+                     (const Node__Leaving *message)
+{
+  assert(message->base.descriptor == &node__leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__leaving__pack
+                     (const Node__Leaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__leaving__pack_to_buffer
+                     (const Node__Leaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__Leaving *
+       node__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__Leaving *)
+     protobuf_c_message_unpack (&node__leaving__descriptor,
+                                allocator, len, data);
+}
+void   node__leaving__free_unpacked
+                     (Node__Leaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[9] =
 {
   {
     "index",
@@ -195,6 +240,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Snapshot, n_leaving),
+    offsetof(Node__Snapshot, leaving),
+    &node__leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = book */
@@ -202,6 +259,7 @@
   6,   /* field[6] = config */
   5,   /* field[5] = config_version */
   0,   /* field[0] = index */
+  8,   /* field[8] = leaving */
   1,   /* field[1] = term */
   7,   /* field[7] = versions */
   2,   /* field[2] = view */
@@ -209,7 +267,7 @@
 static const ProtobufCIntRange node__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor node__snapshot__descriptor =
 {
@@ -219,7 +277,7 @@
   "Node__Snapshot",
   "node",
   sizeof(Node__Snapshot),
-  8,
+  9,
   node__snapshot__field_descriptors,
   node__snapshot__field_indices_by_name,
   1,  node__snapshot__number_ranges,
@@ -290,3 +348,54 @@
   (ProtobufCMessageInit) node__version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor node__leaving__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__Leaving, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Leaving, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__leaving__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange node__leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor node__leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.Leaving",
+  "Leaving",
+  "Node__Leaving",
+  "node",
+  sizeof(Node__Leaving),
+  2,
+  node__leaving__field_descriptors,
+  node__leaving__field_indices_by_name,
+  1,  node__leaving__number_ranges,
+  (ProtobufCMessageInit) node__leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/node/snapshot.pb-c.h
+++ b/src/node/snapshot.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Node__Snapshot Node__Snapshot;
 typedef struct Node__Version Node__Version;
+typedef struct Node__Leaving Node__Leaving;
 
 
 /* --- enums --- */
@@ -39,10 +40,12 @@
   ProtobufCBinaryData config;
   size_t n_versions;
   Node__Version **versions;
+  size_t n_leaving;
+  Node__Leaving **leaving;
 };
 #define NODE__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__snapshot__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0,NULL }
 
 
 struct  Node__Version
@@ -57,6 +60,17 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+struct  Node__Leaving
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t born_ms;
+};
+#define NODE__LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /* Node__Snapshot methods */
 void   node__snapshot__init
                      (Node__Snapshot         *message);
@@ -95,6 +109,25 @@
 void   node__version__free_unpacked
                      (Node__Version *message,
                       ProtobufCAllocator *allocator);
+/* Node__Leaving methods */
+void   node__leaving__init
+                     (Node__Leaving         *message);
+size_t node__leaving__get_packed_size
+                     (const Node__Leaving   *message);
+size_t node__leaving__pack
+                     (const Node__Leaving   *message,
+                      uint8_t             *out);
+size_t node__leaving__pack_to_buffer
+                     (const Node__Leaving   *message,
+                      ProtobufCBuffer     *buffer);
+Node__Leaving *
+       node__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__leaving__free_unpacked
+                     (Node__Leaving *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Node__Snapshot_Closure)
@@ -103,6 +136,9 @@
 typedef void (*Node__Version_Closure)
                  (const Node__Version *message,
                   void *closure_data);
+typedef void (*Node__Leaving_Closure)
+                 (const Node__Leaving *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -111,6 +147,7 @@
 
 extern const ProtobufCMessageDescriptor node__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor node__version__descriptor;
+extern const ProtobufCMessageDescriptor node__leaving__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -19,6 +19,7 @@
 	p->options = *options;
 	p->endpoints = map_create();
 	p->gone = map_create();
+	p->leaving = map_create();
 	p->asks = map_create();
 	p->versions = map_create();
 	p->budgets = map_create();
@@ -65,6 +66,7 @@
 		place_endpoint_free(map_at(p->endpoints, i));
 	map_destroy(p->endpoints);
 	free_values(p->gone);
+	free_values(p->leaving);
 	free_values(p->versions);
 	free_values(p->budgets);
 	free_values(p->demand);
@@ -80,6 +82,8 @@
 place_configure(struct place *p, const struct gw_config *config)
 {
 	p->config = config;
+	place_endpoint_engines(p);
+	p->freed++;
 	place_wake(p, 0);
 }
 
@@ -242,6 +246,7 @@
 ask_create(const struct place_request *r, uint64_t now_us)
 {
 	struct place_ask *a = mem_alloc(1, sizeof(*a));
+	size_t i;
 
 	a->id = r->id;
 	a->kind = r->kind;
@@ -257,6 +262,8 @@
 	if (a->nparts > 0)
 		memcpy(a->parts, r->parts, a->nparts * sizeof(a->parts[0]));
 	a->asked_us = now_us;
+	for (i = 0; i < a->nparts; i++)
+		a->chains[i] = place_engine_chain(a, i);
 	a->deadline_us = r->deadline_us;
 	a->target_us = r->target_us;
 	a->priority = r->priority;
@@ -269,8 +276,8 @@
 }
 
 /* Refuse and forget; strings of the decision are constants. */
-static void
-ask_refuse(struct place *p, struct place_ask *a, const char *reason,
+void
+place_ask_refuse(struct place *p, struct place_ask *a, const char *reason,
     uint32_t retry_after_ms)
 {
 	struct place_decision *d = place_decide(p, PLACE_REFUSE);
@@ -303,7 +310,7 @@
 	if (!place_budget_take(p, a->service, a->attempt > 0)) {
 		p->totals.repeats_denied++;
 		waiting_add(p, a);
-		ask_refuse(p, a, "retry-budget", 0);
+		place_ask_refuse(p, a, "retry-budget", 0);
 		return;
 	}
 	waiting_add(p, a);
@@ -323,6 +330,7 @@
 	p->now_us = now_us;
 	if (a->granted)
 		place_endpoint_end(p, a, end);
+	p->freed++;
 	place_wake(p, 0);
 	if (end->outcome != PLACE_FIRST_BYTE)
 		ask_drop(p, a);
@@ -372,16 +380,15 @@
 
 /* ---- running ------------------------------------------------------------ */
 
-static void
+static enum placed
 ask_place(struct place *p, struct place_ask *a, bool may_order)
 {
 	const struct gw_service *s =
 	    p->config == NULL ? NULL : gw_config_service(p->config, a->service);
 
 	if (s != NULL && s->has_engine && a->model != NULL)
-		place_engine_place(p, a, may_order);
-	else
-		place_service_place(p, a);
+		return place_engine_place(p, a, may_order);
+	return place_service_place(p, a);
 }
 
 /* What happens to a request that was not granted now. */
@@ -391,10 +398,12 @@
 	struct place_decision *d;
 
 	if (p->now_us >= a->deadline_us) {
-		ask_refuse(p, a, "deadline", 0);
+		place_ask_refuse(p, a, "deadline", 0);
 		return;
 	}
-	place_wake(p, a->deadline_us);
+	place_wake(p,
+	    a->look_us != 0 && a->look_us < a->deadline_us ? a->look_us
+							   : a->deadline_us);
 	if (a->told_waits)
 		return;
 	a->told_waits = true;
@@ -419,27 +428,68 @@
 
 #define SWEEP_US	(200 * US_PER_MS)
 #define DEMAND_SWEEP_US (5000 * US_PER_MS)
+/* Requests that one round looks at; the rest has its turn in the next. */
+#define LOOKED_AT_MAX 48u
+#define LOOK_AGAIN_US (2 * US_PER_MS)
+
+/* What is due by time alone. */
+static void
+sweep(struct place *p)
+{
+	if (p->now_us < p->sweep_us)
+		return;
+	p->sweep_us = p->now_us + SWEEP_US;
+	place_endpoint_sweep(p);
+	sweep_asks(p);
+	if (p->now_us < p->demand_us)
+		return;
+	p->demand_us = p->now_us + DEMAND_SWEEP_US;
+	place_demand_sweep(p);
+}
+
+/*
+ * Is it worth looking at a request again? One that waits for an adapter is
+ * looked at when that is due, any other when something has become free.
+ */
+static bool
+is_due(const struct place *p, const struct place_ask *a)
+{
+	if (p->now_us >= a->deadline_us || a->seen != p->freed)
+		return true;
+	return a->look_us != 0 && p->now_us >= a->look_us;
+}
 
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
 	struct place_ask *a, *next;
+	size_t looked = 0;
 
 	p->now_us = now_us;
 	p->next_us = now_us + SWEEP_US;
-	place_endpoint_sweep(p);
-	sweep_asks(p);
-	if (now_us >= p->demand_us) {
-		p->demand_us = now_us + DEMAND_SWEEP_US;
-		place_demand_sweep(p);
-	}
+	sweep(p);
 	for (a = p->waiting; a != NULL; a = next) {
 		next = a->next;
-		ask_place(p, a, may_order);
-		if (a->granted)
+		if (a->look_us != 0)
+			place_wake(p, a->look_us);
+		if (!is_due(p, a))
+			continue;
+		if (++looked > LOOKED_AT_MAX) {
+			place_wake(p, now_us + LOOK_AGAIN_US);
+			break;
+		}
+		a->seen = p->freed;
+		a->look_us = 0;
+		switch (ask_place(p, a, may_order)) {
+		case PLACED:
 			waiting_remove(p, a);
-		else
+			break;
+		case PLACED_NOT:
 			ask_wait(p, a);
+			break;
+		case PLACED_REFUSED:
+			break;
+		}
 	}
 	place_adapter_run(p, may_order);
 }
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -70,6 +70,21 @@
 /* Between announcements; 0: endpoints are not removed for silence. */
 void place_set_heartbeat(struct place *p, uint32_t heartbeat_ms);
 
+/*
+ * The process of an endpoint that started then leaves, and gets no new work
+ * whatever is announced of it later, nor under another table.
+ */
+void place_set_leaving(
+    struct place *p, uint64_t now_us, const char *id, uint64_t born_ms);
+bool place_is_leaving(const struct place *p, const char *id, uint64_t born_ms);
+
+/* The start of the process known under an id; false: none is known. */
+bool place_born(const struct place *p, const char *id, uint64_t *born_ms);
+
+/* Processes that leave, for saving: the i-th; false past the last. */
+bool place_leaving_at(
+    const struct place *p, size_t i, const char **id, uint64_t *born_ms);
+
 /* An endpoint leaves for good; false: it was not known. */
 bool place_leave(struct place *p, uint64_t now_us, const char *id);
 
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -14,6 +14,8 @@
 /* What a report tells to be on its way is there after so long, or asked again.
  */
 #define PENDING_US (100 * US_PER_MS)
+/* The worth of what would be unloaded next is worked out so often. */
+#define VICTIM_KEPT_US (50 * US_PER_MS)
 /* Loads at once for each nine engines, where that is more than the setting. */
 #define LOADS_PER_NINE 4u
 
@@ -40,8 +42,8 @@
 }
 
 struct place_adapter *
-place_adapter_add(struct place_endpoint *e, const char *model,
-    const char *adapter, enum adapter_state state, uint64_t now_us)
+place_adapter_add(struct place *p, struct place_endpoint *e, const char *model,
+    const char *adapter, enum adapter_state state)
 {
 	struct place_adapter *a = mem_alloc(1, sizeof(*a));
 
@@ -50,8 +52,10 @@
 	if (adapter != NULL && *adapter != '\0')
 		a->adapter = mem_string(adapter);
 	a->state = state;
-	a->since_us = a->used_us = now_us;
+	a->since_us = a->used_us = p->now_us;
 	(void)map_set_str(e->adapters, a->key, a);
+	place_demand_copies(p, a->key, 1);
+	e->victim_us = 0;
 	return a;
 }
 
@@ -89,6 +93,9 @@
 		free(*slot);
 		*slot = mem_string(a->key);
 	}
+	place_demand_copies(p, a->key, -1);
+	e->victim_us = 0;
+	p->freed++;
 	(void)map_remove_str(e->adapters, a->key);
 	free(a->key);
 	free(a->model);
@@ -114,15 +121,6 @@
 	    a->version >= place_version_of(p, a->key);
 }
 
-const struct gw_engine *
-place_engine_of(const struct place *p, const struct place_endpoint *e)
-{
-	const struct gw_service *s =
-	    p->config == NULL ? NULL : gw_config_service(p->config, e->service);
-
-	return s == NULL || !s->has_engine ? NULL : &s->engine;
-}
-
 /* Could it be unloaded without harm to a request? */
 static bool
 is_evictable(const struct place_adapter *a)
@@ -132,9 +130,9 @@
 }
 
 bool
-place_adapter_has_room(const struct place *p, const struct place_endpoint *e)
+place_adapter_has_room(const struct place_endpoint *e)
 {
-	const struct gw_engine *engine = place_engine_of(p, e);
+	const struct gw_engine *engine = e->engine;
 	const struct place_adapter *a;
 	size_t i, taken = 0;
 
@@ -155,26 +153,14 @@
 	uint32_t scaled;
 
 	for (i = 0; i < map_count(p->endpoints); i++)
-		engines += place_engine_of(p, map_at(p->endpoints, i)) != NULL;
+		engines +=
+		    ((const struct place_endpoint *)map_at(p->endpoints, i))
+			->engine != NULL;
 	scaled = (uint32_t)engines * LOADS_PER_NINE / 9;
 	return scaled > p->options.adapter_loads ? scaled
 						 : p->options.adapter_loads;
 }
 
-/* How much would be lost with it? A hot one with several copies less. */
-static double
-worth_of(const struct place *p, const struct place_adapter *a)
-{
-	const struct place_endpoint *e;
-	size_t i, copies = 0;
-
-	for (i = 0; i < map_count(p->endpoints); i++) {
-		e = map_at(p->endpoints, i);
-		copies += place_adapter_find(e, a->key) != NULL;
-	}
-	return place_demand_of(p, a->key) / (double)(copies == 0 ? 1 : copies);
-}
-
 struct place_adapter *
 place_adapter_victim(const struct place *p, const struct place_endpoint *e)
 {
@@ -186,7 +172,7 @@
 		a = map_at(e->adapters, i);
 		if (!is_evictable(a))
 			continue;
-		worth = worth_of(p, a);
+		worth = place_demand_of_copy(p, a->key);
 		if (best == NULL || worth < least ||
 		    (worth == least && a->used_us < best->used_us)) {
 			best = a;
@@ -196,6 +182,35 @@
 	return best;
 }
 
+void
+place_adapter_due(struct place *p, const struct place_endpoint *e,
+    const struct place_adapter *a)
+{
+	struct place_ask *ask;
+
+	for (ask = p->waiting; ask != NULL; ask = ask->next)
+		if (ask->endpoint == e && ask->key != NULL &&
+		    strcmp(ask->key, a->key) == 0)
+			ask->look_us = a->ready_us > PLACE_LEAD_US
+			    ? a->ready_us - PLACE_LEAD_US
+			    : 1;
+	place_wake(p, a->ready_us - PLACE_LEAD_US);
+}
+
+double
+place_adapter_victim_worth(const struct place *p, struct place_endpoint *e)
+{
+	const struct place_adapter *victim;
+
+	if (e->victim_us != 0 && p->now_us < e->victim_us + VICTIM_KEPT_US)
+		return e->victim_worth;
+	victim = place_adapter_victim(p, e);
+	e->victim_us = p->now_us;
+	e->victim_worth =
+	    victim == NULL ? 0 : place_demand_of_copy(p, victim->key);
+	return e->victim_worth;
+}
+
 uint32_t
 place_adapter_load_ms(
     const struct place *p, const struct place_endpoint *e, const char *key)
@@ -227,7 +242,7 @@
 
 	if (a == NULL) {
 		a = place_adapter_add(
-		    e, ask->model, ask->adapter, ADAPTER_WANTED, p->now_us);
+		    p, e, ask->model, ask->adapter, ADAPTER_WANTED);
 	} else if (a->state == ADAPTER_LOADED) {
 		a->replacing = true;
 		a->state = ADAPTER_WANTED;
@@ -266,7 +281,7 @@
 
 	if (a == NULL) {
 		a = place_adapter_add(
-		    e, loaded->model, loaded->adapter, state, p->now_us);
+		    p, e, loaded->model, loaded->adapter, state);
 		e->changed = true;
 	} else if (a->state != state) {
 		place_adapter_load_over(p, a);
--- a/src/place/place_demand.c
+++ b/src/place/place_demand.c
@@ -18,21 +18,46 @@
 	return d->count * exp2(-(double)(p->now_us - d->at_us) / HALF_LIFE_US);
 }
 
+static struct place_demand *
+demand_get(struct place *p, const char *key)
+{
+	struct place_demand *d = map_get_str(p->demand, key);
+
+	if (d != NULL)
+		return d;
+	d = mem_alloc(1, sizeof(*d));
+	d->at_us = p->now_us;
+	(void)map_set_str(p->demand, key, d);
+	return d;
+}
+
 void
 place_demand_note(struct place *p, const char *key)
 {
-	struct place_demand *d = map_get_str(p->demand, key);
+	struct place_demand *d = demand_get(p, key);
 
-	if (d == NULL) {
-		d = mem_alloc(1, sizeof(*d));
-		(void)map_set_str(p->demand, key, d);
-	} else {
-		d->count = decayed(p, d);
-	}
-	d->count += 1;
+	d->count = decayed(p, d) + 1;
 	d->at_us = p->now_us;
 }
 
+void
+place_demand_copies(struct place *p, const char *key, int change)
+{
+	struct place_demand *d = demand_get(p, key);
+
+	d->copies = (uint32_t)((int)d->copies + change);
+}
+
+double
+place_demand_of_copy(const struct place *p, const char *key)
+{
+	const struct place_demand *d = map_get_str(p->demand, key);
+
+	if (d == NULL)
+		return 0;
+	return decayed(p, d) / (d->copies == 0 ? 1 : d->copies);
+}
+
 double
 place_demand_of(const struct place *p, const char *key)
 {
@@ -49,7 +74,7 @@
 
 	while (i-- > 0) {
 		d = map_at(p->demand, i);
-		if (decayed(p, d) < FORGET_BELOW)
+		if (d->copies == 0 && decayed(p, d) < FORGET_BELOW)
 			free(map_remove_str(
 			    p->demand, map_key_at(p->demand, i, NULL)));
 	}
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -100,6 +100,24 @@
 	return e;
 }
 
+static void
+set_engine(const struct place *p, struct place_endpoint *e)
+{
+	const struct gw_service *s =
+	    p->config == NULL ? NULL : gw_config_service(p->config, e->service);
+
+	e->engine = s != NULL && s->has_engine ? &s->engine : NULL;
+}
+
+void
+place_endpoint_engines(struct place *p)
+{
+	size_t i;
+
+	for (i = 0; i < map_count(p->endpoints); i++)
+		set_engine(p, map_at(p->endpoints, i));
+}
+
 static bool
 set_text(char **at, const char *text)
 {
@@ -119,13 +137,71 @@
 	return born == NULL ? 0 : *born;
 }
 
+/*
+ * Processes that left are remembered by id; the oldest of so many is forgotten,
+ * as late announcements come within seconds.
+ */
+#define REMEMBERED_MAX 4096
+
 static void
-note_gone(struct place *p, const struct place_endpoint *e)
+remember(struct map *m, const char *id, uint64_t born_ms)
 {
 	uint64_t *born = mem_alloc(1, sizeof(*born));
 
-	*born = e->born_ms + 1;
-	free(map_set_str(p->gone, e->id, born));
+	if (map_count(m) >= REMEMBERED_MAX)
+		free(map_remove_str(m, map_key_at(m, 0, NULL)));
+	*born = born_ms;
+	free(map_set_str(m, id, born));
+}
+
+void
+place_set_leaving(
+    struct place *p, uint64_t now_us, const char *id, uint64_t born_ms)
+{
+	struct place_endpoint *e = map_get_str(p->endpoints, id);
+
+	p->now_us = now_us;
+	if (!place_is_leaving(p, id, born_ms))
+		remember(p->leaving, id, born_ms);
+	if (e == NULL || e->born_ms > born_ms || e->leaving)
+		return;
+	e->leaving = true;
+	place_note_change(p, id, false);
+}
+
+bool
+place_is_leaving(const struct place *p, const char *id, uint64_t born_ms)
+{
+	const uint64_t *born = map_get_str(p->leaving, id);
+
+	return born != NULL && *born >= born_ms;
+}
+
+bool
+place_born(const struct place *p, const char *id, uint64_t *born_ms)
+{
+	const struct place_endpoint *e = map_get_str(p->endpoints, id);
+
+	if (e != NULL)
+		*born_ms = e->born_ms;
+	return e != NULL;
+}
+
+bool
+place_leaving_at(
+    const struct place *p, size_t i, const char **id, uint64_t *born_ms)
+{
+	if (i >= map_count(p->leaving))
+		return false;
+	*id = map_key_at(p->leaving, i, NULL);
+	*born_ms = *(const uint64_t *)map_at(p->leaving, i);
+	return true;
+}
+
+static void
+note_gone(struct place *p, const struct place_endpoint *e)
+{
+	remember(p->gone, e->id, e->born_ms + 1);
 }
 
 /* Is another endpoint at the address, and does it count instead of this? */
@@ -162,7 +238,7 @@
 {
 	struct place_endpoint *e = map_get_str(p->endpoints, a->id);
 	uint64_t gone = gone_since(p, a->id);
-	bool changed = e == NULL;
+	bool leaving, changed = e == NULL;
 
 	p->now_us = now_us;
 	if (e != NULL && is_old(e, a))
@@ -185,11 +261,14 @@
 	changed |= set_text(&e->service, a->service);
 	changed |= set_text(&e->address, a->address);
 	changed |= set_text(&e->data_centre, a->data_centre);
-	changed |= e->slots != a->slots || e->leaving != a->leaving;
+	leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
+	changed |= e->slots != a->slots || e->leaving != leaving;
 	e->slots = a->slots;
-	e->leaving = a->leaving;
+	e->leaving = leaving;
 	if (a->models_told)
 		place_adapter_merge(p, e, a);
+	set_engine(p, e);
+	p->freed += changed;
 	changed |= e->changed;
 	e->changed = false;
 	if (changed && live)
@@ -218,8 +297,10 @@
 	(void)set_text(&e->address, a->address);
 	(void)set_text(&e->data_centre, a->data_centre);
 	e->slots = a->slots;
-	e->leaving = a->leaving;
+	e->leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
+	set_engine(p, e);
 	place_adapter_replace(p, e, a);
+	p->freed++;
 	place_wake(p, 0);
 }
 
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -32,8 +32,8 @@
 #define STUCK_US      (400 * US_PER_MS)
 #define STUCK_FACTOR  3.0
 #define STUCK_COST_MS 1000.0
-/* A request leaves this early to meet its adapter. */
-#define LEAD_US (1 * US_PER_MS)
+/* A request whose adapter is not yet on its way is looked at again after. */
+#define WANTED_AGAIN_US (50 * US_PER_MS)
 /* Requests between 0, the most urgent, and 9 for the engine. */
 #define URGENCY_BASE 3u
 #define URGENCY_MAX  9u
@@ -83,7 +83,7 @@
 	size_t i;
 
 	for (i = 0; i < a->nparts; i++) {
-		hash = place_engine_chain(a, i);
+		hash = a->chains[i];
 		use = map_get_u64(e->parts, hash);
 		if (use == NULL) {
 			if (map_count(e->parts) >= PLACE_PARTS_MAX)
@@ -103,7 +103,7 @@
 	size_t i;
 
 	for (i = 0; i < a->nparts; i++) {
-		if (map_get_u64(e->parts, place_engine_chain(a, i)) == NULL)
+		if (map_get_u64(e->parts, a->chains[i]) == NULL)
 			break;
 		tokens += a->parts[i].tokens;
 	}
@@ -144,24 +144,19 @@
 
 /* What the adapter that makes room is worth to others. */
 static double
-victim_cost(const struct place *p, const struct place_endpoint *e)
+victim_cost(const struct place *p, struct place_endpoint *e)
 {
-	const struct gw_engine *engine = place_engine_of(p, e);
-	const struct place_adapter *victim;
-	double demand;
+	double cost;
 
-	if (place_adapter_count(e) < engine->adapter_slots)
+	if (place_adapter_count(e) < e->engine->adapter_slots)
 		return 0;
-	victim = place_adapter_victim(p, e);
-	if (victim == NULL)
-		return 0;
-	demand = place_demand_of(p, victim->key) * VICTIM_COST_MS;
-	return demand < VICTIM_MOST_MS ? demand : VICTIM_MOST_MS;
+	cost = place_adapter_victim_worth(p, e) * VICTIM_COST_MS;
+	return cost < VICTIM_MOST_MS ? cost : VICTIM_MOST_MS;
 }
 
 /* Time until the adapter is there; false: it can't be. */
 static bool
-adapter_ms(const struct place *p, const struct place_endpoint *e,
+adapter_ms(const struct place *p, struct place_endpoint *e,
     const struct place_ask *a, bool may_order, double *ms, struct estimate *out)
 {
 	const struct place_adapter *adapter = place_adapter_find(e, a->key);
@@ -179,7 +174,7 @@
 	}
 	if (!may_order || a->adapter == NULL ||
 	    (adapter != NULL && adapter->state != ADAPTER_LOADED) ||
-	    (adapter == NULL && !place_adapter_has_room(p, e)))
+	    (adapter == NULL && !place_adapter_has_room(e)))
 		return false;
 	*ms = place_adapter_wait_ms(p, e, a->key);
 	out->needs_load = true;
@@ -191,10 +186,9 @@
 
 /* Is there memory and a seat for the request? */
 static bool
-has_seat(const struct place *p, const struct place_endpoint *e,
-    const struct place_ask *a)
+has_seat(const struct place_endpoint *e, const struct place_ask *a)
 {
-	const struct gw_engine *engine = place_engine_of(p, e);
+	const struct gw_engine *engine = e->engine;
 	uint64_t tokens = (uint64_t)a->prompt_tokens + a->max_tokens;
 
 	if (engine == NULL || e->running >= e->slots)
@@ -204,7 +198,7 @@
 }
 
 static bool
-engine_estimate(const struct place *p, const struct place_endpoint *e,
+engine_estimate(const struct place *p, struct place_endpoint *e,
     const struct place_ask *a, bool may_order, struct estimate *out)
 {
 	const struct place_adapter *weights;
@@ -212,7 +206,7 @@
 
 	memset(out, 0, sizeof(*out));
 	if (!place_endpoint_usable(p, e, a->service) || place_avoids(a, e) ||
-	    !has_seat(p, e, a))
+	    !has_seat(e, a))
 		return false;
 	weights = place_adapter_find(e, a->model);
 	if (weights == NULL || weights->state != ADAPTER_LOADED ||
@@ -286,10 +280,12 @@
 		a->endpoint = e;
 		adapter->waiting++;
 	}
-	place_wake(p,
-	    adapter->ready_us > p->now_us + LEAD_US
-		? adapter->ready_us - LEAD_US
-		: p->now_us + LEAD_US);
+	if (adapter->state != ADAPTER_LOADING)
+		a->look_us = p->now_us + WANTED_AGAIN_US;
+	else if (adapter->ready_us > p->now_us + PLACE_LEAD_US)
+		a->look_us = adapter->ready_us - PLACE_LEAD_US;
+	else
+		a->look_us = p->now_us + PLACE_LEAD_US;
 }
 
 /* Is the adapter there, or will be when the request arrives? */
@@ -304,7 +300,7 @@
 	return place_adapter_is_current(p, adapter) ||
 	    (adapter->state == ADAPTER_LOADING &&
 		adapter->version >= place_version_of(p, a->key) &&
-		adapter->ready_us <= p->now_us + LEAD_US);
+		adapter->ready_us <= p->now_us + PLACE_LEAD_US);
 }
 
 static struct place_endpoint *
@@ -326,7 +322,32 @@
 	return found;
 }
 
-void
+/*
+ * The store is what is short: a load that comes too late for its request
+ * takes the turn of one that would be in time. The caller is told to come back
+ * when the loads before it are done.
+ */
+static bool
+is_too_late(const struct place *p, const struct place_ask *a,
+    const struct estimate *est)
+{
+	uint64_t first_us = p->now_us + (uint64_t)est->first_ms * US_PER_MS;
+
+	if (first_us >= a->deadline_us)
+		return true;
+	return est->needs_load && first_us > a->target_us &&
+	    p->loading + p->queued_loads >= place_adapter_loads_at_once(p);
+}
+
+/* No engine can take it now: may one in time? */
+static bool
+is_worth_waiting(const struct place *p, const struct place_ask *a)
+{
+	return p->now_us < a->target_us &&
+	    p->loading + p->queued_loads < place_adapter_loads_at_once(p);
+}
+
+enum placed
 place_engine_place(struct place *p, struct place_ask *a, bool may_order)
 {
 	struct place_endpoint *e = a->endpoint;
@@ -336,12 +357,23 @@
 		leave_engine(a);
 		e = best_engine(p, a, may_order, &est);
 	}
+	if (e == NULL && !is_worth_waiting(p, a)) {
+		place_ask_refuse(
+		    p, a, "no-room", 2 * p->options.adapter_load_ms);
+		return PLACED_REFUSED;
+	}
 	if (e == NULL)
-		return;
+		return PLACED_NOT;
+	if (a->endpoint == NULL && is_too_late(p, a, &est)) {
+		place_ask_refuse(
+		    p, a, "overload", place_adapter_wait_ms(p, e, a->key));
+		return PLACED_REFUSED;
+	}
 	if (!adapter_is_near(p, e, a)) {
 		wait_there(p, e, a);
-		return;
+		return PLACED_NOT;
 	}
 	leave_engine(a);
 	place_engine_grant(p, e, a, &est);
+	return PLACED;
 }
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -15,6 +15,8 @@
 #define PLACE_LATELY_FACTOR 10u
 /* Adapters on their way to one engine at a time; it refuses more. */
 #define PLACE_TRANSIT_MAX 4u
+/* A request leaves this early to meet its adapter. */
+#define PLACE_LEAD_US (1 * US_PER_MS)
 /* Cached prompt parts that are remembered of an engine. */
 #define PLACE_PARTS_MAX 512u
 #define PLACE_BUCKETS	10u
@@ -63,7 +65,10 @@
 	uint64_t eject_until_us;
 	uint32_t ejections; /* in a row */
 	/* what it holds */
+	const struct gw_engine *engine; /* as configured; NULL: none */
 	struct map *adapters; /* by key, struct place_adapter */
+	double victim_worth; /* of what would be unloaded next */
+	uint64_t victim_us; /* as of */
 	char *lately[PLACE_LATELY_MAX]; /* ring of keys */
 	size_t lately_at;
 	struct map *parts; /* by hash of the chain, to its last use */
@@ -91,7 +96,10 @@
 	uint32_t priority, attempt;
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
+	uint64_t chains[GW_PARTS_MAX]; /* names of the first parts */
 	bool told_waits;
+	uint64_t seen; /* place.freed when it was looked at last */
+	uint64_t look_us; /* to be looked at then; 0: not by time */
 	/* waiting for an adapter there, or granted */
 	struct place_endpoint *endpoint; /* NULL: none */
 	bool granted, begun;
@@ -116,6 +124,7 @@
 struct place_demand {
 	double count;
 	uint64_t at_us;
+	uint32_t copies; /* at endpoints, or on their way */
 };
 
 struct place_change {
@@ -128,6 +137,7 @@
 	const struct gw_config *config;
 	struct map *endpoints; /* by id */
 	struct map *gone; /* ids that left, to the start of their process */
+	struct map *leaving; /* uint64_t start of the process by id */
 	struct map *asks; /* by struct place_id */
 	struct place_ask *waiting; /* list by deadline of the objective */
 	size_t nwaiting;
@@ -144,13 +154,23 @@
 	struct place_change *changes;
 	size_t nchanges, changes_cap;
 	char *last_change; /* id handed out by place_take_change() */
-	uint64_t demand_us; /* next sweep */
+	uint64_t freed; /* counts news that may let a request be placed */
+	uint64_t sweep_us, demand_us; /* next sweeps */
 	uint64_t next_us;
 	uint64_t now_us;
 	struct place_totals totals;
 };
 
+enum placed {
+	PLACED,
+	PLACED_NOT, /* it waits */
+	PLACED_REFUSED /* it is gone */
+};
+
 /* ---- place.c ---- */
+/* Refuse and forget; the reason is a constant. */
+void place_ask_refuse(struct place *p, struct place_ask *a, const char *reason,
+    uint32_t retry_after_ms);
 struct place_decision *place_decide(
     struct place *p, enum place_decision_type type);
 void place_wake(struct place *p, uint64_t at_us);
@@ -161,6 +181,8 @@
 void place_endpoint_free(struct place_endpoint *e);
 void place_endpoint_remove(struct place *p, struct place_endpoint *e);
 void place_endpoint_sweep(struct place *p);
+/* The configuration has changed. */
+void place_endpoint_engines(struct place *p);
 bool place_endpoint_usable(
     const struct place *p, const struct place_endpoint *e, const char *service);
 void place_endpoint_grant(
@@ -171,9 +193,9 @@
 /* ---- place_adapter.c ---- */
 struct place_adapter *place_adapter_find(
     const struct place_endpoint *e, const char *key);
-struct place_adapter *place_adapter_add(struct place_endpoint *e,
-    const char *model, const char *adapter, enum adapter_state state,
-    uint64_t now_us);
+struct place_adapter *place_adapter_add(struct place *p,
+    struct place_endpoint *e, const char *model, const char *adapter,
+    enum adapter_state state);
 void place_adapter_remove(struct place *p, struct place_endpoint *e,
     struct place_adapter *a, bool lately);
 char *place_adapter_key(const char *model, const char *adapter);
@@ -183,8 +205,10 @@
     const struct place *p, const struct place_adapter *a);
 bool place_adapter_was_lately(const struct place_endpoint *e, const char *key);
 /* Could one more be loaded there, after others are unloaded? */
-bool place_adapter_has_room(
-    const struct place *p, const struct place_endpoint *e);
+bool place_adapter_has_room(const struct place_endpoint *e);
+/* Requests that wait for it are looked at when it is due. */
+void place_adapter_due(struct place *p, const struct place_endpoint *e,
+    const struct place_adapter *a);
 /* Time of a load that begins now, and with those before it, in ms. */
 uint32_t place_adapter_load_ms(
     const struct place *p, const struct place_endpoint *e, const char *key);
@@ -207,23 +231,27 @@
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a);
 void place_adapter_merge(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a);
-const struct gw_engine *place_engine_of(
-    const struct place *p, const struct place_endpoint *e);
+double place_adapter_victim_worth(
+    const struct place *p, struct place_endpoint *e);
 
 /* ---- place_demand.c ---- */
 void place_demand_note(struct place *p, const char *key);
 double place_demand_of(const struct place *p, const char *key);
+/* Shared among the copies that there are. */
+double place_demand_of_copy(const struct place *p, const char *key);
+void place_demand_copies(struct place *p, const char *key, int change);
 void place_demand_sweep(struct place *p);
 
 /* ---- place_engine.c ---- */
 /* Place a model request: a grant, a wait for an adapter, or nothing. */
-void place_engine_place(struct place *p, struct place_ask *a, bool may_order);
+enum placed place_engine_place(
+    struct place *p, struct place_ask *a, bool may_order);
 uint64_t place_engine_chain(const struct place_ask *a, size_t upto);
 void place_engine_cache(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
 
 /* ---- place_service.c ---- */
-void place_service_place(struct place *p, struct place_ask *a);
+enum placed place_service_place(struct place *p, struct place_ask *a);
 
 /* ---- place_budget.c ---- */
 /* Count a request; false: a repeat that the budget does not allow. */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -30,15 +30,15 @@
 	a->since_us = p->now_us;
 	if (state == ADAPTER_LOADED) {
 		a->replacing = false;
+		p->freed++;
 		place_note_change(p, e->id, false);
 	}
 }
 
 static uint32_t
-weights_load_ms(const struct place *p, const struct place_endpoint *e,
-    const struct place_adapter *a)
+weights_load_ms(const struct place_endpoint *e, const struct place_adapter *a)
 {
-	const struct gw_engine *engine = place_engine_of(p, e);
+	const struct gw_engine *engine = e->engine;
 	size_t i;
 
 	for (i = 0; engine != NULL && i < engine->nmodels; i++)
@@ -51,7 +51,7 @@
 load_accepted(
     struct place *p, struct place_endpoint *e, struct place_adapter *a)
 {
-	uint32_t ms = a->adapter == NULL ? weights_load_ms(p, e, a)
+	uint32_t ms = a->adapter == NULL ? weights_load_ms(e, a)
 					 : place_adapter_load_ms(p, e, a->key);
 
 	a->version = a->wanted_version;
@@ -61,7 +61,7 @@
 		e->quiet_until_us = a->ready_us;
 		e->orders_known = false;
 	}
-	place_wake(p, a->ready_us);
+	place_adapter_due(p, e, a);
 }
 
 static void
@@ -338,8 +338,7 @@
 		fewest = n;
 	}
 	if (best != NULL)
-		(void)place_adapter_add(
-		    e, best->name, NULL, ADAPTER_WANTED, p->now_us);
+		(void)place_adapter_add(p, e, best->name, NULL, ADAPTER_WANTED);
 }
 
 /* ---- the round ---------------------------------------------------------- */
@@ -371,7 +370,7 @@
 static void
 order_next(struct place *p, struct place_endpoint *e)
 {
-	const struct gw_engine *engine = place_engine_of(p, e);
+	const struct gw_engine *engine = e->engine;
 	struct place_adapter *a;
 
 	if (engine == NULL || e->leaving || e->fenced || e->ordering)
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -23,7 +23,7 @@
 	return cost * (1.0 + e->failures * 4.0);
 }
 
-void
+enum placed
 place_service_place(struct place *p, struct place_ask *a)
 {
 	struct place_endpoint *e, *best = NULL;
@@ -39,11 +39,12 @@
 			best = e;
 	}
 	if (best == NULL)
-		return;
+		return PLACED_NOT;
 	place_endpoint_grant(p, best, a);
 	d = place_decide(p, PLACE_GRANT);
 	d->id = a->id;
 	d->endpoint = best->id;
 	d->address = best->address;
 	d->estimate_ms = (uint32_t)best->service_ms;
+	return PLACED;
 }
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -457,7 +457,52 @@
   assert(message->base.descriptor == &wire__adapter_version__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__command__field_descriptors[12] =
+void   wire__endpoint_leaving__init
+                     (Wire__EndpointLeaving         *message)
+{
+  static const Wire__EndpointLeaving init_value = WIRE__ENDPOINT_LEAVING__INIT;
+  *message = init_value;
+}
+size_t wire__endpoint_leaving__get_packed_size
+                     (const Wire__EndpointLeaving *message)
+{
+  assert(message->base.descriptor == &wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__endpoint_leaving__pack
+                     (const Wire__EndpointLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__endpoint_leaving__pack_to_buffer
+                     (const Wire__EndpointLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndpointLeaving *
+       wire__endpoint_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndpointLeaving *)
+     protobuf_c_message_unpack (&wire__endpoint_leaving__descriptor,
+                                allocator, len, data);
+}
+void   wire__endpoint_leaving__free_unpacked
+                     (Wire__EndpointLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__endpoint_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__command__field_descriptors[13] =
 {
   {
     "instance",
@@ -603,6 +648,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_leaving",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Command, body_case),
+    offsetof(Wire__Command, endpoint_leaving),
+    &wire__endpoint_leaving__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__command__field_indices_by_name[] = {
   11,   /* field[11] = adapter_version */
@@ -611,6 +668,7 @@
   7,   /* field[7] = claim_start */
   3,   /* field[3] = doc_put */
   5,   /* field[5] = down */
+  12,   /* field[12] = endpoint_leaving */
   10,   /* field[10] = gateway_config */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
@@ -622,7 +680,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__command__descriptor =
 {
@@ -632,7 +690,7 @@
   "Wire__Command",
   "wire",
   sizeof(Wire__Command),
-  12,
+  13,
   wire__command__field_descriptors,
   wire__command__field_indices_by_name,
   2,  wire__command__number_ranges,
@@ -1332,6 +1390,57 @@
   (ProtobufCMessageInit) wire__adapter_version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__endpoint_leaving__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointLeaving, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointLeaving, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__endpoint_leaving__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange wire__endpoint_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__endpoint_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.EndpointLeaving",
+  "EndpointLeaving",
+  "Wire__EndpointLeaving",
+  "wire",
+  sizeof(Wire__EndpointLeaving),
+  2,
+  wire__endpoint_leaving__field_descriptors,
+  wire__endpoint_leaving__field_indices_by_name,
+  1,  wire__endpoint_leaving__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__claim_outcome__enum_values_by_number[3] =
 {
   { "CLAIM_DONE", "WIRE__CLAIM_OUTCOME__CLAIM_DONE", 0 },
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Wire__ClaimEnd Wire__ClaimEnd;
 typedef struct Wire__GatewayConfig Wire__GatewayConfig;
 typedef struct Wire__AdapterVersion Wire__AdapterVersion;
+typedef struct Wire__EndpointLeaving Wire__EndpointLeaving;
 
 
 /* --- enums --- */
@@ -52,7 +53,8 @@
   WIRE__COMMAND__BODY_CLAIM_END = 15,
   WIRE__COMMAND__BODY_CLAIM_CLOCK = 16,
   WIRE__COMMAND__BODY_GATEWAY_CONFIG = 17,
-  WIRE__COMMAND__BODY_ADAPTER_VERSION = 18
+  WIRE__COMMAND__BODY_ADAPTER_VERSION = 18,
+  WIRE__COMMAND__BODY_ENDPOINT_LEAVING = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__COMMAND__BODY__CASE)
 } Wire__Command__BodyCase;
 
@@ -79,6 +81,7 @@
     Wire__ClaimClock *claim_clock;
     Wire__GatewayConfig *gateway_config;
     Wire__AdapterVersion *adapter_version;
+    Wire__EndpointLeaving *endpoint_leaving;
   };
 };
 #define WIRE__COMMAND__INIT \
@@ -244,6 +247,23 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * The process of an endpoint leaves; it gets no new work from anybody.
+ */
+struct  Wire__EndpointLeaving
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * start of the process, by its own clock
+   */
+  uint64_t born_ms;
+};
+#define WIRE__ENDPOINT_LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /* Wire__Command methods */
 void   wire__command__init
                      (Wire__Command         *message);
@@ -434,6 +454,25 @@
 void   wire__adapter_version__free_unpacked
                      (Wire__AdapterVersion *message,
                       ProtobufCAllocator *allocator);
+/* Wire__EndpointLeaving methods */
+void   wire__endpoint_leaving__init
+                     (Wire__EndpointLeaving         *message);
+size_t wire__endpoint_leaving__get_packed_size
+                     (const Wire__EndpointLeaving   *message);
+size_t wire__endpoint_leaving__pack
+                     (const Wire__EndpointLeaving   *message,
+                      uint8_t             *out);
+size_t wire__endpoint_leaving__pack_to_buffer
+                     (const Wire__EndpointLeaving   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndpointLeaving *
+       wire__endpoint_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__endpoint_leaving__free_unpacked
+                     (Wire__EndpointLeaving *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Command_Closure)
@@ -466,6 +505,9 @@
 typedef void (*Wire__AdapterVersion_Closure)
                  (const Wire__AdapterVersion *message,
                   void *closure_data);
+typedef void (*Wire__EndpointLeaving_Closure)
+                 (const Wire__EndpointLeaving *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -483,6 +525,7 @@
 extern const ProtobufCMessageDescriptor wire__claim_end__descriptor;
 extern const ProtobufCMessageDescriptor wire__gateway_config__descriptor;
 extern const ProtobufCMessageDescriptor wire__adapter_version__descriptor;
+extern const ProtobufCMessageDescriptor wire__endpoint_leaving__descriptor;
 
 PROTOBUF_C__END_DECLS
 
