--- a/src/http/front_parse.c
+++ b/src/http/front_parse.c
@@ -136,6 +136,22 @@
 	return false;
 }
 
+/* White space around a value is no part of it. */
+static void
+trim_values(struct front_head *head)
+{
+	struct phr_header *h;
+	size_t i;
+
+	for (i = 0; i < head->nheaders; i++) {
+		h = &head->headers[i];
+		while (h->value_len > 0 &&
+		    (h->value[h->value_len - 1] == ' ' ||
+			h->value[h->value_len - 1] == '\t'))
+			h->value_len--;
+	}
+}
+
 enum front_fault
 front_parse_head(struct front_head *head, const char *data, size_t len,
     const struct node_limits *limits)
@@ -157,5 +173,6 @@
 	if (has_lone_return(data, (size_t)size))
 		return FRONT_BAD;
 	head->size = (size_t)size;
+	trim_values(head);
 	return check_headers(head, limits);
 }
--- /dev/null
+++ b/tests/gate/config_test.cc
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "mulberrypath/gateway.h"
+#include "util/mem.h"
+
+/* Routes by host and longest prefix, split by weights. */
+class GateConfig : public ::testing::Test {
+      protected:
+	gw_config *config = nullptr;
+
+	void
+	SetUp() override
+	{
+		static const struct {
+			const char *host, *prefix;
+		} routes[] = {{"a.example", "/"}, {"a.example", "/x/"},
+		    {"a.example", "/x/y/"}, {"b.example", "/x/"}};
+
+		config = (gw_config *)mem_alloc(1, sizeof(*config));
+		config->services =
+		    (gw_service *)mem_alloc(2, sizeof(gw_service));
+		config->nservices = 2;
+		config->services[0].name = mem_string("s");
+		config->services[1].name = mem_string("t");
+		config->routes = (gw_route *)mem_alloc(4, sizeof(gw_route));
+		for (auto &row : routes) {
+			gw_route &r = config->routes[config->nroutes++];
+
+			r.host = mem_string(row.host);
+			r.prefix = mem_string(row.prefix);
+			r.timeout_ms = 100;
+			r.targets =
+			    (gw_target *)mem_alloc(2, sizeof(gw_target));
+			r.ntargets = 2;
+			r.targets[0] = {mem_string("s"), 90};
+			r.targets[1] = {mem_string("t"), 10};
+		}
+	}
+
+	void
+	TearDown() override
+	{
+		gw_config_destroy(config);
+	}
+};
+
+TEST_F(GateConfig, the_longest_prefix_of_the_host_wins)
+{
+	static const struct {
+		const char *host, *path;
+		int route; /* -1: none */
+	} rows[] = {{"a.example", "/", 0}, {"a.example", "/x", 0},
+	    {"a.example", "/x/", 1}, {"A.Example", "/x/z", 1},
+	    {"a.example", "/x/y/z?q=/", 2}, {"b.example", "/x/y/", 3},
+	    {"b.example", "/", -1}, {"c.example", "/x/", -1}};
+
+	for (auto &row : rows)
+		EXPECT_EQ(gw_config_route(config, row.host, row.path),
+		    row.route < 0 ? nullptr : &config->routes[row.route])
+		    << row.host << row.path;
+}
+
+TEST_F(GateConfig, weights_split_the_numbers)
+{
+	std::map<std::string, int> count;
+
+	ASSERT_EQ(gw_config_check(config, nullptr), MP_OK);
+	for (uint64_t i = 0; i < 1000; i++)
+		count[gw_route_pick(&config->routes[0], i)]++;
+	EXPECT_EQ(count["s"], 900);
+	EXPECT_EQ(count["t"], 100);
+}
+
+TEST_F(GateConfig, a_weight_of_nothing_gets_nothing)
+{
+	config->routes[0].targets[0].weight = 0;
+	ASSERT_EQ(gw_config_check(config, nullptr), MP_OK);
+	for (uint64_t i = 0; i < 100; i++)
+		EXPECT_STREQ(gw_route_pick(&config->routes[0], i), "t");
+}
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -219,6 +219,58 @@
 	    true, "ab"}),
     [](const auto &info) { return info.param.name; });
 
+/* An answer without a length is whole when its peer closed in order alone. */
+TEST_F(HttpTest, ResetIsNoEndOfAnAnswerWithoutALength)
+{
+	for (uint64_t id : {1, 2}) {
+		RawSocket listener, peer(-1);
+		std::string address = listener.Listen();
+		struct linger now = {1, 0};
+		node_call c = Call(id, address);
+
+		c.close_ends = true;
+		http_client_start(client, &c);
+		ASSERT_TRUE(Until([&] { return peer.Accept(listener.fd); }));
+		ASSERT_TRUE(Until([&] { return !peer.Poll().empty(); }));
+		peer.Write(OK_HEAD "\r\nab");
+		if (id == 2) { /* the reset comes before the bytes are read */
+			ASSERT_EQ(setsockopt(peer.fd, SOL_SOCKET, SO_LINGER,
+				      &now, sizeof(now)),
+			    0);
+		}
+		peer.Close();
+		ASSERT_TRUE(UntilEnded(id));
+		EXPECT_EQ(calls[id].whole, id == 1) << calls[id].reason;
+		EXPECT_EQ(calls[id].body, "ab");
+	}
+}
+
+/* A peer that names how long it keeps a connection is not asked later. */
+TEST_F(HttpTest, ConnectionAboutToBeClosedIsNotUsedAgain)
+{
+	RawSocket listener, first(-1), second(-1);
+	std::string address = listener.Listen();
+
+	Start(1, address);
+	ASSERT_TRUE(Until([&] { return first.Accept(listener.fd); }));
+	ASSERT_TRUE(Until([&] { return !first.Poll().empty(); }));
+	first.Write(OK_HEAD "Keep-Alive: timeout=0\r\nContent-Length: 0\r\n"
+			    "\r\n");
+	ASSERT_TRUE(UntilEnded(1));
+	Start(2, address);
+	ASSERT_TRUE(Until([&] { return !first.Poll().empty(); }));
+	first.Write(OK_HEAD "Keep-Alive: timeout=1\r\nContent-Length: 0\r\n"
+			    "\r\n");
+	ASSERT_TRUE(UntilEnded(2));
+	uint64_t until = uv_hrtime() + 600000000;
+	ASSERT_TRUE(Until([&] { return uv_hrtime() > until; }));
+	Start(3, address);
+	ASSERT_TRUE(Until([&] { return second.Accept(listener.fd); }));
+	ASSERT_TRUE(Until([&] { return !second.Poll().empty(); }));
+	second.Write(OK_HEAD "Content-Length: 0\r\n\r\n");
+	ASSERT_TRUE(UntilEnded(3));
+}
+
 TEST_F(HttpTest, SilentPeerIsBroken)
 {
 	RawSocket listener, peer(-1);
--- /dev/null
+++ b/tests/http/front_test.cc
@@ -0,0 +1,332 @@
+#include <cerrno>
+
+#include "http/front.h"
+#include "loop_fixture.h"
+
+struct Seen {
+	std::string method, body;
+	std::map<std::string, std::string> headers;
+};
+
+/* A socket of a caller that keeps all it was sent. */
+struct Caller : RawSocket {
+	std::string got;
+
+	std::string &
+	Read()
+	{
+		got += Poll();
+		return got;
+	}
+
+	bool
+	Closed()
+	{
+		char byte;
+
+		Read();
+		return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != -1 ||
+		    errno != EAGAIN;
+	}
+};
+
+/* The front server before plain sockets. */
+class FrontTest : public HttpTest {
+      protected:
+	front_server *front = nullptr;
+	bool front_done = false;
+	node_limits limits = {16384, 65536, 300, 500};
+	std::vector<Seen> seen;
+
+	void
+	TearDown() override
+	{
+		if (front != nullptr)
+			front_server_destroy(front, set_true, &front_done);
+		HttpTest::TearDown();
+		EXPECT_EQ(front_done, front != nullptr);
+	}
+
+	static void
+	on_request(void *ctx, const node_request *r)
+	{
+		FrontTest *t = (FrontTest *)ctx;
+		Seen h;
+
+		h.method = r->method;
+		h.body.assign(r->body.data ? r->body.data : "", r->body.len);
+		for (size_t i = 0; i < r->nheaders; i++)
+			h.headers[r->headers[i].name] = r->headers[i].value;
+		t->seen.push_back(h);
+		t->requests.push_back(r->request);
+		t->paths.push_back(r->path);
+		if (t->handler)
+			t->handler(r);
+		else
+			t->Answer(r->request, "ok");
+	}
+
+	void
+	Serve()
+	{
+		http_server_callbacks cbs = {on_request, caller_gone};
+		front_options o = {
+		    "127.0.0.1:0", 1000, NODE_LISTEN_FRONT, 50, limits};
+		mp_error err = {};
+
+		ASSERT_EQ(
+		    front_server_create(&front, &loop, &o, &cbs, this, &err), 0)
+		    << err.message;
+	}
+
+	void
+	Answer(uint64_t id, const std::string &body, bool more = false)
+	{
+		node_header passed[] = {{"X-Own", "1"}};
+		node_reply r = {};
+
+		r.request = id;
+		r.status = 200;
+		r.body = {body.data(), body.size()};
+		r.more = more;
+		r.passed = passed;
+		r.npassed = 1;
+		front_server_reply(front, &r);
+	}
+
+	int
+	Port() const
+	{
+		return front_server_get_port(front);
+	}
+};
+
+TEST_F(FrontTest, a_request_comes_whole_and_its_answer_too)
+{
+	Caller s;
+
+	Serve();
+	s.Connect(Port());
+	s.Write("POST /a%20b?q HTTP/1.1\r\nHost: h\r\nX-A: b  \r\n"
+		"Content-Length: 3\r\n\r\nab");
+	EXPECT_TRUE(requests.empty());
+	s.Write("c");
+	ASSERT_TRUE(Until(
+	    [&] { return s.Read().find("\r\n\r\nok") != std::string::npos; }));
+	EXPECT_EQ(requests[0], 1001u);
+	EXPECT_EQ(paths[0], "/a%20b?q");
+	EXPECT_EQ(seen[0].body, "abc");
+	EXPECT_EQ(seen[0].headers["X-A"], "b");
+	EXPECT_NE(s.got.find("HTTP/1.1 200 OK\r\nX-Own: 1\r\n"
+			     "Content-Length: 2\r\n\r\n"),
+	    std::string::npos)
+	    << s.got;
+}
+
+/* What two parsers could read differently is refused, and nothing runs. */
+TEST_F(FrontTest, smuggling_forms_are_refused_and_the_connection_ends)
+{
+	static const struct {
+		const char *name, *head, *status;
+	} rows[] = {
+	    {"both", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		"400"},
+	    {"two lengths", "Content-Length: 3\r\nContent-Length: 50\r\n",
+		"400"},
+	    {"two alike", "Content-Length: 3\r\nContent-Length: 3\r\n", "400"},
+	    {"list", "Content-Length: 3, 3\r\n", "400"},
+	    {"sign", "Content-Length: +3\r\n", "400"},
+	    {"minus", "Content-Length: -3\r\n", "400"},
+	    {"hex", "Content-Length: 0x3\r\n", "400"},
+	    {"none", "Content-Length: \r\n", "400"},
+	    {"long", "Content-Length: 99999999999999999999999\r\n", "400"},
+	    {"space before colon", "Content-Length : 3\r\n", "400"},
+	    {"folded", "X: a\r\n b\r\nContent-Length: 3\r\n", "400"},
+	    {"coding", "Transfer-Encoding: gzip, chunked\r\n", "501"},
+	    {"xchunked", "Transfer-Encoding: xchunked\r\n", "501"},
+	    {"two codings",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"400"},
+	    {"two hosts", "Host: other\r\n", "400"},
+	    {"lone return", "X: a\rContent-Length: 3\r\n", "400"},
+	    {"control", "X: a\x01\r\n", "400"},
+	    {"no name", ": a\r\n", "400"},
+	};
+
+	Serve();
+	for (auto &row : rows) {
+		Caller s;
+		size_t before = requests.size();
+
+		s.Connect(Port());
+		s.Write(std::string("POST /x HTTP/1.1\r\nHost: h\r\n") +
+		    row.head +
+		    "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+		EXPECT_TRUE(Until([&] { return s.Closed(); })) << row.name;
+		EXPECT_EQ(s.got.substr(9, 3), row.status) << row.name;
+		EXPECT_EQ(requests.size(), before) << row.name;
+	}
+}
+
+TEST_F(FrontTest, other_heads_are_refused)
+{
+	static const struct {
+		const char *text, *status;
+	} rows[] = {{"GET /x HTTP/1.1\r\n\r\n", "400"},
+	    {"GET x HTTP/1.1\r\nHost: h\r\n\r\n", "400"},
+	    {"GET /x HTTP/1.1\r\nHost:\r\n\r\n", "400"},
+	    {"GET /x HTTP/2.0\r\nHost: h\r\n\r\n", "400"},
+	    {"nonsense\r\n\r\n", "400"},
+	    {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n",
+		"413"},
+	    {"POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\n",
+		"400"},
+	    {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\nzz\r\n",
+		"400"},
+	    {"GET /x HTTP/1.1\r\nHo", "408"}};
+
+	Serve();
+	for (auto &row : rows) {
+		Caller s;
+
+		s.Connect(Port());
+		s.Write(row.text);
+		EXPECT_TRUE(Until([&] { return s.Closed(); })) << row.text;
+		ASSERT_GE(s.got.size(), 12u) << row.text;
+		EXPECT_EQ(s.got.substr(9, 3), row.status) << row.text;
+	}
+	EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(FrontTest, a_head_over_its_limit_is_refused)
+{
+	Caller s;
+
+	limits.header_bytes = 200;
+	Serve();
+	s.Connect(Port());
+	s.Write("GET /x HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'a'));
+	ASSERT_TRUE(Until([&] { return s.Closed(); }));
+	EXPECT_EQ(s.got.substr(9, 3), "431");
+}
+
+TEST_F(FrontTest, chunks_are_decoded_and_the_next_request_found)
+{
+	Caller s;
+
+	Serve();
+	s.Connect(Port());
+	s.Write("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n3;x=y\r\nabc\r\n2\r\n");
+	s.Write("de\r\n0\r\nX-Trailer: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n"
+		"Connection: close\r\n\r\n");
+	ASSERT_TRUE(Until([&] { return s.Closed(); }));
+	ASSERT_EQ(paths.size(), 2u);
+	EXPECT_EQ(seen[0].body, "abcde");
+	EXPECT_EQ(seen[0].headers.count("X-Trailer"), 0u);
+	EXPECT_EQ(paths[1], "/2");
+	EXPECT_NE(s.got.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(FrontTest, an_answer_without_a_length_comes_in_chunks_or_is_cut)
+{
+	for (bool cut : {false, true}) {
+		Caller s;
+
+		if (front == nullptr)
+			Serve();
+		handler = [&](const node_request *r) {
+			Answer(r->request, "one", true);
+		};
+		requests.clear();
+		s.Connect(Port());
+		s.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		ASSERT_TRUE(Until(
+		    [&] { return s.Read().find("one") != std::string::npos; }));
+		front_server_send(front, requests[0], {"two", 3});
+		front_server_end(front, requests[0], cut);
+		if (cut) {
+			ASSERT_TRUE(Until([&] { return s.Closed(); }));
+			EXPECT_EQ(s.got.find("0\r\n\r\n"), std::string::npos);
+		} else {
+			ASSERT_TRUE(Until([&] {
+				return s.Read().find("3\r\ntwo\r\n0\r\n\r\n") !=
+				    std::string::npos;
+			}));
+		}
+	}
+}
+
+TEST_F(FrontTest, a_caller_who_leaves_is_reported_once)
+{
+	Caller s;
+
+	Serve();
+	handler = [](const node_request *) {};
+	s.Connect(Port());
+	s.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(Until([&] { return !requests.empty(); }));
+	s.Close();
+	ASSERT_TRUE(Until([&] { return !gone.empty(); }));
+	EXPECT_EQ(gone, requests);
+	Answer(requests[0], "late"); /* nobody is there */
+}
+
+/* A server that leaves finishes what it read, and takes what crosses it. */
+TEST_F(FrontTest, leaving_ends_kept_connections_with_their_next_answer)
+{
+	Caller kept, late;
+
+	Serve();
+	kept.Connect(Port());
+	kept.Write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(
+	    Until([&] { return kept.Read().find("ok") != std::string::npos; }));
+	front_server_leave(front);
+	kept.got.clear();
+	kept.Write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(Until([&] { return kept.Closed(); }));
+	EXPECT_NE(kept.got.find("Connection: close"), std::string::npos);
+	EXPECT_NE(kept.got.find("ok"), std::string::npos);
+	late.Connect(Port());
+	late.Write("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(Until([&] { return late.Closed(); }));
+	EXPECT_NE(late.got.find("ok"), std::string::npos);
+	front_server_close_listener(front);
+	EXPECT_EQ(paths.size(), 3u);
+}
+
+TEST_F(FrontTest, limits_change_while_it_runs)
+{
+	node_limits narrow = {0, 4, 0, 50};
+	Caller s, idle;
+
+	Serve();
+	front_server_set_limits(front, &narrow);
+	s.Connect(Port());
+	s.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n");
+	ASSERT_TRUE(Until([&] { return s.Closed(); }));
+	EXPECT_EQ(s.got.substr(9, 3), "413");
+	idle.Connect(Port());
+	ASSERT_TRUE(Until([&] { return idle.Closed(); }));
+	EXPECT_EQ(idle.got, "");
+}
+
+TEST_F(FrontTest, a_caller_who_waits_for_leave_gets_it)
+{
+	Caller s;
+
+	Serve();
+	s.Connect(Port());
+	s.Write("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+		"Content-Length: 2\r\n\r\n");
+	ASSERT_TRUE(Until([&] {
+		return s.Read().find("100 Continue") != std::string::npos;
+	}));
+	s.Write("ab");
+	ASSERT_TRUE(
+	    Until([&] { return s.Read().find("ok") != std::string::npos; }));
+	EXPECT_EQ(seen[0].body, "ab");
+}
--- /dev/null
+++ b/tests/platform/config_test.cc
@@ -0,0 +1,139 @@
+#include "codec_fixture.h"
+
+class Configs : public CodecTest {
+      protected:
+	gw_config *config = nullptr;
+
+	void
+	TearDown() override
+	{
+		gw_config_destroy(config);
+		CodecTest::TearDown();
+	}
+
+	int
+	Read(const std::string &text)
+	{
+		int rc;
+
+		gw_config_destroy(config);
+		config = nullptr;
+		err = {};
+		rc = platform_codec.read_config(
+		    &config, {text.data(), text.size()}, &err);
+		if (rc == MP_OK)
+			rc = gw_config_check(config, &err);
+		return rc;
+	}
+};
+
+#define SERVICES                                                               \
+	"\"services\":[{\"name\":\"s\",\"health_path\":\"/h\","                \
+	"\"max_connections\":9,\"engine\":{\"slots\":64,"                      \
+	"\"kv_capacity_tokens\":1000,\"adapter_slots\":5,"                     \
+	"\"weights_mb\":66500.0,\"loads_per_s\":4.8,\"models\":[{"             \
+	"\"name\":\"m\",\"weights_mb\":65099.99,\"load_s\":2.5,"               \
+	"\"adapters\":3000,\"adapter_size_mb\":12.0}]}},{\"name\":\"t\"}]"
+#define ROUTE(more)                                                            \
+	"{\"host\":\"a.example\",\"path_prefix\":\"/p/\","                     \
+	"\"type\":\"streaming\",\"timeout_ms\":4000" more "}"
+#define CONFIG(routes) "{\"version\":7,\"routes\":[" routes "]," SERVICES "}"
+
+TEST_F(Configs, a_whole_one_is_read)
+{
+	ASSERT_EQ(
+	    Read("{\"version\":7,\"routes\":[" ROUTE(
+		",\"name\":\"r\",\"target_latency_ms\":800,\"priority\":1,"
+		"\"max_attempts\":2,\"sticky\":true,\"resumable\":true,"
+		"\"target_gap_ms\":300,\"split\":[{\"service\":\"s\","
+		"\"weight\":90},{\"service\":\"t\",\"weight\":10}]") "]"
+								     "," SERVICES
+								     ",\"limits"
+								     "\":{"
+								     "\"max_"
+								     "header_"
+								     "bytes\":"
+								     "1,"
+								     "\"max_"
+								     "body_"
+								     "bytes\":"
+								     "2,"
+								     "\"header_"
+								     "timeout_"
+								     "ms\":3,"
+								     "\"idle_"
+								     "timeout_"
+								     "ms\":4},"
+								     "\"more\":"
+								     "{}}"),
+	    MP_OK)
+	    << err.message;
+	EXPECT_EQ(config->version, 7u);
+	const gw_route &r = config->routes[0];
+	EXPECT_EQ(r.kind, GW_STREAM);
+	EXPECT_EQ(r.target_ms, 800u);
+	EXPECT_EQ(r.max_attempts, 2u);
+	EXPECT_TRUE(r.resumable && r.affine);
+	EXPECT_EQ(r.weight, 100u);
+	const gw_engine &e = config->services[0].engine;
+	EXPECT_EQ(e.weights_mb, 66500u);
+	EXPECT_EQ(e.loads_per_s_milli, 4800u);
+	EXPECT_EQ(e.models[0].load_ms, 2500u);
+	EXPECT_FALSE(config->services[1].has_engine);
+	EXPECT_EQ(config->limits.idle_timeout_ms, 4u);
+}
+
+TEST_F(Configs, a_refused_one_names_the_path_of_its_fault)
+{
+	static const struct {
+		const char *text, *path;
+	} rows[] = {
+	    {"", "$:"},
+	    {"{\"version\":7,\"routes\":[", "$:"},
+	    {"{}", "$.version:"},
+	    {"{\"version\":\"7\"}", "$.version:"},
+	    {"{\"version\":7}", "$.routes:"},
+	    {"{\"version\":7,\"routes\":[]}", "$.services:"},
+	    {CONFIG("{}"), "$.routes[0].host:"},
+	    {CONFIG("7"), "$.routes[0].host:"},
+	    {CONFIG(ROUTE("")), "$.routes[0].service:"},
+	    {CONFIG(ROUTE(",\"service\":\"nobody\"")), "$.routes[0]:"},
+	    {CONFIG(ROUTE(",\"split\":[]")), "$.routes[0]:"},
+	    {CONFIG(ROUTE(",\"split\":[{\"service\":\"s\",\"weight\":0}]")),
+		"$.routes[0]:"},
+	    {CONFIG(ROUTE(",\"split\":[{\"service\":\"s\",\"weight\":-1}]")),
+		"$.routes[0].split[0].weight:"},
+	    {CONFIG(ROUTE(",\"split\":[{\"weight\":1}]")),
+		"$.routes[0].split[0].service:"},
+	    {CONFIG(
+		 ROUTE(",\"service\":\"s\"") "," ROUTE(",\"service\":\"t\"")),
+		"$.routes[1]:"},
+	    {CONFIG("{\"host\":\"a\",\"path_prefix\":\"/\",\"type\":"
+		    "\"idempotent\",\"timeout_ms\":0,\"service\":\"s\"}"),
+		"$.routes[0]:"},
+	    {CONFIG("{\"host\":\"a\",\"path_prefix\":\"/\",\"type\":"
+		    "\"idempotent\",\"service\":\"s\"}"),
+		"$.routes[0].timeout_ms:"},
+	    {CONFIG("{\"host\":\"a\",\"path_prefix\":\"/\",\"type\":"
+		    "\"often\",\"timeout_ms\":1,\"service\":\"s\"}"),
+		"$.routes[0].type:"},
+	    {CONFIG(ROUTE(",\"service\":\"s\",\"max_attempts\":\"2\"")),
+		"$.routes[0].max_attempts:"},
+	    {CONFIG(ROUTE(",\"service\":\"s\",\"resumable\":1")),
+		"$.routes[0].resumable:"},
+	    {"{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\","
+	     "\"engine\":{\"models\":[{}]}}]}",
+		"$.services[0].engine.models[0].name:"},
+	    {"{\"version\":7,\"routes\":[],\"services\":[{}]}",
+		"$.services[0].name:"},
+	    {"{\"version\":7,\"routes\":[],\"services\":[],\"limits\":{"
+	     "\"max_body_bytes\":[]}}",
+		"$.limits.max_body_bytes:"},
+	};
+
+	for (auto &row : rows) {
+		EXPECT_EQ(Read(row.text), MP_ERR_INVALID) << row.text;
+		EXPECT_EQ(std::string(err.message).find(row.path), 0u)
+		    << row.text << " says " << err.message;
+	}
+}
--- /dev/null
+++ b/tests/platform/request_test.cc
@@ -0,0 +1,167 @@
+#include "codec_fixture.h"
+
+class Requests : public CodecTest {
+      protected:
+	gw_request out;
+
+	int
+	Read(const Headers &headers)
+	{
+		node_request r =
+		    Request(NODE_LISTEN_FRONT, "POST", "/a/b", "x", headers);
+
+		return platform_codec.read_request(&out, &r, memory, &err);
+	}
+};
+
+TEST_F(Requests, a_model_request_is_read_whole)
+{
+	ASSERT_EQ(
+	    Read({{"Host", "F.example:80"}, {"mulberrypath-attempt-id", "9c41"},
+		{"Mulberrypath-Model", "m/a7"},
+		{"Mulberrypath-Token-Usage", "1460,80"},
+		{"Mulberrypath-Prompt-Prefix", "5c:800,91bd:410"},
+		{"Mulberrypath-Deadline-Ms", "4000"}, {"X-Own", "1"}}),
+	    MP_OK);
+	EXPECT_STREQ(out.host, "F.example");
+	EXPECT_STREQ(out.attempt, "9c41");
+	EXPECT_STREQ(out.model, "m");
+	EXPECT_STREQ(out.adapter, "a7");
+	EXPECT_EQ(out.prompt_tokens, 1460u);
+	EXPECT_EQ(out.max_tokens, 80u);
+	ASSERT_EQ(out.nparts, 2u);
+	EXPECT_EQ(out.parts[1].tokens, 410u);
+	EXPECT_NE(out.parts[0].hash, out.parts[1].hash);
+	EXPECT_EQ(out.deadline_ms, 4000u);
+	EXPECT_EQ(Find(out.headers, out.nheaders, "X-Own"), "1");
+	EXPECT_EQ(Find(out.headers, out.nheaders, "Host"), "F.example:80");
+}
+
+TEST_F(Requests, malformed_headers_are_named)
+{
+	static const struct {
+		const char *name, *value;
+	} rows[] = {{"Mulberrypath-Deadline-Ms", "soon"},
+	    {"Mulberrypath-Deadline-Ms", "-4"},
+	    {"Mulberrypath-Token-Usage", "many"},
+	    {"Mulberrypath-Token-Usage", "1,x"},
+	    {"Mulberrypath-Prompt-Prefix", "5c"},
+	    {"Mulberrypath-Prompt-Prefix", "5c:x"},
+	    {"Mulberrypath-Prompt-Prefix", "5c:1;6d:2"}};
+
+	for (auto &row : rows) {
+		EXPECT_EQ(Read({{"Host", "h"}, {row.name, row.value}}),
+		    MP_ERR_INVALID)
+		    << row.name << ": " << row.value;
+		EXPECT_NE(
+		    std::string(err.message).find(row.name), std::string::npos);
+	}
+	EXPECT_EQ(Read({}), MP_ERR_INVALID);
+}
+
+/* Neither what ends here nor what is ours to set comes from a caller. */
+TEST_F(Requests, headers_of_one_connection_and_ours_are_not_passed_on)
+{
+	ASSERT_EQ(
+	    Read({{"Host", "h"}, {"Connection", "close, X-Hop"}, {"X-Hop", "1"},
+		{"Keep-Alive", "timeout=5"}, {"TE", "x"}, {"Trailer", "x"},
+		{"Upgrade", "h2c"}, {"Transfer-Encoding", "chunked"},
+		{"Content-Length", "3"}, {"Proxy-Authorization", "x"},
+		{"Mulberrypath-Expected-Instance", "i"},
+		{"Mulberrypath-Expected-Version", "7"},
+		{"Mulberrypath-Request-Urgency", "0"},
+		{"Mulberrypath-Hold", "h"}, {"Mulberrypath-Pin-Ms", "1"},
+		{"Mulberrypath-Kv-Backup", "x"}, {"Kv-From", "x"},
+		{"Kv-Fetch", "x"}, {"X-Hope", "2"}, {"Last-Event-Id", "4"}}),
+	    MP_OK);
+	ASSERT_EQ(out.nheaders, 3u);
+	EXPECT_EQ(Find(out.headers, out.nheaders, "X-Hope"), "2");
+	EXPECT_EQ(Find(out.headers, out.nheaders, "Last-Event-Id"), "4");
+	EXPECT_STREQ(out.resume_after, "4");
+}
+
+TEST_F(Requests, a_sending_names_endpoint_version_and_what_is_left)
+{
+	gw_send send = {};
+	node_call call = {};
+
+	ASSERT_EQ(
+	    Read({{"Host", "h"}, {"Mulberrypath-Model", "m/a"},
+		{"Mulberrypath-Deadline-Ms", "4000"}, {"Last-Event-Id", "4"}}),
+	    MP_OK);
+	send.request = &out;
+	send.endpoint = "i-9";
+	send.adapter_version = 3;
+	send.deadline_ms = 1200;
+	send.urgency = 4;
+	send.resume_after = "17";
+	platform_codec.write_send(&call, &send, memory);
+	const struct {
+		const char *name, *value;
+	} rows[] = {{"Mulberrypath-Deadline-Ms", "1200"},
+	    {"Mulberrypath-Expected-Instance", "i-9"},
+	    {"Mulberrypath-Expected-Version", "3"},
+	    {"Mulberrypath-Request-Urgency", "4"}, {"Last-Event-Id", "17"}};
+	for (auto &row : rows)
+		EXPECT_EQ(
+		    Find(call.headers, call.nheaders, row.name), row.value);
+	EXPECT_EQ(Find(call.passed, call.npassed, "Last-Event-Id"), "(none)");
+	EXPECT_EQ(Find(call.passed, call.npassed, "Mulberrypath-Deadline-Ms"),
+	    "(none)");
+}
+
+TEST_F(Requests, heads_of_answers_are_understood)
+{
+	static const struct {
+		int status;
+		const char *name, *value;
+		bool not_run, other, proved, load;
+	} rows[] = {
+	    {200, "Mulberrypath-Server-Signature", "s", false, false, true,
+		false},
+	    {503, "Mulberrypath-Not-Executed", "1", true, false, false, false},
+	    {503, "Retry-After", "1", false, false, false, false},
+	    {421, "X", "1", true, true, false, false},
+	    {200, "Mulberrypath-Instance-Load", "3,1,8", false, false, false,
+		true},
+	    {200, "Mulberrypath-Instance-Load", "3,1", false, false, false,
+		false},
+	    {200, "Mulberrypath-Instance-Load", "x", false, false, false,
+		false},
+	};
+	gw_answer a;
+
+	for (auto &row : rows) {
+		node_header h = {row.name, row.value};
+		node_call_event head = {};
+
+		head.status = row.status;
+		head.headers = &h;
+		head.nheaders = 1;
+		platform_codec.read_answer(&a, &head, memory);
+		EXPECT_EQ(a.not_run, row.not_run) << row.name;
+		EXPECT_EQ(a.other_endpoint, row.other) << row.name;
+		EXPECT_EQ(a.proved, row.proved) << row.name;
+		EXPECT_EQ(a.load_told, row.load) << row.value;
+	}
+}
+
+/* 503 says that a request has not run; what may have run gets 502 or 504. */
+TEST_F(Requests, refusals_promise_only_what_is_true)
+{
+	static const struct {
+		gw_refusal refusal;
+		int status;
+	} rows[] = {{GW_REFUSE_MALFORMED, 400}, {GW_REFUSE_NO_ROUTE, 404},
+	    {GW_REFUSE_NOT_READY, 503}, {GW_REFUSE_OVERLOAD, 503},
+	    {GW_REFUSE_FAILED, 502}, {GW_REFUSE_TIMEOUT, 504}};
+
+	for (auto &row : rows) {
+		node_reply r = {};
+
+		platform_codec.write_refusal(
+		    &r, row.refusal, "why", 250, memory);
+		EXPECT_EQ(r.status, row.status);
+		EXPECT_EQ(Find(r.headers, r.nheaders, "Retry-After"), "0.250");
+	}
+}
