--- /dev/null
+++ b/tests/place/engine_test.cc
@@ -0,0 +1,315 @@
+#include "place_fixture.h"
+
+/*
+ * The pattern: prompts with a heavy tail, an adapter for most requests, few
+ * places, and a store that bears few loads at once.
+ */
+class PlaceEngine : public PlaceTest {
+      protected:
+	Fleet fleet;
+	std::vector<std::pair<uint64_t, place_decision>> calls;
+
+	/* Carry out the orders that were decided, after their way. */
+	void
+	Obey(bool lose_answers = false)
+	{
+		std::vector<place_decision> all;
+
+		all.swap(got);
+		for (auto &d : all) {
+			if (d.type != PLACE_ORDER && d.type != PLACE_REPORT) {
+				got.push_back(d);
+				continue;
+			}
+			if (d.type == PLACE_REPORT) {
+				Report(d.endpoint);
+				continue;
+			}
+			gw_order_result r =
+			    fleet.Take(now, d.order, d.endpoint);
+			place_ordered(p, now, d.endpoint,
+			    lose_answers ? GW_ORDER_FAILED : r, lose_answers);
+		}
+	}
+
+	void
+	Report(const char *id)
+	{
+		gw_report report = {};
+		std::vector<gw_loaded> there, coming;
+
+		if (fleet.engines[id].weights_at <= now)
+			there.push_back({"m", nullptr, 1});
+		for (auto &a : fleet.engines[id].there)
+			(a.second <= now ? there : coming)
+			    .push_back({"m", a.first.c_str(), 1});
+		report.orders = fleet.engines[id].orders;
+		report.loaded = there.data();
+		report.nloaded = there.size();
+		report.pending = coming.data();
+		report.npending = coming.size();
+		place_reported(p, now, id, &report);
+	}
+
+	/* Turn time in steps of a ms until a request is decided. */
+	const place_decision *
+	Until(uint64_t ask, int ms = 3000)
+	{
+		for (int i = 0; i < ms && Of(ask) == nullptr; i++) {
+			Run();
+			Obey();
+			now += MS;
+		}
+		return Of(ask);
+	}
+};
+
+TEST_F(PlaceEngine, a_missing_adapter_is_loaded_and_the_request_meets_it)
+{
+	uint64_t begin, ask;
+	const place_decision *d;
+
+	Engines(2);
+	begin = now;
+	ask = Ask("a1");
+	d = Until(ask);
+	ASSERT_NE(d, nullptr);
+	EXPECT_EQ(d->type, PLACE_GRANT);
+	EXPECT_TRUE(fleet.Holds(d->endpoint, "a1", now + MS));
+	EXPECT_LT(now - begin, 300 * MS);
+	EXPECT_EQ(fleet.loads, 1);
+	Done(ask, PLACE_SERVED);
+	std::string home = d->endpoint;
+	ask = Ask("a1");
+	d = Until(ask);
+	EXPECT_EQ(home, d->endpoint);
+	EXPECT_EQ(fleet.loads, 1);
+}
+
+TEST_F(PlaceEngine, the_shorter_backlog_of_prompts_is_taken)
+{
+	Engines(2);
+	uint64_t big = Ask("", 6800);
+	std::string first = Until(big)->endpoint;
+	for (int i = 0; i < 3; i++) {
+		uint64_t small = Ask("", 1500);
+
+		ASSERT_NE(Until(small), nullptr);
+		EXPECT_NE(first, Of(small)->endpoint) << i;
+	}
+}
+
+/* The store bears eight loads at once; a ninth slows all. */
+TEST_F(PlaceEngine, no_more_loads_at_once_than_the_store_bears)
+{
+	Engines(9);
+	for (int i = 0; i < 30; i++)
+		(void)Ask("a" + std::to_string(i));
+	for (int i = 0; i < 1500; i++) {
+		Run();
+		Obey();
+		now += MS;
+	}
+	EXPECT_LE(fleet.most_at_once, 8);
+	EXPECT_GE(fleet.loads, 24);
+}
+
+/* An engine that is ordered to load more than it has places for crashes. */
+TEST_F(PlaceEngine, places_are_never_exceeded_whatever_is_lost)
+{
+	std::vector<uint64_t> asks;
+
+	Engines(3);
+	for (int round = 0; round < 400; round++) {
+		asks.push_back(Ask("a" + std::to_string(round * 7 % 41), 300));
+		for (int i = 0; i < 25; i++) {
+			Run();
+			Obey(round % 5 == 3 && i % 7 == 0);
+			now += MS;
+		}
+		if (round % 3 == 0)
+			Engines(3); /* lists nothing but the weights: late */
+		for (auto it = asks.begin(); it != asks.end();) {
+			const place_decision *d = Of(*it);
+
+			if (d == nullptr) {
+				++it;
+				continue;
+			}
+			if (d->type == PLACE_GRANT)
+				Done(*it,
+				    fleet.Holds(d->endpoint,
+					"a" +
+					    std::to_string((*it - 1) * 7 % 41),
+					now + MS)
+					? PLACE_SERVED
+					: PLACE_LACKING);
+			it = asks.erase(it);
+		}
+	}
+	for (auto &e : fleet.engines)
+		EXPECT_FALSE(e.second.crashed) << e.first;
+	EXPECT_GT(fleet.loads, 50);
+}
+
+/* A hot adapter nobody runs on just now stays; one of the tail goes. */
+TEST_F(PlaceEngine, what_is_asked_for_often_is_not_unloaded)
+{
+	Engines(1);
+	for (int i = 0; i < 20; i++) {
+		uint64_t ask = Ask("hot", 100);
+
+		ASSERT_NE(Until(ask), nullptr);
+		Done(ask, PLACE_SERVED);
+	}
+	for (int i = 0; i < 12; i++) {
+		uint64_t ask = Ask("tail" + std::to_string(i), 100);
+
+		ASSERT_NE(Until(ask), nullptr) << i;
+		Done(ask, PLACE_SERVED);
+		EXPECT_TRUE(fleet.Holds("e1", "hot", now)) << i;
+	}
+}
+
+TEST_F(PlaceEngine, an_adapter_in_use_is_not_unloaded)
+{
+	std::vector<uint64_t> running;
+
+	Engines(1);
+	for (int i = 0; i < 5; i++) {
+		running.push_back(Ask("a" + std::to_string(i), 100));
+		ASSERT_NE(Until(running.back()), nullptr);
+	}
+	uint64_t ask = Ask("b", 100);
+	for (int i = 0; i < 500; i++) {
+		Run();
+		Obey();
+		now += MS;
+		for (int k = 0; k < 5; k++)
+			ASSERT_TRUE(
+			    fleet.Holds("e1", "a" + std::to_string(k), now));
+	}
+	Done(running[2], PLACE_SERVED);
+	ASSERT_NE(Until(ask), nullptr);
+	EXPECT_FALSE(fleet.Holds("e1", "a2", now));
+}
+
+/* A new version: no request begins on the old one from then on. */
+TEST_F(PlaceEngine, an_older_version_is_replaced_before_it_is_used)
+{
+	Engines(1);
+	uint64_t ask = Ask("a1", 100);
+	ASSERT_NE(Until(ask), nullptr);
+	Done(ask, PLACE_SERVED);
+	place_set_version(p, "m", "a1", 2);
+	ask = Ask("a1", 100);
+	const place_decision *d = Until(ask);
+	ASSERT_NE(d, nullptr);
+	EXPECT_EQ(d->adapter_version, 2u);
+	EXPECT_EQ(fleet.loads, 2);
+}
+
+/* Without leave to order only what is there is used. */
+TEST_F(PlaceEngine, an_entry_that_places_by_itself_orders_nothing)
+{
+	Engines(1);
+	Announce({"e2"}, {{"m", "a1", 1}});
+	uint64_t there = Ask("a1"), missing = Ask("a2");
+	Run(false);
+	ASSERT_NE(Of(there), nullptr);
+	EXPECT_STREQ(Of(there)->endpoint, "e2");
+	EXPECT_EQ(Of(missing), nullptr);
+	for (auto &d : got)
+		EXPECT_TRUE(d.type != PLACE_ORDER && d.type != PLACE_REPORT);
+}
+
+/* The order of a placer whose fence is old is not repeated. */
+TEST_F(PlaceEngine, a_fenced_placer_orders_there_no_more)
+{
+	int orders = 0;
+
+	Engines(1);
+	(void)Ask("a1");
+	for (int i = 0; i < 2000; i++) {
+		Run();
+		for (auto &d : got) {
+			if (d.type == PLACE_REPORT)
+				Report(d.endpoint);
+			if (d.type == PLACE_ORDER) {
+				orders++;
+				place_ordered(
+				    p, now, d.endpoint, GW_ORDER_FENCED, false);
+			}
+		}
+		got.clear();
+		now += MS;
+	}
+	EXPECT_EQ(orders, 1);
+}
+
+/*
+ * A flood of rare adapters: what the store can't bring in time is refused at
+ * once with a time to come back, the rest is in time.
+ */
+TEST_F(PlaceEngine, a_flood_of_rare_adapters_is_refused_at_once_not_held)
+{
+	std::map<uint64_t, uint64_t> asked;
+	int late = 0, refused = 0, served = 0;
+
+	Engines(18);
+	for (int ms = 0; ms < 4000; ms++) {
+		if (ms % 10 == 0)
+			asked[Ask("r" + std::to_string(ms), 500)] = now;
+		Run();
+		Obey();
+		for (auto &d : got) {
+			if (asked.count(d.id.ask) == 0)
+				continue;
+			uint64_t took = now - asked[d.id.ask];
+			if (d.type == PLACE_REFUSE) {
+				refused++;
+				EXPECT_LT(took, 900 * MS);
+				EXPECT_GT(d.retry_after_ms, 0u);
+			} else if (d.type == PLACE_GRANT) {
+				served++;
+				late += took > 800 * MS;
+				Done(d.id.ask, PLACE_SERVED);
+			}
+		}
+		got.clear();
+		now += MS;
+	}
+	EXPECT_GT(refused, 100);
+	EXPECT_GT(served, 100) << "the store brings 32 a second";
+	EXPECT_LT(late, served / 10);
+}
+
+/* A new engine without weights gets them, within the store's rate. */
+TEST_F(PlaceEngine, an_empty_engine_gets_weights_one_at_a_time)
+{
+	int loads = 0, at_once = 0;
+
+	Engines(2);
+	for (int i = 3; i <= 6; i++) {
+		Engine e = {"e" + std::to_string(i)};
+
+		e.weights = false;
+		fleet.engines[e.id].weights_at = UINT64_MAX;
+		Announce(e);
+	}
+	for (int ms = 0; ms < 3000; ms++) {
+		at_once = 0;
+		Run();
+		for (auto &d : got)
+			if (d.type == PLACE_ORDER) {
+				EXPECT_EQ(d.order.adapter, nullptr);
+				loads++;
+				at_once++;
+			}
+		Obey();
+		EXPECT_LE(at_once, 1);
+		now += MS;
+	}
+	EXPECT_GE(loads, 1);
+	EXPECT_LE(loads, 2) << "each takes two seconds";
+}
--- /dev/null
+++ b/tests/place/place_fixture.h
@@ -0,0 +1,257 @@
+#ifndef MP_TESTS_PLACE_FIXTURE_H
+#define MP_TESTS_PLACE_FIXTURE_H
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "place/place.h"
+#include "util/mem.h"
+
+#define MS 1000ULL
+
+/* A placer with one service of engines, "lm", and a plain one, "app". */
+class PlaceTest : public ::testing::Test {
+      protected:
+	uint64_t now = 1000000000;
+	place *p = nullptr;
+	gw_config config = {};
+	gw_service services[2] = {};
+	gw_model model = {};
+	place_options options = {200, 50, 10000, 5000, 1100, 8, 250, 1200};
+	node_effects *memory = node_effects_create();
+	std::map<std::string, uint64_t> sequences;
+	std::vector<place_decision> got;
+	std::vector<std::string> texts;
+	uint64_t last_ask = 0;
+
+	void
+	SetUp() override
+	{
+		model.name = (char *)"m";
+		model.weights_mb = 60000;
+		model.load_ms = 2000;
+		services[0].name = (char *)"lm";
+		services[0].has_engine = true;
+		services[0].engine.seats = 64;
+		services[0].engine.kv_tokens = 100000;
+		services[0].engine.adapter_slots = 5;
+		services[0].engine.weights_mb = 66000;
+		services[0].engine.loads_per_s_milli = 4800;
+		services[0].engine.models = &model;
+		services[0].engine.nmodels = 1;
+		services[1].name = (char *)"app";
+		config.version = 1;
+		config.services = services;
+		config.nservices = 2;
+		p = place_create(&options);
+		place_configure(p, &config);
+	}
+
+	void
+	TearDown() override
+	{
+		place_destroy(p);
+		node_effects_destroy(memory);
+	}
+
+	struct Engine {
+		std::string id, address = "";
+		uint64_t born = 1, sequence = 0;
+		bool leaving = false, weights = true;
+		std::string service = "lm";
+		uint32_t slots = 64;
+	};
+
+	place_news
+	Announce(const Engine &e, std::vector<gw_loaded> loaded = {})
+	{
+		gw_announcement a = {};
+		std::string address = e.address.empty()
+		    ? "10.0.0." + e.id.substr(1) + ":80"
+		    : e.address;
+
+		if (e.weights && e.service == "lm")
+			loaded.insert(loaded.begin(), {"m", nullptr, 1});
+		a.id = e.id.c_str();
+		a.service = e.service.c_str();
+		a.address = address.c_str();
+		a.data_centre = "z";
+		a.born_ms = e.born;
+		a.sequence = e.sequence != 0 ? e.sequence : ++sequences[e.id];
+		a.slots = e.slots;
+		a.leaving = e.leaving;
+		a.models_told = true;
+		a.loaded = loaded.data();
+		a.nloaded = loaded.size();
+		return place_announce(p, now, &a, true);
+	}
+
+	void
+	Engines(int n)
+	{
+		for (int i = 1; i <= n; i++)
+			Announce({"e" + std::to_string(i)});
+	}
+
+	void
+	Apps(int n)
+	{
+		for (int i = 1; i <= n; i++) {
+			Engine e = {"a" + std::to_string(i)};
+
+			e.service = "app";
+			e.slots = 6;
+			e.address = "10.0.1." + std::to_string(i) + ":80";
+			Announce(e);
+		}
+	}
+
+	/* Ask for a model request; adapter "" is none. */
+	uint64_t
+	Ask(const std::string &adapter, uint32_t tokens = 2000,
+	    uint32_t attempt = 0, const char *avoid = nullptr)
+	{
+		place_request r = {};
+
+		r.id = {7, ++last_ask};
+		r.kind = GW_STREAM;
+		r.service = "lm";
+		r.model = "m";
+		r.adapter = adapter.empty() ? nullptr : adapter.c_str();
+		r.prompt_tokens = tokens;
+		r.max_tokens = 80;
+		r.deadline_us = now + 4000 * MS;
+		r.target_us = now + 800 * MS;
+		r.attempt = attempt;
+		if (avoid != nullptr)
+			r.avoid[r.navoid++] = avoid;
+		place_ask(p, now, &r);
+		return last_ask;
+	}
+
+	uint64_t
+	Call_(uint32_t attempt = 0)
+	{
+		place_request r = {};
+
+		r.id = {7, ++last_ask};
+		r.kind = GW_NON_IDEMPOTENT;
+		r.service = "app";
+		r.deadline_us = now + 4000 * MS;
+		r.target_us = now + 300 * MS;
+		r.attempt = attempt;
+		place_ask(p, now, &r);
+		return last_ask;
+	}
+
+	/* Run once; the decisions are added to those that were got. */
+	void
+	Run(bool may_order = true)
+	{
+		place_decision d;
+
+		place_run(p, now, may_order);
+		while (place_take(p, &d)) {
+			if (d.endpoint != nullptr)
+				d.endpoint = node_effects_printf(
+				    memory, "%s", d.endpoint);
+			if (d.type == PLACE_ORDER) {
+				d.order.model = node_effects_printf(
+				    memory, "%s", d.order.model);
+				if (d.order.adapter != nullptr)
+					d.order.adapter = node_effects_printf(
+					    memory, "%s", d.order.adapter);
+			}
+			got.push_back(d);
+		}
+	}
+
+	/* The decision about a request; NULL: none yet but to wait. */
+	const place_decision *
+	Of(uint64_t ask) const
+	{
+		for (auto &d : got)
+			if ((d.type == PLACE_GRANT || d.type == PLACE_REFUSE) &&
+			    d.id.ask == ask)
+				return &d;
+		return nullptr;
+	}
+
+	void
+	Done(uint64_t ask, place_outcome outcome, uint32_t first_ms = 0)
+	{
+		place_end end = {};
+
+		end.outcome = outcome;
+		end.first_ms = first_ms;
+		place_done(p, now, {7, ask}, &end);
+	}
+};
+
+/*
+ * Engines as the placer's orders make them: places, what is loaded and on its
+ * way, the count of orders. Too much in its places is a crash.
+ */
+class Fleet {
+      public:
+	struct Engine {
+		std::map<std::string, uint64_t> there; /* ready at */
+		uint64_t orders = 0;
+		uint64_t weights_at = 0; /* its weights are there from then */
+		bool crashed = false;
+	};
+	std::map<std::string, Engine> engines;
+	int loads = 0, most_at_once = 0;
+
+	gw_order_result
+	Take(uint64_t now, const gw_order &o, const char *endpoint)
+	{
+		Engine &e = engines[endpoint];
+
+		if (o.expect && o.expected != e.orders)
+			return GW_ORDER_BUSY;
+		e.orders++;
+		if (o.adapter == nullptr) {
+			e.weights_at = now + 2000 * MS;
+			return GW_ORDER_STARTED;
+		}
+		if (o.type == GW_ORDER_UNLOAD) {
+			e.there.erase(o.adapter);
+			return GW_ORDER_DONE;
+		}
+		e.there[o.adapter] = now + 250 * MS;
+		e.crashed |= e.there.size() > 5;
+		loads++;
+		most_at_once = std::max(most_at_once, AtOnce(now));
+		return GW_ORDER_STARTED;
+	}
+
+	int
+	AtOnce(uint64_t now) const
+	{
+		int n = 0;
+
+		for (auto &e : engines)
+			for (auto &a : e.second.there)
+				n += a.second > now;
+		return n;
+	}
+
+	bool
+	Holds(const std::string &engine, const std::string &adapter,
+	    uint64_t now) const
+	{
+		auto e = engines.find(engine);
+
+		return e != engines.end() &&
+		    e->second.there.count(adapter) > 0 &&
+		    e->second.there.at(adapter) <= now;
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/place/service_test.cc
@@ -0,0 +1,126 @@
+#include "place_fixture.h"
+
+/*
+ * The pattern: few endpoints with few slots, calls that may run once only,
+ * and endpoints that fail or turn slow.
+ */
+class PlaceService : public PlaceTest {};
+
+TEST_F(PlaceService, calls_fill_the_slots_evenly_and_then_wait)
+{
+	std::map<std::string, int> given;
+	std::vector<uint64_t> asks;
+
+	Apps(4);
+	for (int i = 0; i < 26; i++)
+		asks.push_back(Call_());
+	Run();
+	for (auto ask : asks)
+		if (Of(ask) != nullptr)
+			given[Of(ask)->endpoint]++;
+	EXPECT_EQ(given.size(), 4u);
+	for (auto &g : given)
+		EXPECT_EQ(g.second, 6) << g.first;
+	EXPECT_EQ(Of(asks[25]), nullptr);
+	now += 60 * MS;
+	Done(asks[0], PLACE_SERVED);
+	Run();
+	EXPECT_NE(Of(asks[24]), nullptr) << "first come, first served";
+	EXPECT_EQ(Of(asks[25]), nullptr);
+}
+
+TEST_F(PlaceService, one_that_waits_in_vain_is_refused_at_its_deadline)
+{
+	uint64_t ask;
+
+	Apps(1);
+	for (int i = 0; i < 6; i++)
+		Call_();
+	ask = Call_();
+	Run();
+	now += 4000 * MS;
+	Run();
+	ASSERT_NE(Of(ask), nullptr);
+	EXPECT_EQ(Of(ask)->type, PLACE_REFUSE);
+	EXPECT_GT(Of(ask)->retry_after_ms, 0u);
+}
+
+TEST_F(PlaceService, one_that_fails_its_calls_is_ejected_for_a_while)
+{
+	int bad = 0;
+	uint64_t ask;
+
+	Apps(4);
+	for (int i = 0; i < 60; i++) {
+		ask = Call_();
+		Run();
+		ASSERT_NE(Of(ask), nullptr);
+		bool grey = strcmp(Of(ask)->endpoint, "a1") == 0;
+
+		bad += grey;
+		now += 10 * MS;
+		Done(ask, grey ? PLACE_FAILED_THERE : PLACE_SERVED);
+	}
+	EXPECT_LT(bad, 8);
+	now += 9000 * MS;
+	Apps(4);
+	bad = 0;
+	for (int i = 0; i < 24; i++) {
+		ask = Call_();
+		Run();
+		bad += strcmp(Of(ask)->endpoint, "a1") == 0;
+	}
+	EXPECT_GT(bad, 0) << "it gets another chance";
+}
+
+/* A fault that all share is not theirs: half of them stay. */
+TEST_F(PlaceService, never_more_than_half_are_ejected)
+{
+	std::map<std::string, int> given;
+	uint64_t ask;
+
+	Apps(4);
+	for (int i = 0; i < 80; i++) {
+		ask = Call_();
+		Run();
+		ASSERT_NE(Of(ask), nullptr) << i;
+		given[Of(ask)->endpoint]++;
+		now += 5 * MS;
+		Done(ask, PLACE_FAILED_THERE);
+	}
+	EXPECT_GE(given.size(), 2u);
+}
+
+TEST_F(PlaceService, an_entry_that_is_gone_holds_no_slots)
+{
+	uint64_t ask;
+
+	Apps(1);
+	for (int i = 0; i < 6; i++)
+		Call_();
+	Run();
+	place_entry_gone(p, now, 7);
+	ask = Call_();
+	Run();
+	EXPECT_NE(Of(ask), nullptr);
+}
+
+/* Repeats stay within a share of the requests and a fixed number. */
+TEST_F(PlaceService, repeats_have_a_budget)
+{
+	int repeats = 0;
+	uint64_t ask;
+
+	Apps(4);
+	for (int i = 0; i < 400; i++) {
+		ask = Call_(i % 2);
+		Run();
+		ASSERT_NE(Of(ask), nullptr);
+		repeats += i % 2 == 1 && Of(ask)->type == PLACE_GRANT;
+		if (Of(ask)->type == PLACE_GRANT)
+			Done(ask, PLACE_SERVED);
+		now += 10 * MS;
+	}
+	EXPECT_LE(repeats, 200 * 0.2 + 50);
+	EXPECT_GE(repeats, 25);
+}
