--- a/src/http/front.c
+++ b/src/http/front.c
@@ -142,10 +142,17 @@
 void
 front_server_close_listener(struct front_server *s)
 {
+	struct front_conn *c, *next;
+
 	if (s->closed_listener)
 		return;
 	s->closed_listener = true;
 	uv_close((uv_handle_t *)&s->listener, on_listener_closed);
+	for (c = s->conns; c != NULL; c = next) {
+		next = c->next;
+		if (front_conn_is_idle(c))
+			front_conn_close(c);
+	}
 }
 
 void
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -51,10 +51,10 @@
     struct front_server *s, uint64_t request, struct node_bytes data);
 void front_server_end(struct front_server *s, uint64_t request, bool aborted);
 
-/* Every answer from now on ends its connection; idle ones are closed. */
+/* Every answer from now on ends its connection. */
 void front_server_leave(struct front_server *s);
 
-/* Take no further connection; those there are go on. */
+/* Take no further connection and no further request; what runs goes on. */
 void front_server_close_listener(struct front_server *s);
 
 /* Close all connections; done is called on the loop. */
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -6,8 +6,10 @@
 
 /* The end of the process may take so long once nothing is left to do. */
 #define EXIT_MARGIN_MS 700u
-/* Callers may keep a list of addresses for so many lifetimes. */
+/* Callers may keep a list of addresses for so many lifetimes, */
 #define LIFETIMES 3u
+/* and lists name a stopping entry until the log says that it leaves. */
+#define LISTED_US (500 * 1000ULL)
 /* A core that has handed over the lead is not needed for long. */
 #define CORE_EXIT_US (600 * 1000ULL)
 
@@ -282,9 +284,9 @@
 stop_tick(struct node *n)
 {
 	struct node_gate *g = n->gate;
-	uint64_t lapsed = n->stop_us +
+	uint64_t lapsed = n->stop_us + LISTED_US +
 	    (uint64_t)n->settings->gateway.address_lifetime_ms * 1000 *
-		(LIFETIMES + 1);
+		LIFETIMES;
 
 	if (!n->stopping)
 		return;
--- a/tests/http/front_test.cc
+++ b/tests/http/front_test.cc
@@ -294,8 +294,18 @@
 	late.Write("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
 	ASSERT_TRUE(Until([&] { return late.Closed(); }));
 	EXPECT_NE(late.got.find("ok"), std::string::npos);
+	Caller idle, busy;
+	handler = [](const node_request *) {};
+	busy.Connect(Port());
+	busy.Write("GET /4 HTTP/1.1\r\nHost: h\r\n\r\n");
+	idle.Connect(Port());
+	ASSERT_TRUE(Until([&] { return paths.size() == 4; }));
 	front_server_close_listener(front);
-	EXPECT_EQ(paths.size(), 3u);
+	EXPECT_TRUE(Until([&] { return idle.Closed(); }));
+	EXPECT_FALSE(busy.Closed());
+	Answer(requests[3], "ok");
+	ASSERT_TRUE(Until([&] { return busy.Closed(); }));
+	EXPECT_NE(busy.got.find("ok"), std::string::npos);
 }
 
 TEST_F(FrontTest, limits_change_while_it_runs)
