--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -5,6 +5,10 @@
 #include "util/buf.h"
 #include "util/map.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 #define US_PER_MS 1000ULL
 
 enum fwd_state {
@@ -92,4 +96,8 @@
 /* The id of the last event in some whole events; NULL: none has one. */
 char *fwd_events_last_id(const char *data, size_t len);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- /dev/null
+++ b/tests/forward/forward_fixture.h
@@ -0,0 +1,213 @@
+#ifndef MP_TESTS_FORWARD_FIXTURE_H
+#define MP_TESTS_FORWARD_FIXTURE_H
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "forward/forward.h"
+#include "platform/platform.h"
+#include "util/mem.h"
+
+#define MS 1000ULL
+
+/* One entry's forward with the placer and the endpoints played by the test. */
+class ForwardTest : public ::testing::Test {
+      protected:
+	uint64_t now = 5000000;
+	forward *f = nullptr;
+	node_effects *fx = node_effects_create();
+	gw_target target = {(char *)"s", 1};
+	gw_route route = {};
+	uint64_t calls = 0, asks = 0, last_request = 0;
+	std::vector<place_request> asked;
+	std::vector<std::string> avoided;
+	std::vector<place_outcome> told;
+	/* what the caller got */
+	int status = 0;
+	std::string body, retry_after;
+	bool whole = false, cut = false;
+	/* what was sent */
+	uint64_t call = 0;
+	std::string resume, deadline;
+	bool cancelled = false;
+
+	void
+	SetUp() override
+	{
+		static const forward_ops ops = {ask, done, next_call, log};
+
+		route.name = (char *)"r";
+		route.host = (char *)"h";
+		route.prefix = (char *)"/";
+		route.kind = GW_IDEMPOTENT;
+		route.timeout_ms = 4000;
+		route.target_ms = 300;
+		route.max_attempts = 2;
+		route.targets = &target;
+		route.ntargets = 1;
+		route.weight = 1;
+		f = forward_create(&platform_codec, &ops, this, 7, "z");
+	}
+
+	void
+	TearDown() override
+	{
+		forward_destroy(f);
+		node_effects_destroy(fx);
+	}
+
+	static void
+	ask(void *ctx, const place_request *r, node_effects *)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		t->asks++;
+		t->asked.push_back(*r);
+		t->avoided.clear();
+		for (size_t i = 0; i < r->navoid; i++)
+			t->avoided.push_back(r->avoid[i]);
+	}
+
+	static void
+	done(void *ctx, uint64_t, const place_end *end, node_effects *)
+	{
+		((ForwardTest *)ctx)->told.push_back(end->outcome);
+	}
+
+	static uint64_t
+	next_call(void *ctx)
+	{
+		return ++((ForwardTest *)ctx)->calls;
+	}
+
+	static void
+	log(void *, const char *, node_effects *)
+	{
+	}
+
+	/* Take the effects of what was done. */
+	void
+	Take()
+	{
+		for (size_t i = 0; i < node_effects_count(fx); i++)
+			TakeOne(node_effects_at(fx, i));
+		node_effects_clear(fx);
+	}
+
+	void
+	TakeOne(const node_effect *e)
+	{
+		switch (e->type) {
+		case NODE_FX_REPLY:
+			EXPECT_EQ(status, 0) << "two heads";
+			status = e->u.reply.status;
+			body.append(e->u.reply.body.data, e->u.reply.body.len);
+			whole = !e->u.reply.more;
+			for (size_t k = 0; k < e->u.reply.nheaders; k++)
+				if (std::string(e->u.reply.headers[k].name) ==
+				    "Retry-After")
+					retry_after =
+					    e->u.reply.headers[k].value;
+			break;
+		case NODE_FX_REPLY_DATA:
+			body.append(e->u.reply_data.data.data,
+			    e->u.reply_data.data.len);
+			break;
+		case NODE_FX_REPLY_END:
+			whole = !e->u.reply_end.aborted;
+			cut = e->u.reply_end.aborted;
+			break;
+		case NODE_FX_CALL:
+			call = e->u.call.call;
+			cancelled = false;
+			resume = deadline = "";
+			for (size_t k = 0; k < e->u.call.nheaders; k++) {
+				std::string name = e->u.call.headers[k].name;
+
+				if (name == "Last-Event-Id")
+					resume = e->u.call.headers[k].value;
+				if (name == "Mulberrypath-Deadline-Ms")
+					deadline = e->u.call.headers[k].value;
+			}
+			break;
+		case NODE_FX_CALL_CANCEL:
+			cancelled = e->u.cancel == call;
+			break;
+		default:
+			break;
+		}
+	}
+
+	void
+	Begin(uint32_t deadline_ms = 2000)
+	{
+		node_header headers[] = {
+		    {"Host", "h"}, {"Mulberrypath-Attempt-Id", "42"}};
+		node_request in = {};
+		gw_request wire = {};
+
+		in.request = ++last_request;
+		in.method = "POST";
+		in.path = "/x";
+		in.body = {"q", 1};
+		wire.host = "h";
+		wire.attempt = "42";
+		wire.deadline_ms = deadline_ms;
+		wire.headers = headers;
+		wire.nheaders = 2;
+		forward_begin(f, now, &in, &wire, &route, 1, fx);
+		Take();
+	}
+
+	bool
+	Grant(const char *endpoint = "i-1")
+	{
+		forward_grant g = {
+		    asked.back().id.ask, endpoint, "1.1.1.1:1", 0, 4};
+		bool taken = forward_granted(f, now, &g, fx);
+
+		Take();
+		return taken;
+	}
+
+	void
+	Event(node_call_phase phase, const std::string &data = "")
+	{
+		node_call_event ev = {};
+
+		ev.call = call;
+		ev.phase = phase;
+		ev.data = {data.data(), data.size()};
+		ev.reason = "test";
+		(void)forward_call(f, now, &ev, fx);
+		Take();
+	}
+
+	void
+	Head(int s, std::vector<node_header> headers)
+	{
+		node_call_event ev = {};
+
+		ev.call = call;
+		ev.phase = NODE_CALL_HEAD;
+		ev.status = s;
+		ev.headers = headers.data();
+		ev.nheaders = headers.size();
+		(void)forward_call(f, now, &ev, fx);
+		Take();
+	}
+
+	/* The head of an answer as an endpoint gives it. */
+	void
+	Good(int s = 200)
+	{
+		Head(s,
+		    {{"Mulberrypath-Attempt-Id", "42"},
+			{"Mulberrypath-Server-Signature", "sig"}});
+	}
+};
+
+#endif
