gateway: only seeds found; an even number of voters drops a dead one; ready with the table

Found by tests of several reducers on one clock (tests/gateway, new): - cores that are no seeds founded too, as the check took the seeds' answers for its own cluster (three_seeds_found_in_any_order...: 5 founded); - a replacement was promoted before the lost core was known to be down, and four voters with a dead one stopped at the next loss (a_replaced_core...); - an entry said that it is ready before it had the table of endpoints, so it served nobody when the cores were lost just then (entries_serve_...). Each failed first and passes now.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,23 @@
 #include "node/node_internal.h"
 #include "util/mem.h"
 
+/*
+ * Where instances are found by seeds, a cluster is founded by these alone, and
+ * only at its first start.
+ */
+static bool
+may_found(const struct settings *s)
+{
+	size_t i;
+
+	if (s->nseeds == 0)
+		return true;
+	for (i = 0; s->gateway.founding && i < s->npeers; i++)
+		if (s->peers[i].id == s->id)
+			return true;
+	return false;
+}
+
 static int
 node_create_raft(
     struct node *n, const struct node_boot *boot, struct mp_error *err)
@@ -15,8 +32,8 @@
 	if (boot->disk == NULL)
 		return 0;
 	n->voter = RAFT_ID(boot->disk->incarnation, n->id);
-	n->may_found = boot->disk->fresh && !boot->disk->damaged &&
-	    (n->settings->nseeds == 0 || n->settings->gateway.founding);
+	n->may_found =
+	    boot->disk->fresh && !boot->disk->damaged && may_found(n->settings);
 	options.self = n->voter;
 	options.seed = boot->seed ^ n->voter;
 	options.heartbeat_us = NODE_HEARTBEAT_US;
--- a/src/node/node_found.c
+++ b/src/node/node_found.c
@@ -238,6 +238,23 @@
 	return change_voters(n, RAFT_PROMOTE, m->voter);
 }
 
+/*
+ * Of an even number of voters one that is no member goes: the rest then bears
+ * one loss more. With an odd number nothing would be gained.
+ */
+static bool
+drop_dead_voter(struct node *n)
+{
+	const struct raft_config *config = raft_get_config(n->raft);
+	uint64_t dead;
+
+	if (n->settings->nseeds == 0 || config->nvoters % 2 != 0 ||
+	    config->nvoters <= 2)
+		return false;
+	dead = config_dead(n, config);
+	return dead != 0 && change_voters(n, RAFT_REMOVE, dead);
+}
+
 /* The leader makes voters of members with a new data folder, one by one. */
 void
 node_found_voters(struct node *n)
@@ -250,4 +267,5 @@
 	for (i = 0; i < member_view_count(n->view); i++)
 		if (admit_voter(n, member_view_at(n->view, i)))
 			return;
+	(void)drop_dead_voter(n);
 }
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -170,10 +170,12 @@
 	    g->forward, n->now, in, &wire, route, g->config->version, n->fx);
 }
 
+/* With the table of endpoints it can serve whatever happens to the placer. */
 static bool
 is_ready(const struct node *n)
 {
-	return n->gate->config != NULL && n->gate->was_leased && !n->stopping;
+	return n->gate->config != NULL && n->gate->was_leased &&
+	    n->gate->table_whole && !n->stopping;
 }
 
 static void
