place: requests that came before their adapter are met soon, estimates stretch

Change: such a request is granted again there in 30 ms, estimates stretch by a tenth and go back with loads that were in time; after two a report tells.

--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -177,8 +177,7 @@
 
 	memcpy(own + 1, &number, sizeof(number));
 	if (b->zap == NULL)
-		return zmq_setsockopt(
-		    socket, ZMQ_ROUTING_ID, own, sizeof(own));
+		return zmq_setsockopt(socket, ZMQ_ROUTING_ID, own, sizeof(own));
 	key = server_key(b->settings, id);
 	if (key == NULL)
 		return -1;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -263,6 +263,9 @@
 		r->avoid[r->navoid++] = mem_string(r->endpoint);
 }
 
+/* The placer knows when the endpoint will have it; another may lack it, too. */
+const char fwd_lacks[] = "endpoint-lacks";
+
 void
 fwd_next_attempt(struct forward *f, struct fwd *r, uint64_t now_us,
     bool not_run, const char *fault, struct node_effects *fx)
@@ -275,7 +278,8 @@
 		r->reached++;
 		may = may && r->reached < r->max_attempts;
 	}
-	avoid_endpoint(r);
+	if (fault != fwd_lacks)
+		avoid_endpoint(r);
 	if (!may || r->tries >= TRIES_MAX ||
 	    now_us + LEAST_LEFT_US >= r->deadline_us) {
 		give_up(f, r, now_us, fault, fx);
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -131,9 +131,7 @@
 		give_up_call(f, r, now_us,
 		    r->answer.other_endpoint ? PLACE_LACKING : PLACE_FULL_THERE,
 		    true,
-		    r->answer.other_endpoint ? "endpoint-lacks"
-					     : "endpoint-full",
-		    fx);
+		    r->answer.other_endpoint ? fwd_lacks : "endpoint-full", fx);
 	else if (is_worth_repeating(r))
 		give_up_call(f, r, now_us, PLACE_FAILED_THERE, false,
 		    "endpoint-failed", fx);
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -66,6 +66,7 @@
 
 /* ---- forward.c ---- */
 bool fwd_may_repeat(const struct fwd *r);
+extern const char fwd_lacks[]; /* a fault */
 void fwd_ask(
     struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx);
 /* The attempt is over: ask for another place, or give up. */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -363,6 +363,7 @@
 	n->gate->codec->write_order(call, &order, n->fx);
 	kept->what =
 	    mem_string(order.adapter == NULL ? order.model : order.adapter);
+	kept->unloads = order.type == GW_ORDER_UNLOAD;
 }
 
 static void
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "place/place_internal.h"
+#include "util/buf.h"
 #include "util/mem.h"
 
 /*
@@ -22,17 +23,12 @@
 char *
 place_adapter_key(const char *model, const char *adapter)
 {
-	size_t len = strlen(model), more;
-	char *key;
-
-	if (adapter == NULL || *adapter == '\0')
-		return mem_string(model);
-	more = strlen(adapter);
-	key = mem_alloc(len + more + 2, 1);
-	memcpy(key, model, len);
-	key[len] = '/';
-	memcpy(key + len + 1, adapter, more);
-	return key;
+	struct buf key = {0};
+
+	buf_puts(&key, model);
+	if (adapter != NULL && *adapter != '\0')
+		buf_printf(&key, "/%s", adapter);
+	return key.data;
 }
 
 struct place_adapter *
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -484,6 +484,23 @@
 		e->service_ms += (took_ms - e->service_ms) * SERVICE_WEIGHT;
 }
 
+/* A load that was estimated well lets the stretch go back. */
+#define STRETCH_BACK 0.01
+
+static void
+note_loaded(struct place *p, const struct place_ask *a)
+{
+	struct place_adapter *adapter =
+	    a->key == NULL ? NULL : place_adapter_find(a->endpoint, a->key);
+
+	if (adapter == NULL || adapter->served)
+		return;
+	adapter->served = true;
+	if (adapter->lacked == 0 && p->load_stretch > 0)
+		p->load_stretch -= STRETCH_BACK;
+	adapter->lacked = 0;
+}
+
 static void
 release(struct place *p, struct place_ask *a)
 {
@@ -506,10 +523,15 @@
 }
 
 /*
- * The endpoint lacks what the placer thought it had: it may still be on its
- * way, or gone. Nothing more is sent for it there until a report has told.
+ * The endpoint lacks what the placer thought it had. Most likely the load
+ * takes longer than was estimated: the request that came too early is soon
+ * sent again, and estimates stretch for a while. After that a report tells.
  */
-#define LACKING_US (600 * US_PER_MS)
+#define LACKING_TWICE	2u
+#define LACKING_SOON_US (30 * US_PER_MS)
+#define LACKING_LONG_US (600 * US_PER_MS)
+#define STRETCH_STEP	0.1
+#define STRETCH_MAX	1.0
 
 static void
 note_lacking(struct place *p, struct place_ask *a)
@@ -518,12 +540,19 @@
 	struct place_adapter *adapter =
 	    a->key == NULL ? NULL : place_adapter_find(e, a->key);
 
-	e->orders_known = false;
-	e->doubted = true;
+	if (a->key == NULL && may_eject(p, e))
+		e->eject_until_us = p->now_us + EJECT_FIRST_US;
 	if (adapter == NULL || adapter->state != ADAPTER_LOADED)
 		return;
+	if (adapter->lacked++ == 0 && p->load_stretch < STRETCH_MAX)
+		p->load_stretch += STRETCH_STEP;
 	adapter->state = ADAPTER_LOADING;
-	adapter->ready_us = p->now_us + LACKING_US;
+	adapter->ready_us = p->now_us + LACKING_SOON_US;
+	if (adapter->lacked <= LACKING_TWICE)
+		return;
+	adapter->ready_us = p->now_us + LACKING_LONG_US;
+	e->orders_known = false;
+	e->doubted = true;
 }
 
 void
@@ -543,6 +572,7 @@
 	release(p, a);
 	switch (end->outcome) {
 	case PLACE_SERVED:
+		note_loaded(p, a);
 		note_service_time(p, a);
 		note_trust(p, e, false);
 		break;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -38,6 +38,8 @@
 	uint32_t wanted_version;
 	uint32_t running; /* granted and not ended */
 	uint32_t waiting; /* requests that wait for it */
+	uint32_t lacked; /* refusals as it was not there, in a row */
+	bool served; /* a request that ran on it has ended */
 	bool cold; /* comes from the weight store */
 	bool replacing; /* WANTED to LOADING: an older version is there */
 	uint64_t ready_us; /* WANTED: estimated */
@@ -146,6 +148,7 @@
 	struct map *demand; /* struct place_demand by key */
 	uint32_t loading; /* adapters on their way from the store */
 	uint32_t queued_loads; /* adapters that wait for the store */
+	double load_stretch; /* loads take longer by this share of late */
 	double weight_permits; /* loads of weights that may begin */
 	uint64_t permits_us; /* as of */
 	uint32_t weights_loading;
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -56,6 +56,10 @@
 
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
+	if (a->adapter != NULL)
+		a->ready_us += (uint64_t)(ms * p->load_stretch) * US_PER_MS;
+	a->lacked = 0;
+	a->served = false;
 	set_state(p, e, a, ADAPTER_LOADING);
 	if (a->adapter == NULL) { /* no order beside it */
 		e->quiet_until_us = a->ready_us;
