gateway: orders at once after a predecessor that is silent or stops

Change: the lease is waited for where fences are not checked, or where the predecessor still talks and does not stop; asks go local after 150 ms.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -18,7 +18,7 @@
  */
 
 /* A placer that did not answer an ask, nor say that it waits. */
-#define GATE_ASK_SILENT_US (250 * 1000ULL)
+#define GATE_ASK_SILENT_US (150 * 1000ULL)
 /* A placer that was not heard at all is taken for lost. */
 #define GATE_PLACER_SILENT_US (900 * 1000ULL)
 /* A call that was passed on to the leader is answered within. */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -431,12 +431,15 @@
 /* Clocks differ, and the last word of the placer before may be this old. */
 #define ORDER_MARGIN_US (200 * 1000ULL)
 
+/* A predecessor that was silent for so long has ended, or is cut off. */
+#define PREDECESSOR_SILENT_US (400 * 1000ULL)
+
 /*
- * When this placer may give its first order: its predecessor's last one must
- * be older than the endpoints' lease. A predecessor gives orders under its
- * authority alone, which has ended by now. Where endpoints refuse its fence by
- * themselves, it is enough that it has been silent for so long: it told its
- * table up to its end to all that it reached.
+ * When this placer may give its first order. A predecessor gives orders under
+ * its authority alone, which has ended by now; where endpoints don't check
+ * fences its last one must be older than their lease. Where they do, that
+ * matters only for a predecessor that still runs and is not about to stop: any
+ * other can order nothing any more, and its fence is refused.
  */
 static uint64_t
 order_after(const struct node *n)
@@ -445,12 +448,17 @@
 	    (uint64_t)n->settings->gateway.order_lease_ms * 1000 +
 	    ORDER_MARGIN_US;
 	const struct node_peer *before;
+	const struct member *m;
 
 	if (n->gate->table_from == 0)
 		return n->now; /* there was none */
-	before = map_get_u64(n->peers, n->gate->table_from);
-	if (!n->settings->gateway.fenced || before == NULL)
+	if (!n->settings->gateway.fenced)
 		return n->now + lease_us;
+	before = map_get_u64(n->peers, n->gate->table_from);
+	m = member_view_find(n->view, n->gate->table_from);
+	if (before == NULL || m == NULL || m->leaving ||
+	    n->now > before->heard_us + PREDECESSOR_SILENT_US)
+		return n->now;
 	return before->heard_us + lease_us;
 }
 
