place: engines load weights from copies of their own at once

Change: copies that an endpoint announces are decoded; such loads need no permit of the store and take the time that the configuration gives for them. Test: engines_with_a_copy_of_their_own_load_it_at_once (failed first: one load in 100 ms).

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -52,6 +52,7 @@
 	char *name;
 	uint32_t weights_mb;
 	uint32_t load_ms; /* from the weight store */
+	uint32_t disk_ms, memory_ms; /* from the endpoint's own copies */
 	uint32_t adapters;
 	uint32_t adapter_mb;
 };
@@ -168,6 +169,12 @@
 	uint32_t version;
 };
 
+/* A copy of a model's weights that an endpoint keeps, ready to be loaded. */
+struct gw_copy {
+	const char *model;
+	bool in_memory; /* else on its disk */
+};
+
 /* What an endpoint says of itself. */
 struct gw_announcement {
 	const char *id, *service, *address, *data_centre;
@@ -179,6 +186,8 @@
 	bool models_told;
 	const struct gw_loaded *loaded;
 	size_t nloaded;
+	const struct gw_copy *copies;
+	size_t ncopies;
 };
 
 enum gw_order_type {
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -24,6 +24,15 @@
 #define SERVICE_MS	50.0 /* before any call is measured */
 #define SERVICE_WEIGHT	0.1
 
+static void
+free_names(char ***names, size_t *count)
+{
+	while (*count > 0)
+		free((*names)[--*count]);
+	free(*names);
+	*names = NULL;
+}
+
 void
 place_endpoint_free(struct place_endpoint *e)
 {
@@ -43,6 +52,8 @@
 	for (i = 0; i < map_count(e->parts); i++)
 		free(map_at(e->parts, i));
 	map_destroy(e->parts);
+	free_names(&e->on_disk, &e->non_disk);
+	free_names(&e->in_memory, &e->nin_memory);
 	free(e->order_key);
 	free(e->id);
 	free(e->service);
@@ -51,6 +62,24 @@
 	free(e);
 }
 
+static void
+set_copies(struct place_endpoint *e, const struct gw_announcement *a)
+{
+	size_t i;
+
+	free_names(&e->on_disk, &e->non_disk);
+	free_names(&e->in_memory, &e->nin_memory);
+	e->on_disk = mem_alloc(a->ncopies + 1, sizeof(*e->on_disk));
+	e->in_memory = mem_alloc(a->ncopies + 1, sizeof(*e->in_memory));
+	for (i = 0; i < a->ncopies; i++)
+		if (a->copies[i].in_memory)
+			e->in_memory[e->nin_memory++] =
+			    mem_string(a->copies[i].model);
+		else
+			e->on_disk[e->non_disk++] =
+			    mem_string(a->copies[i].model);
+}
+
 /* Requests that were granted there lose their account with it. */
 void
 place_endpoint_remove(struct place *p, struct place_endpoint *e)
@@ -267,6 +296,7 @@
 	e->leaving = leaving;
 	if (a->models_told)
 		place_adapter_merge(p, e, a);
+	set_copies(e, a);
 	set_engine(p, e);
 	p->freed += changed;
 	changed |= e->changed;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -68,6 +68,8 @@
 	uint32_t ejections; /* in a row */
 	/* what it holds */
 	const struct gw_engine *engine; /* as configured; NULL: none */
+	char **on_disk, **in_memory; /* models of which it keeps copies */
+	size_t non_disk, nin_memory;
 	struct map *adapters; /* by key, struct place_adapter */
 	double victim_worth; /* of what would be unloaded next */
 	uint64_t victim_us; /* as of */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -35,15 +35,39 @@
 	}
 }
 
+static bool
+has_name(char *const *names, size_t count, const char *name)
+{
+	while (count > 0)
+		if (strcmp(names[--count], name) == 0)
+			return true;
+	return false;
+}
+
+/* Has the endpoint a copy of its own? Then the store has no part in it. */
+static bool
+has_copy(const struct place_endpoint *e, const char *model)
+{
+	return has_name(e->in_memory, e->nin_memory, model) ||
+	    has_name(e->on_disk, e->non_disk, model);
+}
+
 static uint32_t
 weights_load_ms(const struct place_endpoint *e, const struct place_adapter *a)
 {
-	const struct gw_engine *engine = e->engine;
+	const struct gw_model *m;
 	size_t i;
 
-	for (i = 0; engine != NULL && i < engine->nmodels; i++)
-		if (strcmp(engine->models[i].name, a->model) == 0)
-			return engine->models[i].load_ms;
+	for (i = 0; e->engine != NULL && i < e->engine->nmodels; i++) {
+		m = &e->engine->models[i];
+		if (strcmp(m->name, a->model) != 0)
+			continue;
+		if (has_name(e->in_memory, e->nin_memory, m->name) &&
+		    m->memory_ms > 0)
+			return m->memory_ms;
+		return has_copy(e, m->name) && m->disk_ms > 0 ? m->disk_ms
+							      : m->load_ms;
+	}
 	return 0;
 }
 
@@ -294,6 +318,10 @@
 order_weights(struct place *p, struct place_endpoint *e,
     struct place_adapter *a, const struct gw_engine *engine)
 {
+	if (has_copy(e, a->model)) {
+		give(p, e, a, false);
+		return;
+	}
 	refill_permits(p, engine);
 	place_wake(p, p->now_us + REPORT_LAG_US);
 	if (p->weight_permits < 1 ||
--- a/tests/place/engine_test.cc
+++ b/tests/place/engine_test.cc
@@ -313,3 +313,31 @@
 	EXPECT_GE(loads, 1);
 	EXPECT_LE(loads, 2) << "each takes two seconds";
 }
+
+/*
+ * The pattern: several engines come back after a crash with their weights on
+ * their own disks. The store has no part in that: all load at once.
+ */
+TEST_F(PlaceEngine, engines_with_a_copy_of_their_own_load_it_at_once)
+{
+	int loads = 0;
+
+	Engines(1);
+	for (int i = 2; i <= 6; i++) {
+		Engine e = {"e" + std::to_string(i)};
+
+		e.weights = false;
+		e.copy = true;
+		fleet.engines[e.id].weights_at = UINT64_MAX;
+		Announce(e);
+	}
+	for (int ms = 0; ms < 100; ms++) {
+		Run();
+		for (auto &d : got)
+			loads += d.type == PLACE_ORDER;
+		Obey();
+		got.clear();
+		now += MS;
+	}
+	EXPECT_EQ(loads, 5);
+}
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -35,6 +35,7 @@
 		model.name = (char *)"m";
 		model.weights_mb = 60000;
 		model.load_ms = 2000;
+		model.disk_ms = 1000;
 		services[0].name = (char *)"lm";
 		services[0].has_engine = true;
 		services[0].engine.seats = 64;
@@ -62,7 +63,7 @@
 	struct Engine {
 		std::string id, address = "";
 		uint64_t born = 1, sequence = 0;
-		bool leaving = false, weights = true;
+		bool leaving = false, weights = true, copy = false;
 		std::string service = "lm";
 		uint32_t slots = 64;
 	};
@@ -88,6 +89,10 @@
 		a.models_told = true;
 		a.loaded = loaded.data();
 		a.nloaded = loaded.size();
+		gw_copy copy = {"m", false};
+
+		a.copies = &copy;
+		a.ncopies = e.copy ? 1 : 0;
 		return place_announce(p, now, &a, true);
 	}
 
--- a/tests/platform/call_test.cc
+++ b/tests/platform/call_test.cc
@@ -61,7 +61,9 @@
 		    "\"state\":\"draining\",\"remaining_ms\":1500,"
 		    "\"born\":1700000000123,\"version\":\"v1\",\"new\":[{}],"
 		    "\"models\":[{\"name\":\"m\",\"version\":2,"
-		    "\"adapters\":[\"a7@4\",\"b@x@12\"]}]}")),
+		    "\"adapters\":[\"a7@4\",\"b@x@12\"]}],"
+		    "\"available\":{\"resident\":[\"m\",7],"
+		    "\"on_disk\":[\"m\",\"n\"]}}")),
 	    MP_OK)
 	    << err.message;
 	const gw_announcement &a = call.announcement;
@@ -78,6 +80,10 @@
 	EXPECT_STREQ(a.loaded[1].adapter, "a7");
 	EXPECT_EQ(a.loaded[1].version, 4u);
 	EXPECT_STREQ(a.loaded[2].adapter, "b@x");
+	ASSERT_EQ(a.ncopies, 3u);
+	EXPECT_TRUE(a.copies[0].in_memory);
+	EXPECT_FALSE(a.copies[1].in_memory);
+	EXPECT_STREQ(a.copies[2].model, "n");
 }
 
 TEST_F(Calls, an_unreadable_announcement_names_its_fault)
