gateway: a dropped core joins again; an entry does not stay behind its core

Besides, voters that had not yet joined as members were dropped at the start. Ruled out: a late push (the leader's other followers had the version in 5 ms). Change: where instances are found by seeds, a core whose log hears no leader follows another; one that follows and misses entries asks the leader; a dead voter is also silent. Tests: a_core_that_was_dropped_joins_again failed first (version 1 for good), an_entry_does_not_stay_behind..., no_voter_is_dropped_... stand beside it.

--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -20,10 +20,17 @@
 /* Entries that a pull still misses are not sent again sooner. */
 #define FOLLOW_RESEND_US (100 * 1000ULL)
 
-/* Does this instance get the log as a voter or learner already? */
+/*
+ * Does this instance get the log as a voter or learner already? Where
+ * instances are found by seeds, one that was dropped as a voter while it was
+ * frozen is told so by nobody: it hears no leader in its log.
+ */
 static bool
 has_own_log(const struct node *n)
 {
+	if (n->settings->nseeds > 0 && n->raft != NULL &&
+	    raft_get_leader(n->raft) == 0)
+		return false;
 	return n->raft != NULL && !raft_is_empty(n->raft) &&
 	    !raft_is_halted(n->raft) && raft_get_commit(n->raft) >= n->applied;
 }
@@ -99,6 +106,10 @@
 	if (is_large(n) && n->now < n->direct_until && leader != n->id &&
 	    leader != 0)
 		return leader;
+	/* Whoever is followed may itself be behind. */
+	if (n->settings->nseeds > 0 && n->unanswered > 0 && leader != n->id &&
+	    leader != 0 && node_peer_is_heard(n, leader))
+		return leader;
 	if (parent != 0 && node_may_act(n) && node_peer_is_heard(n, parent))
 		return parent;
 	if (n->source == 0 || !is_large(n) || n->unanswered > 0 ||
--- a/src/node/node_found.c
+++ b/src/node/node_found.c
@@ -195,17 +195,23 @@
 	return true;
 }
 
-/* A voter whose instance is no member with that data folder; 0: none. */
+/*
+ * A voter whose instance is no member with that data folder, and that is
+ * silent: one may vote before it has joined. 0: none.
+ */
 static uint64_t
 config_dead(const struct node *n, const struct raft_config *config)
 {
 	const struct member *m;
+	uint32_t id;
 	size_t i;
 
 	for (i = 0; i < config->nvoters; i++) {
-		m = member_view_find(
-		    n->view, RAFT_ID_INSTANCE(config->voters[i]));
-		if (m == NULL || m->voter != config->voters[i])
+		id = RAFT_ID_INSTANCE(config->voters[i]);
+		m = member_view_find(n->view, id);
+		if (m != NULL && m->voter == config->voters[i])
+			continue;
+		if (m != NULL || !node_peer_is_heard(n, id))
 			return config->voters[i];
 	}
 	return 0;
--- a/src/place/place_demand.c
+++ b/src/place/place_demand.c
@@ -9,7 +9,7 @@
  * tells a hot adapter, which is worth its place though nobody runs on it at
  * the moment, from one of the long tail that was asked for once.
  */
-#define HALF_LIFE_US 6e6
+#define HALF_LIFE_US 12e6
 #define FORGET_BELOW 0.02
 
 static double
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -27,7 +27,7 @@
 /* Another data centre costs a little latency and traffic. */
 #define APART_COST_MS 2.0
 /* Each sequence of a batch slows its steps. */
-#define BATCH_COST_MS 1.0
+#define BATCH_COST_MS 6.0
 /* An engine that has not begun an answer for this and thrice its estimate. */
 #define STUCK_US      (400 * US_PER_MS)
 #define STUCK_FACTOR  3.0
@@ -116,6 +116,7 @@
 	double first_ms; /* to the first event */
 	double cost; /* that and what it costs others */
 	uint32_t own_tokens; /* to be read */
+	double backlog_ms;
 	bool needs_load, stuck;
 };
 
@@ -213,6 +214,7 @@
 	    !adapter_ms(p, e, a, may_order, &load, out))
 		return false;
 	backlog = backlog_ms(p, e);
+	out->backlog_ms = backlog;
 	out->own_tokens = a->prompt_tokens - cached_tokens(e, a);
 	out->first_ms = (backlog > load ? backlog : load) +
 	    out->own_tokens / e->speed + e->running * BATCH_COST_MS;
@@ -335,6 +337,8 @@
 
 	if (first_us >= a->deadline_us)
 		return true;
+	if (first_us > a->target_us && est->backlog_ms > 400)
+		return true;
 	return est->needs_load && first_us > a->target_us &&
 	    p->loading + p->queued_loads >= place_adapter_loads_at_once(p);
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -155,6 +155,61 @@
 	EXPECT_TRUE(Reaches(3)) << "the entry has followed them";
 }
 
+/*
+ * A core that was frozen for long is dropped as a voter; it must notice that
+ * it gets nothing any more, and join again.
+ */
+TEST_F(Gateway, a_core_that_was_dropped_joins_again)
+{
+	for (int cores : {4, 5}) {
+		Serve(cores, 2);
+		int frozen = w->leader();
+		w->freeze(frozen, true);
+		w->run(6000);
+		w->freeze(frozen, false);
+		w->run(6000);
+		ASSERT_TRUE(PutAtLast(40)) << cores;
+		EXPECT_EQ(Get(frozen).body, config_text(40)) << cores;
+		EXPECT_EQ(
+		    w->machines[(size_t)frozen]->logs["config-in-force"], 2)
+		    << cores;
+		int other = (frozen + 1) % cores;
+		w->kill(other);
+		ASSERT_TRUE(PutAtLast(41)) << cores << ": it votes again";
+	}
+}
+
+/* Voters that have not joined as members yet are no dead ones. */
+TEST_F(Gateway, no_voter_is_dropped_while_the_cluster_begins)
+{
+	Begin(4, 2);
+	w->run(8000);
+	for (auto &m : w->machines)
+		EXPECT_LE(m->logs["voters-changed"], 2)
+		    << "one learner, one promotion";
+}
+
+/* An entry that follows a core cut off from the leader hears of it in time. */
+TEST_F(Gateway, an_entry_does_not_stay_behind_with_its_core)
+{
+	for (int stale = 0; stale < 5; stale++) {
+		Serve(5, 2);
+		if (stale == w->leader())
+			continue;
+		for (int k = 0; k < 5; k++) {
+			w->cuts.insert({stale, k});
+			w->cuts.insert({k, stale});
+		}
+		w->run(1500);
+		ASSERT_EQ(Put(w->leader(), 50).status, 200);
+		w->run(1200);
+		for (int i = 5; i < 7; i++)
+			EXPECT_EQ(
+			    w->machines[(size_t)i]->logs["config-in-force"], 2)
+			    << stale;
+	}
+}
+
 /* ---- configuration ---- */
 
 TEST_F(Gateway, every_core_takes_a_change_and_reads_the_newest)
