metrics and logs of the gateway; bounded lines on standard output; exit 78

Lines go to standard output, at most 100 of a kind in a second, the rest counted (event 14). Counters, gauges and histograms of the gateway on /metrics. Faulty settings end with 78 (EX_CONFIG) as the issue asks; a file that can't be read stays 2.

--- a/src/mulberryd/daemon.h
+++ b/src/mulberryd/daemon.h
@@ -11,7 +11,8 @@
 enum daemon_exit {
 	DAEMON_EXIT_OK = 0,
 	DAEMON_EXIT_FAILED = 1, /* could not start, or was forced to end */
-	DAEMON_EXIT_USAGE = 2 /* wrong options or settings */
+	DAEMON_EXIT_USAGE = 2, /* wrong options */
+	DAEMON_EXIT_SETTINGS = 78 /* wrong settings; EX_CONFIG of sysexits.h */
 };
 
 /*
--- a/src/mulberryd/log_output.c
+++ b/src/mulberryd/log_output.c
@@ -12,6 +12,7 @@
 
 #include "mulberryd/log_output.h"
 #include "util/buf.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 /* A pipe that polls as writable takes so much without blocking. */
@@ -19,7 +20,19 @@
 #define TIME_BYTES	 40
 #define FIELDS_BYTES_MAX 1024
 
+/* Lines of one kind in a second; more are counted, not written. */
+#define KIND_LINES_MAX 100u
+#define KIND_NUMBERS   256u
+#define US_PER_SECOND  1000000u
+
+/* The lines of one kind in the running second. */
+struct log_kind {
+	uint64_t second;
+	uint32_t written, limited;
+};
+
 struct log_output {
+	struct log_kind kinds[KIND_NUMBERS];
 	enum node_log_level level;
 	bool json;
 	char *instance;
@@ -149,11 +162,11 @@
 static bool
 write_line(const struct buf *line)
 {
-	struct pollfd ready = {.fd = STDERR_FILENO, .events = POLLOUT};
+	struct pollfd ready = {.fd = STDOUT_FILENO, .events = POLLOUT};
 
 	if (line->len > LINE_BYTES_MAX || poll(&ready, 1, 0) != 1)
 		return false;
-	return write(STDERR_FILENO, line->data, line->len) ==
+	return write(STDOUT_FILENO, line->data, line->len) ==
 	    (ssize_t)line->len;
 }
 
@@ -181,10 +194,45 @@
 	return put(out, &log);
 }
 
+static void
+report_limited(
+    struct log_output *out, const struct node_log *of, uint32_t lines)
+{
+	const struct event_kind *kind = events_find(EVENT_LINES_LIMITED);
+	char fields[FIELDS_BYTES_MAX];
+	struct node_log log = {kind->number, kind->level, kind->name, fields};
+
+	(void)snprintf(fields, sizeof(fields),
+	    "{\"of\": \"%s\", \"lines\": %u}", of->name, lines);
+	if (!put(out, &log))
+		out->lost++;
+}
+
+/* Is there room for one more of its kind? Tells what had none before. */
+static bool
+take_turn(struct log_output *out, const struct node_log *log)
+{
+	struct log_kind *k = &out->kinds[(unsigned)log->number % KIND_NUMBERS];
+	uint64_t second = clock_now_us() / US_PER_SECOND;
+
+	if (k->second != second) {
+		if (k->limited > 0)
+			report_limited(out, log, k->limited);
+		k->second = second;
+		k->written = k->limited = 0;
+	}
+	if (k->written == KIND_LINES_MAX) {
+		k->limited++;
+		return false;
+	}
+	k->written++;
+	return true;
+}
+
 void
 log_output_write(struct log_output *out, const struct node_log *log)
 {
-	if (log->level < out->level)
+	if (log->level < out->level || !take_turn(out, log))
 		return;
 	if (out->lost > 0 && report_lost(out))
 		out->lost = 0;
--- a/src/mulberryd/log_output.h
+++ b/src/mulberryd/log_output.h
@@ -5,8 +5,9 @@
 #include "util/events.h"
 
 /*
- * Log lines on stderr, as text or JSON. A reader of stderr that has stopped
- * reading never stops the process: lines are dropped and counted instead.
+ * Log lines on standard output, as text or JSON. A reader that has stopped
+ * reading never stops the process: lines are dropped and counted instead. Of
+ * one kind only so many are written in a second; the rest is counted.
  */
 struct log_output;
 
--- a/src/mulberryd/main.c
+++ b/src/mulberryd/main.c
@@ -24,7 +24,7 @@
     "\n"
     "SIGTERM or SIGINT: leave gracefully; a second one: end at once.\n"
     "Exit codes: 0 ended as asked, 1 could not start or was forced to end,\n"
-    "2 wrong options or settings.\n";
+    "2 wrong options, 78 wrong settings.\n";
 
 struct options {
 	const char *config, *journal;
@@ -50,11 +50,13 @@
 	struct settings_problems problems = {0};
 	struct settings *settings = NULL;
 	struct mp_error err = {0};
-	int code = DAEMON_EXIT_USAGE;
+	int code = DAEMON_EXIT_SETTINGS;
 
 	if (settings_load(&settings, options->config, &problems, &err) !=
 	    MP_OK) {
 		print_problems(options->config, &problems, &err);
+		if (err.code == MP_ERR_IO)
+			code = DAEMON_EXIT_USAGE;
 	} else if (options->check) {
 		(void)puts("settings are valid");
 		code = DAEMON_EXIT_OK;
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -115,6 +115,9 @@
 /* The instance that places, when it was heard lately; 0: none. */
 uint32_t node_gate_placer(const struct node *n);
 
+/* ---- node_gate_metrics.c ---- */
+void node_gate_metrics(const struct node *n, struct buf *out);
+
 /* ---- node_gate_config.c: replicated state ---- */
 void node_gate_apply_config(
     struct node *n, uint64_t index, const Wire__GatewayConfig *put);
--- /dev/null
+++ b/src/node/node_gate_metrics.c
@@ -0,0 +1,99 @@
+#include "node/node_gate.h"
+#include "util/hist.h"
+
+/* The gateway's counters and histograms as Prometheus text. */
+
+#define BUCKET_FIRST_POWER 10 /* 1.023 ms */
+#define BUCKET_LAST_POWER  26 /* 67 s */
+
+static void
+put_value(struct buf *out, const char *name, const char *type, double value)
+{
+	buf_printf(out,
+	    "# TYPE mulberrypath_gate_%s %s\nmulberrypath_gate_%s %.17g\n",
+	    name, type, name, value);
+}
+
+static void
+put_histogram(struct buf *out, const char *name, const struct hist *h)
+{
+	unsigned power;
+
+	buf_printf(out, "# TYPE mulberrypath_gate_%s histogram\n", name);
+	for (power = BUCKET_FIRST_POWER; power <= BUCKET_LAST_POWER; power++)
+		buf_printf(out,
+		    "mulberrypath_gate_%s_bucket{le=\"%.6f\"} %llu\n", name,
+		    (double)((1ULL << power) - 1) * 1e-6,
+		    (unsigned long long)hist_count_to(h, (1ULL << power) - 1));
+	buf_printf(out,
+	    "mulberrypath_gate_%s_bucket{le=\"+Inf\"} %llu\n"
+	    "mulberrypath_gate_%s_sum %.6f\nmulberrypath_gate_%s_count %llu\n",
+	    name, (unsigned long long)h->count, name, (double)h->sum * 1e-6,
+	    name, (unsigned long long)h->count);
+}
+
+static void
+put_forward(const struct node *n, struct buf *out)
+{
+	const struct forward_stats *s = forward_get_stats(n->gate->forward);
+	const struct {
+		const char *name;
+		uint64_t value;
+	} counters[] = {{"requests_total", s->asked},
+	    {"served_total", s->served}, {"refused_total", s->refused},
+	    {"failed_total", s->failed}, {"timed_out_total", s->timed_out},
+	    {"callers_gone_total", s->gone}, {"repeats_total", s->retried},
+	    {"cut_total", s->cut}};
+	size_t i;
+
+	for (i = 0; i < sizeof(counters) / sizeof(counters[0]); i++)
+		put_value(out, counters[i].name, "counter",
+		    (double)counters[i].value);
+	put_histogram(out, "place_seconds", &s->place);
+	put_histogram(out, "first_byte_seconds", &s->first);
+	put_histogram(out, "request_seconds", &s->whole);
+}
+
+static void
+put_place(const struct node *n, struct buf *out)
+{
+	struct place_totals t;
+
+	place_get_totals(n->gate->place, &t);
+	const struct {
+		const char *name, *type;
+		uint32_t value;
+	} values[] = {{"endpoints", "gauge", t.endpoints},
+	    {"placing_waiting", "gauge", t.waiting},
+	    {"placing_running", "gauge", t.running},
+	    {"placing_asked_total", "counter", t.asked},
+	    {"placing_granted_total", "counter", t.granted},
+	    {"placing_refused_total", "counter", t.refused},
+	    {"placing_repeats_total", "counter", t.repeats},
+	    {"placing_repeats_denied_total", "counter", t.repeats_denied},
+	    {"ejections_total", "counter", t.ejections},
+	    {"adapter_loads_total", "counter", t.loads},
+	    {"adapter_loads_from_store_total", "counter", t.cold_loads},
+	    {"adapter_unloads_total", "counter", t.unloads},
+	    {"weight_loads_total", "counter", t.weight_loads},
+	    {"reports_total", "counter", t.reports}};
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		put_value(out, values[i].name, values[i].type, values[i].value);
+}
+
+void
+node_gate_metrics(const struct node *n, struct buf *out)
+{
+	const struct node_gate *g = n->gate;
+
+	if (g == NULL)
+		return;
+	put_value(out, "config_version", "gauge",
+	    g->config == NULL ? 0 : (double)g->config->version);
+	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
+	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
+	put_forward(n, out);
+	put_place(n, out);
+}
--- a/src/node/node_metrics.c
+++ b/src/node/node_metrics.c
@@ -1,5 +1,6 @@
 #include <stddef.h>
 
+#include "node/node_gate.h"
 #include "node/node_internal.h"
 
 /* The counters and histograms of an instance as Prometheus text. */
@@ -163,4 +164,5 @@
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
 		metric_value(
 		    out, values[i].name, values[i].type, values[i].value);
+	node_gate_metrics(n, out);
 }
--- /dev/null
+++ b/src/place/place_account.c
@@ -0,0 +1,232 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/place_internal.h"
+
+/*
+ * The account of what endpoints were given, and what became of it.
+ *
+ * An endpoint that fails a good part of its calls is ejected for a while and
+ * comes back by small numbers: it may pass every health check. Endpoints are
+ * ejected one by one, never more than half of a service, as a fault that all
+ * share has another cause.
+ */
+#define FAILURE_WEIGHT	0.25
+#define FAILURE_EJECT	0.55
+#define EJECT_FIRST_US	(1000 * US_PER_MS)
+#define EJECT_DOUBLINGS 3u
+
+#define SPEED_WEIGHT	0.2
+#define SPEED_MIN	1.0
+#define SPEED_MAX	80.0
+#define SPEED_TOKENS	400u /* fewer tell more of other delays */
+#define SERVICE_WEIGHT	0.1
+
+bool
+place_endpoint_usable(
+    const struct place *p, const struct place_endpoint *e, const char *service)
+{
+	return !e->leaving && strcmp(e->service, service) == 0 &&
+	    p->now_us >= e->eject_until_us;
+}
+
+void
+place_endpoint_grant(
+    struct place *p, struct place_endpoint *e, struct place_ask *a)
+{
+	if (e->unread == 0)
+		e->progress_us = p->now_us;
+	a->endpoint = e;
+	a->granted = true;
+	a->granted_us = p->now_us;
+	e->running++;
+	e->unread++;
+	e->unread_tokens += a->unread_tokens;
+	e->kv_tokens += a->prompt_tokens + a->max_tokens;
+	a->ahead_tokens = (uint32_t)e->unread_tokens;
+	p->totals.granted++;
+}
+
+/* The first byte is here: what was ahead of it and its own prompt are read. */
+static void
+note_begun(struct place *p, struct place_ask *a, const struct place_end *end)
+{
+	struct place_endpoint *e = a->endpoint;
+	double took_ms, speed;
+
+	if (a->begun)
+		return;
+	a->begun = true;
+	e->unread--;
+	e->unread_tokens -= a->unread_tokens;
+	e->progress_us = p->now_us;
+	took_ms = end->first_ms > 0
+	    ? (double)end->first_ms
+	    : (double)(p->now_us - a->granted_us) / (double)US_PER_MS;
+	if (a->model == NULL || a->ahead_tokens < SPEED_TOKENS || took_ms < 1)
+		return;
+	speed = a->ahead_tokens / took_ms;
+	if (speed < SPEED_MIN)
+		speed = SPEED_MIN;
+	if (speed > SPEED_MAX)
+		speed = SPEED_MAX;
+	e->speed += (speed - e->speed) * SPEED_WEIGHT;
+}
+
+/* How many endpoints of a service are there, and how many of them ejected? */
+static bool
+may_eject(const struct place *p, const struct place_endpoint *e)
+{
+	const struct place_endpoint *other;
+	size_t i, all = 0, ejected = 1;
+
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		other = map_at(p->endpoints, i);
+		if (strcmp(other->service, e->service) != 0 || other->leaving)
+			continue;
+		all++;
+		ejected += other != e && p->now_us < other->eject_until_us;
+	}
+	return ejected * 2 <= all;
+}
+
+static void
+note_trust(struct place *p, struct place_endpoint *e, bool failed)
+{
+	uint32_t doublings;
+
+	e->failures += ((failed ? 1.0 : 0.0) - e->failures) * FAILURE_WEIGHT;
+	if (!failed) {
+		if (e->failures < FAILURE_WEIGHT)
+			e->ejections = 0;
+		return;
+	}
+	if (e->failures < FAILURE_EJECT || !may_eject(p, e))
+		return;
+	doublings =
+	    e->ejections < EJECT_DOUBLINGS ? e->ejections : EJECT_DOUBLINGS;
+	e->eject_until_us = p->now_us + (EJECT_FIRST_US << doublings);
+	e->ejections++;
+	e->failures = FAILURE_EJECT - FAILURE_WEIGHT; /* on probation */
+	p->totals.ejections++;
+	place_wake(p, e->eject_until_us);
+}
+
+static void
+note_service_time(struct place *p, const struct place_ask *a)
+{
+	struct place_endpoint *e = a->endpoint;
+	double took_ms =
+	    (double)(p->now_us - a->granted_us) / (double)US_PER_MS;
+
+	if (a->model == NULL)
+		e->service_ms += (took_ms - e->service_ms) * SERVICE_WEIGHT;
+}
+
+/* A load that was estimated well lets the stretch go back. */
+#define STRETCH_BACK 0.01
+
+static void
+note_loaded(struct place *p, const struct place_ask *a)
+{
+	struct place_adapter *adapter =
+	    a->key == NULL ? NULL : place_adapter_find(a->endpoint, a->key);
+
+	if (adapter == NULL || adapter->served)
+		return;
+	adapter->served = true;
+	if (adapter->lacked == 0 && p->load_stretch > 0)
+		p->load_stretch -= STRETCH_BACK;
+	adapter->lacked = 0;
+}
+
+static void
+release(struct place *p, struct place_ask *a)
+{
+	struct place_endpoint *e = a->endpoint;
+	struct place_adapter *adapter =
+	    a->key == NULL ? NULL : place_adapter_find(e, a->key);
+
+	if (!a->begun) {
+		e->unread--;
+		e->unread_tokens -= a->unread_tokens;
+		e->progress_us = p->now_us;
+	}
+	e->running--;
+	e->kv_tokens -= a->prompt_tokens + a->max_tokens;
+	if (adapter == NULL)
+		return;
+	if (adapter->running > 0)
+		adapter->running--;
+	adapter->used_us = p->now_us;
+}
+
+/*
+ * The endpoint lacks what the placer thought it had. Most likely the load
+ * takes longer than was estimated: the request that came too early is soon
+ * sent again, and estimates stretch for a while. After that a report tells.
+ */
+#define LACKING_TWICE	2u
+#define LACKING_SOON_US (30 * US_PER_MS)
+#define LACKING_LONG_US (600 * US_PER_MS)
+#define STRETCH_STEP	0.1
+#define STRETCH_MAX	1.0
+
+static void
+note_lacking(struct place *p, struct place_ask *a)
+{
+	struct place_endpoint *e = a->endpoint;
+	struct place_adapter *adapter =
+	    a->key == NULL ? NULL : place_adapter_find(e, a->key);
+
+	if (a->key == NULL && may_eject(p, e))
+		e->eject_until_us = p->now_us + EJECT_FIRST_US;
+	if (adapter == NULL || adapter->state != ADAPTER_LOADED)
+		return;
+	if (adapter->lacked++ == 0 && p->load_stretch < STRETCH_MAX)
+		p->load_stretch += STRETCH_STEP;
+	adapter->state = ADAPTER_LOADING;
+	adapter->ready_us = p->now_us + LACKING_SOON_US;
+	if (adapter->lacked <= LACKING_TWICE)
+		return;
+	adapter->ready_us = p->now_us + LACKING_LONG_US;
+	e->orders_known = false;
+	e->doubted = true;
+}
+
+void
+place_endpoint_end(
+    struct place *p, struct place_ask *a, const struct place_end *end)
+{
+	struct place_endpoint *e = a->endpoint;
+
+	if (e == NULL)
+		return; /* it is gone */
+	if (end->outcome == PLACE_FIRST_BYTE) {
+		note_begun(p, a, end);
+		return;
+	}
+	if (end->outcome == PLACE_SERVED)
+		note_begun(p, a, end);
+	release(p, a);
+	switch (end->outcome) {
+	case PLACE_SERVED:
+		note_loaded(p, a);
+		note_service_time(p, a);
+		note_trust(p, e, false);
+		break;
+	case PLACE_FAILED_THERE:
+		note_trust(p, e, true);
+		break;
+	case PLACE_NOT_REACHED:
+		note_trust(p, e, true);
+		if (p->now_us >= e->eject_until_us && may_eject(p, e))
+			e->eject_until_us = p->now_us + EJECT_FIRST_US;
+		break;
+	case PLACE_LACKING:
+		note_lacking(p, a);
+		break;
+	default:
+		break;
+	}
+}
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -10,6 +10,8 @@
 #define PLACE_SILENT_BEATS 5u
 /* Prompt tokens that an engine reads in a ms, before any is measured. */
 #define PLACE_SPEED 18.0
+/* Time of a plain call in ms, before any is measured. */
+#define PLACE_SERVICE_MS 50.0
 /* Adapters that an engine unloaded lately and loads fast again. */
 #define PLACE_LATELY_MAX    24u
 #define PLACE_LATELY_FACTOR 10u
@@ -182,7 +184,7 @@
 void place_note_change(struct place *p, const char *id, bool gone);
 bool place_avoids(const struct place_ask *a, const struct place_endpoint *e);
 
-/* ---- place_endpoint.c ---- */
+/* ---- place_endpoint.c, place_account.c ---- */
 void place_endpoint_free(struct place_endpoint *e);
 void place_endpoint_remove(struct place *p, struct place_endpoint *e);
 void place_endpoint_sweep(struct place *p);
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -27,7 +27,8 @@
 	EVENT_CLOSE_OVERDUE = 10,
 	EVENT_LINES_LOST = 11,
 	EVENT_JOURNAL_FAILED = 12,
-	EVENT_RELOADED = 13
+	EVENT_RELOADED = 13,
+	EVENT_LINES_LIMITED = 14
 };
 
 /* Those of the reducer. */
--- a/tests/mulberryd/daemon_test.cc
+++ b/tests/mulberryd/daemon_test.cc
@@ -87,7 +87,7 @@
 		if (check)
 			args.push_back("--check");
 		Process p(args);
-		EXPECT_EQ(p.wait_exit(), 2);
+		EXPECT_EQ(p.wait_exit(), 78);
 		for (const char *path :
 		    {"$.log.format", "$.extra", "$.store.inFlight"})
 			EXPECT_NE(p.text.find(path), std::string::npos)
