--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "forward/forward_guard.h"
 #include "forward/forward_internal.h"
 #include "util/mem.h"
 
@@ -249,7 +250,7 @@
 give_up(struct forward *f, struct fwd *r, uint64_t now_us, const char *reason,
     struct node_effects *fx)
 {
-	if (r->may_have_run)
+	if (r->may_have_run && forward_guards.truth)
 		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, reason, 0, fx);
 	else
 		fwd_refuse(f, r, now_us, GW_REFUSE_OVERLOAD, reason,
@@ -270,13 +271,14 @@
 fwd_next_attempt(struct forward *f, struct fwd *r, uint64_t now_us,
     bool not_run, const char *fault, struct node_effects *fx)
 {
-	bool may = not_run || fwd_may_repeat(r);
+	bool may = not_run || fwd_may_repeat(r) || !forward_guards.once;
 
 	r->last_fault = fault;
 	if (!not_run) {
 		r->may_have_run = true;
 		r->reached++;
-		may = may && r->reached < r->max_attempts;
+		may = may &&
+		    (r->reached < r->max_attempts || !forward_guards.attempts);
 	}
 	if (fault != fwd_lacks)
 		avoid_endpoint(r);
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "forward/forward_guard.h"
 #include "forward/forward_internal.h"
 #include "util/mem.h"
 
@@ -63,10 +64,11 @@
 static const char *
 find_fault(const struct fwd *r)
 {
-	if (r->wire.attempt != NULL && r->answer.attempt != NULL &&
+	if (forward_guards.match && r->wire.attempt != NULL &&
+	    r->answer.attempt != NULL &&
 	    strcmp(r->wire.attempt, r->answer.attempt) != 0)
 		return "answer-of-another";
-	if (is_success(r->status) && !r->answer.proved)
+	if (forward_guards.proof && is_success(r->status) && !r->answer.proved)
 		return "answer-not-signed";
 	if (is_success(r->status) && r->answer.encoded)
 		return "answer-encoded";
@@ -219,7 +221,9 @@
     struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
 {
 	fwd_tell_placer(f, r, PLACE_FAILED_THERE, fx);
-	if (r->head_told && (!fwd_may_repeat(r) || r->last_event == NULL)) {
+	if (r->head_told &&
+	    (!fwd_may_repeat(r) ||
+		(r->last_event == NULL && forward_guards.gap))) {
 		r->last_fault = "answer-broke-off";
 		r->may_have_run = true;
 		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, "cut", 0, fx);
--- /dev/null
+++ b/src/forward/forward_guard.c
@@ -0,0 +1,3 @@
+#include "forward/forward_guard.h"
+
+struct forward_guards forward_guards = {true, true, true, true, true, true};
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_guard.h"
 #include "util/mem.h"
 
 /* The gateway's part of the replicated state: configuration and versions. */
@@ -82,7 +83,7 @@
 	struct node_bytes text = {(const char *)put->text.data, put->text.len};
 
 	if (n->gate == NULL ||
-	    (n->gate->config != NULL &&
+	    (n->gate->config != NULL && node_guards.gate_highest &&
 		put->version <= n->gate->config->version))
 		return;
 	if (!set_config(n, index, text))
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_guard.h"
 #include "util/mem.h"
 
 /*
@@ -14,7 +15,9 @@
 bool
 gate_has_authority(const struct node *n)
 {
-	return n->raft != NULL && raft_authority_until(n->raft) > n->now &&
+	return n->raft != NULL &&
+	    (raft_authority_until(n->raft) > n->now ||
+		!node_guards.gate_leased) &&
 	    n->applied >= raft_get_commit(n->raft);
 }
 
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -20,6 +20,8 @@
 	bool relay_process; /* renewals count for the process they are of */
 	bool orphan_pins; /* pins of a dead entry wait for a report */
 	bool cache_resync; /* lost cache events: the engine is asked */
+	bool gate_highest; /* of the configurations the highest is in force */
+	bool gate_leased; /* calls are answered under a lease only */
 };
 
 extern struct node_guards node_guards;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/mem.h"
 
@@ -108,7 +109,7 @@
 {
 	const struct place_version *v = map_get_str(p->versions, key);
 
-	return v == NULL ? 0 : v->version;
+	return v == NULL || !place_guards.version ? 0 : v->version;
 }
 
 void
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 
 /*
@@ -26,8 +27,8 @@
 place_endpoint_usable(
     const struct place *p, const struct place_endpoint *e, const char *service)
 {
-	return !e->leaving && strcmp(e->service, service) == 0 &&
-	    p->now_us >= e->eject_until_us;
+	return (!e->leaving || !place_guards.leaving) &&
+	    strcmp(e->service, service) == 0 && p->now_us >= e->eject_until_us;
 }
 
 void
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/buf.h"
 #include "util/mem.h"
@@ -122,7 +123,7 @@
 is_evictable(const struct place_adapter *a)
 {
 	return a->adapter != NULL && a->state == ADAPTER_LOADED &&
-	    a->running == 0 && a->waiting == 0;
+	    (!place_guards.pins || (a->running == 0 && a->waiting == 0));
 }
 
 bool
@@ -153,6 +154,8 @@
 		    ((const struct place_endpoint *)map_at(p->endpoints, i))
 			->engine != NULL;
 	scaled = (uint32_t)engines * LOADS_PER_NINE / 9;
+	if (!place_guards.store)
+		return UINT32_MAX;
 	return scaled > p->options.adapter_loads ? scaled
 						 : p->options.adapter_loads;
 }
--- a/src/place/place_budget.c
+++ b/src/place/place_budget.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/mem.h"
 
@@ -60,7 +61,7 @@
 	}
 	allowed = requests * p->options.retry_ratio_milli / 1000 +
 	    p->options.retry_extra;
-	if ((repeats + 1) * BUDGET_USED > allowed)
+	if (place_guards.budget && (repeats + 1) * BUDGET_USED > allowed)
 		return false;
 	b->repeats[b->bucket % PLACE_BUCKETS]++;
 	p->totals.repeats++;
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/mem.h"
 
@@ -252,7 +253,7 @@
 	bool leaving, changed = e == NULL;
 
 	p->now_us = now_us;
-	if (e != NULL && is_old(e, a))
+	if (e != NULL && place_guards.sequence && is_old(e, a))
 		return PLACE_NEWS_OLD;
 	if (e == NULL && gone > a->born_ms)
 		return PLACE_NEWS_OLD;
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/mem.h"
 
@@ -141,7 +142,7 @@
 			e->orders_known = false; /* was it counted? */
 		break;
 	case GW_ORDER_FENCED:
-		e->fenced = true;
+		e->fenced = place_guards.fence;
 		break;
 	default:
 		e->orders_known = false;
@@ -192,7 +193,7 @@
 	d->order.adapter = a->adapter;
 	d->order.version = unload ? 0 : a->wanted_version;
 	d->order.expected = e->orders;
-	d->order.expect = true;
+	d->order.expect = place_guards.expected;
 	e->ordering = e->ordered = true;
 	e->order_unloads = unload;
 	free(e->order_key);
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -1,4 +1,6 @@
+#include "forward/forward_guard.h"
 #include "forward_fixture.h"
+#include "guard_off.h"
 
 /* What becomes of one sending, by the kind of its request. */
 class Outcome : public ForwardTest {};
@@ -227,3 +229,12 @@
 	EXPECT_EQ(status, 0);
 	EXPECT_FALSE(forward_gone(f, now, last_request, fx));
 }
+
+static const bool switched_off = guard_off({
+    {"forward.once", &forward_guards.once},
+    {"forward.truth", &forward_guards.truth},
+    {"forward.proof", &forward_guards.proof},
+    {"forward.match", &forward_guards.match},
+    {"forward.gap", &forward_guards.gap},
+    {"forward.attempts", &forward_guards.attempts},
+});
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,3 +1,5 @@
+#include "guard_off.h"
+#include "node/node_guard.h"
 #include "world.h"
 
 /* Founding, configuration, endpoints and placing over several instances. */
@@ -249,6 +251,24 @@
 	    Put(0, 11, "nobody").body.find("{\"error\":\"$.routes[0]"), 0u);
 }
 
+/* Two operators at once: both are in the log, the highest stays in force. */
+TEST_F(Gateway, of_two_changes_under_way_the_highest_stays)
+{
+	int at;
+
+	Serve();
+	at = w->leader();
+	(void)w->request(at, NODE_LISTEN_CONTROL, "PUT", "/api/configuration",
+	    config_text(7, "app"));
+	(void)w->request(at, NODE_LISTEN_CONTROL, "PUT", "/api/configuration",
+	    config_text(6, "other"));
+	w->run(1000);
+	for (int i = 0; i < 3; i++)
+		EXPECT_NE(Get(i).body.find("\"service\":\"app\""),
+		    std::string::npos)
+		    << i;
+}
+
 /* A core cut off can't know the newest, and doesn't say otherwise. */
 TEST_F(Gateway, a_core_cut_off_reads_nothing_old)
 {
@@ -458,3 +478,8 @@
 	    [&] { return w->leader() >= 0 && w->leader() != first; }, 4000));
 	EXPECT_TRUE(Reaches(5));
 }
+
+static const bool switched_off = guard_off({
+    {"node.gate_highest", &node_guards.gate_highest},
+    {"node.gate_leased", &node_guards.gate_leased},
+});
--- a/tests/place/engine_test.cc
+++ b/tests/place/engine_test.cc
@@ -171,6 +171,19 @@
 	}
 }
 
+/* Another placer filled the engine: an order made for less is refused there. */
+TEST_F(PlaceEngine, an_order_holds_for_the_state_that_it_was_made_for)
+{
+	Engines(1);
+	ASSERT_NE(Until(Ask("a0", 100)), nullptr);
+	for (int i = 1; i < 5; i++) {
+		fleet.engines["e1"].there["x" + std::to_string(i)] = now;
+		fleet.engines["e1"].orders++;
+	}
+	(void)Until(Ask("b", 100));
+	EXPECT_FALSE(fleet.engines["e1"].crashed);
+}
+
 TEST_F(PlaceEngine, an_adapter_in_use_is_not_unloaded)
 {
 	std::vector<uint64_t> running;
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -1,3 +1,5 @@
+#include "guard_off.h"
+#include "place/place_guard.h"
 #include "place_fixture.h"
 
 /*
@@ -124,3 +126,14 @@
 	EXPECT_LE(repeats, 200 * 0.2 + 50);
 	EXPECT_GE(repeats, 25);
 }
+
+static const bool switched_off = guard_off({
+    {"place.sequence", &place_guards.sequence},
+    {"place.leaving", &place_guards.leaving},
+    {"place.pins", &place_guards.pins},
+    {"place.expected", &place_guards.expected},
+    {"place.fence", &place_guards.fence},
+    {"place.store", &place_guards.store},
+    {"place.version", &place_guards.version},
+    {"place.budget", &place_guards.budget},
+});
