--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -68,8 +68,7 @@
 };
 
 struct gw_service {
-	char *name, *health_path;
-	uint32_t max_connections; /* an endpoint takes, from all callers */
+	char *name;
 	bool has_engine;
 	struct gw_engine engine;
 };
--- a/src/gate/gate_config.c
+++ b/src/gate/gate_config.c
@@ -26,7 +26,6 @@
 		free(s->engine.models[i].name);
 	free(s->engine.models);
 	free(s->name);
-	free(s->health_path);
 }
 
 void
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -264,8 +264,8 @@
 	    config_text(6, "other"));
 	w->run(1000);
 	for (int i = 0; i < 3; i++)
-		EXPECT_NE(Get(i).body.find("\"service\":\"app\""),
-		    std::string::npos)
+		EXPECT_NE(
+		    Get(i).body.find("\"service\":\"app\""), std::string::npos)
 		    << i;
 }
 
