store: a full disk is waited for

Change: a batch that finds no room stays as it is and is written again at the same place every 50 ms; for the log the disk is slow. All other failures halt as before. Event 15 tells when the disk is full and when there is room. Test: FullDiskIsWaitedFor, CloseDoesNotWaitForRoom. FailuresStayAndAreTold used ENOSPC as its write error and now uses EIO: what it checks is unchanged.

--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -154,6 +154,15 @@
 	daemon_feed(d, &ev);
 }
 
+static void
+on_disk_full(void *ctx, bool full)
+{
+	struct daemon *d = ctx;
+
+	log_output_event(d->log, EVENT_DISK_FULL, "{\"full\": %s}",
+	    full ? "true" : "false");
+}
+
 static void
 on_signal(uv_signal_t *handle, int number)
 {
@@ -308,6 +317,7 @@
 		    on_saved, d, &boot.disk, err);
 		if (code != MP_OK)
 			return code;
+		store_on_full(d->store, on_disk_full);
 		log_folder(d, boot.disk);
 	}
 	boot.settings = d->settings;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -12,9 +12,13 @@
 
 #define REASON_BYTES 128
 
+/* Between two tries to write to a disk that is full. */
+#define FULL_RETRY_MS 50U
+
 struct store_item {
 	struct store_item *next;
 	struct node_save save;
+	bool added; /* its records are in the log's batch */
 	bool ok;
 };
 
@@ -36,6 +40,8 @@
 	uv_work_t work;
 	bool busy;
 	bool failed;
+	bool full, told_full; /* the batch waits for room */
+	store_full_cb on_full;
 	char reason[REASON_BYTES];
 	struct store_counters counters; /* the loop's */
 	struct store_counters done; /* the thread's */
@@ -209,11 +215,14 @@
 	int code = s->failed ? UV_EIO : 0;
 
 	memset(&s->done, 0, sizeof(s->done));
-	for (item = s->batch.first; item != NULL && code == 0;
-	     item = item->next) {
+	while (unsynced != NULL && unsynced->ok)
+		unsynced = unsynced->next;
+	for (item = unsynced; item != NULL && code == 0; item = item->next) {
 		if (item->save.kind == NODE_SAVE_APPEND) {
-			store_log_add(&s->content.log, item->save.index,
-			    item->save.count, item->save.data);
+			if (!item->added)
+				store_log_add(&s->content.log, item->save.index,
+				    item->save.count, item->save.data);
+			item->added = true;
 			continue;
 		}
 		code = batch_write_file(s, &item->save);
@@ -223,17 +232,40 @@
 	if (code == 0)
 		code = batch_flush(s);
 	batch_mark(&unsynced, NULL, code == 0);
-	if (code != 0 && !s->failed) {
-		s->failed = true;
+	s->failed |= code != 0 && code != UV_ENOSPC;
+	s->full = code == UV_ENOSPC;
+	if (code != 0 && s->reason[0] == '\0')
 		(void)snprintf(s->reason, sizeof(s->reason),
 		    "write the data folder: %s", uv_strerror(code));
-	}
+}
+
+/*
+ * Nothing of a batch that found no room is lost: it is written again at the
+ * same place. For whoever waits for it the disk is slow.
+ */
+static void
+batch_run_again(uv_work_t *work)
+{
+	uv_sleep(FULL_RETRY_MS);
+	batch_run(work);
 }
 
 /* ---- on the loop ------------------------------------------------------- */
 
 static void store_start(struct store *s);
 
+static void
+tell_full(struct store *s)
+{
+	if (s->full == s->told_full)
+		return;
+	s->told_full = s->full;
+	if (s->on_full != NULL)
+		s->on_full(s->ctx, s->full);
+	if (!s->full)
+		s->reason[0] = '\0';
+}
+
 static void
 batch_done(uv_work_t *work, int status)
 {
@@ -245,6 +277,13 @@
 	s->counters.syncs += s->done.syncs;
 	s->counters.bytes += s->done.bytes;
 	s->counters.records += s->done.records;
+	tell_full(s);
+	if (s->full && !s->closing) {
+		(void)uv_queue_work(
+		    s->loop, &s->work, batch_run_again, batch_done);
+		return;
+	}
+	s->failed |= s->full;
 	while ((item = queue_pop(&s->batch)) != NULL) {
 		bool ok = status == 0 && item->ok;
 
@@ -292,6 +331,12 @@
 	store_start(s);
 }
 
+void
+store_on_full(struct store *s, store_full_cb cb)
+{
+	s->on_full = cb;
+}
+
 void
 store_close(struct store *s, void (*done)(void *ctx), void *ctx)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,6 +1,7 @@
 #ifndef MP_STORE_STORE_H
 #define MP_STORE_STORE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -36,9 +37,17 @@
     struct mp_error *err);
 void store_drop_disk(struct store *s);
 
-/* Queue a save; its bytes are copied. */
+/*
+ * Queue a save; its bytes are copied. On a disk that is full it waits, and
+ * those after it, until there is room or the store is closed. Any other failure
+ * stays: what is on the disk is not known any more.
+ */
 void store_save(struct store *s, const struct node_save *save);
 
+/* Called on the loop when the disk is found full, and when there is room. */
+typedef void (*store_full_cb)(void *ctx, bool full);
+void store_on_full(struct store *s, store_full_cb cb);
+
 /* Finish queued saves, then close; done is called on the loop. */
 void store_close(struct store *s, void (*done)(void *ctx), void *ctx);
 
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -21,6 +21,7 @@
     {EVENT_JOURNAL_FAILED, NODE_LOG_WARN, "journal-failed"},
     {EVENT_RELOADED, NODE_LOG_INFO, "reloaded"},
     {EVENT_LINES_LIMITED, NODE_LOG_WARN, "log-lines-limited"},
+    {EVENT_DISK_FULL, NODE_LOG_ERROR, "disk-full"},
     {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
     {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
     {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -28,7 +28,8 @@
 	EVENT_LINES_LOST = 11,
 	EVENT_JOURNAL_FAILED = 12,
 	EVENT_RELOADED = 13,
-	EVENT_LINES_LIMITED = 14
+	EVENT_LINES_LIMITED = 14,
+	EVENT_DISK_FULL = 15
 };
 
 /* Those of the reducer. */
--- a/tests/store/store_test.cc
+++ b/tests/store/store_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 
+#include <atomic>
 #include <csignal>
 
 #include "fixture.h"
@@ -8,8 +9,10 @@
 /* File calls that fail once a budget is used up. */
 struct FailingFiles {
 	store_files files;
-	int writes = 1 << 30, syncs = 1 << 30, renames = 1 << 30;
+	std::atomic<int> writes{1 << 30};
+	int syncs = 1 << 30, renames = 1 << 30;
 	int total_syncs = 0;
+	int write_error = UV_EIO;
 
 	FailingFiles()
 	{
@@ -21,9 +24,9 @@
 			if (self->writes-- > 0)
 				return store_files_default.write(
 				    f, fd, p, len, at);
-			/* A full disk takes a part. */
+			/* A part is written. */
 			store_files_default.write(f, fd, p, len / 2, at);
-			return (int)UV_ENOSPC;
+			return self->write_error;
 		};
 		files.sync = [](const store_files *f, uv_file fd) {
 			auto *self = (FailingFiles *)f;
@@ -119,7 +122,8 @@
 			append(first + 1, {"lost"});
 		run();
 		/* The disk works again, but what is on it is not known. */
-		failing.writes = failing.syncs = failing.renames = 1 << 30;
+		failing.writes = 1 << 30;
+		failing.syncs = failing.renames = 1 << 30;
 		append(first + 1, {"later"});
 		run();
 		ASSERT_EQ(reports.size(), 4U);
@@ -135,6 +139,57 @@
 	}
 }
 
+/* A full disk loses nothing: what is saved meanwhile waits, in its order. */
+TEST_F(Store, FullDiskIsWaitedFor)
+{
+	FailingFiles failing;
+	std::vector<bool> told;
+
+	failing.write_error = UV_ENOSPC;
+	ASSERT_EQ(open(&failing.files), MP_OK);
+	static std::vector<bool> *full;
+	full = &told;
+	store_on_full(held, [](void *, bool is) { full->push_back(is); });
+	snapshot(1, 1, "config");
+	append(2, {"a"});
+	run();
+	failing.writes = 0;
+	append(3, {"b", "c"});
+	state(5, 77);
+	while (told.empty())
+		uv_run(&loop, UV_RUN_ONCE);
+	append(5, {"d"});
+	EXPECT_EQ(reports.size(), 2U);
+	failing.writes = 1 << 30;
+	run();
+	ASSERT_EQ(reports.size(), 5U);
+	for (size_t i = 0; i < reports.size(); i++) {
+		EXPECT_EQ(reports[i].ticket, i + 1);
+		EXPECT_TRUE(reports[i].ok);
+	}
+	EXPECT_EQ(told, (std::vector<bool>{true, false}));
+	reopen();
+	EXPECT_FALSE(disk->damaged);
+	EXPECT_EQ(disk->term, 5U);
+	EXPECT_EQ(found(), (Strings{"a", "b", "c", "d"}));
+}
+
+TEST_F(Store, CloseDoesNotWaitForRoom)
+{
+	FailingFiles failing;
+
+	failing.write_error = UV_ENOSPC;
+	ASSERT_EQ(open(&failing.files), MP_OK);
+	snapshot(1, 1, "config");
+	run();
+	failing.writes = 0;
+	append(2, {"lost"});
+	close();
+	ASSERT_EQ(reports.size(), 2U);
+	EXPECT_FALSE(reports[1].ok);
+	EXPECT_NE(reports[1].reason, "");
+}
+
 TEST_F(Store, FullFileIsAWriteError)
 {
 	struct rlimit old, small = {};
