gateway: an entry follows the leader, where it hears it

The leader had dropped that core; the entry was not told, had its leases renewed and took itself for up to date. Ruled out: a late push by the leader (its other followers had it in 5 ms). Change: where instances are found by seeds and the fleet is small, entries follow the leader while they hear it, and every second time any other core when it does not answer. Tests: an_entry_does_not_stay_behind_with_its_core at more distances in time failed first (2 and 3 s after the cut); an_entry_does_not_stay_with_a_leader_ that_is_cut_off stands beside it.

--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -159,8 +159,8 @@
 {
 	struct daemon *d = ctx;
 
-	log_output_event(d->log, EVENT_DISK_FULL, "{\"full\": %s}",
-	    full ? "true" : "false");
+	log_output_event(
+	    d->log, EVENT_DISK_FULL, "{\"full\": %s}", full ? "true" : "false");
 }
 
 static void
--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -106,9 +106,14 @@
 	if (is_large(n) && n->now < n->direct_until && leader != n->id &&
 	    leader != 0)
 		return leader;
-	/* Whoever is followed may itself be behind. */
-	if (n->settings->nseeds > 0 && n->unanswered > 0 && leader != n->id &&
-	    leader != 0 && node_peer_is_heard(n, leader))
+	/*
+	 * Any other may be cut off from the leader, and then sends nothing new
+	 * and nothing shows it. The leader itself may have been followed by
+	 * another: where it does not answer, the others are asked in turn.
+	 */
+	if (n->settings->nseeds > 0 && (!is_large(n) || n->unanswered > 0) &&
+	    n->unanswered % 2 == 0 && leader != n->id && leader != 0 &&
+	    node_peer_is_heard(n, leader))
 		return leader;
 	if (parent != 0 && node_may_act(n) && node_peer_is_heard(n, parent))
 		return parent;
--- a/tests/fuzz/gateway_fuzz.c
+++ b/tests/fuzz/gateway_fuzz.c
@@ -162,8 +162,8 @@
 		read_answer(text, memory);
 		break;
 	case REPORT:
-		(void)platform_codec.read_report(&report,
-		    (struct node_bytes){text, size - 1}, memory);
+		(void)platform_codec.read_report(
+		    &report, (struct node_bytes){text, size - 1}, memory);
 		break;
 	default:
 		break;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -194,21 +194,48 @@
 /* An entry that follows a core cut off from the leader hears of it in time. */
 TEST_F(Gateway, an_entry_does_not_stay_behind_with_its_core)
 {
-	for (int stale = 0; stale < 5; stale++) {
+	for (int stale = 0; stale < 5; stale++)
+		for (uint64_t ms : {100, 400, 800, 1200, 1500, 2000, 3000}) {
+			Serve(5, 2);
+			if (stale == w->leader())
+				continue;
+			for (int k = 0; k < 5; k++) {
+				w->cuts.insert({stale, k});
+				w->cuts.insert({k, stale});
+			}
+			w->run(ms);
+			ASSERT_EQ(Put(w->leader(), 50).status, 200);
+			w->run(1200);
+			for (size_t i = 5; i < 7; i++)
+				EXPECT_EQ(
+				    w->machines[i]->logs["config-in-force"], 2)
+				    << stale << " " << ms;
+		}
+}
+
+/* Nor with a leader that the other cores have left. */
+TEST_F(Gateway, an_entry_does_not_stay_with_a_leader_that_is_cut_off)
+{
+	for (uint64_t ms : {0, 300, 700, 1500}) {
+		int old;
+
 		Serve(5, 2);
-		if (stale == w->leader())
-			continue;
+		old = w->leader();
 		for (int k = 0; k < 5; k++) {
-			w->cuts.insert({stale, k});
-			w->cuts.insert({k, stale});
+			w->cuts.insert({old, k});
+			w->cuts.insert({k, old});
 		}
-		w->run(1500);
+		ASSERT_TRUE(w->until([&] {
+			int now = w->leader();
+
+			return now >= 0 && now != old;
+		}));
+		w->run(ms);
 		ASSERT_EQ(Put(w->leader(), 50).status, 200);
-		w->run(1200);
-		for (int i = 5; i < 7; i++)
-			EXPECT_EQ(
-			    w->machines[(size_t)i]->logs["config-in-force"], 2)
-			    << stale;
+		w->run(1900);
+		for (size_t i = 5; i < 7; i++)
+			EXPECT_EQ(w->machines[i]->logs["config-in-force"], 2)
+			    << ms;
 	}
 }
 
