logs: what decided about a request, and why it was refused

Cause: a refused request's line said neither why nor by what; the placer's decision was logged at debug and without its inputs. Change: event 120 names the reason and the placer's ask; 121 (placed) and 130 (not placed) give what decided, with the age of the endpoint's announcement. An entry's number fits 63 bits in lines, which readers of JSON need. Weights of place_service.c and the bound on late backlogs have names.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -135,13 +135,16 @@
 		"\"adapter\": \"%.40s\", "
 		"\"config\": %llu, \"outcome\": \"%s\", \"status\": %d, "
 		"\"endpoint\": \"%.60s\", \"tries\": %u, \"reached\": %u, "
-		"\"fault\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
+		"\"ask\": %llu, \"entry\": %llu, \"fault\": \"%s\", "
+		"\"reason\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
 		"\"wholeMs\": %llu, \"deadlineMs\": %llu}",
 		r->wire.attempt == NULL ? "" : r->wire.attempt, r->route,
 		r->wire.adapter == NULL ? "" : r->wire.adapter,
 		(unsigned long long)r->config_version, outcome, r->status,
 		r->endpoint == NULL ? "" : r->endpoint, r->tries, r->reached,
+		(unsigned long long)r->last_ask, PLACE_LOGGED(f->entry),
 		r->last_fault == NULL ? "" : r->last_fault,
+		r->refused == NULL ? "" : r->refused,
 		(unsigned long long)ms_since(r->begun_us, r->placed_us),
 		(unsigned long long)ms_since(r->begun_us, r->first_us),
 		(unsigned long long)ms_since(r->begun_us, now_us),
@@ -163,6 +166,7 @@
 	struct node_reply *reply;
 	bool timeout = refusal == GW_REFUSE_TIMEOUT;
 
+	r->refused = reason;
 	if (r->head_told) {
 		struct node_effect *end =
 		    node_effects_add(fx, NODE_FX_REPLY_END);
@@ -208,7 +212,7 @@
 
 	(void)now_us;
 	if (r->ask == 0) {
-		r->ask = ++f->last_ask;
+		r->ask = r->last_ask = ++f->last_ask;
 		(void)map_set_u64(f->by_ask, r->ask, r);
 	}
 	r->state = FWD_ASKED;
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -39,6 +39,8 @@
 	size_t navoid;
 	bool may_have_run;
 	const char *last_fault; /* constant text */
+	const char *refused; /* why; lives as long as the step */
+	uint64_t last_ask;
 	char *endpoint;
 	uint64_t sent_us, first_us, placed_us;
 	/* the answer */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -531,6 +531,25 @@
 	asks_tick(n);
 }
 
+static void
+log_decision(struct node *n, const struct place_decision *d)
+{
+	const struct place_basis *b = &d->basis;
+	bool placed = d->type == PLACE_GRANT;
+
+	if (!placed && d->type != PLACE_REFUSE)
+		return;
+	node_log(n, placed ? NODE_LOG_GATE_PLACED : NODE_LOG_GATE_REFUSED,
+	    "{\"ask\": %llu, \"entry\": %llu, \"reason\": \"%s\", "
+	    "\"endpoint\": \"%s\", \"estimateMs\": %u, "
+	    "\"backlogMs\": %u, \"running\": %u, \"heardMs\": %u, "
+	    "\"needsLoad\": %s, \"loads\": %u}",
+	    (unsigned long long)d->id.ask, PLACE_LOGGED(d->id.entry),
+	    placed ? "" : d->reason, b->endpoint == NULL ? "" : b->endpoint,
+	    b->estimate_ms, b->backlog_ms, b->running, b->heard_ms,
+	    b->needs_load ? "true" : "false", b->loads);
+}
+
 void
 gate_place_run(struct node *n)
 {
@@ -542,13 +561,7 @@
 	place_run(g->place, n->now,
 	    g->placing && gate_has_authority(n) && n->now >= g->order_after_us);
 	while (place_take(g->place, &d)) {
-		if (d.type == PLACE_GRANT)
-			node_log(n, NODE_LOG_GATE_PLACED,
-			    "{\"ask\": %llu, \"entry\": %llu, "
-			    "\"endpoint\": \"%s\", \"estimateMs\": %u}",
-			    (unsigned long long)d.id.ask,
-			    (unsigned long long)d.id.entry, d.endpoint,
-			    d.estimate_ms);
+		log_decision(n, &d);
 		if (d.type == PLACE_ORDER || d.type == PLACE_REPORT)
 			give_order(n, &d);
 		else if (d.id.entry == n->incarnation)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -276,13 +276,29 @@
 	return a;
 }
 
+struct place_basis
+place_basis_of(const struct place *p, const struct place_endpoint *e)
+{
+	struct place_basis basis = {0};
+
+	basis.endpoint = e->id;
+	basis.running = e->running;
+	basis.heard_ms = (uint32_t)((p->now_us - e->heard_us) / US_PER_MS);
+	basis.loads = p->loading + p->queued_loads;
+	return basis;
+}
+
 /* Refuse and forget; strings of the decision are constants. */
 void
-place_ask_refuse(struct place *p, struct place_ask *a, const char *reason,
+place_ask_refuse(struct place *p, struct place_ask *a,
+    const struct place_basis *basis, const char *reason,
     uint32_t retry_after_ms)
 {
 	struct place_decision *d = place_decide(p, PLACE_REFUSE);
 
+	if (basis != NULL)
+		d->basis = *basis;
+
 	if (retry_after_ms < RETRY_AFTER_MIN_MS)
 		retry_after_ms = RETRY_AFTER_MIN_MS;
 	if (retry_after_ms > RETRY_AFTER_MAX_MS)
@@ -311,7 +327,7 @@
 	if (!place_budget_take(p, a->service, a->attempt > 0)) {
 		p->totals.repeats_denied++;
 		waiting_add(p, a);
-		place_ask_refuse(p, a, "retry-budget", 0);
+		place_ask_refuse(p, a, NULL, "retry-budget", 0);
 		return;
 	}
 	waiting_add(p, a);
@@ -399,7 +415,7 @@
 	struct place_decision *d;
 
 	if (p->now_us >= a->deadline_us) {
-		place_ask_refuse(p, a, "deadline", 0);
+		place_ask_refuse(p, a, NULL, "deadline", 0);
 		return;
 	}
 	place_wake(p,
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -178,6 +178,20 @@
 	PLACE_REPORT /* ask an endpoint for a report */
 };
 
+/* What decided about a request: of the endpoint that seemed best. */
+struct place_basis {
+	const char *endpoint; /* NULL: none was considered */
+	uint32_t estimate_ms; /* to the first byte */
+	uint32_t backlog_ms; /* prompts before it, not yet read */
+	uint32_t running; /* requests there */
+	uint32_t heard_ms; /* age of the endpoint's newest announcement */
+	bool needs_load; /* its adapter is neither there nor on its way */
+	uint32_t loads; /* under way or waiting, over all engines */
+};
+
+/* An entry's number in log lines: readers of JSON take 63 bits. */
+#define PLACE_LOGGED(entry) ((unsigned long long)((entry)&INT64_MAX))
+
 struct place_decision {
 	enum place_decision_type type;
 	struct place_id id; /* GRANT, WAIT, REFUSE */
@@ -186,7 +200,7 @@
 	const char *reason; /* REFUSE */
 	uint32_t retry_after_ms; /* REFUSE */
 	struct gw_order order; /* ORDER, without holder and fence */
-	uint32_t estimate_ms; /* GRANT: to the first byte */
+	struct place_basis basis; /* GRANT, REFUSE */
 };
 
 /*
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -29,9 +29,11 @@
 /* Each sequence of a batch slows its steps. */
 #define BATCH_COST_MS 6.0
 /* An engine that has not begun an answer for this and thrice its estimate. */
-#define STUCK_US      (400 * US_PER_MS)
-#define STUCK_FACTOR  3.0
-#define STUCK_COST_MS 1000.0
+/* Behind fewer prompts one that is late may still turn out in time. */
+#define LATE_BACKLOG_MS 400.0
+#define STUCK_US	(400 * US_PER_MS)
+#define STUCK_FACTOR	3.0
+#define STUCK_COST_MS	1000.0
 /* A request whose adapter is not yet on its way is looked at again after. */
 #define WANTED_AGAIN_US (50 * US_PER_MS)
 /* Requests between 0, the most urgent, and 9 for the engine. */
@@ -236,6 +238,18 @@
 	return urgency > URGENCY_MAX ? URGENCY_MAX : urgency;
 }
 
+static struct place_basis
+basis_of(const struct place *p, const struct place_endpoint *e,
+    const struct estimate *est)
+{
+	struct place_basis basis = place_basis_of(p, e);
+
+	basis.estimate_ms = (uint32_t)est->first_ms;
+	basis.backlog_ms = (uint32_t)est->backlog_ms;
+	basis.needs_load = est->needs_load;
+	return basis;
+}
+
 static void
 place_engine_grant(struct place *p, struct place_endpoint *e,
     struct place_ask *a, const struct estimate *est)
@@ -253,7 +267,7 @@
 	d->address = e->address;
 	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
 	d->urgency = urgency_of(a);
-	d->estimate_ms = (uint32_t)est->first_ms;
+	d->basis = basis_of(p, e, est);
 }
 
 /* Leave the engine whose adapter the request has waited for. */
@@ -337,7 +351,7 @@
 
 	if (first_us >= a->deadline_us)
 		return true;
-	if (first_us > a->target_us && est->backlog_ms > 400)
+	if (first_us > a->target_us && est->backlog_ms > LATE_BACKLOG_MS)
 		return true;
 	return est->needs_load && first_us > a->target_us &&
 	    p->loading + p->queued_loads >= place_adapter_loads_at_once(p);
@@ -355,6 +369,7 @@
 place_engine_place(struct place *p, struct place_ask *a, bool may_order)
 {
 	struct place_endpoint *e = a->endpoint;
+	struct place_basis basis;
 	struct estimate est;
 
 	if (e == NULL || !engine_estimate(p, e, a, may_order, &est)) {
@@ -363,14 +378,15 @@
 	}
 	if (e == NULL && !is_worth_waiting(p, a)) {
 		place_ask_refuse(
-		    p, a, "no-room", 2 * p->options.adapter_load_ms);
+		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
 		return PLACED_REFUSED;
 	}
 	if (e == NULL)
 		return PLACED_NOT;
 	if (a->endpoint == NULL && is_too_late(p, a, &est)) {
-		place_ask_refuse(
-		    p, a, "overload", place_adapter_wait_ms(p, e, a->key));
+		basis = basis_of(p, e, &est);
+		place_ask_refuse(p, a, &basis, "overload",
+		    place_adapter_wait_ms(p, e, a->key));
 		return PLACED_REFUSED;
 	}
 	if (!adapter_is_near(p, e, a)) {
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -176,7 +176,11 @@
 
 /* ---- place.c ---- */
 /* Refuse and forget; the reason is a constant. */
-void place_ask_refuse(struct place *p, struct place_ask *a, const char *reason,
+/* The basis of a decision by what is known of an endpoint. */
+struct place_basis place_basis_of(
+    const struct place *p, const struct place_endpoint *e);
+void place_ask_refuse(struct place *p, struct place_ask *a,
+    const struct place_basis *basis, const char *reason,
     uint32_t retry_after_ms);
 struct place_decision *place_decide(
     struct place *p, enum place_decision_type type);
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -11,6 +11,11 @@
  * once only, and endpoints that turn slow or fail part of their calls.
  */
 
+/* An answer from another data centre comes later by so much. */
+#define APART_COST_MS 2.0
+/* One that fails all its calls counts as slow by so many times more. */
+#define FAILURE_COST 4.0
+
 static double
 cost_of(const struct place_endpoint *e, const struct place_ask *a)
 {
@@ -19,8 +24,8 @@
 
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
-		cost += 2.0;
-	return cost * (1.0 + e->failures * 4.0);
+		cost += APART_COST_MS;
+	return cost * (1.0 + e->failures * FAILURE_COST);
 }
 
 enum placed
@@ -45,6 +50,7 @@
 	d->id = a->id;
 	d->endpoint = best->id;
 	d->address = best->address;
-	d->estimate_ms = (uint32_t)best->service_ms;
+	d->basis = place_basis_of(p, best);
+	d->basis.estimate_ms = (uint32_t)best->service_ms;
 	return PLACED;
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -43,7 +43,7 @@
     {NODE_LOG_MALFORMED, NODE_LOG_WARN, "message-malformed"},
     {NODE_LOG_VOTERS, NODE_LOG_INFO, "voters-changed"},
     {NODE_LOG_GATE_REQUEST, NODE_LOG_INFO, "request-ended"},
-    {NODE_LOG_GATE_PLACED, NODE_LOG_DEBUG, "request-placed"},
+    {NODE_LOG_GATE_PLACED, NODE_LOG_INFO, "request-placed"},
     {NODE_LOG_GATE_CONFIG, NODE_LOG_INFO, "config-in-force"},
     {NODE_LOG_GATE_VERSION, NODE_LOG_INFO, "adapter-version"},
     {NODE_LOG_GATE_CALL_REFUSED, NODE_LOG_WARN, "call-refused"},
@@ -52,6 +52,7 @@
     {NODE_LOG_GATE_ORDER, NODE_LOG_INFO, "order-ended"},
     {NODE_LOG_GATE_TABLE, NODE_LOG_INFO, "table-taken"},
     {NODE_LOG_GATE_ALONE, NODE_LOG_WARN, "placer-silent"},
+    {NODE_LOG_GATE_REFUSED, NODE_LOG_INFO, "request-not-placed"},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
