place: a repeat is refused only when its deadline is out of reach

Ruled out: the repeat's other guards (budget and attempts had room). Change: lateness by the objective refuses first attempts only.

--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -351,6 +351,8 @@
 
 	if (first_us >= a->deadline_us)
 		return true;
+	if (a->attempt > 0)
+		return false; /* a failure after the wait is worse than late */
 	if (first_us > a->target_us && est->backlog_ms > LATE_BACKLOG_MS)
 		return true;
 	return est->needs_load && first_us > a->target_us &&
--- a/tests/place/engine_test.cc
+++ b/tests/place/engine_test.cc
@@ -171,6 +171,26 @@
 	}
 }
 
+/* A repeat that is late is still better than a failure after the wait. */
+TEST_F(PlaceEngine, a_repeat_is_placed_though_it_will_be_late)
+{
+	std::vector<uint64_t> big;
+	uint64_t first, again;
+
+	Engines(1);
+	for (int i = 0; i < 7; i++)
+		big.push_back(Ask("", 3500));
+	for (uint64_t ask : big)
+		ASSERT_NE(Until(ask), nullptr);
+	first = Ask("", 6800);
+	again = Ask("", 6800, 1);
+	Run();
+	ASSERT_NE(Of(first), nullptr);
+	EXPECT_EQ(Of(first)->type, PLACE_REFUSE);
+	ASSERT_NE(Of(again), nullptr);
+	EXPECT_EQ(Of(again)->type, PLACE_GRANT);
+}
+
 /* Another placer filled the engine: an order made for less is refused there. */
 TEST_F(PlaceEngine, an_order_holds_for_the_state_that_it_was_made_for)
 {
