--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -131,15 +131,22 @@
 	return reply;
 }
 
+/* wire: as decoded, or NULL: it can't be read. */
 static void
-refuse(struct node *n, uint64_t request, enum gw_refusal refusal,
-    const char *reason, uint32_t retry_after_ms)
+refuse(struct node *n, uint64_t request, const struct gw_request *wire,
+    enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms)
 {
+	const struct gw_config *config = n->gate->config;
+	const char *attempt = wire == NULL ? NULL : wire->attempt;
+
 	n->gate->codec->write_refusal(
 	    add_reply(n, request), refusal, reason, retry_after_ms, n->fx);
 	node_log(n, NODE_LOG_GATE_CALL_REFUSED,
-	    "{\"request\": %llu, \"reason\": \"%s\"}",
-	    (unsigned long long)request, reason);
+	    "{\"request\": %llu, \"attempt\": \"%s\", \"host\": \"%s\", "
+	    "\"config\": %llu, \"reason\": \"%s\"}",
+	    (unsigned long long)request, attempt == NULL ? "" : attempt,
+	    wire == NULL ? "" : wire->host,
+	    (unsigned long long)(config == NULL ? 0 : config->version), reason);
 }
 
 /* A caller's request that is to be passed through. */
@@ -152,17 +159,18 @@
 	struct mp_error err;
 
 	if (g->codec->read_request(&wire, in, n->fx, &err) != MP_OK) {
-		refuse(n, in->request, GW_REFUSE_MALFORMED, err.message, 0);
+		refuse(
+		    n, in->request, NULL, GW_REFUSE_MALFORMED, err.message, 0);
 		return;
 	}
 	if (g->config == NULL) {
-		refuse(n, in->request, GW_REFUSE_NOT_READY,
+		refuse(n, in->request, &wire, GW_REFUSE_NOT_READY,
 		    "no configuration is known yet", GATE_RETRY_MS);
 		return;
 	}
 	route = gw_config_route(g->config, wire.host, in->path);
 	if (route == NULL) {
-		refuse(n, in->request, GW_REFUSE_NO_ROUTE,
+		refuse(n, in->request, &wire, GW_REFUSE_NO_ROUTE,
 		    "no route for this host and path", 0);
 		return;
 	}
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -348,20 +348,31 @@
 	return n;
 }
 
+/* Are any weights there or on their way? */
+static bool
+has_weights(const struct place_endpoint *e)
+{
+	const struct place_adapter *a;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->adapter == NULL)
+			return true;
+	}
+	return false;
+}
+
 /* An engine that holds no weights gets those that are held least often. */
 static void
 want_weights(
     struct place *p, struct place_endpoint *e, const struct gw_engine *engine)
 {
 	const struct gw_model *best = NULL;
-	struct place_adapter *a;
 	size_t i, n, fewest = 0;
 
-	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		if (a->adapter == NULL)
-			return;
-	}
+	if (has_weights(e))
+		return;
 	for (i = 0; i < engine->nmodels; i++) {
 		n = holders(p, e->service, engine->models[i].name);
 		if (engine->models[i].weights_mb > engine->weights_mb ||
@@ -473,17 +484,21 @@
 void
 place_adapter_run(struct place *p, bool may_order)
 {
-	size_t i, n = map_count(p->endpoints);
+	size_t i, n = map_count(p->endpoints), due = 0;
+	struct place_endpoint *e;
 	struct turn *turns = mem_alloc(n + 1, sizeof(*turns));
 
 	for (i = 0; i < n; i++) {
-		turns[i].endpoint = map_at(p->endpoints, i);
-		settle(p, turns[i].endpoint);
-		turns[i].wanted = first_wanted(turns[i].endpoint);
+		e = map_at(p->endpoints, i);
+		settle(p, e);
+		turns[due].endpoint = e;
+		turns[due].wanted = first_wanted(e);
+		due +=
+		    turns[due].wanted != NULL || e->doubted || !has_weights(e);
 	}
 	if (may_order) {
-		qsort(turns, n, sizeof(*turns), compare_turns);
-		for (i = 0; i < n; i++)
+		qsort(turns, due, sizeof(*turns), compare_turns);
+		for (i = 0; i < due; i++)
 			order_next(p, turns[i].endpoint);
 	}
 	free(turns);
