gateway: changes of the table are told together in larger fleets

Cause: each tick's changes went to every member in a message of its own; at 41 members and a hundred loads a second that was a third of the leader's time.

--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -108,6 +108,12 @@
 
 #define CHANGES_MAX 256
 
+/*
+ * Each member makes a telling dearer, so that changes wait for each other. What
+ * matters at once is in the log (that one leaves) or in a grant (its address).
+ */
+#define TABLE_GAP_US 2500U
+
 static void
 tell_changes(struct node *n)
 {
@@ -116,6 +122,8 @@
 	const struct member *m;
 	size_t i;
 
+	if (n->now < g->table_us + member_view_count(n->view) * TABLE_GAP_US)
+		return;
 	if (fill_changes(n, &table, CHANGES_MAX) == 0 &&
 	    n->now < g->table_us + GATE_TABLE_IDLE_US)
 		return;
