--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -338,21 +338,18 @@
 		adapter->ready_us <= p->now_us + PLACE_LEAD_US);
 }
 
+/* The best of the engines that have the adapter, or of those that don't. */
 static struct place_endpoint *
-best_engine(const struct place *p, const struct place_ask *a, bool may_order,
-    struct estimate *best)
+better_engine(const struct place *p, const struct place_ask *a, bool may_order,
+    bool having, struct estimate *best)
 {
 	struct place_endpoint *e, *found = NULL;
 	struct estimate est;
-	size_t i, n = map_count(p->endpoints);
-	bool has;
+	size_t i;
 
-	/* Those that have the adapter first: beside them few others count. */
-	best->cost = INFINITY;
-	for (i = 0; i < 2 * n; i++) {
-		e = map_at(p->endpoints, i % n);
-		has = place_adapter_find(e, a->key) != NULL;
-		if (has != (i < n) ||
+	for (i = 0; i < map_count(p->endpoints); i++) {
+		e = map_at(p->endpoints, i);
+		if ((place_adapter_find(e, a->key) != NULL) != having ||
 		    !engine_estimate(p, e, a, may_order, best->cost, &est) ||
 		    est.cost >= best->cost)
 			continue;
@@ -362,6 +359,19 @@
 	return found;
 }
 
+/* Those that have the adapter come first: beside them few others count. */
+static struct place_endpoint *
+best_engine(const struct place *p, const struct place_ask *a, bool may_order,
+    struct estimate *best)
+{
+	struct place_endpoint *having, *other;
+
+	best->cost = INFINITY;
+	having = better_engine(p, a, may_order, true, best);
+	other = better_engine(p, a, may_order, false, best);
+	return other != NULL ? other : having;
+}
+
 /*
  * The store is what is short: a load that comes too late for its request
  * takes the turn of one that would be in time. The caller is told to come back
