--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -162,7 +162,9 @@
 static double
 least_load_cost(const struct place *p)
 {
-	return p->options.adapter_load_ms / PLACE_LATELY_FACTOR + WARM_COST_MS;
+	uint32_t ms = p->options.adapter_load_ms / PLACE_LATELY_FACTOR;
+
+	return ms + WARM_COST_MS;
 }
 
 /*
