--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -25,8 +25,7 @@
 #define GATE_RELAY_US (900 * 1000ULL)
 /* A change that is not decided by then gets no clear answer. */
 #define GATE_CHANGE_US (3000 * 1000ULL)
-/* Changes of the table are told together, and that there were none. */
-#define GATE_TABLE_US	   (20 * 1000ULL)
+/* That the table has not changed is told so often, and asked again after. */
 #define GATE_TABLE_IDLE_US (500 * 1000ULL)
 #define GATE_TABLE_ASK_US  (200 * 1000ULL)
 /* An order or report is answered within. */
--- a/src/place/place_demand.c
+++ b/src/place/place_demand.c
@@ -58,14 +58,6 @@
 	return decayed(p, d) / (d->copies == 0 ? 1 : d->copies);
 }
 
-double
-place_demand_of(const struct place *p, const char *key)
-{
-	const struct place_demand *d = map_get_str(p->demand, key);
-
-	return d == NULL ? 0 : decayed(p, d);
-}
-
 void
 place_demand_sweep(struct place *p)
 {
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -177,10 +177,10 @@
 };
 
 /* ---- place.c ---- */
-/* Refuse and forget; the reason is a constant. */
 /* The basis of a decision by what is known of an endpoint. */
 struct place_basis place_basis_of(
     const struct place *p, const struct place_endpoint *e);
+/* Refuse and forget; the reason is a constant. basis: NULL, there is none. */
 void place_ask_refuse(struct place *p, struct place_ask *a,
     const struct place_basis *basis, const char *reason,
     uint32_t retry_after_ms);
@@ -249,7 +249,6 @@
 
 /* ---- place_demand.c ---- */
 void place_demand_note(struct place *p, const char *key);
-double place_demand_of(const struct place *p, const char *key);
 /* Shared among the copies that there are. */
 double place_demand_of_copy(const struct place *p, const char *key);
 void place_demand_copies(struct place *p, const char *key, int change);
--- a/src/sched/sched_adapter.c
+++ b/src/sched/sched_adapter.c
@@ -16,7 +16,6 @@
 #define ADAPTER_RETRY_US       (250 * SCHED_MS_US)
 #define ADAPTER_RETRY_TOP_US   (10 * SCHED_SECOND_US)
 #define ADAPTER_SWEEP_STEPS    4
-#define ADAPTER_KEY_MAX	       512
 
 double
 rate_at(double rate, uint64_t rate_us, uint64_t now_us)
