gateway: an entry asks a busy placer for no more than it answers in time

Ruled out: the log (acknowledged in 30 to 40 ms where the leader had time).

Change: place_window, a pure module, counts what an entry has at the placer without an answer, widens with answers in time and narrows with late ones. What finds it full, or waited in vain at a placer that was heard since, is placed by the entry, and refused at once where that would need an order. A placer that was not heard since is taken for lost, as before: the next one is asked. An entry's own repeats come from a quarter of the share of its own requests.

Tests: PlaceWindow.*; PlaceService.an_entry_repeats_by_its_own_requests_alone (failed before: 71 repeats of 200); Gateway.an_entry_does_not_wait_for_a_placer _that_has_no_time (failed before: 0 of 84 decided in 10 ms).

--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -44,6 +44,7 @@
 	g->asks = map_create();
 	g->relays = map_create();
 	g->place = create_place(n);
+	place_window_init(&g->window);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
 }
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -5,6 +5,7 @@
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
 #include "place/place.h"
+#include "place/place_window.h"
 
 /*
  * The gateway's part of the reducer.
@@ -43,7 +44,9 @@
 struct gate_ask {
 	uint64_t ask;
 	uint32_t placer; /* instance; 0: this entry places it itself */
+	uint32_t busy; /* the placer that had no time for it; 0: none */
 	uint64_t sent_us;
+	bool out; /* counted in the window: no answer yet */
 	bool waits; /* the placer said so */
 	bool granted;
 };
@@ -84,6 +87,8 @@
 	struct map *callers; /* struct gate_caller by proposal */
 	/* entries */
 	struct map *asks; /* struct gate_ask by number */
+	struct place_window window; /* of asks at the placer */
+	uint64_t asked_alone; /* as the window was full */
 	bool alone; /* no placer is heard, as last logged */
 	struct map *relays; /* struct gate_relay by number */
 	uint64_t last_relay;
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -47,6 +47,32 @@
 	node_peer_send(n, kept->placer, &envelope);
 }
 
+/* An ask that is at the placer has its answer, or is given up. */
+static void
+close_ask(struct node *n, struct gate_ask *kept)
+{
+	if (!kept->out)
+		return;
+	kept->out = false;
+	place_window_answered(
+	    &n->gate->window, n->now, n->now - kept->sent_us);
+}
+
+/* Whom to ask: nobody where no placer is heard, or it has no time. */
+static void
+choose_placer(struct node *n, struct gate_ask *kept)
+{
+	struct node_gate *g = n->gate;
+	uint32_t placer = node_gate_placer(n);
+
+	kept->placer = placer;
+	if (placer == 0 || placer == n->id || place_window_is_open(&g->window))
+		return;
+	kept->placer = 0;
+	kept->busy = placer;
+	g->asked_alone++;
+}
+
 static void
 ops_ask(void *ctx, const struct place_request *r, struct node_effects *fx)
 {
@@ -58,15 +84,19 @@
 	if (kept == NULL) {
 		kept = mem_alloc(1, sizeof(*kept));
 		kept->ask = r->id.ask;
-		kept->placer = node_gate_placer(n);
+		choose_placer(n, kept);
 		(void)map_set_u64(g->asks, kept->ask, kept);
 	}
+	close_ask(n, kept);
 	kept->sent_us = n->now;
 	kept->waits = kept->granted = false;
-	if (kept->placer == 0 || kept->placer == n->id)
+	if (kept->placer == 0 || kept->placer == n->id) {
 		place_ask(g->place, n->now, r);
-	else
-		send_ask(n, kept, r);
+		return;
+	}
+	kept->out = true;
+	place_window_sent(&g->window);
+	send_ask(n, kept, r);
 }
 
 static void
@@ -111,8 +141,10 @@
 	if (kept == NULL)
 		return;
 	tell_done(n, kept, end);
-	if (end->outcome != PLACE_FIRST_BYTE)
-		free(map_remove_u64(n->gate->asks, ask));
+	if (end->outcome == PLACE_FIRST_BYTE)
+		return;
+	close_ask(n, kept);
+	free(map_remove_u64(n->gate->asks, ask));
 }
 
 static uint64_t
@@ -153,22 +185,42 @@
 	(void)forward_ask_again(n->gate->forward, n->now, kept->ask, n->fx);
 }
 
+/*
+ * The placer has not answered. Where something else of it came since, it has
+ * no time; where nothing did, it may be lost, and the next one is asked.
+ */
+static void
+note_silence(struct node *n, struct gate_ask *kept)
+{
+	const struct node_peer *peer = map_get_u64(n->peers, kept->placer);
+
+	if (peer != NULL && peer->heard_us > kept->sent_us) {
+		kept->busy = kept->placer;
+		return; /* counted as late */
+	}
+	kept->out = false;
+	place_window_lost(&n->gate->window);
+}
+
 static void
 asks_tick(struct node *n)
 {
 	uint32_t placer = node_gate_placer(n);
 	struct gate_ask *kept;
-	size_t i;
+	size_t i = map_count(n->gate->asks);
 
-	for (i = 0; i < map_count(n->gate->asks); i++) {
+	while (i-- > 0) {
 		kept = map_at(n->gate->asks, i);
 		if (kept->granted)
 			continue;
-		if (kept->placer != placer)
+		if (kept->placer != placer && kept->busy != placer) {
+			kept->busy = 0;
 			ask_elsewhere(n, kept, placer);
-		else if (placer != 0 && placer != n->id && !kept->waits &&
-		    n->now > kept->sent_us + GATE_ASK_SILENT_US)
+		} else if (kept->out &&
+		    n->now > kept->sent_us + GATE_ASK_SILENT_US) {
+			note_silence(n, kept);
 			ask_elsewhere(n, kept, 0);
+		}
 	}
 }
 
@@ -188,6 +240,7 @@
 			send_done(n, from, reply->ask, &unused);
 		return;
 	}
+	close_ask(n, kept);
 	if (reply->status == WIRE__PLACE_STATUS__PLACE_WAITS) {
 		kept->waits = true;
 		return;
@@ -306,6 +359,22 @@
 	node_peer_send(n, *to, &envelope);
 }
 
+/*
+ * The placer has no time, and what this entry may use won't serve the request
+ * without an order that only the placer can give.
+ */
+static void
+refuse_busy(struct node *n, struct gate_ask *kept)
+{
+	static const struct place_end unused = {.outcome = PLACE_ABANDONED};
+	uint64_t ask = kept->ask;
+
+	tell_done(n, kept, &unused);
+	free(map_remove_u64(n->gate->asks, ask));
+	forward_refused(n->gate->forward, n->now, ask, "placer-busy",
+	    GATE_RETRY_MS, n->fx);
+}
+
 /* A decision on a request that this entry placed itself. */
 static void
 take_own(struct node *n, const struct place_decision *d)
@@ -314,8 +383,12 @@
 	struct gate_ask *kept = map_get_u64(n->gate->asks, d->id.ask);
 	struct forward_grant grant = {0};
 
-	if (kept == NULL || d->type == PLACE_WAIT)
+	if (kept == NULL || (d->type == PLACE_WAIT && kept->busy == 0))
 		return;
+	if (d->type == PLACE_WAIT) {
+		refuse_busy(n, kept);
+		return;
+	}
 	if (d->type == PLACE_REFUSE) {
 		free(map_remove_u64(n->gate->asks, d->id.ask));
 		forward_refused(n->gate->forward, n->now, d->id.ask, d->reason,
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -67,8 +67,13 @@
 void place_take_entry(
     struct place *p, uint64_t now_us, const struct gw_announcement *a);
 
-/* Between announcements; 0: endpoints are not removed for silence. */
+/*
+ * Between announcements of an endpoint: this is the placer, which hears them.
+ * 0: an entry, which removes none for silence, and repeats by its own requests
+ * alone.
+ */
 void place_set_heartbeat(struct place *p, uint32_t heartbeat_ms);
+bool place_is_placer(const struct place *p);
 
 /*
  * The process of an endpoint that started then leaves, and gets no new work
--- a/src/place/place_budget.c
+++ b/src/place/place_budget.c
@@ -8,11 +8,14 @@
 /*
  * Repeats of a service's requests in a sliding window stay below a share of
  * its requests and a fixed number. The placer sees all requests of all
- * entries, so the budget is one; an entry that places by itself repeats
- * nothing. Half of what is allowed is used: a repeat counts where it arrives,
- * which may be in the next window.
+ * entries, so the budget is one. Half of what is allowed is used: a repeat
+ * counts where it arrives, which may be in the next window. An entry that
+ * places by itself doesn't know the repeats of the others: it has a share of
+ * its own requests alone, and none of the fixed number, so that the shares of
+ * all entries and the placer's stay below what is allowed.
  */
 #define BUDGET_USED 2
+#define ENTRY_USED  4
 
 static struct place_budget *
 budget_of(struct place *p, const char *service)
@@ -59,9 +62,12 @@
 		requests += b->requests[i];
 		repeats += b->repeats[i];
 	}
-	allowed = requests * p->options.retry_ratio_milli / 1000 +
-	    p->options.retry_extra;
-	if (place_guards.budget && (repeats + 1) * BUDGET_USED > allowed)
+	allowed = requests * p->options.retry_ratio_milli / 1000;
+	if (place_is_placer(p))
+		allowed = (allowed + p->options.retry_extra) / BUDGET_USED;
+	else
+		allowed /= ENTRY_USED;
+	if (place_guards.budget && repeats + 1 > allowed)
 		return false;
 	b->repeats[b->bucket % PLACE_BUCKETS]++;
 	p->totals.repeats++;
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -335,6 +335,12 @@
 	p->options.heartbeat_ms = heartbeat_ms;
 }
 
+bool
+place_is_placer(const struct place *p)
+{
+	return p->options.heartbeat_ms != 0;
+}
+
 bool
 place_leave(struct place *p, uint64_t now_us, const char *id)
 {
--- /dev/null
+++ b/src/place/place_window.c
@@ -0,0 +1,56 @@
+#include "place/place_window.h"
+
+#define WINDOW_FIRST 16.0
+#define WINDOW_MIN   3.0
+#define WINDOW_MAX   512.0
+/* Between data centres and back, with a round of the placer, takes less. */
+#define IN_TIME_US (60 * 1000ULL)
+#define NARROWER   0.7
+/* The late answers of one queue narrow it once. */
+#define NARROW_GAP_US (100 * 1000ULL)
+
+void
+place_window_init(struct place_window *w)
+{
+	w->size = WINDOW_FIRST;
+	w->out = 0;
+	w->narrowed_us = 0;
+}
+
+bool
+place_window_is_open(const struct place_window *w)
+{
+	return w->out < w->size;
+}
+
+void
+place_window_sent(struct place_window *w)
+{
+	w->out++;
+}
+
+void
+place_window_lost(struct place_window *w)
+{
+	if (w->out > 0)
+		w->out--;
+}
+
+void
+place_window_answered(
+    struct place_window *w, uint64_t now_us, uint64_t took_us)
+{
+	place_window_lost(w);
+	if (took_us <= IN_TIME_US) {
+		w->size += 1 / w->size;
+		if (w->size > WINDOW_MAX)
+			w->size = WINDOW_MAX;
+		return;
+	}
+	if (now_us < w->narrowed_us + NARROW_GAP_US)
+		return;
+	w->narrowed_us = now_us;
+	w->size *= NARROWER;
+	if (w->size < WINDOW_MIN)
+		w->size = WINDOW_MIN;
+}
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -446,6 +446,36 @@
 	EXPECT_TRUE(w->until([&] { return w->sent.size() > before; }, 600));
 }
 
+/*
+ * The pattern: a burst beyond what the placer's processor bears. The entry
+ * places the rest itself as far as there are slots and refuses what is beyond,
+ * so that what waits at the placer is bounded and nobody waits in vain.
+ */
+TEST_F(Gateway, an_entry_does_not_wait_for_a_placer_that_has_no_time)
+{
+	const size_t burst = 100, at_the_placer = 16, slots = 12;
+	std::vector<uint64_t> asked;
+	size_t before;
+	auto decided = [&] {
+		size_t n = w->sent.size() - before;
+
+		for (uint64_t r : asked)
+			n += w->replies.count(r) && w->replies[r].status == 503;
+		return n;
+	};
+
+	Serve();
+	w->freeze(w->leader(), true);
+	before = w->sent.size();
+	for (size_t i = 0; i < burst; i++)
+		asked.push_back(Request(5));
+	w->run(10);
+	EXPECT_GE(decided(), burst - at_the_placer);
+	EXPECT_TRUE(w->until([&] { return decided() == burst; }, 3000))
+	    << "the next placer decides on those that were asked for there";
+	EXPECT_GE(w->sent.size() - before, slots);
+}
+
 TEST_F(Gateway, an_entry_that_knows_no_configuration_says_so)
 {
 	uint64_t id;
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -127,6 +127,31 @@
 	EXPECT_GE(repeats, 25);
 }
 
+/*
+ * Entries that place by themselves don't know each other's repeats: all of
+ * them together stay within the share, however many they are.
+ */
+TEST_F(PlaceService, an_entry_repeats_by_its_own_requests_alone)
+{
+	int requests = 0, repeats = 0;
+	uint64_t ask;
+
+	Apps(4);
+	place_set_heartbeat(p, 0);
+	for (int i = 0; i < 400; i++) {
+		ask = Call_(i % 2);
+		Run();
+		ASSERT_NE(Of(ask), nullptr);
+		requests += i % 2 == 0;
+		repeats += i % 2 == 1 && Of(ask)->type == PLACE_GRANT;
+		if (Of(ask)->type == PLACE_GRANT)
+			Done(ask, PLACE_SERVED);
+		now += 10 * MS;
+	}
+	EXPECT_LE(repeats, requests * 0.2 / 2);
+	EXPECT_GE(repeats, 1);
+}
+
 static const bool switched_off = guard_off({
     {"place.sequence", &place_guards.sequence},
     {"place.leaving", &place_guards.leaving},
