gateway: asks that a busy placer has no time for have their turn

Ruled out: load of the placer (0.035 of its core); the entries of its own data centre refused none.

Change: late is what takes 60 ms longer than the quickest answer of the last two to four seconds. An ask that found the window full is asked for again when it opens, and refused after 250 ms.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -18,8 +18,10 @@
  * refuses what is not meant for it.
  */
 
-/* A placer that did not answer an ask, nor say that it waits. */
-#define GATE_ASK_SILENT_US (150 * 1000ULL)
+/* A placer that did not answer an ask, nor say that it waits, is late by. */
+#define GATE_ASK_SILENT_US (90 * 1000ULL)
+/* An ask for which the placer has no time is refused after. */
+#define GATE_BUSY_US (250 * 1000ULL)
 /* A placer that was not heard at all is taken for lost. */
 #define GATE_PLACER_SILENT_US (900 * 1000ULL)
 /* A call that was passed on to the leader is answered within. */
@@ -45,6 +47,7 @@
 	uint64_t ask;
 	uint32_t placer; /* instance; 0: this entry places it itself */
 	uint32_t busy; /* the placer that had no time for it; 0: none */
+	uint64_t begun_us; /* asked for first */
 	uint64_t sent_us;
 	bool out; /* counted in the window: no answer yet */
 	bool waits; /* the placer said so */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -84,6 +84,7 @@
 	if (kept == NULL) {
 		kept = mem_alloc(1, sizeof(*kept));
 		kept->ask = r->id.ask;
+		kept->begun_us = n->now;
 		choose_placer(n, kept);
 		(void)map_set_u64(g->asks, kept->ask, kept);
 	}
@@ -202,26 +203,61 @@
 	place_window_lost(&n->gate->window);
 }
 
+/*
+ * The placer has no time, and what this entry may use won't serve the request
+ * without an order that only the placer can give.
+ */
+static void
+refuse_busy(struct node *n, struct gate_ask *kept)
+{
+	static const struct place_end unused = {.outcome = PLACE_ABANDONED};
+	uint64_t ask = kept->ask;
+
+	tell_done(n, kept, &unused);
+	free(map_remove_u64(n->gate->asks, ask));
+	forward_refused(n->gate->forward, n->now, ask, "placer-busy",
+	    GATE_RETRY_MS, n->fx);
+}
+
+/* One that the placer had no time for: it has its turn, or is refused. */
+static void
+busy_tick(struct node *n, struct gate_ask *kept, uint32_t placer)
+{
+	if (place_window_is_open(&n->gate->window)) {
+		kept->busy = 0;
+		ask_elsewhere(n, kept, placer);
+	} else if (n->now > kept->begun_us + GATE_BUSY_US) {
+		refuse_busy(n, kept);
+	}
+}
+
+static void
+ask_tick(struct node *n, struct gate_ask *kept, uint32_t placer)
+{
+	uint64_t late_us = place_window_late_us(&n->gate->window);
+
+	if (kept->granted)
+		return;
+	if (kept->placer == 0 && kept->busy != 0 && kept->busy == placer) {
+		busy_tick(n, kept, placer);
+	} else if (kept->placer != placer && kept->busy != placer) {
+		kept->busy = 0;
+		ask_elsewhere(n, kept, placer);
+	} else if (kept->out &&
+	    n->now > kept->sent_us + late_us + GATE_ASK_SILENT_US) {
+		note_silence(n, kept);
+		ask_elsewhere(n, kept, 0);
+	}
+}
+
 static void
 asks_tick(struct node *n)
 {
 	uint32_t placer = node_gate_placer(n);
-	struct gate_ask *kept;
 	size_t i = map_count(n->gate->asks);
 
-	while (i-- > 0) {
-		kept = map_at(n->gate->asks, i);
-		if (kept->granted)
-			continue;
-		if (kept->placer != placer && kept->busy != placer) {
-			kept->busy = 0;
-			ask_elsewhere(n, kept, placer);
-		} else if (kept->out &&
-		    n->now > kept->sent_us + GATE_ASK_SILENT_US) {
-			note_silence(n, kept);
-			ask_elsewhere(n, kept, 0);
-		}
-	}
+	while (i-- > 0)
+		ask_tick(n, map_at(n->gate->asks, i), placer);
 }
 
 /* ---- the placer answers ------------------------------------------------- */
@@ -359,22 +395,6 @@
 	node_peer_send(n, *to, &envelope);
 }
 
-/*
- * The placer has no time, and what this entry may use won't serve the request
- * without an order that only the placer can give.
- */
-static void
-refuse_busy(struct node *n, struct gate_ask *kept)
-{
-	static const struct place_end unused = {.outcome = PLACE_ABANDONED};
-	uint64_t ask = kept->ask;
-
-	tell_done(n, kept, &unused);
-	free(map_remove_u64(n->gate->asks, ask));
-	forward_refused(n->gate->forward, n->now, ask, "placer-busy",
-	    GATE_RETRY_MS, n->fx);
-}
-
 /* A decision on a request that this entry placed itself. */
 static void
 take_own(struct node *n, const struct place_decision *d)
@@ -383,12 +403,8 @@
 	struct gate_ask *kept = map_get_u64(n->gate->asks, d->id.ask);
 	struct forward_grant grant = {0};
 
-	if (kept == NULL || (d->type == PLACE_WAIT && kept->busy == 0))
+	if (kept == NULL || d->type == PLACE_WAIT)
 		return;
-	if (d->type == PLACE_WAIT) {
-		refuse_busy(n, kept);
-		return;
-	}
 	if (d->type == PLACE_REFUSE) {
 		free(map_remove_u64(n->gate->asks, d->id.ask));
 		forward_refused(n->gate->forward, n->now, d->id.ask, d->reason,
--- a/src/place/place_window.c
+++ b/src/place/place_window.c
@@ -3,8 +3,10 @@
 #define WINDOW_FIRST 16.0
 #define WINDOW_MIN   3.0
 #define WINDOW_MAX   512.0
-/* Between data centres and back, with a round of the placer, takes less. */
-#define IN_TIME_US (60 * 1000ULL)
+/* The placer's rounds and short bursts take less. */
+#define QUEUE_US (60 * 1000ULL)
+/* The quickest answer is that of this span and the one before. */
+#define SPAN_US (2000 * 1000ULL)
 #define NARROWER   0.7
 /* The late answers of one queue narrow it once. */
 #define NARROW_GAP_US (100 * 1000ULL)
@@ -14,7 +16,29 @@
 {
 	w->size = WINDOW_FIRST;
 	w->out = 0;
-	w->narrowed_us = 0;
+	w->narrowed_us = w->span_us = 0;
+	w->least_us = w->least_before_us = UINT64_MAX;
+}
+
+static void
+note_least(struct place_window *w, uint64_t now_us, uint64_t took_us)
+{
+	if (now_us >= w->span_us + SPAN_US) {
+		w->least_before_us = w->least_us;
+		w->least_us = UINT64_MAX;
+		w->span_us = now_us;
+	}
+	if (took_us < w->least_us)
+		w->least_us = took_us;
+}
+
+uint64_t
+place_window_late_us(const struct place_window *w)
+{
+	uint64_t least = w->least_us < w->least_before_us ? w->least_us
+							  : w->least_before_us;
+
+	return least == UINT64_MAX ? QUEUE_US : least + QUEUE_US;
 }
 
 bool
@@ -41,7 +65,8 @@
     struct place_window *w, uint64_t now_us, uint64_t took_us)
 {
 	place_window_lost(w);
-	if (took_us <= IN_TIME_US) {
+	note_least(w, now_us, took_us);
+	if (took_us <= place_window_late_us(w)) {
 		w->size += 1 / w->size;
 		if (w->size > WINDOW_MAX)
 			w->size = WINDOW_MAX;
--- a/src/place/place_window.h
+++ b/src/place/place_window.h
@@ -15,12 +15,15 @@
  * queue would grow by all that comes beyond, and with it the wait of every ask,
  * configuration and lease that stands in it. The window learns what the placer
  * answers in time: it widens by one for each window of answers, and narrows
- * when one is late. What finds it full is placed by the entry itself.
+ * when one is late. A way that is long is no queue: late is what takes longer
+ * than the quickest answer of the last seconds did.
  */
 struct place_window {
 	double size; /* asks */
 	uint32_t out; /* without an answer */
 	uint64_t narrowed_us; /* last */
+	uint64_t least_us, least_before_us; /* quickest answers, by spans */
+	uint64_t span_us; /* when the span began */
 };
 
 void place_window_init(struct place_window *w);
@@ -31,6 +34,9 @@
 /* One has gone there. */
 void place_window_sent(struct place_window *w);
 
+/* An answer that takes longer is late. */
+uint64_t place_window_late_us(const struct place_window *w);
+
 /* It was answered, or given up, after so long. */
 void place_window_answered(
     struct place_window *w, uint64_t now_us, uint64_t took_us);
