place, node: smaller files, one taking over of an announcement

Change: place_ask.c has the requests, node_gate_ask.c the entry's side of placing, take_over() stands once, map_destroy_all() in util replaces three functions. No behaviour changes.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -131,18 +131,6 @@
 }
 
 /* Free all values of a map by a function, and the map. */
-static void
-map_free_all(struct map *m, void (*destroy)(void *))
-{
-	size_t i;
-
-	if (m == NULL)
-		return;
-	for (i = 0; i < map_count(m); i++)
-		destroy(map_at(m, i));
-	map_destroy(m);
-}
-
 #define DESTROY(name, type, call)                                              \
 	static void name(void *p)                                              \
 	{                                                                      \
@@ -172,17 +160,17 @@
 	claim_table_destroy(n->claims);
 	doc_book_destroy(n->book);
 	member_view_destroy(n->view);
-	map_free_all(n->peers, destroy_peer);
-	map_free_all(n->endpoints, destroy_endpoint);
+	map_destroy_all(n->peers, destroy_peer);
+	map_destroy_all(n->endpoints, destroy_endpoint);
 	node_cache_free(&n->resync);
 	node_usage_free(n);
-	map_free_all(n->grants, destroy_grant);
+	map_destroy_all(n->grants, destroy_grant);
 	map_destroy(n->grants_by_ask);
-	map_free_all(n->orders, destroy_order);
-	map_free_all(n->proposals, destroy_proposal);
-	map_free_all(n->asks, free);
-	map_free_all(n->holders, free);
-	map_free_all(n->rates, destroy_rate);
+	map_destroy_all(n->orders, destroy_order);
+	map_destroy_all(n->proposals, destroy_proposal);
+	map_destroy_all(n->asks, free);
+	map_destroy_all(n->holders, free);
+	map_destroy_all(n->rates, destroy_rate);
 	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
 		free(n->recent[i].bytes);
 	free(n->recent);
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -49,16 +49,6 @@
 	    n->settings->data_centre);
 }
 
-static void
-free_values(struct map *m)
-{
-	size_t i;
-
-	for (i = 0; i < map_count(m); i++)
-		free(map_at(m, i));
-	map_destroy(m);
-}
-
 static void
 free_orders(struct map *orders)
 {
@@ -85,10 +75,10 @@
 	forward_destroy(g->forward);
 	place_destroy(g->place);
 	gate_config_free(g);
-	free_values(g->entries);
-	free_values(g->callers);
-	free_values(g->asks);
-	free_values(g->relays);
+	map_destroy_all(g->entries, free);
+	map_destroy_all(g->callers, free);
+	map_destroy_all(g->asks, free);
+	map_destroy_all(g->relays, free);
 	free_orders(g->orders);
 	free(g);
 	n->gate = NULL;
@@ -262,7 +252,7 @@
 		gate_place_on_ask(n, from, e->incarnation, e->place_ask);
 		return true;
 	case WIRE__ENVELOPE__BODY_PLACE_REPLY:
-		gate_place_on_reply(n, from, e->place_reply);
+		gate_ask_on_reply(n, from, e->place_reply);
 		return true;
 	case WIRE__ENVELOPE__BODY_PLACE_DONE:
 		gate_place_on_done(n, e->incarnation, e->place_done);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -151,14 +151,19 @@
 /* Authority over the log now: no other leader can have been elected. */
 bool gate_has_authority(const struct node *n);
 
-/* ---- node_gate_place.c: asks, grants, orders ---- */
+/* ---- node_gate_ask.c: the entry asks for places ---- */
 extern const struct forward_ops gate_forward_ops;
+void gate_ask_tick(struct node *n);
+void gate_ask_on_reply(
+    struct node *n, uint32_t from, const Wire__PlaceReply *reply);
+/* A decision on a request that this entry placed itself. */
+void gate_ask_decided(struct node *n, const struct place_decision *d);
+
+/* ---- node_gate_place.c: the placer decides and gives orders ---- */
 void gate_place_tick(struct node *n);
 void gate_place_run(struct node *n);
 void gate_place_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__PlaceAsk *ask);
-void gate_place_on_reply(
-    struct node *n, uint32_t from, const Wire__PlaceReply *reply);
 void gate_place_on_done(
     struct node *n, uint64_t incarnation, const Wire__PlaceDone *done);
 bool gate_order_call(struct node *n, const struct node_call_event *event);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1,15 +1,12 @@
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "place/place_guard.h"
 #include "place/place_internal.h"
 #include "util/mem.h"
 
 /* A request that ended without a word of its entry is forgotten after it. */
-#define ASK_FORGET_US	   (5000 * US_PER_MS)
-#define RETRY_AFTER_MIN_MS 100u
-#define RETRY_AFTER_MAX_MS 2000u
+#define ASK_FORGET_US (5000 * US_PER_MS)
 
 /* ---- tables ------------------------------------------------------------- */
 
@@ -31,31 +28,6 @@
 	return p;
 }
 
-static void
-ask_free(struct place_ask *a)
-{
-	size_t i;
-
-	for (i = 0; i < a->navoid; i++)
-		free(a->avoid[i]);
-	free(a->service);
-	free(a->model);
-	free(a->adapter);
-	free(a->key);
-	free(a->data_centre);
-	free(a);
-}
-
-static void
-free_values(struct map *m)
-{
-	size_t i;
-
-	for (i = 0; i < map_count(m); i++)
-		free(map_at(m, i));
-	map_destroy(m);
-}
-
 void
 place_destroy(struct place *p)
 {
@@ -64,16 +36,16 @@
 	if (p == NULL)
 		return;
 	for (i = 0; i < map_count(p->asks); i++)
-		ask_free(map_at(p->asks, i));
+		place_ask_free(map_at(p->asks, i));
 	map_destroy(p->asks);
 	for (i = 0; i < map_count(p->endpoints); i++)
 		place_endpoint_free(map_at(p->endpoints, i));
 	map_destroy(p->endpoints);
 	place_group_free_all(p);
-	free_values(p->gone);
-	free_values(p->leaving);
-	free_values(p->versions);
-	free_values(p->budgets);
+	map_destroy_all(p->gone, free);
+	map_destroy_all(p->leaving, free);
+	map_destroy_all(p->versions, free);
+	map_destroy_all(p->budgets, free);
 	for (i = 0; i < map_count(p->demand); i++)
 		place_demand_free(map_at(p->demand, i));
 	map_destroy(p->demand);
@@ -202,214 +174,6 @@
 	return true;
 }
 
-/* ---- requests ----------------------------------------------------------- */
-
-bool
-place_avoids(const struct place_ask *a, const struct place_endpoint *e)
-{
-	size_t i;
-
-	for (i = 0; i < a->navoid; i++)
-		if (strcmp(a->avoid[i], e->id) == 0)
-			return true;
-	return false;
-}
-
-/*
- * Insert by the deadline of the objective: the one to be missed first. Most
- * come in that order, so that the search begins at the end.
- */
-static void
-waiting_add(struct place *p, struct place_ask *a)
-{
-	struct place_ask *before = p->waiting_last;
-
-	while (before != NULL && before->target_us > a->target_us)
-		before = before->before;
-	a->before = before;
-	a->next = before == NULL ? p->waiting : before->next;
-	if (before == NULL)
-		p->waiting = a;
-	else
-		before->next = a;
-	if (a->next == NULL)
-		p->waiting_last = a;
-	else
-		a->next->before = a;
-	a->is_waiting = true;
-	p->nwaiting++;
-}
-
-static void
-waiting_remove(struct place *p, struct place_ask *a)
-{
-	struct place_adapter *adapter;
-
-	if (!a->is_waiting)
-		return;
-	if (a->before == NULL)
-		p->waiting = a->next;
-	else
-		a->before->next = a->next;
-	if (a->next == NULL)
-		p->waiting_last = a->before;
-	else
-		a->next->before = a->before;
-	a->is_waiting = false;
-	p->nwaiting--;
-	if (a->granted || a->endpoint == NULL || a->key == NULL)
-		return;
-	adapter = place_adapter_find(a->endpoint, a->key);
-	if (adapter != NULL && adapter->waiting > 0)
-		adapter->waiting--;
-}
-
-static void
-ask_drop(struct place *p, struct place_ask *a)
-{
-	(void)map_remove(p->asks, &a->id, sizeof(a->id));
-	if (!a->granted)
-		waiting_remove(p, a);
-	ask_free(a);
-}
-
-static char *
-copy_or_null(const char *text)
-{
-	return text == NULL ? NULL : mem_string(text);
-}
-
-static void
-set_key(struct place_ask *a)
-{
-	a->key = place_adapter_key(a->model, a->adapter);
-	a->key_hash = XXH64(a->key, strlen(a->key), 0);
-}
-
-static struct place_ask *
-ask_create(const struct place_request *r, uint64_t now_us)
-{
-	struct place_ask *a = mem_alloc(1, sizeof(*a));
-	size_t i;
-
-	a->id = r->id;
-	a->kind = r->kind;
-	a->service = mem_string(r->service);
-	a->model = copy_or_null(r->model);
-	a->adapter = copy_or_null(r->adapter);
-	if (r->model != NULL)
-		set_key(a);
-	a->data_centre = copy_or_null(r->data_centre);
-	a->prompt_tokens = r->prompt_tokens;
-	a->max_tokens = r->max_tokens;
-	a->nparts = r->nparts < GW_PARTS_MAX ? r->nparts : GW_PARTS_MAX;
-	if (a->nparts > 0)
-		memcpy(a->parts, r->parts, a->nparts * sizeof(a->parts[0]));
-	a->asked_us = now_us;
-	for (i = 0; i < a->nparts; i++)
-		a->chains[i] = place_engine_chain(a, i);
-	a->deadline_us = r->deadline_us;
-	a->target_us = r->target_us;
-	a->priority = r->priority;
-	a->attempt = r->attempt;
-	while (a->navoid < r->navoid && a->navoid < PLACE_AVOID_MAX) {
-		a->avoid[a->navoid] = mem_string(r->avoid[a->navoid]);
-		a->navoid++;
-	}
-	return a;
-}
-
-struct place_basis
-place_basis_of(const struct place *p, const struct place_endpoint *e)
-{
-	struct place_basis basis = {0};
-
-	basis.endpoint = e->id;
-	basis.running = e->running;
-	basis.heard_ms = (uint32_t)((p->now_us - e->heard_us) / US_PER_MS);
-	basis.loads = p->loading + p->queued_loads;
-	return basis;
-}
-
-/* Refuse and forget; strings of the decision are constants. */
-void
-place_ask_refuse(struct place *p, struct place_ask *a,
-    const struct place_basis *basis, const char *reason,
-    uint32_t retry_after_ms)
-{
-	struct place_decision *d = place_decide(p, PLACE_REFUSE);
-
-	if (basis != NULL)
-		d->basis = *basis;
-
-	if (retry_after_ms < RETRY_AFTER_MIN_MS)
-		retry_after_ms = RETRY_AFTER_MIN_MS;
-	if (retry_after_ms > RETRY_AFTER_MAX_MS)
-		retry_after_ms = RETRY_AFTER_MAX_MS;
-	d->id = a->id;
-	d->reason = reason;
-	d->retry_after_ms = retry_after_ms;
-	p->totals.refused++;
-	ask_drop(p, a);
-}
-
-void
-place_ask(struct place *p, uint64_t now_us, const struct place_request *r)
-{
-	struct place_ask *a = map_get(p->asks, &r->id, sizeof(r->id));
-
-	p->now_us = now_us;
-	if (a != NULL && !a->granted)
-		return; /* sent again; it waits already */
-	if (a != NULL)
-		place_done(p, now_us, r->id,
-		    &(struct place_end){.outcome = PLACE_NOT_REACHED});
-	a = ask_create(r, now_us);
-	(void)map_set(p->asks, &a->id, sizeof(a->id), a);
-	p->totals.asked++;
-	if (!place_budget_take(p, a->service, a->attempt > 0)) {
-		p->totals.repeats_denied++;
-		waiting_add(p, a);
-		place_ask_refuse(p, a, NULL, "retry-budget", 0);
-		return;
-	}
-	waiting_add(p, a);
-	if (a->key != NULL)
-		place_demand_note(p, a->key);
-	place_wake(p, 0);
-}
-
-void
-place_done(struct place *p, uint64_t now_us, struct place_id id,
-    const struct place_end *end)
-{
-	struct place_ask *a = map_get(p->asks, &id, sizeof(id));
-
-	if (a == NULL)
-		return;
-	p->now_us = now_us;
-	if (a->granted)
-		place_endpoint_end(p, a, end);
-	p->freed++;
-	place_wake(p, 0);
-	if (end->outcome != PLACE_FIRST_BYTE)
-		ask_drop(p, a);
-}
-
-void
-place_entry_gone(struct place *p, uint64_t now_us, uint64_t entry)
-{
-	static const struct place_end end = {.outcome = PLACE_ABANDONED};
-	struct place_ask *a;
-	size_t i = map_count(p->asks);
-
-	while (i-- > 0) {
-		a = map_at(p->asks, i);
-		if (a->id.entry == entry)
-			place_done(p, now_us, a->id, &end);
-	}
-}
-
 void
 place_reset(struct place *p, uint64_t now_us)
 {
@@ -568,7 +332,7 @@
 		a->look_us = 0;
 		switch (ask_place(p, a, may_order)) {
 		case PLACED:
-			waiting_remove(p, a);
+			place_ask_settle(p, a);
 			break;
 		case PLACED_NOT:
 			ask_wait(p, a);
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -63,8 +63,8 @@
 }
 
 void
-place_adapter_turn(struct place_endpoint *e, struct place_adapter *a,
-    enum adapter_state state)
+place_adapter_turn(
+    struct place_endpoint *e, struct place_adapter *a, enum adapter_state state)
 {
 	a->state = state;
 	if (state != ADAPTER_LOADED)
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -256,13 +256,42 @@
 	return a->sequence <= e->sequence;
 }
 
+/*
+ * Take over what an announcement says of the endpoint itself. Another process
+ * under the same id knows nothing of what the one before it held.
+ */
+static struct place_endpoint *
+take_over(struct place *p, struct place_endpoint *e,
+    const struct gw_announcement *a, bool *changed)
+{
+	bool leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
+
+	if (e != NULL && e->born_ms != a->born_ms) {
+		place_endpoint_remove(p, e);
+		e = NULL;
+	}
+	*changed |= e == NULL;
+	if (e == NULL)
+		e = endpoint_create(p, a->id, a->service);
+	e->born_ms = a->born_ms;
+	e->sequence = a->sequence;
+	e->heard_us = p->now_us;
+	*changed |= set_service(p, e, a->service);
+	*changed |= set_text(&e->address, a->address);
+	*changed |= set_text(&e->data_centre, a->data_centre);
+	*changed |= e->slots != a->slots || e->leaving != leaving;
+	e->slots = a->slots;
+	e->leaving = leaving;
+	return e;
+}
+
 enum place_news
 place_announce(struct place *p, uint64_t now_us,
     const struct gw_announcement *a, bool live)
 {
 	struct place_endpoint *e = map_get_str(p->endpoints, a->id);
 	uint64_t gone = gone_since(p, a->id);
-	bool leaving, changed = e == NULL;
+	bool changed = false;
 
 	p->now_us = now_us;
 	if (e != NULL && place_guards.sequence && is_old(e, a))
@@ -271,24 +300,7 @@
 		return PLACE_NEWS_OLD;
 	if (yields_address(p, a))
 		return PLACE_NEWS_OLD;
-	if (e != NULL && e->born_ms != a->born_ms) {
-		place_endpoint_remove(
-		    p, e); /* another process, it knows nothing */
-		e = NULL;
-		changed = true;
-	}
-	if (e == NULL)
-		e = endpoint_create(p, a->id, a->service);
-	e->born_ms = a->born_ms;
-	e->sequence = a->sequence;
-	e->heard_us = now_us;
-	changed |= set_service(p, e, a->service);
-	changed |= set_text(&e->address, a->address);
-	changed |= set_text(&e->data_centre, a->data_centre);
-	leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
-	changed |= e->slots != a->slots || e->leaving != leaving;
-	e->slots = a->slots;
-	e->leaving = leaving;
+	e = take_over(p, e, a, &changed);
 	if (a->models_told)
 		place_adapter_merge(p, e, a);
 	set_copies(e, a);
@@ -307,22 +319,10 @@
     struct place *p, uint64_t now_us, const struct gw_announcement *a)
 {
 	struct place_endpoint *e = map_get_str(p->endpoints, a->id);
+	bool changed = false;
 
 	p->now_us = now_us;
-	if (e != NULL && e->born_ms != a->born_ms) {
-		place_endpoint_remove(p, e);
-		e = NULL;
-	}
-	if (e == NULL)
-		e = endpoint_create(p, a->id, a->service);
-	e->born_ms = a->born_ms;
-	e->sequence = a->sequence;
-	e->heard_us = now_us;
-	(void)set_service(p, e, a->service);
-	(void)set_text(&e->address, a->address);
-	(void)set_text(&e->data_centre, a->data_centre);
-	e->slots = a->slots;
-	e->leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
+	e = take_over(p, e, a, &changed);
 	set_engine(p, e);
 	place_adapter_replace(p, e, a);
 	p->freed++;
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -194,8 +194,8 @@
 	    adapter->wanted_version < place_version_of(p, a->key))
 		return false;
 	if (adapter->ready_us > p->now_us)
-		*ms = (double)(adapter->ready_us - p->now_us) /
-		    (double)US_PER_MS;
+		*ms =
+		    (double)(adapter->ready_us - p->now_us) / (double)US_PER_MS;
 	return may_order || adapter->state == ADAPTER_LOADING;
 }
 
@@ -350,9 +350,8 @@
 
 /* One engine of a search: is it better than the best so far? */
 static bool
-try_engine(struct place *p, struct place_endpoint *e,
-    const struct place_ask *a, const struct place_adapter *adapter,
-    bool may_order, struct estimate *best)
+try_engine(struct place *p, struct place_endpoint *e, const struct place_ask *a,
+    const struct place_adapter *adapter, bool may_order, struct estimate *best)
 {
 	struct estimate est;
 
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -198,14 +198,19 @@
 /* The basis of a decision by what is known of an endpoint. */
 struct place_basis place_basis_of(
     const struct place *p, const struct place_endpoint *e);
-/* Refuse and forget; the reason is a constant. basis: NULL, there is none. */
-void place_ask_refuse(struct place *p, struct place_ask *a,
-    const struct place_basis *basis, const char *reason,
-    uint32_t retry_after_ms);
 struct place_decision *place_decide(
     struct place *p, enum place_decision_type type);
 void place_wake(struct place *p, uint64_t at_us);
 void place_note_change(struct place *p, const char *id, bool gone);
+
+/* ---- place_ask.c ---- */
+/* Refuse and forget; the reason is a constant. basis: NULL, there is none. */
+void place_ask_refuse(struct place *p, struct place_ask *a,
+    const struct place_basis *basis, const char *reason,
+    uint32_t retry_after_ms);
+/* It waits no longer. */
+void place_ask_settle(struct place *p, struct place_ask *a);
+void place_ask_free(struct place_ask *a);
 bool place_avoids(const struct place_ask *a, const struct place_endpoint *e);
 
 /* ---- place_endpoint.c, place_account.c ---- */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -76,9 +76,9 @@
 load_accepted(
     struct place *p, struct place_endpoint *e, struct place_adapter *a)
 {
-	uint32_t ms = a->adapter == NULL ? weights_load_ms(e, a)
-					 : place_adapter_load_ms(p,
-				  place_adapter_was_lately(e, a->hash));
+	uint32_t ms = a->adapter == NULL
+	    ? weights_load_ms(e, a)
+	    : place_adapter_load_ms(p, place_adapter_was_lately(e, a->hash));
 
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
@@ -373,8 +373,7 @@
 
 /* A load whose time is over; true: the adapter is still there. */
 static bool
-settle_one(
-    struct place *p, struct place_endpoint *e, struct place_adapter *a)
+settle_one(struct place *p, struct place_endpoint *e, struct place_adapter *a)
 {
 	if (a->state == ADAPTER_LOADING && p->now_us >= a->ready_us) {
 		place_adapter_load_over(p, a);
@@ -408,8 +407,8 @@
 			continue;
 		if (wanted == NULL || is_before(a, wanted))
 			wanted = a;
-		p->queued_loads += a->adapter != NULL &&
-		    !place_adapter_was_lately(e, a->hash);
+		p->queued_loads +=
+		    a->adapter != NULL && !place_adapter_was_lately(e, a->hash);
 	}
 	return wanted;
 }
@@ -475,8 +474,8 @@
 			continue;
 		turns[due].endpoint = e;
 		turns[due].wanted = settle(p, e);
-		due += turns[due].wanted != NULL || e->doubted ||
-		    e->nweights == 0;
+		due +=
+		    turns[due].wanted != NULL || e->doubted || e->nweights == 0;
 	}
 	if (may_order) {
 		qsort(turns, due, sizeof(*turns), compare_turns);
--- a/src/place/place_window.c
+++ b/src/place/place_window.c
@@ -6,8 +6,8 @@
 /* The placer's rounds and short bursts take less. */
 #define QUEUE_US (60 * 1000ULL)
 /* The quickest answer is that of this span and the one before. */
-#define SPAN_US (2000 * 1000ULL)
-#define NARROWER   0.7
+#define SPAN_US	 (2000 * 1000ULL)
+#define NARROWER 0.7
 /* The late answers of one queue narrow it once. */
 #define NARROW_GAP_US (100 * 1000ULL)
 
@@ -35,8 +35,8 @@
 uint64_t
 place_window_late_us(const struct place_window *w)
 {
-	uint64_t least = w->least_us < w->least_before_us ? w->least_us
-							  : w->least_before_us;
+	uint64_t least =
+	    w->least_us < w->least_before_us ? w->least_us : w->least_before_us;
 
 	return least == UINT64_MAX ? QUEUE_US : least + QUEUE_US;
 }
@@ -61,8 +61,7 @@
 }
 
 void
-place_window_answered(
-    struct place_window *w, uint64_t now_us, uint64_t took_us)
+place_window_answered(struct place_window *w, uint64_t now_us, uint64_t took_us)
 {
 	place_window_lost(w);
 	note_least(w, now_us, took_us);
--- a/src/util/map.c
+++ b/src/util/map.c
@@ -64,6 +64,16 @@
 	free(m);
 }
 
+void
+map_destroy_all(struct map *m, void (*destroy)(void *value))
+{
+	size_t i;
+
+	for (i = 0; m != NULL && i < m->count; i++)
+		destroy(m->items[i].value);
+	map_destroy(m);
+}
+
 size_t
 map_count(const struct map *m)
 {
--- a/src/util/map.h
+++ b/src/util/map.h
@@ -21,6 +21,9 @@
 /* Free the map and its keys; the values stay the caller's. */
 void map_destroy(struct map *m);
 
+/* Free the values, too. */
+void map_destroy_all(struct map *m, void (*destroy)(void *value));
+
 size_t map_count(const struct map *m);
 
 /* The value under a key, or NULL. */
