--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -22,6 +22,8 @@
 #define GATE_ASK_SILENT_US (90 * 1000ULL)
 /* An ask for which the placer has no time is refused after. */
 #define GATE_BUSY_US (250 * 1000ULL)
+/* The placer is busy no more once nothing found the window full for. */
+#define GATE_BUSY_OVER_US (1000 * 1000ULL)
 /* A placer that was not heard at all is taken for lost. */
 #define GATE_PLACER_SILENT_US (900 * 1000ULL)
 /* A call that was passed on to the leader is answered within. */
@@ -92,6 +94,8 @@
 	struct map *asks; /* struct gate_ask by number */
 	struct place_window window; /* of asks at the placer */
 	uint64_t asked_alone; /* as the window was full */
+	uint64_t full_us; /* when it was found full last */
+	bool busy; /* the placer is, as last logged */
 	bool alone; /* no placer is heard, as last logged */
 	struct map *relays; /* struct gate_relay by number */
 	uint64_t last_relay;
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -73,6 +73,7 @@
 	kept->placer = 0;
 	kept->busy = placer;
 	g->asked_alone++;
+	g->full_us = n->now;
 }
 
 static void
@@ -252,6 +253,23 @@
 	}
 }
 
+static void
+log_busy(struct node *n, uint32_t placer)
+{
+	struct node_gate *g = n->gate;
+	bool busy = g->full_us != 0 && n->now < g->full_us + GATE_BUSY_OVER_US;
+
+	if (busy == g->busy)
+		return;
+	g->busy = busy;
+	node_log(n, NODE_LOG_GATE_BUSY,
+	    "{\"busy\": %s, \"placer\": %u, \"asks\": %u, "
+	    "\"lateMs\": %llu, \"alone\": %llu}",
+	    busy ? "true" : "false", placer, g->window.out,
+	    (unsigned long long)place_window_late_us(&g->window) / 1000,
+	    (unsigned long long)g->asked_alone);
+}
+
 void
 gate_ask_tick(struct node *n)
 {
@@ -260,6 +278,7 @@
 
 	while (i-- > 0)
 		ask_tick(n, map_at(n->gate->asks, i), placer);
+	log_busy(n, placer);
 }
 
 /* ---- the placer answers ------------------------------------------------- */
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -96,6 +96,9 @@
 	    g->config == NULL ? 0 : (double)g->config->version);
 	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
 	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
+	put_value(out, "asks_at_placer", "gauge", g->window.out);
+	put_value(out, "asks_window", "gauge", g->window.size);
+	put_value(out, "asks_alone_total", "counter", (double)g->asked_alone);
 	put_forward(n, out);
 	put_place(n, out);
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -53,6 +53,7 @@
     {NODE_LOG_GATE_TABLE, NODE_LOG_INFO, "table-taken"},
     {NODE_LOG_GATE_ALONE, NODE_LOG_WARN, "placer-silent"},
     {NODE_LOG_GATE_REFUSED, NODE_LOG_INFO, "request-not-placed"},
+    {NODE_LOG_GATE_BUSY, NODE_LOG_WARN, "placer-busy"},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -513,6 +513,7 @@
 		asked.push_back(Request(5));
 	w->run(10);
 	EXPECT_EQ(w->sent.size() - before, slots);
+	EXPECT_EQ(w->machines[5]->logs["placer-busy"], 1);
 	w->run(300);
 	EXPECT_GE(decided(), burst - 2 * at_the_placer)
 	    << "one window asked for again, and one in its turn";
