gateway: plain calls go without a placer that is late

Ruled out: their endpoints (busiest/mean 1.2, slots free).

Change: while the window is below half of its first size, an entry places calls of plain services itself.

Test: Gateway.plain_calls_go_without_a_placer_that_is_late (failed before: no call had left after 10 ms).

--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -60,15 +60,27 @@
 	place_window_answered(&n->gate->window, n->now, n->now - kept->sent_us);
 }
 
+/*
+ * A call of a plain service needs no order. Where the placer is late it is
+ * better off without it, and leaves it more time for those that do.
+ */
+static bool
+has_time_for(const struct place_window *w, const struct place_request *r)
+{
+	return place_window_is_open(w) &&
+	    (r->model != NULL || !place_window_is_narrow(w));
+}
+
 /* Whom to ask: nobody where no placer is heard, or it has no time. */
 static void
-choose_placer(struct node *n, struct gate_ask *kept)
+choose_placer(
+    struct node *n, struct gate_ask *kept, const struct place_request *r)
 {
 	struct node_gate *g = n->gate;
 	uint32_t placer = node_gate_placer(n);
 
 	kept->placer = placer;
-	if (placer == 0 || placer == n->id || place_window_is_open(&g->window))
+	if (placer == 0 || placer == n->id || has_time_for(&g->window, r))
 		return;
 	kept->placer = 0;
 	kept->busy = placer;
@@ -88,7 +100,7 @@
 		kept = mem_alloc(1, sizeof(*kept));
 		kept->ask = r->id.ask;
 		kept->begun_us = n->now;
-		choose_placer(n, kept);
+		choose_placer(n, kept, r);
 		(void)map_set_u64(g->asks, kept->ask, kept);
 	}
 	close_ask(n, kept);
--- a/src/place/place_window.c
+++ b/src/place/place_window.c
@@ -47,6 +47,12 @@
 	return w->out < w->size;
 }
 
+bool
+place_window_is_narrow(const struct place_window *w)
+{
+	return w->size < WINDOW_FIRST / 2;
+}
+
 void
 place_window_sent(struct place_window *w)
 {
--- a/src/place/place_window.h
+++ b/src/place/place_window.h
@@ -31,6 +31,9 @@
 /* May one more ask go to the placer? */
 bool place_window_is_open(const struct place_window *w);
 
+/* It has been late for a while. */
+bool place_window_is_narrow(const struct place_window *w);
+
 /* One has gone there. */
 void place_window_sent(struct place_window *w);
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -522,6 +522,28 @@
 	EXPECT_GE(w->sent.size() - before, slots);
 }
 
+/*
+ * The pattern: high load, with calls of a plain service among model requests.
+ * They need no order, and don't wait for a placer that has been late.
+ */
+TEST_F(Gateway, plain_calls_go_without_a_placer_that_is_late)
+{
+	size_t before;
+
+	Serve();
+	ASSERT_TRUE(Reaches(5)) << "quickly: a long way is no sign of load";
+	w->late = w->leader();
+	w->late_us = 100 * MS;
+	for (int i = 0; i < 8; i++) {
+		EXPECT_TRUE(Reaches(5));
+		w->run(50);
+	}
+	before = w->sent.size();
+	(void)Request(5);
+	w->run(10);
+	EXPECT_EQ(w->sent.size(), before + 1) << "placed by the entry itself";
+}
+
 TEST_F(Gateway, an_entry_that_knows_no_configuration_says_so)
 {
 	uint64_t id;
--- a/tests/gateway/world.cc
+++ b/tests/gateway/world.cc
@@ -234,16 +234,17 @@
 
 	if (to < 0 || cuts.count({i, to}) > 0)
 		return;
-	at(now + kWayUs, [this, i, to, from, bytes] {
-		struct node_event ev = {};
-
-		if (cuts.count({i, to}) > 0 || machines[(size_t)to]->frozen)
-			return;
-		ev.type = NODE_EV_MESSAGE;
-		ev.u.message.from = from;
-		ev.u.message.bytes = {bytes.data(), bytes.size()};
-		step(to, ev);
-	});
+	at(now + kWayUs + (i == late ? late_us : 0),
+	    [this, i, to, from, bytes] {
+		    struct node_event ev = {};
+
+		    if (cuts.count({i, to}) > 0 || machines[(size_t)to]->frozen)
+			    return;
+		    ev.type = NODE_EV_MESSAGE;
+		    ev.u.message.from = from;
+		    ev.u.message.bytes = {bytes.data(), bytes.size()};
+		    step(to, ev);
+	    });
 }
 
 void
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -42,6 +42,8 @@
 	uint64_t now = 1000000000;
 	std::vector<std::unique_ptr<Machine>> machines;
 	std::set<std::pair<int, int>> cuts; /* from, to */
+	int late = -1; /* messages from it come later, */
+	uint64_t late_us = 0; /* by so long */
 	std::map<uint64_t, Reply> replies;
 	struct Sent {
 		int machine;
