--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -15,13 +15,6 @@
 	    strncasecmp(h->name, name, h->name_len) == 0;
 }
 
-static bool
-value_is(const struct phr_header *h, const char *value)
-{
-	return h->value_len == strlen(value) &&
-	    strncasecmp(h->value, value, h->value_len) == 0;
-}
-
 static const char *
 parse_length(struct answer *a, const struct phr_header *h)
 {
@@ -75,14 +68,14 @@
 	if (header_is(h, "content-length"))
 		return parse_length(a, h);
 	if (header_is(h, "transfer-encoding")) {
-		if (!value_is(h, "chunked"))
+		if (!phr_value_is(h, "chunked"))
 			return "unknown transfer-encoding";
 		if (a->phase == ANSWER_LENGTH)
 			return "contradicting lengths";
 		a->phase = ANSWER_CHUNKED;
 		a->chunks.consume_trailer = 1;
 	} else if (header_is(h, "connection")) {
-		a->reusable = value_is(h, "keep-alive");
+		a->reusable = phr_value_is(h, "keep-alive");
 	} else if (header_is(h, "keep-alive")) {
 		parse_keep_alive(a, h);
 	} else if (header_is(h, "retry-after")) {
--- a/src/http/front_parse.c
+++ b/src/http/front_parse.c
@@ -12,13 +12,6 @@
 	    strncasecmp(h->name, name, h->name_len) == 0;
 }
 
-static bool
-value_is(const struct phr_header *h, const char *value)
-{
-	return h->value_len == strlen(value) &&
-	    strncasecmp(h->value, value, h->value_len) == 0;
-}
-
 /* Does a list of tokens, separated by commas, hold one? */
 static bool
 value_has(const struct phr_header *h, const char *token)
@@ -80,7 +73,7 @@
 		if (f->coding)
 			return FRONT_BAD;
 		f->coding = true;
-		head->chunked = value_is(h, "chunked");
+		head->chunked = phr_value_is(h, "chunked");
 		return head->chunked ? FRONT_OK : FRONT_UNKNOWN_CODING;
 	}
 	if (name_is(h, "host")) {
@@ -93,7 +86,7 @@
 		else if (head->minor_version == 0 && value_has(h, "keep-alive"))
 			head->keep = true;
 	} else if (name_is(h, "expect")) {
-		head->expects = value_is(h, "100-continue");
+		head->expects = phr_value_is(h, "100-continue");
 	}
 	return FRONT_OK;
 }
--- a/src/http/phr.h
+++ b/src/http/phr.h
@@ -1,7 +1,10 @@
 #ifndef MP_HTTP_PHR_H
 #define MP_HTTP_PHR_H
 
+#include <stdbool.h>
 #include <stddef.h>
+#include <string.h>
+#include <strings.h>
 #include <sys/types.h>
 
 /*
@@ -38,4 +41,12 @@
 ssize_t phr_decode_chunked(
     struct phr_chunked_decoder *decoder, char *buf, size_t *bufsz);
 
+/* Is a header's value this text, in any case of its letters? */
+static inline bool
+phr_value_is(const struct phr_header *h, const char *value)
+{
+	return h->value_len == strlen(value) &&
+	    strncasecmp(h->value, value, h->value_len) == 0;
+}
+
 #endif
--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -80,6 +80,18 @@
 	EXPECT_STREQ(out.resume_after, "4");
 }
 
+/* Each Connection header names some, not the first alone. */
+TEST_F(Requests, headers_named_by_any_connection_header_are_not_passed_on)
+{
+	ASSERT_EQ(Read({{"Host", "h"}, {"Connection", "close"},
+		      {"connection", "X-Two , x-three"}, {"X-Two", "2"},
+		      {"X-Three", "3"}, {"X-Four", "4"}}),
+	    MP_OK);
+	ASSERT_EQ(out.nheaders, 2u);
+	EXPECT_EQ(Find(out.headers, out.nheaders, "X-Four"), "4");
+	EXPECT_EQ(Find(out.headers, out.nheaders, "X-Two"), "(none)");
+}
+
 TEST_F(Requests, a_sending_names_endpoint_version_and_what_is_left)
 {
 	gw_send send = {};
