--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -522,6 +522,25 @@
 	EXPECT_GE(w->sent.size() - before, slots);
 }
 
+/* Packets are lost on the way: what found the window full is asked for later.
+ */
+TEST_F(Gateway, what_the_placer_had_no_time_for_has_its_turn)
+{
+	const size_t burst = 40;
+	std::vector<uint64_t> asked;
+
+	Serve();
+	ASSERT_TRUE(Reaches(5));
+	w->late = w->leader();
+	w->late_us = 100 * MS;
+	for (size_t i = 0; i < burst; i++)
+		asked.push_back(Request(5));
+	w->run(400);
+	for (uint64_t r : asked)
+		EXPECT_NE(w->replies[r].status, 503)
+		    << "its caller waits for 1.5 s";
+}
+
 /*
  * The pattern: high load, with calls of a plain service among model requests.
  * They need no order, and don't wait for a placer that has been late.
