Logs and metrics: what a process has to do, what waits at a placer and why

The lines could not tell a placer without processor time from slow loads. New: event 16 (processor time, events, the worst tick's delay), event 132 and gauges (what requests wait for, and why an adapter that is wanted is not ordered), waitedMs and loadWaitMs in events 121 and 130. No decision is changed.

--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -41,6 +41,7 @@
 	struct node_event ev = {.type = NODE_EV_TICK};
 	struct daemon *d = timer->data;
 
+	daemon_note_tick(d, d->tick_due_us);
 	d->tick_due_us = 0;
 	daemon_feed(d, &ev);
 }
@@ -453,6 +454,7 @@
 	d.queue = event_queue_create();
 	d.metrics_requests = map_create();
 	d.started_us = clock_now_us();
+	d.load.since_us = d.started_us;
 	init_handles(&d);
 	if (start(&d, &err) != MP_OK) {
 		report_failed_start(&d, &err);
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -19,6 +19,12 @@
 /* Requests of the gateway's listeners: the listener above these bits. */
 #define DAEMON_LISTENER_SHIFT 56
 
+/* What the process had to do since its last line about it. */
+struct daemon_load {
+	uint64_t since_us, late_us; /* late: the worst tick's delay */
+	uint64_t cpu_us, events; /* as of then */
+};
+
 struct daemon {
 	uv_loop_t loop;
 	const struct settings *settings;
@@ -41,6 +47,7 @@
 
 	uv_timer_t tick;
 	uint64_t tick_due_us; /* of the timer; 0: not armed */
+	struct daemon_load load;
 	uv_signal_t sigterm, sigint, sighup;
 	uv_timer_t close_timer; /* starts the closing, then limits it */
 	bool stop_requested;
@@ -70,6 +77,9 @@
     struct daemon *d, uint64_t now_us, const struct node_event *ev);
 void daemon_journal_close(struct daemon *d);
 
+/* A tick that was due then runs now; tells of the load when that is due. */
+void daemon_note_tick(struct daemon *d, uint64_t due_us);
+
 /* Append the counters of the process itself as Prometheus text. */
 void daemon_append_metrics(const struct daemon *d, struct buf *out);
 
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -4,6 +4,11 @@
 #include "util/clock.h"
 
 #define US_PER_SECOND 1e6
+#define US_PER_MS     1000
+/* The load is logged so often, and sooner while ticks are late. */
+#define LOAD_QUIET_US (10 * 1000 * 1000ULL)
+#define LOAD_LATE_US  (1000 * 1000ULL)
+#define LATE_US	      (20 * 1000ULL)
 
 static void
 append_counter(struct buf *out, const char *name, double value)
@@ -25,12 +30,53 @@
 	return (double)t.tv_sec + (double)t.tv_usec / US_PER_SECOND;
 }
 
+static double
+cpu_seconds(void)
+{
+	struct rusage usage = {0};
+
+	(void)getrusage(RUSAGE_SELF, &usage);
+	return timeval_seconds(usage.ru_utime) +
+	    timeval_seconds(usage.ru_stime);
+}
+
+static void
+log_load(struct daemon *d, uint64_t now_us)
+{
+	struct daemon_load *load = &d->load;
+	uint64_t cpu_us = (uint64_t)(cpu_seconds() * US_PER_SECOND);
+
+	log_output_event(d->log, EVENT_LOAD,
+	    "{\"spanMs\": %llu, \"cpuMs\": %llu, \"events\": %llu, "
+	    "\"lateMs\": %llu}",
+	    (unsigned long long)(now_us - load->since_us) / US_PER_MS,
+	    (unsigned long long)(cpu_us - load->cpu_us) / US_PER_MS,
+	    (unsigned long long)(d->events - load->events),
+	    (unsigned long long)load->late_us / US_PER_MS);
+	load->since_us = now_us;
+	load->cpu_us = cpu_us;
+	load->events = d->events;
+	load->late_us = 0;
+}
+
+void
+daemon_note_tick(struct daemon *d, uint64_t due_us)
+{
+	struct daemon_load *load = &d->load;
+	uint64_t now_us = clock_now_us();
+
+	if (now_us > due_us + load->late_us)
+		load->late_us = now_us - due_us;
+	if (now_us >= load->since_us +
+		(load->late_us > LATE_US ? LOAD_LATE_US : LOAD_QUIET_US))
+		log_load(d, now_us);
+}
+
 void
 daemon_append_metrics(const struct daemon *d, struct buf *out)
 {
 	struct bus_counters bus;
 	struct store_counters store = {0};
-	struct rusage usage = {0};
 	size_t resident = 0;
 
 	bus_get_counters(d->bus, &bus);
@@ -47,9 +93,7 @@
 		append_counter(
 		    out, "store_records_total", (double)store.records);
 	}
-	(void)getrusage(RUSAGE_SELF, &usage);
-	append_counter(out, "process_cpu_seconds_total",
-	    timeval_seconds(usage.ru_utime) + timeval_seconds(usage.ru_stime));
+	append_counter(out, "process_cpu_seconds_total", cpu_seconds());
 	(void)uv_resident_set_memory(&resident);
 	append_gauge(out, "process_resident_bytes", (double)resident);
 	append_gauge(out, "process_uptime_seconds",
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -36,6 +36,8 @@
 /* An order or report is answered within. */
 #define GATE_ORDER_US (500 * 1000ULL)
 #define GATE_RETRY_MS 300u
+/* What waits at a placer is logged so often. */
+#define GATE_STATE_US (1000 * 1000ULL)
 
 /* Who waits for the answer of a call: of this instance or another one. */
 struct gate_caller {
@@ -87,6 +89,8 @@
 	bool placing;
 	uint64_t term; /* that this instance places in */
 	uint64_t order_after_us;
+	uint64_t state_us; /* what waits is logged next then */
+	uint32_t state_asked; /* asked for until the last such line */
 	struct map *entries; /* uint32_t instance by its incarnation */
 	struct map *orders; /* struct gate_order by call */
 	struct map *callers; /* struct gate_caller by proposal */
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -85,6 +85,32 @@
 		put_value(out, values[i].name, values[i].type, values[i].value);
 }
 
+/* What waits at this instance, and for what. */
+static void
+put_state(const struct node *n, struct buf *out)
+{
+	struct place_state s;
+
+	place_get_state(n->gate->place, &s);
+	const struct {
+		const char *name;
+		uint32_t value;
+	} values[] = {{"waiting_load", s.wait_load},
+	    {"waiting_engine", s.wait_engine}, {"waiting_call", s.wait_call},
+	    {"waiting_oldest_ms", s.oldest_ms}, {"unread_ms", s.unread_ms},
+	    {"unread_most_ms", s.unread_most_ms}, {"loads_now", s.loading},
+	    {"loads_most", s.loading_most}, {"wanted", s.wanted},
+	    {"wanted_held_call", s.held_call},
+	    {"wanted_held_quiet", s.held_quiet},
+	    {"wanted_held_report", s.held_report},
+	    {"wanted_held_store", s.held_store},
+	    {"wanted_held_places", s.held_places}};
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		put_value(out, values[i].name, "gauge", values[i].value);
+}
+
 void
 node_gate_metrics(const struct node *n, struct buf *out)
 {
@@ -101,4 +127,5 @@
 	put_value(out, "asks_alone_total", "counter", (double)g->asked_alone);
 	put_forward(n, out);
 	put_place(n, out);
+	put_state(n, out);
 }
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -294,10 +294,42 @@
 	    place_count(n->gate->place));
 }
 
+/* What waits here, once a second while something is asked for. */
+static void
+log_state(struct node *n)
+{
+	struct node_gate *g = n->gate;
+	struct place_totals t;
+	struct place_state s;
+
+	if (n->now < g->state_us)
+		return;
+	g->state_us = n->now + GATE_STATE_US;
+	place_get_totals(g->place, &t);
+	if (t.asked == g->state_asked)
+		return;
+	place_get_state(g->place, &s);
+	node_log(n, NODE_LOG_GATE_STATE,
+	    "{\"placing\": %s, \"engines\": %u, \"asked\": %u, "
+	    "\"running\": %u, \"unreadMs\": %u, \"unreadMostMs\": %u, "
+	    "\"waiting\": %u, \"oldestMs\": %u, \"waitLoad\": %u, "
+	    "\"waitEngine\": %u, \"waitCall\": %u, \"loading\": %u, "
+	    "\"loadingMost\": %u, \"wanted\": %u, \"heldCall\": %u, "
+	    "\"heldQuiet\": %u, \"heldReport\": %u, \"heldStore\": %u, "
+	    "\"heldPlaces\": %u}",
+	    g->placing ? "true" : "false", s.engines, t.asked - g->state_asked,
+	    s.running, s.unread_ms, s.unread_most_ms, s.waiting, s.oldest_ms,
+	    s.wait_load, s.wait_engine, s.wait_call, s.loading, s.loading_most,
+	    s.wanted, s.held_call, s.held_quiet, s.held_report, s.held_store,
+	    s.held_places);
+	g->state_asked = t.asked;
+}
+
 void
 gate_place_tick(struct node *n)
 {
 	check_placing(n);
+	log_state(n);
 	if (n->raft == NULL)
 		log_placer(n);
 	gate_ask_tick(n);
@@ -315,11 +347,13 @@
 	    "{\"ask\": %llu, \"entry\": %llu, \"reason\": \"%s\", "
 	    "\"endpoint\": \"%s\", \"estimateMs\": %u, "
 	    "\"backlogMs\": %u, \"running\": %u, \"heardMs\": %u, "
-	    "\"needsLoad\": %s, \"loads\": %u}",
+	    "\"needsLoad\": %s, \"loads\": %u, \"waitedMs\": %u, "
+	    "\"loadWaitMs\": %u}",
 	    (unsigned long long)d->id.ask, PLACE_LOGGED(d->id.entry),
 	    placed ? "" : d->reason, b->endpoint == NULL ? "" : b->endpoint,
 	    b->estimate_ms, b->backlog_ms, b->running, b->heard_ms,
-	    b->needs_load ? "true" : "false", b->loads);
+	    b->needs_load ? "true" : "false", b->loads, b->waited_ms,
+	    b->load_wait_ms);
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -192,6 +192,8 @@
 	uint32_t heard_ms; /* age of the endpoint's newest announcement */
 	bool needs_load; /* its adapter is neither there nor on its way */
 	uint32_t loads; /* under way or waiting, over all engines */
+	uint32_t waited_ms; /* since it was asked for */
+	uint32_t load_wait_ms; /* of that, for an adapter at an engine */
 };
 
 /* An entry's number in log lines: readers of JSON take 63 bits. */
@@ -230,6 +232,24 @@
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
+/* What waits at the moment of the last call, and for what. */
+struct place_state {
+	uint32_t engines, running;
+	uint32_t unread_ms, unread_most_ms; /* prompts: mean, most of one */
+	uint32_t waiting, oldest_ms; /* requests without a place */
+	uint32_t wait_load; /* of them, for an adapter */
+	uint32_t wait_engine; /* for an engine that takes them */
+	uint32_t wait_call; /* plain calls */
+	uint32_t loading, loading_most; /* from the store: under way, at most */
+	uint32_t wanted; /* adapters that no order was given for */
+	uint32_t held_call; /* of them, as a call to the engine is under way */
+	uint32_t held_quiet; /* as the engine is left alone for a while */
+	uint32_t held_report; /* as its report is wanted first */
+	uint32_t held_store; /* as the store bears no more */
+	uint32_t held_places; /* as the engine has no place free yet */
+};
+void place_get_state(const struct place *p, struct place_state *out);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -152,6 +152,16 @@
 	return basis;
 }
 
+void
+place_ask_waited(const struct place *p, const struct place_ask *a,
+    struct place_basis *basis)
+{
+	basis->waited_ms = (uint32_t)((p->now_us - a->asked_us) / US_PER_MS);
+	basis->load_wait_ms = a->load_wait_us == 0
+	    ? 0
+	    : (uint32_t)((p->now_us - a->load_wait_us) / US_PER_MS);
+}
+
 /* Refuse and forget; strings of the decision are constants. */
 void
 place_ask_refuse(struct place *p, struct place_ask *a,
@@ -162,7 +172,7 @@
 
 	if (basis != NULL)
 		d->basis = *basis;
-
+	place_ask_waited(p, a, &d->basis);
 	if (retry_after_ms < RETRY_AFTER_MIN_MS)
 		retry_after_ms = RETRY_AFTER_MIN_MS;
 	if (retry_after_ms > RETRY_AFTER_MAX_MS)
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -297,6 +297,7 @@
 	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
 	d->urgency = urgency_of(a);
 	d->basis = basis_of(p, e, est);
+	place_ask_waited(p, a, &d->basis);
 }
 
 /* Leave the engine whose adapter the request has waited for. */
@@ -318,6 +319,8 @@
 {
 	struct place_adapter *adapter;
 
+	if (a->load_wait_us == 0)
+		a->load_wait_us = p->now_us;
 	place_adapter_want(p, e, a);
 	adapter = place_adapter_find(e, a->key);
 	if (a->endpoint != e) {
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -105,6 +105,7 @@
 	struct gw_part parts[GW_PARTS_MAX];
 	size_t nparts;
 	uint64_t asked_us, deadline_us, target_us;
+	uint64_t load_wait_us; /* began to wait for an adapter; 0: did not */
 	uint32_t priority, attempt;
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
@@ -304,6 +305,11 @@
 void place_engine_cache(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
 
+/* ---- place_ask.c ---- */
+/* How long a request has waited, and how much of it for an adapter. */
+void place_ask_waited(const struct place *p, const struct place_ask *a,
+    struct place_basis *basis);
+
 /* ---- place_service.c ---- */
 enum placed place_service_place(struct place *p, struct place_ask *a);
 
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -54,5 +54,6 @@
 	d->address = best->address;
 	d->basis = place_basis_of(p, best);
 	d->basis.estimate_ms = (uint32_t)best->service_ms;
+	place_ask_waited(p, a, &d->basis);
 	return PLACED;
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -22,6 +22,7 @@
     {EVENT_RELOADED, NODE_LOG_INFO, "reloaded"},
     {EVENT_LINES_LIMITED, NODE_LOG_WARN, "log-lines-limited"},
     {EVENT_DISK_FULL, NODE_LOG_ERROR, "disk-full"},
+    {EVENT_LOAD, NODE_LOG_INFO, "process-load"},
     {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
     {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
     {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
@@ -54,6 +55,7 @@
     {NODE_LOG_GATE_ALONE, NODE_LOG_WARN, "placer-silent"},
     {NODE_LOG_GATE_REFUSED, NODE_LOG_INFO, "request-not-placed"},
     {NODE_LOG_GATE_BUSY, NODE_LOG_WARN, "placer-busy"},
+    {NODE_LOG_GATE_STATE, NODE_LOG_INFO, "placing-state"},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -29,7 +29,8 @@
 	EVENT_JOURNAL_FAILED = 12,
 	EVENT_RELOADED = 13,
 	EVENT_LINES_LIMITED = 14,
-	EVENT_DISK_FULL = 15
+	EVENT_DISK_FULL = 15,
+	EVENT_LOAD = 16
 };
 
 /* Those of the reducer. */
@@ -66,6 +67,7 @@
 	NODE_LOG_GATE_ALONE = 129,
 	NODE_LOG_GATE_REFUSED = 130,
 	NODE_LOG_GATE_BUSY = 131,
+	NODE_LOG_GATE_STATE = 132,
 };
 
 struct event_kind {
