--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -153,8 +153,8 @@
 }
 
 void
-place_ask_waited(const struct place *p, const struct place_ask *a,
-    struct place_basis *basis)
+place_ask_waited(
+    const struct place *p, const struct place_ask *a, struct place_basis *basis)
 {
 	basis->waited_ms = (uint32_t)((p->now_us - a->asked_us) / US_PER_MS);
 	basis->load_wait_ms = a->load_wait_us == 0
--- a/src/place/place_state.c
+++ b/src/place/place_state.c
@@ -5,8 +5,8 @@
 /* What requests and adapters wait for at a moment: for operators alone. */
 
 static void
-count_ask(const struct place *p, const struct place_ask *a,
-    struct place_state *out)
+count_ask(
+    const struct place *p, const struct place_ask *a, struct place_state *out)
 {
 	uint32_t waited_ms = (uint32_t)((p->now_us - a->asked_us) / US_PER_MS);
 
--- a/tests/gateway/world.cc
+++ b/tests/gateway/world.cc
@@ -114,6 +114,8 @@
 	m.node = nullptr;
 	m.alive = false;
 	m.life++;
+	m.queue.clear();
+	m.draining = false;
 }
 
 void
@@ -198,7 +200,44 @@
 	ev.type = NODE_EV_TICK;
 	if (!m.frozen)
 		step(i, ev);
-	at(now + kTickUs, [this, i, life] { tick(i, life); });
+	at(now + kTickUs,
+	    [this, i, life] { feed(i, [this, i, life] { tick(i, life); }); });
+}
+
+void
+World::drain(int i, uint64_t life)
+{
+	Machine &m = *machines[(size_t)i];
+	uint64_t cost = m.core ? core_event_us : entry_event_us;
+	std::function<void()> run;
+
+	if (m.life != life)
+		return;
+	run = std::move(m.queue.front());
+	m.queue.pop_front();
+	m.busy_until = now + cost;
+	m.used_us += cost;
+	run();
+	m.draining = !m.queue.empty();
+	if (m.draining)
+		at(m.busy_until, [this, i, life] { drain(i, life); });
+}
+
+void
+World::feed(int i, std::function<void()> run)
+{
+	Machine &m = *machines[(size_t)i];
+	uint64_t life = m.life;
+
+	if ((m.core ? core_event_us : entry_event_us) == 0) {
+		run();
+		return;
+	}
+	m.queue.push_back(std::move(run));
+	if (m.draining)
+		return;
+	m.draining = true;
+	at(std::max(now, m.busy_until), [this, i, life] { drain(i, life); });
 }
 
 void
@@ -242,8 +281,10 @@
 			    return;
 		    ev.type = NODE_EV_MESSAGE;
 		    ev.u.message.from = from;
-		    ev.u.message.bytes = {bytes.data(), bytes.size()};
-		    step(to, ev);
+		    feed(to, [this, to, bytes, ev]() mutable {
+			    ev.u.message.bytes = {bytes.data(), bytes.size()};
+			    step(to, ev);
+		    });
 	    });
 }
 
@@ -272,6 +313,22 @@
 	});
 }
 
+void
+World::break_call(int i, uint64_t call, uint64_t life)
+{
+	if (machines[(size_t)i]->life != life || open.erase({i, call}) == 0 ||
+	    cancelled.count(call) > 0)
+		return;
+	feed(i, [this, i, call] {
+		struct node_event ev = {};
+
+		ev.type = NODE_EV_CALL;
+		ev.u.call.call = call;
+		ev.u.call.phase = NODE_CALL_BROKEN;
+		step(i, ev);
+	});
+}
+
 void
 World::do_call(int i, const struct node_call &call)
 {
@@ -281,7 +338,19 @@
 
 	for (size_t k = 0; k < call.nheaders; k++)
 		s.headers[call.headers[k].name] = call.headers[k].value;
-	sent.push_back(s);
+	for (size_t k = 0; k < call.npassed; k++)
+		s.headers[call.passed[k].name] = call.passed[k].value;
+	if (break_silent && call.silence_us > 0) {
+		uint64_t life = machines[(size_t)i]->life, id = call.call;
+
+		open.insert({i, id});
+		at(now + call.silence_us,
+		    [this, i, id, life] { break_call(i, id, life); });
+	}
+	if (on_call)
+		on_call(s);
+	else
+		sent.push_back(s);
 }
 
 void
@@ -310,6 +379,8 @@
 			    e->u.reply.body.data ? e->u.reply.body.data : "",
 			    e->u.reply.body.len);
 			replies[e->u.reply.request].whole = !e->u.reply.more;
+			if (on_reply)
+				on_reply(e->u.reply.request);
 			break;
 		case NODE_FX_LOG:
 			machines[(size_t)i]->logs[e->u.log.name]++;
@@ -379,6 +450,7 @@
 	node_header headers[] = {{"Mulberrypath-Server-Signature", "s"}};
 	struct node_event ev = {};
 
+	open.erase({call.machine, call.call});
 	ev.type = NODE_EV_CALL;
 	ev.u.call.call = call.call;
 	ev.u.call.phase = NODE_CALL_HEAD;
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,10 @@
 	struct node *node = nullptr;
 	uint64_t life = 0;
 	std::map<std::string, int> logs; /* events by name */
+	/* events that wait for its processor, when that is counted */
+	std::deque<std::function<void()>> queue;
+	bool draining = false;
+	uint64_t busy_until = 0, used_us = 0;
 };
 
 /*
@@ -55,6 +60,11 @@
 	std::set<uint64_t> cancelled;
 	std::vector<std::string> seeds;
 	bool first_start = true;
+	/* time that an event takes; 0: none, its processor is not counted */
+	uint64_t core_event_us = 0, entry_event_us = 0;
+	std::function<void(const Sent &)> on_call; /* a call to an endpoint */
+	bool break_silent = false; /* calls end when they are silent for long */
+	std::function<void(uint64_t request)> on_reply;
 
 	World(int cores, int entries);
 	~World();
@@ -73,6 +83,11 @@
 	uint64_t request(int i, node_listener listener, const char *method,
 	    const std::string &path, const std::string &body = "",
 	    std::vector<std::pair<std::string, std::string>> headers = {});
+	uint64_t
+	next_request() const
+	{
+		return last_request + 1;
+	}
 	/* Ask and wait for the answer. */
 	Reply ask(int i, node_listener listener, const char *method,
 	    const std::string &path, const std::string &body = "",
@@ -84,6 +99,9 @@
 
 	int leader() const; /* -1: none places */
 	bool ready();
+	void at(uint64_t when, std::function<void()> run);
+	/* Run an event on a machine once its processor is free. */
+	void feed(int i, std::function<void()> run);
 
       private:
 	struct Timer {
@@ -93,15 +111,17 @@
 	struct node_effects *fx = node_effects_create();
 	uint64_t last_request = 0, last_sequence = 0;
 	std::map<uint64_t, int> owner; /* of a request */
+	std::set<std::pair<int, uint64_t>> open; /* calls without an answer */
 
 	int by_id(uint32_t id) const;
-	void at(uint64_t when, std::function<void()> run);
+	void drain(int i, uint64_t life);
 	void tick(int i, uint64_t life);
 	void step(int i, const struct node_event &ev);
 	void execute(int i);
 	void do_save(int i, const struct node_save &save);
 	void do_send(int i, const struct node_send &send);
 	void do_call(int i, const struct node_call &call);
+	void break_call(int i, uint64_t call, uint64_t life);
 };
 
 std::string config_text(int version, const std::string &service = "app");
