place: an order without an answer is given again at once

Cause: an order without an answer stopped its engine for 500 ms until it was given up, 400 ms more, and a report; and all requests that waited for another adapter there with it. What was wanted and long due counted as if it came now, so that more requests chose such an engine.

Change: an order holds for one count of accepted orders, so the next one with the same count is safe, whichever of them is carried out first. It is given at once, three times in a row, then the engine is left alone. A load that has not begun counts with its whole time.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -33,9 +33,12 @@
 /* That the table has not changed is told so often, and asked again after. */
 #define GATE_TABLE_IDLE_US (500 * 1000ULL)
 #define GATE_TABLE_ASK_US  (200 * 1000ULL)
-/* An order or report is answered within. */
-#define GATE_ORDER_US (500 * 1000ULL)
-#define GATE_RETRY_MS 300u
+/* An order or report is answered within, or given again: so many times what
+ * answers take lately, between these. */
+#define GATE_ORDER_FACTOR   2
+#define GATE_ORDER_LEAST_US (150 * 1000ULL)
+#define GATE_ORDER_MOST_US  (500 * 1000ULL)
+#define GATE_RETRY_MS	    300u
 /* What waits at a placer is logged so often. */
 #define GATE_STATE_US (1000 * 1000ULL)
 
@@ -89,6 +92,7 @@
 	bool placing;
 	uint64_t term; /* that this instance places in */
 	uint64_t order_after_us;
+	uint64_t answer_us; /* that orders take to be answered, smoothed */
 	uint64_t state_us; /* what waits is logged next then */
 	uint32_t state_asked; /* asked for until the last such line */
 	struct map *entries; /* uint32_t instance by its incarnation */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -106,6 +106,26 @@
 
 /* ---- orders ------------------------------------------------------------- */
 
+/* Answers wait for this instance's processor, too. */
+static uint64_t
+order_limit_us(const struct node_gate *g)
+{
+	uint64_t us = g->answer_us * GATE_ORDER_FACTOR;
+
+	if (us < GATE_ORDER_LEAST_US)
+		return GATE_ORDER_LEAST_US;
+	return us > GATE_ORDER_MOST_US ? GATE_ORDER_MOST_US : us;
+}
+
+/* The newest counts for an eighth; one that stayed out for its whole limit. */
+static void
+note_answer_time(struct node *n, const struct gate_order *kept)
+{
+	struct node_gate *g = n->gate;
+
+	g->answer_us = (g->answer_us * 7 + n->now - kept->given_us) / 8;
+}
+
 static void
 give_order(struct node *n, const struct place_decision *d)
 {
@@ -119,10 +139,10 @@
 	kept->given_us = n->now;
 	call->call = ++n->last_call;
 	call->address = node_effects_printf(n->fx, "%s", d->address);
-	call->not_after_us = n->now + GATE_ORDER_US;
+	call->not_after_us = n->now + order_limit_us(n->gate);
 	if (!kept->is_report && until < call->not_after_us)
 		call->not_after_us = until;
-	call->silence_us = GATE_ORDER_US;
+	call->silence_us = order_limit_us(n->gate);
 	(void)map_set_u64(n->gate->orders, call->call, kept);
 	if (kept->is_report) {
 		n->gate->codec->write_report_call(
@@ -190,6 +210,7 @@
 		return true;
 	}
 	(void)map_remove_u64(n->gate->orders, event->call);
+	note_answer_time(n, kept);
 	order_ended(n, kept, event->phase);
 	free(kept->endpoint);
 	free(kept->what);
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -183,9 +183,12 @@
 
 /* Time until the adapter that is there or on its way serves; false: never. */
 static bool
-coming_ms(const struct place *p, const struct place_ask *a,
-    const struct place_adapter *adapter, bool may_order, double *ms)
+coming_ms(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a, const struct place_adapter *adapter,
+    bool may_order, double *ms)
 {
+	double load;
+
 	*ms = 0;
 	if (place_adapter_is_current(p, adapter))
 		return true;
@@ -196,7 +199,13 @@
 	if (adapter->ready_us > p->now_us)
 		*ms =
 		    (double)(adapter->ready_us - p->now_us) / (double)US_PER_MS;
-	return may_order || adapter->state == ADAPTER_LOADING;
+	if (adapter->state == ADAPTER_LOADING)
+		return true;
+	load = place_adapter_load_ms(
+	    p, place_adapter_was_lately(e, adapter->hash));
+	if (*ms < load)
+		*ms = load; /* it has not begun, however long ago it was due */
+	return may_order;
 }
 
 /*
@@ -242,7 +251,8 @@
 	    !place_endpoint_usable(p, e, a->service) || place_avoids(a, e) ||
 	    !has_weights(e, a->model))
 		return false;
-	if ((adapter == NULL || !coming_ms(p, a, adapter, may_order, &load)) &&
+	if ((adapter == NULL ||
+		!coming_ms(p, e, a, adapter, may_order, &load)) &&
 	    (!may_order || !load_ms(p, e, a, adapter, limit, &load, out)))
 		return false;
 	out->backlog_ms = backlog;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -90,6 +90,7 @@
 	bool order_unloads;
 	uint64_t quiet_until_us; /* no order and no report before */
 	uint64_t accepted_us; /* the last order that it took */
+	uint32_t unanswered; /* orders in a row */
 	bool ordered; /* this placer has given it an order */
 	bool doubted; /* a report is wanted also without an order to give */
 	bool fenced; /* a newer holder has been seen */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -17,6 +17,8 @@
 #define REPORT_LAG_US (400 * US_PER_MS)
 /* An order that was refused as another is under way is given again after. */
 #define CONFLICT_US (150 * US_PER_MS)
+/* An engine that left so many orders unanswered in a row is left alone. */
+#define UNANSWERED_MAX 3u
 /* Loads of weights at once: one for so many thousandths of loads a second. */
 #define WEIGHTS_RATE_MILLI 5000u
 #define WEIGHTS_BURST	   2.0
@@ -125,11 +127,34 @@
 	}
 }
 
+static void
+leave_alone(struct place *p, struct place_endpoint *e, uint64_t us)
+{
+	e->quiet_until_us = p->now_us + us;
+	place_wake(p, e->quiet_until_us);
+}
+
+/*
+ * No answer: the order may have been accepted, or be carried out seconds later.
+ * Another one that expects the same count can be given at once, as the engine
+ * takes only one of them; which one is asked for once a count is refused.
+ */
+static void
+note_unanswered(struct place *p, struct place_endpoint *e)
+{
+	if (++e->unanswered < UNANSWERED_MAX && place_guards.expected)
+		return;
+	e->unanswered = 0;
+	e->orders_known = false;
+	leave_alone(p, e, REPORT_LAG_US);
+}
+
 /* What an answer says of the number of orders accepted. */
 static void
-note_count(struct place *p, struct place_endpoint *e,
-    enum gw_order_result result, bool broken)
+note_count(
+    struct place *p, struct place_endpoint *e, enum gw_order_result result)
 {
+	e->unanswered = 0;
 	switch (result) {
 	case GW_ORDER_STARTED:
 		e->orders++;
@@ -147,9 +172,7 @@
 		break;
 	default:
 		e->orders_known = false;
-		e->quiet_until_us =
-		    p->now_us + (broken ? REPORT_LAG_US : CONFLICT_US);
-		place_wake(p, e->quiet_until_us);
+		leave_alone(p, e, CONFLICT_US);
 		break;
 	}
 }
@@ -167,7 +190,10 @@
 	place_wake(p, 0);
 	a = place_adapter_find(e, e->order_key);
 	e->ordering = false;
-	note_count(p, e, result, broken);
+	if (broken)
+		note_unanswered(p, e);
+	else
+		note_count(p, e, result);
 	free(e->order_key);
 	e->order_key = NULL;
 	if (a == NULL)
