place: an endpoint that was silent comes back at the next placer

Callers saw: fewer endpoints after a change of the leader, until these restarted.

Cause: the placer removes an endpoint that it has not heard for five announcements, and told the others the same 'gone' as for one that has left. They remembered its process as one that left, so that the next placer took its announcements for late ones, for ever.

Change: 'gone' says from which start of a process on the endpoint may be heard again; 0 for one that was silent.

Test: Gateway.an_endpoint_that_was_silent_comes_back_at_the_next_placer, failed before.

--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -54,6 +54,7 @@
 	wire__endpoint_info__init(out);
 	out->id = node_effects_printf(n->fx, "%s", id);
 	out->gone = true;
+	out->born_ms = place_left_ms(n->gate->place, id);
 	return out;
 }
 
@@ -188,7 +189,7 @@
 	size_t i;
 
 	if (info->gone) {
-		(void)place_leave(n->gate->place, n->now, info->id);
+		place_remove(n->gate->place, n->now, info->id, info->born_ms);
 		return;
 	}
 	for (i = 0; i < info->n_loaded; i++) {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -93,6 +93,14 @@
 /* An endpoint leaves for good; false: it was not known. */
 bool place_leave(struct place *p, uint64_t now_us, const char *id);
 
+/*
+ * The placer has removed an endpoint: it left (left_ms, when its process can
+ * have started at the latest), or was silent (0) and may come back.
+ */
+void place_remove(
+    struct place *p, uint64_t now_us, const char *id, uint64_t left_ms);
+uint64_t place_left_ms(const struct place *p, const char *id);
+
 /* All endpoints of the table that is about to be replaced. */
 void place_forget_all(struct place *p, uint64_t now_us);
 
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -354,6 +354,25 @@
 	return true;
 }
 
+void
+place_remove(
+    struct place *p, uint64_t now_us, const char *id, uint64_t left_ms)
+{
+	struct place_endpoint *e = map_get_str(p->endpoints, id);
+
+	p->now_us = now_us;
+	if (left_ms != 0)
+		remember(p->gone, id, left_ms);
+	if (e != NULL)
+		place_endpoint_remove(p, e);
+}
+
+uint64_t
+place_left_ms(const struct place *p, const char *id)
+{
+	return gone_since(p, id);
+}
+
 void
 place_forget_all(struct place *p, uint64_t now_us)
 {
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -955,6 +955,9 @@
 {
   ProtobufCMessage base;
   char *id;
+  /*
+   * gone: no process that started earlier; 0: any
+   */
   uint64_t born_ms;
   uint64_t sequence;
   char *service;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -576,6 +576,26 @@
 	EXPECT_EQ(w->replies[id].status, 503);
 }
 
+/*
+ * Guards against: an endpoint that was cut off for a while is refused for ever
+ * by the next placer, which had only heard that it was removed.
+ */
+TEST_F(Gateway, an_endpoint_that_was_silent_comes_back_at_the_next_placer)
+{
+	int first;
+
+	Serve();
+	ASSERT_TRUE(Reaches(5));
+	w->run(8000); /* no announcement for longer than it is kept */
+	EXPECT_FALSE(Reaches(5));
+	first = w->leader();
+	w->kill(first);
+	ASSERT_TRUE(w->until(
+	    [&] { return w->leader() >= 0 && w->leader() != first; }, 8000));
+	ASSERT_EQ(w->announce(w->leader(), "e1").status, 200);
+	EXPECT_TRUE(Reaches(5));
+}
+
 /* ---- addresses and stopping ---- */
 
 TEST_F(Gateway, lookups_name_the_entries_that_stay)
