Engines of a large fleet are shared among entries that own them

Cause: one instance, the leader, placed all requests and gave all orders, on 0.15 of a processor.

Change: in a cluster with 8 entries or more the engines are cut into shards, one for four entries. A shard keeps its owner until that leaves; owners follow the members in the log, so that all agree with the epoch. An owner places for all entries and gives the orders, while it may act and once its epoch is active, with the epoch as the fence; after an owner that goes on it waits for the lease. An entry asks the home of an adapter by weighted hashing, one of several for a hot one, and passes over owners that have more to do than the others, which they tell with each answer; what has no room goes on to one other owner. Retry budget, store and loads of weights are split by engines. The leader keeps announcements, the table (without adapters then) and the log. A small cluster is as before. The fence of the leader is the log index it had applied, so that both kinds of fence are one order.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -76,6 +76,41 @@
     double (*weight)(void *ctx, const struct member *m), void *ctx,
     uint32_t *out, size_t max);
 
+/* ---- shards ---------------------------------------------------------------
+ */
+
+#define MEMBER_SHARDS_MAX 128
+
+/*
+ * The endpoints of a large cluster in shards, each of which one instance owns.
+ * Owners are members without a data folder; a small cluster has one shard,
+ * which is the leader's. They follow the changes of the members, so that all
+ * instances agree on them with the epoch: a shard keeps its owner until that
+ * leaves, and the number of shards changes after many members have come or
+ * gone.
+ */
+struct member_shards {
+	uint32_t count; /* at least 1 */
+	uint32_t owners[MEMBER_SHARDS_MAX]; /* 0: the leader */
+};
+
+const struct member_shards *member_view_shards(const struct member_view *v);
+
+/* Follow a change of the members. */
+void member_shards_follow(struct member_shards *s, const struct member_view *v);
+
+/* The shard of a key. */
+uint32_t member_shard_of(const struct member_shards *s, const char *key);
+
+/*
+ * Shards in order of preference for a key: weighted rendezvous hashing.
+ *
+ * weights: of each shard; 0 leaves it out.
+ * out: room for all shards; the number written is returned.
+ */
+size_t member_shard_order(const struct member_shards *s, uint64_t key,
+    const uint32_t *weights, uint32_t *out);
+
 /* ---- timing of leases --------------------------------------------------- */
 
 #define MEMBER_LEASE_US	      (2000 * 1000ULL)
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -14,12 +14,16 @@
 	size_t count, cap;
 	uint32_t *earlier; /* supporters of the epoch before */
 	size_t nearlier;
+	struct member_shards shards;
 };
 
 struct member_view *
 member_view_create(void)
 {
-	return mem_alloc(1, sizeof(struct member_view));
+	struct member_view *v = mem_alloc(1, sizeof(*v));
+
+	v->shards.count = 1;
+	return v;
 }
 
 static void
@@ -43,6 +47,7 @@
 	free(v->members);
 	free(v->earlier);
 	memset(v, 0, sizeof(*v));
+	v->shards.count = 1;
 }
 
 void
@@ -91,6 +96,12 @@
 	return v->epoch;
 }
 
+const struct member_shards *
+member_view_shards(const struct member_view *v)
+{
+	return &v->shards;
+}
+
 size_t
 member_view_count(const struct member_view *v)
 {
@@ -211,6 +222,7 @@
 	if (old != NULL)
 		member_view_remove(v, info->id);
 	member_view_insert(v, m);
+	member_shards_follow(&v->shards, v);
 	return true;
 }
 
@@ -224,6 +236,7 @@
 		return false;
 	member_view_advance(v, index);
 	member_view_remove(v, id);
+	member_shards_follow(&v->shards, v);
 	return true;
 }
 
@@ -237,6 +250,7 @@
 		return false;
 	member_view_advance(v, index);
 	m->leaving = true;
+	member_shards_follow(&v->shards, v);
 	return true;
 }
 
@@ -273,6 +287,8 @@
 	view.n_members = v->count;
 	view.earlier_supporters = v->earlier;
 	view.n_earlier_supporters = v->nearlier;
+	view.shard_owners = (uint32_t *)v->shards.owners;
+	view.n_shard_owners = v->shards.count;
 	seal_pack(out, &view.base);
 	free(refs);
 	free(items);
@@ -318,6 +334,10 @@
 	v->earlier = mem_resize(NULL, v->nearlier, sizeof(*v->earlier));
 	for (i = 0; i < v->nearlier; i++)
 		v->earlier[i] = view->earlier_supporters[i];
+	for (i = 0; i < view->n_shard_owners && i < MEMBER_SHARDS_MAX; i++) {
+		v->shards.owners[i] = view->shard_owners[i];
+		v->shards.count = (uint32_t)i + 1;
+	}
 	protobuf_c_message_free_unpacked(message, NULL);
 	return MP_OK;
 }
--- a/src/member/view.pb-c.c
+++ b/src/member/view.pb-c.c
@@ -252,7 +252,7 @@
   (ProtobufCMessageInit) view__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor view__view__field_descriptors[3] =
+static const ProtobufCFieldDescriptor view__view__field_descriptors[4] =
 {
   {
     "epoch",
@@ -290,16 +290,29 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard_owners",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(View__View, n_shard_owners),
+    offsetof(View__View, shard_owners),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned view__view__field_indices_by_name[] = {
   2,   /* field[2] = earlier_supporters */
   0,   /* field[0] = epoch */
   1,   /* field[1] = members */
+  3,   /* field[3] = shard_owners */
 };
 static const ProtobufCIntRange view__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor view__view__descriptor =
 {
@@ -309,7 +322,7 @@
   "View__View",
   "view",
   sizeof(View__View),
-  3,
+  4,
   view__view__field_descriptors,
   view__view__field_indices_by_name,
   1,  view__view__number_ranges,
--- a/src/member/view.pb-c.h
+++ b/src/member/view.pb-c.h
@@ -57,10 +57,15 @@
    */
   size_t n_earlier_supporters;
   uint32_t *earlier_supporters;
+  /*
+   * by shard; 0: the leader
+   */
+  size_t n_shard_owners;
+  uint32_t *shard_owners;
 };
 #define VIEW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&view__view__descriptor) \
-    , 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* View__Member methods */
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -44,7 +44,9 @@
 	g->asks = map_create();
 	g->relays = map_create();
 	g->place = create_place(n);
-	place_window_init(&g->window);
+	g->owners = map_create();
+	g->heat = place_heat_create();
+	gate_owner_init(n);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
 }
@@ -78,6 +80,8 @@
 	map_destroy_all(g->entries, free);
 	map_destroy_all(g->callers, free);
 	map_destroy_all(g->asks, free);
+	map_destroy_all(g->owners, free);
+	place_heat_destroy(g->heat);
 	map_destroy_all(g->relays, free);
 	free_orders(g->orders);
 	free(g);
@@ -331,6 +335,7 @@
 		g->was_leased = true;
 	gate_relay_tick(n);
 	gate_place_tick(n);
+	gate_owner_tick(n);
 	if (forward_next(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
 	gate_table_tick(n);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -5,17 +5,22 @@
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
 #include "place/place.h"
+#include "place/place_heat.h"
 #include "place/place_window.h"
 
 /*
  * The gateway's part of the reducer.
  *
- * The leader of the log is the placer: it alone takes announcements, places
- * requests with an account of all entries, and gives orders to endpoints, with
- * its term as the fence. Every other instance has the placer's table of
- * endpoints; an entry that hears no placer places by that table itself, without
- * orders and without repeats. A request needs no lease for that: an endpoint
- * refuses what is not meant for it.
+ * The leader of the log is the placer of a small cluster: it alone takes
+ * announcements, places requests with an account of all entries, and gives
+ * orders to endpoints. Every other instance has its table of endpoints; an
+ * entry that hears no placer places by that table itself, without orders and
+ * without repeats. A request needs no lease for that: an endpoint refuses what
+ * is not meant for it.
+ *
+ * In a large cluster the leader still takes announcements and tells the table,
+ * but entries that own shards of the engines place and order there
+ * (node_gate_owner.c).
  */
 
 /* A placer that did not answer an ask, nor say that it waits, is late by. */
@@ -39,6 +44,12 @@
 #define GATE_ORDER_LEAST_US (150 * 1000ULL)
 #define GATE_ORDER_MOST_US  (500 * 1000ULL)
 #define GATE_RETRY_MS	    300u
+/* An entry whose requests wait at an owner hears of it so often, at least. */
+#define GATE_WAITS_US (300 * 1000ULL)
+/* A request that its owner has no room for goes on to so many others. */
+#define GATE_HANDED_MAX 1u
+/* An owner that did not answer is not asked for so long. */
+#define GATE_OWNER_SILENT_US (500 * 1000ULL)
 /* What waits at a placer is logged so often. */
 #define GATE_STATE_US (1000 * 1000ULL)
 
@@ -52,6 +63,10 @@
 /* A request of this entry that was asked for. */
 struct gate_ask {
 	uint64_t ask;
+	uint64_t key; /* hash of the model and adapter; 0: a plain call */
+	uint32_t homes; /* owners among which it has a choice */
+	uint32_t refused_by; /* the owner that had no room; 0: none */
+	uint32_t handed; /* times it went on to another owner */
 	uint32_t placer; /* instance; 0: this entry places it itself */
 	uint32_t busy; /* the placer that had no time for it; 0: none */
 	uint64_t begun_us; /* asked for first */
@@ -61,6 +76,22 @@
 	bool granted;
 };
 
+/* What an entry knows of an instance that places. */
+struct gate_owner {
+	struct place_window window; /* of asks there */
+	uint64_t silent_until_us; /* it did not answer: not asked before */
+	uint32_t load_ms; /* as it told at load_us; 0: never */
+	uint64_t load_us;
+	uint64_t told_us; /* as its owner: told last that requests wait */
+};
+
+/* A shard as its owner has it. */
+struct gate_shard {
+	uint64_t since_epoch; /* this instance's since; 0: it is not */
+	bool active; /* that epoch is */
+	uint64_t order_from_us;
+};
+
 /* A call passed on to the leader. */
 struct gate_relay {
 	uint64_t call, request, expires_us;
@@ -72,7 +103,7 @@
 	bool is_report, unloads;
 	int status;
 	struct buf answer;
-	uint64_t given_us;
+	uint64_t given_us, fence;
 };
 
 struct gate_version {
@@ -98,9 +129,19 @@
 	struct map *entries; /* uint32_t instance by its incarnation */
 	struct map *orders; /* struct gate_order by call */
 	struct map *callers; /* struct gate_caller by proposal */
+	uint64_t fence; /* of the leader: what was applied when it began */
+	/* shards; one, if the leader places all */
+	struct member_shards shards;
+	struct gate_shard owned[MEMBER_SHARDS_MAX];
+	uint64_t whole_epoch; /* since which there is one; 0: always */
+	uint64_t whole_from_us; /* its leader gives no order before */
+	uint32_t weights[MEMBER_SHARDS_MAX]; /* engines of each */
+	uint64_t weighed_us; /* counted again then */
+	uint32_t owned_logged, shards_logged;
 	/* entries */
 	struct map *asks; /* struct gate_ask by number */
-	struct place_window window; /* of asks at the placer */
+	struct map *owners; /* struct gate_owner by instance */
+	struct place_heat *heat; /* of models and adapters */
 	uint64_t asked_alone; /* as the window was full */
 	uint64_t full_us; /* when it was found full last */
 	bool busy; /* the placer is, as last logged */
@@ -171,6 +212,31 @@
 /* A decision on a request that this entry placed itself. */
 void gate_ask_decided(struct node *n, const struct place_decision *d);
 
+/* ---- node_gate_owner.c: shards and their owners ---- */
+void gate_owner_init(struct node *n);
+/* The members have changed; skipped: not every change was seen. */
+void node_gate_epoch(struct node *n, bool skipped);
+void gate_owner_tick(struct node *n);
+/* Do several instances place? */
+bool gate_is_sharded(const struct node *n);
+/* Does this one own a shard? Does any other instance? */
+bool gate_owns(const struct node *n);
+bool gate_is_owner(const struct node *n, uint32_t instance);
+/* The shard of an endpoint, or of a plain service's calls (endpoint NULL). */
+uint32_t gate_shard_of(
+    const struct node *n, const char *service, const char *endpoint);
+uint64_t gate_fence_of(
+    const struct node *n, const char *service, const char *endpoint);
+bool gate_may_order(const struct node *n);
+uint64_t gate_order_until(const struct node *n);
+
+/* ---- node_gate_spread.c: which owner is asked ---- */
+struct gate_owner *gate_owner_get(struct node *n, uint32_t instance);
+/* Count a request for a key; owners that it may be asked at. */
+uint32_t gate_spread_homes(struct node *n, uint64_t key);
+/* The owner to ask; 0: none has time. */
+uint32_t gate_spread_choose(struct node *n, const struct gate_ask *kept);
+
 /* ---- node_gate_place.c: the placer decides and gives orders ---- */
 void gate_place_tick(struct node *n);
 void gate_place_run(struct node *n);
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -1,12 +1,15 @@
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "node/node_gate.h"
 #include "util/mem.h"
 
 /*
  * The entry's side of placing: it asks the placer, or places by its own table
- * where no placer is heard or the placer has no time.
+ * where no placer is heard or the placer has no time. In a large cluster it
+ * asks the owner of a shard, and another one where that has no time or no room;
+ * what needs an engine is never placed by the entry itself then.
  */
 
 static uint32_t
@@ -50,6 +53,23 @@
 	node_peer_send(n, kept->placer, &envelope);
 }
 
+/* A model request of a large cluster goes to an owner or waits for one. */
+static bool
+gate_needs_owner(const struct node *n, const struct gate_ask *kept)
+{
+	return kept->key != 0 && gate_is_sharded(n);
+}
+
+static uint64_t
+request_key(const struct place_request *r)
+{
+	const char *adapter = r->adapter == NULL ? "" : r->adapter;
+	uint64_t key = XXH64(r->model, strlen(r->model), 0);
+
+	key = XXH64(adapter, strlen(adapter), key);
+	return key == 0 ? 1 : key;
+}
+
 /* An ask that is at the placer has its answer, or is given up. */
 static void
 close_ask(struct node *n, struct gate_ask *kept)
@@ -57,7 +77,8 @@
 	if (!kept->out)
 		return;
 	kept->out = false;
-	place_window_answered(&n->gate->window, n->now, n->now - kept->sent_us);
+	place_window_answered(&gate_owner_get(n, kept->placer)->window, n->now,
+	    n->now - kept->sent_us);
 }
 
 /*
@@ -71,21 +92,59 @@
 	    (r->model != NULL || !place_window_is_narrow(w));
 }
 
+/* Who would be asked: the leader, or the owner of a shard; 0: none is known. */
+static uint32_t
+find_placer(struct node *n, const struct gate_ask *kept, const char *service)
+{
+	const struct member_shards *shards = &n->gate->shards;
+	uint32_t owner;
+
+	if (!gate_is_sharded(n))
+		return node_gate_placer(n);
+	if (kept->key != 0)
+		return gate_spread_choose(n, kept);
+	owner = shards->owners[gate_shard_of(n, service, NULL)];
+	return n->now < gate_owner_get(n, owner)->silent_until_us ? 0 : owner;
+}
+
+static void
+note_busy(struct node *n, struct gate_ask *kept, uint32_t placer)
+{
+	kept->placer = 0;
+	kept->busy = placer;
+	n->gate->asked_alone++;
+	n->gate->full_us = n->now;
+}
+
 /* Whom to ask: nobody where no placer is heard, or it has no time. */
 static void
 choose_placer(
     struct node *n, struct gate_ask *kept, const struct place_request *r)
 {
-	struct node_gate *g = n->gate;
-	uint32_t placer = node_gate_placer(n);
+	uint32_t placer = find_placer(n, kept, r->service);
 
 	kept->placer = placer;
-	if (placer == 0 || placer == n->id || has_time_for(&g->window, r))
-		return;
-	kept->placer = 0;
-	kept->busy = placer;
-	g->asked_alone++;
-	g->full_us = n->now;
+	if (placer == 0 && gate_needs_owner(n, kept))
+		note_busy(n, kept, 0);
+	else if (placer != 0 && placer != n->id &&
+	    !has_time_for(&gate_owner_get(n, placer)->window, r))
+		note_busy(n, kept, placer);
+}
+
+static struct gate_ask *
+keep_ask(struct node *n, const struct place_request *r)
+{
+	struct gate_ask *kept = mem_alloc(1, sizeof(*kept));
+
+	kept->ask = r->id.ask;
+	kept->begun_us = n->now;
+	if (r->model != NULL) {
+		kept->key = request_key(r);
+		kept->homes = gate_spread_homes(n, kept->key);
+	}
+	choose_placer(n, kept, r);
+	(void)map_set_u64(n->gate->asks, kept->ask, kept);
+	return kept;
 }
 
 static void
@@ -96,22 +155,19 @@
 	struct gate_ask *kept = map_get_u64(g->asks, r->id.ask);
 
 	(void)fx;
-	if (kept == NULL) {
-		kept = mem_alloc(1, sizeof(*kept));
-		kept->ask = r->id.ask;
-		kept->begun_us = n->now;
-		choose_placer(n, kept, r);
-		(void)map_set_u64(g->asks, kept->ask, kept);
-	}
+	if (kept == NULL)
+		kept = keep_ask(n, r);
 	close_ask(n, kept);
 	kept->sent_us = n->now;
 	kept->waits = kept->granted = false;
+	if (kept->placer == 0 && gate_needs_owner(n, kept))
+		return; /* it has its turn */
 	if (kept->placer == 0 || kept->placer == n->id) {
 		place_ask(g->place, n->now, r);
 		return;
 	}
 	kept->out = true;
-	place_window_sent(&g->window);
+	place_window_sent(&gate_owner_get(n, kept->placer)->window);
 	send_ask(n, kept, r);
 }
 
@@ -209,13 +265,15 @@
 note_silence(struct node *n, struct gate_ask *kept)
 {
 	const struct node_peer *peer = map_get_u64(n->peers, kept->placer);
+	struct gate_owner *o = gate_owner_get(n, kept->placer);
 
 	if (peer != NULL && peer->heard_us > kept->sent_us) {
 		kept->busy = kept->placer;
 		return; /* counted as late */
 	}
 	kept->out = false;
-	place_window_lost(&n->gate->window);
+	o->silent_until_us = n->now + GATE_OWNER_SILENT_US;
+	place_window_lost(&o->window);
 }
 
 /*
@@ -238,7 +296,7 @@
 static void
 busy_tick(struct node *n, struct gate_ask *kept, uint32_t placer)
 {
-	if (place_window_is_open(&n->gate->window)) {
+	if (place_window_is_open(&gate_owner_get(n, placer)->window)) {
 		kept->busy = 0;
 		ask_elsewhere(n, kept, placer);
 	} else if (n->now > kept->begun_us + GATE_BUSY_US) {
@@ -246,29 +304,103 @@
 	}
 }
 
+static bool
+is_late(struct node *n, const struct gate_ask *kept)
+{
+	const struct gate_owner *o = gate_owner_get(n, kept->placer);
+
+	return kept->out &&
+	    n->now > kept->sent_us + place_window_late_us(&o->window) +
+		GATE_ASK_SILENT_US;
+}
+
+/* The owner said that the request waits there; is it still heard? */
+static bool
+is_lost(const struct node *n, const struct gate_ask *kept)
+{
+	const struct node_peer *peer = map_get_u64(n->peers, kept->placer);
+
+	return kept->waits && kept->placer != n->id &&
+	    (peer == NULL || n->now > peer->heard_us + GATE_PLACER_SILENT_US);
+}
+
+/* A model request that no owner had time for has its turn, or is refused. */
 static void
-ask_tick(struct node *n, struct gate_ask *kept, uint32_t placer)
+turn_tick(struct node *n, struct gate_ask *kept)
 {
-	uint64_t late_us = place_window_late_us(&n->gate->window);
+	uint32_t owner = gate_spread_choose(n, kept);
 
+	if (owner != 0)
+		ask_elsewhere(n, kept, owner);
+	else if (n->now > kept->begun_us + GATE_BUSY_US)
+		refuse_busy(n, kept);
+}
+
+/* A model request goes to another owner, a plain call is placed here. */
+static void
+leave_owner(struct node *n, struct gate_ask *kept)
+{
+	uint32_t owner = 0;
+
+	if (kept->key != 0) {
+		kept->refused_by = kept->placer;
+		owner = gate_spread_choose(n, kept);
+	}
+	ask_elsewhere(n, kept, owner);
+}
+
+static void
+shard_tick(struct node *n, struct gate_ask *kept)
+{
+	if (kept->placer == 0 && kept->key != 0) {
+		turn_tick(n, kept);
+	} else if (kept->placer == 0) {
+		return; /* it is placed here */
+	} else if (!gate_is_owner(n, kept->placer) || is_lost(n, kept)) {
+		leave_owner(n, kept);
+	} else if (is_late(n, kept)) {
+		note_silence(n, kept);
+		leave_owner(n, kept);
+	}
+}
+
+static void
+ask_tick(struct node *n, struct gate_ask *kept, uint32_t placer)
+{
 	if (kept->granted)
 		return;
-	if (kept->placer == 0 && kept->busy != 0 && kept->busy == placer) {
+	if (gate_is_sharded(n))
+		shard_tick(n, kept);
+	else if (kept->placer == 0 && kept->busy != 0 && kept->busy == placer) {
 		busy_tick(n, kept, placer);
 	} else if (kept->placer != placer && kept->busy != placer) {
 		kept->busy = 0;
 		ask_elsewhere(n, kept, placer);
-	} else if (kept->out &&
-	    n->now > kept->sent_us + late_us + GATE_ASK_SILENT_US) {
+	} else if (is_late(n, kept)) {
 		note_silence(n, kept);
 		ask_elsewhere(n, kept, 0);
 	}
 }
 
+static uint32_t
+asks_out(const struct node_gate *g)
+{
+	const struct gate_owner *o;
+	uint32_t out = 0;
+	size_t i;
+
+	for (i = 0; i < map_count(g->owners); i++) {
+		o = map_at(g->owners, i);
+		out += o->window.out;
+	}
+	return out;
+}
+
 static void
 log_busy(struct node *n, uint32_t placer)
 {
 	struct node_gate *g = n->gate;
+	const struct gate_owner *o = gate_owner_get(n, placer);
 	bool busy = g->full_us != 0 && n->now < g->full_us + GATE_BUSY_OVER_US;
 
 	if (busy == g->busy)
@@ -277,8 +409,8 @@
 	node_log(n, NODE_LOG_GATE_BUSY,
 	    "{\"busy\": %s, \"placer\": %u, \"asks\": %u, "
 	    "\"lateMs\": %llu, \"alone\": %llu}",
-	    busy ? "true" : "false", placer, g->window.out,
-	    (unsigned long long)place_window_late_us(&g->window) / 1000,
+	    busy ? "true" : "false", placer, asks_out(g),
+	    (unsigned long long)place_window_late_us(&o->window) / 1000,
 	    (unsigned long long)g->asked_alone);
 }
 
@@ -295,6 +427,47 @@
 
 /* ---- the placer answers ------------------------------------------------- */
 
+static void
+note_load(struct node *n, uint32_t from, const Wire__PlaceReply *reply)
+{
+	struct gate_owner *o = gate_owner_get(n, from);
+
+	o->load_ms = reply->load_ms;
+	o->load_us = n->now;
+	o->silent_until_us = 0;
+}
+
+/* An owner has no room: may another one take the request? */
+static bool
+hand_on(struct node *n, struct gate_ask *kept, uint32_t from)
+{
+	uint32_t owner;
+
+	if (kept->key == 0 || kept->handed >= GATE_HANDED_MAX ||
+	    !gate_is_sharded(n))
+		return false;
+	kept->handed++;
+	kept->refused_by = from;
+	owner = gate_spread_choose(n, kept);
+	if (owner == 0)
+		return false;
+	kept->placer = owner;
+	return forward_ask_again(n->gate->forward, n->now, kept->ask, n->fx);
+}
+
+static void
+on_refusal(struct node *n, struct gate_ask *kept, uint32_t from,
+    const char *reason, uint32_t retry_after_ms, bool elsewhere)
+{
+	uint64_t ask = kept->ask;
+
+	if (elsewhere && hand_on(n, kept, from))
+		return;
+	free(map_remove_u64(n->gate->asks, ask));
+	forward_refused(
+	    n->gate->forward, n->now, ask, reason, retry_after_ms, n->fx);
+}
+
 void
 gate_ask_on_reply(struct node *n, uint32_t from, const Wire__PlaceReply *reply)
 {
@@ -302,6 +475,9 @@
 	struct gate_ask *kept = map_get_u64(n->gate->asks, reply->ask);
 	struct forward_grant grant = {0};
 
+	note_load(n, from, reply);
+	if (reply->ask == 0)
+		return; /* it is heard, that is all */
 	if (kept == NULL || kept->placer != from || kept->granted) {
 		if (reply->status == WIRE__PLACE_STATUS__PLACE_GIVEN &&
 		    (kept == NULL || kept->placer != from))
@@ -314,9 +490,8 @@
 		return;
 	}
 	if (reply->status == WIRE__PLACE_STATUS__PLACE_REFUSED) {
-		free(map_remove_u64(n->gate->asks, reply->ask));
-		forward_refused(n->gate->forward, n->now, reply->ask,
-		    reply->reason, reply->retry_after_ms, n->fx);
+		on_refusal(n, kept, from, reply->reason, reply->retry_after_ms,
+		    reply->elsewhere);
 		return;
 	}
 	kept->granted = true;
@@ -340,9 +515,8 @@
 	if (kept == NULL || d->type == PLACE_WAIT)
 		return;
 	if (d->type == PLACE_REFUSE) {
-		free(map_remove_u64(n->gate->asks, d->id.ask));
-		forward_refused(n->gate->forward, n->now, d->id.ask, d->reason,
-		    d->retry_after_ms, n->fx);
+		on_refusal(
+		    n, kept, n->id, d->reason, d->retry_after_ms, d->elsewhere);
 		return;
 	}
 	kept->granted = true;
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -32,8 +32,8 @@
 	struct gw_part parts[GW_PARTS_MAX];
 	size_t i;
 
-	if (!n->gate->placing)
-		return; /* the entry will ask the placer */
+	if (gate_is_sharded(n) ? !gate_owns(n) : !n->gate->placing)
+		return; /* the entry will ask whoever places */
 	note_entry(n, from, incarnation);
 	r.id.entry = incarnation;
 	r.id.ask = ask->ask;
@@ -99,6 +99,8 @@
 	reply.adapter_version = d->adapter_version;
 	reply.urgency = d->urgency;
 	reply.retry_after_ms = d->retry_after_ms;
+	reply.load_ms = place_load_ms(n->gate->place);
+	reply.elsewhere = d->elsewhere && gate_is_sharded(n);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_REPLY;
 	envelope.place_reply = &reply;
 	node_peer_send(n, *to, &envelope);
@@ -132,7 +134,7 @@
 	struct node_call *call = &node_effects_add(n->fx, NODE_FX_CALL)->u.call;
 	struct gate_order *kept = mem_alloc(1, sizeof(*kept));
 	struct gw_order order = d->order;
-	uint64_t until = raft_authority_until(n->raft);
+	uint64_t until = gate_order_until(n);
 
 	kept->endpoint = mem_string(d->endpoint);
 	kept->is_report = d->type == PLACE_REPORT;
@@ -151,7 +153,8 @@
 	}
 	order.endpoint = node_effects_printf(n->fx, "%s", d->endpoint);
 	order.holder = n->settings->name;
-	order.fence = n->gate->term;
+	order.fence = gate_fence_of(n, d->service, d->endpoint);
+	kept->fence = order.fence;
 	n->gate->codec->write_order(call, &order, n->fx);
 	kept->what =
 	    mem_string(order.adapter == NULL ? order.model : order.adapter);
@@ -188,7 +191,7 @@
 	    "\"what\": \"%s\", \"status\": %d, "
 	    "\"fence\": %llu, \"tookMs\": %llu}",
 	    kept->endpoint, kept->unloads ? "unload" : "load", kept->what,
-	    kept->status, (unsigned long long)n->gate->term,
+	    kept->status, (unsigned long long)kept->fence,
 	    (unsigned long long)((n->now - kept->given_us) / 1000));
 	place_ordered(n->gate->place, n->now, kept->endpoint, result,
 	    phase == NODE_CALL_BROKEN);
@@ -264,6 +267,7 @@
 
 	g->placing = true;
 	g->term = g->table_term = raft_get_term(n->raft);
+	g->fence = n->applied;
 	g->table_number = 0;
 	g->table_us = 0;
 	g->order_after_us = order_after(n);
@@ -338,11 +342,11 @@
 	    "\"loadingMost\": %u, \"wanted\": %u, \"heldCall\": %u, "
 	    "\"heldQuiet\": %u, \"heldReport\": %u, \"heldStore\": %u, "
 	    "\"heldPlaces\": %u}",
-	    g->placing ? "true" : "false", s.engines, t.asked - g->state_asked,
-	    s.running, s.unread_ms, s.unread_most_ms, s.waiting, s.oldest_ms,
-	    s.wait_load, s.wait_engine, s.wait_call, s.loading, s.loading_most,
-	    s.wanted, s.held_call, s.held_quiet, s.held_report, s.held_store,
-	    s.held_places);
+	    g->placing || gate_owns(n) ? "true" : "false", s.engines,
+	    t.asked - g->state_asked, s.running, s.unread_ms, s.unread_most_ms,
+	    s.waiting, s.oldest_ms, s.wait_load, s.wait_engine, s.wait_call,
+	    s.loading, s.loading_most, s.wanted, s.held_call, s.held_quiet,
+	    s.held_report, s.held_store, s.held_places);
 	g->state_asked = t.asked;
 }
 
@@ -385,8 +389,7 @@
 
 	if (place_next(g->place) > n->now)
 		return;
-	place_run(g->place, n->now,
-	    g->placing && gate_has_authority(n) && n->now >= g->order_after_us);
+	place_run(g->place, n->now, gate_may_order(n));
 	while (place_take(g->place, &d)) {
 		log_decision(n, &d);
 		if (d.type == PLACE_ORDER || d.type == PLACE_REPORT)
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -21,6 +21,7 @@
 	bool orphan_pins; /* pins of a dead entry wait for a report */
 	bool cache_resync; /* lost cache events: the engine is asked */
 	bool gate_highest; /* of the configurations the highest is in force */
+	bool gate_active; /* a shard's orders wait until its epoch is active */
 	bool gate_leased; /* calls are answered under a lease only */
 };
 
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_announce.h"
+#include "node/node_gate.h"
 #include "node/node_guard.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
@@ -228,6 +229,7 @@
 	size_t i = map_count(n->endpoints);
 
 	member_holder_on_view(n->holder, n->view);
+	node_gate_epoch(n, skipped);
 	while (i-- > 0) {
 		e = map_at(n->endpoints, i);
 		if (skipped || node_owner_of(n, e->region, e->id) != n->id)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -62,6 +62,7 @@
 {
 	p->config = config;
 	place_endpoint_engines(p);
+	place_reshare(p, p->now_us);
 	p->freed++;
 	place_wake(p, 0);
 }
@@ -291,21 +292,6 @@
 		p->now_us >= a->seen_us + SEARCH_ROUNDS * round_gap(p));
 }
 
-/* Every estimate of a round asks for the count. */
-static uint32_t
-count_engines(const struct place *p)
-{
-	const struct place_endpoint *e;
-	uint32_t engines = 0;
-	size_t i;
-
-	for (i = 0; i < map_count(p->endpoints); i++) {
-		e = map_at(p->endpoints, i);
-		engines += e->engine != NULL;
-	}
-	return engines;
-}
-
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
@@ -316,7 +302,7 @@
 	p->next_us = now_us + SWEEP_US;
 	p->round_us = now_us;
 	sweep(p);
-	p->engines = count_engines(p);
+	place_share_count(p);
 	for (a = p->waiting; a != NULL; a = next) {
 		next = a->next;
 		if (a->look_us != 0)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -118,6 +118,43 @@
 bool place_take_change(struct place *p, const char **id, bool *gone);
 bool place_find(const struct place *p, const char *id, size_t *index);
 
+/* ---- shares of a large fleet -------------------------------------------- */
+
+/*
+ * Several instances may place the requests of one service, each to the engines
+ * that it owns. It knows the others' engines, but uses and orders none of them.
+ */
+struct place_owned {
+	bool mine;
+	/*
+	 * An earlier owner's orders are over then; UINT64_MAX: not known yet.
+	 * It counts for engines that were not this instance's before.
+	 */
+	uint64_t order_from_us;
+};
+typedef struct place_owned (*place_owned_fn)(
+    void *ctx, const char *service, const char *endpoint);
+
+/* NULL: all engines are this instance's, as before. */
+void place_set_owned(struct place *p, place_owned_fn owned, void *ctx);
+
+/* What place_owned_fn says has changed. */
+void place_reshare(struct place *p, uint64_t now_us);
+
+/* Instances that place beside each other, this one too; budgets are split. */
+void place_set_parts(struct place *p, uint32_t parts);
+
+/* The i-th endpoint, if it is an engine. */
+bool place_engine_at(
+    const struct place *p, size_t i, const char **id, const char **service);
+
+/* Time until a prompt begins at an engine here, in the mean. */
+uint32_t place_load_ms(const struct place *p);
+
+/* Call for each entry that has a request waiting here, once or more often. */
+void place_each_waiting(
+    const struct place *p, void (*call)(void *ctx, uint64_t entry), void *ctx);
+
 /* ---- requests ----------------------------------------------------------- */
 
 #define PLACE_AVOID_MAX 8
@@ -211,9 +248,11 @@
 	enum place_decision_type type;
 	struct place_id id; /* GRANT, WAIT, REFUSE */
 	const char *endpoint, *address; /* GRANT, ORDER, REPORT */
+	const char *service; /* ORDER: of the endpoint */
 	uint32_t adapter_version, urgency; /* GRANT */
 	const char *reason; /* REFUSE */
 	uint32_t retry_after_ms; /* REFUSE */
+	bool elsewhere; /* REFUSE: another owner's engines may take it */
 	struct gw_order order; /* ORDER, without holder and fence */
 	struct place_basis basis; /* GRANT, REFUSE */
 };
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -160,11 +161,12 @@
 place_adapter_loads_at_once(const struct place *p)
 {
 	uint32_t scaled = p->engines * LOADS_PER_NINE / 9;
+	uint32_t least =
+	    (uint32_t)ceil(place_share_of(p, (double)p->options.adapter_loads));
 
 	if (!place_guards.store)
 		return UINT32_MAX;
-	return scaled > p->options.adapter_loads ? scaled
-						 : p->options.adapter_loads;
+	return scaled > least ? scaled : least;
 }
 
 struct place_adapter *
@@ -338,7 +340,7 @@
 place_adapter_merge(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a)
 {
-	if (e->ordered)
+	if (e->ordered || (p->owned != NULL && e->orders_known))
 		return;
 	place_adapter_replace(p, e, a);
 }
@@ -351,7 +353,8 @@
 
 	drop_unlisted(p, e, a->loaded, a->nloaded, NULL, 0);
 	for (i = 0; i < a->nloaded; i++)
-		merge_loaded(p, e, &a->loaded[i], ADAPTER_LOADED);
+		if (!e->foreign || a->loaded[i].adapter == NULL)
+			merge_loaded(p, e, &a->loaded[i], ADAPTER_LOADED);
 }
 
 #define REPORT_AGAIN_US (500 * US_PER_MS)
--- a/src/place/place_budget.c
+++ b/src/place/place_budget.c
@@ -64,7 +64,10 @@
 	}
 	allowed = requests * p->options.retry_ratio_milli / 1000;
 	if (place_is_placer(p))
-		allowed = (allowed + p->options.retry_extra) / BUDGET_USED;
+		allowed = (allowed +
+			      p->options.retry_extra /
+				  (p->parts > 0 ? p->parts : 1)) /
+		    BUDGET_USED;
 	else
 		allowed /= ENTRY_USED;
 	if (place_guards.budget && repeats + 1 > allowed)
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -108,6 +108,7 @@
 	e->speed = PLACE_SPEED;
 	e->service_ms = PLACE_SERVICE_MS;
 	e->progress_us = p->now_us;
+	e->foreign = p->parts > 1; /* until it is known whose it is */
 	(void)map_set_str(p->endpoints, e->id, e);
 	place_group_add(p, e);
 	return e;
@@ -301,10 +302,11 @@
 	if (yields_address(p, a))
 		return PLACE_NEWS_OLD;
 	e = take_over(p, e, a, &changed);
+	set_engine(p, e);
+	place_share_check(p, e);
 	if (a->models_told)
 		place_adapter_merge(p, e, a);
 	set_copies(e, a);
-	set_engine(p, e);
 	p->freed += changed;
 	changed |= e->changed;
 	e->changed = false;
@@ -324,7 +326,11 @@
 	p->now_us = now_us;
 	e = take_over(p, e, a, &changed);
 	set_engine(p, e);
-	place_adapter_replace(p, e, a);
+	place_share_check(p, e);
+	if (p->owned != NULL && !e->foreign)
+		place_adapter_merge(p, e, a);
+	else
+		place_adapter_replace(p, e, a);
 	p->freed++;
 	place_wake(p, 0);
 }
@@ -338,7 +344,7 @@
 bool
 place_is_placer(const struct place *p)
 {
-	return p->options.heartbeat_ms != 0;
+	return p->options.heartbeat_ms != 0 || p->parts > 0;
 }
 
 bool
@@ -355,8 +361,7 @@
 }
 
 void
-place_remove(
-    struct place *p, uint64_t now_us, const char *id, uint64_t left_ms)
+place_remove(struct place *p, uint64_t now_us, const char *id, uint64_t left_ms)
 {
 	struct place_endpoint *e = map_get_str(p->endpoints, id);
 
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -134,6 +134,14 @@
 	return all - (since < mean ? since : mean);
 }
 
+double
+place_engine_load_ms(const struct place *p, const struct place_endpoint *e)
+{
+	double backlog = backlog_ms(p, e);
+
+	return (backlog > 0 ? backlog : 0) + e->running * BATCH_COST_MS;
+}
+
 static bool
 is_stuck(const struct place *p, const struct place_endpoint *e)
 {
@@ -244,6 +252,7 @@
 
 	memset(out, 0, sizeof(*out));
 	p->totals.estimates++;
+	may_order = may_order && p->now_us >= e->order_from_us;
 	if (!has_seat(e, a))
 		return false;
 	backlog = backlog_ms(p, e);
@@ -369,7 +378,8 @@
 	struct estimate est;
 
 	e->marked = p->searches;
-	if (!engine_estimate(p, e, a, adapter, may_order, best->cost, &est) ||
+	if (e->foreign ||
+	    !engine_estimate(p, e, a, adapter, may_order, best->cost, &est) ||
 	    est.cost >= best->cost)
 		return false;
 	*best = est;
@@ -447,6 +457,17 @@
 	    p->loading + p->queued_loads < place_adapter_loads_at_once(p);
 }
 
+/* Refused by these engines; those of another owner may have room. */
+static enum placed
+refuse_here(struct place *p, struct place_ask *a,
+    const struct place_basis *basis, const char *reason,
+    uint32_t retry_after_ms)
+{
+	place_ask_refuse(p, a, basis, reason, retry_after_ms);
+	p->decisions[p->ndecisions - 1].elsewhere = true;
+	return PLACED_REFUSED;
+}
+
 enum placed
 place_engine_place(struct place *p, struct place_ask *a, bool may_order)
 {
@@ -458,19 +479,18 @@
 		leave_engine(a);
 		e = best_engine(p, a, may_order, &est);
 	}
-	if (e == NULL && !is_worth_waiting(p, a)) {
-		place_ask_refuse(
+	if (e == NULL && p->engines == 0 && p->engines_all > 0)
+		return refuse_here(p, a, NULL, "not-owner", 0);
+	if (e == NULL && !is_worth_waiting(p, a))
+		return refuse_here(
 		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
-		return PLACED_REFUSED;
-	}
 	if (e == NULL)
 		return PLACED_NOT;
 	if (a->endpoint == NULL && is_too_late(p, a, &est)) {
 		basis = basis_of(p, e, &est);
-		place_ask_refuse(p, a, &basis, "overload",
+		return refuse_here(p, a, &basis, "overload",
 		    place_adapter_wait_ms(
 			p, place_adapter_was_lately(e, a->key_hash)));
-		return PLACED_REFUSED;
 	}
 	if (!adapter_is_near(p, e, a)) {
 		wait_there(p, e, a);
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -94,6 +94,8 @@
 	bool ordered; /* this placer has given it an order */
 	bool doubted; /* a report is wanted also without an order to give */
 	bool fenced; /* a newer holder has been seen */
+	bool foreign; /* another instance places and orders there */
+	uint64_t order_from_us; /* no order before */
 	uint64_t marked; /* the search that has looked at it */
 };
 
@@ -181,12 +183,17 @@
 	size_t nchanges, changes_cap;
 	char *last_change; /* id handed out by place_take_change() */
 	uint64_t searches; /* numbers the searches for an engine */
+	place_owned_fn owned; /* NULL: all are this instance's */
+	void *owned_ctx;
+	uint32_t parts; /* instances that place; 0: only for themselves */
+	uint32_t load_ms;
 	uint64_t freed; /* counts news that may let a request be placed */
 	uint64_t sweep_us, demand_us; /* next sweeps */
 	uint64_t next_us;
 	uint64_t round_us; /* the last round */
 	uint64_t now_us;
-	uint32_t engines; /* as counted when the round began */
+	/* as counted when the round began; all: also of other owners */
+	uint32_t engines, engines_all;
 	struct place_totals totals;
 };
 
@@ -236,6 +243,12 @@
     const struct place *p, const char *service);
 void place_group_free_all(struct place *p);
 
+/* ---- place_share.c ---- */
+/* Is an engine this instance's? Its account and adapters follow. */
+void place_share_check(struct place *p, struct place_endpoint *e);
+void place_share_count(struct place *p);
+double place_share_of(const struct place *p, double whole);
+
 /* ---- place_adapter.c ---- */
 struct place_adapter *place_adapter_find(
     const struct place_endpoint *e, const char *key);
@@ -302,6 +315,9 @@
 /* Place a model request: a grant, a wait for an adapter, or nothing. */
 enum placed place_engine_place(
     struct place *p, struct place_ask *a, bool may_order);
+/* Time until a prompt that comes now begins there. */
+double place_engine_load_ms(
+    const struct place *p, const struct place_endpoint *e);
 uint64_t place_engine_chain(const struct place_ask *a, size_t upto);
 void place_engine_cache(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -213,6 +213,7 @@
 	struct place_decision *d = place_decide(p, PLACE_ORDER);
 
 	d->endpoint = e->id;
+	d->service = e->service;
 	d->address = e->address;
 	d->order.type = unload ? GW_ORDER_UNLOAD : GW_ORDER_LOAD;
 	d->order.endpoint = e->id;
@@ -320,11 +321,15 @@
 refill_permits(struct place *p, const struct gw_engine *engine)
 {
 	double seconds = (double)(p->now_us - p->permits_us) / 1e6;
+	double burst = place_share_of(p, WEIGHTS_BURST);
 
 	p->permits_us = p->now_us;
-	p->weight_permits += seconds * engine->loads_per_s_milli / 1000.0;
-	if (p->weight_permits > WEIGHTS_BURST)
-		p->weight_permits = WEIGHTS_BURST;
+	p->weight_permits +=
+	    place_share_of(p, seconds * engine->loads_per_s_milli / 1000.0);
+	if (burst < 1)
+		burst = 1;
+	if (p->weight_permits > burst)
+		p->weight_permits = burst;
 }
 
 static void
@@ -338,7 +343,8 @@
 	refill_permits(p, engine);
 	place_wake(p, p->now_us + REPORT_LAG_US);
 	if (p->weight_permits < 1 ||
-	    p->weights_loading > engine->loads_per_s_milli / WEIGHTS_RATE_MILLI)
+	    p->weights_loading > place_share_of(p, engine->loads_per_s_milli) /
+		    WEIGHTS_RATE_MILLI)
 		return;
 	p->weight_permits -= 1;
 	p->weights_loading++;
@@ -446,7 +452,8 @@
 	const struct gw_engine *engine = e->engine;
 	struct place_adapter *a = turn->wanted;
 
-	if (engine == NULL || e->leaving || e->fenced || e->ordering)
+	if (engine == NULL || e->foreign || e->leaving || e->fenced ||
+	    e->ordering)
 		return;
 	if (e->nweights == 0)
 		a = want_weights(p, e, engine);
@@ -462,6 +469,8 @@
 		ask_report(p, e);
 	else if (a == NULL)
 		e->doubted = false;
+	else if (p->now_us < e->order_from_us)
+		place_wake(p, e->order_from_us);
 	else if (a->adapter == NULL)
 		order_weights(p, e, a, engine);
 	else
@@ -495,6 +504,8 @@
 	p->queued_loads = 0;
 	for (i = 0; i < n; i++) {
 		e = map_at(p->endpoints, i);
+		if (e->foreign)
+			continue;
 		if (!e->stirring && !e->doubted &&
 		    (e->nweights > 0 || e->engine == NULL))
 			continue;
--- a/src/place/place_state.c
+++ b/src/place/place_state.c
@@ -73,7 +73,7 @@
 		count_ask(p, a, out);
 	for (i = 0; i < map_count(p->endpoints); i++) {
 		e = map_at(p->endpoints, i);
-		if (e->engine != NULL)
+		if (e->engine != NULL && !e->foreign)
 			count_engine(p, e, out);
 	}
 	if (out->engines > 0)
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -56,6 +56,7 @@
     {NODE_LOG_GATE_REFUSED, NODE_LOG_INFO, "request-not-placed"},
     {NODE_LOG_GATE_BUSY, NODE_LOG_WARN, "placer-busy"},
     {NODE_LOG_GATE_STATE, NODE_LOG_INFO, "placing-state"},
+    {NODE_LOG_GATE_SHARDS, NODE_LOG_INFO, "shards-owned"},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -68,6 +68,7 @@
 	NODE_LOG_GATE_REFUSED = 130,
 	NODE_LOG_GATE_BUSY = 131,
 	NODE_LOG_GATE_STATE = 132,
+	NODE_LOG_GATE_SHARDS = 133,
 };
 
 struct event_kind {
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -4685,7 +4685,7 @@
   (ProtobufCMessageInit) wire__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[10] =
 {
   {
     "ask",
@@ -4783,12 +4783,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, load_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elsewhere",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_reply__field_indices_by_name[] = {
   4,   /* field[4] = adapter_version */
   3,   /* field[3] = address */
   0,   /* field[0] = ask */
+  9,   /* field[9] = elsewhere */
   2,   /* field[2] = endpoint */
+  8,   /* field[8] = load_ms */
   7,   /* field[7] = reason */
   6,   /* field[6] = retry_after_ms */
   1,   /* field[1] = status */
@@ -4797,7 +4823,7 @@
 static const ProtobufCIntRange wire__place_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__place_reply__descriptor =
 {
@@ -4807,7 +4833,7 @@
   "Wire__PlaceReply",
   "wire",
   sizeof(Wire__PlaceReply),
-  8,
+  10,
   wire__place_reply__field_descriptors,
   wire__place_reply__field_indices_by_name,
   1,  wire__place_reply__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -808,7 +808,7 @@
 
 
 /*
- * Entry to placer: where shall this request run?
+ * Entry to whoever places: where shall this request run?
  */
 struct  Wire__PlaceAsk
 {
@@ -874,10 +874,18 @@
   uint32_t urgency;
   uint32_t retry_after_ms;
   char *reason;
+  /*
+   * of the engines there: prompts to be read, mean
+   */
+  uint32_t load_ms;
+  /*
+   * refused here, but another owner may take it
+   */
+  protobuf_c_boolean elsewhere;
 };
 #define WIRE__PLACE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_reply__descriptor) \
-    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -81,3 +81,106 @@
 	ASSERT_GE(orders.size(), 2U);
 	EXPECT_LE(orders[1] - orders[0], kObjectiveUs - kLoadUs);
 }
+
+/* ---- owners come and go ---- */
+
+struct Trouble {
+	const char *what;
+	void (*begin)(Fleet &fleet, int owner);
+	void (*end)(Fleet &fleet, int owner); /* 3 s later */
+};
+
+static const Trouble troubles[] = {
+    {"nothing", [](Fleet &, int) {}, [](Fleet &, int) {}},
+    {"killed", [](Fleet &f, int i) { f.world.kill(i); }, [](Fleet &, int) {}},
+    {"restarted", [](Fleet &f, int i) { f.world.kill(i); },
+	[](Fleet &f, int i) { f.world.start(i); }},
+    {"stopped", [](Fleet &f, int i) { f.world.stop(i); }, [](Fleet &, int) {}},
+    {"frozen", [](Fleet &f, int i) { f.world.freeze(i, true); },
+	[](Fleet &f, int i) { f.world.freeze(i, false); }},
+    {"cut off", [](Fleet &f, int i) { f.world.cut(i, true); },
+	[](Fleet &f, int i) { f.world.cut(i, false); }},
+    {"the leader killed", [](Fleet &f, int) { f.world.kill(f.world.leader()); },
+	[](Fleet &, int) {}},
+    {"an entry added", [](Fleet &f, int) { f.world.start(f.world.add(false)); },
+	[](Fleet &, int) {}},
+};
+
+/* Some owner: of the engine that was ordered last. */
+static int
+find_owner(const Fleet &fleet)
+{
+	const Fleet::Engine *last = nullptr;
+
+	for (auto &e : fleet.engines)
+		if (e.holder >= 0 &&
+		    (last == nullptr || e.ordered_us > last->ordered_us))
+			last = &e;
+	return last == nullptr ? -1 : last->holder;
+}
+
+/*
+ * Each engine has one holder of orders at a time, whatever happens to its
+ * owner, and the others go on: what a lost owner had to do they take over.
+ */
+TEST(Fleet, engines_have_one_holder_and_others_go_on_without_an_owner)
+{
+	double sound = 0;
+
+	for (auto &t : troubles) {
+		Fleet::Options options;
+		uint64_t from;
+		int owner;
+
+		options.models_per_s = 400;
+		Fleet fleet(options);
+		ASSERT_TRUE(fleet.begin()) << t.what;
+		fleet.traffic(3000);
+		owner = find_owner(fleet);
+		ASSERT_GE(owner, options.cores) << "an entry";
+		fleet.out_of_touch.insert(owner);
+		from = fleet.world.now;
+		t.begin(fleet, owner);
+		fleet.traffic(3000);
+		t.end(fleet, owner);
+		fleet.traffic(4000);
+		EXPECT_EQ(fleet.fences_back, 0) << t.what;
+		EXPECT_EQ(fleet.turns, 0) << t.what;
+		for (auto &e : fleet.engines)
+			EXPECT_FALSE(e.crashed) << t.what << " " << e.id;
+		double share = fleet.in_time(
+		    from, fleet.world.now - kObjectiveUs, kObjectiveUs);
+		if (sound == 0)
+			sound = share;
+		EXPECT_GE(share, kTarget * sound) << t.what;
+	}
+}
+
+/*
+ * An owner that stops and is frozen before it hears that it owns no more may
+ * still order when it wakes. Its successor waits until that is over.
+ */
+TEST(Fleet, a_new_owner_waits_until_the_earlier_one_has_stopped)
+{
+	Fleet::Options options;
+	int owner;
+
+	options.models_per_s = 800;
+	options.orders_lost = 0.4;
+	Fleet fleet(options);
+	ASSERT_TRUE(fleet.begin());
+	fleet.traffic(2000);
+	owner = find_owner(fleet);
+	fleet.world.stop(owner);
+	ASSERT_TRUE(fleet.world.until(
+	    [&] {
+		    return fleet.world.machines[(size_t)fleet.world.leader()]
+			       ->logs["member-leaving"] > 0;
+	    },
+	    2000));
+	fleet.world.freeze(owner, true);
+	fleet.traffic(1200);
+	fleet.world.freeze(owner, false);
+	fleet.traffic(1500);
+	EXPECT_EQ(fleet.fences_back, 0);
+}
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -646,4 +646,5 @@
 static const bool switched_off = guard_off({
     {"node.gate_highest", &node_guards.gate_highest},
     {"node.gate_leased", &node_guards.gate_leased},
+    {"node.gate_active", &node_guards.gate_active},
 });
