Bytes without end from an endpoint end the call

Callers would have seen: an entry or an owner that ends for its memory, and an engine that is never ordered again.

Causes, by reading what bounds an answer: interim answers, a chunk's extension and a trailer were read without a limit; an event of a resumable stream was held until its end, however long; the answer to an order or a report was kept until its end, and such a call has no deadline of a caller behind it. Bounded already: a head (64 KiB), a plain answer (256 KiB, then passed on until the route's timeout), cache answers, the product's own events.

Change: 64 KiB without an answer or data end the call; an event over 256 KiB is a break, after which the stream goes on elsewhere; an answer to an order or a report over 256 KiB or 2 s is none, so that the order is given again.

Tests, failed before: Answer.GivesUpOnBytesWithoutEnd (four of nine rows), Stream.an_event_without_end_is_a_failure_not_a_longer_wait, Fleet.answers_to_orders_without_end_are_given_up.

--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -11,7 +11,7 @@
  * passed on as it comes, in whole events where it may go on elsewhere.
  */
 
-/* A longer plain answer is passed on as it comes. */
+/* A longer plain answer is passed on as it comes; no event is longer. */
 #define HELD_MAX_BYTES (256u * 1024u)
 #define STATUS_TIMEOUT 504
 
@@ -170,6 +170,24 @@
 	buf_consume(&r->held, whole);
 }
 
+/* The answer ends here without its end. */
+static void
+break_off(struct forward *f, struct fwd *r, uint64_t now_us, const char *fault,
+    struct node_effects *fx)
+{
+	fwd_cancel_call(f, r, fx);
+	fwd_tell_placer(f, r, PLACE_FAILED_THERE, fx);
+	if (r->head_told &&
+	    (!fwd_may_repeat(r) ||
+		(r->last_event == NULL && forward_guards.gap))) {
+		r->last_fault = fault;
+		r->may_have_run = true;
+		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, "cut", 0, fx);
+		return;
+	}
+	fwd_next_attempt(f, r, now_us, false, fault, fx);
+}
+
 void
 fwd_on_data(struct forward *f, struct fwd *r, uint64_t now_us,
     struct node_bytes data, struct node_effects *fx)
@@ -182,6 +200,8 @@
 	buf_append(&r->held, data.data, data.len);
 	if (r->kind == GW_STREAM && is_success(r->status)) {
 		pass_events(r, fx);
+		if (r->held.len > HELD_MAX_BYTES)
+			break_off(f, r, now_us, "event-without-end", fx);
 	} else if (r->head_told || r->held.len > HELD_MAX_BYTES) {
 		tell_data(r, r->held.data, r->held.len, fx);
 		buf_clear(&r->held);
@@ -220,14 +240,5 @@
 fwd_on_broken(
     struct forward *f, struct fwd *r, uint64_t now_us, struct node_effects *fx)
 {
-	fwd_tell_placer(f, r, PLACE_FAILED_THERE, fx);
-	if (r->head_told &&
-	    (!fwd_may_repeat(r) ||
-		(r->last_event == NULL && forward_guards.gap))) {
-		r->last_fault = "answer-broke-off";
-		r->may_have_run = true;
-		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, "cut", 0, fx);
-		return;
-	}
-	fwd_next_attempt(f, r, now_us, false, "answer-broke-off", fx);
+	break_off(f, r, now_us, "answer-broke-off", fx);
 }
--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -6,7 +6,9 @@
 #include "http/client_internal.h"
 
 #define ANSWER_HEAD_MAX_BYTES 65536
-#define ANSWER_LENGTH_DIGITS  18
+/* Interim answers, and what stands between chunks or after the last one. */
+#define ANSWER_BARREN_MAX_BYTES 65536
+#define ANSWER_LENGTH_DIGITS	18
 
 static bool
 header_is(const struct phr_header *h, const char *name)
@@ -127,6 +129,7 @@
 	int minor, size;
 
 	*rest = 0;
+	a->barren += len;
 	buf_append(&a->head, data, len);
 	for (;;) {
 		n = ANSWER_HEADERS_MAX;
@@ -135,7 +138,8 @@
 		if (size == -1)
 			return "malformed answer";
 		if (size == -2)
-			return a->head.len > ANSWER_HEAD_MAX_BYTES
+			return a->head.len > ANSWER_HEAD_MAX_BYTES ||
+				a->barren > ANSWER_BARREN_MAX_BYTES
 			    ? "head too long"
 			    : NULL;
 		if (a->status < 100 || a->status == 101)
@@ -144,25 +148,36 @@
 			break;
 		buf_consume(&a->head, (size_t)size); /* informational */
 	}
+	a->barren = 0;
 	a->reusable = minor >= 1;
 	*rest = a->head.len - (size_t)size;
 	return parse_headers(a, headers, n);
 }
 
+static const char *
+decode_chunks(struct answer *a, char *data, size_t *len)
+{
+	size_t came = *len;
+	ssize_t rest = phr_decode_chunked(&a->chunks, data, len);
+
+	if (rest == -1)
+		return "malformed chunk";
+	if (rest >= 0)
+		a->phase = ANSWER_WHOLE;
+	if (rest > 0)
+		a->reusable = false;
+	a->barren = *len > 0 ? 0 : a->barren + came;
+	if (a->phase != ANSWER_WHOLE && a->barren > ANSWER_BARREN_MAX_BYTES)
+		return "no data between chunks";
+	return NULL;
+}
+
 const char *
 answer_decode(struct answer *a, char *data, size_t *len)
 {
-	ssize_t rest;
-
-	if (a->phase == ANSWER_CHUNKED) {
-		rest = phr_decode_chunked(&a->chunks, data, len);
-		if (rest == -1)
-			return "malformed chunk";
-		if (rest >= 0)
-			a->phase = ANSWER_WHOLE;
-		if (rest > 0)
-			a->reusable = false;
-	} else if (a->phase == ANSWER_LENGTH) {
+	if (a->phase == ANSWER_CHUNKED)
+		return decode_chunks(a, data, len);
+	if (a->phase == ANSWER_LENGTH) {
 		if (*len > a->left) {
 			*len = (size_t)a->left;
 			a->reusable = false;
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -51,6 +51,7 @@
 struct answer {
 	enum answer_phase phase;
 	struct buf head; /* not yet parsed */
+	size_t barren; /* bytes since the last that told something */
 	uint64_t left; /* of a body of a stated length */
 	struct phr_chunked_decoder chunks;
 	bool reusable; /* the connection, when the answer is whole */
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -43,7 +43,11 @@
 #define GATE_ORDER_FACTOR   2
 #define GATE_ORDER_LEAST_US (150 * 1000ULL)
 #define GATE_ORDER_MOST_US  (500 * 1000ULL)
-#define GATE_RETRY_MS	    300u
+/* An answer to an order or report that is not whole by then, or is longer, is
+ * none. */
+#define GATE_ANSWER_US	  (2000 * 1000ULL)
+#define GATE_ANSWER_BYTES (256u * 1024u)
+#define GATE_RETRY_MS	  300u
 /* An entry whose requests wait at an owner hears of it so often, at least. */
 #define GATE_WAITS_US (300 * 1000ULL)
 /* A request that its owner has no room for goes on to so many others. */
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -197,6 +197,44 @@
 	    phase == NODE_CALL_BROKEN);
 }
 
+static void
+end_order(struct node *n, uint64_t call, enum node_call_phase phase)
+{
+	struct gate_order *kept = map_remove_u64(n->gate->orders, call);
+
+	note_answer_time(n, kept);
+	order_ended(n, kept, phase);
+	free(kept->endpoint);
+	free(kept->what);
+	buf_free(&kept->answer);
+	free(kept);
+}
+
+/* An answer that has no end is none. */
+static void
+abandon_order(struct node *n, uint64_t call)
+{
+	node_effects_add(n->fx, NODE_FX_CALL_CANCEL)->u.cancel = call;
+	end_order(n, call, NODE_CALL_BROKEN);
+}
+
+static void
+orders_tick(struct node *n)
+{
+	const struct gate_order *kept;
+	uint64_t call;
+	size_t i = map_count(n->gate->orders);
+
+	while (i-- > 0) {
+		kept = map_at(n->gate->orders, i);
+		if (n->now < kept->given_us + GATE_ANSWER_US)
+			continue;
+		memcpy(
+		    &call, map_key_at(n->gate->orders, i, NULL), sizeof(call));
+		abandon_order(n, call);
+	}
+}
+
 bool
 gate_order_call(struct node *n, const struct node_call_event *event)
 {
@@ -210,15 +248,11 @@
 	}
 	if (event->phase == NODE_CALL_DATA) {
 		buf_append(&kept->answer, event->data.data, event->data.len);
+		if (kept->answer.len > GATE_ANSWER_BYTES)
+			abandon_order(n, event->call);
 		return true;
 	}
-	(void)map_remove_u64(n->gate->orders, event->call);
-	note_answer_time(n, kept);
-	order_ended(n, kept, event->phase);
-	free(kept->endpoint);
-	free(kept->what);
-	buf_free(&kept->answer);
-	free(kept);
+	end_order(n, event->call, event->phase);
 	return true;
 }
 
@@ -354,6 +388,7 @@
 gate_place_tick(struct node *n)
 {
 	check_placing(n);
+	orders_tick(n);
 	log_state(n);
 	if (n->raft == NULL)
 		log_placer(n);
--- a/tests/forward/stream_test.cc
+++ b/tests/forward/stream_test.cc
@@ -107,3 +107,26 @@
 		free(id);
 	}
 }
+
+/*
+ * Guards against: an event without end is held, in whole, until the memory of
+ * the entry is used up.
+ */
+TEST_F(Stream, an_event_without_end_is_a_failure_not_a_longer_wait)
+{
+	const std::string piece(60000, 'x');
+	size_t sent = 0;
+
+	Begin();
+	ASSERT_TRUE(Grant("i-1"));
+	Good();
+	Event(NODE_CALL_DATA, "id: 1\ndata: a\n\nid: 2\ndata: ");
+	while (!cancelled && sent < 4000000) {
+		Event(NODE_CALL_DATA, piece.c_str());
+		sent += piece.size();
+	}
+	EXPECT_TRUE(cancelled);
+	EXPECT_LE(sent, 1000000U);
+	EXPECT_EQ(body, "id: 1\ndata: a\n\n") << "and no part of it";
+	EXPECT_EQ(asks, 2u) << "it goes on elsewhere";
+}
--- a/tests/gateway/fleet.cc
+++ b/tests/gateway/fleet.cc
@@ -269,9 +269,30 @@
 	reply(e.free_us - world.now + kWayUs, call, 200, "id: 1\ndata: x\n\n");
 }
 
+/* Send more of an answer without end, until the caller closes. */
+void
+Fleet::trickle(const World::Sent &call, size_t sent)
+{
+	const std::string piece(10000, ' ');
+
+	if (world.cancelled.count(call.call) > 0)
+		return;
+	most_endless = std::max(most_endless, sent);
+	world.feed(call.machine, [this, call, piece, sent] {
+		world.answer_part(call, sent == 0, piece);
+	});
+	world.at(world.now + 10 * MS,
+	    [this, call, sent, piece] { trickle(call, sent + piece.size()); });
+}
+
 void
 Fleet::on_call(const World::Sent &call)
 {
+	if (call.path == endless_path) {
+		on_endless();
+		trickle(call, 0);
+		return;
+	}
 	for (auto &e : engines) {
 		if (e.address != call.address)
 			continue;
--- a/tests/gateway/fleet.h
+++ b/tests/gateway/fleet.h
@@ -53,6 +53,9 @@
 	/* One model request at the first entry. */
 	void ask_for(const std::string &adapter);
 	std::function<void()> on_order_given; /* an engine got an order */
+	std::string endless_path; /* answers to calls there have no end */
+	std::function<void()> on_endless; /* such a call has begun */
+	size_t most_endless = 0; /* bytes that one of them was sent */
 	/* Of model requests begun then: share with a first byte in time. */
 	double in_time(uint64_t from_us, uint64_t to_us, uint64_t limit_us);
 	int machine_of(const std::string &name) const;
@@ -71,6 +74,7 @@
 	void next_arrival(bool model, uint64_t until_us);
 	void on_call(const World::Sent &call);
 	void on_request(Engine &e, const World::Sent &call);
+	void trickle(const World::Sent &call, size_t sent);
 	void note_holder(Engine &e, const World::Sent &call);
 	int order(Engine &e, const World::Sent &call);
 	void on_order(Engine &e, const World::Sent &call);
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -218,3 +218,26 @@
 	for (auto &e : fleet.engines)
 		EXPECT_FALSE(e.crashed) << e.id;
 }
+
+/*
+ * Guards against: an engine whose answer to an order or a report has no end
+ * fills the memory of its owner, or is never ordered again.
+ */
+TEST(Fleet, answers_to_orders_without_end_are_given_up)
+{
+	for (const char *path : {"/api/order", "/api/report"}) {
+		Fleet::Options options;
+		int begun = 0;
+
+		options.entries = 1;
+		options.engines = 1;
+		Fleet fleet(options);
+		ASSERT_TRUE(fleet.begin());
+		fleet.endless_path = path;
+		fleet.on_endless = [&] { begun++; };
+		fleet.ask_for("a1");
+		fleet.world.run(3000);
+		EXPECT_GE(begun, 2) << path << ": it is called again";
+		EXPECT_LE(fleet.most_endless, 300000U) << path;
+	}
+}
--- a/tests/gateway/world.cc
+++ b/tests/gateway/world.cc
@@ -479,6 +479,23 @@
 	return found;
 }
 
+void
+World::answer_part(const Sent &call, bool first, const std::string &body)
+{
+	struct node_event ev = {};
+
+	open.erase({call.machine, call.call});
+	ev.type = NODE_EV_CALL;
+	ev.u.call.call = call.call;
+	ev.u.call.phase = NODE_CALL_HEAD;
+	ev.u.call.status = 200;
+	if (first)
+		step(call.machine, ev);
+	ev.u.call.phase = NODE_CALL_DATA;
+	ev.u.call.data = {body.data(), body.size()};
+	step(call.machine, ev);
+}
+
 /* All entries say that they are ready. */
 bool
 World::ready()
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -96,6 +96,8 @@
 	    const std::string &state = "ready", uint64_t sequence = 0,
 	    uint64_t born = 1);
 	void answer(const Sent &call, int status, const std::string &body);
+	/* A part of an answer, with its head before the first. */
+	void answer_part(const Sent &call, bool first, const std::string &body);
 
 	int leader() const; /* -1: none places */
 	bool ready();
--- a/tests/http/answer_test.cc
+++ b/tests/http/answer_test.cc
@@ -92,3 +92,40 @@
 	for (auto &c : cases)
 		EXPECT_TRUE(Feed(c, c.size()).fault) << c.substr(0, 100);
 }
+
+/*
+ * Guards against: an endpoint in trouble that sends without end what never
+ * becomes an answer, or never ends one, holds its call and memory for ever.
+ */
+TEST(Answer, GivesUpOnBytesWithoutEnd)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+	struct {
+		const char *what;
+		std::string begin, again;
+	} rows[] = {
+	    {"no answer at all", "", "x"},
+	    {"a status line", "HTTP/1.1 200 ", "x"},
+	    {"headers", ok, "A: b\r\n"},
+	    {"one header", ok + "A: ", "x"},
+	    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	    {"a chunk's length", chunked, "0"},
+	    {"a chunk's extension", chunked + "5;", "x"},
+	    {"a trailer", chunked + "0\r\n", "A: b\r\n"},
+	    {"a trailer's line", chunked + "0\r\nA: ", "x"},
+	};
+
+	for (auto &row : rows) {
+		std::string bytes = row.begin;
+
+		while (bytes.size() < 200000)
+			bytes += row.again;
+		for (size_t piece : {100, 60000}) {
+			Outcome out = Feed(bytes, piece);
+
+			EXPECT_TRUE(out.fault) << row.what << " " << piece;
+			EXPECT_EQ(out.body, "") << row.what;
+		}
+	}
+}
