member: who was removed joins before the next is removed

Cause: the leader asked for one change of the members at a time, removals first. After the loss of all processes it removed all members (38.2 to 38.8 s), and the new epoch of a cluster without members was sealed by the lapse of promises alone, so that the first joined again at 42.4 s.

Ruled out: the leader's processor (its ticks were in time then) and the saves (25 ms a change).

Change: who waits to join is asked for before the next is removed.

--- a/src/member/member_wish.c
+++ b/src/member/member_wish.c
@@ -148,9 +148,9 @@
 	if (!k->wishing) {
 		if (!keeper_sweep_due(v, now_us, &k->searched_at) ||
 		    !keeper_sealed(k, v) ||
-		    (!keeper_wish_down(k, v, now_us) &&
-			!keeper_wish_leave(k, v) &&
-			!keeper_wish_up(k, v, now_us)))
+		    (!keeper_wish_up(k, v, now_us) &&
+			!keeper_wish_down(k, v, now_us) &&
+			!keeper_wish_leave(k, v)))
 			return false;
 		k->wishing = true;
 	}
--- a/tests/member/lease_test.cc
+++ b/tests/member/lease_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include "member_fixture.h"
 
 /* One holder, one keeper and the view both have applied. */
@@ -147,6 +150,42 @@
 	EXPECT_EQ(wish(p, end + 2000 * kMs, 0), -1);
 }
 
+/*
+ * Guards against: after the loss of all processes all members are removed
+ * before the first one joins again, and the cluster is empty for seconds.
+ */
+TEST(member_lease, who_was_removed_joins_before_the_next_is_removed)
+{
+	pair_of p(4);
+	uint64_t now = 10000 * kMs, index = 4;
+	std::vector<int> types;
+	size_t fewest = 4;
+
+	for (uint32_t id = 1; id <= 4; id++)
+		p.other(now, id, id * 10, 4, 4);
+	for (int i = 0; i < 400 && types.size() < 8; i++) {
+		struct member_wish w;
+
+		now += 25 * kMs;
+		for (uint32_t id = 1; i % 10 == 0 && id <= 4; id++) {
+			Wire__MemberInfo self = info_of(id, id * 10 + 1);
+
+			p.other(now, id, id * 10 + 1, index, index, &self);
+		}
+		if (!member_keeper_take_wish(p.k, p.v, now, &w))
+			continue;
+		types.push_back(w.type);
+		index++;
+		if (w.type == MEMBER_WISH_DOWN)
+			member_view_down(p.v, index, w.id, w.incarnation);
+		else
+			member_view_up(p.v, index, w.info);
+		fewest = std::min(fewest, member_view_count(p.v));
+	}
+	EXPECT_EQ(types.size(), 8U) << "each of four goes and comes";
+	EXPECT_EQ(fewest, 3U);
+}
+
 TEST(member_lease, orders_of_a_removed_member_are_waited_for)
 {
 	pair_of p(3);
