gateway: an ask that goes elsewhere is out at its placer no more

Callers would have seen: an entry that asks a placer less and less after each late answer, and places by itself or refuses.

Cause: since the shares of a fleet each placer has a window of its own; an ask that was late went elsewhere first and was then closed in the window of the next one.

--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -253,6 +253,7 @@
 	static const struct place_end end = {.outcome = PLACE_ABANDONED};
 
 	tell_done(n, kept, &end);
+	close_ask(n, kept);
 	kept->placer = placer;
 	(void)forward_ask_again(n->gate->forward, n->now, kept->ask, n->fx);
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -563,6 +563,32 @@
 	EXPECT_EQ(w->sent.size(), before + 1) << "placed by the entry itself";
 }
 
+/*
+ * Guards against: an ask that was answered late is counted as without an answer
+ * for ever, until the entry asks that placer no more.
+ */
+TEST_F(Gateway, what_was_asked_elsewhere_is_out_no_more)
+{
+	Reply metrics;
+
+	Serve();
+	ASSERT_TRUE(Reaches(5));
+	w->late = w->leader();
+	w->late_us = 200 * MS;
+	for (int i = 0; i < 30; i++) {
+		(void)Request(5);
+		w->run(30);
+	}
+	w->late = -1;
+	w->run(2000);
+	metrics = w->ask(5, NODE_LISTEN_OWN, "GET", "/metrics");
+	EXPECT_NE(
+	    metrics.body.find("\nmulberrypath_gate_asks_at_placer 0\n"),
+	    std::string::npos)
+	    << metrics.body.substr(
+		   metrics.body.find("\nmulberrypath_gate_asks_at_placer"), 60);
+}
+
 TEST_F(Gateway, an_entry_that_knows_no_configuration_says_so)
 {
 	uint64_t id;
