gateway: an adapter's home is passed over for more than a load elsewhere

Cause: an owner was passed over for 40 ms more of work than the others had, though a request that goes to another shard mostly costs a load there.

Change: it is passed over for more than a load takes, or a quarter more than the mean. An owner's part of the store is rounded, not cut.

--- a/src/node/node_gate_spread.c
+++ b/src/node/node_gate_spread.c
@@ -14,9 +14,11 @@
 
 /* An adapter has so many homes for the share of one shard that it takes. */
 #define HOMES_FOR_SHARE 4
-/* An owner is passed over when its load is above both of these. */
+/*
+ * An owner is passed over when its load is above the mean by this factor, and
+ * by more than a load of the adapter elsewhere takes.
+ */
 #define SPREAD_OVER_MEAN 1.25
-#define SPREAD_MORE_MS	 40.0
 /* What an owner told of its load counts for so long. */
 #define LOAD_KNOWN_US (2000 * 1000ULL)
 /* Entries hear the same; this keeps them from choosing all alike. */
@@ -156,8 +158,8 @@
 	    &n->gate->shards, kept->key, n->gate->weights, order);
 	mean = mean_load(n, order, count);
 	bound = mean * SPREAD_OVER_MEAN;
-	if (bound < mean + SPREAD_MORE_MS)
-		bound = mean + SPREAD_MORE_MS;
+	if (bound < mean + n->settings->load_ms)
+		bound = mean + n->settings->load_ms;
 	owner =
 	    least_loaded(n, order, kept->homes < count ? kept->homes : count,
 		kept->refused_by, bound, mean);
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -160,7 +160,7 @@
 uint32_t
 place_adapter_loads_at_once(const struct place *p)
 {
-	uint32_t scaled = p->engines * LOADS_PER_NINE / 9;
+	uint32_t scaled = (p->engines * LOADS_PER_NINE + 4) / 9;
 	uint32_t least =
 	    (uint32_t)ceil(place_share_of(p, (double)p->options.adapter_loads));
 
