--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -141,6 +141,7 @@
 	uint64_t whole_from_us; /* its leader gives no order before */
 	uint32_t weights[MEMBER_SHARDS_MAX]; /* engines of each */
 	uint64_t weighed_us; /* counted again then */
+	uint64_t waits_us; /* entries with requests waiting hear then */
 	uint32_t owned_logged, shards_logged;
 	/* entries */
 	struct map *asks; /* struct gate_ask by number */
--- a/src/node/node_gate_owner.c
+++ b/src/node/node_gate_owner.c
@@ -8,10 +8,10 @@
  *
  * In a small cluster the leader places all requests. In a large one no
  * instance has the processor for that: the engines are cut into shards, each
- * owned by an entry, as the members say (member_shards_of). An owner orders
- * while it may act and once the epoch by which it owns the shard is active, so
- * that no earlier owner can order any more; its fence is that epoch, the log
- * index of the change.
+ * owned by an entry, as the members say (member_view_shards). An owner
+ * orders while it may act and once the epoch by which it owns the shard is
+ * active, so that no earlier owner can order any more; its fence is that epoch,
+ * the log index of the change.
  */
 
 /* Clocks differ, and the last word of the owner before may be this old. */
@@ -274,6 +274,9 @@
 	if (!gate_owns(n))
 		return;
 	activate(n);
+	if (n->now < n->gate->waits_us)
+		return;
+	n->gate->waits_us = n->now + GATE_WAITS_US / 3;
 	place_each_waiting(n->gate->place, tell_entry, n);
 }
 
--- a/src/node/node_gate_spread.c
+++ b/src/node/node_gate_spread.c
@@ -72,8 +72,8 @@
 {
 	const struct gate_owner *o = gate_owner_get(n, owner);
 
-	if (owner == n->id)
-		return true;
+	if (owner == n->id || owner == 0)
+		return owner != 0; /* 0: the shard has no owner now */
 	return n->now >= o->silent_until_us && place_window_is_open(&o->window);
 }
 
