place: a call with a far objective does not starve

Cause: calls of a plain service wait in the order of their objectives' deadlines. Two of the four endpoints had left, 182 to 230 calls a second came for 200 a second of slots, and a route without an objective is due after its whole timeout: all that came later went before it.

Evidence: event 132 of the owner: waitCall 56 to 138, oldestMs 668 to 2,213; events 120 of these routes: placedMs 0, wholeMs as deadlineMs, while calls with an objective of 300 ms were placed after 284 to 616 ms.

Ruled out: the configuration (the routes were known: 200 before and after), orders and engines (plain calls).

Change: a request is due after a quarter of what its caller waits at the latest.

Test: PlaceService.a_call_with_a_far_objective_does_not_starve, refused after 908 ms before.

--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -37,15 +37,32 @@
 }
 
 /*
- * Insert by the deadline of the objective: the one to be missed first. Most
- * come in that order, so that the search begins at the end.
+ * A request is due at the deadline of its objective; one without an objective,
+ * or with one that is far off, after this part of what its caller waits: others
+ * come without end where slots are short.
+ */
+#define DUE_PART 4
+
+static uint64_t
+due_us(const struct place_request *r, uint64_t now_us)
+{
+	uint64_t part_us =
+	    r->deadline_us <= now_us ? 0 : (r->deadline_us - now_us) / DUE_PART;
+
+	return r->target_us < now_us + part_us ? r->target_us
+					       : now_us + part_us;
+}
+
+/*
+ * Insert by when it is due. Most come in that order, so that the search begins
+ * at the end.
  */
 static void
 waiting_add(struct place *p, struct place_ask *a)
 {
 	struct place_ask *before = p->waiting_last;
 
-	while (before != NULL && before->target_us > a->target_us)
+	while (before != NULL && before->due_us > a->due_us)
 		before = before->before;
 	a->before = before;
 	a->next = before == NULL ? p->waiting : before->next;
@@ -131,6 +148,7 @@
 		a->chains[i] = place_engine_chain(a, i);
 	a->deadline_us = r->deadline_us;
 	a->target_us = r->target_us;
+	a->due_us = due_us(r, now_us);
 	a->priority = r->priority;
 	a->attempt = r->attempt;
 	while (a->navoid < r->navoid && a->navoid < PLACE_AVOID_MAX) {
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -108,6 +108,7 @@
 	struct gw_part parts[GW_PARTS_MAX];
 	size_t nparts;
 	uint64_t asked_us, deadline_us, target_us;
+	uint64_t due_us; /* its turn among those that wait */
 	uint64_t load_wait_us; /* began to wait for an adapter; 0: did not */
 	uint32_t priority, attempt;
 	char *avoid[PLACE_AVOID_MAX];
@@ -165,7 +166,7 @@
 	struct map *gone; /* ids that left, to the start of their process */
 	struct map *leaving; /* uint64_t start of the process by id */
 	struct map *asks; /* by struct place_id */
-	/* list by deadline of the objective */
+	/* list by when they are due */
 	struct place_ask *waiting, *waiting_last;
 	size_t nwaiting;
 	struct map *versions; /* by key */
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -180,3 +180,47 @@
 	EXPECT_EQ(after.granted, before.granted + 1);
 	EXPECT_EQ(after.estimates, before.estimates + apps);
 }
+
+/*
+ * Guards against: with fewer slots than calls, one whose objective is far off
+ * waits behind all that come after it until its caller leaves. The pattern:
+ * endpoints of a plain service are lost, and a route without an objective.
+ */
+TEST_F(PlaceService, a_call_with_a_far_objective_does_not_starve)
+{
+	const uint64_t wait = 900 * MS;
+	uint64_t patient = 0, asked = 0;
+	std::vector<std::pair<uint64_t, uint64_t>> running; /* end, ask */
+
+	Apps(2); /* 12 slots of 60 ms: 200 calls a second */
+	for (int ms = 0; ms < 3000; ms += 4) { /* 250 come */
+		(void)Call_();
+		if (ms == 1000) {
+			place_request r = {};
+
+			r.id = {7, ++last_ask};
+			r.kind = GW_IDEMPOTENT;
+			r.service = "app";
+			r.deadline_us = now + wait;
+			r.target_us = now + 2000 * MS;
+			place_ask(p, now, &r);
+			patient = last_ask;
+			asked = now;
+		}
+		got.clear();
+		Run();
+		for (auto &d : got)
+			if (d.type == PLACE_GRANT)
+				running.push_back({now + 60 * MS, d.id.ask});
+		if (patient != 0 && Of(patient) != nullptr)
+			break;
+		now += 4 * MS;
+		while (!running.empty() && running.front().first <= now) {
+			Done(running.front().second, PLACE_SERVED);
+			running.erase(running.begin());
+		}
+	}
+	ASSERT_NE(Of(patient), nullptr);
+	EXPECT_EQ(Of(patient)->type, PLACE_GRANT);
+	EXPECT_LE(now - asked, wait);
+}
