place: the choice of an owner is a function of what is known of owners

Cause: the choice stood between lookups of peers, so that only a whole fleet could run it, and there the others make up for a worse choice.

Change: place/place_spread.c chooses from a list of owners with their load; node_gate_spread.c tells what the entry knows of them. Same order, bounds and random numbers as before. The sum of asks at owners stood twice and stands once (gate_owners_out). Two conditions that could not be met are gone: a reply for ask 0 names no kept ask, and place_adapter_run passes foreign engines over before order_next.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -249,6 +249,9 @@
 /* The owner to ask; 0: none has time. */
 uint32_t gate_spread_choose(struct node *n, const struct gate_ask *kept);
 
+/* Asks without an answer yet, at all owners. */
+uint32_t gate_owners_out(const struct node *n);
+
 /* ---- node_gate_place.c: the placer decides and gives orders ---- */
 void gate_place_tick(struct node *n);
 void gate_place_run(struct node *n);
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -296,9 +296,7 @@
 	struct gate_ask *kept = map_get_u64(n->gate->asks, reply->ask);
 	struct forward_grant grant = {0};
 
-	note_load(n, from, reply);
-	if (reply->ask == 0)
-		return; /* it is heard, that is all */
+	note_load(n, from, reply); /* an owner that is heard may tell no more */
 	if (kept == NULL || kept->placer != from || kept->granted) {
 		if (reply->status == WIRE__PLACE_STATUS__PLACE_GIVEN &&
 		    (kept == NULL || kept->placer != from))
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -113,18 +113,17 @@
 
 /* Asks at all instances that place. */
 static void
-put_windows(const struct node_gate *g, struct buf *out)
+put_windows(const struct node *n, struct buf *out)
 {
 	const struct gate_owner *o;
-	double asks = 0, window = 0;
+	double window = 0;
 	size_t i;
 
-	for (i = 0; i < map_count(g->owners); i++) {
-		o = map_at(g->owners, i);
-		asks += o->window.out;
+	for (i = 0; i < map_count(n->gate->owners); i++) {
+		o = map_at(n->gate->owners, i);
 		window += o->window.size;
 	}
-	put_value(out, "asks_at_placer", "gauge", asks);
+	put_value(out, "asks_at_placer", "gauge", gate_owners_out(n));
 	put_value(out, "asks_window", "gauge", window);
 }
 
@@ -139,7 +138,7 @@
 	    g->config == NULL ? 0 : (double)g->config->version);
 	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
 	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
-	put_windows(g, out);
+	put_windows(n, out);
 	put_value(out, "shards", "gauge", g->shards.count);
 	put_value(out, "owns_shards", "gauge", gate_owns(n) ? 1 : 0);
 	put_value(out, "asks_alone_total", "counter", (double)g->asked_alone);
--- a/src/node/node_gate_spread.c
+++ b/src/node/node_gate_spread.c
@@ -2,6 +2,7 @@
 
 #include "node/node_gate.h"
 #include "place/place_heat.h"
+#include "place/place_spread.h"
 #include "util/mem.h"
 
 /*
@@ -14,15 +15,8 @@
 
 /* An adapter has so many homes for the share of one shard that it takes. */
 #define HOMES_FOR_SHARE 4
-/*
- * An owner is passed over when its load is above the mean by this factor, and
- * by more than a load of the adapter elsewhere takes.
- */
-#define SPREAD_OVER_MEAN 1.25
 /* What an owner told of its load counts for so long. */
 #define LOAD_KNOWN_US (2000 * 1000ULL)
-/* Entries hear the same; this keeps them from choosing all alike. */
-#define SPREAD_JITTER 0.3
 /* Engines by shard are counted so often. */
 #define WEIGH_US (250 * 1000ULL)
 
@@ -68,106 +62,63 @@
 }
 
 static bool
-has_time(struct node *n, uint32_t owner)
+has_time(const struct node *n, uint32_t owner, const struct gate_owner *o)
 {
-	const struct gate_owner *o = gate_owner_get(n, owner);
-
-	if (owner == n->id || owner == 0)
-		return owner != 0; /* 0: the shard has no owner now */
-	return n->now >= o->silent_until_us && place_window_is_open(&o->window);
+	return owner == n->id ||
+	    (n->now >= o->silent_until_us && place_window_is_open(&o->window));
 }
 
-/* What an owner told lately; what is not known is like the mean. */
 static double
-load_of(struct node *n, uint32_t owner, double unknown)
+load_of(const struct node *n, uint32_t owner, const struct gate_owner *o)
 {
-	const struct gate_owner *o = gate_owner_get(n, owner);
-
 	if (owner == n->id)
 		return place_load_ms(n->gate->place);
 	if (o->load_us == 0 || n->now > o->load_us + LOAD_KNOWN_US)
-		return unknown;
+		return PLACE_LOAD_UNKNOWN;
 	return o->load_ms;
 }
 
-static double
-mean_load(struct node *n, const uint32_t *order, size_t count)
-{
-	double sum = 0, load;
-	size_t i, known = 0;
-
-	for (i = 0; i < count; i++) {
-		load = load_of(n, n->gate->shards.owners[order[i]], -1);
-		if (load < 0)
-			continue;
-		sum += load;
-		known++;
-	}
-	return known == 0 ? 0 : sum / (double)known;
-}
-
-/* The least loaded of some owners that have time; 0: none of them has. */
-static uint32_t
-least_loaded(struct node *n, const uint32_t *order, size_t count, uint32_t but,
-    double bound, double unknown)
+/* What this entry knows of an owner; 0: the shard has none now. */
+static struct place_owner_load
+describe_owner(struct node *n, uint32_t owner)
 {
-	double load, least = bound;
-	uint32_t owner, best = 0;
-	size_t i;
+	struct place_owner_load out = {owner, false, PLACE_LOAD_UNKNOWN};
+	const struct gate_owner *o;
 
-	for (i = 0; i < count; i++) {
-		owner = n->gate->shards.owners[order[i]];
-		if (owner == but || !has_time(n, owner))
-			continue;
-		load = load_of(n, owner, unknown) *
-		    (1 + SPREAD_JITTER * rng_unit(&n->rng));
-		if (load > least || (best != 0 && load == least))
-			continue;
-		best = owner;
-		least = load;
-	}
-	return best;
-}
-
-/* The first owner in order that is not above the bound. */
-static uint32_t
-first_below(struct node *n, const uint32_t *order, size_t count, uint32_t but,
-    double bound, double unknown)
-{
-	uint32_t owner;
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		owner = n->gate->shards.owners[order[i]];
-		if (owner != but && has_time(n, owner) &&
-		    load_of(n, owner, unknown) <= bound)
-			return owner;
-	}
-	return 0;
+	if (owner == 0)
+		return out;
+	o = gate_owner_get(n, owner);
+	out.has_time = has_time(n, owner, o);
+	out.load_ms = load_of(n, owner, o);
+	return out;
 }
 
 uint32_t
 gate_spread_choose(struct node *n, const struct gate_ask *kept)
 {
-	uint32_t order[MEMBER_SHARDS_MAX], owner;
-	double mean, bound;
-	size_t count;
+	struct place_owner_load owners[MEMBER_SHARDS_MAX];
+	uint32_t order[MEMBER_SHARDS_MAX];
+	size_t count, i;
 
 	weigh(n);
 	count = member_shard_order(
 	    &n->gate->shards, kept->key, n->gate->weights, order);
-	mean = mean_load(n, order, count);
-	bound = mean * SPREAD_OVER_MEAN;
-	if (bound < mean + n->settings->load_ms)
-		bound = mean + n->settings->load_ms;
-	owner =
-	    least_loaded(n, order, kept->homes < count ? kept->homes : count,
-		kept->refused_by, bound, mean);
-	if (owner == 0)
-		owner =
-		    first_below(n, order, count, kept->refused_by, bound, mean);
-	if (owner == 0)
-		owner =
-		    least_loaded(n, order, count, kept->refused_by, 1e12, mean);
-	return owner;
+	for (i = 0; i < count; i++)
+		owners[i] = describe_owner(n, n->gate->shards.owners[order[i]]);
+	return place_spread_choose(owners, count, kept->homes, kept->refused_by,
+	    n->settings->load_ms, &n->rng);
+}
+
+uint32_t
+gate_owners_out(const struct node *n)
+{
+	const struct gate_owner *o;
+	uint32_t out = 0;
+	size_t i;
+
+	for (i = 0; i < map_count(n->gate->owners); i++) {
+		o = map_at(n->gate->owners, i);
+		out += o->window.out;
+	}
+	return out;
 }
--- a/src/node/node_gate_turn.c
+++ b/src/node/node_gate_turn.c
@@ -131,9 +131,10 @@
 {
 	if (kept->granted)
 		return;
-	if (gate_is_sharded(n))
+	if (gate_is_sharded(n)) {
 		shard_tick(n, kept);
-	else if (kept->placer == 0 && kept->busy != 0 && kept->busy == placer) {
+	} else if (kept->placer == 0 && kept->busy != 0 &&
+	    kept->busy == placer) {
 		busy_tick(n, kept, placer);
 	} else if (kept->placer != placer && kept->busy != placer) {
 		kept->busy = 0;
@@ -144,20 +145,6 @@
 	}
 }
 
-static uint32_t
-asks_out(const struct node_gate *g)
-{
-	const struct gate_owner *o;
-	uint32_t out = 0;
-	size_t i;
-
-	for (i = 0; i < map_count(g->owners); i++) {
-		o = map_at(g->owners, i);
-		out += o->window.out;
-	}
-	return out;
-}
-
 static void
 log_busy(struct node *n, uint32_t placer)
 {
@@ -171,7 +158,7 @@
 	node_log(n, NODE_LOG_GATE_BUSY,
 	    "{\"busy\": %s, \"placer\": %u, \"asks\": %u, "
 	    "\"lateMs\": %llu, \"alone\": %llu}",
-	    busy ? "true" : "false", placer, asks_out(g),
+	    busy ? "true" : "false", placer, gate_owners_out(n),
 	    (unsigned long long)place_window_late_us(&o->window) / 1000,
 	    (unsigned long long)g->asked_alone);
 }
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -453,8 +453,8 @@
 	const struct gw_engine *engine = e->engine;
 	struct place_adapter *a = may_order ? turn->wanted : NULL;
 
-	if (engine == NULL || e->foreign || e->leaving || e->fenced ||
-	    e->ordering || !place_is_placer(p))
+	if (engine == NULL || e->leaving || e->fenced || e->ordering ||
+	    !place_is_placer(p))
 		return;
 	if (may_order && e->nweights == 0)
 		a = want_weights(p, e, engine);
