--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -171,6 +171,9 @@
 struct gw_endpoint_response {
 	bool not_run; /* the endpoint states that it did not run it */
 	bool has_state_mismatch; /* other process, or adapter not loaded */
+	bool is_leaving; /* the endpoint is draining */
+	uint32_t backoff_ms; /* it wants no request from this instance for so
+			      * long; 0: not given */
 	bool is_signed; /* has the endpoint's signature */
 	bool is_encoded; /* body changed in transit: content encoding */
 	const char *attempt; /* of the request; NULL: not given */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -16,6 +16,8 @@
 #define RETRY_MIN_REMAINING_US (30 * US_PER_MS)
 /* Retry-After of refusals by the entry itself: a retry may soon succeed. */
 #define RETRY_AFTER_MS 250u
+/* Grants that a request may return before it is refused. */
+#define DECLINED_GRANTS_MAX 4u
 /* A granted request is sent within this time or not at all. */
 #define SEND_TIMEOUT_US (1000 * US_PER_MS)
 /*
@@ -261,13 +263,13 @@
 /* Refuses the request as "not run" or, if it may have run, as failed. */
 static void
 refuse_unserved(struct forward *f, struct fwd_request *r, uint64_t now_us,
-    const char *reason, struct node_effects *fx)
+    const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
 {
 	if (r->may_have_run && forward_guards.truth)
 		fwd_refuse(f, r, now_us, GW_REFUSE_FAILED, reason, 0, fx);
 	else
 		fwd_refuse(f, r, now_us, GW_REFUSE_OVERLOAD, reason,
-		    RETRY_AFTER_MS, fx);
+		    retry_after_ms, fx);
 }
 
 static void
@@ -303,7 +305,7 @@
 		avoid_endpoint(r);
 	if (!may_retry || r->retries >= RETRIES_MAX ||
 	    now_us + RETRY_MIN_REMAINING_US >= r->deadline_us) {
-		refuse_unserved(f, r, now_us, fault, fx);
+		refuse_unserved(f, r, now_us, fault, RETRY_AFTER_MS, fx);
 		return;
 	}
 	r->retries++;
@@ -463,7 +465,7 @@
 		return false;
 	if (now_us + US_PER_MS >= r->deadline_us) {
 		fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
-		refuse_unserved(f, r, now_us, "deadline", fx);
+		refuse_unserved(f, r, now_us, "deadline", RETRY_AFTER_MS, fx);
 		return true;
 	}
 	if (r->placed_us == 0) {
@@ -472,10 +474,28 @@
 	}
 	free(r->endpoint);
 	r->endpoint = mem_string(grant->endpoint);
+	r->endpoint_born_ms = grant->born_ms;
 	send_to_endpoint(f, r, now_us, grant, fx);
 	return true;
 }
 
+void
+forward_decline_grant(struct forward *f, uint64_t now_us, uint64_t ask,
+    uint32_t retry_after_ms, struct node_effects *fx)
+{
+	struct fwd_request *r = map_get_u64(f->by_ask, ask);
+
+	if (r == NULL || r->state != FWD_ASKED)
+		return;
+	f->stats.declined++;
+	fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
+	if (++r->declined_grants <= DECLINED_GRANTS_MAX)
+		fwd_send_ask(f, r, now_us, fx);
+	else
+		refuse_unserved(
+		    f, r, now_us, "endpoint-declines", retry_after_ms, fx);
+}
+
 void
 forward_on_refusal(struct forward *f, uint64_t now_us, uint64_t ask,
     const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -44,6 +44,12 @@
 	 */
 	void (*done)(void *ctx, uint64_t ask, const struct place_result *end,
 	    struct node_effects *fx);
+	/*
+	 * Record what the response to an ask's request says about further
+	 * requests to the endpoint. Called before the ask's outcome.
+	 */
+	void (*notice)(void *ctx, uint64_t ask,
+	    const struct place_notice *notice, struct node_effects *fx);
 	/* Return an unused id for an HTTP call; not 0. */
 	uint64_t (*next_call)(void *ctx);
 	/* Log a finished request. fields: a JSON object. */
@@ -77,6 +83,7 @@
 struct forward_grant {
 	uint64_t ask;
 	const char *endpoint, *address;
+	uint64_t born_ms; /* start of the endpoint's process */
 	uint32_t adapter_version, urgency;
 };
 /*
@@ -85,6 +92,14 @@
  */
 bool forward_on_grant(struct forward *f, uint64_t now_us,
     const struct forward_grant *grant, struct node_effects *fx);
+/*
+ * Returns a grant whose endpoint takes no request of this entry now, and asks
+ * for another one. After several such grants the request is refused.
+ *
+ * retry_after_ms: for a caller that is refused.
+ */
+void forward_decline_grant(struct forward *f, uint64_t now_us, uint64_t ask,
+    uint32_t retry_after_ms, struct node_effects *fx);
 /*
  * Refuses the request, since the placer refused the ask. The caller receives
  * retry_after_ms only if the request cannot have run.
@@ -128,7 +143,7 @@
  */
 struct forward_stats {
 	uint64_t asked, served, refused, failed, timed_out, caller_gone,
-	    retried, aborted;
+	    retried, aborted, declined;
 	struct hist placement_us, first_byte_us, total_us;
 };
 /* Returns the totals, owned by the forwarder. */
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -65,6 +65,15 @@
 	effect->u.reply_data.data.len = len;
 }
 
+/* Whether the response names the request's attempt, or none. */
+static bool
+is_for_request(
+    const struct fwd_request *r, const struct gw_endpoint_response *response)
+{
+	return r->decoded.attempt == NULL || response->attempt == NULL ||
+	    strcmp(r->decoded.attempt, response->attempt) == 0;
+}
+
 /*
  * Returns why the response must not be relayed, or NULL. It may belong to
  * another request, lack the endpoint's signature or be changed in transit.
@@ -72,9 +81,7 @@
 static const char *
 find_response_fault(const struct fwd_request *r)
 {
-	if (forward_guards.match && r->decoded.attempt != NULL &&
-	    r->response.attempt != NULL &&
-	    strcmp(r->decoded.attempt, r->response.attempt) != 0)
+	if (forward_guards.match && !is_for_request(r, &r->response))
 		return "answer-of-another";
 	if (forward_guards.proof && is_success(r->status) &&
 	    !r->response.is_signed)
@@ -106,6 +113,24 @@
 	    r->maybe_run_count + 1 < r->max_attempts;
 }
 
+/*
+ * Passes on what the response says about further requests. A response of
+ * another process, or to another request, says nothing about this endpoint.
+ */
+static void
+report_notice(struct forward *f, const struct fwd_request *r,
+    const struct gw_endpoint_response *response, struct node_effects *fx)
+{
+	struct place_notice notice = {r->endpoint, r->endpoint_born_ms,
+	    response->is_leaving, response->backoff_ms};
+
+	if ((!notice.is_leaving && notice.backoff_ms == 0) ||
+	    notice.born_ms == 0 || response->has_state_mismatch ||
+	    !is_for_request(r, response))
+		return;
+	f->ops->notice(f->ctx, r->ask, &notice, fx);
+}
+
 void
 fwd_on_head(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const struct node_call_event *event, struct node_effects *fx)
@@ -119,6 +144,7 @@
 		struct gw_endpoint_response resumed;
 
 		f->codec->read_endpoint_response(&resumed, event, fx);
+		report_notice(f, r, &resumed, fx);
 		if (resumed.not_run)
 			fail_attempt(f, r, now_us, PLACE_STATE_MISMATCH, true,
 			    "resume-refused", fx);
@@ -138,6 +164,7 @@
 	r->status = event->status;
 	r->has_length = event->has_length;
 	r->length = event->length;
+	report_notice(f, r, &r->response, fx);
 	fault = find_response_fault(r);
 	if (fault != NULL)
 		fail_attempt(
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -43,7 +43,9 @@
 	const char *last_fault; /* string constant, for the log */
 	const char *refusal_reason; /* valid during the current step */
 	uint64_t last_ask; /* for the log */
+	uint32_t declined_grants;
 	char *endpoint; /* id of the granted one */
+	uint64_t endpoint_born_ms; /* start of its process */
 	uint64_t sent_us, first_byte_us, placed_us;
 	/* the response */
 	int status;
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -280,6 +280,9 @@
 	case WIRE__ENVELOPE__BODY_PLACE_DONE:
 		gate_place_on_done(n, e->incarnation, e->place_done);
 		return true;
+	case WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE:
+		gate_notice_on_message(n, e->incarnation, e->endpoint_notice);
+		return true;
 	case WIRE__ENVELOPE__BODY_CALL_RELAY:
 		gate_relay_on_call(n, from, e->call_relay);
 		return true;
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -230,6 +230,13 @@
 void gate_relay_on_answer(struct node *n, const Wire__CallAnswer *answer);
 /* Answers relayed calls that have timed out. */
 void gate_relay_tick(struct node *n);
+/*
+ * Proposes that the process of an endpoint is leaving.
+ *
+ * caller: receives the answer once it is committed; NULL: nobody does.
+ */
+void gate_control_propose_leaving(struct node *n, const char *id,
+    uint64_t born_ms, const struct gate_caller *caller);
 /* A change that was proposed for a call is applied, or has timed out. */
 void node_gate_proposal_applied(struct node *n, uint64_t proposal);
 void node_gate_proposal_expired(struct node *n, uint64_t proposal);
@@ -250,6 +257,20 @@
 /* Handles a decision on a request that this entry places itself. */
 void gate_ask_on_decision(struct node *n, const struct place_decision *d);
 
+/* ---- node_gate_notice.c: what endpoints say about further requests ---- */
+/* An operation of forward_ops, see there. */
+void gate_notice_on_response(void *ctx, uint64_t ask,
+    const struct place_notice *notice, struct node_effects *fx);
+/*
+ * Whether the endpoint of a grant takes a request of this entry now. If not,
+ * the grant is returned and the request asks again; pending is then freed.
+ */
+bool gate_notice_allows(struct node *n, struct gate_ask *pending,
+    const struct forward_grant *grant);
+/* A notice that another entry received. */
+void gate_notice_on_message(
+    struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
+
 /* ---- node_gate_ask_retry.c: timeouts and retries of asks ---- */
 void gate_ask_tick(struct node *n);
 
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -254,6 +254,7 @@
 const struct forward_ops gate_forward_ops = {
     .ask = ops_ask,
     .done = ops_done,
+    .notice = gate_notice_on_response,
     .next_call = ops_next_call,
     .log = ops_log,
 };
@@ -292,6 +293,25 @@
 	    n->gate->forward, n->now, pending->ask, n->fx);
 }
 
+/*
+ * Sends the granted request, or returns the grant: if no request waits for it,
+ * or if the endpoint takes none of this entry now.
+ */
+static void
+handle_grant(
+    struct node *n, struct gate_ask *pending, const struct forward_grant *grant)
+{
+	static const struct place_result abandoned = {
+	    .outcome = PLACE_ABANDONED};
+	uint64_t ask = grant->ask;
+
+	pending->granted = true;
+	if (!gate_notice_allows(n, pending, grant))
+		return;
+	if (!forward_on_grant(n->gate->forward, n->now, grant, n->fx))
+		ops_done(n, ask, &abandoned, n->fx);
+}
+
 static void
 handle_refusal(struct node *n, struct gate_ask *pending, uint32_t from,
     const char *reason, uint32_t retry_after_ms, bool elsewhere)
@@ -331,21 +351,18 @@
 		    reply->retry_after_ms, reply->elsewhere);
 		return;
 	}
-	pending->granted = true;
 	grant.ask = reply->ask;
 	grant.endpoint = reply->endpoint;
 	grant.address = reply->address;
+	grant.born_ms = reply->born_ms;
 	grant.adapter_version = reply->adapter_version;
 	grant.urgency = reply->urgency;
-	if (!forward_on_grant(n->gate->forward, n->now, &grant, n->fx))
-		ops_done(n, reply->ask, &abandoned, n->fx);
+	handle_grant(n, pending, &grant);
 }
 
 void
 gate_ask_on_decision(struct node *n, const struct place_decision *d)
 {
-	static const struct place_result abandoned = {
-	    .outcome = PLACE_ABANDONED};
 	struct gate_ask *pending = map_get_u64(n->gate->asks, d->id.ask);
 	struct forward_grant grant = {0};
 
@@ -356,12 +373,11 @@
 		    d->elsewhere);
 		return;
 	}
-	pending->granted = true;
 	grant.ask = d->id.ask;
 	grant.endpoint = d->endpoint;
 	grant.address = d->address;
+	grant.born_ms = d->born_ms;
 	grant.adapter_version = d->adapter_version;
 	grant.urgency = d->urgency;
-	if (!forward_on_grant(n->gate->forward, n->now, &grant, n->fx))
-		ops_done(n, d->id.ask, &abandoned, n->fx);
+	handle_grant(n, pending, &grant);
 }
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -85,12 +85,14 @@
 propose(
     struct node *n, const struct gate_caller *caller, Wire__Command *command)
 {
-	struct gate_caller *stored = mem_alloc(1, sizeof(*stored));
-	uint64_t proposal;
+	uint64_t proposal = node_propose(n, NODE_PROPOSE_GATE, 0,
+	    n->now + GATE_PROPOSAL_TIMEOUT_US, command);
+	struct gate_caller *stored;
 
+	if (caller == NULL)
+		return;
+	stored = mem_alloc(1, sizeof(*stored));
 	*stored = *caller;
-	proposal = node_propose(n, NODE_PROPOSE_GATE, 0,
-	    n->now + GATE_PROPOSAL_TIMEOUT_US, command);
 	(void)map_set_u64(n->gate->callers, proposal, stored);
 }
 
@@ -213,8 +215,8 @@
  * that no later placer gives it work, even one that receives no announcement
  * from it.
  */
-static void
-propose_leaving(struct node *n, const char *id, uint64_t born_ms,
+void
+gate_control_propose_leaving(struct node *n, const char *id, uint64_t born_ms,
     const struct gate_caller *caller)
 {
 	Wire__Command command = WIRE__COMMAND__INIT;
@@ -246,7 +248,7 @@
 		    (unsigned long long)a->sequence, a->nloaded);
 	announcer.is_announcement = true;
 	if (a->leaving && !place_is_leaving(n->gate->place, a->id, a->born_ms))
-		propose_leaving(n, a->id, a->born_ms, &announcer);
+		gate_control_propose_leaving(n, a->id, a->born_ms, &announcer);
 	else
 		acknowledge_announcement(n, caller);
 }
@@ -265,7 +267,7 @@
 
 	(void)place_endpoint_leave(n->gate->place, n->now, call->endpoint);
 	if (known && !announced)
-		propose_leaving(n, call->endpoint, born, caller);
+		gate_control_propose_leaving(n, call->endpoint, born, caller);
 	else
 		send_result(n, caller, 200, NULL);
 }
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -44,7 +44,8 @@
 	    {"served_total", s->served}, {"refused_total", s->refused},
 	    {"failed_total", s->failed}, {"timed_out_total", s->timed_out},
 	    {"callers_gone_total", s->caller_gone},
-	    {"repeats_total", s->retried}, {"cut_total", s->aborted}};
+	    {"repeats_total", s->retried}, {"cut_total", s->aborted},
+	    {"grants_declined_total", s->declined}};
 	size_t i;
 
 	for (i = 0; i < sizeof(counters) / sizeof(counters[0]); i++)
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -94,6 +94,7 @@
 		reply.endpoint = (char *)d->endpoint;
 	if (d->address != NULL)
 		reply.address = (char *)d->address;
+	reply.born_ms = d->born_ms;
 	if (d->reason != NULL)
 		reply.reason = (char *)d->reason;
 	reply.adapter_version = d->adapter_version;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -22,6 +22,9 @@
 	p->groups = map_create();
 	p->departed = map_create();
 	p->leaving = map_create();
+	p->noticed_leaving = map_create();
+	p->backoffs = map_create();
+	p->next_backoff_end_us = UINT64_MAX;
 	p->asks = map_create();
 	p->versions = map_create();
 	p->budgets = map_create();
@@ -46,6 +49,8 @@
 	place_group_free_all(p);
 	map_destroy_all(p->departed, free);
 	map_destroy_all(p->leaving, free);
+	map_destroy_all(p->noticed_leaving, free);
+	map_destroy_all(p->backoffs, free);
 	map_destroy_all(p->versions, free);
 	map_destroy_all(p->budgets, free);
 	for (i = 0; i < map_count(p->demand); i++)
@@ -313,6 +318,7 @@
 	p->next_run_us = now_us + SWEEP_US;
 	p->last_run_us = now_us;
 	sweep(p);
+	place_backoff_expire(p);
 	place_share_count_engines(p);
 	for (a = p->queue_head; a != NULL; a = next) {
 		next = a->next;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -103,6 +103,39 @@
 void place_set_leaving(
     struct place *p, uint64_t now_us, const char *id, uint64_t born_ms);
 bool place_is_leaving(const struct place *p, const char *id, uint64_t born_ms);
+/* The same, or a response has said so (place_record_notice()). */
+bool place_is_known_leaving(
+    const struct place *p, const char *id, uint64_t born_ms);
+
+/*
+ * What an endpoint's response to one entry said about further requests. It
+ * holds for the process that responded.
+ */
+struct place_notice {
+	const char *endpoint;
+	uint64_t born_ms; /* start of that process */
+	bool is_leaving; /* it takes no new request of any entry */
+	uint32_t backoff_ms; /* it takes none of this entry for so long */
+};
+
+/* A longer backoff is shortened to this time. */
+#define PLACE_BACKOFF_MAX_MS 60000u
+
+/*
+ * Record a notice that an entry received. From then on the entry's requests are
+ * granted accordingly; those that no endpoint will take in time are refused.
+ * Unlike place_set_leaving(), a leaving endpoint is not part of the replicated
+ * state.
+ */
+void place_record_notice(struct place *p, uint64_t now_us, uint64_t entry,
+    const struct place_notice *notice);
+
+/*
+ * Whether the entry may send a request to the process of an endpoint that
+ * started at born_ms. If not, out says why; its endpoint is the argument.
+ */
+bool place_may_send(const struct place *p, uint64_t now_us, uint64_t entry,
+    const char *endpoint, uint64_t born_ms, struct place_notice *out);
 
 /* Get the process start of a known endpoint; false if the id is unknown. */
 bool place_get_born(const struct place *p, const char *id, uint64_t *born_ms);
@@ -289,6 +322,7 @@
 	enum place_decision_type type;
 	struct place_id id; /* GRANT, WAIT, REFUSE */
 	const char *endpoint, *address; /* GRANT, ORDER, REPORT */
+	uint64_t born_ms; /* GRANT: start of the endpoint's process */
 	const char *service; /* ORDER: of the endpoint */
 	uint32_t adapter_version, urgency; /* GRANT */
 	const char *reason; /* REFUSE */
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -205,6 +205,16 @@
 	remove_ask(p, a);
 }
 
+void
+place_ask_refuse_until(
+    struct place *p, struct place_ask *a, const char *reason, uint64_t until_us)
+{
+	uint32_t wait_ms = (uint32_t)((until_us - p->now_us) / US_PER_MS) + 1;
+
+	place_ask_refuse(p, a, NULL, reason, 0);
+	p->decisions[p->ndecisions - 1].retry_after_ms = wait_ms;
+}
+
 void
 place_ask(struct place *p, uint64_t now_us, const struct place_request *r)
 {
@@ -256,6 +266,7 @@
 	struct place_ask *a;
 	size_t i = map_count(p->asks);
 
+	place_backoff_drop_entry(p, entry);
 	while (i-- > 0) {
 		a = map_at(p->asks, i);
 		if (a->id.entry == entry)
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -169,8 +169,8 @@
  */
 #define DEPARTED_MAX 4096
 
-static void
-remember_born(struct map *m, const char *id, uint64_t born_ms)
+void
+place_remember_born(struct map *m, const char *id, uint64_t born_ms)
 {
 	uint64_t *born = mem_alloc(1, sizeof(*born));
 
@@ -188,7 +188,7 @@
 
 	p->now_us = now_us;
 	if (!place_is_leaving(p, id, born_ms))
-		remember_born(p->leaving, id, born_ms);
+		place_remember_born(p->leaving, id, born_ms);
 	if (e == NULL || e->born_ms > born_ms || e->leaving)
 		return;
 	e->leaving = true;
@@ -227,7 +227,7 @@
 static void
 remember_departed(struct place *p, const struct place_endpoint *e)
 {
-	remember_born(p->departed, e->id, e->born_ms + 1);
+	place_remember_born(p->departed, e->id, e->born_ms + 1);
 }
 
 /*
@@ -270,7 +270,8 @@
 update_endpoint(struct place *p, struct place_endpoint *e,
     const struct gw_announcement *a, bool *changed)
 {
-	bool leaving = a->leaving || place_is_leaving(p, a->id, a->born_ms);
+	bool leaving =
+	    a->leaving || place_is_known_leaving(p, a->id, a->born_ms);
 
 	if (e != NULL && e->born_ms != a->born_ms) {
 		place_endpoint_remove(p, e);
@@ -373,7 +374,7 @@
 
 	p->now_us = now_us;
 	if (min_born_ms != 0)
-		remember_born(p->departed, id, min_born_ms);
+		place_remember_born(p->departed, id, min_born_ms);
 	if (e != NULL)
 		place_endpoint_remove(p, e);
 }
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -198,9 +198,16 @@
 	return weights != NULL && weights->state == ADAPTER_LOADED;
 }
 
+static double
+ms_since(const struct place *p, uint64_t since_us)
+{
+	return (double)(p->now_us - since_us) / (double)US_PER_MS;
+}
+
 /*
  * Time until an adapter that is loaded or pending can serve the request; false
- * if it will not.
+ * if it will not. An order that has not been answered for some time is expected
+ * to take as long again.
  */
 static bool
 pending_load_ms(const struct place *p, const struct place_endpoint *e,
@@ -223,6 +230,8 @@
 		return true;
 	load = place_adapter_load_ms(
 	    p, place_adapter_was_recently_unloaded(e, adapter->key_hash));
+	if (adapter->state == ADAPTER_ORDERED)
+		load += ms_since(p, adapter->state_since_us);
 	if (*ms < load)
 		*ms = load; /* not accepted yet, even if it is overdue */
 	return may_order;
@@ -271,7 +280,8 @@
 	backlog = backlog_ms(p, e);
 	if (backlog + e->running * BATCH_COST_PER_REQUEST_MS >= limit ||
 	    !place_endpoint_is_usable(p, e, a->service) ||
-	    place_ask_avoids(a, e) || !has_weights(e, a->model))
+	    place_ask_avoids(a, e) || !has_weights(e, a->model) ||
+	    place_backoff_end_us(p, e, a->id.entry) != 0)
 		return false;
 	if ((adapter == NULL ||
 		!pending_load_ms(p, e, a, adapter, may_order, &load)) &&
@@ -327,6 +337,7 @@
 	d->id = a->id;
 	d->endpoint = e->id;
 	d->address = e->address;
+	d->born_ms = e->born_ms;
 	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
 	d->urgency = urgency_of(a);
 	d->basis = make_basis(p, e, est);
--- a/src/place/place_guard.h
+++ b/src/place/place_guard.h
@@ -21,6 +21,7 @@
 	bool store; /* limit the concurrent loads from the store */
 	bool version; /* never serve an outdated version of an adapter */
 	bool budget; /* limit repeats to a share of the requests */
+	bool notice; /* grant nothing against a notice of the endpoint */
 };
 
 extern struct place_guards place_guards;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -172,6 +172,9 @@
 	struct map *groups; /* struct place_group by service */
 	struct map *departed; /* uint64_t earliest accepted start by id */
 	struct map *leaving; /* uint64_t start of the process by id */
+	struct map *noticed_leaving; /* the same, not replicated */
+	struct map *backoffs; /* struct place_backoff by entry and endpoint */
+	uint64_t next_backoff_end_us; /* UINT64_MAX: there is none */
 	struct map *asks; /* struct place_ask by struct place_id */
 	/* queue of the asks that are not granted, by due_us */
 	struct place_ask *queue_head, *queue_tail;
@@ -236,6 +239,9 @@
 void place_ask_refuse(struct place *p, struct place_ask *a,
     const struct place_basis *basis, const char *reason,
     uint32_t retry_after_ms);
+/* Refuse a request and ask its caller to return at a time that is known. */
+void place_ask_refuse_until(struct place *p, struct place_ask *a,
+    const char *reason, uint64_t until_us);
 /* Remove a request from the queue. */
 void place_ask_dequeue(struct place *p, struct place_ask *a);
 void place_ask_free(struct place_ask *a);
@@ -243,9 +249,20 @@
 bool place_ask_avoids(
     const struct place_ask *a, const struct place_endpoint *e);
 
+/* ---- place_notice.c ---- */
+/* When the endpoint takes requests of the entry again; 0: it does now. */
+uint64_t place_backoff_end_us(
+    const struct place *p, const struct place_endpoint *e, uint64_t entry);
+/* Drop the backoffs that have ended, so that queued requests are tried. */
+void place_backoff_expire(struct place *p);
+/* Drop the backoffs of an entry's process that has ended. */
+void place_backoff_drop_entry(struct place *p, uint64_t entry);
+
 /* ---- place_endpoint.c, place_account.c ---- */
 void place_endpoint_free(struct place_endpoint *e);
 void place_endpoint_remove(struct place *p, struct place_endpoint *e);
+/* Remember the process of an id in a bounded map of uint64_t starts by id. */
+void place_remember_born(struct map *m, const char *id, uint64_t born_ms);
 /* Remove the endpoints whose announcements have stopped. */
 void place_endpoint_remove_silent(struct place *p);
 /* Look up all endpoints' engines in a new configuration. */
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -58,6 +58,7 @@
     {NODE_LOG_GATE_BUSY, NODE_LOG_WARN, "placer-busy"},
     {NODE_LOG_GATE_STATE, NODE_LOG_INFO, "placing-state"},
     {NODE_LOG_GATE_SHARDS, NODE_LOG_INFO, "shards-owned"},
+    {NODE_LOG_GATE_NOTICE, NODE_LOG_INFO, "endpoint-notice"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -71,6 +71,7 @@
 	NODE_LOG_GATE_BUSY = 131,
 	NODE_LOG_GATE_STATE = 132,
 	NODE_LOG_GATE_SHARDS = 133,
+	NODE_LOG_GATE_NOTICE = 134,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1492,6 +1492,51 @@
   assert(message->base.descriptor == &wire__endpoint_table__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__endpoint_notice__init
+                     (Wire__EndpointNotice         *message)
+{
+  static const Wire__EndpointNotice init_value = WIRE__ENDPOINT_NOTICE__INIT;
+  *message = init_value;
+}
+size_t wire__endpoint_notice__get_packed_size
+                     (const Wire__EndpointNotice *message)
+{
+  assert(message->base.descriptor == &wire__endpoint_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__endpoint_notice__pack
+                     (const Wire__EndpointNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__endpoint_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__endpoint_notice__pack_to_buffer
+                     (const Wire__EndpointNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__endpoint_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndpointNotice *
+       wire__endpoint_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndpointNotice *)
+     protobuf_c_message_unpack (&wire__endpoint_notice__descriptor,
+                                allocator, len, data);
+}
+void   wire__endpoint_notice__free_unpacked
+                     (Wire__EndpointNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__endpoint_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__table_ask__init
                      (Wire__TableAsk         *message)
 {
@@ -1537,7 +1582,7 @@
   assert(message->base.descriptor == &wire__table_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[28] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[29] =
 {
   {
     "version",
@@ -1875,12 +1920,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_notice",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, endpoint_notice),
+    &wire__endpoint_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   12,   /* field[12] = ask */
   25,   /* field[25] = call_answer */
   24,   /* field[24] = call_relay */
   14,   /* field[14] = done */
+  28,   /* field[28] = endpoint_notice */
   26,   /* field[26] = endpoint_table */
   2,   /* field[2] = epoch */
   13,   /* field[13] = grant */
@@ -1910,7 +1968,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1920,7 +1978,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  28,
+  29,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   2,  wire__envelope__number_ranges,
@@ -4685,7 +4743,7 @@
   (ProtobufCMessageInit) wire__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[11] =
 {
   {
     "ask",
@@ -4807,11 +4865,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_reply__field_indices_by_name[] = {
   4,   /* field[4] = adapter_version */
   3,   /* field[3] = address */
   0,   /* field[0] = ask */
+  10,   /* field[10] = born_ms */
   9,   /* field[9] = elsewhere */
   2,   /* field[2] = endpoint */
   8,   /* field[8] = load_ms */
@@ -4823,7 +4894,7 @@
 static const ProtobufCIntRange wire__place_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__place_reply__descriptor =
 {
@@ -4833,7 +4904,7 @@
   "Wire__PlaceReply",
   "wire",
   sizeof(Wire__PlaceReply),
-  10,
+  11,
   wire__place_reply__field_descriptors,
   wire__place_reply__field_indices_by_name,
   1,  wire__place_reply__number_ranges,
@@ -5432,6 +5503,83 @@
   (ProtobufCMessageInit) wire__endpoint_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__endpoint_notice__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointNotice, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointNotice, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointNotice, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backoff_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointNotice, backoff_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__endpoint_notice__field_indices_by_name[] = {
+  3,   /* field[3] = backoff_ms */
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = leaving */
+};
+static const ProtobufCIntRange wire__endpoint_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__endpoint_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.EndpointNotice",
+  "EndpointNotice",
+  "Wire__EndpointNotice",
+  "wire",
+  sizeof(Wire__EndpointNotice),
+  4,
+  wire__endpoint_notice__field_descriptors,
+  wire__endpoint_notice__field_indices_by_name,
+  1,  wire__endpoint_notice__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__table_ask__field_descriptors[1] =
 {
   {
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -48,6 +48,7 @@
 typedef struct Wire__LoadedModel Wire__LoadedModel;
 typedef struct Wire__EndpointInfo Wire__EndpointInfo;
 typedef struct Wire__EndpointTable Wire__EndpointTable;
+typedef struct Wire__EndpointNotice Wire__EndpointNotice;
 typedef struct Wire__TableAsk Wire__TableAsk;
 
 
@@ -68,23 +69,23 @@
 typedef enum _Wire__DoneOutcome {
   WIRE__DONE_OUTCOME__DONE_DELIVERED = 0,
   /*
-   * the endpoint failed it
+   * the endpoint failed the request
    */
   WIRE__DONE_OUTCOME__DONE_FAILED = 1,
   /*
-   * the caller left, or the ask is withdrawn
+   * caller disconnected, or the ask is withdrawn
    */
   WIRE__DONE_OUTCOME__DONE_CANCELLED = 2,
   /*
-   * no byte left: the endpoint was not reached
+   * no byte was sent: the endpoint was not reached
    */
   WIRE__DONE_OUTCOME__DONE_NOT_SENT = 3,
   /*
-   * the engine does not hold the adapter
+   * the engine does not have the adapter loaded
    */
   WIRE__DONE_OUTCOME__DONE_NOT_LOADED = 4,
   /*
-   * the endpoint said it is full
+   * the endpoint reported that it is full
    */
   WIRE__DONE_OUTCOME__DONE_BUSY = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__DONE_OUTCOME)
@@ -96,35 +97,35 @@
    */
   WIRE__PLACE_STATUS__PLACE_REFUSED = 1,
   /*
-   * the decision follows
+   * queued: the decision follows
    */
   WIRE__PLACE_STATUS__PLACE_WAITS = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PLACE_STATUS)
 } Wire__PlaceStatus;
 typedef enum _Wire__PlaceOutcome {
   /*
-   * the answer has begun; more follows
+   * the response has begun; another outcome follows
    */
   WIRE__PLACE_OUTCOME__PLACE_FIRST = 0,
   WIRE__PLACE_OUTCOME__PLACE_ENDED = 1,
   /*
-   * the endpoint failed it
+   * the endpoint failed the request
    */
   WIRE__PLACE_OUTCOME__PLACE_FAILED = 2,
   /*
-   * no byte left: the endpoint was not reached
+   * no byte was sent: the endpoint was not reached
    */
   WIRE__PLACE_OUTCOME__PLACE_NOT_SENT = 3,
   /*
-   * the endpoint refused for load
+   * the endpoint refused because of its load
    */
   WIRE__PLACE_OUTCOME__PLACE_FULL = 4,
   /*
-   * it is another process, or lacks the adapter
+   * another process, or the adapter is not loaded
    */
   WIRE__PLACE_OUTCOME__PLACE_LACKS = 5,
   /*
-   * the caller has left
+   * the caller disconnected
    */
   WIRE__PLACE_OUTCOME__PLACE_LEFT = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PLACE_OUTCOME)
@@ -158,7 +159,8 @@
   WIRE__ENVELOPE__BODY_CALL_RELAY = 31,
   WIRE__ENVELOPE__BODY_CALL_ANSWER = 32,
   WIRE__ENVELOPE__BODY_ENDPOINT_TABLE = 33,
-  WIRE__ENVELOPE__BODY_TABLE_ASK = 34
+  WIRE__ENVELOPE__BODY_TABLE_ASK = 34,
+  WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -201,6 +203,7 @@
     Wire__CallAnswer *call_answer;
     Wire__EndpointTable *endpoint_table;
     Wire__TableAsk *table_ask;
+    Wire__EndpointNotice *endpoint_notice;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -951,10 +954,14 @@
    * refused here, but another owner may accept it
    */
   protobuf_c_boolean elsewhere;
+  /*
+   * start of the endpoint's process; 0: not given
+   */
+  uint64_t born_ms;
 };
 #define WIRE__PLACE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_reply__descriptor) \
-    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -1096,6 +1103,32 @@
     , 0, 0, 0, 0,NULL }
 
 
+/*
+ * Entry to placer and leader: what an endpoint's response to this entry said
+ * about further requests.
+ */
+struct  Wire__EndpointNotice
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  /*
+   * start of the process that responded
+   */
+  uint64_t born_ms;
+  /*
+   * it is draining
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * it wants nothing from this entry for so long
+   */
+  uint32_t backoff_ms;
+};
+#define WIRE__ENDPOINT_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * Instance to placer: requests the whole endpoint table.
  */
@@ -1736,6 +1769,25 @@
 void   wire__endpoint_table__free_unpacked
                      (Wire__EndpointTable *message,
                       ProtobufCAllocator *allocator);
+/* Wire__EndpointNotice methods */
+void   wire__endpoint_notice__init
+                     (Wire__EndpointNotice         *message);
+size_t wire__endpoint_notice__get_packed_size
+                     (const Wire__EndpointNotice   *message);
+size_t wire__endpoint_notice__pack
+                     (const Wire__EndpointNotice   *message,
+                      uint8_t             *out);
+size_t wire__endpoint_notice__pack_to_buffer
+                     (const Wire__EndpointNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndpointNotice *
+       wire__endpoint_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__endpoint_notice__free_unpacked
+                     (Wire__EndpointNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__TableAsk methods */
 void   wire__table_ask__init
                      (Wire__TableAsk         *message);
@@ -1856,6 +1908,9 @@
 typedef void (*Wire__EndpointTable_Closure)
                  (const Wire__EndpointTable *message,
                   void *closure_data);
+typedef void (*Wire__EndpointNotice_Closure)
+                 (const Wire__EndpointNotice *message,
+                  void *closure_data);
 typedef void (*Wire__TableAsk_Closure)
                  (const Wire__TableAsk *message,
                   void *closure_data);
@@ -1902,6 +1957,7 @@
 extern const ProtobufCMessageDescriptor wire__loaded_model__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_info__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_table__descriptor;
+extern const ProtobufCMessageDescriptor wire__endpoint_notice__descriptor;
 extern const ProtobufCMessageDescriptor wire__table_ask__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -25,6 +25,7 @@
 	std::vector<place_request> place_requests;
 	std::vector<std::string> avoided;
 	std::vector<place_outcome> outcomes;
+	std::vector<place_notice> notices;
 	/* the response to the caller */
 	int status = 0;
 	std::string body, retry_after;
@@ -37,7 +38,8 @@
 	void
 	SetUp() override
 	{
-		static const forward_ops ops = {ask, done, next_call, log};
+		static const forward_ops ops = {
+		    ask, done, notice, next_call, log};
 
 		route.name = (char *)"r";
 		route.host = (char *)"h";
@@ -77,6 +79,12 @@
 		((ForwardTest *)ctx)->outcomes.push_back(end->outcome);
 	}
 
+	static void
+	notice(void *ctx, uint64_t, const place_notice *notice, node_effects *)
+	{
+		((ForwardTest *)ctx)->notices.push_back(*notice);
+	}
+
 	static uint64_t
 	next_call(void *ctx)
 	{
@@ -167,8 +175,8 @@
 	bool
 	Grant(const char *endpoint = "i-1")
 	{
-		forward_grant g = {
-		    place_requests.back().id.ask, endpoint, "1.1.1.1:1", 0, 4};
+		forward_grant g = {place_requests.back().id.ask, endpoint,
+		    "1.1.1.1:1", 1, 0, 4};
 		bool taken = forward_on_grant(f, now_us, &g, fx);
 
 		ApplyEffects();
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -117,6 +117,73 @@
 	}
 }
 
+/*
+ * Guards against requests to an endpoint that wants none, and against one that
+ * is avoided because of another process at its address, or of a response to
+ * another request.
+ */
+TEST_F(Outcome, notices_of_the_granted_process_are_passed_on)
+{
+	static const struct {
+		int status;
+		std::vector<node_header> headers;
+		bool is_leaving;
+		uint32_t backoff_ms;
+	} rows[] = {
+	    {200,
+		{{"Mulberrypath-Attempt-Id", "42"},
+		    {"Mulberrypath-Server-Signature", "s"},
+		    {"Server-Leaving", "1"}},
+		true, 0},
+	    {500, {{"Server-Leaving", "1"}}, true, 0},
+	    {503, {{"Mulberrypath-Not-Executed", "1"}, {"Retry-After", "2"}},
+		false, 2000},
+	    {503, {{"Retry-After", "2"}, {"Server-Leaving", "1"}}, true, 2000},
+	    {421, {{"Server-Leaving", "1"}}, false, 0},
+	    {503, {{"Mulberrypath-Attempt-Id", "41"}, {"Retry-After", "2"}},
+		false, 0},
+	    {200, {{"Mulberrypath-Server-Signature", "s"}}, false, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		auto &row = rows[i];
+
+		status = 0;
+		notices.clear();
+		StartRequest();
+		ASSERT_TRUE(Grant());
+		ReceiveHead(row.status, row.headers);
+		ASSERT_EQ(notices.size(),
+		    row.is_leaving || row.backoff_ms > 0 ? 1u : 0u)
+		    << i;
+		if (notices.empty())
+			continue;
+		EXPECT_EQ(notices[0].born_ms, 1u) << i;
+		EXPECT_EQ(notices[0].is_leaving, row.is_leaving) << i;
+		EXPECT_EQ(notices[0].backoff_ms, row.backoff_ms) << i;
+	}
+}
+
+/*
+ * Guards against a request that is granted the same unwilling endpoint again
+ * and again, and against one that counts as a repeat though it was not sent.
+ */
+TEST_F(Outcome, declined_grants_are_bounded_and_are_no_repeats)
+{
+	StartRequest();
+	for (int n = 0; n < 9 && status == 0; n++) {
+		EXPECT_EQ(place_requests.back().attempt, 0u);
+		forward_decline_grant(
+		    f, now_us, place_requests.back().id.ask, 700, fx);
+		ApplyEffects();
+	}
+	EXPECT_EQ(status, 503);
+	EXPECT_EQ(retry_after, "0.700");
+	EXPECT_EQ(call_count, 0u) << "nothing was sent";
+	EXPECT_LE(ask_count, 5u);
+	EXPECT_EQ(forward_request_count(f), 0u);
+}
+
 /*
  * Guards against more endpoints running a request than its route allows, if
  * failed attempts are not counted.
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -460,19 +460,20 @@
 }
 
 void
-GatewaySim::answer_call(
-    const EndpointCall &call, int status, const std::string &body)
+GatewaySim::answer_call(const EndpointCall &call, int status,
+    const std::string &body, std::vector<node_header> headers)
 {
-	node_header headers[] = {{"Mulberrypath-Server-Signature", "s"}};
 	struct node_event ev = {};
 
+	if (status == 200)
+		headers.push_back({"Mulberrypath-Server-Signature", "s"});
 	open_calls.erase({call.instance, call.call});
 	ev.type = NODE_EV_CALL;
 	ev.u.call.call = call.call;
 	ev.u.call.phase = NODE_CALL_HEAD;
 	ev.u.call.status = status;
-	ev.u.call.headers = headers;
-	ev.u.call.nheaders = status == 200 ? 1 : 0;
+	ev.u.call.headers = headers.data();
+	ev.u.call.nheaders = headers.size();
 	step(call.instance, ev);
 	ev.u.call.phase = NODE_CALL_DATA;
 	ev.u.call.data = {body.data(), body.size()};
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -105,8 +105,8 @@
 	Reply announce(int i, const std::string &id,
 	    const std::string &state = "ready", uint64_t sequence = 0,
 	    uint64_t born = 1);
-	void answer_call(
-	    const EndpointCall &call, int status, const std::string &body);
+	void answer_call(const EndpointCall &call, int status,
+	    const std::string &body, std::vector<node_header> headers = {});
 	/* Sends a part of an answer; the first is preceded by the head. */
 	void answer_call_part(
 	    const EndpointCall &call, bool first, const std::string &body);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -71,25 +71,59 @@
 			{"Mulberrypath-Deadline-Ms", "1500"}});
 	}
 
-	/* Whether a request reaches an endpoint within a time; answers it. */
+	/* The endpoint that the last call went to. */
+	std::string
+	LastEndpoint()
+	{
+		return sim->endpoint_calls.back()
+		    .headers["Mulberrypath-Expected-Instance"];
+	}
+
+	/* Whether a request reaches an endpoint within a time. */
 	bool
-	ReachesEndpoint(
-	    int entry, std::string *endpoint = nullptr, uint64_t ms = 1000)
+	IsSent(int entry, uint64_t ms = 1000)
 	{
 		size_t before = sim->endpoint_calls.size();
 
 		(void)SendRequest(entry);
-		if (!sim->run_until(
-			[&] { return sim->endpoint_calls.size() > before; },
-			ms))
+		return sim->run_until(
+		    [&] { return sim->endpoint_calls.size() > before; }, ms);
+	}
+
+	/* The same; the request is answered. */
+	bool
+	ReachesEndpoint(
+	    int entry, std::string *endpoint = nullptr, uint64_t ms = 1000)
+	{
+		if (!IsSent(entry, ms))
 			return false;
 		if (endpoint != nullptr)
-			*endpoint =
-			    sim->endpoint_calls.back()
-				.headers["Mulberrypath-Expected-Instance"];
+			*endpoint = LastEndpoint();
 		sim->answer_call(sim->endpoint_calls.back(), 200, "answer");
 		return true;
 	}
+
+	/*
+	 * Sends requests until one is sent to the endpoint; that one is not
+	 * answered. The others are answered after it, as an endpoint with fewer
+	 * requests is preferred.
+	 */
+	bool
+	ReachesThisEndpoint(int entry, const std::string &endpoint)
+	{
+		size_t first = sim->endpoint_calls.size();
+		bool is_reached = false;
+
+		for (int i = 0; i < 24 && !is_reached; i++) {
+			if (!IsSent(entry))
+				return false;
+			is_reached = LastEndpoint() == endpoint;
+		}
+		for (size_t i = first;
+		     i + is_reached < sim->endpoint_calls.size(); i++)
+			sim->answer_call(sim->endpoint_calls[i], 200, "answer");
+		return is_reached;
+	}
 };
 
 /* ---- founding ---- */
@@ -510,6 +544,81 @@
 	}
 }
 
+/*
+ * Guards against requests to an endpoint that has said in a response that it is
+ * leaving, and announces nothing of the kind: by the entry that passed that
+ * response on, by others, and after the placer is lost. Its next process gets
+ * requests again, whatever a late response of the earlier one says.
+ */
+TEST_F(Gateway, an_endpoint_that_says_it_leaves_gets_no_more_requests)
+{
+	std::string endpoint;
+	GatewaySim::EndpointCall late;
+
+	StartServing();
+	ASSERT_TRUE(ReachesThisEndpoint(5, "e1"));
+	late = sim->endpoint_calls.back();
+	ASSERT_TRUE(ReachesThisEndpoint(5, "e1"));
+	sim->answer_call(sim->endpoint_calls.back(), 200, "answer",
+	    {{"Server-Leaving", "1"}});
+	for (int i = 0; i < 8; i++) {
+		ASSERT_TRUE(ReachesEndpoint(5, &endpoint));
+		EXPECT_EQ(endpoint, "e2") << "at once, where it was received";
+	}
+	sim->run_for_ms(500);
+	ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
+	for (int i = 0; i < 8; i++) {
+		ASSERT_TRUE(ReachesEndpoint(6, &endpoint));
+		EXPECT_EQ(endpoint, "e2") << "soon, at other entries";
+	}
+	sim->kill(sim->leader());
+	ASSERT_TRUE(sim->run_until([&] { return sim->leader() >= 0; }, 8000));
+	for (int i = 0; i < 8; i++) {
+		ASSERT_TRUE(ReachesEndpoint(5 + i % 2, &endpoint));
+		EXPECT_EQ(endpoint, "e2") << "after the loss of the placer";
+	}
+	ASSERT_EQ(
+	    sim->announce(sim->leader(), "e1", "ready", 0, 2).status, 200);
+	sim->run_for_ms(500);
+	sim->answer_call(late, 200, "answer", {{"Server-Leaving", "1"}});
+	EXPECT_TRUE(ReachesThisEndpoint(5, "e1")) << "a new process";
+}
+
+/*
+ * Guards against requests to an endpoint that has turned a request of this
+ * entry away for some time, also while the entry places them by itself.
+ */
+TEST_F(Gateway, an_endpoint_gets_no_requests_of_an_entry_that_it_turned_away)
+{
+	std::string endpoint;
+	uint64_t until_us;
+
+	StartServing();
+	ASSERT_TRUE(ReachesThisEndpoint(5, "e1"));
+	sim->answer_call(sim->endpoint_calls.back(), 503, "",
+	    {{"Mulberrypath-Not-Executed", "1"}, {"Retry-After", "3"}});
+	until_us = sim->now_us + 3000 * MS;
+	ASSERT_TRUE(sim->run_until([&] { return LastEndpoint() == "e2"; }, 500))
+	    << "the request goes elsewhere";
+	sim->answer_call(sim->endpoint_calls.back(), 200, "answer");
+	EXPECT_TRUE(ReachesThisEndpoint(6, "e1"))
+	    << "the other entry was not turned away";
+	sim->answer_call(sim->endpoint_calls.back(), 200, "answer");
+	for (int i = 0; i < 4; i++) {
+		ASSERT_TRUE(ReachesEndpoint(5, &endpoint));
+		EXPECT_EQ(endpoint, "e2");
+	}
+	for (int i = 0; i < 5; i++)
+		sim->kill(i);
+	while (sim->now_us + 400 * MS < until_us) {
+		ASSERT_TRUE(ReachesEndpoint(5, &endpoint));
+		EXPECT_EQ(endpoint, "e2") << "placed by the entry";
+		sim->run_for_ms(100);
+	}
+	sim->run_for_ms(500);
+	EXPECT_TRUE(ReachesThisEndpoint(5, "e1")) << "the time has passed";
+}
+
 /* ---- without a placer ---- */
 
 TEST_F(Gateway, entries_serve_while_there_is_no_placer)
--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -175,6 +175,52 @@
 	}
 }
 
+/*
+ * Guards against an endpoint that is sent more requests after it has said that
+ * it wants none, and against one that is left alone for rubbish. Only a number
+ * of seconds counts, and only in a 503.
+ */
+TEST_F(Requests, notices_about_further_requests_are_read)
+{
+	static const struct {
+		int status;
+		const char *name, *value;
+		bool is_leaving;
+		uint32_t backoff_ms;
+	} rows[] = {{200, "Server-Leaving", "1", true, 0},
+	    {503, "server-leaving", "1", true, 0},
+	    {200, "Server-Leaving", "0", false, 0},
+	    {200, "Server-Leaving", "", false, 0},
+	    {503, "Retry-After", "3", false, 3000},
+	    {503, "retry-after", "0.25", false, 250},
+	    {503, "Retry-After", "2 ", false, 2000},
+	    {503, "Retry-After", "0", false, 0},
+	    {503, "Retry-After", "-3", false, 0},
+	    {503, "Retry-After", "", false, 0},
+	    {503, "Retry-After", "soon", false, 0},
+	    {503, "Retry-After", "1.2.3", false, 0},
+	    {503, "Retry-After", "3 4", false, 0},
+	    {503, "Retry-After", "0x10", false, 0},
+	    {503, "Retry-After", "1e9", false, 0},
+	    {503, "Retry-After", "Fri, 04 Dec 2026 15:00:00 GMT", false, 0},
+	    {503, "Retry-After", "99999999999999999999", false, UINT32_MAX},
+	    {429, "Retry-After", "3", false, 0},
+	    {200, "Retry-After", "3", false, 0}};
+
+	for (auto &row : rows) {
+		node_header h = {row.name, row.value};
+		node_call_event head = {};
+		gw_endpoint_response a;
+
+		head.status = row.status;
+		head.headers = &h;
+		head.nheaders = 1;
+		platform_codec.read_endpoint_response(&a, &head, memory);
+		EXPECT_EQ(a.is_leaving, row.is_leaving) << row.value;
+		EXPECT_EQ(a.backoff_ms, row.backoff_ms) << row.value;
+	}
+}
+
 /*
  * Callers repeat a request after 503, which states that it has not run. A
  * request that may have run must get 502 or 504.
