place: an order without an answer is not about to be a loaded adapter

An adapter whose order had no answer for a second was estimated to be ready after one load time, so requests gathered behind it.

--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -41,6 +41,8 @@
 #define STUCK_COST_MS 1000.0
 /* Interval of evaluating a request whose adapter is not loading yet. */
 #define WANTED_RECHECK_US (50 * US_PER_MS)
+/* Longest usual time until an order is answered, or is known not to be. */
+#define ORDER_ANSWER_MAX_US (500 * US_PER_MS)
 /* The engine takes urgencies from 0, the most urgent, to 9. */
 #define URGENCY_BASE 3u
 #define URGENCY_MAX  9u
@@ -206,7 +208,7 @@
 
 /*
  * Time until an adapter that is loaded or pending can serve the request; false
- * if it will not. An order that has not been answered for some time is expected
+ * if it will not. An order without an answer for longer than usual is expected
  * to take as long again.
  */
 static bool
@@ -230,7 +232,8 @@
 		return true;
 	load = place_adapter_load_ms(
 	    p, place_adapter_was_recently_unloaded(e, adapter->key_hash));
-	if (adapter->state == ADAPTER_ORDERED)
+	if (adapter->state == ADAPTER_ORDERED &&
+	    p->now_us > adapter->state_since_us + ORDER_ANSWER_MAX_US)
 		load += ms_since(p, adapter->state_since_us);
 	if (*ms < load)
 		*ms = load; /* not accepted yet, even if it is overdue */
