Endpoints are kept when a placer begins without a table

After all cores lost power, the new leader sent its table with the one endpoint that it had heard of. The 77 entries dropped the 161 others, with the accounts, adapters and order counts of those they owned: "table-taken endpoints 1", then 1,775 requests not placed as "not-owner" in one second, 1,248 endpoint-changed, and seconds of loads for adapters that engines still held. Size makes it so heavy; in a small cluster the leader alone places.

Change: a whole table is merged: what is in both stays as it is. A placer that began without a table and has not yet had time to hear all announcements says so (partial); what it doesn't list is kept for as long as a silent endpoint. It refuses to deregister an endpoint that it doesn't know (503: the endpoint tries again), as others may still use it.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -142,6 +142,7 @@
 	/* the placer */
 	bool placing; /* as the leader */
 	uint64_t placing_term;
+	uint64_t placing_since_us;
 	uint64_t order_after_us; /* no orders as the leader before */
 	uint64_t answer_time_us; /* of order and report calls, smoothed */
 	uint64_t state_log_due_us;
@@ -173,6 +174,7 @@
 	uint64_t table_term, table_number; /* last sent or applied */
 	uint32_t table_source; /* instance that last sent it */
 	bool table_complete; /* no message was missed */
+	bool table_partial; /* the last whole one was partial */
 	uint64_t table_timer_us; /* placer: last sent; else: next request */
 	bool has_been_leased;
 	bool closing_announced, closed_announced; /* while it stops */
@@ -319,6 +321,8 @@
 bool gate_order_on_call(struct node *n, const struct node_call_event *event);
 
 /* ---- node_gate_table.c: the table of endpoints ---- */
+/* Whether this placer knows all endpoints that announce themselves. */
+bool gate_table_is_complete(const struct node *n);
 void gate_table_tick(struct node *n);
 void gate_table_on_ask(struct node *n, uint32_t from);
 void gate_table_on_table(
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -255,7 +255,8 @@
 
 /*
  * An endpoint that deregisters without having announced that it leaves keeps
- * running for a while, but gets no new work.
+ * running for a while, but gets no new work. That can be promised for a known
+ * endpoint only; others may keep one that this placer has not heard of yet.
  */
 static void
 handle_leave(struct node *n, const struct gw_call *call,
@@ -265,6 +266,10 @@
 	bool known = place_get_born(n->gate->place, call->endpoint, &born);
 	bool announced = place_is_leaving(n->gate->place, call->endpoint, born);
 
+	if (!known && !gate_table_is_complete(n)) {
+		send_result(n, caller, 503, "the endpoint is not known yet");
+		return;
+	}
 	(void)place_endpoint_leave(n->gate->place, n->now, call->endpoint);
 	if (known && !announced)
 		gate_control_propose_leaving(n, call->endpoint, born, caller);
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -318,6 +318,7 @@
 	const struct settings_gateway *s = &n->settings->gateway;
 
 	g->placing = true;
+	g->placing_since_us = n->now;
 	g->placing_term = g->table_term = raft_get_term(n->raft);
 	g->fence = n->applied;
 	g->table_number = 0;
--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -10,6 +10,10 @@
  * there are none. An instance that misses a number, or learns of a new placer,
  * requests the whole table. A new placer therefore starts with what the
  * previous one knew, and an entry can place requests by itself.
+ *
+ * A placer whose process has just started begins without a table, as it keeps
+ * none on its disk. Until all endpoints had time to announce themselves, the
+ * others keep those that it does not list.
  */
 
 /*
@@ -74,6 +78,15 @@
 	node_peer_send(n, to, &envelope);
 }
 
+bool
+gate_table_is_complete(const struct node *n)
+{
+	const struct node_gate *g = n->gate;
+
+	return (g->table_complete && !g->table_partial) ||
+	    place_has_heard_all(g->place, n->now, g->placing_since_us);
+}
+
 static void
 send_whole_table(struct node *n, uint32_t to)
 {
@@ -81,6 +94,7 @@
 	size_t i;
 
 	table.whole = true;
+	table.partial = !gate_table_is_complete(n);
 	table.n_endpoints = place_endpoint_count(n->gate->place);
 	table.endpoints = node_effects_alloc(
 	    n->fx, (table.n_endpoints + 1) * sizeof(Wire__EndpointInfo *));
@@ -225,12 +239,38 @@
 	place_apply_entry(n->gate->place, n->now, &a);
 }
 
+static void
+apply_entries(struct node *n, const Wire__EndpointTable *table)
+{
+	size_t i;
+
+	for (i = 0; i < table->n_endpoints; i++)
+		apply_info(n, table->endpoints[i]);
+}
+
+static void
+apply_whole(struct node *n, uint32_t from, const Wire__EndpointTable *table)
+{
+	struct node_gate *g = n->gate;
+
+	place_begin_whole_table(g->place);
+	apply_entries(n, table);
+	place_end_whole_table(g->place, n->now,
+	    table->partial ? n->settings->gateway.heartbeat_ms : 0);
+	g->table_partial = table->partial;
+	node_log(n, NODE_LOG_GATE_TABLE,
+	    "{\"placer\": %u, \"term\": %llu, \"number\": %llu, "
+	    "\"endpoints\": %zu, \"partial\": %s, \"known\": %zu}",
+	    from, (unsigned long long)table->term,
+	    (unsigned long long)table->number, table->n_endpoints,
+	    table->partial ? "true" : "false", place_endpoint_count(g->place));
+}
+
 void
 gate_table_on_table(
     struct node *n, uint32_t from, const Wire__EndpointTable *table)
 {
 	struct node_gate *g = n->gate;
-	size_t i;
 
 	if (g->placing || table->term < g->table_term)
 		return; /* from a former placer */
@@ -243,16 +283,10 @@
 		request_whole_table(n, from, table->term);
 		return;
 	}
-	if (table->whole) {
-		place_remove_all(g->place, n->now);
-		node_log(n, NODE_LOG_GATE_TABLE,
-		    "{\"placer\": %u, \"term\": %llu, \"number\": %llu, "
-		    "\"endpoints\": %zu}",
-		    from, (unsigned long long)table->term,
-		    (unsigned long long)table->number, table->n_endpoints);
-	}
-	for (i = 0; i < table->n_endpoints; i++)
-		apply_info(n, table->endpoints[i]);
+	if (table->whole)
+		apply_whole(n, from, table);
+	else
+		apply_entries(n, table);
 	g->table_source = from;
 	g->table_term = table->term;
 	g->table_number = table->number;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -159,8 +159,26 @@
 /* The earliest process start accepted for an id that left; 0: any. */
 uint64_t place_min_born_ms(const struct place *p, const char *id);
 
-/* Remove all endpoints, before the whole table is replaced. */
-void place_remove_all(struct place *p, uint64_t now_us);
+/*
+ * Replace the whole table: begin, apply each entry of the new table, end. What
+ * is known of an endpoint that is in both tables stays, such as the requests
+ * that run there.
+ *
+ * heartbeat_ms: 0 if the new table lists all endpoints; others are removed. If
+ * not, its placer has begun without a table and learns of endpoints by their
+ * announcements, at this interval; others are removed unless it lists them
+ * before they would count as silent.
+ */
+void place_begin_whole_table(struct place *p);
+void place_end_whole_table(
+    struct place *p, uint64_t now_us, uint32_t heartbeat_ms);
+
+/*
+ * Whether this placer has received announcements for long enough to know all
+ * endpoints, since a time at which it may have known none.
+ */
+bool place_has_heard_all(
+    const struct place *p, uint64_t now_us, uint64_t since_us);
 
 size_t place_endpoint_count(const struct place *p);
 
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -81,17 +81,24 @@
 	place_endpoint_free(e);
 }
 
+static uint64_t
+silent_after_us(uint32_t heartbeat_ms)
+{
+	return (uint64_t)heartbeat_ms * US_PER_MS * PLACE_SILENT_HEARTBEATS;
+}
+
 void
 place_endpoint_remove_silent(struct place *p)
 {
-	uint64_t silent_us = (uint64_t)p->options.heartbeat_ms * US_PER_MS *
-	    PLACE_SILENT_HEARTBEATS;
+	uint64_t silent_us = silent_after_us(p->options.heartbeat_ms);
 	struct place_endpoint *e;
 	size_t i = map_count(p->endpoints);
 
-	while (silent_us > 0 && i-- > 0) {
+	while (i-- > 0) {
 		e = map_at(p->endpoints, i);
-		if (p->now_us > e->announced_us + silent_us)
+		if ((silent_us > 0 &&
+			p->now_us > e->announced_us + silent_us) ||
+		    (e->remove_at_us != 0 && p->now_us >= e->remove_at_us))
 			place_endpoint_remove(p, e);
 	}
 }
@@ -283,6 +290,8 @@
 	e->born_ms = a->born_ms;
 	e->sequence = a->sequence;
 	e->announced_us = p->now_us;
+	e->table_round = p->table_round;
+	e->remove_at_us = 0;
 	*changed |= set_service(p, e, a->service);
 	*changed |= replace_text(&e->address, a->address);
 	*changed |= replace_text(&e->data_centre, a->data_centre);
@@ -386,11 +395,34 @@
 }
 
 void
-place_remove_all(struct place *p, uint64_t now_us)
+place_begin_whole_table(struct place *p)
 {
+	p->table_round++;
+}
+
+void
+place_end_whole_table(struct place *p, uint64_t now_us, uint32_t heartbeat_ms)
+{
+	struct place_endpoint *e;
+	size_t i = map_count(p->endpoints);
+
 	p->now_us = now_us;
-	while (map_count(p->endpoints) > 0)
-		place_endpoint_remove(p, map_at(p->endpoints, 0));
+	while (i-- > 0) {
+		e = map_at(p->endpoints, i);
+		if (e->table_round == p->table_round)
+			continue;
+		if (heartbeat_ms == 0)
+			place_endpoint_remove(p, e);
+		else if (e->remove_at_us == 0)
+			e->remove_at_us =
+			    now_us + silent_after_us(heartbeat_ms);
+	}
+}
+
+bool
+place_has_heard_all(const struct place *p, uint64_t now_us, uint64_t since_us)
+{
+	return now_us >= since_us + silent_after_us(p->options.heartbeat_ms);
 }
 
 size_t
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -60,6 +60,8 @@
 	bool leaving;
 	uint64_t announced_us; /* when the newest announcement arrived */
 	bool is_changed; /* to be published to the other instances */
+	uint64_t table_round; /* whole table that listed it last */
+	uint64_t remove_at_us; /* unless it is listed before; 0: never */
 	/* load accounting */
 	uint32_t running; /* granted requests that have not ended */
 	uint32_t unread_requests; /* granted, without a first byte yet */
@@ -190,6 +192,7 @@
 	uint32_t weights_loading; /* from the store */
 	struct place_decision *decisions;
 	size_t ndecisions, ndecisions_taken, decisions_cap;
+	uint64_t table_round; /* counts the whole tables */
 	struct place_change *changes;
 	size_t nchanges, changes_cap;
 	char *popped_change_id; /* returned by place_pop_change() */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -5426,7 +5426,7 @@
   (ProtobufCMessageInit) wire__endpoint_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_table__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__endpoint_table__field_descriptors[5] =
 {
   {
     "term",
@@ -5476,17 +5476,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partial",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointTable, partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__endpoint_table__field_indices_by_name[] = {
   3,   /* field[3] = endpoints */
   1,   /* field[1] = number */
+  4,   /* field[4] = partial */
   0,   /* field[0] = term */
   2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange wire__endpoint_table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__endpoint_table__descriptor =
 {
@@ -5496,7 +5509,7 @@
   "Wire__EndpointTable",
   "wire",
   sizeof(Wire__EndpointTable),
-  4,
+  5,
   wire__endpoint_table__field_descriptors,
   wire__endpoint_table__field_indices_by_name,
   1,  wire__endpoint_table__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1097,10 +1097,15 @@
   protobuf_c_boolean whole;
   size_t n_endpoints;
   Wire__EndpointInfo **endpoints;
+  /*
+   * With whole: the placer began without a table, and may not know endpoints
+   * that have not announced themselves since.
+   */
+  protobuf_c_boolean partial;
 };
 #define WIRE__ENDPOINT_TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_table__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -241,6 +241,40 @@
 		EXPECT_FALSE(e.crashed) << e.id;
 }
 
+/*
+ * Guards against owners that lose their engines, with the requests for adapters
+ * that are loaded there, when a placer begins that knows no endpoints yet: all
+ * cores have lost power and kept no table.
+ */
+TEST(Fleet, a_placer_without_a_table_takes_no_engines_from_owners)
+{
+	const uint64_t step_ms = 50;
+	Fleet::Options options;
+	uint64_t from;
+
+	options.model_requests_per_s = 200;
+	Fleet fleet(options);
+	ASSERT_TRUE(fleet.bring_up());
+	fleet.run_traffic(3000);
+	fleet.request_adapter("a0");
+	fleet.run_traffic(1000);
+	for (int i = 0; i < options.cores; i++)
+		fleet.sim.kill(i);
+	fleet.sim.founding_allowed = false;
+	fleet.run_traffic(0);
+	from = fleet.sim.now_us;
+	for (uint64_t ms = 0; ms < 8000; ms += step_ms) {
+		if (ms == 1600)
+			for (int i = 0; i < options.cores; i++)
+				fleet.sim.start(i);
+		fleet.request_adapter("a0");
+		fleet.sim.run_for_ms(step_ms);
+	}
+	EXPECT_EQ(fleet.fraction_in_time(
+		      from, fleet.sim.now_us - kObjectiveUs, kObjectiveUs),
+	    1.0);
+}
+
 /*
  * Guards against an engine whose answer to an order or a report has no end: it
  * fills the memory of its owner, or gets no further orders.
