Lookups name all entries of a large cluster in turn

Cause: an answer has room for 64 addresses and always named the first 64 of the members by id, which are the addresses.

Change: with more members than fit, the list begins at a random one.

Test: Gateway.lookups_name_all_entries_in_turn (failed: 6 of 70 entries named never).

--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -410,7 +410,28 @@
 
 #define LOOKUP_ADDRESSES_MAX 64
 
-/* Answers with the addresses of all entries that are not leaving. */
+/*
+ * Lists the addresses of entries that are not leaving. Of more entries than
+ * fit, those after a random one are listed, so that callers spread over all.
+ */
+static size_t
+list_entries(struct node *n, const char **addresses)
+{
+	size_t i, members = member_view_count(n->view), count = 0;
+	size_t first = members <= LOOKUP_ADDRESSES_MAX
+	    ? 0
+	    : rng_below(&n->rng, (uint32_t)members);
+	const struct member *m;
+
+	for (i = 0; i < members && count < LOOKUP_ADDRESSES_MAX; i++) {
+		m = member_view_at(n->view, (first + i) % members);
+		if (m->voter == 0 && !m->leaving)
+			addresses[count++] = m->http;
+	}
+	return count;
+}
+
+/* Answers with the addresses of entries. */
 void
 gate_registry_lookup(
     struct node *n, uint64_t request, const struct gw_call *call)
@@ -418,18 +439,10 @@
 	struct node_reply *reply =
 	    &node_effects_add(n->fx, NODE_FX_REPLY)->u.reply;
 	const char *addresses[LOOKUP_ADDRESSES_MAX];
-	const struct member *m;
-	size_t i, count = 0;
+	size_t count = list_entries(n, addresses);
 
 	(void)call;
 	reply->request = request;
-	for (i = 0;
-	     i < member_view_count(n->view) && count < LOOKUP_ADDRESSES_MAX;
-	     i++) {
-		m = member_view_at(n->view, i);
-		if (m->voter == 0 && !m->leaving)
-			addresses[count++] = m->http;
-	}
 	if (count == 0)
 		n->gate->codec->write_result(
 		    reply, 503, "no entry is known", n->fx);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -796,6 +796,39 @@
 
 /* ---- addresses and stopping ---- */
 
+/*
+ * Guards against entries that receive no callers because a list has room for
+ * fewer addresses than there are entries.
+ */
+TEST_F(Gateway, lookups_name_all_entries_in_turn)
+{
+	const int cores = 3, entries = 70;
+	const size_t list_max = 64;
+	std::map<std::string, int> named;
+
+	StartCluster(cores, entries);
+	ASSERT_TRUE(sim->run_until([&] { return sim->leader() >= 0; }, 8000));
+	sim->run_for_ms(15000); /* until all have joined */
+	for (int i = 0; i < 60; i++) {
+		Reply r = sim->request_and_wait(
+		    i % cores, NODE_LISTEN_REGISTRY, "GET", "/api/resolution");
+		size_t count = 0;
+
+		for (int e = cores; e < cores + entries; e++) {
+			std::string address =
+			    "\"" + sim->instances[e]->ip + ":9000\"";
+			bool is_named =
+			    r.body.find(address) != std::string::npos;
+
+			count += is_named;
+			named[address] += is_named;
+		}
+		EXPECT_EQ(count, list_max);
+	}
+	for (auto &e : named)
+		EXPECT_GT(e.second, 0) << e.first;
+}
+
 TEST_F(Gateway, lookups_omit_stopping_entries)
 {
 	StartServing();
