--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -369,6 +369,33 @@
 	EXPECT_FALSE(another.Accept(listener.fd));
 }
 
+/*
+ * Guards against a second copy of a response that is taken for the response to
+ * the next call: bytes that arrive while no call waits end the connection.
+ */
+TEST_F(HttpTest, BytesOnAnIdleConnectionEndIt)
+{
+	RawSocket listener, peer(-1), another(-1);
+	std::string address = listener.Listen();
+	const std::string copy = OK_HEAD "Content-Length: 2\r\n\r\nab";
+	bool closed = false;
+
+	Start(1, address);
+	ASSERT_TRUE(Until([&] { return peer.Accept(listener.fd); }));
+	peer.Write(copy);
+	ASSERT_TRUE(UntilEnded(1));
+	peer.Write(copy);
+	ASSERT_TRUE(Until([&] {
+		(void)peer.Poll(&closed);
+		return closed;
+	}));
+	Start(2, address);
+	ASSERT_TRUE(Until([&] { return another.Accept(listener.fd); }));
+	another.Write(OK_HEAD "Content-Length: 2\r\n\r\ncd");
+	ASSERT_TRUE(UntilEnded(2));
+	EXPECT_EQ(calls[2].body, "cd");
+}
+
 /* ---- cancel ------------------------------------------------------------ */
 
 TEST_F(HttpTest, CancelEndsEventsAndDisconnects)
