--- a/src/place/place_notice.c
+++ b/src/place/place_notice.c
@@ -12,9 +12,8 @@
  *
  * A leaving process takes no new request of any entry. A backoff concerns the
  * entry that received it alone: the endpoint may be limiting its callers, and
- * other entries learn by their own responses whether they are concerned.
- * Requests are counted by entry, so that requests of other entries use the
- * endpoint in the meantime.
+ * other entries learn by their own responses whether they are concerned, and
+ * use the endpoint in the meantime.
  */
 
 /* An entry must not send requests to the process of an endpoint for a while. */
