--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -116,6 +116,8 @@
 	m.alive = false;
 	m.generation++;
 	m.event_queue.clear();
+	m.kept_messages.clear();
+	m.frozen = false;
 	m.draining = false;
 }
 
@@ -128,7 +130,14 @@
 void
 GatewaySim::freeze(int i, bool frozen)
 {
-	instances[(size_t)i]->frozen = frozen;
+	GatewayInstance &m = *instances[(size_t)i];
+	std::deque<std::function<void()>> kept;
+
+	m.frozen = frozen;
+	if (!frozen)
+		kept.swap(m.kept_messages);
+	for (auto &message : kept)
+		message();
 }
 
 void
@@ -268,30 +277,51 @@
 	return -1;
 }
 
+uint64_t
+GatewaySim::link_delay(int from, int to) const
+{
+	auto own = link_delays_us.find({from, to});
+
+	return (own == link_delays_us.end() ? kNetworkDelayUs : own->second) +
+	    (from == delayed_sender ? delay_us : 0);
+}
+
+/* Delivers a message, unless its link is cut or its receiver is frozen. */
+void
+GatewaySim::deliver(int from, int to, const std::string &bytes)
+{
+	GatewayInstance &m = *instances[(size_t)to];
+	uint32_t from_id = instances[(size_t)from]->settings->id;
+
+	if (cut_links.count({from, to}) > 0)
+		return;
+	if (m.frozen) {
+		if (keep_messages_of_frozen)
+			m.kept_messages.push_back([this, from, to, bytes] {
+				deliver(from, to, bytes);
+			});
+		return;
+	}
+	enqueue(to, [this, to, from_id, bytes] {
+		struct node_event ev = {};
+
+		ev.type = NODE_EV_MESSAGE;
+		ev.u.message.from = from_id;
+		ev.u.message.bytes = {bytes.data(), bytes.size()};
+		step(to, ev);
+	});
+}
+
 void
 GatewaySim::do_send(int i, const struct node_send &send)
 {
 	int to = find_by_id(send.to);
 	std::string bytes(send.bytes.data, send.bytes.len);
-	uint32_t from = instances[(size_t)i]->settings->id;
 
 	if (to < 0 || cut_links.count({i, to}) > 0)
 		return;
-	schedule(
-	    now_us + kNetworkDelayUs + (i == delayed_sender ? delay_us : 0),
-	    [this, i, to, from, bytes] {
-		    struct node_event ev = {};
-
-		    if (cut_links.count({i, to}) > 0 ||
-			instances[(size_t)to]->frozen)
-			    return;
-		    ev.type = NODE_EV_MESSAGE;
-		    ev.u.message.from = from;
-		    enqueue(to, [this, to, bytes, ev]() mutable {
-			    ev.u.message.bytes = {bytes.data(), bytes.size()};
-			    step(to, ev);
-		    });
-	    });
+	schedule(now_us + link_delay(i, to),
+	    [this, i, to, bytes] { deliver(i, to, bytes); });
 }
 
 void
@@ -302,8 +332,14 @@
 	std::string data(
 	    save.data.data == nullptr ? "" : save.data.data, save.data.len);
 
+	GatewayInstance &writer = *instances[(size_t)i];
+	auto own = disk_sync_us.find(i);
+
+	/* A disk carries out its writes in order. */
+	writer.disk_done_us = std::max(writer.disk_done_us,
+	    now_us + (own == disk_sync_us.end() ? kDiskSyncUs : own->second));
 	schedule(
-	    now_us + kDiskSyncUs, [this, i, generation, copy, data]() mutable {
+	    writer.disk_done_us, [this, i, generation, copy, data]() mutable {
 		    GatewayInstance &m = *instances[(size_t)i];
 		    struct node_event ev = {};
 
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -36,6 +36,9 @@
 	std::deque<std::function<void()>> event_queue;
 	bool draining = false;
 	uint64_t busy_until_us = 0, used_us = 0;
+	uint64_t disk_done_us = 0; /* when its last write is complete */
+	/* messages that wait until it is no longer frozen */
+	std::deque<std::function<void()>> kept_messages;
 };
 
 /*
@@ -53,6 +56,12 @@
 	/* instance whose messages are delayed, and by how much */
 	int delayed_sender = -1;
 	uint64_t delay_us = 0;
+	/* links, from and to, with a delay of their own */
+	std::map<std::pair<int, int>, uint64_t> link_delays_us;
+	/* deliver messages to a frozen instance when it resumes */
+	bool keep_messages_of_frozen = false;
+	std::map<int, uint64_t>
+	    disk_sync_us; /* disks with a time of their own */
 	std::map<uint64_t, Reply> replies;
 	struct EndpointCall {
 		int instance;
@@ -134,6 +143,8 @@
 	void step(int i, const struct node_event &ev);
 	void apply_effects(int i);
 	void do_save(int i, const struct node_save &save);
+	uint64_t link_delay(int from, int to) const;
+	void deliver(int from, int to, const std::string &bytes);
 	void do_send(int i, const struct node_send &send);
 	void do_call(int i, const struct node_call &call);
 	void break_call(int i, uint64_t call, uint64_t generation);
