gateway: a change is answered by what became of it in the log

Callers saw: two operators send version 7 with different content at the same moment, both get 200, and one of the two is in force nowhere.

Cause: whether a version is held with other content was checked before the log, and the answer after it asked only whether the entry was applied. Whatever is committed between the two was not looked at.

Change: applying a configuration has a verdict (taken, conflict, unreadable), which is the same on every instance, and the answer is that verdict. The check before the log stays: it keeps the log free of what is known to conflict.

The same class elsewhere: an adapter's version and the mark of a leaving endpoint have no content but their number, the highest of which holds, so any order of them is right.

Test: Gateway.two_contents_of_one_version_are_not_both_acknowledged, sent to the leader and to each other core; it fails with the guard node.gate_verdict off, as it did before.

--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -146,11 +146,12 @@
 
 /* Answers the caller of a change to the gateway. */
 static void
-apply_gate_proposal(struct node *n, const Wire__Command *command)
+apply_gate_proposal(
+    struct node *n, const Wire__Command *command, enum gate_verdict verdict)
 {
 	if (!is_own(n, command))
 		return;
-	node_gate_proposal_applied(n, command->proposal);
+	node_gate_proposal_applied(n, command->proposal, verdict);
 	node_propose_applied(n, command->proposal);
 }
 
@@ -177,16 +178,16 @@
 		apply_claim_end(n, command);
 		break;
 	case WIRE__COMMAND__BODY_GATEWAY_CONFIG:
-		node_gate_apply_config(n, index, command->gateway_config);
-		apply_gate_proposal(n, command);
+		apply_gate_proposal(n, command,
+		    node_gate_apply_config(n, index, command->gateway_config));
 		break;
 	case WIRE__COMMAND__BODY_ADAPTER_VERSION:
 		node_gate_apply_version(n, command->adapter_version);
-		apply_gate_proposal(n, command);
+		apply_gate_proposal(n, command, GATE_TAKEN);
 		break;
 	case WIRE__COMMAND__BODY_ENDPOINT_LEAVING:
 		node_gate_apply_leaving(n, command->endpoint_leaving);
-		apply_gate_proposal(n, command);
+		apply_gate_proposal(n, command, GATE_TAKEN);
 		break;
 	case WIRE__COMMAND__BODY_CLAIM_CLOCK:
 		claim_apply_clock(n->claims, command->claim_clock->elapsed_ms);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -77,6 +77,13 @@
 	bool is_announcement;
 };
 
+/* What became of a change of the configuration in the log. */
+enum gate_verdict {
+	GATE_TAKEN, /* it is in force, or a newer version is */
+	GATE_CONFLICT, /* its version is in force with other content */
+	GATE_UNREADABLE, /* this instance can't read it */
+};
+
 /* A request of this entry that waits for a place or has one. */
 struct gate_ask {
 	uint64_t ask;
@@ -209,7 +216,7 @@
 void node_gate_write_metrics(const struct node *n, struct buf *out);
 
 /* ---- node_gate_config.c: replicated state ---- */
-void node_gate_apply_config(
+enum gate_verdict node_gate_apply_config(
     struct node *n, uint64_t index, const Wire__GatewayConfig *put);
 void node_gate_apply_version(struct node *n, const Wire__AdapterVersion *put);
 void node_gate_apply_leaving(
@@ -240,10 +247,13 @@
 void gate_control_propose_leaving(struct node *n, const char *id,
     uint64_t born_ms, const struct gate_caller *caller);
 /* A change that was proposed for a call is applied, or has timed out. */
-void node_gate_proposal_applied(struct node *n, uint64_t proposal);
+void node_gate_proposal_applied(
+    struct node *n, uint64_t proposal, enum gate_verdict verdict);
 void node_gate_proposal_expired(struct node *n, uint64_t proposal);
 void gate_registry_lookup(
     struct node *n, uint64_t request, const struct gw_call *call);
+/* Whether a text is the content of the configuration in force. */
+bool gate_config_is_text(const struct node_gate *g, struct node_bytes text);
 /* Authority over the log now: no other leader can have been elected. */
 bool gate_has_authority(const struct node *n);
 
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -78,21 +78,36 @@
 	return true;
 }
 
+bool
+gate_config_is_text(const struct node_gate *g, struct node_bytes text)
+{
+	return text.len == g->config_text.len &&
+	    memcmp(text.data, g->config_text.data, text.len) == 0;
+}
+
 /*
  * The highest version is in force, whatever the order of versions in the log.
+ * Of two contents of one version the first in the log is in force.
  */
-void
+enum gate_verdict
 node_gate_apply_config(
     struct node *n, uint64_t index, const Wire__GatewayConfig *put)
 {
 	struct node_bytes text = {(const char *)put->text.data, put->text.len};
+	const struct node_gate *g = n->gate;
 
-	if (n->gate == NULL ||
-	    (n->gate->config != NULL && node_guards.gate_highest &&
-		put->version <= n->gate->config->version))
-		return;
-	if (!set_config(n, index, text))
-		n->counters.malformed++;
+	if (g == NULL)
+		return GATE_TAKEN;
+	if (g->config != NULL && node_guards.gate_highest &&
+	    put->version <= g->config->version)
+		return put->version < g->config->version ||
+			gate_config_is_text(g, text)
+		    ? GATE_TAKEN
+		    : GATE_CONFLICT;
+	if (set_config(n, index, text))
+		return GATE_TAKEN;
+	n->counters.malformed++;
+	return GATE_UNREADABLE;
 }
 
 static void
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -81,6 +81,8 @@
 
 /* ---- changes ------------------------------------------------------------ */
 
+#define CONFLICT_REASON "$.version: held with other content"
+
 static void
 propose(
     struct node *n, const struct gate_caller *caller, Wire__Command *command)
@@ -96,8 +98,25 @@
 	(void)map_set_u64(n->gate->callers, proposal, stored);
 }
 
+/*
+ * The answer says what became of the change in the log: others may have been
+ * committed between its checks and its own entry.
+ */
+static void
+answer_change(
+    struct node *n, const struct gate_caller *caller, enum gate_verdict verdict)
+{
+	if (verdict == GATE_CONFLICT && node_guards.gate_verdict)
+		send_result(n, caller, 409, CONFLICT_REASON);
+	else if (verdict == GATE_UNREADABLE)
+		send_result(n, caller, 400, "it can't be read");
+	else
+		send_result(n, caller, 200, NULL);
+}
+
 void
-node_gate_proposal_applied(struct node *n, uint64_t proposal)
+node_gate_proposal_applied(
+    struct node *n, uint64_t proposal, enum gate_verdict verdict)
 {
 	struct gate_caller *caller;
 
@@ -107,7 +126,7 @@
 	if (caller != NULL && caller->is_announcement)
 		acknowledge_announcement(n, caller);
 	else if (caller != NULL)
-		send_result(n, caller, 200, NULL);
+		answer_change(n, caller, verdict);
 	free(caller);
 }
 
@@ -124,13 +143,6 @@
 	free(caller);
 }
 
-static bool
-is_current_text(const struct node_gate *g, struct node_bytes text)
-{
-	return text.len == g->config_text.len &&
-	    memcmp(text.data, g->config_text.data, text.len) == 0;
-}
-
 /*
  * An older version is acknowledged and changes nothing, since a newer one has
  * replaced it. The current version is acknowledged again, but refused with
@@ -155,10 +167,9 @@
 	else if (g->config != NULL && config->version < g->config->version)
 		send_result(n, caller, 200, NULL);
 	else if (g->config != NULL && config->version == g->config->version)
-		send_result(n, caller, is_current_text(g, in->body) ? 200 : 409,
-		    is_current_text(g, in->body)
-			? NULL
-			: "$.version: held with other content");
+		answer_change(n, caller,
+		    gate_config_is_text(g, in->body) ? GATE_TAKEN
+						     : GATE_CONFLICT);
 	else {
 		put.version = config->version;
 		put.text.data = (uint8_t *)in->body.data;
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -29,6 +29,8 @@
 	bool cache_resync;
 	/* Of several configurations the one with the highest version wins. */
 	bool gate_highest;
+	/* A change is refused if its version has other content in the log. */
+	bool gate_verdict;
 	/* A shard's owner sends orders only once its epoch is active. */
 	bool gate_active;
 	/* Calls are answered only while the instance holds a lease. */
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -414,6 +414,31 @@
  * Guards against stale reads: a core that is cut off can't know the newest
  * configuration and must not answer with an older one.
  */
+/*
+ * Guards against two operators who take the same number, both get 200, and one
+ * of their configurations is in force nowhere.
+ */
+TEST_F(Gateway, two_contents_of_one_version_are_not_both_acknowledged)
+{
+	/* where the second is sent: 0: to the leader, else another core */
+	for (int offset = 0; offset < 5; offset++) {
+		uint64_t first, second;
+		int at;
+
+		StartServing();
+		at = sim->leader();
+		first = sim->send_request(at, NODE_LISTEN_CONTROL, "PUT",
+		    "/api/configuration", config_text(7, "app"));
+		second =
+		    sim->send_request((at + offset) % 5, NODE_LISTEN_CONTROL,
+			"PUT", "/api/configuration", config_text(7, "other"));
+		sim->run_for_ms(3000);
+		EXPECT_EQ(sim->replies[first].status, 200) << offset;
+		EXPECT_EQ(sim->replies[second].status, 409) << offset;
+		EXPECT_EQ(GetConfig(at).body, config_text(7, "app")) << offset;
+	}
+}
+
 TEST_F(Gateway, a_core_that_is_cut_off_returns_no_stale_configuration)
 {
 	int cut;
@@ -884,4 +909,5 @@
     {"node.gate_highest", &node_guards.gate_highest},
     {"node.gate_leased", &node_guards.gate_leased},
     {"node.gate_active", &node_guards.gate_active},
+    {"node.gate_verdict", &node_guards.gate_verdict},
 });
