member: an entry follows the leader that leases it, and learns what it lacks

Callers saw: 404 for a route, or an answer of a service that it no longer goes to, more than 2 s after the change was confirmed; at an entry that runs, reaches every core of the majority and has a lease, with calm cores.

Cause, of one class with (a replica that takes itself for up to date): of several answers to one renewal the first named the leader. A core that is cut off from the others, but not from the entry, and nearer than they are, answers first each time: the entry knew no leader, or the one before, while another renewed its lease. It then pulled the log from the cut-off core. It could not notice: it compared itself with the index in force, and that is the lowest that any holder has applied, its own included.

Why tests missed it: all links of the simulation had one delay, so a core of the majority always answered in a fixed order.

Change: the answer of a leader with authority goes before hearsay on the same renewal (member_holder_take_leader). A lease says what its leader has committed (LeaseReply.commit, LeaseBatch.commit); a replica that lacks something asks for it at once, from the leader that leases it (member_freshness, a module without network). Instances of an earlier version send 0 and are followed as before.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -233,8 +233,11 @@
 void member_holder_fill_renew(struct member_holder *h, uint64_t now_us,
     uint64_t applied, uint64_t epoch, Wire__LeaseRenew *out);
 
-/* Handles the reply to a renewal; a reply to no known renewal is ignored. */
-void member_holder_on_lease(
+/*
+ * Handles the reply to a renewal. Returns false for a reply that does not
+ * count: to no known renewal, or later than a lease lasts.
+ */
+bool member_holder_on_lease(
     struct member_holder *h, uint64_t now_us, const Wire__LeaseReply *reply);
 
 /* Fills the pong for a ping; a leaderless pong also starts a promise. */
--- a/src/member/member_guard.c
+++ b/src/member/member_guard.c
@@ -14,6 +14,8 @@
     .support_required = true,
     .in_force_leases = true,
     .in_force_support = true,
+    .leader_by_authority = true,
+    .known_commit = true,
     .permit_hold = true};
 
 size_t member_large_threshold = MEMBER_LARGE_THRESHOLD;
--- a/src/member/member_guard.h
+++ b/src/member/member_guard.h
@@ -26,6 +26,8 @@
 	bool support_required; /* support requires the supporter's index */
 	bool in_force_leases; /* the index in force waits for lease holders */
 	bool in_force_support; /* the index in force waits for supporters */
+	bool leader_by_authority; /* hearsay names no other leader */
+	bool known_commit; /* a replica learns from leases what it lacks */
 	bool permit_hold; /* a permit is free once it is certainly unused */
 };
 
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -183,7 +183,29 @@
 	h->permit_rate_milli = reply->permit_rate_milli;
 }
 
-void
+/*
+ * Takes the leader that an answer names, unless a newer one names another. Of
+ * the answers to one renewal, that of a leader with authority counts; the
+ * others repeat what an instance has heard, and one that is cut off from the
+ * leader may be the first to answer each time.
+ */
+static void
+member_holder_take_leader(
+    struct member_holder *h, const Wire__LeaseReply *reply)
+{
+	bool has_authority = (reply->granted || reply->permits) &&
+	    member_guards.leader_by_authority;
+
+	if (reply->sent_us < h->leader_sent_us)
+		return;
+	if (reply->sent_us == h->leader_sent_us && !has_authority &&
+	    h->leader != 0)
+		return;
+	h->leader_sent_us = reply->sent_us;
+	h->leader = reply->leader;
+}
+
+bool
 member_holder_on_lease(
     struct member_holder *h, uint64_t now_us, const Wire__LeaseReply *reply)
 {
@@ -191,22 +213,20 @@
 
 	if (!member_sent_contains(&h->renews_sent, reply->sent_us) ||
 	    now_us >= reply->sent_us + MEMBER_LEASE_US)
-		return;
+		return false;
 	if (reply->active_epoch > h->active_epoch)
 		h->active_epoch = reply->active_epoch;
 	if (reply->in_force > h->in_force)
 		h->in_force = reply->in_force;
-	if (reply->sent_us > h->leader_sent_us) {
-		h->leader_sent_us = reply->sent_us;
-		h->leader = reply->leader;
-	}
+	member_holder_take_leader(h, reply);
 	member_holder_take_permits(h, reply);
 	if (!reply->granted || reply->sent_us <= h->lease_sent_us)
-		return;
+		return true;
 	from_us = member_guards.lease_from_send ? reply->sent_us : now_us;
 	h->lease_sent_us = reply->sent_us;
 	h->lease_until_us = from_us + member_shorten_for_drift(MEMBER_LEASE_US);
 	h->lease_required = member_guards.lease_required ? reply->required : 0;
+	return true;
 }
 
 void
--- a/src/member/member_lessor.c
+++ b/src/member/member_lessor.c
@@ -345,6 +345,7 @@
 	lessor_permit_fill(ls, v, now_us, proc, out->granted, out);
 	out->active_epoch = ls->active_epoch;
 	out->in_force = ls->in_force;
+	out->commit = ls->commit;
 }
 
 bool
--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -100,6 +100,16 @@
 	return 0;
 }
 
+/* Whether the known leader has granted the lease that this instance holds. */
+static bool
+is_leader_confirmed(const struct node *n)
+{
+	enum member_standing standing =
+	    member_holder_standing(n->holder, n->view, n->now, n->applied);
+
+	return standing == MEMBER_LEASED || standing == MEMBER_CATCHING_UP;
+}
+
 /*
  * Picks the instance to pull from. The current voter is kept while it works,
  * because an instance exchanges messages with few voters of other regions.
@@ -115,13 +125,15 @@
 	/*
 	 * Prefer the leader: any other voter may be partitioned from it, and
 	 * then answers without new entries, which looks like a healthy source.
-	 * The known leader may itself have been replaced: while pulls remain
-	 * unanswered, every second one goes to another voter.
+	 * Without a lease the known leader may itself have been replaced:
+	 * while pulls remain unanswered, every second one goes to another
+	 * voter.
 	 */
 	if (n->settings->nseeds > 0 &&
 	    (!is_large(n) || n->unanswered_pulls > 0) &&
-	    n->unanswered_pulls % 2 == 0 && leader != n->id && leader != 0 &&
-	    node_peer_is_alive(n, leader))
+	    (n->unanswered_pulls % 2 == 0 ||
+		(!is_large(n) && is_leader_confirmed(n))) &&
+	    leader != n->id && leader != 0 && node_peer_is_alive(n, leader))
 		return leader;
 	if (parent != 0 && node_may_act(n) && node_peer_is_alive(n, parent))
 		return parent;
@@ -135,7 +147,8 @@
 static bool
 is_behind(const struct node *n)
 {
-	return member_holder_in_force(n->holder) > n->applied ||
+	return member_freshness_is_behind(&n->freshness, n->applied) ||
+	    member_holder_in_force(n->holder) > n->applied ||
 	    member_holder_standing(n->holder, n->view, n->now, n->applied) !=
 	    MEMBER_LEASED;
 }
@@ -284,6 +297,7 @@
 		node_replica_apply(
 		    n, push->entries[i]->index, push->entries[i]->term, bytes);
 	}
+	member_freshness_on_applied(&n->freshness, n->applied);
 	/* A partitioned source answers, too, but has no new entries. */
 	if (n->applied > before || !is_behind(n))
 		n->unanswered_pulls = 0;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -6,6 +6,7 @@
 #include "claim/claim.h"
 #include "doc/doc.h"
 #include "member/member.h"
+#include "member/member_freshness.h"
 #include "mulberrypath/node.h"
 #include "raft/raft.h"
 #include "route/route.h"
@@ -306,6 +307,7 @@
 	/* Leases. */
 	struct member_holder *holder;
 	struct member_lessor *lessor;
+	struct member_freshness freshness;
 	uint64_t leader_answer_us; /* time of the leader's latest answer */
 	uint64_t active_epoch_sent; /* as the leader, to all members */
 	/* Send time of the oldest relayed renewal without answer; 0: none. */
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -109,6 +109,20 @@
 	}
 }
 
+/*
+ * Learns from a lease what the leader has committed. What is missing here is
+ * asked for at once: the leader sends entries before a lease that counts them,
+ * so they were lost, or it doesn't know that this instance follows it.
+ */
+static void
+take_freshness(struct node *n, uint32_t from, const Wire__LeaseReply *reply)
+{
+	member_freshness_on_lease(&n->freshness, n->applied, reply);
+	if (reply->granted && from == reply->leader &&
+	    member_freshness_is_behind(&n->freshness, n->applied))
+		n->next_pull_us = 0;
+}
+
 void
 node_lease_on_reply(
     struct node *n, uint32_t from, const Wire__LeaseReply *reply)
@@ -123,7 +137,8 @@
 		n->relay_unanswered_us = 0;
 	if (reply->reason[0] != '\0' && strcmp(reply->reason, "behind") == 0)
 		n->follow_direct_until_us = n->now + NODE_RELAY_BYPASS_US;
-	member_holder_on_lease(n->holder, n->now, reply);
+	if (member_holder_on_lease(n->holder, n->now, reply))
+		take_freshness(n, from, reply);
 	sched_set_permits(n->sched, n->now,
 	    member_holder_permit_in_flight(n->holder),
 	    member_holder_permit_rate_milli(n->holder));
--- a/src/node/node_relay.c
+++ b/src/node/node_relay.c
@@ -254,6 +254,7 @@
 	reply.term = leases->term;
 	reply.active_epoch = leases->active_epoch;
 	reply.in_force = leases->in_force;
+	reply.commit = leases->commit;
 	reply.permits = leases->permits;
 	reply.permits_at_most = leases->permits_at_most;
 	if (nth < leases->n_permit_in_flight)
@@ -361,6 +362,7 @@
 	leases->permits_at_most = reply->permits_at_most;
 	leases->active_epoch = reply->active_epoch;
 	leases->in_force = reply->in_force;
+	leases->commit = reply->commit;
 	leases->permit_in_flight[leases->n_permit_in_flight++] =
 	    reply->permit_in_flight;
 	leases->permit_rate_milli[leases->n_permit_rate_milli++] =
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2424,7 +2424,7 @@
   (ProtobufCMessageInit) wire__lease_renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__lease_reply__field_descriptors[13] =
 {
   {
     "sent_us",
@@ -2570,9 +2570,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReply, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_reply__field_indices_by_name[] = {
   5,   /* field[5] = active_epoch */
+  12,   /* field[12] = commit */
   1,   /* field[1] = granted */
   6,   /* field[6] = in_force */
   2,   /* field[2] = leader */
@@ -2588,7 +2601,7 @@
 static const ProtobufCIntRange wire__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__lease_reply__descriptor =
 {
@@ -2598,7 +2611,7 @@
   "Wire__LeaseReply",
   "wire",
   sizeof(Wire__LeaseReply),
-  12,
+  13,
   wire__lease_reply__field_descriptors,
   wire__lease_reply__field_indices_by_name,
   1,  wire__lease_reply__number_ranges,
@@ -2799,7 +2812,7 @@
   (ProtobufCMessageInit) wire__renew_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_batch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__lease_batch__field_descriptors[10] =
 {
   {
     "number",
@@ -2909,9 +2922,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseBatch, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_batch__field_indices_by_name[] = {
   2,   /* field[2] = active_epoch */
+  9,   /* field[9] = commit */
   3,   /* field[3] = in_force */
   0,   /* field[0] = number */
   7,   /* field[7] = permit_in_flight */
@@ -2924,7 +2950,7 @@
 static const ProtobufCIntRange wire__lease_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__lease_batch__descriptor =
 {
@@ -2934,7 +2960,7 @@
   "Wire__LeaseBatch",
   "wire",
   sizeof(Wire__LeaseBatch),
-  9,
+  10,
   wire__lease_batch__field_descriptors,
   wire__lease_batch__field_indices_by_name,
   1,  wire__lease_batch__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -363,10 +363,14 @@
    * the share is a limit: keep smaller values
    */
   protobuf_c_boolean permits_at_most;
+  /*
+   * of the leader when it answered
+   */
+  uint64_t commit;
 };
 #define WIRE__LEASE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -441,10 +445,11 @@
   uint32_t *permit_in_flight;
   size_t n_permit_rate_milli;
   uint32_t *permit_rate_milli;
+  uint64_t commit;
 };
 #define WIRE__LEASE_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_batch__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -349,6 +349,50 @@
 
 /* ---- configuration ---- */
 
+/*
+ * Guards against an entry that takes a cut-off core, which answers first, for
+ * the one to follow, while the leader of the majority renews its lease: it
+ * missed all changes until that lease was refused, and was not aware of it.
+ */
+TEST_F(Gateway, an_entry_nearest_to_cut_off_cores_follows_the_leader)
+{
+	for (int offset = 0; offset < 5; offset++)
+		for (uint64_t ms : {0, 1500, 3500}) {
+			std::set<int> minority;
+			int old;
+
+			StartServing(5, 4);
+			old = sim->leader();
+			minority = {old, (old + offset) % 5};
+			for (int i = 0; i < 5; i++)
+				for (int k = 0; k < 9; k++) {
+					uint64_t us =
+					    minority.count(i) ? 200 : 3 * MS;
+
+					sim->link_delays_us[{i, k}] = us;
+					sim->link_delays_us[{k, i}] = us;
+					if (k < 5 &&
+					    minority.count(i) !=
+						minority.count(k))
+						sim->cut_links.insert({i, k});
+				}
+			ASSERT_TRUE(sim->run_until([&] {
+				int leader = sim->leader();
+
+				return leader >= 0 && !minority.count(leader);
+			}));
+			sim->run_for_ms(1000 + ms);
+			ASSERT_EQ(PutConfig(sim->leader(), 50).status, 200);
+			sim->run_for_ms(300);
+			for (size_t i = 5; i < 9; i++)
+				EXPECT_EQ(sim->instances[i]
+					      ->event_counts["config-in-force"],
+				    2)
+				    << "offset " << offset << ", after " << ms
+				    << " ms, entry " << i;
+		}
+}
+
 TEST_F(Gateway, every_core_accepts_changes_and_reads_the_latest)
 {
 	StartServing();
--- a/tests/member/lease_test.cc
+++ b/tests/member/lease_test.cc
@@ -105,6 +105,47 @@
 	EXPECT_EQ(member_holder_active_epoch(p.h), 0u);
 }
 
+/*
+ * Guards against: the first answer to a renewal, by an instance that is cut off
+ * from the leader, decides who the leader is.
+ */
+TEST(member_lease, the_leader_with_authority_is_followed)
+{
+	struct step {
+		const char *what;
+		int renewal; /* that is answered; 0 is the oldest */
+		bool granted, permits;
+		uint32_t leader, known; /* named, and known after it */
+	};
+	const std::vector<step> steps = {
+	    {"hearsay, while nothing is known", 0, false, false, 2, 2},
+	    {"other hearsay on the same renewal", 0, false, false, 3, 2},
+	    {"hearsay on a newer renewal", 1, false, false, 3, 3},
+	    {"nobody is known to it", 2, false, false, 0, 0},
+	    {"another knows one", 2, false, false, 2, 2},
+	    {"the leader grants the same renewal", 2, true, true, 4, 4},
+	    {"hearsay on it, later", 2, false, false, 2, 4},
+	    {"an older answer of the leader before", 1, true, true, 3, 4},
+	    {"hearsay on a newer renewal", 3, false, false, 2, 2},
+	    {"the leader refuses it", 3, false, true, 4, 4},
+	};
+	lease_fixture p(3);
+	uint64_t t = 10000 * kMs;
+
+	for (uint64_t i = 0; i < 4; i++)
+		(void)p.renew(t + i, t + i, 5, 5);
+	for (auto &s : steps) {
+		Wire__LeaseReply reply = WIRE__LEASE_REPLY__INIT;
+
+		reply.sent_us = t + (uint64_t)s.renewal;
+		reply.granted = s.granted;
+		reply.permits = s.permits;
+		reply.leader = s.leader;
+		EXPECT_TRUE(member_holder_on_lease(p.h, t + 10, &reply));
+		EXPECT_EQ(member_holder_leader(p.h), s.known) << s.what;
+	}
+}
+
 /* Guards against: a lease for a process that must not act. */
 TEST(member_lease, refusal_reasons)
 {
