node: renewals reach a leader that is no member

Cause: a voter that was cut off is removed as a member, not as a voter; when the leader is lost it may be elected. Renewals go to the seeds and to the voters among the members, so none reached it. Without renewals it granted no lease and sealed no epoch, and could not make itself a member either: the cluster stayed without leases for good, each instance acting by the support of the others.

Change: where a renewal goes to all voters, it goes to the leader that they name as well (an id is an address here).

Test: Gateway.a_leader_that_is_no_member_grants_leases failed before (no entry ready in 10 s) and fails with the guard node.renew_at_leader off.

--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -31,6 +31,8 @@
 	bool gate_highest;
 	/* A change is refused if its version has other content in the log. */
 	bool gate_verdict;
+	/* Renewals are sent to the leader also if it is no known voter. */
+	bool renew_at_leader;
 	/* A shard's owner sends orders only once its epoch is active. */
 	bool gate_active;
 	/* Calls are answered only while the instance holds a lease. */
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_guard.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -36,7 +37,8 @@
 
 /*
  * Sends a renewal by the relay. Without a relay, or after its answer timed out,
- * sends it to the leader if that has answered recently, else to all voters.
+ * sends it to the leader if that has answered recently, else to all voters and
+ * to the leader that they name.
  */
 static void
 send_renew(struct node *n, Wire__LeaseRenew *renew, bool relay_timed_out)
@@ -47,6 +49,7 @@
 	    n->now < n->leader_answer_us +
 		    2 * member_holder_renew_interval_us(n->holder);
 	uint32_t voters[NODE_VOTERS_MAX];
+	bool leader_is_listed = false;
 	size_t i, count;
 
 	envelope.body_case = WIRE__ENVELOPE__BODY_RENEW;
@@ -61,8 +64,14 @@
 		return;
 	}
 	count = node_peer_list_voters(n, voters, NODE_VOTERS_MAX);
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
 		node_peer_send(n, voters[i], &envelope);
+		leader_is_listed = leader_is_listed || voters[i] == leader;
+	}
+	/* A voter that was removed as a member may have been elected since. */
+	if (leader != 0 && !leader_is_listed && leader != n->id &&
+	    node_guards.renew_at_leader)
+		node_peer_send(n, leader, &envelope);
 	if (n->raft != NULL)
 		node_peer_send(n, n->id, &envelope);
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -393,6 +393,50 @@
 		}
 }
 
+/*
+ * Guards against a cluster without leases for good: the leader had been removed
+ * as a member while it was cut off, none of the others sent it a renewal, and
+ * so nobody, it included, became a member again.
+ */
+TEST_F(Gateway, a_leader_that_is_no_member_grants_leases)
+{
+	for (int next : {3, 4}) { /* cores that are no seeds */
+		int old;
+		auto is_removed = [&] {
+			return sim->instances[(size_t)old]
+				   ->event_counts["member-down"] > 0;
+		};
+
+		StartServing(5, 2);
+		old = sim->leader();
+		if (old == next)
+			continue;
+		for (int i = 0; i < 7; i++) /* it hears, and is not heard */
+			sim->cut_links.insert({next, i});
+		ASSERT_TRUE(sim->run_until(is_removed, 10000));
+		sim->run_for_ms(100);
+		sim->cut_links.clear();
+		sim->kill(old);
+		/* Only the removed one reaches a majority. */
+		for (int i = 0; i < 5; i++)
+			for (int k = 0; k < 5; k++)
+				if (i != next && k != next)
+					sim->cut_links.insert({i, k});
+		ASSERT_TRUE(
+		    sim->run_until([&] { return sim->leader() == next; }, 8000))
+		    << next;
+		sim->cut_links.clear();
+		sim->start(old);
+		sim->kill(5);
+		sim->run_for_ms(100);
+		sim->start(5);
+		EXPECT_TRUE(sim->run_until(
+		    [&] { return sim->all_entries_ready(); }, 10000))
+		    << next;
+		EXPECT_EQ(PutConfig(old, 60).status, 200);
+	}
+}
+
 TEST_F(Gateway, every_core_accepts_changes_and_reads_the_latest)
 {
 	StartServing();
@@ -953,5 +997,6 @@
     {"node.gate_highest", &node_guards.gate_highest},
     {"node.gate_leased", &node_guards.gate_leased},
     {"node.gate_active", &node_guards.gate_active},
+    {"node.renew_at_leader", &node_guards.renew_at_leader},
     {"node.gate_verdict", &node_guards.gate_verdict},
 });
