gateway: only a confirmed configuration says that a route does not exist

Callers saw: 404, which ends a request for good, from an entry whose configuration was older than the one confirmed.

Cause: nothing bounded for how long an entry acts on a configuration that it could not compare with the leader's.

Change: an entry knows since when it is confirmed to have all that is committed (member_freshness). Confirmed within 1.5 s, it decides as before. Unconfirmed, it serves the routes that it knows, since without a leader there are no newer ones, and answers what it doesn't know with 503 and Retry-After. Known to be behind for that long, or never confirmed since its start, it refuses requests as not run: so none goes back after a restart. An answer of a leader with authority confirms also a process that is not a member yet, so that a restart of all waits for no lease. A configuration that can't be read here is logged (136) and no longer passes for the newest.

To see it: event 135 (config-trust), ageMs in event 124, mulberrypath_gate_config_confirmed.

Tests: Gateway.an_entry_that_is_cut_off_refuses_no_route_for_good, an_entry_that_knows_it_is_behind_serves_nothing and a_restarted_entry_serves_nothing_older; each fails with the guard node.gate_confirmed off.

--- a/src/member/member_freshness.c
+++ b/src/member/member_freshness.c
@@ -13,9 +13,10 @@
 member_freshness_on_lease(
     struct member_freshness *f, uint64_t applied, const Wire__LeaseReply *reply)
 {
-	if (!reply->granted || reply->sent_us <= f->commit_sent_us)
+	if (!member_reply_has_authority(reply) ||
+	    reply->sent_us <= f->commit_sent_us)
 		return;
-	/* The grant before may be confirmed, although this one is not yet. */
+	/* The answer before may be confirmed, although this one is not yet. */
 	member_freshness_on_applied(f, applied);
 	f->commit = reply->commit;
 	f->commit_sent_us = reply->sent_us;
--- a/src/member/member_freshness.h
+++ b/src/member/member_freshness.h
@@ -2,10 +2,10 @@
  * Freshness of a replica: how recently it is known to have applied everything
  * that was committed.
  *
- * The leader says in each lease that it grants which index it has committed. A
- * replica that has applied that index had, when it sent the renewal, everything
- * that had been acknowledged until then. A grant implies authority, so no other
- * leader can have committed more before the renewal was sent.
+ * A leader with authority says in each answer to a renewal which index it has
+ * committed. A replica that has applied that index had, when it sent the
+ * renewal, everything that had been acknowledged until then: while one leader
+ * has authority, no other commits anything.
  */
 #ifndef MP_MEMBER_FRESHNESS_H
 #define MP_MEMBER_FRESHNESS_H
@@ -19,10 +19,17 @@
 extern "C" {
 #endif
 
+/* Whether an answer to a renewal is of a leader with authority. */
+static inline bool
+member_reply_has_authority(const Wire__LeaseReply *reply)
+{
+	return reply->granted || reply->permits;
+}
+
 /* Starts as zeros. Times are of the clock of this instance, in microseconds. */
 struct member_freshness {
-	uint64_t commit; /* of the newest grant */
-	uint64_t commit_sent_us; /* when the renewal of that grant was sent */
+	uint64_t commit; /* in the newest answer with authority */
+	uint64_t commit_sent_us; /* when the renewal that it answers was sent */
 	uint64_t confirmed_us; /* everything until then is applied; 0: never */
 };
 
@@ -30,7 +37,8 @@
 void member_freshness_on_applied(struct member_freshness *f, uint64_t applied);
 
 /*
- * An answer to a renewal of this process. Only a grant counts.
+ * An answer to a renewal of this process. It counts with authority only, see
+ * member_reply_has_authority().
  *
  * applied: index up to which the replica has applied the log
  */
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "member/member.h"
+#include "member/member_freshness.h"
 #include "member/member_guard.h"
 #include "member/member_holder.h"
 #include "member/member_time.h"
@@ -193,7 +194,7 @@
 member_holder_take_leader(
     struct member_holder *h, const Wire__LeaseReply *reply)
 {
-	bool has_authority = (reply->granted || reply->permits) &&
+	bool has_authority = member_reply_has_authority(reply) &&
 	    member_guards.leader_by_authority;
 
 	if (reply->sent_us < h->leader_sent_us)
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -154,10 +154,29 @@
 	    add_reply(n, request), refusal, reason, retry_after_ms, n->fx);
 	node_log(n, NODE_LOG_GATE_CALL_REFUSED,
 	    "{\"request\": %llu, \"attempt\": \"%s\", \"host\": \"%s\", "
-	    "\"config\": %llu, \"reason\": \"%s\"}",
+	    "\"config\": %llu, \"ageMs\": %llu, \"reason\": \"%s\"}",
 	    (unsigned long long)request, attempt == NULL ? "" : attempt,
 	    decoded == NULL ? "" : decoded->host,
-	    (unsigned long long)(config == NULL ? 0 : config->version), reason);
+	    (unsigned long long)(config == NULL ? 0 : config->version),
+	    (unsigned long long)(n->now - n->freshness.confirmed_us) / 1000,
+	    reason);
+}
+
+/*
+ * Refuses a request that has no route here: for good, or so that the caller
+ * tries again, if a newer configuration may have one.
+ */
+static void
+refuse_unknown_route(struct node *n, uint64_t request,
+    const struct gw_request *decoded, enum gate_config_trust trust)
+{
+	if (trust == GATE_CONFIG_CONFIRMED)
+		refuse_request(n, request, decoded, GW_REFUSE_NO_ROUTE,
+		    "no route for this host and path", 0);
+	else
+		refuse_request(n, request, decoded, GW_REFUSE_NOT_READY,
+		    "no route is known, and the configuration is not confirmed",
+		    GATE_RETRY_AFTER_MS);
 }
 
 /* Starts to forward a caller's request along its route, or refuses it. */
@@ -167,6 +186,7 @@
 	struct node_gate *g = n->gate;
 	const struct gw_route *route;
 	struct gw_request decoded;
+	enum gate_config_trust trust;
 	struct mp_error err;
 
 	if (g->codec->read_request(&decoded, in, n->fx, &err) != MP_OK) {
@@ -174,15 +194,17 @@
 		    n, in->request, NULL, GW_REFUSE_MALFORMED, err.message, 0);
 		return;
 	}
-	if (g->config == NULL) {
+	trust = gate_config_get_trust(n);
+	if (trust == GATE_CONFIG_UNUSABLE) {
 		refuse_request(n, in->request, &decoded, GW_REFUSE_NOT_READY,
-		    "no configuration is known yet", GATE_RETRY_AFTER_MS);
+		    g->config == NULL ? "no configuration is known yet"
+				      : "the configuration is out of date",
+		    GATE_RETRY_AFTER_MS);
 		return;
 	}
 	route = gw_config_find_route(g->config, decoded.host, in->path);
 	if (route == NULL) {
-		refuse_request(n, in->request, &decoded, GW_REFUSE_NO_ROUTE,
-		    "no route for this host and path", 0);
+		refuse_unknown_route(n, in->request, &decoded, trust);
 		return;
 	}
 	forward_start_request(
@@ -361,6 +383,7 @@
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
 	gate_table_tick(n);
+	gate_config_log_trust(n);
 	stop_tick(n);
 }
 
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -77,6 +77,20 @@
 	bool is_announcement;
 };
 
+/*
+ * An instance that was not confirmed to have the newest configuration for this
+ * time can't know that a route does not exist. Shorter than the time in which a
+ * change must be in force, and some intervals of renewals.
+ */
+#define GATE_CONFIG_AGE_MAX_US (1500 * 1000ULL)
+
+/* How far this instance may rely on its configuration. */
+enum gate_config_trust {
+	GATE_CONFIG_UNUSABLE, /* none, never confirmed, or out of date */
+	GATE_CONFIG_UNCONFIRMED, /* may lack newer routes */
+	GATE_CONFIG_CONFIRMED,
+};
+
 /* What became of a change of the configuration in the log. */
 enum gate_verdict {
 	GATE_TAKEN, /* it is in force, or a newer version is */
@@ -143,6 +157,8 @@
 	struct gw_config *config; /* NULL: none is known */
 	struct buf config_text; /* as it was received */
 	uint64_t config_index;
+	bool config_unreadable; /* a newer one could not be read */
+	enum gate_config_trust logged_trust;
 	struct map *versions; /* struct gate_version by key */
 	struct place *place;
 	struct forward *forward;
@@ -252,6 +268,9 @@
 void node_gate_proposal_expired(struct node *n, uint64_t proposal);
 void gate_registry_lookup(
     struct node *n, uint64_t request, const struct gw_call *call);
+enum gate_config_trust gate_config_get_trust(const struct node *n);
+/* Logs it when it has changed. */
+void gate_config_log_trust(struct node *n);
 /* Whether a text is the content of the configuration in force. */
 bool gate_config_is_text(const struct node_gate *g, struct node_bytes text);
 /* Authority over the log now: no other leader can have been elected. */
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -66,6 +66,7 @@
 	}
 	g->config = config;
 	g->config_index = index;
+	g->config_unreadable = false;
 	buf_clear(&g->config_text);
 	buf_append(&g->config_text, text.data, text.len);
 	place_configure(g->place, config);
@@ -78,6 +79,19 @@
 	return true;
 }
 
+/*
+ * A newer configuration can't be read here, as when an operator's change needs
+ * a later version of this program. The one before stays.
+ */
+static void
+take_unreadable(struct node *n, uint64_t version)
+{
+	n->counters.malformed++;
+	n->gate->config_unreadable = true;
+	node_log(n, NODE_LOG_GATE_UNREADABLE, "{\"version\": %llu}",
+	    (unsigned long long)version);
+}
+
 bool
 gate_config_is_text(const struct node_gate *g, struct node_bytes text)
 {
@@ -106,10 +120,54 @@
 		    : GATE_CONFLICT;
 	if (set_config(n, index, text))
 		return GATE_TAKEN;
-	n->counters.malformed++;
+	take_unreadable(n, put->version);
 	return GATE_UNREADABLE;
 }
 
+enum gate_config_trust
+gate_config_get_trust(const struct node *n)
+{
+	const struct node_gate *g = n->gate;
+
+	if (g->config == NULL)
+		return GATE_CONFIG_UNUSABLE;
+	if (!node_guards.gate_confirmed)
+		return GATE_CONFIG_CONFIRMED;
+	if (n->freshness.confirmed_us == 0)
+		return GATE_CONFIG_UNUSABLE;
+	if (g->config_unreadable)
+		return GATE_CONFIG_UNCONFIRMED;
+	if (member_freshness_is_confirmed(
+		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US))
+		return GATE_CONFIG_CONFIRMED;
+	/* Without a leader there are no newer ones, so what is known serves. */
+	return member_freshness_is_behind(&n->freshness, n->applied)
+	    ? GATE_CONFIG_UNUSABLE
+	    : GATE_CONFIG_UNCONFIRMED;
+}
+
+void
+gate_config_log_trust(struct node *n)
+{
+	static const char *const names[] = {
+	    "unusable", "unconfirmed", "confirmed"};
+	struct node_gate *g = n->gate;
+	enum gate_config_trust trust = gate_config_get_trust(n);
+
+	if (trust == g->logged_trust)
+		return;
+	g->logged_trust = trust;
+	node_log(n, NODE_LOG_GATE_TRUST,
+	    "{\"trust\": \"%s\", \"version\": %llu, \"applied\": %llu, "
+	    "\"commit\": %llu, \"ageMs\": %llu, \"leader\": %u}",
+	    names[trust],
+	    (unsigned long long)(g->config == NULL ? 0 : g->config->version),
+	    (unsigned long long)n->applied,
+	    (unsigned long long)n->freshness.commit,
+	    (unsigned long long)(n->now - n->freshness.confirmed_us) / 1000,
+	    node_leader(n));
+}
+
 static void
 set_version(
     struct node *n, const char *model, const char *adapter, uint32_t version)
@@ -248,5 +306,5 @@
 		snapshot->config_version <= n->gate->config->version))
 		return;
 	if (!set_config(n, snapshot->index, text))
-		n->counters.malformed++;
+		take_unreadable(n, snapshot->config_version);
 }
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -139,6 +139,8 @@
 		return;
 	put_value(out, "config_version", "gauge",
 	    g->config == NULL ? 0 : (double)g->config->version);
+	put_value(out, "config_confirmed", "gauge",
+	    gate_config_get_trust(n) == GATE_CONFIG_CONFIRMED ? 1 : 0);
 	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
 	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
 	put_windows(n, out);
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -29,6 +29,8 @@
 	bool cache_resync;
 	/* Of several configurations the one with the highest version wins. */
 	bool gate_highest;
+	/* Only a confirmed configuration says that a route does not exist. */
+	bool gate_confirmed;
 	/* A change is refused if its version has other content in the log. */
 	bool gate_verdict;
 	/* Renewals are sent to the leader also if it is no known voter. */
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -119,15 +119,15 @@
 }
 
 /*
- * Learns from a lease what the leader has committed. What is missing here is
- * asked for at once: the leader sends entries before a lease that counts them,
- * so they were lost, or it doesn't know that this instance follows it.
+ * Learns from an answer what the leader has committed. What is missing here is
+ * asked for at once: the leader sends entries before an answer that counts
+ * them, so they were lost, or it doesn't know that this instance follows it.
  */
 static void
 take_freshness(struct node *n, uint32_t from, const Wire__LeaseReply *reply)
 {
 	member_freshness_on_lease(&n->freshness, n->applied, reply);
-	if (reply->granted && from == reply->leader &&
+	if (member_reply_has_authority(reply) && from == reply->leader &&
 	    member_freshness_is_behind(&n->freshness, n->applied))
 		n->next_pull_us = 0;
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -59,6 +59,8 @@
     {NODE_LOG_GATE_STATE, NODE_LOG_INFO, "placing-state"},
     {NODE_LOG_GATE_SHARDS, NODE_LOG_INFO, "shards-owned"},
     {NODE_LOG_GATE_NOTICE, NODE_LOG_INFO, "endpoint-notice"},
+    {NODE_LOG_GATE_TRUST, NODE_LOG_INFO, "config-trust"},
+    {NODE_LOG_GATE_UNREADABLE, NODE_LOG_ERROR, "config-unreadable"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -72,6 +72,8 @@
 	NODE_LOG_GATE_STATE = 132,
 	NODE_LOG_GATE_SHARDS = 133,
 	NODE_LOG_GATE_NOTICE = 134,
+	NODE_LOG_GATE_TRUST = 135, /* how far the configuration is trusted */
+	NODE_LOG_GATE_UNREADABLE = 136,
 };
 
 /* An entry of the catalogue. */
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -318,7 +318,8 @@
 	int to = find_by_id(send.to);
 	std::string bytes(send.bytes.data, send.bytes.len);
 
-	if (to < 0 || cut_links.count({i, to}) > 0)
+	if (to < 0 || cut_links.count({i, to}) > 0 ||
+	    (is_lost && is_lost(i, to, bytes)))
 		return;
 	schedule(now_us + link_delay(i, to),
 	    [this, i, to, bytes] { deliver(i, to, bytes); });
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -56,6 +56,8 @@
 	/* instance whose messages are delayed, and by how much */
 	int delayed_sender = -1;
 	uint64_t delay_us = 0;
+	/* whether a message is lost */
+	std::function<bool(int from, int to, const std::string &bytes)> is_lost;
 	/* links, from and to, with a delay of their own */
 	std::map<std::pair<int, int>, uint64_t> link_delays_us;
 	/* deliver messages to a frozen instance when it resumes */
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,6 +1,7 @@
 #include "guard_off.h"
 #include "node/node_guard.h"
 #include "gateway_sim.h"
+#include "wire/peer.pb-c.h"
 
 /* Founding, configuration, endpoints and placing with several instances. */
 class Gateway : public ::testing::Test {
@@ -71,6 +72,18 @@
 			{"Mulberrypath-Deadline-Ms", "1500"}});
 	}
 
+	/* What an entry answers at once for a route that it doesn't know. */
+	int
+	UnknownRouteStatus(int entry)
+	{
+		uint64_t id = sim->send_request(entry, NODE_LISTEN_FRONT,
+		    "POST", "/unknown/x", "body",
+		    {{"Host", "h.example"}, {"Mulberrypath-Attempt-Id", "7"},
+			{"Mulberrypath-Deadline-Ms", "1500"}});
+
+		return sim->replies[id].status;
+	}
+
 	/* The endpoint that the last call went to. */
 	std::string
 	LastEndpoint()
@@ -437,6 +450,84 @@
 	}
 }
 
+/*
+ * Guards against an entry that says of a route which was added that there is
+ * none, as it has not heard of the newer configuration.
+ */
+TEST_F(Gateway, an_entry_that_is_cut_off_refuses_no_route_for_good)
+{
+	StartServing();
+	EXPECT_EQ(UnknownRouteStatus(5), 404);
+	sim->isolate(5, true);
+	for (uint64_t ms : {1600, 2000, 9000}) {
+		sim->run_for_ms(ms);
+		EXPECT_EQ(UnknownRouteStatus(5), 503) << ms;
+		EXPECT_TRUE(IsSent(5)) << ms; /* what it knows is served */
+	}
+	sim->isolate(5, false);
+	sim->run_for_ms(5000);
+	EXPECT_EQ(UnknownRouteStatus(5), 404);
+}
+
+/*
+ * Guards against an entry that serves by a configuration which it knows to be
+ * out of date: it hears from the leader what is committed, and doesn't get it.
+ */
+TEST_F(Gateway, an_entry_that_knows_it_is_behind_serves_nothing)
+{
+	uint64_t id;
+
+	StartServing();
+	sim->is_lost = [](int, int to, const std::string &bytes) {
+		Wire__Envelope *e = wire__envelope__unpack(
+		    nullptr, bytes.size(), (const uint8_t *)bytes.data());
+		bool is_push = e->body_case == WIRE__ENVELOPE__BODY_PUSH;
+
+		wire__envelope__free_unpacked(e, nullptr);
+		return to == 5 && is_push;
+	};
+	ASSERT_EQ(PutConfig(sim->leader(), 50, "other").status, 200);
+	sim->run_for_ms(1900);
+	id = SendRequest(5);
+	EXPECT_EQ(sim->replies[id].status, 503);
+	sim->is_lost = nullptr;
+	sim->run_for_ms(500);
+	(void)SendRequest(5); /* to a service without endpoints */
+	EXPECT_EQ(sim->instances[5]->event_counts["config-in-force"], 2);
+}
+
+/*
+ * Guards against an entry that goes back after its restart: all that it reaches
+ * is a core that was cut off before the change.
+ */
+TEST_F(Gateway, a_restarted_entry_serves_nothing_older)
+{
+	int behind;
+
+	StartServing();
+	behind = sim->leader() == 0 ? 1 : 0; /* a seed */
+	for (int k = 0; k < 5; k++) {
+		sim->cut_links.insert({behind, k});
+		sim->cut_links.insert({k, behind});
+	}
+	sim->run_for_ms(500);
+	ASSERT_EQ(PutConfig(sim->leader(), 50, "other").status, 200);
+	sim->run_for_ms(500);
+	sim->kill(5);
+	for (int k = 0; k < 5; k++)
+		if (k != behind) {
+			sim->cut_links.insert({5, k});
+			sim->cut_links.insert({k, 5});
+		}
+	sim->start(5);
+	for (int i = 0; i < 12; i++) {
+		sim->run_for_ms(500);
+		EXPECT_EQ(UnknownRouteStatus(5), 503) << i;
+	}
+	EXPECT_EQ(sim->instances[5]->event_counts["config-in-force"], 3)
+	    << "it has got the configuration before";
+}
+
 TEST_F(Gateway, every_core_accepts_changes_and_reads_the_latest)
 {
 	StartServing();
@@ -998,5 +1089,6 @@
     {"node.gate_leased", &node_guards.gate_leased},
     {"node.gate_active", &node_guards.gate_active},
     {"node.renew_at_leader", &node_guards.renew_at_leader},
+    {"node.gate_confirmed", &node_guards.gate_confirmed},
     {"node.gate_verdict", &node_guards.gate_verdict},
 });
