gateway: a resent deregistration is answered by the log, too

Endpoints saw: the first DELETE gets no answer, the second is acknowledged at once. If the leader is lost then, its successor doesn't know that the endpoint has left, and requests go there after the acknowledgement.

Cause, the class of the two contents of one version (answered beside the log): the first DELETE takes the endpoint out of the leader's table before its mark is committed; for the second there was nothing left to propose, so it was acknowledged.

Change: for a process that has deregistered here the mark is proposed again unless the log has it, and the answer waits for it. Announcements of leaving and adapters' versions were read for the same: they ask for what the log has applied.

Test: Gateway.a_resent_deregistration_is_acknowledged_by_the_log_alone: 200 while the leader is cut off from all other cores, before; fails with the guard node.gate_leave_logged off. The guards of the node are initialised by name, so that one can't be left off by count.

--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -264,6 +264,22 @@
 		acknowledge_announcement(n, caller);
 }
 
+/*
+ * Finds the process that deregisters: the one that is known, or one that has
+ * done so before, whose mark may not be in the log yet.
+ */
+static bool
+find_leaving_process(const struct place *place, const char *id, uint64_t *born)
+{
+	uint64_t min_born;
+
+	if (place_get_born(place, id, born))
+		return true;
+	min_born = place_min_born_ms(place, id);
+	*born = min_born == 0 ? 0 : min_born - 1;
+	return min_born != 0 && node_guards.gate_leave_logged;
+}
+
 /*
  * An endpoint that deregisters without having announced that it leaves keeps
  * running for a while, but gets no new work. That can be promised for a known
@@ -274,15 +290,16 @@
     const struct gate_caller *caller)
 {
 	uint64_t born = 0;
-	bool known = place_get_born(n->gate->place, call->endpoint, &born);
-	bool announced = place_is_leaving(n->gate->place, call->endpoint, born);
+	bool known =
+	    find_leaving_process(n->gate->place, call->endpoint, &born);
+	bool logged = place_is_leaving(n->gate->place, call->endpoint, born);
 
 	if (!known && !gate_table_is_complete(n)) {
 		send_result(n, caller, 503, "the endpoint is not known yet");
 		return;
 	}
 	(void)place_endpoint_leave(n->gate->place, n->now, call->endpoint);
-	if (known && !announced)
+	if (known && !logged)
 		gate_control_propose_leaving(n, call->endpoint, born, caller);
 	else
 		send_result(n, caller, 200, NULL);
--- a/src/node/node_guard.c
+++ b/src/node/node_guard.c
@@ -1,7 +1,19 @@
 #include "node/node_guard.h"
 #include "node/node_internal.h"
 
-struct node_guards node_guards = {true, true, true, true, true, true, true,
-    true, true, true, true, true, true};
+struct node_guards node_guards = {.takeover_wait = true,
+    .active_epoch = true,
+    .act_until = true,
+    .relay_round = true,
+    .relay_process = true,
+    .orphan_pins = true,
+    .cache_resync = true,
+    .gate_highest = true,
+    .gate_confirmed = true,
+    .gate_leave_logged = true,
+    .gate_verdict = true,
+    .renew_at_leader = true,
+    .gate_active = true,
+    .gate_leased = true};
 
 size_t node_direct_members_max = NODE_DIRECT_MEMBERS_MAX;
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -31,6 +31,8 @@
 	bool gate_highest;
 	/* Only a confirmed configuration says that a route does not exist. */
 	bool gate_confirmed;
+	/* A resent deregistration is answered by the log, too. */
+	bool gate_leave_logged;
 	/* A change is refused if its version has other content in the log. */
 	bool gate_verdict;
 	/* Renewals are sent to the leader also if it is no known voter. */
--- a/tests/gateway/config_world.cc
+++ b/tests/gateway/config_world.cc
@@ -411,6 +411,19 @@
 		{"Mulberrypath-Deadline-Ms", "1500"}});
 }
 
+/* Notes the oldest acknowledged version that an answer can't know of. */
+void
+ConfigWorld::note_lag(const Probe &p, int status)
+{
+	uint64_t &worst =
+	    p.bound_us == kApplyUs ? worst_lag_us : worst_unstable_lag_us;
+
+	for (auto &c : changes)
+		if (c.is_valid && c.acked_us != 0 && c.acked_us < p.sent_us &&
+		    !may_have_route(p.route, status == 200, c.version))
+			worst = std::max(worst, p.sent_us - c.acked_us);
+}
+
 void
 ConfigWorld::judge_probe(const Probe &p, int status)
 {
@@ -423,6 +436,7 @@
 	if (p.bound_us == 0)
 		return;
 	probes_judged++;
+	note_lag(p, status);
 	acked = version_acked_before(p.sent_us - p.bound_us);
 	if (!may_have_route(p.route, status == 200, acked))
 		fail(where + ": " + std::to_string(status) +
--- a/tests/gateway/config_world.h
+++ b/tests/gateway/config_world.h
@@ -30,6 +30,8 @@
 	std::vector<std::string> violations;
 	int changes_acknowledged = 0, probes_judged = 0;
 	uint64_t worst_acknowledgement_us = 0; /* of calm cores */
+	/* longest time from an acknowledgement to an answer that misses it */
+	uint64_t worst_lag_us = 0, worst_unstable_lag_us = 0;
 
       private:
 	/* One change of the configuration, resent until it is answered. */
@@ -109,6 +111,7 @@
 	void send_probe(int entry);
 	void send_read();
 	void on_reply(uint64_t request);
+	void note_lag(const Probe &p, int status);
 	void judge_probe(const Probe &p, int status);
 	void judge_read(const Read &r, const Reply &reply);
 	void read_back();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -754,6 +754,39 @@
  * response on, by others, and after the placer is lost. Its next process gets
  * requests again, whatever a late response of the earlier one says.
  */
+/*
+ * Guards against a resent deregistration that is acknowledged while the first
+ * is not in the log yet: a leader that is then lost has promised what its
+ * successor doesn't know.
+ */
+TEST_F(Gateway, a_resent_deregistration_is_acknowledged_by_the_log_alone)
+{
+	uint64_t first, second;
+	int at;
+
+	StartServing();
+	at = sim->leader();
+	for (int i = 0; i < 8; i++) { /* until it has heard all endpoints */
+		(void)sim->announce(at, "e1");
+		(void)sim->announce(at, "e2");
+		sim->run_for_ms(1000);
+	}
+	for (int k = 0; k < 5; k++)
+		sim->cut_links.insert({at, k});
+	first = sim->send_request(
+	    at, NODE_LISTEN_CONTROL, "DELETE", "/api/instances/e1");
+	sim->run_for_ms(50);
+	second = sim->send_request(
+	    at, NODE_LISTEN_CONTROL, "DELETE", "/api/instances/e1");
+	sim->run_for_ms(100);
+	EXPECT_NE(sim->replies[first].status, 200);
+	EXPECT_NE(sim->replies[second].status, 200);
+	sim->cut_links.clear();
+	sim->run_for_ms(1000);
+	EXPECT_EQ(sim->replies[first].status, 200);
+	EXPECT_EQ(sim->replies[second].status, 200);
+}
+
 TEST_F(Gateway, an_endpoint_that_says_it_leaves_gets_no_more_requests)
 {
 	std::string endpoint;
@@ -1090,5 +1123,6 @@
     {"node.gate_active", &node_guards.gate_active},
     {"node.renew_at_leader", &node_guards.renew_at_leader},
     {"node.gate_confirmed", &node_guards.gate_confirmed},
+    {"node.gate_leave_logged", &node_guards.gate_leave_logged},
     {"node.gate_verdict", &node_guards.gate_verdict},
 });
