gateway: guards for an invalid configuration and for the timeout of a route

Two faces of CONFIG had a module and tests and no guard: that an invalid configuration is refused (gw_config_check, at the leader and where it is applied) and that a request ends at the timeout of its route. Both can be switched off now, and a test fails then.

--- a/src/forward/forward_guard.c
+++ b/src/forward/forward_guard.c
@@ -1,4 +1,10 @@
 #include "forward/forward_guard.h"
 
 /* All safety rules are enabled. */
-struct forward_guards forward_guards = {true, true, true, true, true, true};
+struct forward_guards forward_guards = {.once = true,
+    .truth = true,
+    .proof = true,
+    .match = true,
+    .gap = true,
+    .timeout = true,
+    .attempts = true};
--- a/src/forward/forward_guard.h
+++ b/src/forward/forward_guard.h
@@ -17,6 +17,7 @@
 	bool proof; /* relay no successful response without signature */
 	bool match; /* relay no response to another request */
 	bool gap; /* resume a stream only after an event with an id */
+	bool timeout; /* end a request at the timeout of its route */
 	bool attempts; /* limit the endpoints that may run a request */
 };
 
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "forward/forward_guard.h"
 #include "forward/forward_internal.h"
 #include "util/mem.h"
 
@@ -59,7 +60,8 @@
 	r->caller_deadline_us = decoded->deadline_ms == 0
 	    ? timeout_us
 	    : now_us + decoded->deadline_ms * US_PER_MS;
-	r->deadline_us = r->caller_deadline_us < timeout_us
+	r->deadline_us =
+	    r->caller_deadline_us < timeout_us || !forward_guards.timeout
 	    ? r->caller_deadline_us
 	    : timeout_us;
 	r->target_us = now_us +
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -60,7 +60,8 @@
 
 	if (g->codec->read_config(&config, text, &err) != MP_OK)
 		return false;
-	if (gw_config_check(config, &err) != MP_OK) {
+	if (gw_config_check(config, &err) != MP_OK &&
+	    node_guards.gate_checked) {
 		gw_config_destroy(config);
 		return false;
 	}
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -162,7 +162,7 @@
 		send_result(n, caller, 400, err.message);
 		return;
 	}
-	if (gw_config_check(config, &err) != MP_OK)
+	if (gw_config_check(config, &err) != MP_OK && node_guards.gate_checked)
 		send_result(n, caller, 400, err.message);
 	else if (g->config != NULL && config->version < g->config->version)
 		send_result(n, caller, 200, NULL);
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -33,6 +33,8 @@
 	bool gate_confirmed;
 	/* A resent deregistration is answered by the log, too. */
 	bool gate_leave_logged;
+	/* An invalid configuration is refused. */
+	bool gate_checked;
 	/* A change is refused if its version has other content in the log. */
 	bool gate_verdict;
 	/* Renewals are sent to the leader also if it is no known voter. */
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -313,5 +313,6 @@
     {"forward.proof", &forward_guards.proof},
     {"forward.match", &forward_guards.match},
     {"forward.gap", &forward_guards.gap},
+    {"forward.timeout", &forward_guards.timeout},
     {"forward.attempts", &forward_guards.attempts},
 });
--- a/tests/gateway/config_world.cc
+++ b/tests/gateway/config_world.cc
@@ -408,7 +408,27 @@
 	    {{"Host", "h.example"},
 		{"Mulberrypath-Attempt-Id",
 		    std::to_string(sim->next_request_id())},
-		{"Mulberrypath-Deadline-Ms", "1500"}});
+		{"Mulberrypath-Deadline-Ms", "9000"}});
+}
+
+/* Finds probes that are held past the timeout of their route. */
+void
+ConfigWorld::judge_unanswered()
+{
+	for (auto p = probes.begin(); p != probes.end();) {
+		const Probe &probe = p->second;
+		size_t entry = (size_t)probe.entry;
+
+		if (sim->now_us < probe.sent_us + kTimeoutUs + kAnswerSlackUs) {
+			p++;
+			continue;
+		}
+		if (sim->instances[entry]->generation == probe.generation &&
+		    entry_trouble_us[entry] < probe.sent_us)
+			fail("entry " + std::to_string(entry) +
+			    " holds a request past its timeout");
+		p = probes.erase(p);
+	}
 }
 
 /* Notes the oldest acknowledged version that an answer can't know of. */
@@ -532,6 +552,8 @@
 		sim->start(i);
 	sim->on_reply = [this](uint64_t request) { on_reply(request); };
 	sim->on_call = [this](const GatewaySim::EndpointCall &call) {
+		if (chance(0.02)) /* it is never answered */
+			return;
 		sim->schedule(sim->now_us + 2 * MS,
 		    [this, call] { sim->answer_call(call, 200, "answer"); });
 	};
@@ -596,6 +618,7 @@
 		if (step % 25 == 0)
 			announce();
 		drive_changes();
+		judge_unanswered();
 		for (int i = cores; i < cores + entries; i++)
 			if (chance(0.25))
 				send_probe(i);
--- a/tests/gateway/config_world.h
+++ b/tests/gateway/config_world.h
@@ -19,6 +19,8 @@
 	/* The bounds that the users' installations state. */
 	static constexpr uint64_t kApplyUs = 2000 * MS; /* in force after it */
 	static constexpr uint64_t kCalmUs = 3000 * MS; /* without trouble */
+	static constexpr uint64_t kTimeoutUs = 2000 * MS; /* of each route */
+	static constexpr uint64_t kAnswerSlackUs = 500 * MS; /* after it */
 	static constexpr uint64_t kUnstableUs = 5000 * MS; /* added to kApplyUs
 							      while unstable */
 
@@ -113,6 +115,7 @@
 	void on_reply(uint64_t request);
 	void note_lag(const Probe &p, int status);
 	void judge_probe(const Probe &p, int status);
+	void judge_unanswered();
 	void judge_read(const Read &r, const Reply &reply);
 	void read_back();
 	int version_acked_before(uint64_t us) const;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1124,5 +1124,6 @@
     {"node.renew_at_leader", &node_guards.renew_at_leader},
     {"node.gate_confirmed", &node_guards.gate_confirmed},
     {"node.gate_leave_logged", &node_guards.gate_leave_logged},
+    {"node.gate_checked", &node_guards.gate_checked},
     {"node.gate_verdict", &node_guards.gate_verdict},
 });
