--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -34,9 +34,12 @@
 typedef enum _Wire__ClaimOutcome {
   WIRE__CLAIM_OUTCOME__CLAIM_DONE = 0,
   /*
-   * surely did not run: the key is free again
+   * certainly not run: the key is released
    */
   WIRE__CLAIM_OUTCOME__CLAIM_NOT_RUN = 1,
+  /*
+   * may have run
+   */
   WIRE__CLAIM_OUTCOME__CLAIM_UNKNOWN = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__CLAIM_OUTCOME)
 } Wire__ClaimOutcome;
