mulberryd: the log tells how long saves take

Change: the store notes the longest save with its sync, and event 16 has it as saveMs, written each second while it is over 100 ms.

Test: Store.LongestSaveIsToldOnce.

--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -36,6 +36,7 @@
 struct daemon_load {
 	uint64_t interval_start_us;
 	uint64_t max_tick_delay_us; /* in this interval */
+	uint64_t max_save_us; /* longest save, with its sync */
 	uint64_t cpu_at_start_us, events_at_start;
 };
 
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -9,11 +9,12 @@
 #define US_PER_MS     1000
 /*
  * Interval of the load's log line, and the shorter interval that applies after
- * a tick was delayed by more than the threshold.
+ * a tick was delayed by more than the threshold, or a save took longer.
  */
 #define LOAD_LOG_INTERVAL_US	     (10 * 1000 * 1000ULL)
 #define LOAD_LOG_INTERVAL_DELAYED_US (1000 * 1000ULL)
 #define TICK_DELAY_THRESHOLD_US	     (20 * 1000ULL)
+#define SAVE_TIME_THRESHOLD_US	     (100 * 1000ULL) /* the same for a save */
 
 static void
 append_counter(struct buf *out, const char *name, double value)
@@ -55,15 +56,28 @@
 
 	log_output_write_event(d->log, EVENT_LOAD,
 	    "{\"spanMs\": %llu, \"cpuMs\": %llu, \"events\": %llu, "
-	    "\"lateMs\": %llu}",
+	    "\"lateMs\": %llu, \"saveMs\": %llu}",
 	    (unsigned long long)(now_us - load->interval_start_us) / US_PER_MS,
 	    (unsigned long long)(cpu_us - load->cpu_at_start_us) / US_PER_MS,
 	    (unsigned long long)(d->event_count - load->events_at_start),
-	    (unsigned long long)load->max_tick_delay_us / US_PER_MS);
+	    (unsigned long long)load->max_tick_delay_us / US_PER_MS,
+	    (unsigned long long)load->max_save_us / US_PER_MS);
 	load->interval_start_us = now_us;
 	load->cpu_at_start_us = cpu_us;
 	load->events_at_start = d->event_count;
 	load->max_tick_delay_us = 0;
+	load->max_save_us = 0;
+}
+
+/* Notes the longest save since the last tick. */
+static void
+record_save_time(struct daemon *d)
+{
+	uint64_t save_us =
+	    d->store == NULL ? 0 : store_take_longest_us(d->store);
+
+	if (save_us > d->load.max_save_us)
+		d->load.max_save_us = save_us;
 }
 
 void
@@ -71,13 +85,16 @@
 {
 	struct daemon_load *load = &d->load;
 	uint64_t now_us = clock_now_us();
+	bool is_delayed;
 
+	record_save_time(d);
 	if (now_us > due_us + load->max_tick_delay_us)
 		load->max_tick_delay_us = now_us - due_us;
+	is_delayed = load->max_tick_delay_us > TICK_DELAY_THRESHOLD_US ||
+	    load->max_save_us > SAVE_TIME_THRESHOLD_US;
 	if (now_us >= load->interval_start_us +
-		(load->max_tick_delay_us > TICK_DELAY_THRESHOLD_US
-			? LOAD_LOG_INTERVAL_DELAYED_US
-			: LOAD_LOG_INTERVAL_US))
+		(is_delayed ? LOAD_LOG_INTERVAL_DELAYED_US
+			    : LOAD_LOG_INTERVAL_US))
 		log_load(d, now_us);
 }
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -8,6 +8,7 @@
 #include "raft/raft_record.h"
 #include "store/store_internal.h"
 #include "store/store_open.h"
+#include "util/clock.h"
 #include "util/mem.h"
 
 #define REASON_BYTES 128
@@ -39,6 +40,8 @@
 	struct store_queue batch; /* saves that the thread writes */
 	uv_work_t work;
 	bool is_batch_running;
+	uint64_t batch_started_us;
+	uint64_t longest_us; /* see store_take_longest_us() */
 	bool failed; /* a write failed; all later saves fail */
 	bool is_full; /* the last write failed for lack of space */
 	bool is_full_reported; /* the value last passed to full_cb */
@@ -278,6 +281,24 @@
 		s->reason[0] = '\0';
 }
 
+static void
+note_batch_time(struct store *s)
+{
+	uint64_t took_us = clock_now_us() - s->batch_started_us;
+
+	if (took_us > s->longest_us)
+		s->longest_us = took_us;
+}
+
+uint64_t
+store_take_longest_us(struct store *s)
+{
+	uint64_t longest_us = s->longest_us;
+
+	s->longest_us = 0;
+	return longest_us;
+}
+
 /* Reports the results of the batch, then starts the next one or closes. */
 static void
 batch_done(uv_work_t *work, int status)
@@ -296,6 +317,7 @@
 		return;
 	}
 	s->failed |= s->is_full;
+	note_batch_time(s);
 	while ((item = queue_pop(&s->batch)) != NULL) {
 		bool ok = status == 0 && item->ok;
 
@@ -325,6 +347,7 @@
 	if (s->is_batch_running)
 		return;
 	s->is_batch_running = true;
+	s->batch_started_us = clock_now_us();
 	s->batch = s->queue;
 	if (s->batch.first == NULL)
 		queue_init(&s->batch);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -84,6 +84,12 @@
 };
 void store_get_counters(const struct store *s, struct store_counters *out);
 
+/*
+ * The longest time in microseconds from the start of a batch until it was
+ * synced, of those that have ended since the last call; 0: none has.
+ */
+uint64_t store_take_longest_us(struct store *s);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/store/store_test.cc
+++ b/tests/store/store_test.cc
@@ -344,6 +344,29 @@
 	EXPECT_EQ(c.records, 100U);
 }
 
+/* A slow disk must be told from a busy processor by the log alone. */
+TEST_F(Store, LongestSaveIsToldOnce)
+{
+	FailingFiles failing;
+
+	failing.write_error = UV_ENOSPC;
+	ASSERT_EQ(open(&failing.files), MP_OK);
+	EXPECT_EQ(store_take_longest_us(handle), 0U);
+	snapshot(1, 1, "config");
+	append(2, {"a"});
+	run();
+	EXPECT_GT(store_take_longest_us(handle), 0U);
+	EXPECT_EQ(store_take_longest_us(handle), 0U);
+	failing.writes = 0;
+	append(3, {"b"}); /* waits for space */
+	for (int i = 0; i < 3; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	EXPECT_EQ(store_take_longest_us(handle), 0U) << "it has not ended";
+	failing.writes = 1 << 30;
+	run();
+	EXPECT_GT(store_take_longest_us(handle), 1000U);
+}
+
 /* Saves that are queued when the store is closed must not be lost. */
 TEST_F(Store, CloseCompletesQueuedSaves)
 {
