--- a/tests/gateway/config_world.cc
+++ b/tests/gateway/config_world.cc
@@ -15,6 +15,8 @@
 {
 	sim = std::make_unique<GatewaySim>(cores, entries);
 	sim->keep_messages_of_frozen = seed % 3 != 0;
+	sim->core_event_us = seed % 5 * 150;
+	sim->entry_event_us = seed % 7 * 100;
 	entry_trouble_us.resize((size_t)(cores + entries));
 	/* Links differ, so that any core may be the first to answer. */
 	for (int a = 0; a < cores + entries; a++)
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -103,6 +103,8 @@
 	ASSERT_EQ(node_create(&m.node, &boot, &err), MP_OK) << err.message;
 	m.alive = true;
 	m.exited = false;
+	m.event_queue.clear(); /* what came while it was down */
+	m.draining = false;
 	tick(i, m.generation);
 }
 
