member: a replica that always lags by some time is confirmed, that much later

Read, not seen: an instance whose lag is longer than the interval of renewals (600 ms in a large cluster, behind relays) was never confirmed, as each answer replaced the index that it waited for before that was applied; after 1.5 s its entry would have refused all requests.

Change: the oldest index that is waited for is kept until it is applied.

--- a/src/member/member_freshness.c
+++ b/src/member/member_freshness.c
@@ -5,7 +5,12 @@
 void
 member_freshness_on_applied(struct member_freshness *f, uint64_t applied)
 {
-	if (applied >= f->commit && f->commit_sent_us > f->confirmed_us)
+	if (applied < f->awaited)
+		return;
+	f->confirmed_us = f->awaited_sent_us;
+	f->awaited = f->commit;
+	f->awaited_sent_us = f->commit_sent_us;
+	if (applied >= f->commit)
 		f->confirmed_us = f->commit_sent_us;
 }
 
@@ -16,8 +21,6 @@
 	if (!member_reply_has_authority(reply) ||
 	    reply->sent_us <= f->commit_sent_us)
 		return;
-	/* The answer before may be confirmed, although this one is not yet. */
-	member_freshness_on_applied(f, applied);
 	f->commit = reply->commit;
 	f->commit_sent_us = reply->sent_us;
 	member_freshness_on_applied(f, applied);
--- a/src/member/member_freshness.h
+++ b/src/member/member_freshness.h
@@ -30,6 +30,12 @@
 struct member_freshness {
 	uint64_t commit; /* in the newest answer with authority */
 	uint64_t commit_sent_us; /* when the renewal that it answers was sent */
+	/*
+	 * The same of the oldest answer whose index was not applied yet. It is
+	 * kept until then: a replica that always lags by more than an interval
+	 * of renewals is confirmed, too, that much later.
+	 */
+	uint64_t awaited, awaited_sent_us;
 	uint64_t confirmed_us; /* everything until then is applied; 0: never */
 };
 
