forward: the log tells the prompt's parts and whether the endpoint closed

Event 120 names the hashes of the prompt's shared parts, and whether the endpoint closed its connection, as the end of its process does, or was only silent.

--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -99,6 +99,8 @@
 	size_t nheaders;
 	bool has_length; /* HEAD only: the body's length is known */
 	uint64_t length; /* of the body in bytes, when has_length */
+	/* BROKEN only: the peer has closed or reset the connection */
+	bool closed_by_peer;
 };
 
 struct node_event {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -135,6 +135,26 @@
 					       : (to_us - from_us) / US_PER_MS;
 }
 
+/*
+ * The hashes of the prompt's parts without the last one, which belongs to this
+ * request or its session alone, separated by commas.
+ */
+static const char *
+shared_parts_text(const struct fwd_request *r, struct node_effects *fx)
+{
+	struct buf text = {0};
+	const char *copy;
+	size_t i;
+
+	for (i = 0; i + 1 < r->decoded.nparts; i++)
+		buf_printf(&text, "%s%016llx", i == 0 ? "" : ",",
+		    (unsigned long long)r->decoded.parts[i].hash);
+	copy = node_effects_copy(fx, text.data == NULL ? "" : text.data,
+	    text.data == NULL ? 0 : text.len);
+	buf_free(&text);
+	return copy;
+}
+
 void
 fwd_finish(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const char *outcome, struct node_effects *fx)
@@ -146,6 +166,7 @@
 		"\"config\": %llu, \"outcome\": \"%s\", \"status\": %d, "
 		"\"endpoint\": \"%.60s\", \"tries\": %u, \"reached\": %u, "
 		"\"ask\": %llu, \"entry\": %llu, \"fault\": \"%s\", "
+		"\"closed\": %s, \"parts\": \"%s\", "
 		"\"reason\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
 		"\"wholeMs\": %llu, \"deadlineMs\": %llu}",
 		r->decoded.attempt == NULL ? "" : r->decoded.attempt, r->route,
@@ -155,6 +176,8 @@
 		r->maybe_run_count, (unsigned long long)r->last_ask,
 		PLACE_LOG_ENTRY_ID(f->entry),
 		r->last_fault == NULL ? "" : r->last_fault,
+		r->was_closed_by_endpoint ? "true" : "false",
+		shared_parts_text(r, fx),
 		r->refusal_reason == NULL ? "" : r->refusal_reason,
 		(unsigned long long)ms_since(r->started_us, r->placed_us),
 		(unsigned long long)ms_since(r->started_us, r->first_byte_us),
@@ -343,6 +366,7 @@
 	r->state = FWD_SENT;
 	r->sent_us = now_us;
 	r->first_byte_us = 0;
+	r->was_closed_by_endpoint = false;
 	outgoing.request = &r->decoded;
 	outgoing.endpoint = r->endpoint;
 	outgoing.adapter_version = grant->adapter_version;
@@ -452,7 +476,7 @@
 		fwd_on_end(f, r, now_us, fx);
 		break;
 	case NODE_CALL_BROKEN:
-		fwd_on_broken(f, r, now_us, fx);
+		fwd_on_broken(f, r, now_us, event->closed_by_peer, fx);
 		break;
 	}
 	return true;
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -287,7 +287,8 @@
 
 void
 fwd_on_broken(struct forward *f, struct fwd_request *r, uint64_t now_us,
-    struct node_effects *fx)
+    bool is_closed_by_endpoint, struct node_effects *fx)
 {
+	r->was_closed_by_endpoint = is_closed_by_endpoint;
 	handle_broken_response(f, r, now_us, "answer-broke-off", fx);
 }
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -41,6 +41,7 @@
 	size_t navoid;
 	bool may_have_run;
 	const char *last_fault; /* string constant, for the log */
+	bool was_closed_by_endpoint; /* the last attempt; for the log */
 	const char *refusal_reason; /* valid during the current step */
 	uint64_t last_ask; /* for the log */
 	uint32_t declined_grants;
@@ -112,7 +113,7 @@
 void fwd_on_end(struct forward *f, struct fwd_request *r, uint64_t now_us,
     struct node_effects *fx);
 void fwd_on_broken(struct forward *f, struct fwd_request *r, uint64_t now_us,
-    struct node_effects *fx);
+    bool is_closed_by_endpoint, struct node_effects *fx);
 
 /* ---- forward_events.c ---- */
 /* Returns the length of the complete events at the start of data. */
--- a/src/http/client_call.c
+++ b/src/http/client_call.c
@@ -50,6 +50,8 @@
 	ev.call = call->id;
 	ev.phase = phase;
 	ev.reason = reason;
+	ev.closed_by_peer =
+	    phase == NODE_CALL_BROKEN && call->is_closed_by_peer;
 	call_remove(call, phase == NODE_CALL_END && call->response.reusable);
 	c->cb(c->ctx, &ev);
 }
@@ -61,6 +63,13 @@
 	    call, call->sent ? NODE_CALL_BROKEN : NODE_CALL_NOT_SENT, reason);
 }
 
+void
+call_fail_closed(struct call *call, const char *reason)
+{
+	call->is_closed_by_peer = true;
+	call_fail(call, reason);
+}
+
 void
 call_on_peer_closed(struct call *call)
 {
@@ -68,7 +77,7 @@
 	    call->response.phase == RESPONSE_BODY_UNTIL_CLOSE)
 		call_end(call, NODE_CALL_END, NULL);
 	else
-		call_fail(call, "closed before the end");
+		call_fail_closed(call, "closed before the end");
 }
 
 void
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -233,6 +233,16 @@
 	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/* Fail a call whose connection failed with a libuv error. */
+static void
+call_fail_io(struct call *call, int error)
+{
+	if (error == UV_EOF || error == UV_ECONNRESET || error == UV_EPIPE)
+		call_fail_closed(call, uv_strerror(error));
+	else
+		call_fail(call, uv_strerror(error));
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -246,7 +256,7 @@
 	    conn_is_closed_by_fin(conn))
 		call_on_peer_closed(conn->call);
 	else if (conn->call != NULL)
-		call_fail(conn->call, uv_strerror((int)n));
+		call_fail_io(conn->call, (int)n);
 	else if (conn->idle) { /* closed, or bytes without a request */
 		pool_remove(conn);
 		conn_close(conn);
@@ -261,7 +271,7 @@
 	conn->writing = false;
 	buf_clear(&conn->output);
 	if (status != 0 && conn->call != NULL)
-		call_fail(conn->call, uv_strerror(status));
+		call_fail_io(conn->call, status);
 }
 
 void
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -84,6 +84,7 @@
 	uint32_t idle_limit_ms; /* of a pooled connection; 0: no limit */
 	bool sent; /* a byte was passed to the connection */
 	bool ended; /* no further event is reported */
+	bool is_closed_by_peer; /* why it is broken */
 	struct client_conn *conn;
 	struct response response;
 	uv_timer_t timer;
@@ -108,6 +109,9 @@
  */
 void call_fail(struct call *call, const char *reason);
 
+/* The same, since the peer closed or reset the connection. */
+void call_fail_closed(struct call *call, const char *reason);
+
 /*
  * The peer closed its side without an error. This completes a response
  * without a length if the call is close_delimited; otherwise the call fails.
--- a/src/journal/journal.pb-c.c
+++ b/src/journal/journal.pb-c.c
@@ -947,7 +947,7 @@
   (ProtobufCMessageInit) journal__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor journal__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor journal__call__field_descriptors[11] =
 {
   {
     "call",
@@ -1069,9 +1069,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed_by_peer",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Journal__Call, closed_by_peer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned journal__call__field_indices_by_name[] = {
   0,   /* field[0] = call */
+  10,   /* field[10] = closed_by_peer */
   7,   /* field[7] = content_type */
   5,   /* field[5] = data */
   8,   /* field[8] = headers */
@@ -1085,7 +1098,7 @@
 static const ProtobufCIntRange journal__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor journal__call__descriptor =
 {
@@ -1095,7 +1108,7 @@
   "Journal__Call",
   "journal",
   sizeof(Journal__Call),
-  10,
+  11,
   journal__call__field_descriptors,
   journal__call__field_indices_by_name,
   1,  journal__call__number_ranges,
--- a/src/journal/journal.pb-c.h
+++ b/src/journal/journal.pb-c.h
@@ -176,10 +176,14 @@
    * body length plus 1; 0: length not given
    */
   uint64_t length_and_one;
+  /*
+   * it broke, as the peer closed the connection
+   */
+  protobuf_c_boolean closed_by_peer;
 };
 #define JOURNAL__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&journal__call__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0 }
+    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -251,6 +251,7 @@
 		peer.Close();
 		ASSERT_TRUE(UntilEnded(id));
 		EXPECT_EQ(calls[id].complete, id == 1) << calls[id].reason;
+		EXPECT_EQ(calls[id].closed_by_peer, id == 2);
 		EXPECT_EQ(calls[id].body, "ab");
 	}
 }
@@ -304,6 +305,7 @@
 			peer.Write(CHUNKED "2\r\nab\r\n");
 		ASSERT_TRUE(UntilEnded(id));
 		EXPECT_TRUE(calls[id].broken) << calls[id].reason;
+		EXPECT_FALSE(calls[id].closed_by_peer);
 		peer.Close();
 	}
 	EXPECT_EQ(calls[2].body, "ab");
--- a/tests/http/loop_fixture.h
+++ b/tests/http/loop_fixture.h
@@ -21,6 +21,7 @@
 	int status = 0;
 	int end_events = 0;
 	bool not_sent = false, broken = false, complete = false;
+	bool closed_by_peer = false;
 	std::string body, reason, retry_after;
 	size_t data_events = 0;
 };
@@ -85,6 +86,7 @@
 			r.end_events++;
 			r.not_sent = ev->phase == NODE_CALL_NOT_SENT;
 			r.broken = ev->phase == NODE_CALL_BROKEN;
+			r.closed_by_peer = ev->closed_by_peer;
 			r.complete = ev->phase == NODE_CALL_END;
 			r.reason = ev->reason ? ev->reason : "";
 		}
