--- a/tests/gateway/fleet.cc
+++ b/tests/gateway/fleet.cc
@@ -11,16 +11,27 @@
 /* The adapters that an engine unloaded most recently load ten times as fast. */
 static const size_t kRecentlyUnloadedMax = 30;
 
+/* Callers, each with a first part of its own, and what their prompts share. */
+static const int kCallers = 8, kDocuments = 300;
+/* The first callers also send requests with a fatal part. */
+static const int kFatalCallers = 2;
+/* From the beginning of an answer on a fatal part to the end of the engine. */
+static const uint64_t kFatalUs = 50 * MS;
+static const uint64_t kRestartUs = 3000 * MS;
+
 static std::string
-engines_config()
+engines_config(bool resumable)
 {
-	return R"({"version":1,"routes":[
+	return std::string(R"({"version":1,"routes":[
 	{"name":"r","host":"h.example","path_prefix":"/p/",
 	 "type":"non_idempotent","timeout_ms":600,"target_latency_ms":100,
 	 "service":"app"},
 	{"name":"s","host":"h.example","path_prefix":"/lm/",
 	 "type":"streaming","timeout_ms":4000,"target_latency_ms":800,
-	 "target_gap_ms":300,"sticky":true,"service":"lm","max_attempts":1}],
+	 "target_gap_ms":300,"sticky":true,"service":"lm",)") +
+	    (resumable ? "\"resumable\":true,\"max_attempts\":2"
+		       : "\"max_attempts\":1") +
+	    R"(}],
 	"services":[{"name":"app"},{"name":"lm","engine":{"slots":64,
 	 "kv_capacity_tokens":146943,"adapter_slots":6,"weights_mb":35000,
 	 "loads_per_s":42,"models":[{"name":"m","weights_mb":34300,
@@ -57,6 +68,7 @@
 		if (r == requests.end())
 			return;
 		r->second.status = sim.replies[request].status;
+		r->second.body = sim.replies[request].body;
 		if (r->second.first_byte_us == 0 && r->second.status == 200)
 			r->second.first_byte_us = sim.now_us;
 	};
@@ -122,10 +134,12 @@
 	    std::string(e.is_plain ? "app" : "lm") + "\",\"address\":\"" +
 	    e.address +
 	    "\",\"zone\":\"z\",\"slots\":" + (e.is_plain ? "6" : "64") +
-	    ",\"state\":\"ready\",\"born\":1,\"sequence\":" +
-	    std::to_string(++e.sequence) + models + "}";
+	    ",\"state\":\"ready\",\"born\":" + std::to_string(e.process) +
+	    ",\"sequence\":" + std::to_string(++e.sequence) + models + "}";
 	std::string path = "/api/instances/" + e.id;
 
+	if (sim.now_us < e.down_until_us)
+		return;
 	sim.enqueue(core, [this, core, path, body] {
 		(void)sim.send_request(
 		    core, NODE_LISTEN_CONTROL, "PUT", path, body);
@@ -140,17 +154,91 @@
 	    [this, i] { announce_periodically(i); });
 }
 
+bool
+Fleet::take_call(Engine &e, const GatewaySim::EndpointCall &call)
+{
+	for (auto c = e.open_calls.begin(); c != e.open_calls.end(); ++c)
+		if (c->instance == call.instance && c->call == call.call) {
+			e.open_calls.erase(c);
+			return true;
+		}
+	return false;
+}
+
 void
-Fleet::schedule_reply(uint64_t delay_us, const GatewaySim::EndpointCall &call,
-    int status, const std::string &body)
+Fleet::schedule_reply(Engine &e, uint64_t delay_us,
+    const GatewaySim::EndpointCall &call, int status, const std::string &body)
 {
-	sim.schedule(sim.now_us + delay_us, [this, call, status, body] {
+	sim.schedule(sim.now_us + delay_us, [this, &e, call, status, body] {
+		if (!take_call(e, call))
+			return;
 		sim.enqueue(call.instance, [this, call, status, body] {
 			sim.answer_call(call, status, body);
 		});
 	});
 }
 
+/* Sends the first event of an answer. */
+void
+Fleet::begin_answer(Engine &e, const GatewaySim::EndpointCall &call)
+{
+	for (auto &open : e.open_calls)
+		if (open.instance == call.instance && open.call == call.call) {
+			sim.enqueue(call.instance, [this, call] {
+				sim.answer_call_part(
+				    call, true, "id: 1\ndata: x\n\n");
+			});
+			return;
+		}
+}
+
+void
+Fleet::end_answer(Engine &e, const GatewaySim::EndpointCall &call)
+{
+	if (!take_call(e, call))
+		return;
+	sim.enqueue(call.instance, [this, call] {
+		sim.answer_call_part(call, false, "id: 2\ndata: y\n\n");
+		sim.end_call(call, NODE_CALL_END);
+	});
+}
+
+void
+Fleet::end_engine(size_t i)
+{
+	Engine &e = engines[i];
+	std::vector<GatewaySim::EndpointCall> broken;
+
+	broken.swap(e.open_calls);
+	for (auto &call : broken)
+		sim.schedule(sim.now_us + kNetworkDelayUs, [this, call] {
+			sim.enqueue(call.instance, [this, call] {
+				sim.end_call(call, NODE_CALL_BROKEN);
+			});
+		});
+	e.down_until_us = sim.now_us + kRestartUs;
+	e.process++;
+	e.id = "i" + std::to_string(i) + "p" + std::to_string(e.process);
+	e.adapters.clear();
+	e.recently_unloaded.clear();
+	e.order_count = e.sequence = e.idle_from_us = e.highest_fence = 0;
+	e.last_holder = -1;
+	sim.schedule(e.down_until_us, [this, i] { announce(i); });
+}
+
+int
+Fleet::count_events(const std::string &name) const
+{
+	int sum = 0;
+
+	for (auto &m : sim.instances) {
+		auto found = m->event_counts.find(name);
+
+		sum += found == m->event_counts.end() ? 0 : found->second;
+	}
+	return sum;
+}
+
 int
 Fleet::instance_index(const std::string &name) const
 {
@@ -250,13 +338,41 @@
 	record_holder(e, call);
 	if (draw_uniform() >= options.lost_order_share) {
 		schedule_reply(
-		    kNetworkDelayUs, call, execute_order(e, call), "");
+		    e, kNetworkDelayUs, call, execute_order(e, call), "");
 		return;
 	}
 	sim.schedule(sim.now_us + kLostOrderDelayUs,
 	    [this, &e, call] { (void)execute_order(e, call); });
 }
 
+/* The fatal part in the prompt of a call, which is not its last; -1: none. */
+static int
+fatal_part_of(const GatewaySim::EndpointCall &call)
+{
+	auto parts = call.headers.find("Mulberrypath-Prompt-Prefix");
+	size_t at = parts == call.headers.end() ? std::string::npos
+						: parts->second.find("dead");
+
+	return at == std::string::npos
+	    ? -1
+	    : std::stoi(parts->second.substr(at + 4));
+}
+
+/* The engine ends soon after it has begun to answer. */
+void
+Fleet::run_fatal_request(Engine &e, int part)
+{
+	uint64_t process = e.process;
+
+	fatal_arrivals_us[part].push_back(sim.now_us);
+	sim.schedule(e.idle_from_us + kFatalUs, [this, &e, part, process] {
+		if (e.process != process)
+			return;
+		fatal_ends_us[part].push_back(sim.now_us);
+		end_engine((size_t)(&e - engines.data()));
+	});
+}
+
 void
 Fleet::on_request(Engine &e, const GatewaySim::EndpointCall &call)
 {
@@ -267,7 +383,7 @@
 
 	e.request_count++;
 	if (e.is_plain) {
-		schedule_reply(15 * MS, call, 200, "answer");
+		schedule_reply(e, 15 * MS, call, 200, "answer");
 		return;
 	}
 	if (model == call.headers.end() || usage == call.headers.end()) {
@@ -277,13 +393,24 @@
 	name = model->second.substr(model->second.find('/') + 1);
 	if (e.adapters.count(name) == 0 || e.adapters[name] > sim.now_us) {
 		e.missing_adapter_count++;
-		schedule_reply(kNetworkDelayUs, call, 421, "");
+		schedule_reply(e, kNetworkDelayUs, call, 421, "");
 		return;
 	}
 	read_us = (uint64_t)(std::stod(usage->second) / kTokensPerMs * 1000);
 	e.idle_from_us = std::max(e.idle_from_us, sim.now_us) + read_us;
-	schedule_reply(e.idle_from_us - sim.now_us + kNetworkDelayUs, call, 200,
-	    "id: 1\ndata: x\n\n");
+	if (fatal_part_of(call) >= 0) {
+		run_fatal_request(e, fatal_part_of(call));
+		return;
+	}
+	if (options.answer_us == 0) {
+		schedule_reply(e, e.idle_from_us - sim.now_us + kNetworkDelayUs,
+		    call, 200, "id: 1\ndata: x\n\n");
+		return;
+	}
+	sim.schedule(e.idle_from_us + kNetworkDelayUs,
+	    [this, &e, call] { begin_answer(e, call); });
+	sim.schedule(e.idle_from_us + kNetworkDelayUs + options.answer_us,
+	    [this, &e, call] { end_answer(e, call); });
 }
 
 /*
@@ -316,11 +443,18 @@
 	for (auto &e : engines) {
 		if (e.address != call.address)
 			continue;
+		if (sim.now_us < e.down_until_us) {
+			sim.enqueue(call.instance, [this, call] {
+				sim.end_call(call, NODE_CALL_NOT_SENT);
+			});
+			return;
+		}
+		e.open_calls.push_back(call);
 		if (call.path == "/api/order")
 			on_order(e, call);
 		else if (call.path == "/api/report")
 			schedule_reply(
-			    kNetworkDelayUs, call, 200, make_report(e));
+			    e, kNetworkDelayUs, call, 200, make_report(e));
 		else
 			on_request(e, call);
 		return;
@@ -329,12 +463,31 @@
 
 /* ---- callers ---- */
 
+/*
+ * Draws the parts of a prompt: the caller's first part, a document, the fatal
+ * part if there is one, and a part of this request alone.
+ */
+std::string
+Fleet::draw_parts(int *caller, int fatal_part)
+{
+	std::string last = std::to_string(random());
+
+	*caller = (int)(random() %
+	    (unsigned)(fatal_part < 0 ? kCallers : kFatalCallers));
+	return "ca11" + std::to_string(*caller) + ":568,d0c" +
+	    std::to_string(random() % kDocuments) + ":100," +
+	    (fatal_part < 0 ? ""
+			    : "dead" + std::to_string(fatal_part) + ":100,") +
+	    "e" + last + ":50";
+}
+
 /* adapter: empty for a plain call. */
 void
-Fleet::send_request(int entry, const std::string &adapter)
+Fleet::send_request(int entry, const std::string &adapter, int fatal_part)
 {
 	bool model = !adapter.empty();
 	uint64_t sent_us = sim.now_us;
+	int caller = -1;
 	std::vector<std::pair<std::string, std::string>> headers = {
 	    {"Host", "h.example"},
 	    {"Mulberrypath-Attempt-Id", std::to_string(random())}};
@@ -344,33 +497,57 @@
 		headers.push_back({"Mulberrypath-Token-Usage",
 		    std::to_string(draw_prompt_tokens()) + ",30"});
 		headers.push_back({"Mulberrypath-Deadline-Ms", "4000"});
+		if (options.fatal_requests_per_s > 0)
+			headers.push_back({"Mulberrypath-Prompt-Prefix",
+			    draw_parts(&caller, fatal_part)});
 	} else {
 		headers.push_back({"Mulberrypath-Deadline-Ms", "600"});
 	}
-	sim.enqueue(entry, [this, entry, sent_us, model, headers] {
+	sim.enqueue(entry, [=] {
 		uint64_t id = sim.next_request_id();
 
 		requests[id].sent_us = sent_us;
 		requests[id].is_model = model;
+		requests[id].is_fatal = fatal_part >= 0;
+		requests[id].caller = caller;
 		(void)sim.send_request(entry, NODE_LISTEN_FRONT, "POST",
 		    model ? "/lm/x" : "/p/x", "body", headers);
 	});
 }
 
+double
+Fleet::arrivals_per_s(Traffic traffic) const
+{
+	switch (traffic) {
+	case MODEL_REQUESTS:
+		return options.model_requests_per_s;
+	case PLAIN_CALLS:
+		return options.plain_calls_per_s;
+	default:
+		return options.fatal_requests_per_s;
+	}
+}
+
 void
-Fleet::schedule_arrivals(bool model, uint64_t until_us)
+Fleet::schedule_arrivals(Traffic traffic, uint64_t until_us)
 {
-	double rate =
-	    model ? options.model_requests_per_s : options.plain_calls_per_s;
+	double rate = arrivals_per_s(traffic);
 	uint64_t gap = (uint64_t)(-std::log(1 - draw_uniform()) * 1e6 / rate);
 
 	if (rate <= 0 || sim.now_us + gap >= until_us)
 		return;
-	sim.schedule(sim.now_us + gap, [this, model, until_us] {
-		send_request(
-		    options.cores + (int)(random() % (unsigned)options.entries),
-		    model ? draw_adapter() : "");
-		schedule_arrivals(model, until_us);
+	sim.schedule(sim.now_us + gap, [this, traffic, until_us] {
+		int entry =
+		    options.cores + (int)(random() % (unsigned)options.entries);
+
+		if (traffic == PLAIN_CALLS)
+			send_request(entry, "");
+		else if (traffic == MODEL_REQUESTS)
+			send_request(entry, draw_adapter());
+		else
+			send_request(entry, draw_adapter(),
+			    (int)(random() % (unsigned)options.fatal_parts));
+		schedule_arrivals(traffic, until_us);
 	});
 }
 
@@ -385,8 +562,10 @@
 {
 	uint64_t until_us = sim.now_us + ms * MS;
 
-	schedule_arrivals(true, until_us);
-	schedule_arrivals(false, until_us);
+	schedule_arrivals(MODEL_REQUESTS, until_us);
+	schedule_arrivals(PLAIN_CALLS, until_us);
+	if (options.fatal_requests_per_s > 0)
+		schedule_arrivals(FATAL_REQUESTS, until_us);
 	sim.run_for_ms(ms);
 }
 
@@ -399,7 +578,7 @@
 		sim.start(i);
 	if (!sim.run_until([&] { return sim.leader() >= 0; }, 8000) ||
 	    sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL, "PUT",
-		   "/api/configuration", engines_config())
+		   "/api/configuration", engines_config(options.resumable))
 		    .status != 200)
 		return false;
 	for (size_t i = 0; i < engines.size(); i++)
@@ -411,14 +590,16 @@
 }
 
 double
-Fleet::fraction_in_time(uint64_t from_us, uint64_t to_us, uint64_t limit_us)
+Fleet::fraction(uint64_t from_us, uint64_t to_us, uint64_t limit_us,
+    const std::function<bool(const Request &)> &counts)
 {
 	int all = 0, in_time = 0;
 
 	for (auto &r : requests) {
 		const Request &q = r.second;
 
-		if (!q.is_model || q.sent_us < from_us || q.sent_us >= to_us)
+		if (!q.is_model || q.is_fatal || q.sent_us < from_us ||
+		    q.sent_us >= to_us || !counts(q))
 			continue;
 		all++;
 		in_time += q.first_byte_us != 0 &&
@@ -426,3 +607,18 @@
 	}
 	return all == 0 ? 0 : (double)in_time / all;
 }
+
+double
+Fleet::fraction_in_time(uint64_t from_us, uint64_t to_us, uint64_t limit_us)
+{
+	return fraction(
+	    from_us, to_us, limit_us, [](const Request &) { return true; });
+}
+
+double
+Fleet::fraction_of_shared_callers(
+    uint64_t from_us, uint64_t to_us, uint64_t limit_us)
+{
+	return fraction(from_us, to_us, limit_us,
+	    [](const Request &q) { return q.caller < kFatalCallers; });
+}
--- a/tests/gateway/fleet.h
+++ b/tests/gateway/fleet.h
@@ -19,6 +19,16 @@
 		double model_requests_per_s = 0, plain_calls_per_s = 0;
 		/* share of orders that are carried out late and not answered */
 		double lost_order_share = 0;
+		/*
+		 * Requests whose prompts contain a fatal part: the engine that
+		 * begins to answer one ends. The number of such parts.
+		 */
+		double fatal_requests_per_s = 0;
+		int fatal_parts = 1;
+		/* streams may be resumed, at a second engine */
+		bool resumable = false;
+		/* of an answer, after its first event; 0: it has only one */
+		uint64_t answer_us = 0;
 		unsigned seed = 1;
 	};
 	/* An engine, or an endpoint of a plain service. */
@@ -31,18 +41,28 @@
 		uint64_t idle_from_us = 0; /* when all its prompts are read */
 		uint64_t request_count = 0, missing_adapter_count = 0;
 		bool crashed = false;
+		/* a process that ended is replaced by another one */
+		uint64_t process = 1, down_until_us = 0;
+		/* unanswered calls, in order of arrival */
+		std::vector<GatewaySim::EndpointCall> open_calls;
 		/* of the orders that it received */
 		int last_holder = -1;
 		uint64_t highest_fence = 0, last_order_us = 0;
 	};
 	struct Request {
 		uint64_t sent_us = 0, first_byte_us = 0;
-		bool is_model = false;
+		bool is_model = false, is_fatal = false;
+		int caller = -1; /* whose first part the prompt begins with */
 		int status = 0;
+		std::string body; /* of the reply */
 	};
 	GatewaySim sim;
 	std::vector<Engine> engines;
 	std::map<uint64_t, Request> requests;
+	/* arrivals of requests with a fatal part at engines, by part */
+	std::map<int, std::vector<uint64_t>> fatal_arrivals_us;
+	/* ends of engines under a fatal part, by part */
+	std::map<int, std::vector<uint64_t>> fatal_ends_us;
 	int max_concurrent_loads = 0;
 	int lower_fence_orders = 0; /* with a fence below an earlier one */
 	/*
@@ -61,6 +81,10 @@
 	 */
 	bool bring_up();
 	void run_traffic(uint64_t ms);
+	/* Ends the process of an engine; another one starts 3 s later. */
+	void end_engine(size_t e);
+	/* The sum of an event's counts over all instances. */
+	int count_events(const std::string &name) const;
 	/* Sends a model request for the adapter to the first entry. */
 	void request_adapter(const std::string &adapter);
 	std::function<void()> on_order_received; /* by an engine */
@@ -73,6 +97,12 @@
 	 */
 	double fraction_in_time(
 	    uint64_t from_us, uint64_t to_us, uint64_t limit_us);
+	/*
+	 * The same, of the requests without a fatal part of callers that also
+	 * send some with one.
+	 */
+	double fraction_of_shared_callers(
+	    uint64_t from_us, uint64_t to_us, uint64_t limit_us);
 	int instance_index(const std::string &name) const;
 
       private:
@@ -85,17 +115,33 @@
 	unsigned draw_prompt_tokens();
 	void announce(size_t e);
 	void announce_periodically(size_t e);
-	void send_request(int entry, const std::string &adapter);
-	void schedule_arrivals(bool model, uint64_t until_us);
+	/* fatal_part: -1 for none */
+	void send_request(
+	    int entry, const std::string &adapter, int fatal_part = -1);
+	std::string draw_parts(int *caller, int fatal_part);
+	enum Traffic {
+		MODEL_REQUESTS,
+		PLAIN_CALLS,
+		FATAL_REQUESTS
+	};
+	double arrivals_per_s(Traffic traffic) const;
+	void schedule_arrivals(Traffic traffic, uint64_t until_us);
+	double fraction(uint64_t from_us, uint64_t to_us, uint64_t limit_us,
+	    const std::function<bool(const Request &)> &counts);
+	/* Takes an open call of an engine; false: it has ended. */
+	bool take_call(Engine &e, const GatewaySim::EndpointCall &call);
+	void begin_answer(Engine &e, const GatewaySim::EndpointCall &call);
+	void end_answer(Engine &e, const GatewaySim::EndpointCall &call);
 	void on_call(const GatewaySim::EndpointCall &call);
 	void on_request(Engine &e, const GatewaySim::EndpointCall &call);
+	void run_fatal_request(Engine &e, int part);
 	void send_endless_answer(
 	    const GatewaySim::EndpointCall &call, size_t sent);
 	void record_holder(Engine &e, const GatewaySim::EndpointCall &call);
 	int execute_order(Engine &e, const GatewaySim::EndpointCall &call);
 	void on_order(Engine &e, const GatewaySim::EndpointCall &call);
 	std::string make_report(const Engine &e) const;
-	void schedule_reply(uint64_t delay_us,
+	void schedule_reply(Engine &e, uint64_t delay_us,
 	    const GatewaySim::EndpointCall &call, int status,
 	    const std::string &body);
 };
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -536,10 +536,24 @@
 	return found;
 }
 
+void
+GatewaySim::end_call(const EndpointCall &call, node_call_phase phase)
+{
+	struct node_event ev = {};
+
+	open_calls.erase({call.instance, call.call});
+	ev.type = NODE_EV_CALL;
+	ev.u.call.call = call.call;
+	ev.u.call.phase = phase;
+	ev.u.call.closed_by_peer = phase == NODE_CALL_BROKEN;
+	step(call.instance, ev);
+}
+
 void
 GatewaySim::answer_call_part(
     const EndpointCall &call, bool first, const std::string &body)
 {
+	struct node_header signature = {"Mulberrypath-Server-Signature", "s"};
 	struct node_event ev = {};
 
 	open_calls.erase({call.instance, call.call});
@@ -547,6 +561,8 @@
 	ev.u.call.call = call.call;
 	ev.u.call.phase = NODE_CALL_HEAD;
 	ev.u.call.status = 200;
+	ev.u.call.headers = &signature;
+	ev.u.call.nheaders = 1;
 	if (first)
 		step(call.instance, ev);
 	ev.u.call.phase = NODE_CALL_DATA;
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -118,6 +118,8 @@
 	    uint64_t born = 1);
 	void answer_call(const EndpointCall &call, int status,
 	    const std::string &body, std::vector<node_header> headers = {});
+	/* Ends a call: END, BROKEN by the endpoint, or NOT_SENT. */
+	void end_call(const EndpointCall &call, node_call_phase phase);
 	/* Sends a part of an answer; the first is preceded by the head. */
 	void answer_call_part(
 	    const EndpointCall &call, bool first, const std::string &body);
