--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -190,7 +190,8 @@
 	GW_REFUSE_NOT_READY, /* not run; the caller may retry */
 	GW_REFUSE_OVERLOAD, /* not run; the caller may retry */
 	GW_REFUSE_FAILED, /* may have run */
-	GW_REFUSE_TIMEOUT /* may have run */
+	GW_REFUSE_TIMEOUT, /* may have run */
+	GW_REFUSE_QUARANTINED /* not run; a retry would be refused as well */
 };
 
 /* ---- endpoints ---------------------------------------------------------- */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -228,6 +228,20 @@
 	    fx);
 }
 
+bool
+fwd_refuse_if_quarantined(struct forward *f, struct fwd_request *r,
+    uint64_t now_us, bool was_sent, struct node_effects *fx)
+{
+	if (f->ops->may_send(f->ctx, &r->decoded, was_sent))
+		return false;
+	f->stats.quarantined++;
+	fwd_refuse(f, r, now_us,
+	    r->may_have_run && forward_guards.truth ? GW_REFUSE_FAILED
+						    : GW_REFUSE_QUARANTINED,
+	    "prompt-part-quarantined", 0, fx);
+	return true;
+}
+
 /* ---- attempts ----------------------------------------------------------- */
 
 bool
@@ -331,6 +345,8 @@
 		refuse_unserved(f, r, now_us, fault, RETRY_AFTER_MS, fx);
 		return;
 	}
+	if (fwd_refuse_if_quarantined(f, r, now_us, !not_run, fx))
+		return;
 	r->retries++;
 	f->stats.retried++;
 	r->first_byte_reported = false;
@@ -447,6 +463,31 @@
 	    may_have_run ? 0 : retry_after_ms, fx);
 }
 
+/* Whether no endpoint has begun to answer the request. */
+static bool
+is_unanswered(const struct fwd_request *r)
+{
+	return !r->head_sent && !r->first_byte_reported;
+}
+
+void
+forward_refuse_quarantined(
+    struct forward *f, uint64_t now_us, struct node_effects *fx)
+{
+	struct fwd_request *r;
+	size_t i = map_count(f->by_request);
+
+	while (i-- > 0) {
+		r = map_at(f->by_request, i);
+		if (!is_unanswered(r) ||
+		    f->ops->may_send(f->ctx, &r->decoded, false))
+			continue;
+		if (r->state != FWD_ASKED)
+			r->may_have_run = true;
+		(void)fwd_refuse_if_quarantined(f, r, now_us, false, fx);
+	}
+}
+
 /* ---- events ------------------------------------------------------------- */
 
 bool
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -30,6 +30,14 @@
  */
 struct forward;
 
+/* How an endpoint's process dealt with a request. */
+struct forward_observation {
+	const struct gw_request *request;
+	const char *endpoint;
+	uint64_t born_ms; /* start of the process */
+	bool is_served; /* answered well; else the process closed early */
+};
+
 /* Functions of the node that forwards. */
 struct forward_ops {
 	/*
@@ -50,6 +58,18 @@
 	 */
 	void (*notice)(void *ctx, uint64_t ask,
 	    const struct place_notice *notice, struct node_effects *fx);
+	/*
+	 * Whether the request may be sent to an endpoint. If not, a part of its
+	 * prompt is quarantined, or is suspect and the request was sent before.
+	 */
+	bool (*may_send)(
+	    void *ctx, const struct gw_request *request, bool was_sent);
+	/*
+	 * Record how a process dealt with a request: answered well, or closed
+	 * the connection soon after it began to answer, or before.
+	 */
+	void (*observe)(void *ctx, const struct forward_observation *observed,
+	    struct node_effects *fx);
 	/* Return an unused id for an HTTP call; not 0. */
 	uint64_t (*next_call)(void *ctx);
 	/* Log a finished request. fields: a JSON object. */
@@ -116,6 +136,13 @@
 bool forward_resend_ask(
     struct forward *f, uint64_t now_us, uint64_t ask, struct node_effects *fx);
 
+/*
+ * Refuses the open requests that forward_ops.may_send() does not allow any
+ * more, and cancels their calls that have not been answered yet.
+ */
+void forward_refuse_quarantined(
+    struct forward *f, uint64_t now_us, struct node_effects *fx);
+
 /* Handles progress of an HTTP call; false: not a call of this forwarder. */
 bool forward_on_call_event(struct forward *f, uint64_t now_us,
     const struct node_call_event *event, struct node_effects *fx);
@@ -143,7 +170,7 @@
  */
 struct forward_stats {
 	uint64_t asked, served, refused, failed, timed_out, caller_gone,
-	    retried, aborted, declined;
+	    retried, aborted, declined, quarantined;
 	struct hist placement_us, first_byte_us, total_us;
 };
 /* Returns the totals, owned by the forwarder. */
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -214,6 +214,33 @@
 	buf_consume(&r->unsent, complete_len);
 }
 
+/*
+ * A process that ends because of a request does so soon after it has begun to
+ * answer it, or before.
+ */
+#define END_SUSPECT_US (1000 * US_PER_MS)
+
+static void
+observe(struct forward *f, const struct fwd_request *r, bool is_served,
+    struct node_effects *fx)
+{
+	struct forward_observation observed = {
+	    &r->decoded, r->endpoint, r->endpoint_born_ms, is_served};
+
+	f->ops->observe(f->ctx, &observed, fx);
+}
+
+/* The endpoint closed the connection before the end of its response. */
+static void
+observe_closed(struct forward *f, struct fwd_request *r, uint64_t now_us,
+    struct node_effects *fx)
+{
+	r->was_closed_by_endpoint = true;
+	if (!r->first_byte_reported ||
+	    now_us < r->first_byte_us + END_SUSPECT_US)
+		observe(f, r, false, fx);
+}
+
 /*
  * Ends an attempt whose response is incomplete: retries the request, or aborts
  * the response if part of it is sent and it cannot be resumed.
@@ -264,6 +291,8 @@
 	struct node_effect *end;
 	bool failed = r->status >= 500 && r->status != STATUS_GATEWAY_TIMEOUT;
 
+	if (is_success(r->status))
+		observe(f, r, true, fx);
 	r->maybe_run_count++;
 	fwd_report_outcome(f, r,
 	    failed				      ? PLACE_ENDPOINT_FAILED
@@ -289,6 +318,7 @@
 fwd_on_broken(struct forward *f, struct fwd_request *r, uint64_t now_us,
     bool is_closed_by_endpoint, struct node_effects *fx)
 {
-	r->was_closed_by_endpoint = is_closed_by_endpoint;
+	if (is_closed_by_endpoint)
+		observe_closed(f, r, now_us, fx);
 	handle_broken_response(f, r, now_us, "answer-broke-off", fx);
 }
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -87,6 +87,12 @@
  */
 void fwd_retry_or_refuse(struct forward *f, struct fwd_request *r,
     uint64_t now_us, bool not_run, const char *fault, struct node_effects *fx);
+/*
+ * Refuses the request if a part of its prompt is quarantined; false: it is not.
+ * Frees r if it returns true.
+ */
+bool fwd_refuse_if_quarantined(struct forward *f, struct fwd_request *r,
+    uint64_t now_us, bool was_sent, struct node_effects *fx);
 /* Refuses the request, or aborts a response whose head is sent. Frees r. */
 void fwd_refuse(struct forward *f, struct fwd_request *r, uint64_t now_us,
     enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms,
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -189,6 +189,10 @@
 		node_gate_apply_leaving(n, command->endpoint_leaving);
 		apply_gate_proposal(n, command, GATE_TAKEN);
 		break;
+	case WIRE__COMMAND__BODY_PART_QUARANTINE:
+		node_gate_apply_quarantine(n, command->part_quarantine);
+		apply_gate_proposal(n, command, GATE_TAKEN);
+		break;
 	case WIRE__COMMAND__BODY_CLAIM_CLOCK:
 		claim_apply_clock(n->claims, command->claim_clock->elapsed_ms);
 		break;
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -57,6 +57,9 @@
 	g->place = create_place(n);
 	g->owners = map_create();
 	g->popularity = place_popularity_create();
+	g->quarantine = quarantine_create();
+	g->evidence = quarantine_evidence_create();
+	g->observer = quarantine_observer_create();
 	gate_owner_init(n);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
@@ -93,6 +96,9 @@
 	map_destroy_all(g->asks, free);
 	map_destroy_all(g->owners, free);
 	place_popularity_destroy(g->popularity);
+	quarantine_destroy(g->quarantine);
+	quarantine_evidence_destroy(g->evidence);
+	quarantine_observer_destroy(g->observer);
 	map_destroy_all(g->relays, free);
 	free_orders(g->orders);
 	free(g);
@@ -305,6 +311,15 @@
 	case WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE:
 		gate_notice_on_message(n, e->incarnation, e->endpoint_notice);
 		return true;
+	case WIRE__ENVELOPE__BODY_ENDPOINT_ENDED:
+		gate_evidence_on_ended(n, e->endpoint_ended);
+		return true;
+	case WIRE__ENVELOPE__BODY_PART_INQUIRY:
+		gate_quarantine_on_inquiry(n, from, e->part_inquiry);
+		return true;
+	case WIRE__ENVELOPE__BODY_PARTS_SERVED:
+		gate_evidence_on_served(n, e->parts_served);
+		return true;
 	case WIRE__ENVELOPE__BODY_CALL_RELAY:
 		gate_relay_on_call(n, from, e->call_relay);
 		return true;
@@ -383,6 +398,8 @@
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
 	gate_table_tick(n);
+	gate_quarantine_tick(n);
+	gate_evidence_tick(n);
 	gate_config_log_trust(n);
 	stop_tick(n);
 }
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -7,6 +7,9 @@
 #include "place/place.h"
 #include "place/place_popularity.h"
 #include "place/place_window.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/quarantine_evidence.h"
+#include "quarantine/quarantine_observer.h"
 
 /*
  * The gateway's part of the reducer.
@@ -201,6 +204,12 @@
 	uint64_t table_timer_us; /* placer: last sent; else: next request */
 	bool has_been_leased;
 	bool closing_announced, closed_announced; /* while it stops */
+	/* prompt parts under which processes of endpoints end */
+	struct quarantine *quarantine;
+	struct quarantine_evidence *evidence; /* used by the leader */
+	struct quarantine_observer *observer; /* of this entry's requests */
+	uint64_t observed_ends;
+	uint64_t expiry_due_us; /* next check for expired quarantines */
 };
 
 /* ---- node_gate.c ---- */
@@ -302,6 +311,32 @@
 void gate_notice_on_message(
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
 
+/* ---- node_gate_quarantine.c: quarantined prompt parts ---- */
+/* The time, in this instance's clock, of what was age_ms ago just now. */
+uint64_t gate_time_of_age(const struct node *n, uint32_t age_ms);
+/* A part's hash as text: 16 hexadecimal digits. */
+#define GATE_PART_TEXT_SIZE 17
+void gate_part_text(char out[GATE_PART_TEXT_SIZE], uint64_t part);
+/* Operations of forward_ops, see there. */
+bool gate_quarantine_may_send(
+    void *ctx, const struct gw_request *request, bool was_sent);
+void gate_quarantine_observe(void *ctx,
+    const struct forward_observation *observed, struct node_effects *fx);
+/* Reports observed ends to the leader. */
+void gate_quarantine_tick(struct node *n);
+void gate_quarantine_on_inquiry(
+    struct node *n, uint32_t from, const Wire__PartInquiry *inquiry);
+void node_gate_apply_quarantine(
+    struct node *n, const Wire__PartQuarantine *change);
+void gate_quarantine_save(const struct node *n, Node__Snapshot *out);
+void gate_quarantine_save_free(Node__Snapshot *out);
+void gate_quarantine_restore(struct node *n, const Node__Snapshot *snapshot);
+
+/* ---- node_gate_evidence.c: the leader's verdict on prompt parts ---- */
+void gate_evidence_tick(struct node *n);
+void gate_evidence_on_ended(struct node *n, const Wire__EndpointEnded *ended);
+void gate_evidence_on_served(struct node *n, const Wire__PartsServed *served);
+
 /* ---- node_gate_ask_retry.c: timeouts and retries of asks ---- */
 void gate_ask_tick(struct node *n);
 
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -255,6 +255,8 @@
     .ask = ops_ask,
     .done = ops_done,
     .notice = gate_notice_on_response,
+    .may_send = gate_quarantine_may_send,
+    .observe = gate_quarantine_observe,
     .next_call = ops_next_call,
     .log = ops_log,
 };
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -252,6 +252,7 @@
 	if (g == NULL)
 		return;
 	save_leaving(n, out);
+	gate_quarantine_save(n, out);
 	if (g->config != NULL) {
 		out->config_version = g->config->version;
 		out->config.data = (uint8_t *)g->config_text.data;
@@ -284,6 +285,7 @@
 	free(out->leaving);
 	out->leaving = NULL;
 	out->n_leaving = 0;
+	gate_quarantine_save_free(out);
 }
 
 void
@@ -302,6 +304,7 @@
 	for (i = 0; i < snapshot->n_leaving; i++)
 		place_set_leaving(n->gate->place, n->now,
 		    snapshot->leaving[i]->id, snapshot->leaving[i]->born_ms);
+	gate_quarantine_restore(n, snapshot);
 	if (snapshot->config_version == 0 ||
 	    (n->gate->config != NULL &&
 		snapshot->config_version <= n->gate->config->version))
--- /dev/null
+++ b/src/node/node_gate_evidence.c
@@ -0,0 +1,139 @@
+#include "node/node_gate.h"
+
+/*
+ * The leader's part of the quarantine: it collects what entries have observed
+ * of prompt parts, asks them before a verdict, and puts the verdict into the
+ * log. The evidence is not replicated: entries report it to each new leader.
+ */
+
+/* Interval of looking for quarantines whose time is over. */
+#define EXPIRY_INTERVAL_US (1000 * 1000ULL)
+/* finding: of START; NULL otherwise. */
+static void
+propose_change(struct node *n, uint64_t part, Wire__QuarantineChange change,
+    const struct quarantine_finding *finding)
+{
+	Wire__Command command = WIRE__COMMAND__INIT;
+	Wire__PartQuarantine body = WIRE__PART_QUARANTINE__INIT;
+
+	body.part = part;
+	body.change = change;
+	if (finding != NULL) {
+		body.ends = finding->ends;
+		body.last_end_age_ms =
+		    (uint32_t)((n->now - finding->last_end_us) / 1000);
+	}
+	command.body_case = WIRE__COMMAND__BODY_PART_QUARANTINE;
+	command.part_quarantine = &body;
+	(void)node_propose(n, NODE_PROPOSE_GATE, 0,
+	    n->now + GATE_PROPOSAL_TIMEOUT_US, &command);
+}
+
+/* Asks all instances when requests with the part were last answered. */
+static void
+inquire(struct node *n, const struct quarantine_finding *finding)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__PartInquiry inquiry = WIRE__PART_INQUIRY__INIT;
+	uint64_t part = finding->hash;
+	char text[GATE_PART_TEXT_SIZE];
+	const struct member *m;
+	size_t i;
+
+	gate_part_text(text, part);
+	node_log(n, NODE_LOG_GATE_SUSPECTED,
+	    "{\"part\": \"%s\", \"ends\": %u, \"lastEndMs\": %llu}", text,
+	    finding->ends,
+	    (unsigned long long)(n->now - finding->last_end_us) / 1000);
+	inquiry.parts = &part;
+	inquiry.n_parts = 1;
+	gate_quarantine_on_inquiry(n, n->id, &inquiry);
+	envelope.body_case = WIRE__ENVELOPE__BODY_PART_INQUIRY;
+	envelope.part_inquiry = &inquiry;
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if (m->id != n->id)
+			node_peer_send(n, m->id, &envelope);
+	}
+}
+
+static void
+propose_expired(struct node *n)
+{
+	uint64_t part;
+
+	if (n->now < n->gate->expiry_due_us)
+		return;
+	n->gate->expiry_due_us = n->now + EXPIRY_INTERVAL_US;
+	if (quarantine_find_expired(n->gate->quarantine, n->now, &part))
+		propose_change(n, part,
+		    WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_EXPIRE, NULL);
+}
+
+void
+gate_evidence_tick(struct node *n)
+{
+	struct node_gate *g = n->gate;
+	struct quarantine_finding finding;
+
+	if (!g->placing || !gate_has_authority(n))
+		return;
+	propose_expired(n);
+	while (quarantine_evidence_next(
+	    g->evidence, g->quarantine, n->now, &finding)) {
+		if (finding.type == QUARANTINE_INQUIRE)
+			inquire(n, &finding);
+		else
+			propose_change(n, finding.hash,
+			    WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_START,
+			    &finding);
+	}
+}
+
+void
+gate_evidence_on_ended(struct node *n, const Wire__EndpointEnded *ended)
+{
+	struct quarantine_suspect suspects[QUARANTINE_SUSPECTS_MAX];
+	struct quarantine_end end = {0};
+	size_t i;
+
+	for (i = 0; i < ended->n_parts && i < QUARANTINE_SUSPECTS_MAX; i++) {
+		suspects[i].hash = ended->parts[i]->hash;
+		suspects[i].position = ended->parts[i]->position;
+	}
+	end.process = ended->process;
+	end.at_us = gate_time_of_age(n, ended->age_ms);
+	end.suspects = suspects;
+	end.nsuspects = i;
+	quarantine_evidence_add_end(
+	    n->gate->evidence, n->gate->quarantine, &end);
+}
+
+/* A part that is quarantined and was answered since is not to blame. */
+static void
+lift_if_served(struct node *n, uint64_t part, uint64_t served_us)
+{
+	const struct quarantine_part *found =
+	    quarantine_find(n->gate->quarantine, part);
+
+	if (found == NULL || !found->is_active ||
+	    served_us <= found->last_end_us || !n->gate->placing ||
+	    !gate_has_authority(n))
+		return;
+	propose_change(
+	    n, part, WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_LIFT, NULL);
+}
+
+void
+gate_evidence_on_served(struct node *n, const Wire__PartsServed *served)
+{
+	uint64_t served_us;
+	size_t i;
+
+	for (i = 0; i < served->n_parts; i++) {
+		served_us = gate_time_of_age(n, served->parts[i]->age_ms);
+		quarantine_evidence_add_served(
+		    n->gate->evidence, served->parts[i]->hash, served_us);
+		lift_if_served(n, served->parts[i]->hash, served_us);
+	}
+}
--- a/src/node/snapshot.pb-c.c
+++ b/src/node/snapshot.pb-c.c
@@ -142,7 +142,52 @@
   assert(message->base.descriptor == &node__leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[9] =
+void   node__quarantined__init
+                     (Node__Quarantined         *message)
+{
+  static const Node__Quarantined init_value = NODE__QUARANTINED__INIT;
+  *message = init_value;
+}
+size_t node__quarantined__get_packed_size
+                     (const Node__Quarantined *message)
+{
+  assert(message->base.descriptor == &node__quarantined__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__quarantined__pack
+                     (const Node__Quarantined *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__quarantined__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__quarantined__pack_to_buffer
+                     (const Node__Quarantined *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__quarantined__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__Quarantined *
+       node__quarantined__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__Quarantined *)
+     protobuf_c_message_unpack (&node__quarantined__descriptor,
+                                allocator, len, data);
+}
+void   node__quarantined__free_unpacked
+                     (Node__Quarantined *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__quarantined__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[10] =
 {
   {
     "index",
@@ -252,6 +297,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantined",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Snapshot, n_quarantined),
+    offsetof(Node__Snapshot, quarantined),
+    &node__quarantined__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = book */
@@ -260,6 +317,7 @@
   5,   /* field[5] = config_version */
   0,   /* field[0] = index */
   8,   /* field[8] = leaving */
+  9,   /* field[9] = quarantined */
   1,   /* field[1] = term */
   7,   /* field[7] = versions */
   2,   /* field[2] = view */
@@ -267,7 +325,7 @@
 static const ProtobufCIntRange node__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor node__snapshot__descriptor =
 {
@@ -277,7 +335,7 @@
   "Node__Snapshot",
   "node",
   sizeof(Node__Snapshot),
-  9,
+  10,
   node__snapshot__field_descriptors,
   node__snapshot__field_indices_by_name,
   1,  node__snapshot__number_ranges,
@@ -399,3 +457,93 @@
   (ProtobufCMessageInit) node__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor node__quarantined__field_descriptors[5] =
+{
+  {
+    "hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Quarantined, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__Quarantined, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strikes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__Quarantined, strikes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__Quarantined, ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Quarantined, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__quarantined__field_indices_by_name[] = {
+  1,   /* field[1] = active */
+  3,   /* field[3] = ends */
+  0,   /* field[0] = hash */
+  4,   /* field[4] = number */
+  2,   /* field[2] = strikes */
+};
+static const ProtobufCIntRange node__quarantined__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor node__quarantined__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.Quarantined",
+  "Quarantined",
+  "Node__Quarantined",
+  "node",
+  sizeof(Node__Quarantined),
+  5,
+  node__quarantined__field_descriptors,
+  node__quarantined__field_indices_by_name,
+  1,  node__quarantined__number_ranges,
+  (ProtobufCMessageInit) node__quarantined__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/node/snapshot.pb-c.h
+++ b/src/node/snapshot.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Node__Snapshot Node__Snapshot;
 typedef struct Node__Version Node__Version;
 typedef struct Node__Leaving Node__Leaving;
+typedef struct Node__Quarantined Node__Quarantined;
 
 
 /* --- enums --- */
@@ -51,10 +52,12 @@
   Node__Version **versions;
   size_t n_leaving;
   Node__Leaving **leaving;
+  size_t n_quarantined;
+  Node__Quarantined **quarantined;
 };
 #define NODE__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__snapshot__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -89,6 +92,23 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A prompt part that is or was quarantined, see quarantine.h.
+ */
+struct  Node__Quarantined
+{
+  ProtobufCMessage base;
+  uint64_t hash;
+  protobuf_c_boolean active;
+  uint32_t strikes;
+  uint32_t ends;
+  uint64_t number;
+};
+#define NODE__QUARANTINED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__quarantined__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /* Node__Snapshot methods */
 void   node__snapshot__init
                      (Node__Snapshot         *message);
@@ -146,6 +166,25 @@
 void   node__leaving__free_unpacked
                      (Node__Leaving *message,
                       ProtobufCAllocator *allocator);
+/* Node__Quarantined methods */
+void   node__quarantined__init
+                     (Node__Quarantined         *message);
+size_t node__quarantined__get_packed_size
+                     (const Node__Quarantined   *message);
+size_t node__quarantined__pack
+                     (const Node__Quarantined   *message,
+                      uint8_t             *out);
+size_t node__quarantined__pack_to_buffer
+                     (const Node__Quarantined   *message,
+                      ProtobufCBuffer     *buffer);
+Node__Quarantined *
+       node__quarantined__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__quarantined__free_unpacked
+                     (Node__Quarantined *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Node__Snapshot_Closure)
@@ -157,6 +196,9 @@
 typedef void (*Node__Leaving_Closure)
                  (const Node__Leaving *message,
                   void *closure_data);
+typedef void (*Node__Quarantined_Closure)
+                 (const Node__Quarantined *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -166,6 +208,7 @@
 extern const ProtobufCMessageDescriptor node__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor node__version__descriptor;
 extern const ProtobufCMessageDescriptor node__leaving__descriptor;
+extern const ProtobufCMessageDescriptor node__quarantined__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/src/quarantine/quarantine_guard.c
@@ -0,0 +1,4 @@
+#include "quarantine/quarantine_guard.h"
+
+struct quarantine_guards quarantine_guards = {
+    .refuse = true, .served = true, .separate = true, .explain = true};
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -61,6 +61,9 @@
     {NODE_LOG_GATE_NOTICE, NODE_LOG_INFO, "endpoint-notice"},
     {NODE_LOG_GATE_TRUST, NODE_LOG_INFO, "config-trust"},
     {NODE_LOG_GATE_UNREADABLE, NODE_LOG_ERROR, "config-unreadable"},
+    {NODE_LOG_GATE_ENDED, NODE_LOG_WARN, "endpoint-ended"},
+    {NODE_LOG_GATE_SUSPECTED, NODE_LOG_WARN, "part-suspected"},
+    {NODE_LOG_GATE_QUARANTINE, NODE_LOG_WARN, "part-quarantine"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -74,6 +74,9 @@
 	NODE_LOG_GATE_NOTICE = 134,
 	NODE_LOG_GATE_TRUST = 135, /* how far the configuration is trusted */
 	NODE_LOG_GATE_UNREADABLE = 136,
+	NODE_LOG_GATE_ENDED = 137, /* a process ended under requests */
+	NODE_LOG_GATE_SUSPECTED = 138, /* of a prompt part */
+	NODE_LOG_GATE_QUARANTINE = 139,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -502,7 +502,52 @@
   assert(message->base.descriptor == &wire__endpoint_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__command__field_descriptors[13] =
+void   wire__part_quarantine__init
+                     (Wire__PartQuarantine         *message)
+{
+  static const Wire__PartQuarantine init_value = WIRE__PART_QUARANTINE__INIT;
+  *message = init_value;
+}
+size_t wire__part_quarantine__get_packed_size
+                     (const Wire__PartQuarantine *message)
+{
+  assert(message->base.descriptor == &wire__part_quarantine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__part_quarantine__pack
+                     (const Wire__PartQuarantine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__part_quarantine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__part_quarantine__pack_to_buffer
+                     (const Wire__PartQuarantine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__part_quarantine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PartQuarantine *
+       wire__part_quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PartQuarantine *)
+     protobuf_c_message_unpack (&wire__part_quarantine__descriptor,
+                                allocator, len, data);
+}
+void   wire__part_quarantine__free_unpacked
+                     (Wire__PartQuarantine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__part_quarantine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__command__field_descriptors[14] =
 {
   {
     "instance",
@@ -660,6 +705,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_quarantine",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Command, body_case),
+    offsetof(Wire__Command, part_quarantine),
+    &wire__part_quarantine__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__command__field_indices_by_name[] = {
   11,   /* field[11] = adapter_version */
@@ -673,6 +730,7 @@
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   6,   /* field[6] = leave */
+  13,   /* field[13] = part_quarantine */
   2,   /* field[2] = proposal */
   4,   /* field[4] = up */
 };
@@ -680,7 +738,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__command__descriptor =
 {
@@ -690,7 +748,7 @@
   "Wire__Command",
   "wire",
   sizeof(Wire__Command),
-  13,
+  14,
   wire__command__field_descriptors,
   wire__command__field_indices_by_name,
   2,  wire__command__number_ranges,
@@ -1441,6 +1499,96 @@
   (ProtobufCMessageInit) wire__endpoint_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__part_quarantine__field_descriptors[5] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartQuarantine, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartQuarantine, change),
+    &wire__quarantine_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartQuarantine, ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_end_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartQuarantine, last_end_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartQuarantine, operator_),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__part_quarantine__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  2,   /* field[2] = ends */
+  3,   /* field[3] = last_end_age_ms */
+  4,   /* field[4] = operator */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange wire__part_quarantine__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__part_quarantine__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PartQuarantine",
+  "PartQuarantine",
+  "Wire__PartQuarantine",
+  "wire",
+  sizeof(Wire__PartQuarantine),
+  5,
+  wire__part_quarantine__field_descriptors,
+  wire__part_quarantine__field_indices_by_name,
+  1,  wire__part_quarantine__number_ranges,
+  (ProtobufCMessageInit) wire__part_quarantine__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__claim_outcome__enum_values_by_number[3] =
 {
   { "CLAIM_DONE", "WIRE__CLAIM_OUTCOME__CLAIM_DONE", 0 },
@@ -1471,3 +1619,33 @@
   wire__claim_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue wire__quarantine_change__enum_values_by_number[3] =
+{
+  { "QUARANTINE_CHANGE_START", "WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_START", 0 },
+  { "QUARANTINE_CHANGE_EXPIRE", "WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_EXPIRE", 1 },
+  { "QUARANTINE_CHANGE_LIFT", "WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_LIFT", 2 },
+};
+static const ProtobufCIntRange wire__quarantine_change__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex wire__quarantine_change__enum_values_by_name[3] =
+{
+  { "QUARANTINE_CHANGE_EXPIRE", 1 },
+  { "QUARANTINE_CHANGE_LIFT", 2 },
+  { "QUARANTINE_CHANGE_START", 0 },
+};
+const ProtobufCEnumDescriptor wire__quarantine_change__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wire.QuarantineChange",
+  "QuarantineChange",
+  "Wire__QuarantineChange",
+  "wire",
+  3,
+  wire__quarantine_change__enum_values_by_number,
+  3,
+  wire__quarantine_change__enum_values_by_name,
+  1,
+  wire__quarantine_change__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Wire__GatewayConfig Wire__GatewayConfig;
 typedef struct Wire__AdapterVersion Wire__AdapterVersion;
 typedef struct Wire__EndpointLeaving Wire__EndpointLeaving;
+typedef struct Wire__PartQuarantine Wire__PartQuarantine;
 
 
 /* --- enums --- */
@@ -43,6 +44,18 @@
   WIRE__CLAIM_OUTCOME__CLAIM_UNKNOWN = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__CLAIM_OUTCOME)
 } Wire__ClaimOutcome;
+typedef enum _Wire__QuarantineChange {
+  WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_START = 0,
+  /*
+   * its time is over
+   */
+  WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_EXPIRE = 1,
+  /*
+   * the part was not to blame
+   */
+  WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_LIFT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__QUARANTINE_CHANGE)
+} Wire__QuarantineChange;
 
 /* --- messages --- */
 
@@ -57,7 +70,8 @@
   WIRE__COMMAND__BODY_CLAIM_CLOCK = 16,
   WIRE__COMMAND__BODY_GATEWAY_CONFIG = 17,
   WIRE__COMMAND__BODY_ADAPTER_VERSION = 18,
-  WIRE__COMMAND__BODY_ENDPOINT_LEAVING = 19
+  WIRE__COMMAND__BODY_ENDPOINT_LEAVING = 19,
+  WIRE__COMMAND__BODY_PART_QUARANTINE = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__COMMAND__BODY__CASE)
 } Wire__Command__BodyCase;
 
@@ -88,6 +102,7 @@
     Wire__GatewayConfig *gateway_config;
     Wire__AdapterVersion *adapter_version;
     Wire__EndpointLeaving *endpoint_leaving;
+    Wire__PartQuarantine *part_quarantine;
   };
 };
 #define WIRE__COMMAND__INIT \
@@ -301,6 +316,35 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Refuses requests with a prompt part, or accepts them again.
+ */
+struct  Wire__PartQuarantine
+{
+  ProtobufCMessage base;
+  /*
+   * hash
+   */
+  uint64_t part;
+  Wire__QuarantineChange change;
+  /*
+   * of START: processes that ended under it
+   */
+  uint32_t ends;
+  /*
+   * of START: time since the latest of them
+   */
+  uint32_t last_end_age_ms;
+  /*
+   * empty: the leader
+   */
+  char *operator_;
+};
+#define WIRE__PART_QUARANTINE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__part_quarantine__descriptor) \
+    , 0, WIRE__QUARANTINE_CHANGE__QUARANTINE_CHANGE_START, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /* Wire__Command methods */
 void   wire__command__init
                      (Wire__Command         *message);
@@ -510,6 +554,25 @@
 void   wire__endpoint_leaving__free_unpacked
                      (Wire__EndpointLeaving *message,
                       ProtobufCAllocator *allocator);
+/* Wire__PartQuarantine methods */
+void   wire__part_quarantine__init
+                     (Wire__PartQuarantine         *message);
+size_t wire__part_quarantine__get_packed_size
+                     (const Wire__PartQuarantine   *message);
+size_t wire__part_quarantine__pack
+                     (const Wire__PartQuarantine   *message,
+                      uint8_t             *out);
+size_t wire__part_quarantine__pack_to_buffer
+                     (const Wire__PartQuarantine   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PartQuarantine *
+       wire__part_quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__part_quarantine__free_unpacked
+                     (Wire__PartQuarantine *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Command_Closure)
@@ -545,6 +608,9 @@
 typedef void (*Wire__EndpointLeaving_Closure)
                  (const Wire__EndpointLeaving *message,
                   void *closure_data);
+typedef void (*Wire__PartQuarantine_Closure)
+                 (const Wire__PartQuarantine *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -552,6 +618,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    wire__claim_outcome__descriptor;
+extern const ProtobufCEnumDescriptor    wire__quarantine_change__descriptor;
 extern const ProtobufCMessageDescriptor wire__command__descriptor;
 extern const ProtobufCMessageDescriptor wire__doc_put__descriptor;
 extern const ProtobufCMessageDescriptor wire__doc_piece__descriptor;
@@ -563,6 +630,7 @@
 extern const ProtobufCMessageDescriptor wire__gateway_config__descriptor;
 extern const ProtobufCMessageDescriptor wire__adapter_version__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_leaving__descriptor;
+extern const ProtobufCMessageDescriptor wire__part_quarantine__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1582,7 +1582,232 @@
   assert(message->base.descriptor == &wire__table_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[29] =
+void   wire__endpoint_ended__init
+                     (Wire__EndpointEnded         *message)
+{
+  static const Wire__EndpointEnded init_value = WIRE__ENDPOINT_ENDED__INIT;
+  *message = init_value;
+}
+size_t wire__endpoint_ended__get_packed_size
+                     (const Wire__EndpointEnded *message)
+{
+  assert(message->base.descriptor == &wire__endpoint_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__endpoint_ended__pack
+                     (const Wire__EndpointEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__endpoint_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__endpoint_ended__pack_to_buffer
+                     (const Wire__EndpointEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__endpoint_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndpointEnded *
+       wire__endpoint_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndpointEnded *)
+     protobuf_c_message_unpack (&wire__endpoint_ended__descriptor,
+                                allocator, len, data);
+}
+void   wire__endpoint_ended__free_unpacked
+                     (Wire__EndpointEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__endpoint_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__ended_part__init
+                     (Wire__EndedPart         *message)
+{
+  static const Wire__EndedPart init_value = WIRE__ENDED_PART__INIT;
+  *message = init_value;
+}
+size_t wire__ended_part__get_packed_size
+                     (const Wire__EndedPart *message)
+{
+  assert(message->base.descriptor == &wire__ended_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__ended_part__pack
+                     (const Wire__EndedPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__ended_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__ended_part__pack_to_buffer
+                     (const Wire__EndedPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__ended_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__EndedPart *
+       wire__ended_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__EndedPart *)
+     protobuf_c_message_unpack (&wire__ended_part__descriptor,
+                                allocator, len, data);
+}
+void   wire__ended_part__free_unpacked
+                     (Wire__EndedPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__ended_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__part_inquiry__init
+                     (Wire__PartInquiry         *message)
+{
+  static const Wire__PartInquiry init_value = WIRE__PART_INQUIRY__INIT;
+  *message = init_value;
+}
+size_t wire__part_inquiry__get_packed_size
+                     (const Wire__PartInquiry *message)
+{
+  assert(message->base.descriptor == &wire__part_inquiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__part_inquiry__pack
+                     (const Wire__PartInquiry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__part_inquiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__part_inquiry__pack_to_buffer
+                     (const Wire__PartInquiry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__part_inquiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PartInquiry *
+       wire__part_inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PartInquiry *)
+     protobuf_c_message_unpack (&wire__part_inquiry__descriptor,
+                                allocator, len, data);
+}
+void   wire__part_inquiry__free_unpacked
+                     (Wire__PartInquiry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__part_inquiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__parts_served__init
+                     (Wire__PartsServed         *message)
+{
+  static const Wire__PartsServed init_value = WIRE__PARTS_SERVED__INIT;
+  *message = init_value;
+}
+size_t wire__parts_served__get_packed_size
+                     (const Wire__PartsServed *message)
+{
+  assert(message->base.descriptor == &wire__parts_served__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__parts_served__pack
+                     (const Wire__PartsServed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__parts_served__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__parts_served__pack_to_buffer
+                     (const Wire__PartsServed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__parts_served__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PartsServed *
+       wire__parts_served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PartsServed *)
+     protobuf_c_message_unpack (&wire__parts_served__descriptor,
+                                allocator, len, data);
+}
+void   wire__parts_served__free_unpacked
+                     (Wire__PartsServed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__parts_served__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__part_served__init
+                     (Wire__PartServed         *message)
+{
+  static const Wire__PartServed init_value = WIRE__PART_SERVED__INIT;
+  *message = init_value;
+}
+size_t wire__part_served__get_packed_size
+                     (const Wire__PartServed *message)
+{
+  assert(message->base.descriptor == &wire__part_served__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__part_served__pack
+                     (const Wire__PartServed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__part_served__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__part_served__pack_to_buffer
+                     (const Wire__PartServed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__part_served__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PartServed *
+       wire__part_served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PartServed *)
+     protobuf_c_message_unpack (&wire__part_served__descriptor,
+                                allocator, len, data);
+}
+void   wire__part_served__free_unpacked
+                     (Wire__PartServed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__part_served__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[32] =
 {
   {
     "version",
@@ -1932,12 +2157,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_ended",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, endpoint_ended),
+    &wire__endpoint_ended__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_inquiry",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, part_inquiry),
+    &wire__part_inquiry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts_served",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, parts_served),
+    &wire__parts_served__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   12,   /* field[12] = ask */
   25,   /* field[25] = call_answer */
   24,   /* field[24] = call_relay */
   14,   /* field[14] = done */
+  29,   /* field[29] = endpoint_ended */
   28,   /* field[28] = endpoint_notice */
   26,   /* field[26] = endpoint_table */
   2,   /* field[2] = epoch */
@@ -1946,6 +2208,8 @@
   1,   /* field[1] = incarnation */
   5,   /* field[5] = lease */
   20,   /* field[20] = leases */
+  30,   /* field[30] = part_inquiry */
+  31,   /* field[31] = parts_served */
   10,   /* field[10] = ping */
   21,   /* field[21] = place_ask */
   23,   /* field[23] = place_done */
@@ -1968,7 +2232,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 29 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1978,7 +2242,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  29,
+  32,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   2,  wire__envelope__number_ranges,
@@ -5657,6 +5921,248 @@
   (ProtobufCMessageInit) wire__table_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__endpoint_ended__field_descriptors[3] =
+{
+  {
+    "process",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointEnded, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointEnded, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__EndpointEnded, n_parts),
+    offsetof(Wire__EndpointEnded, parts),
+    &wire__ended_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__endpoint_ended__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = parts */
+  0,   /* field[0] = process */
+};
+static const ProtobufCIntRange wire__endpoint_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__endpoint_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.EndpointEnded",
+  "EndpointEnded",
+  "Wire__EndpointEnded",
+  "wire",
+  sizeof(Wire__EndpointEnded),
+  3,
+  wire__endpoint_ended__field_descriptors,
+  wire__endpoint_ended__field_indices_by_name,
+  1,  wire__endpoint_ended__number_ranges,
+  (ProtobufCMessageInit) wire__endpoint_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__ended_part__field_descriptors[2] =
+{
+  {
+    "hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndedPart, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndedPart, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__ended_part__field_indices_by_name[] = {
+  0,   /* field[0] = hash */
+  1,   /* field[1] = position */
+};
+static const ProtobufCIntRange wire__ended_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__ended_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.EndedPart",
+  "EndedPart",
+  "Wire__EndedPart",
+  "wire",
+  sizeof(Wire__EndedPart),
+  2,
+  wire__ended_part__field_descriptors,
+  wire__ended_part__field_indices_by_name,
+  1,  wire__ended_part__number_ranges,
+  (ProtobufCMessageInit) wire__ended_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__part_inquiry__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__PartInquiry, n_parts),
+    offsetof(Wire__PartInquiry, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__part_inquiry__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange wire__part_inquiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__part_inquiry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PartInquiry",
+  "PartInquiry",
+  "Wire__PartInquiry",
+  "wire",
+  sizeof(Wire__PartInquiry),
+  1,
+  wire__part_inquiry__field_descriptors,
+  wire__part_inquiry__field_indices_by_name,
+  1,  wire__part_inquiry__number_ranges,
+  (ProtobufCMessageInit) wire__part_inquiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__parts_served__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PartsServed, n_parts),
+    offsetof(Wire__PartsServed, parts),
+    &wire__part_served__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__parts_served__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange wire__parts_served__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__parts_served__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PartsServed",
+  "PartsServed",
+  "Wire__PartsServed",
+  "wire",
+  sizeof(Wire__PartsServed),
+  1,
+  wire__parts_served__field_descriptors,
+  wire__parts_served__field_indices_by_name,
+  1,  wire__parts_served__number_ranges,
+  (ProtobufCMessageInit) wire__parts_served__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__part_served__field_descriptors[2] =
+{
+  {
+    "hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartServed, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PartServed, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__part_served__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = hash */
+};
+static const ProtobufCIntRange wire__part_served__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__part_served__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PartServed",
+  "PartServed",
+  "Wire__PartServed",
+  "wire",
+  sizeof(Wire__PartServed),
+  2,
+  wire__part_served__field_descriptors,
+  wire__part_served__field_indices_by_name,
+  1,  wire__part_served__number_ranges,
+  (ProtobufCMessageInit) wire__part_served__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__grant_status__enum_values_by_number[3] =
 {
   { "GRANT_GIVEN", "WIRE__GRANT_STATUS__GRANT_GIVEN", 0 },
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -50,6 +50,11 @@
 typedef struct Wire__EndpointTable Wire__EndpointTable;
 typedef struct Wire__EndpointNotice Wire__EndpointNotice;
 typedef struct Wire__TableAsk Wire__TableAsk;
+typedef struct Wire__EndpointEnded Wire__EndpointEnded;
+typedef struct Wire__EndedPart Wire__EndedPart;
+typedef struct Wire__PartInquiry Wire__PartInquiry;
+typedef struct Wire__PartsServed Wire__PartsServed;
+typedef struct Wire__PartServed Wire__PartServed;
 
 
 /* --- enums --- */
@@ -160,7 +165,10 @@
   WIRE__ENVELOPE__BODY_CALL_ANSWER = 32,
   WIRE__ENVELOPE__BODY_ENDPOINT_TABLE = 33,
   WIRE__ENVELOPE__BODY_TABLE_ASK = 34,
-  WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE = 35
+  WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE = 35,
+  WIRE__ENVELOPE__BODY_ENDPOINT_ENDED = 36,
+  WIRE__ENVELOPE__BODY_PART_INQUIRY = 37,
+  WIRE__ENVELOPE__BODY_PARTS_SERVED = 38
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -204,6 +212,9 @@
     Wire__EndpointTable *endpoint_table;
     Wire__TableAsk *table_ask;
     Wire__EndpointNotice *endpoint_notice;
+    Wire__EndpointEnded *endpoint_ended;
+    Wire__PartInquiry *part_inquiry;
+    Wire__PartsServed *parts_served;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -1152,6 +1163,88 @@
     , 0 }
 
 
+/*
+ * Entry to leader: the process of an endpoint ended while it had requests of
+ * the entry. Sent several times.
+ */
+struct  Wire__EndpointEnded
+{
+  ProtobufCMessage base;
+  /*
+   * identifies the endpoint and its process
+   */
+  uint64_t process;
+  /*
+   * time since the end
+   */
+  uint32_t age_ms;
+  /*
+   * of the prompts of these requests
+   */
+  size_t n_parts;
+  Wire__EndedPart **parts;
+};
+#define WIRE__ENDPOINT_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_ended__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Wire__EndedPart
+{
+  ProtobufCMessage base;
+  uint64_t hash;
+  /*
+   * in its prompt, from 0
+   */
+  uint32_t position;
+};
+#define WIRE__ENDED_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__ended_part__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Leader to entries: when were requests with these prompt parts last answered?
+ */
+struct  Wire__PartInquiry
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  uint64_t *parts;
+};
+#define WIRE__PART_INQUIRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__part_inquiry__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Entry to leader: requests with these prompt parts were answered well.
+ */
+struct  Wire__PartsServed
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  Wire__PartServed **parts;
+};
+#define WIRE__PARTS_SERVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__parts_served__descriptor) \
+    , 0,NULL }
+
+
+struct  Wire__PartServed
+{
+  ProtobufCMessage base;
+  uint64_t hash;
+  /*
+   * time since the last answer
+   */
+  uint32_t age_ms;
+};
+#define WIRE__PART_SERVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__part_served__descriptor) \
+    , 0, 0 }
+
+
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -1817,6 +1910,101 @@
 void   wire__table_ask__free_unpacked
                      (Wire__TableAsk *message,
                       ProtobufCAllocator *allocator);
+/* Wire__EndpointEnded methods */
+void   wire__endpoint_ended__init
+                     (Wire__EndpointEnded         *message);
+size_t wire__endpoint_ended__get_packed_size
+                     (const Wire__EndpointEnded   *message);
+size_t wire__endpoint_ended__pack
+                     (const Wire__EndpointEnded   *message,
+                      uint8_t             *out);
+size_t wire__endpoint_ended__pack_to_buffer
+                     (const Wire__EndpointEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndpointEnded *
+       wire__endpoint_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__endpoint_ended__free_unpacked
+                     (Wire__EndpointEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__EndedPart methods */
+void   wire__ended_part__init
+                     (Wire__EndedPart         *message);
+size_t wire__ended_part__get_packed_size
+                     (const Wire__EndedPart   *message);
+size_t wire__ended_part__pack
+                     (const Wire__EndedPart   *message,
+                      uint8_t             *out);
+size_t wire__ended_part__pack_to_buffer
+                     (const Wire__EndedPart   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__EndedPart *
+       wire__ended_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__ended_part__free_unpacked
+                     (Wire__EndedPart *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PartInquiry methods */
+void   wire__part_inquiry__init
+                     (Wire__PartInquiry         *message);
+size_t wire__part_inquiry__get_packed_size
+                     (const Wire__PartInquiry   *message);
+size_t wire__part_inquiry__pack
+                     (const Wire__PartInquiry   *message,
+                      uint8_t             *out);
+size_t wire__part_inquiry__pack_to_buffer
+                     (const Wire__PartInquiry   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PartInquiry *
+       wire__part_inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__part_inquiry__free_unpacked
+                     (Wire__PartInquiry *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PartsServed methods */
+void   wire__parts_served__init
+                     (Wire__PartsServed         *message);
+size_t wire__parts_served__get_packed_size
+                     (const Wire__PartsServed   *message);
+size_t wire__parts_served__pack
+                     (const Wire__PartsServed   *message,
+                      uint8_t             *out);
+size_t wire__parts_served__pack_to_buffer
+                     (const Wire__PartsServed   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PartsServed *
+       wire__parts_served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__parts_served__free_unpacked
+                     (Wire__PartsServed *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PartServed methods */
+void   wire__part_served__init
+                     (Wire__PartServed         *message);
+size_t wire__part_served__get_packed_size
+                     (const Wire__PartServed   *message);
+size_t wire__part_served__pack
+                     (const Wire__PartServed   *message,
+                      uint8_t             *out);
+size_t wire__part_served__pack_to_buffer
+                     (const Wire__PartServed   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PartServed *
+       wire__part_served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__part_served__free_unpacked
+                     (Wire__PartServed *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Envelope_Closure)
@@ -1924,6 +2112,21 @@
 typedef void (*Wire__TableAsk_Closure)
                  (const Wire__TableAsk *message,
                   void *closure_data);
+typedef void (*Wire__EndpointEnded_Closure)
+                 (const Wire__EndpointEnded *message,
+                  void *closure_data);
+typedef void (*Wire__EndedPart_Closure)
+                 (const Wire__EndedPart *message,
+                  void *closure_data);
+typedef void (*Wire__PartInquiry_Closure)
+                 (const Wire__PartInquiry *message,
+                  void *closure_data);
+typedef void (*Wire__PartsServed_Closure)
+                 (const Wire__PartsServed *message,
+                  void *closure_data);
+typedef void (*Wire__PartServed_Closure)
+                 (const Wire__PartServed *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1969,6 +2172,11 @@
 extern const ProtobufCMessageDescriptor wire__endpoint_table__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_notice__descriptor;
 extern const ProtobufCMessageDescriptor wire__table_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__endpoint_ended__descriptor;
+extern const ProtobufCMessageDescriptor wire__ended_part__descriptor;
+extern const ProtobufCMessageDescriptor wire__part_inquiry__descriptor;
+extern const ProtobufCMessageDescriptor wire__parts_served__descriptor;
+extern const ProtobufCMessageDescriptor wire__part_served__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -26,6 +26,8 @@
 	std::vector<std::string> avoided;
 	std::vector<place_outcome> outcomes;
 	std::vector<place_notice> notices;
+	std::vector<std::string> observed; /* endpoint and how it ended */
+	bool is_quarantined = false, is_repeat_refused = false;
 	/* the response to the caller */
 	int status = 0;
 	std::string body, retry_after;
@@ -39,7 +41,7 @@
 	SetUp() override
 	{
 		static const forward_ops ops = {
-		    ask, done, notice, next_call, log};
+		    ask, done, notice, may_send, observe, next_call, log};
 
 		route.name = (char *)"r";
 		route.host = (char *)"h";
@@ -85,6 +87,23 @@
 		((ForwardTest *)ctx)->notices.push_back(*notice);
 	}
 
+	static bool
+	may_send(void *ctx, const gw_request *, bool was_sent)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		return was_sent ? !t->is_repeat_refused : !t->is_quarantined;
+	}
+
+	static void
+	observe(void *ctx, const forward_observation *observed, node_effects *)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		t->observed.push_back(std::string(observed->endpoint) +
+		    (observed->is_served ? " served" : " ended"));
+	}
+
 	static uint64_t
 	next_call(void *ctx)
 	{
@@ -196,6 +215,19 @@
 		ApplyEffects();
 	}
 
+	void
+	ReceiveBroken(bool closed_by_peer)
+	{
+		node_call_event ev = {};
+
+		ev.call = call;
+		ev.phase = NODE_CALL_BROKEN;
+		ev.reason = "test";
+		ev.closed_by_peer = closed_by_peer;
+		(void)forward_on_call_event(f, now_us, &ev, fx);
+		ApplyEffects();
+	}
+
 	void
 	ReceiveHead(int s, std::vector<node_header> headers)
 	{
