place: prompt parts without a model end no process

What callers saw: nothing at first; a single request with prompt parts and no model, or an empty one, ended each placer that received its ask, one after the other, as it goes on to the next when its placer is lost.

Cause: the decoder lets such a request through, and the placer took a model, and so a key, for granted when it hashed the parts. A message of another instance could carry the same.

Change: parts belong to a model; without one the placer ignores them.

--- a/src/node/node_gate_quarantine.c
+++ b/src/node/node_gate_quarantine.c
@@ -64,9 +64,7 @@
 {
 	uint32_t leader = node_leader(n);
 
-	if (leader == n->id)
-		(void)node_gate_receive(n, n->id, envelope);
-	else if (leader != 0)
+	if (leader != 0)
 		node_peer_send(n, leader, envelope);
 }
 
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -126,11 +126,24 @@
 	a->key_hash = XXH64(a->key, strlen(a->key), 0);
 }
 
+/* The parts of a prompt belong to a model; without one they are ignored. */
+static void
+set_parts(struct place_ask *a, const struct place_request *r)
+{
+	size_t i;
+
+	a->nparts =
+	    r->nparts < GW_PROMPT_PARTS_MAX ? r->nparts : GW_PROMPT_PARTS_MAX;
+	for (i = 0; i < a->nparts; i++) {
+		a->parts[i] = r->parts[i];
+		a->prefix_hashes[i] = place_engine_prefix_hash(a, i);
+	}
+}
+
 static struct place_ask *
 ask_create(const struct place_request *r, uint64_t now_us)
 {
 	struct place_ask *a = mem_alloc(1, sizeof(*a));
-	size_t i;
 
 	a->id = r->id;
 	a->kind = r->kind;
@@ -142,13 +155,9 @@
 	a->data_centre = copy_or_null(r->data_centre);
 	a->prompt_tokens = r->prompt_tokens;
 	a->max_tokens = r->max_tokens;
-	a->nparts =
-	    r->nparts < GW_PROMPT_PARTS_MAX ? r->nparts : GW_PROMPT_PARTS_MAX;
-	if (a->nparts > 0)
-		memcpy(a->parts, r->parts, a->nparts * sizeof(a->parts[0]));
+	if (a->key != NULL)
+		set_parts(a, r);
 	a->asked_us = now_us;
-	for (i = 0; i < a->nparts; i++)
-		a->prefix_hashes[i] = place_engine_prefix_hash(a, i);
 	a->deadline_us = r->deadline_us;
 	a->target_us = r->target_us;
 	a->due_us = compute_due_us(r, now_us);
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -124,6 +124,9 @@
 	void answer_call_part(
 	    const EndpointCall &call, bool first, const std::string &body);
 
+	/* Delivers a message as if another instance had sent it. */
+	void deliver(int from, int to, const std::string &bytes);
+
 	int leader() const; /* the instance that places; -1: none */
 	bool all_entries_ready();
 	/* Runs a function at a virtual time, in microseconds. */
@@ -148,7 +151,6 @@
 	void apply_effects(int i);
 	void do_save(int i, const struct node_save &save);
 	uint64_t link_delay(int from, int to) const;
-	void deliver(int from, int to, const std::string &bytes);
 	void do_send(int i, const struct node_send &send);
 	void do_call(int i, const struct node_call &call);
 	void break_call(int i, uint64_t call, uint64_t generation);
