forward: a stream that ends inside an event is broken off

What callers saw: a stream whose engine ended inside an event was ended as complete, as a response without a length ends with its connection.

Cause: the end of a call was taken for the end of the response; what was left of an event was sent on, or dropped, and the response ended well.

Change: the position in an event is followed over all bytes of a stream; an end inside an event counts as a break: a resumable stream is resumed after its last whole event, another one is aborted. It also counts as an end of the process.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -383,6 +383,7 @@
 	r->sent_us = now_us;
 	r->first_byte_us = 0;
 	r->was_closed_by_endpoint = false;
+	memset(&r->event_state, 0, sizeof(r->event_state));
 	outgoing.request = &r->decoded;
 	outgoing.endpoint = r->endpoint;
 	outgoing.adapter_version = grant->adapter_version;
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -267,6 +267,7 @@
     struct node_bytes data, struct node_effects *fx)
 {
 	record_first_byte(f, r, now_us, fx);
+	fwd_events_follow(&r->event_state, data.data, data.len);
 	if (r->kind == GW_STREAM && is_success(r->status) && !r->resumable) {
 		send_data(r, data.data, data.len, fx);
 		return;
@@ -283,6 +284,18 @@
 	}
 }
 
+/*
+ * Whether a stream ended inside an event. It has been broken off, however its
+ * end was marked: a response without a length ends with its connection, and so
+ * with the endpoint's process.
+ */
+static bool
+is_cut_event(const struct fwd_request *r)
+{
+	return r->kind == GW_STREAM && is_success(r->status) &&
+	    r->event_state.is_in_event && forward_guards.whole_events;
+}
+
 void
 fwd_on_end(struct forward *f, struct fwd_request *r, uint64_t now_us,
     struct node_effects *fx)
@@ -291,6 +304,11 @@
 	struct node_effect *end;
 	bool failed = r->status >= 500 && r->status != STATUS_GATEWAY_TIMEOUT;
 
+	if (is_cut_event(r)) {
+		observe_closed(f, r, now_us, fx);
+		handle_broken_response(f, r, now_us, "event-cut", fx);
+		return;
+	}
 	if (is_success(r->status))
 		observe(f, r, true, fx);
 	r->maybe_run_count++;
--- a/src/forward/forward_events.c
+++ b/src/forward/forward_events.c
@@ -23,6 +23,24 @@
 	return complete_len;
 }
 
+void
+fwd_events_follow(struct fwd_event_state *state, const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (data[i] == '\n') {
+			state->is_in_event =
+			    state->is_in_event && state->is_in_line;
+			state->is_in_line = false;
+			continue;
+		}
+		state->is_in_event = true;
+		if (data[i] != '\r')
+			state->is_in_line = true;
+	}
+}
+
 char *
 fwd_events_last_id(const char *data, size_t len)
 {
--- a/src/forward/forward_guard.c
+++ b/src/forward/forward_guard.c
@@ -7,4 +7,5 @@
     .match = true,
     .gap = true,
     .timeout = true,
+    .whole_events = true,
     .attempts = true};
--- a/src/forward/forward_guard.h
+++ b/src/forward/forward_guard.h
@@ -18,6 +18,7 @@
 	bool match; /* relay no response to another request */
 	bool gap; /* resume a stream only after an event with an id */
 	bool timeout; /* end a request at the timeout of its route */
+	bool whole_events; /* a stream that ends inside an event is broken */
 	bool attempts; /* limit the endpoints that may run a request */
 };
 
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -19,6 +19,12 @@
 	FWD_HEAD_RECEIVED
 };
 
+/* Where in an event a stream is. */
+struct fwd_event_state {
+	bool is_in_event; /* the last one received has no end yet */
+	bool is_in_line; /* and its last line has text */
+};
+
 /* A request in progress. */
 struct fwd_request {
 	uint64_t request; /* id from the listener */
@@ -57,6 +63,7 @@
 	bool has_length;
 	uint64_t length;
 	struct buf unsent; /* received, not sent to the caller */
+	struct fwd_event_state event_state; /* of this attempt's stream */
 	char *last_event_id; /* of the last event sent; NULL: none */
 };
 
@@ -124,6 +131,9 @@
 /* ---- forward_events.c ---- */
 /* Returns the length of the complete events at the start of data. */
 size_t fwd_events_complete_len(const char *data, size_t len);
+/* Follows a stream over the next bytes received. */
+void fwd_events_follow(
+    struct fwd_event_state *state, const char *data, size_t len);
 /*
  * Returns the id of the last event that has one, which the caller frees; NULL:
  * no event has an id. data: complete events.
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -314,5 +314,6 @@
     {"forward.match", &forward_guards.match},
     {"forward.gap", &forward_guards.gap},
     {"forward.timeout", &forward_guards.timeout},
+    {"forward.whole_events", &forward_guards.whole_events},
     {"forward.attempts", &forward_guards.attempts},
 });
--- a/tests/forward/stream_test.cc
+++ b/tests/forward/stream_test.cc
@@ -137,3 +137,70 @@
 	    << "no part of the incomplete event";
 	EXPECT_EQ(ask_count, 2u) << "resumed at another endpoint";
 }
+
+/*
+ * Guards against a truncated stream that passes as complete: a response without
+ * a length ends with its connection, also when the engine's process ends.
+ */
+TEST_F(Stream, a_stream_that_ends_inside_an_event_is_not_complete)
+{
+	static const struct {
+		bool resumable;
+		const char *pieces[2];
+		bool is_complete, is_retried;
+		const char *body;
+	} rows[] = {
+	    {true, {"id: 1\ndata: a\n\nid: 2\nda", ""}, false, true,
+		"id: 1\ndata: a\n\n"},
+	    {true, {"id: 1\ndata: a\n\nid: 2\ndata: b\n", ""}, false, true,
+		"id: 1\ndata: a\n\n"},
+	    {true, {"id: 1\ndata: a\n", "\n"}, true, false,
+		"id: 1\ndata: a\n\n"},
+	    {false, {"id: 1\ndata: a\n\nid: 2\nda", ""}, false, false,
+		"id: 1\ndata: a\n\nid: 2\nda"},
+	    {false, {"id: 1\ndata: a\n\n", "id: 2\n"}, false, false,
+		"id: 1\ndata: a\n\nid: 2\n"},
+	    {false, {"id: 1\ndata: a\n", "\n"}, true, false,
+		"id: 1\ndata: a\n\n"},
+	    {false, {"id: 1\r\ndata: a\r\n\r", "\n"}, true, false,
+		"id: 1\r\ndata: a\r\n\r\n"},
+	    {false, {"id: 1\r\ndata: a\r\n\r", ""}, false, false,
+		"id: 1\r\ndata: a\r\n\r"},
+	};
+
+	for (auto &row : rows) {
+		uint64_t asked = ask_count;
+
+		route.resumable = row.resumable;
+		body = "";
+		status = 0;
+		is_complete = is_aborted = false;
+		StartRequest();
+		ASSERT_TRUE(Grant("i-1"));
+		ReceiveSignedHead();
+		for (const char *piece : row.pieces)
+			ReceiveCallEvent(NODE_CALL_DATA, piece);
+		ReceiveCallEvent(NODE_CALL_END);
+		EXPECT_EQ(is_complete, row.is_complete) << row.pieces[0];
+		EXPECT_EQ(is_aborted, !row.is_complete && !row.is_retried);
+		EXPECT_EQ(ask_count, asked + 1 + row.is_retried);
+		EXPECT_EQ(body, row.body);
+	}
+}
+
+/*
+ * The same before the caller has a head: nothing of the truncated response is
+ * passed on.
+ */
+TEST_F(Stream, a_first_event_without_an_end_is_retried)
+{
+	StartRequest();
+	ASSERT_TRUE(Grant("i-1"));
+	ReceiveSignedHead();
+	ReceiveCallEvent(NODE_CALL_DATA, "id: 1\nda");
+	ReceiveCallEvent(NODE_CALL_END);
+	EXPECT_EQ(status, 0);
+	EXPECT_EQ(ask_count, 2U);
+	EXPECT_EQ(observed, std::vector<std::string>{"i-1 ended"})
+	    << "its process may have ended";
+}
