forward: a resumed stream takes no answer of another request

What callers saw: events of another request in the middle of their stream, or a request that an endpoint runs was sent to a third one: after a first break, a late refusal of attempt 41 counted as "not run" for attempt 42, and a late success was joined to its stream.

Cause: the head of a response was not matched with its request once the caller had a head.

Change: all heads pass the same checks: request, signature, encoding.

--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -79,14 +79,14 @@
  * another request, lack the endpoint's signature or be changed in transit.
  */
 static const char *
-find_response_fault(const struct fwd_request *r)
+find_response_fault(const struct fwd_request *r,
+    const struct gw_endpoint_response *response, int status)
 {
-	if (forward_guards.match && !is_for_request(r, &r->response))
+	if (forward_guards.match && !is_for_request(r, response))
 		return "answer-of-another";
-	if (forward_guards.proof && is_success(r->status) &&
-	    !r->response.is_signed)
+	if (forward_guards.proof && is_success(status) && !response->is_signed)
 		return "answer-not-signed";
-	if (is_success(r->status) && r->response.is_encoded)
+	if (is_success(status) && response->is_encoded)
 		return "answer-encoded";
 	return NULL;
 }
@@ -131,6 +131,31 @@
 	f->ops->notice(f->ctx, r->ask, &notice, fx);
 }
 
+/*
+ * The head of a response that is to go on with a stream: the caller has the
+ * head of an earlier one, so nothing of this one but its events is relayed.
+ */
+static void
+handle_resumed_head(struct forward *f, struct fwd_request *r, uint64_t now_us,
+    const struct node_call_event *event, struct node_effects *fx)
+{
+	struct gw_endpoint_response resumed;
+	const char *fault;
+
+	f->codec->read_endpoint_response(&resumed, event, fx);
+	report_notice(f, r, &resumed, fx);
+	fault = find_response_fault(r, &resumed, event->status);
+	if (fault != NULL)
+		fail_attempt(
+		    f, r, now_us, PLACE_ENDPOINT_FAILED, false, fault, fx);
+	else if (resumed.not_run)
+		fail_attempt(f, r, now_us, PLACE_STATE_MISMATCH, true,
+		    "resume-refused", fx);
+	else if (!is_success(event->status))
+		fail_attempt(f, r, now_us, PLACE_ENDPOINT_FAILED, false,
+		    "resume-failed", fx);
+}
+
 void
 fwd_on_head(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const struct node_call_event *event, struct node_effects *fx)
@@ -140,17 +165,8 @@
 	r->state = FWD_HEAD_RECEIVED;
 	if (r->first_byte_us == 0)
 		r->first_byte_us = now_us;
-	if (r->head_sent) { /* a resumed stream: the caller has a head */
-		struct gw_endpoint_response resumed;
-
-		f->codec->read_endpoint_response(&resumed, event, fx);
-		report_notice(f, r, &resumed, fx);
-		if (resumed.not_run)
-			fail_attempt(f, r, now_us, PLACE_STATE_MISMATCH, true,
-			    "resume-refused", fx);
-		else if (!is_success(event->status) || !resumed.is_signed)
-			fail_attempt(f, r, now_us, PLACE_ENDPOINT_FAILED, false,
-			    "resume-failed", fx);
+	if (r->head_sent) {
+		handle_resumed_head(f, r, now_us, event, fx);
 		return;
 	}
 	node_effects_clear(r->response_memory);
@@ -165,7 +181,7 @@
 	r->has_length = event->has_length;
 	r->length = event->length;
 	report_notice(f, r, &r->response, fx);
-	fault = find_response_fault(r);
+	fault = find_response_fault(r, &r->response, r->status);
 	if (fault != NULL)
 		fail_attempt(
 		    f, r, now_us, PLACE_ENDPOINT_FAILED, false, fault, fx);
--- a/tests/forward/stream_test.cc
+++ b/tests/forward/stream_test.cc
@@ -204,3 +204,72 @@
 	EXPECT_EQ(observed, std::vector<std::string>{"i-1 ended"})
 	    << "its process may have ended";
 }
+
+/*
+ * Guards against the answer to another request: it is joined to the stream, or
+ * its refusal counts as "not run" for a request that the endpoint runs. A
+ * faulty endpoint sends an earlier answer once more on a kept connection.
+ */
+TEST_F(Stream, a_resumed_stream_takes_no_answer_of_another_request)
+{
+	static const struct {
+		const char *name;
+		int status;
+		std::vector<node_header> headers;
+	} rows[] = {
+	    {"refusal", 503,
+		{{"Mulberrypath-Attempt-Id", "41"},
+		    {"Mulberrypath-Not-Executed", "full"}}},
+	    {"misdirected", 421, {{"Mulberrypath-Attempt-Id", "41"}}},
+	    {"success", 200,
+		{{"Mulberrypath-Attempt-Id", "41"},
+		    {"Mulberrypath-Server-Signature", "sig"}}},
+	};
+
+	for (auto &row : rows) {
+		SCOPED_TRACE(row.name);
+		status = 0;
+		body = "";
+		is_complete = is_aborted = false;
+		outcomes.clear();
+		StartRequest();
+		ASSERT_TRUE(Grant("i-1"));
+		ReceiveSignedHead();
+		ReceiveCallEvent(NODE_CALL_DATA, "id: 1\ndata: a\n\n");
+		ReceiveCallEvent(NODE_CALL_BROKEN);
+		ASSERT_TRUE(Grant("i-2"));
+		ReceiveHead(row.status, row.headers);
+		EXPECT_EQ(outcomes.back(), PLACE_ENDPOINT_FAILED);
+		EXPECT_TRUE(is_cancelled);
+		EXPECT_TRUE(is_aborted) << "i-2 may run it: no third endpoint";
+		ReceiveCallEvent(NODE_CALL_DATA, "data: of another\n\n");
+		EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+		EXPECT_FALSE(is_complete);
+	}
+}
+
+/*
+ * Guards against the text of an error in the middle of a stream: the endpoint
+ * that was to resume it refuses, or fails.
+ */
+TEST_F(Stream, an_error_of_the_next_endpoint_stays_out_of_the_stream)
+{
+	for (int error : {400, 404, 421, 429, 500, 502, 503, 504}) {
+		SCOPED_TRACE(error);
+		status = 0;
+		body = "";
+		is_complete = is_aborted = false;
+		StartRequest();
+		ASSERT_TRUE(Grant("i-1"));
+		ReceiveSignedHead();
+		ReceiveCallEvent(NODE_CALL_DATA, "id: 1\ndata: a\n\n");
+		ReceiveCallEvent(NODE_CALL_BROKEN);
+		ASSERT_TRUE(Grant("i-2"));
+		ReceiveSignedHead(error);
+		ReceiveCallEvent(NODE_CALL_DATA, "{\"error\": \"x\"}");
+		ReceiveCallEvent(NODE_CALL_END);
+		EXPECT_EQ(status, 200);
+		EXPECT_EQ(body, "id: 1\ndata: a\n\n");
+		EXPECT_FALSE(is_complete);
+	}
+}
