gate: odd announcements are refused, also in another instance's table

What callers saw: nothing by themselves. An announcement by another writer with a port out of range, an address that is none, no service or one of 100,000 bytes, 1.5 slots, a start in the far future or the largest sequence number was accepted: requests were placed on an endpoint that can't be reached, or every later announcement of that id was stale.

Cause: the codec checked the shape of the address only, and what follows the table of endpoints relied on that check at another instance.

Change: one check of the values, at the door and for each entry of a table; a start more than an hour ahead of the clock is refused at the door.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -223,6 +223,21 @@
 	size_t ncopies;
 };
 
+/*
+ * Whether a text is an IPv4 address and a port, "A.B.C.D:PORT", of which the
+ * port is not 0: the system connects without name resolution.
+ */
+bool gw_address_is_valid(const char *text);
+
+/*
+ * Checks the values of an announcement, whoever decoded it: texts that are too
+ * long or empty, an address that can't be connected to, numbers that no
+ * endpoint has. The lists of models and copies are not checked.
+ * Errors: MP_ERR_INVALID; the message names the value.
+ */
+int gw_announcement_check(
+    const struct gw_announcement *a, struct mp_error *err);
+
 enum gw_order_type {
 	GW_ORDER_LOAD,
 	GW_ORDER_UNLOAD
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -240,15 +240,40 @@
 	propose(n, caller, &command);
 }
 
+/*
+ * A process that seems to have started later than this takes precedence over
+ * all later ones of its id and address. Clocks differ by much less.
+ */
+#define BORN_AHEAD_MAX_MS (3600 * 1000ULL)
+
+static int
+check_announcement(
+    const struct node *n, const struct gw_announcement *a, struct mp_error *err)
+{
+	int rc = gw_announcement_check(a, err);
+
+	if (rc != MP_OK)
+		return rc;
+	if (a->born_ms > node_wall_ms(n) + BORN_AHEAD_MAX_MS)
+		return mp_error_set(err, MP_LAYER_NODE, MP_ERR_INVALID,
+		    "the start of the process is in the future");
+	return MP_OK;
+}
+
 static void
 handle_announcement(struct node *n, const struct gw_call *call,
     const struct gate_caller *caller)
 {
 	const struct gw_announcement *a = &call->announcement;
 	struct gate_caller announcer = *caller;
-	enum place_announce_result result =
-	    place_announce(n->gate->place, n->now, a, true);
+	enum place_announce_result result;
+	struct mp_error err;
 
+	if (check_announcement(n, a, &err) != MP_OK) {
+		send_result(n, caller, 400, err.message);
+		return;
+	}
+	result = place_announce(n->gate->place, n->now, a, true);
 	if (result == PLACE_ANNOUNCE_CHANGED)
 		node_log(n, NODE_LOG_GATE_ENDPOINT,
 		    "{\"endpoint\": \"%s\", \"service\": \"%s\", "
--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -209,6 +209,7 @@
 apply_info(struct node *n, const Wire__EndpointInfo *info)
 {
 	struct gw_announcement a = {0};
+	struct mp_error err;
 	struct gw_loaded_model *loaded =
 	    node_effects_alloc(n->fx, (info->n_loaded + 1) * sizeof(*loaded));
 	size_t i;
@@ -236,6 +237,10 @@
 	a.has_models = true;
 	a.loaded = loaded;
 	a.nloaded = info->n_loaded;
+	if (gw_announcement_check(&a, &err) != MP_OK) {
+		n->counters.malformed++;
+		return; /* the others hold */
+	}
 	place_apply_entry(n->gate->place, n->now, &a);
 }
 
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -3,6 +3,7 @@
 #include "mulberrypath/settings.h"
 
 static const uint64_t kTickUs = 5 * MS;
+static const uint64_t WALL_START_MS = 1780000000000; /* since 1970 */
 static const uint64_t kNetworkDelayUs = 1 * MS, kDiskSyncUs = 4 * MS;
 
 std::string
@@ -98,6 +99,7 @@
 	boot.incarnation = now_us * 31 + (uint64_t)i * 7 + m.generation;
 	boot.seed = boot.incarnation;
 	boot.now_us = now_us;
+	boot.wall_ms = WALL_START_MS + now_us / MS;
 	boot.disk = m.core ? &disk : nullptr;
 	boot.codec = &platform_codec;
 	ASSERT_EQ(node_create(&m.node, &boot, &err), MP_OK) << err.message;
--- a/tests/gateway/hostile_input_test.cc
+++ b/tests/gateway/hostile_input_test.cc
@@ -142,6 +142,71 @@
 	EXPECT_TRUE(ReachesEndpoint());
 }
 
+/*
+ * Guards against an odd entry in the table of endpoints, which another writer
+ * announces or another instance has accepted.
+ */
+TEST_F(HostileInput, odd_endpoints_are_not_taken_into_the_table)
+{
+	static const char *const members[] = {
+	    R"("address":"10.1.0.1:99999")",
+	    R"("address":"10.1.0.9:65536")",
+	    R"("address":"10.1.0.1:0")",
+	    R"("address":"999.1.1.1:80")",
+	    R"("address":"1:80")",
+	    R"("service":"")",
+	    R"("slots":4294967295)",
+	    R"("slots":1.5)",
+	    R"("born":9223372036854775807)",
+	    R"("born":4102444800000)", /* the year 2100 */
+	    R"("sequence":9223372036854775807)",
+	};
+
+	for (const char *odd : members) {
+		std::string body = "{";
+
+		for (const char *member :
+		    {R"("service":"app")", R"("address":"10.1.0.77:80")",
+			R"("slots":6)", R"("born":1)", R"("sequence":9)"})
+			if (strncmp(member, odd, strcspn(odd, ":")) != 0)
+				body += std::string(member) + ",";
+		body += std::string(odd) + R"(,"zone":"z","state":"ready"})";
+		EXPECT_EQ(
+		    sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL,
+			   "PUT", "/api/instances/odd", body)
+			.status,
+		    400)
+		    << body;
+	}
+	EXPECT_EQ(sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL, "PUT",
+			 "/api/instances/", "{}")
+		      .status,
+	    400);
+	/* a table with such entries, of a placer that takes them */
+	for (const char *address : {"10.1.0.1:99999", "1:80", ""}) {
+		Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+		Wire__EndpointTable table = WIRE__ENDPOINT_TABLE__INIT;
+		Wire__EndpointInfo odd = WIRE__ENDPOINT_INFO__INIT;
+		Wire__EndpointInfo *list[] = {&odd};
+
+		odd.id = (char *)"odd";
+		odd.service = (char *)"app";
+		odd.address = (char *)address;
+		odd.slots = 4;
+		table.whole = true;
+		table.term = 1000;
+		table.endpoints = list;
+		table.n_endpoints = 1;
+		envelope.body_case = WIRE__ENVELOPE__BODY_ENDPOINT_TABLE;
+		envelope.endpoint_table = &table;
+		SendMessage(sim.leader(), kEntry, &envelope);
+	}
+	SendRequest("/p/x", {});
+	sim.run_for_ms(300);
+	for (auto &call : sim.endpoint_calls)
+		EXPECT_EQ(call.address, "10.1.0.1:80");
+}
+
 /* The same for messages that an instance sends by mistake. */
 TEST_F(HostileInput, odd_messages_of_instances_end_no_process)
 {
--- a/tests/platform/call_test.cc
+++ b/tests/platform/call_test.cc
@@ -108,6 +108,10 @@
 	    {"{\"service\":\"s\",\"address\":\"host:80\"}", "$.address"},
 	    {"{\"service\":\"s\",\"address\":\"10.0.0.1\"}", "$.address"},
 	    {"{\"service\":\"s\",\"address\":\"10.0.0.1:8x\"}", "$.address"},
+	    {"{\"service\":\"s\",\"address\":\"10.0.0.1:65536\"}", "$.address"},
+	    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	     "\"slots\":1.5}",
+		"$.slots"},
 	    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\"}", "$.zone"},
 	    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"}",
 		"$.slots"},
