forward: a refusal that names no request is not believed

What callers saw: "not run, try again" for a request that an endpoint runs. A faulty endpoint sends an earlier refusal once more on a kept connection; with another request's id it was not believed, without an id it was.

Cause: an answer without an attempt id counted as the request's own. Endpoints echo the id in all answers.

Change: a refusal without the id of a request that has one counts as a failed attempt that may have run. The stand-ins echo the id as the protocol says.

--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -74,6 +74,18 @@
 	    strcmp(r->decoded.attempt, response->attempt) == 0;
 }
 
+/*
+ * Whether the response refuses a request that it does not name. It may be a
+ * refusal of an earlier request, sent once more on a kept connection.
+ */
+static bool
+is_unnamed_refusal(
+    const struct fwd_request *r, const struct gw_endpoint_response *response)
+{
+	return response->not_run && r->decoded.attempt != NULL &&
+	    response->attempt == NULL;
+}
+
 /*
  * Returns why the response must not be relayed, or NULL. It may belong to
  * another request, lack the endpoint's signature or be changed in transit.
@@ -84,6 +96,8 @@
 {
 	if (forward_guards.match && !is_for_request(r, response))
 		return "answer-of-another";
+	if (forward_guards.match && is_unnamed_refusal(r, response))
+		return "refusal-without-attempt";
 	if (forward_guards.proof && is_success(status) && !response->is_signed)
 		return "answer-not-signed";
 	if (is_success(status) && response->is_encoded)
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -506,8 +506,12 @@
 {
 	struct node_event ev = {};
 
+	auto attempt = call.headers.find("Mulberrypath-Attempt-Id");
 	if (status == 200)
 		headers.push_back({"Mulberrypath-Server-Signature", "s"});
+	if (attempt != call.headers.end())
+		headers.push_back(
+		    {"Mulberrypath-Attempt-Id", attempt->second.c_str()});
 	open_calls.erase({call.instance, call.call});
 	ev.type = NODE_EV_CALL;
 	ev.u.call.call = call.call;
