node: operators see the quarantine and can lift it

GET /v1/quarantine lists the prompt parts, DELETE /v1/quarantine/PART lifts one by the log, mulberryctl quarantine [--lift PART] does both. Metrics: ends of endpoints, suspected and quarantined parts, requests refused for them.

FatalPart.an_operator_sees_and_lifts_a_quarantine goes through the whole way, at two other instances than the leader; Command.QuarantinedPartsAreListed AndLifted the client's.

--- a/src/mulberryctl/cmd_report.c
+++ b/src/mulberryctl/cmd_report.c
@@ -198,6 +198,57 @@
 	return code;
 }
 
+static void
+print_quarantine(struct ctl *c, const json_t *json)
+{
+	static const struct ctl_column columns[] = {{"part", "part"},
+	    {"active", "active"}, {"ends", "ends"}, {"strikes", "strikes"},
+	    {"since ms", "sinceMs"}};
+	const json_t *list = json_object_get(json, "parts");
+
+	if (json_array_size(list) == 0)
+		(void)fputs("none\n", c->out);
+	else
+		ctl_table(c->out, list, columns, NCOLUMNS(columns));
+}
+
+static int
+lift_quarantine(struct ctl *c, const char *part)
+{
+	struct buf path = {0};
+	struct ctl_answer answer;
+	int code = CTL_EXIT_DONE;
+
+	buf_puts(&path, "/v1/quarantine/");
+	ctl_encode(&path, part);
+	ctl_call(c, &answer, "DELETE", path.data, NULL, true);
+	if (answer.result == CTL_ANSWERED && answer.status == 200)
+		(void)fputs(c->json ? answer.body.data : "lifted\n", c->out);
+	else
+		code = ctl_refused(c, &answer);
+	ctl_answer_free(&answer);
+	buf_free(&path);
+	return code;
+}
+
+int
+ctl_quarantine(struct ctl *c, int argc, char **argv)
+{
+	const char *part = NULL;
+	const struct ctl_option options[] = {
+	    {"lift", &part, NULL, "PART  accept its requests again"}};
+	const struct ctl_usage usage = {"", 0,
+	    "Print the prompt parts whose requests are refused, as endpoints "
+	    "ended under them.",
+	    options, NCOLUMNS(options)};
+	int code;
+
+	if (!ctl_parse(c, argc, argv, &usage, &code))
+		return code;
+	return part == NULL ? report(c, "/v1/quarantine", print_quarantine)
+			    : lift_quarantine(c, part);
+}
+
 int
 ctl_drain(struct ctl *c, int argc, char **argv)
 {
--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -282,6 +282,15 @@
 	node_stop(n);
 }
 
+static void
+api_quarantine(struct node *n, const struct node_request *request,
+    const struct settings_operator *op, const char *part)
+{
+	struct node_api_rights rights = {op->name, may_change(op, "*")};
+
+	node_api_quarantine(n, request, part, &rights);
+}
+
 static void
 report_endpoints(const struct node *n, struct buf *out)
 {
@@ -317,6 +326,7 @@
     const char *path, const char *query)
 {
 	static const char documents[] = "/v1/documents/";
+	static const char quarantine[] = "/v1/quarantine";
 	const struct settings_operator *op = find_operator(n, request);
 
 	if (op == NULL)
@@ -325,6 +335,8 @@
 	else if (strncmp(path, documents, sizeof(documents) - 1) == 0)
 		api_documents(
 		    n, request, op, path + sizeof(documents) - 1, query);
+	else if (strncmp(path, quarantine, sizeof(quarantine) - 1) == 0)
+		api_quarantine(n, request, op, path + sizeof(quarantine) - 1);
 	else if (is_get_report(request, path))
 		api_reports(n, request, path);
 	else if (strcmp(path, "/v1/bookings") == 0)
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -152,6 +152,7 @@
 	if (!is_own(n, command))
 		return;
 	node_gate_proposal_applied(n, command->proposal, verdict);
+	node_api_quarantine_lifted(n, command->proposal);
 	node_propose_applied(n, command->proposal);
 }
 
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -45,7 +45,8 @@
 	    {"failed_total", s->failed}, {"timed_out_total", s->timed_out},
 	    {"callers_gone_total", s->caller_gone},
 	    {"repeats_total", s->retried}, {"cut_total", s->aborted},
-	    {"grants_declined_total", s->declined}};
+	    {"grants_declined_total", s->declined},
+	    {"quarantine_refused_total", s->quarantined}};
 	size_t i;
 
 	for (i = 0; i < sizeof(counters) / sizeof(counters[0]); i++)
@@ -148,6 +149,12 @@
 	put_value(out, "owns_shards", "gauge", gate_owns_shard(n) ? 1 : 0);
 	put_value(
 	    out, "asks_alone_total", "counter", (double)g->window_full_asks);
+	put_value(out, "endpoint_ends_total", "counter",
+	    (double)g->observed_ends);
+	put_value(out, "quarantined_parts", "gauge",
+	    (double)quarantine_active_count(g->quarantine));
+	put_value(out, "suspected_parts", "gauge",
+	    (double)quarantine_evidence_count(g->evidence));
 	put_forward_stats(n, out);
 	put_place_totals(n, out);
 	put_place_state(n, out);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -214,14 +214,16 @@
 	NODE_PROPOSE_DOC,
 	NODE_PROPOSE_CLAIM_START,
 	NODE_PROPOSE_CLAIM_END,
-	NODE_PROPOSE_GATE /* any change of the gateway */
+	NODE_PROPOSE_GATE, /* any change of the gateway */
+	NODE_PROPOSE_QUARANTINE /* one that an operator made by the API */
 };
 
 /* A command that this instance proposed and has not seen applied yet. */
 struct node_proposal {
 	uint64_t id;
 	enum node_proposal_kind kind;
-	/* DOC, GATE: request to answer; CLAIM_END: the start's proposal. */
+	/* DOC, GATE, QUARANTINE: request to answer; CLAIM_END: the start's
+	 * proposal. */
 	uint64_t request;
 	char *bytes;
 	size_t len;
@@ -653,6 +655,21 @@
     const struct node_proposal *proposal, const char *team,
     const struct doc_result *result);
 
+/* What an operator may do. */
+struct node_api_rights {
+	const char *operator_name;
+	bool all_teams;
+};
+/*
+ * Lists quarantined prompt parts, or lifts one.
+ *
+ * part: the path below /v1/quarantine, "" or "/PART".
+ */
+void node_api_quarantine(struct node *n, const struct node_request *request,
+    const char *part, const struct node_api_rights *rights);
+/* Answers the operator whose change of the quarantine is applied. */
+void node_api_quarantine_lifted(struct node *n, uint64_t proposal);
+
 /* The decoded value of a query parameter, to be freed; NULL when absent. */
 char *node_api_param(const char *query, const char *name);
 
--- a/src/node/node_propose.c
+++ b/src/node/node_propose.c
@@ -120,7 +120,7 @@
 	    ROUTE_UNKNOWN, 1000};
 
 	map_remove_u64(n->proposals, p->id);
-	if (p->kind == NODE_PROPOSE_DOC) {
+	if (p->kind == NODE_PROPOSE_DOC || p->kind == NODE_PROPOSE_QUARANTINE) {
 		if (!p->sent) {
 			error.status = 503;
 			error.code = "no-quorum";
--- a/tests/gateway/fatal_part_test.cc
+++ b/tests/gateway/fatal_part_test.cc
@@ -226,3 +226,47 @@
 			    std::string::npos);
 	}
 }
+
+/*
+ * An operator sees the parts that are quarantined and can lift a quarantine,
+ * at any instance; requests with the part are sent again then.
+ */
+TEST(FatalPart, an_operator_sees_and_lifts_a_quarantine)
+{
+	FatalCase c = {"", 4, 40, 60, 3, 1, false, do_nothing, do_nothing};
+	Fleet fleet(options_of(c, 3));
+	size_t arrivals, at;
+	std::string list, part;
+	Reply r;
+
+	ASSERT_TRUE(fleet.bring_up());
+	fleet.run_traffic(5000);
+	EXPECT_EQ(
+	    fleet.sim
+		.request_and_wait(1, NODE_LISTEN_API, "GET", "/v1/quarantine")
+		.status,
+	    401);
+	list = fleet.sim.ask_as_operator(1, "GET", "/v1/quarantine").body;
+	at = list.find("\"part\": \"");
+	ASSERT_NE(at, std::string::npos) << list;
+	part = list.substr(at + 9, 16);
+	EXPECT_EQ(list.find("\"part\"", at + 1), std::string::npos) << list;
+	arrivals = fleet.fatal_arrivals_us[0].size();
+	fleet.run_traffic(2000);
+	EXPECT_EQ(fleet.fatal_arrivals_us[0].size(), arrivals);
+	EXPECT_EQ(
+	    fleet.sim
+		.ask_as_operator(1, "DELETE", "/v1/quarantine/0000000000000000")
+		.status,
+	    404);
+	EXPECT_EQ(fleet.sim.ask_as_operator(1, "POST", "/v1/quarantine/" + part)
+		      .status,
+	    405);
+	r = fleet.sim.ask_as_operator(6, "DELETE", "/v1/quarantine/" + part);
+	EXPECT_EQ(r.status, 200) << r.body;
+	fleet.sim.run_for_ms(200);
+	list = fleet.sim.ask_as_operator(1, "GET", "/v1/quarantine").body;
+	EXPECT_EQ(list.find("\"part\""), std::string::npos) << list;
+	fleet.run_traffic(2000);
+	EXPECT_GT(fleet.fatal_arrivals_us[0].size(), arrivals);
+}
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -1,5 +1,6 @@
 #include "gateway_sim.h"
 
+#include "doc/doc.h"
 #include "mulberrypath/settings.h"
 
 static const uint64_t kTickUs = 5 * MS;
@@ -55,7 +56,9 @@
 	struct mp_error err = {};
 	struct node_disk disk = {};
 	std::string list, records;
+	char token_hash[65];
 
+	doc_hash_token(token_hash, "op");
 	for (auto &s : seeds)
 		list += (list.empty() ? "\"" : ",\"") + s + "\"";
 	m.settings_text = "{\"cluster\":\"c\",\"instance\":{\"name\":\"m" +
@@ -70,7 +73,9 @@
 		    : "\"front\":\"" + m.ip + ":9000\",\"readiness\":\"" +
 			m.ip + ":9001\"") +
 	    ",\"founding\":" + (founding_allowed ? "true" : "false") +
-	    ",\"fenced\":true}}";
+	    ",\"fenced\":true},\"operators\":[{\"name\":\"op\","
+	    "\"tokenHash\":\"" +
+	    token_hash + "\",\"teams\":[\"*\"]}]}";
 	settings_destroy(m.settings);
 	ASSERT_EQ(settings_parse(&m.settings, m.settings_text.data(),
 		      m.settings_text.size(), &problems, &err),
@@ -471,6 +476,7 @@
 	ev.u.request.method = method;
 	ev.u.request.path = path.c_str();
 	ev.u.request.body = {body.data(), body.size()};
+	ev.u.request.authorization = authorization;
 	ev.u.request.headers = list.data();
 	ev.u.request.nheaders = list.size();
 	step(i, ev);
@@ -487,6 +493,17 @@
 	return replies[id];
 }
 
+Reply
+GatewaySim::ask_as_operator(int i, const char *method, const std::string &path)
+{
+	Reply reply;
+
+	authorization = "Bearer op";
+	reply = request_and_wait(i, NODE_LISTEN_API, method, path);
+	authorization = nullptr;
+	return reply;
+}
+
 Reply
 GatewaySim::announce(int i, const std::string &id, const std::string &state,
     uint64_t sequence, uint64_t born)
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -118,6 +118,10 @@
 	    uint64_t born = 1);
 	void answer_call(const EndpointCall &call, int status,
 	    const std::string &body, std::vector<node_header> headers = {});
+	/* Sends a request of an operator of all teams and waits for the reply.
+	 */
+	Reply ask_as_operator(
+	    int i, const char *method, const std::string &path);
 	/* Ends a call: END, BROKEN by the endpoint, or NOT_SENT. */
 	void end_call(const EndpointCall &call, node_call_phase phase);
 	/* Sends a part of an answer; the first is preceded by the head. */
@@ -141,6 +145,7 @@
 	std::multimap<uint64_t, std::function<void()>> timers;
 	struct node_effects *fx = node_effects_create();
 	uint64_t last_request = 0, last_sequence = 0;
+	const char *authorization = nullptr; /* of the requests sent */
 	std::map<uint64_t, int> owner;
 	std::set<std::pair<int, uint64_t>> open_calls; /* unanswered calls */
 
--- a/tests/mulberryctl/command_test.cc
+++ b/tests/mulberryctl/command_test.cc
@@ -304,6 +304,26 @@
 	    1);
 }
 
+TEST_F(Command, QuarantinedPartsAreListedAndLifted)
+{
+	answer = [&](const node_request *r, size_t) {
+		if (strcmp(r->method, "GET") == 0)
+			Reply(r, 200,
+			    R"({"parts":[{"part":"00000000000000ab",)"
+			    R"("active":true,"ends":3,"strikes":1,)"
+			    R"("sinceMs":12}],"suspects":0})");
+		else
+			Reply(r, 200, R"({"lifted":true})");
+	};
+	EXPECT_EQ(Run({"quarantine", "--server", Address()}), 0) << err;
+	EXPECT_NE(out.find("00000000000000ab"), std::string::npos) << out;
+	EXPECT_EQ(Run({"quarantine", "--lift", "00000000000000ab", "--server",
+		      Address()}),
+	    0)
+	    << err;
+	EXPECT_EQ(asked.back(), "DELETE /v1/quarantine/00000000000000ab");
+}
+
 /* A trace of one of each outcome, told apart by the prompt. */
 TEST_F(Command, LoadTellsAllOutcomesApart)
 {
