gateway: each fleet with a fatal part is a test of its own

Thirteen fleets in one test took 150 s under the sanitizers, longer than all others; as parameters they run beside each other and a failure names its fleet. 15 passed (FatalPart, EndedEngines, QuarantineOperator).

--- a/tests/gateway/fatal_part_test.cc
+++ b/tests/gateway/fatal_part_test.cc
@@ -75,23 +75,23 @@
 
 static const FatalCase cases[] = {
     {"small", 4, 40, 60, 3, 1, false, do_nothing, do_nothing},
-    {"small, resumable streams", 4, 40, 60, 3, 1, true, do_nothing, do_nothing},
-    {"small, many requests", 4, 40, 60, 12, 1, false, do_nothing, do_nothing},
-    {"small, few requests", 4, 40, 60, 0.8, 1, false, do_nothing, do_nothing},
-    {"small, three parts", 4, 40, 60, 5, 3, false, do_nothing, do_nothing},
-    {"small, entries restarted", 4, 40, 60, 3, 1, false, restart_entries,
+    {"small_resumable_streams", 4, 40, 60, 3, 1, true, do_nothing, do_nothing},
+    {"small_many_requests", 4, 40, 60, 12, 1, false, do_nothing, do_nothing},
+    {"small_few_requests", 4, 40, 60, 0.8, 1, false, do_nothing, do_nothing},
+    {"small_three_parts", 4, 40, 60, 5, 3, false, do_nothing, do_nothing},
+    {"small_entries_restarted", 4, 40, 60, 3, 1, false, restart_entries,
 	do_nothing},
-    {"small, the leader killed", 4, 40, 60, 3, 1, false,
+    {"small_leader_killed", 4, 40, 60, 3, 1, false,
 	[](Fleet &f) { f.sim.kill(f.sim.leader()); }, start_dead},
-    {"small, the leader cut off", 4, 40, 60, 3, 1, false,
+    {"small_leader_cut_off", 4, 40, 60, 3, 1, false,
 	[](Fleet &f) { f.sim.isolate(f.sim.leader(), true); },
 	[](Fleet &f) { f.sim.cut_links.clear(); }},
-    {"small, all killed", 4, 40, 60, 3, 1, false, kill_all, start_dead},
+    {"small_all_killed", 4, 40, 60, 3, 1, false, kill_all, start_dead},
     {"large", 23, 140, 300, 3, 1, false, do_nothing, do_nothing},
-    {"large, three parts", 23, 140, 300, 6, 3, false, do_nothing, do_nothing},
-    {"large, an owner killed", 23, 140, 300, 3, 1, false, kill_newest_holder,
+    {"large_three_parts", 23, 140, 300, 6, 3, false, do_nothing, do_nothing},
+    {"large_owner_killed", 23, 140, 300, 3, 1, false, kill_newest_holder,
 	start_dead},
-    {"large, the leader killed", 23, 140, 300, 3, 1, false,
+    {"large_leader_killed", 23, 140, 300, 3, 1, false,
 	[](Fleet &f) { f.sim.kill(f.sim.leader()); }, start_dead},
 };
 
@@ -184,12 +184,14 @@
 	EXPECT_EQ(count_sound_refusals(fleet, from), 0);
 }
 
+class FatalPart : public ::testing::TestWithParam<FatalCase> {};
+
 /*
  * Guards against the fault of the incident BUDGET: requests with a part under
  * which engines have ended are sent to engine after engine. To run other seeds:
- * FATAL_SEEDS=FIRST:COUNT test_gateway --gtest_filter=FatalPart.requests*
+ * FATAL_SEEDS=FIRST:COUNT test_gateway --gtest_filter='*FatalPart.requests*'
  */
-TEST(FatalPart, requests_with_it_are_refused_and_sound_ones_served)
+TEST_P(FatalPart, requests_with_it_are_refused_and_sound_ones_served)
 {
 	const char *text = getenv("FATAL_SEEDS");
 	unsigned first = 1, count = 1;
@@ -198,15 +200,17 @@
 		ASSERT_EQ(sscanf(text, "%u:%u", &first, &count), 2);
 	}
 	for (unsigned seed = first; seed < first + count; seed++)
-		for (auto &c : cases)
-			run_fatal_case(c, seed);
+		run_fatal_case(GetParam(), seed);
 }
 
+INSTANTIATE_TEST_SUITE_P(Fleets, FatalPart, ::testing::ValuesIn(cases),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /*
  * Guards against a verdict on a part that is not to blame: whole racks of
  * engines end at once, or engine after engine, under sound requests alone.
  */
-TEST(FatalPart, ends_of_engines_for_other_reasons_quarantine_no_part)
+TEST(EndedEngines, for_other_reasons_quarantine_no_part)
 {
 	static const struct {
 		const char *name;
@@ -236,7 +240,7 @@
  * An operator sees the parts that are quarantined and can lift a quarantine,
  * at any instance; requests with the part are sent again then.
  */
-TEST(FatalPart, an_operator_sees_and_lifts_a_quarantine)
+TEST(QuarantineOperator, sees_and_lifts_a_quarantine_anywhere)
 {
 	FatalCase c = {"", 4, 40, 60, 3, 1, false, do_nothing, do_nothing};
 	Fleet fleet(options_of(c, 3));
