--- a/src/quarantine/quarantine_evidence.c
+++ b/src/quarantine/quarantine_evidence.c
@@ -10,7 +10,9 @@
 #define BLAME_ENDS 3u
 /* The same for a part that was quarantined before. */
 #define BLAME_ENDS_AGAIN 1u
-/* Ends that are less apart may have one cause outside the prompts. */
+/* Ends that are less apart count once: they may have one cause. */
+#define COUNT_GAP_US (150 * 1000ULL)
+/* Ends that are less apart are compared with each other. */
 #define END_GAP_US (300 * 1000ULL)
 /*
  * Of the processes that end together, the part of them that a prompt part must
@@ -140,7 +142,8 @@
 {
 	if (!quarantine_guards.separate)
 		return true;
-	return (counted_before == NULL || !is_together(counted_before, end)) &&
+	return (counted_before == NULL ||
+		   end->at_us >= counted_before->at_us + COUNT_GAP_US) &&
 	    is_common(e, s, end);
 }
 
