quarantine: connections that are reset together make no part suspect

Change: the two ends have to be 0.3 s apart. Observer.another_process_of_an_ endpoint_is_another_end failed before in its new rows. The reason in the log is prompt-part-suspect, apart from that of a verdict.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -238,7 +238,8 @@
 	fwd_refuse(f, r, now_us,
 	    r->may_have_run && forward_guards.truth ? GW_REFUSE_FAILED
 						    : GW_REFUSE_QUARANTINED,
-	    "prompt-part-quarantined", 0, fx);
+	    was_sent ? "prompt-part-suspect" : "prompt-part-quarantined", 0,
+	    fx);
 	return true;
 }
 
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -95,8 +95,8 @@
 void fwd_retry_or_refuse(struct forward *f, struct fwd_request *r,
     uint64_t now_us, bool not_run, const char *fault, struct node_effects *fx);
 /*
- * Refuses the request if a part of its prompt is quarantined; false: it is not.
- * Frees r if it returns true.
+ * Refuses the request if a part of its prompt is quarantined, or is suspect and
+ * the request was sent before; false: neither. Frees r if it returns true.
  */
 bool fwd_refuse_if_quarantined(struct forward *f, struct fwd_request *r,
     uint64_t now_us, bool was_sent, struct node_effects *fx);
--- a/src/node/node_gate_evidence.c
+++ b/src/node/node_gate_evidence.c
@@ -10,6 +10,7 @@
 #define EXPIRY_INTERVAL_US (1000 * 1000ULL)
 /* Parts that one message asks about. */
 #define INQUIRED_PARTS_MAX 128u
+
 /* finding: of START; NULL otherwise. */
 static void
 propose_change(struct node *n, uint64_t part, Wire__QuarantineChange change,
--- a/src/quarantine/quarantine_observer.c
+++ b/src/quarantine/quarantine_observer.c
@@ -15,9 +15,10 @@
 #define REPORT_INTERVAL_US (500 * 1000ULL)
 /* Parts of which the last answer is remembered, in each of two generations. */
 #define SERVED_MAX 4096u
-/* Ends within this time make a part suspect to this entry. */
+/* Two ends within this time, so far apart, make a part suspect to this entry.
+ */
 #define SUSPECT_AGE_MAX_US (60 * 1000000ULL)
-#define SUSPECT_ENDS	   2u
+#define SUSPECT_GAP_US	   (300 * 1000ULL)
 
 struct observed_end {
 	char *endpoint; /* NULL: unused */
@@ -149,17 +150,21 @@
     const struct quarantine_observer *o, uint64_t now_us, uint64_t hash)
 {
 	uint64_t served_us = quarantine_observer_served_us(o, hash);
+	uint64_t first_us = UINT64_MAX, last_us = 0;
 	const struct observed_end *end;
-	uint32_t ends = 0;
 	size_t i;
 
 	for (i = 0; i < ENDS_MAX; i++) {
 		end = o->ends[i];
-		if (end != NULL && end->at_us > served_us &&
-		    now_us < end->at_us + SUSPECT_AGE_MAX_US)
-			ends += has_suspect(end, hash);
+		if (end == NULL || end->at_us <= served_us ||
+		    now_us >= end->at_us + SUSPECT_AGE_MAX_US ||
+		    !has_suspect(end, hash))
+			continue;
+		first_us = end->at_us < first_us ? end->at_us : first_us;
+		last_us = end->at_us > last_us ? end->at_us : last_us;
 	}
-	return ends >= SUSPECT_ENDS;
+	return last_us >= SUSPECT_GAP_US &&
+	    first_us <= last_us - SUSPECT_GAP_US;
 }
 
 /* ---- reports ------------------------------------------------------------ */
--- a/src/quarantine/quarantine_observer.h
+++ b/src/quarantine/quarantine_observer.h
@@ -48,8 +48,9 @@
     const struct quarantine_observer *o, uint64_t hash);
 
 /*
- * Whether more than one process has ended under the part here, lately and
- * since a request with it was last answered well.
+ * Whether processes have ended under the part here, lately, one after the
+ * other, and since a request with it was last answered well. Connections that
+ * are reset together are no such ends.
  */
 bool quarantine_observer_is_suspect(
     const struct quarantine_observer *o, uint64_t now_us, uint64_t hash);
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -125,16 +125,19 @@
 
 TEST(Observer, another_process_of_an_endpoint_is_another_end)
 {
-	static const uint64_t part = 1;
+	static const uint64_t part = 1, later = kHour + kSecond;
 	quarantine_observer *o = quarantine_observer_create();
 
 	quarantine_observer_add_end(o, kHour, "i-1", 7, &part, 1);
 	EXPECT_FALSE(quarantine_observer_is_suspect(o, kHour, part));
-	quarantine_observer_add_end(o, kHour, "i-1", 8, &part, 1);
-	EXPECT_TRUE(quarantine_observer_is_suspect(o, kHour, part));
+	quarantine_observer_add_end(o, kHour + 9, "i-2", 7, &part, 1);
+	EXPECT_FALSE(quarantine_observer_is_suspect(o, kHour + 9, part))
+	    << "both were reset together";
+	quarantine_observer_add_end(o, later, "i-1", 8, &part, 1);
+	EXPECT_TRUE(quarantine_observer_is_suspect(o, later, part));
 	EXPECT_FALSE(quarantine_observer_is_suspect(o, 2 * kHour, part));
-	quarantine_observer_add_served(o, kHour + 1, &part, 1);
-	EXPECT_FALSE(quarantine_observer_is_suspect(o, kHour + 2, part));
+	quarantine_observer_add_served(o, later + 1, &part, 1);
+	EXPECT_FALSE(quarantine_observer_is_suspect(o, later + 2, part));
 	quarantine_observer_destroy(o);
 }
 
