forward: a stream is not resumed after the verdict on its prompt

Found by reading: a resumable stream whose caller had its head was passed over when a part of its prompt was quarantined, and was sent to a further engine.

Change: what counts is whether this attempt's endpoint has begun to answer. The position in events is followed for streams alone.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -465,13 +465,6 @@
 	    may_have_run ? 0 : retry_after_ms, fx);
 }
 
-/* Whether no endpoint has begun to answer the request. */
-static bool
-is_unanswered(const struct fwd_request *r)
-{
-	return !r->head_sent && !r->first_byte_reported;
-}
-
 void
 forward_refuse_quarantined(
     struct forward *f, uint64_t now_us, struct node_effects *fx)
@@ -481,7 +474,7 @@
 
 	while (i-- > 0) {
 		r = map_at(f->by_request, i);
-		if (!is_unanswered(r) ||
+		if (r->first_byte_reported || /* by this attempt's endpoint */
 		    f->ops->may_send(f->ctx, &r->decoded, false))
 			continue;
 		if (r->state != FWD_ASKED)
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -297,7 +297,8 @@
     struct node_bytes data, struct node_effects *fx)
 {
 	record_first_byte(f, r, now_us, fx);
-	fwd_events_follow(&r->event_state, data.data, data.len);
+	if (r->kind == GW_STREAM)
+		fwd_events_follow(&r->event_state, data.data, data.len);
 	if (r->kind == GW_STREAM && is_success(r->status) && !r->resumable) {
 		send_data(r, data.data, data.len, fx);
 		return;
--- a/tests/forward/quarantine_test.cc
+++ b/tests/forward/quarantine_test.cc
@@ -55,6 +55,34 @@
 	}
 }
 
+/*
+ * Guards against a stream that is resumed at a further engine after the
+ * verdict: the caller has its head, and it waits for a grant, or was sent.
+ */
+TEST_F(Quarantined, a_stream_is_not_resumed_after_the_verdict)
+{
+	route.kind = GW_STREAM;
+	route.resumable = true;
+	for (bool is_sent : {false, true}) {
+		is_quarantined = is_aborted = is_cancelled = false;
+		status = 0;
+		StartRequest();
+		ASSERT_TRUE(Grant("i-1"));
+		ReceiveSignedHead();
+		ReceiveCallEvent(NODE_CALL_DATA, "id: 1\ndata: a\n\n");
+		ReceiveBroken(true);
+		if (is_sent) {
+			ASSERT_TRUE(Grant("i-2"));
+		}
+		is_quarantined = true;
+		forward_refuse_quarantined(f, now_us, fx);
+		ApplyEffects();
+		EXPECT_TRUE(is_aborted);
+		EXPECT_EQ(is_cancelled, is_sent);
+		EXPECT_EQ(forward_request_count(f), 0U);
+	}
+}
+
 /* Guards against a repeat that ends a further engine. */
 TEST_F(Quarantined, a_request_under_which_endpoints_ended_is_not_repeated)
 {
