gateway: the check of another instance's table is noticed when it is off

Asked again whether each test fails without its mend: with the check of table entries taken out, HostileInput.odd_endpoints_are_not_taken_into_the_table passed. It only saw where a request went, and the placer's own table decides that. It now reads how many endpoints the entry has: 3 failures with the check out, none with it.

--- a/tests/gateway/hostile_input_test.cc
+++ b/tests/gateway/hostile_input_test.cc
@@ -206,6 +206,11 @@
 		envelope.body_case = WIRE__ENVELOPE__BODY_ENDPOINT_TABLE;
 		envelope.endpoint_table = &table;
 		SendMessage(sim.leader(), kEntry, &envelope);
+		EXPECT_NE(sim.request_and_wait(
+				 kEntry, NODE_LISTEN_API, "GET", "/metrics")
+			      .body.find("mulberrypath_gate_endpoints 0\n"),
+		    std::string::npos)
+		    << "the table has an entry of address " << address;
 	}
 	SendRequest("/p/x", {});
 	sim.run_for_ms(300);
