--- a/tests/gateway/fleet.cc
+++ b/tests/gateway/fleet.cc
@@ -165,16 +165,33 @@
 	return false;
 }
 
+std::vector<node_header>
+Fleet::headers_of(const Engine &e, const GatewaySim::EndpointCall &call,
+    const std::string &limit)
+{
+	bool is_request = call.path.rfind("/api/", 0) != 0;
+
+	if (limit.empty() || !is_request)
+		return {};
+	if (on_limit_told)
+		on_limit_told(e, call, limit);
+	return {{"Server-Limit", limit.c_str()}};
+}
+
 void
 Fleet::schedule_reply(Engine &e, uint64_t delay_us,
     const GatewaySim::EndpointCall &call, int status, const std::string &body)
 {
 	sim.schedule(sim.now_us + delay_us, [this, &e, call, status, body] {
+		std::string limit = e.limit;
+
 		if (!take_call(e, call))
 			return;
-		sim.enqueue(call.instance, [this, call, status, body] {
-			sim.answer_call(call, status, body);
-		});
+		sim.enqueue(
+		    call.instance, [this, &e, call, status, body, limit] {
+			    sim.answer_call(
+				call, status, body, headers_of(e, call, limit));
+		    });
 	});
 }
 
@@ -182,11 +199,14 @@
 void
 Fleet::begin_answer(Engine &e, const GatewaySim::EndpointCall &call)
 {
+	std::string limit = e.limit;
+
 	for (auto &open : e.open_calls)
 		if (open.instance == call.instance && open.call == call.call) {
-			sim.enqueue(call.instance, [this, call] {
-				sim.answer_call_part(
-				    call, true, "id: 1\ndata: x\n\n");
+			sim.enqueue(call.instance, [this, &e, call, limit] {
+				sim.answer_call_part(call, true,
+				    "id: 1\ndata: x\n\n",
+				    headers_of(e, call, limit));
 			});
 			return;
 		}
@@ -223,6 +243,7 @@
 	e.recently_unloaded.clear();
 	e.order_count = e.sequence = e.idle_from_us = e.highest_fence = 0;
 	e.last_holder = -1;
+	e.limit.clear();
 	sim.schedule(e.down_until_us, [this, i] { announce(i); });
 }
 
@@ -382,6 +403,8 @@
 	std::string name;
 
 	e.request_count++;
+	if (on_request_arrived)
+		on_request_arrived(e, call);
 	if (e.is_plain) {
 		schedule_reply(e, 15 * MS, call, 200, "answer");
 		return;
--- a/tests/gateway/fleet.h
+++ b/tests/gateway/fleet.h
@@ -43,6 +43,7 @@
 		bool crashed = false;
 		/* a process that ended is replaced by another one */
 		uint64_t process = 1, down_until_us = 0;
+		std::string limit; /* named in each answer; empty: none */
 		/* unanswered calls, in order of arrival */
 		std::vector<GatewaySim::EndpointCall> open_calls;
 		/* of the orders that it received */
@@ -88,6 +89,13 @@
 	/* Sends a model request for the adapter to the first entry. */
 	void request_adapter(const std::string &adapter);
 	std::function<void()> on_order_received; /* by an engine */
+	/* A request arrives at an endpoint. */
+	std::function<void(const Engine &, const GatewaySim::EndpointCall &)>
+	    on_request_arrived;
+	/* An instance is about to get an answer that names this limit. */
+	std::function<void(const Engine &, const GatewaySim::EndpointCall &,
+	    const std::string &limit)>
+	    on_limit_told;
 	std::string endless_path; /* calls of this path get endless answers */
 	std::function<void()> on_endless_call; /* called when one begins */
 	size_t max_endless_bytes = 0; /* sent in one such answer */
@@ -141,6 +149,12 @@
 	int execute_order(Engine &e, const GatewaySim::EndpointCall &call);
 	void on_order(Engine &e, const GatewaySim::EndpointCall &call);
 	std::string make_report(const Engine &e) const;
+	/*
+	 * Returns the headers of an answer that is made now, and tells the
+	 * test that the instance gets it. The limit must outlive them.
+	 */
+	std::vector<node_header> headers_of(const Engine &e,
+	    const GatewaySim::EndpointCall &call, const std::string &limit);
 	void schedule_reply(Engine &e, uint64_t delay_us,
 	    const GatewaySim::EndpointCall &call, int status,
 	    const std::string &body);
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -573,19 +573,19 @@
 }
 
 void
-GatewaySim::answer_call_part(
-    const EndpointCall &call, bool first, const std::string &body)
+GatewaySim::answer_call_part(const EndpointCall &call, bool first,
+    const std::string &body, std::vector<node_header> headers)
 {
-	struct node_header signature = {"Mulberrypath-Server-Signature", "s"};
 	struct node_event ev = {};
 
+	headers.push_back({"Mulberrypath-Server-Signature", "s"});
 	open_calls.erase({call.instance, call.call});
 	ev.type = NODE_EV_CALL;
 	ev.u.call.call = call.call;
 	ev.u.call.phase = NODE_CALL_HEAD;
 	ev.u.call.status = 200;
-	ev.u.call.headers = &signature;
-	ev.u.call.nheaders = 1;
+	ev.u.call.headers = headers.data();
+	ev.u.call.nheaders = headers.size();
 	if (first)
 		step(call.instance, ev);
 	ev.u.call.phase = NODE_CALL_DATA;
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -124,9 +124,12 @@
 	    int i, const char *method, const std::string &path);
 	/* Ends a call: END, BROKEN by the endpoint, or NOT_SENT. */
 	void end_call(const EndpointCall &call, node_call_phase phase);
-	/* Sends a part of an answer; the first is preceded by the head. */
-	void answer_call_part(
-	    const EndpointCall &call, bool first, const std::string &body);
+	/*
+	 * Sends a part of an answer; the first is preceded by the head, with
+	 * these headers beside those of each answer.
+	 */
+	void answer_call_part(const EndpointCall &call, bool first,
+	    const std::string &body, std::vector<node_header> headers = {});
 
 	/* Delivers a message as if another instance had sent it. */
 	void deliver(int from, int to, const std::string &bytes);
