--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -167,6 +167,13 @@
 	const char *resume_after; /* event id; NULL: from the beginning */
 };
 
+/* What a response says of the rate of requests that its endpoint takes. */
+enum gw_rate_limit {
+	GW_RATE_LIMIT_NONE, /* nothing: it takes requests at any rate */
+	GW_RATE_LIMIT_NAMED,
+	GW_RATE_LIMIT_INVALID /* not readable: as if it said nothing new */
+};
+
 /* The head of an endpoint's response. */
 struct gw_endpoint_response {
 	bool not_run; /* the endpoint states that it did not run it */
@@ -174,6 +181,8 @@
 	bool is_leaving; /* the endpoint is draining */
 	uint32_t backoff_ms; /* it wants no request from this instance for so
 			      * long; 0: not given */
+	enum gw_rate_limit rate_limit;
+	uint32_t requests_per_s_milli; /* of all instances together, if named */
 	bool is_signed; /* has the endpoint's signature */
 	bool is_encoded; /* body changed in transit: content encoding */
 	const char *attempt; /* of the request; NULL: not given */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -121,6 +121,9 @@
 	result.running = r->response.running;
 	result.waiting = r->response.waiting;
 	result.slots = r->response.slots;
+	result.limit_told = r->limit_told;
+	result.limit = r->limit;
+	r->limit_told = false;
 	f->ops->done(f->ctx, r->ask, &result, fx);
 	if (outcome == PLACE_FIRST_BYTE)
 		return;
@@ -383,6 +386,7 @@
 	r->state = FWD_SENT;
 	r->sent_us = now_us;
 	r->first_byte_us = 0;
+	r->limit_told = false;
 	r->was_closed_by_endpoint = false;
 	memset(&r->event_state, 0, sizeof(r->event_state));
 	outgoing.request = &r->decoded;
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -127,24 +127,41 @@
 	    r->maybe_run_count + 1 < r->max_attempts;
 }
 
-/*
- * Passes on what the response says about further requests. A response of
- * another process, or to another request, says nothing about this endpoint.
- */
+/* A response of another process, or to another request, is not. */
+static bool
+is_about_endpoint(
+    const struct fwd_request *r, const struct gw_endpoint_response *response)
+{
+	return r->endpoint_born_ms != 0 && !response->has_state_mismatch &&
+	    is_for_request(r, response);
+}
+
+/* Passes on what the response says about further requests. */
 static void
 report_notice(struct forward *f, const struct fwd_request *r,
     const struct gw_endpoint_response *response, struct node_effects *fx)
 {
 	struct place_notice notice = {r->endpoint, r->endpoint_born_ms,
-	    response->is_leaving, response->backoff_ms};
+	    response->is_leaving, response->backoff_ms,
+	    response->rate_limit == GW_RATE_LIMIT_INVALID};
 
-	if ((!notice.is_leaving && notice.backoff_ms == 0) ||
-	    notice.born_ms == 0 || response->has_state_mismatch ||
-	    !is_for_request(r, response))
+	if (!is_about_endpoint(r, response) ||
+	    (!notice.is_leaving && notice.backoff_ms == 0 &&
+		!notice.has_invalid_limit))
 		return;
 	f->ops->notice(f->ctx, r->ask, &notice, fx);
 }
 
+/* Keeps what the response says of the endpoint's rate limit for the placer. */
+static void
+record_limit(struct fwd_request *r, const struct gw_endpoint_response *response)
+{
+	r->limit_told = is_about_endpoint(r, response) &&
+	    response->rate_limit != GW_RATE_LIMIT_INVALID;
+	r->limit.is_limited = response->rate_limit == GW_RATE_LIMIT_NAMED;
+	r->limit.requests_per_s_milli = response->requests_per_s_milli;
+}
+
 /*
  * The head of a response that is to go on with a stream: the caller has the
  * head of an earlier one, so nothing of this one but its events is relayed.
@@ -158,6 +175,7 @@
 
 	f->codec->read_endpoint_response(&resumed, event, fx);
 	report_notice(f, r, &resumed, fx);
+	record_limit(r, &resumed);
 	fault = find_response_fault(r, &resumed, event->status);
 	if (fault != NULL)
 		fail_attempt(
@@ -195,6 +213,7 @@
 	r->has_length = event->has_length;
 	r->length = event->length;
 	report_notice(f, r, &r->response, fx);
+	record_limit(r, &r->response);
 	fault = find_response_fault(r, &r->response, r->status);
 	if (fault != NULL)
 		fail_attempt(
@@ -221,7 +240,7 @@
 	r->first_byte_reported = true;
 	r->first_byte_us = now_us;
 	hist_add(&f->stats.first_byte_us, now_us - r->started_us);
-	if (r->decoded.model != NULL)
+	if (r->decoded.model != NULL || r->kind == GW_STREAM)
 		fwd_report_outcome(f, r, PLACE_FIRST_BYTE, fx);
 }
 
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -57,6 +57,9 @@
 	/* the response */
 	int status;
 	bool first_byte_reported; /* to the placer */
+	/* what the last response said, until the placer is told */
+	bool limit_told;
+	struct place_limit limit;
 	bool head_sent; /* to the caller */
 	struct node_effects *response_memory; /* of response */
 	struct gw_endpoint_response response;
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -61,6 +61,7 @@
 	g->evidence = quarantine_evidence_create();
 	g->observer = quarantine_observer_create();
 	gate_owner_init(n);
+	gate_limit_init(n);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
 }
@@ -397,6 +398,7 @@
 	gate_owner_tick(n);
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
+	gate_limit_tick(n);
 	gate_table_tick(n);
 	gate_quarantine_tick(n);
 	gate_evidence_tick(n);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -184,6 +184,7 @@
 	uint64_t unsharded_order_from_us; /* no orders of its leader before */
 	uint32_t shard_engines[MEMBER_SHARDS_MAX]; /* number of engines */
 	uint64_t shard_engines_due_us; /* next count */
+	uint64_t limit_publish_due_us; /* next check for unpublished limits */
 	uint64_t wait_notice_due_us; /* next notices of queued requests */
 	uint32_t owned_logged, shards_logged;
 	/* entries */
@@ -311,6 +312,18 @@
 void gate_notice_on_message(
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
 
+/* ---- node_gate_limit.c: rate limits that endpoints name ---- */
+void gate_limit_init(struct node *n);
+/* Logs changes of limits, and tells the leader those that the table lacks. */
+void gate_limit_tick(struct node *n);
+void gate_limit_on_invalid(
+    struct node *n, const char *endpoint, uint64_t born_ms);
+/* Fills a message from a limit; returns it. */
+Wire__RateLimit *gate_limit_to_wire(
+    Wire__RateLimit *out, const struct place_limit *limit);
+/* wire: NULL for no limit. */
+struct place_limit gate_limit_from_wire(const Wire__RateLimit *wire);
+
 /* ---- node_gate_quarantine.c: quarantined prompt parts ---- */
 /* The time, in this instance's clock, of what was age_ms ago just now. */
 uint64_t gate_time_of_age(const struct node *n, uint32_t age_ms);
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -189,6 +189,7 @@
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__PlaceDone done = WIRE__PLACE_DONE__INIT;
+	Wire__RateLimit limit;
 
 	done.ask = ask;
 	done.outcome = (Wire__PlaceOutcome)result->outcome;
@@ -197,6 +198,8 @@
 	done.running = result->running;
 	done.waiting = result->waiting;
 	done.slots = result->slots;
+	if (result->limit_told)
+		done.limit = gate_limit_to_wire(&limit, &result->limit);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_DONE;
 	envelope.place_done = &done;
 	node_peer_send(n, to, &envelope);
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -81,7 +81,11 @@
 	    {"weight_loads_total", "counter", t.weight_loads},
 	    {"reports_total", "counter", t.reports},
 	    {"adapters_looked_at_total", "counter", t.examined_adapters},
-	    {"placing_estimates_total", "counter", t.estimates}};
+	    {"placing_estimates_total", "counter", t.estimates},
+	    {"endpoints_limited", "gauge", t.limited_endpoints},
+	    {"limit_waits_total", "counter", t.limit_waits},
+	    {"limit_refused_total", "counter", t.limit_refusals},
+	    {"limits_unreadable_total", "counter", t.invalid_limits}};
 	size_t i;
 
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
--- a/src/node/node_gate_notice.c
+++ b/src/node/node_gate_notice.c
@@ -68,6 +68,10 @@
 		n->gate->place, notice->endpoint, notice->born_ms);
 
 	(void)fx;
+	if (notice->has_invalid_limit)
+		gate_limit_on_invalid(n, notice->endpoint, notice->born_ms);
+	if (!notice->is_leaving && notice->backoff_ms == 0)
+		return;
 	record_notice(n, n->incarnation, notice);
 	if (!is_news)
 		return;
@@ -97,7 +101,11 @@
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message)
 {
 	struct place_notice notice = {message->endpoint, message->born_ms,
-	    message->leaving, message->backoff_ms};
+	    message->leaving, message->backoff_ms, false};
+	struct place_limit limit = gate_limit_from_wire(message->limit);
 
 	record_notice(n, incarnation, &notice);
+	if (message->limit != NULL)
+		place_apply_limit(n->gate->place, n->now, message->endpoint,
+		    message->born_ms, &limit, false);
 }
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -73,6 +73,8 @@
 	result.running = done->running;
 	result.waiting = done->waiting;
 	result.slots = done->slots;
+	result.limit_told = done->limit != NULL;
+	result.limit = gate_limit_from_wire(done->limit);
 	place_done(n->gate->place, n->now, id, &result);
 }
 
--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -25,6 +25,7 @@
 {
 	Wire__EndpointInfo *out = node_effects_alloc(n->fx, sizeof(*out));
 	struct gw_announcement a;
+	struct place_limit_info limit;
 	Wire__LoadedModel *loaded;
 	size_t i;
 
@@ -38,6 +39,11 @@
 	out->data_centre = (char *)a.data_centre;
 	out->slots = a.slots;
 	out->leaving = a.leaving;
+	place_limit_get(n->gate->place, index, &limit);
+	if (limit.limit.is_limited)
+		out->limit = gate_limit_to_wire(
+		    node_effects_alloc(n->fx, sizeof(*out->limit)),
+		    &limit.limit);
 	out->n_loaded = a.nloaded;
 	out->loaded = node_effects_alloc(
 	    n->fx, (a.nloaded + 1) * sizeof(Wire__LoadedModel *));
@@ -209,6 +215,7 @@
 apply_info(struct node *n, const Wire__EndpointInfo *info)
 {
 	struct gw_announcement a = {0};
+	struct place_limit limit = gate_limit_from_wire(info->limit);
 	struct mp_error err;
 	struct gw_loaded_model *loaded =
 	    node_effects_alloc(n->fx, (info->n_loaded + 1) * sizeof(*loaded));
@@ -242,6 +249,8 @@
 		return; /* the others hold */
 	}
 	place_apply_entry(n->gate->place, n->now, &a);
+	place_apply_limit(
+	    n->gate->place, n->now, a.id, a.born_ms, &limit, true);
 }
 
 static void
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -25,6 +25,7 @@
 	p->noticed_leaving = map_create();
 	p->backoffs = map_create();
 	p->next_backoff_end_us = UINT64_MAX;
+	p->invalid_limits = map_create();
 	p->asks = map_create();
 	p->versions = map_create();
 	p->budgets = map_create();
@@ -51,6 +52,7 @@
 	map_destroy_all(p->leaving, free);
 	map_destroy_all(p->noticed_leaving, free);
 	map_destroy_all(p->backoffs, free);
+	map_destroy_all(p->invalid_limits, free);
 	map_destroy_all(p->versions, free);
 	map_destroy_all(p->budgets, free);
 	for (i = 0; i < map_count(p->demand); i++)
@@ -319,6 +321,7 @@
 	p->last_run_us = now_us;
 	sweep(p);
 	place_backoff_expire(p);
+	place_limit_update_shares(p);
 	place_share_count_engines(p);
 	for (a = p->queue_head; a != NULL; a = next) {
 		next = a->next;
@@ -355,6 +358,7 @@
 	*out = p->totals;
 	out->endpoints = (uint32_t)map_count(p->endpoints);
 	out->waiting = (uint32_t)p->nqueued;
+	out->limited_endpoints = p->nlimited;
 	out->running = 0;
 	for (i = 0; i < map_count(p->endpoints); i++)
 		out->running +=
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -116,6 +116,7 @@
 	uint64_t born_ms; /* start of that process */
 	bool is_leaving; /* it takes no new request of any entry */
 	uint32_t backoff_ms; /* it takes none of this entry for so long */
+	bool has_invalid_limit; /* it names a rate limit that is unreadable */
 };
 
 /* A longer backoff is shortened to this time. */
@@ -137,6 +138,72 @@
 bool place_may_send(const struct place *p, uint64_t now_us, uint64_t entry,
     const char *endpoint, uint64_t born_ms, struct place_notice *out);
 
+/* ---- rate limits that endpoints name ------------------------------------ */
+
+/*
+ * How many requests a second an endpoint takes of all entries together, as its
+ * responses say. A limit holds for the process that named it, until a response
+ * to a later request names another one or none.
+ */
+struct place_limit {
+	bool is_limited; /* false: it takes any number */
+	uint32_t requests_per_s_milli; /* if is_limited */
+};
+
+/*
+ * The part of the endpoints' limits that this instance may use, 0 to 1. The
+ * parts of all instances that place requests on an endpoint add up to 1.
+ */
+struct place_limit_share {
+	double fraction;
+	/* tokens to begin with, so that entries do not all send at once */
+	double first_tokens;
+};
+typedef struct place_limit_share (*place_limit_share_fn)(
+    void *ctx, const char *service, const char *endpoint);
+
+/* Set how the share is determined; NULL: the whole of each limit. */
+void place_set_limit_share_fn(
+    struct place *p, place_limit_share_fn share_fn, void *ctx);
+
+/*
+ * Apply the limit of an endpoint's process as another instance says, in the
+ * table or in a message. What responses to this instance's own grants say goes
+ * before it: while they are recent, or while it places all requests there.
+ */
+void place_apply_limit(struct place *p, uint64_t now_us, const char *id,
+    uint64_t born_ms, const struct place_limit *limit, bool is_from_table);
+
+/* What is known of an endpoint's limit; strings are the placer's. */
+struct place_limit_info {
+	const char *endpoint, *service;
+	uint64_t born_ms;
+	struct place_limit limit;
+	double fraction; /* of it, that this instance may use */
+	uint64_t teller; /* entry that was told last; 0: by another instance */
+	uint64_t told_us; /* when */
+	uint32_t waiting; /* requests that wait here for their adapters or it */
+	uint64_t granted; /* requests since it was named, by this instance */
+};
+
+/* Describe the i-th endpoint's limit. */
+void place_limit_get(
+    const struct place *p, size_t i, struct place_limit_info *out);
+
+/* Get the next limit that was named, changed or ended; false: there is none. */
+bool place_pop_limit_change(struct place *p, struct place_limit_info *out);
+
+/*
+ * Get the next limit that this instance was told and that differs from the
+ * table, so that the leader must be told; each at intervals. False: none.
+ */
+bool place_next_unpublished_limit(
+    struct place *p, uint64_t now_us, struct place_limit_info *out);
+
+/* Record an unreadable limit; true: the first one of this process. */
+bool place_record_invalid_limit(
+    struct place *p, const char *id, uint64_t born_ms);
+
 /* Get the process start of a known endpoint; false if the id is unknown. */
 bool place_get_born(const struct place *p, const char *id, uint64_t *born_ms);
 
@@ -287,6 +354,8 @@
 	uint32_t first_ms; /* from sending to the first byte; 0: unknown */
 	bool load_told; /* the following fields are set */
 	uint32_t running, waiting, slots;
+	bool limit_told; /* limit is what a response says */
+	struct place_limit limit;
 };
 
 /* Record the outcome of a request; unknown requests are ignored. */
@@ -377,6 +446,10 @@
 	uint32_t repeats_denied, ejections;
 	uint32_t examined_adapters; /* by runs, to find due loads */
 	uint32_t estimates; /* of one request at one endpoint */
+	uint32_t limited_endpoints; /* now */
+	uint32_t limit_waits; /* requests that waited for a limit */
+	uint32_t limit_refusals; /* requests refused for limits */
+	uint32_t invalid_limits; /* responses with an unreadable one */
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -49,6 +49,7 @@
 	e->unread_tokens += a->unread_tokens;
 	e->kv_tokens += a->prompt_tokens + a->max_tokens;
 	a->ahead_tokens = (uint32_t)e->unread_tokens;
+	place_limit_take(p, e);
 	p->totals.granted++;
 }
 
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -259,6 +259,8 @@
 	if (a == NULL)
 		return;
 	p->now_us = now_us;
+	if (a->granted && result->limit_told)
+		place_limit_record(p, a, &result->limit);
 	if (a->granted)
 		place_endpoint_record_result(p, a, result);
 	p->capacity_generation++;
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -75,6 +75,7 @@
 	}
 	while (map_count(e->adapters) > 0)
 		place_adapter_remove(p, e, map_at(e->adapters, 0), false);
+	place_limit_clear(p, e);
 	place_change_add(p, e->id, true);
 	place_group_remove(p, e);
 	(void)map_remove_str(p->endpoints, e->id);
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -126,6 +126,7 @@
 	double cost; /* first_ms plus the cost to other requests */
 	uint32_t own_tokens; /* of the prompt, without cached ones */
 	double backlog_ms;
+	double limit_wait_ms; /* until the engine's rate limit allows it */
 	bool needs_load, stuck;
 };
 
@@ -263,6 +264,16 @@
 	return *ms + out->cost < limit;
 }
 
+/* Time until the engine's rate limit allows the request; INFINITY: never. */
+static double
+limit_wait_ms(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
+{
+	uint64_t wait_us = place_limit_wait_at_engine_us(p, e, a);
+
+	return wait_us == UINT64_MAX ? INFINITY : (double)wait_us / US_PER_MS;
+}
+
 /*
  * Estimate a request at an engine; false if it can't run there or its cost
  * reaches limit. adapter: the request's adapter there; NULL if it is neither
@@ -290,9 +301,12 @@
 		!pending_load_ms(p, e, a, adapter, may_order, &load)) &&
 	    (!may_order || !new_load_ms(p, e, a, adapter, limit, &load, out)))
 		return false;
+	out->limit_wait_ms = limit_wait_ms(p, e, a);
+	if (out->limit_wait_ms >= limit || isinf(out->limit_wait_ms))
+		return false;
 	out->backlog_ms = backlog;
 	out->own_tokens = a->prompt_tokens - cached_tokens(e, a);
-	out->first_ms = (backlog > load ? backlog : load) +
+	out->first_ms = fmax(fmax(backlog, load), out->limit_wait_ms) +
 	    out->own_tokens / e->tokens_per_ms +
 	    e->running * BATCH_COST_PER_REQUEST_MS;
 	out->stuck = is_stuck(p, e);
@@ -361,6 +375,29 @@
 	a->endpoint = NULL;
 }
 
+/* Keep a request queued at an engine; its adapter there is not unloaded. */
+static void
+wait_at_engine(struct place_endpoint *e, struct place_ask *a)
+{
+	if (a->endpoint == e)
+		return;
+	stop_waiting(a);
+	a->endpoint = e;
+	place_adapter_find(e, a->key)->waiting++;
+}
+
+/* Keep a request queued until the engine's rate limit allows it. */
+static void
+wait_for_limit(struct place *p, struct place_endpoint *e, struct place_ask *a,
+    const struct estimate *est)
+{
+	p->totals.limit_waits += !a->has_waited_for_limit;
+	a->has_waited_for_limit = true;
+	wait_at_engine(e, a);
+	a->evaluate_at_us =
+	    p->now_us + (uint64_t)(est->limit_wait_ms * US_PER_MS) + 1;
+}
+
 static void
 wait_for_adapter(struct place *p, struct place_endpoint *e, struct place_ask *a)
 {
@@ -370,11 +407,7 @@
 		a->load_wait_since_us = p->now_us;
 	place_adapter_request_load(p, e, a);
 	adapter = place_adapter_find(e, a->key);
-	if (a->endpoint != e) {
-		stop_waiting(a);
-		a->endpoint = e;
-		adapter->waiting++;
-	}
+	wait_at_engine(e, a);
 	if (adapter->state != ADAPTER_LOADING)
 		a->evaluate_at_us = p->now_us + WANTED_RECHECK_US;
 	else if (adapter->ready_us > p->now_us + PLACE_EARLY_SEND_US)
@@ -471,7 +504,8 @@
 		return true;
 	if (a->attempt > 0)
 		return false; /* a late answer is better than a failure */
-	if (first_us > a->target_us && est->backlog_ms > LATE_BACKLOG_MIN_MS)
+	if (first_us > a->target_us &&
+	    fmax(est->backlog_ms, est->limit_wait_ms) > LATE_BACKLOG_MIN_MS)
 		return true;
 	return est->needs_load && first_us > a->target_us &&
 	    p->store_loads + p->queued_store_loads >=
@@ -498,14 +532,44 @@
 	return PLACE_ATTEMPT_REFUSED;
 }
 
+/* Refuse a request whose answer would come too late. */
+static enum place_attempt
+refuse_late(struct place *p, struct place_ask *a,
+    const struct place_endpoint *e, const struct estimate *est)
+{
+	struct place_basis basis = make_basis(p, e, est);
+	uint64_t from_us =
+	    p->now_us + (uint64_t)(est->limit_wait_ms * US_PER_MS);
+
+	if (est->limit_wait_ms <= LATE_BACKLOG_MIN_MS)
+		return refuse_elsewhere(p, a, &basis, "overload",
+		    place_adapter_wait_ms(p,
+			place_adapter_was_recently_unloaded(e, a->key_hash)));
+	from_us = place_limit_return_us(p, a->service, from_us);
+	p->totals.limit_refusals++;
+	return refuse_elsewhere(p, a, &basis, "endpoints-limited",
+	    (uint32_t)((from_us - p->now_us) / US_PER_MS) + 1);
+}
+
+/*
+ * Where a request waits already, if that is still possible. One that waits for
+ * a rate limit alone may go to any other engine that can take it earlier.
+ */
+static bool
+stays_at_engine(struct place *p, const struct place_ask *a, bool may_order,
+    struct estimate *est)
+{
+	return estimate_current(p, a, may_order, est) &&
+	    (est->limit_wait_ms <= 0 || !is_adapter_ready(p, a->endpoint, a));
+}
+
 enum place_attempt
 place_engine_place(struct place *p, struct place_ask *a, bool may_order)
 {
 	struct place_endpoint *e = a->endpoint;
-	struct place_basis basis;
 	struct estimate est;
 
-	if (!estimate_current(p, a, may_order, &est)) {
+	if (!stays_at_engine(p, a, may_order, &est)) {
 		stop_waiting(a);
 		e = find_engine(p, a, may_order, &est);
 	}
@@ -516,16 +580,16 @@
 		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
 	if (e == NULL)
 		return PLACE_ATTEMPT_WAITING;
-	if (a->endpoint == NULL && is_too_late(p, a, &est)) {
-		basis = make_basis(p, e, &est);
-		return refuse_elsewhere(p, a, &basis, "overload",
-		    place_adapter_wait_ms(p,
-			place_adapter_was_recently_unloaded(e, a->key_hash)));
-	}
+	if (a->endpoint == NULL && is_too_late(p, a, &est))
+		return refuse_late(p, a, e, &est);
 	if (!is_adapter_ready(p, e, a)) {
 		wait_for_adapter(p, e, a);
 		return PLACE_ATTEMPT_WAITING;
 	}
+	if (est.limit_wait_ms > 0) {
+		wait_for_limit(p, e, a, &est);
+		return PLACE_ATTEMPT_WAITING;
+	}
 	stop_waiting(a);
 	grant(p, e, a, &est);
 	return PLACE_ATTEMPT_GRANTED;
--- a/src/place/place_guard.h
+++ b/src/place/place_guard.h
@@ -22,6 +22,7 @@
 	bool version; /* never serve an outdated version of an adapter */
 	bool budget; /* limit repeats to a share of the requests */
 	bool notice; /* grant nothing against a notice of the endpoint */
+	bool limit; /* grant no more than the endpoint's limit allows */
 };
 
 extern struct place_guards place_guards;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -3,6 +3,7 @@
 
 #include "place/place.h"
 #include "util/map.h"
+#include "util/token_bucket.h"
 
 /* State of the placer, shared by the files of this directory. */
 
@@ -53,6 +54,17 @@
 	uint64_t state_since_us;
 };
 
+/* The rate limit of an endpoint, see struct place_limit. */
+struct place_limit_state {
+	struct place_limit now, table; /* table: as last published */
+	bool is_told; /* by a response to a request granted here */
+	bool is_changed; /* to be logged */
+	uint64_t teller, told_us;
+	struct place_limit_share share;
+	struct token_bucket bucket; /* of this instance's share */
+	uint64_t granted, published_us;
+};
+
 struct place_endpoint {
 	char *id, *service, *address, *data_centre;
 	uint64_t born_ms, sequence; /* of the newest announcement */
@@ -104,6 +116,7 @@
 	bool is_foreign; /* another instance grants and orders there */
 	uint64_t order_from_us; /* no order before */
 	uint64_t last_search; /* last search that examined it */
+	struct place_limit_state limit;
 };
 
 /* A request of an entry, from its ask to its end. */
@@ -124,6 +137,7 @@
 	uint64_t
 	    prefix_hashes[GW_PROMPT_PARTS_MAX]; /* i: of the parts 0 to i */
 	bool wait_sent; /* PLACE_WAIT was issued */
+	bool has_waited_for_limit;
 	/* place.capacity_generation at the last evaluation; 0: none yet */
 	uint64_t evaluated_generation;
 	uint64_t evaluated_us; /* time of the last evaluation */
@@ -141,6 +155,8 @@
 struct place_group {
 	struct place_endpoint **endpoints;
 	size_t count, cap;
+	/* when the last caller refused for limits was asked to return */
+	uint64_t limit_return_us;
 };
 
 struct place_version {
@@ -177,6 +193,11 @@
 	struct map *noticed_leaving; /* the same, not replicated */
 	struct map *backoffs; /* struct place_backoff by entry and endpoint */
 	uint64_t next_backoff_end_us; /* UINT64_MAX: there is none */
+	struct map *invalid_limits; /* uint64_t start of the process by id */
+	uint32_t nlimited; /* endpoints with a limit */
+	bool has_limit_changes;
+	place_limit_share_fn limit_share_fn; /* NULL: all of each limit */
+	void *limit_share_ctx;
 	struct map *asks; /* struct place_ask by struct place_id */
 	/* queue of the asks that are not granted, by due_us */
 	struct place_ask *queue_head, *queue_tail;
@@ -261,6 +282,40 @@
 /* Drop the backoffs of an entry's process that has ended. */
 void place_backoff_drop_entry(struct place *p, uint64_t entry);
 
+/* ---- place_limit.c ---- */
+/* Update this instance's shares of all limits, once per run. */
+void place_limit_update_shares(struct place *p);
+/* Record what the response to a granted request says. */
+void place_limit_record(struct place *p, const struct place_ask *a,
+    const struct place_limit *limit);
+/* Is it limited, and will tokens be lost unless one is used? */
+bool place_limit_is_full(const struct place *p, const struct place_endpoint *e);
+/* Count a granted request. */
+void place_limit_take(struct place *p, struct place_endpoint *e);
+/* Forget the limit of an endpoint that is removed. */
+void place_limit_clear(struct place *p, struct place_endpoint *e);
+/*
+ * The time until the endpoint takes a request here, if as many others go before
+ * it; 0: now; UINT64_MAX: never, as another instance may use its limit.
+ */
+uint64_t place_limit_wait_us(
+    const struct place *p, const struct place_endpoint *e, size_t ahead);
+/* The same for a model request: those before it in the queue go first. */
+uint64_t place_limit_wait_at_engine_us(const struct place *p,
+    const struct place_endpoint *e, const struct place_ask *a);
+/*
+ * Keep a call of a plain service queued until an endpoint's limit allows it, or
+ * refuse it if none will before its deadline.
+ */
+enum place_attempt place_limit_wait_or_refuse(
+    struct place *p, struct place_ask *a);
+/*
+ * When a caller that is refused for limits should return, if its request could
+ * be placed at from_us at the earliest. Callers return one after another.
+ */
+uint64_t place_limit_return_us(
+    struct place *p, const char *service, uint64_t from_us);
+
 /* ---- place_endpoint.c, place_account.c ---- */
 void place_endpoint_free(struct place_endpoint *e);
 void place_endpoint_remove(struct place *p, struct place_endpoint *e);
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -7,7 +7,7 @@
  * is expected to finish first. Without a free slot the call stays queued, so
  * that the first endpoint with a free slot gets it. It is refused at once if no
  * endpoint will take it before its deadline, because it has failed at some and
- * the others want no call of its entry.
+ * the others want no call of its entry or have reached their rate limits.
  *
  * Such services have few endpoints with few slots, their calls may not run
  * twice, and endpoints may become slow or fail part of their calls.
@@ -64,6 +64,30 @@
 	return candidates == 0 ? 0 : earliest_us;
 }
 
+/*
+ * Of two endpoints that can take the call, is the first the better one? One
+ * whose rate limit has not been used for a while goes first if it will answer
+ * in time, so that limited endpoints are used and the end of a limit is learnt.
+ */
+static bool
+is_better(const struct place *p, const struct place_endpoint *e,
+    const struct place_endpoint *best, const struct place_ask *a)
+{
+	double cost_ms = expected_cost_ms(e, a);
+	double best_ms = expected_cost_ms(best, a);
+	bool full = place_limit_is_full(p, e);
+
+	if (full != place_limit_is_full(p, best)) {
+		double left_ms = a->target_us <= p->now_us
+		    ? 0
+		    : (double)(a->target_us - p->now_us) / US_PER_MS;
+
+		if ((full ? cost_ms : best_ms) < left_ms)
+			return full;
+	}
+	return cost_ms < best_ms;
+}
+
 static struct place_endpoint *
 find_endpoint(struct place *p, const struct place_ask *a)
 {
@@ -76,10 +100,10 @@
 		p->totals.estimates++;
 		if (!place_endpoint_is_usable(p, e, a->service) ||
 		    place_ask_avoids(a, e) || e->running >= e->slots ||
-		    place_backoff_end_us(p, e, a->id.entry) != 0)
+		    place_backoff_end_us(p, e, a->id.entry) != 0 ||
+		    place_limit_wait_us(p, e, 0) != 0)
 			continue;
-		if (best == NULL ||
-		    expected_cost_ms(e, a) < expected_cost_ms(best, a))
+		if (best == NULL || is_better(p, e, best, a))
 			best = e;
 	}
 	return best;
@@ -92,7 +116,7 @@
 	uint64_t from_us = earliest_available_us(p, a);
 
 	if (from_us < a->deadline_us)
-		return PLACE_ATTEMPT_WAITING;
+		return place_limit_wait_or_refuse(p, a);
 	if (from_us == UINT64_MAX)
 		place_ask_refuse(
 		    p, a, NULL, "all-endpoints-failed", ALL_FAILED_RETRY_MS);
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -64,6 +64,8 @@
     {NODE_LOG_GATE_ENDED, NODE_LOG_WARN, "endpoint-ended"},
     {NODE_LOG_GATE_SUSPECTED, NODE_LOG_WARN, "part-suspected"},
     {NODE_LOG_GATE_QUARANTINE, NODE_LOG_WARN, "part-quarantine"},
+    {NODE_LOG_GATE_LIMIT, NODE_LOG_INFO, "endpoint-limit"},
+    {NODE_LOG_GATE_LIMIT_INVALID, NODE_LOG_WARN, "endpoint-limit-unreadable"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -77,6 +77,8 @@
 	NODE_LOG_GATE_ENDED = 137, /* a process ended under requests */
 	NODE_LOG_GATE_SUSPECTED = 138, /* of a prompt part */
 	NODE_LOG_GATE_QUARANTINE = 139,
+	NODE_LOG_GATE_LIMIT = 140,
+	NODE_LOG_GATE_LIMIT_INVALID = 141,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &wire__place_done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__rate_limit__init
+                     (Wire__RateLimit         *message)
+{
+  static const Wire__RateLimit init_value = WIRE__RATE_LIMIT__INIT;
+  *message = init_value;
+}
+size_t wire__rate_limit__get_packed_size
+                     (const Wire__RateLimit *message)
+{
+  assert(message->base.descriptor == &wire__rate_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__rate_limit__pack
+                     (const Wire__RateLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__rate_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__rate_limit__pack_to_buffer
+                     (const Wire__RateLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__rate_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RateLimit *
+       wire__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RateLimit *)
+     protobuf_c_message_unpack (&wire__rate_limit__descriptor,
+                                allocator, len, data);
+}
+void   wire__rate_limit__free_unpacked
+                     (Wire__RateLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__rate_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__call_relay__init
                      (Wire__CallRelay         *message)
 {
@@ -5201,7 +5246,7 @@
   (ProtobufCMessageInit) wire__place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[8] =
 {
   {
     "ask",
@@ -5287,10 +5332,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceDone, limit),
+    &wire__rate_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_done__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   2,   /* field[2] = first_ms */
+  7,   /* field[7] = limit */
   3,   /* field[3] = load_told */
   1,   /* field[1] = outcome */
   4,   /* field[4] = running */
@@ -5300,7 +5358,7 @@
 static const ProtobufCIntRange wire__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__place_done__descriptor =
 {
@@ -5310,13 +5368,64 @@
   "Wire__PlaceDone",
   "wire",
   sizeof(Wire__PlaceDone),
-  7,
+  8,
   wire__place_done__field_descriptors,
   wire__place_done__field_indices_by_name,
   1,  wire__place_done__number_ranges,
   (ProtobufCMessageInit) wire__place_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__rate_limit__field_descriptors[2] =
+{
+  {
+    "limited",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RateLimit, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RateLimit, requests_per_s_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__rate_limit__field_indices_by_name[] = {
+  0,   /* field[0] = limited */
+  1,   /* field[1] = requests_per_s_milli */
+};
+static const ProtobufCIntRange wire__rate_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__rate_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RateLimit",
+  "RateLimit",
+  "Wire__RateLimit",
+  "wire",
+  sizeof(Wire__RateLimit),
+  2,
+  wire__rate_limit__field_descriptors,
+  wire__rate_limit__field_indices_by_name,
+  1,  wire__rate_limit__number_ranges,
+  (ProtobufCMessageInit) wire__rate_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__call_relay__field_descriptors[5] =
 {
   {
@@ -5561,7 +5670,7 @@
   (ProtobufCMessageInit) wire__loaded_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_info__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__endpoint_info__field_descriptors[11] =
 {
   {
     "id",
@@ -5683,6 +5792,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointInfo, limit),
+    &wire__rate_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__endpoint_info__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -5691,6 +5812,7 @@
   8,   /* field[8] = gone */
   0,   /* field[0] = id */
   7,   /* field[7] = leaving */
+  10,   /* field[10] = limit */
   9,   /* field[9] = loaded */
   2,   /* field[2] = sequence */
   3,   /* field[3] = service */
@@ -5699,7 +5821,7 @@
 static const ProtobufCIntRange wire__endpoint_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__endpoint_info__descriptor =
 {
@@ -5709,7 +5831,7 @@
   "Wire__EndpointInfo",
   "wire",
   sizeof(Wire__EndpointInfo),
-  10,
+  11,
   wire__endpoint_info__field_descriptors,
   wire__endpoint_info__field_indices_by_name,
   1,  wire__endpoint_info__number_ranges,
@@ -5806,7 +5928,7 @@
   (ProtobufCMessageInit) wire__endpoint_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_notice__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__endpoint_notice__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -5856,17 +5978,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointNotice, limit),
+    &wire__rate_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__endpoint_notice__field_indices_by_name[] = {
   3,   /* field[3] = backoff_ms */
   1,   /* field[1] = born_ms */
   0,   /* field[0] = endpoint */
   2,   /* field[2] = leaving */
+  4,   /* field[4] = limit */
 };
 static const ProtobufCIntRange wire__endpoint_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__endpoint_notice__descriptor =
 {
@@ -5876,7 +6011,7 @@
   "Wire__EndpointNotice",
   "wire",
   sizeof(Wire__EndpointNotice),
-  4,
+  5,
   wire__endpoint_notice__field_descriptors,
   wire__endpoint_notice__field_indices_by_name,
   1,  wire__endpoint_notice__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -43,6 +43,7 @@
 typedef struct Wire__PlaceAsk Wire__PlaceAsk;
 typedef struct Wire__PlaceReply Wire__PlaceReply;
 typedef struct Wire__PlaceDone Wire__PlaceDone;
+typedef struct Wire__RateLimit Wire__RateLimit;
 typedef struct Wire__CallRelay Wire__CallRelay;
 typedef struct Wire__CallAnswer Wire__CallAnswer;
 typedef struct Wire__LoadedModel Wire__LoadedModel;
@@ -1002,10 +1003,31 @@
   uint32_t running;
   uint32_t waiting;
   uint32_t slots;
+  /*
+   * as the response said; absent: no response
+   */
+  Wire__RateLimit *limit;
 };
 #define WIRE__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_done__descriptor) \
-    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0 }
+    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0, NULL }
+
+
+/*
+ * How many requests a second an endpoint takes of all instances together.
+ */
+struct  Wire__RateLimit
+{
+  ProtobufCMessage base;
+  /*
+   * false: any number
+   */
+  protobuf_c_boolean limited;
+  uint32_t requests_per_s_milli;
+};
+#define WIRE__RATE_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__rate_limit__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -1087,10 +1109,14 @@
   protobuf_c_boolean gone;
   size_t n_loaded;
   Wire__LoadedModel **loaded;
+  /*
+   * absent: none is known
+   */
+  Wire__RateLimit *limit;
 };
 #define WIRE__ENDPOINT_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_info__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -1144,10 +1170,14 @@
    * it wants nothing from this entry for so long
    */
   uint32_t backoff_ms;
+  /*
+   * its limit has changed; absent: it has not
+   */
+  Wire__RateLimit *limit;
 };
 #define WIRE__ENDPOINT_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL }
 
 
 /*
@@ -1777,6 +1807,25 @@
 void   wire__place_done__free_unpacked
                      (Wire__PlaceDone *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RateLimit methods */
+void   wire__rate_limit__init
+                     (Wire__RateLimit         *message);
+size_t wire__rate_limit__get_packed_size
+                     (const Wire__RateLimit   *message);
+size_t wire__rate_limit__pack
+                     (const Wire__RateLimit   *message,
+                      uint8_t             *out);
+size_t wire__rate_limit__pack_to_buffer
+                     (const Wire__RateLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RateLimit *
+       wire__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__rate_limit__free_unpacked
+                     (Wire__RateLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__CallRelay methods */
 void   wire__call_relay__init
                      (Wire__CallRelay         *message);
@@ -2091,6 +2140,9 @@
 typedef void (*Wire__PlaceDone_Closure)
                  (const Wire__PlaceDone *message,
                   void *closure_data);
+typedef void (*Wire__RateLimit_Closure)
+                 (const Wire__RateLimit *message,
+                  void *closure_data);
 typedef void (*Wire__CallRelay_Closure)
                  (const Wire__CallRelay *message,
                   void *closure_data);
@@ -2165,6 +2217,7 @@
 extern const ProtobufCMessageDescriptor wire__place_ask__descriptor;
 extern const ProtobufCMessageDescriptor wire__place_reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__place_done__descriptor;
+extern const ProtobufCMessageDescriptor wire__rate_limit__descriptor;
 extern const ProtobufCMessageDescriptor wire__call_relay__descriptor;
 extern const ProtobufCMessageDescriptor wire__call_answer__descriptor;
 extern const ProtobufCMessageDescriptor wire__loaded_model__descriptor;
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -25,6 +25,7 @@
 	std::vector<place_request> place_requests;
 	std::vector<std::string> avoided;
 	std::vector<place_outcome> outcomes;
+	std::vector<place_result> results; /* of the outcomes */
 	std::vector<place_notice> notices;
 	std::vector<std::string> observed; /* endpoint and how it ended */
 	bool is_quarantined = false, is_repeat_refused = false;
@@ -79,6 +80,7 @@
 	done(void *ctx, uint64_t, const place_result *end, node_effects *)
 	{
 		((ForwardTest *)ctx)->outcomes.push_back(end->outcome);
+		((ForwardTest *)ctx)->results.push_back(*end);
 	}
 
 	static void
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -173,6 +173,64 @@
 	}
 }
 
+/*
+ * Guards against a rate limit that the placer does not learn, and against one
+ * of another process, of another request, or told once more at the end of a
+ * response, when it may no longer hold.
+ */
+TEST_F(Outcome, rate_limits_are_told_once_with_the_outcome)
+{
+	static const struct {
+		int status;
+		std::vector<node_header> headers;
+		bool is_told, is_limited;
+	} rows[] = {
+	    {200,
+		{{"Mulberrypath-Attempt-Id", "42"},
+		    {"Mulberrypath-Server-Signature", "s"},
+		    {"Server-Limit", "1.5"}},
+		true, true},
+	    {200,
+		{{"Mulberrypath-Attempt-Id", "42"},
+		    {"Mulberrypath-Server-Signature", "s"}},
+		true, false},
+	    {200,
+		{{"Mulberrypath-Attempt-Id", "42"},
+		    {"Mulberrypath-Server-Signature", "s"},
+		    {"Server-Limit", "many"}},
+		false, false},
+	    {500, {{"Server-Limit", "1.5"}}, true, true},
+	    {503, {{"Mulberrypath-Not-Executed", "1"}, {"Server-Limit", "1.5"}},
+		true, true},
+	    {421, {{"Server-Limit", "1.5"}}, false, false},
+	    {503, {{"Mulberrypath-Attempt-Id", "41"}, {"Server-Limit", "1.5"}},
+		false, false},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		auto &row = rows[i];
+		int told = 0;
+
+		status = 0;
+		results.clear();
+		StartRequest();
+		ASSERT_TRUE(Grant());
+		ReceiveHead(row.status, row.headers);
+		ReceiveCallEvent(NODE_CALL_DATA, "x");
+		ReceiveCallEvent(NODE_CALL_END);
+		for (auto &r : results) {
+			told += r.limit_told;
+			if (!r.limit_told)
+				continue;
+			EXPECT_EQ(r.limit.is_limited, row.is_limited) << i;
+			if (row.is_limited) {
+				EXPECT_EQ(r.limit.requests_per_s_milli, 1500u);
+			}
+		}
+		EXPECT_EQ(told, row.is_told ? 1 : 0) << i;
+	}
+}
+
 /*
  * Guards against a request that is granted the same unwilling endpoint again
  * and again, and against one that counts as a repeat though it was not sent.
--- a/tests/gateway/fleet.cc
+++ b/tests/gateway/fleet.cc
@@ -67,6 +67,8 @@
 
 		if (r == requests.end())
 			return;
+		if (r->second.replied_us == 0)
+			r->second.replied_us = sim.now_us;
 		r->second.status = sim.replies[request].status;
 		r->second.body = sim.replies[request].body;
 		if (r->second.first_byte_us == 0 && r->second.status == 200)
--- a/tests/gateway/fleet.h
+++ b/tests/gateway/fleet.h
@@ -51,7 +51,7 @@
 		uint64_t highest_fence = 0, last_order_us = 0;
 	};
 	struct Request {
-		uint64_t sent_us = 0, first_byte_us = 0;
+		uint64_t sent_us = 0, first_byte_us = 0, replied_us = 0;
 		bool is_model = false, is_fatal = false;
 		int caller = -1; /* whose first part the prompt begins with */
 		int status = 0;
--- a/tests/gateway/limit_test.cc
+++ b/tests/gateway/limit_test.cc
@@ -15,6 +15,12 @@
 	void (*end)(Fleet &fleet, LimitWatch &watch);
 };
 
+void
+PrintTo(const LimitCase &c, std::ostream *out)
+{
+	*out << c.name;
+}
+
 static void
 nothing(Fleet &, LimitWatch &)
 {
@@ -186,6 +192,111 @@
 	EXPECT_LE(watch.worst_excess(), 0) << watch.worst();
 }
 
+/* Of the requests sent since from_us: how they ended. */
+struct Ends {
+	int all = 0, served = 0, failed = 0;
+	/* not run, told so after most of the time that the caller waits */
+	int refused_late = 0;
+};
+
+static Ends
+count_ends(const Fleet &fleet, uint64_t from_us, uint64_t late_us)
+{
+	Ends out;
+
+	for (auto &r : fleet.requests) {
+		const Fleet::Request &q = r.second;
+
+		if (q.sent_us < from_us || q.replied_us == 0)
+			continue;
+		out.all++;
+		out.served += q.status == 200;
+		out.failed += q.status != 200 && q.status != 503;
+		out.refused_late +=
+		    q.status == 503 && q.replied_us > q.sent_us + late_us;
+	}
+	return out;
+}
+
+struct UseCase {
+	const char *name;
+	int entries, engines;
+	double model_per_s, plain_per_s;
+	size_t limited;
+	double per_s;
+	double min_served; /* of all requests, as a share */
+};
+
+/*
+ * Plain calls: four endpoints with 6 slots each and 15 ms a call serve 60 calls
+ * a second easily, also three of them.
+ */
+static const UseCase use_cases[] = {
+    {"one of four", 4, 4, 0, 60, 1, 1.3, 0.99},
+    {"three of four", 4, 4, 0, 60, 3, 5, 0.99},
+    {"far above the rate", 4, 4, 0, 60, 4, 500, 1},
+    {"all four, above the rate", 4, 4, 0, 60, 4, 20, 0.95},
+    {"all four, below the rate", 4, 4, 0, 60, 4, 5, 0.5 * 20 / 60},
+    {"engines", 4, 20, 60, 0, 4, 1.2, 0.9},
+    {"all engines", 4, 20, 60, 0, 20, 1.2, 0.5 * 24 / 60},
+    {"large, engines", 23, 140, 300, 0, 20, 0.5, 0.9},
+    {"large, all engines", 23, 140, 300, 0, 140, 1.2, 0.5 * 168 / 300},
+};
+
+static void
+run_use_case(const UseCase &c)
+{
+	Fleet::Options options;
+	uint64_t from_us;
+	double used = 0;
+	Ends ends;
+
+	options.entries = c.entries;
+	options.engines = c.engines;
+	options.model_requests_per_s = c.model_per_s;
+	options.plain_calls_per_s = c.plain_per_s;
+	options.answer_us = 200 * MS;
+	Fleet fleet(options);
+	ASSERT_TRUE(fleet.bring_up());
+	LimitWatch watch(fleet);
+
+	if (c.model_per_s > 0)
+		watch.set_engines(c.limited, c.per_s);
+	else
+		watch.set_plain(c.limited, c.per_s);
+	fleet.run_traffic(4000);
+	watch.restart_count();
+	from_us = fleet.sim.now_us;
+	fleet.run_traffic(10000);
+	for (size_t i = 0; i < fleet.engines.size(); i++)
+		if (!fleet.engines[i].limit.empty())
+			used += watch.arrivals_per_s(i);
+	ends = count_ends(
+	    fleet, from_us, c.model_per_s > 0 ? 2000 * MS : 300 * MS);
+	printf("%s: %.2f of %.2f/s, served %d of %d, late %d failed %d\n",
+	    c.name, used, c.per_s * (double)c.limited, ends.served, ends.all,
+	    ends.refused_late, ends.failed);
+	EXPECT_GE(ends.served, c.min_served * ends.all);
+	EXPECT_EQ(ends.failed, 0);
+	EXPECT_EQ(ends.refused_late, 0);
+	if (c.per_s * (double)c.limited < c.model_per_s + c.plain_per_s) {
+		EXPECT_GE(used, kMinUse * c.per_s * (double)c.limited);
+	}
+	EXPECT_LE(watch.worst_excess(), 0) << watch.worst();
+}
+
+/*
+ * Guards against an endpoint with a limit that gets nothing, and against
+ * requests that wait in vain where all endpoints have one.
+ */
+TEST(LimitUse, a_limited_endpoint_is_still_used)
+{
+	for (auto &c : use_cases) {
+		SCOPED_TRACE(c.name);
+		run_use_case(c);
+	}
+}
+
 class Limit : public ::testing::TestWithParam<LimitCase> {};
 
 /*
--- a/tests/place/notice_test.cc
+++ b/tests/place/notice_test.cc
@@ -13,7 +13,8 @@
 	Record(const char *endpoint, bool is_leaving, uint32_t backoff_ms,
 	    uint64_t born = 1, uint64_t entry = kEntry)
 	{
-		place_notice notice = {endpoint, born, is_leaving, backoff_ms};
+		place_notice notice = {
+		    endpoint, born, is_leaving, backoff_ms, false};
 
 		place_record_notice(p, now, entry, &notice);
 	}
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -164,6 +164,7 @@
     {"place.store", &place_guards.store},
     {"place.version", &place_guards.version},
     {"place.budget", &place_guards.budget},
+    {"place.limit", &place_guards.limit},
     {"place.notice", &place_guards.notice},
 });
 
--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -221,6 +221,59 @@
 	}
 }
 
+/*
+ * Guards against a limit of an endpoint that is not understood, and against odd
+ * ones that are.
+ */
+TEST_F(Requests, rate_limits_of_endpoints_are_read)
+{
+	static const struct {
+		std::vector<node_header> headers;
+		gw_rate_limit limit;
+		uint32_t milli;
+	} rows[] = {{{}, GW_RATE_LIMIT_NONE, 0},
+	    {{{"Server-Limit", "1.3"}}, GW_RATE_LIMIT_NAMED, 1300},
+	    {{{"server-limit", "12"}}, GW_RATE_LIMIT_NAMED, 12000},
+	    {{{"Server-Limit", "0"}}, GW_RATE_LIMIT_NAMED, 0},
+	    {{{"Server-Limit", "0.0004"}}, GW_RATE_LIMIT_NAMED, 0},
+	    {{{"Server-Limit", "007.50 "}}, GW_RATE_LIMIT_NAMED, 7500},
+	    {{{"Server-Limit", "99999999999999"}}, GW_RATE_LIMIT_NAMED,
+		UINT32_MAX},
+	    {{{"Server-Limit", "2"}, {"Server-Limit", "2.0"}},
+		GW_RATE_LIMIT_NAMED, 2000},
+	    {{{"Server-Limit", "2"}, {"Server-Limit", "3"}},
+		GW_RATE_LIMIT_INVALID, 2000},
+	    {{{"Server-Limit", ""}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "."}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1."}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", ".5"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1.2.3"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "-1"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "+1"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "nan"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "inf"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1e400"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1e3"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "0x10"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1, 2"}}, GW_RATE_LIMIT_INVALID, 0},
+	    {{{"Server-Limit", "1;w=4"}}, GW_RATE_LIMIT_INVALID, 0}};
+
+	for (auto &row : rows) {
+		node_call_event head = {};
+		gw_endpoint_response a;
+
+		head.status = 200;
+		head.headers = row.headers.data();
+		head.nheaders = row.headers.size();
+		platform_codec.read_endpoint_response(&a, &head, memory);
+		EXPECT_EQ(a.rate_limit, row.limit)
+		    << (head.nheaders == 0 ? "" : head.headers[0].value);
+		if (row.limit == GW_RATE_LIMIT_NAMED) {
+			EXPECT_EQ(a.requests_per_s_milli, row.milli);
+		}
+	}
+}
+
 /*
  * Callers repeat a request after 503, which states that it has not run. A
  * request that may have run must get 502 or 504.
