route: requests that come late in a stop are refused, open ones are ended

What callers of the API would see: an instance that drains serves until all is done, at most 60 s; a request that came in the last seconds was taken and cut by the exit, as was a stream that went on.

Cause: the exit's deadline was known to node_stop_tick() alone. Now a request whose deadline lies after the last answer is refused at once as not run, which is true, and what is open a second before the exit gets its error or its stream's last event.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -315,6 +315,8 @@
 		return;
 	n->stopping = true;
 	n->stop_us = n->now;
+	route_begin_stop(
+	    n->route, n->now + NODE_DRAIN_MAX_US - NODE_LAST_ANSWER_US);
 	n->next_summary_us = 0; /* so that peers stop listing this instance */
 	node_log(n, NODE_LOG_STOPPING, "{}");
 }
--- a/src/node/node_api_work.c
+++ b/src/node/node_api_work.c
@@ -15,6 +15,8 @@
 #define PROMPT_PREFIX_BYTES 256
 #define BYTES_PER_TOKEN	    4 /* estimate for prompts */
 #define TIMEOUT_MS_MAX	    (600 * 1000UL)
+/* Other instances take the request at once. */
+#define STOPPING_RETRY_AFTER_MS 1U
 
 /* The time by which the answer must have begun. */
 static uint64_t
@@ -35,6 +37,19 @@
 	return n->now + ms * 1000;
 }
 
+/* Refuses a request that may not be answered before this instance exits. */
+static bool
+refuse_if_stopping(
+    struct node *n, const struct node_request *request, uint64_t deadline_us)
+{
+	if (!n->stopping ||
+	    deadline_us <= n->stop_us + NODE_DRAIN_MAX_US - NODE_LAST_ANSWER_US)
+		return false;
+	node_api_refuse(n, request->request, 503, "stopping",
+	    "this instance stops; use another one", STOPPING_RETRY_AFTER_MS);
+	return true;
+}
+
 /* The parsed body of a model request. */
 struct completion {
 	json_t *root;
@@ -148,7 +163,8 @@
 		r.max_tokens = r.kind->max_tokens;
 	r.prefix = c->prefix;
 	r.deadline_us = deadline_of(n, request, r.kind);
-	route_start_request(n->route, n->now, &r, n->fx);
+	if (!refuse_if_stopping(n, request, r.deadline_us))
+		route_start_request(n->route, n->now, &r, n->fx);
 }
 
 void
@@ -191,7 +207,8 @@
 	r.content_type = request->content_type;
 	r.body = request->body;
 	r.deadline_us = deadline_of(n, request, r.kind);
-	route_start_request(n->route, n->now, &r, n->fx);
+	if (!refuse_if_stopping(n, request, r.deadline_us))
+		route_start_request(n->route, n->now, &r, n->fx);
 	buf_free(&full);
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -74,6 +74,8 @@
 #define NODE_VOTER_CHANGE_US (200 * 1000ULL)
 /* A stopping instance exits after this time at the latest. */
 #define NODE_DRAIN_MAX_US (60 * 1000 * 1000ULL)
+/* Its requests are answered this long before. */
+#define NODE_LAST_ANSWER_US (1000 * 1000ULL)
 /* The log is compacted at this size or number of entries. */
 #define NODE_COMPACT_BYTES   (4 * 1024 * 1024)
 #define NODE_COMPACT_ENTRIES 4096
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -25,6 +25,7 @@
 	r->by_proposal = map_create();
 	r->stats = map_create();
 	r->retry_budget = ROUTE_RETRY_BURST;
+	r->end_us = UINT64_MAX;
 	r->next_us = UINT64_MAX;
 	return r;
 }
@@ -184,6 +185,13 @@
 	return e;
 }
 
+void
+route_begin_stop(struct route *r, uint64_t end_us)
+{
+	r->end_us = end_us;
+	route_schedule_wakeup(r, end_us);
+}
+
 void
 route_start_request(struct route *r, uint64_t now_us,
     const struct route_request *request, struct node_effects *fx)
@@ -335,11 +343,14 @@
 
 /*
  * Whether the deadline has passed and applies. A model stream with a first
- * token is limited by silence, not by its deadline.
+ * token is limited by silence and the end of a stop, not by its deadline.
  */
 static bool
-is_deadline_due(const struct route_entry *e, uint64_t now_us)
+is_deadline_due(
+    const struct route *r, const struct route_entry *e, uint64_t now_us)
 {
+	if (now_us >= r->end_us)
+		return true;
 	if (e->deadline_us > now_us)
 		return false;
 	return !(e->state == ROUTE_CALLING && e->engine_key != NULL &&
@@ -356,10 +367,10 @@
 		return;
 	while (i-- > 0) {
 		e = map_at(r->by_request, i);
-		if (is_deadline_due(e, now_us))
+		if (is_deadline_due(r, e, now_us))
 			on_deadline(r, now_us, e, fx);
 	}
-	r->next_us = UINT64_MAX;
+	r->next_us = now_us < r->end_us ? r->end_us : UINT64_MAX;
 	for (i = 0; i < map_count(r->by_request); i++) {
 		e = map_at(r->by_request, i);
 		if (e->deadline_us > now_us)
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -105,6 +105,12 @@
 	uint64_t deadline_us;
 };
 
+/*
+ * Begins a stop: every request ends by end_us, if necessary with an error, also
+ * a stream that goes on.
+ */
+void route_begin_stop(struct route *r, uint64_t end_us);
+
 /* Starts a request. All arguments are copied, other than the document. */
 void route_start_request(struct route *r, uint64_t now_us,
     const struct route_request *request, struct node_effects *fx);
--- a/src/route/route_internal.h
+++ b/src/route/route_internal.h
@@ -102,6 +102,7 @@
 	uint64_t last_ask;
 	double retry_budget; /* retries that may be made */
 	size_t waiting_earlier_count; /* in ROUTE_WAIT_EARLIER_CALL */
+	uint64_t end_us; /* of all requests, for a stop; UINT64_MAX: none */
 	uint64_t next_us; /* when route_tick() is due */
 };
 
--- a/tests/node/stop_test.cc
+++ b/tests/node/stop_test.cc
@@ -62,3 +62,38 @@
 	EXPECT_NE(c.leader(), leader);
 	EXPECT_EQ(c.check(), "");
 }
+
+/*
+ * Guards against requests that are accepted late in a stop and cut by the exit.
+ * All of the cluster's requests have 8 s.
+ */
+TEST(stop, late_requests_are_refused_as_not_run)
+{
+	static const struct {
+		uint64_t after_s;
+		int status;
+	} rows[] = {{1, 200}, {45, 200}, {53, 503}};
+
+	for (auto &row : rows) {
+		Cluster c(with_seed(11));
+		ASSERT_TRUE(c.begin());
+		Request *r;
+
+		(void)c.complete(0, "a1", true, 400);
+		c.run_for(500000);
+		(void)c.send(0, "POST", "/v1/drain", "op", "");
+		/* One is open at each time, so that it does not exit early. */
+		for (uint64_t i = 0; i < row.after_s; i++) {
+			(void)c.complete(0, "a1", true, 400);
+			c.run_for(1000000);
+		}
+		ASSERT_FALSE(c.instances[0]->exited);
+		r = c.complete(0, "a1");
+		EXPECT_TRUE(c.wait(r));
+		EXPECT_EQ(r->status, row.status) << row.after_s;
+		if (row.status == 503) {
+			EXPECT_EQ(r->outcome(), "not-run");
+			EXPECT_LE(r->done_us, r->sent_us + 100000) << "at once";
+		}
+	}
+}
--- a/tests/route/route_test.cc
+++ b/tests/route/route_test.cc
@@ -300,3 +300,35 @@
 	    route, 6000000, 7, CLAIM_GRANTED, &claim, true, fx);
 	EXPECT_EQ(claim_ends, std::vector<int>{CLAIM_END_ANSWERED});
 }
+
+/* Guards against requests whose connections end with the process alone. */
+TEST_F(RouteTest, open_requests_are_ended_by_the_end_of_a_stop)
+{
+	static const struct {
+		bool is_granted, is_stream_begun;
+		const char *summary;
+	} rows[] = {{false, false, "503 not-run"}, {true, false, "504 unknown"},
+	    {true, true, "200"}};
+
+	for (auto &row : rows) {
+		TearDown();
+		SetUp();
+		start_request();
+		if (row.is_granted)
+			reply_grant();
+		if (row.is_stream_begun) {
+			receive_call_event(NODE_CALL_HEAD, 200);
+			receive_call_event(NODE_CALL_DATA, 0,
+			    "data: {\"run\": \"x\", \"index\": 0}\n\n");
+		}
+		route_begin_stop(route, 500000);
+		route_tick(route, 499999, fx);
+		EXPECT_EQ(route_request_count(route), 1u);
+		EXPECT_LE(route_next_us(route), 500000u);
+		route_tick(route, 500000, fx);
+		EXPECT_EQ(route_request_count(route), 0u);
+		if (!row.is_stream_begun) {
+			EXPECT_EQ(reply_summary(), row.summary);
+		}
+	}
+}
