http: complete responses are written before the front closes

What callers saw: a response that is complete was cut if its client read it slowly and the process exited.

Cause: front_server_destroy() closed every connection at once, also those whose last bytes were still queued; the reducer exits once no request is open, and knows nothing of bytes. Now connections that only write their last response get 400 ms, which lies within the margin that the reducer keeps for the exit; a client that never reads holds nothing up longer.

FrontTest.complete_responses_are_written_before_the_server_closes failed before.

--- a/src/http/front.c
+++ b/src/http/front.c
@@ -174,8 +174,11 @@
 		done(done_ctx);
 }
 
+/* Time to write complete responses to their clients before the exit. */
+#define FLUSH_MS 400u
+
 static void
-on_destroy_closed(uv_handle_t *handle)
+on_flush_timer_closed(uv_handle_t *handle)
 {
 	struct front_server *s = handle->data;
 
@@ -183,20 +186,43 @@
 	front_server_release(s);
 }
 
+void
+front_server_conn_closed(struct front_server *s)
+{
+	if (s->flush_timer == NULL || s->conns != NULL)
+		return;
+	uv_close((uv_handle_t *)s->flush_timer, on_flush_timer_closed);
+	s->flush_timer = NULL;
+}
+
+static void
+on_flush_timeout(uv_timer_t *timer)
+{
+	struct front_server *s = timer->data;
+
+	while (s->conns != NULL)
+		front_conn_close(s->conns);
+}
+
 void
 front_server_destroy(struct front_server *s, void (*done)(void *ctx), void *ctx)
 {
-	uv_timer_t *last = mem_alloc(1, sizeof(*last));
+	struct front_conn *c, *next;
 
 	/* Closing this handle ensures that done is called from the loop. */
-	(void)uv_timer_init(s->loop, last);
-	last->data = s;
+	s->flush_timer = mem_alloc(1, sizeof(*s->flush_timer));
+	(void)uv_timer_init(s->loop, s->flush_timer);
+	(void)uv_timer_start(s->flush_timer, on_flush_timeout, FLUSH_MS, 0);
+	s->flush_timer->data = s;
 	s->open_handles++;
 	s->destroyed = true;
 	s->done = done;
 	s->done_ctx = ctx;
 	front_server_close_listener(s);
-	while (s->conns != NULL)
-		front_conn_close(s->conns);
-	uv_close((uv_handle_t *)last, on_destroy_closed);
+	for (c = s->conns; c != NULL; c = next) {
+		next = c->next;
+		if (c->phase != FRONT_LINGERING)
+			front_conn_close(c);
+	}
+	front_server_conn_closed(s);
 }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -74,7 +74,10 @@
 /* Stop listening and close idle connections; running requests continue. */
 void front_server_close_listener(struct front_server *s);
 
-/* Close all connections and free the server; done is called on the loop. */
+/*
+ * Close all connections and free the server; done is called on the loop.
+ * Complete responses that are being written get some time for that.
+ */
 void front_server_destroy(
     struct front_server *s, void (*done)(void *ctx), void *ctx);
 
--- a/src/http/front_conn.c
+++ b/src/http/front_conn.c
@@ -62,6 +62,7 @@
 		c->next->link = c->link;
 	uv_close((uv_handle_t *)&c->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
+	front_server_conn_closed(c->server);
 }
 
 /* Close the connection and report the disconnect if a request is running. */
--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -79,6 +79,7 @@
 	struct map *requests; /* request id to connection, until responded to */
 	uint64_t last_request; /* id */
 	char input[FRONT_READ_BYTES]; /* read buffer of all connections */
+	uv_timer_t *flush_timer; /* while destroyed: for the last responses */
 	void (*done)(void *ctx);
 	void *done_ctx;
 };
@@ -117,6 +118,9 @@
 /* Return whether the connection waits for a request and has no bytes of it. */
 bool front_conn_is_idle(const struct front_conn *c);
 
+/* A connection was closed; finishes a destroyed server after the last one. */
+void front_server_conn_closed(struct front_server *s);
+
 /*
  * Count a closed handle of the server. After the last one a destroyed server
  * is freed and its done callback called.
--- a/tests/http/front_test.cc
+++ b/tests/http/front_test.cc
@@ -351,3 +351,32 @@
 	    Until([&] { return s.Read().find("ok") != std::string::npos; }));
 	EXPECT_EQ(received[0].body, "ab");
 }
+
+/*
+ * Guards against responses that are complete and are cut by the exit of the
+ * process, as their clients read slowly; and against one that never reads and
+ * holds up the exit.
+ */
+TEST_F(FrontTest, complete_responses_are_written_before_the_server_closes)
+{
+	const std::string body(8 << 20, 'x');
+	Caller slow, deaf;
+	front_server *s;
+
+	Serve();
+	handler = [&](const node_request *r) { Respond(r->request, body); };
+	front_server_drain(front);
+	for (Caller *c : {&slow, &deaf}) {
+		c->Connect(Port());
+		c->Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	}
+	ASSERT_TRUE(Until([&] { return requests.size() == 2; }));
+	s = front;
+	front = nullptr;
+	front_server_destroy(s, set_true, &front_done);
+	EXPECT_TRUE(Until([&] { return slow.Read().size() > body.size(); }));
+	EXPECT_EQ(slow.received.substr(slow.received.size() - body.size()),
+	    body);
+	EXPECT_TRUE(Until([&] { return front_done; }));
+	front_done = false;
+}
