forward: requests that come late in a planned stop get a definite answer

Cause: node_gate_can_exit() ended the process at its deadline, and neither placing nor forwarding knew of it. Now forward knows the end of the stop, 0.3 s before the exit: endpoints get no more time than that; what is open then gets 504, or 503 if it was not sent, or its stream is reset, so that a resumable one goes on elsewhere. Once callers know other entries, a request that may not end in time is refused at once, without a time to return at; one that ends by its own deadline is begun, as is one that may be repeated and has twice its objective left. A stop timeout below the exit margin no longer wraps around.

The guard forward.stop off fails Outcome.a_request_that_may_not_end_before_the_ exit_is_refused.

--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -143,6 +143,17 @@
 void forward_refuse_quarantined(
     struct forward *f, uint64_t now_us, struct node_effects *fx);
 
+/*
+ * Begins a stop: every request ends by end_us, if necessary unserved, and
+ * endpoints are given no more time than that.
+ */
+void forward_begin_stop(struct forward *f, uint64_t end_us);
+/*
+ * Callers have been told of other entries: from now on a request that may not
+ * end in time is refused, unless it may be repeated and is likely to.
+ */
+void forward_refuse_unending(struct forward *f);
+
 /* Handles progress of an HTTP call; false: not a call of this forwarder. */
 bool forward_on_call_event(struct forward *f, uint64_t now_us,
     const struct node_call_event *event, struct node_effects *fx);
--- a/src/forward/forward_guard.c
+++ b/src/forward/forward_guard.c
@@ -8,4 +8,5 @@
     .gap = true,
     .timeout = true,
     .whole_events = true,
+    .stop = true,
     .attempts = true};
--- a/src/forward/forward_guard.h
+++ b/src/forward/forward_guard.h
@@ -19,6 +19,7 @@
 	bool gap; /* resume a stream only after an event with an id */
 	bool timeout; /* end a request at the timeout of its route */
 	bool whole_events; /* a stream that ends inside an event is broken */
+	bool stop; /* begin no request that may not end before an exit */
 	bool attempts; /* limit the endpoints that may run a request */
 };
 
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -11,6 +11,8 @@
 
 /* Part of the stop timeout that is kept free for the exit of the process. */
 #define EXIT_MARGIN_MS 700u
+/* Requests that are open this long before the exit are ended. */
+#define LAST_ANSWER_MARGIN_US (300 * 1000ULL)
 /* Callers may use a list of addresses for this multiple of its lifetime. */
 #define ADDRESS_LIFETIMES 3u
 /*
@@ -340,10 +342,21 @@
 
 /* ---- stopping ----------------------------------------------------------- */
 
+/* The last moment at which a stopping instance exits. */
+static uint64_t
+exit_deadline_us(const struct node *n)
+{
+	uint32_t stop_ms = n->settings->gateway.stop_ms;
+
+	return n->stop_us +
+	    (stop_ms > EXIT_MARGIN_MS ? stop_ms - EXIT_MARGIN_MS : 0) * 1000ULL;
+}
+
 /*
  * A stopping entry asks callers to close persistent connections, accepts new
  * ones until every address list that names it has expired, and exits when the
- * last response is complete or the stop timeout has passed.
+ * last response is complete. Those that are not by the end of the stop timeout
+ * get a definite answer before the exit.
  */
 static void
 stop_tick(struct node *n)
@@ -358,23 +371,22 @@
 	if (!g->closing_announced) {
 		g->closing_announced = true;
 		node_effects_add(n->fx, NODE_FX_FRONT_CLOSING);
+		forward_begin_stop(
+		    g->forward, exit_deadline_us(n) - LAST_ANSWER_MARGIN_US);
 	}
 	if (!g->closed_announced && n->now >= unlisted_us) {
 		g->closed_announced = true;
 		node_effects_add(n->fx, NODE_FX_FRONT_CLOSED);
+		forward_refuse_unending(g->forward);
 	}
 }
 
 bool
 node_gate_can_exit(const struct node *n)
 {
-	const struct settings_gateway *s = &n->settings->gateway;
-	uint64_t deadline_us =
-	    n->stop_us + (uint64_t)(s->stop_ms - EXIT_MARGIN_MS) * 1000;
-
-	if (n->now >= deadline_us)
+	if (n->now >= exit_deadline_us(n))
 		return true;
-	if (s->front != NULL)
+	if (n->settings->gateway.front != NULL)
 		return n->gate->closed_announced &&
 		    forward_request_count(n->gate->forward) == 0;
 	return n->now >= n->stop_us + CORE_EXIT_DELAY_US &&
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -231,6 +231,84 @@
 	}
 }
 
+/*
+ * Guards against requests that are begun in the course of a stop and cut by the
+ * exit. Each row: a request whose objective is 300 ms, and the time left.
+ */
+TEST_F(Outcome, a_request_that_may_not_end_before_the_exit_is_refused)
+{
+	static const struct {
+		const char *what;
+		gw_kind kind;
+		bool resumable, may_go_elsewhere;
+		uint32_t deadline_ms, left_ms;
+		bool is_begun;
+	} rows[] = {
+	    {"ends in time", GW_NON_IDEMPOTENT, false, true, 2000, 3000, true},
+	    {"may not", GW_NON_IDEMPOTENT, false, true, 4000, 3000, false},
+	    {"may not, callers know no other", GW_NON_IDEMPOTENT, false, false,
+		4000, 3000, true},
+	    {"repeatable", GW_IDEMPOTENT, false, true, 4000, 3000, true},
+	    {"repeatable, little time", GW_IDEMPOTENT, false, true, 4000, 500,
+		false},
+	    {"stream", GW_STREAM, false, true, 4000, 3000, false},
+	    {"resumable stream", GW_STREAM, true, true, 4000, 3000, true},
+	    {"no time", GW_IDEMPOTENT, false, false, 4000, 50, false},
+	};
+
+	for (auto &row : rows) {
+		SCOPED_TRACE(row.what);
+		TearDown();
+		fx = node_effects_create();
+		SetUp();
+		status = 0;
+		ask_count = 0;
+		route.kind = row.kind;
+		route.resumable = row.resumable;
+		forward_begin_stop(f, now_us + row.left_ms * 1000ULL);
+		if (row.may_go_elsewhere)
+			forward_refuse_unending(f);
+		StartRequest(row.deadline_ms);
+		EXPECT_EQ(ask_count, row.is_begun ? 1u : 0u);
+		EXPECT_EQ(status, row.is_begun ? 0 : 503);
+		if (row.is_begun) {
+			EXPECT_LE(place_requests.back().deadline_us,
+			    now_us + row.left_ms * 1000ULL);
+		}
+	}
+}
+
+/* What is open at the end of a stop gets a definite answer. */
+TEST_F(Outcome, open_requests_are_answered_at_the_end_of_a_stop)
+{
+	static const struct {
+		bool is_sent;
+		int status;
+	} rows[] = {{false, 503}, {true, 504}};
+
+	for (auto &row : rows) {
+		TearDown();
+		fx = node_effects_create();
+		SetUp();
+		status = 0;
+		StartRequest();
+		if (row.is_sent) {
+			ASSERT_TRUE(Grant());
+		}
+		forward_begin_stop(f, now_us + 1000000);
+		now_us += 999999;
+		forward_tick(f, now_us, fx);
+		ApplyEffects();
+		EXPECT_EQ(status, 0);
+		EXPECT_LE(forward_next_us(f), now_us + 1);
+		now_us += 1;
+		forward_tick(f, now_us, fx);
+		ApplyEffects();
+		EXPECT_EQ(status, row.status);
+		EXPECT_EQ(forward_request_count(f), 0u);
+	}
+}
+
 /*
  * Guards against a request that is granted the same unwilling endpoint again
  * and again, and against one that counts as a repeat though it was not sent.
@@ -383,4 +461,5 @@
     {"forward.timeout", &forward_guards.timeout},
     {"forward.whole_events", &forward_guards.whole_events},
     {"forward.attempts", &forward_guards.attempts},
+    {"forward.stop", &forward_guards.stop},
 });
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -439,9 +439,19 @@
 			    e->u.reply.body.len);
 			replies[e->u.reply.request].is_complete =
 			    !e->u.reply.more;
+			replies[e->u.reply.request].ended_us =
+			    e->u.reply.more ? 0 : now_us;
 			if (on_reply)
 				on_reply(e->u.reply.request);
 			break;
+		case NODE_FX_REPLY_END: {
+			Reply &r = replies[e->u.reply_end.request];
+
+			r.is_complete = !e->u.reply_end.aborted;
+			r.is_aborted = e->u.reply_end.aborted;
+			r.ended_us = now_us;
+			break;
+		}
 		case NODE_FX_LOG:
 			instances[(size_t)i]->event_counts[e->u.log.name]++;
 			if (getenv("WORLD_LOG") != nullptr)
@@ -504,17 +514,32 @@
 	return reply;
 }
 
+static std::string
+announcement(const std::string &id, const std::string &state, uint64_t sequence,
+    uint64_t born)
+{
+	return "{\"service\":\"app\",\"address\":\"10.1.0." + id.substr(1) +
+	    ":80\",\"zone\":\"z\",\"slots\":6,\"state\":\"" + state +
+	    "\",\"born\":" + std::to_string(born) +
+	    ",\"sequence\":" + std::to_string(sequence) + "}";
+}
+
 Reply
 GatewaySim::announce(int i, const std::string &id, const std::string &state,
     uint64_t sequence, uint64_t born)
 {
 	return request_and_wait(i, NODE_LISTEN_CONTROL, "PUT",
 	    "/api/instances/" + id,
-	    "{\"service\":\"app\",\"address\":\"10.1.0." + id.substr(1) +
-		":80\",\"zone\":\"z\",\"slots\":6,\"state\":\"" + state +
-		"\",\"born\":" + std::to_string(born) + ",\"sequence\":" +
-		std::to_string(sequence != 0 ? sequence : ++last_sequence) +
-		"}");
+	    announcement(
+		id, state, sequence != 0 ? sequence : ++last_sequence, born));
+}
+
+void
+GatewaySim::send_announcement(int i, const std::string &id)
+{
+	(void)send_request(i, NODE_LISTEN_CONTROL, "PUT",
+	    "/api/instances/" + id,
+	    announcement(id, "ready", ++last_sequence, 1));
 }
 
 void
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -19,7 +19,8 @@
 struct Reply {
 	int status = 0;
 	std::string body;
-	bool is_complete = false;
+	bool is_complete = false, is_aborted = false;
+	uint64_t ended_us = 0; /* when it was complete or aborted */
 };
 
 /* An instance of the gateway: a core, which has a disk, or an entry. */
@@ -116,6 +117,8 @@
 	Reply announce(int i, const std::string &id,
 	    const std::string &state = "ready", uint64_t sequence = 0,
 	    uint64_t born = 1);
+	/* The same, without waiting for the reply. */
+	void send_announcement(int i, const std::string &id);
 	void answer_call(const EndpointCall &call, int status,
 	    const std::string &body, std::vector<node_header> headers = {});
 	/* Sends a request of an operator of all teams and waits for the reply.
