--- a/tests/http/front_test.cc
+++ b/tests/http/front_test.cc
@@ -375,8 +375,8 @@
 	front = nullptr;
 	front_server_destroy(s, set_true, &front_done);
 	EXPECT_TRUE(Until([&] { return slow.Read().size() > body.size(); }));
-	EXPECT_EQ(slow.received.substr(slow.received.size() - body.size()),
-	    body);
+	EXPECT_EQ(
+	    slow.received.substr(slow.received.size() - body.size()), body);
 	EXPECT_TRUE(Until([&] { return front_done; }));
 	front_done = false;
 }
