--- a/tests/node/spread_test.cc
+++ b/tests/node/spread_test.cc
@@ -155,3 +155,41 @@
 		EXPECT_LE(admitted / 20.0, t.most) << t.entries;
 	}
 }
+
+/*
+ * Guards against entries that each use what the others seem to leave of a
+ * team's limit, when all begin at the same time: no second may have more than
+ * the limit, half of it more, and what the entries' buckets hold at first.
+ */
+TEST(rate, a_teams_limit_holds_when_all_entries_begin_at_once)
+{
+	const double limit = 20, burst = 2 * limit;
+
+	for (int instances : {5, 20}) {
+		ClusterOptions options = with_seed(9);
+		options.instances = instances;
+		Cluster c(options);
+		ASSERT_TRUE(c.begin());
+		std::string text = Cluster::document("t1", 1);
+		text.insert(1, "\"limits\": {\"requestsPerSecond\": 20}, ");
+		Request *put = c.put_document(0, "t1", 1, "limit", text);
+		ASSERT_TRUE(c.wait(put));
+		c.run_for(2000000);
+		for (int round = 0; round < 3; round++) {
+			std::vector<Request *> sent;
+			double admitted = 0;
+
+			for (int i = 0; i < 400; i++) {
+				sent.push_back(c.send(i % instances, "GET",
+				    "/v1/services/orders/status", "caller",
+				    ""));
+				c.run_for(5000);
+			}
+			for (Request *r : sent)
+				admitted += r->status != 429;
+			EXPECT_LE(admitted, 1.5 * limit * 2 + burst)
+			    << instances << " entries, round " << round;
+			c.run_for(5000000);
+		}
+	}
+}
