node: operators see the rate limits that endpoints name

GET /v1/limits and mulberryctl limits list each limited endpoint as an instance knows it: the limit, the part of it that this instance may use, what it has granted since the limit was named, what waits there, and when it was last told.

--- a/src/mulberryctl/cmd_report.c
+++ b/src/mulberryctl/cmd_report.c
@@ -198,6 +198,35 @@
 	return code;
 }
 
+static void
+print_limits(struct ctl *c, const json_t *json)
+{
+	static const struct ctl_column columns[] = {{"endpoint", "endpoint"},
+	    {"service", "service"}, {"requests/s", "requestsPerS"},
+	    {"usable here", "usableHerePerS"}, {"granted", "grantedHere"},
+	    {"waiting", "waitingHere"}, {"told ms", "toldMs"}};
+	const json_t *list = json_object_get(json, "limits");
+
+	if (json_array_size(list) == 0)
+		(void)fputs("none\n", c->out);
+	else
+		ctl_table(c->out, list, columns, NCOLUMNS(columns));
+}
+
+int
+ctl_limits(struct ctl *c, int argc, char **argv)
+{
+	static const struct ctl_usage usage = {"", 0,
+	    "Print the rate limits that endpoints name, as one instance knows "
+	    "them.",
+	    NULL, 0};
+	int code;
+
+	if (!ctl_parse(c, argc, argv, &usage, &code))
+		return code;
+	return report(c, "/v1/limits", print_limits);
+}
+
 static void
 print_quarantine(struct ctl *c, const json_t *json)
 {
--- a/src/mulberryctl/ctl.c
+++ b/src/mulberryctl/ctl.c
@@ -25,6 +25,7 @@
     {"endpoints", ctl_endpoints, "the endpoints that an instance owns"},
     {"bookings", ctl_bookings, "calls that may not be repeated"},
     {"quarantine", ctl_quarantine, "prompt parts that end endpoints"},
+    {"limits", ctl_limits, "rate limits that endpoints name"},
     {"drain", ctl_drain, "let an instance leave gracefully"},
     {"load", ctl_load, "make a trace of requests, or send one"},
     {"replay", ctl_replay, "run a recorded history again"}};
--- a/src/mulberryctl/ctl.h
+++ b/src/mulberryctl/ctl.h
@@ -99,6 +99,7 @@
 int ctl_endpoints(struct ctl *c, int argc, char **argv);
 int ctl_bookings(struct ctl *c, int argc, char **argv);
 int ctl_quarantine(struct ctl *c, int argc, char **argv);
+int ctl_limits(struct ctl *c, int argc, char **argv);
 int ctl_drain(struct ctl *c, int argc, char **argv);
 int ctl_load(struct ctl *c, int argc, char **argv);
 int ctl_replay(struct ctl *c, int argc, char **argv);
--- a/src/node/node_api_operator.c
+++ b/src/node/node_api_operator.c
@@ -305,6 +305,10 @@
 {
 	struct buf out = {0};
 
+	if (strcmp(path, "/v1/limits") == 0) {
+		node_api_limits(n, request->request);
+		return;
+	}
 	if (strcmp(path, "/v1/status") == 0)
 		node_report_status(n, &out);
 	else
@@ -318,6 +322,7 @@
 {
 	return strcmp(request->method, "GET") == 0 &&
 	    (strcmp(path, "/v1/status") == 0 ||
+		strcmp(path, "/v1/limits") == 0 ||
 		strcmp(path, "/v1/endpoints") == 0);
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -671,6 +671,8 @@
     const char *part, const struct node_api_rights *rights);
 /* Answers the operator whose change of the quarantine is applied. */
 void node_api_quarantine_lifted(struct node *n, uint64_t proposal);
+/* Lists the rate limits that endpoints name, as this instance knows them. */
+void node_api_limits(struct node *n, uint64_t request);
 
 /* The decoded value of a query parameter, to be freed; NULL when absent. */
 char *node_api_param(const char *query, const char *name);
--- a/tests/mulberryctl/command_test.cc
+++ b/tests/mulberryctl/command_test.cc
@@ -324,6 +324,24 @@
 	EXPECT_EQ(asked.back(), "DELETE /v1/quarantine/00000000000000ab");
 }
 
+TEST_F(Command, LimitsOfEndpointsAreListed)
+{
+	answer = [&](const node_request *r, size_t n) {
+		Reply(r, 200,
+		    n == 0 ? R"({"limits":[]})"
+			   : R"({"limits":[{"endpoint":"e7","service":"app",)"
+			     R"("requestsPerS":1.25,"usableHerePerS":1.25,)"
+			     R"("grantedHere":9,"waitingHere":2,)"
+			     R"("toldMs":40}]})");
+	};
+	EXPECT_EQ(Run({"limits", "--server", Address()}), 0) << err;
+	EXPECT_EQ(out, "none\n");
+	EXPECT_EQ(Run({"limits", "--server", Address()}), 0) << err;
+	EXPECT_EQ(asked.back(), "GET /v1/limits");
+	EXPECT_NE(out.find("e7"), std::string::npos) << out;
+	EXPECT_NE(out.find("1.25"), std::string::npos) << out;
+}
+
 /* A trace of one of each outcome, told apart by the prompt. */
 TEST_F(Command, LoadTellsAllOutcomesApart)
 {
