forward: requests that outlast a stop are called long

Names only, beside the refusal of a stopping instance's own API, which now names no time to return at: other instances take the request now.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -268,9 +268,9 @@
 }
 
 void
-forward_refuse_unending(struct forward *f)
+forward_refuse_long(struct forward *f)
 {
-	f->refuses_unending = true;
+	f->refuses_long = true;
 }
 
 /*
@@ -288,13 +288,13 @@
 		return true;
 	if (now_us + STOP_MIN_REMAINING_US >= f->end_us)
 		return false;
-	if (r->deadline_us <= f->end_us || !f->refuses_unending)
+	if (r->deadline_us <= f->end_us || !f->refuses_long)
 		return true;
 	return fwd_is_repeatable(r) && now_us + likely_us <= f->end_us;
 }
 
 bool
-fwd_refuse_if_unending(struct forward *f, struct fwd_request *r,
+fwd_refuse_if_too_long(struct forward *f, struct fwd_request *r,
     uint64_t now_us, struct node_effects *fx)
 {
 	if (may_begin(f, r, now_us) || !forward_guards.stop) {
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -152,7 +152,7 @@
  * Callers have been told of other entries: from now on a request that may not
  * end in time is refused, unless it may be repeated and is likely to.
  */
-void forward_refuse_unending(struct forward *f);
+void forward_refuse_long(struct forward *f);
 
 /* Handles progress of an HTTP call; false: not a call of this forwarder. */
 bool forward_on_call_event(struct forward *f, uint64_t now_us,
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -79,7 +79,7 @@
 	struct map *by_request, *by_ask, *by_call;
 	uint64_t last_ask;
 	uint64_t end_us; /* of all requests, for a stop; UINT64_MAX: none */
-	bool refuses_unending; /* see forward_refuse_unending() */
+	bool refuses_long; /* see forward_refuse_long() */
 	struct forward_stats stats;
 };
 
@@ -109,7 +109,7 @@
  * Refuses a new request that would not end before this entry exits; false:
  * there is no such reason. Frees r if it returns true.
  */
-bool fwd_refuse_if_unending(struct forward *f, struct fwd_request *r,
+bool fwd_refuse_if_too_long(struct forward *f, struct fwd_request *r,
     uint64_t now_us, struct node_effects *fx);
 /* Refuses the request, or aborts a response whose head is sent. Frees r. */
 void fwd_refuse(struct forward *f, struct fwd_request *r, uint64_t now_us,
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -92,7 +92,7 @@
 	set_times(r, now_us, decoded, route);
 	(void)map_set_u64(f->by_request, r->request, r);
 	f->stats.asked++;
-	if (!fwd_refuse_if_unending(f, r, now_us, fx) &&
+	if (!fwd_refuse_if_too_long(f, r, now_us, fx) &&
 	    !fwd_refuse_if_quarantined(f, r, now_us, false, fx))
 		fwd_send_ask(f, r, now_us, fx);
 }
--- a/src/node/node_api_work.c
+++ b/src/node/node_api_work.c
@@ -15,8 +15,6 @@
 #define PROMPT_PREFIX_BYTES 256
 #define BYTES_PER_TOKEN	    4 /* estimate for prompts */
 #define TIMEOUT_MS_MAX	    (600 * 1000UL)
-/* Other instances take the request at once. */
-#define STOPPING_RETRY_AFTER_MS 1U
 
 /* The time by which the answer must have begun. */
 static uint64_t
@@ -45,8 +43,9 @@
 	if (!n->stopping ||
 	    deadline_us <= n->stop_us + NODE_DRAIN_MAX_US - NODE_LAST_ANSWER_US)
 		return false;
+	/* Without a time to return at: other instances take it now. */
 	node_api_refuse(n, request->request, 503, "stopping",
-	    "this instance stops; use another one", STOPPING_RETRY_AFTER_MS);
+	    "this instance stops; use another one", 0);
 	return true;
 }
 
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -377,7 +377,7 @@
 	if (!g->closed_announced && n->now >= unlisted_us) {
 		g->closed_announced = true;
 		node_effects_add(n->fx, NODE_FX_FRONT_CLOSED);
-		forward_refuse_unending(g->forward);
+		forward_refuse_long(g->forward);
 	}
 }
 
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -267,7 +267,7 @@
 		route.resumable = row.resumable;
 		forward_begin_stop(f, now_us + row.left_ms * 1000ULL);
 		if (row.may_go_elsewhere)
-			forward_refuse_unending(f);
+			forward_refuse_long(f);
 		StartRequest(row.deadline_ms);
 		EXPECT_EQ(ask_count, row.is_begun ? 1u : 0u);
 		EXPECT_EQ(status, row.is_begun ? 0 : 503);
