place: calls whose limits another instance uses do not wait in vain

An entry that places a call by itself, as its placer answers late, may use none of the endpoints' limits. Where all endpoints of a service have one the call waited: in a small cluster 250 ms, until the entry gave up on the placer; in a large one until its deadline. Found by reading. Now it is refused after 250 ms with a time to return at. PlaceLimit.calls_that_another_instance_should_place_do_not_wait_long fails before (no decision) and passes.

--- a/src/place/place_limit.c
+++ b/src/place/place_limit.c
@@ -36,6 +36,11 @@
 #define TOLD_RECENTLY_US (1000 * US_PER_MS)
 /* Interval of telling the leader a limit that the table lacks. */
 #define PUBLISH_INTERVAL_US (500 * US_PER_MS)
+/*
+ * Where another instance alone may use the limits, a call is given to that one
+ * within this time, or refused.
+ */
+#define PLACER_WAIT_US (250 * US_PER_MS)
 /* Callers that are refused for limits are asked to return within this time. */
 #define RETURN_SPREAD_US (2000 * US_PER_MS)
 
@@ -264,7 +269,8 @@
 
 /* What the rate limits of a service allow for one call. */
 struct limit_prospect {
-	bool is_bounded; /* all endpoints are limited, and used by this one */
+	bool is_bounded; /* all endpoints are limited, and used here */
+	bool is_used_elsewhere; /* by another instance alone */
 	double per_s, tokens; /* of all of them; tokens: now */
 	double tokens_in_time; /* early enough to serve the call */
 	uint64_t next_us; /* when the first one allows a call; 0: unknown */
@@ -282,8 +288,11 @@
 
 	if (!e->limit.now.is_limited || b->per_s <= 0) {
 		out->is_bounded = false;
+		out->is_used_elsewhere =
+		    out->is_used_elsewhere && e->limit.now.is_limited;
 		return;
 	}
+	out->is_used_elsewhere = false;
 	if (wait_us != 0 && wait_us != UINT64_MAX &&
 	    (out->next_us == 0 || p->now_us + wait_us < out->next_us))
 		out->next_us = p->now_us + wait_us;
@@ -301,7 +310,7 @@
 	const struct place_endpoint *e;
 	size_t i;
 
-	out.is_bounded = true;
+	out.is_bounded = out.is_used_elsewhere = g->count > 0;
 	for (i = 0; i < g->count; i++) {
 		e = g->endpoints[i];
 		if (!e->leaving && !place_ask_avoids(a, e))
@@ -334,8 +343,12 @@
     const struct limit_prospect *prospect, size_t ahead)
 {
 	double missing = (double)ahead + 1 - prospect->tokens;
-	uint64_t wait_us =
-	    missing > 0 ? (uint64_t)(missing / prospect->per_s * US_PER_S) : 0;
+	uint64_t wait_us = PLACER_WAIT_US;
+
+	if (prospect->per_s > 0)
+		wait_us = missing > 0
+		    ? (uint64_t)(missing / prospect->per_s * US_PER_S)
+		    : 0;
 
 	p->totals.limit_refusals++;
 	place_ask_refuse_until(p, a, "endpoints-limited",
@@ -358,6 +371,12 @@
 		if ((double)ahead + 1 > prospect.tokens_in_time)
 			return refuse_limited(p, a, &prospect, ahead);
 	}
+	if (prospect.is_used_elsewhere) {
+		if (p->now_us >= a->asked_us + PLACER_WAIT_US)
+			return refuse_limited(p, a, &prospect, 0);
+		a->evaluate_at_us = a->asked_us + PLACER_WAIT_US;
+		return PLACE_ATTEMPT_WAITING;
+	}
 	if (prospect.next_us != 0) {
 		p->totals.limit_waits += !a->has_waited_for_limit;
 		a->has_waited_for_limit = true;
--- a/tests/place/limit_test.cc
+++ b/tests/place/limit_test.cc
@@ -267,6 +267,40 @@
 	}
 }
 
+/*
+ * Guards against a call that waits until its deadline at an instance that may
+ * use none of the limits, as another one may.
+ */
+TEST_F(PlaceLimit, calls_that_another_instance_should_place_do_not_wait_long)
+{
+	uint64_t ask;
+
+	place_set_limit_share_fn(p, GetShare, this);
+	share = {0, 0};
+	Apps(2);
+	for (int i = 0; i < 2; i++)
+		(void)AskPlain();
+	Run();
+	for (auto &d : std::vector<place_decision>(decisions))
+		DoneTelling(d.id.ask, 2000);
+	place_limit limit = Limit(2000);
+	for (const char *id : {"a1", "a2"})
+		place_apply_limit(p, now, id, 1, &limit, false);
+	ask = Granted(); /* has 4 s */
+	EXPECT_EQ(DecisionOn(ask), nullptr);
+	now += 240 * MS;
+	Run();
+	EXPECT_EQ(DecisionOn(ask), nullptr);
+	now += 10 * MS;
+	Run();
+	ASSERT_NE(DecisionOn(ask), nullptr);
+	EXPECT_EQ(DecisionOn(ask)->type, PLACE_REFUSE);
+	EXPECT_STREQ(DecisionOn(ask)->reason, "endpoints-limited");
+	share = {1, 1};
+	now += 500 * MS;
+	EXPECT_EQ(DecisionOn(Granted())->type, PLACE_GRANT);
+}
+
 /* A model request waits for its engine's limit, unless another engine takes it.
  */
 TEST_F(PlaceLimit, model_requests_go_to_other_engines)
