--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -105,12 +105,6 @@
  */
 bool fwd_refuse_if_quarantined(struct forward *f, struct fwd_request *r,
     uint64_t now_us, bool was_sent, struct node_effects *fx);
-/*
- * Refuses a new request that would not end before this entry exits; false:
- * there is no such reason. Frees r if it returns true.
- */
-bool fwd_refuse_if_too_long(struct forward *f, struct fwd_request *r,
-    uint64_t now_us, struct node_effects *fx);
 /* Refuses the request, or aborts a response whose head is sent. Frees r. */
 void fwd_refuse(struct forward *f, struct fwd_request *r, uint64_t now_us,
     enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms,
@@ -128,6 +122,14 @@
 void fwd_finish(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const char *outcome, struct node_effects *fx);
 
+/* ---- forward_stop.c ---- */
+/*
+ * Refuses a new request that would not end before this entry exits; false:
+ * there is no such reason. Frees r if it returns true.
+ */
+bool fwd_refuse_if_too_long(struct forward *f, struct fwd_request *r,
+    uint64_t now_us, struct node_effects *fx);
+
 /* ---- forward_answer.c: progress of the endpoint's response ---- */
 /* Each may free r. */
 void fwd_on_head(struct forward *f, struct fwd_request *r, uint64_t now_us,
