--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -1,7 +1,5 @@
-#include <stdlib.h>
 #include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "place/place_internal.h"
 #include "util/mem.h"
@@ -47,78 +45,6 @@
 #define URGENCY_BASE 3u
 #define URGENCY_MAX  9u
 
-/* ---- cached prompt prefixes --------------------------------------------- */
-
-uint64_t
-place_engine_prefix_hash(const struct place_ask *a, size_t last)
-{
-	uint64_t hash = XXH64(a->key, strlen(a->key), 0);
-	size_t i;
-
-	for (i = 0; i <= last; i++)
-		hash = XXH64(&a->parts[i].hash, sizeof(a->parts[i].hash), hash);
-	return hash;
-}
-
-struct prefix_use {
-	uint64_t used_us;
-};
-
-static void
-evict_oldest_prefix(struct place_endpoint *e)
-{
-	struct prefix_use *use;
-	uint64_t hash = 0, oldest = UINT64_MAX;
-	size_t i;
-
-	for (i = 0; i < map_count(e->cached_parts); i++) {
-		use = map_at(e->cached_parts, i);
-		if (use->used_us < oldest) {
-			oldest = use->used_us;
-			memcpy(&hash, map_key_at(e->cached_parts, i, NULL),
-			    sizeof(hash));
-		}
-	}
-	free(map_remove_u64(e->cached_parts, hash));
-}
-
-void
-place_engine_record_prefix(
-    struct place *p, struct place_endpoint *e, const struct place_ask *a)
-{
-	struct prefix_use *use;
-	uint64_t hash;
-	size_t i;
-
-	for (i = 0; i < a->nparts; i++) {
-		hash = a->prefix_hashes[i];
-		use = map_get_u64(e->cached_parts, hash);
-		if (use == NULL) {
-			if (map_count(e->cached_parts) >=
-			    PLACE_CACHED_PARTS_MAX)
-				evict_oldest_prefix(e);
-			use = mem_alloc(1, sizeof(*use));
-			(void)map_set_u64(e->cached_parts, hash, use);
-		}
-		use->used_us = p->now_us;
-	}
-}
-
-/* Tokens of the longest prefix of the prompt that the engine has cached. */
-static uint32_t
-cached_tokens(const struct place_endpoint *e, const struct place_ask *a)
-{
-	uint32_t tokens = 0;
-	size_t i;
-
-	for (i = 0; i < a->nparts; i++) {
-		if (map_get_u64(e->cached_parts, a->prefix_hashes[i]) == NULL)
-			break;
-		tokens += a->parts[i].tokens;
-	}
-	return tokens < a->prompt_tokens ? tokens : a->prompt_tokens;
-}
-
 /* ---- the estimate ------------------------------------------------------- */
 
 struct estimate {
@@ -305,7 +231,7 @@
 	if (out->limit_wait_ms >= limit || isinf(out->limit_wait_ms))
 		return false;
 	out->backlog_ms = backlog;
-	out->own_tokens = a->prompt_tokens - cached_tokens(e, a);
+	out->own_tokens = a->prompt_tokens - place_prefix_cached_tokens(e, a);
 	out->first_ms = fmax(fmax(backlog, load), out->limit_wait_ms) +
 	    out->own_tokens / e->tokens_per_ms +
 	    e->running * BATCH_COST_PER_REQUEST_MS;
@@ -348,7 +274,7 @@
 
 	a->unread_tokens = est->own_tokens;
 	place_endpoint_grant(p, e, a);
-	place_engine_record_prefix(p, e, a);
+	place_prefix_record(p, e, a);
 	adapter->running++;
 	adapter->last_used_us = p->now_us;
 	d->id = a->id;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -432,11 +432,16 @@
 /* Time until a prompt that arrives now is processed there. */
 double place_engine_load_ms(
     const struct place *p, const struct place_endpoint *e);
+
+/* ---- place_prefix.c ---- */
 /* Hash of the key and the prompt parts 0 to last. */
-uint64_t place_engine_prefix_hash(const struct place_ask *a, size_t last);
+uint64_t place_prefix_hash(const struct place_ask *a, size_t last);
 /* Record that the engine caches the prefixes of a request's prompt. */
-void place_engine_record_prefix(
+void place_prefix_record(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
+/* Tokens of the longest prefix of the prompt that the engine has cached. */
+uint32_t place_prefix_cached_tokens(
+    const struct place_endpoint *e, const struct place_ask *a);
 
 /* ---- place_service.c ---- */
 /* Try to place a call of a plain service. */
