place: a service without endpoints is not taken to be limited

What callers would see: while all endpoints of a plain service leave, and any endpoint of another service names a limit, their calls are refused after 250 ms, though the next endpoints may announce themselves in time.

PlaceLimit.a_service_without_endpoints_is_not_limited fails before and passes.

--- a/src/place/place_limit.c
+++ b/src/place/place_limit.c
@@ -308,15 +308,18 @@
 	const struct place_group *g = place_group_find(p, a->service);
 	struct limit_prospect out = {0};
 	const struct place_endpoint *e;
-	size_t i;
+	size_t i, candidates = 0;
 
-	out.is_bounded = out.is_used_elsewhere = g->count > 0;
+	out.is_bounded = out.is_used_elsewhere = true;
 	for (i = 0; i < g->count; i++) {
 		e = g->endpoints[i];
-		if (!e->leaving && !place_ask_avoids(a, e))
-			add_endpoint(p, e, a, &out);
+		if (e->leaving || place_ask_avoids(a, e))
+			continue;
+		add_endpoint(p, e, a, &out);
+		candidates++;
 	}
 	out.is_bounded = out.is_bounded && out.per_s > 0;
+	out.is_used_elsewhere = out.is_used_elsewhere && candidates > 0;
 	return out;
 }
 
--- a/tests/place/limit_test.cc
+++ b/tests/place/limit_test.cc
@@ -301,6 +301,36 @@
 	EXPECT_EQ(DecisionOn(Granted())->type, PLACE_GRANT);
 }
 
+/*
+ * Guards against a refusal for limits where the service has no endpoint for the
+ * time being: others may be about to replace those that leave.
+ */
+TEST_F(PlaceLimit, a_service_without_endpoints_is_not_limited)
+{
+	uint64_t ask;
+
+	Apps(2);
+	DoneTelling(Granted(), 1000);
+	Announce({"e1"}, {{"m", "x", 1}});
+	ask = Ask("x");
+	Run();
+	DoneTelling(ask, 1000); /* a limit that concerns another service */
+	place_set_leaving(p, now, "a1", 1);
+	place_set_leaving(p, now, "a2", 1);
+	ask = Granted(); /* has 4 s */
+	now += 1000 * MS;
+	Run();
+	EXPECT_EQ(DecisionOn(ask), nullptr) << "it waits";
+	Engine next = {"a3"};
+	next.service = "app";
+	next.slots = 6;
+	next.address = "10.0.1.3:80";
+	Announce(next);
+	Run();
+	ASSERT_NE(DecisionOn(ask), nullptr);
+	EXPECT_EQ(DecisionOn(ask)->type, PLACE_GRANT);
+}
+
 /* A model request waits for its engine's limit, unless another engine takes it.
  */
 TEST_F(PlaceLimit, model_requests_go_to_other_engines)
