--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Case 5; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. TROUBLE=0: without the disruption.
+exec python3 -B "$(dirname "$0")/case.py"
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -313,6 +313,7 @@
         self.draining = False
         self.lock = threading.Lock()
         self.runs = []  # (attempt, path, seconds since the start)
+        self.channels = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((self.ip, 0))
@@ -354,6 +355,7 @@
             threading.Thread(target=self._serve_channel, args=(sock,), daemon=True).start()
 
     def _serve_channel(self, sock):
+        self.channels.add(sock)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = sock.makefile("rb")
@@ -364,6 +366,7 @@
         except (OSError, ValueError):
             pass
         finally:
+            self.channels.discard(sock)
             sock.close()
 
     def serve(self, sock, request):
@@ -411,6 +414,15 @@
             pass
         self.listener.close()
 
+    def exit(self):
+        """The process ends: so do its channels, whatever it works on."""
+        self.close()
+        for sock in list(self.channels):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 def main(folder, case):
     """Runs case(record, folder, trouble) -> HELD or BROKEN, and exits as the issue says."""
