--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -432,10 +432,20 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     temporary = tempfile.mkdtemp(prefix="review-")
     code = NOT_RUN
+    faults = []
+
+    def on_thread_fault(args):
+        faults.append(args.exc_value)
+        record("".join(traceback.format_exception(args.exc_value)))
+
+    threading.excepthook = on_thread_fault
     try:
         record(f"TROUBLE={1 if trouble else 0}")
         code = case(record, temporary, trouble)
+        if faults and code == HELD:
+            raise CannotRun("a stand-in failed")
     except CannotRun as error:
+        code = NOT_RUN
         record(f"could not run: {error}")
     except Exception:  # pylint: disable=broad-except
         record(f"could not run: {traceback.format_exc()}")
