--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -259,7 +259,7 @@
 void
 node_gate_handle_request(struct node *n, const struct node_request *in)
 {
-	struct gate_caller caller = {n->id, in->request, false};
+	struct gate_caller caller = {n->id, n->incarnation, in->request, false};
 
 	if (n->gate == NULL)
 		return;
@@ -309,7 +309,7 @@
 		gate_ask_on_reply(n, from, e->place_reply);
 		return true;
 	case WIRE__ENVELOPE__BODY_PLACE_DONE:
-		gate_place_on_done(n, e->incarnation, e->place_done);
+		gate_place_on_done(n, from, e->incarnation, e->place_done);
 		return true;
 	case WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE:
 		gate_notice_on_message(n, e->incarnation, e->endpoint_notice);
@@ -324,7 +324,7 @@
 		gate_evidence_on_served(n, e->parts_served);
 		return true;
 	case WIRE__ENVELOPE__BODY_CALL_RELAY:
-		gate_relay_on_call(n, from, e->call_relay);
+		gate_relay_on_call(n, from, e->incarnation, e->call_relay);
 		return true;
 	case WIRE__ENVELOPE__BODY_CALL_ANSWER:
 		gate_relay_on_answer(n, e->call_answer);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -76,6 +76,7 @@
 /* The sender of a control call, to which the answer goes. */
 struct gate_caller {
 	uint32_t instance; /* that received the call */
+	uint64_t incarnation; /* of its process */
 	uint64_t call; /* request here, or number of the relayed call there */
 	bool is_announcement;
 };
@@ -260,8 +261,8 @@
 /* Handles a control call, or relays it to the leader. */
 void gate_control_handle(struct node *n, const struct node_request *request,
     const struct gate_caller *caller);
-void gate_relay_on_call(
-    struct node *n, uint32_t from, const Wire__CallRelay *relay);
+void gate_relay_on_call(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__CallRelay *relay);
 void gate_relay_on_answer(struct node *n, const Wire__CallAnswer *answer);
 /* Answers relayed calls that have timed out. */
 void gate_relay_tick(struct node *n);
@@ -293,6 +294,11 @@
 /* Sends the outcome of a request to its placer. */
 void gate_ask_send_done(struct node *n, const struct gate_ask *pending,
     const struct place_result *result);
+/*
+ * Tells a placer that an earlier process of this instance has ended, so that
+ * it gives up all asks of that process.
+ */
+void gate_ask_return_all(struct node *n, uint32_t placer, uint64_t incarnation);
 void gate_ask_on_reply(
     struct node *n, uint32_t from, const Wire__PlaceReply *reply);
 /* Handles a decision on a request that this entry places itself. */
@@ -392,8 +398,8 @@
 void gate_place_run(struct node *n);
 void gate_place_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__PlaceAsk *ask);
-void gate_place_on_done(
-    struct node *n, uint64_t incarnation, const Wire__PlaceDone *done);
+void gate_place_on_done(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__PlaceDone *done);
 /* Progress of an order or report call; false: not one of these. */
 bool gate_order_on_call(struct node *n, const struct node_call_event *event);
 
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -205,6 +205,18 @@
 	node_peer_send(n, to, &envelope);
 }
 
+void
+gate_ask_return_all(struct node *n, uint32_t placer, uint64_t incarnation)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__PlaceDone done = WIRE__PLACE_DONE__INIT;
+
+	done.ended_entry = incarnation;
+	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_DONE;
+	envelope.place_done = &done;
+	node_peer_send(n, placer, &envelope);
+}
+
 void
 gate_ask_send_done(struct node *n, const struct gate_ask *pending,
     const struct place_result *result)
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -46,7 +46,7 @@
 	message.body.len = reply->body.len;
 	envelope.body_case = WIRE__ENVELOPE__BODY_CALL_ANSWER;
 	envelope.call_answer = &message;
-	node_peer_send(n, caller->instance, &envelope);
+	node_peer_reply(n, caller->instance, caller->incarnation, &envelope);
 }
 
 static void
@@ -405,10 +405,10 @@
 }
 
 void
-gate_relay_on_call(
-    struct node *n, uint32_t from, const Wire__CallRelay *message)
+gate_relay_on_call(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__CallRelay *message)
 {
-	struct gate_caller caller = {from, message->call, false};
+	struct gate_caller caller = {from, incarnation, message->call, false};
 	struct node_request in = {0};
 
 	in.listener = (enum node_listener)message->listener;
@@ -445,7 +445,7 @@
 void
 gate_relay_tick(struct node *n)
 {
-	struct gate_caller caller = {n->id, 0, false};
+	struct gate_caller caller = {n->id, n->incarnation, 0, false};
 	struct gate_relay *relay;
 	size_t i = map_count(n->gate->relays);
 
--- a/src/node/node_gate_owner.c
+++ b/src/node/node_gate_owner.c
@@ -288,7 +288,7 @@
 	reply.load_ms = place_load_ms(n->gate->place);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_REPLY;
 	envelope.place_reply = &reply;
-	node_peer_send(n, *to, &envelope);
+	node_peer_reply(n, *to, incarnation, &envelope);
 }
 
 void
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -60,13 +60,30 @@
 	place_ask(n->gate->place, n->now, &r);
 }
 
+/*
+ * Gives up the asks of an earlier process of an instance, which says that it
+ * has ended.
+ */
+static void
+drop_ended_entry(struct node *n, uint32_t from, uint64_t incarnation)
+{
+	const uint32_t *instance = map_get_u64(n->gate->entries, incarnation);
+
+	if (instance != NULL && *instance == from)
+		node_gate_entry_down(n, incarnation);
+}
+
 void
-gate_place_on_done(
-    struct node *n, uint64_t incarnation, const Wire__PlaceDone *done)
+gate_place_on_done(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__PlaceDone *done)
 {
 	struct place_id id = {incarnation, done->ask};
 	struct place_result result = {0};
 
+	if (done->ended_entry != 0) {
+		drop_ended_entry(n, from, done->ended_entry);
+		return;
+	}
 	result.outcome = (enum place_outcome)done->outcome;
 	result.first_ms = done->first_ms;
 	result.load_told = done->load_told;
@@ -106,7 +123,7 @@
 	reply.elsewhere = d->elsewhere && gate_is_sharded(n);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_REPLY;
 	envelope.place_reply = &reply;
-	node_peer_send(n, *to, &envelope);
+	node_peer_reply(n, *to, d->id.entry, &envelope);
 }
 
 /* ---- orders ------------------------------------------------------------- */
--- a/src/node/node_grant.c
+++ b/src/node/node_grant.c
@@ -70,17 +70,18 @@
 }
 
 static void
-send_reply(struct node *n, uint32_t entry, Wire__GrantReply *reply)
+send_reply(struct node *n, uint32_t entry, uint64_t incarnation,
+    Wire__GrantReply *reply)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
 	envelope.body_case = WIRE__ENVELOPE__BODY_GRANT;
 	envelope.grant = reply;
-	node_peer_send(n, entry, &envelope);
+	node_peer_reply(n, entry, incarnation, &envelope);
 }
 
 static void
-send_refusal(struct node *n, uint32_t entry, uint64_t ask,
+send_refusal(struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask,
     Wire__GrantStatus status, const char *reason, uint32_t retry_after_ms)
 {
 	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
@@ -89,7 +90,7 @@
 	reply.status = status;
 	reply.reason = (char *)reason;
 	reply.retry_after_ms = retry_after_ms;
-	send_reply(n, entry, &reply);
+	send_reply(n, entry, incarnation, &reply);
 }
 
 void
@@ -108,7 +109,7 @@
 	reply.basis_us = g->basis_us;
 	reply.wait_us = g->wait_us;
 	reply.stall_us = g->stall_us;
-	send_reply(n, g->entry, &reply);
+	send_reply(n, g->entry, g->entry_incarnation, &reply);
 }
 
 uint32_t
@@ -164,7 +165,8 @@
  * false when none is known.
  */
 static bool
-redirect(struct node *n, uint32_t entry, uint64_t ask, const char *adapter)
+redirect(struct node *n, uint32_t entry, uint64_t incarnation, uint64_t ask,
+    const char *adapter)
 {
 	Wire__GrantReply reply = WIRE__GRANT_REPLY__INIT;
 	uint32_t target = node_held_find_other(n, adapter);
@@ -176,7 +178,7 @@
 	reply.status = WIRE__GRANT_STATUS__GRANT_ELSEWHERE;
 	reply.reason = "loaded-elsewhere";
 	reply.holder = target;
-	send_reply(n, entry, &reply);
+	send_reply(n, entry, incarnation, &reply);
 	return true;
 }
 
@@ -219,13 +221,13 @@
 	if (!node_grant_is_member(n, from, incarnation))
 		return; /* it asks again; its start is not applied here yet */
 	if (!node_may_act(n)) {
-		send_refusal(n, from, ask->request,
+		send_refusal(n, from, incarnation, ask->request,
 		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "cut-off", 0);
 		return;
 	}
 	if (!is_redirect_barred(ask) &&
 	    sched_needs_load(n->sched, ask->adapter) &&
-	    redirect(n, from, ask->request, ask->adapter))
+	    redirect(n, from, incarnation, ask->request, ask->adapter))
 		return;
 	g = node_grant_add(n, from, incarnation, ask->request);
 	g->basis_us = ask->sent_us;
@@ -282,16 +284,16 @@
 	}
 	if (d->type == SCHED_REFUSE && !g->no_redirect &&
 	    strcmp(d->reason, "deadline") == 0 &&
-	    redirect(n, g->entry, g->ask, g->adapter)) {
+	    redirect(n, g->entry, g->entry_incarnation, g->ask, g->adapter)) {
 		node_grant_remove(n, g);
 		return;
 	}
 	if (d->type == SCHED_REFUSE)
-		send_refusal(n, g->entry, g->ask,
+		send_refusal(n, g->entry, g->entry_incarnation, g->ask,
 		    WIRE__GRANT_STATUS__GRANT_REFUSED, d->reason,
 		    d->retry_after_ms);
 	else
-		send_refusal(n, g->entry, g->ask,
+		send_refusal(n, g->entry, g->entry_incarnation, g->ask,
 		    WIRE__GRANT_STATUS__GRANT_ELSEWHERE, "no-endpoint", 0);
 	node_grant_remove(n, g);
 }
@@ -307,7 +309,8 @@
 		g = map_at(n->grants, i);
 		if (g->endpoint != NULL || g->no_redirect ||
 		    !sched_needs_load(n->sched, g->adapter) ||
-		    !redirect(n, g->entry, g->ask, g->adapter))
+		    !redirect(
+			n, g->entry, g->entry_incarnation, g->ask, g->adapter))
 			continue;
 		sched_finish_request(n->sched, n->now, g->id, &cancelled);
 		node_grant_remove(n, g);
--- a/src/node/node_guard.c
+++ b/src/node/node_guard.c
@@ -15,6 +15,7 @@
     .gate_verdict = true,
     .renew_at_leader = true,
     .gate_active = true,
-    .gate_leased = true};
+    .gate_leased = true,
+    .reply_process = true};
 
 size_t node_direct_members_max = NODE_DIRECT_MEMBERS_MAX;
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -43,6 +43,8 @@
 	bool gate_active;
 	/* Calls are answered only while the instance holds a lease. */
 	bool gate_leased;
+	/* A reply counts only for the process that it answers. */
+	bool reply_process;
 };
 
 extern struct node_guards node_guards;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -249,6 +249,7 @@
 /* A renewal that this instance relays; field names as in LeaseRenew. */
 struct node_relayed_renewal {
 	uint32_t id;
+	uint64_t incarnation; /* of the holder's process */
 	uint64_t sent_us, got_ago_us; /* by the holder's clock */
 	uint32_t permit_in_flight, permit_rate_milli;
 	uint32_t waiting_loads, loads_in_flight;
@@ -274,6 +275,7 @@
 
 struct node_counters {
 	uint64_t requests, messages_in, messages_out, bytes_out, bytes_in;
+	uint64_t outdated_replies; /* to an earlier process of this instance */
 	uint64_t malformed, asks, grants, orders, applied, snapshots;
 	uint64_t resyncs;
 	uint64_t control_bytes_out;
@@ -453,6 +455,13 @@
 
 /* Sends a message; one to this instance itself is queued. */
 void node_peer_send(struct node *n, uint32_t to, Wire__Envelope *envelope);
+
+/*
+ * Sends a message that answers one process of an instance, for example one that
+ * is matched with a request by its number. A later process there drops it.
+ */
+void node_peer_reply(struct node *n, uint32_t to, uint64_t to_incarnation,
+    Wire__Envelope *envelope);
 void node_peer_receive(struct node *n, uint32_t from, struct node_bytes bytes);
 
 /* Delivers the queued messages of this instance to itself. */
@@ -474,8 +483,8 @@
 /* Fills in the leader's reply to a renewal. */
 void node_lease_fill_reply(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__LeaseRenew *renew, Wire__LeaseReply *out);
-void node_lease_send_reply(
-    struct node *n, uint32_t to, Wire__LeaseReply *reply);
+void node_lease_send_reply(struct node *n, uint32_t to, uint64_t to_incarnation,
+    Wire__LeaseReply *reply);
 
 /* node_relay.c: batches of lease renewals in a large cluster */
 
@@ -498,8 +507,8 @@
 void node_relay_tick(struct node *n);
 void node_relay_on_renew(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__LeaseRenew *r);
-void node_relay_on_renews(
-    struct node *n, uint32_t from, const Wire__RenewBatch *batch);
+void node_relay_on_renews(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__RenewBatch *batch);
 void node_relay_on_leases(
     struct node *n, uint32_t from, const Wire__LeaseBatch *leases);
 void node_relay_free(struct node *n);
--- a/src/node/node_keepalive.c
+++ b/src/node/node_keepalive.c
@@ -261,7 +261,7 @@
 	envelope.body_case = WIRE__ENVELOPE__BODY_TOUCH;
 	envelope.touch = &message;
 	if (message.all || message.n_ask_again > 0)
-		node_peer_send(n, to, &envelope);
+		node_peer_reply(n, to, incarnation, &envelope);
 	free(message.ask_again);
 }
 
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -166,13 +166,14 @@
 }
 
 void
-node_lease_send_reply(struct node *n, uint32_t to, Wire__LeaseReply *reply)
+node_lease_send_reply(struct node *n, uint32_t to, uint64_t to_incarnation,
+    Wire__LeaseReply *reply)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
 	envelope.body_case = WIRE__ENVELOPE__BODY_LEASE;
 	envelope.lease = reply;
-	node_peer_send(n, to, &envelope);
+	node_peer_reply(n, to, to_incarnation, &envelope);
 }
 
 void
@@ -193,7 +194,7 @@
 		reply.leader = RAFT_ID_INSTANCE(raft_get_leader(n->raft));
 		reply.reason = "not-leader";
 	}
-	node_lease_send_reply(n, from, &reply);
+	node_lease_send_reply(n, from, incarnation, &reply);
 }
 
 static void
@@ -271,6 +272,7 @@
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__LeaseReply reply;
 	uint64_t epoch = member_lessor_active_epoch(n->lessor, n->view, n->now);
+	const struct member *m;
 	size_t i;
 
 	if (epoch == n->active_epoch_sent)
@@ -279,11 +281,11 @@
 	envelope.body_case = WIRE__ENVELOPE__BODY_LEASE;
 	envelope.lease = &reply;
 	for (i = 0; i < member_view_count(n->view); i++) {
-		if (!member_lessor_fill_active(
-			n->lessor, member_view_at(n->view, i), epoch, &reply))
+		m = member_view_at(n->view, i);
+		if (!member_lessor_fill_active(n->lessor, m, epoch, &reply))
 			continue;
 		reply.leader = n->id;
-		node_peer_send(n, member_view_at(n->view, i)->id, &envelope);
+		node_peer_reply(n, m->id, m->incarnation, &envelope);
 	}
 }
 
--- a/src/node/node_metrics.c
+++ b/src/node/node_metrics.c
@@ -157,6 +157,8 @@
 		(double)n->counters.bytes_in},
 	    {"messages_malformed_total", METRIC_COUNTER,
 		(double)n->counters.malformed},
+	    {"replies_outdated_total", METRIC_COUNTER,
+		(double)n->counters.outdated_replies},
 	    {"cache_resyncs_total", METRIC_COUNTER,
 		(double)n->counters.resyncs},
 	    {"may_act", METRIC_GAUGE, node_may_act(n) ? 1.0 : 0.0}};
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_guard.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
@@ -143,8 +144,17 @@
 	free(bytes);
 }
 
+void
+node_peer_reply(struct node *n, uint32_t to, uint64_t to_incarnation,
+    Wire__Envelope *envelope)
+{
+	envelope->to_incarnation = to_incarnation;
+	node_peer_send(n, to, envelope);
+}
+
 static void
-receive_ping(struct node *n, uint32_t from, const Wire__Ping *ping)
+receive_ping(
+    struct node *n, uint32_t from, uint64_t incarnation, const Wire__Ping *ping)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Pong pong = WIRE__PONG__INIT;
@@ -152,7 +162,7 @@
 	member_holder_on_ping(n->holder, n->now, n->applied, ping, &pong);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PONG;
 	envelope.pong = &pong;
-	node_peer_send(n, from, &envelope);
+	node_peer_reply(n, from, incarnation, &envelope);
 }
 
 static void
@@ -226,7 +236,7 @@
 		node_lease_on_reply(n, from, e->lease);
 		break;
 	case WIRE__ENVELOPE__BODY_RENEWS:
-		node_relay_on_renews(n, from, e->renews);
+		node_relay_on_renews(n, from, e->incarnation, e->renews);
 		break;
 	case WIRE__ENVELOPE__BODY_LEASES:
 		node_relay_on_leases(n, from, e->leases);
@@ -241,7 +251,7 @@
 		node_follow_on_push(n, from, e->push);
 		break;
 	case WIRE__ENVELOPE__BODY_PING:
-		receive_ping(n, from, e->ping);
+		receive_ping(n, from, e->incarnation, e->ping);
 		break;
 	case WIRE__ENVELOPE__BODY_PONG:
 		member_holder_on_pong(
@@ -256,6 +266,30 @@
 	}
 }
 
+/*
+ * Whether a message may be processed here. A reply to an earlier process of
+ * this instance may not: it would be matched with a request of this process
+ * that has the same number.
+ */
+static bool
+is_for_this_process(const struct node *n, const Wire__Envelope *e)
+{
+	return e->to_incarnation == 0 || e->to_incarnation == n->incarnation ||
+	    !node_guards.reply_process;
+}
+
+/* Drops a reply to an earlier process of this instance. */
+static void
+drop_outdated_reply(struct node *n, uint32_t from, const Wire__Envelope *e)
+{
+	n->counters.outdated_replies++;
+	node_log(n, NODE_LOG_REPLY_OUTDATED,
+	    "{\"from\": %u, \"kind\": %d, \"process\": %llu}", from,
+	    (int)e->body_case, (unsigned long long)e->to_incarnation);
+	if (e->body_case == WIRE__ENVELOPE__BODY_PLACE_REPLY)
+		gate_ask_return_all(n, from, e->to_incarnation);
+}
+
 void
 node_peer_receive(struct node *n, uint32_t from, struct node_bytes bytes)
 {
@@ -273,7 +307,10 @@
 	peer = node_peer_get(n, from);
 	peer->received_us = n->now;
 	peer->incarnation = e->incarnation;
-	receive_envelope(n, from, e);
+	if (is_for_this_process(n, e))
+		receive_envelope(n, from, e);
+	else
+		drop_outdated_reply(n, from, e);
 cleanup:
 	if (e != NULL)
 		wire__envelope__free_unpacked(e, NULL);
--- a/src/node/node_relay.c
+++ b/src/node/node_relay.c
@@ -86,6 +86,7 @@
 	b->holders = mem_resize(b->holders, b->count + 1, sizeof(*b->holders));
 	h = &b->holders[b->count++];
 	h->id = from;
+	h->incarnation = incarnation;
 	h->sent_us = r->sent_us;
 	h->got_ago_us = r->sent_us - r->got_us;
 	h->permit_in_flight = r->permit_in_flight;
@@ -263,7 +264,7 @@
 		reply.permit_rate_milli = leases->permit_rate_milli[nth];
 	envelope.body_case = WIRE__ENVELOPE__BODY_LEASE;
 	envelope.lease = &reply;
-	node_peer_send(n, to->id, &envelope);
+	node_peer_reply(n, to->id, to->incarnation, &envelope);
 }
 
 void
@@ -370,8 +371,8 @@
 }
 
 void
-node_relay_on_renews(
-    struct node *n, uint32_t from, const Wire__RenewBatch *batch)
+node_relay_on_renews(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__RenewBatch *batch)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__LeaseBatch leases = WIRE__LEASE_BATCH__INIT;
@@ -401,11 +402,11 @@
 			continue;
 		}
 		leases.straight[leases.n_straight++] = (uint32_t)i;
-		node_lease_send_reply(n, m->id, &reply);
+		node_lease_send_reply(n, m->id, m->incarnation, &reply);
 	}
 	envelope.body_case = WIRE__ENVELOPE__BODY_LEASES;
 	envelope.leases = &leases;
-	node_peer_send(n, from, &envelope);
+	node_peer_reply(n, from, incarnation, &envelope);
 	free(leases.straight);
 	free(leases.permit_in_flight);
 	free(leases.permit_rate_milli);
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -66,6 +66,7 @@
     {NODE_LOG_GATE_QUARANTINE, NODE_LOG_WARN, "part-quarantine"},
     {NODE_LOG_GATE_LIMIT, NODE_LOG_INFO, "endpoint-limit"},
     {NODE_LOG_GATE_LIMIT_INVALID, NODE_LOG_WARN, "endpoint-limit-unreadable"},
+    {NODE_LOG_REPLY_OUTDATED, NODE_LOG_INFO, "reply-outdated"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -79,6 +79,7 @@
 	NODE_LOG_GATE_QUARANTINE = 139,
 	NODE_LOG_GATE_LIMIT = 140,
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
+	NODE_LOG_REPLY_OUTDATED = 142,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1852,7 +1852,7 @@
   assert(message->base.descriptor == &wire__part_served__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[32] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[33] =
 {
   {
     "version",
@@ -1890,6 +1890,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to_incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, to_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "raft",
     10,
@@ -2240,44 +2252,45 @@
   },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
-  12,   /* field[12] = ask */
-  25,   /* field[25] = call_answer */
-  24,   /* field[24] = call_relay */
-  14,   /* field[14] = done */
-  29,   /* field[29] = endpoint_ended */
-  28,   /* field[28] = endpoint_notice */
-  26,   /* field[26] = endpoint_table */
+  13,   /* field[13] = ask */
+  26,   /* field[26] = call_answer */
+  25,   /* field[25] = call_relay */
+  15,   /* field[15] = done */
+  30,   /* field[30] = endpoint_ended */
+  29,   /* field[29] = endpoint_notice */
+  27,   /* field[27] = endpoint_table */
   2,   /* field[2] = epoch */
-  13,   /* field[13] = grant */
-  18,   /* field[18] = hello */
+  14,   /* field[14] = grant */
+  19,   /* field[19] = hello */
   1,   /* field[1] = incarnation */
-  5,   /* field[5] = lease */
-  20,   /* field[20] = leases */
-  30,   /* field[30] = part_inquiry */
-  31,   /* field[31] = parts_served */
-  10,   /* field[10] = ping */
-  21,   /* field[21] = place_ask */
-  23,   /* field[23] = place_done */
-  22,   /* field[22] = place_reply */
-  11,   /* field[11] = pong */
-  6,   /* field[6] = propose */
-  7,   /* field[7] = propose_reply */
-  8,   /* field[8] = pull */
-  9,   /* field[9] = push */
-  3,   /* field[3] = raft */
-  4,   /* field[4] = renew */
-  19,   /* field[19] = renews */
-  16,   /* field[16] = report */
-  17,   /* field[17] = summary */
-  27,   /* field[27] = table_ask */
-  15,   /* field[15] = touch */
+  6,   /* field[6] = lease */
+  21,   /* field[21] = leases */
+  31,   /* field[31] = part_inquiry */
+  32,   /* field[32] = parts_served */
+  11,   /* field[11] = ping */
+  22,   /* field[22] = place_ask */
+  24,   /* field[24] = place_done */
+  23,   /* field[23] = place_reply */
+  12,   /* field[12] = pong */
+  7,   /* field[7] = propose */
+  8,   /* field[8] = propose_reply */
+  9,   /* field[9] = pull */
+  10,   /* field[10] = push */
+  4,   /* field[4] = raft */
+  5,   /* field[5] = renew */
+  20,   /* field[20] = renews */
+  17,   /* field[17] = report */
+  18,   /* field[18] = summary */
+  28,   /* field[28] = table_ask */
+  3,   /* field[3] = to_incarnation */
+  16,   /* field[16] = touch */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 3 },
-  { 0, 32 }
+  { 10, 4 },
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -2287,7 +2300,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  32,
+  33,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   2,  wire__envelope__number_ranges,
@@ -5246,7 +5259,7 @@
   (ProtobufCMessageInit) wire__place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[9] =
 {
   {
     "ask",
@@ -5344,9 +5357,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_entry",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceDone, ended_entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_done__field_indices_by_name[] = {
   0,   /* field[0] = ask */
+  8,   /* field[8] = ended_entry */
   2,   /* field[2] = first_ms */
   7,   /* field[7] = limit */
   3,   /* field[3] = load_told */
@@ -5358,7 +5384,7 @@
 static const ProtobufCIntRange wire__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__place_done__descriptor =
 {
@@ -5368,7 +5394,7 @@
   "Wire__PlaceDone",
   "wire",
   sizeof(Wire__PlaceDone),
-  8,
+  9,
   wire__place_done__field_descriptors,
   wire__place_done__field_indices_by_name,
   1,  wire__place_done__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -185,6 +185,11 @@
    * membership epoch that the sender has applied
    */
   uint64_t epoch;
+  /*
+   * Of the process that a reply is for; 0: any process of the instance. The
+   * numbers by which replies are matched begin anew with each process.
+   */
+  uint64_t to_incarnation;
   Wire__Envelope__BodyCase body_case;
   union {
     Wire__RaftFrame *raft;
@@ -220,7 +225,7 @@
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0, 0, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0, 0, 0, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /*
@@ -1007,10 +1012,15 @@
    * as the response said; absent: no response
    */
   Wire__RateLimit *limit;
+  /*
+   * An earlier process of the sender's instance, which has ended: all of its
+   * asks are over. 0: none; then the fields above count.
+   */
+  uint64_t ended_entry;
 };
 #define WIRE__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_done__descriptor) \
-    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0, NULL }
+    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 /*
