--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -269,10 +269,12 @@
 /*
  * Proposes that the process of an endpoint is leaving.
  *
+ * born_ms: start of the process; 0: not known.
+ * started_by_ms: not 0: each process that had started by then is leaving.
  * caller: receives the answer once it is committed; NULL: nobody does.
  */
 void gate_control_propose_leaving(struct node *n, const char *id,
-    uint64_t born_ms, const struct gate_caller *caller);
+    uint64_t born_ms, uint64_t started_by_ms, const struct gate_caller *caller);
 /* A change that was proposed for a call is applied, or has timed out. */
 void node_gate_proposal_applied(
     struct node *n, uint64_t proposal, enum gate_verdict verdict);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -204,11 +204,17 @@
 {
 	if (n->gate == NULL)
 		return;
-	place_set_leaving(
-	    n->gate->place, n->now, leaving->id, leaving->born_ms);
+	if (leaving->born_ms != 0 || leaving->started_by_ms == 0)
+		place_set_leaving(
+		    n->gate->place, n->now, leaving->id, leaving->born_ms);
+	if (leaving->started_by_ms != 0)
+		place_set_left_before(n->gate->place, n->now, leaving->id,
+		    leaving->started_by_ms);
 	node_log(n, NODE_LOG_GATE_ENDPOINT,
-	    "{\"endpoint\": \"%s\", \"leaving\": true, \"born\": %llu}",
-	    leaving->id, (unsigned long long)leaving->born_ms);
+	    "{\"endpoint\": \"%s\", \"leaving\": true, \"born\": %llu, "
+	    "\"startedBy\": %llu}",
+	    leaving->id, (unsigned long long)leaving->born_ms,
+	    (unsigned long long)leaving->started_by_ms);
 }
 
 uint32_t
@@ -222,24 +228,42 @@
 	return v == NULL ? 0 : v->version;
 }
 
+static Node__Leaving *
+add_leaving(Node__Snapshot *out, const char *id)
+{
+	Node__Leaving *leaving = mem_alloc(1, sizeof(*leaving));
+
+	node__leaving__init(leaving);
+	leaving->id = (char *)id;
+	out->leaving =
+	    mem_resize(out->leaving, out->n_leaving + 1, sizeof(*out->leaving));
+	out->leaving[out->n_leaving++] = leaving;
+	return leaving;
+}
+
 static void
 save_leaving(const struct node *n, Node__Snapshot *out)
 {
+	const struct place *place = n->gate->place;
 	const char *id;
-	uint64_t born;
-	size_t i, count = 0;
-
-	while (place_leaving_at(n->gate->place, count, &id, &born))
-		count++;
-	out->n_leaving = count;
-	out->leaving = mem_alloc(count + 1, sizeof(*out->leaving));
-	for (i = 0; i < count; i++) {
-		(void)place_leaving_at(n->gate->place, i, &id, &born);
-		out->leaving[i] = mem_alloc(1, sizeof(**out->leaving));
-		node__leaving__init(out->leaving[i]);
-		out->leaving[i]->id = (char *)id;
-		out->leaving[i]->born_ms = born;
-	}
+	uint64_t ms;
+	size_t i;
+
+	for (i = 0; place_leaving_at(place, i, &id, &ms); i++)
+		add_leaving(out, id)->born_ms = ms;
+	for (i = 0; place_left_before_at(place, i, &id, &ms); i++)
+		add_leaving(out, id)->started_by_ms = ms;
+}
+
+static void
+restore_leaving(struct node *n, const Node__Leaving *leaving)
+{
+	if (leaving->started_by_ms != 0)
+		place_set_left_before(n->gate->place, n->now, leaving->id,
+		    leaving->started_by_ms);
+	else
+		place_set_leaving(
+		    n->gate->place, n->now, leaving->id, leaving->born_ms);
 }
 
 void
@@ -302,8 +326,7 @@
 		    snapshot->versions[i]->adapter,
 		    snapshot->versions[i]->version);
 	for (i = 0; i < snapshot->n_leaving; i++)
-		place_set_leaving(n->gate->place, n->now,
-		    snapshot->leaving[i]->id, snapshot->leaving[i]->born_ms);
+		restore_leaving(n, snapshot->leaving[i]);
 	gate_quarantine_restore(n, snapshot);
 	if (snapshot->config_version == 0 ||
 	    (n->gate->config != NULL &&
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -228,13 +228,14 @@
  */
 void
 gate_control_propose_leaving(struct node *n, const char *id, uint64_t born_ms,
-    const struct gate_caller *caller)
+    uint64_t started_by_ms, const struct gate_caller *caller)
 {
 	Wire__Command command = WIRE__COMMAND__INIT;
 	Wire__EndpointLeaving leaving = WIRE__ENDPOINT_LEAVING__INIT;
 
 	leaving.id = (char *)id;
 	leaving.born_ms = born_ms;
+	leaving.started_by_ms = started_by_ms;
 	command.body_case = WIRE__COMMAND__BODY_ENDPOINT_LEAVING;
 	command.endpoint_leaving = &leaving;
 	propose(n, caller, &command);
@@ -283,51 +284,68 @@
 		    a->leaving ? "true" : "false",
 		    (unsigned long long)a->sequence, a->nloaded);
 	announcer.is_announcement = true;
-	if (a->leaving && !place_is_leaving(n->gate->place, a->id, a->born_ms))
-		gate_control_propose_leaving(n, a->id, a->born_ms, &announcer);
+	if (a->leaving &&
+	    !place_is_marked_leaving(n->gate->place, a->id, a->born_ms))
+		gate_control_propose_leaving(
+		    n, a->id, a->born_ms, 0, &announcer);
 	else
 		acknowledge_announcement(n, caller);
 }
 
 /*
- * Finds the process that deregisters: the one that is known, or one that has
- * done so before, whose mark may not be in the log yet.
+ * A deregistration within this time of an earlier one at the same id is a retry
+ * of it. A next process needs longer to start.
+ */
+#define LEAVE_RETRY_MS 1000u
+
+/*
+ * Whether the log says that the process has left.
+ *
+ * started_by_ms: not 0: any that had started by then may be that process.
  */
 static bool
-find_leaving_process(const struct place *place, const char *id, uint64_t *born)
+is_departure_logged(const struct node *n, const char *id, uint64_t born_ms,
+    uint64_t started_by_ms)
 {
-	uint64_t min_born;
+	const struct place *place = n->gate->place;
+
+	bool is_named = born_ms != 0 || started_by_ms == 0;
 
-	if (place_get_born(place, id, born))
-		return true;
-	min_born = place_min_born_ms(place, id);
-	*born = min_born == 0 ? 0 : min_born - 1;
-	return min_born != 0 && node_guards.gate_leave_logged;
+	if (is_named && !place_is_marked_leaving(place, id, born_ms))
+		return false;
+	return started_by_ms == 0 ||
+	    place_has_left_before(place, id, started_by_ms - LEAVE_RETRY_MS);
 }
 
 /*
  * An endpoint that deregisters without having announced that it leaves keeps
- * running for a while, but gets no new work. That can be promised for a known
- * endpoint only; others may keep one that this placer has not heard of yet.
+ * running for a while, but gets no new work. That is committed to the log
+ * before it is acknowledged, whatever is known of the endpoint here:
+ * announcements that were sent earlier may still arrive.
  */
 static void
 handle_leave(struct node *n, const struct gw_call *call,
     const struct gate_caller *caller)
 {
-	uint64_t born = 0;
-	bool known =
-	    find_leaving_process(n->gate->place, call->endpoint, &born);
-	bool logged = place_is_leaving(n->gate->place, call->endpoint, born);
-
-	if (!known && !gate_table_is_complete(n)) {
-		send_result(n, caller, 503, "the endpoint is not known yet");
-		return;
-	}
-	(void)place_endpoint_leave(n->gate->place, n->now, call->endpoint);
-	if (known && !logged)
-		gate_control_propose_leaving(n, call->endpoint, born, caller);
-	else
+	struct place *place = n->gate->place;
+	const char *id = call->endpoint;
+	uint64_t born_ms;
+	bool is_present = place_find_process(place, n->now, id, &born_ms);
+	uint64_t started_by_ms = is_present ? 0 : node_wall_ms(n);
+	bool is_logged = is_departure_logged(n, id, born_ms, started_by_ms) ||
+	    (!is_present && !node_guards.gate_leave_logged);
+
+	node_log(n, NODE_LOG_GATE_DEREGISTERED,
+	    "{\"endpoint\": \"%s\", \"present\": %s, \"born\": %llu, "
+	    "\"startedBy\": %llu, \"logged\": %s}",
+	    id, is_present ? "true" : "false", (unsigned long long)born_ms,
+	    (unsigned long long)started_by_ms, is_logged ? "true" : "false");
+	(void)place_endpoint_leave(place, n->now, id);
+	if (is_logged)
 		send_result(n, caller, 200, NULL);
+	else
+		gate_control_propose_leaving(
+		    n, id, born_ms, started_by_ms, caller);
 }
 
 /* ---- calls at the leader ------------------------------------------------ */
--- a/src/node/node_gate_notice.c
+++ b/src/node/node_gate_notice.c
@@ -53,7 +53,7 @@
 	place_record_notice(place, n->now, entry, notice);
 	if (is_news && n->gate->placing && gate_has_authority(n))
 		gate_control_propose_leaving(
-		    n, notice->endpoint, notice->born_ms, NULL);
+		    n, notice->endpoint, notice->born_ms, 0, NULL);
 }
 
 void
--- a/src/node/snapshot.pb-c.c
+++ b/src/node/snapshot.pb-c.c
@@ -406,7 +406,7 @@
   (ProtobufCMessageInit) node__version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__leaving__field_descriptors[2] =
+static const ProtobufCFieldDescriptor node__leaving__field_descriptors[3] =
 {
   {
     "id",
@@ -432,15 +432,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_by_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Leaving, started_by_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__leaving__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   0,   /* field[0] = id */
+  2,   /* field[2] = started_by_ms */
 };
 static const ProtobufCIntRange node__leaving__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor node__leaving__descriptor =
 {
@@ -450,7 +463,7 @@
   "Node__Leaving",
   "node",
   sizeof(Node__Leaving),
-  2,
+  3,
   node__leaving__field_descriptors,
   node__leaving__field_indices_by_name,
   1,  node__leaving__number_ranges,
--- a/src/node/snapshot.pb-c.h
+++ b/src/node/snapshot.pb-c.h
@@ -86,10 +86,14 @@
    * start of the process, by the endpoint's clock
    */
   uint64_t born_ms;
+  /*
+   * not 0: then born_ms doesn't count
+   */
+  uint64_t started_by_ms;
 };
 #define NODE__LEAVING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__leaving__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -23,6 +23,8 @@
 	p->departed = map_create();
 	p->leaving = map_create();
 	p->noticed_leaving = map_create();
+	p->left_before = map_create();
+	p->silent = map_create();
 	p->backoffs = map_create();
 	p->next_backoff_end_us = UINT64_MAX;
 	p->invalid_limits = map_create();
@@ -51,6 +53,8 @@
 	map_destroy_all(p->departed, free);
 	map_destroy_all(p->leaving, free);
 	map_destroy_all(p->noticed_leaving, free);
+	map_destroy_all(p->left_before, free);
+	map_destroy_all(p->silent, free);
 	map_destroy_all(p->backoffs, free);
 	map_destroy_all(p->invalid_limits, free);
 	map_destroy_all(p->versions, free);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -102,7 +102,36 @@
  */
 void place_set_leaving(
     struct place *p, uint64_t now_us, const char *id, uint64_t born_ms);
+/* Whether that was done for the process, or a later one of its id. */
+bool place_is_marked_leaving(
+    const struct place *p, const char *id, uint64_t born_ms);
+/* The same, or it has left by place_set_left_before(). */
 bool place_is_leaving(const struct place *p, const char *id, uint64_t born_ms);
+
+/*
+ * Mark the processes of an endpoint that had started by a time as leaving. For
+ * a deregistration by a process whose start is not known; it holds for a
+ * limited time.
+ *
+ * started_by_ms: in milliseconds since 1970, by the leader's clock.
+ */
+void place_set_left_before(
+    struct place *p, uint64_t now_us, const char *id, uint64_t started_by_ms);
+bool place_has_left_before(
+    const struct place *p, const char *id, uint64_t born_ms);
+/* Get the i-th of these marks, for a snapshot; false past the last one. */
+bool place_left_before_at(
+    const struct place *p, size_t i, const char **id, uint64_t *started_by_ms);
+/*
+ * Find the process of an endpoint that deregisters.
+ *
+ * born_ms: set to the start of the last process that is known at the id; 0:
+ * none.
+ * Returns true if that process has announced itself lately; otherwise another
+ * one may have started since.
+ */
+bool place_find_process(
+    struct place *p, uint64_t now_us, const char *id, uint64_t *born_ms);
 /* The same, or a response has said so (place_record_notice()). */
 bool place_is_known_leaving(
     const struct place *p, const char *id, uint64_t born_ms);
@@ -204,9 +233,6 @@
 bool place_record_invalid_limit(
     struct place *p, const char *id, uint64_t born_ms);
 
-/* Get the process start of a known endpoint; false if the id is unknown. */
-bool place_get_born(const struct place *p, const char *id, uint64_t *born_ms);
-
 /* Get the i-th leaving process, for a snapshot; false past the last one. */
 bool place_leaving_at(
     const struct place *p, size_t i, const char **id, uint64_t *born_ms);
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -99,8 +99,10 @@
 		e = map_at(p->endpoints, i);
 		if ((silent_us > 0 &&
 			p->now_us > e->announced_us + silent_us) ||
-		    (e->remove_at_us != 0 && p->now_us >= e->remove_at_us))
+		    (e->remove_at_us != 0 && p->now_us >= e->remove_at_us)) {
+			place_remember_silent(p, e);
 			place_endpoint_remove(p, e);
+		}
 	}
 }
 
@@ -189,14 +191,10 @@
 }
 
 void
-place_set_leaving(
-    struct place *p, uint64_t now_us, const char *id, uint64_t born_ms)
+place_endpoint_mark_leaving(struct place *p, const char *id, uint64_t born_ms)
 {
 	struct place_endpoint *e = map_get_str(p->endpoints, id);
 
-	p->now_us = now_us;
-	if (!place_is_leaving(p, id, born_ms))
-		place_remember_born(p->leaving, id, born_ms);
 	if (e == NULL || e->born_ms > born_ms || e->leaving)
 		return;
 	e->leaving = true;
@@ -204,21 +202,28 @@
 }
 
 bool
-place_is_leaving(const struct place *p, const char *id, uint64_t born_ms)
+place_is_marked_leaving(const struct place *p, const char *id, uint64_t born_ms)
 {
 	const uint64_t *born = map_get_str(p->leaving, id);
 
 	return born != NULL && *born >= born_ms;
 }
 
-bool
-place_get_born(const struct place *p, const char *id, uint64_t *born_ms)
+void
+place_set_leaving(
+    struct place *p, uint64_t now_us, const char *id, uint64_t born_ms)
 {
-	const struct place_endpoint *e = map_get_str(p->endpoints, id);
+	p->now_us = now_us;
+	if (!place_is_marked_leaving(p, id, born_ms))
+		place_remember_born(p->leaving, id, born_ms);
+	place_endpoint_mark_leaving(p, id, born_ms);
+}
 
-	if (e != NULL)
-		*born_ms = e->born_ms;
-	return e != NULL;
+bool
+place_is_leaving(const struct place *p, const char *id, uint64_t born_ms)
+{
+	return place_is_marked_leaving(p, id, born_ms) ||
+	    place_has_left_before(p, id, born_ms);
 }
 
 bool
@@ -385,8 +390,10 @@
 	p->now_us = now_us;
 	if (min_born_ms != 0)
 		place_remember_born(p->departed, id, min_born_ms);
-	if (e != NULL)
-		place_endpoint_remove(p, e);
+	if (e == NULL)
+		return;
+	place_remember_silent(p, e);
+	place_endpoint_remove(p, e);
 }
 
 uint64_t
@@ -412,11 +419,13 @@
 		e = map_at(p->endpoints, i);
 		if (e->table_round == p->table_round)
 			continue;
-		if (heartbeat_ms == 0)
+		if (heartbeat_ms == 0) {
+			place_remember_silent(p, e);
 			place_endpoint_remove(p, e);
-		else if (e->remove_at_us == 0)
+		} else if (e->remove_at_us == 0) {
 			e->remove_at_us =
 			    now_us + silent_after_us(heartbeat_ms);
+		}
 	}
 }
 
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -11,6 +11,8 @@
 
 /* Missed announcements after which an endpoint is removed. */
 #define PLACE_SILENT_HEARTBEATS 5u
+/* An announcement this many intervals old shows that its process runs. */
+#define PLACE_PRESENT_HEARTBEATS 2u
 /* Prompt tokens that an engine processes per ms, before the first sample. */
 #define PLACE_INITIAL_TOKENS_PER_MS 18.0
 /* Duration of a call of a plain service in ms, before the first sample. */
@@ -191,6 +193,9 @@
 	struct map *departed; /* uint64_t earliest accepted start by id */
 	struct map *leaving; /* uint64_t start of the process by id */
 	struct map *noticed_leaving; /* the same, not replicated */
+	struct map *left_before; /* struct left_before by id */
+	uint64_t last_departure; /* number of the latest of these */
+	struct map *silent; /* uint64_t start of a removed process by id */
 	struct map *backoffs; /* struct place_backoff by entry and endpoint */
 	uint64_t next_backoff_end_us; /* UINT64_MAX: there is none */
 	struct map *invalid_limits; /* uint64_t start of the process by id */
@@ -321,6 +326,11 @@
 void place_endpoint_remove(struct place *p, struct place_endpoint *e);
 /* Remember the process of an id in a bounded map of uint64_t starts by id. */
 void place_remember_born(struct map *m, const char *id, uint64_t born_ms);
+/* Mark the process of an endpoint, if it had started by then, as leaving. */
+void place_endpoint_mark_leaving(
+    struct place *p, const char *id, uint64_t born_ms);
+/* Remember an endpoint that is removed, but did not leave. */
+void place_remember_silent(struct place *p, const struct place_endpoint *e);
 /* Remove the endpoints whose announcements have stopped. */
 void place_endpoint_remove_silent(struct place *p);
 /* Look up all endpoints' engines in a new configuration. */
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -80,6 +80,7 @@
 	NODE_LOG_GATE_LIMIT = 140,
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
 	NODE_LOG_REPLY_OUTDATED = 142,
+	NODE_LOG_GATE_DEREGISTERED = 143,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -1448,7 +1448,7 @@
   (ProtobufCMessageInit) wire__adapter_version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_leaving__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__endpoint_leaving__field_descriptors[3] =
 {
   {
     "id",
@@ -1474,15 +1474,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_by_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointLeaving, started_by_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__endpoint_leaving__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   0,   /* field[0] = id */
+  2,   /* field[2] = started_by_ms */
 };
 static const ProtobufCIntRange wire__endpoint_leaving__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__endpoint_leaving__descriptor =
 {
@@ -1492,7 +1505,7 @@
   "Wire__EndpointLeaving",
   "wire",
   sizeof(Wire__EndpointLeaving),
-  2,
+  3,
   wire__endpoint_leaving__field_descriptors,
   wire__endpoint_leaving__field_indices_by_name,
   1,  wire__endpoint_leaving__number_ranges,
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -307,13 +307,18 @@
   ProtobufCMessage base;
   char *id;
   /*
-   * start of the process, by the endpoint's clock
+   * Start of the process, by the endpoint's clock; 0: not known.
    */
   uint64_t born_ms;
+  /*
+   * Not 0: a process that started by then may be the one that leaves, too; by
+   * the leader's clock.
+   */
+  uint64_t started_by_ms;
 };
 #define WIRE__ENDPOINT_LEAVING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_leaving__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -104,7 +104,7 @@
 	boot.incarnation = now_us * 31 + (uint64_t)i * 7 + m.generation;
 	boot.seed = boot.incarnation;
 	boot.now_us = now_us;
-	boot.wall_ms = WALL_START_MS + now_us / MS;
+	boot.wall_ms = wall_ms();
 	boot.disk = m.core ? &disk : nullptr;
 	boot.codec = &platform_codec;
 	ASSERT_EQ(node_create(&m.node, &boot, &err), MP_OK) << err.message;
@@ -115,6 +115,12 @@
 	tick(i, m.generation);
 }
 
+uint64_t
+GatewaySim::wall_ms() const
+{
+	return WALL_START_MS + now_us / MS;
+}
+
 void
 GatewaySim::kill(int i)
 {
@@ -122,6 +128,7 @@
 
 	node_destroy(m.node);
 	m.node = nullptr;
+	m.event_counts.erase("placer"); /* its next process begins without */
 	m.alive = false;
 	m.generation++;
 	m.event_queue.clear();
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -134,6 +134,9 @@
 	void answer_call_part(const EndpointCall &call, bool first,
 	    const std::string &body, std::vector<node_header> headers = {});
 
+	/* The time of day, in milliseconds since 1970. */
+	uint64_t wall_ms() const;
+
 	/* Delivers a message as if another instance had sent it. */
 	void deliver(int from, int to, const std::string &bytes);
 
