--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -157,6 +157,8 @@
 	bool more; /* REPLY_DATA and REPLY_END follow */
 	bool has_length; /* with more: the total body length is known */
 	uint64_t length; /* of the whole body in bytes, when has_length */
+	/* The daemon appends the metrics of the process to the body. */
+	bool add_process_metrics;
 };
 
 struct node_call {
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -99,13 +99,14 @@
 	    limit_or_default(limits->idle_timeout_ms, d->idle_timeout_ms);
 }
 
-void
+bool
 front_server_reply(struct front_server *s, const struct node_reply *reply)
 {
 	struct front_conn *c = map_get_u64(s->requests, reply->request);
 
 	if (c != NULL)
 		front_conn_reply(c, reply);
+	return c != NULL;
 }
 
 void
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -62,8 +62,9 @@
  *
  * aborted: reset the connection, so that the client sees an incomplete
  * response.
+ * front_server_reply() returns false for an unknown request.
  */
-void front_server_reply(struct front_server *s, const struct node_reply *reply);
+bool front_server_reply(struct front_server *s, const struct node_reply *reply);
 void front_server_send(
     struct front_server *s, uint64_t request, struct node_bytes data);
 void front_server_end(struct front_server *s, uint64_t request, bool aborted);
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -82,8 +82,9 @@
  *
  * aborted: close the connection or reset the stream, so that the client sees
  * an incomplete response.
+ * http_server_reply() returns false for an unknown request.
  */
-void http_server_reply(struct http_server *s, const struct node_reply *reply);
+bool http_server_reply(struct http_server *s, const struct node_reply *reply);
 void http_server_send(
     struct http_server *s, uint64_t request, struct node_bytes data);
 void http_server_end(struct http_server *s, uint64_t request, bool aborted);
--- a/src/http/server_exchange.c
+++ b/src/http/server_exchange.c
@@ -227,17 +227,18 @@
 	h2o_send(x->req, &piece, piece.len > 0 ? 1 : 0, state);
 }
 
-void
+bool
 http_server_reply(struct http_server *s, const struct node_reply *reply)
 {
 	struct exchange *x = map_get_u64(s->exchanges, reply->request);
 
 	if (x == NULL || x->started)
-		return;
+		return false;
 	exchange_send_head(x, reply);
 	buf_append(&x->queued, reply->body.data, reply->body.len);
 	x->ended = !reply->more;
 	exchange_pump(x);
+	return true;
 }
 
 void
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -13,7 +13,6 @@
 
 #define US_PER_MS	 1000
 #define CLOSE_TIMEOUT_MS 5000
-#define METRICS_PATH	 "/metrics"
 
 /* Returns milliseconds since 1970, or 0 on failure. */
 static uint64_t
@@ -111,23 +110,18 @@
 on_request(void *ctx, const struct node_request *request)
 {
 	struct node_event ev = {.type = NODE_EV_REQUEST};
-	struct daemon *d = ctx;
 
-	if (strcmp(request->path, METRICS_PATH) == 0)
-		map_set_u64(d->metrics_requests, request->request, d);
 	ev.u.request = *request;
-	daemon_process_event(d, &ev);
+	daemon_process_event(ctx, &ev);
 }
 
 static void
 on_caller_gone(void *ctx, uint64_t request)
 {
 	struct node_event ev = {.type = NODE_EV_CALLER_GONE};
-	struct daemon *d = ctx;
 
-	(void)map_remove_u64(d->metrics_requests, request);
 	ev.u.gone_request = request;
-	daemon_process_event(d, &ev);
+	daemon_process_event(ctx, &ev);
 }
 
 static void
@@ -481,7 +475,6 @@
 	    settings->log_level, settings->log_format, settings->name);
 	d.effects = node_effects_create();
 	d.queue = event_queue_create();
-	d.metrics_requests = map_create();
 	d.started_us = clock_now_us();
 	d.load.interval_start_us = d.started_us;
 	init_handles(&d);
@@ -495,7 +488,6 @@
 	daemon_journal_close(&d);
 	if (d.node != NULL)
 		node_destroy(d.node);
-	map_destroy(d.metrics_requests);
 	event_queue_destroy(d.queue);
 	node_effects_destroy(d.effects);
 	if (d.exit_code == DAEMON_EXIT_OK)
--- a/src/mulberryd/daemon_effects.c
+++ b/src/mulberryd/daemon_effects.c
@@ -15,14 +15,34 @@
 }
 
 static void
-execute_reply(struct daemon *d, const struct node_reply *reply)
+send_reply(struct daemon *d, const struct node_reply *reply)
 {
 	struct front_server *front = find_gateway_server(d, reply->request);
+	bool known = true;
 
 	if (front != NULL)
-		front_server_reply(front, reply);
+		known = front_server_reply(front, reply);
 	else if (d->api_server != NULL)
-		http_server_reply(d->api_server, reply);
+		known = http_server_reply(d->api_server, reply);
+	d->undelivered_replies += known ? 0 : 1;
+}
+
+static void
+execute_reply(struct daemon *d, const struct node_reply *reply)
+{
+	struct node_reply full_reply = *reply;
+	struct buf text = {0};
+
+	if (!reply->add_process_metrics) {
+		send_reply(d, reply);
+		return;
+	}
+	buf_append(&text, reply->body.data, reply->body.len);
+	daemon_append_metrics(d, &text);
+	full_reply.body.data = text.data;
+	full_reply.body.len = text.len;
+	send_reply(d, &full_reply);
+	buf_free(&text);
 }
 
 static void
@@ -47,28 +67,6 @@
 		http_server_end(d->api_server, request, aborted);
 }
 
-/*
- * Sends a successful reply to GET /metrics with the metrics of the process
- * appended. Returns false, and sends nothing, for any other reply.
- */
-static bool
-reply_with_metrics(struct daemon *d, const struct node_reply *reply)
-{
-	struct node_reply full_reply = *reply;
-	struct buf text = {0};
-
-	if (map_remove_u64(d->metrics_requests, reply->request) == NULL ||
-	    reply->more || reply->status != 200)
-		return false;
-	buf_append(&text, reply->body.data, reply->body.len);
-	daemon_append_metrics(d, &text);
-	full_reply.body.data = text.data;
-	full_reply.body.len = text.len;
-	http_server_reply(d->api_server, &full_reply);
-	buf_free(&text);
-	return true;
-}
-
 /* Without a data folder, reports the save as failed. */
 static void
 execute_save(struct daemon *d, const struct node_save *save)
@@ -94,8 +92,7 @@
 		bus_send(d->bus, &fx->u.send);
 		break;
 	case NODE_FX_REPLY:
-		if (!reply_with_metrics(d, &fx->u.reply))
-			execute_reply(d, &fx->u.reply);
+		execute_reply(d, &fx->u.reply);
 		break;
 	case NODE_FX_REPLY_DATA:
 		execute_reply_data(
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -20,7 +20,6 @@
 #include "mulberrypath/node.h"
 #include "store/store.h"
 #include "util/buf.h"
-#include "util/map.h"
 
 /*
  * Position of the listener number in a request id. The ids of a gateway
@@ -57,9 +56,9 @@
 	struct http_client *client;
 	struct bus *bus;
 	struct store *store; /* NULL without a data folder */
-	struct map *metrics_requests; /* unanswered GET /metrics */
 	uint64_t started_us;
 	uint64_t event_count; /* processed since the start */
+	uint64_t undelivered_replies; /* whose request is not known */
 
 	uv_timer_t tick_timer;
 	uint64_t tick_due_us; /* expiry of tick_timer; 0: not armed */
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -119,6 +119,8 @@
 		append_counter(
 		    out, "store_records_total", (double)store.records);
 	}
+	append_counter(
+	    out, "replies_undelivered_total", (double)d->undelivered_replies);
 	append_counter(out, "process_cpu_seconds_total", cpu_seconds());
 	(void)uv_resident_set_memory(&resident);
 	append_gauge(out, "process_resident_bytes", (double)resident);
--- a/src/node/node_api.c
+++ b/src/node/node_api.c
@@ -230,6 +230,7 @@
 	reply->request = request->request;
 	reply->status = 200;
 	reply->content_type = "text/plain; version=0.0.4";
+	reply->add_process_metrics = true;
 	reply->body.data = node_effects_copy(n->fx, out.data, out.len);
 	reply->body.len = out.len;
 	buf_free(&out);
