--- a/tests/gateway/departure_test.cc
+++ b/tests/gateway/departure_test.cc
@@ -56,8 +56,8 @@
 
 class Departure : public ::testing::TestWithParam<DepartureRow> {
       protected:
-	static const int kCores = 3, kEntries = 2;
-	static const uint64_t kHeartbeatMs = 1200, kDrainMs = 2000;
+	static constexpr int kCores = 3, kEntries = 2;
+	static constexpr uint64_t kHeartbeatMs = 1200, kDrainMs = 2000;
 	std::unique_ptr<GatewaySim> sim;
 	std::mt19937_64 random;
 	uint64_t born = 0, sequence = 0;
--- a/tests/gateway/restart_test.cc
+++ b/tests/gateway/restart_test.cc
@@ -78,8 +78,8 @@
 	}
 
       private:
-	static const int kCores = 3, kEndpoints = 2, kSlots = 4;
-	static const uint64_t kAnnounceUs = 1200 * MS;
+	static constexpr int kCores = 3, kEndpoints = 2, kSlots = 4;
+	static constexpr uint64_t kAnnounceUs = 1200 * MS;
 	int entries;
 	int busy; /* entries that get requests and are killed */
 	std::mt19937_64 random;
@@ -219,7 +219,7 @@
 
 class Replies : public ::testing::Test {
       protected:
-	static const int kCores = 3, kEntries = 2;
+	static constexpr int kCores = 3, kEntries = 2;
 	GatewaySim sim{kCores, kEntries};
 
 	void
--- a/tests/place/departure_test.cc
+++ b/tests/place/departure_test.cc
@@ -3,13 +3,7 @@
 /* Processes that deregistered without a known start. */
 class PlaceDeparture : public PlaceTest {
       protected:
-	static const uint64_t kHeartbeatUs = 1200 * MS;
-
-	bool
-	IsLeaving(uint64_t born)
-	{
-		return place_is_leaving(p, "e1", born);
-	}
+	static constexpr uint64_t kHeartbeatUs = 1200 * MS;
 };
 
 TEST_F(PlaceDeparture, counts_for_processes_started_by_then)
@@ -27,18 +21,17 @@
 	    {"and no longer", 900, 60000, false},
 	};
 
-	for (auto &row : rows) {
-		SetUp();
-		place_set_left_before(p, now, "e1", 1000);
-		Engine e = {"e1"};
-		e.born = row.born;
-		now += row.after_ms * MS;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		Engine e = {"e" + std::to_string(i)};
+
+		e.born = rows[i].born;
+		place_set_left_before(p, now, e.id.c_str(), 1000);
+		now += rows[i].after_ms * MS;
 		Announce(e);
-		EXPECT_EQ(IsLeaving(row.born), row.is_leaving) << row.label;
-		TearDown();
-		memory = node_effects_create();
+		EXPECT_EQ(place_is_leaving(p, e.id.c_str(), e.born),
+		    rows[i].is_leaving)
+		    << rows[i].label;
 	}
-	SetUp();
 }
 
 TEST_F(PlaceDeparture, the_last_process_of_an_id_is_found)
@@ -70,7 +63,7 @@
 /* Of more departures than are remembered the oldest is dropped. */
 TEST_F(PlaceDeparture, the_latest_ones_are_remembered)
 {
-	static const int kMax = 4096;
+	static constexpr int kMax = 4096;
 
 	for (int i = 0; i <= kMax + 9; i++)
 		place_set_left_before(
