--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -178,6 +178,11 @@
 	bool fresh_connection; /* do not reuse an idle connection */
 	/* Closing the connection ends an answer without a length. */
 	bool close_delimited;
+	/*
+	 * The caller's request that gets the answer; 0: none. While too much
+	 * is queued for that caller, the answer is not read.
+	 */
+	uint64_t for_request;
 	/* Reuse no connection that was idle for longer; 0: any. */
 	uint32_t idle_limit_ms;
 };
--- a/include/mulberrypath/settings.h
+++ b/include/mulberrypath/settings.h
@@ -109,6 +109,8 @@
 	uint32_t header_limit_bytes;
 	uint32_t connection_limit;
 	uint32_t idle_timeout_ms;
+	/* That the process may use; what it buffers is limited by it. */
+	uint32_t memory_limit_mb;
 	uint32_t request_timeout_ms; /* if the caller sends none */
 	char *log_level; /* debug, info, warn or error */
 	char *log_format; /* text or json */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -90,6 +90,7 @@
     NUMBER("headerBytes", header_limit_bytes, 1024, 1048576, 16384),
     NUMBER("connections", connection_limit, 1, 100000, 2000),
     NUMBER("idleMs", idle_timeout_ms, 100, 3600000, 30000),
+    NUMBER("memoryMb", memory_limit_mb, 32, 1048576, 256),
     {.key = NULL},
 };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -49,11 +49,19 @@
 	return f;
 }
 
+void
+fwd_count_unsent(struct forward *f, struct fwd_request *r)
+{
+	byte_budget_change(f->buffered, r->budgeted_bytes, r->unsent.len);
+	r->budgeted_bytes = r->unsent.len;
+}
+
 static void
-fwd_free(struct fwd_request *r)
+fwd_free(struct forward *f, struct fwd_request *r)
 {
 	size_t i;
 
+	byte_budget_change(f->buffered, r->budgeted_bytes, 0);
 	for (i = 0; i < r->navoid; i++)
 		free(r->avoid[i]);
 	free(r->route);
@@ -74,14 +82,22 @@
 	if (f == NULL)
 		return;
 	for (i = 0; i < map_count(f->by_request); i++)
-		fwd_free(map_at(f->by_request, i));
+		fwd_free(f, map_at(f->by_request, i));
 	map_destroy(f->by_request);
 	map_destroy(f->by_ask);
 	map_destroy(f->by_call);
+	byte_budget_destroy(f->buffered);
 	free(f->data_centre);
 	free(f);
 }
 
+void
+forward_set_buffer_limit(struct forward *f, uint64_t bytes)
+{
+	byte_budget_destroy(f->buffered);
+	f->buffered = byte_budget_create(bytes);
+}
+
 size_t
 forward_request_count(const struct forward *f)
 {
@@ -193,7 +209,7 @@
 	if (r->ask != 0)
 		fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
 	(void)map_remove_u64(f->by_request, r->request);
-	fwd_free(r);
+	fwd_free(f, r);
 }
 
 void
@@ -355,7 +371,8 @@
 	r->retries++;
 	f->stats.retried++;
 	r->first_byte_reported = false;
-	buf_clear(&r->unsent);
+	buf_free(&r->unsent);
+	fwd_count_unsent(f, r);
 	fwd_send_ask(f, r, now_us, fx);
 }
 
@@ -407,6 +424,7 @@
 	    : r->deadline_us;
 	call->silence_us = attempt_timeout_us(r);
 	call->close_delimited = true;
+	call->for_request = r->request;
 	if (!fwd_is_repeatable(r))
 		call->idle_limit_ms = NON_REPEATABLE_IDLE_MAX_MS;
 	f->codec->write_endpoint_request(call, &outgoing, fx);
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -88,6 +88,13 @@
 /* Frees the forwarder and its requests without effects. NULL is allowed. */
 void forward_destroy(struct forward *f);
 
+/*
+ * Limits what all requests together buffer of their responses, in bytes. Near
+ * the limit plain responses are relayed sooner, and a long event of a resumable
+ * stream counts as one without an end. Called before the first request.
+ */
+void forward_set_buffer_limit(struct forward *f, uint64_t bytes);
+
 /*
  * Starts a request that matches the route: asks for a grant. All arguments are
  * copied.
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -13,8 +13,9 @@
  */
 
 /*
- * Maximum of buffered bytes. A longer plain response is relayed as it arrives;
- * a longer event of a resumable stream is a failure of the endpoint.
+ * Maximum of buffered bytes, and less while all requests together buffer much.
+ * A longer plain response is relayed as it arrives; a longer event of a
+ * resumable stream is a failure of the endpoint.
  */
 #define BUFFERED_MAX_BYTES     (256u * 1024u)
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -311,6 +312,14 @@
 	fwd_retry_or_refuse(f, r, now_us, false, fault, fx);
 }
 
+static size_t
+max_buffered_bytes(const struct forward *f)
+{
+	size_t window = byte_budget_window(f->buffered);
+
+	return window < BUFFERED_MAX_BYTES ? window : BUFFERED_MAX_BYTES;
+}
+
 void
 fwd_on_data(struct forward *f, struct fwd_request *r, uint64_t now_us,
     struct node_bytes data, struct node_effects *fx)
@@ -325,13 +334,16 @@
 	buf_append(&r->unsent, data.data, data.len);
 	if (r->kind == GW_STREAM && is_success(r->status)) {
 		relay_events(r, fx);
-		if (r->unsent.len > BUFFERED_MAX_BYTES)
+		if (r->unsent.len > max_buffered_bytes(f)) {
 			handle_broken_response(
 			    f, r, now_us, "event-without-end", fx);
-	} else if (r->head_sent || r->unsent.len > BUFFERED_MAX_BYTES) {
+			return;
+		}
+	} else if (r->head_sent || r->unsent.len > max_buffered_bytes(f)) {
 		send_data(r, r->unsent.data, r->unsent.len, fx);
-		buf_clear(&r->unsent);
+		buf_free(&r->unsent);
 	}
+	fwd_count_unsent(f, r);
 }
 
 /*
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -3,6 +3,7 @@
 
 #include "forward/forward.h"
 #include "util/buf.h"
+#include "util/byte_budget.h"
 #include "util/map.h"
 
 #ifdef __cplusplus
@@ -66,6 +67,7 @@
 	bool has_length;
 	uint64_t length;
 	struct buf unsent; /* received, not sent to the caller */
+	size_t budgeted_bytes; /* of unsent, as counted in the budget */
 	struct fwd_event_state event_state; /* of this attempt's stream */
 	char *last_event_id; /* of the last event sent; NULL: none */
 };
@@ -81,6 +83,7 @@
 	uint64_t end_us; /* of all requests, for a stop; UINT64_MAX: none */
 	bool refuses_long; /* see forward_refuse_long() */
 	struct forward_stats stats;
+	struct byte_budget *buffered; /* by all requests; NULL: no limit */
 };
 
 /* ---- forward.c ---- */
@@ -115,6 +118,8 @@
  */
 void fwd_report_outcome(struct forward *f, struct fwd_request *r,
     enum place_outcome outcome, struct node_effects *fx);
+/* Counts what the request buffers, after each change of r->unsent. */
+void fwd_count_unsent(struct forward *f, struct fwd_request *r);
 /* Cancels the HTTP call, if one is open. */
 void fwd_cancel_call(
     struct forward *f, struct fwd_request *r, struct node_effects *fx);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -71,12 +71,16 @@
 	call->fresh_connection = from->fresh_connection;
 	call->close_delimited = from->close_delimited;
 	call->idle_limit_ms = from->idle_limit_ms;
+	call->for_request = from->for_request;
+	call->paused = map_get_u64(c->paused, call->for_request) != NULL;
 	call->response.no_body = strcmp(from->method, "HEAD") == 0;
 	call_format(call, from);
 	(void)uv_timer_init(c->loop, &call->timer);
 	call->timer.data = call;
 	c->open_handles++;
 	(void)map_set_u64(c->calls, call->id, call);
+	if (call->for_request != 0)
+		(void)map_set_u64(c->calls_by_request, call->for_request, call);
 	(void)uv_timer_start(&call->timer, on_start, 0, 0);
 }
 
@@ -89,6 +93,25 @@
 		call_cancel(call);
 }
 
+void
+http_client_set_budget(struct http_client *c, struct byte_budget *budget)
+{
+	c->budget = budget;
+}
+
+void
+http_client_pause(struct http_client *c, uint64_t request, bool paused)
+{
+	struct call *call = map_get_u64(c->calls_by_request, request);
+
+	if (paused)
+		(void)map_set_u64(c->paused, request, c);
+	else
+		(void)map_remove_u64(c->paused, request);
+	if (call != NULL)
+		call_set_paused(call, paused);
+}
+
 /* ---- creation and shutdown --------------------------------------------- */
 
 static void
@@ -121,6 +144,8 @@
 	c->ctx = ctx;
 	c->calls = map_create();
 	c->pools = map_create();
+	c->calls_by_request = map_create();
+	c->paused = map_create();
 	c->open_handles = 1;
 	c->sweep_timer.data = c;
 	(void)uv_timer_start(
@@ -139,6 +164,8 @@
 		return;
 	map_destroy(c->calls);
 	map_destroy(c->pools);
+	map_destroy(c->calls_by_request);
+	map_destroy(c->paused);
 	free(c);
 	if (done != NULL)
 		done(done_ctx);
--- a/src/http/client_call.c
+++ b/src/http/client_call.c
@@ -17,6 +17,7 @@
 	struct call *call = handle->data;
 	struct http_client *c = call->client;
 
+	byte_budget_change(c->budget, call->budgeted_bytes, 0);
 	buf_free(&call->request);
 	buf_free(&call->response.head);
 	free(call->address);
@@ -29,10 +30,13 @@
 call_remove(struct call *call, bool reusable)
 {
 	struct client_conn *conn = call->conn;
+	struct http_client *c = call->client;
 
 	call->ended = true;
 	call->conn = NULL;
-	(void)map_remove_u64(call->client->calls, call->id);
+	(void)map_remove_u64(c->calls, call->id);
+	if (map_get_u64(c->calls_by_request, call->for_request) == call)
+		(void)map_remove_u64(c->calls_by_request, call->for_request);
 	if (conn != NULL) {
 		conn->keep_alive_ms = call->response.keep_alive_ms;
 		conn_release(conn, reusable && !call->fresh_connection);
@@ -109,6 +113,21 @@
 	call_fail(timer->data, "connect timeout");
 }
 
+void
+call_set_paused(struct call *call, bool paused)
+{
+	if (call->paused == paused)
+		return;
+	call->paused = paused;
+	if (!call->sent)
+		return; /* timers of the connection are running */
+	conn_set_reading(call->conn, !paused);
+	if (paused)
+		(void)uv_timer_stop(&call->timer);
+	else
+		call_start_silence_timer(call, call->silence_us);
+}
+
 /* ---- the response ------------------------------------------------------ */
 
 static void
@@ -170,6 +189,27 @@
 		call_end(call, NODE_CALL_END, NULL);
 }
 
+/* Count the memory for the head in the budget. */
+static void
+call_count_head(struct call *call)
+{
+	size_t bytes = call->response.head.cap;
+
+	byte_budget_change(call->client->budget, call->budgeted_bytes, bytes);
+	call->budgeted_bytes = bytes;
+}
+
+static size_t
+max_head_bytes(const struct http_client *c)
+{
+	size_t window = byte_budget_window(c->budget);
+
+	if (window > RESPONSE_HEAD_MAX_BYTES)
+		return RESPONSE_HEAD_MAX_BYTES;
+	return window < RESPONSE_HEAD_SMALL_BYTES ? RESPONSE_HEAD_SMALL_BYTES
+						  : window;
+}
+
 void
 call_receive(struct call *call, char *data, size_t len)
 {
@@ -179,7 +219,9 @@
 
 	call_start_silence_timer(call, call->silence_us);
 	if (r->phase == RESPONSE_HEAD) {
-		fault = response_parse_head(r, data, len, &rest);
+		fault = response_parse_head(
+		    r, data, len, max_head_bytes(call->client), &rest);
+		call_count_head(call);
 		if (fault != NULL) {
 			call_fail(call, fault);
 			return;
@@ -203,7 +245,10 @@
 	}
 	call->sent = true;
 	(void)uv_timer_stop(&call->timer);
-	call_start_silence_timer(call, call->first_byte_silence_us);
+	if (call->paused)
+		conn_set_reading(call->conn, false);
+	else
+		call_start_silence_timer(call, call->first_byte_silence_us);
 	conn_send(call->conn, &call->request);
 }
 
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -160,7 +160,7 @@
 	}
 	conn->connected = true;
 	(void)uv_tcp_nodelay(&conn->tcp, 1);
-	(void)uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	conn_set_reading(conn, true);
 	call_on_connected(conn->call);
 }
 
@@ -210,13 +210,30 @@
 
 /* ---- transfer ---------------------------------------------------------- */
 
+void
+conn_set_reading(struct client_conn *conn, bool reading)
+{
+	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
+
+	if (conn->reading == reading)
+		return;
+	conn->reading = reading;
+	if (reading)
+		(void)uv_read_start(stream, on_alloc, on_read);
+	else
+		(void)uv_read_stop(stream);
+}
+
+/* Reads no more at once than one reader may have in its queue. */
 static void
 on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
 {
 	struct client_conn *conn = handle->data;
+	size_t window = byte_budget_window(conn->client->budget);
 
 	(void)size;
-	*buf = uv_buf_init(conn->client->input, CLIENT_READ_BYTES);
+	*buf = uv_buf_init(conn->client->input,
+	    window < CLIENT_READ_BYTES ? (unsigned)window : CLIENT_READ_BYTES);
 }
 
 /*
@@ -269,7 +286,7 @@
 	struct client_conn *conn = req->data;
 
 	conn->writing = false;
-	buf_clear(&conn->output);
+	buf_free(&conn->output);
 	if (status != 0 && conn->call != NULL)
 		call_fail_io(conn->call, status);
 }
@@ -295,4 +312,6 @@
 	conn->call = NULL;
 	if (!reusable || conn->writing || !pool_add(conn))
 		conn_close(conn);
+	else
+		conn_set_reading(conn, true);
 }
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -10,11 +10,15 @@
 
 #include "http/http.h"
 #include "http/phr.h"
+#include "util/byte_budget.h"
 #include "util/buf.h"
 #include "util/map.h"
 
 #define CLIENT_READ_BYTES    65536
 #define RESPONSE_HEADERS_MAX 100
+/* Limits of a response's head: usually, and while little memory is left. */
+#define RESPONSE_HEAD_MAX_BYTES	  65536u
+#define RESPONSE_HEAD_SMALL_BYTES 16384u
 
 struct http_client {
 	uv_loop_t *loop;
@@ -22,6 +26,9 @@
 	void *ctx;
 	struct map *calls; /* by id */
 	struct map *pools; /* idle connections by address, newest first */
+	struct map *calls_by_request; /* by the caller's request */
+	struct map *paused; /* callers' requests whose responses wait */
+	struct byte_budget *budget; /* NULL: no limit */
 	size_t open_handles; /* calls, connections and the sweep timer */
 	uv_timer_t sweep_timer; /* closes connections idle for too long */
 	char input[CLIENT_READ_BYTES]; /* read buffer of all connections */
@@ -39,6 +46,7 @@
 	char *address;
 	struct buf output; /* the request being written */
 	bool connected, writing, idle;
+	bool reading; /* false: received bytes stay with the kernel */
 	uint64_t idle_since_ms;
 	uint32_t keep_alive_ms; /* the peer's idle timeout; 0: not stated */
 	struct client_conn *next; /* in the pool */
@@ -75,6 +83,9 @@
 struct call {
 	struct http_client *client;
 	uint64_t id;
+	uint64_t for_request; /* see struct node_call */
+	bool paused; /* its response is not read */
+	size_t budgeted_bytes; /* of the head, as counted in the budget */
 	struct buf request; /* head and body, as sent */
 	char *address;
 	uint64_t not_after_us, silence_us;
@@ -118,6 +129,9 @@
  */
 void call_on_peer_closed(struct call *call);
 
+/* Stop reading the response and counting silence, or read on. */
+void call_set_paused(struct call *call, bool paused);
+
 /* End a call without reporting a further event. */
 void call_cancel(struct call *call);
 
@@ -130,6 +144,9 @@
  */
 struct client_conn *conn_acquire(struct call *call, const char **reason);
 
+/* Read from the connection, or leave received bytes with the kernel. */
+void conn_set_reading(struct client_conn *conn, bool reading);
+
 /* Write a request; the connection takes ownership of its bytes. */
 void conn_send(struct client_conn *conn, struct buf *request);
 
@@ -153,11 +170,12 @@
  * Parse further bytes of the head. The head is complete when the phase is no
  * longer RESPONSE_HEAD.
  *
+ * max_bytes: limit of the head, and of its interim responses together.
  * rest: set to the number of bytes at the end of data that belong to the body.
  * Returns NULL, or a static text: why the response is malformed.
  */
-const char *response_parse_head(
-    struct response *r, const char *data, size_t len, size_t *rest);
+const char *response_parse_head(struct response *r, const char *data,
+    size_t len, size_t max_bytes, size_t *rest);
 
 /*
  * Decode further bytes of the body in place. The response is complete when
--- a/src/http/front.c
+++ b/src/http/front.c
@@ -40,6 +40,24 @@
 	return MP_OK;
 }
 
+/*
+ * The part of the budget that a body may take. A body of twice that would not
+ * be accepted even if next to nothing else was buffered.
+ */
+#define BODY_BUDGET_DIVISOR 4
+
+/* Keep the limit of bodies to what the budget can ever admit. */
+static void
+bound_body_limit(struct front_server *s)
+{
+	uint64_t budget_bytes = byte_budget_get_stats(s->budget).limit_bytes;
+	uint64_t max_bytes =
+	    budget_bytes / BODY_BUDGET_DIVISOR / FRONT_BODY_COPIES;
+
+	if (s->budget != NULL && s->limits.body_bytes > max_bytes)
+		s->limits.body_bytes = (uint32_t)max_bytes;
+}
+
 int
 front_server_create(struct front_server **out, uv_loop_t *loop,
     const struct front_options *options,
@@ -57,6 +75,8 @@
 	s->listener_kind = options->listener;
 	s->connection_limit = options->connection_limit;
 	s->default_limits = s->limits = options->limits;
+	s->budget = options->budget;
+	bound_body_limit(s);
 	s->last_request = options->first_request_id;
 	s->requests = map_create();
 	s->open_handles = 1;
@@ -97,6 +117,23 @@
 	    limit_or_default(limits->header_timeout_ms, d->header_timeout_ms);
 	s->limits.idle_timeout_ms =
 	    limit_or_default(limits->idle_timeout_ms, d->idle_timeout_ms);
+	bound_body_limit(s);
+}
+
+void
+front_server_keep_budget(struct front_server *s)
+{
+	struct front_conn *c, *largest = NULL;
+
+	if (!byte_budget_is_exceeded(s->budget))
+		return;
+	for (c = s->conns; c != NULL; c = c->next)
+		if (largest == NULL || c->held_bytes > largest->held_bytes)
+			largest = c;
+	if (largest == NULL || largest->held_bytes == 0)
+		return;
+	byte_budget_count_cut(s->budget);
+	front_conn_cut(largest);
 }
 
 bool
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -35,6 +35,11 @@
 	enum node_listener listener; /* reported with each request */
 	size_t connection_limit;
 	struct node_limits limits; /* defaults, see front_server_set_limits() */
+	/*
+	 * For what is buffered of requests and responses; outlives the server.
+	 * NULL: no limit.
+	 */
+	struct byte_budget *budget;
 };
 
 /*
--- a/src/http/front_conn.c
+++ b/src/http/front_conn.c
@@ -14,10 +14,16 @@
 #include "util/mem.h"
 
 /*
- * Limit of the bytes queued for a client that does not read. A client over the
- * limit is disconnected.
+ * Limit of the bytes queued for a client that does not read, although its
+ * backlog was reported. A client over the limit is disconnected.
  */
-#define QUEUE_LIMIT_BYTES (4u << 20)
+#define QUEUE_LIMIT_BYTES (2 * BYTE_BUDGET_WINDOW_MAX)
+/* Bodies up to this size are accepted whatever else is buffered. */
+#define SMALL_BODY_BYTES 8192u
+/* A buffer of a kept connection that has grown beyond this is freed. */
+#define KEPT_BUFFER_BYTES 16384u
+/* Sent with a refusal for want of memory. */
+#define OVERLOADED_RETRY_AFTER "Retry-After: 1\r\n"
 /* Limit of the bytes of pipelined requests queued behind a running one. */
 #define PIPELINE_LIMIT_BYTES 65536
 /* Timeout for the client to close after the last response was sent. */
@@ -31,6 +37,73 @@
 static void conn_process_input(struct front_conn *c);
 static void on_timer(uv_timer_t *timer);
 
+/* ---- what is buffered -------------------------------------------------- */
+
+/* Count what the connection buffers, after each change of it. */
+static void
+conn_count_held(struct front_conn *c)
+{
+	uint64_t held = c->input.len + c->queued_bytes + c->request_bytes;
+
+	byte_budget_change(c->server->budget, c->held_bytes, held);
+	c->held_bytes = held;
+}
+
+/* Reserve the memory for a body of a request; false: there is too little. */
+static bool
+conn_reserve_body(struct front_conn *c, uint64_t body_bytes)
+{
+	uint64_t bytes = body_bytes * FRONT_BODY_COPIES;
+
+	if (bytes <= c->request_bytes)
+		return true;
+	if (body_bytes > SMALL_BODY_BYTES &&
+	    !byte_budget_admits(c->server->budget, bytes - c->request_bytes)) {
+		byte_budget_count_refusal(c->server->budget);
+		return false;
+	}
+	c->request_bytes = bytes;
+	conn_count_held(c);
+	return true;
+}
+
+/* Empty a buffer, and keep only little memory for its next use. */
+static void
+buffer_reset(struct buf *b)
+{
+	if (b->cap > KEPT_BUFFER_BYTES)
+		buf_free(b);
+	else
+		buf_clear(b);
+}
+
+static void
+conn_report_backlog(struct front_conn *c, bool is_long)
+{
+	struct front_server *s = c->server;
+	uint64_t request = is_long ? c->request : c->backlog_request;
+
+	if (s->callbacks.on_backlog == NULL || request == 0 ||
+	    is_long == (c->backlog_request != 0))
+		return;
+	c->backlog_request = is_long ? request : 0;
+	if (is_long)
+		byte_budget_count_pause(s->budget);
+	s->callbacks.on_backlog(s->ctx, request, is_long);
+}
+
+/* Compare what is queued for the client with what may be. */
+static void
+conn_check_backlog(struct front_conn *c)
+{
+	size_t window = byte_budget_window(c->server->budget);
+
+	if (c->queued_bytes > window)
+		conn_report_backlog(c, true);
+	else if (c->queued_bytes <= window / 2)
+		conn_report_backlog(c, false);
+}
+
 /* ---- closing ----------------------------------------------------------- */
 
 static void
@@ -40,6 +113,7 @@
 	struct front_server *s = c->server;
 
 	if (--c->open_handles == 0) {
+		byte_budget_change(s->budget, c->held_bytes, 0);
 		buf_free(&c->input);
 		buf_free(&c->body);
 		buf_free(&c->head_bytes);
@@ -54,6 +128,7 @@
 	if (c->phase == FRONT_CLOSING)
 		return;
 	c->phase = FRONT_CLOSING;
+	conn_report_backlog(c, false);
 	if (c->request != 0)
 		(void)map_remove_u64(c->server->requests, c->request);
 	c->request = 0;
@@ -77,6 +152,12 @@
 		s->callbacks.on_disconnect(s->ctx, request);
 }
 
+void
+front_conn_cut(struct front_conn *c)
+{
+	conn_disconnected(c);
+}
+
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
@@ -113,6 +194,8 @@
 	char data[];
 };
 
+static void conn_resume_input(struct front_conn *c);
+
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -121,8 +204,15 @@
 
 	c->queued_bytes -= w->len;
 	free(w);
-	if (status != 0 && c->phase != FRONT_CLOSING)
+	conn_count_held(c);
+	if (c->phase == FRONT_CLOSING)
+		return;
+	if (status != 0) {
 		conn_disconnected(c);
+		return;
+	}
+	conn_check_backlog(c);
+	conn_resume_input(c);
 }
 
 static void
@@ -151,6 +241,7 @@
 		c->queued_bytes -= len;
 		free(w);
 	}
+	conn_count_held(c);
 }
 
 /* ---- responses --------------------------------------------------------- */
@@ -171,7 +262,7 @@
 	const struct node_limits *limits = &c->server->limits;
 
 	if (c->phase == FRONT_CLOSING || c->phase == FRONT_RESPONDING ||
-	    c->phase == FRONT_LINGERING)
+	    c->phase == FRONT_LINGERING || c->input_paused)
 		return;
 	(void)uv_timer_start(&c->timer, on_timer,
 	    front_conn_is_idle(c) ? limits->idle_timeout_ms
@@ -183,16 +274,33 @@
 static void
 conn_finish_request(struct front_conn *c)
 {
+	conn_report_backlog(c, false);
 	(void)map_remove_u64(c->server->requests, c->request);
 	c->request = 0;
 	c->head_sent = false;
-	buf_clear(&c->body);
-	buf_clear(&c->head_bytes);
+	c->request_bytes = 0;
+	conn_count_held(c);
+	buffer_reset(&c->body);
+	buffer_reset(&c->head_bytes);
 	if (!c->keep_alive) {
 		conn_linger(c);
 		return;
 	}
 	c->phase = FRONT_READING_HEAD;
+	c->input_paused =
+	    c->queued_bytes > byte_budget_window(c->server->budget);
+	if (!c->input_paused)
+		conn_process_input(c);
+}
+
+/* Read the next request once the client has read enough of its responses. */
+static void
+conn_resume_input(struct front_conn *c)
+{
+	if (!c->input_paused ||
+	    c->queued_bytes > byte_budget_window(c->server->budget) / 2)
+		return;
+	c->input_paused = false;
 	conn_process_input(c);
 }
 
@@ -220,6 +328,7 @@
 {
 	struct buf out = {0};
 	bool sized = !reply->more || reply->has_length;
+	struct front_server *s = c->server;
 	uint64_t length = reply->more ? reply->length : reply->body.len;
 
 	if (c->head_sent || c->phase != FRONT_RESPONDING)
@@ -254,6 +363,7 @@
 		front_conn_send(c, reply->body);
 	else
 		conn_finish_request(c);
+	front_server_keep_budget(s);
 }
 
 void
@@ -264,18 +374,21 @@
 	if (!c->head_sent || c->no_body || data.len == 0)
 		return;
 	if (c->queued_bytes + data.len > QUEUE_LIMIT_BYTES) {
+		byte_budget_count_cut(c->server->budget);
 		conn_disconnected(c);
 		return;
 	}
-	if (!c->chunked_response) {
+	if (c->chunked_response) {
+		buf_printf(&out, "%zx\r\n", data.len);
+		buf_append(&out, data.data, data.len);
+		buf_puts(&out, "\r\n");
+		conn_write(c, out.data, out.len);
+		buf_free(&out);
+	} else {
 		conn_write(c, data.data, data.len);
-		return;
 	}
-	buf_printf(&out, "%zx\r\n", data.len);
-	buf_append(&out, data.data, data.len);
-	buf_puts(&out, "\r\n");
-	conn_write(c, out.data, out.len);
-	buf_free(&out);
+	conn_check_backlog(c);
+	front_server_keep_budget(c->server);
 }
 
 void
@@ -286,6 +399,7 @@
 		 * A reset marks the response as incomplete even if it is
 		 * delimited by the close of the connection.
 		 */
+		conn_report_backlog(c, false);
 		(void)map_remove_u64(c->server->requests, c->request);
 		c->request = 0;
 		if (c->phase != FRONT_CLOSING) {
@@ -312,9 +426,15 @@
 {
 	char text[160];
 	int n = snprintf(text, sizeof(text),
-	    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-	    (int)fault, http_status_reason((int)fault));
-
+	    "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: "
+	    "close\r\n\r\n",
+	    (int)fault, http_status_reason((int)fault),
+	    fault == FRONT_OVERLOADED ? OVERLOADED_RETRY_AFTER : "");
+
+	c->request_bytes = 0;
+	buf_free(&c->body);
+	buf_free(&c->input);
+	conn_count_held(c);
 	conn_write(c, text, (size_t)n);
 	if (c->phase == FRONT_CLOSING)
 		return;
@@ -356,6 +476,8 @@
 	(void)uv_timer_stop(&c->timer);
 	(void)map_set_u64(s->requests, c->request, c);
 	s->callbacks.on_request(s->ctx, &r);
+	if (c->request == r.request)
+		buffer_reset(&c->body); /* the receiver has copied it */
 }
 
 /* Parse a head from the input; true when it is complete and valid. */
@@ -386,6 +508,10 @@
 	(void)front_parse_head(&c->head, c->head_bytes.data, c->head_bytes.len,
 	    &c->server->limits);
 	buf_consume(&c->input, c->head.size_bytes);
+	if (!conn_reserve_body(c, c->head.content_length)) {
+		conn_refuse(c, FRONT_OVERLOADED);
+		return false;
+	}
 	c->body_left_bytes = c->head.content_length;
 	memset(&c->chunk_decoder, 0, sizeof(c->chunk_decoder));
 	c->chunk_decoder.consume_trailer = 1;
@@ -414,6 +540,10 @@
 		conn_refuse(c, FRONT_BODY_TOO_LARGE);
 		return false;
 	}
+	if (!conn_reserve_body(c, c->body.len)) {
+		conn_refuse(c, FRONT_OVERLOADED);
+		return false;
+	}
 	if (rest == -2) {
 		buf_clear(&c->input);
 		return false;
@@ -464,7 +594,9 @@
 {
 	struct front_conn *c = timer->data;
 
-	if (front_conn_is_idle(c) || c->phase == FRONT_LINGERING)
+	if (front_conn_is_idle(c) && c->queued_bytes > 0)
+		conn_start_timeout(c); /* it still reads its response */
+	else if (front_conn_is_idle(c) || c->phase == FRONT_LINGERING)
 		front_conn_close(c);
 	else
 		conn_refuse(c, FRONT_TIMEOUT);
@@ -499,12 +631,18 @@
 	if (c->phase == FRONT_LINGERING)
 		return;
 	buf_append(&c->input, buf->base, (size_t)n);
-	if (c->phase == FRONT_RESPONDING) {
+	if (c->phase == FRONT_RESPONDING || c->input_paused) {
 		if (c->input.len > PIPELINE_LIMIT_BYTES)
 			conn_disconnected(c);
+		else
+			conn_count_held(c);
 		return;
 	}
 	conn_process_input(c);
+	if (c->input.len == 0)
+		buffer_reset(&c->input);
+	conn_count_held(c);
+	front_server_keep_budget(c->server);
 }
 
 static void
--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -12,6 +12,8 @@
 
 #define FRONT_HEADERS_MAX 100
 #define FRONT_READ_BYTES  65536
+/* Copies of a request's body: that of the node and that being sent. */
+#define FRONT_BODY_COPIES 2u
 
 /*
  * Result of parsing a request. A positive value is the status code of the
@@ -25,6 +27,7 @@
 	FRONT_BODY_TOO_LARGE = 413,
 	FRONT_HEAD_TOO_LARGE = 431,
 	FRONT_UNKNOWN_CODING = 501,
+	FRONT_OVERLOADED = 503, /* too much is buffered */
 	FRONT_BAD_VERSION = 505
 };
 
@@ -71,6 +74,7 @@
 	enum node_listener listener_kind;
 	size_t connection_limit;
 	struct node_limits default_limits, limits;
+	struct byte_budget *budget; /* NULL: no limit */
 	int port;
 	bool draining, listener_closed, destroyed;
 	uv_tcp_t listener;
@@ -102,6 +106,10 @@
 	bool head_sent; /* the head of the response was written */
 	bool chunked_response, no_body, keep_alive;
 	size_t queued_bytes; /* of writes that have not completed */
+	uint64_t request_bytes; /* reserved for the request's body */
+	uint64_t held_bytes; /* all of these, as counted in the budget */
+	uint64_t backlog_request; /* whose long backlog is reported; 0: none */
+	bool input_paused; /* the next request waits for the client to read */
 };
 
 /* Accept a connection; close it at once over the connection limit. */
@@ -110,6 +118,9 @@
 /* Close a connection without reporting a disconnect; freed on the loop. */
 void front_conn_close(struct front_conn *c);
 
+/* Disconnect a client for what is buffered for it; the response is cut. */
+void front_conn_cut(struct front_conn *c);
+
 /* See front_server_reply(), front_server_send() and front_server_end(). */
 void front_conn_reply(struct front_conn *c, const struct node_reply *reply);
 void front_conn_send(struct front_conn *c, struct node_bytes data);
@@ -118,6 +129,9 @@
 /* Return whether the connection waits for a request and has no bytes of it. */
 bool front_conn_is_idle(const struct front_conn *c);
 
+/* Cut off the connection that buffers most if the budget is exceeded. */
+void front_server_keep_budget(struct front_server *s);
+
 /* A connection was closed; finishes a destroyed server after the last one. */
 void front_server_conn_closed(struct front_server *s);
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -12,6 +12,7 @@
 
 #include "mulberrypath/error.h"
 #include "mulberrypath/node.h"
+#include "util/byte_budget.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -28,6 +29,7 @@
 	size_t connection_limit;
 	uint32_t idle_timeout_ms; /* also the timeout of a partial request */
 	const char *tls_certificate, *tls_key; /* NULL: no TLS */
+	struct byte_budget *budget; /* for responses; NULL: no limit */
 };
 
 struct http_server_callbacks {
@@ -38,11 +40,17 @@
 	void (*on_request)(void *ctx, const struct node_request *request);
 	/*
 	 * The client disconnected before its response was complete, or more
-	 * than 4 MB are queued for it because it reads too slowly. Called
+	 * than 8 MB are queued for it because it reads too slowly. Called
 	 * from the loop, never from within another function of the server. A
 	 * client that closes only its sending side counts as disconnected.
 	 */
 	void (*on_disconnect)(void *ctx, uint64_t request);
+	/*
+	 * NULL, or reports that more is queued for a request's client than it
+	 * should be, as it reads too slowly, and that it is not any more, or
+	 * that the response has ended. In between, no more should be sent.
+	 */
+	void (*on_backlog)(void *ctx, uint64_t request, bool is_long);
 };
 
 /*
@@ -128,6 +136,19 @@
 /* End a call without further events; unknown call ids are ignored. */
 void http_client_cancel(struct http_client *c, uint64_t call);
 
+/*
+ * Count what is buffered of responses in a budget, which outlives the client,
+ * and read less at a time while little of it is left.
+ */
+void http_client_set_budget(struct http_client *c, struct byte_budget *budget);
+
+/*
+ * Stop reading the response that is for a request of a caller (struct
+ * node_call), and that of each later call for it, or read on. No silence
+ * counts meanwhile.
+ */
+void http_client_pause(struct http_client *c, uint64_t request, bool paused);
+
 /*
  * Cancel all calls without further events, close all connections and free the
  * client; done is then called on the loop.
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -7,7 +7,6 @@
 
 #include "http/client_internal.h"
 
-#define HEAD_MAX_BYTES 65536
 /*
  * Limit of bytes without progress: interim responses, chunk extensions and
  * trailers. An endpoint that sends these without end does not hold the call.
@@ -126,11 +125,11 @@
 }
 
 const char *
-response_parse_head(
-    struct response *r, const char *data, size_t len, size_t *rest)
+response_parse_head(struct response *r, const char *data, size_t len,
+    size_t max_bytes, size_t *rest)
 {
 	struct phr_header headers[RESPONSE_HEADERS_MAX];
-	size_t n, reason_len;
+	size_t n, reason_len, at = 0; /* of the first unparsed byte */
 	const char *reason;
 	int minor, size;
 
@@ -139,24 +138,26 @@
 	buf_append(&r->head, data, len);
 	for (;;) {
 		n = RESPONSE_HEADERS_MAX;
-		size = phr_parse_response(r->head.data, r->head.len, &minor,
-		    &r->status, &reason, &reason_len, headers, &n, 0);
+		size = phr_parse_response(r->head.data + at, r->head.len - at,
+		    &minor, &r->status, &reason, &reason_len, headers, &n, 0);
 		if (size == -1)
 			return "malformed answer";
-		if (size == -2)
-			return r->head.len > HEAD_MAX_BYTES ||
-				r->overhead_bytes > OVERHEAD_MAX_BYTES
+		if (size == -2) {
+			buf_consume(&r->head, at);
+			return r->head.len > max_bytes ||
+				r->overhead_bytes > max_bytes
 			    ? "head too long"
 			    : NULL;
+		}
 		if (r->status < 100 || r->status == 101)
 			return "unexpected status";
 		if (r->status >= 200)
 			break;
-		buf_consume(&r->head, (size_t)size); /* interim response */
+		at += (size_t)size; /* interim response */
 	}
 	r->overhead_bytes = 0;
 	r->reusable = minor >= 1;
-	*rest = r->head.len - (size_t)size;
+	*rest = r->head.len - at - (size_t)size;
 	return parse_headers(r, headers, n);
 }
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -226,6 +226,7 @@
 	s->ctx = ctx;
 	s->header_limit_bytes = options->header_limit_bytes;
 	s->connection_limit = options->connection_limit;
+	s->budget = options->budget;
 	s->exchanges = map_create();
 	if (options->tls_certificate != NULL)
 		rc = server_setup_tls(s, options, err);
--- a/src/http/server_exchange.c
+++ b/src/http/server_exchange.c
@@ -15,6 +15,37 @@
 
 static void exchange_pump(struct exchange *x);
 
+/* ---- what is buffered --------------------------------------------------- */
+
+static void
+exchange_report_backlog(struct exchange *x, bool is_long)
+{
+	struct http_server *s = x->server;
+
+	if (s->callbacks.on_backlog == NULL || is_long == x->has_long_backlog)
+		return;
+	x->has_long_backlog = is_long;
+	if (is_long)
+		byte_budget_count_pause(s->budget);
+	s->callbacks.on_backlog(s->ctx, x->id, is_long);
+}
+
+/* Count what is buffered, and compare it with what may be. */
+static void
+exchange_check_backlog(struct exchange *x)
+{
+	size_t held = x->queued.len + x->sending.len;
+	size_t window;
+
+	byte_budget_change(x->server->budget, x->held_bytes, held);
+	x->held_bytes = held;
+	window = byte_budget_window(x->server->budget);
+	if (held > window && !x->finished)
+		exchange_report_backlog(x, true);
+	else if (held <= window / 2 || x->finished)
+		exchange_report_backlog(x, false);
+}
+
 /* ---- the request ------------------------------------------------------- */
 
 /* h2o frees the request: it is complete or its connection was closed. */
@@ -32,6 +63,7 @@
 		server_defer(x->server); /* closes the connection */
 	buf_free(&x->queued);
 	buf_free(&x->sending);
+	exchange_check_backlog(x);
 }
 
 /* Remove the exchange from the table; its id becomes unknown. */
@@ -39,6 +71,7 @@
 exchange_unregister(struct exchange *x)
 {
 	x->finished = true;
+	exchange_report_backlog(x, false);
 	(void)map_remove_u64(x->server->exchanges, x->id);
 }
 
@@ -51,6 +84,7 @@
 	x->writing = false;
 	buf_clear(&x->sending);
 	exchange_pump(x);
+	exchange_check_backlog(x);
 }
 
 static void
@@ -238,6 +272,7 @@
 	buf_append(&x->queued, reply->body.data, reply->body.len);
 	x->ended = !reply->more;
 	exchange_pump(x);
+	exchange_check_backlog(x);
 	return true;
 }
 
@@ -250,12 +285,14 @@
 	if (x == NULL || !x->started || x->ended)
 		return;
 	if (x->queued.len + data.len > HTTP_QUEUE_LIMIT_BYTES) {
+		byte_budget_count_cut(s->budget);
 		server_report_disconnect(s, x);
 		exchange_abort(x);
 		return;
 	}
 	buf_append(&x->queued, data.data, data.len);
 	exchange_pump(x);
+	exchange_check_backlog(x);
 }
 
 void
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -14,10 +14,10 @@
 #include "util/map.h"
 
 /*
- * Limit of the bytes queued for a client that does not read. The response of a
- * client over the limit is aborted.
+ * Limit of the bytes queued for a client that does not read, although its
+ * backlog was reported. The response of a client over the limit is aborted.
  */
-#define HTTP_QUEUE_LIMIT_BYTES (4u << 20)
+#define HTTP_QUEUE_LIMIT_BYTES (2 * BYTE_BUDGET_WINDOW_MAX)
 
 enum server_phase {
 	SERVER_LISTENING,
@@ -30,6 +30,7 @@
 	struct http_server_callbacks callbacks;
 	void *ctx;
 	size_t header_limit_bytes, connection_limit;
+	struct byte_budget *budget; /* for responses; NULL: no limit */
 	enum server_phase phase;
 	int port;
 
@@ -74,6 +75,8 @@
 	uint64_t id;
 	struct buf queued; /* bytes not yet passed to h2o */
 	struct buf sending; /* bytes that h2o is writing */
+	size_t held_bytes; /* of both, as counted in the budget */
+	bool has_long_backlog; /* as reported */
 	bool is_http1; /* the only request on its connection */
 	bool started, writing, ended, aborted, finished;
 };
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -13,6 +13,8 @@
 
 #define US_PER_MS	 1000
 #define CLOSE_TIMEOUT_MS 5000
+/* The part of the process's memory for what connections buffer. */
+#define BUFFER_MEMORY_DIVISOR 4
 
 /* Returns milliseconds since 1970, or 0 on failure. */
 static uint64_t
@@ -124,6 +126,15 @@
 	daemon_process_event(ctx, &ev);
 }
 
+/* A caller reads too slowly, or has read: its response is read accordingly. */
+static void
+on_backlog(void *ctx, uint64_t request, bool is_long)
+{
+	struct daemon *d = ctx;
+
+	http_client_pause(d->client, request, is_long);
+}
+
 static void
 on_call(void *ctx, const struct node_call_event *event)
 {
@@ -361,6 +372,7 @@
 	static const struct http_server_callbacks callbacks = {
 	    .on_request = on_request,
 	    .on_disconnect = on_caller_gone,
+	    .on_backlog = on_backlog,
 	};
 	const struct settings *s = d->settings;
 	struct http_server_options options = {
@@ -371,6 +383,7 @@
 	    .idle_timeout_ms = s->idle_timeout_ms,
 	    .tls_certificate = s->tls_certificate,
 	    .tls_key = s->tls_key,
+	    .budget = d->buffered,
 	};
 
 	return http_server_create(
@@ -385,6 +398,7 @@
 	static const struct http_server_callbacks callbacks = {
 	    .on_request = on_request,
 	    .on_disconnect = on_caller_gone,
+	    .on_backlog = on_backlog,
 	};
 	const struct settings *s = d->settings;
 	struct front_options options = {
@@ -397,6 +411,7 @@
 		.body_bytes = s->body_limit_bytes,
 		.header_timeout_ms = s->idle_timeout_ms,
 		.idle_timeout_ms = s->idle_timeout_ms},
+	    .budget = d->buffered,
 	};
 
 	if (address == NULL)
@@ -435,6 +450,8 @@
 	if (code == MP_OK)
 		code =
 		    http_client_create(&d->client, &d->loop, on_call, d, err);
+	if (code == MP_OK)
+		http_client_set_budget(d->client, d->buffered);
 	if (code == MP_OK)
 		code = create_gateway_listeners(d, err);
 	if (code == MP_OK)
@@ -475,6 +492,9 @@
 	    settings->log_level, settings->log_format, settings->name);
 	d.effects = node_effects_create();
 	d.queue = event_queue_create();
+	d.buffered =
+	    byte_budget_create(((uint64_t)settings->memory_limit_mb << 20) /
+		BUFFER_MEMORY_DIVISOR);
 	d.started_us = clock_now_us();
 	d.load.interval_start_us = d.started_us;
 	init_handles(&d);
@@ -488,6 +508,7 @@
 	daemon_journal_close(&d);
 	if (d.node != NULL)
 		node_destroy(d.node);
+	byte_budget_destroy(d.buffered);
 	event_queue_destroy(d.queue);
 	node_effects_destroy(d.effects);
 	if (d.exit_code == DAEMON_EXIT_OK)
--- a/src/mulberryd/daemon_internal.h
+++ b/src/mulberryd/daemon_internal.h
@@ -20,6 +20,7 @@
 #include "mulberrypath/node.h"
 #include "store/store.h"
 #include "util/buf.h"
+#include "util/byte_budget.h"
 
 /*
  * Position of the listener number in a request id. The ids of a gateway
@@ -54,6 +55,8 @@
 	struct http_server *api_server; /* own HTTP API */
 	struct front_server *gateway[NODE_LISTENERS]; /* NULL: no address */
 	struct http_client *client;
+	struct byte_budget *buffered; /* by the servers and the client */
+	bool logged_buffers_short;
 	struct bus *bus;
 	struct store *store; /* NULL without a data folder */
 	uint64_t started_us;
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -80,6 +80,29 @@
 		d->load.max_save_us = save_us;
 }
 
+/*
+ * Logs when half of the memory for buffers is used, from which on sources wait
+ * for their readers early, and when less than a quarter is.
+ */
+static void
+log_buffers(struct daemon *d)
+{
+	struct byte_budget_stats s = byte_budget_get_stats(d->buffered);
+	uint64_t threshold =
+	    d->logged_buffers_short ? s.limit_bytes / 4 : s.limit_bytes / 2;
+	bool is_short = s.used_bytes >= threshold;
+
+	if (is_short == d->logged_buffers_short)
+		return;
+	d->logged_buffers_short = is_short;
+	log_output_write_event(d->log, EVENT_BUFFERS_SHORT,
+	    "{\"short\": %s, \"usedBytes\": %llu, \"limitBytes\": %llu, "
+	    "\"pauses\": %llu, \"refusals\": %llu, \"cuts\": %llu}",
+	    is_short ? "true" : "false", (unsigned long long)s.used_bytes,
+	    (unsigned long long)s.limit_bytes, (unsigned long long)s.pauses,
+	    (unsigned long long)s.refusals, (unsigned long long)s.cuts);
+}
+
 void
 daemon_record_tick(struct daemon *d, uint64_t due_us)
 {
@@ -88,6 +111,7 @@
 	bool is_delayed;
 
 	record_save_time(d);
+	log_buffers(d);
 	if (now_us > due_us + load->max_tick_delay_us)
 		load->max_tick_delay_us = now_us - due_us;
 	is_delayed = load->max_tick_delay_us > TICK_DELAY_THRESHOLD_US ||
@@ -103,6 +127,7 @@
 {
 	struct bus_counters bus;
 	struct store_counters store = {0};
+	struct byte_budget_stats buffered = byte_budget_get_stats(d->buffered);
 	size_t resident = 0;
 
 	bus_get_counters(d->bus, &bus);
@@ -119,6 +144,13 @@
 		append_counter(
 		    out, "store_records_total", (double)store.records);
 	}
+	append_gauge(out, "buffered_bytes", (double)buffered.used_bytes);
+	append_gauge(
+	    out, "buffered_max_bytes", (double)buffered.max_used_bytes);
+	append_gauge(out, "buffered_limit_bytes", (double)buffered.limit_bytes);
+	append_counter(out, "buffer_pauses_total", (double)buffered.pauses);
+	append_counter(out, "buffer_refusals_total", (double)buffered.refusals);
+	append_counter(out, "buffer_cuts_total", (double)buffered.cuts);
 	append_counter(
 	    out, "replies_undelivered_total", (double)d->undelivered_replies);
 	append_counter(out, "process_cpu_seconds_total", cpu_seconds());
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -9,6 +9,9 @@
  * messages to the other files, answers readiness and stops in good order.
  */
 
+/* The part of the process's memory for responses that are not relayed yet. */
+#define BUFFER_MEMORY_DIVISOR 8
+
 /* Part of the stop timeout that is kept free for the exit of the process. */
 #define EXIT_MARGIN_MS 700u
 /* Requests that are open this long before the exit are ended. */
@@ -66,6 +69,9 @@
 	gate_limit_init(n);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
+	forward_set_buffer_limit(g->forward,
+	    ((uint64_t)n->settings->memory_limit_mb << 20) /
+		BUFFER_MEMORY_DIVISOR);
 }
 
 static void
--- a/src/route/route_model.c
+++ b/src/route/route_model.c
@@ -48,6 +48,7 @@
 	call = &node_effects_add(fx, NODE_FX_CALL)->u.call;
 	call->call = e->call;
 	call->address = node_effects_printf(fx, "%s", e->address);
+	call->for_request = e->request;
 	call->method = "POST";
 	call->path = "/v1/completions";
 	call->headers[0].name = "mulberrypath-request";
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -24,6 +24,7 @@
     {EVENT_LINES_LIMITED, NODE_LOG_WARN, "log-lines-limited"},
     {EVENT_DISK_FULL, NODE_LOG_ERROR, "disk-full"},
     {EVENT_LOAD, NODE_LOG_INFO, "process-load"},
+    {EVENT_BUFFERS_SHORT, NODE_LOG_WARN, "buffers-short"},
     {NODE_LOG_STARTED, NODE_LOG_INFO, "node-started"},
     {NODE_LOG_FOUNDED, NODE_LOG_INFO, "log-founded"},
     {NODE_LOG_LEADING, NODE_LOG_INFO, "leading"},
--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -197,7 +197,7 @@
 	    .service_ms = 5,
 	    .role = "mixed"};
 	const struct http_server_callbacks callbacks = {
-	    on_request, on_disconnect};
+	    on_request, on_disconnect, NULL};
 
 	parse_options(&e, argc, argv);
 	(void)uv_loop_init(&e.loop);
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -141,7 +141,7 @@
 	    {.name = "in-flight", .number = &s.full_speed_loads},
 	    {.name = "load-ms", .number = &s.load_ms}};
 	const struct http_server_callbacks callbacks = {
-	    on_request, on_disconnect};
+	    on_request, on_disconnect, NULL};
 	char address[64];
 
 	fake_parse_options(
--- a/tests/http/front_test.cc
+++ b/tests/http/front_test.cc
@@ -71,9 +71,10 @@
 	void
 	Serve()
 	{
-		http_server_callbacks cbs = {on_request, on_disconnect};
-		front_options o = {
-		    "127.0.0.1:0", 1000, NODE_LISTEN_FRONT, 50, limits};
+		http_server_callbacks cbs = {
+		    on_request, on_disconnect, nullptr};
+		front_options o = {"127.0.0.1:0", 1000, NODE_LISTEN_FRONT, 50,
+		    limits, nullptr};
 		mp_error err = {};
 
 		ASSERT_EQ(
--- a/tests/http/loop_fixture.h
+++ b/tests/http/loop_fixture.h
@@ -32,8 +32,8 @@
 	uv_loop_t loop;
 	http_server *server = nullptr;
 	http_client *client = nullptr;
-	http_server_options options = {
-	    "127.0.0.1:0", 1 << 20, 16 << 10, 100, 10000, nullptr, nullptr};
+	http_server_options options = {"127.0.0.1:0", 1 << 20, 16 << 10, 100,
+	    10000, nullptr, nullptr, nullptr};
 	std::function<void(const node_request *)> handler;
 	std::map<uint64_t, CallResult> calls;
 	std::function<void(const node_call_event *)> on_event;
@@ -116,7 +116,7 @@
 	void
 	Serve()
 	{
-		http_server_callbacks cbs = {request, on_disconnect};
+		http_server_callbacks cbs = {request, on_disconnect, nullptr};
 		mp_error err = {};
 
 		ASSERT_EQ(http_server_create(
--- a/tests/http/response_test.cc
+++ b/tests/http/response_test.cc
@@ -27,8 +27,9 @@
 		size_t rest = part.size();
 
 		if (r.phase == RESPONSE_HEAD)
-			out.fault = response_parse_head(&r, part.data(),
-					part.size(), &rest) != nullptr;
+			out.fault =
+			    response_parse_head(&r, part.data(), part.size(),
+				RESPONSE_HEAD_MAX_BYTES, &rest) != nullptr;
 		if (out.fault || r.phase == RESPONSE_HEAD ||
 		    r.phase == RESPONSE_COMPLETE)
 			continue;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -382,7 +382,7 @@
 	    {"127.0.0.1:0", "/nonexistent", MP_ERR_INVALID}};
 
 	for (auto &c : cases) {
-		http_server_callbacks cbs = {request, on_disconnect};
+		http_server_callbacks cbs = {request, on_disconnect, nullptr};
 		http_server *none = nullptr;
 		mp_error err = {};
 
--- a/tests/mulberryctl/command_test.cc
+++ b/tests/mulberryctl/command_test.cc
@@ -28,8 +28,8 @@
 	SetUp() override
 	{
 		http_server_options options = {"127.0.0.1:0", 1 << 20, 16 << 10,
-		    100, 10000, nullptr, nullptr};
-		http_server_callbacks callbacks = {OnRequest, OnGone};
+		    100, 10000, nullptr, nullptr, nullptr};
+		http_server_callbacks callbacks = {OnRequest, OnGone, nullptr};
 		char name[] = "/tmp/ctl-test-XXXXXX";
 
 		ASSERT_EQ(uv_loop_init(&loop), 0);
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -28,9 +28,10 @@
 	{
 		static const forward_ops ops = {
 		    ask, done, notice, may_send, observe, next_call, log};
-		http_server_callbacks callbacks = {on_request, on_disconnect};
+		http_server_callbacks callbacks = {
+		    on_request, on_disconnect, nullptr};
 		front_options o = {"127.0.0.1:0", 1, NODE_LISTEN_FRONT, 50,
-		    {16384, 65536, 5000, 5000}};
+		    {16384, 65536, 5000, 5000}, nullptr};
 		mp_error err = {};
 
 		HttpTest::SetUp();
--- a/tests/system/gateway_process.cc
+++ b/tests/system/gateway_process.cc
@@ -175,7 +175,7 @@
 }
 
 void
-GatewayProcess::write_settings(const std::string &gateway)
+GatewayProcess::write_settings(const std::string &limits)
 {
 	auto at = [this](port_use use) {
 		return "\"127.0.0.1:" + std::to_string(ports[use]) + "\"";
@@ -184,12 +184,13 @@
 
 	f << "{\"cluster\":\"c\",\"instance\":{\"name\":\"one\","
 	     "\"dataCentre\":\"z\",\"region\":\"r\"},\"http\":{\"listen\":"
-	  << at(API) << "},\"bus\":{\"listen\":" << at(BUS)
+	  << at(API) << ",\"limits\":{\"bodyBytes\":8388608" << limits
+	  << "}},\"bus\":{\"listen\":" << at(BUS)
 	  << "},\"dataFolder\":\"data\",\"seeds\":[" << at(CONTROL)
 	  << "],\"gateway\":{\"front\":" << at(FRONT)
 	  << ",\"control\":" << at(CONTROL) << ",\"registry\":" << at(REGISTRY)
 	  << ",\"readiness\":" << at(READINESS)
-	  << ",\"founding\":true,\"fenced\":true" << gateway
+	  << ",\"founding\":true,\"fenced\":true"
 	  << "},\"log\":{\"level\":\"info\",\"format\":\"text\"}}";
 }
 
@@ -234,11 +235,11 @@
 
 void
 GatewayProcess::start_serving(StandInEndpoint::Responder responder,
-    const std::string &kind, const std::string &gateway)
+    const std::string &kind, const std::string &limits)
 {
 	endpoints.push_back(
 	    std::make_unique<StandInEndpoint>(std::move(responder)));
-	write_settings(gateway);
+	write_settings(limits);
 	instance = std::make_unique<Process>(
 	    std::vector<std::string>{"--config", folder + "/settings.json"});
 	ASSERT_TRUE(instance->read_until(" started "));
--- a/tests/system/gateway_process.h
+++ b/tests/system/gateway_process.h
@@ -64,11 +64,11 @@
 	 * answers by the function.
 	 *
 	 * kind: of the route, as in a configuration.
-	 * gateway: further settings of the gateway, each preceded by a comma.
+	 * limits: settings of http.limits, each preceded by a comma.
 	 */
 	void start_serving(StandInEndpoint::Responder responder,
 	    const std::string &kind = "non_idempotent",
-	    const std::string &gateway = "");
+	    const std::string &limits = "");
 	/* Sends a caller's request; returns its socket. */
 	int send_call(const std::string &line, uint64_t deadline_ms = 4000);
 	/* The same, and reads the whole answer; empty: none within 5 s. */
@@ -85,7 +85,7 @@
 	std::atomic<bool> is_announcing{false};
 	std::thread announcer;
 
-	void write_settings(const std::string &gateway);
+	void write_settings(const std::string &limits);
 	void put_configuration(const std::string &kind);
 	void announce_all();
 	std::string attempt_headers(uint64_t deadline_ms);
