--- a/src/http/front.c
+++ b/src/http/front.c
@@ -130,8 +130,8 @@
 	for (c = s->conns; c != NULL; c = c->next)
 		if (largest == NULL || c->held_bytes > largest->held_bytes)
 			largest = c;
-	if (largest == NULL || largest->held_bytes == 0)
-		return;
+	if (largest == NULL || largest->held_bytes <= BYTE_BUDGET_WINDOW_MIN)
+		return; /* others hold the bytes */
 	byte_budget_count_cut(s->budget);
 	front_conn_cut(largest);
 }
--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -129,7 +129,10 @@
 /* Return whether the connection waits for a request and has no bytes of it. */
 bool front_conn_is_idle(const struct front_conn *c);
 
-/* Cut off the connection that buffers most if the budget is exceeded. */
+/*
+ * Cut off the connection that buffers most if the budget is exceeded; none that
+ * keeps to the smallest window.
+ */
 void front_server_keep_budget(struct front_server *s);
 
 /* A connection was closed; finishes a destroyed server after the last one. */
--- a/src/http/server_exchange.c
+++ b/src/http/server_exchange.c
@@ -30,7 +30,10 @@
 	s->callbacks.on_backlog(s->ctx, x->id, is_long);
 }
 
-/* Count what is buffered, and compare it with what may be. */
+/*
+ * Count what is buffered, and compare it with what may be. Called before bytes
+ * are passed to h2o, which may free the exchange.
+ */
 static void
 exchange_check_backlog(struct exchange *x)
 {
@@ -83,8 +86,8 @@
 	(void)req;
 	x->writing = false;
 	buf_clear(&x->sending);
-	exchange_pump(x);
 	exchange_check_backlog(x);
+	exchange_pump(x);
 }
 
 static void
@@ -271,8 +274,8 @@
 	exchange_send_head(x, reply);
 	buf_append(&x->queued, reply->body.data, reply->body.len);
 	x->ended = !reply->more;
-	exchange_pump(x);
 	exchange_check_backlog(x);
+	exchange_pump(x);
 	return true;
 }
 
@@ -291,8 +294,8 @@
 		return;
 	}
 	buf_append(&x->queued, data.data, data.len);
-	exchange_pump(x);
 	exchange_check_backlog(x);
+	exchange_pump(x);
 }
 
 void
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -132,7 +132,8 @@
 {
 	struct daemon *d = ctx;
 
-	http_client_pause(d->client, request, is_long);
+	if (!d->closing) /* the client may be closed before the servers */
+		http_client_pause(d->client, request, is_long);
 }
 
 static void
