--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -118,14 +118,58 @@
 /* Close a connection without reporting a disconnect; freed on the loop. */
 void front_conn_close(struct front_conn *c);
 
-/* Disconnect a client for what is buffered for it; the response is cut. */
-void front_conn_cut(struct front_conn *c);
+/*
+ * Reset a connection whose request is removed, so that the client sees an
+ * incomplete response.
+ */
+void front_conn_reset(struct front_conn *c);
+
+/* Close a connection; its disconnect is reported if a request is running. */
+void front_conn_disconnect(struct front_conn *c);
+
+/* Close it after all bytes were sent and the client has closed its side. */
+void front_conn_linger(struct front_conn *c);
+
+/* Start the timeout of its phase, if that has one. */
+void front_conn_start_timeout(struct front_conn *c);
 
 /* See front_server_reply(), front_server_send() and front_server_end(). */
 void front_conn_reply(struct front_conn *c, const struct node_reply *reply);
 void front_conn_send(struct front_conn *c, struct node_bytes data);
 void front_conn_end(struct front_conn *c, bool aborted);
 
+/* ---- front_request.c ---- */
+
+/* Read what was received of a request, and present it once it is complete. */
+void front_conn_process_input(struct front_conn *c);
+
+/* ---- front_response.c ---- */
+
+/* Write bytes, or queue what the client does not take now. */
+void front_conn_write(struct front_conn *c, const char *data, size_t len);
+
+/* Refuse a request that was not presented, and close the connection. */
+void front_conn_refuse(struct front_conn *c, enum front_fault fault);
+
+/* ---- front_buffer.c ---- */
+
+/* Count what the connection buffers, after each change of it. */
+void front_conn_count_held(struct front_conn *c);
+
+/* Reserve the memory for a body of a request; false: there is too little. */
+bool front_conn_reserve_body(struct front_conn *c, uint64_t body_bytes);
+
+/* Compare what is queued for the client with what may be, and report it. */
+void front_conn_check_backlog(struct front_conn *c);
+
+/* Report that the backlog is too long, or no longer; only changes are. */
+void front_conn_report_backlog(struct front_conn *c, bool is_long);
+
+/* Empty a buffer, and keep only little memory for its next use. */
+void front_buffer_reset(struct buf *b);
+
+/* ---- front_conn.c ---- */
+
 /* Return whether the connection waits for a request and has no bytes of it. */
 bool front_conn_is_idle(const struct front_conn *c);
 
