--- a/review/7/case.py
+++ b/review/7/case.py
@@ -80,7 +80,7 @@
             if TROUBLE and n >= 10:
                 adapter = f"a{rng.randint(100, 2999)}"  # rare ones, at once
             calls.append(asyncio.create_task(request(deployment, n + 1, adapter)))
-            await asyncio.sleep(0.05 if TROUBLE and n >= 10 else 0.2)
+            await asyncio.sleep(0.085 if TROUBLE and n >= 10 else 0.2)
         await asyncio.gather(*calls)
         runs = deployment.runs()
         for run in runs:
