--- a/review/6/case.py
+++ b/review/6/case.py
@@ -129,7 +129,7 @@
         if not any("ran" in run for run in deployment.runs()):
             return 2
         record(f"{len(faults)} of {REQUESTS} answers break the rule")
-        return 1 if faults else 0
+        return 42 if faults else 0
     finally:
         deployment.close()
 
