--- a/review/9/stand.py
+++ b/review/9/stand.py
@@ -152,25 +152,24 @@
                 for i in range(first, self.o["events"] + 1)]
 
     async def stream(self, writer, headers, proof):
-        first = int(headers.get("last-event-id", "0")) + 1
-        events = self.events(first)
-        head = dict(proof, **{"Content-Type": "text/event-stream"})
-        if self.o.get("framing", "length") == "length":
-            head["Content-Length"] = str(sum(len(e) for e in events))
-        else:
-            head["Transfer-Encoding"] = "chunked"
+        """Ten events; a prompt with the fatal part ends the process as it begins to write."""
+        parts = [p.split(":")[0] for p in headers.get("mulberrypath-prompt-prefix", "").split(",")]
+        fatal = self.o.get("fatal_part") in parts[:-1]
+        head = dict(proof, **{"Content-Type": "text/event-stream",
+                              "Transfer-Encoding": "chunked"})
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(
             f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
-        for event in events:
-            if "Content-Length" not in head:
-                event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
-            writer.write(event)
+        for i in range(1, 11):
+            event = f"id: {i}\ndata: x\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(self.o.get("event_s", 0.02))
-        if "Content-Length" not in head:
-            writer.write(b"0\r\n\r\n")
+            if fatal:
+                self.note(crash=proof["Mulberrypath-Attempt-Id"])
+                os.kill(os.getpid(), signal.SIGKILL)
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self.note(ended=proof["Mulberrypath-Attempt-Id"], events=len(events), first=first)
+        self.note(ended=proof["Mulberrypath-Attempt-Id"])
 
     async def run(self, writer, line, headers, body):
         attempt = headers.get("mulberrypath-attempt-id", "")
