--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 ROUTES = 2800  # big_config: twice with the largest dose of kuulde-tallinn-large
 GAP_S, IN_PROGRESS = 0.06, 8  # config_storm; "Up to eight orders may be in progress at once"
 CATCH_UP_S = 4.0
-WIPES = 9
+WIPES = 14
 record = Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
 
 
