--- a/review/7/case.py
+++ b/review/7/case.py
@@ -60,8 +60,10 @@
 async def traffic(deployment):
     for adapter in ("x1", "x2", "x3", "x4", "x5"):  # all places are taken
         await request(deployment, adapter)
-    for adapter in ("a1", "a2", "a3", "a4", "a5"):  # these replace them
+    for adapter in ("a2", "a3", "a4", "a5"):  # these replace them, and are wanted more than a1
         await request(deployment, adapter)
+        await request(deployment, adapter)
+    await request(deployment, "a1")
     for _ in range(3):
         for adapter in ("a2", "a3", "a4", "a5"):
             await request(deployment, adapter)
