--- a/review/6/case.py
+++ b/review/6/case.py
@@ -117,7 +117,7 @@
         for task in list(admin.open):
             task.cancel()
         record(f"{admin.acked} is the newest version that was acknowledged")
-        if admin.acked < 20:
+        if admin.acked < 2:  # nothing to read back but the first one
             return 2
         await read_back(deployment, 12)  # recovery_s; all machines run, and none is disturbed
         newest = await read_back(deployment, 6)
