--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -49,6 +49,7 @@
 	uint32_t max_attempts; /* endpoints that may run one request */
 	bool resumable; /* another endpoint may continue a stream */
 	bool has_prompt_affinity; /* requests name their prompt's parts */
+	bool is_public; /* requests need no key of a client account */
 	struct gw_target *targets;
 	size_t ntargets;
 	uint32_t weight; /* sum over the targets, > 0 once checked */
@@ -86,6 +87,41 @@
 	struct gw_engine engine; /* if has_engine */
 };
 
+enum gw_quota_unit {
+	GW_QUOTA_REQUESTS,
+	GW_QUOTA_TOKENS /* prompt tokens and maximum generated tokens */
+};
+
+/*
+ * What a client account may use of all entries together: in any time t at most
+ * rate_per_s * t + burst units.
+ */
+struct gw_quota {
+	enum gw_quota_unit unit;
+	uint64_t rate_per_s; /* 0: no limit */
+	uint64_t burst;
+	uint32_t default_tokens; /* of a request that names no tokens */
+};
+
+/* A keyed hash of a client account's key. */
+struct gw_key_hash {
+	uint8_t bytes[16];
+};
+
+/* A client account: who pays for a caller's requests. */
+struct gw_account {
+	char *name;
+	/*
+	 * Readable keys, as decoded. gw_config_hash_keys() replaces them by
+	 * hashes; from then on plain_keys is NULL.
+	 */
+	char **plain_keys;
+	struct gw_key_hash *keys;
+	size_t nkeys;
+	uint32_t priority; /* goes before the route's; 0 is served first */
+	struct gw_quota quota;
+};
+
 /* Limits on callers' requests; 0: the configuration sets none. */
 struct gw_limits {
 	uint32_t header_bytes, body_bytes;
@@ -99,6 +135,9 @@
 	size_t nroutes;
 	struct gw_service *services;
 	size_t nservices;
+	struct gw_account *accounts;
+	size_t naccounts;
+	bool has_accounts; /* requests need a key, unless the route is public */
 	struct gw_limits limits;
 };
 
@@ -147,9 +186,16 @@
 struct gw_request {
 	const char *host; /* without a port, lower case */
 	const char *attempt; /* attempt id set by the caller, or NULL */
+	const char *key; /* of a client account, NULL if there is none; valid
+			  * only in the step that decodes the request */
+	const char *account; /* name of the client account that the gateway
+			      * found by the key; NULL: none */
+	bool has_accounts; /* account is told to the endpoint, and the key and
+			    * what the caller says of its account are not */
 	uint32_t deadline_ms; /* time the caller waits; 0: not given */
 	const char *model, *adapter; /* NULL if not named */
 	uint32_t prompt_tokens, max_tokens;
+	bool has_tokens; /* the two above are given */
 	struct gw_prompt_part parts[GW_PROMPT_PARTS_MAX];
 	size_t nparts;
 	const char *resume_after; /* id of the last event received, or NULL */
@@ -188,6 +234,8 @@
 	const char *attempt; /* of the request; NULL: not given */
 	bool has_load;
 	uint32_t running, waiting, slots; /* if has_load */
+	/* time that work takes there now, 100: as usual; 0: not told */
+	uint32_t work_percent;
 	const struct node_header *headers; /* to send to the caller */
 	size_t nheaders;
 };
@@ -200,7 +248,9 @@
 	GW_REFUSE_OVERLOAD, /* not run; the caller may retry */
 	GW_REFUSE_FAILED, /* may have run */
 	GW_REFUSE_TIMEOUT, /* may have run */
-	GW_REFUSE_QUARANTINED /* not run; a retry would be refused as well */
+	GW_REFUSE_QUARANTINED, /* not run; a retry would be refused as well */
+	GW_REFUSE_UNAUTHORIZED, /* not run; no account has the key */
+	GW_REFUSE_OVER_QUOTA /* not run; the account's quota is used up */
 };
 
 /* ---- endpoints ---------------------------------------------------------- */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -138,6 +138,7 @@
 	result.running = r->response.running;
 	result.waiting = r->response.waiting;
 	result.slots = r->response.slots;
+	result.work_percent = r->response.work_percent;
 	result.limit_told = r->limit_told;
 	result.limit = r->limit;
 	r->limit_told = false;
@@ -298,6 +299,8 @@
 	ask.deadline_us = r->deadline_us;
 	ask.target_us = r->target_us;
 	ask.priority = r->priority;
+	ask.account = r->decoded.account;
+	ask.account_priority = r->account_priority;
 	ask.attempt = r->retries;
 	ask.data_centre = f->data_centre;
 	for (i = 0; i < r->navoid; i++)
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -38,7 +38,7 @@
 	enum gw_kind kind;
 	bool resumable;
 	char *route, *service;
-	uint32_t priority, max_attempts;
+	uint32_t priority, account_priority, max_attempts;
 	uint64_t config_version;
 	uint64_t started_us, deadline_us, caller_deadline_us, target_us;
 	/* attempts */
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -26,6 +26,8 @@
 	r->decoded = *decoded;
 	r->decoded.host = copy_text(m, decoded->host);
 	r->decoded.attempt = copy_text(m, decoded->attempt);
+	r->decoded.key = NULL; /* not kept: only its hash is */
+	r->decoded.account = copy_text(m, decoded->account);
 	r->decoded.model = copy_text(m, decoded->model);
 	r->decoded.adapter = copy_text(m, decoded->adapter);
 	r->decoded.resume_after = copy_text(m, decoded->resume_after);
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -51,6 +51,8 @@
 	ask.avoid = (char **)r->avoid;
 	ask.n_avoid = r->navoid;
 	ask.data_centre = (char *)r->data_centre;
+	ask.account = r->account == NULL ? "" : (char *)r->account;
+	ask.account_priority = r->account_priority;
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_ASK;
 	envelope.place_ask = &ask;
 	node_peer_send(n, pending->placer, &envelope);
@@ -198,6 +200,7 @@
 	done.running = result->running;
 	done.waiting = result->waiting;
 	done.slots = result->slots;
+	done.work_percent = result->work_percent;
 	if (result->limit_told)
 		done.limit = gate_limit_to_wire(&limit, &result->limit);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_DONE;
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -54,6 +54,8 @@
 	r.priority = ask->priority;
 	r.attempt = ask->attempt;
 	r.data_centre = ask->data_centre;
+	r.account = text_or_null(ask->account);
+	r.account_priority = ask->account_priority;
 	for (i = 0; i < ask->n_avoid && i < PLACE_AVOID_MAX; i++)
 		r.avoid[i] = ask->avoid[i];
 	r.navoid = i;
@@ -90,6 +92,7 @@
 	result.running = done->running;
 	result.waiting = done->waiting;
 	result.slots = done->slots;
+	result.work_percent = done->work_percent;
 	result.limit_told = done->limit != NULL;
 	result.limit = gate_limit_from_wire(done->limit);
 	place_done(n->gate->place, n->now, id, &result);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -355,6 +355,8 @@
 	uint64_t deadline_us; /* refused if it is still queued by then */
 	uint64_t target_us; /* end of its latency objective */
 	uint32_t priority; /* 0 is the most urgent */
+	const char *account; /* client account; NULL: none */
+	uint32_t account_priority; /* goes before priority; 0 is first */
 	uint32_t attempt; /* endpoints reached before; over 0: a repeat */
 	const char *data_centre; /* of the entry */
 	const char *avoid[PLACE_AVOID_MAX]; /* endpoints not to be granted */
@@ -380,6 +382,7 @@
 	uint32_t first_ms; /* from sending to the first byte; 0: unknown */
 	bool load_told; /* the following fields are set */
 	uint32_t running, waiting, slots;
+	uint32_t work_percent; /* see struct gw_endpoint_response */
 	bool limit_told; /* limit is what a response says */
 	struct place_limit limit;
 };
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -22,6 +22,7 @@
 	free(a->adapter);
 	free(a->key);
 	free(a->data_centre);
+	free(a->account);
 	free(a);
 }
 
@@ -162,6 +163,8 @@
 	a->target_us = r->target_us;
 	a->due_us = compute_due_us(r, now_us);
 	a->priority = r->priority;
+	a->account = copy_or_null(r->account);
+	a->account_priority = r->account_priority;
 	a->attempt = r->attempt;
 	while (a->navoid < r->navoid && a->navoid < PLACE_AVOID_MAX) {
 		a->avoid[a->navoid] = mem_string(r->avoid[a->navoid]);
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -134,6 +134,8 @@
 	uint64_t due_us; /* order in the queue */
 	uint64_t load_wait_since_us; /* waiting for an adapter; 0: never */
 	uint32_t priority, attempt;
+	char *account; /* NULL: none */
+	uint32_t account_priority;
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
 	uint64_t
@@ -439,6 +441,8 @@
 /* Try to place a model request: grant, wait for an adapter, or refuse. */
 enum place_attempt place_engine_place(
     struct place *p, struct place_ask *a, bool may_order);
+
+/* ---- place_estimate.c ---- */
 /* Time until a prompt that arrives now is processed there. */
 double place_engine_load_ms(
     const struct place *p, const struct place_endpoint *e);
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &wire__claim_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__config_piece__init
+                     (Wire__ConfigPiece         *message)
+{
+  static const Wire__ConfigPiece init_value = WIRE__CONFIG_PIECE__INIT;
+  *message = init_value;
+}
+size_t wire__config_piece__get_packed_size
+                     (const Wire__ConfigPiece *message)
+{
+  assert(message->base.descriptor == &wire__config_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__config_piece__pack
+                     (const Wire__ConfigPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__config_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__config_piece__pack_to_buffer
+                     (const Wire__ConfigPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__config_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__ConfigPiece *
+       wire__config_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__ConfigPiece *)
+     protobuf_c_message_unpack (&wire__config_piece__descriptor,
+                                allocator, len, data);
+}
+void   wire__config_piece__free_unpacked
+                     (Wire__ConfigPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__config_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__gateway_config__init
                      (Wire__GatewayConfig         *message)
 {
@@ -1333,7 +1378,71 @@
   (ProtobufCMessageInit) wire__claim_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__gateway_config__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__config_piece__field_descriptors[3] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ConfigPiece, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ConfigPiece, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inserted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Wire__ConfigPiece, n_inserted),
+    offsetof(Wire__ConfigPiece, inserted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__config_piece__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = from */
+  2,   /* field[2] = inserted */
+};
+static const ProtobufCIntRange wire__config_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__config_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.ConfigPiece",
+  "ConfigPiece",
+  "Wire__ConfigPiece",
+  "wire",
+  sizeof(Wire__ConfigPiece),
+  3,
+  wire__config_piece__field_descriptors,
+  wire__config_piece__field_indices_by_name,
+  1,  wire__config_piece__number_ranges,
+  (ProtobufCMessageInit) wire__config_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__gateway_config__field_descriptors[6] =
 {
   {
     "version",
@@ -1359,15 +1468,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GatewayConfig, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_digest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GatewayConfig, base_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__GatewayConfig, n_pieces),
+    offsetof(Wire__GatewayConfig, pieces),
+    &wire__config_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__GatewayConfig, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__gateway_config__field_indices_by_name[] = {
+  3,   /* field[3] = base_digest */
+  2,   /* field[2] = base_version */
+  5,   /* field[5] = digest */
+  4,   /* field[4] = pieces */
   1,   /* field[1] = text */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange wire__gateway_config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__gateway_config__descriptor =
 {
@@ -1377,7 +1538,7 @@
   "Wire__GatewayConfig",
   "wire",
   sizeof(Wire__GatewayConfig),
-  2,
+  6,
   wire__gateway_config__field_descriptors,
   wire__gateway_config__field_indices_by_name,
   1,  wire__gateway_config__number_ranges,
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Wire__ClaimStart Wire__ClaimStart;
 typedef struct Wire__ClaimClock Wire__ClaimClock;
 typedef struct Wire__ClaimEnd Wire__ClaimEnd;
+typedef struct Wire__ConfigPiece Wire__ConfigPiece;
 typedef struct Wire__GatewayConfig Wire__GatewayConfig;
 typedef struct Wire__AdapterVersion Wire__AdapterVersion;
 typedef struct Wire__EndpointLeaving Wire__EndpointLeaving;
@@ -268,19 +269,61 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, WIRE__CLAIM_OUTCOME__CLAIM_DONE, 0, (char *)protobuf_c_empty_string, {0,NULL} }
 
 
+/*
+ * Segments of an earlier configuration text, followed by new ones.
+ */
+struct  Wire__ConfigPiece
+{
+  ProtobufCMessage base;
+  /*
+   * first segment that is copied
+   */
+  uint32_t from;
+  /*
+   * segments copied
+   */
+  uint32_t count;
+  /*
+   * new segments
+   */
+  size_t n_inserted;
+  ProtobufCBinaryData *inserted;
+};
+#define WIRE__CONFIG_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__config_piece__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * The gateway's configuration as the operator sent it. The highest version is
- * used.
+ * used. The text is whole, or a difference to the configuration in force.
  */
 struct  Wire__GatewayConfig
 {
   ProtobufCMessage base;
   uint64_t version;
+  /*
+   * empty if there are pieces
+   */
   ProtobufCBinaryData text;
+  /*
+   * of the configuration that pieces refer to
+   */
+  uint64_t base_version;
+  /*
+   * of its text
+   */
+  uint64_t base_digest;
+  size_t n_pieces;
+  Wire__ConfigPiece **pieces;
+  /*
+   * of the text that the pieces give
+   */
+  uint64_t digest;
 };
 #define WIRE__GATEWAY_CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__gateway_config__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -502,6 +545,25 @@
 void   wire__claim_end__free_unpacked
                      (Wire__ClaimEnd *message,
                       ProtobufCAllocator *allocator);
+/* Wire__ConfigPiece methods */
+void   wire__config_piece__init
+                     (Wire__ConfigPiece         *message);
+size_t wire__config_piece__get_packed_size
+                     (const Wire__ConfigPiece   *message);
+size_t wire__config_piece__pack
+                     (const Wire__ConfigPiece   *message,
+                      uint8_t             *out);
+size_t wire__config_piece__pack_to_buffer
+                     (const Wire__ConfigPiece   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__ConfigPiece *
+       wire__config_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__config_piece__free_unpacked
+                     (Wire__ConfigPiece *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__GatewayConfig methods */
 void   wire__gateway_config__init
                      (Wire__GatewayConfig         *message);
@@ -604,6 +666,9 @@
 typedef void (*Wire__ClaimEnd_Closure)
                  (const Wire__ClaimEnd *message,
                   void *closure_data);
+typedef void (*Wire__ConfigPiece_Closure)
+                 (const Wire__ConfigPiece *message,
+                  void *closure_data);
 typedef void (*Wire__GatewayConfig_Closure)
                  (const Wire__GatewayConfig *message,
                   void *closure_data);
@@ -632,6 +697,7 @@
 extern const ProtobufCMessageDescriptor wire__claim_start__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_clock__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_end__descriptor;
+extern const ProtobufCMessageDescriptor wire__config_piece__descriptor;
 extern const ProtobufCMessageDescriptor wire__gateway_config__descriptor;
 extern const ProtobufCMessageDescriptor wire__adapter_version__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint_leaving__descriptor;
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -1852,7 +1852,187 @@
   assert(message->base.descriptor == &wire__part_served__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[33] =
+void   wire__quota_ask__init
+                     (Wire__QuotaAsk         *message)
+{
+  static const Wire__QuotaAsk init_value = WIRE__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__quota_ask__get_packed_size
+                     (const Wire__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &wire__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_ask__pack
+                     (const Wire__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_ask__pack_to_buffer
+                     (const Wire__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaAsk *
+       wire__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaAsk *)
+     protobuf_c_message_unpack (&wire__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_ask__free_unpacked
+                     (Wire__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message)
+{
+  static const Wire__QuotaGrant init_value = WIRE__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaGrant *)
+     protobuf_c_message_unpack (&wire__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__account_charge__init
+                     (Wire__AccountCharge         *message)
+{
+  static const Wire__AccountCharge init_value = WIRE__ACCOUNT_CHARGE__INIT;
+  *message = init_value;
+}
+size_t wire__account_charge__get_packed_size
+                     (const Wire__AccountCharge *message)
+{
+  assert(message->base.descriptor == &wire__account_charge__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__account_charge__pack
+                     (const Wire__AccountCharge *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__account_charge__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__account_charge__pack_to_buffer
+                     (const Wire__AccountCharge *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__account_charge__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__AccountCharge *
+       wire__account_charge__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__AccountCharge *)
+     protobuf_c_message_unpack (&wire__account_charge__descriptor,
+                                allocator, len, data);
+}
+void   wire__account_charge__free_unpacked
+                     (Wire__AccountCharge *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__account_charge__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__account_charges__init
+                     (Wire__AccountCharges         *message)
+{
+  static const Wire__AccountCharges init_value = WIRE__ACCOUNT_CHARGES__INIT;
+  *message = init_value;
+}
+size_t wire__account_charges__get_packed_size
+                     (const Wire__AccountCharges *message)
+{
+  assert(message->base.descriptor == &wire__account_charges__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__account_charges__pack
+                     (const Wire__AccountCharges *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__account_charges__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__account_charges__pack_to_buffer
+                     (const Wire__AccountCharges *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__account_charges__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__AccountCharges *
+       wire__account_charges__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__AccountCharges *)
+     protobuf_c_message_unpack (&wire__account_charges__descriptor,
+                                allocator, len, data);
+}
+void   wire__account_charges__free_unpacked
+                     (Wire__AccountCharges *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__account_charges__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[36] =
 {
   {
     "version",
@@ -2250,8 +2430,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_ask",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_ask),
+    &wire__quota_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_grant),
+    &wire__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account_charges",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, account_charges),
+    &wire__account_charges__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
+  35,   /* field[35] = account_charges */
   13,   /* field[13] = ask */
   26,   /* field[26] = call_answer */
   25,   /* field[25] = call_relay */
@@ -2276,6 +2493,8 @@
   8,   /* field[8] = propose_reply */
   9,   /* field[9] = pull */
   10,   /* field[10] = push */
+  33,   /* field[33] = quota_ask */
+  34,   /* field[34] = quota_grant */
   4,   /* field[4] = raft */
   5,   /* field[5] = renew */
   20,   /* field[20] = renews */
@@ -2290,7 +2509,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 33 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -2300,7 +2519,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  33,
+  36,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   2,  wire__envelope__number_ranges,
@@ -3455,7 +3674,7 @@
   (ProtobufCMessageInit) wire__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[3] =
 {
   {
     "next",
@@ -3469,14 +3688,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot_index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPull, snapshot_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPull, snapshot_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__follow_pull__field_indices_by_name[] = {
   0,   /* field[0] = next */
+  1,   /* field[1] = snapshot_index */
+  2,   /* field[2] = snapshot_offset */
 };
 static const ProtobufCIntRange wire__follow_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__follow_pull__descriptor =
 {
@@ -3486,14 +3731,14 @@
   "Wire__FollowPull",
   "wire",
   sizeof(Wire__FollowPull),
-  1,
+  3,
   wire__follow_pull__field_descriptors,
   wire__follow_pull__field_indices_by_name,
   1,  wire__follow_pull__number_ranges,
   (ProtobufCMessageInit) wire__follow_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__follow_push__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__follow_push__field_descriptors[7] =
 {
   {
     "commit",
@@ -3543,17 +3788,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot_offset",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPush, snapshot_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_total",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPush, snapshot_total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_hash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPush, snapshot_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__follow_push__field_indices_by_name[] = {
   0,   /* field[0] = commit */
   1,   /* field[1] = entries */
   3,   /* field[3] = snapshot */
+  6,   /* field[6] = snapshot_hash */
   2,   /* field[2] = snapshot_index */
+  4,   /* field[4] = snapshot_offset */
+  5,   /* field[5] = snapshot_total */
 };
 static const ProtobufCIntRange wire__follow_push__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__follow_push__descriptor =
 {
@@ -3563,7 +3847,7 @@
   "Wire__FollowPush",
   "wire",
   sizeof(Wire__FollowPush),
-  4,
+  7,
   wire__follow_push__field_descriptors,
   wire__follow_push__field_indices_by_name,
   1,  wire__follow_push__number_ranges,
@@ -4871,7 +5155,7 @@
   (ProtobufCMessageInit) wire__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_ask__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__place_ask__field_descriptors[17] =
 {
   {
     "ask",
@@ -5053,8 +5337,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account_priority",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, account_priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_ask__field_indices_by_name[] = {
+  15,   /* field[15] = account */
+  16,   /* field[16] = account_priority */
   3,   /* field[3] = adapter */
   0,   /* field[0] = ask */
   11,   /* field[11] = attempt */
@@ -5074,7 +5384,7 @@
 static const ProtobufCIntRange wire__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__place_ask__descriptor =
 {
@@ -5084,7 +5394,7 @@
   "Wire__PlaceAsk",
   "wire",
   sizeof(Wire__PlaceAsk),
-  15,
+  17,
   wire__place_ask__field_descriptors,
   wire__place_ask__field_indices_by_name,
   1,  wire__place_ask__number_ranges,
@@ -5259,7 +5569,7 @@
   (ProtobufCMessageInit) wire__place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__place_done__field_descriptors[10] =
 {
   {
     "ask",
@@ -5369,6 +5679,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_percent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceDone, work_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_done__field_indices_by_name[] = {
   0,   /* field[0] = ask */
@@ -5380,11 +5702,12 @@
   4,   /* field[4] = running */
   6,   /* field[6] = slots */
   5,   /* field[5] = waiting */
+  9,   /* field[9] = work_percent */
 };
 static const ProtobufCIntRange wire__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__place_done__descriptor =
 {
@@ -5394,7 +5717,7 @@
   "Wire__PlaceDone",
   "wire",
   sizeof(Wire__PlaceDone),
-  9,
+  10,
   wire__place_done__field_descriptors,
   wire__place_done__field_indices_by_name,
   1,  wire__place_done__number_ranges,
@@ -6324,6 +6647,288 @@
   (ProtobufCMessageInit) wire__part_served__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__quota_ask__field_descriptors[6] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forecast",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, forecast),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_ask__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  3,   /* field[3] = forecast */
+  5,   /* field[5] = held */
+  1,   /* field[1] = number */
+  4,   /* field[4] = returned */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange wire__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaAsk",
+  "QuotaAsk",
+  "Wire__QuotaAsk",
+  "wire",
+  sizeof(Wire__QuotaAsk),
+  6,
+  wire__quota_ask__field_descriptors,
+  wire__quota_ask__field_indices_by_name,
+  1,  wire__quota_ask__number_ranges,
+  (ProtobufCMessageInit) wire__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__quota_grant__field_descriptors[5] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lifetime_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, lifetime_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_grant__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  3,   /* field[3] = lifetime_ms */
+  1,   /* field[1] = number */
+  2,   /* field[2] = tokens */
+  4,   /* field[4] = wait_ms */
+};
+static const ProtobufCIntRange wire__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaGrant",
+  "QuotaGrant",
+  "Wire__QuotaGrant",
+  "wire",
+  sizeof(Wire__QuotaGrant),
+  5,
+  wire__quota_grant__field_descriptors,
+  wire__quota_grant__field_indices_by_name,
+  1,  wire__quota_grant__number_ranges,
+  (ProtobufCMessageInit) wire__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__account_charge__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AccountCharge, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "charge_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AccountCharge, charge_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__account_charge__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = charge_milli */
+};
+static const ProtobufCIntRange wire__account_charge__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__account_charge__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.AccountCharge",
+  "AccountCharge",
+  "Wire__AccountCharge",
+  "wire",
+  sizeof(Wire__AccountCharge),
+  2,
+  wire__account_charge__field_descriptors,
+  wire__account_charge__field_indices_by_name,
+  1,  wire__account_charge__number_ranges,
+  (ProtobufCMessageInit) wire__account_charge__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__account_charges__field_descriptors[1] =
+{
+  {
+    "charges",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__AccountCharges, n_charges),
+    offsetof(Wire__AccountCharges, charges),
+    &wire__account_charge__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__account_charges__field_indices_by_name[] = {
+  0,   /* field[0] = charges */
+};
+static const ProtobufCIntRange wire__account_charges__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__account_charges__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.AccountCharges",
+  "AccountCharges",
+  "Wire__AccountCharges",
+  "wire",
+  sizeof(Wire__AccountCharges),
+  1,
+  wire__account_charges__field_descriptors,
+  wire__account_charges__field_indices_by_name,
+  1,  wire__account_charges__number_ranges,
+  (ProtobufCMessageInit) wire__account_charges__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__grant_status__enum_values_by_number[3] =
 {
   { "GRANT_GIVEN", "WIRE__GRANT_STATUS__GRANT_GIVEN", 0 },
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -56,6 +56,10 @@
 typedef struct Wire__PartInquiry Wire__PartInquiry;
 typedef struct Wire__PartsServed Wire__PartsServed;
 typedef struct Wire__PartServed Wire__PartServed;
+typedef struct Wire__QuotaAsk Wire__QuotaAsk;
+typedef struct Wire__QuotaGrant Wire__QuotaGrant;
+typedef struct Wire__AccountCharge Wire__AccountCharge;
+typedef struct Wire__AccountCharges Wire__AccountCharges;
 
 
 /* --- enums --- */
@@ -169,7 +173,10 @@
   WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE = 35,
   WIRE__ENVELOPE__BODY_ENDPOINT_ENDED = 36,
   WIRE__ENVELOPE__BODY_PART_INQUIRY = 37,
-  WIRE__ENVELOPE__BODY_PARTS_SERVED = 38
+  WIRE__ENVELOPE__BODY_PARTS_SERVED = 38,
+  WIRE__ENVELOPE__BODY_QUOTA_ASK = 39,
+  WIRE__ENVELOPE__BODY_QUOTA_GRANT = 40,
+  WIRE__ENVELOPE__BODY_ACCOUNT_CHARGES = 41
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -221,6 +228,9 @@
     Wire__EndpointEnded *endpoint_ended;
     Wire__PartInquiry *part_inquiry;
     Wire__PartsServed *parts_served;
+    Wire__QuotaAsk *quota_ask;
+    Wire__QuotaGrant *quota_grant;
+    Wire__AccountCharges *account_charges;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -528,10 +538,18 @@
    * first index requested
    */
   uint64_t next;
+  /*
+   * The part of a snapshot that has been received; 0: of none.
+   */
+  uint64_t snapshot_index;
+  /*
+   * bytes received
+   */
+  uint64_t snapshot_offset;
 };
 #define WIRE__FOLLOW_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__follow_pull__descriptor) \
-    , 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -550,11 +568,26 @@
    * not 0: older entries have been removed
    */
   uint64_t snapshot_index;
+  /*
+   * a part of it
+   */
   ProtobufCBinaryData snapshot;
+  /*
+   * of the part
+   */
+  uint64_t snapshot_offset;
+  /*
+   * bytes of the whole snapshot
+   */
+  uint64_t snapshot_total;
+  /*
+   * of the whole snapshot
+   */
+  uint64_t snapshot_hash;
 };
 #define WIRE__FOLLOW_PUSH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__follow_push__descriptor) \
-    , 0, 0,NULL, 0, {0,NULL} }
+    , 0, 0,NULL, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
@@ -947,10 +980,18 @@
    * not 0: this ask was sent before, unanswered
    */
   uint32_t resent;
+  /*
+   * client account; empty: none
+   */
+  char *account;
+  /*
+   * goes before the priority; 0 is first
+   */
+  uint32_t account_priority;
 };
 #define WIRE__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -1017,10 +1058,14 @@
    * asks are over. 0: none; then the fields above count.
    */
   uint64_t ended_entry;
+  /*
+   * time that work takes there now; 0: not told
+   */
+  uint32_t work_percent;
 };
 #define WIRE__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_done__descriptor) \
-    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0, NULL, 0 }
+    , 0, WIRE__PLACE_OUTCOME__PLACE_FIRST, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 /*
@@ -1285,6 +1330,97 @@
     , 0, 0 }
 
 
+/*
+ * Entry to the owner of an account's quota: requests a grant of tokens.
+ */
+struct  Wire__QuotaAsk
+{
+  ProtobufCMessage base;
+  char *account;
+  /*
+   * of the entry's asks, ascending
+   */
+  uint64_t number;
+  /*
+   * tokens that waiting requests need
+   */
+  uint64_t wanted;
+  /*
+   * tokens that further requests will need soon
+   */
+  uint64_t forecast;
+  /*
+   * tokens granted before that are given back
+   */
+  uint64_t returned;
+  /*
+   * tokens granted before and not used yet
+   */
+  uint64_t held;
+};
+#define WIRE__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Owner of an account's quota to an entry.
+ */
+struct  Wire__QuotaGrant
+{
+  ProtobufCMessage base;
+  char *account;
+  /*
+   * of the ask
+   */
+  uint64_t number;
+  /*
+   * granted; 0: the quota is used up
+   */
+  uint64_t tokens;
+  /*
+   * of the grant, from the sending of the ask
+   */
+  uint32_t lifetime_ms;
+  /*
+   * until the account may come again; 0: now
+   */
+  uint32_t wait_ms;
+};
+#define WIRE__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * What an account has been charged by the sender since its process started.
+ */
+struct  Wire__AccountCharge
+{
+  ProtobufCMessage base;
+  char *account;
+  uint64_t charge_milli;
+};
+#define WIRE__ACCOUNT_CHARGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__account_charge__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Placer to the other placers: charges of accounts, so that shares hold over
+ * all of them.
+ */
+struct  Wire__AccountCharges
+{
+  ProtobufCMessage base;
+  size_t n_charges;
+  Wire__AccountCharge **charges;
+};
+#define WIRE__ACCOUNT_CHARGES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__account_charges__descriptor) \
+    , 0,NULL }
+
+
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -2064,6 +2200,82 @@
 void   wire__part_served__free_unpacked
                      (Wire__PartServed *message,
                       ProtobufCAllocator *allocator);
+/* Wire__QuotaAsk methods */
+void   wire__quota_ask__init
+                     (Wire__QuotaAsk         *message);
+size_t wire__quota_ask__get_packed_size
+                     (const Wire__QuotaAsk   *message);
+size_t wire__quota_ask__pack
+                     (const Wire__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t wire__quota_ask__pack_to_buffer
+                     (const Wire__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaAsk *
+       wire__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_ask__free_unpacked
+                     (Wire__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__QuotaGrant methods */
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message);
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant   *message);
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__AccountCharge methods */
+void   wire__account_charge__init
+                     (Wire__AccountCharge         *message);
+size_t wire__account_charge__get_packed_size
+                     (const Wire__AccountCharge   *message);
+size_t wire__account_charge__pack
+                     (const Wire__AccountCharge   *message,
+                      uint8_t             *out);
+size_t wire__account_charge__pack_to_buffer
+                     (const Wire__AccountCharge   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__AccountCharge *
+       wire__account_charge__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__account_charge__free_unpacked
+                     (Wire__AccountCharge *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__AccountCharges methods */
+void   wire__account_charges__init
+                     (Wire__AccountCharges         *message);
+size_t wire__account_charges__get_packed_size
+                     (const Wire__AccountCharges   *message);
+size_t wire__account_charges__pack
+                     (const Wire__AccountCharges   *message,
+                      uint8_t             *out);
+size_t wire__account_charges__pack_to_buffer
+                     (const Wire__AccountCharges   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__AccountCharges *
+       wire__account_charges__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__account_charges__free_unpacked
+                     (Wire__AccountCharges *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Envelope_Closure)
@@ -2189,6 +2401,18 @@
 typedef void (*Wire__PartServed_Closure)
                  (const Wire__PartServed *message,
                   void *closure_data);
+typedef void (*Wire__QuotaAsk_Closure)
+                 (const Wire__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Wire__QuotaGrant_Closure)
+                 (const Wire__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Wire__AccountCharge_Closure)
+                 (const Wire__AccountCharge *message,
+                  void *closure_data);
+typedef void (*Wire__AccountCharges_Closure)
+                 (const Wire__AccountCharges *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -2240,6 +2464,10 @@
 extern const ProtobufCMessageDescriptor wire__part_inquiry__descriptor;
 extern const ProtobufCMessageDescriptor wire__parts_served__descriptor;
 extern const ProtobufCMessageDescriptor wire__part_served__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor wire__account_charge__descriptor;
+extern const ProtobufCMessageDescriptor wire__account_charges__descriptor;
 
 PROTOBUF_C__END_DECLS
 
