gate, node: a change of the configuration costs what it changes

Each instance parsed the whole text of every change and compared each route with each other one: at 1,440 routes an entry's event loop was blocked for 75 to 520 ms by a change of one route, and the log carried the whole text.

The text is now a list of shared segments (gate_text), the log carries the difference to the configuration in force, and each instance decodes the new segments alone and updates its configuration in place (gate_update). Routes and services keep their addresses and are found by hash (gate_route_index). The leader checks a change by its difference, has one in flight and proposes the highest version that waits next (node_gate_change).

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -128,21 +128,45 @@
 	uint32_t header_timeout_ms, idle_timeout_ms;
 };
 
-/* The gateway's configuration. A higher version replaces a lower one. */
+struct gw_config_index;
+
+/*
+ * The gateway's configuration. A higher version replaces a lower one. Elements
+ * keep their addresses while others are added and removed.
+ */
 struct gw_config {
 	uint64_t version;
-	struct gw_route *routes;
+	struct gw_route **routes;
 	size_t nroutes;
-	struct gw_service *services;
+	struct gw_service **services;
 	size_t nservices;
-	struct gw_account *accounts;
+	struct gw_account **accounts;
 	size_t naccounts;
 	bool has_accounts; /* requests need a key, unless the route is public */
 	struct gw_limits limits;
+	/* of routes and services; NULL unless gw_config_check() succeeded */
+	struct gw_config_index *index;
 };
 
+/* What the elements of a top-level array of a configuration's text are. */
+enum gw_element_kind {
+	GW_ELEMENT_OTHER, /* nothing that the gateway uses */
+	GW_ELEMENT_ROUTE, /* struct gw_route */
+	GW_ELEMENT_SERVICE, /* struct gw_service */
+	GW_ELEMENT_ACCOUNT /* struct gw_account */
+};
+#define GW_ELEMENT_KINDS 4
+
 /* Frees the configuration and all that it holds. NULL is allowed. */
 void gw_config_destroy(struct gw_config *config);
+/* Frees an element with all that it holds. NULL is allowed. */
+void gw_element_destroy(enum gw_element_kind kind, void *element);
+/* The array of elements of a kind, which the configuration owns. */
+void **gw_config_get_elements(const struct gw_config *config,
+    enum gw_element_kind kind, size_t *count);
+/* Replaces the array, which the caller has allocated; frees nothing. */
+void gw_config_set_elements(struct gw_config *config,
+    enum gw_element_kind kind, void **elements, size_t count);
 
 /*
  * Finds the route of the host whose prefix is the longest one that matches the
@@ -167,7 +191,8 @@
 /*
  * Checks what a codec does not: that services are known, routes distinct and
  * timeouts not 0, and that the weights of each route have a sum from 1 to
- * UINT32_MAX, which it stores in gw_route.weight.
+ * UINT32_MAX, which it stores in gw_route.weight. Builds the index by which
+ * routes and services are found; without one they are searched for.
  * Errors: MP_ERR_INVALID; the message names the JSON path of the fault.
  */
 int gw_config_check(struct gw_config *config, struct mp_error *err);
@@ -371,6 +396,27 @@
 	 */
 	int (*read_config)(struct gw_config **out, struct node_bytes text,
 	    struct mp_error *err);
+	/*
+	 * Tells what the elements of a top-level array are.
+	 *
+	 * key: the array's name as in the text, with its quotes.
+	 */
+	enum gw_element_kind (*find_element_kind)(struct node_bytes key);
+	/*
+	 * Decodes one element of a configuration; gw_element_destroy() frees
+	 * *out, which is NULL for GW_ELEMENT_OTHER. The text must be valid JSON
+	 * in any case.
+	 *
+	 * index: of the element in its array, for error messages.
+	 */
+	int (*read_element)(void **out, enum gw_element_kind kind, size_t index,
+	    struct node_bytes text, struct mp_error *err);
+	/*
+	 * Decodes all but the elements of top-level arrays into the members of
+	 * *out. text: the configuration without these elements.
+	 */
+	int (*read_rest)(struct gw_config *out, struct node_bytes text,
+	    struct mp_error *err);
 
 	/* Decodes a caller's request. Errors: MP_ERR_INVALID. */
 	int (*read_request)(struct gw_request *out,
--- a/src/gate/gate_config.c
+++ b/src/gate/gate_config.c
@@ -2,13 +2,16 @@
 #include <string.h>
 #include <strings.h>
 
-#include "mulberrypath/gateway.h"
+#include "gate/gate_config.h"
+#include "util/mem.h"
 
 /*
  * The gateway's configuration: lookup of routes and services, and the checks
  * that do not depend on the wire format.
  */
 
+/* ---- memory ------------------------------------------------------------- */
+
 static void
 route_free(struct gw_route *r)
 {
@@ -20,6 +23,7 @@
 	free(r->name);
 	free(r->host);
 	free(r->prefix);
+	free(r);
 }
 
 static void
@@ -31,6 +35,33 @@
 		free(s->engine.models[i].name);
 	free(s->engine.models);
 	free(s->name);
+	free(s);
+}
+
+static void
+account_free(struct gw_account *a)
+{
+	size_t i;
+
+	for (i = 0; a->plain_keys != NULL && i < a->nkeys; i++)
+		free(a->plain_keys[i]);
+	free(a->plain_keys);
+	free(a->keys);
+	free(a->name);
+	free(a);
+}
+
+void
+gw_element_destroy(enum gw_element_kind kind, void *element)
+{
+	if (element == NULL)
+		return;
+	if (kind == GW_ELEMENT_ROUTE)
+		route_free(element);
+	else if (kind == GW_ELEMENT_SERVICE)
+		service_free(element);
+	else if (kind == GW_ELEMENT_ACCOUNT)
+		account_free(element);
 }
 
 void
@@ -41,23 +72,95 @@
 	if (config == NULL)
 		return;
 	for (i = 0; i < config->nroutes; i++)
-		route_free(&config->routes[i]);
+		gw_element_destroy(GW_ELEMENT_ROUTE, config->routes[i]);
 	for (i = 0; i < config->nservices; i++)
-		service_free(&config->services[i]);
+		gw_element_destroy(GW_ELEMENT_SERVICE, config->services[i]);
+	for (i = 0; i < config->naccounts; i++)
+		gw_element_destroy(GW_ELEMENT_ACCOUNT, config->accounts[i]);
 	free(config->routes);
 	free(config->services);
+	free(config->accounts);
+	gw_config_index_destroy(config->index);
 	free(config);
 }
 
-const struct gw_route *
-gw_config_find_route(
-    const struct gw_config *config, const char *host, const char *path)
+void **
+gw_config_get_elements(
+    const struct gw_config *config, enum gw_element_kind kind, size_t *count)
+{
+	if (kind == GW_ELEMENT_ROUTE) {
+		*count = config->nroutes;
+		return (void **)config->routes;
+	}
+	if (kind == GW_ELEMENT_SERVICE) {
+		*count = config->nservices;
+		return (void **)config->services;
+	}
+	*count = kind == GW_ELEMENT_ACCOUNT ? config->naccounts : 0;
+	return kind == GW_ELEMENT_ACCOUNT ? (void **)config->accounts : NULL;
+}
+
+void
+gw_config_set_elements(struct gw_config *config, enum gw_element_kind kind,
+    void **elements, size_t count)
+{
+	if (kind == GW_ELEMENT_ROUTE) {
+		config->routes = (struct gw_route **)elements;
+		config->nroutes = count;
+	} else if (kind == GW_ELEMENT_SERVICE) {
+		config->services = (struct gw_service **)elements;
+		config->nservices = count;
+	} else if (kind == GW_ELEMENT_ACCOUNT) {
+		config->accounts = (struct gw_account **)elements;
+		config->naccounts = count;
+	}
+}
+
+struct gw_config_index *
+gw_config_index_create(void)
+{
+	struct gw_config_index *index = mem_alloc(1, sizeof(*index));
+
+	index->routes = gw_route_index_create();
+	index->services = map_create();
+	return index;
+}
+
+void
+gw_config_index_destroy(struct gw_config_index *index)
+{
+	if (index == NULL)
+		return;
+	gw_route_index_destroy(index->routes);
+	map_destroy(index->services);
+	free(index);
+}
+
+void
+gw_config_index_services(struct gw_config *config)
+{
+	struct map *services = map_create();
+	size_t i;
+
+	for (i = 0; i < config->nservices; i++)
+		if (map_get_str(services, config->services[i]->name) == NULL)
+			(void)map_set_str(services, config->services[i]->name,
+			    config->services[i]);
+	map_destroy(config->index->services);
+	config->index->services = services;
+}
+
+/* ---- look-up ------------------------------------------------------------ */
+
+/* Finds a route of a configuration that has not been checked. */
+static const struct gw_route *
+search_route(const struct gw_config *config, const char *host, const char *path)
 {
 	const struct gw_route *best = NULL, *r;
 	size_t i, len, longest = 0;
 
 	for (i = 0; i < config->nroutes; i++) {
-		r = &config->routes[i];
+		r = config->routes[i];
 		len = strlen(r->prefix);
 		if ((best != NULL && len <= longest) ||
 		    strcasecmp(r->host, host) != 0 ||
@@ -69,14 +172,25 @@
 	return best;
 }
 
+const struct gw_route *
+gw_config_find_route(
+    const struct gw_config *config, const char *host, const char *path)
+{
+	return config->index == NULL
+	    ? search_route(config, host, path)
+	    : gw_route_index_find(config->index->routes, host, path);
+}
+
 const struct gw_service *
 gw_config_find_service(const struct gw_config *config, const char *name)
 {
 	size_t i;
 
+	if (config->index != NULL)
+		return map_get_str(config->index->services, name);
 	for (i = 0; i < config->nservices; i++)
-		if (strcmp(config->services[i].name, name) == 0)
-			return &config->services[i];
+		if (strcmp(config->services[i]->name, name) == 0)
+			return config->services[i];
 	return NULL;
 }
 
@@ -117,40 +231,60 @@
 	return MP_OK;
 }
 
+int
+gw_config_check_route(const struct gw_config *config, struct gw_route *r,
+    size_t index, struct mp_error *err)
+{
+	if (r->timeout_ms == 0)
+		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
+		    "$.routes[%zu]: the timeout must not be 0", index);
+	return check_targets(config, r, index, err);
+}
+
+static int
+refuse_same(const struct gw_config *config, size_t index,
+    const struct gw_route *other, struct mp_error *err)
+{
+	size_t i = 0;
+
+	while (config->routes[i] != other)
+		i++;
+	return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
+	    "$.routes[%zu]: the same host and prefix as $.routes[%zu]", index,
+	    i);
+}
+
 static int
-check_distinct(
-    const struct gw_config *config, size_t index, struct mp_error *err)
+check_routes(struct gw_config *config, struct mp_error *err)
 {
-	const struct gw_route *r = &config->routes[index], *other;
+	const struct gw_route *other;
 	size_t i;
+	int rc = MP_OK;
 
-	for (i = 0; i < index; i++) {
-		other = &config->routes[i];
-		if (strcasecmp(r->host, other->host) == 0 &&
-		    strcmp(r->prefix, other->prefix) == 0)
-			return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
-			    "$.routes[%zu]: the same host and prefix as "
-			    "$.routes[%zu]",
-			    index, i);
+	for (i = 0; i < config->nroutes && rc == MP_OK; i++) {
+		rc = gw_config_check_route(config, config->routes[i], i, err);
+		if (rc != MP_OK)
+			break;
+		other = gw_route_index_add(
+		    config->index->routes, config->routes[i]);
+		if (other != NULL)
+			rc = refuse_same(config, i, other, err);
 	}
-	return MP_OK;
+	return rc;
 }
 
 int
 gw_config_check(struct gw_config *config, struct mp_error *err)
 {
-	size_t i;
 	int rc;
 
-	for (i = 0; i < config->nroutes; i++) {
-		if (config->routes[i].timeout_ms == 0)
-			return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
-			    "$.routes[%zu]: the timeout must not be 0", i);
-		rc = check_targets(config, &config->routes[i], i, err);
-		if (rc == MP_OK)
-			rc = check_distinct(config, i, err);
-		if (rc != MP_OK)
-			return rc;
+	gw_config_index_destroy(config->index);
+	config->index = gw_config_index_create();
+	gw_config_index_services(config);
+	rc = check_routes(config, err);
+	if (rc != MP_OK) {
+		gw_config_index_destroy(config->index);
+		config->index = NULL;
 	}
-	return MP_OK;
+	return rc;
 }
--- /dev/null
+++ b/src/gate/gate_text_delta.c
@@ -0,0 +1,310 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate/gate_text_internal.h"
+#include "util/map.h"
+#include "util/mem.h"
+
+/* Differences between configuration texts, see gate_text.h. */
+
+#define NO_MATCH SIZE_MAX
+
+/* ---- diff --------------------------------------------------------------- */
+
+static bool
+is_same(const struct gw_text *a, size_t i, const struct gw_text *b, size_t j)
+{
+	const struct gw_segment *s = a->segments[i], *t = b->segments[j];
+
+	if (a->hashes[i] != b->hashes[j] || a->kinds[i] != b->kinds[j])
+		return false;
+	return s == t ||
+	    (s->len == t->len && memcmp(s->data, t->data, s->len) == 0);
+}
+
+/* Matches the ends of both texts; the rest is from *head to the tails. */
+static void
+match_ends(const struct gw_text *base, const struct gw_text *text,
+    size_t *match, size_t *head, size_t *base_tail, size_t *tail)
+{
+	size_t i = 0, base_end = gw_text_count(base), end = text->count;
+
+	for (; i < base_end && i < end && is_same(base, i, text, i); i++)
+		match[i] = i;
+	while (base_end > i && end > i &&
+	    is_same(base, base_end - 1, text, end - 1))
+		match[--end] = --base_end;
+	*head = i;
+	*base_tail = base_end;
+	*tail = end;
+}
+
+/*
+ * Matches each segment of a range with one in the base's that has the same
+ * bytes, in any order. Separators are left out, as they are all alike; so are
+ * further copies of a segment.
+ */
+static void
+match_any(const struct gw_text *base, const struct gw_text *text, size_t *match,
+    size_t head, size_t base_tail, size_t tail)
+{
+	struct map *seen = map_create();
+	const size_t *found;
+	size_t i, *indexes = mem_alloc(base_tail - head + 1, sizeof(*indexes));
+
+	for (i = head; i < base_tail; i++) {
+		indexes[i - head] = i;
+		if (base->kinds[i] != GW_SEGMENT_SEPARATOR)
+			(void)map_set_u64(
+			    seen, base->hashes[i], &indexes[i - head]);
+	}
+	for (i = head; i < tail; i++) {
+		found = text->kinds[i] == GW_SEGMENT_SEPARATOR
+		    ? NULL
+		    : map_get_u64(seen, text->hashes[i]);
+		if (found == NULL || !is_same(base, *found, text, i))
+			continue;
+		match[i] = *found;
+		(void)map_remove_u64(seen, text->hashes[i]);
+	}
+	map_destroy(seen);
+	free(indexes);
+}
+
+/*
+ * Keeps of the matches in a range a longest set that is in the order of both
+ * texts. ends[k] is the text's index at which the best chain of k + 1 matches
+ * found so far ends.
+ */
+static void
+keep_ascending(size_t *match, size_t head, size_t tail)
+{
+	size_t n = tail - head, length = 0, i, low, high, middle;
+	size_t *ends = mem_alloc(n + 1, sizeof(*ends));
+	size_t *previous = mem_alloc(n + 1, sizeof(*previous));
+	size_t at = NO_MATCH;
+
+	for (i = head; i < tail; i++) {
+		if (match[i] == NO_MATCH)
+			continue;
+		for (low = 0, high = length; low < high;) {
+			middle = (low + high) / 2;
+			if (match[ends[middle]] < match[i])
+				low = middle + 1;
+			else
+				high = middle;
+		}
+		previous[i - head] = low == 0 ? NO_MATCH : ends[low - 1];
+		ends[low] = i;
+		if (low == length)
+			length++;
+	}
+	if (length > 0)
+		at = ends[length - 1];
+	for (i = tail; i-- > head;) {
+		if (i == at)
+			at = previous[i - head];
+		else
+			match[i] = NO_MATCH;
+	}
+	free(ends);
+	free(previous);
+}
+
+/* Extends each match to the segments that follow it in both texts. */
+static void
+extend(const struct gw_text *base, const struct gw_text *text, size_t *match,
+    size_t head, size_t base_tail, size_t tail)
+{
+	size_t next = base_tail, i;
+
+	/* Backwards first, to know where the next match of each begins. */
+	for (i = tail; i-- > head;) {
+		if (match[i] == NO_MATCH && i + 1 < tail &&
+		    match[i + 1] != NO_MATCH && match[i + 1] > head &&
+		    text->kinds[i] == GW_SEGMENT_SEPARATOR &&
+		    (i == head || match[i - 1] == NO_MATCH ||
+			match[i - 1] < match[i + 1] - 1) &&
+		    base->kinds[match[i + 1] - 1] == GW_SEGMENT_SEPARATOR &&
+		    is_same(base, match[i + 1] - 1, text, i))
+			match[i] = match[i + 1] - 1;
+	}
+	for (i = tail; i-- > head;)
+		if (match[i] != NO_MATCH) {
+			/* A chain in the order of both texts. */
+			if (match[i] >= next)
+				match[i] = NO_MATCH;
+			else
+				next = match[i];
+		}
+}
+
+static struct gw_text_piece *
+add_piece(struct gw_text_delta *delta, size_t from)
+{
+	struct gw_text_piece *p;
+
+	delta->pieces = mem_resize(
+	    delta->pieces, delta->npieces + 1, sizeof(*delta->pieces));
+	p = &delta->pieces[delta->npieces++];
+	memset(p, 0, sizeof(*p));
+	p->from = from;
+	return p;
+}
+
+static void
+insert(struct gw_text_piece *p, struct node_bytes bytes)
+{
+	/* Doubles the memory whenever the number is a power of two. */
+	if ((p->ninserted & (p->ninserted - 1)) == 0)
+		p->inserted = mem_resize(p->inserted,
+		    p->ninserted == 0 ? 1 : p->ninserted * 2,
+		    sizeof(*p->inserted));
+	p->inserted[p->ninserted++] = bytes;
+}
+
+static struct gw_text_delta *
+make_delta(const struct gw_text *text, const size_t *match)
+{
+	struct gw_text_delta *delta = mem_alloc(1, sizeof(*delta));
+	struct gw_text_piece *p = NULL;
+	size_t i;
+
+	for (i = 0; i < text->count; i++) {
+		if (match[i] == NO_MATCH) {
+			if (p == NULL)
+				p = add_piece(delta, 0);
+			insert(p, gw_text_segment(text, i));
+			continue;
+		}
+		if (p == NULL || p->ninserted > 0 ||
+		    p->from + p->count != match[i])
+			p = add_piece(delta, match[i]);
+		p->count++;
+	}
+	return delta;
+}
+
+struct gw_text_delta *
+gw_text_diff(const struct gw_text *base, const struct gw_text *text)
+{
+	size_t *match = mem_alloc(text->count + 1, sizeof(*match));
+	size_t head, base_tail, tail, i;
+	struct gw_text_delta *delta;
+
+	for (i = 0; i < text->count; i++)
+		match[i] = NO_MATCH;
+	match_ends(base, text, match, &head, &base_tail, &tail);
+	if (base != NULL && head < base_tail && head < tail) {
+		match_any(base, text, match, head, base_tail, tail);
+		keep_ascending(match, head, tail);
+		extend(base, text, match, head, base_tail, tail);
+	}
+	delta = make_delta(text, match);
+	free(match);
+	return delta;
+}
+
+void
+gw_text_delta_destroy(struct gw_text_delta *delta)
+{
+	size_t i;
+
+	if (delta == NULL)
+		return;
+	for (i = 0; i < delta->npieces; i++)
+		free(delta->pieces[i].inserted);
+	free(delta->pieces);
+	free(delta);
+}
+
+size_t
+gw_text_delta_bytes(const struct gw_text_delta *delta)
+{
+	size_t i, k, bytes = 0;
+
+	for (i = 0; i < delta->npieces; i++)
+		for (k = 0; k < delta->pieces[i].ninserted; k++)
+			bytes += delta->pieces[i].inserted[k].len;
+	return bytes;
+}
+
+/* ---- apply -------------------------------------------------------------- */
+
+/*
+ * The kind of a new segment by its first bytes, as gw_text_parse() cuts:
+ * elements begin with their value, separators are a comma with white space,
+ * and the rest is the text's beginning or continues at an array's end.
+ */
+static enum gw_segment_kind
+kind_of(const struct gw_text *text, struct node_bytes bytes)
+{
+	size_t space = 0;
+
+	while (space < bytes.len && strchr(" \t\n\r", bytes.data[space]) &&
+	    bytes.data[space] != '\0')
+		space++;
+	if (text->count == 0 || space == bytes.len || bytes.data[space] == ']')
+		return GW_SEGMENT_REST;
+	return bytes.data[space] == ',' ? GW_SEGMENT_SEPARATOR
+					: GW_SEGMENT_ELEMENT;
+}
+
+/* Whether a segment that begins with a comma has nothing else in it. */
+static bool
+is_separator(struct node_bytes bytes)
+{
+	size_t i, commas = 0;
+
+	for (i = 0; i < bytes.len; i++)
+		if (bytes.data[i] == ',')
+			commas++;
+		else if (memchr(" \t\n\r", bytes.data[i], 4) == NULL)
+			return false;
+	return commas == 1;
+}
+
+static bool
+apply_piece(struct gw_text *out, const struct gw_text *base,
+    const struct gw_text_piece *p, size_t *next)
+{
+	enum gw_segment_kind kind;
+	size_t i;
+
+	if (p->count > 0) {
+		if (p->from < *next || p->from > gw_text_count(base) ||
+		    p->count > gw_text_count(base) - p->from)
+			return false;
+		*next = p->from + p->count;
+		gw_text_append_shared(out, base, p->from, p->count);
+	}
+	for (i = 0; i < p->ninserted; i++) {
+		kind = kind_of(out, p->inserted[i]);
+		if (kind == GW_SEGMENT_SEPARATOR &&
+		    !is_separator(p->inserted[i]))
+			return false;
+		gw_text_append(out, p->inserted[i], kind);
+		out->work.scanned_bytes += p->inserted[i].len;
+	}
+	return true;
+}
+
+int
+gw_text_apply(struct gw_text **out, const struct gw_text *base,
+    const struct gw_text_delta *delta, struct mp_error *err)
+{
+	struct gw_text *text = gw_text_create(gw_text_count(base) + 1);
+	bool is_valid = true;
+	size_t i, next = 0;
+
+	*out = NULL;
+	for (i = 0; i < delta->npieces && is_valid; i++)
+		is_valid = apply_piece(text, base, &delta->pieces[i], &next);
+	if (!is_valid || !gw_text_find_arrays(text)) {
+		gw_text_destroy(text);
+		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
+		    "the difference doesn't fit its base");
+	}
+	*out = text;
+	return MP_OK;
+}
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -57,6 +57,7 @@
 	g->entries = map_create();
 	g->orders = map_create();
 	g->callers = map_create();
+	g->changes = gate_changes_create();
 	g->asks = map_create();
 	g->relays = map_create();
 	g->place = create_place(n);
@@ -102,6 +103,7 @@
 	gate_config_free(g);
 	map_destroy_all(g->entries, free);
 	map_destroy_all(g->callers, free);
+	gate_changes_destroy(g->changes);
 	map_destroy_all(g->asks, free);
 	map_destroy_all(g->owners, free);
 	place_popularity_destroy(g->popularity);
@@ -412,6 +414,7 @@
 	if (n->standing == MEMBER_LEASED)
 		g->has_been_leased = true;
 	gate_relay_tick(n);
+	gate_change_tick(n);
 	gate_place_tick(n);
 	gate_owner_tick(n);
 	if (forward_next_us(g->forward) <= n->now)
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -2,6 +2,7 @@
 #define MP_NODE_GATE_H
 
 #include "forward/forward.h"
+#include "gate/gate_text.h"
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
 #include "place/place.h"
@@ -100,6 +101,14 @@
 	GATE_TAKEN, /* it is in force, or a newer version is */
 	GATE_CONFLICT, /* its version is in force with other content */
 	GATE_UNREADABLE, /* this instance can't read it */
+	GATE_BASE_MISMATCH, /* it is a difference to another configuration */
+};
+
+/* Configurations that the log brought. */
+struct gate_config_counts {
+	uint64_t deltas, texts; /* as differences, whole */
+	uint64_t bytes; /* of their new text */
+	uint64_t mismatches; /* differences to another configuration */
 };
 
 /* A request of this entry that waits for a place or has one. */
@@ -159,7 +168,12 @@
 struct node_gate {
 	const struct gw_codec *codec;
 	struct gw_config *config; /* NULL: none is known */
-	struct buf config_text; /* as it was received */
+	struct gw_text *config_text; /* as it was received */
+	/* newer text that can't be read here: later ones may build on it */
+	struct gw_text *unread_text;
+	uint64_t unread_version;
+	struct gate_config_counts config_counts;
+	struct gate_changes *changes; /* of the leader */
 	uint64_t config_index;
 	bool config_unreadable; /* a newer one could not be read */
 	enum gate_config_trust logged_trust;
@@ -257,7 +271,29 @@
     const struct node *n, const char *model, const char *adapter);
 void gate_config_free(struct node_gate *g);
 
+/* ---- node_gate_change.c: changes of the configuration at the leader ---- */
+struct gate_changes *gate_changes_create(void);
+void gate_changes_destroy(struct gate_changes *changes);
+/* Checks an operator's configuration, and answers or queues it. */
+void gate_change_put(
+    struct node *n, struct node_bytes text, const struct gate_caller *caller);
+/* A configuration of the log is in force: answers what that decides. */
+void gate_change_on_config(struct node *n);
+/* A proposal is applied, or has timed out; false: not one of a change. */
+bool gate_change_on_applied(
+    struct node *n, uint64_t proposal, enum gate_verdict verdict);
+bool gate_change_on_expired(struct node *n, uint64_t proposal);
+void gate_change_tick(struct node *n);
+/* How many changes wait to be proposed. */
+size_t gate_change_waiting_count(const struct gate_changes *changes);
+
 /* ---- node_gate_control.c: control calls ---- */
+/* Answers a call with a status and, unless it is 200, a reason. */
+void gate_control_answer(struct node *n, const struct gate_caller *caller,
+    int status, const char *reason);
+/* Answers a call that changes the replicated state. */
+void gate_control_answer_change(struct node *n,
+    const struct gate_caller *caller, enum gate_verdict verdict);
 /* Handles a control call, or relays it to the leader. */
 void gate_control_handle(struct node *n, const struct node_request *request,
     const struct gate_caller *caller);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate/gate_update.h"
 #include "node/node_gate.h"
 #include "node/node_guard.h"
 #include "util/mem.h"
@@ -33,7 +34,8 @@
 	}
 	map_destroy(g->versions);
 	gw_config_destroy(g->config);
-	buf_free(&g->config_text);
+	gw_text_destroy(g->config_text);
+	gw_text_destroy(g->unread_text);
 }
 
 static void
@@ -50,54 +52,226 @@
 	out->idle_timeout_ms = limits->idle_timeout_ms;
 }
 
-/* Decodes, checks and activates a configuration; false if it is invalid. */
-static bool
-set_config(struct node *n, uint64_t index, struct node_bytes text)
+static void
+log_config(struct node *n, const struct gw_update_work *work)
+{
+	const struct node_gate *g = n->gate;
+
+	node_log(n, NODE_LOG_GATE_CONFIG,
+	    "{\"version\": %llu, \"index\": %llu, \"routes\": %zu, "
+	    "\"decoded\": %zu, \"decodedBytes\": %zu, \"checked\": %zu}",
+	    (unsigned long long)g->config->version,
+	    (unsigned long long)g->config_index, g->config->nroutes,
+	    work->decoded, work->decoded_bytes, work->checked);
+}
+
+/* Puts a configuration in force whose update has been applied. */
+static void
+activate(struct node *n, uint64_t index, struct gw_config *config,
+    struct gw_text *text, const struct gw_update *update)
 {
 	struct node_gate *g = n->gate;
-	struct gw_config *config, *previous = g->config;
-	struct mp_error err;
+	struct gw_update_work work = gw_update_get_work(update);
+	bool is_first = g->config == NULL;
 
-	if (g->codec->read_config(&config, text, &err) != MP_OK)
-		return false;
-	if (gw_config_check(config, &err) != MP_OK &&
-	    node_guards.gate_checked) {
-		gw_config_destroy(config);
-		return false;
-	}
+	gw_text_destroy(g->config_text);
+	gw_text_destroy(g->unread_text);
 	g->config = config;
+	g->config_text = text;
+	g->unread_text = NULL;
 	g->config_index = index;
 	g->config_unreadable = false;
-	buf_clear(&g->config_text);
-	buf_append(&g->config_text, text.data, text.len);
-	place_configure(g->place, config);
-	gw_config_destroy(previous);
+	if (is_first || gw_update_has_services(update))
+		place_configure(g->place, config);
 	publish_limits(n, &config->limits);
-	node_log(n, NODE_LOG_GATE_CONFIG,
-	    "{\"version\": %llu, \"index\": %llu, \"routes\": %zu}",
-	    (unsigned long long)config->version, (unsigned long long)index,
-	    config->nroutes);
-	return true;
+	log_config(n, &work);
+}
+
+/*
+ * Decodes, checks and activates the text's difference to the configuration in
+ * force, and takes the text over; false: it is invalid, and nothing changes.
+ */
+static bool
+set_config(struct node *n, uint64_t index, struct gw_text *text,
+    const struct gw_text_delta *delta)
+{
+	struct node_gate *g = n->gate;
+	struct gw_config *config =
+	    g->config == NULL ? gw_config_create() : g->config;
+	struct gw_update *update;
+	struct mp_error err;
+	bool is_valid = gw_update_prepare(&update, g->codec, config,
+			    g->config_text, text, delta, &err) == MP_OK;
+
+	if (is_valid && gw_update_apply(update, &err) != MP_OK &&
+	    node_guards.gate_checked) {
+		is_valid = false;
+		gw_update_revert(update);
+	}
+	if (is_valid)
+		activate(n, index, config, text, update);
+	/* After place_configure(): these elements may be in use until then. */
+	gw_update_destroy(update);
+	if (g->config != config)
+		gw_config_destroy(config);
+	return is_valid;
 }
 
 /*
  * A newer configuration can't be read here, as when an operator's change needs
- * a later version of this program. The one before stays.
+ * a later version of this program. The one before stays in force, and the text
+ * is kept, as later differences refer to it.
+ *
+ * text: NULL: it is not even an object.
  */
 static void
-take_unreadable(struct node *n, uint64_t version)
+take_unreadable(struct node *n, uint64_t version, struct gw_text *text)
 {
+	struct node_gate *g = n->gate;
+
 	n->counters.malformed++;
-	n->gate->config_unreadable = true;
+	g->config_unreadable = true;
+	gw_text_destroy(g->unread_text);
+	g->unread_text = text;
+	g->unread_version = version;
 	node_log(n, NODE_LOG_GATE_UNREADABLE, "{\"version\": %llu}",
 	    (unsigned long long)version);
 }
 
-bool
-gate_config_is_text(const struct node_gate *g, struct node_bytes text)
+/*
+ * Activates a text; false: this instance can't read it.
+ *
+ * delta: the difference to the configuration in force; NULL: not known.
+ */
+static bool
+take_text(struct node *n, uint64_t index, uint64_t version,
+    struct gw_text *text, const struct gw_text_delta *delta)
 {
-	return text.len == g->config_text.len &&
-	    memcmp(text.data, g->config_text.data, text.len) == 0;
+	struct gw_text_delta *made = NULL;
+	bool is_set;
+
+	if (delta == NULL)
+		delta = made = gw_text_diff(n->gate->config_text, text);
+	is_set = set_config(n, index, text, delta);
+	gw_text_delta_destroy(made);
+	if (!is_set)
+		take_unreadable(n, version, text);
+	return is_set;
+}
+
+static bool
+take_whole_text(
+    struct node *n, uint64_t index, uint64_t version, struct node_bytes bytes)
+{
+	struct gw_text *text;
+
+	n->gate->config_counts.texts++;
+	n->gate->config_counts.bytes += bytes.len;
+	if (gw_text_parse(&text, bytes, NULL) == MP_OK)
+		return take_text(n, index, version, text, NULL);
+	take_unreadable(n, version, NULL);
+	return false;
+}
+
+/* ---- differences -------------------------------------------------------- */
+
+/* Whether a change of the log is a difference to an earlier configuration. */
+static bool
+is_delta(const Wire__GatewayConfig *put)
+{
+	return put->text.len == 0 && put->n_pieces > 0;
+}
+
+/* Refers to the message, which must outlive the result. */
+static struct gw_text_delta *
+read_delta(const Wire__GatewayConfig *put)
+{
+	struct gw_text_delta *delta = mem_alloc(1, sizeof(*delta));
+	const Wire__ConfigPiece *from;
+	struct gw_text_piece *to;
+	size_t i, k;
+
+	delta->npieces = put->n_pieces;
+	delta->pieces = mem_alloc(put->n_pieces + 1, sizeof(*delta->pieces));
+	for (i = 0; i < put->n_pieces; i++) {
+		from = put->pieces[i];
+		to = &delta->pieces[i];
+		to->from = from->from;
+		to->count = from->count;
+		to->ninserted = from->n_inserted;
+		to->inserted =
+		    mem_alloc(from->n_inserted + 1, sizeof(*to->inserted));
+		for (k = 0; k < from->n_inserted; k++) {
+			to->inserted[k].data =
+			    (const char *)from->inserted[k].data;
+			to->inserted[k].len = from->inserted[k].len;
+		}
+	}
+	return delta;
+}
+
+/* The text that a difference refers to; false: it is not known here. */
+static bool
+find_base(const struct node_gate *g, const Wire__GatewayConfig *put,
+    const struct gw_text **base)
+{
+	*base = g->config_text;
+	if (!node_guards.gate_base)
+		return true;
+	if (g->config != NULL && put->base_version == g->config->version &&
+	    put->base_digest == gw_text_digest(g->config_text))
+		return true;
+	*base = g->unread_text;
+	return g->unread_text != NULL &&
+	    put->base_version == g->unread_version &&
+	    put->base_digest == gw_text_digest(g->unread_text);
+}
+
+/*
+ * A difference is applied only to the configuration that it was made from: on
+ * another it would give a text that nobody has sent. All instances that can
+ * read the configurations of the log decide the same.
+ */
+static enum gate_verdict
+take_delta(struct node *n, uint64_t index, const Wire__GatewayConfig *put)
+{
+	struct node_gate *g = n->gate;
+	struct gw_text_delta *delta = read_delta(put);
+	const struct gw_text *base;
+	struct gw_text *text = NULL;
+	enum gate_verdict verdict = GATE_BASE_MISMATCH;
+
+	if (find_base(g, put, &base) &&
+	    gw_text_apply(&text, base, delta, NULL) == MP_OK &&
+	    (gw_text_digest(text) == put->digest || !node_guards.gate_base)) {
+		g->config_counts.deltas++;
+		g->config_counts.bytes += gw_text_delta_bytes(delta);
+		verdict = take_text(n, index, put->version, text,
+			      base == g->config_text ? delta : NULL)
+		    ? GATE_TAKEN
+		    : GATE_UNREADABLE;
+	} else {
+		gw_text_destroy(text);
+		g->config_counts.mismatches++;
+		node_log(n, NODE_LOG_GATE_BASE_MISMATCH,
+		    "{\"version\": %llu, \"base\": %llu, \"have\": %llu}",
+		    (unsigned long long)put->version,
+		    (unsigned long long)put->base_version,
+		    (unsigned long long)(g->config == NULL
+			    ? 0
+			    : g->config->version));
+	}
+	gw_text_delta_destroy(delta);
+	return verdict;
+}
+
+static bool
+is_content(const struct node_gate *g, const Wire__GatewayConfig *put)
+{
+	struct node_bytes text = {(const char *)put->text.data, put->text.len};
+
+	return is_delta(put) ? put->digest == gw_text_digest(g->config_text)
+			     : gw_text_is_bytes(g->config_text, text);
 }
 
 /*
@@ -110,19 +284,21 @@
 {
 	struct node_bytes text = {(const char *)put->text.data, put->text.len};
 	const struct node_gate *g = n->gate;
+	enum gate_verdict verdict = GATE_TAKEN;
 
 	if (g == NULL)
 		return GATE_TAKEN;
 	if (g->config != NULL && node_guards.gate_highest &&
 	    put->version <= g->config->version)
-		return put->version < g->config->version ||
-			gate_config_is_text(g, text)
+		return put->version < g->config->version || is_content(g, put)
 		    ? GATE_TAKEN
 		    : GATE_CONFLICT;
-	if (set_config(n, index, text))
-		return GATE_TAKEN;
-	take_unreadable(n, put->version);
-	return GATE_UNREADABLE;
+	if (is_delta(put))
+		verdict = take_delta(n, index, put);
+	else if (!take_whole_text(n, index, put->version, text))
+		verdict = GATE_UNREADABLE;
+	gate_change_on_config(n);
+	return verdict;
 }
 
 enum gate_config_trust
@@ -271,6 +447,7 @@
 {
 	const struct node_gate *g = n->gate;
 	const struct gate_version *v;
+	struct buf text = {0};
 	size_t i;
 
 	if (g == NULL)
@@ -279,8 +456,9 @@
 	gate_quarantine_save(n, out);
 	if (g->config != NULL) {
 		out->config_version = g->config->version;
-		out->config.data = (uint8_t *)g->config_text.data;
-		out->config.len = g->config_text.len;
+		gw_text_join(g->config_text, &text);
+		out->config.data = (uint8_t *)text.data;
+		out->config.len = text.len;
 	}
 	out->n_versions = map_count(g->versions);
 	out->versions = mem_alloc(out->n_versions + 1, sizeof(*out->versions));
@@ -299,6 +477,9 @@
 {
 	size_t i;
 
+	free(out->config.data);
+	out->config.data = NULL;
+	out->config.len = 0;
 	for (i = 0; i < out->n_versions; i++)
 		free(out->versions[i]);
 	free(out->versions);
@@ -332,6 +513,6 @@
 	    (n->gate->config != NULL &&
 		snapshot->config_version <= n->gate->config->version))
 		return;
-	if (!set_config(n, snapshot->index, text))
-		take_unreadable(n, snapshot->config_version);
+	(void)take_whole_text(
+	    n, snapshot->index, snapshot->config_version, text);
 }
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -49,9 +49,9 @@
 	node_peer_reply(n, caller->instance, caller->incarnation, &envelope);
 }
 
-static void
-send_result(struct node *n, const struct gate_caller *caller, int status,
-    const char *reason)
+void
+gate_control_answer(struct node *n, const struct gate_caller *caller,
+    int status, const char *reason)
 {
 	struct node_reply reply = {0};
 
@@ -102,16 +102,16 @@
  * The answer says what became of the change in the log: others may have been
  * committed between its checks and its own entry.
  */
-static void
-answer_change(
-    struct node *n, const struct gate_caller *caller, enum gate_verdict verdict)
+void
+gate_control_answer_change(struct node *n, const struct gate_caller *caller,
+    enum gate_verdict verdict)
 {
 	if (verdict == GATE_CONFLICT && node_guards.gate_verdict)
-		send_result(n, caller, 409, CONFLICT_REASON);
+		gate_control_answer(n, caller, 409, CONFLICT_REASON);
 	else if (verdict == GATE_UNREADABLE)
-		send_result(n, caller, 400, "it can't be read");
+		gate_control_answer(n, caller, 400, "it can't be read");
 	else
-		send_result(n, caller, 200, NULL);
+		gate_control_answer(n, caller, 200, NULL);
 }
 
 void
@@ -120,13 +120,13 @@
 {
 	struct gate_caller *caller;
 
-	if (n->gate == NULL)
+	if (n->gate == NULL || gate_change_on_applied(n, proposal, verdict))
 		return;
 	caller = map_remove_u64(n->gate->callers, proposal);
 	if (caller != NULL && caller->is_announcement)
 		acknowledge_announcement(n, caller);
 	else if (caller != NULL)
-		answer_change(n, caller, verdict);
+		gate_control_answer_change(n, caller, verdict);
 	free(caller);
 }
 
@@ -135,52 +135,14 @@
 {
 	struct gate_caller *caller;
 
-	if (n->gate == NULL)
+	if (n->gate == NULL || gate_change_on_expired(n, proposal))
 		return;
 	caller = map_remove_u64(n->gate->callers, proposal);
 	if (caller != NULL)
-		send_result(n, caller, 503, "undecided; send it again");
+		gate_control_answer(n, caller, 503, "undecided; send it again");
 	free(caller);
 }
 
-/*
- * An older version is acknowledged and changes nothing, since a newer one has
- * replaced it. The current version is acknowledged again, but refused with
- * other content.
- */
-static void
-put_config(struct node *n, const struct node_request *in,
-    const struct gate_caller *caller)
-{
-	Wire__Command command = WIRE__COMMAND__INIT;
-	Wire__GatewayConfig put = WIRE__GATEWAY_CONFIG__INIT;
-	struct node_gate *g = n->gate;
-	struct gw_config *config;
-	struct mp_error err;
-
-	if (g->codec->read_config(&config, in->body, &err) != MP_OK) {
-		send_result(n, caller, 400, err.message);
-		return;
-	}
-	if (gw_config_check(config, &err) != MP_OK && node_guards.gate_checked)
-		send_result(n, caller, 400, err.message);
-	else if (g->config != NULL && config->version < g->config->version)
-		send_result(n, caller, 200, NULL);
-	else if (g->config != NULL && config->version == g->config->version)
-		answer_change(n, caller,
-		    gate_config_is_text(g, in->body) ? GATE_TAKEN
-						     : GATE_CONFLICT);
-	else {
-		put.version = config->version;
-		put.text.data = (uint8_t *)in->body.data;
-		put.text.len = in->body.len;
-		command.body_case = WIRE__COMMAND__BODY_GATEWAY_CONFIG;
-		command.gateway_config = &put;
-		propose(n, caller, &command);
-	}
-	gw_config_destroy(config);
-}
-
 static void
 put_version(struct node *n, const struct gw_call *call,
     const struct gate_caller *caller)
@@ -190,7 +152,7 @@
 
 	if (call->version <=
 	    node_gate_adapter_version(n, call->model, call->adapter)) {
-		send_result(n, caller, 200, NULL);
+		gate_control_answer(n, caller, 200, NULL);
 		return;
 	}
 	put.model = (char *)call->model;
@@ -206,16 +168,19 @@
 {
 	const struct node_gate *g = n->gate;
 	struct node_reply reply = {0};
+	struct buf text = {0};
 
 	if (g->config == NULL) {
-		send_result(n, caller, 503, "no configuration is known");
+		gate_control_answer(
+		    n, caller, 503, "no configuration is known");
 		return;
 	}
+	gw_text_join(g->config_text, &text);
 	reply.status = 200;
 	reply.content_type = "application/json";
-	reply.body.data =
-	    node_effects_copy(n->fx, g->config_text.data, g->config_text.len);
-	reply.body.len = g->config_text.len;
+	reply.body.data = node_effects_copy(n->fx, text.data, text.len);
+	reply.body.len = text.len;
+	buf_free(&text);
 	send_answer(n, caller, &reply);
 }
 
@@ -271,7 +236,7 @@
 	struct mp_error err;
 
 	if (check_announcement(n, a, &err) != MP_OK) {
-		send_result(n, caller, 400, err.message);
+		gate_control_answer(n, caller, 400, err.message);
 		return;
 	}
 	result = place_announce(n->gate->place, n->now, a, true);
@@ -342,7 +307,7 @@
 	    (unsigned long long)started_by_ms, is_logged ? "true" : "false");
 	(void)place_endpoint_leave(place, n->now, id);
 	if (is_logged)
-		send_result(n, caller, 200, NULL);
+		gate_control_answer(n, caller, 200, NULL);
 	else
 		gate_control_propose_leaving(
 		    n, id, born_ms, started_by_ms, caller);
@@ -358,7 +323,7 @@
 	struct mp_error err;
 
 	if (n->gate->codec->read_call(&call, in, n->fx, &err) != MP_OK) {
-		send_result(n, caller, 400, err.message);
+		gate_control_answer(n, caller, 400, err.message);
 		return;
 	}
 	switch (call.type) {
@@ -369,7 +334,7 @@
 		handle_leave(n, &call, caller);
 		break;
 	case GW_CALL_CONFIG_PUT:
-		put_config(n, in, caller);
+		gate_change_put(n, in->body, caller);
 		break;
 	case GW_CALL_CONFIG_GET:
 		get_config(n, caller);
@@ -378,7 +343,7 @@
 		put_version(n, &call, caller);
 		break;
 	default:
-		send_result(n, caller, 404, "no such call");
+		gate_control_answer(n, caller, 404, "no such call");
 		break;
 	}
 }
@@ -419,7 +384,7 @@
 	    node_gate_placer(n) == leader)
 		relay_to_leader(n, leader, in);
 	else
-		send_result(n, caller, 503, "no leader is known");
+		gate_control_answer(n, caller, 503, "no leader is known");
 }
 
 void
@@ -437,7 +402,7 @@
 	if (gate_has_authority(n) && n->gate->placing)
 		handle_call(n, &in, &caller);
 	else
-		send_result(n, &caller, 503, "this instance does not lead");
+		gate_control_answer(n, &caller, 503, "this instance does not lead");
 }
 
 void
@@ -472,7 +437,7 @@
 		if (n->now < relay->expires_us)
 			continue;
 		caller.call = relay->request;
-		send_result(n, &caller, 503, "the leader did not answer");
+		gate_control_answer(n, &caller, 503, "the leader did not answer");
 		free(map_remove_u64(n->gate->relays, relay->call));
 	}
 }
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -135,6 +135,20 @@
 	put_value(out, "asks_window", "gauge", window);
 }
 
+static void
+put_config_counts(const struct node_gate *g, struct buf *out)
+{
+	const struct gate_config_counts *c = &g->config_counts;
+
+	put_value(out, "config_deltas_total", "counter", (double)c->deltas);
+	put_value(out, "config_texts_total", "counter", (double)c->texts);
+	put_value(out, "config_bytes_total", "counter", (double)c->bytes);
+	put_value(
+	    out, "config_mismatches_total", "counter", (double)c->mismatches);
+	put_value(out, "config_changes_waiting", "gauge",
+	    (double)gate_change_waiting_count(g->changes));
+}
+
 void
 node_gate_write_metrics(const struct node *n, struct buf *out)
 {
@@ -146,6 +160,7 @@
 	    g->config == NULL ? 0 : (double)g->config->version);
 	put_value(out, "config_confirmed", "gauge",
 	    gate_config_get_trust(n) == GATE_CONFIG_CONFIRMED ? 1 : 0);
+	put_config_counts(g, out);
 	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
 	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
 	put_windows(n, out);
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -37,6 +37,8 @@
 	bool gate_checked;
 	/* A change is refused if its version has other content in the log. */
 	bool gate_verdict;
+	/* A configuration's difference is applied to its base alone. */
+	bool gate_base;
 	/* Renewals are sent to the leader also if it is no known voter. */
 	bool renew_at_leader;
 	/* A shard's owner sends orders only once its epoch is active. */
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -82,6 +82,7 @@
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
 	NODE_LOG_REPLY_OUTDATED = 142,
 	NODE_LOG_GATE_DEREGISTERED = 143,
+	NODE_LOG_GATE_BASE_MISMATCH = 150,
 };
 
 /* An entry of the catalogue. */
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -21,6 +21,7 @@
 	place *p = nullptr;
 	gw_config config = {};
 	gw_service services[2] = {};
+	gw_service *service_list[2] = {&services[0], &services[1]};
 	gw_model model = {};
 	place_options options = {200, 50, 10000, 5000, 1100, 8, 250, 1200};
 	node_effects *memory = node_effects_create();
@@ -47,7 +48,7 @@
 		services[0].engine.nmodels = 1;
 		services[1].name = (char *)"app";
 		config.version = 1;
-		config.services = services;
+		config.services = service_list;
 		config.nservices = 2;
 		p = place_create(&options);
 		place_configure(p, &config);
--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -76,17 +76,17 @@
 	    MP_OK)
 	    << err.message;
 	EXPECT_EQ(config->version, 7u);
-	const gw_route &r = config->routes[0];
+	const gw_route &r = *config->routes[0];
 	EXPECT_EQ(r.kind, GW_STREAM);
 	EXPECT_EQ(r.target_ms, 800u);
 	EXPECT_EQ(r.max_attempts, 2u);
 	EXPECT_TRUE(r.resumable && r.has_prompt_affinity);
 	EXPECT_EQ(r.weight, 100u);
-	const gw_engine &e = config->services[0].engine;
+	const gw_engine &e = config->services[0]->engine;
 	EXPECT_EQ(e.weights_mb, 66500u);
 	EXPECT_EQ(e.loads_per_s_milli, 4800u);
 	EXPECT_EQ(e.models[0].store_load_ms, 2500u);
-	EXPECT_FALSE(config->services[1].has_engine);
+	EXPECT_FALSE(config->services[1]->has_engine);
 	EXPECT_EQ(config->limits.idle_timeout_ms, 4u);
 }
 
