--- a/src/gate/gate_text_delta.c
+++ b/src/gate/gate_text_delta.c
@@ -111,32 +111,42 @@
 	free(previous);
 }
 
-/* Extends each match to the segments that follow it in both texts. */
+/* Whether both texts have the same separator there. */
+static bool
+is_same_separator(
+    const struct gw_text *base, size_t i, const struct gw_text *text, size_t j)
+{
+	return text->kinds[j] == GW_SEGMENT_SEPARATOR &&
+	    is_same(base, i, text, j);
+}
+
+/*
+ * Extends each match to the separators beside it. Where that gives two matches
+ * of one separator, or leaves the order of the base, the latter one is kept.
+ */
 static void
-extend(const struct gw_text *base, const struct gw_text *text, size_t *match,
-    size_t head, size_t base_tail, size_t tail)
+match_separators(const struct gw_text *base, const struct gw_text *text,
+    size_t *match, size_t head, size_t base_tail, size_t tail)
 {
 	size_t next = base_tail, i;
 
-	/* Backwards first, to know where the next match of each begins. */
+	for (i = head; i < tail; i++)
+		if (match[i] == NO_MATCH && i > 0 && match[i - 1] != NO_MATCH &&
+		    match[i - 1] + 1 < base_tail &&
+		    is_same_separator(base, match[i - 1] + 1, text, i))
+			match[i] = match[i - 1] + 1;
 	for (i = tail; i-- > head;) {
 		if (match[i] == NO_MATCH && i + 1 < tail &&
 		    match[i + 1] != NO_MATCH && match[i + 1] > head &&
-		    text->kinds[i] == GW_SEGMENT_SEPARATOR &&
-		    (i == head || match[i - 1] == NO_MATCH ||
-			match[i - 1] < match[i + 1] - 1) &&
-		    base->kinds[match[i + 1] - 1] == GW_SEGMENT_SEPARATOR &&
-		    is_same(base, match[i + 1] - 1, text, i))
+		    is_same_separator(base, match[i + 1] - 1, text, i))
 			match[i] = match[i + 1] - 1;
+		if (match[i] == NO_MATCH)
+			continue;
+		if (match[i] >= next)
+			match[i] = NO_MATCH;
+		else
+			next = match[i];
 	}
-	for (i = tail; i-- > head;)
-		if (match[i] != NO_MATCH) {
-			/* A chain in the order of both texts. */
-			if (match[i] >= next)
-				match[i] = NO_MATCH;
-			else
-				next = match[i];
-		}
 }
 
 static struct gw_text_piece *
@@ -198,7 +208,7 @@
 	if (base != NULL && head < base_tail && head < tail) {
 		match_any(base, text, match, head, base_tail, tail);
 		keep_ascending(match, head, tail);
-		extend(base, text, match, head, base_tail, tail);
+		match_separators(base, text, match, head, base_tail, tail);
 	}
 	delta = make_delta(text, match);
 	free(match);
