--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -154,7 +154,8 @@
 	return len;
 }
 
-/* Finds the quote that begins the string that ends before len; SIZE_MAX: none. */
+/* Finds the quote that begins the string that ends before len; SIZE_MAX: none.
+ */
 static size_t
 find_string_start(const char *data, size_t len)
 {
@@ -199,8 +200,8 @@
 
 	if (!find_array_key(text->segments[first - 1], &array.key))
 		return false;
-	text->arrays = mem_resize(
-	    text->arrays, text->narrays + 1, sizeof(*text->arrays));
+	text->arrays =
+	    mem_resize(text->arrays, text->narrays + 1, sizeof(*text->arrays));
 	text->arrays[text->narrays++] = array;
 	return true;
 }
@@ -389,8 +390,8 @@
 }
 
 int
-gw_text_parse(struct gw_text **out, struct node_bytes text,
-    struct mp_error *err)
+gw_text_parse(
+    struct gw_text **out, struct node_bytes text, struct mp_error *err)
 {
 	struct scan s = {.data = text.data, .len = text.len};
 
--- a/src/gate/gate_update.c
+++ b/src/gate/gate_update.c
@@ -96,8 +96,8 @@
 }
 
 static int
-decode(struct cursor *c, const struct place_in_array *place,
-    struct mp_error *err)
+decode(
+    struct cursor *c, const struct place_in_array *place, struct mp_error *err)
 {
 	struct node_bytes bytes = gw_text_segment(c->next, c->at);
 	struct gw_update *u = c->update;
@@ -136,8 +136,7 @@
 remove_before(struct cursor *c, enum gw_element_kind kind, size_t index)
 {
 	size_t count, *read = &c->base_count[kind];
-	void **items =
-	    gw_config_get_elements(c->update->config, kind, &count);
+	void **items = gw_config_get_elements(c->update->config, kind, &count);
 
 	if (index > *read)
 		list_add(
@@ -336,8 +335,8 @@
 }
 
 static bool
-are_routes_valid(struct gw_update *u, struct gw_route *const *routes,
-    size_t count)
+are_routes_valid(
+    struct gw_update *u, struct gw_route *const *routes, size_t count)
 {
 	size_t i;
 
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -269,8 +269,8 @@
 
 	if (changes->in_flight == NULL || changes->proposal != proposal)
 		return false;
-	gate_control_answer(n, &changes->in_flight->caller, 503,
-	    "undecided; send it again");
+	gate_control_answer(
+	    n, &changes->in_flight->caller, 503, "undecided; send it again");
 	change_destroy(changes->in_flight);
 	changes->in_flight = NULL;
 	propose_next(n);
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -103,8 +103,8 @@
  * committed between its checks and its own entry.
  */
 void
-gate_control_answer_change(struct node *n, const struct gate_caller *caller,
-    enum gate_verdict verdict)
+gate_control_answer_change(
+    struct node *n, const struct gate_caller *caller, enum gate_verdict verdict)
 {
 	if (verdict == GATE_CONFLICT && node_guards.gate_verdict)
 		gate_control_answer(n, caller, 409, CONFLICT_REASON);
@@ -402,7 +402,8 @@
 	if (gate_has_authority(n) && n->gate->placing)
 		handle_call(n, &in, &caller);
 	else
-		gate_control_answer(n, &caller, 503, "this instance does not lead");
+		gate_control_answer(
+		    n, &caller, 503, "this instance does not lead");
 }
 
 void
@@ -437,7 +438,8 @@
 		if (n->now < relay->expires_us)
 			continue;
 		caller.call = relay->request;
-		gate_control_answer(n, &caller, 503, "the leader did not answer");
+		gate_control_answer(
+		    n, &caller, 503, "the leader did not answer");
 		free(map_remove_u64(n->gate->relays, relay->call));
 	}
 }
--- a/tests/gate/route_index_test.cc
+++ b/tests/gate/route_index_test.cc
@@ -25,7 +25,8 @@
 		for (size_t i = 0; i < keys.size(); i++) {
 			routes[i].host = (char *)keys[i].first;
 			routes[i].prefix = (char *)keys[i].second;
-			EXPECT_EQ(gw_route_index_add(index, &routes[i]), nullptr);
+			EXPECT_EQ(
+			    gw_route_index_add(index, &routes[i]), nullptr);
 		}
 	}
 
@@ -48,8 +49,8 @@
 	    {"a.example", "/x/y/z/", 2}, {"b.example", "/x/", -1},
 	    {"b.example", "/xy", 3}, {"b.example", "/xyz/a", 3},
 	    {"b.example", "/x", -1}, {"c.example", "/anything", 4},
-	    {"c.example", "", 4}, {"a.example", "", -1},
-	    {"d.example", "/", -1}, {"", "/", -1}};
+	    {"c.example", "", 4}, {"a.example", "", -1}, {"d.example", "/", -1},
+	    {"", "/", -1}};
 
 	Add({{"a.example", "/"}, {"a.example", "/x/"}, {"A.example", "/x/y/"},
 	    {"b.example", "/xy"}, {"c.example", ""}});
--- a/tests/gate/text_test.cc
+++ b/tests/gate/text_test.cc
@@ -51,9 +51,9 @@
 TEST(Text, a_text_that_is_no_object_is_refused)
 {
 	static const char *const rows[] = {"", " ", "[]", "7", "{", "{\"a\"}",
-	    "{\"a\":}", "{\"a\":[}", "{\"a\":[1}", "{\"a\":[1,]}", "{\"a\":[,]}",
-	    "{\"a\":[1 2]}", "{\"a\":[1,,2]}", "{\"a\":[\"]}", "{\"a\":\"\\\"}",
-	    "{a:1}", "{\"a\":[1]", "{\"a\":{\"b\":1}",
+	    "{\"a\":}", "{\"a\":[}", "{\"a\":[1}", "{\"a\":[1,]}",
+	    "{\"a\":[,]}", "{\"a\":[1 2]}", "{\"a\":[1,,2]}", "{\"a\":[\"]}",
+	    "{\"a\":\"\\\"}", "{a:1}", "{\"a\":[1]", "{\"a\":{\"b\":1}",
 	    "{\"a\":[{]}]}"};
 
 	for (auto &row : rows)
@@ -63,8 +63,7 @@
 
 TEST(Text, arrays_are_known_by_their_name)
 {
-	static const char text[] =
-	    "{\"a\\\"b\" : [ 1,2 ],\"c\":{},\"r\":[3]}";
+	static const char text[] = "{\"a\\\"b\" : [ 1,2 ],\"c\":{},\"r\":[3]}";
 	size_t count;
 	gw_text *parsed = nullptr;
 	const gw_text_array *arrays;
@@ -141,7 +140,8 @@
 	    {{{0, 1, nullptr, 0}, {0, 7, nullptr, 0}}, nullptr},
 	    {{{3, 4, nullptr, 0}}, nullptr}, {{{0, 6, nullptr, 0}}, nullptr},
 	    {{{0, 2, &both, 1}, {3, 4, nullptr, 0}}, nullptr},
-	    {{{0, 2, &element, 1}, {3, 4, nullptr, 0}}, nullptr}, {{}, nullptr}};
+	    {{{0, 2, &element, 1}, {3, 4, nullptr, 0}}, nullptr},
+	    {{}, nullptr}};
 	gw_text *base = nullptr, *made = nullptr;
 
 	ASSERT_EQ(gw_text_parse(&base, Bytes(text), nullptr), MP_OK);
--- a/tests/gate/update_test.cc
+++ b/tests/gate/update_test.cc
@@ -27,10 +27,12 @@
 TEST(Update, errors_are_those_of_a_whole_text)
 {
 	static const std::string r1 = Route(1), r2 = Route(2), r3 = Route(3);
-	static const std::string r2_upper = "{\"host\":\"H2.example\","
+	static const std::string r2_upper =
+	    "{\"host\":\"H2.example\","
 	    "\"path_prefix\":\"/p2/\",\"type\":\"idempotent\",\"timeout_ms\":7,"
 	    "\"service\":\"t\"}";
-	static const std::string late = "{\"host\":\"h\",\"path_prefix\":\"/\","
+	static const std::string late =
+	    "{\"host\":\"h\",\"path_prefix\":\"/\","
 	    "\"type\":\"idempotent\",\"timeout_ms\":0,\"service\":\"s\"}";
 	static const struct {
 		std::string text, error; /* empty: none */
@@ -41,7 +43,8 @@
 		"$.routes[0]: unknown service \"s\""},
 	    {Config(2, r1 + "," + Route(9, ",\"service\":\"u\"")),
 		"$.routes[1]: unknown service \"u\""},
-	    {Config(2, r1 + "," + late), "$.routes[1]: the timeout must not be 0"},
+	    {Config(2, r1 + "," + late),
+		"$.routes[1]: the timeout must not be 0"},
 	    {Config(2, Route(9, ",\"split\":[]") + "," + r1),
 		"$.routes[0]: the weights must add up to more than 0"},
 	    {Config(2, r1 + "," + r2 + "," + r3 + "," + r2_upper),
@@ -50,7 +53,8 @@
 		"$.routes[2]: the same host and prefix as $.routes[0]"},
 	    {Config(2, r1 + "," + r1 + "," + r2),
 		"$.routes[1]: the same host and prefix as $.routes[0]"},
-	    {Config(2, r1 + "," + r2 + ",{}"), "$.routes[2].host: must be a text"},
+	    {Config(2, r1 + "," + r2 + ",{}"),
+		"$.routes[2].host: must be a text"},
 	    {Config(2, r1 + ",7"), "$.routes[1].host: must be a text"},
 	    {Config(2, r1, "{\"name\":\"s\"},{}"),
 		"$.services[1].name: must be a text"},
@@ -91,10 +95,9 @@
 TEST(Update, text_that_is_not_json_is_refused)
 {
 	static const std::string r1 = Route(1);
-	static const std::string rows[] = {
-	    Config(2, r1 + ",{\"a\":}"), Config(2, r1 + ",{\"a\":1 \"b\":2}"),
-	    Config(2, r1 + ",tru"), Config(2, r1 + ",{\"a\":1,\"a\":2}"),
-	    Config(2, r1 + ",[}"),
+	static const std::string rows[] = {Config(2, r1 + ",{\"a\":}"),
+	    Config(2, r1 + ",{\"a\":1 \"b\":2}"), Config(2, r1 + ",tru"),
+	    Config(2, r1 + ",{\"a\":1,\"a\":2}"), Config(2, r1 + ",[}"),
 	    "{\"version\":2,\"routes\":[],\"routes\":[],\"services\":[]}",
 	    "{\"version\":2,\"routes\":[],\"rou\\u0074es\":[" + r1 +
 		"],\"services\":[]}",
@@ -128,16 +131,16 @@
 	const gw_route *second, *third;
 	const gw_service *service;
 
-	ASSERT_EQ(live.Change(Config(
-		      1, Route(1) + "," + Route(2) + "," + Route(3))),
+	ASSERT_EQ(
+	    live.Change(Config(1, Route(1) + "," + Route(2) + "," + Route(3))),
 	    MP_OK);
 	second = live.config->routes[1];
 	third = live.config->routes[2];
 	service = live.config->services[1];
-	ASSERT_EQ(live.Change(Config(2,
-		      Route(9) + "," + Route(2) + "," + Route(8) + "," +
-			  Route(3),
-		      "{\"name\":\"s\"},{\"name\":\"u\"},{\"name\":\"t\"}")),
+	ASSERT_EQ(
+	    live.Change(Config(2,
+		Route(9) + "," + Route(2) + "," + Route(8) + "," + Route(3),
+		"{\"name\":\"s\"},{\"name\":\"u\"},{\"name\":\"t\"}")),
 	    MP_OK);
 	EXPECT_EQ(live.config->routes[1], second);
 	EXPECT_EQ(live.config->routes[3], third);
@@ -151,11 +154,13 @@
 {
 	LiveConfig live;
 
-	ASSERT_EQ(live.Change("{\"version\":1,\"routes\":[],\"services\":["
-			      "{\"name\":\"s\"}],\"other\":[{\"name\":\"t\"}]}"),
+	ASSERT_EQ(
+	    live.Change("{\"version\":1,\"routes\":[],\"services\":["
+			"{\"name\":\"s\"}],\"other\":[{\"name\":\"t\"}]}"),
 	    MP_OK);
-	ASSERT_EQ(live.Change("{\"version\":2,\"routes\":[],\"other\":["
-			      "{\"name\":\"s\"}],\"services\":[{\"name\":\"t\"}]}"),
+	ASSERT_EQ(
+	    live.Change("{\"version\":2,\"routes\":[],\"other\":["
+			"{\"name\":\"s\"}],\"services\":[{\"name\":\"t\"}]}"),
 	    MP_OK);
 	ASSERT_EQ(live.config->nservices, 1u);
 	EXPECT_STREQ(live.config->services[0]->name, "t");
@@ -243,8 +248,8 @@
 			break;
 		case 12:
 			if (services.size() > 2)
-				services.erase(services.begin() +
-				    2 + (long)Below(services.size() - 2));
+				services.erase(services.begin() + 2 +
+				    (long)Below(services.size() - 2));
 			break;
 		default:
 			tags.insert(tags.begin() + (long)Below(tags.size() + 1),
@@ -259,7 +264,8 @@
 	List(const char *name, const std::vector<std::string> &items) const
 	{
 		static const char *const begin[] = {"[", "[ ", "[\n\t", "["};
-		static const char *const comma[] = {",", ", ", "\n\t,\r\n", " ,"};
+		static const char *const comma[] = {
+		    ",", ", ", "\n\t,\r\n", " ,"};
 		static const char *const end[] = {"]", " ]", "\n]", "]"};
 		std::string out =
 		    std::string("\"") + name + "\": " + begin[style];
@@ -293,7 +299,8 @@
 		faulty.version++;
 		switch (Below(4)) {
 		case 0:
-			bad = routes.empty() ? "{}" : routes[Below(routes.size())];
+			bad = routes.empty() ? "{}"
+					     : routes[Below(routes.size())];
 			break;
 		case 1:
 			bad = Route(next_route, ",\"service\":\"nobody\"");
@@ -306,8 +313,8 @@
 			bad = "{\"host\":1}";
 			break;
 		}
-		faulty.routes.insert(faulty.routes.begin() +
-			(long)Below(routes.size() + 1),
+		faulty.routes.insert(
+		    faulty.routes.begin() + (long)Below(routes.size() + 1),
 		    bad);
 		return faulty.Text();
 	}
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1126,5 +1126,6 @@
     {"node.gate_leave_logged", &node_guards.gate_leave_logged},
     {"node.gate_checked", &node_guards.gate_checked},
     {"node.gate_verdict", &node_guards.gate_verdict},
+    {"node.gate_base", &node_guards.gate_base},
     {"node.reply_process", &node_guards.reply_process},
 });
