--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -139,8 +139,8 @@
 
 /* ---- arrays ------------------------------------------------------------- */
 
-static bool
-is_space(char c)
+bool
+gw_text_is_space(char c)
 {
 	return c == ' ' || c == '\t' || c == '\n' || c == '\r';
 }
@@ -149,7 +149,7 @@
 static size_t
 skip_space_back(const char *data, size_t len)
 {
-	while (len > 0 && is_space(data[len - 1]))
+	while (len > 0 && gw_text_is_space(data[len - 1]))
 		len--;
 	return len;
 }
@@ -206,8 +206,8 @@
 	return true;
 }
 
-bool
-gw_text_find_arrays(struct gw_text *text)
+static bool
+find_arrays(struct gw_text *text)
 {
 	const uint8_t *kinds = text->kinds;
 	size_t i = 0, first;
@@ -230,6 +230,14 @@
 	return true;
 }
 
+bool
+gw_text_finish(struct gw_text *text)
+{
+	text->digest =
+	    XXH64(text->hashes, text->count * sizeof(*text->hashes), 0);
+	return find_arrays(text);
+}
+
 /* ---- splitting ---------------------------------------------------------- */
 
 struct scan {
@@ -248,7 +256,7 @@
 static void
 skip_space(struct scan *s)
 {
-	while (s->at < s->len && is_space(s->data[s->at]))
+	while (s->at < s->len && gw_text_is_space(s->data[s->at]))
 		s->at++;
 }
 
@@ -316,7 +324,7 @@
 		return skip_string(s);
 	if (is_at(s, '{') || is_at(s, '['))
 		return skip_nested(s);
-	while (s->at < s->len && !is_space(s->data[s->at]) &&
+	while (s->at < s->len && !gw_text_is_space(s->data[s->at]) &&
 	    strchr(",]}", s->data[s->at]) == NULL)
 		s->at++;
 	return s->at > start;
@@ -398,7 +406,7 @@
 	*out = NULL;
 	s.text = gw_text_create(0);
 	s.text->work.scanned_bytes = text.len;
-	if (!split_object(&s) || !gw_text_find_arrays(s.text)) {
+	if (!split_object(&s) || !gw_text_finish(s.text)) {
 		gw_text_destroy(s.text);
 		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
 		    "$: must be a JSON object");
@@ -451,9 +459,7 @@
 uint64_t
 gw_text_digest(const struct gw_text *text)
 {
-	if (text == NULL)
-		return 0;
-	return XXH64(text->hashes, text->count * sizeof(*text->hashes), 0);
+	return text == NULL ? 0 : text->digest;
 }
 
 bool
--- a/src/gate/gate_text_delta.c
+++ b/src/gate/gate_text_delta.c
@@ -251,8 +251,7 @@
 {
 	size_t space = 0;
 
-	while (space < bytes.len && strchr(" \t\n\r", bytes.data[space]) &&
-	    bytes.data[space] != '\0')
+	while (space < bytes.len && gw_text_is_space(bytes.data[space]))
 		space++;
 	if (text->count == 0 || space == bytes.len || bytes.data[space] == ']')
 		return GW_SEGMENT_REST;
@@ -269,7 +268,7 @@
 	for (i = 0; i < bytes.len; i++)
 		if (bytes.data[i] == ',')
 			commas++;
-		else if (memchr(" \t\n\r", bytes.data[i], 4) == NULL)
+		else if (!gw_text_is_space(bytes.data[i]))
 			return false;
 	return commas == 1;
 }
@@ -310,7 +309,7 @@
 	*out = NULL;
 	for (i = 0; i < delta->npieces && is_valid; i++)
 		is_valid = apply_piece(text, base, &delta->pieces[i], &next);
-	if (!is_valid || !gw_text_find_arrays(text)) {
+	if (!is_valid || !gw_text_finish(text)) {
 		gw_text_destroy(text);
 		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
 		    "the difference doesn't fit its base");
--- a/src/gate/gate_text_internal.h
+++ b/src/gate/gate_text_internal.h
@@ -24,6 +24,7 @@
 	size_t bytes;
 	struct gw_text_array *arrays;
 	size_t narrays;
+	uint64_t digest;
 	struct gw_text_work work;
 };
 
@@ -36,9 +37,12 @@
 void gw_text_append_shared(struct gw_text *text, const struct gw_text *other,
     size_t from, size_t count);
 /*
- * Finds the arrays once all segments are appended; false: the kinds of the
- * segments are not in an order that gw_text_parse() gives.
+ * Finds the arrays and computes the digest once all segments are appended;
+ * false: the kinds of the segments are not in an order that gw_text_parse()
+ * gives.
  */
-bool gw_text_find_arrays(struct gw_text *text);
+bool gw_text_finish(struct gw_text *text);
+/* Whether a character is white space in JSON. */
+bool gw_text_is_space(char c);
 
 #endif
--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -4,6 +4,8 @@
  * fault.
  */
 
+#include <cstring>
+
 #include "codec_fixture.h"
 
 class Configs : public CodecTest {
@@ -144,3 +146,83 @@
 		    << row.text << ": " << err.message;
 	}
 }
+
+TEST_F(Configs, arrays_are_known_by_name)
+{
+	static const struct {
+		const char *key;
+		gw_element_kind kind;
+	} rows[] = {{"\"routes\"", GW_ELEMENT_ROUTE},
+	    {"\"services\"", GW_ELEMENT_SERVICE},
+	    {"\"rou\\u0074es\"", GW_ELEMENT_ROUTE},
+	    {"\"route\"", GW_ELEMENT_OTHER}, {"\"routes \"", GW_ELEMENT_OTHER},
+	    {"\"\"", GW_ELEMENT_OTHER}, {"\"\\\"", GW_ELEMENT_OTHER},
+	    {"", GW_ELEMENT_OTHER}};
+
+	for (auto &row : rows)
+		EXPECT_EQ(platform_codec.find_element_kind(
+			      {row.key, strlen(row.key)}),
+		    row.kind)
+		    << row.key;
+}
+
+TEST_F(Configs, single_elements_are_read)
+{
+	static const struct {
+		gw_element_kind kind;
+		const char *text, *error; /* NULL: none */
+	} rows[] = {{GW_ELEMENT_ROUTE, ROUTE(",\"service\":\"s\""), nullptr},
+	    {GW_ELEMENT_SERVICE, "{\"name\":\"s\"}", nullptr},
+	    {GW_ELEMENT_OTHER, "[1,{\"a\":null}]", nullptr},
+	    {GW_ELEMENT_OTHER, "7", nullptr},
+	    {GW_ELEMENT_ROUTE, ROUTE(""),
+		"$.routes[3].service: must be a text"},
+	    {GW_ELEMENT_ROUTE,
+		ROUTE(",\"split\":[{\"service\":\"s\",\"weight\":-1}]"),
+		"$.routes[3].split[0].weight: must be a number, not negative"},
+	    {GW_ELEMENT_ROUTE, "7", "$.routes[3].host: must be a text"},
+	    {GW_ELEMENT_SERVICE,
+		"{\"name\":\"s\",\"engine\":{\"models\":[{}]}}",
+		"$.services[3].engine.models[0].name: must be a text"},
+	    {GW_ELEMENT_ROUTE, "{", "$: line 1"},
+	    {GW_ELEMENT_ROUTE, "{} {}", "$: line 1"},
+	    {GW_ELEMENT_OTHER, "{\"a\":1,\"a\":2}", "$: line 1"},
+	    {GW_ELEMENT_OTHER, "", "$: line 1"}};
+
+	for (auto &row : rows) {
+		void *element = nullptr;
+		int rc;
+
+		err = {};
+		rc = platform_codec.read_element(
+		    &element, row.kind, 3, {row.text, strlen(row.text)}, &err);
+		EXPECT_EQ(rc, row.error == nullptr ? MP_OK : MP_ERR_INVALID)
+		    << row.text;
+		EXPECT_EQ(element != nullptr,
+		    rc == MP_OK && row.kind != GW_ELEMENT_OTHER)
+		    << row.text;
+		if (row.error != nullptr) {
+			EXPECT_EQ(std::string(err.message).find(row.error), 0u)
+			    << row.text << ": " << err.message;
+		}
+		gw_element_destroy(row.kind, element);
+	}
+}
+
+TEST_F(Configs, the_text_between_elements_is_read)
+{
+	gw_config rest = {};
+	static const char text[] =
+	    "{\"version\":7,\"routes\":[],\"services\":[],"
+	    "\"limits\":{\"max_body_bytes\":2}}";
+
+	ASSERT_EQ(
+	    platform_codec.read_rest(&rest, {text, strlen(text)}, &err), MP_OK);
+	EXPECT_EQ(rest.version, 7u);
+	EXPECT_EQ(rest.limits.body_bytes, 2u);
+	EXPECT_EQ(rest.routes, nullptr);
+	EXPECT_EQ(platform_codec.read_rest(
+		      &rest, {"{\"version\":7,\"routes\":[]}", 25}, &err),
+	    MP_ERR_INVALID);
+	EXPECT_STREQ(err.message, "$.services: must be an array");
+}
