gate: keys of client accounts are hashed, indexed and checked

Cause: requests are to be charged to client accounts, whose keys must not stay readable in the process.

Change: gate_account.[ch]: keyed hashes (SipHash, 128 bits) replace the keys, which are wiped; accounts are found by key, hash and name; gw_config_check() refuses two accounts with one key or name, and names that can't stand in a header. gw_request gets the hash and the priority of its account.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -108,6 +108,8 @@
 	uint8_t bytes[16];
 };
 
+struct gw_account_index;
+
 /* A client account: who pays for a caller's requests. */
 struct gw_account {
 	char *name;
@@ -138,6 +140,8 @@
 	struct gw_account *accounts;
 	size_t naccounts;
 	bool has_accounts; /* requests need a key, unless the route is public */
+	/* By key and by name; NULL before gw_config_hash_keys(). */
+	struct gw_account_index *account_index;
 	struct gw_limits limits;
 };
 
@@ -190,6 +194,8 @@
 			  * only in the step that decodes the request */
 	const char *account; /* name of the client account that the gateway
 			      * found by the key; NULL: none */
+	struct gw_key_hash key_hash; /* of the key, if account is set */
+	uint32_t account_priority;
 	bool has_accounts; /* account is told to the endpoint, and the key and
 			    * what the caller says of its account are not */
 	uint32_t deadline_ms; /* time the caller waits; 0: not given */
--- a/src/gate/gate_config.c
+++ b/src/gate/gate_config.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "gate/gate_account.h"
 #include "mulberrypath/gateway.h"
 
 /*
@@ -44,8 +45,12 @@
 		route_free(&config->routes[i]);
 	for (i = 0; i < config->nservices; i++)
 		service_free(&config->services[i]);
+	for (i = 0; i < config->naccounts; i++)
+		gw_account_clear(&config->accounts[i]);
+	gw_account_index_destroy(config->account_index);
 	free(config->routes);
 	free(config->services);
+	free(config->accounts);
 	free(config);
 }
 
@@ -152,5 +157,5 @@
 		if (rc != MP_OK)
 			return rc;
 	}
-	return MP_OK;
+	return gw_config_check_accounts(config, err);
 }
