platform: client accounts of the configuration and of requests

Cause: the configuration names accounts and public routes, and requests carry a key, neither of which was read; the key was forwarded to endpoints.

Change: tenants and public are decoded; Authorization: Token KEY is decoded; if the configuration has accounts, an endpoint gets the account's name from the gateway alone, and no key.

--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -144,3 +144,108 @@
 		    << row.text << ": " << err.message;
 	}
 }
+
+/* A configuration with these elements of "tenants" and a route. */
+#define ACCOUNTS(accounts)                                                     \
+	"{\"version\":7,\"routes\":[" ROUTE(                                   \
+	    ",\"service\":\"s\"") "]," SERVICES ",\"tenants\":[" accounts "]}"
+
+TEST_F(Configs, accounts_are_read)
+{
+	ASSERT_EQ(Read(ACCOUNTS(
+		      "{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],"
+		      "\"priority\":2,\"unit\":\"tokens\",\"base_tokens\":40,"
+		      "\"rate_per_s\":1200.2,\"burst\":4000.5,\"more\":1},"
+		      "{\"name\":\"b\",\"api_keys\":[]},"
+		      "{\"name\":\"c\",\"unit\":\"requests\","
+		      "\"rate_per_s\":1e30,\"burst\":0}")),
+	    MP_OK)
+	    << err.message;
+	EXPECT_TRUE(config->has_accounts);
+	ASSERT_EQ(config->naccounts, 3u);
+	const gw_account &a = config->accounts[0], &b = config->accounts[1],
+			 &c = config->accounts[2];
+	EXPECT_STREQ(a.name, "a");
+	ASSERT_EQ(a.nkeys, 2u);
+	EXPECT_STREQ(a.plain_keys[1], "k2");
+	EXPECT_EQ(a.priority, 2u);
+	EXPECT_EQ(a.quota.unit, GW_QUOTA_TOKENS);
+	EXPECT_EQ(a.quota.default_tokens, 40u);
+	EXPECT_EQ(a.quota.rate_per_s, 1201u);
+	EXPECT_EQ(a.quota.burst, 4001u);
+	EXPECT_EQ(b.nkeys, 0u);
+	EXPECT_EQ(b.priority, 0u);
+	EXPECT_EQ(b.quota.unit, GW_QUOTA_REQUESTS);
+	EXPECT_EQ(b.quota.rate_per_s, 0u);
+	EXPECT_EQ(c.quota.rate_per_s, 1000000000000u);
+}
+
+TEST_F(Configs, accounts_and_public_routes_are_distinguished_from_none)
+{
+	ASSERT_EQ(Read(CONFIG(ROUTE(",\"service\":\"s\""))), MP_OK);
+	EXPECT_FALSE(config->has_accounts);
+	EXPECT_FALSE(config->routes[0].is_public);
+	ASSERT_EQ(
+	    Read(CONFIG(ROUTE(",\"service\":\"s\",\"public\":true"))), MP_OK);
+	EXPECT_TRUE(config->routes[0].is_public);
+	ASSERT_EQ(Read(ACCOUNTS("")), MP_OK);
+	EXPECT_TRUE(config->has_accounts);
+	EXPECT_EQ(config->naccounts, 0u);
+}
+
+/* Guards also against a message that shows a key to who reads the answer. */
+TEST_F(Configs, error_of_a_malformed_account_names_the_json_path)
+{
+	static const struct {
+		const char *text, *path;
+	} rows[] = {
+	    {ACCOUNTS("7"), "$.tenants[0].name:"},
+	    {ACCOUNTS("{\"api_keys\":[\"k\"]}"), "$.tenants[0].name:"},
+	    {ACCOUNTS("{\"name\":\"\"}"), "$.tenants[0].name:"},
+	    {ACCOUNTS("{\"name\":7}"), "$.tenants[0].name:"},
+	    {ACCOUNTS("{\"name\":\"a\\u0000b\"}"), "$: line 1"},
+	    {ACCOUNTS("{\"name\":\"a\\nb\"}"), "$.tenants[0].name:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":\"secret\"}"),
+		"$.tenants[0].api_keys:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":[\"secret\",\"\"]}"),
+		"$.tenants[0].api_keys[1]:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":[5]}"),
+		"$.tenants[0].api_keys[0]:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":[\"secret\\u0000\"]}"),
+		"$: line 1"},
+	    {ACCOUNTS("{\"name\":\"a\",\"unit\":\"bytes\"}"),
+		"$.tenants[0].unit:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"unit\":1}"), "$.tenants[0].unit:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"rate_per_s\":-1}"),
+		"$.tenants[0].rate_per_s:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"rate_per_s\":\"5\"}"),
+		"$.tenants[0].rate_per_s:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"burst\":[]}"), "$.tenants[0].burst:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"burst\":-0.5}"),
+		"$.tenants[0].burst:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"base_tokens\":-1}"),
+		"$.tenants[0].base_tokens:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"priority\":\"first\"}"),
+		"$.tenants[0].priority:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":[\"secret\"]},"
+		      "{\"name\":\"b\",\"api_keys\":[\"secret\"]}"),
+		"$.tenants[1]:"},
+	    {ACCOUNTS("{\"name\":\"a\"},{\"name\":\"b\"},{\"name\":\"a\"}"),
+		"$.tenants[2]:"},
+	    {"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":{}}",
+		"$.tenants:"},
+	    {ACCOUNTS("{\"name\":\"a\",\"api_keys\":[\"secret\" \"k\"]}"),
+		"$: line 1"},
+	    {CONFIG(ROUTE(",\"service\":\"s\",\"public\":1")),
+		"$.routes[0].public:"},
+	};
+
+	for (auto &row : rows) {
+		EXPECT_EQ(Read(row.text), MP_ERR_INVALID) << row.text;
+		EXPECT_EQ(std::string(err.message).find(row.path), 0u)
+		    << row.text << ": " << err.message;
+		EXPECT_EQ(
+		    std::string(err.message).find("secret"), std::string::npos)
+		    << err.message;
+	}
+}
--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -297,3 +297,127 @@
 		    FindHeader(r.headers, r.nheaders, "Retry-After"), "0.250");
 	}
 }
+
+/* A key in any other form is none, so that no two readers differ on it. */
+TEST_F(Requests, a_key_is_read_in_one_form_only)
+{
+	static const struct {
+		Headers headers;
+		const char *key; /* NULL: none */
+	} rows[] = {
+	    {{}, nullptr},
+	    {{{"Authorization", "Token k-1"}}, "k-1"},
+	    {{{"authorization", "tOKEN   k-1"}}, "k-1"},
+	    {{{"AUTHORIZATION", "token k/1=+:,"}}, "k/1=+:,"},
+	    {{{"Authorization", "Token k-1 \t"}}, "k-1"},
+	    {{{"Authorization", "Token"}}, nullptr},
+	    {{{"Authorization", "Token "}}, nullptr},
+	    {{{"Authorization", "Tokenk-1"}}, nullptr},
+	    {{{"Authorization", "Token\tk-1"}}, nullptr},
+	    {{{"Authorization", "Token k-1 k-2"}}, nullptr},
+	    {{{"Authorization", "Token k-1,"}}, "k-1,"},
+	    {{{"Authorization", "Bearer k-1"}}, nullptr},
+	    {{{"Authorization", " Token k-1"}}, nullptr},
+	    {{{"Authorization", "k-1"}}, nullptr},
+	    {{{"Authorization", ""}}, nullptr},
+	    {{{"Authorization", "Token k-1"}, {"authorization", "Token k-1"}},
+		nullptr},
+	    {{{"Authorization", "Basic x"}, {"Authorization", "Token k-1"}},
+		nullptr},
+	    {{{"Proxy-Authorization", "Token k-1"}}, nullptr},
+	};
+
+	for (auto &row : rows) {
+		Headers headers = {{"Host", "h"}};
+
+		headers.insert(
+		    headers.end(), row.headers.begin(), row.headers.end());
+		ASSERT_EQ(Read(headers), MP_OK);
+		EXPECT_STREQ(out.key, row.key)
+		    << (row.headers.empty() ? "" : row.headers[0].second);
+	}
+}
+
+TEST_F(Requests, named_tokens_are_told_from_none)
+{
+	ASSERT_EQ(Read({{"Host", "h"}}), MP_OK);
+	EXPECT_FALSE(out.has_tokens);
+	ASSERT_EQ(
+	    Read({{"Host", "h"}, {"Mulberrypath-Token-Usage", "0,0"}}), MP_OK);
+	EXPECT_TRUE(out.has_tokens);
+}
+
+/*
+ * Guards against an endpoint that sees a key, or that takes a caller's word
+ * for the account that it is charged to.
+ */
+TEST_F(Requests, an_endpoint_is_told_the_account_by_the_gateway_alone)
+{
+	static const struct {
+		bool has_accounts;
+		const char *account;
+		std::vector<std::string> expected; /* headers of both names */
+	} rows[] = {
+	    {true, "a", {"Mulberrypath-Tenant: a"}},
+	    {true, nullptr, {}},
+	    {false, nullptr,
+		{"Authorization: Token k-1", "mulberrypath-tenant: b",
+		    "MULBERRYPATH-TENANT: c"}},
+	};
+
+	for (auto &row : rows) {
+		gw_endpoint_request send = {};
+		node_call call = {};
+		std::vector<std::string> seen;
+		auto collect = [&](const node_header *h, size_t n) {
+			for (size_t i = 0; i < n; i++)
+				if (strcasecmp(h[i].name, "Authorization") ==
+					0 ||
+				    strcasecmp(
+					h[i].name, "Mulberrypath-Tenant") == 0)
+					seen.push_back(std::string(h[i].name) +
+					    ": " + h[i].value);
+		};
+
+		ASSERT_EQ(Read({{"Host", "h"}, {"Authorization", "Token k-1"},
+			      {"mulberrypath-tenant", "b"},
+			      {"MULBERRYPATH-TENANT", "c"}, {"X-Own", "1"}}),
+		    MP_OK);
+		out.has_accounts = row.has_accounts;
+		out.account = row.account;
+		send.request = &out;
+		send.endpoint = "i-9";
+		platform_codec.write_endpoint_request(&call, &send, memory);
+		collect(call.extra_headers, call.nextra_headers);
+		collect(call.headers, call.nheaders);
+		EXPECT_EQ(seen, row.expected);
+		EXPECT_EQ(FindHeader(
+			      call.extra_headers, call.nextra_headers, "X-Own"),
+		    "1");
+	}
+}
+
+/* A caller can't have the account's name removed on its way. */
+TEST_F(Requests, an_account_named_by_connection_is_still_told)
+{
+	gw_endpoint_request send = {};
+	node_call call = {};
+
+	ASSERT_EQ(Read({{"Host", "h"}, {"Mulberrypath-Tenant", "b"},
+		      {"Connection", "Mulberrypath-Tenant"}}),
+	    MP_OK);
+	out.has_accounts = true;
+	out.account = "a";
+	send.request = &out;
+	send.endpoint = "i-9";
+	platform_codec.write_endpoint_request(&call, &send, memory);
+	EXPECT_EQ(
+	    FindHeader(call.headers, call.nheaders, "Mulberrypath-Tenant"),
+	    "a");
+	EXPECT_EQ(FindHeader(call.extra_headers, call.nextra_headers,
+		      "Mulberrypath-Tenant"),
+	    "(none)");
+	EXPECT_EQ(
+	    FindHeader(call.extra_headers, call.nextra_headers, "Connection"),
+	    "(none)");
+}
