node: a request runs only for the account of its key

Cause: requests with unknown keys ran.

Change: an entry finds the account after the route. An unknown or missing key is refused with 401 by a confirmed configuration, else with 503, unless the route is public. The secret of the hash is part of struct node_boot; mulberryd sets it at random, and no effect depends on it.

--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -295,6 +295,8 @@
 
 struct gw_codec;
 
+#define NODE_KEY_SECRET_BYTES 16
+
 /* Arguments of node_create(). */
 struct node_boot {
 	const struct settings *settings; /* must outlive the node */
@@ -304,6 +306,11 @@
 	uint64_t wall_ms; /* since 1970, at now_us; used in reports only */
 	const struct node_disk *disk; /* NULL without a data folder */
 	const struct gw_codec *codec; /* of the gateway; NULL without one */
+	/*
+	 * Secret of the hash by which keys of client accounts are looked up;
+	 * random. No effect depends on it.
+	 */
+	uint8_t key_secret[NODE_KEY_SECRET_BYTES];
 };
 
 /*
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -89,6 +89,7 @@
 	r->service = mem_string(gw_route_select_service(
 	    route, request_selector(decoded, in->request)));
 	r->priority = route->priority;
+	r->account_priority = decoded->account_priority;
 	r->max_attempts = route->max_attempts == 0 ? 1 : route->max_attempts;
 	r->config_version = config_version;
 	set_times(r, now_us, decoded, route);
--- a/src/mulberryd/daemon.c
+++ b/src/mulberryd/daemon.c
@@ -358,6 +358,7 @@
 	boot.seed = random_nonzero_u64();
 	boot.now_us = clock_now_us();
 	boot.wall_ms = wall_now_ms();
+	randombytes_buf(boot.key_secret, sizeof(boot.key_secret));
 	code = node_create(&d->node, &boot, err);
 	if (code == MP_OK)
 		code = daemon_journal_open(d, &boot, err);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -111,7 +111,7 @@
 	if (rc == 0)
 		rc = node_create_sched(n, boot, err);
 	if (rc == 0 && boot->codec != NULL && settings_has_gateway(n->settings))
-		node_gate_create(n, boot->codec);
+		node_gate_create(n, boot);
 	if (rc != 0) {
 		node_destroy(n);
 		return mp_error_wrap(
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -47,12 +47,13 @@
 }
 
 void
-node_gate_create(struct node *n, const struct gw_codec *codec)
+node_gate_create(struct node *n, const struct node_boot *boot)
 {
 	struct node_gate *g = mem_alloc(1, sizeof(*g));
 
 	n->gate = g;
-	g->codec = codec;
+	g->codec = boot->codec;
+	memcpy(g->key_secret, boot->key_secret, sizeof(g->key_secret));
 	g->versions = map_create();
 	g->entries = map_create();
 	g->orders = map_create();
@@ -67,8 +68,8 @@
 	g->observer = quarantine_observer_create();
 	gate_owner_init(n);
 	gate_limit_init(n);
-	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
-	    n->settings->data_centre);
+	g->forward = forward_create(g->codec, &gate_forward_ops, n,
+	    n->incarnation, n->settings->data_centre);
 	forward_set_buffer_limit(g->forward,
 	    ((uint64_t)n->settings->memory_limit_mb << 20) /
 		BUFFER_MEMORY_DIVISOR);
@@ -194,6 +195,25 @@
 		    GATE_RETRY_AFTER_MS);
 }
 
+/*
+ * Refuses a request whose key no account has: for good, or so that the caller
+ * tries again, if a newer configuration may have the key.
+ */
+static void
+refuse_unknown_key(struct node *n, uint64_t request,
+    const struct gw_request *decoded, enum gate_config_trust trust,
+    const char *reason)
+{
+	if (trust == GATE_CONFIG_CONFIRMED)
+		refuse_request(
+		    n, request, decoded, GW_REFUSE_UNAUTHORIZED, reason, 0);
+	else
+		refuse_request(n, request, decoded, GW_REFUSE_NOT_READY,
+		    "the key is not known, and the configuration is not "
+		    "confirmed",
+		    GATE_RETRY_AFTER_MS);
+}
+
 /* Starts to forward a caller's request along its route, or refuses it. */
 static void
 handle_front_request(struct node *n, const struct node_request *in)
@@ -202,6 +222,7 @@
 	const struct gw_route *route;
 	struct gw_request decoded;
 	enum gate_config_trust trust;
+	const char *fault;
 	struct mp_error err;
 
 	if (g->codec->read_request(&decoded, in, n->fx, &err) != MP_OK) {
@@ -222,6 +243,11 @@
 		refuse_unknown_route(n, in->request, &decoded, trust);
 		return;
 	}
+	fault = gate_account_identify(n, route, &decoded);
+	if (fault != NULL) {
+		refuse_unknown_key(n, in->request, &decoded, trust, fault);
+		return;
+	}
 	forward_start_request(
 	    g->forward, n->now, in, &decoded, route, g->config->version, n->fx);
 }
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -2,6 +2,7 @@
 #define MP_NODE_GATE_H
 
 #include "forward/forward.h"
+#include "gate/gate_account.h"
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
 #include "place/place.h"
@@ -156,12 +157,19 @@
 	uint32_t version;
 };
 
+/* Requests refused since the start because of their key. */
+struct gate_account_stats {
+	uint64_t missing_keys, unknown_keys;
+};
+
 struct node_gate {
 	const struct gw_codec *codec;
 	struct gw_config *config; /* NULL: none is known */
 	struct buf config_text; /* as it was received */
 	uint64_t config_index;
 	bool config_unreadable; /* a newer one could not be read */
+	uint8_t key_secret[GW_KEY_SECRET_BYTES]; /* of the hash of keys */
+	struct gate_account_stats account_stats;
 	enum gate_config_trust logged_trust;
 	struct map *versions; /* struct gate_version by key */
 	struct place *place;
@@ -215,7 +223,7 @@
 };
 
 /* ---- node_gate.c ---- */
-void node_gate_create(struct node *n, const struct gw_codec *codec);
+void node_gate_create(struct node *n, const struct node_boot *boot);
 void node_gate_destroy(struct node *n);
 void node_gate_handle_request(
     struct node *n, const struct node_request *request);
@@ -239,6 +247,14 @@
 /* The leader, if a message from it was received recently; 0: none. */
 uint32_t node_gate_placer(const struct node *n);
 
+/* ---- node_gate_account.c: client accounts of requests ---- */
+/*
+ * Sets the account of a request by its key, and drops the key. Returns NULL, or
+ * why the request may not use the route: a string constant.
+ */
+const char *gate_account_identify(
+    struct node *n, const struct gw_route *route, struct gw_request *request);
+
 /* ---- node_gate_metrics.c ---- */
 void node_gate_write_metrics(const struct node *n, struct buf *out);
 
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -60,6 +60,7 @@
 
 	if (g->codec->read_config(&config, text, &err) != MP_OK)
 		return false;
+	gw_config_hash_keys(config, g->key_secret);
 	if (gw_config_check(config, &err) != MP_OK &&
 	    node_guards.gate_checked) {
 		gw_config_destroy(config);
--- /dev/null
+++ b/tests/gateway/account_test.cc
@@ -0,0 +1,175 @@
+/*
+ * Client accounts: which requests run, what endpoints are told, and how a
+ * change of keys takes effect.
+ */
+
+#include "gateway_sim.h"
+#include "guard_off.h"
+
+class Accounts : public ::testing::Test {
+      protected:
+	std::unique_ptr<GatewaySim> sim;
+	int version = 0;
+	const int entry = 3;
+
+	/* Starts a cluster whose configuration has these accounts. */
+	void
+	StartServing(const std::string &accounts)
+	{
+		sim = std::make_unique<GatewaySim>(3, 1);
+		for (int i = 0; i < 4; i++)
+			sim->start(i);
+		ASSERT_TRUE(
+		    sim->run_until([&] { return sim->leader() >= 0; }, 8000));
+		Configure(accounts);
+		ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
+		ASSERT_TRUE(sim->run_until(
+		    [&] { return sim->all_entries_ready(); }, 5000));
+		sim->run_for_ms(2000); /* until all cores have joined */
+	}
+
+	static std::string
+	Route(const std::string &prefix, const std::string &more = "")
+	{
+		return "{\"host\":\"h.example\",\"path_prefix\":\"" + prefix +
+		    "\",\"type\":\"idempotent\",\"timeout_ms\":8000,"
+		    "\"service\":\"app\"" +
+		    more + "}";
+	}
+
+	static std::string
+	Account(const std::string &name, const std::string &key)
+	{
+		return "{\"name\":\"" + name + "\",\"api_keys\":[\"" + key +
+		    "\"]}";
+	}
+
+	/* accounts: elements of the list; "none": there is no list. */
+	void
+	Configure(const std::string &accounts,
+	    const std::string &routes = Route("/p/") + "," +
+		Route("/open/", ",\"public\":true"))
+	{
+		std::string text = "{\"version\":" + std::to_string(++version) +
+		    ",\"routes\":[" + routes +
+		    "],\"services\":[{\"name\":\"app\"},{\"name\":\"b\"}]" +
+		    (accounts == "none" ? ""
+					: ",\"tenants\":[" + accounts + "]") +
+		    "}";
+
+		ASSERT_EQ(
+		    sim->request_and_wait(sim->leader(), NODE_LISTEN_CONTROL,
+			   "PUT", "/api/configuration", text)
+			.status,
+		    200);
+		sim->run_for_ms(300); /* until the entry has applied it */
+	}
+
+	uint64_t
+	Send(const std::string &path, const std::string &authorization)
+	{
+		std::vector<std::pair<std::string, std::string>> headers = {
+		    {"Host", "h.example"}, {"Mulberrypath-Attempt-Id", "7"},
+		    {"Mulberrypath-Tenant", "forged"}};
+
+		if (!authorization.empty())
+			headers.push_back({"Authorization", authorization});
+		return sim->send_request(
+		    entry, NODE_LISTEN_FRONT, "POST", path, "body", headers);
+	}
+
+	/*
+	 * The status of a request's refusal, or the account and the key that
+	 * the endpoint was told.
+	 */
+	std::string
+	Ask(const std::string &path, const std::string &authorization)
+	{
+		size_t before = sim->endpoint_calls.size();
+		uint64_t id = Send(path, authorization);
+		std::string seen;
+
+		(void)sim->run_until(
+		    [&] {
+			    return sim->endpoint_calls.size() > before ||
+				sim->replies.count(id) > 0;
+		    },
+		    1000);
+		if (sim->endpoint_calls.size() == before)
+			return std::to_string(sim->replies[id].status);
+		auto &headers = sim->endpoint_calls.back().headers;
+		seen = "ran";
+		if (headers.count("Mulberrypath-Tenant") > 0)
+			seen += " for " + headers["Mulberrypath-Tenant"];
+		if (headers.count("Authorization") > 0)
+			seen += " with " + headers["Authorization"];
+		sim->answer_call(sim->endpoint_calls.back(), 200, "answer");
+		return seen;
+	}
+};
+
+TEST_F(Accounts, a_request_runs_for_the_account_of_its_key)
+{
+	static const struct {
+		const char *path, *authorization, *seen;
+	} rows[] = {
+	    {"/p/x", "Token k1", "ran for a"},
+	    {"/p/x", "token  k2", "ran for b"},
+	    {"/p/x", "Token k3", "401"},
+	    {"/p/x", "Token K1", "401"},
+	    {"/p/x", "Bearer k1", "401"},
+	    {"/p/x", "", "401"},
+	    {"/open/x", "Token k1", "ran for a"},
+	    {"/open/x", "Token k3", "ran"},
+	    {"/open/x", "", "ran"},
+	    {"/unknown/x", "Token k1", "404"},
+	    {"/unknown/x", "Token k3", "404"},
+	};
+
+	ASSERT_NO_FATAL_FAILURE(
+	    StartServing(Account("a", "k1") + "," + Account("b", "k2")));
+	for (auto &row : rows)
+		EXPECT_EQ(Ask(row.path, row.authorization), row.seen)
+		    << row.path << " " << row.authorization;
+}
+
+TEST_F(Accounts, without_accounts_both_headers_are_passed_on)
+{
+	ASSERT_NO_FATAL_FAILURE(StartServing("none"));
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "ran for forged with Token k1");
+	EXPECT_EQ(Ask("/p/x", ""), "ran for forged");
+	Configure("");
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "401");
+	EXPECT_EQ(Ask("/open/x", "Token k1"), "ran");
+}
+
+/*
+ * The configuration of an entry that is cut off may lack a new key, so a caller
+ * with such a key must come back instead of giving up.
+ */
+TEST_F(Accounts, only_a_confirmed_configuration_refuses_a_key_for_good)
+{
+	ASSERT_NO_FATAL_FAILURE(StartServing(Account("a", "k1")));
+	sim->isolate(entry, true);
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "401"); /* still confirmed */
+	sim->run_for_ms(2500);
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "503");
+	EXPECT_EQ(Ask("/p/x", ""), "503");
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "ran for a");
+	EXPECT_EQ(Ask("/open/x", ""), "ran");
+	sim->isolate(entry, false);
+	sim->run_for_ms(3000);
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "401");
+}
+
+TEST_F(Accounts, new_moved_and_revoked_keys_take_effect_with_the_configuration)
+{
+	ASSERT_NO_FATAL_FAILURE(
+	    StartServing(Account("a", "k1") + "," + Account("b", "k2")));
+	Configure(Account("a", "k2") + "," + Account("c", "k3"));
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "401");
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "ran for a");
+	EXPECT_EQ(Ask("/p/x", "Token k3"), "ran for c");
+	Configure("none");
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "ran for forged with Token k1");
+}
