--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -101,7 +101,8 @@
 		    << problems.items[0].path;
 		disk.incarnation = 5;
 		disk.fresh = true;
-		boot = {settings, 7, 11, now_us, 1700000000000, &disk, nullptr};
+		boot = {
+		    settings, 7, 11, now_us, 1700000000000, &disk, nullptr, {}};
 		ASSERT_EQ(node_create(&node, &boot, &err), MP_OK);
 		ASSERT_EQ(journal_create(&writer, file().c_str(), &boot,
 			      {text.data(), text.size()}, &err),
