forward: route, account and endpoint are checked before each sending

Cause: an entry sent a request on a grant without looking at what had changed while the request waited.

Change: forward_ops.check(), called before each sending, looks up route and account again if the configuration has changed, and asks whether the endpoint is leaving, now also by the table. The request is refused as not run (404 or 401 by a confirmed configuration, else 503), or with 502 if it may have run. A grant tells how long the ask waited at the placer (PlaceReply.waited_ms_and_one); the rest of the time since the ask is the grant's age, and a request is sent within 1 s of the decision, or asks again.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -14,12 +14,6 @@
 #define RETRIES_MAX 4u
 /* With less time left another attempt is unlikely to succeed. */
 #define RETRY_MIN_REMAINING_US (30 * US_PER_MS)
-/* Retry-After of refusals by the entry itself: a retry may soon succeed. */
-#define RETRY_AFTER_MS 250u
-/* Grants that a request may return before it is refused. */
-#define DECLINED_GRANTS_MAX 4u
-/* A granted request is sent within this time or not at all. */
-#define SEND_TIMEOUT_US (1000 * US_PER_MS)
 /*
  * Maximum idle time of a reused connection for requests that may run only
  * once. The peer may have closed an idle connection; a request sent on it may
@@ -321,9 +315,8 @@
 	return true;
 }
 
-/* Refuses the request as "not run" or, if it may have run, as failed. */
-static void
-refuse_unserved(struct forward *f, struct fwd_request *r, uint64_t now_us,
+void
+fwd_refuse_unserved(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
 {
 	if (r->may_have_run && forward_guards.truth)
@@ -366,7 +359,8 @@
 		avoid_endpoint(r);
 	if (!may_retry || r->retries >= RETRIES_MAX ||
 	    now_us + RETRY_MIN_REMAINING_US >= r->deadline_us) {
-		refuse_unserved(f, r, now_us, fault, RETRY_AFTER_MS, fx);
+		fwd_refuse_unserved(
+		    f, r, now_us, fault, FWD_RETRY_AFTER_MS, fx);
 		return;
 	}
 	if (fwd_refuse_if_quarantined(f, r, now_us, !not_run, fx))
@@ -401,6 +395,7 @@
 {
 	struct node_call *call = &node_effects_add(fx, NODE_FX_CALL)->u.call;
 	struct gw_endpoint_request outgoing = {0};
+	uint64_t send_until_us = now_us + FWD_SEND_TIMEOUT_US - grant->age_us;
 
 	r->call = f->ops->next_call(f->ctx);
 	(void)map_set_u64(f->by_call, r->call, r);
@@ -422,9 +417,8 @@
 	call->method = r->in.method;
 	call->path = r->in.path;
 	call->body = r->in.body;
-	call->not_after_us = now_us + SEND_TIMEOUT_US < r->deadline_us
-	    ? now_us + SEND_TIMEOUT_US
-	    : r->deadline_us;
+	call->not_after_us =
+	    send_until_us < r->deadline_us ? send_until_us : r->deadline_us;
 	call->silence_us = attempt_timeout_us(r);
 	call->close_delimited = true;
 	call->for_request = r->request;
@@ -443,9 +437,12 @@
 		return false;
 	if (now_us + US_PER_MS >= r->deadline_us) {
 		fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
-		refuse_unserved(f, r, now_us, "deadline", RETRY_AFTER_MS, fx);
+		fwd_refuse_unserved(
+		    f, r, now_us, "deadline", FWD_RETRY_AFTER_MS, fx);
 		return true;
 	}
+	if (!fwd_may_send(f, r, now_us, grant, fx))
+		return true;
 	if (r->placed_us == 0) {
 		r->placed_us = now_us;
 		hist_add(&f->stats.placement_us, now_us - r->started_us);
@@ -457,23 +454,6 @@
 	return true;
 }
 
-void
-forward_decline_grant(struct forward *f, uint64_t now_us, uint64_t ask,
-    uint32_t retry_after_ms, struct node_effects *fx)
-{
-	struct fwd_request *r = map_get_u64(f->by_ask, ask);
-
-	if (r == NULL || r->state != FWD_ASKED)
-		return;
-	f->stats.declined++;
-	fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
-	if (++r->declined_grants <= DECLINED_GRANTS_MAX)
-		fwd_send_ask(f, r, now_us, fx);
-	else
-		refuse_unserved(
-		    f, r, now_us, "endpoint-declines", retry_after_ms, fx);
-}
-
 void
 forward_on_refusal(struct forward *f, uint64_t now_us, uint64_t ask,
     const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
@@ -568,7 +548,7 @@
 		fwd_refuse(f, r, now_us, GW_REFUSE_TIMEOUT, "timeout", 0, fx);
 	else
 		fwd_refuse(f, r, now_us, GW_REFUSE_OVERLOAD, "deadline",
-		    RETRY_AFTER_MS, fx);
+		    FWD_RETRY_AFTER_MS, fx);
 }
 
 void
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -38,6 +38,28 @@
 	bool is_served; /* answered well; else the process closed early */
 };
 
+/* A request that is about to be sent to a granted endpoint. */
+struct forward_check {
+	const struct gw_request *request;
+	const char *path, *service;
+	uint64_t config_version; /* by which route and account were found */
+	uint64_t ask;
+	const char *endpoint;
+	uint64_t born_ms; /* start of the endpoint's process */
+	/* set unless the request may be sent */
+	const char *reason; /* a string constant */
+	uint32_t retry_after_ms; /* 0: none */
+};
+
+/* Whether what a request was granted for still holds. */
+enum forward_verdict {
+	FORWARD_SEND,
+	FORWARD_ENDPOINT_DECLINES, /* it takes none of this entry now */
+	FORWARD_NO_ROUTE, /* there is none any more */
+	FORWARD_UNAUTHORIZED, /* no account has the key any more */
+	FORWARD_OUTDATED /* it has changed; the caller may retry */
+};
+
 /* Functions of the node that forwards. */
 struct forward_ops {
 	/*
@@ -64,6 +86,13 @@
 	 */
 	bool (*may_send)(
 	    void *ctx, const struct gw_request *request, bool was_sent);
+	/*
+	 * Check the route, the account and the endpoint once more. Called
+	 * before each sending: the request may have waited since they were
+	 * determined.
+	 */
+	enum forward_verdict (*check)(
+	    void *ctx, struct forward_check *check, struct node_effects *fx);
 	/*
 	 * Record how a process dealt with a request: answered well, or closed
 	 * the connection soon after it began to answer, or before.
@@ -112,21 +141,16 @@
 	const char *endpoint, *address;
 	uint64_t born_ms; /* start of the endpoint's process */
 	uint32_t adapter_version, urgency;
+	/* since the placer decided, as far as it is known */
+	uint64_t age_us;
 };
 /*
- * Sends the request to the granted endpoint. Returns false if no request waits
- * for the grant; the node must then return the grant to the placer.
+ * Sends the request to the granted endpoint, if forward_ops.check() allows it
+ * and the grant is not too old. Returns false if no request waits for the
+ * grant; the node must then return the grant to the placer.
  */
 bool forward_on_grant(struct forward *f, uint64_t now_us,
     const struct forward_grant *grant, struct node_effects *fx);
-/*
- * Returns a grant whose endpoint takes no request of this entry now, and asks
- * for another one. After several such grants the request is refused.
- *
- * retry_after_ms: for a caller that is refused.
- */
-void forward_decline_grant(struct forward *f, uint64_t now_us, uint64_t ask,
-    uint32_t retry_after_ms, struct node_effects *fx);
 /*
  * Refuses the request, since the placer refused the ask. The caller receives
  * retry_after_ms only if the request cannot have run.
@@ -183,12 +207,13 @@
 /*
  * Totals since the start. served counts responses of status 2xx and failed
  * also other responses that were relayed; aborted counts responses that ended
- * early after their head was sent. The histograms hold the time from the
- * receipt of a request to its grant, first byte and end.
+ * early after their head was sent; outdated counts requests whose route or
+ * account was no longer valid when they were to be sent. The histograms hold
+ * the time from the receipt of a request to its grant, first byte and end.
  */
 struct forward_stats {
 	uint64_t asked, served, refused, failed, timed_out, caller_gone,
-	    retried, aborted, declined, quarantined;
+	    retried, aborted, declined, quarantined, outdated;
 	struct hist placement_us, first_byte_us, total_us;
 };
 /* Returns the totals, owned by the forwarder. */
--- a/src/forward/forward_guard.c
+++ b/src/forward/forward_guard.c
@@ -9,4 +9,5 @@
     .timeout = true,
     .whole_events = true,
     .stop = true,
-    .attempts = true};
+    .attempts = true,
+    .account = true};
--- a/src/forward/forward_guard.h
+++ b/src/forward/forward_guard.h
@@ -21,6 +21,7 @@
 	bool whole_events; /* a stream that ends inside an event is broken */
 	bool stop; /* begin no request that may not end before an exit */
 	bool attempts; /* limit the endpoints that may run a request */
+	bool account; /* check route, account and endpoint before sending */
 };
 
 extern struct forward_guards forward_guards;
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -14,6 +14,14 @@
 
 #define US_PER_MS 1000ULL
 
+/* Retry-After of refusals by the entry itself: a retry may soon succeed. */
+#define FWD_RETRY_AFTER_MS 250u
+/*
+ * A granted request is sent within this time after the placer's decision or not
+ * at all: the endpoint may have begun to leave since.
+ */
+#define FWD_SEND_TIMEOUT_US (1000 * US_PER_MS)
+
 enum fwd_state {
 	FWD_ASKED, /* waits for a grant */
 	FWD_SENT, /* waits for the head of the response */
@@ -112,6 +120,10 @@
 void fwd_refuse(struct forward *f, struct fwd_request *r, uint64_t now_us,
     enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms,
     struct node_effects *fx);
+/* Refuses the request as "not run" or, if it may have run, as failed. */
+void fwd_refuse_unserved(struct forward *f, struct fwd_request *r,
+    uint64_t now_us, const char *reason, uint32_t retry_after_ms,
+    struct node_effects *fx);
 /*
  * Reports the outcome of the open ask, if any, to the placer. Every outcome
  * other than PLACE_FIRST_BYTE closes the ask.
@@ -127,6 +139,14 @@
 void fwd_finish(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const char *outcome, struct node_effects *fx);
 
+/* ---- forward_check.c ---- */
+/*
+ * Whether the granted request may be sent now. If not, it asks for another
+ * grant or is refused, which frees r.
+ */
+bool fwd_may_send(struct forward *f, struct fwd_request *r, uint64_t now_us,
+    const struct forward_grant *grant, struct node_effects *fx);
+
 /* ---- forward_stop.c ---- */
 /*
  * Refuses a new request that would not end before this entry exits; false:
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -254,6 +254,9 @@
  */
 const char *gate_account_identify(
     struct node *n, const struct gw_route *route, struct gw_request *request);
+/* An operation of forward_ops, see there. */
+enum forward_verdict gate_account_check(
+    void *ctx, struct forward_check *check, struct node_effects *fx);
 
 /* ---- node_gate_metrics.c ---- */
 void node_gate_write_metrics(const struct node *n, struct buf *out);
@@ -327,11 +330,13 @@
 void gate_notice_on_response(void *ctx, uint64_t ask,
     const struct place_notice *notice, struct node_effects *fx);
 /*
- * Whether the endpoint of a grant takes a request of this entry now. If not,
- * the grant is returned and the request asks again; pending is then freed.
+ * Whether the process of an endpoint takes a request of this entry now. If not,
+ * the placer of the ask is told why.
+ *
+ * retry_after_ms: set if not.
  */
-bool gate_notice_allows(struct node *n, struct gate_ask *pending,
-    const struct forward_grant *grant);
+bool gate_notice_allows(struct node *n, uint64_t ask, const char *endpoint,
+    uint64_t born_ms, uint32_t *retry_after_ms);
 /* A notice that another entry received. */
 void gate_notice_on_message(
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
--- a/src/node/node_gate_account.c
+++ b/src/node/node_gate_account.c
@@ -39,3 +39,82 @@
 		n->gate->account_stats.missing_keys++;
 	return has_key ? "no account has this key" : "no key of an account";
 }
+
+/* Whether the request's key still has the account that it had. */
+static enum forward_verdict
+check_account(const struct node *n, const struct gw_request *request,
+    const struct gw_route *route, enum gate_config_trust trust)
+{
+	const struct gw_config *config = n->gate->config;
+	const struct gw_account *account;
+
+	if (request->has_accounts != config->has_accounts)
+		return FORWARD_OUTDATED;
+	if (!config->has_accounts ||
+	    (request->account == NULL && route->is_public))
+		return FORWARD_SEND;
+	account = request->account == NULL
+	    ? NULL
+	    : gw_config_find_account_by_hash(config, &request->key_hash);
+	if (account == NULL)
+		return trust == GATE_CONFIG_CONFIRMED && !route->is_public
+		    ? FORWARD_UNAUTHORIZED
+		    : FORWARD_OUTDATED;
+	return strcmp(account->name, request->account) == 0 ? FORWARD_SEND
+							    : FORWARD_OUTDATED;
+}
+
+static bool
+has_service(const struct gw_route *route, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < route->ntargets; i++)
+		if (strcmp(route->targets[i].service, service) == 0)
+			return true;
+	return false;
+}
+
+/* Checks route and account against the configuration in force. */
+static enum forward_verdict
+check_config(struct node *n, struct forward_check *check)
+{
+	enum gate_config_trust trust = gate_config_get_trust(n);
+	const struct gw_config *config = n->gate->config;
+	const struct gw_route *route;
+
+	check->retry_after_ms = GATE_RETRY_AFTER_MS;
+	if (trust == GATE_CONFIG_UNUSABLE) {
+		check->reason = "config-out-of-date";
+		return FORWARD_OUTDATED;
+	}
+	if (check->config_version == config->version)
+		return FORWARD_SEND;
+	route = gw_config_find_route(config, check->request->host, check->path);
+	if (route == NULL || !has_service(route, check->service)) {
+		check->reason = "route-changed";
+		return route == NULL && trust == GATE_CONFIG_CONFIRMED
+		    ? FORWARD_NO_ROUTE
+		    : FORWARD_OUTDATED;
+	}
+	check->reason = "key-changed";
+	return check_account(n, check->request, route, trust);
+}
+
+enum forward_verdict
+gate_account_check(
+    void *ctx, struct forward_check *check, struct node_effects *fx)
+{
+	struct node *n = ctx;
+	enum forward_verdict verdict = check_config(n, check);
+
+	(void)fx;
+	if (verdict == FORWARD_NO_ROUTE || verdict == FORWARD_UNAUTHORIZED)
+		check->retry_after_ms = 0;
+	if (verdict != FORWARD_SEND)
+		return verdict;
+	return gate_notice_allows(n, check->ask, check->endpoint,
+		   check->born_ms, &check->retry_after_ms)
+	    ? FORWARD_SEND
+	    : FORWARD_ENDPOINT_DECLINES;
+}
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -274,6 +274,7 @@
     .done = ops_done,
     .notice = gate_notice_on_response,
     .may_send = gate_quarantine_may_send,
+    .check = gate_account_check,
     .observe = gate_quarantine_observe,
     .next_call = ops_next_call,
     .log = ops_log,
@@ -313,10 +314,7 @@
 	    n->gate->forward, n->now, pending->ask, n->fx);
 }
 
-/*
- * Sends the granted request, or returns the grant: if no request waits for it,
- * or if the endpoint takes none of this entry now.
- */
+/* Sends the granted request; returns the grant if no request waits for it. */
 static void
 handle_grant(
     struct node *n, struct gate_ask *pending, const struct forward_grant *grant)
@@ -326,8 +324,6 @@
 	uint64_t ask = grant->ask;
 
 	pending->granted = true;
-	if (!gate_notice_allows(n, pending, grant))
-		return;
 	if (!forward_on_grant(n->gate->forward, n->now, grant, n->fx))
 		ops_done(n, ask, &abandoned, n->fx);
 }
@@ -345,6 +341,23 @@
 	    n->gate->forward, n->now, ask, reason, retry_after_ms, n->fx);
 }
 
+/*
+ * The time since a placer granted a request, at most: the time since the ask
+ * was sent, less what the ask waited there. A grant can be old when this entry
+ * was late to read it, or a link held it up.
+ */
+static uint64_t
+grant_age_us(const struct node *n, const struct gate_ask *pending,
+    const Wire__PlaceReply *reply)
+{
+	uint64_t waited_us = reply->waited_ms_and_one * 1000ULL;
+
+	if (reply->waited_ms_and_one == 0 ||
+	    pending->sent_us + waited_us >= n->now)
+		return 0;
+	return n->now - pending->sent_us - waited_us;
+}
+
 void
 gate_ask_on_reply(struct node *n, uint32_t from, const Wire__PlaceReply *reply)
 {
@@ -377,6 +390,7 @@
 	grant.born_ms = reply->born_ms;
 	grant.adapter_version = reply->adapter_version;
 	grant.urgency = reply->urgency;
+	grant.age_us = grant_age_us(n, pending, reply);
 	handle_grant(n, pending, &grant);
 }
 
--- a/src/node/node_gate_notice.c
+++ b/src/node/node_gate_notice.c
@@ -82,17 +82,19 @@
 }
 
 bool
-gate_notice_allows(
-    struct node *n, struct gate_ask *pending, const struct forward_grant *grant)
+gate_notice_allows(struct node *n, uint64_t ask, const char *endpoint,
+    uint64_t born_ms, uint32_t *retry_after_ms)
 {
+	const struct gate_ask *pending = map_get_u64(n->gate->asks, ask);
 	struct place_notice notice;
 
-	if (place_may_send(n->gate->place, n->now, n->incarnation,
-		grant->endpoint, grant->born_ms, &notice))
+	if (place_may_send(n->gate->place, n->now, n->incarnation, endpoint,
+		born_ms, &notice))
 		return true;
-	send_notice(n, pending->placer, &notice);
-	forward_decline_grant(n->gate->forward, n->now, grant->ask,
-	    notice.is_leaving ? GATE_RETRY_AFTER_MS : notice.backoff_ms, n->fx);
+	if (pending != NULL)
+		send_notice(n, pending->placer, &notice);
+	*retry_after_ms =
+	    notice.is_leaving ? GATE_RETRY_AFTER_MS : notice.backoff_ms;
 	return false;
 }
 
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -117,6 +117,7 @@
 	if (d->address != NULL)
 		reply.address = (char *)d->address;
 	reply.born_ms = d->born_ms;
+	reply.waited_ms_and_one = d->basis.waited_ms + 1;
 	if (d->reason != NULL)
 		reply.reason = (char *)d->reason;
 	reply.adapter_version = d->adapter_version;
--- a/src/place/place_notice.c
+++ b/src/place/place_notice.c
@@ -130,6 +130,15 @@
 	place_schedule_run(p, 0);
 }
 
+/* Whether the table says that the process is leaving. */
+static bool
+is_listed_leaving(const struct place *p, const char *id, uint64_t born_ms)
+{
+	const struct place_endpoint *e = map_get_str(p->endpoints, id);
+
+	return e != NULL && e->born_ms == born_ms && e->leaving;
+}
+
 bool
 place_may_send(const struct place *p, uint64_t now_us, uint64_t entry,
     const char *endpoint, uint64_t born_ms, struct place_notice *out)
@@ -139,7 +148,8 @@
 	memset(out, 0, sizeof(*out));
 	out->endpoint = endpoint;
 	out->born_ms = born_ms;
-	out->is_leaving = place_is_known_leaving(p, endpoint, born_ms);
+	out->is_leaving = place_is_known_leaving(p, endpoint, born_ms) ||
+	    is_listed_leaving(p, endpoint, born_ms);
 	if (until_us != 0)
 		out->backoff_ms =
 		    (uint32_t)((until_us - now_us) / US_PER_MS) + 1;
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -5401,7 +5401,7 @@
   (ProtobufCMessageInit) wire__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__place_reply__field_descriptors[12] =
 {
   {
     "ask",
@@ -5535,6 +5535,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waited_ms_and_one",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceReply, waited_ms_and_one),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_reply__field_indices_by_name[] = {
   4,   /* field[4] = adapter_version */
@@ -5548,11 +5560,12 @@
   6,   /* field[6] = retry_after_ms */
   1,   /* field[1] = status */
   5,   /* field[5] = urgency */
+  11,   /* field[11] = waited_ms_and_one */
 };
 static const ProtobufCIntRange wire__place_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__place_reply__descriptor =
 {
@@ -5562,7 +5575,7 @@
   "Wire__PlaceReply",
   "wire",
   sizeof(Wire__PlaceReply),
-  11,
+  12,
   wire__place_reply__field_descriptors,
   wire__place_reply__field_indices_by_name,
   1,  wire__place_reply__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1021,10 +1021,15 @@
    * start of the endpoint's process; 0: not given
    */
   uint64_t born_ms;
+  /*
+   * Time from the receipt of the ask to a grant, and 1; 0: not given. The rest
+   * of the time since the ask was sent, both messages were on their way.
+   */
+  uint32_t waited_ms_and_one;
 };
 #define WIRE__PLACE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_reply__descriptor) \
-    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, WIRE__PLACE_STATUS__PLACE_GIVEN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -29,6 +29,10 @@
 	std::vector<place_notice> notices;
 	std::vector<std::string> observed; /* endpoint and how it ended */
 	bool is_quarantined = false, is_repeat_refused = false;
+	forward_verdict verdict = FORWARD_SEND; /* of each check */
+	uint32_t verdict_retry_after_ms = 0;
+	std::vector<std::string> checks; /* endpoint and service */
+	uint64_t grant_age_us = 0, not_after_us = 0;
 	/* the response to the caller */
 	int status = 0;
 	std::string body, retry_after;
@@ -41,8 +45,8 @@
 	void
 	SetUp() override
 	{
-		static const forward_ops ops = {
-		    ask, done, notice, may_send, observe, next_call, log};
+		static const forward_ops ops = {ask, done, notice, may_send,
+		    check, observe, next_call, log};
 
 		route.name = (char *)"r";
 		route.host = (char *)"h";
@@ -97,6 +101,19 @@
 		return was_sent ? !t->is_repeat_refused : !t->is_quarantined;
 	}
 
+	static forward_verdict
+	check(void *ctx, forward_check *c, node_effects *)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		t->checks.push_back(std::string(c->endpoint) + " " +
+		    c->service + " " + c->path + " " +
+		    std::to_string(c->config_version));
+		c->reason = "changed";
+		c->retry_after_ms = t->verdict_retry_after_ms;
+		return t->verdict;
+	}
+
 	static void
 	observe(void *ctx, const forward_observation *observed, node_effects *)
 	{
@@ -151,6 +168,7 @@
 			break;
 		case NODE_FX_CALL:
 			call = e->u.call.call;
+			not_after_us = e->u.call.not_after_us;
 			is_cancelled = false;
 			resume_after = deadline_header = "";
 			for (size_t k = 0; k < e->u.call.nheaders; k++) {
@@ -197,7 +215,7 @@
 	Grant(const char *endpoint = "i-1")
 	{
 		forward_grant g = {place_requests.back().id.ask, endpoint,
-		    "1.1.1.1:1", 1, 0, 4};
+		    "1.1.1.1:1", 1, 0, 4, grant_age_us};
 		bool taken = forward_on_grant(f, now_us, &g, fx);
 
 		ApplyEffects();
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -316,11 +316,11 @@
 TEST_F(Outcome, declined_grants_are_bounded_and_are_no_repeats)
 {
 	StartRequest();
+	verdict = FORWARD_ENDPOINT_DECLINES;
+	verdict_retry_after_ms = 700;
 	for (int n = 0; n < 9 && status == 0; n++) {
 		EXPECT_EQ(place_requests.back().attempt, 0u);
-		forward_decline_grant(
-		    f, now_us, place_requests.back().id.ask, 700, fx);
-		ApplyEffects();
+		ASSERT_TRUE(Grant());
 	}
 	EXPECT_EQ(status, 503);
 	EXPECT_EQ(retry_after, "0.700");
@@ -462,4 +462,5 @@
     {"forward.whole_events", &forward_guards.whole_events},
     {"forward.attempts", &forward_guards.attempts},
     {"forward.stop", &forward_guards.stop},
+    {"forward.account", &forward_guards.account},
 });
--- a/tests/gateway/account_test.cc
+++ b/tests/gateway/account_test.cc
@@ -173,3 +173,105 @@
 	Configure("none");
 	EXPECT_EQ(Ask("/p/x", "Token k1"), "ran for forged with Token k1");
 }
+
+/*
+ * Guards against a request that is sent although what it was accepted for has
+ * changed while it waited: for another account's money, or to a service that
+ * its route no longer names.
+ */
+TEST_F(Accounts, a_request_that_waited_is_checked_again)
+{
+	static const struct {
+		const char *what, *path, *authorization;
+		std::string accounts, routes;
+		int status; /* 0: sent */
+	} rows[] = {
+	    {"nothing concerns it", "/p/x", "Token k1",
+		Account("a", "k1") + "," + Account("b", "k2"),
+		Route("/p/") + "," + Route("/q/"), 0},
+	    {"its account's other key", "/p/x", "Token k1",
+		"{\"name\":\"a\",\"api_keys\":[\"k1\",\"k9\"],\"priority\":1}",
+		Route("/p/"), 0},
+	    {"revoked key", "/p/x", "Token k1", Account("a", "k9"),
+		Route("/p/"), 401},
+	    {"moved key", "/p/x", "Token k1", Account("b", "k1"), Route("/p/"),
+		503},
+	    {"no accounts", "/p/x", "Token k1", "none", Route("/p/"), 503},
+	    {"route gone", "/p/x", "Token k1", Account("a", "k1"), Route("/q/"),
+		404},
+	    {"route to other services", "/p/x", "Token k1", Account("a", "k1"),
+		"{\"host\":\"h.example\",\"path_prefix\":\"/p/\",\"type\":"
+		"\"idempotent\",\"timeout_ms\":8000,\"service\":\"b\"}",
+		503},
+	    {"no longer public", "/open/x", "", Account("a", "k1"),
+		Route("/open/"), 401},
+	    {"revoked, now public", "/p/x", "Token k1", Account("a", "k9"),
+		Route("/p/", ",\"public\":true"), 503},
+	    {"still public", "/open/x", "", Account("b", "k9"),
+		Route("/open/", ",\"public\":true"), 0},
+	};
+
+	ASSERT_NO_FATAL_FAILURE(StartServing(Account("a", "k1")));
+	for (auto &row : rows) {
+		std::vector<GatewaySim::EndpointCall> running;
+		uint64_t id;
+		size_t before;
+
+		ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
+		Configure(Account("a", "k1"));
+		before = sim->endpoint_calls.size();
+		for (int i = 0; i < 6; i++) /* the slots of e1 */
+			(void)Send("/p/x", "Token k1");
+		ASSERT_TRUE(sim->run_until(
+		    [&] { return sim->endpoint_calls.size() == before + 6; },
+		    1000));
+		running.assign(sim->endpoint_calls.begin() + (long)before,
+		    sim->endpoint_calls.end());
+		id = Send(row.path, row.authorization);
+		sim->run_for_ms(200);
+		ASSERT_EQ(sim->endpoint_calls.size(), before + 6)
+		    << row.what << ": it did not wait";
+		Configure(row.accounts, row.routes);
+		EXPECT_EQ(sim->replies.count(id), 0u) << row.what;
+		for (auto &call : running)
+			sim->answer_call(call, 200, "answer");
+		sim->run_for_ms(300);
+		EXPECT_EQ(sim->replies[id].status, row.status) << row.what;
+		EXPECT_EQ(sim->endpoint_calls.size(),
+		    before + (row.status == 0 ? 7 : 6))
+		    << row.what;
+		if (row.status == 0)
+			sim->answer_call(
+			    sim->endpoint_calls.back(), 200, "answer");
+	}
+}
+
+/*
+ * Reproduces a fault that was seen: an entry without processor time read a
+ * grant 2.6 s late and sent the request to an endpoint that had begun to leave
+ * in the meantime.
+ */
+TEST_F(Accounts, a_grant_that_is_read_late_is_not_used)
+{
+	size_t before;
+
+	ASSERT_NO_FATAL_FAILURE(StartServing("none"));
+	sim->keep_messages_of_frozen = true;
+	before = sim->endpoint_calls.size();
+	(void)Send("/p/x", "");
+	ASSERT_EQ(sim->endpoint_calls.size(), before);
+	sim->freeze(entry, true);
+	sim->run_for_ms(200);
+	ASSERT_EQ(sim->announce(sim->leader(), "e2").status, 200);
+	ASSERT_EQ(sim->request_and_wait(sim->leader(), NODE_LISTEN_CONTROL,
+			 "DELETE", "/api/instances/e1")
+		      .status,
+	    200);
+	sim->run_for_ms(2400);
+	sim->freeze(entry, false);
+	ASSERT_TRUE(sim->run_until(
+	    [&] { return sim->endpoint_calls.size() > before; }, 3000));
+	EXPECT_EQ(sim->endpoint_calls.back()
+		      .headers["Mulberrypath-Expected-Instance"],
+	    "e2");
+}
--- a/tests/place/notice_test.cc
+++ b/tests/place/notice_test.cc
@@ -216,3 +216,22 @@
 	EXPECT_TRUE(MaySend("e1"));
 	EXPECT_FALSE(MaySend("e1", 1, kOtherEntry));
 }
+
+/*
+ * Guards against a grant that is used although the endpoint's own announcement,
+ * which reached the entry with the table, says that it leaves.
+ */
+TEST_F(PlaceNotice, an_endpoint_that_announces_its_leave_is_sent_nothing)
+{
+	Engine e = {"a1"};
+
+	Apps(1);
+	EXPECT_TRUE(MaySend("a1"));
+	e.service = "app";
+	e.slots = 6;
+	e.address = "10.0.1.1:80";
+	e.leaving = true;
+	Announce(e);
+	EXPECT_FALSE(MaySend("a1"));
+	EXPECT_TRUE(MaySend("a1", 2)) << "a new process";
+}
