--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -16,8 +16,9 @@
  * that is its boot, then each event with its time and a hash of its effects. A
  * new reducer that is given the recorded input must produce the same effects.
  *
- * The file contains request bodies and tokens in clear text, so it is created
- * readable to its owner only.
+ * The file contains request bodies, tokens and keys of client accounts. It is
+ * encrypted, and its key is in the file FILE.key; both are created readable to
+ * their owner only.
  */
 struct journal_writer;
 
--- a/src/journal/journal_read.c
+++ b/src/journal/journal_read.c
@@ -11,6 +11,8 @@
 
 struct journal_reader {
 	FILE *file;
+	uint8_t key[JOURNAL_KEY_BYTES];
+	uint64_t frames; /* read */
 	uint64_t read_bytes, total_bytes;
 	uint8_t *message; /* packed message of the last frame */
 	uint64_t now_us;
@@ -69,6 +71,7 @@
 	if (fread(r->message, 1, *len, r->file) != *len ||
 	    journal_frame_hash(r->message, *len) != get_u32(head + 4))
 		return set_damage_error(r, err);
+	journal_frame_cipher(r->message, *len, r->frames++, r->key);
 	r->read_bytes += sizeof(head) + *len;
 	return MP_OK;
 }
@@ -148,9 +151,11 @@
 	r->total_bytes = (uint64_t)info.st_size;
 	r->read_bytes = fread(magic, 1, sizeof(magic) - 1, r->file);
 	code = strcmp(magic, JOURNAL_MAGIC) == 0
-	    ? read_boot(r, err)
+	    ? journal_key_read(r->key, file, err)
 	    : mp_error_set(err, MP_LAYER_STORE, MP_ERR_CORRUPT,
 		  "%s is not a journal", file);
+	if (code == MP_OK)
+		code = read_boot(r, err);
 cleanup:
 	if (code == MP_OK)
 		*out = r;
--- a/src/journal/journal_write.c
+++ b/src/journal/journal_write.c
@@ -21,6 +21,8 @@
 struct journal_writer {
 	struct node_effects *arena; /* allocations for the current step */
 	FILE *file;
+	uint8_t key[JOURNAL_KEY_BYTES];
+	uint64_t frames; /* written */
 	uint64_t last_step_us, last_flush_us;
 	bool failed; /* a write failed; all later ones fail */
 };
@@ -51,6 +53,7 @@
 	size_t done;
 
 	(void)protobuf_c_message_pack(m, bytes);
+	journal_frame_cipher(bytes, len, w->frames++, w->key);
 	put_u32(head, len);
 	put_u32(head + 4, journal_frame_hash(bytes, len));
 	put_u32(head + 8, journal_frame_hash(head, 8));
@@ -137,6 +140,9 @@
 		    "journal: the settings are not a JSON object");
 		goto cleanup;
 	}
+	code = journal_key_create(w->key, file, err);
+	if (code != MP_OK)
+		goto cleanup;
 	fd = open(file, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
 	if (fd < 0 || (w->file = fdopen(fd, "w")) == NULL ||
 	    fputs(JOURNAL_MAGIC, w->file) < 0)
--- a/src/mulberryctl/cmd_replay.c
+++ b/src/mulberryctl/cmd_replay.c
@@ -5,6 +5,7 @@
 #include "journal/journal.h"
 #include "mulberryctl/ctl.h"
 #include "mulberryctl/replay_outcome.h"
+#include "platform/platform.h"
 
 #define PROGRESS_STEPS 65536
 #define US_PER_S       1e6
@@ -42,15 +43,18 @@
 static int
 run(struct replay *r, struct mp_error *err)
 {
-	const struct node_boot *boot = journal_get_boot(r->reader);
-	int code = node_create(&r->node, boot, err);
+	struct node_boot boot = *journal_get_boot(r->reader);
+	int code;
+
+	boot.codec = &platform_codec;
+	code = node_create(&r->node, &boot, err);
 
 	while (code == MP_OK) {
 		code = journal_read_step(r->reader, &r->step, err);
 		if (code != MP_OK)
 			break;
 		r->steps++;
-		r->seconds = (double)(r->step.now_us - boot->now_us) / US_PER_S;
+		r->seconds = (double)(r->step.now_us - boot.now_us) / US_PER_S;
 		node_effects_clear(r->fx);
 		node_step(r->node, r->step.now_us, &r->step.event, r->fx);
 		replay_outcome_add(&r->outcome, r->fx);
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -10,6 +10,7 @@
 #include "journal/journal.h"
 #include "util/mem.h"
 }
+#include "platform/platform.h"
 
 namespace fs = std::filesystem;
 
@@ -48,6 +49,65 @@
 		return folder + "/journal";
 	}
 
+	/*
+	 * Makes the instance a gateway of its own: it has the log and takes
+	 * callers' requests.
+	 */
+	void
+	add_gateway()
+	{
+		text.insert(text.size() - 1,
+		    R"(,"gateway":{"control":"127.0.0.1:3","registry":)"
+		    R"("127.0.0.1:4","front":"127.0.0.1:5","readiness":)"
+		    R"("127.0.0.1:6"})");
+		codec = &platform_codec;
+	}
+
+	/* Records a request to a listener of the gateway; its status. */
+	int
+	request(node_listener listener, const char *method, const char *path,
+	    const std::string &body, std::vector<node_header> headers)
+	{
+		struct node_event ev = {};
+
+		headers.push_back({"Host", "h.example"});
+		ev.type = NODE_EV_REQUEST;
+		ev.u.request.request = ++last_request;
+		ev.u.request.listener = listener;
+		ev.u.request.method = method;
+		ev.u.request.path = path;
+		ev.u.request.body = {body.data(), body.size()};
+		ev.u.request.headers = headers.data();
+		ev.u.request.nheaders = headers.size();
+		status = 0;
+		step(ev);
+		ticks(20);
+		return status;
+	}
+
+	/* Keeps the replies' status, and all texts that leave the instance. */
+	void
+	look_at(const struct node_effect *e)
+	{
+		if (e->type == NODE_FX_LOG)
+			logged += std::string(e->u.log.fields) + "\n";
+		if (e->type == NODE_FX_REPLY) {
+			status = e->u.reply.status;
+			if (e->u.reply.body.len > 0)
+				replied.append(
+				    e->u.reply.body.data, e->u.reply.body.len);
+		}
+		if (e->type != NODE_FX_CALL)
+			return;
+		for (size_t i = 0; i < e->u.call.nextra_headers; i++)
+			called +=
+			    std::string(e->u.call.extra_headers[i].value) +
+			    "\n";
+		for (size_t i = 0; i < e->u.call.nheaders; i++)
+			called += std::string(e->u.call.headers[i].name) +
+			    ": " + e->u.call.headers[i].value + "\n";
+	}
+
 	/* Executes and records a step, then completes its saves. */
 	void
 	step(const struct node_event &ev)
@@ -62,6 +122,7 @@
 		for (size_t i = 0; i < node_effects_count(fx); i++) {
 			const struct node_effect *e = node_effects_at(fx, i);
 
+			look_at(e);
 			if (e->type == NODE_FX_SAVE && e->u.save.ticket != 0)
 				tickets.push_back(e->u.save.ticket);
 		}
@@ -84,16 +145,13 @@
 		}
 	}
 
+	/* Starts an instance that is recorded, and runs it until it leads. */
 	void
-	record()
+	begin()
 	{
 		struct settings_problems problems = {};
-		struct settings *settings = nullptr;
 		struct node_disk disk = {};
 		struct node_boot boot = {};
-		struct node_event ev = {};
-		const struct node_header headers[] = {
-		    {"Host", "a.example"}, {"X-Empty", ""}};
 
 		ASSERT_EQ(settings_parse(&settings, text.data(), text.size(),
 			      &problems, &err),
@@ -102,13 +160,32 @@
 		disk.incarnation = 5;
 		disk.fresh = true;
 		boot = {
-		    settings, 7, 11, now_us, 1700000000000, &disk, nullptr, {}};
+		    settings, 7, 11, now_us, 1700000000000, &disk, codec, {1}};
 		ASSERT_EQ(node_create(&node, &boot, &err), MP_OK);
 		ASSERT_EQ(journal_create(&writer, file().c_str(), &boot,
 			      {text.data(), text.size()}, &err),
 		    MP_OK);
 		fx = node_effects_create();
 		ticks(300);
+	}
+
+	void
+	end()
+	{
+		EXPECT_EQ(journal_close(writer, &err), MP_OK);
+		node_effects_destroy(fx);
+		node_destroy(node);
+		settings_destroy(settings);
+	}
+
+	void
+	record()
+	{
+		struct node_event ev = {};
+		const struct node_header headers[] = {
+		    {"Host", "a.example"}, {"X-Empty", ""}};
+
+		begin();
 		ev.type = NODE_EV_REQUEST;
 		ev.u.request = {1, "GET", "/v1/status", "Bearer op", nullptr,
 		    "500", {"", 0}, "text/plain", NODE_LISTEN_API, headers, 2};
@@ -127,10 +204,7 @@
 		ev.type = NODE_EV_STOP;
 		step(ev);
 		ticks(10);
-		EXPECT_EQ(journal_close(writer, &err), MP_OK);
-		node_effects_destroy(fx);
-		node_destroy(node);
-		settings_destroy(settings);
+		end();
 	}
 
 	/*
@@ -149,7 +223,10 @@
 		if (code != MP_OK)
 			return code;
 		fx = node_effects_create();
-		code = node_create(&node, journal_get_boot(reader), &err);
+		struct node_boot boot = *journal_get_boot(reader);
+
+		boot.codec = codec;
+		code = node_create(&node, &boot, &err);
 		while (code == MP_OK) {
 			code = journal_read_step(reader, &s, &err);
 			if (code != MP_OK)
@@ -184,6 +261,11 @@
 	struct node *node = nullptr;
 	struct node_effects *fx = nullptr;
 	struct journal_writer *writer = nullptr;
+	struct settings *settings = nullptr;
+	const struct gw_codec *codec = nullptr;
+	uint64_t last_request = 0;
+	int status = 0; /* of the last reply */
+	std::string logged, replied, called;
 	struct mp_error err = {};
 	uint64_t now_us = 1000000;
 };
@@ -207,6 +289,65 @@
 	EXPECT_EQ(info.st_mode & 0777, 0600u);
 }
 
+/*
+ * Guards against a key of a client account in what leaves the instance: in log
+ * events, calls to endpoints, answers to others than the operator, the
+ * instance's metrics, and the journal. The journal must nevertheless replay.
+ */
+TEST_F(Journal, keys_of_accounts_are_in_no_log_call_metric_or_journal)
+{
+	static const std::string known = "known-key-4711",
+				 unknown = "unknown-key-0815";
+	const std::string config = R"({"version":1,"routes":[{"host":)"
+				   R"("h.example","path_prefix":"/","type":)"
+				   R"("idempotent","timeout_ms":2000,)"
+				   R"("service":"app"}],"services":[{"name":)"
+				   R"("app"}],"tenants":[{"name":"acme",)"
+				   R"("api_keys":[")" +
+	    known + R"("]}]})";
+	const std::string invalid = R"({"version":2,"tenants":[{"name":"a",)"
+				    R"("api_keys":[")" +
+	    unknown + R"(" "]}]})";
+	const std::string good = "Token " + known, bad = "Token " + unknown;
+	size_t steps;
+	bool equal;
+
+	add_gateway();
+	ASSERT_NO_FATAL_FAILURE(begin());
+	EXPECT_EQ(request(NODE_LISTEN_CONTROL, "PUT", "/api/configuration",
+		      config, {}),
+	    200);
+	EXPECT_EQ(request(NODE_LISTEN_CONTROL, "PUT", "/api/configuration",
+		      invalid, {}),
+	    400);
+	EXPECT_EQ(request(NODE_LISTEN_CONTROL, "PUT", "/api/instances/e1",
+		      R"({"service":"app","address":"10.1.0.1:80","zone":"z",)"
+		      R"("slots":6,"state":"ready","born":1,"sequence":1})",
+		      {}),
+	    200);
+	EXPECT_EQ(request(NODE_LISTEN_FRONT, "POST", "/x", "b",
+		      {{"Authorization", bad.c_str()}}),
+	    401);
+	EXPECT_EQ(request(NODE_LISTEN_FRONT, "POST", "/x", "b",
+		      {{"Authorization", good.c_str()}}),
+	    0);
+	EXPECT_NE(called.find("Mulberrypath-Tenant: acme"), std::string::npos)
+	    << called;
+	ticks(250); /* past the request's deadline */
+	EXPECT_EQ(status, 504);
+	EXPECT_EQ(request(NODE_LISTEN_API, "GET", "/metrics", "", {}), 200);
+	EXPECT_NE(replied.find("mulberrypath_gate_"), std::string::npos);
+	end();
+	for (auto &key : {known, unknown})
+		for (auto *text : {&logged, &replied, &called})
+			EXPECT_EQ(text->find(key), std::string::npos) << *text;
+	EXPECT_EQ(read().find("key-"), std::string::npos);
+	EXPECT_EQ(replay(&steps, &equal), MP_ERR_NOT_FOUND) << err.message;
+	EXPECT_TRUE(equal);
+	fs::remove(file() + ".key");
+	EXPECT_EQ(replay(&steps, &equal), MP_ERR_IO);
+}
+
 /*
  * A damaged journal must not be replayed as if it were complete: a flipped bit
  * ends it early with an error, and a truncated file ends after its last whole
