--- a/src/gate/gate_config.c
+++ b/src/gate/gate_config.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "gate/gate_account.h"
 #include "gate/gate_config.h"
 #include "util/mem.h"
 
@@ -41,13 +42,7 @@
 static void
 account_free(struct gw_account *a)
 {
-	size_t i;
-
-	for (i = 0; a->plain_keys != NULL && i < a->nkeys; i++)
-		free(a->plain_keys[i]);
-	free(a->plain_keys);
-	free(a->keys);
-	free(a->name);
+	gw_account_clear(a);
 	free(a);
 }
 
@@ -81,6 +76,7 @@
 	free(config->services);
 	free(config->accounts);
 	gw_config_index_destroy(config->index);
+	gw_account_index_destroy(config->account_index);
 	free(config);
 }
 
@@ -286,5 +282,7 @@
 		gw_config_index_destroy(config->index);
 		config->index = NULL;
 	}
+	if (rc == MP_OK)
+		rc = gw_config_check_accounts(config, err);
 	return rc;
 }
--- a/src/gate/gate_update.c
+++ b/src/gate/gate_update.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate/gate_account.h"
 #include "gate/gate_config.h"
 #include "gate/gate_update.h"
 #include "util/mem.h"
@@ -267,17 +268,20 @@
 
 /* ---- applying ----------------------------------------------------------- */
 
-/* Exchanges the members, not the index, which is updated. */
+/* Exchanges the members, not the indexes, which are updated. */
 static void
 swap_members(struct gw_update *u)
 {
 	struct gw_config_index *index = u->config->index;
+	struct gw_account_index *accounts = u->config->account_index;
 	struct gw_config other = u->other;
 
 	u->other = *u->config;
 	*u->config = other;
 	u->config->index = index;
+	u->config->account_index = accounts;
 	u->other.index = NULL;
+	u->other.account_index = NULL;
 	u->is_applied = !u->is_applied;
 }
 
@@ -287,6 +291,14 @@
 	return u->added[kind].count > 0 || u->removed[kind].count > 0;
 }
 
+/* Hashes the keys of new accounts, and updates the index of accounts. */
+static void
+update_accounts(struct gw_update *u)
+{
+	if (has_changed(u, GW_ELEMENT_ACCOUNT))
+		gw_config_index_accounts(u->config);
+}
+
 bool
 gw_update_has_services(const struct gw_update *update)
 {
@@ -354,8 +366,9 @@
 {
 	const struct list *added = &u->added[GW_ELEMENT_ROUTE];
 
-	if (has_changed(u, GW_ELEMENT_ACCOUNT))
-		return false; /* these are checked as a whole */
+	if (has_changed(u, GW_ELEMENT_ACCOUNT) &&
+	    gw_config_check_accounts(u->config, NULL) != MP_OK)
+		return false;
 	if (has_lost_service(u))
 		return are_routes_valid(
 		    u, u->config->routes, u->config->nroutes);
@@ -367,6 +380,7 @@
 gw_update_apply(struct gw_update *update, struct mp_error *err)
 {
 	swap_members(update);
+	update_accounts(update);
 	if (update->config->index != NULL &&
 	    update_index(update, update->removed, update->added) &&
 	    is_valid(update))
@@ -381,6 +395,7 @@
 	if (!update->is_applied)
 		return;
 	swap_members(update);
+	update_accounts(update);
 	if (update->config->index != NULL)
 		(void)update_index(update, update->added, update->removed);
 	else
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -2,6 +2,7 @@
 #define MP_NODE_GATE_H
 
 #include "forward/forward.h"
+#include "gate/gate_account.h"
 #include "gate/gate_text.h"
 #include "node/node_internal.h"
 #include "node/snapshot.pb-c.h"
@@ -165,6 +166,11 @@
 	uint32_t version;
 };
 
+/* Requests refused since the start because of their key. */
+struct gate_account_stats {
+	uint64_t missing_keys, unknown_keys;
+};
+
 struct node_gate {
 	const struct gw_codec *codec;
 	struct gw_config *config; /* NULL: none is known */
@@ -176,6 +182,8 @@
 	struct gate_changes *changes; /* of the leader */
 	uint64_t config_index;
 	bool config_unreadable; /* a newer one could not be read */
+	uint8_t key_secret[GW_KEY_SECRET_BYTES]; /* of the hash of keys */
+	struct gate_account_stats account_stats;
 	enum gate_config_trust logged_trust;
 	struct map *versions; /* struct gate_version by key */
 	struct place *place;
@@ -229,7 +237,7 @@
 };
 
 /* ---- node_gate.c ---- */
-void node_gate_create(struct node *n, const struct gw_codec *codec);
+void node_gate_create(struct node *n, const struct node_boot *boot);
 void node_gate_destroy(struct node *n);
 void node_gate_handle_request(
     struct node *n, const struct node_request *request);
@@ -253,6 +261,17 @@
 /* The leader, if a message from it was received recently; 0: none. */
 uint32_t node_gate_placer(const struct node *n);
 
+/* ---- node_gate_account.c: client accounts of requests ---- */
+/*
+ * Sets the account of a request by its key, and drops the key. Returns NULL, or
+ * why the request may not use the route: a string constant.
+ */
+const char *gate_account_identify(
+    struct node *n, const struct gw_route *route, struct gw_request *request);
+/* An operation of forward_ops, see there. */
+enum forward_verdict gate_account_check(
+    void *ctx, struct forward_check *check, struct node_effects *fx);
+
 /* ---- node_gate_metrics.c ---- */
 void node_gate_write_metrics(const struct node *n, struct buf *out);
 
@@ -347,11 +366,13 @@
 void gate_notice_on_response(void *ctx, uint64_t ask,
     const struct place_notice *notice, struct node_effects *fx);
 /*
- * Whether the endpoint of a grant takes a request of this entry now. If not,
- * the grant is returned and the request asks again; pending is then freed.
+ * Whether the process of an endpoint takes a request of this entry now. If not,
+ * the placer of the ask is told why.
+ *
+ * retry_after_ms: set if not.
  */
-bool gate_notice_allows(struct node *n, struct gate_ask *pending,
-    const struct forward_grant *grant);
+bool gate_notice_allows(struct node *n, uint64_t ask, const char *endpoint,
+    uint64_t born_ms, uint32_t *retry_after_ms);
 /* A notice that another entry received. */
 void gate_notice_on_message(
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -77,6 +77,8 @@
 	gw_text_destroy(g->config_text);
 	gw_text_destroy(g->unread_text);
 	g->config = config;
+	if (is_first)
+		gw_config_hash_keys(config, g->key_secret);
 	g->config_text = text;
 	g->unread_text = NULL;
 	g->config_index = index;
