gate: the leader compares a text with the one in force instead of scanning it

An element that the configuration in force has too is compared and shared, and differences of single elements are found without a map.

A change in flight of an instance that leads no more is answered by the log and holds up no change of its next time as leader.

--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -245,6 +245,9 @@
 	size_t len, at;
 	size_t start; /* of the segment that is being read */
 	struct gw_text *text;
+	const struct gw_text *base;
+	size_t base_at; /* segment of base that is expected next */
+	size_t misses; /* elements since the last that base has */
 };
 
 static bool
@@ -330,6 +333,57 @@
 	return s->at > start;
 }
 
+/* Elements of base that are compared with one of the text, at most. */
+#define MISSES_MAX 8u
+
+/*
+ * Takes an element over from base, if one of those expected next has the same
+ * bytes. Only objects, arrays and strings: where they end depends on nothing
+ * that follows.
+ */
+static bool
+share_element(struct scan *s)
+{
+	const struct gw_text *base = s->base;
+	const struct gw_segment *e;
+	size_t i, end;
+
+	if (base == NULL || s->at == s->len ||
+	    strchr("{[\"", s->data[s->at]) == NULL)
+		return false;
+	end = s->base_at + 2 * (s->misses + 2);
+	for (i = s->base_at; i < end && i < base->count; i++) {
+		e = base->segments[i];
+		if (base->kinds[i] != GW_SEGMENT_ELEMENT ||
+		    e->len > s->len - s->at ||
+		    memcmp(e->data, s->data + s->at, e->len) != 0)
+			continue;
+		gw_text_append_shared(s->text, base, i, 1);
+		s->at += e->len;
+		s->start = s->at;
+		s->base_at = i + 1;
+		s->misses = 0;
+		return true;
+	}
+	if (s->misses < MISSES_MAX)
+		s->misses++;
+	return false;
+}
+
+static bool
+read_element(struct scan *s)
+{
+	size_t start = s->at;
+
+	if (share_element(s))
+		return true;
+	if (!skip_value(s))
+		return false;
+	s->text->work.scanned_bytes += s->at - start;
+	cut(s, GW_SEGMENT_ELEMENT);
+	return true;
+}
+
 /* Splits an array into its elements; an empty one is left as it is. */
 static bool
 split_array(struct scan *s)
@@ -342,9 +396,8 @@
 	}
 	cut(s, GW_SEGMENT_REST);
 	for (;;) {
-		if (!skip_value(s))
+		if (!read_element(s))
 			return false;
-		cut(s, GW_SEGMENT_ELEMENT);
 		skip_space(s);
 		if (is_at(s, ']'))
 			break;
@@ -398,14 +451,13 @@
 }
 
 int
-gw_text_parse(
-    struct gw_text **out, struct node_bytes text, struct mp_error *err)
+gw_text_parse(struct gw_text **out, struct node_bytes text,
+    const struct gw_text *base, struct mp_error *err)
 {
-	struct scan s = {.data = text.data, .len = text.len};
+	struct scan s = {.data = text.data, .len = text.len, .base = base};
 
 	*out = NULL;
-	s.text = gw_text_create(0);
-	s.text->work.scanned_bytes = text.len;
+	s.text = gw_text_create(gw_text_count(base));
 	if (!split_object(&s) || !gw_text_finish(s.text)) {
 		gw_text_destroy(s.text);
 		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
--- a/src/gate/gate_text.h
+++ b/src/gate/gate_text.h
@@ -62,9 +62,13 @@
 /*
  * Splits a text. Errors: MP_ERR_INVALID: it is not an object, or its nesting is
  * wrong; err says only that, as a JSON parser names the place.
+ *
+ * base: a text that is probably similar: elements that it has too are compared
+ * instead of scanned and hashed, and shared; NULL: none. The result is the
+ * same.
  */
-int gw_text_parse(
-    struct gw_text **out, struct node_bytes text, struct mp_error *err);
+int gw_text_parse(struct gw_text **out, struct node_bytes text,
+    const struct gw_text *base, struct mp_error *err);
 /* Frees the text and the segments that no other text has. */
 void gw_text_destroy(struct gw_text *text);
 
--- a/src/gate/gate_text_delta.c
+++ b/src/gate/gate_text_delta.c
@@ -22,21 +22,56 @@
 	    (s->len == t->len && memcmp(s->data, t->data, s->len) == 0);
 }
 
-/* Matches the ends of both texts; the rest is from *head to the tails. */
+/* The part of two texts that is still to be matched. */
+struct range {
+	size_t base, base_end;
+	size_t at, end; /* of the new text */
+};
+
+/* The same, for indexes that may be behind a text's end. */
+static bool
+is_same_within(const struct gw_text *base, size_t i, const struct gw_text *text,
+    size_t j, const struct range *r)
+{
+	return i < r->base_end && j < r->end && is_same(base, i, text, j);
+}
+
+/*
+ * Matches the texts from their beginnings, past elements that are replaced,
+ * removed or inserted one at a time: each is followed by a separator and an
+ * element that both texts have, unless the text around the array differs.
+ */
+static void
+match_beginning(const struct gw_text *base, const struct gw_text *text,
+    size_t *match, struct range *r)
+{
+	while (r->base < r->base_end && r->at < r->end) {
+		if (is_same(base, r->base, text, r->at)) {
+			match[r->at++] = r->base++;
+		} else if (is_same_within(
+			       base, r->base + 2, text, r->at + 2, r) ||
+		    (text->kinds[r->at] == GW_SEGMENT_REST &&
+			is_same_within(
+			    base, r->base + 1, text, r->at + 1, r))) {
+			r->base++;
+			r->at++;
+		} else if (is_same_within(base, r->base + 2, text, r->at, r)) {
+			r->base += 2;
+		} else if (is_same_within(base, r->base, text, r->at + 2, r)) {
+			r->at += 2;
+		} else {
+			return;
+		}
+	}
+}
+
 static void
-match_ends(const struct gw_text *base, const struct gw_text *text,
-    size_t *match, size_t *head, size_t *base_tail, size_t *tail)
+match_end(const struct gw_text *base, const struct gw_text *text, size_t *match,
+    struct range *r)
 {
-	size_t i = 0, base_end = gw_text_count(base), end = text->count;
-
-	for (; i < base_end && i < end && is_same(base, i, text, i); i++)
-		match[i] = i;
-	while (base_end > i && end > i &&
-	    is_same(base, base_end - 1, text, end - 1))
-		match[--end] = --base_end;
-	*head = i;
-	*base_tail = base_end;
-	*tail = end;
+	while (r->base_end > r->base && r->end > r->at &&
+	    is_same(base, r->base_end - 1, text, r->end - 1))
+		match[--r->end] = --r->base_end;
 }
 
 /*
@@ -46,19 +81,20 @@
  */
 static void
 match_any(const struct gw_text *base, const struct gw_text *text, size_t *match,
-    size_t head, size_t base_tail, size_t tail)
+    const struct range *r)
 {
 	struct map *seen = map_create();
 	const size_t *found;
-	size_t i, *indexes = mem_alloc(base_tail - head + 1, sizeof(*indexes));
+	size_t i,
+	    *indexes = mem_alloc(r->base_end - r->base + 1, sizeof(*indexes));
 
-	for (i = head; i < base_tail; i++) {
-		indexes[i - head] = i;
+	for (i = r->base; i < r->base_end; i++) {
+		indexes[i - r->base] = i;
 		if (base->kinds[i] != GW_SEGMENT_SEPARATOR)
 			(void)map_set_u64(
-			    seen, base->hashes[i], &indexes[i - head]);
+			    seen, base->hashes[i], &indexes[i - r->base]);
 	}
-	for (i = head; i < tail; i++) {
+	for (i = r->at; i < r->end; i++) {
 		found = text->kinds[i] == GW_SEGMENT_SEPARATOR
 		    ? NULL
 		    : map_get_u64(seen, text->hashes[i]);
@@ -126,18 +162,19 @@
  */
 static void
 match_separators(const struct gw_text *base, const struct gw_text *text,
-    size_t *match, size_t head, size_t base_tail, size_t tail)
+    size_t *match, const struct range *r)
 {
-	size_t next = base_tail, i;
+	size_t next = r->base_end, i;
 
-	for (i = head; i < tail; i++)
+	for (i = r->at; i < r->end; i++)
 		if (match[i] == NO_MATCH && i > 0 && match[i - 1] != NO_MATCH &&
-		    match[i - 1] + 1 < base_tail &&
+		    match[i - 1] + 1 >= r->base &&
+		    match[i - 1] + 1 < r->base_end &&
 		    is_same_separator(base, match[i - 1] + 1, text, i))
 			match[i] = match[i - 1] + 1;
-	for (i = tail; i-- > head;) {
-		if (match[i] == NO_MATCH && i + 1 < tail &&
-		    match[i + 1] != NO_MATCH && match[i + 1] > head &&
+	for (i = r->end; i-- > r->at;) {
+		if (match[i] == NO_MATCH && i + 1 < r->end &&
+		    match[i + 1] != NO_MATCH && match[i + 1] > r->base &&
 		    is_same_separator(base, match[i + 1] - 1, text, i))
 			match[i] = match[i + 1] - 1;
 		if (match[i] == NO_MATCH)
@@ -198,17 +235,19 @@
 struct gw_text_delta *
 gw_text_diff(const struct gw_text *base, const struct gw_text *text)
 {
+	struct range r = {0, gw_text_count(base), 0, text->count};
 	size_t *match = mem_alloc(text->count + 1, sizeof(*match));
-	size_t head, base_tail, tail, i;
 	struct gw_text_delta *delta;
+	size_t i;
 
 	for (i = 0; i < text->count; i++)
 		match[i] = NO_MATCH;
-	match_ends(base, text, match, &head, &base_tail, &tail);
-	if (base != NULL && head < base_tail && head < tail) {
-		match_any(base, text, match, head, base_tail, tail);
-		keep_ascending(match, head, tail);
-		match_separators(base, text, match, head, base_tail, tail);
+	match_beginning(base, text, match, &r);
+	match_end(base, text, match, &r);
+	if (r.base < r.base_end && r.at < r.end) {
+		match_any(base, text, match, &r);
+		keep_ascending(match, r.at, r.end);
+		match_separators(base, text, match, &r);
 	}
 	delta = make_delta(text, match);
 	free(match);
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -252,11 +252,7 @@
 		return true;
 	}
 	changes->in_flight = NULL;
-	if (verdict == GATE_BASE_MISMATCH)
-		gate_control_answer(
-		    n, &c->caller, 503, "not accepted; send it again");
-	else
-		gate_control_answer_change(n, &c->caller, verdict);
+	gate_control_answer_change(n, &c->caller, verdict);
 	change_destroy(c);
 	propose_next(n);
 	return true;
@@ -277,6 +273,25 @@
 	return true;
 }
 
+/*
+ * The change in flight of an instance that leads no more is answered by what
+ * becomes of it in the log, and holds up no change of its next time as leader.
+ */
+static void
+leave_in_flight(struct node *n)
+{
+	struct gate_changes *changes = n->gate->changes;
+	struct gate_caller *stored;
+
+	if (changes->in_flight == NULL)
+		return;
+	stored = mem_alloc(1, sizeof(*stored));
+	*stored = changes->in_flight->caller;
+	(void)map_set_u64(n->gate->callers, changes->proposal, stored);
+	change_destroy(changes->in_flight);
+	changes->in_flight = NULL;
+}
+
 void
 gate_change_tick(struct node *n)
 {
@@ -285,6 +300,8 @@
 	struct gate_change *c;
 	size_t i = 0;
 
+	if (!leads)
+		leave_in_flight(n);
 	while (i < changes->nwaiting) {
 		if (leads && n->now < changes->waiting[i]->expires_us) {
 			i++;
@@ -382,7 +399,7 @@
 	struct gw_text *parsed;
 	struct mp_error err = {0};
 	uint64_t version = 0;
-	int rc = gw_text_parse(&parsed, text, &err);
+	int rc = gw_text_parse(&parsed, text, n->gate->config_text, &err);
 
 	if (rc == MP_OK)
 		rc = check_text(n, parsed, &version, &err);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -167,7 +167,7 @@
 
 	n->gate->config_counts.texts++;
 	n->gate->config_counts.bytes += bytes.len;
-	if (gw_text_parse(&text, bytes, NULL) == MP_OK)
+	if (gw_text_parse(&text, bytes, n->gate->config_text, NULL) == MP_OK)
 		return take_text(n, index, version, text, NULL);
 	take_unreadable(n, version, NULL);
 	return false;
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -108,6 +108,9 @@
 {
 	if (verdict == GATE_CONFLICT && node_guards.gate_verdict)
 		gate_control_answer(n, caller, 409, CONFLICT_REASON);
+	else if (verdict == GATE_BASE_MISMATCH)
+		gate_control_answer(
+		    n, caller, 503, "not accepted; send it again");
 	else if (verdict == GATE_UNREADABLE)
 		gate_control_answer(n, caller, 400, "it can't be read");
 	else
--- a/tests/gate/config_fixture.h
+++ b/tests/gate/config_fixture.h
@@ -39,7 +39,7 @@
 	gw_config *config = gw_config_create();
 	mp_error err = {};
 	gw_update_work work = {};
-	gw_text_work text_work = {};
+	gw_text_work text_work = {}, parse_work = {};
 	size_t delta_bytes = 0;
 
 	~LiveConfig()
@@ -52,13 +52,18 @@
 	int
 	Change(const std::string &to)
 	{
-		gw_text *parsed = nullptr, *next = nullptr;
+		gw_text *parsed = nullptr, *next = nullptr, *alone = nullptr;
 		gw_text_delta *delta;
 		gw_update *update = nullptr;
-		int rc = gw_text_parse(&parsed, Bytes(to), &err);
+		int rc = gw_text_parse(&parsed, Bytes(to), text, &err);
 
+		EXPECT_EQ(gw_text_parse(&alone, Bytes(to), nullptr, &err), rc);
 		if (rc != MP_OK)
 			return rc;
+		parse_work = gw_text_get_work(parsed);
+		EXPECT_TRUE(gw_text_is_equal(parsed, alone));
+		EXPECT_EQ(gw_text_digest(parsed), gw_text_digest(alone));
+		gw_text_destroy(alone);
 		EXPECT_EQ(Join(parsed), to);
 		delta = gw_text_diff(text, parsed);
 		EXPECT_EQ(gw_text_apply(&next, text, delta, &err), MP_OK);
--- a/tests/gate/text_test.cc
+++ b/tests/gate/text_test.cc
@@ -11,7 +11,7 @@
 	std::vector<std::string> segments;
 	gw_text *parsed = nullptr;
 
-	if (gw_text_parse(&parsed, Bytes(text), nullptr) != MP_OK)
+	if (gw_text_parse(&parsed, Bytes(text), nullptr, nullptr) != MP_OK)
 		return {"invalid"};
 	for (size_t i = 0; i < gw_text_count(parsed); i++) {
 		node_bytes s = gw_text_segment(parsed, i);
@@ -68,7 +68,7 @@
 	gw_text *parsed = nullptr;
 	const gw_text_array *arrays;
 
-	ASSERT_EQ(gw_text_parse(&parsed, Bytes(text), nullptr), MP_OK);
+	ASSERT_EQ(gw_text_parse(&parsed, Bytes(text), nullptr, nullptr), MP_OK);
 	arrays = gw_text_arrays(parsed, &count);
 	ASSERT_EQ(count, 2u);
 	EXPECT_EQ(
@@ -88,8 +88,8 @@
 	gw_text_delta *delta;
 	size_t bytes;
 
-	EXPECT_EQ(gw_text_parse(&a, Bytes(from), nullptr), MP_OK);
-	EXPECT_EQ(gw_text_parse(&b, Bytes(to), nullptr), MP_OK);
+	EXPECT_EQ(gw_text_parse(&a, Bytes(from), nullptr, nullptr), MP_OK);
+	EXPECT_EQ(gw_text_parse(&b, Bytes(to), nullptr, nullptr), MP_OK);
 	delta = gw_text_diff(a, b);
 	EXPECT_EQ(gw_text_apply(&made, a, delta, nullptr), MP_OK);
 	EXPECT_EQ(Join(made), to);
@@ -144,7 +144,7 @@
 	    {{}, nullptr}};
 	gw_text *base = nullptr, *made = nullptr;
 
-	ASSERT_EQ(gw_text_parse(&base, Bytes(text), nullptr), MP_OK);
+	ASSERT_EQ(gw_text_parse(&base, Bytes(text), nullptr, nullptr), MP_OK);
 	for (auto &row : rows) {
 		gw_text_delta delta = {row.pieces.data(), row.pieces.size()};
 		int rc = gw_text_apply(&made, base, &delta, nullptr);
--- a/tests/gate/update_test.cc
+++ b/tests/gate/update_test.cc
@@ -379,6 +379,7 @@
 struct Cost {
 	size_t decoded, decoded_bytes, checked, delta_bytes;
 	uint64_t hashed_bytes, scanned_bytes;
+	uint64_t leader_hashed_bytes, leader_scanned_bytes;
 };
 
 static Cost
@@ -398,7 +399,8 @@
 	EXPECT_EQ(live.Change(Config(2, routes[1])), MP_OK);
 	return {live.work.decoded, live.work.decoded_bytes, live.work.checked,
 	    live.delta_bytes, live.text_work.hashed_bytes,
-	    live.text_work.scanned_bytes};
+	    live.text_work.scanned_bytes, live.parse_work.hashed_bytes,
+	    live.parse_work.scanned_bytes};
 }
 
 /*
@@ -413,10 +415,13 @@
 		Cost large = ChangeOneRoute(nroutes);
 
 		printf("%d routes: %zu decoded (%zu bytes), %zu checked, "
-		       "%zu bytes new, %llu hashed, %llu scanned\n",
+		       "%zu bytes new, %llu hashed, %llu scanned; leader: "
+		       "%llu hashed, %llu scanned\n",
 		    nroutes, large.decoded, large.decoded_bytes, large.checked,
 		    large.delta_bytes, (unsigned long long)large.hashed_bytes,
-		    (unsigned long long)large.scanned_bytes);
+		    (unsigned long long)large.scanned_bytes,
+		    (unsigned long long)large.leader_hashed_bytes,
+		    (unsigned long long)large.leader_scanned_bytes);
 		EXPECT_LE((double)large.decoded, 1.5 * (double)small.decoded);
 		EXPECT_LE((double)large.decoded_bytes,
 		    1.5 * (double)small.decoded_bytes);
@@ -427,5 +432,9 @@
 		    1.5 * (double)small.hashed_bytes);
 		EXPECT_LE((double)large.scanned_bytes,
 		    1.5 * (double)small.scanned_bytes);
+		EXPECT_LE((double)large.leader_hashed_bytes,
+		    1.5 * (double)small.leader_hashed_bytes);
+		EXPECT_LE((double)large.leader_scanned_bytes,
+		    1.5 * (double)small.leader_scanned_bytes);
 	}
 }
