--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -162,11 +162,11 @@
 /* Frees an element with all that it holds. NULL is allowed. */
 void gw_element_destroy(enum gw_element_kind kind, void *element);
 /* The array of elements of a kind, which the configuration owns. */
-void **gw_config_get_elements(const struct gw_config *config,
-    enum gw_element_kind kind, size_t *count);
+void **gw_config_get_elements(
+    const struct gw_config *config, enum gw_element_kind kind, size_t *count);
 /* Replaces the array, which the caller has allocated; frees nothing. */
-void gw_config_set_elements(struct gw_config *config,
-    enum gw_element_kind kind, void **elements, size_t count);
+void gw_config_set_elements(struct gw_config *config, enum gw_element_kind kind,
+    void **elements, size_t count);
 
 /*
  * Finds the route of the host whose prefix is the longest one that matches the
