forward, node: requests are counted by account

Cause: an operator can't tell which client account fails or floods.

Change: finished requests and their time are counted for up to 100 accounts, the others together; requests without a known key and those refused as outdated are counted.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -39,6 +39,7 @@
 	f->by_request = map_create();
 	f->by_ask = map_create();
 	f->by_call = map_create();
+	f->by_account = map_create();
 	f->end_us = UINT64_MAX;
 	return f;
 }
@@ -80,6 +81,7 @@
 	map_destroy(f->by_request);
 	map_destroy(f->by_ask);
 	map_destroy(f->by_call);
+	fwd_accounts_free(f);
 	byte_budget_destroy(f->buffered);
 	free(f->data_centre);
 	free(f);
@@ -177,6 +179,7 @@
 	f->ops->log(f->ctx,
 	    node_effects_printf(fx,
 		"{\"attempt\": \"%.40s\", \"route\": \"%.60s\", "
+		"\"account\": \"%.60s\", "
 		"\"adapter\": \"%.40s\", "
 		"\"config\": %llu, \"outcome\": \"%s\", \"status\": %d, "
 		"\"endpoint\": \"%.60s\", \"tries\": %u, \"reached\": %u, "
@@ -185,6 +188,7 @@
 		"\"reason\": \"%s\", \"placedMs\": %llu, \"firstMs\": %llu, "
 		"\"wholeMs\": %llu, \"deadlineMs\": %llu}",
 		r->decoded.attempt == NULL ? "" : r->decoded.attempt, r->route,
+		fwd_account_text(r, fx),
 		r->decoded.adapter == NULL ? "" : r->decoded.adapter,
 		(unsigned long long)r->config_version, outcome, r->status,
 		r->endpoint == NULL ? "" : r->endpoint, r->retries,
@@ -200,6 +204,7 @@
 		(unsigned long long)ms_since(r->started_us, r->deadline_us)),
 	    fx);
 	hist_add(&f->stats.total_us, now_us - r->started_us);
+	fwd_count_account(f, r, now_us, outcome);
 	fwd_cancel_call(f, r, fx);
 	if (r->ask != 0)
 		fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -219,6 +219,19 @@
 /* Returns the totals, owned by the forwarder. */
 const struct forward_stats *forward_get_stats(const struct forward *f);
 
+/*
+ * Finished requests of a client account since the start. failed counts all that
+ * were neither served nor refused as not run.
+ */
+struct forward_account {
+	char *name; /* "(others)" counts those beyond a limit together */
+	uint64_t served, refused, failed;
+	struct hist total_us; /* as in struct forward_stats */
+};
+/* Returns the i-th account that had requests, or NULL after the last. */
+const struct forward_account *forward_account_at(
+    const struct forward *f, size_t i);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -91,6 +91,7 @@
 	uint64_t end_us; /* of all requests, for a stop; UINT64_MAX: none */
 	bool refuses_long; /* see forward_refuse_long() */
 	struct forward_stats stats;
+	struct map *by_account; /* struct forward_account by name */
 	struct byte_budget *buffered; /* by all requests; NULL: no limit */
 };
 
@@ -147,6 +148,15 @@
 bool fwd_may_send(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const struct forward_grant *grant, struct node_effects *fx);
 
+/* ---- forward_account.c ---- */
+/* Counts a finished request for its account, if it has one. */
+void fwd_count_account(struct forward *f, const struct fwd_request *r,
+    uint64_t now_us, const char *outcome);
+/* Returns the account's name as it can stand in a JSON text; "": none. */
+const char *fwd_account_text(
+    const struct fwd_request *r, struct node_effects *fx);
+void fwd_accounts_free(struct forward *f);
+
 /* ---- forward_stop.c ---- */
 /*
  * Refuses a new request that would not end before this entry exits; false:
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -33,6 +33,65 @@
 	    name, (unsigned long long)h->count);
 }
 
+/* Appends an account's name as the value of a label. */
+static void
+put_label(struct buf *out, const char *name)
+{
+	for (; *name != '\0'; name++)
+		buf_printf(out, "%s%c",
+		    *name == '"' || *name == '\\' ? "\\" : "", *name);
+}
+
+static void
+put_account_count(struct buf *out, const struct forward_account *a,
+    const char *outcome, uint64_t count)
+{
+	buf_puts(out, "mulberrypath_gate_account_requests_total{account=\"");
+	put_label(out, a->name);
+	buf_printf(out, "\",outcome=\"%s\"} %llu\n", outcome,
+	    (unsigned long long)count);
+}
+
+static void
+put_account_quantile(
+    struct buf *out, const struct forward_account *a, double quantile)
+{
+	buf_puts(out, "mulberrypath_gate_account_seconds{account=\"");
+	put_label(out, a->name);
+	buf_printf(out, "\",quantile=\"%g\"} %.6f\n", quantile,
+	    (double)hist_quantile(&a->total_us, quantile) * 1e-6);
+}
+
+/* Requests of client accounts, and those that had none of a known key. */
+static void
+put_accounts(const struct node *n, struct buf *out)
+{
+	const struct gate_account_stats *s = &n->gate->account_stats;
+	const struct forward_account *a;
+	size_t i;
+
+	put_value(
+	    out, "keys_missing_total", "counter", (double)s->missing_keys);
+	put_value(
+	    out, "keys_unknown_total", "counter", (double)s->unknown_keys);
+	if (forward_account_at(n->gate->forward, 0) == NULL)
+		return;
+	buf_puts(
+	    out, "# TYPE mulberrypath_gate_account_requests_total counter\n");
+	for (i = 0; (a = forward_account_at(n->gate->forward, i)) != NULL;
+	     i++) {
+		put_account_count(out, a, "served", a->served);
+		put_account_count(out, a, "refused", a->refused);
+		put_account_count(out, a, "failed", a->failed);
+	}
+	buf_puts(out, "# TYPE mulberrypath_gate_account_seconds summary\n");
+	for (i = 0; (a = forward_account_at(n->gate->forward, i)) != NULL;
+	     i++) {
+		put_account_quantile(out, a, 0.5);
+		put_account_quantile(out, a, 0.99);
+	}
+}
+
 static void
 put_forward_stats(const struct node *n, struct buf *out)
 {
@@ -46,7 +105,8 @@
 	    {"callers_gone_total", s->caller_gone},
 	    {"repeats_total", s->retried}, {"cut_total", s->aborted},
 	    {"grants_declined_total", s->declined},
-	    {"quarantine_refused_total", s->quarantined}};
+	    {"quarantine_refused_total", s->quarantined},
+	    {"outdated_refused_total", s->outdated}};
 	size_t i;
 
 	for (i = 0; i < sizeof(counters) / sizeof(counters[0]); i++)
@@ -160,6 +220,7 @@
 	put_value(out, "suspected_parts", "gauge",
 	    (double)quarantine_evidence_count(g->evidence));
 	put_forward_stats(n, out);
+	put_accounts(n, out);
 	put_place_totals(n, out);
 	put_place_state(n, out);
 }
--- a/tests/forward/check_test.cc
+++ b/tests/forward/check_test.cc
@@ -100,3 +100,35 @@
 	EXPECT_EQ(status, 503);
 	EXPECT_LE(ask_count, 5u);
 }
+
+/* Guards against counters without a bound, as operators add accounts. */
+TEST_F(Check, requests_are_counted_by_a_bounded_number_of_accounts)
+{
+	const forward_account *a;
+	size_t n = 0;
+
+	EXPECT_EQ(forward_account_at(f, 0), nullptr);
+	for (int i = 0; i < 120; i++) {
+		account = "a" + std::to_string(i);
+		status = 0;
+		verdict = i % 2 == 0 ? FORWARD_SEND : FORWARD_UNAUTHORIZED;
+		StartRequest();
+		ASSERT_TRUE(Grant());
+		if (verdict == FORWARD_SEND) {
+			ReceiveSignedHead();
+			now_us += 1000;
+			ReceiveCallEvent(NODE_CALL_END);
+		}
+	}
+	while ((a = forward_account_at(f, n)) != nullptr)
+		n++;
+	ASSERT_EQ(n, 101u);
+	a = forward_account_at(f, 2);
+	EXPECT_STREQ(a->name, "a2");
+	EXPECT_EQ(a->served, 1u);
+	EXPECT_EQ(a->total_us.count, 1u);
+	a = forward_account_at(f, 100);
+	EXPECT_STREQ(a->name, "(others)");
+	EXPECT_EQ(a->served, 10u);
+	EXPECT_EQ(a->refused, 10u);
+}
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -33,6 +33,7 @@
 	uint32_t verdict_retry_after_ms = 0;
 	std::vector<std::string> checks; /* endpoint and service */
 	uint64_t grant_age_us = 0, not_after_us = 0;
+	std::string account; /* of the requests; "": none */
 	/* the response to the caller */
 	int status = 0;
 	std::string body, retry_after;
@@ -205,6 +206,7 @@
 		decoded.host = "h";
 		decoded.attempt = "42";
 		decoded.deadline_ms = deadline_ms;
+		decoded.account = account.empty() ? nullptr : account.c_str();
 		decoded.headers = headers;
 		decoded.nheaders = 2;
 		forward_start_request(f, now_us, &in, &decoded, &route, 1, fx);
