forward, node: waiting requests of a revoked key are refused at once

Cause: a queued request was checked only when it was granted, which can be later than a change of keys must be in force, and it kept its place in the queue.

Change: when a confirmed configuration with accounts (or after one) has changed, waiting requests are checked and refused. Without accounts nothing changes.

--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -38,13 +38,13 @@
 	bool is_served; /* answered well; else the process closed early */
 };
 
-/* A request that is about to be sent to a granted endpoint. */
+/* A request that waits, or is about to be sent to a granted endpoint. */
 struct forward_check {
 	const struct gw_request *request;
 	const char *path, *service;
 	uint64_t config_version; /* by which route and account were found */
 	uint64_t ask;
-	const char *endpoint;
+	const char *endpoint; /* NULL: it waits; no endpoint is checked */
 	uint64_t born_ms; /* start of the endpoint's process */
 	/* set unless the request may be sent */
 	const char *reason; /* a string constant */
@@ -174,6 +174,13 @@
 void forward_refuse_quarantined(
     struct forward *f, uint64_t now_us, struct node_effects *fx);
 
+/*
+ * Refuses the requests that wait for a grant and that forward_ops.check() does
+ * not allow any more.
+ */
+void forward_refuse_outdated(
+    struct forward *f, uint64_t now_us, struct node_effects *fx);
+
 /*
  * Begins a stop: every request ends by end_us, if necessary unserved, and
  * endpoints are given no more time than that.
--- a/src/forward/forward_check.c
+++ b/src/forward/forward_check.c
@@ -49,11 +49,24 @@
 		    check->retry_after_ms, fx);
 }
 
+static struct forward_check
+make_check(const struct fwd_request *r)
+{
+	struct forward_check check = {0};
+
+	check.request = &r->decoded;
+	check.path = r->in.path;
+	check.service = r->service;
+	check.config_version = r->config_version;
+	check.ask = r->ask;
+	return check;
+}
+
 bool
 fwd_may_send(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const struct forward_grant *grant, struct node_effects *fx)
 {
-	struct forward_check check = {0};
+	struct forward_check check;
 	enum forward_verdict verdict;
 
 	if (grant->age_us >= FWD_SEND_TIMEOUT_US) {
@@ -61,11 +74,7 @@
 		    f, r, now_us, "grant-too-old", FWD_RETRY_AFTER_MS, fx);
 		return false;
 	}
-	check.request = &r->decoded;
-	check.path = r->in.path;
-	check.service = r->service;
-	check.config_version = r->config_version;
-	check.ask = grant->ask;
+	check = make_check(r);
 	check.endpoint = grant->endpoint;
 	check.born_ms = grant->born_ms;
 	verdict = f->ops->check(f->ctx, &check, fx);
@@ -78,3 +87,23 @@
 		refuse_outdated(f, r, now_us, verdict, &check, fx);
 	return false;
 }
+
+void
+forward_refuse_outdated(
+    struct forward *f, uint64_t now_us, struct node_effects *fx)
+{
+	struct forward_check check;
+	enum forward_verdict verdict;
+	struct fwd_request *r;
+	size_t i = map_count(f->by_request);
+
+	while (i-- > 0) {
+		r = map_at(f->by_request, i);
+		if (r->state != FWD_ASKED)
+			continue;
+		check = make_check(r);
+		verdict = f->ops->check(f->ctx, &check, fx);
+		if (verdict != FORWARD_SEND && forward_guards.account)
+			refuse_outdated(f, r, now_us, verdict, &check, fx);
+	}
+}
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -442,6 +442,7 @@
 	gate_owner_tick(n);
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
+	gate_account_tick(n);
 	gate_limit_tick(n);
 	gate_table_tick(n);
 	gate_quarantine_tick(n);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -170,6 +170,9 @@
 	bool config_unreadable; /* a newer one could not be read */
 	uint8_t key_secret[GW_KEY_SECRET_BYTES]; /* of the hash of keys */
 	struct gate_account_stats account_stats;
+	/* the configuration for which waiting requests were last checked */
+	uint64_t checked_version;
+	bool checked_accounts; /* it had accounts */
 	enum gate_config_trust logged_trust;
 	struct map *versions; /* struct gate_version by key */
 	struct place *place;
@@ -257,6 +260,8 @@
 /* An operation of forward_ops, see there. */
 enum forward_verdict gate_account_check(
     void *ctx, struct forward_check *check, struct node_effects *fx);
+/* Refuses waiting requests that a new configuration does not allow. */
+void gate_account_tick(struct node *n);
 
 /* ---- node_gate_metrics.c ---- */
 void node_gate_write_metrics(const struct node *n, struct buf *out);
--- a/src/node/node_gate_account.c
+++ b/src/node/node_gate_account.c
@@ -111,10 +111,29 @@
 	(void)fx;
 	if (verdict == FORWARD_NO_ROUTE || verdict == FORWARD_UNAUTHORIZED)
 		check->retry_after_ms = 0;
-	if (verdict != FORWARD_SEND)
+	if (verdict != FORWARD_SEND || check->endpoint == NULL)
 		return verdict;
 	return gate_notice_allows(n, check->ask, check->endpoint,
 		   check->born_ms, &check->retry_after_ms)
 	    ? FORWARD_SEND
 	    : FORWARD_ENDPOINT_DECLINES;
 }
+
+/*
+ * Requests may wait for seconds, so those of a revoked key are not left until
+ * they are granted. Without accounts they are checked when they are sent.
+ */
+void
+gate_account_tick(struct node *n)
+{
+	struct node_gate *g = n->gate;
+	bool had_accounts = g->checked_accounts;
+
+	if (g->config == NULL || g->checked_version == g->config->version ||
+	    gate_config_get_trust(n) != GATE_CONFIG_CONFIRMED)
+		return;
+	g->checked_version = g->config->version;
+	g->checked_accounts = g->config->has_accounts;
+	if (had_accounts || g->checked_accounts)
+		forward_refuse_outdated(g->forward, n->now, n->fx);
+}
--- a/tests/forward/check_test.cc
+++ b/tests/forward/check_test.cc
@@ -132,3 +132,30 @@
 	EXPECT_EQ(a->served, 10u);
 	EXPECT_EQ(a->refused, 10u);
 }
+
+/*
+ * Guards against a request of a revoked key that waits, and takes a place in
+ * the queue, until it is granted. What is with an endpoint goes on.
+ */
+TEST_F(Check, waiting_requests_are_refused_at_once)
+{
+	uint64_t sent;
+
+	StartRequest();
+	ASSERT_TRUE(Grant());
+	sent = call;
+	StartRequest();
+	outcomes.clear();
+	verdict = FORWARD_UNAUTHORIZED;
+	forward_refuse_outdated(f, now_us, fx);
+	ApplyEffects();
+	EXPECT_EQ(status, 401);
+	EXPECT_EQ(forward_request_count(f), 1u);
+	ASSERT_EQ(outcomes.size(), 1u);
+	EXPECT_EQ(outcomes[0], PLACE_ABANDONED);
+	status = 0;
+	call = sent;
+	ReceiveSignedHead();
+	ReceiveCallEvent(NODE_CALL_END);
+	EXPECT_EQ(status, 200);
+}
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -107,8 +107,9 @@
 	{
 		ForwardTest *t = (ForwardTest *)ctx;
 
-		t->checks.push_back(std::string(c->endpoint) + " " +
-		    c->service + " " + c->path + " " +
+		t->checks.push_back(
+		    std::string(c->endpoint == nullptr ? "-" : c->endpoint) +
+		    " " + c->service + " " + c->path + " " +
 		    std::to_string(c->config_version));
 		c->reason = "changed";
 		c->retry_after_ms = t->verdict_retry_after_ms;
--- a/tests/gateway/account_test.cc
+++ b/tests/gateway/account_test.cc
@@ -6,6 +6,8 @@
 #include "gateway_sim.h"
 #include "guard_off.h"
 
+struct Change;
+
 class Accounts : public ::testing::Test {
       protected:
 	std::unique_ptr<GatewaySim> sim;
@@ -29,12 +31,13 @@
 	}
 
 	static std::string
-	Route(const std::string &prefix, const std::string &more = "")
+	Route(const std::string &prefix, const std::string &more = "",
+	    const std::string &service = "app")
 	{
 		return "{\"host\":\"h.example\",\"path_prefix\":\"" + prefix +
 		    "\",\"type\":\"idempotent\",\"timeout_ms\":8000,"
-		    "\"service\":\"app\"" +
-		    more + "}";
+		    "\"service\":\"" +
+		    service + "\"" + more + "}";
 	}
 
 	static std::string
@@ -44,6 +47,9 @@
 		    "\"]}";
 	}
 
+	void ChangeWhileWaiting(const std::string &accounts,
+	    const std::vector<Change> &changes, bool at_once);
+
 	/* accounts: elements of the list; "none": there is no list. */
 	void
 	Configure(const std::string &accounts,
@@ -174,53 +180,32 @@
 	EXPECT_EQ(Ask("/p/x", "Token k1"), "ran for forged with Token k1");
 }
 
+/* A change of the configuration while a request waits. */
+struct Change {
+	const char *what, *path, *authorization;
+	std::string accounts, routes;
+	int status; /* 0: sent */
+};
+
 /*
- * Guards against a request that is sent although what it was accepted for has
- * changed while it waited: for another account's money, or to a service that
- * its route no longer names.
+ * Has a request wait while the slots of e1 are taken, changes the
+ * configuration, and frees the slots.
+ *
+ * at_once: it is refused without waiting any longer.
  */
-TEST_F(Accounts, a_request_that_waited_is_checked_again)
+void
+Accounts::ChangeWhileWaiting(const std::string &accounts,
+    const std::vector<Change> &changes, bool at_once)
 {
-	static const struct {
-		const char *what, *path, *authorization;
-		std::string accounts, routes;
-		int status; /* 0: sent */
-	} rows[] = {
-	    {"nothing concerns it", "/p/x", "Token k1",
-		Account("a", "k1") + "," + Account("b", "k2"),
-		Route("/p/") + "," + Route("/q/"), 0},
-	    {"its account's other key", "/p/x", "Token k1",
-		"{\"name\":\"a\",\"api_keys\":[\"k1\",\"k9\"],\"priority\":1}",
-		Route("/p/"), 0},
-	    {"revoked key", "/p/x", "Token k1", Account("a", "k9"),
-		Route("/p/"), 401},
-	    {"moved key", "/p/x", "Token k1", Account("b", "k1"), Route("/p/"),
-		503},
-	    {"no accounts", "/p/x", "Token k1", "none", Route("/p/"), 503},
-	    {"route gone", "/p/x", "Token k1", Account("a", "k1"), Route("/q/"),
-		404},
-	    {"route to other services", "/p/x", "Token k1", Account("a", "k1"),
-		"{\"host\":\"h.example\",\"path_prefix\":\"/p/\",\"type\":"
-		"\"idempotent\",\"timeout_ms\":8000,\"service\":\"b\"}",
-		503},
-	    {"no longer public", "/open/x", "", Account("a", "k1"),
-		Route("/open/"), 401},
-	    {"revoked, now public", "/p/x", "Token k1", Account("a", "k9"),
-		Route("/p/", ",\"public\":true"), 503},
-	    {"still public", "/open/x", "", Account("b", "k9"),
-		Route("/open/", ",\"public\":true"), 0},
-	};
-
-	ASSERT_NO_FATAL_FAILURE(StartServing(Account("a", "k1")));
-	for (auto &row : rows) {
+	for (auto &row : changes) {
 		std::vector<GatewaySim::EndpointCall> running;
 		uint64_t id;
 		size_t before;
 
 		ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
-		Configure(Account("a", "k1"));
+		Configure(accounts);
 		before = sim->endpoint_calls.size();
-		for (int i = 0; i < 6; i++) /* the slots of e1 */
+		for (int i = 0; i < 6; i++)
 			(void)Send("/p/x", "Token k1");
 		ASSERT_TRUE(sim->run_until(
 		    [&] { return sim->endpoint_calls.size() == before + 6; },
@@ -232,7 +217,9 @@
 		ASSERT_EQ(sim->endpoint_calls.size(), before + 6)
 		    << row.what << ": it did not wait";
 		Configure(row.accounts, row.routes);
-		EXPECT_EQ(sim->replies.count(id), 0u) << row.what;
+		EXPECT_EQ(sim->replies.count(id),
+		    row.status != 0 && at_once ? 1u : 0u)
+		    << row.what;
 		for (auto &call : running)
 			sim->answer_call(call, 200, "answer");
 		sim->run_for_ms(300);
@@ -246,6 +233,62 @@
 	}
 }
 
+/*
+ * Guards against a request that is sent although what it was accepted for has
+ * changed while it waited: for another account's money, or to a service that
+ * its route no longer names.
+ */
+TEST_F(Accounts, a_request_that_waited_is_checked_again)
+{
+	ASSERT_NO_FATAL_FAILURE(StartServing(Account("a", "k1")));
+	ChangeWhileWaiting(Account("a", "k1"),
+	    {
+		{"nothing concerns it", "/p/x", "Token k1",
+		    Account("a", "k1") + "," + Account("b", "k2"),
+		    Route("/p/") + "," + Route("/q/"), 0},
+		{"its account's other key", "/p/x", "Token k1",
+		    "{\"name\":\"a\",\"api_keys\":[\"k1\",\"k9\"],"
+		    "\"priority\":1}",
+		    Route("/p/"), 0},
+		{"revoked key", "/p/x", "Token k1", Account("a", "k9"),
+		    Route("/p/"), 401},
+		{"moved key", "/p/x", "Token k1", Account("b", "k1"),
+		    Route("/p/"), 503},
+		{"no accounts", "/p/x", "Token k1", "none", Route("/p/"), 503},
+		{"route gone", "/p/x", "Token k1", Account("a", "k1"),
+		    Route("/q/"), 404},
+		{"route to other services", "/p/x", "Token k1",
+		    Account("a", "k1"), Route("/p/", "", "b"), 503},
+		{"no longer public", "/open/x", "", Account("a", "k1"),
+		    Route("/open/"), 401},
+		{"revoked, now public", "/p/x", "Token k1", Account("a", "k9"),
+		    Route("/p/", ",\"public\":true"), 503},
+		{"still public", "/open/x", "", Account("b", "k9"),
+		    Route("/open/", ",\"public\":true"), 0},
+	    },
+	    true);
+}
+
+TEST_F(Accounts, without_accounts_a_request_is_checked_when_it_is_sent)
+{
+	ASSERT_NO_FATAL_FAILURE(StartServing("none"));
+	ChangeWhileWaiting("none",
+	    {
+		{"nothing concerns it", "/p/x", "", "none",
+		    Route("/p/") + "," + Route("/q/"), 0},
+		{"route gone", "/p/x", "", "none", Route("/q/"), 404},
+		{"route to other services", "/p/x", "", "none",
+		    Route("/p/", "", "b"), 503},
+		{"route also to others", "/p/x", "", "none",
+		    "{\"host\":\"h.example\",\"path_prefix\":\"/p/\","
+		    "\"type\":\"idempotent\",\"timeout_ms\":8000,"
+		    "\"split\":[{\"service\":\"b\",\"weight\":9},"
+		    "{\"service\":\"app\",\"weight\":1}]}",
+		    0},
+	    },
+	    false);
+}
+
 /*
  * Reproduces a fault that was seen: an entry without processor time read a
  * grant 2.6 s late and sent the request to an endpoint that had begun to leave
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -336,7 +336,11 @@
 	ticks(250); /* past the request's deadline */
 	EXPECT_EQ(status, 504);
 	EXPECT_EQ(request(NODE_LISTEN_API, "GET", "/metrics", "", {}), 200);
-	EXPECT_NE(replied.find("mulberrypath_gate_"), std::string::npos);
+	EXPECT_NE(replied.find("account_requests_total{account=\"acme\","
+			       "outcome=\"failed\"} 1"),
+	    std::string::npos)
+	    << replied;
+	EXPECT_NE(replied.find("keys_unknown_total 1"), std::string::npos);
 	end();
 	for (auto &key : {known, unknown})
 		for (auto *text : {&logged, &replied, &called})
