http, forward: a response with an invalid status is malformed

Cause: a status from 600 to 999 was relayed to the caller, and with the header for it counted as not run. A 1xx head that announces a body was taken for an interim one, so that the call waited for another head.

Change: a final status is from 200 to 599, in the parser of responses and again where the forwarder takes a head; otherwise the attempt may have run, the connection is closed, and the request is retried by its rules or gets 502. A 1xx head that announces a body is malformed; others are skipped as before. Orders, reports and mulberrypath's own routes take their status from the same parser.

--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -20,6 +20,10 @@
 #define BUFFERED_MAX_BYTES     (256u * 1024u)
 #define STATUS_GATEWAY_TIMEOUT 504
 
+/* A final status; a response with another one is malformed. */
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX	 599
+
 static bool
 is_success(int status)
 {
@@ -95,6 +99,8 @@
 find_response_fault(const struct fwd_request *r,
     const struct gw_endpoint_response *response, int status)
 {
+	if (status < STATUS_FINAL_MIN || status > STATUS_MAX)
+		return "status-invalid";
 	if (forward_guards.match && !is_for_request(r, response))
 		return "answer-of-another";
 	if (forward_guards.match && is_unnamed_refusal(r, response))
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -13,6 +13,10 @@
  */
 #define OVERHEAD_MAX_BYTES 65536
 #define LENGTH_DIGITS_MAX  18
+/* The parser of heads takes exactly three digits. */
+#define STATUS_INTERIM_MIN 100
+#define STATUS_FINAL_MIN   200
+#define STATUS_MAX	   599
 
 static bool
 name_is(const struct phr_header *h, const char *name)
@@ -124,6 +128,24 @@
 	return NULL;
 }
 
+/*
+ * Whether an interim response announces a body. It has none, so that this one
+ * was meant as the final response.
+ */
+static bool
+announces_body(const struct phr_header *headers, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (headers[i].name != NULL &&
+		    (name_is(&headers[i], "transfer-encoding") ||
+			(name_is(&headers[i], "content-length") &&
+			    !phr_value_is(&headers[i], "0"))))
+			return true;
+	return false;
+}
+
 const char *
 response_parse_head(struct response *r, const char *data, size_t len,
     size_t max_bytes, size_t *rest)
@@ -149,10 +171,13 @@
 			    ? "head too long"
 			    : NULL;
 		}
-		if (r->status < 100 || r->status == 101)
+		if (r->status < STATUS_INTERIM_MIN || r->status == 101 ||
+		    r->status > STATUS_MAX)
 			return "unexpected status";
-		if (r->status >= 200)
+		if (r->status >= STATUS_FINAL_MIN)
 			break;
+		if (announces_body(headers, n))
+			return "interim response with a body";
 		at += (size_t)size; /* interim response */
 	}
 	r->overhead_bytes = 0;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -226,6 +226,70 @@
 	    true, "ab"}),
     [](const auto &info) { return info.param.name; });
 
+/* A status as an endpoint may send it, and whether a response may have it. */
+struct PeerStatus {
+	const char *name, *status;
+	bool valid;
+};
+
+class StatusTest : public HttpTest,
+		   public ::testing::WithParamInterface<PeerStatus> {};
+
+/*
+ * Guards against relaying a status that no caller can read, and against waiting
+ * for a final response after a 1xx status that was meant as one: it has a body.
+ * The connection of such a response is not used again.
+ */
+TEST_P(StatusTest, AnInvalidStatusBreaksTheCall)
+{
+	RawSocket listener, peer(-1);
+	std::string address = listener.Listen();
+	std::string received;
+
+	Start(1, address);
+	ASSERT_TRUE(Until([&] { return peer.Accept(listener.fd); }));
+	ASSERT_TRUE(Until([&] {
+		received += peer.Poll();
+		return received.find("\r\n\r\n") != std::string::npos;
+	}));
+	peer.Write("HTTP/1.1 " + std::string(GetParam().status) +
+	    "\r\nContent-Length: 2\r\nMulberrypath-Not-Executed: 1\r\n\r\nab");
+	ASSERT_TRUE(UntilEnded(1)); /* the peer has not closed */
+	EXPECT_EQ(calls[1].complete, GetParam().valid) << calls[1].reason;
+	EXPECT_EQ(calls[1].broken, !GetParam().valid) << calls[1].reason;
+	EXPECT_EQ(calls[1].body, GetParam().valid ? "ab" : "");
+	if (!GetParam().valid) {
+		EXPECT_TRUE(Until([&] {
+			bool closed;
+
+			(void)peer.Poll(&closed);
+			return closed;
+		})) << "the connection stays open";
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, StatusTest,
+    ::testing::Values(PeerStatus{"lowest", "200 OK", true},
+	PeerStatus{"empty_reason", "201 ", true},
+	PeerStatus{"unusual", "299 Own", true},
+	PeerStatus{"highest", "599 Own", true},
+	PeerStatus{"zero", "000 X", false}, PeerStatus{"low", "099 X", false},
+	PeerStatus{"final_100", "100 Continue", false},
+	PeerStatus{"final_199", "199 X", false},
+	PeerStatus{"s600", "600 X", false}, PeerStatus{"s999", "999 X", false},
+	PeerStatus{"s1000", "1000 X", false},
+	PeerStatus{"s2000", "2000 OK", false},
+	PeerStatus{"plus", "+200 OK", false},
+	PeerStatus{"minus", "-200 OK", false},
+	PeerStatus{"two_digits", "20 OK", false},
+	PeerStatus{"one_digit", "2 OK", false},
+	PeerStatus{"empty", " OK", false}, PeerStatus{"none", "", false},
+	PeerStatus{"letters", "2OO OK", false},
+	PeerStatus{"hex", "0xC8 OK", false},
+	PeerStatus{"fraction", "200.0 OK", false},
+	PeerStatus{"no_space", "200OK", false}),
+    [](const auto &info) { return info.param.name; });
+
 /*
  * Guards against taking a truncated response for a complete one: a response
  * without a length ends when the peer closes, but not when it resets.
--- a/tests/http/response_test.cc
+++ b/tests/http/response_test.cc
@@ -91,12 +91,29 @@
 	    ok + "Content-Length: +1\r\n\r\na",
 	    ok + "X: " + std::string(70000, 'x'),
 	    "HTTP/1.1 101 Switching Protocols\r\n\r\n",
-	    "HTTP/1.1 099 Low\r\n\r\n"};
+	    "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" + ok + "\r\n",
+	    "HTTP/1.1 600 High\r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n"};
 
 	for (auto &c : cases)
 		EXPECT_TRUE(Feed(c, c.size()).fault) << c.substr(0, 100);
 }
 
+/* Heads before the final one are skipped, whatever their 1xx status. */
+TEST(Response, SkipsInterimResponses)
+{
+	for (const char *status : {"100", "102", "103", "199"}) {
+		Outcome out = Feed("HTTP/1.1 " + std::string(status) +
+			" X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 " + status +
+			" \r\n\r\nHTTP/1.1 200 OK\r\n"
+			"Content-Length: 2\r\n\r\nab",
+		    7);
+
+		EXPECT_TRUE(out.complete) << status;
+		EXPECT_EQ(out.body, "ab") << status;
+	}
+}
+
 /*
  * Guards against a call that is held indefinitely and against growing memory: a
  * faulty endpoint sends bytes that never complete a head or never end a body.
