--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -38,13 +38,13 @@
 	bool is_served; /* answered well; else the process closed early */
 };
 
-/* A request that is about to be sent to a granted endpoint. */
+/* A request that waits, or is about to be sent to a granted endpoint. */
 struct forward_check {
 	const struct gw_request *request;
 	const char *path, *service;
 	uint64_t config_version; /* by which route and account were found */
 	uint64_t ask;
-	const char *endpoint;
+	const char *endpoint; /* NULL: it waits; no endpoint is checked */
 	uint64_t born_ms; /* start of the endpoint's process */
 	/* set unless the request may be sent */
 	const char *reason; /* a string constant */
@@ -174,6 +174,13 @@
 void forward_refuse_quarantined(
     struct forward *f, uint64_t now_us, struct node_effects *fx);
 
+/*
+ * Refuses the requests that wait for a grant and that forward_ops.check() does
+ * not allow any more.
+ */
+void forward_refuse_outdated(
+    struct forward *f, uint64_t now_us, struct node_effects *fx);
+
 /*
  * Begins a stop: every request ends by end_us, if necessary unserved, and
  * endpoints are given no more time than that.
@@ -219,6 +226,19 @@
 /* Returns the totals, owned by the forwarder. */
 const struct forward_stats *forward_get_stats(const struct forward *f);
 
+/*
+ * Finished requests of a client account since the start. failed counts all that
+ * were neither served nor refused as not run.
+ */
+struct forward_account {
+	char *name; /* "(others)" counts those beyond a limit together */
+	uint64_t served, refused, failed;
+	struct hist total_us; /* as in struct forward_stats */
+};
+/* Returns the i-th account that had requests, or NULL after the last. */
+const struct forward_account *forward_account_at(
+    const struct forward *f, size_t i);
+
 #ifdef __cplusplus
 }
 #endif
