--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -92,6 +92,12 @@
 		return true;
 	}
 
+	static forward_verdict
+	check(void *, forward_check *, node_effects *)
+	{
+		return FORWARD_SEND;
+	}
+
 	static void
 	observe(void *, const forward_observation *, node_effects *)
 	{
