--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -175,6 +175,46 @@
 	}
 }
 
+/*
+ * The load that an endpoint tells: the fourth figure is optional. Guards
+ * against losing the other figures because of an unreadable fourth one.
+ */
+TEST_F(Requests, the_load_of_an_endpoint_is_read)
+{
+	static const struct {
+		const char *value;
+		bool has_load;
+		uint32_t running, waiting, slots, percent;
+	} rows[] = {
+	    {"3,1,8", true, 3, 1, 8, 0},
+	    {"3,1,8,250", true, 3, 1, 8, 250},
+	    {"0,0,6,100", true, 0, 0, 6, 100},
+	    {"3,1,8,", true, 3, 1, 8, 0},
+	    {"3,1,8,x", true, 3, 1, 8, 0},
+	    {"3,1,8,-5", true, 3, 1, 8, 0},
+	    {"3,1,8,0", true, 3, 1, 8, 0},
+	    {"3,1", false, 0, 0, 0, 0},
+	};
+	gw_endpoint_response a;
+
+	for (auto &row : rows) {
+		node_header h = {"Mulberrypath-Instance-Load", row.value};
+		node_call_event head = {};
+
+		head.status = 200;
+		head.headers = &h;
+		head.nheaders = 1;
+		platform_codec.read_endpoint_response(&a, &head, memory);
+		EXPECT_EQ(a.has_load, row.has_load) << row.value;
+		EXPECT_EQ(a.work_percent, row.percent) << row.value;
+		if (!row.has_load)
+			continue;
+		EXPECT_EQ(a.running, row.running) << row.value;
+		EXPECT_EQ(a.waiting, row.waiting) << row.value;
+		EXPECT_EQ(a.slots, row.slots) << row.value;
+	}
+}
+
 /*
  * Guards against an endpoint that is sent more requests after it has said that
  * it wants none, and against one that is left alone for rubbish. Only a number
