place: learned speeds, paces and store limit; backlog by urgency

Change: place_pace keeps a lasting speed (sums of work and time over busy periods, corrected by the pace told then) and the pace told last, which counts less with its age; place_store learns the limit by AIMD and the time of a load; unread prompts are counted by urgency; responses tell the requests of other instances at an engine. A load that is late counts as in progress until it is done. An endpoint that is retried no longer gets the load figures of the endpoint before. The fixture's store gets a limit: the test of requests for rare adapters assumed that it always loads 32 a second, which the old limit happened to keep; now loads beyond that are slow and their first requests are refused. Result: build/tests/place/test_place, 84 passed.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -33,6 +33,7 @@
 	p->budgets = map_create();
 	p->demand = map_create();
 	p->capacity_generation = 1;
+	place_store_init(&p->store, options->adapter_load_ms);
 	return p;
 }
 
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -23,7 +23,7 @@
 #define PENDING_LOAD_US (100 * US_PER_MS)
 /* How long a computed victim_demand is used. */
 #define VICTIM_VALID_US (50 * US_PER_MS)
-/* Concurrent loads for each nine engines; the setting is the minimum. */
+/* Concurrent loads for each nine engines, to begin with. */
 #define LOADS_PER_NINE 4u
 
 char *
@@ -161,19 +161,27 @@
 }
 
 /*
- * The limit grows with the number of engines, so that a large fleet is not held
- * to the setting for a small one.
+ * The first limit grows with the number of engines, so that a large fleet is
+ * not held to the setting for a small one. An engine refuses more than
+ * PLACE_LOADS_PER_ENGINE_MAX loads.
  */
-uint32_t
-place_adapter_store_loads_max(const struct place *p)
+struct place_store_bounds
+place_adapter_store_bounds(const struct place *p)
 {
 	uint32_t scaled = (p->owned_engines * LOADS_PER_NINE + 4) / 9;
-	uint32_t min = (uint32_t)ceil(
-	    place_share_scale(p, (double)p->options.max_adapter_loads));
+	struct place_store_bounds bounds;
+
+	bounds.min =
+	    fmax(place_share_scale(p, (double)p->options.max_adapter_loads), 1);
+	bounds.max = (double)p->owned_engines * PLACE_LOADS_PER_ENGINE_MAX;
+	bounds.first = fmax(scaled, ceil(bounds.min));
+	return bounds;
+}
 
-	if (!place_guards.store)
-		return UINT32_MAX;
-	return scaled > min ? scaled : min;
+uint32_t
+place_adapter_store_loads_max(const struct place *p)
+{
+	return place_store_limit(&p->store, place_adapter_store_bounds(p));
 }
 
 struct place_adapter *
@@ -231,7 +239,7 @@
 uint32_t
 place_adapter_load_ms(const struct place *p, bool is_warm)
 {
-	uint32_t ms = p->options.adapter_load_ms;
+	uint32_t ms = (uint32_t)place_store_load_ms(&p->store, p->now_us);
 
 	return is_warm ? ms / PLACE_WARM_LOAD_DIVISOR : ms;
 }
@@ -239,13 +247,14 @@
 uint32_t
 place_adapter_wait_ms(const struct place *p, bool is_warm)
 {
-	uint32_t ms = p->options.adapter_load_ms;
-	uint32_t max = place_adapter_store_loads_max(p);
+	uint32_t ms = place_adapter_load_ms(p, is_warm);
+	double max =
+	    place_store_sure_limit(&p->store, place_adapter_store_bounds(p));
 	uint32_t queue = p->store_loads + p->queued_store_loads;
 
 	if (is_warm || queue < max)
-		return place_adapter_load_ms(p, is_warm);
-	return ms + ms * (queue - max + 1) / max;
+		return ms;
+	return ms + (uint32_t)(ms * (queue - max + 1) / fmax(max, 1));
 }
 
 void
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -115,8 +115,7 @@
 	e->service = mem_string(service);
 	e->adapters = map_create();
 	e->cached_parts = map_create();
-	e->tokens_per_ms = PLACE_INITIAL_TOKENS_PER_MS;
-	e->mean_call_ms = PLACE_INITIAL_CALL_MS;
+	place_endpoint_init_speed(p, e);
 	e->last_progress_us = p->now_us;
 	e->is_foreign = p->owner_count > 1; /* until its owner is known */
 	(void)map_set_str(p->endpoints, e->id, e);
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -17,17 +17,6 @@
 #define LATE_BACKLOG_MIN_MS 400.0
 /* Interval of evaluating a request whose adapter is not loading yet. */
 #define WANTED_RECHECK_US (50 * US_PER_MS)
-/* The engine takes urgencies from 0, the most urgent, to 9. */
-#define URGENCY_BASE 3u
-#define URGENCY_MAX  9u
-
-static uint32_t
-urgency_of(const struct place_ask *a)
-{
-	uint32_t urgency = URGENCY_BASE + a->priority;
-
-	return urgency > URGENCY_MAX ? URGENCY_MAX : urgency;
-}
 
 static struct place_basis
 make_basis(const struct place *p, const struct place_endpoint *e,
@@ -58,7 +47,7 @@
 	d->address = e->address;
 	d->born_ms = e->born_ms;
 	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
-	d->urgency = urgency_of(a);
+	d->urgency = a->urgency;
 	d->basis = make_basis(p, e, est);
 	place_ask_set_waits(p, a, &d->basis);
 }
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -34,36 +34,84 @@
 /* Longest usual time until an order is answered, or is known not to be. */
 #define ORDER_ANSWER_MAX_US (500 * US_PER_MS)
 
+/* Prompts that other instances have sent, whose lengths are not known. */
+#define OTHERS_PROMPT_TOKENS 2000.0
 /*
- * Time to process all unread prompts, less the time since the last progress, of
- * which at most one mean prompt is counted.
+ * Cost of a ms that a less urgent request waits longer, in relation to a ms
+ * that this one waits: less urgent ones are worth less and have more time.
  */
+#define LESS_URGENT_COST 0.5
+/* An entry's routes have priorities from 0; it is their urgency from here. */
+#define URGENCY_BASE 3u
+
+uint32_t
+place_ask_urgency(const struct place_ask *a)
+{
+	uint32_t urgency = URGENCY_BASE + a->priority;
+
+	return urgency < PLACE_URGENCIES ? urgency : PLACE_URGENCIES - 1;
+}
+
+/* Requests at the engine, also of other instances. */
 static double
-backlog_ms(const struct place *p, const struct place_endpoint *e)
+busy_requests(const struct place *p, const struct place_endpoint *e)
 {
-	double total = (double)e->unread_tokens / e->tokens_per_ms;
+	return e->running + place_told_at(&e->others, p->now_us);
+}
+
+/*
+ * Time to process the unread prompts that are as urgent or more, less the time
+ * since the last progress, of which at most one mean prompt is counted.
+ */
+static double
+backlog_ms(const struct place *p, const struct place_endpoint *e,
+    uint32_t urgency, double tokens_per_ms)
+{
+	double tokens =
+	    place_told_at(&e->others_waiting, p->now_us) * OTHERS_PROMPT_TOKENS;
 	double since =
 	    (double)(p->now_us - e->last_progress_us) / (double)US_PER_MS;
-	double mean = e->unread_requests == 0 ? 0 : total / e->unread_requests;
+	double total, mean;
+	uint32_t i, requests = 0;
 
+	for (i = 0; i <= urgency; i++) {
+		tokens += (double)e->unread_tokens_by[i];
+		requests += e->unread_requests_by[i];
+	}
+	total = tokens / tokens_per_ms;
+	mean = requests == 0 ? 0 : total / requests;
 	return total - (since < mean ? since : mean);
 }
 
+/* The cost to unread requests that the engine processes after this one. */
+static double
+less_urgent_cost(
+    const struct place_endpoint *e, uint32_t urgency, double own_ms)
+{
+	uint32_t i, requests = 0;
+
+	for (i = urgency + 1; i < PLACE_URGENCIES; i++)
+		requests += e->unread_requests_by[i];
+	return own_ms * requests * LESS_URGENT_COST;
+}
+
 double
 place_engine_load_ms(const struct place *p, const struct place_endpoint *e)
 {
-	double backlog = backlog_ms(p, e);
+	double backlog = backlog_ms(
+	    p, e, PLACE_URGENCIES - 1, place_endpoint_tokens_per_ms(p, e));
 
 	return (backlog > 0 ? backlog : 0) +
-	    e->running * BATCH_COST_PER_REQUEST_MS;
+	    busy_requests(p, e) * BATCH_COST_PER_REQUEST_MS;
 }
 
 static bool
 is_stuck(const struct place *p, const struct place_endpoint *e)
 {
-	double mean_us = e->unread_requests == 0 ? 0
-						 : (double)e->unread_tokens /
-		e->tokens_per_ms / e->unread_requests * (double)US_PER_MS;
+	double mean_us = e->unread_requests == 0
+	    ? 0
+	    : (double)e->unread_tokens / place_endpoint_tokens_per_ms(p, e) /
+		e->unread_requests * (double)US_PER_MS;
 
 	return e->unread_requests > 0 &&
 	    (double)(p->now_us - e->last_progress_us) >
@@ -82,17 +130,26 @@
 	return cost < VICTIM_COST_MAX_MS ? cost : VICTIM_COST_MAX_MS;
 }
 
-/* Does the engine have a free slot and memory for the request? */
+/*
+ * Does the engine have a free slot and memory for the request? Requests of
+ * other instances are taken to be as large as the mean of those known.
+ */
 static bool
-has_capacity(const struct place_endpoint *e, const struct place_ask *a)
+has_capacity(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
 {
 	const struct gw_engine *engine = e->engine;
 	uint64_t tokens = (uint64_t)a->prompt_tokens + a->max_tokens;
+	double others = place_told_at(&e->others, p->now_us);
+	double mean_tokens = e->running == 0
+	    ? (double)tokens
+	    : (double)e->kv_tokens / e->running;
 
-	if (engine == NULL || e->running >= e->slots)
+	if (engine == NULL || e->running + others >= e->slots)
 		return false;
 	return e->running == 0 || engine->kv_tokens == 0 ||
-	    e->kv_tokens + tokens <= engine->kv_tokens;
+	    (double)(e->kv_tokens + tokens) + others * mean_tokens <=
+	    engine->kv_tokens;
 }
 
 static bool
@@ -183,15 +240,18 @@
     const struct place_ask *a, const struct place_adapter *adapter,
     bool may_order, double limit, struct place_estimate *out)
 {
-	double load, backlog;
+	double load, backlog, own_ms, batch_ms, tokens_per_ms;
+	uint32_t urgency = place_ask_urgency(a);
 
 	memset(out, 0, sizeof(*out));
 	p->totals.estimates++;
 	may_order = may_order && p->now_us >= e->order_from_us;
-	if (!has_capacity(e, a))
+	if (!has_capacity(p, e, a))
 		return false;
-	backlog = backlog_ms(p, e);
-	if (backlog + e->running * BATCH_COST_PER_REQUEST_MS >= limit ||
+	tokens_per_ms = place_endpoint_tokens_per_ms(p, e);
+	backlog = backlog_ms(p, e, urgency, tokens_per_ms);
+	batch_ms = busy_requests(p, e) * BATCH_COST_PER_REQUEST_MS;
+	if (backlog + batch_ms >= limit ||
 	    !place_endpoint_is_usable(p, e, a->service) ||
 	    place_ask_avoids(a, e) || !has_weights(e, a->model) ||
 	    place_backoff_end_us(p, e, a->id.entry) != 0)
@@ -205,11 +265,12 @@
 		return false;
 	out->backlog_ms = backlog;
 	out->own_tokens = a->prompt_tokens - place_prefix_cached_tokens(e, a);
-	out->first_ms = fmax(fmax(backlog, load), out->limit_wait_ms) +
-	    out->own_tokens / e->tokens_per_ms +
-	    e->running * BATCH_COST_PER_REQUEST_MS;
+	own_ms = out->own_tokens / tokens_per_ms;
+	out->first_ms =
+	    fmax(fmax(backlog, load), out->limit_wait_ms) + own_ms + batch_ms;
 	out->stuck = is_stuck(p, e);
-	out->cost += out->first_ms + (out->stuck ? STUCK_COST_MS : 0);
+	out->cost += out->first_ms + less_urgent_cost(e, urgency, own_ms) +
+	    (out->stuck ? STUCK_COST_MS : 0);
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
 		out->cost += REMOTE_COST_MS;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -2,6 +2,8 @@
 #define MP_PLACE_INTERNAL_H
 
 #include "place/place.h"
+#include "place/place_pace.h"
+#include "place/place_store.h"
 #include "util/map.h"
 #include "util/token_bucket.h"
 
@@ -13,10 +15,8 @@
 #define PLACE_SILENT_HEARTBEATS 5u
 /* An announcement this many intervals old shows that its process runs. */
 #define PLACE_PRESENT_HEARTBEATS 2u
-/* Prompt tokens that an engine processes per ms, before the first sample. */
-#define PLACE_INITIAL_TOKENS_PER_MS 18.0
-/* Duration of a call of a plain service in ms, before the first sample. */
-#define PLACE_INITIAL_CALL_MS 50.0
+/* Urgencies that engines take, from 0, the most urgent. */
+#define PLACE_URGENCIES 10u
 /* Recently unloaded adapters that are remembered of an engine. */
 #define PLACE_RECENT_UNLOADS_MAX 24u
 /* An engine loads a recently unloaded adapter faster by this factor. */
@@ -48,8 +48,9 @@
 	uint32_t running; /* granted requests that have not ended */
 	uint32_t waiting; /* queued requests that wait for it here */
 	uint32_t missing_count; /* consecutive refusals: it was not loaded */
-	bool has_served; /* a request that ran on it has ended */
+	bool has_served; /* a request has begun to run on it */
 	bool from_store; /* its load counts against the store's limit */
+	struct place_load load; /* its last one from the store */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
@@ -80,13 +81,19 @@
 	uint32_t running; /* granted requests that have not ended */
 	uint32_t unread_requests; /* granted, without a first byte yet */
 	uint64_t unread_tokens; /* of their prompts, without cached ones */
+	/* the same by urgency */
+	uint32_t unread_requests_by[PLACE_URGENCIES];
+	uint64_t unread_tokens_by[PLACE_URGENCIES];
 	uint64_t kv_tokens; /* of all running requests */
+	/* requests there that are not accounted for here, and those of them
+	 * that have not begun, as responses tell */
+	struct place_told others, others_waiting;
 	/* last first byte or end, or grant while it was idle */
 	uint64_t last_progress_us;
-	double tokens_per_ms; /* of prompts */
-	double mean_call_ms; /* plain services */
+	struct place_pace prompts, calls; /* work: prompt tokens, calls */
 	/* failures */
 	double failure_rate; /* share of recent calls that failed */
+	double lasting_failure_rate; /* the same over a longer time */
 	uint64_t eject_until_us;
 	uint32_t consecutive_ejections;
 	/* models and adapters */
@@ -151,7 +158,7 @@
 	bool granted, has_first_byte, is_queued;
 	uint64_t granted_us;
 	uint32_t unread_tokens; /* added to the endpoint's count */
-	uint32_t ahead_tokens; /* that count after the grant */
+	uint32_t urgency; /* at the endpoint; set when it is granted */
 	struct place_ask *next, *prev; /* in the queue */
 };
 
@@ -214,7 +221,7 @@
 	struct map *demand; /* struct place_demand by key */
 	uint32_t store_loads; /* adapter loads from the store in progress */
 	uint32_t queued_store_loads; /* wanted loads from the store */
-	double load_overrun_ratio; /* added to load estimates */
+	struct place_store store; /* how many it serves at full speed */
 	double weight_permits; /* loads of weights that may begin */
 	uint64_t permits_refilled_us;
 	uint32_t weights_loading; /* from the store */
@@ -340,6 +347,16 @@
 /* Is it of the service, not leaving and not ejected? */
 bool place_endpoint_is_usable(
     const struct place *p, const struct place_endpoint *e, const char *service);
+/* Set the speeds of a new endpoint: the mean of its service's endpoints. */
+void place_endpoint_init_speed(
+    const struct place *p, struct place_endpoint *e);
+/* Prompt tokens per ms now. */
+double place_endpoint_tokens_per_ms(
+    const struct place *p, const struct place_endpoint *e);
+/* Duration of a call, at the mean pace and now. */
+double place_endpoint_mean_call_ms(const struct place_endpoint *e);
+double place_endpoint_call_ms(
+    const struct place *p, const struct place_endpoint *e);
 /* Count a granted request. */
 void place_endpoint_grant(
     struct place *p, struct place_endpoint *e, struct place_ask *a);
@@ -397,6 +414,8 @@
 uint32_t place_adapter_wait_ms(const struct place *p, bool is_warm);
 /* Limit of concurrent loads from the store, over the engines owned here. */
 uint32_t place_adapter_store_loads_max(const struct place *p);
+/* Bounds of that limit; see struct place_store_bounds. */
+struct place_store_bounds place_adapter_store_bounds(const struct place *p);
 /* Slots that hold an adapter or are reserved by an order. */
 size_t place_adapter_used_slots(const struct place_endpoint *e);
 /* Stop counting a load from the store, if it is one. */
@@ -443,6 +462,8 @@
     struct place *p, struct place_ask *a, bool may_order);
 
 /* ---- place_estimate.c ---- */
+/* The urgency of a request at an engine. */
+uint32_t place_ask_urgency(const struct place_ask *a);
 /* Time until a prompt that arrives now is processed there. */
 double place_engine_load_ms(
     const struct place *p, const struct place_endpoint *e);
--- a/src/place/place_limit.c
+++ b/src/place/place_limit.c
@@ -284,7 +284,7 @@
 	uint64_t wait_us = place_limit_wait_us(p, e, 0);
 	double tokens = token_bucket_count(b, p->now_us);
 	double left_s = (double)(a->deadline_us - p->now_us) / US_PER_S -
-	    e->mean_call_ms * CALL_TIME_MARGIN / MS_PER_S;
+	    place_endpoint_mean_call_ms(e) * CALL_TIME_MARGIN / MS_PER_S;
 
 	if (!e->limit.now.is_limited || b->per_s <= 0) {
 		out->is_bounded = false;
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -88,9 +88,10 @@
 
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
-	if (a->adapter != NULL)
-		a->ready_us +=
-		    (uint64_t)(ms * p->load_overrun_ratio) * US_PER_MS;
+	memset(&a->load, 0, sizeof(a->load));
+	if (a->adapter != NULL && a->from_store)
+		place_store_begin(&p->store, &a->load, p->now_us,
+		    p->store_loads, place_adapter_store_bounds(p));
 	a->missing_count = 0;
 	a->has_served = false;
 	enter_state(p, e, a, ADAPTER_LOADING);
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -23,7 +23,7 @@
 static double
 expected_cost_ms(const struct place_endpoint *e, const struct place_ask *a)
 {
-	double cost = e->mean_call_ms *
+	double cost = place_endpoint_mean_call_ms(e) *
 	    (1.0 + (double)e->running / (double)(e->slots == 0 ? 1 : e->slots));
 
 	if (a->data_centre != NULL &&
@@ -140,7 +140,7 @@
 	d->address = best->address;
 	d->born_ms = best->born_ms;
 	d->basis = place_basis_from_endpoint(p, best);
-	d->basis.estimate_ms = (uint32_t)best->mean_call_ms;
+	d->basis.estimate_ms = (uint32_t)place_endpoint_mean_call_ms(best);
 	place_ask_set_waits(p, a, &d->basis);
 	return PLACE_ATTEMPT_GRANTED;
 }
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "place/place_internal.h"
 
@@ -63,6 +64,8 @@
 	reset_orders(e);
 	e->running = e->unread_requests = 0;
 	e->unread_tokens = e->kv_tokens = 0;
+	memset(e->unread_requests_by, 0, sizeof(e->unread_requests_by));
+	memset(e->unread_tokens_by, 0, sizeof(e->unread_tokens_by));
 	e->needs_report = false;
 	e->is_foreign = true;
 }
--- a/src/place/place_state.c
+++ b/src/place/place_state.c
@@ -43,8 +43,8 @@
 count_engine(const struct place *p, const struct place_endpoint *e,
     struct place_state *out)
 {
-	uint32_t unread_ms =
-	    (uint32_t)((double)e->unread_tokens / e->tokens_per_ms);
+	uint32_t unread_ms = (uint32_t)((double)e->unread_tokens /
+	    place_endpoint_tokens_per_ms(p, e));
 	const struct place_adapter *a;
 	size_t i;
 
--- a/tests/place/engine_test.cc
+++ b/tests/place/engine_test.cc
@@ -305,20 +305,31 @@
  */
 TEST_F(PlaceEngine, excess_requests_for_rare_adapters_are_refused_immediately)
 {
-	std::map<uint64_t, uint64_t> asked;
+	std::map<uint64_t, std::pair<uint64_t, std::string>> asked;
 	int late = 0, refused = 0, served = 0;
 
 	Engines(18);
+	fleet.store_max = 8;
 	for (int ms = 0; ms < 4000; ms++) {
-		if (ms % 10 == 0)
-			asked[Ask("r" + std::to_string(ms), 500)] = now;
+		if (ms % 10 == 0) {
+			std::string adapter = "r" + std::to_string(ms);
+
+			asked[Ask(adapter, 500)] = {now, adapter};
+		}
 		Run();
 		ExecuteOrders();
 		for (auto &d : decisions) {
 			if (asked.count(d.id.ask) == 0)
 				continue;
-			uint64_t took = now - asked[d.id.ask];
-			if (d.type == PLACE_REFUSE) {
+			auto request = asked[d.id.ask];
+			uint64_t took = now - request.first;
+			if (d.type == PLACE_GRANT &&
+			    !fleet.Holds(
+				d.endpoint, request.second, now + 2 * MS)) {
+				Done(d.id.ask, PLACE_STATE_MISMATCH);
+				asked[Ask(request.second, 500, 0, nullptr,
+				    request.first)] = request;
+			} else if (d.type == PLACE_REFUSE) {
 				refused++;
 				EXPECT_LT(took, 900 * MS);
 				EXPECT_GT(d.retry_after_ms, 0u);
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -116,10 +116,14 @@
 		}
 	}
 
-	/* Ask for a model request; adapter "": the model itself. */
+	/*
+	 * Ask for a model request; adapter "": the model itself. begun: when
+	 * the caller sent it; 0: now.
+	 */
 	uint64_t
 	Ask(const std::string &adapter, uint32_t tokens = 2000,
-	    uint32_t attempt = 0, const char *avoid = nullptr)
+	    uint32_t attempt = 0, const char *avoid = nullptr,
+	    uint64_t begun = 0)
 	{
 		place_request r = {};
 
@@ -130,8 +134,8 @@
 		r.adapter = adapter.empty() ? nullptr : adapter.c_str();
 		r.prompt_tokens = tokens;
 		r.max_tokens = 80;
-		r.deadline_us = now + 4000 * MS;
-		r.target_us = now + 800 * MS;
+		r.deadline_us = (begun == 0 ? now : begun) + 4000 * MS;
+		r.target_us = (begun == 0 ? now : begun) + 800 * MS;
 		r.attempt = attempt;
 		if (avoid != nullptr)
 			r.avoid[r.navoid++] = avoid;
@@ -214,6 +218,9 @@
 	};
 	std::map<std::string, Engine> engines;
 	int loads = 0, max_concurrent_loads = 0;
+	/* loads that the store serves at full speed, more take longer in
+	 * proportion; 0: any number */
+	int store_max = 0;
 
 	gw_order_result
 	Execute(uint64_t now, const gw_order &o, const char *endpoint)
@@ -231,7 +238,13 @@
 			e.adapters.erase(o.adapter);
 			return GW_ORDER_DONE;
 		}
-		e.adapters[o.adapter] = now + 250 * MS;
+		int ahead = LoadsInProgress(now) + 1;
+
+		e.adapters[o.adapter] = now +
+		    250 * MS *
+			(store_max == 0
+				? 1.0
+				: std::max(1.0, (double)ahead / store_max));
 		e.crashed |= e.adapters.size() > 5;
 		loads++;
 		max_concurrent_loads =
