place: calls of plain services go where they complete first

Cause: a call went to the endpoint with the lowest mean time among those with a free slot, however slow that one was, ignored the calls of other entries there, and stayed queued until its deadline although it could not meet it. Change: the expected completion over all endpoints, with their speed and pace now, what responses tell of others' calls, the share of failures (which weighs more for calls that may not be repeated) and stalls; a call waits for a faster endpoint. What is known of an endpoint without calls ages. A call that cannot meet its deadline is refused at once; callers refused together return one after another. Event 132 and the metrics show the learned time of a load, late loads and calls that were too late.

--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -85,7 +85,10 @@
 	    {"endpoints_limited", "gauge", t.limited_endpoints},
 	    {"limit_waits_total", "counter", t.limit_waits},
 	    {"limit_refused_total", "counter", t.limit_refusals},
-	    {"limits_unreadable_total", "counter", t.invalid_limits}};
+	    {"limits_unreadable_total", "counter", t.invalid_limits},
+	    {"calls_too_late_total", "counter", t.late_calls_refused},
+	    {"store_loads_late_total", "counter", t.store_loads_late},
+	    {"store_loads_in_time_total", "counter", t.store_loads_in_time}};
 	size_t i;
 
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
@@ -106,7 +109,8 @@
 	    {"waiting_engine", s.wait_engine}, {"waiting_call", s.wait_call},
 	    {"waiting_oldest_ms", s.oldest_ms}, {"unread_ms", s.unread_ms},
 	    {"unread_most_ms", s.unread_max_ms}, {"loads_now", s.loading},
-	    {"loads_most", s.loading_max}, {"wanted", s.wanted},
+	    {"loads_most", s.loading_max},
+	    {"store_load_ms", s.load_ms}, {"wanted", s.wanted},
 	    {"wanted_held_call", s.held_call},
 	    {"wanted_held_quiet", s.held_quiet},
 	    {"wanted_held_report", s.held_report},
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -415,13 +415,15 @@
 	    "\"running\": %u, \"unreadMs\": %u, \"unreadMostMs\": %u, "
 	    "\"waiting\": %u, \"oldestMs\": %u, \"waitLoad\": %u, "
 	    "\"waitEngine\": %u, \"waitCall\": %u, \"loading\": %u, "
-	    "\"loadingMost\": %u, \"wanted\": %u, \"heldCall\": %u, "
+	    "\"loadingMost\": %u, \"storeLoadMs\": %u, "
+	    "\"storeLoadsLate\": %u, \"wanted\": %u, \"heldCall\": %u, "
 	    "\"heldQuiet\": %u, \"heldReport\": %u, \"heldStore\": %u, "
 	    "\"heldPlaces\": %u}",
 	    g->placing || gate_owns_shard(n) ? "true" : "false", s.engines,
 	    t.asked - g->state_logged_asks, s.running, s.unread_ms,
 	    s.unread_max_ms, s.waiting, s.oldest_ms, s.wait_load, s.wait_engine,
-	    s.wait_call, s.loading, s.loading_max, s.wanted, s.held_call,
+	    s.wait_call, s.loading, s.loading_max, s.load_ms, s.loads_late,
+	    s.wanted, s.held_call,
 	    s.held_quiet, s.held_report, s.held_store, s.held_places);
 	g->state_logged_asks = t.asked;
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -364,6 +364,8 @@
 	out->endpoints = (uint32_t)map_count(p->endpoints);
 	out->waiting = (uint32_t)p->nqueued;
 	out->limited_endpoints = p->nlimited;
+	out->store_loads_late = p->store.late;
+	out->store_loads_in_time = p->store.in_time;
 	out->running = 0;
 	for (i = 0; i < map_count(p->endpoints); i++)
 		out->running +=
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -479,6 +479,8 @@
 	uint32_t limit_waits; /* requests that waited for a limit */
 	uint32_t limit_refusals; /* requests refused for limits */
 	uint32_t invalid_limits; /* responses with an unreadable one */
+	uint32_t late_calls_refused; /* they would have missed their deadline */
+	uint32_t store_loads_late, store_loads_in_time; /* adapters' */
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
@@ -494,6 +496,8 @@
 	uint32_t wait_engine; /* waiting for an engine with room */
 	uint32_t wait_call; /* calls of plain services */
 	uint32_t loading, loading_max; /* from the store: now, and limit */
+	uint32_t load_ms; /* of an adapter within that limit, as learned */
+	uint32_t loads_late; /* so far, of those with a known time */
 	uint32_t wanted; /* adapters to be loaded without an order yet */
 	uint32_t held_call; /* of these: a call to the engine is in flight */
 	uint32_t held_quiet; /* the engine gets no calls for a while */
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -271,6 +271,7 @@
 {
 	uint32_t doublings;
 
+	e->last_call_us = p->now_us;
 	e->failure_rate +=
 	    ((failed ? 1.0 : 0.0) - e->failure_rate) * FAILURE_WEIGHT;
 	e->lasting_failure_rate +=
@@ -297,9 +298,11 @@
 static void
 record_call_time(struct place *p, const struct place_ask *a)
 {
-	if (a->model == NULL)
-		record_speed(p, &a->endpoint->calls, 1,
-		    fmax(ms_since(p, a->granted_us), 1));
+	if (a->model != NULL)
+		return;
+	record_speed(p, &a->endpoint->calls, 1,
+	    fmax(ms_since(p, a->granted_us), 1));
+	a->endpoint->last_served_call_us = p->now_us;
 }
 
 /* A caller that gave up a call which took very long has seen a stall. */
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -94,6 +94,8 @@
 	/* failures */
 	double failure_rate; /* share of recent calls that failed */
 	double lasting_failure_rate; /* the same over a longer time */
+	/* when a call there ended, and when one was served; 0: never */
+	uint64_t last_call_us, last_served_call_us;
 	uint64_t eject_until_us;
 	uint32_t consecutive_ejections;
 	/* models and adapters */
@@ -168,6 +170,8 @@
 	size_t count, cap;
 	/* when the last caller refused for limits was asked to return */
 	uint64_t limit_return_us;
+	/* when the last caller of a call that was too late was asked to return */
+	uint64_t calls_return_us;
 };
 
 struct place_version {
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -1,35 +1,143 @@
+#include <math.h>
 #include <string.h>
 
 #include "place/place_internal.h"
 
 /*
- * Placement of calls of plain services, on the endpoint with a free slot that
- * is expected to finish first. Without a free slot the call stays queued, so
- * that the first endpoint with a free slot gets it. It is refused at once if no
- * endpoint will take it before its deadline, because it has failed at some and
- * the others want no call of its entry or have reached their rate limits.
+ * Placement of calls of plain services, on the endpoint that is expected to
+ * complete the call first: one with a free slot, or a faster one without, for
+ * which the call then waits. The calls ahead in the queue are taken to be
+ * divided among the endpoints by their speed, so that the slower ones get their
+ * share once the wait for the others is long.
+ *
+ * A call is refused at once if no endpoint will complete it before its
+ * deadline, or take it, because it has failed at some and the others want no
+ * call of its entry or have reached their rate limits.
  *
  * Such services have few endpoints with few slots, their calls may not run
- * twice, and endpoints may become slow or fail part of their calls.
+ * twice, and endpoints may become slow or fail part of their calls. Other
+ * instances may use the same slots; responses tell how many.
  */
 
 /* Latency of an answer from another data centre. */
 #define REMOTE_COST_MS 2.0
-/* Relative cost of an endpoint that fails all its calls. */
-#define FAILURE_COST_FACTOR 4.0
+/*
+ * Cost of a failed call that is repeated elsewhere, and of one that is not. The
+ * first takes another attempt, the second is lost to its caller.
+ */
+#define REPEATED_COST_MS 100.0
+#define LOST_COST_MS	 600.0
+/* Failures of the last few calls tell less than their share. */
+#define RECENT_FAILURE_WEIGHT 0.5
+/*
+ * What is known of an endpoint that gets no calls ages, so that it gets some
+ * again: half of its failures, and of its difference from the others' mean.
+ */
+#define FAILURES_HALF_US 2e6
+#define SPEED_HALF_US	 10e6
+/* Without any response for so many calls' time, an endpoint stalls. */
+#define STALL_FACTOR 3.0
 /* Sent to a caller whose call has failed at all endpoints. */
 #define ALL_FAILED_RETRY_MS 500u
+/* Interval of evaluating a call that waits for a faster endpoint. */
+#define WAIT_RECHECK_US (20 * US_PER_MS)
+/* Callers that are refused together return within this time. */
+#define RETURN_SPREAD_US (2000 * US_PER_MS)
+#define AHEAD_MAX	 256u
+
+/* The queue and the throughput of the endpoints of a service. */
+struct call_queue {
+	double ahead; /* queued calls before this one */
+	double per_ms; /* calls that all endpoints complete */
+	double mean_ms; /* of a call, at the endpoints known; 0: none is */
+};
+
+/* What a call at an endpoint would cost. */
+struct call_estimate {
+	bool has_slot;
+	double wait_ms, done_ms; /* until it begins and is completed */
+	double cost; /* done_ms and the risk of a failure */
+};
+
+/*
+ * Slots for the calls placed here. Of those that others use, at least this
+ * instance's part is free for it: they are told late, and never without a call.
+ */
+static double
+usable_slots(const struct place *p, const struct place_endpoint *e)
+{
+	double part =
+	    floor((double)e->slots / (p->owner_count > 0 ? p->owner_count : 1));
+	double others =
+	    p->owner_count > 1 ? place_told_at(&e->others, p->now_us) : 0;
+
+	return fmax(fmax(e->slots - round(others), part), 1);
+}
+
+/* How much of what was learned at a time still counts, 0 to 1. */
+static double
+part_known(const struct place *p, uint64_t learned_us, double half_us)
+{
+	return learned_us == 0
+	    ? 0
+	    : exp2(-(double)(p->now_us - learned_us) / half_us);
+}
 
+/* The time of a call now; of a stall as much again as it has lasted. */
 static double
-expected_cost_ms(const struct place_endpoint *e, const struct place_ask *a)
+call_ms(const struct place *p, const struct place_endpoint *e, double mean_ms)
 {
-	double cost = place_endpoint_mean_call_ms(e) *
-	    (1.0 + (double)e->running / (double)(e->slots == 0 ? 1 : e->slots));
+	double ms = place_endpoint_call_ms(p, e);
+	double since =
+	    (double)(p->now_us - e->last_progress_us) / (double)US_PER_MS;
+
+	if (mean_ms > 0)
+		ms = mean_ms +
+		    (ms - mean_ms) *
+			part_known(p, e->last_served_call_us, SPEED_HALF_US);
+	return e->running > 0 && since > ms * STALL_FACTOR ? ms + since : ms;
+}
 
+static bool
+is_candidate(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
+{
+	return e->slots > 0 && place_endpoint_is_usable(p, e, a->service) &&
+	    !place_ask_avoids(a, e) &&
+	    place_backoff_end_us(p, e, a->id.entry) == 0 &&
+	    place_limit_wait_us(p, e, 0) == 0;
+}
+
+static double
+failure_cost(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a)
+{
+	bool is_repeated = a->kind == GW_IDEMPOTENT && a->attempt == 0;
+	double share = fmax(
+	    e->lasting_failure_rate, e->failure_rate * RECENT_FAILURE_WEIGHT);
+
+	return share * part_known(p, e->last_call_us, FAILURES_HALF_US) *
+	    (is_repeated ? REPEATED_COST_MS : LOST_COST_MS);
+}
+
+static struct call_estimate
+estimate(const struct place *p, const struct place_endpoint *e,
+    const struct place_ask *a, const struct call_queue *queue)
+{
+	double ms = call_ms(p, e, queue->mean_ms), slots = usable_slots(p, e);
+	double ahead = queue->per_ms > 0
+	    ? queue->ahead * e->slots / ms / queue->per_ms
+	    : 0;
+	struct call_estimate out;
+
+	out.has_slot = e->running < e->slots && e->running < slots;
+	out.wait_ms = fmax(e->running + ahead - slots + 1, 0) * ms / slots;
+	out.done_ms = out.wait_ms + ms * (1 + fmin(e->running / slots, 1));
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
-		cost += REMOTE_COST_MS;
-	return cost * (1.0 + e->failure_rate * FAILURE_COST_FACTOR);
+		out.done_ms += REMOTE_COST_MS;
+	out.cost = out.done_ms + failure_cost(p, e, a);
+	return out;
 }
 
 /*
@@ -65,48 +173,111 @@
 }
 
 /*
- * Of two endpoints that can take the call, is the first the better one? One
+ * Of two endpoints that may get the call, is the first the better one? One
  * whose rate limit has not been used for a while goes first if it will answer
  * in time, so that limited endpoints are used and the end of a limit is learnt.
  */
 static bool
-is_better(const struct place *p, const struct place_endpoint *e,
-    const struct place_endpoint *best, const struct place_ask *a)
+is_better(const struct place_ask *a, uint64_t now_us,
+    const struct call_estimate *est, bool full,
+    const struct call_estimate *best, bool best_full)
 {
-	double cost_ms = expected_cost_ms(e, a);
-	double best_ms = expected_cost_ms(best, a);
-	bool full = place_limit_is_full(p, e);
-
-	if (full != place_limit_is_full(p, best)) {
-		double left_ms = a->target_us <= p->now_us
+	if (full != best_full) {
+		double left_ms = a->target_us <= now_us
 		    ? 0
-		    : (double)(a->target_us - p->now_us) / US_PER_MS;
+		    : (double)(a->target_us - now_us) / US_PER_MS;
 
-		if ((full ? cost_ms : best_ms) < left_ms)
+		if ((full ? est : best)->cost < left_ms)
 			return full;
 	}
-	return cost_ms < best_ms;
+	return est->cost < best->cost;
+}
+
+/* The mean time of a call at the endpoints that have completed some lately. */
+static double
+mean_call_ms(const struct place *p, const struct place_group *g)
+{
+	double part, parts = 0, sum = 0;
+	size_t i;
+
+	for (i = 0; i < g->count; i++) {
+		part = part_known(
+		    p, g->endpoints[i]->last_served_call_us, SPEED_HALF_US);
+		parts += part;
+		sum += part * place_endpoint_mean_call_ms(g->endpoints[i]);
+	}
+	return parts > 0 ? sum / parts : 0;
+}
+
+/* Describe the queue before a call. */
+static struct call_queue
+describe_queue(const struct place *p, const struct place_ask *a)
+{
+	const struct place_group *g = place_group_find(p, a->service);
+	const struct place_endpoint *e;
+	const struct place_ask *before;
+	struct call_queue out = {0};
+	size_t i;
+
+	for (before = a->prev; before != NULL && out.ahead < AHEAD_MAX;
+	     before = before->prev)
+		out.ahead += before->key == NULL &&
+		    strcmp(before->service, a->service) == 0;
+	out.mean_ms = mean_call_ms(p, g);
+	for (i = 0; i < g->count; i++) {
+		e = g->endpoints[i];
+		if (is_candidate(p, e, a))
+			out.per_ms += e->slots / call_ms(p, e, out.mean_ms);
+	}
+	return out;
 }
 
 static struct place_endpoint *
-find_endpoint(struct place *p, const struct place_ask *a)
+find_endpoint(struct place *p, const struct place_ask *a,
+    const struct call_queue *queue, struct call_estimate *best)
 {
 	const struct place_group *g = place_group_find(p, a->service);
-	struct place_endpoint *e, *best = NULL;
+	struct place_endpoint *e, *found = NULL;
+	struct call_estimate est;
+	bool full, best_full = false;
 	size_t i;
 
 	for (i = 0; i < g->count; i++) {
 		e = g->endpoints[i];
 		p->totals.estimates++;
-		if (!place_endpoint_is_usable(p, e, a->service) ||
-		    place_ask_avoids(a, e) || e->running >= e->slots ||
-		    place_backoff_end_us(p, e, a->id.entry) != 0 ||
-		    place_limit_wait_us(p, e, 0) != 0)
+		if (!is_candidate(p, e, a))
 			continue;
-		if (best == NULL || is_better(p, e, best, a))
-			best = e;
+		est = estimate(p, e, a, queue);
+		full = est.has_slot && place_limit_is_full(p, e);
+		if (found != NULL &&
+		    !is_better(a, p->now_us, &est, full, best, best_full))
+			continue;
+		found = e;
+		*best = est;
+		best_full = full;
 	}
-	return best;
+	return found;
+}
+
+/*
+ * Refuse a call that no endpoint will complete before its deadline. Its caller
+ * returns when the queue has become shorter; callers return one after another.
+ */
+static enum place_attempt
+refuse_late(struct place *p, struct place_ask *a,
+    const struct call_queue *queue, const struct call_estimate *best)
+{
+	struct place_group *g = map_get_str(p->groups, a->service);
+	uint64_t from_us = p->now_us + (uint64_t)(best->wait_ms * US_PER_MS);
+
+	if (g->calls_return_us < from_us ||
+	    g->calls_return_us > from_us + RETURN_SPREAD_US)
+		g->calls_return_us = from_us;
+	if (queue->per_ms > 0)
+		g->calls_return_us += (uint64_t)(US_PER_MS / queue->per_ms);
+	p->totals.late_calls_refused++;
+	place_ask_refuse_until(p, a, "overload", g->calls_return_us);
+	return PLACE_ATTEMPT_REFUSED;
 }
 
 /* Keep a call queued, or refuse it if no endpoint will take it in time. */
@@ -125,14 +296,39 @@
 	return PLACE_ATTEMPT_REFUSED;
 }
 
+/*
+ * Keep a call queued although an endpoint could take it now or soon. A repeat
+ * is not refused early: a late answer is better than a failure.
+ */
+static enum place_attempt
+wait_for_slot(struct place *p, struct place_ask *a,
+    const struct call_queue *queue, const struct call_estimate *best)
+{
+	uint64_t recheck_us = p->now_us + WAIT_RECHECK_US;
+	enum place_attempt result;
+
+	if (a->attempt == 0 && p->now_us < a->deadline_us &&
+	    p->now_us + (uint64_t)(best->done_ms * US_PER_MS) >= a->deadline_us)
+		return refuse_late(p, a, queue, best);
+	result = wait_or_refuse(p, a);
+	if (result == PLACE_ATTEMPT_WAITING &&
+	    (a->evaluate_at_us == 0 || a->evaluate_at_us > recheck_us))
+		a->evaluate_at_us = recheck_us;
+	return result;
+}
+
 enum place_attempt
 place_service_place(struct place *p, struct place_ask *a)
 {
-	struct place_endpoint *best = find_endpoint(p, a);
+	struct call_queue queue = describe_queue(p, a);
+	struct call_estimate est;
+	struct place_endpoint *best = find_endpoint(p, a, &queue, &est);
 	struct place_decision *d;
 
 	if (best == NULL)
 		return wait_or_refuse(p, a);
+	if (!est.has_slot)
+		return wait_for_slot(p, a, &queue, &est);
 	place_endpoint_grant(p, best, a);
 	d = place_decision_add(p, PLACE_GRANT);
 	d->id = a->id;
@@ -140,7 +336,7 @@
 	d->address = best->address;
 	d->born_ms = best->born_ms;
 	d->basis = place_basis_from_endpoint(p, best);
-	d->basis.estimate_ms = (uint32_t)place_endpoint_mean_call_ms(best);
+	d->basis.estimate_ms = (uint32_t)est.done_ms;
 	place_ask_set_waits(p, a, &d->basis);
 	return PLACE_ATTEMPT_GRANTED;
 }
--- a/src/place/place_state.c
+++ b/src/place/place_state.c
@@ -71,6 +71,8 @@
 	memset(out, 0, sizeof(*out));
 	out->loading = p->store_loads;
 	out->loading_max = place_adapter_store_loads_max(p);
+	out->load_ms = (uint32_t)p->store.load_ms;
+	out->loads_late = p->store.late;
 	for (a = p->queue_head; a != NULL; a = a->next)
 		count_ask(p, a, out);
 	for (i = 0; i < map_count(p->endpoints); i++) {
