--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -138,12 +138,33 @@
 
 /* ---- load --------------------------------------------------------------- */
 
+/* Of this time the busy share tells: several waves of requests. */
+#define BUSY_US 3e6
+
+double
+place_endpoint_busy_share(const struct place *p, const struct place_endpoint *e)
+{
+	double kept = exp(-(double)(p->now_us - e->busy_updated_us) / BUSY_US);
+
+	return e->busy_share * kept +
+	    (e->unread_requests > 0 ? 1 - kept : 0);
+}
+
+/* Before each change of unread_requests. */
+static void
+update_busy_share(const struct place *p, struct place_endpoint *e)
+{
+	e->busy_share = place_endpoint_busy_share(p, e);
+	e->busy_updated_us = p->now_us;
+}
+
 /* Remove a request from the count of unread ones. */
 static void
 release_unread(struct place *p, const struct place_ask *a)
 {
 	struct place_endpoint *e = a->endpoint;
 
+	update_busy_share(p, e);
 	e->unread_requests--;
 	e->unread_tokens -= a->unread_tokens;
 	e->unread_requests_by[a->urgency]--;
@@ -197,6 +218,7 @@
 place_endpoint_grant(
     struct place *p, struct place_endpoint *e, struct place_ask *a)
 {
+	update_busy_share(p, e);
 	if (e->unread_requests == 0)
 		e->last_progress_us = p->now_us;
 	a->endpoint = e;
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -41,6 +41,8 @@
  * that this one waits: less urgent ones are worth less and have more time.
  */
 #define LESS_URGENT_COST 0.5
+/* The cost to later requests is at most four times the own time. */
+#define LATER_BUSY_SHARE_MAX 0.8
 /* An entry's routes have priorities from 0; it is their urgency from here. */
 #define URGENCY_BASE 3u
 
@@ -83,6 +85,21 @@
 	return total - (since < mean ? since : mean);
 }
 
+/*
+ * The cost to later requests that will find the engine busy: that of a queue
+ * whose server is busy for that part of the time. Without it, engines that are
+ * somewhat faster get nearly all requests until they have queues.
+ */
+static double
+later_cost(
+    const struct place *p, const struct place_endpoint *e, double own_ms)
+{
+	double share =
+	    fmin(place_endpoint_busy_share(p, e), LATER_BUSY_SHARE_MAX);
+
+	return own_ms * share / (1 - share);
+}
+
 /* The cost to unread requests that the engine processes after this one. */
 static double
 less_urgent_cost(
@@ -270,6 +287,7 @@
 	    fmax(fmax(backlog, load), out->limit_wait_ms) + own_ms + batch_ms;
 	out->stuck = is_stuck(p, e);
 	out->cost += out->first_ms + less_urgent_cost(e, urgency, own_ms) +
+	    later_cost(p, e, own_ms) +
 	    (out->stuck ? STUCK_COST_MS : 0);
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -91,6 +91,8 @@
 	/* last first byte or end, or grant while it was idle */
 	uint64_t last_progress_us;
 	struct place_pace prompts, calls; /* work: prompt tokens, calls */
+	double busy_share; /* of the last seconds, with an unread prompt */
+	uint64_t busy_updated_us;
 	/* failures */
 	double failure_rate; /* share of recent calls that failed */
 	double lasting_failure_rate; /* the same over a longer time */
@@ -357,6 +359,9 @@
 /* Prompt tokens per ms now. */
 double place_endpoint_tokens_per_ms(
     const struct place *p, const struct place_endpoint *e);
+/* Part of the last seconds in which it had an unread request, 0 to 1. */
+double place_endpoint_busy_share(
+    const struct place *p, const struct place_endpoint *e);
 /* Duration of a call, at the mean pace and now. */
 double place_endpoint_mean_call_ms(const struct place_endpoint *e);
 double place_endpoint_call_ms(
