--- a/src/place/place_state.c
+++ b/src/place/place_state.c
@@ -43,8 +43,8 @@
 count_engine(const struct place *p, const struct place_endpoint *e,
     struct place_state *out)
 {
-	uint32_t unread_ms =
-	    (uint32_t)((double)e->unread_tokens / e->tokens_per_ms);
+	uint32_t unread_ms = (uint32_t)((double)e->unread_tokens /
+	    place_endpoint_tokens_per_ms(p, e));
 	const struct place_adapter *a;
 	size_t i;
 
@@ -71,6 +71,8 @@
 	memset(out, 0, sizeof(*out));
 	out->loading = p->store_loads;
 	out->loading_max = place_adapter_store_loads_max(p);
+	out->load_ms = (uint32_t)p->store.load_ms;
+	out->loads_late = p->store.late;
 	for (a = p->queue_head; a != NULL; a = a->next)
 		count_ask(p, a, out);
 	for (i = 0; i < map_count(p->endpoints); i++) {
