node, raft, bus: bound what is retained and sent for followers

A probing raft leader sent the same entry with each heartbeat while the first copy was on its way. A message of 2.5 MB delayed the heartbeats behind it, and 256 of them could be queued for one peer.

Pushes are bounded to 64 KB or one entry, and wait for the follower. Raft sends a bulk entry alone, once its predecessor is confirmed, and allows time for its bytes. Bulk messages have their own connection with a queue of 4.

--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -143,6 +143,11 @@
 	uint32_t to;
 	const char *address; /* "ip:port" of the recipient's bus */
 	struct node_bytes bytes;
+	/*
+	 * A large message that others to the same recipient may overtake: it is
+	 * sent over a connection of its own.
+	 */
+	bool bulk;
 };
 
 struct node_reply {
--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -15,8 +15,11 @@
 #define ENDPOINT_MAX_BYTES     128
 #define ROUTING_ID_BYTES       5
 #define ROUTING_ID_PREFIX      'i' /* a routing id must not begin with zero */
+#define ROUTING_ID_BULK	       'b' /* of the connection for bulk messages */
 #define MESSAGE_MAX_BYTES      (64 * 1024 * 1024)
 #define SEND_QUEUE_MESSAGES    256
+/* A call's body has 2.5 MB at most in the sizes that we know: 10 MB a peer. */
+#define BULK_QUEUE_MESSAGES    4
 #define RECEIVE_QUEUE_MESSAGES 1024
 #define HEARTBEAT_MS	       500
 #define HEARTBEAT_TIMEOUT_MS   1500
@@ -36,6 +39,8 @@
 	uint32_t id;
 	char *address;
 	void *socket;
+	void *bulk; /* connection for bulk messages; NULL: not used so far */
+	bool bulk_connected; /* has taken a message */
 	uint64_t last_send_ms; /* loop time; at first, of the connect */
 };
 
@@ -64,13 +69,13 @@
 }
 
 static int
-set_common_options(void *socket)
+set_common_options(void *socket, int send_queue)
 {
 	int64_t max = MESSAGE_MAX_BYTES;
 	int bad = 0;
 
 	bad |= set_int(socket, ZMQ_LINGER, 0);
-	bad |= set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
+	bad |= set_int(socket, ZMQ_SNDHWM, send_queue);
 	bad |= set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
 	bad |= set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_TCP_MAXRT, TCP_USER_TIMEOUT_MS);
@@ -101,6 +106,7 @@
 {
 	const char *user;
 	uint32_t id = 0;
+	char prefix;
 
 	if (b->zap != NULL) {
 		user = zmq_msg_gets(payload, "User-Id");
@@ -108,7 +114,8 @@
 	}
 	if (zmq_msg_size(routing) != ROUTING_ID_BYTES)
 		return 0;
-	if (*(const char *)zmq_msg_data(routing) != ROUTING_ID_PREFIX)
+	prefix = *(const char *)zmq_msg_data(routing);
+	if (prefix != ROUTING_ID_PREFIX && prefix != ROUTING_ID_BULK)
 		return 0;
 	memcpy(&id, (const char *)zmq_msg_data(routing) + 1, sizeof(id));
 	return ntohl(id);
@@ -177,9 +184,10 @@
 
 /* Set the routing id or, with keys, the keys of both ends. */
 static int
-set_peer_identity(const struct bus *b, void *socket, uint32_t id)
+set_peer_identity(const struct bus *b, void *socket, uint32_t id, bool bulk)
 {
-	char routing_id[ROUTING_ID_BYTES] = {ROUTING_ID_PREFIX};
+	char routing_id[ROUTING_ID_BYTES] = {
+	    bulk ? ROUTING_ID_BULK : ROUTING_ID_PREFIX};
 	uint32_t instance_id = htonl(b->settings->id);
 	const char *key;
 
@@ -200,7 +208,7 @@
  * key, the address is malformed or memory is short.
  */
 static void *
-connect_peer(const struct bus *b, uint32_t id, const char *address)
+connect_peer(const struct bus *b, uint32_t id, const char *address, bool bulk)
 {
 	char endpoint[ENDPOINT_MAX_BYTES];
 	void *socket = zmq_socket(b->context, ZMQ_DEALER);
@@ -209,14 +217,15 @@
 	if (socket == NULL)
 		return NULL;
 	(void)snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
-	bad |= set_common_options(socket);
+	bad |= set_common_options(
+	    socket, bulk ? BULK_QUEUE_MESSAGES : SEND_QUEUE_MESSAGES);
 	bad |= set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
 	bad |= set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_IMMEDIATE, 1);
 	bad |= set_int(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	bad |= set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	bad |= set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-	bad |= set_peer_identity(b, socket, id);
+	bad |= set_peer_identity(b, socket, id, bulk);
 	if (bad == 0 && zmq_connect(socket, endpoint) == 0)
 		return socket;
 	(void)zmq_close(socket);
@@ -228,6 +237,8 @@
 {
 	if (p->socket != NULL)
 		(void)zmq_close(p->socket);
+	if (p->bulk != NULL)
+		(void)zmq_close(p->bulk);
 	free(p->address);
 	free(p);
 }
@@ -250,7 +261,7 @@
 	p = mem_alloc(1, sizeof(*p));
 	p->id = id;
 	p->address = mem_string(address);
-	p->socket = connect_peer(b, id, address);
+	p->socket = connect_peer(b, id, address, false);
 	p->last_send_ms = uv_now(b->loop);
 	if (p->socket == NULL) {
 		peer_destroy(p);
@@ -260,6 +271,30 @@
 	return p;
 }
 
+/* Queue a message on a socket; false when it is not connected or full. */
+static bool
+send_on(void *socket, const struct node_send *send)
+{
+	return zmq_send(socket, send->bytes.data, send->bytes.len,
+		   ZMQ_DONTWAIT) >= 0;
+}
+
+/*
+ * Queue a message on the peer's bulk connection. Until it is up for the first
+ * time, the message takes the other one rather than be lost.
+ */
+static bool
+send_bulk(const struct bus *b, struct peer *p, const struct node_send *send)
+{
+	if (p->bulk == NULL)
+		p->bulk = connect_peer(b, p->id, p->address, true);
+	if (p->bulk != NULL && send_on(p->bulk, send)) {
+		p->bulk_connected = true;
+		return true;
+	}
+	return !p->bulk_connected && send_on(p->socket, send);
+}
+
 void
 bus_send(struct bus *b, const struct node_send *send)
 {
@@ -273,8 +308,7 @@
 		return;
 	}
 	p->last_send_ms = uv_now(b->loop);
-	if (zmq_send(p->socket, send->bytes.data, send->bytes.len,
-		ZMQ_DONTWAIT) < 0) {
+	if (!(send->bulk ? send_bulk(b, p, send) : send_on(p->socket, send))) {
 		b->counters.dropped++;
 		return;
 	}
@@ -359,7 +393,7 @@
 		    zmq_strerror(zmq_errno()));
 	(void)snprintf(
 	    endpoint, sizeof(endpoint), "tcp://%s", b->settings->bus_listen);
-	bad |= set_common_options(b->router);
+	bad |= set_common_options(b->router, SEND_QUEUE_MESSAGES);
 	bad |= set_tcp_keepalive(b->router);
 	/*
 	 * A new connection replaces the old one with the same routing id, as
--- a/src/bus/bus.h
+++ b/src/bus/bus.h
@@ -17,6 +17,10 @@
  * The message bus between instances: ZeroMQ sockets on the loop. One bound
  * ROUTER socket receives; one DEALER socket for each peer sends.
  *
+ * Bulk messages (see node_send) have a connection of their own to each peer,
+ * made when the first one is sent, so that heartbeats and leases don't wait
+ * behind them. Few of them are queued; further ones are dropped.
+ *
  * Messages to a peer that is absent or does not respond are dropped rather
  * than delivered late: the high-water marks are small, sockets use immediate
  * mode (no queue without a connection) and no linger, and the connecting side
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -43,6 +43,7 @@
 	options.election_min_us = NODE_ELECTION_MIN_US;
 	options.election_max_us = NODE_ELECTION_MAX_US;
 	options.batch_bytes = NODE_RAFT_BATCH_BYTES;
+	options.bulk_bytes = NODE_RAFT_BATCH_BYTES;
 	return raft_create(&n->raft, &options, boot->disk, boot->now_us, err);
 }
 
@@ -68,8 +69,7 @@
 	n->view = member_view_create();
 	n->book = doc_table_create();
 	n->claims = claim_table_create();
-	n->recent = mem_alloc(NODE_RECENT_ENTRIES, sizeof(*n->recent));
-	n->recent_first = 1;
+	node_recent_create(n);
 	n->holder = member_holder_create(n->id, n->incarnation);
 	n->lessor = member_lessor_create(n->settings->store_in_flight,
 	    n->settings->store_loads_per_second_milli);
@@ -174,9 +174,8 @@
 	map_destroy_all(n->asks, free);
 	map_destroy_all(n->adapter_holders, free);
 	map_destroy_all(n->rates, destroy_rate);
-	for (i = 0; i < NODE_RECENT_ENTRIES; i++)
-		free(n->recent[i].bytes);
-	free(n->recent);
+	node_recent_destroy(n);
+	node_snapshot_free(n);
 	for (i = 0; i < n->nself_messages; i++)
 		free(n->self_messages[i].bytes);
 	free(n->self_messages);
--- a/src/node/node_follow.c
+++ b/src/node/node_follow.c
@@ -153,6 +153,21 @@
 	    MEMBER_LEASED;
 }
 
+/*
+ * The instance to pull from: while a snapshot is being received, its source, as
+ * long as it answers.
+ */
+static uint32_t
+next_source(struct node *n)
+{
+	uint32_t source = node_snapshot_incoming_source(n);
+
+	if (source != 0 && node_peer_is_alive(n, source) &&
+	    n->unanswered_pulls < FOLLOW_PULLS_MAX)
+		return source;
+	return pick_source(n);
+}
+
 static void
 send_pull(struct node *n)
 {
@@ -161,11 +176,12 @@
 	uint32_t source;
 
 	n->unanswered_pulls += is_behind(n) ? 1 : 0;
-	source = pick_source(n);
+	source = next_source(n);
 	n->next_pull_us = n->now + NODE_PULL_US;
 	if (source == 0)
 		return;
 	pull.next = n->applied + 1;
+	node_snapshot_fill_pull(n, source, &pull);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
 	envelope.pull = &pull;
 	node_peer_send(n, source, &envelope);
@@ -174,27 +190,46 @@
 void
 node_follow_tick(struct node *n)
 {
+	node_snapshot_tick(n);
 	if (n->now >= n->next_pull_us && !has_own_log(n))
 		send_pull(n);
 }
 
-static void
-push_snapshot(struct node *n, struct node_peer *peer)
+/* Bytes of the entries that were sent and that no pull has confirmed. */
+static size_t
+bytes_in_flight(const struct node *n, const struct node_peer *peer)
 {
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__FollowPush push = WIRE__FOLLOW_PUSH__INIT;
-	struct buf state = {0};
+	const struct node_recent_entry *recent;
+	size_t bytes = 0;
+	uint64_t i = peer->pull_next;
 
-	node_replica_snapshot(n, &state);
-	push.commit = n->applied;
-	push.snapshot_index = n->applied;
-	push.snapshot.data = (uint8_t *)state.data;
-	push.snapshot.len = state.len;
-	envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
-	envelope.push = &push;
-	node_peer_send(n, peer->id, &envelope);
-	peer->push_next = n->applied + 1;
-	buf_free(&state);
+	if (i < n->recent_first)
+		i = n->recent_first;
+	for (; i < peer->push_next; i++) {
+		recent = node_recent_get(n, i);
+		if (recent == NULL)
+			break;
+		bytes += recent->len;
+	}
+	return bytes;
+}
+
+/* Counts the next entries to push: as many as fit, and at least one. */
+static size_t
+count_entries(const struct node *n, const struct node_peer *peer)
+{
+	const struct node_recent_entry *recent;
+	size_t i, bytes = 0;
+
+	for (i = 0; i < NODE_PUSH_ENTRIES_MAX; i++) {
+		recent = node_recent_get(n, peer->push_next + i);
+		if (recent == NULL)
+			break;
+		bytes += recent->len;
+		if (i > 0 && bytes > NODE_PUSH_BYTES_MAX)
+			break;
+	}
+	return i;
 }
 
 static void
@@ -205,13 +240,10 @@
 	Wire__LogEntry entries[NODE_PUSH_ENTRIES_MAX];
 	Wire__LogEntry *list[NODE_PUSH_ENTRIES_MAX];
 	const struct node_recent_entry *recent;
-	size_t i;
+	size_t i, count = count_entries(n, peer);
 
-	for (i = 0; i < NODE_PUSH_ENTRIES_MAX; i++) {
-		if (peer->push_next + i > n->applied)
-			break;
-		recent =
-		    &n->recent[(peer->push_next + i) % NODE_RECENT_ENTRIES];
+	for (i = 0; i < count; i++) {
+		recent = node_recent_get(n, peer->push_next + i);
 		wire__log_entry__init(&entries[i]);
 		entries[i].index = recent->index;
 		entries[i].term = recent->term;
@@ -220,40 +252,65 @@
 		list[i] = &entries[i];
 	}
 	push.commit = n->applied;
-	push.n_entries = i;
+	push.n_entries = count;
 	push.entries = list;
 	envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
 	envelope.push = &push;
 	node_peer_send(n, peer->id, &envelope);
-	peer->push_next += i;
+	if (peer->push_next == peer->pull_next)
+		peer->push_started_us = n->now;
+	peer->push_next += count;
 }
 
+/*
+ * Pushes the entries that a follower lacks, within the window. One that needs
+ * entries which are not kept any more gets the snapshot with its next pull.
+ */
 static void
 push_to(struct node *n, struct node_peer *peer)
 {
 	while (peer->push_next <= n->applied) {
-		if (peer->push_next < n->recent_first)
-			push_snapshot(n, peer);
-		else
-			push_entries(n, peer);
+		if (peer->push_next < n->recent_first ||
+		    bytes_in_flight(n, peer) >= NODE_PUSH_WINDOW_BYTES)
+			return;
+		push_entries(n, peer);
 	}
 }
 
+/*
+ * Whether the entries sent since the last progress must have arrived by now if
+ * they were not lost. Without the time for their bytes a large entry would be
+ * sent again and again over a slow link while its first copy is on its way.
+ */
+static bool
+resend_is_due(const struct node *n, const struct node_peer *peer)
+{
+	return n->now >= peer->push_started_us + FOLLOW_RESEND_US +
+	    bytes_in_flight(n, peer) * NODE_SEND_BYTE_US;
+}
+
 void
 node_follow_on_pull(struct node *n, uint32_t from, const Wire__FollowPull *pull)
 {
 	struct node_peer *peer = node_peer_get(n, from);
 	bool advances = pull->next > peer->pull_next;
-	bool resent_recently = n->now < peer->resent_us + FOLLOW_RESEND_US;
 
 	peer->last_pull_us = n->now;
 	peer->pull_next = pull->next;
 	if (pull->next > n->applied + 1)
 		return; /* the follower is ahead of this instance */
-	if (peer->push_next > pull->next && (advances || resent_recently))
-		return; /* its entries have been sent already */
-	peer->push_next = pull->next;
-	peer->resent_us = n->now;
+	if (pull->next < n->recent_first) {
+		peer->push_next = 0; /* no entries until the next pull */
+		node_snapshot_send(n, peer, pull);
+		return;
+	}
+	if (peer->push_next <= pull->next ||
+	    (!advances && resend_is_due(n, peer))) {
+		peer->push_next = pull->next;
+		advances = true;
+	}
+	if (advances)
+		peer->push_started_us = n->now;
 	if (pull->next > n->applied && is_large(n))
 		push_entries(n, peer); /* empty, shows that we are alive */
 	else
@@ -282,15 +339,9 @@
 {
 	struct node_bytes bytes;
 	uint64_t before = n->applied;
+	bool progress = node_snapshot_receive(n, from, push);
 	size_t i;
 
-	(void)from;
-	if (push->snapshot_index != 0) {
-		bytes.data = (const char *)push->snapshot.data;
-		bytes.len = push->snapshot.len;
-		if (node_replica_restore(n, push->snapshot_index, bytes) != 0)
-			n->counters.malformed++;
-	}
 	for (i = 0; i < push->n_entries; i++) {
 		bytes.data = (const char *)push->entries[i]->command.data;
 		bytes.len = push->entries[i]->command.len;
@@ -299,8 +350,10 @@
 	}
 	member_freshness_on_applied(&n->freshness, n->applied);
 	/* A partitioned source answers, too, but has no new entries. */
-	if (n->applied > before || !is_behind(n))
+	if (n->applied > before || progress || !is_behind(n))
 		n->unanswered_pulls = 0;
-	if (n->applied > before || push->commit > n->applied)
+	if (progress && n->applied == before)
+		send_pull(n); /* for the next part */
+	else if (n->applied > before || push->commit > n->applied)
 		n->next_pull_us = 0; /* report the progress to the source */
 }
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -44,6 +44,10 @@
 #define GATE_PLACER_TIMEOUT_US (900 * 1000ULL)
 /* Timeout of a call that was relayed to the leader. */
 #define GATE_RELAY_TIMEOUT_US (900 * 1000ULL)
+/* Time added for each byte of its body: 8 Mbit/s. */
+#define GATE_RELAY_BYTE_US 1
+/* Bodies relayed and not answered yet; a larger one is relayed alone. */
+#define GATE_RELAY_BYTES_MAX (4 * 1024 * 1024)
 /* Timeout of a proposed change; its outcome is unknown then. */
 #define GATE_PROPOSAL_TIMEOUT_US (3000 * 1000ULL)
 /* Interval of table messages without changes, and of requests for the table. */
@@ -138,6 +142,7 @@
 /* A control call that was relayed to the leader. */
 struct gate_relay {
 	uint64_t call, request, expires_us;
+	size_t bytes; /* of the body */
 };
 
 /* An order or report call to an endpoint. */
@@ -198,6 +203,7 @@
 	bool logged_no_placer; /* last logged: no placer is reachable */
 	struct map *relays; /* struct gate_relay by number */
 	uint64_t last_relay;
+	size_t relayed_bytes; /* of the bodies of these calls */
 	/* the table of endpoints */
 	uint64_t table_term, table_number; /* last sent or applied */
 	uint32_t table_source; /* instance that last sent it */
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -394,7 +394,10 @@
 
 	relay->call = ++n->gate->last_relay;
 	relay->request = in->request;
-	relay->expires_us = n->now + GATE_RELAY_TIMEOUT_US;
+	relay->expires_us = n->now + GATE_RELAY_TIMEOUT_US +
+	    in->body.len * GATE_RELAY_BYTE_US;
+	relay->bytes = in->body.len;
+	n->gate->relayed_bytes += in->body.len;
 	(void)map_set_u64(n->gate->relays, relay->call, relay);
 	message.call = relay->call;
 	message.listener = in->listener;
@@ -407,6 +410,25 @@
 	node_peer_send(n, leader, &envelope);
 }
 
+/* Whether so many bytes are relayed already that this call must wait. */
+static bool
+relay_is_full(const struct node *n, const struct node_request *in)
+{
+	return n->gate->relayed_bytes > 0 &&
+	    n->gate->relayed_bytes + in->body.len > GATE_RELAY_BYTES_MAX;
+}
+
+/* Removes a relayed call; the caller frees it. NULL: not relayed. */
+static struct gate_relay *
+relay_remove(struct node *n, uint64_t call)
+{
+	struct gate_relay *relay = map_remove_u64(n->gate->relays, call);
+
+	if (relay != NULL)
+		n->gate->relayed_bytes -= relay->bytes;
+	return relay;
+}
+
 void
 gate_control_handle(struct node *n, const struct node_request *in,
     const struct gate_caller *caller)
@@ -415,6 +437,9 @@
 
 	if (gate_has_authority(n) && n->gate->placing)
 		handle_call(n, in, caller);
+	else if (leader != 0 && leader != n->id &&
+	    node_gate_placer(n) == leader && relay_is_full(n, in))
+		send_result(n, caller, 503, "too much is sent to the leader");
 	else if (leader != 0 && leader != n->id &&
 	    node_gate_placer(n) == leader)
 		relay_to_leader(n, leader, in);
@@ -443,8 +468,7 @@
 void
 gate_relay_on_answer(struct node *n, const Wire__CallAnswer *message)
 {
-	struct gate_relay *relay =
-	    map_remove_u64(n->gate->relays, message->call);
+	struct gate_relay *relay = relay_remove(n, message->call);
 	struct node_reply *reply;
 
 	if (relay == NULL)
@@ -473,7 +497,7 @@
 			continue;
 		caller.call = relay->request;
 		send_result(n, &caller, 503, "the leader did not answer");
-		free(map_remove_u64(n->gate->relays, relay->call));
+		free(relay_remove(n, relay->call));
 	}
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,6 +8,7 @@
 #include "member/member.h"
 #include "member/member_freshness.h"
 #include "mulberrypath/node.h"
+#include "node/node_follow.h"
 #include "raft/raft.h"
 #include "route/route.h"
 #include "sched/sched.h"
@@ -76,13 +77,30 @@
 #define NODE_DRAIN_MAX_US (60 * 1000 * 1000ULL)
 /* Its requests are answered this long before. */
 #define NODE_LAST_ANSWER_US (1000 * 1000ULL)
-/* The log is compacted at this size or number of entries. */
-#define NODE_COMPACT_BYTES   (4 * 1024 * 1024)
-#define NODE_COMPACT_ENTRIES 4096
-/* Applied entries that are kept in memory for followers. */
-#define NODE_RECENT_ENTRIES 1024
+/*
+ * The log is compacted at a number of entries or at a size: a multiple of the
+ * last snapshot, so that packing and syncing snapshots costs little beside the
+ * entries themselves, within a part of the memory limit.
+ */
+#define NODE_COMPACT_ENTRIES	    4096
+#define NODE_COMPACT_BYTES	    (4 * 1024 * 1024)
+#define NODE_COMPACT_SNAPSHOTS	    16
+#define NODE_COMPACT_MEMORY_DIVISOR 16
 /* Entries in one push to a follower. */
 #define NODE_PUSH_ENTRIES_MAX 256
+/* Bytes of entries in one push; a larger entry is sent alone. */
+#define NODE_PUSH_BYTES_MAX (64 * 1024)
+/*
+ * While this many bytes of entries are not confirmed by the follower, no more
+ * are pushed. No more than one large entry is thus on its way, and none is
+ * overtaken by the entries after it, which a follower would drop.
+ */
+#define NODE_PUSH_WINDOW_BYTES (64 * 1024)
+/*
+ * A message of the log or a relayed call with more bytes than this is sent
+ * over the connection for bulk messages, see node_send.
+ */
+#define NODE_BULK_BYTES (72 * 1024)
 /* Owners that are ranked for one ask. */
 #define NODE_OWNERS_MAX 8
 /* Instances with a data folder that are contacted at once. */
@@ -103,8 +121,11 @@
 #define NODE_RELAY_PENDING_MAX 32
 /* A relayed renewal without an answer for this time is sent directly. */
 #define NODE_RELAY_TIMEOUT_US (MEMBER_LEASE_US / 4)
-/* Size of one append of the replicated log. */
-#define NODE_RAFT_BATCH_BYTES (256 * 1024)
+/*
+ * Size of one append of the replicated log, and of one part of its snapshot. A
+ * heartbeat waits behind RAFT_INFLIGHT_MAX of them at most, 80 ms at 25 Mbit/s.
+ */
+#define NODE_RAFT_BATCH_BYTES (64 * 1024)
 
 /* What is known of another instance from its messages. */
 struct node_peer {
@@ -124,7 +145,11 @@
 	char **services;
 	size_t nservices;
 	/* As a follower of this instance. */
-	uint64_t last_pull_us, pull_next, push_next, resent_us;
+	uint64_t last_pull_us, pull_next, push_next;
+	/* Entries on their way since then count as lost after a time. */
+	uint64_t push_started_us;
+	/* The part of a snapshot that was sent last. */
+	uint64_t part_index, part_offset, part_sent_us;
 	/* As a listed voter before the founding. */
 	uint64_t hello_received_us, hello_voter;
 	struct raft_config founding; /* with which its log was founded */
@@ -230,16 +255,10 @@
 	char *bytes;
 	size_t len;
 	uint64_t expires_us, resend_us;
+	uint64_t appended_term; /* in which it was added to the own log */
 	bool sent;
 };
 
-/* An applied log entry. */
-struct node_recent_entry {
-	uint64_t index, term;
-	char *bytes;
-	size_t len;
-};
-
 /* A packed message of this instance to itself. */
 struct node_self_message {
 	char *bytes;
@@ -279,6 +298,9 @@
 	uint64_t malformed, asks, grants, orders, applied, snapshots;
 	uint64_t resyncs;
 	uint64_t control_bytes_out;
+	uint64_t follow_snapshots; /* packed for followers */
+	uint64_t follow_parts; /* parts of them sent */
+	uint64_t follow_restarts; /* snapshots replaced while received */
 };
 
 struct node {
@@ -303,9 +325,13 @@
 	uint64_t leader_since; /* value for which the lessor was last reset */
 	uint64_t claim_clock_us; /* end of the time proposed as a claim clock */
 	uint64_t commit_seen;
+	size_t snapshot_bytes; /* of the last snapshot of the log */
 	uint32_t unanswered_pulls; /* since the last push, while behind */
 	struct node_recent_entry *recent; /* ring of NODE_RECENT_ENTRIES */
 	uint64_t recent_first; /* recent_first..applied are in the ring */
+	size_t recent_bytes, recent_bytes_max; /* of their commands */
+	struct node_snapshot_source snapshot_source;
+	struct node_snapshot_incoming snapshot_incoming;
 	bool push_due;
 	uint32_t follow_source; /* the voter that was followed last */
 	uint64_t follow_direct_until_us; /* follow a voter instead of a relay */
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -114,6 +114,28 @@
 	n->nself_messages++;
 }
 
+/*
+ * Whether a message is sent over the connection for bulk messages: those that
+ * carry log entries or the body of a call. The order of the others among
+ * themselves stays as it is.
+ */
+static bool
+is_bulk(const Wire__Envelope *envelope, size_t len)
+{
+	if (len <= NODE_BULK_BYTES)
+		return false;
+	switch (envelope->body_case) {
+	case WIRE__ENVELOPE__BODY_RAFT:
+	case WIRE__ENVELOPE__BODY_PUSH:
+	case WIRE__ENVELOPE__BODY_PROPOSE:
+	case WIRE__ENVELOPE__BODY_CALL_RELAY:
+	case WIRE__ENVELOPE__BODY_CALL_ANSWER:
+		return true;
+	default:
+		return false;
+	}
+}
+
 void
 node_peer_send(struct node *n, uint32_t to, Wire__Envelope *envelope)
 {
@@ -138,6 +160,7 @@
 		send->address = node_effects_printf(n->fx, "%s", address);
 		send->bytes.data = node_effects_copy(n->fx, bytes, len);
 		send->bytes.len = len;
+		send->bulk = is_bulk(envelope, len);
 		n->counters.messages_out++;
 		n->counters.bytes_out += len;
 	}
--- a/src/node/node_propose.c
+++ b/src/node/node_propose.c
@@ -49,21 +49,38 @@
 	free(packed);
 }
 
+/*
+ * Appends a proposal to the own log, once in a term: while this instance leads,
+ * the log loses no entry of its term, so another copy would only add bytes.
+ */
+static void
+proposal_append(struct node *n, struct node_proposal *p)
+{
+	struct node_bytes command = {p->bytes, p->len};
+
+	if (n->raft == NULL || raft_get_role(n->raft) != RAFT_LEADER ||
+	    p->appended_term == raft_get_term(n->raft))
+		return;
+	if (append_as_leader(n, command)) {
+		p->sent = true;
+		p->appended_term = raft_get_term(n->raft);
+	}
+}
+
 /* Sends a proposal to the leader, if one is known, and sets the next retry. */
 static void
 proposal_send(struct node *n, struct node_proposal *p)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Propose message = WIRE__PROPOSE__INIT;
-	struct node_bytes command = {p->bytes, p->len};
 	uint32_t leader = node_leader(n);
 
-	p->resend_us = n->now + NODE_PROPOSE_RETRY_US;
+	p->resend_us =
+	    n->now + NODE_PROPOSE_RETRY_US + p->len * NODE_SEND_BYTE_US;
 	if (leader == 0)
 		return;
 	if (leader == n->id) {
-		if (n->raft != NULL && append_as_leader(n, command))
-			p->sent = true;
+		proposal_append(n, p);
 		return;
 	}
 	p->sent = true;
--- a/src/node/node_replica.c
+++ b/src/node/node_replica.c
@@ -10,24 +10,6 @@
  * work that the log has ready.
  */
 
-/* Stores an applied entry for the followers of this instance. */
-static void
-recent_add(
-    struct node *n, uint64_t index, uint64_t term, struct node_bytes command)
-{
-	struct node_recent_entry *slot =
-	    &n->recent[index % NODE_RECENT_ENTRIES];
-
-	free(slot->bytes);
-	slot->index = index;
-	slot->term = term;
-	slot->bytes = mem_copy(command.data, command.len);
-	slot->len = command.len;
-	if (index >= n->recent_first + NODE_RECENT_ENTRIES)
-		n->recent_first = index - NODE_RECENT_ENTRIES + 1;
-	n->push_due = true;
-}
-
 void
 node_replica_apply(
     struct node *n, uint64_t index, uint64_t term, struct node_bytes command)
@@ -39,7 +21,7 @@
 	n->applied = index;
 	n->applied_term = term;
 	n->counters.applied++;
-	recent_add(n, index, term, command);
+	node_recent_add(n, index, term, command);
 	if (command.len == 0)
 		return;
 	parsed = wire__command__unpack(
@@ -126,9 +108,9 @@
 	if (index <= n->applied)
 		return 0;
 	if (state.len == 0) { /* the founding has no state */
+		node_recent_reset(n, index + 1);
 		n->applied = index;
 		n->applied_term = 1;
-		n->recent_first = index + 1;
 		return 0;
 	}
 	snapshot = node__snapshot__unpack(
@@ -139,9 +121,9 @@
 	if (rc != 0)
 		goto cleanup;
 	node_gate_restore(n, snapshot);
+	node_recent_reset(n, index + 1);
 	n->applied = index;
 	n->applied_term = snapshot->term;
-	n->recent_first = index + 1;
 	node_owner_on_epoch(n, true);
 	route_on_claims_ended(n->route, n->now, n->fx);
 	resend_proposals(n);
@@ -187,6 +169,18 @@
 	}
 }
 
+static size_t
+compact_bytes(const struct node *n)
+{
+	size_t share = ((size_t)n->settings->memory_limit_mb << 20) /
+	    NODE_COMPACT_MEMORY_DIVISOR;
+	size_t bytes = n->snapshot_bytes * NODE_COMPACT_SNAPSHOTS;
+
+	if (bytes > share)
+		bytes = share;
+	return bytes > NODE_COMPACT_BYTES ? bytes : NODE_COMPACT_BYTES;
+}
+
 static void
 compact_log(struct node *n)
 {
@@ -194,7 +188,7 @@
 	struct node_bytes bytes;
 	uint64_t snapshot_index = raft_get_snapshot_index(n->raft);
 
-	if (raft_get_log_bytes(n->raft) < NODE_COMPACT_BYTES &&
+	if (raft_get_log_bytes(n->raft) < compact_bytes(n) &&
 	    n->applied < snapshot_index + NODE_COMPACT_ENTRIES)
 		return;
 	if (n->applied <= snapshot_index ||
@@ -204,6 +198,7 @@
 	bytes.data = state.data;
 	bytes.len = state.len;
 	raft_compact(n->raft, n->now, n->applied, bytes, n->fx);
+	n->snapshot_bytes = state.len;
 	n->counters.snapshots++;
 	node_log(n, NODE_LOG_SNAPSHOT, "{\"index\": %llu, \"bytes\": %zu}",
 	    (unsigned long long)n->applied, state.len);
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -54,6 +54,11 @@
 	uint64_t election_min_us;
 	uint64_t election_max_us;
 	size_t batch_bytes; /* limit of entry bytes per append message */
+	/*
+	 * An entry with more bytes is sent alone: nothing else is appended at a
+	 * peer until it is answered, and heartbeats may overtake it. 0: none.
+	 */
+	size_t bulk_bytes;
 };
 
 /* The membership: learners receive the log but do not count for quorums. */
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -23,6 +23,11 @@
 #define RAFT_COMPACT_KEEP_BYTES	  (1U << 20)
 /* Size limit of a snapshot received in parts. */
 #define RAFT_INSTALL_BYTES_MAX (512U << 20)
+/*
+ * Time allowed for each byte of a bulk append before it counts as lost: 2
+ * Mbit/s, a quarter of the slowest link. It is added to election_min_us.
+ */
+#define RAFT_BULK_BYTE_US 4
 /*
  * Length of the leader lease in percent of election_min_us. The clocks of
  * two instances drift apart by less than the rest.
@@ -42,6 +47,8 @@
 	uint64_t install_sent_us; /* send time of that part, 0: not sent */
 	uint64_t inflight[RAFT_INFLIGHT_MAX]; /* last index of each append */
 	size_t ninflight;
+	uint64_t bulk_index; /* of the bulk entry in flight, 0: none */
+	uint64_t bulk_until_us; /* it counts as lost from then on */
 	bool probing; /* next is unconfirmed: one append at a time */
 	bool probe_sent; /* cleared by a rejection or the next heartbeat */
 	bool removed; /* by a change that is not committed yet */
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -3,6 +3,10 @@
  * advances the commit index. A peer whose log end is unknown is probed with
  * one append at a time until a reply confirms its next index; then up to
  * RAFT_INFLIGHT_MAX appends are sent without waiting for the replies.
+ *
+ * An entry beyond bulk_bytes is sent only to a peer whose log end is confirmed,
+ * with no other append in flight, and not again before there was time for its
+ * bytes to arrive.
  */
 
 #include <string.h>
@@ -117,6 +121,16 @@
 	raft_message_send(r, p->id, &m);
 }
 
+/* Whether the next entry for the peer is a bulk one. */
+static bool
+peer_next_is_bulk(const struct raft *r, const struct raft_peer *p)
+{
+	const struct raft_log_entry *entry = raft_log_get(&r->log, p->next);
+
+	return r->options.bulk_bytes != 0 && entry != NULL &&
+	    entry->len > r->options.bulk_bytes;
+}
+
 /* Send entries from the peer's next index on, up to batch_bytes. */
 static void
 peer_send_batch(struct raft *r, struct raft_peer *p)
@@ -124,6 +138,11 @@
 	struct buf b = {0};
 	size_t n;
 
+	if (peer_next_is_bulk(r, p)) {
+		p->bulk_index = p->next;
+		p->bulk_until_us = r->now_us + r->options.election_min_us +
+		    raft_log_get(&r->log, p->next)->len * RAFT_BULK_BYTE_US;
+	}
 	n = raft_log_pack(&r->log, p->next, r->options.batch_bytes, &b);
 	peer_send(r, p, p->next - 1, n, &b);
 	buf_free(&b);
@@ -131,6 +150,35 @@
 	p->inflight[p->ninflight++] = p->next - 1;
 }
 
+/*
+ * Send a probe: entries, or none where the next entry is a bulk one. The reply
+ * to an empty probe confirms the peer's log end as well.
+ */
+static void
+peer_send_probe(struct raft *r, struct raft_peer *p)
+{
+	uint64_t next = p->next;
+
+	if (p->probe_sent)
+		return;
+	p->probe_sent = true;
+	if (peer_next_is_bulk(r, p)) {
+		peer_send(r, p, next - 1, 0, NULL);
+		return;
+	}
+	peer_send_batch(r, p);
+	p->next = next;
+	p->ninflight = 0;
+}
+
+/* Whether the next entries must wait for the answer to those in flight. */
+static bool
+peer_must_wait(const struct raft *r, const struct raft_peer *p)
+{
+	return p->ninflight == RAFT_INFLIGHT_MAX || p->bulk_index != 0 ||
+	    (p->ninflight > 0 && peer_next_is_bulk(r, p));
+}
+
 /*
  * Send what the peer lacks, within the limit of unanswered appends: entries,
  * a snapshot when the entries are compacted, or the new commit index.
@@ -141,20 +189,13 @@
 	uint64_t last = raft_log_last_index(&r->log);
 	bool sent = false;
 
-	while (p->next <= last && p->ninflight < RAFT_INFLIGHT_MAX) {
+	while (p->next <= last && !peer_must_wait(r, p)) {
 		if (p->next <= r->log.base_index) {
 			raft_send_install(r, p);
 			return;
 		}
-		if (p->probing && p->probe_sent)
-			return;
-		p->probe_sent = p->probing;
 		if (p->probing) {
-			uint64_t next = p->next;
-
-			peer_send_batch(r, p);
-			p->next = next;
-			p->ninflight = 0;
+			peer_send_probe(r, p);
 			return;
 		}
 		peer_send_batch(r, p);
@@ -174,6 +215,22 @@
 		peer_replicate(r, &r->peers[i]);
 }
 
+/*
+ * The index before the next entry that the peer should receive. While a bulk
+ * entry may be on its way it is the index before that one.
+ */
+static uint64_t
+heartbeat_prev(struct raft *r, struct raft_peer *p)
+{
+	uint64_t next = p->next;
+
+	if (r->now_us >= p->bulk_until_us)
+		p->bulk_index = 0;
+	if (p->bulk_index != 0)
+		next = p->bulk_index;
+	return next > r->log.base_index ? next - 1 : 0;
+}
+
 /*
  * Send a heartbeat to all peers. A peer that lost an append rejects the
  * heartbeat, which restarts probing; a new probe is allowed as well.
@@ -182,14 +239,12 @@
 raft_send_heartbeats(struct raft *r)
 {
 	struct raft_peer *p;
-	uint64_t prev;
 	size_t i;
 
 	for (i = 0; i < r->npeers; i++) {
 		p = &r->peers[i];
-		prev = p->next > r->log.base_index ? p->next - 1 : 0;
 		p->probe_sent = false;
-		peer_send(r, p, prev, 0, NULL);
+		peer_send(r, p, heartbeat_prev(r, p), 0, NULL);
 		peer_replicate(r, p);
 	}
 	r->heartbeat_due_us = r->now_us + r->options.heartbeat_us;
@@ -297,6 +352,7 @@
 	p->probing = true;
 	p->probe_sent = false;
 	p->ninflight = 0;
+	p->bulk_index = 0;
 }
 
 /* Record an acknowledged index and release the appends it covers. */
@@ -309,6 +365,8 @@
 		return;
 	p->match = match;
 	p->install_index = 0;
+	if (p->bulk_index <= match)
+		p->bulk_index = 0;
 	if (p->probing && match + 1 >= p->next) {
 		p->probing = false;
 		p->ninflight = 0;
@@ -359,6 +417,9 @@
 	peer_update_match(p, m->match);
 	if (m->rejected)
 		peer_handle_reject(r, p, m);
+	else if (p->probing && m->match + 1 >= p->next &&
+	    peer_next_is_bulk(r, p))
+		p->probing = false; /* an empty probe was accepted */
 	raft_advance_commit(r, fx);
 	if (r->role == RAFT_LEADER)
 		raft_replicate_all(r);
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -82,6 +82,8 @@
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
 	NODE_LOG_REPLY_OUTDATED = 142,
 	NODE_LOG_GATE_DEREGISTERED = 143,
+	NODE_LOG_STATE_RECEIVED = 160, /* a snapshot, from another instance */
+	NODE_LOG_STATE_REJECTED = 161,
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -3674,7 +3674,7 @@
   (ProtobufCMessageInit) wire__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__follow_pull__field_descriptors[4] =
 {
   {
     "next",
@@ -3712,16 +3712,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowPull, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__follow_pull__field_indices_by_name[] = {
   0,   /* field[0] = next */
+  3,   /* field[3] = parts */
   1,   /* field[1] = snapshot_index */
   2,   /* field[2] = snapshot_offset */
 };
 static const ProtobufCIntRange wire__follow_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__follow_pull__descriptor =
 {
@@ -3731,7 +3744,7 @@
   "Wire__FollowPull",
   "wire",
   sizeof(Wire__FollowPull),
-  3,
+  4,
   wire__follow_pull__field_descriptors,
   wire__follow_pull__field_indices_by_name,
   1,  wire__follow_pull__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -546,10 +546,14 @@
    * bytes received
    */
   uint64_t snapshot_offset;
+  /*
+   * the sender takes a snapshot in parts
+   */
+  protobuf_c_boolean parts;
 };
 #define WIRE__FOLLOW_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__follow_pull__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/tests/bus/bus_test.cc
+++ b/tests/bus/bus_test.cc
@@ -99,11 +99,11 @@
 	}
 
 	void
-	send(uint32_t to, int port, const std::string &text)
+	send(uint32_t to, int port, const std::string &text, bool bulk = false)
 	{
 		std::string address = "127.0.0.1:" + std::to_string(port);
 		struct node_send m = {
-		    to, address.c_str(), {text.data(), text.size()}};
+		    to, address.c_str(), {text.data(), text.size()}, bulk};
 
 		bus_send(bus, &m);
 	}
@@ -445,3 +445,88 @@
 	a.stop();
 	b.stop();
 }
+
+/* Establishes both connections between two instances through a forwarder. */
+static void
+connect_both(uv_loop_t *loop, Instance &a, Instance &b, Forwarder *f)
+{
+	ASSERT_TRUE(run_until(
+	    loop,
+	    [&] {
+		    a.send(2, f->port, "small");
+		    a.send(2, f->port, "bulk", true);
+	    },
+	    [&] { return f->accepted == 2 && b.in.size() > 100; }));
+	/* what is on its way still */
+	(void)run_until(
+	    loop, [] {}, [] { return false; }, 100);
+	b.in.clear();
+}
+
+/* Guards against heartbeats that wait behind the body of a large call. */
+TEST_F(BusTest, a_bulk_message_does_not_delay_others)
+{
+	Keys ka, kb;
+
+	for (bool keyed : {false, true}) {
+		Instance a(&loop, 1, keyed ? &ka : nullptr);
+		Instance b(&loop, 2, keyed ? &kb : nullptr);
+		std::string large(2500 * 1000, 'x');
+		Forwarder *f;
+
+		for (Instance *i : {&a, &b}) {
+			if (keyed) {
+				i->list_peer(1, ka);
+				i->list_peer(2, kb);
+			}
+			ASSERT_EQ(i->start(), MP_OK);
+		}
+		f = new Forwarder(&loop, b.port());
+		connect_both(&loop, a, b, f);
+		f->slow(30 * 1000); /* the large one takes 0.8 s */
+		a.send(2, f->port, large, true);
+		(void)run_until(
+		    &loop, [] {}, [] { return false; }, 50);
+		a.send(2, f->port, "heartbeat");
+		EXPECT_TRUE(run_until(
+		    &loop, [] {}, [&] { return !b.in.empty(); }, 400));
+		ASSERT_FALSE(b.in.empty());
+		EXPECT_EQ(b.in[0].text, "heartbeat");
+		EXPECT_EQ(b.in[0].from, 1u);
+		EXPECT_TRUE(run_until(
+		    &loop, [] {}, [&] { return b.in.size() == 2; }));
+		EXPECT_EQ(b.in.back().text, large);
+		EXPECT_EQ(b.in.back().from, 1u);
+		a.stop();
+		b.stop();
+		f->close();
+		uv_run(&loop, UV_RUN_DEFAULT);
+		delete f;
+	}
+}
+
+/* Guards against a queue of large messages that is bounded in number only. */
+TEST_F(BusTest, few_bulk_messages_are_queued_for_a_peer_that_reads_nothing)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	std::string large(2500 * 1000, 'x');
+	uint64_t before;
+	Forwarder *f;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	f = new Forwarder(&loop, b.port());
+	connect_both(&loop, a, b, f);
+	f->slow(0);
+	before = a.counters().messages_out;
+	for (int i = 0; i < 100; i++)
+		a.send(2, f->port, large, true);
+	/* Those in the queue, and what the kernel's buffers hold. */
+	EXPECT_LE(a.counters().messages_out - before, 8u);
+	EXPECT_GE(a.counters().dropped, 92u);
+	a.stop();
+	b.stop();
+	f->close();
+	uv_run(&loop, UV_RUN_DEFAULT);
+	delete f;
+}
--- a/tests/raft/net.cc
+++ b/tests/raft/net.cc
@@ -131,6 +131,7 @@
 	o.election_min_us = kElectionMinUs;
 	o.election_max_us = kElectionMaxUs;
 	o.batch_bytes = options.batch_bytes;
+	o.bulk_bytes = options.bulk_bytes;
 	for (const auto &rec : x.disk.records)
 		all += rec;
 	d.incarnation = x.id;
@@ -412,6 +413,7 @@
 	int to = index_of(to_id);
 
 	messages_sent++;
+	bytes_sent += bytes.size();
 	if (recorded_messages.size() < options.record_messages_max)
 		recorded_messages.push_back(bytes);
 
@@ -428,6 +430,13 @@
 		if (rng_unit(&random) < options.spike_rate)
 			delay +=
 			    rng_below(&random, (uint32_t)options.spike_max_us);
+		if (bytes.size() > options.batch_bytes + 200) {
+			uint64_t &free_us = bulk_free_us[{from, (size_t)to}];
+
+			free_us = std::max(free_us, now) +
+			    bytes.size() * options.bulk_byte_us;
+			delay += free_us - now;
+		}
 		push({now + delay, 0, Event::MESSAGE, (size_t)to, to_id,
 		    members[from].id, from, bytes});
 	}
--- a/tests/raft/net.h
+++ b/tests/raft/net.h
@@ -74,6 +74,9 @@
 	uint64_t save_max_us = 3000; /* limit of the time for one save */
 	bool clock_drift = false; /* clocks run up to 2 percent fast or slow */
 	size_t batch_bytes = 4096;
+	size_t bulk_bytes = 0;
+	/* Time that each byte of a bulk message takes, beside its delay. */
+	uint64_t bulk_byte_us = 0;
 	uint64_t compact_every = 0; /* entries between compactions, 0: none */
 	size_t record_messages_max = 0; /* for recorded_messages */
 };
@@ -143,10 +146,13 @@
 	std::map<uint64_t, std::string> committed; /* by index: term, type,
 						      data */
 	std::map<std::pair<size_t, size_t>, uint64_t> extra_delay_us;
+	/* When a link has carried its bulk messages, by from and to. */
+	std::map<std::pair<size_t, size_t>, uint64_t> bulk_free_us;
 	std::map<uint64_t, uint64_t> leader_of_term;
 	std::map<size_t, uint64_t> snapshots_taken; /* count by member */
 	std::vector<std::string> recorded_messages; /* the first ones sent */
 	uint64_t messages_sent = 0, install_parts = 0;
+	uint64_t bytes_sent = 0;
 	NetOptions options;
 	rng random;
 
