--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -148,6 +148,8 @@
 	 * sent over a connection of its own.
 	 */
 	bool bulk;
+	/* Bulk messages may follow: that connection is made in advance. */
+	bool expects_bulk;
 };
 
 struct node_reply {
--- a/src/bus/bus.c
+++ b/src/bus/bus.c
@@ -12,12 +12,12 @@
 #include "util/map.h"
 #include "util/mem.h"
 
-#define ENDPOINT_MAX_BYTES     128
-#define ROUTING_ID_BYTES       5
-#define ROUTING_ID_PREFIX      'i' /* a routing id must not begin with zero */
-#define ROUTING_ID_BULK	       'b' /* of the connection for bulk messages */
-#define MESSAGE_MAX_BYTES      (64 * 1024 * 1024)
-#define SEND_QUEUE_MESSAGES    256
+#define ENDPOINT_MAX_BYTES  128
+#define ROUTING_ID_BYTES    5
+#define ROUTING_ID_PREFIX   'i' /* a routing id must not begin with zero */
+#define ROUTING_ID_BULK	    'b' /* of the connection for bulk messages */
+#define MESSAGE_MAX_BYTES   (64 * 1024 * 1024)
+#define SEND_QUEUE_MESSAGES 256
 /* A call's body has 2.5 MB at most in the sizes that we know: 10 MB a peer. */
 #define BULK_QUEUE_MESSAGES    4
 #define RECEIVE_QUEUE_MESSAGES 1024
@@ -284,10 +284,8 @@
  * time, the message takes the other one rather than be lost.
  */
 static bool
-send_bulk(const struct bus *b, struct peer *p, const struct node_send *send)
+send_bulk(struct peer *p, const struct node_send *send)
 {
-	if (p->bulk == NULL)
-		p->bulk = connect_peer(b, p->id, p->address, true);
 	if (p->bulk != NULL && send_on(p->bulk, send)) {
 		p->bulk_connected = true;
 		return true;
@@ -308,7 +306,9 @@
 		return;
 	}
 	p->last_send_ms = uv_now(b->loop);
-	if (!(send->bulk ? send_bulk(b, p, send) : send_on(p->socket, send))) {
+	if ((send->bulk || send->expects_bulk) && p->bulk == NULL)
+		p->bulk = connect_peer(b, p->id, p->address, true);
+	if (!(send->bulk ? send_bulk(p, send) : send_on(p->socket, send))) {
 		b->counters.dropped++;
 		return;
 	}
--- a/src/bus/bus.h
+++ b/src/bus/bus.h
@@ -18,8 +18,8 @@
  * ROUTER socket receives; one DEALER socket for each peer sends.
  *
  * Bulk messages (see node_send) have a connection of their own to each peer,
- * made when the first one is sent, so that heartbeats and leases don't wait
- * behind them. Few of them are queued; further ones are dropped.
+ * made when the first one is sent or announced, so that heartbeats and leases
+ * don't wait behind them. Few of them are queued; further ones are dropped.
  *
  * Messages to a peer that is absent or does not respond are dropped rather
  * than delivered late: the high-water marks are small, sockets use immediate
--- a/src/node/node_follow.h
+++ b/src/node/node_follow.h
@@ -61,7 +61,8 @@
 void node_recent_create(struct node *n);
 void node_recent_destroy(struct node *n);
 
-/* Adds the entry after the last applied one; evicts the oldest beyond limits. */
+/* Adds the entry after the last applied one; evicts the oldest beyond limits.
+ */
 void node_recent_add(
     struct node *n, uint64_t index, uint64_t term, struct node_bytes command);
 
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -394,8 +394,8 @@
 
 	relay->call = ++n->gate->last_relay;
 	relay->request = in->request;
-	relay->expires_us = n->now + GATE_RELAY_TIMEOUT_US +
-	    in->body.len * GATE_RELAY_BYTE_US;
+	relay->expires_us =
+	    n->now + GATE_RELAY_TIMEOUT_US + in->body.len * GATE_RELAY_BYTE_US;
 	relay->bytes = in->body.len;
 	n->gate->relayed_bytes += in->body.len;
 	(void)map_set_u64(n->gate->relays, relay->call, relay);
--- a/src/node/node_peer.c
+++ b/src/node/node_peer.c
@@ -161,6 +161,9 @@
 		send->bytes.data = node_effects_copy(n->fx, bytes, len);
 		send->bytes.len = len;
 		send->bulk = is_bulk(envelope, len);
+		send->expects_bulk =
+		    envelope->body_case == WIRE__ENVELOPE__BODY_RAFT ||
+		    envelope->body_case == WIRE__ENVELOPE__BODY_PUSH;
 		n->counters.messages_out++;
 		n->counters.bytes_out += len;
 	}
--- a/src/node/node_snapshot.c
+++ b/src/node/node_snapshot.c
@@ -150,8 +150,7 @@
 }
 
 void
-node_snapshot_fill_pull(
-    struct node *n, uint32_t source, Wire__FollowPull *pull)
+node_snapshot_fill_pull(struct node *n, uint32_t source, Wire__FollowPull *pull)
 {
 	struct node_snapshot_incoming *in = &n->snapshot_incoming;
 
@@ -212,8 +211,8 @@
 }
 
 static bool
-restore_whole(struct node *n, uint32_t from, uint64_t index,
-    struct node_bytes bytes)
+restore_whole(
+    struct node *n, uint32_t from, uint64_t index, struct node_bytes bytes)
 {
 	uint64_t before = n->applied;
 
--- a/tests/bus/bus_test.cc
+++ b/tests/bus/bus_test.cc
@@ -61,6 +61,7 @@
 	struct bus *bus = nullptr;
 	struct mp_error err = {};
 	std::vector<Message> in;
+	bool expects_bulk = false; /* of its messages */
 	bool closed = false;
 
 	Instance(uv_loop_t *loop, uint32_t id, const Keys *keys = nullptr)
@@ -102,8 +103,8 @@
 	send(uint32_t to, int port, const std::string &text, bool bulk = false)
 	{
 		std::string address = "127.0.0.1:" + std::to_string(port);
-		struct node_send m = {
-		    to, address.c_str(), {text.data(), text.size()}, bulk};
+		struct node_send m = {to, address.c_str(),
+		    {text.data(), text.size()}, bulk, expects_bulk};
 
 		bus_send(bus, &m);
 	}
@@ -505,6 +506,33 @@
 	}
 }
 
+/*
+ * Guards against a first bulk message that takes the connection of the
+ * heartbeats because its own is not up.
+ */
+TEST_F(BusTest, the_bulk_connection_is_made_in_advance)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	Forwarder *f;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	f = new Forwarder(&loop, b.port());
+	EXPECT_TRUE(is_delivered(a, b, f->port, "1"));
+	(void)run_until(
+	    &loop, [] {}, [] { return false; }, 100);
+	EXPECT_EQ(f->accepted, 1);
+	a.expects_bulk = true;
+	EXPECT_TRUE(is_delivered(a, b, f->port, "2"));
+	EXPECT_TRUE(run_until(
+	    &loop, [] {}, [&] { return f->accepted == 2; }));
+	a.stop();
+	b.stop();
+	f->close();
+	uv_run(&loop, UV_RUN_DEFAULT);
+	delete f;
+}
+
 /* Guards against a queue of large messages that is bounded in number only. */
 TEST_F(BusTest, few_bulk_messages_are_queued_for_a_peer_that_reads_nothing)
 {
--- a/tests/bus/forwarder.h
+++ b/tests/bus/forwarder.h
@@ -116,19 +116,19 @@
 
 		for (auto &s : f->streams) {
 			size_t n = std::min(f->rate, s.waiting.size());
-			uv_buf_t out = uv_buf_init(
-			    (char *)s.waiting.data(), (unsigned)n);
+			uv_buf_t out =
+			    uv_buf_init((char *)s.waiting.data(), (unsigned)n);
 			int written;
 
 			if (n == 0)
 				continue;
-			written = uv_try_write(
-			    (uv_stream_t *)&s.other->tcp, &out, 1);
+			written =
+			    uv_try_write((uv_stream_t *)&s.other->tcp, &out, 1);
 			if (written > 0)
 				s.waiting.erase(0, (size_t)written);
 			if (s.waiting.size() <= waiting_max)
-				uv_read_start((uv_stream_t *)&s.tcp, on_alloc,
-				    on_read);
+				uv_read_start(
+				    (uv_stream_t *)&s.tcp, on_alloc, on_read);
 		}
 	}
 
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -1,5 +1,13 @@
 #include "gateway_sim.h"
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/allocator_interface.h>
+#else
+#include <malloc.h>
+#endif
+
+#include <algorithm>
+
 #include "doc/doc.h"
 #include "mulberrypath/settings.h"
 
@@ -269,16 +277,38 @@
 	    [this, i, generation] { run_next_event(i, generation); });
 }
 
+int64_t
+GatewaySim::allocated_bytes() const
+{
+	if (!counts_memory)
+		return 0;
+#ifdef __SANITIZE_ADDRESS__
+	return (int64_t)__sanitizer_get_current_allocated_bytes();
+#else
+	struct mallinfo2 info = mallinfo2();
+
+	return (int64_t)(info.uordblks + info.hblkhd);
+#endif
+}
+
 void
 GatewaySim::step(int i, const struct node_event &ev)
 {
 	GatewayInstance &m = *instances[(size_t)i];
 
+	int64_t before;
+
 	if (!m.alive || m.exited)
 		return;
 	node_effects_clear(fx);
+	before = allocated_bytes();
 	node_step(m.node, now_us, &ev, fx);
+	m.held_bytes += allocated_bytes() - before;
+	m.held_bytes_max = std::max(m.held_bytes_max, m.held_bytes);
 	apply_effects(i);
+	before = allocated_bytes();
+	node_effects_clear(fx);
+	m.held_bytes += allocated_bytes() - before;
 }
 
 /* ---- effects ------------------------------------------------------------ */
@@ -328,6 +358,19 @@
 	});
 }
 
+/* The time until the connection has carried what was sent before and this. */
+uint64_t
+GatewaySim::transfer_delay(int from, int to, const struct node_send &send)
+{
+	uint64_t &free_us = link_free_us[{from, to, send.bulk}];
+
+	if (link_byte_us == 0)
+		return 0;
+	free_us = std::max(free_us, now_us) +
+	    (uint64_t)((double)send.bytes.len * link_byte_us);
+	return free_us - now_us;
+}
+
 void
 GatewaySim::do_send(int i, const struct node_send &send)
 {
@@ -337,7 +380,7 @@
 	if (to < 0 || cut_links.count({i, to}) > 0 ||
 	    (is_lost && is_lost(i, to, bytes)))
 		return;
-	schedule(now_us + link_delay(i, to),
+	schedule(now_us + link_delay(i, to) + transfer_delay(i, to, send),
 	    [this, i, to, bytes] { deliver(i, to, bytes); });
 }
 
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cluster/cluster.h"
@@ -38,6 +39,11 @@
 	bool draining = false;
 	uint64_t busy_until_us = 0, used_us = 0;
 	uint64_t disk_done_us = 0; /* when its last write is complete */
+	/*
+	 * Memory of its reducer now, and the most after a step, which includes
+	 * the effects of the step.
+	 */
+	int64_t held_bytes = 0, held_bytes_max = 0;
 	/* messages that wait until it is no longer frozen */
 	std::deque<std::function<void()>> kept_messages;
 };
@@ -61,6 +67,12 @@
 	std::function<bool(int from, int to, const std::string &bytes)> is_lost;
 	/* links, from and to, with a delay of their own */
 	std::map<std::pair<int, int>, uint64_t> link_delays_us;
+	/*
+	 * Time that a link takes for each byte, in each direction; 0: none.
+	 * Bulk messages have a connection of their own, which shares nothing
+	 * with the other.
+	 */
+	double link_byte_us = 0;
 	/* deliver messages to a frozen instance when it resumes */
 	bool keep_messages_of_frozen = false;
 	std::map<int, uint64_t>
@@ -83,6 +95,11 @@
 	std::function<void(const EndpointCall &)> on_call;
 	bool break_silent_calls = false; /* end calls that time out */
 	std::function<void(uint64_t request)> on_reply;
+	/*
+	 * Counts what each reducer holds, as far as malloc tells, in
+	 * held_bytes.
+	 */
+	bool counts_memory = false;
 
 	GatewaySim(int cores, int entries);
 	~GatewaySim();
@@ -162,9 +179,13 @@
 	void run_next_event(int i, uint64_t generation);
 	void tick(int i, uint64_t generation);
 	void step(int i, const struct node_event &ev);
+	int64_t allocated_bytes() const;
 	void apply_effects(int i);
 	void do_save(int i, const struct node_save &save);
 	uint64_t link_delay(int from, int to) const;
+	uint64_t transfer_delay(int from, int to, const struct node_send &send);
+	/* when a connection has carried its messages: from, to, bulk */
+	std::map<std::tuple<int, int, bool>, uint64_t> link_free_us;
 	void do_send(int i, const struct node_send &send);
 	void do_call(int i, const struct node_call &call);
 	void break_call(int i, uint64_t call, uint64_t generation);
--- a/tests/node/follow_test.cc
+++ b/tests/node/follow_test.cc
@@ -39,8 +39,7 @@
 			EXPECT_EQ(node_recent_get(n, i)->index, i);
 			EXPECT_EQ(node_recent_get(n, i)->len, t.entry_bytes);
 		}
-		EXPECT_EQ(
-		    node_recent_get(n, n->recent_first - 1), nullptr);
+		EXPECT_EQ(node_recent_get(n, n->recent_first - 1), nullptr);
 	}
 }
 
@@ -116,7 +115,7 @@
 	bool rejected;
 };
 
-class FollowSnapshot : public ::testing::TestWithParam<Fault> { };
+class FollowSnapshot : public ::testing::TestWithParam<Fault> {};
 
 /*
  * The state arrives whole in spite of lost, repeated, late and damaged parts,
@@ -153,18 +152,21 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, FollowSnapshot,
     ::testing::Values(
-	Fault{"No", [](FollowWorld &, FollowWorld::Sent &, int) {
-		      return true;
-	      }, 1, false},
-	Fault{"Lost", [](FollowWorld &, FollowWorld::Sent &, int nth) {
-		      return nth % 3 != 1;
-	      }, 1, false},
+	Fault{"No",
+	    [](FollowWorld &, FollowWorld::Sent &, int) { return true; }, 1,
+	    false},
+	Fault{"Lost",
+	    [](FollowWorld &, FollowWorld::Sent &, int nth) {
+		    return nth % 3 != 1;
+	    },
+	    1, false},
 	Fault{"Repeated",
 	    [](FollowWorld &w, FollowWorld::Sent &s, int) {
 		    for (uint64_t ms : {1, 2, 30})
 			    w.deliver_after(ms * kMs, s.from, s.to, s.bytes);
 		    return true;
-	    }, 1, false},
+	    },
+	    1, false},
 	Fault{"Reordered",
 	    [](FollowWorld &w, FollowWorld::Sent &s, int nth) {
 		    /* the same part comes back after the next ones */
@@ -172,11 +174,13 @@
 			s.to, s.bytes);
 		    s.delay_us += (uint64_t)(nth * 5 % 3 * 10) * kMs;
 		    return true;
-	    }, 1, false},
+	    },
+	    1, false},
 	Fault{"Corrupt",
 	    [](FollowWorld &, FollowWorld::Sent &s, int nth) {
 		    return nth == 3 ? flip_byte(s) : true;
-	    }, 1, true},
+	    },
+	    1, true},
 	Fault{"Replaced",
 	    [](FollowWorld &w, FollowWorld::Sent &, int nth) {
 		    if (nth == 3) {
@@ -184,7 +188,8 @@
 			    fill(w, 0, 20, 100);
 		    }
 		    return true;
-	    }, 2, false},
+	    },
+	    2, false},
 	Fault{"OutdatedMeanwhile",
 	    /*
 	     * The one in progress is completed, though it is too old; a second
@@ -194,7 +199,8 @@
 		    if (nth == 3)
 			    fill(w, 0, 20, 100);
 		    return true;
-	    }, 2, false}),
+	    },
+	    2, false}),
     [](const ::testing::TestParamInfo<Fault> &info) {
 	    return std::string(info.param.name);
     });
--- a/tests/node/follow_world.h
+++ b/tests/node/follow_world.h
@@ -180,8 +180,8 @@
 		    "\",\"dataCentre\":\"z\",\"region\":\"r\"},\"http\":{"
 		    "\"listen\":\"" +
 		    ip(i) + ":7390\",\"limits\":{\"memoryMb\":" +
-		    std::to_string(memory_mb) + "}},\"bus\":{\"listen\":\"" + ip(i) +
-		    ":7000\"},\"seeds\":[" + list +
+		    std::to_string(memory_mb) + "}},\"bus\":{\"listen\":\"" +
+		    ip(i) + ":7000\"},\"seeds\":[" + list +
 		    "],\"gateway\":{\"front\":\"" + ip(i) +
 		    ":9000\",\"readiness\":\"" + ip(i) +
 		    ":9001\",\"fenced\":true}}";
--- a/tests/raft/bulk_test.cc
+++ b/tests/raft/bulk_test.cc
@@ -18,7 +18,7 @@
 	double copies; /* of each entry at most, by follower; 0: not counted */
 };
 
-class RaftBulk : public ::testing::TestWithParam<BulkCase> { };
+class RaftBulk : public ::testing::TestWithParam<BulkCase> {};
 
 /*
  * Guards against an entry that is sent with each heartbeat while the first copy
