--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -143,6 +143,13 @@
 	uint32_t to;
 	const char *address; /* "ip:port" of the recipient's bus */
 	struct node_bytes bytes;
+	/*
+	 * A large message that others to the same recipient may overtake: it is
+	 * sent over a connection of its own.
+	 */
+	bool bulk;
+	/* Bulk messages may follow: that connection is made in advance. */
+	bool expects_bulk;
 };
 
 struct node_reply {
