--- a/tests/node/follow_world.h
+++ b/tests/node/follow_world.h
@@ -116,10 +116,14 @@
 	std::string
 	text_of(int i)
 	{
-		const struct buf &text = node(i)->gate->config_text;
-
-		return std::string(
-		    text.data == nullptr ? "" : text.data, text.len);
+		struct buf text = {};
+		std::string out;
+
+		gw_text_join(node(i)->gate->config_text, &text);
+		if (text.data != nullptr)
+			out.assign(text.data, text.len);
+		buf_free(&text);
+		return out;
 	}
 
 	struct node *
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -81,11 +81,6 @@
 	{
 	}
 
-	static forward_verdict
-	check(void *, forward_check *, node_effects *)
-	{
-		return FORWARD_SEND;
-	}
 	static bool
 	may_send(void *, const gw_request *, bool)
 	{
