--- a/src/node/node_follow.h
+++ b/src/node/node_follow.h
@@ -12,7 +12,8 @@
 /*
  * What an instance retains for its followers: the latest applied entries,
  * bounded in number and bytes, and one packed snapshot for those that need
- * older ones. On the follower: the parts of a snapshot received so far.
+ * older ones. On the follower: the parts of a snapshot received so far. The
+ * limits of what is sent and kept of the log are here as well.
  */
 
 struct node;
@@ -28,6 +29,35 @@
 #define NODE_SNAPSHOT_PART_BYTES (64 * 1024)
 /* A packed snapshot that nobody pulls for this time is freed. */
 #define NODE_SNAPSHOT_IDLE_US (5 * 1000 * 1000ULL)
+/* Entries in one push to a follower. */
+#define NODE_PUSH_ENTRIES_MAX 256
+/* Bytes of entries in one push; a larger entry is sent alone. */
+#define NODE_PUSH_BYTES_MAX (64 * 1024)
+/*
+ * While this many bytes of entries are not confirmed by the follower, no more
+ * are pushed. No more than one large entry is thus on its way, and none is
+ * overtaken by the entries after it, which a follower would drop.
+ */
+#define NODE_PUSH_WINDOW_BYTES (64 * 1024)
+/*
+ * A message of the log or a relayed call with more bytes than this is sent
+ * over the connection for bulk messages, see node_send.
+ */
+#define NODE_BULK_BYTES (72 * 1024)
+/*
+ * The log is compacted at a number of entries or at a size: a multiple of the
+ * last snapshot, so that packing and syncing snapshots costs little beside the
+ * entries themselves, within a part of the memory limit.
+ */
+#define NODE_COMPACT_ENTRIES	    4096
+#define NODE_COMPACT_BYTES	    (4 * 1024 * 1024)
+#define NODE_COMPACT_SNAPSHOTS	    16
+#define NODE_COMPACT_MEMORY_DIVISOR 16
+/*
+ * Size of one append of the replicated log, and of one part of its snapshot. A
+ * heartbeat waits behind RAFT_INFLIGHT_MAX of them at most, 80 ms at 25 Mbit/s.
+ */
+#define NODE_RAFT_BATCH_BYTES (64 * 1024)
 /*
  * Time allowed for each byte on its way to another instance, before it counts
  * as lost: 2 Mbit/s, a quarter of the slowest link.
@@ -79,7 +109,7 @@
 void node_snapshot_send(
     struct node *n, struct node_peer *peer, const Wire__FollowPull *pull);
 
-/* Frees the packed snapshot once nobody pulls it any more. */
+/* Frees the snapshots that nobody needs any more. */
 void node_snapshot_tick(struct node *n);
 
 /*
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -77,30 +77,6 @@
 #define NODE_DRAIN_MAX_US (60 * 1000 * 1000ULL)
 /* Its requests are answered this long before. */
 #define NODE_LAST_ANSWER_US (1000 * 1000ULL)
-/*
- * The log is compacted at a number of entries or at a size: a multiple of the
- * last snapshot, so that packing and syncing snapshots costs little beside the
- * entries themselves, within a part of the memory limit.
- */
-#define NODE_COMPACT_ENTRIES	    4096
-#define NODE_COMPACT_BYTES	    (4 * 1024 * 1024)
-#define NODE_COMPACT_SNAPSHOTS	    16
-#define NODE_COMPACT_MEMORY_DIVISOR 16
-/* Entries in one push to a follower. */
-#define NODE_PUSH_ENTRIES_MAX 256
-/* Bytes of entries in one push; a larger entry is sent alone. */
-#define NODE_PUSH_BYTES_MAX (64 * 1024)
-/*
- * While this many bytes of entries are not confirmed by the follower, no more
- * are pushed. No more than one large entry is thus on its way, and none is
- * overtaken by the entries after it, which a follower would drop.
- */
-#define NODE_PUSH_WINDOW_BYTES (64 * 1024)
-/*
- * A message of the log or a relayed call with more bytes than this is sent
- * over the connection for bulk messages, see node_send.
- */
-#define NODE_BULK_BYTES (72 * 1024)
 /* Owners that are ranked for one ask. */
 #define NODE_OWNERS_MAX 8
 /* Instances with a data folder that are contacted at once. */
@@ -121,11 +97,6 @@
 #define NODE_RELAY_PENDING_MAX 32
 /* A relayed renewal without an answer for this time is sent directly. */
 #define NODE_RELAY_TIMEOUT_US (MEMBER_LEASE_US / 4)
-/*
- * Size of one append of the replicated log, and of one part of its snapshot. A
- * heartbeat waits behind RAFT_INFLIGHT_MAX of them at most, 80 ms at 25 Mbit/s.
- */
-#define NODE_RAFT_BATCH_BYTES (64 * 1024)
 
 /* What is known of another instance from its messages. */
 struct node_peer {
--- a/src/node/node_snapshot.c
+++ b/src/node/node_snapshot.c
@@ -64,13 +64,16 @@
 
 /* Whether the part was sent so recently that it may be on its way still. */
 static bool
-part_is_in_flight(
-    const struct node *n, const struct node_peer *peer, uint64_t offset)
+part_is_in_flight(const struct node *n, const struct node_peer *peer,
+    uint64_t offset, size_t len)
 {
+	uint64_t whole_us =
+	    len > NODE_SNAPSHOT_PART_BYTES ? len * NODE_SEND_BYTE_US : 0;
+
 	return peer->part_sent_us != 0 &&
 	    peer->part_index == n->snapshot_source.index &&
 	    peer->part_offset == offset &&
-	    n->now < peer->part_sent_us + PART_RESEND_US;
+	    n->now < peer->part_sent_us + PART_RESEND_US + whole_us;
 }
 
 /* Sends len bytes of the snapshot; whole: in the form without parts. */
@@ -119,10 +122,19 @@
 		len = NODE_SNAPSHOT_PART_BYTES;
 		s->partial_us = n->now;
 	}
-	if (!part_is_in_flight(n, peer, offset))
+	if (!part_is_in_flight(n, peer, offset, len))
 		send_part(n, peer, offset, len, !pull->parts);
 }
 
+/* ---- at the follower ---------------------------------------------------- */
+
+static void
+incoming_drop(struct node *n)
+{
+	buf_free(&n->snapshot_incoming.bytes);
+	n->snapshot_incoming.index = 0;
+}
+
 void
 node_snapshot_tick(struct node *n)
 {
@@ -131,15 +143,10 @@
 	if (s->bytes.data != NULL &&
 	    n->now >= s->pulled_us + NODE_SNAPSHOT_IDLE_US)
 		buf_free(&s->bytes);
-}
-
-/* ---- at the follower ---------------------------------------------------- */
-
-static void
-incoming_drop(struct node *n)
-{
-	buf_free(&n->snapshot_incoming.bytes);
-	n->snapshot_incoming.index = 0;
+	/* One that was being received when this instance became a voter. */
+	if (n->snapshot_incoming.bytes.data != NULL &&
+	    n->snapshot_incoming.index <= n->applied)
+		incoming_drop(n);
 }
 
 uint32_t
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -1,11 +1,5 @@
 #include "gateway_sim.h"
 
-#ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
-#else
-#include <malloc.h>
-#endif
-
 #include <algorithm>
 
 #include "doc/doc.h"
@@ -277,20 +271,6 @@
 	    [this, i, generation] { run_next_event(i, generation); });
 }
 
-int64_t
-GatewaySim::allocated_bytes() const
-{
-	if (!counts_memory)
-		return 0;
-#ifdef __SANITIZE_ADDRESS__
-	return (int64_t)__sanitizer_get_current_allocated_bytes();
-#else
-	struct mallinfo2 info = mallinfo2();
-
-	return (int64_t)(info.uordblks + info.hblkhd);
-#endif
-}
-
 void
 GatewaySim::step(int i, const struct node_event &ev)
 {
@@ -358,19 +338,6 @@
 	});
 }
 
-/* The time until the connection has carried what was sent before and this. */
-uint64_t
-GatewaySim::transfer_delay(int from, int to, const struct node_send &send)
-{
-	uint64_t &free_us = link_free_us[{from, to, send.bulk}];
-
-	if (link_byte_us == 0)
-		return 0;
-	free_us = std::max(free_us, now_us) +
-	    (uint64_t)((double)send.bytes.len * link_byte_us);
-	return free_us - now_us;
-}
-
 void
 GatewaySim::do_send(int i, const struct node_send &send)
 {
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -244,7 +244,7 @@
 
 	EXPECT_EQ(journal_hash_effects(a), 0u);
 	e = node_effects_add(a, NODE_FX_SEND);
-	e->u.send = {2, "a:1", {"xy", 2}};
+	e->u.send = {2, "a:1", {"xy", 2}, false, false};
 	hash = journal_hash_effects(a);
 	EXPECT_NE(hash, 0u);
 	e->u.send.bytes = {"xz", 2};
