platform, node: a kept request has no header with a key

Cause: a request that waits kept all headers of the caller, the key among them, until it was sent.

Change: gw_codec.remove_account_headers() takes the key and the caller's word for its account out as soon as the account is known to be needed. The fuzzer of the gateway hashes keys and checks accounts before and after.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -196,8 +196,8 @@
 			      * found by the key; NULL: none */
 	struct gw_key_hash key_hash; /* of the key, if account is set */
 	uint32_t account_priority;
-	bool has_accounts; /* account is told to the endpoint, and the key and
-			    * what the caller says of its account are not */
+	bool has_accounts; /* account is told to the endpoint; headers have no
+			    * key, nor what the caller says of its account */
 	uint32_t deadline_ms; /* time the caller waits; 0: not given */
 	const char *model, *adapter; /* NULL if not named */
 	uint32_t prompt_tokens, max_tokens;
@@ -382,6 +382,12 @@
 	int (*read_request)(struct gw_request *out,
 	    const struct node_request *in, struct node_effects *memory,
 	    struct mp_error *err);
+	/*
+	 * Removes the headers by which a caller names its account, so that a
+	 * request that is kept holds no key.
+	 */
+	void (*remove_account_headers)(
+	    struct gw_request *request, struct node_effects *memory);
 	/* Adds a request's headers for the endpoint to the call. */
 	void (*write_endpoint_request)(struct node_call *out,
 	    const struct gw_endpoint_request *request,
--- a/src/node/node_gate_account.c
+++ b/src/node/node_gate_account.c
@@ -29,6 +29,7 @@
 		account = gw_config_find_account_by_key(
 		    config, request->key, &request->key_hash);
 	request->key = NULL;
+	n->gate->codec->remove_account_headers(request, n->fx);
 	if (account != NULL)
 		set_account(request, account);
 	if (account != NULL || route->is_public)
--- a/tests/fuzz/gateway_fuzz.c
+++ b/tests/fuzz/gateway_fuzz.c
@@ -3,6 +3,7 @@
 
 #include "forward/forward_internal.h"
 #include "http/front_internal.h"
+#include "gate/gate_account.h"
 #include "platform/platform.h"
 #include "util/mem.h"
 
@@ -68,6 +69,8 @@
 		&config, (struct node_bytes){data, len}, &err) != MP_OK)
 		return;
 	(void)gw_config_check(config, &err);
+	gw_config_hash_keys(config, (const uint8_t[GW_KEY_SECRET_BYTES]){0});
+	(void)gw_config_check(config, &err);
 	gw_config_destroy(config);
 }
 
--- a/tests/gateway/account_test.cc
+++ b/tests/gateway/account_test.cc
@@ -168,6 +168,29 @@
 	EXPECT_EQ(Ask("/p/x", "Token k2"), "401");
 }
 
+/* An entry that starts, or was cut off, gets the accounts with the state. */
+TEST_F(Accounts, an_entry_that_starts_or_returns_knows_the_keys)
+{
+	ASSERT_NO_FATAL_FAILURE(StartServing(Account("a", "k1")));
+	sim->kill(entry);
+	Configure(Account("a", "k2"));
+	sim->start(entry);
+	ASSERT_TRUE(
+	    sim->run_until([&] { return sim->all_entries_ready(); }, 5000));
+	ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
+	sim->run_for_ms(1000);
+	EXPECT_EQ(Ask("/p/x", "Token k1"), "401");
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "ran for a");
+	sim->isolate(entry, true);
+	Configure(Account("a", "k3"));
+	sim->run_for_ms(1000);
+	sim->isolate(entry, false);
+	ASSERT_EQ(sim->announce(sim->leader(), "e1").status, 200);
+	sim->run_for_ms(2500);
+	EXPECT_EQ(Ask("/p/x", "Token k2"), "401");
+	EXPECT_EQ(Ask("/p/x", "Token k3"), "ran for a");
+}
+
 TEST_F(Accounts, new_moved_and_revoked_keys_take_effect_with_the_configuration)
 {
 	ASSERT_NO_FATAL_FAILURE(
--- a/tests/platform/request_test.cc
+++ b/tests/platform/request_test.cc
@@ -389,6 +389,8 @@
 		    MP_OK);
 		out.has_accounts = row.has_accounts;
 		out.account = row.account;
+		if (row.has_accounts)
+			platform_codec.remove_account_headers(&out, memory);
 		send.request = &out;
 		send.endpoint = "i-9";
 		platform_codec.write_endpoint_request(&call, &send, memory);
@@ -412,6 +414,7 @@
 	    MP_OK);
 	out.has_accounts = true;
 	out.account = "a";
+	platform_codec.remove_account_headers(&out, memory);
 	send.request = &out;
 	send.endpoint = "i-9";
 	platform_codec.write_endpoint_request(&call, &send, memory);
