place: cached prompt parts are bounded by the engine's memory

Cause: parts of prompts counted as cached until 512 others had been used, whatever memory the engine had left for them. Change: parts with their tokens in order of use, bounded by the memory that running requests leave; a probability that falls with what was evicted since the last use; the estimate uses expected tokens and has an uncertainty. The setting gateway.keptPrompts turns it off.

--- a/src/conf/fields.c
+++ b/src/conf/fields.c
@@ -107,8 +107,10 @@
 read_bool(void *base, const struct field *f, json_t *value, const char *path,
     struct settings_problems *problems)
 {
-	if (value == NULL)
+	if (value == NULL) {
+		*(bool *)field_at(base, f->offset) = f->fallback != 0;
 		return;
+	}
 	if (!json_is_boolean(value)) {
 		add_problem(problems, f, path, value);
 		return;
--- a/src/conf/fields.h
+++ b/src/conf/fields.h
@@ -37,7 +37,7 @@
 	bool (*check)(const char *s); /* is s allowed? TEXT, TEXTS */
 	const char *allowed; /* allowed values, as shown in a problem */
 	double min, max; /* NUMBER, MILLI; ARRAY, TEXTS: at least min items */
-	double fallback; /* default value: NUMBER, MILLI */
+	double fallback; /* default value: BOOL, NUMBER, MILLI */
 	const char *fallback_text; /* default value: CHOICE_TEXT */
 	const char *const *choices; /* NULL-terminated: CHOICE, CHOICE_TEXT */
 	const struct field *fields; /* OBJECT, ARRAY */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -48,6 +48,13 @@
 		.max = (hi), .fallback = (default_value),                      \
 		.allowed = "a number from " #lo " to " #hi                     \
 	}
+/* A flag that is set unless the settings say otherwise. */
+#define FLAG_ON(k, m)                                                          \
+	{                                                                      \
+		.key = (k), .type = FIELD_BOOL,                                \
+		.offset = offsetof(struct settings, m), .fallback = 1,         \
+		.allowed = "true or false"                                     \
+	}
 #define FLAG(k, m)                                                             \
 	{                                                                      \
 		.key = (k), .type = FIELD_BOOL,                                \
@@ -221,6 +228,7 @@
     NUMBER("retryWindowMs", gateway.retry_window_ms, 100, 600000, 10000),
     NUMBER("storeWindowMs", gateway.store_window_ms, 100, 600000, 5000),
     MILLI("storeOver", gateway.store_over_milli, 0.001, 1000, 1),
+    FLAG_ON("keptPrompts", gateway.kept_prompts),
     {.key = NULL},
 };
 
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -41,6 +41,7 @@
 	options.store_over_milli = s->store_over_milli;
 	options.max_adapter_loads = n->settings->store_in_flight;
 	options.adapter_load_ms = n->settings->load_ms;
+	options.ignores_kept_prompts = !s->kept_prompts;
 	/* Set when this instance becomes the placer. */
 	options.heartbeat_ms = 0;
 	return place_create(&options);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -50,6 +50,8 @@
 	uint32_t max_adapter_loads;
 	uint32_t adapter_load_ms; /* one load within max_adapter_loads */
 	uint32_t heartbeat_ms; /* interval of an endpoint's announcements */
+	/* engines' prefix caches are not considered */
+	bool ignores_kept_prompts;
 };
 
 /* Allocate a placer; place_destroy() frees it. options is copied. */
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -146,8 +146,7 @@
 {
 	double kept = exp(-(double)(p->now_us - e->busy_updated_us) / BUSY_US);
 
-	return e->busy_share * kept +
-	    (e->unread_requests > 0 ? 1 - kept : 0);
+	return e->busy_share * kept + (e->unread_requests > 0 ? 1 - kept : 0);
 }
 
 /* Before each change of unread_requests. */
@@ -322,8 +321,8 @@
 {
 	if (a->model != NULL)
 		return;
-	record_speed(p, &a->endpoint->calls, 1,
-	    fmax(ms_since(p, a->granted_us), 1));
+	record_speed(
+	    p, &a->endpoint->calls, 1, fmax(ms_since(p, a->granted_us), 1));
 	a->endpoint->last_served_call_us = p->now_us;
 }
 
@@ -350,6 +349,8 @@
 		release_unread(p, a);
 	e->running--;
 	e->kv_tokens -= a->prompt_tokens + a->max_tokens;
+	if (a->key != NULL)
+		place_prefix_release(p, e, a);
 	if (adapter == NULL)
 		return;
 	if (adapter->running > 0)
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -41,6 +41,8 @@
  * that this one waits: less urgent ones are worth less and have more time.
  */
 #define LESS_URGENT_COST 0.5
+/* Of two engines with about the same time, the more certain one is better. */
+#define UNCERTAINTY_COST 0.2
 /* The cost to later requests is at most four times the own time. */
 #define LATER_BUSY_SHARE_MAX 0.8
 /* An entry's routes have priorities from 0; it is their urgency from here. */
@@ -91,8 +93,7 @@
  * somewhat faster get nearly all requests until they have queues.
  */
 static double
-later_cost(
-    const struct place *p, const struct place_endpoint *e, double own_ms)
+later_cost(const struct place *p, const struct place_endpoint *e, double own_ms)
 {
 	double share =
 	    fmin(place_endpoint_busy_share(p, e), LATER_BUSY_SHARE_MAX);
@@ -257,6 +258,7 @@
     const struct place_ask *a, const struct place_adapter *adapter,
     bool may_order, double limit, struct place_estimate *out)
 {
+	struct place_prefix_saving saving;
 	double load, backlog, own_ms, batch_ms, tokens_per_ms;
 	uint32_t urgency = place_ask_urgency(a);
 
@@ -281,13 +283,15 @@
 	if (out->limit_wait_ms >= limit || isinf(out->limit_wait_ms))
 		return false;
 	out->backlog_ms = backlog;
-	out->own_tokens = a->prompt_tokens - place_prefix_cached_tokens(e, a);
+	saving = place_prefix_expect(p, e, a);
+	out->own_tokens = (uint32_t)(a->prompt_tokens - saving.tokens);
+	out->uncertainty_ms = saving.deviation / tokens_per_ms;
 	own_ms = out->own_tokens / tokens_per_ms;
 	out->first_ms =
 	    fmax(fmax(backlog, load), out->limit_wait_ms) + own_ms + batch_ms;
 	out->stuck = is_stuck(p, e);
 	out->cost += out->first_ms + less_urgent_cost(e, urgency, own_ms) +
-	    later_cost(p, e, own_ms) +
+	    later_cost(p, e, own_ms) + out->uncertainty_ms * UNCERTAINTY_COST +
 	    (out->stuck ? STUCK_COST_MS : 0);
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -114,6 +114,8 @@
 	uint64_t recent_unloads[PLACE_RECENT_UNLOADS_MAX];
 	size_t next_recent_unload;
 	struct map *cached_parts; /* struct prefix_use by prefix hash */
+	uint64_t cached_idle_tokens; /* of parts that no request uses */
+	uint64_t evicted_tokens; /* of such parts, so far */
 	/* orders */
 	uint64_t accepted_orders; /* the engine's count */
 	bool orders_known; /* accepted_orders is certain */
@@ -172,7 +174,8 @@
 	size_t count, cap;
 	/* when the last caller refused for limits was asked to return */
 	uint64_t limit_return_us;
-	/* when the last caller of a call that was too late was asked to return */
+	/* when the last caller of a call that was too late was asked to return
+	 */
 	uint64_t calls_return_us;
 };
 
@@ -354,8 +357,7 @@
 bool place_endpoint_is_usable(
     const struct place *p, const struct place_endpoint *e, const char *service);
 /* Set the speeds of a new endpoint: the mean of its service's endpoints. */
-void place_endpoint_init_speed(
-    const struct place *p, struct place_endpoint *e);
+void place_endpoint_init_speed(const struct place *p, struct place_endpoint *e);
 /* Prompt tokens per ms now. */
 double place_endpoint_tokens_per_ms(
     const struct place *p, const struct place_endpoint *e);
@@ -480,11 +482,20 @@
 /* ---- place_prefix.c ---- */
 /* Hash of the key and the prompt parts 0 to last. */
 uint64_t place_prefix_hash(const struct place_ask *a, size_t last);
-/* Record that the engine caches the prefixes of a request's prompt. */
+/* Record that the engine caches the prefixes of a granted request's prompt. */
 void place_prefix_record(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
-/* Tokens of the longest prefix of the prompt that the engine has cached. */
-uint32_t place_prefix_cached_tokens(
+/* Record that the request has ended; its prefixes may be evicted. */
+void place_prefix_release(
+    struct place *p, struct place_endpoint *e, const struct place_ask *a);
+/* Forget what an engine has cached, as another instance accounts for it. */
+void place_prefix_clear(struct place_endpoint *e);
+/* Prompt tokens that an engine need not process again. */
+struct place_prefix_saving {
+	double tokens; /* expected */
+	double deviation; /* standard deviation */
+};
+struct place_prefix_saving place_prefix_expect(const struct place *p,
     const struct place_endpoint *e, const struct place_ask *a);
 
 /* ---- place_service.c ---- */
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -66,6 +66,7 @@
 	e->unread_tokens = e->kv_tokens = 0;
 	memset(e->unread_requests_by, 0, sizeof(e->unread_requests_by));
 	memset(e->unread_tokens_by, 0, sizeof(e->unread_tokens_by));
+	place_prefix_clear(e);
 	e->needs_report = false;
 	e->is_foreign = true;
 }
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -22,7 +22,8 @@
 	gw_config config = {};
 	gw_service services[2] = {};
 	gw_model model = {};
-	place_options options = {200, 50, 10000, 5000, 1100, 8, 250, 1200};
+	place_options options = {
+	    200, 50, 10000, 5000, 1100, 8, 250, 1200, false};
 	node_effects *memory = node_effects_create();
 	std::map<std::string, uint64_t> sequences;
 	std::vector<place_decision> decisions;
