--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -23,7 +23,8 @@
 	gw_service services[2] = {};
 	gw_service *service_list[2] = {&services[0], &services[1]};
 	gw_model model = {};
-	place_options options = {200, 50, 10000, 5000, 1100, 8, 250, 1200};
+	place_options options = {
+	    200, 50, 10000, 5000, 1100, 8, 250, 1200, false};
 	node_effects *memory = node_effects_create();
 	std::map<std::string, uint64_t> sequences;
 	std::vector<place_decision> decisions;
