fair: shares between accounts as a package that sched uses

sched_team.c held the only fairness logic, in terms of teams, and placement needs the same. Accounts with weight, virtual counter, lift, credit limit, bounded remote charges and the largest gap move to src/fair; sched keeps what is particular to teams (flooding marks, rates, the choice of charges).

--- /dev/null
+++ b/src/fair/fair_guard.c
@@ -0,0 +1,3 @@
+#include "fair/fair.h"
+
+struct fair_guards fair_guards = {true, true, true};
--- /dev/null
+++ b/src/fair/fair_internal.h
@@ -0,0 +1,20 @@
+#ifndef MP_FAIR_FAIR_INTERNAL_H
+#define MP_FAIR_FAIR_INTERNAL_H
+
+#include "fair/fair.h"
+#include "util/map.h"
+
+struct fair {
+	struct fair_options options;
+	struct map *accounts; /* struct fair_account by name */
+	struct fair_account **active; /* those with recent requests */
+	uint32_t nactive, active_cap;
+	double counter_floor; /* least counter of one back from idle */
+	double mean_charge; /* of a request, over weight */
+	uint64_t gap_milli, largest_gap_milli;
+	uint32_t backlogged;
+	/* largest values so far, over weight, for the bound of the gap */
+	double largest_bound, largest_part, largest_unsettled;
+};
+
+#endif
--- a/src/sched/policy_fair.c
+++ b/src/sched/policy_fair.c
@@ -199,7 +199,7 @@
 	struct flow *f;
 
 	best->it = NULL;
-	if (t->queued == 0 || !team_may_run(t))
+	if (t->account->queued == 0 || !team_may_run(t))
 		return false;
 	for (f = t->flows; f != NULL; f = f->team_next) {
 		if (best->it != NULL && item_before(best->it, f->head))
@@ -224,7 +224,8 @@
     const struct fair_pick *b, double least)
 {
 	double bound = least + team_deficit_bound(s);
-	double ca = a->it->team->counter, cb = b->it->team->counter;
+	double ca = a->it->team->account->counter,
+	       cb = b->it->team->account->counter;
 
 	if (!sched_guards.bound)
 		return a->score > b->score;
@@ -245,12 +246,12 @@
 	bool found = false;
 	uint32_t i;
 
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
+	for (i = 0; i < team_active_count(s); i++) {
+		t = team_active_at(s, i);
 		if (!fair_pick_of_team(s, now_us, t, &pick))
 			continue;
-		if (!found || t->counter < least)
-			least = t->counter;
+		if (!found || t->account->counter < least)
+			least = t->account->counter;
 		if (!found || fair_goes_before(s, &pick, best, least))
 			*best = pick;
 		found = true;
@@ -271,7 +272,7 @@
 }
 
 static void
-fair_destroy(struct policy *policy)
+fair_policy_destroy(struct policy *policy)
 {
 	free(policy);
 }
@@ -284,7 +285,7 @@
 	(void)options;
 	p->vtable.name = "fair";
 	p->vtable.has_admission = true;
-	p->vtable.destroy = fair_destroy;
+	p->vtable.destroy = fair_policy_destroy;
 	p->vtable.decide = fair_decide;
 	p->vtable.evict_cost = fair_evict_cost;
 	return p;
--- a/src/sched/policy_fair_load.c
+++ b/src/sched/policy_fair_load.c
@@ -203,18 +203,18 @@
  * there is none.
  */
 static bool
-fair_least_counter(struct sched *s, uint64_t now_us, double *least)
+fair_least_load_counter(struct sched *s, uint64_t now_us, double *least)
 {
 	const struct team *t;
 	const struct flow *f;
 	bool found = false;
 	uint32_t i;
 
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
-		if (t->queued == 0 || !team_may_run(t))
+	for (i = 0; i < team_active_count(s); i++) {
+		t = team_active_at(s, i);
+		if (t->account->queued == 0 || !team_may_run(t))
 			continue;
-		if (found && t->counter >= *least)
+		if (found && t->account->counter >= *least)
 			continue;
 		for (f = t->flows; f != NULL; f = f->team_next) {
 			if (fair_allowed_load_value(s, now_us, f) > 0.0)
@@ -222,7 +222,7 @@
 		}
 		if (f == NULL)
 			continue;
-		*least = t->counter;
+		*least = t->account->counter;
 		found = true;
 	}
 	return found;
@@ -242,12 +242,12 @@
 	uint32_t i;
 
 	best->flow = NULL;
-	if (!fair_least_counter(s, now_us, &least))
+	if (!fair_least_load_counter(s, now_us, &least))
 		return false;
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
-		if (t->queued == 0 || !team_may_run(t) ||
-		    t->counter > least + team_deficit_bound(s))
+	for (i = 0; i < team_active_count(s); i++) {
+		t = team_active_at(s, i);
+		if (t->account->queued == 0 || !team_may_run(t) ||
+		    t->account->counter > least + team_deficit_bound(s))
 			continue;
 		weight = team_share_factor(s, t, now_us);
 		weight = weight * weight * weight;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -53,6 +53,7 @@
 	s->pools = map_create();
 	s->adapters = map_create();
 	s->teams = map_create();
+	s->fair = team_create_fair(options);
 	s->items = map_create();
 	s->next_us = SCHED_NEVER;
 	*out = s;
@@ -102,7 +103,7 @@
 	map_destroy(s->endpoints);
 	map_destroy(s->adapters);
 	map_destroy(s->pools);
-	free(s->active_teams);
+	fair_destroy(s->fair);
 	free(s->heap);
 	free(s->claims);
 	free(s->orphaned_loads);
@@ -193,10 +194,11 @@
 	if (map_get_u64(s->items, request->id) != NULL)
 		return;
 	it = mem_alloc(1, sizeof(*it));
-	t->weight = request->team_weight > 0.0 ? request->team_weight : 1.0;
-	t->max_concurrent = request->team_max_concurrent;
+	t->account->weight =
+	    request->team_weight > 0.0 ? request->team_weight : 1.0;
+	t->account->max_running = request->team_max_concurrent;
 	team_activate(s, t, now_us);
-	team_start_backlog(s, t);
+	fair_start_backlog(s->fair, t->account);
 	it->id = request->id;
 	it->team = t;
 	it->adapter = request_get_adapter(s, request);
@@ -234,7 +236,7 @@
 	it->ep = ep;
 	it->slot = slot;
 	it->cold_start_count = ep->cold_start_count;
-	it->team->running++;
+	it->team->account->running++;
 	if (it->adapter != NULL)
 		it->adapter->running++;
 	s->running++;
@@ -281,7 +283,7 @@
 	stat_add_wait(s, now_us, d->wait_us);
 	admit_update_margin(s, it, now_us, true);
 
-	team_update_gap(s);
+	fair_update_gap(s->fair);
 	it->provisional_charge = team_estimate_charge(s, it);
 	item_dequeue(s, it);
 	item_start(s, now_us, it, ep, slot);
@@ -335,7 +337,7 @@
 	struct endpoint *ep = it->ep;
 
 	s->running--;
-	it->team->running--;
+	it->team->account->running--;
 	if (it->adapter != NULL)
 		it->adapter->running--;
 	team_settle_charge(s, it, usage);
--- a/src/sched/sched_admit.c
+++ b/src/sched/sched_admit.c
@@ -154,7 +154,7 @@
     const struct team *t, const struct admit_ahead *own,
     struct admit_ahead *ahead)
 {
-	double weight_ratio = t->weight / it->team->weight;
+	double weight_ratio = t->account->weight / it->team->account->weight;
 	double requests = 0.0, loads = 0.0, same_engines = 0.0;
 	const struct flow *f;
 
@@ -289,10 +289,11 @@
 	    : 0.0;
 	if (same_engines_wait > wait)
 		wait = same_engines_wait;
-	if (t->max_concurrent == 0)
+	if (t->account->max_running == 0)
 		return wait;
-	own = (double)t->queued + t->running - t->max_concurrent;
-	own *= p->mean_service_us / t->max_concurrent;
+	own = (double)t->account->queued + t->account->running -
+	    t->account->max_running;
+	own *= p->mean_service_us / t->account->max_running;
 	return own > wait ? own : wait;
 }
 
@@ -307,11 +308,11 @@
 	admit_mark_engines(s, it, &own);
 	admit_count_own_team(s, it, now_us, &own);
 	all = own;
-	for (i = 0; i < s->nactive; i++) {
-		if (s->active_teams[i] != it->team &&
-		    s->active_teams[i]->queued > 0)
+	for (i = 0; i < team_active_count(s); i++) {
+		if (team_active_at(s, i) != it->team &&
+		    team_active_at(s, i)->account->queued > 0)
 			admit_count_other_team(
-			    s, it, s->active_teams[i], &own, &all);
+			    s, it, team_active_at(s, i), &own, &all);
 	}
 	load = admit_load_wait_us(s, it, all.loads);
 	seat = admit_seat_wait_us(it, &all);
@@ -449,10 +450,11 @@
 	struct team *longest = NULL, *t;
 	uint32_t i;
 
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
+	for (i = 0; i < team_active_count(s); i++) {
+		t = team_active_at(s, i);
 		if (longest == NULL ||
-		    t->queued * longest->weight > longest->queued * t->weight)
+		    t->account->queued * longest->account->weight >
+			longest->account->queued * t->account->weight)
 			longest = t;
 	}
 	return longest;
@@ -480,7 +482,7 @@
 	uint64_t wait;
 
 	while (it != NULL && it->is_new) {
-		if (it->team->queued > ADMIT_TEAM_QUEUE_MAX) {
+		if (it->team->account->queued > ADMIT_TEAM_QUEUE_MAX) {
 			last = admit_lowest_ranked(it->team);
 		} else if (s->queued > ADMIT_QUEUE_MAX) {
 			last = admit_lowest_ranked(admit_longest_queue(s));
--- a/src/sched/sched_guard.h
+++ b/src/sched/sched_guard.h
@@ -3,6 +3,8 @@
 
 #include <stdbool.h>
 
+#include "fair/fair.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -18,9 +20,14 @@
 			 as running */
 	bool takeover; /* no eviction before a report after a takeover */
 	bool permits; /* no load beyond the store permits */
-	bool bound; /* affinity reorders only within the deficit bound */
-	bool lift; /* a team that was idle keeps no credit */
-	bool remote; /* a remote charge counts only within bounds */
+	union {
+		struct fair_guards fair;
+		struct { /* the same, by their names in struct fair_guards */
+			bool bound; /* also: affinity reorders only within it */
+			bool lift;
+			bool remote;
+		};
+	};
 };
 
 extern struct sched_guards sched_guards;
--- a/src/sched/sched_internal.h
+++ b/src/sched/sched_internal.h
@@ -1,6 +1,7 @@
 #ifndef MP_SCHED_SCHED_INTERNAL_H
 #define MP_SCHED_SCHED_INTERNAL_H
 
+#include "fair/fair.h"
 #include "sched/sched.h"
 #include "sched/sched_guard.h"
 #include "util/hist.h"
@@ -197,30 +198,14 @@
 	struct flow *adapter_next;
 };
 
-/* Total that another owner reports to have charged a team. */
-struct remote_charge {
-	uint32_t owner;
-	uint64_t total_milli;
-};
-
 /* A client account. */
 struct team {
-	char *name;
-	double weight;
-	uint32_t max_concurrent; /* running requests, 0: no limit */
-	double counter; /* virtual counter: charge over weight */
-	double unbounded_counter; /* without lift and limits, for the gap */
-	uint64_t charge_milli; /* settled */
-	uint32_t queued, running; /* requests */
+	struct fair_account *account; /* share, charges and requests */
 	struct flow *flows;
 	bool is_flooding; /* demand far above the others', as of this run */
-	bool is_active; /* listed in active_teams */
-	uint32_t active_index;
 	double request_rate; /* requests per second, decayed */
 	uint64_t rate_updated_us;
 	double mean_output_tokens; /* 0: unknown */
-	struct remote_charge *remote_charges;
-	size_t nremote_charges;
 };
 
 enum item_state {
@@ -275,16 +260,12 @@
 	struct map *teams; /* by name */
 	struct map *items; /* by request id */
 	uint32_t last_serial; /* of endpoints */
-	struct team **active_teams;
-	uint32_t nactive, active_cap;
+	struct fair *fair; /* accounts; the context of each is its team */
 	double active_weight; /* sum of the active teams, as of this run */
 	struct item *arrival_head, *arrival_tail; /* queued requests */
 	uint32_t queued, running; /* requests */
 	struct item **heap; /* queued requests by recheck_us */
 	uint32_t heap_count, heap_cap;
-	double counter_floor; /* least counter of a team back from idle */
-	double mean_charge; /* of a request, over weight */
-	uint64_t largest_gap_milli;
 	double request_rate; /* of all teams, per second, decayed */
 	uint64_t rate_updated_us;
 	uint32_t permit_in_flight, permit_rate_milli;
@@ -352,6 +333,7 @@
 bool item_avoids(const struct item *it, const struct endpoint *ep);
 
 /* sched_team.c */
+struct fair *team_create_fair(const struct sched_options *options);
 struct team *team_get(struct sched *s, const char *name);
 void team_activate(struct sched *s, struct team *t, uint64_t now_us);
 void team_note_idle(struct sched *s, const struct team *t);
@@ -362,6 +344,8 @@
 void team_add_charge(struct sched *s, struct team *t, double charge);
 void team_settle_charge(
     struct sched *s, struct item *it, const struct sched_usage *usage);
+uint32_t team_active_count(const struct sched *s);
+struct team *team_active_at(const struct sched *s, uint32_t i);
 bool team_may_run(const struct team *t);
 double team_deficit_bound(const struct sched *s);
 void team_mark_flooding(struct sched *s, uint64_t now_us);
@@ -370,8 +354,6 @@
 
 double team_share_factor(
     const struct sched *s, const struct team *t, uint64_t now_us);
-void team_start_backlog(struct sched *s, struct team *t);
-void team_update_gap(struct sched *s);
 
 /* sched_endpoint.c */
 struct pool *pool_get(struct sched *s, bool is_service, const char *name);
--- a/src/sched/sched_item.c
+++ b/src/sched/sched_item.c
@@ -188,7 +188,7 @@
 	else
 		s->arrival_head = it;
 	s->arrival_tail = it;
-	it->team->queued++;
+	it->team->account->queued++;
 	it->adapter->waiting++;
 	it->adapter->queued_us_sum += it->queued_us;
 	s->queued++;
@@ -225,7 +225,7 @@
 	else
 		s->arrival_tail = it->arrival_prev;
 	it->arrival_prev = it->arrival_next = NULL;
-	it->team->queued--;
+	it->team->account->queued--;
 	if (--it->adapter->waiting == 0 && it->adapter->draining_slot != NULL)
 		slot_end_drain(s, it->adapter->draining_slot);
 	it->adapter->queued_us_sum -= it->queued_us;
--- a/src/sched/sched_load.c
+++ b/src/sched/sched_load.c
@@ -364,8 +364,8 @@
 
 	memset(out, 0, sizeof(*out));
 	out->in_flight = s->loads_in_flight + s->nclaims;
-	for (i = 0; i < s->nactive; i++) {
-		for (f = s->active_teams[i]->flows; f != NULL;
+	for (i = 0; i < team_active_count(s); i++) {
+		for (f = team_active_at(s, i)->flows; f != NULL;
 		     f = f->team_next) {
 			a = f->adapter;
 			if (a->is_service || a->loaded_slots > 0)
@@ -373,9 +373,9 @@
 			out->waiting += f->count;
 		}
 	}
-	for (i = 0; i < s->nactive; i++) {
-		factor = team_share_factor(s, s->active_teams[i], now_us);
-		for (f = s->active_teams[i]->flows; f != NULL;
+	for (i = 0; i < team_active_count(s); i++) {
+		factor = team_share_factor(s, team_active_at(s, i), now_us);
+		for (f = team_active_at(s, i)->flows; f != NULL;
 		     f = f->team_next) {
 			a = f->adapter;
 			if (a->is_service || a->loaded_slots > 0 ||
--- a/src/sched/sched_stat.c
+++ b/src/sched/sched_stat.c
@@ -27,6 +27,7 @@
     const struct sched *s, uint64_t now_us, struct sched_totals *out)
 {
 	const struct endpoint *ep;
+	struct fair_gap gap;
 	struct hist waits;
 	size_t i;
 
@@ -54,7 +55,8 @@
 	hist_merge(&waits, &s->previous_waits);
 	out->wait_p90_ms = (uint32_t)hist_quantile(&waits, 0.9);
 
-	out->largest_gap_milli = s->largest_gap_milli;
+	fair_get_gap(s->fair, &gap);
+	out->largest_gap_milli = gap.largest_milli;
 }
 
 /* Whether the pool is a service with an endpoint that is not leaving. */
--- a/src/sched/sched_team.c
+++ b/src/sched/sched_team.c
@@ -5,10 +5,9 @@
 #include "util/mem.h"
 
 /*
- * Fairness between teams. Each team has a virtual counter: the charge of its
- * requests over its weight. The team with the least counter is served next.
- * Affinity may prefer another team only while the counter of that team lies
- * within the deficit bound above the least one.
+ * Fairness between teams, by the accounts of the fair package. Affinity may
+ * prefer another team than the one with the least counter only within the
+ * deficit bound.
  */
 
 #define TEAM_OUTPUT_TOKEN_WEIGHT   2.0 /* in prompt tokens */
@@ -20,14 +19,7 @@
 #define TEAM_BOUND_REQUESTS_STALL 4.0
 #define TEAM_BOUND_REQUESTS_BATCH 12.0
 
-/*
- * In deficit bounds: how far a remote charge may raise a counter above the
- * least one, and how far a counter may lie below that of a served team.
- */
-#define TEAM_REMOTE_BOUNDS_MAX 8.0
-#define TEAM_CREDIT_BOUNDS_MAX 8.0
-
-#define TEAM_IDLE_RATE	       0.001 /* requests per second */
+#define TEAM_IDLE_RATE		  0.001 /* requests per second */
 
 /*
  * A team floods when its request rate, for its weight, exceeds the mean of the
@@ -41,6 +33,29 @@
 
 #define TEAM_MILLI		 1000.0
 
+struct fair *
+team_create_fair(const struct sched_options *options)
+{
+	struct fair_options o = {.guards = &sched_guards.fair};
+
+	o.bound_requests = options->objective == SETTINGS_BATCH
+	    ? TEAM_BOUND_REQUESTS_BATCH
+	    : TEAM_BOUND_REQUESTS_STALL;
+	return fair_create(&o);
+}
+
+uint32_t
+team_active_count(const struct sched *s)
+{
+	return fair_active_count(s->fair);
+}
+
+struct team *
+team_active_at(const struct sched *s, uint32_t i)
+{
+	return fair_active_at(s->fair, i)->context;
+}
+
 /* Returns the team of a name; creates it if necessary. */
 struct team *
 team_get(struct sched *s, const char *name)
@@ -50,8 +65,8 @@
 	if (t != NULL)
 		return t;
 	t = mem_alloc(1, sizeof(*t));
-	t->name = mem_string(name);
-	t->weight = 1.0;
+	t->account = fair_get(s->fair, name);
+	t->account->context = t;
 	map_set_str(s->teams, name, t);
 	return t;
 }
@@ -59,8 +74,6 @@
 void
 team_free(struct team *t)
 {
-	free(t->remote_charges);
-	free(t->name);
 	free(t);
 }
 
@@ -68,79 +81,29 @@
 bool
 team_may_run(const struct team *t)
 {
-	return t->max_concurrent == 0 || t->running < t->max_concurrent;
+	return fair_may_run(t->account);
 }
 
 /* Returns the deficit bound, in units of the counters. */
 double
 team_deficit_bound(const struct sched *s)
 {
-	double requests = s->options.objective == SETTINGS_BATCH
-	    ? TEAM_BOUND_REQUESTS_BATCH
-	    : TEAM_BOUND_REQUESTS_STALL;
-
-	return requests * s->mean_charge;
+	return fair_bound(s->fair);
 }
 
-/*
- * Finds the least counter of the teams that have requests. Returns false
- * when there is none.
- */
-static bool
-team_least_counter(const struct sched *s, double *least)
-{
-	const struct team *t;
-	bool found = false;
-	uint32_t i;
-
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
-		if (t->queued == 0 && t->running == 0)
-			continue;
-		if (!found || t->counter < *least)
-			*least = t->counter;
-		found = true;
-	}
-	return found;
-}
-
-/*
- * Notes a new request of a team. A team that was idle keeps no credit: its
- * counter is lifted to the least one of the busy teams.
- */
+/* Notes a new request of a team. */
 void
 team_activate(struct sched *s, struct team *t, uint64_t now_us)
 {
-	double least = 0.0;
-
 	rate_add(&t->request_rate, &t->rate_updated_us, now_us);
-	if (t->queued == 0 && t->running == 0 && sched_guards.lift) {
-		if (team_least_counter(s, &least) && least > s->counter_floor)
-			s->counter_floor = least;
-		if (t->counter < s->counter_floor)
-			t->counter = s->counter_floor;
-	}
-	if (t->is_active)
-		return;
-	t->is_active = true;
-	t->active_index = s->nactive;
-	SCHED_GROW(s->active_teams, s->nactive, s->active_cap, struct team *);
-	s->active_teams[s->nactive++] = t;
+	fair_activate(s->fair, t->account);
 }
 
-/*
- * Notes that a request of a team has ended. When no team has any left, the
- * counter of the last one becomes the floor.
- */
+/* Notes that a request of a team has ended. */
 void
 team_note_idle(struct sched *s, const struct team *t)
 {
-	double least = 0.0;
-
-	if (t->queued > 0 || t->running > 0 || team_least_counter(s, &least))
-		return;
-	if (t->counter > s->counter_floor)
-		s->counter_floor = t->counter;
+	fair_note_idle(s->fair, t->account);
 }
 
 /* Deactivates teams that have no requests and recently had none. */
@@ -150,17 +113,15 @@
 	struct team *t;
 	uint32_t i = 0;
 
-	while (i < s->nactive) {
-		t = s->active_teams[i];
-		if (t->queued > 0 || t->running > 0 ||
+	while (i < team_active_count(s)) {
+		t = team_active_at(s, i);
+		if (t->account->queued > 0 || t->account->running > 0 ||
 		    rate_at(t->request_rate, t->rate_updated_us, now_us) >
 			TEAM_IDLE_RATE) {
 			i++;
 			continue;
 		}
-		t->is_active = false;
-		s->active_teams[i] = s->active_teams[--s->nactive];
-		s->active_teams[i]->active_index = i;
+		fair_deactivate(s->fair, t->account);
 	}
 }
 
@@ -171,8 +132,8 @@
 	uint32_t i;
 
 	s->active_weight = 0.0;
-	for (i = 0; i < s->nactive; i++)
-		s->active_weight += s->active_teams[i]->weight;
+	for (i = 0; i < team_active_count(s); i++)
+		s->active_weight += team_active_at(s, i)->account->weight;
 }
 
 /*
@@ -190,7 +151,7 @@
 	if (rate <= 0.0 || weights <= 0.0)
 		return 1.0;
 	share = rate_at(s->request_rate, s->rate_updated_us, now_us) *
-	    t->weight / weights;
+	    t->account->weight / weights;
 	return share < rate ? share / rate : 1.0;
 }
 
@@ -211,38 +172,11 @@
 	return it->prompt_tokens + TEAM_OUTPUT_TOKEN_WEIGHT * output;
 }
 
-/*
- * Limits the credit of teams that could not be served.
- *
- * counter: of a team that was served.
- */
-static void
-team_limit_credit(struct sched *s, double counter)
-{
-	double least = counter - TEAM_CREDIT_BOUNDS_MAX * team_deficit_bound(s);
-	uint32_t i;
-
-	for (i = 0; i < s->nactive; i++) {
-		if (s->active_teams[i]->counter < least)
-			s->active_teams[i]->counter = least;
-	}
-}
-
-/* Charges a team and updates the mean charge. */
+/* Charges a team for a request that is about to run. */
 void
 team_add_charge(struct sched *s, struct team *t, double charge)
 {
-	double part = charge / t->weight;
-
-	t->counter += part;
-	t->unbounded_counter += part;
-	if (charge <= 0.0)
-		return;
-	s->mean_charge += s->mean_charge == 0.0
-	    ? part
-	    : TEAM_MEAN_WEIGHT * (part - s->mean_charge);
-	if (sched_guards.bound)
-		team_limit_credit(s, t->counter);
+	fair_charge(s->fair, t->account, charge);
 }
 
 /* Returns the seats of all engines that are not leaving. */
@@ -272,11 +206,11 @@
 team_exceeds_seats(const struct team *t, double seats, double total_demand,
     double other_weight)
 {
-	double demand = (double)t->queued + t->running;
+	double demand = (double)t->account->queued + t->account->running;
 
 	return demand > TEAM_FLOOD_SEATS_FACTOR * seats &&
-	    demand * other_weight >
-	    TEAM_FLOOD_DEMAND_FACTOR * (total_demand - demand) * t->weight;
+	    demand * other_weight > TEAM_FLOOD_DEMAND_FACTOR *
+		(total_demand - demand) * t->account->weight;
 }
 
 /* Marks the teams that ask for far more than the mean of the others. */
@@ -288,19 +222,19 @@
 	struct team *t;
 	uint32_t i;
 
-	for (i = 0; i < s->nactive; i++)
-		total_demand += (double)s->active_teams[i]->queued +
-		    s->active_teams[i]->running;
-	for (i = 0; i < s->nactive; i++)
-		rates += rate_at(s->active_teams[i]->request_rate,
-		    s->active_teams[i]->rate_updated_us, now_us);
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
+	for (i = 0; i < team_active_count(s); i++)
+		total_demand += (double)team_active_at(s, i)->account->queued +
+		    team_active_at(s, i)->account->running;
+	for (i = 0; i < team_active_count(s); i++)
+		rates += rate_at(team_active_at(s, i)->request_rate,
+		    team_active_at(s, i)->rate_updated_us, now_us);
+	for (i = 0; i < team_active_count(s); i++) {
+		t = team_active_at(s, i);
 		rate = rate_at(t->request_rate, t->rate_updated_us, now_us);
-		other_weight = s->active_weight - t->weight;
+		other_weight = s->active_weight - t->account->weight;
 		t->is_flooding = other_weight > 0.0 &&
 		    (rate * other_weight > TEAM_FLOOD_RATE_FACTOR *
-				(rates - rate) * t->weight ||
+				(rates - rate) * t->account->weight ||
 			team_exceeds_seats(
 			    t, seats, total_demand, other_weight));
 	}
@@ -312,7 +246,8 @@
     const struct sched *s, const struct team *t, const struct pool *p)
 {
 	return t->is_flooding &&
-	    t->running * s->active_weight >= t->weight * p->seats;
+	    t->account->running * s->active_weight >=
+	    t->account->weight * p->seats;
 }
 
 /* Returns the charge of a request that has ended. */
@@ -348,10 +283,8 @@
 	struct team *t = it->team;
 	double charge = team_final_charge(s, it, usage);
 
-	t->counter += (charge - it->provisional_charge) / t->weight;
-	t->unbounded_counter += (charge - it->provisional_charge) / t->weight;
+	fair_settle(s->fair, t->account, it->provisional_charge, charge);
 	it->provisional_charge = 0.0;
-	t->charge_milli += (uint64_t)(charge * TEAM_MILLI + 0.5);
 	if (usage->outcome != SCHED_DELIVERED || usage->tokens_out == 0)
 		return;
 	t->mean_output_tokens += t->mean_output_tokens == 0.0
@@ -359,101 +292,12 @@
 	    : TEAM_MEAN_WEIGHT * (usage->tokens_out - t->mean_output_tokens);
 }
 
-/*
- * Finds the least and the most service that backlogged teams have received.
- * Returns false when no team is backlogged.
- */
-static bool
-team_served_range(const struct sched *s, double *least, double *most)
-{
-	const struct team *t;
-	bool found = false;
-	uint32_t i;
-
-	for (i = 0; i < s->nactive; i++) {
-		t = s->active_teams[i];
-		if (t->queued == 0 || !team_may_run(t))
-			continue;
-		if (!found || t->unbounded_counter < *least)
-			*least = t->unbounded_counter;
-		if (!found || t->unbounded_counter > *most)
-			*most = t->unbounded_counter;
-		found = true;
-	}
-	return found;
-}
-
-/*
- * Notes that a request of a team is about to be queued. When the team becomes
- * backlogged, its service starts within the range of the backlogged teams: the
- * gap counts only what happens from now on.
- */
-void
-team_start_backlog(struct sched *s, struct team *t)
-{
-	double least = 0.0, most = 0.0;
-
-	if (t->queued > 0 || !team_served_range(s, &least, &most))
-		return;
-	if (t->unbounded_counter < least)
-		t->unbounded_counter = least;
-	if (t->unbounded_counter > most)
-		t->unbounded_counter = most;
-}
-
-/* Updates the largest gap between backlogged teams. */
-void
-team_update_gap(struct sched *s)
-{
-	double least = 0.0, most = 0.0, milli;
-
-	team_served_range(s, &least, &most);
-	milli = (most - least) * TEAM_MILLI;
-	if (milli > (double)s->largest_gap_milli)
-		s->largest_gap_milli = (uint64_t)milli;
-}
-
-static struct remote_charge *
-team_find_remote_charge(struct team *t, uint32_t owner)
-{
-	size_t i;
-
-	for (i = 0; i < t->nremote_charges; i++) {
-		if (t->remote_charges[i].owner == owner)
-			return &t->remote_charges[i];
-	}
-	return NULL;
-}
-
 void
 sched_set_remote_charge(
     struct sched *s, uint32_t owner, const char *team, uint64_t charge_milli)
 {
-	struct team *t = team_get(s, team);
-	struct remote_charge *r = team_find_remote_charge(t, owner);
-	double least = 0.0, limit, delta;
-
-	if (r == NULL) {
-		t->remote_charges = mem_resize(t->remote_charges,
-		    t->nremote_charges + 1, sizeof(*t->remote_charges));
-		r = &t->remote_charges[t->nremote_charges++];
-		r->owner = owner;
-		r->total_milli = charge_milli;
-		return;
-	}
-	delta = charge_milli > r->total_milli
-	    ? (double)(charge_milli - r->total_milli) / TEAM_MILLI
-	    : 0.0;
-	r->total_milli = charge_milli;
-	if (delta == 0.0)
-		return;
-	if (!team_least_counter(s, &least) || least < s->counter_floor)
-		least = s->counter_floor;
-	limit = least + TEAM_REMOTE_BOUNDS_MAX * team_deficit_bound(s);
-	delta /= t->weight;
-	if (sched_guards.remote && t->counter + delta > limit)
-		delta = t->counter < limit ? limit - t->counter : 0.0;
-	t->counter += delta;
+	fair_set_remote_charge(
+	    s->fair, owner, 0, team_get(s, team)->account, charge_milli);
 }
 
 /*
@@ -463,15 +307,16 @@
 static uint32_t
 team_load_milli(const struct sched *s, const struct team *t)
 {
-	double demand = (double)t->queued + t->running;
+	double demand = (double)t->account->queued + t->account->running;
 	double seats = team_engine_seats(s), load;
 
 	if (demand == 0.0)
 		return 0;
 	if (seats == 0.0)
 		return UINT32_MAX;
-	load = s->active_weight > t->weight ? s->active_weight : t->weight;
-	load *= TEAM_MILLI * demand / (t->weight * seats);
+	load = s->active_weight > t->account->weight ? s->active_weight
+						     : t->account->weight;
+	load *= TEAM_MILLI * demand / (t->account->weight * seats);
 	return load < UINT32_MAX ? (uint32_t)load : UINT32_MAX;
 }
 
@@ -486,9 +331,9 @@
 {
 	const struct team *t = map_at(s->teams, i);
 
-	out->team = t->name;
-	out->charge_milli = t->charge_milli;
-	out->queued = t->queued;
-	out->running = t->running;
+	out->team = t->account->name;
+	out->charge_milli = t->account->charge_milli;
+	out->queued = t->account->queued;
+	out->running = t->account->running;
 	out->load_milli = team_load_milli(s, t);
 }
