place: admission by accounts' shares

The queue was one list by due time: whoever came first filled the engines, and a request that could not meet its objective was refused even where it could meet its deadline. place_admit.c decides now: while capacity is short the queue is sorted by virtual counters, then the pair of priorities, then what can be in time; engines get half of the shortest objective in unread prompts, and late requests wait for room that no other one needs. Loads follow the same order. The order before stays as place_admit_baseline.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_admit.h"
 #include "place/place_guard.h"
-#include "place/place_internal.h"
 #include "util/mem.h"
 
 /* A granted request without an outcome is dropped this long after deadline. */
@@ -32,6 +32,7 @@
 	p->versions = map_create();
 	p->budgets = map_create();
 	p->demand = map_create();
+	p->admit = place_admit_create();
 	p->capacity_generation = 1;
 	return p;
 }
@@ -67,6 +68,7 @@
 	free(p->changes);
 	free(p->popped_change_id);
 	free(p->decisions);
+	place_admit_destroy(p->admit);
 	free(p);
 }
 
@@ -74,6 +76,7 @@
 place_configure(struct place *p, const struct gw_config *config)
 {
 	p->config = config;
+	place_admit_configure(p);
 	place_endpoint_update_engines(p);
 	place_update_ownership(p, p->now_us);
 	p->capacity_generation++;
@@ -285,6 +288,7 @@
 	p->next_sweep_us = p->now_us + SWEEP_US;
 	place_endpoint_remove_silent(p);
 	drop_expired_asks(p);
+	place_admit_sweep(p);
 	if (p->now_us < p->next_demand_sweep_us)
 		return;
 	p->next_demand_sweep_us = p->now_us + DEMAND_SWEEP_US;
@@ -314,6 +318,19 @@
 		    a->evaluated_us + SEARCH_GAP_RUNS * min_run_gap_us(p));
 }
 
+/* Refuse a request that no engine will have room for before its deadline. */
+static bool
+refuse_hopeless(struct place *p, struct place_ask *a)
+{
+	uint64_t return_us;
+
+	if (!p->admit->ops->is_hopeless(p, a, &return_us))
+		return false;
+	p->totals.share_refusals++;
+	place_ask_refuse_until(p, a, "overload", return_us);
+	return true;
+}
+
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
@@ -327,8 +344,11 @@
 	place_backoff_expire(p);
 	place_limit_update_shares(p);
 	place_share_count_engines(p);
+	p->admit->ops->order(p);
 	for (a = p->queue_head; a != NULL; a = next) {
 		next = a->next;
+		if (refuse_hopeless(p, a))
+			continue;
 		if (a->evaluate_at_us != 0)
 			place_schedule_run(p, a->evaluate_at_us);
 		if (!needs_evaluation(p, a))
@@ -363,6 +383,7 @@
 	out->endpoints = (uint32_t)map_count(p->endpoints);
 	out->waiting = (uint32_t)p->nqueued;
 	out->limited_endpoints = p->nlimited;
+	out->held = p->admit->nheld;
 	out->running = 0;
 	for (i = 0; i < map_count(p->endpoints); i++)
 		out->running +=
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -56,6 +56,12 @@
 struct place *place_create(const struct place_options *options);
 void place_destroy(struct place *p);
 
+/*
+ * Admit requests as before there were accounts: in the order of their due
+ * times, and none that can't meet its objective. For comparisons.
+ */
+void place_use_baseline_order(struct place *p);
+
 /* Set the current configuration; it must outlive its use by the placer. */
 void place_configure(struct place *p, const struct gw_config *config);
 
@@ -479,6 +485,9 @@
 	uint32_t limit_waits; /* requests that waited for a limit */
 	uint32_t limit_refusals; /* requests refused for limits */
 	uint32_t invalid_limits; /* responses with an unreadable one */
+	uint32_t held; /* requests that wait for room at an engine, now */
+	uint32_t late_grants; /* of requests that could not be in time */
+	uint32_t share_refusals; /* no room in time for their account */
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "place/place_guard.h"
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 
 /*
  * Load accounting of endpoints: granted requests and their outcomes.
@@ -50,6 +50,7 @@
 	e->kv_tokens += a->prompt_tokens + a->max_tokens;
 	a->ahead_tokens = (uint32_t)e->unread_tokens;
 	place_limit_take(p, e);
+	place_admit_grant(p, a);
 	p->totals.granted++;
 }
 
--- /dev/null
+++ b/src/place/place_admit.h
@@ -0,0 +1,132 @@
+#ifndef MP_PLACE_ADMIT_H
+#define MP_PLACE_ADMIT_H
+
+#include "fair/fair.h"
+#include "place/place_estimate.h"
+#include "place/place_internal.h"
+
+/*
+ * Admission control: the order in which queued requests are evaluated, which of
+ * them wait for room, which are refused, and whose adapters are loaded first.
+ *
+ * Capacity is short while requests wait for room, the engines' unread prompts
+ * are near the objectives, or the store's loads are full. Without a shortage
+ * the order is by due time. In one, accounts go by their shares; within an
+ * account the more urgent kind goes first, then what can still be in time, then
+ * the earlier due time.
+ */
+
+enum place_verdict {
+	PLACE_RUN, /* grant it, or wait for its adapter there */
+	PLACE_HOLD, /* it stays queued until there is room */
+	PLACE_TOO_LATE /* refuse it */
+};
+
+/* How a placer admits requests; the baseline has no accounts. */
+struct place_admit_ops {
+	const char *name;
+	/* Put the queue in the order in which a run evaluates it. */
+	void (*order)(struct place *p);
+	/*
+	 * Decide on a request whose best engine has been estimated.
+	 *
+	 * est: NULL: no engine can take it now.
+	 * is_ready: its adapter is loaded there.
+	 */
+	enum place_verdict (*judge)(struct place *p, struct place_ask *a,
+	    const struct place_estimate *est, bool is_ready, bool may_order);
+	/*
+	 * Is it known that a queued request can't be served before its
+	 * deadline? return_us: when its caller should return.
+	 */
+	bool (*is_hopeless)(
+	    struct place *p, const struct place_ask *a, uint64_t *return_us);
+	/* Rank wanted adapters by the requests that wait for them. */
+	void (*rank_loads)(struct place *p);
+};
+
+extern const struct place_admit_ops place_admit_baseline;
+extern const struct place_admit_ops place_admit_shares;
+
+/* A sum that decays with time, in units per ms. */
+struct place_rate {
+	double per_ms;
+	uint64_t updated_us;
+};
+
+/* What admission knows of an account; the context of a fair_account. */
+struct place_admit_account {
+	struct place_rate arrivals; /* in tokens */
+	struct place_rate asked, granted; /* requests */
+	uint32_t total_granted, total_refused;
+	/* during one ordering of the queue */
+	double counter; /* as if the requests ordered so far had run */
+	size_t first, end, next; /* of its requests in the sorted list */
+};
+
+struct place_admit {
+	const struct place_admit_ops *ops;
+	struct fair *fair;
+	bool is_short; /* as of the last ordering */
+	bool is_reordered; /* the queue isn't ordered by due time */
+	bool has_load_ranks; /* wanted adapters have ranks */
+	uint64_t short_since_us, ordered_us, swept_us;
+	uint32_t nheld; /* queued requests that wait for room */
+	struct place_rate grants; /* tokens */
+	double held_ms; /* time to run what is held */
+	struct place_rate cold_asks; /* requests that need a load */
+	double objective_ms; /* about the shortest one; 0: none seen */
+	double mean_tokens; /* of a request; 0: none seen */
+	double mean_weight; /* of the configured accounts, in tokens per s */
+	uint64_t return_us; /* when the last refused caller should return */
+	uint64_t account_priorities, route_priorities; /* sets of those used */
+};
+
+struct place_admit *place_admit_create(void);
+void place_admit_destroy(struct place_admit *m);
+
+/* Look up the weights of the accounts again. */
+void place_admit_configure(struct place *p);
+/* Forget idle accounts and update weights; called every few seconds. */
+void place_admit_sweep(struct place *p);
+
+/* Note that a request is queued, and when it leaves the queue. */
+void place_admit_enqueue(struct place *p, struct place_ask *a);
+void place_admit_dequeue(struct place *p, struct place_ask *a);
+/* Note that a request waits for room, or no longer does. */
+void place_admit_set_held(struct place *p, struct place_ask *a, bool is_held);
+/* Charge a request that is granted, and settle the charge at its end. */
+void place_admit_grant(struct place *p, struct place_ask *a);
+void place_admit_end(
+    struct place *p, struct place_ask *a, enum place_outcome outcome);
+void place_admit_refuse(struct place *p, const struct place_ask *a);
+/* Unread prompts, in ms, from which on an engine counts as busy. */
+double place_admit_hold_ms(const struct place *p);
+#define PLACE_ADMIT_HOLD_PART 0.5 /* of the shortest objective */
+/* The charge that a queued request will probably have. */
+double place_admit_charge(const struct place_ask *a);
+
+/*
+ * The urgency at the engine, 0 first to 9 last: ordered by the account's
+ * priority, then the route's, then whether the request can be in time.
+ */
+uint32_t place_admit_urgency(const struct place *p, const struct place_ask *a);
+
+/* When a refused caller should return; callers return one after another. */
+uint64_t place_admit_return_us(
+    struct place *p, const struct place_ask *a, uint64_t from_us);
+
+/* ---- place_admit_order.c ---- */
+void place_admit_order_by_shares(struct place *p);
+bool place_admit_is_hopeless(
+    struct place *p, const struct place_ask *a, uint64_t *return_us);
+void place_admit_rank_loads(struct place *p);
+
+/* ---- rates -------------------------------------------------------------- */
+
+/* Tokens per ms of the engines owned here, for requests of all accounts. */
+double place_admit_capacity(const struct place *p);
+double place_rate_get(const struct place_rate *r, uint64_t now_us);
+void place_rate_add(struct place_rate *r, uint64_t now_us, double amount);
+
+#endif
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 #include "util/mem.h"
 
 /* Requests from the ask to their outcome, and the queue they wait in. */
@@ -79,6 +79,7 @@
 		a->next->prev = a;
 	a->is_queued = true;
 	p->nqueued++;
+	place_admit_enqueue(p, a);
 }
 
 void
@@ -98,6 +99,7 @@
 		a->next->prev = a->prev;
 	a->is_queued = false;
 	p->nqueued--;
+	place_admit_dequeue(p, a);
 	if (a->granted || a->endpoint == NULL || a->key == NULL)
 		return;
 	adapter = place_adapter_find(a->endpoint, a->key);
@@ -214,6 +216,7 @@
 	d->reason = reason;
 	d->retry_after_ms = retry_after_ms;
 	p->totals.refused++;
+	place_admit_refuse(p, a);
 	remove_ask(p, a);
 }
 
@@ -266,6 +269,8 @@
 		place_limit_record(p, a, &result->limit);
 	if (a->granted)
 		place_endpoint_record_result(p, a, result);
+	if (a->granted && result->outcome != PLACE_FIRST_BYTE)
+		place_admit_end(p, a, result->outcome);
 	p->capacity_generation++;
 	place_schedule_run(p, 0);
 	if (result->outcome != PLACE_FIRST_BYTE)
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -1,7 +1,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "place/place_estimate.h"
+#include "place/place_admit.h"
 #include "util/mem.h"
 
 /*
@@ -17,17 +17,6 @@
 #define LATE_BACKLOG_MIN_MS 400.0
 /* Interval of evaluating a request whose adapter is not loading yet. */
 #define WANTED_RECHECK_US (50 * US_PER_MS)
-/* The engine takes urgencies from 0, the most urgent, to 9. */
-#define URGENCY_BASE 3u
-#define URGENCY_MAX  9u
-
-static uint32_t
-urgency_of(const struct place_ask *a)
-{
-	uint32_t urgency = URGENCY_BASE + a->priority;
-
-	return urgency > URGENCY_MAX ? URGENCY_MAX : urgency;
-}
 
 static struct place_basis
 make_basis(const struct place *p, const struct place_endpoint *e,
@@ -58,7 +47,7 @@
 	d->address = e->address;
 	d->born_ms = e->born_ms;
 	d->adapter_version = a->adapter == NULL ? 0 : adapter->version;
-	d->urgency = urgency_of(a);
+	d->urgency = place_admit_urgency(p, a);
 	d->basis = make_basis(p, e, est);
 	place_ask_set_waits(p, a, &d->basis);
 }
@@ -193,38 +182,6 @@
 		may_order, INFINITY, est);
 }
 
-/*
- * Would the answer come too late? The store is the scarce resource: a load that
- * is too late for its request delays one that would be in time. The caller is
- * asked to retry when the loads before it are done.
- */
-static bool
-is_too_late(const struct place *p, const struct place_ask *a,
-    const struct place_estimate *est)
-{
-	uint64_t first_us = p->now_us + (uint64_t)est->first_ms * US_PER_MS;
-
-	if (first_us >= a->deadline_us)
-		return true;
-	if (a->attempt > 0)
-		return false; /* a late answer is better than a failure */
-	if (first_us > a->target_us &&
-	    fmax(est->backlog_ms, est->limit_wait_ms) > LATE_BACKLOG_MIN_MS)
-		return true;
-	return est->needs_load && first_us > a->target_us &&
-	    p->store_loads + p->queued_store_loads >=
-	    place_adapter_store_loads_max(p);
-}
-
-/* If no engine has room now, may one still have in time? */
-static bool
-is_worth_waiting(const struct place *p, const struct place_ask *a)
-{
-	return p->now_us < a->target_us &&
-	    p->store_loads + p->queued_store_loads <
-	    place_adapter_store_loads_max(p);
-}
-
 /* Refuse a request that the engines of another owner may have room for. */
 static enum place_attempt
 refuse_elsewhere(struct place *p, struct place_ask *a,
@@ -267,26 +224,41 @@
 	    (est->limit_wait_ms <= 0 || !is_adapter_ready(p, a->endpoint, a));
 }
 
+/* No engine can take the request now. */
+static enum place_attempt
+wait_or_refuse(struct place *p, struct place_ask *a, bool may_order)
+{
+	if (p->owned_engines == 0 && p->all_engines > 0)
+		return refuse_elsewhere(p, a, NULL, "not-owner", 0);
+	if (p->admit->ops->judge(p, a, NULL, false, may_order) != PLACE_HOLD)
+		return refuse_elsewhere(
+		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
+	place_admit_set_held(p, a, true);
+	return PLACE_ATTEMPT_WAITING;
+}
+
 enum place_attempt
 place_engine_place(struct place *p, struct place_ask *a, bool may_order)
 {
 	struct place_endpoint *e = a->endpoint;
 	struct place_estimate est;
+	enum place_verdict verdict;
+	bool is_ready;
 
 	if (!stays_at_engine(p, a, may_order, &est)) {
 		stop_waiting(a);
 		e = find_engine(p, a, may_order, &est);
 	}
-	if (e == NULL && p->owned_engines == 0 && p->all_engines > 0)
-		return refuse_elsewhere(p, a, NULL, "not-owner", 0);
-	if (e == NULL && !is_worth_waiting(p, a))
-		return refuse_elsewhere(
-		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
 	if (e == NULL)
-		return PLACE_ATTEMPT_WAITING;
-	if (a->endpoint == NULL && is_too_late(p, a, &est))
+		return wait_or_refuse(p, a, may_order);
+	is_ready = is_adapter_ready(p, e, a);
+	verdict = p->admit->ops->judge(p, a, &est, is_ready, may_order);
+	if (verdict == PLACE_TOO_LATE)
 		return refuse_late(p, a, e, &est);
-	if (!is_adapter_ready(p, e, a)) {
+	place_admit_set_held(p, a, verdict == PLACE_HOLD);
+	if (verdict == PLACE_HOLD)
+		return PLACE_ATTEMPT_WAITING;
+	if (!is_ready) {
 		wait_for_adapter(p, e, a);
 		return PLACE_ATTEMPT_WAITING;
 	}
@@ -295,6 +267,7 @@
 		return PLACE_ATTEMPT_WAITING;
 	}
 	stop_waiting(a);
+	p->totals.late_grants += a->is_late;
 	grant(p, e, a, &est);
 	return PLACE_ATTEMPT_GRANTED;
 }
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -54,6 +54,7 @@
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
 	uint64_t state_since_us;
+	uint32_t load_rank; /* in a shortage, of its requests; least first */
 };
 
 /* The rate limit of an endpoint, see struct place_limit. */
@@ -153,6 +154,13 @@
 	uint32_t unread_tokens; /* added to the endpoint's count */
 	uint32_t ahead_tokens; /* that count after the grant */
 	struct place_ask *next, *prev; /* in the queue */
+	/* admission, see place_admit.h */
+	struct fair_account *share; /* its account */
+	bool is_held; /* it waits for room at an engine */
+	bool has_needed_load; /* its adapter was loaded nowhere */
+	bool is_late; /* it can't meet its objective any more */
+	double room_wait_ms; /* expected, as of the last ordering */
+	double charge; /* provisional, once it is granted */
 };
 
 /* The endpoints of one service. */
@@ -206,9 +214,10 @@
 	place_limit_share_fn limit_share_fn; /* NULL: all of each limit */
 	void *limit_share_ctx;
 	struct map *asks; /* struct place_ask by struct place_id */
-	/* queue of the asks that are not granted, by due_us */
+	/* queue of the asks that are not granted, see place_admit.h */
 	struct place_ask *queue_head, *queue_tail;
 	size_t nqueued;
+	struct place_admit *admit;
 	struct map *versions; /* struct place_version by key */
 	struct map *budgets; /* struct place_budget by service */
 	struct map *demand; /* struct place_demand by key */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_admit.h"
 #include "place/place_guard.h"
-#include "place/place_internal.h"
 #include "util/mem.h"
 
 /*
@@ -257,12 +257,18 @@
 	p->totals.reports++;
 }
 
-/* Weights are first, then what most requests wait for, then the oldest. */
+/*
+ * Weights are first. In a shortage then the loads of accounts below their
+ * shares, then of urgent requests; then what most requests wait for, then the
+ * oldest.
+ */
 static bool
 is_before(const struct place_adapter *a, const struct place_adapter *b)
 {
 	if ((a->adapter == NULL) != (b->adapter == NULL))
 		return a->adapter == NULL;
+	if (a->load_rank != b->load_rank)
+		return a->load_rank < b->load_rank;
 	if (a->waiting != b->waiting)
 		return a->waiting > b->waiting;
 	return a->state_since_us < b->state_since_us;
@@ -518,6 +524,7 @@
 	struct next_order *orders = mem_alloc(n + 1, sizeof(*orders));
 
 	p->queued_store_loads = 0;
+	p->admit->ops->rank_loads(p);
 	for (i = 0; i < n; i++) {
 		e = map_at(p->endpoints, i);
 		if (e->is_foreign)
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 
 /*
  * Engines of a large fleet that are divided among several owners, the instances
@@ -163,7 +163,7 @@
 uint32_t
 place_load_ms(const struct place *p)
 {
-	return p->mean_load_ms;
+	return p->mean_load_ms + (uint32_t)p->admit->held_ms;
 }
 
 void
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -32,6 +32,8 @@
 	void
 	SetUp() override
 	{
+		if (memory == nullptr)
+			memory = node_effects_create();
 		model.name = (char *)"m";
 		model.weights_mb = 60000;
 		model.store_load_ms = 2000;
@@ -57,7 +59,9 @@
 	TearDown() override
 	{
 		place_destroy(p);
+		p = nullptr;
 		node_effects_destroy(memory);
+		memory = nullptr;
 	}
 
 	struct Engine {
