place: late requests wait, shares hold over owners, counters and log

A request that can't meet its objective waits for room that no other one needs, and is refused at once, with staggered returns, when its turn is expected after its deadline.

Shortage of the store's loads is not one of engines: engines' backlogs are held back only while the mean of them is near the objective.

--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -320,6 +320,10 @@
 	case WIRE__ENVELOPE__BODY_ENDPOINT_NOTICE:
 		gate_notice_on_message(n, e->incarnation, e->endpoint_notice);
 		return true;
+	case WIRE__ENVELOPE__BODY_ACCOUNT_CHARGES:
+		gate_fair_on_charges(
+		    n, from, e->incarnation, e->account_charges);
+		return true;
 	case WIRE__ENVELOPE__BODY_ENDPOINT_ENDED:
 		gate_evidence_on_ended(n, e->endpoint_ended);
 		return true;
@@ -417,6 +421,7 @@
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
 	gate_limit_tick(n);
+	gate_fair_tick(n);
 	gate_table_tick(n);
 	gate_quarantine_tick(n);
 	gate_evidence_tick(n);
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -186,6 +186,8 @@
 	uint32_t shard_engines[MEMBER_SHARDS_MAX]; /* number of engines */
 	uint64_t shard_engines_due_us; /* next count */
 	uint64_t limit_publish_due_us; /* next check for unpublished limits */
+	uint64_t fair_report_due_us; /* next report of accounts' charges */
+	uint64_t fair_log_due_us;
 	uint64_t wait_notice_due_us; /* next notices of queued requests */
 	uint32_t owned_logged, shards_logged;
 	/* entries */
@@ -320,6 +322,13 @@
 void gate_notice_on_message(
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
 
+/* ---- node_gate_fair.c: shares of accounts over all owners ---- */
+/* Reports charges to the other owners and logs the gap in service. */
+void gate_fair_tick(struct node *n);
+void gate_fair_on_charges(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__AccountCharges *message);
+void gate_fair_write_metrics(const struct node *n, struct buf *out);
+
 /* ---- node_gate_limit.c: rate limits that endpoints name ---- */
 void gate_limit_init(struct node *n);
 /* Logs changes of limits, and tells the leader those that the table lacks. */
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -20,6 +20,13 @@
 	return until_us <= now_us ? 0 : (uint32_t)((until_us - now_us) / 1000);
 }
 
+static bool
+may_redirect(const struct node *n, const struct gate_ask *pending)
+{
+	return pending->key != 0 && pending->redirects < GATE_REDIRECT_MAX &&
+	    gate_is_sharded(n);
+}
+
 static void
 send_ask(
     struct node *n, struct gate_ask *pending, const struct place_request *r)
@@ -53,6 +60,7 @@
 	ask.data_centre = (char *)r->data_centre;
 	ask.account = r->account == NULL ? "" : (char *)r->account;
 	ask.account_priority = r->account_priority;
+	ask.may_redirect = may_redirect(n, pending);
 	envelope.body_case = WIRE__ENVELOPE__BODY_PLACE_ASK;
 	envelope.place_ask = &ask;
 	node_peer_send(n, pending->placer, &envelope);
@@ -167,6 +175,7 @@
 	struct node *n = ctx;
 	struct node_gate *g = n->gate;
 	struct gate_ask *pending = map_get_u64(g->asks, r->id.ask);
+	struct place_request own;
 
 	(void)fx;
 	if (pending == NULL)
@@ -177,7 +186,9 @@
 	if (pending->placer == 0 && needs_owner(n, pending))
 		return; /* sent once an owner can accept it */
 	if (pending->placer == 0 || pending->placer == n->id) {
-		place_ask(g->place, n->now, r);
+		own = *r;
+		own.may_redirect = may_redirect(n, pending);
+		place_ask(g->place, n->now, &own);
 		return;
 	}
 	pending->is_outstanding = true;
@@ -292,22 +303,21 @@
 }
 
 /*
- * Redirects a request that an owner has no room for to another owner; false if
- * it can't be redirected.
+ * Redirects a request that an owner has no room for in time to another owner;
+ * false if it can't be redirected.
  */
 static bool
 redirect_ask(struct node *n, struct gate_ask *pending, uint32_t from)
 {
 	uint32_t owner;
 
-	if (pending->key == 0 || pending->redirects >= GATE_REDIRECT_MAX ||
-	    !gate_is_sharded(n))
+	if (!may_redirect(n, pending))
 		return false;
 	pending->redirects++;
 	pending->refused_by = from;
 	owner = gate_owner_select(n, pending);
 	if (owner == 0)
-		return false;
+		owner = from; /* the request may still wait there */
 	pending->placer = owner;
 	return forward_resend_ask(
 	    n->gate->forward, n->now, pending->ask, n->fx);
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -85,7 +85,10 @@
 	    {"endpoints_limited", "gauge", t.limited_endpoints},
 	    {"limit_waits_total", "counter", t.limit_waits},
 	    {"limit_refused_total", "counter", t.limit_refusals},
-	    {"limits_unreadable_total", "counter", t.invalid_limits}};
+	    {"limits_unreadable_total", "counter", t.invalid_limits},
+	    {"placing_held", "gauge", t.held},
+	    {"placing_late_total", "counter", t.late_grants},
+	    {"share_refused_total", "counter", t.share_refusals}};
 	size_t i;
 
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
@@ -162,4 +165,5 @@
 	put_forward_stats(n, out);
 	put_place_totals(n, out);
 	put_place_state(n, out);
+	gate_fair_write_metrics(n, out);
 }
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -56,6 +56,7 @@
 	r.data_centre = ask->data_centre;
 	r.account = text_or_null(ask->account);
 	r.account_priority = ask->account_priority;
+	r.may_redirect = ask->may_redirect;
 	for (i = 0; i < ask->n_avoid && i < PLACE_AVOID_MAX; i++)
 		r.avoid[i] = ask->avoid[i];
 	r.navoid = i;
@@ -450,12 +451,15 @@
 	    "\"endpoint\": \"%s\", \"estimateMs\": %u, "
 	    "\"backlogMs\": %u, \"running\": %u, \"heardMs\": %u, "
 	    "\"needsLoad\": %s, \"loads\": %u, \"waitedMs\": %u, "
-	    "\"loadWaitMs\": %u}",
+	    "\"loadWaitMs\": %u, \"account\": \"%s\", \"late\": %s, "
+	    "\"overShare\": %s, \"urgency\": %u}",
 	    (unsigned long long)d->id.ask, PLACE_LOG_ENTRY_ID(d->id.entry),
 	    placed ? "" : d->reason, b->endpoint == NULL ? "" : b->endpoint,
 	    b->estimate_ms, b->backlog_ms, b->running, b->announcement_age_ms,
 	    b->needs_load ? "true" : "false", b->pending_loads, b->waited_ms,
-	    b->load_wait_ms);
+	    b->load_wait_ms, b->account == NULL ? "" : b->account,
+	    b->is_late ? "true" : "false", b->is_over_share ? "true" : "false",
+	    d->urgency);
 }
 
 void
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -323,11 +323,14 @@
 refuse_hopeless(struct place *p, struct place_ask *a)
 {
 	uint64_t return_us;
+	bool elsewhere;
 
 	if (!p->admit->ops->is_hopeless(p, a, &return_us))
 		return false;
 	p->totals.share_refusals++;
+	elsewhere = a->may_redirect;
 	place_ask_refuse_until(p, a, "overload", return_us);
+	p->decisions[p->ndecisions - 1].elsewhere = elsewhere;
 	return true;
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -364,6 +364,7 @@
 	const char *account; /* client account; NULL: none */
 	uint32_t account_priority; /* goes before priority; 0 is first */
 	uint32_t attempt; /* endpoints reached before; over 0: a repeat */
+	bool may_redirect; /* if it is refused, another owner is asked */
 	const char *data_centre; /* of the entry */
 	const char *avoid[PLACE_AVOID_MAX]; /* endpoints not to be granted */
 	size_t navoid;
@@ -400,6 +401,45 @@
 /* Drop all requests of an entry's process that has ended. */
 void place_drop_entry(struct place *p, uint64_t now_us, uint64_t entry);
 
+/* ---- shares of accounts ------------------------------------------------- */
+
+/* An account that has or had requests lately; strings are the placer's. */
+struct place_account_info {
+	const char *name; /* empty: requests without an account */
+	double weight; /* share, in that of a mean account */
+	uint64_t charge_milli; /* of requests that have ended here */
+	uint32_t queued, running;
+	uint32_t granted, refused; /* since the account is known */
+};
+size_t place_account_count(const struct place *p);
+void place_account_get(
+    const struct place *p, size_t i, struct place_account_info *out);
+
+/*
+ * Get the accounts whose charges have grown most since they were last got, at
+ * most max of them, for a message to the other owners.
+ */
+size_t place_take_charges(
+    struct place *p, struct place_account_info *out, size_t max);
+
+/*
+ * Apply what another owner's process has charged an account since it started,
+ * so that shares hold over all owners.
+ */
+void place_set_remote_charge(struct place *p, uint64_t now_us, uint32_t owner,
+    uint64_t process, const char *account, uint64_t total_milli);
+
+/*
+ * Gap in service, in charged tokens over weight, between accounts that all have
+ * requests waiting for room.
+ */
+struct place_gap {
+	uint64_t now_milli, largest_milli;
+	uint64_t bound_milli; /* of the largest, by the rules */
+	uint32_t backlogged; /* accounts */
+};
+void place_get_gap(const struct place *p, struct place_gap *out);
+
 /* ---- orders ------------------------------------------------------------- */
 
 /*
@@ -435,6 +475,9 @@
 	uint32_t pending_loads; /* in progress or queued, at all engines */
 	uint32_t waited_ms; /* since the ask was received */
 	uint32_t load_wait_ms; /* of these, time waiting for the adapter */
+	const char *account; /* empty: none */
+	bool is_late; /* it could not meet its objective */
+	bool is_over_share; /* its account, by more than the deficit bound */
 };
 
 /* An entry's number for log lines, whose JSON readers take 63 bits. */
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -59,6 +59,7 @@
 	struct place_rate arrivals; /* in tokens */
 	struct place_rate asked, granted; /* requests */
 	uint32_t total_granted, total_refused;
+	uint64_t reported_milli; /* charges that other owners were told */
 	/* during one ordering of the queue */
 	double counter; /* as if the requests ordered so far had run */
 	size_t first, end, next; /* of its requests in the sorted list */
@@ -68,13 +69,14 @@
 	const struct place_admit_ops *ops;
 	struct fair *fair;
 	bool is_short; /* as of the last ordering */
+	bool are_engines_short; /* they have little time left */
 	bool is_reordered; /* the queue isn't ordered by due time */
 	bool has_load_ranks; /* wanted adapters have ranks */
-	uint64_t short_since_us, ordered_us, swept_us;
+	uint64_t engines_short_since_us, ordered_us, swept_us;
 	uint32_t nheld; /* queued requests that wait for room */
+	uint32_t nblocked; /* of these, no engine has a slot or memory */
 	struct place_rate grants; /* tokens */
 	double held_ms; /* time to run what is held */
-	struct place_rate cold_asks; /* requests that need a load */
 	double objective_ms; /* about the shortest one; 0: none seen */
 	double mean_tokens; /* of a request; 0: none seen */
 	double mean_weight; /* of the configured accounts, in tokens per s */
@@ -95,6 +97,13 @@
 void place_admit_dequeue(struct place *p, struct place_ask *a);
 /* Note that a request waits for room, or no longer does. */
 void place_admit_set_held(struct place *p, struct place_ask *a, bool is_held);
+/* The same, after a change of whether it is late. */
+void place_admit_update_backlog(struct place *p, struct place_ask *a);
+/* Has no engine here a slot and memory for it? */
+bool place_admit_is_blocked(const struct place *p, const struct place_ask *a);
+/* Note whether that is so. */
+void place_admit_set_blocked(
+    struct place *p, struct place_ask *a, bool is_blocked);
 /* Charge a request that is granted, and settle the charge at its end. */
 void place_admit_grant(struct place *p, struct place_ask *a);
 void place_admit_end(
@@ -112,10 +121,18 @@
  */
 uint32_t place_admit_urgency(const struct place *p, const struct place_ask *a);
 
+/* Has its account had more than the deficit bound above the least one? */
+bool place_admit_is_over_share(
+    const struct place *p, const struct place_ask *a);
+
 /* When a refused caller should return; callers return one after another. */
 uint64_t place_admit_return_us(
     struct place *p, const struct place_ask *a, uint64_t from_us);
 
+/* The bit of a priority in a set of them; high ones share the last. */
+uint64_t place_admit_priority_bit(uint32_t priority);
+#define PLACE_PRIORITY_MAX 63u
+
 /* ---- place_admit_order.c ---- */
 void place_admit_order_by_shares(struct place *p);
 bool place_admit_is_hopeless(
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -13,6 +13,8 @@
  * within the deficit bound above the least go by urgency instead.
  */
 
+/* A shortage of engines ends at this part of what began it. */
+#define SHORT_ENDS_PART 0.5
 /* Interval of sorting the queue during a shortage. */
 #define ORDER_INTERVAL_US (5 * US_PER_MS)
 /* Requests ordered one by one; the rest, a run doesn't reach, by account. */
@@ -66,24 +68,43 @@
 	return speed;
 }
 
+/*
+ * Are the engines short of time, all together? One with a popular adapter may
+ * have a long backlog without that: requests go on to others.
+ */
 static bool
-is_short(const struct place *p)
+are_engines_short(const struct place *p)
 {
-	double unread, speed;
+	double unread, speed, busy_ms = place_admit_hold_ms(p);
 
-	if (p->nqueued == 0)
-		return false;
-	if (p->admit->nheld > 0 ||
-	    (p->queued_store_loads > 0 &&
-		p->store_loads >= place_adapter_store_loads_max(p)))
+	if (p->admit->nblocked > 0)
 		return true;
 	speed = engine_speed(p, &unread);
-	return speed > 0 && unread / speed >= place_admit_hold_ms(p);
+	if (p->admit->are_engines_short)
+		busy_ms *= SHORT_ENDS_PART;
+	return speed > 0 && busy_ms > 0 && unread / speed >= busy_ms;
+}
+
+static bool
+is_store_short(const struct place *p)
+{
+	return p->queued_store_loads > 0 &&
+	    p->store_loads >= place_adapter_store_loads_max(p);
+}
+
+static bool
+is_short(struct place *p)
+{
+	p->admit->are_engines_short = p->nqueued > 0 && are_engines_short(p);
+	return p->nqueued > 0 &&
+	    (p->admit->nheld > 0 || p->admit->are_engines_short ||
+		is_store_short(p));
 }
 
 /*
- * Once a shortage has lasted, what was granted tells the capacity, whether
- * prompts, memory or slots limit it. Before that it is the engines' speed.
+ * Once a shortage of engines has lasted, what was granted tells the capacity,
+ * whether prompts, memory or slots limit it. Before that it is the engines'
+ * speed.
  */
 double
 place_admit_capacity(const struct place *p)
@@ -92,7 +113,8 @@
 	double unread, speed = engine_speed(p, &unread);
 	double measured = place_rate_get(&m->grants, p->now_us);
 
-	if (!m->is_short || p->now_us < m->short_since_us + MEASURED_AFTER_US)
+	if (!m->are_engines_short ||
+	    p->now_us < m->engines_short_since_us + MEASURED_AFTER_US)
 		return speed;
 	if (measured < speed * RATE_PART_MIN)
 		measured = speed * RATE_PART_MIN;
@@ -158,16 +180,33 @@
 	return compare_ids(a, b);
 }
 
-/* The queued requests as an array, which the caller frees. */
+/*
+ * Calls of plain services have shares only where there are accounts. Elsewhere
+ * they keep the order of their due times.
+ */
+static bool
+has_share(const struct place *p, const struct place_ask *a)
+{
+	return a->key != NULL ||
+	    (p->config != NULL && p->config->naccounts > 0);
+}
+
+/*
+ * The queued requests with a share, or the others, as an array, which the
+ * caller frees.
+ */
 static struct place_ask **
-collect(struct place *p)
+collect(struct place *p, bool with_share, size_t *count)
 {
 	struct place_ask **all = mem_alloc(p->nqueued + 1, sizeof(*all)), *a;
-	size_t n = 0;
 
+	*count = 0;
 	for (a = p->queue_head; a != NULL; a = a->next) {
+		if (has_share(p, a) != with_share)
+			continue;
 		a->is_late = is_late(p, a);
-		all[n++] = a;
+		place_admit_update_backlog(p, a);
+		all[(*count)++] = a;
 	}
 	return all;
 }
@@ -187,12 +226,16 @@
 static void
 order_by_due(struct place *p)
 {
-	struct place_ask **all = collect(p);
-	size_t i;
+	struct place_ask **all =
+	    mem_alloc(p->nqueued + 1, sizeof(struct place_ask *));
+	struct place_ask *a;
+	size_t i, n = 0;
 
-	qsort(all, p->nqueued, sizeof(struct place_ask *), compare_due);
+	for (a = p->queue_head; a != NULL; a = a->next)
+		all[n++] = a;
+	qsort(all, n, sizeof(struct place_ask *), compare_due);
 	p->queue_head = p->queue_tail = NULL;
-	for (i = 0; i < p->nqueued; i++)
+	for (i = 0; i < n; i++)
 		append(p, all[i]);
 	free(all);
 	p->admit->is_reordered = false;
@@ -216,15 +259,15 @@
  * active: set to them; their number is returned.
  */
 static size_t
-prepare_accounts(
-    struct place *p, struct place_ask **all, struct fair_account **active)
+prepare_accounts(struct place *p, struct place_ask **all, size_t count,
+    struct fair_account **active)
 {
 	struct place_admit_account *t;
 	double asked = 0, granted = 0, least = 0;
 	size_t i, n = 0;
 	uint32_t k;
 
-	for (i = 0; i < p->nqueued; i++) {
+	for (i = 0; i < count; i++) {
 		t = all[i]->share->context;
 		if (i == 0 || all[i - 1]->share != all[i]->share) {
 			active[n++] = all[i]->share;
@@ -234,8 +277,6 @@
 	}
 	for (k = 0; k < fair_active_count(p->admit->fair); k++) {
 		t = fair_active_at(p->admit->fair, k)->context;
-		if (t == NULL)
-			continue; /* known by other owners' reports only */
 		asked += place_rate_get(&t->asked, p->now_us);
 		granted += place_rate_get(&t->granted, p->now_us);
 	}
@@ -287,32 +328,58 @@
 	return best;
 }
 
+/* Put requests with a share into the order in which they go. */
 static void
-order_queue(struct place *p)
+order_shares(struct place *p, struct place_ask **all, size_t count,
+    struct place_ask **ordered)
 {
-	struct place_ask **all = collect(p);
 	struct fair_account **active = mem_alloc(
 	    fair_count(p->admit->fair) + 1, sizeof(struct fair_account *));
 	struct fair_account *f;
 	struct place_admit_account *t;
-	size_t i, n, count = p->nqueued;
+	size_t i, n, k;
 
 	qsort(all, count, sizeof(struct place_ask *), compare_in_account);
-	n = prepare_accounts(p, all, active);
-	p->queue_head = p->queue_tail = NULL;
+	n = prepare_accounts(p, all, count, active);
 	for (i = 0; i < count && i < ORDERED_MAX; i++) {
 		f = choose_account(p, all, active, n);
 		t = f->context;
 		t->counter += place_admit_charge(all[t->next]) / f->weight;
-		append(p, all[t->next++]);
+		ordered[i] = all[t->next++];
 	}
-	for (i = 0; i < n; i++) {
-		t = active[i]->context;
+	for (k = 0; k < n; k++) {
+		t = active[k]->context;
 		while (t->next < t->end)
-			append(p, all[t->next++]);
+			ordered[i++] = all[t->next++];
 	}
 	free(active);
-	free(all);
+}
+
+/*
+ * Requests without a share use other endpoints. They alternate with the
+ * others, so that neither uses up the evaluations of a run.
+ */
+static void
+order_queue(struct place *p)
+{
+	size_t i, nshares, nothers;
+	struct place_ask **shares = collect(p, true, &nshares);
+	struct place_ask **others = collect(p, false, &nothers);
+	struct place_ask **ordered =
+	    mem_alloc(nshares + 1, sizeof(struct place_ask *));
+
+	order_shares(p, shares, nshares, ordered);
+	qsort(others, nothers, sizeof(struct place_ask *), compare_due);
+	p->queue_head = p->queue_tail = NULL;
+	for (i = 0; i < nshares || i < nothers; i++) {
+		if (i < nshares)
+			append(p, ordered[i]);
+		if (i < nothers)
+			append(p, others[i]);
+	}
+	free(ordered);
+	free(others);
+	free(shares);
 	p->admit->is_reordered = true;
 }
 
@@ -352,7 +419,7 @@
 	for (i = 0; i < fair_active_count(p->admit->fair); i++) {
 		f = fair_active_at(p->admit->fair, i);
 		t = f->context;
-		if (f->queued + f->running == 0 || t == NULL)
+		if (f->queued + f->running == 0)
 			continue;
 		weights += f->weight;
 		arrivals += place_rate_get(&t->arrivals, p->now_us);
@@ -373,18 +440,18 @@
 place_admit_order_by_shares(struct place *p)
 {
 	struct place_admit *m = p->admit;
-	bool was_short = m->is_short;
+	bool was_short = m->is_short, were_short = m->are_engines_short;
 
 	m->is_short = is_short(p);
+	if (m->are_engines_short && !were_short)
+		m->engines_short_since_us = p->now_us;
 	if (!m->is_short) {
 		m->held_ms = 0;
 		if (m->is_reordered)
 			order_by_due(p);
 		return;
 	}
-	if (!was_short)
-		m->short_since_us = p->now_us;
-	else if (p->now_us < m->ordered_us + ORDER_INTERVAL_US)
+	if (was_short && p->now_us < m->ordered_us + ORDER_INTERVAL_US)
 		return;
 	m->ordered_us = p->now_us;
 	order_queue(p);
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -167,6 +167,7 @@
 	a->priority = r->priority;
 	a->account = copy_or_null(r->account);
 	a->account_priority = r->account_priority;
+	a->may_redirect = r->may_redirect;
 	a->attempt = r->attempt;
 	while (a->navoid < r->navoid && a->navoid < PLACE_AVOID_MAX) {
 		a->avoid[a->navoid] = mem_string(r->avoid[a->navoid]);
@@ -192,6 +193,9 @@
 place_ask_set_waits(
     const struct place *p, const struct place_ask *a, struct place_basis *basis)
 {
+	basis->account = a->share->name;
+	basis->is_late = a->is_late;
+	basis->is_over_share = place_admit_is_over_share(p, a);
 	basis->waited_ms = (uint32_t)((p->now_us - a->asked_us) / US_PER_MS);
 	basis->load_wait_ms = a->load_wait_since_us == 0
 	    ? 0
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -234,6 +234,7 @@
 		return refuse_elsewhere(
 		    p, a, NULL, "no-room", 2 * p->options.adapter_load_ms);
 	place_admit_set_held(p, a, true);
+	place_admit_set_blocked(p, a, place_admit_is_blocked(p, a));
 	return PLACE_ATTEMPT_WAITING;
 }
 
@@ -251,6 +252,7 @@
 	}
 	if (e == NULL)
 		return wait_or_refuse(p, a, may_order);
+	place_admit_set_blocked(p, a, false);
 	is_ready = is_adapter_ready(p, e, a);
 	verdict = p->admit->ops->judge(p, a, &est, is_ready, may_order);
 	if (verdict == PLACE_TOO_LATE)
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -137,6 +137,7 @@
 	uint32_t priority, attempt;
 	char *account; /* NULL: none */
 	uint32_t account_priority;
+	bool may_redirect; /* see struct place_request */
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
 	uint64_t
@@ -157,7 +158,8 @@
 	/* admission, see place_admit.h */
 	struct fair_account *share; /* its account */
 	bool is_held; /* it waits for room at an engine */
-	bool has_needed_load; /* its adapter was loaded nowhere */
+	bool is_backlogged; /* as held, and it can still be in time */
+	bool is_blocked; /* as held, and no engine has a slot or memory */
 	bool is_late; /* it can't meet its objective any more */
 	double room_wait_ms; /* expected, as of the last ordering */
 	double charge; /* provisional, once it is granted */
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -69,6 +69,7 @@
     {NODE_LOG_GATE_LIMIT_INVALID, NODE_LOG_WARN, "endpoint-limit-unreadable"},
     {NODE_LOG_REPLY_OUTDATED, NODE_LOG_INFO, "reply-outdated"},
     {NODE_LOG_GATE_DEREGISTERED, NODE_LOG_INFO, "endpoint-deregistered"},
+    {NODE_LOG_GATE_SHARES, NODE_LOG_INFO, "account-shares"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -82,6 +82,7 @@
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
 	NODE_LOG_REPLY_OUTDATED = 142,
 	NODE_LOG_GATE_DEREGISTERED = 143,
+	NODE_LOG_GATE_SHARES = 150, /* of accounts, while requests wait */
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -5155,7 +5155,7 @@
   (ProtobufCMessageInit) wire__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__place_ask__field_descriptors[17] =
+static const ProtobufCFieldDescriptor wire__place_ask__field_descriptors[18] =
 {
   {
     "ask",
@@ -5361,6 +5361,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_redirect",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PlaceAsk, may_redirect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__place_ask__field_indices_by_name[] = {
   15,   /* field[15] = account */
@@ -5373,6 +5385,7 @@
   10,   /* field[10] = kind */
   7,   /* field[7] = left_ms */
   5,   /* field[5] = max_tokens */
+  17,   /* field[17] = may_redirect */
   2,   /* field[2] = model */
   6,   /* field[6] = parts */
   9,   /* field[9] = priority */
@@ -5384,7 +5397,7 @@
 static const ProtobufCIntRange wire__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wire__place_ask__descriptor =
 {
@@ -5394,7 +5407,7 @@
   "Wire__PlaceAsk",
   "wire",
   sizeof(Wire__PlaceAsk),
-  17,
+  18,
   wire__place_ask__field_descriptors,
   wire__place_ask__field_indices_by_name,
   1,  wire__place_ask__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -988,10 +988,14 @@
    * goes before the priority; 0 is first
    */
   uint32_t account_priority;
+  /*
+   * the entry will ask another owner if refused
+   */
+  protobuf_c_boolean may_redirect;
 };
 #define WIRE__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/tests/place/admit_test.cc
@@ -0,0 +1,463 @@
+#include "admit_world.h"
+
+#include <set>
+
+#include "place_fixture.h"
+
+/*
+ * Admission under the loads that the design note names: what each account and
+ * each kind of request gets while capacity is short.
+ */
+
+static WorldLoad
+Usual(int accounts, double used)
+{
+	WorldLoad load;
+
+	load.kinds = WorldKinds();
+	load.accounts = WorldAccounts(accounts, used, load);
+	return load;
+}
+
+/* One account sends 7.5 times its load for 6.5 s. */
+static WorldLoad
+Flood(int accounts, double used)
+{
+	WorldLoad load = Usual(accounts, used);
+
+	load.surges = {{0, -1, 7.5, 5000, 11500}};
+	return load;
+}
+
+static WorldCount
+Others(const WorldResult &r)
+{
+	WorldCount all;
+
+	for (size_t i = 1; i < r.accounts.size(); i++) {
+		all.asked += r.accounts[i].asked;
+		all.timely += r.accounts[i].timely;
+		all.late += r.accounts[i].late;
+		all.value += r.accounts[i].value;
+	}
+	return all;
+}
+
+/*
+ * Guards against a flooding account that takes what the others need. It still
+ * gets what they leave: the engines are not idle while its requests wait.
+ */
+TEST(Admit, a_flood_of_one_account_leaves_the_others_their_share)
+{
+	struct {
+		const char *name;
+		int accounts;
+		double used;
+	} cases[] = {
+	    {"one of 16, nearly full", 16, 0.9},
+	    {"one of 16", 16, 0.8},
+	    {"one of 6, large", 6, 0.75},
+	};
+
+	for (auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		WorldLoad flood = Flood(c.accounts, c.used), usual = flood;
+
+		usual.surges.clear();
+		WorldResult with = RunWorld(flood), without = RunWorld(usual);
+
+		EXPECT_GE(Others(with).ValuePart(),
+		    0.9 * Others(without).ValuePart());
+		EXPECT_GE(with.accounts[0].timely + with.accounts[0].late,
+		    1.5 *
+			(without.accounts[0].timely +
+			    without.accounts[0].late));
+		EXPECT_LE(with.gap_milli, with.gap_bound_milli);
+	}
+}
+
+struct LoadCase {
+	const char *name;
+	double used;
+	WorldSurge surge;
+	uint32_t clump;
+};
+
+static const LoadCase load_cases[] = {
+    {"usual", 0.75, {-1, -1, 1, 0, 0}, 1},
+    {"flood", 0.9, {0, -1, 7.5, 5000, 11500}, 1},
+    {"burst", 0.75, {-1, -1, 1.7, 5000, 11500}, 1},
+    {"burst of the most urgent kind", 0.75, {-1, 0, 2.5, 5000, 11500}, 1},
+    {"groups of 3", 0.85, {-1, -1, 1, 0, 0}, 3},
+    {"burst in groups of 3", 0.75, {-1, -1, 1.7, 5000, 11500}, 3},
+};
+
+static WorldLoad
+MakeLoad(const LoadCase &c, bool baseline)
+{
+	WorldLoad load = Usual(16, c.used);
+
+	load.surges = {c.surge};
+	load.clump = c.clump;
+	load.baseline = baseline;
+	return load;
+}
+
+/*
+ * Guards against an order that loses against the baseline, and against a gap
+ * in service beyond its bound.
+ */
+TEST(Admit, the_order_by_shares_earns_no_less_than_the_baseline)
+{
+	for (auto &c : load_cases) {
+		SCOPED_TRACE(c.name);
+		WorldResult shares = RunWorld(MakeLoad(c, false));
+		WorldResult baseline = RunWorld(MakeLoad(c, true));
+
+		/* the arrivals differ a little after the first return */
+		EXPECT_GE(
+		    shares.all.ValuePart(), 0.99 * baseline.all.ValuePart());
+		EXPECT_GE(
+		    shares.all.ServedPart(), 0.99 * baseline.all.ServedPart());
+		EXPECT_LE(shares.gap_milli, shares.gap_bound_milli);
+	}
+}
+
+/*
+ * Guards against the fault that the most urgent kind, with the shortest
+ * deadline and no second try, earned least.
+ */
+TEST(Admit, a_more_urgent_kind_fares_no_worse)
+{
+	for (auto &c : load_cases) {
+		SCOPED_TRACE(c.name);
+		WorldResult r = RunWorld(MakeLoad(c, false));
+
+		for (size_t k = 1; k < r.kinds.size(); k++)
+			EXPECT_GE((double)r.kinds[k - 1].timely /
+				    r.kinds[k - 1].asked +
+				0.02,
+			    (double)r.kinds[k].timely / r.kinds[k].asked)
+			    << r.kinds.size() << " kind " << k;
+		EXPECT_GE(r.kinds[0].ValuePart() + 0.005,
+		    std::max(r.kinds[1].ValuePart(), r.kinds[2].ValuePart()));
+	}
+}
+
+/* Guards against an account whose share is tiny for what it sends. */
+TEST(Admit, an_account_with_a_tiny_share_is_not_starved)
+{
+	for (double used : {1.2, 1.6}) {
+		SCOPED_TRACE(used);
+		WorldLoad load = Usual(8, used);
+
+		for (size_t i = 1; i < load.accounts.size(); i++)
+			load.accounts[i].quota *= 100;
+		WorldResult r = RunWorld(load);
+
+		EXPECT_GE(
+		    r.accounts[0].ServedPart(), 0.25 * r.all.ServedPart());
+		EXPECT_LE(r.accounts[0].ServedPart(), r.all.ServedPart());
+	}
+}
+
+/*
+ * Guards against shares that hold at each owner but not over both: all of one
+ * account's requests arrive at one owner, where the others are charged for part
+ * of theirs only. Without reports an owner is fair by its own charges.
+ */
+TEST(Admit, shares_hold_over_two_owners)
+{
+	for (bool reports : {true, false}) {
+		SCOPED_TRACE(reports);
+		WorldLoad load = Usual(4, 1.6);
+
+		load.owners = 2;
+		load.reports = reports;
+		load.accounts[0].owner = 0;
+		WorldResult r = RunWorld(load);
+		double own = r.accounts[0].timely + r.accounts[0].late;
+		double other = (Others(r).timely + Others(r).late) / 3.0;
+
+		EXPECT_GE(own, (reports ? 0.7 : 0.35) * other);
+		EXPECT_GE(
+		    r.accounts[0].ServedPart(), 0.25 * r.all.ServedPart());
+	}
+}
+
+/* ---- single decisions --------------------------------------------------- */
+
+class PlaceAdmit : public PlaceTest {
+      protected:
+	uint64_t
+	AskAs(const char *account, uint32_t priority, int objective_ms,
+	    int deadline_ms, uint32_t tokens = 2000, gw_kind kind = GW_STREAM)
+	{
+		place_request r = {};
+
+		r.id = {7, ++last_ask};
+		r.kind = kind;
+		r.service = "lm";
+		r.model = "m";
+		r.prompt_tokens = tokens;
+		r.max_tokens = 10;
+		r.deadline_us = now + (uint64_t)deadline_ms * MS;
+		r.target_us = now + (uint64_t)objective_ms * MS;
+		r.priority = priority;
+		r.account = account;
+		place_ask(p, now, &r);
+		return last_ask;
+	}
+
+	/* Fill the only engine with prompts, so that capacity is short. */
+	std::vector<uint64_t>
+	Fill(int n)
+	{
+		std::vector<uint64_t> asks;
+
+		for (int i = 0; i < n; i++) {
+			asks.push_back(AskAs("big", 1, 1000, 20000));
+			Run();
+			now += MS;
+		}
+		return asks;
+	}
+
+	bool
+	IsGranted(uint64_t ask) const
+	{
+		const place_decision *d = DecisionOn(ask);
+
+		return d != nullptr && d->type == PLACE_GRANT;
+	}
+
+	/* End the granted requests and run until these are decided. */
+	std::vector<uint64_t>
+	GrantOrder(std::vector<uint64_t> asks, int ms = 6000)
+	{
+		std::vector<uint64_t> order;
+		std::set<uint64_t> done;
+
+		for (int i = 0; i < ms; i++, now += MS) {
+			Run();
+			if (i % 111 != 0)
+				continue;
+			for (auto &d : decisions)
+				if (d.type == PLACE_GRANT &&
+				    done.insert(d.id.ask).second) {
+					Done(d.id.ask, PLACE_FIRST_BYTE);
+					Done(d.id.ask, PLACE_SERVED);
+					if (std::count(asks.begin(), asks.end(),
+						d.id.ask) > 0)
+						order.push_back(d.id.ask);
+					break;
+				}
+		}
+		return order;
+	}
+};
+
+/* Guards against late requests that delay those that can be in time. */
+TEST_F(PlaceAdmit, late_requests_run_after_timely_ones)
+{
+	uint64_t late, timely, urgent;
+
+	Engines(1);
+	Fill(8);
+	late = AskAs("a", 1, 1, 20000);
+	timely = AskAs("a", 1, 5000, 20000);
+	urgent = AskAs("a", 0, 5000, 20000);
+	Run();
+	ASSERT_FALSE(IsGranted(late));
+	std::vector<uint64_t> order = GrantOrder({late, timely, urgent});
+	EXPECT_EQ(order, (std::vector<uint64_t>{urgent, timely, late}));
+	EXPECT_GT(DecisionOn(late)->urgency, DecisionOn(timely)->urgency)
+	    << "at the engine too";
+	EXPECT_GT(DecisionOn(timely)->urgency, DecisionOn(urgent)->urgency);
+}
+
+/* Guards against a request that is held until a deadline it can't meet. */
+TEST_F(PlaceAdmit, what_cant_meet_its_deadline_is_refused_at_once)
+{
+	uint32_t last = 0;
+
+	Engines(1);
+	Fill(60);
+	for (int i = 0; i < 5; i++) {
+		uint64_t ask = AskAs("big", 2, 500, 2000);
+
+		now += 5 * MS;
+		Run();
+		ASSERT_NE(DecisionOn(ask), nullptr) << i;
+		EXPECT_EQ(DecisionOn(ask)->type, PLACE_REFUSE);
+		EXPECT_GT(DecisionOn(ask)->retry_after_ms, last)
+		    << "callers return one after another";
+		last = DecisionOn(ask)->retry_after_ms;
+	}
+}
+
+/* Guards against a refusal of an account below its share for one above it. */
+TEST_F(PlaceAdmit, an_account_over_its_share_is_refused_first)
+{
+	uint64_t over, below;
+
+	Engines(1);
+	Fill(60);
+	over = AskAs("big", 2, 500, 2500);
+	below = AskAs("small", 2, 500, 2500);
+	now += 5 * MS;
+	Run();
+	ASSERT_NE(DecisionOn(over), nullptr);
+	EXPECT_EQ(DecisionOn(over)->type, PLACE_REFUSE);
+	EXPECT_STREQ(DecisionOn(over)->basis.account, "big");
+	EXPECT_EQ(DecisionOn(below), nullptr);
+}
+
+/*
+ * Guards against the refusal of a request that has one try only, at an estimate
+ * that leaves it a chance.
+ */
+TEST_F(PlaceAdmit, a_request_that_must_not_run_twice_is_refused_later)
+{
+	uint64_t once, repeatable;
+	int decided_once = 0, decided_repeatable = 0;
+
+	for (int deadline_ms = 200; deadline_ms <= 12000; deadline_ms += 100) {
+		TearDown();
+		SetUp();
+		decisions.clear();
+		Engines(1);
+		Fill(60);
+		once =
+		    AskAs("big", 2, 100, deadline_ms, 2000, GW_NON_IDEMPOTENT);
+		now += 5 * MS;
+		Run();
+		decided_once += DecisionOn(once) != nullptr;
+		repeatable =
+		    AskAs("big", 2, 100, deadline_ms, 2000, GW_IDEMPOTENT);
+		now += 5 * MS;
+		Run();
+		decided_repeatable += DecisionOn(repeatable) != nullptr;
+	}
+	EXPECT_GT(decided_once, 0);
+	EXPECT_GT(decided_repeatable, decided_once);
+}
+
+/* Guards against another order where nothing is short. */
+TEST_F(PlaceAdmit, without_a_shortage_the_order_is_by_due_time)
+{
+	place_totals totals;
+	uint64_t later, sooner;
+
+	Engines(3);
+	later = AskAs("a", 0, 5000, 8000);
+	sooner = AskAs("b", 5, 500, 8000);
+	Run();
+	ASSERT_EQ(decisions.size(), 2u);
+	EXPECT_EQ(decisions[0].id.ask, sooner);
+	EXPECT_EQ(decisions[1].id.ask, later);
+	place_get_totals(p, &totals);
+	EXPECT_EQ(totals.held, 0u);
+}
+
+/* Guards against charges of requests that did not run. */
+TEST_F(PlaceAdmit, a_request_that_did_not_run_costs_nothing)
+{
+	struct {
+		place_outcome outcome;
+		bool is_charged;
+	} cases[] = {
+	    {PLACE_SERVED, true},
+	    {PLACE_ENDPOINT_FAILED, true},
+	    {PLACE_ENDPOINT_FULL, false},
+	    {PLACE_STATE_MISMATCH, false},
+	    {PLACE_NOT_SENT, false},
+	    {PLACE_ABANDONED, false},
+	};
+	place_account_info info[4];
+
+	for (auto &c : cases) {
+		SCOPED_TRACE(c.outcome);
+		TearDown();
+		SetUp();
+		decisions.clear();
+		Engines(1);
+		uint64_t ask = AskAs("a", 0, 1000, 4000);
+
+		Run();
+		ASSERT_TRUE(IsGranted(ask));
+		EXPECT_EQ(place_take_charges(p, info, 4), 0u);
+		Done(ask, c.outcome);
+		ASSERT_EQ(place_take_charges(p, info, 4), c.is_charged);
+		if (c.is_charged) {
+			EXPECT_STREQ(info[0].name, "a");
+			/* 2 for each of half of 10 output tokens */
+			EXPECT_EQ(info[0].charge_milli, 2010000u);
+		}
+		EXPECT_EQ(place_take_charges(p, info, 4), 0u) << "told once";
+	}
+}
+
+/* Guards against reports that leave out the accounts that changed most. */
+TEST_F(PlaceAdmit, the_largest_unsent_charges_are_reported_first)
+{
+	place_account_info info[2];
+	const char *names[] = {"a", "b", "c", "d"};
+
+	Engines(4);
+	for (uint32_t i = 0; i < 4; i++) {
+		uint64_t ask = AskAs(names[i], 0, 1000, 4000, 500 + 100 * i);
+
+		Run();
+		Done(ask, PLACE_SERVED);
+	}
+	ASSERT_EQ(place_take_charges(p, info, 2), 2u);
+	EXPECT_STREQ(info[0].name, "d");
+	EXPECT_STREQ(info[1].name, "c");
+	ASSERT_EQ(place_take_charges(p, info, 2), 2u);
+	EXPECT_STREQ(info[0].name, "b");
+	EXPECT_STREQ(info[1].name, "a");
+}
+
+/* Guards against loads for flooding accounts or late requests that go first. */
+TEST_F(PlaceAdmit, urgency_is_monotone_in_both_priorities)
+{
+	gw_account accounts[3] = {};
+	gw_route routes[3] = {};
+	uint32_t last = 0;
+
+	Engines(1);
+	for (uint32_t i = 0; i < 3; i++) {
+		accounts[i].name = (char *)(i == 0 ? "a0"
+			: i == 1		   ? "a1"
+						   : "a2");
+		accounts[i].priority = i;
+		routes[i].priority = 2 * i;
+	}
+	config.accounts = accounts;
+	config.naccounts = 3;
+	config.routes = routes;
+	config.nroutes = 3;
+	place_configure(p, &config);
+	for (uint32_t i = 0; i < 9; i++) {
+		place_request r = {};
+
+		r.id = {7, ++last_ask};
+		r.kind = GW_STREAM;
+		r.service = "lm";
+		r.model = "m";
+		r.prompt_tokens = 10;
+		r.deadline_us = now + 4000 * MS;
+		r.target_us = now + 2000 * MS;
+		r.account = accounts[i / 3].name;
+		r.account_priority = i / 3;
+		r.priority = 2 * (i % 3);
+		place_ask(p, now, &r);
+		Run();
+		ASSERT_TRUE(IsGranted(last_ask));
+		EXPECT_EQ(DecisionOn(last_ask)->urgency, i);
+		EXPECT_GE(DecisionOn(last_ask)->urgency, last);
+		last = DecisionOn(last_ask)->urgency;
+	}
+	place_configure(p, nullptr);
+}
--- /dev/null
+++ b/tests/place/admit_world.h
@@ -0,0 +1,87 @@
+#ifndef MP_TESTS_ADMIT_WORLD_H
+#define MP_TESTS_ADMIT_WORLD_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "place/place.h"
+#include "util/rng.h"
+
+/*
+ * Simulated engines, accounts and callers around one or more placers, without a
+ * network. An engine processes one prompt at a time, the most urgent first, and
+ * then generates the answer. Used by the tests of admission and by its bench.
+ */
+
+/* A kind of request, as a route has it. */
+struct WorldKind {
+	const char *name;
+	double part; /* of each account's requests */
+	uint32_t priority, objective_ms, deadline_ms;
+	uint32_t prompt_tokens, output_tokens;
+	bool returns; /* a refused caller comes back once */
+	gw_kind kind;
+	double late_value; /* of an answer after the objective */
+};
+
+struct WorldAccount {
+	double per_s; /* usual rate of requests */
+	uint64_t quota; /* requests per second; 0: none */
+	uint32_t priority;
+	int owner = -1; /* placer of all its requests; -1: any */
+};
+
+/* A change of the usual rate for a time. */
+struct WorldSurge {
+	int account, kind; /* -1: all */
+	double factor;
+	uint32_t from_ms, to_ms;
+};
+
+struct WorldLoad {
+	std::vector<WorldKind> kinds;
+	std::vector<WorldAccount> accounts;
+	std::vector<WorldSurge> surges;
+	uint32_t clump = 1; /* requests that arrive together */
+	uint32_t engines = 12, owners = 1, slots = 24;
+	uint32_t ms = 20000; /* time during which requests arrive */
+	bool baseline = false; /* admit as before there were accounts */
+	bool reports = true; /* owners tell each other their charges */
+	uint64_t seed = 1;
+};
+
+struct WorldCount {
+	uint32_t asked = 0, timely = 0, late = 0, refused = 0;
+	double value = 0;
+
+	double
+	ValuePart() const
+	{
+		return asked == 0 ? 1 : value / asked;
+	}
+	double
+	ServedPart() const
+	{
+		return asked == 0 ? 1 : (double)(timely + late) / asked;
+	}
+};
+
+struct WorldResult {
+	std::vector<WorldCount> accounts, kinds;
+	WorldCount all;
+	uint64_t gap_milli = 0, gap_bound_milli = 0; /* largest of all owners */
+	uint32_t held_to_deadline = 0; /* refused in the last tenth */
+	uint32_t inversions = 0; /* late ones that ran before timely ones */
+};
+
+WorldResult RunWorld(const WorldLoad &load);
+
+/* The kinds and accounts of the loads that the tests and the bench share. */
+std::vector<WorldKind> WorldKinds();
+/* n accounts that together use a part of the engines' capacity. */
+std::vector<WorldAccount> WorldAccounts(
+    int n, double used, const WorldLoad &load);
+
+#endif
