--- a/tests/fair/fair_test.cc
+++ b/tests/fair/fair_test.cc
@@ -12,7 +12,7 @@
 class Fair : public ::testing::Test {
       protected:
 	struct fair_guards guards = {true, true, true};
-	fair_options options = {4.0, &guards};
+	fair_options options = {4.0, &guards, nullptr};
 	fair *f = nullptr;
 
 	void
