place: bounded work for held requests; docs of fair shares

In a shortage up to 48 held requests were searched engines for in each run, though most stay held. The bound of the gap counts what reports of other owners may add.

--- a/src/fair/fair.c
+++ b/src/fair/fair.c
@@ -250,10 +250,13 @@
 void
 fair_get_gap(const struct fair *f, struct fair_gap *out)
 {
+	double bound =
+	    f->largest_bound + f->largest_part + f->largest_unsettled;
+
 	out->now_milli = f->gap_milli;
 	out->largest_milli = f->largest_gap_milli;
-	out->bound_milli = (uint64_t)((f->largest_bound + f->largest_part +
-					  f->largest_unsettled) *
-	    MILLI);
+	if (f->has_remote)
+		bound += REMOTE_BOUNDS_MAX * f->largest_bound;
+	out->bound_milli = (uint64_t)(bound * MILLI);
 	out->backlogged = f->backlogged;
 }
--- a/src/fair/fair.h
+++ b/src/fair/fair.h
@@ -161,7 +161,8 @@
 	uint64_t largest_milli; /* since the creation */
 	/*
 	 * What the rules allow: the deficit bound, the largest charge of one
-	 * request, and the largest sum of charges that was not settled.
+	 * request, and the largest sum of charges that was not settled; more
+	 * if other owners report charges, which the gap does not contain.
 	 */
 	uint64_t bound_milli;
 	uint32_t backlogged; /* accounts, at the last update */
--- a/src/fair/fair_charge.c
+++ b/src/fair/fair_charge.c
@@ -6,11 +6,7 @@
 #define MEAN_WEIGHT 0.05 /* of the newest value in a mean */
 #define MILLI	    1000.0
 
-/*
- * In deficit bounds: how far a remote charge may raise a counter above the
- * least one, and how far a counter may lie below that of a served account.
- */
-#define REMOTE_BOUNDS_MAX 8.0
+/* In deficit bounds: how far a counter may lie below a served account's. */
 #define CREDIT_BOUNDS_MAX 8.0
 
 double
@@ -130,6 +126,7 @@
 		r->total_milli = total_milli;
 		return;
 	}
+	f->has_remote = true;
 	before = r->total_milli;
 	r->total_milli = total_milli;
 	if (total_milli > before)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -303,9 +303,27 @@
  * of run intervals.
  */
 #define SEARCH_GAP_RUNS 5u
+/*
+ * In a shortage many requests are held, and most stay so: this many are found
+ * to stay held in a run, and each is tried again after this time, but for the
+ * next ones in the order.
+ */
+#define HELD_NEXT	 12u
+#define HELD_PER_RUN_MAX 16u
+#define HELD_RECHECK_US	 (10 * US_PER_MS)
+
+static uint64_t
+search_gap_us(const struct place *p, const struct place_ask *a, bool is_next)
+{
+	uint64_t gap_us = SEARCH_GAP_RUNS * min_run_gap_us(p);
+
+	return a->is_held && !is_next && gap_us < HELD_RECHECK_US
+	    ? HELD_RECHECK_US
+	    : gap_us;
+}
 
 static bool
-needs_evaluation(const struct place *p, const struct place_ask *a)
+needs_evaluation(const struct place *p, const struct place_ask *a, bool is_next)
 {
 	if (p->now_us >= a->deadline_us || a->evaluated_generation == 0)
 		return true;
@@ -314,8 +332,7 @@
 	return a->endpoint == NULL &&
 	    a->evaluated_generation != p->capacity_generation &&
 	    (a->key == NULL ||
-		p->now_us >=
-		    a->evaluated_us + SEARCH_GAP_RUNS * min_run_gap_us(p));
+		p->now_us >= a->evaluated_us + search_gap_us(p, a, is_next));
 }
 
 /* Refuse a request that no engine will have room for before its deadline. */
@@ -338,7 +355,7 @@
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
 	struct place_ask *a, *next;
-	size_t evaluated = 0;
+	size_t evaluated = 0, held = 0, searching = 0;
 
 	p->now_us = now_us;
 	p->next_run_us = now_us + SWEEP_US;
@@ -354,8 +371,14 @@
 			continue;
 		if (a->evaluate_at_us != 0)
 			place_schedule_run(p, a->evaluate_at_us);
-		if (!needs_evaluation(p, a))
+		searching += a->endpoint == NULL && a->key != NULL;
+		if (!needs_evaluation(p, a, searching <= HELD_NEXT))
 			continue;
+		if (held >= HELD_PER_RUN_MAX && a->endpoint == NULL &&
+		    a->key != NULL) {
+			place_schedule_run(p, now_us + CONTINUE_RUN_US);
+			continue;
+		}
 		if (++evaluated > EVALUATIONS_PER_RUN_MAX) {
 			place_schedule_run(p, now_us + CONTINUE_RUN_US);
 			break;
@@ -369,6 +392,7 @@
 			break;
 		case PLACE_ATTEMPT_WAITING:
 			keep_queued(p, a);
+			held += a->is_held;
 			break;
 		case PLACE_ATTEMPT_REFUSED:
 			break;
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -76,6 +76,7 @@
 	uint32_t nheld; /* queued requests that wait for room */
 	uint32_t nblocked; /* of these, no engine has a slot or memory */
 	struct place_rate grants; /* tokens */
+	double capacity; /* tokens per ms, as of the last ordering */
 	double held_ms; /* time to run what is held */
 	double objective_ms; /* about the shortest one; 0: none seen */
 	double mean_tokens; /* of a request; 0: none seen */
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -433,6 +433,7 @@
 		a->room_wait_ms = tokens / rate;
 		tokens += place_admit_charge(a);
 	}
+	p->admit->capacity = capacity;
 	p->admit->held_ms = capacity > 0 ? tokens / capacity : 0;
 }
 
@@ -487,15 +488,14 @@
     struct place *p, const struct place_ask *a, uint64_t from_us)
 {
 	struct place_admit *m = p->admit;
-	double capacity = place_admit_capacity(p);
 
 	if (from_us > p->now_us + RETURN_MAX_US)
 		from_us = p->now_us + RETURN_MAX_US;
 	if (m->return_us < from_us || m->return_us > from_us + RETURN_SPREAD_US)
 		m->return_us = from_us;
-	if (capacity > 0)
+	if (m->capacity > 0)
 		m->return_us +=
-		    (uint64_t)(place_admit_charge(a) / capacity * US_PER_MS);
+		    (uint64_t)(place_admit_charge(a) / m->capacity * US_PER_MS);
 	return m->return_us;
 }
 
