--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -148,7 +148,10 @@
 	    {"limits_unreadable_total", "counter", t.invalid_limits},
 	    {"calls_too_late_total", "counter", t.late_calls_refused},
 	    {"store_loads_late_total", "counter", t.store_loads_late},
-	    {"store_loads_in_time_total", "counter", t.store_loads_in_time}};
+	    {"store_loads_in_time_total", "counter", t.store_loads_in_time},
+	    {"placing_held", "gauge", t.held},
+	    {"placing_late_total", "counter", t.late_grants},
+	    {"share_refused_total", "counter", t.share_refusals}};
 	size_t i;
 
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
@@ -241,4 +244,5 @@
 	put_accounts(n, out);
 	put_place_totals(n, out);
 	put_place_state(n, out);
+	gate_fair_write_metrics(n, out);
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/place_admit.h"
 #include "place/place_guard.h"
-#include "place/place_internal.h"
 #include "util/mem.h"
 
 /* A granted request without an outcome is dropped this long after deadline. */
@@ -32,6 +32,7 @@
 	p->versions = map_create();
 	p->budgets = map_create();
 	p->demand = map_create();
+	p->admit = place_admit_create();
 	p->capacity_generation = 1;
 	place_store_init(&p->store, options->adapter_load_ms);
 	return p;
@@ -68,6 +69,7 @@
 	free(p->changes);
 	free(p->popped_change_id);
 	free(p->decisions);
+	place_admit_destroy(p->admit);
 	free(p);
 }
 
@@ -75,6 +77,7 @@
 place_configure(struct place *p, const struct gw_config *config)
 {
 	p->config = config;
+	place_admit_configure(p);
 	place_endpoint_update_engines(p);
 	place_update_ownership(p, p->now_us);
 	p->capacity_generation++;
@@ -286,6 +289,7 @@
 	p->next_sweep_us = p->now_us + SWEEP_US;
 	place_endpoint_remove_silent(p);
 	drop_expired_asks(p);
+	place_admit_sweep(p);
 	if (p->now_us < p->next_demand_sweep_us)
 		return;
 	p->next_demand_sweep_us = p->now_us + DEMAND_SWEEP_US;
@@ -300,9 +304,27 @@
  * of run intervals.
  */
 #define SEARCH_GAP_RUNS 5u
+/*
+ * In a shortage many requests are held, and most stay so: this many are found
+ * to stay held in a run, and each is tried again after this time, but for the
+ * next ones in the order.
+ */
+#define HELD_NEXT	 12u
+#define HELD_PER_RUN_MAX 16u
+#define HELD_RECHECK_US	 (10 * US_PER_MS)
+
+static uint64_t
+search_gap_us(const struct place *p, const struct place_ask *a, bool is_next)
+{
+	uint64_t gap_us = SEARCH_GAP_RUNS * min_run_gap_us(p);
+
+	return a->is_held && !is_next && gap_us < HELD_RECHECK_US
+	    ? HELD_RECHECK_US
+	    : gap_us;
+}
 
 static bool
-needs_evaluation(const struct place *p, const struct place_ask *a)
+needs_evaluation(const struct place *p, const struct place_ask *a, bool is_next)
 {
 	if (p->now_us >= a->deadline_us || a->evaluated_generation == 0)
 		return true;
@@ -311,15 +333,30 @@
 	return a->endpoint == NULL &&
 	    a->evaluated_generation != p->capacity_generation &&
 	    (a->key == NULL ||
-		p->now_us >=
-		    a->evaluated_us + SEARCH_GAP_RUNS * min_run_gap_us(p));
+		p->now_us >= a->evaluated_us + search_gap_us(p, a, is_next));
+}
+
+/* Refuse a request that no engine will have room for before its deadline. */
+static bool
+refuse_hopeless(struct place *p, struct place_ask *a)
+{
+	uint64_t return_us;
+	bool elsewhere;
+
+	if (!p->admit->ops->is_hopeless(p, a, &return_us))
+		return false;
+	p->totals.share_refusals++;
+	elsewhere = a->may_redirect;
+	place_ask_refuse_until(p, a, "overload", return_us);
+	p->decisions[p->ndecisions - 1].elsewhere = elsewhere;
+	return true;
 }
 
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
 	struct place_ask *a, *next;
-	size_t evaluated = 0;
+	size_t evaluated = 0, held = 0, searching = 0;
 
 	p->now_us = now_us;
 	p->next_run_us = now_us + SWEEP_US;
@@ -328,12 +365,21 @@
 	place_backoff_expire(p);
 	place_limit_update_shares(p);
 	place_share_count_engines(p);
+	p->admit->ops->order(p);
 	for (a = p->queue_head; a != NULL; a = next) {
 		next = a->next;
+		if (refuse_hopeless(p, a))
+			continue;
 		if (a->evaluate_at_us != 0)
 			place_schedule_run(p, a->evaluate_at_us);
-		if (!needs_evaluation(p, a))
+		searching += a->endpoint == NULL && a->key != NULL;
+		if (!needs_evaluation(p, a, searching <= HELD_NEXT))
+			continue;
+		if (held >= HELD_PER_RUN_MAX && a->endpoint == NULL &&
+		    a->key != NULL) {
+			place_schedule_run(p, now_us + CONTINUE_RUN_US);
 			continue;
+		}
 		if (++evaluated > EVALUATIONS_PER_RUN_MAX) {
 			place_schedule_run(p, now_us + CONTINUE_RUN_US);
 			break;
@@ -347,6 +393,7 @@
 			break;
 		case PLACE_ATTEMPT_WAITING:
 			keep_queued(p, a);
+			held += a->is_held;
 			break;
 		case PLACE_ATTEMPT_REFUSED:
 			break;
@@ -366,6 +413,7 @@
 	out->limited_endpoints = p->nlimited;
 	out->store_loads_late = p->store.late;
 	out->store_loads_in_time = p->store.in_time;
+	out->held = p->admit->nheld;
 	out->running = 0;
 	for (i = 0; i < map_count(p->endpoints); i++)
 		out->running +=
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "place/place_guard.h"
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 
 /*
  * Load accounting of endpoints: granted requests and their outcomes.
@@ -226,11 +226,12 @@
 	e->running++;
 	e->unread_requests++;
 	e->unread_tokens += a->unread_tokens;
-	a->urgency = place_ask_urgency(a);
+	a->urgency = place_admit_urgency(p, a);
 	e->unread_requests_by[a->urgency]++;
 	e->unread_tokens_by[a->urgency] += a->unread_tokens;
 	e->kv_tokens += a->prompt_tokens + a->max_tokens;
 	place_limit_take(p, e);
+	place_admit_grant(p, a);
 	p->totals.granted++;
 }
 
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -45,17 +45,6 @@
 #define UNCERTAINTY_COST 0.2
 /* The cost to later requests is at most four times the own time. */
 #define LATER_BUSY_SHARE_MAX 0.8
-/* An entry's routes have priorities from 0; it is their urgency from here. */
-#define URGENCY_BASE 3u
-
-uint32_t
-place_ask_urgency(const struct place_ask *a)
-{
-	uint32_t urgency = URGENCY_BASE + a->priority;
-
-	return urgency < PLACE_URGENCIES ? urgency : PLACE_URGENCIES - 1;
-}
-
 /* Requests at the engine, also of other instances. */
 static double
 busy_requests(const struct place *p, const struct place_endpoint *e)
@@ -260,7 +249,7 @@
 {
 	struct place_prefix_saving saving;
 	double load, backlog, own_ms, batch_ms, tokens_per_ms;
-	uint32_t urgency = place_ask_urgency(a);
+	uint32_t urgency = place_admit_urgency(p, a);
 
 	memset(out, 0, sizeof(*out));
 	p->totals.estimates++;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -55,6 +55,7 @@
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
 	uint64_t state_since_us;
+	uint32_t load_rank; /* in a shortage, of its requests; least first */
 };
 
 /* The rate limit of an endpoint, see struct place_limit. */
@@ -149,6 +150,7 @@
 	uint32_t priority, attempt;
 	char *account; /* NULL: none */
 	uint32_t account_priority;
+	bool may_redirect; /* see struct place_request */
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
 	uint64_t
@@ -166,6 +168,14 @@
 	uint32_t unread_tokens; /* added to the endpoint's count */
 	uint32_t urgency; /* at the endpoint; set when it is granted */
 	struct place_ask *next, *prev; /* in the queue */
+	/* admission, see place_admit.h */
+	struct fair_account *share; /* its account */
+	bool is_held; /* it waits for room at an engine */
+	bool is_backlogged; /* as held, and it can still be in time */
+	bool is_blocked; /* as held, and no engine has a slot or memory */
+	bool is_late; /* it can't meet its objective any more */
+	double room_wait_ms; /* expected, as of the last ordering */
+	double charge; /* provisional, once it is granted */
 };
 
 /* The endpoints of one service. */
@@ -222,9 +232,10 @@
 	place_limit_share_fn limit_share_fn; /* NULL: all of each limit */
 	void *limit_share_ctx;
 	struct map *asks; /* struct place_ask by struct place_id */
-	/* queue of the asks that are not granted, by due_us */
+	/* queue of the asks that are not granted, see place_admit.h */
 	struct place_ask *queue_head, *queue_tail;
 	size_t nqueued;
+	struct place_admit *admit;
 	struct map *versions; /* struct place_version by key */
 	struct map *budgets; /* struct place_budget by service */
 	struct map *demand; /* struct place_demand by key */
@@ -473,8 +484,12 @@
     struct place *p, struct place_ask *a, bool may_order);
 
 /* ---- place_estimate.c ---- */
-/* The urgency of a request at an engine. */
-uint32_t place_ask_urgency(const struct place_ask *a);
+/*
+ * The urgency at the engine, 0 first to PLACE_URGENCIES - 1 last: ordered by
+ * the account's priority, then the route's, then whether the request can be in
+ * time.
+ */
+uint32_t place_admit_urgency(const struct place *p, const struct place_ask *a);
 /* Time until a prompt that arrives now is processed there. */
 double place_engine_load_ms(
     const struct place *p, const struct place_endpoint *e);
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 
 /*
  * Engines of a large fleet that are divided among several owners, the instances
@@ -167,7 +167,7 @@
 uint32_t
 place_load_ms(const struct place *p)
 {
-	return p->mean_load_ms;
+	return p->mean_load_ms + (uint32_t)p->admit->held_ms;
 }
 
 void
