--- /dev/null
+++ b/src/quota/quota_guard.c
@@ -0,0 +1,8 @@
+#include "quota/quota_guard.h"
+
+struct quota_guards quota_guards = {.outstanding = true,
+    .expiry = true,
+    .empty_start = true,
+    .reserve = true,
+    .repeat = true,
+    .late = true};
