--- a/src/quota/quota_held.c
+++ b/src/quota/quota_held.c
@@ -4,7 +4,7 @@
 
 /* What an entry holds of an account, and the forecast of its demand. */
 
-#define FORECAST_US	    (300.0 * 1000)
+#define FORECAST_US (300.0 * 1000)
 /*
  * The time constant of the smoothed demand: some requests of an account that
  * sends a few a second.
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -269,8 +269,7 @@
 static void
 settle(struct account *a, struct holder *h, const struct quota_ask *ask)
 {
-	uint64_t held =
-	    ask->held < h->outstanding ? ask->held : h->outstanding;
+	uint64_t held = ask->held < h->outstanding ? ask->held : h->outstanding;
 	uint64_t returned = h->outstanding - held;
 
 	if (ask->returned < returned)
@@ -337,9 +336,9 @@
 	a->refused_asks++;
 	a->refused_us = now_us;
 	a->is_exhausted = true;
-	out->wait_ms = promise_wait_ms(a, now_us,
-	    (double)(out->tokens + ask->first),
-	    (double)(ask->wanted - out->tokens));
+	out->wait_ms =
+	    promise_wait_ms(a, now_us, (double)(out->tokens + ask->first),
+		(double)(ask->wanted - out->tokens));
 }
 
 /* Grants; a grant beyond half of the burst ends soon. */
--- a/src/quota/quota_ledger.h
+++ b/src/quota/quota_ledger.h
@@ -52,8 +52,8 @@
  * Answers an ask.
  *
  * entry: the process that asks.
- * Returns false if there is no answer: the account has no quota here, the ask is
- * older than one received before, or the authority has only just begun.
+ * Returns false if there is no answer: the account has no quota here, the ask
+ * is older than one received before, or the authority has only just begun.
  */
 bool quota_ledger_ask(struct quota_ledger *l, uint64_t now_us,
     const char *account, uint64_t entry, const struct quota_ask *ask,
@@ -75,8 +75,8 @@
  * The next account whose quota was exhausted, or is no longer, since it was
  * returned last; false: none.
  */
-bool quota_ledger_next_change(struct quota_ledger *l, uint64_t now_us,
-    struct quota_account_state *out);
+bool quota_ledger_next_change(
+    struct quota_ledger *l, uint64_t now_us, struct quota_account_state *out);
 
 #ifdef __cplusplus
 }
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -108,8 +108,8 @@
 }
 
 static struct quota_decision
-refuse(struct quota_holding *h, uint64_t now_us, uint64_t request,
-    uint64_t tokens)
+refuse(
+    struct quota_holding *h, uint64_t now_us, uint64_t request, uint64_t tokens)
 {
 	struct quota_decision d = {request, QUOTA_EXHAUSTED, 0};
 
@@ -146,8 +146,7 @@
 }
 
 static void
-decide_waiters(
-    struct quota_share *s, struct quota_holding *h, uint64_t now_us)
+decide_waiters(struct quota_share *s, struct quota_holding *h, uint64_t now_us)
 {
 	struct quota_waiter **at = &h->first;
 	struct quota_decision d;
@@ -198,8 +197,8 @@
 }
 
 void
-quota_share_set(struct quota_share *s, const char *account,
-    const struct quota_limit *limit)
+quota_share_set(
+    struct quota_share *s, const char *account, const struct quota_limit *limit)
 {
 	struct quota_holding *h = map_get_str(s->holdings, account);
 
@@ -239,8 +238,8 @@
 /* ---- requests ----------------------------------------------------------- */
 
 static void
-add_waiter(struct quota_holding *h, uint64_t now_us, uint64_t request,
-    uint64_t tokens)
+add_waiter(
+    struct quota_holding *h, uint64_t now_us, uint64_t request, uint64_t tokens)
 {
 	struct quota_waiter *w = mem_alloc(1, sizeof(*w));
 
@@ -254,8 +253,8 @@
 }
 
 struct quota_decision
-quota_share_acquire(struct quota_share *s, uint64_t now_us,
-    const char *account, uint64_t request, uint64_t tokens)
+quota_share_acquire(struct quota_share *s, uint64_t now_us, const char *account,
+    uint64_t request, uint64_t tokens)
 {
 	struct quota_holding *h = map_get_str(s->holdings, account);
 	struct quota_decision d = {request, QUOTA_ADMITTED, 0};
@@ -281,8 +280,7 @@
 }
 
 void
-quota_share_cancel(
-    struct quota_share *s, const char *account, uint64_t request)
+quota_share_cancel(struct quota_share *s, const char *account, uint64_t request)
 {
 	struct quota_holding *h = map_get_str(s->holdings, account);
 	struct quota_waiter **at;
