--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -206,6 +206,7 @@
 		(unsigned long long)ms_since(r->started_us, r->deadline_us)),
 	    fx);
 	hist_add(&f->stats.total_us, now_us - r->started_us);
+	fwd_refund_charge(f, r);
 	fwd_cancel_call(f, r, fx);
 	if (r->ask != 0)
 		fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
@@ -286,6 +287,8 @@
 		(void)map_set_u64(f->by_ask, r->ask, r);
 	}
 	r->state = FWD_ASKED;
+	if (!fwd_charge_request(f, r))
+		return;
 	ask.id.entry = f->entry;
 	ask.id.ask = r->ask;
 	ask.kind = r->kind;
@@ -355,6 +358,7 @@
 	    not_run || fwd_is_repeatable(r) || !forward_guards.once;
 
 	r->last_fault = fault;
+	fwd_end_attempt_charge(r, not_run);
 	if (!not_run) {
 		r->may_have_run = true;
 		r->maybe_run_count++;
@@ -405,6 +409,7 @@
 	r->call = f->ops->next_call(f->ctx);
 	(void)map_set_u64(f->by_call, r->call, r);
 	r->state = FWD_SENT;
+	fwd_spend_charge(r);
 	r->sent_us = now_us;
 	r->first_byte_us = 0;
 	r->limit_told = false;
@@ -474,23 +479,6 @@
 		    f, r, now_us, "endpoint-declines", retry_after_ms, fx);
 }
 
-void
-forward_on_refusal(struct forward *f, uint64_t now_us, uint64_t ask,
-    const char *reason, uint32_t retry_after_ms, struct node_effects *fx)
-{
-	struct fwd_request *r = map_get_u64(f->by_ask, ask);
-	bool may_have_run;
-
-	if (r == NULL || r->state != FWD_ASKED)
-		return;
-	(void)map_remove_u64(f->by_ask, r->ask);
-	r->ask = 0;
-	may_have_run = r->may_have_run;
-	fwd_refuse(f, r, now_us,
-	    may_have_run ? GW_REFUSE_FAILED : GW_REFUSE_OVERLOAD, reason,
-	    may_have_run ? 0 : retry_after_ms, fx);
-}
-
 void
 forward_refuse_quarantined(
     struct forward *f, uint64_t now_us, struct node_effects *fx)
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -74,6 +74,22 @@
 	uint64_t (*next_call)(void *ctx);
 	/* Log a finished request. fields: a JSON object. */
 	void (*log)(void *ctx, const char *fields, struct node_effects *fx);
+	/*
+	 * Charge the request to the quota of its account, before an ask is
+	 * made for it. Returns false if it waits: the result then arrives, not
+	 * during this call, by forward_on_charged() or forward_on_refusal().
+	 * NULL: there are no quotas.
+	 *
+	 * tokens: set to what is charged.
+	 */
+	bool (*charge)(void *ctx, uint64_t ask,
+	    const struct gw_request *request, uint64_t *tokens);
+	/*
+	 * Give back the charge of a request that has not run, or take it out
+	 * of those that wait for one.
+	 */
+	void (*uncharge)(void *ctx, uint64_t ask,
+	    const struct gw_request *request, uint64_t tokens, bool is_waiting);
 };
 
 /*
@@ -128,13 +144,18 @@
 void forward_decline_grant(struct forward *f, uint64_t now_us, uint64_t ask,
     uint32_t retry_after_ms, struct node_effects *fx);
 /*
- * Refuses the request, since the placer refused the ask. The caller receives
- * retry_after_ms only if the request cannot have run.
+ * Refuses the request, since the placer refused the ask, or its account has no
+ * tokens left. The caller receives the refusal and retry_after_ms only if the
+ * request cannot have run.
  *
  * reason: used until the end of the call.
  */
 void forward_on_refusal(struct forward *f, uint64_t now_us, uint64_t ask,
-    const char *reason, uint32_t retry_after_ms, struct node_effects *fx);
+    enum gw_refusal refusal, const char *reason, uint32_t retry_after_ms,
+    struct node_effects *fx);
+/* The request of this ask, which waited for it, is charged now. */
+void forward_on_charged(
+    struct forward *f, uint64_t now_us, uint64_t ask, struct node_effects *fx);
 
 /*
  * Sends an ask again that has no grant, under the same ask id. Returns false
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -20,6 +20,14 @@
 	FWD_HEAD_RECEIVED
 };
 
+/* The charge of a request to the quota of its account. */
+enum fwd_charge {
+	FWD_NOT_CHARGED,
+	FWD_CHARGE_WAITS, /* for tokens */
+	FWD_CHARGED, /* and not sent, or certainly not run */
+	FWD_CHARGE_SPENT /* the request is sent */
+};
+
 /* Where in an event a stream is. */
 struct fwd_event_state {
 	bool is_in_event; /* the last one received has no end yet */
@@ -52,6 +60,8 @@
 	const char *refusal_reason; /* valid during the current step */
 	uint64_t last_ask; /* for the log */
 	uint32_t declined_grants;
+	enum fwd_charge charge;
+	uint64_t charged_tokens;
 	char *endpoint; /* id of the granted one */
 	uint64_t endpoint_born_ms; /* start of its process */
 	uint64_t sent_us, first_byte_us, placed_us;
@@ -127,6 +137,16 @@
 void fwd_finish(struct forward *f, struct fwd_request *r, uint64_t now_us,
     const char *outcome, struct node_effects *fx);
 
+/* ---- forward_charge.c ---- */
+/* Charges a request that is not charged; false: it waits for tokens. */
+bool fwd_charge_request(struct forward *f, struct fwd_request *r);
+/* The request is sent. */
+void fwd_spend_charge(struct fwd_request *r);
+/* An attempt has ended. A request that has not run keeps its charge. */
+void fwd_end_attempt_charge(struct fwd_request *r, bool not_run);
+/* Gives back the charge of a request that has not run, at its end. */
+void fwd_refund_charge(struct forward *f, struct fwd_request *r);
+
 /* ---- forward_stop.c ---- */
 /*
  * Refuses a new request that would not end before this entry exits; false:
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -67,6 +67,7 @@
 	g->observer = quarantine_observer_create();
 	gate_owner_init(n);
 	gate_limit_init(n);
+	gate_quota_init(n);
 	g->forward = forward_create(codec, &gate_forward_ops, n, n->incarnation,
 	    n->settings->data_centre);
 	forward_set_buffer_limit(g->forward,
@@ -108,6 +109,7 @@
 	quarantine_destroy(g->quarantine);
 	quarantine_evidence_destroy(g->evidence);
 	quarantine_observer_destroy(g->observer);
+	gate_quota_destroy(g);
 	map_destroy_all(g->relays, free);
 	free_orders(g->orders);
 	free(g);
@@ -329,6 +331,12 @@
 	case WIRE__ENVELOPE__BODY_PARTS_SERVED:
 		gate_evidence_on_served(n, e->parts_served);
 		return true;
+	case WIRE__ENVELOPE__BODY_QUOTA_ASK:
+		gate_quota_on_ask(n, from, e->incarnation, e->quota_ask);
+		return true;
+	case WIRE__ENVELOPE__BODY_QUOTA_GRANT:
+		gate_quota_on_grant(n, e->quota_grant);
+		return true;
 	case WIRE__ENVELOPE__BODY_CALL_RELAY:
 		gate_relay_on_call(n, from, e->incarnation, e->call_relay);
 		return true;
@@ -417,6 +425,7 @@
 	if (forward_next_us(g->forward) <= n->now)
 		forward_tick(g->forward, n->now, n->fx);
 	gate_limit_tick(n);
+	gate_quota_tick(n);
 	gate_table_tick(n);
 	gate_quarantine_tick(n);
 	gate_evidence_tick(n);
@@ -427,8 +436,10 @@
 void
 node_gate_run(struct node *n)
 {
-	if (n->gate != NULL)
-		gate_place_run(n);
+	if (n->gate == NULL)
+		return;
+	gate_quota_run(n);
+	gate_place_run(n);
 }
 
 uint64_t
@@ -438,6 +449,8 @@
 
 	if (forward_next_us(n->gate->forward) < next)
 		next = forward_next_us(n->gate->forward);
+	if (gate_quota_next_us(n) < next)
+		next = gate_quota_next_us(n);
 	if (next < n->now + 1000)
 		next = n->now + 1000;
 	return next < latest ? next : latest;
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -212,6 +212,7 @@
 	struct quarantine_observer *observer; /* of this entry's requests */
 	uint64_t observed_ends;
 	uint64_t expiry_due_us; /* next check for expired quarantines */
+	struct gate_quotas *quotas; /* of client accounts */
 };
 
 /* ---- node_gate.c ---- */
@@ -321,6 +322,8 @@
     struct node *n, uint64_t incarnation, const Wire__EndpointNotice *message);
 
 /* ---- node_gate_limit.c: rate limits that endpoints name ---- */
+/* Whether this instance owns the shard and no other one can own it now. */
+bool gate_owns_alone(const struct node *n, uint32_t shard);
 void gate_limit_init(struct node *n);
 /* Logs changes of limits, and tells the leader those that the table lacks. */
 void gate_limit_tick(struct node *n);
@@ -405,6 +408,24 @@
 /* Progress of an order or report call; false: not one of these. */
 bool gate_order_on_call(struct node *n, const struct node_call_event *event);
 
+/* ---- node_gate_quota.c: quotas of client accounts ---- */
+void gate_quota_init(struct node *n);
+void gate_quota_destroy(struct node_gate *g);
+/* Operations of forward_ops, see there. */
+bool gate_quota_charge(void *ctx, uint64_t ask,
+    const struct gw_request *request, uint64_t *tokens);
+void gate_quota_uncharge(void *ctx, uint64_t ask,
+    const struct gw_request *request, uint64_t tokens, bool is_waiting);
+/* Follows the configuration and logs changes. */
+void gate_quota_tick(struct node *n);
+/* Sends asks and ends waits of requests, at the end of a step. */
+void gate_quota_run(struct node *n);
+uint64_t gate_quota_next_us(const struct node *n);
+void gate_quota_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__QuotaAsk *ask);
+void gate_quota_on_grant(struct node *n, const Wire__QuotaGrant *grant);
+void gate_quota_write_metrics(const struct node *n, struct buf *out);
+
 /* ---- node_gate_table.c: the table of endpoints ---- */
 /* Whether this placer knows all endpoints that announce themselves. */
 bool gate_table_is_complete(const struct node *n);
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -270,6 +270,8 @@
 }
 
 const struct forward_ops gate_forward_ops = {
+    .charge = gate_quota_charge,
+    .uncharge = gate_quota_uncharge,
     .ask = ops_ask,
     .done = ops_done,
     .notice = gate_notice_on_response,
@@ -341,8 +343,8 @@
 	if (elsewhere && redirect_ask(n, pending, from))
 		return;
 	free(map_remove_u64(n->gate->asks, ask));
-	forward_on_refusal(
-	    n->gate->forward, n->now, ask, reason, retry_after_ms, n->fx);
+	forward_on_refusal(n->gate->forward, n->now, ask, GW_REFUSE_OVERLOAD,
+	    reason, retry_after_ms, n->fx);
 }
 
 void
--- a/src/node/node_gate_ask_retry.c
+++ b/src/node/node_gate_ask_retry.c
@@ -57,8 +57,8 @@
 
 	gate_ask_send_done(n, pending, &abandoned);
 	free(map_remove_u64(n->gate->asks, ask));
-	forward_on_refusal(n->gate->forward, n->now, ask, "placer-busy",
-	    GATE_RETRY_AFTER_MS, n->fx);
+	forward_on_refusal(n->gate->forward, n->now, ask, GW_REFUSE_OVERLOAD,
+	    "placer-busy", GATE_RETRY_AFTER_MS, n->fx);
 }
 
 /*
--- a/src/node/node_gate_limit.c
+++ b/src/node/node_gate_limit.c
@@ -62,8 +62,8 @@
 	    n->now <= peer->received_us + GATE_PLACER_TIMEOUT_US;
 }
 
-static bool
-owns_alone(const struct node *n, uint32_t shard)
+bool
+gate_owns_alone(const struct node *n, uint32_t shard)
 {
 	const struct gate_shard *s = &n->gate->owned[shard];
 
@@ -83,7 +83,7 @@
 		return is_heard(n, node_leader(n)) ? none : even_share(n);
 	}
 	shard = gate_shard_of(n, service, endpoint);
-	if (owns_alone(n, shard))
+	if (gate_owns_alone(n, shard))
 		return whole;
 	return is_heard(n, n->gate->shards.owners[shard]) ? none
 							  : even_share(n);
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -142,6 +142,7 @@
 
 	if (g == NULL)
 		return;
+	gate_quota_write_metrics(n, out);
 	put_value(out, "config_version", "gauge",
 	    g->config == NULL ? 0 : (double)g->config->version);
 	put_value(out, "config_confirmed", "gauge",
--- /dev/null
+++ b/src/node/node_gate_quota.c
@@ -0,0 +1,456 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_gate.h"
+#include "quota/quota_ledger.h"
+#include "quota/quota_share.h"
+#include "util/mem.h"
+
+/*
+ * Quotas of client accounts. A request is charged to its account's quota before
+ * an ask for a place is sent.
+ *
+ * The owner of an account's quota is the owner of the shard of its name, or the
+ * leader in a small cluster. It grants only while no other instance can be the
+ * owner. Entries ask it for tokens in batches (quota/quota_share.h). Without an
+ * owner that can be reached, an entry uses the tokens that it holds and then
+ * refuses requests as not run.
+ */
+
+/* Refused without an answer of the owner: when to come again, and its spread.
+ */
+#define UNKNOWN_RETRY_MS  300u
+#define UNKNOWN_SPREAD_MS 200u
+/* Interval of looking for exhausted quotas to log. */
+#define LOG_INTERVAL_US (100 * 1000ULL)
+/* Accounts with counters of their own in the metrics. */
+#define METRIC_ACCOUNTS_MAX 32u
+/* Longest name of an account in the metrics. */
+#define METRIC_NAME_MAX 64
+
+/* By what this instance owns the accounts of a shard. */
+struct authority {
+	uint64_t number; /* of the epoch, or the term of the leader; 0: none */
+	uint64_t since_us;
+};
+
+struct gate_quotas {
+	struct quota_share *share;
+	struct quota_ledger *ledger;
+	uint64_t config_version, config_index; /* as applied */
+	bool is_configured;
+	struct authority shards[MEMBER_SHARDS_MAX];
+	uint64_t log_due_us;
+	uint64_t asks_answered;
+};
+
+void
+gate_quota_init(struct node *n)
+{
+	struct gate_quotas *q = mem_alloc(1, sizeof(*q));
+
+	q->share = quota_share_create();
+	q->ledger = quota_ledger_create();
+	n->gate->quotas = q;
+}
+
+void
+gate_quota_destroy(struct node_gate *g)
+{
+	quota_share_destroy(g->quotas->share);
+	quota_ledger_destroy(g->quotas->ledger);
+	free(g->quotas);
+}
+
+/* ---- configuration ------------------------------------------------------ */
+
+static const struct gw_account *
+gw_config_find_account(const struct gw_config *config, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < config->naccounts; i++)
+		if (strcmp(config->accounts[i].name, name) == 0)
+			return &config->accounts[i];
+	return NULL;
+}
+
+/* A quota without a burst may use one second's tokens at once. */
+static struct quota_limit
+get_limit(const struct gw_quota *quota)
+{
+	struct quota_limit limit = {
+	    (int)quota->unit, quota->rate_per_s, quota->burst};
+
+	if (limit.burst == 0)
+		limit.burst = limit.rate_per_s;
+	return limit;
+}
+
+static void
+apply_config(struct node *n)
+{
+	const struct gw_config *config = n->gate->config;
+	struct gate_quotas *q = n->gate->quotas;
+	struct quota_limit limit;
+	size_t i;
+
+	if (config == NULL ||
+	    (q->is_configured && q->config_version == config->version &&
+		q->config_index == n->gate->config_index))
+		return;
+	q->is_configured = true;
+	q->config_version = config->version;
+	q->config_index = n->gate->config_index;
+	for (i = 0; i < config->naccounts; i++) {
+		if (config->accounts[i].quota.rate_per_s == 0)
+			continue;
+		limit = get_limit(&config->accounts[i].quota);
+		quota_share_set(q->share, config->accounts[i].name, &limit);
+		quota_ledger_set(
+		    q->ledger, n->now, config->accounts[i].name, &limit);
+	}
+	quota_share_sweep(q->share);
+	quota_ledger_sweep(q->ledger);
+}
+
+/* ---- the owner ---------------------------------------------------------- */
+
+static uint32_t
+get_shard(const struct node *n, const char *account)
+{
+	return gate_is_sharded(n) ? member_shard_of(&n->gate->shards, account)
+				  : 0;
+}
+
+/*
+ * The leader of a cluster that was sharded before grants only once no owner of
+ * a shard can.
+ */
+static bool
+leads_alone(const struct node *n)
+{
+	const struct node_gate *g = n->gate;
+
+	return g->placing && gate_has_authority(n) &&
+	    n->now >= g->unsharded_order_from_us &&
+	    (g->unsharded_epoch == 0 ||
+		member_holder_active_epoch(n->holder) >= g->unsharded_epoch);
+}
+
+/* The authority over a shard now; 0: none. Terms and epochs differ by a bit. */
+static uint64_t
+get_authority(const struct node *n, uint32_t shard)
+{
+	const struct node_gate *g = n->gate;
+
+	if (!gate_is_sharded(n))
+		return leads_alone(n) ? g->placing_term << 1 | 1 : 0;
+	return gate_owns_alone(n, shard)
+	    ? g->owned[shard].owned_since_epoch << 1
+	    : 0;
+}
+
+/* Records since when this instance owns a shard; false: it does not now. */
+static bool
+update_authority(struct node *n, uint32_t shard)
+{
+	struct gate_quotas *q = n->gate->quotas;
+	struct authority *a = &q->shards[shard];
+	uint64_t number = get_authority(n, shard);
+
+	if (number == 0 || number == a->number)
+		return number != 0;
+	a->number = number;
+	a->since_us = n->now;
+	if (quota_ledger_count(q->ledger) > 0)
+		node_log(n, NODE_LOG_GATE_QUOTA_OWNER,
+		    "{\"shard\": %u, \"authority\": %llu, \"accounts\": %zu}",
+		    shard, (unsigned long long)(number >> 1),
+		    quota_ledger_count(q->ledger));
+	return true;
+}
+
+static bool
+answer(struct node *n, const char *account, uint64_t incarnation,
+    const struct quota_ask *ask, struct quota_grant *out)
+{
+	struct gate_quotas *q = n->gate->quotas;
+	uint32_t shard = get_shard(n, account);
+
+	apply_config(n);
+	if (!update_authority(n, shard))
+		return false;
+	(void)quota_ledger_begin(q->ledger, account, q->shards[shard].number,
+	    q->shards[shard].since_us);
+	q->asks_answered++;
+	return quota_ledger_ask(
+	    q->ledger, n->now, account, incarnation, ask, out);
+}
+
+void
+gate_quota_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
+    const Wire__QuotaAsk *message)
+{
+	struct quota_ask ask = {message->number, message->wanted,
+	    message->first, message->forecast, message->returned,
+	    message->held};
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__QuotaGrant reply = WIRE__QUOTA_GRANT__INIT;
+	struct quota_grant grant;
+
+	if (!answer(n, message->account, incarnation, &ask, &grant))
+		return; /* the entry asks again, perhaps another owner */
+	reply.account = message->account;
+	reply.number = grant.number;
+	reply.tokens = grant.tokens;
+	reply.lifetime_ms = grant.lifetime_ms;
+	reply.wait_ms = grant.wait_ms;
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUOTA_GRANT;
+	envelope.quota_grant = &reply;
+	node_peer_reply(n, from, incarnation, &envelope);
+}
+
+/* ---- the entry ---------------------------------------------------------- */
+
+static uint64_t
+get_charge(const struct gw_quota *quota, const struct gw_request *request)
+{
+	if (quota->unit == GW_QUOTA_REQUESTS)
+		return 1;
+	return request->has_tokens
+	    ? (uint64_t)request->prompt_tokens + request->max_tokens
+	    : quota->default_tokens;
+}
+
+/* Tells the caller that the owner is not known, at different times. */
+static void
+refuse_unknown(struct node *n, uint64_t ask)
+{
+	forward_on_refusal(n->gate->forward, n->now, ask, GW_REFUSE_OVERLOAD,
+	    "quota-unknown",
+	    UNKNOWN_RETRY_MS + (uint32_t)(ask * 37 % UNKNOWN_SPREAD_MS), n->fx);
+}
+
+static void
+take_decision(struct node *n, const struct quota_decision *d)
+{
+	struct forward *f = n->gate->forward;
+
+	switch (d->verdict) {
+	case QUOTA_ADMITTED:
+		forward_on_charged(f, n->now, d->request, n->fx);
+		break;
+	case QUOTA_EXHAUSTED:
+		forward_on_refusal(f, n->now, d->request, GW_REFUSE_OVER_QUOTA,
+		    "over-quota", d->wait_ms, n->fx);
+		break;
+	case QUOTA_TOO_LARGE:
+		forward_on_refusal(f, n->now, d->request, GW_REFUSE_OVER_QUOTA,
+		    "larger-than-quota-burst", 0, n->fx);
+		break;
+	case QUOTA_UNKNOWN:
+		refuse_unknown(n, d->request);
+		break;
+	case QUOTA_WAITING:
+		break;
+	}
+}
+
+bool
+gate_quota_charge(
+    void *ctx, uint64_t ask, const struct gw_request *request, uint64_t *tokens)
+{
+	struct node *n = ctx;
+	const struct gw_account *account = n->gate->config == NULL
+	    ? NULL
+	    : gw_config_find_account(n->gate->config, request->account);
+	struct quota_decision d;
+
+	*tokens = 0;
+	if (account == NULL || account->quota.rate_per_s == 0)
+		return true;
+	apply_config(n);
+	*tokens = get_charge(&account->quota, request);
+	d = quota_share_acquire(
+	    n->gate->quotas->share, n->now, account->name, ask, *tokens);
+	if (d.verdict != QUOTA_ADMITTED && d.verdict != QUOTA_WAITING)
+		quota_share_add_decision(n->gate->quotas->share, &d);
+	return d.verdict == QUOTA_ADMITTED;
+}
+
+void
+gate_quota_uncharge(void *ctx, uint64_t ask, const struct gw_request *request,
+    uint64_t tokens, bool is_waiting)
+{
+	struct node *n = ctx;
+
+	if (is_waiting)
+		quota_share_cancel(
+		    n->gate->quotas->share, request->account, ask);
+	else if (tokens > 0)
+		quota_share_refund(
+		    n->gate->quotas->share, n->now, request->account, tokens);
+}
+
+static uint32_t
+find_owner(const struct node *n, const char *account)
+{
+	if (!gate_is_sharded(n))
+		return node_gate_placer(n);
+	return n->gate->shards.owners[get_shard(n, account)];
+}
+
+static void
+send_ask(struct node *n, uint32_t owner, const char *account,
+    const struct quota_ask *ask)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__QuotaAsk message = WIRE__QUOTA_ASK__INIT;
+
+	message.account = (char *)account;
+	message.number = ask->number;
+	message.wanted = ask->wanted;
+	message.first = ask->first;
+	message.forecast = ask->forecast;
+	message.returned = ask->returned;
+	message.held = ask->held;
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUOTA_ASK;
+	envelope.quota_ask = &message;
+	node_peer_send(n, owner, &envelope);
+}
+
+/* Asks the owner, which may be this instance. */
+static void
+ask_owner(struct node *n, const char *account, const struct quota_ask *ask)
+{
+	uint32_t owner = find_owner(n, account);
+	struct quota_grant grant;
+
+	if (owner == 0)
+		return; /* sent again later */
+	if (owner != n->id)
+		send_ask(n, owner, account, ask);
+	else if (answer(n, account, n->incarnation, ask, &grant))
+		quota_share_on_grant(
+		    n->gate->quotas->share, n->now, account, &grant);
+}
+
+void
+gate_quota_on_grant(struct node *n, const Wire__QuotaGrant *message)
+{
+	struct quota_grant grant = {message->number, message->tokens,
+	    message->lifetime_ms, message->wait_ms};
+
+	quota_share_on_grant(
+	    n->gate->quotas->share, n->now, message->account, &grant);
+}
+
+/* ---- time --------------------------------------------------------------- */
+
+static void
+log_exhausted(struct node *n)
+{
+	struct gate_quotas *q = n->gate->quotas;
+	struct quota_account_state s;
+
+	if (n->now < q->log_due_us)
+		return;
+	q->log_due_us = n->now + LOG_INTERVAL_US;
+	while (quota_ledger_next_change(q->ledger, n->now, &s))
+		node_log(n, NODE_LOG_GATE_QUOTA,
+		    "{\"account\": \"%s\", \"exhausted\": %s, "
+		    "\"granted\": %llu, \"returned\": %llu, "
+		    "\"refusedAsks\": %llu, \"outstanding\": %llu}",
+		    s.account, s.is_exhausted ? "true" : "false",
+		    (unsigned long long)s.granted,
+		    (unsigned long long)s.returned,
+		    (unsigned long long)s.refused_asks,
+		    (unsigned long long)s.outstanding);
+}
+
+void
+gate_quota_tick(struct node *n)
+{
+	uint32_t i;
+
+	apply_config(n);
+	for (i = 0; i < n->gate->shards.count || i == 0; i++)
+		(void)update_authority(n, i);
+	log_exhausted(n);
+}
+
+void
+gate_quota_run(struct node *n)
+{
+	struct gate_quotas *q = n->gate->quotas;
+	struct quota_decision d;
+	struct quota_ask ask;
+	const char *account;
+	bool again = true;
+
+	while (again) {
+		again = false;
+		while (quota_share_next_decision(q->share, n->now, &d))
+			take_decision(n, &d);
+		while (quota_share_next_ask(q->share, n->now, &account, &ask)) {
+			ask_owner(n, account, &ask);
+			again = true;
+		}
+	}
+}
+
+uint64_t
+gate_quota_next_us(const struct node *n)
+{
+	return quota_share_next_us(n->gate->quotas->share);
+}
+
+/* ---- metrics ------------------------------------------------------------ */
+
+static bool
+is_plain_name(const char *name)
+{
+	size_t i;
+
+	for (i = 0; name[i] != '\0'; i++)
+		if (name[i] < ' ' || name[i] == '"' || name[i] == '\\')
+			return false;
+	return i <= METRIC_NAME_MAX;
+}
+
+static void
+put_counter(
+    struct buf *out, const char *name, const char *account, uint64_t value)
+{
+	if (is_plain_name(account))
+		buf_printf(out,
+		    "mulberrypath_gate_quota_%s_total{account=\"%s\"} %llu\n",
+		    name, account, (unsigned long long)value);
+}
+
+void
+gate_quota_write_metrics(const struct node *n, struct buf *out)
+{
+	const struct gate_quotas *q = n->gate->quotas;
+	struct quota_share_state s;
+	struct quota_account_state a;
+	size_t i;
+
+	for (i = 0; i < quota_share_count(q->share) && i < METRIC_ACCOUNTS_MAX;
+	     i++) {
+		s = quota_share_at(q->share, i);
+		put_counter(out, "used", s.account, s.used);
+		put_counter(out, "refunded", s.account, s.refunded);
+		put_counter(out, "refused", s.account, s.refused);
+		put_counter(out, "unknown", s.account, s.unknown);
+		put_counter(out, "asks", s.account, s.asks);
+	}
+	for (i = 0;
+	     i < quota_ledger_count(q->ledger) && i < METRIC_ACCOUNTS_MAX;
+	     i++) {
+		a = quota_ledger_at(q->ledger, i);
+		put_counter(out, "granted", a.account, a.granted);
+		put_counter(out, "returned", a.account, a.returned);
+	}
+}
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -47,13 +47,43 @@
 		return;
 	map_destroy_all(s->holdings, free_holding);
 	free(s->decisions);
+	free(s->active);
 	free(s);
 }
 
-/* ---- decisions ---------------------------------------------------------- */
+/* ---- accounts with something due ---- */
+
+void
+quota_share_activate(struct quota_share *s, struct quota_holding *h)
+{
+	size_t size;
+
+	if (h->is_active)
+		return;
+	if (s->nactive == s->active_size) {
+		size = s->active_size == 0 ? 16 : s->active_size * 2;
+		s->active = mem_resize(s->active, size, sizeof(*s->active));
+		s->active_size = size;
+	}
+	h->is_active = true;
+	s->active[s->nactive++] = h;
+}
 
 static void
-add_decision(struct quota_share *s, const struct quota_decision *d)
+remove_active(struct quota_share *s, const struct quota_holding *h)
+{
+	size_t i, kept = 0;
+
+	for (i = 0; i < s->nactive; i++)
+		if (s->active[i] != h)
+			s->active[kept++] = s->active[i];
+	s->nactive = kept;
+}
+
+/* ---- decisions ---------------------------------------------------------- */
+
+void
+quota_share_add_decision(struct quota_share *s, const struct quota_decision *d)
 {
 	size_t size;
 
@@ -158,7 +188,7 @@
 			continue;
 		}
 		remove_waiter(h, at);
-		add_decision(s, &d);
+		quota_share_add_decision(s, &d);
 	}
 }
 
@@ -171,8 +201,8 @@
 
 	if (s->next_decision == s->ndecisions) {
 		s->next_decision = s->ndecisions = 0;
-		for (i = 0; i < map_count(s->holdings); i++) {
-			h = map_at(s->holdings, i);
+		for (i = 0; i < s->nactive; i++) {
+			h = s->active[i];
 			if (h->first != NULL)
 				decide_waiters(s, h, now_us);
 		}
@@ -229,8 +259,9 @@
 		}
 		for (w = h->first; w != NULL; w = w->next) {
 			d.request = w->request;
-			add_decision(s, &d);
+			quota_share_add_decision(s, &d);
 		}
+		remove_active(s, h);
 		free_holding(map_remove_str(s->holdings, h->name));
 	}
 }
@@ -267,6 +298,7 @@
 	}
 	quota_held_expire(h, now_us);
 	quota_demand_record(h, now_us, tokens);
+	quota_share_activate(s, h);
 	quota_ask_ahead(h, now_us);
 	if (h->first == NULL && tokens <= quota_held(h)) {
 		charge(h, tokens);
@@ -324,8 +356,8 @@
 	const struct quota_holding *h;
 	size_t i;
 
-	for (i = 0; i < map_count(s->holdings); i++) {
-		h = map_at(s->holdings, i);
+	for (i = 0; i < s->nactive; i++) {
+		h = s->active[i];
 		if (quota_ask_due_us(h) < next)
 			next = quota_ask_due_us(h);
 		if (decision_due_us(h) < next)
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -71,6 +71,13 @@
 void quota_share_refund(struct quota_share *s, uint64_t now_us,
     const char *account, uint64_t tokens);
 
+/*
+ * Has quota_share_next_decision() return a decision, for a caller that can't
+ * act on it now.
+ */
+void quota_share_add_decision(
+    struct quota_share *s, const struct quota_decision *decision);
+
 /* The next decision on a request that waited; false: none. */
 bool quota_share_next_decision(
     struct quota_share *s, uint64_t now_us, struct quota_decision *out);
--- a/src/quota/quota_share_ask.c
+++ b/src/quota/quota_share_ask.c
@@ -133,6 +133,21 @@
 	return true;
 }
 
+/* Whether an ask is to be sent now, which is then in h->ask. */
+static bool
+take_ask(struct quota_share *s, struct quota_holding *h, uint64_t now_us)
+{
+	if (now_us < quota_ask_due_us(h))
+		return false;
+	quota_held_expire(h, now_us);
+	if (h->ask.number != 0 && resend(h, now_us))
+		return true;
+	if (h->ask.number != 0 || now_us < quota_ask_due_us(h))
+		return false;
+	begin_ask(s, h, now_us);
+	return true;
+}
+
 bool
 quota_share_next_ask(struct quota_share *s, uint64_t now_us,
     const char **account, struct quota_ask *out)
@@ -140,19 +155,17 @@
 	struct quota_holding *h;
 	size_t i;
 
-	for (i = 0; i < map_count(s->holdings); i++) {
-		h = map_at(s->holdings, i);
-		if (now_us < quota_ask_due_us(h))
-			continue;
-		quota_held_expire(h, now_us);
-		if (h->ask.number != 0 && !resend(h, now_us) &&
-		    now_us < quota_ask_due_us(h))
-			continue;
-		if (h->ask.number == 0)
-			begin_ask(s, h, now_us);
-		*account = h->name;
-		*out = h->ask;
-		return true;
+	for (i = s->nactive; i-- > 0;) {
+		h = s->active[i];
+		if (take_ask(s, h, now_us)) {
+			*account = h->name;
+			*out = h->ask;
+			return true;
+		}
+		if (h->first == NULL && quota_ask_due_us(h) == UINT64_MAX) {
+			h->is_active = false;
+			s->active[i] = s->active[--s->nactive];
+		}
 	}
 	return false;
 }
@@ -181,6 +194,7 @@
 	    grant->number == 0)
 		return;
 	h->ask.number = 0;
+	quota_share_activate(s, h);
 	quota_held_expire(h, now_us);
 	end_us = grant_end_us(h->first_sent_us, grant->lifetime_ms);
 	if (now_us < end_us)
--- a/src/quota/quota_share_internal.h
+++ b/src/quota/quota_share_internal.h
@@ -29,6 +29,7 @@
 	char *name;
 	struct quota_limit limit;
 	bool is_set; /* since the last sweep */
+	bool is_active; /* listed in quota_share.active */
 	/* what is held, in order of the end */
 	struct quota_lot lots[QUOTA_LOTS_MAX];
 	uint32_t nlots;
@@ -54,6 +55,9 @@
 
 struct quota_share {
 	struct map *holdings;
+	/* those with something due, so that idle accounts cost nothing */
+	struct quota_holding **active;
+	size_t nactive, active_size;
 	uint64_t last_number;
 	/* decisions not returned yet */
 	struct quota_decision *decisions;
@@ -74,6 +78,9 @@
 uint64_t quota_demand_forecast(const struct quota_holding *h, uint64_t now_us);
 bool quota_demand_is_active(const struct quota_holding *h, uint64_t now_us);
 
+/* ---- quota_share.c ---- */
+void quota_share_activate(struct quota_share *s, struct quota_holding *h);
+
 /* ---- quota_share_ask.c ---- */
 /* Has tokens asked for before all are used, if that pays: at high rates. */
 void quota_ask_ahead(struct quota_holding *h, uint64_t now_us);
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -69,6 +69,8 @@
     {NODE_LOG_GATE_LIMIT_INVALID, NODE_LOG_WARN, "endpoint-limit-unreadable"},
     {NODE_LOG_REPLY_OUTDATED, NODE_LOG_INFO, "reply-outdated"},
     {NODE_LOG_GATE_DEREGISTERED, NODE_LOG_INFO, "endpoint-deregistered"},
+    {NODE_LOG_GATE_QUOTA_OWNER, NODE_LOG_INFO, "quota-owner"},
+    {NODE_LOG_GATE_QUOTA, NODE_LOG_INFO, "quota-exhausted"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -82,6 +82,8 @@
 	NODE_LOG_GATE_LIMIT_INVALID = 141,
 	NODE_LOG_REPLY_OUTDATED = 142,
 	NODE_LOG_GATE_DEREGISTERED = 143,
+	NODE_LOG_GATE_QUOTA_OWNER = 150,
+	NODE_LOG_GATE_QUOTA = 151, /* exhausted, or no longer */
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -6647,7 +6647,7 @@
   (ProtobufCMessageInit) wire__part_served__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__quota_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__quota_ask__field_descriptors[7] =
 {
   {
     "account",
@@ -6721,9 +6721,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__quota_ask__field_indices_by_name[] = {
   0,   /* field[0] = account */
+  6,   /* field[6] = first */
   3,   /* field[3] = forecast */
   5,   /* field[5] = held */
   1,   /* field[1] = number */
@@ -6733,7 +6746,7 @@
 static const ProtobufCIntRange wire__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__quota_ask__descriptor =
 {
@@ -6743,7 +6756,7 @@
   "Wire__QuotaAsk",
   "wire",
   sizeof(Wire__QuotaAsk),
-  6,
+  7,
   wire__quota_ask__field_descriptors,
   wire__quota_ask__field_indices_by_name,
   1,  wire__quota_ask__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1357,10 +1357,14 @@
    * tokens granted before and not used yet
    */
   uint64_t held;
+  /*
+   * tokens that the longest waiting request needs
+   */
+  uint64_t first;
 };
 #define WIRE__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__quota_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -28,6 +28,11 @@
 	std::vector<place_result> results; /* of the outcomes */
 	std::vector<place_notice> notices;
 	std::vector<std::string> observed; /* endpoint and how it ended */
+	/* the account's quota: charges, and what became of them */
+	bool is_charge_late = false;
+	int charges = 0, refunds = 0, cancelled_charges = 0;
+	uint64_t charged_ask = 0;
+	const char *account = nullptr; /* of the requests */
 	bool is_quarantined = false, is_repeat_refused = false;
 	/* the response to the caller */
 	int status = 0;
@@ -41,8 +46,8 @@
 	void
 	SetUp() override
 	{
-		static const forward_ops ops = {
-		    ask, done, notice, may_send, observe, next_call, log};
+		static const forward_ops ops = {ask, done, notice, may_send,
+		    observe, next_call, log, charge, uncharge};
 
 		route.name = (char *)"r";
 		route.host = (char *)"h";
@@ -106,6 +111,30 @@
 		    (observed->is_served ? " served" : " ended"));
 	}
 
+	static bool
+	charge(void *ctx, uint64_t ask, const gw_request *, uint64_t *tokens)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		t->charges++;
+		t->charged_ask = ask;
+		*tokens = 7;
+		return !t->is_charge_late;
+	}
+
+	static void
+	uncharge(void *ctx, uint64_t, const gw_request *, uint64_t tokens,
+	    bool is_waiting)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		EXPECT_EQ(7u, tokens);
+		if (is_waiting)
+			t->cancelled_charges++;
+		else
+			t->refunds++;
+	}
+
 	static uint64_t
 	next_call(void *ctx)
 	{
@@ -185,6 +214,7 @@
 		in.path = "/x";
 		in.body = {"q", 1};
 		decoded.host = "h";
+		decoded.account = account;
 		decoded.attempt = "42";
 		decoded.deadline_ms = deadline_ms;
 		decoded.headers = headers;
--- a/tests/forward/outcome_test.cc
+++ b/tests/forward/outcome_test.cc
@@ -419,8 +419,8 @@
 TEST_F(Outcome, a_placer_refusal_is_sent_at_once)
 {
 	StartRequest();
-	forward_on_refusal(
-	    f, now_us, place_requests.back().id.ask, "overload", 700, fx);
+	forward_on_refusal(f, now_us, place_requests.back().id.ask,
+	    GW_REFUSE_OVERLOAD, "overload", 700, fx);
 	ApplyEffects();
 	EXPECT_EQ(status, 503);
 	EXPECT_EQ(retry_after, "0.700");
@@ -432,8 +432,8 @@
 	StartRequest();
 	ASSERT_TRUE(Grant());
 	ReceiveCallEvent(NODE_CALL_BROKEN);
-	forward_on_refusal(
-	    f, now_us, place_requests.back().id.ask, "retry-budget", 700, fx);
+	forward_on_refusal(f, now_us, place_requests.back().id.ask,
+	    GW_REFUSE_OVERLOAD, "retry-budget", 700, fx);
 	ApplyEffects();
 	EXPECT_EQ(status, 502);
 	EXPECT_EQ(retry_after, "");
--- a/tests/forward/stream_test.cc
+++ b/tests/forward/stream_test.cc
@@ -82,8 +82,8 @@
 	ReceiveSignedHead();
 	ReceiveCallEvent(NODE_CALL_DATA, "id: 1\ndata: a\n\n");
 	ReceiveCallEvent(NODE_CALL_BROKEN);
-	forward_on_refusal(
-	    f, now_us, place_requests.back().id.ask, "overload", 100, fx);
+	forward_on_refusal(f, now_us, place_requests.back().id.ask,
+	    GW_REFUSE_OVERLOAD, "overload", 100, fx);
 	ApplyEffects();
 	EXPECT_TRUE(is_aborted);
 	EXPECT_EQ(status, 200);
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -106,7 +106,7 @@
 	boot.now_us = now_us;
 	boot.wall_ms = wall_ms();
 	boot.disk = m.core ? &disk : nullptr;
-	boot.codec = &platform_codec;
+	boot.codec = codec;
 	ASSERT_EQ(node_create(&m.node, &boot, &err), MP_OK) << err.message;
 	m.alive = true;
 	m.exited = false;
@@ -444,6 +444,12 @@
 			replies[e->u.reply.request].body = std::string(
 			    e->u.reply.body.data ? e->u.reply.body.data : "",
 			    e->u.reply.body.len);
+			for (size_t k = 0; k < e->u.reply.nheaders; k++)
+				if (std::string(e->u.reply.headers[k].name) ==
+				    "Retry-After")
+					replies[e->u.reply.request]
+					    .retry_after =
+					    e->u.reply.headers[k].value;
 			replies[e->u.reply.request].is_complete =
 			    !e->u.reply.more;
 			replies[e->u.reply.request].ended_us =
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -19,6 +19,7 @@
 struct Reply {
 	int status = 0;
 	std::string body;
+	std::string retry_after; /* a header; empty: none */
 	bool is_complete = false, is_aborted = false;
 	uint64_t ended_us = 0; /* when it was complete or aborted */
 };
@@ -76,6 +77,7 @@
 	std::vector<EndpointCall> endpoint_calls;
 	std::set<uint64_t> cancelled_calls;
 	std::vector<std::string> seeds;
+	const struct gw_codec *codec = &platform_codec;
 	bool founding_allowed = true;
 	/* processor time of an event; 0: not simulated */
 	uint64_t core_event_us = 0, entry_event_us = 0;
