node: an owner that asks itself decides before the next ask

An entry that owned the quota asked itself without end: the granted request was still waiting when the next ask was made.

--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -387,16 +387,14 @@
 	struct quota_decision d;
 	struct quota_ask ask;
 	const char *account;
-	bool again = true;
 
-	while (again) {
-		again = false;
+	for (;;) {
+		/* Before the next ask, as this instance may answer itself. */
 		while (quota_share_next_decision(q->share, n->now, &d))
 			take_decision(n, &d);
-		while (quota_share_next_ask(q->share, n->now, &account, &ask)) {
-			ask_owner(n, account, &ask);
-			again = true;
-		}
+		if (!quota_share_next_ask(q->share, n->now, &account, &ask))
+			return;
+		ask_owner(n, account, &ask);
 	}
 }
 
