--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -22,20 +22,22 @@
 };
 
 static const Load loads[] = {
-    {"usual", [](int, uint64_t, int entries, double all) {
-	     return all / entries;
-     }},
-    {"flood", [](int, uint64_t, int entries, double all) {
-	     return 7.5 * all / entries;
-     }},
-    {"one entry", [](int entry, uint64_t, int, double all) {
-	     return entry == 3 ? 2.2 * all : 0;
-     }},
-    {"moving", [](int entry, uint64_t ms, int entries, double all) {
-	     return entry == (int)(ms / 1000 * 11 % (uint64_t)entries)
-		 ? 2.2 * all
-		 : 0;
-     }},
+    {"usual",
+	[](int, uint64_t, int entries, double all) { return all / entries; }},
+    {"flood",
+	[](int, uint64_t, int entries, double all) {
+		return 7.5 * all / entries;
+	}},
+    {"one entry",
+	[](int entry, uint64_t, int, double all) {
+		return entry == 3 ? 2.2 * all : 0;
+	}},
+    {"moving",
+	[](int entry, uint64_t ms, int entries, double all) {
+		return entry == (int)(ms / 1000 * 11 % (uint64_t)entries)
+		    ? 2.2 * all
+		    : 0;
+	}},
 };
 
 struct Result {
@@ -94,8 +96,8 @@
 	bool
 	take(uint64_t ms, uint64_t n)
 	{
-		tokens = std::min(
-		    burst, tokens + rate * (double)(ms - at_ms) / 1e3);
+		tokens =
+		    std::min(burst, tokens + rate * (double)(ms - at_ms) / 1e3);
 		at_ms = ms;
 		if (tokens < (double)n)
 			return false;
@@ -125,8 +127,9 @@
 					    p)
 						continue;
 					uint64_t n = draw_size(random);
-					bool ok = buckets[(size_t)(e % parts)]
-						      .take(ms, n);
+					bool ok =
+					    buckets[(size_t)(e % parts)].take(
+						ms, n);
 					if (ms < kWarmMs)
 						continue;
 					used += ok ? n : 0;
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -98,10 +98,12 @@
 static double
 cap_at(const struct account *a, uint64_t us)
 {
+	uint64_t half = a->limit.burst / 2;
+
 	if (quota_guards.reserve && us < a->closed_until_us)
 		return 0;
 	if (quota_guards.reserve && us < a->half_until_us)
-		return (double)(a->limit.burst / 2);
+		return (double)half;
 	return (double)a->limit.burst;
 }
 
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -26,9 +26,8 @@
 	void
 	SetUp() override
 	{
-		static const forward_ops ops = {
-		    ask, done, notice, may_send, observe, next_call, log,
-		    nullptr, nullptr};
+		static const forward_ops ops = {ask, done, notice, may_send,
+		    observe, next_call, log, nullptr, nullptr};
 		http_server_callbacks callbacks = {
 		    on_request, on_disconnect, nullptr};
 		front_options o = {"127.0.0.1:0", 1, NODE_LISTEN_FRONT, 50,
