--- a/src/gate/gate_account.c
+++ b/src/gate/gate_account.c
@@ -219,6 +219,18 @@
 	return gw_config_find_account_by_hash(config, hash);
 }
 
+/* Without an index. */
+static const struct gw_account *
+search_account(const struct gw_config *config, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < config->naccounts; i++)
+		if (strcmp(config->accounts[i]->name, name) == 0)
+			return config->accounts[i];
+	return NULL;
+}
+
 const struct gw_account *
 gw_config_find_account_by_name(const struct gw_config *config, const char *name)
 {
@@ -226,6 +238,8 @@
 	size_t low = 0, high = index == NULL ? 0 : index->nnames, middle;
 	int order;
 
+	if (index == NULL)
+		return search_account(config, name);
 	while (low < high) {
 		middle = low + (high - low) / 2;
 		order = strcmp(index->names[middle].name, name);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -85,6 +85,8 @@
 	g->config_unreadable = false;
 	if (is_first || gw_update_has_services(update))
 		place_configure(g->place, config);
+	else
+		place_update_priorities(g->place);
 	publish_limits(n, &config->limits);
 	log_config(n, &work);
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -84,6 +84,12 @@
 	place_schedule_run(p, 0);
 }
 
+void
+place_update_priorities(struct place *p)
+{
+	place_admit_configure(p);
+}
+
 void
 place_set_version(
     struct place *p, const char *model, const char *adapter, uint32_t version)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -66,6 +66,11 @@
 
 /* Set the current configuration; it must outlive its use by the placer. */
 void place_configure(struct place *p, const struct gw_config *config);
+/*
+ * Routes or accounts of the current configuration have changed, but no
+ * services.
+ */
+void place_update_priorities(struct place *p);
 
 /* Require this version of an adapter or a newer one for its requests. */
 void place_set_version(
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate/gate_account.h"
 #include "place/place_admit.h"
 #include "util/mem.h"
 
@@ -98,15 +99,11 @@
 {
 	const struct gw_config *c = p->config;
 	double tokens;
-	size_t i;
+	const struct gw_account *a;
 
-	for (i = 0; c != NULL && i < c->naccounts; i++) {
-		if (strcmp(c->accounts[i].name, name) != 0)
-			continue;
-		tokens = quota_tokens_per_s(p->admit, &c->accounts[i]);
-		return tokens > 0 ? tokens / p->admit->mean_weight : 1;
-	}
-	return 1;
+	a = c == NULL ? NULL : gw_config_find_account_by_name(c, name);
+	tokens = a == NULL ? 0 : quota_tokens_per_s(p->admit, a);
+	return tokens > 0 ? tokens / p->admit->mean_weight : 1;
 }
 
 static void
@@ -117,7 +114,7 @@
 	size_t i, limited = 0;
 
 	for (i = 0; p->config != NULL && i < p->config->naccounts; i++) {
-		tokens = quota_tokens_per_s(m, &p->config->accounts[i]);
+		tokens = quota_tokens_per_s(m, p->config->accounts[i]);
 		sum += tokens;
 		limited += tokens > 0;
 	}
@@ -144,10 +141,10 @@
 	m->account_priorities = m->route_priorities = 0;
 	for (i = 0; c != NULL && i < c->naccounts; i++)
 		m->account_priorities |=
-		    place_admit_priority_bit(c->accounts[i].priority);
+		    place_admit_priority_bit(c->accounts[i]->priority);
 	for (i = 0; c != NULL && i < c->nroutes; i++)
 		m->route_priorities |=
-		    place_admit_priority_bit(c->routes[i].priority);
+		    place_admit_priority_bit(c->routes[i]->priority);
 	update_weights(p);
 }
 
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -62,7 +62,7 @@
 		e = map_at(p->endpoints, i);
 		if (e->engine == NULL || e->is_foreign || e->leaving)
 			continue;
-		speed += e->tokens_per_ms;
+		speed += place_endpoint_tokens_per_ms(p, e);
 		*unread_tokens += (double)e->unread_tokens;
 	}
 	return speed;
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -71,6 +71,8 @@
     {NODE_LOG_GATE_DEREGISTERED, NODE_LOG_INFO, "endpoint-deregistered"},
     {NODE_LOG_GATE_BASE_MISMATCH, NODE_LOG_WARN, "config-base-mismatch"},
     {NODE_LOG_GATE_SHARES, NODE_LOG_INFO, "account-shares"},
+    {NODE_LOG_GATE_QUOTA_OWNER, NODE_LOG_INFO, "quota-owner"},
+    {NODE_LOG_GATE_QUOTA, NODE_LOG_INFO, "quota-exhausted"},
     {NODE_LOG_STATE_RECEIVED, NODE_LOG_INFO, "state-received"},
     {NODE_LOG_STATE_REJECTED, NODE_LOG_WARN, "state-rejected"},
 };
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -84,6 +84,8 @@
 	NODE_LOG_GATE_DEREGISTERED = 143,
 	NODE_LOG_GATE_BASE_MISMATCH = 150,
 	NODE_LOG_GATE_SHARES = 151, /* of accounts, while requests wait */
+	NODE_LOG_GATE_QUOTA_OWNER = 152,
+	NODE_LOG_GATE_QUOTA = 153, /* exhausted, or no longer */
 	NODE_LOG_STATE_RECEIVED = 160, /* a snapshot, from another instance */
 	NODE_LOG_STATE_REJECTED = 161,
 };
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -28,6 +28,10 @@
 	std::vector<place_result> results; /* of the outcomes */
 	std::vector<place_notice> notices;
 	std::vector<std::string> observed; /* endpoint and how it ended */
+	/* the account's quota: charges, and what became of them */
+	bool is_charge_late = false;
+	int charges = 0, refunds = 0, cancelled_charges = 0;
+	uint64_t charged_ask = 0;
 	bool is_quarantined = false, is_repeat_refused = false;
 	forward_verdict verdict = FORWARD_SEND; /* of each check */
 	uint32_t verdict_retry_after_ms = 0;
@@ -47,7 +51,7 @@
 	SetUp() override
 	{
 		static const forward_ops ops = {ask, done, notice, may_send,
-		    check, observe, next_call, log};
+		    check, observe, next_call, log, charge, uncharge};
 
 		route.name = (char *)"r";
 		route.host = (char *)"h";
@@ -125,6 +129,30 @@
 		    (observed->is_served ? " served" : " ended"));
 	}
 
+	static bool
+	charge(void *ctx, uint64_t ask, const gw_request *, uint64_t *tokens)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		t->charges++;
+		t->charged_ask = ask;
+		*tokens = 7;
+		return !t->is_charge_late;
+	}
+
+	static void
+	uncharge(void *ctx, uint64_t, const gw_request *, uint64_t tokens,
+	    bool is_waiting)
+	{
+		ForwardTest *t = (ForwardTest *)ctx;
+
+		EXPECT_EQ(7u, tokens);
+		if (is_waiting)
+			t->cancelled_charges++;
+		else
+			t->refunds++;
+	}
+
 	static uint64_t
 	next_call(void *ctx)
 	{
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -88,10 +88,12 @@
 	uint32_t ms = 0;
 	uint64_t last_id = 0;
 	gw_config config = {};
-	gw_service service = {};
+	gw_service service = {}, *service_list[1] = {&service};
 	gw_model model = {};
 	std::vector<gw_account> accounts;
 	std::vector<gw_route> routes;
+	std::vector<gw_account *> account_list;
+	std::vector<gw_route *> route_list;
 	std::vector<std::string> names;
 	std::vector<place *> placers;
 	std::vector<SimEngine> engines;
@@ -119,7 +121,7 @@
 		service.engine.models = &model;
 		service.engine.nmodels = 1;
 		config.version = 1;
-		config.services = &service;
+		config.services = service_list;
 		config.nservices = 1;
 		for (size_t i = 0; i < load.accounts.size(); i++)
 			names.push_back("t" + std::to_string(i));
@@ -138,10 +140,14 @@
 			r.priority = k.priority;
 			routes.push_back(r);
 		}
-		config.accounts = accounts.data();
+		for (auto &a : accounts)
+			account_list.push_back(&a);
+		for (auto &r : routes)
+			route_list.push_back(&r);
+		config.accounts = account_list.data();
 		config.naccounts = accounts.size();
 		config.has_accounts = true;
-		config.routes = routes.data();
+		config.routes = route_list.data();
 		config.nroutes = routes.size();
 	}
 
