tests: quotas and shares with the accounts of the configuration

Change: they use the accounts of the configuration and the callers' keys; an estimate of a call is initialised when no endpoint is found.

--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -252,6 +252,7 @@
 	size_t i;
 
 	*earliest_ms = INFINITY;
+	memset(best, 0, sizeof(*best));
 	for (i = 0; i < g->count; i++) {
 		e = g->endpoints[i];
 		p->totals.estimates++;
--- a/tests/forward/charge_test.cc
+++ b/tests/forward/charge_test.cc
@@ -26,7 +26,7 @@
 
 TEST_F(Charge, requests_without_an_account_are_not_charged)
 {
-	account = nullptr;
+	account.clear();
 	StartRequest();
 	EXPECT_EQ(1u, ask_count);
 	EXPECT_EQ(0, charges);
--- a/tests/gateway/quota_test.cc
+++ b/tests/gateway/quota_test.cc
@@ -5,42 +5,25 @@
 
 /*
  * Quotas of accounts over all entries, from the caller's request to its arrival
- * at an endpoint, while the owner of the quotas is lost. The codec names the
- * account of a request by a header of the test's own.
+ * at an endpoint, while the owner of the quotas is lost.
  */
 
 static const uint64_t kRate = 40, kBurst = 40;
 static const char *const kAccounts[] = {"flooding", "usual"};
 
-static int
-read_config(
-    struct gw_config **out, struct node_bytes text, struct mp_error *err)
+/* The configuration of all tests, with the two accounts. */
+static std::string
+configuration()
 {
-	int rc = platform_codec.read_config(out, text, err);
-
-	if (rc != MP_OK)
-		return rc;
-	(*out)->accounts =
-	    (struct gw_account *)calloc(2, sizeof(struct gw_account));
-	(*out)->naccounts = 2;
-	for (size_t i = 0; i < 2; i++) {
-		(*out)->accounts[i].name = strdup(kAccounts[i]);
-		(*out)->accounts[i].quota = {
-		    GW_QUOTA_REQUESTS, kRate, kBurst, 1};
-	}
-	return rc;
-}
-
-static int
-read_request(struct gw_request *out, const struct node_request *in,
-    struct node_effects *memory, struct mp_error *err)
-{
-	int rc = platform_codec.read_request(out, in, memory, err);
-
-	for (size_t i = 0; rc == MP_OK && i < in->nheaders; i++)
-		if (strcmp(in->headers[i].name, "X-Test-Account") == 0)
-			out->account = in->headers[i].value;
-	return rc;
+	std::string text = config_text(1), accounts;
+
+	for (const char *name : kAccounts)
+		accounts += std::string(accounts.empty() ? "" : ",") +
+		    "{\"name\":\"" + name + "\",\"api_keys\":[\"key-" + name +
+		    "\"],\"rate_per_s\":" + std::to_string(kRate) +
+		    ",\"burst\":" + std::to_string(kBurst) + "}";
+	text.pop_back();
+	return text + ",\"tenants\":[" + accounts + "]}";
 }
 
 struct QuotaCase {
@@ -66,21 +49,17 @@
 	std::map<uint64_t, Sent> requests;
 	std::vector<uint64_t> arrivals[2];
 	int owner = -1; /* of the flooding account, asked last */
-	struct gw_codec codec = platform_codec;
 
 	void
 	StartServing()
 	{
-		codec.read_config = read_config;
-		codec.read_request = read_request;
-		sim.codec = &codec;
 		for (size_t i = 0; i < sim.instances.size(); i++)
 			sim.start((int)i);
 		ASSERT_TRUE(
 		    sim.run_until([&] { return sim.leader() >= 0; }, 8000));
 		ASSERT_EQ(200,
 		    sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL,
-			   "PUT", "/api/configuration", config_text(1))
+			   "PUT", "/api/configuration", configuration())
 			.status);
 		Announce();
 		ASSERT_TRUE(sim.run_until(
@@ -121,7 +100,7 @@
 	void
 	OnCall(const GatewaySim::EndpointCall &call)
 	{
-		auto name = call.headers.find("X-Test-Account");
+		auto name = call.headers.find("Mulberrypath-Tenant");
 
 		if (name == call.headers.end())
 			return;
@@ -165,7 +144,9 @@
 			(void)sim.send_request((int)to, NODE_LISTEN_FRONT,
 			    "POST", "/p/x", "body",
 			    {{"Host", "h.example"},
-				{"X-Test-Account", kAccounts[account]},
+				{"Authorization",
+				    std::string("Token key-") +
+					kAccounts[account]},
 				{"Mulberrypath-Attempt-Id", std::to_string(id)},
 				{"Mulberrypath-Deadline-Ms", "1500"}});
 			return;
--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -422,8 +422,8 @@
 /* Guards against loads for flooding accounts or late requests that go first. */
 TEST_F(PlaceAdmit, urgency_is_monotone_in_both_priorities)
 {
-	gw_account accounts[3] = {};
-	gw_route routes[3] = {};
+	gw_account accounts[3] = {}, *account_list[3];
+	gw_route routes[3] = {}, *route_list[3];
 	uint32_t last = 0;
 
 	Engines(1);
@@ -433,10 +433,12 @@
 						   : "a2");
 		accounts[i].priority = i;
 		routes[i].priority = 2 * i;
+		account_list[i] = &accounts[i];
+		route_list[i] = &routes[i];
 	}
-	config.accounts = accounts;
+	config.accounts = account_list;
 	config.naccounts = 3;
-	config.routes = routes;
+	config.routes = route_list;
 	config.nroutes = 3;
 	place_configure(p, &config);
 	for (uint32_t i = 0; i < 9; i++) {
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -155,7 +155,7 @@
 	AddOwner(int owner)
 	{
 		place_options options = {
-		    200, 50, 10000, 5000, 1100, 8, 250, 1200};
+		    200, 50, 10000, 5000, 1100, 8, 250, 1200, false};
 		place *p = place_create(&options);
 
 		place_configure(p, &config);
