--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -223,34 +223,38 @@
 	    : quota->default_tokens;
 }
 
-/* Tells the caller that the owner is not known, at different times. */
+/* Refuses a request, and logs it as the placer does (event 130). */
 static void
-refuse_unknown(struct node *n, uint64_t ask)
+refuse(struct node *n, const struct quota_decision *d, enum gw_refusal refusal,
+    const char *reason, uint32_t retry_ms)
 {
-	forward_on_refusal(n->gate->forward, n->now, ask, GW_REFUSE_OVERLOAD,
-	    "quota-unknown",
-	    UNKNOWN_RETRY_MS + (uint32_t)(ask * 37 % UNKNOWN_SPREAD_MS), n->fx);
+	node_log(n, NODE_LOG_GATE_REFUSED,
+	    "{\"ask\": %llu, \"entry\": %llu, \"reason\": \"%s\", "
+	    "\"account\": \"%s\", \"tokens\": %llu, \"retryMs\": %u}",
+	    (unsigned long long)d->request, PLACE_LOG_ENTRY_ID(n->incarnation),
+	    reason, d->account, (unsigned long long)d->tokens, retry_ms);
+	forward_on_refusal(n->gate->forward, n->now, d->request, refusal,
+	    reason, retry_ms, n->fx);
 }
 
 static void
 take_decision(struct node *n, const struct quota_decision *d)
 {
-	struct forward *f = n->gate->forward;
-
 	switch (d->verdict) {
 	case QUOTA_ADMITTED:
-		forward_on_charged(f, n->now, d->request, n->fx);
+		forward_on_charged(n->gate->forward, n->now, d->request, n->fx);
 		break;
 	case QUOTA_EXHAUSTED:
-		forward_on_refusal(f, n->now, d->request, GW_REFUSE_OVER_QUOTA,
-		    "over-quota", d->wait_ms, n->fx);
+		refuse(n, d, GW_REFUSE_OVER_QUOTA, "over-quota", d->wait_ms);
 		break;
 	case QUOTA_TOO_LARGE:
-		forward_on_refusal(f, n->now, d->request, GW_REFUSE_OVER_QUOTA,
-		    "larger-than-quota-burst", 0, n->fx);
+		refuse(
+		    n, d, GW_REFUSE_OVER_QUOTA, "larger-than-quota-burst", 0);
 		break;
 	case QUOTA_UNKNOWN:
-		refuse_unknown(n, d->request);
+		refuse(n, d, GW_REFUSE_OVERLOAD, "quota-unknown",
+		    UNKNOWN_RETRY_MS +
+			(uint32_t)(d->request * 37 % UNKNOWN_SPREAD_MS));
 		break;
 	case QUOTA_WAITING:
 		break;
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -391,7 +391,7 @@
 	decide(a, now_us, ask, out);
 	grant(a, h, now_us, out);
 	h->last = *out;
-	return true;
+	return ask->wanted + ask->forecast > 0;
 }
 
 /* ---- state -------------------------------------------------------------- */
--- a/src/quota/quota_ledger.h
+++ b/src/quota/quota_ledger.h
@@ -52,8 +52,9 @@
  * Answers an ask.
  *
  * entry: the process that asks.
- * Returns false if there is no answer: the account has no quota here, the ask
- * is older than one received before, or the authority has only just begun.
+ * Returns false if there is no answer: the ask is for nothing, the account has
+ * no quota here, the ask is older than one received before, or the authority
+ * has only just begun.
  */
 bool quota_ledger_ask(struct quota_ledger *l, uint64_t now_us,
     const char *account, uint64_t entry, const struct quota_ask *ask,
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -141,7 +141,8 @@
 refuse(
     struct quota_holding *h, uint64_t now_us, uint64_t request, uint64_t tokens)
 {
-	struct quota_decision d = {request, QUOTA_EXHAUSTED, 0};
+	struct quota_decision d = {
+	    request, QUOTA_EXHAUSTED, 0, tokens, h->name};
 
 	d.wait_ms = promise_wait_ms(h, now_us, tokens);
 	h->refused++;
@@ -156,8 +157,8 @@
 decide_waiter(struct quota_holding *h, uint64_t now_us,
     const struct quota_waiter *w, struct quota_decision *out)
 {
-	out->request = w->request;
-	out->wait_ms = 0;
+	*out = (struct quota_decision){
+	    w->request, QUOTA_WAITING, 0, w->tokens, h->name};
 	if (w->tokens <= quota_held(h)) {
 		out->verdict = QUOTA_ADMITTED;
 		charge(h, w->tokens);
@@ -246,7 +247,7 @@
 void
 quota_share_sweep(struct quota_share *s)
 {
-	struct quota_decision d = {0, QUOTA_ADMITTED, 0};
+	struct quota_decision d = {0, QUOTA_ADMITTED, 0, 0, NULL};
 	struct quota_holding *h;
 	struct quota_waiter *w;
 	size_t i;
@@ -288,10 +289,12 @@
     uint64_t request, uint64_t tokens)
 {
 	struct quota_holding *h = map_get_str(s->holdings, account);
-	struct quota_decision d = {request, QUOTA_ADMITTED, 0};
+	struct quota_decision d = {request, QUOTA_ADMITTED, 0, 0, NULL};
 
 	if (h == NULL)
 		return d;
+	d.tokens = tokens;
+	d.account = h->name;
 	if (tokens > h->limit.burst) {
 		d.verdict = QUOTA_TOO_LARGE;
 		return d;
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -54,6 +54,8 @@
 	uint64_t request;
 	enum quota_verdict verdict;
 	uint32_t wait_ms; /* EXHAUSTED: when to come again */
+	uint64_t tokens; /* of the request; 0: its account has no quota */
+	const char *account; /* valid until the accounts change */
 };
 
 /*
--- a/src/quota/quota_share_ask.c
+++ b/src/quota/quota_share_ask.c
@@ -148,6 +148,18 @@
 	return true;
 }
 
+/*
+ * An ask for nothing only tells what is held, and is not answered. If it is
+ * lost, the owner takes what was returned as used.
+ */
+static void
+end_settling(struct quota_holding *h, uint64_t now_us)
+{
+	h->ask.number = 0;
+	if (h->ask.held > 0)
+		h->settle_due_us = now_us + SETTLE_US;
+}
+
 bool
 quota_share_next_ask(struct quota_share *s, uint64_t now_us,
     const char **account, struct quota_ask *out)
@@ -160,6 +172,8 @@
 		if (take_ask(s, h, now_us)) {
 			*account = h->name;
 			*out = h->ask;
+			if (out->wanted + out->forecast == 0)
+				end_settling(h, now_us);
 			return true;
 		}
 		if (h->first == NULL && quota_ask_due_us(h) == UINT64_MAX) {
--- a/tests/quota/quota_world.cc
+++ b/tests/quota/quota_world.cc
@@ -301,6 +301,8 @@
 	m.account = name;
 	m.ask = h.ask;
 	send(m);
+	if (m.ask.wanted + m.ask.forecast == 0)
+		h.ask.number = 0; /* not answered */
 }
 
 /* Keeps the contract of an entry, and uses all that it holds at once. */
