--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -461,3 +461,85 @@
 	}
 	place_configure(p, nullptr);
 }
+
+/*
+ * Guards against adapter loads of an account over its share that go before
+ * those of one below it, and of less urgent requests before urgent ones. The
+ * baseline orders them by age.
+ */
+TEST_F(PlaceAdmit, loads_go_by_share_then_urgency)
+{
+	for (bool baseline : {true, false}) {
+		SCOPED_TRACE(baseline);
+		std::vector<std::string> order;
+		place_request r = {};
+		uint64_t orders = 0;
+
+		TearDown();
+		options.max_adapter_loads = 1;
+		SetUp();
+		decisions.clear();
+		if (baseline)
+			place_use_baseline_order(p);
+		Engines(1);
+		AskAs("small", 1, 1000, 20000, 10); /* keeps it busy */
+		Run();
+		for (int i = 0; i < 10; i++) {
+			uint64_t ask = AskAs("big", 1, 1000, 20000, 1000);
+
+			Run();
+			Done(ask, PLACE_SERVED);
+		}
+		const struct {
+			const char *account, *adapter;
+			uint32_t priority;
+		} asks[] = {{"big", "b0", 1}, {"big", "b1", 1},
+		    {"big", "b2", 0}, {"small", "s1", 1}};
+
+		for (auto &a : asks) {
+			r.id = {7, ++last_ask};
+			r.kind = GW_STREAM;
+			r.service = "lm";
+			r.model = "m";
+			r.adapter = a.adapter;
+			r.prompt_tokens = 10;
+			r.deadline_us = now + 20000 * MS;
+			r.target_us = now + 8000 * MS;
+			r.priority = a.priority;
+			r.account = a.account;
+			place_ask(p, now, &r);
+			Run();
+			now += MS;
+		}
+		for (int ms = 0; ms < 4000; ms++, now += MS) {
+			std::vector<place_decision> all;
+
+			Run();
+			all.swap(decisions);
+			for (auto &d : all) {
+				gw_report report = {};
+				gw_loaded_model loaded = {"m", nullptr, 1};
+
+				report.accepted_orders = orders;
+				report.loaded = &loaded;
+				report.nloaded = 1;
+				if (d.type == PLACE_REPORT)
+					place_on_report(
+					    p, now, d.endpoint, &report);
+				if (d.type != PLACE_ORDER)
+					continue;
+				orders++;
+				order.push_back(d.order.adapter);
+				place_on_order_result(p, now, d.endpoint,
+				    GW_ORDER_STARTED, false);
+			}
+		}
+		ASSERT_EQ(order.size(), 4u);
+		if (baseline)
+			EXPECT_EQ(order,
+			    (std::vector<std::string>{"b0", "b1", "b2", "s1"}));
+		else
+			EXPECT_EQ(order,
+			    (std::vector<std::string>{"b0", "s1", "b2", "b1"}));
+	}
+}
