place: don't read a request that keep_queued() has refused

The count of held requests read it after its refusal at the deadline; the address sanitizer found it in PlaceService.a_queued_call_is_refused_at_its_ deadline. test_place without the worlds passes under the sanitizers.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -391,8 +391,8 @@
 			place_ask_dequeue(p, a);
 			break;
 		case PLACE_ATTEMPT_WAITING:
-			keep_queued(p, a);
 			held += a->is_held;
+			keep_queued(p, a); /* may free it */
 			break;
 		case PLACE_ATTEMPT_REFUSED:
 			break;
