--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -373,8 +373,7 @@
 		return;
 	r->retries++;
 	f->stats.retried++;
-	r->first_byte_reported = false;
-	r->response.has_load = false; /* it is of the endpoint before */
+	r->first_byte_reported = r->response.has_load = false;
 	buf_free(&r->unsent);
 	fwd_count_unsent(f, r);
 	fwd_send_ask(f, r, now_us, fx);
