node: quotas are granted before the epoch is active if the previous owner has ended

Change: an owner grants at once if the previous owner of its shard was an earlier process of the same instance, or was removed when its lease had ended, and a leader with authority confirms its replica.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -146,6 +146,9 @@
 struct gate_shard {
 	uint64_t owned_since_epoch; /* 0: not owned by this instance */
 	bool epoch_active; /* whether that epoch is active */
+	/* it was taken from a member that was removed, as its lease had ended
+	 */
+	bool is_from_removed;
 	uint64_t order_from_us; /* no orders before */
 };
 
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -127,6 +127,33 @@
 		member_holder_active_epoch(n->holder) >= g->unsharded_epoch);
 }
 
+/* Whether an earlier process of this instance is still listed as a member. */
+static bool
+is_restarted(const struct node *n)
+{
+	const struct member *m = member_view_find(n->view, n->id);
+
+	return m != NULL && m->incarnation != n->incarnation;
+}
+
+/*
+ * Whether this instance may grant before its epoch is active. After the loss of
+ * many instances that takes seconds, in which nothing would be granted. The
+ * previous owner of the shard grants nothing more: it was an earlier process of
+ * this instance, or it was removed when its lease had ended. A leader with
+ * authority has confirmed lately that the shard has no other owner.
+ */
+static bool
+succeeds_ended_owner(const struct node *n, uint32_t shard)
+{
+	const struct gate_shard *s = &n->gate->owned[shard];
+
+	return s->owned_since_epoch != 0 && !n->stopping &&
+	    (is_restarted(n) || s->is_from_removed) &&
+	    member_freshness_is_confirmed(
+		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US);
+}
+
 /* The authority over a shard now; 0: none. Terms and epochs differ by a bit. */
 static uint64_t
 get_authority(const struct node *n, uint32_t shard)
@@ -135,7 +162,7 @@
 
 	if (!gate_is_sharded(n))
 		return leads_alone(n) ? g->placing_term << 1 | 1 : 0;
-	return gate_owns_alone(n, shard)
+	return gate_owns_alone(n, shard) || succeeds_ended_owner(n, shard)
 	    ? g->owned[shard].owned_since_epoch << 1
 	    : 0;
 }
--- a/tests/gateway/quota_test.cc
+++ b/tests/gateway/quota_test.cc
@@ -272,3 +272,36 @@
 				  sim.start(i);
 			  }
 		  }}));
+
+class QuotaRestart : public Quota {};
+
+/*
+ * Guards against a quota that nobody grants until all members have joined anew
+ * after the loss of all processes.
+ */
+TEST_P(QuotaRestart, quotas_are_granted_soon_after_the_loss_of_all_processes)
+{
+	const double calm[2] = {kRate / 1.8, kRate / 1.8};
+
+	StartServing();
+	sim.run_for_ms(4000);
+	RunTraffic(2000, calm);
+	for (size_t i = 0; i < sim.instances.size(); i++)
+		sim.kill((int)i);
+	sim.run_for_ms(300);
+	for (size_t i = 0; i < sim.instances.size(); i++)
+		sim.start((int)i);
+	ASSERT_TRUE(sim.run_until([&] { return sim.leader() >= 0; }, 8000));
+	RunTraffic(1000, calm);
+	uint64_t begin_us = sim.now_us;
+	RunTraffic(1000, calm);
+	EXPECT_GE((double)CountArrivals(1, begin_us), 0.8 * kRate / 1.8);
+	RunTraffic(6000, calm);
+	for (size_t a = 0; a < 2; a++)
+		EXPECT_LE(
+		    (double)MostArrivals(a, 8000), 1.1 * (8 * kRate + kBurst));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuotaRestart,
+    ::testing::Values(QuotaCase{"12 entries", 12, nullptr},
+	QuotaCase{"24 entries", 24, nullptr}));
