--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -66,7 +66,8 @@
 };
 
 struct place_admit {
-	const struct place_admit_ops *ops;
+	const struct place_admit_ops *ops; /* shares if there are accounts */
+	bool is_order_fixed; /* whatever the configuration says */
 	struct fair *fair;
 	bool is_short; /* as of the last ordering */
 	bool are_engines_short; /* they have little time left */
@@ -116,6 +117,9 @@
 /* The charge that a queued request will probably have. */
 double place_admit_charge(const struct place_ask *a);
 
+/* Restores the order by due time, and that of loads without ranks. */
+void place_admit_clear_order(struct place *p);
+
 /* Has its account had more than the deficit bound above the least one? */
 bool place_admit_is_over_share(
     const struct place *p, const struct place_ask *a);
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -55,16 +55,29 @@
 	struct fair_options options = {
 	    .bound_requests = BOUND_REQUESTS, .free_context = free};
 
-	m->ops = &place_admit_shares;
+	m->ops = &place_admit_baseline;
 	m->fair = fair_create(&options);
 	m->mean_weight = 1;
 	return m;
 }
 
+/* Another order finds the queue and the loads as it would have left them. */
+static void
+use_order(struct place *p, const struct place_admit_ops *ops)
+{
+	struct place_admit *m = p->admit;
+
+	if (m->ops == ops)
+		return;
+	place_admit_clear_order(p);
+	m->ops = ops;
+}
+
 void
 place_use_baseline_order(struct place *p)
 {
-	p->admit->ops = &place_admit_baseline;
+	p->admit->is_order_fixed = true;
+	use_order(p, &place_admit_baseline);
 }
 
 void
@@ -138,6 +151,10 @@
 	const struct gw_config *c = p->config;
 	size_t i;
 
+	if (!m->is_order_fixed)
+		use_order(p,
+		    c != NULL && c->has_accounts ? &place_admit_shares
+						 : &place_admit_baseline);
 	m->account_priorities = m->route_priorities = 0;
 	for (i = 0; c != NULL && i < c->naccounts; i++)
 		m->account_priorities |=
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -459,6 +459,18 @@
 	estimate_waits(p);
 }
 
+void
+place_admit_clear_order(struct place *p)
+{
+	struct place_admit *m = p->admit;
+
+	m->is_short = false;
+	m->held_ms = 0;
+	if (m->is_reordered)
+		order_by_due(p);
+	place_admit_rank_loads(p);
+}
+
 bool
 place_admit_is_hopeless(
     struct place *p, const struct place_ask *a, uint64_t *return_us)
--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -189,6 +189,14 @@
 
 class PlaceAdmit : public PlaceTest {
       protected:
+	void
+	SetUp() override
+	{
+		PlaceTest::SetUp();
+		config.has_accounts = true;
+		place_configure(p, &config);
+	}
+
 	uint64_t
 	AskAs(const char *account, uint32_t priority, int objective_ms,
 	    int deadline_ms, uint32_t tokens = 2000, gw_kind kind = GW_STREAM)
--- a/tests/place/engine_test.cc
+++ b/tests/place/engine_test.cc
@@ -198,8 +198,8 @@
 		TearDown();
 		SetUp();
 		decisions.clear();
-		if (baseline)
-			place_use_baseline_order(p);
+		config.has_accounts = !baseline;
+		place_configure(p, &config);
 		Engines(1);
 		for (int i = 0; i < (baseline ? 7 : 3); i++)
 			big.push_back(Ask("", 3500));
