node: quotas have owners of their own, by rendezvous over the entries

Cause: quotas were owned by the shards of the engines.

Change: accounts are divided into 64 partitions, each owned by an entry; only partitions of an instance that joins or leaves change their owner. A new owner grants once its epoch is active, or the lease of the one before has surely ended, or the one before has ended. What counts as ahead of a request of an account over its share grows with the excess.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -141,6 +141,12 @@
 /* Updates the shards after a change of the members. */
 void member_shards_update(struct member_shards *s, const struct member_view *v);
 
+/*
+ * The member for a key by rendezvous hashing, among those that have no data
+ * folder and do not leave; 0: there is none.
+ */
+uint32_t member_view_choose(const struct member_view *v, uint64_t key);
+
 /* The shard of a key. */
 uint32_t member_shard_of(const struct member_shards *s, const char *key);
 
--- a/src/member/member_shard.c
+++ b/src/member/member_shard.c
@@ -149,3 +149,24 @@
 		out[i] = scores[i].shard;
 	return n;
 }
+
+uint32_t
+member_view_choose(const struct member_view *v, uint64_t key)
+{
+	const struct member *m;
+	uint64_t hash, most = 0;
+	uint32_t best = 0;
+	size_t i;
+
+	for (i = 0; i < member_view_count(v); i++) {
+		m = member_view_at(v, i);
+		if (!is_candidate(m))
+			continue;
+		hash = XXH64(&key, sizeof(key), m->id);
+		if (best != 0 && hash <= most)
+			continue;
+		best = m->id;
+		most = hash;
+	}
+	return best;
+}
--- a/src/member/member_time.h
+++ b/src/member/member_time.h
@@ -32,6 +32,13 @@
 	return member_guards.flight ? MEMBER_FLIGHT_MAX_US : 0;
 }
 
+/* Time after which a lease that is not renewed has surely ended. */
+static inline uint64_t
+member_lease_over_us(void)
+{
+	return member_lengthen_for_drift(MEMBER_LEASE_US) + member_flight_us();
+}
+
 /*
  * Time for which a supporter is bound by a promise: while its support may
  * last and the orders sent under it may be in flight.
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -179,6 +179,22 @@
 	uint64_t missing_keys, unknown_keys;
 };
 
+/* Parts of the accounts, by their names, that have an owner each. */
+#define GATE_QUOTA_PARTITIONS 64u
+
+/* The owner of a partition, see node_gate_quota_owner.c. */
+struct gate_quota_owner {
+	uint32_t owner; /* instance; 0: none */
+	uint32_t previous; /* the owner before; 0: not known */
+	bool is_back; /* it was the owner until just before the previous one */
+	uint64_t since_epoch, since_us;
+};
+
+struct gate_quota_owners {
+	bool is_sharded;
+	struct gate_quota_owner partitions[GATE_QUOTA_PARTITIONS];
+};
+
 struct node_gate {
 	const struct gw_codec *codec;
 	struct gw_config *config; /* NULL: none is known */
@@ -249,6 +265,7 @@
 	uint64_t observed_ends;
 	uint64_t expiry_due_us; /* next check for expired quarantines */
 	struct gate_quotas *quotas; /* of client accounts */
+	struct gate_quota_owners quota_owners;
 };
 
 /* ---- node_gate.c ---- */
@@ -488,6 +505,17 @@
 /* Progress of an order or report call; false: not one of these. */
 bool gate_order_on_call(struct node *n, const struct node_call_event *event);
 
+/* ---- node_gate_quota_owner.c: owners of quotas ---- */
+/* The members have changed. skipped: changes in between are not known. */
+void gate_quota_owner_on_epoch(struct node *n, bool skipped);
+/* The instance that grants an account's quota; 0: none is known. */
+uint32_t gate_quota_find_owner(const struct node *n, const char *account);
+/*
+ * By what this instance may grant an account's quota now; 0: it may not.
+ * Another number than before: other instances may have granted in between.
+ */
+uint64_t gate_quota_get_authority(const struct node *n, const char *account);
+
 /* ---- node_gate_quota.c: quotas of client accounts ---- */
 void gate_quota_init(struct node *n);
 void gate_quota_destroy(struct node_gate *g);
--- a/src/node/node_gate_owner.c
+++ b/src/node/node_gate_owner.c
@@ -126,19 +126,6 @@
 	return (uint64_t)s->order_lease_ms * 1000 + TAKEOVER_MARGIN_US;
 }
 
-/*
- * Whether the previous owner of a shard has been removed as a member. With
- * another number of shards, keys move between shards of different owners.
- */
-static bool
-is_from_removed(
-    const struct node *n, const struct member_shards *previous, uint32_t shard)
-{
-	return previous->count == n->gate->shards.count &&
-	    previous->owners[shard] != 0 &&
-	    member_view_find(n->view, previous->owners[shard]) == NULL;
-}
-
 /*
  * Updates the ownership of a shard after a membership change. With fewer shards
  * than before each shard has received engines of others, so that ownership
@@ -156,7 +143,6 @@
 	    previous->count > n->gate->shards.count) {
 		s->owned_since_epoch = member_view_epoch(n->view);
 		s->epoch_active = false;
-		s->is_from_removed = is_from_removed(n, previous, shard);
 		s->order_from_us =
 		    n->now + takeover_wait_us(n, previous, shard);
 	}
@@ -235,6 +221,7 @@
 	    g->place, gate_owns_shard(n) ? g->shards.count : 0);
 	place_update_ownership(g->place, n->now);
 	g->shard_engines_due_us = 0;
+	gate_quota_owner_on_epoch(n, skipped);
 	log_owned_shards(n);
 }
 
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -10,11 +10,10 @@
  * Quotas of client accounts. A request is charged to its account's quota before
  * an ask for a place is sent.
  *
- * The owner of an account's quota is the owner of the shard of its name, or the
- * leader in a small cluster. It grants only while no other instance can be the
- * owner. Entries ask it for tokens in batches (quota/quota_share.h). Without an
- * owner that can be reached, an entry uses the tokens that it holds and then
- * refuses requests as not run.
+ * The owner of an account's quota (node_gate_quota_owner.c) grants only while
+ * no other instance can be the owner. Entries ask it for tokens in batches
+ * (quota/quota_share.h). Without an owner that can be reached, an entry uses
+ * the tokens that it holds and then refuses requests as not run.
  */
 
 /* Refused without an answer of the owner: when to come again, and its spread.
@@ -28,7 +27,7 @@
 /* Longest name of an account in the metrics. */
 #define METRIC_NAME_MAX 64
 
-/* By what this instance owns the accounts of a shard. */
+/* By what this instance owns the quota of an account. */
 struct authority {
 	uint64_t number; /* of the epoch, or the term of the leader; 0: none */
 	uint64_t since_us;
@@ -39,7 +38,7 @@
 	struct quota_ledger *ledger;
 	uint64_t config_version, config_index; /* as applied */
 	bool is_configured;
-	struct authority shards[MEMBER_SHARDS_MAX];
+	struct map *authorities; /* struct authority by account */
 	uint64_t log_due_us;
 	uint64_t asks_answered;
 };
@@ -51,6 +50,7 @@
 
 	q->share = quota_share_create();
 	q->ledger = quota_ledger_create();
+	q->authorities = map_create();
 	n->gate->quotas = q;
 }
 
@@ -59,6 +59,7 @@
 {
 	quota_share_destroy(g->quotas->share);
 	quota_ledger_destroy(g->quotas->ledger);
+	map_destroy_all(g->quotas->authorities, free);
 	free(g->quotas);
 }
 
@@ -76,6 +77,19 @@
 	return limit;
 }
 
+static void
+drop_authorities(struct gate_quotas *q, const struct gw_config *config)
+{
+	const char *account;
+	size_t i = map_count(q->authorities);
+
+	while (i-- > 0) {
+		account = map_key_at(q->authorities, i, NULL);
+		if (gw_config_find_account_by_name(config, account) == NULL)
+			free(map_remove_str(q->authorities, account));
+	}
+}
+
 static void
 apply_config(struct node *n)
 {
@@ -101,89 +115,33 @@
 	}
 	quota_share_sweep(q->share);
 	quota_ledger_sweep(q->ledger);
+	drop_authorities(q, config);
 }
 
 /* ---- the owner ---------------------------------------------------------- */
 
-static uint32_t
-get_shard(const struct node *n, const char *account)
-{
-	return gate_is_sharded(n) ? member_shard_of(&n->gate->shards, account)
-				  : 0;
-}
-
-/*
- * The leader of a cluster that was sharded before grants only once no owner of
- * a shard can.
- */
-static bool
-leads_alone(const struct node *n)
-{
-	const struct node_gate *g = n->gate;
-
-	return g->placing && gate_has_authority(n) &&
-	    n->now >= g->unsharded_order_from_us &&
-	    (g->unsharded_epoch == 0 ||
-		member_holder_active_epoch(n->holder) >= g->unsharded_epoch);
-}
-
-/* Whether an earlier process of this instance is still listed as a member. */
+/* Records since when this instance owns an account; false: it does not now. */
 static bool
-is_restarted(const struct node *n)
-{
-	const struct member *m = member_view_find(n->view, n->id);
-
-	return m != NULL && m->incarnation != n->incarnation;
-}
-
-/*
- * Whether this instance may grant before its epoch is active. After the loss of
- * many instances that takes seconds, in which nothing would be granted. The
- * previous owner of the shard grants nothing more: it was an earlier process of
- * this instance, or it was removed when its lease had ended. A leader with
- * authority has confirmed lately that the shard has no other owner.
- */
-static bool
-succeeds_ended_owner(const struct node *n, uint32_t shard)
-{
-	const struct gate_shard *s = &n->gate->owned[shard];
-
-	return s->owned_since_epoch != 0 && !n->stopping &&
-	    (is_restarted(n) || s->is_from_removed) &&
-	    member_freshness_is_confirmed(
-		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US);
-}
-
-/* The authority over a shard now; 0: none. Terms and epochs differ by a bit. */
-static uint64_t
-get_authority(const struct node *n, uint32_t shard)
-{
-	const struct node_gate *g = n->gate;
-
-	if (!gate_is_sharded(n))
-		return leads_alone(n) ? g->placing_term << 1 | 1 : 0;
-	return gate_owns_alone(n, shard) || succeeds_ended_owner(n, shard)
-	    ? g->owned[shard].owned_since_epoch << 1
-	    : 0;
-}
-
-/* Records since when this instance owns a shard; false: it does not now. */
-static bool
-update_authority(struct node *n, uint32_t shard)
+update_authority(struct node *n, const char *account, struct authority **out)
 {
 	struct gate_quotas *q = n->gate->quotas;
-	struct authority *a = &q->shards[shard];
-	uint64_t number = get_authority(n, shard);
+	struct authority *a = map_get_str(q->authorities, account);
+	uint64_t number = gate_quota_get_authority(n, account);
 
-	if (number == 0 || number == a->number)
-		return number != 0;
+	if (number == 0)
+		return false;
+	if (a == NULL) {
+		a = mem_alloc(1, sizeof(*a));
+		(void)map_set_str(q->authorities, account, a);
+	}
+	*out = a;
+	if (number == a->number)
+		return true;
 	a->number = number;
 	a->since_us = n->now;
-	if (quota_ledger_count(q->ledger) > 0)
-		node_log(n, NODE_LOG_GATE_QUOTA_OWNER,
-		    "{\"shard\": %u, \"authority\": %llu, \"accounts\": %zu}",
-		    shard, (unsigned long long)(number >> 1),
-		    quota_ledger_count(q->ledger));
+	node_log(n, NODE_LOG_GATE_QUOTA_OWNER,
+	    "{\"account\": \"%s\", \"authority\": %llu}", account,
+	    (unsigned long long)(number >> 1));
 	return true;
 }
 
@@ -192,13 +150,12 @@
     const struct quota_ask *ask, struct quota_grant *out)
 {
 	struct gate_quotas *q = n->gate->quotas;
-	uint32_t shard = get_shard(n, account);
+	struct authority *a;
 
 	apply_config(n);
-	if (!update_authority(n, shard))
+	if (!update_authority(n, account, &a))
 		return false;
-	(void)quota_ledger_begin(q->ledger, account, q->shards[shard].number,
-	    q->shards[shard].since_us);
+	(void)quota_ledger_begin(q->ledger, account, a->number, a->since_us);
 	q->asks_answered++;
 	return quota_ledger_ask(
 	    q->ledger, n->now, account, incarnation, ask, out);
@@ -313,14 +270,6 @@
 		    n->gate->quotas->share, n->now, request->account, tokens);
 }
 
-static uint32_t
-find_owner(const struct node *n, const char *account)
-{
-	if (!gate_is_sharded(n))
-		return node_gate_placer(n);
-	return n->gate->shards.owners[get_shard(n, account)];
-}
-
 static void
 send_ask(struct node *n, uint32_t owner, const char *account,
     const struct quota_ask *ask)
@@ -344,7 +293,7 @@
 static void
 ask_owner(struct node *n, const char *account, const struct quota_ask *ask)
 {
-	uint32_t owner = find_owner(n, account);
+	uint32_t owner = gate_quota_find_owner(n, account);
 	struct quota_grant grant;
 
 	if (owner == 0)
@@ -392,11 +341,13 @@
 void
 gate_quota_tick(struct node *n)
 {
-	uint32_t i;
+	struct authority *a;
+	size_t i;
 
 	apply_config(n);
-	for (i = 0; i < n->gate->shards.count || i == 0; i++)
-		(void)update_authority(n, i);
+	for (i = 0; i < quota_ledger_count(n->gate->quotas->ledger); i++)
+		(void)update_authority(
+		    n, quota_ledger_at(n->gate->quotas->ledger, i).account, &a);
 	log_exhausted(n);
 }
 
--- /dev/null
+++ b/src/node/node_gate_quota_owner.c
@@ -0,0 +1,139 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "member/member_time.h"
+#include "node/node_gate.h"
+
+/*
+ * Owners of the accounts' quotas. Accounts are divided into partitions by their
+ * names, and each partition has one owner among the entries by rendezvous
+ * hashing: when an instance joins or leaves, only partitions that it gets or
+ * had change their owner. Engines have owners by shard, all of which may change
+ * with the number of shards; quotas would then be granted by nobody for as long
+ * as members come and go.
+ *
+ * In a small cluster the leader owns all quotas.
+ */
+
+/*
+ * A new owner grants nothing for this time after the one before it was removed:
+ * an instance that joins anew is removed and added within less, and is the
+ * owner again.
+ */
+#define REMOVED_WAIT_US (300 * 1000ULL)
+
+static uint32_t
+get_partition(const char *account)
+{
+	return (uint32_t)(XXH64(account, strlen(account), 0) %
+	    GATE_QUOTA_PARTITIONS);
+}
+
+static void
+set_owner(struct node *n, struct gate_quota_owner *o, uint32_t owner)
+{
+	bool is_back =
+	    owner == o->previous && n->now < o->since_us + REMOVED_WAIT_US;
+
+	if (owner == o->owner)
+		return;
+	o->previous = o->owner;
+	o->owner = owner;
+	o->is_back = owner != 0 && is_back;
+	o->since_epoch = member_view_epoch(n->view);
+	o->since_us = n->now;
+}
+
+void
+gate_quota_owner_on_epoch(struct node *n, bool skipped)
+{
+	struct gate_quota_owners *q = &n->gate->quota_owners;
+	bool is_sharded = gate_is_sharded(n);
+	uint32_t i;
+
+	/* Without the changes in between, any instance may have been owner. */
+	if (skipped || is_sharded != q->is_sharded)
+		memset(q, 0, sizeof(*q));
+	q->is_sharded = is_sharded;
+	for (i = 0; i < GATE_QUOTA_PARTITIONS; i++)
+		set_owner(n, &q->partitions[i],
+		    member_view_choose(n->view, (uint64_t)i));
+}
+
+uint32_t
+gate_quota_find_owner(const struct node *n, const char *account)
+{
+	if (!gate_is_sharded(n))
+		return node_gate_placer(n);
+	return n->gate->quota_owners.partitions[get_partition(account)].owner;
+}
+
+/*
+ * The leader of a cluster that was sharded before grants only once no owner can
+ * any more.
+ */
+static bool
+leads_alone(const struct node *n)
+{
+	const struct node_gate *g = n->gate;
+
+	return g->placing && gate_has_authority(n) &&
+	    n->now >= g->unsharded_order_from_us &&
+	    (g->unsharded_epoch == 0 ||
+		member_holder_active_epoch(n->holder) >= g->unsharded_epoch);
+}
+
+/* Whether an earlier process of this instance is still listed as a member. */
+static bool
+is_restarted(const struct node *n)
+{
+	const struct member *m = member_view_find(n->view, n->id);
+
+	return m != NULL && m->incarnation != n->incarnation;
+}
+
+/*
+ * Whether the owner before this instance has surely lost its lease, or has
+ * applied the change of owner: its lease is renewed only once it has.
+ */
+static bool
+has_previous_stopped(const struct node *n, const struct gate_quota_owner *o)
+{
+	return member_holder_active_epoch(n->holder) >= o->since_epoch ||
+	    n->now >= o->since_us + member_lease_over_us();
+}
+
+/*
+ * Whether the owner before this instance has ended: it was an earlier process
+ * of this instance, or it was removed when its lease had ended. After the loss
+ * of many instances it takes seconds until this one has a lease in an active
+ * epoch. A leader with authority has confirmed lately who the members are.
+ */
+static bool
+has_previous_ended(const struct node *n, const struct gate_quota_owner *o)
+{
+	if (!member_freshness_is_confirmed(
+		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US))
+		return false;
+	if (is_restarted(n) || o->is_back)
+		return true;
+	return o->previous != 0 && n->now >= o->since_us + REMOVED_WAIT_US &&
+	    member_view_find(n->view, o->previous) == NULL;
+}
+
+uint64_t
+gate_quota_get_authority(const struct node *n, const char *account)
+{
+	const struct gate_quota_owner *o =
+	    &n->gate->quota_owners.partitions[get_partition(account)];
+
+	/* Terms and epochs differ by the lowest bit. */
+	if (!gate_is_sharded(n))
+		return leads_alone(n) ? n->gate->placing_term << 1 | 1 : 0;
+	if (o->owner != n->id || n->stopping)
+		return 0;
+	if ((node_may_act(n) && has_previous_stopped(n, o)) ||
+	    has_previous_ended(n, o))
+		return o->since_epoch << 1;
+	return 0;
+}
--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -25,8 +25,10 @@
 /* Interval of evaluating a request that waits at an engine for room. */
 #define ROOM_RECHECK_US (10 * US_PER_MS)
 
-#define URGENCY_BASE	3u
-#define URGENCY_MAX	9u
+/* Deficit bounds over the share at which all prompts count as ahead. */
+#define EXCESS_FULL_BOUNDS 6.0
+#define URGENCY_BASE	   3u
+#define URGENCY_MAX	   9u
 
 /* ---- urgency ------------------------------------------------------------ */
 
@@ -186,21 +188,35 @@
 	return true;
 }
 
+/*
+ * The prompts that count as ahead of a request. An urgent one goes before
+ * others at the engine. The more its account exceeds its share, the more of
+ * those others count, so that an account does not take all by urgent requests.
+ */
+static double
+unread_ahead_ms(const struct place *p, const struct place_ask *a,
+    const struct place_estimate *est)
+{
+	double excess = place_admit_share_excess(p, a) - 1;
+	double part = fmin(fmax(excess / EXCESS_FULL_BOUNDS, 0), 1);
+
+	return fmax(est->backlog_ms, est->unread_ms * part);
+}
+
 /* Does the best engine have room, for one in time or a late one? */
 static bool
 has_room(const struct place *p, const struct place_ask *a,
     const struct place_estimate *est)
 {
 	double hold_ms = place_admit_hold_ms(p);
+	double ahead_ms = unread_ahead_ms(p, a, est);
 
 	if (!a->is_late)
-		return !p->admit->are_engines_short ||
-		    est->backlog_ms <= hold_ms;
+		return !p->admit->are_engines_short || ahead_ms <= hold_ms;
 	if (est->needs_load && !has_spare_loads(p))
 		return false;
-	return est->backlog_ms <= (p->admit->are_engines_short
-					  ? hold_ms * LATE_PART
-					  : LATE_BACKLOG_MIN_MS);
+	return ahead_ms <= (p->admit->are_engines_short ? hold_ms * LATE_PART
+							: LATE_BACKLOG_MIN_MS);
 }
 
 /*
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -120,6 +120,9 @@
 /* Restores the order by due time, and that of loads without ranks. */
 void place_admit_clear_order(struct place *p);
 
+/* What its account has had above the least one, in deficit bounds. */
+double place_admit_share_excess(
+    const struct place *p, const struct place_ask *a);
 /* Has its account had more than the deficit bound above the least one? */
 bool place_admit_is_over_share(
     const struct place *p, const struct place_ask *a);
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -453,11 +453,18 @@
 	out->backlogged = gap.backlogged;
 }
 
+double
+place_admit_share_excess(const struct place *p, const struct place_ask *a)
+{
+	double bound = fair_bound(p->admit->fair), least = 0;
+
+	if (bound <= 0 || !fair_least_counter(p->admit->fair, &least))
+		return 0;
+	return (a->share->counter - least) / bound;
+}
+
 bool
 place_admit_is_over_share(const struct place *p, const struct place_ask *a)
 {
-	double least = 0;
-
-	return fair_least_counter(p->admit->fair, &least) &&
-	    a->share->counter > least + fair_bound(p->admit->fair);
+	return place_admit_share_excess(p, a) > 1;
 }
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -272,6 +272,7 @@
 	if (out->limit_wait_ms >= limit || isinf(out->limit_wait_ms))
 		return false;
 	out->backlog_ms = backlog;
+	out->unread_ms = backlog_ms(p, e, PLACE_URGENCIES - 1, tokens_per_ms);
 	saving = place_prefix_expect(p, e, a);
 	out->own_tokens = (uint32_t)(a->prompt_tokens - saving.tokens);
 	out->uncertainty_ms = saving.deviation / tokens_per_ms;
--- a/src/place/place_estimate.h
+++ b/src/place/place_estimate.h
@@ -9,7 +9,8 @@
 	double uncertainty_ms; /* standard deviation, by what is cached */
 	double cost; /* first_ms plus the cost to other requests */
 	uint32_t own_tokens; /* of the prompt, without cached ones */
-	double backlog_ms;
+	double backlog_ms; /* of prompts that are as urgent or more */
+	double unread_ms; /* of all prompts */
 	double limit_wait_ms; /* until the engine's rate limit allows it */
 	bool needs_load, stuck;
 };
