--- a/tests/gateway/quota_test.cc
+++ b/tests/gateway/quota_test.cc
@@ -227,14 +227,15 @@
 	EXPECT_GT(CountStatuses(0, flood_us, trouble_us)[429], 0);
 
 	ASSERT_GE(owner, 0);
-	GetParam().trouble(sim, owner);
+	const int lost = owner;
+	GetParam().trouble(sim, lost);
 	RunTraffic(8000, flood);
 	uint64_t end_us = sim.now_us;
 	used = (double)CountArrivals(0, end_us - 3000 * MS);
 	EXPECT_GE(used, 0.8 * 3 * (double)kRate) << "under the next owner";
 	/* An entry that is cut off reaches no owner, and refuses requests. */
 	statuses =
-	    CountStatuses(1, end_us - 3000 * MS, end_us - 200 * MS, owner);
+	    CountStatuses(1, end_us - 3000 * MS, end_us - 200 * MS, lost);
 	EXPECT_EQ(0, statuses[429]);
 	EXPECT_EQ(0, statuses[503]);
 
--- a/tests/util/operations_test.cc
+++ b/tests/util/operations_test.cc
@@ -56,7 +56,7 @@
 {
 	std::vector<Trace> traces = read_traces();
 
-	ASSERT_EQ(traces.size(), 4U);
+	ASSERT_EQ(traces.size(), 5U);
 	for (auto &trace : traces) {
 		ASSERT_GE(trace.lines.size(), 2U) << trace.title;
 		for (json_t *line : trace.lines) {
