place: a local name that is also one of the wire

Cause: script/lint refuses names of the users' wire outside platform/. Change: hold_ms is room_ms in place_admit.c.

--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -208,14 +208,14 @@
 has_room(const struct place *p, const struct place_ask *a,
     const struct place_estimate *est)
 {
-	double hold_ms = place_admit_hold_ms(p);
+	double room_ms = place_admit_hold_ms(p);
 	double ahead_ms = unread_ahead_ms(p, a, est);
 
 	if (!a->is_late)
-		return !p->admit->are_engines_short || ahead_ms <= hold_ms;
+		return !p->admit->are_engines_short || ahead_ms <= room_ms;
 	if (est->needs_load && !has_spare_loads(p))
 		return false;
-	return ahead_ms <= (p->admit->are_engines_short ? hold_ms * LATE_PART
+	return ahead_ms <= (p->admit->are_engines_short ? room_ms * LATE_PART
 							: LATE_BACKLOG_MIN_MS);
 }
 
