place, quota, node, forward: findings of the review

Cause: two readers who had not written the parts found, by reading: owners of quotas that may grant beside another one (an instance that is back, owners that act by support, the leader after a time with shards), small requests that overtake larger ones that wait for tokens, a request that is refused while it waits and keeps its place in the quota's queue, a name that is used after it is freed, an engine that gets no requests as long as others were told to use it, a leader that proposes a difference to a configuration that others have left behind, and a lower version that replaces a higher one that can't be read.

Change: each is mended as the readers proposed; a late plain call yields to one that can be in time.

--- a/src/forward/forward_check.c
+++ b/src/forward/forward_check.c
@@ -40,7 +40,6 @@
 	else if (verdict == FORWARD_UNAUTHORIZED)
 		refusal = GW_REFUSE_UNAUTHORIZED;
 	f->stats.outdated++;
-	fwd_report_outcome(f, r, PLACE_ABANDONED, fx);
 	if (r->may_have_run && forward_guards.truth)
 		fwd_refuse(
 		    f, r, now_us, GW_REFUSE_FAILED, check->reason, 0, fx);
--- a/src/journal/journal_key.c
+++ b/src/journal/journal_key.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "journal/journal_frame.h"
@@ -43,8 +44,7 @@
 	int code = MP_OK;
 
 	randombytes_buf(out, JOURNAL_KEY_BYTES);
-	errno = 0;
-	if (fd < 0 ||
+	if (fd < 0 || fchmod(fd, 0600) != 0 ||
 	    write(fd, out, JOURNAL_KEY_BYTES) != (ssize_t)JOURNAL_KEY_BYTES)
 		code = set_io_error(err, name.data);
 	if (fd >= 0 && close(fd) != 0 && code == MP_OK)
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -186,7 +186,6 @@
 struct gate_quota_owner {
 	uint32_t owner; /* instance; 0: none */
 	uint32_t previous; /* the owner before; 0: not known */
-	bool is_back; /* it was the owner until just before the previous one */
 	uint64_t since_epoch, since_us;
 };
 
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -169,7 +169,8 @@
 	const struct gate_change *c = changes->in_flight;
 	struct gw_text_delta *delta;
 
-	if (as_whole || n->gate->config == NULL) {
+	/* A base that others lack a newer configuration of is of no use. */
+	if (as_whole || n->gate->config == NULL || n->gate->config_unreadable) {
 		changes->proposal = propose_whole(n, c);
 		return;
 	}
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -231,6 +231,17 @@
 	    put->base_digest == gw_text_digest(g->unread_text);
 }
 
+/* The highest version of the log that is known here, read or not. */
+static uint64_t
+highest_version(const struct node_gate *g)
+{
+	uint64_t version = g->config == NULL ? 0 : g->config->version;
+
+	return g->unread_text != NULL && g->unread_version > version
+	    ? g->unread_version
+	    : version;
+}
+
 /*
  * A difference is applied only to the configuration that it was made from: on
  * another it would give a text that nobody has sent. All instances that can
@@ -257,6 +268,8 @@
 	} else {
 		gw_text_destroy(text);
 		g->config_counts.mismatches++;
+		if (put->base_version > highest_version(g))
+			g->config_unreadable = true; /* lacks the base */
 		node_log(n, NODE_LOG_GATE_BASE_MISMATCH,
 		    "{\"version\": %llu, \"base\": %llu, \"have\": %llu}",
 		    (unsigned long long)put->version,
@@ -297,6 +310,8 @@
 		return put->version < g->config->version || is_content(g, put)
 		    ? GATE_TAKEN
 		    : GATE_CONFLICT;
+	if (node_guards.gate_highest && put->version < highest_version(g))
+		return GATE_TAKEN;
 	if (is_delta(put))
 		verdict = take_delta(n, index, put);
 	else if (!take_whole_text(n, index, put->version, text))
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -20,7 +20,7 @@
  */
 #define UNKNOWN_RETRY_MS  300u
 #define UNKNOWN_SPREAD_MS 200u
-/* Interval of looking for exhausted quotas to log. */
+/* Interval of looking for new authorities and exhausted quotas to log. */
 #define LOG_INTERVAL_US (100 * 1000ULL)
 /* Accounts with counters of their own in the metrics. */
 #define METRIC_ACCOUNTS_MAX 32u
@@ -323,9 +323,6 @@
 	struct gate_quotas *q = n->gate->quotas;
 	struct quota_account_state s;
 
-	if (n->now < q->log_due_us)
-		return;
-	q->log_due_us = n->now + LOG_INTERVAL_US;
 	while (quota_ledger_next_change(q->ledger, n->now, &s))
 		node_log(n, NODE_LOG_GATE_QUOTA,
 		    "{\"account\": \"%s\", \"exhausted\": %s, "
@@ -341,13 +338,17 @@
 void
 gate_quota_tick(struct node *n)
 {
+	struct gate_quotas *q = n->gate->quotas;
 	struct authority *a;
 	size_t i;
 
 	apply_config(n);
-	for (i = 0; i < quota_ledger_count(n->gate->quotas->ledger); i++)
+	if (n->now < q->log_due_us)
+		return;
+	q->log_due_us = n->now + LOG_INTERVAL_US;
+	for (i = 0; i < quota_ledger_count(q->ledger); i++)
 		(void)update_authority(
-		    n, quota_ledger_at(n->gate->quotas->ledger, i).account, &a);
+		    n, quota_ledger_at(q->ledger, i).account, &a);
 	log_exhausted(n);
 }
 
--- a/src/node/node_gate_quota_owner.c
+++ b/src/node/node_gate_quota_owner.c
@@ -15,13 +15,6 @@
  * In a small cluster the leader owns all quotas.
  */
 
-/*
- * A new owner grants nothing for this time after the one before it was removed:
- * an instance that joins anew is removed and added within less, and is the
- * owner again.
- */
-#define REMOVED_WAIT_US (300 * 1000ULL)
-
 static uint32_t
 get_partition(const char *account)
 {
@@ -32,14 +25,10 @@
 static void
 set_owner(struct node *n, struct gate_quota_owner *o, uint32_t owner)
 {
-	bool is_back =
-	    owner == o->previous && n->now < o->since_us + REMOVED_WAIT_US;
-
 	if (owner == o->owner)
 		return;
 	o->previous = o->owner;
 	o->owner = owner;
-	o->is_back = owner != 0 && is_back;
 	o->since_epoch = member_view_epoch(n->view);
 	o->since_us = n->now;
 }
@@ -83,6 +72,16 @@
 		member_holder_active_epoch(n->holder) >= g->unsharded_epoch);
 }
 
+/*
+ * The number of the leader's authority, odd unlike those of owners. It grows
+ * with the term and with each time that the cluster was sharded meanwhile.
+ */
+static uint64_t
+leader_number(const struct node *n)
+{
+	return (n->gate->placing_term + n->gate->unsharded_epoch) << 1 | 1;
+}
+
 /* Whether an earlier process of this instance is still listed as a member. */
 static bool
 is_restarted(const struct node *n)
@@ -93,47 +92,59 @@
 }
 
 /*
- * Whether the owner before this instance has surely lost its lease, or has
- * applied the change of owner: its lease is renewed only once it has.
+ * Whether the previous owner has surely lost its lease, or has applied the
+ * change of owner: its lease is renewed only once it has. With few members any
+ * of them may act without a lease, by the support of others, so that only an
+ * active epoch tells.
  */
 static bool
 has_previous_stopped(const struct node *n, const struct gate_quota_owner *o)
 {
-	return member_holder_active_epoch(n->holder) >= o->since_epoch ||
+	if (member_holder_active_epoch(n->holder) >= o->since_epoch)
+		return true;
+	return member_view_count(n->view) > MEMBER_ALL_SUPPORT_MAX &&
 	    n->now >= o->since_us + member_lease_over_us();
 }
 
 /*
- * Whether the owner before this instance has ended: it was an earlier process
- * of this instance, or it was removed when its lease had ended. After the loss
- * of many instances it takes seconds until this one has a lease in an active
- * epoch. A leader with authority has confirmed lately who the members are.
+ * Whether the previous owner was removed as a member, which happens when its
+ * lease has ended, and can't have been confirmed as the owner since then.
  */
 static bool
-has_previous_ended(const struct node *n, const struct gate_quota_owner *o)
+is_previous_removed(const struct node *n, const struct gate_quota_owner *o)
 {
-	if (!member_freshness_is_confirmed(
-		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US))
-		return false;
-	if (is_restarted(n) || o->is_back)
-		return true;
-	return o->previous != 0 && n->now >= o->since_us + REMOVED_WAIT_US &&
+	return o->previous != 0 &&
+	    n->now >= o->since_us + GATE_CONFIG_AGE_MAX_US &&
 	    member_view_find(n->view, o->previous) == NULL;
 }
 
+/*
+ * Whether this instance succeeds an earlier process of its own, which has
+ * ended. After the loss of many instances it takes seconds until it has a lease
+ * in an active epoch. A leader with authority has confirmed lately who the
+ * members are.
+ */
+static bool
+succeeds_own_process(const struct node *n)
+{
+	return is_restarted(n) &&
+	    member_freshness_is_confirmed(
+		&n->freshness, n->now, GATE_CONFIG_AGE_MAX_US);
+}
+
 uint64_t
 gate_quota_get_authority(const struct node *n, const char *account)
 {
 	const struct gate_quota_owner *o =
 	    &n->gate->quota_owners.partitions[get_partition(account)];
 
-	/* Terms and epochs differ by the lowest bit. */
 	if (!gate_is_sharded(n))
-		return leads_alone(n) ? n->gate->placing_term << 1 | 1 : 0;
+		return leads_alone(n) ? leader_number(n) : 0;
 	if (o->owner != n->id || n->stopping)
 		return 0;
-	if ((node_may_act(n) && has_previous_stopped(n, o)) ||
-	    has_previous_ended(n, o))
+	if ((node_may_act(n) &&
+		(has_previous_stopped(n, o) || is_previous_removed(n, o))) ||
+	    succeeds_own_process(n))
 		return o->since_epoch << 1;
 	return 0;
 }
--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -150,7 +150,8 @@
 
 	for (i = 0; may_order && i < g->count; i++) {
 		e = g->endpoints[i];
-		if (!e->is_foreign && e->engine != NULL && e->nweights > 0 &&
+		if (!e->is_foreign && e->engine != NULL &&
+		    place_adapter_find(e, a->model) != NULL &&
 		    p->now_us >= e->order_from_us &&
 		    place_endpoint_is_usable(p, e, a->service) &&
 		    !place_ask_avoids(a, e) &&
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -152,7 +152,10 @@
 	    ? (double)tokens
 	    : (double)e->kv_tokens / e->running;
 
-	if (engine == NULL || e->running + others >= e->slots)
+	if (engine == NULL)
+		return false;
+	/* What others run there is known by responses to own requests only. */
+	if (e->running > 0 && e->running + others >= e->slots)
 		return false;
 	return e->running == 0 || engine->kv_tokens == 0 ||
 	    (double)(e->kv_tokens + tokens) + others * mean_tokens <=
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -43,7 +43,13 @@
 #define WAIT_RECHECK_US (20 * US_PER_MS)
 /* Callers that are refused together return within this time. */
 #define RETURN_SPREAD_US (2000 * US_PER_MS)
-#define AHEAD_MAX	 256u
+/* Queued calls that are looked at before or behind one, at most. */
+#define AHEAD_MAX 256u
+/*
+ * Calls of others are known by reports of the endpoint that are as old as a
+ * call takes, so that some of them are own calls that have ended since.
+ */
+#define OTHERS_ERROR 2.0
 
 /* The queue and the throughput of the endpoints of a service. */
 struct call_queue {
@@ -68,8 +74,9 @@
 {
 	double part =
 	    floor((double)e->slots / (p->owner_count > 0 ? p->owner_count : 1));
-	double others =
-	    p->owner_count > 1 ? place_told_at(&e->others, p->now_us) : 0;
+	double others = p->owner_count > 1
+	    ? fmax(place_told_at(&e->others, p->now_us) - OTHERS_ERROR, 0)
+	    : 0;
 
 	return fmax(fmax(e->slots - round(others), part), 1);
 }
@@ -331,6 +338,30 @@
 	return result;
 }
 
+/*
+ * Whether a call that can't be in time leaves its slot to one behind it that
+ * still can: in an overload all calls would be late otherwise.
+ */
+static bool
+must_yield(const struct place *p, const struct place_ask *a,
+    const struct call_queue *queue, const struct call_estimate *est)
+{
+	uint64_t done_us = p->now_us + (uint64_t)(est->done_ms * US_PER_MS);
+	uint64_t in_time_us =
+	    p->now_us + (uint64_t)(queue->mean_ms * US_PER_MS);
+	const struct place_ask *behind;
+	size_t looked_at = 0;
+
+	if (a->attempt > 0 || done_us <= a->target_us)
+		return false;
+	for (behind = a->next; behind != NULL && looked_at < AHEAD_MAX;
+	     behind = behind->next, looked_at++)
+		if (behind->key == NULL && behind->target_us > in_time_us &&
+		    strcmp(behind->service, a->service) == 0)
+			return true;
+	return false;
+}
+
 enum place_attempt
 place_service_place(struct place *p, struct place_ask *a)
 {
@@ -343,7 +374,7 @@
 
 	if (best == NULL)
 		return wait_or_refuse(p, a);
-	if (!est.has_slot)
+	if (!est.has_slot || must_yield(p, a, &queue, &est))
 		return wait_for_slot(p, a, &queue, &est, earliest_ms);
 	place_endpoint_grant(p, best, a);
 	d = place_decision_add(p, PLACE_GRANT);
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -152,14 +152,16 @@
 /*
  * Decides on a waiting request, if that is possible now. One whose time is over
  * is refused for the quota if the owner has said so.
+ *
+ * may_admit: none that arrived earlier still waits.
  */
 static bool
 decide_waiter(struct quota_holding *h, uint64_t now_us,
-    const struct quota_waiter *w, struct quota_decision *out)
+    const struct quota_waiter *w, bool may_admit, struct quota_decision *out)
 {
 	*out = (struct quota_decision){
 	    w->request, QUOTA_WAITING, 0, w->tokens, h->name};
-	if (w->tokens <= quota_held(h)) {
+	if (may_admit && w->tokens <= quota_held(h)) {
 		out->verdict = QUOTA_ADMITTED;
 		charge(h, w->tokens);
 	} else if (w->tokens > h->limit.burst) {
@@ -181,10 +183,12 @@
 {
 	struct quota_waiter **at = &h->first;
 	struct quota_decision d;
+	bool may_admit = true;
 
 	quota_held_expire(h, now_us);
 	while (*at != NULL) {
-		if (!decide_waiter(h, now_us, *at, &d)) {
+		if (!decide_waiter(h, now_us, *at, may_admit, &d)) {
+			may_admit = false;
 			at = &(*at)->next;
 			continue;
 		}
