place, node, gate: plain terms in comments and messages; no yield at a limit

Cause: a reader who did not know the code named words and comments of the new modules that are not usual terms or leave the reason out, and LimitUse failed: a late plain call that yields to those behind it at endpoints with a rate limit was refused only after 300 ms (66 of 583). The build with sanitizers failed for lack of a header of the sanitizer's runtime.

Change: comments, constants and messages in the terms of the field; a call does not yield at an endpoint with a rate limit, where calls are admitted by their order; the simulation declares the one function itself.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -103,7 +103,7 @@
 	uint32_t default_tokens; /* of a request that names no tokens */
 };
 
-/* A keyed hash of a client account's key. */
+/* The keyed hash of an API key, see gate_account.h. */
 struct gw_key_hash {
 	uint8_t bytes[16];
 };
@@ -114,11 +114,11 @@
 struct gw_account {
 	char *name;
 	/*
-	 * Readable keys, as decoded. gw_config_hash_keys() replaces them by
-	 * hashes; from then on plain_keys is NULL.
+	 * Plaintext API keys, nkeys of them, as decoded. gw_config_hash_keys()
+	 * wipes and frees them, sets plain_keys to NULL and fills keys instead.
 	 */
 	char **plain_keys;
-	struct gw_key_hash *keys;
+	struct gw_key_hash *keys; /* NULL before gw_config_hash_keys() */
 	size_t nkeys;
 	uint32_t priority; /* goes before the route's; 0 is served first */
 	struct gw_quota quota;
@@ -221,8 +221,9 @@
 			      * found by the key; NULL: none */
 	struct gw_key_hash key_hash; /* of the key, if account is set */
 	uint32_t account_priority;
-	bool has_accounts; /* account is told to the endpoint; headers have no
-			    * key, nor what the caller says of its account */
+	bool has_accounts; /* the configuration has accounts: the endpoint gets
+			    * the account's name, and neither the API key nor
+			    * an account named by the caller */
 	uint32_t deadline_ms; /* time the caller waits; 0: not given */
 	const char *model, *adapter; /* NULL if not named */
 	uint32_t prompt_tokens, max_tokens;
--- a/src/fair/fair.h
+++ b/src/fair/fair.h
@@ -18,6 +18,9 @@
  * The module orders nothing itself: its user counts the requests of each
  * account, reports charges and compares the counters. It reads no clock.
  *
+ * Charges are in a unit that the user chooses, such as tokens; _milli fields
+ * are in thousandths of it. Counters, service and gaps are charges over weight.
+ *
  * Terms:
  * busy: with queued or running requests.
  * backlogged: with queued requests that could run if there was capacity.
@@ -61,9 +64,9 @@
 
 	char *name;
 	double counter; /* virtual counter */
-	double service; /* the same without lift and limits, for the gap */
-	uint64_t charge_milli; /* settled, since the account is known */
-	double provisional; /* charges that are not settled */
+	double service; /* charges over weight, without lift and limits */
+	uint64_t charge_milli; /* sum of settled charges since creation */
+	double provisional; /* sum of charges not settled yet */
 	bool is_active; /* listed by fair_active_at() */
 	uint32_t active_index;
 	uint64_t used_us; /* last charge, or request by fair_touch() */
@@ -75,11 +78,15 @@
 struct fair *fair_create(const struct fair_options *options);
 void fair_destroy(struct fair *f);
 
-/* Get an account; it is created with weight 1 if it is unknown. */
+/*
+ * Get an account; an unknown one is created with weight 1. The account is owned
+ * by f and valid until fair_sweep() forgets it.
+ */
 struct fair_account *fair_get(struct fair *f, const char *name);
-/* NULL: unknown. */
+/* Find an account; NULL: it is unknown. Valid as with fair_get(). */
 struct fair_account *fair_find(const struct fair *f, const char *name);
 
+/* All known accounts by index; fair_sweep() changes their order. */
 size_t fair_count(const struct fair *f);
 struct fair_account *fair_at(const struct fair *f, size_t i);
 
@@ -98,7 +105,10 @@
  */
 void fair_start_backlog(struct fair *f, struct fair_account *a);
 
-/* Note that a request has ended, after it was counted out. */
+/*
+ * Note that a request has ended; call it after queued or running was lowered.
+ * Records the counter of the last busy account, to which idle ones are lifted.
+ */
 void fair_note_idle(struct fair *f, const struct fair_account *a);
 
 /* Take an account without requests off the list of active ones. */
--- a/src/fair/fair_internal.h
+++ b/src/fair/fair_internal.h
@@ -15,7 +15,7 @@
 	struct map *accounts; /* struct fair_account by name */
 	struct fair_account **active; /* those with recent requests */
 	uint32_t nactive, active_cap;
-	double counter_floor; /* least counter of one back from idle */
+	double counter_floor; /* accounts are lifted at least to this */
 	double mean_charge; /* of a request, over weight */
 	uint64_t gap_milli, largest_gap_milli;
 	uint32_t backlogged;
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -112,7 +112,8 @@
 		gate_control_answer(
 		    n, caller, 503, "not accepted; send it again");
 	else if (verdict == GATE_UNREADABLE)
-		gate_control_answer(n, caller, 400, "it can't be read");
+		gate_control_answer(
+		    n, caller, 400, "the change can't be decoded");
 	else
 		gate_control_answer(n, caller, 200, NULL);
 }
@@ -407,8 +408,8 @@
 		handle_call(n, in, caller);
 	else if (leader != 0 && leader != n->id &&
 	    node_gate_placer(n) == leader && relay_is_full(n, in))
-		gate_control_answer(
-		    n, caller, 503, "too much is sent to the leader");
+		gate_control_answer(n, caller, 503,
+		    "too many bytes are being relayed to the leader; retry");
 	else if (leader != 0 && leader != n->id &&
 	    node_gate_placer(n) == leader)
 		relay_to_leader(n, leader, in);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -311,9 +311,10 @@
  */
 #define SEARCH_GAP_RUNS 5u
 /*
- * In a shortage many requests are held, and most stay so: this many are found
- * to stay held in a run, and each is tried again after this time, but for the
- * next ones in the order.
+ * In a shortage many requests are held, and an evaluation searches all engines.
+ * The first HELD_NEXT in the order are evaluated in each run, each of the
+ * others only every HELD_RECHECK_US, and a run ends once HELD_PER_RUN_MAX
+ * requests stay held.
  */
 #define HELD_NEXT	 12u
 #define HELD_PER_RUN_MAX 16u
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -59,8 +59,9 @@
 void place_destroy(struct place *p);
 
 /*
- * Admit requests as before there were accounts: in the order of their due
- * times, and none that can't meet its objective. For comparisons.
+ * Admit requests in the order of their due times, and none that can't meet its
+ * objective, whether or not accounts are configured. Used by tests and benches
+ * to compare admission by shares with it.
  */
 void place_use_baseline_order(struct place *p);
 
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -21,7 +21,10 @@
 #define EJECT_FIRST_US	    (1000 * US_PER_MS)
 #define EJECT_DOUBLINGS_MAX 3u
 
-/* A few calls tell little of a share of failures such as one in seven. */
+/*
+ * Weight of the newest call in the long-term failure rate. It averages over
+ * some 30 calls, as fewer don't show a rate as low as one in seven.
+ */
 #define LASTING_FAILURE_WEIGHT 0.03
 
 /* Prompt tokens that an engine processes per ms, before the first sample. */
@@ -30,17 +33,20 @@
 #define INITIAL_CALL_MS	  50.0
 #define TOKENS_PER_MS_MIN 1.0
 #define TOKENS_PER_MS_MAX 80.0
-/* Work that the speed to begin with counts for. */
+/* Weight of the initial speed, as an amount of work. */
 #define PRIOR_TOKENS 4000.0
 #define PRIOR_CALLS  5.0
-/* Of an idle engine, other delays dominate the time of fewer tokens. */
+/*
+ * Shorter prompts on an idle engine are not used to learn its speed: delays
+ * other than processing dominate their time.
+ */
 #define SPEED_MIN_TOKENS 400u
 /*
- * A longer time than expected by this factor is a stall, which ends, and says
- * no more about the speed than that.
+ * Work counts as at most this many times its expected duration. Longer ones are
+ * stalls, which say nothing about the speed.
  */
 #define SLOW_FACTOR_MAX 6.0
-/* An abandoned call that took as long was probably not going to end soon. */
+/* An abandoned call counts as failed after this many mean durations. */
 #define ABANDONED_FACTOR 6.0
 
 bool
@@ -138,7 +144,7 @@
 
 /* ---- load --------------------------------------------------------------- */
 
-/* Of this time the busy share tells: several waves of requests. */
+/* Time constant of the busy share; it covers several bursts of requests. */
 #define BUSY_US 3e6
 
 double
--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -13,19 +13,26 @@
  */
 
 /*
- * While capacity is short, an engine gets another request up to this part of
- * the shortest objective in unread prompts, so that one that arrives next can
- * still be in time; a late request only what no other one needs.
+ * While engines are short of time, a late request is granted only if the unread
+ * prompts ahead of it take at most this fraction of place_admit_hold_ms(), so
+ * that timely requests that arrive next still find room.
  */
 #define LATE_PART 0.25
 /* The part of the store's loads that late requests leave to others. */
 #define LATE_STORE_PART 0.5
-/* With a smaller backlog a request estimated as late may still be in time. */
+/*
+ * A request estimated as late is refused only above this backlog or rate-limit
+ * wait, as the estimate is not accurate enough below. Without a shortage, late
+ * requests are granted up to this backlog.
+ */
 #define LATE_BACKLOG_MIN_MS 400.0
 /* Interval of evaluating a request that waits at an engine for room. */
 #define ROOM_RECHECK_US (10 * US_PER_MS)
 
-/* Deficit bounds over the share at which all prompts count as ahead. */
+/*
+ * Excess over the share, in deficit bounds, from which on all unread prompts of
+ * the engine count as ahead of a request, and not only those as urgent.
+ */
 #define EXCESS_FULL_BOUNDS 6.0
 #define URGENCY_BASE	   3u
 #define URGENCY_MAX	   9u
@@ -41,9 +48,10 @@
 }
 
 /*
- * Without accounts the urgency is the route's priority and a constant, as
- * before there were accounts. With them, the pairs of priorities in use are
- * spread over the levels that leave room for one more.
+ * With one pair of priorities in use, the urgency is URGENCY_BASE plus the
+ * route's priority. With several, the pairs (the account's, the route's) are
+ * spread over levels 0 to URGENCY_MAX - 1. A late request is one level less
+ * urgent.
  */
 uint32_t
 place_admit_urgency(const struct place *p, const struct place_ask *a)
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -36,8 +36,9 @@
 	enum place_verdict (*judge)(struct place *p, struct place_ask *a,
 	    const struct place_estimate *est, bool is_ready, bool may_order);
 	/*
-	 * Is it known that a queued request can't be served before its
-	 * deadline? return_us: when its caller should return.
+	 * Whether a queued request is expected to miss its deadline.
+	 *
+	 * return_us: set, if so, to the time at which its caller should retry.
 	 */
 	bool (*is_hopeless)(
 	    struct place *p, const struct place_ask *a, uint64_t *return_us);
@@ -99,21 +100,24 @@
 void place_admit_dequeue(struct place *p, struct place_ask *a);
 /* Note that a request waits for room, or no longer does. */
 void place_admit_set_held(struct place *p, struct place_ask *a, bool is_held);
-/* The same, after a change of whether it is late. */
+/* Update whether a held request counts as backlogged, after is_late changed. */
 void place_admit_update_backlog(struct place *p, struct place_ask *a);
-/* Has no engine here a slot and memory for it? */
+/* Whether no engine owned here has a free slot and memory for the request. */
 bool place_admit_is_blocked(const struct place *p, const struct place_ask *a);
-/* Note whether that is so. */
+/* Record the result of place_admit_is_blocked(). */
 void place_admit_set_blocked(
     struct place *p, struct place_ask *a, bool is_blocked);
-/* Charge a request that is granted, and settle the charge at its end. */
+/* Charge the account of a granted request provisionally. */
 void place_admit_grant(struct place *p, struct place_ask *a);
+/* Replace the provisional charge by the final one when the request ends. */
 void place_admit_end(
     struct place *p, struct place_ask *a, enum place_outcome outcome);
+/* Count a refused request for its account. */
 void place_admit_refuse(struct place *p, const struct place_ask *a);
-/* Unread prompts, in ms, from which on an engine counts as busy. */
+/* An engine is busy above this fraction of the shortest objective. */
+#define PLACE_ADMIT_HOLD_PART 0.5
+/* Backlog of unread prompts, in ms, from which on an engine is busy. */
 double place_admit_hold_ms(const struct place *p);
-#define PLACE_ADMIT_HOLD_PART 0.5 /* of the shortest objective */
 /* The charge that a queued request will probably have. */
 double place_admit_charge(const struct place_ask *a);
 
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -17,16 +17,19 @@
 #define SHORT_ENDS_PART 0.5
 /* Interval of sorting the queue during a shortage. */
 #define ORDER_INTERVAL_US (5 * US_PER_MS)
-/* Requests ordered one by one; the rest, a run doesn't reach, by account. */
+/*
+ * Requests that are sorted individually. The rest is appended by account, since
+ * one run doesn't evaluate that many.
+ */
 #define ORDERED_MAX 256u
 /*
- * An account whose requests are granted less often than those of all accounts,
- * by this factor, goes first: its share may be tiny for what it needs.
+ * An account is starved, and goes first, if its ratio of granted to received
+ * requests is below this fraction of the ratio of all accounts.
  */
 #define SERVED_RATIO_MIN 0.35
 /* The rate of grants is known after a shortage of this time. */
 #define MEASURED_AFTER_US (500 * US_PER_MS)
-/* Rates of service are at least this part of the engines' speed. */
+/* Lower bound of the measured capacity, as a fraction of engine speed. */
 #define RATE_PART_MIN 0.05
 /*
  * Late requests get at least this part of the capacity, in an estimate: a burst
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -43,9 +43,13 @@
 #define LESS_URGENT_COST 0.5
 /* Of two engines with about the same time, the more certain one is better. */
 #define UNCERTAINTY_COST 0.2
-/* The cost to later requests is at most four times the own time. */
+/*
+ * Upper bound of the busy share in later_cost(), which grows without limit as
+ * the share nears 1. With 0.8 the cost is at most 0.8 / 0.2 = 4 times own_ms.
+ */
 #define LATER_BUSY_SHARE_MAX 0.8
-/* Requests at the engine, also of other instances. */
+
+/* Number of requests at the engine, including those of other instances. */
 static double
 busy_requests(const struct place *p, const struct place_endpoint *e)
 {
--- a/src/place/place_pace.c
+++ b/src/place/place_pace.c
@@ -4,14 +4,17 @@
 
 #define US_PER_MS 1000.0
 
-/* Paces change about every 600 ms, so one told is half forgotten by then. */
+/*
+ * Time constant with which a report loses its weight. Slowdowns change about
+ * every 600 ms.
+ */
 #define RECENT_US 300e3
-/* The mean is that of the last seconds; at first of what is known. */
+/* Time constant of the mean of all reports; shorter until so much is known. */
 #define MEAN_US 10e6
-/* A pace outside of these is taken for one of them. */
+/* Reported percentages are clamped to this range. */
 #define PERCENT_MIN 20.0
 #define PERCENT_MAX 1000.0
-/* Part of the earlier work that is kept at each record: 50 of them count. */
+/* Decay of the sums at each record: about the last 50 records count. */
 #define RECORD_KEPT 0.98
 
 void
@@ -82,8 +85,9 @@
 }
 
 /*
- * The mean pace over the time that the work took. Before the last account the
- * pace differs from the mean the less, the earlier it was.
+ * Returns the mean slowdown while the work ran. Backwards from end_us the
+ * slowdown is assumed to decay towards the mean, as place_told_at() assumes
+ * after a report.
  */
 static double
 pace_during(const struct place_pace *s, uint64_t end_us, double took_ms)
--- a/src/place/place_prefix.c
+++ b/src/place/place_prefix.c
@@ -17,7 +17,10 @@
  * part is still cached.
  */
 
-/* Evicted part of the memory after which a part is cached with 1/e. */
+/*
+ * Once tokens amounting to this fraction of the engine's memory have been
+ * evicted since its last use, a part is still cached with probability 1/e.
+ */
 #define EVICTED_SHARE 0.5
 
 struct prefix_use {
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -27,21 +27,21 @@
  */
 #define REPEATED_COST_MS 100.0
 #define LOST_COST_MS	 600.0
-/* Failures of the last few calls tell less than their share. */
+/* Weight of the short-term failure rate: few calls give a rough estimate. */
 #define RECENT_FAILURE_WEIGHT 0.5
 /*
- * What is known of an endpoint that gets no calls ages, so that it gets some
- * again: half of its failures, and of its difference from the others' mean.
+ * Half-lives of the failure rate and of the difference from the mean speed of
+ * an endpoint without calls. They decay so that it is tried again.
  */
 #define FAILURES_HALF_US 2e6
 #define SPEED_HALF_US	 2e6
-/* Without any response for so many calls' time, an endpoint stalls. */
+/* An endpoint is stalled after this many call durations without a response. */
 #define STALL_FACTOR 3.0
 /* Sent to a caller whose call has failed at all endpoints. */
 #define ALL_FAILED_RETRY_MS 500u
 /* Interval of evaluating a call that waits for a faster endpoint. */
 #define WAIT_RECHECK_US (20 * US_PER_MS)
-/* Callers that are refused together return within this time. */
+/* Refused callers are given retry times spread over this time. */
 #define RETURN_SPREAD_US (2000 * US_PER_MS)
 /* Queued calls that are looked at before or behind one, at most. */
 #define AHEAD_MAX 256u
@@ -66,8 +66,9 @@
 };
 
 /*
- * Slots for the calls placed here. Of those that others use, at least this
- * instance's part is free for it: they are told late, and never without a call.
+ * Slots that calls placed here may use. At least this instance's equal part,
+ * whatever other instances use: their use is reported late, and only in
+ * responses to calls.
  */
 static double
 usable_slots(const struct place *p, const struct place_endpoint *e)
@@ -340,11 +341,13 @@
 
 /*
  * Whether a call that can't be in time leaves its slot to one behind it that
- * still can: in an overload all calls would be late otherwise.
+ * still can: in an overload all calls would be late otherwise. Not with a rate
+ * limit: calls that wait for its tokens are admitted by their order.
  */
 static bool
-must_yield(const struct place *p, const struct place_ask *a,
-    const struct call_queue *queue, const struct call_estimate *est)
+must_yield(const struct place *p, const struct place_endpoint *best,
+    const struct place_ask *a, const struct call_queue *queue,
+    const struct call_estimate *est)
 {
 	uint64_t done_us = p->now_us + (uint64_t)(est->done_ms * US_PER_MS);
 	uint64_t in_time_us =
@@ -352,7 +355,8 @@
 	const struct place_ask *behind;
 	size_t looked_at = 0;
 
-	if (a->attempt > 0 || done_us <= a->target_us)
+	if (best->limit.now.is_limited || a->attempt > 0 ||
+	    done_us <= a->target_us)
 		return false;
 	for (behind = a->next; behind != NULL && looked_at < AHEAD_MAX;
 	     behind = behind->next, looked_at++)
@@ -374,7 +378,7 @@
 
 	if (best == NULL)
 		return wait_or_refuse(p, a);
-	if (!est.has_slot || must_yield(p, a, &queue, &est))
+	if (!est.has_slot || must_yield(p, best, a, &queue, &est))
 		return wait_for_slot(p, a, &queue, &est, earliest_ms);
 	place_endpoint_grant(p, best, a);
 	d = place_decision_add(p, PLACE_GRANT);
--- a/src/place/place_store.c
+++ b/src/place/place_store.c
@@ -6,19 +6,21 @@
 
 #define US_PER_MS 1000.0
 
-/* Added to the limit for a load in time; less near a limit found before. */
-#define INCREASE      0.04
-#define INCREASE_NEAR 0.01
-#define NEAR	      0.9
-/* That limit is forgotten once the store serves so much more. */
-#define FORGET	 1.1
+/* AIMD. Additive increase of the limit, in loads, for a load in time; */
+#define INCREASE 0.04
+/* the same above this fraction of the limit at the last decrease. */
+#define INCREASE_NEAR_CEILING 0.01
+#define NEAR_CEILING	      0.9
+/* That ceiling is dropped when the limit exceeds it by this factor. */
+#define CEILING_DROP_FACTOR 1.1
+/* Multiplicative decrease after a late load. */
 #define DECREASE 0.8
 /*
- * Loads of a limit that was used less, or is exceeded by loads that take longer
- * than expected, tell nothing about the store's.
+ * A late load lowers the limit only if at least this fraction of the limit was
+ * in use: otherwise too many loads are not what made it late.
  */
 #define USED_MIN 0.6
-/* Loads of a limit that is hardly used show how long one takes by itself. */
+/* Below this fraction a late load updates load_ms instead of the limit. */
 #define IDLE_USE 0.3
 /*
  * The time of a load is checked after so many loads and so many times of a
@@ -32,9 +34,17 @@
 #define IN_TIME_FACTOR 1.06
 /* Weight of the newest sample of the time of a load. */
 #define LOAD_MS_WEIGHT 0.2
-/* Fall of load_ms at a check, as shorter times are not observed. */
-#define LOAD_MS_FALL	0.0015
-#define LOAD_MS_MAX	3.0 /* times the configured one */
+/*
+ * Fraction by which load_ms is lowered at each check that does not raise it.
+ * Readiness is observed with the first request only, so a load time shorter
+ * than expected is never seen.
+ */
+#define LOAD_MS_FALL	   0.0015
+#define LOAD_MS_MAX_FACTOR 3.0 /* times the configured time */
+/*
+ * Overrun: fraction of load_ms added to estimates. Each late load adds a step;
+ * the sum is bounded, and halves in this time, in microseconds.
+ */
 #define OVERRUN_STEP	0.1
 #define OVERRUN_MAX	1.0
 #define OVERRUN_HALF_US 0.3e6
@@ -65,7 +75,10 @@
 	return (uint32_t)(exact_limit(s, bounds) + s->fraction);
 }
 
-/* The limit varies; estimates use its least, as a late load helps nobody. */
+/*
+ * The lower bound of the limit, which varies: with a higher one, loads would be
+ * ordered that end too late for their requests.
+ */
 double
 place_store_sure_limit(
     const struct place_store *s, struct place_store_bounds bounds)
@@ -125,8 +138,8 @@
 {
 	double ms = s->load_ms + (took_ms - s->load_ms) * weight;
 
-	s->load_ms =
-	    fmax(fmin(ms, s->configured_ms * LOAD_MS_MAX), s->configured_ms);
+	s->load_ms = fmax(
+	    fmin(ms, s->configured_ms * LOAD_MS_MAX_FACTOR), s->configured_ms);
 }
 
 /* Loads that began before the last increase of estimates don't add to it. */
@@ -145,15 +158,16 @@
 record_in_time(struct place_store *s, const struct place_load *load,
     struct place_store_bounds bounds)
 {
-	bool is_near = s->ceiling > 0 && s->ratio >= s->ceiling * NEAR;
+	bool is_near = s->ceiling > 0 && s->ratio >= s->ceiling * NEAR_CEILING;
 
 	s->in_time++;
 	if (load->use < 1)
 		return; /* it says nothing about a higher limit */
 	set_limit(s,
-	    exact_limit(s, bounds) + (is_near ? INCREASE_NEAR : INCREASE),
+	    exact_limit(s, bounds) +
+		(is_near ? INCREASE_NEAR_CEILING : INCREASE),
 	    bounds);
-	if (s->ratio > s->ceiling * FORGET)
+	if (s->ratio > s->ceiling * CEILING_DROP_FACTOR)
 		s->ceiling = 0;
 }
 
--- a/src/place/place_store.h
+++ b/src/place/place_store.h
@@ -48,13 +48,13 @@
 
 void place_store_init(struct place_store *s, uint32_t load_ms);
 /*
- * The current limit of concurrent loads. A fraction of it is made up by a
- * higher limit for a part of the loads: an owner of few engines has a small
- * one.
+ * The current limit of concurrent loads. A fractional limit is rounded up for a
+ * matching fraction of the loads and down for the others: rounding always down
+ * would waste much of the small limit of an owner of few engines.
  */
 uint32_t place_store_limit(
     const struct place_store *s, struct place_store_bounds bounds);
-/* Loads that the store serves at a time at least, for estimates. */
+/* The number of concurrent loads that waits are estimated by. */
 double place_store_sure_limit(
     const struct place_store *s, struct place_store_bounds bounds);
 /* Expected time of a load that begins now. */
--- a/tests/gate/update_test.cc
+++ b/tests/gate/update_test.cc
@@ -404,8 +404,8 @@
 }
 
 /*
- * Guards against an instance that reads the whole text for each change: at
- * 1,440 routes that took an entry up to 520 ms.
+ * Guards against an instance that decodes the whole text for each change: its
+ * event loop is blocked for a time that grows with the number of routes.
  */
 TEST(Update, a_change_of_one_route_costs_the_same_whatever_the_size)
 {
--- a/tests/gateway/account_test.cc
+++ b/tests/gateway/account_test.cc
@@ -313,9 +313,8 @@
 }
 
 /*
- * Reproduces a fault that was seen: an entry without processor time read a
- * grant 2.6 s late and sent the request to an endpoint that had begun to leave
- * in the meantime.
+ * Guards against sending a request to an endpoint that is leaving: an entry
+ * that is paused reads a grant after the endpoint was deregistered.
  */
 TEST_F(Accounts, a_grant_that_is_read_late_is_not_used)
 {
--- a/tests/gateway/fair_test.cc
+++ b/tests/gateway/fair_test.cc
@@ -39,8 +39,8 @@
 };
 
 /*
- * Guards against owners that tell each other nothing, too much, or depend on
- * the reports: without them requests are served as well.
+ * Guards against owners that report their charges less or more often than twice
+ * a second, and against fewer requests in time when all reports are lost.
  */
 TEST(Fair, owners_report_charges_twice_a_second)
 {
--- a/tests/gateway/gateway_sim_measure.cc
+++ b/tests/gateway/gateway_sim_measure.cc
@@ -1,7 +1,8 @@
 /* What the simulation measures and models by bytes: memory and links. */
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+/* Part of the sanitizer's runtime; not every compiler installs its header. */
+extern "C" size_t __sanitizer_get_current_allocated_bytes();
 #else
 #include <malloc.h>
 #endif
--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -124,8 +124,8 @@
 }
 
 /*
- * Guards against the fault that the most urgent kind, with the shortest
- * deadline and no second try, earned least.
+ * Guards against an order in which the most urgent kind, which has the shortest
+ * deadline and no retry, earns less than less urgent ones.
  */
 TEST(Admit, a_more_urgent_kind_fares_no_worse)
 {
@@ -427,7 +427,10 @@
 	EXPECT_STREQ(info[1].name, "a");
 }
 
-/* Guards against loads for flooding accounts or late requests that go first. */
+/*
+ * Guards against an urgency at the engine that ranks a route's priority before
+ * the account's, or maps two pairs of priorities to one level.
+ */
 TEST_F(PlaceAdmit, urgency_is_monotone_in_both_priorities)
 {
 	gw_account accounts[3] = {}, *account_list[3];
--- a/tests/place/admit_world.h
+++ b/tests/place/admit_world.h
@@ -47,7 +47,7 @@
 	uint32_t clump = 1; /* requests that arrive together */
 	uint32_t engines = 12, owners = 1, slots = 24;
 	uint32_t ms = 20000; /* time during which requests arrive */
-	bool baseline = false; /* admit as before there were accounts */
+	bool baseline = false; /* use place_use_baseline_order() */
 	bool reports = true; /* owners tell each other their charges */
 	uint64_t seed = 1;
 };
--- a/tests/quota/world_test.cc
+++ b/tests/quota/world_test.cc
@@ -23,8 +23,8 @@
 }
 
 /*
- * Entries hold what they can while owners change, and use it all, while others
- * use what is in the bucket, shortly before it ends.
+ * Some entries keep all grants until shortly before they expire and then use
+ * them at once, while others empty the bucket and owners change.
  */
 static double
 play_hoarders(unsigned seed)
