--- a/tests/gateway/gateway_sim_measure.cc
+++ b/tests/gateway/gateway_sim_measure.cc
@@ -1,5 +1,10 @@
 /* What the simulation measures and models by bytes: memory and links. */
 
+#include <algorithm>
+#include <cstddef>
+
+#include "gateway_sim.h"
+
 #ifdef __SANITIZE_ADDRESS__
 /* Part of the sanitizer's runtime; not every compiler installs its header. */
 extern "C" size_t __sanitizer_get_current_allocated_bytes();
@@ -7,10 +12,6 @@
 #include <malloc.h>
 #endif
 
-#include <algorithm>
-
-#include "gateway_sim.h"
-
 int64_t
 GatewaySim::allocated_bytes() const
 {
