tests: the raft fuzz target sets the size of bulk entries

Cause: clang refuses the options of raft_fuzz, which lack the new bulk_bytes.

Change: it has the value that a node uses.

--- a/tests/fuzz/raft_fuzz.c
+++ b/tests/fuzz/raft_fuzz.c
@@ -55,7 +55,7 @@
 {
 	static const struct node_disk disk = {.incarnation = 1, .fresh = true};
 	static const struct raft_options options = {
-	    RAFT_ID(1, 1), 0, 1, 100000, 500000, 1000000, 65536};
+	    RAFT_ID(1, 1), 0, 1, 100000, 500000, 1000000, 65536, 65536};
 	struct raft_config config = {.nvoters = VOTERS};
 	struct mp_error err;
 	unsigned i;
