--- a/tests/gateway/account_test.cc
+++ b/tests/gateway/account_test.cc
@@ -6,7 +6,7 @@
 #include "gateway_sim.h"
 #include "guard_off.h"
 
-struct Change;
+struct KeyChange;
 
 class Accounts : public ::testing::Test {
       protected:
@@ -48,7 +48,7 @@
 	}
 
 	void ChangeWhileWaiting(const std::string &accounts,
-	    const std::vector<Change> &changes, bool at_once);
+	    const std::vector<KeyChange> &changes, bool at_once);
 
 	/* accounts: elements of the list; "none": there is no list. */
 	void
@@ -204,7 +204,7 @@
 }
 
 /* A change of the configuration while a request waits. */
-struct Change {
+struct KeyChange {
 	const char *what, *path, *authorization;
 	std::string accounts, routes;
 	int status; /* 0: sent */
@@ -218,7 +218,7 @@
  */
 void
 Accounts::ChangeWhileWaiting(const std::string &accounts,
-    const std::vector<Change> &changes, bool at_once)
+    const std::vector<KeyChange> &changes, bool at_once)
 {
 	for (auto &row : changes) {
 		std::vector<GatewaySim::EndpointCall> running;
