--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -94,11 +94,11 @@
 
 /*
  * What a client account may use of all entries together: in any time t at most
- * rate_per_s * t + burst units.
+ * units_per_s * t + burst units.
  */
 struct gw_quota {
 	enum gw_quota_unit unit;
-	uint64_t rate_per_s; /* 0: no limit */
+	uint64_t units_per_s; /* 0: no limit */
 	uint64_t burst;
 	uint32_t default_tokens; /* of a request that names no tokens */
 };
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -70,10 +70,10 @@
 get_limit(const struct gw_quota *quota)
 {
 	struct quota_limit limit = {
-	    (int)quota->unit, quota->rate_per_s, quota->burst};
+	    (int)quota->unit, quota->units_per_s, quota->burst};
 
 	if (limit.burst == 0)
-		limit.burst = limit.rate_per_s;
+		limit.burst = limit.units_per_s;
 	return limit;
 }
 
@@ -106,7 +106,7 @@
 	q->config_version = config->version;
 	q->config_index = n->gate->config_index;
 	for (i = 0; i < config->naccounts; i++) {
-		if (config->accounts[i]->quota.rate_per_s == 0)
+		if (config->accounts[i]->quota.units_per_s == 0)
 			continue;
 		limit = get_limit(&config->accounts[i]->quota);
 		quota_share_set(q->share, config->accounts[i]->name, &limit);
@@ -245,7 +245,7 @@
 	struct quota_decision d;
 
 	*tokens = 0;
-	if (account == NULL || account->quota.rate_per_s == 0)
+	if (account == NULL || account->quota.units_per_s == 0)
 		return true;
 	apply_config(n);
 	*tokens = get_charge(&account->quota, request);
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -96,11 +96,11 @@
 	double tokens = m->mean_tokens;
 
 	if (q->unit == GW_QUOTA_TOKENS)
-		return (double)q->rate_per_s;
+		return (double)q->units_per_s;
 	if (tokens <= 0)
 		tokens =
 		    q->default_tokens > 0 ? q->default_tokens : INITIAL_TOKENS;
-	return (double)q->rate_per_s * tokens;
+	return (double)q->units_per_s * tokens;
 }
 
 /*
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -28,7 +28,7 @@
 /* The quota of an account. */
 struct quota_limit {
 	int unit;
-	uint64_t rate_per_s; /* not 0 */
+	uint64_t units_per_s; /* not 0 */
 	uint64_t burst;
 };
 
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -129,7 +129,7 @@
 		return;
 	cap = cap_at(a, us - 1);
 	a->bucket += (double)(us - a->updated_us) / US_PER_S *
-	    (double)a->limit.rate_per_s;
+	    (double)a->limit.units_per_s;
 	a->updated_us = us;
 	clamp_bucket(a, cap);
 }
@@ -290,7 +290,7 @@
 static uint32_t
 promise_wait_ms(struct account *a, uint64_t now_us, double first, double wanted)
 {
-	double per_us = (double)a->limit.rate_per_s / US_PER_S;
+	double per_us = (double)a->limit.units_per_s / US_PER_S;
 	double missing = first > a->bucket ? first - a->bucket : 0;
 	double wait = missing / per_us;
 
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -125,7 +125,7 @@
 promise_wait_ms(struct quota_holding *h, uint64_t now_us, uint64_t tokens)
 {
 	double step_us =
-	    (double)tokens / (double)h->limit.rate_per_s * US_PER_S;
+	    (double)tokens / (double)h->limit.units_per_s * US_PER_S;
 	uint64_t wait_us;
 
 	if (h->promised_us < now_us || h->promised_us > now_us + PROMISE_MAX_US)
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -131,7 +131,7 @@
 			a.name = (char *)names[i].c_str();
 			a.priority = load.accounts[i].priority;
 			a.quota.unit = GW_QUOTA_REQUESTS;
-			a.quota.rate_per_s = load.accounts[i].quota;
+			a.quota.units_per_s = load.accounts[i].quota;
 			accounts.push_back(a);
 		}
 		for (auto &k : load.kinds) {
--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -253,13 +253,13 @@
 	EXPECT_EQ(a.priority, 2u);
 	EXPECT_EQ(a.quota.unit, GW_QUOTA_TOKENS);
 	EXPECT_EQ(a.quota.default_tokens, 40u);
-	EXPECT_EQ(a.quota.rate_per_s, 1201u);
+	EXPECT_EQ(a.quota.units_per_s, 1201u);
 	EXPECT_EQ(a.quota.burst, 4001u);
 	EXPECT_EQ(b.nkeys, 0u);
 	EXPECT_EQ(b.priority, 0u);
 	EXPECT_EQ(b.quota.unit, GW_QUOTA_REQUESTS);
-	EXPECT_EQ(b.quota.rate_per_s, 0u);
-	EXPECT_EQ(c.quota.rate_per_s, 1000000000000u);
+	EXPECT_EQ(b.quota.units_per_s, 0u);
+	EXPECT_EQ(c.quota.units_per_s, 1000000000000u);
 }
 
 TEST_F(Configs, accounts_and_public_routes_are_distinguished_from_none)
--- a/tests/quota/quota_world.cc
+++ b/tests/quota/quota_world.cc
@@ -108,7 +108,7 @@
 QuotaWorld::record_rates(const Account &a)
 {
 	records[a.name].rates.push_back(
-	    {now_us, (double)a.limit.rate_per_s, (double)a.limit.burst});
+	    {now_us, (double)a.limit.units_per_s, (double)a.limit.burst});
 }
 
 void
@@ -428,7 +428,7 @@
 			a.add_us = now_us;
 		}
 	} else {
-		a.limit.rate_per_s =
+		a.limit.units_per_s =
 		    options.rate / 3 + below(options.rate * 2) + 1;
 		a.limit.burst =
 		    options.burst / 3 + below(options.burst * 2) + 1;
