raft: requests for pre-votes are repeated within a campaign

Cause: after a loss of power a candidate's first requests are lost, as the bus has no connection to the voters yet, and voters withhold votes after a restart without an answer. Change: a candidate that collects pre-votes asks again at each heartbeat interval.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -198,6 +198,12 @@
 	return MP_OK;
 }
 
+static bool
+collects_pre_votes(const struct raft *r)
+{
+	return r->role == RAFT_CANDIDATE && r->pre_vote;
+}
+
 void
 raft_tick(struct raft *r, uint64_t now_us, struct node_effects *fx)
 {
@@ -207,6 +213,8 @@
 	if (r->role != RAFT_LEADER) {
 		if (now_us >= r->election_due_us)
 			raft_campaign(r, fx);
+		else if (collects_pre_votes(r) && now_us >= r->pre_vote_due_us)
+			raft_repeat_pre_vote(r);
 		return;
 	}
 	if (now_us >= raft_quorum_received_us(r) + r->options.election_min_us) {
@@ -224,6 +232,8 @@
 
 	if (r->halted)
 		return r->now_us + r->options.election_max_us;
+	if (collects_pre_votes(r) && r->pre_vote_due_us < r->election_due_us)
+		return r->pre_vote_due_us;
 	if (r->role != RAFT_LEADER)
 		return r->election_due_us;
 	due = raft_quorum_received_us(r) + r->options.election_min_us;
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -88,6 +88,7 @@
 	uint64_t leader_since_us; /* 0: not the leader */
 	uint64_t no_vote_until_us; /* a live leader relies on it */
 	uint64_t election_due_us;
+	uint64_t pre_vote_due_us; /* of the next request for pre-votes */
 	uint64_t heartbeat_due_us;
 
 	struct raft_log log;
@@ -146,6 +147,7 @@
     struct raft *r, uint64_t term, uint64_t leader, struct node_effects *fx);
 void raft_reset_election_timer(struct raft *r);
 void raft_campaign(struct raft *r, struct node_effects *fx);
+void raft_repeat_pre_vote(struct raft *r);
 void raft_handle_hand(struct raft *r, uint64_t term, struct node_effects *fx);
 void raft_handle_vote_ask(struct raft *r, uint64_t from, uint64_t term,
     const Raft__VoteAsk *ask, struct node_effects *fx);
--- a/src/raft/raft_vote.c
+++ b/src/raft/raft_vote.c
@@ -113,10 +113,24 @@
 	r->role = RAFT_CANDIDATE;
 	r->pre_vote = true;
 	r->ngranted = 0;
+	r->pre_vote_due_us = r->now_us + r->options.heartbeat_us;
 	vote_ask_all(r, r->term + 1, false);
 	vote_add(r, r->options.self, fx);
 }
 
+/*
+ * Asks for pre-votes again. The first requests are lost while connections to
+ * the voters are not established, and a voter that withholds its vote does not
+ * answer, as after a restart. Asked once per election timeout, both would delay
+ * the leader by another one.
+ */
+void
+raft_repeat_pre_vote(struct raft *r)
+{
+	r->pre_vote_due_us = r->now_us + r->options.heartbeat_us;
+	vote_ask_all(r, r->term + 1, false);
+}
+
 /* The vote for ourselves is saved: count it. */
 void
 raft_count_own_vote(struct raft *r, struct node_effects *fx)
--- a/tests/raft/raft_test.cc
+++ b/tests/raft/raft_test.cc
@@ -62,6 +62,50 @@
 	EXPECT_EQ(net.violation, "");
 }
 
+/*
+ * All of five voters lose power and return; their first messages are lost, as
+ * no connection is established yet. Returns the time from when messages arrive
+ * to a leader with authority.
+ */
+static uint64_t
+time_to_leader_once_connected(uint64_t seed)
+{
+	NetOptions o;
+
+	o.members = 5;
+	Net net(seed, o);
+
+	EXPECT_GE(net.run_to_leader(), 0);
+	net.run_for(kSecondUs);
+	for (size_t i = 0; i < 5; i++)
+		net.crash(i);
+	for (size_t i = 0; i < 5; i++) {
+		net.restart(i);
+		net.isolate(i);
+	}
+	net.run_for(kElectionMaxUs);
+	net.heal();
+
+	uint64_t connected_us = net.now;
+
+	EXPECT_GE(net.run_to_leader(), 0);
+	EXPECT_EQ(net.violation, "");
+	return net.now - connected_us;
+}
+
+/*
+ * Guards against a candidate that asks for pre-votes once per election timeout,
+ * and so waits for another one when its first requests are lost.
+ */
+TEST(Raft, LostPreVoteRequestsAreRepeated)
+{
+	size_t soon = 0;
+
+	for (uint64_t seed = 1; seed <= 100; seed++)
+		soon += time_to_leader_once_connected(seed) <= 2 * kHeartbeatUs;
+	EXPECT_GT(soon, 50U);
+}
+
 static size_t
 first_other(int l)
 {
