gateway: requests are held while no configuration is usable

Cause: after a loss of power an entry is up 0.8 to 1.9 s before it knows the configuration. Deadline and objective count from the arrival.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -225,6 +225,8 @@
 			    * the account's name, and neither the API key nor
 			    * an account named by the caller */
 	uint32_t deadline_ms; /* time the caller waits; 0: not given */
+	uint64_t waited_us; /* since the request was received; the times that
+			     * the caller waits count from there */
 	const char *model, *adapter; /* NULL if not named */
 	uint32_t prompt_tokens, max_tokens;
 	bool has_tokens; /* the two above are given */
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -53,20 +53,20 @@
 }
 
 static void
-set_times(struct fwd_request *r, uint64_t now_us,
+set_times(struct fwd_request *r, uint64_t received_us,
     const struct gw_request *decoded, const struct gw_route *route)
 {
-	uint64_t timeout_us = now_us + route->timeout_ms * US_PER_MS;
+	uint64_t timeout_us = received_us + route->timeout_ms * US_PER_MS;
 
-	r->started_us = now_us;
+	r->started_us = received_us;
 	r->caller_deadline_us = decoded->deadline_ms == 0
 	    ? timeout_us
-	    : now_us + decoded->deadline_ms * US_PER_MS;
+	    : received_us + decoded->deadline_ms * US_PER_MS;
 	r->deadline_us =
 	    r->caller_deadline_us < timeout_us || !forward_guards.timeout
 	    ? r->caller_deadline_us
 	    : timeout_us;
-	r->target_us = now_us +
+	r->target_us = received_us +
 	    (route->target_ms == 0 ? route->timeout_ms : route->target_ms) *
 		US_PER_MS;
 }
@@ -92,7 +92,7 @@
 	r->account_priority = decoded->account_priority;
 	r->max_attempts = route->max_attempts == 0 ? 1 : route->max_attempts;
 	r->config_version = config_version;
-	set_times(r, now_us, decoded, route);
+	set_times(r, now_us - decoded->waited_us, decoded, route);
 	(void)map_set_u64(f->by_request, r->request, r);
 	f->stats.asked++;
 	if (!fwd_refuse_if_too_long(f, r, now_us, fx) &&
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -65,6 +65,7 @@
 	g->place = create_place(n);
 	g->owners = map_create();
 	g->popularity = place_popularity_create();
+	g->hold = gate_hold_create();
 	g->quarantine = quarantine_create();
 	g->evidence = quarantine_evidence_create();
 	g->observer = quarantine_observer_create();
@@ -110,6 +111,7 @@
 	map_destroy_all(g->asks, free);
 	map_destroy_all(g->owners, free);
 	place_popularity_destroy(g->popularity);
+	gate_hold_destroy(g->hold);
 	quarantine_destroy(g->quarantine);
 	quarantine_evidence_destroy(g->evidence);
 	quarantine_observer_destroy(g->observer);
@@ -219,9 +221,25 @@
 		    GATE_RETRY_AFTER_MS);
 }
 
-/* Starts to forward a caller's request along its route, or refuses it. */
 static void
-handle_front_request(struct node *n, const struct node_request *in)
+refuse_not_ready(struct node *n, const struct node_request *in,
+    const struct gw_request *decoded)
+{
+	refuse_request(n, in->request, decoded, GW_REFUSE_NOT_READY,
+	    n->gate->config == NULL ? "no configuration is known yet"
+				    : "the configuration is out of date",
+	    GATE_RETRY_AFTER_MS);
+}
+
+/*
+ * Starts to forward a caller's request along its route, holds it until the
+ * configuration is usable, or refuses it.
+ *
+ * waited_us: time for which it was held before.
+ */
+static void
+handle_front_request(
+    struct node *n, const struct node_request *in, uint64_t waited_us)
 {
 	struct node_gate *g = n->gate;
 	const struct gw_route *route;
@@ -235,12 +253,11 @@
 		    n, in->request, NULL, GW_REFUSE_MALFORMED, err.message, 0);
 		return;
 	}
+	decoded.waited_us = waited_us;
 	trust = gate_config_get_trust(n);
 	if (trust == GATE_CONFIG_UNUSABLE) {
-		refuse_request(n, in->request, &decoded, GW_REFUSE_NOT_READY,
-		    g->config == NULL ? "no configuration is known yet"
-				      : "the configuration is out of date",
-		    GATE_RETRY_AFTER_MS);
+		if (!gate_hold_add(n, in, decoded.deadline_ms))
+			refuse_not_ready(n, in, &decoded);
 		return;
 	}
 	route = gw_config_find_route(g->config, decoded.host, in->path);
@@ -257,6 +274,23 @@
 	    g->forward, n->now, in, &decoded, route, g->config->version, n->fx);
 }
 
+void
+gate_start_held(
+    struct node *n, const struct node_request *in, uint64_t waited_us)
+{
+	handle_front_request(n, in, waited_us);
+}
+
+void
+gate_refuse_held(struct node *n, const struct node_request *in)
+{
+	struct gw_request decoded;
+	struct mp_error err;
+
+	if (n->gate->codec->read_request(&decoded, in, n->fx, &err) == MP_OK)
+		refuse_not_ready(n, in, &decoded);
+}
+
 /*
  * An entry with the complete endpoint table can serve requests even when the
  * placer is lost.
@@ -301,7 +335,7 @@
 	if (n->gate == NULL)
 		return;
 	if (in->listener == NODE_LISTEN_FRONT)
-		handle_front_request(n, in);
+		handle_front_request(n, in, 0);
 	else if (in->listener == NODE_LISTEN_CONTROL)
 		gate_control_handle(n, in, &caller);
 	else
@@ -312,7 +346,9 @@
 node_gate_caller_gone(struct node *n, uint64_t request)
 {
 	return n->gate != NULL &&
-	    forward_on_caller_gone(n->gate->forward, n->now, request, n->fx);
+	    (gate_hold_caller_gone(n, request) ||
+		forward_on_caller_gone(
+		    n->gate->forward, n->now, request, n->fx));
 }
 
 bool
@@ -474,6 +510,7 @@
 {
 	if (n->gate == NULL)
 		return;
+	gate_hold_run(n);
 	gate_quota_run(n);
 	gate_place_run(n);
 }
@@ -485,6 +522,8 @@
 
 	if (forward_next_us(n->gate->forward) < next)
 		next = forward_next_us(n->gate->forward);
+	if (gate_hold_next_us(n) < next)
+		next = gate_hold_next_us(n);
 	if (gate_quota_next_us(n) < next)
 		next = gate_quota_next_us(n);
 	if (next < n->now + 1000)
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -264,6 +264,7 @@
 	uint64_t observed_ends;
 	uint64_t expiry_due_us; /* next check for expired quarantines */
 	struct gate_quotas *quotas; /* of client accounts */
+	struct gate_hold *hold; /* requests without a configuration */
 	struct gate_quota_owners quota_owners;
 };
 
@@ -272,6 +273,14 @@
 void node_gate_destroy(struct node *n);
 void node_gate_handle_request(
     struct node *n, const struct node_request *request);
+/*
+ * Starts a request that was held, or refuses it as not run.
+ *
+ * waited_us: time since it was received.
+ */
+void gate_start_held(
+    struct node *n, const struct node_request *in, uint64_t waited_us);
+void gate_refuse_held(struct node *n, const struct node_request *in);
 /* The caller has disconnected; false: not a request of the gateway. */
 bool node_gate_caller_gone(struct node *n, uint64_t request);
 /* Progress of an outgoing call; false: not a call of the gateway. */
@@ -485,6 +494,32 @@
 /* The time after which no order may be sent any more. */
 uint64_t gate_order_until_us(const struct node *n);
 
+/* ---- node_gate_hold.c: requests that wait for a configuration ---- */
+struct gate_hold_counts {
+	size_t held; /* now */
+	uint64_t held_total;
+	uint64_t refused_total; /* of these, refused when their time was up */
+};
+
+struct gate_hold *gate_hold_create(void);
+void gate_hold_destroy(struct gate_hold *hold);
+/*
+ * Holds a request until the configuration is usable. Returns false if it can't
+ * be held and must be refused.
+ *
+ * deadline_ms: time that its caller waits; 0: not known.
+ */
+bool gate_hold_add(
+    struct node *n, const struct node_request *in, uint32_t deadline_ms);
+/* Returns true if the request was held; it is dropped. */
+bool gate_hold_caller_gone(struct node *n, uint64_t request);
+/* Starts held requests, or refuses those whose time is up. */
+void gate_hold_run(struct node *n);
+/* When gate_hold_run() is due next, UINT64_MAX: never. */
+uint64_t gate_hold_next_us(const struct node *n);
+void gate_hold_get_counts(
+    const struct gate_hold *hold, struct gate_hold_counts *out);
+
 /* ---- node_gate_owner_select.c: selection of an owner ---- */
 struct gate_owner *gate_owner_get(struct node *n, uint32_t instance);
 /* Records a request for a key; the number of homes of that key. */
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -215,6 +215,19 @@
 	    (double)gate_change_waiting_count(g->changes));
 }
 
+static void
+put_hold_counts(const struct gate_hold *hold, struct buf *out)
+{
+	struct gate_hold_counts counts;
+
+	gate_hold_get_counts(hold, &counts);
+	put_value(out, "requests_held", "gauge", (double)counts.held);
+	put_value(
+	    out, "requests_held_total", "counter", (double)counts.held_total);
+	put_value(out, "requests_held_refused_total", "counter",
+	    (double)counts.refused_total);
+}
+
 void
 node_gate_write_metrics(const struct node *n, struct buf *out)
 {
@@ -228,6 +241,7 @@
 	put_value(out, "config_confirmed", "gauge",
 	    gate_config_get_trust(n) == GATE_CONFIG_CONFIRMED ? 1 : 0);
 	put_config_counts(g, out);
+	put_hold_counts(g->hold, out);
 	put_value(out, "placing", "gauge", g->placing ? 1 : 0);
 	put_value(out, "placer_heard", "gauge", node_gate_placer(n) != 0);
 	put_windows(n, out);
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -620,6 +620,16 @@
 	step(call.instance, ev);
 }
 
+void
+GatewaySim::leave_request(int i, uint64_t request)
+{
+	struct node_event ev = {};
+
+	ev.type = NODE_EV_CALLER_GONE;
+	ev.u.gone_request = request;
+	step(i, ev);
+}
+
 void
 GatewaySim::answer_call_part(const EndpointCall &call, bool first,
     const std::string &body, std::vector<node_header> headers)
--- a/tests/gateway/gateway_sim.h
+++ b/tests/gateway/gateway_sim.h
@@ -144,6 +144,8 @@
 	 */
 	Reply ask_as_operator(
 	    int i, const char *method, const std::string &path);
+	/* The caller of a request at an instance has disconnected. */
+	void leave_request(int i, uint64_t request);
 	/* Ends a call: END, BROKEN by the endpoint, or NOT_SENT. */
 	void end_call(const EndpointCall &call, node_call_phase phase);
 	/*
