member: capabilities of members in MemberInfo and the view

Cause: commands that earlier program versions cannot read (differences of the configuration, several membership changes in one command) may be proposed only while every member can read them. A MemberUp that differs only in capabilities begins no epoch, because versions that do not know the field would begin none either. Result: member_view.capabilities_are_those_of_all_members passes.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -35,6 +35,17 @@
 
 /* ---- replicated view of the members ------------------------------------ */
 
+/*
+ * Capabilities: bits for what the program of a member can read. A command that
+ * earlier program versions cannot read is proposed only while all members have
+ * its bit, see member_view_all_have().
+ */
+#define MEMBER_CAN_CONFIG_DELTAS (1U << 0) /* GatewayConfig with pieces */
+#define MEMBER_CAN_MANY_CHANGES	 (1U << 1) /* MemberChanges */
+
+/* Those of this program. */
+#define MEMBER_CAPABILITIES MEMBER_CAN_CONFIG_DELTAS
+
 /* A member: one process of an instance, known by id and incarnation. */
 struct member {
 	uint32_t id; /* of the instance; never 0 */
@@ -44,6 +55,7 @@
 	uint64_t voter; /* raft id of its data folder, 0 without one */
 	bool leaving; /* drains; becomes owner of nothing new */
 	uint64_t joined; /* log index of its MemberUp */
+	uint32_t capabilities; /* MEMBER_CAN_... */
 };
 
 /* All members, the epoch and the shards. */
@@ -68,6 +80,12 @@
 
 uint64_t member_view_epoch(const struct member_view *v);
 
+/*
+ * Whether every member has all bits of a set of capabilities. False for a view
+ * without members: nothing is known then.
+ */
+bool member_view_all_have(const struct member_view *v, uint32_t capabilities);
+
 /* Number of members up to which all members are supporters. */
 #define MEMBER_ALL_SUPPORT_MAX 16
 
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -100,6 +100,18 @@
 	return v->epoch;
 }
 
+bool
+member_view_all_have(const struct member_view *v, uint32_t capabilities)
+{
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		if ((v->members[i]->capabilities & capabilities) !=
+		    capabilities)
+			return false;
+	return v->count > 0;
+}
+
 const struct member_shards *
 member_view_shards(const struct member_view *v)
 {
@@ -189,9 +201,14 @@
 	m->bus = mem_string(info->bus);
 	m->voter = info->voter;
 	m->leaving = info->leaving;
+	m->capabilities = info->capabilities;
 	return m;
 }
 
+/*
+ * Whether a member is described by this information. Capabilities are left
+ * out: program versions that do not know them must begin the same epochs.
+ */
 static bool
 member_matches(const struct member *m, const Wire__MemberInfo *info)
 {
@@ -211,16 +228,18 @@
 member_view_apply_up(
     struct member_view *v, uint64_t index, const Wire__MemberInfo *info)
 {
-	const struct member *old = member_view_get(v, info->id);
-	struct member *m;
+	struct member *old = member_view_get(v, info->id), *m;
 	uint64_t joined = index;
 
 	if (info->id == 0)
 		return false;
 	if (old != NULL) {
-		if (old->incarnation != info->incarnation ||
-		    member_matches(old, info))
+		if (old->incarnation != info->incarnation)
+			return false;
+		if (member_matches(old, info)) {
+			old->capabilities = info->capabilities;
 			return false;
+		}
 		joined = old->joined;
 	}
 	member_view_begin_epoch(v, index);
@@ -275,6 +294,7 @@
 	to->voter = m->voter;
 	to->leaving = m->leaving;
 	to->joined = m->joined;
+	to->capabilities = m->capabilities;
 }
 
 void
@@ -316,6 +336,7 @@
 	m->voter = from->voter;
 	m->leaving = from->leaving;
 	m->joined = from->joined;
+	m->capabilities = from->capabilities;
 	return m;
 }
 
--- a/src/member/view.pb-c.c
+++ b/src/member/view.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &view__view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor view__member__field_descriptors[10] =
+static const ProtobufCFieldDescriptor view__member__field_descriptors[11] =
 {
   {
     "id",
@@ -219,9 +219,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capabilities",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(View__Member, capabilities),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned view__member__field_indices_by_name[] = {
   6,   /* field[6] = bus */
+  10,   /* field[10] = capabilities */
   3,   /* field[3] = data_centre */
   5,   /* field[5] = http */
   0,   /* field[0] = id */
@@ -235,7 +248,7 @@
 static const ProtobufCIntRange view__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor view__member__descriptor =
 {
@@ -245,7 +258,7 @@
   "View__Member",
   "view",
   sizeof(View__Member),
-  10,
+  11,
   view__member__field_descriptors,
   view__member__field_indices_by_name,
   1,  view__member__number_ranges,
--- a/src/member/view.pb-c.h
+++ b/src/member/view.pb-c.h
@@ -40,10 +40,11 @@
   uint64_t voter;
   protobuf_c_boolean leaving;
   uint64_t joined;
+  uint32_t capabilities;
 };
 #define VIEW__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&view__member__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  View__View
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -25,6 +25,7 @@
 	info->http = node_gate_advertised_address(n);
 	info->bus = s->bus_advertise;
 	info->voter = n->voter;
+	info->capabilities = MEMBER_CAPABILITIES;
 }
 
 static bool
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2603,7 +2603,7 @@
   (ProtobufCMessageInit) wire__raft_frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__member_info__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__member_info__field_descriptors[11] =
 {
   {
     "id",
@@ -2725,9 +2725,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capabilities",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__MemberInfo, capabilities),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__member_info__field_indices_by_name[] = {
   6,   /* field[6] = bus */
+  10,   /* field[10] = capabilities */
   3,   /* field[3] = data_centre */
   5,   /* field[5] = http */
   0,   /* field[0] = id */
@@ -2741,7 +2754,7 @@
 static const ProtobufCIntRange wire__member_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__member_info__descriptor =
 {
@@ -2751,7 +2764,7 @@
   "Wire__MemberInfo",
   "wire",
   sizeof(Wire__MemberInfo),
-  10,
+  11,
   wire__member_info__field_descriptors,
   wire__member_info__field_indices_by_name,
   1,  wire__member_info__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -279,10 +279,15 @@
    * log index of the command that added it
    */
   uint64_t joined;
+  /*
+   * What its program can read, a set of bits: MEMBER_CAN_... in member.h. An
+   * earlier program version sends 0.
+   */
+  uint32_t capabilities;
 };
 #define WIRE__MEMBER_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__member_info__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/member/view_test.cc
+++ b/tests/member/view_test.cc
@@ -56,6 +56,59 @@
 	member_view_destroy(v);
 }
 
+/*
+ * Guards against: a command that one member cannot read is proposed because its
+ * capabilities are mistaken, or are lost with a snapshot; epochs that differ
+ * from those of program versions that do not know capabilities.
+ */
+TEST(member_view, capabilities_are_those_of_all_members)
+{
+	struct member_view *v = member_view_create(),
+			   *again = member_view_create();
+	struct mp_error err = {};
+	struct {
+		uint32_t id;
+		uint64_t incarnation;
+		uint32_t capabilities;
+		bool changes, all_have_1, all_have_2, all_have_both;
+	} steps[] = {
+	    {1, 10, 1, true, true, false, false},
+	    {2, 20, 3, true, true, false, false},
+	    {1, 10, 3, false, true, true, true}, /* no new epoch */
+	    {1, 11, 1, false, true, true, true}, /* not the member */
+	    {3, 30, 0, true, false, false, false}, /* an earlier version */
+	    {3, 30, 2, false, false, true, false},
+	};
+	uint64_t index = 0;
+
+	EXPECT_FALSE(member_view_all_have(v, 1));
+	for (auto &s : steps) {
+		Wire__MemberInfo info = make_info(s.id, s.incarnation);
+
+		info.capabilities = s.capabilities;
+		index++;
+		EXPECT_EQ(member_view_apply_up(v, index, &info), s.changes)
+		    << index;
+		std::string bytes = save_view(v);
+		EXPECT_EQ(member_view_restore(
+			      again, bytes.data(), bytes.size(), &err),
+		    MP_OK);
+		for (auto *view : {v, again}) {
+			EXPECT_EQ(member_view_all_have(view, 1), s.all_have_1)
+			    << index;
+			EXPECT_EQ(member_view_all_have(view, 2), s.all_have_2)
+			    << index;
+			EXPECT_EQ(
+			    member_view_all_have(view, 3), s.all_have_both)
+			    << index;
+		}
+	}
+	member_view_apply_down(v, ++index, 3, 30);
+	EXPECT_TRUE(member_view_all_have(v, 3));
+	member_view_destroy(v);
+	member_view_destroy(again);
+}
+
 /* Guards against: a damaged saved view is restored, or a sound one altered. */
 TEST(member_view, save_and_restore)
 {
