member: many membership changes in one command

Cause: after a loss of power each member was removed and joined again in an epoch of its own, about ten a second; the owners of engines act only once the last epoch is active. Change: MemberChanges holds removals, joins and leaves, at most 64 KB, which take effect as one epoch; one that names a process that is not the member is skipped. The leader proposes it only while all members state MEMBER_CAN_MANY_CHANGES and all voters are such members; afterwards no process without it joins (LeaseReply.reason earlier-version). A process that takes the place of an earlier one of its instance within one epoch starts its ownership anew: shards get the new epoch as their fence, endpoints wait for it.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -2,9 +2,9 @@
  * Cluster membership and the leases under which instances act.
  *
  * The members are a replicated state: every instance applies the same
- * MemberUp, MemberDown and MemberLeave commands of the log to its own view.
- * The epoch is the log index of the last command that changed the view. Each
- * endpoint has one owner in an epoch.
+ * MemberUp, MemberDown, MemberLeave and MemberChanges commands of the log to
+ * its own view. The epoch is the log index of the last command that changed
+ * the view. Each endpoint has one owner in an epoch.
  *
  * An instance that owns an endpoint may act for it (grant, order, accept new
  * requests) only under a lease of the leader or, without a leader, under the
@@ -44,7 +44,7 @@
 #define MEMBER_CAN_MANY_CHANGES	 (1U << 1) /* MemberChanges */
 
 /* Those of this program. */
-#define MEMBER_CAPABILITIES MEMBER_CAN_CONFIG_DELTAS
+#define MEMBER_CAPABILITIES (MEMBER_CAN_CONFIG_DELTAS | MEMBER_CAN_MANY_CHANGES)
 
 /* A member: one process of an instance, known by id and incarnation. */
 struct member {
@@ -77,6 +77,8 @@
     struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation);
 bool member_view_apply_leave(
     struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation);
+bool member_view_apply_changes(
+    struct member_view *v, uint64_t index, const Wire__MemberChanges *changes);
 
 uint64_t member_view_epoch(const struct member_view *v);
 
@@ -86,6 +88,13 @@
  */
 bool member_view_all_have(const struct member_view *v, uint32_t capabilities);
 
+/*
+ * Capabilities without which a program cannot apply the log: a MemberChanges
+ * has been applied. A process without them would see other members in an epoch
+ * than the others do, so it must not become a member.
+ */
+uint32_t member_view_required_capabilities(const struct member_view *v);
+
 /* Number of members up to which all members are supporters. */
 #define MEMBER_ALL_SUPPORT_MAX 16
 
@@ -111,6 +120,10 @@
 /* The member of this instance id, or NULL. */
 const struct member *member_view_find(const struct member_view *v, uint32_t id);
 
+/* Whether this process of the instance is the member. */
+bool member_view_is_current(
+    const struct member_view *v, uint32_t id, uint64_t incarnation);
+
 /*
  * Appends the view to a buffer, or replaces it by a saved one. A failed
  * restore returns MP_ERR_CORRUPT and leaves the view empty.
@@ -368,7 +381,8 @@
 enum member_change_type {
 	MEMBER_CHANGE_UP, /* MemberUp with info */
 	MEMBER_CHANGE_DOWN, /* MemberDown of id and incarnation */
-	MEMBER_CHANGE_LEAVE /* MemberLeave of id and incarnation */
+	MEMBER_CHANGE_LEAVE, /* MemberLeave of id and incarnation */
+	MEMBER_CHANGE_MANY /* MemberChanges */
 };
 
 /* A membership change that the leader is to propose. */
@@ -377,12 +391,26 @@
 	uint32_t id;
 	uint64_t incarnation;
 	const Wire__MemberInfo *info; /* UP; valid until the next call */
+	/* MANY: at least two; valid until the next call. */
+	const struct member_change *many;
+	size_t nmany;
 };
 
+/* Bytes of the changes that one MemberChanges holds. */
+#define MEMBER_CHANGES_BYTES_MAX (64 * 1024)
+
+/*
+ * Sets whether all voters of the log can read a MemberChanges. A voter may lead
+ * without being a member, and one that cannot read it would then lead with
+ * another view. It starts as false, and again with each term.
+ */
+void member_lessor_set_voters_read_many(struct member_lessor *ls, bool can);
+
 /*
- * Fills the membership change that the leader should propose now. A change
- * that has not been applied within a second is returned again. Returns false
- * when there is nothing to propose.
+ * Fills the membership change that the leader should propose now: all changes
+ * that are due, if all members and voters can read a MemberChanges, else one. A
+ * change that has not been applied within a second is returned again. Returns
+ * false when there is nothing to propose.
  */
 bool member_lessor_next_change(struct member_lessor *ls,
     const struct member_view *v, uint64_t now_us, struct member_change *out);
--- a/src/member/member_lessor.c
+++ b/src/member/member_lessor.c
@@ -3,14 +3,14 @@
  *
  * Why two instances never act for one endpoint at the same time:
  *
- * Membership is a sequence of epochs, each made by one committed change. In
- * one epoch an endpoint has one owner. An instance acts for an endpoint that
- * it owns in the epoch it has applied, and only if it has either owned the
- * endpoint without interruption since an epoch in which it was allowed to
- * act, or has been notified that its epoch is active. When it applies a
- * change by which it loses an endpoint, it stops acting for that endpoint. So
- * it must be shown that once epoch E is active, no instance acts in an epoch
- * before E, now or later.
+ * Membership is a sequence of epochs, each made by one committed command, which
+ * changes one member or many. In one epoch an endpoint has one owner. An
+ * instance acts for an endpoint that it owns in the epoch it has applied, and
+ * only if it has either owned the endpoint without interruption since an epoch
+ * in which it was allowed to act, or has been notified that its epoch is
+ * active. When it applies a change by which it loses an endpoint, it stops
+ * acting for that endpoint. So it must be shown that once epoch E is active, no
+ * instance acts in an epoch before E, now or later.
  *
  * An instance acts in one of two ways: by a lease or by support.
  *
@@ -34,9 +34,22 @@
  * majority of E'. Every majority of E' includes one of those who did. Either
  * that one gave its support before that, and this support has ended, or it
  * has left E' and will not support an instance in E' again. For the epochs
- * before E' the same was established when E was proposed: no change is proposed
- * before the current epoch is sealed, and only one at a time, so there is
- * never more than one epoch before the current one that is not sealed.
+ * before E' the same was established when E was proposed: no command is
+ * proposed before the current epoch is sealed, and only one at a time, so there
+ * is never more than one epoch before the current one that is not sealed.
+ *
+ * Many changes in one command. Nothing above depends on how many members differ
+ * between E' and E, since support is counted, promised and acknowledged by
+ * instance, over the supporters of E', whichever of them E still has. A command
+ * that is proposed again holds the same changes. Its copies follow each other
+ * in the log, with no other command of membership between them: the next one is
+ * proposed only when the first copy is applied, and a new leader proposes only
+ * when it has applied all entries before its term. The second copy finds the
+ * members as the first has left them, and changes nothing: it removes only
+ * processes that were members before the first, and adds none that it removes.
+ * All who apply the command must read it alike, else they would differ on the
+ * members of one epoch. It is proposed only while all members and all voters
+ * can read it, and from then on no process joins that cannot.
  *
  * A process that ends loses its promises. The next process of the instance
  * takes them over: it waits for as long as a promise can run before its
@@ -112,8 +125,9 @@
 	}
 	map_destroy(ls->peers);
 	ls->peers = NULL;
-	lessor_info_free(ls->change_info);
-	ls->change_info = NULL;
+	lessor_clear_changes(ls);
+	free(ls->changes);
+	ls->changes = NULL;
 }
 
 void
@@ -284,17 +298,21 @@
 
 /* Why a process gets no lease; NULL when it gets one. */
 static const char *
-lessor_refusal_reason(const struct member_lessor *ls, const struct member *m,
+lessor_refusal_reason(const struct member_lessor *ls,
+    const struct member_view *v, const struct member *m,
     const struct lessor_proc *proc, uint64_t now_us)
 {
 	if (now_us >= ls->authority_until_us)
 		return "no-authority";
+	if (m == NULL && proc->info != NULL &&
+	    (~proc->info->capabilities &
+		member_view_required_capabilities(v)) != 0)
+		return "earlier-version";
 	if (m == NULL)
 		return "not-a-member";
 	if (m->incarnation != proc->incarnation)
 		return "other-incarnation";
-	if (ls->change_pending && ls->change.type == MEMBER_CHANGE_DOWN &&
-	    ls->change.id == m->id && ls->change.incarnation == m->incarnation)
+	if (lessor_is_being_removed(ls, m))
 		return "being-removed";
 	if (proc->applied < lessor_expected_applied(ls, now_us))
 		return "behind";
@@ -334,7 +352,7 @@
 		return;
 	}
 	lessor_record_renew(ls, proc, now_us, renew);
-	refusal = lessor_refusal_reason(ls, m, proc, now_us);
+	refusal = lessor_refusal_reason(ls, v, m, proc, now_us);
 	if (refusal == NULL)
 		lessor_grant_lease(ls, proc, now_us);
 	else
--- a/src/member/member_lessor.h
+++ b/src/member/member_lessor.h
@@ -96,17 +96,27 @@
 	bool plan_stale;
 	uint64_t used_in_flight, used_rate_milli; /* sum of counted shares */
 
-	/* The change proposed last; pending until it is applied. */
-	bool change_pending;
-	struct member_change change;
+	/*
+	 * The changes proposed last, together; pending until all are applied or
+	 * without effect. They own copies of their information.
+	 */
+	bool change_pending, voters_read_many;
+	struct member_change *changes;
+	size_t nchanges, changes_cap;
 	uint64_t proposed_us;
-	Wire__MemberInfo *change_info; /* owned copy */
 };
 
 /* A copy, to be freed by lessor_info_free(), which also takes NULL. */
 Wire__MemberInfo *lessor_info_copy(const Wire__MemberInfo *info);
 void lessor_info_free(Wire__MemberInfo *info);
 
+/* Discards the changes proposed last. */
+void lessor_clear_changes(struct member_lessor *ls);
+
+/* Whether the removal of this member is pending. */
+bool lessor_is_being_removed(
+    const struct member_lessor *ls, const struct member *m);
+
 /* The instance of this id; NULL when no renewal of it was received. */
 struct lessor_peer *lessor_find_peer(
     const struct member_lessor *ls, uint32_t id);
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -19,6 +19,7 @@
 	uint32_t *earlier; /* ids of supporters of the previous epoch */
 	size_t nearlier;
 	struct member_shards shards;
+	uint32_t required_capabilities;
 };
 
 struct member_view *
@@ -94,6 +95,15 @@
 	return member_view_get(v, id);
 }
 
+bool
+member_view_is_current(
+    const struct member_view *v, uint32_t id, uint64_t incarnation)
+{
+	const struct member *m = member_view_get(v, id);
+
+	return m != NULL && m->incarnation == incarnation;
+}
+
 uint64_t
 member_view_epoch(const struct member_view *v)
 {
@@ -112,6 +122,12 @@
 	return v->count > 0;
 }
 
+uint32_t
+member_view_required_capabilities(const struct member_view *v)
+{
+	return v->required_capabilities;
+}
+
 const struct member_shards *
 member_view_shards(const struct member_view *v)
 {
@@ -143,16 +159,25 @@
 	return v->earlier;
 }
 
+/* A command that is being applied. */
+struct member_command {
+	uint64_t index;
+	bool changed; /* it has changed the members */
+};
+
 /*
- * Begins a new epoch and records the supporters of the one that ends. Must be
- * called before the members change.
+ * Begins the epoch of a command, unless it has begun, and records the
+ * supporters of the one that ends. Must be called before the members change.
  */
 static void
-member_view_begin_epoch(struct member_view *v, uint64_t index)
+member_view_begin_epoch(struct member_view *v, struct member_command *c)
 {
 	size_t i;
 
-	v->epoch = index;
+	if (c->changed)
+		return;
+	c->changed = true;
+	v->epoch = c->index;
 	v->earlier = mem_resize(v->earlier, v->count, sizeof(*v->earlier));
 	v->nearlier = 0;
 	for (i = 0; i < v->count; i++)
@@ -224,60 +249,110 @@
  * A member of another incarnation is not replaced: its MemberDown must come
  * first, so that the work it ran has been resolved.
  */
-bool
-member_view_apply_up(
-    struct member_view *v, uint64_t index, const Wire__MemberInfo *info)
+static void
+member_view_add(struct member_view *v, struct member_command *c,
+    const Wire__MemberInfo *info)
 {
 	struct member *old = member_view_get(v, info->id), *m;
-	uint64_t joined = index;
+	uint64_t joined = c->index;
 
 	if (info->id == 0)
-		return false;
+		return;
 	if (old != NULL) {
 		if (old->incarnation != info->incarnation)
-			return false;
+			return;
 		if (member_matches(old, info)) {
 			old->capabilities = info->capabilities;
-			return false;
+			return;
 		}
 		joined = old->joined;
 	}
-	member_view_begin_epoch(v, index);
+	member_view_begin_epoch(v, c);
 	m = member_from_info(info);
 	m->joined = joined;
 	if (old != NULL)
 		member_view_remove(v, info->id);
 	member_view_insert(v, m);
-	member_shards_update(&v->shards, v);
-	return true;
+}
+
+static void
+member_view_delete(struct member_view *v, struct member_command *c, uint32_t id,
+    uint64_t incarnation)
+{
+	if (!member_view_is_current(v, id, incarnation))
+		return;
+	member_view_begin_epoch(v, c);
+	member_view_remove(v, id);
+}
+
+static void
+member_view_mark_leaving(struct member_view *v, struct member_command *c,
+    uint32_t id, uint64_t incarnation)
+{
+	struct member *m = member_view_get(v, id);
+
+	if (m == NULL || m->incarnation != incarnation || m->leaving)
+		return;
+	member_view_begin_epoch(v, c);
+	m->leaving = true;
+}
+
+/* Ends a command. Returns whether it changed the members. */
+static bool
+member_view_end_command(struct member_view *v, const struct member_command *c)
+{
+	if (c->changed)
+		member_shards_update(&v->shards, v);
+	return c->changed;
+}
+
+bool
+member_view_apply_up(
+    struct member_view *v, uint64_t index, const Wire__MemberInfo *info)
+{
+	struct member_command c = {index, false};
+
+	member_view_add(v, &c, info);
+	return member_view_end_command(v, &c);
 }
 
 bool
 member_view_apply_down(
     struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation)
 {
-	const struct member *m = member_view_get(v, id);
+	struct member_command c = {index, false};
 
-	if (m == NULL || m->incarnation != incarnation)
-		return false;
-	member_view_begin_epoch(v, index);
-	member_view_remove(v, id);
-	member_shards_update(&v->shards, v);
-	return true;
+	member_view_delete(v, &c, id, incarnation);
+	return member_view_end_command(v, &c);
 }
 
 bool
 member_view_apply_leave(
     struct member_view *v, uint64_t index, uint32_t id, uint64_t incarnation)
 {
-	struct member *m = member_view_get(v, id);
+	struct member_command c = {index, false};
 
-	if (m == NULL || m->incarnation != incarnation || m->leaving)
-		return false;
-	member_view_begin_epoch(v, index);
-	m->leaving = true;
-	member_shards_update(&v->shards, v);
-	return true;
+	member_view_mark_leaving(v, &c, id, incarnation);
+	return member_view_end_command(v, &c);
+}
+
+bool
+member_view_apply_changes(
+    struct member_view *v, uint64_t index, const Wire__MemberChanges *changes)
+{
+	struct member_command c = {index, false};
+	size_t i;
+
+	v->required_capabilities |= MEMBER_CAN_MANY_CHANGES;
+	for (i = 0; i < changes->n_down; i++)
+		member_view_delete(
+		    v, &c, changes->down[i]->id, changes->down[i]->incarnation);
+	for (i = 0; i < changes->n_up; i++)
+		member_view_add(v, &c, changes->up[i]);
+	for (i = 0; i < changes->n_leave; i++)
+		member_view_mark_leaving(v, &c, changes->leave[i]->id,
+		    changes->leave[i]->incarnation);
+	return member_view_end_command(v, &c);
 }
 
 static void
@@ -316,6 +391,7 @@
 	view.n_earlier_supporters = v->nearlier;
 	view.shard_owners = (uint32_t *)v->shards.owners;
 	view.n_shard_owners = v->shards.count;
+	view.required_capabilities = v->required_capabilities;
 	seal_pack(out, &view.base);
 	free(refs);
 	free(items);
@@ -355,6 +431,7 @@
 		return MP_ERR_CORRUPT;
 	view = (const View__View *)message;
 	v->epoch = view->epoch;
+	v->required_capabilities = view->required_capabilities;
 	for (i = 0; i < view->n_members; i++)
 		if (member_view_get(v, view->members[i]->id) == NULL)
 			member_view_insert(v, member_unpack(view->members[i]));
--- a/src/member/view.pb-c.c
+++ b/src/member/view.pb-c.c
@@ -265,7 +265,7 @@
   (ProtobufCMessageInit) view__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor view__view__field_descriptors[4] =
+static const ProtobufCFieldDescriptor view__view__field_descriptors[5] =
 {
   {
     "epoch",
@@ -315,17 +315,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "required_capabilities",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(View__View, required_capabilities),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned view__view__field_indices_by_name[] = {
   2,   /* field[2] = earlier_supporters */
   0,   /* field[0] = epoch */
   1,   /* field[1] = members */
+  4,   /* field[4] = required_capabilities */
   3,   /* field[3] = shard_owners */
 };
 static const ProtobufCIntRange view__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor view__view__descriptor =
 {
@@ -335,7 +348,7 @@
   "View__View",
   "view",
   sizeof(View__View),
-  4,
+  5,
   view__view__field_descriptors,
   view__view__field_indices_by_name,
   1,  view__view__number_ranges,
--- a/src/member/view.pb-c.h
+++ b/src/member/view.pb-c.h
@@ -66,10 +66,14 @@
    */
   size_t n_shard_owners;
   uint32_t *shard_owners;
+  /*
+   * What a program must be able to read to apply the log: see MemberInfo.
+   */
+  uint32_t required_capabilities;
 };
 #define VIEW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&view__view__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* View__Member methods */
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -1,6 +1,9 @@
+#include <stdlib.h>
+
 #include "doc/doc_delta.h"
 #include "node/node_gate.h"
 #include "node/node_internal.h"
+#include "util/mem.h"
 
 /*
  * Application of committed commands to the replicated state. It runs alike on
@@ -39,43 +42,97 @@
 		node_api_document_applied(n, proposal, put->team, &result);
 }
 
+static void
+log_up(struct node *n, uint64_t index, const Wire__MemberInfo *info)
+{
+	node_log(n, NODE_LOG_MEMBER_UP, "{\"member\": %u, \"epoch\": %llu}",
+	    info->id, (unsigned long long)index);
+}
+
 static void
 apply_up(struct node *n, uint64_t index, const Wire__MemberInfo *info)
 {
 	if (!member_view_apply_up(n->view, index, info))
 		return;
-	node_log(n, NODE_LOG_MEMBER_UP, "{\"member\": %u, \"epoch\": %llu}",
-	    info->id, (unsigned long long)index);
+	log_up(n, index, info);
 	node_owner_on_epoch(n, false);
 }
 
+/* Ends what a process that is no longer a member had under way. */
 static void
-apply_down(struct node *n, uint64_t index, const Wire__MemberDown *down)
+end_process(struct node *n, uint64_t index, const Wire__MemberDown *down)
 {
-	if (!member_view_apply_down(
-		n->view, index, down->id, down->incarnation))
-		return;
 	node_log(n, NODE_LOG_MEMBER_DOWN, "{\"member\": %u, \"epoch\": %llu}",
 	    down->id, (unsigned long long)index);
 	if (claim_apply_down(n->claims, down->id, down->incarnation) > 0)
 		route_on_claims_ended(n->route, n->now, n->fx);
 	node_orphan_entry_down(n, down->id, down->incarnation);
 	node_gate_entry_down(n, down->incarnation);
+}
+
+static void
+apply_down(struct node *n, uint64_t index, const Wire__MemberDown *down)
+{
+	if (!member_view_apply_down(
+		n->view, index, down->id, down->incarnation))
+		return;
+	end_process(n, index, down);
 	node_owner_on_epoch(n, false);
 }
 
+static void
+log_leave(struct node *n, uint64_t index, const Wire__MemberLeave *leave)
+{
+	node_log(n, NODE_LOG_MEMBER_LEAVING,
+	    "{\"member\": %u, \"epoch\": %llu}", leave->id,
+	    (unsigned long long)index);
+}
+
 static void
 apply_leave(struct node *n, uint64_t index, const Wire__MemberLeave *leave)
 {
 	if (!member_view_apply_leave(
 		n->view, index, leave->id, leave->incarnation))
 		return;
-	node_log(n, NODE_LOG_MEMBER_LEAVING,
-	    "{\"member\": %u, \"epoch\": %llu}", leave->id,
-	    (unsigned long long)index);
+	log_leave(n, index, leave);
 	node_owner_on_epoch(n, false);
 }
 
+/* The effects are those of the single changes, but with one epoch. */
+static void
+apply_changes(
+    struct node *n, uint64_t index, const Wire__MemberChanges *changes)
+{
+	bool *was_member = mem_alloc(changes->n_down, sizeof(*was_member));
+	const struct member *m;
+	size_t i;
+
+	for (i = 0; i < changes->n_down; i++)
+		was_member[i] = member_view_is_current(n->view,
+		    changes->down[i]->id, changes->down[i]->incarnation);
+	if (!member_view_apply_changes(n->view, index, changes)) {
+		free(was_member);
+		return;
+	}
+	for (i = 0; i < changes->n_down; i++)
+		if (was_member[i])
+			end_process(n, index, changes->down[i]);
+	for (i = 0; i < changes->n_up; i++) {
+		m = member_view_find(n->view, changes->up[i]->id);
+		if (m != NULL && m->joined == index)
+			log_up(n, index, changes->up[i]);
+	}
+	for (i = 0; i < changes->n_leave; i++)
+		log_leave(n, index, changes->leave[i]);
+	node_log(n, NODE_LOG_MEMBERS_CHANGED,
+	    "{\"down\": %zu, \"up\": %zu, \"leaving\": %zu, "
+	    "\"members\": %zu, \"epoch\": %llu}",
+	    changes->n_down, changes->n_up, changes->n_leave,
+	    member_view_count(n->view), (unsigned long long)index);
+	node_owner_on_epoch(n, false);
+	free(was_member);
+}
+
 /* Whether the process that proposed the command is still a member. */
 static bool
 is_from_member(const struct node *n, const Wire__Command *command)
@@ -172,6 +229,9 @@
 	case WIRE__COMMAND__BODY_LEAVE:
 		apply_leave(n, index, command->leave);
 		break;
+	case WIRE__COMMAND__BODY_CHANGES:
+		apply_changes(n, index, command->changes);
+		break;
 	case WIRE__COMMAND__BODY_CLAIM_START:
 		apply_claim_start(n, index, command);
 		break;
--- a/src/node/node_gate_owner.c
+++ b/src/node/node_gate_owner.c
@@ -105,9 +105,10 @@
  * orders, in microseconds: until the order lease of a previous owner that keeps
  * running has expired. A previous owner that is gone sends no more orders, and
  * one that leaves has stopped sending them once the new epoch is active; where
- * endpoints check fences, neither needs a wait. That holds only while the
- * number of shards does not shrink: with more shards than before, an engine
- * stays in its shard or moves to a new one.
+ * endpoints check fences, neither needs a wait, nor does an earlier process of
+ * this instance. That holds only while the number of shards does not shrink:
+ * with more shards than before, an engine stays in its shard or moves to a new
+ * one.
  */
 static uint64_t
 takeover_wait_us(
@@ -120,22 +121,34 @@
 	    previous->count <= n->gate->shards.count &&
 	    shard < previous->count) {
 		m = member_view_find(n->view, previous->owners[shard]);
-		if (m == NULL || m->leaving)
+		if (m == NULL || m->leaving || m->id == n->id)
 			return 0;
 	}
 	return (uint64_t)s->order_lease_ms * 1000 + TAKEOVER_MARGIN_US;
 }
 
+/* Whether this process has become a member by the newest change. */
+static bool
+has_just_joined(const struct node *n)
+{
+	const struct member *m = member_view_find(n->view, n->id);
+
+	return is_member(n) && m->joined == member_view_epoch(n->view);
+}
+
 /*
  * Updates the ownership of a shard after a membership change. With fewer shards
  * than before each shard has received engines of others, so that ownership
- * starts anew.
+ * starts anew. It also does when this process takes the place of an earlier
+ * one of this instance, with another fence; what that one ordered last was
+ * before this one began to wait.
  */
 static void
 update_shard(
     struct node *n, const struct member_shards *previous, uint32_t shard)
 {
 	struct gate_shard *s = &n->gate->owned[shard];
+	uint64_t order_from_us = n->now + takeover_wait_us(n, previous, shard);
 
 	if (n->gate->shards.owners[shard] != n->id) {
 		memset(s, 0, sizeof(*s));
@@ -143,8 +156,12 @@
 	    previous->count > n->gate->shards.count) {
 		s->owned_since_epoch = member_view_epoch(n->view);
 		s->epoch_active = false;
-		s->order_from_us =
-		    n->now + takeover_wait_us(n, previous, shard);
+		s->order_from_us = order_from_us;
+	} else if (has_just_joined(n)) {
+		s->owned_since_epoch = member_view_epoch(n->view);
+		s->epoch_active = false;
+		if (order_from_us < s->order_from_us)
+			s->order_from_us = order_from_us;
 	}
 }
 
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -198,6 +198,54 @@
 	node_lease_send_reply(n, from, incarnation, &reply);
 }
 
+/* A MemberChanges and what it consists of, without their copies. */
+struct many_changes {
+	Wire__MemberChanges message;
+	Wire__MemberDown *down;
+	Wire__MemberLeave *leave;
+	Wire__MemberDown **downs;
+	Wire__MemberInfo **ups;
+	Wire__MemberLeave **leaves;
+};
+
+static void
+many_changes_fill(
+    struct many_changes *to, const struct member_change *from, size_t count)
+{
+	Wire__MemberChanges *m = &to->message;
+	size_t i;
+
+	wire__member_changes__init(m);
+	m->down = to->downs = mem_alloc(count, sizeof(*to->downs));
+	m->up = to->ups = mem_alloc(count, sizeof(*to->ups));
+	m->leave = to->leaves = mem_alloc(count, sizeof(*to->leaves));
+	to->down = mem_alloc(count, sizeof(*to->down));
+	to->leave = mem_alloc(count, sizeof(*to->leave));
+	for (i = 0; i < count; i++) {
+		wire__member_down__init(&to->down[i]);
+		wire__member_leave__init(&to->leave[i]);
+		to->down[i].id = to->leave[i].id = from[i].id;
+		to->down[i].incarnation = to->leave[i].incarnation =
+		    from[i].incarnation;
+		if (from[i].type == MEMBER_CHANGE_DOWN)
+			m->down[m->n_down++] = &to->down[i];
+		else if (from[i].type == MEMBER_CHANGE_UP)
+			m->up[m->n_up++] = (Wire__MemberInfo *)from[i].info;
+		else
+			m->leave[m->n_leave++] = &to->leave[i];
+	}
+}
+
+static void
+many_changes_free(struct many_changes *c)
+{
+	free(c->down);
+	free(c->leave);
+	free(c->downs);
+	free(c->ups);
+	free(c->leaves);
+}
+
 static void
 propose_member_change(struct node *n, const struct member_change *change)
 {
@@ -205,23 +253,34 @@
 	Wire__MemberInfo up;
 	Wire__MemberDown down = WIRE__MEMBER_DOWN__INIT;
 	Wire__MemberLeave leave = WIRE__MEMBER_LEAVE__INIT;
+	struct many_changes many = {0};
 
-	if (change->type == MEMBER_CHANGE_UP) {
+	switch (change->type) {
+	case MEMBER_CHANGE_UP:
 		up = *change->info;
 		command.body_case = WIRE__COMMAND__BODY_UP;
 		command.up = &up;
-	} else if (change->type == MEMBER_CHANGE_DOWN) {
+		break;
+	case MEMBER_CHANGE_DOWN:
 		down.id = change->id;
 		down.incarnation = change->incarnation;
 		command.body_case = WIRE__COMMAND__BODY_DOWN;
 		command.down = &down;
-	} else {
+		break;
+	case MEMBER_CHANGE_LEAVE:
 		leave.id = change->id;
 		leave.incarnation = change->incarnation;
 		command.body_case = WIRE__COMMAND__BODY_LEAVE;
 		command.leave = &leave;
+		break;
+	case MEMBER_CHANGE_MANY:
+		many_changes_fill(&many, change->many, change->nmany);
+		command.body_case = WIRE__COMMAND__BODY_CHANGES;
+		command.changes = &many.message;
+		break;
 	}
 	node_propose_as_leader(n, &command);
+	many_changes_free(&many);
 }
 
 /*
@@ -290,6 +349,24 @@
 	}
 }
 
+/* Whether all voters are members whose programs can read a MemberChanges. */
+static bool
+voters_read_many(const struct node *n)
+{
+	const struct raft_config *config = raft_get_config(n->raft);
+	const struct member *m;
+	size_t i;
+
+	for (i = 0; i < config->nvoters; i++) {
+		m = member_view_find(
+		    n->view, RAFT_ID_INSTANCE(config->voters[i]));
+		if (m == NULL ||
+		    (m->capabilities & MEMBER_CAN_MANY_CHANGES) == 0)
+			return false;
+	}
+	return true;
+}
+
 static void
 leader_tick(struct node *n)
 {
@@ -297,6 +374,7 @@
 
 	if (n->raft == NULL || raft_authority_until(n->raft) <= n->now)
 		return;
+	member_lessor_set_voters_read_many(n->lessor, voters_read_many(n));
 	while (member_lessor_next_change(n->lessor, n->view, n->now, &change))
 		propose_member_change(n, &change);
 	propose_claim_clock(n);
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -57,13 +57,19 @@
 
 /*
  * Whether this instance may send orders to an endpoint: once the epoch in which
- * it became the owner is active, no earlier owner can act any more.
+ * it became the owner is active, no earlier owner can act any more. The owner
+ * before may be an earlier process of this instance.
  */
 static bool
 is_active(const struct node *n, const struct node_endpoint *e)
 {
-	return !node_guards.active_epoch ||
-	    member_holder_active_epoch(n->holder) >= e->owned_since_epoch;
+	const struct member *self = member_view_find(n->view, n->id);
+	uint64_t active = member_holder_active_epoch(n->holder);
+
+	if (!node_guards.active_epoch)
+		return true;
+	return self != NULL && self->incarnation == n->incarnation &&
+	    active >= self->joined && active >= e->owned_since_epoch;
 }
 
 static void
--- a/src/node/node_propose.c
+++ b/src/node/node_propose.c
@@ -187,7 +187,8 @@
 	if (parsed == NULL || parsed->instance != from ||
 	    parsed->body_case == WIRE__COMMAND__BODY__NOT_SET ||
 	    parsed->body_case == WIRE__COMMAND__BODY_UP ||
-	    parsed->body_case == WIRE__COMMAND__BODY_DOWN) {
+	    parsed->body_case == WIRE__COMMAND__BODY_DOWN ||
+	    parsed->body_case == WIRE__COMMAND__BODY_CHANGES) {
 		n->counters.malformed++;
 		goto cleanup;
 	}
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -75,6 +75,7 @@
     {NODE_LOG_GATE_QUOTA, NODE_LOG_INFO, "quota-exhausted"},
     {NODE_LOG_STATE_RECEIVED, NODE_LOG_INFO, "state-received"},
     {NODE_LOG_STATE_REJECTED, NODE_LOG_WARN, "state-rejected"},
+    {NODE_LOG_MEMBERS_CHANGED, NODE_LOG_INFO, "members-changed"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -88,6 +88,7 @@
 	NODE_LOG_GATE_QUOTA = 153, /* exhausted, or no longer */
 	NODE_LOG_STATE_RECEIVED = 160, /* a snapshot, from another instance */
 	NODE_LOG_STATE_REJECTED = 161,
+	NODE_LOG_MEMBERS_CHANGED = 165, /* several, by one command */
 };
 
 /* An entry of the catalogue. */
--- a/src/wire/command.pb-c.c
+++ b/src/wire/command.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &wire__member_leave__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__member_changes__init
+                     (Wire__MemberChanges         *message)
+{
+  static const Wire__MemberChanges init_value = WIRE__MEMBER_CHANGES__INIT;
+  *message = init_value;
+}
+size_t wire__member_changes__get_packed_size
+                     (const Wire__MemberChanges *message)
+{
+  assert(message->base.descriptor == &wire__member_changes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__member_changes__pack
+                     (const Wire__MemberChanges *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__member_changes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__member_changes__pack_to_buffer
+                     (const Wire__MemberChanges *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__member_changes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__MemberChanges *
+       wire__member_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__MemberChanges *)
+     protobuf_c_message_unpack (&wire__member_changes__descriptor,
+                                allocator, len, data);
+}
+void   wire__member_changes__free_unpacked
+                     (Wire__MemberChanges *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__member_changes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__claim_start__init
                      (Wire__ClaimStart         *message)
 {
@@ -592,7 +637,7 @@
   assert(message->base.descriptor == &wire__part_quarantine__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__command__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__command__field_descriptors[15] =
 {
   {
     "instance",
@@ -762,9 +807,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changes",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Command, body_case),
+    offsetof(Wire__Command, changes),
+    &wire__member_changes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__command__field_indices_by_name[] = {
   11,   /* field[11] = adapter_version */
+  14,   /* field[14] = changes */
   9,   /* field[9] = claim_clock */
   8,   /* field[8] = claim_end */
   7,   /* field[7] = claim_start */
@@ -783,7 +841,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__command__descriptor =
 {
@@ -793,7 +851,7 @@
   "Wire__Command",
   "wire",
   sizeof(Wire__Command),
-  14,
+  15,
   wire__command__field_descriptors,
   wire__command__field_indices_by_name,
   2,  wire__command__number_ranges,
@@ -1095,6 +1153,70 @@
   (ProtobufCMessageInit) wire__member_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__member_changes__field_descriptors[3] =
+{
+  {
+    "down",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__MemberChanges, n_down),
+    offsetof(Wire__MemberChanges, down),
+    &wire__member_down__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "up",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__MemberChanges, n_up),
+    offsetof(Wire__MemberChanges, up),
+    &wire__member_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leave",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__MemberChanges, n_leave),
+    offsetof(Wire__MemberChanges, leave),
+    &wire__member_leave__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__member_changes__field_indices_by_name[] = {
+  0,   /* field[0] = down */
+  2,   /* field[2] = leave */
+  1,   /* field[1] = up */
+};
+static const ProtobufCIntRange wire__member_changes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__member_changes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.MemberChanges",
+  "MemberChanges",
+  "Wire__MemberChanges",
+  "wire",
+  sizeof(Wire__MemberChanges),
+  3,
+  wire__member_changes__field_descriptors,
+  wire__member_changes__field_indices_by_name,
+  1,  wire__member_changes__number_ranges,
+  (ProtobufCMessageInit) wire__member_changes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__claim_start__field_descriptors[6] =
 {
   {
--- a/src/wire/command.pb-c.h
+++ b/src/wire/command.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Wire__DocPiece Wire__DocPiece;
 typedef struct Wire__MemberDown Wire__MemberDown;
 typedef struct Wire__MemberLeave Wire__MemberLeave;
+typedef struct Wire__MemberChanges Wire__MemberChanges;
 typedef struct Wire__ClaimStart Wire__ClaimStart;
 typedef struct Wire__ClaimClock Wire__ClaimClock;
 typedef struct Wire__ClaimEnd Wire__ClaimEnd;
@@ -72,7 +73,8 @@
   WIRE__COMMAND__BODY_GATEWAY_CONFIG = 17,
   WIRE__COMMAND__BODY_ADAPTER_VERSION = 18,
   WIRE__COMMAND__BODY_ENDPOINT_LEAVING = 19,
-  WIRE__COMMAND__BODY_PART_QUARANTINE = 20
+  WIRE__COMMAND__BODY_PART_QUARANTINE = 20,
+  WIRE__COMMAND__BODY_CHANGES = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__COMMAND__BODY__CASE)
 } Wire__Command__BodyCase;
 
@@ -104,6 +106,7 @@
     Wire__AdapterVersion *adapter_version;
     Wire__EndpointLeaving *endpoint_leaving;
     Wire__PartQuarantine *part_quarantine;
+    Wire__MemberChanges *changes;
   };
 };
 #define WIRE__COMMAND__INIT \
@@ -199,6 +202,26 @@
     , 0, 0 }
 
 
+/*
+ * Several changes of the membership as one, with one new epoch. They take effect
+ * in this order. A change of a member of another incarnation is skipped, like a
+ * command of its own would be.
+ */
+struct  Wire__MemberChanges
+{
+  ProtobufCMessage base;
+  size_t n_down;
+  Wire__MemberDown **down;
+  size_t n_up;
+  Wire__MemberInfo **up;
+  size_t n_leave;
+  Wire__MemberLeave **leave;
+};
+#define WIRE__MEMBER_CHANGES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__member_changes__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * Claims an idempotency key before a non-idempotent call is sent. Only the
  * instance whose start is applied first sends the call.
@@ -488,6 +511,25 @@
 void   wire__member_leave__free_unpacked
                      (Wire__MemberLeave *message,
                       ProtobufCAllocator *allocator);
+/* Wire__MemberChanges methods */
+void   wire__member_changes__init
+                     (Wire__MemberChanges         *message);
+size_t wire__member_changes__get_packed_size
+                     (const Wire__MemberChanges   *message);
+size_t wire__member_changes__pack
+                     (const Wire__MemberChanges   *message,
+                      uint8_t             *out);
+size_t wire__member_changes__pack_to_buffer
+                     (const Wire__MemberChanges   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__MemberChanges *
+       wire__member_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__member_changes__free_unpacked
+                     (Wire__MemberChanges *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__ClaimStart methods */
 void   wire__claim_start__init
                      (Wire__ClaimStart         *message);
@@ -657,6 +699,9 @@
 typedef void (*Wire__MemberLeave_Closure)
                  (const Wire__MemberLeave *message,
                   void *closure_data);
+typedef void (*Wire__MemberChanges_Closure)
+                 (const Wire__MemberChanges *message,
+                  void *closure_data);
 typedef void (*Wire__ClaimStart_Closure)
                  (const Wire__ClaimStart *message,
                   void *closure_data);
@@ -694,6 +739,7 @@
 extern const ProtobufCMessageDescriptor wire__doc_piece__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_down__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_leave__descriptor;
+extern const ProtobufCMessageDescriptor wire__member_changes__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_start__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_clock__descriptor;
 extern const ProtobufCMessageDescriptor wire__claim_end__descriptor;
--- a/tests/member/exhaust_test.cc
+++ b/tests/member/exhaust_test.cc
@@ -77,6 +77,7 @@
 	std::vector<struct member_support> supports[3];
 	struct member_lessor lessor;
 	std::vector<struct lessor_peer> peers;
+	std::vector<struct member_change> pending;
 	/*
 	 * The message to delay next and the one that is delayed, each by its
 	 * change; ADVANCE: none.
@@ -178,6 +179,10 @@
 		std::copy(s.supports[i].begin(), s.supports[i].end(),
 		    s.holders[i].supports);
 	}
+	s.lessor.nchanges = s.lessor.changes_cap = s.pending.size();
+	s.lessor.changes = (struct member_change *)calloc(
+	    s.pending.size() + 1, sizeof(struct member_change));
+	std::copy(s.pending.begin(), s.pending.end(), s.lessor.changes);
 	s.lessor.peers = map_create();
 	for (auto &p : s.peers) {
 		auto *copy = (struct lessor_peer *)malloc(sizeof(p));
@@ -195,6 +200,10 @@
 		free(s.holders[i].supports);
 		s.holders[i].supports = nullptr;
 	}
+	s.pending.assign(
+	    s.lessor.changes, s.lessor.changes + s.lessor.nchanges);
+	free(s.lessor.changes);
+	s.lessor.changes = nullptr;
 	s.peers.clear();
 	for (size_t i = 0; i < map_count(s.lessor.peers); i++) {
 		s.peers.push_back(
@@ -466,13 +475,15 @@
 	    s.leader_changed, s.document_committed, s.leaving, s.partitioned,
 	    (uint64_t)s.delay_wanted, (uint64_t)s.delayed, s.in_force, k.commit,
 	    k.sealed_epoch, elapsed_us(s, k.sealed_us, MEMBER_FLIGHT_MAX_US),
-	    k.active_epoch, k.in_force, k.change_pending, k.change.id,
+	    k.active_epoch, k.in_force, k.change_pending, s.pending.size(),
 	    remaining_us(s, k.proposed_us + LESSOR_PROPOSE_INTERVAL_US),
 	    remaining_us(s, k.earlier_leases_end_us),
 	    remaining_us(s, k.authority_until_us)};
 
 	for (log_entry e : s.log)
 		d.push_back(e);
+	for (auto &c : s.pending)
+		d.insert(d.end(), {(uint64_t)c.type, c.id});
 	for (auto &c : k.commits)
 		if (s.now_us - c.at_us <= MEMBER_APPLY_LAG_MAX_US * 2)
 			d.insert(d.end(), {s.now_us - c.at_us, c.commit});
--- a/tests/member/simulation.cc
+++ b/tests/member/simulation.cc
@@ -7,7 +7,8 @@
 static const char *const kEndpointNames[] = {
     "e0", "e1", "e2", "e3", "e4", "e5"};
 
-simulation::simulation(uint64_t seed, int count)
+simulation::simulation(uint64_t seed, int count, programs programs)
+    : programs_(programs)
 {
 	rng_seed(&rng, seed);
 	instances.resize(count);
@@ -19,6 +20,8 @@
 		/* Any two clock rates differ by less than 50 in 1000. */
 		n.rate = chance(50) ? 0.977 : 1.0233;
 		n.offset_us = random_between(0, 1000) * 1000000;
+		n.can_read_many = programs == CURRENT ||
+		    (programs == MIXED && (seed >> i & 1) != 0);
 		n.view = member_view_create();
 		n.holder = member_holder_create(n.id, n.incarnation);
 		n.lessor = member_lessor_create(kPermits, kRate);
@@ -123,24 +126,41 @@
 			n.owns[e] = true;
 }
 
+/* Applies an entry to the view as the program of the instance would. */
+bool
+simulation::change(instance &n, const entry &e)
+{
+	struct many_changes changes;
+
+	if (e.type == 1) {
+		Wire__MemberInfo info = make_info(e.id, e.incarnation);
+		if (e.can_read_many)
+			info.capabilities = MEMBER_CAN_MANY_CHANGES;
+		return member_view_apply_up(n.view, n.applied, &info);
+	}
+	if (e.type == 2)
+		return member_view_apply_down(
+		    n.view, n.applied, e.id, e.incarnation);
+	if (e.type == 3)
+		return member_view_apply_leave(
+		    n.view, n.applied, e.id, e.incarnation);
+	if (e.type != 4 || !n.can_read_many)
+		return false;
+	for (auto &one : e.many)
+		changes.add((enum member_change_type)(one.type - 1), one.id,
+		    one.incarnation,
+		    one.can_read_many ? MEMBER_CAN_MANY_CHANGES : 0);
+	bool changed = changes.apply(n.view, n.applied);
+	many += changed;
+	return changed;
+}
+
 void
 simulation::apply(instance &n, uint64_t last_index)
 {
 	while (n.applied < last_index) {
 		const entry &e = log[n.applied++];
-		bool changed = false;
-		if (e.type == 1) {
-			Wire__MemberInfo info = make_info(e.id, e.incarnation);
-			changed =
-			    member_view_apply_up(n.view, n.applied, &info);
-		} else if (e.type == 2) {
-			changed = member_view_apply_down(
-			    n.view, n.applied, e.id, e.incarnation);
-		}
-		if (e.type == 3)
-			changed = member_view_apply_leave(
-			    n.view, n.applied, e.id, e.incarnation);
-		if (changed)
+		if (change(n, e))
 			update_owners(n, false);
 		max_epoch = std::max(max_epoch, member_view_epoch(n.view));
 	}
@@ -154,6 +174,7 @@
 	uint32_t id = n.id, to = leader;
 	uint64_t incarnation = n.incarnation;
 	bool joins = m == nullptr || m->incarnation != n.incarnation;
+	bool can_read_many = n.can_read_many;
 
 	if (chance(10) || to == 0)
 		to = 1 + rng_below(&rng, instances.size());
@@ -167,6 +188,8 @@
 		Wire__LeaseRenew in = r;
 		Wire__MemberInfo self = make_info(id, incarnation);
 		Wire__LeaseReply reply;
+		if (can_read_many)
+			self.capabilities = MEMBER_CAN_MANY_CHANGES;
 		if (!l.is_leader)
 			return;
 		in.self = joins ? &self : nullptr;
@@ -225,7 +248,7 @@
 void
 simulation::lead_tick(instance &n)
 {
-	struct member_change w;
+	struct member_change w = {};
 	uint64_t value;
 
 	if (leader == n.id && quorum && !is_electing) {
@@ -234,13 +257,27 @@
 		leader_until_us = now_us + kAuthorityUs;
 		apply(n, log.size());
 		if (chance(20))
-			propose(n, {0, 0, 0});
+			propose(n, {});
 	}
 	value = member_lessor_in_force(n.lessor, n.view, clock(n));
 	in_force = std::max(in_force, value);
-	if (member_lessor_next_change(n.lessor, n.view, clock(n), &w) &&
-	    leader == n.id && !is_electing)
-		propose(n, {1 + (int)w.type, w.id, w.incarnation});
+	bool all = n.can_read_many;
+	for (auto &i : instances) {
+		const struct member *m = member_view_find(n.view, i.id);
+		all = all && m != nullptr && m->capabilities != 0;
+	}
+	member_lessor_set_voters_read_many(n.lessor, all);
+	if (!member_lessor_next_change(n.lessor, n.view, clock(n), &w) ||
+	    leader != n.id || is_electing)
+		return;
+	auto one = [](const struct member_change &c) {
+		return entry{1 + (int)c.type, c.id, c.incarnation,
+		    c.info != nullptr && c.info->capabilities != 0, {}};
+	};
+	entry e = one(w);
+	for (size_t i = 0; i < w.nmany; i++)
+		e.many.push_back(one(w.many[i]));
+	propose(n, e);
 }
 
 void
@@ -311,7 +348,7 @@
 		if (chance(50))
 			log.push_back(e);
 	pending.clear();
-	log.push_back({0, 0, 0});
+	log.push_back({});
 	leader = chosen;
 	is_electing = false;
 	quorum = true;
@@ -325,6 +362,8 @@
 {
 	n.incarnation++;
 	n.running = true;
+	if (programs_ == MIXED && !n.can_read_many)
+		n.can_read_many = chance(50);
 	n.leaving = false;
 	n.frozen_messages.clear();
 	n.is_leader = false;
--- a/tests/member/simulation.h
+++ b/tests/member/simulation.h
@@ -23,7 +23,14 @@
 	static constexpr int kEndpoints = 6;
 	static constexpr uint32_t kPermits = 8, kRate = 5000;
 
-	simulation(uint64_t seed, int instances);
+	/* Which processes can read a MemberChanges. */
+	enum programs {
+		EARLIER, /* none */
+		CURRENT, /* all */
+		MIXED /* some, and more with each restart */
+	};
+
+	simulation(uint64_t seed, int instances, programs programs = EARLIER);
 	~simulation();
 	void run(uint64_t until_us);
 
@@ -31,19 +38,23 @@
 	std::string property;
 	std::string violation;
 	uint64_t events = 0, max_epoch = 0, supported = 0, owner_moves = 0;
+	uint64_t many = 0; /* MemberChanges with an effect */
 	uint64_t in_force = 0; /* largest ever stated by a leader */
 
       private:
 	/* A log entry. */
 	struct entry {
-		int type; /* 0: document, 1: up, 2: down, 3: leave */
+		/* 0: document, 1: up, 2: down, 3: leave, 4: many */
+		int type;
 		uint32_t id;
 		uint64_t incarnation;
+		bool can_read_many;
+		std::vector<entry> many;
 	};
 	struct instance {
 		uint32_t id;
 		uint64_t incarnation;
-		bool running = true, leaving = false;
+		bool running = true, leaving = false, can_read_many = false;
 		uint64_t frozen_until_us = 0;
 		double rate; /* of its clock to the true time */
 		uint64_t offset_us;
@@ -97,6 +108,9 @@
 	bool may_act(const instance &n) const;
 	void fail(const std::string &message);
 
+	bool change(instance &n, const entry &e);
+
+	programs programs_;
 	struct rng rng;
 	uint64_t now_us = 1000000, sequence = 0;
 	std::priority_queue<event> queue;
--- a/tests/member/view_test.cc
+++ b/tests/member/view_test.cc
@@ -109,6 +109,56 @@
 	member_view_destroy(again);
 }
 
+/*
+ * Guards against: several changes in one command that begin more than one
+ * epoch, that differ from the single ones, that stop at one that is void, or
+ * that change something when the command is repeated.
+ */
+TEST(member_view, many_changes_are_one_epoch)
+{
+	struct member_view *v = make_view(6), *one = make_view(6);
+	struct many_changes c, none;
+	struct mp_error err = {};
+	size_t n;
+
+	EXPECT_EQ(member_view_required_capabilities(v), 0u);
+	c.add(MEMBER_CHANGE_DOWN, 1, 10);
+	c.add(MEMBER_CHANGE_DOWN, 2, 21); /* not the member: void */
+	c.add(MEMBER_CHANGE_DOWN, 3, 30);
+	c.add(MEMBER_CHANGE_DOWN, 3, 30); /* twice */
+	c.add(MEMBER_CHANGE_UP, 1, 11); /* in place of the one removed */
+	c.add(MEMBER_CHANGE_UP, 2, 22); /* another one is a member: void */
+	c.add(MEMBER_CHANGE_UP, 7, 70);
+	c.add(MEMBER_CHANGE_LEAVE, 4, 40);
+	c.add(MEMBER_CHANGE_LEAVE, 3, 30); /* removed: void */
+	EXPECT_TRUE(c.apply(v, 50));
+	EXPECT_EQ(member_view_epoch(v), 50u);
+	EXPECT_EQ(member_view_required_capabilities(v),
+	    (uint32_t)MEMBER_CAN_MANY_CHANGES);
+	EXPECT_EQ(member_view_count(v), 6u);
+	EXPECT_TRUE(member_view_is_current(v, 1, 11));
+	EXPECT_EQ(member_view_find(v, 1)->joined, 50u);
+	EXPECT_TRUE(member_view_is_current(v, 2, 20));
+	EXPECT_EQ(member_view_find(v, 3), nullptr);
+	EXPECT_TRUE(member_view_find(v, 4)->leaving);
+	EXPECT_TRUE(member_view_is_current(v, 7, 70));
+	/* The supporters before are those of before the whole command. */
+	(void)member_view_earlier_supporters(v, &n);
+	EXPECT_EQ(n, 6u);
+
+	std::string bytes = save_view(v);
+	EXPECT_FALSE(c.apply(v, 51)) << "repeated";
+	EXPECT_FALSE(none.apply(v, 52)) << "empty";
+	EXPECT_EQ(save_view(v), bytes);
+	EXPECT_EQ(
+	    member_view_restore(one, bytes.data(), bytes.size(), &err), MP_OK);
+	EXPECT_EQ(save_view(one), bytes);
+	EXPECT_EQ(member_view_required_capabilities(one),
+	    (uint32_t)MEMBER_CAN_MANY_CHANGES);
+	member_view_destroy(v);
+	member_view_destroy(one);
+}
+
 /* Guards against: a damaged saved view is restored, or a sound one altered. */
 TEST(member_view, save_and_restore)
 {
