--- a/src/gate/gate_config.c
+++ b/src/gate/gate_config.c
@@ -119,6 +119,7 @@
 
 	index->routes = gw_route_index_create();
 	index->services = map_create();
+	index->priorities = map_create();
 	return index;
 }
 
@@ -129,9 +130,26 @@
 		return;
 	gw_route_index_destroy(index->routes);
 	map_destroy(index->services);
+	map_destroy(index->priorities);
 	free(index);
 }
 
+bool
+gw_config_index_count_priority(
+    struct gw_config_index *index, const struct gw_route *route, int change)
+{
+	uintptr_t before =
+	    (uintptr_t)map_get_u64(index->priorities, route->priority);
+	uintptr_t count = before + (uintptr_t)change;
+
+	if (count == 0)
+		(void)map_remove_u64(index->priorities, route->priority);
+	else
+		(void)map_set_u64(
+		    index->priorities, route->priority, (void *)count);
+	return before == 0 || count == 0;
+}
+
 void
 gw_config_index_services(struct gw_config *config)
 {
@@ -265,6 +283,8 @@
 		    config->index->routes, config->routes[i]);
 		if (other != NULL)
 			rc = refuse_same(config, i, other, err);
+		(void)gw_config_index_count_priority(
+		    config->index, config->routes[i], 1);
 	}
 	return rc;
 }
--- a/src/gate/gate_config.h
+++ b/src/gate/gate_config.h
@@ -11,12 +11,20 @@
 	struct gw_route_index *routes;
 	struct map *services; /* struct gw_service by name; of several with
 			       * one name, the first */
+	struct map *priorities; /* number of routes by priority, as uintptr_t */
 };
 
 struct gw_config_index *gw_config_index_create(void);
 void gw_config_index_destroy(struct gw_config_index *index);
 /* Fills the map of services anew. */
 void gw_config_index_services(struct gw_config *config);
+/*
+ * Counts a route for its priority; true: it is the first, or the last is gone.
+ *
+ * change: 1: the route is added, -1: removed.
+ */
+bool gw_config_index_count_priority(
+    struct gw_config_index *index, const struct gw_route *route, int change);
 
 /*
  * Checks a route apart from others: its timeout, services and weights, whose
--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -1,242 +1,9 @@
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "gate/gate_text_internal.h"
-#include "util/mem.h"
 
-/* Segments of a configuration text, see gate_text.h. */
-
-#define SEGMENTS_INITIAL 16
-
-/* ---- segments ----------------------------------------------------------- */
-
-static struct gw_segment *
-segment_create(struct node_bytes bytes)
-{
-	struct gw_segment *s = mem_alloc(1, sizeof(*s) + bytes.len);
-
-	s->references = 1;
-	s->hash = XXH64(bytes.data, bytes.len, 0);
-	s->len = bytes.len;
-	memcpy(s->data, bytes.data, bytes.len);
-	return s;
-}
-
-static void
-segment_release(struct gw_segment *s)
-{
-	if (--s->references == 0)
-		free(s);
-}
-
-struct gw_text *
-gw_text_create(size_t cap)
-{
-	struct gw_text *text = mem_alloc(1, sizeof(*text));
-
-	text->cap = cap < SEGMENTS_INITIAL ? SEGMENTS_INITIAL : cap;
-	text->segments = mem_alloc(text->cap, sizeof(*text->segments));
-	text->hashes = mem_alloc(text->cap, sizeof(*text->hashes));
-	text->kinds = mem_alloc(text->cap, sizeof(*text->kinds));
-	return text;
-}
-
-void
-gw_text_destroy(struct gw_text *text)
-{
-	size_t i;
-
-	if (text == NULL)
-		return;
-	for (i = 0; i < text->count; i++)
-		segment_release(text->segments[i]);
-	free(text->segments);
-	free(text->hashes);
-	free(text->kinds);
-	free(text->arrays);
-	free(text);
-}
-
-static void
-reserve(struct gw_text *text, size_t more)
-{
-	size_t cap = text->cap;
-
-	while (cap < text->count + more)
-		cap *= 2;
-	if (cap == text->cap)
-		return;
-	text->cap = cap;
-	text->segments =
-	    mem_resize(text->segments, cap, sizeof(*text->segments));
-	text->hashes = mem_resize(text->hashes, cap, sizeof(*text->hashes));
-	text->kinds = mem_resize(text->kinds, cap, sizeof(*text->kinds));
-}
-
-static void
-append_segment(
-    struct gw_text *text, struct gw_segment *s, enum gw_segment_kind kind)
-{
-	reserve(text, 1);
-	text->segments[text->count] = s;
-	text->hashes[text->count] = s->hash;
-	text->kinds[text->count++] = (uint8_t)kind;
-	text->bytes += s->len;
-}
-
-/* Separators are mostly alike: one that is as the one before shares it. */
-static struct gw_segment *
-find_same_separator(const struct gw_text *text, struct node_bytes bytes)
-{
-	struct gw_segment *s;
-
-	if (text->count < 2)
-		return NULL;
-	s = text->segments[text->count - 2];
-	if (s->len != bytes.len || memcmp(s->data, bytes.data, s->len) != 0)
-		return NULL;
-	s->references++;
-	return s;
-}
-
-void
-gw_text_append(
-    struct gw_text *text, struct node_bytes bytes, enum gw_segment_kind kind)
-{
-	struct gw_segment *s = NULL;
-
-	if (kind == GW_SEGMENT_SEPARATOR)
-		s = find_same_separator(text, bytes);
-	if (s == NULL) {
-		s = segment_create(bytes);
-		text->work.hashed_bytes += bytes.len;
-	}
-	append_segment(text, s, kind);
-}
-
-void
-gw_text_append_shared(struct gw_text *text, const struct gw_text *other,
-    size_t from, size_t count)
-{
-	size_t i;
-
-	if (count == 0)
-		return;
-	reserve(text, count);
-	memcpy(text->segments + text->count, other->segments + from,
-	    count * sizeof(*text->segments));
-	memcpy(text->hashes + text->count, other->hashes + from,
-	    count * sizeof(*text->hashes));
-	memcpy(text->kinds + text->count, other->kinds + from,
-	    count * sizeof(*text->kinds));
-	for (i = from; i < from + count; i++) {
-		other->segments[i]->references++;
-		text->bytes += other->segments[i]->len;
-	}
-	text->count += count;
-}
-
-/* ---- arrays ------------------------------------------------------------- */
-
-bool
-gw_text_is_space(char c)
-{
-	return c == ' ' || c == '\t' || c == '\n' || c == '\r';
-}
-
-/* Skips white space backwards: the result is behind another byte, or 0. */
-static size_t
-skip_space_back(const char *data, size_t len)
-{
-	while (len > 0 && gw_text_is_space(data[len - 1]))
-		len--;
-	return len;
-}
-
-/* Finds the quote that begins the string that ends before len; SIZE_MAX: none.
- */
-static size_t
-find_string_start(const char *data, size_t len)
-{
-	size_t i = len, escapes, k;
-
-	if (len < 2 || data[--i] != '"')
-		return SIZE_MAX;
-	while (i-- > 0) {
-		if (data[i] != '"')
-			continue;
-		for (escapes = 0, k = i; k > 0 && data[k - 1] == '\\'; k--)
-			escapes++;
-		if (escapes % 2 == 0)
-			return i;
-	}
-	return SIZE_MAX;
-}
-
-/* Finds the name of the array that begins at the end of a segment. */
-static bool
-find_array_key(const struct gw_segment *s, struct node_bytes *key)
-{
-	size_t len = skip_space_back(s->data, s->len), start;
-
-	if (len == 0 || s->data[len - 1] != '[')
-		return false;
-	len = skip_space_back(s->data, len - 1);
-	if (len == 0 || s->data[len - 1] != ':')
-		return false;
-	len = skip_space_back(s->data, len - 1);
-	start = find_string_start(s->data, len);
-	if (start == SIZE_MAX)
-		return false;
-	*key = (struct node_bytes){s->data + start, len - start};
-	return true;
-}
-
-static bool
-add_array(struct gw_text *text, size_t first, size_t count)
-{
-	struct gw_text_array array = {.first = first, .count = count};
-
-	if (!find_array_key(text->segments[first - 1], &array.key))
-		return false;
-	text->arrays =
-	    mem_resize(text->arrays, text->narrays + 1, sizeof(*text->arrays));
-	text->arrays[text->narrays++] = array;
-	return true;
-}
-
-static bool
-find_arrays(struct gw_text *text)
-{
-	const uint8_t *kinds = text->kinds;
-	size_t i = 0, first;
-
-	if (text->count == 0 || kinds[0] != GW_SEGMENT_REST)
-		return false;
-	while (i + 1 < text->count) {
-		first = ++i;
-		if (kinds[i] != GW_SEGMENT_ELEMENT)
-			return false;
-		while (i + 2 < text->count &&
-		    kinds[i + 1] == GW_SEGMENT_SEPARATOR &&
-		    kinds[i + 2] == GW_SEGMENT_ELEMENT)
-			i += 2;
-		if (!add_array(text, first, (i - first) / 2 + 1))
-			return false;
-		if (++i >= text->count || kinds[i] != GW_SEGMENT_REST)
-			return false;
-	}
-	return true;
-}
-
-bool
-gw_text_finish(struct gw_text *text)
-{
-	text->digest =
-	    XXH64(text->hashes, text->count * sizeof(*text->hashes), 0);
-	return find_arrays(text);
-}
+/* Splitting and reading of a configuration text, see gate_text.h. */
 
 /* ---- splitting ---------------------------------------------------------- */
 
@@ -245,8 +12,10 @@
 	size_t len, at;
 	size_t start; /* of the segment that is being read */
 	struct gw_text *text;
+	enum gw_segment_kind last; /* kind of the segment before */
 	const struct gw_text *base;
 	size_t base_at; /* segment of base that is expected next */
+	size_t base_chunk; /* chunk of a segment of base before that */
 	size_t misses; /* elements since the last that base has */
 };
 
@@ -270,6 +39,7 @@
 	gw_text_append(s->text,
 	    (struct node_bytes){s->data + s->start, s->at - s->start}, kind);
 	s->start = s->at;
+	s->last = kind;
 }
 
 static bool
@@ -333,43 +103,124 @@
 	return s->at > start;
 }
 
+/* ---- sharing with a base ------------------------------------------------ */
+
 /* Elements of base that are compared with one of the text, at most. */
 #define MISSES_MAX 8u
 
+/* Whether the text goes on with these bytes. */
+static bool
+starts_with(const struct scan *s, const char *data, size_t len)
+{
+	return len <= s->len - s->at && memcmp(data, s->data + s->at, len) == 0;
+}
+
 /*
- * Takes an element over from base, if one of those expected next has the same
- * bytes. Only objects, arrays and strings: where they end depends on nothing
- * that follows.
+ * Whether a segment that base and the text have here ends at the same place in
+ * both, which may depend on the byte that follows, at index end.
  */
 static bool
-share_element(struct scan *s)
+ends_alike(const struct scan *s, enum gw_segment_kind kind,
+    struct node_bytes segment, size_t end)
+{
+	char next;
+
+	if (end >= s->len)
+		return false;
+	next = s->data[end];
+	if (kind != GW_SEGMENT_ELEMENT)
+		return !gw_text_is_space(next) && next != ']';
+	return strchr("{[\"", segment.data[0]) != NULL ||
+	    gw_text_is_space(next) || next == ',' || next == ']';
+}
+
+/* Takes segments of base that the text goes on with. */
+static void
+take_shared(struct scan *s, size_t from, size_t count, size_t bytes)
+{
+	gw_text_append_shared(s->text, s->base, from, count);
+	s->at += bytes;
+	s->start = s->at;
+	s->base_at = from + count;
+	s->last = gw_text_kind(s->base, from + count - 1);
+	s->misses = 0;
+}
+
+/*
+ * Shares a whole chunk of base if it begins with the segment that is expected
+ * next. How the text is split here depends only on the segment before, so equal
+ * bytes give equal segments.
+ */
+static bool
+share_chunk(struct scan *s)
 {
 	const struct gw_text *base = s->base;
-	const struct gw_segment *e;
-	size_t i, end;
+	const struct gw_chunk *c;
+	struct gw_text_place p;
+	size_t end;
 
-	if (base == NULL || s->at == s->len ||
-	    strchr("{[\"", s->data[s->at]) == NULL)
+	if (s->base_at >= gw_text_count(base))
+		return false;
+	p = gw_text_find(base, s->base_at, s->base_chunk);
+	s->base_chunk = p.chunk;
+	c = base->chunks[p.chunk];
+	if (p.offset != 0 || (p.chunk == 0) != (s->text->count == 0) ||
+	    (p.chunk > 0 &&
+		(s->last == GW_SEGMENT_ELEMENT) ==
+		    (c->kinds[0] == GW_SEGMENT_ELEMENT)) ||
+	    !starts_with(s, c->data, c->bytes))
 		return false;
+	end = s->at + c->bytes;
+	if (p.chunk + 1 == base->nchunks
+		? end != s->len
+		: !ends_alike(s, (enum gw_segment_kind)c->kinds[c->count - 1],
+		      gw_chunk_segment(c, c->count - 1), end))
+		return false;
+	take_shared(s, s->base_at, c->count, c->bytes);
+	return true;
+}
+
+/* Shares segment i of base if the text goes on with it. */
+static bool
+share_segment(struct scan *s, size_t i, enum gw_segment_kind kind)
+{
+	struct gw_text_place p = gw_text_find(s->base, i, s->base_chunk);
+	const struct gw_chunk *c = s->base->chunks[p.chunk];
+	struct node_bytes segment = gw_chunk_segment(c, p.offset);
+
+	s->base_chunk = p.chunk;
+	if (c->kinds[p.offset] != kind ||
+	    !starts_with(s, segment.data, segment.len) ||
+	    !ends_alike(s, kind, segment, s->at + segment.len))
+		return false;
+	take_shared(s, i, 1, segment.len);
+	return true;
+}
+
+/* Takes an element over from base, if it is one of those expected next. */
+static bool
+share_element(struct scan *s)
+{
+	size_t count = gw_text_count(s->base), i, end;
+
 	end = s->base_at + 2 * (s->misses + 2);
-	for (i = s->base_at; i < end && i < base->count; i++) {
-		e = base->segments[i];
-		if (base->kinds[i] != GW_SEGMENT_ELEMENT ||
-		    e->len > s->len - s->at ||
-		    memcmp(e->data, s->data + s->at, e->len) != 0)
-			continue;
-		gw_text_append_shared(s->text, base, i, 1);
-		s->at += e->len;
-		s->start = s->at;
-		s->base_at = i + 1;
-		s->misses = 0;
-		return true;
-	}
+	for (i = s->base_at; i < end && i < count; i++)
+		if (share_segment(s, i, GW_SEGMENT_ELEMENT))
+			return true;
 	if (s->misses < MISSES_MAX)
 		s->misses++;
 	return false;
 }
 
+static bool
+share_separator(struct scan *s)
+{
+	return s->base_at < gw_text_count(s->base) &&
+	    share_segment(s, s->base_at, GW_SEGMENT_SEPARATOR);
+}
+
+/* ---- segments ----------------------------------------------------------- */
+
 static bool
 read_element(struct scan *s)
 {
@@ -384,64 +235,80 @@
 	return true;
 }
 
-/* Splits an array into its elements; an empty one is left as it is. */
+/*
+ * Reads members of the object up to the first element of an array, or to the
+ * end of the text.
+ */
 static bool
-split_array(struct scan *s)
+read_members(struct scan *s)
 {
-	s->at++;
-	skip_space(s);
-	if (is_at(s, ']')) {
-		s->at++;
-		return true;
-	}
-	cut(s, GW_SEGMENT_REST);
 	for (;;) {
-		if (!read_element(s))
+		skip_space(s);
+		if (!skip_string(s))
 			return false;
 		skip_space(s);
-		if (is_at(s, ']'))
-			break;
-		if (!is_at(s, ','))
+		if (!is_at(s, ':'))
 			return false;
 		s->at++;
 		skip_space(s);
-		cut(s, GW_SEGMENT_SEPARATOR);
+		if (is_at(s, '[')) {
+			s->at++;
+			skip_space(s);
+			if (!is_at(s, ']')) {
+				cut(s, GW_SEGMENT_REST);
+				return true;
+			}
+			s->at++;
+		} else if (!skip_value(s)) {
+			return false;
+		}
+		skip_space(s);
+		if (!is_at(s, ','))
+			break;
+		s->at++;
 	}
-	s->at++;
+	if (!is_at(s, '}'))
+		return false;
+	s->at = s->len;
+	cut(s, GW_SEGMENT_REST);
 	return true;
 }
 
 static bool
-split_member(struct scan *s)
+read_beginning(struct scan *s)
 {
 	skip_space(s);
-	if (!skip_string(s))
-		return false;
-	skip_space(s);
-	if (!is_at(s, ':'))
+	if (!is_at(s, '{'))
 		return false;
 	s->at++;
 	skip_space(s);
-	return is_at(s, '[') ? split_array(s) : skip_value(s);
+	if (!is_at(s, '}'))
+		return read_members(s);
+	s->at = s->len;
+	cut(s, GW_SEGMENT_REST);
+	return true;
 }
 
+/* Reads what follows an element: a separator, or the end of the array. */
 static bool
-split_object(struct scan *s)
+read_after_element(struct scan *s)
 {
+	if (share_separator(s))
+		return true;
 	skip_space(s);
-	if (!is_at(s, '{'))
+	if (is_at(s, ',')) {
+		s->at++;
+		skip_space(s);
+		cut(s, GW_SEGMENT_SEPARATOR);
+		return true;
+	}
+	if (!is_at(s, ']'))
 		return false;
 	s->at++;
 	skip_space(s);
-	if (!is_at(s, '}')) {
-		for (;;) {
-			if (!split_member(s))
-				return false;
-			skip_space(s);
-			if (!is_at(s, ','))
-				break;
-			s->at++;
-		}
+	if (is_at(s, ',')) {
+		s->at++;
+		return read_members(s);
 	}
 	if (!is_at(s, '}'))
 		return false;
@@ -450,6 +317,26 @@
 	return true;
 }
 
+/* Splits the text; what comes next depends on the kind of segment before. */
+static bool
+split(struct scan *s)
+{
+	do {
+		if (share_chunk(s))
+			continue;
+		if (s->text->count == 0) {
+			if (!read_beginning(s))
+				return false;
+		} else if (s->last == GW_SEGMENT_ELEMENT) {
+			if (!read_after_element(s))
+				return false;
+		} else if (!read_element(s)) {
+			return false;
+		}
+	} while (s->at < s->len);
+	return s->last == GW_SEGMENT_REST;
+}
+
 int
 gw_text_parse(struct gw_text **out, struct node_bytes text,
     const struct gw_text *base, struct mp_error *err)
@@ -457,8 +344,8 @@
 	struct scan s = {.data = text.data, .len = text.len, .base = base};
 
 	*out = NULL;
-	s.text = gw_text_create(gw_text_count(base));
-	if (!split_object(&s) || !gw_text_finish(s.text)) {
+	s.text = gw_text_create(base == NULL ? 0 : base->nchunks + 1);
+	if (!split(&s) || !gw_text_finish(s.text)) {
 		gw_text_destroy(s.text);
 		return mp_error_set(err, MP_LAYER_GATE, MP_ERR_INVALID,
 		    "$: must be a JSON object");
@@ -484,15 +371,17 @@
 struct node_bytes
 gw_text_segment(const struct gw_text *text, size_t i)
 {
-	const struct gw_segment *s = text->segments[i];
+	struct gw_text_place p = gw_text_find(text, i, 0);
 
-	return (struct node_bytes){s->data, s->len};
+	return gw_chunk_segment(text->chunks[p.chunk], p.offset);
 }
 
 enum gw_segment_kind
 gw_text_kind(const struct gw_text *text, size_t i)
 {
-	return (enum gw_segment_kind)text->kinds[i];
+	struct gw_text_place p = gw_text_find(text, i, 0);
+
+	return (enum gw_segment_kind)text->chunks[p.chunk]->kinds[p.offset];
 }
 
 const struct gw_text_array *
@@ -505,7 +394,7 @@
 struct gw_text_work
 gw_text_get_work(const struct gw_text *text)
 {
-	return text == NULL ? (struct gw_text_work){0, 0} : text->work;
+	return text == NULL ? (struct gw_text_work){0} : text->work;
 }
 
 uint64_t
@@ -517,33 +406,45 @@
 bool
 gw_text_is_equal(const struct gw_text *a, const struct gw_text *b)
 {
-	size_t i;
+	struct gw_text_place p = {0, 0}, q = {0, 0};
+	const struct gw_chunk *c, *d;
+	struct node_bytes s, t;
+	size_t i, n;
 
 	if (gw_text_bytes(a) != gw_text_bytes(b) ||
 	    gw_text_count(a) != gw_text_count(b))
 		return false;
-	for (i = 0; i < gw_text_count(a); i++)
-		if (a->segments[i] != b->segments[i] &&
-		    (a->segments[i]->len != b->segments[i]->len ||
-			memcmp(a->segments[i]->data, b->segments[i]->data,
-			    a->segments[i]->len) != 0))
+	for (i = 0; i < gw_text_count(a); i += n) {
+		p = gw_text_find(a, i, p.chunk);
+		q = gw_text_find(b, i, q.chunk);
+		c = a->chunks[p.chunk];
+		d = b->chunks[q.chunk];
+		if (c == d && p.offset == q.offset) {
+			n = c->count - p.offset;
+			continue;
+		}
+		n = 1;
+		s = gw_chunk_segment(c, p.offset);
+		t = gw_chunk_segment(d, q.offset);
+		if (s.len != t.len || memcmp(s.data, t.data, s.len) != 0)
 			return false;
+	}
 	return true;
 }
 
 bool
 gw_text_is_bytes(const struct gw_text *text, struct node_bytes bytes)
 {
-	const struct gw_segment *s;
+	const struct gw_chunk *c;
 	size_t i, at = 0;
 
 	if (gw_text_bytes(text) != bytes.len)
 		return false;
-	for (i = 0; i < gw_text_count(text); i++) {
-		s = text->segments[i];
-		if (memcmp(s->data, bytes.data + at, s->len) != 0)
+	for (i = 0; text != NULL && i < text->nchunks; i++) {
+		c = text->chunks[i];
+		if (memcmp(c->data, bytes.data + at, c->bytes) != 0)
 			return false;
-		at += s->len;
+		at += c->bytes;
 	}
 	return true;
 }
@@ -553,7 +454,6 @@
 {
 	size_t i;
 
-	for (i = 0; i < gw_text_count(text); i++)
-		buf_append(
-		    out, text->segments[i]->data, text->segments[i]->len);
+	for (i = 0; text != NULL && i < text->nchunks; i++)
+		buf_append(out, text->chunks[i]->data, text->chunks[i]->bytes);
 }
--- a/src/gate/gate_text.h
+++ b/src/gate/gate_text.h
@@ -16,8 +16,10 @@
 /*
  * The text of a configuration as a list of segments: each element of an array
  * that is a member of the top-level object, and the text between them. Joined,
- * the segments are the text byte for byte. Texts share segments, so a text that
- * differs from another in one element holds one segment of its own.
+ * the segments are the text byte for byte. Segments lie in chunks of some
+ * dozens. Texts share chunks, so a text that differs from another in one
+ * element has one chunk of its own, and making it costs that and a list of all
+ * chunks.
  *
  * The functions know JSON's strings and nesting only. That elements and the
  * text around them are valid JSON is checked by whoever decodes them: the text
@@ -57,19 +59,26 @@
 /* Work that was done to make a text. */
 struct gw_text_work {
 	uint64_t scanned_bytes, hashed_bytes;
+	size_t copied_segments; /* new ones, and those beside them */
+	size_t chunks; /* the text has */
 };
 
 /*
  * Splits a text. Errors: MP_ERR_INVALID: it is not an object, or its nesting is
  * wrong; err says only that, as a JSON parser names the place.
  *
- * base: a text that is probably similar: elements that it has too are compared
- * instead of scanned and hashed, and shared; NULL: none. The result is the
- * same.
+ * base: a text that is probably similar: chunks and elements that it has too
+ * are compared instead of scanned and hashed, and shared; NULL: none. The
+ * result is the same.
  */
 int gw_text_parse(struct gw_text **out, struct node_bytes text,
     const struct gw_text *base, struct mp_error *err);
-/* Frees the text and the segments that no other text has. */
+/* Returns the text again, for another owner, who destroys it as well. */
+struct gw_text *gw_text_share(struct gw_text *text);
+/*
+ * Frees the text, unless it has another owner, and the segments that no other
+ * text has.
+ */
 void gw_text_destroy(struct gw_text *text);
 
 /*
@@ -88,7 +97,7 @@
     const struct gw_text *text, size_t *count);
 struct gw_text_work gw_text_get_work(const struct gw_text *text);
 
-/* A hash of the segments' hashes; the cost doesn't depend on their sizes. */
+/* A hash of the segments' hashes, computed when the text is made. */
 uint64_t gw_text_digest(const struct gw_text *text);
 bool gw_text_is_equal(const struct gw_text *a, const struct gw_text *b);
 /* Whether the joined text has these bytes. */
--- a/src/gate/gate_text_delta.c
+++ b/src/gate/gate_text_delta.c
@@ -11,29 +11,105 @@
 
 /* ---- diff --------------------------------------------------------------- */
 
+/* Successive segments that both texts have. */
+struct run {
+	size_t from; /* in the base */
+	size_t at; /* in the new text */
+	size_t count;
+};
+
+struct matcher {
+	const struct gw_text *base, *text;
+	/* the part that is still to be matched */
+	size_t from, from_end; /* of the base */
+	size_t at, end; /* of the new text */
+	struct run *runs; /* in order, with no two that adjoin in both texts */
+	size_t nruns;
+	size_t base_chunk, text_chunk; /* where the last segment was found */
+};
+
+/* Segments of both texts. */
+struct pair {
+	const struct gw_chunk *base, *text;
+	size_t i, j; /* in the chunks */
+};
+
+static struct pair
+get_pair(struct matcher *m, size_t i, size_t j)
+{
+	struct gw_text_place p = gw_text_find(m->base, i, m->base_chunk);
+	struct gw_text_place q = gw_text_find(m->text, j, m->text_chunk);
+
+	m->base_chunk = p.chunk;
+	m->text_chunk = q.chunk;
+	return (struct pair){m->base->chunks[p.chunk], m->text->chunks[q.chunk],
+	    p.offset, q.offset};
+}
+
 static bool
-is_same(const struct gw_text *a, size_t i, const struct gw_text *b, size_t j)
+is_same_pair(const struct pair *p)
 {
-	const struct gw_segment *s = a->segments[i], *t = b->segments[j];
+	struct node_bytes s, t;
 
-	if (a->hashes[i] != b->hashes[j] || a->kinds[i] != b->kinds[j])
+	if (p->base == p->text && p->i == p->j)
+		return true;
+	if (p->base->hashes[p->i] != p->text->hashes[p->j] ||
+	    p->base->kinds[p->i] != p->text->kinds[p->j])
 		return false;
-	return s == t ||
-	    (s->len == t->len && memcmp(s->data, t->data, s->len) == 0);
+	s = gw_chunk_segment(p->base, p->i);
+	t = gw_chunk_segment(p->text, p->j);
+	return s.len == t.len && memcmp(s.data, t.data, s.len) == 0;
 }
 
-/* The part of two texts that is still to be matched. */
-struct range {
-	size_t base, base_end;
-	size_t at, end; /* of the new text */
-};
+static bool
+is_same(struct matcher *m, size_t i, size_t j)
+{
+	struct pair p = get_pair(m, i, j);
 
-/* The same, for indexes that may be behind a text's end. */
+	return is_same_pair(&p);
+}
+
+/* The same, for indexes that may be behind a part's end. */
 static bool
-is_same_within(const struct gw_text *base, size_t i, const struct gw_text *text,
-    size_t j, const struct range *r)
+is_same_within(struct matcher *m, size_t i, size_t j)
 {
-	return i < r->base_end && j < r->end && is_same(base, i, text, j);
+	return i < m->from_end && j < m->end && is_same(m, i, j);
+}
+
+static void
+add_run(struct matcher *m, size_t from, size_t at, size_t count)
+{
+	struct run *last;
+
+	if (count == 0)
+		return;
+	if (m->nruns > 0) {
+		last = &m->runs[m->nruns - 1];
+		if (last->from + last->count == from &&
+		    last->at + last->count == at) {
+			last->count += count;
+			return;
+		}
+	}
+	/* Doubles the memory whenever the number is a power of two. */
+	if ((m->nruns & (m->nruns - 1)) == 0)
+		m->runs = mem_resize(m->runs, m->nruns == 0 ? 1 : m->nruns * 2,
+		    sizeof(*m->runs));
+	m->runs[m->nruns++] = (struct run){from, at, count};
+}
+
+/* How many segments both texts have here: of a shared chunk, all that follow.
+ */
+static size_t
+count_same(struct matcher *m)
+{
+	struct pair p = get_pair(m, m->from, m->at);
+	size_t left = p.base->count - p.i;
+
+	if (p.base == p.text && p.i == p.j && left <= m->from_end - m->from &&
+	    left <= m->end - m->at)
+		return left;
+	return is_same_pair(&p) ? 1 : 0;
 }
 
 /*
@@ -42,85 +118,111 @@
  * element that both texts have, unless the text around the array differs.
  */
 static void
-match_beginning(const struct gw_text *base, const struct gw_text *text,
-    size_t *match, struct range *r)
+match_beginning(struct matcher *m)
 {
-	while (r->base < r->base_end && r->at < r->end) {
-		if (is_same(base, r->base, text, r->at)) {
-			match[r->at++] = r->base++;
-		} else if (is_same_within(
-			       base, r->base + 2, text, r->at + 2, r) ||
-		    (text->kinds[r->at] == GW_SEGMENT_REST &&
-			is_same_within(
-			    base, r->base + 1, text, r->at + 1, r))) {
-			r->base++;
-			r->at++;
-		} else if (is_same_within(base, r->base + 2, text, r->at, r)) {
-			r->base += 2;
-		} else if (is_same_within(base, r->base, text, r->at + 2, r)) {
-			r->at += 2;
+	size_t n;
+
+	while (m->from < m->from_end && m->at < m->end) {
+		n = count_same(m);
+		if (n > 0) {
+			add_run(m, m->from, m->at, n);
+			m->from += n;
+			m->at += n;
+		} else if (is_same_within(m, m->from + 2, m->at + 2) ||
+		    (gw_text_kind(m->text, m->at) == GW_SEGMENT_REST &&
+			is_same_within(m, m->from + 1, m->at + 1))) {
+			m->from++;
+			m->at++;
+		} else if (is_same_within(m, m->from + 2, m->at)) {
+			m->from += 2;
+		} else if (is_same_within(m, m->from, m->at + 2)) {
+			m->at += 2;
 		} else {
 			return;
 		}
 	}
 }
 
-static void
-match_end(const struct gw_text *base, const struct gw_text *text, size_t *match,
-    struct range *r)
+/* Returns the length of the end that both texts have. */
+static size_t
+match_end(struct matcher *m)
+{
+	struct pair p;
+	size_t n, all = 0;
+
+	while (m->from_end > m->from && m->end > m->at) {
+		p = get_pair(m, m->from_end - 1, m->end - 1);
+		n = p.i + 1;
+		if (p.base != p.text || p.i != p.j ||
+		    n > m->from_end - m->from || n > m->end - m->at)
+			n = is_same_pair(&p) ? 1 : 0;
+		if (n == 0)
+			break;
+		m->from_end -= n;
+		m->end -= n;
+		all += n;
+	}
+	return all;
+}
+
+static uint64_t
+get_hash(const struct gw_text *text, size_t i, size_t *chunk)
 {
-	while (r->base_end > r->base && r->end > r->at &&
-	    is_same(base, r->base_end - 1, text, r->end - 1))
-		match[--r->end] = --r->base_end;
+	struct gw_text_place p = gw_text_find(text, i, *chunk);
+
+	*chunk = p.chunk;
+	return text->chunks[p.chunk]->hashes[p.offset];
 }
 
 /*
- * Matches each segment of a range with one in the base's that has the same
+ * Matches each segment of the part with one in the base's that has the same
  * bytes, in any order. Separators are left out, as they are all alike; so are
  * further copies of a segment.
+ *
+ * match: by index from m->at; the index in the base.
  */
 static void
-match_any(const struct gw_text *base, const struct gw_text *text, size_t *match,
-    const struct range *r)
+match_any(struct matcher *m, size_t *match)
 {
 	struct map *seen = map_create();
 	const size_t *found;
-	size_t i,
-	    *indexes = mem_alloc(r->base_end - r->base + 1, sizeof(*indexes));
-
-	for (i = r->base; i < r->base_end; i++) {
-		indexes[i - r->base] = i;
-		if (base->kinds[i] != GW_SEGMENT_SEPARATOR)
-			(void)map_set_u64(
-			    seen, base->hashes[i], &indexes[i - r->base]);
+	size_t i, chunk = 0, *indexes;
+	uint64_t hash;
+
+	indexes = mem_alloc(m->from_end - m->from + 1, sizeof(*indexes));
+	for (i = m->from; i < m->from_end; i++) {
+		indexes[i - m->from] = i;
+		if (gw_text_kind(m->base, i) != GW_SEGMENT_SEPARATOR)
+			(void)map_set_u64(seen, get_hash(m->base, i, &chunk),
+			    &indexes[i - m->from]);
 	}
-	for (i = r->at; i < r->end; i++) {
-		found = text->kinds[i] == GW_SEGMENT_SEPARATOR
-		    ? NULL
-		    : map_get_u64(seen, text->hashes[i]);
-		if (found == NULL || !is_same(base, *found, text, i))
+	for (i = m->at, chunk = 0; i < m->end; i++) {
+		if (gw_text_kind(m->text, i) == GW_SEGMENT_SEPARATOR)
+			continue;
+		hash = get_hash(m->text, i, &chunk);
+		found = map_get_u64(seen, hash);
+		if (found == NULL || !is_same(m, *found, i))
 			continue;
-		match[i] = *found;
-		(void)map_remove_u64(seen, text->hashes[i]);
+		match[i - m->at] = *found;
+		(void)map_remove_u64(seen, hash);
 	}
 	map_destroy(seen);
 	free(indexes);
 }
 
 /*
- * Keeps of the matches in a range a longest set that is in the order of both
- * texts. ends[k] is the text's index at which the best chain of k + 1 matches
- * found so far ends.
+ * Keeps of n matches a longest set that is in the order of both texts. ends[k]
+ * is the text's index at which the best chain of k + 1 matches found so far
+ * ends.
  */
 static void
-keep_ascending(size_t *match, size_t head, size_t tail)
+keep_ascending(size_t *match, size_t n)
 {
-	size_t n = tail - head, length = 0, i, low, high, middle;
+	size_t length = 0, i, low, high, middle, at = NO_MATCH;
 	size_t *ends = mem_alloc(n + 1, sizeof(*ends));
 	size_t *previous = mem_alloc(n + 1, sizeof(*previous));
-	size_t at = NO_MATCH;
 
-	for (i = head; i < tail; i++) {
+	for (i = 0; i < n; i++) {
 		if (match[i] == NO_MATCH)
 			continue;
 		for (low = 0, high = length; low < high;) {
@@ -130,16 +232,16 @@
 			else
 				high = middle;
 		}
-		previous[i - head] = low == 0 ? NO_MATCH : ends[low - 1];
+		previous[i] = low == 0 ? NO_MATCH : ends[low - 1];
 		ends[low] = i;
 		if (low == length)
 			length++;
 	}
 	if (length > 0)
 		at = ends[length - 1];
-	for (i = tail; i-- > head;) {
+	for (i = n; i-- > 0;) {
 		if (i == at)
-			at = previous[i - head];
+			at = previous[i];
 		else
 			match[i] = NO_MATCH;
 	}
@@ -149,11 +251,10 @@
 
 /* Whether both texts have the same separator there. */
 static bool
-is_same_separator(
-    const struct gw_text *base, size_t i, const struct gw_text *text, size_t j)
+is_same_separator(struct matcher *m, size_t i, size_t j)
 {
-	return text->kinds[j] == GW_SEGMENT_SEPARATOR &&
-	    is_same(base, i, text, j);
+	return gw_text_kind(m->text, j) == GW_SEGMENT_SEPARATOR &&
+	    is_same(m, i, j);
 }
 
 /*
@@ -161,21 +262,19 @@
  * of one separator, or leaves the order of the base, the latter one is kept.
  */
 static void
-match_separators(const struct gw_text *base, const struct gw_text *text,
-    size_t *match, const struct range *r)
+match_separators(struct matcher *m, size_t *match)
 {
-	size_t next = r->base_end, i;
+	size_t next = m->from_end, n = m->end - m->at, i;
 
-	for (i = r->at; i < r->end; i++)
-		if (match[i] == NO_MATCH && i > 0 && match[i - 1] != NO_MATCH &&
-		    match[i - 1] + 1 >= r->base &&
-		    match[i - 1] + 1 < r->base_end &&
-		    is_same_separator(base, match[i - 1] + 1, text, i))
+	for (i = 1; i < n; i++)
+		if (match[i] == NO_MATCH && match[i - 1] != NO_MATCH &&
+		    match[i - 1] + 1 < m->from_end &&
+		    is_same_separator(m, match[i - 1] + 1, m->at + i))
 			match[i] = match[i - 1] + 1;
-	for (i = r->end; i-- > r->at;) {
-		if (match[i] == NO_MATCH && i + 1 < r->end &&
-		    match[i + 1] != NO_MATCH && match[i + 1] > r->base &&
-		    is_same_separator(base, match[i + 1] - 1, text, i))
+	for (i = n; i-- > 0;) {
+		if (match[i] == NO_MATCH && i + 1 < n &&
+		    match[i + 1] != NO_MATCH && match[i + 1] > m->from &&
+		    is_same_separator(m, match[i + 1] - 1, m->at + i))
 			match[i] = match[i + 1] - 1;
 		if (match[i] == NO_MATCH)
 			continue;
@@ -186,6 +285,27 @@
 	}
 }
 
+/* Matches what neither the beginnings nor the ends have in common. */
+static void
+match_middle(struct matcher *m)
+{
+	size_t n = m->end - m->at, i;
+	size_t *match;
+
+	if (n == 0 || m->from == m->from_end)
+		return;
+	match = mem_alloc(n, sizeof(*match));
+	for (i = 0; i < n; i++)
+		match[i] = NO_MATCH;
+	match_any(m, match);
+	keep_ascending(match, n);
+	match_separators(m, match);
+	for (i = 0; i < n; i++)
+		if (match[i] != NO_MATCH)
+			add_run(m, match[i], m->at + i, 1);
+	free(match);
+}
+
 static struct gw_text_piece *
 add_piece(struct gw_text_delta *delta, size_t from)
 {
@@ -210,47 +330,55 @@
 	p->inserted[p->ninserted++] = bytes;
 }
 
+/* Inserts the segments of the new text up to end. */
+static void
+insert_up_to(struct gw_text_delta *delta, const struct gw_text *text,
+    size_t *at, size_t end)
+{
+	struct gw_text_place p = {0, 0};
+
+	if (*at < end && delta->npieces == 0)
+		(void)add_piece(delta, 0);
+	for (; *at < end; (*at)++) {
+		p = gw_text_find(text, *at, p.chunk);
+		insert(&delta->pieces[delta->npieces - 1],
+		    gw_chunk_segment(text->chunks[p.chunk], p.offset));
+	}
+}
+
 static struct gw_text_delta *
-make_delta(const struct gw_text *text, const size_t *match)
+make_delta(const struct matcher *m)
 {
 	struct gw_text_delta *delta = mem_alloc(1, sizeof(*delta));
-	struct gw_text_piece *p = NULL;
-	size_t i;
-
-	for (i = 0; i < text->count; i++) {
-		if (match[i] == NO_MATCH) {
-			if (p == NULL)
-				p = add_piece(delta, 0);
-			insert(p, gw_text_segment(text, i));
-			continue;
-		}
-		if (p == NULL || p->ninserted > 0 ||
-		    p->from + p->count != match[i])
-			p = add_piece(delta, match[i]);
-		p->count++;
+	const struct run *r;
+	size_t i, at = 0;
+
+	for (i = 0; i < m->nruns; i++) {
+		r = &m->runs[i];
+		insert_up_to(delta, m->text, &at, r->at);
+		add_piece(delta, r->from)->count = r->count;
+		at += r->count;
 	}
+	insert_up_to(delta, m->text, &at, m->text->count);
 	return delta;
 }
 
 struct gw_text_delta *
 gw_text_diff(const struct gw_text *base, const struct gw_text *text)
 {
-	struct range r = {0, gw_text_count(base), 0, text->count};
-	size_t *match = mem_alloc(text->count + 1, sizeof(*match));
+	struct matcher m = {.base = base,
+	    .text = text,
+	    .from_end = gw_text_count(base),
+	    .end = text->count};
 	struct gw_text_delta *delta;
-	size_t i;
-
-	for (i = 0; i < text->count; i++)
-		match[i] = NO_MATCH;
-	match_beginning(base, text, match, &r);
-	match_end(base, text, match, &r);
-	if (r.base < r.base_end && r.at < r.end) {
-		match_any(base, text, match, &r);
-		keep_ascending(match, r.at, r.end);
-		match_separators(base, text, match, &r);
-	}
-	delta = make_delta(text, match);
-	free(match);
+	size_t n;
+
+	match_beginning(&m);
+	n = match_end(&m);
+	match_middle(&m);
+	add_run(&m, m.from_end, m.end, n);
+	delta = make_delta(&m);
+	free(m.runs);
 	return delta;
 }
 
@@ -341,7 +469,8 @@
 gw_text_apply(struct gw_text **out, const struct gw_text *base,
     const struct gw_text_delta *delta, struct mp_error *err)
 {
-	struct gw_text *text = gw_text_create(gw_text_count(base) + 1);
+	struct gw_text *text =
+	    gw_text_create(base == NULL ? 0 : base->nchunks + 1);
 	bool is_valid = true;
 	size_t i, next = 0;
 
--- a/src/gate/gate_update.c
+++ b/src/gate/gate_update.c
@@ -14,13 +14,27 @@
 	size_t count, cap;
 };
 
+/* Elements that replace others at one place of the configuration's array. */
+struct splice {
+	size_t at; /* in the array before the update */
+	size_t nremoved, nadded;
+};
+struct splices {
+	struct splice *items;
+	size_t count, cap;
+};
+
 struct gw_update {
 	struct gw_config *config;
 	/* the members that the configuration does not have at this time: the
-	 * new ones until the update is applied, then the earlier ones */
+	 * new ones until the update is applied, then the earlier ones; the
+	 * arrays of elements stay in the configuration */
 	struct gw_config other;
+	/* in the order of the splices */
 	struct list added[GW_ELEMENT_KINDS], removed[GW_ELEMENT_KINDS];
+	struct splices splices[GW_ELEMENT_KINDS];
 	bool is_applied;
+	bool has_priorities;
 	struct gw_update_work work;
 };
 
@@ -32,7 +46,6 @@
 	const struct gw_text_array *base_arrays, *arrays;
 	size_t nbase_arrays, narrays;
 	size_t at; /* segment of next */
-	struct list lists[GW_ELEMENT_KINDS]; /* of next, up to here */
 	size_t base_count[GW_ELEMENT_KINDS]; /* elements read of base */
 };
 
@@ -57,6 +70,25 @@
 	list->count += count;
 }
 
+/* Returns the splice at this place of the configuration's array. */
+static struct splice *
+get_splice(struct splices *splices, size_t at)
+{
+	struct splice *last =
+	    splices->count == 0 ? NULL : &splices->items[splices->count - 1];
+
+	if (last != NULL && last->at + last->nremoved == at)
+		return last;
+	if (splices->count == splices->cap) {
+		splices->cap = splices->cap == 0 ? 8 : splices->cap * 2;
+		splices->items = mem_resize(
+		    splices->items, splices->cap, sizeof(*splices->items));
+	}
+	last = &splices->items[splices->count++];
+	*last = (struct splice){.at = at};
+	return last;
+}
+
 struct gw_config *
 gw_config_create(void)
 {
@@ -111,8 +143,9 @@
 	u->work.decoded++;
 	u->work.decoded_bytes += bytes.len;
 	if (item != NULL) {
-		list_add(&c->lists[place->kind], &item, 1);
 		list_add(&u->added[place->kind], &item, 1);
+		get_splice(&u->splices[place->kind], c->base_count[place->kind])
+		    ->nadded++;
 	}
 	return MP_OK;
 }
@@ -136,12 +169,15 @@
 static void
 remove_before(struct cursor *c, enum gw_element_kind kind, size_t index)
 {
-	size_t count, *read = &c->base_count[kind];
-	void **items = gw_config_get_elements(c->update->config, kind, &count);
+	struct gw_update *u = c->update;
+	size_t total, count, *read = &c->base_count[kind];
+	void **items = gw_config_get_elements(u->config, kind, &total);
 
-	if (index > *read)
-		list_add(
-		    &c->update->removed[kind], items + *read, index - *read);
+	if (index <= *read)
+		return;
+	count = index - *read;
+	list_add(&u->removed[kind], items + *read, count);
+	get_splice(&u->splices[kind], *read)->nremoved += count;
 	*read = index;
 }
 
@@ -152,12 +188,11 @@
 	size_t first = (place->offset + 1) / 2, total;
 	size_t end = (place->offset + segments + 1) / 2;
 	enum gw_element_kind kind = place->kind;
-	void **items = gw_config_get_elements(c->update->config, kind, &total);
 
-	if (items == NULL || first == end)
+	if (first == end ||
+	    gw_config_get_elements(c->update->config, kind, &total) == NULL)
 		return;
 	remove_before(c, kind, first);
-	list_add(&c->lists[kind], items + first, end - first);
 	c->base_count[kind] = end;
 }
 
@@ -246,7 +281,7 @@
 {
 	struct cursor c = {.codec = codec, .next = next};
 	struct gw_update *u = mem_alloc(1, sizeof(*u));
-	int rc, kind;
+	int rc;
 
 	u->config = config;
 	c.update = u;
@@ -255,9 +290,6 @@
 	rc = read_rest(&c, err);
 	if (rc == MP_OK)
 		rc = read_pieces(&c, delta, err);
-	for (kind = 0; kind < GW_ELEMENT_KINDS; kind++)
-		gw_config_set_elements(&u->other, (enum gw_element_kind)kind,
-		    c.lists[kind].items, c.lists[kind].count);
 	if (rc != MP_OK) {
 		gw_update_destroy(u);
 		u = NULL;
@@ -268,23 +300,117 @@
 
 /* ---- applying ----------------------------------------------------------- */
 
-/* Exchanges the members, not the indexes, which are updated. */
+/*
+ * Exchanges the members, not the indexes and the arrays of elements, which are
+ * updated.
+ */
 static void
 swap_members(struct gw_update *u)
 {
-	struct gw_config_index *index = u->config->index;
-	struct gw_account_index *accounts = u->config->account_index;
-	struct gw_config other = u->other;
-
-	u->other = *u->config;
-	*u->config = other;
-	u->config->index = index;
-	u->config->account_index = accounts;
-	u->other.index = NULL;
-	u->other.account_index = NULL;
+	struct gw_config was = *u->config, *config = u->config;
+	size_t count;
+	void **items;
+	int kind;
+
+	*config = u->other;
+	config->index = was.index;
+	config->account_index = was.account_index;
+	for (kind = 0; kind < GW_ELEMENT_KINDS; kind++) {
+		items = gw_config_get_elements(
+		    &was, (enum gw_element_kind)kind, &count);
+		gw_config_set_elements(
+		    config, (enum gw_element_kind)kind, items, count);
+		gw_config_set_elements(
+		    &was, (enum gw_element_kind)kind, NULL, 0);
+	}
+	was.index = NULL;
+	was.account_index = NULL;
+	u->other = was;
 	u->is_applied = !u->is_applied;
 }
 
+/* Whether each element that goes is replaced by one that comes. */
+static bool
+keeps_places(const struct splices *splices)
+{
+	size_t i;
+
+	for (i = 0; i < splices->count; i++)
+		if (splices->items[i].nremoved != splices->items[i].nadded)
+			return false;
+	return true;
+}
+
+static void
+replace_in_place(const struct splices *splices, void **items, void *const *come)
+{
+	const struct splice *s;
+	size_t i;
+
+	for (i = 0; i < splices->count; i++) {
+		s = &splices->items[i];
+		memcpy(items + s->at, come, s->nadded * sizeof(*items));
+		come += s->nadded;
+	}
+}
+
+/*
+ * Writes the array after the splices, or before them if they are undone, into
+ * other memory.
+ */
+static void
+write_spliced(const struct splices *splices, bool undo, void *const *items,
+    size_t count, void *const *come, struct list *out)
+{
+	const struct splice *s;
+	size_t i, read = 0, shift = 0, at, ngone, ncome;
+
+	for (i = 0; i < splices->count; i++) {
+		s = &splices->items[i];
+		ngone = undo ? s->nadded : s->nremoved;
+		ncome = undo ? s->nremoved : s->nadded;
+		/* Modulo SIZE_MAX + 1: the splices before may remove more. */
+		at = undo ? s->at + shift : s->at;
+		shift += s->nadded - s->nremoved;
+		list_add(out, items + read, at - read);
+		list_add(out, come, ncome);
+		read = at + ngone;
+		come += ncome;
+	}
+	list_add(out, items + read, count - read);
+}
+
+static void
+update_elements(struct gw_update *u, enum gw_element_kind kind, bool undo)
+{
+	const struct splices *splices = &u->splices[kind];
+	void *const *come = (undo ? u->removed : u->added)[kind].items;
+	struct list out = {0};
+	size_t count;
+	void **items = gw_config_get_elements(u->config, kind, &count);
+
+	if (keeps_places(splices)) {
+		replace_in_place(splices, items, come);
+		return;
+	}
+	out.cap = count + u->added[kind].count + u->removed[kind].count;
+	out.items = mem_resize(NULL, out.cap, sizeof(*out.items));
+	write_spliced(splices, undo, items, count, come, &out);
+	free(items);
+	gw_config_set_elements(u->config, kind, out.items, out.count);
+}
+
+/* Exchanges the members and the elements. */
+static void
+change_members(struct gw_update *u, bool undo)
+{
+	int kind;
+
+	swap_members(u);
+	for (kind = 0; kind < GW_ELEMENT_KINDS; kind++)
+		update_elements(u, (enum gw_element_kind)kind, undo);
+}
+
 static bool
 has_changed(const struct gw_update *u, enum gw_element_kind kind)
 {
@@ -305,6 +431,30 @@
 	return has_changed(update, GW_ELEMENT_SERVICE);
 }
 
+bool
+gw_update_has_priorities(const struct gw_update *update)
+{
+	return update->has_priorities;
+}
+
+/* Counts the priorities of the routes anew where they change. */
+static void
+update_priorities(
+    struct gw_update *u, const struct list *gone, const struct list *come)
+{
+	struct gw_config_index *index = u->config->index;
+	const struct list *list = &come[GW_ELEMENT_ROUTE];
+	size_t i;
+
+	for (i = 0; i < list->count; i++)
+		if (gw_config_index_count_priority(index, list->items[i], 1))
+			u->has_priorities = true;
+	list = &gone[GW_ELEMENT_ROUTE];
+	for (i = 0; i < list->count; i++)
+		if (gw_config_index_count_priority(index, list->items[i], -1))
+			u->has_priorities = true;
+}
+
 /*
  * Updates the index; false: two routes have the same host and prefix.
  *
@@ -316,15 +466,17 @@
 {
 	struct gw_route_index *routes = u->config->index->routes;
 	bool are_distinct = true;
+	const struct list *list;
 	size_t i;
 
-	for (i = 0; i < gone[GW_ELEMENT_ROUTE].count; i++)
-		(void)gw_route_index_remove(
-		    routes, gone[GW_ELEMENT_ROUTE].items[i]);
-	for (i = 0; i < come[GW_ELEMENT_ROUTE].count; i++)
-		if (gw_route_index_add(
-			routes, come[GW_ELEMENT_ROUTE].items[i]) != NULL)
+	list = &gone[GW_ELEMENT_ROUTE];
+	for (i = 0; i < list->count; i++)
+		(void)gw_route_index_remove(routes, list->items[i]);
+	list = &come[GW_ELEMENT_ROUTE];
+	for (i = 0; i < list->count; i++)
+		if (gw_route_index_add(routes, list->items[i]) != NULL)
 			are_distinct = false;
+	update_priorities(u, gone, come);
 	if (has_changed(u, GW_ELEMENT_SERVICE))
 		gw_config_index_services(u->config);
 	return are_distinct;
@@ -379,13 +531,16 @@
 int
 gw_update_apply(struct gw_update *update, struct mp_error *err)
 {
-	swap_members(update);
+	change_members(update, false);
 	update_accounts(update);
+	update->has_priorities = has_changed(update, GW_ELEMENT_ACCOUNT) ||
+	    update->config->has_accounts != update->other.has_accounts;
 	if (update->config->index != NULL &&
 	    update_index(update, update->removed, update->added) &&
 	    is_valid(update))
 		return MP_OK;
 	/* Makes a new index, and names the first fault. */
+	update->has_priorities = true;
 	return gw_config_check(update->config, err);
 }
 
@@ -394,7 +549,7 @@
 {
 	if (!update->is_applied)
 		return;
-	swap_members(update);
+	change_members(update, true);
 	update_accounts(update);
 	if (update->config->index != NULL)
 		(void)update_index(update, update->added, update->removed);
@@ -432,9 +587,7 @@
 			    (enum gw_element_kind)kind, gone->items[i]);
 		free(update->added[kind].items);
 		free(update->removed[kind].items);
+		free(update->splices[kind].items);
 	}
-	free(update->other.routes);
-	free(update->other.services);
-	free(update->other.accounts);
 	free(update);
 }
--- a/src/gate/gate_update.h
+++ b/src/gate/gate_update.h
@@ -51,6 +51,11 @@
 void gw_update_revert(struct gw_update *update);
 /* Whether services are added or removed. */
 bool gw_update_has_services(const struct gw_update *update);
+/*
+ * Whether, by an update that was applied, accounts change, or a priority gets
+ * its first route or loses its last one.
+ */
+bool gw_update_has_priorities(const struct gw_update *update);
 struct gw_update_work gw_update_get_work(const struct gw_update *update);
 void gw_update_destroy(struct gw_update *update);
 
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -339,6 +339,12 @@
 /* Checks an operator's configuration, and answers or queues it. */
 void gate_change_put(
     struct node *n, struct node_bytes text, const struct gate_caller *caller);
+/*
+ * Returns the text that a difference of the log describes if it is that of the
+ * change in flight, for the caller to destroy; NULL: it is not known.
+ */
+struct gw_text *gate_change_share_text(
+    const struct node *n, const Wire__GatewayConfig *put);
 /* A configuration of the log is in force: answers what that decides. */
 void gate_change_on_config(struct node *n);
 /* A proposal is applied, or has timed out; false: not one of a change. */
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -22,6 +22,8 @@
 struct gate_change {
 	struct gate_caller caller;
 	struct gw_text *text;
+	struct gw_text_delta *delta; /* to the base that it was checked by */
+	uint64_t base_version, base_digest;
 	uint64_t version;
 	uint64_t expires_us; /* while it waits */
 };
@@ -45,6 +47,7 @@
 {
 	if (c == NULL)
 		return;
+	gw_text_delta_destroy(c->delta);
 	gw_text_destroy(c->text);
 	free(c);
 }
@@ -134,9 +137,9 @@
 }
 
 static uint64_t
-propose_delta(struct node *n, const struct gate_change *c,
-    const struct gw_text_delta *delta)
+propose_delta(struct node *n, const struct gate_change *c)
 {
+	const struct gw_text_delta *delta = c->delta;
 	Wire__GatewayConfig put = WIRE__GATEWAY_CONFIG__INIT;
 	Wire__ConfigPiece *pieces =
 	    mem_alloc(delta->npieces + 1, sizeof(*pieces));
@@ -144,8 +147,8 @@
 	size_t i;
 
 	put.version = c->version;
-	put.base_version = n->gate->config->version;
-	put.base_digest = gw_text_digest(n->gate->config_text);
+	put.base_version = c->base_version;
+	put.base_digest = c->base_digest;
 	put.digest = gw_text_digest(c->text);
 	put.n_pieces = delta->npieces;
 	put.pieces = mem_alloc(delta->npieces + 1, sizeof(*put.pieces));
@@ -161,26 +164,46 @@
 	return proposal;
 }
 
+static uint64_t
+get_version(const struct node_gate *g)
+{
+	return g->config == NULL ? 0 : g->config->version;
+}
+
+/* Describes a change as a difference to the configuration in force. */
+static void
+set_base(const struct node_gate *g, struct gate_change *c)
+{
+	uint64_t version = get_version(g);
+	uint64_t digest = gw_text_digest(g->config_text);
+
+	if (c->delta != NULL && c->base_version == version &&
+	    c->base_digest == digest)
+		return;
+	gw_text_delta_destroy(c->delta);
+	c->delta = gw_text_diff(g->config_text, c->text);
+	c->base_version = version;
+	c->base_digest = digest;
+}
+
 /* Proposes the change in flight, as a difference if that is shorter. */
 static void
 propose_in_flight(struct node *n, bool as_whole)
 {
 	struct gate_changes *changes = n->gate->changes;
-	const struct gate_change *c = changes->in_flight;
-	struct gw_text_delta *delta;
+	struct gate_change *c = changes->in_flight;
 
 	/* A base that others lack a newer configuration of is of no use. */
 	if (as_whole || n->gate->config == NULL || n->gate->config_unreadable) {
 		changes->proposal = propose_whole(n, c);
 		return;
 	}
-	delta = gw_text_diff(n->gate->config_text, c->text);
-	if (delta->npieces * PIECE_BYTES + gw_text_delta_bytes(delta) <
+	set_base(n->gate, c);
+	if (c->delta->npieces * PIECE_BYTES + gw_text_delta_bytes(c->delta) <
 	    gw_text_bytes(c->text))
-		changes->proposal = propose_delta(n, c, delta);
+		changes->proposal = propose_delta(n, c);
 	else
 		changes->proposal = propose_whole(n, c);
-	gw_text_delta_destroy(delta);
 }
 
 /* Proposes the highest version that waits; of several the first to arrive. */
@@ -259,6 +282,19 @@
 	return true;
 }
 
+struct gw_text *
+gate_change_share_text(const struct node *n, const Wire__GatewayConfig *put)
+{
+	const struct gate_change *c = n->gate->changes->in_flight;
+
+	if (c == NULL || c->delta == NULL || c->version != put->version ||
+	    c->base_version != put->base_version ||
+	    c->base_digest != put->base_digest ||
+	    gw_text_digest(c->text) != put->digest)
+		return NULL;
+	return gw_text_share(c->text);
+}
+
 bool
 gate_change_on_expired(struct node *n, uint64_t proposal)
 {
@@ -320,30 +356,29 @@
 /* ---- calls -------------------------------------------------------------- */
 
 /*
- * Decodes and checks a text by its difference to the configuration in force,
+ * Decodes and checks a change by its difference to the configuration in force,
  * which is changed for the check and then changed back.
  */
 static int
-check_text(struct node *n, const struct gw_text *text, uint64_t *version,
-    struct mp_error *err)
+check_change(struct node *n, struct gate_change *c, struct mp_error *err)
 {
 	struct node_gate *g = n->gate;
 	struct gw_config *config =
 	    g->config == NULL ? gw_config_create() : g->config;
-	struct gw_text_delta *delta = gw_text_diff(g->config_text, text);
 	struct gw_update *update;
-	int rc = gw_update_prepare(
-	    &update, g->codec, config, g->config_text, text, delta, err);
+	int rc;
 
+	set_base(g, c);
+	rc = gw_update_prepare(
+	    &update, g->codec, config, g->config_text, c->text, c->delta, err);
 	if (rc == MP_OK) {
-		*version = gw_update_version(update);
+		c->version = gw_update_version(update);
 		rc = gw_update_apply(update, err);
 		if (!node_guards.gate_checked)
 			rc = MP_OK;
 		gw_update_revert(update);
 	}
 	gw_update_destroy(update);
-	gw_text_delta_destroy(delta);
 	if (g->config == NULL)
 		gw_config_destroy(config);
 	return rc;
@@ -365,17 +400,12 @@
 }
 
 static void
-add_waiting(struct node *n, const struct gate_caller *caller, uint64_t version,
-    struct gw_text *text)
+add_waiting(struct node *n, struct gate_change *c)
 {
 	struct gate_changes *changes = n->gate->changes;
-	struct gate_change *c = mem_alloc(1, sizeof(*c));
 
-	c->caller = *caller;
-	c->text = text;
-	c->version = version;
 	c->expires_us = n->now + GATE_PROPOSAL_TIMEOUT_US;
-	changes->waiting_bytes += gw_text_bytes(text);
+	changes->waiting_bytes += gw_text_bytes(c->text);
 	changes->waiting[changes->nwaiting++] = c;
 }
 
@@ -396,25 +426,24 @@
 gate_change_put(
     struct node *n, struct node_bytes text, const struct gate_caller *caller)
 {
-	struct gate_changes *changes = n->gate->changes;
-	struct gw_text *parsed;
+	struct gate_change *c = mem_alloc(1, sizeof(*c));
 	struct mp_error err = {0};
-	uint64_t version = 0;
-	int rc = gw_text_parse(&parsed, text, n->gate->config_text, &err);
+	int rc = gw_text_parse(&c->text, text, n->gate->config_text, &err);
 
+	c->caller = *caller;
 	if (rc == MP_OK)
-		rc = check_text(n, parsed, &version, &err);
+		rc = check_change(n, c, &err);
 	if (rc != MP_OK) {
 		locate_error(n, text, &err);
 		gate_control_answer(n, caller, 400, err.message);
-	} else if (!answer_by_config(n, caller, version, parsed)) {
-		if (!is_full(changes, parsed)) {
-			add_waiting(n, caller, version, parsed);
+	} else if (!answer_by_config(n, caller, c->version, c->text)) {
+		if (!is_full(n->gate->changes, c->text)) {
+			add_waiting(n, c);
 			propose_next(n);
 			return;
 		}
 		gate_control_answer(
 		    n, caller, 503, "too many changes wait; send it again");
 	}
-	gw_text_destroy(parsed);
+	change_destroy(c);
 }
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -85,7 +85,7 @@
 	g->config_unreadable = false;
 	if (is_first || gw_update_has_services(update))
 		place_configure(g->place, config);
-	else
+	else if (gw_update_has_priorities(update))
 		place_update_priorities(g->place);
 	publish_limits(n, &config->limits);
 	log_config(n, &work);
@@ -242,6 +242,20 @@
 	    : version;
 }
 
+/* Makes the text; the leader has that of the change in flight already. */
+static bool
+apply_delta(const struct node *n, const Wire__GatewayConfig *put,
+    const struct gw_text *base, const struct gw_text_delta *delta,
+    struct gw_text **text)
+{
+	if (node_guards.gate_base)
+		*text = gate_change_share_text(n, put);
+	if (*text != NULL)
+		return true;
+	return gw_text_apply(text, base, delta, NULL) == MP_OK &&
+	    (gw_text_digest(*text) == put->digest || !node_guards.gate_base);
+}
+
 /*
  * A difference is applied only to the configuration that it was made from: on
  * another it would give a text that nobody has sent. All instances that can
@@ -257,8 +271,7 @@
 	enum gate_verdict verdict = GATE_BASE_MISMATCH;
 
 	if (find_base(g, put, &base) &&
-	    gw_text_apply(&text, base, delta, NULL) == MP_OK &&
-	    (gw_text_digest(text) == put->digest || !node_guards.gate_base)) {
+	    apply_delta(n, put, base, delta, &text)) {
 		g->config_counts.deltas++;
 		g->config_counts.bytes += gw_text_delta_bytes(delta);
 		verdict = take_text(n, index, put->version, text,
--- a/tests/gate/config_fixture.h
+++ b/tests/gate/config_fixture.h
@@ -39,6 +39,7 @@
 	gw_config *config = gw_config_create();
 	mp_error err = {};
 	gw_update_work work = {};
+	bool has_priorities = false;
 	gw_text_work text_work = {}, parse_work = {};
 	size_t delta_bytes = 0;
 
@@ -78,6 +79,7 @@
 		if (rc == MP_OK) {
 			rc = gw_update_apply(update, &err);
 			work = gw_update_get_work(update);
+			has_priorities = gw_update_has_priorities(update);
 			if (rc != MP_OK)
 				gw_update_revert(update);
 		}
--- a/tests/gate/text_test.cc
+++ b/tests/gate/text_test.cc
@@ -5,6 +5,9 @@
 
 #include "config_fixture.h"
 
+#include <algorithm>
+#include <random>
+
 static std::vector<std::string>
 Split(const std::string &text)
 {
@@ -158,3 +161,162 @@
 	}
 	gw_text_destroy(base);
 }
+
+/* ---- chunks ------------------------------------------------------------- */
+
+static std::string
+Array(const std::vector<std::string> &elements)
+{
+	std::string text = "{\"a\":[";
+
+	for (size_t i = 0; i < elements.size(); i++)
+		text += (i == 0 ? "" : ",") + elements[i];
+	return text + "]}";
+}
+
+/*
+ * Guards against chunks that get ever shorter by changes at one place, until
+ * each change costs what a list of all segments does.
+ */
+TEST(Text, chunks_stay_long_whatever_is_inserted_and_removed)
+{
+	static const char *const names[] = {
+	    "at one place", "anywhere", "at the beginning", "large elements"};
+
+	for (int kind = 0; kind < 4; kind++) {
+		std::mt19937 random(7);
+		std::vector<std::string> elements;
+		gw_text *text = nullptr, *next = nullptr;
+		gw_text_work work;
+
+		SCOPED_TRACE(names[kind]);
+		for (int i = 0; i < 1000; i++)
+			elements.push_back(std::to_string(100000 + i));
+		ASSERT_EQ(gw_text_parse(
+			      &text, Bytes(Array(elements)), nullptr, nullptr),
+		    MP_OK);
+		for (int i = 0; i < 2000; i++) {
+			size_t at = kind == 0 ? 500
+			    : kind == 2	      ? 0
+					      : random() % elements.size();
+			std::string element = "\"" + std::to_string(i);
+
+			if (kind == 3)
+				element += std::string(random() % 3000, 'x');
+			if (random() % 2 == 0)
+				elements.erase(elements.begin() + (long)at);
+			else
+				elements.insert(elements.begin() + (long)at,
+				    element + "\"");
+			std::string joined = Array(elements);
+			ASSERT_EQ(
+			    gw_text_parse(&next, Bytes(joined), text, nullptr),
+			    MP_OK);
+			gw_text_destroy(text);
+			text = next;
+			work = gw_text_get_work(text);
+			ASSERT_LE(work.chunks,
+			    2 + gw_text_count(text) / 16 +
+				2 * joined.size() / 16384);
+			if (i > 0 && kind < 3) {
+				ASSERT_LE(work.copied_segments, 4u * 64);
+			}
+		}
+		EXPECT_EQ(Join(text), Array(elements));
+		gw_text_destroy(text);
+	}
+}
+
+/*
+ * Guards against segments that are shared with a base although the text goes on
+ * differently after them: a longer number, more white space, another end.
+ */
+TEST(Text, a_text_is_split_alike_with_any_base)
+{
+	static const char *const elements[] = {
+	    "1", "12", "true", "\"\"", "\",\"", "{}", "[1,2]", "{\"b\":[]}"};
+	static const char *const gaps[] = {",", ",", ", ", " ,", " , "};
+	static const char bytes[] = "1 ,[]{}\":t\\\n";
+	std::mt19937 random(11);
+	int valid = 0;
+
+	for (int round = 0; round < 20000; round++) {
+		std::string from = "{\"v\":1,\"a\":[", to;
+		size_t n = 1 + random() % 100, at;
+		gw_text *base = nullptr, *with = nullptr, *without = nullptr;
+
+		for (size_t i = 0; i < n; i++) {
+			from += i == 0 ? "" : gaps[random() % 5];
+			from += elements[random() % 8];
+			if (random() % 64 == 0)
+				from += "], \"b\":[ ],\"c\":[7";
+		}
+		from += "]}";
+		ASSERT_EQ(
+		    gw_text_parse(&base, Bytes(from), nullptr, nullptr), MP_OK);
+		to = from;
+		for (size_t i = 1 + random() % 2; i > 0; i--) {
+			at = random() % to.size();
+			switch (random() % 4) {
+			case 0:
+				to.insert(at, 1, bytes[random() % 12]);
+				break;
+			case 1:
+				to.erase(at, 1 + random() % 3);
+				break;
+			case 2:
+				to[at] = bytes[random() % 12];
+				break;
+			default:
+				to.resize(at);
+				to += "]}";
+				break;
+			}
+		}
+		int rc = gw_text_parse(&without, Bytes(to), nullptr, nullptr);
+		ASSERT_EQ(gw_text_parse(&with, Bytes(to), base, nullptr), rc)
+		    << from << " to " << to;
+		if (rc == MP_OK) {
+			valid++;
+			ASSERT_EQ(Join(with), to);
+			ASSERT_TRUE(gw_text_is_equal(with, without))
+			    << from << " to " << to;
+			ASSERT_EQ(
+			    gw_text_digest(with), gw_text_digest(without));
+		}
+		gw_text_destroy(with);
+		gw_text_destroy(without);
+		gw_text_destroy(base);
+	}
+	EXPECT_GT(valid, 5000);
+}
+
+/* The digest must tell texts apart, in whatever order their elements are. */
+TEST(Text, texts_with_other_elements_or_another_order_have_other_digests)
+{
+	std::vector<std::string> elements;
+	std::vector<uint64_t> digests;
+
+	for (int i = 0; i < 200; i++)
+		elements.push_back(std::to_string(i));
+	for (int i = 0; i < 200; i++) {
+		for (int k = 0; k < 3; k++) {
+			std::vector<std::string> changed = elements;
+			gw_text *text = nullptr;
+
+			if (k == 0)
+				changed.erase(changed.begin() + i);
+			else if (k == 1)
+				changed[(size_t)i] += "0000";
+			else if (i > 0)
+				std::swap(changed[(size_t)i], changed[0]);
+			ASSERT_EQ(gw_text_parse(&text, Bytes(Array(changed)),
+				      nullptr, nullptr),
+			    MP_OK);
+			digests.push_back(gw_text_digest(text));
+			gw_text_destroy(text);
+		}
+	}
+	std::sort(digests.begin(), digests.end());
+	EXPECT_EQ(std::unique(digests.begin(), digests.end()), digests.end());
+}
--- a/tests/gate/update_test.cc
+++ b/tests/gate/update_test.cc
@@ -166,6 +166,52 @@
 	EXPECT_STREQ(live.config->services[0]->name, "t");
 }
 
+/*
+ * Guards against placement that knows other priorities than the configuration
+ * has, and against one that reads all routes for each change.
+ */
+TEST(Update, changed_priorities_are_reported)
+{
+	static const std::string s = ",\"service\":\"s\"";
+	static const std::string first = s + ",\"priority\":1";
+	static const std::string second = s + ",\"priority\":2";
+	static const struct {
+		std::string routes;
+		bool is_changed;
+		const char *accounts;
+	} rows[] = {{Route(1, first), true, ""},
+	    {Route(1, first + ",\"public\":true"), false, ""},
+	    {Route(1, first) + "," + Route(2, first), false, ""},
+	    {Route(1, first) + "," + Route(2, second), true, ""},
+	    {Route(2, second) + "," + Route(1, first), false, ""},
+	    {Route(1, second) + "," + Route(2, first), false, ""},
+	    {Route(2, first), true, ""},
+	    {Route(2, first), true, ",\"tenants\":[]"},
+	    {Route(2, first), true,
+		",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"]}]"},
+	    {Route(2, second), true,
+		",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"]}]"},
+	    {Route(2, second), false,
+		",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"]}]"}};
+	LiveConfig live;
+	int version = 0;
+
+	for (auto &row : rows) {
+		std::string text = Config(++version, row.routes);
+
+		text.insert(text.size() - 1, row.accounts);
+		ASSERT_EQ(live.Change(text), MP_OK) << live.err.message;
+		EXPECT_EQ(live.has_priorities, row.is_changed) << version;
+	}
+	/* One that is refused and undone leaves the counts as they were. */
+	EXPECT_EQ(live.Change(Config(
+		      ++version, Route(2, first) + "," + Route(2, first))),
+	    MP_ERR_INVALID);
+	ASSERT_EQ(live.Change(Config(++version, Route(3, second))), MP_OK);
+	ASSERT_EQ(live.Change(Config(++version, Route(4, second))), MP_OK);
+	EXPECT_FALSE(live.has_priorities);
+}
+
 /* ---- seeded changes ----------------------------------------------------- */
 
 /* A configuration that changes at random, and its text. */
@@ -380,6 +426,7 @@
 	size_t decoded, decoded_bytes, checked, delta_bytes;
 	uint64_t hashed_bytes, scanned_bytes;
 	uint64_t leader_hashed_bytes, leader_scanned_bytes;
+	size_t copied_segments, leader_copied_segments;
 };
 
 static Cost
@@ -400,7 +447,8 @@
 	return {live.work.decoded, live.work.decoded_bytes, live.work.checked,
 	    live.delta_bytes, live.text_work.hashed_bytes,
 	    live.text_work.scanned_bytes, live.parse_work.hashed_bytes,
-	    live.parse_work.scanned_bytes};
+	    live.parse_work.scanned_bytes, live.text_work.copied_segments,
+	    live.parse_work.copied_segments};
 }
 
 /*
@@ -416,12 +464,13 @@
 
 		printf("%d routes: %zu decoded (%zu bytes), %zu checked, "
 		       "%zu bytes new, %llu hashed, %llu scanned; leader: "
-		       "%llu hashed, %llu scanned\n",
+		       "%llu hashed, %llu scanned; copied %zu, leader %zu\n",
 		    nroutes, large.decoded, large.decoded_bytes, large.checked,
 		    large.delta_bytes, (unsigned long long)large.hashed_bytes,
 		    (unsigned long long)large.scanned_bytes,
 		    (unsigned long long)large.leader_hashed_bytes,
-		    (unsigned long long)large.leader_scanned_bytes);
+		    (unsigned long long)large.leader_scanned_bytes,
+		    large.copied_segments, large.leader_copied_segments);
 		EXPECT_LE((double)large.decoded, 1.5 * (double)small.decoded);
 		EXPECT_LE((double)large.decoded_bytes,
 		    1.5 * (double)small.decoded_bytes);
@@ -436,5 +485,8 @@
 		    1.5 * (double)small.leader_hashed_bytes);
 		EXPECT_LE((double)large.leader_scanned_bytes,
 		    1.5 * (double)small.leader_scanned_bytes);
+		/* the chunk that has the version, and that of the route */
+		EXPECT_LE(large.copied_segments, 2u * 64);
+		EXPECT_LE(large.leader_copied_segments, 2u * 64);
 	}
 }
