node: differences of the configuration only where all members read them

Cause: a program version from before differences reads one as an empty text and keeps the configuration before; a version with another digest finds another base. In a cluster of both, as during a rolling upgrade, such an instance never got the change.

Change: the leader proposes a difference only while each member states MEMBER_CAN_CONFIG_DELTAS; otherwise the whole text (event 154 names a member without it). If such a member is there and the configuration in force came as a difference, the leader proposes its whole text again with the same version (event 155), which changes nothing at instances that have it. Guard node.gate_capable. Tests let chosen instances act as the earlier version.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -114,6 +114,7 @@
 	uint64_t deltas, texts; /* as differences, whole */
 	uint64_t bytes; /* of their new text */
 	uint64_t mismatches; /* differences to another configuration */
+	uint64_t repeats; /* proposed again as a whole text */
 };
 
 /* A request of this entry that waits for a place or has one. */
@@ -204,6 +205,10 @@
 	struct gate_config_counts config_counts;
 	struct gate_changes *changes; /* of the leader */
 	uint64_t config_index;
+	/* no difference came in the log after the configuration's whole text;
+	 * false if not known */
+	bool config_is_whole;
+	bool is_form_whole; /* logged: changes are proposed as whole texts */
 	bool config_unreadable; /* a newer one could not be read */
 	uint8_t key_secret[GW_KEY_SECRET_BYTES]; /* of the hash of keys */
 	struct gate_account_stats account_stats;
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -26,6 +26,7 @@
 	uint64_t base_version, base_digest;
 	uint64_t version;
 	uint64_t expires_us; /* while it waits */
+	bool is_repeat; /* of the configuration in force; without a caller */
 };
 
 struct gate_changes {
@@ -186,7 +187,20 @@
 	c->base_digest = digest;
 }
 
-/* Proposes the change in flight, as a difference if that is shorter. */
+/* Whether each member can read differences. */
+static bool
+can_all_read_deltas(const struct node *n)
+{
+	if (node_acts_as_earlier_version(n->id))
+		return false;
+	return !node_guards.gate_capable ||
+	    member_view_all_have(n->view, MEMBER_CAN_CONFIG_DELTAS);
+}
+
+/*
+ * Proposes the change in flight, as a difference if that is shorter and all
+ * members can read it.
+ */
 static void
 propose_in_flight(struct node *n, bool as_whole)
 {
@@ -194,7 +208,8 @@
 	struct gate_change *c = changes->in_flight;
 
 	/* A base that others lack a newer configuration of is of no use. */
-	if (as_whole || n->gate->config == NULL || n->gate->config_unreadable) {
+	if (as_whole || n->gate->config == NULL || n->gate->config_unreadable ||
+	    !can_all_read_deltas(n)) {
 		changes->proposal = propose_whole(n, c);
 		return;
 	}
@@ -276,7 +291,8 @@
 		return true;
 	}
 	changes->in_flight = NULL;
-	gate_control_answer_change(n, &c->caller, verdict);
+	if (!c->is_repeat)
+		gate_control_answer_change(n, &c->caller, verdict);
 	change_destroy(c);
 	propose_next(n);
 	return true;
@@ -302,8 +318,9 @@
 
 	if (changes->in_flight == NULL || changes->proposal != proposal)
 		return false;
-	gate_control_answer(
-	    n, &changes->in_flight->caller, 503, "undecided; send it again");
+	if (!changes->in_flight->is_repeat)
+		gate_control_answer(n, &changes->in_flight->caller, 503,
+		    "undecided; send it again");
 	change_destroy(changes->in_flight);
 	changes->in_flight = NULL;
 	propose_next(n);
@@ -322,13 +339,71 @@
 
 	if (changes->in_flight == NULL)
 		return;
-	stored = mem_alloc(1, sizeof(*stored));
-	*stored = changes->in_flight->caller;
-	(void)map_set_u64(n->gate->callers, changes->proposal, stored);
+	if (!changes->in_flight->is_repeat) {
+		stored = mem_alloc(1, sizeof(*stored));
+		*stored = changes->in_flight->caller;
+		(void)map_set_u64(n->gate->callers, changes->proposal, stored);
+	}
 	change_destroy(changes->in_flight);
 	changes->in_flight = NULL;
 }
 
+/* ---- members of earlier program versions -------------------------------- */
+
+/* Returns the first member that can't read differences, 0: none. */
+static uint32_t
+find_incapable(const struct node *n)
+{
+	const struct member *m;
+	size_t i;
+
+	for (i = 0; i < member_view_count(n->view); i++) {
+		m = member_view_at(n->view, i);
+		if ((m->capabilities & MEMBER_CAN_CONFIG_DELTAS) == 0)
+			return m->id;
+	}
+	return 0;
+}
+
+static void
+log_form(struct node *n, bool is_whole)
+{
+	if (n->gate->is_form_whole == is_whole)
+		return;
+	n->gate->is_form_whole = is_whole;
+	node_log(n, NODE_LOG_GATE_FORM, "{\"differences\": %s, \"member\": %u}",
+	    is_whole ? "false" : "true", find_incapable(n));
+}
+
+/*
+ * Proposes the configuration in force again as a whole text if a member can't
+ * read the difference by which it came. The version and the content stay, so
+ * nothing changes for the members that have read it.
+ */
+static void
+repeat_whole(struct node *n)
+{
+	struct node_gate *g = n->gate;
+	struct gate_change *c;
+	bool is_whole = !can_all_read_deltas(n);
+
+	log_form(n, is_whole);
+	if (!is_whole || g->config == NULL || g->config_unreadable ||
+	    g->config_is_whole || g->changes->in_flight != NULL ||
+	    node_acts_as_earlier_version(n->id))
+		return;
+	c = mem_alloc(1, sizeof(*c));
+	c->text = gw_text_share(g->config_text);
+	c->version = g->config->version;
+	c->is_repeat = true;
+	g->changes->in_flight = c;
+	g->config_counts.repeats++;
+	node_log(n, NODE_LOG_GATE_REPEATED,
+	    "{\"version\": %llu, \"bytes\": %zu}",
+	    (unsigned long long)c->version, gw_text_bytes(c->text));
+	propose_in_flight(n, true);
+}
+
 void
 gate_change_tick(struct node *n)
 {
@@ -351,6 +426,8 @@
 		change_destroy(c);
 	}
 	propose_next(n);
+	if (leads)
+		repeat_whole(n);
 }
 
 /* ---- calls -------------------------------------------------------------- */
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -270,7 +270,11 @@
 	struct gw_text *text = NULL;
 	enum gate_verdict verdict = GATE_BASE_MISMATCH;
 
-	if (find_base(g, put, &base) &&
+	if (node_acts_as_earlier_version(n->id)) {
+		/* Was read as an empty text. */
+		take_unreadable(n, put->version, NULL);
+		verdict = GATE_UNREADABLE;
+	} else if (find_base(g, put, &base) &&
 	    apply_delta(n, put, base, delta, &text)) {
 		g->config_counts.deltas++;
 		g->config_counts.bytes += gw_text_delta_bytes(delta);
@@ -304,6 +308,19 @@
 			     : gw_text_is_bytes(g->config_text, text);
 }
 
+/* Answers a change whose version is not higher than the one in force. */
+static enum gate_verdict
+check_known_version(struct node_gate *g, const Wire__GatewayConfig *put)
+{
+	if (put->version < g->config->version)
+		return GATE_TAKEN;
+	if (!is_content(g, put))
+		return GATE_CONFLICT;
+	if (!is_delta(put))
+		g->config_is_whole = true;
+	return GATE_TAKEN;
+}
+
 /*
  * The highest version is in force, whatever the order of versions in the log.
  * Of two contents of one version the first in the log is in force.
@@ -313,22 +330,21 @@
     struct node *n, uint64_t index, const Wire__GatewayConfig *put)
 {
 	struct node_bytes text = {(const char *)put->text.data, put->text.len};
-	const struct node_gate *g = n->gate;
+	struct node_gate *g = n->gate;
 	enum gate_verdict verdict = GATE_TAKEN;
 
 	if (g == NULL)
 		return GATE_TAKEN;
 	if (g->config != NULL && node_guards.gate_highest &&
 	    put->version <= g->config->version)
-		return put->version < g->config->version || is_content(g, put)
-		    ? GATE_TAKEN
-		    : GATE_CONFLICT;
+		return check_known_version(g, put);
 	if (node_guards.gate_highest && put->version < highest_version(g))
 		return GATE_TAKEN;
 	if (is_delta(put))
 		verdict = take_delta(n, index, put);
 	else if (!take_whole_text(n, index, put->version, text))
 		verdict = GATE_UNREADABLE;
+	g->config_is_whole = !is_delta(put);
 	gate_change_on_config(n);
 	return verdict;
 }
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -211,6 +211,7 @@
 	put_value(out, "config_bytes_total", "counter", (double)c->bytes);
 	put_value(
 	    out, "config_mismatches_total", "counter", (double)c->mismatches);
+	put_value(out, "config_repeats_total", "counter", (double)c->repeats);
 	put_value(out, "config_changes_waiting", "gauge",
 	    (double)gate_change_waiting_count(g->changes));
 }
--- a/src/node/node_guard.c
+++ b/src/node/node_guard.c
@@ -14,9 +14,11 @@
     .gate_checked = true,
     .gate_verdict = true,
     .gate_base = true,
+    .gate_capable = true,
     .renew_at_leader = true,
     .gate_active = true,
     .gate_leased = true,
     .reply_process = true};
 
 size_t node_direct_members_max = NODE_DIRECT_MEMBERS_MAX;
+bool (*node_is_earlier_version)(uint32_t id);
--- a/src/node/node_guard.h
+++ b/src/node/node_guard.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -39,6 +40,8 @@
 	bool gate_verdict;
 	/* A configuration's difference is applied to its base alone. */
 	bool gate_base;
+	/* Differences are proposed only if all members can read them. */
+	bool gate_capable;
 	/* Renewals are sent to the leader also if it is no known voter. */
 	bool renew_at_leader;
 	/* A shard's owner sends orders only once its epoch is active. */
@@ -54,6 +57,20 @@
 /* With more members the log is distributed by relays; tests lower it. */
 extern size_t node_direct_members_max;
 
+/*
+ * Tells which instances act as a program version without differences of
+ * configurations: one states that it can't read them, reads them as that
+ * version did, and proposes none. NULL: none does; tests set it.
+ */
+extern bool (*node_is_earlier_version)(uint32_t id);
+
+/* Whether an instance acts as that version. */
+static inline bool
+node_acts_as_earlier_version(uint32_t id)
+{
+	return node_is_earlier_version != NULL && node_is_earlier_version(id);
+}
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -26,6 +26,8 @@
 	info->bus = s->bus_advertise;
 	info->voter = n->voter;
 	info->capabilities = MEMBER_CAPABILITIES;
+	if (node_acts_as_earlier_version(n->id))
+		info->capabilities &= ~MEMBER_CAN_CONFIG_DELTAS;
 }
 
 static bool
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -73,6 +73,8 @@
     {NODE_LOG_GATE_SHARES, NODE_LOG_INFO, "account-shares"},
     {NODE_LOG_GATE_QUOTA_OWNER, NODE_LOG_INFO, "quota-owner"},
     {NODE_LOG_GATE_QUOTA, NODE_LOG_INFO, "quota-exhausted"},
+    {NODE_LOG_GATE_FORM, NODE_LOG_INFO, "config-form"},
+    {NODE_LOG_GATE_REPEATED, NODE_LOG_INFO, "config-repeated"},
     {NODE_LOG_STATE_RECEIVED, NODE_LOG_INFO, "state-received"},
     {NODE_LOG_STATE_REJECTED, NODE_LOG_WARN, "state-rejected"},
     {NODE_LOG_MEMBERS_CHANGED, NODE_LOG_INFO, "members-changed"},
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -86,6 +86,8 @@
 	NODE_LOG_GATE_SHARES = 151, /* of accounts, while requests wait */
 	NODE_LOG_GATE_QUOTA_OWNER = 152,
 	NODE_LOG_GATE_QUOTA = 153, /* exhausted, or no longer */
+	NODE_LOG_GATE_FORM = 154, /* of changes: differences or whole texts */
+	NODE_LOG_GATE_REPEATED = 155, /* the configuration, as a whole text */
 	NODE_LOG_STATE_RECEIVED = 160, /* a snapshot, from another instance */
 	NODE_LOG_STATE_REJECTED = 161,
 	NODE_LOG_MEMBERS_CHANGED = 165, /* several, by one command */
--- a/tests/gateway/change_test.cc
+++ b/tests/gateway/change_test.cc
@@ -1,4 +1,5 @@
 #include "gateway_sim.h"
+#include "node/node_guard.h"
 #include "wire/command.pb-c.h"
 #include "wire/peer.pb-c.h"
 
@@ -391,3 +392,192 @@
 	ExpectInForce(Text(3, 40));
 	EXPECT_EQ(Counter(kEntry, "config_confirmed"), 1);
 }
+
+/* ---- program versions --------------------------------------------------- */
+
+/*
+ * Clusters in which some instances run a program version that can't read
+ * differences. Guards against a configuration that such an instance never has,
+ * and against whole texts when there is none.
+ */
+class MixedVersions : public Change {
+      protected:
+	static std::set<uint32_t> earlier; /* ids */
+
+	void
+	SetUp() override
+	{
+		node_is_earlier_version = [](uint32_t id) {
+			return earlier.count(id) > 0;
+		};
+		Change::SetUp();
+	}
+
+	void
+	TearDown() override
+	{
+		node_is_earlier_version = nullptr;
+		earlier.clear();
+	}
+
+	void
+	SetEarlier(int i, bool is_earlier)
+	{
+		if (is_earlier)
+			earlier.insert(sim.instances[i]->settings->id);
+		else
+			earlier.erase(sim.instances[i]->settings->id);
+	}
+
+	/* Replaces the program of an instance. */
+	void
+	Restart(int i, bool is_earlier, uint64_t down_ms = 0)
+	{
+		sim.kill(i);
+		sim.run_for_ms(down_ms);
+		SetEarlier(i, is_earlier);
+		sim.start(i);
+	}
+
+	/* Sends a change until it is acknowledged, as an operator does. */
+	void
+	PutUntilTaken(const std::string &text)
+	{
+		for (int tries = 0; tries < 40; tries++) {
+			if (sim.leader() >= 0 && PutAndWait(text) == 200)
+				return;
+			sim.run_for_ms(500);
+		}
+		ADD_FAILURE() << "not acknowledged";
+	}
+
+	void
+	PutNext(int *version)
+	{
+		(*version)++;
+		PutUntilTaken(Text(*version, 60, 1000 + *version));
+	}
+
+	long
+	Repeats()
+	{
+		long sum = 0;
+
+		for (int i = 0; i < kInstances; i++)
+			sum += Counter(i, "config_repeats_total");
+		return sum;
+	}
+};
+std::set<uint32_t> MixedVersions::earlier;
+
+TEST_F(MixedVersions, whole_texts_are_proposed_while_a_member_needs_them)
+{
+	const int last = kInstances - 1;
+	long deltas;
+
+	PutUntilTaken(Text(1, 60));
+	PutUntilTaken(Text(2, 60, 1002));
+	sim.run_for_ms(500);
+	deltas = Counter(kEntry, "config_deltas_total");
+	EXPECT_GT(deltas, 0);
+	Restart(last, true);
+	sim.run_for_ms(5000);
+	ExpectInForce(Text(2, 60, 1002));
+	for (int version = 3; version < 6; version++) {
+		PutUntilTaken(Text(version, 60, 1000 + version));
+		sim.run_for_ms(1000);
+		ExpectInForce(Text(version, 60, 1000 + version));
+	}
+	EXPECT_EQ(Counter(last, "config_confirmed"), 1);
+	EXPECT_EQ(Counter(kEntry, "config_deltas_total"), deltas);
+	Restart(last, false);
+	sim.run_for_ms(5000);
+	PutUntilTaken(Text(6, 60, 1006));
+	sim.run_for_ms(1000);
+	ExpectInForce(Text(6, 60, 1006));
+	EXPECT_EQ(Counter(kEntry, "config_deltas_total"), deltas + 1);
+}
+
+/* Its lease ends while it is cut off, and differences are proposed then. */
+TEST_F(MixedVersions, an_instance_that_joins_again_gets_the_whole_text)
+{
+	const int last = kInstances - 1;
+	long repeats;
+
+	Restart(last, true);
+	sim.run_for_ms(5000);
+	PutUntilTaken(Text(1, 60));
+	sim.run_for_ms(1000);
+	ExpectInForce(Text(1, 60));
+	repeats = Repeats();
+	sim.isolate(last, true);
+	sim.run_for_ms(8000);
+	for (int version = 2; version < 5; version++)
+		PutUntilTaken(Text(version, 60, 1000 + version));
+	EXPECT_GE(Counter(kEntry, "config_deltas_total"), 2);
+	EXPECT_EQ(Repeats(), repeats);
+	sim.isolate(last, false);
+	ASSERT_TRUE(sim.run_until(
+	    [&] { return Counter(last, "config_version") == 1004; }, 5000));
+	sim.run_for_ms(2000);
+	ExpectInForce(Text(4, 60, 1004));
+	EXPECT_EQ(Counter(last, "config_confirmed"), 1);
+	EXPECT_EQ(Repeats(), repeats + 1) << "once, not at each tick";
+}
+
+/* A difference in flight when such an instance joins. */
+TEST_F(MixedVersions, a_change_beside_a_join_reaches_all)
+{
+	const int last = kInstances - 1;
+
+	for (int version = 1; version <= 12; version++) {
+		bool is_earlier = version % 2 == 1;
+
+		Restart(last, is_earlier);
+		sim.run_for_ms((uint64_t)version * 83);
+		PutUntilTaken(Text(version, 60, 1000 + version));
+		ASSERT_TRUE(sim.run_until(
+		    [&] {
+			    return Counter(last, "config_version") ==
+				1000 + version;
+		    },
+		    8000))
+		    << version;
+		sim.run_for_ms(3000);
+		ExpectInForce(Text(version, 60, 1000 + version));
+		EXPECT_EQ(Counter(last, "config_confirmed"), 1) << version;
+	}
+}
+
+/* All instances one by one to the other version, and back. */
+TEST_F(MixedVersions, a_rolling_upgrade_and_its_undoing_lose_nothing)
+{
+	int version = 0;
+
+	for (int i = 0; i < kInstances; i++) {
+		SetEarlier(i, true);
+		sim.kill(i);
+	}
+	for (int i = 0; i < kInstances; i++)
+		sim.start(i);
+	ASSERT_TRUE(sim.run_until([&] { return sim.leader() >= 0; }, 20000));
+	for (bool is_earlier : {false, true, false}) {
+		for (int k = 0; k < kInstances; k++) {
+			int i = is_earlier ? kInstances - 1 - k : k;
+
+			PutNext(&version);
+			Restart(i, is_earlier, (uint64_t)(k % 3) * 700);
+			PutNext(&version);
+			sim.run_for_ms(6000);
+			SCOPED_TRACE(version);
+			ExpectInForce(Text(version, 60, 1000 + version));
+			for (int j = 0; j < kInstances; j++)
+				EXPECT_EQ(Counter(j, "config_confirmed"), 1)
+				    << j;
+		}
+	}
+	long deltas = Counter(kEntry, "config_deltas_total");
+	PutNext(&version);
+	sim.run_for_ms(1000);
+	EXPECT_EQ(Counter(kEntry, "config_deltas_total"), deltas + 1);
+}
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1136,5 +1136,6 @@
     {"node.gate_checked", &node_guards.gate_checked},
     {"node.gate_verdict", &node_guards.gate_verdict},
     {"node.gate_base", &node_guards.gate_base},
+    {"node.gate_capable", &node_guards.gate_capable},
     {"node.reply_process", &node_guards.reply_process},
 });
