mulberryctl: check of a gateway configuration

Cause: an operator learned what is wrong with a configuration one error at a time, by sending it, and nothing told of values without effect or of what a change changes.

--- a/src/mulberryctl/ctl.c
+++ b/src/mulberryctl/ctl.c
@@ -20,6 +20,7 @@
 
 static const struct ctl_command commands[] = {
     {"doc", ctl_doc, "apply, get, diff, history, status, rollback, validate"},
+    {"check", ctl_check, "check a gateway configuration without any server"},
     {"status", ctl_status, "what an instance sees: members, work, classes"},
     {"addresses", ctl_addresses, "the entry addresses to use now"},
     {"endpoints", ctl_endpoints, "the endpoints that an instance owns"},
--- a/src/mulberryctl/ctl.h
+++ b/src/mulberryctl/ctl.h
@@ -102,6 +102,7 @@
 int ctl_limits(struct ctl *c, int argc, char **argv);
 int ctl_drain(struct ctl *c, int argc, char **argv);
 int ctl_load(struct ctl *c, int argc, char **argv);
+int ctl_check(struct ctl *c, int argc, char **argv);
 int ctl_replay(struct ctl *c, int argc, char **argv);
 
 #ifdef __cplusplus
