place: a held request is not passed by a less urgent one

(1) A run skipped the first held requests, as nothing had ended since they were evaluated, and evaluated a later one, which got the room that engines make by reading on. (2) A request over its share was held at the engine of lowest cost, which was full of less urgent prompts, while other engines had room: costs don't count these prompts, room does.

Change: a run that passes over a held request passes over all behind it with the same adapter, and time alone lets the first ones be evaluated. A search prefers engines that are not full of others if neither needs a load. The least counter is found once per run instead of for each engine.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -315,10 +315,43 @@
  * The first HELD_NEXT in the order are evaluated in each run, each of the
  * others only every HELD_RECHECK_US, and a run ends once HELD_PER_RUN_MAX
  * requests stay held.
+ *
+ * A run that passes over a held request passes over all that need the same
+ * adapter and come after it in the order, up to PASSED_KEYS_MAX adapters.
+ * Engines make room all the time, and whichever is evaluated next would get it
+ * otherwise.
  */
 #define HELD_NEXT	 12u
 #define HELD_PER_RUN_MAX 16u
 #define HELD_RECHECK_US	 (10 * US_PER_MS)
+#define PASSED_KEYS_MAX	 64u
+
+/* Hashes of the adapters of held requests that a run has passed over. */
+struct passed_keys {
+	uint64_t hashes[PASSED_KEYS_MAX];
+	size_t count;
+};
+
+static bool
+is_passed(const struct passed_keys *passed, const struct place_ask *a)
+{
+	size_t i;
+
+	for (i = 0; i < passed->count; i++)
+		if (passed->hashes[i] == a->key_hash)
+			return true;
+	return false;
+}
+
+/* Without a shortage requests are not held for others. */
+static void
+pass_over(const struct place *p, struct passed_keys *passed,
+    const struct place_ask *a)
+{
+	if (p->admit->is_short && passed->count < PASSED_KEYS_MAX &&
+	    !is_passed(passed, a))
+		passed->hashes[passed->count++] = a->key_hash;
+}
 
 static uint64_t
 search_gap_us(const struct place *p, const struct place_ask *a, bool is_next)
@@ -337,12 +370,32 @@
 		return true;
 	if (a->evaluate_at_us != 0 && p->now_us >= a->evaluate_at_us)
 		return true;
+	/* time alone makes room as well: prompts are being read */
 	return a->endpoint == NULL &&
-	    a->evaluated_generation != p->capacity_generation &&
+	    (a->evaluated_generation != p->capacity_generation ||
+		(a->is_held && p->admit->is_short)) &&
 	    (a->key == NULL ||
 		p->now_us >= a->evaluated_us + search_gap_us(p, a, is_next));
 }
 
+/*
+ * Does this run pass over a request that searches for an engine? Not over a
+ * repeat, which waits for nobody, or one that is to be refused.
+ */
+static bool
+must_pass_over(const struct place *p, struct passed_keys *passed,
+    const struct place_ask *a, bool is_next)
+{
+	if (p->now_us < a->deadline_us && a->attempt == 0 &&
+	    is_passed(passed, a))
+		return true;
+	if (needs_evaluation(p, a, is_next))
+		return false;
+	if (a->is_held)
+		pass_over(p, passed, a);
+	return true;
+}
+
 /* Refuse a request that no engine will have room for before its deadline. */
 static bool
 refuse_hopeless(struct place *p, struct place_ask *a)
@@ -362,8 +415,10 @@
 void
 place_run(struct place *p, uint64_t now_us, bool may_order)
 {
+	struct passed_keys passed = {.count = 0};
 	struct place_ask *a, *next;
 	size_t evaluated = 0, held = 0, searching = 0;
+	bool searches;
 
 	p->now_us = now_us;
 	p->next_run_us = now_us + SWEEP_US;
@@ -379,12 +434,15 @@
 			continue;
 		if (a->evaluate_at_us != 0)
 			place_schedule_run(p, a->evaluate_at_us);
-		searching += a->endpoint == NULL && a->key != NULL;
-		if (!needs_evaluation(p, a, searching <= HELD_NEXT))
+		searches = a->endpoint == NULL && a->key != NULL;
+		searching += searches;
+		if (searches
+			? must_pass_over(p, &passed, a, searching <= HELD_NEXT)
+			: !needs_evaluation(p, a, false))
 			continue;
-		if (held >= HELD_PER_RUN_MAX && a->endpoint == NULL &&
-		    a->key != NULL) {
+		if (searches && held >= HELD_PER_RUN_MAX) {
 			place_schedule_run(p, now_us + CONTINUE_RUN_US);
+			pass_over(p, &passed, a);
 			continue;
 		}
 		if (++evaluated > EVALUATIONS_PER_RUN_MAX) {
--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -197,6 +197,17 @@
 	return true;
 }
 
+/* How far an account exceeds its share, 0 to 1; not if it is starved. */
+static double
+excess_part(const struct place *p, const struct place_ask *a)
+{
+	const struct place_admit_account *t = a->share->context;
+	double excess = place_admit_share_excess(p, a) - 1;
+
+	return t->is_starved ? 0
+			     : fmin(fmax(excess / EXCESS_FULL_BOUNDS, 0), 1);
+}
+
 /*
  * The prompts that count as ahead of a request. An urgent one goes before
  * others at the engine. The more its account exceeds its share, the more of
@@ -206,10 +217,25 @@
 unread_ahead_ms(const struct place *p, const struct place_ask *a,
     const struct place_estimate *est)
 {
-	double excess = place_admit_share_excess(p, a) - 1;
-	double part = fmin(fmax(excess / EXCESS_FULL_BOUNDS, 0), 1);
+	return fmax(est->backlog_ms, est->unread_ms * excess_part(p, a));
+}
+
+static bool
+is_late_at(const struct place *p, const struct place_ask *a,
+    const struct place_estimate *est)
+{
+	return p->now_us + (uint64_t)est->first_ms * US_PER_MS > a->target_us;
+}
+
+/* The longest time of prompts ahead with which an engine has room. */
+static double
+room_ms(const struct place *p, bool is_late)
+{
+	double busy_ms = place_admit_hold_ms(p);
 
-	return fmax(est->backlog_ms, est->unread_ms * part);
+	if (p->admit->are_engines_short)
+		return is_late ? busy_ms * LATE_PART : busy_ms;
+	return is_late ? LATE_BACKLOG_MIN_MS : INFINITY;
 }
 
 /* Does the best engine have room, for one in time or a late one? */
@@ -217,15 +243,21 @@
 has_room(const struct place *p, const struct place_ask *a,
     const struct place_estimate *est)
 {
-	double room_ms = place_admit_hold_ms(p);
-	double ahead_ms = unread_ahead_ms(p, a, est);
+	if (a->is_late && est->needs_load && !has_spare_loads(p))
+		return false;
+	return unread_ahead_ms(p, a, est) <= room_ms(p, a->is_late);
+}
+
+bool
+place_admit_is_full_of_others(const struct place *p, const struct place_ask *a,
+    const struct place_estimate *est)
+{
+	double room;
 
-	if (!a->is_late)
-		return !p->admit->are_engines_short || ahead_ms <= room_ms;
-	if (est->needs_load && !has_spare_loads(p))
+	if (!p->admit->are_engines_short || a->attempt > 0)
 		return false;
-	return ahead_ms <= (p->admit->are_engines_short ? room_ms * LATE_PART
-							: LATE_BACKLOG_MIN_MS);
+	room = room_ms(p, is_late_at(p, a, est));
+	return est->backlog_ms <= room && unread_ahead_ms(p, a, est) > room;
 }
 
 /*
@@ -248,7 +280,7 @@
 		return judge_baseline(p, a, est, is_ready, may_order);
 	}
 	first_us = p->now_us + (uint64_t)est->first_ms * US_PER_MS;
-	a->is_late = first_us > a->target_us;
+	a->is_late = is_late_at(p, a, est);
 	if (first_us >= a->deadline_us)
 		return PLACE_TOO_LATE;
 	if (a->attempt > 0 || (a->endpoint != NULL && !is_ready))
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -63,6 +63,7 @@
 	uint64_t reported_milli; /* charges that other owners were told */
 	/* during one ordering of the queue */
 	double counter; /* as if the requests ordered so far had run */
+	bool is_starved; /* served far less often than all; it goes first */
 	size_t first, end, next; /* of its requests in the sorted list */
 };
 
@@ -74,6 +75,8 @@
 	bool are_engines_short; /* they have little time left */
 	bool is_reordered; /* the queue isn't ordered by due time */
 	bool has_load_ranks; /* wanted adapters have ranks */
+	bool has_least;
+	double least; /* counter of the accounts, as of the last run */
 	uint64_t engines_short_since_us, ordered_us, swept_us;
 	uint32_t nheld; /* queued requests that wait for room */
 	uint32_t nblocked; /* of these, no engine has a slot or memory */
@@ -121,9 +124,18 @@
 /* The charge that a queued request will probably have. */
 double place_admit_charge(const struct place_ask *a);
 
+/*
+ * Would an engine have room for a request if it had unread only prompts that
+ * are as urgent? Its account has exceeded its share, so that others count too.
+ */
+bool place_admit_is_full_of_others(const struct place *p,
+    const struct place_ask *a, const struct place_estimate *est);
+
 /* Restores the order by due time, and that of loads without ranks. */
 void place_admit_clear_order(struct place *p);
 
+/* Update the least counter of the accounts; once per run, before others. */
+void place_admit_update_least(struct place *p);
 /* What its account has had above the least one, in deficit bounds. */
 double place_admit_share_excess(
     const struct place *p, const struct place_ask *a);
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -453,18 +453,34 @@
 	out->backlogged = gap.backlogged;
 }
 
+void
+place_admit_update_least(struct place *p)
+{
+	struct place_admit *m = p->admit;
+
+	m->has_least = fair_least_counter(m->fair, &m->least);
+}
+
+/* What an account has had above a counter, in deficit bounds. */
+static double
+excess_over(const struct place *p, const struct place_ask *a, double counter)
+{
+	double bound = fair_bound(p->admit->fair);
+
+	return bound > 0 ? (a->share->counter - counter) / bound : 0;
+}
+
 double
 place_admit_share_excess(const struct place *p, const struct place_ask *a)
 {
-	double bound = fair_bound(p->admit->fair), least = 0;
-
-	if (bound <= 0 || !fair_least_counter(p->admit->fair, &least))
-		return 0;
-	return (a->share->counter - least) / bound;
+	return p->admit->has_least ? excess_over(p, a, p->admit->least) : 0;
 }
 
 bool
 place_admit_is_over_share(const struct place *p, const struct place_ask *a)
 {
-	return place_admit_share_excess(p, a) > 1;
+	double least = 0;
+
+	return fair_least_counter(p->admit->fair, &least) &&
+	    excess_over(p, a, least) > 1;
 }
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -287,7 +287,9 @@
 	for (i = 0; i < n; i++) {
 		t = active[i]->context;
 		t->counter = active[i]->counter;
-		if (t->counter > least && is_starved(p, t, asked, granted))
+		t->is_starved =
+		    t->counter > least && is_starved(p, t, asked, granted);
+		if (t->is_starved)
 			t->counter = least;
 	}
 	return n;
@@ -446,6 +448,7 @@
 	struct place_admit *m = p->admit;
 	bool was_short = m->is_short, were_short = m->are_engines_short;
 
+	place_admit_update_least(p);
 	m->is_short = is_short(p);
 	if (m->are_engines_short && !were_short)
 		m->engines_short_since_us = p->now_us;
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -122,22 +122,50 @@
 		adapter->ready_us <= p->now_us + PLACE_EARLY_SEND_US);
 }
 
-/* Estimate one engine of a search; true if it is the best so far. */
+/* The best engine of a search so far. */
+struct choice {
+	struct place_endpoint *engine; /* NULL: none */
+	struct place_estimate estimate;
+	bool is_full; /* see place_admit_is_full_of_others() */
+};
+
+/*
+ * Is an engine better than the best one so far? Costs tell how long the request
+ * takes, not whether it is admitted: at an engine that is full of others it
+ * would be held, while another one with the adapter has room.
+ */
 static bool
+is_better(
+    const struct choice *best, const struct place_estimate *est, bool is_full)
+{
+	if (best->engine != NULL && is_full != best->is_full &&
+	    !best->estimate.needs_load && !est->needs_load)
+		return best->is_full;
+	return est->cost < best->estimate.cost;
+}
+
+/* Estimate one engine of a search. adapter: NULL: it has to be loaded. */
+static void
 try_engine(struct place *p, struct place_endpoint *e, const struct place_ask *a,
-    const struct place_adapter *adapter, bool may_order,
-    struct place_estimate *best)
+    const struct place_adapter *adapter, bool may_order, struct choice *best)
 {
 	struct place_estimate est;
+	double limit = best->estimate.cost;
+	bool is_full;
 
 	e->last_search = p->search_count;
-	if (e->is_foreign ||
-	    !place_estimate_engine(
-		p, e, a, adapter, may_order, best->cost, &est) ||
-	    est.cost >= best->cost)
-		return false;
-	*best = est;
-	return true;
+	if (e->is_foreign)
+		return;
+	if (best->is_full && !best->estimate.needs_load && adapter != NULL)
+		limit = INFINITY;
+	if (!place_estimate_engine(p, e, a, adapter, may_order, limit, &est))
+		return;
+	is_full = place_admit_is_full_of_others(p, a, &est);
+	if (!is_better(best, &est, is_full))
+		return;
+	best->engine = e;
+	best->estimate = est;
+	best->is_full = is_full;
 }
 
 /*
@@ -146,28 +174,27 @@
  */
 static struct place_endpoint *
 find_engine(struct place *p, const struct place_ask *a, bool may_order,
-    struct place_estimate *best)
+    struct place_estimate *est)
 {
 	const struct place_demand *d = place_demand_find(p, a->key);
 	const struct place_group *g = place_group_find(p, a->service);
-	struct place_endpoint *e, *found = NULL;
+	struct choice best = {.estimate.cost = INFINITY};
+	struct place_endpoint *e;
 	size_t i;
 
-	best->cost = INFINITY;
 	p->search_count++;
 	for (i = 0; d != NULL && i < d->nholders; i++) {
 		e = d->holders[i];
-		if (try_engine(p, e, a, place_adapter_find(e, a->key),
-			may_order, best))
-			found = e;
+		try_engine(
+		    p, e, a, place_adapter_find(e, a->key), may_order, &best);
 	}
 	for (i = 0; i < g->count; i++) {
 		e = g->endpoints[i];
-		if (e->last_search != p->search_count &&
-		    try_engine(p, e, a, NULL, may_order, best))
-			found = e;
+		if (e->last_search != p->search_count)
+			try_engine(p, e, a, NULL, may_order, &best);
 	}
-	return found;
+	*est = best.estimate;
+	return best.engine;
 }
 
 /* Estimate the request at the engine where it waits; false if it can't run. */
--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -34,12 +34,8 @@
 {
 	WorldCount all;
 
-	for (size_t i = 1; i < r.accounts.size(); i++) {
-		all.asked += r.accounts[i].asked;
-		all.timely += r.accounts[i].timely;
-		all.late += r.accounts[i].late;
-		all.value += r.accounts[i].value;
-	}
+	for (size_t i = 1; i < r.accounts.size(); i++)
+		all.Add(r.accounts[i]);
 	return all;
 }
 
@@ -144,6 +140,48 @@
 	}
 }
 
+/*
+ * Guards against room that goes to less urgent requests of an account over its
+ * share while more urgent ones of it wait, so that these fare worse.
+ */
+TEST(Admit, the_kinds_of_a_flooding_account_fare_by_urgency)
+{
+	struct {
+		const char *name;
+		int accounts;
+		double used;
+		uint32_t owners;
+	} cases[] = {
+	    {"one of 16", 16, 0.9, 1},
+	    {"one of 6, large", 6, 0.75, 1},
+	    {"two owners", 6, 0.75, 2},
+	};
+
+	for (auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		WorldLoad load = Flood(c.accounts, c.used);
+		std::vector<WorldCount> own(load.kinds.size()), all = own;
+
+		load.owners = c.owners;
+		for (load.seed = 1; load.seed <= 3; load.seed++) {
+			WorldResult r = RunWorld(load);
+
+			for (size_t k = 0; k < own.size(); k++) {
+				own[k].Add(r.account_kinds[0][k]);
+				all[k].Add(r.kinds[k]);
+			}
+		}
+		for (auto *kinds : {&own, &all})
+			for (size_t k = 1; k < own.size(); k++) {
+				SCOPED_TRACE(k);
+				EXPECT_GE((*kinds)[k - 1].TimelyPart(),
+				    (*kinds)[k].TimelyPart());
+				EXPECT_GE((*kinds)[0].ValuePart(),
+				    (*kinds)[k].ValuePart());
+			}
+	}
+}
+
 /* Guards against an account whose share is tiny for what it sends. */
 TEST(Admit, an_account_with_a_tiny_share_is_not_starved)
 {
@@ -284,6 +322,28 @@
 	EXPECT_GT(DecisionOn(timely)->urgency, DecisionOn(urgent)->urgency);
 }
 
+/*
+ * Guards against room that appears as the engine reads on, and that a new
+ * request gets since it is evaluated before those that are held.
+ */
+TEST_F(PlaceAdmit, a_new_request_does_not_pass_more_urgent_held_ones)
+{
+	uint64_t urgent, fresh;
+	int ms;
+
+	Engines(1);
+	Fill(8);
+	urgent = AskAs("big", 1, 10000, 20000);
+	Run();
+	ASSERT_FALSE(IsGranted(urgent));
+	for (ms = 0; ms < 1000 && !IsGranted(urgent); ms++, now += MS) {
+		fresh = AskAs("big", 2, 10000, 20000, 10);
+		Run();
+		ASSERT_FALSE(IsGranted(fresh)) << ms;
+	}
+	EXPECT_LT(ms, 1000);
+}
+
 /* Guards against a request that is held until a deadline it can't meet. */
 TEST_F(PlaceAdmit, what_cant_meet_its_deadline_is_refused_at_once)
 {
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -38,6 +38,7 @@
 		rng_seed(&rng, l.seed);
 		result.accounts.resize(l.accounts.size());
 		result.kinds.resize(l.kinds.size());
+		result.account_kinds.assign(l.accounts.size(), result.kinds);
 		Configure();
 		for (uint32_t o = 0; o < l.owners; o++)
 			AddOwner((int)o);
@@ -226,6 +227,7 @@
 		result.all.asked++;
 		result.accounts[(size_t)account].asked++;
 		result.kinds[(size_t)kind].asked++;
+		result.account_kinds[(size_t)account][(size_t)kind].asked++;
 		Ask(c);
 	}
 
@@ -280,7 +282,9 @@
 
 		for (auto *w :
 		    {&result.all, &result.accounts[(size_t)c.account],
-			&result.kinds[(size_t)c.kind]}) {
+			&result.kinds[(size_t)c.kind],
+			&result.account_kinds[(size_t)c.account]
+					     [(size_t)c.kind]}) {
 			w->timely += outcome == 0;
 			w->late += outcome == 1;
 			w->refused += outcome == 2;
--- a/tests/place/admit_world.h
+++ b/tests/place/admit_world.h
@@ -62,14 +62,29 @@
 		return asked == 0 ? 1 : value / asked;
 	}
 	double
+	TimelyPart() const
+	{
+		return asked == 0 ? 1 : (double)timely / asked;
+	}
+	double
 	ServedPart() const
 	{
 		return asked == 0 ? 1 : (double)(timely + late) / asked;
 	}
+	void
+	Add(const WorldCount &other)
+	{
+		asked += other.asked;
+		timely += other.timely;
+		late += other.late;
+		refused += other.refused;
+		value += other.value;
+	}
 };
 
 struct WorldResult {
 	std::vector<WorldCount> accounts, kinds;
+	std::vector<std::vector<WorldCount>> account_kinds; /* by both */
 	WorldCount all;
 	uint64_t gap_milli = 0, gap_bound_milli = 0; /* largest of all owners */
 	uint32_t held_to_deadline = 0; /* refused in the last tenth */
