place: late requests of an account over its share use what others leave

Late requests had room only at engines with at most a quarter of the usual backlog, so that timely ones that arrive next find room. For an account over its share these are less urgent ones of its own: all unread prompts count as ahead of it, and other accounts go before it. What others left thus went to its requests with a deadline of 15 s, and those with one of 5 s ran out of time.

Change: the quarter rises to the whole as the account exceeds its share.

--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -227,14 +227,20 @@
 	return p->now_us + (uint64_t)est->first_ms * US_PER_MS > a->target_us;
 }
 
-/* The longest time of prompts ahead with which an engine has room. */
+/*
+ * The longest time of prompts ahead with which an engine has room. The more an
+ * account exceeds its share, the less its late requests leave free: others go
+ * before it in any case, and all unread prompts count as ahead of it, so that
+ * less urgent requests of its own would get that room.
+ */
 static double
-room_ms(const struct place *p, bool is_late)
+room_ms(const struct place *p, const struct place_ask *a, bool is_late)
 {
 	double busy_ms = place_admit_hold_ms(p);
+	double part = LATE_PART + (1 - LATE_PART) * excess_part(p, a);
 
 	if (p->admit->are_engines_short)
-		return is_late ? busy_ms * LATE_PART : busy_ms;
+		return is_late ? busy_ms * part : busy_ms;
 	return is_late ? LATE_BACKLOG_MIN_MS : INFINITY;
 }
 
@@ -245,7 +251,7 @@
 {
 	if (a->is_late && est->needs_load && !has_spare_loads(p))
 		return false;
-	return unread_ahead_ms(p, a, est) <= room_ms(p, a->is_late);
+	return unread_ahead_ms(p, a, est) <= room_ms(p, a, a->is_late);
 }
 
 bool
@@ -256,7 +262,7 @@
 
 	if (!p->admit->are_engines_short || a->attempt > 0)
 		return false;
-	room = room_ms(p, is_late_at(p, a, est));
+	room = room_ms(p, a, is_late_at(p, a, est));
 	return est->backlog_ms <= room && unread_ahead_ms(p, a, est) > room;
 }
 
