place: calls of plain services go by the shares of their accounts

Cause: a shortage was recognized by engines and the store only, so calls that waited for one of the slots of plain endpoints went by due time. With engines short they were sorted together with model requests, by counters in which a call costs less than a tenth of a model request: neither said who had had the slots.

Change: once a call waits, those of each service are ordered by shares, then by priority, with counters of their own. A late call no longer leaves its slot to a less urgent one of its account, nor to an account over its share. What other owners are told are charges of engines only.

--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -67,17 +67,25 @@
 	size_t first, end, next; /* of its requests in the sorted list */
 };
 
+/* The least counter of the busy accounts, as of the last run. */
+struct place_least {
+	bool is_known;
+	double counter;
+};
+
 struct place_admit {
 	const struct place_admit_ops *ops; /* shares if there are accounts */
 	bool is_order_fixed; /* whatever the configuration says */
-	struct fair *fair;
+	struct fair *fair; /* shares of engines */
+	/* shares of plain endpoints, whose slots are another resource */
+	struct fair *calls;
 	bool is_short; /* as of the last ordering */
 	bool are_engines_short; /* they have little time left */
 	bool is_reordered; /* the queue isn't ordered by due time */
 	bool has_load_ranks; /* wanted adapters have ranks */
-	bool has_least;
-	double least; /* counter of the accounts, as of the last run */
+	struct place_least least, calls_least;
 	uint64_t engines_short_since_us, ordered_us, swept_us;
+	uint32_t ncalls; /* queued calls of plain services */
 	uint32_t nheld; /* queued requests that wait for room */
 	uint32_t nblocked; /* of these, no engine has a slot or memory */
 	struct place_rate grants; /* tokens */
@@ -134,7 +142,18 @@
 /* Restores the order by due time, and that of loads without ranks. */
 void place_admit_clear_order(struct place *p);
 
-/* Update the least counter of the accounts; once per run, before others. */
+/* The shares of the resource that a request uses. */
+struct fair *place_admit_fair(const struct place *p, const struct place_ask *a);
+/* Are calls of plain services ordered by shares? Only if there are accounts. */
+bool place_admit_shares_calls(const struct place *p);
+/*
+ * Of two queued calls, may the second one, which can be in time, go before the
+ * first one, which can't? Not if it is a less urgent one of the same account,
+ * or its account is over its share.
+ */
+bool place_admit_may_yield(const struct place *p, const struct place_ask *late,
+    const struct place_ask *timely);
+/* Update the least counters of the accounts; once per run, before others. */
 void place_admit_update_least(struct place *p);
 /* What its account has had above the least one, in deficit bounds. */
 double place_admit_share_excess(
@@ -153,9 +172,15 @@
 
 /* ---- place_admit_order.c ---- */
 void place_admit_order_by_shares(struct place *p);
+void place_admit_rank_loads(struct place *p);
+
+/* ---- place_admit_wait.c ---- */
+/* Prompt tokens per ms of the engines owned here, and their unread prompts. */
+double place_admit_engine_speed(const struct place *p, double *unread_tokens);
+/* Estimate for each request in the queue how long it waits for room. */
+void place_admit_estimate_waits(struct place *p);
 bool place_admit_is_hopeless(
     struct place *p, const struct place_ask *a, uint64_t *return_us);
-void place_admit_rank_loads(struct place *p);
 
 /* ---- rates -------------------------------------------------------------- */
 
--- a/src/place/place_admit_account.c
+++ b/src/place/place_admit_account.c
@@ -57,6 +57,7 @@
 
 	m->ops = &place_admit_baseline;
 	m->fair = fair_create(&options);
+	m->calls = fair_create(&options);
 	m->mean_weight = 1;
 	return m;
 }
@@ -84,6 +85,7 @@
 place_admit_destroy(struct place_admit *m)
 {
 	fair_destroy(m->fair);
+	fair_destroy(m->calls);
 	free(m);
 }
 
@@ -119,6 +121,18 @@
 	return tokens > 0 ? tokens / p->admit->mean_weight : 1;
 }
 
+static void
+set_weights(const struct place *p, struct fair *fair)
+{
+	struct fair_account *f;
+	size_t i;
+
+	for (i = 0; i < fair_count(fair); i++) {
+		f = fair_at(fair, i);
+		f->weight = weight_of(p, f->name);
+	}
+}
+
 static void
 update_weights(struct place *p)
 {
@@ -132,9 +146,8 @@
 		limited += tokens > 0;
 	}
 	m->mean_weight = limited == 0 ? 1 : sum / (double)limited;
-	for (i = 0; i < fair_count(m->fair); i++)
-		fair_at(m->fair, i)->weight =
-		    weight_of(p, fair_at(m->fair, i)->name);
+	set_weights(p, m->fair);
+	set_weights(p, m->calls);
 }
 
 uint64_t
@@ -172,13 +185,20 @@
 		return;
 	p->admit->swept_us = p->now_us;
 	fair_sweep(p->admit->fair, p->now_us);
+	fair_sweep(p->admit->calls, p->now_us);
 	update_weights(p);
 }
 
+struct fair *
+place_admit_fair(const struct place *p, const struct place_ask *a)
+{
+	return a->key == NULL ? p->admit->calls : p->admit->fair;
+}
+
 static struct fair_account *
-get_account(struct place *p, const char *name)
+get_account(struct place *p, struct fair *fair, const char *name)
 {
-	struct fair_account *f = fair_get(p->admit->fair, name);
+	struct fair_account *f = fair_get(fair, name);
 
 	if (f->context == NULL) {
 		f->context = mem_alloc(1, sizeof(struct place_admit_account));
@@ -229,19 +249,24 @@
 place_admit_enqueue(struct place *p, struct place_ask *a)
 {
 	struct place_admit *m = p->admit;
-	struct fair_account *f =
-	    get_account(p, a->account == NULL ? DEFAULT_ACCOUNT : a->account);
+	struct fair *fair = place_admit_fair(p, a);
+	const char *name = a->account == NULL ? DEFAULT_ACCOUNT : a->account;
+	struct fair_account *f = get_account(p, fair, name);
 	struct place_admit_account *t = f->context;
 	double tokens = charge_of(a, a->prompt_tokens);
 
-	fair_activate(m->fair, f);
+	fair_activate(fair, f);
 	fair_touch(f, p->now_us);
 	f->queued++;
 	f->blocked++;
 	a->share = f;
 	place_rate_add(&t->asked, p->now_us, 1);
-	if (a->key == NULL)
+	if (a->key == NULL) {
+		m->ncalls++;
+		/* listed among the accounts, which count calls too */
+		fair_touch(get_account(p, m->fair, name), p->now_us);
 		return;
+	}
 	note_objective(m, a);
 	place_rate_add(&t->arrivals, p->now_us, tokens);
 	m->mean_tokens += m->mean_tokens == 0
@@ -297,8 +322,9 @@
 	place_admit_set_blocked(p, a, false);
 	a->share->queued--;
 	a->share->blocked--;
+	p->admit->ncalls -= a->key == NULL;
 	if (!a->granted)
-		fair_note_idle(p->admit->fair, a->share);
+		fair_note_idle(place_admit_fair(p, a), a->share);
 }
 
 void
@@ -307,12 +333,12 @@
 	struct place_admit *m = p->admit;
 	struct place_admit_account *t = a->share->context;
 
-	if (m->nheld > 0)
+	if (m->nheld > 0 && a->key != NULL)
 		fair_update_gap(m->fair);
 	a->charge = charge_of(a, a->unread_tokens);
 	a->share->running++;
 	fair_touch(a->share, p->now_us);
-	fair_charge(m->fair, a->share, a->charge);
+	fair_charge(place_admit_fair(p, a), a->share, a->charge);
 	t->total_granted++;
 	place_rate_add(&t->granted, p->now_us, 1);
 	if (a->key != NULL)
@@ -343,11 +369,11 @@
 place_admit_end(
     struct place *p, struct place_ask *a, enum place_outcome outcome)
 {
-	fair_settle(p->admit->fair, a->share, a->charge,
+	fair_settle(place_admit_fair(p, a), a->share, a->charge,
 	    a->charge * used_part(a, outcome));
 	fair_touch(a->share, p->now_us);
 	a->share->running--;
-	fair_note_idle(p->admit->fair, a->share);
+	fair_note_idle(place_admit_fair(p, a), a->share);
 }
 
 void
@@ -362,17 +388,30 @@
 /* ---- what others are told ----------------------------------------------- */
 
 static void
-describe(const struct fair_account *f, struct place_account_info *out)
+add_requests(const struct fair_account *f, struct place_account_info *out)
 {
 	const struct place_admit_account *t = f->context;
 
+	out->queued += f->queued;
+	out->running += f->running;
+	out->granted += t->total_granted;
+	out->refused += t->total_refused;
+}
+
+/* The charge is that of engines, whose shares hold across owners. */
+static void
+describe(const struct place *p, const struct fair_account *f,
+    struct place_account_info *out)
+{
+	const struct fair_account *calls = fair_find(p->admit->calls, f->name);
+
+	memset(out, 0, sizeof(*out));
 	out->name = f->name;
 	out->weight = f->weight;
 	out->charge_milli = f->charge_milli;
-	out->queued = f->queued;
-	out->running = f->running;
-	out->granted = t->total_granted;
-	out->refused = t->total_refused;
+	add_requests(f, out);
+	if (calls != NULL)
+		add_requests(calls, out);
 }
 
 size_t
@@ -385,7 +424,7 @@
 place_account_get(
     const struct place *p, size_t i, struct place_account_info *out)
 {
-	describe(fair_at(p->admit->fair, i), out);
+	describe(p, fair_at(p->admit->fair, i), out);
 }
 
 /* An account's charges that other owners were not told. */
@@ -425,7 +464,7 @@
 	for (i = 0; i < n; i++) {
 		t = all[i]->context;
 		t->reported_milli = all[i]->charge_milli;
-		describe(all[i], &out[i]);
+		describe(p, all[i], &out[i]);
 	}
 	free(all);
 	return n;
@@ -435,7 +474,7 @@
 place_set_remote_charge(struct place *p, uint64_t now_us, uint32_t owner,
     uint64_t process, const char *account, uint64_t total_milli)
 {
-	struct fair_account *f = get_account(p, account);
+	struct fair_account *f = get_account(p, p->admit->fair, account);
 
 	fair_touch(f, now_us);
 	fair_set_remote_charge(p->admit->fair, owner, process, f, total_milli);
@@ -453,34 +492,63 @@
 	out->backlogged = gap.backlogged;
 }
 
+/* ---- who is over its share ---------------------------------------------- */
+
+static void
+find_least(const struct fair *fair, struct place_least *out)
+{
+	out->is_known = fair_least_counter(fair, &out->counter);
+}
+
 void
 place_admit_update_least(struct place *p)
 {
-	struct place_admit *m = p->admit;
-
-	m->has_least = fair_least_counter(m->fair, &m->least);
+	find_least(p->admit->fair, &p->admit->least);
+	find_least(p->admit->calls, &p->admit->calls_least);
 }
 
-/* What an account has had above a counter, in deficit bounds. */
+/* What an account has had above the least counter, in deficit bounds. */
 static double
-excess_over(const struct place *p, const struct place_ask *a, double counter)
+excess_over(const struct place *p, const struct place_ask *a,
+    const struct place_least *least)
 {
-	double bound = fair_bound(p->admit->fair);
+	double bound = fair_bound(place_admit_fair(p, a));
 
-	return bound > 0 ? (a->share->counter - counter) / bound : 0;
+	return bound > 0 && least->is_known
+	    ? (a->share->counter - least->counter) / bound
+	    : 0;
 }
 
 double
 place_admit_share_excess(const struct place *p, const struct place_ask *a)
 {
-	return p->admit->has_least ? excess_over(p, a, p->admit->least) : 0;
+	return excess_over(
+	    p, a, a->key == NULL ? &p->admit->calls_least : &p->admit->least);
 }
 
 bool
 place_admit_is_over_share(const struct place *p, const struct place_ask *a)
 {
-	double least = 0;
+	struct place_least least = {0};
+
+	find_least(place_admit_fair(p, a), &least);
+	return excess_over(p, a, &least) > 1;
+}
+
+bool
+place_admit_shares_calls(const struct place *p)
+{
+	return p->admit->ops == &place_admit_shares && p->config != NULL &&
+	    p->config->naccounts > 0;
+}
 
-	return fair_least_counter(p->admit->fair, &least) &&
-	    excess_over(p, a, least) > 1;
+bool
+place_admit_may_yield(const struct place *p, const struct place_ask *late,
+    const struct place_ask *timely)
+{
+	if (!place_admit_shares_calls(p))
+		return true;
+	if (late->share == timely->share)
+		return timely->priority <= late->priority;
+	return place_admit_share_excess(p, timely) <= 1;
 }
--- a/src/place/place_admit_order.c
+++ b/src/place/place_admit_order.c
@@ -5,8 +5,7 @@
 #include "util/mem.h"
 
 /*
- * The order of the queue by shares, what it means for the time at which each
- * request will run, and the order of adapter loads.
+ * The order of the queue by shares, and the order of adapter loads.
  *
  * The queue is sorted as if each request ran when its turn comes: the account
  * with the least virtual counter goes first, and is charged for it. Accounts
@@ -27,50 +26,12 @@
  * requests is below this fraction of the ratio of all accounts.
  */
 #define SERVED_RATIO_MIN 0.35
-/* The rate of grants is known after a shortage of this time. */
-#define MEASURED_AFTER_US (500 * US_PER_MS)
-/* Lower bound of the measured capacity, as a fraction of engine speed. */
-#define RATE_PART_MIN 0.05
-/*
- * Late requests get at least this part of the capacity, in an estimate: a burst
- * may end before their deadlines.
- */
-#define LATE_RATE_PART_MIN 0.25
-/*
- * The part of the time to the deadline within which a request must be expected
- * to run. One that must not run twice may use all of it: its caller has no
- * other attempt, so that a wrong refusal costs more.
- */
-#define WAIT_PART_REPEATABLE 0.8
-#define WAIT_PART_ONCE	     1.0
-/* Callers that are refused are asked to return within this time. */
-#define RETURN_SPREAD_US (2000 * US_PER_MS)
-#define RETURN_MAX_US	 (5000 * US_PER_MS)
 /* Ranks of loads: accounts by deficit bounds, then urgency. */
 #define LOAD_RANK_BOUNDS_MAX 1000.0
 #define LOAD_RANK_URGENCIES  10u
 
 /* ---- shortage ----------------------------------------------------------- */
 
-/* Prompt tokens per ms of the engines owned here, and their unread prompts. */
-static double
-engine_speed(const struct place *p, double *unread_tokens)
-{
-	const struct place_endpoint *e;
-	double speed = 0;
-	size_t i;
-
-	*unread_tokens = 0;
-	for (i = 0; i < map_count(p->endpoints); i++) {
-		e = map_at(p->endpoints, i);
-		if (e->engine == NULL || e->is_foreign || e->leaving)
-			continue;
-		speed += place_endpoint_tokens_per_ms(p, e);
-		*unread_tokens += (double)e->unread_tokens;
-	}
-	return speed;
-}
-
 /*
  * Are the engines short of time, all together? One with a popular adapter may
  * have a long backlog without that: requests go on to others.
@@ -82,7 +43,7 @@
 
 	if (p->admit->nblocked > 0)
 		return true;
-	speed = engine_speed(p, &unread);
+	speed = place_admit_engine_speed(p, &unread);
 	if (p->admit->are_engines_short)
 		busy_ms *= SHORT_ENDS_PART;
 	return speed > 0 && busy_ms > 0 && unread / speed >= busy_ms;
@@ -104,26 +65,6 @@
 		is_store_short(p));
 }
 
-/*
- * Once a shortage of engines has lasted, what was granted tells the capacity,
- * whether prompts, memory or slots limit it. Before that it is the engines'
- * speed.
- */
-double
-place_admit_capacity(const struct place *p)
-{
-	const struct place_admit *m = p->admit;
-	double unread, speed = engine_speed(p, &unread);
-	double measured = place_rate_get(&m->grants, p->now_us);
-
-	if (!m->are_engines_short ||
-	    p->now_us < m->engines_short_since_us + MEASURED_AFTER_US)
-		return speed;
-	if (measured < speed * RATE_PART_MIN)
-		measured = speed * RATE_PART_MIN;
-	return measured < speed ? measured : speed;
-}
-
 /* ---- sorting ------------------------------------------------------------ */
 
 static bool
@@ -170,6 +111,15 @@
 	return order != 0 ? order : compare_ids(a, b);
 }
 
+static int
+compare_service(const void *x, const void *y)
+{
+	const struct place_ask *a = *(struct place_ask *const *)x;
+	const struct place_ask *b = *(struct place_ask *const *)y;
+
+	return strcmp(a->service, b->service);
+}
+
 static int
 compare_due(const void *x, const void *y)
 {
@@ -183,29 +133,15 @@
 	return compare_ids(a, b);
 }
 
-/*
- * Calls of plain services have shares only where there are accounts. Elsewhere
- * they keep the order of their due times.
- */
-static bool
-has_share(const struct place *p, const struct place_ask *a)
-{
-	return a->key != NULL ||
-	    (p->config != NULL && p->config->naccounts > 0);
-}
-
-/*
- * The queued requests with a share, or the others, as an array, which the
- * caller frees.
- */
+/* The queued calls, or model requests, as an array, which the caller frees. */
 static struct place_ask **
-collect(struct place *p, bool with_share, size_t *count)
+collect(struct place *p, bool calls, size_t *count)
 {
 	struct place_ask **all = mem_alloc(p->nqueued + 1, sizeof(*all)), *a;
 
 	*count = 0;
 	for (a = p->queue_head; a != NULL; a = a->next) {
-		if (has_share(p, a) != with_share)
+		if ((a->key == NULL) != calls)
 			continue;
 		a->is_late = is_late(p, a);
 		place_admit_update_backlog(p, a);
@@ -262,8 +198,8 @@
  * active: set to them; their number is returned.
  */
 static size_t
-prepare_accounts(struct place *p, struct place_ask **all, size_t count,
-    struct fair_account **active)
+prepare_accounts(struct place *p, const struct fair *fair,
+    struct place_ask **all, size_t count, struct fair_account **active)
 {
 	struct place_admit_account *t;
 	double asked = 0, granted = 0, least = 0;
@@ -278,12 +214,12 @@
 		}
 		t->end = i + 1;
 	}
-	for (k = 0; k < fair_active_count(p->admit->fair); k++) {
-		t = fair_active_at(p->admit->fair, k)->context;
+	for (k = 0; k < fair_active_count(fair); k++) {
+		t = fair_active_at(fair, k)->context;
 		asked += place_rate_get(&t->asked, p->now_us);
 		granted += place_rate_get(&t->granted, p->now_us);
 	}
-	(void)fair_least_counter(p->admit->fair, &least);
+	(void)fair_least_counter(fair, &least);
 	for (i = 0; i < n; i++) {
 		t = active[i]->context;
 		t->counter = active[i]->counter;
@@ -300,7 +236,7 @@
  * within the deficit bound above the least counter.
  */
 static struct fair_account *
-choose_account(const struct place *p, struct place_ask **all,
+choose_account(const struct fair *fair, struct place_ask **all,
     struct fair_account **active, size_t count)
 {
 	const struct place_admit_account *t, *best_t = NULL;
@@ -319,8 +255,7 @@
 	}
 	for (i = 0; i < count; i++) {
 		t = active[i]->context;
-		if (t->next == t->end ||
-		    t->counter > least + fair_bound(p->admit->fair))
+		if (t->next == t->end || t->counter > least + fair_bound(fair))
 			continue;
 		order = best == NULL
 		    ? -1
@@ -333,21 +268,23 @@
 	return best;
 }
 
-/* Put requests with a share into the order in which they go. */
+/* Put requests for one resource into the order in which they go. */
 static void
-order_shares(struct place *p, struct place_ask **all, size_t count,
-    struct place_ask **ordered)
+order_shares(struct place *p, const struct fair *fair, struct place_ask **all,
+    size_t count)
 {
-	struct fair_account **active = mem_alloc(
-	    fair_count(p->admit->fair) + 1, sizeof(struct fair_account *));
+	struct fair_account **active =
+	    mem_alloc(fair_count(fair) + 1, sizeof(struct fair_account *));
+	struct place_ask **ordered =
+	    mem_alloc(count + 1, sizeof(struct place_ask *));
 	struct fair_account *f;
 	struct place_admit_account *t;
 	size_t i, n, k;
 
 	qsort(all, count, sizeof(struct place_ask *), compare_in_account);
-	n = prepare_accounts(p, all, count, active);
+	n = prepare_accounts(p, fair, all, count, active);
 	for (i = 0; i < count && i < ORDERED_MAX; i++) {
-		f = choose_account(p, all, active, n);
+		f = choose_account(fair, all, active, n);
 		t = f->context;
 		t->counter += place_admit_charge(all[t->next]) / f->weight;
 		ordered[i] = all[t->next++];
@@ -357,89 +294,79 @@
 		while (t->next < t->end)
 			ordered[i++] = all[t->next++];
 	}
+	memcpy(all, ordered, count * sizeof(struct place_ask *));
+	free(ordered);
 	free(active);
 }
 
+/* Each plain service has endpoints of its own. */
+static void
+order_calls(struct place *p, struct place_ask **calls, size_t count)
+{
+	size_t i, first = 0;
+
+	qsort(calls, count, sizeof(struct place_ask *), compare_service);
+	for (i = 1; i <= count; i++)
+		if (i == count || compare_service(&calls[first], &calls[i])) {
+			order_shares(
+			    p, p->admit->calls, &calls[first], i - first);
+			first = i;
+		}
+}
+
 /*
- * Requests without a share use other endpoints. They alternate with the
- * others, so that neither uses up the evaluations of a run.
+ * Calls use other endpoints than model requests. They alternate, so that
+ * neither use up the evaluations of a run.
  */
 static void
 order_queue(struct place *p)
 {
-	size_t i, nshares, nothers;
-	struct place_ask **shares = collect(p, true, &nshares);
-	struct place_ask **others = collect(p, false, &nothers);
-	struct place_ask **ordered =
-	    mem_alloc(nshares + 1, sizeof(struct place_ask *));
+	size_t i, nmodels, ncalls;
+	struct place_ask **models = collect(p, false, &nmodels);
+	struct place_ask **calls = collect(p, true, &ncalls);
 
-	order_shares(p, shares, nshares, ordered);
-	qsort(others, nothers, sizeof(struct place_ask *), compare_due);
+	if (p->admit->is_short)
+		order_shares(p, p->admit->fair, models, nmodels);
+	else
+		qsort(models, nmodels, sizeof(*models), compare_due);
+	if (place_admit_shares_calls(p))
+		order_calls(p, calls, ncalls);
+	else
+		qsort(calls, ncalls, sizeof(*calls), compare_due);
 	p->queue_head = p->queue_tail = NULL;
-	for (i = 0; i < nshares || i < nothers; i++) {
-		if (i < nshares)
-			append(p, ordered[i]);
-		if (i < nothers)
-			append(p, others[i]);
+	for (i = 0; i < nmodels || i < ncalls; i++) {
+		if (i < nmodels)
+			append(p, models[i]);
+		if (i < ncalls)
+			append(p, calls[i]);
 	}
-	free(ordered);
-	free(others);
-	free(shares);
+	free(calls);
+	free(models);
 	p->admit->is_reordered = true;
 }
 
-/* ---- when a request will run -------------------------------------------- */
-
 /*
- * The rate at which late requests of an account run. They come after those in
- * time, and new ones of these keep arriving: what is left is the account's
- * share, or what the others leave if that is more, less its own arrivals.
+ * Do calls wait for slots? is_new: set to whether one has arrived since, which
+ * is queued by its due time.
  */
-static double
-late_rate(const struct place *p, const struct fair_account *f, double capacity,
-    double all_arrivals, double all_weights)
-{
-	const struct place_admit_account *t = f->context;
-	double own = place_rate_get(&t->arrivals, p->now_us);
-	double share = capacity * f->weight / all_weights;
-	double rest = capacity - (all_arrivals - own);
-	double rate = (rest > share ? rest : share) - own;
-
-	return rate > capacity * LATE_RATE_PART_MIN
-	    ? rate
-	    : capacity * LATE_RATE_PART_MIN;
-}
-
-/* Estimate for each request in the queue how long it waits for room. */
-static void
-estimate_waits(struct place *p)
+static bool
+are_calls_short(const struct place *p, bool *is_new)
 {
-	const struct fair_account *f;
-	const struct place_admit_account *t;
-	double capacity = place_admit_capacity(p), rate;
-	double arrivals = 0, weights = 0, tokens = 0;
-	struct place_ask *a;
-	uint32_t i;
+	const struct place_ask *a;
+	bool is_waiting = false;
 
-	for (i = 0; i < fair_active_count(p->admit->fair); i++) {
-		f = fair_active_at(p->admit->fair, i);
-		t = f->context;
-		if (f->queued + f->running == 0)
-			continue;
-		weights += f->weight;
-		arrivals += place_rate_get(&t->arrivals, p->now_us);
-	}
-	for (a = p->queue_head; a != NULL && capacity > 0; a = a->next) {
-		if (a->key == NULL || a->endpoint != NULL)
+	*is_new = false;
+	if (p->admit->ncalls < 2 || !place_admit_shares_calls(p))
+		return false;
+	for (a = p->queue_head; a != NULL; a = a->next) {
+		if (a->key != NULL)
 			continue;
-		rate = a->is_late
-		    ? late_rate(p, a->share, capacity, arrivals, weights)
-		    : capacity;
-		a->room_wait_ms = tokens / rate;
-		tokens += place_admit_charge(a);
+		if (a->evaluated_generation == 0)
+			*is_new = true;
+		else
+			is_waiting = true;
 	}
-	p->admit->capacity = capacity;
-	p->admit->held_ms = capacity > 0 ? tokens / capacity : 0;
+	return is_waiting;
 }
 
 void
@@ -447,22 +374,28 @@
 {
 	struct place_admit *m = p->admit;
 	bool was_short = m->is_short, were_short = m->are_engines_short;
+	bool are_short, is_new;
 
 	place_admit_update_least(p);
+	are_short = are_calls_short(p, &is_new);
 	m->is_short = is_short(p);
 	if (m->are_engines_short && !were_short)
 		m->engines_short_since_us = p->now_us;
-	if (!m->is_short) {
+	if (!m->is_short)
 		m->held_ms = 0;
+	if (!m->is_short && !are_short) {
 		if (m->is_reordered)
 			order_by_due(p);
 		return;
 	}
-	if (was_short && p->now_us < m->ordered_us + ORDER_INTERVAL_US)
+	if (m->is_reordered && was_short == m->is_short &&
+	    !(are_short && is_new) &&
+	    p->now_us < m->ordered_us + ORDER_INTERVAL_US)
 		return;
 	m->ordered_us = p->now_us;
 	order_queue(p);
-	estimate_waits(p);
+	if (m->is_short)
+		place_admit_estimate_waits(p);
 }
 
 void
@@ -477,46 +410,6 @@
 	place_admit_rank_loads(p);
 }
 
-bool
-place_admit_is_hopeless(
-    struct place *p, const struct place_ask *a, uint64_t *return_us)
-{
-	double part =
-	    a->kind == GW_IDEMPOTENT ? WAIT_PART_REPEATABLE : WAIT_PART_ONCE;
-	double left_ms, objective_ms = 0;
-
-	if (!p->admit->is_short || a->key == NULL || a->endpoint != NULL ||
-	    a->attempt > 0 || p->now_us >= a->deadline_us)
-		return false;
-	left_ms = (double)(a->deadline_us - p->now_us) / US_PER_MS;
-	if (a->room_wait_ms < left_ms * part)
-		return false;
-	if (a->target_us > a->asked_us)
-		objective_ms = (double)(a->target_us - a->asked_us) / US_PER_MS;
-	*return_us = p->now_us;
-	if (a->room_wait_ms > objective_ms)
-		*return_us +=
-		    (uint64_t)((a->room_wait_ms - objective_ms) * US_PER_MS);
-	*return_us = place_admit_return_us(p, a, *return_us);
-	return true;
-}
-
-uint64_t
-place_admit_return_us(
-    struct place *p, const struct place_ask *a, uint64_t from_us)
-{
-	struct place_admit *m = p->admit;
-
-	if (from_us > p->now_us + RETURN_MAX_US)
-		from_us = p->now_us + RETURN_MAX_US;
-	if (m->return_us < from_us || m->return_us > from_us + RETURN_SPREAD_US)
-		m->return_us = from_us;
-	if (m->capacity > 0)
-		m->return_us +=
-		    (uint64_t)(place_admit_charge(a) / m->capacity * US_PER_MS);
-	return m->return_us;
-}
-
 /* ---- loads -------------------------------------------------------------- */
 
 /* Accounts over their share later, by deficit bounds, then by urgency. */
--- a/src/place/place_service.c
+++ b/src/place/place_service.c
@@ -1,7 +1,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "place/place_internal.h"
+#include "place/place_admit.h"
 
 /*
  * Placement of calls of plain services, on the endpoint that is expected to
@@ -361,7 +361,8 @@
 	for (behind = a->next; behind != NULL && looked_at < AHEAD_MAX;
 	     behind = behind->next, looked_at++)
 		if (behind->key == NULL && behind->target_us > in_time_us &&
-		    strcmp(behind->service, a->service) == 0)
+		    strcmp(behind->service, a->service) == 0 &&
+		    place_admit_may_yield(p, a, behind))
 			return true;
 	return false;
 }
