--- a/bench/fair_bench.cc
+++ b/bench/fair_bench.cc
@@ -50,21 +50,26 @@
 	return value / asked;
 }
 
+static WorldLoad
+MakeLoad(const Case &c)
+{
+	WorldLoad load;
+
+	load.kinds = WorldKinds();
+	load.accounts = WorldAccounts(c.accounts, c.used, load);
+	load.surges = {c.surge};
+	load.clump = c.clump;
+	load.owners = c.owners;
+	return load;
+}
+
 static Row
-Measure(const Case &c, bool baseline)
+Measure(WorldLoad load, bool baseline)
 {
 	Row row;
 
-	for (uint64_t seed = 1; seed <= kSeeds; seed++) {
-		WorldLoad load;
-
-		load.kinds = WorldKinds();
-		load.accounts = WorldAccounts(c.accounts, c.used, load);
-		load.surges = {c.surge};
-		load.clump = c.clump;
-		load.owners = c.owners;
-		load.baseline = baseline;
-		load.seed = seed;
+	load.baseline = baseline;
+	for (load.seed = 1; load.seed <= kSeeds; load.seed++) {
 		WorldResult r = RunWorld(load);
 
 		row.value += r.all.ValuePart() / kSeeds;
@@ -81,6 +86,21 @@
 	return row;
 }
 
+static void
+Print(const char *name, const WorldLoad &load)
+{
+	for (bool baseline : {true, false}) {
+		Row r = Measure(load, baseline);
+
+		printf("| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f, "
+		       "%.3f, %.3f | %llu (%llu) |\n",
+		    name, baseline ? "baseline" : "shares", r.value, r.served,
+		    r.flooding, r.others, r.kinds[0], r.kinds[1], r.kinds[2],
+		    (unsigned long long)r.gap / 1000,
+		    (unsigned long long)r.bound / 1000);
+	}
+}
+
 int
 main()
 {
@@ -88,16 +108,7 @@
 	       "urgent, normal, low | largest gap (bound) |\n"
 	       "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
 	for (auto &c : cases)
-		for (bool baseline : {true, false}) {
-			Row r = Measure(c, baseline);
-
-			printf("| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f, "
-			       "%.3f, %.3f | %llu (%llu) |\n",
-			    c.name, baseline ? "baseline" : "shares", r.value,
-			    r.served, r.flooding, r.others, r.kinds[0],
-			    r.kinds[1], r.kinds[2],
-			    (unsigned long long)r.gap / 1000,
-			    (unsigned long long)r.bound / 1000);
-		}
+		Print(c.name, MakeLoad(c));
+	Print("seconds 6 to 16 of the heaviest day", WorldHeaviestDay());
 	return 0;
 }
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -1,4 +1,4 @@
-#include "admit_world.h"
+#include "admit_world_state.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,28 +8,13 @@
 
 namespace {
 
-const double kTokensPerMs = 18;
 const uint64_t kMs = 1000;
 const uint32_t kReportMs = 500;
-
-struct Call {
-	int account, kind, owner;
-	uint64_t id, first_asked_ms, asked_ms;
-	bool returned;
-	/* at its engine */
-	uint32_t urgency = 0;
-	double left_tokens = 0;
-	bool has_first = false;
-	uint64_t ends_ms = 0;
-	std::string engine;
-};
-
-struct SimEngine {
-	std::string id;
-	int owner;
-	std::vector<uint64_t> unread; /* ids, prompts to be processed */
-	double spare_tokens = 0;
-};
+const uint32_t kAdapterSlots = 5;
+/* An engine reloads an adapter that it has unloaded lately this much faster. */
+const uint32_t kWarmDivisor = 10;
+const size_t kRecentUnloads = 24;
+const uint32_t kSendingsMax = 4;
 
 class World {
       public:
@@ -39,6 +24,9 @@
 		result.accounts.resize(l.accounts.size());
 		result.kinds.resize(l.kinds.size());
 		result.account_kinds.assign(l.accounts.size(), result.kinds);
+		for (uint32_t k = 1; k <= l.adapters; k++)
+			popularity.push_back((k == 1 ? 0 : popularity.back()) +
+			    std::pow(k, -l.zipf));
 		Configure();
 		for (uint32_t o = 0; o < l.owners; o++)
 			AddOwner((int)o);
@@ -66,6 +54,7 @@
 				Report();
 			for (size_t o = 0; o < placers.size(); o++)
 				Place((int)o);
+			CarryOut();
 			for (auto &e : engines)
 				Work(e);
 			FinishDecodes();
@@ -101,6 +90,8 @@
 	std::map<uint64_t, Call> calls;
 	std::multimap<uint32_t, Call> returning;
 	std::vector<uint64_t> decoding;
+	std::vector<double> popularity; /* cumulative */
+	std::deque<Order> orders;
 
 	uint64_t
 	NowUs() const
@@ -116,7 +107,7 @@
 		service.name = (char *)"lm";
 		service.has_engine = true;
 		service.engine.seats = load.slots;
-		service.engine.adapter_slots = 5;
+		service.engine.adapter_slots = kAdapterSlots;
 		service.engine.weights_mb = 66000;
 		service.engine.loads_per_s_milli = 4800;
 		service.engine.models = &model;
@@ -166,7 +157,7 @@
 		for (uint32_t i = 0; i < load.engines / load.owners; i++)
 			engines.push_back(
 			    {"e" + std::to_string(owner * 1000 + (int)i), owner,
-				{}, 0});
+				{}, {}, {}, 0});
 	}
 
 	void
@@ -174,7 +165,7 @@
 	{
 		for (auto &e : engines) {
 			gw_announcement a = {};
-			gw_loaded_model loaded = {"m", nullptr, 1};
+			std::vector<gw_loaded_model> loaded = Loaded(e, true);
 
 			a.id = a.address = e.id.c_str();
 			a.service = "lm";
@@ -183,13 +174,117 @@
 			a.sequence = ms + 1;
 			a.slots = load.slots;
 			a.has_models = true;
-			a.loaded = &loaded;
-			a.nloaded = 1;
+			a.loaded = loaded.data();
+			a.nloaded = loaded.size();
 			(void)place_announce(
 			    placers[(size_t)e.owner], NowUs(), &a, true);
 		}
 	}
 
+	/* What an engine has loaded, or what it is loading. */
+	std::vector<gw_loaded_model>
+	Loaded(const SimEngine &e, bool ready) const
+	{
+		std::vector<gw_loaded_model> out;
+
+		if (ready)
+			out.push_back({"m", nullptr, 1});
+		for (auto &a : e.adapters)
+			if ((a.second <= ms) == ready)
+				out.push_back({"m", a.first.c_str(), 1});
+		return out;
+	}
+
+	SimEngine &
+	FindEngine(const std::string &id)
+	{
+		for (auto &e : engines)
+			if (e.id == id)
+				return e;
+		abort();
+	}
+
+	uint32_t
+	LoadMs(const SimEngine &e, const std::string &adapter)
+	{
+		uint32_t loading = 1;
+
+		if (std::count(e.unloaded.begin(), e.unloaded.end(), adapter))
+			return load.load_ms / kWarmDivisor;
+		for (auto &other : engines)
+			for (auto &a : other.adapters)
+				loading += a.second > ms;
+		result.loads++;
+		return (uint32_t)(load.load_ms *
+		    std::max(1.0, (double)loading / load.loads_max));
+	}
+
+	gw_order_result
+	CarryOut(SimEngine &e, const Order &o)
+	{
+		if (o.expected != e.orders)
+			return GW_ORDER_BUSY;
+		if (o.unload) {
+			e.orders++;
+			e.adapters.erase(o.adapter);
+			e.unloaded.push_back(o.adapter);
+			if (e.unloaded.size() > kRecentUnloads)
+				e.unloaded.pop_front();
+			return GW_ORDER_DONE;
+		}
+		if (e.adapters.size() == kAdapterSlots)
+			abort(); /* it would crash */
+		e.orders++;
+		e.adapters[o.adapter] = ms + LoadMs(e, o.adapter);
+		return GW_ORDER_STARTED;
+	}
+
+	/* Orders that have reached their engines; each is answered at once. */
+	void
+	CarryOut()
+	{
+		for (; !orders.empty() && orders.front().at_ms <= ms;
+		     orders.pop_front()) {
+			const Order &o = orders.front();
+			SimEngine &e = FindEngine(o.endpoint);
+			place *p = placers[(size_t)o.owner];
+
+			if (!o.is_report) {
+				place_on_order_result(p, NowUs(), e.id.c_str(),
+				    CarryOut(e, o), false);
+				continue;
+			}
+			auto loaded = Loaded(e, true);
+			auto pending = Loaded(e, false);
+			gw_report report = {};
+
+			report.accepted_orders = e.orders;
+			report.loaded = loaded.data();
+			report.nloaded = loaded.size();
+			report.pending = pending.data();
+			report.npending = pending.size();
+			place_on_report(p, NowUs(), e.id.c_str(), &report);
+		}
+	}
+
+	std::string
+	DrawAdapter()
+	{
+		if (popularity.empty())
+			return "";
+		auto at = std::lower_bound(popularity.begin(), popularity.end(),
+		    rng_unit(&rng) * popularity.back());
+
+		return "l" + std::to_string(at - popularity.begin());
+	}
+
+	bool
+	IsCounted(uint64_t asked_ms) const
+	{
+		return asked_ms >= load.count_from_ms &&
+		    asked_ms < load.count_to_ms;
+	}
+
 	double
 	Rate(size_t account, size_t kind) const
 	{
@@ -224,11 +319,14 @@
 		c.account = account;
 		c.kind = kind;
 		c.first_asked_ms = ms;
+		c.adapter = DrawAdapter();
+		Ask(c);
+		if (!IsCounted(ms))
+			return;
 		result.all.asked++;
 		result.accounts[(size_t)account].asked++;
 		result.kinds[(size_t)kind].asked++;
 		result.account_kinds[(size_t)account][(size_t)kind].asked++;
-		Ask(c);
 	}
 
 	void
@@ -236,9 +334,10 @@
 	{
 		const WorldKind &k = load.kinds[(size_t)c.kind];
 		const WorldAccount &a = load.accounts[(size_t)c.account];
-		double size = 0.4 + 1.2 * rng_unit(&rng);
 		place_request r = {};
 
+		if (c.sendings == 0)
+			c.size = 0.4 + 1.2 * rng_unit(&rng);
 		c.id = ++last_id;
 		c.asked_ms = ms;
 		c.owner =
@@ -247,7 +346,9 @@
 		r.kind = k.kind;
 		r.service = "lm";
 		r.model = "m";
-		r.prompt_tokens = (uint32_t)(k.prompt_tokens * size);
+		r.adapter = c.adapter.empty() ? nullptr : c.adapter.c_str();
+		r.attempt = c.sendings;
+		r.prompt_tokens = (uint32_t)(k.prompt_tokens * c.size);
 		r.max_tokens = k.output_tokens;
 		/* the caller counts from its first try */
 		r.deadline_us = NowUs() + k.deadline_ms * kMs -
@@ -280,6 +381,8 @@
 		    : outcome == 1	    ? k.late_value
 					    : 0;
 
+		if (!IsCounted(c.first_asked_ms))
+			return;
 		for (auto *w :
 		    {&result.all, &result.accounts[(size_t)c.account],
 			&result.kinds[(size_t)c.kind],
@@ -293,7 +396,7 @@
 	}
 
 	void
-	Refused(const Call &c, uint32_t retry_ms)
+	Refused(const Call &c, uint32_t retry_ms, const char *reason)
 	{
 		const WorldKind &k = load.kinds[(size_t)c.kind];
 		Call again = c;
@@ -303,12 +406,41 @@
 		if (k.returns && !c.returned &&
 		    ms + retry_ms < c.first_asked_ms + k.deadline_ms) {
 			again.returned = true;
+			again.sendings = 0;
 			returning.insert({ms + retry_ms, again});
 			return;
 		}
+		if (IsCounted(c.first_asked_ms))
+			result.reasons[reason]++;
 		Count(c, 2);
 	}
 
+	/* A granted request reaches its engine. */
+	void
+	Send(Call c, const place_decision &d)
+	{
+		SimEngine &e = FindEngine(d.endpoint);
+		auto adapter = e.adapters.find(c.adapter);
+
+		c.urgency = d.urgency;
+		c.engine = e.id;
+		/* it takes a ms */
+		if (c.adapter.empty() ||
+		    (adapter != e.adapters.end() &&
+			adapter->second <= ms + 1)) {
+			calls[c.id] = c;
+			e.unread.push_back(c.id);
+			return;
+		}
+		Done(c, PLACE_STATE_MISMATCH);
+		calls.erase(c.id);
+		c.sendings++;
+		if (c.sendings == kSendingsMax)
+			Refused(c, 0, "endpoint-lacks");
+		else
+			Ask(c);
+	}
+
 	void
 	Place(int owner)
 	{
@@ -323,18 +455,21 @@
 				Call c = calls[d.id.ask];
 
 				calls.erase(d.id.ask);
-				Refused(c, d.retry_after_ms);
+				Refused(c, d.retry_after_ms, d.reason);
 			} else if (d.type == PLACE_GRANT) {
-				Call &c = calls[d.id.ask];
-
-				c.urgency = d.urgency;
-				c.engine = d.endpoint;
-				for (auto &e : engines)
-					if (e.id == c.engine)
-						e.unread.push_back(c.id);
-			} else if (d.type == PLACE_REPORT) {
+				Send(calls[d.id.ask], d);
+			} else if (d.type == PLACE_REPORT &&
+			    load.adapters == 0) {
 				place_on_report(
 				    p, NowUs(), d.endpoint, nullptr);
+			} else if (d.type == PLACE_REPORT) {
+				orders.push_back({ms + 3, owner, d.endpoint, "",
+				    true, false, 0});
+			} else if (d.type == PLACE_ORDER) {
+				orders.push_back(
+				    {ms + 3, owner, d.endpoint, d.order.adapter,
+					false, d.order.type == GW_ORDER_UNLOAD,
+					d.order.expected_orders});
 			}
 		}
 	}
@@ -352,7 +487,7 @@
 	void
 	Work(SimEngine &e)
 	{
-		double tokens = kTokensPerMs;
+		double tokens = kWorldTokensPerMs;
 
 		while (tokens > 0 && !e.unread.empty()) {
 			size_t best = 0;
@@ -433,27 +568,3 @@
 {
 	return World(load).Run();
 }
-
-std::vector<WorldKind>
-WorldKinds()
-{
-	return {
-	    {"urgent", 0.65, 0, 1000, 5000, 1500, 60, false, GW_NON_IDEMPOTENT,
-		0.33},
-	    {"normal", 0.25, 1, 1500, 15000, 1500, 60, true, GW_IDEMPOTENT,
-		0.5},
-	    {"low", 0.10, 2, 3000, 15000, 1500, 60, true, GW_STREAM, 0.75},
-	};
-}
-
-std::vector<WorldAccount>
-WorldAccounts(int n, double used, const WorldLoad &load)
-{
-	double tokens = 0, per_s;
-
-	for (auto &k : load.kinds)
-		tokens += k.part * k.prompt_tokens;
-	per_s = used * load.engines * kTokensPerMs * 1000 / tokens / n;
-	return std::vector<WorldAccount>(
-	    (size_t)n, {per_s, (uint64_t)std::ceil(per_s * 1.8), 0, -1});
-}
