place: refused requests take no time from those behind them

Cause: the wait of a request is estimated by the charges of all before it in the queue, also of those that the same run refuses because they miss their deadlines. A queue with many of these was refused to its end, as the estimate was not made again in between.

Change: a request that will be refused adds nothing to the waits of those behind it.

--- a/src/place/place_admit_wait.c
+++ b/src/place/place_admit_wait.c
@@ -83,6 +83,24 @@
 	    : capacity * LATE_RATE_PART_MIN;
 }
 
+/*
+ * Will a queued request probably get no room before its deadline? Not said of a
+ * repeat: a late answer is better than a failure.
+ */
+static bool
+misses_deadline(const struct place *p, const struct place_ask *a)
+{
+	double part =
+	    a->kind == GW_IDEMPOTENT ? WAIT_PART_REPEATABLE : WAIT_PART_ONCE;
+
+	if (a->key == NULL || a->endpoint != NULL || a->attempt > 0 ||
+	    p->now_us >= a->deadline_us)
+		return false;
+	return a->room_wait_ms >=
+	    (double)(a->deadline_us - p->now_us) / US_PER_MS * part;
+}
+
+/* One that is going to be refused takes no room from those behind it. */
 void
 place_admit_estimate_waits(struct place *p)
 {
@@ -108,7 +126,8 @@
 		    ? late_rate(p, a->share, capacity, arrivals, weights)
 		    : capacity;
 		a->room_wait_ms = tokens / rate;
-		tokens += place_admit_charge(a);
+		if (!misses_deadline(p, a))
+			tokens += place_admit_charge(a);
 	}
 	p->admit->capacity = capacity;
 	p->admit->held_ms = capacity > 0 ? tokens / capacity : 0;
@@ -118,15 +137,9 @@
 place_admit_is_hopeless(
     struct place *p, const struct place_ask *a, uint64_t *return_us)
 {
-	double part =
-	    a->kind == GW_IDEMPOTENT ? WAIT_PART_REPEATABLE : WAIT_PART_ONCE;
-	double left_ms, objective_ms = 0;
+	double objective_ms = 0;
 
-	if (!p->admit->is_short || a->key == NULL || a->endpoint != NULL ||
-	    a->attempt > 0 || p->now_us >= a->deadline_us)
-		return false;
-	left_ms = (double)(a->deadline_us - p->now_us) / US_PER_MS;
-	if (a->room_wait_ms < left_ms * part)
+	if (!p->admit->is_short || !misses_deadline(p, a))
 		return false;
 	if (a->target_us > a->asked_us)
 		objective_ms = (double)(a->target_us - a->asked_us) / US_PER_MS;
--- a/tests/place/admit_decision_test.cc
+++ b/tests/place/admit_decision_test.cc
@@ -143,6 +143,29 @@
 	}
 }
 
+/*
+ * Guards against a refusal because of requests ahead that are refused as well:
+ * they take no time.
+ */
+TEST_F(PlaceAdmit, refused_requests_do_not_delay_those_behind)
+{
+	std::vector<uint64_t> hopeless;
+	uint64_t last;
+
+	Engines(1);
+	Fill(60);
+	for (int i = 0; i < 40; i++)
+		hopeless.push_back(AskAs("big", 2, 100, 1000));
+	last = AskAs("big", 2, 8000, 9000, 2000, GW_NON_IDEMPOTENT);
+	now += 5 * MS;
+	Run();
+	for (auto ask : hopeless) {
+		ASSERT_NE(DecisionOn(ask), nullptr);
+		EXPECT_EQ(DecisionOn(ask)->type, PLACE_REFUSE);
+	}
+	EXPECT_EQ(DecisionOn(last), nullptr);
+}
+
 /* Guards against a refusal of an account below its share for one above it. */
 TEST_F(PlaceAdmit, an_account_over_its_share_is_refused_first)
 {
