place: with accounts, requests that wait for an adapter count at its engine

Change: the prompts of requests that wait at an engine are added to its estimate for other requests. Without accounts placement is as before.

--- a/src/place/place_admit.c
+++ b/src/place/place_admit.c
@@ -254,6 +254,21 @@
 	return unread_ahead_ms(p, a, est) <= room_ms(p, a, a->is_late);
 }
 
+void
+place_admit_add_waiting(const struct place *p, const struct place_endpoint *e,
+    struct place_estimate *est)
+{
+	double ms;
+
+	if (p->admit->ops != &place_admit_shares || e->waiting_tokens == 0)
+		return;
+	ms = (double)e->waiting_tokens / place_endpoint_tokens_per_ms(p, e);
+	est->backlog_ms += ms;
+	est->unread_ms += ms;
+	est->first_ms += ms;
+	est->cost += ms;
+}
+
 bool
 place_admit_is_full_of_others(const struct place *p, const struct place_ask *a,
     const struct place_estimate *est)
--- a/src/place/place_admit.h
+++ b/src/place/place_admit.h
@@ -132,6 +132,12 @@
 /* The charge that a queued request will probably have. */
 double place_admit_charge(const struct place_ask *a);
 
+/*
+ * Add to the estimate of an engine the requests that wait for an adapter there:
+ * they go before one that comes later. Without accounts they don't count.
+ */
+void place_admit_add_waiting(const struct place *p,
+    const struct place_endpoint *e, struct place_estimate *est);
 /*
  * Would an engine have room for a request if it had unread only prompts that
  * are as urgent? Its account has exceeded its share, so that others count too.
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -102,6 +102,7 @@
 	place_admit_dequeue(p, a);
 	if (a->granted || a->endpoint == NULL || a->key == NULL)
 		return;
+	a->endpoint->waiting_tokens -= a->prompt_tokens;
 	adapter = place_adapter_find(a->endpoint, a->key);
 	if (adapter != NULL && adapter->waiting > 0)
 		adapter->waiting--;
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -63,6 +63,7 @@
 	adapter = place_adapter_find(a->endpoint, a->key);
 	if (adapter != NULL && adapter->waiting > 0)
 		adapter->waiting--;
+	a->endpoint->waiting_tokens -= a->prompt_tokens;
 	a->endpoint = NULL;
 }
 
@@ -75,6 +76,7 @@
 	stop_waiting(a);
 	a->endpoint = e;
 	place_adapter_find(e, a->key)->waiting++;
+	e->waiting_tokens += a->prompt_tokens;
 }
 
 /* Keep a request queued until the engine's rate limit allows it. */
@@ -160,6 +162,7 @@
 		limit = INFINITY;
 	if (!place_estimate_engine(p, e, a, adapter, may_order, limit, &est))
 		return;
+	place_admit_add_waiting(p, e, &est);
 	is_full = place_admit_is_full_of_others(p, a, &est);
 	if (!is_better(best, &est, is_full))
 		return;
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -86,6 +86,7 @@
 	uint32_t unread_requests_by[PLACE_URGENCIES];
 	uint64_t unread_tokens_by[PLACE_URGENCIES];
 	uint64_t kv_tokens; /* of all running requests */
+	uint64_t waiting_tokens; /* prompts of queued requests that wait here */
 	/* requests there that are not accounted for here, and those of them
 	 * that have not begun, as responses tell */
 	struct place_told others, others_waiting;
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -14,7 +14,7 @@
  * and queued ones search for another engine.
  */
 static void
-detach_asks(struct place *p, const struct place_endpoint *e)
+detach_asks(struct place *p, struct place_endpoint *e)
 {
 	struct place_ask *a;
 	size_t i;
@@ -26,6 +26,7 @@
 		a->endpoint = NULL;
 		a->evaluated_generation = 0;
 	}
+	e->waiting_tokens = 0;
 }
 
 static void
