place: count a cached prompt's saving once where engines are idle

Cause: with gateway.keptPrompts on, fewer prompt tokens were read and no caller gained by it. The cost to later requests multiplied the saving by up to 5 (by the busy share of the engine that has the part), while a ms in its queue counted once: at 0.77 of the engines' capacity 9.2% of the requests for a cached part queued longer than they saved, by 50 ms each. And a part counted as cached from the grant on, although engines refuse requests whose adapter is not loaded yet: a quarter of the tokens that were expected with adapters was not found. That the saving is subtracted from the backlog, and the cost of uncertainty, make no difference.

Change: the later cost is that of the whole prompt by the engine's busy share, less the saving by the share of the last 3 s in which all engines of the service owned here were busy. A part that no request has had read is forgotten when its last request ends. Counters gate_prefix_placed_total and gate_prefix_tokens_expected_total, and savingMs in events 121 and 130; endpoints report no tokens found.

--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -151,7 +151,10 @@
 	    {"store_loads_in_time_total", "counter", t.store_loads_in_time},
 	    {"placing_held", "gauge", t.held},
 	    {"placing_late_total", "counter", t.late_grants},
-	    {"share_refused_total", "counter", t.share_refusals}};
+	    {"share_refused_total", "counter", t.share_refusals},
+	    {"prefix_placed_total", "counter", t.prefix_grants},
+	    {"prefix_tokens_expected_total", "counter",
+		(double)t.prefix_tokens}};
 	size_t i;
 
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -455,14 +455,14 @@
 	    "\"backlogMs\": %u, \"running\": %u, \"heardMs\": %u, "
 	    "\"needsLoad\": %s, \"loads\": %u, \"waitedMs\": %u, "
 	    "\"loadWaitMs\": %u, \"account\": \"%s\", \"late\": %s, "
-	    "\"overShare\": %s, \"urgency\": %u}",
+	    "\"overShare\": %s, \"urgency\": %u, \"savingMs\": %u}",
 	    (unsigned long long)d->id.ask, PLACE_LOG_ENTRY_ID(d->id.entry),
 	    placed ? "" : d->reason, b->endpoint == NULL ? "" : b->endpoint,
 	    b->estimate_ms, b->backlog_ms, b->running, b->announcement_age_ms,
 	    b->needs_load ? "true" : "false", b->pending_loads, b->waited_ms,
 	    b->load_wait_ms, b->account == NULL ? "" : b->account,
 	    b->is_late ? "true" : "false", b->is_over_share ? "true" : "false",
-	    d->urgency);
+	    d->urgency, b->saving_ms);
 }
 
 void
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -427,6 +427,7 @@
 	place_backoff_expire(p);
 	place_limit_update_shares(p);
 	place_share_count_engines(p);
+	place_group_update_busy(p);
 	p->admit->ops->order(p);
 	for (a = p->queue_head; a != NULL; a = next) {
 		next = a->next;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -479,6 +479,7 @@
 	uint32_t backlog_ms; /* unread prompts ahead of the request */
 	uint32_t running; /* requests at the endpoint */
 	uint32_t announcement_age_ms; /* of the endpoint's newest one */
+	uint32_t saving_ms; /* expected, as its prompt is partly cached */
 	bool needs_load; /* its adapter is neither loaded nor ordered */
 	uint32_t pending_loads; /* in progress or queued, at all engines */
 	uint32_t waited_ms; /* since the ask was received */
@@ -541,6 +542,8 @@
 	uint32_t held; /* requests that wait for room at an engine, now */
 	uint32_t late_grants; /* of requests that could not be in time */
 	uint32_t share_refusals; /* no room in time for their account */
+	uint32_t prefix_grants; /* with a part of the prompt expected cached */
+	uint64_t prefix_tokens; /* of their prompts, expected cached */
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -144,15 +144,11 @@
 
 /* ---- load --------------------------------------------------------------- */
 
-/* Time constant of the busy share; it covers several bursts of requests. */
-#define BUSY_US 3e6
-
 double
 place_endpoint_busy_share(const struct place *p, const struct place_endpoint *e)
 {
-	double kept = exp(-(double)(p->now_us - e->busy_updated_us) / BUSY_US);
-
-	return e->busy_share * kept + (e->unread_requests > 0 ? 1 - kept : 0);
+	return place_busy_share_at(
+	    p, e->busy_share, e->unread_requests > 0, e->busy_updated_us);
 }
 
 /* Before each change of unread_requests. */
@@ -269,8 +265,10 @@
 	if (a->has_first_byte)
 		return;
 	a->has_first_byte = true;
-	if (a->model != NULL)
+	if (a->model != NULL) {
 		record_prompt_time(p, a, result);
+		place_prefix_mark_read(a->endpoint, a);
+	}
 	release_unread(p, a);
 	record_adapter_ready(p, a);
 }
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -26,6 +26,7 @@
 
 	basis.estimate_ms = (uint32_t)est->first_ms;
 	basis.backlog_ms = (uint32_t)est->backlog_ms;
+	basis.saving_ms = (uint32_t)est->saving_ms;
 	basis.needs_load = est->needs_load;
 	return basis;
 }
@@ -38,6 +39,8 @@
 	struct place_decision *d = place_decision_add(p, PLACE_GRANT);
 
 	a->unread_tokens = est->own_tokens;
+	p->totals.prefix_grants += est->own_tokens < a->prompt_tokens;
+	p->totals.prefix_tokens += a->prompt_tokens - est->own_tokens;
 	place_endpoint_grant(p, e, a);
 	place_prefix_record(p, e, a);
 	adapter->running++;
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -80,18 +80,31 @@
 	return total - (since < mean ? since : mean);
 }
 
+/* How much later requests wait for a ms of work, in that part of the time. */
+static double
+later_factor(double busy_share)
+{
+	double share = fmin(busy_share, LATER_BUSY_SHARE_MAX);
+
+	return share / (1 - share);
+}
+
 /*
  * The cost to later requests that will find the engine busy: that of a queue
  * whose server is busy for that part of the time. Without it, engines that are
  * somewhat faster get nearly all requests until they have queues.
+ *
+ * What is cached saves later requests time only where they have to wait
+ * wherever they go. While another engine is idle they avoid the one that is
+ * busy, and a saving counted by that engine's own share draws requests to a
+ * queue that costs them several times what they save.
  */
 static double
-later_cost(const struct place *p, const struct place_endpoint *e, double own_ms)
+later_cost(const struct place *p, const struct place_endpoint *e,
+    double prompt_ms, double saved_ms)
 {
-	double share =
-	    fmin(place_endpoint_busy_share(p, e), LATER_BUSY_SHARE_MAX);
-
-	return own_ms * share / (1 - share);
+	return prompt_ms * later_factor(place_endpoint_busy_share(p, e)) -
+	    saved_ms * later_factor(place_group_busy_share(p, e->group));
 }
 
 /* The cost to unread requests that the engine processes after this one. */
@@ -255,7 +268,7 @@
     bool may_order, double limit, struct place_estimate *out)
 {
 	struct place_prefix_saving saving;
-	double load, backlog, own_ms, batch_ms, tokens_per_ms;
+	double load, backlog, prompt_ms, own_ms, batch_ms, tokens_per_ms;
 	uint32_t urgency = place_admit_urgency(p, a);
 
 	memset(out, 0, sizeof(*out));
@@ -283,12 +296,15 @@
 	saving = place_prefix_expect(p, e, a);
 	out->own_tokens = (uint32_t)(a->prompt_tokens - saving.tokens);
 	out->uncertainty_ms = saving.deviation / tokens_per_ms;
+	prompt_ms = a->prompt_tokens / tokens_per_ms;
 	own_ms = out->own_tokens / tokens_per_ms;
+	out->saving_ms = prompt_ms - own_ms;
 	out->first_ms =
 	    fmax(fmax(backlog, load), out->limit_wait_ms) + own_ms + batch_ms;
 	out->stuck = is_stuck(p, e);
 	out->cost += out->first_ms + less_urgent_cost(e, urgency, own_ms) +
-	    later_cost(p, e, own_ms) + out->uncertainty_ms * UNCERTAINTY_COST +
+	    later_cost(p, e, prompt_ms, out->saving_ms) +
+	    out->uncertainty_ms * UNCERTAINTY_COST +
 	    (out->stuck ? STUCK_COST_MS : 0);
 	if (a->data_centre != NULL &&
 	    strcmp(a->data_centre, e->data_centre) != 0)
--- a/src/place/place_estimate.h
+++ b/src/place/place_estimate.h
@@ -6,6 +6,7 @@
 /* What a request at an engine would cost. */
 struct place_estimate {
 	double first_ms; /* to the first event */
+	double saving_ms; /* expected, as part of the prompt is cached */
 	double uncertainty_ms; /* standard deviation, by what is cached */
 	double cost; /* first_ms plus the cost to other requests */
 	uint32_t own_tokens; /* of the prompt, without cached ones */
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -93,6 +93,7 @@
 	/* last first byte or end, or grant while it was idle */
 	uint64_t last_progress_us;
 	struct place_pace prompts, calls; /* work: prompt tokens, calls */
+	struct place_group *group; /* of its service */
 	double busy_share; /* of the last seconds, with an unread prompt */
 	uint64_t busy_updated_us;
 	/* failures */
@@ -188,6 +189,9 @@
 	/* when the last caller of a call that was too late was asked to return
 	 */
 	uint64_t calls_return_us;
+	bool is_busy; /* all its engines that are owned here */
+	double busy_share; /* of the last seconds, in which it was */
+	uint64_t busy_updated_us;
 };
 
 struct place_version {
@@ -394,6 +398,17 @@
 const struct place_group *place_group_find(
     const struct place *p, const char *service);
 void place_group_free_all(struct place *p);
+/* Update which groups are busy, once per run. */
+void place_group_update_busy(struct place *p);
+/*
+ * Part of the last seconds in which each engine of the group that is owned here
+ * had an unread request, 0 to 1.
+ */
+double place_group_busy_share(
+    const struct place *p, const struct place_group *g);
+/* The same of an engine or group that is or isn't busy since updated_us. */
+double place_busy_share_at(
+    const struct place *p, double share, bool is_busy, uint64_t updated_us);
 
 /* ---- place_share.c ---- */
 /* Evaluate an engine's ownership; a change resets its load and adapters. */
@@ -501,7 +516,13 @@
 /* Record that the engine caches the prefixes of a granted request's prompt. */
 void place_prefix_record(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
-/* Record that the request has ended; its prefixes may be evicted. */
+/* Record that the engine has processed the request's prompt. */
+void place_prefix_mark_read(
+    struct place_endpoint *e, const struct place_ask *a);
+/*
+ * Record that the request has ended. Its prefixes may be evicted, and are
+ * forgotten if no request has had them processed.
+ */
 void place_prefix_release(
     struct place *p, struct place_endpoint *e, const struct place_ask *a);
 /* Forget what an engine has cached, as another instance accounts for it. */
--- a/src/place/place_prefix.c
+++ b/src/place/place_prefix.c
@@ -28,6 +28,7 @@
 	uint32_t tokens; /* of the last part of the prefix */
 	uint32_t depth; /* of that part in its prompt */
 	uint32_t running; /* requests that use it; it is not evicted */
+	bool was_read; /* by one of them; else it is not cached yet */
 	uint64_t evicted_before; /* the endpoint's count at the last use */
 };
 
@@ -90,6 +91,16 @@
 			return;
 }
 
+/* Forget a prefix that no request uses and that the engine has not read. */
+static void
+remove_unread_prefix(
+    struct place_endpoint *e, uint64_t hash, struct prefix_use *use)
+{
+	e->cached_idle_tokens -= use->tokens;
+	(void)map_remove_u64(e->cached_parts, hash);
+	free(use);
+}
+
 static struct prefix_use *
 get_prefix(struct place_endpoint *e, const struct place_ask *a, size_t i)
 {
@@ -127,6 +138,19 @@
 	evict_for_memory(e);
 }
 
+void
+place_prefix_mark_read(struct place_endpoint *e, const struct place_ask *a)
+{
+	struct prefix_use *use;
+	size_t i;
+
+	for (i = 0; i < a->nparts; i++) {
+		use = map_get_u64(e->cached_parts, a->prefix_hashes[i]);
+		if (use != NULL)
+			use->was_read = true;
+	}
+}
+
 void
 place_prefix_release(
     struct place *p, struct place_endpoint *e, const struct place_ask *a)
@@ -140,8 +164,11 @@
 			continue;
 		use->used_us = p->now_us;
 		use->evicted_before = e->evicted_tokens;
-		if (--use->running == 0)
-			e->cached_idle_tokens += use->tokens;
+		if (--use->running > 0)
+			continue;
+		e->cached_idle_tokens += use->tokens;
+		if (!use->was_read)
+			remove_unread_prefix(e, a->prefix_hashes[i], use);
 	}
 	evict_for_memory(e);
 }
--- a/tests/place/prefix_test.cc
+++ b/tests/place/prefix_test.cc
@@ -137,6 +137,80 @@
 	EXPECT_GT(used_before, fresh + 200);
 }
 
+/*
+ * Guards against a saving that is expected of a prompt which the engine has
+ * refused or whose caller left before it was read, and against the loss of a
+ * part that another request has had read.
+ */
+TEST_F(PlacePrefix, a_prompt_that_was_not_read_is_not_cached)
+{
+	for (auto outcome : {PLACE_STATE_MISMATCH, PLACE_ENDPOINT_FULL,
+		 PLACE_NOT_SENT, PLACE_ABANDONED}) {
+		SCOPED_TRACE(outcome);
+		TearDown();
+		memory = node_effects_create();
+		SetUp();
+		decisions.clear();
+		Engines(2);
+		uint64_t unread = AskParts({1}, 3000, "e2");
+
+		ASSERT_STREQ(EndpointOf(unread), "e1");
+		EXPECT_LT(EstimateOf(AskParts({1}, 3000, "e2")), 220u)
+		    << "it is read there first";
+		Done(last_ask, PLACE_ABANDONED);
+		Done(unread, outcome);
+		now += 2000 * MS;
+		Engines(2);
+		EXPECT_GT(EstimateOf(AskParts({1}, 3000, "e2")), 150u);
+		now += 200 * MS;
+		Done(last_ask, PLACE_FIRST_BYTE);
+		Done(last_ask, PLACE_SERVED);
+		Done(AskParts({1}, 3000, "e2"), outcome);
+		now += 2000 * MS;
+		Engines(2);
+		EXPECT_LT(EstimateOf(AskParts({1}, 3000, "e2")), 50u);
+		Done(last_ask, PLACE_ABANDONED);
+	}
+}
+
+/*
+ * Two engines are busy half of the time, one after the other. Now one has a
+ * part cached and a queue of 150 ms, and the other is idle. Guards against a
+ * request that waits there longer than it saves, as if later requests had to
+ * wait wherever they go; and against a saving that is counted or told wrongly.
+ */
+TEST_F(PlacePrefix, a_saving_counts_once_while_another_engine_is_idle)
+{
+	place_totals totals;
+	uint64_t ask;
+
+	Engines(2);
+	Serve({1}, 1800, "e2"); /* 100 ms */
+	for (int i = 0; i < 60; i++) {
+		if (i % 10 == 0)
+			Engines(2);
+		ask = AskParts({}, 0, i % 2 == 0 ? "e2" : "e1");
+		now += 100 * MS;
+		Done(ask, PLACE_FIRST_BYTE);
+		Done(ask, PLACE_SERVED);
+	}
+	ask = AskParts({7}, 2500, "e2"); /* 150 ms */
+	EXPECT_STREQ(EndpointOf(ask), "e1");
+	place_get_totals(p, &totals);
+	EXPECT_EQ(totals.prefix_grants, 0u);
+	ask = AskParts({1}, 1800);
+	EXPECT_STREQ(EndpointOf(ask), "e2");
+	EXPECT_EQ(DecisionOn(ask)->basis.saving_ms, 0u);
+	Done(ask, PLACE_ABANDONED);
+	place_get_totals(p, &totals);
+	EXPECT_EQ(totals.prefix_grants, 0u);
+	ask = AskParts({1}, 1800, "e2");
+	EXPECT_NEAR(DecisionOn(ask)->basis.saving_ms, 100, 20);
+	place_get_totals(p, &totals);
+	EXPECT_EQ(totals.prefix_grants, 1u);
+	EXPECT_EQ(totals.prefix_tokens, 1800u);
+}
+
 /* The setting gateway.keptPrompts turns it off. */
 TEST_F(PlacePrefix, nothing_is_saved_when_it_is_turned_off)
 {
