http: read on for callers that read nothing, give up the slowest

Cause: a response was read from its endpoint no further once more than a window (at most 4 MB) was queued for its caller, for as long as the caller read nothing. Endpoints end a response of which nothing is read for some seconds, so the caller got a broken response although there was memory.

Change: a response that has waited for a second is read on by a window more (at least one read, 64 KB), as long as that fits into three quarters of the budget. If it doesn't, and the response has waited for 2 s, the response of the caller that acknowledges the fewest bytes a second is given up, one in 100 ms, with a reset: a close could look like the end of a response without a length. Counter buffer_extensions_total and field extensions of event 17. The rate is taken from SIOCOUTQ: by what was written to the socket, a caller that read 200 KB/s was given up, since the send buffer hides its progress for seconds.

--- a/src/http/front.c
+++ b/src/http/front.c
@@ -132,8 +132,7 @@
 			largest = c;
 	if (largest == NULL || largest->held_bytes <= BYTE_BUDGET_WINDOW_MIN)
 		return; /* others hold the bytes */
-	byte_budget_count_cut(s->budget);
-	front_conn_disconnect(largest);
+	front_conn_cut_off(largest);
 }
 
 bool
--- a/src/http/front_conn.c
+++ b/src/http/front_conn.c
@@ -86,6 +86,24 @@
 		s->callbacks.on_disconnect(s->ctx, request);
 }
 
+/* A reset tells an incomplete response even if the close delimits it. */
+void
+front_conn_cut_off(struct front_conn *c)
+{
+	struct front_server *s = c->server;
+	uint64_t request = c->request;
+
+	byte_budget_count_cut(s->budget);
+	front_conn_report_backlog(c, false);
+	if (request != 0)
+		(void)map_remove_u64(s->requests, request);
+	c->request = 0;
+	front_conn_reset(c);
+	front_server_conn_closed(s);
+	if (request != 0)
+		s->callbacks.on_disconnect(s->ctx, request);
+}
+
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
@@ -144,7 +162,9 @@
 {
 	struct front_conn *c = timer->data;
 
-	if (front_conn_is_idle(c) && c->queued_bytes > 0)
+	if (c->phase == FRONT_RESPONDING)
+		front_conn_extend_backlog(c);
+	else if (front_conn_is_idle(c) && c->queued_bytes > 0)
 		front_conn_start_timeout(c); /* it still reads its response */
 	else if (front_conn_is_idle(c) || c->phase == FRONT_LINGERING)
 		front_conn_close(c);
@@ -152,6 +172,12 @@
 		front_conn_refuse(c, FRONT_TIMEOUT);
 }
 
+void
+front_conn_start_extend_timer(struct front_conn *c, uint64_t ms)
+{
+	(void)uv_timer_start(&c->timer, on_timer, ms, 0);
+}
+
 /* ---- reading ----------------------------------------------------------- */
 
 static void
--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -77,6 +77,7 @@
 	struct byte_budget *budget; /* NULL: no limit */
 	int port;
 	bool draining, listener_closed, destroyed;
+	uint64_t gave_up_ms; /* when a slow client was cut off last */
 	uv_tcp_t listener;
 	struct front_conn *conns; /* list, newest first */
 	size_t open_handles; /* listener, connections' sockets and timers */
@@ -109,6 +110,13 @@
 	uint64_t request_bytes; /* reserved for the request's body */
 	uint64_t held_bytes; /* all of these, as counted in the budget */
 	uint64_t backlog_request; /* whose long backlog is reported; 0: none */
+	uint64_t waits_since_ms; /* its source, if backlog_request is set */
+	/* while more than a window was queued and the client has not read it */
+	uint64_t slow_since_ms; /* 0: it is not slow */
+	uint64_t slow_from_bytes; /* acknowledged by then */
+	uint64_t written_bytes; /* all that was written to it */
+	/* queued when its window was extended last; 0: it is not */
+	size_t extended_from_bytes;
 	bool input_paused; /* the next request waits for the client to read */
 };
 
@@ -127,9 +135,18 @@
 /* Close a connection; its disconnect is reported if a request is running. */
 void front_conn_disconnect(struct front_conn *c);
 
+/*
+ * Reset a connection whose client reads too slowly; its disconnect is reported
+ * if a request is running.
+ */
+void front_conn_cut_off(struct front_conn *c);
+
 /* Close it after all bytes were sent and the client has closed its side. */
 void front_conn_linger(struct front_conn *c);
 
+/* Call front_conn_extend_backlog() after ms, if the response goes on. */
+void front_conn_start_extend_timer(struct front_conn *c, uint64_t ms);
+
 /* Start the timeout of its phase, if that has one. */
 void front_conn_start_timeout(struct front_conn *c);
 
@@ -162,6 +179,12 @@
 /* Compare what is queued for the client with what may be, and report it. */
 void front_conn_check_backlog(struct front_conn *c);
 
+/*
+ * The source of a response has waited for its client for a while: let it go on
+ * if there is memory for that, or give up the slowest client's response.
+ */
+void front_conn_extend_backlog(struct front_conn *c);
+
 /* Report that the backlog is too long, or no longer; only changes are. */
 void front_conn_report_backlog(struct front_conn *c, bool is_long);
 
--- a/src/http/front_response.c
+++ b/src/http/front_response.c
@@ -8,8 +8,9 @@
 #include "util/mem.h"
 
 /*
- * Limit of the bytes queued for a client that does not read, although its
- * backlog was reported. A client over the limit is disconnected.
+ * Limit of the bytes queued for a client that does not read, beyond those that
+ * its window was extended from, although its backlog was reported. A client
+ * over the limit is disconnected.
  */
 #define QUEUE_LIMIT_BYTES (2 * BYTE_BUDGET_WINDOW_MAX)
 /* Sent with a refusal for want of memory. */
@@ -54,6 +55,7 @@
 
 	if (len == 0 || c->phase == FRONT_CLOSING)
 		return;
+	c->written_bytes += len;
 	if (c->queued_bytes == 0)
 		n = uv_try_write((uv_stream_t *)&c->tcp, &b, 1);
 	if (n < 0)
@@ -81,6 +83,7 @@
 conn_finish_request(struct front_conn *c)
 {
 	front_conn_report_backlog(c, false);
+	(void)uv_timer_stop(&c->timer); /* of the backlog */
 	(void)map_remove_u64(c->server->requests, c->request);
 	c->request = 0;
 	c->head_sent = false;
@@ -179,9 +182,9 @@
 
 	if (!c->head_sent || c->no_body || data.len == 0)
 		return;
-	if (c->queued_bytes + data.len > QUEUE_LIMIT_BYTES) {
-		byte_budget_count_cut(c->server->budget);
-		front_conn_disconnect(c);
+	if (c->queued_bytes + data.len >
+	    c->extended_from_bytes + QUEUE_LIMIT_BYTES) {
+		front_conn_cut_off(c);
 		return;
 	}
 	if (c->chunked_response) {
--- a/src/mulberryd/daemon_metrics.c
+++ b/src/mulberryd/daemon_metrics.c
@@ -97,10 +97,12 @@
 	d->logged_buffers_short = is_short;
 	log_output_write_event(d->log, EVENT_BUFFERS_SHORT,
 	    "{\"short\": %s, \"usedBytes\": %llu, \"limitBytes\": %llu, "
-	    "\"pauses\": %llu, \"refusals\": %llu, \"cuts\": %llu}",
+	    "\"pauses\": %llu, \"extensions\": %llu, \"refusals\": %llu, "
+	    "\"cuts\": %llu}",
 	    is_short ? "true" : "false", (unsigned long long)s.used_bytes,
 	    (unsigned long long)s.limit_bytes, (unsigned long long)s.pauses,
-	    (unsigned long long)s.refusals, (unsigned long long)s.cuts);
+	    (unsigned long long)s.extensions, (unsigned long long)s.refusals,
+	    (unsigned long long)s.cuts);
 }
 
 void
@@ -149,6 +151,8 @@
 	    out, "buffered_max_bytes", (double)buffered.max_used_bytes);
 	append_gauge(out, "buffered_limit_bytes", (double)buffered.limit_bytes);
 	append_counter(out, "buffer_pauses_total", (double)buffered.pauses);
+	append_counter(
+	    out, "buffer_extensions_total", (double)buffered.extensions);
 	append_counter(out, "buffer_refusals_total", (double)buffered.refusals);
 	append_counter(out, "buffer_cuts_total", (double)buffered.cuts);
 	append_counter(
--- a/src/util/byte_budget.c
+++ b/src/util/byte_budget.c
@@ -58,6 +58,19 @@
 					       : (size_t)window;
 }
 
+size_t
+byte_budget_extension(const struct byte_budget *b)
+{
+	size_t window = byte_budget_window(b);
+
+	if (b == NULL ||
+	    left_of(b->stats.limit_bytes / 4 * 3, b->stats.used_bytes) <
+		BYTE_BUDGET_EXTENSION_MIN)
+		return 0;
+	return window < BYTE_BUDGET_EXTENSION_MIN ? BYTE_BUDGET_EXTENSION_MIN
+						  : window;
+}
+
 bool
 byte_budget_admits(const struct byte_budget *b, uint64_t bytes)
 {
@@ -85,6 +98,13 @@
 		b->stats.refusals++;
 }
 
+void
+byte_budget_count_extension(struct byte_budget *b)
+{
+	if (b != NULL)
+		b->stats.extensions++;
+}
+
 void
 byte_budget_count_cut(struct byte_budget *b)
 {
--- a/src/util/byte_budget.h
+++ b/src/util/byte_budget.h
@@ -33,6 +33,7 @@
 	uint64_t max_used_bytes; /* since the start */
 	/* Holders that had to wait, were refused, and were cut off. */
 	uint64_t pauses, refusals, cuts;
+	uint64_t extensions; /* of windows, see byte_budget_extension() */
 };
 
 /* The budget is released by byte_budget_destroy(). */
@@ -46,6 +47,19 @@
 /* The bytes that a holder may buffer now. */
 size_t byte_budget_window(const struct byte_budget *b);
 
+/*
+ * The least that a window is extended by: one read. Less may not open the
+ * source's TCP window, so that it makes no progress.
+ */
+#define BYTE_BUDGET_EXTENSION_MIN (64u << 10)
+
+/*
+ * The bytes by which a holder may exceed its window, as its source would not
+ * wait any longer: as large as a window, of the first three quarters of the
+ * budget. 0: there is no memory for it.
+ */
+size_t byte_budget_extension(const struct byte_budget *b);
+
 /*
  * Whether a holder may buffer so many bytes at once: up to half of what is
  * left, so that small ones are still admitted when large ones are not.
@@ -58,6 +72,7 @@
 void byte_budget_count_pause(struct byte_budget *b);
 void byte_budget_count_refusal(struct byte_budget *b);
 void byte_budget_count_cut(struct byte_budget *b);
+void byte_budget_count_extension(struct byte_budget *b);
 
 /* All zero without a budget. */
 struct byte_budget_stats byte_budget_get_stats(const struct byte_budget *b);
--- a/tests/http/backlog_test.cc
+++ b/tests/http/backlog_test.cc
@@ -1,5 +1,6 @@
 /* Clients that read slowly, and what is buffered for them. */
 
+#include <algorithm>
 #include <memory>
 
 #include "http/front.h"
@@ -161,6 +162,34 @@
 	EXPECT_EQ(received.compare(received.size() - 5, 5, "0\r\n\r\n"), 0);
 }
 
+/*
+ * Guards against the timer for a long backlog, which must not refuse the next
+ * request as incomplete while that waits for the client to read.
+ */
+TEST_F(BacklogTest, a_pipelined_request_waits_until_the_response_is_read)
+{
+	RawSocket s;
+	uint64_t end_ns = 0;
+	std::string received;
+
+	Connect(s, kGet);
+	ASSERT_TRUE(Until([&] { return requests.size() == 1; }));
+	Begin(requests[0]);
+	SendUntilBacklog(requests[0]);
+	s.Write(kGet);
+	end_ns = uv_hrtime() + 200000000;
+	ASSERT_TRUE(Until([&] { return uv_hrtime() > end_ns; }));
+	front_server_end(front, requests[0], false);
+	end_ns = uv_hrtime() + 1200000000;
+	ASSERT_TRUE(Until([&] { return uv_hrtime() > end_ns; }));
+	EXPECT_EQ(requests.size(), 1u);
+	ASSERT_TRUE(Until([&] {
+		received += s.Poll();
+		return requests.size() == 2;
+	}));
+	EXPECT_EQ(received.find("HTTP/1.1 408"), std::string::npos);
+}
+
 /*
  * Bodies that don't fit into the budget beside others are refused at once, as
  * not run; small ones, and those after it, are accepted.
@@ -237,6 +266,118 @@
 	byte_budget_change(budget, 8 * kMiB, 0);
 }
 
+/* Sources of responses that send while they are not told to wait. */
+class SlowReaders : public BacklogTest {
+      protected:
+	std::vector<std::unique_ptr<RawSocket>> sockets;
+	std::map<uint64_t, bool> waits;
+	std::map<uint64_t, size_t> sent_bytes;
+
+	void
+	Add(size_t n)
+	{
+		int size = 16384;
+
+		while (n-- > 0) {
+			sockets.push_back(std::make_unique<RawSocket>());
+			(void)setsockopt(sockets.back()->fd, SOL_SOCKET,
+			    SO_RCVBUF, &size, sizeof(size));
+			Connect(*sockets.back(), kGet);
+			ASSERT_TRUE(Until(
+			    [&] { return requests.size() == sockets.size(); }));
+			Begin(requests.back());
+		}
+	}
+
+	bool
+	IsGone(uint64_t request) const
+	{
+		return std::count(disconnected.begin(), disconnected.end(),
+			   request) > 0;
+	}
+
+	/* One piece from each source that doesn't wait. */
+	void
+	SendPieces()
+	{
+		std::string piece(16 << 10, 'x');
+
+		for (; seen < backlogs.size(); seen++)
+			waits[backlogs[seen].first] = backlogs[seen].second;
+		for (auto r : requests) {
+			if (waits[r] || IsGone(r))
+				continue;
+			front_server_send(
+			    front, r, {piece.data(), piece.size()});
+			sent_bytes[r] += piece.size();
+			for (; seen < backlogs.size(); seen++)
+				waits[backlogs[seen].first] =
+				    backlogs[seen].second;
+		}
+	}
+
+      private:
+	size_t seen = 0;
+};
+
+/*
+ * When the budget is used up, the response of the slowest caller is given up.
+ * Guards against one that is kept until its endpoint ends it, against the loss
+ * of a caller that buffers more but reads, and against an end that looks like
+ * that of a whole response.
+ */
+TEST_F(SlowReaders, the_slowest_is_given_up_when_the_budget_is_used_up)
+{
+	const size_t held = 5700 << 10;
+	uint64_t end_ns, next_read_ns = 0;
+	bool closed = false;
+	char bytes[8192];
+
+	Add(1);
+	SendUntilBacklog(requests[0]); /* it takes much of the budget */
+	Add(1);
+	byte_budget_change(budget, 0, held); /* elsewhere */
+	end_ns = uv_hrtime() + 8000000000;
+	ASSERT_TRUE(Until([&] {
+		SendPieces();
+		if (uv_hrtime() > next_read_ns) {
+			next_read_ns = uv_hrtime() + 40000000;
+			(void)!recv(
+			    sockets[0]->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		}
+		return !disconnected.empty() || uv_hrtime() > end_ns;
+	}));
+	EXPECT_EQ(disconnected, std::vector<uint64_t>{requests[1]});
+	EXPECT_EQ(byte_budget_get_stats(budget).cuts, 1u);
+	ASSERT_TRUE(Until([&] {
+		(void)sockets[1]->Poll(&closed);
+		return closed;
+	}));
+	EXPECT_LT(recv(sockets[1]->fd, bytes, 1, MSG_DONTWAIT), 1);
+	byte_budget_change(budget, held, 0);
+}
+
+/*
+ * Guards against callers that read nothing and together exceed the budget, as
+ * more of each response is read while memory allows, and against memory that is
+ * left unused meanwhile.
+ */
+TEST_F(SlowReaders, all_together_stay_within_the_budget)
+{
+	uint64_t end_ns;
+
+	Add(40);
+	end_ns = uv_hrtime() + 5000000000;
+	(void)Until([&] {
+		SendPieces();
+		return uv_hrtime() > end_ns;
+	});
+	EXPECT_LE(byte_budget_get_stats(budget).max_used_bytes, 8 * kMiB);
+	EXPECT_GE(byte_budget_get_stats(budget).max_used_bytes, 5 * kMiB);
+	EXPECT_GE(byte_budget_get_stats(budget).cuts, 1u);
+	EXPECT_LE(byte_budget_get_stats(budget).cuts, 39u);
+}
+
 /* ---- the client -----------------------------------------------------------
  */
 
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -5,6 +5,7 @@
 #include "http/front.h"
 #include "http/loop_fixture.h"
 #include "platform/platform.h"
+#include "util/byte_budget.h"
 
 /*
  * The whole path of a request within an entry: the front, the codec, the
@@ -15,6 +16,8 @@
       protected:
 	front_server *front = nullptr;
 	bool front_done = false;
+	byte_budget *budget = nullptr; /* of the front */
+	size_t connection_limit = 1;
 	forward *f = nullptr;
 	RawSocket listener;
 	std::string endpoint;
@@ -29,9 +32,9 @@
 		static const forward_ops ops = {ask, done, notice, may_send,
 		    check, observe, next_call, log, nullptr, nullptr};
 		http_server_callbacks callbacks = {
-		    on_request, on_disconnect, nullptr};
-		front_options o = {"127.0.0.1:0", 1, NODE_LISTEN_FRONT, 50,
-		    {16384, 65536, 5000, 5000}, nullptr};
+		    on_request, on_disconnect, on_backlog};
+		front_options o = {"127.0.0.1:0", connection_limit,
+		    NODE_LISTEN_FRONT, 50, {16384, 65536, 5000, 5000}, budget};
 		mp_error err = {};
 
 		HttpTest::SetUp();
@@ -137,6 +140,12 @@
 		});
 	}
 
+	static void
+	on_backlog(void *ctx, uint64_t request, bool is_long)
+	{
+		http_client_pause(((PathTest *)ctx)->client, request, is_long);
+	}
+
 	/* Runs a step of the forwarder, grants its asks, executes effects. */
 	void
 	Step(const std::function<void(node_effects *)> &step)
--- a/tests/util/byte_budget_test.cc
+++ b/tests/util/byte_budget_test.cc
@@ -97,10 +97,27 @@
 	EXPECT_TRUE(byte_budget_admits(nullptr, UINT64_MAX));
 }
 
+/*
+ * Guards against extensions that leave no memory for small windows and bodies,
+ * and against ones too small to let a source make progress.
+ */
+TEST_F(ByteBudget, extends_windows_within_three_quarters)
+{
+	EXPECT_EQ(byte_budget_extension(b), byte_budget_window(b));
+	byte_budget_change(b, 0, 40 * kMiB);
+	EXPECT_EQ(byte_budget_extension(b), BYTE_BUDGET_EXTENSION_MIN);
+	byte_budget_change(b, 40 * kMiB, 48 * kMiB - (64 << 10));
+	EXPECT_EQ(byte_budget_extension(b), BYTE_BUDGET_EXTENSION_MIN);
+	byte_budget_change(b, 0, 1);
+	EXPECT_EQ(byte_budget_extension(b), 0u);
+	EXPECT_EQ(byte_budget_extension(nullptr), 0u);
+}
+
 TEST_F(ByteBudget, counts_what_it_did)
 {
 	byte_budget_stats s;
 
+	byte_budget_count_extension(b);
 	byte_budget_count_pause(b);
 	byte_budget_count_refusal(b);
 	byte_budget_count_cut(b);
@@ -108,6 +125,7 @@
 	byte_budget_change(b, 10, 3);
 	s = byte_budget_get_stats(b);
 	EXPECT_EQ(s.pauses + s.refusals + s.cuts, 3u);
+	EXPECT_EQ(s.extensions, 1u);
 	EXPECT_EQ(s.used_bytes, 3u);
 	EXPECT_EQ(s.max_used_bytes, 10u);
 	EXPECT_EQ(byte_budget_get_stats(nullptr).limit_bytes, 0u);
