quota, gate: a changed unit of a quota is handled as a renamed account

Cause: a request that waited for tokens while its account's unit changed was admitted by the amount of the former unit: 1 token for a request, or 1,500 requests for one. A charge of the former unit was given back in the new one, and an owner answered asks of entries that did not know of the change yet, amount for amount.

Change: asks name the unit, and an owner that knows another one does not answer. An entry that learns of a change refuses what waits for tokens (503, quota-unit-changed); the check before each sending refuses requests that are charged by the former unit. Charges of the former unit are dropped when they are given back. Guard quota.unit.

--- a/src/node/node_gate_account.c
+++ b/src/node/node_gate_account.c
@@ -7,9 +7,18 @@
  * and the hash of its key; the key itself is used in one step only.
  */
 
+/* gw_request.quota_unit_and_one of a request of the account. */
+static int
+get_quota_unit(const struct gw_account *account)
+{
+	return account->quota.units_per_s == 0 ? 0
+					       : (int)account->quota.unit + 1;
+}
+
 static void
 set_account(struct gw_request *request, const struct gw_account *account)
 {
+	request->quota_unit_and_one = get_quota_unit(account);
 	request->account = account->name;
 	request->account_priority = account->priority;
 }
@@ -41,10 +50,25 @@
 	return has_key ? "no account has this key" : "no key of an account";
 }
 
+/*
+ * Whether the request is charged by another unit than the account's requests
+ * are now. Then it is treated as one of a renamed account.
+ */
+static bool
+has_other_unit(
+    const struct gw_request *request, const struct gw_account *account)
+{
+	int unit = get_quota_unit(account);
+
+	return unit != 0 && request->quota_unit_and_one != 0 &&
+	    unit != request->quota_unit_and_one;
+}
+
 /* Whether the request's key still has the account that it had. */
 static enum forward_verdict
 check_account(const struct node *n, const struct gw_request *request,
-    const struct gw_route *route, enum gate_config_trust trust)
+    const struct gw_route *route, enum gate_config_trust trust,
+    const char **reason)
 {
 	const struct gw_config *config = n->gate->config;
 	const struct gw_account *account;
@@ -61,8 +85,12 @@
 		return trust == GATE_CONFIG_CONFIRMED && !route->is_public
 		    ? FORWARD_UNAUTHORIZED
 		    : FORWARD_OUTDATED;
-	return strcmp(account->name, request->account) == 0 ? FORWARD_SEND
-							    : FORWARD_OUTDATED;
+	if (strcmp(account->name, request->account) != 0)
+		return FORWARD_OUTDATED;
+	if (!has_other_unit(request, account))
+		return FORWARD_SEND;
+	*reason = "quota-unit-changed";
+	return FORWARD_OUTDATED;
 }
 
 static bool
@@ -99,7 +127,7 @@
 		    : FORWARD_OUTDATED;
 	}
 	check->reason = "key-changed";
-	return check_account(n, check->request, route, trust);
+	return check_account(n, check->request, route, trust, &check->reason);
 }
 
 enum forward_verdict
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -192,8 +192,8 @@
 gate_quota_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__QuotaAsk *message)
 {
-	struct quota_ask ask = {message->number, message->wanted,
-	    message->first, message->forecast, message->ahead,
+	struct quota_ask ask = {(int)message->unit_and_one - 1, message->number,
+	    message->wanted, message->first, message->forecast, message->ahead,
 	    message->returned, message->held};
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__QuotaGrant reply = WIRE__QUOTA_GRANT__INIT;
@@ -259,6 +259,10 @@
 		    UNKNOWN_RETRY_MS +
 			(uint32_t)(d->request * 37 % UNKNOWN_SPREAD_MS));
 		break;
+	case QUOTA_UNIT_CHANGED:
+		refuse(n, d, GW_REFUSE_NOT_READY, "quota-unit-changed",
+		    GATE_RETRY_AFTER_MS);
+		break;
 	case QUOTA_WAITING:
 		break;
 	}
@@ -296,8 +300,8 @@
 		quota_share_cancel(
 		    n->gate->quotas->share, request->account, ask);
 	else if (tokens > 0)
-		quota_share_refund(
-		    n->gate->quotas->share, n->now, request->account, tokens);
+		quota_share_refund(n->gate->quotas->share, n->now,
+		    request->account, request->quota_unit_and_one - 1, tokens);
 }
 
 static void
@@ -308,6 +312,7 @@
 	Wire__QuotaAsk message = WIRE__QUOTA_ASK__INIT;
 
 	message.account = (char *)account;
+	message.unit_and_one = (uint32_t)(ask->unit + 1);
 	message.number = ask->number;
 	message.wanted = ask->wanted;
 	message.first = ask->first;
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -64,8 +64,12 @@
 	return limit->burst / 8 * QUOTA_AHEAD_EIGHTHS;
 }
 
+/* Of an ask whose entry does not say by which unit it counts. */
+#define QUOTA_UNIT_ANY (-1)
+
 /* Entry to owner. */
 struct quota_ask {
+	int unit; /* of the quota, as the entry knows it */
 	uint64_t number; /* of the entry's asks, ascending */
 	uint64_t wanted; /* by waiting requests */
 	uint64_t first; /* by the one that waits longest */
--- a/src/quota/quota_guard.c
+++ b/src/quota/quota_guard.c
@@ -5,4 +5,5 @@
     .empty_start = true,
     .reserve = true,
     .repeat = true,
+    .unit = true,
     .late = true};
--- a/src/quota/quota_guard.h
+++ b/src/quota/quota_guard.h
@@ -17,6 +17,7 @@
 	bool empty_start; /* a new owner begins without tokens */
 	bool reserve; /* a new owner leaves room for the former one's grants */
 	bool repeat; /* a repeated ask is granted nothing more */
+	bool unit; /* amounts of one unit are not taken for another's */
 	bool late; /* an entry uses no grant of an earlier ask */
 };
 
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -329,6 +329,10 @@
 	if (a == NULL ||
 	    (quota_guards.reserve && now_us < a->room_until_us[TERM_LARGE]))
 		return false;
+	/* An entry that knows of the change, or not yet: it asks again. */
+	if (quota_guards.unit && ask->unit != QUOTA_UNIT_ANY &&
+	    ask->unit != a->limit.unit)
+		return false;
 	quota_bucket_expire(a, now_us);
 	h = get_holder(a, entry);
 	h->asked_us = now_us;
--- a/src/quota/quota_ledger.h
+++ b/src/quota/quota_ledger.h
@@ -60,8 +60,8 @@
  *
  * entry: the process that asks.
  * Returns false if there is no answer: the ask is for nothing, the account has
- * no quota here, the ask is older than one received before, or the authority
- * has only just begun.
+ * no quota here or one of another unit, the ask is older than one received
+ * before, or the authority has only just begun.
  */
 bool quota_ledger_ask(struct quota_ledger *l, uint64_t now_us,
     const char *account, struct quota_entry entry, const struct quota_ask *ask,
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "quota/quota_guard.h"
 #include "quota/quota_share_internal.h"
 #include "util/mem.h"
 
@@ -231,6 +232,26 @@
 	return h;
 }
 
+/* Begins anew, as for an account that was removed and added. */
+static void
+change_unit(struct quota_share *s, struct quota_holding *h)
+{
+	struct quota_decision d = {0, QUOTA_UNIT_CHANGED, 0, 0, h->name};
+
+	while (h->first != NULL) {
+		d.request = h->first->request;
+		d.tokens = h->first->tokens;
+		remove_waiter(h, &h->first);
+		quota_share_add_decision(s, &d);
+	}
+	h->nlots = 0;
+	h->ask.number = 0;
+	h->rate_per_us = h->slow_rate_per_us = h->typical = 0;
+	h->ahead_us = h->settle_due_us = 0;
+	h->retry_us = h->refused_until_us = h->promised_us = 0;
+	h->is_recalled = false;
+}
+
 void
 quota_share_set(
     struct quota_share *s, const char *account, const struct quota_limit *limit)
@@ -239,10 +260,8 @@
 
 	if (h == NULL) {
 		h = add_holding(s, account);
-	} else if (h->limit.unit != limit->unit) {
-		h->nlots = 0;
-		h->ask.number = 0;
-		h->rate_per_us = h->slow_rate_per_us = h->typical = 0;
+	} else if (h->limit.unit != limit->unit && quota_guards.unit) {
+		change_unit(s, h);
 	} else if (h->limit.units_per_s > limit->units_per_s ||
 	    h->limit.burst > limit->burst) {
 		/* What was granted by the higher quota would last too long. */
@@ -340,11 +359,11 @@
 
 void
 quota_share_refund(struct quota_share *s, uint64_t now_us, const char *account,
-    uint64_t tokens)
+    int unit, uint64_t tokens)
 {
 	struct quota_holding *h = map_get_str(s->holdings, account);
 
-	if (h == NULL)
+	if (h == NULL || (h->limit.unit != unit && quota_guards.unit))
 		return;
 	quota_held_expire(h, now_us);
 	quota_held_add(h, tokens, now_us + REFUND_LIFETIME_US, false);
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -31,7 +31,8 @@
 
 /*
  * Adds an account or changes its quota. After a change of the unit nothing is
- * held.
+ * held, and the requests that wait are not admitted, as they are charged by the
+ * former one.
  */
 void quota_share_set(struct quota_share *s, const char *account,
     const struct quota_limit *limit);
@@ -46,7 +47,8 @@
 	QUOTA_WAITING,
 	QUOTA_EXHAUSTED, /* the quota is used up */
 	QUOTA_TOO_LARGE, /* more than the burst: never admitted */
-	QUOTA_UNKNOWN /* the owner has not answered in time */
+	QUOTA_UNKNOWN, /* the owner has not answered in time */
+	QUOTA_UNIT_CHANGED /* it is charged by the former unit */
 };
 
 /* A decision on a request. */
@@ -69,9 +71,13 @@
 /* A waiting request is gone. */
 void quota_share_cancel(
     struct quota_share *s, const char *account, uint64_t request);
-/* Gives back the tokens of a request that was admitted and has not run. */
+/*
+ * Gives back the tokens of a request that was admitted and has not run.
+ *
+ * unit: by which it was charged; those of a former unit are dropped.
+ */
 void quota_share_refund(struct quota_share *s, uint64_t now_us,
-    const char *account, uint64_t tokens);
+    const char *account, int unit, uint64_t tokens);
 
 /*
  * Has quota_share_next_decision() return a decision, for a caller that can't
--- a/src/quota/quota_share_ask.c
+++ b/src/quota/quota_share_ask.c
@@ -106,7 +106,8 @@
 	struct quota_ask *ask = &h->ask;
 	uint64_t held;
 
-	*ask = (struct quota_ask){.number = ++s->last_number};
+	*ask = (struct quota_ask){
+	    .unit = h->limit.unit, .number = ++s->last_number};
 	if (h->first != NULL && !is_fast(h, quota_demand_forecast(h, now_us)))
 		ask->ahead = quota_demand_ahead(h, now_us);
 	if (ask->ahead > 0 || h->is_recalled) {
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -6699,7 +6699,7 @@
   (ProtobufCMessageInit) wire__part_served__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__quota_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__quota_ask__field_descriptors[9] =
 {
   {
     "account",
@@ -6797,6 +6797,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unit_and_one",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaAsk, unit_and_one),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__quota_ask__field_indices_by_name[] = {
   0,   /* field[0] = account */
@@ -6806,12 +6818,13 @@
   5,   /* field[5] = held */
   1,   /* field[1] = number */
   4,   /* field[4] = returned */
+  8,   /* field[8] = unit_and_one */
   2,   /* field[2] = wanted */
 };
 static const ProtobufCIntRange wire__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__quota_ask__descriptor =
 {
@@ -6821,7 +6834,7 @@
   "Wire__QuotaAsk",
   "wire",
   sizeof(Wire__QuotaAsk),
-  8,
+  9,
   wire__quota_ask__field_descriptors,
   wire__quota_ask__field_indices_by_name,
   1,  wire__quota_ask__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1383,10 +1383,14 @@
    * tokens that few requests will need in seconds
    */
   uint64_t ahead;
+  /*
+   * of the quota, as the entry knows it; 0: not said
+   */
+  uint32_t unit_and_one;
 };
 #define WIRE__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__quota_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/gateway/quota_test.cc
+++ b/tests/gateway/quota_test.cc
@@ -11,17 +11,23 @@
 static const uint64_t kRate = 40, kBurst = 40;
 static const char *const kAccounts[] = {"flooding", "usual"};
 
+/* Charged for each request, where the unit is tokens. */
+static const uint64_t kTokens = 100;
+
 /* The configuration of all tests, with the two accounts. */
 static std::string
-configuration()
+configuration(int version = 1, bool in_tokens = false)
 {
-	std::string text = config_text(1), accounts;
+	std::string text = config_text(version), accounts;
+	uint64_t factor = in_tokens ? kTokens : 1;
 
 	for (const char *name : kAccounts)
 		accounts += std::string(accounts.empty() ? "" : ",") +
 		    "{\"name\":\"" + name + "\",\"api_keys\":[\"key-" + name +
-		    "\"],\"rate_per_s\":" + std::to_string(kRate) +
-		    ",\"burst\":" + std::to_string(kBurst) + "}";
+		    "\"],\"unit\":\"" + (in_tokens ? "tokens" : "requests") +
+		    "\",\"base_tokens\":" + std::to_string(kTokens) +
+		    ",\"rate_per_s\":" + std::to_string(kRate * factor) +
+		    ",\"burst\":" + std::to_string(kBurst * factor) + "}";
 	text.pop_back();
 	return text + ",\"tenants\":[" + accounts + "]}";
 }
@@ -52,16 +58,23 @@
 	int owner = -1; /* of the flooding account, asked last */
 
 	void
-	StartServing()
+	Configure(int version, bool in_tokens)
+	{
+		ASSERT_EQ(200,
+		    sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL,
+			   "PUT", "/api/configuration",
+			   configuration(version, in_tokens))
+			.status);
+	}
+
+	void
+	StartServing(bool in_tokens = false)
 	{
 		for (size_t i = 0; i < sim.instances.size(); i++)
 			sim.start((int)i);
 		ASSERT_TRUE(
 		    sim.run_until([&] { return sim.leader() >= 0; }, 8000));
-		ASSERT_EQ(200,
-		    sim.request_and_wait(sim.leader(), NODE_LISTEN_CONTROL,
-			   "PUT", "/api/configuration", configuration())
-			.status);
+		Configure(1, in_tokens);
 		Announce();
 		ASSERT_TRUE(sim.run_until(
 		    [&] { return sim.all_entries_ready(); }, 8000));
@@ -312,3 +325,95 @@
 INSTANTIATE_TEST_SUITE_P(Sizes, QuotaRestart,
     ::testing::Values(QuotaCase{"12 entries", 12, nullptr},
 	QuotaCase{"24 entries", 24, nullptr}));
+
+class QuotaUnit : public Quota {
+      protected:
+	/*
+	 * A flood while the unit changes, and trouble of the owner with it. The
+	 * two quotas allow the same requests.
+	 */
+	void
+	ChangeUnit(bool to_tokens)
+	{
+		const double flood[2] = {kRate * 5.0, kRate / 1.8};
+
+		StartServing(!to_tokens);
+		sim.run_for_ms(4000);
+		RunTraffic(3000, flood);
+		ASSERT_GE(owner, 0);
+		const int lost = owner;
+		uint64_t change_us = sim.now_us;
+		Configure(2, to_tokens);
+		GetParam().trouble(sim, lost);
+		RunTraffic(10000, flood);
+		uint64_t end_us = sim.now_us;
+		double used = (double)CountArrivals(0, end_us - 3000 * MS);
+		EXPECT_GE(used, 0.8 * 3 * (double)kRate);
+		auto statuses = CountStatuses(
+		    1, end_us - 3000 * MS, end_us - 200 * MS, lost);
+		EXPECT_EQ(0, statuses[429]);
+		EXPECT_EQ(0, statuses[503]);
+		/* A window with the change sees the bursts of both quotas. */
+		for (size_t a = 0; a < 2; a++)
+			EXPECT_LE((double)MostArrivals(a, 8000),
+			    1.1 * (8 * kRate + 2 * kBurst));
+		for (size_t a = 0; a < 2; a++) {
+			auto &list = arrivals[a];
+			list.erase(list.begin(),
+			    std::lower_bound(list.begin(), list.end(),
+				change_us + 2500 * MS));
+			EXPECT_LE((double)MostArrivals(a, 1000),
+			    1.1 * (kRate + kBurst));
+		}
+		for (auto &r : requests) {
+			const Reply &reply = sim.replies[r.first];
+			if (reply.status == 429 || reply.status == 503) {
+				EXPECT_NE("", reply.retry_after);
+			}
+		}
+	}
+};
+
+/* Guards against one request for each token of a quota, and quotas unused. */
+TEST_P(QuotaUnit, requests_to_tokens)
+{
+	ChangeUnit(true);
+}
+
+/* Guards against tokens that are used as requests. */
+TEST_P(QuotaUnit, tokens_to_requests)
+{
+	ChangeUnit(false);
+}
+
+INSTANTIATE_TEST_SUITE_P(Troubles, QuotaUnit,
+    ::testing::Values(
+	QuotaCase{"none, small cluster", 4, [](GatewaySim &, int) {}},
+	QuotaCase{"none", 12, [](GatewaySim &, int) {}},
+	QuotaCase{"owner killed", 12,
+	    [](GatewaySim &sim, int owner) { sim.kill(owner); }},
+	QuotaCase{"owner cut off", 12,
+	    [](GatewaySim &sim, int owner) { sim.isolate(owner, true); }},
+	QuotaCase{"owner paused", 12,
+	    [](GatewaySim &sim, int owner) {
+		    sim.keep_messages_of_frozen = true;
+		    sim.freeze(owner, true);
+		    sim.schedule(sim.now_us + 2500 * MS,
+			[&sim, owner] { sim.freeze(owner, false); });
+	    }},
+	QuotaCase{"an entry lacks the change for 3 s", 12,
+	    [](GatewaySim &sim, int owner) {
+		    const int entry = owner == 7 ? 8 : 7;
+		    for (int core = 0; core < 5; core++)
+			    sim.cut_links.insert({core, entry});
+		    sim.schedule(sim.now_us + 3000 * MS, [&sim, entry] {
+			    for (int core = 0; core < 5; core++)
+				    sim.cut_links.erase({core, entry});
+		    });
+	    }},
+	QuotaCase{"all entries restarted", 12, [](GatewaySim &sim, int) {
+			  for (int i = 5; i < 17; i++) {
+				  sim.kill(i);
+				  sim.start(i);
+			  }
+		  }}));
--- a/tests/quota/ledger_test.cc
+++ b/tests/quota/ledger_test.cc
@@ -18,6 +18,7 @@
 	uint64_t now_us = 1000000 * kMs;
 	uint64_t last_number = 0;
 	quota_grant grant = {};
+	int unit = QUOTA_UNIT_ANY; /* of asks */
 
 	static void
 	SetUpTestSuite()
@@ -49,8 +50,9 @@
 	    uint64_t held = 0, uint64_t returned = 0, uint64_t number = 0,
 	    uint64_t ahead = 0)
 	{
-		quota_ask ask = {number != 0 ? number : ++last_number, wanted,
-		    wanted > 0 ? 1u : 0u, forecast, ahead, returned, held};
+		quota_ask ask = {unit, number != 0 ? number : ++last_number,
+		    wanted, wanted > 0 ? 1u : 0u, forecast, ahead, returned,
+		    held};
 		return quota_ledger_ask(
 			   l, now_us, "a", {entry, 0}, &ask, &grant)
 		    ? (int)grant.tokens
@@ -261,6 +263,24 @@
 	}
 }
 
+/* Guards against amounts of one unit granted as those of another. */
+TEST_F(LedgerTest, asks_of_another_unit_are_not_answered)
+{
+	unit = 0;
+	EXPECT_EQ(30, Ask(kX, 30));
+	Set(100000, 100000, 1);
+	now_us += 3000 * kMs;
+	EXPECT_EQ(-1, Ask(kX, 30)) << "its entry lacks the change";
+	unit = 1;
+	EXPECT_EQ(30000, Ask(kX, 30000));
+	Set(100, 100, 0);
+	now_us += 3000 * kMs;
+	EXPECT_EQ(-1, Ask(kX, 30000));
+	EXPECT_EQ(0u, quota_ledger_at(l, 0).outstanding);
+	unit = 0;
+	EXPECT_EQ(100, Ask(kX, 100, 0, 30000, 30000)) << "nothing is returned";
+}
+
 /* Guards against tokens kept over a removal. */
 TEST_F(LedgerTest, a_removed_account_begins_anew)
 {
--- a/tests/quota/quota_guard_names.h
+++ b/tests/quota/quota_guard_names.h
@@ -12,6 +12,7 @@
     {"quota.expiry", &quota_guards.expiry},
     {"quota.empty_start", &quota_guards.empty_start},
     {"quota.reserve", &quota_guards.reserve},
-    {"quota.repeat", &quota_guards.repeat}, {"quota.late", &quota_guards.late}};
+    {"quota.repeat", &quota_guards.repeat}, {"quota.late", &quota_guards.late},
+    {"quota.unit", &quota_guards.unit}};
 
 #endif
--- a/tests/quota/quota_world.cc
+++ b/tests/quota/quota_world.cc
@@ -127,7 +127,7 @@
 void
 QuotaWorld::record_rates(const Account &a)
 {
-	records[a.name].rates.push_back(
+	records[record_name(a.name, a.limit.unit)].rates.push_back(
 	    {now_us, (double)a.limit.units_per_s, (double)a.limit.burst});
 }
 
@@ -226,8 +226,8 @@
 	auto clock_us = (uint64_t)e.clock_us;
 
 	if (g.number <= e.stopped_number)
-		slack(
-		    account, now_us, now_us + kAheadLifeUs, g.tokens + g.ahead);
+		slack(record_name(account, unit_at(e, account)), now_us,
+		    now_us + kAheadLifeUs, g.tokens + g.ahead);
 	if (!e.is_hoarder) {
 		quota_share_on_grant(e.share, clock_us, account.c_str(), &g);
 		take_decisions(e);
@@ -249,15 +249,15 @@
 /* ---- entries ------------------------------------------------------------ */
 
 void
-QuotaWorld::admitted(
-    Entry &e, const std::string &account, uint64_t tokens, uint64_t waited_us)
+QuotaWorld::admitted(Entry &e, const std::string &account, int unit,
+    uint64_t tokens, uint64_t waited_us)
 {
 	totals.waits_us.push_back((uint32_t)waited_us);
 	if (chance(options.refund_share))
-		e.refunds.push_back(
-		    {now_us + below(700 * kMs), account, tokens, e.process});
+		e.refunds.push_back({now_us + below(700 * kMs), account, unit,
+		    tokens, e.process});
 	else
-		use(account, tokens);
+		use(record_name(account, unit), tokens);
 }
 
 void
@@ -270,9 +270,11 @@
 		if (open == e.open.end())
 			continue;
 		if (d.verdict == QUOTA_ADMITTED)
-			admitted(e, open->second.account, open->second.tokens,
+			admitted(e, open->second.account, open->second.unit,
+			    open->second.tokens,
 			    now_us - open->second.since_us);
-		else if (d.verdict == QUOTA_UNKNOWN)
+		else if (d.verdict == QUOTA_UNKNOWN ||
+		    d.verdict == QUOTA_UNIT_CHANGED)
 			totals.unknown++;
 		else
 			totals.refused++;
@@ -288,16 +290,18 @@
 	Entry &e = entries[i];
 	Account &a = accounts[account];
 	uint64_t tokens = size(random), request = ++last_request;
+	int unit = unit_at(e, a.name);
 
 	if (e.hoards.count(a.name) == 0)
 		return; /* not known there yet */
+	tokens *= units(unit);
 	totals.offered += tokens;
 	quota_decision d = quota_share_acquire(
 	    e.share, (uint64_t)e.clock_us, a.name.c_str(), request, tokens);
 	if (d.verdict == QUOTA_ADMITTED) {
-		admitted(e, a.name, tokens, 0);
+		admitted(e, a.name, unit, tokens, 0);
 	} else if (d.verdict == QUOTA_WAITING) {
-		e.open[request] = {a.name, tokens, now_us};
+		e.open[request] = {a.name, unit, tokens, now_us};
 	} else {
 		totals.refused++;
 		if (d.verdict == QUOTA_EXHAUSTED)
@@ -318,7 +322,10 @@
 	if (is_open && chance(0.5)) {
 		h.sent_us = clock_us;
 	} else {
+		uint64_t factor = units(h.limit.unit);
+
 		h.ask = {};
+		h.ask.unit = h.limit.unit;
 		h.ask.number = ++e.last_number;
 		for (auto &lot : h.lots)
 			h.ask.held += lot.tokens;
@@ -328,15 +335,17 @@
 			h.lots.pop_back();
 		}
 		h.ask.wanted = 1 +
-		    below(chance(0.3) ? options.burst : options.burst / 4 + 1);
+		    below(factor *
+			(chance(0.3) ? options.burst : options.burst / 4 + 1));
 		if (options.hoards_forecasts)
 			h.ask.wanted = 1;
 		h.ask.first = 1;
 		if (chance(0.3)) /* only says what it holds */
 			h.ask.wanted = h.ask.first = 0;
-		h.ask.forecast = h.ask.wanted == 0 ? 0 : below(options.burst);
+		h.ask.forecast =
+		    h.ask.wanted == 0 ? 0 : below(factor * options.burst);
 		h.ask.ahead = h.ask.wanted > 0 && options.hoards_ahead
-		    ? below(options.burst)
+		    ? below(factor * options.burst)
 		    : 0;
 		h.first_sent_us = h.sent_us = clock_us;
 	}
@@ -376,7 +385,7 @@
 				lot.tokens = 0;
 			}
 		if (sum > 0)
-			use(item.first, sum);
+			use(record_name(item.first, h.limit.unit), sum);
 		/* With tokens in hand it seldom says so. */
 		if (chance(h.lots.size() < 2 ? 0.05 : 0.002) ||
 		    h.ask.number != 0)
@@ -406,9 +415,10 @@
 		Refund r = e.refunds[k];
 		if (now_us < r.at_us)
 			continue;
-		quota_share_refund(
-		    e.share, (uint64_t)e.clock_us, r.account.c_str(), r.tokens);
-		slack(r.account, now_us, now_us + kRefundUs, r.tokens);
+		quota_share_refund(e.share, (uint64_t)e.clock_us,
+		    r.account.c_str(), r.unit, r.tokens);
+		slack(record_name(r.account, r.unit), now_us,
+		    now_us + kRefundUs, r.tokens);
 		e.refunds.erase(e.refunds.begin() + (long)k);
 	}
 	for (size_t k = 0; k < accounts.size(); k++)
@@ -456,17 +466,38 @@
 	uint64_t to_us = e.paused_until_us + kAheadLifeUs;
 	for (size_t k = 0; k < quota_share_count(e.share); k++) {
 		quota_share_state s = quota_share_at(e.share, k);
-		slack(s.account, e.paused_until_us, to_us, s.held);
+		slack(record_name(s.account, unit_at(e, s.account)),
+		    e.paused_until_us, to_us, s.held);
 	}
 	for (auto &item : e.hoards)
 		for (auto &lot : item.second.lots)
-			slack(item.first, e.paused_until_us, to_us, lot.tokens);
+			slack(record_name(item.first, item.second.limit.unit),
+			    e.paused_until_us, to_us, lot.tokens);
+}
+
+/* The former unit has no quota any more, the other one a similar one. */
+void
+QuotaWorld::change_unit(Account &a)
+{
+	Account former = a;
+
+	former.limit.units_per_s = 0;
+	record_rates(former);
+	a.limit.unit = 1 - a.limit.unit;
+	a.limit.units_per_s = a.limit.units_per_s * units(a.limit.unit) /
+	    units(former.limit.unit);
+	a.limit.burst =
+	    a.limit.burst * units(a.limit.unit) / units(former.limit.unit);
+	a.limit.usual = options.usual * units(a.limit.unit);
+	record_rates(a);
 }
 
 void
 QuotaWorld::change_quota(Account &a)
 {
-	if (chance(0.25) && a.exists) {
+	if (options.unit_share > 0 && chance(options.unit_share)) {
+		change_unit(a);
+	} else if (chance(0.25) && a.exists) {
 		a.exists = false;
 		a.add_us = now_us + below(1500) * kMs;
 		if (chance(0.5)) { /* renamed */
@@ -474,10 +505,12 @@
 			a.add_us = now_us;
 		}
 	} else {
+		uint64_t factor = units(a.limit.unit);
+
 		a.limit.units_per_s =
-		    options.rate / 3 + below(options.rate * 2) + 1;
+		    factor * (options.rate / 3 + below(options.rate * 2) + 1);
 		a.limit.burst =
-		    options.burst / 3 + below(options.burst * 2) + 1;
+		    factor * (options.burst / 3 + below(options.burst * 2) + 1);
 		record_rates(a);
 	}
 	configure_all();
@@ -524,7 +557,7 @@
 		current.paused_until_us = now_us + below(800) * kMs;
 	if (chance(0.0006) && owner_change_us == 0)
 		change_owner();
-	if (chance(0.0004))
+	if (chance(options.unit_share > 0 ? 0.0012 : 0.0004))
 		change_quota(accounts[below(accounts.size())]);
 }
 
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -42,6 +42,7 @@
 		double double_share = 0.05, late_share = 0.05; /* messages */
 		uint64_t owner_period_ms = 0; /* 0: changes are random */
 		double refund_share = 0; /* requests that do not run */
+		double unit_share = 0; /* of changes of a quota */
 		unsigned seed = 1;
 	};
 	struct Totals {
@@ -85,10 +86,12 @@
 	struct Refund {
 		uint64_t at_us;
 		std::string account;
+		int unit;
 		uint64_t tokens, process;
 	};
 	struct Open {
 		std::string account;
+		int unit;
 		uint64_t tokens, since_us;
 	};
 	struct Entry {
@@ -190,8 +193,28 @@
 	void on_grant(
 	    Entry &e, const std::string &account, const quota_grant &g);
 	void arrive(size_t i, size_t account);
-	void admitted(Entry &e, const std::string &account, uint64_t tokens,
-	    uint64_t waited_us);
+	void admitted(Entry &e, const std::string &account, int unit,
+	    uint64_t tokens, uint64_t waited_us);
+	/* What is recorded of an account's use by a unit. */
+	static std::string
+	record_name(const std::string &account, int unit)
+	{
+		return account + (unit == 0 ? "" : " in tokens");
+	}
+	/* Units of a request that is one of unit 0. */
+	static uint64_t
+	units(int unit)
+	{
+		return unit == 0 ? 1 : 300;
+	}
+	/* The unit of an account as the entry knows it. */
+	static int
+	unit_at(const Entry &e, const std::string &account)
+	{
+		auto h = e.hoards.find(account);
+		return h == e.hoards.end() ? 0 : h->second.limit.unit;
+	}
+	void change_unit(Account &a);
 	void take_decisions(Entry &e);
 	void trouble();
 	void pause(Entry &e);
--- a/tests/quota/share_test.cc
+++ b/tests/quota/share_test.cc
@@ -2,6 +2,8 @@
 
 #include <map>
 
+#include "quota/quota_guard_names.h"
+
 extern "C" {
 #include "quota/quota_share.h"
 }
@@ -16,6 +18,11 @@
 	quota_ask ask = {};
 	std::map<uint64_t, quota_decision> decisions;
 
+	static void
+	SetUpTestSuite()
+	{
+		(void)guard_off(kGuards);
+	}
 	void
 	SetUp() override
 	{
@@ -201,7 +208,7 @@
 	Acquire(1, 10);
 	ASSERT_TRUE(Asks());
 	Grant(10);
-	quota_share_refund(s, now_us, "a", 10);
+	quota_share_refund(s, now_us, "a", 0, 10);
 	EXPECT_EQ(QUOTA_ADMITTED, Acquire(2, 10));
 }
 
@@ -301,6 +308,40 @@
 	EXPECT_EQ(QUOTA_WAITING, Acquire(5, 10));
 }
 
+/*
+ * Guards against requests admitted, and tokens used, by amounts of the former
+ * unit: one request for a token, or 1,500 requests for one.
+ */
+TEST_F(ShareTest, amounts_of_a_former_unit_are_dropped)
+{
+	for (int unit : {0, 1}) {
+		Set(100, 100, unit);
+		EXPECT_EQ(QUOTA_WAITING, Acquire(1, 10));
+		ASSERT_TRUE(Asks());
+		EXPECT_EQ(unit, ask.unit);
+		Grant(10); /* charged, and not run yet */
+		EXPECT_EQ(QUOTA_WAITING, Acquire(2, 10));
+		ASSERT_TRUE(Asks());
+		Set(100, 100, 1 - unit);
+		Decide();
+		EXPECT_EQ(QUOTA_UNIT_CHANGED, VerdictOf(2));
+		EXPECT_EQ(QUOTA_WAITING, Acquire(3, 10));
+		Grant(50); /* late, in the former unit */
+		EXPECT_EQ(QUOTA_WAITING, VerdictOf(3));
+		quota_share_refund(s, now_us, "a", unit, 10);
+		Decide();
+		EXPECT_EQ(QUOTA_WAITING, VerdictOf(3));
+		ASSERT_TRUE(Asks());
+		EXPECT_EQ(1 - unit, ask.unit);
+		EXPECT_EQ(0u, ask.held);
+		Grant(10);
+		EXPECT_EQ(QUOTA_ADMITTED, VerdictOf(3));
+		quota_share_sweep(s); /* the account is removed */
+		quota_share_sweep(s);
+		now_us += 5000 * kMs;
+	}
+}
+
 TEST_F(ShareTest, a_cancelled_request_takes_no_tokens)
 {
 	Acquire(1, 10);
--- a/tests/quota/world_test.cc
+++ b/tests/quota/world_test.cc
@@ -79,6 +79,9 @@
 	o.stopped_clock_share = r() % 3 == 0 ? 0.6 : 0;
 	o.hoard_period_ms = 300 + r() % 900;
 	o.hoards_ahead = r() % 2 == 0;
+	o.unit_share = seed % 4 == 0 ? 0.7 : 0;
+	if (o.unit_share > 0)
+		o.refund_share = 0.1;
 	QuotaWorld w(o);
 	/* Bursts of load, and pauses in which entries go on to hold. */
 	uint64_t period = 200 + r() % 1500;
