member: the next process of an instance replaces the earlier one at once

Cause: after a loss of power the leader waited 2.4 s for leases of processes that had ended, and for promises that had been given by them or were given meanwhile to pings of members that had no lease yet; at 300 instances the table of endpoints then reached the owners of shards one message in 3 s. Change: a process that finds an earlier one of its instance as the member in the log says so in its renewals (LeaseRenew.replaces), and the leader replaces that one without waiting for its lease, if the bus address is the same. An epoch is also sealed when all members of the one before have acknowledged it. A supporter that a leader with authority answered within 1 s promises nothing; a promise that ends is reported at once; an epoch that only needs time to be active is let become active before the next change. Replies.the_next_process_gives_up_the_asks_of_the_killed_one loses the renewals of the next process, which else is a member within its 500 ms; a new test checks that one.

--- a/src/gate/gate_update.c
+++ b/src/gate/gate_update.c
@@ -74,11 +74,13 @@
 static struct splice *
 get_splice(struct splices *splices, size_t at)
 {
-	struct splice *last =
-	    splices->count == 0 ? NULL : &splices->items[splices->count - 1];
+	struct splice *last;
 
-	if (last != NULL && last->at + last->nremoved == at)
-		return last;
+	if (splices->count > 0) {
+		last = &splices->items[splices->count - 1];
+		if (last->at + last->nremoved == at)
+			return last;
+	}
 	if (splices->count == splices->cap) {
 		splices->cap = splices->cap == 0 ? 8 : splices->cap * 2;
 		splices->items = mem_resize(
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -113,6 +113,14 @@
 const uint32_t *member_view_earlier_supporters(
     const struct member_view *v, size_t *n);
 
+/*
+ * Ids of all members of the previous epoch, valid as those above. None when
+ * they are not known: the view was restored from a snapshot of an earlier
+ * program version.
+ */
+const uint32_t *member_view_earlier_members(
+    const struct member_view *v, size_t *n);
+
 /* Members in order of id; pointers are valid until the next change. */
 size_t member_view_count(const struct member_view *v);
 const struct member *member_view_at(const struct member_view *v, size_t i);
@@ -265,7 +273,8 @@
 
 /*
  * Fills the lease part of a renewal: sent_us, applied, epoch, promise_over,
- * got_us and the permits held. Other fields are left as they are.
+ * got_us, the permits held and the earlier process that it replaces. Other
+ * fields are left as they are.
  */
 void member_holder_fill_renew(struct member_holder *h, uint64_t now_us,
     uint64_t applied, uint64_t epoch, Wire__LeaseRenew *out);
--- a/src/member/member_change.c
+++ b/src/member/member_change.c
@@ -139,7 +139,10 @@
 			member_lengthen_for_drift(MEMBER_LEASE_US));
 }
 
-/* Selects the removal of members that have expired. */
+/*
+ * Selects the removal of members that have expired, or whose process has ended
+ * as the next one of its instance says.
+ */
 static void
 lessor_select_down(struct member_lessor *ls, const struct member_view *v,
     uint64_t now_us, struct lessor_room *room)
@@ -151,7 +154,8 @@
 		return;
 	for (i = 0; i < member_view_count(v); i++) {
 		m = member_view_at(v, i);
-		if (!lessor_is_expired(ls, lessor_find_proc(ls, m), now_us))
+		if (!lessor_is_expired(ls, lessor_find_proc(ls, m), now_us) &&
+		    lessor_find_successor(ls, m) == NULL)
 			continue;
 		if (!lessor_has_room(ls, room, lessor_change_bytes(NULL)))
 			return;
@@ -317,6 +321,31 @@
 	ls->voters_read_many = can;
 }
 
+/*
+ * Whether the current epoch is going to be active with nothing but time. The
+ * next one would have to be sealed first, so that with a change every moment
+ * no epoch would ever be active.
+ */
+static bool
+lessor_is_about_to_act(const struct member_lessor *ls,
+    const struct member_view *v, uint64_t now_us)
+{
+	const struct lessor_proc *proc;
+	size_t i;
+
+	if (ls->sealed_epoch != member_view_epoch(v) ||
+	    ls->active_epoch == ls->sealed_epoch ||
+	    now_us >= ls->sealed_us + 2 * member_flight_us())
+		return false;
+	for (i = 0; i < member_view_count(v); i++) {
+		proc = lessor_find_proc(ls, member_view_at(v, i));
+		if (lessor_may_hold_lease(ls, proc, now_us) &&
+		    (proc == NULL || proc->acked_epoch < ls->sealed_epoch))
+			return false;
+	}
+	return true;
+}
+
 bool
 member_lessor_next_change(struct member_lessor *ls, const struct member_view *v,
     uint64_t now_us, struct member_change *out)
@@ -330,7 +359,10 @@
 		return false;
 	if (!ls->change_pending) {
 		if (!lessor_sweep_due(v, now_us, &ls->searched_us) ||
-		    !lessor_is_sealed(ls, v) || !lessor_select(ls, v, now_us))
+		    !lessor_is_sealed(ls, v) ||
+		    (lessor_all_read_many(ls, v) &&
+			lessor_is_about_to_act(ls, v, now_us)) ||
+		    !lessor_select(ls, v, now_us))
 			return false;
 		ls->change_pending = true;
 	}
--- a/src/member/member_epoch.c
+++ b/src/member/member_epoch.c
@@ -41,6 +41,31 @@
 	    : peer->procs[1].applied_unpromised;
 }
 
+/* Whether a process of the instance has acknowledged the current epoch. */
+static bool
+lessor_peer_acked(const struct lessor_peer *peer, const struct member_view *v)
+{
+	uint64_t epoch = member_view_epoch(v);
+
+	return peer != NULL &&
+	    (peer->procs[0].acked_epoch >= epoch ||
+		peer->procs[1].acked_epoch >= epoch);
+}
+
+/* Whether all instances that were members before the current epoch have. */
+static bool
+lessor_all_acked(const struct member_lessor *ls, const struct member_view *v)
+{
+	const uint32_t *ids;
+	size_t i, n;
+
+	ids = member_view_earlier_members(v, &n);
+	for (i = 0; i < n; i++)
+		if (!lessor_peer_acked(lessor_find_peer(ls, ids[i]), v))
+			return false;
+	return n > 0;
+}
+
 bool
 lessor_is_sealed(const struct member_lessor *ls, const struct member_view *v)
 {
@@ -53,7 +78,7 @@
 	for (i = 0; i < n; i++)
 		acked += lessor_peer_acked_unpromised(lessor_find_peer(
 			     ls, ids[i])) >= member_view_epoch(v);
-	return acked >= lessor_blocking_count(n);
+	return acked >= lessor_blocking_count(n) || lessor_all_acked(ls, v);
 }
 
 /* Orders larger indexes first. */
--- a/src/member/member_guard.c
+++ b/src/member/member_guard.c
@@ -16,6 +16,7 @@
     .in_force_support = true,
     .leader_by_authority = true,
     .known_commit = true,
+    .found_ended = true,
     .all_can_read = true,
     .permit_hold = true};
 
--- a/src/member/member_guard.h
+++ b/src/member/member_guard.h
@@ -28,6 +28,7 @@
 	bool in_force_support; /* the index in force waits for supporters */
 	bool leader_by_authority; /* hearsay names no other leader */
 	bool known_commit; /* a replica learns from leases what it lacks */
+	bool found_ended; /* one that found a member ended may replace it */
 	bool all_can_read; /* a MemberChanges waits for all to read it */
 	bool permit_hold; /* a permit is free once it is certainly unused */
 };
--- a/src/member/member_holder.c
+++ b/src/member/member_holder.c
@@ -78,6 +78,17 @@
 	h->epoch = member_view_epoch(v);
 	h->is_large = member_view_count(v) > member_large_threshold;
 	h->is_member = m != NULL && m->incarnation == h->incarnation;
+	h->replaces = m == NULL || h->is_member ? 0 : m->incarnation;
+}
+
+/*
+ * Whether a promise has ended that the newest renewal said to run: what this
+ * instance acknowledges counts from now on, and an epoch may wait for it.
+ */
+static bool
+member_holder_promise_ended(const struct member_holder *h, uint64_t now_us)
+{
+	return h->promise_renewed && now_us >= h->promise_until_us;
 }
 
 uint64_t
@@ -97,7 +108,8 @@
 member_holder_renew_due(struct member_holder *h, uint64_t now_us)
 {
 	member_holder_start_clock(h, now_us);
-	if (now_us < h->next_renew_us)
+	if (now_us < h->next_renew_us &&
+	    !member_holder_promise_ended(h, now_us))
 		return false;
 	h->next_renew_us = now_us + member_holder_renew_interval_us(h);
 	return true;
@@ -132,8 +144,11 @@
 member_holder_next_due_us(const struct member_holder *h)
 {
 	uint64_t ping = member_holder_earliest_ping_us(h);
+	uint64_t renew = h->next_renew_us;
 
-	return h->next_renew_us < ping ? h->next_renew_us : ping;
+	if (h->promise_renewed && h->promise_until_us < renew)
+		renew = h->promise_until_us;
+	return renew < ping ? renew : ping;
 }
 
 void
@@ -146,6 +161,8 @@
 	out->applied = applied;
 	out->epoch = epoch;
 	out->promise_over = now_us >= h->promise_until_us;
+	h->promise_renewed = !out->promise_over;
+	out->replaces = h->replaces;
 	out->got_us = h->permit_sent_us;
 	out->permit_term = h->permit_term;
 	out->permit_in_flight = h->permit_in_flight;
@@ -219,6 +236,9 @@
 		h->active_epoch = reply->active_epoch;
 	if (reply->in_force > h->in_force)
 		h->in_force = reply->in_force;
+	if (member_reply_has_authority(reply) &&
+	    reply->sent_us > h->authority_sent_us)
+		h->authority_sent_us = reply->sent_us;
 	member_holder_take_leader(h, reply);
 	member_holder_take_permits(h, reply);
 	if (!reply->granted || reply->sent_us <= h->lease_sent_us)
@@ -230,6 +250,19 @@
 	return true;
 }
 
+/*
+ * Whether this instance knows of no leader. One that has just become a member
+ * has no lease yet, but the leader that answers its renewals will grant one; a
+ * promise would only keep the new epoch from being sealed.
+ */
+static bool
+member_holder_is_leaderless(const struct member_holder *h, uint64_t now_us)
+{
+	return now_us >= h->lease_until_us &&
+	    (h->authority_sent_us == 0 ||
+		now_us >= h->authority_sent_us + MEMBER_LEASE_US / 2);
+}
+
 void
 member_holder_on_ping(struct member_holder *h, uint64_t now_us,
     uint64_t applied, const Wire__Ping *ping, Wire__Pong *out)
@@ -237,7 +270,8 @@
 	member_holder_start_clock(h, now_us);
 	wire__pong__init(out);
 	out->sent_us = ping->sent_us;
-	out->leaderless = h->is_member && now_us >= h->lease_until_us;
+	out->leaderless =
+	    h->is_member && member_holder_is_leaderless(h, now_us);
 	out->required = applied;
 	if (out->leaderless && member_guards.promise)
 		h->promise_until_us = now_us + member_promise_us();
--- a/src/member/member_holder.h
+++ b/src/member/member_holder.h
@@ -45,8 +45,13 @@
 	uint64_t epoch;
 	bool is_large; /* over member_large_threshold members */
 	bool is_member; /* this process is one of them */
+	uint64_t replaces; /* incarnation of an earlier process that is; or 0 */
 
+	/* When the renewal was sent that a leader with authority answered last.
+	 */
+	uint64_t authority_sent_us;
 	uint64_t promise_until_us;
+	bool promise_renewed; /* the newest renewal said that it runs */
 	struct member_support *supports;
 	size_t nsupports;
 };
--- a/src/member/member_lessor.c
+++ b/src/member/member_lessor.c
@@ -38,6 +38,32 @@
  * proposed before the current epoch is sealed, and only one at a time, so there
  * is never more than one epoch before the current one that is not sealed.
  *
+ * Sealed by all. E is also sealed when every instance that was a member in E'
+ * has acknowledged E by any of its processes, whatever promises run: then no
+ * process is left that acts in E'. Let P be the process of instance X that
+ * acknowledged E. (1) P has applied E and acts in E' no more. (2) A process of
+ * X before P has ended. (3) A process of X after P began when P had ended, so
+ * after E was committed. What made it a member, if anything did, followed a
+ * renewal of its own and stands in the log after E, so it is none in E'. (4)
+ * Instances that were no members in E' do not act in E'.
+ *
+ * The next process of an instance. A process Q that finds in the log which it
+ * has applied another process P of its instance as the member knows that P has
+ * ended. (1) P ran when it sent the renewal for which it was made a member;
+ * that was before the entry. (2) Q runs when it has applied the entry. (3) They
+ * do not run at the same time, and each runs once, without a gap; so P ran
+ * before Q. Q says so in its renewals (replaces), and as P does not begin
+ * again, it stays true however late a renewal arrives. A renewal of a process
+ * that does not name P proves nothing: it may be older than P. So the lessor
+ * removes P without waiting for its lease, which nobody can use. All else stays
+ * as it is. Members whose process has not ended keep the leases that they may
+ * have from earlier leaders: the new epoch is active only when they have
+ * acknowledged it, or these leases are over. The promises of P bind Q, as
+ * above. Orders of P in flight are waited for, as those of any removed member.
+ * Where P is removed and Q added in one epoch the owner's id stays the same, so
+ * an instance compares the incarnation: Q is the owner since that epoch, not
+ * since an earlier one. That both have the same bus address is checked.
+ *
  * Many changes in one command. Nothing above depends on how many members differ
  * between E' and E, since support is counted, promised and acknowledged by
  * instance, over the supporters of E', whichever of them E still has. A command
@@ -177,6 +203,33 @@
 	return NULL;
 }
 
+/* Whether a process knows that the process that is the member has ended. */
+static bool
+lessor_found_ended(const struct lessor_proc *proc, const struct member *m)
+{
+	if (!member_guards.found_ended)
+		return proc->incarnation != m->incarnation;
+	return proc->replaces == m->incarnation;
+}
+
+const struct lessor_proc *
+lessor_find_successor(const struct member_lessor *ls, const struct member *m)
+{
+	struct lessor_peer *peer = lessor_find_peer(ls, m->id);
+	const struct lessor_proc *proc;
+	size_t i;
+
+	for (i = 0; peer != NULL && i < 2; i++) {
+		proc = &peer->procs[i];
+		/* With another address it may run beside the earlier one. */
+		if (proc->info != NULL &&
+		    strcmp(proc->info->bus, m->bus) == 0 &&
+		    lessor_found_ended(proc, m))
+			return proc;
+	}
+	return NULL;
+}
+
 bool
 lessor_may_hold_lease(const struct member_lessor *ls,
     const struct lessor_proc *proc, uint64_t now_us)
@@ -277,6 +330,7 @@
 	proc->received_us = now_us;
 	proc->sent_us = renew->sent_us;
 	proc->leaving = renew->leaving;
+	proc->replaces = renew->replaces;
 	if (renew->applied > proc->applied)
 		proc->applied = renew->applied;
 	if (renew->epoch > proc->acked_epoch) {
--- a/src/member/member_lessor.h
+++ b/src/member/member_lessor.h
@@ -42,6 +42,7 @@
 	uint64_t acked_epoch, acked_us;
 	/* Newest epoch acknowledged with no promise running. */
 	uint64_t acked_unpromised;
+	uint64_t replaces; /* incarnation of the process it found ended */
 	uint64_t lease_end_us; /* when its lease is certain to have ended */
 	uint64_t required; /* log index that its lease requires */
 	bool leaving;
@@ -134,11 +135,19 @@
 bool lessor_may_hold_lease(const struct member_lessor *ls,
     const struct lessor_proc *proc, uint64_t now_us);
 
+/*
+ * The process that takes the place of a member, whose own process has ended;
+ * NULL when none is known. The head of member_lessor.c says what it proves.
+ */
+const struct lessor_proc *lessor_find_successor(
+    const struct member_lessor *ls, const struct member *m);
+
 /*
  * Whether the current epoch is sealed: no instance can act any more on the
  * support of the previous epoch. That is so when enough supporters of the
  * previous epoch have acknowledged the current one, with no promise running,
- * that the others are no majority.
+ * that the others are no majority, or when all instances that were members in
+ * the previous epoch have acknowledged the current one.
  */
 bool lessor_is_sealed(
     const struct member_lessor *ls, const struct member_view *v);
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -18,6 +18,8 @@
 	size_t count, cap;
 	uint32_t *earlier; /* ids of supporters of the previous epoch */
 	size_t nearlier;
+	uint32_t *earlier_members; /* ids of all its members */
+	size_t nearlier_members;
 	struct member_shards shards;
 	uint32_t required_capabilities;
 };
@@ -51,6 +53,7 @@
 		member_destroy(v->members[i]);
 	free(v->members);
 	free(v->earlier);
+	free(v->earlier_members);
 	memset(v, 0, sizeof(*v));
 	v->shards.count = 1;
 }
@@ -166,8 +169,9 @@
 };
 
 /*
- * Begins the epoch of a command, unless it has begun, and records the
- * supporters of the one that ends. Must be called before the members change.
+ * Begins the epoch of a command, unless it has begun, and records the members
+ * and the supporters of the one that ends. Must be called before the members
+ * change.
  */
 static void
 member_view_begin_epoch(struct member_view *v, struct member_command *c)
@@ -179,10 +183,22 @@
 	c->changed = true;
 	v->epoch = c->index;
 	v->earlier = mem_resize(v->earlier, v->count, sizeof(*v->earlier));
+	v->earlier_members =
+	    mem_resize(v->earlier_members, v->count, sizeof(uint32_t));
 	v->nearlier = 0;
-	for (i = 0; i < v->count; i++)
+	v->nearlier_members = v->count;
+	for (i = 0; i < v->count; i++) {
+		v->earlier_members[i] = v->members[i]->id;
 		if (member_view_is_supporter(v, v->members[i]))
 			v->earlier[v->nearlier++] = v->members[i]->id;
+	}
+}
+
+const uint32_t *
+member_view_earlier_members(const struct member_view *v, size_t *n)
+{
+	*n = v->nearlier_members;
+	return v->earlier_members;
 }
 
 static void
@@ -389,6 +405,8 @@
 	view.n_members = v->count;
 	view.earlier_supporters = v->earlier;
 	view.n_earlier_supporters = v->nearlier;
+	view.earlier_members = v->earlier_members;
+	view.n_earlier_members = v->nearlier_members;
 	view.shard_owners = (uint32_t *)v->shards.owners;
 	view.n_shard_owners = v->shards.count;
 	view.required_capabilities = v->required_capabilities;
@@ -416,6 +434,17 @@
 	return m;
 }
 
+static uint32_t *
+copy_ids(const uint32_t *ids, size_t n)
+{
+	uint32_t *copy = mem_alloc(n, sizeof(*copy));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		copy[i] = ids[i];
+	return copy;
+}
+
 int
 member_view_restore(
     struct member_view *v, const char *data, size_t len, struct mp_error *err)
@@ -436,9 +465,11 @@
 		if (member_view_get(v, view->members[i]->id) == NULL)
 			member_view_insert(v, member_unpack(view->members[i]));
 	v->nearlier = view->n_earlier_supporters;
-	v->earlier = mem_resize(NULL, v->nearlier, sizeof(*v->earlier));
-	for (i = 0; i < v->nearlier; i++)
-		v->earlier[i] = view->earlier_supporters[i];
+	v->earlier =
+	    copy_ids(view->earlier_supporters, view->n_earlier_supporters);
+	v->nearlier_members = view->n_earlier_members;
+	v->earlier_members =
+	    copy_ids(view->earlier_members, view->n_earlier_members);
 	for (i = 0; i < view->n_shard_owners && i < MEMBER_SHARDS_MAX; i++) {
 		v->shards.owners[i] = view->shard_owners[i];
 		v->shards.count = (uint32_t)i + 1;
--- a/src/member/view.pb-c.c
+++ b/src/member/view.pb-c.c
@@ -265,7 +265,7 @@
   (ProtobufCMessageInit) view__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor view__view__field_descriptors[5] =
+static const ProtobufCFieldDescriptor view__view__field_descriptors[6] =
 {
   {
     "epoch",
@@ -327,8 +327,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_members",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(View__View, n_earlier_members),
+    offsetof(View__View, earlier_members),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned view__view__field_indices_by_name[] = {
+  5,   /* field[5] = earlier_members */
   2,   /* field[2] = earlier_supporters */
   0,   /* field[0] = epoch */
   1,   /* field[1] = members */
@@ -338,7 +351,7 @@
 static const ProtobufCIntRange view__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor view__view__descriptor =
 {
@@ -348,7 +361,7 @@
   "View__View",
   "view",
   sizeof(View__View),
-  5,
+  6,
   view__view__field_descriptors,
   view__view__field_indices_by_name,
   1,  view__view__number_ranges,
--- a/src/member/view.pb-c.h
+++ b/src/member/view.pb-c.h
@@ -70,10 +70,15 @@
    * What a program must be able to read to apply the log: see MemberInfo.
    */
   uint32_t required_capabilities;
+  /*
+   * ids, of the previous epoch
+   */
+  size_t n_earlier_members;
+  uint32_t *earlier_members;
 };
 #define VIEW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&view__view__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* View__Member methods */
--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -141,15 +141,20 @@
  * log (that an endpoint leaves) or in a grant (its address).
  */
 #define GAP_PER_MEMBER_US 10000U
-/* The same while entries lack endpoints that announce themselves just now. */
-#define GAP_PER_MEMBER_PARTIAL_US 2000U
+
+/*
+ * The same while a placer that began without a table is being told of the
+ * endpoints: the owners of shards can use none that they do not know. Each
+ * endpoint is sent once, as otherwise.
+ */
+#define INCOMPLETE_GAP_PER_MEMBER_US 3000U
 
 static uint64_t
-message_gap_us(const struct node *n)
+min_gap_us(const struct node *n)
 {
 	return member_view_count(n->view) *
 	    (gate_table_is_complete(n) ? GAP_PER_MEMBER_US
-				       : GAP_PER_MEMBER_PARTIAL_US);
+				       : INCOMPLETE_GAP_PER_MEMBER_US);
 }
 
 static void
@@ -160,7 +165,7 @@
 	const struct member *m;
 	size_t i;
 
-	if (n->now < g->table_timer_us + message_gap_us(n))
+	if (n->now < g->table_timer_us + min_gap_us(n))
 		return;
 	if (fill_changes(n, &table, CHANGES_MAX) == 0 &&
 	    n->now < g->table_timer_us + GATE_TABLE_HEARTBEAT_US)
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -2771,7 +2771,7 @@
   (ProtobufCMessageInit) wire__member_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__lease_renew__field_descriptors[15] =
 {
   {
     "sent_us",
@@ -2941,6 +2941,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replaces",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseRenew, replaces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_renew__field_indices_by_name[] = {
   1,   /* field[1] = applied */
@@ -2952,6 +2964,7 @@
   12,   /* field[12] = permit_rate_milli */
   13,   /* field[13] = permit_term */
   3,   /* field[3] = promise_over */
+  14,   /* field[14] = replaces */
   5,   /* field[5] = self */
   0,   /* field[0] = sent_us */
   9,   /* field[9] = voter */
@@ -2961,7 +2974,7 @@
 static const ProtobufCIntRange wire__lease_renew__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__lease_renew__descriptor =
 {
@@ -2971,7 +2984,7 @@
   "Wire__LeaseRenew",
   "wire",
   sizeof(Wire__LeaseRenew),
-  14,
+  15,
   wire__lease_renew__field_descriptors,
   wire__lease_renew__field_indices_by_name,
   1,  wire__lease_renew__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -347,10 +347,15 @@
    * term of the leader that gave the share
    */
   uint64_t permit_term;
+  /*
+   * Incarnation of the earlier process of the sender's instance that the sender
+   * has found as the member: it has ended. 0: none.
+   */
+  uint64_t replaces;
 };
 #define WIRE__LEASE_RENEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_renew__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/gateway/gateway_sim.cc
+++ b/tests/gateway/gateway_sim.cc
@@ -45,7 +45,9 @@
 {
 	instances.push_back(std::make_unique<GatewayInstance>());
 	instances.back()->core = core;
-	instances.back()->ip = "10.0.0." + std::to_string(instances.size());
+	instances.back()->ip = "10.0." +
+	    std::to_string((instances.size() - 1) / 250) + "." +
+	    std::to_string((instances.size() - 1) % 250 + 1);
 	return (int)instances.size() - 1;
 }
 
--- a/tests/gateway/restart_test.cc
+++ b/tests/gateway/restart_test.cc
@@ -372,6 +372,15 @@
 		send(entry); /* five get a slot, three wait */
 	sim.run_for_ms(50);
 	ASSERT_EQ(sim.endpoint_calls.size(), 6U);
+	/* Without renewals the next process does not replace the killed one. */
+	sim.is_lost = [&](int from, int, const std::string &bytes) {
+		Wire__Envelope *e = unpack(bytes);
+		bool is_renewal =
+		    from == entry && e->body_case == WIRE__ENVELOPE__BODY_RENEW;
+
+		wire__envelope__free_unpacked(e, nullptr);
+		return is_renewal;
+	};
 	sim.kill(entry);
 	sim.start(entry);
 	send(other); /* waits behind them */
@@ -382,3 +391,33 @@
 	    [&] { return sim.endpoint_calls.size() > before; }, 200));
 	EXPECT_EQ(sim.endpoint_calls.back().instance, other);
 }
+
+/*
+ * Guards against a process that waits for the lease of the killed one before it
+ * is a member, and against slots that stay taken for as long.
+ */
+TEST_F(Replies, the_next_process_replaces_the_killed_one_at_once)
+{
+	int entry = kCores, other = kCores + 1, attempt = 0;
+	auto send = [&](int to) {
+		(void)sim.send_request(to, NODE_LISTEN_FRONT, "POST", "/p/x",
+		    "body",
+		    {{"Host", "h.example"},
+			{"Mulberrypath-Attempt-Id", std::to_string(++attempt)},
+			{"Mulberrypath-Deadline-Ms", "1900"}});
+	};
+
+	ASSERT_EQ(sim.announce(sim.leader(), "e1").status, 200); /* 6 slots */
+	ASSERT_TRUE(
+	    sim.run_until([&] { return sim.all_entries_ready(); }, 5000));
+	for (int i = 0; i < 6; i++)
+		send(entry);
+	sim.run_for_ms(50);
+	ASSERT_EQ(sim.endpoint_calls.size(), 6U);
+	sim.kill(entry);
+	sim.start(entry);
+	send(other); /* waits behind them */
+	EXPECT_TRUE(
+	    sim.run_until([&] { return sim.endpoint_calls.size() > 6; }, 700));
+	EXPECT_EQ(sim.endpoint_calls.back().instance, other);
+}
--- a/tests/member/changes_test.cc
+++ b/tests/member/changes_test.cc
@@ -95,6 +95,153 @@
 	}
 };
 
+/*
+ * The same with the time that each process needs: all start at once, promise
+ * nothing until an earlier promise has surely ended, and find the earlier
+ * process of their instance in the log.
+ */
+struct power_fixture : restarted_fixture {
+	static constexpr uint64_t kElectionUs = 800 * kMs;
+	uint64_t started_us;
+
+	power_fixture(uint32_t n, bool members_can_read)
+	    : restarted_fixture(n, members_can_read), started_us(now)
+	{
+		now += kElectionUs;
+		lead();
+	}
+	/* Renewals of those from first to last, and what the leader proposes.
+	 */
+	void
+	step(uint32_t first, uint32_t last)
+	{
+		struct member_change w;
+
+		now += 50 * kMs;
+		for (uint32_t id = first; id <= last; id++) {
+			Wire__MemberInfo self = make_info(id, id * 10 + 1);
+			const struct member *m = member_view_find(v, id);
+			Wire__LeaseRenew r = WIRE__LEASE_RENEW__INIT;
+			Wire__LeaseReply reply;
+
+			self.voter = id <= 5 ? id : 0;
+			self.capabilities = MEMBER_CAN_MANY_CHANGES;
+			r.sent_us = now;
+			r.applied = index;
+			r.epoch = member_view_epoch(v);
+			r.promise_over = now >= started_us + 2400 * kMs;
+			if (m == nullptr || m->incarnation != id * 10 + 1) {
+				r.self = &self;
+				r.replaces = m == nullptr ? 0 : m->incarnation;
+			}
+			member_lessor_on_renew(ls, v, now, UINT64_MAX, id,
+			    id * 10 + 1, index, &r, &reply);
+		}
+		if (!member_lessor_next_change(ls, v, now, &w))
+			return;
+		proposed.push_back(w);
+		apply_change(v, ++index, &w);
+	}
+	/*
+	 * Steps until all but the absent ones have joined in an active epoch;
+	 * the time since the leader was elected.
+	 */
+	uint64_t
+	run_until_all_act(uint32_t absent)
+	{
+		while (now < started_us + 60000 * kMs) {
+			step(1 + absent, count);
+			if (joined() + absent == count &&
+			    member_lessor_active_epoch(ls, v, now) ==
+				member_view_epoch(v))
+				break;
+		}
+		return now - started_us - kElectionUs;
+	}
+};
+
+/*
+ * Guards against: owners that act only many seconds after a loss of power, as
+ * each member is removed and joins in an epoch of its own, or as the next
+ * process of an instance waits for the lease of the one before. The members
+ * that stay away may hold a lease until 2,400 ms after the election.
+ */
+TEST(member_changes, all_act_soon_after_a_loss_of_power)
+{
+	struct {
+		uint32_t members, absent;
+		bool can_read_many;
+		uint64_t limit_ms;
+		size_t commands;
+	} cases[] = {
+	    {5, 0, true, 500, 1},
+	    {90, 0, true, 500, 1},
+	    {300, 0, true, 500, 1},
+	    /* One of the five supporters, with others or alone. */
+	    {90, 1, true, 2900, 3},
+	    {300, 2, true, 2900, 3},
+	    /* Of an earlier version: the next process does not wait. */
+	    {28, 0, false, 6500, 56},
+	};
+
+	for (auto &c : cases) {
+		power_fixture p(c.members, c.can_read_many);
+		uint64_t ms = p.run_until_all_act(c.absent) / kMs;
+
+		printf("%u members, %u of them absent: all act after %u ms, "
+		       "%zu commands\n",
+		    c.members, c.absent, (unsigned)ms, p.proposed.size());
+		EXPECT_LE(ms, c.limit_ms);
+		EXPECT_LE(p.proposed.size(), c.commands);
+	}
+}
+
+/*
+ * Guards against: a member is replaced by a process that does not know that it
+ * has ended, as an earlier process of which a renewal is late, or by one with
+ * another address, which may run beside it.
+ */
+TEST(member_changes, only_a_process_that_found_it_ended_replaces_a_member)
+{
+	struct {
+		const char *what;
+		uint64_t replaces;
+		const char *bus;
+		bool replaced;
+	} cases[] = {
+	    {"found the member", 30, "127.0.0.1:2", true},
+	    {"found nothing yet", 0, "127.0.0.1:2", false},
+	    {"found another one", 29, "127.0.0.1:2", false},
+	    {"has another address", 30, "127.0.0.2:2", false},
+	};
+
+	for (auto &c : cases) {
+		restarted_fixture p(3);
+		struct member_change w;
+		Wire__MemberInfo self = make_capable_info(3, 31);
+		Wire__LeaseRenew r = WIRE__LEASE_RENEW__INIT;
+		Wire__LeaseReply reply;
+
+		for (uint32_t id = 1; id <= 3; id++)
+			p.renew_other(p.now, id, id * 10, 3, 3);
+		p.now += 400 * kMs; /* the epoch is active */
+		self.bus = (char *)c.bus;
+		r.sent_us = p.now;
+		r.self = &self;
+		r.replaces = c.replaces;
+		member_lessor_on_renew(
+		    p.ls, p.v, p.now, UINT64_MAX, 3, 31, 3, &r, &reply);
+		EXPECT_EQ(
+		    member_lessor_next_change(p.ls, p.v, p.now, &w), c.replaced)
+		    << c.what;
+		if (c.replaced) {
+			EXPECT_EQ(w.nmany, 2U);
+			EXPECT_TRUE(apply_change(p.v, 4, &w));
+			EXPECT_TRUE(member_view_is_current(p.v, 3, 31));
+		}
+	}
+}
+
 /*
  * Guards against: after a loss of all processes, members come back one after
  * another, in an epoch each.
