place: a late request waits where its adapter is loaded

Change: a request that is held where its adapter is loaded may go to any other engine with the adapter; it keeps an only copy. In a shortage, a request that may not begin a load is judged at the best engine that has its adapter or is loading it.

--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -257,6 +257,47 @@
 	    (est->limit_wait_ms <= 0 || !is_adapter_ready(p, a->endpoint, a));
 }
 
+/*
+ * Judge a request at the engine of lowest cost, or at the best one that has its
+ * adapter if it may not begin a load: it isn't refused, nor held for the
+ * store, while there is one. Only shares recognize a shortage.
+ */
+static enum place_verdict
+judge(struct place *p, struct place_ask *a, struct place_endpoint **e,
+    struct place_estimate *est, bool may_order)
+{
+	struct place_endpoint *holder;
+	struct place_estimate there;
+	enum place_verdict verdict = p->admit->ops->judge(
+	    p, a, est, is_adapter_ready(p, *e, a), may_order);
+
+	if (verdict == PLACE_RUN || !est->needs_load || !p->admit->is_short)
+		return verdict;
+	holder = find_engine(p, a, false, &there);
+	if (holder == NULL)
+		return verdict;
+	*e = holder;
+	*est = there;
+	return p->admit->ops->judge(
+	    p, a, est, is_adapter_ready(p, holder, a), may_order);
+}
+
+/*
+ * Let a request that is held where its adapter is loaded go to any other engine
+ * with the adapter. It keeps the only copy, which the load of another one could
+ * evict otherwise.
+ */
+static void
+release_held(struct place *p, struct place_ask *a)
+{
+	const struct place_demand *d = place_demand_find(p, a->key);
+
+	if (a->endpoint == NULL || d == NULL || d->nholders < 2)
+		return;
+	stop_waiting(a);
+	a->evaluate_at_us = 0;
+}
+
 /* No engine can take the request now. */
 static enum place_attempt
 wait_or_refuse(struct place *p, struct place_ask *a, bool may_order)
@@ -286,13 +327,15 @@
 	if (e == NULL)
 		return wait_or_refuse(p, a, may_order);
 	place_admit_set_blocked(p, a, false);
+	verdict = judge(p, a, &e, &est, may_order);
 	is_ready = is_adapter_ready(p, e, a);
-	verdict = p->admit->ops->judge(p, a, &est, is_ready, may_order);
 	if (verdict == PLACE_TOO_LATE)
 		return refuse_late(p, a, e, &est);
 	place_admit_set_held(p, a, verdict == PLACE_HOLD);
-	if (verdict == PLACE_HOLD)
+	if (verdict == PLACE_HOLD) {
+		release_held(p, a);
 		return PLACE_ATTEMPT_WAITING;
+	}
 	if (!is_ready) {
 		wait_for_adapter(p, e, a);
 		return PLACE_ATTEMPT_WAITING;
--- a/tests/place/admit_adapter_test.cc
+++ b/tests/place/admit_adapter_test.cc
@@ -24,8 +24,8 @@
 	}
 
 	uint64_t
-	AskFor(const char *adapter, int objective_ms, const char *account = "a",
-	    uint32_t tokens = 2000)
+	AskFor(
+	    const char *adapter, int objective_ms, const char *avoid = nullptr)
 	{
 		place_request r = {};
 
@@ -34,12 +34,14 @@
 		r.service = "lm";
 		r.model = "m";
 		r.adapter = adapter;
-		r.prompt_tokens = tokens;
+		r.prompt_tokens = 2000;
 		r.max_tokens = 10;
 		r.deadline_us = now + 20000 * MS;
 		r.target_us = now + (uint64_t)objective_ms * MS;
 		r.priority = 1;
-		r.account = account;
+		r.account = "a";
+		if (avoid != nullptr)
+			r.avoid[r.navoid++] = avoid;
 		place_ask(p, now, &r);
 		return last_ask;
 	}
@@ -126,3 +128,58 @@
 			EXPECT_LE(g.second, 8) << g.first;
 	}
 }
+
+/*
+ * Guards against a request that stays at the engine whose load it has waited
+ * for, though that has no room and another one with the adapter is idle.
+ */
+TEST_F(PlaceAdmitAdapter, a_held_request_leaves_the_engine_of_its_load)
+{
+	uint64_t ask;
+
+	Engines(1);
+	ask = AskFor("l1", 300);
+	RunFor(5);
+	ASSERT_EQ(orders["e1"], 1u);
+	for (int i = 0; i < 10; i++)
+		(void)AskFor(nullptr, 8000);
+	RunFor(2);
+	Announce({"e2"}, {{"m", "l1", 1}});
+	RunFor(400);
+	ASSERT_NE(DecisionOn(ask), nullptr);
+	EXPECT_EQ(DecisionOn(ask)->type, PLACE_GRANT);
+	EXPECT_STREQ(DecisionOn(ask)->endpoint, "e2");
+}
+
+/*
+ * Guards against the refusal of a late request since the store is full, though
+ * its adapter is loaded where it can wait.
+ */
+TEST_F(PlaceAdmitAdapter, a_full_store_refuses_none_whose_adapter_is_loaded)
+{
+	std::vector<uint64_t> busy;
+	uint64_t late;
+
+	TearDown();
+	options.max_adapter_loads = 1;
+	SetUp();
+	Engines(1);
+	Announce({"e2"});
+	Announce({"e1"}, {{"m", "l1", 1}});
+	for (int i = 0; i < 30; i++)
+		busy.push_back(AskFor(nullptr, 8000, "e2"));
+	for (auto adapter : {"x1", "x2", "x3"})
+		(void)AskFor(adapter, 8000, "e1");
+	RunFor(5);
+	late = AskFor("l1", 300);
+	RunFor(20);
+	EXPECT_EQ(DecisionOn(late), nullptr);
+	for (auto ask : busy) {
+		Done(ask, PLACE_FIRST_BYTE);
+		Done(ask, PLACE_SERVED);
+	}
+	RunFor(20);
+	ASSERT_NE(DecisionOn(late), nullptr);
+	EXPECT_EQ(DecisionOn(late)->type, PLACE_GRANT);
+	EXPECT_STREQ(DecisionOn(late)->endpoint, "e1");
+}
