place: timely requests delay a late one at full speed

Cause: the wait of a late request was estimated as all that is before it over the rate of late requests, which is what is left after the timely ones that arrive. The timely ones in the queue, which run at the full capacity, were taken to run at that rate too.

Change: what is timely before a late request counts at the full capacity.

--- a/src/place/place_admit_wait.c
+++ b/src/place/place_admit_wait.c
@@ -100,14 +100,18 @@
 	    (double)(a->deadline_us - p->now_us) / US_PER_MS * part;
 }
 
-/* One that is going to be refused takes no room from those behind it. */
+/*
+ * Timely requests before a late one run at the full capacity; its rate is for
+ * late ones, and has the timely ones that keep arriving subtracted. One that is
+ * going to be refused takes no room from those behind it.
+ */
 void
 place_admit_estimate_waits(struct place *p)
 {
 	const struct fair_account *f;
 	const struct place_admit_account *t;
-	double capacity = place_admit_capacity(p), rate;
-	double arrivals = 0, weights = 0, tokens = 0;
+	double capacity = place_admit_capacity(p);
+	double arrivals = 0, weights = 0, timely = 0, late = 0;
 	struct place_ask *a;
 	uint32_t i;
 
@@ -122,15 +126,16 @@
 	for (a = p->queue_head; a != NULL && capacity > 0; a = a->next) {
 		if (a->key == NULL || a->endpoint != NULL)
 			continue;
-		rate = a->is_late
-		    ? late_rate(p, a->share, capacity, arrivals, weights)
-		    : capacity;
-		a->room_wait_ms = tokens / rate;
-		if (!misses_deadline(p, a))
-			tokens += place_admit_charge(a);
+		a->room_wait_ms = a->is_late ? timely / capacity +
+			late /
+			    late_rate(p, a->share, capacity, arrivals, weights)
+					     : (timely + late) / capacity;
+		if (misses_deadline(p, a))
+			continue;
+		*(a->is_late ? &late : &timely) += place_admit_charge(a);
 	}
 	p->admit->capacity = capacity;
-	p->admit->held_ms = capacity > 0 ? tokens / capacity : 0;
+	p->admit->held_ms = capacity > 0 ? (timely + late) / capacity : 0;
 }
 
 bool
--- a/tests/place/admit_decision_test.cc
+++ b/tests/place/admit_decision_test.cc
@@ -166,6 +166,25 @@
 	EXPECT_EQ(DecisionOn(last), nullptr);
 }
 
+/*
+ * Guards against a refusal since timely requests before a late one are taken to
+ * run at the rate of late ones.
+ */
+TEST_F(PlaceAdmit, timely_requests_delay_a_late_one_at_full_speed)
+{
+	uint64_t late;
+
+	Engines(1);
+	Fill(8);
+	for (int i = 0; i < 40; i++)
+		(void)AskAs("big", 0, 8000, 20000);
+	/* 80,000 tokens before it take less than 5 s */
+	late = AskAs("big", 0, 1, 7000, 2000, GW_NON_IDEMPOTENT);
+	now += 5 * MS;
+	Run();
+	EXPECT_EQ(DecisionOn(late), nullptr);
+}
+
 /* Guards against a refusal of an account below its share for one above it. */
 TEST_F(PlaceAdmit, an_account_over_its_share_is_refused_first)
 {
--- a/tests/place/admit_test.cc
+++ b/tests/place/admit_test.cc
@@ -220,3 +220,32 @@
 		    r.accounts[0].ServedPart(), 0.25 * r.all.ServedPart());
 	}
 }
+
+/*
+ * Guards against a loss where adapters are cold: requests that all wait for
+ * the same load, that are refused for the store though an engine has their
+ * adapter, or that stay where there is no room.
+ */
+TEST(Admit, the_heaviest_day_with_cold_adapters)
+{
+	WorldCount shares, baseline, others;
+	std::vector<WorldCount> kinds(3);
+
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		WorldLoad load = WorldHeaviestDay();
+
+		load.seed = seed;
+		WorldResult r = RunWorld(load);
+		shares.Add(r.all);
+		others.Add(Others(r));
+		for (size_t k = 0; k < kinds.size(); k++)
+			kinds[k].Add(r.kinds[k]);
+		load.baseline = true;
+		baseline.Add(RunWorld(load).all);
+	}
+	EXPECT_GE(shares.ValuePart(), 1.03 * baseline.ValuePart());
+	EXPECT_GE(shares.ServedPart(), 1.03 * baseline.ServedPart());
+	EXPECT_GE(others.ValuePart(), 0.92);
+	for (size_t k = 1; k < kinds.size(); k++)
+		EXPECT_GE(kinds[k - 1].TimelyPart(), kinds[k].TimelyPart());
+}
