--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -346,31 +346,6 @@
     const struct node *n, const char *model, const char *adapter);
 void gate_config_free(struct node_gate *g);
 
-/* ---- node_gate_decode.c: a large configuration before it is applied ---- */
-
-struct gw_update;
-/*
- * Begins to decode the configuration of a log entry, which must be the next one
- * to be applied; false: it has none, or little to decode.
- */
-bool gate_decode_begin(
-    struct node *n, uint64_t index, struct node_bytes command);
-/* Decodes a slice; true: all is decoded, and the entry can be applied. */
-bool gate_decode_continue(struct node *n);
-/* Whether the configuration of an entry has been decoded. */
-bool gate_decode_has(const struct node_gate *g, uint64_t index);
-/* The text of an entry, for the caller to destroy; NULL: it is not known. */
-struct gw_text *gate_decode_share_text(
-    const struct node_gate *g, uint64_t index);
-/*
- * Takes the update of an entry over; false: it was not decoded.
- *
- * update: set to NULL if it is invalid.
- */
-bool gate_decode_take_update(
-    struct node_gate *g, uint64_t index, struct gw_update **update);
-void gate_decode_end(struct node_gate *g);
-
 /* ---- node_gate_config.c: texts of the log ---- */
 
 /* Whether a change of the log is a difference to an earlier configuration. */
@@ -549,33 +524,6 @@
 /* The time after which no order may be sent any more. */
 uint64_t gate_order_until_us(const struct node *n);
 
-/* ---- node_gate_hold.c: requests that wait until this entry is ready ---- */
-struct gate_hold_counts {
-	size_t held; /* now */
-	uint64_t held_total;
-	uint64_t refused_total; /* of these, refused when their time was up */
-};
-
-struct gate_hold *gate_hold_create(void);
-void gate_hold_destroy(struct gate_hold *hold);
-/* Whether the configuration is usable and an endpoint table is known. */
-bool gate_hold_is_over(const struct node *n);
-/*
- * Holds a request until gate_hold_is_over(). Returns false if it can't be held.
- *
- * deadline_ms: time that its caller waits; 0: not known.
- */
-bool gate_hold_add(
-    struct node *n, const struct node_request *in, uint32_t deadline_ms);
-/* Returns true if the request was held; it is dropped. */
-bool gate_hold_caller_gone(struct node *n, uint64_t request);
-/* Starts held requests, or refuses those whose time is up. */
-void gate_hold_run(struct node *n);
-/* When gate_hold_run() is due next, UINT64_MAX: never. */
-uint64_t gate_hold_next_us(const struct node *n);
-void gate_hold_get_counts(
-    const struct gate_hold *hold, struct gate_hold_counts *out);
-
 /* ---- node_gate_owner_select.c: selection of an owner ---- */
 struct gate_owner *gate_owner_get(struct node *n, uint32_t instance);
 /* Records a request for a key; the number of homes of that key. */
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -3,6 +3,7 @@
 
 #include "gate/gate_update.h"
 #include "node/node_gate.h"
+#include "node/node_gate_decode.h"
 #include "node/node_guard.h"
 #include "util/mem.h"
 
--- a/src/node/node_gate_hold.c
+++ b/src/node/node_gate_hold.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_gate_hold.h"
 #include "util/mem.h"
 
 /*
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -1,4 +1,5 @@
 #include "node/node_gate.h"
+#include "node/node_gate_hold.h"
 #include "util/hist.h"
 
 /* Writes the gateway's counters, gauges and histograms as Prometheus text. */
--- a/src/node/node_queue.c
+++ b/src/node/node_queue.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node/node_gate.h"
+#include "node/node_gate_decode.h"
 #include "node/node_internal.h"
 #include "util/mem.h"
 
