quota: idle accounts cost nothing per tick; cost of 10,000 accounts

Cause: every 100 ms each instance looked at each account for a new owner and for an exhausted quota, and applied all quotas anew with each change of the configuration.

Change: authority is kept for each of the 64 partitions, a ledger lists the accounts that are or were exhausted, and quotas are applied only when accounts have changed (gw_config_accounts_number).

--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -1,10 +1,19 @@
+#include <malloc.h>
+
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <cstring>
 #include <memory>
 
 #include "quota/quota_world.h"
 
+extern "C" {
+#include "gate/gate_account.h"
+#include "gate/gate_update.h"
+#include "util/mem.h"
+}
+
 /*
  * Quotas on simulated entries: over-issue, use, messages and waits, beside two
  * simpler designs: an even share for each entry, and a call to the owner for
@@ -158,9 +167,219 @@
 	fflush(stdout);
 }
 
+/* ---- cost of many accounts ---------------------------------------------- */
+
+static const int kRuns = 200000, kAskingEntries = 28;
+
+static double
+now_ns()
+{
+	return (double)std::chrono::duration_cast<std::chrono::nanoseconds>(
+	    std::chrono::steady_clock::now().time_since_epoch())
+	    .count();
+}
+
+static double
+heap_bytes()
+{
+	return (double)mallinfo2().uordblks;
+}
+
+/* Mean time of a run, in nanoseconds. */
+template <class F>
+static double
+time_ns(int runs, const F &run)
+{
+	double begin_ns = now_ns();
+
+	for (int i = 0; i < runs; i++)
+		run(i);
+	return (now_ns() - begin_ns) / runs;
+}
+
+static gw_config *
+make_config(int accounts)
+{
+	auto **list = (gw_account **)mem_alloc(
+	    (size_t)accounts + 1, sizeof(gw_account *));
+	const uint8_t secret[GW_KEY_SECRET_BYTES] = {1};
+	gw_config *config = gw_config_create();
+
+	for (int i = 0; i < accounts; i++) {
+		auto *a = (gw_account *)mem_alloc(1, sizeof(gw_account));
+		std::string name = "account-" + std::to_string(i);
+		std::string key = "key-of-account-" + std::to_string(i);
+
+		a->name = mem_string(name.c_str());
+		a->plain_keys = (char **)mem_alloc(1, sizeof(char *));
+		a->plain_keys[0] = mem_string(key.c_str());
+		a->nkeys = 1;
+		list[i] = a;
+	}
+	gw_config_set_elements(
+	    config, GW_ELEMENT_ACCOUNT, (void **)list, (size_t)accounts);
+	gw_config_hash_keys(config, secret);
+	return config;
+}
+
+/* Requests at one entry and their owner, with the messages between them. */
+struct Pair {
+	quota_share *share = quota_share_create();
+	quota_ledger *ledger = quota_ledger_create();
+	std::vector<std::string> names;
+	uint64_t now_us = 10000000, last_request = 0;
+
+	explicit Pair(int accounts)
+	{
+		for (int i = 0; i < accounts; i++)
+			names.push_back("account-" + std::to_string(i));
+	}
+	~Pair()
+	{
+		quota_share_destroy(share);
+		quota_ledger_destroy(ledger);
+	}
+	void
+	set_entry()
+	{
+		quota_limit limit = {0, 45000, 90000, kTokens};
+
+		for (auto &name : names)
+			quota_share_set(share, name.c_str(), &limit);
+		quota_share_sweep(share);
+	}
+	void
+	set_owner()
+	{
+		quota_limit limit = {0, 45000, 90000, kTokens};
+
+		for (auto &name : names)
+			quota_ledger_set(ledger, now_us, name.c_str(), &limit);
+		quota_ledger_sweep(ledger);
+	}
+	bool
+	ask(const char *account, uint64_t process, const quota_ask &ask,
+	    quota_grant *grant)
+	{
+		(void)quota_ledger_begin(ledger, account, 1, 1000000);
+		return quota_ledger_ask(
+		    ledger, now_us, account, {process, 0}, &ask, grant);
+	}
+	/* Decides on all that waits, and asks for what is due. */
+	void
+	run()
+	{
+		const char *name;
+		quota_decision d;
+		quota_grant grant;
+		quota_ask a;
+
+		for (;;) {
+			while (quota_share_next_decision(share, now_us, &d)) {
+			}
+			if (!quota_share_next_ask(share, now_us, &name, &a))
+				return;
+			if (ask(name, 1, a, &grant))
+				quota_share_on_grant(
+				    share, now_us, name, &grant);
+		}
+	}
+	/* One request, from its arrival to its admission. */
+	void
+	request(size_t account)
+	{
+		(void)quota_share_acquire(share, now_us, names[account].c_str(),
+		    ++last_request, kTokens);
+		run();
+	}
+	void
+	tick()
+	{
+		const char *name;
+		quota_decision d;
+		quota_account_state s;
+		quota_ask a;
+
+		(void)quota_share_next_decision(share, now_us, &d);
+		(void)quota_share_next_ask(share, now_us, &name, &a);
+		(void)quota_share_next_us(share);
+		(void)quota_ledger_next_change(ledger, now_us, &s);
+	}
+};
+
+static void
+print_cost(int accounts)
+{
+	gw_config *config = make_config(accounts);
+	double before = heap_bytes(), entry, owner, asking, find_ns, index_ns;
+	std::vector<std::string> keys;
+	Pair p(accounts);
+	gw_key_hash hash;
+
+	before = heap_bytes();
+	p.set_entry();
+	entry = (heap_bytes() - before) / accounts;
+	before = heap_bytes();
+	p.set_owner();
+	owner = (heap_bytes() - before) / accounts;
+	for (int i = 0; i < accounts; i++)
+		keys.push_back("key-of-account-" +
+		    std::to_string((long)i * 7919 % accounts));
+	find_ns = time_ns(kRuns, [&](int i) {
+		(void)gw_config_find_account_by_key(
+		    config, keys[(size_t)(i % accounts)].c_str(), &hash);
+	});
+	index_ns = time_ns(10, [&](int) { gw_config_index_accounts(config); });
+	double set_ns = time_ns(10, [&](int) {
+		p.set_entry();
+		p.set_owner();
+	});
+	double tick_ns = time_ns(kRuns, [&](int) { p.tick(); });
+	double request_ns = time_ns(kRuns, [&](int i) {
+		p.now_us += 1000;
+		p.request((size_t)((long)i * 7919 % accounts));
+	});
+	p.now_us += 20000000;
+	for (int i = 0; i < 100; i++) { /* all that is due */
+		p.now_us += 400000;
+		p.run();
+	}
+	double idle_ns = time_ns(kRuns, [&](int) { p.tick(); });
+	before = heap_bytes();
+	for (auto &name : p.names)
+		for (int e = 0; e < kAskingEntries; e++) {
+			quota_ask a = {0, 1, 1, 1, 0, 0, 0, 0};
+			quota_grant grant;
+			(void)p.ask(name.c_str(), 100 + (uint64_t)e, a, &grant);
+		}
+	asking = (heap_bytes() - before) / accounts / kAskingEntries;
+	printf("| %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.2f | "
+	       "%.2f |\n",
+	    accounts, entry, owner, asking, find_ns, request_ns, tick_ns,
+	    idle_ns, set_ns / 1e6, index_ns / 1e6);
+	gw_config_destroy(config);
+}
+
+static int
+print_costs()
+{
+	printf(
+	    "| accounts | entry: bytes an account | owner: bytes an account | "
+	    "owner: bytes for each entry that asks | look-up of a key, ns | "
+	    "request, charged and granted, ns | tick, no requests yet, ns | "
+	    "tick, 40 s after the last request, ns | accounts changed: "
+	    "quotas, ms | the same: index of keys, ms |\n| --- | --- | --- "
+	    "| --- | --- | --- | --- | --- | --- | --- |\n");
+	for (int accounts : {16, 1000, 10000})
+		print_cost(accounts);
+	return 0;
+}
+
 int
 main(int argc, char **argv)
 {
+	if (argc > 1 && strcmp(argv[1], "--cost") == 0)
+		return print_costs();
 	int accounts = argc > 1 ? atoi(argv[1]) : 16;
 
 	printf("| design | entries | load | quota used | refused | messages/s "
--- a/src/gate/gate_account.c
+++ b/src/gate/gate_account.c
@@ -32,6 +32,7 @@
 	struct key_item *keys;
 	struct name_item *names;
 	size_t nkeys, nnames;
+	uint64_t number; /* of indexes that the configuration has had */
 };
 
 static struct gw_key_hash
@@ -165,12 +166,21 @@
 gw_config_hash_keys(
     struct gw_config *config, const uint8_t secret[GW_KEY_SECRET_BYTES])
 {
+	uint64_t number = gw_config_accounts_number(config);
 	size_t i;
 
 	for (i = 0; i < config->naccounts; i++)
 		hash_account(config->accounts[i], secret);
 	gw_account_index_destroy(config->account_index);
 	config->account_index = create_index(config, secret);
+	config->account_index->number = number + 1;
+}
+
+uint64_t
+gw_config_accounts_number(const struct gw_config *config)
+{
+	return config->account_index == NULL ? 0
+					     : config->account_index->number;
 }
 
 void
--- a/src/gate/gate_account.h
+++ b/src/gate/gate_account.h
@@ -32,6 +32,12 @@
  */
 void gw_config_index_accounts(struct gw_config *config);
 
+/*
+ * A number that grows whenever an account is added, removed or changed; 0
+ * before gw_config_hash_keys().
+ */
+uint64_t gw_config_accounts_number(const struct gw_config *config);
+
 /*
  * Finds an account, or NULL. Before gw_config_hash_keys() none is found.
  *
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -548,11 +548,13 @@
 void gate_quota_owner_on_epoch(struct node *n, bool skipped);
 /* The instance that grants an account's quota; 0: none is known. */
 uint32_t gate_quota_find_owner(const struct node *n, const char *account);
+/* The partition of an account, less than GATE_QUOTA_PARTITIONS. */
+uint32_t gate_quota_get_partition(const char *account);
 /*
- * By what this instance may grant an account's quota now; 0: it may not.
+ * By what this instance may grant the quotas of a partition now; 0: it may not.
  * Another number than before: other instances may have granted in between.
  */
-uint64_t gate_quota_get_authority(const struct node *n, const char *account);
+uint64_t gate_quota_get_authority(const struct node *n, uint32_t partition);
 
 /* ---- node_gate_quota.c: quotas of client accounts ---- */
 void gate_quota_init(struct node *n);
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate/gate_account.h"
 #include "node/node_gate.h"
 #include "quota/quota_ledger.h"
 #include "quota/quota_share.h"
@@ -27,7 +28,7 @@
 /* Longest name of an account in the metrics. */
 #define METRIC_NAME_MAX 64
 
-/* By what this instance owns the quota of an account. */
+/* By what this instance owns the quotas of a partition. */
 struct authority {
 	uint64_t number; /* of the epoch, or the term of the leader; 0: none */
 	uint64_t since_us;
@@ -36,9 +37,8 @@
 struct gate_quotas {
 	struct quota_share *share;
 	struct quota_ledger *ledger;
-	uint64_t config_version, config_index; /* as applied */
-	bool is_configured;
-	struct map *authorities; /* struct authority by account */
+	uint64_t accounts_number; /* of those that were applied; 0: none */
+	struct authority authorities[GATE_QUOTA_PARTITIONS];
 	uint64_t log_due_us;
 	uint64_t asks_answered;
 };
@@ -50,7 +50,6 @@
 
 	q->share = quota_share_create();
 	q->ledger = quota_ledger_create();
-	q->authorities = map_create();
 	n->gate->quotas = q;
 }
 
@@ -59,7 +58,6 @@
 {
 	quota_share_destroy(g->quotas->share);
 	quota_ledger_destroy(g->quotas->ledger);
-	map_destroy_all(g->quotas->authorities, free);
 	free(g->quotas);
 }
 
@@ -78,19 +76,6 @@
 	return limit;
 }
 
-static void
-drop_authorities(struct gate_quotas *q, const struct gw_config *config)
-{
-	const char *account;
-	size_t i = map_count(q->authorities);
-
-	while (i-- > 0) {
-		account = map_key_at(q->authorities, i, NULL);
-		if (gw_config_find_account_by_name(config, account) == NULL)
-			free(map_remove_str(q->authorities, account));
-	}
-}
-
 static void
 apply_config(struct node *n)
 {
@@ -100,12 +85,9 @@
 	size_t i;
 
 	if (config == NULL ||
-	    (q->is_configured && q->config_version == config->version &&
-		q->config_index == n->gate->config_index))
+	    q->accounts_number == gw_config_accounts_number(config))
 		return;
-	q->is_configured = true;
-	q->config_version = config->version;
-	q->config_index = n->gate->config_index;
+	q->accounts_number = gw_config_accounts_number(config);
 	for (i = 0; i < config->naccounts; i++) {
 		if (config->accounts[i]->quota.units_per_s == 0)
 			continue;
@@ -116,34 +98,27 @@
 	}
 	quota_share_sweep(q->share);
 	quota_ledger_sweep(q->ledger);
-	drop_authorities(q, config);
 }
 
 /* ---- the owner ---------------------------------------------------------- */
 
-/* Records since when this instance owns an account; false: it does not now. */
-static bool
-update_authority(struct node *n, const char *account, struct authority **out)
+/*
+ * Records since when this instance owns a partition. Returns NULL if it does
+ * not now.
+ */
+static const struct authority *
+update_authority(struct node *n, uint32_t partition)
 {
-	struct gate_quotas *q = n->gate->quotas;
-	struct authority *a = map_get_str(q->authorities, account);
-	uint64_t number = gate_quota_get_authority(n, account);
+	struct authority *a = &n->gate->quotas->authorities[partition];
+	uint64_t number = gate_quota_get_authority(n, partition);
 
 	if (number == 0)
-		return false;
-	if (a == NULL) {
-		a = mem_alloc(1, sizeof(*a));
-		(void)map_set_str(q->authorities, account, a);
+		return NULL;
+	if (number != a->number) {
+		a->number = number;
+		a->since_us = n->now;
 	}
-	*out = a;
-	if (number == a->number)
-		return true;
-	a->number = number;
-	a->since_us = n->now;
-	node_log(n, NODE_LOG_GATE_QUOTA_OWNER,
-	    "{\"account\": \"%s\", \"authority\": %llu}", account,
-	    (unsigned long long)(number >> 1));
-	return true;
+	return a;
 }
 
 /* Has entries return what they hold ahead. */
@@ -174,13 +149,17 @@
     const struct quota_ask *ask, struct quota_grant *out)
 {
 	struct gate_quotas *q = n->gate->quotas;
-	struct authority *a;
+	const struct authority *a;
 	bool has_answer;
 
 	apply_config(n);
-	if (!update_authority(n, account, &a))
+	a = update_authority(n, gate_quota_get_partition(account));
+	if (a == NULL)
 		return false;
-	(void)quota_ledger_begin(q->ledger, account, a->number, a->since_us);
+	if (quota_ledger_begin(q->ledger, account, a->number, a->since_us))
+		node_log(n, NODE_LOG_GATE_QUOTA_OWNER,
+		    "{\"account\": \"%s\", \"authority\": %llu}", account,
+		    (unsigned long long)(a->number >> 1));
 	q->asks_answered++;
 	has_answer =
 	    quota_ledger_ask(q->ledger, n->now, account, entry, ask, out);
@@ -377,16 +356,14 @@
 gate_quota_tick(struct node *n)
 {
 	struct gate_quotas *q = n->gate->quotas;
-	struct authority *a;
-	size_t i;
+	uint32_t i;
 
 	apply_config(n);
-	if (n->now < q->log_due_us)
+	if (n->now < q->log_due_us || quota_ledger_count(q->ledger) == 0)
 		return;
 	q->log_due_us = n->now + LOG_INTERVAL_US;
-	for (i = 0; i < quota_ledger_count(q->ledger); i++)
-		(void)update_authority(
-		    n, quota_ledger_at(q->ledger, i).account, &a);
+	for (i = 0; i < GATE_QUOTA_PARTITIONS; i++)
+		(void)update_authority(n, i);
 	log_exhausted(n);
 }
 
--- a/src/node/node_gate_quota_owner.c
+++ b/src/node/node_gate_quota_owner.c
@@ -15,8 +15,8 @@
  * In a small cluster the leader owns all quotas.
  */
 
-static uint32_t
-get_partition(const char *account)
+uint32_t
+gate_quota_get_partition(const char *account)
 {
 	return (uint32_t)(XXH64(account, strlen(account), 0) %
 	    GATE_QUOTA_PARTITIONS);
@@ -54,7 +54,9 @@
 {
 	if (!gate_is_sharded(n))
 		return node_gate_placer(n);
-	return n->gate->quota_owners.partitions[get_partition(account)].owner;
+	return n->gate->quota_owners
+	    .partitions[gate_quota_get_partition(account)]
+	    .owner;
 }
 
 /*
@@ -133,10 +135,10 @@
 }
 
 uint64_t
-gate_quota_get_authority(const struct node *n, const char *account)
+gate_quota_get_authority(const struct node *n, uint32_t partition)
 {
 	const struct gate_quota_owner *o =
-	    &n->gate->quota_owners.partitions[get_partition(account)];
+	    &n->gate->quota_owners.partitions[partition];
 
 	if (!gate_is_sharded(n))
 		return leads_alone(n) ? leader_number(n) : 0;
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -48,6 +48,7 @@
 	if (l == NULL)
 		return;
 	map_destroy_all(l->accounts, free_account);
+	free(l->watched);
 	free(l);
 }
 
@@ -88,6 +89,37 @@
 	quota_bucket_clamp(a, quota_bucket_cap(a, now_us));
 }
 
+/* ---- exhausted accounts ---- */
+
+static void
+watch(struct quota_ledger *l, struct account *a)
+{
+	size_t size;
+
+	if (a->is_watched)
+		return;
+	if (l->nwatched == l->watched_size) {
+		size = l->watched_size == 0 ? 16 : l->watched_size * 2;
+		l->watched = mem_resize(l->watched, size, sizeof(*l->watched));
+		l->watched_size = size;
+	}
+	a->is_watched = true;
+	l->watched[l->nwatched++] = a;
+}
+
+static void
+unwatch(struct quota_ledger *l, struct account *a)
+{
+	size_t i, kept = 0;
+
+	for (i = 0; i < l->nwatched && a->is_watched; i++)
+		if (l->watched[i] != a)
+			l->watched[kept++] = l->watched[i];
+	if (a->is_watched)
+		l->nwatched = kept;
+	a->is_watched = false;
+}
+
 void
 quota_ledger_sweep(struct quota_ledger *l)
 {
@@ -96,10 +128,12 @@
 
 	for (i = map_count(l->accounts); i-- > 0;) {
 		a = map_at(l->accounts, i);
-		if (!a->is_set)
-			free_account(map_remove_str(l->accounts, a->name));
-		else
+		if (a->is_set) {
 			a->is_set = false;
+			continue;
+		}
+		unwatch(l, a);
+		free_account(map_remove_str(l->accounts, a->name));
 	}
 }
 
@@ -348,6 +382,8 @@
 	*out = (struct quota_grant){.number = ask->number};
 	decide(a, h, now_us, ask, out);
 	grant(a, h, now_us, out);
+	if (a->is_exhausted)
+		watch(l, a);
 	h->last = *out;
 	return ask->wanted + ask->forecast > 0;
 }
@@ -401,11 +437,15 @@
 	struct account *a;
 	size_t i;
 
-	for (i = 0; i < map_count(l->accounts); i++) {
-		a = map_at(l->accounts, i);
+	for (i = l->nwatched; i-- > 0;) {
+		a = l->watched[i];
 		if (a->is_exhausted &&
 		    now_us >= a->refused_us + EXHAUSTED_END_US)
 			a->is_exhausted = false;
+		if (!a->is_exhausted && !a->is_reported) {
+			unwatch(l, a);
+			continue;
+		}
 		if (a->is_exhausted == a->is_reported)
 			continue;
 		a->is_reported = a->is_exhausted;
--- a/src/quota/quota_ledger_internal.h
+++ b/src/quota/quota_ledger_internal.h
@@ -51,11 +51,18 @@
 	uint64_t recalled_us; /* time of the last recall; 0: none */
 	size_t recall_next; /* the first holder that may be recalled still */
 	bool is_exhausted, is_reported;
+	bool is_watched; /* listed in quota_ledger.watched */
 	uint64_t granted, returned, refused_asks, recalls;
 };
 
 struct quota_ledger {
 	struct map *accounts;
+	/*
+	 * Accounts that are or were exhausted, so that the others cost nothing
+	 * as time passes.
+	 */
+	struct account **watched;
+	size_t nwatched, watched_size;
 };
 
 /* ---- quota_bucket.c ---- */
--- a/tests/gate/account_test.cc
+++ b/tests/gate/account_test.cc
@@ -62,6 +62,20 @@
 	}
 };
 
+/* Guards against quotas that are not applied after a change of accounts. */
+TEST_F(GateAccount, each_change_of_accounts_has_another_number)
+{
+	uint64_t number;
+
+	Make({{"a", {"k1"}}});
+	EXPECT_EQ(gw_config_accounts_number(config), 0u);
+	gw_config_hash_keys(config, secret);
+	number = gw_config_accounts_number(config);
+	EXPECT_GT(number, 0u);
+	gw_config_index_accounts(config);
+	EXPECT_GT(gw_config_accounts_number(config), number);
+}
+
 TEST_F(GateAccount, accounts_are_found_by_key_hash_and_name)
 {
 	std::vector<Account> many;
