tests/prove: a follower that restarts with a late log

Change: row "follower restarts, late log": messages with log entries reach one follower 900 ms late, less than the 2 s that the leader tolerates, and it restarts. The number of tries is unchanged.

--- a/tests/cluster/cluster.cc
+++ b/tests/cluster/cluster.cc
@@ -9,6 +9,7 @@
 #include "member/member_guard.h"
 #include "node/node_guard.h"
 #include "raft/raft_record.h"
+#include "wire/peer.pb-c.h"
 }
 
 /* Interval of ticks. */
@@ -317,6 +318,7 @@
 {
 	cuts.clear();
 	call_cuts.clear();
+	log_delay_us.clear();
 	drop = duplicate = 0;
 	delay_max_us = 1000;
 	order_delay_us = 0;
@@ -411,6 +413,20 @@
 	}
 }
 
+/* Whether a message brings log entries, or a snapshot, to a follower. */
+static bool
+carries_log(const std::string &bytes)
+{
+	Wire__Envelope *e = wire__envelope__unpack(
+	    nullptr, bytes.size(), (const uint8_t *)bytes.data());
+	bool carries =
+	    e != nullptr && e->body_case == WIRE__ENVELOPE__BODY_PUSH;
+
+	if (e != nullptr)
+		wire__envelope__free_unpacked(e, nullptr);
+	return carries;
+}
+
 void
 Cluster::do_send(int i, const struct node_send &send)
 {
@@ -421,8 +437,12 @@
 	if (to < 0 || to >= (int)instances.size() || cuts.count({i, to}) ||
 	    rng_unit(&rng) < drop)
 		return;
+	uint64_t delay_us = log_delay_us.count(to) > 0 && carries_log(bytes)
+	    ? log_delay_us[to]
+	    : 0;
 	while (copies-- > 0)
-		at(now + 200 + rng_below(&rng, (uint32_t)delay_max_us),
+		at(now + delay_us + 200 +
+			rng_below(&rng, (uint32_t)delay_max_us),
 		    [this, i, to, bytes] {
 			    Instance &in = *instances[(size_t)to];
 
--- a/tests/cluster/cluster.h
+++ b/tests/cluster/cluster.h
@@ -160,6 +160,8 @@
 	void heal();
 	/* Share of messages that are lost or duplicated. */
 	double drop = 0, duplicate = 0;
+	/* Delay of messages with log entries, by the instance they go to. */
+	std::map<int, uint64_t> log_delay_us;
 	uint64_t delay_max_us = 1000;
 	uint64_t order_delay_us = 0; /* added to calls to endpoints */
 	/* Cache events: shares lost and duplicated, longest delay. */
--- a/tests/prove/faults.cc
+++ b/tests/prove/faults.cc
@@ -258,6 +258,20 @@
 	inject_restart(c, w, 3 + target % 2);
 }
 
+/*
+ * A follower restarts and gets all log entries late, by less than what its
+ * leader tolerates, but all other messages at once: its first lease begins
+ * before it has applied what the lease requires.
+ */
+static void
+inject_lagging_follower(Cluster &c, Workload &w, int target)
+{
+	int follower = 3 + target % 2;
+
+	c.log_delay_us[follower] = 900000;
+	inject_restart(c, w, follower);
+}
+
 /* Requests 24 adapters through an instance. */
 static void
 request_all_adapters(Cluster &c, int instance)
@@ -483,6 +497,9 @@
     {"relay: cut to the leader", inject_relay_cut_up, 1000000, true, true},
     {"relay: cut from the leader", inject_relay_cut_down, 1000000, true, true},
     {"relay: leader killed", inject_relay_leader, 6000000, true, true},
+    /* Last, as the steps of pairs depend on the order. */
+    {"follower restarts, late log", inject_lagging_follower, 5000000, true,
+	false},
 };
 
 /* ---- steps -------------------------------------------------------------- */
