gate: the rest of a chunk behind a changed element is compared at once

Change: once the text goes on as the base after something new, what is left of the chunk is compared and copied at once; a shared segment is looked up once.

--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -17,6 +17,7 @@
 	size_t base_at; /* segment of base that is expected next */
 	size_t base_chunk; /* chunk of a segment of base before that */
 	size_t misses; /* elements since the last that base has */
+	bool try_rest; /* of a chunk, as something new was read before it */
 };
 
 static bool
@@ -40,6 +41,7 @@
 	    (struct node_bytes){s->data + s->start, s->at - s->start}, kind);
 	s->start = s->at;
 	s->last = kind;
+	s->try_rest = true;
 }
 
 static bool
@@ -134,22 +136,25 @@
 	    gw_text_is_space(next) || next == ',' || next == ']';
 }
 
-/* Takes segments of base that the text goes on with. */
+/* Takes the segments from a place of base up to the end of a chunk's part. */
 static void
-take_shared(struct scan *s, size_t from, size_t count, size_t bytes)
+take_shared(
+    struct scan *s, struct gw_text_place place, size_t count, size_t bytes)
 {
-	gw_text_append_shared(s->text, s->base, from, count);
+	const struct gw_chunk *c = s->base->chunks[place.chunk];
+
+	gw_text_append_part(s->text, s->base, place, count);
 	s->at += bytes;
 	s->start = s->at;
-	s->base_at = from + count;
-	s->last = gw_text_kind(s->base, from + count - 1);
+	s->base_at = s->base->starts[place.chunk] + place.offset + count;
+	s->last = (enum gw_segment_kind)c->kinds[place.offset + count - 1];
 	s->misses = 0;
 }
 
 /*
  * Shares a whole chunk of base if it begins with the segment that is expected
- * next. How the text is split here depends only on the segment before, so equal
- * bytes give equal segments.
+ * next, or takes the rest of one. How the text is split here depends only on
+ * the segment before, so equal bytes give equal segments.
  */
 static bool
 share_chunk(struct scan *s)
@@ -157,26 +162,30 @@
 	const struct gw_text *base = s->base;
 	const struct gw_chunk *c;
 	struct gw_text_place p;
-	size_t end;
+	size_t first, bytes;
 
 	if (s->base_at >= gw_text_count(base))
 		return false;
 	p = gw_text_find(base, s->base_at, s->base_chunk);
 	s->base_chunk = p.chunk;
 	c = base->chunks[p.chunk];
-	if (p.offset != 0 || (p.chunk == 0) != (s->text->count == 0) ||
-	    (p.chunk > 0 &&
+	if ((p.offset != 0 && !s->try_rest) ||
+	    (s->base_at == 0) != (s->text->count == 0) ||
+	    (s->base_at > 0 &&
 		(s->last == GW_SEGMENT_ELEMENT) ==
-		    (c->kinds[0] == GW_SEGMENT_ELEMENT)) ||
-	    !starts_with(s, c->data, c->bytes))
+		    (c->kinds[p.offset] == GW_SEGMENT_ELEMENT)))
+		return false;
+	s->try_rest = false;
+	first = p.offset == 0 ? 0 : c->ends[p.offset - 1];
+	bytes = c->bytes - first;
+	if (!starts_with(s, c->data + first, bytes))
 		return false;
-	end = s->at + c->bytes;
 	if (p.chunk + 1 == base->nchunks
-		? end != s->len
+		? s->at + bytes != s->len
 		: !ends_alike(s, (enum gw_segment_kind)c->kinds[c->count - 1],
-		      gw_chunk_segment(c, c->count - 1), end))
+		      gw_chunk_segment(c, c->count - 1), s->at + bytes))
 		return false;
-	take_shared(s, s->base_at, c->count, c->bytes);
+	take_shared(s, p, c->count - p.offset, bytes);
 	return true;
 }
 
@@ -193,7 +202,7 @@
 	    !starts_with(s, segment.data, segment.len) ||
 	    !ends_alike(s, kind, segment, s->at + segment.len))
 		return false;
-	take_shared(s, i, 1, segment.len);
+	take_shared(s, p, 1, segment.len);
 	return true;
 }
 
--- a/src/gate/gate_text_chunk.c
+++ b/src/gate/gate_text_chunk.c
@@ -255,23 +255,32 @@
 	text->bytes += c->bytes;
 }
 
+void
+gw_text_append_part(struct gw_text *text, const struct gw_text *other,
+    struct gw_text_place place, size_t count)
+{
+	struct gw_chunk *c = other->chunks[place.chunk];
+
+	if (count == c->count)
+		append_chunk(text, c);
+	else
+		append_copies(text, c, place.offset, place.offset + count);
+}
+
 void
 gw_text_append_shared(struct gw_text *text, const struct gw_text *other,
     size_t from, size_t count)
 {
 	struct gw_text_place p;
-	struct gw_chunk *c;
 	size_t n;
 
 	if (count == 0)
 		return;
 	for (p = gw_text_find(other, from, 0); count > 0; p.chunk++) {
-		c = other->chunks[p.chunk];
-		n = c->count - p.offset < count ? c->count - p.offset : count;
-		if (n == c->count)
-			append_chunk(text, c);
-		else
-			append_copies(text, c, p.offset, p.offset + n);
+		n = other->chunks[p.chunk]->count - p.offset;
+		if (n > count)
+			n = count;
+		gw_text_append_part(text, other, p, n);
 		p.offset = 0;
 		count -= n;
 	}
--- a/src/gate/gate_text_internal.h
+++ b/src/gate/gate_text_internal.h
@@ -66,6 +66,9 @@
 /* Appends count segments of another text, and shares its whole chunks. */
 void gw_text_append_shared(struct gw_text *text, const struct gw_text *other,
     size_t from, size_t count);
+/* The same with count segments of one chunk. */
+void gw_text_append_part(struct gw_text *text, const struct gw_text *other,
+    struct gw_text_place place, size_t count);
 /*
  * Finds the arrays and computes the digest once all segments are appended;
  * false: the kinds of the segments are not in an order that gw_text_parse()
