member: capabilities that a view lacks are stated again

As leader it would propose single changes and whole configurations until these members join again. Change: every 64th renewal of a member has its MemberInfo. A leader that finds other capabilities in its view proposes the member's MemberUp with these, one at a time and only when nothing else is due; it begins no epoch.

--- a/src/member/member_change.c
+++ b/src/member/member_change.c
@@ -256,6 +256,50 @@
 		lessor_select_joiner(ls, v, now_us, map_at(ls->peers, i), room);
 }
 
+/* What the view has of a member, with other capabilities. */
+static Wire__MemberInfo
+lessor_restate(const struct member *m, uint32_t capabilities)
+{
+	Wire__MemberInfo info = WIRE__MEMBER_INFO__INIT;
+
+	info.id = m->id;
+	info.incarnation = m->incarnation;
+	info.name = m->name;
+	info.data_centre = m->data_centre;
+	info.region = m->region;
+	info.http = m->http;
+	info.bus = m->bus;
+	info.voter = m->voter;
+	info.leaving = m->leaving;
+	info.capabilities = capabilities;
+	return info;
+}
+
+/*
+ * Selects MemberUp for a member with other capabilities than it states itself.
+ * It begins no epoch.
+ */
+static void
+lessor_select_restated(struct member_lessor *ls, const struct member_view *v,
+    struct lessor_room *room)
+{
+	const struct lessor_proc *proc;
+	const struct member *m;
+	Wire__MemberInfo info;
+	size_t i;
+
+	for (i = 0; i < member_view_count(v) && ls->nchanges == 0; i++) {
+		m = member_view_at(v, i);
+		proc = lessor_find_proc(ls, m);
+		if (proc == NULL || proc->info == NULL ||
+		    proc->info->capabilities == m->capabilities)
+			continue;
+		info = lessor_restate(m, proc->info->capabilities);
+		lessor_add_change(
+		    ls, room, MEMBER_CHANGE_UP, m->id, m->incarnation, &info);
+	}
+}
+
 /* Whether a MemberChanges means the same to all members and voters. */
 static bool
 lessor_all_read_many(
@@ -287,13 +331,15 @@
 		room.many = false;
 		if (ls->nchanges == 0)
 			lessor_select_up(ls, v, now_us, &room);
-		return ls->nchanges > 0;
+	} else {
+		lessor_select_up(ls, v, now_us, &room);
+		if (ls->nchanges == 0)
+			lessor_select_down(ls, v, now_us, &room);
+		if (ls->nchanges == 0)
+			lessor_select_leave(ls, v, &room);
 	}
-	lessor_select_up(ls, v, now_us, &room);
 	if (ls->nchanges == 0)
-		lessor_select_down(ls, v, now_us, &room);
-	if (ls->nchanges == 0)
-		lessor_select_leave(ls, v, &room);
+		lessor_select_restated(ls, v, &room);
 	return ls->nchanges > 0;
 }
 
@@ -307,7 +353,8 @@
 
 	switch (c->type) {
 	case MEMBER_CHANGE_UP:
-		return m != NULL;
+		return m != NULL &&
+		    (!same || m->capabilities == c->info->capabilities);
 	case MEMBER_CHANGE_DOWN:
 		return !same;
 	case MEMBER_CHANGE_LEAVE:
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -358,6 +358,7 @@
 	uint64_t next_asks_scan_us, next_grants_scan_us, next_claims_scan_us;
 	uint64_t next_summary_us, next_keepalive_us, next_pull_us,
 	    next_hello_us, next_voter_change_us, propose_us;
+	uint32_t renewals; /* sent as a member */
 	bool stopping;
 	uint64_t stop_us; /* time at which stopping began */
 	bool exited;
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -11,6 +11,12 @@
  * the leader, the grants of leases and the changes of the members.
  */
 
+/*
+ * Renewals of a member for each that describes it: the leader's view may come
+ * from a snapshot of an earlier program version, without its capabilities.
+ */
+#define SELF_INTERVAL 64
+
 static void
 fill_self(const struct node *n, Wire__MemberInfo *info)
 {
@@ -89,7 +95,7 @@
 	member_holder_fill_renew(
 	    n->holder, n->now, n->applied, member_view_epoch(n->view), &renew);
 	renew.leaving = n->stopping;
-	if (!is_member(n)) {
+	if (!is_member(n) || n->renewals++ % SELF_INTERVAL == 0) {
 		fill_self(n, &self);
 		renew.self = &self;
 	}
--- a/tests/member/changes_test.cc
+++ b/tests/member/changes_test.cc
@@ -369,6 +369,40 @@
 	}
 }
 
+/*
+ * Guards against: after the change to this version a leader whose view comes
+ * from a snapshot of an earlier one never learns what the members can read; a
+ * MemberUp for that begins an epoch, or undoes that a member leaves.
+ */
+TEST(member_changes, capabilities_that_a_snapshot_lacks_are_stated_again)
+{
+	lease_fixture p(3); /* without capabilities */
+	uint64_t now = 10000 * kMs, index = 4, epoch;
+	struct member_change w;
+	size_t ups = 0;
+
+	member_view_apply_leave(p.v, index, 3, 30);
+	epoch = member_view_epoch(p.v);
+	member_lessor_set_voters_read_many(p.ls, true);
+	for (int i = 0; i < 20; i++) {
+		now += 50 * kMs;
+		for (uint32_t id = 1; id <= 3; id++) {
+			Wire__MemberInfo self = make_capable_info(id, id * 10);
+
+			p.renew_other(now, id, id * 10, index, index, &self);
+		}
+		if (!member_lessor_next_change(p.ls, p.v, now, &w))
+			continue;
+		ups++;
+		ASSERT_EQ(w.type, MEMBER_CHANGE_UP);
+		EXPECT_FALSE(apply_change(p.v, ++index, &w));
+	}
+	EXPECT_EQ(ups, 3U);
+	EXPECT_TRUE(member_view_all_have(p.v, MEMBER_CAN_MANY_CHANGES));
+	EXPECT_EQ(member_view_epoch(p.v), epoch);
+	EXPECT_TRUE(member_view_find(p.v, 3)->leaving);
+}
+
 /*
  * Guards against: a process that has skipped a command which it cannot read
  * becomes a member; one that may join is left out for the sake of many at once.
