place: load adapters in demand ahead of requests

Cause: requests wait for loads of adapters that are in demand while the store is mostly idle: engines unload by the demand for their own adapters, so an adapter that no engine has any more may be in more demand than one at another engine, and after a start slots stay free.

Change: once in 100 ms, while at most half of the store's limit is in use, an adapter in demand that no engine has is loaded into a free slot or in place of one with less than a quarter of its demand; else a copy of the adapter with the most demand for each copy into a free slot. Conditions are checked again when the order is sent; loads that requests wait for go first. Setting gateway.prefetchAdapters (default true), counters gate_adapter_prefetches_total and gate_adapter_prefetches_used_total.

--- a/include/mulberrypath/settings.h
+++ b/include/mulberrypath/settings.h
@@ -57,6 +57,7 @@
 	bool founding; /* this is the cluster's first start */
 	bool fenced; /* endpoints reject orders with an older fence */
 	bool kept_prompts; /* placing considers engines' prefix caches */
+	bool prefetch_adapters; /* adapters are loaded ahead of requests */
 	uint32_t address_lifetime_ms; /* sent to callers with an address */
 	uint32_t heartbeat_ms; /* interval of an endpoint's announcements */
 	uint32_t drain_ms; /* a leaving endpoint gets new work for this time */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -229,6 +229,7 @@
     NUMBER("storeWindowMs", gateway.store_window_ms, 100, 600000, 5000),
     MILLI("storeOver", gateway.store_over_milli, 0.001, 1000, 1),
     FLAG_ON("keptPrompts", gateway.kept_prompts),
+    FLAG_ON("prefetchAdapters", gateway.prefetch_adapters),
     {.key = NULL},
 };
 
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -34,6 +34,7 @@
 {
 	const struct settings_gateway *s = &n->settings->gateway;
 	struct place_options options = {0};
+	struct place *place;
 
 	options.retry_ratio_milli = s->retry_ratio_milli;
 	options.retry_extra = s->retry_extra;
@@ -45,7 +46,9 @@
 	options.ignores_kept_prompts = !s->kept_prompts;
 	/* Set when this instance becomes the placer. */
 	options.heartbeat_ms = 0;
-	return place_create(&options);
+	place = place_create(&options);
+	place_set_prefetch(place, s->prefetch_adapters);
+	return place;
 }
 
 void
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -153,6 +153,8 @@
 	    {"placing_held", "gauge", t.held},
 	    {"placing_late_total", "counter", t.late_grants},
 	    {"share_refused_total", "counter", t.share_refusals},
+	    {"adapter_prefetches_total", "counter", t.prefetches},
+	    {"adapter_prefetches_used_total", "counter", t.prefetches_used},
 	    {"prefix_placed_total", "counter", t.prefix_grants},
 	    {"prefix_tokens_expected_total", "counter",
 		(double)t.prefix_tokens}};
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -65,6 +65,9 @@
  */
 void place_use_baseline_order(struct place *p);
 
+/* Load adapters in demand before a request waits for them; off at first. */
+void place_set_prefetch(struct place *p, bool prefetches);
+
 /* Set the current configuration; it must outlive its use by the placer. */
 void place_configure(struct place *p, const struct gw_config *config);
 /*
@@ -544,6 +547,8 @@
 	uint32_t share_refusals; /* no room in time for their account */
 	uint32_t prefix_grants; /* with a part of the prompt expected cached */
 	uint64_t prefix_tokens; /* of their prompts, expected cached */
+	uint32_t prefetches; /* adapter loads that no request waited for */
+	uint32_t prefetches_used; /* of these, requested once loaded */
 };
 void place_get_totals(const struct place *p, struct place_totals *out);
 
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -43,6 +43,8 @@
 	p->totals.prefix_tokens += a->prompt_tokens - est->own_tokens;
 	place_endpoint_grant(p, e, a);
 	place_prefix_record(p, e, a);
+	p->totals.prefetches_used += adapter->is_prefetch;
+	adapter->is_prefetch = false;
 	adapter->running++;
 	adapter->last_used_us = p->now_us;
 	d->id = a->id;
@@ -74,11 +76,15 @@
 static void
 wait_at_engine(struct place_endpoint *e, struct place_ask *a)
 {
+	struct place_adapter *adapter;
+
 	if (a->endpoint == e)
 		return;
 	stop_waiting(a);
 	a->endpoint = e;
-	place_adapter_find(e, a->key)->waiting++;
+	adapter = place_adapter_find(e, a->key);
+	adapter->waiting++;
+	adapter->is_prefetch = false;
 	e->waiting_tokens += a->prompt_tokens;
 }
 
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -51,6 +51,7 @@
 	bool has_served; /* a request has begun to run on it */
 	bool from_store; /* its load counts against the store's limit */
 	struct place_load load; /* its last one from the store */
+	bool is_prefetch; /* no request has waited for it or run on it */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
@@ -244,6 +245,7 @@
 	struct map *versions; /* struct place_version by key */
 	struct map *budgets; /* struct place_budget by service */
 	struct map *demand; /* struct place_demand by key */
+	bool prefetches_adapters;
 	uint32_t store_loads; /* adapter loads from the store in progress */
 	uint32_t queued_store_loads; /* wanted loads from the store */
 	struct place_store store; /* how many it serves at full speed */
@@ -263,7 +265,7 @@
 	uint32_t mean_load_ms; /* of the engines owned here */
 	/* incremented by each event that may allow another grant */
 	uint64_t capacity_generation;
-	uint64_t next_sweep_us, next_demand_sweep_us;
+	uint64_t next_sweep_us, next_demand_sweep_us, next_prefetch_us;
 	uint64_t next_run_us;
 	uint64_t last_run_us;
 	uint64_t now_us;
@@ -478,6 +480,15 @@
 /* Complete loads that are due, and issue orders and report requests. */
 void place_order_run(struct place *p, bool may_order);
 
+/* ---- place_prefetch.c ---- */
+/* Choose an adapter to be loaded before a request waits for it. */
+void place_prefetch_run(struct place *p);
+/* Does the store have room for a load that no request waits for? */
+bool place_prefetch_may_load(const struct place *p);
+/* Is the victim in so little demand that the adapter may replace it? */
+bool place_prefetch_may_unload(
+    const struct place *p, const char *key, const struct place_adapter *victim);
+
 /* ---- place_demand.c ---- */
 /* Count a request for a key. */
 void place_demand_record(struct place *p, const char *key);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -21,6 +21,8 @@
 #define CONFLICT_RETRY_US (150 * US_PER_MS)
 /* An engine gets no calls for a while after this many unanswered orders. */
 #define UNANSWERED_MAX 3u
+/* A prefetch that has not been ordered for so long is dropped. */
+#define PREFETCH_US (200 * US_PER_MS)
 /* Concurrent loads of weights: one more for each such part of the rate. */
 #define WEIGHTS_RATE_MILLI 5000u
 #define WEIGHTS_BURST	   2.0
@@ -310,12 +312,15 @@
 {
 	struct place_adapter *victim;
 
-	if (count_loads(e) >= PLACE_LOADS_PER_ENGINE_MAX)
+	if (count_loads(e) >= PLACE_LOADS_PER_ENGINE_MAX ||
+	    (a->is_prefetch && !place_prefetch_may_load(p)))
 		return;
 	if (!a->is_replacing &&
 	    place_adapter_used_slots(e) >= engine->adapter_slots) {
 		victim = place_adapter_victim(p, e);
-		if (victim != NULL)
+		if (victim != NULL &&
+		    (!a->is_prefetch ||
+			place_prefetch_may_unload(p, a->key, victim)))
 			send_order(p, e, victim, true);
 		return;
 	}
@@ -412,10 +417,11 @@
 
 /* Is it wanted, but no request waits for it any more? */
 static bool
-is_unneeded(const struct place_adapter *a)
+is_unneeded(const struct place *p, const struct place_adapter *a)
 {
 	return a->state == ADAPTER_WANTED && a->waiting == 0 &&
-	    a->adapter != NULL;
+	    a->adapter != NULL &&
+	    !(a->is_prefetch && p->now_us < a->state_since_us + PREFETCH_US);
 }
 
 /*
@@ -429,11 +435,14 @@
 	if (a->state == ADAPTER_LOADING && p->now_us >= a->ready_us) {
 		place_adapter_release_store(p, a);
 		enter_state(p, e, a, ADAPTER_LOADED);
+		/* a request may come much later, which tells nothing of it */
+		if (a->is_prefetch)
+			a->load.began_us = 0;
 	} else if (a->state == ADAPTER_LOADING) {
 		place_schedule_run(p, a->ready_us);
-	} else if (is_unneeded(a) && a->is_replacing) {
+	} else if (is_unneeded(p, a) && a->is_replacing) {
 		enter_state(p, e, a, ADAPTER_LOADED);
-	} else if (is_unneeded(a)) {
+	} else if (is_unneeded(p, a)) {
 		place_adapter_remove(p, e, a, false);
 		return false;
 	}
@@ -459,6 +468,7 @@
 		if (wanted == NULL || is_before(a, wanted))
 			wanted = a;
 		p->queued_store_loads += a->adapter != NULL &&
+		    !a->is_prefetch &&
 		    !place_adapter_was_recently_unloaded(e, a->key_hash);
 	}
 	return wanted;
@@ -542,4 +552,6 @@
 	for (i = 0; i < due; i++)
 		issue_next(p, &orders[i], may_order);
 	free(orders);
+	if (may_order && place_is_placer(p))
+		place_prefetch_run(p);
 }
