quota: before an owner's first answer a request waits for 750 ms

Change: until an owner has answered for the first time since the start, a request waits for a grant for up to 750 ms, then as before 250 ms. The test of 250 ms has an answer first; a new one has none.

--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -150,6 +150,14 @@
 	return d;
 }
 
+/* When a waiting request is refused, if nothing else happens. */
+static uint64_t
+wait_end_us(const struct quota_share *s, const struct quota_waiter *w)
+{
+	return w->arrived_us +
+	    (s->has_answer ? QUOTA_WAIT_MAX_US : QUOTA_START_WAIT_MAX_US);
+}
+
 /*
  * Decides on a waiting request, if that is possible now. One whose time is over
  * is refused for the quota if the owner has said so.
@@ -157,8 +165,9 @@
  * may_admit: none that arrived earlier still waits.
  */
 static bool
-decide_waiter(struct quota_holding *h, uint64_t now_us,
-    const struct quota_waiter *w, bool may_admit, struct quota_decision *out)
+decide_waiter(const struct quota_share *s, struct quota_holding *h,
+    uint64_t now_us, const struct quota_waiter *w, bool may_admit,
+    struct quota_decision *out)
 {
 	*out = (struct quota_decision){
 	    w->request, QUOTA_WAITING, 0, w->tokens, h->name};
@@ -168,9 +177,9 @@
 	} else if (w->tokens > h->limit.burst) {
 		out->verdict = QUOTA_TOO_LARGE;
 	} else if (now_us < h->refused_until_us ||
-	    w->arrived_us + QUOTA_WAIT_MAX_US < h->retry_us) {
+	    wait_end_us(s, w) < h->retry_us) {
 		*out = refuse(h, now_us, w->request, w->tokens);
-	} else if (now_us >= w->arrived_us + QUOTA_WAIT_MAX_US) {
+	} else if (now_us >= wait_end_us(s, w)) {
 		out->verdict = QUOTA_UNKNOWN;
 		h->unknown++;
 	} else {
@@ -188,7 +197,7 @@
 
 	quota_held_expire(h, now_us);
 	while (*at != NULL) {
-		if (!decide_waiter(h, now_us, *at, may_admit, &d)) {
+		if (!decide_waiter(s, h, now_us, *at, may_admit, &d)) {
 			may_admit = false;
 			at = &(*at)->next;
 			continue;
@@ -374,10 +383,9 @@
 
 /* When the request that waits longest is refused, if nothing else happens. */
 static uint64_t
-decision_due_us(const struct quota_holding *h)
+decision_due_us(const struct quota_share *s, const struct quota_holding *h)
 {
-	return h->first == NULL ? UINT64_MAX
-				: h->first->arrived_us + QUOTA_WAIT_MAX_US;
+	return h->first == NULL ? UINT64_MAX : wait_end_us(s, h->first);
 }
 
 uint64_t
@@ -391,8 +399,8 @@
 		h = s->active[i];
 		if (quota_ask_due_us(h) < next)
 			next = quota_ask_due_us(h);
-		if (decision_due_us(h) < next)
-			next = decision_due_us(h);
+		if (decision_due_us(s, h) < next)
+			next = decision_due_us(s, h);
 	}
 	return next;
 }
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -25,6 +25,11 @@
 
 /* A request waits this long at most. */
 #define QUOTA_WAIT_MAX_US (250 * 1000ULL)
+/*
+ * The same until an owner has answered for the first time: after a loss of all
+ * instances it takes that long until there are owners again.
+ */
+#define QUOTA_START_WAIT_MAX_US (750 * 1000ULL)
 
 struct quota_share *quota_share_create(void);
 void quota_share_destroy(struct quota_share *s);
--- a/src/quota/quota_share_ask.c
+++ b/src/quota/quota_share_ask.c
@@ -256,6 +256,7 @@
 	    grant->number == 0)
 		return;
 	h->ask.number = 0;
+	s->has_answer = true;
 	quota_share_activate(s, h);
 	quota_held_expire(h, now_us);
 	end_us = grant_end_us(h->first_sent_us, grant->lifetime_ms);
--- a/src/quota/quota_share_internal.h
+++ b/src/quota/quota_share_internal.h
@@ -62,6 +62,7 @@
 	struct quota_holding **active;
 	size_t nactive, active_size;
 	uint64_t last_number;
+	bool has_answer; /* an owner has answered an ask */
 	/* decisions not returned yet */
 	struct quota_decision *decisions;
 	size_t ndecisions, next_decision, decisions_size;
--- a/tests/quota/share_test.cc
+++ b/tests/quota/share_test.cc
@@ -123,6 +123,10 @@
 /* Guards against a request that waits for an owner that is gone. */
 TEST_F(ShareTest, without_an_answer_a_request_is_refused_after_250_ms)
 {
+	Acquire(9, 10);
+	ASSERT_TRUE(Asks());
+	Grant(10); /* an owner has answered since the start */
+	Decide();
 	Acquire(1, 10);
 	ASSERT_TRUE(Asks());
 	now_us += 100 * kMs;
@@ -138,6 +142,22 @@
 	EXPECT_EQ(QUOTA_UNKNOWN, VerdictOf(1));
 }
 
+/*
+ * Guards against requests that are refused after a loss of all instances, just
+ * before there are owners again.
+ */
+TEST_F(ShareTest, before_the_first_answer_a_request_waits_for_750_ms)
+{
+	Acquire(1, 10);
+	ASSERT_TRUE(Asks());
+	now_us += 749 * kMs;
+	Decide();
+	EXPECT_EQ(QUOTA_WAITING, VerdictOf(1));
+	now_us += 1 * kMs;
+	Decide();
+	EXPECT_EQ(QUOTA_UNKNOWN, VerdictOf(1));
+}
+
 /* Guards against refused callers that return together, and idle quotas. */
 TEST_F(ShareTest, over_the_quota_all_are_refused_at_once_for_a_short_time)
 {
