--- a/src/bus/bus_peer.c
+++ b/src/bus/bus_peer.c
@@ -16,10 +16,7 @@
  */
 #define BULK_WAIT_MS  (CONNECT_TIMEOUT_MS + HANDSHAKE_TIMEOUT_MS)
 #define BULK_RETRY_MS 5
-/*
- * The answer to a ping may come that much later for each byte sent before it,
- * as on a link of 2 Mbit/s, a quarter of the slowest one that we know.
- */
+/* A ping waits behind the bytes sent before it, as on a link of 2 Mbit/s. */
 #define BULK_US_PER_BYTE 4
 /* A bulk connection expects messages of at least this size. */
 #define BULK_EXPECTED_BYTES    (2500 * 1000)
@@ -271,8 +268,8 @@
 }
 
 /*
- * Make the peer's bulk connection, if there is none. A larger message than
- * before raises the ping timeout from the next connect on.
+ * Make the peer's bulk connection, if there is none. Its ping timeout is that
+ * of the largest message known then.
  */
 static void
 prepare_bulk(struct bus *b, struct peer *p, size_t len)
@@ -281,9 +278,6 @@
 
 	if (p->bulk == NULL)
 		p->bulk = connect_peer(b, p->id, p->address, bytes);
-	else if (bytes > p->bulk_bytes)
-		(void)bus_set_int(
-		    p->bulk, ZMQ_HEARTBEAT_TIMEOUT, ping_timeout_ms(bytes));
 	if (bytes > p->bulk_bytes)
 		p->bulk_bytes = bytes;
 }
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -420,7 +420,8 @@
  * without being a member, and one that cannot read it would then lead with
  * another view. It starts as false, and again with each term.
  */
-void member_lessor_set_voters_read_many(struct member_lessor *ls, bool can);
+void member_lessor_set_voters_can_read_changes(
+    struct member_lessor *ls, bool can);
 
 /*
  * Fills the membership change that the leader should propose now: all changes
--- a/src/member/member_change.c
+++ b/src/member/member_change.c
@@ -194,10 +194,12 @@
  * The process of an instance that can become a member; NULL: none. One that was
  * removed must return its permits before it joins again, and one that cannot
  * read the commands of the log must not join.
+ *
+ * m: the member of the instance, which is being removed, or NULL.
  */
 static const struct lessor_proc *
 lessor_find_joiner(const struct lessor_peer *peer, const struct member_view *v,
-    uint64_t now_us, const struct lessor_room *room)
+    const struct member *m, uint64_t now_us, const struct lessor_room *room)
 {
 	uint32_t needed = member_view_required_capabilities(v) |
 	    (room->many ? MEMBER_CAN_MANY_CHANGES : 0);
@@ -208,7 +210,8 @@
 		proc = &peer->procs[j];
 		if (proc->info == NULL || proc->leaving ||
 		    proc->held.in_flight > 0 || proc->held.rate_milli > 0 ||
-		    now_us >= proc->received_us + MEMBER_LEASE_US)
+		    now_us >= proc->received_us + MEMBER_LEASE_US ||
+		    (m != NULL && proc->incarnation == m->incarnation))
 			continue;
 		if ((proc->info->capabilities & needed) == needed ||
 		    !member_guards.all_can_read)
@@ -227,10 +230,8 @@
 
 	if (m != NULL && !lessor_has_down(ls, m->id, m->incarnation))
 		return;
-	proc = lessor_find_joiner(peer, v, now_us, room);
-	if (proc == NULL ||
-	    (m != NULL && proc->incarnation == m->incarnation) ||
-	    (room->voters_only && proc->info->voter == 0))
+	proc = lessor_find_joiner(peer, v, m, now_us, room);
+	if (proc == NULL || (room->voters_only && proc->info->voter == 0))
 		return;
 	if (lessor_has_room(ls, room, lessor_change_bytes(proc->info)))
 		lessor_add_change(ls, room, MEMBER_CHANGE_UP, peer->id,
@@ -302,11 +303,11 @@
 
 /* Whether a MemberChanges means the same to all members and voters. */
 static bool
-lessor_all_read_many(
+lessor_all_can_read_changes(
     const struct member_lessor *ls, const struct member_view *v)
 {
 	return !member_guards.all_can_read ||
-	    (ls->voters_read_many &&
+	    (ls->voters_can_read_changes &&
 		member_view_all_have(v, MEMBER_CAN_MANY_CHANGES));
 }
 
@@ -320,7 +321,7 @@
 lessor_select(
     struct member_lessor *ls, const struct member_view *v, uint64_t now_us)
 {
-	struct lessor_room room = {.many = lessor_all_read_many(ls, v),
+	struct lessor_room room = {.many = lessor_all_can_read_changes(ls, v),
 	    .bytes = MEMBER_CHANGES_BYTES_MAX};
 
 	lessor_clear_changes(ls);
@@ -378,9 +379,9 @@
 }
 
 void
-member_lessor_set_voters_read_many(struct member_lessor *ls, bool can)
+member_lessor_set_voters_can_read_changes(struct member_lessor *ls, bool can)
 {
-	ls->voters_read_many = can;
+	ls->voters_can_read_changes = can;
 }
 
 /*
@@ -422,7 +423,7 @@
 	if (!ls->change_pending) {
 		if (!lessor_sweep_due(v, now_us, &ls->searched_us) ||
 		    !lessor_is_sealed(ls, v) ||
-		    (lessor_all_read_many(ls, v) &&
+		    (lessor_all_can_read_changes(ls, v) &&
 			lessor_is_about_to_act(ls, v, now_us)) ||
 		    !lessor_select(ls, v, now_us))
 			return false;
--- a/src/member/member_lessor.c
+++ b/src/member/member_lessor.c
@@ -81,7 +81,8 @@
  * takes them over: it waits for as long as a promise can run before its
  * acknowledgements count, and supports no instance until it is a member. Only
  * one process of an instance runs at a time: the bus address, which it binds,
- * ensures that.
+ * ensures that. An operator who gives an instance another bus address must end
+ * its earlier process first; acknowledgements are counted by instance.
  *
  * Orders may be in flight for MEMBER_FLIGHT_MAX_US after their sender had to
  * stop. For leases, promises and acknowledgements the wait is longer by that
--- a/src/member/member_lessor.h
+++ b/src/member/member_lessor.h
@@ -101,7 +101,7 @@
 	 * The changes proposed last, together; pending until all are applied or
 	 * without effect. They own copies of their information.
 	 */
-	bool change_pending, voters_read_many;
+	bool change_pending, voters_can_read_changes;
 	struct member_change *changes;
 	size_t nchanges, changes_cap;
 	uint64_t proposed_us;
--- a/src/node/node_apply.c
+++ b/src/node/node_apply.c
@@ -98,7 +98,7 @@
 	node_owner_on_epoch(n, false);
 }
 
-/* The effects are those of the single changes, but with one epoch. */
+/* Members are changed as by single commands, with one epoch. */
 static void
 apply_changes(
     struct node *n, uint64_t index, const Wire__MemberChanges *changes)
--- a/src/node/node_gate.c
+++ b/src/node/node_gate.c
@@ -263,7 +263,7 @@
 	}
 	decoded.waited_us = waited_us;
 	trust = gate_config_get_trust(n);
-	if (!gate_hold_is_over(n) && gate_hold_add(n, in, decoded.deadline_ms))
+	if (!gate_is_ready(n) && gate_hold_add(n, in, decoded.deadline_ms))
 		return;
 	if (trust == GATE_CONFIG_UNUSABLE) {
 		refuse_not_ready(n, in, &decoded);
--- a/src/node/node_gate_account.c
+++ b/src/node/node_gate_account.c
@@ -7,7 +7,7 @@
  * and the hash of its key; the key itself is used in one step only.
  */
 
-/* gw_request.quota_unit_and_one of a request of the account. */
+/* gw_request.quota_unit_plus_one of a request of the account. */
 static int
 get_quota_unit(const struct gw_account *account)
 {
@@ -18,7 +18,7 @@
 static void
 set_account(struct gw_request *request, const struct gw_account *account)
 {
-	request->quota_unit_and_one = get_quota_unit(account);
+	request->quota_unit_plus_one = get_quota_unit(account);
 	request->account = account->name;
 	request->account_priority = account->priority;
 }
@@ -60,8 +60,8 @@
 {
 	int unit = get_quota_unit(account);
 
-	return unit != 0 && request->quota_unit_and_one != 0 &&
-	    unit != request->quota_unit_and_one;
+	return unit != 0 && request->quota_unit_plus_one != 0 &&
+	    unit != request->quota_unit_plus_one;
 }
 
 /* Whether the request's key still has the account that it had. */
--- a/src/node/node_gate_hold.c
+++ b/src/node/node_gate_hold.c
@@ -17,14 +17,14 @@
 #define HOLD_MAX_US (2000 * 1000ULL)
 /* Requests are held while the entry is not ready for less than this. */
 #define NOT_READY_MAX_US (5000 * 1000ULL)
-/* Limits of what is held. */
+/* Limits of what is held; headers are bounded by the number of requests. */
 #define HOLD_REQUESTS_MAX 512u
 #define HOLD_BYTES_MAX	  ((size_t)4 << 20)
 /* Requests that one step starts, so that the event loop isn't blocked. */
 #define START_BATCH 32u
 
 struct held_request {
-	struct node_request in; /* its strings are in memory */
+	struct node_request in; /* its strings are owned by the next field */
 	struct node_effects *memory;
 	uint64_t received_us;
 	uint64_t until_us;
@@ -86,7 +86,7 @@
 }
 
 bool
-gate_hold_is_over(const struct node *n)
+gate_is_ready(const struct node *n)
 {
 	return gate_config_get_trust(n) != GATE_CONFIG_UNUSABLE &&
 	    n->gate->has_table;
@@ -192,7 +192,7 @@
 void
 gate_hold_run(struct node *n)
 {
-	if (gate_hold_is_over(n)) {
+	if (gate_is_ready(n)) {
 		n->gate->hold->not_ready_since_us = 0;
 		start_batch(n);
 	} else {
@@ -208,7 +208,7 @@
 	uint64_t next = UINT64_MAX;
 	size_t i;
 
-	if (hold->count > 0 && gate_hold_is_over(n))
+	if (hold->count > 0 && gate_is_ready(n))
 		return n->now;
 	for (i = 0; i < hold->count; i++)
 		if (hold->requests[i]->until_us < next)
--- a/src/node/node_gate_hold.h
+++ b/src/node/node_gate_hold.h
@@ -13,9 +13,9 @@
 struct gate_hold *gate_hold_create(void);
 void gate_hold_destroy(struct gate_hold *hold);
 /* Whether the configuration is usable and an endpoint table is known. */
-bool gate_hold_is_over(const struct node *n);
+bool gate_is_ready(const struct node *n);
 /*
- * Holds a request until gate_hold_is_over(). Returns false if it can't be held.
+ * Holds a request until gate_is_ready(). Returns false if it can't be held.
  *
  * deadline_ms: time that its caller waits; 0: not known.
  */
--- a/src/node/node_gate_quota.c
+++ b/src/node/node_gate_quota.c
@@ -171,9 +171,9 @@
 gate_quota_on_ask(struct node *n, uint32_t from, uint64_t incarnation,
     const Wire__QuotaAsk *message)
 {
-	struct quota_ask ask = {(int)message->unit_and_one - 1, message->number,
-	    message->wanted, message->first, message->forecast, message->ahead,
-	    message->returned, message->held};
+	struct quota_ask ask = {(int)message->unit_plus_one - 1,
+	    message->number, message->wanted, message->first, message->forecast,
+	    message->ahead, message->returned, message->held};
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__QuotaGrant reply = WIRE__QUOTA_GRANT__INIT;
 	struct quota_entry entry = {incarnation, from};
@@ -280,7 +280,7 @@
 		    n->gate->quotas->share, request->account, ask);
 	else if (tokens > 0)
 		quota_share_refund(n->gate->quotas->share, n->now,
-		    request->account, request->quota_unit_and_one - 1, tokens);
+		    request->account, request->quota_unit_plus_one - 1, tokens);
 }
 
 static void
@@ -291,7 +291,7 @@
 	Wire__QuotaAsk message = WIRE__QUOTA_ASK__INIT;
 
 	message.account = (char *)account;
-	message.unit_and_one = (uint32_t)(ask->unit + 1);
+	message.unit_plus_one = (uint32_t)(ask->unit + 1);
 	message.number = ask->number;
 	message.wanted = ask->wanted;
 	message.first = ask->first;
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -362,7 +362,7 @@
  * are or have been members.
  */
 static bool
-voters_read_many(const struct node *n)
+voters_can_read_changes(const struct node *n)
 {
 	const struct raft_config *config = raft_get_config(n->raft);
 	size_t i;
@@ -382,7 +382,7 @@
 
 	if (n->raft == NULL || raft_authority_until(n->raft) <= n->now)
 		return;
-	member_lessor_set_voters_read_many(n->lessor, voters_read_many(n));
+	member_lessor_set_voters_can_read_changes(n->lessor, voters_can_read_changes(n));
 	while (member_lessor_next_change(n->lessor, n->view, n->now, &change))
 		propose_member_change(n, &change);
 	propose_claim_clock(n);
--- a/src/node/node_queue.c
+++ b/src/node/node_queue.c
@@ -22,7 +22,7 @@
 
 struct node_queue {
 	struct node_queued *items;
-	size_t count, cap;
+	size_t first, count, cap; /* items from first on, count of them */
 	size_t bytes;
 };
 
@@ -39,8 +39,8 @@
 	size_t i;
 
 	for (i = 0; i < q->count; i++)
-		free((char *)q->items[i].command.data);
-	q->count = 0;
+		free((char *)q->items[q->first + i].command.data);
+	q->first = q->count = 0;
 	q->bytes = 0;
 	if (n->gate != NULL)
 		gate_decode_end(n->gate);
@@ -66,11 +66,11 @@
 {
 	struct node_queued *item;
 
-	if (q->count == q->cap) {
+	if (q->first + q->count == q->cap) {
 		q->cap = q->cap == 0 ? 16 : q->cap * 2;
 		q->items = mem_resize(q->items, q->cap, sizeof(*q->items));
 	}
-	item = &q->items[q->count++];
+	item = &q->items[q->first + q->count++];
 	item->index = index;
 	item->term = term;
 	item->command.data = mem_copy(command.data, command.len);
@@ -85,7 +85,7 @@
 	struct node_queue *q = n->queue;
 
 	if (q->count > 0) {
-		if (index == q->items[q->count - 1].index + 1 &&
+		if (index == q->items[q->first + q->count - 1].index + 1 &&
 		    q->bytes < QUEUE_BYTES_MAX)
 			append(q, index, term, command);
 		return;
@@ -100,25 +100,29 @@
 static void
 remove_first(struct node_queue *q)
 {
-	q->bytes -= q->items[0].command.len;
-	free((char *)q->items[0].command.data);
-	q->count--;
-	memmove(&q->items[0], &q->items[1], q->count * sizeof(q->items[0]));
+	struct node_queued *item = &q->items[q->first++];
+
+	q->bytes -= item->command.len;
+	free((char *)item->command.data);
+	if (--q->count == 0)
+		q->first = 0;
 }
 
 void
 node_queue_tick(struct node *n)
 {
 	struct node_queue *q = n->queue;
+	const struct node_queued *item;
 
 	if (q->count == 0 || !gate_decode_continue(n))
 		return;
 	do {
-		node_replica_apply(n, q->items[0].index, q->items[0].term,
-		    q->items[0].command);
+		item = &q->items[q->first];
+		node_replica_apply(n, item->index, item->term, item->command);
 		remove_first(q);
-	} while (q->count > 0 &&
-	    !gate_decode_begin(n, q->items[0].index, q->items[0].command));
+		item = &q->items[q->first];
+	} while (
+	    q->count > 0 && !gate_decode_begin(n, item->index, item->command));
 	member_freshness_on_applied(&n->freshness, n->applied);
 	n->unanswered_pulls = 0;
 	n->next_pull_us = 0; /* report the progress to the source */
--- a/src/place/place_prefetch.c
+++ b/src/place/place_prefetch.c
@@ -23,11 +23,9 @@
 #define INTERVAL_US (100 * US_PER_MS)
 /* Decayed requests; an adapter with fewer may not be requested again. */
 #define DEMAND_MIN 1.0
-/*
- * Demand in relation to that for the adapter that is unloaded. With 2, four
- * times as many loads avoided hardly more waits (60 engines, simulated).
- */
-#define VICTIM_FACTOR	4.0
+/* Least demand in relation to that for the adapter that is unloaded. */
+#define VICTIM_FACTOR 4.0
+/* Part of the store's limit that prefetches may use. */
 #define STORE_SHARE_MAX 0.5
 
 void
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -29,9 +29,8 @@
  */
 #define QUOTA_AHEAD_LIFETIME_MS 5000u
 /*
- * The part of the burst of which tokens are granted ahead, in eighths. At the
- * usual load of 28 entries and a burst of two seconds it is 1.6 requests for
- * each; half of the burst gives 1.3 messages a request (bench_quota).
+ * The part of the burst of which tokens are granted ahead, in eighths. The rest
+ * is what a new owner can grant before these have ended.
  */
 #define QUOTA_AHEAD_EIGHTHS 6u
 /*
--- a/src/quota/quota_ledger.c
+++ b/src/quota/quota_ledger.c
@@ -363,7 +363,10 @@
 	if (a == NULL ||
 	    (quota_guards.reserve && now_us < a->room_until_us[TERM_LARGE]))
 		return false;
-	/* An entry that knows of the change, or not yet: it asks again. */
+	/*
+	 * The entry and this owner apply different versions of the quota; the
+	 * entry asks again.
+	 */
 	if (quota_guards.unit && ask->unit != QUOTA_UNIT_ANY &&
 	    ask->unit != a->limit.unit)
 		return false;
--- a/src/quota/quota_share.c
+++ b/src/quota/quota_share.c
@@ -150,14 +150,6 @@
 	return d;
 }
 
-/* When a waiting request is refused, if nothing else happens. */
-static uint64_t
-wait_end_us(const struct quota_share *s, const struct quota_waiter *w)
-{
-	return w->arrived_us +
-	    (s->has_answer ? QUOTA_WAIT_MAX_US : QUOTA_START_WAIT_MAX_US);
-}
-
 /*
  * Decides on a waiting request, if that is possible now. One whose time is over
  * is refused for the quota if the owner has said so.
@@ -165,9 +157,8 @@
  * may_admit: none that arrived earlier still waits.
  */
 static bool
-decide_waiter(const struct quota_share *s, struct quota_holding *h,
-    uint64_t now_us, const struct quota_waiter *w, bool may_admit,
-    struct quota_decision *out)
+decide_waiter(struct quota_holding *h, uint64_t now_us,
+    const struct quota_waiter *w, bool may_admit, struct quota_decision *out)
 {
 	*out = (struct quota_decision){
 	    w->request, QUOTA_WAITING, 0, w->tokens, h->name};
@@ -176,10 +167,9 @@
 		charge(h, w->tokens);
 	} else if (w->tokens > h->limit.burst) {
 		out->verdict = QUOTA_TOO_LARGE;
-	} else if (now_us < h->refused_until_us ||
-	    wait_end_us(s, w) < h->retry_us) {
+	} else if (now_us < h->refused_until_us || w->ends_us < h->retry_us) {
 		*out = refuse(h, now_us, w->request, w->tokens);
-	} else if (now_us >= wait_end_us(s, w)) {
+	} else if (now_us >= w->ends_us) {
 		out->verdict = QUOTA_UNKNOWN;
 		h->unknown++;
 	} else {
@@ -197,7 +187,7 @@
 
 	quota_held_expire(h, now_us);
 	while (*at != NULL) {
-		if (!decide_waiter(s, h, now_us, *at, may_admit, &d)) {
+		if (!decide_waiter(h, now_us, *at, may_admit, &d)) {
 			may_admit = false;
 			at = &(*at)->next;
 			continue;
@@ -307,14 +297,16 @@
 /* ---- requests ----------------------------------------------------------- */
 
 static void
-add_waiter(
-    struct quota_holding *h, uint64_t now_us, uint64_t request, uint64_t tokens)
+add_waiter(struct quota_share *s, struct quota_holding *h, uint64_t now_us,
+    uint64_t request, uint64_t tokens)
 {
 	struct quota_waiter *w = mem_alloc(1, sizeof(*w));
 
 	w->request = request;
 	w->tokens = tokens;
 	w->arrived_us = now_us;
+	w->ends_us = now_us +
+	    (s->has_answer ? QUOTA_WAIT_MAX_US : QUOTA_START_WAIT_MAX_US);
 	*h->end = w;
 	h->end = &w->next;
 	h->nwaiters++;
@@ -347,7 +339,7 @@
 	if (now_us < h->refused_until_us || h->nwaiters >= WAITERS_MAX)
 		return refuse(h, now_us, request, tokens);
 	d.verdict = QUOTA_WAITING;
-	add_waiter(h, now_us, request, tokens);
+	add_waiter(s, h, now_us, request, tokens);
 	return d;
 }
 
@@ -383,9 +375,9 @@
 
 /* When the request that waits longest is refused, if nothing else happens. */
 static uint64_t
-decision_due_us(const struct quota_share *s, const struct quota_holding *h)
+decision_due_us(const struct quota_holding *h)
 {
-	return h->first == NULL ? UINT64_MAX : wait_end_us(s, h->first);
+	return h->first == NULL ? UINT64_MAX : h->first->ends_us;
 }
 
 uint64_t
@@ -399,8 +391,8 @@
 		h = s->active[i];
 		if (quota_ask_due_us(h) < next)
 			next = quota_ask_due_us(h);
-		if (decision_due_us(s, h) < next)
-			next = decision_due_us(s, h);
+		if (decision_due_us(h) < next)
+			next = decision_due_us(h);
 	}
 	return next;
 }
--- a/src/quota/quota_share_internal.h
+++ b/src/quota/quota_share_internal.h
@@ -24,6 +24,7 @@
 struct quota_waiter {
 	struct quota_waiter *next;
 	uint64_t request, tokens, arrived_us;
+	uint64_t ends_us; /* it is refused then */
 };
 
 struct quota_holding {
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -6811,12 +6811,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unit_and_one",
+    "unit_plus_one",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__QuotaAsk, unit_and_one),
+    offsetof(Wire__QuotaAsk, unit_plus_one),
     NULL,
     NULL,
     0,             /* flags */
@@ -6831,7 +6831,7 @@
   5,   /* field[5] = held */
   1,   /* field[1] = number */
   4,   /* field[4] = returned */
-  8,   /* field[8] = unit_and_one */
+  8,   /* field[8] = unit_plus_one */
   2,   /* field[2] = wanted */
 };
 static const ProtobufCIntRange wire__quota_ask__number_ranges[1 + 1] =
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1391,7 +1391,7 @@
   /*
    * of the quota, as the entry knows it; 0: not said
    */
-  uint32_t unit_and_one;
+  uint32_t unit_plus_one;
 };
 #define WIRE__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__quota_ask__descriptor) \
--- a/tests/member/changes_test.cc
+++ b/tests/member/changes_test.cc
@@ -33,7 +33,7 @@
 	lead()
 	{
 		member_lessor_reset(ls, now, 0, now);
-		member_lessor_set_voters_read_many(ls, true);
+		member_lessor_set_voters_can_read_changes(ls, true);
 	}
 	uint32_t
 	capabilities_of(uint32_t id) const
@@ -242,6 +242,34 @@
 	}
 }
 
+/*
+ * Guards against: a process that has ended joins again in place of the one that
+ * replaces it, as the leader has heard from both.
+ */
+TEST(member_changes, an_ended_process_does_not_join_again)
+{
+	restarted_fixture p(3);
+	Wire__MemberInfo earlier = make_capable_info(3, 30);
+	Wire__MemberInfo self = make_capable_info(3, 31);
+	Wire__LeaseRenew r = WIRE__LEASE_RENEW__INIT;
+	Wire__LeaseReply reply;
+	struct member_change w;
+
+	p.renew_other(p.now, 1, 10, 3, 3);
+	p.renew_other(p.now, 2, 20, 3, 3);
+	p.renew_other(p.now, 3, 30, 3, 3, &earlier);
+	p.now += 400 * kMs; /* the epoch is active */
+	r.sent_us = p.now;
+	r.self = &self;
+	r.replaces = 30;
+	member_lessor_on_renew(
+	    p.ls, p.v, p.now, UINT64_MAX, 3, 31, 3, &r, &reply);
+	ASSERT_TRUE(member_lessor_next_change(p.ls, p.v, p.now, &w));
+	EXPECT_EQ(w.nmany, 2U);
+	EXPECT_TRUE(apply_change(p.v, 4, &w));
+	EXPECT_TRUE(member_view_is_current(p.v, 3, 31));
+}
+
 /*
  * Guards against: after a loss of all processes, members come back one after
  * another, in an epoch each.
@@ -355,7 +383,7 @@
 		restarted_fixture p(6, c.members);
 		size_t many = 0;
 
-		member_lessor_set_voters_read_many(p.ls, c.voters);
+		member_lessor_set_voters_can_read_changes(p.ls, c.voters);
 		if (!c.joiner)
 			p.incapable = {6};
 		p.run(400);
@@ -383,7 +411,7 @@
 
 	member_view_apply_leave(p.v, index, 3, 30);
 	epoch = member_view_epoch(p.v);
-	member_lessor_set_voters_read_many(p.ls, true);
+	member_lessor_set_voters_can_read_changes(p.ls, true);
 	for (int i = 0; i < 20; i++) {
 		now += 50 * kMs;
 		for (uint32_t id = 1; id <= 3; id++) {
@@ -425,7 +453,7 @@
 		c.add(MEMBER_CHANGE_UP, 9, 90);
 		c.add(MEMBER_CHANGE_LEAVE, 9, 90);
 		EXPECT_TRUE(!has_read || c.apply(p.v, index));
-		member_lessor_set_voters_read_many(p.ls, true);
+		member_lessor_set_voters_can_read_changes(p.ls, true);
 		for (int i = 0; i < 20; i++) {
 			now += 50 * kMs;
 			for (uint32_t id = 1; id <= 3; id++)
--- a/tests/member/explorer.cc
+++ b/tests/member/explorer.cc
@@ -157,7 +157,7 @@
 
 	apply(s, s.leader);
 	renew(s, s.leader);
-	member_lessor_set_voters_read_many(&s.lessor, many);
+	member_lessor_set_voters_can_read_changes(&s.lessor, many);
 	if (!member_lessor_next_change(
 		&s.lessor, view(s, s.leader), s.now_us, &w))
 		return;
--- a/tests/member/simulation.cc
+++ b/tests/member/simulation.cc
@@ -266,7 +266,7 @@
 		const struct member *m = member_view_find(n.view, i.id);
 		all = all && m != nullptr && m->capabilities != 0;
 	}
-	member_lessor_set_voters_read_many(n.lessor, all);
+	member_lessor_set_voters_can_read_changes(n.lessor, all);
 	if (!member_lessor_next_change(n.lessor, n.view, clock(n), &w) ||
 	    leader != n.id || is_electing)
 		return;
--- a/tests/quota/share_test.cc
+++ b/tests/quota/share_test.cc
@@ -158,6 +158,33 @@
 	EXPECT_EQ(QUOTA_UNKNOWN, VerdictOf(1));
 }
 
+/*
+ * Guards against an answer for one account that ends the longer wait of the
+ * requests of others, whose owners have not answered yet.
+ */
+TEST_F(ShareTest, the_first_answer_shortens_no_wait_of_another_account)
+{
+	quota_limit limit = {0, 100, 100, 0};
+	const char *account;
+
+	quota_share_set(s, "a", &limit);
+	quota_share_set(s, "b", &limit);
+	quota_share_sweep(s);
+	EXPECT_EQ(
+	    QUOTA_WAITING, quota_share_acquire(s, now_us, "b", 2, 10).verdict);
+	Acquire(1, 10);
+	do
+		ASSERT_TRUE(quota_share_next_ask(s, now_us, &account, &ask));
+	while (std::string(account) != "a");
+	now_us += 400 * kMs;
+	Grant(10); /* for a */
+	EXPECT_EQ(QUOTA_ADMITTED, VerdictOf(1));
+	EXPECT_EQ(decisions.count(2), 0U) << "of b";
+	now_us += 350 * kMs;
+	Decide();
+	EXPECT_EQ(QUOTA_UNKNOWN, VerdictOf(2));
+}
+
 /* Guards against refused callers that return together, and idle quotas. */
 TEST_F(ShareTest, over_the_quota_all_are_refused_at_once_for_a_short_time)
 {
