--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -222,7 +222,7 @@
 	struct gw_key_hash key_hash; /* of the key, if account is set */
 	uint32_t account_priority;
 	int quota_unit_plus_one; /* gw_quota_unit of the account's quota when
-				 * the request was decoded; 0: no quota */
+				  * the request was decoded; 0: no quota */
 	bool has_accounts; /* the configuration has accounts: the endpoint gets
 			    * the account's name, and neither the API key nor
 			    * an account named by the caller */
--- a/src/node/node_lease.c
+++ b/src/node/node_lease.c
@@ -382,7 +382,8 @@
 
 	if (n->raft == NULL || raft_authority_until(n->raft) <= n->now)
 		return;
-	member_lessor_set_voters_can_read_changes(n->lessor, voters_can_read_changes(n));
+	member_lessor_set_voters_can_read_changes(
+	    n->lessor, voters_can_read_changes(n));
 	while (member_lessor_next_change(n->lessor, n->view, n->now, &change))
 		propose_member_change(n, &change);
 	propose_claim_clock(n);
