--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -216,19 +216,6 @@
 	node_peer_send(n, from, &envelope);
 }
 
-/*
- * Requests the table of a leader from which none has arrived. After a loss of
- * all instances its next message to all may be a second away.
- */
-static void
-request_first_table(struct node *n)
-{
-	uint32_t leader = node_leader(n);
-
-	if (!n->gate->has_table && leader != 0 && leader != n->id)
-		request_whole_table(n, leader, 0);
-}
-
 void
 gate_table_tick(struct node *n)
 {
@@ -237,7 +224,6 @@
 		send_changes(n);
 	} else {
 		discard_changes(n);
-		request_first_table(n);
 	}
 }
 
