tests: a forwarder that writes to a closed connection doesn't end the test

The servers of a process ignore the signal; the test of the bus alone has none. Change: the fixture ignores it.

--- a/tests/bus/bus_fixture.h
+++ b/tests/bus/bus_fixture.h
@@ -2,6 +2,7 @@
 #define MP_TESTS_BUS_BUS_FIXTURE_H
 
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <zmq.h>
 
 #include <functional>
@@ -144,6 +145,11 @@
 	void
 	SetUp() override
 	{
+		/*
+		 * As the servers of a process do: the forwarder may write to a
+		 * bus that has just closed its connection.
+		 */
+		(void)signal(SIGPIPE, SIG_IGN);
 		uv_loop_init(&loop);
 	}
 
