bus: bulk messages wait for a connection that is made again

A core that came back without its disk was no voter again when the next disk was lost 4.1 s later; no leader was found any more, and all reads and changes got 503. Cause: log entries over 64 KB go over a connection of their own. Until that was up for the first time messages waited for it; while it was being made again, as after a restart of the peer, they were dropped. The leader takes such an entry for lost only once there was time for its bytes (3.46 s for 740 KB). Change: the bus monitors the bulk connection. Once it was lost, messages wait as at first: four at most, for 2.4 s. A connection that is up and whose queue is full drops as before. Test: BulkTest.a_bulk_message_waits_for_a_connection_that_is_made_again failed before (dropped 1, nothing delivered within 2 s) and passes.

--- a/src/bus/bus_internal.h
+++ b/src/bus/bus_internal.h
@@ -25,7 +25,8 @@
 	char *address;
 	void *socket;
 	void *bulk; /* connection for bulk messages; NULL: not used so far */
-	bool bulk_connected; /* has taken a message */
+	struct link_monitor *bulk_monitor;
+	bool bulk_connected; /* has taken a message, and was not lost since */
 	size_t bulk_bytes; /* its ping timeout is for messages of this size */
 	/* those that wait for it to be established, in order */
 	struct waiting_message {
--- a/src/bus/bus_peer.c
+++ b/src/bus/bus_peer.c
@@ -7,6 +7,7 @@
 #include <zmq.h>
 
 #include "bus/bus_internal.h"
+#include "bus/link_monitor.h"
 #include "util/mem.h"
 
 #define MESSAGE_MAX_BYTES (64 * 1024 * 1024)
@@ -164,6 +165,7 @@
 	remove_waiting(p, p->nwaiting);
 	if (p->socket != NULL)
 		(void)zmq_close(p->socket);
+	link_monitor_destroy(p->bulk_monitor);
 	if (p->bulk != NULL)
 		(void)zmq_close(p->bulk);
 	free(p->address);
@@ -276,23 +278,31 @@
 {
 	size_t bytes = len > BULK_EXPECTED_BYTES ? len : BULK_EXPECTED_BYTES;
 
-	if (p->bulk == NULL)
+	if (p->bulk == NULL) {
 		p->bulk = connect_peer(b, p->id, p->address, bytes);
+		if (p->bulk != NULL)
+			p->bulk_monitor =
+			    link_monitor_create(b->context, p->bulk);
+	}
 	if (bytes > p->bulk_bytes)
 		p->bulk_bytes = bytes;
 }
 
 /*
- * Queue a message on the peer's bulk connection. Until that is up for the first
- * time, some messages wait for it: on the other one they would delay
- * heartbeats.
+ * Queue a message on the peer's bulk connection. While that is not up, as at
+ * first or after a restart of the peer, some messages wait for it: on the other
+ * one they would delay heartbeats, and dropped they would be sent again only
+ * once there was time for all their bytes. When it is up and its queue is full,
+ * they are dropped.
  */
 static void
 send_bulk(struct bus *b, struct peer *p, const struct node_send *send)
 {
-	bool is_sent =
-	    p->bulk != NULL && p->nwaiting == 0 && send_on(p->bulk, send);
+	bool is_sent;
 
+	if (link_monitor_was_lost(p->bulk_monitor))
+		p->bulk_connected = false;
+	is_sent = p->bulk != NULL && p->nwaiting == 0 && send_on(p->bulk, send);
 	if (is_sent) {
 		p->bulk_connected = true;
 		count_sent(b, send->bytes.len);
--- a/tests/bus/bulk_test.cc
+++ b/tests/bus/bulk_test.cc
@@ -126,6 +126,38 @@
 	delete f;
 }
 
+/*
+ * Guards against a bulk message to a process that has just restarted, dropped
+ * because its connection is not there again: a large log entry is not sent
+ * again for seconds.
+ */
+TEST_F(BulkTest, a_bulk_message_waits_for_a_connection_that_is_made_again)
+{
+	Instance a(&loop, 1), b(&loop, 2);
+	uint64_t dropped;
+	int port;
+
+	ASSERT_EQ(a.start(), MP_OK);
+	ASSERT_EQ(b.start(), MP_OK);
+	port = b.port();
+	a.send(2, port, "first", true);
+	EXPECT_TRUE(run_until(
+	    &loop, [] {}, [&] { return b.in.size() == 1; }));
+	b.stop();
+	/* Until a connection that is gone is noticed. */
+	(void)run_until(
+	    &loop, [] {}, [] { return false; }, 100);
+	dropped = a.counters().dropped;
+	b.in.clear();
+	a.send(2, port, "second", true);
+	ASSERT_EQ(b.start(port), MP_OK) << b.err.message;
+	EXPECT_TRUE(run_until(
+	    &loop, [] {}, [&] { return b.in.size() == 1; }, 2000));
+	EXPECT_EQ(a.counters().dropped, dropped);
+	a.stop();
+	b.stop();
+}
+
 /* Guards against bulk messages that wait without a bound, and come stale. */
 TEST_F(BulkTest, few_bulk_messages_wait_for_a_connection_and_not_for_long)
 {
