raft, node: a lost disk is replaced as a voter whatever the load of the log

Cause: a learner was promoted only at an instant at which it had synced all that was committed; while entries keep coming there may be none. It received the log since the last compaction, up to 16 MB, at the rate of new entries. Three entries, at least 200 ms apart, replaced a voter. Change: a learner takes the place of the lost folder of its instance in one entry. It is promoted once it has synced the newest membership, which is a fixed index, if its vote doesn't raise the quorum, and else once it also keeps up by rounds. Why it works: what the learner needs is fixed when it is added, so later entries don't move it. The lost folder never votes again, so the quorum needs the same voters without it; one voter at most is removed.

--- a/src/node/node_founding.c
+++ b/src/node/node_founding.c
@@ -16,6 +16,9 @@
  * quorum. The others found with the same voters or not at all.
  */
 
+/* Interval of log lines on a learner that waits. */
+#define LEARNER_LOG_US (1000 * 1000ULL)
+
 /* Whether a founding would lose no state of this instance. */
 static bool
 is_fresh(const struct node *n)
@@ -169,11 +172,11 @@
 }
 
 /*
- * The voter or learner that is the same instance with another, older data
- * folder; 0: none.
+ * The voter that is the same instance with an earlier data folder; 0: none. An
+ * earlier program version added the learner beside it.
  */
 static uint64_t
-find_older_id(const struct raft_config *config, uint64_t id)
+find_earlier_voter(const struct raft_config *config, uint64_t id)
 {
 	size_t i;
 
@@ -181,11 +184,6 @@
 		if (config->voters[i] != id &&
 		    RAFT_ID_INSTANCE(config->voters[i]) == RAFT_ID_INSTANCE(id))
 			return config->voters[i];
-	for (i = 0; i < config->nlearners; i++)
-		if (config->learners[i] != id &&
-		    RAFT_ID_INSTANCE(config->learners[i]) ==
-			RAFT_ID_INSTANCE(id))
-			return config->learners[i];
 	return 0;
 }
 
@@ -224,28 +222,66 @@
 	return 0;
 }
 
+/* Logs why a learner is not promoted yet, now and then. */
+static void
+log_waiting_learner(struct node *n, uint64_t id)
+{
+	struct raft_learner_progress p;
+
+	if (n->now < n->learner_logged_us + LEARNER_LOG_US ||
+	    !raft_get_learner_progress(n->raft, id, &p))
+		return;
+	n->learner_logged_us = n->now;
+	node_log(n, NODE_LOG_LEARNER_WAITS,
+	    "{\"instance\": %u, \"match\": %llu, \"config\": %llu, "
+	    "\"commit\": %llu, \"last\": %llu, \"answeredMs\": %llu, "
+	    "\"roundMs\": %llu, \"snapshotSent\": %llu, "
+	    "\"snapshotBytes\": %llu}",
+	    RAFT_ID_INSTANCE(id), (unsigned long long)p.match,
+	    (unsigned long long)p.config_index, (unsigned long long)p.commit,
+	    (unsigned long long)p.last,
+	    (unsigned long long)(n->now - p.answered_us) / 1000,
+	    (unsigned long long)(n->now - p.round_us) / 1000,
+	    (unsigned long long)p.snapshot_sent,
+	    (unsigned long long)p.snapshot_bytes);
+}
+
+/* Adds a learner and packs the state that it needs, as it has no log. */
+static bool
+add_learner(struct node *n, uint64_t id)
+{
+	if (!change_voters(n, RAFT_ADD_LEARNER, id))
+		return false;
+	node_replica_compact_for_learner(n);
+	return true;
+}
+
 /*
  * Takes one step towards making a member's data folder a voter; true when a
- * step was taken. Where instances are found by seeds, a replacement has another
- * address and id, so a voter that is no longer a member is removed for it.
+ * step was taken. The first removes the instance's lost folder as well. Where
+ * instances are found by seeds, a replacement has another address and id, so a
+ * voter that is no longer a member is removed for it.
  */
 static bool
 admit_voter(struct node *n, const struct member *m)
 {
 	const struct raft_config *config = raft_get_config(n->raft);
-	uint64_t older = find_older_id(config, m->voter);
+	uint64_t lost;
 
 	if (m->voter == 0 || m->leaving ||
 	    contains_id(config->voters, config->nvoters, m->voter))
 		return false;
 	if (!contains_id(config->learners, config->nlearners, m->voter))
-		return change_voters(n, RAFT_ADD_LEARNER, m->voter);
-	if (!raft_is_learner_caught_up(n->raft, m->voter))
+		return add_learner(n, m->voter);
+	if (!raft_is_learner_ready(n->raft, m->voter)) {
+		log_waiting_learner(n, m->voter);
 		return false;
-	if (older == 0 && n->settings->nseeds > 0)
-		older = find_dead_voter(n, config);
-	if (older != 0)
-		return change_voters(n, RAFT_REMOVE, older);
+	}
+	lost = find_earlier_voter(config, m->voter);
+	if (lost == 0 && n->settings->nseeds > 0)
+		lost = find_dead_voter(n, config);
+	if (lost != 0)
+		return change_voters(n, RAFT_REMOVE, lost);
 	if (config->nvoters == RAFT_VOTERS_MAX)
 		return false;
 	return change_voters(n, RAFT_PROMOTE, m->voter);
@@ -274,11 +310,11 @@
 {
 	size_t i;
 
-	if (n->now < n->next_voter_change_us)
-		return;
-	n->next_voter_change_us = n->now + NODE_VOTER_CHANGE_US;
 	for (i = 0; i < member_view_count(n->view); i++)
 		if (admit_voter(n, member_view_at(n->view, i)))
 			return;
+	if (n->now < n->next_removal_us)
+		return;
+	n->next_removal_us = n->now + NODE_VOTER_REMOVAL_US;
 	(void)remove_dead_voter(n);
 }
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -71,8 +71,8 @@
 #define NODE_CLAIM_SWEEP_US (1000 * 1000ULL)
 /* A change of a document or claim without a decision by then has expired. */
 #define NODE_CHANGE_TIMEOUT_US (5000 * 1000ULL)
-/* Interval between changes of the voters. */
-#define NODE_VOTER_CHANGE_US (200 * 1000ULL)
+/* Interval at which dead voters are removed. */
+#define NODE_VOTER_REMOVAL_US (200 * 1000ULL)
 /* A stopping instance exits after this time at the latest. */
 #define NODE_DRAIN_MAX_US (60 * 1000 * 1000ULL)
 /* Its requests are answered this long before. */
@@ -357,7 +357,7 @@
 	/* Times at which periodic work is due next. */
 	uint64_t next_asks_scan_us, next_grants_scan_us, next_claims_scan_us;
 	uint64_t next_summary_us, next_keepalive_us, next_pull_us,
-	    next_hello_us, next_voter_change_us, propose_us;
+	    next_hello_us, next_removal_us, learner_logged_us, propose_us;
 	uint32_t renewals; /* sent as a member */
 	bool stopping;
 	uint64_t stop_us; /* time at which stopping began */
@@ -390,6 +390,13 @@
 /* Applies committed entries, sends raft messages, compacts when due. */
 void node_replica_advance(struct node *n);
 
+/*
+ * Replaces the log by a snapshot, unless one append holds the log. A new learner
+ * receives the newest snapshot and then the entries that follow on it, which may
+ * be many times as long as the state that they lead to.
+ */
+void node_replica_compact_for_learner(struct node *n);
+
 /* Applies one entry; ignores any but the one after the last applied. */
 void node_replica_apply(
     struct node *n, uint64_t index, uint64_t term, struct node_bytes command);
--- a/src/node/node_replica.c
+++ b/src/node/node_replica.c
@@ -183,16 +183,12 @@
 }
 
 static void
-compact_log(struct node *n)
+replace_log_by_snapshot(struct node *n)
 {
 	struct buf state = {0};
 	struct node_bytes bytes;
-	uint64_t snapshot_index = raft_get_snapshot_index(n->raft);
 
-	if (raft_get_log_bytes(n->raft) < compact_bytes(n) &&
-	    n->applied < snapshot_index + NODE_COMPACT_ENTRIES)
-		return;
-	if (n->applied <= snapshot_index ||
+	if (n->applied <= raft_get_snapshot_index(n->raft) ||
 	    n->applied > raft_get_commit(n->raft) || raft_is_halted(n->raft))
 		return;
 	node_replica_snapshot(n, &state);
@@ -206,6 +202,22 @@
 	buf_free(&state);
 }
 
+static void
+compact_log(struct node *n)
+{
+	if (raft_get_log_bytes(n->raft) >= compact_bytes(n) ||
+	    n->applied >=
+		raft_get_snapshot_index(n->raft) + NODE_COMPACT_ENTRIES)
+		replace_log_by_snapshot(n);
+}
+
+void
+node_replica_compact_for_learner(struct node *n)
+{
+	if (raft_get_log_bytes(n->raft) > NODE_RAFT_BATCH_BYTES)
+		replace_log_by_snapshot(n);
+}
+
 void
 node_replica_advance(struct node *n)
 {
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -169,13 +169,17 @@
  * Add, promote or remove one member. A change is accepted only after the
  * previous one is committed.
  *
+ * A learner takes the place of the voter or learner with an earlier data folder
+ * of the same instance, which is removed by the same change: that folder is
+ * lost, and never answers again.
+ *
  * id: the voter or learner to change.
  * Errors: MP_ERR_NOT_LEADER; MP_ERR_UNAVAILABLE (another change is
  * uncommitted, or no entry of the leader's own term is committed yet; for
- * RAFT_PROMOTE, the learner has not caught up; for RAFT_PROMOTE and
- * RAFT_REMOVE, the leader has recently received messages from fewer voters
- * than a quorum of the new config); MP_ERR_INVALID (the change does not
- * apply to the current membership).
+ * RAFT_PROMOTE, the learner is not ready; for a change of the voters, the
+ * leader has recently received messages from fewer of them than a quorum of the
+ * new config); MP_ERR_INVALID (the change does not apply to the current
+ * membership).
  */
 int raft_change_config(struct raft *r, uint64_t now_us, enum raft_change change,
     uint64_t id, struct node_effects *fx, struct mp_error *err);
@@ -247,10 +251,29 @@
 uint64_t raft_leader_since(const struct raft *r);
 
 /*
- * True on the leader when the learner has synced all entries up to the
- * leader's commit index.
+ * Whether the leader may promote a learner. It must have synced the newest
+ * config, as a member without it cannot vote. If its vote raises the quorum it
+ * must also keep up with the log: within election_min_us it synced all that was
+ * in the log when that time began, or it did so repeatedly, in whatever time the
+ * load allows. No instant at which it has all that is committed is needed: there
+ * may be none while entries keep coming.
  */
-bool raft_is_learner_caught_up(const struct raft *r, uint64_t id);
+bool raft_is_learner_ready(const struct raft *r, uint64_t id);
+
+/* How far a learner has got, as the leader knows. */
+struct raft_learner_progress {
+	uint64_t match; /* index up to which it has synced the log */
+	uint64_t config_index; /* of the newest config */
+	uint64_t commit, last; /* newest index committed, and of all */
+	uint64_t answered_us; /* time of its last answer, or of its addition */
+	uint64_t round_us; /* start of the present round of catching up */
+	/* Of the snapshot that it receives; 0: none. */
+	uint64_t snapshot_sent, snapshot_bytes;
+};
+
+/* Get the progress of a learner; false unless this is the leader of it. */
+bool raft_get_learner_progress(
+    const struct raft *r, uint64_t id, struct raft_learner_progress *out);
 
 /*
  * Get a committed entry from the log. MP_ERR_NOT_FOUND when it is compacted
--- a/src/raft/raft_config.c
+++ b/src/raft/raft_config.c
@@ -236,6 +236,7 @@
 		p->next = raft_log_last_index(&r->log) + 1;
 		p->probing = true;
 		p->received_us = r->now_us;
+		raft_start_round(r, p);
 	}
 	p->removed = false;
 }
@@ -283,18 +284,48 @@
 		raft_become_follower(r, r->term, 0, fx);
 }
 
+/* Remove the ids of one instance from a list; returns how many there were. */
+static size_t
+ids_remove_instance(uint64_t *ids, size_t *n, uint32_t instance)
+{
+	size_t i, nkept = 0, nremoved;
+
+	for (i = 0; i < *n; i++) {
+		if (RAFT_ID_INSTANCE(ids[i]) != instance)
+			ids[nkept++] = ids[i];
+	}
+	nremoved = *n - nkept;
+	*n = nkept;
+	return nremoved;
+}
+
+/*
+ * Add a learner in place of the earlier data folders of its instance. At most
+ * one of these is a voter, so that old and new quorums share a voter.
+ */
+static int
+config_add_learner(struct raft_config *c, uint64_t id)
+{
+	uint32_t instance = RAFT_ID_INSTANCE(id);
+
+	if (id == 0 || raft_config_is_voter(c, id) ||
+	    raft_config_is_learner(c, id))
+		return MP_ERR_INVALID;
+	(void)ids_remove_instance(c->learners, &c->nlearners, instance);
+	if (ids_remove_instance(c->voters, &c->nvoters, instance) > 1 ||
+	    c->nvoters == 0 || c->nlearners == RAFT_VOTERS_MAX)
+		return MP_ERR_INVALID;
+	c->learners[c->nlearners++] = id;
+	return MP_OK;
+}
+
 /* Apply a change to c; MP_ERR_INVALID when it is not applicable. */
 static int
 config_apply_change(struct raft_config *c, enum raft_change change, uint64_t id)
 {
 	switch (change) {
 	case RAFT_ADD_LEARNER:
-		if (id == 0 || raft_config_is_voter(c, id) ||
-		    raft_config_is_learner(c, id) ||
-		    c->nlearners == RAFT_VOTERS_MAX)
-			return MP_ERR_INVALID;
-		c->learners[c->nlearners++] = id;
-		return MP_OK;
+		return config_add_learner(c, id);
 	case RAFT_PROMOTE:
 		if (c->nvoters == RAFT_VOTERS_MAX ||
 		    !ids_remove(c->learners, &c->nlearners, id))
@@ -355,10 +386,11 @@
 	if (config_apply_change(&config, change, id) != MP_OK)
 		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_INVALID,
 		    "change does not apply to the current membership");
-	if (change == RAFT_PROMOTE && !raft_is_learner_caught_up(r, id))
+	if (change == RAFT_PROMOTE && !raft_is_learner_ready(r, id))
 		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
 		    "learner has not caught up with the leader's log");
-	if (change != RAFT_ADD_LEARNER && !config_has_live_quorum(r, &config))
+	if (config.nvoters != raft_get_config(r)->nvoters &&
+	    !config_has_live_quorum(r, &config))
 		return mp_error_set(err, MP_LAYER_RAFT, MP_ERR_UNAVAILABLE,
 		    "change would leave no quorum of reachable voters");
 	raft_config_pack(&config, &b);
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -13,8 +13,17 @@
 #include "util/buf.h"
 #include "util/rng.h"
 
-/* Voters, learners and one member whose removal is not committed yet. */
-#define RAFT_PEERS_MAX (2 * RAFT_VOTERS_MAX + 1)
+/*
+ * Voters, learners, and members whose removal is not committed yet: a voter and
+ * a learner at most, both earlier folders of one instance.
+ */
+#define RAFT_PEERS_MAX (2 * RAFT_VOTERS_MAX + 2)
+/*
+ * A learner that has ended so many rounds of catching up is as close to the end
+ * of the log as the load allows: the first brings a snapshot, the second what
+ * came meanwhile.
+ */
+#define RAFT_CATCH_UP_ROUNDS 3
 /* Appends sent to one peer and not acknowledged. */
 #define RAFT_INFLIGHT_MAX	   4
 #define RAFT_UNCOMMITTED_BYTES_MAX (16U << 20)
@@ -49,6 +58,11 @@
 	size_t ninflight;
 	uint64_t bulk_index; /* of the bulk entry in flight, 0: none */
 	uint64_t bulk_until_us; /* it counts as lost from then on */
+	/* A round of catching up ends when the peer has synced this index. */
+	uint64_t round_end;
+	uint64_t round_started_us;
+	uint32_t nrounds; /* that have ended */
+	bool keeps_up; /* its last round took less than election_min_us */
 	bool probing; /* next is unconfirmed: one append at a time */
 	bool probe_sent; /* cleared by a rejection or the next heartbeat */
 	bool removed; /* by a change that is not committed yet */
@@ -179,6 +193,7 @@
 struct raft_peer *raft_note_peer_reply(
     struct raft *r, uint64_t from, uint64_t sent_us);
 struct raft_peer *raft_find_peer(struct raft *r, uint64_t id);
+void raft_start_round(const struct raft *r, struct raft_peer *p);
 
 /* raft_config.c: the membership */
 bool raft_config_is_voter(const struct raft_config *c, uint64_t id);
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -380,6 +380,32 @@
 	    p->inflight, p->inflight + n, p->ninflight * sizeof(*p->inflight));
 }
 
+/* Start a round of catching up: it ends with what is in the log now. */
+void
+raft_start_round(const struct raft *r, struct raft_peer *p)
+{
+	p->round_end = raft_log_last_index(&r->log);
+	p->round_started_us = r->now_us;
+}
+
+/* Whether a round that began at that time is short until now. */
+static bool
+round_is_short(const struct raft *r, const struct raft_peer *p)
+{
+	return r->now_us < p->round_started_us + r->options.election_min_us;
+}
+
+/* End the round of a peer if it has synced the entries, and start another. */
+static void
+peer_update_round(const struct raft *r, struct raft_peer *p)
+{
+	if (p->match < p->round_end)
+		return;
+	p->keeps_up = round_is_short(r, p);
+	p->nrounds++;
+	raft_start_round(r, p);
+}
+
 /*
  * Record the reply of a peer.
  *
@@ -415,6 +441,7 @@
 	if (p == NULL)
 		return;
 	peer_update_match(p, m->match);
+	peer_update_round(r, p);
 	if (m->rejected)
 		peer_handle_reject(r, p, m);
 	else if (p->probing && m->match + 1 >= p->next &&
@@ -425,10 +452,61 @@
 		raft_replicate_all(r);
 }
 
+static const struct raft_peer *
+find_learner(const struct raft *r, uint64_t id)
+{
+	if (r->role != RAFT_LEADER ||
+	    !raft_config_is_learner(raft_get_config(r), id))
+		return NULL;
+	return raft_find_peer((struct raft *)r, id);
+}
+
+/* Whether one more voter raises the number of voters that a quorum needs. */
+static bool
+promotion_raises_quorum(const struct raft *r)
+{
+	return raft_get_config(r)->nvoters % 2 != 0;
+}
+
+/* Whether a message of the peer was received within election_min_us. */
+static bool
+peer_answers(const struct raft *r, const struct raft_peer *p)
+{
+	return r->now_us < p->received_us + r->options.election_min_us;
+}
+
 bool
-raft_is_learner_caught_up(const struct raft *r, uint64_t id)
+raft_is_learner_ready(const struct raft *r, uint64_t id)
 {
-	const struct raft_peer *p = raft_find_peer((struct raft *)r, id);
+	const struct raft_peer *p = find_learner(r, id);
+
+	if (p == NULL || p->match < raft_config_index(r))
+		return false;
+	if (!promotion_raises_quorum(r))
+		return true;
+	return peer_answers(r, p) &&
+	    (p->nrounds >= RAFT_CATCH_UP_ROUNDS ||
+		(p->keeps_up && round_is_short(r, p)));
+}
 
-	return r->role == RAFT_LEADER && p != NULL && p->match >= r->commit;
+bool
+raft_get_learner_progress(
+    const struct raft *r, uint64_t id, struct raft_learner_progress *out)
+{
+	const struct raft_peer *p = find_learner(r, id);
+
+	memset(out, 0, sizeof(*out));
+	if (p == NULL)
+		return false;
+	out->match = p->match;
+	out->config_index = raft_config_index(r);
+	out->commit = r->commit;
+	out->last = raft_log_last_index(&r->log);
+	out->answered_us = p->received_us;
+	out->round_us = p->round_started_us;
+	if (p->install_index != 0) {
+		out->snapshot_sent = p->install_offset;
+		out->snapshot_bytes = r->snapshot.len;
+	}
+	return true;
 }
--- a/src/util/events.c
+++ b/src/util/events.c
@@ -78,6 +78,7 @@
     {NODE_LOG_STATE_RECEIVED, NODE_LOG_INFO, "state-received"},
     {NODE_LOG_STATE_REJECTED, NODE_LOG_WARN, "state-rejected"},
     {NODE_LOG_MEMBERS_CHANGED, NODE_LOG_INFO, "members-changed"},
+    {NODE_LOG_LEARNER_WAITS, NODE_LOG_INFO, "learner-waits"},
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
--- a/src/util/events.h
+++ b/src/util/events.h
@@ -91,6 +91,7 @@
 	NODE_LOG_STATE_RECEIVED = 160, /* a snapshot, from another instance */
 	NODE_LOG_STATE_REJECTED = 161,
 	NODE_LOG_MEMBERS_CHANGED = 165, /* several, by one command */
+	NODE_LOG_LEARNER_WAITS = 166,
 };
 
 /* An entry of the catalogue. */
--- a/tests/raft/net_check.cc
+++ b/tests/raft/net_check.cc
@@ -126,6 +126,14 @@
 	if (l < 0)
 		return;
 	c = *raft_get_config(members[l].r);
+	/* A new disk takes the place of the lost one in one change. */
+	for (const auto &x : members) {
+		if (!raft_config_is_voter(&c, x.id) &&
+		    !raft_config_is_learner(&c, x.id)) {
+			change(l, RAFT_ADD_LEARNER, x.id);
+			return;
+		}
+	}
 	for (size_t n = 0; n < c.nvoters; n++) {
 		if (index_of(c.voters[n]) < 0) {
 			change(l, RAFT_REMOVE, c.voters[n]);
@@ -143,10 +151,6 @@
 			change(l, RAFT_PROMOTE, x.id);
 			return;
 		}
-		if (!raft_config_is_voter(&c, x.id)) {
-			change(l, RAFT_ADD_LEARNER, x.id);
-			return;
-		}
 	}
 }
 
--- a/tests/raft/raft_test.cc
+++ b/tests/raft/raft_test.cc
@@ -167,13 +167,13 @@
 	net.isolate(lost);
 	ASSERT_EQ(net.change(l, RAFT_ADD_LEARNER, id), MP_OK);
 	net.run_for(kSecondUs);
-	EXPECT_FALSE(raft_is_learner_caught_up(net.members[l].r, id));
+	EXPECT_FALSE(raft_is_learner_ready(net.members[l].r, id));
 	EXPECT_EQ(net.change(l, RAFT_PROMOTE, id), MP_ERR_UNAVAILABLE);
 	net.heal();
 	net.run_for(kSecondUs);
 	EXPECT_GT(raft_get_snapshot_index(net.members[lost].r), 30U);
 	EXPECT_GE(net.install_parts, 3U);
-	EXPECT_TRUE(raft_is_learner_caught_up(net.members[l].r, id));
+	EXPECT_TRUE(raft_is_learner_ready(net.members[l].r, id));
 	EXPECT_EQ(net.change(l, RAFT_PROMOTE, id), MP_OK);
 	net.run_for(kSecondUs);
 	EXPECT_TRUE(net.config_is_complete());
@@ -181,6 +181,73 @@
 	EXPECT_EQ(net.violation, "");
 }
 
+/*
+ * Guards against a lost disk that stays a voter, or one of two lost disks of an
+ * instance that stays a learner, beside the one in use.
+ */
+TEST(Raft, ALearnerTakesThePlaceOfTheLostDisksOfItsInstance)
+{
+	Net net(15, NetOptions());
+	int l = net.run_to_leader();
+	size_t lost = first_other(l);
+	const raft_config *c;
+
+	for (int n = 0; n < 2; n++) {
+		net.replace_disk(lost);
+		net.run_for(kSecondUs);
+		ASSERT_EQ(net.change(l, RAFT_ADD_LEARNER, net.members[lost].id),
+		    MP_OK);
+		c = raft_get_config(net.members[l].r);
+		EXPECT_EQ(c->nvoters, 2U);
+		ASSERT_EQ(c->nlearners, 1U);
+		EXPECT_EQ(c->learners[0], net.members[lost].id);
+	}
+	net.run_for(kSecondUs);
+	EXPECT_EQ(net.change(l, RAFT_PROMOTE, net.members[lost].id), MP_OK);
+	net.run_for(kSecondUs);
+	EXPECT_TRUE(net.config_is_complete());
+	net.check_all_equal();
+	EXPECT_EQ(net.violation, "");
+}
+
+/*
+ * Guards against a learner that waits for an instant at which it has all that
+ * is committed: entries that keep coming leave none.
+ */
+TEST(Raft, ALearnerIsReadyWhileEntriesKeepComing)
+{
+	NetOptions o;
+
+	o.members = 4;
+	o.delay_max_us = 30000;
+	Net net(16, o);
+	int l = net.run_to_leader();
+	size_t lost = first_other(l);
+	int waits = 0;
+
+	for (int n = 0; n < 1500; n++) {
+		net.propose((size_t)l, "x");
+		net.run_for(2000);
+		if (n == 100)
+			net.replace_disk(lost);
+		if (n == 500) {
+			ASSERT_EQ(net.change(l, RAFT_ADD_LEARNER,
+				      net.members[lost].id),
+			    MP_OK);
+		}
+		if (n > 500 &&
+		    !raft_is_learner_ready(
+			net.members[l].r, net.members[lost].id))
+			waits++;
+	}
+	/* In three rounds at most, each as long as some messages take. */
+	EXPECT_LT(waits, 300);
+	EXPECT_EQ(net.change(l, RAFT_PROMOTE, net.members[lost].id), MP_OK);
+	net.run_for(kSecondUs);
+	EXPECT_TRUE(net.config_is_complete());
+	EXPECT_EQ(net.violation, "");
+}
+
 TEST(Raft, SlowFollowerWithinKeptEntriesNeedsNoSnapshot)
 {
 	NetOptions o;
