place: a result that is not the awaited call's is dropped

Cause: results of orders and reports were matched by the endpoint's name. Change: each call has a number, and the gateway passes a result on only if that call is awaited. Why it works: numbers are never used twice, and a call that was given up is awaited no more.

--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -171,6 +171,7 @@
 	char *endpoint;
 	char *artifact; /* name of the adapter or model; NULL for a report */
 	bool is_report, is_unload;
+	uint64_t place_call; /* its number, from the decision */
 	int status;
 	struct buf answer;
 	uint64_t sent_us, fence;
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -170,6 +170,7 @@
 
 	pending->endpoint = mem_string(d->endpoint);
 	pending->is_report = d->type == PLACE_REPORT;
+	pending->place_call = d->call;
 	pending->sent_us = n->now;
 	call->call = ++n->last_call;
 	call->address = node_effects_printf(n->fx, "%s", d->address);
@@ -216,9 +217,12 @@
 	enum gw_order_result result = phase == NODE_CALL_END
 	    ? n->gate->codec->read_order_result(pending->status)
 	    : GW_ORDER_FAILED;
+	bool is_awaited = place_is_call_open(
+	    n->gate->place, pending->endpoint, pending->place_call);
 
 	if (pending->is_report) {
-		handle_report_end(n, pending, phase == NODE_CALL_END);
+		if (is_awaited)
+			handle_report_end(n, pending, phase == NODE_CALL_END);
 		return;
 	}
 	node_log(n, NODE_LOG_GATE_ORDER,
@@ -229,8 +233,9 @@
 	    pending->artifact, pending->status,
 	    (unsigned long long)pending->fence,
 	    (unsigned long long)((n->now - pending->sent_us) / 1000));
-	place_on_order_result(n->gate->place, n->now, pending->endpoint, result,
-	    phase == NODE_CALL_BROKEN);
+	if (is_awaited)
+		place_on_order_result(n->gate->place, n->now, pending->endpoint,
+		    result, phase == NODE_CALL_BROKEN);
 }
 
 static void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -453,6 +453,16 @@
 
 /* ---- orders ------------------------------------------------------------- */
 
+/*
+ * Whether the result of an order or report call is still awaited. It isn't if
+ * the call was to an earlier process of the endpoint, or was made before
+ * another placer was active. Such a result tells nothing of the present state.
+ *
+ * call: its number, from the decision.
+ */
+bool place_is_call_open(
+    const struct place *p, const char *endpoint, uint64_t call);
+
 /*
  * Record the result of an order.
  *
@@ -500,6 +510,7 @@
 	struct place_id id; /* GRANT, WAIT, REFUSE */
 	const char *endpoint, *address; /* GRANT, ORDER, REPORT */
 	uint64_t born_ms; /* GRANT: start of the endpoint's process */
+	uint64_t call; /* ORDER, REPORT: the number of this call */
 	const char *service; /* ORDER: of the endpoint */
 	uint32_t adapter_version, urgency; /* GRANT */
 	const char *reason; /* REFUSE */
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -124,6 +124,7 @@
 	uint64_t accepted_orders; /* the engine's count */
 	bool orders_known; /* accepted_orders is certain */
 	bool call_in_flight; /* an order or a report request */
+	uint64_t call; /* its number; 0: there was none */
 	char *order_key; /* its adapter or weights; NULL: a report */
 	bool order_is_unload;
 	uint64_t backoff_until_us; /* no order and no report before */
@@ -252,6 +253,7 @@
 	double weight_permits; /* loads of weights that may begin */
 	uint64_t permits_refilled_us;
 	uint32_t weights_loading; /* from the store */
+	uint64_t last_call; /* number of the newest order or report call */
 	struct place_decision *decisions;
 	size_t ndecisions, ndecisions_taken, decisions_cap;
 	uint64_t table_round; /* counts the whole tables */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -188,6 +188,14 @@
 	}
 }
 
+bool
+place_is_call_open(const struct place *p, const char *endpoint, uint64_t call)
+{
+	const struct place_endpoint *e = map_get_str(p->endpoints, endpoint);
+
+	return e != NULL && e->call_in_flight && e->call == call;
+}
+
 void
 place_on_order_result(struct place *p, uint64_t now_us, const char *endpoint,
     enum gw_order_result result, bool is_unanswered)
@@ -217,6 +225,15 @@
 
 /* ---- sending ------------------------------------------------------------ */
 
+/* Begin a call to an endpoint; returns its number. */
+static uint64_t
+begin_call(struct place *p, struct place_endpoint *e)
+{
+	e->call_in_flight = true;
+	e->call = ++p->last_call;
+	return e->call;
+}
+
 static void
 send_order(struct place *p, struct place_endpoint *e, struct place_adapter *a,
     bool unload)
@@ -233,7 +250,8 @@
 	d->order.version = unload ? 0 : a->wanted_version;
 	d->order.expected_orders = e->accepted_orders;
 	d->order.has_expected = place_guards.expected;
-	e->call_in_flight = e->has_been_ordered = true;
+	d->call = begin_call(p, e);
+	e->has_been_ordered = true;
 	e->order_is_unload = unload;
 	free(e->order_key);
 	e->order_key = mem_string(a->key);
@@ -253,7 +271,7 @@
 
 	d->endpoint = e->id;
 	d->address = e->address;
-	e->call_in_flight = true;
+	d->call = begin_call(p, e);
 	e->needs_report = false;
 	free(e->order_key);
 	e->order_key = NULL;
