place: an unload is counted only if the engine has surely counted it

Cause: an engine answers an unload by 200 if it was carried out at once, which it counts, or if there was nothing to unload, which it doesn't. The placer counted both. So a load could expect a count that the engine had yet to reach; left without an answer, it was carried out seconds later, when other orders had filled the places. Change: such an unload counts if a load of the adapter was accepted by this placer and no unload since may have been; else a report follows. A prefetch waits for that report. Why it works: what was accepted after all earlier orders were counted can't be unloaded by one of them, since each fits one count only. So then the unload was carried out and counted.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -216,6 +216,7 @@
 	}
 	for (i = 0; i < map_count(p->endpoints); i++) {
 		e = map_at(p->endpoints, i);
+		place_adapter_doubt_all(e);
 		e->orders_known = false;
 		e->call_in_flight = false;
 		e->is_fenced = false;
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -75,6 +75,18 @@
 		e->has_pending_adapters = true;
 }
 
+void
+place_adapter_doubt_all(struct place_endpoint *e)
+{
+	struct place_adapter *a;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		a->is_surely_held = false;
+	}
+}
+
 static bool
 is_load_ordered(const struct place_adapter *a)
 {
@@ -346,7 +358,7 @@
 			continue;
 		if (a->waiting > 0 && a->adapter != NULL) {
 			place_adapter_release_store(p, a);
-			a->is_replacing = false;
+			a->is_replacing = a->is_surely_held = false;
 			place_adapter_set_state(e, a, ADAPTER_WANTED);
 		} else {
 			place_adapter_remove(p, e, a, false);
--- a/src/place/place_guard.h
+++ b/src/place/place_guard.h
@@ -17,6 +17,7 @@
 	bool leaving; /* grant nothing to a leaving endpoint */
 	bool pins; /* never unload an adapter that is in use */
 	bool expected; /* an order applies to one state of its engine only */
+	bool counted; /* count only orders that the engine has counted */
 	bool fence; /* a fenced placer gives no more orders */
 	bool store; /* limit the concurrent loads from the store */
 	bool version; /* never serve an outdated version of an adapter */
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -53,6 +53,9 @@
 	struct place_load load; /* its last one from the store */
 	bool is_prefetch; /* no request has waited for it or run on it */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
+	/* A load of it was accepted, and no unload sent since that may be, too
+	 */
+	bool is_surely_held;
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
 	uint64_t state_since_us;
@@ -462,6 +465,11 @@
 size_t place_adapter_used_slots(const struct place_endpoint *e);
 /* Stop counting a load from the store, if it is one. */
 void place_adapter_release_store(struct place *p, struct place_adapter *a);
+/*
+ * Whether the engine holds its adapters is uncertain, because another placer
+ * may have sent it orders.
+ */
+void place_adapter_doubt_all(struct place_endpoint *e);
 /* The adapter to unload for another one; NULL: all are in use. */
 struct place_adapter *place_adapter_victim(
     const struct place *p, const struct place_endpoint *e);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -13,6 +13,12 @@
  * and which arrives seconds later, after another one, is therefore refused by
  * the engine and never uses a slot twice. Where that number is uncertain, a
  * report is requested first.
+ *
+ * An order never expects a number that the engine has yet to reach: left
+ * without an answer it would be carried out at another state, once the engine
+ * has reached it by other orders. So an answer counts only if the engine has
+ * surely counted the order. An unload that the engine had nothing to do for is
+ * answered like one that was carried out, and only the latter is counted.
  */
 
 /* Maximum age of the state in a report. */
@@ -90,6 +96,7 @@
 
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
+	a->is_surely_held = true;
 	memset(&a->load, 0, sizeof(a->load));
 	if (a->adapter != NULL && a->from_store)
 		place_store_begin(&p->store, &a->load, p->now_us,
@@ -129,9 +136,13 @@
 		place_change_add(p, e->id, false);
 	} else if (result == GW_ORDER_STARTED) {
 		/* the unload completes after the last request on it */
+		a->is_surely_held = false;
 		e->orders_known = false;
 		e->needs_report = true;
 	} else {
+		/* unless it was refused, it may be carried out yet */
+		if (result != GW_ORDER_BUSY)
+			a->is_surely_held = false;
 		enter_state(p, e, a, ADAPTER_LOADED);
 	}
 }
@@ -160,10 +171,23 @@
 	back_off(p, e, REPORT_LAG_US);
 }
 
-/* Update the count of accepted orders from an answer. */
+/* Whether an order that is answered as done was surely counted. */
+static bool
+is_done_counted(const struct place_endpoint *e, const struct place_adapter *a)
+{
+	if (!place_guards.counted)
+		return e->order_is_unload;
+	return e->order_is_unload && a != NULL && a->is_surely_held;
+}
+
+/*
+ * Update the count of accepted orders from an answer.
+ *
+ * a: what the order was for; NULL: it is not known any more.
+ */
 static void
-update_order_count(
-    struct place *p, struct place_endpoint *e, enum gw_order_result result)
+update_order_count(struct place *p, struct place_endpoint *e,
+    const struct place_adapter *a, enum gw_order_result result)
 {
 	e->consecutive_unanswered = 0;
 	switch (result) {
@@ -173,10 +197,10 @@
 		break;
 	case GW_ORDER_DONE:
 		e->last_accepted_us = p->now_us;
-		if (e->order_is_unload)
+		if (is_done_counted(e, a))
 			e->accepted_orders++;
 		else
-			e->orders_known = false; /* maybe not counted */
+			e->orders_known = false;
 		break;
 	case GW_ORDER_FENCED:
 		e->is_fenced = place_guards.fence;
@@ -212,7 +236,7 @@
 	if (is_unanswered)
 		on_unanswered(p, e);
 	else
-		update_order_count(p, e, result);
+		update_order_count(p, e, a, result);
 	free(e->order_key);
 	e->order_key = NULL;
 	if (a == NULL)
@@ -450,6 +474,9 @@
 update_adapter(
     struct place *p, struct place_endpoint *e, struct place_adapter *a)
 {
+	/* The time of a prefetch does not run while a report is awaited. */
+	if (a->is_prefetch && a->state == ADAPTER_WANTED && !e->orders_known)
+		a->state_since_us = p->now_us;
 	if (a->state == ADAPTER_LOADING && p->now_us >= a->ready_us) {
 		place_adapter_release_store(p, a);
 		enter_state(p, e, a, ADAPTER_LOADED);
