place: an announcement takes nothing back that a report has told

Cause: announcements may be seconds old. Until its first order a placer took their list over that of a report, except in sharded clusters. An adapter that waits for its requests before it is unloaded was missing in the older list, so that its place was used. Change: once an endpoint has reported, announcements don't change what it is taken to hold, in any cluster.

--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -369,15 +369,15 @@
 
 /*
  * An announcement may be delayed by seconds, and its list lags behind the
- * engine's state. It is used only until this placer gives the endpoint its
- * first order. From then on the state follows the orders, and reports where
- * their result is uncertain.
+ * engine's state. It is used only until this placer has a report of the endpoint
+ * or gives it its first order. From then on the state follows the orders, and
+ * reports where their result is uncertain.
  */
 void
 place_adapter_merge_announced(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a)
 {
-	if (e->has_been_ordered || (p->ownership_fn != NULL && e->orders_known))
+	if (e->has_been_ordered || e->orders_known)
 		return;
 	place_adapter_set_loaded(p, e, a);
 }
--- a/tests/place/order_count_test.cc
+++ b/tests/place/order_count_test.cc
@@ -324,8 +324,9 @@
 }
 
 /*
- * The seeds to play: from the environment, as FIRST:COUNT, or some, and one
- * with a result of a call that was made before another placer was active.
+ * The seeds to play: from the environment, as FIRST:COUNT, or some, and two
+ * that failed. After another placer was active, 265 has the result of an
+ * earlier call, and 189 an announcement that is older than the report.
  */
 static std::vector<unsigned>
 seeds_to_play()
@@ -339,7 +340,7 @@
 	for (unsigned s = first; s < first + count; s++)
 		seeds.push_back(s);
 	if (given == nullptr)
-		seeds.push_back(265);
+		seeds.insert(seeds.end(), {189, 265});
 	return seeds;
 }
 
