place: an unload that is repeated at the same count needs no report

Cause: after an unload without an answer any further unload of the adapter needed a report, 0.4 s. Change: a repeat that expects the same count and is answered 200 counts: had the first been accepted, the engine would have another count and refuse it. And an order that is surely counted ends the doubt about others that expected its count, as none of them was or will be accepted.

--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -53,9 +53,13 @@
 	struct place_load load; /* its last one from the store */
 	bool is_prefetch; /* no request has waited for it or run on it */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
-	/* A load of it was accepted, and no unload sent since that may be, too
-	 */
+	/* A load of it was accepted, and no unload since */
 	bool is_surely_held;
+	/*
+	 * One and the count that the first unload since its load expected which
+	 * may have been accepted; 0: none may.
+	 */
+	uint64_t doubt_count_plus_one;
 	uint64_t ready_us; /* WANTED: an estimate */
 	uint64_t last_used_us;
 	uint64_t state_since_us;
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -97,6 +97,7 @@
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
 	a->is_surely_held = true;
+	a->doubt_count_plus_one = 0;
 	memset(&a->load, 0, sizeof(a->load));
 	if (a->adapter != NULL && a->from_store)
 		place_store_begin(&p->store, &a->load, p->now_us,
@@ -141,8 +142,8 @@
 		e->needs_report = true;
 	} else {
 		/* unless it was refused, it may be carried out yet */
-		if (result != GW_ORDER_BUSY)
-			a->is_surely_held = false;
+		if (result != GW_ORDER_BUSY && a->doubt_count_plus_one == 0)
+			a->doubt_count_plus_one = e->accepted_orders + 1;
 		enter_state(p, e, a, ADAPTER_LOADED);
 	}
 }
@@ -171,13 +172,37 @@
 	back_off(p, e, REPORT_LAG_US);
 }
 
-/* Whether an order that is answered as done was surely counted. */
+/*
+ * Whether an order that is answered as done was surely counted: an unload of an
+ * adapter that is surely held. An earlier unload of it that expected the same
+ * count was not carried out, as the engine had this count still.
+ */
 static bool
 is_done_counted(const struct place_endpoint *e, const struct place_adapter *a)
 {
 	if (!place_guards.counted)
 		return e->order_is_unload;
-	return e->order_is_unload && a != NULL && a->is_surely_held;
+	return e->order_is_unload && a != NULL && a->is_surely_held &&
+	    (a->doubt_count_plus_one == 0 ||
+		a->doubt_count_plus_one == e->accepted_orders + 1);
+}
+
+/*
+ * The engine has counted an order. What expected the same count and got no
+ * answer was not accepted before, and will not be.
+ */
+static void
+count_order(struct place_endpoint *e)
+{
+	struct place_adapter *a;
+	size_t i;
+
+	e->accepted_orders++;
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->doubt_count_plus_one == e->accepted_orders)
+			a->doubt_count_plus_one = 0;
+	}
 }
 
 /*
@@ -192,13 +217,13 @@
 	e->consecutive_unanswered = 0;
 	switch (result) {
 	case GW_ORDER_STARTED:
-		e->accepted_orders++;
+		count_order(e);
 		e->last_accepted_us = p->now_us;
 		break;
 	case GW_ORDER_DONE:
 		e->last_accepted_us = p->now_us;
 		if (is_done_counted(e, a))
-			e->accepted_orders++;
+			count_order(e);
 		else
 			e->orders_known = false;
 		break;
