platform, quarantine: all parts of a prompt are observed

Cause: parts beyond the eighth were ignored, and the eighth was taken for the request's own. Behind that: 64 suspects of an end were reported, over all its requests, and the leader dropped the part with the oldest latest end, however many ends it had. Evidence: FatalPart small_behind_nine, _59, _299, _299_leader_killed and large_behind_59 failed, 5 of 5, with the reading of parts limited to eight as before. Change: a prompt may have 4,096 parts, more than a header of 16 KB holds; with more a request gets 400. An entry reports 8,192 suspects of an end and prefers those of earlier ends; the leader keeps 16,384 parts and drops those with the fewest ends first. Placing uses the first eight as before; event 120 lists 16.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -203,7 +203,13 @@
 
 /* ---- callers' requests -------------------------------------------------- */
 
-#define GW_PROMPT_PARTS_MAX 8
+/*
+ * Parts of one prompt; a request with more is refused as malformed. A header of
+ * 16 KB holds no more.
+ */
+#define GW_PROMPT_PARTS_MAX 4096
+/* First parts of a prompt by which an endpoint is chosen. */
+#define GW_PREFIX_PARTS_MAX 8
 
 /* A part of a prompt, which other requests may share. */
 struct gw_prompt_part {
@@ -232,7 +238,7 @@
 	const char *model, *adapter; /* NULL if not named */
 	uint32_t prompt_tokens, max_tokens;
 	bool has_tokens; /* the two above are given */
-	struct gw_prompt_part parts[GW_PROMPT_PARTS_MAX];
+	const struct gw_prompt_part *parts; /* in order */
 	size_t nparts;
 	const char *resume_after; /* id of the last event received, or NULL */
 	const struct node_header *headers; /* to forward unchanged */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -22,6 +22,8 @@
 #define NON_REPEATABLE_IDLE_MAX_MS 1500u
 /* Silence after which a resumable stream is retried at another endpoint. */
 #define STREAM_TIMEOUT_US (1500 * US_PER_MS)
+/* Prompt parts that a log line has. */
+#define LOGGED_PARTS_MAX 16u
 /* Silence after which a repeatable call is retried, in latency objectives. */
 #define CALL_TIMEOUT_TARGETS 2u
 
@@ -153,8 +155,8 @@
 }
 
 /*
- * The hashes of the prompt's parts without the last one, which belongs to this
- * request or its session alone, separated by commas.
+ * The hashes of the prompt's first parts, separated by commas, without the last
+ * of all, which belongs to this request or its session alone.
  */
 static const char *
 shared_parts_text(const struct fwd_request *r, struct node_effects *fx)
@@ -163,7 +165,7 @@
 	const char *copy;
 	size_t i;
 
-	for (i = 0; i + 1 < r->decoded.nparts; i++)
+	for (i = 0; i + 1 < r->decoded.nparts && i < LOGGED_PARTS_MAX; i++)
 		buf_printf(&text, "%s%016llx", i == 0 ? "" : ",",
 		    (unsigned long long)r->decoded.parts[i].hash);
 	copy = node_effects_copy(fx, text.data == NULL ? "" : text.data,
@@ -297,7 +299,9 @@
 	ask.prompt_tokens = r->decoded.prompt_tokens;
 	ask.max_tokens = r->decoded.max_tokens;
 	ask.parts = r->decoded.parts;
-	ask.nparts = r->decoded.nparts;
+	ask.nparts = r->decoded.nparts < GW_PREFIX_PARTS_MAX
+	    ? r->decoded.nparts
+	    : GW_PREFIX_PARTS_MAX;
 	ask.deadline_us = r->deadline_us;
 	ask.target_us = r->target_us;
 	ask.priority = r->priority;
--- a/src/forward/forward_request.c
+++ b/src/forward/forward_request.c
@@ -12,6 +12,19 @@
 	return text == NULL ? NULL : node_effects_printf(memory, "%s", text);
 }
 
+static const struct gw_prompt_part *
+copy_parts(struct node_effects *memory, const struct gw_request *decoded)
+{
+	size_t len = decoded->nparts * sizeof(*decoded->parts);
+	struct gw_prompt_part *parts;
+
+	if (len == 0)
+		return NULL;
+	parts = node_effects_alloc(memory, len);
+	memcpy(parts, decoded->parts, len);
+	return parts;
+}
+
 static void
 copy_request(struct fwd_request *r, const struct node_request *in,
     const struct gw_request *decoded)
@@ -31,6 +44,7 @@
 	r->decoded.model = copy_text(m, decoded->model);
 	r->decoded.adapter = copy_text(m, decoded->adapter);
 	r->decoded.resume_after = copy_text(m, decoded->resume_after);
+	r->decoded.parts = copy_parts(m, decoded);
 	r->decoded.headers =
 	    node_effects_headers(m, decoded->headers, decoded->nheaders);
 }
--- a/src/node/node_gate_ask.c
+++ b/src/node/node_gate_ask.c
@@ -33,7 +33,7 @@
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__PlaceAsk ask = WIRE__PLACE_ASK__INIT;
-	Wire__PromptPart parts[GW_PROMPT_PARTS_MAX], *list[GW_PROMPT_PARTS_MAX];
+	Wire__PromptPart parts[GW_PREFIX_PARTS_MAX], *list[GW_PREFIX_PARTS_MAX];
 	size_t i;
 
 	ask.ask = r->id.ask;
--- a/src/node/node_gate_evidence.c
+++ b/src/node/node_gate_evidence.c
@@ -108,18 +108,22 @@
 void
 gate_evidence_on_ended(struct node *n, const Wire__EndpointEnded *ended)
 {
-	struct quarantine_suspect suspects[QUARANTINE_SUSPECTS_MAX];
+	struct quarantine_suspect *suspects;
 	struct quarantine_end end = {0};
-	size_t i;
+	size_t i,
+	    count = ended->n_parts < QUARANTINE_SUSPECTS_MAX
+	    ? ended->n_parts
+	    : QUARANTINE_SUSPECTS_MAX;
 
-	for (i = 0; i < ended->n_parts && i < QUARANTINE_SUSPECTS_MAX; i++) {
+	suspects = node_effects_alloc(n->fx, (count + 1) * sizeof(*suspects));
+	for (i = 0; i < count; i++) {
 		suspects[i].hash = ended->parts[i]->hash;
 		suspects[i].position = ended->parts[i]->position;
 	}
 	end.process = ended->process;
 	end.at_us = gate_time_of_age(n, ended->age_ms);
 	end.suspects = suspects;
-	end.nsuspects = i;
+	end.nsuspects = count;
 	quarantine_evidence_add_end(
 	    n->gate->evidence, n->gate->quarantine, &end);
 }
--- a/src/node/node_gate_place.c
+++ b/src/node/node_gate_place.c
@@ -29,7 +29,7 @@
     const Wire__PlaceAsk *ask)
 {
 	struct place_request r = {0};
-	struct gw_prompt_part parts[GW_PROMPT_PARTS_MAX];
+	struct gw_prompt_part parts[GW_PREFIX_PARTS_MAX];
 	size_t i;
 
 	if (gate_is_sharded(n) ? !gate_owns_shard(n) : !n->gate->placing)
@@ -43,7 +43,7 @@
 	r.adapter = text_or_null(ask->adapter);
 	r.prompt_tokens = ask->prompt_tokens;
 	r.max_tokens = ask->max_tokens;
-	for (i = 0; i < ask->n_parts && i < GW_PROMPT_PARTS_MAX; i++) {
+	for (i = 0; i < ask->n_parts && i < GW_PREFIX_PARTS_MAX; i++) {
 		parts[i].hash = ask->parts[i]->hash;
 		parts[i].tokens = ask->parts[i]->tokens;
 	}
--- a/src/node/node_gate_quarantine.c
+++ b/src/node/node_gate_quarantine.c
@@ -117,12 +117,12 @@
 {
 	struct node *n = ctx;
 	const struct gw_request *request = observed->request;
-	uint64_t hashes[GW_PROMPT_PARTS_MAX];
 	size_t i, count = count_shared_parts(request);
+	uint64_t *hashes;
 
-	(void)fx;
 	if (count == 0)
 		return;
+	hashes = node_effects_alloc(fx, count * sizeof(*hashes));
 	for (i = 0; i < count; i++)
 		hashes[i] = request->parts[i].hash;
 	if (observed->is_served)
@@ -151,20 +151,22 @@
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__EndpointEnded message = WIRE__ENDPOINT_ENDED__INIT;
-	Wire__EndedPart parts[QUARANTINE_SUSPECTS_MAX];
-	Wire__EndedPart *list[QUARANTINE_SUSPECTS_MAX];
-	size_t i;
+	size_t i, count = end->nsuspects;
+	Wire__EndedPart *parts =
+	    node_effects_alloc(n->fx, (count + 1) * sizeof(*parts));
+	Wire__EndedPart **list =
+	    node_effects_alloc(n->fx, (count + 1) * sizeof(*list));
 
 	message.process = end->process;
 	message.age_ms = (uint32_t)((n->now - end->at_us) / 1000);
-	for (i = 0; i < end->nsuspects; i++) {
+	for (i = 0; i < count; i++) {
 		wire__ended_part__init(&parts[i]);
 		parts[i].hash = end->suspects[i].hash;
 		parts[i].position = end->suspects[i].position;
 		list[i] = &parts[i];
 	}
 	message.parts = list;
-	message.n_parts = end->nsuspects;
+	message.n_parts = count;
 	envelope.body_case = WIRE__ENVELOPE__BODY_ENDPOINT_ENDED;
 	envelope.endpoint_ended = &message;
 	send_to_leader(n, &envelope);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -391,9 +391,9 @@
 void node_replica_advance(struct node *n);
 
 /*
- * Replaces the log by a snapshot, unless one append holds the log. A new learner
- * receives the newest snapshot and then the entries that follow on it, which may
- * be many times as long as the state that they lead to.
+ * Replaces the log by a snapshot, unless one append holds the log. A new
+ * learner receives the newest snapshot and then the entries that follow on it,
+ * which may be many times as long as the state that they lead to.
  */
 void node_replica_compact_for_learner(struct node *n);
 
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -137,7 +137,7 @@
 	size_t i;
 
 	a->nparts =
-	    r->nparts < GW_PROMPT_PARTS_MAX ? r->nparts : GW_PROMPT_PARTS_MAX;
+	    r->nparts < GW_PREFIX_PARTS_MAX ? r->nparts : GW_PREFIX_PARTS_MAX;
 	for (i = 0; i < a->nparts; i++) {
 		a->parts[i] = r->parts[i];
 		a->prefix_hashes[i] = place_prefix_hash(a, i);
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -153,7 +153,7 @@
 	char *service, *model, *adapter, *key, *data_centre;
 	uint64_t key_hash;
 	uint32_t prompt_tokens, max_tokens;
-	struct gw_prompt_part parts[GW_PROMPT_PARTS_MAX];
+	struct gw_prompt_part parts[GW_PREFIX_PARTS_MAX];
 	size_t nparts;
 	uint64_t asked_us, deadline_us, target_us;
 	uint64_t due_us; /* order in the queue */
@@ -165,7 +165,7 @@
 	char *avoid[PLACE_AVOID_MAX];
 	size_t navoid;
 	uint64_t
-	    prefix_hashes[GW_PROMPT_PARTS_MAX]; /* i: of the parts 0 to i */
+	    prefix_hashes[GW_PREFIX_PARTS_MAX]; /* i: of the parts 0 to i */
 	bool wait_sent; /* PLACE_WAIT was issued */
 	bool has_waited_for_limit;
 	/* place.capacity_generation at the last evaluation; 0: none yet */
--- a/src/quarantine/quarantine_evidence.c
+++ b/src/quarantine/quarantine_evidence.c
@@ -28,9 +28,14 @@
 /* A part that was blamed and is not quarantined by then is blamed again. */
 #define BLAME_AGAIN_US (3000 * 1000ULL)
 /* Ends that are kept of a part. */
-#define ENDS_MAX 16u
-/* Parts with evidence; over this number the one with the oldest is dropped. */
-#define PARTS_MAX 4096u
+#define ENDS_MAX	 16u
+#define ENDS_INITIAL_CAP 2u
+/*
+ * Parts with evidence. At this number a part of those with the least evidence
+ * is dropped: 1 / DROP_DIVISOR.
+ */
+#define PARTS_MAX    16384u
+#define DROP_DIVISOR 4u
 /* Interval of dropping old ends. */
 #define SWEEP_US (10 * 1000000ULL)
 /* Explained processes that are remembered. */
@@ -45,8 +50,8 @@
 struct suspect {
 	uint64_t hash;
 	uint32_t position; /* the highest in any prompt */
-	struct end ends[ENDS_MAX]; /* by at_us */
-	size_t nends;
+	struct end *ends; /* by at_us; ENDS_MAX at most */
+	size_t nends, ends_cap;
 	uint64_t inquired_us, blamed_us; /* 0: not yet */
 };
 
@@ -59,6 +64,21 @@
 	uint64_t next_us; /* no finding before, unless evidence is added */
 };
 
+static void
+suspect_destroy(struct suspect *s)
+{
+	if (s == NULL)
+		return;
+	free(s->ends);
+	free(s);
+}
+
+static void
+suspect_destroy_value(void *value)
+{
+	suspect_destroy(value);
+}
+
 struct quarantine_evidence *
 quarantine_evidence_create(void)
 {
@@ -73,7 +93,7 @@
 {
 	if (e == NULL)
 		return;
-	map_destroy_all(e->suspects, free);
+	map_destroy_all(e->suspects, suspect_destroy_value);
 	free(e);
 }
 
@@ -182,6 +202,16 @@
 	remove_end_at(s, 0);
 }
 
+/* Makes room for one more end. */
+static void
+reserve_end(struct suspect *s)
+{
+	if (s->nends < s->ends_cap)
+		return;
+	s->ends_cap = s->ends_cap == 0 ? ENDS_INITIAL_CAP : s->ends_cap * 2;
+	s->ends = mem_resize(s->ends, s->ends_cap, sizeof(s->ends[0]));
+}
+
 /* Several entries report the same end; the earliest time is kept. */
 static void
 add_end(struct suspect *s, uint64_t process, uint64_t at_us)
@@ -197,6 +227,7 @@
 		}
 	if (s->nends == ENDS_MAX)
 		drop_least_end(s);
+	reserve_end(s);
 	for (i = s->nends; i > 0 && s->ends[i - 1].at_us > at_us; i--)
 		s->ends[i] = s->ends[i - 1];
 	s->ends[i].process = process;
@@ -214,19 +245,36 @@
 
 /* ---- all parts ---------------------------------------------------------- */
 
-static void
-drop_oldest_suspect(struct quarantine_evidence *e)
+/* By fewest ends, then by the oldest latest end. */
+static int
+compare_evidence(const void *a, const void *b)
 {
-	const struct suspect *s, *oldest = map_at(e->suspects, 0);
-	size_t i;
+	const struct suspect *x = *(const struct suspect *const *)a;
+	const struct suspect *y = *(const struct suspect *const *)b;
+	uint64_t x_us = x->ends[x->nends - 1].at_us;
+	uint64_t y_us = y->ends[y->nends - 1].at_us;
+
+	if (x->nends != y->nends)
+		return x->nends < y->nends ? -1 : 1;
+	return (x_us > y_us) - (x_us < y_us);
+}
 
-	for (i = 1; i < map_count(e->suspects); i++) {
-		s = map_at(e->suspects, i);
-		if (s->ends[s->nends - 1].at_us <
-		    oldest->ends[oldest->nends - 1].at_us)
-			oldest = s;
-	}
-	free(map_remove_u64(e->suspects, oldest->hash));
+/*
+ * Drops the parts with the least evidence, so that one that ends processes
+ * again and again is not forgotten among many that were under one end each.
+ */
+static void
+drop_least_suspects(struct quarantine_evidence *e)
+{
+	size_t i, n = map_count(e->suspects);
+	struct suspect **all = mem_alloc(n, sizeof(struct suspect *));
+
+	for (i = 0; i < n; i++)
+		all[i] = map_at(e->suspects, i);
+	qsort(all, n, sizeof(struct suspect *), compare_evidence);
+	for (i = 0; i < n / DROP_DIVISOR; i++)
+		quarantine_evidence_forget(e, all[i]->hash);
+	free(all);
 }
 
 static struct suspect *
@@ -237,7 +285,7 @@
 	if (s != NULL)
 		return s;
 	if (map_count(e->suspects) >= PARTS_MAX)
-		drop_oldest_suspect(e);
+		drop_least_suspects(e);
 	s = mem_alloc(1, sizeof(*s));
 	s->hash = hash;
 	(void)map_set_u64(e->suspects, hash, s);
@@ -247,7 +295,7 @@
 void
 quarantine_evidence_forget(struct quarantine_evidence *e, uint64_t hash)
 {
-	free(map_remove_u64(e->suspects, hash));
+	suspect_destroy(map_remove_u64(e->suspects, hash));
 }
 
 static bool
@@ -318,7 +366,7 @@
 	for (i = 0; i < s->nends; i++)
 		explain_process(e, s->ends[i].process);
 	e->next_us = 0;
-	free(s);
+	suspect_destroy(s);
 }
 
 static bool
@@ -333,11 +381,21 @@
 	return false;
 }
 
+static void
+add_suspected_end(struct quarantine_evidence *e,
+    const struct quarantine_end *end, const struct quarantine_suspect *suspect)
+{
+	struct suspect *s = get_or_add_suspect(e, suspect->hash);
+
+	add_end(s, end->process, end->at_us);
+	if (s->position < suspect->position)
+		s->position = suspect->position;
+}
+
 void
 quarantine_evidence_add_end(struct quarantine_evidence *e,
     const struct quarantine *q, const struct quarantine_end *end)
 {
-	struct suspect *s;
 	size_t i;
 
 	if (has_quarantined_part(q, end))
@@ -346,12 +404,13 @@
 		return;
 	e->next_us = 0;
 	remember_end(e, end->process, end->at_us);
-	for (i = 0; i < end->nsuspects; i++) {
-		s = get_or_add_suspect(e, end->suspects[i].hash);
-		add_end(s, end->process, end->at_us);
-		if (s->position < end->suspects[i].position)
-			s->position = end->suspects[i].position;
-	}
+	/* Known parts first: others may take the place of those in doubt. */
+	for (i = 0; i < end->nsuspects; i++)
+		if (map_get_u64(e->suspects, end->suspects[i].hash) != NULL)
+			add_suspected_end(e, end, &end->suspects[i]);
+	for (i = 0; i < end->nsuspects; i++)
+		if (map_get_u64(e->suspects, end->suspects[i].hash) == NULL)
+			add_suspected_end(e, end, &end->suspects[i]);
 }
 
 void
--- a/src/quarantine/quarantine_observer.c
+++ b/src/quarantine/quarantine_observer.c
@@ -14,27 +14,38 @@
 #define REPORTS_PER_LEADER 3u
 #define REPORT_INTERVAL_US (500 * 1000ULL)
 /* Parts of which the last answer is remembered, in each of two generations. */
-#define SERVED_MAX 4096u
+#define SERVED_MAX 32768u
 /* Two ends within this time, so far apart, make a part suspect to this entry.
  */
 #define SUSPECT_AGE_MAX_US (60 * 1000000ULL)
 #define SUSPECT_GAP_US	   (300 * 1000ULL)
 
 struct observed_end {
-	char *endpoint; /* NULL: unused */
+	char *endpoint;
 	uint64_t born_ms, process, at_us;
 	uint32_t requests;
-	struct quarantine_suspect suspects[QUARANTINE_SUSPECTS_MAX];
-	size_t nsuspects;
+	struct quarantine_suspect *suspects;
+	size_t nsuspects, suspects_cap;
+	size_t next_replaced; /* once there are QUARANTINE_SUSPECTS_MAX */
 	bool was_reported;
 	uint64_t leader; /* that the reports are for */
 	uint32_t reports; /* sent to it */
 	uint64_t report_due_us;
 };
 
+/* A part that is a suspect of some ends. */
+struct observed_part {
+	struct under_end {
+		const struct observed_end *end;
+		size_t index; /* of the part in its suspects */
+	} ends[ENDS_MAX];
+	size_t nends;
+};
+
 struct quarantine_observer {
-	struct observed_end *ends[ENDS_MAX]; /* ring */
+	struct observed_end *ends[ENDS_MAX]; /* ring; NULL: unused */
 	size_t next_end;
+	struct map *parts; /* struct observed_part by hash */
 	/* times by hash; the older generation is dropped as a whole */
 	struct map *served, *served_before;
 };
@@ -44,16 +55,124 @@
 {
 	struct quarantine_observer *o = mem_alloc(1, sizeof(*o));
 
+	o->parts = map_create();
 	o->served = map_create();
 	o->served_before = map_create();
 	return o;
 }
 
+/* ---- parts of ends ------------------------------------------------------ */
+
+static struct under_end *
+find_under(struct observed_part *part, const struct observed_end *end)
+{
+	size_t i;
+
+	for (i = 0; part != NULL && i < part->nends; i++)
+		if (part->ends[i].end == end)
+			return &part->ends[i];
+	return NULL;
+}
+
+/* The part is no suspect of the end any more. */
+static void
+forget_under(struct quarantine_observer *o, uint64_t hash,
+    const struct observed_end *end)
+{
+	struct observed_part *part = map_get_u64(o->parts, hash);
+	struct under_end *under = find_under(part, end);
+
+	if (under == NULL)
+		return;
+	*under = part->ends[--part->nends];
+	if (part->nends == 0)
+		free(map_remove_u64(o->parts, hash));
+}
+
+static void
+set_suspect(struct quarantine_observer *o, struct observed_end *end,
+    size_t index, uint64_t hash, uint32_t position)
+{
+	struct observed_part *part = map_get_u64(o->parts, hash);
+
+	if (part == NULL) {
+		part = mem_alloc(1, sizeof(*part));
+		(void)map_set_u64(o->parts, hash, part);
+	}
+	part->ends[part->nends].end = end;
+	part->ends[part->nends++].index = index;
+	end->suspects[index].hash = hash;
+	end->suspects[index].position = position;
+}
+
+/* Whether a suspect of this end is one of other ends. */
+static bool
+is_under_others(const struct quarantine_observer *o, uint64_t hash, size_t but)
+{
+	const struct observed_part *part = map_get_u64(o->parts, hash);
+
+	return part != NULL && part->nends > but;
+}
+
+/*
+ * An end has as many suspects as it may have: one that was under earlier ends
+ * takes the place of one that was not.
+ */
+static void
+replace_suspect(struct quarantine_observer *o, struct observed_end *end,
+    uint64_t hash, uint32_t position)
+{
+	size_t i;
+
+	if (!is_under_others(o, hash, 0))
+		return;
+	while (end->next_replaced < end->nsuspects) {
+		i = end->next_replaced++;
+		if (is_under_others(o, end->suspects[i].hash, 1))
+			continue;
+		forget_under(o, end->suspects[i].hash, end);
+		set_suspect(o, end, i, hash, position);
+		return;
+	}
+}
+
 static void
-free_end(struct observed_end *end)
+add_suspect(struct quarantine_observer *o, struct observed_end *end,
+    uint64_t hash, uint32_t position)
 {
+	const struct under_end *under =
+	    find_under(map_get_u64(o->parts, hash), end);
+	struct quarantine_suspect *known;
+
+	if (under != NULL) {
+		known = &end->suspects[under->index];
+		if (known->position < position)
+			known->position = position;
+		return;
+	}
+	if (end->nsuspects == QUARANTINE_SUSPECTS_MAX) {
+		replace_suspect(o, end, hash, position);
+		return;
+	}
+	if (end->nsuspects == end->suspects_cap) {
+		end->suspects_cap =
+		    end->suspects_cap == 0 ? 16 : end->suspects_cap * 2;
+		end->suspects = mem_resize(
+		    end->suspects, end->suspects_cap, sizeof(*end->suspects));
+	}
+	set_suspect(o, end, end->nsuspects++, hash, position);
+}
+
+static void
+end_destroy(struct quarantine_observer *o, struct observed_end *end)
+{
+	size_t i;
+
 	if (end == NULL)
 		return;
+	for (i = 0; i < end->nsuspects; i++)
+		forget_under(o, end->suspects[i].hash, end);
+	free(end->suspects);
 	free(end->endpoint);
 	free(end);
 }
@@ -66,7 +185,8 @@
 	if (o == NULL)
 		return;
 	for (i = 0; i < ENDS_MAX; i++)
-		free_end(o->ends[i]);
+		end_destroy(o, o->ends[i]);
+	map_destroy(o->parts);
 	map_destroy_all(o->served, free);
 	map_destroy_all(o->served_before, free);
 	free(o);
@@ -97,28 +217,11 @@
 	end->process = process;
 	end->at_us = now_us;
 	i = o->next_end++ % ENDS_MAX;
-	free_end(o->ends[i]);
+	end_destroy(o, o->ends[i]);
 	o->ends[i] = end;
 	return end;
 }
 
-static void
-add_suspect(struct observed_end *end, uint64_t hash, uint32_t position)
-{
-	size_t i;
-
-	for (i = 0; i < end->nsuspects; i++)
-		if (end->suspects[i].hash == hash) {
-			if (end->suspects[i].position < position)
-				end->suspects[i].position = position;
-			return;
-		}
-	if (end->nsuspects == QUARANTINE_SUSPECTS_MAX)
-		return;
-	end->suspects[end->nsuspects].hash = hash;
-	end->suspects[end->nsuspects++].position = position;
-}
-
 void
 quarantine_observer_add_end(struct quarantine_observer *o, uint64_t now_us,
     const char *endpoint, uint64_t born_ms, const uint64_t *hashes,
@@ -131,18 +234,7 @@
 	end->reports = 0;
 	end->report_due_us = now_us;
 	for (i = 0; i < count; i++)
-		add_suspect(end, hashes[i], (uint32_t)i);
-}
-
-static bool
-has_suspect(const struct observed_end *end, uint64_t hash)
-{
-	size_t i;
-
-	for (i = 0; i < end->nsuspects; i++)
-		if (end->suspects[i].hash == hash)
-			return true;
-	return false;
+		add_suspect(o, end, hashes[i], (uint32_t)i);
 }
 
 bool
@@ -150,15 +242,15 @@
     const struct quarantine_observer *o, uint64_t now_us, uint64_t hash)
 {
 	uint64_t served_us = quarantine_observer_served_us(o, hash);
+	const struct observed_part *part = map_get_u64(o->parts, hash);
 	uint64_t first_us = UINT64_MAX, last_us = 0;
 	const struct observed_end *end;
 	size_t i;
 
-	for (i = 0; i < ENDS_MAX; i++) {
-		end = o->ends[i];
-		if (end == NULL || end->at_us <= served_us ||
-		    now_us >= end->at_us + SUSPECT_AGE_MAX_US ||
-		    !has_suspect(end, hash))
+	for (i = 0; part != NULL && i < part->nends; i++) {
+		end = part->ends[i].end;
+		if (end->at_us <= served_us ||
+		    now_us >= end->at_us + SUSPECT_AGE_MAX_US)
 			continue;
 		first_us = end->at_us < first_us ? end->at_us : first_us;
 		last_us = end->at_us > last_us ? end->at_us : last_us;
--- a/src/quarantine/quarantine_observer.h
+++ b/src/quarantine/quarantine_observer.h
@@ -14,8 +14,11 @@
  */
 struct quarantine_observer;
 
-/* Suspects of one end that an entry reports; further ones are left out. */
-#define QUARANTINE_SUSPECTS_MAX 64u
+/*
+ * Suspects of one end that an entry reports. Of more, those that were under
+ * earlier ends as well are kept.
+ */
+#define QUARANTINE_SUSPECTS_MAX 8192u
 
 /* An end that is to be reported. Strings stay owned by the observer. */
 struct quarantine_report {
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -254,9 +254,9 @@
  * Whether the leader may promote a learner. It must have synced the newest
  * config, as a member without it cannot vote. If its vote raises the quorum it
  * must also keep up with the log: within election_min_us it synced all that was
- * in the log when that time began, or it did so repeatedly, in whatever time the
- * load allows. No instant at which it has all that is committed is needed: there
- * may be none while entries keep coming.
+ * in the log when that time began, or it did so repeatedly, in whatever time
+ * the load allows. No instant at which it has all that is committed is needed:
+ * there may be none while entries keep coming.
  */
 bool raft_is_learner_ready(const struct raft *r, uint64_t id);
 
--- a/tests/gateway/fatal_part_test.cc
+++ b/tests/gateway/fatal_part_test.cc
@@ -25,6 +25,7 @@
 	void (*fault)(Fleet &fleet);
 	/* 3 s later */
 	void (*recover)(Fleet &fleet);
+	int common_parts = 0; /* of all prompts, before the fatal one */
 };
 
 static void
@@ -87,6 +88,13 @@
 	[](Fleet &f) { f.sim.isolate(f.sim.leader(), true); },
 	[](Fleet &f) { f.sim.cut_links.clear(); }},
     {"small_all_killed", 4, 40, 60, 3, 1, false, kill_all, start_dead},
+    /* the fatal part is the tenth, the sixtieth, the three hundredth */
+    {"small_behind_nine", 4, 40, 60, 3, 1, false, do_nothing, do_nothing, 7},
+    {"small_behind_59", 4, 40, 60, 3, 1, false, do_nothing, do_nothing, 57},
+    {"small_behind_299", 4, 40, 60, 3, 1, false, do_nothing, do_nothing, 297},
+    {"small_behind_299_leader_killed", 4, 40, 60, 3, 1, false,
+	[](Fleet &f) { f.sim.kill(f.sim.leader()); }, start_dead, 297},
+    {"large_behind_59", 23, 140, 300, 3, 1, false, do_nothing, do_nothing, 57},
     {"large", 23, 140, 300, 3, 1, false, do_nothing, do_nothing},
     {"large_three_parts", 23, 140, 300, 6, 3, false, do_nothing, do_nothing},
     {"large_owner_killed", 23, 140, 300, 3, 1, false, kill_newest_holder,
@@ -105,6 +113,7 @@
 	options.model_requests_per_s = c.requests_per_s;
 	options.fatal_requests_per_s = c.fatal_per_s;
 	options.fatal_parts = c.parts;
+	options.common_parts = c.common_parts;
 	options.resumable = c.resumable;
 	options.answer_us = 200 * MS;
 	options.seed = seed;
--- a/tests/gateway/fleet.h
+++ b/tests/gateway/fleet.h
@@ -25,6 +25,8 @@
 		 */
 		double fatal_requests_per_s = 0;
 		int fatal_parts = 1;
+		/* parts of all prompts that stand before the fatal one */
+		int common_parts = 0;
 		/* streams may be resumed, at a second engine */
 		bool resumable = false;
 		/* of an answer, after its first event; 0: it has only one */
