quarantine: an entry's memory of ends is bounded by their suspects

Cause: with an entry kept a kilobyte for each part under one of its last 64 ends; prompts with thousands of parts could have taken it beyond its memory. Change: the ends of a part are allocated, and once 65,536 suspects are kept the oldest ends are forgotten.

--- a/src/quarantine/quarantine_observer.c
+++ b/src/quarantine/quarantine_observer.c
@@ -8,6 +8,8 @@
 
 /* Ends that are remembered; over this number the oldest is forgotten. */
 #define ENDS_MAX 64u
+/* The same for the sum of their suspects, when another end is added. */
+#define ALL_SUSPECTS_MAX 65536u
 /* Later leaders are told of an end for this time. */
 #define END_AGE_MAX_US (600 * 1000000ULL)
 /* Reports of an end to one leader, and the time between them. */
@@ -38,13 +40,14 @@
 	struct under_end {
 		const struct observed_end *end;
 		size_t index; /* of the part in its suspects */
-	} ends[ENDS_MAX];
-	size_t nends;
+	} * ends;
+	size_t nends, ends_cap;
 };
 
 struct quarantine_observer {
 	struct observed_end *ends[ENDS_MAX]; /* ring; NULL: unused */
 	size_t next_end;
+	size_t nsuspects; /* of all ends */
 	struct map *parts; /* struct observed_part by hash */
 	/* times by hash; the older generation is dropped as a whole */
 	struct map *served, *served_before;
@@ -85,8 +88,12 @@
 	if (under == NULL)
 		return;
 	*under = part->ends[--part->nends];
-	if (part->nends == 0)
-		free(map_remove_u64(o->parts, hash));
+	o->nsuspects--;
+	if (part->nends > 0)
+		return;
+	(void)map_remove_u64(o->parts, hash);
+	free(part->ends);
+	free(part);
 }
 
 static void
@@ -99,8 +106,14 @@
 		part = mem_alloc(1, sizeof(*part));
 		(void)map_set_u64(o->parts, hash, part);
 	}
+	if (part->nends == part->ends_cap) {
+		part->ends_cap = part->ends_cap == 0 ? 1 : part->ends_cap * 2;
+		part->ends =
+		    mem_resize(part->ends, part->ends_cap, sizeof(*part->ends));
+	}
 	part->ends[part->nends].end = end;
 	part->ends[part->nends++].index = index;
+	o->nsuspects++;
 	end->suspects[index].hash = hash;
 	end->suspects[index].position = position;
 }
@@ -200,6 +213,20 @@
 	return XXH64(endpoint, strlen(endpoint), born_ms);
 }
 
+/* Forgets the oldest ends until few enough suspects are left. */
+static void
+drop_oldest_ends(struct quarantine_observer *o)
+{
+	struct observed_end **oldest;
+	size_t i;
+
+	for (i = 0; i < ENDS_MAX && o->nsuspects > ALL_SUSPECTS_MAX; i++) {
+		oldest = &o->ends[(o->next_end + i) % ENDS_MAX];
+		end_destroy(o, *oldest);
+		*oldest = NULL;
+	}
+}
+
 static struct observed_end *
 get_or_add_end(struct quarantine_observer *o, uint64_t now_us,
     const char *endpoint, uint64_t born_ms)
@@ -211,6 +238,7 @@
 	for (i = 0; i < ENDS_MAX; i++)
 		if (o->ends[i] != NULL && o->ends[i]->process == process)
 			return o->ends[i];
+	drop_oldest_ends(o);
 	end = mem_alloc(1, sizeof(*end));
 	end->endpoint = mem_string(endpoint);
 	end->born_ms = born_ms;
--- a/tests/quarantine/quarantine_test.cc
+++ b/tests/quarantine/quarantine_test.cc
@@ -141,6 +141,46 @@
 	quarantine_observer_destroy(o);
 }
 
+/*
+ * Guards against a part that is left out of a report because there are too many
+ * others, and against memory that grows with each end: of more parts than an
+ * end may have, one that was under an earlier end is reported.
+ */
+TEST(Observer, a_part_of_earlier_ends_is_reported_among_too_many)
+{
+	quarantine_observer *o = quarantine_observer_create();
+	const uint64_t fatal = 7;
+	uint64_t other = 100;
+
+	for (uint64_t process = 1; process <= 20; process++) {
+		std::vector<uint64_t> parts;
+		quarantine_report report;
+		bool has_fatal = false;
+
+		for (unsigned i = 0; i < 2 * QUARANTINE_SUSPECTS_MAX; i++)
+			parts.push_back(other++);
+		parts.insert(process == 1 ? parts.begin() : parts.end(), fatal);
+		quarantine_observer_add_end(o, process * 1000000, "e", process,
+		    parts.data(), parts.size());
+		while (quarantine_observer_next_report(
+		    o, process * 1000000, 1, &report))
+			if (report.born_ms == process) {
+				EXPECT_EQ(report.end.nsuspects,
+				    QUARANTINE_SUSPECTS_MAX);
+				for (size_t i = 0; i < report.end.nsuspects;
+				     i++)
+					has_fatal |=
+					    report.end.suspects[i].hash ==
+					    fatal;
+			}
+		EXPECT_TRUE(has_fatal) << process;
+	}
+	EXPECT_TRUE(quarantine_observer_is_suspect(o, 20000000, fatal));
+	/* One under an end that was dropped for newer ones is forgotten. */
+	EXPECT_FALSE(quarantine_observer_is_suspect(o, 20000000, 100));
+	quarantine_observer_destroy(o);
+}
+
 TEST(Observer, the_last_answers_are_remembered_within_a_bound)
 {
 	quarantine_observer *o = quarantine_observer_create();
