place: what an engine surely holds is known sooner after a change of placer

Cause: after a change of placer all adapters are known by a report only. Change: three ways to know more, each by the protocol's rules. - A request that begins to run on an adapter, after the report, proves that it isn't about to be unloaded: the engine would refuse it. Taken back when the engine's count grows by an order that is unknown here. - The placer's table says at which count of orders an engine surely holds what it has (EndpointInfo.held_at_and_one); the next placer takes it over if the engine reports this count.

--- a/src/node/node_gate_table.c
+++ b/src/node/node_gate_table.c
@@ -39,6 +39,7 @@
 	out->data_centre = (char *)a.data_centre;
 	out->slots = a.slots;
 	out->leaving = a.leaving;
+	out->held_at_and_one = place_get_held_at(n->gate->place, index);
 	place_limit_get(n->gate->place, index, &limit);
 	if (limit.limit.is_limited)
 		out->limit = gate_limit_to_wire(
@@ -265,6 +266,8 @@
 		return; /* the others hold */
 	}
 	place_apply_entry(n->gate->place, n->now, &a);
+	place_apply_held_at(
+	    n->gate->place, a.id, a.born_ms, info->held_at_and_one);
 	place_apply_limit(
 	    n->gate->place, n->now, a.id, a.born_ms, &limit, true);
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -224,6 +224,8 @@
 		e->needs_report = false;
 		free(e->order_key);
 		e->order_key = NULL;
+		free(e->unsure_key);
+		e->unsure_key = NULL;
 		e->announced_us = now_us;
 	}
 	p->weight_permits = 0;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -104,6 +104,18 @@
 void place_apply_entry(
     struct place *p, uint64_t now_us, const struct gw_announcement *a);
 
+/*
+ * One and the count of orders at which the i-th endpoint, an engine, surely is
+ * not about to unload any adapter that it holds; 0: that is not sure. An unload
+ * left without an answer by this placer may come into effect at any time later,
+ * but not at a count that was reached before. The next placer knows by it what
+ * the engine holds, if that reports the same count.
+ */
+uint64_t place_get_held_at(const struct place *p, size_t i);
+/* Take that over from the placer's table, for the process that started then. */
+void place_apply_held_at(struct place *p, const char *id, uint64_t born_ms,
+    uint64_t held_at_and_one);
+
 /*
  * Set the interval of endpoints' announcements. A nonzero value makes this the
  * placer, which receives them. 0 makes it an entry, which does not remove
--- a/src/place/place_account.c
+++ b/src/place/place_account.c
@@ -239,14 +239,17 @@
 
 /* ---- outcomes ----------------------------------------------------------- */
 
-/* Record that the first request has begun to run on an adapter. */
+/* Record that a request has begun to run on an adapter. */
 static void
 record_adapter_ready(struct place *p, const struct place_ask *a)
 {
 	struct place_adapter *adapter =
 	    a->key == NULL ? NULL : place_adapter_find(a->endpoint, a->key);
 
-	if (adapter == NULL || adapter->has_served)
+	if (adapter == NULL)
+		return;
+	place_adapter_record_run(a->endpoint, adapter, a->granted_us);
+	if (adapter->has_served)
 		return;
 	adapter->has_served = true;
 	adapter->missing_count = 0;
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -87,6 +87,34 @@
 	}
 }
 
+void
+place_adapter_record_run(
+    struct place_endpoint *e, struct place_adapter *a, uint64_t granted_us)
+{
+	if (a->is_surely_held || !e->orders_known ||
+	    granted_us < e->reported_us)
+		return;
+	a->is_surely_held = a->is_held_at_count = true;
+	a->doubt_count_plus_one = 0;
+}
+
+/*
+ * The engine has counted an order that is not known here: it may be an unload
+ * of an adapter on which a request began to run before.
+ */
+static void
+doubt_held_at_count(struct place_endpoint *e)
+{
+	struct place_adapter *a;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->is_held_at_count)
+			a->is_surely_held = a->is_held_at_count = false;
+	}
+}
+
 static bool
 is_load_ordered(const struct place_adapter *a)
 {
@@ -369,9 +397,9 @@
 
 /*
  * An announcement may be delayed by seconds, and its list lags behind the
- * engine's state. It is used only until this placer has a report of the endpoint
- * or gives it its first order. From then on the state follows the orders, and
- * reports where their result is uncertain.
+ * engine's state. It is used only until this placer has a report of the
+ * endpoint or gives it its first order. From then on the state follows the
+ * orders, and reports where their result is uncertain.
  */
 void
 place_adapter_merge_announced(
@@ -394,8 +422,92 @@
 			apply_listed(p, e, &a->loaded[i], ADAPTER_LOADED);
 }
 
+/* Is an adapter surely held, or surely not so far? */
+static bool
+is_certain(const struct place_adapter *a)
+{
+	if (a->adapter == NULL ||
+	    (!a->is_replacing &&
+		(a->state == ADAPTER_WANTED || a->state == ADAPTER_ORDERED)))
+		return true;
+	return a->is_surely_held && a->doubt_count_plus_one == 0;
+}
+
+uint64_t
+place_get_held_at(const struct place *p, size_t i)
+{
+	const struct place_endpoint *e = map_at(p->endpoints, i);
+	size_t k;
+
+	if (e->engine == NULL || e->is_foreign || !place_is_placer(p))
+		return e->told_held_at_and_one;
+	for (k = 0; k < map_count(e->adapters); k++)
+		if (!is_certain(map_at(e->adapters, k)))
+			return 0;
+	return e->orders_known ? e->accepted_orders + 1 : 0;
+}
+
+void
+place_apply_held_at(
+    struct place *p, const char *id, uint64_t born_ms, uint64_t held_at_and_one)
+{
+	struct place_endpoint *e = map_get_str(p->endpoints, id);
+
+	if (e != NULL && e->born_ms == born_ms)
+		e->told_held_at_and_one = held_at_and_one;
+}
+
+/* The placer before has told that the engine holds what it reports. */
+static void
+trust_all(struct place_endpoint *e)
+{
+	struct place_adapter *a;
+	size_t i;
+
+	for (i = 0; i < map_count(e->adapters); i++) {
+		a = map_at(e->adapters, i);
+		if (a->is_surely_held || a->state == ADAPTER_WANTED)
+			continue;
+		a->is_surely_held = a->is_held_at_count = true;
+		a->doubt_count_plus_one = 0;
+	}
+}
+
 #define REPORT_RETRY_US (500 * US_PER_MS)
 #define BUSY_BACKOFF_US (250 * US_PER_MS)
+/* Interval of reports until one is new enough. */
+#define UNSURE_RETRY_US (60 * US_PER_MS)
+
+static bool
+lists_key(const struct gw_loaded_model *list, size_t n, const char *key)
+{
+	char *listed;
+	bool is_same = false;
+	size_t i;
+
+	for (i = 0; i < n && !is_same; i++) {
+		listed = place_adapter_key(list[i].model, list[i].adapter);
+		is_same = strcmp(listed, key) == 0;
+		free(listed);
+	}
+	return is_same;
+}
+
+/*
+ * Whether a report may be older than an unload of which it is not known whether
+ * the engine has counted it. One that does not list the adapter is of a time
+ * after the unload, or there was nothing to unload.
+ */
+static bool
+is_too_early(const struct place_endpoint *e, uint64_t now_us,
+    const struct gw_report *report)
+{
+	return e->unsure_key != NULL &&
+	    now_us < e->last_accepted_us + PLACE_REPORT_LAG_US &&
+	    (report->accepted_orders < e->accepted_orders ||
+		lists_key(report->loaded, report->nloaded, e->unsure_key) ||
+		lists_key(report->pending, report->npending, e->unsure_key));
+}
 
 void
 place_on_report(struct place *p, uint64_t now_us, const char *endpoint,
@@ -414,14 +526,26 @@
 		e->backoff_until_us = now_us + REPORT_RETRY_US;
 		return;
 	}
+	if (is_too_early(e, now_us, report)) {
+		e->needs_report = true;
+		e->backoff_until_us = now_us + UNSURE_RETRY_US;
+		return;
+	}
+	free(e->unsure_key);
+	e->unsure_key = NULL;
 	remove_unlisted(p, e, report->loaded, report->nloaded, report->pending,
 	    report->npending);
 	for (i = 0; i < report->nloaded; i++)
 		apply_listed(p, e, &report->loaded[i], ADAPTER_LOADED);
 	for (i = 0; i < report->npending; i++)
 		apply_listed(p, e, &report->pending[i], ADAPTER_LOADING);
+	if (e->accepted_orders != report->accepted_orders)
+		doubt_held_at_count(e);
+	if (e->told_held_at_and_one == report->accepted_orders + 1)
+		trust_all(e);
 	e->accepted_orders = report->accepted_orders;
 	e->orders_known = true;
+	e->reported_us = now_us;
 	if (report->busy)
 		e->backoff_until_us = now_us + BUSY_BACKOFF_US;
 	if (e->is_changed)
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -36,6 +36,7 @@
 	free_names(&e->on_disk, &e->n_on_disk);
 	free_names(&e->in_memory, &e->n_in_memory);
 	free(e->order_key);
+	free(e->unsure_key);
 	free(e->id);
 	free(e->service);
 	free(e->address);
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -53,8 +53,14 @@
 	struct place_load load; /* its last one from the store */
 	bool is_prefetch; /* no request has waited for it or run on it */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
-	/* A load of it was accepted, and no unload since */
+	/*
+	 * A load of it was accepted, and no unload since; or, while the
+	 * engine's count was known, which has not changed since but by orders
+	 * counted here, a request began to run on it, or the placer before told
+	 * so.
+	 */
 	bool is_surely_held;
+	bool is_held_at_count; /* the latter */
 	/*
 	 * One and the count that the first unload since its load expected which
 	 * may have been accepted; 0: none may.
@@ -66,6 +72,9 @@
 	uint32_t load_rank; /* in a shortage, of its requests; least first */
 };
 
+/* Maximum age of the state in a report. */
+#define PLACE_REPORT_LAG_US (400 * US_PER_MS)
+
 /* The rate limit of an endpoint, see struct place_limit. */
 struct place_limit_state {
 	struct place_limit now, table; /* table: as last published */
@@ -130,6 +139,13 @@
 	/* orders */
 	uint64_t accepted_orders; /* the engine's count */
 	bool orders_known; /* accepted_orders is certain */
+	uint64_t reported_us; /* time of its last report */
+	/*
+	 * Key of an adapter whose unload is done, counted or not; NULL: none. A
+	 * report that does not list it tells the count, however old it is.
+	 */
+	char *unsure_key;
+	uint64_t told_held_at_and_one; /* by another placer's table */
 	bool call_in_flight; /* an order or a report request */
 	uint64_t call; /* its number; 0: there was none */
 	char *order_key; /* its adapter or weights; NULL: a report */
@@ -474,6 +490,12 @@
  * may have sent it orders.
  */
 void place_adapter_doubt_all(struct place_endpoint *e);
+/*
+ * A request that was granted at that time has begun to run on an adapter: it is
+ * not about to be unloaded, as then the engine would refuse to run it.
+ */
+void place_adapter_record_run(
+    struct place_endpoint *e, struct place_adapter *a, uint64_t granted_us);
 /* The adapter to unload for another one; NULL: all are in use. */
 struct place_adapter *place_adapter_victim(
     const struct place *p, const struct place_endpoint *e);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -21,8 +21,6 @@
  * answered like one that was carried out, and only the latter is counted.
  */
 
-/* Maximum age of the state in a report. */
-#define REPORT_LAG_US (400 * US_PER_MS)
 /* Delay before retrying an order refused because another is in progress. */
 #define CONFLICT_RETRY_US (150 * US_PER_MS)
 /* An engine gets no calls for a while after this many unanswered orders. */
@@ -97,6 +95,7 @@
 	a->version = a->wanted_version;
 	a->ready_us = p->now_us + ms * US_PER_MS;
 	a->is_surely_held = true;
+	a->is_held_at_count = false;
 	a->doubt_count_plus_one = 0;
 	memset(&a->load, 0, sizeof(a->load));
 	if (a->adapter != NULL && a->from_store)
@@ -169,7 +168,7 @@
 		return;
 	e->consecutive_unanswered = 0;
 	e->orders_known = false;
-	back_off(p, e, REPORT_LAG_US);
+	back_off(p, e, PLACE_REPORT_LAG_US);
 }
 
 /*
@@ -205,6 +204,13 @@
 	}
 }
 
+static void
+set_unsure(struct place_endpoint *e, const char *key)
+{
+	free(e->unsure_key);
+	e->unsure_key = mem_string(key);
+}
+
 /*
  * Update the count of accepted orders from an answer.
  *
@@ -222,10 +228,13 @@
 		break;
 	case GW_ORDER_DONE:
 		e->last_accepted_us = p->now_us;
-		if (is_done_counted(e, a))
+		if (is_done_counted(e, a)) {
 			count_order(e);
-		else
-			e->orders_known = false;
+			break;
+		}
+		e->orders_known = false;
+		if (e->order_is_unload && a != NULL)
+			set_unsure(e, a->key);
 		break;
 	case GW_ORDER_FENCED:
 		e->is_fenced = place_guards.fence;
@@ -427,7 +436,7 @@
 		return;
 	}
 	refill_permits(p, engine);
-	place_schedule_run(p, p->now_us + REPORT_LAG_US);
+	place_schedule_run(p, p->now_us + PLACE_REPORT_LAG_US);
 	if (p->weight_permits < 1 ||
 	    p->weights_loading >
 		place_share_scale(p, engine->loads_per_s_milli) /
@@ -566,8 +575,10 @@
 		place_schedule_run(p, e->backoff_until_us);
 		return;
 	}
-	if (!e->orders_known && p->now_us < e->last_accepted_us + REPORT_LAG_US)
-		place_schedule_run(p, e->last_accepted_us + REPORT_LAG_US);
+	if (!e->orders_known && e->unsure_key == NULL &&
+	    p->now_us < e->last_accepted_us + PLACE_REPORT_LAG_US)
+		place_schedule_run(
+		    p, e->last_accepted_us + PLACE_REPORT_LAG_US);
 	else if (!e->orders_known)
 		request_report(p, e);
 	else if (a == NULL)
--- a/src/place/place_share.c
+++ b/src/place/place_share.c
@@ -55,6 +55,8 @@
 	e->backoff_until_us = 0;
 	free(e->order_key);
 	e->order_key = NULL;
+	free(e->unsure_key);
+	e->unsure_key = NULL;
 }
 
 static void
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -6084,7 +6084,7 @@
   (ProtobufCMessageInit) wire__loaded_model__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint_info__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__endpoint_info__field_descriptors[12] =
 {
   {
     "id",
@@ -6218,12 +6218,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_at_and_one",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EndpointInfo, held_at_and_one),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__endpoint_info__field_indices_by_name[] = {
   4,   /* field[4] = address */
   1,   /* field[1] = born_ms */
   5,   /* field[5] = data_centre */
   8,   /* field[8] = gone */
+  11,   /* field[11] = held_at_and_one */
   0,   /* field[0] = id */
   7,   /* field[7] = leaving */
   10,   /* field[10] = limit */
@@ -6235,7 +6248,7 @@
 static const ProtobufCIntRange wire__endpoint_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__endpoint_info__descriptor =
 {
@@ -6245,7 +6258,7 @@
   "Wire__EndpointInfo",
   "wire",
   sizeof(Wire__EndpointInfo),
-  11,
+  12,
   wire__endpoint_info__field_descriptors,
   wire__endpoint_info__field_indices_by_name,
   1,  wire__endpoint_info__number_ranges,
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -1191,10 +1191,15 @@
    * absent: none is known
    */
   Wire__RateLimit *limit;
+  /*
+   * One and the engine's count of accepted orders, if its placer is sure that at
+   * this count it is not about to unload any adapter; 0: it is not sure.
+   */
+  uint64_t held_at_and_one;
 };
 #define WIRE__ENDPOINT_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint_info__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, NULL, 0 }
 
 
 /*
--- a/tests/place/order_count_test.cc
+++ b/tests/place/order_count_test.cc
@@ -95,6 +95,8 @@
 	std::deque<LateEngine> history; /* of the last 400 ms, newest first */
 	std::map<uint64_t, std::string> open_asks; /* adapter by ask */
 	double unanswered_share = 0;
+	/* what the next placer knows by the table, and of which process */
+	uint64_t published = 0, published_born = 1;
 
 	void
 	TestBody() override
@@ -264,6 +266,7 @@
 	{
 		std::string adapter = open_asks[d.id.ask];
 		bool holds = engine.adapters.count(adapter) > 0 &&
+		    engine.unloading.count(adapter) == 0 &&
 		    engine.adapters[adapter] <= now;
 
 		open_asks.erase(d.id.ask);
@@ -276,8 +279,13 @@
 	void
 	Trouble()
 	{
+		if (chance(0.001)) {
+			published = place_get_held_at(p, 0);
+			published_born = known_born;
+		}
 		if (chance(0.0001)) {
 			place_reset(p, now);
+			place_apply_held_at(p, "e1", published_born, published);
 			open_asks.clear();
 		}
 		if (chance(0.0001)) {
