--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -160,6 +160,7 @@
     {"place.leaving", &place_guards.leaving},
     {"place.pins", &place_guards.pins},
     {"place.expected", &place_guards.expected},
+    {"place.counted", &place_guards.counted},
     {"place.fence", &place_guards.fence},
     {"place.store", &place_guards.store},
     {"place.version", &place_guards.version},
