node: a stored configuration is kept whatever its version, read or not

Change: the text alone tells that there is a configuration. Version 0 is written as 1 with a field that says that it is 0: an earlier program reads the version from the text, but takes the number 0 for none. The unread text is written beside the one in force, byte for byte, also if it is not JSON; read back with 503 and the reason while none is in force; acknowledged if it is sent again; other content under its version is a conflict, as at those that can read it. Event 136 names bytes and whether one is in force. Why it works: no value that an operator may choose is asked for presence any more, and no path drops a text.

--- a/src/gate/gate_text.c
+++ b/src/gate/gate_text.c
@@ -363,6 +363,16 @@
 	return MP_OK;
 }
 
+struct gw_text *
+gw_text_create_unsplit(struct node_bytes bytes)
+{
+	struct gw_text *text = gw_text_create(1);
+
+	gw_text_append(text, bytes, GW_SEGMENT_REST);
+	(void)gw_text_finish(text);
+	return text;
+}
+
 /* ---- reading ------------------------------------------------------------ */
 
 size_t
--- a/src/gate/gate_text.h
+++ b/src/gate/gate_text.h
@@ -73,6 +73,11 @@
  */
 int gw_text_parse(struct gw_text **out, struct node_bytes text,
     const struct gw_text *base, struct mp_error *err);
+/*
+ * Returns bytes that gw_text_parse() refuses as a text of one segment, to be
+ * kept and joined. Differences to it can't be made.
+ */
+struct gw_text *gw_text_create_unsplit(struct node_bytes bytes);
 /* Returns the text again, for another owner, who destroys it as well. */
 struct gw_text *gw_text_share(struct gw_text *text);
 /*
--- a/src/node/node_gate.h
+++ b/src/node/node_gate.h
@@ -207,7 +207,10 @@
 	const struct gw_codec *codec;
 	struct gw_config *config; /* NULL: none is known */
 	struct gw_text *config_text; /* as it was received */
-	/* newer text that can't be read here: later ones may build on it */
+	/*
+	 * A newer text that can't be read here: it is kept in snapshots, and
+	 * later ones may build on it. NULL: there is none, or it is not known.
+	 */
 	struct gw_text *unread_text;
 	uint64_t unread_version;
 	struct gate_config_counts config_counts;
@@ -338,17 +341,30 @@
 void node_gate_apply_version(struct node *n, const Wire__AdapterVersion *put);
 void node_gate_apply_leaving(
     struct node *n, const Wire__EndpointLeaving *leaving);
-/* Adds the replicated state; texts stay owned by the gateway. */
-void node_gate_save(const struct node *n, Node__Snapshot *out);
-void node_gate_save_free(Node__Snapshot *out);
-void node_gate_restore(struct node *n, const Node__Snapshot *snapshot);
 /* The lowest version that requests may run on; 0: none was set. */
 uint32_t node_gate_adapter_version(
     const struct node *n, const char *model, const char *adapter);
+/* Raises that version. */
+void gate_config_set_version(
+    struct node *n, const char *model, const char *adapter, uint32_t version);
 void gate_config_free(struct node_gate *g);
 
+/* ---- node_gate_snapshot.c: the replicated state in snapshots ---- */
+/* Adds the replicated state; names stay owned by the gateway. */
+void node_gate_save(const struct node *n, Node__Snapshot *out);
+void node_gate_save_free(Node__Snapshot *out);
+void node_gate_restore(struct node *n, const Node__Snapshot *snapshot);
+
 /* ---- node_gate_config.c: texts of the log ---- */
 
+/*
+ * Puts a whole text of the log or of a snapshot in force, if it is valid.
+ *
+ * false: this instance can't read it, and keeps it as the unread text.
+ */
+bool gate_config_take_whole(
+    struct node *n, uint64_t index, uint64_t version, struct node_bytes bytes);
+
 /* Whether a change of the log is a difference to an earlier configuration. */
 bool gate_config_is_delta(const Wire__GatewayConfig *put);
 /* Refers to the message, which must outlive the result. */
--- a/src/node/node_gate_change.c
+++ b/src/node/node_gate_change.c
@@ -497,16 +497,23 @@
 /*
  * An older version is acknowledged and changes nothing, since a newer one has
  * replaced it. The current version is acknowledged again, but refused with
- * other content.
+ * other content. So is one that is in the log, but can't be read here.
  */
 void
 gate_change_put(
     struct node *n, struct node_bytes text, const struct gate_caller *caller)
 {
-	struct gate_change *c = mem_alloc(1, sizeof(*c));
+	const struct gw_text *unread = n->gate->unread_text;
+	struct gate_change *c;
 	struct mp_error err = {0};
-	int rc = gw_text_parse(&c->text, text, n->gate->config_text, &err);
+	int rc;
 
+	if (unread != NULL && gw_text_is_bytes(unread, text)) {
+		gate_control_answer_change(n, caller, GATE_TAKEN);
+		return;
+	}
+	c = mem_alloc(1, sizeof(*c));
+	rc = gw_text_parse(&c->text, text, n->gate->config_text, &err);
 	c->caller = *caller;
 	if (rc == MP_OK)
 		rc = check_change(n, c, &err);
--- a/src/node/node_gate_config.c
+++ b/src/node/node_gate_config.c
@@ -130,10 +130,10 @@
 
 /*
  * A newer configuration can't be read here, as when an operator's change needs
- * a later version of this program. The one before stays in force, and the text
- * is kept, as later differences refer to it.
+ * a later version of this program. The one before stays in force. The text is
+ * kept: it was acknowledged, and later differences refer to it.
  *
- * text: NULL: it is not even an object.
+ * text: NULL: it is not known, as it came in a form that can't be read.
  */
 static void
 take_unreadable(struct node *n, uint64_t version, struct gw_text *text)
@@ -145,8 +145,10 @@
 	gw_text_destroy(g->unread_text);
 	g->unread_text = text;
 	g->unread_version = version;
-	node_log(n, NODE_LOG_GATE_UNREADABLE, "{\"version\": %llu}",
-	    (unsigned long long)version);
+	node_log(n, NODE_LOG_GATE_UNREADABLE,
+	    "{\"version\": %llu, \"bytes\": %zu, \"inForce\": %s}",
+	    (unsigned long long)version, gw_text_bytes(text),
+	    g->config == NULL ? "false" : "true");
 }
 
 /*
@@ -170,8 +172,8 @@
 	return is_set;
 }
 
-static bool
-take_whole_text(
+bool
+gate_config_take_whole(
     struct node *n, uint64_t index, uint64_t version, struct node_bytes bytes)
 {
 	struct gw_text *text = gate_decode_share_text(n->gate, index);
@@ -181,7 +183,8 @@
 	if (text != NULL ||
 	    gw_text_parse(&text, bytes, n->gate->config_text, NULL) == MP_OK)
 		return take_text(n, index, version, text, NULL);
-	take_unreadable(n, version, NULL);
+	take_unreadable(
+	    n, version, bytes.len == 0 ? NULL : gw_text_create_unsplit(bytes));
 	return false;
 }
 
@@ -308,14 +311,14 @@
 	return verdict;
 }
 
+/* Whether a change of the log has this text as its content. */
 static bool
-is_content(const struct node_gate *g, const Wire__GatewayConfig *put)
+is_content(const struct gw_text *text, const Wire__GatewayConfig *put)
 {
-	struct node_bytes text = {(const char *)put->text.data, put->text.len};
+	struct node_bytes whole = {(const char *)put->text.data, put->text.len};
 
-	return gate_config_is_delta(put)
-	    ? put->digest == gw_text_digest(g->config_text)
-	    : gw_text_is_bytes(g->config_text, text);
+	return gate_config_is_delta(put) ? put->digest == gw_text_digest(text)
+					 : gw_text_is_bytes(text, whole);
 }
 
 /* Answers a change whose version is not higher than the one in force. */
@@ -324,13 +327,20 @@
 {
 	if (put->version < g->config->version)
 		return GATE_TAKEN;
-	if (!is_content(g, put))
+	if (!is_content(g->config_text, put))
 		return GATE_CONFLICT;
 	if (!gate_config_is_delta(put))
 		g->config_is_whole = true;
 	return GATE_TAKEN;
 }
 
+/* Answers a change to the version of a text that can't be read here. */
+static enum gate_verdict
+check_unread_version(const struct node_gate *g, const Wire__GatewayConfig *put)
+{
+	return is_content(g->unread_text, put) ? GATE_TAKEN : GATE_CONFLICT;
+}
+
 /*
  * The highest version is in force, whatever the order of versions in the log.
  * Of two contents of one version the first in the log is in force.
@@ -350,9 +360,12 @@
 		return check_known_version(g, put);
 	if (node_guards.gate_highest && put->version < highest_version(g))
 		return GATE_TAKEN;
+	if (node_guards.gate_highest && g->unread_text != NULL &&
+	    put->version == g->unread_version)
+		return check_unread_version(g, put);
 	if (gate_config_is_delta(put))
 		verdict = take_delta(n, index, put);
-	else if (!take_whole_text(n, index, put->version, text))
+	else if (!gate_config_take_whole(n, index, put->version, text))
 		verdict = GATE_UNREADABLE;
 	g->config_is_whole = !gate_config_is_delta(put);
 	gate_decode_end(g);
@@ -404,8 +417,8 @@
 	    node_leader(n));
 }
 
-static void
-set_version(
+void
+gate_config_set_version(
     struct node *n, const char *model, const char *adapter, uint32_t version)
 {
 	char *key = version_key(model, adapter);
@@ -428,7 +441,7 @@
 {
 	if (n->gate == NULL)
 		return;
-	set_version(n, put->model, put->adapter, put->version);
+	gate_config_set_version(n, put->model, put->adapter, put->version);
 	node_log(n, NODE_LOG_GATE_VERSION,
 	    "{\"model\": \"%s\", \"adapter\": \"%s\", \"version\": %u}",
 	    put->model, put->adapter, put->version);
@@ -462,116 +475,3 @@
 	free(key);
 	return v == NULL ? 0 : v->version;
 }
-
-static Node__Leaving *
-add_leaving(Node__Snapshot *out, const char *id)
-{
-	Node__Leaving *leaving = mem_alloc(1, sizeof(*leaving));
-
-	node__leaving__init(leaving);
-	leaving->id = (char *)id;
-	out->leaving =
-	    mem_resize(out->leaving, out->n_leaving + 1, sizeof(*out->leaving));
-	out->leaving[out->n_leaving++] = leaving;
-	return leaving;
-}
-
-static void
-save_leaving(const struct node *n, Node__Snapshot *out)
-{
-	const struct place *place = n->gate->place;
-	const char *id;
-	uint64_t ms;
-	size_t i;
-
-	for (i = 0; place_leaving_at(place, i, &id, &ms); i++)
-		add_leaving(out, id)->born_ms = ms;
-	for (i = 0; place_left_before_at(place, i, &id, &ms); i++)
-		add_leaving(out, id)->started_by_ms = ms;
-}
-
-static void
-restore_leaving(struct node *n, const Node__Leaving *leaving)
-{
-	if (leaving->started_by_ms != 0)
-		place_set_left_before(n->gate->place, n->now, leaving->id,
-		    leaving->started_by_ms);
-	else
-		place_set_leaving(
-		    n->gate->place, n->now, leaving->id, leaving->born_ms);
-}
-
-void
-node_gate_save(const struct node *n, Node__Snapshot *out)
-{
-	const struct node_gate *g = n->gate;
-	const struct gate_version *v;
-	struct buf text = {0};
-	size_t i;
-
-	if (g == NULL)
-		return;
-	save_leaving(n, out);
-	gate_quarantine_save(n, out);
-	if (g->config != NULL) {
-		out->config_version = g->config->version;
-		gw_text_join(g->config_text, &text);
-		out->config.data = (uint8_t *)text.data;
-		out->config.len = text.len;
-	}
-	out->n_versions = map_count(g->versions);
-	out->versions = mem_alloc(out->n_versions + 1, sizeof(*out->versions));
-	for (i = 0; i < out->n_versions; i++) {
-		v = map_at(g->versions, i);
-		out->versions[i] = mem_alloc(1, sizeof(**out->versions));
-		node__version__init(out->versions[i]);
-		out->versions[i]->model = v->model;
-		out->versions[i]->adapter = v->adapter;
-		out->versions[i]->version = v->version;
-	}
-}
-
-void
-node_gate_save_free(Node__Snapshot *out)
-{
-	size_t i;
-
-	free(out->config.data);
-	out->config.data = NULL;
-	out->config.len = 0;
-	for (i = 0; i < out->n_versions; i++)
-		free(out->versions[i]);
-	free(out->versions);
-	out->versions = NULL;
-	out->n_versions = 0;
-	for (i = 0; i < out->n_leaving; i++)
-		free(out->leaving[i]);
-	free(out->leaving);
-	out->leaving = NULL;
-	out->n_leaving = 0;
-	gate_quarantine_save_free(out);
-}
-
-void
-node_gate_restore(struct node *n, const Node__Snapshot *snapshot)
-{
-	struct node_bytes text = {
-	    (const char *)snapshot->config.data, snapshot->config.len};
-	size_t i;
-
-	if (n->gate == NULL)
-		return;
-	for (i = 0; i < snapshot->n_versions; i++)
-		set_version(n, snapshot->versions[i]->model,
-		    snapshot->versions[i]->adapter,
-		    snapshot->versions[i]->version);
-	for (i = 0; i < snapshot->n_leaving; i++)
-		restore_leaving(n, snapshot->leaving[i]);
-	gate_quarantine_restore(n, snapshot);
-	if (snapshot->config_version == 0 ||
-	    (n->gate->config != NULL &&
-		snapshot->config_version <= n->gate->config->version))
-		return;
-	(void)take_whole_text(
-	    n, snapshot->index, snapshot->config_version, text);
-}
--- a/src/node/node_gate_control.c
+++ b/src/node/node_gate_control.c
@@ -82,6 +82,9 @@
 /* ---- changes ------------------------------------------------------------ */
 
 #define CONFLICT_REASON "$.version: held with other content"
+#define UNREADABLE_REASON                                                      \
+	"the stored configuration can't be read by this version of the "       \
+	"program"
 
 static void
 propose(
@@ -175,8 +178,9 @@
 	struct buf text = {0};
 
 	if (g->config == NULL) {
-		gate_control_answer(
-		    n, caller, 503, "no configuration is known");
+		gate_control_answer(n, caller, 503,
+		    g->unread_text != NULL ? UNREADABLE_REASON
+					   : "no configuration is known");
 		return;
 	}
 	gw_text_join(g->config_text, &text);
--- a/src/node/snapshot.pb-c.c
+++ b/src/node/snapshot.pb-c.c
@@ -187,7 +187,7 @@
   assert(message->base.descriptor == &node__quarantined__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[10] =
+static const ProtobufCFieldDescriptor node__snapshot__field_descriptors[13] =
 {
   {
     "index",
@@ -309,23 +309,62 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_is_version_0",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__Snapshot, config_is_version_0),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread_version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Snapshot, unread_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread_config",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Node__Snapshot, unread_config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = book */
   4,   /* field[4] = claims */
   6,   /* field[6] = config */
+  10,   /* field[10] = config_is_version_0 */
   5,   /* field[5] = config_version */
   0,   /* field[0] = index */
   8,   /* field[8] = leaving */
   9,   /* field[9] = quarantined */
   1,   /* field[1] = term */
+  12,   /* field[12] = unread_config */
+  11,   /* field[11] = unread_version */
   7,   /* field[7] = versions */
   2,   /* field[2] = view */
 };
 static const ProtobufCIntRange node__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor node__snapshot__descriptor =
 {
@@ -335,7 +374,7 @@
   "Node__Snapshot",
   "node",
   sizeof(Node__Snapshot),
-  10,
+  13,
   node__snapshot__field_descriptors,
   node__snapshot__field_indices_by_name,
   1,  node__snapshot__number_ranges,
--- a/src/node/snapshot.pb-c.h
+++ b/src/node/snapshot.pb-c.h
@@ -44,9 +44,13 @@
    */
   ProtobufCBinaryData claims;
   /*
-   * of the gateway's configuration, 0: none
+   * Of the gateway's configuration. Earlier programs take 0 for no
+   * configuration, so version 0 is written as 1; config_is_version_0 tells.
    */
   uint64_t config_version;
+  /*
+   * its text; empty: there is no configuration
+   */
   ProtobufCBinaryData config;
   size_t n_versions;
   Node__Version **versions;
@@ -54,10 +58,17 @@
   Node__Leaving **leaving;
   size_t n_quarantined;
   Node__Quarantined **quarantined;
+  protobuf_c_boolean config_is_version_0;
+  /*
+   * A newer configuration, which the program that wrote this can't read; empty:
+   * there is none. Earlier programs ignore it.
+   */
+  uint64_t unread_version;
+  ProtobufCBinaryData unread_config;
 };
 #define NODE__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__snapshot__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL} }
 
 
 /*
