place: an engine is ordered to load what its memory holds, and no more

Cause: four places counted adapter slots, each by itself, and none memory; the size of an adapter was decoded and used by mulberryctl check alone. Sizes were rounded to the nearest MB. Change: place_room.c alone says what fits, slots and memory for weights and adapters together, and is asked by the order, the choice of what to unload, the estimate, loads ahead of need and the choice of weights. Sizes are kB, rounded up, and memory rounded down. Several unloads go before one load where it takes them, each surely carried out before the next, none if they can't make enough room. What no engine can load is refused on arrival (adapter-exceeds-memory, model-exceeds-memory, no-adapter-slots; counter unfit_refused_total) and is no demand for loads ahead of need. Tests that named gw_engine.weights_mb name memory_kb now, with the same values; PlaceTest::Ask takes a model.

--- a/include/mulberrypath/gateway.h
+++ b/include/mulberrypath/gateway.h
@@ -58,11 +58,11 @@
 /* A base model that an engine may serve, with its loading times. */
 struct gw_model {
 	char *name;
-	uint32_t weights_mb;
+	uint64_t weights_kb; /* 1/1000 MB, rounded up */
 	uint32_t store_load_ms; /* to load the weights from the weight store */
 	uint32_t disk_load_ms, memory_load_ms; /* from the endpoint's copies */
 	uint32_t adapter_count;
-	uint32_t adapter_mb;
+	uint64_t adapter_kb; /* of each, 1/1000 MB, rounded up; 0: not told */
 };
 
 /*
@@ -73,7 +73,9 @@
 	uint32_t seats; /* sequences in one batch */
 	uint32_t kv_tokens; /* KV cache, for running and cached tokens */
 	uint32_t adapter_slots; /* adapters loaded at one time */
-	uint32_t weights_mb; /* memory for weights and adapters */
+	/* memory for weights and adapters together, unless it is not told */
+	bool has_memory;
+	uint64_t memory_kb; /* 1/1000 MB, rounded down */
 	uint32_t loads_per_s_milli; /* of the weight store, 1/1000 loads per
 				     * second, over all endpoints */
 	struct gw_model *models;
--- a/src/mulberryctl/check_rules.c
+++ b/src/mulberryctl/check_rules.c
@@ -141,32 +141,38 @@
 
 /* ---- services ----------------------------------------------------------- */
 
+static double
+to_mb(uint64_t kb)
+{
+	return (double)kb / 1000;
+}
+
 static void
 check_model(const struct rules *r, const struct check_element *e, size_t index)
 {
 	const struct gw_engine *engine =
 	    &((const struct gw_service *)e->item)->engine;
 	const struct gw_model *m = &engine->models[index];
-	uint32_t left = engine->weights_mb - m->weights_mb;
+	uint64_t left = engine->memory_kb - m->weights_kb;
 
-	if (engine->weights_mb == 0)
+	if (!engine->has_memory)
 		return;
-	if (m->weights_mb > engine->weights_mb)
+	if (m->weights_kb > engine->memory_kb)
 		WARN(r, "does-not-fit",
 		    check_format("$.services[%zu].engine.models[%zu].%s",
 			e->index, index,
 			platform_field_name(PLATFORM_FIELD_ENGINE_WEIGHTS)),
-		    "model \"%s\" needs %u MB, an engine of the service has "
-		    "%u MB",
-		    m->name, m->weights_mb, engine->weights_mb);
-	else if (m->adapter_mb > left)
+		    "model \"%s\" needs %.3f MB, an engine of the service "
+		    "has %.3f MB",
+		    m->name, to_mb(m->weights_kb), to_mb(engine->memory_kb));
+	else if (m->adapter_kb > left)
 		WARN(r, "does-not-fit",
 		    check_format("$.services[%zu].engine.models[%zu].%s",
 			e->index, index,
 			platform_field_name(PLATFORM_FIELD_ADAPTER_SIZE)),
-		    "an adapter of model \"%s\" needs %u MB, an engine of the "
-		    "service has %u MB beside the model",
-		    m->name, m->adapter_mb, left);
+		    "an adapter of model \"%s\" needs %.3f MB, an engine of "
+		    "the service has %.3f MB beside the model",
+		    m->name, to_mb(m->adapter_kb), to_mb(left));
 }
 
 static void
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -146,6 +146,7 @@
 	    {"endpoints_limited", "gauge", t.limited_endpoints},
 	    {"limit_waits_total", "counter", t.limit_waits},
 	    {"limit_refused_total", "counter", t.limit_refusals},
+	    {"unfit_refused_total", "counter", t.unfit_refusals},
 	    {"limits_unreadable_total", "counter", t.invalid_limits},
 	    {"calls_too_late_total", "counter", t.late_calls_refused},
 	    {"store_loads_late_total", "counter", t.store_loads_late},
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -563,6 +563,7 @@
 	uint32_t limit_waits; /* requests that waited for a limit */
 	uint32_t limit_refusals; /* requests refused for limits */
 	uint32_t invalid_limits; /* responses with an unreadable one */
+	uint32_t unfit_refusals; /* requests that no engine has room for ever */
 	uint32_t late_calls_refused; /* they would have missed their deadline */
 	uint32_t store_loads_late, store_loads_in_time; /* adapters' */
 	uint32_t held; /* requests that wait for room at an engine, now */
--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 #include "place/place_guard.h"
-#include "place/place_internal.h"
+#include "place/place_room.h"
 #include "util/buf.h"
 #include "util/mem.h"
 
@@ -54,6 +54,7 @@
 	a->model = mem_string(model);
 	if (adapter != NULL && *adapter != '\0')
 		a->adapter = mem_string(adapter);
+	a->size_kb = place_room_size_kb(e->engine, model, a->adapter != NULL);
 	place_adapter_set_state(e, a, state);
 	a->state_since_us = a->last_used_us = p->now_us;
 	(void)map_set_str(e->adapters, a->key, a);
@@ -176,30 +177,13 @@
 	    a->version >= place_required_version(p, a->key);
 }
 
-/* May it be unloaded, being loaded and not in use by any request? */
-static bool
-is_evictable(const struct place_adapter *a)
+bool
+place_adapter_is_evictable(const struct place_adapter *a)
 {
 	return a->adapter != NULL && a->state == ADAPTER_LOADED &&
 	    (!place_guards.pins || (a->running == 0 && a->waiting == 0));
 }
 
-bool
-place_adapter_can_make_room(const struct place_endpoint *e)
-{
-	const struct gw_engine *engine = e->engine;
-	const struct place_adapter *a;
-	size_t i, used = 0;
-
-	if (engine == NULL || e->is_fenced)
-		return false;
-	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		used += a->adapter != NULL && !is_evictable(a);
-	}
-	return used < engine->adapter_slots;
-}
-
 /*
  * The first limit grows with the number of engines, so that a large fleet is
  * not held to the setting for a small one. An engine refuses more than
@@ -224,28 +208,6 @@
 	return place_store_limit(&p->store, place_adapter_store_bounds(p));
 }
 
-struct place_adapter *
-place_adapter_victim(const struct place *p, const struct place_endpoint *e)
-{
-	struct place_adapter *a, *best = NULL;
-	double demand, min_demand = 0;
-	size_t i;
-
-	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		if (!is_evictable(a))
-			continue;
-		demand = place_demand_per_copy(p, a->key);
-		if (best == NULL || demand < min_demand ||
-		    (demand == min_demand &&
-			a->last_used_us < best->last_used_us)) {
-			best = a;
-			min_demand = demand;
-		}
-	}
-	return best;
-}
-
 void
 place_adapter_schedule_waiting(struct place *p, const struct place_endpoint *e,
     const struct place_adapter *a)
@@ -262,14 +224,15 @@
 }
 
 double
-place_adapter_victim_demand(const struct place *p, struct place_endpoint *e)
+place_adapter_victim_demand(
+    const struct place *p, struct place_endpoint *e, uint64_t adapter_kb)
 {
 	const struct place_adapter *victim;
 
 	if (e->victim_computed_us != 0 &&
 	    p->now_us < e->victim_computed_us + VICTIM_VALID_US)
 		return e->victim_demand;
-	victim = place_adapter_victim(p, e);
+	victim = place_room_choose_victim(p, e, adapter_kb);
 	e->victim_computed_us = p->now_us;
 	e->victim_demand =
 	    victim == NULL ? 0 : place_demand_per_copy(p, victim->key);
--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "place/place_admit.h"
+#include "place/place_room.h"
 #include "util/mem.h"
 
 /* Requests from the ask to their outcome, and the queue they wait in. */
@@ -256,6 +257,8 @@
 		return;
 	}
 	enqueue(p, a);
+	if (place_room_refuse(p, a))
+		return;
 	if (a->key != NULL)
 		place_demand_record(p, a->key);
 	place_schedule_run(p, 0);
--- a/src/place/place_endpoint.c
+++ b/src/place/place_endpoint.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "place/place_guard.h"
-#include "place/place_internal.h"
+#include "place/place_room.h"
 #include "util/mem.h"
 
 /* The table of endpoints, by their announcements. */
@@ -132,6 +132,7 @@
 	    : gw_config_find_service(p->config, e->service);
 
 	e->engine = s != NULL && s->has_engine ? &s->engine : NULL;
+	place_room_update_sizes(e);
 }
 
 void
--- a/src/place/place_engine.c
+++ b/src/place/place_engine.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "place/place_admit.h"
+#include "place/place_room.h"
 #include "util/mem.h"
 
 /*
@@ -308,6 +309,8 @@
 static enum place_attempt
 wait_or_refuse(struct place *p, struct place_ask *a, bool may_order)
 {
+	if (place_room_refuse(p, a) || place_room_refuse_by_engines(p, a))
+		return PLACE_ATTEMPT_REFUSED;
 	if (p->owned_engines == 0 && p->all_engines > 0)
 		return refuse_elsewhere(p, a, NULL, "not-owner", 0);
 	if (p->admit->ops->judge(p, a, NULL, false, may_order) != PLACE_HOLD)
--- a/src/place/place_estimate.c
+++ b/src/place/place_estimate.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "place/place_estimate.h"
+#include "place/place_room.h"
 
 /*
  * The estimate of a request at an engine.
@@ -142,15 +143,16 @@
 	    mean_us * STUCK_FACTOR + (double)STUCK_US;
 }
 
-/* The cost of unloading an adapter to free a slot. */
+/* The cost of unloading an adapter to make room. */
 static double
-victim_cost(const struct place *p, struct place_endpoint *e)
+victim_cost(
+    const struct place *p, struct place_endpoint *e, uint64_t adapter_kb)
 {
 	double cost;
 
-	if (place_adapter_used_slots(e) < e->engine->adapter_slots)
+	if (place_room_has(e, adapter_kb))
 		return 0;
-	cost = place_adapter_victim_demand(p, e) * VICTIM_COST_MS;
+	cost = place_adapter_victim_demand(p, e, adapter_kb) * VICTIM_COST_MS;
 	return cost < VICTIM_COST_MAX_MS ? cost : VICTIM_COST_MAX_MS;
 }
 
@@ -240,15 +242,18 @@
     double limit, double *ms, struct place_estimate *out)
 {
 	bool is_warm = place_adapter_was_recently_unloaded(e, a->key_hash);
+	uint64_t adapter_kb;
 
 	*ms = place_adapter_wait_ms(p, is_warm);
 	out->cost += is_warm ? WARM_COST_MS : COLD_COST_MS;
 	if (a->adapter == NULL || *ms + out->cost >= limit ||
-	    (adapter != NULL && adapter->state != ADAPTER_LOADED) ||
-	    (adapter == NULL && !place_adapter_can_make_room(e)))
+	    (adapter != NULL && adapter->state != ADAPTER_LOADED))
+		return false;
+	adapter_kb = place_room_size_kb(e->engine, a->model, true);
+	if (adapter == NULL && !place_room_can_be_made(e, adapter_kb))
 		return false;
 	out->needs_load = true;
-	out->cost += victim_cost(p, e);
+	out->cost += victim_cost(p, e, adapter_kb);
 	return *ms + out->cost < limit;
 }
 
--- a/src/place/place_guard.h
+++ b/src/place/place_guard.h
@@ -23,6 +23,7 @@
 	bool version; /* never serve an outdated version of an adapter */
 	bool budget; /* limit repeats to a share of the requests */
 	bool notice; /* grant nothing against a notice of the endpoint */
+	bool memory; /* load no more than the engine's memory holds */
 	bool limit; /* grant no more than the endpoint's limit allows */
 };
 
--- a/src/place/place_internal.h
+++ b/src/place/place_internal.h
@@ -51,6 +51,7 @@
 	bool has_served; /* a request has begun to run on it */
 	bool from_store; /* its load counts against the store's limit */
 	struct place_load load; /* its last one from the store */
+	uint64_t size_kb; /* see place_room.h */
 	bool is_prefetch; /* no request has waited for it or run on it */
 	bool is_replacing; /* WANTED to LOADING: an older version is loaded */
 	/*
@@ -466,8 +467,8 @@
     const struct place *p, const struct place_adapter *a);
 bool place_adapter_was_recently_unloaded(
     const struct place_endpoint *e, uint64_t key_hash);
-/* Is a slot free for another adapter, or can one be unloaded? */
-bool place_adapter_can_make_room(const struct place_endpoint *e);
+/* May it be unloaded, being loaded and not in use by any request? */
+bool place_adapter_is_evictable(const struct place_adapter *a);
 /* Schedule requests that wait for an adapter for when it is ready. */
 void place_adapter_schedule_waiting(struct place *p,
     const struct place_endpoint *e, const struct place_adapter *a);
@@ -481,8 +482,6 @@
 uint32_t place_adapter_store_loads_max(const struct place *p);
 /* Bounds of that limit; see struct place_store_bounds. */
 struct place_store_bounds place_adapter_store_bounds(const struct place *p);
-/* Slots that hold an adapter or are reserved by an order. */
-size_t place_adapter_used_slots(const struct place_endpoint *e);
 /* Stop counting a load from the store, if it is one. */
 void place_adapter_release_store(struct place *p, struct place_adapter *a);
 /*
@@ -496,9 +495,6 @@
  */
 void place_adapter_record_run(
     struct place_endpoint *e, struct place_adapter *a, uint64_t granted_us);
-/* The adapter to unload for another one; NULL: all are in use. */
-struct place_adapter *place_adapter_victim(
-    const struct place *p, const struct place_endpoint *e);
 /* Mark a request's adapter to be loaded, unless a load is pending. */
 void place_adapter_request_load(
     struct place *p, struct place_endpoint *e, const struct place_ask *ask);
@@ -508,9 +504,13 @@
 /* The same, unless orders or a report tell more of the engine. */
 void place_adapter_merge_announced(
     struct place *p, struct place_endpoint *e, const struct gw_announcement *a);
-/* Demand for the adapter that would be unloaded next, cached for a while. */
+/*
+ * Demand for the adapter that would be unloaded next, cached for a while.
+ *
+ * adapter_kb: size of the adapter that would be loaded.
+ */
 double place_adapter_victim_demand(
-    const struct place *p, struct place_endpoint *e);
+    const struct place *p, struct place_endpoint *e, uint64_t adapter_kb);
 
 /* ---- place_order.c ---- */
 /* Complete loads that are due, and issue orders and report requests. */
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -3,6 +3,7 @@
 
 #include "place/place_admit.h"
 #include "place/place_guard.h"
+#include "place/place_room.h"
 #include "util/mem.h"
 
 /*
@@ -353,20 +354,6 @@
 	return a->state_since_us < b->state_since_us;
 }
 
-size_t
-place_adapter_used_slots(const struct place_endpoint *e)
-{
-	const struct place_adapter *a;
-	size_t i, n = 0;
-
-	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		n += a->adapter != NULL &&
-		    (a->state != ADAPTER_WANTED || a->is_replacing);
-	}
-	return n;
-}
-
 static size_t
 count_loads(const struct place_endpoint *e)
 {
@@ -382,22 +369,31 @@
 	return n;
 }
 
+/* Unloads one adapter, if room for the wanted one can be made at all. */
 static void
-order_adapter(struct place *p, struct place_endpoint *e,
-    struct place_adapter *a, const struct gw_engine *engine)
+order_unload_for(struct place *p, struct place_endpoint *e,
+    const struct place_adapter *wanted)
 {
 	struct place_adapter *victim;
 
+	if (!place_room_can_be_freed(e, wanted->size_kb))
+		return;
+	victim = place_room_choose_victim(p, e, wanted->size_kb);
+	if (victim != NULL &&
+	    (!wanted->is_prefetch ||
+		place_prefetch_may_unload(p, wanted->key, victim)))
+		send_order(p, e, victim, true);
+}
+
+static void
+order_adapter(
+    struct place *p, struct place_endpoint *e, struct place_adapter *a)
+{
 	if (count_loads(e) >= PLACE_LOADS_PER_ENGINE_MAX ||
 	    (a->is_prefetch && !place_prefetch_may_load(p)))
 		return;
-	if (!a->is_replacing &&
-	    place_adapter_used_slots(e) >= engine->adapter_slots) {
-		victim = place_adapter_victim(p, e);
-		if (victim != NULL &&
-		    (!a->is_prefetch ||
-			place_prefetch_may_unload(p, a->key, victim)))
-			send_order(p, e, victim, true);
+	if (!a->is_replacing && !place_room_has(e, a->size_kb)) {
+		order_unload_for(p, e, a);
 		return;
 	}
 	if (!place_adapter_was_recently_unloaded(e, a->key_hash)) {
@@ -431,6 +427,10 @@
 order_weights(struct place *p, struct place_endpoint *e,
     struct place_adapter *a, const struct gw_engine *engine)
 {
+	if (!place_room_has_for_weights(e, a)) {
+		place_adapter_remove(p, e, a, false);
+		return;
+	}
 	if (has_copy(e, a->model)) {
 		send_order(p, e, a, false);
 		return;
@@ -472,7 +472,8 @@
 
 	for (i = 0; i < engine->nmodels; i++) {
 		n = count_copies(p, e->service, engine->models[i].name);
-		if (engine->models[i].weights_mb > engine->weights_mb ||
+		if (!place_room_can_hold(
+			engine, engine->models[i].weights_kb) ||
 		    (best != NULL && n >= fewest))
 			continue;
 		best = &engine->models[i];
@@ -588,7 +589,7 @@
 	else if (a->adapter == NULL)
 		order_weights(p, e, a, engine);
 	else
-		order_adapter(p, e, a, engine);
+		order_adapter(p, e, a);
 }
 
 static int
--- a/src/place/place_prefetch.c
+++ b/src/place/place_prefetch.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "place/place_internal.h"
+#include "place/place_room.h"
 #include "util/mem.h"
 
 /*
@@ -111,6 +111,7 @@
 	struct place_endpoint *e, *best = NULL;
 	const struct place_adapter *victim;
 	double lost, least = INFINITY;
+	uint64_t kb;
 	size_t i;
 
 	for (i = 0; i < map_count(p->endpoints); i++) {
@@ -118,9 +119,12 @@
 		if (!takes_order(p, e, model) ||
 		    place_adapter_find(e, key) != NULL)
 			continue;
-		if (place_adapter_used_slots(e) < e->engine->adapter_slots)
+		kb = place_room_size_kb(e->engine, model, true);
+		if (place_room_has(e, kb))
 			return e;
-		victim = may_unload ? place_adapter_victim(p, e) : NULL;
+		victim = may_unload && place_room_can_be_freed(e, kb)
+		    ? place_room_choose_victim(p, e, kb)
+		    : NULL;
 		if (victim == NULL ||
 		    !place_prefetch_may_unload(p, key, victim))
 			continue;
--- a/tests/place/admit_world.cc
+++ b/tests/place/admit_world.cc
@@ -103,12 +103,13 @@
 	Configure()
 	{
 		model.name = (char *)"m";
-		model.weights_mb = 60000;
+		model.weights_kb = 60000000;
 		service.name = (char *)"lm";
 		service.has_engine = true;
 		service.engine.seats = load.slots;
 		service.engine.adapter_slots = kAdapterSlots;
-		service.engine.weights_mb = 66000;
+		service.engine.has_memory = true;
+		service.engine.memory_kb = 66000000;
 		service.engine.loads_per_s_milli = 4800;
 		service.engine.models = &model;
 		service.engine.nmodels = 1;
--- a/tests/place/engine_world.cc
+++ b/tests/place/engine_world.cc
@@ -140,13 +140,14 @@
 	Configure()
 	{
 		model.name = (char *)"m";
-		model.weights_mb = 60000;
+		model.weights_kb = 60000000;
 		service.name = (char *)"lm";
 		service.has_engine = true;
 		service.engine.seats = 64;
 		service.engine.kv_tokens = load.kv_tokens;
 		service.engine.adapter_slots = load.adapter_slots;
-		service.engine.weights_mb = 66000;
+		service.engine.has_memory = true;
+		service.engine.memory_kb = 66000000;
 		service.engine.loads_per_s_milli = 4800;
 		service.engine.models = &model;
 		service.engine.nmodels = 1;
--- a/tests/place/order_count_test.cc
+++ b/tests/place/order_count_test.cc
@@ -9,11 +9,16 @@
  * An engine that carries orders out as its protocol says, some of them late.
  * It counts the orders that it accepts: one that already holds is answered like
  * an unload of an idle adapter and not counted, and an unload of an adapter in
- * use is accepted and takes effect later.
+ * use is accepted and takes effect later. It crashes when it is to load more
+ * than its slots or its memory hold. Adapters are named "model/adapter".
  */
 class LateEngine {
       public:
 	static const size_t kSlots = 5;
+	/* Memory beside the weights, and of an adapter of each model. */
+	static constexpr uint64_t kMemoryKb = 2000, kSmallKb = 300,
+				  kLargeKb = 900;
+	bool has_memory = false;
 	std::map<std::string, uint64_t> adapters; /* ready at */
 	std::map<std::string, uint64_t> unloading; /* in use until */
 	uint64_t orders = 0;
@@ -22,11 +27,12 @@
 	gw_order_result
 	execute(uint64_t now, const gw_order &o, uint64_t in_use_us)
 	{
-		std::string name = o.adapter == nullptr ? "" : o.adapter;
+		std::string name = std::string(o.model) + "/" +
+		    (o.adapter == nullptr ? "" : o.adapter);
 
 		if (o.expected_orders != orders)
 			return GW_ORDER_BUSY;
-		if (name.empty())
+		if (o.adapter == nullptr)
 			return GW_ORDER_DONE; /* the weights are there */
 		if (o.type == GW_ORDER_UNLOAD)
 			return unload(now, name, in_use_us);
@@ -35,10 +41,21 @@
 		orders++;
 		unloading.erase(name);
 		adapters[name] = now + 250 * MS;
-		is_crashed |= adapters.size() > kSlots;
+		is_crashed |= adapters.size() > kSlots ||
+		    (has_memory && used_kb() > kMemoryKb);
 		return GW_ORDER_STARTED;
 	}
 
+	uint64_t
+	used_kb() const
+	{
+		uint64_t kb = 0;
+
+		for (auto &a : adapters)
+			kb += a.first[0] == 'm' ? kSmallKb : kLargeKb;
+		return kb;
+	}
+
 	void
 	end_unloads(uint64_t now)
 	{
@@ -75,8 +92,13 @@
  */
 class OrderWorld : public PlaceTest {
       public:
-	/* Plays one minute; the first failure ends it. */
-	void play(unsigned seed, double unanswered_share);
+	/*
+	 * Plays one minute; the first failure ends it. With has_memory the
+	 * engine has two models, whose adapters differ in size, and less memory
+	 * than its slots would take.
+	 */
+	void play(
+	    unsigned seed, double unanswered_share, bool has_memory = false);
 
 	int orders = 0, served = 0;
 
@@ -95,6 +117,8 @@
 	std::deque<LateEngine> history; /* of the last 400 ms, newest first */
 	std::map<uint64_t, std::string> open_asks; /* adapter by ask */
 	double unanswered_share = 0;
+	bool has_memory = false;
+	gw_model models[2] = {};
 	/* what the next placer knows by the table, and of which process */
 	uint64_t published = 0, published_born = 1;
 
@@ -142,10 +166,45 @@
 
 		for (auto &a : e.adapters)
 			if ((a.second <= now) == ready)
-				list.push_back({"m", a.first.c_str(), 1});
+				list.push_back({a.first[0] == 'm' ? "m" : "n",
+				    a.first.c_str() + 2, 1});
 		return list;
 	}
 
+	/* The weights that the engine has beside those of "m". */
+	void
+	AddWeights(std::vector<gw_loaded_model> *list) const
+	{
+		if (has_memory)
+			list->push_back({"n", nullptr, 1});
+	}
+
+	/* An engine as it starts. */
+	LateEngine
+	NewEngine() const
+	{
+		LateEngine e;
+
+		e.has_memory = has_memory;
+		return e;
+	}
+
+	void
+	ConfigureMemory()
+	{
+		gw_engine &e = services[0].engine;
+
+		models[0] = models[1] = model;
+		models[1].name = (char *)"n";
+		models[0].weights_kb = models[1].weights_kb = 30000;
+		models[0].adapter_kb = LateEngine::kSmallKb;
+		models[1].adapter_kb = LateEngine::kLargeKb;
+		e.models = models;
+		e.nmodels = 2;
+		e.memory_kb = 60000 + LateEngine::kMemoryKb;
+		place_configure(p, &config);
+	}
+
 	void
 	AnnounceLate()
 	{
@@ -158,10 +217,23 @@
 			e.born = process;
 			e.sequence = sequence;
 			known_born = std::max(known_born, process);
-			Announce(e, Listed(then, now, true));
+			std::vector<gw_loaded_model> list =
+			    Listed(then, now, true);
+
+			AddWeights(&list);
+			Announce(e, list);
 		});
 	}
 
+	void
+	AnnounceNow()
+	{
+		std::vector<gw_loaded_model> list;
+
+		AddWeights(&list);
+		Announce({"e1"}, list);
+	}
+
 	void
 	SendReport(const place_decision &d)
 	{
@@ -177,6 +249,7 @@
 				return;
 			loaded = Listed(then, now, true);
 			loaded.push_back({"m", nullptr, 1});
+			AddWeights(&loaded);
 			pending = Listed(then, now, false);
 			report.accepted_orders = then.orders;
 			report.loaded = loaded.data();
@@ -289,7 +362,7 @@
 			open_asks.clear();
 		}
 		if (chance(0.0001)) {
-			engine = LateEngine();
+			engine = NewEngine();
 			born++;
 			history = {engine};
 			AnnounceLate();
@@ -298,12 +371,16 @@
 };
 
 void
-OrderWorld::play(unsigned seed, double share)
+OrderWorld::play(unsigned seed, double share, bool with_memory)
 {
 	random.seed(seed * 7919u + 1);
 	unanswered_share = share;
+	has_memory = with_memory;
 	SetUp();
-	Engines(1);
+	if (has_memory)
+		ConfigureMemory();
+	engine = NewEngine();
+	AnnounceNow();
 	for (int ms = 0; ms < 60000 && !HasFailure(); ms++) {
 		engine.end_unloads(now);
 		history.push_front(engine);
@@ -317,13 +394,17 @@
 			/* Some adapters are wanted again and again. */
 			std::string a =
 			    "a" + std::to_string(below(1 + below(12)));
+			const char *name = "m";
 
-			open_asks[Ask(a, 300)] = a;
+			if (has_memory && chance(0.4))
+				name = "n";
+			open_asks[Ask(a, 300, 0, nullptr, 0, name)] =
+			    std::string(name) + "/" + a;
 		}
 		Run();
 		Obey();
 		EXPECT_FALSE(engine.is_crashed)
-		    << "more adapters than it has slots";
+		    << "more than it has slots or memory for";
 		if (engine.is_crashed)
 			break;
 		now += MS;
@@ -370,3 +451,22 @@
 		EXPECT_GT(world.served, 50);
 	}
 }
+
+/*
+ * Guards against an engine that is ordered to load more than its memory holds
+ * while it has slots left: with adapters of two sizes one unload may not make
+ * enough room, and one may be carried out late or wait for requests.
+ */
+TEST(OrderWorlds, an_engine_is_ordered_to_load_no_more_than_its_memory_holds)
+{
+	for (unsigned s : seeds_to_play()) {
+		SCOPED_TRACE("seed " + std::to_string(s));
+		OrderWorld world;
+
+		world.play(s, s % 4 * 0.12, true);
+		if (HasFailure())
+			return;
+		EXPECT_GT(world.orders, 20);
+		EXPECT_GT(world.served, 50);
+	}
+}
--- a/tests/place/place_fixture.h
+++ b/tests/place/place_fixture.h
@@ -37,7 +37,7 @@
 		if (memory == nullptr)
 			memory = node_effects_create();
 		model.name = (char *)"m";
-		model.weights_mb = 60000;
+		model.weights_kb = 60000000;
 		model.store_load_ms = 2000;
 		model.disk_load_ms = 1000;
 		services[0].name = (char *)"lm";
@@ -45,7 +45,8 @@
 		services[0].engine.seats = 64;
 		services[0].engine.kv_tokens = 100000;
 		services[0].engine.adapter_slots = 5;
-		services[0].engine.weights_mb = 66000;
+		services[0].engine.has_memory = true;
+		services[0].engine.memory_kb = 66000000;
 		services[0].engine.loads_per_s_milli = 4800;
 		services[0].engine.models = &model;
 		services[0].engine.nmodels = 1;
@@ -129,14 +130,14 @@
 	uint64_t
 	Ask(const std::string &adapter, uint32_t tokens = 2000,
 	    uint32_t attempt = 0, const char *avoid = nullptr,
-	    uint64_t begun = 0)
+	    uint64_t begun = 0, const char *model_name = "m")
 	{
 		place_request r = {};
 
 		r.id = {7, ++last_ask};
 		r.kind = GW_STREAM;
 		r.service = "lm";
-		r.model = "m";
+		r.model = model_name;
 		r.adapter = adapter.empty() ? nullptr : adapter.c_str();
 		r.prompt_tokens = tokens;
 		r.max_tokens = 80;
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -165,6 +165,7 @@
     {"place.store", &place_guards.store},
     {"place.version", &place_guards.version},
     {"place.budget", &place_guards.budget},
+    {"place.memory", &place_guards.memory},
     {"place.limit", &place_guards.limit},
     {"place.notice", &place_guards.notice},
 });
--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -85,13 +85,60 @@
 	EXPECT_TRUE(r.resumable && r.has_prompt_affinity);
 	EXPECT_EQ(r.weight, 100u);
 	const gw_engine &e = config->services[0]->engine;
-	EXPECT_EQ(e.weights_mb, 66500u);
+	EXPECT_TRUE(e.has_memory);
+	EXPECT_EQ(e.memory_kb, 66500000u);
+	EXPECT_EQ(e.models[0].weights_kb, 65099990u);
+	EXPECT_EQ(e.models[0].adapter_kb, 12000u);
 	EXPECT_EQ(e.loads_per_s_milli, 4800u);
 	EXPECT_EQ(e.models[0].store_load_ms, 2500u);
 	EXPECT_FALSE(config->services[1]->has_engine);
 	EXPECT_EQ(config->limits.idle_timeout_ms, 4u);
 }
 
+/*
+ * Guards against an engine that is believed to hold more than it does, or a
+ * model that fits exactly and is believed not to: sizes are fractions of a MB.
+ */
+TEST_F(Configs, sizes_are_rounded_up_and_memory_down)
+{
+	static const struct {
+		const char *text;
+		uint64_t size_kb, memory_kb;
+	} rows[] = {
+	    {"66500", 66500000, 66500000},
+	    {"66500.0", 66500000, 66500000},
+	    {"0.1", 100, 100},
+	    {"72700.1", 72700100, 72700100},
+	    {"400.5", 400500, 400500},
+	    {"400.0004", 400001, 400000},
+	    {"400.9996", 401000, 400999},
+	    {"0", 0, 0},
+	};
+
+	for (auto &row : rows) {
+		std::string text = CONFIG(ROUTE(",\"service\":\"s\""));
+
+		for (const char *old : {"66500.0", "65099.99", "12.0"})
+			text.replace(text.find(old), strlen(old), row.text);
+		ASSERT_EQ(Read(text), MP_OK) << err.message;
+		const gw_engine &e = config->services[0]->engine;
+		EXPECT_TRUE(e.has_memory);
+		EXPECT_EQ(e.memory_kb, row.memory_kb) << row.text;
+		EXPECT_EQ(e.models[0].weights_kb, row.size_kb) << row.text;
+		EXPECT_EQ(e.models[0].adapter_kb, row.size_kb) << row.text;
+	}
+	std::string text = CONFIG(ROUTE(",\"service\":\"s\""));
+
+	text.replace(text.find("66500.0"), 7, "null");
+	ASSERT_EQ(Read(text), MP_OK) << err.message;
+	EXPECT_FALSE(config->services[0]->engine.has_memory);
+	for (const char *bad : {"-1", "\"12\"", "1e300", "[]"}) {
+		text = CONFIG(ROUTE(",\"service\":\"s\""));
+		text.replace(text.find("12.0"), 4, bad);
+		EXPECT_NE(Read(text), MP_OK) << bad;
+	}
+}
+
 TEST_F(Configs, error_of_a_malformed_configuration_names_the_json_path)
 {
 	static const struct {
