place: a request that is refused on arrival is answered at once

Cause: decisions are passed on by the placer's run, and place_ask() asked for a run only for what it queued. Evidence: PlaceService.a_repeat_beyond_the_budget_is_refused_at_once and PlaceRoom.what_fits_nowhere_is_refused_at_once failed before: the next run was due 199 ms after the ask. Change: each ask asks for a run. Why it works: a run passes on all decisions, and its least distance to the one before bounds what it costs.

--- a/src/place/place_ask.c
+++ b/src/place/place_ask.c
@@ -250,6 +250,7 @@
 	a = ask_create(r, now_us);
 	(void)map_set(p->asks, &a->id, sizeof(a->id), a);
 	p->totals.asked++;
+	place_schedule_run(p, 0); /* it passes on a refusal, too */
 	if (!place_budget_charge(p, a->service, a->attempt > 0)) {
 		p->totals.repeats_denied++;
 		enqueue(p, a);
@@ -261,7 +262,6 @@
 		return;
 	if (a->key != NULL)
 		place_demand_record(p, a->key);
-	place_schedule_run(p, 0);
 }
 
 void
--- a/tests/place/room_test.cc
+++ b/tests/place/room_test.cc
@@ -253,6 +253,7 @@
 		RunFor(10);
 		place_get_totals(p, &before);
 		ask = AskFor(row.adapter, row.model);
+		EXPECT_LE(place_next_run_us(p), now + MS);
 		Run();
 		place_get_totals(p, &after);
 		d = DecisionOn(ask);
--- a/tests/place/service_test.cc
+++ b/tests/place/service_test.cc
@@ -155,6 +155,33 @@
 	EXPECT_GE(repeats, 1);
 }
 
+/*
+ * Guards against a caller that waits for the next run that is due for something
+ * else, though its request is refused already.
+ */
+TEST_F(PlaceService, a_repeat_beyond_the_budget_is_refused_at_once)
+{
+	uint64_t repeat;
+	int repeats = 0;
+
+	Apps(1);
+	Run();
+	do {
+		now += MS;
+		(void)place_next_run_us(p);
+		Run(); /* nothing is due any more */
+		repeat = AskPlain(1);
+		EXPECT_LE(place_next_run_us(p), now + MS);
+		Run();
+		ASSERT_LT(repeats++, 100);
+		if (DecisionOn(repeat) != nullptr &&
+		    DecisionOn(repeat)->type == PLACE_GRANT)
+			Done(repeat, PLACE_SERVED);
+	} while (DecisionOn(repeat) == nullptr ||
+	    DecisionOn(repeat)->type == PLACE_GRANT);
+	EXPECT_STREQ(DecisionOn(repeat)->reason, "retry-budget");
+}
+
 static const bool switched_off = guard_off({
     {"place.sequence", &place_guards.sequence},
     {"place.leaving", &place_guards.leaving},
