http: one strict reading of chunks and of line ends, in both directions

Cause: the library's chunk reader takes whatever follows the first digits of a size line for an extension, a bare LF for the end of a line, and any bytes for trailers. A bare LF ended lines of heads as well, and answers could repeat Transfer-Encoding or have it in HTTP/1.0. Change: src/http/chunk.c reads chunks for requests and answers by the grammar of RFC 9112; src/http/line.c wants CR LF at each end of a line of a head. A request that breaks this gets 400 and its connection is closed, with nothing passed on; an answer that breaks it is a broken one. The library's reader is not declared any more.

--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -8,6 +8,7 @@
 
 #include <uv.h>
 
+#include "http/chunk.h"
 #include "http/http.h"
 #include "http/phr.h"
 #include "util/byte_budget.h"
@@ -66,7 +67,7 @@
 	struct buf head; /* as received */
 	size_t overhead_bytes; /* received since the last progress */
 	uint64_t body_left_bytes; /* of a body with a Content-Length */
-	struct phr_chunked_decoder chunk_decoder;
+	struct chunk_reader chunks; /* of a chunked body */
 	bool reusable; /* the connection, after a complete response */
 	int status;
 	char retry_after[64]; /* header values; "" when absent */
--- a/src/http/front_internal.h
+++ b/src/http/front_internal.h
@@ -5,6 +5,7 @@
 
 #include <uv.h>
 
+#include "http/chunk.h"
 #include "http/front.h"
 #include "http/phr.h"
 #include "util/buf.h"
@@ -101,7 +102,7 @@
 	struct buf body; /* of the request, decoded */
 	struct front_head head; /* points into head_bytes */
 	struct buf head_bytes;
-	struct phr_chunked_decoder chunk_decoder;
+	struct chunk_reader chunks; /* of a chunked body */
 	uint64_t body_left_bytes; /* of a body of a stated length */
 	uint64_t request; /* id; 0: no request is running */
 	bool head_sent; /* the head of the response was written */
--- a/src/http/front_parse.c
+++ b/src/http/front_parse.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "http/front_internal.h"
+#include "http/line.h"
 
 #define LENGTH_DIGITS_MAX 18
 
@@ -123,21 +124,6 @@
 	return FRONT_OK;
 }
 
-/*
- * Find a carriage return without a line feed, which some parsers take for the
- * end of a line.
- */
-static bool
-has_bare_cr(const char *data, size_t len)
-{
-	size_t i;
-
-	for (i = 0; i + 1 < len; i++)
-		if (data[i] == '\r' && data[i + 1] != '\n')
-			return true;
-	return false;
-}
-
 /* Remove white space at the end of values; the parser removed the leading. */
 static void
 trim_trailing_space(struct front_head *head)
@@ -172,7 +158,7 @@
 		return FRONT_BAD;
 	if ((size_t)size > limits->header_bytes)
 		return FRONT_HEAD_TOO_LARGE;
-	if (has_bare_cr(data, (size_t)size))
+	if (!line_ends_are_strict(data, (size_t)size))
 		return FRONT_BAD;
 	head->size_bytes = (size_t)size;
 	trim_trailing_space(head);
--- a/src/http/front_request.c
+++ b/src/http/front_request.c
@@ -47,9 +47,8 @@
 {
 	enum front_fault fault;
 
-	while (c->input.len > 0 &&
-	    (c->input.data[0] == '\r' || c->input.data[0] == '\n'))
-		buf_consume(&c->input, 1);
+	while (c->input.len >= 2 && memcmp(c->input.data, "\r\n", 2) == 0)
+		buf_consume(&c->input, 2);
 	if (c->input.len == 0)
 		return false;
 	fault = front_parse_head(
@@ -74,8 +73,7 @@
 		return false;
 	}
 	c->body_left_bytes = c->head.content_length;
-	memset(&c->chunk_decoder, 0, sizeof(c->chunk_decoder));
-	c->chunk_decoder.consume_trailer = 1;
+	memset(&c->chunks, 0, sizeof(c->chunks));
 	c->phase = FRONT_READING_BODY;
 	if (c->head.expects_continue && c->input.len == 0)
 		front_conn_write(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -86,13 +84,14 @@
 static bool
 read_chunks(struct front_conn *c)
 {
-	size_t len = c->input.len;
-	ssize_t rest;
+	size_t len, consumed;
+	enum chunk_result result;
 
-	if (len == 0)
+	if (c->input.len == 0)
 		return false;
-	rest = phr_decode_chunked(&c->chunk_decoder, c->input.data, &len);
-	if (rest == -1) {
+	result = chunk_read(
+	    &c->chunks, c->input.data, c->input.len, &len, &consumed);
+	if (result == CHUNK_MALFORMED || result == CHUNK_OVERHEAD) {
 		front_conn_refuse(c, FRONT_BAD);
 		return false;
 	}
@@ -105,15 +104,8 @@
 		front_conn_refuse(c, FRONT_OVERLOADED);
 		return false;
 	}
-	if (rest == -2) {
-		buf_clear(&c->input);
-		return false;
-	}
-	/* The decoder moved the bytes after the body behind the decoded ones.
-	 */
-	buf_consume(&c->input, len);
-	c->input.len = (size_t)rest;
-	return true;
+	buf_consume(&c->input, consumed);
+	return result == CHUNK_COMPLETE;
 }
 
 /* Read bytes of the body; true when it is complete. */
--- a/src/http/phr.h
+++ b/src/http/phr.h
@@ -19,13 +19,6 @@
 	size_t value_len;
 };
 
-struct phr_chunked_decoder {
-	size_t bytes_left_in_chunk;
-	char consume_trailer;
-	char hex_count;
-	char state;
-};
-
 /*
  * Parse the head of a request or of a response. The results point into buf.
  * A header with a NULL name continues the value of the previous one.
@@ -42,16 +35,6 @@
     int *status, const char **msg, size_t *msg_len, struct phr_header *headers,
     size_t *num_headers, size_t last_len);
 
-/*
- * Decode a chunked body in place.
- *
- * bufsz: the length of buf; set to the decoded length.
- * Returns the number of bytes after the end of the body, which are moved
- * behind the decoded bytes, -1 when malformed, -2 when incomplete.
- */
-ssize_t phr_decode_chunked(
-    struct phr_chunked_decoder *decoder, char *buf, size_t *bufsz);
-
 /* Compare a header's value with a text, ignoring case. */
 static inline bool
 phr_value_is(const struct phr_header *h, const char *value)
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -6,13 +6,9 @@
 #include <strings.h>
 
 #include "http/client_internal.h"
+#include "http/line.h"
 
-/*
- * Limit of bytes without progress: interim responses, chunk extensions and
- * trailers. An endpoint that sends these without end does not hold the call.
- */
-#define OVERHEAD_MAX_BYTES 65536
-#define LENGTH_DIGITS_MAX  18
+#define LENGTH_DIGITS_MAX 18
 /* The parser of heads takes exactly three digits. */
 #define STATUS_INTERIM_MIN 100
 #define STATUS_FINAL_MIN   200
@@ -82,8 +78,9 @@
 			return "unknown transfer-encoding";
 		if (r->phase == RESPONSE_BODY_LENGTH)
 			return "contradicting lengths";
+		if (r->phase == RESPONSE_BODY_CHUNKED)
+			return "repeated transfer-encoding";
 		r->phase = RESPONSE_BODY_CHUNKED;
-		r->chunk_decoder.consume_trailer = 1;
 	} else if (name_is(h, "connection")) {
 		r->reusable = phr_value_is(h, "keep-alive");
 	} else if (name_is(h, "keep-alive")) {
@@ -152,7 +149,7 @@
 {
 	struct phr_header headers[RESPONSE_HEADERS_MAX];
 	size_t n, reason_len, at = 0; /* of the first unparsed byte */
-	const char *reason;
+	const char *reason, *fault;
 	int minor, size;
 
 	*rest = 0;
@@ -171,6 +168,8 @@
 			    ? "head too long"
 			    : NULL;
 		}
+		if (!line_ends_are_strict(r->head.data + at, (size_t)size))
+			return "malformed line end";
 		if (r->status < STATUS_INTERIM_MIN || r->status == 101 ||
 		    r->status > STATUS_MAX)
 			return "unexpected status";
@@ -183,26 +182,30 @@
 	r->overhead_bytes = 0;
 	r->reusable = minor >= 1;
 	*rest = r->head.len - at - (size_t)size;
-	return parse_headers(r, headers, n);
+	fault = parse_headers(r, headers, n);
+	if (fault == NULL && minor == 0 && r->phase == RESPONSE_BODY_CHUNKED)
+		fault = "transfer-encoding in HTTP/1.0";
+	return fault;
 }
 
 static const char *
 decode_chunks(struct response *r, char *data, size_t *len)
 {
-	size_t received = *len;
-	ssize_t rest = phr_decode_chunked(&r->chunk_decoder, data, len);
+	size_t received = *len, consumed;
 
-	if (rest == -1)
+	switch (chunk_read(&r->chunks, data, received, len, &consumed)) {
+	case CHUNK_MALFORMED:
 		return "malformed chunk";
-	if (rest >= 0)
-		r->phase = RESPONSE_COMPLETE;
-	if (rest > 0)
-		r->reusable = false;
-	r->overhead_bytes = *len > 0 ? 0 : r->overhead_bytes + received;
-	if (r->phase != RESPONSE_COMPLETE &&
-	    r->overhead_bytes > OVERHEAD_MAX_BYTES)
+	case CHUNK_OVERHEAD:
 		return "no data between chunks";
-	return NULL;
+	case CHUNK_COMPLETE:
+		r->phase = RESPONSE_COMPLETE;
+		if (consumed < received)
+			r->reusable = false;
+		return NULL;
+	default:
+		return NULL;
+	}
 }
 
 const char *
--- a/tests/http/front_test.cc
+++ b/tests/http/front_test.cc
@@ -157,6 +157,9 @@
 	    {"lone return", "X: a\rContent-Length: 3\r\n", "400"},
 	    {"control", "X: a\x01\r\n", "400"},
 	    {"no name", ": a\r\n", "400"},
+	    {"lone feed", "X: a\nContent-Length: 3\r\n", "400"},
+	    {"lone feed before the end", "X: a\r\n\nContent-Length: 3\r\n",
+		"400"},
 	};
 
 	Serve();
@@ -174,6 +177,41 @@
 	}
 }
 
+/*
+ * Guards against a request that runs out of the body of another one: its size
+ * or its end is written so that another reader takes more for the body.
+ */
+TEST_F(FrontTest, bodies_that_another_reader_ends_elsewhere_are_refused)
+{
+	static const struct {
+		const char *name, *body;
+	} rows[] = {
+	    {"prefix", "0x2b\r\n"},
+	    {"letters", "0zz\r\n"},
+	    {"space and digits", "0 2b\r\n"},
+	    {"bare feed behind a size", "0\n"},
+	    {"bare feed in an extension", "0;a\n"},
+	    {"feed as the end", "0\r\n\n"},
+	    {"return twice", "0\r\r\n"},
+	    {"bare feed behind data", "1\r\na\n0\r\n"},
+	    {"folded trailer", "0\r\nA: b\r\n c\r\n"},
+	    {"trailer without a colon", "0\r\nA\r\n"},
+	};
+
+	Serve();
+	for (auto &row : rows) {
+		Caller s;
+
+		s.Connect(Port());
+		s.Write(std::string("POST /x HTTP/1.1\r\nHost: h\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n") +
+		    row.body + "\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+		EXPECT_TRUE(Until([&] { return s.Closed(); })) << row.name;
+		EXPECT_EQ(s.received.substr(9, 3), "400") << row.name;
+	}
+	EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(FrontTest, invalid_requests_are_refused)
 {
 	static const struct {
--- a/tests/http/response_test.cc
+++ b/tests/http/response_test.cc
@@ -93,12 +93,48 @@
 	    "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 	    "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
 	    "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" + ok + "\r\n",
-	    "HTTP/1.1 600 High\r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n"};
+	    "HTTP/1.1 600 High\r\n\r\n", "HTTP/1.1 099 Low\r\n\r\n",
+	    ok +
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n0\r\n\r\n",
+	    ok + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    ok + "Content-Length: 1, 1\r\n\r\na",
+	    ok + "Content-Length : 1\r\n\r\na",
+	    ok + "X: a\r\n b\r\nContent-Length: 1\r\n\r\na",
+	    ok + "X: a\nContent-Length: 1\r\n\r\na",
+	    ok + "X: a\rContent-Length: 1\r\n\r\na",
+	    ok + "Content-Length: 1\r\n\na",
+	    "HTTP/1.1 200 OK\nContent-Length: 1\r\n\r\na",
+	    "HTTP/1.1 100 Continue\n\r\n" + ok + "Content-Length: 1\r\n\r\na"};
 
 	for (auto &c : cases)
 		EXPECT_TRUE(Feed(c, c.size()).fault) << c.substr(0, 100);
 }
 
+/*
+ * Guards against an answer that is cut short and looks complete: a wrong byte
+ * in the size of a chunk, or behind its data, ends it as broken.
+ */
+TEST(Response, RefusesChunksThatAnotherReaderEndsElsewhere)
+{
+	const std::string head =
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+	const std::string cases[] = {"00\xff"
+				     "6\r\ndata: 1\n\n\r\n0\r\n\r\n",
+	    "0x5\r\nhello\r\n0\r\n\r\n", "0 5\r\nhello\r\n0\r\n\r\n", "0\n\r\n",
+	    "0\r\n\n", "5\r\nhello\n0\r\n\r\n", "0\r\ndata: 1\n\n\r\n",
+	    "0\r\nA: b\r\n c\r\n\r\n"};
+
+	for (auto &c : cases)
+		for (size_t piece : {1u, 3u, 1000u}) {
+			Outcome out = Feed(head + c, piece);
+
+			EXPECT_TRUE(out.fault) << c << " " << piece;
+			EXPECT_FALSE(out.complete) << c << " " << piece;
+		}
+}
+
 /* Heads before the final one are skipped, whatever their 1xx status. */
 TEST(Response, SkipsInterimResponses)
 {
