forward: an answer that names no attempt counts on a new connection alone

Cause: an answer without an attempt was taken for that of the request that waits on the connection; only refusals that say "not run" were excepted. Change: the head of an answer says whether its connection has carried an earlier call; there, an answer without an attempt to a request that has one is broken, and its connection ends. 502 for what may run once, a retry for the rest; fault answer-without-attempt, counter unnamed_answers_total. An endpoint whose answer on a new connection names none gets a new connection for each request, so that it loses kept connections and no answer. Why it works: on a connection that has carried nothing else there is no other request to answer.

--- a/include/mulberrypath/node.h
+++ b/include/mulberrypath/node.h
@@ -101,6 +101,8 @@
 	uint64_t length; /* of the body in bytes, when has_length */
 	/* BROKEN only: the peer has closed or reset the connection */
 	bool closed_by_peer;
+	/* HEAD only: the connection has carried an earlier call */
+	bool is_kept_connection;
 };
 
 struct node_event {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -42,6 +42,7 @@
 	f->by_ask = map_create();
 	f->by_call = map_create();
 	f->by_account = map_create();
+	f->naming = fwd_naming_create();
 	f->end_us = UINT64_MAX;
 	return f;
 }
@@ -84,6 +85,7 @@
 	map_destroy(f->by_ask);
 	map_destroy(f->by_call);
 	fwd_accounts_free(f);
+	fwd_naming_destroy(f->naming);
 	byte_budget_destroy(f->buffered);
 	free(f->data_centre);
 	free(f);
@@ -436,6 +438,8 @@
 	call->silence_us = attempt_timeout_us(r);
 	call->close_delimited = true;
 	call->for_request = r->request;
+	call->fresh_connection =
+	    fwd_naming_is_lacking(f->naming, r->endpoint, r->endpoint_born_ms);
 	if (!fwd_is_repeatable(r))
 		call->idle_limit_ms = NON_REPEATABLE_IDLE_MAX_MS;
 	f->codec->write_endpoint_request(call, &outgoing, fx);
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -242,6 +242,7 @@
 struct forward_stats {
 	uint64_t asked, served, refused, failed, timed_out, caller_gone,
 	    retried, aborted, declined, quarantined, outdated;
+	uint64_t unnamed_answers; /* that may belong to another request */
 	struct hist placement_us, first_byte_us, total_us;
 };
 /* Returns the totals, owned by the forwarder. */
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -24,6 +24,9 @@
 #define STATUS_FINAL_MIN 200
 #define STATUS_MAX	 599
 
+/* An answer that may belong to another request on its connection. */
+static const char fault_unnamed[] = "answer-without-attempt";
+
 static bool
 is_success(int status)
 {
@@ -79,6 +82,14 @@
 	    strcmp(r->decoded.attempt, response->attempt) == 0;
 }
 
+/* Whether the response names no attempt, though the request has one. */
+static bool
+is_unnamed(
+    const struct fwd_request *r, const struct gw_endpoint_response *response)
+{
+	return r->decoded.attempt != NULL && response->attempt == NULL;
+}
+
 /*
  * Whether the response refuses a request that it does not name. It may be a
  * refusal of an earlier request, sent once more on a kept connection.
@@ -87,8 +98,7 @@
 is_unnamed_refusal(
     const struct fwd_request *r, const struct gw_endpoint_response *response)
 {
-	return response->not_run && r->decoded.attempt != NULL &&
-	    response->attempt == NULL;
+	return response->not_run && is_unnamed(r, response);
 }
 
 /*
@@ -97,14 +107,20 @@
  */
 static const char *
 find_response_fault(const struct fwd_request *r,
-    const struct gw_endpoint_response *response, int status)
+    const struct gw_endpoint_response *response,
+    const struct node_call_event *event)
 {
+	int status = event->status;
+
 	if (status < STATUS_FINAL_MIN || status > STATUS_MAX)
 		return "status-invalid";
 	if (forward_guards.match && !is_for_request(r, response))
 		return "answer-of-another";
 	if (forward_guards.match && is_unnamed_refusal(r, response))
 		return "refusal-without-attempt";
+	if (forward_guards.match && is_unnamed(r, response) &&
+	    event->is_kept_connection)
+		return fault_unnamed;
 	if (forward_guards.proof && is_success(status) && !response->is_signed)
 		return "answer-not-signed";
 	if (is_success(status) && response->is_encoded)
@@ -112,6 +128,21 @@
 	return NULL;
 }
 
+/* The same, and remembers whether the endpoint names attempts. */
+static const char *
+check_response(struct forward *f, const struct fwd_request *r,
+    const struct gw_endpoint_response *response,
+    const struct node_call_event *event)
+{
+	const char *fault = find_response_fault(r, response, event);
+
+	f->stats.unnamed_answers += fault == fault_unnamed;
+	if (fault == NULL && r->decoded.attempt != NULL)
+		fwd_naming_record(f->naming, r->endpoint, r->endpoint_born_ms,
+		    !is_unnamed(r, response));
+	return fault;
+}
+
 static void
 fail_attempt(struct forward *f, struct fwd_request *r, uint64_t now_us,
     enum place_outcome outcome, bool not_run, const char *fault,
@@ -183,7 +214,7 @@
 	f->codec->read_endpoint_response(&resumed, event, fx);
 	report_notice(f, r, &resumed, fx);
 	record_limit(r, &resumed);
-	fault = find_response_fault(r, &resumed, event->status);
+	fault = check_response(f, r, &resumed, event);
 	if (fault != NULL)
 		fail_attempt(
 		    f, r, now_us, PLACE_ENDPOINT_FAILED, false, fault, fx);
@@ -221,7 +252,7 @@
 	r->length = event->length;
 	report_notice(f, r, &r->response, fx);
 	record_limit(r, &r->response);
-	fault = find_response_fault(r, &r->response, r->status);
+	fault = check_response(f, r, &r->response, event);
 	if (fault != NULL)
 		fail_attempt(
 		    f, r, now_us, PLACE_ENDPOINT_FAILED, false, fault, fx);
--- a/src/forward/forward_internal.h
+++ b/src/forward/forward_internal.h
@@ -103,8 +103,19 @@
 	struct forward_stats stats;
 	struct map *by_account; /* struct forward_account by name */
 	struct byte_budget *buffered; /* by all requests; NULL: no limit */
+	struct fwd_naming *naming;
 };
 
+/* ---- forward_naming.c ---- */
+struct fwd_naming *fwd_naming_create(void);
+void fwd_naming_destroy(struct fwd_naming *naming);
+/* Whether the last answer of the endpoint's process named no attempt. */
+bool fwd_naming_is_lacking(
+    const struct fwd_naming *naming, const char *endpoint, uint64_t born_ms);
+/* An answer of the endpoint's process to a request with an attempt. */
+void fwd_naming_record(struct fwd_naming *naming, const char *endpoint,
+    uint64_t born_ms, bool is_named);
+
 /* ---- forward.c ---- */
 /* Whether the request may be sent again after it may have run. */
 bool fwd_is_repeatable(const struct fwd_request *r);
--- a/src/http/client_call.c
+++ b/src/http/client_call.c
@@ -148,6 +148,7 @@
 	ev.nheaders = call->response.nheaders;
 	ev.has_length = call->response.has_length;
 	ev.length = call->response.length;
+	ev.is_kept_connection = call->conn->is_kept;
 	c->cb(c->ctx, &ev);
 }
 
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -82,7 +82,7 @@
 	if (n >= POOL_CONNECTIONS_MAX)
 		return false;
 	conn->next = first;
-	conn->idle = true;
+	conn->idle = conn->is_kept = true;
 	conn->idle_since_ms = uv_now(c->loop);
 	pool_set(c, conn->address, conn);
 	return true;
--- a/src/http/client_internal.h
+++ b/src/http/client_internal.h
@@ -47,6 +47,7 @@
 	char *address;
 	struct buf output; /* the request being written */
 	bool connected, writing, idle;
+	bool is_kept; /* it has carried an earlier call */
 	bool reading; /* false: received bytes stay with the kernel */
 	uint64_t idle_since_ms;
 	uint32_t keep_alive_ms; /* the peer's idle timeout; 0: not stated */
--- a/src/journal/journal.pb-c.c
+++ b/src/journal/journal.pb-c.c
@@ -947,7 +947,7 @@
   (ProtobufCMessageInit) journal__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor journal__call__field_descriptors[11] =
+static const ProtobufCFieldDescriptor journal__call__field_descriptors[12] =
 {
   {
     "call",
@@ -1081,6 +1081,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_kept_connection",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Journal__Call, is_kept_connection),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned journal__call__field_indices_by_name[] = {
   0,   /* field[0] = call */
@@ -1088,6 +1100,7 @@
   7,   /* field[7] = content_type */
   5,   /* field[5] = data */
   8,   /* field[8] = headers */
+  11,   /* field[11] = is_kept_connection */
   9,   /* field[9] = length_and_one */
   1,   /* field[1] = phase */
   6,   /* field[6] = reason */
@@ -1098,7 +1111,7 @@
 static const ProtobufCIntRange journal__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor journal__call__descriptor =
 {
@@ -1108,7 +1121,7 @@
   "Journal__Call",
   "journal",
   sizeof(Journal__Call),
-  11,
+  12,
   journal__call__field_descriptors,
   journal__call__field_indices_by_name,
   1,  journal__call__number_ranges,
--- a/src/journal/journal.pb-c.h
+++ b/src/journal/journal.pb-c.h
@@ -180,10 +180,11 @@
    * it broke, as the peer closed the connection
    */
   protobuf_c_boolean closed_by_peer;
+  protobuf_c_boolean is_kept_connection;
 };
 #define JOURNAL__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&journal__call__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/journal/journal_read.c
+++ b/src/journal/journal_read.c
@@ -259,6 +259,7 @@
 	out->has_length = m->length_and_one != 0;
 	out->length = out->has_length ? m->length_and_one - 1 : 0;
 	out->closed_by_peer = m->closed_by_peer;
+	out->is_kept_connection = m->is_kept_connection;
 }
 
 static void
--- a/src/journal/journal_write.c
+++ b/src/journal/journal_write.c
@@ -228,6 +228,7 @@
 	out->headers = encode_headers(arena, ev->headers, ev->nheaders);
 	out->length_and_one = ev->has_length ? ev->length + 1 : 0;
 	out->closed_by_peer = ev->closed_by_peer;
+	out->is_kept_connection = ev->is_kept_connection;
 }
 
 /* The messages that a Journal__Step can point to. */
--- a/src/node/node_gate_metrics.c
+++ b/src/node/node_gate_metrics.c
@@ -107,7 +107,8 @@
 	    {"repeats_total", s->retried}, {"cut_total", s->aborted},
 	    {"grants_declined_total", s->declined},
 	    {"quarantine_refused_total", s->quarantined},
-	    {"outdated_refused_total", s->outdated}};
+	    {"outdated_refused_total", s->outdated},
+	    {"unnamed_answers_total", s->unnamed_answers}};
 	size_t i;
 
 	for (i = 0; i < sizeof(counters) / sizeof(counters[0]); i++)
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -46,6 +46,7 @@
 	uint64_t call = 0;
 	std::string resume_after, deadline_header;
 	bool is_cancelled = false;
+	bool is_fresh = false; /* the last call's connection */
 
 	void
 	SetUp() override
@@ -200,6 +201,7 @@
 			call = e->u.call.call;
 			not_after_us = e->u.call.not_after_us;
 			is_cancelled = false;
+			is_fresh = e->u.call.fresh_connection;
 			resume_after = deadline_header = "";
 			for (size_t k = 0; k < e->u.call.nheaders; k++) {
 				std::string name = e->u.call.headers[k].name;
@@ -280,10 +282,12 @@
 	}
 
 	void
-	ReceiveHead(int s, std::vector<node_header> headers)
+	ReceiveHead(int s, std::vector<node_header> headers,
+	    bool is_kept_connection = false)
 	{
 		node_call_event ev = {};
 
+		ev.is_kept_connection = is_kept_connection;
 		ev.call = call;
 		ev.phase = NODE_CALL_HEAD;
 		ev.status = s;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -74,6 +74,33 @@
 		EXPECT_EQ(calls[i].body, "/" + std::to_string(i));
 }
 
+/*
+ * Guards against an answer that is taken for this call's, though it may be a
+ * late one to an earlier call: only the client knows that there was one.
+ */
+TEST_F(HttpTest, TheHeadTellsWhetherTheConnectionWasKept)
+{
+	std::map<uint64_t, bool> kept;
+
+	Serve();
+	handler = [&](const node_request *r) { Reply(r->request, 200, "ok"); };
+	std::string address = Address();
+	on_event = [&](const node_call_event *ev) {
+		if (ev->phase == NODE_CALL_HEAD)
+			kept[ev->call] = ev->is_kept_connection;
+	};
+	for (uint64_t id = 1; id <= 4; id++) {
+		node_call c = Call(id, address);
+
+		c.fresh_connection = id == 3;
+		http_client_start(client, &c);
+		ASSERT_TRUE(UntilEnded(id));
+	}
+	EXPECT_EQ(kept,
+	    (std::map<uint64_t, bool>{
+		{1, false}, {2, true}, {3, false}, {4, true}}));
+}
+
 TEST_F(HttpTest, FreshConnectionIsNotPooled)
 {
 	std::set<uint64_t> connections;
--- a/tests/journal/journal_test.cc
+++ b/tests/journal/journal_test.cc
@@ -199,7 +199,7 @@
 		step(ev);
 		ev.type = NODE_EV_CALL;
 		ev.u.call = {9, NODE_CALL_HEAD, 503, "1", {"", 0}, nullptr,
-		    "text/plain", headers, 2, true, 12, false};
+		    "text/plain", headers, 2, true, 12, false, true};
 		step(ev);
 		ev.type = NODE_EV_STOP;
 		step(ev);
