place: a newer version replaces the one before only where all fits

Cause: a load that replaces a version asked for no room, as it takes none beside the version before. After a change that raises sizes or lowers memory or slots an engine may hold more than it may; any load there makes it crash. Evidence: PlaceRoom.a_version_is_replaced_only_where_all_fits failed before in each of its three rows (larger adapters, less memory, fewer slots): the engine was ordered to load at once and crashed. Change: an order asks for room for the adapter beside all others, whether it is new or replaces one. Why it works: both cases are one question, and idle adapters are unloaded until its answer is yes.

--- a/src/place/place_adapter.c
+++ b/src/place/place_adapter.c
@@ -232,7 +232,7 @@
 	if (e->victim_computed_us != 0 &&
 	    p->now_us < e->victim_computed_us + VICTIM_VALID_US)
 		return e->victim_demand;
-	victim = place_room_choose_victim(p, e, adapter_kb);
+	victim = place_room_choose_victim(p, e, NULL, adapter_kb);
 	e->victim_computed_us = p->now_us;
 	e->victim_demand =
 	    victim == NULL ? 0 : place_demand_per_copy(p, victim->key);
--- a/src/place/place_order.c
+++ b/src/place/place_order.c
@@ -376,9 +376,9 @@
 {
 	struct place_adapter *victim;
 
-	if (!place_room_can_be_freed(e, wanted->size_kb))
+	if (!place_room_can_be_freed_for(e, wanted))
 		return;
-	victim = place_room_choose_victim(p, e, wanted->size_kb);
+	victim = place_room_choose_victim(p, e, wanted, wanted->size_kb);
 	if (victim != NULL &&
 	    (!wanted->is_prefetch ||
 		place_prefetch_may_unload(p, wanted->key, victim)))
@@ -392,7 +392,7 @@
 	if (count_loads(e) >= PLACE_LOADS_PER_ENGINE_MAX ||
 	    (a->is_prefetch && !place_prefetch_may_load(p)))
 		return;
-	if (!a->is_replacing && !place_room_has(e, a->size_kb)) {
+	if (!place_room_has_for(e, a)) {
 		order_unload_for(p, e, a);
 		return;
 	}
--- a/src/place/place_prefetch.c
+++ b/src/place/place_prefetch.c
@@ -122,8 +122,8 @@
 		kb = place_room_size_kb(e->engine, model, true);
 		if (place_room_has(e, kb))
 			return e;
-		victim = may_unload && place_room_can_be_freed(e, kb)
-		    ? place_room_choose_victim(p, e, kb)
+		victim = may_unload && place_room_can_be_made(e, kb)
+		    ? place_room_choose_victim(p, e, NULL, kb)
 		    : NULL;
 		if (victim == NULL ||
 		    !place_prefetch_may_unload(p, key, victim))
--- a/src/place/place_room.c
+++ b/src/place/place_room.c
@@ -124,9 +124,19 @@
 }
 
 bool
-place_room_can_be_freed(const struct place_endpoint *e, uint64_t adapter_kb)
+place_room_has_for(
+    const struct place_endpoint *e, const struct place_adapter *wanted)
 {
-	return fits(e->engine, count_usage(e, COUNT_IN_USE, NULL), adapter_kb);
+	return fits(
+	    e->engine, count_usage(e, COUNT_HELD, wanted), wanted->size_kb);
+}
+
+bool
+place_room_can_be_freed_for(
+    const struct place_endpoint *e, const struct place_adapter *wanted)
+{
+	return fits(
+	    e->engine, count_usage(e, COUNT_IN_USE, wanted), wanted->size_kb);
 }
 
 bool
@@ -153,10 +163,10 @@
 /* ---- victims ------------------------------------------------------------ */
 
 struct place_adapter *
-place_room_choose_victim(
-    const struct place *p, const struct place_endpoint *e, uint64_t adapter_kb)
+place_room_choose_victim(const struct place *p, const struct place_endpoint *e,
+    const struct place_adapter *wanted, uint64_t adapter_kb)
 {
-	struct usage held = count_usage(e, COUNT_HELD, NULL), rest;
+	struct usage held = count_usage(e, COUNT_HELD, wanted), rest;
 	struct place_adapter *a, *best = NULL;
 	bool is_enough, best_is_enough = false;
 	double demand, min_demand = 0;
--- a/src/place/place_room.h
+++ b/src/place/place_room.h
@@ -23,17 +23,21 @@
 uint64_t place_room_size_kb(
     const struct gw_engine *engine, const char *model, bool is_adapter);
 
-/* Is there room for an adapter beside all that may be loaded? */
+/* Is there room for another adapter beside all that may be loaded? */
 bool place_room_has(const struct place_endpoint *e, uint64_t adapter_kb);
 /*
- * Would there be room for an adapter if all idle ones were unloaded, beside
- * what is in use there?
+ * May the engine be ordered to load one of its adapters, which is wanted, or
+ * whose version is to be replaced?
  */
-bool place_room_can_be_freed(
-    const struct place_endpoint *e, uint64_t adapter_kb);
+bool place_room_has_for(
+    const struct place_endpoint *e, const struct place_adapter *wanted);
+/* The same, if all idle adapters were unloaded before. */
+bool place_room_can_be_freed_for(
+    const struct place_endpoint *e, const struct place_adapter *wanted);
 /*
- * The same for one that is not wanted there yet: adapters that are wanted, but
- * not ordered, go before it. False if the engine takes no orders.
+ * Would there be room for an adapter that is not wanted there yet, if all idle
+ * ones were unloaded? Those that are wanted, but not ordered, go before it.
+ * False if the engine takes no orders.
  */
 bool place_room_can_be_made(
     const struct place_endpoint *e, uint64_t adapter_kb);
@@ -45,9 +49,12 @@
 /*
  * The adapter to unload for another one: the one in least demand of those whose
  * unload alone makes enough room, or of all. NULL: all are in use.
+ *
+ * wanted: that one, if the engine has it already; NULL: it has not.
  */
-struct place_adapter *place_room_choose_victim(
-    const struct place *p, const struct place_endpoint *e, uint64_t adapter_kb);
+struct place_adapter *place_room_choose_victim(const struct place *p,
+    const struct place_endpoint *e, const struct place_adapter *wanted,
+    uint64_t adapter_kb);
 /*
  * Refuses a request whose model or adapter no engine of the service can load,
  * as the configuration tells, and none has; false: one may.
--- a/tests/place/room_test.cc
+++ b/tests/place/room_test.cc
@@ -327,6 +327,43 @@
 	}
 }
 
+/*
+ * Guards against the load of a newer version, which replaces the one before, at
+ * an engine that holds more than it may since a change.
+ */
+TEST_F(PlaceRoom, a_version_is_replaced_only_where_all_fits)
+{
+	static const struct {
+		const char *name;
+		uint64_t memory, small;
+		uint32_t slots;
+	} rows[] = {{"larger adapters", 1400, 400, 5},
+	    {"less memory", 500, 200, 5}, {"fewer slots", 1400, 200, 3}};
+
+	for (auto &row : rows) {
+		SCOPED_TRACE(row.name);
+		BeginAnew();
+		Configure(1400, 200);
+		Start(1);
+		for (int n = 0; n < 5; n++)
+			(void)AskFor("a" + std::to_string(n));
+		RunFor(1500);
+		ASSERT_EQ(engines["e1"].adapters.size(), 5u);
+		Configure(row.memory, row.small, 0, row.slots);
+		place_set_version(p, "m", "a1", 2);
+		RunFor(500);
+		orders.clear();
+		served = 0;
+		(void)AskFor("a1");
+		RunFor(1500);
+		EXPECT_EQ(served, 1);
+		ASSERT_FALSE(orders.empty());
+		EXPECT_EQ(orders.back(), "+m/a1");
+		EXPECT_GT(orders.size(), 1u) << "others were unloaded before";
+		ExpectNoCrash();
+	}
+}
+
 /* Guards against adapters that are unloaded in vain. */
 TEST_F(PlaceRoom, nothing_is_unloaded_if_that_makes_not_enough_room)
 {
