--- a/src/place/place_room.c
+++ b/src/place/place_room.c
@@ -162,36 +162,46 @@
 
 /* ---- victims ------------------------------------------------------------ */
 
+/* An adapter that may be unloaded for another one. */
+struct victim {
+	struct place_adapter *adapter; /* NULL: none */
+	bool is_enough; /* its unload alone makes enough room */
+	double demand;
+};
+
+static bool
+is_better_victim(const struct victim *v, const struct victim *best)
+{
+	if (best->adapter == NULL)
+		return true;
+	if (v->is_enough != best->is_enough)
+		return v->is_enough;
+	if (v->demand < best->demand)
+		return true;
+	return v->demand == best->demand &&
+	    v->adapter->last_used_us < best->adapter->last_used_us;
+}
+
 struct place_adapter *
 place_room_choose_victim(const struct place *p, const struct place_endpoint *e,
     const struct place_adapter *wanted, uint64_t adapter_kb)
 {
 	struct usage held = count_usage(e, COUNT_HELD, wanted), rest;
-	struct place_adapter *a, *best = NULL;
-	bool is_enough, best_is_enough = false;
-	double demand, min_demand = 0;
+	struct victim v, best = {0};
 	size_t i;
 
 	for (i = 0; i < map_count(e->adapters); i++) {
-		a = map_at(e->adapters, i);
-		if (!place_adapter_is_evictable(a))
+		v.adapter = map_at(e->adapters, i);
+		if (!place_adapter_is_evictable(v.adapter))
 			continue;
 		rest.slots = held.slots - 1;
-		rest.kb = held.kb - a->size_kb;
-		is_enough = fits(e->engine, rest, adapter_kb);
-		demand = place_demand_per_copy(p, a->key);
-		if (best != NULL && is_enough != best_is_enough
-			? !is_enough
-			: best != NULL &&
-			    (demand > min_demand ||
-				(demand == min_demand &&
-				    a->last_used_us >= best->last_used_us)))
-			continue;
-		best = a;
-		best_is_enough = is_enough;
-		min_demand = demand;
+		rest.kb = held.kb - v.adapter->size_kb;
+		v.is_enough = fits(e->engine, rest, adapter_kb);
+		v.demand = place_demand_per_copy(p, v.adapter->key);
+		if (is_better_victim(&v, &best))
+			best = v;
 	}
-	return best;
+	return best.adapter;
 }
 
 /* ---- requests that can't be served -------------------------------------- */
